--- /dev/null
+++ b/fawnwharf/__init__.py
@@ -0,0 +1,5 @@
+"""fawnwharf: the decisions of a router for functions that are loaded on demand."""
+
+from fawnwharf.policy import Router
+
+__all__ = ["Router"]
--- a/spokechute/policy.py
+++ b/fawnwharf/policy.py
@@ -1,4 +1,4 @@
-"""All decisions of spokechute: conditional speculative scaling after CIDRE, for one front end.
+"""All decisions of fawnwharf: conditional speculative scaling after CIDRE, for one front end.
 
 Types, events and actions are in interface.py. A request goes to the first worker in its function's
 hash order that has a free warm lane within the bound. Without one it is held, and a busy warm
@@ -11,8 +11,8 @@
 from dataclasses import dataclass, field
 from itertools import islice
 
-from spokechute import interface as io
-from spokechute.interface import Effect, Ending, State, Warmth
+from fawnwharf import interface as io
+from fawnwharf.interface import Effect, Ending, State, Warmth
 
 WINDOW_MS = 10_000.0  # samples of Te, Tp and Td older than this are forgotten (the design's window)
 SWEEP_MS = 40.0  # pace of the timer for deadlines, waits and silent workers; well under a run
--- a/spokechute/wirehost.py
+++ b/fawnwharf/wirehost.py
@@ -1,6 +1,6 @@
 """The adapter: JSON lines on standard input to events, actions to JSON lines on standard output.
 
-Translation only; every decision is in policy.py. Run as ``python -m spokechute.wirehost``.
+Translation only; every decision is in policy.py. Run as ``python -m fawnwharf.wirehost``.
 """
 
 import gc
@@ -9,8 +9,8 @@
 import traceback
 from typing import Any, TextIO
 
-from spokechute import interface as io
-from spokechute.policy import Router
+from fawnwharf import interface as io
+from fawnwharf.policy import Router
 
 ENDINGS = {ending.value: ending for ending in io.Ending}
 
--- a/tests/bench.py
+++ b/tests/bench.py
@@ -1,7 +1,7 @@
 """Helpers to drive a Router by events, with a clock of their own."""
 
-from spokechute import interface as io
-from spokechute.policy import Router
+from fawnwharf import interface as io
+from fawnwharf.policy import Router
 
 SAFE = io.ClassSpec("safe", 1000.0, 2500.0, io.Effect.SAFE)
 KEYED = io.ClassSpec("keyed", 1000.0, 4000.0, io.Effect.KEYED, io.Group.ZONE, 2500.0)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -5,8 +5,8 @@
 
 from bench import Drive, of
 
-from spokechute import interface as io
-from spokechute.interface import Ending
+from fawnwharf import interface as io
+from fawnwharf.interface import Ending
 
 SOLD = {"t": 100.0}
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -2,8 +2,8 @@
 
 from bench import Drive, of
 
-from spokechute import interface as io
-from spokechute.interface import Ending
+from fawnwharf import interface as io
+from fawnwharf.interface import Ending
 
 # --- the ordinary path ---------------------------------------------------------------------
 
--- a/tests/test_repository.py
+++ b/tests/test_repository.py
@@ -5,7 +5,7 @@
 from pathlib import Path
 
 ROOT = Path(__file__).parent.parent
-POLICY = (ROOT / "spokechute" / "policy.py").read_text()
+POLICY = (ROOT / "fawnwharf" / "policy.py").read_text()
 
 
 def test_policy_keeps_its_limits():
@@ -23,7 +23,7 @@
         elif isinstance(node, ast.ImportFrom):
             modules.add(node.module)
     allowed = {"hashlib", "math", "collections", "dataclasses", "itertools"}
-    allowed |= {"spokechute", "spokechute.interface"}
+    allowed |= {"fawnwharf", "fawnwharf.interface"}
     assert modules <= allowed
     calls = {n.func.id for n in ast.walk(tree) if isinstance(n, ast.Call) and isinstance(n.func, ast.Name)}
     assert "hash" not in calls
--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -35,7 +35,7 @@
 def talk(*lines, hash_seed="0", check=0):
     env = {**os.environ, "PYTHONHASHSEED": hash_seed, "PYTHONPATH": str(ROOT)}
     done = subprocess.run(
-        [sys.executable, "-m", "spokechute.wirehost"],
+        [sys.executable, "-m", "fawnwharf.wirehost"],
         input="".join(line + "\n" for line in lines),
         capture_output=True,
         text=True,
