--- /dev/null
+++ b/fawnwharf/net/changelog.py
@@ -0,0 +1,125 @@
+"""The change log: followed over TCP, reconnected when it falls silent, never trusted to be well-formed."""
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from fawnwharf.config import Address, ConfigError, Fleet, fleet_from
+from fawnwharf.net.connection import Connection
+from fawnwharf.net.endings import End
+from fawnwharf.net.log import Log
+from fawnwharf.net.loop import Loop
+from fawnwharf.net.wheel import monotonic_ms
+
+SILENCE_MS = 2_500.0  # it writes a line a second; two missing and a half make it silent
+DIAL_MS = 1_000.0
+PAUSE_MS, PAUSE_MOST_MS = 50.0, 1_000.0  # before dialling again
+LINE_MOST = 4 * 1024 * 1024  # a list of thousands of scorers is shorter
+
+
+class ChangeLog:
+    """Follows the log from an event on, and passes each later one on once, in order."""
+
+    def __init__(
+        self, loop: Loop, address: Address, seq: int, told: Callable[[Fleet], None], log: Log
+    ) -> None:
+        self.seq = seq  # of the last event passed on
+        self._loop, self._address, self._told, self._log = loop, address, told, log
+        self._connection: Connection | None = None
+        self._buffer = bytearray()
+        self._pause_ms = PAUSE_MS
+        self._stumbled_at: int | None = None  # where the log could not be followed last time
+        self._stopped = False
+        self._heard_ms = monotonic_ms()
+
+    def connect(self) -> None:
+        if self._stopped or self._connection is not None:
+            return
+        self._buffer.clear()
+        made = Connection.dial(self._loop, self._address, self, DIAL_MS)
+        if isinstance(made, End):
+            self._again()
+        else:
+            self._connection = made
+
+    def _again(self) -> None:
+        self._loop.wheel.after(self._pause_ms, self.connect)
+        self._pause_ms = min(PAUSE_MOST_MS, 2 * self._pause_ms)
+
+    def tidy(self) -> None:
+        """Guards against a log that was cut off: its connection stays open and says nothing."""
+        up = self._connection is not None and self._connection.up
+        if up and monotonic_ms() - self._connection.heard_ms > SILENCE_MS:
+            self._log("change log: silent, connecting again")
+            self._connection.close(End.SILENT)
+
+    def close(self) -> None:
+        self._stopped = True
+        if self._connection:
+            self._connection.close(End.STOPPED)
+
+    # --- from the connection ------------------------------------------------------------------
+
+    def on_up(self) -> None:
+        self._connection.write(b"since %d\n" % self.seq)
+
+    def on_data(self, data: bytes) -> None:
+        self._buffer += data
+        *lines, rest = self._buffer.split(b"\n")
+        self._buffer = bytearray(rest)
+        for line in lines:
+            if line.strip() and not self._line(bytes(line)):
+                return
+        if len(rest) > LINE_MOST:
+            self._stumble("a line without an end")
+
+    def on_flushed(self) -> None:
+        pass
+
+    def on_end(self, end: End) -> None:
+        self._connection = None
+        if not self._stopped:
+            self._again()
+
+    # --- lines --------------------------------------------------------------------------------
+
+    def _line(self, line: bytes) -> bool:
+        """Take one line; False where the connection was given up."""
+        try:
+            read = msgspec.json.decode(line)
+        except (msgspec.DecodeError, RecursionError):
+            return self._stumble(f"not JSON: {line[:60]!r}")
+        self._pause_ms = PAUSE_MS
+        if isinstance(read, int) and not isinstance(read, bool):
+            # Events that it says it has told have not come: they are lost on this connection.
+            return read <= self.seq or self._stumble(f"at {read}, but only {self.seq} came")
+        return self.event(read) or self._stumble(f"not an event: {line[:60]!r}")
+
+    def event(self, read: Any, of_start: bool = False) -> bool:
+        """Take one event, of the start or of the log; False where it is none."""
+        if not isinstance(read, dict) or not isinstance(seq := read.get("seq"), int):
+            return False
+        if seq <= self.seq:  # told before
+            return True
+        if seq > self.seq + 1 and not of_start and self._stumbled_at != self.seq:
+            return False
+        if "fleet" in read:
+            try:
+                fleet = fleet_from(read["fleet"])
+                self._told(fleet)
+            except ConfigError as error:
+                self._log(f"change log: event {seq}: {error}")
+                return False
+        self.seq = seq
+        return True
+
+    def _stumble(self, why: str) -> bool:
+        """Connect again and be told again; what can't be followed twice at one place is passed over."""
+        if self._stumbled_at == self.seq:
+            return True
+        self._log(f"change log: {why}; connecting again after {self.seq}")
+        self._stumbled_at = self.seq
+        if self._connection:
+            self._connection.close(End.BAD_BYTES)
+        return False
--- /dev/null
+++ b/fawnwharf/net/clients.py
@@ -0,0 +1,241 @@
+"""Clients: the listener, their connections, and the translation between Thrift and calls."""
+
+import errno
+import math
+import re
+import socket
+
+from fawnwharf.config import Address
+from fawnwharf.interface import ClassSpec, Effect
+from fawnwharf.net import thrift
+from fawnwharf.net.connection import Connection
+from fawnwharf.net.endings import End, end_of
+from fawnwharf.net.log import Log
+from fawnwharf.net.loop import READ, Loop
+from fawnwharf.net.requests import Call, Failed, Outcome, Refused, RequestTable, Served
+from fawnwharf.net.wheel import monotonic_ms
+
+OPEN_MOST = 32  # requests open on one connection
+BACKLOG = 1024
+ACCEPTS_MOST = 64  # in a turn
+ACCEPT_PAUSE_MS = 50.0  # where the system has no descriptor left
+IDLE_MS = 30_000.0  # clients close after 4 s; one that is still here is gone, or never spoke
+UNREAD_STOP = 64 * 1024  # bytes that wait for a client which does not read: it is not read either
+UNREAD_MOST = 1024 * 1024  # and with these it is dropped
+UNREAD_ALL_MOST = 32 * 1024 * 1024  # of all clients together: part of the memory limit
+BUDGET_MOST_MS = 3_600_000.0
+LANES_MOST = 4_096
+
+_HEX16 = re.compile(r"[0-9a-fA-F]{16}\Z")
+_TOKEN = re.compile(r"[0-9A-Za-z_.:-]{1,128}\Z")
+_NUMBER = re.compile(r"[0-9]{1,12}(\.[0-9]{1,9})?\Z")
+
+
+def _number(text: str | None, name: str) -> float | None:
+    if text is None:
+        return None
+    if not _NUMBER.match(text):
+        raise thrift.Malformed(f"{name}: not a number")
+    return float(text)
+
+
+def call_from(message: thrift.Handle, classes: dict[str, ClassSpec]) -> dict[str, object]:
+    """What a call's fields say; raises Malformed for what no scorer could be passed."""
+    fields = message.fields
+    spec, token = classes.get(fields.get("op", "")), fields.get("dedupe", "")
+    if spec is None:
+        raise thrift.Malformed("op: no such class")
+    for name in ("call", "row"):
+        if not _HEX16.match(fields.get(name, "")):
+            raise thrift.Malformed(f"{name}: not 16 hex digits")
+    if (token or spec.effect is Effect.KEYED) and not _TOKEN.match(token):
+        raise thrift.Malformed("dedupe: missing, or not a key")
+    budget = _number(fields.get("ttl"), "ttl")
+    if not budget or budget > BUDGET_MOST_MS:
+        raise thrift.Malformed("ttl: missing, or not a time to wait")
+    parts = (part.partition(":") for part in fields.get("props", "").split(";") if part)
+    props = {name: value for name, _, value in parts}
+    lanes = _number(props.get("lanes"), "lanes") or 1
+    if lanes > LANES_MOST:
+        raise thrift.Malformed("lanes: too many")
+    return {
+        "id": bytes.fromhex(fields["call"]),
+        "class_name": spec.name,
+        "tenant": fields.get("org", "")[:128],
+        "function": fields["row"],
+        "budget_ms": budget,
+        "body": message.body,
+        "token": token,
+        "lanes": max(1, int(lanes)),
+        "memory_mb": _number(props.get("memory_mb"), "memory_mb"),
+        "load_ms": _number(props.get("load_ms"), "load_ms"),
+    }
+
+
+class Client:
+    """One client connection and the requests open on it, by sequence number."""
+
+    def __init__(self, port: "ClientPort", sock: socket.socket) -> None:
+        self.port = port
+        self.open: dict[int, str] = {}
+        self.connection = Connection.accepted(port.loop, sock, self)
+        self._reader = thrift.FrameReader()
+
+    def on_up(self) -> None:
+        pass
+
+    def on_data(self, data: bytes) -> None:
+        for item in self._reader.feed(data):
+            if self.connection.closed:
+                return
+            if isinstance(item, thrift.Malformed):
+                self._malformed(item)
+            elif isinstance(item, thrift.Handle):
+                self._handle(item)
+            elif isinstance(item, thrift.Withdraw):
+                if (key := self.open.pop(item.seqid, None)) is not None:
+                    self.port.table.withdraw(key)
+            else:
+                self._write(thrift.answer("status", item.seqid, b"", {}, self.port.ready))
+
+    def _malformed(self, error: thrift.Malformed) -> None:
+        self.port.log(f"client: {error}")
+        # An exception under an open request's number would be that request's answer.
+        if error.seqid is None or error.seqid in self.open:
+            self.connection.close(End.BAD_BYTES)
+        else:
+            self._write(thrift.application_exception(error.seqid, str(error), error.kind))
+
+    def _handle(self, message: thrift.Handle) -> None:
+        seqid = message.seqid
+        try:
+            if seqid in self.open:
+                raise thrift.Malformed("a second request under an open number")
+            if len(self.open) >= OPEN_MOST:
+                raise thrift.Malformed("too many open requests")
+            fields = call_from(message, self.port.classes)
+        except thrift.Malformed as error:
+            error.seqid = seqid
+            self._malformed(error)
+            return
+        call = Call(reply=lambda outcome: self._reply(seqid, outcome), **fields)
+        if (key := self.port.table.take(call)) is not None:
+            self.open[seqid] = key
+
+    def _reply(self, seqid: int, outcome: Outcome) -> None:
+        self.open.pop(seqid, None)
+        if isinstance(outcome, Served):
+            self._write(thrift.answer("handle", seqid, outcome.body, {}, True))
+        elif isinstance(outcome, Refused):
+            wait = math.ceil(max(0.0, outcome.hold_off_ms))
+            self._write(thrift.throttled(seqid, {"pushback": str(wait)}))
+        elif isinstance(outcome, Failed):
+            self._write(thrift.broken(seqid, {}))
+
+    def _write(self, data: bytes) -> None:
+        self.connection.write(data)
+
+    def on_flushed(self) -> None:
+        """After the connection's own write of this turn: what is left is what the client does not read."""
+        left = self.connection.waiting_bytes
+        self.connection.read_on(left < UNREAD_STOP)
+        if left > UNREAD_MOST or (left > UNREAD_STOP and self.port.unread() > UNREAD_ALL_MOST):
+            self.connection.close(End.STUFFED)
+
+    def on_end(self, end: End) -> None:
+        keys, self.open = list(self.open.values()), {}
+        for key in keys:
+            self.port.table.withdraw(key)
+        self.port.ended(self)
+
+
+class ClientPort:
+    """Owns the listener and the client connections, within a share of the descriptors."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        address: Address,
+        table: RequestTable,
+        classes: dict[str, ClassSpec],
+        most: int,
+        log: Log,
+    ) -> None:
+        self.loop, self.table, self.classes, self.log = loop, table, classes, log
+        self.ready = False
+        self.clients: dict[Client, None] = {}
+        self._most = most
+        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+        self._listener: socket.socket | None = socket.socket(family, socket.SOCK_STREAM)
+        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._listener.bind(address)
+        self._listener.listen(BACKLOG)
+        self._listener.setblocking(False)
+        self.address: Address = self._listener.getsockname()[:2]
+        self._paused = False
+        loop.watch(self._listener, READ, self._accept)
+
+    def _accept(self, _mask: int) -> None:
+        for _ in range(ACCEPTS_MOST):
+            if self._listener is None or (len(self.clients) >= self._most and not self._make_room()):
+                self._pause()
+                return
+            try:
+                sock, _ = self._listener.accept()
+            except BlockingIOError:
+                return
+            except OSError as error:
+                if end_of(error) is End.NO_DESCRIPTOR:
+                    self._pause()
+                    return
+                if error.errno in (errno.ECONNABORTED, errno.EINTR):
+                    continue
+                self.log(f"accept: {error}")
+                self._pause()
+                return
+            client = Client(self, sock)
+            self.clients[client] = None
+
+    def _make_room(self) -> bool:
+        """Close the connection that has been idle for longest, if any has nothing open."""
+        idle = [client for client in self.clients if not client.open and not client.connection.waiting_bytes]
+        if not idle:
+            return False
+        min(idle, key=lambda client: client.connection.used_ms).connection.close(End.IDLE)
+        return True
+
+    def _pause(self) -> None:
+        """Leave new connections to the system's queue for a moment, rather than spin on them."""
+        if self._listener is not None and not self._paused:
+            self._paused = True
+            self.loop.forget(self._listener)
+            self.loop.wheel.after(ACCEPT_PAUSE_MS, self._resume)
+
+    def _resume(self) -> None:
+        self._paused = False
+        if self._listener is not None:
+            self.loop.watch(self._listener, READ, self._accept)
+
+    def unread(self) -> int:
+        return sum(client.connection.waiting_bytes for client in self.clients)
+
+    def unwritten(self) -> bool:
+        return any(client.connection.waiting_bytes for client in self.clients)
+
+    def ended(self, client: Client) -> None:
+        self.clients.pop(client, None)
+
+    def tidy(self) -> None:
+        now = monotonic_ms()
+        for client in list(self.clients):
+            if not client.open and now - client.connection.used_ms > IDLE_MS:
+                client.connection.close(End.IDLE)
+
+    def close(self) -> None:
+        if self._listener is not None:
+            if not self._paused:
+                self.loop.forget(self._listener)
+            self._listener.close()
+            self._listener = None
+        for client in list(self.clients):
+            client.connection.close(End.STOPPED)
--- /dev/null
+++ b/fawnwharf/net/connection.py
@@ -0,0 +1,181 @@
+"""One TCP connection: dialling, bounded reads, partial writes, and its single end."""
+
+import errno
+import socket
+from collections import deque
+from itertools import islice
+from typing import Protocol
+
+from fawnwharf.config import Address
+from fawnwharf.net.endings import End, end_of
+from fawnwharf.net.loop import READ, WRITE, Loop
+from fawnwharf.net.wheel import Timer, monotonic_ms
+
+READ_MOST = 64 * 1024  # bytes taken from one connection in a turn, so that none starves the others
+PIECES_MOST = 64  # in one write
+
+
+class Piece:
+    """Bytes to be written, and how many have been."""
+
+    __slots__ = ("data", "written")
+
+    def __init__(self, data: bytes) -> None:
+        self.data, self.written = data, 0
+
+
+class Owner(Protocol):
+    """Whoever is told what happens on a connection."""
+
+    def on_up(self) -> None: ...
+
+    def on_data(self, data: bytes) -> None: ...
+
+    def on_flushed(self) -> None: ...
+
+    def on_end(self, end: End) -> None: ...
+
+
+class Connection:
+    def __init__(self, loop: Loop, sock: socket.socket, owner: Owner, up: bool = True) -> None:
+        self.loop, self.owner, self.up, self.closed = loop, owner, up, False
+        self.heard_ms = self.used_ms = monotonic_ms()
+        self.waiting_bytes = 0
+        self._sock, self._reading, self._blocked = sock, True, False
+        self._outbox: deque[Piece] = deque()
+        self._dial: Timer | None = None
+        self._mask = READ if up else WRITE
+        loop.watch(sock, self._mask, self._ready)
+
+    @classmethod
+    def accepted(cls, loop: Loop, sock: socket.socket, owner: Owner) -> "Connection":
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return cls(loop, sock, owner)
+
+    @classmethod
+    def dial(cls, loop: Loop, address: Address, owner: Owner, within_ms: float) -> "Connection | End":
+        """A connection that comes up or ends later; or why it can't even be tried."""
+        sock = None
+        try:
+            family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+            sock = socket.socket(family, socket.SOCK_STREAM)
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            code = sock.connect_ex(address)
+            if code not in (0, errno.EINPROGRESS):
+                raise OSError(code, "connect")
+        except OSError as error:
+            if sock is not None:
+                sock.close()
+            return end_of(error)
+        made = cls(loop, sock, owner, up=False)
+        made._dial = loop.wheel.after(within_ms, lambda: made.close(End.DIAL_TIMED_OUT))
+        return made
+
+    # --- writing ------------------------------------------------------------------------------
+
+    def write(self, data: bytes) -> Piece:
+        """Queue bytes for this turn's one write."""
+        piece = Piece(data)
+        if not self.closed:
+            self._outbox.append(piece)
+            self.waiting_bytes += len(data)
+            self.loop.flush_later(self)
+        return piece
+
+    def take_back(self, piece: Piece) -> bool:
+        """Unqueue a piece of which nothing has been written; False where it is too late."""
+        if piece.written or piece not in self._outbox:
+            return False
+        self._outbox.remove(piece)
+        self.waiting_bytes -= len(piece.data)
+        return True
+
+    def flush(self) -> None:
+        if self.closed or not self.up or self._blocked or not self._outbox:
+            return
+        pieces = list(islice(self._outbox, PIECES_MOST))
+        views = [memoryview(piece.data)[piece.written :] for piece in pieces]
+        try:
+            count = self._sock.sendmsg(views)
+        except BlockingIOError:
+            count = 0
+        except OSError as error:
+            self.close(end_of(error))
+            return
+        self.waiting_bytes -= count
+        self.used_ms = monotonic_ms()
+        for piece in pieces:
+            step = min(count, len(piece.data) - piece.written)
+            piece.written, count = piece.written + step, count - step
+            if piece.written < len(piece.data):
+                break
+            self._outbox.popleft()
+        self._blocked = bool(self._outbox)
+        self._set_mask()
+        self.owner.on_flushed()
+
+    # --- reading ------------------------------------------------------------------------------
+
+    def read_on(self, on: bool) -> None:
+        """Stop or go on reading: a peer that does not read its answers is not read either."""
+        if self._reading != on and not self.closed:
+            self._reading = on
+            self._set_mask()
+
+    def _set_mask(self) -> None:
+        mask = (READ * self._reading) | (WRITE * self._blocked)
+        # A selector takes no empty mask; a blocked writer always has one, and only such stop reading.
+        if mask and mask != self._mask and not self.closed:
+            self._mask = mask
+            self.loop.change(self._sock, mask, self._ready)
+
+    def _ready(self, mask: int) -> None:
+        if not self.up:
+            self._dialled()
+            return
+        if mask & WRITE:
+            self._blocked = False
+            self.loop.flush_later(self)
+        if mask & READ:
+            self._read()
+
+    def _dialled(self) -> None:
+        code = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if code:
+            self.close(end_of(OSError(code, "connect")))
+            return
+        self.up, self._mask = True, READ
+        if self._dial:
+            self._dial.cancel()
+        self.heard_ms = self.used_ms = monotonic_ms()
+        self.loop.change(self._sock, READ, self._ready)
+        self.owner.on_up()
+
+    def _read(self) -> None:
+        try:
+            data = self._sock.recv(READ_MOST)
+        except BlockingIOError:
+            return
+        except OSError as error:
+            self.close(end_of(error))
+            return
+        if not data:
+            self.close(End.CLOSED_BY_PEER)
+            return
+        self.heard_ms = self.used_ms = monotonic_ms()
+        self.owner.on_data(data)
+
+    def close(self, end: End) -> None:
+        """The one way out; the owner hears of it once."""
+        if self.closed:
+            return
+        self.closed = True
+        if self._dial:
+            self._dial.cancel()
+        self.loop.forget(self._sock)
+        self._sock.close()
+        self._outbox.clear()
+        self.waiting_bytes = 0
+        self.owner.on_end(end)
--- /dev/null
+++ b/fawnwharf/net/front_end.py
@@ -0,0 +1,156 @@
+"""The front end as an object that others can embed: the parts, wired round one Router."""
+
+import hashlib
+import signal
+import traceback
+from typing import Any
+
+from fawnwharf import interface as io
+from fawnwharf.config import Address, ConfigError, Deployment, Fleet, Member, address_from
+from fawnwharf.net.changelog import ChangeLog
+from fawnwharf.net.clients import ClientPort
+from fawnwharf.net.log import Log
+from fawnwharf.net.loop import Loop
+from fawnwharf.net.requests import RequestTable
+from fawnwharf.net.scorers import ScorerPool
+from fawnwharf.net.wheel import monotonic_ms
+from fawnwharf.policy import Router
+
+TIDY_MS = 500.0  # pace of the look after idle and silent connections
+LATE_ARRIVALS_MS = 800.0  # after SIGTERM, connections and requests keep coming for 0.6 s
+LINGER_MS = 20_000.0  # and never longer than this, whatever is still open
+LEAVE_LOOK_MS = 20.0
+CLIENT_SHARE = 0.4  # of the descriptors; clients hold a third at most
+SCORER_SHARE = 0.4
+AFTER_FAULT_MS = 40.0  # the module's sweep, set again where a fault may have lost it
+
+STATES = {"in_service": io.State.READY, "terminating": io.State.DRAINING, "terminated": io.State.GONE}
+
+
+def worker_number(id: str) -> int:
+    """The same at every front end, so that all make the same hash orders."""
+    return int.from_bytes(hashlib.blake2b(id.encode(), digest_size=4).digest(), "big")
+
+
+class FrontEnd:
+    """One front end: owns the loop and the parts, and carries the module's actions out."""
+
+    def __init__(self, deployment: Deployment, log: Log | None = None) -> None:
+        self.deployment = deployment
+        self.log = log or Log(deployment.name or "fawnwharf")
+        settings, wire, sockets = deployment.settings, deployment.wire, deployment.sockets
+        self.loop = Loop(self._decide)
+        self.router = Router(settings, deployment.seed)
+        links_most = max(4, int(sockets * SCORER_SHARE))
+        self.pool = ScorerPool(self.loop, wire, links_most, deployment.seed, self.log)
+        self.table = RequestTable(self.loop, self.pool, wire)
+        self.changelog = ChangeLog(self.loop, deployment.changelog, 0, self._on_fleet, self.log)
+        self._known()
+        clients_most = max(4, int(sockets * CLIENT_SHARE))
+        self.port = ClientPort(
+            self.loop, deployment.listen, self.table, settings.classes, clients_most, self.log
+        )
+        self._carriers = {
+            io.Send: self.table.send,
+            io.Cancel: self.table.cancel,
+            io.Refuse: self.table.refuse,
+            io.Fail: self.table.fail,
+            io.Hold: self.table.order,
+            io.SetTimer: self._set_timer,
+            io.Log: lambda action: self.log(action.text),
+        }
+        self._leaving_ms: float | None = None
+
+    @property
+    def address(self) -> Address:
+        return self.port.address
+
+    # --- life -----------------------------------------------------------------------------------
+
+    def start(self) -> None:
+        self.changelog.connect()
+        self.loop.wheel.after(TIDY_MS, self._tidy)
+        self.port.ready = True
+
+    def serve(self) -> None:
+        """Serve until SIGTERM or SIGINT, then until all that was taken has its answer."""
+        self.loop.on_signals({signal.SIGTERM: self.leave, signal.SIGINT: self.leave})
+        self.start()
+        self.log(f"serving on {self.address[0]}:{self.address[1]}")
+        try:
+            self.loop.run()
+        finally:
+            self.close()
+
+    def leave(self) -> None:
+        """Begin to end: keep accepting and serving until late arrivals are in and all is answered."""
+        if self._leaving_ms is None:
+            self.log("leaving")
+            self._leaving_ms = monotonic_ms()
+            self.port.ready = False
+            self._look_to_leave()
+
+    def _look_to_leave(self) -> None:
+        since = monotonic_ms() - self._leaving_ms
+        busy = bool(self.table.open) or self.port.unwritten()
+        if since > LINGER_MS or (since > LATE_ARRIVALS_MS and not busy):
+            self.loop.running = False
+        else:
+            self.loop.wheel.after(LEAVE_LOOK_MS, self._look_to_leave)
+
+    def close(self) -> None:
+        self.port.close()
+        self.changelog.close()
+        self.pool.close()
+        self.loop.close()
+
+    def _tidy(self) -> None:
+        self.changelog.tidy()
+        self.pool.tidy()
+        self.port.tidy()
+        self.loop.wheel.after(TIDY_MS, self._tidy)
+
+    # --- the roster -----------------------------------------------------------------------------
+
+    def _known(self) -> None:
+        for event in self.deployment.known_events:
+            if not self.changelog.event(event, of_start=True):
+                raise ConfigError(f"known.results: not an event: {str(event)[:80]}")
+        self.changelog.seq = max(self.changelog.seq, self.deployment.known_seq)
+
+    def _on_fleet(self, fleet: Fleet) -> None:
+        entries = [self._entry(member) for member in fleet.members]
+        for entry, address in entries:
+            self.pool.update(entry.worker, address, entry.state, entry.up_since_ms or 0.0)
+        if fleet.complete:
+            self.pool.gone_but({entry.worker for entry, _ in entries})
+        self.loop.tell(io.RosterChanged([entry for entry, _ in entries], fleet.complete))
+
+    def _entry(self, member: Member) -> tuple[io.WorkerEntry, Address | None]:
+        address = address_from(member.host_port, "host_port") if member.host_port else None
+        return io.WorkerEntry(
+            worker=worker_number(member.id),
+            state=STATES[member.phase],
+            kind=member.flavor,
+            zone=member.locality,
+            cell=member.cell,
+            units=member.size,
+            up_since_ms=member.up_since_ms or None,
+        ), address
+
+    # --- decisions ------------------------------------------------------------------------------
+
+    def _decide(self, now_ms: float, events: list[io.Event]) -> None:
+        self.table.begin_batch()
+        try:
+            actions: list[Any] = self.router.handle(now_ms, events)
+        except Exception:
+            # A fault in the decisions must not take down what is open: each request has its backstop.
+            self.log("decisions: " + traceback.format_exc(limit=-2).replace("\n", " | "))
+            self.loop.wheel.after(AFTER_FAULT_MS, lambda: self.loop.tell(io.TimerDue(0)))
+            return
+        for action in actions:
+            self._carriers[type(action)](action)
+
+    def _set_timer(self, action: io.SetTimer) -> None:
+        self.loop.wheel.after(action.delay_ms, lambda: self.loop.tell(io.TimerDue(action.token)))
--- /dev/null
+++ b/fawnwharf/net/log.py
@@ -0,0 +1,38 @@
+"""Lines on standard error, without floods."""
+
+import sys
+from collections.abc import Callable
+from typing import TextIO
+
+from fawnwharf.net.wheel import monotonic_ms
+
+LINES_A_SECOND = 20
+LENGTH_MOST = 300
+
+
+class Log:
+    """Guards against peers that make the program write: so many lines a second, the rest is counted."""
+
+    def __init__(self, name: str, out: TextIO | None = None, steady: Callable[[], float] = monotonic_ms):
+        self._name, self._out, self._steady = name, out or sys.stderr, steady
+        self._second, self._lines, self._left_out = 0, 0, 0
+
+    def __call__(self, text: str) -> None:
+        second = int(self._steady() // 1000)
+        if second != self._second:
+            if self._left_out:
+                self._write(f"{self._left_out} lines left out")
+            self._second, self._lines, self._left_out = second, 0, 0
+        self._lines += 1
+        if self._lines > LINES_A_SECOND:
+            self._left_out += 1
+            return
+        self._write(text)
+
+    def _write(self, text: str) -> None:
+        line = "".join(char if char.isprintable() else "?" for char in text[:LENGTH_MOST])
+        try:
+            self._out.write(f"{self._name}: {line}\n")
+            self._out.flush()
+        except OSError:  # nobody reads the log: no reason to stop serving
+            pass
--- /dev/null
+++ b/fawnwharf/net/loop.py
@@ -0,0 +1,107 @@
+"""The one loop: gather all that is ready, hand it to the module in one go, carry out, flush."""
+
+import os
+import selectors
+import signal
+import socket
+from collections.abc import Callable
+from typing import Protocol
+
+from fawnwharf import interface as io
+from fawnwharf.net.wheel import Clock, Wheel
+
+READ, WRITE = selectors.EVENT_READ, selectors.EVENT_WRITE
+
+
+class Flushable(Protocol):
+    def flush(self) -> None: ...
+
+
+class Loop:
+    """Owns the selector, the wheel and the events gathered for the next batch."""
+
+    def __init__(self, decide: Callable[[float, list[io.Event]], None]) -> None:
+        self.wheel, self.clock = Wheel(), Clock()
+        self.running = True
+        self._decide = decide
+        self._selector = selectors.DefaultSelector()
+        self._inbox: list[io.Event] = []
+        self._dirty: dict[Flushable, None] = {}
+        self._wake: tuple[socket.socket, socket.socket] | None = None
+
+    # --- what the parts use -----------------------------------------------------------------
+
+    def watch(self, sock: socket.socket, mask: int, ready: Callable[[int], None]) -> None:
+        self._selector.register(sock, mask, ready)
+
+    def change(self, sock: socket.socket, mask: int, ready: Callable[[int], None]) -> None:
+        self._selector.modify(sock, mask, ready)
+
+    def forget(self, sock: socket.socket) -> None:
+        self._selector.unregister(sock)
+
+    def tell(self, event: io.Event) -> None:
+        """An event for the next batch. One that carrying out a batch brings waits for the one after."""
+        self._inbox.append(event)
+
+    def flush_later(self, part: Flushable) -> None:
+        self._dirty[part] = None
+
+    # --- the turns --------------------------------------------------------------------------
+
+    def turn(self, most_s: float | None = None) -> None:
+        for key, mask in self._selector.select(self._sleep_s(most_s)):
+            # One that an earlier part of this turn closed is no longer registered under its key.
+            if self._selector.get_map().get(key.fd) is key:
+                key.data(mask)
+        self.wheel.advance()
+        if self._inbox:
+            events, self._inbox = self._inbox, []
+            self._decide(self.clock.now_ms(), events)
+        dirty, self._dirty = self._dirty, {}
+        for part in dirty:
+            part.flush()
+
+    def _sleep_s(self, most_s: float | None) -> float | None:
+        if self._inbox or self._dirty:
+            return 0.0
+        idle = self.wheel.idle_s()
+        if idle is None or most_s is None:
+            return most_s if idle is None else idle
+        return min(idle, most_s)
+
+    def run(self) -> None:
+        while self.running:
+            self.turn()
+
+    def on_signals(self, handlers: dict[int, Callable[[], None]]) -> None:
+        """Signals wake the selector by a socket pair and are then handled in the loop like all else."""
+        near, far = socket.socketpair()
+        near.setblocking(False)
+        far.setblocking(False)
+        self._wake = near, far
+        signal.set_wakeup_fd(far.fileno(), warn_on_full_buffer=False)
+        for number in handlers:
+            signal.signal(number, lambda *_: None)
+
+        def ready(_mask: int) -> None:
+            for number in near.recv(64):
+                if handler := handlers.get(number):
+                    handler()
+
+        self.watch(near, READ, ready)
+
+    def close(self) -> None:
+        if self._wake:
+            signal.set_wakeup_fd(-1)
+            for end in self._wake:
+                end.close()
+        self._selector.close()
+
+
+def descriptors_open() -> int:
+    """How many descriptors this process holds, where the system tells."""
+    try:
+        return len(os.listdir("/proc/self/fd"))
+    except OSError:
+        return 0
--- /dev/null
+++ b/fawnwharf/net/requests.py
@@ -0,0 +1,187 @@
+"""The requests that are open here: from a client's call to its one final answer.
+
+No protocol of clients is known here: a Call brings what is asked and where the outcome goes, so that
+another protocol can stand before the same decisions.
+"""
+
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from fawnwharf import interface as io
+from fawnwharf.config import Wire
+from fawnwharf.net.endings import End, told
+from fawnwharf.net.loop import Loop
+from fawnwharf.net.scorers import Answer, Attempt, Order, ScorerPool
+from fawnwharf.net.wheel import Timer, monotonic_ms
+
+BODIES_MOST = 32 * 1024 * 1024  # bytes of open requests' bodies: part of the memory limit
+FULL_PUSHBACK_MS = 250.0  # advice where this front end can hold no more; the module never saw the request
+CROWD_MOST = 30
+
+
+@dataclass(slots=True)
+class Served:
+    body: bytes
+
+
+@dataclass(slots=True)
+class Refused:
+    hold_off_ms: float
+
+
+@dataclass(slots=True)
+class Failed:
+    pass
+
+
+Outcome = Served | Refused | Failed
+
+
+@dataclass(slots=True)
+class Call:
+    """What a client asks, free of its protocol."""
+
+    id: bytes
+    class_name: str
+    tenant: str
+    function: str
+    budget_ms: float
+    body: bytes
+    token: str
+    lanes: int
+    memory_mb: float | None
+    load_ms: float | None
+    reply: Callable[[Outcome], None]
+
+
+@dataclass(slots=True, eq=False)
+class OpenRequest:
+    key: str
+    call: Call
+    deadline_ms: float  # of the monotonic clock
+    backstop: Timer
+    attempts: int = 0  # sent so far; the module numbers them in the same order
+
+
+class RequestTable:
+    """Owns every open request, and sees to it that each gets exactly one outcome."""
+
+    def __init__(self, loop: Loop, pool: ScorerPool, wire: Wire) -> None:
+        self.open: dict[str, OpenRequest] = {}
+        self._loop, self._pool, self._wire = loop, pool, wire
+        self._bodies = 0
+        self._numbers = itertools.count(1)
+        # Attempts that are out, also of requests that are over: the module may still call them off.
+        self._out: dict[tuple[str, int], Attempt] = {}
+        # Requests that ended while the module did not know it yet, of this batch and of the one before.
+        self._ended: dict[str, OpenRequest] = {}
+        self._ended_before: dict[str, OpenRequest] = {}
+
+    # --- from clients -------------------------------------------------------------------------
+
+    def take(self, call: Call) -> str | None:
+        """The key of a new request; None where it was refused at once, untouched."""
+        if len(self.open) >= self._wire.max_open or self._bodies + len(call.body) > BODIES_MOST:
+            call.reply(Refused(FULL_PUSHBACK_MS))
+            return None
+        key = f"r{next(self._numbers)}"
+        self._bodies += len(call.body)
+        backstop = self._loop.wheel.after(call.budget_ms, lambda: self._overdue(key))
+        self.open[key] = OpenRequest(key, call, monotonic_ms() + call.budget_ms, backstop)
+        self._loop.tell(
+            io.RequestArrived(
+                key, call.function, call.class_name, call.tenant, call.budget_ms, call.lanes,
+                call.memory_mb, call.load_ms,
+            )
+        )  # fmt: skip
+        return key
+
+    def withdraw(self, key: str) -> None:
+        """The client waits no more: no answer is owed."""
+        if self._close(key):
+            self._loop.tell(io.ClientLeft(key))
+
+    def _overdue(self, key: str) -> None:
+        """Guards the one final answer against any fault in the decisions; they end a request earlier."""
+        self._finish(key, Failed())
+        self._loop.tell(io.ClientLeft(key))
+
+    def _close(self, key: str) -> OpenRequest | None:
+        request = self.open.pop(key, None)
+        if request:
+            request.backstop.cancel()
+            self._bodies -= len(request.call.body)
+            self._ended[key] = request
+        return request
+
+    def _finish(self, key: str, outcome: Outcome) -> None:
+        if request := self._close(key):
+            request.call.reply(outcome)
+
+    # --- from the module ----------------------------------------------------------------------
+
+    def begin_batch(self) -> None:
+        self._ended_before, self._ended = self._ended, {}
+
+    def send(self, action: io.Send) -> None:
+        key, worker = action.request, action.worker
+        request = self.open.get(key) or self._ended.get(key) or self._ended_before.get(key)
+        if request is None:
+            return
+        number, request.attempts = request.attempts, request.attempts + 1
+        if key not in self.open:  # it ended in the very batch that this answers
+            self._loop.tell(io.AttemptEnded(key, number, worker, io.Ending.NOT_SENT, 0.0, closed=True))
+            return
+        call = request.call
+        attempt = self._out[key, number] = Attempt(
+            worker=worker,
+            ended=lambda attempt, end, answer: self._attempt_ended(key, number, attempt, end, answer),
+            id=call.id,
+            kind=call.class_name,
+            function=call.function,
+            token=call.token,
+            body=call.body,
+            deadline_ms=request.deadline_ms,
+        )
+        self._pool.send(attempt)
+
+    def cancel(self, action: io.Cancel) -> None:
+        if attempt := self._out.get((action.request, action.attempt)):
+            self._pool.cancel(attempt)
+
+    def refuse(self, action: io.Refuse) -> None:
+        self._finish(action.request, Refused(action.hold_off_ms))
+
+    def fail(self, action: io.Fail) -> None:
+        self._finish(action.request, Failed())
+
+    # --- from scorers -------------------------------------------------------------------------
+
+    def _attempt_ended(
+        self, key: str, number: int, attempt: Attempt, end: End | None, answer: Answer | None
+    ) -> None:
+        del self._out[key, number]
+        if answer is None:
+            ending, warmth, crowd = told(end or End.NEVER_SENT, attempt.begun), io.Warmth.UNTOLD, None
+        else:
+            ending, warmth, crowd = answer.ending, answer.warmth, self._crowd(answer)
+            if ending is io.Ending.GOOD:
+                self._finish(key, Served(answer.body))
+        took = monotonic_ms() - attempt.began_ms
+        closed = key not in self.open
+        self._loop.tell(io.AttemptEnded(key, number, attempt.worker, ending, took, closed, warmth, crowd))
+
+    def _crowd(self, answer: Answer) -> int | None:
+        if not self._wire.tells_crowd or answer.ending not in (io.Ending.GOOD, io.Ending.FULL):
+            return None
+        return min(CROWD_MOST, answer.crowd)
+
+    def order(self, action: io.Hold) -> None:
+        self._pool.order(Order(action.worker, self._order_ended, action.function, action.copies))
+
+    def _order_ended(self, order: Order, end: End | None, answer: Answer | None) -> None:
+        took = monotonic_ms() - order.began_ms
+        ending = answer.ending if answer else told(end or End.NEVER_SENT, order.begun)
+        copies = answer.copies if answer else 0
+        self._loop.tell(io.OrderAnswered(order.worker, order.function, ending, copies, took))
--- /dev/null
+++ b/fawnwharf/net/scorers.py
@@ -0,0 +1,370 @@
+"""The scorers: who they are, the connections to them, and the attempts and orders on these."""
+
+import itertools
+import random
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from fawnwharf.config import Address, Wire
+from fawnwharf.interface import Ending, State, Warmth
+from fawnwharf.net import scorer_frames as frames
+from fawnwharf.net.connection import Connection, Piece
+from fawnwharf.net.endings import End
+from fawnwharf.net.log import Log
+from fawnwharf.net.loop import Loop
+from fawnwharf.net.wheel import Timer, monotonic_ms
+
+QUIET_MS = 1_000.0  # a link that owes an answer and says nothing for this long gets nothing new
+IDLE_PART = 0.7  # of the keep-alive: closed here before the scorer does, so that no send crosses a close
+LINKS_MOST = 6  # to one scorer
+GIVEN_UP_MOST = 1_024  # ids remembered on one link, as late answers to them may still come
+WAITING_BYTES_MOST = 256 * 1024  # unwritten on one link: a scorer that does not read gets no more
+
+WARMTHS = {
+    "reused": Warmth.FOUND,
+    "init": Warmth.BEGAN_LOAD,
+    "shared_init": Warmth.WAITED_FOR_LOAD,
+    "init_error": Warmth.LOAD_FAILED,
+}
+ATTEMPT_ENDINGS = {
+    frames.OK: Ending.GOOD,
+    frames.MISS: Ending.MISS,
+    frames.FULL: Ending.FULL,
+    frames.OVER: Ending.NOT_SENT,
+}
+ORDER_ENDINGS = {frames.OK: Ending.GOOD, frames.FULL: Ending.FULL}
+
+
+@dataclass(slots=True)
+class Answer:
+    ending: Ending
+    body: bytes
+    warmth: Warmth
+    crowd: int
+    copies: int
+
+
+@dataclass(slots=True, eq=False)
+class Stream:
+    """Something sent to a scorer that gets one end: by an answer or by an End."""
+
+    worker: int
+    ended: Callable[["Stream", End | None, Answer | None], None]
+    began_ms: float = field(default_factory=monotonic_ms, init=False)
+    link: "Link | None" = field(default=None, init=False)
+    piece: Piece | None = field(default=None, init=False)
+    timer: Timer | None = field(default=None, init=False)
+    over: bool = field(default=False, init=False)
+    id: bytes = field(default=b"", kw_only=True)
+
+    @property
+    def begun(self) -> bool:  # some of its bytes may have arrived
+        return self.piece is not None and self.piece.written > 0
+
+
+@dataclass(slots=True, eq=False)
+class Attempt(Stream):
+    kind: str = ""
+    function: str = ""
+    token: str = ""
+    body: bytes = b""
+    deadline_ms: float = 0.0
+
+    is_new_work = True
+
+    def frame(self) -> bytes:
+        left = self.deadline_ms - monotonic_ms()
+        return frames.run(self.id, self.kind, self.function, left, self.token, self.body)
+
+    def ending(self, code: int) -> Ending:
+        return ATTEMPT_ENDINGS.get(code, Ending.ERROR)  # what it can't read may have run
+
+
+@dataclass(slots=True, eq=False)
+class Order(Stream):
+    function: str = ""
+    copies: int = 0
+
+    @property
+    def is_new_work(self) -> bool:  # a question is none
+        return self.copies > 0
+
+    def frame(self) -> bytes:
+        return frames.ensure(self.id, self.function, self.copies)
+
+    def ending(self, code: int) -> Ending:
+        return ORDER_ENDINGS.get(code, Ending.ERROR)
+
+
+def _number(text: str | None) -> int:
+    return int(text) if text and text.isascii() and text.isdigit() and len(text) < 10 else 0
+
+
+class Link:
+    """One connection to a scorer, and what is open on it."""
+
+    def __init__(self, pool: "ScorerPool", scorer: "Scorer") -> None:
+        self.pool, self.scorer = pool, scorer
+        self.connection: Connection | None = None
+        self.streams: dict[bytes, Stream] = {}
+        self.retired = False  # gets nothing new, and is closed once empty
+        self._reader = frames.FrameReader()
+        self._given_up: dict[bytes, None] = {}
+        self._owed_ms = 0.0  # since when something is open
+        self._last_gave_up_ms = 0.0
+
+    @property
+    def up(self) -> bool:
+        return self.connection is not None and self.connection.up and not self.connection.closed
+
+    def quiet(self) -> bool:
+        """Guards against a machine that vanished: its connections stay open and say nothing."""
+        since = max(self.connection.heard_ms, self._owed_ms)
+        return bool(self.streams) and monotonic_ms() - since > QUIET_MS
+
+    def given_up_unheard(self) -> bool:
+        """All that was open was given up, and the scorer had long been silent by then."""
+        return self._last_gave_up_ms - max(self.connection.heard_ms, self._owed_ms) > QUIET_MS
+
+    def takes(self, id: bytes) -> bool:
+        room = len(self.streams) < self.pool.wire.streams_per_conn
+        fresh = id not in self.streams and id not in self._given_up
+        return room and fresh and self.connection.waiting_bytes < WAITING_BYTES_MOST
+
+    def start(self, stream: Stream) -> None:
+        if not self.streams:
+            self._owed_ms = monotonic_ms()
+        self.streams[stream.id] = stream
+        stream.link, stream.piece = self, self.connection.write(stream.frame())
+
+    def withdraw(self, stream: Stream) -> None:
+        """Take a stream off the link, telling the scorer where it may have heard of it."""
+        self.streams.pop(stream.id, None)
+        if self.connection.take_back(stream.piece):
+            return
+        self._last_gave_up_ms = monotonic_ms()
+        if isinstance(stream, Attempt):
+            self.connection.write(frames.give_up(stream.id))
+        self._given_up[stream.id] = None
+        if len(self._given_up) > GIVEN_UP_MOST:
+            del self._given_up[next(iter(self._given_up))]
+
+    def unwritten(self) -> list[Stream]:
+        return [stream for stream in self.streams.values() if not stream.begun]
+
+    # --- from the connection ----------------------------------------------------------------
+
+    def on_up(self) -> None:
+        self.pool.link_up(self)
+
+    def on_data(self, data: bytes) -> None:
+        for frame in self._reader.feed(data):
+            # An answer to what is no longer open here comes too late and says nothing.
+            if (stream := self.streams.pop(frame.id, None)) is not None:
+                self.pool.answered(stream, frame)
+        if self._reader.fault:
+            self.pool.log(f"scorer {self.scorer.id}: bad frame: {self._reader.fault}")
+            self.connection.close(End.BAD_BYTES)
+
+    def on_flushed(self) -> None:
+        pass
+
+    def on_end(self, end: End) -> None:
+        self.pool.link_ended(self, end)
+
+
+@dataclass(slots=True, eq=False)
+class Scorer:
+    """A scorer by its number, never by its address alone: a new one may have a gone one's."""
+
+    id: int
+    address: Address
+    state: State
+    up_since_ms: float
+    links: list[Link] = field(default_factory=list)
+    waiting: deque[Stream] = field(default_factory=deque)
+
+    def link_for(self, id: bytes) -> Link | None:
+        able = [link for link in self.links if link.up and not link.retired and link.takes(id)]
+        lively = [link for link in able if not link.quiet()]
+        if not lively and len(self.links) >= LINKS_MOST:
+            lively = able
+        return lively[0] if lively else None
+
+    def dialling(self) -> int:
+        return sum(not link.up for link in self.links)
+
+
+class ScorerPool:
+    """Owns the scorers and their links, within a share of the descriptors."""
+
+    def __init__(self, loop: Loop, wire: Wire, links_most: int, seed: int, log: Log) -> None:
+        self.loop, self.wire, self.log = loop, wire, log
+        self.scorers: dict[int, Scorer] = {}
+        self._links_most, self._links = links_most, 0
+        self._order_ids = itertools.count(random.Random(seed).getrandbits(62))
+
+    # --- the roster ---------------------------------------------------------------------------
+
+    def update(self, id: int, address: Address | None, state: State, up_since_ms: float) -> None:
+        scorer = self.scorers.get(id)
+        if scorer is None:
+            if address is not None and state is not State.GONE:
+                self.scorers[id] = Scorer(id, address, state, up_since_ms)
+            return
+        moved = address is not None and address != scorer.address
+        if moved or up_since_ms > scorer.up_since_ms:
+            self._retire(scorer)
+        scorer.address = address or scorer.address
+        scorer.state, scorer.up_since_ms = state, max(up_since_ms, scorer.up_since_ms)
+        if state is not State.READY:
+            self._pull_back(scorer)
+        if state is State.GONE:
+            self._retire(scorer)
+            self._drop_if_empty(scorer)
+
+    def gone_but(self, named: set[int]) -> None:
+        """A complete list was told: whoever it does not name is gone."""
+        for id in [id for id in self.scorers if id not in named]:
+            self.update(id, None, State.GONE, 0.0)
+
+    def _pull_back(self, scorer: Scorer) -> None:
+        """Nothing new may leave for it now: what is unwritten or waits for a dial comes back."""
+        unwritten = [stream for link in scorer.links for stream in link.unwritten()]
+        for stream in [*scorer.waiting, *unwritten]:
+            if stream.is_new_work or scorer.state is State.GONE:
+                self._take_off(stream)
+                self._end(stream, End.PULLED_BACK)
+
+    def _retire(self, scorer: Scorer) -> None:
+        for link in list(scorer.links):
+            link.retired = True
+            if link.up and not link.streams:
+                link.connection.close(End.RETIRED)
+
+    def _drop_if_empty(self, scorer: Scorer) -> None:
+        if scorer.state is State.GONE and not scorer.links and not scorer.waiting:
+            self.scorers.pop(scorer.id, None)
+
+    # --- sending ------------------------------------------------------------------------------
+
+    def send(self, attempt: Attempt) -> None:
+        left = attempt.deadline_ms - monotonic_ms()
+        if left <= 0:
+            self._end(attempt, End.NEVER_SENT)
+            return
+        attempt.timer = self.loop.wheel.after(left, lambda: self._out_of_time(attempt))
+        self._place(attempt)
+
+    def order(self, order: Order) -> None:
+        order.id = next(self._order_ids).to_bytes(8, "big")
+        order.timer = self.loop.wheel.after(self.wire.load_wait_ms, lambda: self._out_of_time(order))
+        self._place(order)
+
+    def _place(self, stream: Stream) -> None:
+        scorer = self.scorers.get(stream.worker)
+        closed = scorer is None or scorer.state is State.GONE
+        if closed or (stream.is_new_work and scorer.state is not State.READY):
+            self._end(stream, End.NEVER_SENT)
+        elif link := scorer.link_for(stream.id):
+            link.start(stream)
+        else:
+            scorer.waiting.append(stream)
+            self._dial(scorer)
+
+    def _dial(self, scorer: Scorer) -> None:
+        """As many dials as the waiting streams need; they wait for no longer than a dial takes."""
+        while scorer.dialling() * self.wire.streams_per_conn < len(scorer.waiting):
+            if self._links >= self._links_most or len(scorer.links) >= LINKS_MOST:
+                if not scorer.dialling():
+                    self._fail_waiting(scorer, End.NO_DESCRIPTOR)
+                return
+            link = Link(self, scorer)
+            made = Connection.dial(self.loop, scorer.address, link, self.wire.dial_timeout_ms)
+            if isinstance(made, End):
+                if not scorer.dialling():
+                    self._fail_waiting(scorer, made)
+                return
+            link.connection = made
+            scorer.links.append(link)
+            self._links += 1
+
+    def _fail_waiting(self, scorer: Scorer, end: End) -> None:
+        waiting, scorer.waiting = scorer.waiting, deque()
+        for stream in waiting:
+            self._end(stream, end)
+
+    def link_up(self, link: Link) -> None:
+        waiting, link.scorer.waiting = link.scorer.waiting, deque()
+        for stream in waiting:
+            self._place(stream)
+
+    # --- ends ---------------------------------------------------------------------------------
+
+    def link_ended(self, link: Link, end: End) -> None:
+        scorer = link.scorer
+        scorer.links.remove(link)
+        self._links -= 1
+        streams, link.streams = list(link.streams.values()), {}
+        for stream in streams:
+            if stream.begun:
+                self._end(stream, end)
+            else:  # the scorer saw none of it: another connection may serve
+                stream.link = stream.piece = None
+                self._place(stream)
+        if not link.connection.up and not scorer.dialling():
+            self._fail_waiting(scorer, end)
+        self._drop_if_empty(scorer)
+
+    def answered(self, stream: Stream, frame: frames.Frame) -> None:
+        fields = frame.fields
+        warmth = WARMTHS.get(fields.get("res", ""), Warmth.UNTOLD)
+        crowd, copies = _number(fields.get("company")), _number(fields.get("slots_up"))
+        self._end(stream, None, Answer(stream.ending(frame.code), frame.body, warmth, crowd, copies))
+
+    def cancel(self, stream: Stream) -> None:
+        if not stream.over:
+            self._take_off(stream)
+            self._end(stream, End.CALLED_OFF)
+
+    def _out_of_time(self, stream: Stream) -> None:
+        begun = stream.begun
+        self._take_off(stream)
+        self._end(stream, End.OUT_OF_TIME if begun else End.NEVER_SENT)
+
+    def _take_off(self, stream: Stream) -> None:
+        if stream.link is not None:
+            stream.link.withdraw(stream)
+        elif (scorer := self.scorers.get(stream.worker)) and stream in scorer.waiting:
+            scorer.waiting.remove(stream)
+
+    def _end(self, stream: Stream, end: End | None, answer: Answer | None = None) -> None:
+        if stream.over:
+            return
+        stream.over = True
+        if stream.timer:
+            stream.timer.cancel()
+        link, stream.link = stream.link, None
+        stream.ended(stream, end, answer)
+        if link and link.retired and not link.streams and link.up:
+            link.connection.close(End.RETIRED)
+
+    # --- now and then -------------------------------------------------------------------------
+
+    def tidy(self) -> None:
+        """Close what has been idle, and what has owed an answer in silence to the last."""
+        now = monotonic_ms()
+        for scorer in list(self.scorers.values()):
+            for link in list(scorer.links):
+                if not link.up or link.streams:
+                    continue
+                silent = link.given_up_unheard()
+                if silent or now - link.connection.used_ms > IDLE_PART * self.wire.keepalive_ms:
+                    link.connection.close(End.SILENT if silent else End.IDLE)
+
+    def close(self) -> None:
+        for scorer in list(self.scorers.values()):
+            for link in list(scorer.links):
+                if link.connection:
+                    link.connection.close(End.STOPPED)
--- /dev/null
+++ b/fawnwharf/net/wheel.py
@@ -0,0 +1,86 @@
+"""Timers as coarse ticks on a wheel, and the clock that the module is shown."""
+
+import math
+import time
+from collections.abc import Callable
+
+TICK_MS = 4.0
+SLOTS = 512  # a turn of the wheel takes two seconds; longer timers stay on it for some turns
+SLEW = 0.005  # part of the time passed by which the shown clock may run fast or slow
+
+
+def monotonic_ms() -> float:
+    return time.monotonic() * 1000.0
+
+
+def unix_ms() -> float:
+    return time.time() * 1000.0
+
+
+class Clock:
+    """The Unix time in milliseconds, without its steps.
+
+    Guards against a system clock that is set while requests are open: the module's deadlines and
+    windows all live on this clock. It runs with the monotonic one and closes in on the system's.
+    """
+
+    def __init__(self, steady: Callable[[], float] = monotonic_ms, wall: Callable[[], float] = unix_ms):
+        self._steady, self._wall = steady, wall
+        self._at = steady()
+        self._offset = wall() - self._at
+
+    def now_ms(self) -> float:
+        at = self._steady()
+        most = SLEW * (at - self._at)
+        self._offset += max(-most, min(most, self._wall() - at - self._offset))
+        self._at = at
+        return at + self._offset
+
+
+class Timer:
+    __slots__ = ("due_tick", "callback")
+
+    def __init__(self, due_tick: int, callback: Callable[[], None] | None) -> None:
+        self.due_tick, self.callback = due_tick, callback
+
+    def cancel(self) -> None:  # it stays in its slot, with nothing to call
+        self.callback = None
+
+
+class Wheel:
+    """Never early, and late by a tick at the most."""
+
+    def __init__(self, steady: Callable[[], float] = monotonic_ms) -> None:
+        self._steady = steady
+        self._slots: list[list[Timer]] = [[] for _ in range(SLOTS)]
+        self._tick = math.floor(steady() / TICK_MS)
+
+    def after(self, delay_ms: float, callback: Callable[[], None]) -> Timer:
+        due = math.floor((self._steady() + max(0.0, delay_ms)) / TICK_MS) + 1
+        timer = Timer(max(due, self._tick + 1), callback)
+        self._slots[timer.due_tick % SLOTS].append(timer)
+        return timer
+
+    def advance(self) -> None:
+        """Call what has come due."""
+        now = math.floor(self._steady() / TICK_MS)
+        first = max(self._tick + 1, now - SLOTS + 1)  # after a long halt, one turn of the wheel sees all
+        self._tick = max(self._tick, now)
+        due: list[Timer] = []
+        for tick in range(first, now + 1):
+            slot = self._slots[tick % SLOTS]
+            if slot:
+                due += [timer for timer in slot if timer.due_tick <= now]
+                slot[:] = [timer for timer in slot if timer.due_tick > now and timer.callback]
+        for timer in sorted(due, key=lambda timer: timer.due_tick):
+            if (callback := timer.callback) is not None:
+                timer.callback = None
+                callback()
+
+    def idle_s(self) -> float | None:
+        """How long the loop may sleep; None where no timer is set."""
+        for tick in range(self._tick + 1, self._tick + 1 + SLOTS):
+            slot = self._slots[tick % SLOTS]
+            if any(timer.callback for timer in slot):
+                return max(0.0, tick * TICK_MS - self._steady()) / 1000.0
+        return None
--- a/fawnwharf/wirehost.py
+++ b/fawnwharf/wirehost.py
@@ -10,6 +10,7 @@
 from typing import Any, TextIO
 
 from fawnwharf import interface as io
+from fawnwharf.config import settings_from
 from fawnwharf.policy import Router
 
 ENDINGS = {ending.value: ending for ending in io.Ending}
@@ -19,59 +20,6 @@
     """A line that is no valid batch; the text names what is wrong."""
 
 
-def settings_from(config: dict[str, Any]) -> io.Settings:
-    """The settings of an instance; unknown keys are passed over, absent ones keep their defaults."""
-    bounds = config.get("bounds") or {}
-    family = config.get("family_info") or {}
-    rules = config.get("invariants") or {}
-    found = {
-        "fleet_size": config.get("fleet_size"),
-        "zone": config.get("locality"),
-        "tick_ms": config.get("tick"),
-        "may_order": family.get("may_order"),
-        "may_cancel": bounds.get("cancel"),
-        "second_copies": bounds.get("second_copies"),
-        "max_attempts": bounds.get("max_attempts"),
-        "max_retry_after_ms": bounds.get("max_retry_after") if bounds.get("retry_after") else None,
-        "idle_life_ms": family.get("idle_life"),
-        "load_window_ms": family.get("load_window"),
-        "free_loads": family.get("free_loads"),
-        "load_part": family.get("load_part"),
-        "cold_ms": rules.get("cold"),
-        "cold_share": rules.get("cold_share"),
-        "fall_ms": rules.get("fall"),
-        "fall_multiple": rules.get("fall_multiple"),
-    }
-    return io.Settings(
-        classes={spec["name"]: class_from(spec) for spec in config.get("classes") or []},
-        quotas_rps={
-            tenant["name"]: tenant["quota_rps"]
-            for tenant in config.get("tenants") or []
-            if tenant.get("quota_rps") is not None
-        },
-        weights_fixed=config.get("weight_source") in ("nominal", "rough"),
-        loads_on_miss=family.get("not_loaded") == "load",
-        **{name: value for name, value in found.items() if value is not None},
-    )
-
-
-def class_from(spec: dict[str, Any]) -> io.ClassSpec:
-    names = {
-        "promise": "promise_ms",
-        "give_up": "give_up_ms",
-        "dedup_window": "dedup_window_ms",
-        "worth": "worth",
-        "late_share": "late_share",
-    }
-    found = {ours: spec[theirs] for theirs, ours in names.items() if spec.get(theirs) is not None}
-    return io.ClassSpec(
-        name=spec["name"],
-        effect=io.Effect(spec.get("effect") or "at_most_once"),
-        group=io.Group(spec.get("group") or "all"),
-        **found,
-    )
-
-
 def entry_from(entry: dict[str, Any]) -> io.WorkerEntry:
     units = entry.get("units")
     return io.WorkerEntry(
