Give up late requests that were never sent before half their time is gone

Ruled out: the program's own delay (0.4 ms to the first attempt, 0.3 ms from answer to client, at most 0.2 CPU seconds in a second) and lost attempts (no resets, no connections lost). At fault: Router._on_timer gave up beyond-share requests when late, all others only at the deadline. Now Router._hopeless gives up what is late, was never sent and nears half its time, with advice.

--- a/fawnwharf/policy.py
+++ b/fawnwharf/policy.py
@@ -49,6 +49,7 @@
 YIELD = 0.35  # part of a worker's limit open to requests beyond a share or past their time
 LATE_RUNS = 2.0  # a request with less time left than this many runs will hardly be on time
 LATE_MOST = 0.5  # but not while it has more than this part of the promised time
+HELD_PART = 0.5  # of a request's time: one that is late by then and was never sent is given up
 TENANT_BURST_S = 1.0  # seconds of its share that a tenant may use at once
 
 
@@ -325,8 +326,7 @@
     def _on_timer(self, event: io.TimerDue) -> None:
         self.sweeping = False
         for request in list(self.requests.values()):
-            shed = request.over_share and not request.attempts and self._late(request)
-            if shed or self.now + SWEEP_MS + LEAD_MS >= request.deadline_ms:
+            if self._hopeless(request) or self.now + SWEEP_MS + LEAD_MS >= request.deadline_ms:
                 self._finish(request)
             elif self.wide and request.attempts and request not in request.function.queue:
                 self._hasten(request, request.attempts[-1])
@@ -339,6 +339,14 @@
         if self.waiting and len(self.flying) < self.limit:
             self._dispatch_all()
 
+    def _hopeless(self, request: Request) -> bool:
+        """Never sent and hardly to be on time: given up beyond a share, else before half its time is gone.
+        Guards clients against a long wait for nothing. Harm: a late answer that it might have had."""
+        if request.attempts or not self._late(request):
+            return False
+        held = self.now + SWEEP_MS + LEAD_MS - request.arrived_ms
+        return request.over_share or held >= HELD_PART * (request.deadline_ms - request.arrived_ms)
+
     def _copies(self, instance: Instance, worker: Worker) -> int:  # none after a restart or a keep-alive
         lapsed = instance.own == 0 and self.now - instance.seen_ms > self.settings.idle_life_ms
         return 0 if lapsed or instance.seen_ms <= (worker.started_ms or -math.inf) else instance.copies
@@ -717,7 +725,8 @@
         return over
 
     def _finish(self, request: Request) -> None:  # the one final answer that this front end gives itself
-        advice = self.settings.max_retry_after_ms if request.over_share else 0.0
+        unsent = not request.attempts  # there was no room for it, and soon there will hardly be any
+        advice = self.settings.max_retry_after_ms if request.over_share or unsent else 0.0
         final = io.Refuse(request.id, advice) if self._may_refuse(request) else io.Fail(request.id)
         self._close(request)
         self.actions.append(final)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -122,6 +122,20 @@
     assert [a.request for _, a in finals] == ["r1"] and 400 < finals[0][0] <= 500
 
 
+def test_what_is_late_and_was_never_sent_is_given_up_before_half_its_time_with_advice():
+    d = Drive(workers=0, max_retry_after_ms=900.0)
+    d.ask("r1", budget=2500.0)
+    d.sweep(2500)
+    [(at, refusal)] = [(now, a) for now, a in d.log if isinstance(a, io.Refuse | io.Fail)]
+    assert 600 < at < 1250 and refusal == io.Refuse("r1", 900.0)
+
+
+def test_what_may_still_be_on_time_is_held_beyond_half_its_time():
+    d = Drive(workers=0)
+    d.ask("r1", budget=700.0)
+    assert not of(d.sweep(560), io.Refuse) and of(d.sweep(700), io.Refuse)
+
+
 def test_no_time_left_is_answered_at_once():
     d = Drive()
     actions = d.ask("r1", budget=0.0)
