--- a/fawnwharf/__init__.py
+++ b/fawnwharf/__init__.py
@@ -2,4 +2,5 @@
 
 from fawnwharf.policy import Router
 
-__all__ = ["Router"]
+__all__ = ["Router", "__version__"]
+__version__ = "0.2.0"
--- a/fawnwharf/__main__.py
+++ b/fawnwharf/__main__.py
@@ -2,17 +2,17 @@
 
 import sys
 
-from fawnwharf.config import ConfigError, load
-from fawnwharf.net.front_end import FrontEnd
-
 
 def main() -> int:
-    try:
-        FrontEnd(load()).serve()
-    except ConfigError as error:
-        print(f"fawnwharf: {error}", file=sys.stderr)
-        return 2
-    return 0
+    if sys.argv[1:] == ["serve"]:
+        # Guards the time to be ready after a restart: the command line's libraries take longer to import
+        # than all the rest, and plain serving needs none of them.
+        from fawnwharf.serving import serve
+
+        return serve()
+    from fawnwharf.cli import app
+
+    return app(prog_name="fawnwharf")
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/fawnwharf/cli.py
@@ -0,0 +1,35 @@
+"""The command line."""
+
+from typing import Annotated
+
+import typer
+
+from fawnwharf import __version__, config, serving
+
+app = typer.Typer(add_completion=False, no_args_is_help=True, pretty_exceptions_enable=False)
+File = Annotated[str | None, typer.Option("--config", help="The JSON file, in place of ROUTER_CONFIG's.")]
+
+
+@app.command()
+def serve(path: File = None) -> None:
+    """Serve until SIGTERM, then finish what was taken."""
+    raise typer.Exit(serving.serve(path))
+
+
+@app.command("check-config")
+def check_config(path: File = None) -> None:
+    """Read and check the configuration, and say what was understood."""
+    try:
+        found = config.load(path)
+    except config.ConfigError as error:
+        typer.echo(f"fawnwharf: {error}", err=True)
+        raise typer.Exit(2) from None
+    host, port = found.listen
+    names = ", ".join(found.settings.classes) or "none"
+    typer.echo(f"fawnwharf: good: {found.name or 'no name'} on {host}:{port}, classes: {names}")
+
+
+@app.command()
+def version() -> None:
+    """Print the version."""
+    typer.echo(f"fawnwharf {__version__}")
--- a/fawnwharf/net/changelog.py
+++ b/fawnwharf/net/changelog.py
@@ -92,6 +92,8 @@
             return self._stumble(f"not JSON: {line[:60]!r}")
         self._pause_ms = PAUSE_MS
         if isinstance(read, int) and not isinstance(read, bool):
+            if read == self.seq:
+                self._stumbled_at = None  # all has come: a later stumble is a new one
             # Events that it says it has told have not come: they are lost on this connection.
             return read <= self.seq or self._stumble(f"at {read}, but only {self.seq} came")
         return self.event(read) or self._stumble(f"not an event: {line[:60]!r}")
--- a/fawnwharf/net/connection.py
+++ b/fawnwharf/net/connection.py
@@ -1,5 +1,6 @@
 """One TCP connection: dialling, bounded reads, partial writes, and its single end."""
 
+import contextlib
 import errno
 import socket
 from collections import deque
@@ -168,7 +169,17 @@
             self.close(End.CLOSED_BY_PEER)
             return
         self.heard_ms = self.used_ms = monotonic_ms()
-        self.owner.on_data(data)
+        try:
+            self.owner.on_data(data)
+        except Exception:  # whatever a peer managed to send, it costs no more than its own connection
+            self.loop.fault("reading")
+            self.close(End.BAD_BYTES)
+
+    def _part(self) -> None:
+        """Guards answers that are still on their way: closing with unread bytes would reset them."""
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_WR)
+            self._sock.recv(READ_MOST)
 
     def close(self, end: End) -> None:
         """The one way out; the owner hears of it once."""
@@ -178,6 +189,8 @@
         if self._dial:
             self._dial.cancel()
         self.loop.forget(self._sock)
+        if self.up and end in (End.IDLE, End.STOPPED):
+            self._part()
         self._sock.close()
         self._outbox.clear()
         self.waiting_bytes = 0
--- a/fawnwharf/net/front_end.py
+++ b/fawnwharf/net/front_end.py
@@ -2,7 +2,6 @@
 
 import hashlib
 import signal
-import traceback
 from typing import Any
 
 from fawnwharf import interface as io
@@ -39,7 +38,7 @@
         self.deployment = deployment
         self.log = log or Log(deployment.name or "fawnwharf")
         settings, wire, sockets = deployment.settings, deployment.wire, deployment.sockets
-        self.loop = Loop(self._decide)
+        self.loop = Loop(self._decide, self.log)
         self.router = Router(settings, deployment.seed)
         links_most = max(4, int(sockets * SCORER_SHARE))
         self.pool = ScorerPool(self.loop, wire, links_most, deployment.seed, self.log)
@@ -146,7 +145,7 @@
             actions: list[Any] = self.router.handle(now_ms, events)
         except Exception:
             # A fault in the decisions must not take down what is open: each request has its backstop.
-            self.log("decisions: " + traceback.format_exc(limit=-2).replace("\n", " | "))
+            self.loop.fault("the decisions")
             self.loop.wheel.after(AFTER_FAULT_MS, lambda: self.loop.tell(io.TimerDue(0)))
             return
         for action in actions:
--- a/fawnwharf/net/log.py
+++ b/fawnwharf/net/log.py
@@ -7,7 +7,7 @@
 from fawnwharf.net.wheel import monotonic_ms
 
 LINES_A_SECOND = 20
-LENGTH_MOST = 300
+LENGTH_MOST = 600
 
 
 class Log:
--- a/fawnwharf/net/loop.py
+++ b/fawnwharf/net/loop.py
@@ -1,9 +1,9 @@
 """The one loop: gather all that is ready, hand it to the module in one go, carry out, flush."""
 
-import os
 import selectors
 import signal
 import socket
+import traceback
 from collections.abc import Callable
 from typing import Protocol
 
@@ -20,11 +20,14 @@
 class Loop:
     """Owns the selector, the wheel and the events gathered for the next batch."""
 
-    def __init__(self, decide: Callable[[float, list[io.Event]], None]) -> None:
+    def __init__(
+        self, decide: Callable[[float, list[io.Event]], None], log: Callable[[str], None]
+    ) -> None:
         self.wheel, self.clock = Wheel(), Clock()
         self.running = True
-        self._decide = decide
+        self._decide, self._log = decide, log
         self._selector = selectors.DefaultSelector()
+        self.wheel.on_fault = self.fault
         self._inbox: list[io.Event] = []
         self._dirty: dict[Flushable, None] = {}
         self._wake: tuple[socket.socket, socket.socket] | None = None
@@ -53,14 +56,25 @@
         for key, mask in self._selector.select(self._sleep_s(most_s)):
             # One that an earlier part of this turn closed is no longer registered under its key.
             if self._selector.get_map().get(key.fd) is key:
-                key.data(mask)
+                self._guarded(key.data, mask)
         self.wheel.advance()
         if self._inbox:
             events, self._inbox = self._inbox, []
             self._decide(self.clock.now_ms(), events)
         dirty, self._dirty = self._dirty, {}
         for part in dirty:
-            part.flush()
+            self._guarded(part.flush)
+
+    def _guarded(self, call: Callable[..., None], *arguments: object) -> None:
+        """Guards the loop: a fault in one part must not take down what is open in all the others."""
+        try:
+            call(*arguments)
+        except Exception:
+            self.fault(getattr(call, "__qualname__", "a part"))
+
+    def fault(self, where: str) -> None:
+        """Report the exception that is being handled."""
+        self._log(f"fault in {where}: " + traceback.format_exc(limit=-3).replace("\n", " | "))
 
     def _sleep_s(self, most_s: float | None) -> float | None:
         if self._inbox or self._dirty:
@@ -97,11 +111,3 @@
             for end in self._wake:
                 end.close()
         self._selector.close()
-
-
-def descriptors_open() -> int:
-    """How many descriptors this process holds, where the system tells."""
-    try:
-        return len(os.listdir("/proc/self/fd"))
-    except OSError:
-        return 0
--- a/fawnwharf/net/wheel.py
+++ b/fawnwharf/net/wheel.py
@@ -54,6 +54,7 @@
         self._steady = steady
         self._slots: list[list[Timer]] = [[] for _ in range(SLOTS)]
         self._tick = math.floor(steady() / TICK_MS)
+        self.on_fault: Callable[[str], None] = lambda where: None
 
     def after(self, delay_ms: float, callback: Callable[[], None]) -> Timer:
         due = math.floor((self._steady() + max(0.0, delay_ms)) / TICK_MS) + 1
@@ -75,7 +76,14 @@
         for timer in sorted(due, key=lambda timer: timer.due_tick):
             if (callback := timer.callback) is not None:
                 timer.callback = None
-                callback()
+                self._call(callback)
+
+    def _call(self, callback: Callable[[], None]) -> None:
+        """Guards the other timers against a fault in one."""
+        try:
+            callback()
+        except Exception:
+            self.on_fault("a timer")
 
     def idle_s(self) -> float | None:
         """How long the loop may sleep; None where no timer is set."""
--- a/fawnwharf/policy.py
+++ b/fawnwharf/policy.py
@@ -17,6 +17,7 @@
 WINDOW_MS = 10_000.0  # samples of Te, Tp and Td older than this are forgotten (the design's window)
 SWEEP_MS = 40.0  # pace of the timer for deadlines, waits and silent workers; well under a run
 LEAD_MS = 8.0  # a final answer goes out this long before the client leaves: room for a late batch
+FUNCTIONS_MOST = 4_000  # kept in mind; far more than are called within a keep-alive
 SAMPLES_MOST = 200  # samples kept for one median: more would not move it
 REFRESH_MS = 1_000.0  # pace of what depends on the whole fleet; no rate is taken over less
 STALE_MS = 1_000.0  # a copy with no sign for this long may have given way
@@ -227,6 +228,7 @@
         self.taken.append(self.now)
         name = event.function
         if name not in self.functions:
+            self._forget()
             self.functions[name] = Function(name, max(1, event.lanes), event.load_ms, _mark(name))
         fn = self.functions[name]
         spec = self.settings.classes.get(event.class_name) or io.ClassSpec(event.class_name)
@@ -244,6 +246,17 @@
                 self._spread(fn, worker)
         self._dispatch(fn)
 
+    def _forget(self) -> None:
+        """Guards the memory against callers that name ever new functions: of too many, the half that was
+        not called for longest goes, but for those in use. Harm: what is called again is asked after anew."""
+        if len(self.functions) < FUNCTIONS_MOST:
+            return
+        used = {worker.last for worker in self.workers.values()}
+        for fn in sorted(self.functions.values(), key=lambda fn: fn.last_ms[-1])[: FUNCTIONS_MOST // 2]:
+            busy = any(i.own or i.asks or i.order_ms is not None for i in fn.instances.values())
+            if not (busy or fn.queue or fn in used):
+                del self.functions[fn.name]
+
     def _on_left(self, event: io.ClientLeft) -> None:
         if request := self.requests.get(event.request):
             self._close(request)
--- /dev/null
+++ b/fawnwharf/serving.py
@@ -0,0 +1,27 @@
+"""Serving from a configuration file to an exit status, for the command line and the fast way in."""
+
+import gc
+import sys
+
+from fawnwharf import config
+from fawnwharf.net.front_end import FrontEnd
+
+
+def serve(path: str | None = None) -> int:
+    """Serve until SIGTERM; 0 when all that was taken is answered, 2 with the key's name on a bad start."""
+    try:
+        deployment = config.load(path)
+        front = _bound(deployment)
+    except config.ConfigError as error:
+        print(f"fawnwharf: {error}", file=sys.stderr)
+        return 2
+    gc.freeze()  # what the start has made stays: no collection needs to walk it
+    front.serve()
+    return 0
+
+
+def _bound(deployment: config.Deployment) -> FrontEnd:
+    try:
+        return FrontEnd(deployment)
+    except OSError as error:
+        raise config.ConfigError(f"listen: {error.strerror}: {deployment.listen}") from None
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -47,6 +47,16 @@
         wheel.advance()
         self.assertEqual(fired, [50.0, 2_100.0, 9_000.0])
 
+    def test_a_fault_in_one_timer_leaves_the_others_alone(self):
+        hands, faults, fired = Hands(), [], []
+        wheel = Wheel(lambda: hands.steady)
+        wheel.on_fault = faults.append
+        wheel.after(4.0, lambda: 1 / 0)
+        wheel.after(4.0, lambda: fired.append("second"))
+        hands.step(20.0)
+        wheel.advance()
+        self.assertEqual((len(faults), fired), (1, ["second"]))
+
     def test_the_shown_clock_takes_no_step(self):
         for step in (3_600_000.0, -3_600_000.0):
             hands = Hands()
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -4,6 +4,7 @@
 
 from fawnwharf import interface as io
 from fawnwharf.interface import Ending
+from fawnwharf.policy import FUNCTIONS_MOST
 
 # --- the ordinary path ---------------------------------------------------------------------
 
@@ -82,6 +83,20 @@
     assert [h for h in of(d.sweep(waited + 260), io.Hold) if h.copies]
 
 
+def test_ever_new_functions_are_forgotten_but_not_those_in_use():
+    d = Drive()
+    d.warm("kept")
+    [send] = of(d.ask("r1", "kept"), io.Send)
+    d.ask("r2", "held")
+    for n in range(3 * FUNCTIONS_MOST):
+        d.now += 0.01
+        for action in of(d.ask(f"n{n}", f"f{n}"), io.Hold):
+            d.count(action.worker, 0, action.function, Ending.FULL)
+        d.feed(io.ClientLeft(f"n{n}"))
+    assert len(d.router.functions) <= FUNCTIONS_MOST and {"kept", "held"} <= d.router.functions.keys()
+    d.end(send)
+
+
 def test_same_home_at_all_front_ends():
     assert Drive().warm() == Drive().warm()
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -357,6 +357,17 @@
         rig.until(lambda: bad.ended and scorer.runs, "one ends and one runs")
         self.assertFalse(good.ended)
 
+    def test_a_fault_in_a_handler_costs_the_connection_only(self):
+        scorer = ScorerPeer()
+        rig = self.rig(scorer)
+        bad, good = rig.client(), rig.client()
+        with mock.patch.object(clients.Client, "_handle", side_effect=KeyError("boom")):
+            bad.call()
+            rig.until(lambda: bad.ended, "the connection ends")
+        good.call()
+        rig.until(lambda: scorer.runs, "the other one's request runs")
+        self.assertIn("boom", "".join(rig.lines))
+
     def test_a_33rd_open_request_gets_an_exception(self):
         rig = self.rig(ScorerPeer(copies=None))
         client = rig.client()
@@ -443,6 +454,14 @@
                 state = rig.front.pool.scorers[front_end.worker_number(scorer.id)].state
                 self.assertEqual(state, io.State.DRAINING)
 
+    def test_a_stumble_after_all_was_well_is_a_new_one(self):
+        rig = self.rig(ScorerPeer())
+        for asked in (2, 3):
+            rig.log.say(b"{")
+            rig.until(lambda asked=asked: len(rig.log.asked()) == asked, "it is asked again")
+            rig.log.say(b"1")
+            rig.until(lambda: rig.front.changelog._stumbled_at is None, "all is well again")
+
     def test_whoever_a_complete_list_leaves_out_is_gone(self):
         old, new = ScorerPeer("s-1"), ScorerPeer("s-2")
         rig = self.rig(old)
@@ -459,9 +478,8 @@
         path.write_bytes(msgspec.json.encode(config))
         env = {**os.environ, "ROUTER_CONFIG": str(path), "PYTHONPATH": str(ROOT)}
         env = {name: value for name, value in env.items() if name not in ("ROUTER_LISTEN", "ROUTER_NAME")}
-        program = subprocess.Popen(
-            [sys.executable, "-m", "fawnwharf", *words], env=env, cwd=ROOT, stdout=-1, stderr=-1, text=True
-        )
+        command = [sys.executable, "-m", "fawnwharf", *(words or ["serve"])]
+        program = subprocess.Popen(command, env=env, cwd=ROOT, stdout=-1, stderr=-1, text=True)
         self.addCleanup(program.stderr.close)
         self.addCleanup(program.stdout.close)
         self.addCleanup(program.wait)
@@ -510,6 +528,27 @@
             ready(client.sock, 0.005)
         self.fail("waited in vain")
 
+    def test_the_other_commands(self):
+        cases = [
+            (["version"], 0, "fawnwharf 0.2.0"),
+            (["check-config"], 0, "classes: view, save, settle"),
+            (["unheard-of"], 2, "unheard-of"),
+            (["serve", "--config", "/nonexistent"], 2, "ROUTER_CONFIG"),
+        ]
+        for words, status, text in cases:
+            with self.subTest(words):
+                program = self.launch(self.config(), *words)
+                out, errors = program.communicate(timeout=20)
+                self.assertEqual(program.returncode, status, errors)
+                self.assertIn(text, out + errors)
+
+    def test_an_address_in_use_is_said_so(self):
+        with socket.create_server(("127.0.0.1", 0)) as other:
+            program = self.launch(self.config(listen=f"127.0.0.1:{other.getsockname()[1]}"))
+            _, errors = program.communicate(timeout=20)
+        self.assertEqual(program.returncode, 2)
+        self.assertIn("listen", errors)
+
     def test_a_faulty_configuration_ends_the_program_with_the_keys_name(self):
         cases = [
             ("limits.sockets", {"limits": {"sockets": "many"}}),
