Count the time that a call lay unread, by the system's receive stamps

The log of the new slow-turn line: one turn of 718 ms just after the start. Checked and ruled out: final answers 60 ms earlier (LEAD_MS) did not change it. Cause: RequestTable.take counted ttl from the moment of reading; a process that is held up reads late, and answered in time by its own reckoning only. Now client reads take the kernel's stamp (SO_TIMESTAMPNS, set on the listener so that the first bytes of a connection have one), a turn happens as a whole at the moment at which it began, and the budget is what is left of the ttl then. Setting the option on accepted sockets only was tried and did not help: the first request had come before.

--- a/fawnwharf/net/clients.py
+++ b/fawnwharf/net/clients.py
@@ -4,11 +4,12 @@
 import math
 import re
 import socket
+from typing import Any
 
 from fawnwharf.config import Address
 from fawnwharf.interface import ClassSpec, Effect
 from fawnwharf.net import thrift
-from fawnwharf.net.connection import Connection
+from fawnwharf.net.connection import Connection, stamp_reads
 from fawnwharf.net.endings import End, end_of
 from fawnwharf.net.log import Log
 from fawnwharf.net.loop import READ, Loop
@@ -39,7 +40,7 @@
     return float(text)
 
 
-def call_from(message: thrift.Handle, classes: dict[str, ClassSpec]) -> dict[str, object]:
+def call_from(message: thrift.Handle, classes: dict[str, ClassSpec]) -> dict[str, Any]:
     """What a call's fields say; raises Malformed for what no scorer could be passed."""
     fields = message.fields
     spec, token = classes.get(fields.get("op", "")), fields.get("dedupe", "")
@@ -118,6 +119,7 @@
             error.seqid = seqid
             self._malformed(error)
             return
+        fields["budget_ms"] = max(0.0, fields["budget_ms"] - self.connection.age_ms)
         call = Call(reply=lambda outcome: self._reply(seqid, outcome), **fields)
         if (key := self.port.table.take(call)) is not None:
             self.open[seqid] = key
@@ -168,6 +170,7 @@
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
         self._listener: socket.socket | None = socket.socket(family, socket.SOCK_STREAM)
         self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        stamp_reads(self._listener)
         self._listener.bind(address)
         self._listener.listen(BACKLOG)
         self._listener.setblocking(False)
--- a/fawnwharf/net/connection.py
+++ b/fawnwharf/net/connection.py
@@ -3,6 +3,7 @@
 import contextlib
 import errno
 import socket
+import struct
 from collections import deque
 from itertools import islice
 from typing import Protocol
@@ -13,9 +14,19 @@
 from fawnwharf.net.wheel import Timer, monotonic_ms
 
 READ_MOST = 64 * 1024  # bytes taken from one connection in a turn, so that none starves the others
+SO_TIMESTAMPNS = 35  # Linux: each read tells when its bytes came in
+STAMP = struct.Struct("@qq")
+NOTES_MOST = socket.CMSG_SPACE(STAMP.size)
+AGE_MOST_MS = 60_000.0
 PIECES_MOST = 64  # in one write
 
 
+def stamp_reads(listener: socket.socket) -> None:
+    """Have the system stamp what comes in; set before listening, as connections inherit it from the start."""
+    with contextlib.suppress(OSError):
+        listener.setsockopt(socket.SOL_SOCKET, SO_TIMESTAMPNS, 1)
+
+
 class Piece:
     """Bytes to be written, and how many have been."""
 
@@ -42,6 +53,7 @@
         self.loop, self.owner, self.up, self.closed = loop, owner, up, False
         self.heard_ms = self.used_ms = monotonic_ms()
         self.waiting_bytes = 0
+        self.age_ms = 0.0  # of the bytes read last
         self._sock, self._reading, self._blocked = sock, True, False
         self._outbox: deque[Piece] = deque()
         self._dial: Timer | None = None
@@ -159,7 +171,7 @@
 
     def _read(self) -> None:
         try:
-            data = self._sock.recv(READ_MOST)
+            data, notes, _, _ = self._sock.recvmsg(READ_MOST, NOTES_MOST)
         except BlockingIOError:
             return
         except OSError as error:
@@ -169,12 +181,23 @@
             self.close(End.CLOSED_BY_PEER)
             return
         self.heard_ms = self.used_ms = monotonic_ms()
+        self.age_ms = self._age(notes)
         try:
             self.owner.on_data(data)
         except Exception:  # whatever a peer managed to send, it costs no more than its own connection
             self.loop.fault("reading")
             self.close(End.BAD_BYTES)
 
+    def _age(self, notes: list[tuple[int, int, bytes]]) -> float:
+        """How long the last of the bytes just read had waited when the turn began, by the system's stamp.
+        Guards deadlines: a process that was held up reads late, but the client's time has run on."""
+        for level, kind, note in notes:
+            if (level, kind, len(note)) == (socket.SOL_SOCKET, SO_TIMESTAMPNS, STAMP.size):
+                seconds, nanoseconds = STAMP.unpack(note)
+                age = self.loop.turn_unix_ms - seconds * 1e3 - nanoseconds / 1e6
+                return age if 0 < age < AGE_MOST_MS else 0.0  # else the clock was set in between
+        return 0.0
+
     def _part(self) -> None:
         """Guards answers that are still on their way: closing with unread bytes would reset them."""
         with contextlib.suppress(OSError):
--- a/fawnwharf/net/loop.py
+++ b/fawnwharf/net/loop.py
@@ -8,7 +8,9 @@
 from typing import Protocol
 
 from fawnwharf import interface as io
-from fawnwharf.net.wheel import Clock, Wheel
+from fawnwharf.net.wheel import Clock, Wheel, monotonic_ms, unix_ms
+
+SLOW_TURN_MS = 80.0  # a process that was held up for longer endangers answers that are due
 
 READ, WRITE = selectors.EVENT_READ, selectors.EVENT_WRITE
 
@@ -25,6 +27,7 @@
     ) -> None:
         self.wheel, self.clock = Wheel(), Clock()
         self.running = True
+        self.turn_ms, self.turn_unix_ms = monotonic_ms(), unix_ms()  # when the turn began, on both clocks
         self._decide, self._log = decide, log
         self._selector = selectors.DefaultSelector()
         self.wheel.on_fault = self.fault
@@ -53,14 +56,22 @@
     # --- the turns --------------------------------------------------------------------------
 
     def turn(self, most_s: float | None = None) -> None:
-        for key, mask in self._selector.select(self._sleep_s(most_s)):
+        ready = self._selector.select(self._sleep_s(most_s))
+        self.turn_ms, self.turn_unix_ms = monotonic_ms(), unix_ms()
+        self._serve(ready, self.clock.now_ms())
+        if (took := monotonic_ms() - self.turn_ms) > SLOW_TURN_MS:
+            self._log(f"a slow turn: {took:.0f} ms for {len(ready)} sockets")
+
+    def _serve(self, ready: list[tuple[selectors.SelectorKey, int]], now_ms: float) -> None:
+        # All of a turn happens at the moment at which it began, however long the process is held up in it.
+        for key, mask in ready:
             # One that an earlier part of this turn closed is no longer registered under its key.
             if self._selector.get_map().get(key.fd) is key:
                 self._guarded(key.data, mask)
-        self.wheel.advance()
+        self.wheel.advance(self.turn_ms)
         if self._inbox:
             events, self._inbox = self._inbox, []
-            self._decide(self.clock.now_ms(), events)
+            self._decide(now_ms, events)
         dirty, self._dirty = self._dirty, {}
         for part in dirty:
             self._guarded(part.flush)
--- a/fawnwharf/net/requests.py
+++ b/fawnwharf/net/requests.py
@@ -88,7 +88,7 @@
         key = f"r{next(self._numbers)}"
         self._bodies += len(call.body)
         backstop = self._loop.wheel.after(call.budget_ms, lambda: self._overdue(key))
-        self.open[key] = OpenRequest(key, call, monotonic_ms() + call.budget_ms, backstop)
+        self.open[key] = OpenRequest(key, call, self._loop.turn_ms + call.budget_ms, backstop)
         self._loop.tell(
             io.RequestArrived(
                 key, call.function, call.class_name, call.tenant, call.budget_ms, call.lanes,
--- a/fawnwharf/net/wheel.py
+++ b/fawnwharf/net/wheel.py
@@ -62,9 +62,9 @@
         self._slots[timer.due_tick % SLOTS].append(timer)
         return timer
 
-    def advance(self) -> None:
-        """Call what has come due."""
-        now = math.floor(self._steady() / TICK_MS)
+    def advance(self, at_ms: float | None = None) -> None:
+        """Call what has come due by now, or by a moment just past."""
+        now = math.floor((self._steady() if at_ms is None else at_ms) / TICK_MS)
         first = max(self._tick + 1, now - SLOTS + 1)  # after a long halt, one turn of the wheel sees all
         self._tick = max(self._tick, now)
         due: list[Timer] = []
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -14,7 +14,7 @@
 from peers import ROW, SETTINGS, ClientPeer, LogPeer, Rig, ScorerPeer, handle_frame, ready
 
 from fawnwharf import interface as io
-from fawnwharf.net import changelog, clients, front_end, requests, scorer_frames, scorers
+from fawnwharf.net import changelog, clients, front_end, loop, requests, scorer_frames, scorers, wheel
 from fawnwharf.net.endings import End
 
 ROOT = Path(__file__).parent.parent
@@ -106,6 +106,16 @@
         client.call()
         rig.until(lambda: scorer.runs, "the next one runs")
 
+    def test_the_time_that_a_call_lay_unread_counts(self):
+        rig = self.rig(ScorerPeer(copies=None))
+        rig.client().call(ttl="8000")
+        with mock.patch.object(loop, "unix_ms", lambda: wheel.unix_ms() + 3000.0):
+            rig.until(lambda: rig.front.table.open, "it is read")
+        [request] = rig.front.table.open.values()
+        self.assertAlmostEqual(request.deadline_ms - rig.front.loop.turn_ms, 5000.0, delta=1000.0)
+        [known] = rig.front.router.requests.values()
+        self.assertAlmostEqual(known.deadline_ms - known.arrived_ms, 5000.0, delta=1000.0)
+
     def test_a_refusal_is_given_at_once_and_tells_when_to_come_back(self):
         scorer = ScorerPeer()
         rig = self.rig(scorer)
