--- a/fawnwharf/policy.py
+++ b/fawnwharf/policy.py
@@ -16,7 +16,7 @@
 
 WINDOW_MS = 10_000.0  # samples of Te, Tp and Td older than this are forgotten (the design's window)
 SWEEP_MS = 40.0  # pace of the timer for deadlines, waits and silent workers; well under a run
-LEAD_MS = 60.0  # a final answer goes out this long before the client leaves: room for a starved process
+LEAD_MS = 20.0  # a final answer goes out this long before the client leaves: room for a starved process
 FUNCTIONS_MOST = 4_000  # kept in mind; far more than are called within a keep-alive
 SAMPLES_MOST = 200  # samples kept for one median: more would not move it
 REFRESH_MS = 1_000.0  # pace of what depends on the whole fleet; no rate is taken over less
