Pass over event numbers out of nowhere in the change log

Reading its log showed one hole: after a stumble any gap was accepted, so one line with a huge number would have made every later event count as told before. A gap is now 1,000 events at most; the table of bad lines has the case, which fails without it.

--- a/fawnwharf/net/changelog.py
+++ b/fawnwharf/net/changelog.py
@@ -15,6 +15,7 @@
 SILENCE_MS = 2_500.0  # it writes a line a second; two missing and a half make it silent
 DIAL_MS = 1_000.0
 PAUSE_MS, PAUSE_MOST_MS = 50.0, 1_000.0  # before dialling again
+GAP_MOST = 1_000  # events that may be missing for good where the log can't be followed
 LINE_MOST = 4 * 1024 * 1024  # a list of thousands of scorers is shorter
 
 
@@ -104,7 +105,9 @@
             return False
         if seq <= self.seq:  # told before
             return True
-        if seq > self.seq + 1 and not of_start and self._stumbled_at != self.seq:
+        # Guards against a number out of nowhere: all events after it would count as told before.
+        most = self.seq + (GAP_MOST if self._stumbled_at == self.seq else 1)
+        if seq > most and not of_start:
             return False
         if "fleet" in read:
             try:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -451,7 +451,7 @@
 
     def test_a_bad_line_is_asked_for_again_and_then_passed_over(self):
         bad = [b"{", b"\xff\xfe", b'"text"', b"[1]", b'{"seq":"x"}', b"true"]
-        bad.append(b'{"seq":2,"fleet":{"members":5}}')
+        bad += [b'{"seq":2,"fleet":{"members":5}}', b'{"seq":99999999999,"fleet":{"members":[]}}']
         for line in bad:
             with self.subTest(line):
                 scorer = ScorerPeer()
