Take SIGHUP: read the configuration again and move the change log

The default action of SIGHUP ended the process: front_end.serve took SIGTERM and SIGINT only. Now config.py reads the file again, ChangeLog.move dials the new address at once and goes on with `since N`; a planned dial or open connection to the old address cannot survive it. SIGHUP is held back from the first line of __main__ until the loop has its handlers. Silence and dial times of the change log are cut so that noticing, dialling and being told again fit in 4 s (2.5 + 0.5 + 1.0 s before, 1.8 + 0.25 + 0.5 now).

--- a/fawnwharf/net/changelog.py
+++ b/fawnwharf/net/changelog.py
@@ -10,11 +10,13 @@
 from fawnwharf.net.endings import End
 from fawnwharf.net.log import Log
 from fawnwharf.net.loop import Loop
-from fawnwharf.net.wheel import monotonic_ms
+from fawnwharf.net.wheel import Timer, monotonic_ms
 
-SILENCE_MS = 2_500.0  # it writes a line a second; two missing and a half make it silent
-DIAL_MS = 1_000.0
-PAUSE_MS, PAUSE_MOST_MS = 50.0, 1_000.0  # before dialling again
+# What it has to tell counts as told 4 s after it stopped, and 2 s after it broke off: to notice, to dial and
+# to be told again must fit in, also where a first dial comes to nothing.
+SILENCE_MS = 1_800.0  # it writes a line a second; one missing and most of the next make it silent
+DIAL_MS = 500.0
+PAUSE_MS, PAUSE_MOST_MS = 50.0, 250.0  # before dialling again
 GAP_MOST = 1_000  # events that may be missing for good where the log can't be followed
 LINE_MOST = 4 * 1024 * 1024  # a list of thousands of scorers is shorter
 
@@ -30,13 +32,16 @@
         self._connection: Connection | None = None
         self._buffer = bytearray()
         self._pause_ms = PAUSE_MS
+        self._retry: Timer | None = None  # of the next dial
         self._stumbled_at: int | None = None  # where the log could not be followed last time
         self._stopped = False
-        self._heard_ms = monotonic_ms()
 
     def connect(self) -> None:
         if self._stopped or self._connection is not None:
             return
+        if self._retry:  # a dial that was planned earlier must not follow this one
+            self._retry.cancel()
+            self._retry = None
         self._buffer.clear()
         made = Connection.dial(self._loop, self._address, self, DIAL_MS)
         if isinstance(made, End):
@@ -44,8 +49,18 @@
         else:
             self._connection = made
 
+    def move(self, address: Address) -> None:
+        """Follow the log at another address from now on; the numbers go on where they were."""
+        if address == self._address:
+            return
+        self._address, self._stumbled_at = address, None
+        if self._connection:
+            self._connection.close(End.RETIRED)
+        self._pause_ms = PAUSE_MS
+        self.connect()
+
     def _again(self) -> None:
-        self._loop.wheel.after(self._pause_ms, self.connect)
+        self._retry = self._loop.wheel.after(self._pause_ms, self.connect)
         self._pause_ms = min(PAUSE_MOST_MS, 2 * self._pause_ms)
 
     def tidy(self) -> None:
--- a/fawnwharf/net/front_end.py
+++ b/fawnwharf/net/front_end.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import signal
+from collections.abc import Callable
 from typing import Any
 
 from fawnwharf import interface as io
@@ -15,12 +16,13 @@
 from fawnwharf.net.wheel import monotonic_ms
 from fawnwharf.policy import Router
 
-TIDY_MS = 500.0  # pace of the look after idle and silent connections
+TIDY_MS = 250.0  # pace of the look after idle and silent connections
 LATE_ARRIVALS_MS = 800.0  # after SIGTERM, connections and requests keep coming for 0.6 s
 LINGER_MS = 20_000.0  # and never longer than this, whatever is still open
 LEAVE_LOOK_MS = 20.0
 CLIENT_SHARE = 0.4  # of the descriptors; clients hold a third at most
 SCORER_SHARE = 0.4
+AT_START = ("name", "listen", "memory_mb", "sockets", "settings", "wire")  # keys that a reload leaves alone
 AFTER_FAULT_MS = 40.0  # the module's sweep, set again where a fault may have lost it
 
 STATES = {"in_service": io.State.READY, "terminating": io.State.DRAINING, "terminated": io.State.GONE}
@@ -34,8 +36,11 @@
 class FrontEnd:
     """One front end: owns the loop and the parts, and carries the module's actions out."""
 
-    def __init__(self, deployment: Deployment, log: Log | None = None) -> None:
-        self.deployment = deployment
+    def __init__(
+        self, deployment: Deployment, log: Log | None = None, reread: Callable[[], Deployment] | None = None
+    ) -> None:
+        """`reread` gives the configuration anew at each SIGHUP; without it, SIGHUP changes nothing."""
+        self.deployment, self._reread = deployment, reread
         self.log = log or Log(deployment.name or "fawnwharf")
         settings, wire, sockets = deployment.settings, deployment.wire, deployment.sockets
         self.loop = Loop(self._decide, self.log)
@@ -73,7 +78,8 @@
 
     def serve(self) -> None:
         """Serve until SIGTERM or SIGINT, then until all that was taken has its answer."""
-        self.loop.on_signals({signal.SIGTERM: self.leave, signal.SIGINT: self.leave})
+        handlers = {signal.SIGTERM: self.leave, signal.SIGINT: self.leave, signal.SIGHUP: self.reload}
+        self.loop.on_signals(handlers)
         self.start()
         self.log(f"serving on {self.address[0]}:{self.address[1]}")
         try:
@@ -81,6 +87,20 @@
         finally:
             self.close()
 
+    def reload(self) -> None:
+        """Read the configuration again. The change log moves; requests and links stay as they are."""
+        if self._reread is None:
+            return
+        try:
+            read = self._reread()
+        except ConfigError as error:
+            self.log(f"configuration not taken over: {error}")
+            return
+        at_start = [key for key in AT_START if getattr(read, key) != getattr(self.deployment, key)]
+        rest = f"; changed, but read at a start only: {', '.join(at_start)}" if at_start else ""
+        self.log(f"configuration read again: change log at {read.changelog[0]}:{read.changelog[1]}{rest}")
+        self.changelog.move(read.changelog)
+
     def leave(self) -> None:
         """Begin to end: keep accepting and serving until late arrivals are in and all is answered."""
         if self._leaving_ms is None:
--- a/fawnwharf/net/loop.py
+++ b/fawnwharf/net/loop.py
@@ -108,6 +108,7 @@
         signal.set_wakeup_fd(far.fileno(), warn_on_full_buffer=False)
         for number in handlers:
             signal.signal(number, lambda *_: None)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, handlers)  # one that came during the start is taken now
 
         def ready(_mask: int) -> None:
             for number in near.recv(64):
--- a/fawnwharf/serving.py
+++ b/fawnwharf/serving.py
@@ -1,6 +1,7 @@
 """Serving from a configuration file to an exit status, for the command line and the fast way in."""
 
 import gc
+import signal
 import sys
 
 from fawnwharf import config
@@ -9,9 +10,10 @@
 
 def serve(path: str | None = None) -> int:
     """Serve until SIGTERM; 0 when all that was taken is answered, 2 with the key's name on a bad start."""
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})  # until the loop has its handlers
     try:
         deployment = config.load(path)
-        front = _bound(deployment)
+        front = _bound(deployment, path)
     except config.ConfigError as error:
         print(f"fawnwharf: {error}", file=sys.stderr)
         return 2
@@ -20,8 +22,8 @@
     return 0
 
 
-def _bound(deployment: config.Deployment) -> FrontEnd:
+def _bound(deployment: config.Deployment, path: str | None) -> FrontEnd:
     try:
-        return FrontEnd(deployment)
+        return FrontEnd(deployment, reread=lambda: config.load(path))
     except OSError as error:
         raise config.ConfigError(f"listen: {error.strerror}: {deployment.listen}") from None
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -6,6 +6,7 @@
 import subprocess
 import sys
 import tempfile
+import time
 import unittest
 from pathlib import Path
 from unittest import mock
@@ -474,6 +475,26 @@
             rig.log.say(b"1")
             rig.until(lambda: rig.front.changelog._stumbled_at is None, "all is well again")
 
+    def test_a_move_leaves_one_connection_to_the_new_address_and_no_late_dial(self):
+        for broken in (False, True):
+            with self.subTest(broken=broken):
+                rig, moved = self.rig(ScorerPeer()), LogPeer()
+                self.addCleanup(moved.close)
+                with mock.patch.object(changelog, "PAUSE_MS", 30.0):
+                    rig.log.say(self.event(2))
+                    rig.until(lambda rig=rig: rig.front.changelog.seq == 2, "an event is told")
+                    if broken:  # the next dial to the old address is planned already
+                        rig.log.links[0].sock.close()
+                        rig.log.links[0].ended = True
+                        rig.until(lambda rig=rig: rig.front.changelog._connection is None, "it breaks off")
+                    rig.front.changelog.move(("127.0.0.1", int(moved.host_port.split(":")[1])))
+                later = []
+                rig.front.loop.wheel.after(60.0, lambda later=later: later.append(1))
+                rig.scorers.append(moved)
+                rig.until(lambda later=later, moved=moved: later and moved.asked(), "the new one is asked")
+                self.assertEqual((moved.asked(), len(moved.links)), ([["since", "2"]], 1))
+                self.assertEqual([link.ended for link in rig.log.links], [True])
+
     def test_whoever_a_complete_list_leaves_out_is_gone(self):
         old, new = ScorerPeer("s-1"), ScorerPeer("s-2")
         rig = self.rig(old)
@@ -531,6 +552,42 @@
         for peer in (client, late):
             peer.sock.close()
 
+    def feed(self, path, config):
+        """Write the configuration into the pipe that the program opens whenever it reads it."""
+        for _ in range(2000):
+            try:
+                pipe = os.open(path, os.O_WRONLY | os.O_NONBLOCK)
+                break
+            except OSError:  # nobody reads it yet
+                time.sleep(0.01)
+        os.write(pipe, config if isinstance(config, bytes) else msgspec.json.encode(config))
+        os.close(pipe)
+
+    def test_sighup_even_at_the_start_moves_the_change_log_and_a_bad_file_changes_nothing(self):
+        with tempfile.TemporaryDirectory() as folder:
+            path, first = os.path.join(folder, "pipe"), self.config()
+            second = self.config()
+            os.mkfifo(path)
+            program = self.launch(first, "serve", "--config", path)
+            pipe = os.open(path, os.O_WRONLY)  # returns once the program reads its configuration
+            program.send_signal(signal.SIGHUP)
+            os.write(pipe, msgspec.json.encode(first))
+            os.close(pipe)
+            self.assertIn("serving", program.stderr.readline())
+            self.feed(path, second)
+            self.assertIn("read again", program.stderr.readline())
+            for bad, key in ((b"{", "JSON"), ({**first, "changelog": "x"}, "changelog"), ({}, "settings")):
+                program.send_signal(signal.SIGHUP)
+                self.feed(path, bad)
+                line = program.stderr.readline()
+                self.assertIn("not taken over", line)
+                self.assertIn(key, line)
+            while not self.log.asked():
+                self.log.pump()
+            self.assertEqual(self.log.asked(), [["since", "1"]])
+            program.send_signal(signal.SIGTERM)
+            self.assertEqual(program.wait(20), 0)
+
     def pump(self, client, condition, *others):
         for _ in range(4000):
             for peer in (client, *others):
