--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -271,7 +271,7 @@
         for n in range(3):
             rig.front.pool.send(attempt(id, ended, id=b"%08d" % n))
             links = rig.front.pool.scorers[id].links
-            rig.until(lambda n=n, links=links: len(links) == n + 2 and all(link.up for link in links), "a spare")
+            rig.until(lambda n=n, links=links: [link.up for link in links] == [True] * (n + 2), "a spare")
             rig.until(lambda n=n: len(scorer.runs) > n, "it runs")
         scorer.runs[1][0].sock.sendall(b"HTTP/1.1 200 OK\r\n\r\n")
         rig.until(lambda: ended, "one ends")
