Give no call to an idle link that the scorer has ended already

Seen (churn, traced link by link): scorers end a connection now and then right after an answer. At fault: Scorer.link_for took any link whose end had not been read yet. Ruled out: a limit on connections (links ended after 0.2 to 7 s, always after an answer) and idle time (0 ms). Now the emptiest link used last is taken, and an empty one is looked at for its end first.

--- a/fawnwharf/net/connection.py
+++ b/fawnwharf/net/connection.py
@@ -132,6 +132,15 @@
         self._blocked = bool(self._outbox)
         self._set_mask()
 
+    def ended(self) -> bool:
+        """Whether the peer has ended it already, though that was not read yet."""
+        try:
+            return self._sock.recv(1, socket.MSG_PEEK) == b""
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
     # --- reading ------------------------------------------------------------------------------
 
     def read_on(self, on: bool) -> None:
--- a/fawnwharf/net/scorers.py
+++ b/fawnwharf/net/scorers.py
@@ -192,7 +192,13 @@
         lively = [link for link in able if not link.quiet()]
         if not lively and len(self.links) >= LINKS_MOST:
             lively = able
-        return min(lively, key=lambda link: len(link.streams), default=None)
+        # Of links that are as empty, the one used last: one long idle may be about to be closed.
+        best = min(lively, key=lambda link: (len(link.streams), -link.connection.used_ms), default=None)
+        if best and not best.streams and best.connection.ended():
+            # Guards calls that may not run twice: what is written to an ended connection may have run.
+            best.connection.close(End.CLOSED_BY_PEER)
+            return self.link_for(id)
+        return best
 
     def crowded(self) -> bool:
         """Whether the next call would share a link, while there may be more of them."""
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -280,6 +280,21 @@
         rig.until(lambda: len(ended) == 3, "the others are answered")
         self.assertEqual(ended, [(End.BAD_BYTES, True)] + [(io.Ending.GOOD, True)] * 2)
 
+    def test_a_link_that_the_scorer_has_just_ended_is_not_used_again(self):
+        scorer, ended = ScorerPeer(), []
+        rig = self.rig(scorer)
+        id = front_end.worker_number(scorer.id)
+        rig.front.pool.order(order(id, ended))
+        rig.until(lambda: ended and len(scorer.links) == 2, "a link and a spare are idle")
+        for peer, link in zip(scorer.links, list(rig.front.pool.scorers[id].links), strict=True):
+            peer.sock.shutdown(socket.SHUT_WR)
+            self.assertTrue(ready(link.connection._sock))
+        rig.front.pool.send(attempt(id, ended))  # before the loop has read the ends
+        for link in rig.front.pool.scorers[id].links:
+            link.connection.flush()
+        rig.until(lambda: scorer.runs, "it runs")
+        self.assertEqual(ended, [(io.Ending.GOOD, True)])
+
     def test_a_connection_carries_so_many_streams_and_no_id_twice(self):
         scorer, ended = ScorerPeer(copies=None), []
         rig = self.rig(scorer)
