Rest a class at a worker that loses its answers, and try its lost calls elsewhere

Traced by worker, function and link: at three or four of seven scorers about 60 % of the lineup-save calls never had an answer, while calls of other classes on the same link were answered within milliseconds, questions too. policy._watch only knows workers that are silent as a whole, and second attempts (_hasten) were for wide fleets only. Ruled out: half frames and silent links (heard milliseconds before), queues (answers told a crowd of 0), repeats of a key (13 of 7745 keys came twice), scorers that are slow as a whole. Now an answer is held lost after 8 median runs; a class that lost two at a worker rests there for 2 s, then one call at a time tries it, and the calls go elsewhere if a warm lane is free.

--- a/fawnwharf/policy.py
+++ b/fawnwharf/policy.py
@@ -44,6 +44,10 @@
 RUSH = 3  # so many arrivals close together tell of a function turned hot before that
 ANSWER_GAIN = 0.4  # weight of one answer in what answers tell of others' load: they are rare
 OVERDUE_RUNS = 3.0  # an attempt out for this many runs deserves a second
+LOST_RUNS = 8.0  # and is held lost after this many, while its worker answers others: few calls run so long
+LOSSES = 2.0  # so many answers lost rest a class at a worker; an answer that comes takes part of them back
+LOSS_KEPT = 0.7
+REST_MS = 2_000.0  # after that one call at a time tries it
 HEDGE_SHARE = 0.1  # second attempts a request; those that came first are given back
 HEDGES_MOST = 3.0  # tokens saved up at the most
 STRAINED = 1.8  # runs this many times the usual: others load the worker; forgotten over the window
@@ -94,6 +98,13 @@
     limit: float = math.inf  # own requests that it can work on well, as of the last refresh
     sent: deque[float] = field(default_factory=deque)  # sends while cold
     last: "Function | None" = None  # the function last seen there
+    lapses: dict[str, "Lapse"] = field(default_factory=dict)  # by class
+
+
+@dataclass(slots=True, eq=False)
+class Lapse:  # answers of a class that a worker lost, though it answers others
+    losses: float = 0.0
+    rests_ms: float = -math.inf  # until then
 
 
 @dataclass(slots=True, eq=False)
@@ -121,6 +132,7 @@
     alone: bool  # the worker was not crowded when it left
     among: int  # warm workers that it was drawn from
     open: bool = True
+    lost: bool = False
     may_have_run: bool = True
 
 
@@ -143,6 +155,7 @@
 @dataclass(slots=True, eq=False)
 class Function:
     name: str
+    kind: str  # class of its calls
     lanes: int
     load_told_ms: float | None
     mark: int
@@ -229,7 +242,8 @@
         name = event.function
         if name not in self.functions:
             self._forget()
-            self.functions[name] = Function(name, max(1, event.lanes), event.load_ms, _mark(name))
+            lanes, kind = max(1, event.lanes), event.class_name
+            self.functions[name] = Function(name, kind, lanes, event.load_ms, _mark(name))
         fn = self.functions[name]
         spec = self.settings.classes.get(event.class_name) or io.ClassSpec(event.class_name)
         over = self._over_share(event.tenant)
@@ -281,6 +295,7 @@
                 self.runs.timed.append((self.now, event.took_ms))
                 self.run_ms += RUN_GAIN * (event.took_ms - self.run_ms) * attempt.alone
                 self._strain(worker, event.took_ms / self._te(fn))
+            self._found(worker, attempt)
         elif event.ending is Ending.MISS or event.warmth is Warmth.LOAD_FAILED:
             instance.copies = 0
         elif event.ending is Ending.FULL:
@@ -347,6 +362,7 @@
                 self._finish(request)
             elif self.wide and request.attempts and request not in request.function.queue:
                 self._hasten(request, request.attempts[-1])
+        self._miss_answers()
         while self.flying and self.now - self.flying[0].sent_ms > self.promise_ms:
             self.flying.popleft()  # lost, for all that is known: it stands in nobody's way
         for worker in list(self.watched.values()):
@@ -438,9 +454,10 @@
                 self._again(request)
                 self._dispatch(attempt.function)
 
-    def _usable(self, worker: Worker) -> bool:  # ready, and not suspect unless most of the fleet is
+    def _usable(self, worker: Worker, fn: Function) -> bool:  # ready, and not suspect unless most are
         trusted = worker.suspect_ms is None or self.suspects * 2 > len(self.ready)
-        return worker.entry.state == State.READY and trusted
+        ready = worker.entry.state == State.READY and trusted
+        return ready and not (worker.lapses and self._rests(worker, fn))
 
     def _urgency(self, request: Request) -> tuple[bool, bool, float, str]:
         return request.over_share, self._late(request), request.arrived_ms, request.id
@@ -450,7 +467,14 @@
         for fn in sorted(held, key=lambda fn: min(map(self._urgency, fn.queue))):
             self._dispatch(fn)
 
-    def _dispatch(self, fn: Function) -> None:  # the only place that sends
+    def _dispatch(self, fn: Function) -> None:
+        self._fill(fn)
+        self.waiting.pop(fn.name, None)
+        if fn.queue:
+            self.waiting[fn.name] = fn
+            self._race(fn)
+
+    def _fill(self, fn: Function) -> None:  # the only place that sends
         if len(fn.queue) > 1:
             fn.queue.sort(key=self._urgency)
         for request in list(fn.queue):
@@ -458,10 +482,6 @@
                 self._send(request, worker)
             elif request.first_run() is None:
                 break
-        self.waiting.pop(fn.name, None)
-        if fn.queue:
-            self.waiting[fn.name] = fn
-            self._race(fn)
 
     def _lane(self, fn: Function, request: Request) -> Worker | None:  # first within the bound, or idlest
         again = any(attempt.open for attempt in request.attempts)
@@ -484,7 +504,7 @@
         most = max(-(-instance.own // fn.lanes), self.now - instance.seen_ms < STALE_MS) * fn.lanes
         sure = most > instance.own or self.wide or self.now - instance.counted_ms < STALE_MS
         sure = sure or not self.settings.may_order
-        if not sure and not instance.asks and self._usable(worker):
+        if not sure and not instance.asks and self._usable(worker, fn):
             self._ask(fn, worker)
         return sure
 
@@ -503,10 +523,49 @@
         if worker.started_ms is not None:
             worker.sent.append(self.now)
         self._owe(worker)
+        if (lapse := worker.lapses.get(fn.kind)) and lapse.losses >= LOSSES:
+            lapse.rests_ms = self.now + REST_MS  # this one tries it
         if instance.unused_ms is not None and instance.own > instance.lanes_before:
             fn.idle_ms, instance.unused_ms = self.now - instance.unused_ms, None
         self.actions.append(io.Send(request.id, worker.id))
 
+    def _miss_answers(self) -> None:
+        """Hold overdue answers lost, try their calls elsewhere, and rest a class where several were lost.
+        Guards against workers that answer all but some calls. Harm: a very long call may be run twice."""
+        for attempt in list(self.attempts.values()):
+            fn, worker = attempt.function, self.workers[attempt.worker]
+            lapse = worker.lapses.get(fn.kind)
+            runs = OVERDUE_RUNS if lapse and lapse.losses >= LOSSES else LOST_RUNS
+            due_ms = attempt.sent_ms + runs * max(self._te(fn), self.runs.median(self.now) or 0.0)
+            if attempt.lost or worker.suspect_ms is not None or self.now < due_ms:
+                continue
+            attempt.lost, lapse = True, worker.lapses.setdefault(fn.kind, Lapse())
+            lapse.losses += 1
+            if lapse.losses < LOSSES:
+                continue
+            lapse.rests_ms, request = self.now + REST_MS, self.requests.get(attempt.request)
+            if request and request not in fn.queue and self._may_send_again(request):
+                self._elsewhere(request)
+
+    def _elsewhere(self, request: Request) -> None:
+        request.function.queue.append(request)
+        self._fill(request.function)
+        if request in request.function.queue:  # no warm lane is free: not worth a wait or a load
+            request.function.queue.remove(request)
+
+    def _found(self, worker: Worker, attempt: Attempt) -> None:
+        if lapse := worker.lapses.get(attempt.function.kind):
+            lapse.losses = lapse.losses - 1 if attempt.lost else lapse.losses * LOSS_KEPT  # it was but slow
+            if lapse.losses < 1:
+                del worker.lapses[attempt.function.kind]
+
+    def _rests(self, worker: Worker, fn: Function) -> bool:  # unless most of the fleet would
+        lapse = worker.lapses.get(fn.kind)
+        if lapse is None or lapse.losses < LOSSES or self.now >= lapse.rests_ms:
+            return False
+        resting = sum(fn.kind in w.lapses and w.lapses[fn.kind].rests_ms > self.now for w in self.ready)
+        return resting * 2 <= len(self.ready)
+
     def _hasten(self, request: Request, attempt: Attempt) -> None:
         """A second attempt elsewhere for one out far longer than a run, while tokens last.
         Guards against lost answers, hangs and slow workers alike. Harm: work done twice, for few calls."""
@@ -525,7 +584,8 @@
             self._finish(request)
 
     def _may_send_here(self, request: Request, worker: Worker, part: float) -> bool:  # now?
-        if worker.own >= worker.limit * part or not self._usable(worker) or not self._warm_enough(worker):
+        usable = self._usable(worker, request.function)
+        if worker.own >= worker.limit * part or not usable or not self._warm_enough(worker):
             return False
         if any(attempt.worker == worker.id and attempt.may_have_run for attempt in request.attempts):
             return False
@@ -660,13 +720,13 @@
         fn.last_ms.append(self.now)
 
     def _is_warm(self, fn: Function) -> bool:
-        return any(self._copies(fn.instances[w.id], w) and self._usable(w) for w in self._known(fn))
+        return any(self._copies(fn.instances[w.id], w) and self._usable(w, fn) for w in self._known(fn))
 
     def _race(self, fn: Function) -> None:  # the loads that held requests need, one for the lanes of a copy
         if self._asking(fn):
             return
         warm = self._is_warm(fn)
-        pending = sum(fn.instances[w.id].order_ms is not None for w in self._known(fn) if self._usable(w))
+        pending = sum(fn.instances[w.id].order_ms is not None for w in self._known(fn) if self._usable(w, fn))
         held = sum(not (warm and (r.over_share or (self.wide and self._late(r)))) for r in fn.queue)
         # Held by the own limit in all, a request gains nothing by a load.
         if warm and (len(self.flying) >= self.limit or not self._load_path(fn)):
@@ -685,7 +745,7 @@
 
     def _spread(self, fn: Function, worker: Worker) -> None:  # ask at a drawn place, load if empty
         instance = self._instance(fn, worker)
-        if self._copies(instance, worker) or not self._usable(worker) or not self.settings.may_order:
+        if self._copies(instance, worker) or not self._usable(worker, fn) or not self.settings.may_order:
             return
         warm = self._is_warm(fn)
         idle = self.wide and not instance.asks and (not warm or self._load_path(fn))
@@ -723,7 +783,7 @@
     def _may_load(self, fn: Function, warm: bool, worker: Worker | None) -> bool:  # or anywhere?
         instance, window = fn.instances.get(worker.id) if worker else None, self.settings.load_window_ms
         busy = instance and (instance.order_ms is not None or self.now < instance.blocked_ms)
-        if busy or (worker and not self._usable(worker)):
+        if busy or (worker and not self._usable(worker, fn)):
             return False
         if worker and warm and (worker.own >= worker.limit or not self._warm_enough(worker)):
             return False
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -4,7 +4,7 @@
 
 from fawnwharf import interface as io
 from fawnwharf.interface import Ending
-from fawnwharf.policy import FUNCTIONS_MOST
+from fawnwharf.policy import FUNCTIONS_MOST, Function
 
 # --- the ordinary path ---------------------------------------------------------------------
 
@@ -303,6 +303,40 @@
         assert [send.worker for send in of(d.ask("r2"), io.Send)] == [home] * answered
 
 
+def lose_two():
+    """Two calls whose answers don't come while their worker gives every other sign of life."""
+    d = Drive()
+    home = d.warm(lanes=2)
+    lost = of(d.ask("r1", lanes=2) + d.ask("r2", lanes=2), io.Send)
+    assert [send.worker for send in lost] == [home] * 2
+    since, done = d.now, []
+    while d.now < since + 900:
+        actions = d.sweep(d.now + 20)
+        done += actions + d.answer_asks(actions, {home: 1})
+    return d, home, lost, done
+
+
+def test_a_class_whose_answers_a_worker_loses_rests_there_and_is_then_tried_by_one_call():
+    d, home, lost, done = lose_two()
+    assert not [action for action in of(done, io.Log) if "silent" in action.text]
+    assert home not in [send.worker for send in of(d.answer_asks(d.ask("r3", lanes=2), {home: 1}), io.Send)]
+    router, fn, worker = d.router, d.router.functions["f"], d.router.workers[home]
+    assert router._usable(worker, Function("g", "unsafe", 1, None, 0))  # another class goes on there
+    for send in lost:
+        d.end(send, Ending.CANCELLED, closed=True)
+    d.now += 2000
+    assert [(send.request, send.worker) for send in of(d.count(home, 1), io.Send)] == [("r3", home)]
+    assert not router._usable(worker, fn)
+    assert not of(d.ask("r4", lanes=2), io.Send)
+
+
+def test_answers_that_come_after_all_take_their_losses_back():
+    d, home, lost, _ = lose_two()
+    for send in lost:
+        d.end(send)
+    assert not d.router.workers[home].lapses
+
+
 def test_silent_worker_that_answers_is_used_again():
     d = Drive()
     home = d.warm()
