Rest a class where a worker errs on it; end silent clients in time; forget what is long gone

Errors now count as lost answers do, but only for functions that were served lately, as a call may itself be at fault; each try that fails doubles the rest, up to 8 s.

--- a/fawnwharf/config.py
+++ b/fawnwharf/config.py
@@ -120,6 +120,7 @@
     max_open: int = 20_000
     load_wait_ms: float = 10_000.0
     tells_crowd: bool = False
+    tenants: frozenset[str] = frozenset()  # empty: a site without tenants
 
 
 class Deployment(Struct, frozen=True):
@@ -226,6 +227,7 @@
         max_open=bounds.max_open,
         load_wait_ms=family.load_wait,
         tells_crowd=family.notes_peers_in_hand,
+        tenants=frozenset(tenant.name for tenant in read.tenants),
     )
 
 
--- a/fawnwharf/net/clients.py
+++ b/fawnwharf/net/clients.py
@@ -18,13 +18,17 @@
 
 OPEN_MOST = 32  # requests open on one connection
 BACKLOG = 1024
-ACCEPTS_MOST = 64  # in a turn
+ACCEPTS_MOST = 64  # in a turn, and never more than half of all, so that a first request can be read
 ACCEPT_PAUSE_MS = 50.0  # where the system has no descriptor left
-IDLE_MS = 30_000.0  # clients close after 4 s; one that is still here is gone, or never spoke
+IDLE_MS = 30_000.0  # clients close after 4 s; one that asked and is still here holds its connection for good
+# A peer is owed an answer or a close within 3 s of connecting; what a client sends comes within a round trip.
+SPEAK_MS = 2_300.0  # for a first message, and for the rest of one that has begun
+SKIP_MS = 6_000.0  # for the rest of an oversized one, which was refused when its head came
+YOUNG_MS = 250.0  # a connection that said nothing yet may be about to: others give way first
+TTL_ROOM = 1.1  # a client waits for its class's time at the most; room for rounding
 UNREAD_STOP = 64 * 1024  # bytes that wait for a client which does not read: it is not read either
 UNREAD_MOST = 1024 * 1024  # and with these it is dropped
 UNREAD_ALL_MOST = 32 * 1024 * 1024  # of all clients together: part of the memory limit
-BUDGET_MOST_MS = 3_600_000.0
 LANES_MOST = 4_096
 
 _HEX16 = re.compile(r"[0-9a-fA-F]{16}\Z")
@@ -40,19 +44,23 @@
     return float(text)
 
 
-def call_from(message: thrift.Handle, classes: dict[str, ClassSpec]) -> dict[str, Any]:
+def call_from(
+    message: thrift.Handle, classes: dict[str, ClassSpec], tenants: frozenset[str] = frozenset()
+) -> dict[str, Any]:
     """What a call's fields say; raises Malformed for what no scorer could be passed."""
     fields = message.fields
     spec, token = classes.get(fields.get("op", "")), fields.get("dedupe", "")
     if spec is None:
         raise thrift.Malformed("op: no such class")
+    if tenants and fields.get("org") not in tenants:
+        raise thrift.Malformed("org: no such tenant")
     for name in ("call", "row"):
         if not _HEX16.match(fields.get(name, "")):
             raise thrift.Malformed(f"{name}: not 16 hex digits")
     if (token or spec.effect is Effect.KEYED) and not _TOKEN.match(token):
         raise thrift.Malformed("dedupe: missing, or not a key")
     budget = _number(fields.get("ttl"), "ttl")
-    if not budget or budget > BUDGET_MOST_MS:
+    if not budget or budget > TTL_ROOM * spec.give_up_ms:
         raise thrift.Malformed("ttl: missing, or not a time to wait")
     parts = (part.partition(":") for part in fields.get("props", "").split(";") if part)
     props = {name: value for name, _, value in parts}
@@ -81,13 +89,20 @@
         self.open: dict[int, str] = {}
         self.connection = Connection.accepted(port.loop, sock, self)
         self._reader = thrift.FrameReader()
+        self.spoke = False  # a whole message has come
+        self._since_ms = monotonic_ms()  # it connected, or the message that is not whole yet began
 
     def on_up(self) -> None:
         pass
 
     def on_data(self, data: bytes) -> None:
-        for item in self._reader.feed(data):
-            if self.connection.closed:
+        before = self._reader.waits
+        items = self._reader.feed(data)
+        if items or not before:
+            self._since_ms = monotonic_ms() if items or self.spoke else self._since_ms
+        self.spoke = self.spoke or bool(items)
+        for item in items:
+            if self.connection.closed or self.connection.finishing:
                 return
             if isinstance(item, thrift.Malformed):
                 self._malformed(item)
@@ -100,13 +115,40 @@
                 self._write(thrift.answer("status", item.seqid, b"", {}, self.port.ready))
 
     def _malformed(self, error: thrift.Malformed) -> None:
-        self.port.log(f"client: {error}")
+        self.port.log(f"client: {error}", "clients")
         # An exception under an open request's number would be that request's answer.
         if error.seqid is None or error.seqid in self.open:
-            self.connection.close(End.BAD_BYTES)
+            self._finish(End.BAD_BYTES)
         else:
             self._write(thrift.application_exception(error.seqid, str(error), error.kind))
 
+    def _finish(self, end: End) -> None:
+        """End the connection; what is open on it is failed, so that each request has its answer."""
+        for seqid, key in list(self.open.items()):
+            self.port.table.withdraw(key)
+            self._reply(seqid, Failed())
+        self.connection.finish(end)
+
+    def end_overdue(self) -> None:
+        if self.spoke or self._reader.waits:
+            self._finish(End.SILENT)
+        else:
+            self.close_unheard()
+
+    def close_unheard(self) -> bool:
+        """Close it, but for one whose request is just arriving."""
+        if self.connection.unread() and not self.connection.finishing:
+            return False
+        self.connection.close(End.IDLE if self.spoke else End.SILENT)
+        return True
+
+    def overdue(self, now_ms: float) -> bool:
+        """Guards descriptors against peers that say nothing, or half a message."""
+        if self.open or (self.spoke and not self._reader.waits):
+            return False
+        most = SKIP_MS if self._reader.skips else SPEAK_MS
+        return now_ms - self._since_ms > most
+
     def _handle(self, message: thrift.Handle) -> None:
         seqid = message.seqid
         try:
@@ -114,7 +156,7 @@
                 raise thrift.Malformed("a second request under an open number")
             if len(self.open) >= OPEN_MOST:
                 raise thrift.Malformed("too many open requests")
-            fields = call_from(message, self.port.classes)
+            fields = call_from(message, self.port.classes, self.port.tenants)
         except thrift.Malformed as error:
             error.seqid = seqid
             self._malformed(error)
@@ -160,10 +202,12 @@
         address: Address,
         table: RequestTable,
         classes: dict[str, ClassSpec],
+        tenants: frozenset[str],
         most: int,
         log: Log,
     ) -> None:
-        self.loop, self.table, self.classes, self.log = loop, table, classes, log
+        self.loop, self.table, self.log = loop, table, log
+        self.classes, self.tenants = classes, tenants
         self.ready = False
         self.clients: dict[Client, None] = {}
         self._most = most
@@ -179,7 +223,7 @@
         loop.watch(self._listener, READ, self._accept)
 
     def _accept(self, _mask: int) -> None:
-        for _ in range(ACCEPTS_MOST):
+        for _ in range(min(ACCEPTS_MOST, max(1, self._most // 2))):
             if self._listener is None or (len(self.clients) >= self._most and not self._make_room()):
                 self._pause()
                 return
@@ -200,12 +244,17 @@
             self.clients[client] = None
 
     def _make_room(self) -> bool:
-        """Close the connection that has been idle for longest, if any has nothing open."""
+        """Close what has nothing open: all that should have spoken by now, else one that is finished with,
+        else the one that has been idle for longest. What has something unread is about to ask."""
         idle = [client for client in self.clients if not client.open and not client.connection.waiting_bytes]
-        if not idle:
-            return False
-        min(idle, key=lambda client: client.connection.used_ms).connection.close(End.IDLE)
-        return True
+        since = monotonic_ms() - YOUNG_MS
+        silent = [client for client in idle if not client.spoke and client.connection.used_ms < since]
+        closed = [client for client in silent if client.close_unheard()]
+        while idle and not closed:
+            last = min(idle, key=lambda client: (not client.connection.finishing, client.connection.used_ms))
+            idle.remove(last)
+            closed = [last] if last.close_unheard() else []
+        return bool(closed)
 
     def _pause(self) -> None:
         """Leave new connections to the system's queue for a moment, rather than spin on them."""
@@ -231,8 +280,11 @@
     def tidy(self) -> None:
         now = monotonic_ms()
         for client in list(self.clients):
-            if not client.open and now - client.connection.used_ms > IDLE_MS:
+            idle = not client.open and now - client.connection.used_ms > IDLE_MS
+            if idle:
                 client.connection.close(End.IDLE)
+            elif client.overdue(now):
+                client.end_overdue()
 
     def close(self) -> None:
         if self._listener is not None:
--- a/fawnwharf/net/connection.py
+++ b/fawnwharf/net/connection.py
@@ -19,6 +19,7 @@
 NOTES_MOST = socket.CMSG_SPACE(STAMP.size)
 AGE_MOST_MS = 60_000.0
 PIECES_MOST = 64  # in one write
+LINGER_MS = 1_000.0  # for a peer that is being finished with: it may still read, and end by itself
 
 
 def stamp_reads(listener: socket.socket) -> None:
@@ -57,6 +58,7 @@
         self._sock, self._reading, self._blocked = sock, True, False
         self._outbox: deque[Piece] = deque()
         self._dial: Timer | None = None
+        self._finishing: End | None = None
         self._mask = READ if up else WRITE
         loop.watch(sock, self._mask, self._ready)
 
@@ -108,6 +110,9 @@
     def flush(self) -> None:
         if self.up and not self.closed and not self._blocked and self._outbox:
             self._write_out()
+        if self._finishing and not self.closed and not self._outbox:
+            with contextlib.suppress(OSError):
+                self._sock.shutdown(socket.SHUT_WR)
         if not self.closed:
             self.owner.on_flushed()
 
@@ -132,14 +137,26 @@
         self._blocked = bool(self._outbox)
         self._set_mask()
 
-    def ended(self) -> bool:
-        """Whether the peer has ended it already, though that was not read yet."""
+    def finish(self, end: End) -> None:
+        """End it after what is queued: written first, then ended on this side, and read on without keeping.
+        Guards the last answers, which a close with bytes unread would reset. Harm: it lives on a while."""
+        if not self.closed and not self._finishing:
+            self._finishing = end
+            self.loop.wheel.after(LINGER_MS, lambda: self.close(end))
+            self.loop.flush_later(self)
+
+    @property
+    def finishing(self) -> bool:
+        return self._finishing is not None
+
+    def unread(self) -> bytes | None:
+        """A look at what lies unread: None where nothing does, empty where the peer has ended it."""
         try:
-            return self._sock.recv(1, socket.MSG_PEEK) == b""
+            return self._sock.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
-            return False
+            return None
         except OSError:
-            return True
+            return b""
 
     # --- reading ------------------------------------------------------------------------------
 
@@ -189,6 +206,8 @@
         if not data:
             self.close(End.CLOSED_BY_PEER)
             return
+        if self._finishing:
+            return
         self.heard_ms = self.used_ms = monotonic_ms()
         self.age_ms = self._age(notes)
         try:
--- a/fawnwharf/net/front_end.py
+++ b/fawnwharf/net/front_end.py
@@ -52,7 +52,7 @@
         self._known()
         clients_most = max(4, int(sockets * CLIENT_SHARE))
         self.port = ClientPort(
-            self.loop, deployment.listen, self.table, settings.classes, clients_most, self.log
+            self.loop, deployment.listen, self.table, settings.classes, wire.tenants, clients_most, self.log
         )
         self._carriers = {
             io.Send: self.table.send,
--- a/fawnwharf/net/scorer_frames.py
+++ b/fawnwharf/net/scorer_frames.py
@@ -54,6 +54,11 @@
         self._mark = mark
         self.fault = ""  # set once bytes came that are no frame: nothing after them can be read
 
+    @property
+    def waits(self) -> bool:
+        """Whether a frame has begun and is not whole yet."""
+        return bool(self._buffer)
+
     def feed(self, data: bytes) -> list[Frame]:
         """The frames that are now whole, up to a fault."""
         self._buffer += data
--- a/fawnwharf/net/scorers.py
+++ b/fawnwharf/net/scorers.py
@@ -16,10 +16,11 @@
 from fawnwharf.net.wheel import Timer, monotonic_ms
 
 QUIET_MS = 1_000.0  # a link that owes an answer and says nothing for this long gets nothing new
+STALL_MS = 250.0  # half a frame that goes no further for this long was cut off: nothing after it can be read
 IDLE_PART = 0.7  # of the keep-alive: closed here before the scorer does, so that no send crosses a close
 LINKS_MOST = 6  # to one scorer
 LINKS_SPREAD = 4  # up to so many, a call finds a link of its own: what spoils one ends all that is on it
-GIVEN_UP_MOST = 1_024  # ids remembered on one link, as late answers to them may still come
+SPENT_MOST = 1_024  # ids remembered on one link, as late answers or second copies may still come
 SPREAD_PART = 0.7  # of the descriptors for links: the rest is kept for calls that find none
 WAITING_BYTES_MOST = 256 * 1024  # unwritten on one link: a scorer that does not read gets no more
 
@@ -112,7 +113,8 @@
         self.streams: dict[bytes, Stream] = {}
         self.retired = False  # gets nothing new, and is closed once empty
         self._reader = frames.FrameReader()
-        self._given_up: dict[bytes, None] = {}
+        self._spent: dict[bytes, None] = {}  # ids that may not be used again here
+        self._stall: Timer | None = None
         self._owed_ms = 0.0  # since when something is open
         self._last_gave_up_ms = 0.0
 
@@ -131,7 +133,7 @@
 
     def takes(self, id: bytes) -> bool:
         room = len(self.streams) < self.pool.wire.streams_per_conn
-        fresh = id not in self.streams and id not in self._given_up
+        fresh = id not in self.streams and id not in self._spent
         return room and fresh and self.connection.waiting_bytes < WAITING_BYTES_MOST
 
     def start(self, stream: Stream) -> None:
@@ -148,9 +150,12 @@
         self._last_gave_up_ms = monotonic_ms()
         if isinstance(stream, Attempt):
             self.connection.write(frames.give_up(stream.id))
-        self._given_up[stream.id] = None
-        if len(self._given_up) > GIVEN_UP_MOST:
-            del self._given_up[next(iter(self._given_up))]
+        self._spend(stream.id)
+
+    def _spend(self, id: bytes) -> None:
+        self._spent[id] = None
+        if len(self._spent) > SPENT_MOST:
+            del self._spent[next(iter(self._spent))]
 
     def unwritten(self) -> list[Stream]:
         return [stream for stream in self.streams.values() if not stream.begun]
@@ -164,10 +169,25 @@
         for frame in self._reader.feed(data):
             # An answer to what is no longer open here comes too late and says nothing.
             if (stream := self.streams.pop(frame.id, None)) is not None:
+                if frame.code != frames.OK:  # it may be tried again here, and a second copy must not end that
+                    self._spend(frame.id)
                 self.pool.answered(stream, frame)
         if self._reader.fault:
             self.pool.log(f"scorer {self.scorer.id}: bad frame: {self._reader.fault}")
             self.connection.close(End.BAD_BYTES)
+        elif self._reader.waits and self._stall is None:
+            self._stall = self.pool.loop.wheel.after(STALL_MS, self._stalled)
+
+    def _stalled(self) -> None:
+        self._stall = None
+        if not self._reader.waits or self.connection.closed:
+            return
+        left = STALL_MS - (monotonic_ms() - self.connection.heard_ms)
+        if left > 0:
+            self._stall = self.pool.loop.wheel.after(left, self._stalled)
+        else:
+            self.pool.log(f"scorer {self.scorer.id}: a frame was cut off")
+            self.connection.close(End.SILENT)
 
     def on_flushed(self) -> None:
         pass
@@ -194,7 +214,7 @@
             lively = able
         # Of links that are as empty, the one used last: one long idle may be about to be closed.
         best = min(lively, key=lambda link: (len(link.streams), -link.connection.used_ms), default=None)
-        if best and not best.streams and best.connection.ended():
+        if best and not best.streams and best.connection.unread() == b"":
             # Guards calls that may not run twice: what is written to an ended connection may have run.
             best.connection.close(End.CLOSED_BY_PEER)
             return self.link_for(id)
--- a/fawnwharf/net/thrift.py
+++ b/fawnwharf/net/thrift.py
@@ -65,6 +65,15 @@
         self._buffer = bytearray()
         self._skip = 0  # bytes of an oversized frame still to be thrown away
 
+    @property
+    def waits(self) -> bool:
+        """Whether a message has begun and is not whole yet."""
+        return bool(self._buffer or self._skip)
+
+    @property
+    def skips(self) -> bool:
+        return self._skip > 0
+
     def feed(self, data: bytes) -> list[Message | Malformed]:
         self._buffer += data
         found: list[Message | Malformed] = []
--- a/fawnwharf/policy.py
+++ b/fawnwharf/policy.py
@@ -17,7 +17,8 @@
 WINDOW_MS = 10_000.0  # samples of Te, Tp and Td older than this are forgotten (the design's window)
 SWEEP_MS = 40.0  # pace of the timer for deadlines, waits and silent workers; well under a run
 LEAD_MS = 20.0  # a final answer goes out this long before the client leaves: room for a starved process
-FUNCTIONS_MOST = 4_000  # kept in mind; far more than are called within a keep-alive
+FUNCTIONS_MOST = 2_000  # kept in mind; far more than are called within a keep-alive
+FORGET_MS = 60_000.0  # a function not called, or a worker gone, for this long is forgotten
 SAMPLES_MOST = 200  # samples kept for one median: more would not move it
 REFRESH_MS = 1_000.0  # pace of what depends on the whole fleet; no rate is taken over less
 STALE_MS = 1_000.0  # a copy with no sign for this long may have given way
@@ -45,9 +46,8 @@
 ANSWER_GAIN = 0.4  # weight of one answer in what answers tell of others' load: they are rare
 OVERDUE_RUNS = 3.0  # an attempt out for this many runs deserves a second
 LOST_RUNS = 8.0  # and is held lost after this many, while its worker answers others: few calls run so long
-LOSSES = 2.0  # so many answers lost rest a class at a worker; an answer that comes takes part of them back
-LOSS_KEPT = 0.7
-REST_MS = 2_000.0  # after that one call at a time tries it
+LOSSES, LOSS_KEPT = 2.0, 0.7  # so many lost rest a class at a worker; each answer takes part of them back
+REST_MS, REST_MOST_MS = 2_000.0, 8_000.0  # then one call tries it, and after each try it rests for longer
 HEDGE_SHARE = 0.1  # second attempts a request; those that came first are given back
 HEDGES_MOST = 3.0  # tokens saved up at the most
 STRAINED = 1.8  # runs this many times the usual: others load the worker; forgotten over the window
@@ -98,13 +98,15 @@
     limit: float = math.inf  # own requests that it can work on well, as of the last refresh
     sent: deque[float] = field(default_factory=deque)  # sends while cold
     last: "Function | None" = None  # the function last seen there
+    gone_ms: float | None = None  # since when
     lapses: dict[str, "Lapse"] = field(default_factory=dict)  # by class
 
 
 @dataclass(slots=True, eq=False)
-class Lapse:  # answers of a class that a worker lost, though it answers others
+class Lapse:  # answers of a class that a worker lost or turned to errors, though it answers others
     losses: float = 0.0
     rests_ms: float = -math.inf  # until then
+    rest_ms: float = REST_MS
 
 
 @dataclass(slots=True, eq=False)
@@ -203,7 +205,7 @@
         self.worker_most = 0.0  # what a worker can take of all front ends, in flight
         self.promise_ms = min((spec.promise_ms for spec in settings.classes.values()), default=1000.0)
         self.runs, self.run_ms = Samples(), self.promise_ms / 5
-        self.sweeping, self.refreshed_ms = False, -math.inf
+        self.sweeping, self.refreshed_ms, self.forgot_ms = False, -math.inf, -math.inf
         self.handlers = {io.RosterChanged: self._on_roster, io.RequestArrived: self._on_request,
                          io.ClientLeft: self._on_left, io.AttemptEnded: self._on_attempt,
                          io.OrderAnswered: self._on_order, io.TimerDue: self._on_timer}  # fmt: skip
@@ -228,6 +230,7 @@
                 self.workers[entry.worker] = Worker(entry.worker, entry, _mark(str(entry.worker)))
             worker = self.workers[entry.worker]
             worker.entry = entry
+            worker.gone_ms = None
             if entry.up_since_ms is not None and entry.up_since_ms > (worker.started_ms or -math.inf):
                 worker.started_ms = entry.up_since_ms
         self.ready = [worker for worker in self.workers.values() if worker.entry.state == State.READY]
@@ -241,9 +244,10 @@
         self.taken.append(self.now)
         name = event.function
         if name not in self.functions:
-            self._forget()
-            lanes, kind = max(1, event.lanes), event.class_name
-            self.functions[name] = Function(name, kind, lanes, event.load_ms, _mark(name))
+            if len(self.functions) >= FUNCTIONS_MOST:
+                self._forget()
+            facts = max(1, event.lanes), event.load_ms, _mark(name)
+            self.functions[name] = Function(name, event.class_name, *facts)
         fn = self.functions[name]
         spec = self.settings.classes.get(event.class_name) or io.ClassSpec(event.class_name)
         over = self._over_share(event.tenant)
@@ -261,15 +265,22 @@
         self._dispatch(fn)
 
     def _forget(self) -> None:
-        """Guards the memory against callers that name ever new functions: of too many, the half that was
-        not called for longest goes, but for those in use. Harm: what is called again is asked after anew."""
-        if len(self.functions) < FUNCTIONS_MOST:
-            return
-        used = {worker.last for worker in self.workers.values()}
-        for fn in sorted(self.functions.values(), key=lambda fn: fn.last_ms[-1])[: FUNCTIONS_MOST // 2]:
+        """Guards the memory against ever new functions and workers: what is long past goes, and of too many
+        functions the half not called for longest, but for what is in use. Harm: it is asked after anew."""
+        past, used = self.now - FORGET_MS, {worker.last for worker in self.workers.values()}
+        half = FUNCTIONS_MOST // 2 * (len(self.functions) >= FUNCTIONS_MOST)
+        for n, fn in enumerate(sorted(self.functions.values(), key=lambda fn: fn.last_ms[-1])):
             busy = any(i.own or i.asks or i.order_ms is not None for i in fn.instances.values())
-            if not (busy or fn.queue or fn in used):
+            if not (busy or fn.queue or fn in used) and (n < half or fn.last_ms[-1] < past):
                 del self.functions[fn.name]
+        for worker in [w for w in self.workers.values() if w.entry.state is State.GONE]:
+            worker.gone_ms = worker.gone_ms or self.now
+            if worker.gone_ms < past and not worker.own:
+                for fn in self.functions.values():
+                    fn.instances.pop(worker.id, None)
+                    fn.known = None
+                self.watched.pop(worker.id, None)
+                del self.workers[worker.id]
 
     def _on_left(self, event: io.ClientLeft) -> None:
         if request := self.requests.get(event.request):
@@ -298,6 +309,8 @@
             self._found(worker, attempt)
         elif event.ending is Ending.MISS or event.warmth is Warmth.LOAD_FAILED:
             instance.copies = 0
+        elif event.ending is Ending.ERROR and fn.runs.timed:  # else the call itself may be at fault
+            self._lose(worker, fn)
         elif event.ending is Ending.FULL:
             instance.blocked_ms = self.now + self._te(fn)
             self._strain(worker, 2 * STRAINED)
@@ -524,7 +537,8 @@
             worker.sent.append(self.now)
         self._owe(worker)
         if (lapse := worker.lapses.get(fn.kind)) and lapse.losses >= LOSSES:
-            lapse.rests_ms = self.now + REST_MS  # this one tries it
+            lapse.rest_ms = min(REST_MOST_MS, 2 * lapse.rest_ms)  # this one tries it
+            lapse.rests_ms = self.now + lapse.rest_ms
         if instance.unused_ms is not None and instance.own > instance.lanes_before:
             fn.idle_ms, instance.unused_ms = self.now - instance.unused_ms, None
         self.actions.append(io.Send(request.id, worker.id))
@@ -539,19 +553,19 @@
             due_ms = attempt.sent_ms + runs * max(self._te(fn), self.runs.median(self.now) or 0.0)
             if attempt.lost or worker.suspect_ms is not None or self.now < due_ms:
                 continue
-            attempt.lost, lapse = True, worker.lapses.setdefault(fn.kind, Lapse())
-            lapse.losses += 1
-            if lapse.losses < LOSSES:
-                continue
-            lapse.rests_ms, request = self.now + REST_MS, self.requests.get(attempt.request)
-            if request and request not in fn.queue and self._may_send_again(request):
-                self._elsewhere(request)
-
-    def _elsewhere(self, request: Request) -> None:
-        request.function.queue.append(request)
-        self._fill(request.function)
-        if request in request.function.queue:  # no warm lane is free: not worth a wait or a load
-            request.function.queue.remove(request)
+            attempt.lost, request, rests = True, self.requests.get(attempt.request), self._lose(worker, fn)
+            if rests and request and request not in fn.queue and self._may_send_again(request):
+                fn.queue.append(request)
+                self._fill(fn)
+                if request in fn.queue:  # no warm lane is free: not worth a wait or a load
+                    fn.queue.remove(request)
+
+    def _lose(self, worker: Worker, fn: Function) -> bool:
+        lapse = worker.lapses.setdefault(fn.kind, Lapse())
+        lapse.losses += 1
+        if lapse.losses >= LOSSES:
+            lapse.rests_ms = max(lapse.rests_ms, self.now + lapse.rest_ms)
+        return lapse.losses >= LOSSES
 
     def _found(self, worker: Worker, attempt: Attempt) -> None:
         if lapse := worker.lapses.get(attempt.function.kind):
@@ -642,6 +656,9 @@
         """Limits, against overload of any cause: the rate sold times an uncrowded run is what the largest
         fleet seen works on at once (Little's law). Too late where more is sold than the fleet can do."""
         self.refreshed_ms = self.now
+        if self.now - self.forgot_ms >= FORGET_MS / 4:
+            self.forgot_ms = self.now
+            self._forget()
         self.total = sum(self._size(worker) for worker in self.ready) or 1.0
         self.fleet = max(self.fleet, sum(self._units(worker) for worker in self.ready))
         peers, most = max(1, self.settings.fleet_size), 0.0
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -100,6 +100,14 @@
         self.assertEqual(len(lines), LINES_A_SECOND + 2)
         self.assertEqual(lines[-2:], ["n1: 980 lines left out", "n1: after"])
 
+    def test_a_flood_from_one_source_hides_no_other(self):
+        out = text.StringIO()
+        log = Log("n1", out, lambda: 0.0)
+        for _ in range(1000):
+            log("noise", "clients")
+        log("news")
+        self.assertIn("n1: news", out.getvalue())
+
 
 class Configuration(unittest.TestCase):
     GOOD = {"listen": "127.0.0.1:0", "changelog": "127.0.0.1:9", "seed": "8c1f", "settings": SETTINGS}
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -97,6 +97,23 @@
     d.end(send)
 
 
+def test_workers_long_gone_and_functions_not_called_are_forgotten():
+    d = Drive()
+    _, home = d.warm("g"), d.warm()
+    [send] = of(d.ask("r1"), io.Send)
+    d.feed(io.RosterChanged([io.WorkerEntry(home, io.State.GONE)], complete=False))
+    for _ in range(2):
+        for _ in range(100):
+            d.now += 1000
+            d.feed(io.TimerDue(0))
+        known = home in d.router.workers
+        assert known is bool(d.router.attempts)  # as long as an attempt is out there
+        if known:
+            d.end(send, Ending.RESET)
+    assert "g" not in d.router.functions and len(d.router.workers) == 3
+    assert not [fn for fn in d.router.functions.values() if home in fn.instances]
+
+
 def test_same_home_at_all_front_ends():
     assert Drive().warm() == Drive().warm()
 
@@ -330,6 +347,19 @@
     assert not of(d.ask("r4", lanes=2), io.Send)
 
 
+def test_errors_rest_a_class_too_but_not_those_of_a_function_that_was_never_served():
+    for served in (True, False):
+        d = Drive()
+        home = d.warm(lanes=4, spec="unsafe")
+        worker, fn = d.router.workers[home], d.router.functions["f"]
+        if not served:
+            fn.runs.timed.clear()
+        sends = of(d.ask("r1", spec="unsafe", lanes=4) + d.ask("r2", spec="unsafe", lanes=4), io.Send)
+        for send in sends:
+            d.end(send, Ending.ERROR, closed=False)
+        assert len(sends) == 2 and d.router._usable(worker, fn) is not served
+
+
 def test_answers_that_come_after_all_take_their_losses_back():
     d, home, lost, _ = lose_two()
     for send in lost:
