Don't use links idle for longer than what was seen to break

At fault: Scorer.link_for took any link younger than 0.7 of the keep-alive. Ruled out: resets of new connections (first calls were fine) and ends that lay unread (looked for already). Now a reset within 20 ms of the first bytes on an idle link sets the trust in idle links to 0.7 of that idle time; it doubles again in about 9 s without another.

--- a/fawnwharf/net/scorers.py
+++ b/fawnwharf/net/scorers.py
@@ -18,6 +18,10 @@
 QUIET_MS = 1_000.0  # a link that owes an answer and says nothing for this long gets nothing new
 STALL_MS = 250.0  # half a frame that goes no further for this long was cut off: nothing after it can be read
 IDLE_PART = 0.7  # of the keep-alive: closed here before the scorer does, so that no send crosses a close
+# Something on the way may forget links that were idle for far less than the keep-alive: a call that is reset
+# at once on such a link says how long is too long. The trust grows again while nothing of the kind happens.
+STALE_SIGN_MS = 20.0  # a reset so soon after the first bytes was none by the call
+TRUST_LEAST_MS, TRUST_PART, TRUST_GROWTH = 50.0, 0.7, 1.02  # the last at each look, four times a second
 LINKS_MOST = 6  # to one scorer
 LINKS_SPREAD = 4  # up to so many, a call finds a link of its own: what spoils one ends all that is on it
 SPENT_MOST = 1_024  # ids remembered on one link, as late answers or second copies may still come
@@ -116,6 +120,7 @@
         self._spent: dict[bytes, None] = {}  # ids that may not be used again here
         self._stall: Timer | None = None
         self._owed_ms = 0.0  # since when something is open
+        self._gap_ms = 0.0  # for how long it had been idle by then
         self._last_gave_up_ms = 0.0
 
     @property
@@ -136,9 +141,17 @@
         fresh = id not in self.streams and id not in self._spent
         return room and fresh and self.connection.waiting_bytes < WAITING_BYTES_MOST
 
+    def idle_ms(self) -> float:
+        return 0.0 if self.streams else monotonic_ms() - self.connection.used_ms
+
+    def stale_after_ms(self, end: End) -> float | None:
+        """How long it was idle, where it broke as soon as it was used again."""
+        broke = end in (End.RESET_BY_PEER, End.CLOSED_BY_PEER) and self.streams
+        return self._gap_ms if broke and monotonic_ms() - self._owed_ms < STALE_SIGN_MS else None
+
     def start(self, stream: Stream) -> None:
         if not self.streams:
-            self._owed_ms = monotonic_ms()
+            self._gap_ms, self._owed_ms = self.idle_ms(), monotonic_ms()
         self.streams[stream.id] = stream
         stream.link, stream.piece = self, self.connection.write(stream.frame())
 
@@ -207,8 +220,9 @@
     links: list[Link] = field(default_factory=list)
     waiting: deque[Stream] = field(default_factory=deque)
 
-    def link_for(self, id: bytes) -> Link | None:
+    def link_for(self, id: bytes, trust_ms: float) -> Link | None:
         able = [link for link in self.links if link.up and not link.retired and link.takes(id)]
+        able = [link for link in able if link.idle_ms() <= trust_ms]
         lively = [link for link in able if not link.quiet()]
         if not lively and len(self.links) >= LINKS_MOST:
             lively = able
@@ -217,7 +231,7 @@
         if best and not best.streams and best.connection.unread() == b"":
             # Guards calls that may not run twice: what is written to an ended connection may have run.
             best.connection.close(End.CLOSED_BY_PEER)
-            return self.link_for(id)
+            return self.link_for(id, trust_ms)
         return best
 
     def crowded(self) -> bool:
@@ -235,6 +249,8 @@
         self.loop, self.wire, self.log = loop, wire, log
         self.scorers: dict[int, Scorer] = {}
         self._links_most, self._links = links_most, 0
+        self._trust_most_ms = max(TRUST_LEAST_MS, IDLE_PART * wire.keepalive_ms)
+        self._trust_ms = self._trust_most_ms  # a link idle for longer is not used again
         self._order_ids = itertools.count(random.Random(seed).getrandbits(62))
 
     # --- the roster ---------------------------------------------------------------------------
@@ -299,7 +315,7 @@
         closed = scorer is None or scorer.state is State.GONE
         if closed or (stream.is_new_work and scorer.state is not State.READY):
             self._end(stream, End.NEVER_SENT)
-        elif link := scorer.link_for(stream.id):
+        elif link := scorer.link_for(stream.id, self._trust_ms):
             link.start(stream)
             if scorer.crowded() and self._links < SPREAD_PART * self._links_most:
                 self._dial_one(scorer)
@@ -345,6 +361,8 @@
         scorer = link.scorer
         scorer.links.remove(link)
         self._links -= 1
+        if (gap := link.stale_after_ms(end)) is not None and gap >= TRUST_LEAST_MS:
+            self._trust_ms = min(self._trust_ms, max(TRUST_LEAST_MS, TRUST_PART * gap))
         streams, link.streams = list(link.streams.values()), {}
         for stream in streams:
             if stream.begun:
@@ -393,13 +411,13 @@
 
     def tidy(self) -> None:
         """Close what has been idle, and what has owed an answer in silence to the last."""
-        now = monotonic_ms()
+        self._trust_ms = min(self._trust_most_ms, TRUST_GROWTH * self._trust_ms)
         for scorer in list(self.scorers.values()):
             for link in list(scorer.links):
                 if not link.up or link.streams:
                     continue
                 silent = link.given_up_unheard()
-                if silent or now - link.connection.used_ms > IDLE_PART * self.wire.keepalive_ms:
+                if silent or link.idle_ms() > self._trust_ms:
                     link.connection.close(End.SILENT if silent else End.IDLE)
 
     def close(self) -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -348,6 +348,26 @@
         rig.until(lambda: len(ended) == 3, "the dial ends")
         self.assertEqual(ended, [(End.OUT_OF_TIME, True)] * 2 + [(End.DIAL_TIMED_OUT, False)])
 
+    def test_a_link_forgotten_while_idle_makes_others_as_idle_unused(self):
+        scorer, ended = ScorerPeer(), []
+        rig = self.rig(scorer)
+        id, pool = front_end.worker_number(scorer.id), rig.front.pool
+        pool.order(order(id, ended))
+        rig.until(lambda: ended and len(scorer.links) == 2, "a link and a spare are idle")
+        used, spare = pool.scorers[id].links
+        rig.until(lambda: min(used.idle_ms(), spare.idle_ms()) > 100.0, "both are idle for long")
+        scorer.copies = None
+        pool.order(order(id, ended))
+        with mock.patch.object(scorers, "STALE_SIGN_MS", 60_000.0):
+            rig.until(lambda: len(scorer.frames) == 2, "it is used again")
+            scorer.frames[1][0].sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+            scorer.frames[1][0].sock.close()
+            rig.until(lambda: len(ended) == 2, "it is reset")
+        self.assertEqual(ended[1], (End.RESET_BY_PEER, True))
+        pool.send(attempt(id, ended))
+        rig.until(lambda: scorer.runs, "a call runs")
+        self.assertNotIn(scorer.runs[0][0], scorer.links[:2])
+
     def test_half_a_frame_that_goes_no_further_ends_its_link(self):
         scorer, ended = ScorerPeer(copies=None), []
         rig = self.rig(scorer)
