--- a/fawnwharf/net/connection.py
+++ b/fawnwharf/net/connection.py
@@ -49,6 +49,22 @@
     def on_end(self, end: End) -> None: ...
 
 
+class _Nobody:
+    """Owns connections that have ended. Guards the memory: owner and connection would hold each other until
+    a full collection, which comes ever more seldom."""
+
+    def on_up(self) -> None: ...
+
+    def on_data(self, data: bytes) -> None: ...
+
+    def on_flushed(self) -> None: ...
+
+    def on_end(self, end: End) -> None: ...
+
+
+NOBODY = _Nobody()
+
+
 class Connection:
     def __init__(self, loop: Loop, sock: socket.socket, owner: Owner, up: bool = True) -> None:
         self.loop, self.owner, self.up, self.closed = loop, owner, up, False
@@ -245,4 +261,5 @@
         self._sock.close()
         self._outbox.clear()
         self.waiting_bytes = 0
-        self.owner.on_end(end)
+        owner, self.owner = self.owner, NOBODY
+        owner.on_end(end)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,5 +1,6 @@
 """One test for each rule, with real sockets on loopback and waits on events only."""
 
+import gc
 import os
 import signal
 import socket
@@ -8,6 +9,7 @@
 import tempfile
 import time
 import unittest
+import weakref
 from pathlib import Path
 from unittest import mock
 
@@ -450,6 +452,20 @@
         rig.until(lambda: bad.ended and scorer.runs, "one ends and one runs")
         self.assertFalse(good.ended)
 
+    def test_an_ended_connection_is_freed_at_once_without_a_collection(self):
+        rig = self.rig(ScorerPeer())
+        client = rig.client()
+        rig.settle(client)
+        [served] = rig.front.port.clients
+        gone = weakref.ref(served.connection)
+        gc.disable()
+        self.addCleanup(gc.enable)
+        del served
+        client.sock.close()
+        client.ended = True
+        rig.until(lambda: not rig.front.port.clients, "it ends")
+        self.assertIsNone(gone())
+
     def test_a_fault_in_a_handler_costs_the_connection_only(self):
         scorer = ScorerPeer()
         rig = self.rig(scorer)
