Close a dial that comes up after its scorer has gone

Read, then shown by the test: ScorerPool._retire closes only links that are up, so a dial still in flight came up as a retired link and stayed, with its scorer's entry, until it had been idle for 10.5 s.

--- a/fawnwharf/net/scorers.py
+++ b/fawnwharf/net/scorers.py
@@ -354,6 +354,8 @@
         waiting, link.scorer.waiting = link.scorer.waiting, deque()
         for stream in waiting:
             self._place(stream)
+        if link.retired and not link.streams:  # its scorer went while it was dialled
+            link.connection.close(End.RETIRED)
 
     # --- ends ---------------------------------------------------------------------------------
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -242,6 +242,16 @@
         self.assertIsNot(scorer.runs[0][0], scorer.runs[1][0])
         self.assertEqual(ended, [])
 
+    def test_a_dial_that_comes_up_after_its_scorer_has_gone_is_closed(self):
+        scorer = ScorerPeer()
+        rig, pool, id = self.pool(scorer)
+        pool.send(attempt(id, []))
+        [link] = pool.scorers[id].links
+        pool.update(id, None, io.State.GONE, 0.0)
+        rig.until(lambda: link.connection.up, "the dial comes up")
+        self.assertTrue(link.connection.closed)
+        self.assertFalse(pool.scorers)
+
     def test_a_restart_retires_the_links_to_the_process_before(self):
         scorer, ended = ScorerPeer(), []
         rig, pool, id = self.pool(scorer)
