Take free lanes and raced loads of the own hall first

Checked: a hot function stands on several workers (47 % of its calls on one server, 84 % on three), so a free warm lane in the own hall is mostly there; the hash order took no notice (policy._known, _race).

--- a/fawnwharf/policy.py
+++ b/fawnwharf/policy.py
@@ -229,8 +229,7 @@
             if entry.worker not in self.workers:
                 self.workers[entry.worker] = Worker(entry.worker, entry, _mark(str(entry.worker)))
             worker = self.workers[entry.worker]
-            worker.entry = entry
-            worker.gone_ms = None
+            worker.entry, worker.gone_ms = entry, None
             if entry.up_since_ms is not None and entry.up_since_ms > (worker.started_ms or -math.inf):
                 worker.started_ms = entry.up_since_ms
         self.ready = [worker for worker in self.workers.values() if worker.entry.state == State.READY]
@@ -246,8 +245,8 @@
         if name not in self.functions:
             if len(self.functions) >= FUNCTIONS_MOST:
                 self._forget()
-            facts = max(1, event.lanes), event.load_ms, _mark(name)
-            self.functions[name] = Function(name, event.class_name, *facts)
+            lanes = max(1, event.lanes)
+            self.functions[name] = Function(name, event.class_name, lanes, event.load_ms, _mark(name))
         fn = self.functions[name]
         spec = self.settings.classes.get(event.class_name) or io.ClassSpec(event.class_name)
         over = self._over_share(event.tenant)
@@ -522,8 +521,7 @@
         return sure
 
     def _send(self, request: Request, worker: Worker) -> None:
-        fn = request.function
-        instance = self._instance(fn, worker)
+        fn, instance = request.function, self._instance(request.function, worker)
         among = max(1, sum(w.id in fn.instances for w in fn.order[: fn.width]))
         attempt = Attempt(request.id, worker.id, fn, self.now, worker.own < 2, among)
         self.attempts[request.id, len(request.attempts)] = attempt
@@ -696,12 +694,15 @@
             fn.order_members, fn.known = self.members, None
         return fn.order
 
-    def _known(self, fn: Function) -> list[Worker]:  # in hash order, with some belief
+    def _known(self, fn: Function) -> list[Worker]:  # with some belief, the own zone's first, in hash order
         order = self._ordered(fn)
         if fn.known is None:
-            fn.known = [worker for worker in order if worker.id in fn.instances]
+            fn.known = sorted((w for w in order if w.id in fn.instances), key=self._is_far)
         return fn.known
 
+    def _is_far(self, worker: Worker) -> bool:  # a call there crosses zones, at a price
+        return worker.entry.zone != self.settings.zone
+
     def _instance(self, fn: Function, worker: Worker) -> Instance:
         worker.last = fn
         if worker.id not in fn.instances:
@@ -753,6 +754,7 @@
             if not self._may_load(fn, warm, None):
                 return
             order = self._turned(fn, fn.queue[0]) + self._ordered(fn)
+            order.sort(key=lambda w: warm and self._is_far(w))  # the first copy stands at the function's home
             bare = (w for w in order if w.id not in fn.instances or not self._copies(fn.instances[w.id], w))
             able = (w for w in bare if w.own < self._bound(w) and self._may_load(fn, warm, w))
             worker = next(able, None) or next((w for w in order if self._may_load(fn, warm, w)), None)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -53,6 +53,25 @@
     assert send.request == "r2" and send.worker == load.worker != home
 
 
+def test_the_own_zones_free_lanes_and_raced_loads_come_first():
+    for own in ("a", "b"):
+        d = Drive(workers=8, zones=("a", "b"), zone=own)
+        zones = {entry.worker: entry.zone for entry in d.entries}
+        d.warm()
+        [first] = of(d.ask("r1"), io.Send)
+        [load] = of(d.ask("r2"), io.Hold)  # where a copy stands, the next is raced in the own zone
+        assert zones[load.worker] == own
+        [second] = of(d.count(load.worker, 1), io.Send)
+        [third] = [worker for worker in zones if zones[worker] != own and worker != first.worker][:1]
+        d.count(third, 1)
+        d.end(first)
+        d.end(second)
+        sends = [send for n in range(3) for send in of(d.ask(f"r{3 + n}"), io.Send)]
+        assert [zones[send.worker] == own for send in sends] == sorted(
+            (zones[worker] == own for worker in (first.worker, second.worker, third)), reverse=True
+        )
+
+
 def test_lanes_of_pending_loads_count_against_the_need():
     d = Drive()
     d.warm(lanes=2)
