Dial again when a dial is reset as it comes up, instead of holding the scorer silent

The pool failed all that waited (scorers.link_ended), the module was told that the scorer can't be reached and sent nothing there for 1 s (policy._suspect), though its process listens. At 8.47 s such a reset made four of six scorers suspect while three were dead, so that all counted as usable again and calls went to the dead ones.

--- a/fawnwharf/net/scorers.py
+++ b/fawnwharf/net/scorers.py
@@ -22,6 +22,7 @@
 # at once on such a link says how long is too long. The trust grows again while nothing of the kind happens.
 STALE_SIGN_MS = 20.0  # a reset so soon after the first bytes was none by the call
 TRUST_LEAST_MS, TRUST_PART, TRUST_GROWTH = 50.0, 0.7, 1.02  # the last at each look, four times a second
+REDIALS_MOST = 3  # in a row: a dial that is reset as it comes up shows that somebody listens
 LINKS_MOST = 6  # to one scorer
 LINKS_SPREAD = 4  # up to so many, a call finds a link of its own: what spoils one ends all that is on it
 SPENT_MOST = 1_024  # ids remembered on one link, as late answers or second copies may still come
@@ -217,6 +218,7 @@
     address: Address
     state: State
     up_since_ms: float
+    redials: int = 0  # since a link came up
     links: list[Link] = field(default_factory=list)
     waiting: deque[Stream] = field(default_factory=deque)
 
@@ -351,6 +353,7 @@
             self._end(stream, end)
 
     def link_up(self, link: Link) -> None:
+        link.scorer.redials = 0
         waiting, link.scorer.waiting = link.scorer.waiting, deque()
         for stream in waiting:
             self._place(stream)
@@ -373,7 +376,11 @@
                 stream.link = stream.piece = None
                 self._place(stream)
         if not link.connection.up and not scorer.dialling():
-            self._fail_waiting(scorer, end)
+            if end is End.RESET_BY_PEER and scorer.redials < REDIALS_MOST:
+                scorer.redials += 1
+                self._dial(scorer)
+            else:
+                self._fail_waiting(scorer, end)
         self._drop_if_empty(scorer)
 
     def answered(self, stream: Stream, frame: frames.Frame) -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -171,6 +171,30 @@
         self.assertEqual(ended, [(End.REFUSED, False)])
 
 
+    def test_a_dial_that_is_reset_as_it_comes_up_is_tried_again_but_not_for_ever(self):
+        most = scorers.REDIALS_MOST
+        for resets, ends in ((most, []), (most + 1, [(End.RESET_BY_PEER, False)])):
+            rig, ended = self.rig(), []
+            with socket.create_server(("127.0.0.1", 0)) as listener:
+                rig.front.pool.update(9, listener.getsockname(), io.State.READY, 0.0)
+                rig.front.pool.send(attempt(9, ended))
+                for _ in range(resets):
+                    [dial] = links_of(rig)
+                    reset(listener.accept()[0])
+                    rig.until(lambda rig=rig, dial=dial: dial not in links_of(rig), "it is reset")
+                rig.until(lambda rig=rig: all(link.up for link in links_of(rig)), "one is up or none left")
+            self.assertEqual(ended, ends)
+
+
+def reset(sock):
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+    sock.close()
+
+
+def links_of(rig):
+    return [link for scorer in rig.front.pool.scorers.values() for link in scorer.links]
+
+
 def attempt(worker, ended, id=b"12345678", body=b"", within_ms=8000.0):
     return scorers.Attempt(
         worker, lambda stream, end, answer: ended.append((end or answer.ending, stream.begun)), id=id,
@@ -372,8 +396,7 @@
         pool.order(order(id, ended))
         with mock.patch.object(scorers, "STALE_SIGN_MS", 60_000.0):
             rig.until(lambda: len(scorer.frames) == 2, "it is used again")
-            scorer.frames[1][0].sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
-            scorer.frames[1][0].sock.close()
+            reset(scorer.frames[1][0].sock)
             rig.until(lambda: len(ended) == 2, "it is reset")
         self.assertEqual(ended[1], (End.RESET_BY_PEER, True))
         pool.send(attempt(id, ended))
