Renew copies that are about to lapse, so that timers and rare functions find them

Nothing renewed a copy (policy._copies lets the belief lapse, and the scorer the copy).

Now each second (_refresh), the copy seen last of a function called within three idle lives is renewed by an order for one copy, within the ration of loads.

--- a/fawnwharf/policy.py
+++ b/fawnwharf/policy.py
@@ -34,8 +34,7 @@
 COLD_SAFETY = 0.6  # part of a cold worker's budget that is used: capacity and other front ends are guesses
 WINDOW_MARGIN_MS = 100.0  # a keyed repeat must arrive inside the window, not just leave inside it
 LOADS_START = 8.0  # own loads under way at once, at the start; moves between the next two
-LOADS_LEAST = 2.0
-LOADS_MOST = 24.0
+LOADS_LEAST, LOADS_MOST = 2.0, 24.0
 LOAD_SLOW = 2.5  # a load this many times slower than told says that the store is crowded
 RUN_GAIN = 0.02  # weight of one run in the mean run of workers that are not crowded
 ROOM_SPREAD = 1.5  # room for chance in a worker's limit, in square roots of its mean requests
@@ -48,10 +47,10 @@
 LOST_RUNS = 8.0  # and is held lost after this many, while its worker answers others: few calls run so long
 LOSSES, LOSS_KEPT = 2.0, 0.7  # so many lost rest a class at a worker; each answer takes part of them back
 REST_MS, REST_MOST_MS = 2_000.0, 8_000.0  # then one call tries it, and after each try it rests for longer
-HEDGE_SHARE = 0.1  # second attempts a request; those that came first are given back
-HEDGES_MOST = 3.0  # tokens saved up at the most
+HEDGE_SHARE, HEDGES_MOST = 0.1, 3.0  # second attempts a request, and saved up; what came first is given back
 STRAINED = 1.8  # runs this many times the usual: others load the worker; forgotten over the window
 YIELD = 0.35  # part of a worker's limit open to requests beyond a share or past their time
+RENEW_LIVES, RENEW_HELD = 3.0, 8  # copies are renewed for so long, while fewer than one in so many is held
 LATE_RUNS = 2.0  # a request with less time left than this many runs will hardly be on time
 LATE_MOST = 0.5  # but not while it has more than this part of the promised time
 HELD_PART = 0.5  # of a request's time: one that is late by then and was never sent is given up
@@ -195,8 +194,7 @@
         self.attempts: dict[tuple[str, int], Attempt] = {}
         self.flying: deque[Attempt] = deque()  # attempts out for less than the promise
         self.hedges = HEDGES_MOST  # tokens for second attempts
-        self.taken: deque[float] = deque()
-        self.ordered: deque[float] = deque()
+        self.taken, self.ordered = deque[float](), deque[float]()
         self.loads_limit, self.loading = LOADS_START, 0  # own orders under way
         self.tokens: dict[str, tuple[float, float]] = {}
         self.total, self.fleet = 1.0, 0.01  # size of the ready fleet, cold workers in part; the largest seen
@@ -221,14 +219,12 @@
         return self.actions
 
     def _on_roster(self, event: io.RosterChanged) -> None:
-        named = {entry.worker for entry in event.entries}
         if event.complete:
-            for missing in self.workers.keys() - named:
+            for missing in self.workers.keys() - {entry.worker for entry in event.entries}:
                 self.workers[missing].entry.state = State.GONE
         for entry in event.entries:
-            if entry.worker not in self.workers:
-                self.workers[entry.worker] = Worker(entry.worker, entry, _mark(str(entry.worker)))
-            worker = self.workers[entry.worker]
+            new = Worker(entry.worker, entry, _mark(str(entry.worker)))
+            worker = self.workers.setdefault(entry.worker, new)
             worker.entry, worker.gone_ms = entry, None
             if entry.up_since_ms is not None and entry.up_since_ms > (worker.started_ms or -math.inf):
                 worker.started_ms = entry.up_since_ms
@@ -441,11 +437,11 @@
         if worker.last and self.settings.may_order and worker.entry.state != State.GONE:
             self._ask(worker.last, worker)
 
-    def _ask(self, fn: Function, worker: Worker) -> None:
+    def _ask(self, fn: Function, worker: Worker, copies: int = 0) -> None:
         instance = self._instance(fn, worker)
         instance.asks, instance.asked_ms, fn.asked_ms = instance.asks + 1, self.now, self.now
         self._owe(worker)
-        self.actions.append(io.Hold(worker.id, fn.name, 0))
+        self.actions.append(io.Hold(worker.id, fn.name, copies))
 
     def _doubt(self, worker: Worker) -> None:
         """Ask for a sign: a connection that broke, or an answer that was spoilt, tells little of the process.
@@ -467,9 +463,8 @@
                 self._dispatch(attempt.function)
 
     def _usable(self, worker: Worker, fn: Function) -> bool:  # ready, and not suspect unless most are
-        trusted = worker.suspect_ms is None or self.suspects * 2 > len(self.ready)
-        ready = worker.entry.state == State.READY and trusted
-        return ready and not (worker.lapses and self._rests(worker, fn))
+        heard = worker.suspect_ms is None or self.suspects * 2 > len(self.ready)
+        return heard and worker.entry.state == State.READY and not (worker.lapses and self._rests(worker, fn))
 
     def _urgency(self, request: Request) -> tuple[bool, bool, float, str]:
         return request.over_share, self._late(request), request.arrived_ms, request.id
@@ -514,8 +509,8 @@
         if self.now < instance.blocked_ms or self._copies(instance, worker) * fn.lanes <= instance.own:
             return False
         most = max(-(-instance.own // fn.lanes), self.now - instance.seen_ms < STALE_MS) * fn.lanes
-        sure = most > instance.own or self.wide or self.now - instance.counted_ms < STALE_MS
-        sure = sure or not self.settings.may_order
+        sure = most > instance.own or self.wide or not self.settings.may_order
+        sure = sure or self.now - instance.counted_ms < STALE_MS
         if not sure and not instance.asks and self._usable(worker, fn):
             self._ask(fn, worker)
         return sure
@@ -582,8 +577,8 @@
         """A second attempt elsewhere for one out far longer than a run, while tokens last.
         Guards against lost answers, hangs and slow workers alike. Harm: work done twice, for few calls."""
         due = min(OVERDUE_RUNS * self._te(request.function), request.spec.promise_ms * LATE_MOST)
-        waits = attempt.open and self.now - attempt.sent_ms > due
-        if waits and self.hedges >= 1 and self._may_send_again(request):
+        spare = self.hedges >= 1 and self._may_send_again(request)
+        if spare and attempt.open and self.now - attempt.sent_ms > due:
             self.hedges -= 1
             self._again(request)
 
@@ -606,10 +601,9 @@
             return True
         if request.spec.effect is Effect.UNSAFE or not self._may_send_again(request):
             return False
-        origin, group = self.workers[first.worker].entry, request.spec.group
-        if group is io.Group.ZONE:
-            return origin.zone == worker.entry.zone
-        return group is io.Group.ALL or origin.cell == worker.entry.cell
+        origin, here, group = self.workers[first.worker].entry, worker.entry, request.spec.group
+        same = origin.zone == here.zone if group is io.Group.ZONE else origin.cell == here.cell
+        return group is io.Group.ALL or same
 
     def _may_send_again(self, request: Request) -> bool:  # may another attempt be made at all?
         twice, first = any(attempt.open for attempt in request.attempts), request.first_run()
@@ -657,6 +651,7 @@
         if self.now - self.forgot_ms >= FORGET_MS / 4:
             self.forgot_ms = self.now
             self._forget()
+        self._renew()
         self.total = sum(self._size(worker) for worker in self.ready) or 1.0
         self.fleet = max(self.fleet, sum(self._units(worker) for worker in self.ready))
         peers, most = max(1, self.settings.fleet_size), 0.0
@@ -671,11 +666,22 @@
         # In all, what the fleet gets through in a part of the promise: beyond that all would come late.
         self.limit = sold * self.promise_ms * LATE_MOST / peers if self.wide and sold > 0 else math.inf
 
+    def _renew(self) -> None:
+        """Renew one copy of each function called lately before it lapses: timers call at about that pace, and
+        an order costs far less than a load. Harm: in a squeeze, it keeps room from what is called now."""
+        held, life = sum(len(fn.queue) for fn in self.waiting.values()), self.settings.idle_life_ms
+        for fn in self.functions.values() if RENEW_HELD * held <= len(self.requests) else ():
+            warm = [(i.seen_ms, n) for n, i in fn.instances.items() if self._copies(i, self.workers[n])]
+            seen, id = max(warm, default=(self.now, 0))
+            due = seen + life < self.now + 2 * REFRESH_MS and fn.last_ms[-1] + RENEW_LIVES * life > self.now
+            if due and not fn.instances[id].asks and self._may_load(fn, True, self.workers[id]):
+                self.ordered.append(self.now)
+                self._ask(fn, self.workers[id], 1)
+
     def _late(self, request: Request) -> bool:  # hardly to be answered in time any more
-        promise = request.spec.promise_ms
-        left = request.arrived_ms + promise - self.now
+        left = request.arrived_ms + request.spec.promise_ms - self.now
         # The second term guards against runs grown so long that all would count as late from the start.
-        return left < min(LATE_RUNS * self._te(request.function), promise * LATE_MOST)
+        return left < min(LATE_RUNS * self._te(request.function), request.spec.promise_ms * LATE_MOST)
 
     def _units(self, worker: Worker) -> float:
         return max(worker.entry.units, 0.01) if self.settings.weights_fixed else 1.0
@@ -687,8 +693,7 @@
         if fn.order_members is not self.members:
 
             def score(worker: Worker) -> float:
-                unit = (_mix(fn.mark ^ worker.mark) + 1) / (2**64 + 1)
-                return math.log(unit) / self._units(worker)
+                return math.log((_mix(fn.mark ^ worker.mark) + 1) / (2**64 + 1)) / self._units(worker)
 
             fn.order = sorted(self.ready, key=lambda worker: (-score(worker), worker.id))
             fn.order_members, fn.known = self.members, None
@@ -741,15 +746,12 @@
         return any(self._copies(fn.instances[w.id], w) and self._usable(w, fn) for w in self._known(fn))
 
     def _race(self, fn: Function) -> None:  # the loads that held requests need, one for the lanes of a copy
-        if self._asking(fn):
-            return
         warm = self._is_warm(fn)
-        pending = sum(fn.instances[w.id].order_ms is not None for w in self._known(fn) if self._usable(w, fn))
-        held = sum(not (warm and (r.over_share or (self.wide and self._late(r)))) for r in fn.queue)
         # Held by the own limit in all, a request gains nothing by a load.
-        if warm and (len(self.flying) >= self.limit or not self._load_path(fn)):
+        if self._asking(fn) or (warm and (len(self.flying) >= self.limit or not self._load_path(fn))):
             return
-
+        pending = sum(fn.instances[w.id].order_ms is not None for w in self._known(fn) if self._usable(w, fn))
+        held = sum(not (warm and (r.over_share or (self.wide and self._late(r)))) for r in fn.queue)
         for _ in range(math.ceil(held / fn.lanes) - pending):
             if not self._may_load(fn, warm, None):
                 return
@@ -822,13 +824,11 @@
         most = rate * TENANT_BURST_S + self.wide * 2 * math.sqrt(rate * WINDOW_MS / 1000)
         tokens, since = self.tokens.get(tenant, (most, self.now))
         tokens = min(most, tokens + rate * (self.now - since) / 1000)
-        over = tokens < 1
-        self.tokens[tenant] = (tokens if over else tokens - 1, self.now)
-        return over
+        self.tokens[tenant] = (tokens - (tokens >= 1), self.now)
+        return tokens < 1
 
     def _finish(self, request: Request) -> None:  # the one final answer that this front end gives itself
-        unsent = not request.attempts  # there was no room for it, and soon there will hardly be any
-        advice = self.settings.max_retry_after_ms if request.over_share or unsent else 0.0
+        advice = self.settings.max_retry_after_ms * (request.over_share or not request.attempts)  # no room
         final = io.Refuse(request.id, advice) if self._may_refuse(request) else io.Fail(request.id)
         self._close(request)
         self.actions.append(final)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -72,6 +72,22 @@
         )
 
 
+def test_a_copy_about_to_lapse_is_renewed_once_a_life_and_not_for_ever_or_in_a_squeeze():
+    for squeezed in (False, True):
+        d = Drive(idle_life_ms=10_000.0, load_window_ms=5000.0, free_loads=6.0)
+        home, last = d.warm(), d.now
+        if squeezed:
+            d.ask("held", "g", budget=90_000.0)
+        renewed = []
+        while d.now < last + 60_000.0:
+            d.now += 1000.0
+            for hold in of(d.feed(io.TimerDue(0)), io.Hold):
+                if hold.function == "f":  # what is asked for the held one stays without an answer
+                    renewed += [(hold.worker, hold.copies)] * (hold.copies > 0)
+                    d.count(hold.worker, 1)
+        assert renewed == ([] if squeezed else [(home, 1)] * 3)
+
+
 def test_lanes_of_pending_loads_count_against_the_need():
     d = Drive()
     d.warm(lanes=2)
