Leave half of the ration of orders to loads when copies are renewed

Read in the code and shown by the test: renewals counted against the ration (policy._may_load) up to its last order. At a front end with few calls (6 orders and 30 % of its calls in 5 s) the renewals of one second could use all of it, and a held call would have waited up to 5 s for its load. Now no copy is renewed once half of the ration is used.

What remains of the ration is worked out in one place.

--- a/fawnwharf/policy.py
+++ b/fawnwharf/policy.py
@@ -406,8 +406,7 @@
             worker.strained_ms = self.now + WINDOW_MS * math.log((worker.strain - 1) / (STRAINED - 1))
 
     def _heard(self, worker: Worker, after_ms: float = 0.0) -> None:
-        worker.owed_ms = self.now + after_ms if worker.own else None
-        worker.sign_ms = None
+        worker.owed_ms, worker.sign_ms = self.now + after_ms if worker.own else None, None
         if worker.suspect_ms is not None:
             self.suspects -= worker.entry.state == State.READY
             worker.suspect_ms = None
@@ -667,14 +666,14 @@
         self.limit = sold * self.promise_ms * LATE_MOST / peers if self.wide and sold > 0 else math.inf
 
     def _renew(self) -> None:
-        """Renew one copy of each function called lately before it lapses: timers call at about that pace, and
-        an order costs far less than a load. Harm: in a squeeze, it keeps room from what is called now."""
+        """Renew one copy of each function called lately before it lapses: timers call at that pace, and orders
+        cost far less than loads. Half of the ration is left to loads. Harm: room for others in a squeeze."""
         held, life = sum(len(fn.queue) for fn in self.waiting.values()), self.settings.idle_life_ms
         for fn in self.functions.values() if RENEW_HELD * held <= len(self.requests) else ():
-            warm = [(i.seen_ms, n) for n, i in fn.instances.items() if self._copies(i, self.workers[n])]
-            seen, id = max(warm, default=(self.now, 0))
+            told = [(i.seen_ms, n) for n, i in fn.instances.items() if self._copies(i, self.workers[n])]
+            seen, id = max(told, default=(self.now, 0))
             due = seen + life < self.now + 2 * REFRESH_MS and fn.last_ms[-1] + RENEW_LIVES * life > self.now
-            if due and not fn.instances[id].asks and self._may_load(fn, True, self.workers[id]):
+            if due and self._rationed() > len(self.ordered) and self._may_load(fn, True, self.workers[id]):
                 self.ordered.append(self.now)
                 self._ask(fn, self.workers[id], 1)
 
@@ -802,18 +801,21 @@
         return fn.load_path
 
     def _may_load(self, fn: Function, warm: bool, worker: Worker | None) -> bool:  # or anywhere?
-        instance, window = fn.instances.get(worker.id) if worker else None, self.settings.load_window_ms
+        instance = fn.instances.get(worker.id) if worker else None
         busy = instance and (instance.order_ms is not None or self.now < instance.blocked_ms)
         if busy or (worker and not self._usable(worker, fn)):
             return False
         if worker and warm and (worker.own >= worker.limit or not self._warm_enough(worker)):
             return False
+        return self.loading < self.loads_limit and self.settings.may_order and self._rationed() >= 1
+
+    def _rationed(self) -> float:  # orders to load that the ration leaves
+        window = self.settings.load_window_ms
         while self.ordered and self.ordered[0] < self.now - window - self.settings.tick_ms:
             self.ordered.popleft()
         self._rate()  # forgets old arrivals
         ration = self.settings.free_loads + self.settings.load_part * len(self.taken)
-        rationed = window > 0 and len(self.ordered) + 1 > ration
-        return self.loading < self.loads_limit and self.settings.may_order and not rationed
+        return ration - len(self.ordered) if window > 0 else math.inf
 
     def _over_share(self, tenant: str) -> bool:  # a token bucket of its share, in part
         quota = self.settings.quotas_rps.get(tenant)
@@ -837,7 +839,6 @@
         del self.requests[request.id]
         if request in request.function.queue:
             request.function.queue.remove(request)
-        if self.settings.may_cancel:
-            for number, attempt in enumerate(request.attempts):
-                if attempt.open:
-                    self.actions.append(io.Cancel(request.id, number))
+        for number, attempt in enumerate(request.attempts if self.settings.may_cancel else ()):
+            if attempt.open:
+                self.actions.append(io.Cancel(request.id, number))
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -88,6 +88,23 @@
         assert renewed == ([] if squeezed else [(home, 1)] * 3)
 
 
+def test_renewals_leave_half_of_the_ration_to_loads():
+    d = Drive(idle_life_ms=10_000.0, load_window_ms=5000.0, free_loads=6.0)
+    homes = {}
+    for n in range(6):
+        d.now += 1000.0
+        homes[f"f{n}"] = d.warm(f"f{n}")
+    for name, home in homes.items():
+        d.count(home, 1, name)
+    last, orders = d.now, 0
+    while d.now < last + 11_000.0:
+        d.now += 1000.0
+        for hold in of(d.feed(io.TimerDue(0)), io.Hold):
+            orders += hold.copies > 0
+            d.count(hold.worker, 1, hold.function)
+    assert orders == 3
+
+
 def test_lanes_of_pending_loads_count_against_the_need():
     d = Drive()
     d.warm(lanes=2)
