--- a/fawnwharf/policy.py
+++ b/fawnwharf/policy.py
@@ -667,7 +667,7 @@
 
     def _renew(self) -> None:
         """Renew one copy of each function called lately before it lapses: timers call at that pace; an order
-        costs far less than a load. Half of the ration is left to loads. Harm: room for others in a squeeze."""
+        costs far less than a load. Half of the ration is left to loads. Harm: less room in a squeeze."""
         held, life = sum(len(fn.queue) for fn in self.waiting.values()), self.settings.idle_life_ms
         for fn in self.functions.values() if RENEW_HELD * held <= len(self.requests) else ():
             told = [(i.seen_ms, n) for n, i in fn.instances.items() if self._copies(i, self.workers[n])]
