Keep calls in the own hall: a wider bound there, and a question before a crossing

At fault: policy._bound (one bound for both halls) and policy._lane (went on to a far lane while the near copy's answer was 0.3 ms away).

--- a/fawnwharf/policy.py
+++ b/fawnwharf/policy.py
@@ -24,6 +24,7 @@
 STALE_MS = 1_000.0  # a copy with no sign for this long may have given way
 RATE_MS = 5_000.0  # stretch over which arrivals are counted, and pause between questions for an empty place
 BOUND_FACTOR = 1.5  # a worker takes this multiple of its fair share of own requests (bounded loads)
+BOUND_NEAR = 2.4  # in the own zone: a call that crosses costs more than one that shares the cores
 BOUND_FLOOR = 2.0  # and never fewer than these, else a quiet function would wander
 SURVEY_WIDTH = 4  # workers asked after an unknown function where few front ends share the fleet
 ASK_WAIT_MS = 12.0  # answers to questions come within a round trip; a load waits no longer for them
@@ -187,13 +188,10 @@
         self.ready: list[Worker] = []
         self.members: dict[int, float] = {}  # that the hash orders hold, and their sizes
         self.watched: dict[int, Worker] = {}  # those that owe an answer or are suspect
-        self.suspects = 0  # ready workers that are suspect
-        self.functions: dict[str, Function] = {}
-        self.waiting: dict[str, Function] = {}
-        self.requests: dict[str, Request] = {}
-        self.attempts: dict[tuple[str, int], Attempt] = {}
+        self.functions, self.waiting = dict[str, Function](), dict[str, Function]()
+        self.requests, self.attempts = dict[str, Request](), dict[tuple[str, int], Attempt]()
         self.flying: deque[Attempt] = deque()  # attempts out for less than the promise
-        self.hedges = HEDGES_MOST  # tokens for second attempts
+        self.suspects, self.hedges = 0, HEDGES_MOST  # ready workers that are; tokens for second attempts
         self.taken, self.ordered = deque[float](), deque[float]()
         self.loads_limit, self.loading = LOADS_START, 0  # own orders under way
         self.tokens: dict[str, tuple[float, float]] = {}
@@ -309,10 +307,7 @@
         elif event.ending is Ending.FULL:
             instance.blocked_ms = self.now + self._te(fn)
             self._strain(worker, 2 * STRAINED)
-        elif event.ending is Ending.CONNECT_FAILED:
-            self._suspect(worker)
-        elif event.ending is Ending.RESET:
-            self._doubt(worker)
+        self._broke(worker, event.ending)
         if event.crowd is not None and event.ending in (Ending.GOOD, Ending.FULL):
             fn.crowd += ANSWER_GAIN * (event.crowd * attempt.among - fn.crowd)
         request = self.requests.get(event.request)
@@ -338,10 +333,7 @@
             if is_load and instance.raced and event.ending is Ending.GOOD:
                 instance.unused_ms, instance.lanes_before = self.now, instance.copies * fn.lanes
             instance.copies, instance.counted_ms, instance.seen_ms = event.copies, self.now, self.now
-        elif event.ending is Ending.CONNECT_FAILED:
-            self._suspect(worker)
-        elif event.ending is Ending.RESET:
-            self._doubt(worker)
+        self._broke(worker, event.ending)
         if is_load:
             self._load_answered(fn, instance, event)
         else:
@@ -368,7 +360,7 @@
         for request in list(self.requests.values()):
             if self._hopeless(request) or self.now + SWEEP_MS + LEAD_MS >= request.deadline_ms:
                 self._finish(request)
-            elif self.wide and request.attempts and request not in request.function.queue:
+            elif self.wide and self.hedges >= 1 and request not in request.function.queue:
                 self._hasten(request, request.attempts[-1])
         self._miss_answers()
         while self.flying and self.now - self.flying[0].sent_ms > self.promise_ms:
@@ -442,10 +434,12 @@
         self._owe(worker)
         self.actions.append(io.Hold(worker.id, fn.name, copies))
 
-    def _doubt(self, worker: Worker) -> None:
+    def _broke(self, worker: Worker, ending: Ending) -> None:
         """Ask for a sign: a connection that broke, or an answer that was spoilt, tells little of the process.
         Harm: where it did die, a few more calls are sent there in vain before the sign is missed."""
-        if worker.suspect_ms is None and worker.sign_ms is None:
+        if ending is Ending.CONNECT_FAILED:
+            self._suspect(worker)
+        elif ending is Ending.RESET and worker.suspect_ms is None and worker.sign_ms is None:
             self._ask_sign(worker)
 
     def _suspect(self, worker: Worker) -> None:
@@ -490,16 +484,22 @@
                 break
 
     def _lane(self, fn: Function, request: Request) -> Worker | None:  # first within the bound, or idlest
+        """Guards against calls that cross while a near copy is asked after. Harm: a round trip's wait."""
         again = any(attempt.open for attempt in request.attempts)
         part = YIELD if again or request.over_share or self._late(request) else 1.0
-        spare, held = [], len(self.flying) >= self.limit * (1.0 if again else part)
+        spare, asked, held = [], False, len(self.flying) >= self.limit * (1.0 if again else part)
         if held or (self.wide and self._asking(fn)):
             return None  # one question at a time; the drawn place is to answer first
         for worker in self._places(fn, request):
-            if self._free(fn, fn.instances[worker.id], worker) and self._may_send_here(request, worker, part):
+            if asked and self._is_far(worker):
+                break
+            instance = fn.instances[worker.id]
+            if self._free(fn, instance, worker) and self._may_send_here(request, worker, part):
                 if worker.own < self._bound(worker):
                     return worker
                 spare.append(worker)
+            fresh = instance.asks and self.now - instance.asked_ms < ASK_WAIT_MS
+            asked = asked or bool(fresh and self._copies(instance, worker))
         return min(spare, key=lambda worker: worker.own, default=None)
 
     def _free(self, fn: Function, instance: Instance, worker: Worker) -> bool:
@@ -576,8 +576,7 @@
         """A second attempt elsewhere for one out far longer than a run, while tokens last.
         Guards against lost answers, hangs and slow workers alike. Harm: work done twice, for few calls."""
         due = min(OVERDUE_RUNS * self._te(request.function), request.spec.promise_ms * LATE_MOST)
-        spare = self.hedges >= 1 and self._may_send_again(request)
-        if spare and attempt.open and self.now - attempt.sent_ms > due:
+        if attempt.open and self.now - attempt.sent_ms > due and self._may_send_again(request):
             self.hedges -= 1
             self._again(request)
 
@@ -641,7 +640,8 @@
 
     def _bound(self, worker: Worker) -> float:  # own requests: a multiple of a fair share
         fair = (len(self.attempts) + 1) * self._size(worker) / self.total
-        return max(BOUND_FLOOR * self._warmth(worker), BOUND_FACTOR * fair)
+        factor = BOUND_FACTOR if self._is_far(worker) else BOUND_NEAR
+        return max(BOUND_FLOOR * self._warmth(worker), factor * fair)
 
     def _refresh(self) -> None:
         """Limits, against overload of any cause: the rate sold times an uncrowded run is what the largest
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -72,6 +72,34 @@
         )
 
 
+def test_a_stale_copy_of_the_own_zone_is_asked_before_a_call_crosses_but_not_waited_for_long():
+    for answers in (True, False):
+        d = Drive(workers=2, zones=("a", "b"), zone="b", fall_ms=1.0)  # worker 1 is the near one
+        d.warm()
+        d.now += 1500
+        d.count(2, 1)
+        d.now += 10  # the far copy was just counted, the near one is in doubt
+        d.router.functions["f"].instances[1].copies = 1
+        d.router.functions["f"].instances[1].seen_ms = d.now - 1500
+        [question] = d.ask("r1")[:1]
+        assert (question.worker, question.copies) == (1, 0) and not of(d.log[-1:], io.Send)
+        [send] = of(d.count(1, 1) if answers else d.sweep(d.now + 40), io.Send)
+        assert send.worker == (1 if answers else 2)
+
+
+def test_the_bound_is_wider_in_the_own_zone():
+    for own, most in (("b", 16), ("c", 8)):  # 2.4 and 1.5 times a fair share of the calls out
+        d = Drive(workers=6, zones=("a", "b"), zone=own)
+        for fn, places in (("g", (2, 4, 6)), ("f", (1, 3))):
+            d.ask(f"first-{fn}", fn, lanes=64)
+            for place in places:
+                d.count(place, 1, fn)
+        for n in range(20):
+            d.ask(f"g{n}", "g", lanes=64)
+        sends = [send.worker for n in range(20) for send in of(d.ask(f"f{n}", "f", lanes=64), io.Send)]
+        assert next(n for n, worker in enumerate(sends) if worker != sends[0]) == most
+
+
 def test_a_copy_about_to_lapse_is_renewed_once_a_life_and_not_for_ever_or_in_a_squeeze():
     for squeezed in (False, True):
         d = Drive(idle_life_ms=10_000.0, load_window_ms=5000.0, free_loads=6.0)
