Let later tries of a request yield to first ones, and refuse them at once without a lane

At fault: policy._late counted the promise from a later try's own arrival, so that such a try was never late and never hopeless; _over_share charged the tenant for each try anew, so that first tries fell out of their share.

Ruled out: the ration of orders (100 to 270 left), suspect or resting workers (none in those seconds).

--- a/fawnwharf/interface.py
+++ b/fawnwharf/interface.py
@@ -46,6 +46,9 @@
     MISS = "MISS"
 
 
+NEVER_RAN = (Ending.FULL, Ending.CONNECT_FAILED, Ending.NOT_SENT, Ending.MISS)  # what proves it
+
+
 class Warmth(IntEnum):
     """What an answer tells of the copy that it found; UNTOLD where it tells nothing."""
 
--- a/fawnwharf/policy.py
+++ b/fawnwharf/policy.py
@@ -34,15 +34,13 @@
 BLOCK_MS = 1_000.0  # a worker that had no room for a function, or failed to load it, rests this long
 COLD_SAFETY = 0.6  # part of a cold worker's budget that is used: capacity and other front ends are guesses
 WINDOW_MARGIN_MS = 100.0  # a keyed repeat must arrive inside the window, not just leave inside it
-LOADS_START = 8.0  # own loads under way at once, at the start; moves between the next two
-LOADS_LEAST, LOADS_MOST = 2.0, 24.0
+LOADS_START, LOADS_LEAST, LOADS_MOST = 8.0, 2.0, 24.0  # own loads under way: at the start, and at all times
 LOAD_SLOW = 2.5  # a load this many times slower than told says that the store is crowded
 RUN_GAIN = 0.02  # weight of one run in the mean run of workers that are not crowded
 ROOM_SPREAD = 1.5  # room for chance in a worker's limit, in square roots of its mean requests
 SPREAD_LANES = 0.6  # part of a copy's lanes that a wide function's calls are to fill on one worker
 SPREAD_PART = 0.3  # and of what the worker can take in flight: several functions meet there
-FADE_MS = 30_000.0  # a function's width forgets over this: one call may be all a front end sees in seconds
-RUSH = 3  # so many arrivals close together tell of a function turned hot before that
+FADE_MS, RUSH = 30_000.0, 3  # a function's width forgets over this; so many arrivals at once turn it hot
 ANSWER_GAIN = 0.4  # weight of one answer in what answers tell of others' load: they are rare
 OVERDUE_RUNS = 3.0  # an attempt out for this many runs deserves a second
 LOST_RUNS = 8.0  # and is held lost after this many, while its worker answers others: few calls run so long
@@ -52,8 +50,8 @@
 STRAINED = 1.8  # runs this many times the usual: others load the worker; forgotten over the window
 YIELD = 0.35  # part of a worker's limit open to requests beyond a share or past their time
 RENEW_LIVES, RENEW_HELD = 3.0, 8  # copies are renewed for so long, while fewer than one in so many is held
-LATE_RUNS = 2.0  # a request with less time left than this many runs will hardly be on time
-LATE_MOST = 0.5  # but not while it has more than this part of the promised time
+LATE_RUNS, LATE_MOST = 2.0, 0.5  # late with fewer runs left, but not with more than this part of the promise
+TRY_LEAST = 0.45  # of its class's time: a try with less has what others left (a first one has half)
 HELD_PART = 0.5  # of a request's time: one that is late by then and was never sent is given up
 TENANT_BURST_S = 1.0  # seconds of its share that a tenant may use at once
 
@@ -148,6 +146,7 @@
     over_share: bool
     held_ms: float
     draw: int  # where in a wide function's first workers it starts
+    aim_ms: float  # an answer by then is on time
     attempts: list[Attempt] = field(default_factory=list)
 
     def first_run(self) -> Attempt | None:  # the first that may have run
@@ -183,9 +182,8 @@
 
     def __init__(self, settings: io.Settings, seed: int) -> None:
         self.settings, self.seed, self.chance, self.now, self.began_ms = settings, seed, seed, 0.0, math.inf
-        self.actions: list[io.Action] = []
+        self.actions, self.ready = list[io.Action](), list[Worker]()
         self.workers: dict[int, Worker] = {}
-        self.ready: list[Worker] = []
         self.members: dict[int, float] = {}  # that the hash orders hold, and their sizes
         self.watched: dict[int, Worker] = {}  # those that owe an answer or are suspect
         self.functions, self.waiting = dict[str, Function](), dict[str, Function]()
@@ -197,8 +195,7 @@
         self.tokens: dict[str, tuple[float, float]] = {}
         self.total, self.fleet = 1.0, 0.01  # size of the ready fleet, cold workers in part; the largest seen
         self.wide = False  # this front end's part of what a worker can take is below one request
-        self.limit = math.inf  # own attempts in flight, in all
-        self.worker_most = 0.0  # what a worker can take of all front ends, in flight
+        self.limit, self.worker_most = math.inf, 0.0  # in flight: own attempts; what a worker can take of all
         self.promise_ms = min((spec.promise_ms for spec in settings.classes.values()), default=1000.0)
         self.runs, self.run_ms = Samples(), self.promise_ms / 5
         self.sweeping, self.refreshed_ms, self.forgot_ms = False, -math.inf, -math.inf
@@ -243,9 +240,11 @@
             self.functions[name] = Function(name, event.class_name, lanes, event.load_ms, _mark(name))
         fn = self.functions[name]
         spec = self.settings.classes.get(event.class_name) or io.ClassSpec(event.class_name)
-        over = self._over_share(event.tenant)
         self.seed, draw, deadline = self.seed + 1, _mix(_mix(self.seed)), self.now + event.budget_ms
-        request = Request(event.request, fn, spec, self.now, deadline, over, self.now, draw)
+        later = event.budget_ms < TRY_LEAST * spec.give_up_ms  # its share was taken by the first try
+        aim = (deadline - spec.give_up_ms if later else self.now) + spec.promise_ms
+        over = later or self._over_share(event.tenant)
+        request = Request(event.request, fn, spec, self.now, deadline, over, self.now, draw, aim)
         self._measure(fn)
         self.hedges = min(HEDGES_MOST, self.hedges + HEDGE_SHARE)
         self.requests[request.id] = request
@@ -255,6 +254,9 @@
         elif self.wide or not self._is_warm(fn):
             for worker in self._turned(fn, request)[:1] if self.wide else self._ordered(fn)[:SURVEY_WIDTH]:
                 self._spread(fn, worker)
+        self._fill(fn)
+        if request in fn.queue and self._hopeless(request):
+            self._finish(request)  # the next sweep is past half its time
         self._dispatch(fn)
 
     def _forget(self) -> None:
@@ -288,8 +290,7 @@
         fn, worker = attempt.function, self.workers[attempt.worker]
         instance = fn.instances[worker.id]
         attempt.open, instance.own, worker.own = False, instance.own - 1, worker.own - 1
-        proven = (Ending.FULL, Ending.CONNECT_FAILED, Ending.NOT_SENT, Ending.MISS)
-        attempt.may_have_run = event.ending not in proven
+        attempt.may_have_run = event.ending not in io.NEVER_RAN
         if event.ending in (Ending.GOOD, Ending.ERROR, Ending.FULL, Ending.MISS):
             self._heard(worker)
         if event.ending is Ending.GOOD:
@@ -678,7 +679,7 @@
                 self._ask(fn, self.workers[id], 1)
 
     def _late(self, request: Request) -> bool:  # hardly to be answered in time any more
-        left = request.arrived_ms + request.spec.promise_ms - self.now
+        left = request.aim_ms - self.now
         # The second term guards against runs grown so long that all would count as late from the start.
         return left < min(LATE_RUNS * self._te(request.function), request.spec.promise_ms * LATE_MOST)
 
@@ -818,10 +819,9 @@
         return ration - len(self.ordered) if window > 0 else math.inf
 
     def _over_share(self, tenant: str) -> bool:  # a token bucket of its share, in part
-        quota = self.settings.quotas_rps.get(tenant)
-        if quota is None:
+        if tenant not in self.settings.quotas_rps:
             return False
-        rate = quota / max(1, self.settings.fleet_size)
+        rate = self.settings.quotas_rps[tenant] / max(1, self.settings.fleet_size)
         # Few calls a second come unevenly: room for chance where this front end sees but a part.
         most = rate * TENANT_BURST_S + self.wide * 2 * math.sqrt(rate * WINDOW_MS / 1000)
         tokens, since = self.tokens.get(tenant, (most, self.now))
