Let a fault in carrying out one action cost that action alone, not the program

At fault: FrontEnd._decide called the carriers unguarded, while sockets, timers and flushes were guarded (Loop.guarded).

--- a/fawnwharf/net/front_end.py
+++ b/fawnwharf/net/front_end.py
@@ -169,7 +169,7 @@
             self.loop.wheel.after(AFTER_FAULT_MS, lambda: self.loop.tell(io.TimerDue(0)))
             return
         for action in actions:
-            self._carriers[type(action)](action)
+            self.loop.guarded(self._carriers[type(action)], action)  # a fault costs that one alone
 
     def _set_timer(self, action: io.SetTimer) -> None:
         self.loop.wheel.after(action.delay_ms, lambda: self.loop.tell(io.TimerDue(action.token)))
--- a/fawnwharf/net/loop.py
+++ b/fawnwharf/net/loop.py
@@ -67,16 +67,16 @@
         for key, mask in ready:
             # One that an earlier part of this turn closed is no longer registered under its key.
             if self._selector.get_map().get(key.fd) is key:
-                self._guarded(key.data, mask)
+                self.guarded(key.data, mask)
         self.wheel.advance(self.turn_ms)
         if self._inbox:
             events, self._inbox = self._inbox, []
             self._decide(now_ms, events)
         dirty, self._dirty = self._dirty, {}
         for part in dirty:
-            self._guarded(part.flush)
+            self.guarded(part.flush)
 
-    def _guarded(self, call: Callable[..., None], *arguments: object) -> None:
+    def guarded(self, call: Callable[..., None], *arguments: object) -> None:
         """Guards the loop: a fault in one part must not take down what is open in all the others."""
         try:
             call(*arguments)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -109,6 +109,17 @@
         client.call()
         rig.until(lambda: scorer.runs, "the next one runs")
 
+    def test_a_fault_in_carrying_out_one_action_leaves_the_others_and_the_program_alone(self):
+        scorer = ScorerPeer(copies=4)
+        rig = self.rig(scorer)
+        client, failing = rig.client(), mock.Mock(side_effect=KeyError("boom"))
+        with mock.patch.dict(rig.front._carriers, {io.Send: failing}):
+            client.call()
+            rig.until(lambda: failing.called, "the call is to be sent")
+        client.call(body=b"next")
+        rig.until(lambda: scorer.runs, "the next one runs")
+        self.assertEqual(scorer.runs[0][1].body, b"next")
+
     def test_the_time_that_a_call_lay_unread_counts(self):
         rig = self.rig(ScorerPeer(copies=None))
         rig.client().call(ttl="8000")
