--- a/fawnwharf/policy.py
+++ b/fawnwharf/policy.py
@@ -51,7 +51,7 @@
 YIELD = 0.35  # part of a worker's limit open to requests beyond a share or past their time
 RENEW_LIVES, RENEW_HELD = 3.0, 8  # copies are renewed for so long, while fewer than one in so many is held
 LATE_RUNS, LATE_MOST = 2.0, 0.5  # late with fewer runs left, but not with more than this part of the promise
-TRY_LEAST = 0.45  # of its class's time: a try with less has what others left (a first one has half)
+TRY_LEAST = 0.2  # of its class's time: a try with less has what others left (impatient first ones have more)
 HELD_PART = 0.5  # of a request's time: one that is late by then and was never sent is given up
 TENANT_BURST_S = 1.0  # seconds of its share that a tenant may use at once
 
