Keep the port of the refused dial bound in its test, so that nobody else listens there

It closed a listener and dialled its port, which another socket of the run could be given in between. A bound socket that does not listen refuses too.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -172,13 +172,12 @@
                 self.assertEqual(client.answers[0][1:], ("answer", {1: b"again", 2: {}, 3: True}))
 
     def test_a_refused_dial_proves_that_nothing_ran(self):
-        ended = []
-        gone = ScorerPeer("s-9")
-        gone.close()
-        rig = self.rig()
-        rig.front.pool.update(9, ("127.0.0.1", int(gone.host_port.split(":")[1])), io.State.READY, 0.0)
-        rig.front.pool.send(attempt(9, ended))
-        rig.until(lambda: ended, "it ends")
+        rig, ended = self.rig(), []
+        with socket.socket() as silent:  # bound, so that nobody else gets the port, but not listening
+            silent.bind(("127.0.0.1", 0))
+            rig.front.pool.update(9, silent.getsockname(), io.State.READY, 0.0)
+            rig.front.pool.send(attempt(9, ended))
+            rig.until(lambda: ended, "it ends")
         self.assertEqual(ended, [(End.REFUSED, False)])
 
 
