Take copies as standing in a wide fleet, and leave workers by strain against the fleet's

Change, where one front end's part of a scorer is below one request ('wide'): a place of a function is held to stand, as others' calls keep it; a sign is asked after eight runs; a load is raced after a run's wait; widths count the arrivals beyond chance; the limit has room for chance; strain fades evenly, counts what was called off, is weighed against the fleet's median, and of two drawn places the less strained comes first; a full scorer is left at once; cold scorers get their part of what is sold; no renewals. Links are not spread where the settings tell a price for handshakes. A few front ends decide as before.

--- a/fawnwharf/config.py
+++ b/fawnwharf/config.py
@@ -75,12 +75,17 @@
     fall_multiple: Span = 2.0
 
 
+class _Costs(Struct):
+    handshake: Span = 0.0
+
+
 class _Settings(Struct):
     classes: list[_Class] = []
     tenants: list[_Tenant] = []
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     family_info: _Family = msgspec.field(default_factory=_Family)
     invariants: _Rules = msgspec.field(default_factory=_Rules)
+    costs: _Costs = msgspec.field(default_factory=_Costs)
     fleet_size: Least = 1
     locality: str = ""
     tick: Span = 1.0
@@ -120,6 +125,7 @@
     max_open: int = 20_000
     load_wait_ms: float = 10_000.0
     tells_crowd: bool = False
+    handshake_price: float = 0.0  # points taken off for a new connection for each first try
     tenants: frozenset[str] = frozenset()  # empty: a site without tenants
 
 
@@ -227,6 +233,7 @@
         max_open=bounds.max_open,
         load_wait_ms=family.load_wait,
         tells_crowd=family.notes_peers_in_hand,
+        handshake_price=read.costs.handshake,
         tenants=frozenset(tenant.name for tenant in read.tenants),
     )
 
--- a/fawnwharf/net/scorers.py
+++ b/fawnwharf/net/scorers.py
@@ -25,6 +25,7 @@
 REDIALS_MOST = 3  # in a row: a dial that is reset as it comes up shows that somebody listens
 LINKS_MOST = 6  # to one scorer
 LINKS_SPREAD = 4  # up to so many, a call finds a link of its own: what spoils one ends all that is on it
+HANDSHAKE_DEAR = 0.02  # where a handshake costs more points, calls share links while these have room
 SPENT_MOST = 1_024  # ids remembered on one link, as late answers or second copies may still come
 SPREAD_PART = 0.7  # of the descriptors for links: the rest is kept for calls that find none
 WAITING_BYTES_MOST = 256 * 1024  # unwritten on one link: a scorer that does not read gets no more
@@ -319,12 +320,17 @@
             self._end(stream, End.NEVER_SENT)
         elif link := scorer.link_for(stream.id, self._trust_ms):
             link.start(stream)
-            if scorer.crowded() and self._links < SPREAD_PART * self._links_most:
+            if scorer.crowded() and self._may_spread():
                 self._dial_one(scorer)
         else:
             scorer.waiting.append(stream)
             self._dial(scorer)
 
+    def _may_spread(self) -> bool:
+        """Guards scorers' connections and the price: many front ends with links to each run them short."""
+        cheap = self.wire.handshake_price < HANDSHAKE_DEAR
+        return cheap and self._links < SPREAD_PART * self._links_most
+
     def _dial(self, scorer: Scorer) -> None:
         """As many dials as the waiting streams need; they wait for no longer than a dial takes."""
         while scorer.dialling() * self.wire.streams_per_conn < len(scorer.waiting):
--- a/fawnwharf/policy.py
+++ b/fawnwharf/policy.py
@@ -1,9 +1,7 @@
 """All decisions of fawnwharf: conditional speculative scaling after CIDRE, for one front end.
 
-Types, events and actions are in interface.py. A request goes to the first worker in its function's
-hash order that has a free warm lane within the bound. Without one it is held, and a busy warm
-instance races one new load for it; whichever frees first takes it (`_dispatch`, `_race`).
-"""
+A request goes to the first worker in its function's hash order that has a free warm lane within the bound.
+Without one it is held, and a busy warm instance races one new load for it; whichever frees first takes it."""
 
 import hashlib
 import math
@@ -47,7 +45,7 @@
 LOSSES, LOSS_KEPT = 2.0, 0.7  # so many lost rest a class at a worker; each answer takes part of them back
 REST_MS, REST_MOST_MS = 2_000.0, 8_000.0  # then one call tries it, and after each try it rests for longer
 HEDGE_SHARE, HEDGES_MOST = 0.1, 3.0  # second attempts a request, and saved up; what came first is given back
-STRAINED = 1.8  # runs this many times the usual: others load the worker; forgotten over the window
+STRAINED = 3.0  # runs this many times the usual: a load elsewhere would be no worse
 YIELD = 0.35  # part of a worker's limit open to requests beyond a share or past their time
 RENEW_LIVES, RENEW_HELD = 3.0, 8  # copies are renewed for so long, while fewer than one in so many is held
 LATE_RUNS, LATE_MOST = 2.0, 0.5  # late with fewer runs left, but not with more than this part of the promise
@@ -90,7 +88,7 @@
     started_ms: float | None = None  # told, or guessed when a silent worker came back empty
     owed_ms: float | None = None  # since when an answer is owed with nothing heard
     strain: float = 1.0  # its runs, as a multiple of what the function's take elsewhere
-    strained_ms: float = -math.inf  # passed over until then
+    strain_ms: float = -math.inf  # when that was last seen; it fades
     sign_ms: float | None = None  # when the last sign was asked for
     suspect_ms: float | None = None  # since when it is held silent
     limit: float = math.inf  # own requests that it can work on well, as of the last refresh
@@ -194,8 +192,10 @@
         self.loads_limit, self.loading = LOADS_START, 0  # own orders under way
         self.tokens: dict[str, tuple[float, float]] = {}
         self.total, self.fleet = 1.0, 0.01  # size of the ready fleet, cold workers in part; the largest seen
+        self.peers, self.silent_ms = max(1, settings.fleet_size), SILENT_MS  # front ends; see _watch
+        self.sold = sum(settings.quotas_rps.values()) / 1000  # by all together, a millisecond
         self.wide = False  # this front end's part of what a worker can take is below one request
-        self.limit, self.worker_most = math.inf, 0.0  # in flight: own attempts; what a worker can take of all
+        self.limit, self.worker_most, self.strain_most = math.inf, 0.0, math.inf  # in flight: own; a worker's
         self.promise_ms = min((spec.promise_ms for spec in settings.classes.values()), default=1000.0)
         self.runs, self.run_ms = Samples(), self.promise_ms / 5
         self.sweeping, self.refreshed_ms, self.forgot_ms = False, -math.inf, -math.inf
@@ -232,13 +232,11 @@
 
     def _on_request(self, event: io.RequestArrived) -> None:
         self.taken.append(self.now)
-        name = event.function
-        if name not in self.functions:
-            if len(self.functions) >= FUNCTIONS_MOST:
-                self._forget()
-            lanes = max(1, event.lanes)
-            self.functions[name] = Function(name, event.class_name, lanes, event.load_ms, _mark(name))
-        fn = self.functions[name]
+        if len(self.functions) >= FUNCTIONS_MOST and event.function not in self.functions:
+            self._forget()
+        name, lanes = event.function, max(1, event.lanes)
+        new = Function(name, event.class_name, lanes, event.load_ms, _mark(name))
+        fn = self.functions.setdefault(name, new)
         spec = self.settings.classes.get(event.class_name) or io.ClassSpec(event.class_name)
         self.seed, draw, deadline = self.seed + 1, _mix(_mix(self.seed)), self.now + event.budget_ms
         later = event.budget_ms < TRY_LEAST * spec.give_up_ms  # its share was taken by the first try
@@ -251,8 +249,8 @@
         fn.queue.append(request)
         if request.deadline_ms - self.now <= SWEEP_MS + LEAD_MS:
             self._finish(request)  # the next sweep may be too late: a client's last try has little time
-        elif self.wide or not self._is_warm(fn):
-            for worker in self._turned(fn, request)[:1] if self.wide else self._ordered(fn)[:SURVEY_WIDTH]:
+        elif not self.wide and not self._is_warm(fn):
+            for worker in self._ordered(fn)[:SURVEY_WIDTH]:
                 self._spread(fn, worker)
         self._fill(fn)
         if request in fn.queue and self._hopeless(request):
@@ -262,7 +260,8 @@
     def _forget(self) -> None:
         """Guards the memory against ever new functions and workers: what is long past goes, and of too many
         functions the half not called for longest, but for what is in use. Harm: it is asked after anew."""
-        past, used = self.now - FORGET_MS, {worker.last for worker in self.workers.values()}
+        self.forgot_ms, past = self.now, self.now - FORGET_MS
+        used = {worker.last for worker in self.workers.values()}
         half = FUNCTIONS_MOST // 2 * (len(self.functions) >= FUNCTIONS_MOST)
         for n, fn in enumerate(sorted(self.functions.values(), key=lambda fn: fn.last_ms[-1])):
             busy = any(i.own or i.asks or i.order_ms is not None for i in fn.instances.values())
@@ -287,7 +286,7 @@
             return
         if attempt in self.flying:
             self.flying.remove(attempt)
-        fn, worker = attempt.function, self.workers[attempt.worker]
+        fn, worker, te = attempt.function, self.workers[attempt.worker], self._te(attempt.function)
         instance = fn.instances[worker.id]
         attempt.open, instance.own, worker.own = False, instance.own - 1, worker.own - 1
         attempt.may_have_run = event.ending not in io.NEVER_RAN
@@ -299,15 +298,17 @@
                 fn.runs.timed.append((self.now, event.took_ms))
                 self.runs.timed.append((self.now, event.took_ms))
                 self.run_ms += RUN_GAIN * (event.took_ms - self.run_ms) * attempt.alone
-                self._strain(worker, event.took_ms / self._te(fn))
+                self._strain(worker, event.took_ms / te)
             self._found(worker, attempt)
+        elif event.ending in (Ending.CANCELLED, Ending.TIMEOUT) and event.took_ms > STRAINED * te:
+            self._strain(worker, event.took_ms / te)  # it may be the slow ones that never get to answer
         elif event.ending is Ending.MISS or event.warmth is Warmth.LOAD_FAILED:
             instance.copies = 0
         elif event.ending is Ending.ERROR and fn.runs.timed:  # else the call itself may be at fault
             self._lose(worker, fn)
         elif event.ending is Ending.FULL:
-            instance.blocked_ms = self.now + self._te(fn)
-            self._strain(worker, 2 * STRAINED)
+            instance.blocked_ms = self.now + te
+            self._strain(worker, 3 * STRAINED)
         self._broke(worker, event.ending)
         if event.crowd is not None and event.ending in (Ending.GOOD, Ending.FULL):
             fn.crowd += ANSWER_GAIN * (event.crowd * attempt.among - fn.crowd)
@@ -339,8 +340,6 @@
             self._load_answered(fn, instance, event)
         else:
             instance.asks = max(0, instance.asks - 1)
-            if self.wide and event.ending is Ending.GOOD and worker in self._ordered(fn)[: fn.width]:
-                self._spread(fn, worker)
         self._dispatch(fn)
 
     def _load_answered(self, fn: Function, instance: Instance, event: io.OrderAnswered) -> None:
@@ -374,12 +373,11 @@
             self._dispatch_all()
 
     def _hopeless(self, request: Request) -> bool:
-        """Never sent and hardly to be on time: given up beyond a share, else before half its time is gone.
-        Guards clients against a long wait for nothing. Harm: a late answer that it might have had."""
+        """Never sent, and hardly to be on time: given up. Harm: a late answer that it might have had."""
         if request.attempts or not self._late(request):
             return False
-        held = self.now + SWEEP_MS + LEAD_MS - request.arrived_ms
-        return request.over_share or held >= HELD_PART * (request.deadline_ms - request.arrived_ms)
+        half = request.arrived_ms + HELD_PART * (request.deadline_ms - request.arrived_ms)
+        return request.over_share or self.now + SWEEP_MS + LEAD_MS >= half
 
     def _copies(self, instance: Instance, worker: Worker) -> int:  # none after a restart or a keep-alive
         lapsed = instance.own == 0 and self.now - instance.seen_ms > self.settings.idle_life_ms
@@ -392,17 +390,17 @@
         return fn.loads.median(self.now) or fn.load_told_ms or 1000.0
 
     def _strain(self, worker: Worker, runs: float) -> None:
-        """Long runs and full answers tell of load that others put there, or of any other cause of slowness.
-        Guards where a front end sees little of each worker. Harm: a heavy request moves the next ones on."""
+        """Long runs and full answers tell of others' load. Harm: a heavy request moves the next ones on."""
+        worker.strain, worker.strain_ms = self._strained(worker), self.now
         worker.strain += ANSWER_GAIN * (runs - worker.strain)
-        if self.wide and worker.strain > STRAINED:
-            worker.strained_ms = self.now + WINDOW_MS * math.log((worker.strain - 1) / (STRAINED - 1))
+
+    def _strained(self, worker: Worker) -> float:
+        return 1 + (worker.strain - 1) * math.exp((worker.strain_ms - self.now) / FADE_MS)
 
     def _heard(self, worker: Worker, after_ms: float = 0.0) -> None:
         worker.owed_ms, worker.sign_ms = self.now + after_ms if worker.own else None, None
         if worker.suspect_ms is not None:
-            self.suspects -= worker.entry.state == State.READY
-            worker.suspect_ms = None
+            self.suspects, worker.suspect_ms = self.suspects - (worker.entry.state == State.READY), None
             self.actions.append(io.Log(f"worker {worker.id} answers again"))
 
     def _owe(self, worker: Worker) -> None:
@@ -411,8 +409,7 @@
             self.watched[worker.id] = worker
 
     def _watch(self, worker: Worker) -> None:
-        """Ask a silent worker for a sign; without one, send nothing there and take its requests back.
-        Guards against every kind of silence. Harm: a worker too busy to answer in time loses its traffic."""
+        """Ask a silent worker for a sign; without one, leave it. Harm: a busy one loses its traffic."""
         if worker.suspect_ms is not None:
             if self.now - (worker.sign_ms or worker.suspect_ms) >= TRIAL_MS:
                 self._ask_sign(worker)
@@ -421,7 +418,7 @@
                 self._suspect(worker)
         elif worker.owed_ms is None:
             del self.watched[worker.id]
-        elif self.now - worker.owed_ms >= SILENT_MS:
+        elif self.now - worker.owed_ms >= self.silent_ms:
             self._ask_sign(worker)
 
     def _ask_sign(self, worker: Worker) -> None:
@@ -436,8 +433,7 @@
         self.actions.append(io.Hold(worker.id, fn.name, copies))
 
     def _broke(self, worker: Worker, ending: Ending) -> None:
-        """Ask for a sign: a connection that broke, or an answer that was spoilt, tells little of the process.
-        Harm: where it did die, a few more calls are sent there in vain before the sign is missed."""
+        """Ask for a sign: a break tells little of the process. Harm: if it died, calls are lost there."""
         if ending is Ending.CONNECT_FAILED:
             self._suspect(worker)
         elif ending is Ending.RESET and worker.suspect_ms is None and worker.sign_ms is None:
@@ -476,8 +472,7 @@
             self._race(fn)
 
     def _fill(self, fn: Function) -> None:  # the only place that sends
-        if len(fn.queue) > 1:
-            fn.queue.sort(key=self._urgency)
+        fn.queue.sort(key=self._urgency)
         for request in list(fn.queue):
             if (worker := self._lane(fn, request)) is not None:
                 self._send(request, worker)
@@ -488,10 +483,11 @@
         """Guards against calls that cross while a near copy is asked after. Harm: a round trip's wait."""
         again = any(attempt.open for attempt in request.attempts)
         part = YIELD if again or request.over_share or self._late(request) else 1.0
-        spare, asked, held = [], False, len(self.flying) >= self.limit * (1.0 if again else part)
+        spare, asked, places = [], False, self._places(fn, request)
+        held = len(self.flying) >= self.limit * (1.0 if again else part)
         if held or (self.wide and self._asking(fn)):
             return None  # one question at a time; the drawn place is to answer first
-        for worker in self._places(fn, request):
+        for worker in places:
             if asked and self._is_far(worker):
                 break
             instance = fn.instances[worker.id]
@@ -504,13 +500,12 @@
         return min(spare, key=lambda worker: worker.own, default=None)
 
     def _free(self, fn: Function, instance: Instance, worker: Worker) -> bool:
-        """A free warm lane; where calls come often, copies with no sign for a while are asked after first.
-        Guards against every way in which a copy goes unseen. Harm: a round trip for a quiet function."""
+        """A free warm lane; copies long unseen are asked after first. Harm: a round trip's wait."""
         if self.now < instance.blocked_ms or self._copies(instance, worker) * fn.lanes <= instance.own:
             return False
         most = max(-(-instance.own // fn.lanes), self.now - instance.seen_ms < STALE_MS) * fn.lanes
-        sure = most > instance.own or self.wide or not self.settings.may_order
-        sure = sure or self.now - instance.counted_ms < STALE_MS
+        counted = self.now - instance.counted_ms < STALE_MS
+        sure = counted or most > instance.own or self.wide or not self.settings.may_order
         if not sure and not instance.asks and self._usable(worker, fn):
             self._ask(fn, worker)
         return sure
@@ -537,8 +532,7 @@
         self.actions.append(io.Send(request.id, worker.id))
 
     def _miss_answers(self) -> None:
-        """Hold overdue answers lost, try their calls elsewhere, and rest a class where several were lost.
-        Guards against workers that answer all but some calls. Harm: a very long call may be run twice."""
+        """Hold overdue answers lost, try elsewhere, rest their class. Harm: a long call runs twice."""
         for attempt in list(self.attempts.values()):
             fn, worker = attempt.function, self.workers[attempt.worker]
             lapse = worker.lapses.get(fn.kind)
@@ -574,8 +568,7 @@
         return resting * 2 <= len(self.ready)
 
     def _hasten(self, request: Request, attempt: Attempt) -> None:
-        """A second attempt elsewhere for one out far longer than a run, while tokens last.
-        Guards against lost answers, hangs and slow workers alike. Harm: work done twice, for few calls."""
+        """A second attempt for one out far longer than a run, while tokens last. Harm: work done twice."""
         due = min(OVERDUE_RUNS * self._te(request.function), request.spec.promise_ms * LATE_MOST)
         if attempt.open and self.now - attempt.sent_ms > due and self._may_send_again(request):
             self.hedges -= 1
@@ -590,10 +583,9 @@
             self._finish(request)
 
     def _may_send_here(self, request: Request, worker: Worker, part: float) -> bool:  # now?
-        usable = self._usable(worker, request.function)
-        if worker.own >= worker.limit * part or not usable or not self._warm_enough(worker):
-            return False
-        if any(attempt.worker == worker.id and attempt.may_have_run for attempt in request.attempts):
+        ran = any(attempt.worker == worker.id and attempt.may_have_run for attempt in request.attempts)
+        able = self._usable(worker, request.function) and self._warm_enough(worker)
+        if ran or not able or worker.own >= worker.limit * part:
             return False
         first = request.first_run()
         if first is None or request.spec.effect is Effect.SAFE:
@@ -621,11 +613,11 @@
             return True
         while worker.sent and worker.sent[0] <= self.now - self.settings.fall_ms:
             worker.sent.popleft()
-        rate = self._rate() / max(1, len(self.ready))
+        usual = self.sold / self.peers * self.wide * self._units(worker) / self.fleet  # as it is sold
+        rate = max(usual, self._rate() / max(1, len(self.ready)))
         budget = COLD_SAFETY * self.settings.fall_multiple * share * self.settings.fall_ms * rate
         # Guards against a least send for each front end: a part below one falls to as many of them by chance.
-        chance = _mix(_mix(self.chance ^ worker.mark)) / 2**64
-        return len(worker.sent) + 1 <= budget + chance
+        return len(worker.sent) + 1 <= budget + _mix(_mix(self.chance ^ worker.mark)) / 2**64
 
     def _warmth(self, worker: Worker) -> float:  # the part of its capacity that a worker has at the least
         if worker.started_ms is None:
@@ -648,29 +640,35 @@
         """Limits, against overload of any cause: the rate sold times an uncrowded run is what the largest
         fleet seen works on at once (Little's law). Too late where more is sold than the fleet can do."""
         self.refreshed_ms = self.now
+        self._renew()
         if self.now - self.forgot_ms >= FORGET_MS / 4:
-            self.forgot_ms = self.now
             self._forget()
-        self._renew()
         self.total = sum(self._size(worker) for worker in self.ready) or 1.0
         self.fleet = max(self.fleet, sum(self._units(worker) for worker in self.ready))
-        peers, most = max(1, self.settings.fleet_size), 0.0
-        sold = sum(self.settings.quotas_rps.values()) / 1000
+        peers, sold, most = self.peers, self.sold, 0.0
         for worker in self.ready:
             mean = sold * self.run_ms * self._size(worker) / self.fleet  # of all front ends
-            most += mean + ROOM_SPREAD * math.sqrt(mean)
-            own = mean / peers + ROOM_SPREAD * math.sqrt(mean / peers)
+            most, own = most + self._room(mean), self._room(mean / peers)
             worker.limit = max(2.0 if self.wide else 1.0, own) if sold > 0 else math.inf
         self.worker_most = most / max(1, len(self.ready)) if sold > 0 else 2 * BOUND_FLOOR
         self.wide = self.worker_most < peers
+        usual = sorted(self._strained(worker) for worker in self.ready)[len(self.ready) // 2 :]
+        self.strain_most = STRAINED * usual[0] if self.wide and usual else math.inf
+        # Long runs are no silence: where each worker gets few calls, all that are slow would be asked.
+        self.silent_ms = LOST_RUNS * (self.runs.median(self.now) or 200.0) if self.wide else SILENT_MS
         # In all, what the fleet gets through in a part of the promise: beyond that all would come late.
-        self.limit = sold * self.promise_ms * LATE_MOST / peers if self.wide and sold > 0 else math.inf
+        through = sold * self.promise_ms * LATE_MOST / peers
+        self.limit = self._room(through) if self.wide and sold > 0 else math.inf
+
+    def _room(self, mean: float) -> float:  # for chance
+        return mean + ROOM_SPREAD * math.sqrt(mean)
 
     def _renew(self) -> None:
         """Renew one copy of each function called lately before it lapses: timers call at that pace; an order
         costs far less than a load. Half of the ration is left to loads. Harm: less room in a squeeze."""
         held, life = sum(len(fn.queue) for fn in self.waiting.values()), self.settings.idle_life_ms
-        for fn in self.functions.values() if RENEW_HELD * held <= len(self.requests) else ():
+        calm = RENEW_HELD * held <= len(self.requests) and not self.wide  # others' calls renew as well
+        for fn in self.functions.values() if calm else ():
             told = [(i.seen_ms, n) for n, i in fn.instances.items() if self._copies(i, self.workers[n])]
             seen, id = max(told, default=(self.now, 0))
             due = seen + life < self.now + 2 * REFRESH_MS and fn.last_ms[-1] + RENEW_LIVES * life > self.now
@@ -715,16 +713,19 @@
         return fn.instances[worker.id]
 
     def _places(self, fn: Function, request: Request) -> list[Worker]:  # believed warm, wide from a draw
-        known = self._known(fn)
         if not self.wide:
-            return known
-        first = [w for w in self._turned(fn, request) if w.id in fn.instances]
-        return list(dict.fromkeys(first + sorted(known, key=lambda w: w.strained_ms > self.now)))
+            return self._known(fn)
+        first = self._turned(fn, request)
+        for worker in first if self.settings.loads_on_miss else first[:1]:
+            self._spread(fn, worker)
+        known = sorted(self._known(fn), key=lambda w: self._strained(w) > self.strain_most)
+        return [worker for worker in dict.fromkeys(first + known) if worker.id in fn.instances]
 
     def _turned(self, fn: Function, request: Request) -> list[Worker]:  # as needed, from the drawn place on
-        fit = (worker for worker in self._ordered(fn) if worker.strained_ms <= self.now)
+        fit = (worker for worker in self._ordered(fn) if self._strained(worker) <= self.strain_most)
         order = list(islice(fit, fn.width)) or fn.order[: fn.width]
-        turn = request.draw % max(1, len(order))
+        turns = [draw % len(order) for draw in (request.draw, request.draw >> 32) if order]
+        turn = min(turns, key=lambda turn: self.wide * max(1, self._strained(order[turn])), default=0)
         return order[turn:] + order[:turn]
 
     def _measure(self, fn: Function) -> None:
@@ -733,22 +734,26 @@
         if fn.last_ms:
             faded = math.exp((fn.last_ms[-1] - self.now) / FADE_MS)
             fn.arrived, fn.crowd = fn.arrived * faded, fn.crowd * faded
-        rate = fn.arrived / min(FADE_MS, self.now - self.began_ms + REFRESH_MS)
+        rate = self._surely(fn.arrived) / min(FADE_MS, self.now - self.began_ms + REFRESH_MS)
         if len(fn.last_ms) == RUSH:
-            rate = max(rate, RUSH / max(self.now - fn.last_ms[0], REFRESH_MS))
-        demand = max(rate * self.settings.fleet_size * self._te(fn), fn.crowd)
+            rate = max(rate, self._surely(RUSH) / max(self.now - fn.last_ms[0], REFRESH_MS))
+        demand = max(rate * self.peers * self._te(fn), fn.crowd)
         share = min(SPREAD_LANES * fn.lanes, SPREAD_PART * self.worker_most)
         fn.width = min(max(1, math.ceil(demand / share)), max(1, len(self.ready)))
         fn.arrived += 1
         fn.last_ms.append(self.now)
 
+    def _surely(self, seen: float) -> float:  # arrivals less their chance, which many front ends multiply
+        return max(0.0, seen - math.sqrt(seen)) if self.wide else seen
+
     def _is_warm(self, fn: Function) -> bool:
         return any(self._copies(fn.instances[w.id], w) and self._usable(w, fn) for w in self._known(fn))
 
     def _race(self, fn: Function) -> None:  # the loads that held requests need, one for the lanes of a copy
         warm = self._is_warm(fn)
-        # Held by the own limit in all, a request gains nothing by a load.
-        if self._asking(fn) or (warm and (len(self.flying) >= self.limit or not self._load_path(fn))):
+        early = self.wide and self.now - min(r.held_ms for r in fn.queue) < self._te(fn)  # others load too
+        idle = early or len(self.flying) >= self.limit or not self._load_path(fn)
+        if self._asking(fn) or (warm and idle):
             return
         pending = sum(fn.instances[w.id].order_ms is not None for w in self._known(fn) if self._usable(w, fn))
         held = sum(not (warm and (r.over_share or (self.wide and self._late(r)))) for r in fn.queue)
@@ -760,20 +765,19 @@
             bare = (w for w in order if w.id not in fn.instances or not self._copies(fn.instances[w.id], w))
             able = (w for w in bare if w.own < self._bound(w) and self._may_load(fn, warm, w))
             worker = next(able, None) or next((w for w in order if self._may_load(fn, warm, w)), None)
-            if worker is None:
-                return
-            self._load(fn, worker, warm)
+            if worker is not None:
+                self._load(fn, worker, warm)
 
-    def _spread(self, fn: Function, worker: Worker) -> None:  # ask at a drawn place, load if empty
+    def _spread(self, fn: Function, worker: Worker) -> None:
+        """Ask after a copy. In a wide fleet it is held to stand: others' calls keep it, or this brings it.
+        Guards against questions of each front end at each worker. Harm: some calls wait for a load."""
         instance = self._instance(fn, worker)
         if self._copies(instance, worker) or not self._usable(worker, fn) or not self.settings.may_order:
             return
-        warm = self._is_warm(fn)
-        idle = self.wide and not instance.asks and (not warm or self._load_path(fn))
-        if self.now - instance.asked_ms > RATE_MS:
+        if self.wide and self.settings.loads_on_miss:
+            instance.copies, instance.seen_ms = 1, self.now
+        elif self.now - instance.asked_ms > RATE_MS:
             self._ask(fn, worker)
-        elif idle and self._may_load(fn, warm, worker):
-            self._load(fn, worker, warm)
 
     def _load(self, fn: Function, worker: Worker, warm: bool) -> None:
         instance = self._instance(fn, worker)
@@ -791,22 +795,21 @@
             unused = [i.unused_ms for i in fn.instances.values() if i.unused_ms is not None]
             idle = max([fn.idle_ms, *(self.now - since for since in unused)])
             # Where this front end sees one call in many, the others' calls use the copy as often.
-            flip = idle > self._te(fn) * (self.settings.fleet_size if self.wide else 1)
+            flip = idle > self._te(fn) * (self.peers if self.wide else 1)
         else:
             oldest = self.now - min((request.held_ms for request in fn.queue), default=self.now)
             flip = max(oldest, fn.waits.median(self.now) or 0.0) > self._tp(fn)
         if flip:
             fn.load_path, fn.idle_ms, fn.waits = not fn.load_path, 0.0, Samples()
-            for instance in fn.instances.values():
-                instance.unused_ms = None
+        for instance in fn.instances.values() if flip else ():
+            instance.unused_ms = None
         return fn.load_path
 
     def _may_load(self, fn: Function, warm: bool, worker: Worker | None) -> bool:  # or anywhere?
         instance = fn.instances.get(worker.id) if worker else None
         busy = instance and (instance.order_ms is not None or self.now < instance.blocked_ms)
-        if busy or (worker and not self._usable(worker, fn)):
-            return False
-        if worker and warm and (worker.own >= worker.limit or not self._warm_enough(worker)):
+        crowded = worker and warm and (worker.own >= worker.limit or not self._warm_enough(worker))
+        if busy or crowded or (worker and not self._usable(worker, fn)):
             return False
         return self.loading < self.loads_limit and self.settings.may_order and self._rationed() >= 1
 
@@ -821,7 +824,7 @@
     def _over_share(self, tenant: str) -> bool:  # a token bucket of its share, in part
         if tenant not in self.settings.quotas_rps:
             return False
-        rate = self.settings.quotas_rps[tenant] / max(1, self.settings.fleet_size)
+        rate = self.settings.quotas_rps[tenant] / self.peers
         # Few calls a second come unevenly: room for chance where this front end sees but a part.
         most = rate * TENANT_BURST_S + self.wide * 2 * math.sqrt(rate * WINDOW_MS / 1000)
         tokens, since = self.tokens.get(tenant, (most, self.now))
--- /dev/null
+++ b/tests/test_large_fleet.py
@@ -0,0 +1,139 @@
+"""Some tens of front ends: what is harmless for one must not add up to harm."""
+
+import unittest
+from collections import Counter
+from unittest import mock
+
+from bench import Drive, of
+
+from fawnwharf import config
+from fawnwharf import interface as io
+from fawnwharf.interface import Ending
+from fawnwharf.net import scorers
+
+SOLD = {"t": 400.0}
+SIZE, WORKERS = 40, 40
+
+
+def drives(count=SIZE, **settings):
+    return [
+        Drive(WORKERS, seed=7919 * n + 3, fleet_size=SIZE, quotas_rps=SOLD, loads_on_miss=True, **settings)
+        for n in range(count)
+    ]
+
+
+class Questions(unittest.TestCase):
+    def test_no_front_end_asks_after_a_copy_that_the_others_calls_keep(self):
+        firsts = [drive.ask("r", fn="f", tenant="t") for drive in drives()]
+        self.assertEqual([], [hold for actions in firsts for hold in of(actions, io.Hold)])
+        self.assertEqual(1, len({send.worker for actions in firsts for send in of(actions, io.Send)}))
+
+    def test_a_few_front_ends_ask_as_ever(self):
+        few = Drive(WORKERS, fleet_size=2, quotas_rps=SOLD, loads_on_miss=True)
+        self.assertTrue(of(few.ask("r", tenant="t"), io.Hold))
+
+    def test_a_run_longer_than_usual_is_no_silence(self):
+        drive = drives(1)[0]
+        drive.ask("r", tenant="t")
+        self.assertEqual([], of(drive.sweep(600.0), io.Hold))
+        self.assertTrue(of(drive.sweep(2_000.0), io.Hold))
+
+    def test_a_held_call_waits_a_run_before_it_races_a_load(self):
+        drive = drives(1)[0]
+        drive.ask("first", tenant="t")
+        second = drive.ask("second", tenant="t")
+        self.assertEqual([], of(second, io.Hold) + of(second, io.Send))
+        self.assertTrue(any(load.copies for load in of(drive.sweep(400.0), io.Hold)))
+
+
+class Width(unittest.TestCase):
+    def test_a_few_calls_by_chance_do_not_make_a_function_wide(self):
+        drive = drives(1)[0]
+        for n in range(2):
+            drive.now += 1_500.0
+            [send] = of(drive.ask(f"r{n}", tenant="t"), io.Send)
+            drive.now += 100.0
+            drive.end(send, crowd=0)
+        self.assertLessEqual(drive.router.functions["f"].width, 2)
+
+    def test_calls_that_are_out_have_room_for_chance(self):
+        drive = drives(1)[0]
+        even = 0.4 * drive.router.promise_ms / 2 / SIZE  # what the fleet gets through, in equal parts
+        self.assertGreater(drive.router.limit, even + 1)
+
+
+class Strain(unittest.TestCase):
+    def served(self, drive, name, took, ending=Ending.GOOD, fn="f"):
+        [send] = of(drive.ask(name, fn=fn, tenant="t"), io.Send)
+        closed = ending is Ending.GOOD
+        drive.feed(io.AttemptEnded(name, 0, send.worker, ending, took, closed, io.Warmth.FOUND))
+        return send.worker
+
+    def test_a_slow_worker_is_left_though_its_answers_were_called_off(self):
+        drive = drives(1)[0]
+        for n in range(8):
+            drive.now += 1_000.0
+            home = self.served(drive, f"calm{n}", 100.0)
+        for n in range(2):
+            drive.now += 500.0
+            self.served(drive, f"slow{n}", 900.0, Ending.CANCELLED)
+            drive.feed(io.ClientLeft(f"slow{n}"))
+        drive.sweep(drive.now + 1_100.0)
+        self.assertNotEqual(home, of(drive.ask("next", tenant="t"), io.Send)[0].worker)
+
+    def test_strain_that_all_workers_share_takes_none_of_them_away(self):
+        drive = drives(1)[0]
+        for worker in drive.router.ready:
+            worker.strain, worker.strain_ms = 9.0, drive.now
+        drive.sweep(drive.now + 1_100.0)
+        self.assertGreater(drive.router.strain_most, 9.0)
+
+    def test_a_call_that_found_a_full_worker_goes_on_at_once(self):
+        drive = drives(1)[0]
+        drive.sweep(2_500.0)
+        [send] = of(drive.ask("r", tenant="t"), io.Send)
+        [again] = of(drive.end(send, Ending.FULL, closed=False), io.Send)
+        self.assertNotEqual(send.worker, again.worker)
+
+
+class Cold(unittest.TestCase):
+    def test_cold_workers_together_get_their_part_of_what_is_sold_and_not_more(self):
+        rules = {"cold_ms": 10_000.0, "cold_share": 0.2, "fall_ms": 1_000.0, "fall_multiple": 2.0}
+        sent = Counter()
+        for drive in drives(**rules):
+            drive.now = 20_000.0
+            fresh = [io.WorkerEntry(n, up_since_ms=20_000.0) for n in range(1, WORKERS // 2 + 1)]
+            drive.feed(io.RosterChanged(fresh, False))
+            for n in range(8):
+                drive.now += 125.0
+                for send in of(drive.ask(f"r{n}", fn=f"f{n}", tenant="t"), io.Send):
+                    sent[send.worker] += send.worker <= WORKERS // 2
+        sold = sum(SOLD.values()) / WORKERS  # a worker's part, a second
+        self.assertLessEqual(max(sent.values()), 2.0 * 0.28 * sold + 3)
+        self.assertGreater(sum(sent.values()), 5)  # of the 20 or so that four functions at home there allow
+
+
+class Handshakes(unittest.TestCase):
+    def spreads(self, price):
+        wire = config.Wire(handshake_price=price)
+        return scorers.ScorerPool(mock.Mock(), wire, 100, 1, mock.Mock())._may_spread()
+
+    def test_links_are_spread_only_where_a_handshake_is_cheap(self):
+        self.assertTrue(self.spreads(0.0))
+        self.assertFalse(self.spreads(0.08))
+
+    def test_the_price_is_read_from_the_settings_and_a_faulty_one_named(self):
+        base = {"listen": "127.0.0.1:1", "changelog": "127.0.0.1:2"}
+
+        def read(costs):
+            return config.deployment_from({**base, "settings": {"costs": costs}}, {}).wire.handshake_price
+
+        for costs, price in (({}, 0.0), ({"handshake": None}, 0.0), ({"handshake": 0.08, "new": 1}, 0.08)):
+            with self.subTest(costs=costs):
+                self.assertEqual(price, read(costs))
+        for wrong in (-1, "dear", [1]):
+            with self.subTest(wrong=wrong), self.assertRaisesRegex(config.ConfigError, "costs.handshake"):
+                read({"handshake": wrong})
+        for wrong in (0, -3, "forty"):
+            with self.subTest(wrong=wrong), self.assertRaisesRegex(config.ConfigError, "settings.fleet_size"):
+                config.deployment_from({**base, "settings": {"fleet_size": wrong}}, {})
