Try new places by few calls, pass over those that can take nothing, ask a lost zone at once

Change: while another place of the function is known to stand, one call in sixteen tries one not seen yet; places that are suspect or have no budget do not count among a function's first workers (policy._turned); three silent or asked scorers of one zone have all others there asked for a sign (policy._suspect).

--- a/fawnwharf/policy.py
+++ b/fawnwharf/policy.py
@@ -13,22 +13,20 @@
 from fawnwharf.interface import Effect, Ending, State, Warmth
 
 WINDOW_MS = 10_000.0  # samples of Te, Tp and Td older than this are forgotten (the design's window)
-SWEEP_MS = 40.0  # pace of the timer for deadlines, waits and silent workers; well under a run
-LEAD_MS = 20.0  # a final answer goes out this long before the client leaves: room for a starved process
+SWEEP_MS, LEAD_MS = 40.0, 20.0  # pace of the timer; a final answer comes so long before the client leaves
 FUNCTIONS_MOST = 2_000  # kept in mind; far more than are called within a keep-alive
 FORGET_MS = 60_000.0  # a function not called, or a worker gone, for this long is forgotten
 SAMPLES_MOST = 64  # samples kept for one median: more would not move it, and cost 100 bytes each
 REFRESH_MS = 1_000.0  # pace of what depends on the whole fleet; no rate is taken over less
 STALE_MS = 1_000.0  # a copy with no sign for this long may have given way
 RATE_MS = 5_000.0  # stretch over which arrivals are counted, and pause between questions for an empty place
-BOUND_FACTOR = 1.5  # a worker takes this multiple of its fair share of own requests (bounded loads)
-BOUND_NEAR = 2.4  # in the own zone: a call that crosses costs more than one that shares the cores
-BOUND_FLOOR = 2.0  # and never fewer than these, else a quiet function would wander
-SURVEY_WIDTH = 4  # workers asked after an unknown function where few front ends share the fleet
-ASK_WAIT_MS = 12.0  # answers to questions come within a round trip; a load waits no longer for them
+# A worker takes these multiples of its fair share of own requests, far and near, and never fewer than:
+BOUND_FACTOR, BOUND_NEAR, BOUND_FLOOR = 1.5, 2.4, 2.0  # crossing costs more than sharing the cores
+SURVEY_WIDTH, ASK_WAIT_MS = 4, 12.0  # workers asked after an unknown function; a load waits so long for them
 SILENT_MS = 300.0  # nothing heard for this long with something owed: ask the worker for a sign
-SIGN_WAIT_MS = 80.0  # a sign takes a round trip; none by then makes the worker suspect
-TRIAL_MS = 1_000.0  # pause between questions to a suspect worker
+SIGN_WAIT_MS, TRIAL_MS = 80.0, 1_000.0  # for a sign, a round trip; pause between those asked of a suspect
+TRIED = 2**60  # of the draws: one call in sixteen tries a place not seen yet while others are known
+ZONE_SIGNS = 3  # so many silent or asked in one zone: all that are there are asked
 BLOCK_MS = 1_000.0  # a worker that had no room for a function, or failed to load it, rests this long
 COLD_SAFETY = 0.6  # part of a cold worker's budget that is used: capacity and other front ends are guesses
 WINDOW_MARGIN_MS = 100.0  # a keyed repeat must arrive inside the window, not just leave inside it
@@ -36,12 +34,10 @@
 LOAD_SLOW = 2.5  # a load this many times slower than told says that the store is crowded
 RUN_GAIN = 0.02  # weight of one run in the mean run of workers that are not crowded
 ROOM_SPREAD = 1.5  # room for chance in a worker's limit, in square roots of its mean requests
-SPREAD_LANES = 0.6  # part of a copy's lanes that a wide function's calls are to fill on one worker
-SPREAD_PART = 0.3  # and of what the worker can take in flight: several functions meet there
+SPREAD_LANES, SPREAD_PART = 0.6, 0.3  # of a copy's lanes, and of a worker's room, for a wide function's calls
 FADE_MS, RUSH = 30_000.0, 3  # a function's width forgets over this; so many arrivals at once turn it hot
 ANSWER_GAIN = 0.4  # weight of one answer in what answers tell of others' load: they are rare
-OVERDUE_RUNS = 3.0  # an attempt out for this many runs deserves a second
-LOST_RUNS = 8.0  # and is held lost after this many, while its worker answers others: few calls run so long
+OVERDUE_RUNS, LOST_RUNS = 3.0, 8.0  # out for so many runs, an attempt deserves a second; it is held lost
 LOSSES, LOSS_KEPT = 2.0, 0.7  # so many lost rest a class at a worker; each answer takes part of them back
 REST_MS, REST_MOST_MS = 2_000.0, 8_000.0  # then one call tries it, and after each try it rests for longer
 HEDGE_SHARE, HEDGES_MOST = 0.1, 3.0  # second attempts a request, and saved up; what came first is given back
@@ -258,8 +254,7 @@
         self._dispatch(fn)
 
     def _forget(self) -> None:
-        """Guards the memory against ever new functions and workers: what is long past goes, and of too many
-        functions the half not called for longest, but for what is in use. Harm: it is asked after anew."""
+        """Guards the memory: what is long past goes, and of too many functions those longest not called."""
         self.forgot_ms, past = self.now, self.now - FORGET_MS
         used = {worker.last for worker in self.workers.values()}
         half = FUNCTIONS_MOST // 2 * (len(self.functions) >= FUNCTIONS_MOST)
@@ -413,12 +408,11 @@
         if worker.suspect_ms is not None:
             if self.now - (worker.sign_ms or worker.suspect_ms) >= TRIAL_MS:
                 self._ask_sign(worker)
-        elif worker.sign_ms is not None:
-            if self.now - worker.sign_ms >= SIGN_WAIT_MS:
-                self._suspect(worker)
-        elif worker.owed_ms is None:
+        elif worker.sign_ms is not None and self.now - worker.sign_ms >= SIGN_WAIT_MS:
+            self._suspect(worker)
+        elif worker.sign_ms is None and worker.owed_ms is None:
             del self.watched[worker.id]
-        elif self.now - worker.owed_ms >= self.silent_ms:
+        elif worker.sign_ms is None and self.now - worker.owed_ms >= self.silent_ms:
             self._ask_sign(worker)
 
     def _ask_sign(self, worker: Worker) -> None:
@@ -451,6 +445,12 @@
             if attempt.worker == worker.id and request and request not in attempt.function.queue:
                 self._again(request)
                 self._dispatch(attempt.function)
+        near = [other for other in self.ready if other.entry.zone == worker.entry.zone] if self.wide else []
+        quiet = [other for other in near if other.suspect_ms is None and other.sign_ms is None and other.last]
+        # Guards the calls that would each find out that one more worker of a lost zone is gone.
+        for other in quiet if len(near) - len(quiet) >= ZONE_SIGNS else ():
+            self.watched[other.id] = other
+            self._ask_sign(other)
 
     def _usable(self, worker: Worker, fn: Function) -> bool:  # ready, and not suspect unless most are
         heard = worker.suspect_ms is None or self.suspects * 2 > len(self.ready)
@@ -584,8 +584,7 @@
 
     def _may_send_here(self, request: Request, worker: Worker, part: float) -> bool:  # now?
         ran = any(attempt.worker == worker.id and attempt.may_have_run for attempt in request.attempts)
-        able = self._usable(worker, request.function) and self._warm_enough(worker)
-        if ran or not able or worker.own >= worker.limit * part:
+        if ran or not self._able(worker, request.function) or worker.own >= worker.limit * part:
             return False
         first = request.first_run()
         if first is None or request.spec.effect is Effect.SAFE:
@@ -608,6 +607,9 @@
         effect, everywhere = request.spec.effect, request.spec.group is io.Group.ALL
         return not request.first_run() or effect is Effect.SAFE or (effect is Effect.KEYED and everywhere)
 
+    def _able(self, worker: Worker, fn: Function) -> bool:
+        return self._usable(worker, fn) and self._warm_enough(worker)
+
     def _warm_enough(self, worker: Worker) -> bool:  # a just-started worker has a budget
         if (share := self._warmth(worker)) >= 1.0:
             return True
@@ -637,8 +639,7 @@
         return max(BOUND_FLOOR * self._warmth(worker), factor * fair)
 
     def _refresh(self) -> None:
-        """Limits, against overload of any cause: the rate sold times an uncrowded run is what the largest
-        fleet seen works on at once (Little's law). Too late where more is sold than the fleet can do."""
+        """Limits: the rate sold times an uncrowded run is what the fleet works on at once (Little's law)."""
         self.refreshed_ms = self.now
         self._renew()
         if self.now - self.forgot_ms >= FORGET_MS / 4:
@@ -664,8 +665,7 @@
         return mean + ROOM_SPREAD * math.sqrt(mean)
 
     def _renew(self) -> None:
-        """Renew one copy of each function called lately before it lapses: timers call at that pace; an order
-        costs far less than a load. Half of the ration is left to loads. Harm: less room in a squeeze."""
+        """Renew a copy of each function called lately before it lapses. Harm: less room in a squeeze."""
         held, life = sum(len(fn.queue) for fn in self.waiting.values()), self.settings.idle_life_ms
         calm = RENEW_HELD * held <= len(self.requests) and not self.wide  # others' calls renew as well
         for fn in self.functions.values() if calm else ():
@@ -716,21 +716,23 @@
         if not self.wide:
             return self._known(fn)
         first = self._turned(fn, request)
-        for worker in first if self.settings.loads_on_miss else first[:1]:
+        seen = any(w.id in fn.instances and self._copies(fn.instances[w.id], w) for w in first)
+        # Guards the store, and calls: a place that is new to all would be tried by all, and each wait there.
+        tried = first if not seen or request.draw < TRIED else []
+        for worker in tried if self.settings.loads_on_miss else first[:1]:
             self._spread(fn, worker)
         known = sorted(self._known(fn), key=lambda w: self._strained(w) > self.strain_most)
         return [worker for worker in dict.fromkeys(first + known) if worker.id in fn.instances]
 
     def _turned(self, fn: Function, request: Request) -> list[Worker]:  # as needed, from the drawn place on
-        fit = (worker for worker in self._ordered(fn) if self._strained(worker) <= self.strain_most)
+        fit = (w for w in self._ordered(fn) if self._strained(w) <= self.strain_most and self._able(w, fn))
         order = list(islice(fit, fn.width)) or fn.order[: fn.width]
         turns = [draw % len(order) for draw in (request.draw, request.draw >> 32) if order]
         turn = min(turns, key=lambda turn: self.wide * max(1, self._strained(order[turn])), default=0)
         return order[turn:] + order[:turn]
 
     def _measure(self, fn: Function) -> None:
-        """How many workers a function needs: own arrivals times front ends, or the crowd that answers tell.
-        Guards against a hundred front ends that each find the first worker free."""
+        """Workers a function needs: own arrivals times front ends, or the crowd told. Guards the first."""
         if fn.last_ms:
             faded = math.exp((fn.last_ms[-1] - self.now) / FADE_MS)
             fn.arrived, fn.crowd = fn.arrived * faded, fn.crowd * faded
@@ -769,8 +771,7 @@
                 self._load(fn, worker, warm)
 
     def _spread(self, fn: Function, worker: Worker) -> None:
-        """Ask after a copy. In a wide fleet it is held to stand: others' calls keep it, or this brings it.
-        Guards against questions of each front end at each worker. Harm: some calls wait for a load."""
+        """Ask after a copy; in a wide fleet it is held to stand, as calls keep it or bring it."""
         instance = self._instance(fn, worker)
         if self._copies(instance, worker) or not self._usable(worker, fn) or not self.settings.may_order:
             return
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -46,6 +46,66 @@
         self.assertTrue(any(load.copies for load in of(drive.sweep(400.0), io.Hold)))
 
 
+class Places(unittest.TestCase):
+    def test_a_place_new_to_all_is_tried_by_few_while_others_are_known(self):
+        fleet, sends = drives(), []
+        for drive in fleet:
+            [first] = of(drive.ask("first", tenant="t"), io.Send)
+            drive.end(first)
+            drive.router.functions["f"].crowd = 4.0  # the others' calls make it wide
+            drive.now += 5_000.0
+            sends += [(first.worker, send.worker) for send in of(drive.ask("next", tenant="t"), io.Send)]
+        moved = sum(first != then for first, then in sends)
+        self.assertEqual(SIZE, len(sends))
+        self.assertLessEqual(moved, SIZE // 4)
+        self.assertTrue(all(drive.router.functions["f"].width > 1 for drive in fleet))
+
+    def test_a_place_that_can_take_nothing_gives_way_to_the_next(self):
+        drive = drives(1)[0]
+        drive.sweep(2_500.0)
+        [first] = of(drive.ask("first", tenant="t"), io.Send)
+        drive.end(first)
+        drive.router.workers[first.worker].suspect_ms = drive.now
+        [then] = of(drive.ask("next", tenant="t"), io.Send)
+        self.assertNotEqual(first.worker, then.worker)
+
+
+class LostZone(unittest.TestCase):
+    def drive(self, **settings):
+        drive = Drive(
+            8, ("a", "b"), fleet_size=SIZE, quotas_rps={"t": 80.0}, loads_on_miss=True, zone="a", **settings
+        )
+        homes = set()
+        for n in range(60):
+            drive.now += 200.0
+            for send in of(drive.ask(f"r{n}", fn=f"f{n}", tenant="t"), io.Send):
+                homes.add(send.worker)
+                drive.end(send)
+        self.assertEqual(set(range(1, 9)), homes)
+        return drive
+
+    def test_some_silent_scorers_of_one_zone_have_all_that_are_there_asked(self):
+        drive = self.drive()
+        for worker in (1, 3):
+            drive.router._suspect(drive.router.workers[worker])
+        self.assertEqual([], [worker.id for worker in drive.router.ready if worker.sign_ms and worker.id > 3])
+        drive.router.actions.clear()
+        drive.router._suspect(drive.router.workers[5])
+        self.assertEqual([7], [hold.worker for hold in of(drive.router.actions, io.Hold)])
+        drive.sweep(drive.now + 200.0)
+        zone = {worker.id for worker in drive.router.ready if worker.suspect_ms is not None}
+        self.assertEqual({1, 3, 5, 7}, zone)
+
+    def test_one_that_answers_stays(self):
+        drive = self.drive()
+        for worker in (1, 3, 5):
+            drive.router._suspect(drive.router.workers[worker])
+        [question] = of(drive.router.actions, io.Hold)
+        drive.count(question.worker, 1, question.function)
+        drive.sweep(drive.now + 200.0)
+        self.assertIsNone(drive.router.workers[7].suspect_ms)
+
+
 class Width(unittest.TestCase):
     def test_a_few_calls_by_chance_do_not_make_a_function_wide(self):
         drive = drives(1)[0]
