--- a/fawnwharf/policy.py
+++ b/fawnwharf/policy.py
@@ -221,8 +221,6 @@
                 worker.started_ms = entry.up_since_ms
         self.ready = [worker for worker in self.workers.values() if worker.entry.state == State.READY]
         self.suspects = sum(worker.suspect_ms is not None for worker in self.ready)
-        members = {worker.id: self._units(worker) for worker in self.ready}
-        self.members = self.members if members == self.members else members
         self._refresh()
         self._dispatch_all()
 
@@ -616,8 +614,8 @@
         while worker.sent and worker.sent[0] <= self.now - self.settings.fall_ms:
             worker.sent.popleft()
         usual = self.sold / self.peers * self.wide * self._units(worker) / self.fleet  # as it is sold
-        rate = max(usual, self._rate() / max(1, len(self.ready)))
-        budget = COLD_SAFETY * self.settings.fall_multiple * share * self.settings.fall_ms * rate
+        rate = max(usual, COLD_SAFETY * self._rate() / max(1, len(self.ready)))
+        budget = self.settings.fall_multiple * share * self.settings.fall_ms * rate
         # Guards against a least send for each front end: a part below one falls to as many of them by chance.
         return len(worker.sent) + 1 <= budget + _mix(_mix(self.chance ^ worker.mark)) / 2**64
 
@@ -644,6 +642,8 @@
         self._renew()
         if self.now - self.forgot_ms >= FORGET_MS / 4:
             self._forget()
+        sizes = {worker.id: self._units(worker) for worker in self.ready}
+        self.members = self.members if sizes == self.members else sizes
         self.total = sum(self._size(worker) for worker in self.ready) or 1.0
         self.fleet = max(self.fleet, sum(self._units(worker) for worker in self.ready))
         peers, sold, most = self.peers, self.sold, 0.0
@@ -691,7 +691,7 @@
         if fn.order_members is not self.members:
 
             def score(worker: Worker) -> float:
-                return math.log((_mix(fn.mark ^ worker.mark) + 1) / (2**64 + 1)) / self._units(worker)
+                return math.log((_mix(fn.mark ^ worker.mark) + 1) / (2**64 + 1)) / self.members[worker.id]
 
             fn.order = sorted(self.ready, key=lambda worker: (-score(worker), worker.id))
             fn.order_members, fn.known = self.members, None
