Serve from known places first wherever they stand, and of two drawn places the near one

Change: a new place is tried only where no known copy can take the call, and by one call in sixteen; of two drawn places the one with less strain comes first, a crossing counting as half a run.

--- a/fawnwharf/policy.py
+++ b/fawnwharf/policy.py
@@ -14,11 +14,9 @@
 
 WINDOW_MS = 10_000.0  # samples of Te, Tp and Td older than this are forgotten (the design's window)
 SWEEP_MS, LEAD_MS = 40.0, 20.0  # pace of the timer; a final answer comes so long before the client leaves
-FUNCTIONS_MOST = 2_000  # kept in mind; far more than are called within a keep-alive
-FORGET_MS = 60_000.0  # a function not called, or a worker gone, for this long is forgotten
+FUNCTIONS_MOST, FORGET_MS = 2_000, 60_000.0  # kept in mind; forgotten if not called, or gone, for so long
 SAMPLES_MOST = 64  # samples kept for one median: more would not move it, and cost 100 bytes each
-REFRESH_MS = 1_000.0  # pace of what depends on the whole fleet; no rate is taken over less
-STALE_MS = 1_000.0  # a copy with no sign for this long may have given way
+REFRESH_MS, STALE_MS = 1_000.0, 1_000.0  # pace of sums over the fleet; a copy unseen so long may be gone
 RATE_MS = 5_000.0  # stretch over which arrivals are counted, and pause between questions for an empty place
 # A worker takes these multiples of its fair share of own requests, far and near, and never fewer than:
 BOUND_FACTOR, BOUND_NEAR, BOUND_FLOOR = 1.5, 2.4, 2.0  # crossing costs more than sharing the cores
@@ -41,12 +39,11 @@
 LOSSES, LOSS_KEPT = 2.0, 0.7  # so many lost rest a class at a worker; each answer takes part of them back
 REST_MS, REST_MOST_MS = 2_000.0, 8_000.0  # then one call tries it, and after each try it rests for longer
 HEDGE_SHARE, HEDGES_MOST = 0.1, 3.0  # second attempts a request, and saved up; what came first is given back
-STRAINED = 3.0  # runs this many times the usual: a load elsewhere would be no worse
+STRAINED, FAR_COST = 3.0, 0.5  # in usual runs: what a load elsewhere does not beat; crossing, as places go
 YIELD = 0.35  # part of a worker's limit open to requests beyond a share or past their time
 RENEW_LIVES, RENEW_HELD = 3.0, 8  # copies are renewed for so long, while fewer than one in so many is held
 LATE_RUNS, LATE_MOST = 2.0, 0.5  # late with fewer runs left, but not with more than this part of the promise
-TRY_LEAST = 0.2  # of its class's time: a try with less has what others left (impatient first ones have more)
-HELD_PART = 0.5  # of a request's time: one that is late by then and was never sent is given up
+TRY_LEAST, HELD_PART = 0.2, 0.5  # of its class's time: a try with less is a later one; late by then, given up
 TENANT_BURST_S = 1.0  # seconds of its share that a tenant may use at once
 
 
@@ -390,6 +387,9 @@
     def _strained(self, worker: Worker) -> float:
         return 1 + (worker.strain - 1) * math.exp((worker.strain_ms - self.now) / FADE_MS)
 
+    def _cost(self, worker: Worker) -> float:  # of a run there, in usual ones
+        return max(1.0, self._strained(worker)) + FAR_COST * self._is_far(worker)
+
     def _heard(self, worker: Worker, after_ms: float = 0.0) -> None:
         worker.owed_ms, worker.sign_ms = self.now + after_ms if worker.own else None, None
         if worker.suspect_ms is not None:
@@ -447,7 +447,6 @@
         quiet = [other for other in near if other.suspect_ms is None and other.sign_ms is None and other.last]
         # Guards the calls that would each find out that one more worker of a lost zone is gone.
         for other in quiet if len(near) - len(quiet) >= ZONE_SIGNS else ():
-            self.watched[other.id] = other
             self._ask_sign(other)
 
     def _usable(self, worker: Worker, fn: Function) -> bool:  # ready, and not suspect unless most are
@@ -605,6 +604,9 @@
         effect, everywhere = request.spec.effect, request.spec.group is io.Group.ALL
         return not request.first_run() or effect is Effect.SAFE or (effect is Effect.KEYED and everywhere)
 
+    def _fit(self, worker: Worker, fn: Function) -> bool:
+        return self._strained(worker) <= self.strain_most and self._able(worker, fn)
+
     def _able(self, worker: Worker, fn: Function) -> bool:
         return self._usable(worker, fn) and self._warm_enough(worker)
 
@@ -716,7 +718,7 @@
         if not self.wide:
             return self._known(fn)
         first = self._turned(fn, request)
-        seen = any(w.id in fn.instances and self._copies(fn.instances[w.id], w) for w in first)
+        seen = any(self._copies(fn.instances[w.id], w) and self._fit(w, fn) for w in self._known(fn))
         # Guards the store, and calls: a place that is new to all would be tried by all, and each wait there.
         tried = first if not seen or request.draw < TRIED else []
         for worker in tried if self.settings.loads_on_miss else first[:1]:
@@ -725,10 +727,10 @@
         return [worker for worker in dict.fromkeys(first + known) if worker.id in fn.instances]
 
     def _turned(self, fn: Function, request: Request) -> list[Worker]:  # as needed, from the drawn place on
-        fit = (w for w in self._ordered(fn) if self._strained(w) <= self.strain_most and self._able(w, fn))
+        fit = (worker for worker in self._ordered(fn) if self._fit(worker, fn))
         order = list(islice(fit, fn.width)) or fn.order[: fn.width]
         turns = [draw % len(order) for draw in (request.draw, request.draw >> 32) if order]
-        turn = min(turns, key=lambda turn: self.wide * max(1, self._strained(order[turn])), default=0)
+        turn = min(turns, key=lambda turn: self.wide * self._cost(order[turn]), default=0)
         return order[turn:] + order[:turn]
 
     def _measure(self, fn: Function) -> None:
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -70,6 +70,47 @@
         self.assertNotEqual(first.worker, then.worker)
 
 
+    def test_of_two_drawn_places_the_near_one_comes_first_unless_it_is_strained(self):
+        def far(strain):
+            crossed = 0
+            for seed in range(100):
+                drive = Drive(
+                    20, ("a", "b"), seed=seed, fleet_size=SIZE, quotas_rps=SOLD, loads_on_miss=True, zone="a"
+                )
+                drive.sweep(2_500.0)
+                drive.ask("wide", tenant="t")
+                drive.feed(io.ClientLeft("wide"))
+                drive.router.functions["f"].crowd = 9.0
+                for worker in drive.router.ready:
+                    worker.strain, worker.strain_ms = strain if worker.entry.zone == "a" else 1.0, drive.now
+                drive.router.functions["f"].instances.clear()
+                drive.router.functions["f"].known = None
+                [send] = of(drive.ask("r", tenant="t"), io.Send)
+                crossed += drive.router.workers[send.worker].entry.zone == "b"
+            return crossed
+
+        self.assertLess(far(1.0), 40)
+        self.assertGreater(far(2.5), 60)
+
+    def test_a_known_place_outside_the_first_ones_serves_before_a_new_one(self):
+        drive, homes, moved = drives(1)[0], {}, 0
+        drive.sweep(2_500.0)
+        for n in range(8):
+            [send] = of(drive.ask(f"first{n}", fn=f"f{n}", tenant="t"), io.Send)
+            homes[f"f{n}"] = send.worker
+            drive.end(send)
+        drive.feed(io.RosterChanged([io.WorkerEntry(n) for n in range(WORKERS + 1, 2 * WORKERS)], False))
+        order = {name: drive.router._ordered(drive.router.functions[name])[0].id for name in homes}
+        displaced = [name for name in homes if order[name] != homes[name]]
+        self.assertGreaterEqual(len(displaced), 2)
+        for n, name in enumerate(displaced * 4):
+            [send] = of(drive.ask(f"r{n}", fn=name, tenant="t"), io.Send)
+            moved += send.worker != homes[name]
+            drive.end(send)
+            drive.now += 50.0
+        self.assertLessEqual(moved, len(displaced))
+
+
 class LostZone(unittest.TestCase):
     def drive(self, **settings):
         drive = Drive(
