Go by receive stamps only while they fit the clock that the program reads

Need: a front end whose clock is led has its deadlines spoilt where the system stamps reads by another clock: any stamp up to 60 s old was taken (connection._age), and each call lost as much of its time.

Change: bytes of a connection that was looked at in the turn before came in since that turn began. Stamps that say otherwise, or lie ahead, count as misfits; with more than three, and more than an eighth of what fits, calls count from their read. Paused reads and long bodies give old stamps that fit, hence the second and the share.

--- a/fawnwharf/net/connection.py
+++ b/fawnwharf/net/connection.py
@@ -17,7 +17,6 @@
 SO_TIMESTAMPNS = 35  # Linux: each read tells when its bytes came in
 STAMP = struct.Struct("@qq")
 NOTES_MOST = socket.CMSG_SPACE(STAMP.size)
-AGE_MOST_MS = 60_000.0
 PIECES_MOST = 64  # in one write
 LINGER_MS = 1_000.0  # for a peer that is being finished with: it may still read, and end by itself
 
@@ -70,7 +69,7 @@
         self.loop, self.owner, self.up, self.closed = loop, owner, up, False
         self.heard_ms = self.used_ms = monotonic_ms()
         self.waiting_bytes = 0
-        self.age_ms = 0.0  # of the bytes read last
+        self.age_ms, self._has_read = 0.0, False  # of the bytes read last; whether any were
         self._sock, self._reading, self._blocked = sock, True, False
         self._outbox: deque[Piece] = deque()
         self._dial: Timer | None = None
@@ -225,7 +224,7 @@
         if self._finishing:
             return
         self.heard_ms = self.used_ms = monotonic_ms()
-        self.age_ms = self._age(notes)
+        self.age_ms, self._has_read = self._age(notes), True
         try:
             self.owner.on_data(data)
         except Exception:  # whatever a peer managed to send, it costs no more than its own connection
@@ -239,7 +238,8 @@
             if (level, kind, len(note)) == (socket.SOL_SOCKET, SO_TIMESTAMPNS, STAMP.size):
                 seconds, nanoseconds = STAMP.unpack(note)
                 age = self.loop.turn_unix_ms - seconds * 1e3 - nanoseconds / 1e6
-                return age if 0 < age < AGE_MOST_MS else 0.0  # else the clock was set in between
+                gap = self.loop.turn_ms - self.loop.before_ms
+                return self.loop.stamps.age_ms(age, gap, looked_at=self._has_read)
         return 0.0
 
     def _part(self) -> None:
--- a/fawnwharf/net/loop.py
+++ b/fawnwharf/net/loop.py
@@ -12,6 +12,10 @@
 
 SLOW_TURN_MS = 80.0  # a process that was held up for longer endangers answers that are due
 
+AGE_MOST_MS = 60_000.0
+# Reads that are paused, and more bytes than a turn takes, make some stamps old though they fit.
+STAMP_SLACK_MS, MISFITS_MOST = 1_000.0, 3
+
 READ, WRITE = selectors.EVENT_READ, selectors.EVENT_WRITE
 
 
@@ -19,6 +23,24 @@
     def flush(self) -> None: ...
 
 
+class StampTrust:
+    """Whether the system's receive stamps fit the clock that the program reads.
+
+    Bytes of a connection that was looked at in the turn before came in since then. Guards deadlines where the
+    stamps are another clock's: each call would seem to have waited for as long as the two differ."""
+
+    def __init__(self) -> None:
+        self._fits, self._misfits = 0, 0
+
+    def age_ms(self, age_ms: float, gap_ms: float, looked_at: bool) -> float:
+        """The age to go by, of bytes of a connection that may have been looked at one turn ago."""
+        if looked_at:
+            fits = -STAMP_SLACK_MS <= age_ms <= gap_ms + STAMP_SLACK_MS
+            self._fits, self._misfits = self._fits + fits, self._misfits + (not fits)
+        trusted = self._misfits <= MISFITS_MOST + self._fits // 8
+        return age_ms if trusted and 0 < age_ms < AGE_MOST_MS else 0.0
+
+
 class Loop:
     """Owns the selector, the wheel and the events gathered for the next batch."""
 
@@ -28,6 +50,8 @@
         self.wheel, self.clock = Wheel(), Clock()
         self.running = True
         self.turn_ms, self.turn_unix_ms = monotonic_ms(), unix_ms()  # when the turn began, on both clocks
+        self.before_ms = self.turn_ms  # when the turn before began
+        self.stamps = StampTrust()
         self._decide, self._log = decide, log
         self._selector = selectors.DefaultSelector()
         self.wheel.on_fault = self.fault
@@ -57,7 +81,7 @@
 
     def turn(self, most_s: float | None = None) -> None:
         ready = self._selector.select(self._sleep_s(most_s))
-        self.turn_ms, self.turn_unix_ms = monotonic_ms(), unix_ms()
+        self.before_ms, self.turn_ms, self.turn_unix_ms = self.turn_ms, monotonic_ms(), unix_ms()
         self._serve(ready, self.clock.now_ms())
         if (took := monotonic_ms() - self.turn_ms) > SLOW_TURN_MS:
             self._log(f"a slow turn: {took:.0f} ms for {len(ready)} sockets")
