Hold a cold scorer's budget to what is sold or answered, not to swollen arrivals

Ruled out: orders to load (0 to 4 a window), few functions (26 to 40), second tries. At fault: policy._warm_enough took the larger of what is sold and of own arrivals by ready scorers. Clients that all come again swell the arrivals at each front end, while the roster is short.

Change: where calls are few at each front end, the larger of what is sold and 0.6 of what it has answered by warm copies; answers can't add up to more than the fleet does. Few front ends go by arrivals as before.

--- a/fawnwharf/policy.py
+++ b/fawnwharf/policy.py
@@ -335,12 +335,11 @@
     def _load_answered(self, fn: Function, instance: Instance, event: io.OrderAnswered) -> None:
         took, told = self.now - instance.order_ms, fn.load_told_ms or self._tp(fn)
         instance.order_ms, self.loading = None, self.loading - 1
-        if event.ending is Ending.GOOD:
-            fn.loads.timed.append((self.now, took))
-        else:
-            instance.blocked_ms = self.now + BLOCK_MS
+        good = event.ending is Ending.GOOD
+        fn.loads.timed.extend([(self.now, took)] * good)
+        instance.blocked_ms = instance.blocked_ms if good else self.now + BLOCK_MS
         # Guards the store: slow or failed loads lower the number under way. Harm: so does a slow worker.
-        timely = event.ending is Ending.GOOD and took < LOAD_SLOW * told
+        timely = good and took < LOAD_SLOW * told
         if event.ending in (Ending.GOOD, Ending.ERROR):
             limit = self.loads_limit + (1 / self.loads_limit if timely else -0.2 * self.loads_limit)
             self.loads_limit = min(LOADS_MOST, max(LOADS_LEAST, limit))
@@ -364,10 +363,9 @@
 
     def _hopeless(self, request: Request) -> bool:
         """Never sent, and hardly to be on time: given up. Harm: a late answer that it might have had."""
-        if request.attempts or not self._late(request):
-            return False
         half = request.arrived_ms + HELD_PART * (request.deadline_ms - request.arrived_ms)
-        return request.over_share or self.now + SWEEP_MS + LEAD_MS >= half
+        past = request.over_share or self.now + SWEEP_MS + LEAD_MS >= half
+        return past and not request.attempts and self._late(request)
 
     def _copies(self, instance: Instance, worker: Worker) -> int:  # none after a restart or a keep-alive
         lapsed = instance.own == 0 and self.now - instance.seen_ms > self.settings.idle_life_ms
@@ -515,8 +513,7 @@
         self.flying.append(attempt)
         request.attempts.append(attempt)
         fn.queue.remove(request)
-        if self.now > request.held_ms:
-            fn.waits.timed.append((self.now, self.now - request.held_ms))
+        fn.waits.timed.extend([(self.now, self.now - request.held_ms)] * (self.now > request.held_ms))
         instance.own, worker.own, instance.seen_ms = instance.own + 1, worker.own + 1, self.now
         if worker.started_ms is not None:
             worker.sent.append(self.now)
@@ -547,9 +544,9 @@
     def _lose(self, worker: Worker, fn: Function) -> bool:
         lapse = worker.lapses.setdefault(fn.kind, Lapse())
         lapse.losses += 1
-        if lapse.losses >= LOSSES:
-            lapse.rests_ms = max(lapse.rests_ms, self.now + lapse.rest_ms)
-        return lapse.losses >= LOSSES
+        rests = lapse.losses >= LOSSES
+        lapse.rests_ms = max(lapse.rests_ms, self.now + lapse.rest_ms * rests)
+        return rests
 
     def _found(self, worker: Worker, attempt: Attempt) -> None:
         if lapse := worker.lapses.get(attempt.function.kind):
@@ -615,8 +612,11 @@
             return True
         while worker.sent and worker.sent[0] <= self.now - self.settings.fall_ms:
             worker.sent.popleft()
-        usual = self.sold / self.peers * self.wide * self._units(worker) / self.fleet  # as it is sold
-        rate = max(usual, COLD_SAFETY * self._rate() / max(1, len(self.ready)))
+        rate = COLD_SAFETY * self._rate() / max(1, len(self.ready))
+        if self.wide and self.sold:  # as sold, or as answered: arrivals swell where all clients come again
+            answered = len(self.runs.timed) / max(REFRESH_MS, self.now - next(iter(self.runs.timed), (0,))[0])
+            rate = max(self.sold / self.peers / self.fleet, COLD_SAFETY * answered / self.total)
+            rate *= self._units(worker)
         budget = self.settings.fall_multiple * share * self.settings.fall_ms * rate
         # Guards against a least send for each front end: a part below one falls to as many of them by chance.
         return len(worker.sent) + 1 <= budget + _mix(_mix(self.chance ^ worker.mark)) / 2**64
@@ -660,8 +660,8 @@
         # Long runs are no silence: where each worker gets few calls, all that are slow would be asked.
         self.silent_ms = LOST_RUNS * (self.runs.median(self.now) or 200.0) if self.wide else SILENT_MS
         # In all, what the fleet gets through in a part of the promise: beyond that all would come late.
-        through = sold * self.promise_ms * LATE_MOST / peers
-        self.limit = self._room(through) if self.wide and sold > 0 else math.inf
+        through = sold * self.promise_ms * LATE_MOST / peers or math.inf
+        self.limit = self._room(through) if self.wide else math.inf
 
     def _room(self, mean: float) -> float:  # for chance
         return mean + ROOM_SPREAD * math.sqrt(mean)
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -213,6 +213,32 @@
         self.assertLessEqual(max(sent.values()), 2.0 * 0.28 * sold + 3)
         self.assertGreater(sum(sent.values()), 5)  # of the 20 or so that four functions at home there allow
 
+    def allowed(self, calls, ending):
+        """What all front ends together may send a worker at its start, after so many calls each in 5 s."""
+        rules = {"cold_ms": 10_000.0, "cold_share": 0.2, "fall_ms": 1_000.0, "fall_multiple": 2.0}
+        count = 0
+        for drive in drives(**rules):
+            for n in range(calls):
+                drive.now += 5_000.0 / calls
+                for send in of(drive.ask(f"r{n}", fn=f"f{n}", tenant="t"), io.Send):
+                    drive.end(send, ending)
+                drive.feed(io.ClientLeft(f"r{n}"))
+            drive.feed(io.RosterChanged([io.WorkerEntry(1, up_since_ms=drive.now)], False))
+            cold = drive.router.workers[1]
+            while drive.router._warm_enough(cold):
+                cold.sent.append(drive.now)
+            count += len(cold.sent)
+        return count
+
+    def test_clients_that_all_come_again_bring_a_cold_worker_no_more_than_is_sold(self):
+        part = 2.0 * 0.2 * sum(SOLD.values()) / WORKERS
+        storm = self.allowed(200, Ending.CANCELLED)  # four times what is sold, and nothing is answered
+        self.assertLessEqual(storm, part + 3)
+        self.assertGreaterEqual(storm, part - 3)
+
+    def test_front_ends_that_have_more_answered_may_send_a_cold_worker_more(self):
+        self.assertGreater(self.allowed(200, Ending.GOOD), self.allowed(50, Ending.GOOD) + 3)
+
 
 class Handshakes(unittest.TestCase):
     def spreads(self, price):
