A call withdrawn in the turn in which it came is unknown to the module; fair turns

A probe of each call and order showed that the module kept its own count: bad clients send 200 pairs of a request and its withdrawal in one write, all reached the module (Router.taken counted 268 where the rule counted 74), and each bought three tenths of an order. The turn that read them took 216 ms.

Lines: RequestTable.take and withdraw told the module of both halves; Connection._read took 64 KiB of any client.

Change: Loop.tell gives a ticket, and what ends before its batch is handed over is taken out again, without a search. A client is read 16 KiB a turn, the rest stays in the system's buffer; 64 events end the gathering of a turn, and who is left behind comes first in the next one; changes of the list that come together are told as one.

--- a/fawnwharf/net/clients.py
+++ b/fawnwharf/net/clients.py
@@ -17,6 +17,7 @@
 from fawnwharf.net.requests import Call, Failed, Outcome, Refused, RequestTable, Served
 from fawnwharf.net.wheel import monotonic_ms
 
+READ_MOST = 16 * 1024  # bytes of one client in a turn: the smallest messages in it take some 10 ms
 OPEN_MOST = 32  # requests open on one connection
 BACKLOG = 1024
 ACCEPTS_MOST = 64  # in a turn, and never more than half of all, so that a first request can be read
@@ -89,7 +90,7 @@
     def __init__(self, port: "ClientPort", sock: socket.socket) -> None:
         self.port = port
         self.open: dict[int, str] = {}
-        self.connection = Connection.accepted(port.loop, sock, self)
+        self.connection = Connection.accepted(port.loop, sock, self, READ_MOST)
         self._reader = thrift.FrameReader()
         self.spoke = False  # a whole message has come
         self._since_ms = monotonic_ms()  # it connected, or the message that is not whole yet began
--- a/fawnwharf/net/connection.py
+++ b/fawnwharf/net/connection.py
@@ -13,7 +13,8 @@
 from fawnwharf.net.loop import READ, WRITE, Loop
 from fawnwharf.net.wheel import Timer, monotonic_ms
 
-READ_MOST = 64 * 1024  # bytes taken from one connection in a turn, so that none starves the others
+READ_MOST = 64 * 1024  # bytes taken from one connection in a turn, so that none starves the others; the rest
+# stays in the system's buffer, which slows its sender, and is read in the turns to come
 SO_TIMESTAMPNS = 35  # Linux: each read tells when its bytes came in
 STAMP = struct.Struct("@qq")
 NOTES_MOST = socket.CMSG_SPACE(STAMP.size)
@@ -65,8 +66,11 @@
 
 
 class Connection:
-    def __init__(self, loop: Loop, sock: socket.socket, owner: Owner, up: bool = True) -> None:
+    def __init__(
+        self, loop: Loop, sock: socket.socket, owner: Owner, up: bool = True, read_most: int = READ_MOST
+    ) -> None:
         self.loop, self.owner, self.up, self.closed = loop, owner, up, False
+        self._read_most = read_most
         self.heard_ms = self.used_ms = monotonic_ms()
         self.waiting_bytes = 0
         self.age_ms, self._has_read = 0.0, False  # of the bytes read last; whether any were
@@ -78,10 +82,12 @@
         loop.watch(sock, self._mask, self._ready)
 
     @classmethod
-    def accepted(cls, loop: Loop, sock: socket.socket, owner: Owner) -> "Connection":
+    def accepted(
+        cls, loop: Loop, sock: socket.socket, owner: Owner, read_most: int = READ_MOST
+    ) -> "Connection":
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        return cls(loop, sock, owner)
+        return cls(loop, sock, owner, read_most=read_most)
 
     @classmethod
     def dial(cls, loop: Loop, address: Address, owner: Owner, within_ms: float) -> "Connection | End":
@@ -212,7 +218,7 @@
 
     def _read(self) -> None:
         try:
-            data, notes, _, _ = self._sock.recvmsg(READ_MOST, NOTES_MOST)
+            data, notes, _, _ = self._sock.recvmsg(self._read_most, NOTES_MOST)
         except BlockingIOError:
             return
         except OSError as error:
--- a/fawnwharf/net/front_end.py
+++ b/fawnwharf/net/front_end.py
@@ -48,6 +48,7 @@
         links_most = max(4, int(sockets * SCORER_SHARE))
         self.pool = ScorerPool(self.loop, wire, links_most, deployment.seed, self.log)
         self.table = RequestTable(self.loop, self.pool, wire)
+        self._news: io.RosterChanged | None = None  # that the next batch brings
         self.changelog = ChangeLog(self.loop, deployment.changelog, 0, self._on_fleet, self.log)
         self._known()
         clients_most = max(4, int(sockets * CLIENT_SHARE))
@@ -143,7 +144,12 @@
             self.pool.update(entry.worker, address, entry.state, entry.up_since_ms or 0.0)
         if fleet.complete:
             self.pool.gone_but({entry.worker for entry, _ in entries})
-        self.loop.tell(io.RosterChanged([entry for entry, _ in entries], fleet.complete))
+        told = io.RosterChanged([entry for entry, _ in entries], fleet.complete)
+        if self._news is not None and not told.complete:
+            self._news.entries += told.entries  # the same in sum, and the module goes over its fleet once
+        else:
+            self._news = told
+            self.loop.tell(told)
 
     def _entry(self, member: Member) -> tuple[io.WorkerEntry, Address | None]:
         address = address_from(member.host_port, "host_port") if member.host_port else None
@@ -160,6 +166,7 @@
     # --- decisions ------------------------------------------------------------------------------
 
     def _decide(self, now_ms: float, events: list[io.Event]) -> None:
+        self._news = None
         self.table.begin_batch()
         try:
             actions: list[Any] = self.router.handle(now_ms, events)
--- a/fawnwharf/net/loop.py
+++ b/fawnwharf/net/loop.py
@@ -1,5 +1,6 @@
 """The one loop: gather all that is ready, hand it to the module in one go, carry out, flush."""
 
+import itertools
 import selectors
 import signal
 import socket
@@ -12,6 +13,10 @@
 
 SLOW_TURN_MS = 80.0  # a process that was held up for longer endangers answers that are due
 
+# So many events end the gathering of a turn: what else is ready waits in the system's buffers for the next
+# one, and comes first there. Guards timers and final answers against a crowd that all asks at once.
+EVENTS_MOST = 64
+
 AGE_MOST_MS = 60_000.0
 # Reads that are paused, and more bytes than a turn takes, make some stamps old though they fit.
 STAMP_SLACK_MS, MISFITS_MOST = 1_000.0, 3
@@ -44,9 +49,7 @@
 class Loop:
     """Owns the selector, the wheel and the events gathered for the next batch."""
 
-    def __init__(
-        self, decide: Callable[[float, list[io.Event]], None], log: Callable[[str], None]
-    ) -> None:
+    def __init__(self, decide: Callable[[float, list[io.Event]], None], log: Callable[[str], None]) -> None:
         self.wheel, self.clock = Wheel(), Clock()
         self.running = True
         self.turn_ms, self.turn_unix_ms = monotonic_ms(), unix_ms()  # when the turn began, on both clocks
@@ -55,7 +58,9 @@
         self._decide, self._log = decide, log
         self._selector = selectors.DefaultSelector()
         self.wheel.on_fault = self.fault
-        self._inbox: list[io.Event] = []
+        self._inbox: dict[int, io.Event] = {}  # by ticket, in order
+        self._tickets = itertools.count()
+        self._behind: set[int] = set()  # descriptors that the last turn left ready
         self._dirty: dict[Flushable, None] = {}
         self._wake: tuple[socket.socket, socket.socket] | None = None
 
@@ -70,9 +75,17 @@
     def forget(self, sock: socket.socket) -> None:
         self._selector.unregister(sock)
 
-    def tell(self, event: io.Event) -> None:
-        """An event for the next batch. One that carrying out a batch brings waits for the one after."""
-        self._inbox.append(event)
+    def tell(self, event: io.Event) -> int:
+        """An event for the next batch. One that carrying out a batch brings waits for the one after.
+
+        The ticket that comes back takes it out again, until the batch is handed over."""
+        ticket = next(self._tickets)
+        self._inbox[ticket] = event
+        return ticket
+
+    def untell(self, ticket: int) -> None:
+        """The module is never to hear of this event, which is still to be handed over."""
+        del self._inbox[ticket]
 
     def flush_later(self, part: Flushable) -> None:
         self._dirty[part] = None
@@ -88,18 +101,26 @@
 
     def _serve(self, ready: list[tuple[selectors.SelectorKey, int]], now_ms: float) -> None:
         # All of a turn happens at the moment at which it began, however long the process is held up in it.
-        for key, mask in ready:
-            # One that an earlier part of this turn closed is no longer registered under its key.
-            if self._selector.get_map().get(key.fd) is key:
-                self.guarded(key.data, mask)
+        self._gather(ready)
         self.wheel.advance(self.turn_ms)
         if self._inbox:
-            events, self._inbox = self._inbox, []
-            self._decide(now_ms, events)
+            events, self._inbox = self._inbox, {}
+            self._decide(now_ms, list(events.values()))
         dirty, self._dirty = self._dirty, {}
         for part in dirty:
             self.guarded(part.flush)
 
+    def _gather(self, ready: list[tuple[selectors.SelectorKey, int]]) -> None:
+        ready = sorted(ready, key=lambda item: item[0].fd not in self._behind)
+        self._behind = set()
+        for place, (key, mask) in enumerate(ready):
+            if len(self._inbox) >= EVENTS_MOST:
+                self._behind = {key.fd for key, _ in ready[place:]}
+                return
+            # One that an earlier part of this turn closed is no longer registered under its key.
+            if self._selector.get_map().get(key.fd) is key:
+                self.guarded(key.data, mask)
+
     def guarded(self, call: Callable[..., None], *arguments: object) -> None:
         """Guards the loop: a fault in one part must not take down what is open in all the others."""
         try:
--- a/fawnwharf/net/requests.py
+++ b/fawnwharf/net/requests.py
@@ -74,6 +74,8 @@
         self._numbers = itertools.count(1)
         # Attempts that are out, also of requests that are over: the module may still call them off.
         self._out: dict[tuple[str, int], Attempt] = {}
+        # Tickets of arrivals that the module is yet to be handed: what ends before then it never hears of.
+        self._untold: dict[str, int] = {}
         # Requests that ended while the module did not know it yet, of this batch and of the one before.
         self._ended: dict[str, OpenRequest] = {}
         self._ended_before: dict[str, OpenRequest] = {}
@@ -89,7 +91,7 @@
         self._bodies += len(call.body)
         backstop = self._loop.wheel.after(call.budget_ms, lambda: self._overdue(key))
         self.open[key] = OpenRequest(key, call, self._loop.turn_ms + call.budget_ms, backstop)
-        self._loop.tell(
+        self._untold[key] = self._loop.tell(
             io.RequestArrived(
                 key, call.function, call.class_name, call.tenant, call.budget_ms, call.lanes,
                 call.memory_mb, call.load_ms,
@@ -98,31 +100,43 @@
         return key
 
     def withdraw(self, key: str) -> None:
-        """The client waits no more: no answer is owed."""
-        if self._close(key):
-            self._loop.tell(io.ClientLeft(key))
+        """The client waits no more: no answer is owed.
+
+        Where it left in the very turn in which it asked, the module hears of neither. Guards the ration of
+        loads, which rests on requests that were taken, against clients that ask and withdraw in one go."""
+        self._leave(key)
 
     def _overdue(self, key: str) -> None:
         """Guards the one final answer against any fault in the decisions; they end a request earlier."""
-        self._finish(key, Failed())
-        self._loop.tell(io.ClientLeft(key))
+        if request := self._leave(key):
+            request.call.reply(Failed())
+
+    def _leave(self, key: str) -> OpenRequest | None:
+        if request := self._close(key):
+            if (ticket := self._untold.pop(key, None)) is not None:
+                self._loop.untell(ticket)
+            else:
+                self._ended[key] = request
+                self._loop.tell(io.ClientLeft(key))
+        return request
 
     def _close(self, key: str) -> OpenRequest | None:
         request = self.open.pop(key, None)
         if request:
             request.backstop.cancel()
             self._bodies -= len(request.call.body)
-            self._ended[key] = request
         return request
 
     def _finish(self, key: str, outcome: Outcome) -> None:
         if request := self._close(key):
+            self._ended[key] = request
             request.call.reply(outcome)
 
     # --- from the module ----------------------------------------------------------------------
 
     def begin_batch(self) -> None:
         self._ended_before, self._ended = self._ended, {}
+        self._untold.clear()
 
     def send(self, action: io.Send) -> None:
         key, worker = action.request, action.worker
