Voters that decide in common: a Raft core, its disk, a model checker and walks

Need: failover between zones is to be decided by the front ends together. The pure core comes first: terms, votes, leases and a short log of decisions (Raft with pre-votes, check of the quorum and changes of one voter at a time), with nothing of I/O, clock or chance in it. The disk keeps whole records with checksums, cuts a torn tail, refuses damage in the middle and another member's, fleet's or version's folder, and is synced before anything that rests on it is said.

Proven by: a breadth-first search over orders, losses, repeats, kills between any two actions and changes of voters, and random walks in virtual time with clocks up to a tenth apart, cuts one way and both, halts and kills. Both find the bugs planted for them: voting twice, saying before saving, a minority's decision, a lease without its check, votes for any log. Nothing of this is imported by what serves.

--- /dev/null
+++ b/fawnwharf/accord/messages.py
@@ -0,0 +1,154 @@
+"""What voters keep and say. Pure values: msgspec makes lines of JSON of them, and checks what comes in.
+
+Indexes count decisions from 1, terms count reigns from 1, times are milliseconds of the sender's own clock
+and come back to it unread.
+"""
+
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta, Struct
+
+Number = Annotated[int, Meta(ge=0, lt=2**53)]
+Identity = Annotated[str, Meta(min_length=1, max_length=96)]  # of a voter: its name and its disk's mark
+VOTERS_MOST = 9  # in a list of voters, also while one is being exchanged
+DATA_MOST = 64 * 1024  # characters of one decision
+ENTRIES_MOST = 64  # in one message, and kept before they are folded into the base
+
+
+class Entry(Struct, frozen=True):
+    """One decision of the log: a plan, a list of voters, or nothing (each reign begins with one of these)."""
+
+    term: Number
+    kind: Annotated[str, Meta(pattern="^(none|plan|voters)$")]
+    plan: Annotated[str, Meta(max_length=DATA_MOST)] = ""
+    voters: Annotated[tuple[Identity, ...], Meta(max_length=VOTERS_MOST)] = ()
+
+
+Entries = Annotated[tuple[Entry, ...], Meta(max_length=ENTRIES_MOST)]
+
+
+class Base(Struct, frozen=True):
+    """All decisions up to an index, folded: the last plan and the last voters say all that the others did."""
+
+    index: Number = 0
+    term: Number = 0
+    plan: Annotated[str, Meta(max_length=DATA_MOST)] = ""
+    plan_index: Number = 0  # of that plan's own decision
+    voters: Annotated[tuple[Identity, ...], Meta(max_length=VOTERS_MOST)] = ()
+
+
+class Saved(Struct, frozen=True):
+    """What a voter has to find again after a kill: it is on disk before anything that rests on it is said."""
+
+    term: Number = 0
+    voted: Annotated[str, Meta(max_length=96)] = ""  # for whom, in that term
+    base: Base = Base()
+    entries: Annotated[tuple[Entry, ...], Meta(max_length=2 * ENTRIES_MOST)] = ()
+
+    @property
+    def last_index(self) -> int:
+        return self.base.index + len(self.entries)
+
+    def term_at(self, index: int) -> int | None:
+        """The term of the decision at an index; None where it is folded away or not there."""
+        if index == self.base.index:
+            return self.base.term
+        place = index - self.base.index - 1
+        return self.entries[place].term if 0 <= place < len(self.entries) else None
+
+    @property
+    def last_term(self) -> int:
+        return self.entries[-1].term if self.entries else self.base.term
+
+    @property
+    def voters(self) -> tuple[str, ...]:
+        """The list in force: the last in the log, decided or not."""
+        lists = (entry.voters for entry in reversed(self.entries) if entry.kind == "voters")
+        return next(lists, self.base.voters)
+
+
+# --- what is said ---------------------------------------------------------------------------
+
+
+class _Said(Struct, frozen=True, tag=True):
+    sender: Identity
+    to: Identity
+    term: Number
+
+
+class PreVote(_Said, frozen=True):
+    """Would I be voted for in this term? Nobody's state changes by the question or the answer."""
+
+    last_index: Number
+    last_term: Number
+
+
+class PreVoted(_Said, frozen=True):
+    granted: bool
+
+
+class Vote(_Said, frozen=True):
+    last_index: Number
+    last_term: Number
+
+
+class Voted(_Said, frozen=True):
+    granted: bool
+
+
+class Append(_Said, frozen=True):
+    """The leader's decisions after one that both should have; without any it is a sign of life."""
+
+    before_index: Number
+    before_term: Number
+    entries: Entries
+    commit: Number
+    sent_ms: float
+
+
+class Install(_Said, frozen=True):
+    """The leader's base, for one that lacks what is folded into it."""
+
+    base: Base
+    sent_ms: float
+
+
+class Appended(_Said, frozen=True):
+    good: bool
+    match: Number  # both agree up to here; where not good, a guess at the last that the follower has
+    sent_ms: float  # as in what is answered
+
+
+Message = PreVote | PreVoted | Vote | Voted | Append | Install | Appended
+
+
+def message_from(data: object) -> Message:
+    """A message of a decoded line; raises msgspec.ValidationError for anything else."""
+    return msgspec.convert(data, Message, strict=True)
+
+
+# --- what a voter has done by its owner -------------------------------------------------------
+
+
+class Save(Struct, frozen=True):
+    """On disk, synced, before any later action of the same list is carried out."""
+
+    saved: Saved
+
+
+class Say(Struct, frozen=True):
+    message: Message
+
+
+class Decided(Struct, frozen=True):
+    """A decision stands for good: no other one will ever have its number."""
+
+    index: int
+    term: int
+    kind: str
+    plan: str
+    voters: tuple[str, ...]
+
+
+Action = Save | Say | Decided
--- /dev/null
+++ b/tests/test_accord.py
@@ -0,0 +1,454 @@
+"""Voters: scripted cases, then searches that must find bugs planted on purpose, then their disks."""
+
+import math
+import os
+
+import msgspec
+import pytest
+
+from fawnwharf.accord import disk as disks
+from fawnwharf.accord import messages as m
+from fawnwharf.accord.disk import Disk, DiskError
+from fawnwharf.accord.voter import SNAPSHOT_AFTER, Role, Timing, Voter, founding
+from fawnwharf.lab.explore import Bounds, Explorer, replace_voters
+from fawnwharf.lab.walk import STORM, Walk
+
+TIMING = Timing(beat_ms=100.0, election_ms=500.0, skew=0.1)
+
+
+class Fleet:
+    """Voters whose messages arrive in order and at once, but where a link is cut."""
+
+    def __init__(self, *names, members=None, kind=Voter):
+        self.now, self.kind, self.cut = 0.0, kind, set()
+        members = members or names
+        made = replace_voters(founding(members[0]), members)
+        self.disks = {name: made if name in members else m.Saved() for name in names}
+        self.voters = {name: self.born(name) for name in names}
+        self.decided, self.held = {name: [] for name in names}, []
+
+    def born(self, name):
+        return self.kind(name, self.disks[name], TIMING, self.now, sum(name.encode()))
+
+    def __getitem__(self, name):
+        return self.voters[name]
+
+    def restart(self, name):
+        self.voters[name] = self.born(name)
+
+    def do(self, name, actions):
+        for action in actions:
+            if isinstance(action, m.Save):
+                self.disks[name] = action.saved
+            elif isinstance(action, m.Say):
+                self.held.append(action.message)
+            else:
+                self.decided[name].append((action.index, action.kind, action.plan or action.voters))
+
+    def settle(self):
+        while self.held:
+            message = self.held.pop(0)
+            if not {message.sender, message.to} & self.cut and message.to in self.voters:
+                self.do(message.to, self[message.to].receive(self.now, message))
+
+    def elect(self, name):
+        """The one that runs out of patience first, with all others free to vote."""
+        self.now += 2_000.0
+        self[name].due_ms = self.now
+        self.do(name, self[name].tick(self.now))
+        self.settle()
+        return self[name]
+
+    def propose(self, name, plan):
+        index, actions = self[name].propose(self.now, plan)
+        self.do(name, actions)
+        self.settle()
+        return index
+
+    def beat(self, name):
+        self.now += TIMING.beat_ms
+        self.do(name, self[name].tick(self.now))
+        self.settle()
+
+
+def test_a_plan_is_decided_once_a_majority_holds_it_and_all_hear_of_it():
+    fleet = Fleet("a", "b", "c")
+    assert fleet.elect("a").is_leader
+    index = fleet.propose("a", "one")
+    fleet.beat("a")
+    assert [fleet[name].plan for name in "abc"] == [(index, "one")] * 3
+    assert all((index, "plan", "one") in fleet.decided[name] for name in "abc")
+    assert fleet["a"].fresh(fleet.now) and not fleet["b"].fresh(fleet.now)
+
+
+def test_a_minority_decides_nothing_and_knows_within_a_lease_that_its_plan_may_be_old():
+    fleet = Fleet("a", "b", "c", "d", "e")
+    fleet.elect("a")
+    fleet.propose("a", "one")
+    fleet.cut = {"c", "d", "e"}
+    fleet.propose("a", "two")
+    assert fleet["a"].plan[1] == "one"
+    heard = fleet.now
+    assert fleet["a"].fresh(heard + TIMING.lease_ms - 1)
+    assert not fleet["a"].fresh(heard + TIMING.lease_ms + 1)
+    fleet.now = heard + 2 * TIMING.election_ms
+    fleet["a"].tick(fleet.now)
+    assert fleet["a"].role is Role.FOLLOWER
+
+
+def test_what_a_cut_off_leader_left_open_gives_way_to_what_the_majority_decided():
+    fleet = Fleet("a", "b", "c")
+    fleet.elect("a")
+    fleet.cut = {"a"}
+    fleet.propose("a", "lost")
+    fleet.elect("b")
+    index = fleet.propose("b", "kept")
+    fleet.cut = set()
+    fleet.beat("b")
+    fleet.beat("b")
+    assert [fleet[name].plan for name in "abc"] == [(index, "kept")] * 3
+    assert not any("lost" in str(entry) for entry in fleet.disks["a"].entries)
+
+
+def test_an_entry_of_an_earlier_term_is_not_decided_by_counting_its_holders():
+    """Figure 8 of the paper: held by a majority, and still to be overwritten by one with a later entry."""
+    base = m.Base(1, 1, voters=("a", "b", "c"))
+    old, own = m.Entry(2, "plan", plan="old"), m.Entry(4, "none")
+    leader = Voter("a", m.Saved(4, "a", base, (old, own)), TIMING, 0.0, 1)
+    leader.role = Role.LEADER
+    assert leader.receive(0.0, m.Appended("c", "a", 4, True, 2, 0.0)) == [
+        m.Say(m.Append("a", "c", 4, 2, 2, (own,), 1, 0.0))
+    ]
+    decided = leader.receive(0.0, m.Appended("c", "a", 4, True, 3, 0.0))
+    assert [action.index for action in decided if isinstance(action, m.Decided)] == [2, 3]
+
+
+def test_a_voter_that_hears_a_leader_votes_for_nobody_else_and_keeps_its_term():
+    fleet = Fleet("a", "b", "c")
+    fleet.elect("a")
+    term = fleet["b"].saved.term
+    stray = m.Vote("c", "b", term + 7, 99, term + 6)
+    assert fleet["b"].receive(fleet.now + 1, stray) == []
+    assert fleet["b"].saved.term == term
+    late = fleet.now + TIMING.election_ms + 1
+    assert any(isinstance(action, m.Save) for action in fleet["b"].receive(late, stray))
+
+
+def test_a_voter_that_has_just_come_back_is_bound_as_if_it_had_heard_a_leader():
+    fleet = Fleet("a", "b", "c")
+    fleet.elect("a")
+    fleet.restart("b")
+    stray = m.Vote("c", "b", 99, 99, 98)
+    assert fleet["b"].receive(fleet.now + TIMING.election_ms - 1, stray) == []
+    assert fleet["b"].receive(fleet.now + TIMING.election_ms + 1, stray) != []
+
+
+def test_a_vote_is_given_once_a_term_also_after_a_kill():
+    fleet = Fleet("a", "b", "c")
+    fleet.now = 2_000.0
+    first = fleet["c"].receive(fleet.now, m.Vote("a", "c", 5, 9, 4))
+    fleet.do("c", first)
+    assert [action.message.granted for action in first if isinstance(action, m.Say)] == [True]
+    assert [type(action) for action in first] == [m.Save, m.Say]
+    fleet.restart("c")
+    second = fleet["c"].receive(fleet.now + 2_000.0, m.Vote("b", "c", 5, 9, 4))
+    assert [action.message.granted for action in second] == [False]
+
+
+def test_a_voter_cut_off_asks_before_it_stands_and_unseats_nobody():
+    fleet = Fleet("a", "b", "c")
+    fleet.elect("a")
+    fleet.cut = {"c"}
+    for _ in range(8):
+        fleet.now += 1_100.0
+        fleet["a"].acked_ms = {"b": fleet.now}
+        fleet["b"].heard_ms = fleet.now
+        fleet.do("c", fleet["c"].tick(fleet.now))
+        fleet.settle()
+    term = fleet["a"].saved.term
+    fleet.cut = set()
+    fleet.beat("a")
+    assert (fleet["a"].is_leader, fleet["c"].saved.term) == (True, term)
+
+
+def test_a_voter_left_behind_by_terms_catches_up_by_a_refusal():
+    fleet = Fleet("a", "b", "c")
+    fleet["a"].saved = msgspec.structs.replace(fleet["a"].saved, term=9)
+    fleet.cut = {"b"}
+    fleet.elect("c")
+    assert fleet["c"].saved.term == 9
+    assert fleet.elect("c").is_leader
+
+
+def test_a_long_log_is_folded_and_one_that_lags_gets_the_base():
+    fleet = Fleet("a", "b", "c")
+    fleet.elect("a")
+    fleet.cut = {"c"}
+    for n in range(2 * SNAPSHOT_AFTER):
+        fleet.propose("a", f"plan {n}")
+    assert len(fleet.disks["a"].entries) <= SNAPSHOT_AFTER + 2
+    fleet.cut = set()
+    fleet.beat("a")
+    fleet.beat("a")
+    assert fleet["c"].plan == fleet["a"].plan
+    assert fleet.decided["c"][-1][2] == f"plan {2 * SNAPSHOT_AFTER - 1}"
+    fleet.restart("c")
+    assert fleet["c"].plan[1]
+
+
+def test_voters_join_a_founder_one_by_one_and_an_empty_disk_counts_for_nothing_before():
+    fleet = Fleet("a", "b", "c", members=("a",))
+    fleet.now = 5_000.0
+    fleet.do("b", fleet["b"].tick(fleet.now))
+    assert fleet.held == [] and fleet["b"].role is Role.FOLLOWER
+    assert fleet.elect("a").is_leader
+    for voters in (("a", "b"), ("a", "b", "c")):
+        index, actions = fleet["a"].propose_voters(fleet.now, voters)
+        assert index
+        fleet.do("a", actions)
+        fleet.settle()
+    fleet.beat("a")
+    assert [fleet[name].saved.voters for name in "abc"] == [("a", "b", "c")] * 3
+
+
+def test_a_list_of_voters_changes_by_one_and_only_when_the_last_one_is_decided():
+    fleet = Fleet("a", "b", "c", "d", "e", members=("a", "b", "c"))
+    fleet.elect("a")
+    for wrong in (("a", "b", "c", "d", "e"), ("a",), ("a", "b", "c"), (), ("a", "b", "c", "c")):
+        assert fleet["a"].propose_voters(fleet.now, wrong) == (None, [])
+    assert fleet["b"].propose_voters(fleet.now, ("a", "b", "c", "d")) == (None, [])
+    fleet.cut = {"b", "c"}
+    index, actions = fleet["a"].propose_voters(fleet.now, ("a", "b", "c", "d"))
+    fleet.do("a", actions)
+    fleet.settle()
+    assert index and fleet["a"].propose_voters(fleet.now, ("a", "b", "c", "d", "e"))[0] is None
+
+
+def test_a_leader_that_takes_itself_off_the_list_leads_it_to_the_end_and_steps_down():
+    fleet = Fleet("a", "b", "c")
+    fleet.elect("a")
+    _, actions = fleet["a"].propose_voters(fleet.now, ("b", "c"))
+    fleet.do("a", actions)
+    fleet.settle()
+    assert fleet["a"].role is Role.FOLLOWER
+    assert fleet.elect("b").is_leader and fleet["c"].saved.voters == ("b", "c")
+
+
+def test_messages_for_others_and_of_the_past_change_nothing():
+    fleet = Fleet("a", "b", "c")
+    fleet.elect("a")
+    before = fleet["b"].saved
+    assert fleet["b"].receive(fleet.now, m.Vote("c", "a", 99, 9, 9)) == []
+    assert fleet["b"].receive(fleet.now, m.Vote("b", "b", 99, 9, 9)) == []
+    old = m.Append("c", "b", before.term - 1, 1, 1, (m.Entry(1, "plan", plan="x"),), 9, 0.0)
+    [answer] = fleet["b"].receive(fleet.now, old)
+    assert not answer.message.good and fleet["b"].saved == before
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        None,
+        7,
+        {},
+        {"type": "Vote"},
+        {"type": "Nonsense", "sender": "a", "to": "b", "term": 1},
+        {"type": "Vote", "sender": "a", "to": "b", "term": -1, "last_index": 1, "last_term": 1},
+        {"type": "Vote", "sender": "a", "to": "b", "term": 2**60, "last_index": 1, "last_term": 1},
+        {"type": "Voted", "sender": "", "to": "b", "term": 1, "granted": True},
+        {"type": "Voted", "sender": "a", "to": "b", "term": 1, "granted": "yes"},
+        {"type": "PreVoted", "sender": "a" * 97, "to": "b", "term": 1, "granted": True},
+    ],
+)
+def test_what_is_no_message_is_refused(data):
+    with pytest.raises(msgspec.ValidationError):
+        m.message_from(data)
+
+
+def test_messages_survive_the_line():
+    entry = m.Entry(3, "voters", voters=("a", "b"))
+    base = m.Base(4, 2, "text", 3, ("a",))
+    said = [
+        m.PreVote("a", "b", 3, 1, 2),
+        m.Vote("a", "b", 3, 1, 2),
+        m.Voted("a", "b", 3, True),
+        m.Append("a", "b", 3, 1, 2, (entry,), 1, 12.5),
+        m.Install("a", "b", 3, base, 1.0),
+        m.Appended("a", "b", 3, False, 4, 12.5),
+    ]
+    for message in said:
+        assert m.message_from(msgspec.json.decode(msgspec.json.encode(message))) == message
+
+
+# --- searches ---------------------------------------------------------------------------------
+
+
+class VotesTwice(Voter):
+    def _on_vote(self, now_ms, message):
+        self.saved = msgspec.structs.replace(self.saved, voted="")
+        return super()._on_vote(now_ms, message)
+
+
+class SaysBeforeItSaves(Voter):
+    def _on_vote(self, now_ms, message):
+        return [action for action in super()._on_vote(now_ms, message) if not isinstance(action, m.Save)]
+
+
+class DecidesByAMinority(Voter):
+    def _majority(self, voters):
+        return len(voters) // 2
+
+
+class LeaseWithoutCheck(Voter):
+    def _leased(self, now_ms):
+        return True
+
+
+class VotesForAnyLog(Voter):
+    def _up_to_date(self, message):
+        return True
+
+
+CALM = Bounds(depth=30, kills=0, repeats=0, patience=2, beats=0, plans=1, states=6_000)
+KILL = Bounds(depth=30, kills=1, repeats=0, patience=2, beats=0, plans=0, states=12_000)
+CHANGE = Bounds(depth=30, kills=0, repeats=0, patience=2, beats=0, plans=0, changes=1, states=6_000)
+
+
+@pytest.mark.parametrize("bounds", [CALM, KILL, CHANGE])
+def test_no_state_that_is_reached_is_broken(bounds):
+    found = Explorer(Voter, ("a", "b", "c", "d"), bounds, members=3).search()
+    assert (found.broken, found.states) == ("", bounds.states)
+
+
+@pytest.mark.parametrize(
+    ("kind", "bounds"),
+    [(VotesTwice, CALM), (DecidesByAMinority, CALM), (SaysBeforeItSaves, KILL)],
+)
+def test_the_search_finds_what_was_planted(kind, bounds):
+    found = Explorer(kind, ("a", "b", "c"), bounds).search()
+    assert found.broken and found.path
+
+
+@pytest.mark.parametrize(("size", "spare"), [(3, 1), (5, 2)])
+def test_long_walks_break_nothing(size, spare):
+    outcome = Walk(Voter, size, 11 * size, STORM, spare).run(15_000)
+    assert outcome.broken == ""
+    assert outcome.decided > 200 and outcome.leaders > 10 and outcome.kills > 20 and outcome.fresh > 1_000
+
+
+@pytest.mark.parametrize("kind", [VotesTwice, DecidesByAMinority, LeaseWithoutCheck, VotesForAnyLog])
+def test_walks_find_what_was_planted(kind):
+    found = (Walk(kind, size, seed, STORM, 1).run(40_000).broken for seed in range(1, 9) for size in (3, 5))
+    assert any(found)
+
+
+# --- disks ------------------------------------------------------------------------------------
+
+
+def saved(term):
+    return m.Saved(term, "a#0", m.Base(1, 1, "plan", 1, ("a#0",)), (m.Entry(term, "plan", plan="p" * term),))
+
+
+def filled(folder, count=3):
+    disk = Disk(folder, "fleet", "a")
+    for term in range(1, count + 1):
+        disk.save(saved(term))
+    disk.close()
+    return disk
+
+
+def test_a_disk_gives_back_what_was_saved_last_under_the_same_identity(tmp_path):
+    made = filled(tmp_path)
+    again = Disk(tmp_path, "fleet", "a")
+    assert (again.saved, again.number, again.label, again.fresh) == (saved(3), 3, made.label, False)
+    again.save(saved(4))
+    again.close()
+    assert Disk(tmp_path, "fleet", "a").saved == saved(4)
+
+
+def test_a_file_cut_at_any_byte_gives_back_one_of_the_states_that_were_saved(tmp_path):
+    made = filled(tmp_path)
+    data = made.path.read_bytes()
+    label_end = len(disks.encode(0, made.label))
+    states = [m.Saved(), saved(1), saved(2), saved(3)]
+    seen = []
+    for size in range(label_end, len(data) + 1):
+        made.path.write_bytes(data[:size])
+        disk = Disk(tmp_path, "fleet", "a")
+        seen.append(states.index(disk.saved))
+        disk.save(saved(9))  # and it goes on from there
+        disk.close()
+        assert len(disks.records(made.path.read_bytes())[0]) == seen[-1] + 2
+    assert seen == sorted(seen) and set(seen) == {0, 1, 2, 3}
+
+
+def test_damage_before_whole_records_is_refused_and_left_as_it_is(tmp_path):
+    made = filled(tmp_path)
+    data = bytearray(made.path.read_bytes())
+    middle = len(disks.encode(0, made.label)) + 30
+    data[middle] ^= 1
+    made.path.write_bytes(data)
+    with pytest.raises(DiskError, match="damaged at byte"):
+        Disk(tmp_path, "fleet", "a")
+    assert made.path.read_bytes() == data
+
+
+def test_another_members_or_fleets_or_versions_disk_is_refused_by_name(tmp_path):
+    filled(tmp_path)
+    for fleet, name, why in (("fleet", "b", "of member a, not of b"), ("other", "a", "of fleet fleet")):
+        with pytest.raises(DiskError, match=why):
+            Disk(tmp_path, fleet, name)
+    label = disks.Label(9, "fleet", "a", "00000000")
+    (tmp_path / "voter.log").write_bytes(disks.encode(0, label))
+    with pytest.raises(DiskError, match="version 9"):
+        Disk(tmp_path, "fleet", "a")
+
+
+def test_a_folder_in_use_or_that_is_a_file_is_refused(tmp_path):
+    held = Disk(tmp_path / "a", "fleet", "a")
+    with pytest.raises(DiskError, match="in use by a live process"):
+        Disk(tmp_path / "a", "fleet", "a")
+    held.close()
+    Disk(tmp_path / "a", "fleet", "a").close()
+    (tmp_path / "file").write_text("")
+    with pytest.raises(DiskError, match="file"):
+        Disk(tmp_path / "file", "fleet", "a")
+
+
+def test_a_file_that_has_grown_is_written_anew_and_keeps_its_last_state(tmp_path, monkeypatch):
+    monkeypatch.setattr(disks, "REWRITE_BYTES", 2_000)
+    disk = Disk(tmp_path, "fleet", "a")
+    for term in range(1, 60):
+        disk.save(saved(term))
+    assert disk.path.stat().st_size <= 2_000
+    disk.close()
+    again = Disk(tmp_path, "fleet", "a")
+    assert (again.saved, again.label, again.number) == (saved(59), disk.label, 59)
+
+
+def test_a_disk_that_fails_says_so_and_keeps_no_half_record(tmp_path, monkeypatch):
+    disk = Disk(tmp_path, "fleet", "a")
+    disk.save(saved(1))
+    real = os.write
+
+    def full(file, data):
+        if len(data) < 20:
+            raise OSError(28, "No space left on device")
+        return real(file, data[: max(1, len(data) // 2)])
+
+    monkeypatch.setattr(os, "write", full)
+    with pytest.raises(DiskError, match="No space left"):
+        disk.save(saved(2))
+    monkeypatch.undo()
+    assert disk.saved == saved(1)
+    disk.save(saved(3))
+    disk.close()
+    assert Disk(tmp_path, "fleet", "a").saved == saved(3)
+
+
+def test_a_lease_is_over_before_any_voter_is_free_for_another_leader():
+    for skew in (0.0, 0.1, 0.3):
+        timing = Timing(election_ms=1000.0, skew=skew)
+        leader_true = timing.lease_ms / (1 - skew)  # its clock runs slow
+        voter_true = timing.election_ms / (1 + skew)  # theirs run fast
+        assert leader_true <= voter_true or math.isclose(leader_true, voter_true)
