Zones: plans, evidence, a judge and members' logs that decide together which zones serve

Need: when a zone goes dark, each front end finds out by itself, at the price of late calls, and what is given up falls out by chance. This lays the pure part and the thin links: files of members, settings and wishes, faults named by key; evidence by zone and vantage; a judge that tells lost, cut off, slow and a single bad observer apart, damps what flaps and never puts all zones out; plans with tiers, limits on spill and a ramp of return; a member's core that votes, decides and knows within a stated time that its plan is old; logs of members in the change log's line form.

--- a/fawnwharf/cli.py
+++ b/fawnwharf/cli.py
@@ -10,10 +10,15 @@
 File = Annotated[str | None, typer.Option("--config", help="The JSON file, in place of ROUTER_CONFIG's.")]
 
 
+Zones = Annotated[
+    str | None, typer.Option("--zones", help="Settings of failover between zones; off without.")
+]
+
+
 @app.command()
-def serve(path: File = None) -> None:
+def serve(path: File = None, zones: Zones = None) -> None:
     """Serve until SIGTERM, then finish what was taken."""
-    raise typer.Exit(serving.serve(path))
+    raise typer.Exit(serving.serve(path, zones))
 
 
 @app.command("check-config")
--- a/fawnwharf/interface.py
+++ b/fawnwharf/interface.py
@@ -163,7 +163,19 @@
     token: int
 
 
-Event = RosterChanged | RequestArrived | ClientLeft | AttemptEnded | OrderAnswered | TimerDue
+ALL_TENANTS = "\0all"  # no tenant's name: the share of all together, where a limit was handed in
+UNLIMITED_RPS = 1e9
+
+
+@dataclass(slots=True)
+class LimitsChanged:
+    """What may be taken here, in calls a second of all tenants together; what goes beyond it is refused
+    at once."""
+
+    calls_rps: float = UNLIMITED_RPS
+
+
+Event = RosterChanged | RequestArrived | ClientLeft | AttemptEnded | OrderAnswered | TimerDue | LimitsChanged
 
 
 # --- actions --------------------------------------------------------------------------------
--- a/fawnwharf/net/changelog.py
+++ b/fawnwharf/net/changelog.py
@@ -24,6 +24,8 @@
 class ChangeLog:
     """Follows the log from an event on, and passes each later one on once, in order."""
 
+    pause_most_ms, line_most = PAUSE_MOST_MS, LINE_MOST
+
     def __init__(
         self, loop: Loop, address: Address, seq: int, told: Callable[[Fleet], None], log: Log
     ) -> None:
@@ -61,7 +63,7 @@
 
     def _again(self) -> None:
         self._retry = self._loop.wheel.after(self._pause_ms, self.connect)
-        self._pause_ms = min(PAUSE_MOST_MS, 2 * self._pause_ms)
+        self._pause_ms = min(self.pause_most_ms, 2 * self._pause_ms)
 
     def tidy(self) -> None:
         """Guards against a log that was cut off: its connection stays open and says nothing."""
@@ -87,7 +89,7 @@
         for line in lines:
             if line.strip() and not self._line(bytes(line)):
                 return
-        if len(rest) > LINE_MOST:
+        if len(rest) > self.line_most:
             self._stumble("a line without an end")
 
     def on_flushed(self) -> None:
--- a/fawnwharf/net/front_end.py
+++ b/fawnwharf/net/front_end.py
@@ -3,7 +3,7 @@
 import hashlib
 import signal
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Protocol
 
 from fawnwharf import interface as io
 from fawnwharf.config import Address, ConfigError, Deployment, Fleet, Member, address_from
@@ -33,14 +33,32 @@
     return int.from_bytes(hashlib.blake2b(id.encode(), digest_size=4).digest(), "big")
 
 
+class Seam(Protocol):
+    """What another subsystem may do to what this front end is told, and hear of what comes of it."""
+
+    def told(self, fleet: Fleet) -> Fleet:
+        """The roster as it came, and as it is to be taken."""
+
+    def events(self, events: list[io.Event]) -> None:
+        """A batch, before the module has it."""
+
+    def close(self) -> None:
+        """The front end ends."""
+
+
 class FrontEnd:
     """One front end: owns the loop and the parts, and carries the module's actions out."""
 
     def __init__(
-        self, deployment: Deployment, log: Log | None = None, reread: Callable[[], Deployment] | None = None
+        self,
+        deployment: Deployment,
+        log: Log | None = None,
+        reread: Callable[[], Deployment] | None = None,
+        seam: Seam | None = None,
     ) -> None:
-        """`reread` gives the configuration anew at each SIGHUP; without it, SIGHUP changes nothing."""
-        self.deployment, self._reread = deployment, reread
+        """`reread` gives the configuration anew at each SIGHUP; without it, SIGHUP changes nothing.
+        `seam` stands between the roster and all that goes by it."""
+        self.deployment, self._reread, self._seam = deployment, reread, seam
         self.log = log or Log(deployment.name or "fawnwharf")
         settings, wire, sockets = deployment.settings, deployment.wire, deployment.sockets
         self.loop = Loop(self._decide, self.log)
@@ -119,6 +137,8 @@
             self.loop.wheel.after(LEAVE_LOOK_MS, self._look_to_leave)
 
     def close(self) -> None:
+        if self._seam:
+            self._seam.close()
         self.port.close()
         self.changelog.close()
         self.pool.close()
@@ -139,6 +159,10 @@
         self.changelog.seq = max(self.changelog.seq, self.deployment.known_seq)
 
     def _on_fleet(self, fleet: Fleet) -> None:
+        self.take_fleet(self._seam.told(fleet) if self._seam else fleet)
+
+    def take_fleet(self, fleet: Fleet) -> None:
+        """Go by this roster, or by these changes of it, from now on."""
         entries = [self._entry(member) for member in fleet.members]
         for entry, address in entries:
             self.pool.update(entry.worker, address, entry.state, entry.up_since_ms or 0.0)
@@ -168,6 +192,8 @@
     def _decide(self, now_ms: float, events: list[io.Event]) -> None:
         self._news = None
         self.table.begin_batch()
+        if self._seam:
+            self.loop.guarded(self._seam.events, events)
         try:
             actions: list[Any] = self.router.handle(now_ms, events)
         except Exception:
--- a/fawnwharf/policy.py
+++ b/fawnwharf/policy.py
@@ -174,16 +174,13 @@
     def __init__(self, settings: io.Settings, seed: int) -> None:
         self.settings, self.seed, self.chance, self.now, self.began_ms = settings, seed, seed, 0.0, math.inf
         self.actions, self.ready = list[io.Action](), list[Worker]()
-        self.workers: dict[int, Worker] = {}
-        self.members: dict[int, float] = {}  # that the hash orders hold, and their sizes
-        self.watched: dict[int, Worker] = {}  # those that owe an answer or are suspect
+        self.workers, self.watched = dict[int, Worker](), dict[int, Worker]()  # watched: owe one, or suspect
+        self.members, self.tokens = dict[int, float](), dict[str, tuple[float, float]]()  # sizes; shares
         self.functions, self.waiting = dict[str, Function](), dict[str, Function]()
         self.requests, self.attempts = dict[str, Request](), dict[tuple[str, int], Attempt]()
-        self.flying: deque[Attempt] = deque()  # attempts out for less than the promise
         self.suspects, self.hedges = 0, HEDGES_MOST  # ready workers that are; tokens for second attempts
-        self.taken, self.ordered = deque[float](), deque[float]()
+        self.taken, self.ordered, self.flying = deque[float](), deque[float](), deque[Attempt]()  # out lately
         self.loads_limit, self.loading = LOADS_START, 0  # own orders under way
-        self.tokens: dict[str, tuple[float, float]] = {}
         self.total, self.fleet = 1.0, 0.01  # size of the ready fleet, cold workers in part; the largest seen
         self.peers, self.silent_ms = max(1, settings.fleet_size), SILENT_MS  # front ends; see _watch
         self.sold = sum(settings.quotas_rps.values()) / 1000  # by all together, a millisecond
@@ -194,7 +191,8 @@
         self.sweeping, self.refreshed_ms, self.forgot_ms = False, -math.inf, -math.inf
         self.handlers = {io.RosterChanged: self._on_roster, io.RequestArrived: self._on_request,
                          io.ClientLeft: self._on_left, io.AttemptEnded: self._on_attempt,
-                         io.OrderAnswered: self._on_order, io.TimerDue: self._on_timer}  # fmt: skip
+                         io.OrderAnswered: self._on_order, io.TimerDue: self._on_timer,
+                         io.LimitsChanged: self._on_limits}  # fmt: skip
 
     def handle(self, now_ms: float, events: list[io.Event]) -> list[io.Action]:
         """Take the events of one moment, in order; the actions take effect at that moment."""
@@ -238,7 +236,7 @@
         self.hedges = min(HEDGES_MOST, self.hedges + HEDGE_SHARE)
         self.requests[request.id] = request
         fn.queue.append(request)
-        if request.deadline_ms - self.now <= SWEEP_MS + LEAD_MS:
+        if self._over_share(io.ALL_TENANTS) or request.deadline_ms - self.now <= SWEEP_MS + LEAD_MS:
             self._finish(request)  # the next sweep may be too late: a client's last try has little time
         elif not self.wide and not self._is_warm(fn):
             for worker in self._ordered(fn)[:SURVEY_WIDTH]:
@@ -270,6 +268,9 @@
         if request := self.requests.get(event.request):
             self._close(request)
 
+    def _on_limits(self, event: io.LimitsChanged) -> None:  # one more share, of all that is taken here
+        self.settings.quotas_rps[io.ALL_TENANTS] = event.calls_rps * self.peers
+
     def _on_attempt(self, event: io.AttemptEnded) -> None:
         attempt = self.attempts.pop((event.request, event.attempt), None)
         if attempt is None:
--- /dev/null
+++ b/fawnwharf/zones/evidence.py
@@ -0,0 +1,103 @@
+"""What one front end sees of each zone, and what that amounts to. Pure; times in milliseconds."""
+
+from collections import deque
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Annotated
+
+from msgspec import Meta, Struct
+
+from fawnwharf.interface import Ending
+from fawnwharf.zones import settings as s
+
+Count = Annotated[int, Meta(ge=0, le=10_000_000)]
+
+
+class Seen(Struct, frozen=True):
+    """Signs of one zone within the window."""
+
+    heard: Count = 0  # answers of any kind, and dials that came up
+    slow: Count = 0  # of those, answers past their promise
+    silent: Count = 0  # nothing came in time
+    refused: Count = 0  # dials that failed
+    broken: Count = 0  # connections that ended under a call
+
+    @property
+    def bad(self) -> int:
+        return self.silent + self.refused + self.broken
+
+
+class View(Enum):
+    UNKNOWN = "unknown"
+    GOOD = "good"
+    SLOW = "slow"
+    DEAD = "dead"
+
+
+def view(seen: Seen | None, rules: s.Evidence) -> View:
+    if seen is None or seen.heard + seen.bad < rules.least:
+        return View.UNKNOWN
+    if seen.bad >= rules.dead_share * (seen.heard + seen.bad):
+        return View.DEAD
+    return View.SLOW if seen.slow >= rules.slow_share * seen.heard else View.GOOD
+
+
+_SLICES = 4  # of the window
+
+_KINDS = {
+    Ending.GOOD: "heard",
+    Ending.ERROR: "heard",
+    Ending.FULL: "heard",
+    Ending.MISS: "heard",
+    Ending.TIMEOUT: "silent",
+    Ending.CONNECT_FAILED: "refused",
+    Ending.RESET: "broken",
+}
+
+
+@dataclass(slots=True)
+class _Slice:
+    began_ms: float
+    counts: dict[str, dict[str, int]] = field(default_factory=dict)  # by zone, by kind
+
+
+class Observer:
+    """Counts signs by zone; what is older than the window is forgotten in quarters of it."""
+
+    def __init__(self, rules: s.Evidence, promise_ms: float) -> None:
+        self._rules, self._promise_ms = rules, promise_ms
+        self._slices: deque[_Slice] = deque()
+
+    def ended(self, now_ms: float, zone: str, ending: Ending, took_ms: float) -> None:
+        """An attempt or an order has ended. One that was called off tells only that nothing came
+        for so long."""
+        if ending is Ending.CANCELLED and took_ms > self._promise_ms:
+            self.sign(now_ms, zone, "silent")
+        elif kind := _KINDS.get(ending):
+            self.sign(now_ms, zone, kind)
+            if kind == "heard" and took_ms > self._promise_ms:
+                self.sign(now_ms, zone, "slow")
+
+    def dialled(self, now_ms: float, zone: str, good: bool) -> None:
+        self.sign(now_ms, zone, "heard" if good else "refused")
+
+    def sign(self, now_ms: float, zone: str, kind: str) -> None:
+        self._forget(now_ms)
+        if not self._slices or now_ms - self._slices[-1].began_ms >= self._rules.window_ms / _SLICES:
+            self._slices.append(_Slice(now_ms))
+        counts = self._slices[-1].counts.setdefault(zone, {})
+        counts[kind] = counts.get(kind, 0) + 1
+
+    def _forget(self, now_ms: float) -> None:
+        while self._slices and now_ms - self._slices[0].began_ms > self._rules.window_ms:
+            self._slices.popleft()
+
+    def seen(self, now_ms: float) -> dict[str, Seen]:
+        self._forget(now_ms)
+        sums: dict[str, dict[str, int]] = {}
+        for part in self._slices:
+            for zone, counts in part.counts.items():
+                total = sums.setdefault(zone, {})
+                for kind, count in counts.items():
+                    total[kind] = total.get(kind, 0) + count
+        return {zone: Seen(**counts) for zone, counts in sums.items()}
--- /dev/null
+++ b/fawnwharf/zones/judge.py
@@ -0,0 +1,257 @@
+"""From what all front ends see to a plan: what is lost, cut off, slow or back, and what is to be done about
+it.
+
+Pure; held by the leader alone, which may be another one at any moment: what it remembers is only for how long
+something has been so, and a new leader begins to count anew, which delays and never hastens a decision.
+Times are milliseconds of the leader's clock.
+"""
+
+from dataclasses import dataclass, field
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta, Struct
+
+from fawnwharf.zones import settings as s
+from fawnwharf.zones.evidence import Seen, View, view
+from fawnwharf.zones.plan import LEAVING, OUT, RETURNING, SERVING, Plan, Zone
+
+DRAINED = "drained by an operator"
+
+
+class Report(Struct, frozen=True):
+    """What one front end sees, said by itself; a later one has a larger number within its life."""
+
+    name: s.Name
+    zone: s.Name
+    number: Annotated[int, Meta(ge=0)]
+    seen: Annotated[dict[s.Name, Seen], Meta(max_length=64)] = {}
+    sizes: Annotated[dict[s.Name, Annotated[float, Meta(ge=0.0, le=1e9)]], Meta(max_length=64)] = {}
+    roster_ms: Annotated[float, Meta(ge=0.0)] = 0.0  # age of what it was last told of the scorers
+    identity: Annotated[str, Meta(max_length=96)] = ""  # as a voter, where it is one
+    wishes: s.Wishes = s.Wishes()
+
+
+@dataclass(slots=True)
+class Verdict:
+    """What the reports amount to for one zone at one moment."""
+
+    lost: bool = False
+    slow: bool = False
+    good: bool = False  # somebody sees it well, and it is not lost
+    apart: set[str] = field(default_factory=set)  # zones that do not reach it though others do
+    why: str = ""
+
+
+@dataclass(slots=True)
+class _Track:
+    """For how long something has been so with a zone."""
+
+    lost_ms: float | None = None
+    slow_ms: float | None = None
+    good_ms: float | None = None
+    state_ms: float = 0.0  # since when it is in its state, as far as this leader knows
+    state: tuple[str, float] = (SERVING, 1.0)
+    apart: dict[str, tuple[float, float]] = field(default_factory=dict)  # since when, and last
+
+
+class Judge:
+    """Weighs the reports that are alive, zone by zone, and says what the next plan should be."""
+
+    def __init__(self, settings: s.Settings, now_ms: float) -> None:
+        self.settings, self.now = settings, now_ms
+        self.reports: dict[str, tuple[float, Report]] = {}  # when it came, by member
+        self.tracks: dict[str, _Track] = {}
+        self.wishes = s.Wishes()
+        self.sizes: dict[str, float] = {}
+        self.refused: dict[str, str] = {}  # zones that should be out and must not be, and why
+
+    def heard(self, now_ms: float, report: Report) -> None:
+        self.reports[report.name] = (now_ms, report)
+        if report.wishes.number > self.wishes.number:
+            self.wishes = report.wishes
+
+    def alive(self, now_ms: float, members: s.Members) -> dict[str, Report]:
+        life = self.settings.evidence.report_life_ms
+        zones = {member.name: member.zone for member in members.members}
+        self.reports = {name: held for name, held in self.reports.items() if name in zones}
+        return {
+            name: report
+            for name, (came_ms, report) in self.reports.items()
+            if now_ms - came_ms <= life and report.zone == zones[name]
+        }
+
+    # --- weighing -------------------------------------------------------------------------------
+
+    def verdicts(self, now_ms: float, members: s.Members) -> dict[str, Verdict]:
+        """One for each zone of the members."""
+        rules, alive = self.settings.evidence, self.alive(now_ms, members)
+        views = {
+            name: {zone: view(report.seen.get(zone), rules) for zone in members.zones}
+            for name, report in alive.items()
+        }
+        trusted = {name: seen for name, seen in views.items() if not _cut_off(seen)}
+        opinions = {
+            (near, far): self._opinion(near, far, members, trusted)
+            for near in members.zones
+            for far in members.zones
+        }
+        return {zone: self._verdict(zone, members, alive, opinions) for zone in members.zones}
+
+    def _opinion(self, near: str, far: str, members: s.Members, views: dict[str, dict[str, View]]) -> View:
+        """A zone's word on another: what more than half of its observers with a view say, and
+        enough of them."""
+        own = [member.name for member in members.members if member.zone == near]
+        said = [views[name][far] for name in own if name in views and views[name][far] is not View.UNKNOWN]
+        enough = min(self.settings.evidence.witnesses, len(own))
+        for kind in (View.DEAD, View.SLOW):
+            if 2 * said.count(kind) > len(said) and said.count(kind) >= enough:
+                return kind
+        alive = said.count(View.GOOD) + said.count(View.SLOW)
+        return View.GOOD if 2 * alive > len(said) else View.UNKNOWN
+
+    def _verdict(
+        self,
+        zone: str,
+        members: s.Members,
+        alive: dict[str, Report],
+        opinions: dict[tuple[str, str], View],
+    ) -> Verdict:
+        others = {near: opinions[near, zone] for near in members.zones if near != zone}
+        dead = sorted(near for near, word in others.items() if word is View.DEAD)
+        well = sorted(near for near, word in others.items() if word in (View.GOOD, View.SLOW))
+        own = opinions[zone, zone]
+        there = [member.name for member in members.members if member.zone == zone]
+        heard = sum(name in alive for name in there)
+        found = Verdict(good=own in (View.GOOD, View.SLOW) or bool(well))
+        by_itself = own is View.DEAD or (2 * heard <= len(there) and own is not View.GOOD)
+        if dead and len(dead) > len(well) and by_itself:
+            found.lost, found.good = True, False
+            found.why = f"dead for {', '.join(dead)}; {heard} of its {len(there)} front ends heard"
+        elif len(members.zones) == 1 and own is View.DEAD:
+            found.why = "dead for itself, and no other zone to go to"
+        elif dead:
+            found.apart = set(dead)
+        slow = [near for near, word in [*others.items(), (zone, own)] if word is View.SLOW]
+        known = [near for near, word in [*others.items(), (zone, own)] if word is not View.UNKNOWN]
+        found.slow = not found.lost and 2 * len(slow) > len(known)
+        return found
+
+    # --- the next plan --------------------------------------------------------------------------
+
+    def next_plan(self, now_ms: float, members: s.Members, plan: Plan) -> Plan | None:
+        """The plan that should follow the decided one; None while that is still right."""
+        self.now = now_ms
+        self._size(now_ms, members)
+        self.refused = {}
+        verdicts = self.verdicts(now_ms, members)
+        zones: dict[str, Zone] = {}
+        for name, region in sorted(members.zones.items()):
+            before = plan.zones.get(name, Zone(region=region))
+            track = self._track(now_ms, name, before, verdicts[name])
+            zones[name] = self._zone(now_ms, name, region, before, track, verdicts[name])
+        self._keep_one(plan, zones)
+        following = Plan(number=plan.number + 1, zones=zones, apart=self._apart(now_ms, plan, verdicts))
+        same = following.zones == plan.zones and following.apart == plan.apart
+        return None if same else following
+
+    def _size(self, now_ms: float, members: s.Members) -> None:
+        """The largest size that half of the front ends tell of a zone; one that shrinks counts as it was."""
+        alive = self.alive(now_ms, members).values()
+        for zone in members.zones:
+            told = sorted(report.sizes[zone] for report in alive if zone in report.sizes)
+            if told:
+                self.sizes[zone] = max(self.sizes.get(zone, 0.0), told[len(told) // 2])
+
+    def _track(self, now_ms: float, name: str, before: Zone, verdict: Verdict) -> _Track:
+        track = self.tracks.setdefault(name, _Track(state_ms=now_ms, state=(before.state, before.share)))
+        if track.state != (before.state, before.share):
+            track.state, track.state_ms = (before.state, before.share), now_ms
+        for key, holds in (("lost_ms", verdict.lost), ("slow_ms", verdict.slow), ("good_ms", verdict.good)):
+            since = getattr(track, key)
+            setattr(track, key, (now_ms if since is None else since) if holds else None)
+        for near in verdict.apart:
+            track.apart[near] = (track.apart.get(near, (now_ms, now_ms))[0], now_ms)
+        back_ms = self.settings.damping.back_ms
+        track.apart = {near: span for near, span in track.apart.items() if now_ms - span[1] < back_ms}
+        return track
+
+    def _zone(
+        self, now_ms: float, name: str, region: str, before: Zone, track: _Track, verdict: Verdict
+    ) -> Zone:
+        damping, ramp = self.settings.damping, self.settings.ramp
+        spill = self.settings.spill.zones.get(name, self.settings.spill.share)
+        if _for(now_ms, track.slow_ms) >= damping.slow_ms:
+            spill = 0.0
+        size = max(before.size, self.sizes.get(name, 0.0))
+        after = msgspec.structs.replace(before, spill=spill, size=size, region=region)
+        held = now_ms - track.state_ms
+        drained = name in self.wishes.drained
+
+        def to(state: str, share: float, why: str, flaps: int = before.flaps) -> Zone:
+            return msgspec.structs.replace(after, state=state, share=share, why=why, flaps=flaps)
+
+        if drained and before.state in (SERVING, RETURNING):
+            return to(LEAVING, 0.0, DRAINED)
+        if before.state == LEAVING and not drained:
+            return to(SERVING, 1.0, "")
+        if before.state == LEAVING and held >= damping.leave_ms:
+            return to(OUT, 0.0, before.why)
+        if before.state in (SERVING, RETURNING):
+            patience = damping.out_ms / (2 if before.state == RETURNING else 1)  # it was lost a moment ago
+            if _for(now_ms, track.lost_ms) >= patience:
+                return to(OUT, 0.0, verdict.why, before.flaps + 1)
+        if before.state == OUT and not drained:
+            if before.why == DRAINED and not verdict.lost:
+                return to(RETURNING, ramp.shares[0], "restored by an operator")
+            if _for(now_ms, track.good_ms) >= self.pause_ms(before):
+                return to(RETURNING, ramp.shares[0], "seen well again")
+        if before.state == RETURNING and held >= ramp.step_ms and track.good_ms is not None:
+            later = [share for share in ramp.shares if share > before.share]
+            if later and later[0] < 1.0:
+                return to(RETURNING, later[0], before.why)
+            return to(SERVING, 1.0, "")
+        if before.state == SERVING and before.flaps and held >= damping.flap_ms:
+            track.state_ms = now_ms
+            return to(SERVING, 1.0, before.why, before.flaps - 1)
+        return after
+
+    def pause_ms(self, zone: Zone) -> float:
+        """How long a zone has to be seen well before it returns: twice as long for each time out lately."""
+        damping = self.settings.damping
+        return min(damping.back_most_ms, damping.back_ms * 2.0 ** min(20, max(0, zone.flaps - 1)))
+
+    def _keep_one(self, plan: Plan, zones: dict[str, Zone]) -> None:
+        """Whatever is seen, one zone stays: a plan that puts all out helps nobody."""
+        leaving = [n for n, zone in sorted(zones.items()) if zone.open == 0 and self._was_open(plan, n)]
+        while leaving and not any(zone.open > 0 for zone in zones.values()):
+            name = leaving.pop()
+            before = plan.zones.get(name, Zone(region=zones[name].region))
+            self.refused[name] = f"zone {name} stays: all zones would be out"
+            zones[name] = msgspec.structs.replace(
+                zones[name], state=before.state, share=before.share, why=before.why
+            )
+
+    def _was_open(self, plan: Plan, name: str) -> bool:
+        return plan.zones.get(name, Zone()).open > 0
+
+    def _apart(self, now_ms: float, plan: Plan, verdicts: dict[str, Verdict]) -> tuple[tuple[str, str], ...]:
+        """Pairs that have been apart for long enough; they stay so until they were together for as long as a
+        zone has to be seen well."""
+        found = set()
+        for zone, track in self.tracks.items():
+            for near, (since_ms, last_ms) in track.apart.items():
+                lasting = last_ms - since_ms >= self.settings.damping.out_ms
+                if (lasting or (near, zone) in plan.apart) and {near, zone} <= verdicts.keys():
+                    found.add((near, zone))
+        return tuple(sorted(found))
+
+
+def _for(now_ms: float, since_ms: float | None) -> float:
+    return -1.0 if since_ms is None else now_ms - since_ms
+
+
+def _cut_off(views: dict[str, View]) -> bool:
+    """One that sees all zones dead, two at the least, is cut off itself: its word counts for nothing."""
+    known = [seen for seen in views.values() if seen is not View.UNKNOWN]
+    return len(known) >= 2 and all(seen is View.DEAD for seen in known)
--- /dev/null
+++ b/fawnwharf/zones/log.py
@@ -0,0 +1,26 @@
+"""The operators' log of zones: one line of JSON for each event, on standard error."""
+
+import contextlib
+import sys
+from collections.abc import Callable
+from typing import Any
+
+import structlog
+
+
+def writer(member: str) -> Callable[[str, dict[str, Any]], None]:
+    """Writes an event and its fields, with the member's name and the time in UTC."""
+    log = structlog.wrap_logger(
+        structlog.PrintLogger(sys.stderr),
+        processors=[
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.JSONRenderer(default=str),
+        ],
+        member=member,
+    )
+
+    def write(event: str, fields: dict[str, Any]) -> None:
+        with contextlib.suppress(OSError):  # nobody reads the log: no reason to stop serving
+            log.info(event, **{key.replace(" ", "_"): value for key, value in fields.items()})
+
+    return write
--- /dev/null
+++ b/fawnwharf/zones/member.py
@@ -0,0 +1,372 @@
+"""One front end as a member of the fleet: what it takes from the others' logs and what it writes into its
+own.
+
+Pure: lines, evidence, ticks and files come in with a time, and effects go out in order. A Keep has to be on
+disk before any later effect of the same list is carried out. The same core runs in `serve`, and by the
+thousand in virtual time.
+
+Two logs: one that everybody may follow (reports, the decided plan, a leader's word that it is the last) and,
+of voters only, one for the other voters (what the voting itself says).
+"""
+
+from dataclasses import dataclass, field
+from typing import Annotated, Any
+
+import msgspec
+from msgspec import Meta, Struct
+
+from fawnwharf.accord import messages as m
+from fawnwharf.accord.voter import Timing, Voter
+from fawnwharf.zones import settings as s
+from fawnwharf.zones.evidence import Seen
+from fawnwharf.zones.judge import Judge, Report
+from fawnwharf.zones.plan import Plan, PlanFault, plan_from
+
+TEXT_MOST = m.DATA_MOST
+
+
+class Line(Struct, frozen=True, omit_defaults=True):
+    """What one line of a member's log says, besides its number; one of the last four is there."""
+
+    fleet: s.Name
+    sender: s.Name
+    report: Report | None = None
+    plan: Annotated[str, Meta(max_length=TEXT_MOST)] | None = None
+    fresh: bool = False  # the leader's word, at this moment: no later plan is decided than this index
+    index: Annotated[int, Meta(ge=0)] = 0  # of the plan, or of what is fresh
+    term: Annotated[int, Meta(ge=0)] = 0
+    ballot: Any = None  # a message of the voting
+
+
+class LineFault(ValueError):
+    """A line that costs its sender the connection; the text says why."""
+
+
+# --- effects --------------------------------------------------------------------------------
+
+
+class Keep(Struct, frozen=True):
+    saved: m.Saved
+
+
+class Publish(Struct, frozen=True):
+    line: Line
+
+
+class Ballot(Struct, frozen=True):
+    """For the log of ballots; only `to`, a member's name, has use of it."""
+
+    to: str
+    line: Line
+
+
+class Follow(Struct, frozen=True):
+    """The plan to go by from now on; None: none is known to be the last, and each is on its own."""
+
+    plan: Plan | None
+    index: int
+
+
+class Note(Struct, frozen=True):
+    """For the operators' log: an event and its fields."""
+
+    event: str
+    fields: dict[str, Any]
+
+
+Effect = Keep | Publish | Ballot | Follow | Note
+
+
+@dataclass(slots=True)
+class Counts:
+    """What was dropped, by cause."""
+
+    dropped: dict[str, int] = field(default_factory=dict)
+
+    def add(self, cause: str) -> None:
+        self.dropped[cause] = self.dropped.get(cause, 0) + 1
+
+
+class Member:
+    """Owns a member's part in the fleet: its view of the plan, and where it votes, its voter and judge."""
+
+    def __init__(
+        self,
+        name: str,
+        members: s.Members,
+        settings: s.Settings,
+        now_ms: float,
+        seed: int,
+        identity: str = "",
+        saved: m.Saved | None = None,
+    ) -> None:
+        """A voter brings its identity and what its disk has kept; whoever brings none only follows."""
+        self.name, self.members, self.settings = name, members, settings
+        self.identity, self.counts = identity, Counts()
+        voting = settings.voting
+        self.voter: Voter | None = None
+        if identity:
+            timing = Timing(voting.beat_ms, voting.election_ms, voting.skew)
+            self.voter = Voter(identity, saved or m.Saved(), timing, now_ms, seed)
+        self.judge = Judge(settings, now_ms)
+        self.plan, self.index = Plan(), 0  # the last decided one that is known
+        self.fresh_ms: float | None = None  # when it was last said to be the last
+        self.following: tuple[int, bool] = (0, False)  # what was last given out
+        self.number = 0  # of own reports
+        self.wishes = s.Wishes()
+        self.report_due_ms = self.fresh_due_ms = self.judge_due_ms = now_ms
+        self.roles = ("", 0)
+        if self.voter:
+            self._learn(self.voter.plan[0], self.voter.plan[1])
+
+    @property
+    def zone(self) -> str:
+        entry = self.members.named(self.name)
+        return entry.zone if entry else ""
+
+    def due_ms(self) -> float:
+        """When `tick` is wanted next."""
+        dues = [self.report_due_ms]
+        if self.voter:
+            dues.append(self.voter.due_ms)
+            if self.voter.is_leader:
+                dues += [self.fresh_due_ms, self.judge_due_ms]
+        if self.following[1] and self.fresh_ms is not None:
+            dues.append(self.fresh_ms + self.settings.voting.valid_ms)
+        return min(dues)
+
+    # --- what comes in --------------------------------------------------------------------------
+
+    def line(self, now_ms: float, sender: str, data: Any, ballots: bool) -> list[Effect]:
+        """One line of a member's log, or of its ballots. Raises LineFault for what no honest member
+        writes."""
+        try:
+            line = msgspec.convert(data, Line)
+        except msgspec.ValidationError as error:
+            raise LineFault(f"not a line of a member: {error}") from None
+        if line.fleet != self.members.fleet:
+            raise LineFault(f"of fleet {line.fleet}")
+        if line.sender != sender:
+            raise LineFault(f"says that it is {line.sender}, and is {sender}")
+        if self.members.named(sender) is None:
+            self.counts.add("no member")
+            return []
+        if ballots:
+            return self._ballot(now_ms, sender, line)
+        if line.report is not None:
+            if line.report.name != sender:
+                raise LineFault(f"a report of {line.report.name} from {sender}")
+            self.judge.heard(now_ms, line.report)
+        if line.plan is not None:
+            self._told(line)
+        if line.fresh and line.index == self.index:
+            self.fresh_ms = now_ms
+        elif line.fresh:
+            self.counts.add(
+                "word on an older plan" if line.index < self.index else "word on a plan not known"
+            )
+        return self._given_out(now_ms)
+
+    def _told(self, line: Line) -> None:
+        """A decided plan from any member is as good as from the leader: a number is decided once."""
+        if line.index <= self.index:
+            return
+        try:
+            plan = plan_from(line.plan)
+        except PlanFault as error:
+            raise LineFault(f"a plan that is none: {error}") from None
+        # Decided after the one before, so it is no older than that was.
+        self.plan, self.index = plan, line.index
+
+    def _ballot(self, now_ms: float, sender: str, line: Line) -> list[Effect]:
+        try:
+            message = m.message_from(line.ballot)
+        except msgspec.ValidationError as error:
+            raise LineFault(f"not a ballot: {error}") from None
+        if message.sender.partition("#")[0] != sender:
+            raise LineFault(f"a ballot of {message.sender} from {sender}")
+        entry = self.members.named(sender)
+        if self.voter is None or not entry.ballots:
+            self.counts.add("ballot of no voter")
+            return []
+        return self._voted(now_ms, self.voter.receive(now_ms, message))
+
+    def take_members(self, now_ms: float, members: s.Members) -> list[Effect]:
+        """A later file of members; older ones and other fleets' are left aside."""
+        if members.fleet != self.members.fleet or members.number <= self.members.number:
+            why = (
+                "of another fleet" if members.fleet != self.members.fleet else "not later than the one in use"
+            )
+            return [Note("members left aside", {"number": members.number, "why": why})]
+        self.members = members
+        return [Note("members taken", {"number": members.number, "members": len(members.members)})]
+
+    def take_wishes(self, wishes: s.Wishes) -> list[Effect]:
+        if wishes.number <= self.wishes.number:
+            return []
+        self.wishes = wishes
+        self.report_due_ms = 0.0
+        return [Note("wishes taken", {"number": wishes.number, "drained": list(wishes.drained)})]
+
+    # --- time -----------------------------------------------------------------------------------
+
+    def tick(
+        self, now_ms: float, seen: dict[str, Seen], sizes: dict[str, float], roster_ms: float
+    ) -> list[Effect]:
+        """Whatever has come due; `seen`, `sizes` and `roster_ms` are for the next report."""
+        effects: list[Effect] = []
+        if now_ms >= self.report_due_ms:
+            effects.append(self._report(now_ms, seen, sizes, roster_ms))
+        if self.voter:
+            effects += self._voted(now_ms, self.voter.tick(now_ms))
+            if self.voter.is_leader:
+                effects += self._lead(now_ms)
+        return effects + self._given_out(now_ms)
+
+    def _line(self, **parts: Any) -> Line:
+        return Line(self.members.fleet, self.name, **parts)
+
+    def _report(
+        self, now_ms: float, seen: dict[str, Seen], sizes: dict[str, float], roster_ms: float
+    ) -> Publish:
+        self.number += 1
+        self.report_due_ms = now_ms + self.settings.evidence.report_ms
+        report = Report(
+            self.name, self.zone, self.number, seen, sizes, max(0.0, roster_ms), self.identity, self.wishes
+        )
+        self.judge.heard(now_ms, report)
+        return Publish(self._line(report=report))
+
+    # --- voting and leading ---------------------------------------------------------------------
+
+    def _voted(self, now_ms: float, actions: list[m.Action]) -> list[Effect]:
+        effects: list[Effect] = []
+        for action in actions:
+            if isinstance(action, m.Save):
+                effects.append(Keep(action.saved))
+            elif isinstance(action, m.Say):
+                to = action.message.to.partition("#")[0]
+                effects.append(Ballot(to, self._line(ballot=msgspec.to_builtins(action.message))))
+            else:
+                effects += self._decided(action)
+        role = (self.voter.role.value, self.voter.saved.term)
+        if role != self.roles and (role[0] == "leader" or self.roles[0] == "leader"):
+            effects.append(Note("role", {"role": role[0], "term": role[1]}))
+            if role[0] == "leader":
+                # How long something has been so is counted by each leader for itself.
+                reports, wishes = self.judge.reports, self.judge.wishes
+                self.judge = Judge(self.settings, now_ms)
+                self.judge.reports, self.judge.wishes = reports, wishes
+                self.judge_due_ms = now_ms + self.settings.evidence.report_life_ms
+                self.fresh_due_ms = now_ms
+        self.roles = role
+        return effects + self._given_out(now_ms)
+
+    def _decided(self, decided: m.Decided) -> list[Effect]:
+        if decided.kind == "voters":
+            return [Note("voters", {"index": decided.index, "voters": list(decided.voters)})]
+        if decided.kind != "plan" or not self._learn(decided.index, decided.plan):
+            return []
+        states = {name: f"{zone.state} {zone.share:g}" for name, zone in self.plan.zones.items()}
+        note = Note("plan", {"index": decided.index, "term": decided.term, "zones": states})
+        return [note, Publish(self._line(plan=decided.plan, index=decided.index, term=decided.term))]
+
+    def _learn(self, index: int, text: str) -> bool:
+        if index <= self.index:
+            return False
+        try:
+            self.plan = plan_from(text)
+        except PlanFault:
+            self.counts.add("a decided plan that is none")
+            return False
+        self.index = index
+        return True
+
+    def _lead(self, now_ms: float) -> list[Effect]:
+        effects: list[Effect] = []
+        if now_ms >= self.judge_due_ms:
+            self.judge_due_ms = now_ms + self.settings.evidence.report_ms / 2
+            effects += self._judge(now_ms)
+        if now_ms >= self.fresh_due_ms and self.voter.fresh(now_ms):
+            self.fresh_due_ms = now_ms + self.settings.voting.fresh_ms
+            index, term = self.voter.plan[0], self.voter.saved.term
+            if index:
+                self.fresh_ms = now_ms
+                effects.append(Publish(self._line(fresh=True, index=index, term=term)))
+        return effects
+
+    def _judge(self, now_ms: float) -> list[Effect]:
+        settled = self.voter.commit == self.voter.saved.last_index
+        if not settled or not self.voter.fresh(now_ms):
+            return []  # one decision at a time, and none on a view that may be old
+        effects = self._reconcile(now_ms)
+        if effects:
+            return effects
+        following = self.judge.next_plan(now_ms, self.members, self.plan)
+        for zone, why in self.judge.refused.items():
+            effects.append(Note("refused", {"zone": zone, "why": why}))
+        if following is None:
+            return effects
+        _, actions = self.voter.propose(now_ms, following.encode())
+        changed = {
+            name: {"from": getattr(self.plan.zones.get(name), "state", ""), "to": zone.state, "why": zone.why}
+            for name, zone in following.zones.items()
+            if zone != self.plan.zones.get(name)
+        }
+        seen = {
+            report.name: {zone: msgspec.to_builtins(signs) for zone, signs in report.seen.items()}
+            for report in self.judge.alive(now_ms, self.members).values()
+        }
+        note = Note("proposed", {"number": following.number, "changed": changed, "evidence": seen})
+        return [*effects, note, *self._voted(now_ms, actions)]
+
+    def _reconcile(self, now_ms: float) -> list[Effect]:
+        """Bring the list of voters to what the file of members wants, one at a time.
+
+        A voter that comes with another disk than the one in the list is another voter: what the old one said
+        may still count, and what it had promised is not known to the new one. The old one goes, then the new
+        one comes."""
+        now = self.voter.saved.voters
+        wanted = {member.name for member in self.members.voters}
+        present = {
+            report.name: report.identity
+            for report in self.judge.alive(now_ms, self.members).values()
+            if report.identity and report.name in wanted and report.identity.startswith(report.name + "#")
+        }
+        gone = [v for v in now if v.partition("#")[0] not in wanted]
+        replaced = [v for v in now if present.get(v.partition("#")[0], v) != v]
+        missing = [v for name, v in sorted(present.items()) if v not in now]
+        fresh = [v for v in missing if not any(v.partition("#")[0] == old.partition("#")[0] for old in now)]
+        others_first = sorted(replaced + gone, key=lambda v: v == self.voter.me)
+        if others_first and len(now) > 1:
+            voters = tuple(v for v in now if v != others_first[0])
+        elif fresh:
+            voters = (*now, fresh[0])
+        else:
+            return []
+        index, actions = self.voter.propose_voters(now_ms, voters)
+        if index is None:
+            return []
+        note = Note("voters proposed", {"index": index, "from": list(now), "to": list(voters)})
+        return [note, *self._voted(now_ms, actions)]
+
+    # --- what this front end goes by ------------------------------------------------------------
+
+    def valid(self, now_ms: float) -> bool:
+        """Whether the plan was said to be the last within the stated time."""
+        return (
+            self.index > 0
+            and self.fresh_ms is not None
+            and now_ms - self.fresh_ms < self.settings.voting.valid_ms
+        )
+
+    def _given_out(self, now_ms: float) -> list[Effect]:
+        state = (self.index, self.valid(now_ms))
+        if state == self.following:
+            return []
+        before, self.following = self.following, state
+        if not state[1]:
+            if not before[1]:
+                return []
+            return [Follow(None, self.index), Note("plan old", {"index": self.index})]
+        return [Follow(self.plan, self.index)]
--- /dev/null
+++ b/fawnwharf/zones/service.py
@@ -0,0 +1,388 @@
+"""Zones in a running front end: its part in the fleet's logs, its disk, its files, and the seam to the
+module."""
+
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from fawnwharf import interface as io
+from fawnwharf.accord.disk import Disk, DiskError
+from fawnwharf.config import ConfigError, Deployment, Fleet, address_from
+from fawnwharf.net.connection import Connection
+from fawnwharf.net.endings import End
+from fawnwharf.net.front_end import FrontEnd, worker_number
+from fawnwharf.net.wheel import Timer, monotonic_ms
+from fawnwharf.zones import settings as s
+from fawnwharf.zones.evidence import Observer
+from fawnwharf.zones.links import LogServer, MemberLog
+from fawnwharf.zones.member import Ballot, Effect, Follow, Keep, LineFault, Member, Note, Publish
+from fawnwharf.zones.roster import Roster
+
+FILES_MS = 500.0  # pace of the look at the files
+PROBE_MS = 250.0  # pace of dials into zones that give no sign by themselves
+READERS_SPARE = 16  # beyond the members, for operators
+LINE_S = 1.0  # one line a second for each cause of dropped lines
+
+Write = Callable[[str, dict[str, Any]], None]
+
+
+class WatchedFile:
+    """A file that is taken whole or not at all, when it has changed."""
+
+    def __init__(self, path: Path) -> None:
+        self.path, self._seen = path, None
+
+    def changed(self) -> bytes | None:
+        """Its bytes where it changed since the last look; None where it did not, or can't be read."""
+        try:
+            stat = self.path.stat()
+            mark = (stat.st_mtime_ns, stat.st_size, stat.st_ino)
+            if mark == self._seen:
+                return None
+            data = self.path.read_bytes()
+        except OSError:
+            return None
+        self._seen = mark
+        return data
+
+
+class _Probe:
+    """One dial into a zone, which tells whether somebody listens there."""
+
+    def __init__(self, told: Callable[[bool], None]) -> None:
+        self.connection: Connection | None = None
+        self._told: Callable[[bool], None] | None = told
+
+    def _tell(self, good: bool) -> None:
+        told, self._told = self._told, None
+        if told:
+            told(good)
+
+    def on_up(self) -> None:
+        self._tell(True)
+        self.connection.close(End.IDLE)
+
+    def on_data(self, data: bytes) -> None: ...
+
+    def on_flushed(self) -> None: ...
+
+    def on_end(self, end: End) -> None:
+        self._tell(False)
+
+
+class Zones:
+    """Owns this front end's membership: the core, its servers and feeds, its timers; a Seam of the
+    front end."""
+
+    def __init__(self, deployment: Deployment, path: str | Path, write: Write) -> None:
+        """Reads and checks all files; raises ConfigError with one line. `write` takes structured notes."""
+        self.deployment, self._write = deployment, write
+        place = Path(path)
+        self.settings = _load(place, s.settings_from)
+        base = place.parent
+        self._members_file = WatchedFile(base / self.settings.members)
+        folder = base / self.settings.folder
+        wishes = base / self.settings.wishes if self.settings.wishes else folder / "wishes.json"
+        self._wishes_file = WatchedFile(wishes)
+        members = _load(self._members_file.path, s.members_from)
+        self._members_file.changed()
+        entry = members.named(deployment.name)
+        if entry is None:
+            raise ConfigError(
+                f"zones: {deployment.name} is not among the members of {self._members_file.path}"
+            )
+        if entry.zone != deployment.settings.zone:
+            told = deployment.settings.zone
+            raise ConfigError(
+                f"zones: {entry.name} is of zone {entry.zone}, and its configuration says {told}"
+            )
+        self.entry, self.disk = entry, None
+        if entry.ballots:
+            try:
+                self.disk = Disk(folder, members.fleet, entry.name)
+            except DiskError as error:
+                raise ConfigError(f"zones: {error}") from None
+        now = monotonic_ms()
+        identity = self.disk.label.identity if self.disk else ""
+        saved = self.disk.saved if self.disk else None
+        self.core = Member(entry.name, members, self.settings, now, deployment.seed, identity, saved)
+        self.roster = Roster(entry.zone)
+        promise = min((c.promise_ms for c in deployment.settings.classes.values()), default=1_000.0)
+        self.observer = Observer(self.settings.evidence, promise)
+        self._zone_of: dict[int, str] = {}
+        self._told_ms = now
+        self._life = time.time_ns() // 1_000
+        self._feeds: dict[tuple[str, bool], MemberLog] = {}
+        self._probing: dict[str, int] = {}  # zone to the place of the next scorer
+        self._noted: dict[str, float] = {}
+        self._timer: Timer | None = None
+        self._timer_ms = 0.0
+        self._stopped = False
+        self._failed = False  # the disk: no part in votes any more
+        self.front: FrontEnd | None = None
+        self.public: LogServer | None = None
+        self.ballots: LogServer | None = None
+
+    # --- life -----------------------------------------------------------------------------------
+
+    def attach(self, front: FrontEnd) -> None:
+        """Begin, on the front end's loop."""
+        self.front = front
+        most = len(self.core.members.members) + READERS_SPARE
+        self.public = self._server("listen", self.settings.listen or self.entry.address, most)
+        if self.entry.ballots:
+            place = self.settings.listen_ballots or self.entry.ballots
+            self.ballots = self._server("listen_ballots", place, most)
+        self._follow_members()
+        self._look_at_files()
+        self._probe()
+        self._tick()
+        self.note(
+            "zones on", {"member": self.entry.name, "zone": self.entry.zone, "voter": self.disk is not None}
+        )
+
+    def _server(self, key: str, place: str, most: int) -> LogServer:
+        try:
+            return LogServer(self.front.loop, address_from(place, f"zones.{key}"), self._life, most)
+        except OSError as error:
+            raise ConfigError(f"zones.{key}: {error.strerror}: {place}") from None
+
+    def close(self) -> None:
+        self._stopped = True
+        for feed in self._feeds.values():
+            feed.close()
+        for server in (self.public, self.ballots):
+            if server:
+                server.close()
+        if self.disk:
+            self.disk.close()
+
+    def note(self, event: str, fields: dict[str, Any]) -> None:
+        self._write(event, fields)
+
+    # --- the seam -------------------------------------------------------------------------------
+
+    def told(self, fleet: Fleet) -> Fleet:
+        self._told_ms = monotonic_ms()
+        for member in fleet.members:
+            if member.locality:
+                self._zone_of[worker_number(member.id)] = member.locality
+        return self.roster.told(fleet)
+
+    def events(self, events: list[io.Event]) -> None:
+        now = monotonic_ms()
+        for event in events:
+            if isinstance(event, io.AttemptEnded | io.OrderAnswered) and event.worker in self._zone_of:
+                self.observer.ended(now, self._zone_of[event.worker], event.ending, event.took_ms)
+
+    def _go_by(self, effect: Follow) -> None:
+        changes = self.roster.follow(effect.plan)
+        if changes.members:
+            self.front.take_fleet(changes)
+        part = self.roster.admission()
+        sold = sum(self.deployment.settings.quotas_rps.values())
+        limited = part < 1.0 and sold > 0
+        rps = part * sold / self.deployment.settings.fleet_size if limited else io.UNLIMITED_RPS
+        self.front.loop.tell(io.LimitsChanged(rps))
+        self.note(
+            "following" if effect.plan else "on its own",
+            {"index": effect.index, "scorers changed": len(changes.members), "admission": round(part, 3)},
+        )
+
+    # --- time -----------------------------------------------------------------------------------
+
+    def _tick(self) -> None:
+        if self._stopped:
+            return
+        now = monotonic_ms()
+        self._carry_out(
+            self.core.tick(now, self.observer.seen(now), self.roster.sizes(), now - self._told_ms)
+        )
+        self._set_timer()
+
+    def _set_timer(self) -> None:
+        due = max(self.core.due_ms(), monotonic_ms() + 1.0)
+        if self._timer is not None and self._timer.callback and self._timer_ms <= due:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer_ms = due
+        self._timer = self.front.loop.wheel.after(due - monotonic_ms(), self._tick)
+
+    def _carry_out(self, effects: list[Effect]) -> None:
+        for effect in effects:
+            if isinstance(effect, Keep):
+                if not self._keep(effect):
+                    return  # nothing that rests on it may be said
+            elif isinstance(effect, Publish):
+                line = effect.line
+                kind = "plan" if line.plan is not None else "report" if line.report is not None else None
+                self.public.write(msgspec.to_builtins(line), counts_as=kind)
+            elif isinstance(effect, Ballot):
+                if self.ballots:
+                    self.ballots.write(msgspec.to_builtins(effect.line))
+            elif isinstance(effect, Follow):
+                self._go_by(effect)
+            elif isinstance(effect, Note):
+                self._note_once(effect)
+
+    def _keep(self, effect: Keep) -> bool:
+        try:
+            if not self._failed:
+                self.disk.save(effect.saved)
+        except DiskError as error:
+            self._failed = True
+            self.note("disk failed: no part in votes until a restart", {"why": str(error)})
+            self.core.voter = None
+        return not self._failed
+
+    def _note_once(self, note: Note) -> None:
+        now = monotonic_ms()
+        if note.event == "refused":
+            if now - self._noted.get(note.event, -1e9) < LINE_S * 1000:
+                return
+            self._noted[note.event] = now
+        self.note(note.event, note.fields)
+
+    # --- others' logs ---------------------------------------------------------------------------
+
+    def _follow_members(self) -> None:
+        """Voters follow all, the others follow the voters; who is no member any more is left."""
+        wanted: dict[tuple[str, bool], str] = {}
+        for member in self.core.members.members:
+            if member.name == self.entry.name:
+                continue
+            if self.entry.ballots or member.ballots:
+                wanted[member.name, False] = member.address
+            if self.entry.ballots and member.ballots:
+                wanted[member.name, True] = member.ballots
+        for key in [key for key in self._feeds if key not in wanted]:
+            self._feeds.pop(key).close()
+        for key, place in wanted.items():
+            address = address_from(place, "members.address")
+            if key in self._feeds:
+                self._feeds[key].move(address)
+                continue
+            feed = MemberLog(self.front.loop, address, self._taker(*key), self._dropped)
+            self._feeds[key] = feed
+            feed.connect()
+
+    def _taker(self, name: str, ballots: bool) -> Callable[[Any], None]:
+        def take(line: Any) -> None:
+            try:
+                effects = self.core.line(monotonic_ms(), name, line, ballots)
+            except LineFault:
+                self.core.counts.add("bad line")
+                raise
+            self._carry_out(effects)
+            self._set_timer()
+
+        return take
+
+    def _dropped(self, text: str) -> None:
+        now = monotonic_ms()
+        if now - self._noted.get("line", -1e9) >= LINE_S * 1000:
+            self._noted["line"] = now
+            self.note("line dropped", {"why": text, "counts": dict(self.core.counts.dropped)})
+
+    # --- files ----------------------------------------------------------------------------------
+
+    def _look_at_files(self) -> None:
+        if self._stopped:
+            return
+        if (data := self._members_file.changed()) is not None:
+            self._take(data, "members", lambda: self._new_members(s.members_from(data)))
+        if (data := self._wishes_file.changed()) is not None:
+            zones = set(self.core.members.zones)
+            self._take(
+                data, "wishes", lambda: self._carry_out(self.core.take_wishes(s.wishes_from(data, zones)))
+            )
+        for feed in self._feeds.values():
+            feed.tidy()
+        self._set_timer()
+        self.front.loop.wheel.after(FILES_MS, self._look_at_files)
+
+    def _take(self, data: bytes, what: str, take: Callable[[], None]) -> None:
+        try:
+            take()
+        except s.FileFault as error:
+            self.note(f"{what} left aside, the old ones go on", {"fault": str(error)})
+
+    def _new_members(self, members: s.Members) -> None:
+        now = members.named(self.entry.name)
+        if now is None or now.zone != self.entry.zone:
+            self.note(
+                "members left aside, the old ones go on", {"fault": f"{self.entry.name} is not as it was"}
+            )
+            return
+        self._carry_out(self.core.take_members(monotonic_ms(), members))
+        self._follow_members()
+
+    # --- probes ---------------------------------------------------------------------------------
+
+    def _probe(self) -> None:
+        """Dial into each zone that too few signs come from: what is closed must be seen to come back."""
+        if self._stopped:
+            return
+        now = monotonic_ms()
+        seen, least = self.observer.seen(now), self.settings.evidence.least
+        for zone in self.core.members.zones:
+            signs = seen.get(zone)
+            if signs is None or signs.heard + signs.bad < 2 * least:
+                self._probe_zone(zone)
+        self.front.loop.wheel.after(PROBE_MS, self._probe)
+
+    def _probe_zone(self, zone: str) -> None:
+        scorers = self.roster.in_zone(zone)
+        if not scorers:
+            return
+        place = self._probing.get(zone, worker_number(self.entry.name)) + 1  # not all at the same one
+        self._probing[zone] = place
+        member = scorers[place % len(scorers)]
+        if not member.host_port:
+            return
+        probe = _Probe(lambda good: self.observer.dialled(monotonic_ms(), zone, good))
+        within = min(self.deployment.wire.dial_timeout_ms, self.settings.evidence.window_ms / 2)
+        address = address_from(member.host_port, "host_port")
+        made = Connection.dial(self.front.loop, address, probe, within)
+        if isinstance(made, End):
+            if made is not End.NO_DESCRIPTOR:
+                self.observer.dialled(monotonic_ms(), zone, False)
+        else:
+            probe.connection = made
+
+
+def _load(path: Path, read: Callable[[bytes], Any]) -> Any:
+    try:
+        return read(path.read_bytes())
+    except OSError as error:
+        raise ConfigError(f"zones: {path}: {error.strerror}") from None
+    except s.FileFault as error:
+        raise ConfigError(f"zones: {path}: {error}") from None
+
+
+def found(path: str | Path, name: str) -> str:
+    """Make a member the first voter of a new fleet, once; its identity. Raises ConfigError."""
+    from fawnwharf.accord.voter import founding
+
+    settings = _load(Path(path), s.settings_from)
+    base = Path(path).parent
+    members = _load(base / settings.members, s.members_from)
+    entry = members.named(name)
+    if entry is None or not entry.ballots:
+        raise ConfigError(f"zones: {name} is no voter among the members")
+    folder = base / settings.folder
+    try:
+        disk = Disk(folder, members.fleet, name)
+    except DiskError as error:
+        raise ConfigError(f"zones: {error}") from None
+    try:
+        if disk.number or disk.saved.voters:
+            raise ConfigError(f"zones: {disk.path}: not empty: this fleet has begun")
+        disk.save(founding(disk.label.identity))
+    finally:
+        disk.close()
+    return disk.label.identity
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -519,3 +519,24 @@
     d.feed(io.RosterChanged([io.WorkerEntry(n, io.State.GONE) for n in (2, 3, 4)], complete=False))
     d.sweep(40)
     assert d.router.workers[1].limit == before < 20
+
+
+def test_a_limit_that_was_handed_in_refuses_what_goes_beyond_it_at_once_and_can_be_lifted():
+    drive = Drive(max_retry_after_ms=700.0, fleet_size=4)
+    drive.warm()
+    drive.now += 1000.0
+    drive.feed(io.LimitsChanged(2.0))
+    refused = []
+    for n in range(6):
+        refused += of(drive.ask(f"r{n}"), io.Refuse)
+    assert [refusal.request for refusal in refused] == ["r2", "r3", "r4", "r5"]
+    assert {refusal.hold_off_ms for refusal in refused} == {700.0}
+    drive.feed(io.LimitsChanged())
+    drive.now += 1.0
+    assert not of(drive.ask("r9"), io.Refuse)
+
+
+def test_a_limit_of_nothing_refuses_all_and_none_was_ever_sent():
+    drive = Drive()
+    drive.feed(io.LimitsChanged(0.0))
+    assert [type(action) for action in drive.ask("r1")] == [io.Refuse]
