A lab of many processes, relays and stand-ins; the hard cases of failover between zones

Seen on the way and mended: a limit handed in was measured against sums that held the limit itself, so it never bound; its bucket began full, so it bound only after 5 s; a probe took a relay's accept for a scorer's sign of life.

--- a/fawnwharf/cli.py
+++ b/fawnwharf/cli.py
@@ -5,8 +5,12 @@
 import typer
 
 from fawnwharf import __version__, config, serving
+from fawnwharf.lab.commands import app as lab_app
+from fawnwharf.zones.commands import app as zones_app
 
 app = typer.Typer(add_completion=False, no_args_is_help=True, pretty_exceptions_enable=False)
+app.add_typer(zones_app, name="zones")
+app.add_typer(lab_app, name="lab")
 File = Annotated[str | None, typer.Option("--config", help="The JSON file, in place of ROUTER_CONFIG's.")]
 
 
--- a/fawnwharf/interface.py
+++ b/fawnwharf/interface.py
@@ -163,7 +163,7 @@
     token: int
 
 
-ALL_TENANTS = "\0all"  # no tenant's name: the share of all together, where a limit was handed in
+ALL = "\0all"  # no tenant's name: the share of all together, where a limit was handed in
 UNLIMITED_RPS = 1e9
 
 
--- /dev/null
+++ b/fawnwharf/lab/checker.py
@@ -0,0 +1,140 @@
+"""Judges a run by what all sides recorded: the five rules, and that each call got one final answer. Pure.
+
+Faults of the path are not the program's: a try counts where its front end lived and ran, and no fault lay on
+the client's link, from its sending to its end. `SLACK_MS` is what one busy machine may hold everybody up.
+"""
+
+from collections import Counter, defaultdict, deque
+from dataclasses import dataclass, field
+
+from fawnwharf.lab.fleet import DEDUP_MS, RATION, RULES, Fleet
+
+SLACK_MS = 400.0
+RATION_ROOM = 1.15
+
+
+@dataclass(slots=True)
+class Verdict:
+    broken: list[str] = field(default_factory=list)
+    checked: Counter = field(default_factory=Counter)  # how much each rule was tried by
+
+    def line(self) -> str:
+        return f"verdict: broken {self.broken[0]}" if self.broken else "verdict: kept"
+
+
+def judge(fleet: Fleet) -> Verdict:
+    verdict = Verdict()
+    for rule in (_answers, _effects, _drains, _cold, _loads, _ends):
+        rule(fleet, verdict)
+    return verdict
+
+
+def _answers(fleet: Fleet, verdict: Verdict) -> None:
+    for request in fleet.clients.requests:
+        for attempt in request.tries:
+            if not attempt.outcome:
+                continue
+            front = fleet.fronts[attempt.front]
+            relay = fleet.relays[f"clients-{front.zone}", front.name, "clients"]
+            clear = relay.touched_ms < attempt.sent_ms - SLACK_MS
+            well = front.well(attempt.sent_ms - SLACK_MS, attempt.ended_ms + 1.0)
+            if not clear or not well:
+                continue
+            verdict.checked["answers"] += 1
+            where = f"of {front.name} for call {attempt.call_id}"
+            if attempt.outcome == "late":
+                verdict.broken.append(f"answers: none in time {where}")
+            elif attempt.outcome == "lost":
+                verdict.broken.append(f"answers: the connection ended {where}")
+            elif attempt.answers != 1 and attempt.outcome != "not taken":
+                verdict.broken.append(f"answers: {attempt.answers} {where}")
+            elif not attempt.body_good:
+                verdict.broken.append(f"answers: another's body {where}")
+
+
+def _effects(fleet: Fleet, verdict: Verdict) -> None:
+    """No call of an at-most-once class may run twice, whatever becomes of front ends, scorers and links."""
+    turned = {(a.scorer, a.sender, a.id) for a in fleet.arrivals if a.what == "turned"}
+    runs: dict[int, list] = defaultdict(list)
+    for arrival in fleet.arrivals:
+        request = fleet.clients.by_call.get(arrival.id) if arrival.what == "run" else None
+        if request is not None and (arrival.scorer, arrival.sender, arrival.id) not in turned:
+            runs[request.number].append(arrival)
+    for number, arrivals in runs.items():
+        kind = fleet.clients.requests[number].kind
+        if kind.effect == "at_most_once":
+            verdict.checked["effects"] += 1
+            if len(arrivals) > 1:
+                verdict.broken.append(f"effects: {kind.name} {arrivals[0].id} reached {len(arrivals)} times")
+        elif kind.effect == "deduplicated":
+            verdict.checked["effects"] += 1
+            times = [arrival.at_ms for arrival in arrivals]
+            if max(times) - min(times) > DEDUP_MS + SLACK_MS:
+                verdict.broken.append(f"effects: {kind.name} {arrivals[0].id} sent again after its window")
+
+
+def _drains(fleet: Fleet, verdict: Verdict) -> None:
+    for front in fleet.fronts.values():
+        told: dict[str, float] = {}
+        for event, at_ms in zip(front.log.events, front.log.told_ms, strict=True):
+            for member in event["fleet"]["members"]:
+                if member["phase"] == "in_service":
+                    told.pop(member["id"], None)
+                else:
+                    told.setdefault(member["id"], at_ms)
+        if not told or not front.lives:
+            continue
+        for arrival in fleet.arrivals:
+            if arrival.sender != front.name or arrival.what not in ("run", "order"):
+                continue
+            since = told.get(arrival.scorer)
+            if since is None or since < front.lives[-1][0]:
+                continue
+            verdict.checked["drains"] += 1
+            relay = fleet.relays[front.name, "changelog", "roster"]
+            late = 7_000.0 if relay.touched_ms > since - 10_000.0 else 0.0
+            if arrival.at_ms > since + late + RULES["drain_grace"] + 50.0 + SLACK_MS:
+                verdict.broken.append(f"drains: {front.name} sent to {arrival.scorer}")
+
+
+def _cold(fleet: Fleet, verdict: Verdict) -> None:
+    for id, scorer in fleet.scorers.items():
+        verdict.checked["cold"] += scorer.life > 1
+        if scorer.fallen:
+            verdict.broken.append(f"cold: {id} fell")
+
+
+def _loads(fleet: Fleet, verdict: Verdict) -> None:
+    window, free, part = RATION["load_window"], RATION["free_loads"], RATION["load_part"]
+    taken: dict[str, list[float]] = defaultdict(list)
+    for request in fleet.clients.requests:
+        for attempt in request.tries:
+            if attempt.outcome not in ("not taken",):
+                taken[attempt.front].append(attempt.sent_ms)
+    orders: dict[str, list[float]] = defaultdict(list)
+    for arrival in fleet.arrivals:
+        if arrival.what == "order":
+            orders[arrival.sender].append(arrival.at_ms)
+    for name, times in orders.items():
+        recent: deque[float] = deque()
+        arrived = sorted(taken[name])
+        first = last = 0
+        for at_ms in sorted(times):
+            recent.append(at_ms)
+            while recent[0] < at_ms - window:
+                recent.popleft()
+            while last < len(arrived) and arrived[last] <= at_ms:
+                last += 1
+            while first < last and arrived[first] < at_ms - window - SLACK_MS:
+                first += 1
+            verdict.checked["loads"] += 1
+            most = RATION_ROOM * (free + part * (last - first)) + 1
+            if len(recent) > most:
+                verdict.broken.append(f"loads: {name} gave {len(recent)} orders for {last - first} requests")
+                break
+
+
+def _ends(fleet: Fleet, verdict: Verdict) -> None:
+    for front in fleet.fronts.values():
+        if front.status not in (None, 0):
+            verdict.broken.append(f"ends: {front.name} ended with {front.status}")
--- /dev/null
+++ b/fawnwharf/lab/run.py
@@ -0,0 +1,392 @@
+"""Runs a scenario on a fleet, and measures what became of the calls."""
+
+import random
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from hdrh.histogram import HdrHistogram
+
+from fawnwharf.lab.checker import Verdict, judge
+from fawnwharf.lab.fleet import Fleet, Front, LabFault, write_whole
+from fawnwharf.lab.scenario import Scenario, Step, When
+from fawnwharf.net.wheel import monotonic_ms
+from fawnwharf.standins.relay import BACKWARD, FORWARD, Relay
+
+DRAIN_S = 4.0  # after the load ends, for what is open
+
+
+@dataclass(slots=True)
+class Second:
+    """Of one second, by when its requests began."""
+
+    asked: float = 0.0  # worth
+    served: float = 0.0  # worth, in time
+    requests: int = 0
+    refused: int = 0
+    failed: int = 0
+    late: int = 0
+
+
+@dataclass(slots=True)
+class Measures:
+    """Figures of one run; milliseconds, worth and counts."""
+
+    scenario: str
+    seed: int
+    decided: bool
+    verdict: Verdict
+    seconds: list[Second]
+    marks: dict[str, float]  # seconds since the load began
+    outcomes: Counter
+    percentiles: dict[str, float]
+    crossing: float  # part of the calls that reached a scorer of another zone than their front end's
+    fetches: int
+    worst_fetches: int
+    fell: int
+    complaints: list[str] = field(default_factory=list)
+
+    def service(self, since_s: float = 0.0, until_s: float = 1e9) -> float:
+        """Worth answered in time over worth asked."""
+        part = [s for n, s in enumerate(self.seconds) if since_s <= n < until_s]
+        asked = sum(s.asked for s in part)
+        return sum(s.served for s in part) / asked if asked else float("nan")
+
+
+class Runner:
+    """Carries out the steps of a scenario, one after another."""
+
+    def __init__(self, scenario: Scenario, seed: int, folder: Path | None = None) -> None:
+        self.scenario, self.seed = scenario, seed
+        self.fleet = Fleet(scenario, seed, folder)
+        self.chance = random.Random(seed)
+        self.members_number = 1
+        self.wish_number = 0
+        self.before_ms = 0.0
+
+    def run(self) -> Measures:
+        fleet = self.fleet
+        try:
+            if self.scenario.decide:
+                fleet.found()
+            for front in fleet.fronts.values():
+                fleet.start(front)
+            fleet.until(lambda: all(f.ready for f in fleet.fronts.values()), "all front ends to be ready")
+            if self.scenario.decide:
+                voters = sum(front.voter for front in fleet.fronts.values())
+                self._await(When(valid=True, voters=voters, of="all"))
+            fleet.marks["load"] = monotonic_ms()
+            fleet.clients.start()
+            fleet.rest(self.scenario.settle_s)
+            for n, step in enumerate(self.scenario.steps):
+                self.before_ms = monotonic_ms()
+                self._await(step.when, f"step {n}, {step.do} {step.what}")
+                getattr(self, f"_{step.do}")(step)
+                fleet.marks.setdefault(step.text or f"{n} {step.do} {step.what}".strip(), monotonic_ms())
+            fleet.rest(self.scenario.rest_s)
+            fleet.clients.stop()
+            fleet.until(lambda: not fleet.clients.open, "all calls to end", DRAIN_S + 10.0)
+            return self.measure()
+        finally:
+            fleet.close()
+
+    # --- waiting --------------------------------------------------------------------------------
+
+    def _await(self, when: When, what: str = "the start") -> None:
+        if when.after_s:
+            self.fleet.rest(when.after_s)
+        conditions = list(self._conditions(when))
+        for text, condition in conditions:
+            self.fleet.until(condition, f"{text} ({what})", when.within_s)
+
+    def _conditions(self, when: When) -> list[tuple[str, Callable[[], bool]]]:
+        found: list[tuple[str, Callable[[], bool]]] = []
+
+        def enough(holds: Callable[[Front], bool]) -> bool:
+            fronts = self.fronts(when.of)
+            count = sum(holds(front) for front in fronts)
+            return count > 0 and (2 * count >= len(fronts) if when.half else count == len(fronts))
+
+        if when.state is not None:
+            wanted = when.state
+
+            def in_state(front: Front) -> bool:
+                return front.plan is not None and all(
+                    front.plan.get(zone, "").split(" ")[0] == state for zone, state in wanted.items()
+                )
+
+            found.append((f"{wanted} at {when.of}", lambda: enough(in_state)))
+        if when.valid is not None:
+            found.append(
+                (f"a valid plan: {when.valid}", lambda: enough(lambda f: (f.plan is not None) == when.valid))
+            )
+        if when.leader is not None:
+            found.append(
+                ("a leader", lambda: any(f.role == "leader" for f in self.fronts("live")) == when.leader)
+            )
+        if when.leader_in is not None:
+            found.append(
+                (
+                    f"a leader in {when.leader_in}",
+                    lambda: [f.zone for f in self.fronts("leader")] == [when.leader_in],
+                )
+            )
+        if when.apart is not None:
+            found.append(
+                (f"zones apart: {when.apart}", lambda: enough(lambda f: bool(f.apart) == when.apart))
+            )
+        if when.voters is not None:
+            found.append((f"{when.voters} voters", lambda: self._voters() == when.voters))
+        if when.note is not None:
+            found.append((f"the note {when.note!r}", lambda: self._noted(when.note)))
+        return found
+
+    def _voters(self) -> int:
+        lists = [n.fields["voters"] for n in self.fleet.notes if n.event == "voters"]
+        return len(lists[-1]) if lists else 1
+
+    def _noted(self, event: str) -> bool:
+        return any(n.event == event and n.at_ms >= self.before_ms for n in self.fleet.notes)
+
+    # --- whom -----------------------------------------------------------------------------------
+
+    def fronts(self, what: str) -> list[Front]:
+        """Front ends by a word: all, live, leader, zone:Z, share:P of those that live, or names
+        with commas."""
+        every = list(self.fleet.fronts.values())
+        live = [front for front in every if front.alive and not front.stopped]
+        if what in ("", "all"):
+            return every
+        if what == "live":
+            return live
+        if what == "leader":
+            return [front for front in live if front.role == "leader"][:1]
+        if what == "follower":
+            return [front for front in live if front.voter and front.role != "leader"][:1]
+        if what == "old leader":
+            return [front for front in every if front.stopped]
+        if what.startswith("zone:"):
+            return [front for front in every if front.zone == what[5:]]
+        if what.startswith("share:"):
+            return self.chance.sample(live, round(float(what[6:]) * len(every)))
+        return [self.fleet.fronts[name] for name in what.split(",")]
+
+    def _ids(self, what: str) -> list[str]:
+        if what.startswith("zone:"):
+            return [id for id, zone in self.fleet.scorer_zone.items() if zone == what[5:]]
+        return what.split(",") if what else list(self.fleet.scorers)
+
+    def _zone_of(self, party: str) -> str:
+        if party in self.fleet.fronts:
+            return self.fleet.fronts[party].zone
+        if party in self.fleet.scorer_zone:
+            return self.fleet.scorer_zone[party]
+        return party[8:] if party.startswith("clients-") else ""
+
+    def _links(self, step: Step) -> list[tuple[Relay, bool]]:
+        """The relays between two parties, each with whether `what` is the one that dials.
+
+        A zone is all that stands in it but its clients, who stay with their front ends; a front end is
+        itself."""
+
+        def side(word: str) -> Callable[[str], bool]:
+            if word.startswith("zone:"):
+                return lambda party: self._zone_of(party) == word[5:] and not party.startswith("clients-")
+            if word.startswith("clients:"):
+                return lambda party: party == f"clients-{word[8:]}"
+            if word in ("leader", "follower", "old leader"):
+                names = {front.name for front in self.fronts(word)}
+                return lambda party: party in names
+            if word == "rest":
+                first = side(step.what)
+                return lambda party: not first(party) and not party.startswith("clients-")
+            return lambda party: party in word.split(",")
+
+        one, other = side(step.what), side(step.to or "rest")
+        found = []
+        for (source, target, what), relay in self.fleet.relays.items():
+            if what == "roster":
+                continue
+            if one(source) and other(target):
+                found.append((relay, True))
+            elif one(target) and other(source):
+                found.append((relay, False))
+        return found
+
+    # --- steps ----------------------------------------------------------------------------------
+
+    def _set(self, step: Step, **faults: object) -> None:
+        """`forward` is what `what` sends, whoever dialled."""
+        for relay, dials in self._links(step):
+            if step.way == "both":
+                relay.set(None, **faults)
+            else:
+                relay.set(FORWARD if (step.way == "forward") == dials else BACKWARD, **faults)
+
+    def _cut(self, step: Step) -> None:
+        self._set(step, cut=True)
+
+    def _delay(self, step: Step) -> None:
+        self._set(step, delay_ms=step.value, jitter_ms=step.value / 4)
+
+    def _lossy(self, step: Step) -> None:
+        self._set(step, lossy=step.value)
+
+    def _stall(self, step: Step) -> None:
+        self._set(step, stall_after=int(step.value))
+
+    def _reset(self, step: Step) -> None:
+        for relay, _ in self._links(step):
+            relay.reset()
+
+    def _heal(self, step: Step) -> None:
+        relays = [relay for relay, _ in self._links(step)] if step.what else self.fleet.relays.values()
+        for relay in relays:
+            if relay.faulty:
+                relay.heal()
+
+    def _kill(self, step: Step) -> None:
+        for front in self.fronts(step.what):
+            self.fleet.kill(front)
+
+    def _stop(self, step: Step) -> None:
+        for front in self.fronts(step.what):
+            self.fleet.stop(front)
+
+    def _go_on(self, step: Step) -> None:
+        for front in self.fronts(step.what):
+            self.fleet.go_on(front)
+
+    def _start(self, step: Step) -> None:
+        started = [front for front in self.fronts(step.what or "all") if not front.alive]
+        for front in started:
+            self.fleet.start(front)
+        self.fleet.until(lambda: all(f.ready for f in started), "the started front ends to be ready")
+
+    def _lose_zone(self, step: Step) -> None:
+        """A zone goes dark: its links first, so that nobody hears its processes end."""
+        self._set(Step("cut", what=f"zone:{step.what}", to="rest"), cut=True)
+        for relay in self._doors(step.what):
+            relay.set(None, cut=True)
+        for front in self.fronts(f"zone:{step.what}"):
+            self.fleet.kill(front)
+        for id in self._ids(f"zone:{step.what}"):
+            self.fleet.scorers[id].stop()
+
+    def _doors(self, zone: str) -> list[Relay]:
+        """The links by which clients come to a zone's front ends."""
+        return [
+            relay
+            for (_, target, what), relay in self.fleet.relays.items()
+            if what == "clients" and self._zone_of(target) == zone
+        ]
+
+    def _return_zone(self, step: Step) -> None:
+        """It comes back cold, and the change log tells of it."""
+        self._heal(Step("heal", what=f"zone:{step.what}", to="rest"))
+        for relay in self._doors(step.what):
+            relay.heal()
+        self.fleet.scorers_up(self._ids(f"zone:{step.what}"))
+        self._start(Step("start", what=f"zone:{step.what}"))
+
+    def _scorers_down(self, step: Step) -> None:
+        for id in self._ids(step.what):
+            self.fleet.scorers[id].stop()
+
+    def _scorers_up(self, step: Step) -> None:
+        self.fleet.scorers_up(self._ids(step.what))
+
+    def _slow(self, step: Step) -> None:
+        for id in self._ids(step.what):
+            self.fleet.scorers[id].slow = step.value
+
+    def _store(self, step: Step) -> None:
+        if step.text == "down":
+            self.fleet.store.down = True
+        else:
+            self.fleet.store.up()
+
+    def _rate(self, step: Step) -> None:
+        self.fleet.clients.factor = step.value
+
+    def _wipe(self, step: Step) -> None:
+        for front in self.fronts(step.what):
+            (front.folder / "state" / "voter.log").unlink(missing_ok=True)
+
+    def _swap(self, step: Step) -> None:
+        """One front end's disk is put in another's place."""
+        [one], [other] = self.fronts(step.what), self.fronts(step.to)
+        (other.folder / "state").mkdir(exist_ok=True)
+        data = (one.folder / "state" / "voter.log").read_bytes()
+        (other.folder / "state" / "voter.log").write_bytes(data)
+
+    def _members(self, step: Step) -> None:
+        self.members_number += 1
+        self.fleet.write_members(self.members_number, set(step.what.split(",")) if step.what else None)
+
+    def _wish(self, step: Step) -> None:
+        self.wish_number += 1
+        drained = step.what.split(",") if step.what else []
+        front = self.fronts("live")[0]
+        wishes = {"version": 1, "number": self.wish_number, "drained": drained}
+        write_whole(front.folder / "state" / "wishes.json", wishes)
+
+    def _mark(self, step: Step) -> None:
+        """Nothing but its mark, which every step leaves."""
+
+    def _start_refused(self, step: Step) -> None:
+        """A front end that must not start: it ends by itself, with status 2 and one line that has `text`."""
+        [front] = self.fronts(step.what)
+        self.fleet.start(front)
+        self.fleet.until(lambda: not front.alive, f"{front.name} to end by itself")
+        log = (front.folder / "log.txt").read_text(errors="replace").strip().splitlines()
+        if front.status != 2 or step.text not in log[-1]:
+            raise LabFault(f"{front.name} ended with {front.status}: {log[-1]}")
+        front.status = None  # as it should
+
+    # --- measuring ------------------------------------------------------------------------------
+
+    def measure(self) -> Measures:
+        fleet = self.fleet
+        began = fleet.marks["load"]
+        length = int((monotonic_ms() - began) / 1000.0) + 1
+        seconds = [Second() for _ in range(length)]
+        outcomes: Counter = Counter()
+        times = HdrHistogram(1, 60_000, 3)
+        for request in fleet.clients.requests:
+            second = seconds[min(length - 1, int((request.began_ms - began) / 1000.0))]
+            second.asked += request.kind.worth
+            second.requests += 1
+            second.served += request.kind.worth * request.on_time
+            second.refused += request.outcome == "refused"
+            second.late += request.outcome == "late" or (request.outcome == "served" and not request.on_time)
+            second.failed += request.outcome in ("failed", "lost", "not taken", "no front end")
+            outcomes[request.outcome] += 1
+            if request.outcome == "served":
+                times.record_value(max(1, int(request.ended_ms - request.began_ms)))
+        runs = [a for a in fleet.arrivals if a.what == "run" and a.sender in fleet.fronts]
+        far = sum(fleet.fronts[a.sender].zone != fleet.scorer_zone[a.scorer] for a in runs)
+        return Measures(
+            scenario=self.scenario.name,
+            seed=self.seed,
+            decided=self.scenario.decide,
+            verdict=judge(fleet),
+            seconds=seconds,
+            marks={name: (at - began) / 1000.0 for name, at in fleet.marks.items()},
+            outcomes=outcomes,
+            percentiles={f"p{p}": times.get_value_at_percentile(p) for p in (50, 95, 99)},
+            crossing=far / len(runs) if runs else 0.0,
+            fetches=fleet.store.fetches,
+            worst_fetches=fleet.store.worst,
+            fell=sum(scorer.fallen for scorer in fleet.scorers.values()),
+            complaints=list(fleet.complaints),
+        )
+
+
+def run(scenario: Scenario, seed: int, folder: Path | None = None) -> Measures:
+    """One run, from the first process to the verdict; raises LabFault where the ground gave way."""
+    return Runner(scenario, seed, folder).run()
+
+
+__all__ = ["LabFault", "Measures", "Runner", "run"]
--- /dev/null
+++ b/fawnwharf/lab/scenario.py
@@ -0,0 +1,116 @@
+"""Scenarios: what fleet there is, what happens to it and when. JSON, checked by key; pure.
+
+Steps come one after another. Each waits for its `when`, an event or a time since the step before, and then
+does one thing. A wait for an event that does not come within `within_s` is a failure of the run, never
+passed over.
+"""
+
+from pathlib import Path
+from typing import Annotated, Any, Literal
+
+import msgspec
+from msgspec import Meta, Struct
+
+VERSION = 1
+FOLDER = Path(__file__).parent / "scenarios"
+
+Name = Annotated[str, Meta(min_length=1, max_length=32, pattern=r"^[0-9a-z_-]+$")]
+Span = Annotated[float, Meta(ge=0.0, le=3_600.0)]
+Part = Annotated[float, Meta(ge=0.0, le=1.0)]
+
+
+class ScenarioFault(ValueError):
+    """A scenario that can't be run; the text names the key."""
+
+
+class ZoneSpec(Struct, frozen=True):
+    front_ends: Annotated[int, Meta(ge=0, le=40)]
+    scorers: Annotated[int, Meta(ge=0, le=40)]
+    region: str = "r"
+    rps: Annotated[float, Meta(ge=0.0, le=2_000.0)] = 20.0  # calls a second of its clients
+    voters: Annotated[int, Meta(ge=0, le=7)] = 1  # of its front ends
+
+
+class When(Struct, frozen=True, forbid_unknown_fields=True):
+    """One of these; all are waited for where there are more."""
+
+    after_s: Span = 0.0
+    state: dict[Name, str] | None = None  # of zones, as `of` follow it
+    leader: bool | None = None  # one leads
+    leader_in: str | None = None  # zone of the one that leads
+    apart: bool | None = None  # whether the plan of `of` has zones apart
+    valid: bool | None = None  # `of` go by a plan, or none of them does
+    voters: Annotated[int, Meta(ge=0, le=9)] | None = None  # in the list that was decided last
+    note: str | None = None  # somebody's log says this since the step before
+    of: str = "live"  # front ends: live, all, zone:Z, or names with commas
+    half: bool = False  # half of them are enough
+    within_s: Span = 30.0
+
+
+class Step(Struct, frozen=True, forbid_unknown_fields=True):
+    do: Literal[
+        "cut", "heal", "delay", "lossy", "stall", "reset", "kill", "stop", "go_on", "start",
+        "lose_zone", "return_zone", "scorers_down", "scorers_up", "slow", "store", "rate",
+        "wipe", "swap", "members", "wish", "mark", "start_refused",
+    ]  # fmt: skip
+    what: str = ""  # whom: front ends, scorers or zones
+    to: str = ""  # the other end of links
+    way: Literal["both", "forward", "backward"] = "both"
+    value: float = 0.0
+    text: str = ""
+    when: When = When()
+
+
+class Scenario(Struct, frozen=True, forbid_unknown_fields=True):
+    version: int
+    name: Name
+    about: str
+    zones: Annotated[dict[Name, ZoneSpec], Meta(min_length=1, max_length=9)]
+    steps: list[Step]
+    decide: bool = True  # in common, or each on its own
+    functions: Annotated[int, Meta(ge=1, le=500)] = 12
+    settle_s: Span = 3.0  # of load before the first step
+    rest_s: Span = 3.0  # of load after the last one
+    settings: dict[str, Any] = {}  # of zones, over the lab's own
+    nature: dict[str, float] = {}  # of scorers, over the usual one
+    pushback_ms: float = 500.0
+
+
+def scenario_from(data: bytes) -> Scenario:
+    try:
+        found = msgspec.json.decode(data, type=Scenario)
+    except msgspec.ValidationError as error:
+        text, _, place = str(error).partition(" - at `$")
+        raise ScenarioFault(f"{place.rstrip('`').lstrip('.') or 'scenario'}: {text}") from None
+    except msgspec.DecodeError as error:
+        raise ScenarioFault(f"scenario: not JSON: {error}") from None
+    if found.version != VERSION:
+        raise ScenarioFault(f"version: {found.version}, and this program knows {VERSION}")
+    fronts = sum(zone.front_ends for zone in found.zones.values())
+    voters = sum(min(zone.voters, zone.front_ends) for zone in found.zones.values())
+    if not fronts:
+        raise ScenarioFault("zones: no front end at all")
+    if found.decide and voters not in (1, 3, 5, 7):
+        raise ScenarioFault(f"zones: {voters} voters, and it takes 3, 5 or 7")
+    for n, step in enumerate(found.steps):
+        for zone in step.when.state or ():
+            if zone not in found.zones:
+                raise ScenarioFault(f"steps[{n}].when.state: no zone {zone}")
+        if step.do in ("lose_zone", "return_zone") and step.what not in found.zones:
+            raise ScenarioFault(f"steps[{n}].what: no zone {step.what}")
+    return found
+
+
+def load(name: str) -> Scenario:
+    """One of the project's scenarios by its name, or a file by its path."""
+    path = Path(name) if name.endswith(".json") else FOLDER / f"{name}.json"
+    try:
+        return scenario_from(path.read_bytes())
+    except OSError as error:
+        raise ScenarioFault(f"{path}: {error.strerror}") from None
+    except ScenarioFault as error:
+        raise ScenarioFault(f"{path}: {error}") from None
+
+
+def names() -> list[str]:
+    return sorted(path.stem for path in FOLDER.glob("*.json"))
--- a/fawnwharf/policy.py
+++ b/fawnwharf/policy.py
@@ -178,9 +178,8 @@
         self.members, self.tokens = dict[int, float](), dict[str, tuple[float, float]]()  # sizes; shares
         self.functions, self.waiting = dict[str, Function](), dict[str, Function]()
         self.requests, self.attempts = dict[str, Request](), dict[tuple[str, int], Attempt]()
-        self.suspects, self.hedges = 0, HEDGES_MOST  # ready workers that are; tokens for second attempts
+        self.suspects, self.hedges, self.loads_limit, self.loading = 0, HEDGES_MOST, LOADS_START, 0
         self.taken, self.ordered, self.flying = deque[float](), deque[float](), deque[Attempt]()  # out lately
-        self.loads_limit, self.loading = LOADS_START, 0  # own orders under way
         self.total, self.fleet = 1.0, 0.01  # size of the ready fleet, cold workers in part; the largest seen
         self.peers, self.silent_ms = max(1, settings.fleet_size), SILENT_MS  # front ends; see _watch
         self.sold = sum(settings.quotas_rps.values()) / 1000  # by all together, a millisecond
@@ -236,7 +235,7 @@
         self.hedges = min(HEDGES_MOST, self.hedges + HEDGE_SHARE)
         self.requests[request.id] = request
         fn.queue.append(request)
-        if self._over_share(io.ALL_TENANTS) or request.deadline_ms - self.now <= SWEEP_MS + LEAD_MS:
+        if self._over_share(io.ALL) or request.deadline_ms - self.now <= SWEEP_MS + LEAD_MS:
             self._finish(request)  # the next sweep may be too late: a client's last try has little time
         elif not self.wide and not self._is_warm(fn):
             for worker in self._ordered(fn)[:SURVEY_WIDTH]:
@@ -269,7 +268,8 @@
             self._close(request)
 
     def _on_limits(self, event: io.LimitsChanged) -> None:  # one more share, of all that is taken here
-        self.settings.quotas_rps[io.ALL_TENANTS] = event.calls_rps * self.peers
+        quotas, rps = self.settings.quotas_rps, event.calls_rps
+        quotas[io.ALL], self.tokens[io.ALL] = rps * self.peers, (rps / 10, self.now)  # no burst at first
 
     def _on_attempt(self, event: io.AttemptEnded) -> None:
         attempt = self.attempts.pop((event.request, event.attempt), None)
--- a/fawnwharf/zones/service.py
+++ b/fawnwharf/zones/service.py
@@ -14,7 +14,7 @@
 from fawnwharf.net.connection import Connection
 from fawnwharf.net.endings import End
 from fawnwharf.net.front_end import FrontEnd, worker_number
-from fawnwharf.net.wheel import Timer, monotonic_ms
+from fawnwharf.net.wheel import Timer, Wheel, monotonic_ms
 from fawnwharf.zones import settings as s
 from fawnwharf.zones.evidence import Observer
 from fawnwharf.zones.links import LogServer, MemberLog
@@ -23,6 +23,7 @@
 
 FILES_MS = 500.0  # pace of the look at the files
 PROBE_MS = 250.0  # pace of dials into zones that give no sign by themselves
+HELD_MS = 60.0  # a probe that came up stays for so long
 READERS_SPARE = 16  # beyond the members, for operators
 LINE_S = 1.0  # one line a second for each cause of dropped lines
 
@@ -50,10 +51,13 @@
 
 
 class _Probe:
-    """One dial into a zone, which tells whether somebody listens there."""
+    """One dial into a zone, which tells whether somebody listens there, and goes on doing so for a moment.
 
-    def __init__(self, told: Callable[[bool], None]) -> None:
+    Guards against what stands before a dead scorer and takes its connections, only to end them."""
+
+    def __init__(self, wheel: Wheel, told: Callable[[bool], None]) -> None:
         self.connection: Connection | None = None
+        self._wheel = wheel
         self._told: Callable[[bool], None] | None = told
 
     def _tell(self, good: bool) -> None:
@@ -62,8 +66,12 @@
             told(good)
 
     def on_up(self) -> None:
-        self._tell(True)
-        self.connection.close(End.IDLE)
+        self._wheel.after(HELD_MS, self._held)
+
+    def _held(self) -> None:
+        if not self.connection.closed:
+            self._tell(True)
+            self.connection.close(End.IDLE)
 
     def on_data(self, data: bytes) -> None: ...
 
@@ -112,6 +120,7 @@
         self.roster = Roster(entry.zone)
         promise = min((c.promise_ms for c in deployment.settings.classes.values()), default=1_000.0)
         self.observer = Observer(self.settings.evidence, promise)
+        self._sold = sum(deployment.settings.quotas_rps.values())  # before any limit stands among them
         self._zone_of: dict[int, str] = {}
         self._told_ms = now
         self._life = time.time_ns() // 1_000
@@ -183,14 +192,18 @@
         if changes.members:
             self.front.take_fleet(changes)
         part = self.roster.admission()
-        sold = sum(self.deployment.settings.quotas_rps.values())
-        limited = part < 1.0 and sold > 0
-        rps = part * sold / self.deployment.settings.fleet_size if limited else io.UNLIMITED_RPS
+        limited = part < 1.0 and self._sold > 0
+        rps = part * self._sold / self.deployment.settings.fleet_size if limited else io.UNLIMITED_RPS
         self.front.loop.tell(io.LimitsChanged(rps))
-        self.note(
-            "following" if effect.plan else "on its own",
-            {"index": effect.index, "scorers changed": len(changes.members), "admission": round(part, 3)},
-        )
+        fields = {"index": effect.index, "scorers changed": len(changes.members), "admission": round(part, 3)}
+        if effect.plan is None:
+            self.note("on its own", fields)
+        else:
+            states = {name: f"{zone.state} {zone.share:g}" for name, zone in effect.plan.zones.items()}
+            self.note(
+                "following",
+                fields | {"number": effect.plan.number, "zones": states, "apart": effect.plan.apart},
+            )
 
     # --- time -----------------------------------------------------------------------------------
 
@@ -344,7 +357,8 @@
         member = scorers[place % len(scorers)]
         if not member.host_port:
             return
-        probe = _Probe(lambda good: self.observer.dialled(monotonic_ms(), zone, good))
+        wheel = self.front.loop.wheel
+        probe = _Probe(wheel, lambda good: self.observer.dialled(monotonic_ms(), zone, good))
         within = min(self.deployment.wire.dial_timeout_ms, self.settings.evidence.window_ms / 2)
         address = address_from(member.host_port, "host_port")
         made = Connection.dial(self.front.loop, address, probe, within)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -529,10 +529,11 @@
     refused = []
     for n in range(6):
         refused += of(drive.ask(f"r{n}"), io.Refuse)
-    assert [refusal.request for refusal in refused] == ["r2", "r3", "r4", "r5"]
+    assert [refusal.request for refusal in refused] == [f"r{n}" for n in range(6)]  # no burst to begin with
+    drive.now += 1000.0
+    assert [len(of(drive.ask(f"s{n}"), io.Refuse)) for n in range(4)] == [0, 0, 1, 1]
     assert {refusal.hold_off_ms for refusal in refused} == {700.0}
     drive.feed(io.LimitsChanged())
-    drive.now += 1.0
     assert not of(drive.ask("r9"), io.Refuse)
 
 
--- /dev/null
+++ b/tests/test_standins.py
@@ -0,0 +1,227 @@
+"""Relays and stand-ins: what they do to what passes through them, on loopback."""
+
+import contextlib
+import socket
+import time
+import unittest
+from unittest import mock
+
+from fawnwharf.net import scorer_frames as frames
+from fawnwharf.net.loop import Loop
+from fawnwharf.standins.relay import BACKWARD, FORWARD, Relay
+from fawnwharf.standins.scorers import Nature, Scorer, Store
+
+PATIENCE_S = 10.0
+
+
+class Case(unittest.TestCase):
+    def setUp(self):
+        self.loop = Loop(lambda now_ms, events: None, mock.Mock())
+        self.addCleanup(self.loop.close)
+
+    def until(self, condition, what):
+        end = time.monotonic() + PATIENCE_S
+        while not condition():
+            self.assertLess(time.monotonic(), end, f"waited in vain until {what}")
+            self.loop.turn(0.005)
+
+    def turns(self, seconds):
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            self.loop.turn(0.005)
+
+
+class Relays(Case):
+    def setUp(self):
+        super().setUp()
+        self.server = socket.create_server(("127.0.0.1", 0))
+        self.server.setblocking(False)
+        self.addCleanup(self.server.close)
+        self.relay = Relay(self.loop, "127.0.0.1", self.server.getsockname())
+        self.addCleanup(self.relay.close)
+        self.far = []
+
+    def dial(self):
+        sock = socket.socket()
+        sock.setblocking(False)
+        self.addCleanup(sock.close)
+        sock.connect_ex(self.relay.address)
+        return sock
+
+    def accepted(self):
+        try:
+            sock, _ = self.server.accept()
+            sock.setblocking(False)
+            self.addCleanup(sock.close)
+            self.far.append(sock)
+        except BlockingIOError:
+            pass
+        return self.far
+
+    def pair(self):
+        near = self.dial()
+        self.until(lambda: self.accepted(), "the target is dialled")
+        return near, self.far[-1]
+
+    def read(self, sock):
+        try:
+            return sock.recv(65536)
+        except BlockingIOError:
+            return None
+
+    def come(self, sock, data):
+        got = bytearray()
+
+        def all_came():
+            got.extend(self.read(sock) or b"")
+            return len(got) >= len(data)
+
+        self.until(all_came, "all has come")
+        self.assertEqual(bytes(got), data)
+
+    def test_bytes_pass_both_ways_and_an_end_after_them(self):
+        near, far = self.pair()
+        near.sendall(b"asked" * 1000)
+        self.come(far, b"asked" * 1000)
+        far.sendall(b"answered")
+        far.close()
+        self.come(near, b"answered")
+        self.until(lambda: self.read(near) == b"", "the end is passed on")
+
+    def test_a_cut_link_says_nothing_and_goes_on_after_healing(self):
+        near, far = self.pair()
+        self.relay.set(cut=True)
+        near.sendall(b"held")
+        self.turns(0.1)
+        self.assertIsNone(self.read(far))
+        self.relay.heal()
+        self.come(far, b"held")
+
+    def test_nothing_new_comes_up_over_a_cut_link(self):
+        self.relay.set(FORWARD, cut=True)
+        late = self.dial()
+        self.turns(0.2)
+        self.assertEqual(late.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR), 0)
+        with self.assertRaises(OSError):
+            late.getpeername()  # it is still being dialled
+        self.relay.heal()
+        near, far = self.pair()
+        near.sendall(b"x")
+        self.come(far, b"x")
+
+    def test_one_way_may_be_cut_alone(self):
+        near, far = self.pair()
+        self.relay.set(BACKWARD, cut=True)
+        near.sendall(b"asked")
+        self.come(far, b"asked")
+        far.sendall(b"answered")
+        self.turns(0.1)
+        self.assertIsNone(self.read(near))
+
+    def test_the_end_of_a_process_is_not_heard_over_a_cut_link(self):
+        near, far = self.pair()
+        self.relay.set(cut=True)
+        far.close()
+        self.turns(0.1)
+        self.assertIsNone(self.read(near))
+
+    def test_a_stall_stops_in_the_middle_and_healing_brings_the_rest(self):
+        near, far = self.pair()
+        self.relay.set(FORWARD, stall_after=3)
+        near.sendall(b"abcdef")
+        self.come(far, b"abc")
+        self.turns(0.05)
+        self.assertIsNone(self.read(far))
+        self.relay.heal()
+        self.come(far, b"def")
+
+    def test_a_delay_keeps_the_order(self):
+        near, far = self.pair()
+        self.relay.set(FORWARD, delay_ms=60.0, jitter_ms=40.0)
+        began = time.monotonic()
+        for n in range(5):
+            near.sendall(b"%d" % n)
+            self.turns(0.01)
+        self.come(far, b"01234")
+        self.assertGreater(time.monotonic() - began, 0.06)
+
+    def test_a_reset_is_one_on_both_sides(self):
+        near, far = self.pair()
+        self.relay.reset()
+        for sock in (near, far):
+            with self.assertRaises(ConnectionResetError):
+                self.until(lambda sock=sock: self.read(sock) is not None, "it is reset")
+
+    def test_a_target_that_does_not_listen_is_refused_here_too(self):
+        self.relay.refuse(True)
+        self.assertNotEqual(socket.socket().connect_ex(self.relay.address), 0)
+        self.relay.set(cut=True)
+        self.relay.heal()
+        self.assertNotEqual(socket.socket().connect_ex(self.relay.address), 0)
+        self.relay.refuse(False)
+        near, far = self.pair()
+        near.sendall(b"x")
+        self.come(far, b"x")
+
+
+class Scorers(Case):
+    def scorer(self, **nature):
+        self.arrivals = []
+        store = Store(self.loop, fetch_ms=5.0)
+        made = Nature(**({"work_ms": 4.0, "load_ms": 10.0} | nature))
+        scorer = Scorer(self.loop, "s", "127.0.0.1", made, store, 1, lambda peer: "n0", self.arrivals.append)
+        self.addCleanup(scorer.stop)
+        return scorer
+
+    def link(self, scorer):
+        sock = socket.create_connection(scorer.address)
+        sock.setblocking(False)
+        self.addCleanup(sock.close)
+        self.reader, self.frames = frames.FrameReader(), []
+        return sock
+
+    def pump(self, sock):
+        with contextlib.suppress(BlockingIOError):
+            self.frames += self.reader.feed(sock.recv(65536))
+        return self.frames
+
+    def test_a_call_for_a_cold_function_loads_it_and_the_next_finds_it(self):
+        scorer = self.scorer()
+        sock = self.link(scorer)
+        sock.sendall(frames.run(b"1" * 8, "view", "f", 1000.0, "", b"body"))
+        self.until(lambda: self.pump(sock), "it is answered")
+        sock.sendall(frames.run(b"2" * 8, "view", "f", 1000.0, "", b"two"))
+        self.until(lambda: len(self.pump(sock)) == 2, "the second is answered")
+        self.assertEqual([frame.fields["res"] for frame in self.frames], ["init", "reused"])
+        self.assertEqual([frame.body for frame in self.frames], [b"done:body", b"done:two"])
+        self.assertEqual([arrival.what for arrival in self.arrivals], ["run", "run"])
+
+    def test_an_order_is_answered_when_the_copies_stand(self):
+        scorer = self.scorer()
+        sock = self.link(scorer)
+        sock.sendall(frames.ensure(b"1" * 8, "f", 2) + frames.ensure(b"2" * 8, "f", 0))
+        self.until(lambda: len(self.pump(sock)) == 2, "both are answered")
+        told = {frame.id[:1]: frame.fields["slots_up"] for frame in self.frames}
+        self.assertEqual(told, {b"1": "2", b"2": "0"})
+
+    def test_one_that_is_sent_more_than_it_bears_while_cold_falls_and_stays_down(self):
+        scorer = self.scorer(cores=1, cold_ms=60_000.0, cold_share=0.1, fall_ms=1_000.0, work_ms=50.0)
+        scorer.stop()
+        scorer.start()
+        sock = self.link(scorer)
+        for n in range(30):
+            sock.sendall(frames.run(n.to_bytes(8, "big"), "view", "f", 1000.0, "", b""))
+        self.until(lambda: scorer.fallen, "it falls")
+        self.assertNotEqual(socket.socket().connect_ex(scorer.address), 0)
+
+    def test_beyond_its_queue_it_answers_full_and_that_never_ran(self):
+        scorer = self.scorer(queue=2, work_ms=200.0, cores=1, lanes=1)
+        sock = self.link(scorer)
+        for n in range(12):
+            sock.sendall(frames.run(n.to_bytes(8, "big"), "view", "f", 1000.0, "", b""))
+        self.until(lambda: any(f.code == frames.FULL for f in self.pump(sock)), "one is turned away")
+        self.assertTrue(any(arrival.what == "turned" for arrival in self.arrivals))
+
+
+if __name__ == "__main__":
+    unittest.main()
