lab compare: paired runs with intervals, a columnar table and a chart

Two sides, the same seeds and faults at the same moments, bootstrap intervals of the paired differences; a scenario for it whose steps go by the clock alone.

--- a/fawnwharf/lab/commands.py
+++ b/fawnwharf/lab/commands.py
@@ -86,6 +86,68 @@
     raise typer.Exit(1 if measures.verdict.broken else 0)
 
 
+@app.command()
+def compare(
+    one: str,
+    other: str,
+    seeds: Annotated[int, typer.Option("--seeds", help="Pairs of runs.")] = 10,
+    first: Annotated[int, typer.Option("--first", help="The first seed.")] = 1,
+    front_ends: Fronts = 0,
+    out: Out = "",
+) -> None:
+    """Compare two sides by paired runs, each NAME or NAME:alone, which is without the decision in common.
+
+    Both should have their faults at the same moments, as scenarios do whose steps wait for times alone."""
+    from fawnwharf.lab import compare as comparing
+    from fawnwharf.lab.run import LabFault
+    from fawnwharf.lab.run import run as run_it
+
+    sides = []
+    for word in (one, other):
+        name, _, how = word.partition(":")
+        if how not in ("", "alone"):
+            typer.echo(f"fawnwharf: lab: {word}: NAME or NAME:alone", err=True)
+            raise typer.Exit(2)
+        sides.append(load(name, front_ends, how == "alone"))
+    pairs = comparing.Pairs([], [])
+    for seed in range(first, first + seeds):
+        try:
+            runs = [run_it(side, seed) for side in sides]
+        except LabFault as error:
+            typer.echo(f"seed {seed} left out, the ground gave way: {error}")
+            continue
+        pairs.one.append(runs[0])
+        pairs.other.append(runs[1])
+        told = "  ".join(f"{measures.service():.4f} {measures.verdict.line()}" for measures in runs)
+        typer.echo(f"seed {seed:3}  {told}")
+    if not pairs.one:
+        typer.echo("verdict: broken ground: no pair of runs")
+        raise typer.Exit(1)
+    typer.echo(f"{len(pairs.one)} pairs; differences are {one} less {other}, with 95 % intervals")
+    figures = {
+        "service": lambda m: m.service(),
+        "crossing": lambda m: m.crossing,
+        "late": lambda m: m.outcomes["late"] / max(1, sum(m.outcomes.values())),
+        "refused": lambda m: m.outcomes["refused"] / max(1, sum(m.outcomes.values())),
+        "failed or lost": lambda m: (
+            (m.outcomes["failed"] + m.outcomes["lost"]) / max(1, sum(m.outcomes.values()))
+        ),
+        "fetches": lambda m: float(m.fetches),
+    }
+    for name, of in figures.items():
+        difference = pairs.difference(of)
+        typer.echo(f"{name:15} {difference}  {difference.says if name == 'service' else ''}".rstrip())
+    for n, mine, theirs, difference in pairs.by_second():
+        typer.echo(f"{n:4} s  {mine:6.3f}  {theirs:6.3f}  {difference}")
+    if out:
+        folder = Path(out)
+        folder.mkdir(parents=True, exist_ok=True)
+        typer.echo(f"kept: {comparing.table(pairs, folder)}, {comparing.chart(pairs, (one, other), folder)}")
+    broken = [m for m in [*pairs.one, *pairs.other] if m.verdict.broken]
+    typer.echo(f"verdict: broken in {len(broken)} runs" if broken else "verdict: kept")
+    raise typer.Exit(1 if broken else 0)
+
+
 @app.command()
 def explore(states: int = 30_000, plant: str = "") -> None:
     """Search the voters' states for anything that must not be; status 1 where something is found."""
--- /dev/null
+++ b/fawnwharf/lab/compare.py
@@ -0,0 +1,123 @@
+"""Compares two ways of running by paired runs: the same scenario, seeds and faults at the same moments.
+
+What differs from seed to seed is common to both sides of a pair, so intervals are of the paired differences,
+by a bootstrap over seeds with a seed of its own. Under `RESOLUTION` a difference counts as none seen.
+"""
+
+import random
+from collections.abc import Callable
+from dataclasses import asdict, dataclass
+from pathlib import Path
+
+from fawnwharf.lab.run import Measures
+
+RESOLUTION = 0.005  # of service
+DRAWS = 4_000
+LEVEL = 0.95
+
+
+@dataclass(frozen=True, slots=True)
+class Interval:
+    mean: float
+    low: float
+    high: float
+
+    def __str__(self) -> str:
+        return f"{self.mean:+.4f} [{self.low:+.4f}, {self.high:+.4f}]"
+
+    @property
+    def says(self) -> str:
+        if self.low <= 0.0 <= self.high or abs(self.mean) < RESOLUTION:
+            return "no difference seen"
+        return "better" if self.mean > 0 else "worse"
+
+
+def bootstrap(values: list[float], seed: int = 1) -> Interval:
+    """The mean and an interval of it; of one value, just that value."""
+    mean = sum(values) / len(values)
+    if len(values) < 2:
+        return Interval(mean, mean, mean)
+    chance = random.Random(seed)
+    means = sorted(sum(chance.choices(values, k=len(values))) / len(values) for _ in range(DRAWS))
+    cut = int(DRAWS * (1 - LEVEL) / 2)
+    return Interval(mean, means[cut], means[-cut - 1])
+
+
+@dataclass(slots=True)
+class Pairs:
+    """Runs of two sides, in the order of their seeds."""
+
+    one: list[Measures]
+    other: list[Measures]
+
+    def difference(self, of: Callable[[Measures], float]) -> Interval:
+        """How much more the first side has."""
+        return bootstrap([of(a) - of(b) for a, b in zip(self.one, self.other, strict=True)])
+
+    def by_second(self) -> list[tuple[int, float, float, Interval]]:
+        """Second, both means and the paired difference; seconds in which a run had no calls are left out."""
+        length = min(len(m.seconds) for m in [*self.one, *self.other])
+        found = []
+        for n in range(length):
+            sides = [[m.service(n, n + 1) for m in side] for side in (self.one, self.other)]
+            if any(value != value for side in sides for value in side):
+                continue
+            pairs = [a - b for a, b in zip(*sides, strict=True)]
+            means = [sum(side) / len(side) for side in sides]
+            found.append((n, means[0], means[1], bootstrap(pairs)))
+        return found
+
+
+def table(pairs: Pairs, folder: Path) -> Path:
+    """All runs, a row for each second of each, in a columnar file."""
+    import pyarrow
+    import pyarrow.parquet
+
+    rows = [
+        {
+            "scenario": measures.scenario,
+            "decided": measures.decided,
+            "seed": measures.seed,
+            "second": n,
+            **asdict(second),
+            "broken": "; ".join(measures.verdict.broken[:3]),
+        }
+        for measures in [*pairs.one, *pairs.other]
+        for n, second in enumerate(measures.seconds)
+    ]
+    path = folder / "seconds.parquet"
+    pyarrow.parquet.write_table(pyarrow.Table.from_pylist(rows), path)
+    return path
+
+
+def chart(pairs: Pairs, names: tuple[str, str], folder: Path) -> Path:
+    """Service by second of both sides, with every run behind the means."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    figure, axes = pyplot.subplots(figsize=(9, 4.5))
+    for side, name, colour in ((pairs.one, names[0], "tab:blue"), (pairs.other, names[1], "tab:orange")):
+        length = min(len(m.seconds) for m in side)
+        for measures in side:
+            axes.plot(
+                [measures.service(n, n + 1) for n in range(length)], color=colour, alpha=0.15, linewidth=0.8
+            )
+        means = [sum(m.service(n, n + 1) for m in side) / len(side) for n in range(length)]
+        axes.plot(means, color=colour, label=name)
+    for mark, at in pairs.one[0].marks.items():
+        if at > 0:
+            axes.axvline(at, color="grey", linewidth=0.6)
+            axes.text(at, 0.02, mark, rotation=90, fontsize=7, color="grey")
+    axes.set(
+        xlabel="seconds since the load began",
+        ylabel="worth answered in time over worth asked",
+        ylim=(0, 1.02),
+    )
+    axes.legend(loc="lower right")
+    path = folder / "service.png"
+    figure.tight_layout()
+    figure.savefig(path, dpi=110)
+    pyplot.close(figure)
+    return path
--- a/fawnwharf/lab/run.py
+++ b/fawnwharf/lab/run.py
@@ -96,6 +96,8 @@
     def _await(self, when: When, what: str = "the start") -> None:
         if when.after_s:
             self.fleet.rest(when.after_s)
+        if not self.scenario.decide:
+            return  # each on its own: there is nothing to wait for but times
         conditions = list(self._conditions(when))
         for text, condition in conditions:
             self.fleet.until(condition, f"{text} ({what})", when.within_s)
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -7,12 +7,15 @@
 import signal
 import subprocess
 import sys
+from collections import Counter
 
+import pyarrow.parquet
 import pytest
 
+from fawnwharf.lab import compare as comparing
 from fawnwharf.lab import scenario as scenarios
 from fawnwharf.lab.checker import Verdict
-from fawnwharf.lab.run import Runner
+from fawnwharf.lab.run import Measures, Runner, Second
 
 SMALL = [
     "zone-lost-small",
@@ -111,3 +114,31 @@
     assert process.poll() == -signal.SIGKILL
     with pytest.raises(ProcessLookupError):
         os.kill(process.pid, 0)
+
+
+def measures(seed, decided, served):
+    seconds = [Second(asked=10.0, served=10.0 * part, requests=10) for part in served]
+    return Measures(
+        "x", seed, decided, Verdict(), seconds, {"load": 0.0}, Counter(served=1), {}, 0.1, 1, 1, 0
+    )
+
+
+def test_a_comparison_pairs_runs_by_seed_and_keeps_its_table_and_chart(tmp_path):
+    one = [measures(n, True, [1.0, 0.9 + n / 100]) for n in range(4)]
+    other = [measures(n, False, [1.0, 0.5 + n / 100]) for n in range(4)]
+    pairs = comparing.Pairs(one, other)
+    service = pairs.difference(lambda m: m.service())
+    assert service.mean == pytest.approx(0.2) and service.says == "better"
+    assert service.low == pytest.approx(service.high)  # what differs by seed is common to both sides
+    assert [(n, round(d.mean, 3)) for n, _, _, d in pairs.by_second()] == [(0, 0.0), (1, 0.4)]
+    assert comparing.Pairs(one, one).difference(lambda m: m.service()).says == "no difference seen"
+    rows = pyarrow.parquet.read_table(comparing.table(pairs, tmp_path)).to_pylist()
+    assert len(rows) == 16 and {row["decided"] for row in rows} == {True, False}
+    assert comparing.chart(pairs, ("one", "other"), tmp_path).read_bytes()[:4] == b"\x89PNG"
+
+
+def test_an_interval_widens_with_what_the_runs_differ_by():
+    narrow, wide = comparing.bootstrap([0.1, 0.11, 0.09, 0.1]), comparing.bootstrap([0.4, -0.2, 0.3, -0.1])
+    assert narrow.high - narrow.low < wide.high - wide.low
+    assert narrow.says == "better" and wide.says == "no difference seen"
+    assert comparing.bootstrap([0.3]) == comparing.Interval(0.3, 0.3, 0.3)
