A lost zone is out after the damping, not after the reports' life and the damping

Seen in virtual time and in the lab: all front ends acted 3.1 s after a loss, as the damping began only once the lost zone's own front ends had not been heard for the life of their reports (Judge._zone went by lost_ms).

--- a/fawnwharf/zones/judge.py
+++ b/fawnwharf/zones/judge.py
@@ -36,7 +36,8 @@
 class Verdict:
     """What the reports amount to for one zone at one moment."""
 
-    lost: bool = False
+    dead: bool = False  # for more of the other zones than not
+    lost: bool = False  # and for itself, or nobody there is heard
     slow: bool = False
     good: bool = False  # somebody sees it well, and it is not lost
     apart: set[str] = field(default_factory=set)  # zones that do not reach it though others do
@@ -47,7 +48,7 @@
 class _Track:
     """For how long something has been so with a zone."""
 
-    lost_ms: float | None = None
+    dead_ms: float | None = None
     slow_ms: float | None = None
     good_ms: float | None = None
     state_ms: float = 0.0  # since when it is in its state, as far as this leader knows
@@ -125,7 +126,8 @@
         heard = sum(name in alive for name in there)
         found = Verdict(good=own in (View.GOOD, View.SLOW) or bool(well))
         by_itself = own is View.DEAD or (2 * heard <= len(there) and own is not View.GOOD)
-        if dead and len(dead) > len(well) and by_itself:
+        found.dead = len(dead) > len(well)
+        if found.dead and by_itself:
             found.lost, found.good = True, False
             found.why = f"dead for {', '.join(dead)}; {heard} of its {len(there)} front ends heard"
         elif len(members.zones) == 1 and own is View.DEAD:
@@ -167,7 +169,7 @@
         track = self.tracks.setdefault(name, _Track(state_ms=now_ms, state=(before.state, before.share)))
         if track.state != (before.state, before.share):
             track.state, track.state_ms = (before.state, before.share), now_ms
-        for key, holds in (("lost_ms", verdict.lost), ("slow_ms", verdict.slow), ("good_ms", verdict.good)):
+        for key, holds in (("dead_ms", verdict.dead), ("slow_ms", verdict.slow), ("good_ms", verdict.good)):
             since = getattr(track, key)
             setattr(track, key, (now_ms if since is None else since) if holds else None)
         for near in verdict.apart:
@@ -199,7 +201,8 @@
             return to(OUT, 0.0, before.why)
         if before.state in (SERVING, RETURNING):
             patience = damping.out_ms / (2 if before.state == RETURNING else 1)  # it was lost a moment ago
-            if _for(now_ms, track.lost_ms) >= patience:
+            # That nobody is heard takes its own time to show: the two need not wait for each other.
+            if verdict.lost and _for(now_ms, track.dead_ms) >= patience:
                 return to(OUT, 0.0, verdict.why, before.flaps + 1)
         if before.state == OUT and not drained:
             if before.why == DRAINED and not verdict.lost:
--- a/fawnwharf/zones/settings.py
+++ b/fawnwharf/zones/settings.py
@@ -62,8 +62,8 @@
     least: Annotated[int, Meta(ge=1)] = 3  # signs that a view of a zone rests on
     dead_share: Share = 0.8  # of the signs bad: the zone is dead for this observer
     slow_share: Share = 0.5  # of the answers slow
-    report_ms: Span = 500.0  # pace of reports
-    report_life_ms: Span = 2_000.0  # and how long one counts
+    report_ms: Span = 300.0  # pace of reports
+    report_life_ms: Span = 1_200.0  # and how long one counts
     witnesses: Annotated[int, Meta(ge=1)] = 2  # observers that a zone's word takes, where it has so many
 
 
