--- a/fawnwharf/lab/commands.py
+++ b/fawnwharf/lab/commands.py
@@ -48,6 +48,10 @@
         f"{name} {value} ms" for name, value in found.percentiles.items()))  # fmt: skip
     typer.echo("ends " + "  ".join(f"{name} {count}" for name, count in sorted(found.outcomes.items())))
     typer.echo(f"store {found.fetches} fetches, {found.worst_fetches} at once; {found.fell} scorers fell")
+    typer.echo(
+        f"a front end: {found.cpu:.3f} of a core, {found.memory_mb:.0f} MB at the most; "
+        f"{found.member_bytes:.0f} bytes a second between members for each"
+    )
     typer.echo(
         "checked " + "  ".join(f"{name} {count}" for name, count in sorted(found.verdict.checked.items()))
     )
@@ -133,6 +137,7 @@
             (m.outcomes["failed"] + m.outcomes["lost"]) / max(1, sum(m.outcomes.values()))
         ),
         "fetches": lambda m: float(m.fetches),
+        "cpu": lambda m: m.cpu,
     }
     for name, of in figures.items():
         difference = pairs.difference(of)
--- a/fawnwharf/lab/fleet.py
+++ b/fawnwharf/lab/fleet.py
@@ -433,6 +433,25 @@
             front.stopped = False
             front.halts[-1][1] = monotonic_ms()
 
+    def used(self) -> dict[str, tuple[float, float]]:
+        """Processor seconds and megabytes of memory of each front end that lives, from the system."""
+        found = {}
+        tick, page = os.sysconf("SC_CLK_TCK"), os.sysconf("SC_PAGE_SIZE")
+        for front in self.fronts.values():
+            if front.process is None:
+                continue
+            with contextlib.suppress(OSError):
+                stat = Path(f"/proc/{front.process.pid}/stat").read_text().rpartition(")")[2].split()
+                resident = int(Path(f"/proc/{front.process.pid}/statm").read_text().split()[1])
+                seconds = (int(stat[11]) + int(stat[12])) / tick
+                found[front.name] = (seconds, resident * page / 2**20)
+        return found
+
+    def between_members(self) -> int:
+        """Bytes that have passed between members."""
+        links = (relay for (_, _, what), relay in self.relays.items() if what in ("public", "ballots"))
+        return sum(sum(relay.bytes.values()) for relay in links)
+
     # --- scorers and the roster -----------------------------------------------------------------
 
     def tell(self, ids: list[str]) -> None:
--- a/fawnwharf/lab/run.py
+++ b/fawnwharf/lab/run.py
@@ -45,6 +45,9 @@
     fetches: int
     worst_fetches: int
     fell: int
+    cpu: float = 0.0  # of a core, the mean front end that lived through the load
+    memory_mb: float = 0.0  # the largest
+    member_bytes: float = 0.0  # between members, a second and member
     complaints: list[str] = field(default_factory=list)
 
     def service(self, since_s: float = 0.0, until_s: float = 1e9) -> float:
@@ -64,6 +67,8 @@
         self.members_number = 1
         self.wish_number = 0
         self.before_ms = 0.0
+        self.used: dict[str, tuple[float, float]] = {}
+        self.passed = 0
 
     def run(self) -> Measures:
         fleet = self.fleet
@@ -77,6 +82,7 @@
                 voters = sum(front.voter for front in fleet.fronts.values())
                 self._await(When(valid=True, voters=voters, of="all"))
             fleet.marks["load"] = monotonic_ms()
+            self.used, self.passed = fleet.used(), fleet.between_members()
             fleet.clients.start()
             fleet.rest(self.scenario.settle_s)
             for n, step in enumerate(self.scenario.steps):
@@ -367,6 +373,10 @@
             outcomes[request.outcome] += 1
             if request.outcome == "served":
                 times.record_value(max(1, int(request.ended_ms - request.began_ms)))
+        spent, used = (monotonic_ms() - began) / 1000.0, fleet.used()
+        lived = [name for name in used if name in self.used and used[name][0] >= self.used[name][0]]
+        cpu = [(used[name][0] - self.used[name][0]) / spent for name in lived]
+        passed = fleet.between_members() - self.passed
         runs = [a for a in fleet.arrivals if a.what == "run" and a.sender in fleet.fronts]
         far = sum(fleet.fronts[a.sender].zone != fleet.scorer_zone[a.scorer] for a in runs)
         return Measures(
@@ -382,6 +392,9 @@
             fetches=fleet.store.fetches,
             worst_fetches=fleet.store.worst,
             fell=sum(scorer.fallen for scorer in fleet.scorers.values()),
+            cpu=sum(cpu) / len(cpu) if cpu else 0.0,
+            memory_mb=max((used[name][1] for name in used), default=0.0),
+            member_bytes=passed / spent / len(fleet.fronts),
             complaints=list(fleet.complaints),
         )
 
