Every member tells the plan that it knows; links, operators' commands and faulty starts tested

Seen with zones drain at a member that does not vote: decided within a second, and the command still waited in vain, as only voters wrote the plan into their logs. Now each member does, once for each plan, also after a restart. Tests of members' logs over sockets: new lives, gaps, repeats, torn, forged and endless lines, readers that ask nonsense or do not read.

--- a/fawnwharf/zones/member.py
+++ b/fawnwharf/zones/member.py
@@ -110,6 +110,7 @@
             self.voter = Voter(identity, saved or m.Saved(), timing, now_ms, seed)
         self.judge = Judge(settings, now_ms)
         self.plan, self.index = Plan(), 0  # the last decided one that is known
+        self.text, self.published = "", 0  # as it was decided; the index that stands in the own log
         self.fresh_ms: float | None = None  # when it was last said to be the last
         self.following: tuple[int, bool] = (0, False)  # what was last given out
         self.number = 0  # of own reports
@@ -176,7 +177,7 @@
         except PlanFault as error:
             raise LineFault(f"a plan that is none: {error}") from None
         # Decided after the one before, so it is no older than that was.
-        self.plan, self.index = plan, line.index
+        self.plan, self.index, self.text = plan, line.index, line.plan
 
     def _ballot(self, now_ms: float, sender: str, line: Line) -> list[Effect]:
         try:
@@ -268,8 +269,7 @@
         if decided.kind != "plan" or not self._learn(decided.index, decided.plan):
             return []
         states = {name: f"{zone.state} {zone.share:g}" for name, zone in self.plan.zones.items()}
-        note = Note("plan", {"index": decided.index, "term": decided.term, "zones": states})
-        return [note, Publish(self._line(plan=decided.plan, index=decided.index, term=decided.term))]
+        return [Note("plan", {"index": decided.index, "term": decided.term, "zones": states})]
 
     def _learn(self, index: int, text: str) -> bool:
         if index <= self.index:
@@ -279,7 +279,7 @@
         except PlanFault:
             self.counts.add("a decided plan that is none")
             return False
-        self.index = index
+        self.index, self.text = index, text
         return True
 
     def _lead(self, now_ms: float) -> list[Effect]:
@@ -361,12 +361,16 @@
         )
 
     def _given_out(self, now_ms: float) -> list[Effect]:
+        effects: list[Effect] = []
+        if self.index > self.published:  # whoever asks any member may have it
+            self.published = self.index
+            effects.append(Publish(self._line(plan=self.text, index=self.index)))
         state = (self.index, self.valid(now_ms))
         if state == self.following:
-            return []
+            return effects
         before, self.following = self.following, state
-        if not state[1]:
-            if not before[1]:
-                return []
-            return [Follow(None, self.index), Note("plan old", {"index": self.index})]
-        return [Follow(self.plan, self.index)]
+        if state[1]:
+            effects.append(Follow(self.plan, self.index))
+        elif before[1]:
+            effects += [Follow(None, self.index), Note("plan old", {"index": self.index})]
+        return effects
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -14,7 +14,8 @@
 
 from fawnwharf.lab import compare as comparing
 from fawnwharf.lab import scenario as scenarios
-from fawnwharf.lab.checker import Verdict
+from fawnwharf.lab.checker import Verdict, judge
+from fawnwharf.lab.fleet import write_whole
 from fawnwharf.lab.run import Measures, Runner, Second
 
 SMALL = [
@@ -51,6 +52,80 @@
     assert {attempt.pushback_ms for attempt in refused} == {runner.scenario.pushback_ms}
 
 
+class Operators:
+    """Runs `fawnwharf zones` beside a member while the fleet goes on."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+
+    def run(self, front, *words):
+        command = [sys.executable, "-m", "fawnwharf", "zones", *words, "--zones", "zones.json"]
+        pipe = subprocess.PIPE
+        done = subprocess.Popen(command, cwd=front.folder, stdout=pipe, stderr=pipe, text=True)
+        self.fleet.until(lambda: done.poll() is not None, f"zones {words[0]} to end")
+        out, error = done.communicate()
+        return done.returncode, out, error
+
+
+def test_operators_drain_and_restore_a_zone_by_the_same_decision():
+    runner = Runner(scenarios.load("zone-cut"), seed=2)
+    fleet = runner.fleet
+    try:
+        fleet.found()
+        for front in fleet.fronts.values():
+            fleet.start(front)
+        operators, asked = Operators(fleet), fleet.fronts["n3"]  # no voter
+        runner._await(scenarios.When(valid=True, voters=3, of="all"))
+        fleet.clients.start()
+        fleet.rest(1.0)
+        status, out, _ = operators.run(asked, "drain", "c")
+        assert status == 0 and "decided: c is" in out
+        runner._await(scenarios.When(state={"c": "out"}, of="all"))
+        drained = len(fleet.arrivals)
+        fleet.rest(1.5)
+        later = [a for a in fleet.arrivals[drained:] if a.what == "run"]
+        assert later and not any(a.scorer.startswith("s-c") for a in later)
+        status, out, _ = operators.run(asked, "show")
+        assert status == 0 and "drained by an operator" in out
+        status, _, error = operators.run(asked, "drain", "nowhere")
+        assert status == 2 and "no zone nowhere" in error
+        status, out, _ = operators.run(asked, "restore", "c")
+        assert status == 0 and "decided: c is" in out
+        runner._await(scenarios.When(state={"c": "serving"}, of="all"))
+        fleet.clients.stop()
+        fleet.until(lambda: not fleet.clients.open, "all calls to end")
+        assert judge(fleet).broken == []
+    finally:
+        fleet.close()
+
+
+def test_a_start_with_a_faulty_file_ends_with_status_2_and_names_the_key():
+    runner = Runner(scenarios.load("zone-cut"), seed=2)
+    fleet = runner.fleet
+    try:
+        front = fleet.fronts["n0"]
+        faults = {
+            "members.json": ({"version": 1, "fleet": "lab", "number": 1, "members": []}, "members"),
+            "zones.json": (
+                {"version": 1, "members": "members.json", "folder": "s", "spill": {"share": 2}},
+                "spill",
+            ),
+        }
+        for name, (data, key) in faults.items():
+            fleet._write_files(front)
+            write_whole(front.folder / "config.json", fleet._config(front))
+            write_whole(front.folder / name, data)
+            environment = os.environ | {"ROUTER_CONFIG": "config.json"}
+            command = [sys.executable, "-m", "fawnwharf", "serve", "--zones", "zones.json"]
+            done = subprocess.run(
+                command, cwd=front.folder, env=environment, capture_output=True, text=True, timeout=60
+            )
+            assert done.returncode == 2 and key in done.stderr and len(done.stderr.strip().splitlines()) == 1
+            (front.folder / "members.json").unlink()
+    finally:
+        fleet.close()
+
+
 def test_a_verdict_names_the_first_rule_that_was_broken():
     assert Verdict().line() == "verdict: kept"
     assert Verdict(["cold: s-a0 fell", "x"]).line() == "verdict: broken cold: s-a0 fell"
--- /dev/null
+++ b/tests/test_zone_links.py
@@ -0,0 +1,248 @@
+"""Members' logs over sockets: who follows gets each line once and in order, and what is no line costs its
+sender only."""
+
+import json
+import socket
+import time
+import unittest
+from unittest import mock
+
+from fawnwharf.net import connection
+from fawnwharf.net.loop import Loop
+from fawnwharf.zones import links
+from fawnwharf.zones.links import LogServer, MemberLog
+
+PATIENCE_S = 10.0
+
+
+class Case(unittest.TestCase):
+    def setUp(self):
+        self.loop = Loop(lambda now_ms, events: None, mock.Mock())
+        self.addCleanup(self.loop.close)
+        self.told, self.dropped = [], []
+
+    def until(self, condition, what):
+        end = time.monotonic() + PATIENCE_S
+        while not condition():
+            self.assertLess(time.monotonic(), end, f"waited in vain until {what}")
+            self.loop.turn(0.005)
+
+    def server(self, life=1, most=8, address=("127.0.0.1", 0)):
+        server = LogServer(self.loop, address, life, most)
+        self.addCleanup(lambda: server._closed or server.close())
+        return server
+
+    def follow(self, address, told=None):
+        feed = MemberLog(self.loop, address, told or self.told.append, self.dropped.append)
+        self.addCleanup(feed.close)
+        feed.connect()
+        return feed
+
+
+class Following(Case):
+    def test_a_reader_gets_what_counts_and_then_each_new_line_once(self):
+        server = self.server()
+        for n in range(5):
+            server.write({"n": n}, counts_as="n")
+        feed = self.follow(server.address)
+        self.until(lambda: self.told, "what counts is told")
+        server.write({"m": 1})
+        server.write({"n": 5}, counts_as="n")
+        self.until(lambda: feed.seq == 7, "all is told")
+        self.assertEqual(self.told, [{"n": 4}, {"m": 1}, {"n": 5}])
+
+    def test_one_that_comes_again_goes_on_from_its_number(self):
+        server = self.server()
+        server.write({"n": 0}, counts_as="n")
+        feed = self.follow(server.address)
+        self.until(lambda: self.told, "the first is told")
+        feed._connection.close(links.End.RETIRED)
+        server.write({"n": 1})
+        server.write({"n": 2})
+        self.until(lambda: feed.seq == 3, "the others are told")
+        self.assertEqual(self.told, [{"n": 0}, {"n": 1}, {"n": 2}])
+
+    def test_one_that_was_away_for_too_long_gets_what_counts_alone(self):
+        server = self.server()
+        server.write({"n": 0}, counts_as="n")
+        feed = self.follow(server.address)
+        self.until(lambda: self.told, "the first is told")
+        feed._connection.close(links.End.RETIRED)
+        for n in range(1, links.KEPT_MOST + 10):
+            server.write({"n": n}, counts_as="n")
+        self.until(lambda: feed.seq == links.KEPT_MOST + 10, "it has caught up")
+        self.assertEqual(self.told, [{"n": 0}, {"n": links.KEPT_MOST + 9}])
+
+    def test_a_new_life_is_told_from_its_start_whatever_number_was_reached_before(self):
+        for later in (1, 9):
+            with self.subTest(later=later):
+                self.told.clear()
+                server = self.server(life=5)
+                for n in range(4):
+                    server.write({"old": n})
+                feed = self.follow(server.address)
+                self.until(lambda feed=feed: feed.seq == 4, "the old life is followed")
+                server.close()
+                again = self.server(life=6, address=server.address)
+                for n in range(later):
+                    again.write({"new": n}, counts_as="new")
+                last = {"new": later - 1}
+                self.until(lambda last=last: last in self.told, "the new life is followed")
+                again.write({"new": "more"})
+                self.until(lambda: {"new": "more"} in self.told, "and goes on")
+                self.assertEqual((feed.life, feed.seq), (6, later + 1))
+
+    def test_a_pulse_says_that_the_log_lives_and_a_silent_one_is_dialled_again(self):
+        server = self.server()
+        feed = self.follow(server.address)
+        self.until(lambda: feed.up and server.readers, "it is followed")
+        heard = feed._connection.heard_ms
+        self.until(lambda: feed._connection.heard_ms > heard, "a pulse comes")
+        with mock.patch("fawnwharf.net.changelog.monotonic_ms", lambda: connection.monotonic_ms() + 5_000.0):
+            feed.tidy()
+        self.assertIn("silent", self.dropped[-1])
+
+
+class Readers(Case):
+    def asked(self, server, data):
+        sock = socket.create_connection(server.address)
+        self.addCleanup(sock.close)
+        sock.setblocking(False)
+        sock.sendall(data)
+        return sock
+
+    def ended(self, sock):
+        try:
+            return sock.recv(65536) == b""
+        except BlockingIOError:
+            return False
+        except ConnectionResetError:
+            return True
+
+    def test_what_is_no_question_ends_the_connection(self):
+        server = self.server()
+        for data in (
+            b"since x\n",
+            b"since -1\n",
+            b"since\n",
+            b"GET / HTTP/1.1\r\n\r\n",
+            b"x" * 200,
+            b"since 0\nmore",
+        ):
+            with self.subTest(data=data):
+                sock = self.asked(server, data)
+                self.until(lambda sock=sock: self.ended(sock), "it is ended")
+        self.until(lambda: not server.readers, "none is kept")
+
+    def test_one_that_asks_nothing_is_ended(self):
+        with mock.patch.object(links, "ASK_MS", 50.0), mock.patch.object(links, "PULSE_MS", 60.0):
+            server = self.server()
+            sock = self.asked(server, b"sin")
+            self.until(lambda: self.ended(sock), "it is ended")
+
+    def test_more_readers_than_there_is_room_for_are_closed(self):
+        server = self.server(most=2)
+        kept = [self.asked(server, b"since 0\n") for _ in range(2)]
+        self.until(lambda: len(server.readers) == 2, "both are there")
+        third = self.asked(server, b"since 0\n")
+        self.until(lambda: self.ended(third), "it is closed")
+        self.assertFalse(any(self.ended(sock) for sock in kept))
+
+    def test_one_that_does_not_read_is_dropped_and_nothing_is_kept_for_it(self):
+        server = self.server()
+        sock = self.asked(server, b"since 0\n")
+        self.until(lambda: any(reader.since is not None for reader in server.readers), "it has asked")
+        with mock.patch.object(links, "UNREAD_MOST", 10_000):
+            end = time.monotonic() + PATIENCE_S
+            while server.readers:
+                self.assertLess(time.monotonic(), end)
+                server.write({"text": "x" * 50_000})
+                self.loop.turn(0.0)
+        self.assertLessEqual(server._kept_bytes, links.KEPT_BYTES_MOST)
+        sock.close()
+
+
+class Lines(Case):
+    """A far end that writes what the test says."""
+
+    def setUp(self):
+        super().setUp()
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.listener.setblocking(False)
+        self.addCleanup(self.listener.close)
+
+    def far(self):
+        found = []
+
+        def came():
+            try:
+                sock, _ = self.listener.accept()
+            except BlockingIOError:
+                return False
+            found.append(sock)
+            return True
+
+        self.until(came, "it is dialled")
+        self.addCleanup(found[0].close)
+        return found[0]
+
+    def say(self, sock, *lines):
+        for line in lines:
+            sock.sendall(line if isinstance(line, bytes) else json.dumps(line).encode() + b"\n")
+
+    def test_what_can_not_be_taken_costs_the_connection_and_is_asked_for_again(self):
+        def told(line):
+            if line == "forged":
+                raise ValueError("no member writes that")
+            self.told.append(line)
+
+        feed = self.follow(self.listener.getsockname(), told)
+        first = {"seq": 3, "life": 8, "whole": True, "line": "first"}
+        bad = [
+            b"{not json\n",
+            {"seq": 5, "life": 8, "line": "a number is missing"},
+            {"seq": 4, "life": 9, "line": "another life, and not whole"},
+            {"seq": 4, "life": 8, "line": "forged"},
+            {"seq": "4", "life": 8},
+            {"seq": 4, "life": 0},
+            {"seq": True, "life": 8},
+            [4],
+            9,  # it says that it told more than came
+        ]
+        for n, line in enumerate(bad):
+            with self.subTest(line=line):
+                sock = self.far()
+                self.say(sock, first)
+                self.until(lambda n=n: len(self.told) == n + 1, "the good line is taken")
+                self.say(sock, line)
+                self.until(lambda: not feed.up, "the connection is given up")
+                sock.close()
+        self.assertEqual(self.told, ["first"] * len(bad))
+
+    def test_a_torn_line_says_nothing_and_one_without_an_end_is_not_kept(self):
+        feed = self.follow(self.listener.getsockname())
+        sock = self.far()
+        self.say(sock, {"seq": 1, "life": 8, "whole": True, "line": "whole"}, b'{"seq":2,"life":8,"li')
+        self.until(lambda: self.told, "the whole one is taken")
+        sock.close()
+        sock = self.far()
+        self.say(sock, {"seq": 2, "life": 8, "line": "second"})
+        self.until(lambda: len(self.told) == 2, "the second is taken")
+        with mock.patch.object(MemberLog, "line_most", 1_000):
+            self.say(sock, b"x" * 5_000)
+            self.until(lambda: not feed.up, "the connection is given up")
+        self.assertEqual(self.told, ["whole", "second"])
+
+    def test_a_repeated_line_is_taken_once(self):
+        feed = self.follow(self.listener.getsockname())
+        sock = self.far()
+        line = {"seq": 2, "life": 8, "line": "second"}
+        self.say(sock, {"seq": 1, "life": 8, "whole": True, "line": "first"}, line, line, line)
+        self.until(lambda: feed.seq == 2, "it is taken")
+        self.say(sock, {"seq": 3, "life": 8, "line": "third"})
+        self.until(lambda: feed.seq == 3, "the next is taken")
+        self.assertEqual(self.told, ["first", "second", "third"])
+
+
+if __name__ == "__main__":
+    unittest.main()
