A voter whose disk was rolled back is not heard; limits go by the front ends that are left

Each ballot tells how often its voter's disk was written, ever; a voter that heard a larger number refuses the ballots of an older copy, which may have forgotten its vote (scenario old-disk: refused, then taken in anew with an empty disk). The part of calls that a front end takes where its zone does not serve counts the front ends of the zone that are heard.

--- a/fawnwharf/lab/run.py
+++ b/fawnwharf/lab/run.py
@@ -329,6 +329,15 @@
         data = (one.folder / "state" / "voter.log").read_bytes()
         (other.folder / "state" / "voter.log").write_bytes(data)
 
+    def _keep_disk(self, step: Step) -> None:
+        for front in self.fronts(step.what):
+            (front.folder / "kept.log").write_bytes((front.folder / "state" / "voter.log").read_bytes())
+
+    def _old_disk(self, step: Step) -> None:
+        """The disk is put back as it was kept: an older copy of itself."""
+        for front in self.fronts(step.what):
+            (front.folder / "state" / "voter.log").write_bytes((front.folder / "kept.log").read_bytes())
+
     def _members(self, step: Step) -> None:
         self.members_number += 1
         self.fleet.write_members(self.members_number, set(step.what.split(",")) if step.what else None)
--- a/fawnwharf/lab/scenario.py
+++ b/fawnwharf/lab/scenario.py
@@ -51,7 +51,7 @@
     do: Literal[
         "cut", "heal", "delay", "lossy", "stall", "reset", "kill", "stop", "go_on", "start",
         "lose_zone", "return_zone", "scorers_down", "scorers_up", "slow", "store", "rate",
-        "wipe", "swap", "members", "wish", "mark", "start_refused",
+        "wipe", "swap", "keep_disk", "old_disk", "members", "wish", "mark", "start_refused",
     ]  # fmt: skip
     what: str = ""  # whom: front ends, scorers or zones
     to: str = ""  # the other end of links
--- a/fawnwharf/zones/judge.py
+++ b/fawnwharf/zones/judge.py
@@ -151,7 +151,9 @@
         for name, region in sorted(members.zones.items()):
             before = plan.zones.get(name, Zone(region=region))
             track = self._track(now_ms, name, before, verdicts[name])
-            zones[name] = self._zone(now_ms, name, region, before, track, verdicts[name])
+            after = self._zone(now_ms, name, region, before, track, verdicts[name])
+            heard = sum(report.zone == name for report in self.alive(now_ms, members).values())
+            zones[name] = msgspec.structs.replace(after, fronts=_fronts(after, before, heard))
         self._keep_one(plan, zones)
         following = Plan(number=plan.number + 1, zones=zones, apart=self._apart(now_ms, plan, verdicts))
         same = following.zones == plan.zones and following.apart == plan.apart
@@ -254,6 +256,13 @@
     return -1.0 if since_ms is None else now_ms - since_ms
 
 
+def _fronts(after: Zone, before: Zone, heard: int) -> int:
+    """Front ends of a zone that does not serve; told anew only when it has changed by a quarter."""
+    if after.state == SERVING:
+        return 0
+    return heard if abs(heard - before.fronts) * 4 > before.fronts else before.fronts
+
+
 def _cut_off(views: dict[str, View]) -> bool:
     """One that sees all zones dead, two at the least, is cut off itself: its word counts for nothing."""
     known = [seen for seen in views.values() if seen is not View.UNKNOWN]
--- a/fawnwharf/zones/member.py
+++ b/fawnwharf/zones/member.py
@@ -36,6 +36,7 @@
     index: Annotated[int, Meta(ge=0)] = 0  # of the plan, or of what is fresh
     term: Annotated[int, Meta(ge=0)] = 0
     ballot: Any = None  # a message of the voting
+    saves: Annotated[int, Meta(ge=0)] = 0  # times that the voter's disk was written, ever, as of this ballot
 
 
 class LineFault(ValueError):
@@ -99,8 +100,10 @@
         seed: int,
         identity: str = "",
         saved: m.Saved | None = None,
+        saves: int = 0,
     ) -> None:
-        """A voter brings its identity and what its disk has kept; whoever brings none only follows."""
+        """A voter brings its identity, what its disk has kept and how often it was written; whoever brings
+        none only follows."""
         self.name, self.members, self.settings = name, members, settings
         self.identity, self.counts = identity, Counts()
         voting = settings.voting
@@ -114,6 +117,8 @@
         self.fresh_ms: float | None = None  # when it was last said to be the last
         self.following: tuple[int, bool] = (0, False)  # what was last given out
         self.number = 0  # of own reports
+        self.saves = saves
+        self.heard_saves: dict[str, int] = {}  # the most that each voter's ballots told
         self.wishes = s.Wishes()
         self.report_due_ms = self.fresh_due_ms = self.judge_due_ms = now_ms
         self.roles = ("", 0)
@@ -190,6 +195,13 @@
         if self.voter is None or not entry.ballots:
             self.counts.add("ballot of no voter")
             return []
+        if (most := self.heard_saves.get(message.sender, 0)) > line.saves:
+            # Its disk is an older copy of itself: what it promised since is lost to it, and it might vote
+            # twice.
+            self.counts.add("ballot from an older disk")
+            fields = {"voter": message.sender, "saves": line.saves, "told before": most}
+            return [Note("older disk", fields)]
+        self.heard_saves[message.sender] = line.saves
         return self._voted(now_ms, self.voter.receive(now_ms, message))
 
     def take_members(self, now_ms: float, members: s.Members) -> list[Effect]:
@@ -244,10 +256,12 @@
         effects: list[Effect] = []
         for action in actions:
             if isinstance(action, m.Save):
+                self.saves += 1
                 effects.append(Keep(action.saved))
             elif isinstance(action, m.Say):
                 to = action.message.to.partition("#")[0]
-                effects.append(Ballot(to, self._line(ballot=msgspec.to_builtins(action.message))))
+                ballot = msgspec.to_builtins(action.message)
+                effects.append(Ballot(to, self._line(ballot=ballot, saves=self.saves)))
             else:
                 effects += self._decided(action)
         role = (self.voter.role.value, self.voter.saved.term)
--- a/fawnwharf/zones/plan.py
+++ b/fawnwharf/zones/plan.py
@@ -28,6 +28,7 @@
     spill: Share = 0.5  # of its size that may come from front ends of zones that do not serve
     size: Annotated[float, Meta(ge=0.0)] = 0.0  # the largest seen lately
     region: Annotated[str, Meta(max_length=48)] = ""
+    fronts: Annotated[int, Meta(ge=0)] = 0  # its front ends that are heard, while it does not serve
     flaps: Annotated[int, Meta(ge=0, le=1_000)] = 0  # times that it was lost lately
     why: Annotated[str, Meta(max_length=200)] = ""  # for people
 
--- a/fawnwharf/zones/service.py
+++ b/fawnwharf/zones/service.py
@@ -19,6 +19,7 @@
 from fawnwharf.zones.evidence import Observer
 from fawnwharf.zones.links import LogServer, MemberLog
 from fawnwharf.zones.member import Ballot, Effect, Follow, Keep, LineFault, Member, Note, Publish
+from fawnwharf.zones.plan import Plan
 from fawnwharf.zones.roster import Roster
 
 FILES_MS = 500.0  # pace of the look at the files
@@ -116,7 +117,8 @@
         now = monotonic_ms()
         identity = self.disk.label.identity if self.disk else ""
         saved = self.disk.saved if self.disk else None
-        self.core = Member(entry.name, members, self.settings, now, deployment.seed, identity, saved)
+        saves = self.disk.number if self.disk else 0
+        self.core = Member(entry.name, members, self.settings, now, deployment.seed, identity, saved, saves)
         self.roster = Roster(entry.zone)
         promise = min((c.promise_ms for c in deployment.settings.classes.values()), default=1_000.0)
         self.observer = Observer(self.settings.evidence, promise)
@@ -193,8 +195,8 @@
             self.front.take_fleet(changes)
         part = self.roster.admission()
         limited = part < 1.0 and self._sold > 0
-        rps = part * self._sold / self.deployment.settings.fleet_size if limited else io.UNLIMITED_RPS
-        self.front.loop.tell(io.LimitsChanged(rps))
+        rps = part * self._sold / self.deployment.settings.fleet_size * self._carried(effect.plan)
+        self.front.loop.tell(io.LimitsChanged(rps if limited else io.UNLIMITED_RPS))
         fields = {"index": effect.index, "scorers changed": len(changes.members), "admission": round(part, 3)}
         if effect.plan is None:
             self.note("on its own", fields)
@@ -205,6 +207,12 @@
                 fields | {"number": effect.plan.number, "zones": states, "apart": effect.plan.apart},
             )
 
+    def _carried(self, plan: Plan | None) -> float:
+        """How many front ends' calls each of this zone's has: more than one where others of it are gone."""
+        zone = plan.zones.get(self.entry.zone) if plan else None
+        members = sum(member.zone == self.entry.zone for member in self.core.members.members)
+        return max(1.0, members / zone.fronts) if zone and zone.fronts else 1.0
+
     # --- time -----------------------------------------------------------------------------------
 
     def _tick(self) -> None:
@@ -254,7 +262,7 @@
 
     def _note_once(self, note: Note) -> None:
         now = monotonic_ms()
-        if note.event == "refused":
+        if note.event in ("refused", "older disk"):
             if now - self._noted.get(note.event, -1e9) < LINE_S * 1000:
                 return
             self._noted[note.event] = now
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -26,6 +26,7 @@
     "slow-link",
     "fails-again",
     "members-change",
+    "old-disk",
 ]
 
 
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -269,6 +269,7 @@
 
 
 SIX = members("aabbcc", 3 + 2)
+WIDE = members("abcaabca", 3)
 
 
 def test_a_lost_zone_is_out_after_the_damping_and_comes_back_in_steps():
@@ -632,3 +633,46 @@
     assert not core.valid(fleet.now)
     core.line(fleet.now, "n1", line | {"index": core.index}, False)
     assert core.valid(fleet.now)
+
+
+def test_a_voter_whose_disk_is_an_older_copy_of_itself_is_not_heard():
+    fleet = Fleet(members("abcabc", 3)).run(15)
+    core = fleet.cores["n0"]
+    most = core.heard_saves["n1#0"]
+    vote = {"type": "Vote", "sender": "n1#0", "to": "n0#0", "term": 999, "last_index": 999, "last_term": 999}
+    line = {"fleet": "f", "sender": "n1", "ballot": vote, "saves": most - 1}
+    later = fleet.now + 60_000.0  # bound to nobody any more
+    [note] = core.line(later, "n1", line, True)
+    assert note.event == "older disk" and core.voter.saved.term < 999
+    effects = core.line(later, "n1", line | {"saves": most}, True)
+    assert any(isinstance(effect, Keep) for effect in effects)
+
+
+def test_a_disk_is_told_as_written_as_often_as_it_was():
+    fleet = Fleet(members("abc", 3))
+    kept = dict.fromkeys(fleet.cores, 0)
+    do = fleet.do
+
+    def count(name, effects):
+        for effect in effects:
+            kept[name] += isinstance(effect, Keep)
+            if isinstance(effect, Ballot):
+                assert effect.line.saves == kept[name]
+        do(name, effects)
+
+    fleet.do = count
+    fleet.run(12)
+    assert min(kept.values()) > 2
+
+
+def test_the_front_ends_that_are_left_of_a_zone_are_counted_while_it_does_not_serve():
+    bench = Bench(WIDE).run(3)
+    assert bench.plan.zones["a"].fronts == 0
+    bench.seen = lambda member, zone: DEAD if zone == "a" else GOOD
+    bench.silent = {"n3"}
+    bench.run(5)
+    assert (bench.states()["a"], bench.plan.zones["a"].fronts) == (p.OUT, 3)
+    before = len(bench.plans)
+    bench.silent = {"n3", "n4"}
+    bench.run(3)
+    assert bench.plan.zones["a"].fronts == 2 and len(bench.plans) == before + 1
