Stand-in clients leave a front end that says nothing at all

Every call lost there was sent by clients of the dark zone to its dead front ends ('late', 1,564 ms, no arrival at any scorer): a line over a cut link never ends, and the stand-in went on using it.

--- a/fawnwharf/standins/clients.py
+++ b/fawnwharf/standins/clients.py
@@ -297,6 +297,12 @@
     def _overdue(self, line: _Line, request: Request, attempt: Try) -> None:
         if line.open.pop(attempt.seqid, None) is None:
             return
+        if line.connection.up and line.connection.heard_ms < attempt.sent_ms:
+            # Nothing at all came since: it is held to be gone, as by what stands before front ends.
+            self._ended(request, attempt, "late")
+            self._is_down(line.front)
+            line.connection.close(End.SILENT)
+            return
         if not line.connection.closed and line.connection.up:
             payload = struct.pack(">bhib", thrift.I32, 1, attempt.seqid, 0)
             line.connection.write(thrift._frame(thrift.ONEWAY, b"withdraw", 0, payload))
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -8,6 +8,7 @@
 
 from fawnwharf.net import scorer_frames as frames
 from fawnwharf.net.loop import Loop
+from fawnwharf.standins.clients import Clients, Kind
 from fawnwharf.standins.relay import BACKWARD, FORWARD, Relay
 from fawnwharf.standins.scorers import Nature, Scorer, Store
 
@@ -164,6 +165,23 @@
         self.come(far, b"x")
 
 
+class Crowd(Case):
+    def test_a_front_end_that_says_nothing_is_left_until_it_answers_a_probe(self):
+        silent = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(silent.close)
+        kinds = [Kind("view", give_up_ms=80.0)]
+        where = {"n0": ("a", silent.getsockname())}
+        crowd = Clients(self.loop, 1, kinds, {"a": 50.0}, 1, ["t"], lambda: where)
+        crowd.start()
+        self.until(lambda: crowd._down == {"n0"}, "it is left")
+        asked = sum(bool(request.tries) for request in crowd.requests)
+        self.until(lambda: len(crowd.requests) > asked + 5, "more calls come")
+        self.assertEqual({request.outcome for request in crowd.requests[-3:]}, {"no front end"})
+        crowd.probed("n0", True)
+        self.assertEqual(crowd._down, set())
+        crowd.stop()
+
+
 class Scorers(Case):
     def scorer(self, **nature):
         self.arrivals = []
