--- a/fawnwharf/lab/commands.py
+++ b/fawnwharf/lab/commands.py
@@ -52,6 +52,9 @@
         f"a front end: {found.cpu:.3f} of a core, {found.memory_mb:.0f} MB at the most; "
         f"{found.member_bytes:.0f} bytes a second between members for each"
     )
+    if found.acted:
+        half, last = found.acted[len(found.acted) // 2], found.acted[-1]
+        typer.echo(f"zone lost: half acted within {half:.2f} s, all {len(found.acted)} within {last:.2f} s")
     typer.echo(
         "checked " + "  ".join(f"{name} {count}" for name, count in sorted(found.verdict.checked.items()))
     )
@@ -142,6 +145,11 @@
     for name, of in figures.items():
         difference = pairs.difference(of)
         typer.echo(f"{name:15} {difference}  {difference.says if name == 'service' else ''}".rstrip())
+    acted = [m.acted for m in pairs.one if m.acted]
+    for name, part in {"half acted": 0.5, "all acted": 1.0}.items():
+        if acted:
+            spans = comparing.bootstrap([a[min(len(a) - 1, int(part * len(a)))] for a in acted])
+            typer.echo(f"{name:15} {spans} s after the loss")
     for n, mine, theirs, difference in pairs.by_second():
         typer.echo(f"{n:4} s  {mine:6.3f}  {theirs:6.3f}  {difference}")
     if out:
--- a/fawnwharf/lab/run.py
+++ b/fawnwharf/lab/run.py
@@ -48,6 +48,7 @@
     cpu: float = 0.0  # of a core, the mean front end that lived through the load
     memory_mb: float = 0.0  # the largest
     member_bytes: float = 0.0  # between members, a second and member
+    acted: list[float] = field(default_factory=list)  # seconds from a zone's loss, of each that lived on
     complaints: list[str] = field(default_factory=list)
 
     def service(self, since_s: float = 0.0, until_s: float = 1e9) -> float:
@@ -69,6 +70,7 @@
         self.before_ms = 0.0
         self.used: dict[str, tuple[float, float]] = {}
         self.passed = 0
+        self.lost: tuple[str, float] | None = None  # the first zone that was lost, and when
 
     def run(self) -> Measures:
         fleet = self.fleet
@@ -274,6 +276,7 @@
 
     def _lose_zone(self, step: Step) -> None:
         """A zone goes dark: its links first, so that nobody hears its processes end."""
+        self.lost = self.lost or (step.what, monotonic_ms())
         self._set(Step("cut", what=f"zone:{step.what}", to="rest"), cut=True)
         for relay in self._doors(step.what):
             relay.set(None, cut=True)
@@ -404,9 +407,23 @@
             cpu=sum(cpu) / len(cpu) if cpu else 0.0,
             memory_mb=max((used[name][1] for name in used), default=0.0),
             member_bytes=passed / spent / len(fleet.fronts),
+            acted=self._acted(),
             complaints=list(fleet.complaints),
         )
 
+    def _acted(self) -> list[float]:
+        """When each front end that lived on went by a plan without the zone that was lost first."""
+        if self.lost is None:
+            return []
+        zone, lost_ms = self.lost
+        found: dict[str, float] = {}
+        for note in self.fleet.notes:
+            told = note.event == "following" and note.at_ms >= lost_ms
+            told = told and self.fleet.fronts[note.front].zone != zone
+            if told and note.fields.get("zones", {}).get(zone, "").startswith("out"):
+                found.setdefault(note.front, (note.at_ms - lost_ms) / 1000.0)
+        return sorted(found.values())
+
 
 def run(scenario: Scenario, seed: int, folder: Path | None = None) -> Measures:
     """One run, from the first process to the verdict; raises LabFault where the ground gave way."""
--- a/fawnwharf/zones/evidence.py
+++ b/fawnwharf/zones/evidence.py
@@ -21,6 +21,8 @@
     silent: Count = 0  # nothing came in time
     refused: Count = 0  # dials that failed
     broken: Count = 0  # connections that ended under a call
+    run: Count = 0  # scorers that were bad since the last good sign of any scorer there
+    quiet_ms: Annotated[float, Meta(ge=0.0)] = 0.0  # since that sign, where there is a run
 
     @property
     def bad(self) -> int:
@@ -35,6 +37,10 @@
 
 
 def view(seen: Seen | None, rules: s.Evidence) -> View:
+    """What the signs amount to. A run of bad ones at different scorers, with no good one between, tells of a
+    death long before the good ones of the window are forgotten."""
+    if seen is not None and seen.run >= rules.least and seen.quiet_ms >= rules.quiet_ms:
+        return View.DEAD
     if seen is None or seen.heard + seen.bad < rules.least:
         return View.UNKNOWN
     if seen.bad >= rules.dead_share * (seen.heard + seen.bad):
@@ -61,27 +67,50 @@
     counts: dict[str, dict[str, int]] = field(default_factory=dict)  # by zone, by kind
 
 
+@dataclass(slots=True)
+class _Run:
+    """What came of a zone's scorers since the last good sign of any of them."""
+
+    good_ms: float
+    bad: set[int] = field(default_factory=set)
+
+
 class Observer:
     """Counts signs by zone; what is older than the window is forgotten in quarters of it."""
 
     def __init__(self, rules: s.Evidence, promise_ms: float) -> None:
         self._rules, self._promise_ms = rules, promise_ms
         self._slices: deque[_Slice] = deque()
+        self._runs: dict[str, _Run] = {}
 
-    def ended(self, now_ms: float, zone: str, ending: Ending, took_ms: float) -> None:
+    def ended(self, now_ms: float, zone: str, scorer: int, ending: Ending, took_ms: float) -> None:
         """An attempt or an order has ended. One that was called off tells only that nothing came
         for so long."""
         if ending is Ending.CANCELLED and took_ms > self._promise_ms:
-            self.sign(now_ms, zone, "silent")
+            self.sign(now_ms, zone, scorer, "silent")
         elif kind := _KINDS.get(ending):
-            self.sign(now_ms, zone, kind)
+            self.sign(now_ms, zone, scorer, kind)
             if kind == "heard" and took_ms > self._promise_ms:
-                self.sign(now_ms, zone, "slow")
-
-    def dialled(self, now_ms: float, zone: str, good: bool) -> None:
-        self.sign(now_ms, zone, "heard" if good else "refused")
-
-    def sign(self, now_ms: float, zone: str, kind: str) -> None:
+                self._count(now_ms, zone, "slow")
+
+    def dialled(self, now_ms: float, zone: str, scorer: int, good: bool) -> None:
+        self.sign(now_ms, zone, scorer, "heard" if good else "refused")
+
+    def sign(self, now_ms: float, zone: str, scorer: int, kind: str) -> None:
+        self._count(now_ms, zone, kind)
+        run = self._runs.setdefault(zone, _Run(now_ms))
+        if kind == "heard":
+            run.good_ms = now_ms
+            run.bad.clear()
+        else:
+            run.bad.add(scorer)
+
+    def quiet_ms(self, now_ms: float, zone: str) -> float:
+        """How long there was no good sign of a zone."""
+        run = self._runs.get(zone)
+        return now_ms - run.good_ms if run else float("inf")
+
+    def _count(self, now_ms: float, zone: str, kind: str) -> None:
         self._forget(now_ms)
         if not self._slices or now_ms - self._slices[-1].began_ms >= self._rules.window_ms / _SLICES:
             self._slices.append(_Slice(now_ms))
@@ -100,4 +129,8 @@
                 total = sums.setdefault(zone, {})
                 for kind, count in counts.items():
                     total[kind] = total.get(kind, 0) + count
-        return {zone: Seen(**counts) for zone, counts in sums.items()}
+        return {zone: Seen(**counts, **self._run(now_ms, zone)) for zone, counts in sums.items()}
+
+    def _run(self, now_ms: float, zone: str) -> dict[str, float]:
+        run = self._runs[zone]
+        return {"run": len(run.bad), "quiet_ms": round(now_ms - run.good_ms)} if run.bad else {}
--- a/fawnwharf/zones/member.py
+++ b/fawnwharf/zones/member.py
@@ -120,7 +120,7 @@
         self.saves = saves
         self.heard_saves: dict[str, int] = {}  # the most that each voter's ballots told
         self.wishes = s.Wishes()
-        self.report_due_ms = self.fresh_due_ms = self.judge_due_ms = now_ms
+        self.report_due_ms = self.fresh_due_ms = self.judge_due_ms = self.watch_due_ms = now_ms
         self.roles = ("", 0)
         if self.voter:
             self._learn(self.voter.plan[0], self.voter.plan[1])
@@ -137,6 +137,8 @@
             dues.append(self.voter.due_ms)
             if self.voter.is_leader:
                 dues += [self.fresh_due_ms, self.judge_due_ms]
+            else:
+                dues.append(self.watch_due_ms)
         if self.following[1] and self.fresh_ms is not None:
             dues.append(self.fresh_ms + self.settings.voting.valid_ms)
         return min(dues)
@@ -234,8 +236,17 @@
             effects += self._voted(now_ms, self.voter.tick(now_ms))
             if self.voter.is_leader:
                 effects += self._lead(now_ms)
+            elif now_ms >= self.watch_due_ms:
+                self.watch_due_ms = now_ms + self.settings.evidence.report_ms / 2
+                self.judge.watch(now_ms, self.members, self.plan)
         return effects + self._given_out(now_ms)
 
+    def changed(self, now_ms: float) -> None:
+        """What this front end sees of a zone has turned: say so soon, and not more often than three times
+        as fast as the pace of reports."""
+        soon = now_ms + self.settings.evidence.report_ms / 3
+        self.report_due_ms = min(self.report_due_ms, soon)
+
     def _line(self, **parts: Any) -> Line:
         return Line(self.members.fleet, self.name, **parts)
 
@@ -268,11 +279,9 @@
         if role != self.roles and (role[0] == "leader" or self.roles[0] == "leader"):
             effects.append(Note("role", {"role": role[0], "term": role[1]}))
             if role[0] == "leader":
-                # How long something has been so is counted by each leader for itself.
-                reports, wishes = self.judge.reports, self.judge.wishes
-                self.judge = Judge(self.settings, now_ms)
-                self.judge.reports, self.judge.wishes = reports, wishes
-                self.judge_due_ms = now_ms + self.settings.evidence.report_life_ms
+                # It has watched as a follower; where not for long enough to have heard all, it waits.
+                heard_all_ms = self.judge.since_ms + self.settings.evidence.report_life_ms
+                self.judge_due_ms = max(now_ms, heard_all_ms)
                 self.fresh_due_ms = now_ms
         self.roles = role
         return effects + self._given_out(now_ms)
--- a/fawnwharf/zones/service.py
+++ b/fawnwharf/zones/service.py
@@ -16,7 +16,7 @@
 from fawnwharf.net.front_end import FrontEnd, worker_number
 from fawnwharf.net.wheel import Timer, Wheel, monotonic_ms
 from fawnwharf.zones import settings as s
-from fawnwharf.zones.evidence import Observer
+from fawnwharf.zones.evidence import Observer, View, view
 from fawnwharf.zones.links import LogServer, MemberLog
 from fawnwharf.zones.member import Ballot, Effect, Follow, Keep, LineFault, Member, Note, Publish
 from fawnwharf.zones.plan import Plan
@@ -127,6 +127,7 @@
         self._told_ms = now
         self._life = time.time_ns() // 1_000
         self._feeds: dict[tuple[str, bool], MemberLog] = {}
+        self._dead: set[str] = set()  # zones that are dead for this front end, as told last
         self._probing: dict[str, int] = {}  # zone to the place of the next scorer
         self._noted: dict[str, float] = {}
         self._timer: Timer | None = None
@@ -187,7 +188,8 @@
         now = monotonic_ms()
         for event in events:
             if isinstance(event, io.AttemptEnded | io.OrderAnswered) and event.worker in self._zone_of:
-                self.observer.ended(now, self._zone_of[event.worker], event.ending, event.took_ms)
+                zone = self._zone_of[event.worker]
+                self.observer.ended(now, zone, event.worker, event.ending, event.took_ms)
 
     def _go_by(self, effect: Follow) -> None:
         changes = self.roster.follow(effect.plan)
@@ -345,18 +347,31 @@
     # --- probes ---------------------------------------------------------------------------------
 
     def _probe(self) -> None:
-        """Dial into each zone that too few signs come from: what is closed must be seen to come back."""
+        """Dial into each zone that gives no good sign: what is closed must be seen to come back, and what
+        falls silent must be seen to be gone."""
         if self._stopped:
             return
         now = monotonic_ms()
-        seen, least = self.observer.seen(now), self.settings.evidence.least
+        seen, rules = self.observer.seen(now), self.settings.evidence
         for zone in self.core.members.zones:
             signs = seen.get(zone)
-            if signs is None or signs.heard + signs.bad < 2 * least:
+            few = signs is None or signs.heard + signs.bad < 2 * rules.least
+            if few or self.observer.quiet_ms(now, zone) >= PROBE_MS:
                 self._probe_zone(zone)
+        self._look_at_views(now)
         self.front.loop.wheel.after(PROBE_MS, self._probe)
 
-    def _probe_zone(self, zone: str) -> None:
+    def _look_at_views(self, now_ms: float) -> None:
+        """A view that has turned is told before its time."""
+        seen, rules = self.observer.seen(now_ms), self.settings.evidence
+        dead = {zone for zone, signs in seen.items() if view(signs, rules) is View.DEAD}
+        if dead != self._dead:
+            self._dead = dead
+            self.core.changed(now_ms)
+            self._set_timer()
+
+    def _probe_zone(self, zone: str, more: int = 0) -> None:
+        """Dial one scorer of the zone; where it fails and the zone was well till now, two others at once."""
         scorers = self.roster.in_zone(zone)
         if not scorers:
             return
@@ -365,14 +380,22 @@
         member = scorers[place % len(scorers)]
         if not member.host_port:
             return
-        wheel = self.front.loop.wheel
-        probe = _Probe(wheel, lambda good: self.observer.dialled(monotonic_ms(), zone, good))
+
+        def told(good: bool) -> None:
+            now = monotonic_ms()
+            self.observer.dialled(now, zone, worker_number(member.id), good)
+            if not good and zone not in self._dead:
+                for _ in range(2 - more):
+                    self._probe_zone(zone, more=2)
+                self._look_at_views(now)
+
+        probe = _Probe(self.front.loop.wheel, told)
         within = min(self.deployment.wire.dial_timeout_ms, self.settings.evidence.window_ms / 2)
         address = address_from(member.host_port, "host_port")
         made = Connection.dial(self.front.loop, address, probe, within)
         if isinstance(made, End):
             if made is not End.NO_DESCRIPTOR:
-                self.observer.dialled(monotonic_ms(), zone, False)
+                told(False)
         else:
             probe.connection = made
 
--- a/fawnwharf/zones/settings.py
+++ b/fawnwharf/zones/settings.py
@@ -64,6 +64,8 @@
     slow_share: Share = 0.5  # of the answers slow
     report_ms: Span = 300.0  # pace of reports
     report_life_ms: Span = 1_200.0  # and how long one counts
+    quiet_ms: Span = 400.0  # with no good sign for so long, `least` bad scorers are enough
+    hush_ms: Span = 700.0  # a front end without a report for so long does not speak for its zone
     witnesses: Annotated[int, Meta(ge=1)] = 2  # observers that a zone's word takes, where it has so many
 
 
@@ -71,6 +73,7 @@
     """How long evidence has to last before anything follows from it."""
 
     out_ms: Span = 1_500.0
+    sure_ms: Span = 400.0  # the same where nobody in the zone is heard, and all that see others agree
     slow_ms: Span = 5_000.0
     back_ms: Span = 3_000.0  # and twice that for each time it went out lately
     back_most_ms: Span = 60_000.0
@@ -171,6 +174,10 @@
         raise FileFault("ramp.shares: not in rising order")
     if settings.evidence.report_life_ms < 2 * settings.evidence.report_ms:
         raise FileFault("evidence.report_life_ms: less than two reports")
+    if settings.evidence.hush_ms < 2 * settings.evidence.report_ms:
+        raise FileFault("evidence.hush_ms: less than two reports")
+    if settings.damping.sure_ms > settings.damping.out_ms:
+        raise FileFault("damping.sure_ms: longer than damping.out_ms")
     if settings.voting.beat_ms * 3 > settings.voting.election_ms:
         raise FileFault("voting.beat_ms: three do not fit into voting.election_ms")
     if settings.voting.fresh_ms * 2 > settings.voting.valid_ms:
