--- a/fawnwharf/interface.py
+++ b/fawnwharf/interface.py
@@ -169,10 +169,11 @@
 
 @dataclass(slots=True)
 class LimitsChanged:
-    """What may be taken here, in calls a second of all tenants together; what goes beyond it is refused
-    at once."""
+    """What may be taken here of a tenant's calls, or of all tenants' together, in calls a second; what goes
+    beyond it is refused at once."""
 
     calls_rps: float = UNLIMITED_RPS
+    tenant: str = ALL
 
 
 Event = RosterChanged | RequestArrived | ClientLeft | AttemptEnded | OrderAnswered | TimerDue | LimitsChanged
--- a/fawnwharf/lab/commands.py
+++ b/fawnwharf/lab/commands.py
@@ -58,6 +58,11 @@
     if found.acted:
         half, last = found.acted[len(found.acted) // 2], found.acted[-1]
         typer.echo(f"zone lost: half acted within {half:.2f} s, all {len(found.acted)} within {last:.2f} s")
+    if found.waits_ms[1]:
+        half, most = found.waits_ms
+        typer.echo(f"calls wait for their keepers {half:.1f} ms (median), {most:.1f} ms (99 %)")
+    if found.second_runs or found.keyed_repeats:
+        typer.echo(f"at-most-once runs beyond the first {found.second_runs}, keyed {found.keyed_repeats}")
     if found.comebacks:
         ends = "  ".join(f"{name} {count}" for name, count in sorted(found.comebacks.items()))
         typer.echo(f"lost at-most-once calls that were asked for again: {ends}")
@@ -149,6 +154,9 @@
             (m.outcomes["failed"] + m.outcomes["lost"]) / max(1, sum(m.outcomes.values()))
         ),
         "fetches": lambda m: float(m.fetches),
+        "second runs": lambda m: float(m.second_runs),
+        "keyed repeats": lambda m: float(m.keyed_repeats),
+        "member bytes": lambda m: m.member_bytes,
         "cpu": lambda m: m.cpu,
     }
     for name, of in figures.items():
--- a/fawnwharf/lab/run.py
+++ b/fawnwharf/lab/run.py
@@ -1,5 +1,6 @@
 """Runs a scenario on a fleet, and measures what became of the calls."""
 
+import contextlib
 import random
 from collections import Counter
 from collections.abc import Callable
@@ -9,9 +10,10 @@
 from hdrh.histogram import HdrHistogram
 
 from fawnwharf.lab.checker import Verdict, judge
-from fawnwharf.lab.fleet import Fleet, Front, LabFault, write_whole
+from fawnwharf.lab.fleet import STATE, Fleet, Front, LabFault, write_whole
 from fawnwharf.lab.scenario import Scenario, Step, When
 from fawnwharf.net.wheel import monotonic_ms
+from fawnwharf.replication.commands import look
 from fawnwharf.standins.relay import BACKWARD, FORWARD, Relay
 
 DRAIN_S = 4.0  # after the load ends, for what is open
@@ -49,6 +51,9 @@
     memory_mb: float = 0.0  # the largest
     member_bytes: float = 0.0  # between members, a second and member
     acted: list[float] = field(default_factory=list)  # seconds from a zone's loss, of each that lived on
+    second_runs: int = 0  # of at-most-once calls
+    keyed_repeats: int = 0  # runs of keyed calls beyond their first
+    waits_ms: tuple[float, float] = (0.0, 0.0)  # for keepers: the mean median and the largest 99th percentile
     comebacks: Counter = field(default_factory=Counter)  # what became of lost at-most-once calls asked again
     complaints: list[str] = field(default_factory=list)
 
@@ -409,6 +414,9 @@
             memory_mb=max((used[name][1] for name in used), default=0.0),
             member_bytes=passed / spent / len(fleet.fronts),
             acted=self._acted(),
+            second_runs=self._repeats("at_most_once"),
+            keyed_repeats=self._repeats("deduplicated"),
+            waits_ms=self._waits(),
             comebacks=Counter(
                 request.outcome
                 for request in fleet.clients.requests
@@ -418,6 +426,27 @@
             complaints=list(fleet.complaints),
         )
 
+    def _repeats(self, effect: str) -> int:
+        runs = Counter(a.id for a in self.fleet.arrivals if a.what == "run")
+        by_request: Counter = Counter()
+        for id, count in runs.items():
+            request = self.fleet.clients.by_call.get(id)
+            if request is not None and request.kind.effect == effect:
+                by_request[request.token] += count
+        return sum(count - 1 for count in by_request.values())
+
+    def _waits(self) -> tuple[float, float]:
+        """How long calls waited for their keepers, as the front ends that live tell."""
+        if self.scenario.state is None:
+            return 0.0, 0.0
+        found = []
+        for front in self.fronts("live"):
+            with contextlib.suppress(OSError, ValueError):
+                found.append(look(f"{front.host}:{STATE}").wait_ms)
+        if not found:
+            return 0.0, 0.0
+        return sum(half for half, _ in found) / len(found), max(most for _, most in found)
+
     def _acted(self) -> list[float]:
         """When each front end that lived on went by a plan without the zone that was lost first."""
         if self.lost is None:
--- a/fawnwharf/policy.py
+++ b/fawnwharf/policy.py
@@ -222,10 +222,9 @@
         self.taken.append(self.now)
         if len(self.functions) >= FUNCTIONS_MOST and event.function not in self.functions:
             self._forget()
-        name, lanes = event.function, max(1, event.lanes)
-        new = Function(name, event.class_name, lanes, event.load_ms, _mark(name))
-        fn = self.functions.setdefault(name, new)
-        spec = self.settings.classes.get(event.class_name) or io.ClassSpec(event.class_name)
+        name, kind, lanes = event.function, event.class_name, max(1, event.lanes)
+        fn = self.functions.setdefault(name, Function(name, kind, lanes, event.load_ms, _mark(name)))
+        spec = self.settings.classes.get(kind) or io.ClassSpec(kind)
         self.seed, draw, deadline = self.seed + 1, _mix(_mix(self.seed)), self.now + event.budget_ms
         later = event.budget_ms < TRY_LEAST * spec.give_up_ms  # its share was taken by the first try
         aim = (deadline - spec.give_up_ms if later else self.now) + spec.promise_ms
@@ -267,9 +266,10 @@
         if request := self.requests.get(event.request):
             self._close(request)
 
-    def _on_limits(self, event: io.LimitsChanged) -> None:  # one more share, of all that is taken here
-        quotas, rps = self.settings.quotas_rps, event.calls_rps
-        quotas[io.ALL], self.tokens[io.ALL] = rps * self.peers, (rps / 10, self.now)  # no burst at first
+    def _on_limits(self, event: io.LimitsChanged) -> None:  # one more share, of all calls, or another one
+        self.settings.quotas_rps[event.tenant] = event.calls_rps * self.peers
+        if event.tenant == io.ALL:  # no burst at first
+            self.tokens[io.ALL] = (event.calls_rps / 10, self.now)
 
     def _on_attempt(self, event: io.AttemptEnded) -> None:
         attempt = self.attempts.pop((event.request, event.attempt), None)
--- a/fawnwharf/replication/commands.py
+++ b/fawnwharf/replication/commands.py
@@ -85,6 +85,10 @@
             typer.echo(f"{name:16} no answer: {found}")
             continue
         typer.echo(f"{name:16} members {found.members}  {_standing(found)}")
+        half, most = found.wait_ms
+        typer.echo(
+            f"{'':16} calls wait {half:g} ms (median), {most:g} ms (99 %); {found.sent_bytes} bytes sent"
+        )
         for cause, count in sorted(found.counts.items()):
             typer.echo(f"{'':16} {cause}: {count}")
     if silent:
--- a/fawnwharf/replication/core.py
+++ b/fawnwharf/replication/core.py
@@ -15,6 +15,7 @@
 from fawnwharf.replication.keeper import Keeper
 from fawnwharf.replication.placement import Placement
 from fawnwharf.replication.settings import Settings
+from fawnwharf.replication.use import Shares, Uses
 from fawnwharf.zones.settings import Members
 
 TICK_MS = 100.0
@@ -48,6 +49,8 @@
         self.statuses: dict[str, m.Status] = {}
         self.hellos: list[tuple[str, int]] = []  # who asked for the log here since which number
         self.counts: dict[str, int] = {}
+        self.uses = Uses()
+        self.shares: Shares | None = None  # where quotas are kept by the fleet
         self._tick_due_ms = now_ms
 
     def _count(self, cause: str) -> None:
@@ -85,6 +88,10 @@
         if isinstance(line.say, m.Status):
             self.statuses[sender] = line.say
             return []
+        if isinstance(line.say, m.Sums):
+            if self.shares and sender in self.placement.keepers:
+                self.shares.heard(now_ms, sender, line.say)
+            return []
         if self.name not in line.to:
             return []
         return self._inward(now_ms, self._take(now_ms, sender, line.life, line.say))
@@ -112,6 +119,9 @@
             found = keeper.want(now_ms, sender, say)
         elif isinstance(say, m.Piece):
             found = keeper.piece(now_ms, sender, say)
+        elif isinstance(say, m.Use):
+            self.uses.heard(now_ms, f"{sender}#{life}", say)
+            found = []
         else:
             found = keeper.digests(now_ms, sender, say)
         return list(found)
@@ -153,6 +163,20 @@
     def wrapped(self, say: m.Say) -> m.Line:
         return m.Line(self.members.fleet, self.name, self.life, say.to, say.message)
 
+    # --- use ------------------------------------------------------------------------------------
+
+    def tell_use(self, now_ms: float) -> list[Out]:
+        """Own counters to the keepers; of a keeper, the sums to all."""
+        found: list[Out] = []
+        if self.shares:
+            found = self._inward(now_ms, [m.Say(tuple(self.placement.keepers[:16]), self.shares.use(now_ms))])
+        if self.keeper:
+            sums = self.uses.sums(now_ms)
+            if self.shares:
+                self.shares.heard(now_ms, self.name, sums)
+            found.append(m.Say((), sums))
+        return found
+
     # --- who is there ---------------------------------------------------------------------------
 
     def hears(self, now_ms: float, name: str, life: int) -> None:
--- a/fawnwharf/replication/gate.py
+++ b/fawnwharf/replication/gate.py
@@ -9,6 +9,7 @@
 import base64
 import hashlib
 import itertools
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
@@ -24,6 +25,7 @@
 HELD_BYTES_MOST = 8 * 1024 * 1024  # bodies of calls that wait for their keepers
 HELD_MOST = 4_096
 FULL_PUSHBACK_MS = 250.0
+WAITS = 500  # of the last calls, for operators
 
 
 @dataclass(slots=True, eq=False)
@@ -74,7 +76,7 @@
         self._bytes = 0
         self.held: dict[str, _Held] = {}  # by the call's name
         self._by_key: dict[str, _Held] = {}  # by what the port knows them by
-        self.waits: list[float] = []  # milliseconds until a call went, or was told; for the log
+        self._waits: deque[float] = deque(maxlen=WAITS)  # milliseconds, of the last calls that went
 
     # --- from the port --------------------------------------------------------------------------
 
@@ -169,7 +171,7 @@
     def _go(self, held: _Held) -> None:
         now = monotonic_ms()
         waited = now - held.came_ms
-        self.waits.append(waited)
+        self._waits.append(waited)
         held.running = True
         call = replace(
             held.call,
@@ -204,6 +206,15 @@
             reply(outcome)
         held.waiting.clear()
 
+    def waits(self) -> tuple[float, float]:
+        """How long the last calls waited before they went: the median and the 99th percentile, in ms."""
+        ranked = sorted(self._waits)
+        if not ranked:
+            return 0.0, 0.0
+        return round(ranked[len(ranked) // 2], 2), round(
+            ranked[min(len(ranked) - 1, len(ranked) * 99 // 100)], 2
+        )
+
     @property
     def busy(self) -> bool:
         """Whether somebody still waits for an answer."""
--- a/fawnwharf/replication/messages.py
+++ b/fawnwharf/replication/messages.py
@@ -15,6 +15,7 @@
 Count = Annotated[int, Meta(ge=0, le=1 << 53)]
 Span = Annotated[float, Meta(ge=0.0, le=3_600_000.0)]
 PIECE_MOST = 200  # claims
+Tenant = Annotated[str, Meta(max_length=128)]
 Digest = Annotated[str, Meta(max_length=32)]
 
 
@@ -103,6 +104,20 @@
     asked: Count
 
 
+class Use(Struct, frozen=True, tag="use"):
+    """How many calls of each tenant came to an owner since it started."""
+
+    number: Count
+    counts: Annotated[dict[Tenant, Count], Meta(max_length=512)]
+
+
+class Sums(Struct, frozen=True, tag="sums"):
+    """Calls a second by tenant, of as many front ends as a keeper hears."""
+
+    rates: Annotated[dict[Tenant, Annotated[float, Meta(ge=0.0, le=1e9)]], Meta(max_length=512)]
+    heard: Count
+
+
 class Status(Struct, frozen=True, tag="status"):
     """How a front end stands, for operators."""
 
@@ -113,10 +128,12 @@
     calls: Count = 0
     bytes: Count = 0
     members: Count = 0
+    wait_ms: tuple[Span, Span] = (0.0, 0.0)  # of its last calls before they went: median, 99th percentile
+    sent_bytes: Count = 0  # to others, since its start
     slots: Annotated[dict[Owner, Slots], Meta(max_length=4_000)] = {}  # of all that is kept
 
 
-Message = Status | Hello | Ask | Tell | Word | Want | Piece | Digests
+Message = Status | Hello | Use | Sums | Ask | Tell | Word | Want | Piece | Digests
 
 
 class Say(Struct, frozen=True):
--- a/fawnwharf/replication/service.py
+++ b/fawnwharf/replication/service.py
@@ -17,6 +17,7 @@
 from fawnwharf.replication.links import DirectedLog, DirectedServer
 from fawnwharf.replication.messages import Hello, Say
 from fawnwharf.replication.settings import Settings, check_members, settings_from
+from fawnwharf.replication.use import Shares
 from fawnwharf.zones.settings import FileFault, Members, members_from
 
 FILES_MS = 500.0
@@ -54,6 +55,10 @@
         self.entry = entry
         self.life = secrets.randbits(52) | 1
         self.core = Core(entry.name, self.life, members, self.settings, monotonic_ms(), fresh)
+        if self.settings.shares:
+            # The module adds what it is handed to the quotas: these are as they were sold.
+            quotas = dict(deployment.settings.quotas_rps)
+            self.core.shares = Shares(quotas, deployment.settings.fleet_size)
         self.front: FrontEnd | None = None
         self.gate: Gate | None = None
         self.server: DirectedServer | None = None
@@ -91,6 +96,8 @@
         self._follow()
         self._look_at_files()
         self._status()
+        if self.settings.shares:
+            self._use()
         self._tick()
         keepers = {zone: list(names) for zone, names in self.core.placement.by_zone.items()}
         self.note("state on", {"member": self.entry.name, "owner": self.core.owner, "keepers": keepers})
@@ -106,7 +113,8 @@
         return fleet
 
     def events(self, events: list[io.Event]) -> None:
-        pass
+        if self.core.shares:
+            self.core.shares.came(e.tenant for e in events if isinstance(e, io.RequestArrived))
 
     @property
     def busy(self) -> bool:
@@ -164,11 +172,25 @@
         self._noted[what] = now
         return True
 
+    def _use(self) -> None:
+        """Tell what came here, and go by the shares that follow from what came to all."""
+        if self._stopped:
+            return
+        now = monotonic_ms()
+        self._carry_out(self.core.tell_use(now))
+        if self.core.shares:
+            for tenant, rps in self.core.shares.changes(now).items():
+                self.front.loop.tell(io.LimitsChanged(rps, tenant))
+        self.front.loop.wheel.after(self.settings.use_ms, self._use)
+
     def _status(self) -> None:
         if self._stopped:
             return
         now = monotonic_ms()
-        status = Say((), self.core.status(now))
+        found = msgspec.structs.replace(
+            self.core.status(now), wait_ms=self.gate.waits(), sent_bytes=self.server.bytes
+        )
+        status = Say((), found)
         self.server.say(msgspec.to_builtins(self.core.wrapped(status)), counts_as="status")
         self.front.loop.wheel.after(STATUS_MS, self._status)
 
--- a/fawnwharf/replication/settings.py
+++ b/fawnwharf/replication/settings.py
@@ -43,6 +43,8 @@
     skew: Annotated[float, Meta(ge=0.0, le=0.5)] = 0.1  # by which clocks' rates may differ
     quiet_ms: Span = 1_500.0  # without a word for so long a front end is held to be gone
     compare_ms: Span = 2_000.0  # pace at which keepers compare what they hold
+    shares: bool = True  # tenants' quotas are divided by what comes to each front end
+    use_ms: Span = 500.0  # pace at which that is told
     bounds: Bounds = msgspec.field(default_factory=Bounds)
 
     @property
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -541,3 +541,23 @@
     drive = Drive()
     drive.feed(io.LimitsChanged(0.0))
     assert [type(action) for action in drive.ask("r1")] == [io.Refuse]
+
+
+def test_a_tenants_share_that_was_handed_in_takes_the_place_of_its_equal_part():
+    drive = Drive(fleet_size=4, quotas_rps={"t": 40.0, "u": 40.0})
+    drive.warm()
+
+    def over(tenant, count=60):
+        taken = []
+        for n in range(count):
+            drive.now += 10.0
+            taken.append(drive.router._over_share(tenant))
+        return sum(taken)
+
+    assert over("t") > 30  # ten calls a second are its part
+    drive.feed(io.LimitsChanged(200.0, "t"))
+    drive.now += 1000.0
+    assert over("t") == 0 and over("u") > 30
+    drive.feed(io.LimitsChanged(10.0, "t"))
+    drive.now += 1000.0
+    assert over("t") > 30
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -15,6 +15,7 @@
 from fawnwharf.replication.core import Core, LineFault
 from fawnwharf.replication.placement import Placement
 from fawnwharf.replication.shelf import Shelf
+from fawnwharf.replication.use import FLOOR, Shares, Uses, share
 from fawnwharf.zones.settings import FileFault
 
 FLEET = fleet_file("abcabc")
@@ -221,6 +222,15 @@
                 elif to not in self.lost and name not in self.lost:
                     self.carry(to, self.cores[to].line(self.now, name, line))
 
+    def spread(self, name):
+        """What a keeper says to anybody."""
+        if self.cores[name].keeper:
+            say = m.Say((), self.cores[name].uses.sums(self.now))
+            line = msgspec.json.decode(msgspec.json.encode(self.cores[name].wrapped(say)))
+            for to, core in self.cores.items():
+                if to != name:
+                    core.line(self.now, name, line)
+
     def release(self):
         held, self.held, self.hold = self.held, [], lambda sender, to, say: False
         for sender, to, line in held:
@@ -462,6 +472,74 @@
     assert cores.what(cores.owners[1]) == [Answer("k1", None)]
 
 
+# --- use ----------------------------------------------------------------------------------------
+
+
+def test_counters_of_an_owner_count_once_however_often_and_in_whatever_order_they_come():
+    told = [m.Use(n, {"a": 10 * n}) for n in range(1, 8)]
+    plain, mixed = Uses(), Uses()
+    for n, use in enumerate(told):
+        plain.heard(500.0 * n, "n1#1", use)
+        mixed.heard(500.0 * n, "n1#1", use)
+        mixed.heard(500.0 * n, "n1#1", told[max(0, n - 2)])
+        mixed.heard(500.0 * n, "n1#1", use)
+    assert plain.sums(3_100.0) == mixed.sums(3_100.0) == m.Sums({"a": 20.0}, 1)
+    assert mixed.dropped["an older use"] == 14
+    mixed.heard(3_200.0, "n1#1", m.Use(9, {"a": 3}))
+    assert mixed.dropped["a count that goes down"] == 1
+    assert mixed.sums(3_200.0) == m.Sums({"a": 20.0}, 1)
+    assert mixed.sums(9_000.0) == m.Sums({}, 0)  # it is gone, and so is its rate
+
+
+def test_a_new_life_is_counted_by_itself():
+    uses = Uses()
+    for n in range(5):
+        uses.heard(500.0 * n, "n1#1", m.Use(n + 1, {"a": 50 * n}))
+    uses.heard(2_500.0, "n1#2", m.Use(1, {"a": 0}))
+    assert uses.sums(2_600.0) == m.Sums({"a": 100.0}, 1)
+
+
+rates = strategies.lists(strategies.floats(0.0, 500.0), min_size=1, max_size=12)
+
+
+@given(rates, strategies.floats(1.0, 2_000.0))
+def test_shares_of_those_that_know_the_same_come_to_the_quota(asked, quota):
+    total, fronts = sum(asked), len(asked)
+    shares = [share(quota, fronts, mine, total, fronts) for mine in asked]
+    floors = sum(FLOOR * quota / fronts >= got - 1e-9 for got in shares) * FLOOR * quota / fronts
+    assert sum(shares) <= quota + floors + 1e-6
+    if total <= quota:  # nobody is short
+        assert all(got >= mine - 1e-6 for got, mine in zip(shares, asked, strict=True))
+        assert sum(shares) >= quota - 1e-6
+    assert min(shares) >= FLOOR * quota / fronts - 1e-9
+
+
+def test_who_hears_few_takes_an_equal_part_and_who_hears_most_holds_the_others_gone():
+    assert share(120.0, 6, 50.0, 60.0, 3) == 20.0
+    assert share(120.0, 6, 30.0, 120.0, 4) == 30.0
+    assert share(120.0, 6, 60.0, 240.0, 4) == 30.0
+
+
+def test_shares_follow_what_comes_and_fall_back_when_keepers_are_silent():
+    cores = Cores()
+    for core in cores.cores.values():
+        core.shares = Shares({"a": 120.0}, 6)
+    busy = cores.owners[0]
+    for n in range(12):
+        for name, core in cores.cores.items():
+            core.shares.came(["a"] * (25 if name == busy else 2) + ["unknown"])
+            cores.carry(name, core.tell_use(cores.now))
+            cores.spread(name)
+        cores.wait(500)
+        changed = {name: core.shares.changes(cores.now) for name, core in cores.cores.items()}
+        assert n < 11 or not changed[busy]
+    got = {name: core.shares.shares["a"] for name, core in cores.cores.items()}
+    assert got[busy] > 50.0 and sum(got.values()) <= 125.0
+    cores.now += 5_000
+    cores.cores[busy].shares.changes(cores.now)
+    assert cores.cores[busy].shares.shares["a"] == 20.0
+
+
 # --- bad input ----------------------------------------------------------------------------------
 
 GOOD_CLAIM = {"owner": "n1#1", "ask": 1, "number": 1, "slot": 0, "phase": 3}
