Hints on bad scorers shared by front ends; a leaving front end writes its last words

Need: each front end learned a slow scorer for itself. What three front ends name bad is told to all by the keepers, and rests there for a while, told to the module as draining; at most a quarter of a zone's scorers rest. A front end that leaves waits up to 0.5 s until what came of its last calls is written to its keepers.

--- a/fawnwharf/lab/commands.py
+++ b/fawnwharf/lab/commands.py
@@ -215,3 +215,35 @@
             typer.echo(f"seed {seed}: {outcome.broken}")
             raise typer.Exit(1)
     typer.echo(f"{total} steps, nothing broken")
+
+
+@app.command()
+def promises(
+    seeds: int = 100,
+    first: int = 1,
+    seconds: float = 10.0,
+    zones: Annotated[str, typer.Option(help="The zone of each front end, a letter each.")] = "abcabc",
+    storm: Annotated[bool, typer.Option("--storm", help="With faults of all kinds all the time.")] = False,
+) -> None:
+    """Walks of calls that are kept together, in virtual time; status 1 where one runs twice."""
+    from fawnwharf.lab.promises import STORM, Outcome, Walk, Weather
+
+    total, healed = Outcome(), []
+    for seed in range(first, first + seeds):
+        found = Walk(seed, STORM if storm else Weather(), zones).run(seconds)
+        if found.broken:
+            typer.echo(f"seed {seed}: {found.broken}")
+            raise typer.Exit(1)
+        healed.append(found.healed_ms)
+        for name in ("calls", "lines", "kills", "runs"):
+            setattr(total, name, getattr(total, name) + getattr(found, name))
+        total.ends += found.ends
+    healed.sort()
+    ends = "  ".join(f"{name} {count}" for name, count in sorted(total.ends.items()))
+    typer.echo(
+        f"{seeds} walks  {total.calls} calls  {total.runs} runs  {total.kills} kills  {total.lines} lines"
+    )
+    typer.echo(f"ends: {ends}")
+    half, most = healed[len(healed) // 2], healed[-1]
+    typer.echo(f"keepers hold the same {half:.0f} ms (median), {most:.0f} ms (most) after the last fault")
+    typer.echo("nothing broken")
--- a/fawnwharf/lab/promises.py
+++ b/fawnwharf/lab/promises.py
@@ -2,7 +2,8 @@
 
 One seed gives one walk. Calls come at random front ends, some at two at the same moment, some again later,
 elsewhere. Lines are lost, repeated, late and overtaken; links are cut; front ends are killed at any step and
-come back with nothing, or stand still and go on as if nothing were. Clocks run at different rates.
+come back with nothing, or stand still and go on as if nothing were. Clocks run at different rates, up to a
+minute apart.
 """
 
 import heapq
@@ -66,6 +67,7 @@
 class _Front:
     name: str
     rate: float
+    offset_ms: float  # of its clock
     core: Core | None = None
     life: int = 0
     halted_until: float = 0.0
@@ -112,8 +114,10 @@
         self.runs: dict[str, list[tuple[float, str, str]]] = {}  # key to time, owner, answer
         self.waiting: dict[tuple[str, str], Effect] = {}  # owner and key, until it hears what becomes of it
         self.asked: dict[str, float] = {}
+        rate, offset = (0.96, 1.04), (1_000.0, 60_000.0)
         self.fronts = {
-            member.name: _Front(member.name, self.chance.uniform(0.96, 1.04)) for member in self.file.members
+            member.name: _Front(member.name, self.chance.uniform(*rate), self.chance.uniform(*offset))
+            for member in self.file.members
         }
         for front in self.fronts.values():
             self._start(front, fresh=True)
@@ -124,7 +128,7 @@
         heapq.heappush(self.events, (at, next(self.order), do))
 
     def clock(self, front: _Front) -> float:
-        return self.now * front.rate + 1_000.0
+        return self.now * front.rate + front.offset_ms
 
     def run(self, seconds: float, rest_s: float = 12.0) -> Outcome:
         """So long with all that goes wrong, then a rest in which nothing does."""
@@ -182,7 +186,7 @@
         for sender, data in held:  # as after a stop: what came first, then the timers
             self._line(front, sender, data)
         self._do(front, core.tick(self.clock(front)))
-        due = core.due_ms(self.clock(front)) / front.rate - 1_000.0 / front.rate
+        due = (core.due_ms(self.clock(front)) - front.offset_ms) / front.rate
         self.at(max(self.now + 1.0, min(due, self.now + 100.0)), lambda: self._tick(front, core))
 
     def _line(self, front: _Front, sender: str, data: Any) -> None:
--- a/fawnwharf/lab/run.py
+++ b/fawnwharf/lab/run.py
@@ -266,6 +266,13 @@
         for front in self.fronts(step.what):
             self.fleet.kill(front)
 
+    def _end(self, step: Step) -> None:
+        """As on a release: they are asked to end, and do so when all is answered."""
+        ending = [front for front in self.fronts(step.what) if front.alive]
+        for front in ending:
+            front.process.terminate()
+        self.fleet.until(lambda: not any(front.alive for front in ending), "front ends to end")
+
     def _stop(self, step: Step) -> None:
         for front in self.fronts(step.what):
             self.fleet.stop(front)
--- a/fawnwharf/lab/scenario.py
+++ b/fawnwharf/lab/scenario.py
@@ -49,7 +49,7 @@
 
 class Step(Struct, frozen=True, forbid_unknown_fields=True):
     do: Literal[
-        "cut", "heal", "delay", "lossy", "stall", "reset", "kill", "stop", "go_on", "start",
+        "cut", "heal", "delay", "lossy", "stall", "reset", "kill", "end", "stop", "go_on", "start",
         "lose_zone", "return_zone", "scorers_down", "scorers_up", "slow", "store", "rate",
         "wipe", "swap", "keep_disk", "old_disk", "members", "wish", "mark", "start_refused",
     ]  # fmt: skip
--- a/fawnwharf/replication/core.py
+++ b/fawnwharf/replication/core.py
@@ -10,6 +10,7 @@
 
 from fawnwharf.interface import Effect
 from fawnwharf.replication import messages as m
+from fawnwharf.replication.beliefs import Sightings, Sights
 from fawnwharf.replication.claimant import Claimant, Out
 from fawnwharf.replication.claims import Phase
 from fawnwharf.replication.keeper import Keeper
@@ -50,6 +51,9 @@
         self.hellos: list[tuple[str, int]] = []  # who asked for the log here since which number
         self.counts: dict[str, int] = {}
         self.uses = Uses()
+        self.sightings = Sightings()
+        self.hints: list[m.Hints] = []  # that came; whoever goes by them clears them
+        self._named = False  # bad scorers were told last time
         self.shares: Shares | None = None  # where quotas are kept by the fleet
         self._tick_due_ms = now_ms
 
@@ -92,6 +96,10 @@
             if self.shares and sender in self.placement.keepers:
                 self.shares.heard(now_ms, sender, line.say)
             return []
+        if isinstance(line.say, m.Hints):
+            if sender in self.placement.keepers:
+                self.hints.append(line.say)
+            return []
         if self.name not in line.to:
             return []
         return self._inward(now_ms, self._take(now_ms, sender, line.life, line.say))
@@ -122,6 +130,9 @@
         elif isinstance(say, m.Use):
             self.uses.heard(now_ms, f"{sender}#{life}", say)
             found = []
+        elif isinstance(say, m.Named):
+            self.sightings.heard(now_ms, f"{sender}#{life}", say)
+            found = []
         else:
             found = keeper.digests(now_ms, sender, say)
         return list(found)
@@ -177,6 +188,20 @@
             found.append(m.Say((), sums))
         return found
 
+    def tell_named(self, now_ms: float, sights: Sights) -> list[Out]:
+        """Bad scorers to the keepers; of a keeper, those that several name to all."""
+        named = sights.named(now_ms)
+        found: list[Out] = []
+        if named.bad or self._named:
+            found = self._inward(now_ms, [m.Say(tuple(self.placement.keepers[:16]), named)])
+        self._named = bool(named.bad)
+        if self.keeper:
+            hints = self.sightings.hints(now_ms, len(self.members.members))
+            if hints.scorers:
+                self.hints.append(hints)
+                found.append(m.Say((), hints))
+        return found
+
     # --- who is there ---------------------------------------------------------------------------
 
     def hears(self, now_ms: float, name: str, life: int) -> None:
--- a/fawnwharf/replication/links.py
+++ b/fawnwharf/replication/links.py
@@ -53,6 +53,9 @@
         for item in [{**head, "line": line} for line in self._counting.values()] or [head]:
             reader.connection.write(encoder.encode(item) + b"\n")
 
+    def unwritten(self) -> bool:
+        return any(reader.connection.waiting_bytes for reader in self.readers if reader.since is not None)
+
     def number(self, reader: Any) -> int:
         return self._sent.get(reader, 0)
 
--- a/fawnwharf/replication/messages.py
+++ b/fawnwharf/replication/messages.py
@@ -118,6 +118,22 @@
     heard: Count
 
 
+Worker = Annotated[str, Meta(pattern=r"^[0-9]{1,12}$")]
+
+
+class Named(Struct, frozen=True, tag="named"):
+    """Scorers that gave an owner bad signs alone, lately, and how many."""
+
+    number: Count
+    bad: Annotated[dict[Worker, Count], Meta(max_length=64)]
+
+
+class Hints(Struct, frozen=True, tag="hints"):
+    """Scorers that several front ends name, and how many."""
+
+    scorers: Annotated[dict[Worker, Count], Meta(max_length=64)]
+
+
 class Status(Struct, frozen=True, tag="status"):
     """How a front end stands, for operators."""
 
@@ -133,7 +149,7 @@
     slots: Annotated[dict[Owner, Slots], Meta(max_length=4_000)] = {}  # of all that is kept
 
 
-Message = Status | Hello | Use | Sums | Ask | Tell | Word | Want | Piece | Digests
+Message = Status | Hello | Use | Sums | Named | Hints | Ask | Tell | Word | Want | Piece | Digests
 
 
 class Say(Struct, frozen=True):
--- a/fawnwharf/replication/service.py
+++ b/fawnwharf/replication/service.py
@@ -8,9 +8,10 @@
 import msgspec
 
 from fawnwharf import interface as io
-from fawnwharf.config import ConfigError, Deployment, Fleet, address_from
-from fawnwharf.net.front_end import FrontEnd
+from fawnwharf.config import ConfigError, Deployment, Fleet, Member, address_from
+from fawnwharf.net.front_end import FrontEnd, worker_number
 from fawnwharf.net.wheel import Timer, monotonic_ms
+from fawnwharf.replication.beliefs import Rests, Sights, counts_by
 from fawnwharf.replication.claimant import Out
 from fawnwharf.replication.core import Core, LineFault
 from fawnwharf.replication.gate import Gate
@@ -18,16 +19,37 @@
 from fawnwharf.replication.messages import Hello, Say
 from fawnwharf.replication.settings import Settings, check_members, settings_from
 from fawnwharf.replication.use import Shares
+from fawnwharf.zones.roster import Roster
 from fawnwharf.zones.settings import FileFault, Members, members_from
 
 FILES_MS = 500.0
 STATUS_MS = 2_000.0
+UNWRITTEN_MS = 500.0
 READERS_SPARE = 16  # beyond the members, for operators
 LINE_S = 1.0  # one note a second of each kind
 
 Write = Callable[[str, dict[str, Any]], None]
 
 
+class Resting(Roster):
+    """The roster as it was told, but with scorers that rest told as draining."""
+
+    def __init__(self, zone: str) -> None:
+        super().__init__(zone)
+        self.resting: set[str] = set()
+
+    def _phase(self, member: Member) -> str:
+        rests = member.phase == "in_service" and member.id in self.resting
+        return "terminating" if rests else super()._phase(member)
+
+    def rest(self, ids: set[str]) -> Fleet:
+        """Let these rest, and no others; the changes that it makes to what was told last."""
+        touched = ids ^ self.resting
+        self.resting = set(ids)
+        changed = [self._lowered(member, member) for id, member in self.members.items() if id in touched]
+        return Fleet(changed, False, self.revision)
+
+
 class State:
     """Owns this front end's part in the state that is kept together; a Seam of the front end."""
 
@@ -59,6 +81,10 @@
             # The module adds what it is handed to the quotas: these are as they were sold.
             quotas = dict(deployment.settings.quotas_rps)
             self.core.shares = Shares(quotas, deployment.settings.fleet_size)
+        self.sights, self.rests, self.roster = Sights(), Rests(), Resting(entry.zone)
+        self._scorers: dict[int, Member] = {}  # in service, by number
+        promises = (spec.promise_ms for spec in deployment.settings.classes.values())
+        self._promise_ms = min(promises, default=1_000.0)
         self.front: FrontEnd | None = None
         self.gate: Gate | None = None
         self.server: DirectedServer | None = None
@@ -67,6 +93,7 @@
         self._timer_ms = 0.0
         self._noted: dict[str, float] = {}
         self._stopped = False
+        self._idle_ms: float | None = None  # since when nobody waits, for one that leaves
         self._was_sure: bool | None = None
 
     # --- life -----------------------------------------------------------------------------------
@@ -98,6 +125,8 @@
         self._status()
         if self.settings.shares:
             self._use()
+        if self.settings.hints:
+            self._beliefs()
         self._tick()
         keepers = {zone: list(names) for zone, names in self.core.placement.by_zone.items()}
         self.note("state on", {"member": self.entry.name, "owner": self.core.owner, "keepers": keepers})
@@ -110,15 +139,31 @@
             self.server.close()
 
     def told(self, fleet: Fleet) -> Fleet:
-        return fleet
+        lowered = self.roster.told(fleet)
+        self._scorers = {
+            worker_number(member.id): member
+            for member in self.roster.members.values()
+            if member.phase == "in_service"
+        }
+        return lowered
 
     def events(self, events: list[io.Event]) -> None:
         if self.core.shares:
             self.core.shares.came(e.tenant for e in events if isinstance(e, io.RequestArrived))
+        now = monotonic_ms()
+        for event in events:
+            if isinstance(event, io.AttemptEnded | io.OrderAnswered):
+                self.sights.ended(now, event.worker, event.ending, event.took_ms, self._promise_ms)
 
     @property
     def busy(self) -> bool:
-        return self.gate is not None and self.gate.busy
+        """Somebody waits here, or what came of the last calls is not written yet; for that only so long."""
+        if self.gate.busy:
+            self._idle_ms = None
+            return True
+        if self._idle_ms is None:
+            self._idle_ms = monotonic_ms()
+        return monotonic_ms() - self._idle_ms < UNWRITTEN_MS and self.server.unwritten()
 
     # --- what the core says ---------------------------------------------------------------------
 
@@ -183,6 +228,25 @@
                 self.front.loop.tell(io.LimitsChanged(rps, tenant))
         self.front.loop.wheel.after(self.settings.use_ms, self._use)
 
+    def _beliefs(self) -> None:
+        """Tell which scorers are bad, and let those rest that several front ends name."""
+        if self._stopped:
+            return
+        now = monotonic_ms()
+        self._carry_out(self.core.tell_named(now, self.sights))
+        zones = {worker: member.locality for worker, member in self._scorers.items()}
+        counts = counts_by(zones.values())
+        for hints in self.core.hints:
+            self.rests.heard(now, hints, self.sights, zones, counts)
+        self.core.hints.clear()
+        resting = {self._scorers[w].id for w in self.rests.resting(now) if w in self._scorers}
+        if resting != self.roster.resting:
+            self.note("scorers rest", {"now": sorted(resting), "before": sorted(self.roster.resting)})
+            changes = self.roster.rest(resting)
+            if changes.members:
+                self.front.take_fleet(changes)
+        self.front.loop.wheel.after(self.settings.hints_ms, self._beliefs)
+
     def _status(self) -> None:
         if self._stopped:
             return
--- a/fawnwharf/serving.py
+++ b/fawnwharf/serving.py
@@ -48,6 +48,8 @@
         front = FrontEnd(deployment, reread=lambda: config.load(path), seam=seam)
     except OSError as error:
         raise config.ConfigError(f"listen: {error.strerror}: {deployment.listen}") from None
+    if len(parts) > 1:  # what the plan changes, the state's roster has to know
+        parts[0].take = lambda fleet: front.take_fleet(parts[1].told(fleet))
     for part in parts:
         part.attach(front)
     return front
--- a/fawnwharf/zones/service.py
+++ b/fawnwharf/zones/service.py
@@ -135,6 +135,7 @@
         self._stopped = False
         self._failed = False  # the disk: no part in votes any more
         self.front: FrontEnd | None = None
+        self.take: Callable[[Fleet], None] | None = None  # where its changes of the roster go
         self.public: LogServer | None = None
         self.ballots: LogServer | None = None
 
@@ -143,6 +144,7 @@
     def attach(self, front: FrontEnd) -> None:
         """Begin, on the front end's loop."""
         self.front = front
+        self.take = self.take or front.take_fleet
         most = len(self.core.members.members) + READERS_SPARE
         self.public = self._server("listen", self.settings.listen or self.entry.address, most)
         if self.entry.ballots:
@@ -198,7 +200,7 @@
     def _go_by(self, effect: Follow) -> None:
         changes = self.roster.follow(effect.plan)
         if changes.members:
-            self.front.take_fleet(changes)
+            self.take(changes)
         part = self.roster.admission()
         limited = part < 1.0 and self._sold > 0
         rps = part * self._sold / self.deployment.settings.fleet_size * self._carried(effect.plan)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -549,7 +549,7 @@
 
     def over(tenant, count=60):
         taken = []
-        for n in range(count):
+        for _ in range(count):
             drive.now += 10.0
             taken.append(drive.router._over_share(tenant))
         return sum(taken)
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -6,14 +6,17 @@
 import pytest
 from hypothesis import given, settings, strategies
 
-from fawnwharf.interface import Effect
+from fawnwharf.config import Fleet, Member
+from fawnwharf.interface import Effect, Ending
 from fawnwharf.lab.promises import STORM, Walk, Weather, fleet_file
 from fawnwharf.replication import messages as m
 from fawnwharf.replication import settings as s
+from fawnwharf.replication.beliefs import Rests, Sightings, Sights
 from fawnwharf.replication.claimant import Answer, GiveUp, Go, TurnAway
 from fawnwharf.replication.claims import Claim, Phase, Standing, contradicts, merged, reading
 from fawnwharf.replication.core import Core, LineFault
 from fawnwharf.replication.placement import Placement
+from fawnwharf.replication.service import Resting
 from fawnwharf.replication.shelf import Shelf
 from fawnwharf.replication.use import FLOOR, Shares, Uses, share
 from fawnwharf.zones.settings import FileFault
@@ -540,6 +543,87 @@
     assert cores.cores[busy].shares.shares["a"] == 20.0
 
 
+# --- beliefs ------------------------------------------------------------------------------------
+
+
+def test_signs_of_a_scorer_are_bad_until_one_good_sign():
+    table = [
+        (Ending.TIMEOUT, 100.0, True),
+        (Ending.RESET, 5.0, True),
+        (Ending.CONNECT_FAILED, 5.0, True),
+        (Ending.CANCELLED, 900.0, True),
+        (Ending.CANCELLED, 20.0, False),
+        (Ending.GOOD, 900.0, True),
+        (Ending.NOT_SENT, 0.0, False),
+    ]
+    for ending, took, bad in table:
+        sights = Sights()
+        sights.ended(0.0, 7, ending, took, 400.0)
+        assert sights.named(10.0).bad == ({"7": 1} if bad else {}), ending
+        sights.ended(20.0, 7, Ending.GOOD, 30.0, 400.0)
+        assert sights.named(30.0).bad == {} and sights.good_ms(7) == 20.0
+    sights.ended(40.0, 7, Ending.TIMEOUT, 400.0, 400.0)
+    assert sights.named(41.0).bad == {"7": 1}
+    assert sights.named(5_000.0).bad == {}  # it fades
+
+
+def test_a_scorer_is_hinted_at_when_enough_front_ends_name_it_and_one_alone_moves_nothing():
+    sightings = Sightings()
+    for n in range(1, 4):
+        assert sightings.hints(0.0, 18) == m.Hints({})
+        sightings.heard(0.0, f"n{n}#1", m.Named(2, {"7": 9}))
+        sightings.heard(0.0, f"n{n}#1", m.Named(1, {"8": 9}))  # an older one
+    assert sightings.hints(0.0, 18) == m.Hints({"7": 3})
+    sightings.heard(500.0, "n1#1", m.Named(3, {}))
+    assert sightings.hints(500.0, 18) == m.Hints({})
+    assert sightings.hints(500.0, 6) == m.Hints({"7": 2})
+    sightings.heard(600.0, "n2#2", m.Named(1, {"7": 1}))  # a new life is no second witness
+    assert sightings.hints(600.0, 18) == m.Hints({})
+    assert sightings.hints(2_000.0, 2) == m.Hints({})
+
+
+def test_a_hinted_scorer_rests_for_longer_each_time_and_never_more_than_a_part_of_a_zone():
+    zones = {n: "a" if n < 8 else "b" for n in range(16)}
+    counts, rests, sights = {"a": 8, "b": 8}, Rests(), Sights()
+    hint = m.Hints({"1": 3})
+    rests.heard(0.0, hint, sights, zones, counts)
+    assert rests.resting(1_999.0) == {1} and rests.resting(2_000.0) == set()
+    rests.heard(2_100.0, hint, sights, zones, counts)
+    assert rests.resting(6_000.0) == {1} and rests.resting(6_200.0) == set()
+    rests.heard(20_000.0, hint, sights, zones, counts)  # long after: it begins anew
+    assert rests.resting(21_900.0) == {1} and rests.resting(22_100.0) == set()
+    rests.heard(40_000.0, m.Hints({str(n): 9 for n in (1, 2, 3, 4, 9, 99)}), sights, zones, counts)
+    assert rests.resting(40_100.0) == {1, 2, 9} and rests.refused == 2
+
+
+def test_who_has_a_good_sign_of_its_own_goes_by_that():
+    rests, sights = Rests(), Sights()
+    sights.ended(1_000.0, 1, Ending.GOOD, 10.0, 400.0)
+    rests.heard(1_500.0, m.Hints({"1": 9}), sights, {1: "a"}, {"a": 8})
+    assert rests.resting(1_500.0) == set()
+    rests.heard(1_700.0, m.Hints({"1": 9}), sights, {1: "a"}, {"a": 8})
+    assert rests.resting(1_700.0) == {1}
+
+
+def entry(id, zone="a", phase="in_service"):
+    return Member(id=id, host_port="127.0.0.1:1", locality=zone, phase=phase, size=1.0)
+
+
+def test_a_resting_scorer_is_told_as_draining_and_what_drains_or_is_gone_stays_so():
+    roster = Resting("a")
+    told = roster.told(Fleet([entry("s1"), entry("s2"), entry("s3", phase="terminating")], True, 1))
+    assert [member.phase for member in told.members] == ["in_service", "in_service", "terminating"]
+    changes = roster.rest({"s1", "s3"})
+    phases = {member.id: member.phase for member in changes.members}
+    assert phases == {"s1": "terminating", "s3": "terminating"}
+    told = roster.told(Fleet([entry("s1")], False, 2))
+    assert [member.phase for member in told.members] == ["terminating"]
+    roster.told(Fleet([entry("s2", phase="terminating")], False, 3))
+    changes = roster.rest(set())
+    phases = {member.id: member.phase for member in changes.members}
+    assert phases == {"s1": "in_service", "s3": "terminating"}
+
+
 # --- bad input ----------------------------------------------------------------------------------
 
 GOOD_CLAIM = {"owner": "n1#1", "ask": 1, "number": 1, "slot": 0, "phase": 3}
