Keepers know after a restart what they granted: files that outlive the process, not the boot

Need: two of a call's three keepers restarted together granted nothing until the window was over (8 s in the lab).

Change: replication/disk.py writes each claim before anything that rests on it is said; a file is trusted within one boot, whole, uncopied, and if its keeper knew all by the list in use. Tests cut the last record at every byte, damage the middle, copy, wipe; several processes: a keeper that comes back with each of these. Walks let half of the killed ones find what they kept.

--- a/fawnwharf/lab/fleet.py
+++ b/fawnwharf/lab/fleet.py
@@ -303,6 +303,7 @@
         write_whole(front.folder / "zones.json", settings)
         if self.scenario.state is not None:
             state = {"version": 1, "members": "members.json", "listen": f"{front.host}:{STATE}"}
+            state["folder"] = "kept"
             write_whole(front.folder / "state.json", {**state, **STATE_RULES, **self.scenario.state})
         if not front.lives or not (front.folder / "members.json").exists():  # a folder of an earlier run
             write_whole(front.folder / "members.json", self.members(front))
--- a/fawnwharf/lab/promises.py
+++ b/fawnwharf/lab/promises.py
@@ -44,6 +44,7 @@
     cut_ms: float = 3_000.0
     kills: float = 0.15
     away_ms: float = 2_500.0
+    found: float = 0.5  # of those that start again find what they kept
     halts: float = 0.1
     halt_ms: float = 4_000.0
     moves: float = 0.0  # of the list of members
@@ -71,6 +72,7 @@
     core: Core | None = None
     life: int = 0
     halted_until: float = 0.0
+    kept: tuple[int, list[Any]] | None = None  # the list by which it knew all, and what it held, on file
     held: list[tuple[str, Any]] = field(default_factory=list)  # lines that came while it stood still
 
 
@@ -173,9 +175,23 @@
         front.held.clear()
         front.halted_until = 0.0
         core = self.make_core(front.name, front.life, self.file, self.settings, self.clock(front), fresh)
+        self._read_disk(front, core)
         front.core = core
         self._tick(front, core)
 
+    def _read_disk(self, front: _Front, core: Core) -> None:
+        """What the process before this one had on file, as `replication/disk.py` has it."""
+        kept, front.kept = front.kept, None
+        if core.keeper is None or kept is None or self.chance.random() >= self.weather.found:
+            return
+        now_ms, (sure, held) = self.clock(front), kept
+        for key, claim, until_ms in held:
+            if until_ms > now_ms:
+                entry = core.keeper.shelf.entry(now_ms, key)
+                core.keeper.shelf.put(now_ms, key, entry, claim, until_ms - now_ms)
+        if sure == core.placement.number:
+            core.keeper.knows_all()
+
     def _tick(self, front: _Front, core: Core) -> None:
         if front.core is not core:
             return
@@ -324,7 +340,11 @@
         front = self.chance.choice(sorted(self._up(), key=lambda f: f.name) or [None])
         if front is None:
             return
-        front.core = None
+        core, front.core = front.core, None
+        if core.keeper:
+            now_ms = self.clock(front)
+            sure = core.placement.number if core.keeper.sure(now_ms) else 0
+            front.kept = sure, core.keeper.shelf.held_all(now_ms)
         self.outcome.kills += 1
         away = self.chance.uniform(1.0, self.weather.away_ms)
         self.at(self.now + away, lambda: self._start(front))
--- a/fawnwharf/replication/keeper.py
+++ b/fawnwharf/replication/keeper.py
@@ -23,7 +23,8 @@
     def __init__(
         self, name: str, placement: Placement, settings: Settings, now_ms: float, fresh: bool = False
     ) -> None:
-        """`fresh`: nothing was ever granted under this name, as the fleet begins."""
+        """`fresh`: nothing was ever granted under this name that is not here, as the fleet begins or a disk
+        has it all."""
         self.name, self.placement, self.settings = name, placement, settings
         self.shelf = Shelf(settings, placement.of)
         self.catchup = CatchUp(settings, self.shelf)
@@ -32,6 +33,7 @@
         self._due = {"forget": now_ms, "compare": now_ms + settings.compare_ms}
         self._olds: list[Placement] = []  # lists before, until their keepers were heard
         self._behind = 0  # the largest number of a list that another keeper went by
+        self.broken = False  # what it grants can't be written down
         self._sure = fresh
         self._missing = set() if fresh else self._others()
 
@@ -50,7 +52,7 @@
         What it granted in a life before, more than half of a call's keepers hold, so one of the others: it
         has to hear all of them, from a moment on when nobody may rest on those grants any more, as till
         then the other half may still be on its way. Or it waits until all that is over."""
-        if self._behind > self.placement.number:
+        if self.broken or self._behind > self.placement.number:
             return False
         if self._sure:
             return True
@@ -68,6 +70,11 @@
             self._olds.clear()
         return self._sure
 
+    def knows_all(self) -> None:
+        """A disk had all that it ever granted."""
+        self._sure = True
+        self._missing.clear()
+
     def move(self, now_ms: float, placement: Placement) -> None:
         """Another list of members: calls may have come here from other keepers, whom it has to hear."""
         if placement.number <= self.placement.number:
--- a/fawnwharf/replication/settings.py
+++ b/fawnwharf/replication/settings.py
@@ -32,6 +32,7 @@
     version: int
     members: str
     listen: str = ""  # where it differs from the member's `state`
+    folder: str = ""  # for what a keeper grants, so that it knows after a restart; none: in memory alone
     zones: Annotated[int, Meta(ge=1, le=5)] = 3  # that keep each call, by one front end each
     per_zone: Annotated[int, Meta(ge=1, le=8)] = 1  # front ends of a zone that share its calls
     modes: dict[Name, Mode] = {}  # by class; at most once 'before', keyed 'after', idempotent 'off'
--- a/fawnwharf/replication/shelf.py
+++ b/fawnwharf/replication/shelf.py
@@ -68,6 +68,7 @@
         self.bytes = 0  # of answers
         self.counts: dict[str, int] = {}
         self.conflicts: list[tuple[str, Claim, Claim]] = []  # whoever reads it clears it
+        self.unwritten: list[tuple[str, Claim, float]] | None = None  # where a disk is to have them first
         self._sums: dict[tuple[str, int], dict[tuple[str, ...], _Sum]] = {}
 
     def count(self, cause: str) -> None:
@@ -91,6 +92,8 @@
         if before is not None and contradicts(before, claim):
             self._note("contradiction", key, before, claim)
         after = claim if before is None else merged(before, claim)
+        if self.unwritten is not None:
+            self.unwritten.append((key, after, until))
         if after == before:
             return
         if before is not None:
@@ -149,6 +152,14 @@
                 self._sum(now_ms, key, entry, claim, 1, entry.until_ms[id])
                 self.bytes -= len(claim.answer or "")
 
+    def held_all(self, now_ms: float) -> list[tuple[str, Claim, float]]:
+        return [
+            (key, claim, entry.until_ms[id])
+            for key, entry in self.calls.items()
+            for id, claim in entry.claims.items()
+            if entry.until_ms[id] > now_ms
+        ]
+
     # --- comparing ------------------------------------------------------------------------------
 
     def slots(self, now_ms: float, name: str) -> dict[str, m.Slots]:
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -92,6 +92,59 @@
         fleet.close()
 
 
+def spoil(folder, how):
+    """What becomes of a keeper's files while it is down."""
+    files = sorted(folder.glob("keeper-*.log"), key=lambda path: int(path.stem[7:]))
+    last, data = files[-1], files[-1].read_bytes()
+    if how == "wiped":
+        for path in files:
+            path.unlink()
+    elif how == "older":
+        beside = folder / "older"
+        beside.write_bytes(data[: data.rfind(b"fwv1")])
+        os.rename(beside, last)
+    elif how == "damaged":
+        with open(last, "r+b") as file:
+            file.seek(len(data) // 2)
+            file.write(b"\0\0\0\0")
+    elif how == "cut short":
+        os.truncate(last, len(data) - 3)
+
+
+def test_a_keeper_comes_back_with_nothing_with_old_or_damaged_state_and_with_all_of_it():
+    runner = Runner(scenarios.load("state-cut"), seed=4)
+    fleet = runner.fleet
+    try:
+        for front in fleet.fronts.values():
+            fleet.start(front)
+        fleet.until(lambda: all(f.ready for f in fleet.fronts.values()), "all to be ready")
+        keeper = fleet.fronts[next(note.front for note in fleet.notes if note.event == "keeper")]
+        fleet.clients.start()
+        fleet.rest(1.0)
+        for how, trusted in (("as it was", True), ("wiped", False), ("older", False), ("damaged", False),
+                             ("cut short", True)):  # fmt: skip
+            fleet.kill(keeper)
+            spoil(keeper.folder / "kept", how)
+            before = len(fleet.notes)
+            fleet.start(keeper)
+
+            def said(event, before=before, **fields):
+                mine = [note for note in fleet.notes[before:] if note.front == keeper.name]
+                return any(n.event == event and fields.items() <= n.fields.items() for n in mine)
+
+            fleet.until(lambda said=said: said("disk read"), "its disk to be read")
+            assert said("disk read", trusted=trusted), how
+            # Without its files it hears the others, and grants again all the same.
+            fleet.until(lambda said=said: said("keeper", sure=True), f"{how}: it grants", 12.0)
+            fleet.rest(0.7)
+        fleet.clients.stop()
+        fleet.until(lambda: not fleet.clients.open, "all calls to end")
+        verdict = judge(fleet)
+        assert verdict.broken == [] and verdict.checked["effects"] > 200
+    finally:
+        fleet.close()
+
+
 @pytest.mark.parametrize(
     ("name", "change", "key"),
     [
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -1,11 +1,13 @@
 """State that front ends keep together: the laws of merging, keepers and claimants, walks in virtual time."""
 
 import itertools
+import os
 
 import msgspec
 import pytest
 from hypothesis import given, settings, strategies
 
+from fawnwharf.accord.disk import DiskError
 from fawnwharf.config import Fleet, Member
 from fawnwharf.interface import Effect, Ending
 from fawnwharf.lab.promises import STORM, Walk, Weather, fleet_file
@@ -15,6 +17,7 @@
 from fawnwharf.replication.claimant import Answer, GiveUp, Go, TurnAway
 from fawnwharf.replication.claims import Claim, Phase, Standing, contradicts, merged, reading
 from fawnwharf.replication.core import Core, LineFault
+from fawnwharf.replication.disk import KeeperDisk
 from fawnwharf.replication.placement import Placement
 from fawnwharf.replication.service import Resting
 from fawnwharf.replication.shelf import Shelf
@@ -624,6 +627,106 @@
     assert phases == {"s1": "in_service", "s3": "terminating"}
 
 
+# --- a keeper's disk ----------------------------------------------------------------------------
+
+
+def disk_in(folder, boot="b1", now=0.0, name="n1", life=10_000.0):
+    return KeeperDisk(folder, "f", name, now, life, boot)
+
+
+def written(folder, count=3, **more):
+    """A folder whose keeper knew all and wrote so many claims, one a record."""
+    disk = disk_in(folder, **more)
+    disk.begin(0.0, 1, [])
+    for n in range(count):
+        disk.write(float(n), [(f"k{n}", Claim("n9#1", n + 1, n + 1, 0, Phase.TAKEN), 9_000.0 + n)], 0)
+    disk.close()
+    return max(folder.glob("keeper-*.log"), key=lambda path: int(path.stem[7:]))
+
+
+def reread(folder, **more):
+    disk = disk_in(folder, **more)
+    disk.close()
+    return disk
+
+
+def test_a_keeper_finds_all_that_it_told_within_one_boot_and_nothing_of_another(tmp_path):
+    written(tmp_path)
+    found = reread(tmp_path)
+    assert (found.why, found.sure, [key for key, _, _ in found.kept]) == ("", 1, ["k0", "k1", "k2"])
+    assert reread(tmp_path, boot="b2").why == "of another boot" and reread(tmp_path, boot="b2").kept == []
+    assert reread(tmp_path, boot="").why == "of another boot"
+    with pytest.raises(DiskError, match="of n1 in fleet f"):
+        disk_in(tmp_path, name="n2")
+
+
+def test_a_record_cut_short_at_any_byte_was_never_told_and_is_cut_off(tmp_path):
+    path = written(tmp_path)
+    data = path.read_bytes()
+    last = data.rfind(b"fwv1")
+    for end in range(last, len(data)):
+        os.truncate(path, 0)
+        with open(path, "r+b") as file:  # the same file: a copy would not be trusted
+            file.write(data[:end])
+        found = reread(tmp_path)
+        assert (found.why, len(found.kept)) == ("", 2), end
+
+
+def test_damage_in_the_middle_and_a_copy_are_not_trusted(tmp_path):
+    path = written(tmp_path)
+    data = path.read_bytes()
+    for at in range(len(data) // 3, data.rfind(b"fwv1"), 7):
+        with open(path, "r+b") as file:
+            file.write(data[:at] + bytes([data[at] ^ 0x40]) + data[at + 1 :])
+        assert "damaged" in reread(tmp_path).why, at
+    with open(path, "r+b") as file:
+        file.write(data)
+    assert reread(tmp_path).why == ""
+    copy = tmp_path / "copy"
+    copy.write_bytes(data)
+    os.rename(copy, path)
+    assert "a copy" in reread(tmp_path).why
+
+
+def test_a_file_is_begun_anew_as_claims_end_and_the_one_before_is_needed_for_so_long(tmp_path):
+    disk = disk_in(tmp_path, life=100.0)
+    disk.begin(0.0, 1, [])
+    for n in range(60):
+        disk.write(10.0 * n, [(f"k{n}", Claim("n9#1", n + 1, n + 1, 0, Phase.TAKEN), 10.0 * n + 100.0)], 1)
+        assert len(list(tmp_path.glob("keeper-*.log"))) <= 2
+    disk.close()
+    found = reread(tmp_path, life=100.0, now=600.0)
+    live = {key for key, _, until in found.kept if until > 600.0}
+    assert found.why == "" and live == {f"k{n}" for n in range(51, 60)}
+    first, _ = sorted(tmp_path.glob("keeper-*.log"), key=lambda path: int(path.stem[7:]))
+    first.unlink()
+    assert "missing" in reread(tmp_path, life=100.0, now=595.0).why
+    assert reread(tmp_path, life=100.0, now=900.0).why == ""  # all of that is over
+
+
+def test_a_keeper_that_did_not_know_all_is_not_trusted_for_having_a_file(tmp_path):
+    disk = disk_in(tmp_path)
+    disk.begin(0.0, 0, [])
+    disk.write(1.0, [], 0)
+    disk.close()
+    assert (reread(tmp_path).why, reread(tmp_path).sure) == ("", 0)
+    assert reread(tmp_path / "empty").why == "no file"
+
+
+def test_a_folder_is_used_by_one_process_and_a_write_that_fails_is_told(tmp_path, monkeypatch):
+    disk = disk_in(tmp_path)
+    with pytest.raises(DiskError):
+        disk_in(tmp_path)
+    disk.begin(0.0, 1, [])
+    write = os.write
+    monkeypatch.setattr(os, "write", lambda file, data: write(file, data[:10]))
+    with pytest.raises(DiskError, match="no room"):
+        disk.write(0.0, [("k", Claim("n9#1", 1, 1, 0, Phase.TAKEN), 9.0)], 0)
+    disk.close()
+    monkeypatch.undo()
+    assert reread(tmp_path).kept == []
+
+
 # --- bad input ----------------------------------------------------------------------------------
 
 GOOD_CLAIM = {"owner": "n1#1", "ask": 1, "number": 1, "slot": 0, "phase": 3}
