--- a/fawnwharf/__main__.py
+++ b/fawnwharf/__main__.py
@@ -2,17 +2,35 @@
 
 import signal
 import sys
+from typing import Any
+
+
+def plain_serve(words: list[str]) -> dict[str, Any] | None:
+    """What to serve with, where that is all that is asked for; None where the command line has to look."""
+    if words[:1] != ["serve"]:
+        return None
+    found: dict[str, Any] = {}
+    rest = list(words[1:])
+    while rest:
+        word = rest.pop(0)
+        if word in ("--zones", "--state") and rest and not rest[0].startswith("-"):
+            found[word[2:]] = rest.pop(0)
+        elif word == "--fresh":
+            found["fresh"] = True
+        else:
+            return None
+    return found
 
 
 def main() -> int:
-    if sys.argv[1:] == ["serve"]:
+    if (asked := plain_serve(sys.argv[1:])) is not None:
         # Guards a reload that is asked for early: SIGHUP ends a program that has no handler yet.
         signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
-        # Guards the time to be ready after a restart: the command line's libraries take longer to import
-        # than all the rest, and plain serving needs none of them.
+        # Guards the time to be ready after a restart, and some 11 MB: the command line's libraries take
+        # longer to import than all the rest, and serving needs none of them.
         from fawnwharf.serving import serve
 
-        return serve()
+        return serve(**asked)
     from fawnwharf.cli import app
 
     return app(prog_name="fawnwharf")
--- a/fawnwharf/replication/catchup.py
+++ b/fawnwharf/replication/catchup.py
@@ -14,16 +14,29 @@
 AGAIN_MS = 700.0  # before what was wanted is wanted again
 WANTS_AT_ONCE = 2  # catch-ups that are told out at the same time
 PIECE = 50  # calls
+LOOKS = 1_000  # calls that are looked at for a piece
 PIECE_PAUSE_MS = 5.0
 
 
 @dataclass(slots=True)
 class _Telling:
     number: int
-    keys: list[str]
+    keys: list[str]  # that are yet to be looked at
+    asked: Callable[[str], bool]
     part: int = 0
     digest: int = 0
 
+    def next(self) -> list[str]:
+        """The next calls that are asked for: few, and after a bounded look."""
+        found: list[str] = []
+        for _ in range(min(LOOKS, len(self.keys))):
+            key = self.keys.pop()
+            if self.asked(key):
+                found.append(key)
+                if len(found) == PIECE:
+                    break
+        return found
+
 
 @dataclass(slots=True)
 class _Hearing:
@@ -43,6 +56,7 @@
         self._telling: dict[str, _Telling] = {}
         self._differed: dict[str, list[m.Wanted]] = {}
         self._wants = 0
+        self.due_ms = 0.0  # of the next pieces
         self.heard_claims = 0
 
     @property
@@ -104,21 +118,25 @@
         spans = {wanted.owner: wanted for wanted in want.wanted}
 
         def asked(key: str) -> bool:
+            entry = self.shelf.calls.get(key)
+            if entry is None or not may(entry.keepers):
+                return False
             return not spans or any(
                 claim.owner in spans and spans[claim.owner].first <= claim.slot < spans[claim.owner].until
-                for claim in self.shelf.calls[key].claims.values()
+                for claim in entry.claims.values()
             )
 
-        keys = [key for key, entry in self.shelf.calls.items() if may(entry.keepers) and asked(key)]
-        self._telling[name] = _Telling(want.number, keys)
+        self._telling[name] = _Telling(want.number, list(self.shelf.calls), asked)
 
     def pieces(self, now_ms: float, sure: bool) -> list[m.Say]:
         """The next part for each of the first few that want something."""
         found: list[m.Say] = []
+        if now_ms < self.due_ms:
+            return found
+        self.due_ms = now_ms + PIECE_PAUSE_MS
         for name in list(self._telling)[:WANTS_AT_ONCE]:
             telling = self._telling[name]
-            taken, telling.keys = telling.keys[:PIECE], telling.keys[PIECE:]
-            held = [held for key in taken for held in self.shelf.held(now_ms, key)][: m.PIECE_MOST]
+            held = [held for key in telling.next() for held in self.shelf.held(now_ms, key)][: m.PIECE_MOST]
             telling.digest += sum(digest_of(one.key, one.claim) for one in held)
             last = not telling.keys
             piece = m.Piece(telling.number, telling.part, last, tuple(held), told(telling.digest), sure)
--- a/fawnwharf/replication/claims.py
+++ b/fawnwharf/replication/claims.py
@@ -27,7 +27,7 @@
     TAKEN = 3  # it may run at any moment
 
 
-class Claim(Struct, frozen=True, order=True):
+class Claim(Struct, frozen=True, order=True, gc=False):  # thousands are held, of plain values
     """An owner's last word on one of its asks for a call: what it says of a later ask says nothing of an
     earlier one. `digest` is of the answer, also where that is too long to be kept."""
 
--- a/fawnwharf/replication/keeper.py
+++ b/fawnwharf/replication/keeper.py
@@ -7,7 +7,7 @@
 """
 
 from fawnwharf.replication import messages as m
-from fawnwharf.replication.catchup import PIECE_PAUSE_MS, CatchUp
+from fawnwharf.replication.catchup import CatchUp
 from fawnwharf.replication.claims import Claim, Phase
 from fawnwharf.replication.placement import Placement
 from fawnwharf.replication.settings import Settings
@@ -189,7 +189,8 @@
         return found
 
     def due_ms(self, now_ms: float) -> float:
-        return now_ms + PIECE_PAUSE_MS if self.catchup.busy else min(self._due.values())
+        due = min(self._due.values())
+        return min(due, self.catchup.due_ms) if self.catchup.busy else due
 
     def want(self, now_ms: float, sender: str, want: m.Want) -> list[m.Say]:
         """Another keeper wants what is here. One that goes by a later list has all, and nothing is granted
--- a/fawnwharf/replication/settings.py
+++ b/fawnwharf/replication/settings.py
@@ -20,8 +20,8 @@
 class Bounds(Struct, frozen=True):
     """What a front end holds of others' calls. Answers go first, then nothing new is taken."""
 
-    calls: Annotated[int, Meta(ge=1, le=1_000_000)] = 50_000
-    bytes: Annotated[int, Meta(ge=1_024, le=1 << 30)] = 8 * 1024 * 1024  # of answers
+    calls: Annotated[int, Meta(ge=1, le=1_000_000)] = 15_000
+    bytes: Annotated[int, Meta(ge=1_024, le=1 << 30)] = 4 * 1024 * 1024  # of answers
     answer_bytes: Annotated[int, Meta(ge=0, le=16_384)] = 2_048  # a longer one is kept as its digest
     waiters: Annotated[int, Meta(ge=1)] = 8  # front ends that wait for one call's answer
 
--- a/fawnwharf/replication/shelf.py
+++ b/fawnwharf/replication/shelf.py
@@ -5,6 +5,7 @@
 that are over for neither, and find only true differences.
 """
 
+import heapq
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
@@ -13,6 +14,7 @@
 from fawnwharf.replication.placement import weight
 from fawnwharf.replication.settings import Settings
 
+EMPTY_MS = 250.0  # an entry of which nothing came is forgotten
 SETTLED_MS = 400.0  # what changed later than that may be on its way to the other keepers
 NOTED_MOST = 16
 
@@ -68,6 +70,8 @@
         self.bytes = 0  # of answers
         self.counts: dict[str, int] = {}
         self.conflicts: list[tuple[str, Claim, Claim]] = []  # whoever reads it clears it
+        # When what ends; some are over earlier than they end by now. An entry of its own has no id.
+        self._ends: list[tuple[float, str, tuple[str, int] | tuple[()]]] = []
         self.unwritten: list[tuple[str, Claim, float]] | None = None  # where a disk is to have them first
         self._sums: dict[tuple[str, int], dict[tuple[str, ...], _Sum]] = {}
 
@@ -82,13 +86,16 @@
                 self.count("full")
                 return None
             found = self.calls[key] = Entry(now_ms, self.keepers_of(key))
+            heapq.heappush(self._ends, (now_ms + EMPTY_MS, key, ()))  # nothing may come of it
         return found
 
     def put(self, now_ms: float, key: str, entry: Entry, claim: Claim, left_ms: float) -> None:
         """Merge one claim; its time only ever grows, by no more than what a line takes to come."""
         before = entry.claims.get(claim.id)
         until = max(entry.until_ms.get(claim.id, 0.0), now_ms + min(left_ms, self.stretched()))
-        entry.until_ms[claim.id] = until
+        if until != entry.until_ms.get(claim.id):
+            entry.until_ms[claim.id] = until
+            heapq.heappush(self._ends, (until, key, claim.id))
         if before is not None and contradicts(before, claim):
             self._note("contradiction", key, before, claim)
         after = claim if before is None else merged(before, claim)
@@ -133,12 +140,15 @@
 
     def forget(self, now_ms: float) -> None:
         """What is over goes."""
-        for key in list(self.calls):
-            entry = self.calls[key]
-            for id, until_ms in list(entry.until_ms.items()):
-                if until_ms <= now_ms:
-                    self._sum(now_ms, key, entry, entry.claims.pop(id), -1, until_ms)
-                    del entry.until_ms[id]
+        while self._ends and self._ends[0][0] <= now_ms:
+            _, key, id = heapq.heappop(self._ends)
+            entry = self.calls.get(key)
+            if entry is None:
+                continue
+            until_ms = entry.until_ms.get(id) if id else None
+            if until_ms is not None and until_ms <= now_ms:  # else it counts for longer by now
+                self._sum(now_ms, key, entry, entry.claims.pop(id), -1, until_ms)
+                del entry.until_ms[id]
             if not entry.claims:  # who still waits has a deadline of its own
                 del self.calls[key]
 
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -13,6 +13,7 @@
 import pyarrow.parquet
 import pytest
 
+from fawnwharf.__main__ import plain_serve
 from fawnwharf.lab import compare as comparing
 from fawnwharf.lab import scenario as scenarios
 from fawnwharf.lab.checker import Verdict, judge
@@ -307,6 +308,27 @@
     assert done.stdout.strip() == "[]"
 
 
+@pytest.mark.parametrize(
+    ("words", "found"),
+    [
+        (["serve"], {}),
+        (["serve", "--zones", "z.json"], {"zones": "z.json"}),
+        (
+            ["serve", "--state", "s.json", "--fresh", "--zones", "z.json"],
+            {"state": "s.json", "fresh": True, "zones": "z.json"},
+        ),
+        (["serve", "--zones"], None),
+        (["serve", "--zones", "--fresh"], None),
+        (["serve", "--help"], None),
+        (["serve", "--config", "c.json"], None),
+        (["version"], None),
+        ([], None),
+    ],
+)
+def test_serving_goes_without_the_command_lines_libraries_where_it_can(words, found):
+    assert plain_serve(words) == found
+
+
 def test_a_fleet_that_is_closed_leaves_no_process_behind():
     runner = Runner(scenarios.load("zone-cut"), seed=1)
     try:
