A keeper takes no answer to what its earlier life had wanted

On TCP the same can be: a keeper goes on telling a name what its earlier life wanted.

Change: wants and pieces carry the life of the one that asks (catchup.py, CatchUp.piece). The test fails without it.

--- a/fawnwharf/replication/catchup.py
+++ b/fawnwharf/replication/catchup.py
@@ -21,6 +21,7 @@
 @dataclass(slots=True)
 class _Telling:
     number: int
+    life: int
     keys: list[str]  # that are yet to be looked at
     asked: Callable[[str], bool]
     part: int = 0
@@ -50,8 +51,8 @@
 class CatchUp:
     """Owns what is told to other keepers, and heard from them."""
 
-    def __init__(self, settings: Settings, shelf: Shelf) -> None:
-        self.settings, self.shelf = settings, shelf
+    def __init__(self, settings: Settings, shelf: Shelf, life: int) -> None:
+        self.settings, self.shelf, self.life = settings, shelf, life
         self._hearing: dict[str, _Hearing] = {}
         self._telling: dict[str, _Telling] = {}
         self._differed: dict[str, list[m.Wanted]] = {}
@@ -75,14 +76,15 @@
             return []
         self._wants += 1
         self._hearing[name] = _Hearing(self._wants, now_ms, not wanted)
-        return [m.Say((name,), m.Want(self._wants, members, wanted[:64]))]
+        return [m.Say((name,), m.Want(self._wants, self.life, members, wanted[:64]))]
 
     def piece(self, now_ms: float, sender: str, piece: m.Piece, take: Callable[[m.Held], bool]) -> bool:
         """Take a part; True where it was the last one of all that the sender holds, and it is sure of that.
 
         `take` says whether there was room."""
         heard = self._hearing.get(sender)
-        if heard is None or piece.number != heard.number or piece.part != heard.part:
+        mine = heard is not None and (piece.life, piece.number) == (self.life, heard.number)
+        if not mine or piece.part != heard.part:
             self.shelf.count("a piece out of place")
             return False
         digest = heard.digest + sum(digest_of(held.key, held.claim) for held in piece.held)
@@ -126,7 +128,7 @@
                 for claim in entry.claims.values()
             )
 
-        self._telling[name] = _Telling(want.number, list(self.shelf.calls), asked)
+        self._telling[name] = _Telling(want.number, want.life, list(self.shelf.calls), asked)
 
     def pieces(self, now_ms: float, sure: bool) -> list[m.Say]:
         """The next part for each of the first few that want something."""
@@ -139,7 +141,9 @@
             held = [held for key in telling.next() for held in self.shelf.held(now_ms, key)][: m.PIECE_MOST]
             telling.digest += sum(digest_of(one.key, one.claim) for one in held)
             last = not telling.keys
-            piece = m.Piece(telling.number, telling.part, last, tuple(held), told(telling.digest), sure)
+            piece = m.Piece(
+                telling.number, telling.life, telling.part, last, tuple(held), told(telling.digest), sure
+            )
             found.append(m.Say((name,), piece))
             telling.part += 1
             if last:
--- a/fawnwharf/replication/core.py
+++ b/fawnwharf/replication/core.py
@@ -45,7 +45,7 @@
         self.claimant = Claimant(self.owner, self.placement, settings)
         self.keeper: Keeper | None = None
         if name in self.placement.keepers:
-            self.keeper = Keeper(name, self.placement, settings, now_ms, fresh)
+            self.keeper = Keeper(name, self.placement, settings, now_ms, life, fresh)
         self.heard: dict[str, tuple[int, float]] = {}  # life and time, by name
         self.statuses: dict[str, m.Status] = {}
         self.hellos: list[tuple[str, int]] = []  # who asked for the log here since which number
@@ -218,7 +218,7 @@
         self.placement = Placement(members, self.settings.zones, self.settings.per_zone)
         self.claimant.placement = self.placement
         if self.keeper is None and self.name in self.placement.keepers:
-            self.keeper = Keeper(self.name, before, self.settings, now_ms)
+            self.keeper = Keeper(self.name, before, self.settings, now_ms, self.life)
         if self.keeper:
             self.keeper.move(now_ms, self.placement)
 
--- a/fawnwharf/replication/keeper.py
+++ b/fawnwharf/replication/keeper.py
@@ -21,13 +21,19 @@
     """Owns the calls that this front end keeps for the fleet."""
 
     def __init__(
-        self, name: str, placement: Placement, settings: Settings, now_ms: float, fresh: bool = False
+        self,
+        name: str,
+        placement: Placement,
+        settings: Settings,
+        now_ms: float,
+        life: int,
+        fresh: bool = False,
     ) -> None:
         """`fresh`: nothing was ever granted under this name that is not here, as the fleet begins or a disk
         has it all."""
         self.name, self.placement, self.settings = name, placement, settings
         self.shelf = Shelf(settings, placement.of)
-        self.catchup = CatchUp(settings, self.shelf)
+        self.catchup = CatchUp(settings, self.shelf, life)
         self.alive: set[str] = set()  # owners that are heard
         self._since_ms = now_ms
         self._due = {"forget": now_ms, "compare": now_ms + settings.compare_ms}
--- a/fawnwharf/replication/messages.py
+++ b/fawnwharf/replication/messages.py
@@ -62,6 +62,7 @@
     its list: who is asked by a later one than its own grants nothing more by that."""
 
     number: Count
+    life: Count  # of the one that asks
     members: Count = 0
     wanted: Annotated[tuple[Wanted, ...], Meta(max_length=64)] = ()  # none: all
 
@@ -76,6 +77,7 @@
     """A part of what a keeper holds. The last one has the digest of all parts."""
 
     number: Count  # of the Want
+    life: Count  # of the one that asked: what a life before it wanted is no answer to this one
     part: Count
     last: bool
     held: Annotated[tuple[Held, ...], Meta(max_length=PIECE_MOST)]
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -393,6 +393,33 @@
     assert cores.what(third) == [Answer("k", "QQ==")]
 
 
+def test_what_a_keepers_earlier_life_had_wanted_is_no_answer_to_it_now():
+    cores = Cores()
+    one, other = cores.owners[:2]
+    a, b, c = cores.keepers
+    cores.lost = {c}
+    cores.begin(one)  # granted by a and b
+    cores.end(one)
+    core = cores.cores[b]
+    early = {"type": "want", "number": 1, "life": 1, "members": 1, "wanted": [
+        {"owner": "n9#1", "first": 0, "until": 1}]}  # fmt: skip
+    core.line(cores.now, a, {"fleet": "f", "sender": a, "life": 1, "to": [b], "say": early})
+    cores.restart(a)
+    cores.lost = set()
+    # Its own first want is lost; b goes on telling what the earlier life wanted.
+    cores.hold = lambda sender, to, say: sender == a and to == b and isinstance(say, m.Want)
+    cores.now += 700.0
+    cores.carry(a, cores.cores[a].tick(cores.now))
+    cores.carry(b, core.tick(cores.now))
+    assert cores.cores[a].keeper.shelf.counts == {"a piece out of place": 1}
+    cores.wait(500)
+    assert not cores.cores[a].keeper.sure(cores.now)
+    cores.lost = {b}
+    cores.begin(other)
+    cores.wait(300)
+    assert not any(isinstance(effect, Go) for effect in cores.what(other))
+
+
 def test_two_keepers_that_forgot_wait_until_all_is_over():
     cores = Cores()
     a, b, c = cores.keepers
@@ -761,7 +788,8 @@
 
 def piece(held, number=1, part=0, digest="0" * 16, last=True):
     return {
-        "type": "piece", "number": number, "part": part, "last": last, "held": held, "digest": digest,
+        "type": "piece", "number": number, "life": 1, "part": part, "last": last, "held": held,
+        "digest": digest,
     }  # fmt: skip
 
 
@@ -776,7 +804,7 @@
 
     stray = {"owner": f"{cores.owners[0]}#1", "ask": 1, "number": 1, "slot": 0, "phase": 1}
     assert says(b, piece([{"key": "k", "claim": stray, "left_ms": 9.0}])) == []
-    assert says(cores.owners[0], {"type": "want", "number": 1, "members": 0}) == []
+    assert says(cores.owners[0], {"type": "want", "number": 1, "life": 1, "members": 0}) == []
     assert says(cores.owners[0], {"type": "digests", "slots": {}}) == []
     word = {"type": "word", "key": "k", "owner": f"{a}#1", "number": 1, "granted": True}
     assert says(b, word) == []
