--- a/fawnwharf/replication/catchup.py
+++ b/fawnwharf/replication/catchup.py
@@ -13,7 +13,7 @@
 
 AGAIN_MS = 700.0  # before what was wanted is wanted again
 WANTS_AT_ONCE = 2  # catch-ups that are told out at the same time
-PIECE = 50  # calls
+PIECE = 100  # claims, and the rest of the last call's
 LOOKS = 1_000  # calls that are looked at for a piece
 PIECE_PAUSE_MS = 5.0
 
@@ -23,18 +23,20 @@
     number: int
     life: int
     keys: list[str]  # that are yet to be looked at
-    asked: Callable[[str], bool]
+    claims: Callable[[str], int]  # how many of a call are asked for
     part: int = 0
     digest: int = 0
 
     def next(self) -> list[str]:
         """The next calls that are asked for: few, and after a bounded look."""
         found: list[str] = []
+        count = 0
         for _ in range(min(LOOKS, len(self.keys))):
             key = self.keys.pop()
-            if self.asked(key):
+            if claims := self.claims(key):
                 found.append(key)
-                if len(found) == PIECE:
+                count += claims
+                if count >= PIECE:
                     break
         return found
 
@@ -119,16 +121,17 @@
         """Another keeper wants what is here. A later want takes the place of an earlier one."""
         spans = {wanted.owner: wanted for wanted in want.wanted}
 
-        def asked(key: str) -> bool:
+        def claims(key: str) -> int:
             entry = self.shelf.calls.get(key)
             if entry is None or not may(entry.keepers):
-                return False
-            return not spans or any(
+                return 0
+            asked = not spans or any(
                 claim.owner in spans and spans[claim.owner].first <= claim.slot < spans[claim.owner].until
                 for claim in entry.claims.values()
             )
+            return len(entry.claims) if asked else 0
 
-        self._telling[name] = _Telling(want.number, want.life, list(self.shelf.calls), asked)
+        self._telling[name] = _Telling(want.number, want.life, list(self.shelf.calls), claims)
 
     def pieces(self, now_ms: float, sure: bool) -> list[m.Say]:
         """The next part for each of the first few that want something."""
@@ -138,7 +141,7 @@
         self.due_ms = now_ms + PIECE_PAUSE_MS
         for name in list(self._telling)[:WANTS_AT_ONCE]:
             telling = self._telling[name]
-            held = [held for key in telling.next() for held in self.shelf.held(now_ms, key)][: m.PIECE_MOST]
+            held = [held for key in telling.next() for held in self.shelf.held(now_ms, key)]
             telling.digest += sum(digest_of(one.key, one.claim) for one in held)
             last = not telling.keys
             piece = m.Piece(
--- a/fawnwharf/replication/keeper.py
+++ b/fawnwharf/replication/keeper.py
@@ -15,6 +15,7 @@
 
 FORGET_MS = 250.0  # pace of the look after what is over
 CLAIMS_MOST = 16  # of one call, in one word
+ASKS_MOST = 64  # of one call: with so many it is granted no more until some are over
 
 
 class Keeper:
@@ -111,6 +112,9 @@
         if (ask.owner, ask.number) in entry.claims:
             self.shelf.count("asked again")
             return []
+        if len(entry.claims) >= ASKS_MOST:
+            self.shelf.count("too many asks")
+            sure = False
         free = not entry.standing()
         if free and sure:
             claim = Claim(ask.owner, ask.number, ask.number, ask.slot, Phase.TAKEN)
@@ -150,6 +154,9 @@
         entry = self.shelf.entry(now_ms, tell.key)
         if entry is None:
             return []
+        crowded = len(entry.claims) >= ASKS_MOST and tell.claim.id not in entry.claims
+        if crowded and tell.claim.phase is Phase.CLEAR:  # not granted here, it stands in nobody's way
+            return []
         self.shelf.put(now_ms, tell.key, entry, tell.claim, self.shelf.stretched())
         return self._news(now_ms, tell.key, entry)
 
--- a/fawnwharf/replication/messages.py
+++ b/fawnwharf/replication/messages.py
@@ -14,7 +14,7 @@
 
 Count = Annotated[int, Meta(ge=0, le=1 << 53)]
 Span = Annotated[float, Meta(ge=0.0, le=3_600_000.0)]
-PIECE_MOST = 200  # claims
+PIECE_MOST = 2_000  # claims
 Tenant = Annotated[str, Meta(max_length=128)]
 Digest = Annotated[str, Meta(max_length=32)]
 
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -420,6 +420,35 @@
     assert not any(isinstance(effect, Go) for effect in cores.what(other))
 
 
+def test_a_snapshot_has_every_claim_however_many_a_call_has():
+    cores = Cores()
+    a, b, c = cores.keepers
+    for n in range(60):
+        key = f"k{n}"
+        shelf = cores.cores[b].keeper.shelf
+        for ask in range(1, 41):
+            put = Claim("n9#1", ask, ask, 0, Phase.TAKEN if ask == n % 40 + 1 else Phase.CLEAR)
+            shelf.put(cores.now, key, shelf.entry(cores.now, key), put, 60_000.0)
+    cores.restart(a)
+    cores.wait(3_000)
+    held = cores.cores[a].keeper.shelf.calls
+    assert all(len(held[f"k{n}"].standing()) == 1 for n in range(60))
+    assert sum(len(entry.claims) for entry in held.values()) == 2_400
+
+
+def test_a_call_that_was_asked_for_too_often_is_granted_no_more_and_never_forgotten():
+    cores = Cores()
+    one = cores.owners[0]
+    cores.lost = set(cores.keepers[1:])
+    for _ in range(80):
+        cores.begin(one)
+        cores.wait(250)
+        cores.now -= 250.0  # within one window
+    keeper = cores.cores[cores.keepers[0]].keeper
+    assert len(keeper.shelf.calls["k"].claims) <= 65 and keeper.shelf.counts["too many asks"] > 0
+    assert not any(isinstance(effect, Go) for effect in cores.what(one))
+
+
 def test_two_keepers_that_forgot_wait_until_all_is_over():
     cores = Cores()
     a, b, c = cores.keepers
