--- a/fawnwharf/lab/commands.py
+++ b/fawnwharf/lab/commands.py
@@ -156,12 +156,15 @@
         "fetches": lambda m: float(m.fetches),
         "second runs": lambda m: float(m.second_runs),
         "keyed repeats": lambda m: float(m.keyed_repeats),
+        "once, median ms": lambda m: float(m.once_ms[0]),
+        "once, 99 % ms": lambda m: float(m.once_ms[1]),
+        "memory, MB": lambda m: m.memory_mb,
         "member bytes": lambda m: m.member_bytes,
         "cpu": lambda m: m.cpu,
     }
     for name, of in figures.items():
         difference = pairs.difference(of)
-        typer.echo(f"{name:15} {difference}  {difference.says if name == 'service' else ''}".rstrip())
+        typer.echo(f"{name:16} {difference}  {difference.says if name == 'service' else ''}".rstrip())
     acted = [m.acted for m in pairs.one if m.acted]
     for name, part in {"half acted": 0.5, "all acted": 1.0}.items():
         if acted:
--- a/fawnwharf/lab/run.py
+++ b/fawnwharf/lab/run.py
@@ -53,6 +53,10 @@
     acted: list[float] = field(default_factory=list)  # seconds from a zone's loss, of each that lived on
     second_runs: int = 0  # of at-most-once calls
     keyed_repeats: int = 0  # runs of keyed calls beyond their first
+    once_ms: tuple[float, float] = (
+        0.0,
+        0.0,
+    )  # at-most-once calls until their answer: median, 99th percentile
     waits_ms: tuple[float, float] = (0.0, 0.0)  # for keepers: the mean median and the largest 99th percentile
     comebacks: Counter = field(default_factory=Counter)  # what became of lost at-most-once calls asked again
     complaints: list[str] = field(default_factory=list)
@@ -386,7 +390,7 @@
         length = int((monotonic_ms() - began) / 1000.0) + 1
         seconds = [Second() for _ in range(length)]
         outcomes: Counter = Counter()
-        times = HdrHistogram(1, 60_000, 3)
+        times, once = HdrHistogram(1, 60_000, 3), HdrHistogram(1, 60_000, 3)
         for request in fleet.clients.requests:
             second = seconds[min(length - 1, int((request.began_ms - began) / 1000.0))]
             second.asked += request.kind.worth
@@ -397,7 +401,10 @@
             second.failed += request.outcome in ("failed", "lost", "not taken", "no front end")
             outcomes[request.outcome] += 1
             if request.outcome == "served":
-                times.record_value(max(1, int(request.ended_ms - request.began_ms)))
+                took = max(1, int(request.ended_ms - request.began_ms))
+                times.record_value(took)
+                if request.kind.effect == "at_most_once":
+                    once.record_value(took)
         spent, used = (monotonic_ms() - began) / 1000.0, fleet.used()
         lived = [name for name in used if name in self.used and used[name][0] >= self.used[name][0]]
         cpu = [(used[name][0] - self.used[name][0]) / spent for name in lived]
@@ -423,6 +430,7 @@
             acted=self._acted(),
             second_runs=self._repeats("at_most_once"),
             keyed_repeats=self._repeats("deduplicated"),
+            once_ms=(once.get_value_at_percentile(50), once.get_value_at_percentile(99)),
             waits_ms=self._waits(),
             comebacks=Counter(
                 request.outcome
--- a/fawnwharf/replication/commands.py
+++ b/fawnwharf/replication/commands.py
@@ -15,6 +15,7 @@
 from fawnwharf.replication.placement import Placement
 from fawnwharf.zones.settings import FileFault, Members, members_from
 
+LAGS_MOST = 8  # front ends whose lag is shown
 app = typer.Typer(no_args_is_help=True, help="Calls that front ends keep together.")
 File = Annotated[str, typer.Option("--state", help="The settings of state that this front end serves with.")]
 Member = Annotated[str, typer.Option("--member", help="Whose log is read; all keepers' without.")]
@@ -89,6 +90,10 @@
         typer.echo(
             f"{'':16} calls wait {half:g} ms (median), {most:g} ms (99 %); {found.sent_bytes} bytes sent"
         )
+        if found.lags_ms:
+            slow = sorted(found.lags_ms.items(), key=lambda lag: -lag[1])[:LAGS_MOST]
+            lags = "  ".join(f"{who} {lag:g}" for who, lag in slow)
+            typer.echo(f"{'':16} ms since the last sign of each it follows, the longest first: {lags}")
         for cause, count in sorted(found.counts.items()):
             typer.echo(f"{'':16} {cause}: {count}")
     if silent:
--- a/fawnwharf/replication/core.py
+++ b/fawnwharf/replication/core.py
@@ -156,8 +156,9 @@
     def status(self, now_ms: float) -> m.Status:
         """For operators, and whoever looks after them."""
         keeper, counts = self.keeper, self.counts | self.claimant.counts
+        lags = {name: round(max(0.0, now_ms - at_ms), 1) for name, (_, at_ms) in sorted(self.heard.items())}
         if keeper is None:
-            return m.Status(counts=counts, open=len(self.claimant.mine))
+            return m.Status(counts=counts, open=len(self.claimant.mine), lags_ms=lags)
         shelf = keeper.shelf
         sums = {name: shelf.slots(now_ms, name) for name in self.placement.keepers}
         return m.Status(
@@ -168,6 +169,7 @@
             calls=len(shelf.calls),
             bytes=shelf.bytes,
             members=self.placement.number,
+            lags_ms=lags,
             slots=sums.get(self.name, {}),
         )
 
--- a/fawnwharf/replication/messages.py
+++ b/fawnwharf/replication/messages.py
@@ -148,6 +148,7 @@
     members: Count = 0
     wait_ms: tuple[Span, Span] = (0.0, 0.0)  # of its last calls before they went: median, 99th percentile
     sent_bytes: Count = 0  # to others, since its start
+    lags_ms: Annotated[dict[Name, Span], Meta(max_length=2_000)] = {}  # since each followed log gave a sign
     slots: Annotated[dict[Owner, Slots], Meta(max_length=4_000)] = {}  # of all that is kept
 
 
