--- a/fawnwharf/replication/beliefs.py
+++ b/fawnwharf/replication/beliefs.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from fawnwharf.interface import Ending
+from fawnwharf.interface import Ending, Warmth
 from fawnwharf.replication import messages as m
 
 WINDOW_MS = 2_000.0  # bad signs older than that are no reason
@@ -20,8 +20,10 @@
 AGAIN_MS = 6_000.0  # named again within so long of its last rest, a scorer rests for twice as long
 PART = 0.25  # of a zone's scorers may rest
 NAMED_MOST = 64
+SOFT_LEAST = 2  # late calls that name a scorer: one alone may have waited for a load
 
 _BAD = (Ending.TIMEOUT, Ending.CONNECT_FAILED, Ending.RESET)
+_LOADS = (Warmth.BEGAN_LOAD, Warmth.WAITED_FOR_LOAD)
 _GOOD = (Ending.GOOD, Ending.ERROR, Ending.FULL, Ending.MISS)
 
 
@@ -33,6 +35,7 @@
 class _Signs:
     good_ms: float = -1e12
     bad: list[float] = field(default_factory=list)  # since the last good one
+    hard: bool = False  # one of them was silence or a broken link, no mere lateness
 
 
 class Sights:
@@ -42,15 +45,24 @@
         self._signs: dict[int, _Signs] = {}
         self._number = 0
 
-    def ended(self, now_ms: float, worker: int, ending: Ending, took_ms: float, promise_ms: float) -> None:
+    def ended(
+        self,
+        now_ms: float,
+        worker: int,
+        ending: Ending,
+        took_ms: float,
+        promise_ms: float,
+        warmth: Warmth = Warmth.UNTOLD,
+    ) -> None:
         """An attempt or an order has ended. One that was called off, or answered, past its promise is a bad
-        sign, too: it was of no use."""
+        sign, too, as it was of no use; but not where the answer tells that a load was waited for."""
         signs = self._signs.setdefault(worker, _Signs())
-        late = took_ms > promise_ms
+        late = took_ms > promise_ms and warmth not in _LOADS
         if ending in _BAD or (late and ending in (Ending.CANCELLED, Ending.GOOD)):
             signs.bad.append(now_ms)
+            signs.hard = signs.hard or ending in _BAD
         elif ending in _GOOD:
-            signs.good_ms = now_ms
+            signs.good_ms, signs.hard = now_ms, False
             signs.bad.clear()
 
     def good_ms(self, worker: int) -> float:
@@ -62,9 +74,9 @@
         found = {}
         for worker, signs in list(self._signs.items()):
             signs.bad = [at for at in signs.bad if now_ms - at <= WINDOW_MS]
-            if signs.bad:
+            if len(signs.bad) >= (1 if signs.hard else SOFT_LEAST):
                 found[worker] = min(100, len(signs.bad))
-            elif now_ms - signs.good_ms > 60_000.0:
+            elif not signs.bad and now_ms - signs.good_ms > 60_000.0:
                 del self._signs[worker]
         self._number += 1
         worst = sorted(found, key=lambda worker: (-found[worker], worker))[:NAMED_MOST]
--- a/fawnwharf/replication/service.py
+++ b/fawnwharf/replication/service.py
@@ -168,7 +168,8 @@
         now = monotonic_ms()
         for event in events:
             if isinstance(event, io.AttemptEnded | io.OrderAnswered):
-                self.sights.ended(now, event.worker, event.ending, event.took_ms, self._promise_ms)
+                warmth = getattr(event, "warmth", io.Warmth.UNTOLD)  # an order's answer has none
+                self.sights.ended(now, event.worker, event.ending, event.took_ms, self._promise_ms, warmth)
 
     @property
     def busy(self) -> bool:
