--- a/fawnwharf/replication/claimant.py
+++ b/fawnwharf/replication/claimant.py
@@ -244,8 +244,12 @@
         return [*self._give_back(mine), *self._end(mine, None)]
 
     def _give_back(self, mine: _Mine) -> list[Out]:
+        """To keepers that granted it, or may yet: who denied it has nothing to forget."""
+        to = tuple(name for name in mine.keepers if name not in mine.words or mine.words[name].granted)
+        if not to:
+            return []
         claim = Claim(self.owner, mine.number, self._number(), mine.slot, Phase.CLEAR)
-        return [m.Say(mine.keepers, m.Tell(mine.key, claim))]
+        return [m.Say(to, m.Tell(mine.key, claim))]
 
     def _end(self, mine: _Mine, effect: Out | None) -> list[Out]:
         mine.state = "over"
--- /dev/null
+++ b/tests/test_gate.py
@@ -0,0 +1,189 @@
+"""The gate before the table of requests: each client has one answer, and a promised call runs once."""
+
+import base64
+
+import msgspec
+
+from fawnwharf.interface import ClassSpec, Effect
+from fawnwharf.lab.promises import fleet_file
+from fawnwharf.net.requests import Call, Failed, Refused, Served
+from fawnwharf.replication import messages as m
+from fawnwharf.replication import settings as s
+from fawnwharf.replication.claims import Claim, Phase
+from fawnwharf.replication.core import Core
+from fawnwharf.replication.gate import Gate, name_of
+
+CLASSES = {
+    "once": ClassSpec("once", promise_ms=400.0, effect=Effect.UNSAFE),
+    "keyed": ClassSpec("keyed", promise_ms=400.0, effect=Effect.KEYED, dedup_window_ms=3_000.0),
+    "view": ClassSpec("view", promise_ms=400.0, effect=Effect.SAFE),
+}
+
+
+class Timer:
+    def __init__(self, callback):
+        self.callback = callback
+
+    def cancel(self):
+        self.callback = None
+
+
+class Ground:
+    """A loop whose timers the test lets ring, a table that it answers for, and one front end that is the
+    only keeper, or one whose keepers say nothing."""
+
+    def __init__(self, zones="a", fresh=True):
+        self.wheel, self.timers = self, []
+        rules = s.Settings(1, "m", zones=1 if zones == "a" else 3, bounds=s.Bounds(answer_bytes=64))
+        file = fleet_file(zones)
+        keepers = Core("n0", 1, file, rules, 0.0).placement.keepers
+        name = next(e.name for e in file.members if zones == "a" or e.name not in keepers)
+        self.core = Core(name, 1, file, rules, 0.0, fresh)
+        self.calls, self.withdrawn, self.full = {}, [], False
+        self.gate = Gate(self, self, self.core, rules, CLASSES, self.carry)
+        self.said = []
+
+    def after(self, delay_ms, callback):
+        self.timers.append((delay_ms, Timer(callback)))
+        return self.timers[-1][1]
+
+    def carry(self, effects):
+        for effect in effects:
+            if isinstance(effect, m.Say):
+                self.said.append(effect)
+            else:
+                self.gate.told(effect)
+
+    def take(self, call):
+        if self.full:
+            call.reply(Refused(9.0))
+            return None
+        key = f"r{len(self.calls) + 1}"
+        self.calls[key] = call
+        return key
+
+    def withdraw(self, key):
+        self.withdrawn.append(key)
+
+    def ask(self, kind="once", id=1, token=""):
+        got = []
+        call = Call(
+            id=bytes([id] * 8), class_name=kind, tenant="t", function="f", budget_ms=2_000.0, body=b"body",
+            token=token, lanes=1, memory_mb=None, load_ms=None, reply=got.append,
+        )  # fmt: skip
+        return self.gate.take(call), got
+
+    def claims(self):
+        shelf = self.core.keeper.shelf
+        return [claim for entry in shelf.calls.values() for claim in entry.claims.values()]
+
+
+def test_a_call_of_a_class_that_is_not_kept_passes_untouched():
+    ground = Ground()
+    key, got = ground.ask("view")
+    assert key == "r1" and not ground.core.keeper.shelf.calls
+    ground.gate.withdraw(key)
+    assert ground.withdrawn == ["r1"] and got == []
+
+
+def test_the_same_call_twice_at_one_front_end_runs_once_and_both_have_the_answer():
+    ground = Ground()
+    _, one = ground.ask()
+    _, other = ground.ask()
+    assert len(ground.calls) == 1 and one == other == []
+    ground.calls["r1"].reply(Served(b"x"))
+    assert one == other == [Served(b"x")]
+    _, third = ground.ask()
+    assert third == [Served(b"x")] and len(ground.calls) == 1 and not ground.gate.busy
+
+
+def test_a_client_that_leaves_takes_nothing_of_a_running_at_most_once_call_along():
+    ground = Ground()
+    key, got = ground.ask()
+    ground.gate.withdraw(key)
+    assert ground.withdrawn == []
+    ground.calls["r1"].reply(Served(b"x"))
+    assert got == []
+    assert ground.ask()[1] == [Served(b"x")]
+
+
+def test_a_client_that_leaves_a_keyed_call_takes_it_along_and_it_may_have_run():
+    ground = Ground()
+    key, _ = ground.ask("keyed", token="k")
+    ground.gate.withdraw(key)
+    assert ground.withdrawn == ["r1"] and ground.gate.held == {}
+    assert [claim.phase for claim in ground.claims()] == [Phase.FAILED]
+
+
+def test_a_client_that_leaves_before_its_call_went_gives_it_back():
+    ground = Ground("abcabc")
+    key, got = ground.ask()
+    assert ground.calls == {} and ground.gate.busy
+    ground.gate.withdraw(key)
+    told = [say.message for say in ground.said if isinstance(say.message, m.Tell)]
+    assert [tell.claim.phase for tell in told] == [Phase.CLEAR]
+    assert ground.gate.held == {} and not ground.gate.busy and got == []
+
+
+def test_what_the_table_refuses_never_ran_and_what_it_fails_may_have():
+    ground = Ground()
+    _, one = ground.ask(id=1)
+    ground.calls["r1"].reply(Refused(50.0))
+    _, other = ground.ask(id=2)
+    ground.calls["r2"].reply(Failed())
+    assert (one, other) == ([Refused(50.0)], [Failed()])
+    assert sorted(claim.phase for claim in ground.claims()) == [Phase.CLEAR, Phase.FAILED]
+    assert ground.ask(id=2)[1] == [Failed()]  # at once: nobody will ever know
+    ground.ask(id=1)
+    assert len(ground.calls) == 3
+    ground.full = True
+    assert ground.ask(id=3)[1] == [Refused(9.0)]
+    assert ground.gate.held.keys() == {name_of(ground.calls["r3"])}
+
+
+def test_an_answer_too_long_to_be_kept_fails_who_comes_again():
+    ground = Ground()
+    ground.ask()
+    ground.calls["r1"].reply(Served(b"x" * 65))
+    assert ground.ask()[1] == [Failed()]
+    assert [(claim.phase, claim.answer) for claim in ground.claims()] == [(Phase.ANSWERED, None)]
+
+
+def test_one_that_waits_in_vain_is_failed_when_its_time_is_over_and_only_once():
+    ground = Ground()
+    ground.ask()
+    _, got = ground.ask()
+    delay, timer = ground.timers[-1]
+    assert delay == 2_000.0
+    timer.callback()
+    assert got == [Failed()]
+    ground.calls["r1"].reply(Served(b"x"))
+    assert got == [Failed()]
+
+
+def test_a_call_that_runs_is_withdrawn_where_it_was_answered_elsewhere():
+    ground = Ground("abcabc")
+    _, got = ground.ask("keyed", token="k")
+    assert list(ground.calls) == ["r1"]
+    [name] = ground.gate.held
+    answered = Claim("n9#1", 1, 2, 0, Phase.ANSWERED, "d", base64.b64encode(b"x").decode())
+    keeper = ground.core.placement.of(name)[0]
+    word = m.Word(name, ground.core.owner, 1, False, True, (answered,))
+    line = {"fleet": "f", "sender": keeper, "life": 1, "to": [ground.core.name]}
+    ground.carry(ground.core.line(10.0, keeper, line | {"say": msgspec.to_builtins(word)}))
+    assert got == [Served(b"x")] and ground.withdrawn == ["r1"] and ground.gate.held == {}
+
+
+def test_too_many_waiting_calls_are_refused_at_once(monkeypatch):
+    monkeypatch.setattr("fawnwharf.replication.gate.HELD_MOST", 2)
+    ground = Ground("abcabc")
+    got = [ground.ask(id=n)[1] for n in range(1, 5)]
+    assert got == [[], [], [Refused(250.0)], [Refused(250.0)]]
+
+
+def test_tries_of_one_thing_have_one_name_and_other_things_others():
+    ground = Ground()
+    for kind, id, token in (("keyed", 1, "k"), ("keyed", 2, "k"), ("keyed", 1, "l"), ("once", 1, "")):
+        ground.ask(kind, id, token)
+    names = [name_of(call) for call in ground.calls.values()]
+    assert len(names) == len(set(names)) == 3
