--- a/fawnwharf/lab/promises.py
+++ b/fawnwharf/lab/promises.py
@@ -134,7 +134,7 @@
         return self.now * front.rate + front.offset_ms
 
     def run(self, seconds: float, rest_s: float = 12.0) -> Outcome:
-        """So long with all that goes wrong, then a rest in which nothing does, until keepers hold the same."""
+        """So long with all that goes wrong, then a rest without faults until keepers hold the same."""
         w, end = self.weather, 1000.0 * seconds
         rates = {
             self._call: w.calls, self._cut: w.cuts, self._kill: w.kills, self._halt: w.halts, self._move:
