--- a/fawnwharf/lab/commands.py
+++ b/fawnwharf/lab/commands.py
@@ -58,6 +58,8 @@
     if found.acted:
         half, last = found.acted[len(found.acted) // 2], found.acted[-1]
         typer.echo(f"zone lost: half acted within {half:.2f} s, all {len(found.acted)} within {last:.2f} s")
+    told = "  ".join(f"{tenant} {part:.4f}" for tenant, part in found.by_tenant.items())
+    typer.echo(f"service by tenant: {told}")
     if found.waits_ms[1]:
         half, most = found.waits_ms
         typer.echo(f"calls wait for their keepers {half:.1f} ms (median), {most:.1f} ms (99 %)")
@@ -162,6 +164,8 @@
         "member bytes": lambda m: m.member_bytes,
         "cpu": lambda m: m.cpu,
     }
+    for tenant in pairs.one[0].by_tenant:
+        figures[f"of {tenant}"] = lambda m, tenant=tenant: m.by_tenant.get(tenant, 0.0)
     for name, of in figures.items():
         difference = pairs.difference(of)
         typer.echo(f"{name:16} {difference}  {difference.says if name == 'service' else ''}".rstrip())
--- a/fawnwharf/lab/fleet.py
+++ b/fawnwharf/lab/fleet.py
@@ -223,6 +223,7 @@
             self._for_clients,
             comeback=self.scenario.comeback,
             twice=self.scenario.twice,
+            tenant_of=self.scenario.tenants,
         )
 
     def _relay(self, source: str, target: str, what: str, host: str, address: Address) -> None:
@@ -344,7 +345,10 @@
             "known": front.log.begin(self.entries(front)),
             "settings": {
                 "classes": classes,
-                "tenants": [{"name": name, "quota_rps": sold / len(TENANTS)} for name in TENANTS],
+                "tenants": [
+                    {"name": name, "quota_rps": self.scenario.quotas.get(name, sold / len(TENANTS))}
+                    for name in TENANTS
+                ],
                 "bounds": {
                     "max_attempts": 3,
                     "cancel": True,
--- a/fawnwharf/lab/run.py
+++ b/fawnwharf/lab/run.py
@@ -53,6 +53,7 @@
     acted: list[float] = field(default_factory=list)  # seconds from a zone's loss, of each that lived on
     second_runs: int = 0  # of at-most-once calls
     keyed_repeats: int = 0  # runs of keyed calls beyond their first
+    by_tenant: dict[str, float] = field(default_factory=dict)  # service of each
     once_ms: tuple[float, float] = (
         0.0,
         0.0,
@@ -430,6 +431,7 @@
             acted=self._acted(),
             second_runs=self._repeats("at_most_once"),
             keyed_repeats=self._repeats("deduplicated"),
+            by_tenant=self._by_tenant(),
             once_ms=(once.get_value_at_percentile(50), once.get_value_at_percentile(99)),
             waits_ms=self._waits(),
             comebacks=Counter(
@@ -441,6 +443,14 @@
             complaints=list(fleet.complaints),
         )
 
+    def _by_tenant(self) -> dict[str, float]:
+        asked: Counter = Counter()
+        served: Counter = Counter()
+        for request in self.fleet.clients.requests:
+            asked[request.tenant] += request.kind.worth
+            served[request.tenant] += request.kind.worth * request.on_time
+        return {tenant: served[tenant] / worth for tenant, worth in sorted(asked.items())}
+
     def _repeats(self, effect: str) -> int:
         runs = Counter(a.id for a in self.fleet.arrivals if a.what == "run")
         by_request: Counter = Counter()
--- a/fawnwharf/lab/scenario.py
+++ b/fawnwharf/lab/scenario.py
@@ -71,6 +71,8 @@
     state: dict[str, Any] | None = None  # replicated, by these settings over the lab's own; none: off
     twice: Part = 0.0  # of the at-most-once calls are asked for at two front ends at once
     comeback: bool = False  # clients whose at-most-once call was lost ask for it again, elsewhere
+    tenants: dict[Name, str] = {}  # of a zone's clients; all of them by chance where it is not said
+    quotas: dict[str, float] = {}  # calls a second sold to a tenant; all alike where it is not said
     parts: dict[str, float] = {}  # of the calls, by class, over the usual ones
     functions: Annotated[int, Meta(ge=1, le=500)] = 12
     settle_s: Span = 3.0  # of load before the first step
--- a/fawnwharf/standins/clients.py
+++ b/fawnwharf/standins/clients.py
@@ -147,16 +147,18 @@
         most_tries: int = 4,
         comeback: bool = False,
         twice: float = 0.0,
+        tenant_of: dict[str, str] | None = None,
     ) -> None:
         """`rates` are calls a second by zone; `fronts` gives each front end's zone and address for
         clients. `comeback`: an at-most-once call whose connection was lost is asked for again, by its id,
         at whatever front end is up: right only where front ends keep such calls together. `twice`: so many
-        of the at-most-once calls are asked for at two front ends at the same moment, by one id."""
+        of the at-most-once calls are asked for at two front ends at the same moment, by one id. `tenant_of`
+        tells the tenant of a zone's clients, where it is not drawn."""
         self.loop, self.chance, self.kinds, self.rates = loop, random.Random(seed), kinds, rates
         self.functions = [f"{n + 1:016x}" for n in range(functions)]
         self.weights = [1.0 / (n + 2) for n in range(functions)]
         self.tenants, self._fronts, self._most = tenants, fronts, most_tries
-        self._comeback, self._twice = comeback, twice
+        self._comeback, self._twice, self._tenant_of = comeback, twice, tenant_of or {}
         self.requests: list[Request] = []
         self.by_call: dict[str, Request] = {}
         self.factor = 1.0  # of the rates
@@ -188,7 +190,7 @@
         chance = self.chance
         kind = chance.choices(self.kinds, [kind.part for kind in self.kinds])[0]
         function = chance.choices(self.functions, self.weights)[0]
-        tenant = chance.choice(self.tenants)
+        tenant = self._tenant_of.get(zone) or chance.choice(self.tenants)
         request = Request(
             len(self.requests),
             kind,
