--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -2,6 +2,7 @@
 
 import itertools
 import os
+from pathlib import Path
 
 import msgspec
 import pytest
@@ -22,7 +23,8 @@
 from fawnwharf.replication.service import Resting
 from fawnwharf.replication.shelf import Shelf
 from fawnwharf.replication.use import FLOOR, Shares, Uses, share
-from fawnwharf.zones.settings import FileFault
+from fawnwharf.zones.settings import FileFault, members_from
+from fawnwharf.zones.settings import settings_from as zone_settings
 
 FLEET = fleet_file("abcabc")
 RULES = s.Settings(1, "members", call_most_ms=2_000.0, window_ms=4_000.0)
@@ -918,3 +920,16 @@
     weather = Weather(calls=60.0, kills=1.0, away_ms=300.0, halts=0.3, late=0.1, moves=moves)
     found = (Walk(seed, weather, "abcabc", planted).run(12, 30).broken for seed in range(1, 8))
     assert any("ran at" in broken for broken in found)
+
+
+# --- the files that come with the project -------------------------------------------------------
+
+
+def test_the_deployments_examples_are_good_and_fit_each_other():
+    folder = Path(__file__).parent.parent / "deploy"
+    zones = zone_settings((folder / "zones.json").read_bytes())
+    state = s.settings_from((folder / "state.json").read_bytes())
+    assert zones.members == state.members == "members.json"
+    members = members_from((folder / "members.json").read_bytes())
+    s.check_members(members, state)
+    assert len(members.voters) == 3 and Placement(members, state.zones, state.per_zone).enough("k") == 2
