One that waits for another's call is answered before its client leaves

A joined call was given up at the very moment at which its client leaves, so that a slow turn made the answer late. It ends 60 ms before now, and no waiter at the gate stays beyond 20 ms before, as the module's own final answers.

--- a/fawnwharf/replication/gate.py
+++ b/fawnwharf/replication/gate.py
@@ -25,6 +25,9 @@
 HELD_BYTES_MOST = 8 * 1024 * 1024  # bodies of calls that wait for their keepers
 HELD_MOST = 4_096
 FULL_PUSHBACK_MS = 250.0
+# A final answer has to be there before the client leaves: one that waits for another's call ends so long before,
+# and nobody here waits for longer than till the second. The module's own ends lie between the two.
+WAIT_LEAD_MS, LEAD_MS = 60.0, 20.0
 WAITS = 500  # of the last calls, for operators
 
 
@@ -100,7 +103,7 @@
                 name,
                 spec.effect,
                 promise_ms=spec.promise_ms,
-                budget_ms=call.budget_ms,
+                budget_ms=max(1.0, call.budget_ms - WAIT_LEAD_MS),
                 dedup_ms=spec.dedup_window_ms,
                 must=mode == "before",
             )
@@ -113,7 +116,8 @@
         """One more that waits for this call, for as long as it says."""
         held.waiting[key] = call.reply
         self._by_key[key] = held
-        held.timers[key] = self._loop.wheel.after(call.budget_ms, lambda: self._overdue(held, key))
+        left_ms = max(1.0, call.budget_ms - LEAD_MS)
+        held.timers[key] = self._loop.wheel.after(left_ms, lambda: self._overdue(held, key))
 
     def _overdue(self, held: _Held, key: str) -> None:
         """Guards the one final answer, as the table's backstop does: it may have run."""
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -11,7 +11,7 @@
 from fawnwharf.replication import settings as s
 from fawnwharf.replication.claims import Claim, Phase
 from fawnwharf.replication.core import Core
-from fawnwharf.replication.gate import Gate, name_of
+from fawnwharf.replication.gate import LEAD_MS, WAIT_LEAD_MS, Gate, name_of
 
 CLASSES = {
     "once": ClassSpec("once", promise_ms=400.0, effect=Effect.UNSAFE),
@@ -149,12 +149,26 @@
     assert [(claim.phase, claim.answer) for claim in ground.claims()] == [(Phase.ANSWERED, None)]
 
 
+def test_one_that_waits_for_another_ends_before_its_client_leaves():
+    ground = Ground("abcabc")
+    begun = []
+    begin = ground.core.begin
+    ground.core.begin = lambda now, key, effect, **more: begun.append(more) or begin(now, key, effect, **more)
+    ground.ask()
+    assert begun[0]["budget_ms"] == 2_000.0 - WAIT_LEAD_MS
+    [mine] = ground.core.claimant.mine.values()
+    mine.state = "waiting"
+    effects = ground.core.claimant.tick(mine.deadline_ms)
+    ground.carry(effects)
+    assert [type(effect).__name__ for effect in effects] == ["GiveUp"] and not ground.gate.busy
+
+
 def test_one_that_waits_in_vain_is_failed_when_its_time_is_over_and_only_once():
     ground = Ground()
     ground.ask()
     _, got = ground.ask()
     delay, timer = ground.timers[-1]
-    assert delay == 2_000.0
+    assert delay == 2_000.0 - LEAD_MS  # the answer has a way to go
     timer.callback()
     assert got == [Failed()]
     ground.calls["r1"].reply(Served(b"x"))
