--- a/fawnwharf/replication/gate.py
+++ b/fawnwharf/replication/gate.py
@@ -25,8 +25,8 @@
 HELD_BYTES_MOST = 8 * 1024 * 1024  # bodies of calls that wait for their keepers
 HELD_MOST = 4_096
 FULL_PUSHBACK_MS = 250.0
-# A final answer has to be there before the client leaves: one that waits for another's call ends so long before,
-# and nobody here waits for longer than till the second. The module's own ends lie between the two.
+# A final answer has to be there before the client leaves: one that waits for another's call ends so long
+# before, and nobody here waits for longer than till the second. The module's own ends lie between the two.
 WAIT_LEAD_MS, LEAD_MS = 60.0, 20.0
 WAITS = 500  # of the last calls, for operators
 
