--- a/fawnwharf/replication/settings.py
+++ b/fawnwharf/replication/settings.py
@@ -45,7 +45,7 @@
     quiet_ms: Span = 1_500.0  # without a word for so long a front end is held to be gone
     compare_ms: Span = 2_000.0  # pace at which keepers compare what they hold
     shares: bool = True  # tenants' quotas are divided by what comes to each front end
-    hints: bool = True  # scorers that several front ends hold bad rest at the others too
+    hints: bool = False  # scorers that several front ends hold bad rest at the others too
     hints_ms: Span = 250.0  # pace at which those are told
     use_ms: Span = 500.0  # pace at which that is told
     bounds: Bounds = msgspec.field(default_factory=Bounds)
