A second address for operators: scorers taken out, standby and active

Change: operators/ (HTTP by httptools, the desk, the steps of a drain, the port), net/overlay.py over the roster, the loop looks at operators' sockets first, limits from several sides (the least counts), SO_REUSEPORT where there is a second address. LimitsChanged of zones goes through the same place.

--- a/fawnwharf/config.py
+++ b/fawnwharf/config.py
@@ -108,6 +108,7 @@
     changelog: str
     name: str = ""
     listen: str = ""
+    control: str = ""
     seed: str | int = 0
     limits: _Limits = msgspec.field(default_factory=_Limits)
     known: _Known = msgspec.field(default_factory=_Known)
@@ -142,6 +143,7 @@
     known_events: list[dict[str, Any]]
     settings: io.Settings
     wire: Wire
+    control: Address | None = None  # for operators alone; None: there is no such address
 
 
 class Member(Struct, frozen=True):
@@ -261,6 +263,7 @@
 def deployment_from(data: Any, environment: Mapping[str, str]) -> Deployment:
     read = _read(data, _Deployment)
     listen = environment.get("ROUTER_LISTEN") or read.listen
+    control = environment.get("ROUTER_CONTROL") or read.control
     return Deployment(
         name=environment.get("ROUTER_NAME") or read.name,
         listen=address_from(listen, "listen"),
@@ -272,6 +275,7 @@
         known_events=read.known.results,
         settings=_settings(read.settings),
         wire=_wire(read.settings),
+        control=address_from(control, "control") if control else None,
     )
 
 
--- a/fawnwharf/net/clients.py
+++ b/fawnwharf/net/clients.py
@@ -136,6 +136,11 @@
     def idle(self) -> bool:
         return not (self.open or self.connection.waiting_bytes or self.connection.closed)
 
+    @property
+    def begun(self) -> bool:
+        """Whether a message has come in part."""
+        return self._reader.waits
+
     def end_overdue(self) -> None:
         if self.spoke or self._reader.waits:
             self._finish(End.SILENT)
@@ -212,7 +217,9 @@
         tenants: frozenset[str],
         most: int,
         log: Log,
+        shared: bool = False,
     ) -> None:
+        """`shared`: another process may listen on the same address, to take this one's place."""
         self.loop, self.table, self.log = loop, table, log
         self.classes, self.tenants = classes, tenants
         self.ready = False
@@ -221,6 +228,8 @@
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
         self._listener: socket.socket | None = socket.socket(family, socket.SOCK_STREAM)
         self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if shared:
+            self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
         stamp_reads(self._listener)
         self._listener.bind(address)
         self._listener.listen(BACKLOG)
@@ -291,6 +300,11 @@
     def unwritten(self) -> bool:
         return any(client.connection.waiting_bytes for client in self.clients)
 
+    def end_idle(self) -> None:
+        """End every connection on which nothing is open and nothing has begun to arrive."""
+        for client in [client for client in self.clients if client.idle and not client.begun]:
+            client.close_unheard()
+
     def ended(self, client: Client) -> None:
         self.clients.pop(client, None)
 
--- a/fawnwharf/net/connection.py
+++ b/fawnwharf/net/connection.py
@@ -67,7 +67,13 @@
 
 class Connection:
     def __init__(
-        self, loop: Loop, sock: socket.socket, owner: Owner, up: bool = True, read_most: int = READ_MOST
+        self,
+        loop: Loop,
+        sock: socket.socket,
+        owner: Owner,
+        up: bool = True,
+        read_most: int = READ_MOST,
+        first: bool = False,
     ) -> None:
         self.loop, self.owner, self.up, self.closed = loop, owner, up, False
         self._read_most = read_most
@@ -79,15 +85,20 @@
         self._dial: Timer | None = None
         self._finishing: End | None = None
         self._mask = READ if up else WRITE
-        loop.watch(sock, self._mask, self._ready)
+        loop.watch(sock, self._mask, self._ready, first)
 
     @classmethod
     def accepted(
-        cls, loop: Loop, sock: socket.socket, owner: Owner, read_most: int = READ_MOST
+        cls,
+        loop: Loop,
+        sock: socket.socket,
+        owner: Owner,
+        read_most: int = READ_MOST,
+        first: bool = False,
     ) -> "Connection":
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        return cls(loop, sock, owner, read_most=read_most)
+        return cls(loop, sock, owner, read_most=read_most, first=first)
 
     @classmethod
     def dial(cls, loop: Loop, address: Address, owner: Owner, within_ms: float) -> "Connection | End":
--- a/fawnwharf/net/front_end.py
+++ b/fawnwharf/net/front_end.py
@@ -11,6 +11,7 @@
 from fawnwharf.net.clients import ClientPort
 from fawnwharf.net.log import Log
 from fawnwharf.net.loop import Loop
+from fawnwharf.net.overlay import Overlay
 from fawnwharf.net.requests import RequestTable
 from fawnwharf.net.scorers import ScorerPool
 from fawnwharf.net.wheel import monotonic_ms
@@ -22,7 +23,8 @@
 LEAVE_LOOK_MS = 20.0
 CLIENT_SHARE = 0.4  # of the descriptors; clients hold a third at most
 SCORER_SHARE = 0.4
-AT_START = ("name", "listen", "memory_mb", "sockets", "settings", "wire")  # keys that a reload leaves alone
+# Keys that a reload leaves alone.
+AT_START = ("name", "listen", "control", "memory_mb", "sockets", "settings", "wire")
 AFTER_FAULT_MS = 40.0  # the module's sweep, set again where a fault may have lost it
 
 STATES = {"in_service": io.State.READY, "terminating": io.State.DRAINING, "terminated": io.State.GONE}
@@ -33,7 +35,14 @@
     return int.from_bytes(hashlib.blake2b(id.encode(), digest_size=4).digest(), "big")
 
 
-class Seam(Protocol):
+class Part(Protocol):
+    """What ends together with the front end."""
+
+    def close(self) -> None:
+        """The front end ends."""
+
+
+class Seam(Part, Protocol):
     """What another subsystem may do to what this front end is told, and hear of what comes of it."""
 
     def told(self, fleet: Fleet) -> Fleet:
@@ -46,9 +55,6 @@
     def busy(self) -> bool:
         """Whether somebody waits for an answer of whom the table of requests does not know."""
 
-    def close(self) -> None:
-        """The front end ends."""
-
 
 class FrontEnd:
     """One front end: owns the loop and the parts, and carries the module's actions out."""
@@ -71,12 +77,15 @@
         self.pool = ScorerPool(self.loop, wire, links_most, deployment.seed, self.log)
         self.table = RequestTable(self.loop, self.pool, wire)
         self._news: io.RosterChanged | None = None  # that the next batch brings
+        self.overlay = Overlay()
+        self._limits: dict[str, float] = {}  # by who sets it
         self.changelog = ChangeLog(self.loop, deployment.changelog, 0, self._on_fleet, self.log)
         self._known()
         clients_most = max(4, int(sockets * CLIENT_SHARE))
         self.port = ClientPort(
-            self.loop, deployment.listen, self.table, settings.classes, wire.tenants, clients_most, self.log
-        )
+            self.loop, deployment.listen, self.table, settings.classes, wire.tenants, clients_most, self.log,
+            shared=deployment.control is not None,
+        )  # fmt: skip
         self._carriers = {
             io.Send: self.table.send,
             io.Cancel: self.table.cancel,
@@ -87,6 +96,12 @@
             io.Log: lambda action: self.log(action.text),
         }
         self._leaving_ms: float | None = None
+        self.started = False
+        self.operators: Part | None = None
+
+    @property
+    def leaving(self) -> bool:
+        return self._leaving_ms is not None
 
     @property
     def address(self) -> Address:
@@ -97,7 +112,7 @@
     def start(self) -> None:
         self.changelog.connect()
         self.loop.wheel.after(TIDY_MS, self._tidy)
-        self.port.ready = True
+        self.started = self.port.ready = True
 
     def serve(self) -> None:
         """Serve until SIGTERM or SIGINT, then until all that was taken has its answer."""
@@ -141,8 +156,9 @@
             self.loop.wheel.after(LEAVE_LOOK_MS, self._look_to_leave)
 
     def close(self) -> None:
-        if self._seam:
-            self._seam.close()
+        for part in (self.operators, self._seam):
+            if part:
+                part.close()
         self.port.close()
         self.changelog.close()
         self.pool.close()
@@ -166,6 +182,17 @@
         self.take_fleet(self._seam.told(fleet) if self._seam else fleet)
 
     def take_fleet(self, fleet: Fleet) -> None:
+        """Take this roster, or these changes of it, and go by what is laid over it."""
+        self.go_by(self.overlay.told(fleet))
+
+    def limit(self, who: str, calls_rps: float) -> None:
+        """No more than so many calls a second are to be taken here, as `who` has it; the least counts."""
+        before = min(self._limits.values(), default=io.UNLIMITED_RPS)
+        self._limits[who] = calls_rps
+        if (least := min(self._limits.values())) != before:
+            self.loop.tell(io.LimitsChanged(least))
+
+    def go_by(self, fleet: Fleet) -> None:
         """Go by this roster, or by these changes of it, from now on."""
         entries = [self._entry(member) for member in fleet.members]
         for entry, address in entries:
--- a/fawnwharf/net/loop.py
+++ b/fawnwharf/net/loop.py
@@ -61,19 +61,26 @@
         self._inbox: dict[int, io.Event] = {}  # by ticket, in order
         self._tickets = itertools.count()
         self._behind: set[int] = set()  # descriptors that the last turn left ready
+        self._first: set[int] = set()  # descriptors that are looked at before all others
         self._dirty: dict[Flushable, None] = {}
         self._wake: tuple[socket.socket, socket.socket] | None = None
 
     # --- what the parts use -----------------------------------------------------------------
 
-    def watch(self, sock: socket.socket, mask: int, ready: Callable[[int], None]) -> None:
+    def watch(
+        self, sock: socket.socket, mask: int, ready: Callable[[int], None], first: bool = False
+    ) -> None:
+        """`first`: before all others in each turn, however many of these are ready."""
         self._selector.register(sock, mask, ready)
+        if first:
+            self._first.add(sock.fileno())
 
     def change(self, sock: socket.socket, mask: int, ready: Callable[[int], None]) -> None:
         self._selector.modify(sock, mask, ready)
 
     def forget(self, sock: socket.socket) -> None:
         self._selector.unregister(sock)
+        self._first.discard(sock.fileno())
 
     def tell(self, event: io.Event) -> int:
         """An event for the next batch. One that carrying out a batch brings waits for the one after.
@@ -111,7 +118,9 @@
             self.guarded(part.flush)
 
     def _gather(self, ready: list[tuple[selectors.SelectorKey, int]]) -> None:
-        ready = sorted(ready, key=lambda item: item[0].fd not in self._behind)
+        ready = sorted(
+            ready, key=lambda item: (item[0].fd not in self._first, item[0].fd not in self._behind)
+        )
         self._behind = set()
         for place, (key, mask) in enumerate(ready):
             if len(self._inbox) >= EVENTS_MOST:
--- /dev/null
+++ b/fawnwharf/net/overlay.py
@@ -0,0 +1,73 @@
+"""What stands between the roster as it is told and what is gone by. Pure.
+
+Whoever may close scorers (operators, a plan, hints on bad ones) lays a closer over the roster. A scorer that
+any of them closes is told as one that drains: nothing new goes there, and what runs there ends in its time.
+So the module's own rules on drains, repeats and cold scorers hold for all of them alike.
+"""
+
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import msgspec
+
+from fawnwharf.config import Fleet, Member
+
+Closer = Callable[[Member], bool]
+
+
+class Overlay:
+    """Keeps the scorers as they are told, and tells them as the closers leave them."""
+
+    def __init__(self) -> None:
+        self.members: dict[str, Member] = {}  # as told
+        self.revision = 0
+        self._closers: dict[str, Closer] = {}
+        self._returned: dict[str, float] = {}  # cold since then, whatever was told; Unix milliseconds
+
+    def told(self, fleet: Fleet) -> Fleet:
+        """Take what is told, and give it as it is to be gone by."""
+        if fleet.complete:
+            self.members.clear()
+        for member in fleet.members:
+            known = self.members.get(member.id)
+            if known and not member.host_port:
+                changes: dict[str, Any] = {"host_port": known.host_port}
+                changes |= {} if member.locality else {"locality": known.locality}
+                member = msgspec.structs.replace(member, **changes)
+            self.members[member.id] = member
+        self.revision = max(self.revision, fleet.revision)
+        laid = [self._laid(self.members[member.id]) for member in fleet.members]
+        for member in fleet.members:
+            if member.phase == "terminated":
+                self.members.pop(member.id, None)
+                self._returned.pop(member.id, None)
+        return Fleet(laid, fleet.complete, fleet.revision)
+
+    def close(self, who: str, closer: Closer | None) -> Fleet:
+        """Lay a closer over the roster in place of `who`'s earlier one, or take it away; the changes that it
+        makes to what was told last."""
+        before = {id: self._phase(member) for id, member in self.members.items()}
+        if closer is None:
+            self._closers.pop(who, None)
+        else:
+            self._closers[who] = closer
+        return self._changes(id for id, member in self.members.items() if self._phase(member) != before[id])
+
+    def returned(self, ids: Iterable[str], now_ms: float) -> Fleet:
+        """These count as started at this moment: they come back cold. The changes that it makes."""
+        found = [id for id in ids if id in self.members]
+        self._returned.update(dict.fromkeys(found, now_ms))
+        return self._changes(found)
+
+    def _changes(self, ids: Iterable[str]) -> Fleet:
+        return Fleet([self._laid(self.members[id]) for id in ids], False, self.revision)
+
+    def _phase(self, member: Member) -> str:
+        """Closers only ever close; what drains or is gone as told stays so."""
+        if member.phase == "in_service" and any(closer(member) for closer in self._closers.values()):
+            return "terminating"
+        return member.phase
+
+    def _laid(self, member: Member) -> Member:
+        up_since_ms = max(member.up_since_ms, self._returned.get(member.id, 0.0))
+        return msgspec.structs.replace(member, phase=self._phase(member), up_since_ms=up_since_ms)
--- /dev/null
+++ b/fawnwharf/operators/port.py
@@ -0,0 +1,91 @@
+"""The second address: its listener and its connections, each with one call."""
+
+import socket
+from collections.abc import Callable
+
+from fawnwharf.config import Address
+from fawnwharf.net.connection import Connection
+from fawnwharf.net.endings import End
+from fawnwharf.net.loop import READ, Loop
+from fawnwharf.net.wheel import monotonic_ms
+from fawnwharf.operators.http import Answer, Asked, CallReader, encode
+
+BACKLOG = 64
+READ_MOST = 4 * 1024
+ACCEPTS_MOST = 16  # in a turn
+HELD_MOST, HELD_LEAST = 16, 4  # connections; a few operators at a time, and some that say nothing
+HELD_PART = 32  # of the descriptors: one in so many
+UNFINISHED_MS = 5_000.0  # for a call to come in whole
+
+
+class Caller:
+    """One operator's connection, and its one call."""
+
+    def __init__(self, port: "ControlPort", sock: socket.socket) -> None:
+        self.port, self.since_ms = port, monotonic_ms()
+        self._reader = CallReader()
+        self.connection = Connection.accepted(port.loop, sock, self, READ_MOST, first=True)
+
+    @property
+    def answered(self) -> bool:
+        return self._reader.done is not None
+
+    def on_up(self) -> None: ...
+
+    def on_flushed(self) -> None: ...
+
+    def on_data(self, data: bytes) -> None:
+        if not self.answered and (found := self._reader.feed(data)) is not None:
+            self.answer(found if isinstance(found, Answer) else self.port.take(found))
+
+    def answer(self, answer: Answer) -> None:
+        self._reader.done = answer
+        self.connection.write(encode(answer))
+        self.connection.finish(End.RETIRED)
+
+    def on_end(self, end: End) -> None:
+        self.port.callers.pop(self, None)
+
+
+class ControlPort:
+    """Owns the listener for operators and their connections, a few of the descriptors."""
+
+    def __init__(self, loop: Loop, address: Address, sockets: int, take: Callable[[Asked], Answer]) -> None:
+        self.loop, self.take = loop, take
+        self.callers: dict[Caller, None] = {}
+        self._most = max(HELD_LEAST, min(HELD_MOST, sockets // HELD_PART))
+        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+        self._listener = socket.socket(family, socket.SOCK_STREAM)
+        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._listener.bind(address)
+        self._listener.listen(BACKLOG)
+        self._listener.setblocking(False)
+        self.address: Address = self._listener.getsockname()[:2]
+        loop.watch(self._listener, READ, self._accept, first=True)
+
+    def _accept(self, _mask: int) -> None:
+        for _ in range(ACCEPTS_MOST):
+            try:
+                sock, _ = self._listener.accept()
+            except OSError:  # nobody, one that left, or no descriptor: the next turn tells
+                return
+            while len(self.callers) >= self._most:
+                self._give_way()
+            self.callers[Caller(self, sock)] = None
+
+    def _give_way(self) -> None:
+        """Guards callers that ask against those that never do: one answered goes first, else the oldest."""
+        first = min(self.callers, key=lambda caller: (not caller.answered, caller.since_ms))
+        first.connection.close(End.IDLE)
+
+    def tidy(self) -> None:
+        since = monotonic_ms() - UNFINISHED_MS
+        for caller in [caller for caller in self.callers if caller.since_ms < since]:
+            if not caller.answered:
+                caller.answer(Answer(408, "the call did not come in whole"))
+
+    def close(self) -> None:
+        self.loop.forget(self._listener)
+        self._listener.close()
+        for caller in list(self.callers):
+            caller.connection.close(End.STOPPED)
--- a/fawnwharf/serving.py
+++ b/fawnwharf/serving.py
@@ -52,6 +52,10 @@
         parts[0].take = lambda fleet: front.take_fleet(parts[1].told(fleet))
     for part in parts:
         part.attach(front)
+    if deployment.control:
+        from fawnwharf.operators.service import Operators
+
+        Operators(front, deployment.control)
     return front
 
 
--- a/fawnwharf/zones/service.py
+++ b/fawnwharf/zones/service.py
@@ -204,7 +204,7 @@
         part = self.roster.admission()
         limited = part < 1.0 and self._sold > 0
         rps = part * self._sold / self.deployment.settings.fleet_size * self._carried(effect.plan)
-        self.front.loop.tell(io.LimitsChanged(rps if limited else io.UNLIMITED_RPS))
+        self.front.limit("zones", rps if limited else io.UNLIMITED_RPS)
         fields = {"index": effect.index, "scorers changed": len(changes.members), "admission": round(part, 3)}
         if effect.plan is None:
             self.note("on its own", fields)
--- /dev/null
+++ b/tests/test_operators.py
@@ -0,0 +1,302 @@
+"""Operators' calls: tables for the pure parts, and one test with real sockets for each rule."""
+
+import socket
+import time
+import unittest
+from unittest import mock
+
+import pytest
+from peers import Buffered, ClientPeer, Rig, ScorerPeer
+
+from fawnwharf.config import ConfigError, Fleet, Member, deployment_from
+from fawnwharf.interface import State
+from fawnwharf.net.front_end import worker_number
+from fawnwharf.net.overlay import Overlay
+from fawnwharf.operators import drain, port, service
+from fawnwharf.operators.desk import BringBack, Desk, Resume, StandBy, TakeOut
+from fawnwharf.operators.http import Answer, Asked, CallReader, encode
+
+CALL = b"POST /maintenance/enter?target=s-1 HTTP/1.1\r\nHost: x\r\n\r\n"
+BODY = b"POST /standby HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}"
+
+READS = [
+    ("a call", CALL, Asked("POST", "/maintenance/enter", (("target", "s-1"),))),
+    ("with a body", BODY, Asked("POST", "/standby")),
+    ("escaped", b"GET /status?target=s%2d1 HTTP/1.1\r\n\r\n", Asked("GET", "/status", (("target", "s-1"),))),
+    ("two in a row: the first", CALL + BODY, Asked("POST", "/maintenance/enter", (("target", "s-1"),))),
+    (
+        "doubled",
+        b"GET /?target=a&target= HTTP/1.1\r\n\r\n",
+        Asked("GET", "/", (("target", "a"), ("target", ""))),
+    ),
+    ("half a head", CALL[:-2], None),
+    ("half a body", BODY[:-1], None),
+    ("no HTTP", b"\x00\x00\x00\x10\x80\x01\x00\x01", 400),
+    ("another protocol", b"GET / HTTP/1.1\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n", Asked("GET", "/")),
+    ("a head without end", b"GET / HTTP/1.1\r\n" + b"A: b\r\n" * 2000, 431),
+    ("an endless body", b"POST /standby HTTP/1.1\r\nContent-Length: 99999\r\n\r\n" + b"x" * 9000, 431),
+]
+
+
+@pytest.mark.parametrize(("data", "wanted"), [case[1:] for case in READS], ids=[case[0] for case in READS])
+@pytest.mark.parametrize("piece", [1, 7, 1 << 20])
+def test_a_call_is_read_from_pieces_of_any_size(data, wanted, piece):
+    reader, found = CallReader(), None
+    for at in range(0, len(data), piece):
+        found = reader.feed(data[at : at + piece])
+    assert (found.status if isinstance(found, Answer) else found) == wanted
+
+
+def test_an_answer_is_one_line_whatever_a_caller_wrote():
+    head, body = encode(Answer(404, "no scorer a\r\nb\n")).split(b"\r\n\r\n")
+    assert (
+        body == b"no scorer a??b?\n" and b"Content-Length: 16" in head and head.startswith(b"HTTP/1.1 404 ")
+    )
+
+
+def asked(path, method="POST", *targets):
+    return Asked(method, path, tuple(("target", target) for target in targets))
+
+
+ENTER, EXIT = "/maintenance/enter", "/maintenance/exit"
+DESK = [
+    ("ready", [], asked("/status", "GET"), 200, None),
+    ("on standby", [asked("/standby")], asked("/status", "GET"), 503, None),
+    ("back", [asked("/standby"), asked("/active")], asked("/status", "GET"), 200, None),
+    ("out", [], asked(ENTER, "POST", "s-1"), 200, TakeOut("s-1")),
+    ("out twice", [asked(ENTER, "POST", "s-1")], asked(ENTER, "POST", "s-1"), 200, None),
+    (
+        "two out, one back",
+        [asked(ENTER, "POST", "s-1")] * 2,
+        asked(EXIT, "POST", "s-1"),
+        200,
+        BringBack("s-1"),
+    ),
+    ("back without out", [], asked(EXIT, "POST", "s-1"), 200, None),
+    ("nobody's id", [], asked(ENTER, "POST", "s-9"), 404, None),
+    ("nobody's id back", [], asked(EXIT, "POST", "s-9"), 404, None),
+    ("no target", [], asked(ENTER), 400, None),
+    ("an empty target", [], asked(ENTER, "POST", ""), 400, None),
+    ("two targets", [], asked(ENTER, "POST", "s-1", "s-2"), 400, None),
+    ("standby", [], asked("/standby"), 200, StandBy()),
+    ("standby twice", [asked("/standby")], asked("/standby"), 200, None),
+    ("active", [asked("/standby")], asked("/active"), 200, Resume()),
+    ("active without standby", [], asked("/active"), 200, None),
+    ("a wrong method", [], asked("/standby", "GET"), 405, None),
+    ("an unknown path", [], asked("/standby/"), 404, None),
+]
+
+
+@pytest.mark.parametrize(
+    ("before", "call", "status", "effect"), [c[1:] for c in DESK], ids=[c[0] for c in DESK]
+)
+def test_what_a_call_means(before, call, status, effect):
+    desk = Desk({"s-1", "s-2"}.__contains__, serving=True)
+    for earlier in before:
+        desk.take(earlier)
+    answer, found = desk.take(call)
+    assert (answer.status, found) == (status, effect)
+
+
+def test_one_that_starts_or_leaves_is_not_ready_and_takes_no_drain():
+    desk = Desk(lambda id: True)
+    assert desk.take(asked("/status", "GET"))[0].status == 503
+    desk.serving = desk.leaving = True
+    assert desk.take(asked("/status", "GET"))[0].status == 503
+    assert [desk.take(asked(path))[0].status for path in ("/standby", "/active")] == [409, 409]
+
+
+def test_one_taken_out_that_has_gone_may_be_brought_back_and_then_nobody_has_it():
+    known = {"s-1"}
+    desk = Desk(known.__contains__)
+    desk.take(asked(ENTER, "POST", "s-1"))
+    known.clear()
+    assert [desk.take(asked(EXIT, "POST", "s-1"))[0].status for _ in range(2)] == [200, 404]
+
+
+def test_an_overlay_only_closes_holds_whatever_is_told_and_brings_back_cold():
+    overlay = Overlay()
+    member = Member("s-1", "in_service", "127.0.0.1:1", locality="a")
+    overlay.told(Fleet([member, Member("s-2", "in_service", "127.0.0.1:2")], complete=True))
+    [closed] = overlay.close("one", lambda m: m.id == "s-1").members
+    assert (closed.id, closed.phase) == ("s-1", "terminating")
+    assert not overlay.close("two", lambda m: m.id == "s-1").members  # closed already
+    told = [overlay.told(Fleet([Member("s-1", phase)])).members[0] for phase in ("terminated", "in_service")]
+    assert [m.phase for m in told] == ["terminated", "terminating"]
+    overlay.told(Fleet([member]))
+    assert not overlay.close("one", None).members  # the other one still closes it
+    assert [m.phase for m in overlay.close("two", None).members] == ["in_service"]
+    [back] = overlay.returned(["s-1", "s-9"], 5000.0).members
+    assert (back.up_since_ms, back.host_port, back.locality) == (5000.0, "127.0.0.1:1", "a")
+    assert overlay.told(Fleet([member], complete=True)).members[0].up_since_ms == 5000.0
+
+
+def test_a_faulty_second_address_is_named_by_its_key():
+    base = {"settings": {}, "changelog": "127.0.0.1:1", "listen": "127.0.0.1:0"}
+    assert deployment_from(base, {}).control is None
+    assert deployment_from(base | {"control": "127.0.0.1:5"}, {}).control == ("127.0.0.1", 5)
+    assert deployment_from(base, {"ROUTER_CONTROL": "127.0.0.1:6"}).control == ("127.0.0.1", 6)
+    with pytest.raises(ConfigError, match="^control: "):
+        deployment_from(base | {"control": "here"}, {})
+
+
+class Operated(Rig):
+    """A front end in this thread that operators may call."""
+
+    def __init__(self, *scorers, **more):
+        super().__init__(*scorers, **more)
+        self.operators = service.Operators(self.front, ("127.0.0.1", 0))
+
+    def caller(self):
+        self.clients.append(ClientPeer.__new__(ClientPeer))
+        Buffered.__init__(self.clients[-1], socket.create_connection(self.operators.port.address))
+        self.clients[-1].pump = lambda peer=self.clients[-1]: Buffered.pump(peer)
+        return self.clients[-1]
+
+    def ask(self, path, method="POST"):
+        caller = self.caller()
+        caller.sock.sendall(f"{method} {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+        self.until(lambda: caller.ended, "the call is answered")
+        return int(caller.data.split(b" ")[1])
+
+    def after(self, ms):
+        """Let the loop run until a timer of its own says so."""
+        due = []
+        self.front.loop.wheel.after(ms, lambda: due.append(1))
+        self.until(lambda: due, "the time is over")
+
+
+class Case(unittest.TestCase):
+    def rig(self, *peers, **more):
+        rig = Operated(*peers, **more)
+        self.addCleanup(rig.close)
+        return rig
+
+
+class SecondAddress(Case):
+    def test_callers_that_finish_nothing_keep_no_other_from_an_answer_and_end_in_time(self):
+        rig = self.rig(ScorerPeer())
+        idle = [rig.caller() for _ in range(port.HELD_MOST)]
+        for caller in idle[::2]:
+            caller.sock.sendall(b"GET /sta")
+        rig.until(lambda: len(rig.operators.port.callers) == port.HELD_MOST, "all are held")
+        self.assertEqual(rig.ask("/status", "GET"), 200)
+        self.assertTrue(idle[0].ended or idle[1].ended)  # the oldest gave way
+        with mock.patch.object(port, "UNFINISHED_MS", 50.0):
+            rig.until(lambda: all(caller.ended for caller in idle), "the others are ended in time")
+        self.assertIn(b" 408 ", bytes(idle[-2].data))
+        rig.until(lambda: not rig.operators.port.callers, "no descriptor is left")
+
+    def test_a_call_is_answered_in_a_turn_that_clients_fill(self):
+        rig = self.rig(ScorerPeer(copies=None))
+        clients = [rig.client() for _ in range(8)]
+        for client in clients:
+            for _ in range(20):
+                client.call()
+        caller = rig.caller()
+        rig.front.loop.turn(0.2)  # its connection is accepted, and clients fill the rest of the turn
+        caller.sock.sendall(b"GET /status HTTP/1.1\r\n\r\n")
+        with mock.patch("fawnwharf.net.loop.EVENTS_MOST", 1):
+            for client in clients:
+                client.call()
+            rig.front.loop.turn(0.2)
+        caller.pump()
+        self.assertIn(b" 200 ", bytes(caller.data))
+
+
+class TakingOut(Case):
+    def test_nothing_new_goes_there_whatever_the_change_log_says_until_it_is_called_back(self):
+        one, two = ScorerPeer("s-1"), ScorerPeer("s-2")
+        rig = self.rig(one, two)
+        client = rig.client()
+        client.call()
+        rig.until(lambda: one.runs or two.runs, "a home is found")
+        home, other = (one, two) if one.runs else (two, one)
+        home.answer(home.runs[0])
+        rig.until(lambda: client.answers, "it is served")
+        self.assertEqual(rig.ask(f"{ENTER}?target={home.id}"), 200)
+        rig.log.say({"seq": 2, "fleet": {"members": [home.member()]}})
+        rig.until(lambda: rig.front.changelog.seq == 2, "the log has it in service")
+        client.call()
+        rig.until(lambda: other.runs, "the next goes elsewhere")
+        self.assertEqual(len(home.runs), 1)
+        worker = rig.front.router.workers[worker_number(home.id)]
+        self.assertIs(worker.entry.state, State.DRAINING)
+        before = rig.front.loop.clock.now_ms()
+        self.assertEqual(rig.ask(f"{EXIT}?target={home.id}"), 200)
+        rig.until(lambda: worker.entry is not None and rig.front.router.workers[worker.id].entry.state == 1)
+        self.assertGreaterEqual(worker.started_ms, before)  # it is cold, and its copies are gone
+        instances = [fn.instances.get(worker.id) for fn in rig.front.router.functions.values()]
+        self.assertEqual([rig.front.router._copies(i, worker) for i in instances if i], [0])
+
+    def test_with_all_scorers_out_each_call_still_has_its_one_answer(self):
+        rig = self.rig(ScorerPeer("s-1"))
+        client = rig.client()
+        self.assertEqual(rig.ask(f"{ENTER}?target=s-1"), 200)
+        seqid = client.call(ttl="200")
+        rig.until(lambda: client.answers, "it is answered")
+        self.assertEqual(client.kinds(), {seqid: "throttled"})
+
+
+class Draining(Case):
+    def status(self, rig, client):
+        seqid = 2000 + len(client.answers)
+        client.status(seqid)
+        rig.until(lambda: seqid in client.kinds(), "the status comes")
+        return next(content[3] for number, _, content in client.answers if number == seqid)
+
+    def test_kept_connections_are_used_on_at_first_and_end_when_nothing_is_open_on_them(self):
+        scorer = ScorerPeer(copies=4)
+        rig = self.rig(scorer)
+        idle, busy = rig.client(), rig.client()
+        busy.call()
+        rig.until(lambda: len(scorer.runs) == 1, "it runs")
+        self.assertEqual(rig.ask("/standby"), 200)
+        self.assertEqual(rig.ask("/status", "GET"), 503)
+        idle.call()
+        rig.until(lambda: len(scorer.runs) == 2, "a kept connection is used on")
+        scorer.answer(scorer.runs[1])
+        rig.until(lambda: idle.ended, "and ended once it is idle")
+        self.assertEqual(list(idle.kinds().values()), ["answer"])
+        self.assertFalse(busy.ended)
+        scorer.answer(scorer.runs[0])
+        rig.until(lambda: busy.ended, "the busy one is ended after its answer")
+        self.assertEqual(list(busy.kinds().values()), ["answer"])
+
+    def test_a_connection_that_never_falls_idle_has_its_calls_refused_in_the_end(self):
+        scorer = ScorerPeer(copies=4)
+        rig = self.rig(scorer)
+        client = rig.client()
+        client.call()
+        rig.until(lambda: scorer.runs, "it runs")
+        rig.ask("/standby")
+        rig.after(drain.REFUSE_MS + 50.0)
+        second = client.call()
+        rig.until(lambda: client.answers, "the second is answered at once")
+        self.assertEqual(client.kinds(), {second: "throttled"})
+        scorer.answer(scorer.runs[0])
+        rig.until(lambda: client.ended, "and then nothing holds the connection")
+
+    def test_back_to_work_at_once_with_all_that_was_learnt_and_twice_is_no_harm(self):
+        scorer = ScorerPeer(copies=4)
+        rig = self.rig(scorer)
+        first = rig.client()
+        first.call()
+        rig.until(lambda: scorer.runs, "it runs")
+        scorer.answer(scorer.runs[0])
+        rig.until(lambda: first.answers, "a copy is known")
+        loads = [f for _, f in scorer.of(5) if f.fields["slots_up"] != "0"]
+        for path in ("/active", "/standby", "/standby"):
+            self.assertEqual(rig.ask(path), 200)
+        rig.after(drain.REFUSE_MS + 50.0)
+        client = rig.client()
+        self.assertFalse(self.status(rig, client))
+        began = time.monotonic()
+        self.assertEqual(rig.ask("/active"), 200)
+        self.assertEqual(rig.ask("/status", "GET"), 200)
+        self.assertLess(time.monotonic() - began, 2.0)
+        client = rig.client()
+        self.assertTrue(self.status(rig, client))
+        client.call()
+        rig.until(lambda: len(scorer.runs) == 2, "it serves")
+        self.assertEqual([f for _, f in scorer.of(5) if f.fields["slots_up"] != "0"], loads)  # no load
