Replacement of the process: listener and idle connections are handed over by descriptor

Change: the two processes meet at a Unix socket in TMPDIR; the listener goes over, then each client connection once nothing is open on it, with what has come of a message that is not whole; what was learnt comes along with version and checksum.

--- a/fawnwharf/net/clients.py
+++ b/fawnwharf/net/clients.py
@@ -136,6 +136,16 @@
     def idle(self) -> bool:
         return not (self.open or self.connection.waiting_bytes or self.connection.closed)
 
+    def state(self) -> tuple[bytes, int]:
+        return self._reader.state()
+
+    def resume(self, partial: bytes, skip: int, spoke: bool, rest: bytes) -> None:
+        """Go on where another process was with this connection."""
+        self._reader.resume(partial, skip)
+        self.spoke = spoke
+        if rest:
+            self.connection.write(rest)
+
     @property
     def begun(self) -> bool:
         """Whether a message has come in part."""
@@ -194,7 +204,7 @@
     def on_flushed(self) -> None:
         """After the connection's own write of this turn: what is left is what the client does not read."""
         left = self.connection.waiting_bytes
-        self.connection.read_on(left < UNREAD_STOP)
+        self.connection.read_on(left < UNREAD_STOP and not self.port.paused)
         if left > UNREAD_MOST or (left > UNREAD_STOP and self.port.unread() > UNREAD_ALL_MOST):
             self.connection.close(End.STUFFED)
 
@@ -205,6 +215,19 @@
         self.port.ended(self)
 
 
+def _listening(address: Address, shared: bool) -> socket.socket:
+    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    if shared:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+    stamp_reads(listener)
+    listener.bind(address)
+    listener.listen(BACKLOG)
+    listener.setblocking(False)
+    return listener
+
+
 class ClientPort:
     """Owns the listener and the client connections, within a share of the descriptors."""
 
@@ -218,35 +241,45 @@
         most: int,
         log: Log,
         shared: bool = False,
+        listener: socket.socket | None = None,
     ) -> None:
-        """`shared`: another process may listen on the same address, to take this one's place."""
+        """`shared`: another process may listen on the same address, to take this one's place. `listener`: one
+        that listens already, taken over from another process; nothing is accepted until `accept` says so."""
         self.loop, self.table, self.log = loop, table, log
         self.classes, self.tenants = classes, tenants
         self.ready = False
         self.clients: dict[Client, None] = {}
-        self._most = most
-        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-        self._listener: socket.socket | None = socket.socket(family, socket.SOCK_STREAM)
-        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        if shared:
-            self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
-        stamp_reads(self._listener)
-        self._listener.bind(address)
-        self._listener.listen(BACKLOG)
-        self._listener.setblocking(False)
-        self.address: Address = self._listener.getsockname()[:2]
-        self._paused = False
+        self.most = most
+        self.listener: socket.socket | None = listener or _listening(address, shared)
+        self.address: Address = self.listener.getsockname()[:2]
+        self.paused = False  # nothing is read: what comes is another process's
+        self._accepting = self._resting = False
         self._idlest: deque[tuple[Client, float]] = deque()  # whom to close first, by the last look
         self._looked_ms = 0.0
-        loop.watch(self._listener, READ, self._accept)
+        if listener is None:
+            self.accept(True)
+
+    def accept(self, on: bool) -> None:
+        """Accept new connections, or leave them to whoever else has the listener."""
+        if self.listener is None or on == self._accepting:
+            return
+        self._accepting = on
+        if not self._resting:
+            self._watch(on)
+
+    def _watch(self, on: bool) -> None:
+        if on:
+            self.loop.watch(self.listener, READ, self._accept)
+        else:
+            self.loop.forget(self.listener)
 
     def _accept(self, _mask: int) -> None:
-        for _ in range(min(ACCEPTS_MOST, max(1, self._most // 2))):
-            if self._listener is None or (len(self.clients) >= self._most and not self._make_room()):
+        for _ in range(min(ACCEPTS_MOST, max(1, self.most // 2))):
+            if self.listener is None or (len(self.clients) >= self.most and not self._make_room()):
                 self._pause()
                 return
             try:
-                sock, _ = self._listener.accept()
+                sock, _ = self.listener.accept()
             except BlockingIOError:
                 return
             except OSError as error:
@@ -284,15 +317,36 @@
 
     def _pause(self) -> None:
         """Leave new connections to the system's queue for a moment, rather than spin on them."""
-        if self._listener is not None and not self._paused:
-            self._paused = True
-            self.loop.forget(self._listener)
+        if self.listener is not None and not self._resting:
+            self._resting = True
+            self._watch(False)
             self.loop.wheel.after(ACCEPT_PAUSE_MS, self._resume)
 
     def _resume(self) -> None:
-        self._paused = False
-        if self._listener is not None:
-            self.loop.watch(self._listener, READ, self._accept)
+        self._resting = False
+        if self.listener is not None and self._accepting:
+            self._watch(True)
+
+    # --- to and from another process ------------------------------------------------------------
+
+    def give(self, client: Client) -> tuple[socket.socket, bytes, int, bytes]:
+        """A connection for another process, on which nothing is open: its socket, the bytes of a message that
+        is not whole, how many bytes are to be thrown away, and what is unwritten."""
+        del self.clients[client]
+        sock, rest = client.connection.detach()
+        return sock, *client.state(), rest
+
+    def adopt(self, sock: socket.socket, partial: bytes, skip: int, spoke: bool, rest: bytes) -> None:
+        """Go on with a connection that another process had."""
+        client = Client(self, sock)
+        self.clients[client] = None
+        client.resume(partial, skip, spoke, rest)
+
+    def pause(self, on: bool) -> None:
+        """Read no further on any connection, or go on: what lies unread is for another process."""
+        self.paused = on
+        for client in self.clients:
+            client.connection.read_on(not on and client.connection.waiting_bytes < UNREAD_STOP)
 
     def unread(self) -> int:
         return sum(client.connection.waiting_bytes for client in self.clients)
@@ -319,10 +373,9 @@
                 client.end_overdue()
 
     def close(self) -> None:
-        if self._listener is not None:
-            if not self._paused:
-                self.loop.forget(self._listener)
-            self._listener.close()
-            self._listener = None
+        self.accept(False)
+        if self.listener is not None:
+            self.listener.close()
+            self.listener = None
         for client in list(self.clients):
             client.connection.close(End.STOPPED)
--- a/fawnwharf/net/connection.py
+++ b/fawnwharf/net/connection.py
@@ -200,10 +200,15 @@
 
     def _set_mask(self) -> None:
         mask = (READ * self._reading) | (WRITE * self._blocked)
-        # A selector takes no empty mask; a blocked writer always has one, and only such stop reading.
-        if mask and mask != self._mask and not self.closed:
-            self._mask = mask
+        if mask == self._mask or self.closed:
+            return
+        if not mask:  # a selector takes no empty one
+            self.loop.forget(self._sock)
+        elif not self._mask:
+            self.loop.watch(self._sock, mask, self._ready)
+        else:
             self.loop.change(self._sock, mask, self._ready)
+        self._mask = mask
 
     def _ready(self, mask: int) -> None:
         if not self.up:
@@ -259,6 +264,16 @@
                 return self.loop.stamps.age_ms(age, gap, looked_at=self._has_read)
         return 0.0
 
+    def detach(self) -> tuple[socket.socket, bytes]:
+        """Give the socket away, with what is unwritten on it; it is no connection of this loop any more."""
+        self.closed, self.owner = True, NOBODY
+        if self._mask:
+            self.loop.forget(self._sock)
+        rest = b"".join(piece.data[piece.written :] for piece in self._outbox)
+        self._outbox.clear()
+        self.waiting_bytes = 0
+        return self._sock, rest
+
     def _part(self) -> None:
         """Guards answers that are still on their way: closing with unread bytes would reset them."""
         with contextlib.suppress(OSError):
@@ -272,7 +287,8 @@
         self.closed = True
         if self._dial:
             self._dial.cancel()
-        self.loop.forget(self._sock)
+        if self._mask:
+            self.loop.forget(self._sock)
         if self.up and end in (End.IDLE, End.STOPPED):
             self._part()
         self._sock.close()
--- a/fawnwharf/net/front_end.py
+++ b/fawnwharf/net/front_end.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import signal
+import socket
 from collections.abc import Callable
 from typing import Any, Protocol
 
@@ -30,6 +31,10 @@
 STATES = {"in_service": io.State.READY, "terminating": io.State.DRAINING, "terminated": io.State.GONE}
 
 
+def _part(sockets: int, share: float) -> int:
+    return max(4, int(sockets * share))
+
+
 def worker_number(id: str) -> int:
     """The same at every front end, so that all make the same hash orders."""
     return int.from_bytes(hashlib.blake2b(id.encode(), digest_size=4).digest(), "big")
@@ -42,6 +47,19 @@
         """The front end ends."""
 
 
+class OperatorsPart(Part, Protocol):
+    """What operators ask, in a running front end."""
+
+    replaced: bool  # another process has taken this one's place
+    busy: bool  # something is still to be given to it
+
+    def begin(self) -> None:
+        """The front end starts."""
+
+    def leave(self) -> None:
+        """It was told to end."""
+
+
 class Seam(Part, Protocol):
     """What another subsystem may do to what this front end is told, and hear of what comes of it."""
 
@@ -65,26 +83,25 @@
         log: Log | None = None,
         reread: Callable[[], Deployment] | None = None,
         seam: Seam | None = None,
+        listener: socket.socket | None = None,
     ) -> None:
         """`reread` gives the configuration anew at each SIGHUP; without it, SIGHUP changes nothing.
-        `seam` stands between the roster and all that goes by it."""
+        `seam` stands between the roster and all that goes by it. `listener` is one taken over."""
         self.deployment, self._reread, self._seam = deployment, reread, seam
         self.log = log or Log(deployment.name or "fawnwharf")
         settings, wire, sockets = deployment.settings, deployment.wire, deployment.sockets
         self.loop = Loop(self._decide, self.log)
         self.router = Router(settings, deployment.seed)
-        links_most = max(4, int(sockets * SCORER_SHARE))
-        self.pool = ScorerPool(self.loop, wire, links_most, deployment.seed, self.log)
+        self.pool = ScorerPool(self.loop, wire, _part(sockets, SCORER_SHARE), deployment.seed, self.log)
         self.table = RequestTable(self.loop, self.pool, wire)
         self._news: io.RosterChanged | None = None  # that the next batch brings
         self.overlay = Overlay()
         self._limits: dict[str, float] = {}  # by who sets it
         self.changelog = ChangeLog(self.loop, deployment.changelog, 0, self._on_fleet, self.log)
         self._known()
-        clients_most = max(4, int(sockets * CLIENT_SHARE))
         self.port = ClientPort(
-            self.loop, deployment.listen, self.table, settings.classes, wire.tenants, clients_most, self.log,
-            shared=deployment.control is not None,
+            self.loop, deployment.listen, self.table, settings.classes, wire.tenants,
+            _part(sockets, CLIENT_SHARE), self.log, deployment.control is not None, listener,
         )  # fmt: skip
         self._carriers = {
             io.Send: self.table.send,
@@ -97,7 +114,7 @@
         }
         self._leaving_ms: float | None = None
         self.started = False
-        self.operators: Part | None = None
+        self.operators: OperatorsPart | None = None
 
     @property
     def leaving(self) -> bool:
@@ -109,7 +126,15 @@
 
     # --- life -----------------------------------------------------------------------------------
 
+    def keep_to(self, part: float) -> None:
+        """Keep to a part of the descriptors: another process has the rest."""
+        self.port.most = _part(self.deployment.sockets, part * CLIENT_SHARE)
+        self.pool.links_most = _part(self.deployment.sockets, part * SCORER_SHARE)
+
     def start(self) -> None:
+        if self.operators:
+            self.loop.turn(0.0)  # the module has its roster before it is told what another process learnt
+            self.operators.begin()
         self.changelog.connect()
         self.loop.wheel.after(TIDY_MS, self._tidy)
         self.started = self.port.ready = True
@@ -144,13 +169,20 @@
         if self._leaving_ms is None:
             self.log("leaving")
             self._leaving_ms = monotonic_ms()
-            self.port.ready = False
+            if self.operators:
+                self.operators.leave()
+            self.port.ready = self._replaced  # the front asks for the other process's sake, too
             self._look_to_leave()
 
+    @property
+    def _replaced(self) -> bool:
+        return self.operators is not None and self.operators.replaced
+
     def _look_to_leave(self) -> None:
         since = monotonic_ms() - self._leaving_ms
         busy = bool(self.table.open) or self.port.unwritten() or (self._seam and self._seam.busy)
-        if since > LINGER_MS or (since > LATE_ARRIVALS_MS and not busy):
+        busy = busy or (self._replaced and self.operators.busy)
+        if since > LINGER_MS or ((since > LATE_ARRIVALS_MS or self._replaced) and not busy):
             self.loop.running = False
         else:
             self.loop.wheel.after(LEAVE_LOOK_MS, self._look_to_leave)
--- a/fawnwharf/net/scorers.py
+++ b/fawnwharf/net/scorers.py
@@ -251,7 +251,7 @@
     def __init__(self, loop: Loop, wire: Wire, links_most: int, seed: int, log: Log) -> None:
         self.loop, self.wire, self.log = loop, wire, log
         self.scorers: dict[int, Scorer] = {}
-        self._links_most, self._links = links_most, 0
+        self.links_most, self._links = links_most, 0
         self._trust_most_ms = max(TRUST_LEAST_MS, IDLE_PART * wire.keepalive_ms)
         self._trust_ms = self._trust_most_ms  # a link idle for longer is not used again
         self._order_ids = itertools.count(random.Random(seed).getrandbits(62))
@@ -329,12 +329,12 @@
     def _may_spread(self) -> bool:
         """Guards scorers' connections and the price: many front ends with links to each run them short."""
         cheap = self.wire.handshake_price < HANDSHAKE_DEAR
-        return cheap and self._links < SPREAD_PART * self._links_most
+        return cheap and self._links < SPREAD_PART * self.links_most
 
     def _dial(self, scorer: Scorer) -> None:
         """As many dials as the waiting streams need; they wait for no longer than a dial takes."""
         while scorer.dialling() * self.wire.streams_per_conn < len(scorer.waiting):
-            if self._links >= self._links_most or len(scorer.links) >= LINKS_MOST:
+            if self._links >= self.links_most or len(scorer.links) >= LINKS_MOST:
                 failed = End.NO_DESCRIPTOR
             else:
                 failed = self._dial_one(scorer)
--- a/fawnwharf/net/thrift.py
+++ b/fawnwharf/net/thrift.py
@@ -74,6 +74,14 @@
     def skips(self) -> bool:
         return self._skip > 0
 
+    def state(self) -> tuple[bytes, int]:
+        """What is kept of a message that is not whole yet, and how many bytes are still to be thrown away."""
+        return bytes(self._buffer), self._skip
+
+    def resume(self, partial: bytes, skip: int) -> None:
+        """Go on from another reader's state."""
+        self._buffer, self._skip = bytearray(partial), skip
+
     def feed(self, data: bytes) -> list[Message | Malformed]:
         self._buffer += data
         found: list[Message | Malformed] = []
--- /dev/null
+++ b/fawnwharf/operators/handover.py
@@ -0,0 +1,149 @@
+"""What a process and the one that takes its place say to each other, and who owns what at which moment. Pure.
+
+Messages keep their bounds on the way (a Unix socket of that kind); those that carry a descriptor say so.
+"""
+
+from enum import Enum, auto
+
+import msgspec
+
+VERSION = 1
+TEXT_MOST = 60_000  # bytes of one message; more goes in parts
+PAUSE_MS = 400.0  # after SIGTERM: connections that never fall idle are read no further
+ANSWER_S = 1.5  # how long the new process waits for the old one at its start, before it goes on without it
+
+
+class Hello(msgspec.Struct, tag="hello", frozen=True):
+    """New to old, first: who takes whose place."""
+
+    version: int
+    listen: tuple[str, int]
+
+
+class No(msgspec.Struct, tag="no", frozen=True):
+    """Old to new: nothing is handed over."""
+
+    why: str
+
+
+class Part(msgspec.Struct, tag="part", frozen=True):
+    """Old to new: a part of what was learnt (`memory`), or of the bytes unwritten on the next connection."""
+
+    data: bytes
+
+
+class Door(msgspec.Struct, tag="door", frozen=True):
+    """Old to new: all of what was learnt has been said. Carries the listener."""
+
+
+class Ready(msgspec.Struct, tag="ready", frozen=True):
+    """New to old: from now on it accepts, and connections may come."""
+
+
+class Kept(msgspec.Struct, tag="kept", frozen=True):
+    """Old to new: a client connection, on which nothing is open here. Carries it."""
+
+    partial: bytes = b""  # of a message that is not whole yet
+    skip: int = 0  # bytes of an oversized one still to be thrown away
+    spoke: bool = True
+
+
+class Told(msgspec.Struct, tag="told", frozen=True):
+    """Either way: an operator's call that holds for both."""
+
+    path: str
+    target: str = ""
+
+
+class Done(msgspec.Struct, tag="done", frozen=True):
+    """Old to new: it ends, and nothing more will come."""
+
+
+Message = Hello | No | Part | Door | Ready | Kept | Told | Done
+CARRY = (Door, Kept)  # one descriptor each
+
+_encoder, _decoder = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder(Message)
+
+
+def encode(message: Message) -> bytes:
+    return _encoder.encode(message)
+
+
+def decode(data: bytes) -> Message | None:
+    """None for what is no message of this version."""
+    try:
+        return _decoder.decode(data)
+    except (msgspec.DecodeError, RecursionError):
+        return None
+
+
+def parts(data: bytes) -> list[Part]:
+    return [Part(data[at : at + TEXT_MOST]) for at in range(0, len(data), TEXT_MOST)]
+
+
+class Phase(Enum):
+    ALONE = auto()  # nobody takes this process's place
+    ASKED = auto()  # somebody is about to; this one still accepts
+    GIVEN = auto()  # the other accepts; this one gives its connections over
+    ENDING = auto()  # as before, and this one has been told to end
+
+
+class Do(Enum):
+    """What follows for the old process."""
+
+    NOTHING = auto()
+    TELL_ALL = auto()  # what was learnt, and the door
+    TURN_AWAY = auto()
+    STOP_ACCEPTING = auto()
+    ACCEPT_AGAIN = auto()
+    PAUSE = auto()  # read no further
+
+
+class Giver:
+    """The old process's side: from being alone to having given everything."""
+
+    def __init__(self, listen: tuple[str, int]) -> None:
+        self.listen = listen
+        self.phase = Phase.ALONE
+        self._leaving_ms: float | None = None
+        self._paused = False
+
+    @property
+    def gives(self) -> bool:
+        """Whether connections go over as they fall idle."""
+        return self.phase in (Phase.GIVEN, Phase.ENDING)
+
+    def hello(self, hello: Hello) -> Do:
+        if hello.version != VERSION or tuple(hello.listen) != self.listen or self._leaving_ms is not None:
+            return Do.TURN_AWAY
+        self.phase = Phase.ASKED
+        return Do.TELL_ALL
+
+    def ready(self) -> Do:
+        if self.phase is not Phase.ASKED:
+            return Do.NOTHING
+        self.phase = Phase.GIVEN if self._leaving_ms is None else Phase.ENDING
+        return Do.STOP_ACCEPTING
+
+    def lost(self) -> Do:
+        """The channel has ended: the other process is gone, or gave up."""
+        gave, self.phase, self._paused = self.gives, Phase.ALONE, False
+        return Do.ACCEPT_AGAIN if gave else Do.NOTHING
+
+    def leave(self, now_ms: float) -> None:
+        """This process was told to end."""
+        self._leaving_ms = now_ms
+        if self.phase is Phase.GIVEN:
+            self.phase = Phase.ENDING
+
+    def look(self, now_ms: float) -> Do:
+        """Now and then; what time alone brings."""
+        if self.phase is Phase.ENDING and not self._paused and now_ms - self._leaving_ms >= PAUSE_MS:
+            self._paused = True
+            return Do.PAUSE
+        return Do.NOTHING
+
+    def may_give(self, has_open: bool, unwritten: bool) -> bool:
+        """Whether a connection may go over now: it has one owner at all times, so nothing may be open on it.
+        What is unwritten goes along once this process ends; before, it is simpler to let it go out."""
+        return self.gives and not has_open and (self._paused or not unwritten)
--- /dev/null
+++ b/fawnwharf/operators/replacement.py
@@ -0,0 +1,239 @@
+"""Replacement of the process in a running front end: both sides' talk, and who accepts and owns what."""
+
+import os
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from fawnwharf.config import Deployment
+from fawnwharf.net.front_end import FrontEnd
+from fawnwharf.net.wheel import monotonic_ms
+from fawnwharf.operators import handover as h
+from fawnwharf.operators import memory as m
+from fawnwharf.operators.channel import Channel, Door, Place, ask
+
+LOOK_MS = 20.0  # pace of the look after connections that have fallen idle
+GIVE_MOST = 256  # connections in one look
+
+
+@dataclass(slots=True)
+class Inherited:
+    """What a start finds of the process before it; all empty where there is none."""
+
+    place: Place | None = None  # where the processes of this front end meet; None: nowhere
+    channel: socket.socket | None = None
+    memory: bytes = b""
+    listener: socket.socket | None = None
+
+
+def inherit(deployment: Deployment) -> Inherited:
+    """Ask for what the process before this one has, at the start."""
+    folder = os.environ.get("TMPDIR")
+    if not folder:
+        return Inherited()
+    place = Place(folder, deployment.name, deployment.listen)
+    found = ask(place, deployment.listen) if place.socket.exists() else None
+    return Inherited(place, *found) if found else Inherited(place, memory=place.read())
+
+
+class Replacement:
+    """Owns the talk with the process before this one, and with the one after it."""
+
+    def __init__(self, front: FrontEnd, inherited: Inherited, heard: Callable[[str, str], None]) -> None:
+        """`heard` takes an operator's call, by path and target, that the other process was asked."""
+        self.front, self.place, self._heard = front, inherited.place, heard
+        self.giver = h.Giver(front.address)
+        self.before: Channel | None = None  # to the process whose place this one takes
+        self.after: Channel | None = None  # to the process that takes this one's place
+        self.out: Callable[[], set[str]] = set
+        self._inherited, self._rest = inherited, bytearray()
+        self._door: Door | None = None
+        self._looking = self._ended = False
+
+    def remembered(self) -> m.Memory | None:
+        """What the process before this one has learnt, where it can be read."""
+        memory = m.decode(self._inherited.memory) if self._inherited.memory else None
+        if self._inherited.memory and memory is None:
+            self.front.log("what the process before had learnt can't be read: starting without")
+        return memory
+
+    def begin(self, memory: m.Memory | None) -> None:
+        """Take the place: believe what was learnt, accept, and be there for the next one."""
+        front, now = self.front, monotonic_ms()
+        if memory is not None and m.fresh(memory, now):
+            front.loop.guarded(m.restore, front.router, memory, front.loop.clock.now_ms(), now)
+            front.log(f"taking over: {len(memory.functions)} functions, {len(memory.scorers)} scorers known")
+        front.port.accept(True)
+        if self._inherited.channel is not None:
+            self.before = Channel(front.loop, self._inherited.channel, self._from_before, self._before_ended)
+            self.before.say(h.Ready())
+        self._share()
+        self._open()
+        self._inherited = Inherited()
+
+    def _open(self) -> None:
+        if self.place is None:
+            return
+        try:
+            self._door = Door(self.front.loop, self.place, self._came)
+        except OSError as error:
+            self.front.log(f"no socket for a replacement in TMPDIR: {error.strerror}")
+
+    def _close_door(self) -> None:
+        if self._door is not None:
+            self._door.close()
+            self._door = None
+
+    def _share(self) -> None:
+        """Guards the limits, which hold for both together while both run."""
+        self.front.keep_to(0.5 if self.before or self.after else 1.0)
+
+    def tell(self, path: str, target: str) -> None:
+        """An operator's call that holds for both."""
+        for channel in (self.before, self.after):
+            if channel is not None:
+                channel.say(h.Told(path, target))
+
+    def remember(self) -> None:
+        """Keep what was learnt in the file, for a process that finds nobody to ask."""
+        if self.place is None or self.giver.gives:
+            return
+        try:
+            self.place.write(self._learnt())
+        except OSError as error:
+            self.front.log(f"what was learnt is not kept: {error.strerror}")
+
+    def _learnt(self) -> bytes:
+        front = self.front
+        now, at = front.loop.clock.now_ms(), monotonic_ms()
+        try:
+            return m.encode(m.learnt(front.router, self.out(), now, at))
+        except Exception:  # what operators asked for must get over, whatever the beliefs are like
+            front.loop.fault("what was learnt")
+            return m.encode(m.Memory(at - 2 * m.OLD_MS, sorted(self.out())))
+
+    # --- as the new process ---------------------------------------------------------------------
+
+    def _from_before(self, message: h.Message, carried: socket.socket | None) -> None:
+        if isinstance(message, h.Part):
+            self._rest += message.data
+        elif isinstance(message, h.Kept) and carried is not None:
+            rest, self._rest = bytes(self._rest), bytearray()
+            self.front.port.adopt(carried, message.partial, message.skip, message.spoke, rest)
+        elif isinstance(message, h.Told):
+            self._heard(message.path, message.target)
+        elif carried is not None:
+            carried.close()
+
+    def _before_ended(self, channel: Channel) -> None:
+        self.before = None
+        if not self._ended:
+            self.front.log("the process before this one has ended")
+            self._share()
+
+    # --- as the old process ---------------------------------------------------------------------
+
+    def _came(self, sock: socket.socket) -> None:
+        if self.giver.gives:
+            sock.close()
+            return
+        if self.after is not None:  # it came first and did not get ready: the one that comes now counts
+            self.after.close()
+        self.after = Channel(self.front.loop, sock, self._from_after, self._after_ended)
+
+    def _from_after(self, message: h.Message, carried: socket.socket | None) -> None:
+        if isinstance(message, h.Hello):
+            self._do(self.giver.hello(message))
+        elif isinstance(message, h.Ready):
+            self._do(self.giver.ready())
+        elif isinstance(message, h.Told):
+            self._heard(message.path, message.target)
+
+    def _after_ended(self, channel: Channel) -> None:
+        if channel is self.after and not self._ended:
+            unsent, self.after = channel.take_back(), None
+            self._do(self.giver.lost())
+            self._adopt_again(unsent)
+            self._share()
+
+    def _adopt_again(self, unsent: list[tuple[h.Message, socket.socket | None]]) -> None:
+        rest = bytearray()
+        for message, carried in unsent:
+            if isinstance(message, h.Part):
+                rest += message.data
+            elif isinstance(message, h.Kept):
+                self.front.port.adopt(carried, message.partial, message.skip, message.spoke, bytes(rest))
+                rest.clear()
+            elif carried is not None:
+                carried.close()
+
+    def _do(self, what: h.Do) -> None:
+        front = self.front
+        if what is h.Do.TELL_ALL:
+            front.log("another process is about to take this one's place")
+            self._share()
+            for part in h.parts(self._learnt()):
+                self.after.say(part)
+            self.after.say(h.Door(), front.port.listener.dup())
+        elif what is h.Do.TURN_AWAY:
+            self.after.say(h.No("another version, another address, or leaving"))
+            self.after.close()
+        elif what is h.Do.STOP_ACCEPTING:
+            front.log("another process has taken this one's place")
+            front.port.accept(False)
+            self._close_door()  # the other has one of its own
+            self._look()
+        elif what is h.Do.ACCEPT_AGAIN:
+            front.log("the process that took this one's place has ended: accepting again")
+            front.port.accept(True)
+            front.port.pause(False)
+            self._open()
+        elif what is h.Do.PAUSE:
+            front.port.pause(True)
+
+    def leave(self) -> None:
+        """This process was told to end."""
+        self.remember()
+        self.giver.leave(monotonic_ms())
+
+    @property
+    def replaced(self) -> bool:
+        return self.giver.gives
+
+    @property
+    def busy(self) -> bool:
+        """Whether something is still to be given over."""
+        return self.giver.gives and (bool(self.front.port.clients) or self.after.unsent)
+
+    def _look(self) -> None:
+        if self._looking or not self.giver.gives:
+            return
+        self._do(self.giver.look(monotonic_ms()))
+        self._give()
+        self._looking = True
+        self.front.loop.wheel.after(LOOK_MS, self._look_again)
+
+    def _look_again(self) -> None:
+        self._looking = False
+        self._look()
+
+    def _give(self) -> None:
+        given = 0
+        for client in list(self.front.port.clients):
+            connection = client.connection
+            if connection.finishing or connection.closed or given == GIVE_MOST:
+                continue
+            if self.giver.may_give(bool(client.open), bool(connection.waiting_bytes)):
+                sock, partial, skip, rest = self.front.port.give(client)
+                for part in h.parts(rest):
+                    self.after.say(part)
+                self.after.say(h.Kept(partial, skip, client.spoke), sock)
+                given += 1
+
+    def close(self) -> None:
+        """This process ends: it takes nothing back, and leaves the meeting place to the other."""
+        self._ended = True
+        self._close_door()
+        for channel in (self.before, self.after):
+            if channel is not None:
+                channel.close()
--- a/fawnwharf/operators/service.py
+++ b/fawnwharf/operators/service.py
@@ -3,11 +3,13 @@
 from fawnwharf import interface as io
 from fawnwharf.config import Address, ConfigError
 from fawnwharf.net.front_end import FrontEnd
+from fawnwharf.net.overlay import Closer
 from fawnwharf.net.wheel import monotonic_ms
 from fawnwharf.operators import drain
 from fawnwharf.operators.desk import BringBack, Desk, Effect, Resume, StandBy, TakeOut
 from fawnwharf.operators.http import Answer, Asked
 from fawnwharf.operators.port import ControlPort
+from fawnwharf.operators.replacement import Inherited, Replacement
 
 TIDY_MS = 250.0
 CLOSER = LIMIT = "operators"
@@ -16,8 +18,8 @@
 class Operators:
     """Owns the second address, and carries out what is asked there."""
 
-    def __init__(self, front: FrontEnd, address: Address) -> None:
-        """Raises ConfigError where the address can't be listened on."""
+    def __init__(self, front: FrontEnd, address: Address, inherited: Inherited | None = None) -> None:
+        """Raises ConfigError where the address can't be listened on. `inherited`: from the process before."""
         self.front = front
         self.desk = Desk(lambda id: id in front.overlay.members)
         try:
@@ -26,25 +28,55 @@
             raise ConfigError(f"control: {error.strerror}: {address}") from None
         self._draining_ms: float | None = None
         self._refusing = False
+        self.replacement = Replacement(front, inherited or Inherited(), self._heard)
+        self.replacement.out = lambda: self.desk.out
+        self._memory = self.replacement.remembered()
+        if self._memory is not None and self._memory.out:
+            front.log(f"taken out before this process: {', '.join(self._memory.out)[:200]}")
+            self.desk.out.update(self._memory.out)
+            front.go_by(front.overlay.close(CLOSER, self._closer()))
         front.operators = self
         self._tidy()
 
+    def begin(self) -> None:
+        self.replacement.begin(self._memory)
+        self._memory = None
+
     def take(self, asked: Asked) -> Answer:
+        """Take an operator's call that was made here."""
+        answer, effect = self._take(asked)
+        if effect is not None:
+            self.replacement.tell(asked.path, effect.id if isinstance(effect, TakeOut | BringBack) else "")
+        return answer
+
+    def _heard(self, path: str, target: str) -> None:
+        """Take one that was made at the other process's address. Its drain is the other's own, once that has
+        the clients."""
+        if not self.replaced or target:
+            self._take(Asked("POST", path, (("target", target),) if target else ()))
+
+    def _take(self, asked: Asked) -> tuple[Answer, Effect | None]:
         self.desk.serving, self.desk.leaving = self.front.started, self.front.leaving
         answer, effect = self.desk.take(asked)
         if asked.method != "GET":
             self.front.log(f"operators: {asked.path}: {answer.status} {answer.text}")
         if effect is not None:
             self._carry_out(effect)
-        return answer
+        return answer, effect
+
+    def _closer(self) -> Closer:
+        out = frozenset(self.desk.out)
+        return lambda member: member.id in out
 
     def _carry_out(self, effect: Effect) -> None:
         if isinstance(effect, TakeOut | BringBack):
-            out = frozenset(self.desk.out)
-            changes = self.front.overlay.close(CLOSER, lambda member: member.id in out)
+            changes = self.front.overlay.close(CLOSER, self._closer())
             if isinstance(effect, BringBack):
                 changes = self.front.overlay.returned([effect.id], self.front.loop.clock.now_ms())
             self.front.go_by(changes)
+            self.replacement.remember()
+        elif self.replaced:
+            return  # the other process was told
         elif isinstance(effect, StandBy):
             self._draining_ms = monotonic_ms()
             self._look()
@@ -58,6 +90,17 @@
         """Whether the front end is to say that it takes work."""
         return self.front.started and not self.front.leaving and not self.desk.standby
 
+    @property
+    def replaced(self) -> bool:
+        return self.replacement.replaced
+
+    @property
+    def busy(self) -> bool:
+        return self.replacement.busy
+
+    def leave(self) -> None:
+        self.replacement.leave()
+
     # --- draining -------------------------------------------------------------------------------
 
     def _look(self) -> None:
@@ -81,4 +124,5 @@
         self.front.loop.wheel.after(TIDY_MS, self._tidy)
 
     def close(self) -> None:
+        self.replacement.close()
         self.port.close()
--- a/fawnwharf/serving.py
+++ b/fawnwharf/serving.py
@@ -44,8 +44,14 @@
 
         parts.append(State(deployment, state, writer(deployment.name), fresh))
     seam = Seams(parts) if len(parts) > 1 else parts[0] if parts else None
+    inherited = None
+    if deployment.control:
+        from fawnwharf.operators.replacement import inherit
+
+        inherited = inherit(deployment)
+    listener = inherited.listener if inherited else None
     try:
-        front = FrontEnd(deployment, reread=lambda: config.load(path), seam=seam)
+        front = FrontEnd(deployment, reread=lambda: config.load(path), seam=seam, listener=listener)
     except OSError as error:
         raise config.ConfigError(f"listen: {error.strerror}: {deployment.listen}") from None
     if len(parts) > 1:  # what the plan changes, the state's roster has to know
@@ -55,7 +61,7 @@
     if deployment.control:
         from fawnwharf.operators.service import Operators
 
-        Operators(front, deployment.control)
+        Operators(front, deployment.control, inherited)
     return front
 
 
