The process that ends waits until all that it gave has come

An AF_UNIX end that closes with something unread (an operator's call passed on) has the other's next read fail before what lies queued: connections given but not yet taken are gone. Change: Done and its echo; the new one says nothing more after it. status on kept connections stays good where SIGTERM is seen before Ready.

--- a/fawnwharf/operators/handover.py
+++ b/fawnwharf/operators/handover.py
@@ -56,7 +56,10 @@
 
 
 class Done(msgspec.Struct, tag="done", frozen=True):
-    """Old to new: it ends, and nothing more will come."""
+    """Old to new: it ends, and nothing more will come. New to old: all has come, and it says nothing more.
+
+    Guards what is on its way: where one end of such a socket closes with something unread, the other's next
+    read fails, however much lies before it."""
 
 
 Message = Hello | No | Part | Door | Ready | Kept | Told | Done
--- a/fawnwharf/operators/replacement.py
+++ b/fawnwharf/operators/replacement.py
@@ -46,9 +46,10 @@
         self.before: Channel | None = None  # to the process whose place this one takes
         self.after: Channel | None = None  # to the process that takes this one's place
         self.out: Callable[[], set[str]] = set
-        self._inherited, self._rest = inherited, bytearray()
+        self._inherited, self._rest, self._before_done = inherited, bytearray(), False
         self._door: Door | None = None
         self._looking = self._ended = False
+        self._said_done = self._all_came = False
 
     def remembered(self) -> m.Memory | None:
         """What the process before this one has learnt, where it can be read."""
@@ -90,7 +91,8 @@
 
     def tell(self, path: str, target: str) -> None:
         """An operator's call that holds for both."""
-        for channel in (self.before, self.after):
+        before = None if self._before_done else self.before
+        for channel in (before, self.after):
             if channel is not None:
                 channel.say(h.Told(path, target))
 
@@ -122,11 +124,14 @@
             self.front.port.adopt(carried, message.partial, message.skip, message.spoke, rest)
         elif isinstance(message, h.Told):
             self._heard(message.path, message.target)
+        elif isinstance(message, h.Done):
+            self.before.say(h.Done())
+            self._before_done = True
         elif carried is not None:
             carried.close()
 
     def _before_ended(self, channel: Channel) -> None:
-        self.before = None
+        self.before, self._before_done = None, False
         if not self._ended:
             self.front.log("the process before this one has ended")
             self._share()
@@ -148,10 +153,12 @@
             self._do(self.giver.ready())
         elif isinstance(message, h.Told):
             self._heard(message.path, message.target)
+        elif isinstance(message, h.Done):
+            self._all_came = True
 
     def _after_ended(self, channel: Channel) -> None:
         if channel is self.after and not self._ended:
-            unsent, self.after = channel.take_back(), None
+            unsent, self.after, self._said_done = channel.take_back(), None, False
             self._do(self.giver.lost())
             self._adopt_again(unsent)
             self._share()
@@ -181,6 +188,9 @@
         elif what is h.Do.STOP_ACCEPTING:
             front.log("another process has taken this one's place")
             front.port.accept(False)
+            front.port.ready = (
+                True  # whoever asks on a kept connection asks for the other process's sake, too
+            )
             self._close_door()  # the other has one of its own
             self._look()
         elif what is h.Do.ACCEPT_AGAIN:
@@ -202,14 +212,17 @@
 
     @property
     def busy(self) -> bool:
-        """Whether something is still to be given over."""
-        return self.giver.gives and (bool(self.front.port.clients) or self.after.unsent)
+        """Whether something is still to be given over, or on its way."""
+        return self.giver.gives and not self._all_came
 
     def _look(self) -> None:
         if self._looking or not self.giver.gives:
             return
         self._do(self.giver.look(monotonic_ms()))
         self._give()
+        if self.giver.phase is h.Phase.ENDING and not (self.front.port.clients or self._said_done):
+            self._said_done = True
+            self.after.say(h.Done())
         self._looking = True
         self.front.loop.wheel.after(LOOK_MS, self._look_again)
 
