The lab sees the end of a process only with all that it wrote

On a busy machine members-change failed with "n3 ended with 2" though n3 ended as it should: the step read log.txt as soon as the process was gone, while its last lines were still in the pipe or in a buffer of the file. What was left in the pipe was then taken for lines of the next life.

Once a process has ended, what its pipe holds is read to the end, counted by FIONREAD so that a child that keeps the pipe open delays nothing; only then is the end seen. Lines are kept with the life that wrote them. Alike, by a look at all other steps: a kill no longer hides an end that came before it; a front end that ends instead of serving is told at once; a step on the leader waits until one is known; a note counts if it came while the step before was under way, and one on a decision by its index; the list of voters is the one decided last, not told last; members-change waits for the list by its names.

--- /dev/null
+++ b/tests/test_lab_steps.py
@@ -0,0 +1,154 @@
+"""What the lab sees of its processes and of what they tell: the same on a machine that is busy.
+
+Stand-ins take the place of front ends, and what is to be late is late: nothing here rests on luck.
+"""
+
+import fcntl
+import json
+import os
+import select
+import signal
+import sys
+
+import pytest
+
+from fawnwharf.lab import scenario as scenarios
+from fawnwharf.lab.fleet import LabFault, Noted
+from fawnwharf.lab.run import Runner
+from fawnwharf.lab.scenario import Step, When
+
+REFUSED = Step("start_refused", what="n0", text="the last word")
+WAITS = "import signal; signal.pause()"
+
+
+@pytest.fixture
+def runner():
+    made = Runner(scenarios.load("zone-cut"), seed=1)
+    yield made
+    made.fleet.close()
+
+
+def plays(fleet, *lines):
+    """Front ends are this program from now on."""
+    fleet.command = lambda front: [sys.executable, "-c", "\n".join(lines)]
+
+
+def ends_unseen(fleet):
+    """Each process that is started has ended before the lab looks at it and at its pipe."""
+    start = fleet.start
+
+    def started(front):
+        start(front)
+        fcntl.fcntl(front.process.stderr, fcntl.F_SETPIPE_SZ, 1 << 20)
+        front.process.wait()
+
+    fleet.start = started
+
+
+@pytest.mark.parametrize("lines", [0, 10, 10_000])
+@pytest.mark.parametrize("end", ["", "\\n"])
+def test_the_end_of_a_process_is_seen_with_all_that_it_wrote(runner, lines, end):
+    fleet = runner.fleet
+    plays(
+        fleet,
+        "import sys",
+        f"sys.stderr.write({lines} * 'a line of many\\n' + 'the last word{end}')",
+        "sys.exit(2)",
+    )
+    ends_unseen(fleet)
+    runner._start_refused(REFUSED)
+    front = fleet.fronts["n0"]
+    assert front.status is None and not front.alive
+    kept = (front.folder / "log.txt").read_text()
+    assert kept.rstrip("\n").endswith("the last word") and kept.count("a line of many") == lines
+
+
+def test_an_end_does_not_wait_for_a_child_that_keeps_the_pipe_open(runner):
+    fleet, front = runner.fleet, runner.fleet.fronts["n0"]
+    plays(
+        fleet,
+        "import subprocess, sys",
+        f"child = subprocess.Popen([sys.executable, '-c', {WAITS!r}])",
+        "sys.stderr.write(f'{child.pid}\\nthe last word\\n')",
+        "sys.exit(2)",
+    )
+    ends_unseen(fleet)
+    try:
+        runner._start_refused(REFUSED)
+    finally:
+        os.kill(int(front.lines[0]), signal.SIGKILL)
+
+
+def test_another_end_than_the_one_that_was_to_come_is_told_by_its_last_line(runner):
+    fleet = runner.fleet
+    plays(fleet, "import sys", "sys.exit('first\\nanother word')")
+    ends_unseen(fleet)
+    with pytest.raises(LabFault, match="n0 ended with 1: another word"):
+        runner._start_refused(REFUSED)
+    with pytest.raises(LabFault, match="n1 ended with 1: another word"):  # not only after all its patience
+        runner._start(Step("start", what="n1"))
+
+
+def test_what_a_life_wrote_is_never_taken_for_the_next_ones(runner):
+    fleet, front = runner.fleet, runner.fleet.fronts["n0"]
+    told = 'serving on x\\n{"event":"role","role":"leader"}\\n{"event":"following","zones":{"a":"out 0"}}\\n'
+    plays(fleet, "import sys", f"sys.stderr.write('{told}')", WAITS)
+    fleet.start(front)
+    select.select([front.process.stderr], [], [], 30.0)  # it is in the pipe, and was not read
+    fleet.kill(front)
+    assert [note.event for note in fleet.notes] == ["role", "following"]
+    assert len(front.lives) == 1 and front.lives[0][1] < float("inf")
+    plays(fleet, WAITS)
+    fleet.start(front)
+    for _ in range(3):
+        fleet.turn(0.0)
+    assert front.alive and not front.ready and front.role == "" and front.plan is None
+    assert len(front.lives) == 1 and not front.lines
+
+
+def test_one_that_had_ended_by_itself_was_not_killed(runner):
+    fleet, front = runner.fleet, runner.fleet.fronts["n0"]
+    plays(fleet, "import sys", "sys.exit(1)")
+    ends_unseen(fleet)
+    fleet.start(front)
+    fleet.kill(front)
+    assert front.status == 1
+
+
+def test_what_is_waited_for_may_come_while_the_step_before_is_under_way(runner):
+    notes = runner.fleet.notes
+
+    def told(event, **fields):
+        notes.append(Noted(0.0, "n0", event, fields))
+
+    told("older disk")
+    told("voters", index=7, voters=["n0#a", "n1#a", "n2#a"])
+    runner.noted = len(notes)
+    assert not runner._noted("older disk") and not runner._noted("voters")
+    told("voters", index=7, voters=["n0#a", "n1#a", "n2#a"])  # another member tells of the same, later
+    told("voters", index=3, voters=["n0#a", "n1#a"])  # and one that starts again, of an earlier one
+    assert not runner._noted("voters")
+    runner._await(When(voters=3, voters_are="n0,n1,n2", within_s=0.1))
+    told("older disk")
+    told("voters", index=8, voters=["n0#a", "n1#a"])
+    assert runner._noted("older disk") and runner._noted("voters")
+    runner._await(When(voters=2, voters_are="n0,n1", note="voters", within_s=0.1))
+
+
+def test_a_step_on_the_leader_waits_until_one_leads(runner):
+    fleet, front = runner.fleet, runner.fleet.fronts["n0"]
+    plays(
+        fleet,
+        "import signal, sys",
+        f"told = {json.dumps({'event': 'role', 'role': 'leader'})!r}",
+        "signal.signal(signal.SIGTERM, lambda *_: sys.stderr.write(told + '\\n'))",
+        "sys.stderr.write('serving on x\\n')",
+        "signal.pause()",
+        "signal.pause()",
+    )
+    fleet.start(front)
+    fleet.until(lambda: front.ready, "it serves")
+    assert runner.fronts("leader") == []
+    front.process.terminate()
+    runner._await_roles(Step("stop", what="leader"), "a test")
+    assert runner.fronts("leader") == [front]
