The lab in parts: topology, files, processes, conditions, steps, measures

Now processes.py has front ends and their pipes, topology.py what stands around them, files.py what they read, fleet.py how they are started and ended; parties.py tells whom a step is about, conditions.py what it waits for, steps.py what it does, measures.py what came of it, and run.py puts them together.

--- a/fawnwharf/lab/checker.py
+++ b/fawnwharf/lab/checker.py
@@ -7,7 +7,8 @@
 from collections import Counter, defaultdict, deque
 from dataclasses import dataclass, field
 
-from fawnwharf.lab.fleet import DEDUP_MS, RATION, RULES, Fleet
+from fawnwharf.lab.files import DEDUP_MS, RATION, RULES
+from fawnwharf.lab.fleet import Fleet
 
 SLACK_MS = 400.0
 RATION_ROOM = 1.15
--- a/fawnwharf/lab/compare.py
+++ b/fawnwharf/lab/compare.py
@@ -9,7 +9,7 @@
 from dataclasses import asdict, dataclass
 from pathlib import Path
 
-from fawnwharf.lab.run import Measures
+from fawnwharf.lab.measures import Measures
 
 RESOLUTION = 0.005  # of service
 DRAWS = 4_000
--- /dev/null
+++ b/fawnwharf/lab/files.py
@@ -0,0 +1,117 @@
+"""The files that front ends read: configuration, members, settings of zones and of state."""
+
+import os
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from fawnwharf.lab.processes import Front
+from fawnwharf.lab.topology import BALLOTS, KINDS, PORT, PUBLIC, STATE, TENANTS, Topology, hash_of
+
+DEDUP_MS = 3_000.0
+RULES = {"cold": 4_000.0, "cold_share": 0.2, "fall": 1_500.0, "fall_multiple": 2.0, "drain_grace": 250.0}
+STATE_RULES = {"call_most_ms": 2_500.0, "window_ms": 4_000.0}
+RATION = {"load_window": 5_000.0, "free_loads": 8.0, "load_part": 0.3}
+
+
+def write_whole(path: Path, data: Any) -> None:
+    """Beside it first, then in its place: a reader finds all of it or the one before."""
+    beside = path.with_suffix(".new")
+    beside.write_bytes(msgspec.json.format(msgspec.json.encode(data), indent=1))
+    os.rename(beside, path)
+
+
+def members(
+    fleet: Topology, viewer: Front, number: int = 1, voters: set[str] | None = None
+) -> dict[str, Any]:
+    """The file of members as one front end reaches the others."""
+    entries = []
+    for front in fleet.fronts.values():
+        votes = front.voter if voters is None else front.name in voters
+        entry = {"name": front.name, "zone": front.zone, "region": fleet.scenario.zones[front.zone].region}
+        entry["address"] = _reached(fleet, viewer, front, "public", PUBLIC)
+        if fleet.scenario.state is not None:
+            entry["state"] = _reached(fleet, viewer, front, "state", STATE)
+        if votes:
+            entry["ballots"] = _reached(fleet, viewer, front, "ballots", BALLOTS)
+        entries.append(entry)
+    return {"version": 1, "fleet": "lab", "number": number, "members": entries}
+
+
+def _reached(fleet: Topology, viewer: Front, front: Front, what: str, port: int) -> str:
+    relay = fleet.relays.get((viewer.name, front.name, what))
+    return relay.host_port if relay else f"{front.host}:{port}"
+
+
+def write_members(fleet: Topology, number: int, voters: set[str] | None = None) -> None:
+    for front in fleet.fronts.values():
+        write_whole(front.folder / "members.json", members(fleet, front, number, voters))
+
+
+def write_files(fleet: Topology, front: Front) -> None:
+    settings = {
+        "version": 1,
+        "members": "members.json",
+        "folder": "state",
+        "listen": f"{front.host}:{PUBLIC}",
+        "listen_ballots": f"{front.host}:{BALLOTS}",
+        **fleet.scenario.settings,
+    }
+    write_whole(front.folder / "zones.json", settings)
+    if fleet.scenario.state is not None:
+        state = {"version": 1, "members": "members.json", "listen": f"{front.host}:{STATE}"}
+        state["folder"] = "kept"
+        write_whole(front.folder / "state.json", {**state, **STATE_RULES, **fleet.scenario.state})
+    if not front.lives or not (front.folder / "members.json").exists():  # a folder of an earlier run
+        write_whole(front.folder / "members.json", members(fleet, front))
+
+
+def config(fleet: Topology, front: Front) -> dict[str, Any]:
+    sold = sum(spec.rps for spec in fleet.scenario.zones.values()) * 1.25
+    classes = [
+        {
+            "name": kind.name,
+            "effect": kind.effect,
+            "promise": kind.promise_ms,
+            "give_up": kind.give_up_ms,
+            "group": "all",
+            "dedup_window": DEDUP_MS if kind.effect == "deduplicated" else 0.0,
+            "worth": kind.worth,
+        }
+        for kind in KINDS
+    ]
+    return {
+        "name": front.name,
+        "listen": f"{front.host}:{PORT}",
+        "changelog": fleet.relays[front.name, "changelog", "roster"].host_port,
+        "seed": f"{hash_of(f'{fleet.seed}/{front.name}/{len(front.lives)}'):016x}",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "known": front.log.begin(fleet.entries(front)),
+        "settings": {
+            "classes": classes,
+            "tenants": [
+                {"name": name, "quota_rps": fleet.scenario.quotas.get(name, sold / len(TENANTS))}
+                for name in TENANTS
+            ],
+            "bounds": {
+                "max_attempts": 3,
+                "cancel": True,
+                "second_copies": True,
+                "dial_timeout": 250.0,
+                "retry_after": True,
+                "max_retry_after": fleet.scenario.pushback_ms,
+            },
+            "family_info": {
+                "may_order": True,
+                "not_loaded": "load",
+                "notes_peers_in_hand": True,
+                "idle_life": 9_000.0,
+                **RATION,
+            },
+            "invariants": RULES,
+            "fleet_size": len(fleet.fronts),
+            "locality": front.zone,
+            "weight_source": "nominal",
+        },
+    }
--- /dev/null
+++ b/fawnwharf/lab/measures.py
@@ -0,0 +1,177 @@
+"""Measures what became of the calls of a run, and what it took."""
+
+import contextlib
+from collections import Counter
+from dataclasses import dataclass, field
+
+from hdrh.histogram import HdrHistogram
+
+from fawnwharf.lab.checker import Verdict, judge
+from fawnwharf.lab.fleet import Fleet
+from fawnwharf.lab.topology import STATE
+from fawnwharf.net.wheel import monotonic_ms
+from fawnwharf.replication.commands import look
+
+
+@dataclass(slots=True)
+class Second:
+    """Of one second, by when its requests began."""
+
+    asked: float = 0.0  # worth
+    served: float = 0.0  # worth, in time
+    requests: int = 0
+    refused: int = 0
+    failed: int = 0
+    late: int = 0
+
+
+@dataclass(slots=True)
+class Measures:
+    """Figures of one run; milliseconds, worth and counts."""
+
+    scenario: str
+    seed: int
+    decided: bool
+    verdict: Verdict
+    seconds: list[Second]
+    marks: dict[str, float]  # seconds since the load began
+    outcomes: Counter
+    percentiles: dict[str, float]
+    crossing: float  # part of the calls that reached a scorer of another zone than their front end's
+    fetches: int
+    worst_fetches: int
+    fell: int
+    cpu: float = 0.0  # of a core, the mean front end that lived through the load
+    memory_mb: float = 0.0  # the largest
+    member_bytes: float = 0.0  # between members, a second and member
+    acted: list[float] = field(default_factory=list)  # seconds from a zone's loss, of each that lived on
+    second_runs: int = 0  # of at-most-once calls
+    keyed_repeats: int = 0  # runs of keyed calls beyond their first
+    by_tenant: dict[str, float] = field(default_factory=dict)  # service of each
+    once_ms: tuple[float, float] = (
+        0.0,
+        0.0,
+    )  # at-most-once calls until their answer: median, 99th percentile
+    waits_ms: tuple[float, float] = (0.0, 0.0)  # for keepers: the mean median and the largest 99th percentile
+    comebacks: Counter = field(default_factory=Counter)  # what became of lost at-most-once calls asked again
+    complaints: list[str] = field(default_factory=list)
+
+    def service(self, since_s: float = 0.0, until_s: float = 1e9) -> float:
+        """Worth answered in time over worth asked."""
+        part = [s for n, s in enumerate(self.seconds) if since_s <= n < until_s]
+        asked = sum(s.asked for s in part)
+        return sum(s.served for s in part) / asked if asked else float("nan")
+
+
+class Meter:
+    """Begins with the load: what was used before it is not counted."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet = fleet
+        fleet.marks["load"] = monotonic_ms()
+        self.used, self.passed = fleet.used(), fleet.between_members()
+        self.lost: tuple[str, float] | None = None  # the first zone that was lost, and when
+
+    def zone_lost(self, zone: str) -> None:
+        self.lost = self.lost or (zone, monotonic_ms())
+
+    def measure(self) -> Measures:
+        fleet = self.fleet
+        began = fleet.marks["load"]
+        length = int((monotonic_ms() - began) / 1000.0) + 1
+        seconds = [Second() for _ in range(length)]
+        outcomes: Counter = Counter()
+        times, once = HdrHistogram(1, 60_000, 3), HdrHistogram(1, 60_000, 3)
+        for request in fleet.clients.requests:
+            second = seconds[min(length - 1, int((request.began_ms - began) / 1000.0))]
+            second.asked += request.kind.worth
+            second.requests += 1
+            second.served += request.kind.worth * request.on_time
+            second.refused += request.outcome == "refused"
+            second.late += request.outcome == "late" or (request.outcome == "served" and not request.on_time)
+            second.failed += request.outcome in ("failed", "lost", "not taken", "no front end")
+            outcomes[request.outcome] += 1
+            if request.outcome == "served":
+                took = max(1, int(request.ended_ms - request.began_ms))
+                times.record_value(took)
+                if request.kind.effect == "at_most_once":
+                    once.record_value(took)
+        spent, used = (monotonic_ms() - began) / 1000.0, fleet.used()
+        lived = [name for name in used if name in self.used and used[name][0] >= self.used[name][0]]
+        cpu = [(used[name][0] - self.used[name][0]) / spent for name in lived]
+        passed = fleet.between_members() - self.passed
+        runs = [a for a in fleet.arrivals if a.what == "run" and a.sender in fleet.fronts]
+        far = sum(fleet.fronts[a.sender].zone != fleet.scorer_zone[a.scorer] for a in runs)
+        return Measures(
+            scenario=fleet.scenario.name,
+            seed=fleet.seed,
+            decided=fleet.scenario.decide,
+            verdict=judge(fleet),
+            seconds=seconds,
+            marks={name: (at - began) / 1000.0 for name, at in fleet.marks.items()},
+            outcomes=outcomes,
+            percentiles={f"p{p}": times.get_value_at_percentile(p) for p in (50, 95, 99)},
+            crossing=far / len(runs) if runs else 0.0,
+            fetches=fleet.store.fetches,
+            worst_fetches=fleet.store.worst,
+            fell=sum(scorer.fallen for scorer in fleet.scorers.values()),
+            cpu=sum(cpu) / len(cpu) if cpu else 0.0,
+            memory_mb=max((used[name][1] for name in used), default=0.0),
+            member_bytes=passed / spent / len(fleet.fronts),
+            acted=self._acted(),
+            second_runs=self._repeats("at_most_once"),
+            keyed_repeats=self._repeats("deduplicated"),
+            by_tenant=self._by_tenant(),
+            once_ms=(once.get_value_at_percentile(50), once.get_value_at_percentile(99)),
+            waits_ms=self._waits(),
+            comebacks=Counter(
+                request.outcome
+                for request in fleet.clients.requests
+                if request.kind.effect == "at_most_once"
+                and any(attempt.outcome == "lost" for attempt in request.tries[:-1])
+            ),
+            complaints=list(fleet.complaints),
+        )
+
+    def _by_tenant(self) -> dict[str, float]:
+        asked: Counter = Counter()
+        served: Counter = Counter()
+        for request in self.fleet.clients.requests:
+            asked[request.tenant] += request.kind.worth
+            served[request.tenant] += request.kind.worth * request.on_time
+        return {tenant: served[tenant] / worth for tenant, worth in sorted(asked.items())}
+
+    def _repeats(self, effect: str) -> int:
+        runs = Counter(a.id for a in self.fleet.arrivals if a.what == "run")
+        by_request: Counter = Counter()
+        for id, count in runs.items():
+            request = self.fleet.clients.by_call.get(id)
+            if request is not None and request.kind.effect == effect:
+                by_request[request.token] += count
+        return sum(count - 1 for count in by_request.values())
+
+    def _waits(self) -> tuple[float, float]:
+        """How long calls waited for their keepers, as the front ends that live tell."""
+        if self.fleet.scenario.state is None:
+            return 0.0, 0.0
+        found = []
+        live = [front for front in self.fleet.fronts.values() if front.alive and not front.stopped]
+        for front in live:
+            with contextlib.suppress(OSError, ValueError):
+                found.append(look(f"{front.host}:{STATE}").wait_ms)
+        if not found:
+            return 0.0, 0.0
+        return sum(half for half, _ in found) / len(found), max(most for _, most in found)
+
+    def _acted(self) -> list[float]:
+        """When each front end that lived on went by a plan without the zone that was lost first."""
+        if self.lost is None:
+            return []
+        zone, lost_ms = self.lost
+        found: dict[str, float] = {}
+        for note in self.fleet.notes:
+            told = note.event == "following" and note.at_ms >= lost_ms
+            told = told and self.fleet.fronts[note.front].zone != zone
+            if told and note.fields.get("zones", {}).get(zone, "").startswith("out"):
+                found.setdefault(note.front, (note.at_ms - lost_ms) / 1000.0)
+        return sorted(found.values())
--- /dev/null
+++ b/fawnwharf/lab/parties.py
@@ -0,0 +1,85 @@
+"""Whom a step is about: front ends, scorers and links, by the words that scenarios use."""
+
+import random
+from collections.abc import Callable
+
+from fawnwharf.lab.fleet import Fleet
+from fawnwharf.lab.processes import Front
+from fawnwharf.lab.scenario import Step
+from fawnwharf.standins.relay import Relay
+
+
+class Parties:
+    def __init__(self, fleet: Fleet, seed: int) -> None:
+        self.fleet, self.chance = fleet, random.Random(seed)
+
+    def fronts(self, what: str) -> list[Front]:
+        """Front ends by a word: all, live, leader, zone:Z, share:P of those that live, or names
+        with commas."""
+        every = list(self.fleet.fronts.values())
+        live = [front for front in every if front.alive and not front.stopped]
+        if what in ("", "all"):
+            return every
+        if what == "live":
+            return live
+        if what == "leader":
+            return [front for front in live if front.role == "leader"][:1]
+        if what == "follower":
+            return [front for front in live if front.voter and front.role != "leader"][:1]
+        if what == "old leader":
+            return [front for front in every if front.stopped]
+        if what.startswith("zone:"):
+            return [front for front in every if front.zone == what[5:]]
+        if what.startswith("share:"):
+            return self.chance.sample(live, round(float(what[6:]) * len(every)))
+        return [self.fleet.fronts[name] for name in what.split(",")]
+
+    def ids(self, what: str) -> list[str]:
+        if what.startswith("zone:"):
+            return [id for id, zone in self.fleet.scorer_zone.items() if zone == what[5:]]
+        return what.split(",") if what else list(self.fleet.scorers)
+
+    def zone_of(self, party: str) -> str:
+        if party in self.fleet.fronts:
+            return self.fleet.fronts[party].zone
+        if party in self.fleet.scorer_zone:
+            return self.fleet.scorer_zone[party]
+        return party[8:] if party.startswith("clients-") else ""
+
+    def links(self, step: Step) -> list[tuple[Relay, bool]]:
+        """The relays between two parties, each with whether `what` is the one that dials.
+
+        A zone is all that stands in it but its clients, who stay with their front ends; a front end is
+        itself."""
+
+        def side(word: str) -> Callable[[str], bool]:
+            if word.startswith("zone:"):
+                return lambda party: self.zone_of(party) == word[5:] and not party.startswith("clients-")
+            if word.startswith("clients:"):
+                return lambda party: party == f"clients-{word[8:]}"
+            if word in ("leader", "follower", "old leader"):
+                names = {front.name for front in self.fronts(word)}
+                return lambda party: party in names
+            if word == "rest":
+                first = side(step.what)
+                return lambda party: not first(party) and not party.startswith("clients-")
+            return lambda party: party in word.split(",")
+
+        one, other = side(step.what), side(step.to or "rest")
+        found = []
+        for (source, target, what), relay in self.fleet.relays.items():
+            if what == "roster":
+                continue
+            if one(source) and other(target):
+                found.append((relay, True))
+            elif one(target) and other(source):
+                found.append((relay, False))
+        return found
+
+    def doors(self, zone: str) -> list[Relay]:
+        """The links by which clients come to a zone's front ends."""
+        return [
+            relay
+            for (_, target, what), relay in self.fleet.relays.items()
+            if what == "clients" and self.zone_of(target) == zone
+        ]
--- /dev/null
+++ b/fawnwharf/lab/processes.py
@@ -0,0 +1,127 @@
+"""Front ends as processes: what is known of each, and the pipe that it writes its log to."""
+
+import fcntl
+import os
+import struct
+import subprocess
+import termios
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from fawnwharf.net.loop import READ, Loop
+from fawnwharf.standins.changelog import ChangeLogServer
+
+READ_BYTES = 65536
+LINES_KEPT = 200  # of a life
+
+
+class LabFault(RuntimeError):
+    """The ground itself gave way; no verdict."""
+
+
+@dataclass(frozen=True, slots=True)
+class Noted:
+    """A line of a front end's structured log."""
+
+    at_ms: float
+    front: str
+    event: str
+    fields: dict[str, Any]
+
+
+@dataclass(slots=True, eq=False)
+class Front:
+    """One front end's process and its files."""
+
+    name: str
+    zone: str
+    host: str
+    voter: bool
+    folder: Path
+    log: ChangeLogServer
+    process: subprocess.Popen | None = None
+    pipe: "Pipe | None" = None  # of the last life
+    lines: deque[str] = field(default_factory=lambda: deque(maxlen=LINES_KEPT))  # what that wrote last
+    ready: bool = False
+    stopped: bool = False
+    lives: list[list[float]] = field(default_factory=list)  # [from, until], in milliseconds
+    halts: list[list[float]] = field(default_factory=list)
+    index: int = 0
+    plan: dict[str, str] | None = None  # states that it follows; None: on its own
+    apart: list[Any] = field(default_factory=list)
+    role: str = ""
+    status: int | None = None  # of the last life that ended by itself
+
+    @property
+    def alive(self) -> bool:
+        return self.process is not None
+
+    @property
+    def last_line(self) -> str:
+        return self.lines[-1] if self.lines else "it wrote nothing"
+
+    def well(self, since_ms: float, until_ms: float) -> bool:
+        """Whether it lived and ran through all of a stretch."""
+        lived = any(start <= since_ms and until_ms <= end for start, end in self.lives)
+        return lived and not any(start <= until_ms and since_ms <= end for start, end in self.halts)
+
+
+class Pipe:
+    """What one life of a process writes to its standard error, line by line."""
+
+    def __init__(self, loop: Loop, front: Front, wrote: Callable[[Front, str], None]) -> None:
+        """`wrote` takes each line."""
+        self.loop, self.front, self.wrote, self.buffer = loop, front, wrote, bytearray()
+        # Unbuffered: who reads the file finds all that was read so far.
+        self.file = open(front.folder / "log.txt", "ab", buffering=0)  # noqa: SIM115
+        self.pipe = front.process.stderr
+        os.set_blocking(self.pipe.fileno(), False)
+        loop.watch(self.pipe, READ, self.read)
+
+    def read(self, _mask: int) -> None:
+        self._take(READ_BYTES)
+
+    def _take(self, most: int) -> int:
+        """Read once; how many bytes came."""
+        try:
+            data = os.read(self.pipe.fileno(), most)
+        except BlockingIOError:
+            return 0
+        if not data:
+            self.close()
+            return 0
+        self.file.write(data)
+        self.buffer += data
+        *lines, rest = self.buffer.split(b"\n")
+        self.buffer = bytearray(rest)
+        for line in lines:
+            self._line(line)
+        return len(data)
+
+    def _line(self, line: bytes) -> None:
+        self.wrote(self.front, line.decode(errors="replace"))
+
+    def finish(self) -> None:
+        """Once the process has ended: take what it left in its pipe, however many reads that is.
+
+        All that it wrote is in there by then. Nothing is waited for: a child of it that keeps the pipe open
+        can add to it, and never end it."""
+        if self.file.closed:
+            return
+        left = struct.unpack("i", fcntl.ioctl(self.pipe.fileno(), termios.FIONREAD, b"\0" * 4))[0]
+        while left > 0 and (taken := self._take(min(left, READ_BYTES))):
+            left -= taken
+        self.close()
+
+    def close(self) -> None:
+        if self.file.closed:
+            return
+        self.loop.forget(self.pipe)
+        self.pipe.close()
+        self.file.close()
+        if rest := bytes(self.buffer):  # a last line without its end
+            self.buffer.clear()
+            self._line(rest)
--- a/tests/test_lab_steps.py
+++ b/tests/test_lab_steps.py
@@ -13,9 +13,11 @@
 import pytest
 
 from fawnwharf.lab import scenario as scenarios
-from fawnwharf.lab.fleet import LabFault, Noted
+from fawnwharf.lab.measures import Meter
+from fawnwharf.lab.processes import LabFault, Noted
 from fawnwharf.lab.run import Runner
 from fawnwharf.lab.scenario import Step, When
+from fawnwharf.lab.steps import Steps
 
 REFUSED = Step("start_refused", what="n0", text="the last word")
 WAITS = "import signal; signal.pause()"
@@ -28,6 +30,10 @@
     made.fleet.close()
 
 
+def carry_out(runner, step):
+    Steps(runner.fleet, runner.parties, Meter(runner.fleet)).carry_out(step)
+
+
 def plays(fleet, *lines):
     """Front ends are this program from now on."""
     fleet.command = lambda front: [sys.executable, "-c", "\n".join(lines)]
@@ -56,7 +62,7 @@
         "sys.exit(2)",
     )
     ends_unseen(fleet)
-    runner._start_refused(REFUSED)
+    carry_out(runner, REFUSED)
     front = fleet.fronts["n0"]
     assert front.status is None and not front.alive
     kept = (front.folder / "log.txt").read_text()
@@ -74,7 +80,7 @@
     )
     ends_unseen(fleet)
     try:
-        runner._start_refused(REFUSED)
+        carry_out(runner, REFUSED)
     finally:
         os.kill(int(front.lines[0]), signal.SIGKILL)
 
@@ -84,9 +90,9 @@
     plays(fleet, "import sys", "sys.exit('first\\nanother word')")
     ends_unseen(fleet)
     with pytest.raises(LabFault, match="n0 ended with 1: another word"):
-        runner._start_refused(REFUSED)
+        carry_out(runner, REFUSED)
     with pytest.raises(LabFault, match="n1 ended with 1: another word"):  # not only after all its patience
-        runner._start(Step("start", what="n1"))
+        carry_out(runner, Step("start", what="n1"))
 
 
 def test_what_a_life_wrote_is_never_taken_for_the_next_ones(runner):
@@ -123,16 +129,16 @@
 
     told("older disk")
     told("voters", index=7, voters=["n0#a", "n1#a", "n2#a"])
-    runner.noted = len(notes)
-    assert not runner._noted("older disk") and not runner._noted("voters")
+    runner.conditions.noted = len(notes)
+    assert not runner.conditions.was_noted("older disk") and not runner.conditions.was_noted("voters")
     told("voters", index=7, voters=["n0#a", "n1#a", "n2#a"])  # another member tells of the same, later
     told("voters", index=3, voters=["n0#a", "n1#a"])  # and one that starts again, of an earlier one
-    assert not runner._noted("voters")
-    runner._await(When(voters=3, voters_are="n0,n1,n2", within_s=0.1))
+    assert not runner.conditions.was_noted("voters")
+    runner.conditions.wait(When(voters=3, voters_are="n0,n1,n2", within_s=0.1))
     told("older disk")
     told("voters", index=8, voters=["n0#a", "n1#a"])
-    assert runner._noted("older disk") and runner._noted("voters")
-    runner._await(When(voters=2, voters_are="n0,n1", note="voters", within_s=0.1))
+    assert runner.conditions.was_noted("older disk") and runner.conditions.was_noted("voters")
+    runner.conditions.wait(When(voters=2, voters_are="n0,n1", note="voters", within_s=0.1))
 
 
 def test_a_step_on_the_leader_waits_until_one_leads(runner):
@@ -148,7 +154,7 @@
     )
     fleet.start(front)
     fleet.until(lambda: front.ready, "it serves")
-    assert runner.fronts("leader") == []
+    assert runner.parties.fronts("leader") == []
     front.process.terminate()
-    runner._await_roles(Step("stop", what="leader"), "a test")
-    assert runner.fronts("leader") == [front]
+    runner.conditions.wait_for_roles(Step("stop", what="leader"), "a test")
+    assert runner.parties.fronts("leader") == [front]
