--- a/tests/test_accord.py
+++ b/tests/test_accord.py
@@ -1,17 +1,13 @@
-"""Voters: scripted cases, then searches that must find bugs planted on purpose, then their disks."""
+"""Voters: scripted cases."""
 
 import math
-import os
 
 import msgspec
 import pytest
 
-from fawnwharf.accord import disk as disks
 from fawnwharf.accord import messages as m
-from fawnwharf.accord.disk import Disk, DiskError
 from fawnwharf.accord.voter import SNAPSHOT_AFTER, Role, Timing, Voter, founding
-from fawnwharf.lab.explore import Bounds, Explorer, replace_voters
-from fawnwharf.lab.walk import STORM, Walk
+from fawnwharf.lab.explore import replace_voters
 
 TIMING = Timing(beat_ms=100.0, election_ms=500.0, skew=0.1)
 
@@ -280,172 +276,6 @@
         assert m.message_from(msgspec.json.decode(msgspec.json.encode(message))) == message
 
 
-# --- searches ---------------------------------------------------------------------------------
-
-
-class VotesTwice(Voter):
-    def _on_vote(self, now_ms, message):
-        self.saved = msgspec.structs.replace(self.saved, voted="")
-        return super()._on_vote(now_ms, message)
-
-
-class SaysBeforeItSaves(Voter):
-    def _on_vote(self, now_ms, message):
-        return [action for action in super()._on_vote(now_ms, message) if not isinstance(action, m.Save)]
-
-
-class DecidesByAMinority(Voter):
-    def _majority(self, voters):
-        return len(voters) // 2
-
-
-class LeaseWithoutCheck(Voter):
-    def _leased(self, now_ms):
-        return True
-
-
-class VotesForAnyLog(Voter):
-    def _up_to_date(self, message):
-        return True
-
-
-CALM = Bounds(depth=30, kills=0, repeats=0, patience=2, beats=0, plans=1, states=6_000)
-KILL = Bounds(depth=30, kills=1, repeats=0, patience=2, beats=0, plans=0, states=12_000)
-CHANGE = Bounds(depth=30, kills=0, repeats=0, patience=2, beats=0, plans=0, changes=1, states=6_000)
-
-
-@pytest.mark.parametrize("bounds", [CALM, KILL, CHANGE])
-def test_no_state_that_is_reached_is_broken(bounds):
-    found = Explorer(Voter, ("a", "b", "c", "d"), bounds, members=3).search()
-    assert (found.broken, found.states) == ("", bounds.states)
-
-
-@pytest.mark.parametrize(
-    ("kind", "bounds"),
-    [(VotesTwice, CALM), (DecidesByAMinority, CALM), (SaysBeforeItSaves, KILL)],
-)
-def test_the_search_finds_what_was_planted(kind, bounds):
-    found = Explorer(kind, ("a", "b", "c"), bounds).search()
-    assert found.broken and found.path
-
-
-@pytest.mark.parametrize(("size", "spare"), [(3, 1), (5, 2)])
-def test_long_walks_break_nothing(size, spare):
-    outcome = Walk(Voter, size, 11 * size, STORM, spare).run(15_000)
-    assert outcome.broken == ""
-    assert outcome.decided > 200 and outcome.leaders > 10 and outcome.kills > 20 and outcome.fresh > 1_000
-
-
-@pytest.mark.parametrize("kind", [VotesTwice, DecidesByAMinority, LeaseWithoutCheck, VotesForAnyLog])
-def test_walks_find_what_was_planted(kind):
-    found = (Walk(kind, size, seed, STORM, 1).run(40_000).broken for seed in range(1, 9) for size in (3, 5))
-    assert any(found)
-
-
-# --- disks ------------------------------------------------------------------------------------
-
-
-def saved(term):
-    return m.Saved(term, "a#0", m.Base(1, 1, "plan", 1, ("a#0",)), (m.Entry(term, "plan", plan="p" * term),))
-
-
-def filled(folder, count=3):
-    disk = Disk(folder, "fleet", "a")
-    for term in range(1, count + 1):
-        disk.save(saved(term))
-    disk.close()
-    return disk
-
-
-def test_a_disk_gives_back_what_was_saved_last_under_the_same_identity(tmp_path):
-    made = filled(tmp_path)
-    again = Disk(tmp_path, "fleet", "a")
-    assert (again.saved, again.number, again.label, again.fresh) == (saved(3), 3, made.label, False)
-    again.save(saved(4))
-    again.close()
-    assert Disk(tmp_path, "fleet", "a").saved == saved(4)
-
-
-def test_a_file_cut_at_any_byte_gives_back_one_of_the_states_that_were_saved(tmp_path):
-    made = filled(tmp_path)
-    data = made.path.read_bytes()
-    label_end = len(disks.encode(0, made.label))
-    states = [m.Saved(), saved(1), saved(2), saved(3)]
-    seen = []
-    for size in range(label_end, len(data) + 1):
-        made.path.write_bytes(data[:size])
-        disk = Disk(tmp_path, "fleet", "a")
-        seen.append(states.index(disk.saved))
-        disk.save(saved(9))  # and it goes on from there
-        disk.close()
-        assert len(disks.records(made.path.read_bytes())[0]) == seen[-1] + 2
-    assert seen == sorted(seen) and set(seen) == {0, 1, 2, 3}
-
-
-def test_damage_before_whole_records_is_refused_and_left_as_it_is(tmp_path):
-    made = filled(tmp_path)
-    data = bytearray(made.path.read_bytes())
-    middle = len(disks.encode(0, made.label)) + 30
-    data[middle] ^= 1
-    made.path.write_bytes(data)
-    with pytest.raises(DiskError, match="damaged at byte"):
-        Disk(tmp_path, "fleet", "a")
-    assert made.path.read_bytes() == data
-
-
-def test_another_members_or_fleets_or_versions_disk_is_refused_by_name(tmp_path):
-    filled(tmp_path)
-    for fleet, name, why in (("fleet", "b", "of member a, not of b"), ("other", "a", "of fleet fleet")):
-        with pytest.raises(DiskError, match=why):
-            Disk(tmp_path, fleet, name)
-    label = disks.Label(9, "fleet", "a", "00000000")
-    (tmp_path / "voter.log").write_bytes(disks.encode(0, label))
-    with pytest.raises(DiskError, match="version 9"):
-        Disk(tmp_path, "fleet", "a")
-
-
-def test_a_folder_in_use_or_that_is_a_file_is_refused(tmp_path):
-    held = Disk(tmp_path / "a", "fleet", "a")
-    with pytest.raises(DiskError, match="in use by a live process"):
-        Disk(tmp_path / "a", "fleet", "a")
-    held.close()
-    Disk(tmp_path / "a", "fleet", "a").close()
-    (tmp_path / "file").write_text("")
-    with pytest.raises(DiskError, match="file"):
-        Disk(tmp_path / "file", "fleet", "a")
-
-
-def test_a_file_that_has_grown_is_written_anew_and_keeps_its_last_state(tmp_path, monkeypatch):
-    monkeypatch.setattr(disks, "REWRITE_BYTES", 2_000)
-    disk = Disk(tmp_path, "fleet", "a")
-    for term in range(1, 60):
-        disk.save(saved(term))
-    assert disk.path.stat().st_size <= 2_000
-    disk.close()
-    again = Disk(tmp_path, "fleet", "a")
-    assert (again.saved, again.label, again.number) == (saved(59), disk.label, 59)
-
-
-def test_a_disk_that_fails_says_so_and_keeps_no_half_record(tmp_path, monkeypatch):
-    disk = Disk(tmp_path, "fleet", "a")
-    disk.save(saved(1))
-    real = os.write
-
-    def full(file, data):
-        if len(data) < 20:
-            raise OSError(28, "No space left on device")
-        return real(file, data[: max(1, len(data) // 2)])
-
-    monkeypatch.setattr(os, "write", full)
-    with pytest.raises(DiskError, match="No space left"):
-        disk.save(saved(2))
-    monkeypatch.undo()
-    assert disk.saved == saved(1)
-    disk.save(saved(3))
-    disk.close()
-    assert Disk(tmp_path, "fleet", "a").saved == saved(3)
-
-
 def test_a_lease_is_over_before_any_voter_is_free_for_another_leader():
     for skew in (0.0, 0.1, 0.3):
         timing = Timing(election_ms=1000.0, skew=skew)
--- /dev/null
+++ b/tests/test_replication_faults.py
@@ -0,0 +1,244 @@
+"""What a keeper makes of damage: its disk, bad input, and walks with faults of all kinds."""
+
+import os
+
+import pytest
+from cores import Cores
+
+from fawnwharf.accord.disk import DiskError
+from fawnwharf.lab.promises import STORM, Walk, Weather
+from fawnwharf.replication import messages as m
+from fawnwharf.replication.claimant import Go
+from fawnwharf.replication.claims import Claim, Phase
+from fawnwharf.replication.core import Core, LineFault
+from fawnwharf.replication.disk import KeeperDisk
+
+# --- a keeper's disk ----------------------------------------------------------------------------
+
+
+def disk_in(folder, boot="b1", now=0.0, name="n1", life=10_000.0):
+    return KeeperDisk(folder, "f", name, now, life, boot)
+
+
+def written(folder, count=3, **more):
+    """A folder whose keeper knew all and wrote so many claims, one a record."""
+    disk = disk_in(folder, **more)
+    disk.begin(0.0, 1, [])
+    for n in range(count):
+        disk.write(float(n), [(f"k{n}", Claim("n9#1", n + 1, n + 1, 0, Phase.TAKEN), 9_000.0 + n)], 0)
+    disk.close()
+    return max(folder.glob("keeper-*.log"), key=lambda path: int(path.stem[7:]))
+
+
+def reread(folder, **more):
+    disk = disk_in(folder, **more)
+    disk.close()
+    return disk
+
+
+def test_a_keeper_finds_all_that_it_told_within_one_boot_and_nothing_of_another(tmp_path):
+    written(tmp_path)
+    found = reread(tmp_path)
+    assert (found.why, found.sure, [key for key, _, _ in found.kept]) == ("", 1, ["k0", "k1", "k2"])
+    assert reread(tmp_path, boot="b2").why == "of another boot" and reread(tmp_path, boot="b2").kept == []
+    assert reread(tmp_path, boot="").why == "of another boot"
+    with pytest.raises(DiskError, match="of n1 in fleet f"):
+        disk_in(tmp_path, name="n2")
+
+
+def test_a_record_cut_short_at_any_byte_was_never_told_and_is_cut_off(tmp_path):
+    path = written(tmp_path)
+    data = path.read_bytes()
+    last = data.rfind(b"fwv1")
+    for end in range(last, len(data)):
+        os.truncate(path, 0)
+        with open(path, "r+b") as file:  # the same file: a copy would not be trusted
+            file.write(data[:end])
+        found = reread(tmp_path)
+        assert (found.why, len(found.kept)) == ("", 2), end
+
+
+def test_damage_in_the_middle_and_a_copy_are_not_trusted(tmp_path):
+    path = written(tmp_path)
+    data = path.read_bytes()
+    for at in range(len(data) // 3, data.rfind(b"fwv1"), 7):
+        with open(path, "r+b") as file:
+            file.write(data[:at] + bytes([data[at] ^ 0x40]) + data[at + 1 :])
+        assert "damaged" in reread(tmp_path).why, at
+    with open(path, "r+b") as file:
+        file.write(data)
+    assert reread(tmp_path).why == ""
+    copy = tmp_path / "copy"
+    copy.write_bytes(data)
+    os.rename(copy, path)
+    assert "a copy" in reread(tmp_path).why
+
+
+def test_a_file_is_begun_anew_as_claims_end_and_the_one_before_is_needed_for_so_long(tmp_path):
+    disk = disk_in(tmp_path, life=100.0)
+    disk.begin(0.0, 1, [])
+    for n in range(60):
+        disk.write(10.0 * n, [(f"k{n}", Claim("n9#1", n + 1, n + 1, 0, Phase.TAKEN), 10.0 * n + 100.0)], 1)
+        assert len(list(tmp_path.glob("keeper-*.log"))) <= 2
+    disk.close()
+    found = reread(tmp_path, life=100.0, now=600.0)
+    live = {key for key, _, until in found.kept if until > 600.0}
+    assert found.why == "" and live == {f"k{n}" for n in range(51, 60)}
+    first, _ = sorted(tmp_path.glob("keeper-*.log"), key=lambda path: int(path.stem[7:]))
+    first.unlink()
+    assert "missing" in reread(tmp_path, life=100.0, now=595.0).why
+    assert reread(tmp_path, life=100.0, now=900.0).why == ""  # all of that is over
+
+
+def test_a_keeper_that_did_not_know_all_is_not_trusted_for_having_a_file(tmp_path):
+    disk = disk_in(tmp_path)
+    disk.begin(0.0, 0, [])
+    disk.write(1.0, [], 0)
+    disk.close()
+    assert (reread(tmp_path).why, reread(tmp_path).sure) == ("", 0)
+    assert reread(tmp_path / "empty").why == "no file"
+
+
+def test_a_folder_is_used_by_one_process_and_a_write_that_fails_is_told(tmp_path, monkeypatch):
+    disk = disk_in(tmp_path)
+    with pytest.raises(DiskError):
+        disk_in(tmp_path)
+    disk.begin(0.0, 1, [])
+    write = os.write
+    monkeypatch.setattr(os, "write", lambda file, data: write(file, data[:10]))
+    with pytest.raises(DiskError, match="no room"):
+        disk.write(0.0, [("k", Claim("n9#1", 1, 1, 0, Phase.TAKEN), 9.0)], 0)
+    disk.close()
+    monkeypatch.undo()
+    assert reread(tmp_path).kept == []
+
+
+# --- bad input ----------------------------------------------------------------------------------
+
+GOOD_CLAIM = {"owner": "n1#1", "ask": 1, "number": 1, "slot": 0, "phase": 3}
+GOOD_ASK = {"type": "ask", "key": "k", "owner": "n1#1", "number": 1, "members": 1, "slot": 0}
+
+
+@pytest.mark.parametrize(
+    "say",
+    [
+        {"type": "unheard of"},
+        GOOD_ASK | {"key": "x" * 200},
+        GOOD_ASK | {"key": 7},
+        GOOD_ASK | {"owner": "n2#1"},
+        GOOD_ASK | {"owner": "n1#2"},
+        GOOD_ASK | {"owner": "nobody"},
+        GOOD_ASK | {"number": -1},
+        GOOD_ASK | {"number": 1 << 60, "members": 1 << 60},
+        {"type": "tell", "key": "k", "claim": GOOD_CLAIM | {"phase": 9}},
+        {"type": "tell", "key": "k", "claim": GOOD_CLAIM | {"owner": "n2#1"}},
+        {"type": "digests", "slots": {"n1#1": {"first": 0, "until": 1}}},
+    ],
+)
+def test_a_line_that_no_member_says_is_a_fault_and_changes_nothing(say):
+    cores = Cores()
+    keeper = cores.keepers[0]
+    sender = "n1" if keeper != "n1" else cores.keepers[1]
+    line = {"fleet": "f", "sender": "n1", "life": 1, "to": [keeper], "say": say}
+    with pytest.raises(LineFault):
+        cores.cores[keeper].line(cores.now, sender, line)
+    assert cores.cores[keeper].keeper.shelf.calls == {}
+
+
+def piece(held, number=1, part=0, digest="0" * 16, last=True):
+    return {
+        "type": "piece", "number": number, "life": 1, "part": part, "last": last, "held": held,
+        "digest": digest,
+    }  # fmt: skip
+
+
+def test_what_is_said_out_of_place_is_dropped_and_counted_by_cause():
+    cores = Cores()
+    a, b, c = cores.keepers
+    core = cores.cores[a]
+
+    def says(sender, say):
+        line = {"fleet": "f", "sender": sender, "life": 1, "to": [a], "say": say}
+        return core.line(cores.now, sender, line)
+
+    stray = {"owner": f"{cores.owners[0]}#1", "ask": 1, "number": 1, "slot": 0, "phase": 1}
+    assert says(b, piece([{"key": "k", "claim": stray, "left_ms": 9.0}])) == []
+    assert says(cores.owners[0], {"type": "want", "number": 1, "life": 1, "members": 0}) == []
+    assert says(cores.owners[0], {"type": "digests", "slots": {}}) == []
+    word = {"type": "word", "key": "k", "owner": f"{a}#1", "number": 1, "granted": True}
+    assert says(b, word) == []
+    shelf = core.keeper.shelf
+    assert shelf.counts == {"a piece out of place": 1, "want of no keeper": 1, "digests of no keeper": 1}
+    assert core.claimant.counts == {"a word on nothing": 1} and shelf.calls == {}
+    cores.begin(a)
+    assert [effect for effect in cores.what(a)] == [Go("k", True)]
+
+
+def test_a_snapshot_that_does_not_fit_its_digest_is_wanted_again():
+    cores = Cores()
+    a, b, c = cores.keepers
+    cores.begin(cores.owners[0])
+    cores.restart(a)
+    cores.hold = lambda sender, to, say: isinstance(say, m.Piece) and sender == b
+    cores.wait(800)
+    [(sender, to, line), *_] = cores.held
+    line["say"]["digest"] = "0" * 16
+    cores.release()
+    assert cores.cores[a].keeper.shelf.counts["a piece that does not fit its digest"] == 1
+    assert not cores.cores[a].keeper.sure(cores.now)
+    cores.wait(1_500)
+    assert cores.cores[a].keeper.sure(cores.now)
+    assert "k" in cores.cores[a].keeper.shelf.calls
+
+
+# --- walks --------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("seed", range(1, 5))
+def test_no_call_runs_twice_and_keepers_come_to_hold_the_same(seed):
+    outcome = Walk(seed, Weather() if seed % 2 else STORM, "abcabc").run(8)
+    assert outcome.broken == ""
+    assert outcome.runs > 20
+
+
+class Forgets(Core):
+    """Planted: a keeper that starts again trusts its empty memory."""
+
+    def __init__(self, *more):
+        super().__init__(*more)
+        if self.keeper:
+            self.keeper._sure = True
+
+
+class OneIsEnough(Core):
+    """Planted: one grant makes a promise."""
+
+    def __init__(self, *more):
+        super().__init__(*more)
+        weigh = self.claimant._weigh
+
+        def one(now_ms, mine):
+            if any(word.granted for word in mine.words.values()):
+                mine.state = "going"
+                return [Go(mine.key, True)]
+            return weigh(now_ms, mine)
+
+        self.claimant._weigh = one
+
+
+class MovesBlind(Core):
+    """Planted: another list of members is gone by at once."""
+
+    def take_members(self, now_ms, members):
+        super().take_members(now_ms, members)
+        if self.keeper:
+            self.keeper._sure = True
+            self.keeper._olds.clear()
+
+
+@pytest.mark.parametrize("planted", [Forgets, OneIsEnough, MovesBlind])
+def test_walks_find_what_is_broken_on_purpose(planted):
+    moves = 0.3 if planted is MovesBlind else 0.0
+    weather = Weather(calls=60.0, kills=1.0, away_ms=300.0, halts=0.3, late=0.1, moves=moves)
+    found = (Walk(seed, weather, "abcabc", planted).run(12, 30).broken for seed in range(1, 8))
+    assert any("ran at" in broken for broken in found)
--- /dev/null
+++ b/tests/test_zone_judge.py
@@ -0,0 +1,239 @@
+"""The judge: what it makes of the members' evidence, in virtual time."""
+
+import itertools
+
+from zone_files import DEAD, GOOD, SLOW, members, settings
+
+from fawnwharf.zones import plan as p
+from fawnwharf.zones import settings as s
+from fawnwharf.zones.evidence import Seen
+from fawnwharf.zones.judge import Judge, Report
+
+
+class Bench:
+    """A judge whose fleet reports what the test says, every quarter of a second."""
+
+    def __init__(self, fleet, **more):
+        self.members, self.settings = fleet, settings(**more)
+        self.judge, self.now, self.plan = Judge(self.settings, 0.0), 0.0, p.Plan()
+        self.numbers, self.plans = itertools.count(1), []
+        self.silent, self.seen = set(), lambda member, zone: GOOD
+
+    def run(self, seconds, wishes=None):
+        end = self.now + 1000.0 * seconds
+        while self.now < end:
+            self.now += 250.0
+            for member in self.members.members:
+                if member.name in self.silent:
+                    continue
+                views = {zone: self.seen(member, zone) for zone in self.members.zones}
+                report = Report(
+                    member.name,
+                    member.zone,
+                    next(self.numbers),
+                    {zone: seen for zone, seen in views.items() if seen},
+                    dict.fromkeys(self.members.zones, 8.0),
+                    wishes=wishes or s.Wishes(),
+                )
+                self.judge.heard(self.now, report)
+            following = self.judge.next_plan(self.now, self.members, self.plan)
+            if following:
+                self.plan = p.plan_from(following.encode())
+                self.plans.append((self.now, self.plan))
+        return self
+
+    def states(self):
+        return {name: zone.state for name, zone in self.plan.zones.items()}
+
+    def lose(self, zone):
+        self.silent = {member.name for member in self.members.members if member.zone == zone}
+        self.seen = lambda member, other: DEAD if other == zone else GOOD
+
+    def heal(self):
+        self.silent, self.seen = set(), lambda member, zone: GOOD
+
+
+SIX = members("aabbcc", 3 + 2)
+WIDE = members("abcaabca", 3)
+
+
+def test_a_lost_zone_is_out_after_the_damping_and_comes_back_in_steps():
+    bench = Bench(SIX).run(3)
+    assert set(bench.states().values()) == {p.SERVING}
+    bench.lose("b")
+    lost = bench.now
+    bench.run(6)
+    assert bench.states() == {"a": p.SERVING, "b": p.OUT, "c": p.SERVING}
+    went = next(at for at, plan in bench.plans if plan.zones["b"].state == p.OUT)
+    # Nobody there is heard and all agree: that is sure after its own short time.
+    rules = bench.judge.settings
+    assert lost + rules.evidence.hush_ms <= went <= lost + rules.evidence.hush_ms + 1_000
+    bench.heal()
+    bench.run(20)
+    shares = [plan.zones["b"].share for _, plan in bench.plans if plan.zones["b"].state != p.OUT]
+    assert shares[shares.index(0.25) :] == [0.25, 0.5, 0.75, 1.0] and bench.states()["b"] == p.SERVING
+
+
+def test_a_zone_whose_front_ends_still_speak_takes_the_whole_damping():
+    bench = Bench(SIX).run(3)
+    bench.seen = lambda member, zone: DEAD if zone == "b" else GOOD
+    lost = bench.now
+    bench.run(6)
+    went = next(at for at, plan in bench.plans if plan.zones["b"].state == p.OUT)
+    assert went - lost >= bench.settings.damping.out_ms
+
+
+def test_a_zone_that_is_dark_for_less_than_a_second_stays():
+    bench = Bench(SIX).run(3)
+    bench.lose("b")
+    bench.run(0.75)
+    bench.heal()
+    bench.run(5)
+    assert len(bench.plans) == 1
+
+
+def test_who_did_not_watch_for_a_while_begins_to_count_anew():
+    bench = Bench(SIX).run(3)
+    bench.seen = lambda member, zone: DEAD if zone == "b" else GOOD
+    bench.run(1)  # not long enough
+    bench.now += 60_000.0  # it stood still: whether b was dead all the time is not known to it
+    went_on = bench.now
+    bench.run(6)
+    went = next(at for at, plan in bench.plans if plan.zones["b"].state == p.OUT)
+    assert went - went_on >= bench.settings.damping.out_ms
+
+
+def test_one_bad_observer_moves_nothing():
+    bench = Bench(SIX).run(3)
+    bench.seen = lambda member, zone: DEAD if member.name == "n0" and zone != "a" else GOOD
+    bench.run(30)
+    assert len(bench.plans) == 1
+
+
+def test_one_that_sees_all_dead_is_cut_off_itself_and_counts_for_nothing():
+    fleet = members("abc", 3)
+    bench = Bench(fleet).run(3)
+    bench.seen = lambda member, zone: DEAD if member.name == "n0" else GOOD
+    bench.run(30)
+    assert len(bench.plans) == 1
+
+
+def test_a_zone_cut_off_from_one_other_keeps_serving_and_the_pair_is_apart():
+    bench = Bench(SIX).run(3)
+    bench.seen = lambda member, zone: DEAD if (member.zone, zone) == ("a", "b") else GOOD
+    bench.run(6)
+    assert set(bench.states().values()) == {p.SERVING} and bench.plan.apart == (("a", "b"),)
+    bench.heal()
+    bench.run(6)
+    assert bench.plan.apart == ()
+
+
+def test_a_slow_zone_serves_its_own_and_takes_no_spill():
+    bench = Bench(SIX).run(3)
+    bench.seen = lambda member, zone: SLOW if zone == "c" else GOOD
+    bench.run(8)
+    assert set(bench.states().values()) == {p.SERVING}
+    assert [bench.plan.zones[zone].spill for zone in "abc"] == [0.5, 0.5, 0.0]
+
+
+def test_a_minority_zone_that_calls_all_others_dead_moves_no_traffic():
+    bench = Bench(SIX).run(3)
+    bench.seen = lambda member, zone: DEAD if member.zone == "c" and zone != "c" else GOOD
+    bench.run(10)
+    assert set(bench.states().values()) == {p.SERVING}
+
+
+def test_front_ends_that_are_gone_do_not_take_their_scorers_along():
+    bench = Bench(SIX).run(3)
+    bench.silent = {"n2", "n3"}
+    bench.run(10)
+    assert set(bench.states().values()) == {p.SERVING}
+
+
+def test_evidence_that_flaps_faster_than_the_damping_changes_nothing():
+    bench = Bench(SIX).run(3)
+    for _ in range(20):
+        bench.seen = lambda member, zone: DEAD if zone == "b" else GOOD
+        bench.run(1)
+        bench.heal()
+        bench.run(1)
+    assert len(bench.plans) == 1
+
+
+def test_a_zone_that_fails_again_waits_twice_as_long_each_time():
+    bench = Bench(SIX).run(3)
+    pauses = []
+    for _ in range(4):
+        bench.lose("b")
+        bench.run(8)
+        assert bench.states()["b"] == p.OUT
+        healed = bench.now
+        bench.heal()
+        while bench.states()["b"] == p.OUT:
+            bench.run(0.25)
+        pauses.append(bench.now - healed)
+    assert [round(pause / 3000) for pause in pauses] == [1, 2, 4, 8]
+
+
+def test_a_zone_that_fails_while_it_returns_is_out_sooner():
+    bench = Bench(SIX).run(3)
+    bench.lose("b")
+    bench.run(6)
+    bench.heal()
+    while bench.states()["b"] != p.RETURNING:
+        bench.run(0.25)
+    bench.lose("b")
+    again = bench.now
+    while bench.states()["b"] != p.OUT:
+        bench.run(0.25)
+    assert bench.now - again <= 3_250.0
+
+
+def test_the_last_zone_is_never_put_out():
+    fleet = members("aab", 3)
+    bench = Bench(fleet).run(3)
+    bench.seen = lambda member, zone: DEAD
+    bench.run(20)
+    assert any(zone.open for zone in bench.plan.zones.values())
+
+
+def test_a_drained_zone_leaves_first_and_is_restored_by_a_later_wish():
+    bench = Bench(SIX).run(3)
+    bench.run(1, s.Wishes(number=1, drained=("a",)))
+    assert bench.states()["a"] == p.LEAVING
+    bench.run(5, s.Wishes(number=1, drained=("a",)))
+    assert bench.states()["a"] == p.OUT
+    bench.run(20, s.Wishes(number=1, drained=("a",)))
+    assert bench.states()["a"] == p.OUT
+    bench.run(1, s.Wishes(number=2))
+    assert bench.states()["a"] == p.RETURNING
+    bench.run(12, s.Wishes(number=2))
+    assert bench.states()["a"] == p.SERVING
+
+
+def test_an_hour_of_noise_raises_no_alarm():
+    bench = Bench(members("abcabcabc", 3))
+    drawn = itertools.count(7)
+
+    def noisy(member, zone):
+        draw = next(drawn) * 2654435761 % 1000
+        if draw < 40:
+            return DEAD
+        return SLOW if draw < 150 else None if draw < 250 else Seen(heard=6, silent=3, slow=1)
+
+    bench.seen = noisy
+    bench.run(3600)
+    assert len(bench.plans) == 1
+
+
+def test_the_front_ends_that_are_left_of_a_zone_are_counted_while_it_does_not_serve():
+    bench = Bench(WIDE).run(3)
+    assert bench.plan.zones["a"].fronts == 0
+    bench.seen = lambda member, zone: DEAD if zone == "a" else GOOD
+    bench.silent = {"n3"}
+    bench.run(5)
+    assert (bench.states()["a"], bench.plan.zones["a"].fronts) == (p.OUT, 3)
+    before = len(bench.plans)
+    bench.silent = {"n3", "n4"}
+    bench.run(3)
+    assert bench.plan.zones["a"].fronts == 2 and len(bench.plans) == before + 1
--- /dev/null
+++ b/tests/zone_files.py
@@ -0,0 +1,25 @@
+"""Files of zones and views of them, for tests."""
+
+from fawnwharf.zones import settings as s
+from fawnwharf.zones.evidence import Seen
+
+GOOD, DEAD, SLOW = Seen(heard=9), Seen(silent=6, refused=3), Seen(heard=9, slow=8)
+
+
+def members_data(zones="aab", voters=3, regions=None):
+    """Members n0, n1, ... of these zones; the first ones are voters."""
+    regions = regions or {}
+    list_of = [
+        {"name": f"n{n}", "zone": zone, "region": regions.get(zone, "r"), "address": f"127.0.0.1:{5000 + n}"}
+        | ({"ballots": f"127.0.0.1:{6000 + n}"} if n < voters else {})
+        for n, zone in enumerate(zones)
+    ]
+    return {"version": 1, "fleet": "f", "number": 1, "members": list_of}
+
+
+def members(zones="aab", voters=3, **more):
+    return s.members_from(members_data(zones, voters, **more))
+
+
+def settings(**more):
+    return s.settings_from({"version": 1, "members": "m.json", "folder": "state"} | more)
