--- a/fawnwharf/net/requests.py
+++ b/fawnwharf/net/requests.py
@@ -12,7 +12,8 @@
 from fawnwharf.config import Wire
 from fawnwharf.net.endings import End, told
 from fawnwharf.net.loop import Loop
-from fawnwharf.net.scorers import Answer, Attempt, Order, ScorerPool
+from fawnwharf.net.scorers import ScorerPool
+from fawnwharf.net.streams import Answer, Attempt, Order
 from fawnwharf.net.wheel import Timer, monotonic_ms
 
 BODIES_MOST = 32 * 1024 * 1024  # bytes of open requests' bodies: part of the memory limit
--- a/fawnwharf/net/scorers.py
+++ b/fawnwharf/net/scorers.py
@@ -3,16 +3,16 @@
 import itertools
 import random
 from collections import deque
-from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from fawnwharf.config import Address, Wire
-from fawnwharf.interface import Ending, State, Warmth
+from fawnwharf.interface import State, Warmth
 from fawnwharf.net import scorer_frames as frames
-from fawnwharf.net.connection import Connection, Piece
+from fawnwharf.net.connection import Connection
 from fawnwharf.net.endings import End
 from fawnwharf.net.log import Log
 from fawnwharf.net.loop import Loop
+from fawnwharf.net.streams import WARMTHS, Answer, Attempt, Order, Stream, number
 from fawnwharf.net.wheel import Timer, monotonic_ms
 
 QUIET_MS = 1_000.0  # a link that owes an answer and says nothing for this long gets nothing new
@@ -30,85 +30,6 @@
 SPREAD_PART = 0.7  # of the descriptors for links: the rest is kept for calls that find none
 WAITING_BYTES_MOST = 256 * 1024  # unwritten on one link: a scorer that does not read gets no more
 
-WARMTHS = {
-    "reused": Warmth.FOUND,
-    "init": Warmth.BEGAN_LOAD,
-    "shared_init": Warmth.WAITED_FOR_LOAD,
-    "init_error": Warmth.LOAD_FAILED,
-}
-ATTEMPT_ENDINGS = {
-    frames.OK: Ending.GOOD,
-    frames.MISS: Ending.MISS,
-    frames.FULL: Ending.FULL,
-    frames.OVER: Ending.NOT_SENT,
-}
-ORDER_ENDINGS = {frames.OK: Ending.GOOD, frames.FULL: Ending.FULL}
-
-
-@dataclass(slots=True)
-class Answer:
-    ending: Ending
-    body: bytes
-    warmth: Warmth
-    crowd: int
-    copies: int
-
-
-@dataclass(slots=True, eq=False)
-class Stream:
-    """Something sent to a scorer that gets one end: by an answer or by an End."""
-
-    worker: int
-    ended: Callable[["Stream", End | None, Answer | None], None]
-    began_ms: float = field(default_factory=monotonic_ms, init=False)
-    link: "Link | None" = field(default=None, init=False)
-    piece: Piece | None = field(default=None, init=False)
-    timer: Timer | None = field(default=None, init=False)
-    over: bool = field(default=False, init=False)
-    id: bytes = field(default=b"", kw_only=True)
-
-    @property
-    def begun(self) -> bool:  # some of its bytes may have arrived
-        return self.piece is not None and self.piece.written > 0
-
-
-@dataclass(slots=True, eq=False)
-class Attempt(Stream):
-    kind: str = ""
-    function: str = ""
-    token: str = ""
-    body: bytes = b""
-    deadline_ms: float = 0.0
-
-    is_new_work = True
-
-    def frame(self) -> bytes:
-        left = self.deadline_ms - monotonic_ms()
-        return frames.run(self.id, self.kind, self.function, left, self.token, self.body)
-
-    def ending(self, code: int) -> Ending:
-        return ATTEMPT_ENDINGS.get(code, Ending.ERROR)  # what it can't read may have run
-
-
-@dataclass(slots=True, eq=False)
-class Order(Stream):
-    function: str = ""
-    copies: int = 0
-
-    @property
-    def is_new_work(self) -> bool:  # a question is none
-        return self.copies > 0
-
-    def frame(self) -> bytes:
-        return frames.ensure(self.id, self.function, self.copies)
-
-    def ending(self, code: int) -> Ending:
-        return ORDER_ENDINGS.get(code, Ending.ERROR)
-
-
-def _number(text: str | None) -> int:
-    return int(text) if text and text.isascii() and text.isdigit() and len(text) < 10 else 0
-
 
 class Link:
     """One connection to a scorer, and what is open on it."""
@@ -392,7 +313,7 @@
     def answered(self, stream: Stream, frame: frames.Frame) -> None:
         fields = frame.fields
         warmth = WARMTHS.get(fields.get("res", ""), Warmth.UNTOLD)
-        crowd, copies = _number(fields.get("company")), _number(fields.get("slots_up"))
+        crowd, copies = number(fields.get("company")), number(fields.get("slots_up"))
         self._end(stream, None, Answer(stream.ending(frame.code), frame.body, warmth, crowd, copies))
 
     def cancel(self, stream: Stream) -> None:
--- /dev/null
+++ b/fawnwharf/net/streams.py
@@ -0,0 +1,93 @@
+"""What is sent to a scorer and gets one end: attempts and orders, and what their answers tell."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from fawnwharf.interface import Ending, Warmth
+from fawnwharf.net import scorer_frames as frames
+from fawnwharf.net.connection import Piece
+from fawnwharf.net.endings import End
+from fawnwharf.net.wheel import Timer, monotonic_ms
+
+if TYPE_CHECKING:
+    from fawnwharf.net.scorers import Link
+
+WARMTHS = {
+    "reused": Warmth.FOUND,
+    "init": Warmth.BEGAN_LOAD,
+    "shared_init": Warmth.WAITED_FOR_LOAD,
+    "init_error": Warmth.LOAD_FAILED,
+}
+ATTEMPT_ENDINGS = {
+    frames.OK: Ending.GOOD,
+    frames.MISS: Ending.MISS,
+    frames.FULL: Ending.FULL,
+    frames.OVER: Ending.NOT_SENT,
+}
+ORDER_ENDINGS = {frames.OK: Ending.GOOD, frames.FULL: Ending.FULL}
+
+
+@dataclass(slots=True)
+class Answer:
+    ending: Ending
+    body: bytes
+    warmth: Warmth
+    crowd: int
+    copies: int
+
+
+@dataclass(slots=True, eq=False)
+class Stream:
+    """Something sent to a scorer that gets one end: by an answer or by an End."""
+
+    worker: int
+    ended: Callable[["Stream", End | None, Answer | None], None]
+    began_ms: float = field(default_factory=monotonic_ms, init=False)
+    link: "Link | None" = field(default=None, init=False)
+    piece: Piece | None = field(default=None, init=False)
+    timer: Timer | None = field(default=None, init=False)
+    over: bool = field(default=False, init=False)
+    id: bytes = field(default=b"", kw_only=True)
+
+    @property
+    def begun(self) -> bool:  # some of its bytes may have arrived
+        return self.piece is not None and self.piece.written > 0
+
+
+@dataclass(slots=True, eq=False)
+class Attempt(Stream):
+    kind: str = ""
+    function: str = ""
+    token: str = ""
+    body: bytes = b""
+    deadline_ms: float = 0.0
+
+    is_new_work = True
+
+    def frame(self) -> bytes:
+        left = self.deadline_ms - monotonic_ms()
+        return frames.run(self.id, self.kind, self.function, left, self.token, self.body)
+
+    def ending(self, code: int) -> Ending:
+        return ATTEMPT_ENDINGS.get(code, Ending.ERROR)  # what it can't read may have run
+
+
+@dataclass(slots=True, eq=False)
+class Order(Stream):
+    function: str = ""
+    copies: int = 0
+
+    @property
+    def is_new_work(self) -> bool:  # a question is none
+        return self.copies > 0
+
+    def frame(self) -> bytes:
+        return frames.ensure(self.id, self.function, self.copies)
+
+    def ending(self, code: int) -> Ending:
+        return ORDER_ENDINGS.get(code, Ending.ERROR)
+
+
+def number(text: str | None) -> int:
+    return int(text) if text and text.isascii() and text.isdigit() and len(text) < 10 else 0
--- /dev/null
+++ b/tests/test_scorer_links.py
@@ -0,0 +1,351 @@
+"""Repeats, drains and links to scorers, with real sockets on loopback and waits on events only."""
+
+import socket
+import unittest
+from pathlib import Path
+from unittest import mock
+
+import msgspec
+from peers import ROW, Rig, ScorerPeer, ready
+
+from fawnwharf import interface as io
+from fawnwharf.net import front_end, scorer_frames, scorers, streams
+from fawnwharf.net.endings import End
+
+ROOT = Path(__file__).parent.parent
+
+
+class Case(unittest.TestCase):
+    def rig(self, *peers, **more):
+        rig = Rig(*peers, **more)
+        self.addCleanup(rig.close)
+        return rig
+
+
+def reset(sock):
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+    sock.close()
+
+
+def links_of(rig):
+    return [link for scorer in rig.front.pool.scorers.values() for link in scorer.links]
+
+
+def attempt(worker, ended, id=b"12345678", body=b"", within_ms=8000.0):
+    return streams.Attempt(
+        worker, lambda stream, end, answer: ended.append((end or answer.ending, stream.begun)), id=id,
+        kind="view", function=ROW, body=body, deadline_ms=scorers.monotonic_ms() + within_ms,
+    )  # fmt: skip
+
+
+def order(worker, ended, copies=1):
+    return streams.Order(
+        worker, lambda stream, end, answer: ended.append((end or answer.ending, stream.begun)), ROW, copies
+    )
+
+
+class Repeats(Case):
+    def lose(self, op, **more):
+        """A request whose first scorer resets the connection once it has arrived whole."""
+        peers = ScorerPeer("s-1"), ScorerPeer("s-2")
+        rig = self.rig(*peers, **more)
+        client = rig.client()
+        client.call(op)
+        rig.until(lambda: any(peer.runs for peer in peers), "it runs")
+        first = next(peer for peer in peers if peer.runs)
+        for link in first.links:
+            link.sock.close()
+            link.ended = True
+        return rig, client, first, next(peer for peer in peers if peer is not first)
+
+    def test_what_must_not_run_twice_is_failed_not_refused_or_sent_again(self):
+        rig, client, first, other = self.lose("settle")
+        rig.until(lambda: client.answers, "it is failed")
+        rig.settle(client)
+        self.assertEqual(client.kinds()[1], "broken")
+        self.assertEqual((len(first.runs), len(other.runs)), (1, 0))
+
+    def test_what_may_be_repeated_is_sent_elsewhere(self):
+        for op in ("view", "save"):
+            with self.subTest(op):
+                rig, client, _, other = self.lose(op)
+                rig.until(lambda other=other: other.runs, "it runs elsewhere")
+                other.answer(other.runs[0], body=b"again")
+                rig.until(lambda client=client: client.answers, "it is answered")
+                self.assertEqual(client.answers[0][1:], ("answer", {1: b"again", 2: {}, 3: True}))
+
+    def test_a_refused_dial_proves_that_nothing_ran(self):
+        rig, ended = self.rig(), []
+        with socket.socket() as silent:  # bound, so that nobody else gets the port, but not listening
+            silent.bind(("127.0.0.1", 0))
+            rig.front.pool.update(9, silent.getsockname(), io.State.READY, 0.0)
+            rig.front.pool.send(attempt(9, ended))
+            rig.until(lambda: ended, "it ends")
+        self.assertEqual(ended, [(End.REFUSED, False)])
+
+    def test_a_dial_that_is_reset_as_it_comes_up_is_tried_again_but_not_for_ever(self):
+        most = scorers.REDIALS_MOST
+        for resets, ends in ((most, []), (most + 1, [(End.RESET_BY_PEER, False)])):
+            rig, ended = self.rig(), []
+            with socket.create_server(("127.0.0.1", 0)) as listener:
+                rig.front.pool.update(9, listener.getsockname(), io.State.READY, 0.0)
+                rig.front.pool.send(attempt(9, ended))
+                for _ in range(resets):
+                    [dial] = links_of(rig)
+                    reset(listener.accept()[0])
+                    rig.until(lambda rig=rig, dial=dial: dial not in links_of(rig), "it is reset")
+                rig.until(lambda rig=rig: all(link.up for link in links_of(rig)), "one is up or none left")
+            self.assertEqual(ended, ends)
+
+
+class Drains(Case):
+    def pool(self, scorer):
+        rig = self.rig(scorer)
+        return rig, rig.front.pool, front_end.worker_number(scorer.id)
+
+    def test_what_waits_for_a_dial_or_is_unwritten_is_pulled_back(self):
+        for state in (io.State.DRAINING, io.State.GONE):
+            for linked in (False, True):
+                with self.subTest(state=state.name, linked=linked):
+                    scorer = ScorerPeer(copies=None)
+                    rig, pool, id = self.pool(scorer)
+                    if linked:
+                        pool.order(order(id, []))
+                        rig.until(lambda scorer=scorer: scorer.frames, "a link is up")
+                    ended, before = [], len(scorer.frames)
+                    pool.send(attempt(id, ended))
+                    pool.order(order(id, ended))
+                    pool.update(id, None, state, 0.0)
+                    self.assertEqual(ended, [(End.PULLED_BACK, False)] * 2)
+                    rig.settle(rig.client())
+                    self.assertEqual(len(scorer.frames), before)
+
+    def test_nothing_new_goes_to_one_that_drains_but_questions_do(self):
+        scorer, ended = ScorerPeer(), []
+        rig, pool, id = self.pool(scorer)
+        pool.update(id, None, io.State.DRAINING, 0.0)
+        pool.send(attempt(id, ended))
+        pool.order(order(id, ended))
+        self.assertEqual(ended, [(End.NEVER_SENT, False)] * 2)
+        pool.order(order(id, ended, copies=0))
+        rig.until(lambda: len(ended) == 3, "the question is answered")
+        self.assertEqual(ended[2], (io.Ending.GOOD, True))
+
+    def test_a_drain_told_by_the_change_log_leaves_what_runs_alone(self):
+        scorer = ScorerPeer()
+        rig = self.rig(scorer)
+        client = rig.client()
+        client.call()
+        rig.until(lambda: scorer.runs, "it runs")
+        rig.log.say({"seq": 2, "fleet": {"complete": False, "members": [scorer.member("terminating")]}})
+        rig.until(lambda: rig.front.changelog.seq == 2, "the drain is told")
+        scorer.answer(scorer.runs[0], body=b"done")
+        rig.until(lambda: client.answers, "it is answered")
+        self.assertEqual(client.kinds(), {1: "answer"})
+
+    def test_a_new_scorer_at_a_gone_ones_address_gets_links_of_its_own(self):
+        scorer, ended = ScorerPeer(copies=None), []
+        rig, pool, id = self.pool(scorer)
+        pool.send(attempt(id, ended))
+        rig.until(lambda: scorer.runs, "the old one runs it")
+        address = pool.scorers[id].address
+        pool.update(id, None, io.State.GONE, 0.0)
+        pool.update(77, address, io.State.READY, 0.0)
+        pool.send(attempt(77, ended, id=b"abcdefgh"))
+        rig.until(lambda: len(scorer.runs) == 2, "the new one runs it")
+        self.assertIsNot(scorer.runs[0][0], scorer.runs[1][0])
+        self.assertEqual(ended, [])
+
+    def test_a_dial_that_comes_up_after_its_scorer_has_gone_is_closed(self):
+        scorer = ScorerPeer()
+        rig, pool, id = self.pool(scorer)
+        pool.send(attempt(id, []))
+        [link] = pool.scorers[id].links
+        pool.update(id, None, io.State.GONE, 0.0)
+        rig.until(lambda: link.connection.up, "the dial comes up")
+        self.assertTrue(link.connection.closed)
+        self.assertFalse(pool.scorers)
+
+    def test_a_restart_retires_the_links_to_the_process_before(self):
+        scorer, ended = ScorerPeer(), []
+        rig, pool, id = self.pool(scorer)
+        pool.send(attempt(id, ended))
+        rig.until(lambda: scorer.runs, "it runs")
+        pool.update(id, None, io.State.READY, 5.0)
+        pool.send(attempt(id, ended, id=b"abcdefgh"))
+        rig.until(lambda: len(scorer.runs) == 2, "the next one runs")
+        self.assertIsNot(scorer.runs[0][0], scorer.runs[1][0])
+
+
+class Links(Case):
+    def test_a_bad_frame_ends_its_connection_only(self):
+        peers = ScorerPeer("s-1"), ScorerPeer("s-2")
+        rig, ended = self.rig(*peers), {"s-1": [], "s-2": []}
+        for peer in peers:
+            rig.front.pool.send(attempt(front_end.worker_number(peer.id), ended[peer.id]))
+        rig.until(lambda: all(peer.runs for peer in peers), "both run")
+        peers[0].runs[0][0].sock.sendall(b"HTTP/1.1 200 OK\r\n\r\n")
+        rig.until(lambda: ended["s-1"], "the first one ends")
+        peers[1].answer(peers[1].runs[0])
+        rig.until(lambda: ended["s-2"], "the second one ends")
+        self.assertEqual(ended, {"s-1": [(End.BAD_BYTES, True)], "s-2": [(io.Ending.GOOD, True)]})
+
+    def test_what_spoils_a_link_leaves_the_calls_on_the_others_alone(self):
+        scorer, ended = ScorerPeer(copies=None), []
+        rig = self.rig(scorer)
+        id = front_end.worker_number(scorer.id)
+        for n in range(3):
+            rig.front.pool.send(attempt(id, ended, id=b"%08d" % n))
+            links = rig.front.pool.scorers[id].links
+            rig.until(lambda n=n, links=links: [link.up for link in links] == [True] * (n + 2), "a spare")
+            rig.until(lambda n=n: len(scorer.runs) > n, "it runs")
+        scorer.runs[1][0].sock.sendall(b"HTTP/1.1 200 OK\r\n\r\n")
+        rig.until(lambda: ended, "one ends")
+        for item in (scorer.runs[0], scorer.runs[2]):
+            scorer.answer(item)
+        rig.until(lambda: len(ended) == 3, "the others are answered")
+        self.assertEqual(ended, [(End.BAD_BYTES, True)] + [(io.Ending.GOOD, True)] * 2)
+
+    def test_a_link_that_the_scorer_has_just_ended_is_not_used_again(self):
+        scorer, ended = ScorerPeer(), []
+        rig = self.rig(scorer)
+        id = front_end.worker_number(scorer.id)
+        rig.front.pool.order(order(id, ended))
+        rig.until(lambda: ended and len(scorer.links) == 2, "a link and a spare are idle")
+        for peer, link in zip(scorer.links, list(rig.front.pool.scorers[id].links), strict=True):
+            peer.sock.shutdown(socket.SHUT_WR)
+            self.assertTrue(ready(link.connection._sock))
+        rig.front.pool.send(attempt(id, ended))  # before the loop has read the ends
+        for link in rig.front.pool.scorers[id].links:
+            link.connection.flush()
+        rig.until(lambda: scorer.runs, "it runs")
+        self.assertEqual(ended, [(io.Ending.GOOD, True)])
+
+    def test_a_connection_carries_so_many_streams_and_no_id_twice(self):
+        scorer, ended = ScorerPeer(copies=None), []
+        rig = self.rig(scorer)
+        id = front_end.worker_number(scorer.id)
+        for n in range(33):
+            rig.front.pool.send(attempt(id, ended, id=b"%08d" % n))
+        rig.front.pool.send(attempt(id, ended, id=b"%08d" % 0))
+        rig.until(lambda: len(scorer.runs) == 34, "all run")
+        for link in scorer.links:
+            ids = [frame.id for at, frame in scorer.runs if at is link]
+            self.assertLessEqual(len(ids), 32)
+            self.assertEqual(len(ids), len(set(ids)))
+
+    def test_an_id_that_was_given_up_is_not_used_again_on_its_connection(self):
+        scorer, ended = ScorerPeer(), []
+        rig = self.rig(scorer)
+        id, first = front_end.worker_number(scorer.id), []
+        rig.front.pool.send(given_up := attempt(id, first))
+        rig.until(lambda: scorer.runs, "it runs")
+        rig.front.pool.cancel(given_up)
+        rig.front.pool.send(attempt(id, ended))
+        rig.until(lambda: len(scorer.runs) == 2, "the second runs")
+        scorer.answer(scorer.runs[0], body=b"of the first")
+        self.assertIsNot(scorer.runs[0][0], scorer.runs[1][0])
+        scorer.answer(scorer.runs[1], 2, "")
+        rig.until(lambda: ended, "the second ends")
+        self.assertEqual((first, ended), ([(End.CALLED_OFF, True)], [(io.Ending.MISS, True)]))
+
+    def test_silence_ends_in_time_for_attempts_orders_and_dials(self):
+        scorer, ended = ScorerPeer(copies=None), []
+        full = socket.socket()  # a listener whose queue is full: dials to it come to nothing
+        full.bind(("127.0.0.1", 0))
+        full.listen(0)
+        fillers = [socket.socket() for _ in range(4)]
+        for filler in fillers:
+            filler.setblocking(False)
+            filler.connect_ex(full.getsockname())
+        for sock in (full, *fillers):
+            self.addCleanup(sock.close)
+        rig = self.rig(scorer)
+        id, pool = front_end.worker_number(scorer.id), rig.front.pool
+        pool.order(order(id, [], copies=0))
+        rig.until(lambda: scorer.frames, "a link is up")
+        pool.wire = msgspec.structs.replace(pool.wire, load_wait_ms=500.0, dial_timeout_ms=60.0)
+        rig.front.pool.update(9, full.getsockname(), io.State.READY, 0.0)
+        rig.front.pool.send(attempt(id, ended, within_ms=500.0))
+        rig.until(lambda: ended, "the attempt ends")
+        rig.front.pool.order(order(id, ended))
+        rig.until(lambda: len(ended) == 2, "the order ends")
+        rig.front.pool.send(attempt(9, ended))
+        rig.until(lambda: len(ended) == 3, "the dial ends")
+        self.assertEqual(ended, [(End.OUT_OF_TIME, True)] * 2 + [(End.DIAL_TIMED_OUT, False)])
+
+    def test_a_link_forgotten_while_idle_makes_others_as_idle_unused(self):
+        scorer, ended = ScorerPeer(), []
+        rig = self.rig(scorer)
+        id, pool = front_end.worker_number(scorer.id), rig.front.pool
+        pool.order(order(id, ended))
+        rig.until(lambda: ended and len(scorer.links) == 2, "a link and a spare are idle")
+        used, spare = pool.scorers[id].links
+        rig.until(lambda: min(used.idle_ms(), spare.idle_ms()) > 100.0, "both are idle for long")
+        scorer.copies = None
+        pool.order(order(id, ended))
+        with mock.patch.object(scorers, "STALE_SIGN_MS", 60_000.0):
+            rig.until(lambda: len(scorer.frames) == 2, "it is used again")
+            reset(scorer.frames[1][0].sock)
+            rig.until(lambda: len(ended) == 2, "it is reset")
+        self.assertEqual(ended[1], (End.RESET_BY_PEER, True))
+        pool.send(attempt(id, ended))
+        rig.until(lambda: scorer.runs, "a call runs")
+        self.assertNotIn(scorer.runs[0][0], scorer.links[:2])
+
+    def test_half_a_frame_that_goes_no_further_ends_its_link(self):
+        scorer, ended = ScorerPeer(copies=None), []
+        rig = self.rig(scorer)
+        rig.front.pool.send(attempt(front_end.worker_number(scorer.id), ended))
+        rig.until(lambda: scorer.runs, "it runs")
+        link, frame = scorer.runs[0]
+        whole = scorer_frames.encode(0, frame.id, body=b"x" * 50, mark=scorer_frames.FROM_SCORER)
+        link.sock.sendall(whole[:40])
+        rig.until(lambda: ended, "it ends")
+        self.assertEqual(ended, [(End.SILENT, True)])
+
+    def test_a_second_copy_of_an_answer_ends_no_later_attempt(self):
+        scorer, ended = ScorerPeer(copies=None), []
+        rig = self.rig(scorer)
+        id = front_end.worker_number(scorer.id)
+        with mock.patch.object(scorers, "LINKS_SPREAD", 1):
+            rig.front.pool.send(attempt(id, ended))
+            rig.until(lambda: scorer.runs, "it runs")
+            scorer.answer(scorer.runs[0], 3, "")
+            rig.until(lambda: ended, "it is full")
+            rig.front.pool.send(attempt(id, ended))
+            scorer.answer(scorer.runs[0], 3, "")
+            rig.until(lambda: len(scorer.runs) == 2, "it runs again")
+        scorer.answer(scorer.runs[1])
+        rig.until(lambda: len(ended) == 2, "it is answered")
+        self.assertEqual([end for end, _ in ended], [io.Ending.FULL, io.Ending.GOOD])
+
+    def test_a_link_that_owes_an_answer_in_silence_gets_nothing_new(self):
+        scorer, ended = ScorerPeer(copies=None), []
+        rig = self.rig(scorer)
+        id = front_end.worker_number(scorer.id)
+        rig.front.pool.send(attempt(id, ended))
+        rig.until(lambda: scorer.runs, "it runs")
+        with mock.patch.object(scorers, "QUIET_MS", -1.0):
+            rig.front.pool.send(attempt(id, ended, id=b"abcdefgh"))
+            rig.until(lambda: len(scorer.runs) == 2, "the second runs")
+        self.assertIsNot(scorer.runs[0][0], scorer.runs[1][0])
+
+    def test_idle_links_are_closed_and_what_is_open_keeps_one(self):
+        busy, idle = ScorerPeer("s-1", copies=None), ScorerPeer("s-2")
+        rig, ended = self.rig(busy, idle, settings={"bounds": {"keepalive": 0.0}}), []
+        for peer in (busy, idle):
+            rig.front.pool.order(order(front_end.worker_number(peer.id), ended))
+        rig.until(lambda: ended and busy.frames, "one is answered")
+        rig.until(lambda: idle.links[0].ended, "the idle one is closed")
+        self.assertFalse(busy.links[0].ended)
+
+    def test_links_keep_to_their_share_of_descriptors(self):
+        scorer, ended = ScorerPeer(copies=None), []
+        rig = self.rig(scorer, limits={"sockets": 32}, settings={"bounds": {"streams_per_conn": 1}})
+        id = front_end.worker_number(scorer.id)
+        for n in range(40):
+            rig.front.pool.send(attempt(id, ended, id=b"%08d" % n))
+        rig.until(lambda: len(scorer.runs) + len(ended) == 40, "all run or end")
+        self.assertEqual(set(ended), {(End.NO_DESCRIPTOR, False)})
+        self.assertLessEqual(len(scorer.links), 32 * front_end.SCORER_SHARE)
