Plans and hints on bad scorers go by the one overlay that operators use

Need: three places kept a copy of the roster and told scorers as draining: the overlay, the roster of zones, and one for scorers that rest. They were chained by hand in serving.py, and each had to be told of what the one before it changed. What two of them closed passed to the module twice.

Ruled out: one closer that reads the plan in force as it changes. Laying compares before and after, so a closer that changes its mind by itself would change nothing that was told. Closers go by values that stay.

Change: a plan becomes a closer laid by "zones", hints one laid by "state" (replication/resting.py); what a plan is made from is read from the roster as told. Seam.told only hears what the change log told. Scorers in service that others close do not rest and do not count among a zone's: as before for what a plan closes, new for what operators have taken out.

--- a/fawnwharf/net/front_end.py
+++ b/fawnwharf/net/front_end.py
@@ -43,10 +43,11 @@
 
 
 class Seam(Part, Protocol):
-    """What another subsystem may do to what this front end is told, and hear of what comes of it."""
+    """What another subsystem hears of what this front end is told, and of what comes of it. What it closes
+    it lays over the roster (`Overlay.close`)."""
 
-    def told(self, fleet: Fleet) -> Fleet:
-        """The roster as it came, and as it is to be taken."""
+    def told(self, fleet: Fleet) -> None:
+        """What the change log told, once it is taken."""
 
     def events(self, events: list[io.Event]) -> None:
         """A batch, before the module has it."""
@@ -67,7 +68,7 @@
         seam: Seam | None = None,
     ) -> None:
         """`reread` gives the configuration anew at each SIGHUP; without it, SIGHUP changes nothing.
-        `seam` stands between the roster and all that goes by it."""
+        `seam` hears of the roster and of each batch."""
         self.deployment, self._reread, self._seam = deployment, reread, seam
         self.log = log or Log(deployment.name or "fawnwharf")
         settings, wire, sockets = deployment.settings, deployment.wire, deployment.sockets
@@ -179,7 +180,9 @@
         self.changelog.seq = max(self.changelog.seq, self.deployment.known_seq)
 
     def _on_fleet(self, fleet: Fleet) -> None:
-        self.take_fleet(self._seam.told(fleet) if self._seam else fleet)
+        self.take_fleet(fleet)
+        if self._seam:
+            self._seam.told(fleet)
 
     def take_fleet(self, fleet: Fleet) -> None:
         """Take this roster, or these changes of it, and go by what is laid over it."""
--- a/fawnwharf/net/overlay.py
+++ b/fawnwharf/net/overlay.py
@@ -45,7 +45,10 @@
 
     def close(self, who: str, closer: Closer | None) -> Fleet:
         """Lay a closer over the roster in place of `who`'s earlier one, or take it away; the changes that it
-        makes to what was told last."""
+        makes to what was told last.
+
+        A closer goes by values that stay as they are. Where those change (another plan, other scorers that
+        rest), a new one is laid: one that changed its mind by itself would change nothing that was told."""
         before = {id: self._phase(member) for id, member in self.members.items()}
         if closer is None:
             self._closers.pop(who, None)
@@ -53,6 +56,10 @@
             self._closers[who] = closer
         return self._changes(id for id, member in self.members.items() if self._phase(member) != before[id])
 
+    def left_to(self, who: str) -> list[Member]:
+        """The scorers in service that nobody but `who` closes: what it may go on closing, or open again."""
+        return [m for m in self.members.values() if m.phase == "in_service" and not self._closed(m, who)]
+
     def returned(self, ids: Iterable[str], now_ms: float) -> Fleet:
         """These count as started at this moment: they come back cold. The changes that it makes."""
         found = [id for id in ids if id in self.members]
@@ -64,9 +71,10 @@
 
     def _phase(self, member: Member) -> str:
         """Closers only ever close; what drains or is gone as told stays so."""
-        if member.phase == "in_service" and any(closer(member) for closer in self._closers.values()):
-            return "terminating"
-        return member.phase
+        return "terminating" if member.phase == "in_service" and self._closed(member) else member.phase
+
+    def _closed(self, member: Member, but: str | None = None) -> bool:
+        return any(closer(member) for who, closer in self._closers.items() if who != but)
 
     def _laid(self, member: Member) -> Member:
         up_since_ms = max(member.up_since_ms, self._returned.get(member.id, 0.0))
--- a/fawnwharf/replication/service.py
+++ b/fawnwharf/replication/service.py
@@ -9,19 +9,18 @@
 
 from fawnwharf import interface as io
 from fawnwharf.accord.disk import DiskError
-from fawnwharf.config import ConfigError, Deployment, Fleet, Member, address_from
-from fawnwharf.net.front_end import FrontEnd, worker_number
+from fawnwharf.config import ConfigError, Deployment, Fleet, address_from
+from fawnwharf.net.front_end import FrontEnd
 from fawnwharf.net.wheel import Timer, monotonic_ms
-from fawnwharf.replication.beliefs import Rests, Sights, counts_by
 from fawnwharf.replication.claimant import Go, Out, TurnAway
 from fawnwharf.replication.core import Core, LineFault
 from fawnwharf.replication.disk import KeeperDisk, boot_id
 from fawnwharf.replication.gate import Gate
 from fawnwharf.replication.links import DirectedLog, DirectedServer
 from fawnwharf.replication.messages import Hello, Say, Word
+from fawnwharf.replication.resting import Resting
 from fawnwharf.replication.settings import Settings, check_members, settings_from
 from fawnwharf.replication.use import Shares
-from fawnwharf.zones.roster import Roster
 from fawnwharf.zones.settings import FileFault, Members, members_from
 
 FILES_MS = 500.0
@@ -34,25 +33,6 @@
 Write = Callable[[str, dict[str, Any]], None]
 
 
-class Resting(Roster):
-    """The roster as it was told, but with scorers that rest told as draining."""
-
-    def __init__(self, zone: str) -> None:
-        super().__init__(zone)
-        self.resting: set[str] = set()
-
-    def _phase(self, member: Member) -> str:
-        rests = member.phase == "in_service" and member.id in self.resting
-        return "terminating" if rests else super()._phase(member)
-
-    def rest(self, ids: set[str]) -> Fleet:
-        """Let these rest, and no others; the changes that it makes to what was told last."""
-        touched = ids ^ self.resting
-        self.resting = set(ids)
-        changed = [self._lowered(member, member) for id, member in self.members.items() if id in touched]
-        return Fleet(changed, False, self.revision)
-
-
 class State:
     """Owns this front end's part in the state that is kept together; a Seam of the front end."""
 
@@ -84,10 +64,8 @@
             # The module adds what it is handed to the quotas: these are as they were sold.
             quotas = dict(deployment.settings.quotas_rps)
             self.core.shares = Shares(quotas, deployment.settings.fleet_size)
-        self.sights, self.rests, self.roster = Sights(), Rests(), Resting(entry.zone)
-        self._scorers: dict[int, Member] = {}  # in service, by number
         promises = (spec.promise_ms for spec in deployment.settings.classes.values())
-        self._promise_ms = min(promises, default=1_000.0)
+        self.resting = Resting(min(promises, default=1_000.0), self.note)
         self.disk: KeeperDisk | None = None
         self._found: dict[str, Any] = {}
         self._sure_told = -1
@@ -153,23 +131,12 @@
         if self.disk:
             self.disk.close()
 
-    def told(self, fleet: Fleet) -> Fleet:
-        lowered = self.roster.told(fleet)
-        self._scorers = {
-            worker_number(member.id): member
-            for member in self.roster.members.values()
-            if member.phase == "in_service"
-        }
-        return lowered
+    def told(self, fleet: Fleet) -> None: ...
 
     def events(self, events: list[io.Event]) -> None:
         if self.core.shares:
             self.core.shares.came(e.tenant for e in events if isinstance(e, io.RequestArrived))
-        now = monotonic_ms()
-        for event in events:
-            if isinstance(event, io.AttemptEnded | io.OrderAnswered):
-                warmth = getattr(event, "warmth", io.Warmth.UNTOLD)  # an order's answer has none
-                self.sights.ended(now, event.worker, event.ending, event.took_ms, self._promise_ms, warmth)
+        self.resting.events(monotonic_ms(), events)
 
     @property
     def busy(self) -> bool:
@@ -299,18 +266,11 @@
         if self._stopped:
             return
         now = monotonic_ms()
-        self._carry_out(self.core.tell_named(now, self.sights))
-        zones = {worker: member.locality for worker, member in self._scorers.items()}
-        counts = counts_by(zones.values())
-        for hints in self.core.hints:
-            self.rests.heard(now, hints, self.sights, zones, counts)
+        self._carry_out(self.core.tell_named(now, self.resting.sights))
+        changes = self.resting.look(now, self.core.hints, self.front.overlay)
         self.core.hints.clear()
-        resting = {self._scorers[w].id for w in self.rests.resting(now) if w in self._scorers}
-        if resting != self.roster.resting:
-            self.note("scorers rest", {"now": sorted(resting), "before": sorted(self.roster.resting)})
-            changes = self.roster.rest(resting)
-            if changes.members:
-                self.front.take_fleet(changes)
+        if changes.members:
+            self.front.go_by(changes)
         self.front.loop.wheel.after(self.settings.hints_ms, self._beliefs)
 
     def _status(self) -> None:
--- a/fawnwharf/serving.py
+++ b/fawnwharf/serving.py
@@ -48,8 +48,6 @@
         front = FrontEnd(deployment, reread=lambda: config.load(path), seam=seam)
     except OSError as error:
         raise config.ConfigError(f"listen: {error.strerror}: {deployment.listen}") from None
-    if len(parts) > 1:  # what the plan changes, the state's roster has to know
-        parts[0].take = lambda fleet: front.take_fleet(parts[1].told(fleet))
     for part in parts:
         part.attach(front)
     if deployment.control:
@@ -65,10 +63,9 @@
     def __init__(self, parts: list[Seam]) -> None:
         self._parts = parts
 
-    def told(self, fleet: config.Fleet) -> config.Fleet:
+    def told(self, fleet: config.Fleet) -> None:
         for part in self._parts:
-            fleet = part.told(fleet)
-        return fleet
+            part.told(fleet)
 
     def events(self, events: list[io.Event]) -> None:
         for part in self._parts:
--- a/fawnwharf/zones/service.py
+++ b/fawnwharf/zones/service.py
@@ -15,18 +15,19 @@
 from fawnwharf.net.endings import End
 from fawnwharf.net.front_end import FrontEnd, worker_number
 from fawnwharf.net.wheel import Timer, Wheel, monotonic_ms
+from fawnwharf.zones import roster
 from fawnwharf.zones import settings as s
 from fawnwharf.zones.evidence import Observer, View, view
 from fawnwharf.zones.links import LogServer, MemberLog
 from fawnwharf.zones.member import Ballot, Effect, Follow, Keep, LineFault, Member, Note, Publish
 from fawnwharf.zones.plan import Plan
-from fawnwharf.zones.roster import Roster
 
 FILES_MS = 500.0  # pace of the look at the files
 PROBE_MS = 250.0  # pace of dials into zones that give no sign by themselves
 HELD_MS = 60.0  # a probe that came up stays for so long
 READERS_SPARE = 16  # beyond the members, for operators
 LINE_S = 1.0  # one line a second for each cause of dropped lines
+CLOSER = LIMIT = "zones"
 
 Write = Callable[[str, dict[str, Any]], None]
 
@@ -119,7 +120,6 @@
         saved = self.disk.saved if self.disk else None
         saves = self.disk.number if self.disk else 0
         self.core = Member(entry.name, members, self.settings, now, deployment.seed, identity, saved, saves)
-        self.roster = Roster(entry.zone)
         promise = min((c.promise_ms for c in deployment.settings.classes.values()), default=1_000.0)
         self.observer = Observer(self.settings.evidence, promise)
         self._sold = sum(deployment.settings.quotas_rps.values())  # before any limit stands among them
@@ -135,7 +135,6 @@
         self._stopped = False
         self._failed = False  # the disk: no part in votes any more
         self.front: FrontEnd | None = None
-        self.take: Callable[[Fleet], None] | None = None  # where its changes of the roster go
         self.public: LogServer | None = None
         self.ballots: LogServer | None = None
 
@@ -144,7 +143,6 @@
     def attach(self, front: FrontEnd) -> None:
         """Begin, on the front end's loop."""
         self.front = front
-        self.take = self.take or front.take_fleet
         most = len(self.core.members.members) + READERS_SPARE
         self.public = self._server("listen", self.settings.listen or self.entry.address, most)
         if self.entry.ballots:
@@ -179,12 +177,11 @@
 
     # --- the seam -------------------------------------------------------------------------------
 
-    def told(self, fleet: Fleet) -> Fleet:
+    def told(self, fleet: Fleet) -> None:
         self._told_ms = monotonic_ms()
         for member in fleet.members:
             if member.locality:
                 self._zone_of[worker_number(member.id)] = member.locality
-        return self.roster.told(fleet)
 
     @property
     def busy(self) -> bool:
@@ -198,13 +195,14 @@
                 self.observer.ended(now, zone, event.worker, event.ending, event.took_ms)
 
     def _go_by(self, effect: Follow) -> None:
-        changes = self.roster.follow(effect.plan)
+        overlay, zone = self.front.overlay, self.entry.zone
+        changes = overlay.close(CLOSER, roster.closer(effect.plan, zone))
         if changes.members:
-            self.take(changes)
-        part = self.roster.admission()
+            self.front.go_by(changes)
+        part = roster.admission(effect.plan, zone)
         limited = part < 1.0 and self._sold > 0
         rps = part * self._sold / self.deployment.settings.fleet_size * self._carried(effect.plan)
-        self.front.limit("zones", rps if limited else io.UNLIMITED_RPS)
+        self.front.limit(LIMIT, rps if limited else io.UNLIMITED_RPS)
         fields = {"index": effect.index, "scorers changed": len(changes.members), "admission": round(part, 3)}
         if effect.plan is None:
             self.note("on its own", fields)
@@ -227,9 +225,8 @@
         if self._stopped:
             return
         now = monotonic_ms()
-        self._carry_out(
-            self.core.tick(now, self.observer.seen(now), self.roster.sizes(), now - self._told_ms)
-        )
+        sizes = roster.sizes(self.front.overlay.members.values())
+        self._carry_out(self.core.tick(now, self.observer.seen(now), sizes, now - self._told_ms))
         self._set_timer()
 
     def _set_timer(self) -> None:
@@ -378,7 +375,7 @@
 
     def _probe_zone(self, zone: str, more: int = 0) -> None:
         """Dial one scorer of the zone; where it fails and the zone was well till now, two others at once."""
-        scorers = self.roster.in_zone(zone)
+        scorers = roster.in_zone(self.front.overlay.members.values(), zone)
         if not scorers:
             return
         place = self._probing.get(zone, worker_number(self.entry.name)) + 1  # not all at the same one
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -12,6 +12,8 @@
 from fawnwharf.config import Fleet, Member
 from fawnwharf.interface import Effect, Ending, Warmth
 from fawnwharf.lab.promises import STORM, Walk, Weather, fleet_file
+from fawnwharf.net.front_end import worker_number
+from fawnwharf.net.overlay import Overlay
 from fawnwharf.replication import messages as m
 from fawnwharf.replication import settings as s
 from fawnwharf.replication.beliefs import Rests, Sightings, Sights
@@ -20,7 +22,7 @@
 from fawnwharf.replication.core import Core, LineFault
 from fawnwharf.replication.disk import KeeperDisk
 from fawnwharf.replication.placement import Placement
-from fawnwharf.replication.service import Resting
+from fawnwharf.replication.resting import Resting, closer
 from fawnwharf.replication.shelf import Shelf
 from fawnwharf.replication.use import FLOOR, Shares, Uses, share
 from fawnwharf.zones.settings import FileFault, members_from
@@ -677,18 +679,52 @@
 
 
 def test_a_resting_scorer_is_told_as_draining_and_what_drains_or_is_gone_stays_so():
-    roster = Resting("a")
-    told = roster.told(Fleet([entry("s1"), entry("s2"), entry("s3", phase="terminating")], True, 1))
+    overlay = Overlay()
+    told = overlay.told(Fleet([entry("s1"), entry("s2"), entry("s3", phase="terminating")], True, 1))
     assert [member.phase for member in told.members] == ["in_service", "in_service", "terminating"]
-    changes = roster.rest({"s1", "s3"})
+    changes = overlay.close("state", closer(frozenset({"s1", "s3"})))
     phases = {member.id: member.phase for member in changes.members}
-    assert phases == {"s1": "terminating", "s3": "terminating"}
-    told = roster.told(Fleet([entry("s1")], False, 2))
-    assert [member.phase for member in told.members] == ["terminating"]
-    roster.told(Fleet([entry("s2", phase="terminating")], False, 3))
-    changes = roster.rest(set())
+    assert phases == {"s1": "terminating"}  # of s3 there is nothing new to tell
+    told = overlay.told(Fleet([entry("s1"), entry("s3", phase="terminating")], False, 2))
+    assert [member.phase for member in told.members] == ["terminating", "terminating"]
+    overlay.told(Fleet([entry("s2", phase="terminating")], False, 3))
+    changes = overlay.close("state", closer(frozenset()))
     phases = {member.id: member.phase for member in changes.members}
-    assert phases == {"s1": "in_service", "s3": "terminating"}
+    assert phases == {"s1": "in_service"}
+
+
+def hint(*ids):
+    return m.Hints({str(worker_number(id)): 9 for id in ids})
+
+
+def test_a_hint_is_gone_by_for_its_time_and_told_once():
+    overlay, notes = Overlay(), []
+    resting = Resting(400.0, lambda event, fields: notes.append(fields))
+    overlay.told(Fleet([entry(f"s{n}") for n in range(8)], True, 1))
+    steps = [
+        (1_000.0, [], {}),
+        (1_250.0, [hint("s1", "s9")], {"s1": "terminating"}),
+        (1_500.0, [hint("s1", "s2")], {"s2": "terminating"}),
+        (1_750.0, [hint("s3")], {}),  # a quarter of them rests
+        (3_250.0, [], {"s1": "in_service"}),
+        (3_500.0, [], {"s2": "in_service"}),
+        (3_750.0, [], {}),
+    ]
+    for now, heard, wanted in steps:
+        changes = resting.look(now, heard, overlay)
+        assert {member.id: member.phase for member in changes.members} == wanted, now
+    assert [fields["now"] for fields in notes] == [["s1"], ["s1", "s2"], ["s2"], []]
+
+
+def test_what_others_close_neither_rests_nor_counts_among_those_that_may():
+    overlay, resting = Overlay(), Resting(400.0, lambda event, fields: None)
+    overlay.told(Fleet([entry(f"s{n}") for n in range(8)], True, 1))
+    overlay.close("zones", lambda member: member.id in ("s0", "s4", "s5", "s6"))
+    changes = resting.look(1_000.0, [hint("s0", "s1", "s2")], overlay)
+    assert [member.id for member in changes.members] == ["s1"] and resting.rests.refused == 1
+    overlay.close("zones", None)
+    changes = resting.look(1_250.0, [hint("s0")], overlay)
+    assert [member.id for member in changes.members] == ["s0"] and resting.ids == {"s0", "s1"}
 
 
 # --- a keeper's disk ----------------------------------------------------------------------------
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -10,12 +10,13 @@
 from fawnwharf.accord.messages import Saved
 from fawnwharf.accord.voter import founding
 from fawnwharf.interface import Ending
+from fawnwharf.net.overlay import Overlay
 from fawnwharf.zones import plan as p
+from fawnwharf.zones import roster
 from fawnwharf.zones import settings as s
 from fawnwharf.zones.evidence import Observer, Seen, View, view
 from fawnwharf.zones.judge import Judge, Report
 from fawnwharf.zones.member import Ballot, Follow, Keep, LineFault, Member, Note, Publish
-from fawnwharf.zones.roster import Roster
 
 GOOD, DEAD, SLOW = Seen(heard=9), Seen(silent=6, refused=3), Seen(heard=9, slow=8)
 
@@ -173,22 +174,25 @@
 
 
 def test_a_plan_closes_scorers_and_never_opens_one_that_drains():
-    roster = Roster("a")
+    overlay = Overlay()
     fleet = config.Fleet([*scorers("a1", "b1"), *scorers("b2", phase="terminating")], complete=True)
-    assert phases(roster.told(fleet)) == {"a1": "in_service", "b1": "in_service", "b2": "terminating"}
+    assert phases(overlay.told(fleet)) == {"a1": "in_service", "b1": "in_service", "b2": "terminating"}
     out = plan(a=(p.SERVING, 2, 0.5, "x"), b=(p.OUT, 2, 0.5, "x"))
-    assert phases(roster.follow(out)) == {"b1": "terminating"}
-    assert phases(roster.told(config.Fleet(scorers("b3")))) == {"b3": "terminating"}
-    assert phases(roster.follow(None)) == {"b1": "in_service", "b3": "in_service"}
-    assert roster.sizes() == {"a": 2.0, "b": 4.0}
+    assert phases(overlay.close("zones", roster.closer(out, "a"))) == {"b1": "terminating"}
+    assert phases(overlay.told(config.Fleet(scorers("b3")))) == {"b3": "terminating"}
+    assert [m.id for m in roster.in_zone(overlay.members.values(), "b")] == ["b1", "b3"]
+    back = overlay.close("zones", roster.closer(None, "a"))
+    assert phases(back) == {"b1": "in_service", "b3": "in_service"}
+    assert roster.sizes(overlay.members.values()) == {"a": 2.0, "b": 4.0}
 
 
 def test_the_roster_keeps_what_a_change_does_not_tell_again():
-    roster = Roster("a")
-    roster.told(config.Fleet(scorers("b1"), complete=True))
+    overlay = Overlay()
+    overlay.told(config.Fleet(scorers("b1"), complete=True))
     gone = config.Member("b1", "terminated")
-    assert phases(roster.told(config.Fleet([gone]))) == {"b1": "terminated"}
-    assert roster.members == {}
+    [told] = overlay.told(config.Fleet([gone])).members
+    assert (told.phase, told.host_port, told.locality) == ("terminated", "127.0.0.1:1", "b")
+    assert overlay.members == {}
 
 
 # --- evidence -----------------------------------------------------------------------------------
