Zones: probes, watched files and the founding each in a module of its own

Ruled out: moving lines to where they fit by number alone; each part took its state along (which zones are dead here, whom to dial next).

Change: zones/probes.py owns dials and what a view has turned to, and tells the owner that one turned; zones/files.py reads and watches files; zones/founding.py begins a fleet. Nothing in them knows of service.py.

--- /dev/null
+++ b/fawnwharf/zones/founding.py
@@ -0,0 +1,31 @@
+"""The beginning of a fleet: once, at one voter, by an operator's word."""
+
+from pathlib import Path
+
+from fawnwharf.accord.disk import Disk, DiskError
+from fawnwharf.accord.voter import founding
+from fawnwharf.config import ConfigError
+from fawnwharf.zones import settings as s
+from fawnwharf.zones.files import load
+
+
+def found(path: str | Path, name: str) -> str:
+    """Make a member the first voter of a new fleet, once; its identity. Raises ConfigError."""
+    settings = load(Path(path), s.settings_from, "zones")
+    base = Path(path).parent
+    members = load(base / settings.members, s.members_from, "zones")
+    entry = members.named(name)
+    if entry is None or not entry.ballots:
+        raise ConfigError(f"zones: {name} is no voter among the members")
+    folder = base / settings.folder
+    try:
+        disk = Disk(folder, members.fleet, name)
+    except DiskError as error:
+        raise ConfigError(f"zones: {error}") from None
+    try:
+        if disk.number or disk.saved.voters:
+            raise ConfigError(f"zones: {disk.path}: not empty: this fleet has begun")
+        disk.save(founding(disk.label.identity))
+    finally:
+        disk.close()
+    return disk.label.identity
--- /dev/null
+++ b/fawnwharf/zones/probes.py
@@ -0,0 +1,122 @@
+"""Dials into zones from which too few signs come, and the look at what all signs amount to."""
+
+from collections.abc import Callable, Iterable
+
+from fawnwharf.config import address_from
+from fawnwharf.net.connection import Connection
+from fawnwharf.net.endings import End
+from fawnwharf.net.front_end import FrontEnd, worker_number
+from fawnwharf.net.wheel import Wheel, monotonic_ms
+from fawnwharf.zones import roster
+from fawnwharf.zones.evidence import Observer, View, view
+from fawnwharf.zones.settings import Evidence
+
+PROBE_MS = 250.0  # pace of dials into zones that give no sign by themselves
+HELD_MS = 60.0  # a probe that came up stays for so long
+
+
+class _Probe:
+    """One dial into a zone, which tells whether somebody listens there, and goes on doing so for a moment.
+
+    Guards against what stands before a dead scorer and takes its connections, only to end them."""
+
+    def __init__(self, wheel: Wheel, told: Callable[[bool], None]) -> None:
+        self.connection: Connection | None = None
+        self._wheel = wheel
+        self._told: Callable[[bool], None] | None = told
+
+    def _tell(self, good: bool) -> None:
+        told, self._told = self._told, None
+        if told:
+            told(good)
+
+    def on_up(self) -> None:
+        self._wheel.after(HELD_MS, self._held)
+
+    def _held(self) -> None:
+        if not self.connection.closed:
+            self._tell(True)
+            self.connection.close(End.IDLE)
+
+    def on_data(self, data: bytes) -> None: ...
+
+    def on_flushed(self) -> None: ...
+
+    def on_end(self, end: End) -> None:
+        self._tell(False)
+
+
+class Probes:
+    """Owns which zones are dead for this front end, and whom it dials next in each."""
+
+    def __init__(
+        self,
+        front: FrontEnd,
+        observer: Observer,
+        rules: Evidence,
+        name: str,
+        zones: Callable[[], Iterable[str]],
+        turned: Callable[[float], None],
+    ) -> None:
+        """`zones` tells all that there are now; `turned` is called when a view of one has changed."""
+        self._front, self._observer, self._rules = front, observer, rules
+        self._first = worker_number(name)  # members begin at different scorers
+        self._zones, self._turned = zones, turned
+        self._dead: set[str] = set()  # as told last
+        self._places: dict[str, int] = {}  # zone to the place of the next scorer
+        self._stopped = False
+
+    def close(self) -> None:
+        self._stopped = True
+
+    def look(self) -> None:
+        """Dial into each zone that gives no good sign: what is closed must be seen to come back, and what
+        falls silent must be seen to be gone. Goes on by itself from then on."""
+        if self._stopped:
+            return
+        now = monotonic_ms()
+        seen = self._observer.seen(now)
+        for zone in self._zones():
+            signs = seen.get(zone)
+            few = signs is None or signs.heard + signs.bad < 2 * self._rules.least
+            if few or self._observer.quiet_ms(now, zone) >= PROBE_MS:
+                self._dial(zone)
+        self._look_at_views(now)
+        self._front.loop.wheel.after(PROBE_MS, self.look)
+
+    def _look_at_views(self, now_ms: float) -> None:
+        """A view that has turned is told before its time."""
+        seen = self._observer.seen(now_ms)
+        dead = {zone for zone, signs in seen.items() if view(signs, self._rules) is View.DEAD}
+        if dead != self._dead:
+            self._dead = dead
+            self._turned(now_ms)
+
+    def _dial(self, zone: str, more: int = 0) -> None:
+        """Dial one scorer of the zone; where it fails and the zone was well till now, two others at once."""
+        scorers = roster.in_zone(self._front.overlay.members.values(), zone)
+        if not scorers:
+            return
+        place = self._places.get(zone, self._first) + 1  # not all at the same one
+        self._places[zone] = place
+        member = scorers[place % len(scorers)]
+        if not member.host_port:
+            return
+
+        def told(good: bool) -> None:
+            now = monotonic_ms()
+            self._observer.dialled(now, zone, worker_number(member.id), good)
+            if not good and zone not in self._dead:
+                for _ in range(2 - more):
+                    self._dial(zone, more=2)
+                self._look_at_views(now)
+
+        probe = _Probe(self._front.loop.wheel, told)
+        within = min(self._front.deployment.wire.dial_timeout_ms, self._rules.window_ms / 2)
+        address = address_from(member.host_port, "host_port")
+        made = Connection.dial(self._front.loop, address, probe, within)
+        if isinstance(made, End):
+            if made is not End.NO_DESCRIPTOR:
+                told(False)
+        else:
+            probe.connection = made
--- a/fawnwharf/zones/service.py
+++ b/fawnwharf/zones/service.py
@@ -11,20 +11,18 @@
 from fawnwharf import interface as io
 from fawnwharf.accord.disk import Disk, DiskError
 from fawnwharf.config import ConfigError, Deployment, Fleet, address_from
-from fawnwharf.net.connection import Connection
-from fawnwharf.net.endings import End
 from fawnwharf.net.front_end import FrontEnd, worker_number
-from fawnwharf.net.wheel import Timer, Wheel, monotonic_ms
+from fawnwharf.net.wheel import Timer, monotonic_ms
 from fawnwharf.zones import roster
 from fawnwharf.zones import settings as s
-from fawnwharf.zones.evidence import Observer, View, view
+from fawnwharf.zones.evidence import Observer
+from fawnwharf.zones.files import WatchedFile, load
 from fawnwharf.zones.links import LogServer, MemberLog
 from fawnwharf.zones.member import Ballot, Effect, Follow, Keep, LineFault, Member, Note, Publish
 from fawnwharf.zones.plan import Plan
+from fawnwharf.zones.probes import Probes
 
 FILES_MS = 500.0  # pace of the look at the files
-PROBE_MS = 250.0  # pace of dials into zones that give no sign by themselves
-HELD_MS = 60.0  # a probe that came up stays for so long
 READERS_SPARE = 16  # beyond the members, for operators
 LINE_S = 1.0  # one line a second for each cause of dropped lines
 CLOSER = LIMIT = "zones"
@@ -32,57 +30,6 @@
 Write = Callable[[str, dict[str, Any]], None]
 
 
-class WatchedFile:
-    """A file that is taken whole or not at all, when it has changed."""
-
-    def __init__(self, path: Path) -> None:
-        self.path, self._seen = path, None
-
-    def changed(self) -> bytes | None:
-        """Its bytes where it changed since the last look; None where it did not, or can't be read."""
-        try:
-            stat = self.path.stat()
-            mark = (stat.st_mtime_ns, stat.st_size, stat.st_ino)
-            if mark == self._seen:
-                return None
-            data = self.path.read_bytes()
-        except OSError:
-            return None
-        self._seen = mark
-        return data
-
-
-class _Probe:
-    """One dial into a zone, which tells whether somebody listens there, and goes on doing so for a moment.
-
-    Guards against what stands before a dead scorer and takes its connections, only to end them."""
-
-    def __init__(self, wheel: Wheel, told: Callable[[bool], None]) -> None:
-        self.connection: Connection | None = None
-        self._wheel = wheel
-        self._told: Callable[[bool], None] | None = told
-
-    def _tell(self, good: bool) -> None:
-        told, self._told = self._told, None
-        if told:
-            told(good)
-
-    def on_up(self) -> None:
-        self._wheel.after(HELD_MS, self._held)
-
-    def _held(self) -> None:
-        if not self.connection.closed:
-            self._tell(True)
-            self.connection.close(End.IDLE)
-
-    def on_data(self, data: bytes) -> None: ...
-
-    def on_flushed(self) -> None: ...
-
-    def on_end(self, end: End) -> None:
-        self._tell(False)
-
-
 class Zones:
     """Owns this front end's membership: the core, its servers and feeds, its timers; a Seam of the
     front end."""
@@ -91,13 +38,13 @@
         """Reads and checks all files; raises ConfigError with one line. `write` takes structured notes."""
         self.deployment, self._write = deployment, write
         place = Path(path)
-        self.settings = _load(place, s.settings_from)
+        self.settings = load(place, s.settings_from, "zones")
         base = place.parent
         self._members_file = WatchedFile(base / self.settings.members)
         folder = base / self.settings.folder
         wishes = base / self.settings.wishes if self.settings.wishes else folder / "wishes.json"
         self._wishes_file = WatchedFile(wishes)
-        members = _load(self._members_file.path, s.members_from)
+        members = load(self._members_file.path, s.members_from, "zones")
         self._members_file.changed()
         entry = members.named(deployment.name)
         if entry is None:
@@ -127,14 +74,13 @@
         self._told_ms = now
         self._life = time.time_ns() // 1_000
         self._feeds: dict[tuple[str, bool], MemberLog] = {}
-        self._dead: set[str] = set()  # zones that are dead for this front end, as told last
-        self._probing: dict[str, int] = {}  # zone to the place of the next scorer
         self._noted: dict[str, float] = {}
         self._timer: Timer | None = None
         self._timer_ms = 0.0
         self._stopped = False
         self._failed = False  # the disk: no part in votes any more
         self.front: FrontEnd | None = None
+        self.probes: Probes | None = None
         self.public: LogServer | None = None
         self.ballots: LogServer | None = None
 
@@ -150,7 +96,15 @@
             self.ballots = self._server("listen_ballots", place, most)
         self._follow_members()
         self._look_at_files()
-        self._probe()
+        self.probes = Probes(
+            front,
+            self.observer,
+            self.settings.evidence,
+            self.entry.name,
+            lambda: self.core.members.zones,
+            self._turned,
+        )
+        self.probes.look()
         self._tick()
         self.note(
             "zones on", {"member": self.entry.name, "zone": self.entry.zone, "voter": self.disk is not None}
@@ -164,6 +118,8 @@
 
     def close(self) -> None:
         self._stopped = True
+        if self.probes:
+            self.probes.close()
         for feed in self._feeds.values():
             feed.close()
         for server in (self.public, self.ballots):
@@ -229,6 +185,11 @@
         self._carry_out(self.core.tick(now, self.observer.seen(now), sizes, now - self._told_ms))
         self._set_timer()
 
+    def _turned(self, now_ms: float) -> None:
+        """This front end's view of a zone has: it is told before its time."""
+        self.core.changed(now_ms)
+        self._set_timer()
+
     def _set_timer(self) -> None:
         due = max(self.core.due_ms(), monotonic_ms() + 1.0)
         if self._timer is not None and self._timer.callback and self._timer_ms <= due:
@@ -346,91 +307,3 @@
             return
         self._carry_out(self.core.take_members(monotonic_ms(), members))
         self._follow_members()
-
-    # --- probes ---------------------------------------------------------------------------------
-
-    def _probe(self) -> None:
-        """Dial into each zone that gives no good sign: what is closed must be seen to come back, and what
-        falls silent must be seen to be gone."""
-        if self._stopped:
-            return
-        now = monotonic_ms()
-        seen, rules = self.observer.seen(now), self.settings.evidence
-        for zone in self.core.members.zones:
-            signs = seen.get(zone)
-            few = signs is None or signs.heard + signs.bad < 2 * rules.least
-            if few or self.observer.quiet_ms(now, zone) >= PROBE_MS:
-                self._probe_zone(zone)
-        self._look_at_views(now)
-        self.front.loop.wheel.after(PROBE_MS, self._probe)
-
-    def _look_at_views(self, now_ms: float) -> None:
-        """A view that has turned is told before its time."""
-        seen, rules = self.observer.seen(now_ms), self.settings.evidence
-        dead = {zone for zone, signs in seen.items() if view(signs, rules) is View.DEAD}
-        if dead != self._dead:
-            self._dead = dead
-            self.core.changed(now_ms)
-            self._set_timer()
-
-    def _probe_zone(self, zone: str, more: int = 0) -> None:
-        """Dial one scorer of the zone; where it fails and the zone was well till now, two others at once."""
-        scorers = roster.in_zone(self.front.overlay.members.values(), zone)
-        if not scorers:
-            return
-        place = self._probing.get(zone, worker_number(self.entry.name)) + 1  # not all at the same one
-        self._probing[zone] = place
-        member = scorers[place % len(scorers)]
-        if not member.host_port:
-            return
-
-        def told(good: bool) -> None:
-            now = monotonic_ms()
-            self.observer.dialled(now, zone, worker_number(member.id), good)
-            if not good and zone not in self._dead:
-                for _ in range(2 - more):
-                    self._probe_zone(zone, more=2)
-                self._look_at_views(now)
-
-        probe = _Probe(self.front.loop.wheel, told)
-        within = min(self.deployment.wire.dial_timeout_ms, self.settings.evidence.window_ms / 2)
-        address = address_from(member.host_port, "host_port")
-        made = Connection.dial(self.front.loop, address, probe, within)
-        if isinstance(made, End):
-            if made is not End.NO_DESCRIPTOR:
-                told(False)
-        else:
-            probe.connection = made
-
-
-def _load(path: Path, read: Callable[[bytes], Any]) -> Any:
-    try:
-        return read(path.read_bytes())
-    except OSError as error:
-        raise ConfigError(f"zones: {path}: {error.strerror}") from None
-    except s.FileFault as error:
-        raise ConfigError(f"zones: {path}: {error}") from None
-
-
-def found(path: str | Path, name: str) -> str:
-    """Make a member the first voter of a new fleet, once; its identity. Raises ConfigError."""
-    from fawnwharf.accord.voter import founding
-
-    settings = _load(Path(path), s.settings_from)
-    base = Path(path).parent
-    members = _load(base / settings.members, s.members_from)
-    entry = members.named(name)
-    if entry is None or not entry.ballots:
-        raise ConfigError(f"zones: {name} is no voter among the members")
-    folder = base / settings.folder
-    try:
-        disk = Disk(folder, members.fleet, name)
-    except DiskError as error:
-        raise ConfigError(f"zones: {error}") from None
-    try:
-        if disk.number or disk.saved.voters:
-            raise ConfigError(f"zones: {disk.path}: not empty: this fleet has begun")
-        disk.save(founding(disk.label.identity))
-    finally:
-        disk.close()
-    return disk.label.identity
