State: a keeper's writes on file in a module of their own

Ruled out: putting it into disk.py, which knows of files and not of what a keeper grants.

Change: replication/onfile.py reads a keeper's disk at a start, writes before a word leaves, and takes back what could not be written. Files are read as zones read them (zones/files.py), with the key as a parameter.

--- /dev/null
+++ b/fawnwharf/replication/onfile.py
@@ -0,0 +1,76 @@
+"""What a keeper has granted, on file before it is said: read at a start, and written turn by turn."""
+
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from fawnwharf.accord.disk import DiskError
+from fawnwharf.net.wheel import monotonic_ms
+from fawnwharf.replication.claimant import Go, Out, TurnAway
+from fawnwharf.replication.core import Core
+from fawnwharf.replication.disk import KeeperDisk, boot_id
+from fawnwharf.replication.messages import Say, Word
+
+DISK_PUSHBACK_MS = 250.0
+
+
+class OnFile:
+    """Owns a keeper's disk; what can't be written is taken back, and nothing is granted from then on."""
+
+    def __init__(
+        self, folder: Path, core: Core, name: str, note: Callable[[str, dict[str, Any]], None]
+    ) -> None:
+        """What this keeper granted before is on its shelf then, where its disk is to be trusted; raises
+        DiskError."""
+        self._core, self._note = core, note
+        self._sure_told = -1
+        keeper, shelf = core.keeper, core.keeper.shelf
+        now = monotonic_ms()
+        self.disk = KeeperDisk(folder, core.members.fleet, name, now, shelf.stretched(), boot_id())
+        for key, claim, until_ms in self.disk.kept:
+            entry = shelf.entry(now, key) if until_ms > now else None
+            if entry is not None:
+                shelf.put(now, key, entry, claim, until_ms - now)
+        trusted = not self.disk.why and self.disk.sure == core.placement.number
+        if trusted:
+            keeper.knows_all()
+        self.disk.kept = []
+        self.disk.begin(now, self._sure_by(now), shelf.held_all(now))
+        shelf.unwritten = []
+        self.found = {"calls": len(shelf.calls), "trusted": trusted, "why": self.disk.why}
+
+    def close(self) -> None:
+        self.disk.close()
+
+    def _sure_by(self, now_ms: float) -> int:
+        """The list of members by which this keeper knows all that it granted; 0 where it does not."""
+        return self._core.placement.number if self._core.keeper.sure(now_ms) else 0
+
+    def written(self, effects: list[Out]) -> list[Out]:
+        """What may be said and done now that what it rests on is on file; where that fails, nothing is
+        granted any more."""
+        keeper, shelf = self._core.keeper, self._core.keeper.shelf
+        kept, shelf.unwritten = shelf.unwritten, []
+        now = monotonic_ms()
+        sure = self._sure_by(now)
+        if (kept or sure != self._sure_told) and not keeper.broken:
+            self._sure_told = sure
+            try:
+                self.disk.write(now, kept, sure)
+            except DiskError as error:
+                keeper.broken = True
+                self._note("disk failed: nothing is granted here until a restart", {"why": str(error)})
+                return [_without(effect) for effect in effects]
+        return effects
+
+
+def _without(effect: Out) -> Out:
+    """An effect as it is where what was just granted here does not count."""
+    if isinstance(effect, Go) and effect.kept:
+        return TurnAway(effect.key, DISK_PUSHBACK_MS, "disk failed")
+    if isinstance(effect, Say) and isinstance(effect.message, Word):
+        word = msgspec.structs.replace(effect.message, granted=False, sure=False)
+        return Say(effect.to, word)
+    return effect
--- a/fawnwharf/replication/service.py
+++ b/fawnwharf/replication/service.py
@@ -12,21 +12,21 @@
 from fawnwharf.config import ConfigError, Deployment, Fleet, address_from
 from fawnwharf.net.front_end import FrontEnd
 from fawnwharf.net.wheel import Timer, monotonic_ms
-from fawnwharf.replication.claimant import Go, Out, TurnAway
+from fawnwharf.replication.claimant import Out
 from fawnwharf.replication.core import Core, LineFault
-from fawnwharf.replication.disk import KeeperDisk, boot_id
 from fawnwharf.replication.gate import Gate
 from fawnwharf.replication.links import DirectedLog, DirectedServer
-from fawnwharf.replication.messages import Hello, Say, Word
+from fawnwharf.replication.messages import Hello, Say
+from fawnwharf.replication.onfile import OnFile
 from fawnwharf.replication.resting import Resting
 from fawnwharf.replication.settings import Settings, check_members, settings_from
 from fawnwharf.replication.use import Shares
+from fawnwharf.zones.files import load
 from fawnwharf.zones.settings import FileFault, Members, members_from
 
 FILES_MS = 500.0
 STATUS_MS = 2_000.0
 UNWRITTEN_MS = 500.0
-DISK_PUSHBACK_MS = 250.0
 READERS_SPARE = 16  # beyond the members, for operators
 LINE_S = 1.0  # one note a second of each kind
 
@@ -41,9 +41,9 @@
         has promised anything yet."""
         self.deployment, self.note = deployment, write
         place = Path(path)
-        self.settings: Settings = _load(place, settings_from)
+        self.settings: Settings = load(place, settings_from, "state")
         self._members_path = place.parent / self.settings.members
-        members: Members = _load(self._members_path, members_from)
+        members: Members = load(self._members_path, members_from, "state")
         self._members_seen = self._mark()
         entry = members.named(deployment.name)
         if entry is None:
@@ -66,12 +66,10 @@
             self.core.shares = Shares(quotas, deployment.settings.fleet_size)
         promises = (spec.promise_ms for spec in deployment.settings.classes.values())
         self.resting = Resting(min(promises, default=1_000.0), self.note)
-        self.disk: KeeperDisk | None = None
-        self._found: dict[str, Any] = {}
-        self._sure_told = -1
+        self.disk: OnFile | None = None
         if self.settings.folder and self.core.keeper:
             try:
-                self._open_disk(monotonic_ms())
+                self.disk = OnFile(place.parent / self.settings.folder, self.core, entry.name, self.note)
             except DiskError as error:
                 raise ConfigError(f"state.folder: {error}") from None
         self.front: FrontEnd | None = None
@@ -120,7 +118,7 @@
         keepers = {zone: list(names) for zone, names in self.core.placement.by_zone.items()}
         self.note("state on", {"member": self.entry.name, "owner": self.core.owner, "keepers": keepers})
         if self.disk:
-            self.note("disk read", self._found)
+            self.note("disk read", self.disk.found)
 
     def close(self) -> None:
         self._stopped = True
@@ -150,57 +148,9 @@
 
     # --- what the core says ---------------------------------------------------------------------
 
-    def _open_disk(self, now_ms: float) -> None:
-        """What this keeper granted before, where its disk is to be trusted."""
-        keeper, shelf = self.core.keeper, self.core.keeper.shelf
-        folder = self._members_path.parent / self.settings.folder
-        fleet = self.core.members.fleet
-        self.disk = KeeperDisk(folder, fleet, self.entry.name, now_ms, shelf.stretched(), boot_id())
-        for key, claim, until_ms in self.disk.kept:
-            entry = shelf.entry(now_ms, key) if until_ms > now_ms else None
-            if entry is not None:
-                shelf.put(now_ms, key, entry, claim, until_ms - now_ms)
-        number = self.core.placement.number
-        trusted = not self.disk.why and self.disk.sure == number
-        if trusted:
-            keeper.knows_all()
-        self.disk.kept = []
-        self.disk.begin(now_ms, self._sure_by(now_ms), shelf.held_all(now_ms))
-        shelf.unwritten = []
-        self._found = {"calls": len(shelf.calls), "trusted": trusted, "why": self.disk.why}
-
-    def _sure_by(self, now_ms: float) -> int:
-        """The list of members by which this keeper knows all that it granted; 0 where it does not."""
-        return self.core.placement.number if self.core.keeper.sure(now_ms) else 0
-
-    def _write_down(self, effects: list[Out]) -> list[Out]:
-        """What keepers say only once it is on file; where that fails, nothing is granted any more."""
-        shelf = self.core.keeper.shelf
-        kept, shelf.unwritten = shelf.unwritten, []
-        now = monotonic_ms()
-        sure = self._sure_by(now)
-        if (kept or sure != self._sure_told) and not self.core.keeper.broken:
-            self._sure_told = sure
-            try:
-                self.disk.write(now, kept, sure)
-            except DiskError as error:
-                self.core.keeper.broken = True
-                self.note("disk failed: nothing is granted here until a restart", {"why": str(error)})
-                return [self._without(effect) for effect in effects]
-        return effects
-
-    def _without(self, effect: Out) -> Out:
-        """An effect as it is where what was just granted here does not count."""
-        if isinstance(effect, Go) and effect.kept:
-            return TurnAway(effect.key, DISK_PUSHBACK_MS, "disk failed")
-        if isinstance(effect, Say) and isinstance(effect.message, Word):
-            word = msgspec.structs.replace(effect.message, granted=False, sure=False)
-            return Say(effect.to, word)
-        return effect
-
     def _carry_out(self, effects: list[Out]) -> None:
         if self.disk is not None:
-            effects = self._write_down(effects)
+            effects = self.disk.written(effects)
         for effect in effects:
             if isinstance(effect, Say):
                 self.server.say(msgspec.to_builtins(self.core.wrapped(effect)), effect.to)
@@ -366,12 +316,3 @@
         self.core.take_members(monotonic_ms(), members)
         self._follow()
         self.note("members taken", {"number": members.number, "keepers": self.core.placement.keepers})
-
-
-def _load(path: Path, read: Callable[[bytes], Any]) -> Any:
-    try:
-        return read(path.read_bytes())
-    except OSError as error:
-        raise ConfigError(f"state: {path}: {error.strerror}") from None
-    except FileFault as error:
-        raise ConfigError(f"state: {path}: {error}") from None
