Accord: what a log says, apart from the voter that keeps it

Ruled out: a base class or a mixin for half of the voter: terms, votes and leases read each other's state, and the searches freeze the whole of it.

Change: accord/decided.py has what follows from a log and from how far it is decided, as pure functions: the last plan, open lists of voters, folding.

--- a/fawnwharf/accord/voter.py
+++ b/fawnwharf/accord/voter.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from fawnwharf.accord import messages as m
+from fawnwharf.accord.decided import entry_at, folded, last_plan, open_voters
 
 SNAPSHOT_AFTER = 24  # decided entries kept for followers that lag; older ones are folded into the base
 
@@ -84,11 +85,7 @@
     @property
     def plan(self) -> tuple[int, str]:
         """The last decided plan and its index; (0, "") before the first."""
-        for index in range(self.commit, self.saved.base.index, -1):
-            entry = self._entry(index)
-            if entry.kind == "plan":
-                return index, entry.plan
-        return self.saved.base.plan_index, self.saved.base.plan
+        return last_plan(self.saved, self.commit)
 
     def fresh(self, now_ms: float) -> bool:
         """Whether its last decided plan is the fleet's last at this moment, for certain."""
@@ -136,17 +133,14 @@
         next, so the last one must have been decided, and something of this very term as well (the thesis's
         correction)."""
         now, new = set(self.saved.voters), set(voters)
-        settled = self.saved.term_at(self.commit) == self.saved.term and not self._open_voters()
+        own_term = self.saved.term_at(self.commit) == self.saved.term
+        settled = own_term and not open_voters(self.saved, self.commit)
         room = 0 < len(new) <= m.VOTERS_MOST and len(self.saved.entries) < m.ENTRIES_MOST
         if not self.is_leader or not settled or not room or len(now ^ new) != 1 or len(new) != len(voters):
             return None, []
         entry = m.Entry(self.saved.term, "voters", voters=tuple(sorted(voters)))
         return self.saved.last_index + 1, self._lead_on(now_ms, entry)
 
-    def _open_voters(self) -> bool:
-        open_entries = self.saved.entries[max(0, self.commit - self.saved.base.index) :]
-        return any(entry.kind == "voters" for entry in open_entries)
-
     # --- elections ------------------------------------------------------------------------------
 
     def _rest(self, now_ms: float) -> None:
@@ -307,7 +301,7 @@
         if index <= self.commit or self.saved.term_at(index) != self.saved.term:
             return []
         actions = self._commit_to(index)
-        if not self.is_voter and not self._open_voters():
+        if not self.is_voter and not open_voters(self.saved, self.commit):
             self._follow(now_ms, "")  # it has led its own removal to the end
         return actions
 
@@ -368,36 +362,17 @@
             self._answer(message, True, max(base.index, min(self.commit, self.saved.last_index))),
         ]
 
-    def _entry(self, index: int) -> m.Entry:
-        return self.saved.entries[index - self.saved.base.index - 1]
-
     def _commit_to(self, index: int) -> list[m.Action]:
         actions: list[m.Action] = []
         while self.commit < min(index, self.saved.last_index):
             self.commit += 1
-            entry = self._entry(self.commit)
+            entry = entry_at(self.saved, self.commit)
             actions.append(m.Decided(self.commit, entry.term, entry.kind, entry.plan, entry.voters))
         if self.commit - self.saved.base.index > SNAPSHOT_AFTER:
-            actions.append(m.Save(self._fold()))
+            self.saved = folded(self.saved, self.commit)
+            actions.append(m.Save(self.saved))
         return actions
 
-    def _fold(self) -> m.Saved:
-        """Fold what is decided into the base: the log stays short however long the fleet lives."""
-        base, index = self.saved.base, self.commit
-        decided = self.saved.entries[: index - base.index]
-        plans = [n for n, entry in enumerate(decided) if entry.kind == "plan"]
-        lists = [entry.voters for entry in decided if entry.kind == "voters"]
-        folded = m.Base(
-            index=index,
-            term=self.saved.term_at(index) or 0,
-            plan=decided[plans[-1]].plan if plans else base.plan,
-            plan_index=base.index + 1 + plans[-1] if plans else base.plan_index,
-            voters=lists[-1] if lists else base.voters,
-        )
-        rest = self.saved.entries[len(decided) :]
-        self.saved = msgspec.structs.replace(self.saved, base=folded, entries=rest)
-        return self.saved
-
     _HANDLERS = {
         m.PreVote: "_on_pre_vote",
         m.PreVoted: "_on_pre_voted",
