--- a/fawnwharf/replication/service.py
+++ b/fawnwharf/replication/service.py
@@ -9,50 +9,30 @@
 
 from fawnwharf import interface as io
 from fawnwharf.accord.disk import DiskError
-from fawnwharf.config import ConfigError, Deployment, Fleet, Member, address_from
-from fawnwharf.net.front_end import FrontEnd, worker_number
+from fawnwharf.config import ConfigError, Deployment, Fleet, address_from
+from fawnwharf.net.front_end import FrontEnd
 from fawnwharf.net.wheel import Timer, monotonic_ms
-from fawnwharf.replication.beliefs import Rests, Sights, counts_by
-from fawnwharf.replication.claimant import Go, Out, TurnAway
+from fawnwharf.replication.claimant import Out
 from fawnwharf.replication.core import Core, LineFault
-from fawnwharf.replication.disk import KeeperDisk, boot_id
 from fawnwharf.replication.gate import Gate
 from fawnwharf.replication.links import DirectedLog, DirectedServer
-from fawnwharf.replication.messages import Hello, Say, Word
+from fawnwharf.replication.messages import Hello, Say
+from fawnwharf.replication.onfile import OnFile
+from fawnwharf.replication.resting import Resting
 from fawnwharf.replication.settings import Settings, check_members, settings_from
 from fawnwharf.replication.use import Shares
-from fawnwharf.zones.roster import Roster
+from fawnwharf.zones.files import load
 from fawnwharf.zones.settings import FileFault, Members, members_from
 
 FILES_MS = 500.0
 STATUS_MS = 2_000.0
 UNWRITTEN_MS = 500.0
-DISK_PUSHBACK_MS = 250.0
 READERS_SPARE = 16  # beyond the members, for operators
 LINE_S = 1.0  # one note a second of each kind
 
 Write = Callable[[str, dict[str, Any]], None]
 
 
-class Resting(Roster):
-    """The roster as it was told, but with scorers that rest told as draining."""
-
-    def __init__(self, zone: str) -> None:
-        super().__init__(zone)
-        self.resting: set[str] = set()
-
-    def _phase(self, member: Member) -> str:
-        rests = member.phase == "in_service" and member.id in self.resting
-        return "terminating" if rests else super()._phase(member)
-
-    def rest(self, ids: set[str]) -> Fleet:
-        """Let these rest, and no others; the changes that it makes to what was told last."""
-        touched = ids ^ self.resting
-        self.resting = set(ids)
-        changed = [self._lowered(member, member) for id, member in self.members.items() if id in touched]
-        return Fleet(changed, False, self.revision)
-
-
 class State:
     """Owns this front end's part in the state that is kept together; a Seam of the front end."""
 
@@ -61,9 +41,9 @@
         has promised anything yet."""
         self.deployment, self.note = deployment, write
         place = Path(path)
-        self.settings: Settings = _load(place, settings_from)
+        self.settings: Settings = load(place, settings_from, "state")
         self._members_path = place.parent / self.settings.members
-        members: Members = _load(self._members_path, members_from)
+        members: Members = load(self._members_path, members_from, "state")
         self._members_seen = self._mark()
         entry = members.named(deployment.name)
         if entry is None:
@@ -84,16 +64,12 @@
             # The module adds what it is handed to the quotas: these are as they were sold.
             quotas = dict(deployment.settings.quotas_rps)
             self.core.shares = Shares(quotas, deployment.settings.fleet_size)
-        self.sights, self.rests, self.roster = Sights(), Rests(), Resting(entry.zone)
-        self._scorers: dict[int, Member] = {}  # in service, by number
         promises = (spec.promise_ms for spec in deployment.settings.classes.values())
-        self._promise_ms = min(promises, default=1_000.0)
-        self.disk: KeeperDisk | None = None
-        self._found: dict[str, Any] = {}
-        self._sure_told = -1
+        self.resting = Resting(min(promises, default=1_000.0), self.note)
+        self.disk: OnFile | None = None
         if self.settings.folder and self.core.keeper:
             try:
-                self._open_disk(monotonic_ms())
+                self.disk = OnFile(place.parent / self.settings.folder, self.core, entry.name, self.note)
             except DiskError as error:
                 raise ConfigError(f"state.folder: {error}") from None
         self.front: FrontEnd | None = None
@@ -142,7 +118,7 @@
         keepers = {zone: list(names) for zone, names in self.core.placement.by_zone.items()}
         self.note("state on", {"member": self.entry.name, "owner": self.core.owner, "keepers": keepers})
         if self.disk:
-            self.note("disk read", self._found)
+            self.note("disk read", self.disk.found)
 
     def close(self) -> None:
         self._stopped = True
@@ -153,23 +129,12 @@
         if self.disk:
             self.disk.close()
 
-    def told(self, fleet: Fleet) -> Fleet:
-        lowered = self.roster.told(fleet)
-        self._scorers = {
-            worker_number(member.id): member
-            for member in self.roster.members.values()
-            if member.phase == "in_service"
-        }
-        return lowered
+    def told(self, fleet: Fleet) -> None: ...
 
     def events(self, events: list[io.Event]) -> None:
         if self.core.shares:
             self.core.shares.came(e.tenant for e in events if isinstance(e, io.RequestArrived))
-        now = monotonic_ms()
-        for event in events:
-            if isinstance(event, io.AttemptEnded | io.OrderAnswered):
-                warmth = getattr(event, "warmth", io.Warmth.UNTOLD)  # an order's answer has none
-                self.sights.ended(now, event.worker, event.ending, event.took_ms, self._promise_ms, warmth)
+        self.resting.events(monotonic_ms(), events)
 
     @property
     def busy(self) -> bool:
@@ -183,57 +148,9 @@
 
     # --- what the core says ---------------------------------------------------------------------
 
-    def _open_disk(self, now_ms: float) -> None:
-        """What this keeper granted before, where its disk is to be trusted."""
-        keeper, shelf = self.core.keeper, self.core.keeper.shelf
-        folder = self._members_path.parent / self.settings.folder
-        fleet = self.core.members.fleet
-        self.disk = KeeperDisk(folder, fleet, self.entry.name, now_ms, shelf.stretched(), boot_id())
-        for key, claim, until_ms in self.disk.kept:
-            entry = shelf.entry(now_ms, key) if until_ms > now_ms else None
-            if entry is not None:
-                shelf.put(now_ms, key, entry, claim, until_ms - now_ms)
-        number = self.core.placement.number
-        trusted = not self.disk.why and self.disk.sure == number
-        if trusted:
-            keeper.knows_all()
-        self.disk.kept = []
-        self.disk.begin(now_ms, self._sure_by(now_ms), shelf.held_all(now_ms))
-        shelf.unwritten = []
-        self._found = {"calls": len(shelf.calls), "trusted": trusted, "why": self.disk.why}
-
-    def _sure_by(self, now_ms: float) -> int:
-        """The list of members by which this keeper knows all that it granted; 0 where it does not."""
-        return self.core.placement.number if self.core.keeper.sure(now_ms) else 0
-
-    def _write_down(self, effects: list[Out]) -> list[Out]:
-        """What keepers say only once it is on file; where that fails, nothing is granted any more."""
-        shelf = self.core.keeper.shelf
-        kept, shelf.unwritten = shelf.unwritten, []
-        now = monotonic_ms()
-        sure = self._sure_by(now)
-        if (kept or sure != self._sure_told) and not self.core.keeper.broken:
-            self._sure_told = sure
-            try:
-                self.disk.write(now, kept, sure)
-            except DiskError as error:
-                self.core.keeper.broken = True
-                self.note("disk failed: nothing is granted here until a restart", {"why": str(error)})
-                return [self._without(effect) for effect in effects]
-        return effects
-
-    def _without(self, effect: Out) -> Out:
-        """An effect as it is where what was just granted here does not count."""
-        if isinstance(effect, Go) and effect.kept:
-            return TurnAway(effect.key, DISK_PUSHBACK_MS, "disk failed")
-        if isinstance(effect, Say) and isinstance(effect.message, Word):
-            word = msgspec.structs.replace(effect.message, granted=False, sure=False)
-            return Say(effect.to, word)
-        return effect
-
     def _carry_out(self, effects: list[Out]) -> None:
         if self.disk is not None:
-            effects = self._write_down(effects)
+            effects = self.disk.written(effects)
         for effect in effects:
             if isinstance(effect, Say):
                 self.server.say(msgspec.to_builtins(self.core.wrapped(effect)), effect.to)
@@ -299,18 +216,11 @@
         if self._stopped:
             return
         now = monotonic_ms()
-        self._carry_out(self.core.tell_named(now, self.sights))
-        zones = {worker: member.locality for worker, member in self._scorers.items()}
-        counts = counts_by(zones.values())
-        for hints in self.core.hints:
-            self.rests.heard(now, hints, self.sights, zones, counts)
+        self._carry_out(self.core.tell_named(now, self.resting.sights))
+        changes = self.resting.look(now, self.core.hints, self.front.overlay)
         self.core.hints.clear()
-        resting = {self._scorers[w].id for w in self.rests.resting(now) if w in self._scorers}
-        if resting != self.roster.resting:
-            self.note("scorers rest", {"now": sorted(resting), "before": sorted(self.roster.resting)})
-            changes = self.roster.rest(resting)
-            if changes.members:
-                self.front.take_fleet(changes)
+        if changes.members:
+            self.front.go_by(changes)
         self.front.loop.wheel.after(self.settings.hints_ms, self._beliefs)
 
     def _status(self) -> None:
@@ -406,12 +316,3 @@
         self.core.take_members(monotonic_ms(), members)
         self._follow()
         self.note("members taken", {"number": members.number, "keepers": self.core.placement.keepers})
-
-
-def _load(path: Path, read: Callable[[bytes], Any]) -> Any:
-    try:
-        return read(path.read_bytes())
-    except OSError as error:
-        raise ConfigError(f"state: {path}: {error.strerror}") from None
-    except FileFault as error:
-        raise ConfigError(f"state: {path}: {error}") from None
