A replay of seeded events tells whether any decision has changed

The decision module is to be split by concern with the same decisions; no test would have seen a decision change in what the other tests do not look at.

--- /dev/null
+++ b/tests/test_policy_replay.py
@@ -0,0 +1,261 @@
+"""Seeded events of every kind go through the router, and its actions must have the digests noted below.
+
+So a change that is to leave all decisions as they are can be told from one that alters some. Where decisions
+are changed on purpose, ``python tests/test_policy_replay.py`` prints the digests to put in their place.
+"""
+
+import hashlib
+import heapq
+import random
+
+import pytest
+
+from fawnwharf import interface as io
+from fawnwharf.interface import Ending, State, Warmth
+from fawnwharf.policy import Router
+
+EVENTS = 8_000
+CLASSES = {
+    "safe": io.ClassSpec("safe", 800.0, 2500.0, io.Effect.SAFE),
+    "short": io.ClassSpec("short", 400.0, 900.0, io.Effect.SAFE),
+    "keyed": io.ClassSpec("keyed", 1000.0, 4000.0, io.Effect.KEYED, io.Group.ALL, 2000.0),
+    "zoned": io.ClassSpec("zoned", 1000.0, 4000.0, io.Effect.KEYED, io.Group.ZONE, 1500.0),
+    "celled": io.ClassSpec("celled", 1000.0, 3000.0, io.Effect.KEYED, io.Group.CELL, 2500.0),
+    "unsafe": io.ClassSpec("unsafe", 1200.0, 4000.0, io.Effect.UNSAFE),
+}
+KINDS = [*CLASSES, "unheard of"]
+TROUBLES = ("silent", "slow", "lossy", "full", "broken")
+
+# By setting: the world (workers, zones, functions, calls a second, mean run), then what differs in Settings.
+SETTINGS = {
+    "narrow": (
+        {"workers": 8, "zones": 2, "functions": 60, "rps": 45.0},
+        {"max_attempts": 3, "fleet_size": 2, "load_window_ms": 5000.0, "free_loads": 20.0, "load_part": 0.1},
+    ),
+    "crowded": (
+        {"workers": 4, "zones": 1, "functions": 8, "rps": 25.0, "run_ms": 120.0},
+        {"max_attempts": 4, "quotas_rps": {"t0": 15.0, "t1": 5.0, "t2": 3.0}, "max_retry_after_ms": 700.0},
+    ),
+    "wide": (
+        {"workers": 18, "zones": 3, "functions": 40, "rps": 30.0, "told": True},
+        {"max_attempts": 3, "fleet_size": 60, "quotas_rps": {"t0": 800.0, "t1": 400.0, "t2": 200.0},
+         "loads_on_miss": True, "weights_fixed": True, "max_retry_after_ms": 900.0},
+    ),
+    "wide, asking": (
+        {"workers": 24, "zones": 3, "functions": 15, "rps": 25.0, "told": True, "trouble": 0.02},
+        {"max_attempts": 4, "fleet_size": 80, "quotas_rps": {"t0": 1500.0, "t1": 500.0},
+         "load_window_ms": 4000.0, "free_loads": 12.0, "load_part": 0.2},
+    ),
+    "restless": (
+        {"workers": 9, "zones": 3, "functions": 90, "rps": 25.0, "roster": 0.02, "pause_ms": 40_000.0},
+        {"max_attempts": 3, "fleet_size": 3, "may_cancel": False, "idle_life_ms": 4000.0, "cold_ms": 20_000.0,
+         "fall_ms": 1500.0, "second_copies": False},
+    ),
+}  # fmt: skip
+
+DIGESTS = {
+    "narrow": "d1e2908588273b0f86031c9066364d6cbca7631627c6e0fffb02ef3773e8d84a",
+    "crowded": "f5159b6d0492f27b1a16cf9e9ad3dfdd137c91e613f2efa3b98f159751968688",
+    "wide": "edc9f71b1ed1a6079671debf2550402f71e7ca39e81bd208799fe95f908aa05d",
+    "wide, asking": "2d16a3138ee39236649fac241925decd42c96f2346b797a89c30776ff28f2e8a",
+    "restless": "112c50ed8599d168d56bef82bfe53c7664cba5f45b7d97fdeaf0d63bda6abd94",
+}
+
+
+class World:
+    """Workers, clients and the roster as the router sees them; all chance is drawn from one seed."""
+
+    def __init__(self, name, seed=17):
+        world, settings = SETTINGS[name]
+        self.workers, self.zones, self.functions = world["workers"], world["zones"], world["functions"]
+        self.rps, self.run_ms, self.told = world["rps"], world.get("run_ms", 80.0), world.get("told", False)
+        self.roster, self.trouble = world.get("roster", 0.004), world.get("trouble", 0.01)
+        self.pause_ms = world.get("pause_ms", 0.0)
+        self.draw, self.now, self.due, self.count = random.Random(f"{name} {seed}").random, 0.0, [], 0
+        self.digest, self.seen = hashlib.sha256(), {}
+        self.open, self.tries, self.closed = {}, {}, set()  # attempts out; sends by request; answered
+        self.standing, self.mood, self.started = {}, {}, {}
+        quotas = dict(settings.get("quotas_rps", {}))
+        self.router = Router(io.Settings(CLASSES, zone="z0", **{**settings, "quotas_rps": quotas}), seed)
+        entries = [self.entry(n, State.READY) for n in range(1, self.workers + 1)]
+        self.feed(io.RosterChanged(entries, complete=True))
+        self.later(1.0, self.arrive)
+
+    def below(self, n):
+        return int(self.draw() * n)
+
+    def later(self, delay_ms, call, *args):
+        self.count += 1
+        heapq.heappush(self.due, (self.now + delay_ms, self.count, call, args))
+
+    def feed(self, *events):
+        for event in events:
+            self.seen[type(event)] = self.seen.get(type(event), 0) + 1
+        actions = self.router.handle(self.now, list(events))
+        self.digest.update(repr((self.now, actions)).encode())
+        for action in actions:
+            self.carry_out(action)
+
+    def run(self, events=EVENTS):
+        while sum(self.seen.values()) < events:
+            self.now, _, call, args = heapq.heappop(self.due)
+            call(*args)
+        return self.digest.hexdigest()
+
+    def entry(self, n, state):
+        units, up = 1.0 + n % 3, self.started.get(n)
+        return io.WorkerEntry(n, state, "", f"z{n % self.zones}", n % 4, units, up)
+
+    def arrive(self):
+        pause = self.pause_ms * (self.draw() < 0.002)  # one that lets copies lapse and functions be forgotten
+        self.later(pause + 2000.0 * self.draw() / self.rps, self.arrive)
+        rush = 1 + (self.draw() < 0.02) * self.below(12)
+        kept = self.below(self.functions)
+        events = []
+        for _ in range(rush):
+            fn = kept if rush > 1 else int(self.functions * self.draw() ** 3)
+            kind = KINDS[fn % len(KINDS)]
+            spec = CLASSES.get(kind) or CLASSES["safe"]
+            budget = spec.give_up_ms * (0.5 + 0.5 * self.draw() if self.draw() < 0.9 else 0.3 * self.draw())
+            self.count += 1
+            request, load = f"r{self.count}", (None, 300.0, 600.0)[fn % 3]
+            tenant = f"t{self.below(4)}"
+            events.append(io.RequestArrived(request, f"f{fn}", kind, tenant, budget, fn % 5, load_ms=load))
+            self.later(budget if self.draw() < 0.9 else budget * self.draw(), self.leave, request)
+        self.feed(*events)
+        if self.draw() < self.trouble:
+            self.turn_bad()
+        if self.draw() < self.roster:
+            self.change_roster()
+        if self.draw() < 0.002:
+            self.limit()
+
+    def leave(self, request):
+        if request not in self.closed:
+            self.closed.add(request)
+            self.feed(io.ClientLeft(request))
+
+    def limit(self):
+        tenant = (io.ALL, "t0", "t1", "t9")[self.below(4)]
+        rps = self.rps * (0.3 + self.draw()) if self.draw() < 0.5 else io.UNLIMITED_RPS
+        self.feed(io.LimitsChanged(rps, tenant))
+
+    def turn_bad(self):
+        mood, first = TROUBLES[self.below(len(TROUBLES))], 1 + self.below(self.workers)
+        whole_zone = self.draw() < 0.15
+        for n in range(1, self.workers + 1):
+            if n == first or (whole_zone and n % self.zones == first % self.zones):
+                self.mood[n] = mood
+                self.later(500.0 + 6000.0 * self.draw(), self.mood.pop, n, None)
+
+    def change_roster(self):
+        n, drawn = 1 + self.below(self.workers), self.draw()
+        if drawn < 0.3:  # a restart that is told, or one that is not
+            self.restart(n)
+            if self.draw() < 0.7:
+                self.started[n] = self.now
+                self.feed(io.RosterChanged([self.entry(n, State.READY)], complete=False))
+        elif drawn < 0.9:
+            steps = [State.DRAINING] * (drawn < 0.7) + [State.GONE] * (drawn > 0.5)
+            for i, state in enumerate(steps):
+                self.later(300.0 * i, self.tell, n, state)
+            self.later(1000.0 + (300_000.0 if self.draw() < 0.2 else 9000.0) * self.draw(), self.come_back, n)
+        else:  # all of it told anew, less one
+            entries = [self.entry(i, State.READY) for i in range(1, self.workers + 1) if i != n]
+            self.feed(io.RosterChanged(entries, complete=True))
+            self.later(2000.0, self.come_back, n)
+
+    def restart(self, n):
+        self.standing = {key: copies for key, copies in self.standing.items() if key[0] != n}
+
+    def tell(self, n, state):
+        self.feed(io.RosterChanged([self.entry(n, state)], complete=False))
+
+    def come_back(self, n):
+        self.restart(n)
+        self.started[n] = self.now
+        self.tell(n, State.READY)
+
+    def carry_out(self, action):
+        if isinstance(action, io.SetTimer):
+            self.later(action.delay_ms, self.feed, io.TimerDue(action.token))
+        elif isinstance(action, io.Refuse | io.Fail):
+            self.closed.add(action.request)
+        elif isinstance(action, io.Hold):
+            self.order(action)
+        elif isinstance(action, io.Send):
+            self.send(action)
+        elif isinstance(action, io.Cancel) and self.draw() < 0.8:
+            self.later(1.0, self.end, action.request, action.attempt, Ending.CANCELLED, Warmth.UNTOLD)
+
+    def order(self, hold):
+        mood, key, drawn = self.mood.get(hold.worker), (hold.worker, hold.function), self.draw()
+        if mood == "silent" and drawn < 0.9:
+            ending, delay = (Ending.CONNECT_FAILED, Ending.TIMEOUT)[drawn < 0.5], 1500.0 * drawn
+        elif hold.copies == 0:
+            ending, delay = Ending.GOOD, 1.0 + 12.0 * drawn**6
+        elif drawn < 0.85 and mood != "broken":
+            ending, delay = Ending.GOOD, 150.0 + 500.0 * self.draw() * (3.0 if mood == "slow" else 1.0)
+        else:
+            ending, delay = (Ending.ERROR, Ending.FULL, Ending.RESET, Ending.NOT_SENT)[self.below(4)], 30.0
+        self.later(delay, self.answer, key, ending, hold.copies, delay)
+
+    def answer(self, key, ending, copies, took):
+        if copies and ending is Ending.GOOD:
+            self.standing[key] = max(self.standing.get(key, 0), copies - (self.draw() < 0.1))
+        self.feed(io.OrderAnswered(*key, ending, self.standing.get(key, 0), took))
+
+    def send(self, send):
+        request, number = send.request, self.tries.get(send.request, 0)
+        fn = self.router.attempts[request, number].function.name
+        self.tries[request] = number + 1
+        self.open[request, number] = (send.worker, fn, self.now)
+        mood, drawn = self.mood.get(send.worker), self.draw()
+        took, ending, warmth = self.run_ms * (0.5 + self.draw()), Ending.GOOD, Warmth.FOUND
+        if mood == "silent":
+            took, ending = (400.0, Ending.RESET) if drawn < 0.2 else (2500.0, Ending.TIMEOUT)
+        elif mood == "lossy" and drawn < 0.7:
+            took, ending = (5000.0, Ending.TIMEOUT) if drawn < 0.4 else (20.0, Ending.ERROR)
+        elif mood == "full" and drawn < 0.7:
+            took, ending = 2.0, Ending.FULL
+        elif mood == "broken" and drawn < 0.5:
+            took, ending = 5.0, (Ending.RESET, Ending.CONNECT_FAILED, Ending.NOT_SENT)[self.below(3)]
+        elif (send.worker, fn) not in self.standing:
+            warmth = (Warmth.BEGAN_LOAD, Warmth.WAITED_FOR_LOAD, Warmth.LOAD_FAILED)[self.below(3)]
+            ending = (Ending.MISS, Ending.GOOD)[self.router.settings.loads_on_miss]
+            took = 2.0 if ending is Ending.MISS else took + 400.0
+            self.standing[send.worker, fn] = 1
+        elif drawn < 0.02:
+            took, ending = 0.7 * took, Ending.ERROR
+        elif drawn < 0.05:
+            took *= 12.0
+        if mood == "slow":
+            took *= 5.0
+        self.later(took, self.end, request, number, ending, warmth)
+
+    def end(self, request, number, ending, warmth):
+        if (request, number) not in self.open:
+            return
+        worker, _, since = self.open.pop((request, number))
+        closed = request not in self.closed and (
+            ending is Ending.GOOD or (ending is Ending.ERROR and self.draw() < 0.4)
+        )
+        if closed:
+            self.closed.add(request)
+        if self.draw() < 0.002:  # told of a call that it does not know, or no longer
+            self.feed(io.AttemptEnded(request, number + 7, worker, ending, 1.0, False))
+            self.feed(io.OrderAnswered(worker, "never called", ending, 0, 1.0))
+        took, crowd = self.now - since, self.below(4) if self.told else None
+        self.feed(io.AttemptEnded(request, number, worker, ending, took, closed, warmth, crowd))
+
+
+@pytest.mark.parametrize("name", SETTINGS)
+def test_the_same_events_bring_the_same_actions(name):
+    world = World(name)
+    assert world.run() == DIGESTS[name]
+    assert set(world.seen) >= {io.RosterChanged, io.ClientLeft, io.OrderAnswered, io.TimerDue}
+
+
+if __name__ == "__main__":
+    for name in SETTINGS:
+        print(f'    "{name}": "{World(name).run()}",')
