The decision module becomes a package by concern, with the same decisions

The rule on drains (Worker.takes_new), the ration of load orders (_ration_left) and the cold budget (_within_cold_budget) now have one place each, in files for state, health, loads, routing, admission and the router.

Paid for by: attempts out lately as a set; old arrivals forgotten once a batch, not at each look; the question whether any load may go apart from whether it may go to one worker, so that renewals ask it once; places for loads judged once, not twice; workers' sizes read from the members; a worker that was always up started at minus infinity, not at None; questions of copies asked by function and worker; repeats and refusals without branches that could not be reached.

--- /dev/null
+++ b/fawnwharf/policy/router.py
@@ -0,0 +1,245 @@
+"""The Router: takes events, joins the parts, and is the only one that sends."""
+
+import math
+
+from fawnwharf import interface as io
+from fawnwharf.policy import state
+from fawnwharf.policy.admission import TRY_LEAST, Admission
+from fawnwharf.policy.health import ANSWER_GAIN, LOSSES, LOST_RUNS, STRAINED, TRIAL_MS, Health
+from fawnwharf.policy.loads import Loads
+from fawnwharf.policy.routing import BOUND_FLOOR, Routing
+from fawnwharf.policy.state import Attempt, Function, Request, Worker, mark, mix
+
+FUNCTIONS_MOST, FORGET_MS = 2_000, 60_000.0  # kept in mind; forgotten if not called, or gone, for so long
+RUN_GAIN = 0.02  # weight of one run in the mean run of workers that are not crowded
+ROOM_SPREAD = 1.5  # room for chance in a worker's limit, in square roots of its mean requests
+
+
+class Router(Health, Loads, Routing, Admission):
+    def handle(self, now_ms: float, events: list[io.Event]) -> list[io.Action]:
+        """Take the events of one moment, in order; the actions take effect at that moment."""
+        self.now, self.began_ms, self.actions = now_ms, min(self.began_ms, now_ms), []
+        while self.taken and self.taken[0] <= now_ms - self.stretch_ms:
+            self.taken.popleft()
+        for event in events:
+            self.handlers[type(event)](self, event)
+        if not self.sweeping and (self.requests or self.attempts):
+            self.sweeping = True
+            self.actions.append(io.SetTimer(state.SWEEP_MS, 0))
+        return self.actions
+
+    def _on_roster(self, event: io.RosterChanged) -> None:
+        if event.complete:
+            for missing in self.workers.keys() - {entry.worker for entry in event.entries}:
+                self.workers[missing].entry.state = io.State.GONE
+        for entry in event.entries:
+            new = Worker(entry.worker, entry, mark(str(entry.worker)))
+            worker = self.workers.setdefault(entry.worker, new)
+            worker.entry, worker.gone_ms = entry, None
+            up_since_ms = -math.inf if entry.up_since_ms is None else entry.up_since_ms
+            worker.started_ms = max(worker.started_ms, up_since_ms)
+        self.ready = [worker for worker in self.workers.values() if worker.takes_new()]
+        self.suspects = sum(worker.suspect_ms is not None for worker in self.ready)
+        self._refresh()
+        self._dispatch_all()
+
+    def _on_request(self, event: io.RequestArrived) -> None:
+        self.taken.append(self.now)
+        if len(self.functions) >= FUNCTIONS_MOST and event.function not in self.functions:
+            self._forget()
+        name, kind, lanes = event.function, event.class_name, max(1, event.lanes)
+        fn = self.functions.setdefault(name, Function(name, kind, lanes, event.load_ms, mark(name)))
+        spec = self.settings.classes.get(kind) or io.ClassSpec(kind)
+        self.seed, draw, deadline = self.seed + 1, mix(mix(self.seed)), self.now + event.budget_ms
+        later = event.budget_ms < TRY_LEAST * spec.give_up_ms  # its share was taken by the first try
+        aim = (deadline - spec.give_up_ms if later else self.now) + spec.promise_ms
+        over = later or self._over_share(event.tenant)
+        request = Request(event.request, fn, spec, self.now, deadline, over, self.now, draw, aim)
+        self._measure(fn)
+        self.hedges = min(state.HEDGES_MOST, self.hedges + state.HEDGE_SHARE)
+        self.requests[request.id] = request
+        fn.queue.append(request)
+        if self._over_share(io.ALL) or request.deadline_ms - self.now <= state.SWEEP_MS + state.LEAD_MS:
+            self._finish(request)  # the next sweep may be too late: a client's last try has little time
+        elif not self.wide and not self._is_warm(fn):
+            for worker in self._ordered(fn)[: state.SURVEY_WIDTH]:
+                self._spread(fn, worker)
+        self._fill(fn)
+        if request in fn.queue and self._hopeless(request):
+            self._finish(request)  # the next sweep is past half its time
+        self._dispatch(fn)
+
+    def _on_left(self, event: io.ClientLeft) -> None:
+        if request := self.requests.get(event.request):
+            self._close(request)
+
+    def _on_limits(self, event: io.LimitsChanged) -> None:  # one more share, of all calls, or another one
+        self.settings.quotas_rps[event.tenant] = event.calls_rps * self.peers
+        if event.tenant == io.ALL:  # no burst at first
+            self.tokens[io.ALL] = (event.calls_rps / 10, self.now)
+
+    def _on_attempt(self, event: io.AttemptEnded) -> None:
+        if (attempt := self.attempts.pop((event.request, event.attempt), None)) is None:
+            return
+        self.flying.discard(attempt)
+        fn, worker, te = attempt.function, self.workers[attempt.worker], self._te(attempt.function)
+        instance = fn.instances[worker.id]
+        attempt.open, instance.own, worker.own = False, instance.own - 1, worker.own - 1
+        attempt.may_have_run = event.ending not in io.NEVER_RAN
+        if event.ending in (io.Ending.GOOD, io.Ending.ERROR, io.Ending.FULL, io.Ending.MISS):
+            self._heard(worker)
+        if event.ending is io.Ending.GOOD:
+            instance.copies, instance.seen_ms = max(1, instance.copies), self.now
+            if event.warmth in (io.Warmth.UNTOLD, io.Warmth.FOUND):
+                fn.runs.timed.append((self.now, event.took_ms))
+                self.runs.timed.append((self.now, event.took_ms))
+                self.run_ms += RUN_GAIN * (event.took_ms - self.run_ms) * attempt.alone
+                self._strain(worker, event.took_ms / te)
+            self._found(worker, attempt)
+        elif event.ending in (io.Ending.CANCELLED, io.Ending.TIMEOUT) and event.took_ms > STRAINED * te:
+            self._strain(worker, event.took_ms / te)  # it may be the slow ones that never get to answer
+        elif event.ending is io.Ending.MISS or event.warmth is io.Warmth.LOAD_FAILED:
+            instance.copies = 0
+        elif event.ending is io.Ending.ERROR and fn.runs.timed:  # else the call itself may be at fault
+            self._lose(worker, fn)
+        elif event.ending is io.Ending.FULL:
+            instance.blocked_ms = self.now + te
+            self._strain(worker, 3 * STRAINED)
+        self._broke(worker, event.ending)
+        if event.crowd is not None and event.ending in (io.Ending.GOOD, io.Ending.FULL):
+            fn.crowd += ANSWER_GAIN * (event.crowd * attempt.among - fn.crowd)
+        request = self.requests.get(event.request)
+        if request is not None and event.closed:
+            self.hedges += attempt is not request.attempts[0] and request.attempts[0].open  # worth its token
+            self._close(request)
+        elif request is not None and request not in fn.queue:
+            self._again(request)
+        self._dispatch_all(worker)
+        self._dispatch(fn)
+
+    def _on_order(self, event: io.OrderAnswered) -> None:
+        fn, worker = self.functions.get(event.function), self.workers.get(event.worker)
+        if fn is None or worker is None:
+            return
+        instance = self._instance(fn, worker)
+        short = event.ending is io.Ending.GOOD and event.copies < instance.order_count
+        is_load = instance.order_ms is not None and not (instance.asks and short)
+        if event.ending in (io.Ending.GOOD, io.Ending.FULL, io.Ending.ERROR):
+            if worker.suspect_ms is not None and instance.copies and not event.copies:
+                worker.started_ms = self.now  # it came back empty: a restart that the roster has not told
+            self._heard(worker, TRIAL_MS)  # a sign lasts for longer than a run
+            if is_load and instance.raced and event.ending is io.Ending.GOOD:
+                instance.unused_ms, instance.lanes_before = self.now, instance.copies * fn.lanes
+            instance.copies, instance.counted_ms, instance.seen_ms = event.copies, self.now, self.now
+        self._broke(worker, event.ending)
+        if is_load:
+            self._load_answered(fn, instance, event)
+        else:
+            instance.asks = max(0, instance.asks - 1)
+        self._dispatch(fn)
+
+    def _on_timer(self, event: io.TimerDue) -> None:
+        self.sweeping = False
+        for request in list(self.requests.values()):
+            if self._hopeless(request) or self.now + state.SWEEP_MS + state.LEAD_MS >= request.deadline_ms:
+                self._finish(request)
+            elif self.wide and self.hedges >= 1 and request not in request.function.queue:
+                self._hasten(request, request.attempts[-1])
+        self._miss_answers()
+        self.flying = {a for a in self.flying if self.now - a.sent_ms <= self.promise_ms}  # the rest is lost
+        for worker in list(self.watched.values()):
+            self._watch(worker)
+        if self.now - self.refreshed_ms >= state.REFRESH_MS:
+            self._refresh()
+        if self.waiting and len(self.flying) < self.limit:
+            self._dispatch_all()
+
+    def _dispatch_all(self, worker: Worker | None = None) -> None:  # most urgent first
+        held = [fn for fn in self.waiting.values() if fn.queue and (not worker or worker.id in fn.instances)]
+        for fn in sorted(held, key=lambda fn: min(map(self._urgency, fn.queue))):
+            self._dispatch(fn)
+
+    def _dispatch(self, fn: Function) -> None:
+        self._fill(fn)
+        self.waiting.pop(fn.name, None)
+        if fn.queue:
+            self.waiting[fn.name] = fn
+            self._race(fn)
+
+    def _fill(self, fn: Function) -> None:  # the only place that sends
+        fn.queue.sort(key=self._urgency)
+        for request in list(fn.queue):
+            if (worker := self._lane(fn, request)) is not None:
+                self._send(request, worker)
+            elif request.first_run() is None:
+                break
+
+    def _send(self, request: Request, worker: Worker) -> None:
+        fn, instance = request.function, self._instance(request.function, worker)
+        among = max(1, sum(w.id in fn.instances for w in fn.order[: fn.width]))
+        attempt = Attempt(request.id, worker.id, fn, self.now, worker.own < 2, among)
+        self.attempts[request.id, len(request.attempts)] = attempt
+        self.flying.add(attempt)
+        request.attempts.append(attempt)
+        fn.queue.remove(request)
+        fn.waits.timed.extend([(self.now, self.now - request.held_ms)] * (self.now > request.held_ms))
+        instance.own, worker.own, instance.seen_ms = instance.own + 1, worker.own + 1, self.now
+        if worker.started_ms > -math.inf:
+            worker.sent.append(self.now)
+        self._owe(worker)
+        if (lapse := worker.lapses.get(fn.kind)) and lapse.losses >= LOSSES:
+            lapse.rest_ms = min(state.REST_MOST_MS, 2 * lapse.rest_ms)  # this one tries it
+            lapse.rests_ms = self.now + lapse.rest_ms
+        if instance.unused_ms is not None and instance.own > instance.lanes_before:
+            fn.idle_ms, instance.unused_ms = self.now - instance.unused_ms, None
+        self.actions.append(io.Send(request.id, worker.id))
+
+    def _refresh(self) -> None:
+        """Limits: the rate sold times an uncrowded run is what the fleet works on at once (Little's law)."""
+        self.refreshed_ms = self.now
+        sizes = {w.id: max(w.entry.units, 0.01) if self.settings.weights_fixed else 1.0 for w in self.ready}
+        self.members = self.members if sizes == self.members else sizes
+        self._renew()
+        if self.now - self.forgot_ms >= FORGET_MS / 4:
+            self._forget()
+        self.total = sum(self._size(worker) for worker in self.ready) or 1.0
+        self.fleet = max(self.fleet, sum(sizes.values()))
+        peers, sold, most = self.peers, self.sold, 0.0
+        for worker in self.ready:
+            mean = sold * self.run_ms * self._size(worker) / self.fleet  # of all front ends
+            most, own = most + self._room(mean), self._room(mean / peers)
+            worker.limit = max(2.0 if self.wide else 1.0, own) if sold > 0 else math.inf
+        self.worker_most = most / max(1, len(self.ready)) if sold > 0 else 2 * BOUND_FLOOR
+        self.wide = self.worker_most < peers
+        usual = sorted(self._strained(worker) for worker in self.ready)[len(self.ready) // 2 :]
+        self.strain_most = STRAINED * usual[0] if self.wide and usual else math.inf
+        # Long runs are no silence: where each worker gets few calls, all that are slow would be asked.
+        self.silent_ms = LOST_RUNS * (self.runs.median(self.now) or 200.0) if self.wide else state.SILENT_MS
+        # In all, what the fleet gets through in a part of the promise: beyond that all would come late.
+        through = sold * self.promise_ms * state.LATE_MOST / peers or math.inf
+        self.limit = self._room(through) if self.wide else math.inf
+
+    def _room(self, mean: float) -> float:  # for chance
+        return mean + ROOM_SPREAD * math.sqrt(mean)
+
+    def _forget(self) -> None:
+        """Guards the memory: what is long past goes, and of too many functions those longest not called."""
+        self.forgot_ms, past = self.now, self.now - FORGET_MS
+        used = {worker.last for worker in self.workers.values()}
+        half = FUNCTIONS_MOST // 2 * (len(self.functions) >= FUNCTIONS_MOST)
+        for n, fn in enumerate(sorted(self.functions.values(), key=lambda fn: fn.last_ms[-1])):
+            busy = any(i.own or i.asks or i.order_ms is not None for i in fn.instances.values())
+            if not (busy or fn.queue or fn in used) and (n < half or fn.last_ms[-1] < past):
+                del self.functions[fn.name]
+        for worker in [w for w in self.workers.values() if w.entry.state is io.State.GONE]:
+            worker.gone_ms = worker.gone_ms or self.now
+            if worker.gone_ms < past and not worker.own:
+                for fn in self.functions.values():
+                    fn.instances.pop(worker.id, None)
+                    fn.known = None
+                self.watched.pop(worker.id, None)
+                del self.workers[worker.id]
+
+    handlers = {io.RosterChanged: _on_roster, io.RequestArrived: _on_request, io.ClientLeft: _on_left,
+                io.AttemptEnded: _on_attempt, io.OrderAnswered: _on_order, io.TimerDue: _on_timer,
+                io.LimitsChanged: _on_limits}  # fmt: skip
--- a/fawnwharf/wirehost.py
+++ b/fawnwharf/wirehost.py
@@ -1,6 +1,6 @@
 """The adapter: JSON lines on standard input to events, actions to JSON lines on standard output.
 
-Translation only; every decision is in policy.py. Run as ``python -m fawnwharf.wirehost``.
+Translation only; every decision is in fawnwharf.policy. Run as ``python -m fawnwharf.wirehost``.
 """
 
 import gc
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -225,7 +225,7 @@
                 drive.feed(io.ClientLeft(f"r{n}"))
             drive.feed(io.RosterChanged([io.WorkerEntry(1, up_since_ms=drive.now)], False))
             cold = drive.router.workers[1]
-            while drive.router._warm_enough(cold):
+            while drive.router._within_cold_budget(cold):
                 cold.sent.append(drive.now)
             count += len(cold.sent)
         return count
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -4,7 +4,8 @@
 
 from fawnwharf import interface as io
 from fawnwharf.interface import Ending
-from fawnwharf.policy import FUNCTIONS_MOST, Function
+from fawnwharf.policy.router import FUNCTIONS_MOST
+from fawnwharf.policy.state import Function
 
 # --- the ordinary path ---------------------------------------------------------------------
 
--- a/tests/test_repository.py
+++ b/tests/test_repository.py
@@ -2,16 +2,25 @@
 
 import ast
 import re
+import tomllib
 from pathlib import Path
 
 ROOT = Path(__file__).parent.parent
-POLICY = (ROOT / "fawnwharf" / "policy.py").read_text()
+PARTS = [path.read_text() for path in sorted((ROOT / "fawnwharf" / "policy").glob("*.py"))]
+POLICY = "\n".join(PARTS)
 
 
 def test_policy_keeps_its_limits():
     lines = POLICY.splitlines()
     assert sum(bool(line.strip()) for line in lines) <= 750
     assert max(len(line) for line in lines) <= 110
+    assert max(len(part.splitlines()) for part in PARTS) <= 400
+
+
+def test_every_file_of_the_policy_is_declared():
+    declared = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["policy"]
+    files = {str(path.relative_to(ROOT)) for path in (ROOT / "fawnwharf" / "policy").glob("*.py")}
+    assert set(declared) == files
 
 
 def test_policy_has_no_clock_no_random_source_and_no_builtin_hash():
@@ -24,7 +33,7 @@
             modules.add(node.module)
     allowed = {"hashlib", "math", "collections", "dataclasses", "itertools"}
     allowed |= {"fawnwharf", "fawnwharf.interface"}
-    assert modules <= allowed
+    assert {name for name in modules if not name.startswith("fawnwharf.policy")} <= allowed
     calls = {n.func.id for n in ast.walk(tree) if isinstance(n, ast.Call) and isinstance(n.func, ast.Name)}
     assert "hash" not in calls
 
