--- a/fawnwharf/operators/memory.py
+++ b/fawnwharf/operators/memory.py
@@ -11,8 +11,8 @@
 import msgspec
 from msgspec import Meta
 
-from fawnwharf import policy
 from fawnwharf.interface import State
+from fawnwharf.policy import Router, state
 
 MAGIC = b"fwmem\x01"  # the last byte is the version
 HEAD = struct.Struct(">6sII")  # magic, length, checksum
@@ -54,7 +54,7 @@
 
 class Scorer(msgspec.Struct, array_like=True):
     worker: int
-    started: Age | None
+    started: Age
     strain: float
     strain_seen: Age
     suspect: Age | None
@@ -107,13 +107,13 @@
 # --- from the module and back -----------------------------------------------------------------------
 
 
-def learnt(router: policy.Router, out: set[str], now_ms: float, at_ms: float) -> Memory:
+def learnt(router: Router, out: set[str], now_ms: float, at_ms: float) -> Memory:
     """What the module believes: `now_ms` on its clock, `at_ms` on the monotonic one."""
 
     def ages(times: Any) -> list[float]:
         return [now_ms - at for at in times]
 
-    def aged(samples: policy.Samples) -> list[tuple[float, float]]:
+    def aged(samples: state.Samples) -> list[tuple[float, float]]:
         return [(now_ms - at, value) for at, value in samples.timed]
 
     last = sorted(router.functions.values(), key=lambda fn: -fn.last_ms[-1])[:FUNCTIONS_MOST]
@@ -132,7 +132,7 @@
         scorers=[
             Scorer(
                 worker.id,
-                None if worker.started_ms is None else now_ms - worker.started_ms,
+                now_ms - worker.started_ms,
                 worker.strain,
                 now_ms - worker.strain_ms,
                 None if worker.suspect_ms is None else now_ms - worker.suspect_ms,
@@ -157,12 +157,12 @@
     )  # fmt: skip
 
 
-def restore(router: policy.Router, memory: Memory, now_ms: float, at_ms: float) -> None:
+def restore(router: Router, memory: Memory, now_ms: float, at_ms: float) -> None:
     """Have the module believe it, as far as its roster has the scorers; it has heard of no call yet."""
     base = now_ms - (at_ms - memory.at_ms)  # the moment of writing, on this clock
 
-    def timed(samples: list[tuple[float, float]]) -> policy.Samples:
-        made = policy.Samples()
+    def timed(samples: list[tuple[float, float]]) -> state.Samples:
+        made = state.Samples()
         made.timed.extend((base - age, value) for age, value in samples)
         return made
 
@@ -177,12 +177,11 @@
         worker = router.workers.get(told.worker)
         if worker is None:
             continue
-        if told.started is not None:
-            worker.started_ms = max(worker.started_ms or -1e15, base - told.started)
+        worker.started_ms = max(worker.started_ms, base - told.started)
         worker.strain, worker.strain_ms = told.strain, base - told.strain_seen
         worker.sent.extend(base - age for age in told.sent)
         for kind, (losses, rests, rest_ms) in told.lapses.items():
-            worker.lapses[kind] = policy.Lapse(losses, base - rests, rest_ms)
+            worker.lapses[kind] = state.Lapse(losses, base - rests, rest_ms)
         if told.suspect is not None:
             worker.suspect_ms = worker.sign_ms = base - told.suspect
             router.watched[worker.id] = worker
@@ -192,8 +191,8 @@
             router.functions[known.name] = _function(router, known, base, timed)
 
 
-def _function(router: policy.Router, known: Known, base: float, timed: Any) -> policy.Function:
-    fn = policy.Function(known.name, known.kind, known.lanes, known.load_told_ms, policy._mark(known.name))
+def _function(router: Router, known: Known, base: float, timed: Any) -> state.Function:
+    fn = state.Function(known.name, known.kind, known.lanes, known.load_told_ms, state.mark(known.name))
     fn.runs, fn.loads, fn.waits = timed(known.runs), timed(known.loads), timed(known.waits)
     fn.last_ms.extend(base - age for age in known.called)
     fn.idle_ms, fn.load_path, fn.arrived = known.idle_ms, known.load_path, known.arrived
@@ -201,6 +200,6 @@
     for place in known.places:
         if (worker := router.workers.get(place.worker)) is not None:
             seen, counted, blocked = (base - age for age in (place.seen, place.counted, place.blocked))
-            fn.instances[place.worker] = policy.Instance(place.copies, seen, counted, blocked_ms=blocked)
+            fn.instances[place.worker] = state.Instance(place.copies, seen, counted, blocked_ms=blocked)
             worker.last = fn
     return fn
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -226,8 +226,8 @@
         self.assertEqual(rig.ask(f"{EXIT}?target={home.id}"), 200)
         rig.until(lambda: worker.entry is not None and rig.front.router.workers[worker.id].entry.state == 1)
         self.assertGreaterEqual(worker.started_ms, before)  # it is cold, and its copies are gone
-        instances = [fn.instances.get(worker.id) for fn in rig.front.router.functions.values()]
-        self.assertEqual([rig.front.router._copies(i, worker) for i in instances if i], [0])
+        router = rig.front.router
+        self.assertEqual({router._copies(fn, worker) for fn in router.functions.values()}, {0})
 
     def test_with_all_scorers_out_each_call_still_has_its_one_answer(self):
         rig = self.rig(ScorerPeer("s-1"))
