--- a/tests/test_replacement.py
+++ b/tests/test_replacement.py
@@ -5,6 +5,7 @@
 import time
 import unittest
 
+from peers import ready
 from processes import OUGHT_S, Site, unsent_of
 
 from fawnwharf.operators import channel
@@ -19,6 +20,18 @@
         self.addCleanup(site.close)
         return site
 
+    def busy(self, site):
+        """A client that never falls idle: its connection stays where it is."""
+        caller = site.served()
+
+        def more():
+            while caller.open < 3 and not caller.ended:
+                caller.ask()
+
+        site.habits.append(more)
+        more()
+        return caller
+
     def settled(self, site):
         """Every call has its one answer, no connection has ended, and no process ran into a fault."""
         self.assertEqual(site.verdict(), [])
@@ -75,5 +88,200 @@
         self.assertEqual([kind for caller in kept for _, kind, _ in caller.answers if kind != "answer"], [])
 
 
+
+class NewOneKilled(Case):
+    """The old one serves on, whatever becomes of the one that was to take its place."""
+
+    def taker(self, site):
+        """A new process, played by the test, that was told all."""
+        found = channel.ask(site.place, site.listen.address)
+        self.assertIsNotNone(found, "the old process answers")
+        for sock in (found[0], found[2]):
+            self.addCleanup(sock.close)
+        return found
+
+    def half_asked(self, site, count, size=40_000):
+        """Clients that have sent half of a long message each; the rest of it, by client."""
+        rest = {}
+        for _ in range(count):
+            caller = site.caller()
+            frame = caller.frame(extra="x" * size)
+            caller.outbox += frame[:-9]
+            rest[caller] = frame[-9:]
+        site.until(lambda: not any(caller.outbox for caller in rest), "half is sent")
+        return rest
+
+    def test_while_it_connects(self):
+        site = self.site()
+        old = site.start()
+        kept = site.served()
+        with channel.socket.socket(channel.socket.AF_UNIX, channel.socket.SOCK_SEQPACKET) as sock:
+            with site.place.short() as address:
+                sock.connect(address)
+            site.served(kept)
+        new = site.begin()
+        site.until_logged(old, "another process is about to")
+        new.kill()
+        site.served(kept)
+        site.served()
+        self.settled(site)
+        new = site.start()  # and the next one takes its place as if nothing had been
+        self.assertLess(site.end(old), OUGHT_S)
+        self.assertIn("taking over", new.log)
+        site.served(kept)
+        self.settled(site)
+
+    def test_after_it_was_told_all_and_before_it_is_ready(self):
+        site = self.site()
+        site.start()
+        kept = site.served()
+        sock, memory, door = self.taker(site)
+        self.assertTrue(memory)
+        site.served(kept)
+        site.served()  # the old one still accepts
+        sock.close()
+        door.close()
+        site.served(kept)
+        site.served()
+        self.settled(site)
+
+    def test_right_after_it_is_ready_with_half_of_the_connections_given(self):
+        site = self.site()
+        old = site.start()
+        site.served()
+        site.drop(site.callers[0])
+        rest = self.half_asked(site, 24)
+        sock, _, door = self.taker(site)
+        channel.send(sock, h.encode(h.Ready()), None)
+        site.until_logged(old, "has taken this one's place")
+        sock.setblocking(True)
+        sock.settimeout(10.0)
+        given = [channel.receive(sock) for _ in range(2)]
+        for message, carried in given:
+            self.assertIsInstance(message, h.Kept)
+            carried.close()
+        waiting = site.caller()  # in the queue of the listener, which nobody accepts from
+        waiting.ask()
+        sock.close()
+        door.close()
+        site.until_logged(old, "accepting again")
+        site.until(lambda: not waiting.open, "the one in the queue is served")
+        site.served()
+        for caller, data in rest.items():
+            caller.outbox += data
+        site.until(lambda: all(c.ended or not c.open for c in rest), "those that were not sent are served")
+        lost = [caller for caller in rest if caller.ended]
+        self.assertTrue(2 <= len(lost) < 16, len(lost))  # what was on its way went down with the other
+        for caller in lost:
+            site.callers.remove(caller)
+        self.settled(site)
+        new = site.start()
+        self.assertLess(site.end(old), OUGHT_S)
+        site.served()
+        self.assertIn("taking over", new.log)
+        self.settled(site)
+
+    def test_a_real_one_killed_as_soon_as_it_is_ready(self):
+        site = self.site(delay_s=0.3)
+        old = site.start()
+        busy = self.busy(site)
+        new = site.begin()
+        site.until_logged(old, "has taken this one's place")
+        new.kill()
+        site.until_logged(old, "accepting again")
+        site.served()
+        before = len(busy.seen)
+        site.until(lambda: len(busy.seen) > before + 4, "the busy one is served on")
+        site.habits.clear()
+        self.settled(site)
+
+    def test_what_is_unwritten_is_taken_back_whole(self):
+        site = self.site()
+        old = site.start()
+        site.served()
+        site.drop(site.callers[0])
+        slow = [site.caller(small=True) for _ in range(3)]
+        for caller in slow:
+            caller.ask(b"big:250000:")
+            caller.reads = False
+        held = lambda: all(unsent_of(site.listen.address, caller) > 0 for caller in slow)  # noqa: E731
+        site.until(held, "the long answers are half written")
+        sock, _, door = self.taker(site)
+        channel.send(sock, h.encode(h.Ready()), None)
+        site.until_logged(old, "has taken this one's place")
+        old.signal(signal.SIGTERM)
+        site.until(lambda: ready(sock, 0.0), "they are being given")
+        sock.close()
+        door.close()
+        site.until_logged(old, "accepting again")
+        for caller in slow:
+            caller.reads = True
+        site.until(lambda: all(c.ended or not c.open for c in slow), "what is left of them is whole")
+        back = [caller for caller in slow if not caller.ended or not caller.open]
+        self.assertIn(len(back), (1, 2))  # the others were on their way
+        self.assertEqual([text for caller in back for text in caller.faults], [])
+        site.until(lambda: old.ended, "it ends after that")
+        self.assertEqual(old.child.returncode, 0)
+
+
+class OldOneKilled(Case):
+    def test_in_the_middle_of_the_hand_over(self):
+        site = self.site(delay_s=0.2)
+        old = site.start()
+        busy, kept = self.busy(site), site.served()
+        new = site.begin()
+        site.until_logged(old, "has taken this one's place")
+        old.kill()
+        site.served()
+        site.until_ready(new)
+        site.until(lambda: busy.ended, "the busy one, which was the old one's, is at its end")
+        site.callers.remove(busy)
+        site.served(kept)
+        if kept.ended:  # given or not, by the moment
+            site.callers.remove(kept)
+        self.settled(site)
+
+    def played(self, site, say):
+        """The old process, played by the test; `say` tells what it does on the channel."""
+        door = channel.socket.socket(channel.socket.AF_UNIX, channel.socket.SOCK_SEQPACKET)
+        self.addCleanup(door.close)
+        with site.place.short() as address:
+            door.bind(address)
+        door.listen(4)
+        door.settimeout(30.0)
+        new = site.begin()
+        sock, _ = door.accept()
+        sock.settimeout(30.0)
+        self.assertEqual(channel.receive(sock)[0], h.Hello(h.VERSION, site.listen.address))
+        say(sock)
+        sock.close()
+        return new
+
+    def test_by_each_step(self):
+        for name, say in (
+            ("before a word", lambda sock: None),
+            ("amid what was learnt", lambda sock: channel.send(sock, h.encode(h.Part(b"x" * 99)), None)),
+            ("no message", lambda sock: sock.send(b"\xc1")),
+            ("after the listener", self.with_door),
+        ):
+            with self.subTest(name):
+                site = self.site()
+                self.site_of_step = site
+                new = self.played(site, say)
+                site.until_ready(new)
+                self.assertLess(time.monotonic() - new.began, START_S)
+                site.served()
+                self.settled(site)
+
+    def with_door(self, sock):
+        with channel.socket.socket() as door:
+            door.setsockopt(channel.socket.SOL_SOCKET, channel.socket.SO_REUSEPORT, 1)
+            door.setsockopt(channel.socket.SOL_SOCKET, channel.socket.SO_REUSEADDR, 1)
+            door.bind(self.site_of_step.listen.address)
+            door.listen(16)
+            channel.send(sock, h.encode(h.Part(b"torn")), None)
+            channel.send(sock, h.encode(h.Door()), door)
+
+
 if __name__ == "__main__":
     unittest.main()
