Replacement: what was begun is taken back whole, and three in a row hold together

Tests with several processes, and tables for the talk between them, showed these faults.

- A long answer half given when the new process ended came back without the parts that were sent: 62 KB were missing from the client's answer.
A channel keeps parts until what they are of is sent (operators/channel.py, Channel.take_back and _write).
- A channel that broke within a look cost the connection just taken for it, and a new process gone right after its hello was a fault (operators/replacement.py, _give and _do).
- With three in a row the one in the middle ended before the first had given everything: it waits for it now, 2.8 s at the most.
Operators' calls were not passed on to the far end; what came by descriptor while nothing was read was read; one that ends took the meeting place again.
- One that had been stopped, run on and ended wrote its older file over the newer one's.
- A folder that can't be looked at (a name too long, no permission) kept the process from starting.
- A front end on standby whose place was taken went on ending and refusing.
- A call at the new address before its loop had the channel never reached the old process.
- Too many descriptors on their way ended the channel; they are waited for.
- A second hello on one channel took it back to the first step without accepting again.

--- a/fawnwharf/net/clients.py
+++ b/fawnwharf/net/clients.py
@@ -341,6 +341,7 @@
         client = Client(self, sock)
         self.clients[client] = None
         client.resume(partial, skip, spoke, rest)
+        client.connection.read_on(not self.paused)
 
     def pause(self, on: bool) -> None:
         """Read no further on any connection, or go on: what lies unread is for another process."""
--- a/fawnwharf/operators/channel.py
+++ b/fawnwharf/operators/channel.py
@@ -118,6 +118,7 @@
         self.loop, self._told, self._ended = loop, told, ended
         self.closed = False
         self._sock, self._queue = sock, deque[tuple[h.Message, socket.socket | None]]()
+        self._begun: list[tuple[h.Message, socket.socket | None]] = []  # parts of what is not sent whole yet
         sock.setblocking(False)
         self._mask = READ
         loop.watch(sock, READ, self._ready, first=True)
@@ -136,8 +137,8 @@
         return bool(self._queue)
 
     def take_back(self) -> list[tuple[h.Message, socket.socket | None]]:
-        """What was never sent."""
-        queue, self._queue = list(self._queue), deque()
+        """What was never sent, or not whole: parts are nothing without what they are of."""
+        queue, self._queue, self._begun = [*self._begun, *self._queue], deque(), []
         return queue
 
     def _write(self) -> None:
@@ -148,11 +149,15 @@
             except BlockingIOError:
                 break
             except OSError as error:
-                if error.errno == errno.ENOBUFS:
+                if error.errno in (errno.ENOBUFS, errno.ETOOMANYREFS):  # so many descriptors are on their way
                     break
                 self.close()
                 return
             self._queue.popleft()
+            if isinstance(message, h.Part):
+                self._begun.append((message, None))
+            else:
+                self._begun.clear()
             if carried is not None:
                 carried.close()
         mask = READ | (WRITE * bool(self._queue))
@@ -198,6 +203,7 @@
                 with contextlib.suppress(FileNotFoundError):
                     os.unlink(place.socket)
                 self._sock.bind(address)
+                self._inode = os.stat(address).st_ino
             self._sock.listen(4)
             self._sock.setblocking(False)
         except OSError:
@@ -212,6 +218,14 @@
             return
         self._came(sock)
 
+    @property
+    def mine(self) -> bool:
+        """Whether no other process has put its own in this one's stead."""
+        try:
+            return os.stat(self.place.socket).st_ino == self._inode
+        except OSError:
+            return True
+
     def close(self) -> None:
         self.loop.forget(self._sock)
         self._sock.close()
--- a/fawnwharf/operators/handover.py
+++ b/fawnwharf/operators/handover.py
@@ -10,6 +10,7 @@
 VERSION = 1
 TEXT_MOST = 60_000  # bytes of one message; more goes in parts
 PAUSE_MS = 400.0  # after SIGTERM: connections that never fall idle are read no further
+AWAIT_MS = 2_800.0  # after SIGTERM: for the process before this one, which was told to end earlier
 ANSWER_S = 1.5  # how long the new process waits for the old one at its start, before it goes on without it
 
 
@@ -114,7 +115,8 @@
         return self.phase in (Phase.GIVEN, Phase.ENDING)
 
     def hello(self, hello: Hello) -> Do:
-        if hello.version != VERSION or tuple(hello.listen) != self.listen or self._leaving_ms is not None:
+        good = hello.version == VERSION and tuple(hello.listen) == self.listen
+        if not good or self.phase is not Phase.ALONE or self.leaving:
             return Do.TURN_AWAY
         self.phase = Phase.ASKED
         return Do.TELL_ALL
@@ -136,6 +138,14 @@
         if self.phase is Phase.GIVEN:
             self.phase = Phase.ENDING
 
+    def awaits(self, now_ms: float) -> bool:
+        """Whether one that ends waits for the process before it, whose connections come this way."""
+        return self.phase is Phase.ENDING and now_ms - self._leaving_ms < AWAIT_MS
+
+    @property
+    def leaving(self) -> bool:
+        return self._leaving_ms is not None
+
     def look(self, now_ms: float) -> Do:
         """Now and then; what time alone brings."""
         if self.phase is Phase.ENDING and not self._paused and now_ms - self._leaving_ms >= PAUSE_MS:
--- a/fawnwharf/operators/replacement.py
+++ b/fawnwharf/operators/replacement.py
@@ -32,7 +32,7 @@
     if not folder:
         return Inherited()
     place = Place(folder, deployment.name, deployment.listen)
-    found = ask(place, deployment.listen) if place.socket.exists() else None
+    found = ask(place, deployment.listen) if os.path.exists(place.socket) else None
     return Inherited(place, *found) if found else Inherited(place, memory=place.read())
 
 
@@ -96,8 +96,8 @@
 
     def remember(self) -> None:
         """Keep what was learnt in the file, for a process that finds nobody to ask."""
-        if self.place is None or self.giver.gives:
-            return
+        if self.place is None or self.giver.gives or (self._door is not None and not self._door.mine):
+            return  # whoever has the place now knows better
         try:
             self.place.write(self._learnt())
         except OSError as error:
@@ -122,6 +122,8 @@
             self.front.port.adopt(carried, message.partial, message.skip, message.spoke, rest)
         elif isinstance(message, h.Told):
             self._heard(message.path, message.target)
+            if self.after is not None:
+                self.after.say(message)
         elif carried is not None:
             carried.close()
 
@@ -148,6 +150,8 @@
             self._do(self.giver.ready())
         elif isinstance(message, h.Told):
             self._heard(message.path, message.target)
+            if self.before is not None:
+                self.before.say(message)
 
     def _after_ended(self, channel: Channel) -> None:
         if channel is self.after and not self._ended:
@@ -168,16 +172,16 @@
                 carried.close()
 
     def _do(self, what: h.Do) -> None:
-        front = self.front
+        front, after = self.front, self.after  # it may end with any word
         if what is h.Do.TELL_ALL:
             front.log("another process is about to take this one's place")
             self._share()
             for part in h.parts(self._learnt()):
-                self.after.say(part)
-            self.after.say(h.Door(), front.port.listener.dup())
+                after.say(part)
+            after.say(h.Door(), front.port.listener.dup())
         elif what is h.Do.TURN_AWAY:
-            self.after.say(h.No("another version, another address, or leaving"))
-            self.after.close()
+            after.say(h.No("another version, another address, or leaving"))
+            after.close()
         elif what is h.Do.STOP_ACCEPTING:
             front.log("another process has taken this one's place")
             front.port.accept(False)
@@ -187,7 +191,8 @@
             front.log("the process that took this one's place has ended: accepting again")
             front.port.accept(True)
             front.port.pause(False)
-            self._open()
+            if not self.giver.leaving:  # the place may be a third process's by now
+                self._open()
         elif what is h.Do.PAUSE:
             front.port.pause(True)
 
@@ -203,7 +208,10 @@
     @property
     def busy(self) -> bool:
         """Whether something is still to be given over."""
-        return self.giver.gives and (bool(self.front.port.clients) or self.after.unsent)
+        if not self.giver.gives:
+            return False
+        to_come = self.before is not None and self.giver.awaits(monotonic_ms())
+        return to_come or bool(self.front.port.clients) or self.after.unsent
 
     def _look(self) -> None:
         if self._looking or not self.giver.gives:
@@ -218,7 +226,7 @@
         self._look()
 
     def _give(self) -> None:
-        given = 0
+        given, after = 0, self.after
         for client in list(self.front.port.clients):
             connection = client.connection
             if connection.finishing or connection.closed or given == GIVE_MOST:
@@ -226,8 +234,11 @@
             if self.giver.may_give(bool(client.open), bool(connection.waiting_bytes)):
                 sock, partial, skip, rest = self.front.port.give(client)
                 for part in h.parts(rest):
-                    self.after.say(part)
-                self.after.say(h.Kept(partial, skip, client.spoke), sock)
+                    after.say(part)
+                if after.closed:  # it ended just now, and this one was not among what came back
+                    self.front.port.adopt(sock, partial, skip, client.spoke, rest)
+                    return
+                after.say(h.Kept(partial, skip, client.spoke), sock)
                 given += 1
 
     def close(self) -> None:
--- a/fawnwharf/operators/service.py
+++ b/fawnwharf/operators/service.py
@@ -40,6 +40,9 @@
 
     def begin(self) -> None:
         self.replacement.begin(self._memory)
+        told = set(self._memory.out) if self._memory else set()
+        for id in told ^ self.desk.out:  # asked for here before the other process could be told
+            self.replacement.tell("/maintenance/enter" if id in self.desk.out else "/maintenance/exit", id)
         self._memory = None
 
     def take(self, asked: Asked) -> Answer:
@@ -106,6 +109,10 @@
     def _look(self) -> None:
         if self._draining_ms is None or self.front.leaving:
             return
+        if self.replaced:  # its connections are the other's, which is ready: none is ended or refused
+            self._refuse(False)
+            self.front.loop.wheel.after(drain.LOOK_MS, self._look)
+            return
         step = drain.step(monotonic_ms() - self._draining_ms)
         if step >= drain.Step.EMPTYING:
             self.front.port.end_idle()
