Sends to a scorer that has warmed up are not remembered

Cause, found by reading: each scorer with a told start kept the time of every send for good (router.py, _send); the list is only looked at, and cut, while it is cold. A scorer that was brought back adds to it too, and the list goes over with each replacement.

--- a/fawnwharf/policy/router.py
+++ b/fawnwharf/policy/router.py
@@ -184,7 +184,7 @@
         fn.queue.remove(request)
         fn.waits.timed.extend([(self.now, self.now - request.held_ms)] * (self.now > request.held_ms))
         instance.own, worker.own, instance.seen_ms = instance.own + 1, worker.own + 1, self.now
-        if worker.started_ms > -math.inf:
+        if self._warmth(worker) < 1.0:
             worker.sent.append(self.now)
         self._owe(worker)
         if (lapse := worker.lapses.get(fn.kind)) and lapse.losses >= LOSSES:
