--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -364,3 +364,13 @@
     replacement.remember()
     assert replacement.place.read() == b"newer"
     door.close()
+
+
+def test_one_that_ends_and_loses_the_next_leaves_the_meeting_place_to_whoever_has_it(rig):
+    sock = taker(rig)
+    door = channel.Door(rig.front.loop, rig.operators.replacement.place, mock.Mock())
+    rig.operators.leave()
+    sock.close()
+    rig.until(lambda: not rig.operators.replaced, "it serves on by itself")
+    assert door.mine
+    door.close()
