--- a/fawnwharf/__init__.py
+++ b/fawnwharf/__init__.py
@@ -3,4 +3,4 @@
 from fawnwharf.policy import Router
 
 __all__ = ["Router", "__version__"]
-__version__ = "0.5.0"
+__version__ = "0.6.0"
