--- a/tests/test_replacement_overlap.py
+++ b/tests/test_replacement_overlap.py
@@ -82,7 +82,17 @@
         self.assertEqual([after[0], after[2]], [counts[0], counts[2]])
         self.settled(site)
 
-    def test_one_on_standby_comes_up_ready_and_standby_at_the_new_address_drains(self):
+    def test_one_on_standby_is_replaced_by_one_that_is_ready(self):
+        site = self.site()
+        old = site.start()
+        self.assertEqual(site.ask(old, "/standby"), 200)
+        new = site.start()
+        self.assertEqual([site.ask(p, "/status", "GET") for p in (old, new)], [503, 200])
+        self.assertLess(site.end(old), OUGHT_S)
+        site.served()
+        self.settled(site)
+
+    def test_standby_at_either_address_while_both_run_is_the_new_ones(self):
         site = self.site()
         old = site.start()
         busy = self.busy(site)
