--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -201,7 +201,7 @@
 
     def test_the_other_commands(self):
         cases = [
-            (["version"], 0, "fawnwharf 0.5.0"),
+            (["version"], 0, "fawnwharf 0.6.0"),
             (["check-config"], 0, "classes: view, save, settle"),
             (["unheard-of"], 2, "unheard-of"),
             (["serve", "--config", "/nonexistent"], 2, "ROUTER_CONFIG"),
