The lab makes operators' calls, and judges what each yes promised

Drains, scorers taken out and replacements were tried with one front end alone; what a fleet under load sees of them was not judged anywhere.

Steps replace, kill_replacing, standby, active, take_out and bring_back; each front end has a second address and a $TMPDIR. Stand-in clients' front may ask for readiness (asks). Rules: one final answer over replacements, nothing new at a scorer 250 ms after the yes, no dial turned away, a yes within 6 s. Ruled out: readiness asked in all scenarios, which would change the load of the ones measured before.

--- a/fawnwharf/lab/processes.py
+++ b/fawnwharf/lab/processes.py
@@ -56,6 +56,8 @@
     apart: list[Any] = field(default_factory=list)
     role: str = ""
     status: int | None = None  # of the last life that ended by itself
+    number: int = 0  # of processes that took another's place: they have its addresses but one
+    former: "Former | None" = None  # the process whose place another one takes
 
     @property
     def alive(self) -> bool:
@@ -71,6 +73,15 @@
         return lived and not any(start <= until_ms and since_ms <= end for start, end in self.halts)
 
 
+@dataclass(slots=True, eq=False)
+class Former:
+    """A process beside which another one of the same front end was started."""
+
+    process: subprocess.Popen
+    pipe: "Pipe"
+    lines: list[str] = field(default_factory=list)  # that it wrote since then
+
+
 class Waits:
     """How long a process waited for a processor that others had, by the system's own count.
 
--- a/fawnwharf/lab/scenario.py
+++ b/fawnwharf/lab/scenario.py
@@ -53,6 +53,7 @@
         "cut", "heal", "delay", "lossy", "stall", "reset", "kill", "end", "stop", "go_on", "start",
         "lose_zone", "return_zone", "scorers_down", "scorers_up", "slow", "store", "rate",
         "wipe", "swap", "keep_disk", "old_disk", "members", "wish", "mark", "start_refused",
+        "replace", "kill_replacing", "standby", "active", "take_out", "bring_back",
     ]  # fmt: skip
     what: str = ""  # whom: front ends, scorers or zones
     to: str = ""  # the other end of links
@@ -71,6 +72,7 @@
     decide: bool = True  # in common, or each on its own
     state: dict[str, Any] | None = None  # replicated, by these settings over the lab's own; none: off
     twice: Part = 0.0  # of the at-most-once calls are asked for at two front ends at once
+    asks: bool = False  # what stands before front ends asks them whether they are ready
     comeback: bool = False  # clients whose at-most-once call was lost ask for it again, elsewhere
     tenants: dict[Name, str] = {}  # of a zone's clients; all of them by chance where it is not said
     quotas: dict[str, float] = {}  # calls a second sold to a tenant; all alike where it is not said
--- a/fawnwharf/lab/steps.py
+++ b/fawnwharf/lab/steps.py
@@ -3,6 +3,7 @@
 from fawnwharf.lab.files import write_members, write_whole
 from fawnwharf.lab.fleet import Fleet
 from fawnwharf.lab.measures import Meter
+from fawnwharf.lab.operators import Desk
 from fawnwharf.lab.parties import Parties
 from fawnwharf.lab.processes import LabFault
 from fawnwharf.lab.scenario import Step
@@ -14,6 +15,7 @@
 
     def __init__(self, fleet: Fleet, parties: Parties, meter: Meter) -> None:
         self.fleet, self.parties, self.meter = fleet, parties, meter
+        self.desk = Desk(fleet)
         self.members_number = 1
         self.wish_number = 0
 
@@ -145,6 +147,28 @@
         wishes = {"version": 1, "number": self.wish_number, "drained": drained}
         write_whole(front.folder / "state" / "wishes.json", wishes)
 
+    def _replace(self, step: Step) -> None:
+        """One after another, as on a release."""
+        for front in self.parties.fronts(step.what):
+            self.desk.replace(front)
+
+    def _kill_replacing(self, step: Step) -> None:
+        for front in self.parties.fronts(step.what):
+            self.desk.kill(front, step.to)
+
+    def _standby(self, step: Step) -> None:
+        self.desk.standby(self.parties.fronts(step.what))
+
+    def _active(self, step: Step) -> None:
+        self.desk.active(self.parties.fronts(step.what))
+
+    def _take_out(self, step: Step) -> None:
+        """Scorers, at all front ends that live or at those of `to`."""
+        self.desk.take_out(self.parties.fronts(step.to or "live"), self.parties.ids(step.what))
+
+    def _bring_back(self, step: Step) -> None:
+        self.desk.bring_back(self.parties.fronts(step.to or "live"), self.parties.ids(step.what))
+
     def _mark(self, step: Step) -> None:
         """Nothing but its mark, which every step leaves."""
 
--- a/fawnwharf/lab/topology.py
+++ b/fawnwharf/lab/topology.py
@@ -24,6 +24,7 @@
 
 SLOTS = 24  # labs that may run side by side on one machine
 PORT, PUBLIC, BALLOTS, STATE = 4100, 4101, 4102, 4103
+CONTROL = 4104, 4105  # of a front end's processes in turn
 
 KINDS = [
     Kind("points-view", "idempotent", 400.0, 1_500.0, 1.0, 0.7),
@@ -129,6 +130,7 @@
             comeback=self.scenario.comeback,
             twice=self.scenario.twice,
             tenant_of=self.scenario.tenants,
+            asks=self.scenario.asks,
         )
 
     def _relay(self, source: str, target: str, what: str, host: str, address: Address) -> None:
--- a/fawnwharf/standins/changelog.py
+++ b/fawnwharf/standins/changelog.py
@@ -60,6 +60,12 @@
         self.add(members, complete=True)
         return {"seq": 1, "results": list(self.events)}
 
+    def known(self, members: list[dict[str, Any]]) -> dict[str, Any]:
+        """For a second process of the same life: all as it is now, and it goes on with the same numbers."""
+        seq = len(self.events)
+        event = {"seq": seq, "fleet": {"revision": seq, "complete": True, "members": members}}
+        return {"seq": seq, "results": [event]}
+
     def add(self, members: list[dict[str, Any]], complete: bool = False) -> None:
         seq = len(self.events) + 1
         event = {"seq": seq, "fleet": {"revision": seq, "complete": complete, "members": members}}
