A call answered from what is kept here leaves nothing open at its client's connection

Where the kept answer is on this front end's own shelf, the gate replied while it took the call, and then gave the connection a key that nobody would ever end. That connection never fell idle: in a drain it was not ended, and in a replacement it was not given over, so that the old process ran into its SIGKILL.

A key is given only for what still waits. The test fails without the change, for keyed and for at-most-once calls.

--- a/fawnwharf/replication/gate.py
+++ b/fawnwharf/replication/gate.py
@@ -84,7 +84,7 @@
     # --- from the port --------------------------------------------------------------------------
 
     def take(self, call: Call) -> str | None:
-        """As RequestTable.take: the key of a new request, None where it was refused at once."""
+        """As RequestTable.take: the key of a new request, None where it had its answer at once."""
         mode = self._modes[call.class_name]
         if mode == "off":
             return self._table.take(call)
@@ -110,7 +110,7 @@
             self._carry_out(effects)
         else:
             self._join(held, key, call)
-        return key
+        return key if key in self._by_key else None  # an answer that was kept here has gone out already
 
     def _join(self, held: _Held, key: str, call: Call) -> None:
         """One more that waits for this call, for as long as it says."""
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -3,6 +3,7 @@
 import base64
 
 import msgspec
+import pytest
 
 from fawnwharf.interface import ClassSpec, Effect
 from fawnwharf.lab.promises import fleet_file
@@ -141,6 +142,17 @@
     assert ground.gate.held.keys() == {name_of(ground.calls["r3"])}
 
 
+@pytest.mark.parametrize("kind", ["once", "keyed"])
+def test_one_whose_answer_is_kept_here_has_it_at_once_and_nothing_stays_open(kind):
+    """A key for what has its answer would stand open at the client's connection for good."""
+    ground = Ground()
+    _, first = ground.ask(kind, token="t1")
+    ground.calls["r1"].reply(Served(b"done"))
+    key, again = ground.ask(kind, token="t1")
+    assert first == again == [Served(b"done")] and key is None
+    assert not ground.gate.busy and not ground.gate.held
+
+
 def test_an_answer_too_long_to_be_kept_fails_who_comes_again():
     ground = Ground()
     ground.ask()
