A process is replaced with zones and replicated state on

The second process could not have the member's addresses and disks while the first one lived: it ended with status 2, and front ends with zones or state had to be restarted, with their connections lost.

The old process stops reading, lets what is open end (3.5 s at the most), closes its parts and then hands over; where the new one is gone, it opens them again, never as a fresh fleet. Ruled out: handing parts over alive (two owners for a moment) and serving without promises meanwhile. The lab counts time in which it stood still itself.

--- a/fawnwharf/lab/checker.py
+++ b/fawnwharf/lab/checker.py
@@ -11,12 +11,14 @@
 
 from fawnwharf.lab.files import DEDUP_MS, RATION, RULES
 from fawnwharf.lab.fleet import Fleet
+from fawnwharf.lab.processes import Front
 from fawnwharf.standins.clients import LATE_MS, Try
 
 SLACK_MS = LATE_MS
 RATION_ROOM = 1.15
 OUT_MS = 250.0  # after an operator's yes nothing new may reach a scorer that was taken out
 HEARD_MS = 300.0  # after a call for a drain: by then whoever stands before the front end has heard of it
+END_MS = 3_700.0  # from SIGTERM until the old process has ended: then it would be killed
 YES_MS = 6_000.0  # from the start of a process that takes another's place until it takes work
 HELD_MS = 100.0  # waited for a processor: an answer that comes late then is the machine's doing
 
@@ -84,9 +86,16 @@
         if one.killed:
             continue
         verdict.checked["replaced"] += 1
+
+        def held(since_ms: float, until_ms: float, front: Front = front) -> float:
+            return sum(waits.between(since_ms, until_ms) for waits in (front.waits, fleet.waits))
+
         took = one.yes_ms - one.began_ms
-        if took > YES_MS + front.waits.between(one.began_ms, one.yes_ms):
+        if took > YES_MS + held(one.began_ms, one.yes_ms):
             verdict.broken.append(f"doors: {one.front} took {took:.0f} ms to say yes")
+        took = one.ended_ms - one.told_ms
+        if took > END_MS + held(one.told_ms, one.ended_ms):
+            verdict.broken.append(f"doors: the old process of {one.front} took {took:.0f} ms to end")
         for request in fleet.clients.requests:
             for attempt in request.tries:
                 if attempt.front != one.front or not one.began_ms <= attempt.sent_ms <= one.ended_ms:
@@ -131,7 +140,8 @@
         elif kind.effect == "deduplicated":
             verdict.checked["effects"] += 1
             times = [arrival.at_ms for arrival in arrivals]
-            if max(times) - min(times) > DEDUP_MS + SLACK_MS:
+            held_ms = fleet.waits.between(min(times), max(times))  # this process's, which notes what arrives
+            if max(times) - min(times) > DEDUP_MS + SLACK_MS + held_ms:
                 verdict.broken.append(f"effects: {kind.name} {arrivals[0].id} sent again after its window")
 
 
--- a/fawnwharf/lab/fleet.py
+++ b/fawnwharf/lab/fleet.py
@@ -23,6 +23,7 @@
 from fawnwharf.net.wheel import monotonic_ms
 
 PATIENCE_S = 40.0
+STOOD_MS = 200.0  # between two looks: beyond it this process was held up, whatever the system counts
 LOOK_MS = 50.0  # pace of looks at how long processes wait for a processor
 
 
@@ -206,8 +207,11 @@
         self.loop.turn(most_s)
         self.reap()
         if (now := monotonic_ms()) - self._looked_ms >= LOOK_MS:
-            self._looked_ms = now
+            stood_ms, self._looked_ms = now - self._looked_ms - STOOD_MS, now
+            before_ms = self.waits.total_ms[-1] if self.waits.total_ms else 0.0
             self.waits.look(now, os.getpid())
+            if before_ms and (more := stood_ms - (self.waits.total_ms[-1] - before_ms)) > 0:
+                self.waits.stood_still(more)
             for front in self.fronts.values():
                 if front.process is not None:
                     front.waits.look(now, front.process.pid)
--- a/fawnwharf/lab/operators.py
+++ b/fawnwharf/lab/operators.py
@@ -15,9 +15,11 @@
 
 DIAL_MS = 1_000.0
 AGAIN_MS = 20.0  # between two looks at a process that starts
-KILL_MS = 3_700.0  # after SIGTERM, and never sooner
+KILL_MS = 15_000.0  # after SIGTERM: longer than the checker allows, as a machine may stand still for a while
 TAKEN = "another process has taken this one's place"
 ASKED = "another process is about to take this one's place"
+AWAY = "let go of what only one process may have"
+RETURNED = "taken back what only one process may have"
 BACK = "accepting again"
 
 
@@ -56,7 +58,8 @@
     front: str
     began_ms: float
     yes_ms: float = float("inf")  # the new process said that it takes work
-    ended_ms: float = float("inf")  # the old one was gone
+    told_ms: float = float("inf")  # the old one was told to end
+    ended_ms: float = float("inf")  # and was gone
     killed: bool = False  # one of the two was, as a step wanted it
 
 
@@ -157,6 +160,7 @@
         """SIGTERM to the old process, and SIGKILL to one that takes too long."""
         front = self.fleet.fronts[found.front]
         former, told_ms = front.former, monotonic_ms()
+        found.told_ms = told_ms
         former.process.send_signal(signal.SIGTERM)
         killed = False
 
@@ -178,21 +182,24 @@
         self.end_former(found)
 
     def kill(self, front: Front, which: str) -> None:
-        """Kill a process in the middle of a replacement: `early`, the new one as soon as it has asked; `new`,
-        the new one once it has taken the place; `old`, the old one then."""
+        """Kill a process in the middle of a replacement: the new one as soon as it has asked (`early`), once
+        the old one has let go of what only one may have (`away`) or once it has taken the place (`new`); or
+        the old one then (`old`)."""
         found, former = self.begin(front), front.former
         found.killed = True
 
         def said(text: str) -> Callable[[], bool]:
             return lambda: any(text in line for line in (*former.lines, *front.lines))
 
-        if which == "early":
-            self.fleet.until(said(ASKED), f"{front.name} to be asked for its place")
+        if which in ("early", "away"):
+            text = ASKED if which == "early" else AWAY
+            self.fleet.until(said(text), f"{front.name} to say: {text}")
         else:
             self.ready(found)
             self.fleet.until(said(TAKEN), f"the place of {front.name} to be taken")
         if which == "old":
             former.process.kill()
+            self.fleet.new_life(front)  # what was open at the one that was killed is lost with it
             self.fleet.until(lambda: front.former is None, f"the old process of {front.name} to end")
             front.status = None  # this end is as it should be
         else:
@@ -200,6 +207,7 @@
             front.process.wait()
             self.fleet.back_to_former(front)
             if which == "new":
-                self.fleet.until(said(BACK), f"the old process of {front.name} to accept again")
-        self.fleet.new_life(front)  # what was open at the one that was killed is lost with it
+                self.fleet.new_life(front)
+            text = {"early": "", "away": RETURNED, "new": BACK}[which]
+            self.fleet.until(said(text), f"{front.name} to say: {text}")
         found.ended_ms = monotonic_ms()
--- a/fawnwharf/lab/processes.py
+++ b/fawnwharf/lab/processes.py
@@ -102,6 +102,11 @@
         self.at_ms.append(now_ms)
         self.total_ms.append((self.total_ms[-1] if self.total_ms else 0.0) + waited_ms - before_ms)
 
+    def stood_still(self, for_ms: float) -> None:
+        """Since the last look; the system does not count what a disk or a whole machine costs."""
+        if self.total_ms:
+            self.total_ms[-1] += for_ms
+
     def between(self, since_ms: float, until_ms: float) -> float:
         """The time waited from the last look before a stretch to the first one after it."""
         if not self.at_ms:
--- a/fawnwharf/net/front_end.py
+++ b/fawnwharf/net/front_end.py
@@ -70,6 +70,12 @@
     def events(self, events: list[io.Event]) -> None:
         """A batch, before the module has it."""
 
+    def release(self) -> None:
+        """Another process is to have what only one may have: close it all."""
+
+    def take_back(self, front: "FrontEnd") -> None:
+        """Begin anew, as that process is gone; raises ConfigError while it still has something."""
+
     @property
     def busy(self) -> bool:
         """Whether somebody waits for an answer of whom the table of requests does not know."""
@@ -117,6 +123,10 @@
         self.started = False
         self.operators: OperatorsPart | None = None
 
+    @property
+    def seam(self) -> Seam | None:
+        return self._seam
+
     @property
     def leaving(self) -> bool:
         return self._leaving_ms is not None
@@ -182,7 +192,7 @@
     def _look_to_leave(self) -> None:
         since = monotonic_ms() - self._leaving_ms
         busy = bool(self.table.open) or self.port.unwritten() or (self._seam and self._seam.busy)
-        busy = busy or (self._replaced and self.operators.busy)
+        busy = busy or (self.operators is not None and self.operators.busy)
         if since > LINGER_MS or ((since > LATE_ARRIVALS_MS or self._replaced) and not busy):
             self.loop.running = False
         else:
--- a/fawnwharf/operators/channel.py
+++ b/fawnwharf/operators/channel.py
@@ -78,17 +78,19 @@
     sock.sendmsg([data], notes)
 
 
-def ask(place: Place, listen: tuple[str, int]) -> tuple[socket.socket, bytes, socket.socket] | None:
+def ask(
+    place: Place, listen: tuple[str, int], parts: bool = False
+) -> tuple[socket.socket, bytes, socket.socket] | None:
     """Ask the process that serves for its place: the channel to it, what it has learnt, and its listener.
 
     Waits, as nothing else can be done at the start; None where nobody is there or no answer comes in time."""
     sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
-    sock.settimeout(h.ANSWER_S)
+    sock.settimeout(h.EMPTY_S if parts else h.ANSWER_S)
     memory, door = bytearray(), None
     try:
         with place.short() as address:
             sock.connect(address)
-        send(sock, h.encode(h.Hello(h.VERSION, listen)), None)
+        send(sock, h.encode(h.Hello(h.VERSION, listen, parts)), None)
         while door is None:
             found = receive(sock)
             if found is None or not isinstance(found[0], h.Part | h.Door):
--- a/fawnwharf/operators/handover.py
+++ b/fawnwharf/operators/handover.py
@@ -10,6 +10,8 @@
 VERSION = 1
 TEXT_MOST = 60_000  # bytes of one message; more goes in parts
 PAUSE_MS = 400.0  # after SIGTERM: connections that never fall idle are read no further
+EMPTY_S = 5.0  # and where that lets go of its parts first: without them this one can't start beside it
+READY_MOST_MS = 6_000.0  # how long one that let go of its parts waits for the other to be ready
 ANSWER_S = 1.5  # how long the new process waits for the old one at its start, before it goes on without it
 
 
@@ -18,6 +20,7 @@
 
     version: int
     listen: tuple[str, int]
+    parts: bool = False  # it has some that only one process at a time may have: zones, replicated state
 
 
 class No(msgspec.Struct, tag="no", frozen=True):
@@ -95,6 +98,7 @@
     """What follows for the old process."""
 
     NOTHING = auto()
+    LET_GO = auto()  # of the parts first, then as TELL_ALL
     TELL_ALL = auto()  # what was learnt, and the door
     TURN_AWAY = auto()
     STOP_ACCEPTING = auto()
@@ -116,11 +120,12 @@
         """Whether connections go over as they fall idle."""
         return self.phase in (Phase.GIVEN, Phase.ENDING)
 
-    def hello(self, hello: Hello) -> Do:
+    def hello(self, hello: Hello, parts: bool = False) -> Do:
+        """`parts`: this process has some that the other may want."""
         if hello.version != VERSION or tuple(hello.listen) != self.listen or self._leaving_ms is not None:
             return Do.TURN_AWAY
         self.phase = Phase.ASKED
-        return Do.TELL_ALL
+        return Do.LET_GO if parts and hello.parts else Do.TELL_ALL
 
     def ready(self) -> Do:
         if self.phase is not Phase.ASKED:
--- /dev/null
+++ b/fawnwharf/operators/parts.py
@@ -0,0 +1,92 @@
+"""What speaks for a member of the fleet (zones, replicated state), in a replacement of its process.
+
+One process at a time speaks for the member and has its disks: the old one lets go of them before the new one
+has them, and takes them back where the new one is gone before it took the place. Nothing is read from clients
+in between, as without these parts a call could run without its promise.
+"""
+
+from collections.abc import Callable
+from enum import Enum, auto
+
+from fawnwharf.config import ConfigError
+from fawnwharf.net.front_end import FrontEnd
+from fawnwharf.net.wheel import monotonic_ms
+
+LOOK_MS = 5.0
+# What is open ends by itself. The new process owes a yes within 6 s: a call that takes longer than this goes
+# on here, and its claim then reads as one that may have run.
+EMPTY_MOST_MS = 3_500.0
+TAKE_BACK_MOST_MS = 10_000.0
+
+
+class Where(Enum):
+    HERE = auto()
+    EMPTYING = auto()  # still here, until what is open has ended
+    AWAY = auto()  # let go of: the other process may have them
+    RETURNING = auto()
+
+
+class Parts:
+    """Owns where the parts of this process are."""
+
+    def __init__(self, front: FrontEnd) -> None:
+        self.front, self.where = front, Where.HERE
+        self._since_ms = 0.0
+
+    @property
+    def any(self) -> bool:
+        return self.front.seam is not None
+
+    @property
+    def here(self) -> bool:
+        return self.where is Where.HERE
+
+    def let_go(self, done: Callable[[], None]) -> None:
+        """Read no further, let what is open end, and let go of the parts."""
+        self.where, self._since_ms = Where.EMPTYING, monotonic_ms()
+        self.front.port.accept(False)
+        self.front.port.pause(True)
+        self._look(done)
+
+    def _look(self, done: Callable[[], None]) -> None:
+        front = self.front
+        if self.where is not Where.EMPTYING:
+            return
+        busy = front.table.open or front.port.unwritten() or front.seam.busy
+        if busy and monotonic_ms() - self._since_ms < EMPTY_MOST_MS:
+            front.loop.wheel.after(LOOK_MS, lambda: self._look(done))
+            return
+        front.seam.release()
+        self.where = Where.AWAY
+        front.log("let go of what only one process may have")
+        done()
+
+    def take_back(self, done: Callable[[], None]) -> None:
+        """The other process is gone: go on as before."""
+        if self.where is Where.EMPTYING:
+            self.where = Where.HERE
+            done()
+        elif self.where is Where.AWAY:
+            self.where, self._since_ms = Where.RETURNING, monotonic_ms()
+            self._try(done)
+
+    def _try(self, done: Callable[[], None]) -> None:
+        """The system frees the disks and addresses of a process that ends one by one: the first try may be
+        too early. Where they stay another's, that one serves, and this one must not."""
+        front = self.front
+        why = "calls of before are open"
+        if not any(client.open for client in front.port.clients):
+            try:
+                front.seam.take_back(front)
+            except ConfigError as error:
+                why = str(error)
+            else:
+                self.where = Where.HERE
+                front.log("taken back what only one process may have")
+                done()
+                return
+        if monotonic_ms() - self._since_ms > TAKE_BACK_MOST_MS:
+            front.log(f"not taken back, this process ends: {why}")
+            front.loop.running = False
+        else:
+            front.loop.wheel.after(LOOK_MS, lambda: self._try(done))
--- a/fawnwharf/operators/replacement.py
+++ b/fawnwharf/operators/replacement.py
@@ -11,6 +11,7 @@
 from fawnwharf.operators import handover as h
 from fawnwharf.operators import memory as m
 from fawnwharf.operators.channel import Channel, Door, Place, ask
+from fawnwharf.operators.parts import Parts
 
 LOOK_MS = 20.0  # pace of the look after connections that have fallen idle
 GIVE_MOST = 256  # connections in one look
@@ -26,13 +27,13 @@
     listener: socket.socket | None = None
 
 
-def inherit(deployment: Deployment) -> Inherited:
-    """Ask for what the process before this one has, at the start."""
+def inherit(deployment: Deployment, parts: bool = False) -> Inherited:
+    """Ask for what the process before this one has, at the start. `parts`: this one will have some, too."""
     folder = os.environ.get("TMPDIR")
     if not folder:
         return Inherited()
     place = Place(folder, deployment.name, deployment.listen)
-    found = ask(place, deployment.listen) if place.socket.exists() else None
+    found = ask(place, deployment.listen, parts) if place.socket.exists() else None
     return Inherited(place, *found) if found else Inherited(place, memory=place.read())
 
 
@@ -43,6 +44,7 @@
         """`heard` takes an operator's call, by path and target, that the other process was asked."""
         self.front, self.place, self._heard = front, inherited.place, heard
         self.giver = h.Giver(front.address)
+        self.parts = Parts(front)
         self.before: Channel | None = None  # to the process whose place this one takes
         self.after: Channel | None = None  # to the process that takes this one's place
         self.out: Callable[[], set[str]] = set
@@ -139,7 +141,7 @@
     # --- as the old process ---------------------------------------------------------------------
 
     def _came(self, sock: socket.socket) -> None:
-        if self.giver.gives:
+        if self.giver.gives or not self.parts.here:
             sock.close()
             return
         if self.after is not None:  # it came first and did not get ready: the one that comes now counts
@@ -148,7 +150,7 @@
 
     def _from_after(self, message: h.Message, carried: socket.socket | None) -> None:
         if isinstance(message, h.Hello):
-            self._do(self.giver.hello(message))
+            self._do(self.giver.hello(message, self.parts.any))
         elif isinstance(message, h.Ready):
             self._do(self.giver.ready())
         elif isinstance(message, h.Told):
@@ -159,9 +161,19 @@
     def _after_ended(self, channel: Channel) -> None:
         if channel is self.after and not self._ended:
             unsent, self.after, self._said_done = channel.take_back(), None, False
-            self._do(self.giver.lost())
-            self._adopt_again(unsent)
-            self._share()
+            what = self.giver.lost()
+            if self.parts.here:
+                self._go_on(what, unsent)
+            else:
+                self.parts.take_back(lambda: self._go_on(what, unsent))
+
+    def _go_on(self, what: h.Do, unsent: list[tuple[h.Message, socket.socket | None]]) -> None:
+        """Without the other process, as before it came."""
+        self._do(what)
+        self.front.port.accept(True)
+        self.front.port.pause(False)
+        self._adopt_again(unsent)
+        self._share()
 
     def _adopt_again(self, unsent: list[tuple[h.Message, socket.socket | None]]) -> None:
         rest = bytearray()
@@ -179,9 +191,11 @@
         if what is h.Do.TELL_ALL:
             front.log("another process is about to take this one's place")
             self._share()
-            for part in h.parts(self._learnt()):
-                self.after.say(part)
-            self.after.say(h.Door(), front.port.listener.dup())
+            self._tell_all()
+        elif what is h.Do.LET_GO:
+            front.log("another process is about to take this one's place")
+            self._share()
+            self.parts.let_go(self._tell_all)
         elif what is h.Do.TURN_AWAY:
             self.after.say(h.No("another version, another address, or leaving"))
             self.after.close()
@@ -195,12 +209,24 @@
             self._look()
         elif what is h.Do.ACCEPT_AGAIN:
             front.log("the process that took this one's place has ended: accepting again")
-            front.port.accept(True)
-            front.port.pause(False)
             self._open()
         elif what is h.Do.PAUSE:
             front.port.pause(True)
 
+    def _tell_all(self) -> None:
+        channel = self.after
+        for part in h.parts(self._learnt()):
+            channel.say(part)
+        channel.say(h.Door(), self.front.port.listener.dup())
+        if not self.parts.here:
+            self.front.loop.wheel.after(h.READY_MOST_MS, lambda: self._not_ready(channel))
+
+    def _not_ready(self, channel: Channel) -> None:
+        """Guards the clients, which nobody reads, against a new process that stands still: without the
+        channel it finds the disks and addresses taken, or this one does and ends."""
+        if channel is self.after and not self.giver.gives:
+            channel.close()
+
     def leave(self) -> None:
         """This process was told to end."""
         self.remember()
@@ -213,7 +239,7 @@
     @property
     def busy(self) -> bool:
         """Whether something is still to be given over, or on its way."""
-        return self.giver.gives and not self._all_came
+        return not self._all_came if self.giver.gives else not self.parts.here
 
     def _look(self) -> None:
         if self._looking or not self.giver.gives:
--- a/tests/test_lab_operation.py
+++ b/tests/test_lab_operation.py
@@ -3,6 +3,9 @@
 Steps wait on events, never on luck; what is judged is what front ends owe, not how fast the machine is.
 """
 
+from collections import Counter
+from dataclasses import replace
+
 import msgspec
 import pytest
 
@@ -10,6 +13,7 @@
 from fawnwharf.lab.checker import judge
 from fawnwharf.lab.operators import Desk, Replaced, Stretch
 from fawnwharf.lab.run import Runner
+from fawnwharf.net.wheel import monotonic_ms
 from fawnwharf.standins.clients import Kind, Request, Try
 from fawnwharf.standins.scorers import Arrival
 
@@ -45,6 +49,75 @@
     assert [a for a in tries if a.sent_ms > first.until_ms and a.outcome == "served"]
 
 
+def noted(fleet, event):
+    return [note.fields | {"front": note.front} for note in fleet.notes if note.event == event]
+
+
+def test_keepers_are_replaced_under_calls_that_run_once_and_have_forgotten_nothing():
+    fleet, measures = played("upgrade-state")
+    assert measures.verdict.broken == []
+    assert measures.verdict.checked["replaced"] == 3 and measures.verdict.checked["effects"] > 50
+    assert measures.outcomes["served"] > 0.8 * sum(measures.outcomes.values())
+    starts = Counter()
+    for fields in noted(fleet, "disk read"):  # at the first start there is none
+        starts[fields["front"]] += 1
+        assert fields["trusted"] is (starts[fields["front"]] > 1)
+    assert all(count > 1 for count in starts.values()) and set(starts) == set(fleet.fronts)
+
+
+def test_a_client_that_comes_again_after_all_keepers_were_replaced_has_its_answer():
+    scenario = scenarios.load("upgrade-state")
+    runner = Runner(msgspec.structs.replace(scenario, state={"window_ms": 60_000}, twice=0.0), seed=5)
+    fleet, clients = runner.fleet, runner.fleet.clients
+    try:
+        for front in fleet.fronts.values():
+            fleet.start(front)
+        fleet.until_ready(list(fleet.fronts.values()), "all to be ready")
+        clients.start()
+        once = [kind for kind in clients.kinds if kind.effect == "at_most_once"]
+
+        def served():
+            return [r for r in clients.requests if r.kind in once and r.outcome == "served"]
+
+        fleet.until(lambda: len(served()) > 20, "calls that are served")
+        clients.stop()
+        fleet.until(lambda: not clients.open, "all calls to end")
+        desk, before = Desk(fleet), served()
+        for front in fleet.fronts.values():
+            desk.replace(front)
+        ran = sum(arrival.what == "run" for arrival in fleet.arrivals)
+        again = []
+        for request in before:  # the same thing by the same id, at whatever front end
+            id, number = request.tries[-1].call_id, len(clients.requests)
+            come = replace(
+                request, number=number, began_ms=monotonic_ms(), call_id=id, tries=[], outcome="", timer=None
+            )
+            clients.requests.append(come)
+            again.append(come)
+            clients.open += 1
+            clients._try(come)
+        fleet.until(lambda: all(r.outcome for r in again), "all to have come again")
+        assert {r.outcome for r in again} == {"served"}
+        assert sum(arrival.what == "run" for arrival in fleet.arrivals) == ran
+        assert judge(fleet).broken == []
+    finally:
+        fleet.close()
+
+
+def test_a_voter_that_leads_is_replaced_and_its_votes_hold():
+    fleet, measures = played("upgrade-zones")
+    assert measures.verdict.broken == []
+    assert measures.verdict.checked["replaced"] == 2
+    leaders = {}
+    for fields in noted(fleet, "role"):
+        if fields["role"] == "leader":
+            assert leaders.setdefault(fields["term"], fields["front"]) == fields["front"]
+    assert len(leaders) > 1
+    # None was taken for a new member of its name, as one that came with another disk would be.
+    lists = [tuple(sorted(fields["voters"])) for fields in noted(fleet, "voters")]
+    assert len({voter for voters in lists for voter in voters}) == 3
+
+
 def test_operators_calls_are_answered_as_the_page_for_them_says():
     runner = Runner(scenarios.load("drain"), seed=1)
     fleet = runner.fleet
@@ -112,7 +185,7 @@
         fleet.clients.requests = [Request(0, kind, "a", "t", "f", sent_ms, "x", tries=[tried])]
         return judge(fleet).broken
 
-    fleet.replaced.append(Replaced("n0", 10_000.0, 10_400.0, 11_000.0))
+    fleet.replaced.append(Replaced("n0", 10_000.0, 10_400.0, 10_500.0, 11_000.0))
     assert broken("served") == []
     assert broken("not taken") == ["doors: n0 did not take call c0"]
     assert broken("lost") == ["answers: the connection ended of n0 for call c0"]
@@ -122,8 +195,10 @@
 
 
 def test_a_process_that_does_not_say_yes_in_time_is_seen(fleet):
-    fleet.replaced.append(Replaced("n0", 10_000.0, 16_100.0, 17_000.0))
+    fleet.replaced.append(Replaced("n0", 10_000.0, 16_100.0, 16_200.0, 17_000.0))
     assert judge(fleet).broken == ["doors: n0 took 6100 ms to say yes"]
     fleet.fronts["n0"].waits.at_ms = [10_000.0, 16_100.0]
     fleet.fronts["n0"].waits.total_ms = [0.0, 200.0]  # the machine had no processor for it
     assert judge(fleet).broken == []
+    fleet.replaced[0].ended_ms = 20_000.0
+    assert judge(fleet).broken == ["doors: the old process of n0 took 3800 ms to end"]
