--- a/fawnwharf/lab/processes.py
+++ b/fawnwharf/lab/processes.py
@@ -56,6 +56,8 @@
     apart: list[Any] = field(default_factory=list)
     role: str = ""
     status: int | None = None  # of the last life that ended by itself
+    number: int = 0  # of processes that took another's place: they have its addresses but one
+    former: "Former | None" = None  # the process whose place another one takes
 
     @property
     def alive(self) -> bool:
@@ -71,6 +73,15 @@
         return lived and not any(start <= until_ms and since_ms <= end for start, end in self.halts)
 
 
+@dataclass(slots=True, eq=False)
+class Former:
+    """A process beside which another one of the same front end was started."""
+
+    process: subprocess.Popen
+    pipe: "Pipe"
+    lines: list[str] = field(default_factory=list)  # that it wrote since then
+
+
 class Waits:
     """How long a process waited for a processor that others had, by the system's own count.
 
@@ -91,6 +102,11 @@
         self.at_ms.append(now_ms)
         self.total_ms.append((self.total_ms[-1] if self.total_ms else 0.0) + waited_ms - before_ms)
 
+    def stood_still(self, for_ms: float) -> None:
+        """Since the last look; the system does not count what a disk or a whole machine costs."""
+        if self.total_ms:
+            self.total_ms[-1] += for_ms
+
     def between(self, since_ms: float, until_ms: float) -> float:
         """The time waited from the last look before a stretch to the first one after it."""
         if not self.at_ms:
