Changes of policy by numbered epochs: documents, steward, holders and a model checker

Policy has to change while front ends run, with no two of them deciding by different ones. Ruled out: a date in the document (no wall clock is trusted), a barrier (it stands still while one is cut off). A steward at the voters' leader prepares, asks for one decision in the log, and grants leases by epoch; a holder between two epochs goes by the stricter of both, key by key. The checker found that a yes outlived its front end's restart; a vote is of one life now.

--- /dev/null
+++ b/fawnwharf/epochs/__init__.py
@@ -0,0 +1,1 @@
+"""Which policy front ends decide by, and how it is changed while they run."""
--- /dev/null
+++ b/fawnwharf/epochs/check.py
@@ -0,0 +1,214 @@
+"""A model checker for a change of policy: every order of what may happen, breadth first, to a depth.
+
+The steward and the holders are the real ones. Three members' holders, two members that may be the leader,
+and the voters' log taken as what it promises: a register whose every decision stands, and at each moment one
+member at the most that may say so (`Voter.fresh`). A leader that was replaced goes on as it was, without that
+word. What it had put to the vote is decided by the change of leader, or lost by it.
+
+Messages may come in any order, late, twice or never; a holder's answers are heard at once but for so many
+that are late.
+
+    python -m fawnwharf.epochs.check [--states N]
+"""
+
+import argparse
+import sys
+import time
+from collections import deque
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field, replace
+
+from fawnwharf.epochs import messages as m
+from fawnwharf.epochs.document import Register, register_from
+from fawnwharf.epochs.holder import Holder
+from fawnwharf.epochs.scene import KNOWN, NAMES, STEWARD_STATE, TIMING, Scene, World
+from fawnwharf.epochs.steward import Steward
+
+TEXTS = tuple(f'{{"version":1,"tenants":{{"t":{{"quota_rps":{n}}}}}}}' for n in (5, 6, 7))
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """What may happen on one path."""
+
+    depth: int = 40
+    states: int = 20_000
+    turns: int = 4  # of the clock
+    proposals: int = 1
+    called_off: int = 0
+    asks: int = 1  # of holders for a lease, beyond those that a change brings
+    kills: int = 0  # of holders, which come back at once
+    leaders: int = 0  # changes of leader
+    repeats: int = 0
+    late: int = 0  # answers of holders that are not heard at once
+
+
+@dataclass(slots=True)
+class Found:
+    states: int = 0
+    depth: int = 0
+    complete: bool = True
+    broken: str = ""
+    path: list[str] = field(default_factory=list)
+
+
+class Search:
+    """Breadth first, so that what is found broken comes with a shortest path."""
+
+    def __init__(self, bounds: Bounds, steward: type = Steward, holder: type = Holder) -> None:
+        self.bounds, self.steward, self.holder = bounds, steward, holder
+
+    def start(self) -> World:
+        """All three hold leases of epoch 0, granted at this moment."""
+        leader = Steward(TIMING, NAMES)
+        leader.lead(0.0, 1, "")
+        leader.clear_ms = 0.0
+        blank = Steward(TIMING, NAMES)
+        states = [(*(getattr(s, key) for key in STEWARD_STATE), None) for s in (leader, blank)]
+        views = ((False, (0, TIMING.over_ms), (1, 0.0, 0.0), True, 1), (False, None, None, False, 0))
+        holder = (1, Register(), True, (0, TIMING.lease_ms), 0, None, (1, 1))
+        return World(((holder, "", 0, views, frozenset()),) * len(NAMES), tuple(states))
+
+    def run(self) -> Found:
+        found, start = Found(), self.start()
+        seen, edge = {start}, deque([(start, 0)])
+        parents: dict[World, tuple[World, str]] = {}
+        while edge and not found.broken:
+            world, depth = edge.popleft()
+            found.depth = depth
+            if depth >= self.bounds.depth or len(seen) >= self.bounds.states:
+                found.complete = False
+                break
+            for label, after in self._steps(world):
+                if after in seen:
+                    continue
+                seen.add(after)
+                parents[after] = world, label
+                if after.broken:
+                    found.broken, found.complete = after.broken, False
+                    while after in parents:
+                        after, label = parents[after]
+                        found.path.insert(0, label)
+                    break
+                edge.append((after, depth + 1))
+        found.states = len(seen)
+        return found
+
+    def _steps(self, world: World) -> Iterator[tuple[str, World]]:
+        bounds = self.bounds
+
+        def after(do: Callable[[Scene], None], **change: int) -> World:
+            scene = Scene(world, self)
+            do(scene)
+            return scene.frozen(**change)
+
+        if world.turn < bounds.turns:
+            yield "the clock turns", after(lambda s: setattr(s, "now", s.now + 1), turn=world.turn + 1)
+        at = world.crown
+        if world.proposals < bounds.proposals:
+            text = TEXTS[world.proposals]
+            step = lambda s: s.steward_does(at, s.stewards[at].propose(s.fast, text))  # noqa: E731
+            yield "a proposal", after(step, proposals=world.proposals + 1)
+        if world.called_off < bounds.called_off:
+            step = lambda s: s.steward_does(at, s.stewards[at].call_off(s.fast))  # noqa: E731
+            yield "it is called off", after(step, called_off=world.called_off + 1)
+        yield "the steward looks", after(lambda s: s.steward_does(at, s.stewards[at].tick(s.fast, True)))
+        if world.pending:
+            yield "the log decides", after(_decides)
+        if world.leaders < bounds.leaders:
+            for lost in (True, False) if world.pending else (True,):
+                label = f"another leader; what is put is {'lost' if lost else 'decided'}"
+                yield label, after(_replaced(lost), leaders=world.leaders + 1)
+        for place, part in enumerate(world.members):
+            if part in world.members[:place]:
+                continue  # as one before it
+            name = NAMES[place]
+            if world.asks < bounds.asks:
+                yield f"{name} asks", after(_asks(place), asks=world.asks + 1)
+            if world.kills < bounds.kills:
+                yield f"{name} is killed and comes back", after(_reborn(place, self), kills=world.kills + 1)
+            for way, message in part[4]:
+                label = f"{name} {'takes' if way[0] == 's' else 'is heard:'} {message}"
+                yield label, after(_arrives(place, way, message, False))
+                if world.late < bounds.late and way[0] == "s" and not isinstance(message, m.Abort):
+                    step = _arrives(place, way, message, False, True)
+                    yield label + ", and answers late", after(step, late=world.late + 1)
+                if world.repeats < bounds.repeats:
+                    step = _arrives(place, way, message, True)
+                    yield label + ", to come again", after(step, repeats=world.repeats + 1)
+
+
+def _decides(scene: Scene) -> None:
+    scene.commit()
+    at = scene.crown
+    scene.steward_does(at, scene.stewards[at].decided(scene.fast, scene.log, True))
+
+
+def _replaced(lost: bool) -> Callable[[Scene], None]:
+    def do(scene: Scene) -> None:
+        if scene.pending and not lost:
+            scene.commit()
+        scene.pending = ""
+        term = scene.stewards[scene.crown].term + 1
+        scene.crown = 1 - scene.crown
+        at = scene.crown
+        scene.steward_does(at, scene.stewards[at].lead(scene.fast, term, scene.log))
+
+    return do
+
+
+def _asks(place: int) -> Callable[[Scene], None]:
+    def do(scene: Scene) -> None:
+        holder = scene.holders[place]
+        holder.open_ms = 0.0
+        scene.holder_does(place, holder.tick(scene.slow), late=True)
+
+    return do
+
+
+def _reborn(place: int, search: Search) -> Callable[[Scene], None]:
+    def do(scene: Scene) -> None:
+        born = search.holder(KNOWN, TIMING, scene.holders[place].life + 1, scene.disks[place])
+        scene.holders[place] = born
+        scene.least[place] = register_from(scene.log).last.number
+        scene.holder_does(place, born.tick(scene.slow))
+
+    return do
+
+
+def _arrives(place: int, way: str, message: m.Message, again: bool, late: bool = False) -> Callable:
+    def do(scene: Scene) -> None:
+        if not again:
+            scene.flying[place].discard((way, message))
+        scene.arrives(place, way, message, late)
+
+    return do
+
+
+SEARCHES = {
+    "calm": Bounds(turns=4, asks=1, late=1),
+    "kills": Bounds(turns=3, asks=0, kills=1),
+    "called off": Bounds(turns=1, asks=0, called_off=1, repeats=1, late=1),
+    "leaders": Bounds(turns=4, asks=1, leaders=1),
+    "two changes": Bounds(turns=3, asks=0, proposals=2, leaders=1),
+}
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description="Search the states of a change of policy.")
+    parser.add_argument("--states", type=int, default=100_000)
+    states = parser.parse_args().states
+    broken = False
+    for name, bounds in SEARCHES.items():
+        began = time.perf_counter()
+        found = Search(replace(bounds, states=states)).run()
+        whole = "whole" if found.complete else f"to depth {found.depth}"
+        print(f"{name}: {found.states} states, {whole}, {time.perf_counter() - began:.0f} s {found.broken}")
+        for label in found.path:
+            print("   ", label)
+        broken = broken or bool(found.broken)
+    return int(broken)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/fawnwharf/epochs/holder.py
@@ -0,0 +1,236 @@
+"""The holder, at each front end: by which policy a call is judged at this moment.
+
+No I/O, no clock and no chance but what is handed in; times are milliseconds of its own clock. It acts by an
+epoch only under a lease for it. Between two it goes by the stricter of both, key by key, which takes no more
+than either policy would let it; where it has lost its lease and knows of no next one, by the stricter of the
+last one and `floor`.
+
+Whatever it knows to be decided binds it at once: no lease of an earlier number counts from then on. After a
+restart it has no lease and no word that may be relied on, whatever its disk says; it is not ready before a
+leader's steward has told it the last decided one.
+"""
+
+from dataclasses import dataclass, field
+
+from fawnwharf.epochs import messages as m
+from fawnwharf.epochs.document import (
+    CAREFUL,
+    Document,
+    DocumentFault,
+    Known,
+    Register,
+    check_against,
+    document_from,
+    floor,
+    over,
+    register_from,
+    stricter,
+)
+from fawnwharf.epochs.steward import Timing
+
+
+@dataclass(slots=True)
+class Easing:
+    """Modes and windows of keeping, as they follow the policy: stricter at once, easier only later.
+
+    A call that was taken under an old window may be repeated until that has passed. So a shorter window, or a
+    less careful mode, counts only after the old window, by the slowest clock."""
+
+    skew: float
+    now: dict[str, tuple[str, float]] = field(default_factory=dict)  # by class: mode, window in ms
+    later: dict[str, tuple[str, float, float]] = field(default_factory=dict)  # and from when
+
+    def follow(self, now_ms: float, document: Document) -> None:
+        modes, windows = document.section("modes"), document.section("window_ms")
+        self.step(now_ms)
+        for name in {*modes, *windows, *self.now}:
+            new = str(modes.get(name, "off")), float(windows.get(name, 0.0))
+            old = self.now.get(name, new)
+            kept = max(old[0], new[0], key=CAREFUL.index), max(old[1], new[1])
+            self.now[name] = kept
+            if kept == new:
+                self.later.pop(name, None)
+            elif self.later.get(name, ("", -1.0))[:2] != new:
+                self.later[name] = *new, now_ms + old[1] * (1 + self.skew) / (1 - self.skew)
+
+    def step(self, now_ms: float) -> None:
+        for name, (mode, window, at_ms) in list(self.later.items()):
+            if now_ms >= at_ms:
+                self.now[name] = mode, window
+                del self.later[name]
+
+
+@dataclass(slots=True)
+class Holder:
+    """Owns one front end's lease, what it knows to be decided, and what it was asked to prepare for."""
+
+    known: Known
+    timing: Timing
+    life: int  # a larger one after each restart
+    disk: str = ""  # what `Keep` left there; nothing rests on it but the limits while no leader is heard
+    register: Register = field(default_factory=Register)
+    ready: bool = False
+    lease: tuple[int, float] = (-1, 0.0)  # number, over when
+    granted: int = -1
+    prepared: Document | None = None
+    word: tuple[int, int] = (0, 0)  # term and turn of the newest word of a steward
+    open_ms: float = 0.0  # when to ask next
+    calls: dict[str, m.InForce] = field(default_factory=dict)  # by what each was taken
+    last: m.InForce | None = None  # as told to the owner
+    stance: tuple[str, Document, Document | None] | None = None  # of `last`
+    keeping: Easing | None = None
+    fault: str = ""  # of a decided document that this version does not know
+
+    def __post_init__(self) -> None:
+        self.keeping = Easing(self.timing.skew)
+        if self.disk:
+            try:
+                self.register = register_from(self.disk)
+            except DocumentFault:
+                self.disk = ""
+
+    # --- what calls are judged by ---------------------------------------------------------------
+
+    def leased(self, now_ms: float) -> bool:
+        number, until_ms = self.lease
+        return self.ready and number == self.register.last.number and now_ms < until_ms
+
+    def _stance(self, now_ms: float) -> tuple[str, Document, Document | None]:
+        """How it stands: leased; or by the stricter of two; or, with no second one, of one and its floor."""
+        last, before = self.register.last, self.register.before
+        if self.leased(now_ms):
+            return "leased", last, None
+        if not self.ready:
+            return "waiting", last, None
+        if self.prepared is not None:
+            return "strict", last, self.prepared
+        if before is not None and self.granted != last.number:
+            return "strict", before, last
+        return "floor", last, None
+
+    def judged_by(self, now_ms: float) -> m.InForce:
+        """The policy of this moment, over the settings."""
+        stance = self._stance(now_ms)
+        if self.last is not None and stance == self.stance:
+            return self.last
+        how, one, other = stance
+        whole = over(self.known.base, one)
+        if other is not None:
+            whole = stricter(whole, over(self.known.base, other))
+        elif how != "leased":
+            whole = stricter(whole, floor(whole))
+        return m.InForce(whole.number, one.digest if how == "leased" else whole.digest, whole, how)
+
+    def take(self, now_ms: float, call: str) -> m.InForce:
+        """A call begins: by this it is judged, from here to its final answer."""
+        return self.calls.setdefault(call, self.judged_by(now_ms))
+
+    def of(self, call: str) -> m.InForce | None:
+        return self.calls.get(call)
+
+    def done(self, call: str) -> None:
+        self.calls.pop(call, None)
+
+    def _given_out(self, now_ms: float) -> list[m.Effect]:
+        """Tell the owner where the policy of this moment is another one than before."""
+        new = self.judged_by(now_ms)
+        self.keeping.step(now_ms)
+        if new == self.last:
+            return []
+        self.last, self.stance = new, self._stance(now_ms)
+        self.keeping.follow(now_ms, new.document)
+        return [new]
+
+    # --- time -----------------------------------------------------------------------------------
+
+    def due_ms(self) -> float:
+        dues = [self.open_ms, *(at_ms for _, _, at_ms in self.keeping.later.values())]
+        if self.last is not None and self.last.how == "leased":
+            dues.append(self.lease[1])
+        return min(dues)
+
+    def tick(self, now_ms: float) -> list[m.Effect]:
+        """Call it at `due_ms` at the latest: a lease that is over ends here."""
+        effects = self._given_out(now_ms)
+        if now_ms >= self.open_ms:
+            self.open_ms = now_ms + self.timing.renew_ms
+            known = self.register.last.number if self.ready else -1
+            effects.append(m.Say(m.LEADER, m.Status(self.life, now_ms, known, self.granted)))
+        return effects
+
+    # --- what comes in --------------------------------------------------------------------------
+
+    def prepare(self, now_ms: float, sender: str, word: m.Prepare) -> list[m.Effect]:
+        """Answers yes, or no with key and cause. A yes binds to nothing but the stricter of both, and that
+        only without a lease."""
+        if (word.term, word.turn) < self.word or word.number <= self.register.last.number:
+            return []
+        if not self.ready:
+            return []  # it has no lease, so nobody waits for it
+        self.word = word.term, word.turn
+        try:
+            document = document_from(word.text)
+            fault = check_against(document, self.known) or ""
+        except DocumentFault as error:
+            document, fault = None, str(error)
+        self.prepared = None if fault else document
+        vote = m.Vote(self.life, word.term, word.turn, word.number, fault[:300])
+        return [m.Say(sender, vote), *self._given_out(now_ms)]
+
+    def abort(self, now_ms: float, word: m.Abort) -> list[m.Effect]:
+        if (word.term, word.turn) < self.word:
+            return []
+        self.word = word.term, word.turn
+        if self.prepared is not None and self.prepared.number <= word.number:
+            self.prepared = None
+        return self._given_out(now_ms)
+
+    def decided(self, now_ms: float, text: str) -> list[m.Effect]:
+        """The register, from whoever has it: this front end changes over, and tells the leader's steward."""
+        effects = self._learn(text)
+        if self.ready:
+            effects.append(self._changed(now_ms))
+        return effects + self._given_out(now_ms)
+
+    def _changed(self, now_ms: float) -> m.Say:
+        number = self.register.last.number
+        return m.Say(m.LEADER, m.Changed(self.life, now_ms, number, self.granted))
+
+    def _learn(self, text: str, anew: bool = False) -> list[m.Effect]:
+        """Take a later register; `anew`: this one, whatever the disk said. One that this version does not
+        know ends its readiness: others may act by it already."""
+        try:
+            register = register_from(text)
+        except DocumentFault as error:
+            new, self.fault = str(error) != self.fault, str(error)
+            self.ready, self.lease, self.granted = False, (-1, 0.0), -1
+            return [m.Note("policy not read", {"why": self.fault})] if new else []
+        if not anew and register.last.number <= self.register.last.number:
+            return []
+        self.register, self.fault = register, ""
+        if self.prepared is not None and self.prepared.number <= register.last.number:
+            self.prepared = None
+        return [m.Keep(text)]
+
+    def grant(self, now_ms: float, word: m.Grant) -> list[m.Effect]:
+        """A steward's answer. Not taken: one for an earlier life, and a lease of what is not the last."""
+        if word.life != self.life:
+            return []
+        effects: list[m.Effect] = []
+        if word.register and (not self.ready or word.number > self.register.last.number):
+            effects = self._learn(word.register, anew=not self.ready)
+            if self.fault:
+                return effects + self._given_out(now_ms)
+            self.ready = True
+            effects.append(self._changed(now_ms))
+        if (word.term, word.turn) >= self.word:
+            self.word = word.term, word.turn
+            if self.prepared is not None and word.open != self.prepared.number:
+                self.prepared = None
+        until_ms = word.sent_ms + word.lease_ms
+        if self.ready and word.lease_ms and word.number == self.register.last.number:
+            if self.lease[0] != word.number or until_ms > self.lease[1]:
+                self.lease = word.number, until_ms
+            if now_ms < until_ms:
+                self.granted = word.number
+        return effects + self._given_out(now_ms)
--- /dev/null
+++ b/fawnwharf/epochs/messages.py
@@ -0,0 +1,152 @@
+"""What stewards and holders say to each other, and what both have done by their owners. Values alone.
+
+Documents travel as text, so that a front end of another version can still read what surrounds one, and say
+no with the key. Times are milliseconds of the holder's own clock and come back to it unread. A steward's
+words carry `term`, its reign in the voters' log, and `turn`, which counts what it began and ended in that
+reign: a word with a smaller pair is older, and begins or ends nothing.
+"""
+
+from typing import Annotated, Any, Literal
+
+import msgspec
+from msgspec import Meta, Struct
+
+from fawnwharf.epochs.document import TEXT_MOST, Document
+from fawnwharf.zones.settings import Name
+
+Number = Annotated[int, Meta(ge=0, lt=2**53)]
+Text = Annotated[str, Meta(max_length=TEXT_MOST)]
+Line = Annotated[str, Meta(max_length=300)]
+Held = Annotated[int, Meta(ge=-1, lt=2**53)]  # an epoch's number; -1: none
+
+
+class _Said(Struct, frozen=True, tag=True):
+    pass
+
+
+class Propose(_Said, frozen=True):
+    """An operator's word, from the front end where it was given to the leader's steward."""
+
+    text: Text
+
+
+class CallOff(_Said, frozen=True):
+    """An operator's word: end what is being prepared."""
+
+    why: Line = ""
+
+
+class Prepare(_Said, frozen=True):
+    """Could you go by this? It is in force nowhere, and may never be."""
+
+    term: Number
+    turn: Number
+    number: Number
+    text: Text
+
+
+class Vote(_Said, frozen=True):
+    """Yes, or no with key and cause. A yes is of one life: the next one knows nothing of it."""
+
+    life: Number
+    term: Number
+    turn: Number
+    number: Number
+    fault: Line = ""
+
+
+class Abort(_Said, frozen=True):
+    """It was not decided, and will not be: forget it."""
+
+    term: Number
+    turn: Number
+    number: Number
+    why: Line = ""
+
+
+class Decided(_Said, frozen=True):
+    """The log's register. As good from any member as from the leader: a number is decided once."""
+
+    register: Annotated[str, Meta(max_length=64 * 1024)]
+
+
+class Status(_Said, frozen=True):
+    """A holder's sign of life, and its question for a lease, which counts from `sent_ms`.
+
+    What it knows to be decided binds it: it takes no lease of an earlier number any more."""
+
+    life: Number  # larger after each restart: what is meant for, or said by, an earlier one is not taken
+    sent_ms: float
+    known: Held  # the last decided that it knows
+    granted: Held  # the last for which it had a lease in this life: that one has been in force
+
+
+class Changed(_Said, frozen=True):
+    """It does not act by anything before this number any more. A question for a lease as well."""
+
+    life: Number
+    sent_ms: float
+    number: Number
+    granted: Held = -1
+
+
+class Grant(_Said, frozen=True):
+    """Answer to one Status or Changed: a lease for an epoch, or none while `lease_ms` is 0."""
+
+    term: Number
+    turn: Number
+    life: Number
+    sent_ms: float
+    number: Number
+    lease_ms: Annotated[float, Meta(ge=0.0)]
+    open: Number = 0  # the number that is being prepared; 0: none, and a prepared one is to be forgotten
+    register: Annotated[str, Meta(max_length=64 * 1024)] = ""  # where the asker does not know the last
+
+
+Message = Propose | CallOff | Prepare | Vote | Abort | Decided | Status | Changed | Grant
+
+
+def message_from(data: object) -> Message:
+    """A message of a decoded line; raises msgspec.ValidationError for anything else."""
+    return msgspec.convert(data, Message, strict=True)
+
+
+# --- what is done by the owner ------------------------------------------------------------------
+
+
+class Say(Struct, frozen=True):
+    to: Name  # LEADER: whoever leads the voters
+    message: Message
+
+
+class Decide(Struct, frozen=True):
+    """Put this register to the vote, once. What comes of it is told by `Steward.decided`, or by
+    `Steward.not_put` where it never came into the log."""
+
+    register: str
+
+
+class Keep(Struct, frozen=True):
+    """On disk, at leisure: for people, and for the limits of a front end that hears of no leader."""
+
+    register: str
+
+
+class InForce(Struct, frozen=True):
+    """By what calls are judged from now on. `number` of a strict one is the later of its documents."""
+
+    number: int
+    digest: str
+    document: Document
+    how: Literal["leased", "strict", "floor", "waiting"] = "leased"
+
+
+class Note(Struct, frozen=True):
+    """For the operators' log."""
+
+    event: str
+    fields: dict[str, Any]
+
+
+LEADER = "@leader"
+Effect = Say | Decide | Keep | InForce | Note
--- /dev/null
+++ b/fawnwharf/epochs/scene.py
@@ -0,0 +1,233 @@
+"""One state of a change of policy, for the model checker: frozen, so that states compare, or thawed.
+
+Clocks are as far apart as they may be: those of stewards fast, those of holders slow, and one turn of the
+clock is a third of a holder's lease. Members are alike, so states that differ only by names are one.
+"""
+
+from dataclasses import dataclass, replace
+from typing import Protocol
+
+from fawnwharf.epochs import messages as m
+from fawnwharf.epochs.document import Document, Known, register_from
+from fawnwharf.epochs.holder import Holder
+from fawnwharf.epochs.steward import Open, Steward, Timing
+
+NAMES = ("a", "b", "c")
+TIMING = Timing(lease_ms=6.0, renew_ms=1.0, prepare_ms=16.0, again_ms=8.0, skew=1 / 3)
+FAST, SLOW = 4.0, 2.0  # ms of a steward's and a holder's clock in one turn
+KNOWN = Known(frozenset(), frozenset({"t"}), frozenset())
+
+
+@dataclass(frozen=True, slots=True)
+class World:
+    """One state. A member's part holds all that is said of it anywhere, so that members can change places."""
+
+    members: tuple[tuple, ...]  # holder, disk, what it has to know at the least, views of stewards, messages
+    stewards: tuple[tuple, ...]
+    crown: int = 0
+    log: str = ""
+    pending: str = ""
+    turn: int = 0
+    decided: tuple[tuple[int, str], ...] = ((0, Document().digest),)  # number, digest
+    opened: tuple[tuple[int, int], ...] = ()  # by term: the number that was begun and not ended
+    proposals: int = 0
+    called_off: int = 0
+    asks: int = 0
+    kills: int = 0
+    leaders: int = 0
+    repeats: int = 0
+    late: int = 0
+    broken: str = ""
+
+
+class Kinds(Protocol):
+    """The cores to be tried: the real ones, or some with a bug planted."""
+
+    steward: type[Steward]
+    holder: type[Holder]
+
+
+HOLDER_STATE = ("life", "register", "ready", "lease", "granted", "prepared", "word")
+STEWARD_STATE = ("term", "turn", "register", "settled", "clear_ms", "top", "again_ms")
+
+
+class Scene:
+    """One state thawed: real cores, to which one thing happens."""
+
+    def __init__(self, world: World, search: Kinds) -> None:
+        self.world, self.broken = world, ""
+        self.now = world.turn
+        self.holders: list[Holder] = []
+        self.disks, self.least, self.flying = [], [], []
+        self.stewards = [search.steward(TIMING, NAMES) for _ in world.stewards]
+        for steward, frozen in zip(self.stewards, world.stewards, strict=True):
+            for name, value in zip(STEWARD_STATE, frozen, strict=False):
+                setattr(steward, name, value)
+            if frozen[-1]:
+                document, turn, until_ms, deciding = frozen[-1]
+                steward.open = Open(document, turn, until_ms, deciding=deciding)
+        for name, (frozen, disk, least, views, flying) in zip(NAMES, world.members, strict=True):
+            holder = search.holder(KNOWN, TIMING, frozen[0])
+            for key, value in zip(HOLDER_STATE, frozen, strict=True):
+                setattr(holder, key, value)
+            holder.open_ms = 1e9
+            self.holders.append(holder)
+            self.disks.append(disk)
+            self.least.append(least)
+            self.flying.append(set(flying))
+            for steward, (yes, lease, asked, told, life) in zip(self.stewards, views, strict=True):
+                if yes:
+                    steward.open.yes |= {name}
+                if lease:
+                    steward.leases[name] = lease
+                if asked:
+                    steward.asked[name] = asked
+                if life:
+                    steward.lives[name] = life
+                if told:
+                    steward.told |= {name}
+        self.log, self.pending, self.crown = world.log, world.pending, world.crown
+        self.decided, self.opened = dict(world.decided), dict(world.opened)
+
+    def frozen(self, **change: int) -> World:
+        members = []
+        for place, name in enumerate(NAMES):
+            holder = self.holders[place]
+            views = tuple(self._view(steward, name) for steward in self.stewards)
+            state = tuple(getattr(holder, key) for key in HOLDER_STATE)
+            flying = frozenset(said for said in self.flying[place] if self._matters(place, *said))
+            members.append((state, self.disks[place], self.least[place], views, flying))
+        stewards = []
+        for s in self.stewards:
+            o = s.open and (s.open.document, s.open.turn, s.open.until_ms, s.open.deciding)
+            stewards.append((*(getattr(s, key) for key in STEWARD_STATE), o))
+        return replace(
+            self.world,
+            members=tuple(sorted(members, key=hash)),
+            stewards=tuple(stewards),
+            crown=self.crown,
+            log=self.log,
+            pending=self.pending,
+            decided=tuple(sorted(self.decided.items())),
+            opened=tuple(sorted(self.opened.items())),
+            broken=self.broken or self._fault(),
+            **change,
+        )
+
+    @staticmethod
+    def _view(s: Steward, name: str) -> tuple:
+        """What a steward knows of one member."""
+        yes = s.open is not None and name in s.open.yes
+        return yes, s.leases.get(name), s.asked.get(name), name in s.told, s.lives.get(name, 0)
+
+    # --- what must never be ---------------------------------------------------------------------
+
+    def _fault(self) -> str:
+        acting = set()
+        for place, holder in enumerate(self.holders):
+            last = holder.register.last
+            if holder._stance(self.slow)[0] == "leased":
+                acting.add(last.number)
+                if self.decided.get(last.number) != last.digest:
+                    return f"{NAMES[place]} acts by {last.number}, which was not decided so"
+            if holder.ready and last.number < self.least[place]:
+                return f"{NAMES[place]} came up in {last.number}, and {self.least[place]} was decided"
+        return f"in force at once: {sorted(acting)}" if len(acting) > 1 else ""
+
+    def _matters(self, place: int, way: str, message: m.Message) -> bool:
+        """What would change nothing, whenever it came, need not be kept."""
+        holder = self.holders[place]
+        if way.startswith(">"):
+            steward = self.stewards[int(way[2:])]
+            if isinstance(message, m.Vote):
+                opened = steward.open and not steward.open.deciding and (steward.term, steward.open.turn)
+                return opened == (message.term, message.turn)
+            return int(way[2:]) == self.crown
+        if isinstance(message, m.Decided):
+            return register_from(message.register).last.number > holder.register.last.number
+        if isinstance(message, m.Grant):
+            return message.life == holder.life
+        return (message.term, message.turn) >= holder.word
+
+    def commit(self) -> None:
+        last = register_from(self.pending).last
+        if self.decided.setdefault(last.number, last.digest) != last.digest:
+            self.broken = f"two documents with the number {last.number}"
+        self.log, self.pending = self.pending, ""
+
+    # --- what happens ---------------------------------------------------------------------------
+
+    @property
+    def fast(self) -> float:
+        return self.now * FAST
+
+    @property
+    def slow(self) -> float:
+        return self.now * SLOW
+
+    def steward_does(self, place: int, effects: list[m.Effect]) -> None:
+        steward = self.stewards[place]
+        for effect in effects:
+            if isinstance(effect, m.Decide):
+                self._put(place, effect.register)
+            elif isinstance(effect, m.Say):
+                self.flying[NAMES.index(effect.to)].add((f"s{place}", effect.message))
+                self._watch(place, steward.term, effect.message)
+
+    def _put(self, place: int, text: str) -> None:
+        if place != self.crown:
+            return  # a leader that was replaced gets no majority
+        if self.pending:
+            self.broken = "two numbers at once put to the vote"
+        number = register_from(text).last.number
+        for name, holder in zip(NAMES, self.holders, strict=True):
+            asked = holder.prepared is not None and holder.prepared.number == number
+            if holder._stance(self.slow)[0] == "leased" and not asked:
+                self.broken = f"{number} is put to the vote, and {name} acts on without knowing of it"
+        self.pending = text
+
+    def _watch(self, place: int, term: int, message: m.Message) -> None:
+        if isinstance(message, m.Prepare) and self.opened.setdefault(term, message.number) != message.number:
+            self.broken = f"two numbers at once: {self.opened[term]} and {message.number}"
+        if isinstance(message, m.Abort):
+            self.opened.pop(term, None)
+            pending = self.pending and register_from(self.pending).last.number
+            if place == self.crown and message.number in (pending, register_from(self.log).last.number):
+                self.broken = f"{message.number} is ended after its decision"
+        if isinstance(message, m.Decided):
+            self.opened.pop(term, None)
+
+    def holder_does(self, place: int, effects: list[m.Effect], late: bool = True) -> None:
+        """`late`: what it says is on its way for a while; else it is heard at once."""
+        for effect in effects:
+            if isinstance(effect, m.Keep):
+                self.disks[place] = effect.register
+            elif isinstance(effect, m.Say):
+                to = f"s{self.crown}" if effect.to == m.LEADER else effect.to
+                if late:
+                    self.flying[place].add((f">{to}", effect.message))
+                else:
+                    self.arrives(place, f">{to}", effect.message)
+
+    def arrives(self, place: int, way: str, message: m.Message, late: bool = True) -> None:
+        if way.startswith(">"):
+            at = int(way[2:])
+            steward, name, fresh = self.stewards[at], NAMES[place], at == self.crown
+            if isinstance(message, m.Vote):
+                effects = steward.vote(self.fast, name, message)
+            elif isinstance(message, m.Status):
+                effects = steward.status(self.fast, name, message, fresh)
+            else:
+                effects = steward.changed(self.fast, name, message, fresh)
+            self.steward_does(at, effects)
+            return
+        holder = self.holders[place]
+        if isinstance(message, m.Prepare):
+            effects = holder.prepare(self.slow, way, message)
+        elif isinstance(message, m.Abort):
+            effects = holder.abort(self.slow, message)
+        elif isinstance(message, m.Decided):
+            effects = holder.decided(self.slow, message.register)
+        else:
+            effects = holder.grant(self.slow, message)
+        self.holder_does(place, effects, late)
--- /dev/null
+++ b/fawnwharf/epochs/steward.py
@@ -0,0 +1,303 @@
+"""The steward, at the voters' leader: takes one change of policy through, and grants the leases it rests on.
+
+No I/O, no clock and no chance but what is handed in; times are milliseconds of its own clock, which may run
+fast or slow against a holder's by `skew` and must not step back. Leases are after Gray and Cheriton, 'Leases'
+(1989): one counts from the sending of its holder's question, so that no delay of the answer makes it longer,
+and the steward holds it to be over by the slowest clock that a holder may have, on the fastest of its own.
+
+A change is an atomic commit whose decision is the voters' (Gray and Lamport, 'Consensus on Transaction
+Commit', 2006): all that live say yes, one decision stands in the log, and no steward's end leaves it open.
+
+What a new leader does not know: which leases the one before it granted. So it holds every holder to have one
+for a lease's time from when it began, unless a holder shows that the last epoch has been in force: then no
+lease of an earlier one is left.
+"""
+
+from dataclasses import dataclass, field
+
+from fawnwharf.epochs import messages as m
+from fawnwharf.epochs.document import Document, DocumentFault, Register, document_from, register_from
+
+
+@dataclass(frozen=True, slots=True)
+class Timing:
+    """Milliseconds, and the part by which a clock's rate may differ from true time."""
+
+    lease_ms: float = 2_000.0
+    renew_ms: float = 500.0  # pace of holders' questions
+    prepare_ms: float = 6_000.0  # for all to answer; longer than `over_ms`, which one that is cut off takes
+    again_ms: float = 500.0  # pace at which what is not answered is said again
+    skew: float = 0.1
+
+    @property
+    def over_ms(self) -> float:
+        """After so long by any clock, a lease of `lease_ms` by any other one is over."""
+        return self.lease_ms * (1 + self.skew) / (1 - self.skew)
+
+
+@dataclass(slots=True)
+class Open:
+    """The one proposal under way."""
+
+    document: Document
+    turn: int
+    until_ms: float
+    yes: frozenset[str] = frozenset()
+    deciding: bool = False  # it is put to the vote: from here nothing ends it
+
+
+@dataclass(slots=True)
+class Steward:
+    """Owns what is proposed, who has said yes, and who may hold which lease."""
+
+    timing: Timing
+    members: tuple[str, ...] = ()
+    term: int = 0  # of its reign; 0: it does not lead
+    turn: int = 0
+    register: Register = field(default_factory=Register)
+    settled: bool = False  # the last decided is in force: nobody has a lease of an earlier one
+    clear_ms: float = 0.0  # until then holders may have leases that nobody here granted
+    leases: dict[str, tuple[int, float]] = field(default_factory=dict)  # by holder: epoch, over when
+    asked: dict[str, tuple[int, float, float]] = field(default_factory=dict)  # life, sent, heard here
+    lives: dict[str, int] = field(default_factory=dict)  # the last that each was heard in
+    told: frozenset[str] = frozenset()  # those that are known to know the last decided
+    open: Open | None = None
+    top: int = 0  # the largest number given in this reign
+    again_ms: float = 0.0
+    ticked_ms: float = 0.0
+
+    # --- reigns ---------------------------------------------------------------------------------
+
+    def lead(self, now_ms: float, term: int, text: str) -> list[m.Effect]:
+        """Begin a reign: this member's voter leads, what it decided last is the fleet's last for certain
+        (`Voter.fresh`), and nothing of its log is undecided. `text` is the register there; "": none yet."""
+        self.rest()
+        try:
+            self.register = register_from(text)
+        except DocumentFault as error:
+            return [m.Note("policy not read", {"why": str(error), "term": term})]
+        self.term, self.turn = term, 1
+        self.top = self.register.last.number
+        self.clear_ms = now_ms + self.timing.over_ms
+        self.settled = self.register.before is None
+        return [m.Note("steward", {"term": term, "number": self.top})]
+
+    def rest(self) -> None:
+        """Its voter does not lead any more. What it was preparing is the next one's to end."""
+        self.term, self.open, self.settled = 0, None, False
+        self.leases, self.asked, self.lives, self.told = {}, {}, {}, frozenset()
+
+    def due_ms(self) -> float | None:
+        """When `tick` is wanted next; None: not before something comes in."""
+        if not self.term or (self.open is None and self.settled):
+            return None
+        ends = [self.clear_ms, *(until for _, until in self.leases.values())]
+        if self.open:
+            ends.append(self.open.until_ms)
+        return min([self.again_ms, *(end for end in ends if end > self.ticked_ms)])
+
+    # --- a proposal -----------------------------------------------------------------------------
+
+    def propose(self, now_ms: float, text: str) -> list[m.Effect]:
+        """An operator's word. Refused with a cause while another one is under way."""
+        if not self.term:
+            return [_refused("this one does not lead")]
+        if cause := self._busy():
+            return [_refused(cause)]
+        try:
+            document = document_from(text)
+        except DocumentFault as error:
+            return [_refused(str(error))]
+        self.top += 1
+        self.turn += 1
+        self.open = Open(document.numbered(self.top), self.turn, now_ms + self.timing.prepare_ms)
+        self.again_ms = now_ms + self.timing.again_ms
+        fields = {"number": self.top, "digest": document.digest, "members": len(self.members)}
+        return [m.Note("prepare", fields), *self._prepare(), *self._next(now_ms)]
+
+    def _busy(self) -> str:
+        if self.open is not None:
+            return f"number {self.open.document.number} is under way"
+        return "" if self.settled else f"number {self.register.last.number} is not in force yet"
+
+    def _prepare(self) -> list[m.Effect]:
+        return [m.Say(to, self._preparing()) for to in self.members if to not in self.open.yes]
+
+    def _preparing(self) -> m.Prepare:
+        document = self.open.document
+        return m.Prepare(self.term, self.open.turn, document.number, document.encode())
+
+    def vote(self, now_ms: float, sender: str, vote: m.Vote) -> list[m.Effect]:
+        if self.open is None or self.open.deciding or sender not in self.members:
+            return []
+        if (vote.term, vote.turn) != (self.term, self.open.turn):
+            return []  # on another proposal, or another reign's
+        if vote.life < self.lives.get(sender, 0):
+            return []
+        self._lives(sender, vote.life)
+        if vote.fault:
+            return self._end(f"{sender}: {vote.fault}")
+        self.open.yes |= {sender}
+        return self._next(now_ms)
+
+    def call_off(self, now_ms: float, why: str = "") -> list[m.Effect]:
+        """An operator's word: end what is being prepared, while nothing is decided."""
+        if self.open is None:
+            return [_refused("nothing is being prepared")]
+        if self.open.deciding:
+            return [_refused(f"number {self.open.document.number} is being decided")]
+        return self._end(f"called off {why}".strip())
+
+    def take_members(self, now_ms: float, members: tuple[str, ...]) -> list[m.Effect]:
+        """Another list of members. Who is taken off keeps its lease until that is over."""
+        effects: list[m.Effect] = []
+        if members != self.members and self.open and not self.open.deciding:
+            effects = self._end("the list of members changed")
+        self.members = members
+        return effects
+
+    def _end(self, why: str) -> list[m.Effect]:
+        number = self.open.document.number
+        self.turn += 1  # so that a prepare that comes late begins nothing anew
+        self.open = None
+        word = m.Abort(self.term, self.turn, number, why[:300])
+        return [*(m.Say(to, word) for to in self.members), m.Note("ended", {"number": number, "why": why})]
+
+    def _held(self, now_ms: float, name: str) -> bool:
+        """Whether it may have a lease, of whatever number, at this moment."""
+        lease = self.leases.get(name)
+        return now_ms < self.clear_ms if lease is None else now_ms < max(lease[1], self.clear_ms)
+
+    def _missing(self, now_ms: float) -> list[str]:
+        """Those whose yes is wanted still. Also of those taken off the list: until their leases are over."""
+        names = {*self.members, *self.leases}
+        return sorted(n for n in names if n not in self.open.yes and self._held(now_ms, n))
+
+    def _next(self, now_ms: float) -> list[m.Effect]:
+        """Ask for the decision, once nobody is missing."""
+        if self.open is None or self.open.deciding or self._missing(now_ms):
+            return []
+        if not self.open.yes:
+            return []  # nobody lives that would go by it
+        self.open.deciding = True
+        return [m.Decide(self.register.followed_by(self.open.document).encode())]
+
+    # --- the decision ---------------------------------------------------------------------------
+
+    def not_put(self, now_ms: float) -> list[m.Effect]:
+        """What was asked to be decided never came into the log, for certain."""
+        return self._end("the voters' log did not take it") if self.open and self.open.deciding else []
+
+    def decided(self, now_ms: float, text: str, fresh: bool) -> list[m.Effect]:
+        """The log's register, as it was decided while this one leads. Raises DocumentFault for a text that
+        is none; what it asked for itself never is. `fresh` as for `status`."""
+        register = register_from(text)
+        if not self.term or register.last.number <= self.register.last.number:
+            return []
+        self.register, self.open, self.settled = register, None, False
+        self.top = max(self.top, register.last.number)
+        self.turn += 1
+        self.told = frozenset()
+        self.again_ms = now_ms + self.timing.again_ms
+        note = m.Note("decided", {"number": register.last.number, "digest": register.last.digest})
+        return [note, *self._tell(), *(self._settle(now_ms) if fresh else [])]
+
+    def _tell(self) -> list[m.Effect]:
+        word = m.Decided(self.register.encode())
+        return [m.Say(to, word) for to in self.members if to not in self.told]
+
+    def _early(self) -> list[str]:
+        return [name for name, (number, _) in self.leases.items() if number < self.register.last.number]
+
+    def _settle(self, now_ms: float, proof: bool = False) -> list[m.Effect]:
+        """In force, once no lease of an earlier number can be left; `proof`: it has been in force already."""
+        if self.settled or not self.term:
+            return []
+        if not proof and (now_ms < self.clear_ms or any(self._held(now_ms, name) for name in self._early())):
+            return []
+        self.settled = True
+        for name in self._early():
+            del self.leases[name]
+        effects: list[m.Effect] = [m.Note("in force", {"number": self.register.last.number})]
+        for name, (life, sent_ms, heard_ms) in self.asked.items():
+            if name in self.told and name in self.members:  # an answer to what it asked last
+                effects.append(m.Say(name, self._grant(name, life, sent_ms, heard_ms, "")))
+        return effects
+
+    # --- leases ---------------------------------------------------------------------------------
+
+    def status(self, now_ms: float, sender: str, word: m.Status, fresh: bool) -> list[m.Effect]:
+        """A holder's question. `fresh`: `Voter.fresh` at this moment; without it nothing is granted, as
+        another steward may have been taken on."""
+        if not self.term or not fresh or sender not in self.members:
+            return []
+        if word.life < self.lives.get(sender, 0):
+            return []
+        self._lives(sender, word.life)
+        self.asked[sender] = word.life, word.sent_ms, now_ms
+        last = self.register.last.number
+        effects: list[m.Effect] = []
+        if word.known < last:
+            self.told -= {sender}
+        else:
+            self.told |= {sender}
+            if sender in self.leases and self.leases[sender][0] < last:
+                del self.leases[sender]
+        effects += self._settle(now_ms, proof=word.granted == last)
+        text = "" if word.known >= last else self.register.encode()
+        if effects and not text:
+            return effects  # its grant is among those
+        effects.append(m.Say(sender, self._grant(sender, word.life, word.sent_ms, now_ms, text)))
+        if self.open and sender not in self.open.yes and not self.open.deciding:
+            effects.append(m.Say(sender, self._preparing()))
+        return effects
+
+    def changed(self, now_ms: float, sender: str, word: m.Changed, fresh: bool) -> list[m.Effect]:
+        """A holder acts by nothing before that number any more."""
+        status = m.Status(word.life, word.sent_ms, word.number, word.granted)
+        return self.status(now_ms, sender, status, fresh)
+
+    def _lives(self, name: str, life: int) -> None:
+        """One that was restarted has forgotten what it said yes to."""
+        if life > self.lives.get(name, 0):
+            self.lives[name] = life
+            self.told -= {name}
+            if self.open:
+                self.open.yes -= {name}
+
+    def _grant(self, name: str, life: int, sent_ms: float, heard_ms: float, register: str) -> m.Grant:
+        """A lease where there may be one. Whoever has not said yes to what is being decided gets none: it
+        would have to be waited for again. Nor does one that has not shown that it can read the last one: it
+        would hold up every change, also the one that helps it."""
+        last, opened = self.register.last.number, self.open
+        late = opened is not None and opened.deciding and name not in opened.yes
+        able = self.settled and name in self.told and not late
+        lease_ms = self.timing.lease_ms if able else 0.0
+        if lease_ms:
+            before = self.leases.get(name, (last, 0.0))[1]
+            self.leases[name] = last, max(before, heard_ms + self.timing.over_ms)
+        number = opened.document.number if opened else 0
+        return m.Grant(self.term, self.turn, life, sent_ms, last, lease_ms, number, register)
+
+    # --- time -----------------------------------------------------------------------------------
+
+    def tick(self, now_ms: float, fresh: bool) -> list[m.Effect]:
+        """Call it at `due_ms` at the latest. `fresh` as for `status`."""
+        self.ticked_ms = now_ms
+        if not self.term or not fresh:
+            self.again_ms = now_ms + self.timing.again_ms
+            return []
+        if self.open and not self.open.deciding and now_ms >= self.open.until_ms:
+            return self._end(f"no answer from {', '.join(self._missing(now_ms)[:5]) or 'anybody'}")
+        effects = [*self._next(now_ms), *self._settle(now_ms)]
+        if now_ms >= self.again_ms and (self.open or not self.settled):
+            self.again_ms = now_ms + self.timing.again_ms
+            if self.open and not self.open.deciding:
+                effects += self._prepare()
+            elif not self.settled:
+                effects += self._tell()
+        return effects
+
+
+def _refused(why: str) -> m.Note:
+    return m.Note("refused", {"why": why})
--- /dev/null
+++ b/tests/test_epochs.py
@@ -0,0 +1,143 @@
+"""Policy documents: what is taken, what is said of one that is not, the laws of `stricter` and `floor`."""
+
+import json
+from pathlib import Path
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from fawnwharf.epochs.document import (
+    CAREFUL,
+    KEYS,
+    TEXT_MOST,
+    Document,
+    DocumentFault,
+    Known,
+    Register,
+    check_against,
+    document_from,
+    floor,
+    made,
+    over,
+    register_from,
+    stricter,
+)
+
+EXAMPLE = (Path(__file__).parent.parent / "deploy" / "policy.json").read_text()
+BASE = made(0, {("classes", "gold", "give_up_ms"): 900.0, ("admission", "b"): 0.0})
+KNOWN = Known(frozenset({"gold"}), frozenset({"acme"}), frozenset({"a", "b"}), base=BASE)
+
+
+def text(**keys):
+    return json.dumps({"version": 1, **keys})
+
+
+def test_the_example_is_read_and_comes_back_whole():
+    document = document_from(EXAMPLE)
+    assert document.value("classes", "gold", "promise_ms") == 300.0
+    assert document.section("staging")["memory_mb"] == 64.0
+    assert document_from(document.encode()) == document and hash(document)
+    assert check_against(document, KNOWN) is None
+    register = Register(document.numbered(3), document.numbered(2))
+    assert register_from(register.encode()) == register
+    assert register_from(Register().encode()) == Register() == register_from("")
+
+
+def test_the_digest_is_of_contents_alone():
+    one, other = text(spill={"a": 0.5, "b": 1}, number=4), text(number=9, spill={"b": 1.0, "a": 0.5})
+    assert document_from(one).digest == document_from(other).digest
+    assert document_from(one).digest != document_from(text(spill={"a": 0.5})).digest
+
+
+@pytest.mark.parametrize(
+    ("said", "line"),
+    [
+        (EXAMPLE[: len(EXAMPLE) // 2], "document: not JSON"),
+        ("[]", "document: not an object"),
+        (" " * TEXT_MOST + "{}", "document: 24002 characters"),
+        ('{"spill": {}}', "version: None"),
+        ('{"version": 2}', "version: 2, and this program knows 1"),
+        (text(number=-1), "number: -1"),
+        (text(colour={}), "colour: unknown key"),
+        (text(classes={"gold": {"prmise_ms": 1}}), "classes.gold.prmise_ms: unknown key"),
+        (text(staging={"fetches": 1}), "staging.fetches: unknown key"),
+        (text(spill={"a": 1.5}), "spill.a: Expected `float` <= 1.0"),
+        (text(spill={"a": {"b": 1}}), "spill.a: Expected `float`, got `object`"),
+        (text(spill=[1]), "spill: not an object"),
+        (text(spill={"a b": 1}), "spill: 'a b' is no name"),
+        (text(window_ms={"gold": 0}), "window_ms.gold: Expected `float` > 0.0"),
+        (text(modes={"gold": "sometimes"}), "modes.gold: Invalid enum value 'sometimes'"),
+        (text(tenants={"acme": {"quota_rps": 0}}), "tenants.acme.quota_rps: shuts out tenant acme"),
+        (text(classes={"g": {"promise_ms": 9, "give_up_ms": 8}}), "classes.g.promise_ms: longer"),
+    ],
+)
+def test_a_faulty_document_is_one_line_with_its_key(said, line):
+    with pytest.raises(DocumentFault) as caught:
+        document_from(said)
+    assert str(caught.value).startswith(line) and "\n" not in str(caught.value)
+
+
+@pytest.mark.parametrize(
+    ("keys", "known", "line"),
+    [
+        ({"classes": {"tin": {"promise_ms": 1}}}, {}, "classes.tin: no such class"),
+        ({"modes": {"tin": "off"}}, {}, "modes.tin: no such class"),
+        ({"tenants": {"nobody": {"quota_rps": 1}}}, {}, "tenants.nobody: no such tenant"),
+        ({"spill": {"moon": 0.1}}, {}, "spill.moon: no such zone"),
+        ({"admission": {"a": 0}}, {}, "admission: shuts out every zone"),
+        ({"admission": {"a": 0, "b": 0.1}}, {}, None),
+        ({"modes": {"gold": "after"}}, {"keeps": False}, "modes.gold: nothing is kept here"),
+        ({"staging": {"memory_mb": 1}}, {"stages": False}, "staging.memory_mb: nothing is staged here"),
+        ({"classes": {"gold": {"promise_ms": 901}}}, {}, "classes.gold.promise_ms: longer than give_up_ms"),
+    ],
+)
+def test_what_a_deployment_says_no_to(keys, known, line):
+    fields = {f: getattr(KNOWN, f) for f in KNOWN.__struct_fields__} | known
+    assert check_against(document_from(text(**keys)), Known(**fields)) == line
+
+
+def test_stricter_by_key():
+    loose = made(1, {
+        ("classes", "c", "promise_ms"): 100.0, ("classes", "c", "give_up_ms"): 900.0, ("spill", "a"): 0.2,
+        ("tenants", "t", "quota_rps"): 9.0, ("modes", "c"): "off", ("window_ms", "c"): 5.0,
+    })  # fmt: skip
+    tight = made(2, {
+        ("classes", "c", "promise_ms"): 50.0, ("classes", "c", "give_up_ms"): 800.0, ("spill", "a"): 0.4,
+        ("tenants", "t", "quota_rps"): 5.0, ("modes", "c"): "before", ("window_ms", "c"): 9.0,
+    })  # fmt: skip
+    strict = stricter(loose, tight)
+    assert strict.section("classes", "c") == {"promise_ms": 100.0, "give_up_ms": 800.0}
+    assert [value for path, value in strict.values if path[0] != "classes"] == ["before", 0.2, 5.0, 9.0]
+    assert strict.number == 2
+
+
+_SPAN = st.integers(1, 9).map(float)
+VALUES = {
+    path: st.sampled_from(CAREFUL) if path[0] == "modes" else _SPAN.map(lambda n: n / 10) for path in KEYS
+}
+
+
+@st.composite
+def documents(draw, promises=True):
+    keys = draw(st.sets(st.sampled_from(sorted(p for p in KEYS if promises or KEYS[p].stricter))))
+    named = {tuple("n" if part == "*" else part for part in path): draw(VALUES[path]) for path in keys}
+    return made(draw(st.integers(0, 5)), named)
+
+
+@settings(max_examples=150, deadline=None)
+@given(documents(False), documents(False), documents(False))
+def test_laws_of_what_is_ordered(a, b, c):
+    assert stricter(a, b) == stricter(b, a)
+    assert stricter(a, stricter(b, c)) == stricter(stricter(a, b), c)
+    assert stricter(a, a) == a
+    assert stricter(stricter(a, b), a).values == stricter(a, b).values  # tighter than either
+
+
+@settings(max_examples=100, deadline=None)
+@given(documents(), documents())
+def test_laws_of_all_keys(a, b):
+    assert stricter(a, b) == stricter(b, a) and stricter(a, a) == a
+    assert floor(a) == stricter(floor(a), a)  # a floor is tighter than its own
+    assert {path for path, _ in floor(a).values} == {path for path, _ in a.values}
+    assert over(Document(), a) == a and over(a, a) == a
