Stewards tried at real voters: a change outlives its leader, a prepared one ends with it

The searches take the voters' log as what it promises; this shows the seam to the real one, as serve has to wire it: lead when the voter is fresh and its log settled, rest when it does not lead, every grant under its lease.

--- /dev/null
+++ b/tests/test_epochs_voters.py
@@ -0,0 +1,126 @@
+"""Stewards at real voters: what an owner has to do with both, in steps of virtual time."""
+
+from fawnwharf.accord import messages as a
+from fawnwharf.accord.voter import Timing as Voting
+from fawnwharf.accord.voter import Voter, founding
+from fawnwharf.epochs import messages as m
+from fawnwharf.epochs.document import register_from
+from fawnwharf.epochs.holder import Holder
+from fawnwharf.epochs.steward import Steward, Timing
+from fawnwharf.epochs.walk import KNOWN
+from fawnwharf.lab.explore import replace_voters
+
+NAMES, STEP_MS = ("a", "b", "c"), 10.0
+
+
+class Member:
+    """One voter with its steward and its holder; `serve` does the same with sockets and a disk."""
+
+    def __init__(self, fleet, name, n):
+        saved = replace_voters(founding("a"), NAMES)
+        self.fleet, self.name = fleet, name
+        self.voter = Voter(name, saved, Voting(), 0.0, 7_919 * n)
+        self.steward, self.holder = Steward(Timing(), NAMES), Holder(KNOWN, Timing(), 1)
+
+    def does(self, effects):
+        for effect in effects:
+            if isinstance(effect, m.Decide):
+                index, actions = self.voter.propose(self.fleet.now, effect.register)
+                self.votes(actions)
+                if index is None:
+                    self.does(self.steward.not_put(self.fleet.now))
+            elif isinstance(effect, m.Say):
+                self.fleet.say(self.name, effect.to, effect.message)
+
+    def votes(self, actions):
+        now, voter = self.fleet.now, self.voter
+        for action in actions:
+            if isinstance(action, a.Say):
+                self.fleet.say(self.name, action.message.to, action.message)
+            elif isinstance(action, a.Decided) and action.kind == "plan" and self.steward.term:
+                self.does(self.steward.decided(now, action.plan, voter.fresh(now)))
+
+    def takes(self, sender, message):
+        now = self.fleet.now
+        if isinstance(message, a.Message):
+            self.votes(self.voter.receive(now, message))
+        elif isinstance(message, m.Vote | m.Status | m.Changed):
+            self.does(self.steward.heard(now, sender, message, self.voter.fresh(now)))
+        else:
+            self.does(self.holder.heard(now, sender, message))
+
+    def step(self):
+        now, voter = self.fleet.now, self.voter
+        self.votes(voter.tick(now))
+        settled = voter.fresh(now) and voter.commit == voter.saved.last_index
+        if self.steward.term and self.steward.term != (voter.is_leader and voter.saved.term):
+            self.steward.rest()
+        if settled and not self.steward.term:
+            self.does(self.steward.lead(now, voter.saved.term, voter.plan[1]))
+        if (due := self.steward.due_ms()) is not None and now >= due:
+            self.does(self.steward.tick(now, voter.fresh(now)))
+        if now >= self.holder.due_ms():
+            self.does(self.holder.tick(now))
+
+
+class Fleet:
+    def __init__(self):
+        self.now, self.flying, self.dead = 0.0, [], set()
+        self.members = {name: Member(self, name, n) for n, name in enumerate(NAMES)}
+
+    @property
+    def leader(self):
+        return next((n for n, o in self.members.items() if o.steward.term and n not in self.dead), None)
+
+    def say(self, sender, to, message):
+        to = self.leader if to == m.LEADER else to
+        if to and sender not in self.dead:
+            self.flying.append((sender, to, message))
+
+    def run(self, ms):
+        for _ in range(int(ms / STEP_MS)):
+            self.now += STEP_MS
+            flying, self.flying = self.flying, []
+            for sender, to, message in flying:
+                if not {sender, to} & self.dead:
+                    self.members[to].takes(sender, message)
+            acting = set()
+            for name, member in self.members.items():
+                if name not in self.dead:
+                    member.step()
+                if member.holder.leased(self.now):
+                    acting.add(member.holder.register.last.number)
+            assert len(acting) <= 1
+        return acting
+
+    def propose(self, rps):
+        member = self.members[self.leader]
+        text = f'{{"version":1,"tenants":{{"t":{{"quota_rps":{rps}}}}}}}'
+        member.does(member.steward.propose(self.now, text))
+
+
+def test_a_change_goes_through_real_voters_and_outlives_its_leader():
+    fleet = Fleet()
+    assert fleet.run(6_000) == {0}
+    fleet.propose(5)
+    assert fleet.run(200) == {1}
+    fleet.propose(6)
+    first = fleet.leader
+    while register_from(fleet.members[first].voter.plan[1]).last.number < 2:
+        fleet.run(STEP_MS)
+    fleet.dead.add(first)  # decided, and nobody was told
+    assert fleet.run(8_000) == {2} and fleet.leader not in (None, first)
+    fleet.propose(7)
+    assert fleet.run(200) == {3}
+
+
+def test_what_was_being_prepared_ends_with_its_leader():
+    fleet = Fleet()
+    fleet.run(6_000)
+    fleet.propose(5)
+    first = fleet.leader
+    fleet.run(STEP_MS)
+    fleet.dead.add(first)
+    assert fleet.run(8_000) == {0}
+    others = [o for n, o in fleet.members.items() if n != first]
+    assert all(o.holder.prepared is None and o.voter.plan[1] == "" for o in others)
