--- a/fawnwharf/epochs/check.py
+++ b/fawnwharf/epochs/check.py
@@ -189,7 +189,8 @@
     "calm": Bounds(turns=4, asks=1, late=1),
     "kills": Bounds(turns=3, asks=0, kills=1),
     "called off": Bounds(turns=1, asks=0, called_off=1, repeats=1, late=1),
-    "leaders": Bounds(turns=4, asks=1, leaders=1),
+    "leaders": Bounds(turns=3, asks=0, leaders=1),
+    "leaders, asks": Bounds(turns=4, asks=1, leaders=1),
     "two changes": Bounds(turns=3, asks=0, proposals=2, leaders=1),
 }
 
