Foresight: which sessions will move between sites, and what is staged for it

Need: a session that comes to another site finds no copy of its function there, waits for a load, and is late.

Ruled out: windows made of when words came (two front ends would hold different rates for the same news); predictions trusted by name (false signs cost fetches for ever); budgets by front end alone (both sides of a cut would fetch twice).

Change: counters by owner in a grow-only map and windows of what rose between looks; predictors behind one interface, each scored against 'nothing moves' and charged for stages that were not used; a planner under four budgets, one orderer by rendezvous hash. Pure; nothing imports it yet.

--- /dev/null
+++ b/fawnwharf/foresight/past.py
@@ -0,0 +1,103 @@
+"""What is remembered of past moves and ends: decaying counts, bounded.
+
+Pure. Moves by tenant, pair of sites and phase of a day that repeats on the monotonic clock, with the time
+that sessions stood at risk (occurrence and exposure, as in survival analysis); ends by tenant and age. A
+process that starts knows nothing of it, and of phases nothing but what it sees.
+"""
+
+import math
+
+from fawnwharf.foresight import messages as m
+from fawnwharf.foresight.seen import Watcher
+from fawnwharf.foresight.settings import Foresight
+
+PRIOR_MS = 60_000.0  # of a session's time without a move, held to be seen: guards against rates of few moves
+KEYS_MOST = 50_000
+AGES = 16  # doublings of a second
+
+
+class Past:
+    """Hazards of moves, and chances that sessions live on."""
+
+    def __init__(self, settings: Foresight) -> None:
+        self.settings = settings
+        self.dropped = 0
+        self._moves: dict[tuple[str, str, int], dict[str, list[float]]] = {}  # whither: [moves, when]
+        self._stays: dict[tuple[str, str, int], list[float]] = {}  # [milliseconds, when]
+        self._ages: dict[tuple[str, int], list[float]] = {}  # [ends, milliseconds, when]
+        self._last_ms: float | None = None
+
+    def phase(self, now_ms: float) -> int:
+        day = self.settings.day_ms
+        return int((now_ms % day) / day * self.settings.phases) % self.settings.phases
+
+    def learn(self, now_ms: float, watch: Watcher, beat: m.Beat) -> None:
+        """What one look has shown."""
+        span = 0.0 if self._last_ms is None else min(now_ms - self._last_ms, 10 * self.settings.beat_ms)
+        self._last_ms = now_ms
+        phase = self.phase(now_ms)
+        for (org, site), group in watch.groups.items():
+            stay = self._row(self._stays, (org, site, phase), [0.0, now_ms])
+            self._fade(stay, now_ms)
+            stay[0] += span * len(group)
+            if group and span:
+                first = next(iter(group.values()))  # one of each group stands for its ages: bounded work
+                self._age(now_ms, org, now_ms - first.began_ms, 0.0, span * len(group))
+        for moved in beat.moved:
+            key = (moved.session.org, moved.whence, phase)
+            count = self._row(self._moves, key, {}).setdefault(moved.whither, [0.0, now_ms])
+            self._fade(count, now_ms)
+            count[0] += 1.0
+        for ended in beat.ended:
+            self._age(now_ms, ended.session.org, ended.age_ms, 1.0, 0.0)
+
+    def hazards(self, now_ms: float, org: str, site: str, span_ms: float) -> dict[str, float]:
+        """Expected moves of a session of this tenant at this site within a span, by whither (a cumulative
+        hazard; the chance of one move is 1 - exp(-sum))."""
+        found: dict[str, float] = {}
+        width = self.settings.day_ms / self.settings.phases
+        at, end = now_ms, now_ms + min(span_ms, self.settings.day_ms)
+        while at < end - 1e-6:
+            until = min(end, (math.floor(at / width + 1e-9) + 1) * width)
+            key = (org, site, self.phase(at + 1e-6))
+            rows = self._moves.get(key)
+            if rows:
+                stay = self._stays.get(key, [0.0, now_ms])
+                exposed = self._now(stay, now_ms) + PRIOR_MS
+                for whither, count in rows.items():
+                    found[whither] = (
+                        found.get(whither, 0.0) + self._now(count, now_ms) * (until - at) / exposed
+                    )
+            at = until
+        return found
+
+    def lives(self, now_ms: float, org: str, age_ms: float, span_ms: float) -> float:
+        """The chance that a session of that age calls on for a span (exponential within its doubling)."""
+        row = self._ages.get((org, _doubling(age_ms)))
+        if row is None:
+            return 1.0
+        ends, exposed = (row[n] * math.exp((row[2] - now_ms) / self.settings.learn_ms) for n in (0, 1))
+        return math.exp(-span_ms * ends / (exposed + PRIOR_MS))
+
+    def _age(self, now_ms: float, org: str, age_ms: float, ends: float, exposed_ms: float) -> None:
+        row = self._row(self._ages, (org, _doubling(age_ms)), [0.0, 0.0, now_ms])
+        part = math.exp((row[2] - now_ms) / self.settings.learn_ms)
+        row[0], row[1], row[2] = row[0] * part + ends, row[1] * part + exposed_ms, now_ms
+
+    def _row(self, table: dict, key: tuple, fresh):
+        if key not in table:
+            if len(table) >= KEYS_MOST:
+                del table[next(iter(table))]
+                self.dropped += 1
+            table[key] = fresh
+        return table[key]
+
+    def _fade(self, row: list[float], now_ms: float) -> None:
+        row[0], row[1] = self._now(row, now_ms), now_ms
+
+    def _now(self, row: list[float], now_ms: float) -> float:
+        return row[0] * math.exp((row[1] - now_ms) / self.settings.learn_ms)
+
+
+def _doubling(age_ms: float) -> int:
+    return min(AGES - 1, max(0, int(math.log2(max(1.0, age_ms / 1000.0)))))
--- /dev/null
+++ b/fawnwharf/foresight/predictors.py
@@ -0,0 +1,241 @@
+"""Predictors of moves, behind one interface: nothing, trend, learnt, and what was announced.
+
+Pure. A prediction says that a session will be found at another site within a time; its chance is scored as it
+goes (`score`). None names more than `most` sessions at a look, those that call most first.
+"""
+
+import heapq
+import math
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Protocol
+
+from fawnwharf.foresight import messages as m
+from fawnwharf.foresight.past import Past
+from fawnwharf.foresight.seen import Track, Watcher
+from fawnwharf.foresight.settings import Foresight
+from fawnwharf.sites import Move, Session
+
+SPAN_MOST_MS = 3_600_000.0
+
+Parts = tuple[tuple[str, float], ...]  # sites and the parts of a session's calls that go there
+Whither = Callable[[Session, str], Parts]
+Place = Callable[[Session, str], float | None]
+
+
+class Predictor(Protocol):
+    """One way to foresee moves. `name` stands in its moves and scores."""
+
+    name: str
+
+    def learn(self, now_ms: float, watch: Watcher, beat: m.Beat) -> None:
+        """Takes what one look has shown."""
+        ...
+
+    def moves(self, now_ms: float, watch: Watcher, span_ms: float) -> list[Move]:
+        """The moves expected within a span, with their chances."""
+        ...
+
+
+class Nothing:
+    """Nothing moves: what the others are measured by."""
+
+    name = "nothing"
+
+    def learn(self, now_ms: float, watch: Watcher, beat: m.Beat) -> None:
+        pass
+
+    def moves(self, now_ms: float, watch: Watcher, span_ms: float) -> list[Move]:
+        return []
+
+
+def _busiest(
+    group: Iterable[tuple[Session, Track]], settings: Foresight, now_ms: float
+) -> list[tuple[Session, Track]]:
+    most = heapq.nlargest(settings.most, group, key=lambda pair: (pair[1].rate_ps(settings, now_ms), pair[0]))
+    return most
+
+
+@dataclass(slots=True)
+class _Flux:
+    """Moves of a tenant from one site to another, in two fading windows."""
+
+    fast: float
+    slow: float
+    at_ms: float
+
+
+class Trend:
+    """Rates and slope: those that stand where others have just left will follow (the flux of the fast window,
+    widened by its slope against the slow one), and a session whose share at another site rises goes there."""
+
+    name = "trend"
+
+    def __init__(self, settings: Foresight) -> None:
+        self.settings = settings
+        self._flux: dict[tuple[str, str, str], _Flux] = {}
+        self._called: dict[Session, None] = {}
+
+    def learn(self, now_ms: float, watch: Watcher, beat: m.Beat) -> None:
+        for moved in beat.moved:
+            key = (moved.session.org, moved.whence, moved.whither)
+            flux = self._flux.get(key) or _Flux(0.0, 0.0, now_ms)
+            self._flux[key] = self._faded(flux, now_ms)
+            self._flux[key].fast += 1.0
+            self._flux[key].slow += 1.0
+        old = [k for k, f in self._flux.items() if now_ms - f.at_ms > 5 * self.settings.slow_ms]
+        for key in old:
+            del self._flux[key]
+        self._called = {session: None for session, _ in sorted(beat.called)}
+
+    def _faded(self, flux: _Flux, now_ms: float) -> _Flux:
+        span = flux.at_ms - now_ms
+        fast = flux.fast * math.exp(span / self.settings.fast_ms)
+        return _Flux(fast, flux.slow * math.exp(span / self.settings.slow_ms), now_ms)
+
+    def moves(self, now_ms: float, watch: Watcher, span_ms: float) -> list[Move]:
+        settings, found = self.settings, []
+        for (org, whence, whither), held in sorted(self._flux.items()):
+            group = watch.groups.get((org, whence))
+            flux = self._faded(held, now_ms)
+            if not group or flux.fast < 0.5:
+                continue
+            fast, slow = flux.fast / settings.fast_ms, flux.slow / settings.slow_ms
+            hazard = max(0.0, fast + max(0.0, fast - slow)) / (len(group) + flux.fast)
+            chance = 1.0 - math.exp(-hazard * span_ms)
+            if chance >= settings.floor:
+                for session, _ in _busiest(group.items(), settings, now_ms):
+                    found.append(Move(session, whence, whither, span_ms, chance, self.name))
+        for session in self._called:
+            track = watch.tracks.get(session)
+            if track is not None and len(track.flows) > 1 and len(found) < 2 * settings.most:
+                found += self._rising(session, track, span_ms)
+        return heapq.nlargest(settings.most, found, key=lambda move: (move.chance, move.session))
+
+    def _rising(self, session: Session, track: Track, span_ms: float) -> list[Move]:
+        fast, slow = (sum(getattr(f, n) for f in track.flows) or 1.0 for n in ("fast", "slow"))
+        found = []
+        for flow in track.flows:
+            share, before = flow.fast / fast, flow.slow / slow
+            ahead = min(0.95, share + (share - before) * span_ms / self.settings.slow_ms)
+            if flow.site != track.site and share > before and ahead >= self.settings.floor:
+                found.append(Move(session, track.site, flow.site, span_ms, ahead, self.name))
+        return found
+
+
+class Learnt:
+    """Past moves by tenant, pair and phase of the day, and whether a session lives so long."""
+
+    name = "learnt"
+
+    def __init__(self, settings: Foresight) -> None:
+        self.settings = settings
+        self.past = Past(settings)
+
+    def learn(self, now_ms: float, watch: Watcher, beat: m.Beat) -> None:
+        self.past.learn(now_ms, watch, beat)
+
+    def moves(self, now_ms: float, watch: Watcher, span_ms: float) -> list[Move]:
+        settings, found = self.settings, []
+        for (org, site), group in sorted(watch.groups.items(), key=lambda item: item[0]):
+            hazards = self.past.hazards(now_ms, org, site, span_ms)
+            total = sum(hazards.values())
+            if total <= 0.0:
+                continue
+            leaves = 1.0 - math.exp(-total)
+            for whither, hazard in sorted(hazards.items()):
+                chance = leaves * hazard / total
+                if chance < settings.floor or whither == site:
+                    continue
+                for session, track in _busiest(group.items(), settings, now_ms):
+                    lives = self.past.lives(now_ms, org, now_ms - track.began_ms, span_ms)
+                    found.append(Move(session, site, whither, span_ms, chance * lives, self.name))
+        return heapq.nlargest(settings.most, found, key=lambda move: (move.chance, move.session))
+
+
+def _nowhere(_session: Session, _site: str) -> Parts:
+    return ()
+
+
+def _unplaced(_session: Session, _site: str) -> float | None:
+    return None
+
+
+class Plans:
+    """What was announced, as certain: a session at a site that is to be drained goes where `whither` says
+    (sites and parts, as the plan's flows have it), one that left a site which returns goes back once the
+    part that is open covers its place. Where a place isn't known, the chance is the step's part of those
+    that are left."""
+
+    name = "announced"
+
+    def __init__(self, settings: Foresight, whither: Whither = _nowhere, place: Place = _unplaced) -> None:
+        self.settings, self.whither, self.place = settings, whither, place
+        self.past: Past | None = None  # for survival; None: all live on
+        self._plans: dict[str, tuple[float, m.Announced]] = {}
+
+    def announced(self, now_ms: float, plan: m.Announced) -> bool:
+        """Takes a plan, unless a later one of that site is known. Repeats change nothing."""
+        known = self._plans.get(plan.site)
+        if known is not None and plan.number <= known[1].number:
+            return False
+        self._plans[plan.site] = now_ms, plan
+        return True
+
+    def standby(self) -> frozenset[str]:
+        """Sites that stand by: no session goes there by itself."""
+        return frozenset(site for site, (_, plan) in self._plans.items() if plan.kind == "standby")
+
+    def learn(self, now_ms: float, watch: Watcher, beat: m.Beat) -> None:
+        pass
+
+    def moves(self, now_ms: float, watch: Watcher, span_ms: float) -> list[Move]:
+        found: list[Move] = []
+        for site, (told_ms, plan) in sorted(self._plans.items()):
+            was = 1.0 if plan.kind == "drain" else 0.0
+            for step in plan.steps:
+                ahead = told_ms + step.in_ms - now_ms
+                # A step that was due is over: who hasn't gone by then is left to what calls show.
+                if 0.0 <= ahead <= span_ms and plan.kind != "standby":
+                    falls = step.open < was
+                    found += (
+                        self._leave(now_ms, watch, site, was, step.open, ahead)
+                        if falls
+                        else self._return(now_ms, watch, site, was, step.open, ahead)
+                    )
+                was = step.open
+        return heapq.nlargest(self.settings.most, found, key=lambda move: (move.chance, move.session))
+
+    def _lives(self, now_ms: float, session: Session, track: Track, ahead_ms: float) -> float:
+        return self.past.lives(now_ms, session.org, now_ms - track.began_ms, ahead_ms) if self.past else 1.0
+
+    def _leave(
+        self, now_ms: float, watch: Watcher, site: str, was: float, left: float, ahead: float
+    ) -> list[Move]:
+        found = []
+        groups = [group for (_, at), group in sorted(watch.groups.items(), key=lambda g: g[0]) if at == site]
+        pairs = (pair for group in groups for pair in group.items())
+        for session, track in _busiest(pairs, self.settings, now_ms):
+            place = self.place(session, site)
+            part = (was - left) / max(was, 1e-9) if place is None else float(left <= place < was)
+            part *= self._lives(now_ms, session, track, ahead)
+            for target, share in self.whither(session, site):
+                if part * share > 0 and target != site:
+                    within = min(SPAN_MOST_MS, ahead + self.settings.fast_ms)
+                    found.append(Move(session, site, target, within, min(1.0, part * share), self.name))
+        return found
+
+    def _return(
+        self, now_ms: float, watch: Watcher, site: str, was: float, open_: float, ahead: float
+    ) -> list[Move]:
+        found = []
+        for session, track in _busiest(watch.left.get(site, {}).items(), self.settings, now_ms):
+            if track.site == site:
+                continue
+            place = self.place(session, site)
+            part = (open_ - was) / max(1.0 - was, 1e-9) if place is None else float(was <= place < open_)
+            part *= self._lives(now_ms, session, track, ahead)
+            if part > 0:
+                within = min(SPAN_MOST_MS, ahead + self.settings.fast_ms)
+                found.append(Move(session, track.site, site, within, min(1.0, part), self.name))
+        return found
--- /dev/null
+++ b/fawnwharf/foresight/score.py
@@ -0,0 +1,135 @@
+"""How good predictions are, as they go: proper scores against 'nothing moves', and what stages cost them.
+
+Pure. Brier score (Brier 1950) and log loss, both decaying; a skill is one less the score over that of the
+base; a reliability table in ten bins (predicted against seen). A predictor is used only while its skill is
+above a margin over enough predictions, and while stages by it earned more than they cost: a score can be
+good where being right saves little.
+"""
+
+import math
+from dataclasses import dataclass, field
+
+from fawnwharf.foresight import messages as m
+from fawnwharf.foresight.settings import Foresight
+from fawnwharf.sites import Move, Session
+
+BINS = 10
+OPEN_MOST = 20_000  # predictions of one predictor whose end is awaited
+LEAST_CHANCE = 0.001  # for the log loss: guards against an infinite one
+
+
+@dataclass(slots=True)
+class Sums:
+    """Of one predictor, decaying alike."""
+
+    weight: float = 0.0
+    brier: float = 0.0
+    base: float = 0.0  # the Brier score of 'nothing moves' on the same
+    loss: float = 0.0  # log loss, natural logarithm
+    base_loss: float = 0.0
+    net: float = 0.0  # what stages earned less what they cost, in mean calls
+    spent: float = 0.0
+    bins: list[list[float]] = field(default_factory=lambda: [[0.0, 0.0, 0.0] for _ in range(BINS)])
+    at_ms: float = 0.0
+
+    def fade(self, now_ms: float, span_ms: float) -> None:
+        part, self.at_ms = math.exp((self.at_ms - now_ms) / span_ms), now_ms
+        for name in ("weight", "brier", "base", "loss", "base_loss", "net", "spent"):
+            setattr(self, name, getattr(self, name) * part)
+        for row in self.bins:
+            row[:] = [value * part for value in row]
+
+    def add(self, chance: float, came: bool) -> None:
+        seen = float(came)
+        self.weight += 1.0
+        self.brier += (chance - seen) ** 2
+        self.base += seen
+        self.loss -= math.log(_apart(chance if came else 1.0 - chance))
+        self.base_loss -= math.log(LEAST_CHANCE if came else 1.0 - LEAST_CHANCE)
+        row = self.bins[min(BINS - 1, int(chance * BINS))]
+        row[0] += 1.0
+        row[1] += chance
+        row[2] += seen
+
+    @property
+    def skill(self) -> float:
+        """One less the Brier score over the base's: 0 is no better than 'nothing moves', less is worse."""
+        return 1.0 - self.brier / self.base if self.base > 0 else (-1.0 if self.brier > 0 else 0.0)
+
+
+def _apart(chance: float) -> float:
+    return min(1.0 - LEAST_CHANCE, max(LEAST_CHANCE, chance))
+
+
+class Scores:
+    """Of all predictors. A prediction is open until its session is found there or its time is over, with
+    `grace_ms` for moves to be seen. One that is made at each look counts each time with the chance it had
+    then: the first one alone would be the least sure."""
+
+    def __init__(self, settings: Foresight) -> None:
+        self.settings = settings
+        self.grace_ms = settings.fast_ms + settings.beat_ms
+        self.sums: dict[str, Sums] = {}
+        self.dropped = 0  # predictions that were not scored, as too many were open
+        self.missed = 0  # moves that no predictor foresaw
+        self._open: dict[str, dict[tuple[Session, str], list[tuple[float, float]]]] = {}  # chances, dues
+        self._count: dict[str, int] = {}
+
+    def predicted(self, now_ms: float, moves: list[Move]) -> None:
+        for move in moves:
+            held = self._open.setdefault(move.by, {})
+            if self._count.get(move.by, 0) >= OPEN_MOST:
+                self.dropped += 1
+                continue
+            self._count[move.by] = self._count.get(move.by, 0) + 1
+            due = now_ms + move.within_ms + self.grace_ms
+            held.setdefault((move.session, move.whither), []).append((move.chance, due))
+
+    def seen(self, now_ms: float, beat: m.Beat) -> None:
+        """What one look has shown: the predictions that came true, and those whose time is over."""
+        for sums in self.sums.values():
+            sums.fade(now_ms, self.settings.score_ms)
+        moved = {(move.session, move.whither) for move in beat.moved}
+        known: set[tuple[Session, str]] = set()
+        for by, held in self._open.items():
+            known |= moved & held.keys()
+            for key in [key for key, made in held.items() if key in moved or made[0][1] < now_ms]:
+                came, made = key in moved, held.pop(key)
+                over = [one for one in made if came or one[1] < now_ms]
+                self._count[by] -= len(over)
+                for chance, due in over:
+                    self._of(by, now_ms).add(chance, came and due >= now_ms)
+                if len(over) < len(made):
+                    held[key] = [one for one in made if one[1] >= now_ms]
+        self.missed += len(moved - known)
+
+    def charge(self, now_ms: float, by: str, cost: float) -> None:
+        """A stage by a predictor was not used: its fetch and its work, in mean calls."""
+        sums = self._of(by, now_ms)
+        sums.net -= cost
+        sums.spent += cost
+
+    def credit(self, now_ms: float, by: str, gain: float) -> None:
+        """A stage by a predictor was used: what calls would have lost without it."""
+        self._of(by, now_ms).net += gain
+
+    def good(self, by: str) -> bool:
+        """Whether a predictor is worth following of late."""
+        sums = self.sums.get(by)
+        if sums is None or sums.weight < self.settings.least:
+            return False
+        return sums.skill > self.settings.margin and sums.loss < sums.base_loss and sums.net >= 0.0
+
+    def best(self, names: list[str]) -> str | None:
+        """Of these, the one with most skill that is worth following; None: nothing is to be foreseen."""
+        able = [name for name in names if self.good(name)]
+        return max(able, key=lambda name: (self.sums[name].skill, name), default=None)
+
+    def table(self, by: str) -> list[tuple[float, float, float]]:
+        """Reliability: for each tenth of chance the predictions, their mean chance, and the part that
+        came."""
+        rows = self.sums.get(by, Sums()).bins
+        return [(n, p / n if n else 0.0, seen / n if n else 0.0) for n, p, seen in rows]
+
+    def _of(self, by: str, now_ms: float) -> Sums:
+        return self.sums.setdefault(by, Sums(at_ms=now_ms))
--- /dev/null
+++ b/fawnwharf/foresight/settings.py
@@ -0,0 +1,103 @@
+"""What operators set for foresight, and the prices that its stages are weighed by. Pure: values or one line
+out.
+
+Classes, tenants, limits and prices are the settings' of the site; the file `sessions.json` has paces and
+bounds alone. A faulty file raises FileFault, a faulty site's settings ConfigError; either text names the key.
+"""
+
+from collections.abc import Mapping
+from typing import Annotated, Any
+
+import msgspec
+from msgspec import Meta, Struct
+
+from fawnwharf import interface as io
+from fawnwharf.config import ConfigError, settings_from
+from fawnwharf.zones.settings import FileFault, Share, Span
+
+VERSION = 1
+
+
+class Foresight(Struct, frozen=True):
+    """Spans are milliseconds, rates are a second, shares parts of one."""
+
+    beat_ms: Span = 1_000.0  # pace of looks at the counters, and of words
+    still_ms: Span = 30_000.0  # after so long without a call a session is over
+    sessions: Annotated[int, Meta(ge=10, le=100_000)] = 100_000
+    fast_ms: Span = 4_000.0  # fading windows of calls
+    slow_ms: Span = 40_000.0
+    day_ms: Annotated[float, Meta(ge=1_000.0)] = 86_400_000.0  # after which moves are held to repeat
+    phases: Annotated[int, Meta(ge=1, le=1_440)] = 96
+    learn_ms: Annotated[float, Meta(ge=1_000.0)] = 7 * 86_400_000.0  # e-folding of what was learnt
+    score_ms: Span = 600_000.0  # e-folding of scores: 'of late'
+    margin: Share = 0.05  # by which a predictor has to beat 'nothing moves'
+    least: Annotated[int, Meta(ge=1)] = 100  # scored predictions that a verdict rests on
+    floor: Share = 0.05  # predictions with less chance are not made
+    most: Annotated[int, Meta(ge=1, le=20_000)] = 2_000  # predictions of one look
+    fetches_ps: Annotated[float, Meta(ge=0.0)] = 8.0  # of the fleet, for stages
+    pace_ps: Annotated[float, Meta(ge=0.0)] = 8.0  # stages of one front end
+    free_part: Share = 0.5  # of the ration, left for calls that wait now
+    dwell_ms: Span = 20_000.0  # a function that was let go at a site isn't staged there again
+    hysteresis: Annotated[float, Meta(ge=1.0, le=10.0)] = 1.5  # unless its worth is so many times its price
+    quiet_ms: Span = 3_000.0  # after a surge, a loss or a power-up nothing is staged
+    copies: Annotated[int, Meta(ge=1, le=16)] = 2  # of a function at a site
+    core_part: Share = 0.08  # of a load's time takes a core
+
+
+class Prices(Struct, frozen=True):
+    """What a point is lost by, as parts of the result: each in mean calls' worths."""
+
+    origin: float = 0.0  # a fetch from the store
+    waste: float = 0.0  # work that served nothing, as much as a mean call's
+    probe: float = 0.0  # an order
+    memory: float = 0.0  # copies that are idle, all the memory, all the time
+
+
+class _Costs(Struct):
+    origin: Annotated[float, Meta(ge=0)] = 0.0
+    waste: Annotated[float, Meta(ge=0)] = 0.0
+    probe: Annotated[float, Meta(ge=0)] = 0.0
+
+
+class _Info(Struct):
+    idle_memory_cost: Annotated[float, Meta(ge=0)] = 0.0
+
+
+class _Site(Struct):
+    costs: _Costs = msgspec.field(default_factory=_Costs)
+    family_info: _Info = msgspec.field(default_factory=_Info)
+
+
+class _File(Struct):
+    version: int
+    foresight: Foresight = msgspec.field(default_factory=Foresight)
+
+
+def foresight_from(data: bytes) -> Foresight:
+    """The part `foresight` of the operators' file; other parts of it are others' to check. Raises
+    FileFault."""
+    try:
+        read = msgspec.json.decode(data, type=_File)
+    except msgspec.ValidationError as error:
+        text, _, place = str(error).partition(" - at `$")
+        raise FileFault(f"{place.rstrip('`').lstrip('.') or 'sessions'}: {text}") from None
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise FileFault(f"sessions: not JSON: {error}") from None
+    if read.version != VERSION:
+        raise FileFault(f"version: {read.version}, and this program knows {VERSION}")
+    if read.foresight.slow_ms <= read.foresight.fast_ms:
+        raise FileFault("foresight.slow_ms: not longer than foresight.fast_ms")
+    return read.foresight
+
+
+def site_from(config: Mapping[str, Any]) -> tuple[io.Settings, Prices]:
+    """The site's settings and prices, of the object that an instance is given. Raises ConfigError."""
+    settings = settings_from(config)
+    parts = {key: config.get(key) or {} for key in ("costs", "family_info")}
+    kept = {key: {k: v for k, v in part.items() if v is not None} for key, part in parts.items()}
+    try:
+        read = msgspec.convert(kept, _Site)
+    except msgspec.ValidationError as error:
+        raise ConfigError(f"settings: {error}") from None
+    costs = read.costs
+    return settings, Prices(costs.origin, costs.waste, costs.probe, read.family_info.idle_memory_cost)
--- /dev/null
+++ b/fawnwharf/foresight/worth.py
@@ -0,0 +1,67 @@
+"""What a stage is worth and what it costs, in mean calls' worths. Pure.
+
+A call that waits for a load may be late: it then earns its class's late share, and nothing once its client
+has given up. A copy that stands spares it that, and the load that it would have begun, so that the fetch is
+lost only where the session does not come.
+"""
+
+from collections.abc import Mapping
+
+from msgspec import Struct
+
+from fawnwharf.foresight.settings import Foresight, Prices
+from fawnwharf.interface import ClassSpec
+
+
+class Facts(Struct, frozen=True):
+    """Of a function, as its calls tell: megabytes of a copy, milliseconds of a load and of a run, its
+    class."""
+
+    class_name: str
+    memory_mb: float
+    load_ms: float
+    run_ms: float
+    lanes: int = 1
+
+
+def mean_worth(classes: Mapping[str, ClassSpec], shares: Mapping[str, float] | None = None) -> float:
+    """The mean worth of a call, by what part of the calls each class was (absent: equal parts)."""
+    parts = {name: (shares or {}).get(name, 0.0 if shares else 1.0) for name in classes}
+    total = sum(parts.values())
+    mean = sum(classes[name].worth * part for name, part in parts.items()) / total if total > 0 else 0.0
+    return mean if mean > 0 else 1.0
+
+
+def loss(spec: ClassSpec, facts: Facts, rate_ps: float) -> float:
+    """What calls of a session lose while its first one waits for a load, in worths of a call of worth 1.
+
+    The first comes at the load's begin, others at `rate_ps`; one that comes t into it waits for the rest."""
+    wait = facts.load_ms + facts.run_ms
+    late, dead = wait > spec.promise_ms, wait > spec.give_up_ms
+    first = late * (1.0 - spec.late_share) + dead * spec.late_share
+    late_ms = min(facts.load_ms, max(0.0, wait - spec.promise_ms))
+    dead_ms = min(facts.load_ms, max(0.0, wait - spec.give_up_ms))
+    others = rate_ps * (late_ms * (1.0 - spec.late_share) + dead_ms * spec.late_share) / 1000.0
+    return spec.worth * (first + others)
+
+
+def fetched(settings: Foresight, prices: Prices, facts: Facts) -> float:
+    """What a load costs that serves nothing: the fetch, and the part of it that takes a core."""
+    return prices.origin + prices.waste * settings.core_part * facts.load_ms / max(1.0, facts.run_ms)
+
+
+def cost(
+    settings: Foresight,
+    prices: Prices,
+    facts: Facts,
+    chance: float,
+    idle_ms: float,
+    memory_mb: float,
+    pushes_out: float,
+    mean_ps: float,
+) -> float:
+    """A copy's price: `memory_mb` of the whole fleet, calls `mean_ps` in it, `pushes_out` the part of a copy
+    in use that gives way (its own first call is late then, as dear as this one's fetch)."""
+    lost = (1.0 - chance) * fetched(settings, prices, facts)
+    room = prices.memory * facts.memory_mb / max(1.0, memory_mb) * mean_ps * idle_ms / 1000.0
+    return lost + prices.probe + room + pushes_out * (1.0 + fetched(settings, prices, facts))
--- /dev/null
+++ b/tests/test_foresight.py
@@ -0,0 +1,211 @@
+"""Counters of calls by session and site: laws, windows, bounds; what is learnt of the past."""
+
+import random
+
+import msgspec
+import pytest
+from hypothesis import given, settings, strategies
+
+from fawnwharf.foresight import messages as m
+from fawnwharf.foresight.past import Past
+from fawnwharf.foresight.predictors import Learnt, Nothing, Plans, Trend
+from fawnwharf.foresight.seen import OWNERS_MOST, SITES_MOST, Watcher
+from fawnwharf.foresight.settings import Foresight, Prices, foresight_from, site_from
+from fawnwharf.sites import Session
+from fawnwharf.zones.settings import FileFault
+
+S = Foresight(day_ms=100_000.0, phases=20)
+A, B = Session("club", "f1"), Session("club", "f2")
+
+counts = strategies.builds(
+    m.Count,
+    strategies.sampled_from([A, B, Session("media", "f1")]),
+    strategies.sampled_from(["n", "s"]),
+    strategies.integers(0, 3),
+    strategies.integers(1, 9),
+)
+words = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(["o1", "o2"]),
+        strategies.builds(m.Word, strategies.integers(1, 5), strategies.lists(counts, max_size=4).map(tuple)),
+    ),
+    max_size=8,
+)
+
+
+@settings(derandomize=True, max_examples=150, deadline=None)
+@given(words, strategies.randoms(use_true_random=False))
+def test_words_merge_in_whatever_order_and_however_often_they_come(told, chance):
+    plain, mixed = Watcher(S), Watcher(S)
+    for owner, word in told:
+        plain.heard(0.0, owner, word)
+    again = told + told[:3]
+    chance.shuffle(again)
+    for owner, word in again:
+        mixed.heard(0.0, owner, word)
+    assert plain.counters() == mixed.counters()
+    assert plain.beat(1_000.0) == mixed.beat(1_000.0)
+    for session, track in plain.tracks.items():
+        seen = {f.site: (f.fast, f.slow) for f in track.flows}
+        assert seen == {f.site: (f.fast, f.slow) for f in mixed.tracks[session].flows}
+
+
+def test_own_counters_reach_another_front_end_by_words_and_a_lost_one_is_made_good():
+    one, other = Watcher(S, "a"), Watcher(S, "b")
+    for n in range(3):
+        one.called(1_000.0 * n, A, "n")
+        word = one.word()
+        if n != 1:
+            other.heard(1_000.0 * n, "a", word)
+    assert other.counters()["a", A, "n"] == (1, 3)
+    other.beat(2_000.0)
+    assert other.tracks[A].flows[0].fast == 3.0
+    assert other.heard(2_000.0, "b", word) is None and other.dropped == {"a word of my own": 1}
+
+
+def test_a_session_that_comes_with_its_past_is_no_burst():
+    watch = Watcher(S)
+    watch.heard(0.0, "a", m.Word(90, (m.Count(A, "n", 3, 5_000), m.Count(B, "n", 89, 7))))
+    watch.beat(1_000.0)
+    assert watch.tracks[A].flows[0].fast == 1.0 and watch.tracks[B].flows[0].fast == 7.0
+
+
+def test_a_move_is_seen_once_and_a_still_session_ends():
+    watch, moved, ended = Watcher(S), [], []
+    for second in range(60):
+        if second < 20:
+            watch.called(1_000.0 * second, A, "n" if second < 10 else "s")
+        beat = watch.beat(1_000.0 * second)
+        moved += beat.moved
+        ended += beat.ended
+    assert moved == [m.Moved(A, "n", "s")]
+    assert ended == [m.Ended(A, "s", 19_000.0)]
+    assert not watch.tracks and not watch.groups and not watch.counters()
+
+
+def test_a_flood_of_sessions_out_of_nowhere_stays_within_bounds_and_is_counted():
+    watch = Watcher(msgspec.structs.replace(S, sessions=500))
+    for n in range(400):
+        watch.called(0.0, Session("club", f"live{n}"), "n")
+    watch.beat(0.0)
+    for n in range(5_000):
+        watch.called(1.0, Session(f"t{n}", f"g{n}"), "n")
+        if n % 50 == 0:
+            for k in range(20):
+                watch.called(1.0, Session("club", f"live{k}"), "n")
+            watch.beat(1.0)
+    assert len(watch.tracks) == 500 and watch.dropped["a session beyond the bound"] == 4_900
+    assert sum(s.org == "club" for s in watch.tracks) == 20  # those that call stay
+    assert len(watch.counters()) <= 500 and len(watch.word().counts) <= 500
+    for n in range(50):
+        watch.called(2.0, A, f"site{n}")
+    assert len(watch.tracks[A].flows) == SITES_MOST
+    for n in range(OWNERS_MOST + 50):
+        watch.heard(2.0, f"o{n}", m.Word(1))
+    assert watch.dropped["an owner beyond the bound"] == 51
+
+
+def test_a_dead_owner_takes_nothing_along():
+    watch = Watcher(S)
+    watch.heard(0.0, "a", m.Word(1, (m.Count(A, "n", 1, 5),)))
+    watch.beat(0.0)
+    watch.heard(0.0, "a", m.Word(2, (m.Count(A, "n", 1, 9),)))
+    watch.gone("a")
+    assert watch.beat(1_000.0).called == frozenset() and watch.counters() == {}
+    assert 0.0 < watch.tracks[A].rate_ps(S, 1_000.0) <= 5.0
+
+
+# --- what is learnt, and what follows ------------------------------------------------------------
+
+
+def days(predictor, count, moves=True, seed=1):
+    """Sessions of one tenant that go from n to s at 30 s of each day, and back at 80 s."""
+    watch, chance = Watcher(S), random.Random(seed)
+    for second in range(int(count * 100)):
+        now, day = 1_000.0 * second, second % 100
+        away = moves and 30 <= day < 80
+        for n in range(20):
+            if chance.random() < 0.8:
+                watch.called(now, Session("club", f"f{n}"), "s" if away else "n")
+        beat = watch.beat(now)
+        predictor.learn(now, watch, beat)
+    return watch
+
+
+def test_learnt_foresees_what_comes_back_each_day_and_nothing_else():
+    learnt = Learnt(S)
+    watch = days(learnt, 3.28)  # in the third day, 2 s before they go
+    early = learnt.moves(315_000.0, watch, 9_000.0)
+    late = learnt.moves(327_000.0, watch, 9_000.0)
+    assert not early or max(move.chance for move in early) < 0.1
+    assert len(late) == 20 and min(move.chance for move in late) > 0.5
+    assert {(move.whence, move.whither) for move in late} == {("n", "s")}
+    still = Learnt(S)
+    assert still.moves(327_000.0, days(still, 3.28, moves=False), 9_000.0) == []
+    assert Nothing().moves(0.0, watch, 9_000.0) == []
+
+
+def test_hazards_are_moves_over_the_time_at_risk():
+    past, watch = Past(S), Watcher(S)
+    for n in range(10):
+        watch.called(0.0, Session("club", f"f{n}"), "n")
+    watch.beat(0.0)
+    past.learn(0.0, watch, m.Beat())
+    moved = tuple(m.Moved(Session("club", f"f{n}"), "n", "s") for n in range(4))
+    past.learn(1_000.0, watch, m.Beat(moved))
+    # 4 moves in 10 x 1 s and a prior of 60 s without any: 4/70 a second; the window holds 4 s of this phase
+    assert past.hazards(1_000.0, "club", "n", 10_000.0)["s"] == pytest.approx(4 * 4 / 70, rel=1e-3)
+    assert past.lives(0.0, "other", 5_000.0, 9_000.0) == 1.0
+
+
+def test_trend_follows_those_that_have_just_left():
+    trend, watch = Trend(S), Watcher(S)
+    for second in range(24):
+        for n in range(20):
+            gone = second >= 20 and n < 4 * (second - 19)
+            watch.called(1_000.0 * second, Session("club", f"f{n}"), "s" if gone else "n")
+            watch.called(1_000.0 * second, Session("club", f"f{n}"), "s" if gone else "n")
+        trend.learn(1_000.0 * second, watch, watch.beat(1_000.0 * second))
+    made = [move for move in trend.moves(23_000.0, watch, 9_000.0) if move.whither == "s"]
+    assert len({move.session for move in made}) >= 8 and max(move.chance for move in made) > 0.5
+
+
+def test_announced_plans_are_certain_and_later_ones_hold():
+    watch = Watcher(S)
+    for second in range(10):
+        watch.called(1_000.0 * second, A, "n")
+        watch.called(1_000.0 * second, B, "n")
+        watch.beat(1_000.0 * second)
+    place = {A: 0.2, B: 0.8}
+    plans = Plans(S, lambda _session, _site: (("s", 1.0),), lambda session, _site: place[session])
+    drain = m.Announced("n", 2, "drain", (m.Step(5_000.0, 0.0),))
+    assert plans.announced(9_000.0, drain) and not plans.announced(9_500.0, drain)
+    (one, two) = plans.moves(9_500.0, watch, 9_000.0)
+    assert {one.session, two.session} == {A, B} and one.chance == two.chance == 1.0 and one.by == "announced"
+    assert plans.moves(9_500.0, watch, 1_000.0) == [] and plans.moves(15_000.0, watch, 9_000.0) == []
+    for second in range(10, 20):
+        watch.called(1_000.0 * second, A, "s")
+        watch.called(1_000.0 * second, B, "s")
+        watch.beat(1_000.0 * second)
+    steps = (m.Step(2_000.0, 0.25), m.Step(20_000.0, 1.0))
+    plans.announced(19_000.0, m.Announced("n", 3, "return", steps))
+    assert [move.session for move in plans.moves(19_500.0, watch, 9_000.0)] == [A]  # B's scorer opens later
+    assert plans.announced(20_000.0, m.Announced("n", 4, "return")) and not plans.moves(20_000.0, watch, 9e3)
+    plans.announced(20_000.0, m.Announced("s", 1, "standby"))
+    assert plans.standby() == {"s"}
+
+
+def test_settings_are_checked_by_key():
+    assert foresight_from(b'{"version": 1, "foresight": {"margin": 0.1}, "other": 3}').margin == 0.1
+    for text, key in (
+        (b'{"version": 1, "foresight": {"margin": 2}}', "foresight.margin"),
+        (b'{"version": 2}', "version"),
+        (b"{", "sessions"),
+        (b'{"version": 1, "foresight": {"fast_ms": 9e5}}', "foresight.slow_ms"),
+    ):
+        with pytest.raises(FileFault, match=key):
+            foresight_from(text)
+    site, prices = site_from(
+        {"costs": {"origin": 0.15, "waste": None}, "classes": [{"name": "c", "worth": 5}]}
+    )
+    assert prices == Prices(0.15) and site.classes["c"].worth == 5.0
--- /dev/null
+++ b/tests/test_foresight_planner.py
@@ -0,0 +1,216 @@
+"""Scores known by hand; what is staged under which budgets, by whom, and when nothing is."""
+
+import math
+import random
+
+import pytest
+from hypothesis import given, settings, strategies
+
+from fawnwharf.foresight import messages as m
+from fawnwharf.foresight.core import Foresight
+from fawnwharf.foresight.planner import Planner, View, orderer
+from fawnwharf.foresight.score import LEAST_CHANCE, Scores
+from fawnwharf.foresight.settings import Foresight as Bounds
+from fawnwharf.foresight.settings import Prices
+from fawnwharf.foresight.worth import Facts, cost, loss, mean_worth
+from fawnwharf.interface import ClassSpec, Settings
+from fawnwharf.sites import LetGo, Move, Session
+
+SPEC = ClassSpec("view", promise_ms=800.0, give_up_ms=3_000.0, worth=1.0, late_share=0.2)
+SITE = Settings(classes={"view": SPEC}, fleet_size=3, idle_life_ms=9_300.0)
+PRICES = Prices(origin=0.15, waste=0.16, probe=0.01)
+FACTS = Facts("view", 400.0, 900.0, 100.0)
+S = Bounds(least=30, copies=1)
+SCORERS = tuple(f"w{n}" for n in range(6))
+
+
+def view(**changes):
+    told = dict(
+        me="a", heard=("a",), calm=True, disturbed=frozenset(), ration=math.inf, ration_most=math.inf,
+        waiting=0, facts=lambda _row: FACTS, order=lambda _row, _site: SCORERS, cold_room=lambda _scorer:
+        math.inf, spare_mb=lambda _site: 1e6, standing=lambda _row, _site: 0,
+    )  # fmt: skip
+    return View(**(told | changes))
+
+
+def move(n, chance=0.9, by="learnt", whither="s", within=5_000.0):
+    return Move(Session("club", f"f{n}"), "n", whither, within, chance, by)
+
+
+def planner(bounds=S, site=SITE):
+    return Planner(bounds, site, PRICES, Scores(bounds))
+
+
+def orders(found):
+    return [one for one in found if isinstance(one, m.Order)]
+
+
+def step(plan, now, moves, seen):
+    return plan.step(now, moves, seen, lambda _session: 0.5)
+
+
+# --- scores ---------------------------------------------------------------------------------------
+
+
+def test_scores_are_those_worked_out_by_hand():
+    scores = Scores(S)
+    scores.predicted(0.0, [move(1, 0.8), move(2, 0.8), move(3, 0.4)])
+    scores.seen(1_000.0, m.Beat((m.Moved(move(1).session, "n", "s"), m.Moved(move(9).session, "n", "s"))))
+    scores.seen(9_999.0, m.Beat())
+    assert scores.sums["learnt"].weight == pytest.approx(1.0, rel=0.02)
+    scores.seen(10_001.0, m.Beat())
+    sums = scores.sums["learnt"]
+    assert sums.weight == pytest.approx(3.0, rel=0.02) and scores.missed == 1
+    assert sums.brier == pytest.approx(0.04 + 0.64 + 0.16, rel=0.02) and sums.base == pytest.approx(
+        1.0, rel=0.02
+    )
+    assert sums.loss == pytest.approx(-math.log(0.8) - math.log(0.2) - math.log(0.6), rel=0.02)
+    assert sums.base_loss == pytest.approx(-math.log(LEAST_CHANCE), rel=0.02)
+    assert sums.skill == pytest.approx(0.16, abs=0.02)
+    table = scores.table("learnt")
+    assert table[4][1:] == pytest.approx((0.4, 0.0)) and table[8][1:] == pytest.approx((0.8, 0.5), rel=0.02)
+    scores.seen(10_001.0 + 20 * S.score_ms, m.Beat())
+    assert sums.weight < 1e-6
+
+
+def test_a_predictor_is_used_only_while_it_beats_nothing_and_its_stages_pay():
+    scores = Scores(S)
+
+    def round_(now, chance, came):
+        moves = [move(n, chance) for n in range(40)]
+        scores.predicted(now, moves)
+        moved = tuple(m.Moved(one.session, "n", "s") for one in moves[: int(40 * came)])
+        scores.seen(now + 1.0, m.Beat(moved))
+        scores.seen(now + 20_000.0, m.Beat())
+
+    round_(0.0, 0.7, 0.5)
+    assert scores.best(["learnt", "trend"]) == "learnt"
+    scores.charge(20_000.0, "learnt", 1.0)
+    assert scores.best(["learnt"]) is None
+    scores.credit(20_000.0, "learnt", 2.0)
+    assert scores.best(["learnt"]) == "learnt"
+    round_(30_000.0, 0.7, 0.1)
+    assert scores.best(["learnt"]) is None and scores.sums["learnt"].skill < 0
+
+
+# --- worth ----------------------------------------------------------------------------------------
+
+
+def test_worth_and_price_are_those_worked_out_by_hand():
+    # 100 + 900 ms is 200 past the promise: the first call is late, and those of the load's first 200 ms
+    assert loss(SPEC, FACTS, 5.0) == pytest.approx(0.8 * (1 + 5.0 * 0.2))
+    assert loss(SPEC, Facts("view", 400.0, 600.0, 100.0), 5.0) == 0.0
+    assert loss(SPEC, Facts("view", 400.0, 3_500.0, 100.0), 0.0) == 1.0
+    lost = 0.15 + 0.16 * S.core_part * 9.0
+    assert cost(S, PRICES, FACTS, 0.25, 0.0, 1e6, 0.0, 1.0) == pytest.approx(0.75 * lost + 0.01)
+    assert mean_worth({"a": ClassSpec("a", worth=5.0), "b": SPEC}, {"a": 1.0, "b": 3.0}) == 2.0
+
+
+def test_a_stage_has_to_be_worth_its_price_and_the_best_go_first():
+    plan = planner()
+    found = orders(step(plan, 0.0, [move(1, 0.1), move(2, 0.9), move(3, 0.5)], view()))
+    assert [one.stage.row for one in found] == ["f2", "f3"]
+    assert found[0].scorers == ("w0",) and found[0].stage.copies == 1 and found[0].stage.site == "s"
+    assert found[0].stage.until_ms == pytest.approx(5_000.0 + 9_300.0) and plan.skipped == {"not worth it": 1}
+    assert step(plan, 500.0, [move(2)], view()) == []  # it is held already
+    assert step(planner(), 0.0, [move(2)], view(standing=lambda *_: 1)) == []
+    assert step(planner(), 0.0, [move(2)], view(facts=lambda _row: None)) == []
+
+
+@settings(derandomize=True, max_examples=60, deadline=None)
+@given(strategies.integers(0, 1 << 32), strategies.floats(0.0, 12.0), strategies.integers(1, 6))
+def test_no_budget_is_ever_exceeded(seed, fetches, fronts):
+    chance = random.Random(seed)
+    bounds = Bounds(fetches_ps=fetches, pace_ps=3.0, copies=2)
+    names = tuple(f"n{n}" for n in range(fronts))
+    site = Settings(classes={"view": SPEC}, fleet_size=fronts, idle_life_ms=9_300.0)
+    plans = {name: Planner(bounds, site, PRICES, Scores(bounds)) for name in names}
+    issued: dict[str, list[float]] = {name: [] for name in names}
+    held_mb = {"s": 0.0, "t": 0.0}
+    for look in range(12):
+        now, room = 500.0 * look, {scorer: chance.choice([0.0, 1.0, 2.5]) for scorer in SCORERS}
+        moves = [move(chance.randrange(60), chance.random(), whither=chance.choice("st")) for _ in range(40)]
+        for name in names:
+            ration, most, waiting = chance.uniform(0, 9), 10.0, chance.randrange(3)
+            seen = view(me=name, heard=names, ration=ration, ration_most=most, waiting=waiting,
+                        cold_room=room.__getitem__, spare_mb=lambda _site: 3_000.0)  # fmt: skip
+            found = orders(plans[name].step(now, moves, seen, lambda _session: chance.uniform(0, 30)))
+            copies = sum(one.stage.copies for one in found)
+            assert copies <= max(0.0, ration - 5.0 - waiting)
+            issued[name] += [now] * copies
+            used = [scorer for one in found for scorer in one.scorers]
+            assert all(used.count(scorer) <= room[scorer] for scorer in used)
+            for where in held_mb:
+                held = sum(h.memory_mb for (_, at), h in plans[name].held.items() if at == where)
+                assert held <= 3_000.0
+    everybody = sorted(at for times in issued.values() for at in times)
+    for n, since in enumerate(everybody):
+        for k in range(n, len(everybody)):
+            assert (
+                k - n + 1 <= max(fetches * 2.0, bool(fetches)) + fetches * (everybody[k] - since) / 1e3 + 1e-6
+            )
+    for times in issued.values():
+        assert len(times) <= 6.0 + 3.0 * 5.5 + 1e-6
+
+
+def test_one_front_end_orders_and_another_stands_in_when_it_is_gone():
+    names = ("a", "b", "c")
+    moves = [move(n) for n in range(12)]
+    found = {name: orders(step(planner(), 0.0, moves, view(me=name, heard=names))) for name in names}
+    rows = [one.stage.row for some in found.values() for one in some]
+    assert len(rows) == len(set(rows)) and len(rows) >= 6
+    row = next(one.stage.row for one in found["b"])
+    left = ("a", "c")
+    heir = orderer(row, "s", left)
+    assert heir in left
+    again = orders(
+        step(planner(), 0.0, [one for one in moves if one.session.row == row], view(me=heir, heard=left))
+    )
+    assert [one.stage.row for one in again] == [row]
+    stays = [r for r in rows if orderer(r, "s", names) != "b"]
+    assert all(orderer(r, "s", names) == orderer(r, "s", left) for r in stays)
+
+
+def test_it_yields_in_a_surge_a_loss_and_a_power_up_and_waits_a_while_after():
+    plan = planner()
+    assert len(orders(step(plan, 0.0, [move(1), move(2, whither="t")], view()))) == 2
+    assert step(plan, 500.0, [move(3)], view(disturbed=frozenset("t")))[:1] == [LetGo("f2", "t")]
+    assert step(plan, 1_000.0, [move(4, whither="t")], view()) == []
+    assert LetGo("f1", "s") in step(plan, 1_500.0, [move(5)], view(calm=False))
+    assert step(plan, 1_500.0 + S.quiet_ms - 1, [move(5)], view()) == []
+    assert len(orders(step(plan, 1_500.0 + S.quiet_ms, [move(5)], view()))) == 1
+    assert plan.scores.sums == {}  # a surge is no fault of a predictor
+
+
+def test_a_stage_that_is_not_used_is_let_go_charged_and_not_tried_at_once_again():
+    plan = planner()
+    (order,) = orders(step(plan, 0.0, [move(1, 0.4)], view()))
+    assert plan.seen(order.stage.until_ms - 1, m.Beat()) == []
+    assert plan.seen(order.stage.until_ms, m.Beat()) == [LetGo("f1", "s")]
+    assert plan.wasted == 1 and plan.scores.sums["learnt"].net < -0.15
+    assert step(plan, order.stage.until_ms, [move(1, 0.4)], view()) == []
+    assert len(orders(step(plan, order.stage.until_ms + S.dwell_ms, [move(1, 0.4)], view()))) == 1
+    plan.seen(99_000.0, m.Beat(called=frozenset({(move(1).session, "s")})))
+    assert plan.used == 1 and plan.scores.sums["learnt"].net > 0.0
+
+
+def test_false_signs_stop_staging_by_their_own_score():
+    """Sessions that look as if they were going, by turns, and never do."""
+    core, chance, staged = (
+        Foresight(Bounds(least=30, score_ms=120_000.0), SITE, PRICES, "a"),
+        random.Random(3),
+        [],
+    )
+    core.scores.predicted(0.0, [move(n, 0.9, "trend") for n in range(40)])
+    core.scores.seen(
+        1.0, m.Beat(tuple(m.Moved(move(n).session, "n", "s") for n in range(40)))
+    )  # a good start
+    assert core.scores.best(["trend"]) == "trend"
+    for second in range(300):
+        now = 1_000.0 * second
+        for n in range(30):
+            core.called(now, Session("club", f"f{n}"), "n")
+            if chance.random() < 0.01:
+                core.called(now, Session("club", f"f{n}"), "s")
+        staged.append(len(orders(core.step(now, view()))))
+    assert core.best is None and sum(staged) > 0 and sum(staged[150:]) == 0
