The voters' log decides plans and policies, each with a register of its own

Need: a change of policy is to be decided in the log that zones' plans use; one register would have each take the other's place. Turned down: a key within a plan, which members of an older version would drop unseen; a second log, with a second leader. An entry of kind 'policy' is refused by an older voter, which then lags: all voters come to this version before a first policy.

--- a/fawnwharf/accord/decided.py
+++ b/fawnwharf/accord/decided.py
@@ -10,13 +10,19 @@
     return saved.entries[index - saved.base.index - 1]
 
 
-def last_plan(saved: m.Saved, commit: int) -> tuple[int, str]:
-    """The last decided plan and its index; (0, "") before the first."""
+def last_of(saved: m.Saved, commit: int, kind: str) -> tuple[int, str]:
+    """The last decided plan or policy and its index; (0, "") before the first."""
     for index in range(commit, saved.base.index, -1):
         entry = entry_at(saved, index)
-        if entry.kind == "plan":
+        if entry.kind == kind:
             return index, entry.plan
-    return saved.base.plan_index, saved.base.plan
+    return dict(texts(saved.base))[kind]
+
+
+def texts(base: m.Base) -> list[tuple[str, tuple[int, str]]]:
+    """What is folded, by kind: the index and text of the last decision, in the order of their indexes."""
+    found = {"plan": (base.plan_index, base.plan), "policy": (base.policy_index, base.policy)}
+    return sorted(found.items(), key=lambda item: item[1][0])
 
 
 def open_voters(saved: m.Saved, commit: int) -> bool:
@@ -30,13 +36,16 @@
     lives."""
     base = saved.base
     decided = saved.entries[: commit - base.index]
-    plans = [n for n, entry in enumerate(decided) if entry.kind == "plan"]
+    plan_index, plan = last_of(saved, commit, "plan")
+    policy_index, policy = last_of(saved, commit, "policy")
     lists = [entry.voters for entry in decided if entry.kind == "voters"]
     made = m.Base(
         index=commit,
         term=saved.term_at(commit) or 0,
-        plan=decided[plans[-1]].plan if plans else base.plan,
-        plan_index=base.index + 1 + plans[-1] if plans else base.plan_index,
+        plan=plan,
+        plan_index=plan_index,
+        policy=policy,
+        policy_index=policy_index,
         voters=lists[-1] if lists else base.voters,
     )
     return msgspec.structs.replace(saved, base=made, entries=saved.entries[len(decided) :])
--- a/fawnwharf/accord/messages.py
+++ b/fawnwharf/accord/messages.py
@@ -17,10 +17,11 @@
 
 
 class Entry(Struct, frozen=True):
-    """One decision of the log: a plan, a list of voters, or nothing (each reign begins with one of these)."""
+    """One decision of the log: a plan, a policy, a list of voters, or nothing (each reign begins with one of
+    these). The text of a plan or a policy is in `plan`."""
 
     term: Number
-    kind: Annotated[str, Meta(pattern="^(none|plan|voters)$")]
+    kind: Annotated[str, Meta(pattern="^(none|plan|policy|voters)$")]
     plan: Annotated[str, Meta(max_length=DATA_MOST)] = ""
     voters: Annotated[tuple[Identity, ...], Meta(max_length=VOTERS_MOST)] = ()
 
@@ -29,13 +30,15 @@
 
 
 class Base(Struct, frozen=True):
-    """All decisions up to an index, folded: the last plan and the last voters say all that the others did."""
+    """All decisions up to an index, folded: the last of each kind say all that the others did."""
 
     index: Number = 0
     term: Number = 0
     plan: Annotated[str, Meta(max_length=DATA_MOST)] = ""
     plan_index: Number = 0  # of that plan's own decision
     voters: Annotated[tuple[Identity, ...], Meta(max_length=VOTERS_MOST)] = ()
+    policy: Annotated[str, Meta(max_length=DATA_MOST)] = ""
+    policy_index: Number = 0
 
 
 class Saved(Struct, frozen=True):
--- a/fawnwharf/accord/voter.py
+++ b/fawnwharf/accord/voter.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from fawnwharf.accord import messages as m
-from fawnwharf.accord.decided import entry_at, folded, last_plan, open_voters
+from fawnwharf.accord.decided import entry_at, folded, last_of, open_voters, texts
 
 SNAPSHOT_AFTER = 24  # decided entries kept for followers that lag; older ones are folded into the base
 
@@ -85,7 +85,12 @@
     @property
     def plan(self) -> tuple[int, str]:
         """The last decided plan and its index; (0, "") before the first."""
-        return last_plan(self.saved, self.commit)
+        return last_of(self.saved, self.commit, "plan")
+
+    @property
+    def policy(self) -> tuple[int, str]:
+        """The last decided policy and its index; (0, "") before the first."""
+        return last_of(self.saved, self.commit, "policy")
 
     def fresh(self, now_ms: float) -> bool:
         """Whether its last decided plan is the fleet's last at this moment, for certain."""
@@ -120,11 +125,11 @@
             return []
         return getattr(self, self._HANDLERS[type(message)])(now_ms, message)
 
-    def propose(self, now_ms: float, plan: str) -> tuple[int | None, list[m.Action]]:
-        """Put a plan to the vote; its index, or None where this is not the leader."""
+    def propose(self, now_ms: float, plan: str, kind: str = "plan") -> tuple[int | None, list[m.Action]]:
+        """Put a plan or a policy to the vote; its index, or None where this is not the leader."""
         if not self.is_leader or len(plan) > m.DATA_MOST or len(self.saved.entries) >= m.ENTRIES_MOST:
             return None, []
-        return self.saved.last_index + 1, self._lead_on(now_ms, m.Entry(self.saved.term, "plan", plan=plan))
+        return self.saved.last_index + 1, self._lead_on(now_ms, m.Entry(self.saved.term, kind, plan=plan))
 
     def propose_voters(self, now_ms: float, voters: tuple[str, ...]) -> tuple[int | None, list[m.Action]]:
         """Exchange the list of voters for one that has one more, or one less; None where that may not be now.
@@ -355,8 +360,10 @@
             self.saved = msgspec.structs.replace(saved, base=base, entries=rest)
             self.commit = base.index
             actions = [m.Save(self.saved)]
-            if base.plan_index > saved.base.plan_index:
-                actions.append(m.Decided(base.plan_index, base.term, "plan", base.plan, ()))
+            known = dict(texts(saved.base))
+            for kind, (index, text) in texts(base):
+                if index > known[kind][0]:
+                    actions.append(m.Decided(index, base.term, kind, text, ()))
         return [
             *actions,
             self._answer(message, True, max(base.index, min(self.commit, self.saved.last_index))),
--- a/tests/test_accord.py
+++ b/tests/test_accord.py
@@ -192,6 +192,32 @@
     assert fleet["c"].plan[1]
 
 
+def test_plans_and_policies_are_decided_in_one_log_and_neither_takes_the_others_place():
+    fleet = Fleet("a", "b", "c")
+    leader = fleet.elect("a")
+    fleet.cut = {"c"}
+    texts = [("policy", "p1"), ("plan", "one"), ("policy", "p2")] + [("plan", f"n{n}") for n in range(40)]
+    for kind, text in texts:
+        index, actions = leader.propose(fleet.now, text, kind)
+        fleet.do("a", actions)
+        fleet.settle()
+        fleet.now += 10.0
+        fleet.do("a", leader.tick(fleet.now))
+        fleet.settle()
+    assert (leader.plan[1], leader.policy[1]) == ("n39", "p2")
+    assert leader.saved.base.policy == "p2" and leader.saved.base.index > leader.policy[0]  # folded by now
+    fleet.cut = set()
+    for _ in range(6):
+        fleet.now += 110.0
+        fleet.do("a", leader.tick(fleet.now))
+        fleet.settle()
+    assert (fleet["c"].plan, fleet["c"].policy) == (leader.plan, leader.policy)
+    told = [entry for entry in fleet.decided["c"] if entry[1] == "policy"]
+    assert told == [(leader.policy[0], "policy", "p2")]  # what came with the base is told once
+    fleet.restart("c")
+    assert fleet["c"].policy == leader.policy
+
+
 def test_voters_join_a_founder_one_by_one_and_an_empty_disk_counts_for_nothing_before():
     fleet = Fleet("a", "b", "c", members=("a",))
     fleet.now = 5_000.0
--- a/tests/test_epochs_voters.py
+++ b/tests/test_epochs_voters.py
@@ -25,7 +25,7 @@
     def does(self, effects):
         for effect in effects:
             if isinstance(effect, m.Decide):
-                index, actions = self.voter.propose(self.fleet.now, effect.register)
+                index, actions = self.voter.propose(self.fleet.now, effect.register, "policy")
                 self.votes(actions)
                 if index is None:
                     self.does(self.steward.not_put(self.fleet.now))
@@ -37,7 +37,7 @@
         for action in actions:
             if isinstance(action, a.Say):
                 self.fleet.say(self.name, action.message.to, action.message)
-            elif isinstance(action, a.Decided) and action.kind == "plan" and self.steward.term:
+            elif isinstance(action, a.Decided) and action.kind == "policy" and self.steward.term:
                 self.does(self.steward.decided(now, action.plan, voter.fresh(now)))
 
     def takes(self, sender, message):
@@ -56,7 +56,7 @@
         if self.steward.term and self.steward.term != (voter.is_leader and voter.saved.term):
             self.steward.rest()
         if settled and not self.steward.term:
-            self.does(self.steward.lead(now, voter.saved.term, voter.plan[1]))
+            self.does(self.steward.lead(now, voter.saved.term, voter.policy[1]))
         if (due := self.steward.due_ms()) is not None and now >= due:
             self.does(self.steward.tick(now, voter.fresh(now)))
         if now >= self.holder.due_ms():
@@ -106,8 +106,12 @@
     assert fleet.run(200) == {1}
     fleet.propose(6)
     first = fleet.leader
-    while register_from(fleet.members[first].voter.plan[1]).last.number < 2:
+    for _ in range(200):
+        if register_from(fleet.members[first].voter.policy[1]).last.number >= 2:
+            break
         fleet.run(STEP_MS)
+    else:
+        raise AssertionError("never decided")
     fleet.dead.add(first)  # decided, and nobody was told
     assert fleet.run(8_000) == {2} and fleet.leader not in (None, first)
     fleet.propose(7)
@@ -123,4 +127,4 @@
     fleet.dead.add(first)
     assert fleet.run(8_000) == {0}
     others = [o for n, o in fleet.members.items() if n != first]
-    assert all(o.holder.prepared is None and o.voter.plan[1] == "" for o in others)
+    assert all(o.holder.prepared is None and o.voter.policy[1] == "" for o in others)
