The log tells how long letting go of a member's parts took

Whoever replaces a process with zones or state on has to know for how long its clients were not read.

--- a/fawnwharf/operators/parts.py
+++ b/fawnwharf/operators/parts.py
@@ -58,7 +58,8 @@
             return
         front.seam.release()
         self.where = Where.AWAY
-        front.log("let go of what only one process may have")
+        took_ms = monotonic_ms() - self._since_ms
+        front.log(f"let go of what only one process may have, {took_ms:.0f} ms after it was asked")
         done()
 
     def take_back(self, done: Callable[[], None]) -> None:
