Hand-over of sessions: homes by number, keepers, mover, front ends' view, searches

Need: a live session is to be handed from one site to another with its context, whole at one site at every step. Nothing of it is imported by run.

--- /dev/null
+++ b/fawnwharf/handover/many.py
@@ -0,0 +1,209 @@
+"""Many hand-overs at once: a site that is emptied within a time, what is left to end, and what does not
+bounce. Pure; times are milliseconds of one clock, worth and cost in one unit of the caller's choice.
+
+Nothing here decides a home: it says which hand-overs to begin, and takes in how they ended. What of a quota
+was taken goes along as counts by who counted (`router.spent`), so that no call is taken twice.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from msgspec import Struct
+
+from fawnwharf.handover.settings import DrainSettings
+from fawnwharf.sites import Home, Move, Session
+
+
+class Live(Struct, frozen=True):
+    """A session at the site: what a late first call would cost, what its move costs, how long it may last."""
+
+    session: Session
+    worth: float
+    cost: float
+    left_ms: float  # until it is likely to end by itself
+
+
+class Begin(Struct, frozen=True):
+    """Begin this hand-over; `number` of the home that it has."""
+
+    move: Move
+    number: int
+    haste: bool
+
+
+class Leave(Struct, frozen=True):
+    """It is left to end where it is."""
+
+    session: Session
+    why: str
+
+
+@dataclass(slots=True)
+class _Last:
+    at_ms: float
+    whence: str
+    dwell_ms: float
+
+
+class Dwell:
+    """Owns when sessions moved last, so that none bounces (hysteresis). Bounded: the oldest go first."""
+
+    def __init__(self, settings: DrainSettings) -> None:
+        self.settings = settings
+        self._last: dict[Session, _Last] = {}
+
+    def moved(self, now_ms: float, session: Session, whence: str, whither: str) -> None:
+        """One that returns whence it came within `bounce_ms` stays twice as long as the last time."""
+        rules, before = self.settings, self._last.pop(session, None)
+        back = before is not None and before.whence == whither and now_ms - before.at_ms < rules.bounce_ms
+        dwell = min(rules.dwell_most_ms, 2 * before.dwell_ms) if back else rules.dwell_ms
+        while len(self._last) >= rules.memory:
+            del self._last[next(iter(self._last))]
+        self._last[session] = _Last(now_ms, whence, dwell)
+
+    def left_ms(self, now_ms: float, session: Session) -> float:
+        """For so long it stays where it is, but in haste."""
+        last = self._last.get(session)
+        return max(0.0, last.at_ms + last.dwell_ms - now_ms) if last else 0.0
+
+    def may(self, now_ms: float, session: Session, here: float, there: float) -> bool:
+        """Whether one whose site is not lost may move to a better one, by what each costs it."""
+        better = here - there >= self.settings.margin * max(abs(here), abs(there)) and there < here
+        return better and not self.left_ms(now_ms, session)
+
+
+@dataclass(slots=True)
+class _Going:
+    live: Live
+    number: int
+    whither: str
+    tries: int
+    began_ms: float
+    at: str  # where it is at home by the last word
+
+
+class Drain:
+    """Owns the emptying of one site."""
+
+    def __init__(
+        self,
+        site: str,
+        now_ms: float,
+        within_ms: float,
+        sessions: Iterable[tuple[Live, int]],
+        room: dict[str, int],
+        settings: DrainSettings,
+        dwell: Dwell,
+        haste: bool = False,
+    ) -> None:
+        """`sessions`, each with its home's number; `room`: sessions that other sites can take. `haste`: the
+        site is dead."""
+        self.site, self.settings, self.dwell, self.haste = site, settings, dwell, haste
+        self.until_ms = now_ms + within_ms
+        self.room = dict(room)
+        self.waiting: list[_Going] = []
+        self.going: dict[Session, _Going] = {}
+        self.moved: dict[Session, str] = {}
+        self.left: dict[Session, str] = {}
+        self._tokens, self._filled_ms = float(settings.burst), now_ms
+        for live, number in sessions:
+            why = self._why_not(live)
+            if why:
+                self.left[live.session] = why
+            else:
+                self.waiting.append(_Going(live, number, "", 0, now_ms, site))
+        self._news = [Leave(session, why) for session, why in self.left.items()]
+        # By worth for cost, so that whatever the budgets leave out is worth least; the name breaks ties.
+        self.waiting.sort(key=lambda g: (-g.live.worth / max(g.live.cost, 1e-9), g.live.session))
+
+    def _why_not(self, live: Live) -> str:
+        if live.left_ms < self.settings.least_left_ms:
+            return "it is likely to end sooner"
+        if live.cost > self.settings.dear * live.worth and not self.haste:
+            return "its move costs more than it is worth"
+        return ""
+
+    @property
+    def done(self) -> bool:
+        return not self.waiting and not self.going
+
+    def tick(self, now_ms: float) -> list[Begin | Leave]:
+        """What to begin now, under the budgets; what is left once the time is too short."""
+        found: list[Begin | Leave] = list(self._news)
+        self._news = []
+        rules = self.settings
+        passed = (now_ms - self._filled_ms) / 1000.0
+        self._tokens = min(float(rules.burst), self._tokens + rules.starts_per_s * passed)
+        self._filled_ms = now_ms
+        if now_ms + rules.cost_ms > self.until_ms and not self.haste:
+            found += [self._leave(going, "no time is left") for going in self.waiting]
+            self.waiting = []
+        while self.waiting and len(self.going) < rules.at_once and self._tokens >= 1.0:
+            going = self.waiting.pop(0)
+            whither = self._where(going)
+            if not whither:
+                found.append(self._leave(going, "no site has room"))
+                continue
+            self._tokens -= 1.0
+            self.room[whither] -= 1
+            going.whither, going.tries, going.began_ms = whither, going.tries + 1, now_ms
+            self.going[going.live.session] = going
+            left = max(0.0, min(3_600_000.0, self.until_ms - now_ms))
+            move = Move(going.live.session, going.at, whither, left, 1.0, "drain")
+            found.append(Begin(move, going.number, self.haste or going.at != self.site))
+        return found
+
+    def _where(self, going: _Going) -> str:
+        """The site with the most room, but where it is, and what it came from last if there is another."""
+        able = [site for site, room in self.room.items() if room > 0 and site not in (self.site, going.at)]
+        fresh = [site for site in able if site != going.whither] or able
+        return max(sorted(fresh), key=lambda site: self.room[site], default="")
+
+    def _leave(self, going: _Going, why: str) -> Leave:
+        self.left[going.live.session] = why
+        return Leave(going.live.session, why)
+
+    def ended(self, now_ms: float, home: Home, why: str) -> list[Leave]:
+        """A hand-over ended: the session is at home there. What is yet at the site tries again."""
+        going = self.going.pop(home.session, None)
+        if going is None:
+            return []
+        going.number, going.at = home.number, home.site or going.at
+        if going.at != going.whither and going.whither in self.room:
+            self.room[going.whither] += 1
+        if going.at != self.site:
+            if going.at in self.room:
+                self.moved[home.session] = going.at
+                self.dwell.moved(now_ms, home.session, self.site, going.at)
+                return []
+            self.waiting.insert(0, going)  # its new home is lost: onward from there
+            return []
+        if going.tries >= self.settings.tries:
+            return [self._leave(going, f"tried {going.tries} times: {why}")]
+        self.waiting.append(going)
+        return []
+
+    def lost(self, now_ms: float, site: str, stands: bool, homes: dict[Session, Home]) -> list[Begin | Leave]:
+        """A new home failed half-way: what was moved there goes on to another one, or, while the old site
+        `stands` and no other has room, back there. `homes`: the last that is known of each.
+
+        Those whose switch is not decided are at the old site still; their hand-overs end by themselves."""
+        self.room.pop(site, None)
+        found: list[Begin | Leave] = []
+        for session in [session for session, at in self.moved.items() if at == site]:
+            del self.moved[session]
+            home = homes[session]
+            live = Live(session, 1.0, 0.0, self.settings.least_left_ms)
+            going = _Going(live, home.number, site, 0, now_ms, home.site)
+            if self._where(going):
+                self.waiting.insert(0, going)
+            elif stands:
+                found.append(self._back(now_ms, going))
+            else:
+                found.append(self._leave(going, "no site has room"))
+        return found
+
+    def _back(self, now_ms: float, going: _Going) -> Begin:
+        self.left[going.live.session] = "back: its new home is lost"
+        move = Move(going.live.session, going.at, self.site, 0.0, 1.0, "back")
+        return Begin(move, going.number, True)
--- /dev/null
+++ b/fawnwharf/handover/messages.py
@@ -0,0 +1,285 @@
+"""What front ends say to each other about sessions' homes, and what follows from it. Values, checked as they
+come in; no logic.
+
+Lines are lost where a log breaks for long, come twice, and come late: nothing here rests on their order. A
+`Turn` is a ballot, a `number` a slot, in the terms of Paxos (Lamport 1998): each number is decided once, by
+turns that only rise.
+"""
+
+from enum import IntEnum
+from typing import Annotated
+
+from msgspec import Meta, Struct
+
+from fawnwharf.sites import Home, LetGo, Session, Span, Stage, Text
+
+Count = Annotated[int, Meta(ge=0, le=1 << 53)]
+Name = Annotated[str, Meta(max_length=80)]
+Site = Annotated[str, Meta(max_length=128)]
+PIECE_MOST = 500  # records
+
+
+class Step(IntEnum):
+    """How far the hand-over with a number has come, of those that are decided."""
+
+    SWITCHED = 1
+    SETTLED = 2
+    RELEASED = 3
+
+
+class Turn(Struct, frozen=True, order=True, gc=False):
+    """A mover's turn: later ones have a larger count, and no two movers share one."""
+
+    count: Count = 0
+    mover: Name = ""
+
+
+class Offer(Struct, frozen=True, order=True, gc=False):
+    """What a mover means to do with its turn, so that a stand-in can go on with it."""
+
+    number: Count
+    turn: Turn
+    whither: Text
+
+
+class Grant(Struct, frozen=True, order=True, gc=False):
+    """A keeper's word for a number: of several turns the last one counts."""
+
+    number: Annotated[int, Meta(ge=1, le=1 << 53)]
+    turn: Turn
+    site: Text
+    whence: Site
+
+
+class Record(Struct, frozen=True, gc=False):
+    """All that a keeper holds of a session. Number 0: it was never handed over, and is where it began."""
+
+    number: Count = 0
+    site: Site = ""  # its home by that number; empty where nobody said
+    whence: Site = ""
+    step: Step = Step.RELEASED
+    promised: Turn = Turn()  # nothing of an earlier turn is granted any more
+    offer: Offer | None = None
+    grant: Grant | None = None  # of the number after `number`
+
+
+class Context(Struct, frozen=True, gc=False):
+    """What makes a session's next call cheap and safe. Claims are not in it: keepers hold those, by call."""
+
+    rate: Annotated[float, Meta(ge=0.0)] = 0.0  # calls a second
+    copies: Annotated[int, Meta(ge=1, le=16)] = 1  # that serve it
+    spent: tuple[tuple[Name, Count], ...] = ()  # of the tenant's quota, by who counted: merged, not added
+
+
+# --- between a mover and keepers ------------------------------------------------------------
+
+
+class Ask(Struct, frozen=True, tag="ask"):
+    """A mover wants a turn with a session. `known` is the home it goes by, `whither` its offer; a stand-in
+    has neither."""
+
+    session: Session
+    turn: Turn
+    known: Home | None
+    whither: Site = ""
+
+
+class Switch(Struct, frozen=True, tag="switch"):
+    """By this turn the session is to be at home at `site` with the number after `before`."""
+
+    session: Session
+    turn: Turn
+    before: Home
+    site: Text
+
+
+class Word(Struct, frozen=True, tag="word"):
+    """A keeper's answer to an Ask, or to a Switch of `number`; `yes` is a promise, or a grant."""
+
+    session: Session
+    turn: Turn  # that was asked by
+    number: Count  # 0: to an Ask
+    yes: bool
+    sure: bool  # False: it may have forgotten, and neither promises nor grants
+    record: Record
+
+
+class Told(Struct, frozen=True, tag="told"):
+    """What was decided and how far that is, to keepers and front ends. Whoever goes by less goes by this."""
+
+    home: Home
+    whence: Site
+    step: Step
+
+
+class Met(Struct, frozen=True, tag="met"):
+    """A front end goes by this home for a session in use. A keeper that knows a later one tells it."""
+
+    home: Home
+
+
+class Resume(Struct, frozen=True, tag="resume"):
+    """A keeper holds a hand-over that is open, of a mover that is gone: to its stand-in."""
+
+    session: Session
+
+
+# --- between keepers ------------------------------------------------------------------------
+
+
+class Want(Struct, frozen=True, tag="want"):
+    """A keeper that has begun a new life wants all that another one holds."""
+
+    life: Count
+    number: Count
+
+
+class Held(Struct, frozen=True):
+    session: Session
+    record: Record
+
+
+class Piece(Struct, frozen=True, tag="piece"):
+    """A part of it. What another life or an earlier want asked for is no answer."""
+
+    life: Count
+    number: Count
+    part: Count
+    last: bool
+    sure: bool  # the sender knows all that it should
+    held: Annotated[tuple[Held, ...], Meta(max_length=PIECE_MOST)]
+
+
+# --- between a mover and front ends ---------------------------------------------------------
+
+
+class Give(Struct, frozen=True, tag="give"):
+    """To a front end of the old site: the context is wanted."""
+
+    session: Session
+    turn: Turn
+
+
+class Given(Struct, frozen=True, tag="given"):
+    session: Session
+    turn: Turn
+    context: Context
+
+
+class Receive(Struct, frozen=True, tag="receive"):
+    """To a front end of the new site: have so many copies stand; hold what is told of the session.
+
+    `number`: that the session will have there."""
+
+    session: Session
+    turn: Turn
+    number: Count
+    copies: Annotated[int, Meta(ge=1, le=16)]
+    until_ms: Span
+    context: Context | None = None
+
+
+class Ready(Struct, frozen=True, tag="ready"):
+    """Its answer: whether they stand, and whether it has the context."""
+
+    session: Session
+    turn: Turn
+    stands: bool
+    has: bool
+
+
+class Drop(Struct, frozen=True, tag="drop"):
+    """What was staged with this turn will not be used, and its offer is withdrawn: to both sides."""
+
+    session: Session
+    turn: Turn
+
+
+class Left(Struct, frozen=True, tag="left"):
+    """A front end goes by this number, and has so many calls under way by smaller ones.
+
+    `others`: sessions of the same function that it knows at home, or staged, at the old site."""
+
+    session: Session
+    number: Count
+    under_way: Count
+    others: Count
+    life: Count = 1  # of the front end: a later one may have met less
+
+
+class Release(Struct, frozen=True, tag="release"):
+    """To a front end of the old site: the session has settled elsewhere."""
+
+    session: Session
+    number: Count
+
+
+class MayLetGo(Struct, frozen=True, tag="may let go"):
+    """To keepers: may a session of this home have its copies at `site` let go? Not if it is offered there.
+
+    A Release or a Drop may come late: two of three keepers that know no later number, and take no offer for
+    as long as their word counts, say that it is not too late."""
+
+    home: Home
+    site: Text
+
+
+class Let(Struct, frozen=True, tag="let"):
+    session: Session
+    number: Count
+    yes: bool
+
+
+Message = (
+    Ask
+    | Switch
+    | Word
+    | Told
+    | Met
+    | Resume
+    | Want
+    | Piece
+    | Give
+    | Given
+    | Receive
+    | Ready
+    | Drop
+    | Left
+    | Release
+    | MayLetGo
+    | Let
+)
+
+# --- effects --------------------------------------------------------------------------------
+
+
+class Say(Struct, frozen=True):
+    to: tuple[str, ...]
+    message: Message
+
+
+class Moved(Struct, frozen=True):
+    """Decided: from now on whoever hears of it sends the session's new calls home."""
+
+    home: Home
+    whence: str
+    lost: tuple[str, ...] = ()  # what could not be carried over
+
+
+class Ended(Struct, frozen=True):
+    """This mover has nothing more to do with it. `home` is the last one it knows; `done`: all steps were
+    gone through."""
+
+    home: Home
+    why: str
+    done: bool = False
+
+
+class Reroute(Struct, frozen=True):
+    """A call that was not yet sent goes to another site."""
+
+    call: str
+    home: Home
+
+
+Out = Say | Stage | LetGo | Moved | Ended | Reroute
--- /dev/null
+++ b/fawnwharf/handover/planted.py
@@ -0,0 +1,55 @@
+"""Cores with a planted bug each: what the model checker and the walks have to find."""
+
+from fawnwharf.handover import messages as m
+from fawnwharf.handover.homes import Keeper
+from fawnwharf.handover.mover import Hand, Mover
+from fawnwharf.handover.router import Router
+from fawnwharf.handover.world import Kinds
+from fawnwharf.sites import Home
+
+
+class _Early(Mover):
+    """Releases before all has settled."""
+
+    def _pending(self, now_ms: float, hand: Hand) -> set[str]:
+        return set()
+
+
+class _Twice(Keeper):
+    """Grants a number to whoever asks, also by a turn that is over."""
+
+    def _may(self, mine: m.Record, switch: m.Switch, number: int) -> bool:
+        return number == mine.number + 1
+
+
+class _Forgets(Keeper):
+    """Grants at once when it has started anew."""
+
+    def sure(self, now_ms: float) -> bool:
+        return True
+
+
+class _Old(Router):
+    """Says that it goes by a larger number, and begins calls by the old one."""
+
+    def meet(self, now_ms: float, home: Home, whence: str = "") -> list[m.Out]:
+        return []
+
+    def told(self, now_ms: float, sender: str, told: m.Told) -> list[m.Out]:
+        return [m.Say((sender,), m.Left(told.home.session, told.home.number, 0, 0))]
+
+
+class _Alone(Mover):
+    """Takes one keeper's word for a decision."""
+
+    def _enough(self, keepers: tuple[str, ...]) -> int:
+        return 1
+
+
+PLANTED = {
+    "releases before settled": Kinds(mover=_Early),
+    "two numbers at once": Kinds(keeper=_Twice),
+    "grants after forgetting": Kinds(keeper=_Forgets),
+    "acts by an older number": Kinds(router=_Old),
+    "switches by one keeper": Kinds(mover=_Alone),
+}
--- /dev/null
+++ b/fawnwharf/handover/router.py
@@ -0,0 +1,306 @@
+"""A front end's view of homes: where a session's new calls go, what is under way, and what is staged here.
+
+Pure; times are milliseconds of its own clock. It goes by the largest number that it met, from whomever, and
+keeps the old site until it is told of a later one. It begins no call by a number when it has met a larger
+one: a call that was taken and not yet sent is taken again for the new home. Calls that were sent end where
+they are, or are given up when their class's time is over. That a call runs once at most does not rest on
+homes at all: its claim is kept by call, not by site (`replication.claims`), so two front ends that go by
+different numbers still need two of the same three keepers for the same call.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from fawnwharf.handover import messages as m
+from fawnwharf.handover.homes import key_of
+from fawnwharf.handover.settings import Settings
+from fawnwharf.sites import Home, LetGo, Session, Stage
+
+CALLS_MOST = 50_000
+
+
+Spent = tuple[tuple[str, int], ...]
+
+
+def spent(one: Spent, other: Spent) -> Spent:
+    """What of a quota was taken, by who counted it: the larger count of each (a grow-only counter, Shapiro
+    2011). Its sum takes each call once, however often and on whichever side it is told."""
+    counts = dict(one)
+    for name, count in other:
+        counts[name] = max(count, counts.get(name, 0))
+    return tuple(sorted(counts.items()))
+
+
+@dataclass(slots=True)
+class _Seen:
+    home: Home
+    used_ms: float
+    told_ms: float  # when keepers were last told that it is in use
+    under_way: dict[int, int] | None = None  # calls by number
+    asks: str = ""  # the mover that waits for those of smaller numbers
+    whence: str = ""
+
+
+@dataclass(slots=True)
+class _Call:
+    session: Session
+    number: int
+    until_ms: float
+    sent: bool = False
+
+
+class Router:
+    """Owns this front end's homes, calls and stages."""
+
+    def __init__(
+        self,
+        name: str,
+        site: str,
+        settings: Settings,
+        keepers_of: Callable[[str], tuple[str, ...]],
+        now_ms: float,
+        fresh: bool = False,
+        life: int = 1,
+    ) -> None:
+        """`fresh`: nothing was staged by this name before. One that may have forgotten lets nothing go until
+        what it had staged has lapsed."""
+        self.name, self.site, self.settings, self.keepers_of = name, site, settings, keepers_of
+        self.life = life
+        self.homes: dict[Session, _Seen] = {}  # the one still for longest first
+        self.calls: dict[str, _Call] = {}
+        self.staged: dict[
+            str, dict[tuple[Session, m.Turn], tuple[float, int]]
+        ] = {}  # function: until, number
+        self.contexts: dict[Session, m.Context] = {}
+        self.at_home: dict[tuple[str, str], int] = {}  # sessions by function and site
+        self.counts: dict[str, int] = {}
+        self._lets: dict[Session, tuple[float, frozenset[str]]] = {}  # asked when, and who said yes
+        self._sure_ms = now_ms if fresh else now_ms + settings.lapse_ms * settings.stretch
+
+    def _count(self, cause: str) -> None:
+        self.counts[cause] = self.counts.get(cause, 0) + 1
+
+    # --- homes ------------------------------------------------------------------------------------
+
+    def home(self, session: Session) -> Home | None:
+        """None: nobody has told; a call is served where it came, and keepers are asked."""
+        seen = self.homes.get(session)
+        return seen.home if seen else None
+
+    def _goes_by(self, now_ms: float, home: Home) -> _Seen:
+        seen = self.homes.pop(home.session, None)
+        if seen is None:
+            if len(self.homes) >= self.settings.sessions:
+                self._drop(next(iter(self.homes)))
+            seen = _Seen(home, now_ms, float("-inf"))
+            self._at(home, 1)
+        elif home.number > seen.home.number:
+            self._at(seen.home, -1)
+            self._at(home, 1)
+            seen.home = home
+        seen.used_ms = now_ms
+        self.homes[home.session] = seen
+        return seen
+
+    def _at(self, home: Home, by: int) -> None:
+        place = (home.session.row, home.site)
+        self.at_home[place] = self.at_home.get(place, 0) + by
+        if not self.at_home[place]:
+            del self.at_home[place]
+
+    def _drop(self, session: Session) -> None:
+        seen = self.homes.pop(session)
+        self._at(seen.home, -1)
+        self.contexts.pop(session, None)
+
+    def meet(self, now_ms: float, home: Home, whence: str = "") -> list[m.Out]:
+        """Somebody goes by this home: if its number is larger, so does this front end from now on."""
+        before = self.home(home.session)
+        if before is not None and home.number <= before.number:
+            return []
+        seen = self._goes_by(now_ms, home)
+        seen.whence = whence
+        claims = self.staged.get(home.session.row, {})
+        for claim in [c for c, (_, n) in claims.items() if c[0] == home.session and n <= home.number]:
+            del claims[claim]  # it is at home, or that hand-over is over
+        found: list[m.Out] = []
+        for name, call in self.calls.items():
+            if call.session == home.session and not call.sent:
+                self._move(seen, call, home.number)
+                found.append(m.Reroute(name, home))
+        return found
+
+    # --- calls ------------------------------------------------------------------------------------
+
+    def begin(self, now_ms: float, call: str, session: Session, until_ms: float) -> list[m.Out]:
+        """A call came: a Reroute says its home, and keepers hear that the session is in use.
+
+        Not sent yet: with a class that keeps calls, keepers' words come before it is."""
+        found: list[m.Out] = []
+        home = self.home(session)
+        seen = self._goes_by(now_ms, home or Home(session, self.site, 0))
+        # A quarter, so that keepers and fellows know it for as long as anybody does.
+        if now_ms - seen.told_ms >= self.settings.still_ms / 4 or home is None:
+            seen.told_ms = now_ms
+            found.append(m.Say(self.keepers_of(key_of(session)), m.Met(seen.home)))
+        if len(self.calls) < CALLS_MOST:
+            self.calls[call] = _Call(session, seen.home.number, until_ms)
+            self._under(seen, seen.home.number, 1)
+        else:
+            self._count("too many calls")
+        return [m.Reroute(call, seen.home), *found]
+
+    def sent(self, call: str) -> None:
+        if call in self.calls:
+            self.calls[call].sent = True
+
+    def _under(self, seen: _Seen, number: int, by: int) -> None:
+        counts = seen.under_way = seen.under_way or {}
+        counts[number] = counts.get(number, 0) + by
+        if counts[number] <= 0:
+            del counts[number]
+        if not counts:
+            seen.under_way = None
+
+    def _move(self, seen: _Seen, call: _Call, number: int) -> None:
+        self._under(seen, call.number, -1)
+        call.number = number
+        self._under(seen, number, 1)
+
+    def ended(self, now_ms: float, call: str) -> list[m.Out]:
+        """It was answered, failed, or given up."""
+        gone = self.calls.pop(call, None)
+        seen = self.homes.get(gone.session) if gone else None
+        if gone is None or seen is None:
+            return []
+        self._under(seen, gone.number, -1)
+        if gone.number < seen.home.number and seen.asks and not self._older(seen):
+            return self._left(gone.session, seen)
+        return []
+
+    def _older(self, seen: _Seen) -> int:
+        return sum(n for number, n in (seen.under_way or {}).items() if number < seen.home.number)
+
+    # --- a mover's messages -----------------------------------------------------------------------
+
+    def told(self, now_ms: float, sender: str, told: m.Told) -> list[m.Out]:
+        """A decided home. A mover that settles it hears what is under way by smaller numbers."""
+        found = self.meet(now_ms, told.home, told.whence)
+        seen = self.homes.get(told.home.session)
+        if seen is None or told.step is not m.Step.SWITCHED:
+            return found
+        seen.asks, seen.whence = sender, told.whence
+        return [*found, *self._left(told.home.session, seen)]
+
+    def _left(self, session: Session, seen: _Seen) -> list[m.Out]:
+        others = self._others(session, seen.whence)
+        left = m.Left(session, seen.home.number, self._older(seen), others, self.life)
+        return [m.Say((seen.asks,), left)]
+
+    def _others(self, session: Session, site: str) -> int:
+        """Who uses what stands at a site of this session's function, but the session itself."""
+        count = self.at_home.get((session.row, site), 0)
+        mine = self.homes.get(session)
+        count -= bool(mine and mine.home.site == site)
+        return count + (len(self.staged.get(session.row, ())) if site == self.site else 0)
+
+    def give(self, now_ms: float, sender: str, give: m.Give) -> list[m.Out]:
+        """The context of a session, for its new site."""
+        context = self.contexts.get(give.session, m.Context())
+        return [m.Say((sender,), m.Given(give.session, give.turn, context))]
+
+    def take(self, now_ms: float, sender: str, receive: m.Receive) -> list[m.Out]:
+        """Stage it, and hold its context; `stood` is called when the copies stand."""
+        claims = self.staged.setdefault(receive.session.row, {})
+        claims[receive.session, receive.turn] = (now_ms + receive.until_ms, receive.number)
+        if receive.context is not None:
+            mine = self.contexts.get(receive.session, m.Context())
+            both = spent(mine.spent, receive.context.spent)
+            context = m.Context(receive.context.rate, receive.context.copies, both)
+            self.contexts[receive.session] = context
+        row, why = receive.session.row, f"hand-over by {sender}"
+        return [Stage(row, self.site, receive.copies, receive.until_ms, why)]
+
+    def stood(self, now_ms: float, to: str, receive: m.Receive, stands: bool) -> list[m.Out]:
+        """The copies that `receive` asked for stand, by their scorers' own answers, or can't."""
+        has = receive.context is not None
+        return [m.Say((to,), m.Ready(receive.session, receive.turn, stands, has))]
+
+    def drop(self, now_ms: float, sender: str, drop: m.Drop) -> list[m.Out]:
+        """A stage that will not be used; others' stand, and so do what keepers know to be used."""
+        claims = self.staged.get(drop.session.row, {})
+        if claims.pop((drop.session, drop.turn), None) is None:
+            return []
+        home = self.home(drop.session)
+        if claims or home is None or home.site == self.site:
+            return []  # others use it, or it lapses
+        return self._ask_keepers(now_ms, home)
+
+    def release(self, now_ms: float, sender: str, release: m.Release) -> list[m.Out]:
+        """The old copies may go, if by all that is known here and at two keepers they are the old ones."""
+        home = self.home(release.session)
+        if home is None or home.number != release.number or home.site == self.site:
+            return []
+        return self._ask_keepers(now_ms, home)
+
+    def _ask_keepers(self, now_ms: float, home: Home) -> list[m.Out]:
+        """Another front end of this site may have been told more, or have staged it for another mover."""
+        self._lets[home.session] = (now_ms, frozenset())
+        return [m.Say(self.keepers_of(key_of(home.session)), m.MayLetGo(home, self.site))]
+
+    def let(self, now_ms: float, sender: str, let: m.Let) -> list[m.Out]:
+        """A keeper's word on that; it counts no longer than keepers hold turns back."""
+        asked_ms, names = self._lets.get(let.session, (float("-inf"), frozenset()))
+        home, keepers = self.home(let.session), self.keepers_of(key_of(let.session))
+        if now_ms - asked_ms > self.settings.wait_ms or home is None or home.number != let.number:
+            self._lets.pop(let.session, None)
+            return []
+        names |= {sender} if let.yes and sender in keepers else set()
+        self._lets[let.session] = (asked_ms, names)
+        if len(names) < len(keepers) // 2 + 1:
+            return []
+        del self._lets[let.session]
+        self.contexts.pop(let.session, None)
+        return self._let_go(now_ms, let.session)
+
+    def _let_go(self, now_ms: float, session: Session) -> list[m.Out]:
+        used = self.at_home.get((session.row, self.site), 0) or self.staged.get(session.row)
+        if used or now_ms < self._sure_ms:
+            self._count("kept: others use it, or may")
+            return []
+        return [LetGo(session.row, self.site)]
+
+    # --- time -------------------------------------------------------------------------------------
+
+    def tick(self, now_ms: float) -> list[m.Out]:
+        """Calls past their time are given up, stages past theirs lapse, still sessions are forgotten."""
+        found: list[m.Out] = []
+        for name in [name for name, call in self.calls.items() if now_ms >= call.until_ms]:
+            self._count("given up")
+            found += self.ended(now_ms, name)
+        for row, claims in list(self.staged.items()):
+            for claim in [claim for claim, (until, _) in claims.items() if now_ms >= until]:
+                del claims[claim]
+            if not claims:
+                del self.staged[row]
+        for session in [s for s, (at, _) in self._lets.items() if now_ms - at > self.settings.wait_ms]:
+            del self._lets[session]
+        while self.homes:
+            session, seen = next(iter(self.homes.items()))
+            if now_ms - seen.used_ms < self.settings.still_ms or seen.under_way:
+                break
+            self._drop(session)
+        return found
+
+    def receive(self, now_ms: float, sender: str, message: m.Message) -> list[m.Out]:
+        """Any message; those that are not for a router are dropped. After a Stage that comes back from
+        a Receive, its copies' state goes to `stood`."""
+        takes: Callable | None = {
+            m.Told: self.told,
+            m.Give: self.give,
+            m.Receive: self.take,
+            m.Drop: self.drop,
+            m.Release: self.release,
+            m.Let: self.let,
+        }.get(type(message))
+        return takes(now_ms, sender, message) if takes else []
