--- a/fawnwharf/__main__.py
+++ b/fawnwharf/__main__.py
@@ -13,7 +13,7 @@
     rest = list(words[1:])
     while rest:
         word = rest.pop(0)
-        if word in ("--zones", "--state") and rest and not rest[0].startswith("-"):
+        if word in ("--zones", "--state", "--policy", "--sessions") and rest and not rest[0].startswith("-"):
             found[word[2:]] = rest.pop(0)
         elif word == "--fresh":
             found["fresh"] = True
--- a/fawnwharf/cli.py
+++ b/fawnwharf/cli.py
@@ -22,15 +22,28 @@
 
 
 State = Annotated[str | None, typer.Option("--state", help="Settings of replicated state; off without.")]
+Policy = Annotated[
+    str | None, typer.Option("--policy", help="Settings of changes of policy; off without, needs --zones.")
+]
+Sessions = Annotated[
+    str | None, typer.Option("--sessions", help="Settings of sessions that move; off without, needs --state.")
+]
 Fresh = Annotated[
     bool, typer.Option("--fresh", help="The whole fleet begins: no front end has promised anything before.")
 ]
 
 
 @app.command()
-def serve(path: File = None, zones: Zones = None, state: State = None, fresh: Fresh = False) -> None:
+def serve(
+    path: File = None,
+    zones: Zones = None,
+    state: State = None,
+    policy: Policy = None,
+    sessions: Sessions = None,
+    fresh: Fresh = False,
+) -> None:
     """Serve until SIGTERM, then finish what was taken."""
-    raise typer.Exit(serving.serve(path, zones, state, fresh))
+    raise typer.Exit(serving.serve(path, zones, state, policy, sessions, fresh))
 
 
 @app.command("check-config")
--- a/fawnwharf/interface.py
+++ b/fawnwharf/interface.py
@@ -129,6 +129,7 @@
     memory_mb: float | None = None
     load_ms: float | None = None
     hint_ms: float | None = None
+    site: str = ""  # the zone where its session is at home; empty: this front end's own
 
 
 @dataclass(slots=True)
@@ -176,7 +177,50 @@
     tenant: str = ALL
 
 
-Event = RosterChanged | RequestArrived | ClientLeft | AttemptEnded | OrderAnswered | TimerDue | LimitsChanged
+@dataclass(slots=True)
+class ClassChanged:
+    """Calls of this class that arrive from now on are judged by this; those that are here stay as they
+    are."""
+
+    spec: ClassSpec
+
+
+@dataclass(slots=True)
+class Elsewhere:
+    """What other front ends told of one worker. It takes the place of what was told of it before, and
+    fades."""
+
+    worker: int
+    sent: int | None = None  # calls that all others sent there within the last `fall_ms`; None: not known
+    copies: dict[str, int] = field(default_factory=dict)  # that answers proved to others, by function
+    loading: tuple[str, ...] = ()  # functions of which others have an order to load there under way
+    age_ms: float = 0.0  # of the oldest word that it rests on
+
+
+@dataclass(slots=True)
+class CopiesWanted:
+    """Copies are wanted at a worker before calls come: ordered within the ration, or not at all."""
+
+    worker: int
+    function: str
+    class_name: str
+    copies: int = 1
+    lanes: int = 1
+    load_ms: float | None = None
+
+
+Event = (
+    RosterChanged
+    | RequestArrived
+    | ClientLeft
+    | AttemptEnded
+    | OrderAnswered
+    | TimerDue
+    | LimitsChanged
+    | ClassChanged
+    | Elsewhere
+    | CopiesWanted
+)
 
 
 # --- actions --------------------------------------------------------------------------------
--- a/fawnwharf/replication/core.py
+++ b/fawnwharf/replication/core.py
@@ -53,6 +53,7 @@
         self.uses = Uses()
         self.sightings = Sightings()
         self.hints: list[m.Hints] = []  # that came; whoever goes by them clears them
+        self.rides: list[tuple[str, int, m.Ride]] = []  # the same: by whom, and of which life
         self._named = False  # bad scorers were told last time
         self.shares: Shares | None = None  # where quotas are kept by the fleet
         self._tick_due_ms = now_ms
@@ -100,6 +101,9 @@
             if sender in self.placement.keepers:
                 self.hints.append(line.say)
             return []
+        if isinstance(line.say, m.Ride) and not line.to:
+            self.rides.append((sender, line.life, line.say))
+            return []
         if self.name not in line.to:
             return []
         return self._inward(now_ms, self._take(now_ms, sender, line.life, line.say))
@@ -110,6 +114,9 @@
         if isinstance(say, m.Hello):
             self.hellos.append((sender, say.asked))
             return []
+        if isinstance(say, m.Ride):
+            self.rides.append((sender, life, say))
+            return []
         keeper = self.keeper
         if keeper is None:
             self._count("no keeper here")
@@ -176,6 +183,10 @@
     def wrapped(self, say: m.Say) -> m.Line:
         return m.Line(self.members.fleet, self.name, self.life, say.to, say.message)
 
+    def ride(self, ride: m.Ride, to: tuple[str, ...]) -> list[Out]:
+        """To these members, this one among them where it is named; to whoever follows where none is."""
+        return self._inward(0.0, [m.Say(to, ride)]) if to else [m.Say((), ride)]
+
     # --- use ------------------------------------------------------------------------------------
 
     def tell_use(self, now_ms: float) -> list[Out]:
--- a/fawnwharf/replication/messages.py
+++ b/fawnwharf/replication/messages.py
@@ -152,7 +152,14 @@
     slots: Annotated[dict[Owner, Slots], Meta(max_length=4_000)] = {}  # of all that is kept
 
 
-Message = Status | Hello | Use | Sums | Named | Hints | Ask | Tell | Word | Want | Piece | Digests
+class Ride(Struct, frozen=True, tag="ride"):
+    """A word of another subsystem that goes by these logs: its own messages check what it says."""
+
+    rider: Name
+    word: Any
+
+
+Message = Status | Hello | Use | Sums | Named | Hints | Ask | Tell | Word | Want | Piece | Digests | Ride
 
 
 class Say(Struct, frozen=True):
--- a/fawnwharf/replication/service.py
+++ b/fawnwharf/replication/service.py
@@ -12,6 +12,7 @@
 from fawnwharf.config import ConfigError, Deployment, Fleet, address_from
 from fawnwharf.net.front_end import FrontEnd
 from fawnwharf.net.wheel import Timer, monotonic_ms
+from fawnwharf.replication import messages as m
 from fawnwharf.replication.claimant import Out
 from fawnwharf.replication.core import Core, LineFault
 from fawnwharf.replication.gate import Gate
@@ -31,6 +32,7 @@
 LINE_S = 1.0  # one note a second of each kind
 
 Write = Callable[[str, dict[str, Any]], None]
+Ridden = Callable[[float, str, int, Any], None]  # now, sender, its life, the word
 
 
 class State:
@@ -76,6 +78,7 @@
         self.gate: Gate | None = None
         self.server: DirectedServer | None = None
         self._feeds: dict[str, DirectedLog] = {}
+        self.riders: dict[str, Ridden] = {}  # other subsystems whose words go by these logs
         self._timer: Timer | None = None
         self._timer_ms = 0.0
         self._noted: dict[str, float] = {}
@@ -146,8 +149,19 @@
             self._idle_ms = monotonic_ms()
         return monotonic_ms() - self._idle_ms < UNWRITTEN_MS and self.server.unwritten()
 
+    def ride(self, rider: str, to: tuple[str, ...], word: Any) -> None:
+        """Say a word of a rider to these members, to all that follow this one's log where none is named.
+        Only keepers are followed by all, and only keepers follow all."""
+        self._carry_out(self.core.ride(m.Ride(rider, word), to))
+
     # --- what the core says ---------------------------------------------------------------------
 
+    def _ridden(self) -> None:
+        rides, self.core.rides = self.core.rides, []
+        for sender, life, ride in rides:
+            if taker := self.riders.get(ride.rider):
+                taker(monotonic_ms(), sender, life, ride.word)
+
     def _carry_out(self, effects: list[Out]) -> None:
         if self.disk is not None:
             effects = self.disk.written(effects)
@@ -157,6 +171,7 @@
             else:
                 self.gate.told(effect)
         self._set_timer()
+        self._ridden()
 
     def _tick(self) -> None:
         if self._stopped:
--- a/fawnwharf/serving.py
+++ b/fawnwharf/serving.py
@@ -11,19 +11,29 @@
 from fawnwharf.net.front_end import FrontEnd
 
 LAID = "zones", "state"  # what subsystems lay over the roster, which begins anew with them
+NEEDS = {"policy": "zones", "sessions": "state"}  # what goes by whose logs
+Made = dict[str, Any]  # subsystems by the names of their options
+Maker = Callable[[bool, Made], Any]
 
 
 def serve(
-    path: str | None = None, zones: str | None = None, state: str | None = None, fresh: bool = False
+    path: str | None = None,
+    zones: str | None = None,
+    state: str | None = None,
+    policy: str | None = None,
+    sessions: str | None = None,
+    fresh: bool = False,
 ) -> int:
     """Serve until SIGTERM; 0 when all that was taken is answered, 2 with the key's name on a bad start.
 
-    `zones` names the settings of failover between zones, `state` those of replicated state; without them
-    they are off, and not even imported. `fresh`: the fleet begins, and nobody has promised anything."""
+    `zones` names the settings of failover between zones, `state` those of replicated state, `policy` those
+    of changes of policy, `sessions` those of sessions that move between sites; without them they are off, and
+    not even imported. `fresh`: the fleet begins, and nobody has promised anything."""
     signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})  # until the loop has its handlers
     try:
         deployment = config.load(path)
-        front = _bound(deployment, path, zones, state, fresh)
+        asked = {"zones": zones, "state": state, "policy": policy, "sessions": sessions}
+        front = _bound(deployment, path, {name: file for name, file in asked.items() if file}, fresh)
     except config.ConfigError as error:
         print(f"fawnwharf: {error}", file=sys.stderr)
         return 2
@@ -32,20 +42,40 @@
     return 0
 
 
-def _bound(
-    deployment: config.Deployment, path: str | None, zones: str | None, state: str | None, fresh: bool
-) -> FrontEnd:
-    makers: list[Callable[[bool], Any]] = []
-    if zones:
+def _makers(deployment: config.Deployment, files: dict[str, str], fresh: bool) -> dict[str, Maker]:
+    """By the options' names, in the order in which they are made; each is imported only where it is asked
+    for."""
+    for name, needed in NEEDS.items():
+        if name in files and needed not in files:
+            raise config.ConfigError(f"--{name}: goes by the logs of --{needed}, which is not given")
+    makers: dict[str, Maker] = {}
+    if files:
         from fawnwharf.zones.log import writer
+
+        write = writer(deployment.name)
+    if place := files.get("zones"):
         from fawnwharf.zones.service import Zones
 
-        makers.append(lambda first: Zones(deployment, zones, writer(deployment.name)))
-    if state:
+        makers["zones"] = lambda first, made, place=place: Zones(deployment, place, write)
+    if place := files.get("state"):
         from fawnwharf.replication.service import State
-        from fawnwharf.zones.log import writer
 
-        makers.append(lambda first: State(deployment, state, writer(deployment.name), fresh and first))
+        makers["state"] = lambda first, made, place=place: State(deployment, place, write, fresh and first)
+    if place := files.get("policy"):
+        from fawnwharf.epochs.service import Policies
+
+        makers["policy"] = lambda first, made, place=place: Policies(deployment, place, write, made)
+    if place := files.get("sessions"):
+        from fawnwharf.sessions.service import Sessions
+
+        makers["sessions"] = lambda first, made, place=place: Sessions(
+            deployment, place, write, made, fresh and first
+        )
+    return makers
+
+
+def _bound(deployment: config.Deployment, path: str | None, files: dict[str, str], fresh: bool) -> FrontEnd:
+    makers = _makers(deployment, files, fresh)
     inherited = None
     if deployment.control:
         from fawnwharf.operators.replacement import inherit
@@ -69,22 +99,23 @@
 class Seams:
     """The subsystems at the one seam, in their order: all of them, or none while another process has them."""
 
-    def __init__(self, makers: list[Callable[[bool], Any]], first: bool) -> None:
-        """Each maker reads and checks what its subsystem needs, and raises ConfigError. `first`: no process
-        before this one may have promised anything in the member's name that a fresh fleet need not know."""
+    def __init__(self, makers: dict[str, Maker], first: bool) -> None:
+        """Each maker reads and checks what its subsystem needs, of which those before it are made already,
+        and raises ConfigError. `first`: no process before this one may have promised anything in the
+        member's name that a fresh fleet need not know."""
         self._makers = makers
         self._parts = self._made(first)
 
     def _made(self, first: bool) -> list[Any]:
-        parts: list[Any] = []
+        made: Made = {}
         try:
-            for make in self._makers:
-                parts.append(make(first))
+            for name, make in self._makers.items():
+                made[name] = make(first, made)
         except config.ConfigError:
-            for part in parts:
+            for part in made.values():
                 part.close()
             raise
-        return parts
+        return list(made.values())
 
     def attach(self, front: FrontEnd) -> None:
         for part in self._parts:
