--- a/fawnwharf/accord/disk.py
+++ b/fawnwharf/accord/disk.py
@@ -1,16 +1,13 @@
 """What a voter has to find again, on disk: one file of whole records, appended and synced.
 
-A record is a length, a CRC-32 of what follows, a number that counts records, and JSON. The first names the
-fleet, the member and the disk; each later one holds all that is to be kept, so that the last whole one says
-everything. A record that is cut short at the end was never answered for and is cut off; damage before a
-whole record is no such thing, and the file is refused. The file is written anew, beside and then over the
-old one, once it has grown.
+The first record (`accord/records.py`) names the fleet, the member and the disk; each later one holds all that
+is to be kept, so that the last whole one says everything. A record that is cut short at the end was never
+answered for and is cut off; damage before a whole record is no such thing, and the file is refused. The file
+is written anew, beside and then over the old one, once it has grown.
 """
 
 import fcntl
 import os
-import struct
-import zlib
 from collections.abc import Callable
 from pathlib import Path
 from typing import Annotated
@@ -19,14 +16,11 @@
 from msgspec import Meta, Struct
 
 from fawnwharf.accord.messages import Saved
+from fawnwharf.accord.records import encode, records
 
 VERSION = 1
-MAGIC = b"fwv1"
-RECORD_MOST = 32 * 1024 * 1024
 REWRITE_BYTES = 1024 * 1024
 
-_HEAD = struct.Struct(">4sIIQ")  # magic, length of the JSON, CRC-32 of number and JSON, number
-
 
 class DiskError(Exception):
     """The folder can't be used; the text names the path and why."""
@@ -45,41 +39,6 @@
         return f"{self.name}#{self.mark}"
 
 
-def encode(number: int, value: Struct) -> bytes:
-    data = msgspec.json.encode(value)
-    check = zlib.crc32(data, zlib.crc32(number.to_bytes(8, "big")))
-    return _HEAD.pack(MAGIC, len(data), check, number) + data
-
-
-def _record_at(data: bytes, at: int) -> tuple[int, bytes, int] | None:
-    """Number, JSON and end of the whole record at a place; None where there is none."""
-    if len(data) - at < _HEAD.size:
-        return None
-    magic, length, check, number = _HEAD.unpack_from(data, at)
-    end = at + _HEAD.size + length
-    if magic != MAGIC or length > RECORD_MOST or end > len(data):
-        return None
-    content = data[at + _HEAD.size : end]
-    if zlib.crc32(content, zlib.crc32(number.to_bytes(8, "big"))) != check:
-        return None
-    return number, content, end
-
-
-def records(data: bytes) -> tuple[list[tuple[int, bytes]], int, bool]:
-    """The whole records from the start, where they end, and whether a later whole one shows damage
-    before it."""
-    found: list[tuple[int, bytes]] = []
-    at = 0
-    while (record := _record_at(data, at)) is not None:
-        number, content, at = record
-        found.append((number, content))
-    place, damaged = data.find(MAGIC, at + 1), False
-    while place >= 0 and not damaged:
-        damaged = _record_at(data, place) is not None
-        place = data.find(MAGIC, place + 1)
-    return found, at, damaged
-
-
 class Disk:
     """Owns a member's folder while it lives; `saved` is what was last kept."""
 
--- /dev/null
+++ b/fawnwharf/durable/ops.py
@@ -0,0 +1,96 @@
+"""What is asked of a disk: jobs of few operations, and the small file system that carries them out.
+
+Names are of files within one folder. A job is carried out in its order, up to the first operation that fails.
+"""
+
+from typing import Protocol
+
+from msgspec import Struct
+
+
+class Begin(Struct, frozen=True, tag=True):
+    """A new, empty file of this name; one that was there is emptied."""
+
+    name: str
+
+
+class Append(Struct, frozen=True, tag=True):
+    name: str
+    data: bytes
+
+
+class Sync(Struct, frozen=True, tag=True):
+    """What was appended to it is on disk; whether the folder has its name is another matter."""
+
+    name: str
+
+
+class Rename(Struct, frozen=True, tag=True):
+    old: str
+    new: str
+
+
+class SyncFolder(Struct, frozen=True, tag=True):
+    """Names and removals are on disk."""
+
+
+class Remove(Struct, frozen=True, tag=True):
+    """Nothing is asked of a file that is not there."""
+
+    name: str
+
+
+Op = Begin | Append | Sync | Rename | SyncFolder | Remove
+
+
+class Job(Struct, frozen=True):
+    ops: tuple[Op, ...]
+
+
+class Outcome(Struct, frozen=True):
+    """`failed` names what went wrong, empty: nothing. `inode` of the file that was begun last, or 0."""
+
+    failed: str = ""
+    inode: int = 0
+
+
+class Files(Protocol):
+    """One folder. Every method may raise OSError."""
+
+    def begin(self, name: str) -> int:
+        """The inode of the new file."""
+
+    def append(self, name: str, data: bytes) -> None: ...
+    def sync(self, name: str) -> None: ...
+    def rename(self, old: str, new: str) -> None: ...
+    def sync_folder(self) -> None: ...
+    def remove(self, name: str) -> None: ...
+
+    def names(self) -> dict[str, int]:
+        """Of all files in the folder, with their sizes in bytes."""
+
+    def read(self, name: str) -> tuple[bytes, int]:
+        """All of a file, and its inode."""
+
+
+def carry_out(files: Files, job: Job) -> Outcome:
+    inode = 0
+    for op in job.ops:
+        try:
+            match op:
+                case Begin(name):
+                    inode = files.begin(name)
+                case Append(name, data):
+                    files.append(name, data)
+                case Sync(name):
+                    files.sync(name)
+                case Rename(old, new):
+                    files.rename(old, new)
+                case SyncFolder():
+                    files.sync_folder()
+                case Remove(name):
+                    files.remove(name)
+        except OSError as error:
+            which = getattr(op, "name", "") or getattr(op, "new", "") or "folder"
+            return Outcome(f"{which}: {error.strerror or error}")
+    return Outcome("", inode)
--- /dev/null
+++ b/fawnwharf/durable/planted.py
@@ -0,0 +1,97 @@
+"""Stores with a planted bug each: what the crash tests have to find."""
+
+import contextlib
+from collections.abc import Callable, Iterator
+from unittest import mock
+
+from fawnwharf.accord import records
+from fawnwharf.durable.core import Core
+from fawnwharf.durable.ops import Job, Rename, Sync, SyncFolder
+
+Bend = Callable[[Job], Job]
+
+
+def straight(job: Job) -> Job:
+    return job
+
+
+def _no_folder(job: Job) -> Job:
+    return Job(tuple(op for op in job.ops if not isinstance(op, SyncFolder)))
+
+
+def _early_rename(job: Job) -> Job:
+    """The name comes first, and a sync of what it names after it."""
+    names = {op.old: op.new for op in job.ops if isinstance(op, Rename)}
+    ops = [op for op in job.ops if not (isinstance(op, Sync) and op.name in names)]
+    return Job((*ops, *(Sync(new) for new in names.values())))
+
+
+def _early_word(job: Job) -> Job:
+    """Groups are told of once they are written."""
+    if any(isinstance(op, Rename) for op in job.ops):
+        return job
+    return Job(tuple(op for op in job.ops if not isinstance(op, Sync)))
+
+
+class EarlyRemoval(Core):
+    """Throws older files away before what takes their place is there."""
+
+    def _anew(self):
+        yield from self._remove_older(self._seq + 1)
+        yield from super()._anew()
+
+
+class SyncsAgain(Core):
+    """Takes a failed sync for one that can be done again."""
+
+    def done(self, now_ms, outcome):
+        if outcome.failed and self._step is not None and self._segment and not self._script:
+            self._again, self._step = self._step, None
+            return []
+        return super().done(now_ms, outcome)
+
+    def take(self, now_ms):
+        again, self._again = getattr(self, "_again", None), None
+        if again is None:
+            return super().take(now_ms)
+        self._step, self._step_ms = again, now_ms
+        return Job(tuple(op for op in again.job.ops if isinstance(op, Sync)))
+
+
+class NoLooks(Core):
+    """Tells of no earlier sync, so that damage reads as a torn tail."""
+
+    def _group(self, final=False):
+        said, self.synced = self.synced, 0
+        try:
+            return super()._group(final)
+        finally:
+            self.synced = said
+
+
+@contextlib.contextmanager
+def _number_alone() -> Iterator[None]:
+    """The checksum is taken over the record's number, and not over what it holds."""
+    with mock.patch.object(records, "checksum", lambda number, data: number * 2_654_435_761 % 2**32):
+        yield
+
+
+class Bug:
+    """One planted bug: a way to bend jobs, another core, or a patch that holds during a run."""
+
+    def __init__(
+        self, bend: Bend = straight, core: type[Core] = Core, patch: Callable = contextlib.nullcontext
+    ) -> None:
+        self.bend, self.core, self.patch = bend, core, patch
+
+
+NONE = Bug()
+PLANTED = {
+    "no sync of the folder": Bug(bend=_no_folder),
+    "rename before sync": Bug(bend=_early_rename),
+    "told before sync": Bug(bend=_early_word),
+    "checksum over the number alone": Bug(patch=_number_alone),
+    "older files removed first": Bug(core=EarlyRemoval),
+    "a failed sync done again": Bug(core=SyncsAgain),
+    "damage read as a torn tail": Bug(core=NoLooks),
+}
--- /dev/null
+++ b/fawnwharf/durable/writer.py
@@ -0,0 +1,175 @@
+"""The process that waits for the disk in the front end's place, and the front end's end of it.
+
+It reads jobs from its input, one at a time, carries each out, and writes its outcome. It holds the folder's
+lock as long as it lives, so that no other process comes in between a front end's kill and the end of the job
+that was out, and it ends with its input.
+"""
+
+import contextlib
+import os
+import signal
+import struct
+import subprocess
+import sys
+from pathlib import Path
+from typing import BinaryIO, Protocol
+
+import msgspec
+
+from fawnwharf.durable.folder import Folder
+from fawnwharf.durable.ops import Files, Job, Outcome, carry_out
+
+_LENGTH = struct.Struct(">I")
+READ_MOST = 64 * 1024
+
+
+class Runner(Protocol):
+    """Carries out one job at a time."""
+
+    def start(self, job: Job) -> None: ...
+
+    def poll(self) -> Outcome | None:
+        """The outcome of the job that is out, once; None while there is none. Never blocks."""
+
+    def close(self) -> None: ...
+
+
+class Inline:
+    """Carries jobs out in the caller's own time: for a file system in memory, and for commands."""
+
+    def __init__(self, files: Files) -> None:
+        self.files, self._outcome = files, None
+
+    def start(self, job: Job) -> None:
+        self._outcome = carry_out(self.files, job)
+
+    def poll(self) -> Outcome | None:
+        found, self._outcome = self._outcome, None
+        return found
+
+    def close(self) -> None:
+        pass
+
+
+class Writer:
+    """A process that carries out jobs; begun when there is one, and again after it has ended."""
+
+    def __init__(self, path: Path, lock: int) -> None:
+        """`lock`: the descriptor of the folder's lock."""
+        self.path, self._lock = path, lock
+        self.process: subprocess.Popen | None = None
+        self._out, self._in, self._failed = bytearray(), bytearray(), ""
+
+    @property
+    def incoming(self) -> BinaryIO | None:
+        """What is readable once an outcome is there; another one after the process ended."""
+        return self.process.stdout if self.process else None
+
+    def start(self, job: Job) -> None:
+        data = msgspec.msgpack.encode(job)
+        self._out = bytearray(_LENGTH.pack(len(data)) + data)
+        self._in.clear()
+        try:
+            if self.process is None:
+                self._begin()
+        except OSError as error:
+            self._failed = f"no writer: {error.strerror}"
+            return
+        self._push()
+
+    def _begin(self) -> None:
+        command = [sys.executable, "-m", "fawnwharf.durable.writer", str(self.path), str(self._lock)]
+        root = str(Path(__file__).parent.parent.parent)
+        env = {**os.environ, "PYTHONPATH": os.pathsep.join([root, os.environ.get("PYTHONPATH", "")])}
+        self.process = subprocess.Popen(
+            command, stdin=subprocess.PIPE, stdout=subprocess.PIPE, bufsize=0, pass_fds=[self._lock],
+            env=env, start_new_session=True,
+        )  # fmt: skip
+        for end in (self.process.stdin, self.process.stdout):
+            os.set_blocking(end.fileno(), False)
+
+    def _push(self) -> None:
+        """As much of the job as the pipe takes now."""
+        try:
+            while self._out:
+                del self._out[: os.write(self.process.stdin.fileno(), self._out[: 1024 * 1024])]
+        except BlockingIOError:
+            pass
+        except OSError as error:
+            self._gone(f"the writer ended: {error.strerror}")
+
+    def poll(self) -> Outcome | None:
+        if self._failed:
+            failed, self._failed = self._failed, ""
+            return Outcome(failed)
+        if self.process is None:
+            return None
+        if self._out:
+            self._push()
+        try:
+            data = os.read(self.process.stdout.fileno(), READ_MOST)
+        except BlockingIOError:
+            return None
+        except OSError as error:
+            data, self._failed = b"", f"the writer ended: {error.strerror}"
+        if not data:
+            self._gone(self._failed or "the writer ended")
+            return self.poll()
+        self._in += data
+        if len(self._in) < _LENGTH.size or len(self._in) < _LENGTH.size + _LENGTH.unpack_from(self._in)[0]:
+            return None
+        found = msgspec.msgpack.decode(bytes(self._in[_LENGTH.size :]), type=Outcome)
+        self._in.clear()
+        return found
+
+    @property
+    def unsent(self) -> bool:
+        """The pipe was full: `poll` is to be called again soon."""
+        return bool(self._out)
+
+    def _gone(self, why: str) -> None:
+        process, self.process, self._failed = self.process, None, why
+        self._out.clear()
+        for end in (process.stdin, process.stdout):
+            with contextlib.suppress(OSError):
+                end.close()
+        process.kill()  # one that only closed its output would hold the lock
+        with contextlib.suppress(subprocess.TimeoutExpired):
+            process.wait(0.0)
+
+    def close(self, wait_s: float = 1.0) -> None:
+        """Its input ends, and so does it, once the job that is out is done; it is waited for so long."""
+        if self.process is not None:
+            process, self.process = self.process, None
+            process.stdin.close()
+            with contextlib.suppress(subprocess.TimeoutExpired):
+                process.wait(wait_s)
+            process.stdout.close()
+
+
+def _whole(data: BinaryIO, size: int) -> bytes:
+    found = bytearray()
+    while len(found) < size and (piece := data.read(size - len(found))):
+        found += piece
+    return bytes(found) if len(found) == size else b""
+
+
+def main(path: str) -> None:
+    """Serves jobs until its input ends."""
+    for number in (signal.SIGINT, signal.SIGTERM):  # its front end says when it ends
+        signal.signal(number, signal.SIG_IGN)
+    files, jobs = Folder(path), sys.stdin.buffer
+    while head := _whole(jobs, _LENGTH.size):
+        data = _whole(jobs, _LENGTH.unpack(head)[0])
+        if not data:
+            return
+        answer = msgspec.msgpack.encode(carry_out(files, msgspec.msgpack.decode(data, type=Job)))
+        try:
+            sys.stdout.buffer.write(_LENGTH.pack(len(answer)) + answer)
+            sys.stdout.buffer.flush()
+        except OSError:
+            return
+
+
+if __name__ == "__main__":
+    main(sys.argv[1])
