--- a/fawnwharf/durable/crash.py
+++ b/fawnwharf/durable/crash.py
@@ -17,8 +17,6 @@
 from dataclasses import dataclass, field
 from random import Random
 
-import msgspec
-
 from fawnwharf.accord.records import later
 from fawnwharf.durable import form as f
 from fawnwharf.durable.ops import Job, Outcome, carry_out
@@ -69,6 +67,7 @@
     bug: Bug = NONE
     disk: MemoryDisk = field(default_factory=MemoryDisk)
     views: dict[int, f.Entries] = field(default_factory=lambda: {0: {}})  # by number, as given to the disk
+    told_by: dict[int, int] = field(default_factory=dict)  # what `floor` was as each was given
     floor: int = 0  # the last of them that anybody was told of
     heard: Sign = Sign("", 0, 0)  # the most that others were told
     now_ms: float = 0.0
@@ -90,6 +89,7 @@
     def _given(self) -> None:
         core = self.store.core
         self.views.setdefault(core.number, dict(core.entries))
+        self.told_by.setdefault(core.number, self.floor)
 
     def check(self, found: Found) -> None:
         """What is found after a cut or a kill; it is gone on from there."""
@@ -103,6 +103,7 @@
         if found.sign.mark and (why := older(found, [self.heard])):
             raise Broken(f"a cut is taken for an older copy: {why}")
         self.views = {at: view for at, view in self.views.items() if at <= number}
+        self.told_by = {at: floor for at, floor in self.told_by.items() if at <= number}
 
     def was_given(self, found: Found) -> None:
         if self.views.get(found.sign.number) != found.entries:
@@ -254,9 +255,9 @@
     world.was_given(found)
     if found.sign.number >= world.floor:
         return "flipped: nothing told of was in it"
-    proofs = [msgspec.json.decode(content, type=f.Group).synced for _, content in later(data, bit // 8)]
-    if any(synced > found.sign.number for synced in proofs):
-        raise Broken(f"a flipped bit is read over, though a later group tells of number {max(proofs)}")
+    proofs = [world.told_by.get(number, 0) for number, _ in later(data, bit // 8)]
+    if any(told > found.sign.number for told in proofs):
+        raise Broken(f"a flipped bit is read over, and a later group was written when {max(proofs)} was told")
     if not older(found, [world.heard]):
         raise Broken("a flipped last group is lost, and what others have heard does not show it")
     return "flipped in the last group: cut as a tail, shown by others' word alone"
