--- a/fawnwharf/cli.py
+++ b/fawnwharf/cli.py
@@ -5,6 +5,7 @@
 import typer
 
 from fawnwharf import __version__, config, serving
+from fawnwharf.durable.commands import app as recovery_app
 from fawnwharf.lab.commands import app as lab_app
 from fawnwharf.replication.commands import app as state_app
 from fawnwharf.zones.commands import app as zones_app
@@ -13,6 +14,7 @@
 app.add_typer(zones_app, name="zones")
 app.add_typer(state_app, name="state")
 app.add_typer(lab_app, name="lab")
+app.add_typer(recovery_app, name="recovery")
 File = Annotated[str | None, typer.Option("--config", help="The JSON file, in place of ROUTER_CONFIG's.")]
 
 
--- a/fawnwharf/durable/core.py
+++ b/fawnwharf/durable/core.py
@@ -134,6 +134,12 @@
         """Nothing more is taken; the next groups bring what there is to disk, the last one says so."""
         self._ending = True
 
+    def confirm(self) -> None:
+        """Others have confirmed what was found: a repair is no longer told of in files from now on."""
+        self._head = msgspec.structs.replace(self._head, repaired="")
+        if self._segment and self._script is None:
+            self._script = self._rotate()
+
     # --- the disk's turns ---------------------------------------------------------------------------
 
     def due_ms(self) -> float | None:
--- a/fawnwharf/durable/folder.py
+++ b/fawnwharf/durable/folder.py
@@ -95,3 +95,8 @@
         os.close(found)
         raise DiskError(f"{path}: in use by a live process") from None
     return found
+
+
+def unlock(held: int) -> None:
+    if held >= 0:
+        os.close(held)
--- a/fawnwharf/durable/reading.py
+++ b/fawnwharf/durable/reading.py
@@ -35,12 +35,14 @@
     """What a folder holds. `fresh`: nothing, as nothing was ever told from it."""
 
     fresh: bool = True
+    fleet: str = ""
+    name: str = ""
     entries: f.Entries = {}
     sign: Sign = Sign("", 0, 0)
     boot: str = ""  # in which it was last written
     at_ms: float = 0.0  # when, by its writer's wall clock
     ended: bool = False  # its last writer ended in order
-    repaired: str = ""
+    repaired: str = ""  # why it was repaired, where nobody has confirmed it since
     seq: int = 0  # the largest that any file has
     names: list[str] = []  # all files of the store
     read: list[str] = []  # those that this came from
@@ -56,8 +58,11 @@
     return [f.snap_name(last)] * bool(snaps) + [f.log_name(seq) for seq in logs]
 
 
-def read(files: Mapping[str, Content], names: Iterable[str], fleet: str, name: str) -> Found:
-    """`files`: those that `used` names. An empty fleet and name take any. Raises Unreadable."""
+def read(
+    files: Mapping[str, Content], names: Iterable[str], fleet: str = "", name: str = "", copies: bool = False
+) -> Found:
+    """`files`: those that `used` names. An empty fleet and name take any, `copies` takes copies of files,
+    too. Raises Unreadable."""
     mine = [each for each in names if f.parts(each) is not None]
     order = used(mine)
     found = Found(names=mine, read=order, seq=max((f.parts(each)[1] for each in mine), default=0))
@@ -70,10 +75,11 @@
         data, inode = files[each]
         records, end = leading(data)
         head = _head(each, records, fleet, name)
-        if head.inode != inode:
+        if head.inode != inode and not copies:
             raise Unreadable(each, "a copy of another file, and may be an older one")
         if place and head.mark != found.sign.mark:
             raise Unreadable(each, f"of the disk {head.mark}, beside files of {found.sign.mark}")
+        found.fleet, found.name = head.fleet, head.name
         found.boot, found.at_ms, found.repaired = head.boot, head.at_ms, head.repaired
         if not place:
             found.entries = _snapshot(each, records, end == len(data))
--- /dev/null
+++ b/tests/test_durable.py
@@ -0,0 +1,175 @@
+"""The durable store on a disk in memory: what is told when, and crash tests."""
+
+import random
+
+import pytest
+
+from fawnwharf.durable import crash
+from fawnwharf.durable import form as f
+from fawnwharf.durable.core import Core, Refused
+from fawnwharf.durable.ops import Append, Outcome, Sync, carry_out
+from fawnwharf.durable.reading import Found
+from fawnwharf.standins.disks import MemoryDisk, Plan
+
+LIMITS = f.Limits(10_000, 600, 200, 40.0, 300.0, 400.0, 100.0, 30.0, 200.0)
+KINDS = [f.Kind("term", f.SYNCED, 4, 500), f.Kind("use", f.SOON), f.Kind("copies", f.HINT)]
+HEAD = f.Head(f.VERSION, "fleet", "a", "ab" * 8, 1, "boot", 0.0, f.SNAPSHOT, 0)
+
+
+def core(disk=None, now=0.0):
+    """A core with a log open, and its disk."""
+    disk, made = disk or MemoryDisk(), Core(LIMITS, KINDS, HEAD, Found(), lambda: 0.0)
+    settle(made, disk, now)
+    return made, disk
+
+
+def settle(made, disk, now):
+    ended = []
+    while (job := made.take(now)) is not None:
+        ended += made.done(now, carry_out(disk, job))
+    return ended
+
+
+# --- what is told, and when ---------------------------------------------------------------------------
+
+
+def test_one_sync_serves_all_that_came_while_the_last_one_ran():
+    made, disk = core()
+    first = made.put(0.0, "term", "t", 1)
+    job = made.take(0.0)
+    later = [made.put(1.0, "term", key, 2) for key in "tuv"]
+    assert made.take(1.0) is None
+    assert [end[:2] for end in made.done(2.0, carry_out(disk, job))] == [(first, True)]
+    job = made.take(2.0)
+    assert [type(op) for op in job.ops] == [Append, Sync]
+    assert [end[:2] for end in made.done(3.0, carry_out(disk, job))] == [(each, True) for each in later]
+
+
+def test_soon_is_synced_within_its_time_and_a_hint_only_goes_along():
+    made, disk = core()
+    made.put(0.0, "use", "u", 1)
+    made.put(0.0, "copies", "c", 1)
+    assert made.due_ms() == LIMITS.soon_ms and made.take(LIMITS.soon_ms - 1) is None
+    job = made.take(LIMITS.soon_ms)
+    assert isinstance(job.ops[-1], Sync)
+    made.done(50.0, carry_out(disk, job))
+    assert made.standing(60.0).behind_ms == 0.0
+    made.put(60.0, "copies", "c", 2)
+    mark = made.take(50.0 + LIMITS.soon_ms)  # what proves the last group goes with it
+    assert [type(op) for op in mark.ops] == [Append]
+
+
+def test_a_ticket_ends_unsure_when_the_disk_is_slow_and_at_once_when_it_fails():
+    made, disk = core()
+    slow = made.put(0.0, "term", "t", 1)
+    job = made.take(0.0)
+    assert made.late(LIMITS.wait_ms - 1) == []
+    assert made.standing(LIMITS.wait_ms).slow_ms == LIMITS.wait_ms
+    assert [end[:2] for end in made.late(LIMITS.wait_ms)] == [(slow, False)]
+    behind = made.put(LIMITS.wait_ms, "term", "u", 1)
+    ended = made.done(500.0, Outcome("log-1.seg: Input/output error"))
+    assert [end[:2] for end in ended] == [(behind, False)] and job is not None
+    with pytest.raises(Refused, match="Input/output"):
+        made.put(500.0, "term", "t", 2)
+    assert made.entries["term", "t"] == b"1"
+    made.put(501.0, "use", "u", 7)  # taken, and said not to be durable
+    assert "Input/output" in made.standing(600.0).failing and made.standing(600.0).behind_ms == 600.0
+    assert made.take(500.0 + LIMITS.retry_ms - 1) is None
+    settle(made, disk, 500.0 + LIMITS.retry_ms)
+    assert made.standing(700.0).failing == "" and made.standing(700.0).behind_ms == 0.0
+    assert crash.look(disk, "fleet", "a", LIMITS).entries == made.entries
+    assert made.put(700.0, "term", "t", 3) > 0
+
+
+def test_a_failing_disk_is_tried_less_and_less_often():
+    made, _ = core()
+    made.put(0.0, "term", "t", 1)
+    made.take(0.0)
+    made.done(0.0, Outcome("gone"))
+    pauses, now = [], 0.0
+    for _ in range(5):
+        pauses.append(made.due_ms() - now)
+        now = made.due_ms()
+        made.take(now)
+        made.done(now, Outcome("gone"))
+    assert pauses == [30.0, 60.0, 120.0, 200.0, 200.0]
+
+
+def test_bounds_of_kinds_and_of_all_are_kept_and_named():
+    made, _ = core()
+    with pytest.raises(Refused, match="term: 502 bytes, and 500"):
+        made.put(0.0, "term", "t", "x" * 500)
+    for key in "abcd":
+        made.put(0.0, "term", key, 1)
+    with pytest.raises(Refused, match="term: 4 entries"):
+        made.put(0.0, "term", "e", 1)
+    made.put(0.0, "term", "a", None)
+    made.put(0.0, "term", "e", 1)
+    with pytest.raises(Refused, match="10000 bytes in all"):
+        made.put(0.0, "use", "u", "x" * 9_900)
+    assert made.standing(0.0).state_bytes == sum(f.size(key, value) for key, value in made.entries.items())
+
+
+def test_logs_follow_each_other_while_groups_go_on_and_the_folder_stays_small():
+    made, disk = core()
+    sizes, names = [], set()
+    for turn in range(400):
+        made.put(turn * 50.0, "use", f"u{turn % 30}", "x" * 40)
+        settle(made, disk, turn * 50.0 + LIMITS.soon_ms)
+        sizes.append(sum(disk.names().values()))
+        names |= disk.names().keys()
+    assert len(names) > 20 and max(sizes) < 12_000 and sizes[-1] < 8_000
+    assert crash.look(disk, "fleet", "a", LIMITS).entries == made.entries
+
+
+def test_nothing_of_a_folder_is_told_before_a_new_life_has_written_it_anew():
+    """What a killed process wrote is read, but may go with the next power cut."""
+    made, disk = core()
+    made.put(0.0, "term", "t", 1)
+    carry_out(disk, without_sync(made.take(0.0)))
+    found = crash.look(disk, "fleet", "a", LIMITS)
+    assert found.entries == {("term", "t"): b"1"}
+    again = Core(LIMITS, KINDS, HEAD, found, lambda: 0.0)
+    assert not again.settled and again.sign().life == 0
+    settle(again, disk, 0.0)
+    assert again.settled and disk.reboot(random.Random(1), 0.0).names().keys() >= {"snap-2.snap", "log-2.seg"}
+
+
+def without_sync(job):
+    return type(job)(tuple(op for op in job.ops if not isinstance(op, Sync)))
+
+
+# --- crash tests, a sample ----------------------------------------------------------------------------
+
+
+def test_every_operation_and_a_sample_of_bytes_of_a_scripted_run_can_be_cut():
+    assert crash.check_points(61, 10_000) > 500
+    whole = crash.World()
+    crash._scripted(whole)
+    assert [what for what, _ in whole.disk.marks].count("rename") >= 6  # logs followed each other
+
+
+def test_random_runs_hold_through_cuts_kills_failures_flips_and_older_copies():
+    ends = crash.check_random(2_000, 1)
+    assert len(ends) >= 9 and ends["cut or killed, as it was told"] > 800
+
+
+@pytest.mark.parametrize("name", crash.PLANTED)
+def test_crash_tests_find_what_is_planted(name):
+    with pytest.raises(crash.Broken):
+        crash.check_random(1_500, 1, crash.PLANTED[name])
+
+
+def test_a_full_disk_refuses_and_comes_back_with_all_that_was_put():
+    made, disk = core()
+    disk.plan = Plan(room=sum(disk.names().values()) + 100)
+    ticket = made.put(0.0, "term", "t", "x" * 300)
+    ended = made.done(0.0, carry_out(disk, made.take(0.0)))
+    assert [(end.ticket, end.on_disk) for end in ended] == [(ticket, False)] and "No space" in ended[0].why
+    for turn in range(1, 20):
+        assert settle(made, disk, turn * 250.0) == []
+    disk.plan = Plan()
+    settle(made, disk, 10_000.0)
+    assert made.standing(10_000.0).failing == ""
+    assert crash.look(disk, "fleet", "a", LIMITS).entries == made.entries
+    assert len(disk.names()) == 2  # what was begun on the full disk is gone
--- /dev/null
+++ b/tests/test_durable_folder.py
@@ -0,0 +1,244 @@
+"""The durable store in real folders: kills, slow disks, what is refused, and the command."""
+
+import os
+import shutil
+import signal
+import subprocess
+import sys
+import time
+
+import msgspec
+import pytest
+from typer.testing import CliRunner
+
+from fawnwharf.accord.disk import DiskError
+from fawnwharf.accord.records import leading
+from fawnwharf.cli import app
+from fawnwharf.durable import folder
+from fawnwharf.durable import form as f
+from fawnwharf.durable.reading import Sign
+from fawnwharf.durable.store import look, open_folder
+from fawnwharf.net.wheel import monotonic_ms
+
+LIMITS = f.Limits(10_000, 600, 200, 40.0, 300.0, 400.0, 100.0, 30.0, 200.0)
+KINDS = [f.Kind("term", f.SYNCED, 4, 500), f.Kind("use", f.SOON)]
+
+
+def opened(path, **words):
+    return open_folder(path, "fleet", words.pop("name", "a"), KINDS, words.pop("limits", LIMITS), **words)
+
+
+def until(store, done, within_s=20.0):
+    end = time.monotonic() + within_s
+    while not done() and time.monotonic() < end:
+        store.turn(monotonic_ms())
+        time.sleep(0.001)
+    assert done()
+
+
+def filled(path, count=5):
+    store = opened(path, empty_ok=True, limits=f.Limits(wait_ms=20_000.0))
+    told = []
+    for n in range(count):
+        store.put(monotonic_ms(), "term", "t", n, lambda on_disk, why: told.append(on_disk))
+        until(store, lambda n=n: len(told) > n)
+    assert told == [True] * count and store.close(monotonic_ms, 20_000.0)
+    return store
+
+
+def test_a_folder_gives_back_what_was_told_and_how_it_ended(tmp_path):
+    filled(tmp_path / "d")
+    store = opened(tmp_path / "d")
+    assert store.found.ended and store.found.sign.life == 1 and store.get("term", "t") == 4
+    with pytest.raises(DiskError, match="in use by a live process"):
+        opened(tmp_path / "d")
+    store.close(monotonic_ms, 20_000.0)
+    assert sorted(os.listdir(tmp_path / "d")) == ["durable.lock", "log-2.seg", "snap-2.snap"]
+
+
+WRITING = """
+import sys, time
+from fawnwharf.durable.form import Kind, Limits
+from fawnwharf.durable.store import open_folder
+from fawnwharf.net.wheel import monotonic_ms
+kinds = [Kind("term", "synced")]
+limits = Limits(segment_bytes=3_000, wait_ms=20_000)
+store = open_folder(sys.argv[1], "fleet", "a", kinds, limits, empty_ok=True)
+n = store.get("term", "t") or 0
+while True:
+    n += 1
+    store.put(monotonic_ms(), "term", "t", n, lambda ok, why, n=n: print(n, flush=True) if ok else None)
+    for _ in range(3):
+        store.turn(monotonic_ms())
+        time.sleep(0.0005)
+"""
+
+
+def test_a_process_killed_in_the_middle_of_writes_leaves_all_that_it_told(tmp_path):
+    for seen in (20, 37):
+        child = subprocess.Popen(
+            [sys.executable, "-c", WRITING, str(tmp_path)], stdout=subprocess.PIPE, text=True
+        )  # fmt: skip
+        last = 0
+        for line in child.stdout:
+            last = int(line)
+            if last % 100 >= seen:
+                break
+        child.send_signal(signal.SIGKILL)
+        last = max([last, *(int(line) for line in child.stdout)])
+        child.wait()
+        end = time.monotonic() + 20.0
+        while True:  # its writer may still be at the last job, and has the folder until then
+            try:
+                held = folder.lock(tmp_path)
+                break
+            except DiskError:
+                assert time.monotonic() < end
+                time.sleep(0.01)
+        folder.unlock(held)
+        found = look(folder.Folder(tmp_path), "fleet", "a", f.Limits())
+        assert int(found.entries["term", "t"]) >= last and not found.ended
+
+
+def test_a_slow_disk_holds_up_no_turn_and_a_killed_writer_is_replaced(tmp_path):
+    store = opened(tmp_path, empty_ok=True)
+    until(store, lambda: store.core.settled)
+    writer = store.runner.process
+    os.kill(writer.pid, signal.SIGSTOP)  # as a disk that does not answer
+    told = []
+    store.put(monotonic_ms(), "term", "t", "x" * 400, lambda on_disk, why: told.append((on_disk, why)))
+    longest = 0.0
+    end = time.monotonic() + 20.0
+    while not told and time.monotonic() < end:
+        begun = time.process_time()
+        store.turn(monotonic_ms())
+        longest = max(longest, time.process_time() - begun)
+        time.sleep(0.002)
+    assert told == [(False, "the disk is slow")] and longest < 0.1
+    assert store.standing(monotonic_ms()).slow_ms >= LIMITS.wait_ms - 1
+    os.kill(writer.pid, signal.SIGKILL)
+    until(store, lambda: store.standing(monotonic_ms()).failing)
+    assert "the writer ended" in store.standing(monotonic_ms()).failing
+    until(store, lambda: not store.standing(monotonic_ms()).failing)
+    assert store.runner.process.pid != writer.pid
+    assert store.close(monotonic_ms, 20_000.0)
+
+
+def test_a_job_larger_than_a_pipe_reaches_the_disk(tmp_path):
+    store = opened(tmp_path, empty_ok=True, limits=f.Limits(wait_ms=20_000.0, piece_bytes=2_000_000))
+    for n in range(100):
+        store.put(monotonic_ms(), "use", f"u{n}", "x" * 10_000)
+    assert store.close(monotonic_ms, 20_000.0)
+    assert len(look(folder.Folder(tmp_path), "fleet", "a", f.Limits()).entries) == 100
+
+
+def rewritten(path, **what):
+    """Heads of all files changed, checksums right."""
+    for name in os.listdir(path):
+        if f.parts(name):
+            data = (path / name).read_bytes()
+            records, _ = leading(data)
+            head = msgspec.json.decode(records[0][1], type=f.Head)
+            rest = data[len(f.encode(0, head)) :]
+            (path / name).write_bytes(f.encode(0, msgspec.structs.replace(head, **what)) + rest)
+
+
+def flipped(path, name, back):
+    data = bytearray((path / name).read_bytes())
+    data[-back] ^= 4
+    (path / name).write_bytes(data)
+
+
+FAULTS = {
+    "another fleet": (lambda path: rewritten(path, fleet="f2"), r"snap-1.snap: of fleet f2, not of fleet"),
+    "swapped": (lambda path: rewritten(path, name="b"), r"snap-1.snap: the disk of member b, not of a"),
+    "version": (lambda path: rewritten(path, version=9), r"snap-1.snap: version 9, and this program"),
+    "snapshot": (lambda path: flipped(path, "snap-1.snap", 9), r"snap-1.snap: damaged"),
+    "middle": (lambda path: flipped(path, "log-1.seg", 200), r"log-1.seg: damaged at byte \d+: group"),
+    "missing": (lambda path: (path / "snap-1.snap").unlink(), r"log-1.seg: the snapshot before it is"),
+    "empty": (lambda path: [each.unlink() for each in path.iterdir()], r"d: empty, and this member is not"),
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("fault", FAULTS)
+def test_a_folder_that_is_not_to_be_read_over_is_refused_by_path_and_cause(tmp_path, fault):
+    filled(tmp_path / "d")
+    FAULTS[fault][0](tmp_path / "d")
+    before = contents(tmp_path / "d")
+    with pytest.raises(DiskError, match=FAULTS[fault][1]) as raised:
+        opened(tmp_path / "d")
+    assert str(raised.value).startswith(str(tmp_path / "d")) and "\n" not in str(raised.value)
+    assert contents(tmp_path / "d") == before | {folder.LOCK: b""}
+
+
+def contents(path):
+    return {each.name: each.read_bytes() for each in path.iterdir()}
+
+
+def test_a_copy_of_the_files_is_refused_and_one_in_place_is_known_by_others_word_alone(tmp_path):
+    filled(tmp_path / "d")
+    shutil.copytree(tmp_path / "d", tmp_path / "copy")
+    with pytest.raises(DiskError, match="a copy of another file, and may be an older one"):
+        opened(tmp_path / "copy")
+    mark = look(folder.Folder(tmp_path / "d"), "fleet", "a", f.Limits()).sign.mark
+    opened(tmp_path / "d", heard=[Sign(mark, 1, 3), Sign("other", 9, 9)]).close(monotonic_ms, 20_000.0)
+    with pytest.raises(DiskError, match="rolled back: stands at life 2, number"):
+        opened(tmp_path / "d", heard=[Sign(mark, 2, 900)])
+
+
+def test_a_file_and_a_folder_that_cannot_be_made_are_refused(tmp_path):
+    (tmp_path / "file").write_text("x")
+    with pytest.raises(DiskError, match="file: not a folder"):
+        opened(tmp_path / "file", empty_ok=True)
+    with pytest.raises(DiskError, match="file/d: not writable"):
+        opened(tmp_path / "file" / "d", empty_ok=True)
+
+
+# --- the command ----------------------------------------------------------------------------------------
+
+
+def asked(*words):
+    return CliRunner().invoke(app, ["recovery", *map(str, words)])
+
+
+def test_verify_says_what_a_folder_holds_and_faults_end_with_one_line(tmp_path):
+    filled(tmp_path / "d")
+    done = asked("verify", tmp_path / "d")
+    assert done.exit_code == 0 and "ended in order" in done.output and "term: 1" in done.output
+    (tmp_path / "none").mkdir()
+    (tmp_path / "file").write_text("x")
+    for path, why in (("none", "holds no"), ("gone", "no such folder"), ("file", "not a folder")):
+        done = asked("verify", tmp_path / path)
+        assert done.exit_code == 2 and why in done.stderr and len(done.stderr.splitlines()) == 1
+        assert str(tmp_path / path) in done.stderr
+    assert os.listdir(tmp_path / "none") == []
+    store = opened(tmp_path / "d")
+    assert asked("repair", tmp_path / "d").exit_code == 2
+    store.close(monotonic_ms, 20_000.0)
+
+
+def test_repair_says_what_is_lost_sets_files_aside_and_the_next_life_is_told(tmp_path):
+    filled(tmp_path / "d")
+    flipped(tmp_path / "d", "log-1.seg", 200)
+    before = contents(tmp_path / "d")
+    done = asked("repair", tmp_path / "d", "--dry-run")
+    assert done.exit_code == 0 and "lost: log-1.seg: from byte" in done.output
+    assert contents(tmp_path / "d") == before
+    assert asked("repair", tmp_path / "d").exit_code == 0
+    names = os.listdir(tmp_path / "d")
+    assert {"snap-1.snap.aside", "log-1.seg.aside", "snap-2.snap"} <= set(names)
+    store = opened(tmp_path / "d")
+    assert "damaged" in store.found.repaired and store.get("term", "t") < 4 and not store.found.ended
+    until(store, lambda: store.core.settled)
+    assert "repaired, and not confirmed" in told_of(store, tmp_path / "d")
+    store = opened(tmp_path / "d")
+    store.core.confirm()
+    store.close(monotonic_ms, 20_000.0)
+    assert look(folder.Folder(tmp_path / "d"), "fleet", "a", f.Limits()).repaired == ""
+    assert asked("repair", tmp_path / "d").output == "nothing to repair\n"
+
+
+def told_of(store, path):
+    assert store.close(monotonic_ms, 20_000.0)
+    return asked("verify", path).output
+
