The durable store in the one loop: one group a turn, a timer, and words when it is not durable

OnLoop binds a store to the loop: what comes in a turn goes to disk together, the writer's answers wake the loop, and it is said once when the disk is slow, when nothing is durable, and when that is over. A start may wait a bounded time for the lock, which the writer of a killed process has until its last job is done.

--- a/fawnwharf/durable/core.py
+++ b/fawnwharf/durable/core.py
@@ -149,6 +149,10 @@
             times += [self._group_due_ms(), self._script_due_ms()]
         return min((each for each in times if each is not None), default=None)
 
+    @property
+    def job_out(self) -> bool:
+        return self._step is not None
+
     def _group_due_ms(self) -> float | None:
         if not self._segment or self.ended:
             return None
--- a/fawnwharf/durable/crash.py
+++ b/fawnwharf/durable/crash.py
@@ -56,6 +56,10 @@
         found, self._outcome = self._outcome, None
         return found
 
+    @property
+    def unsent(self) -> bool:
+        return False
+
     def close(self) -> None:
         pass
 
--- a/fawnwharf/durable/folder.py
+++ b/fawnwharf/durable/folder.py
@@ -3,11 +3,13 @@
 import fcntl
 import os
 import stat
+import time
 from pathlib import Path
 
 from fawnwharf.accord.disk import DiskError
 
 LOCK = "durable.lock"
+AGAIN_S = 0.02  # pace of asking for a lock
 
 
 class Folder:
@@ -73,9 +75,9 @@
             self._close(name)
 
 
-def lock(path: Path, create: bool = True) -> int:
+def lock(path: Path, create: bool = True, within_s: float = 0.0) -> int:
     """A descriptor that holds the folder's lock until it and its copies are closed; -1 where there is nothing
-    to lock and nothing is to be created. Raises DiskError."""
+    to lock and nothing is to be created. Another's lock is asked for `within_s`. Raises DiskError."""
     try:
         if create:
             path.mkdir(parents=True, exist_ok=True)
@@ -89,12 +91,16 @@
         raise DiskError(f"{path}: not a folder") from None
     except OSError as error:
         raise DiskError(f"{path}: not writable: {error.strerror}") from None
-    try:
-        fcntl.flock(found, fcntl.LOCK_EX | fcntl.LOCK_NB)
-    except OSError:
-        os.close(found)
-        raise DiskError(f"{path}: in use by a live process") from None
-    return found
+    end = time.monotonic() + within_s
+    while True:
+        try:
+            fcntl.flock(found, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            return found
+        except OSError:
+            if time.monotonic() >= end:
+                os.close(found)
+                raise DiskError(f"{path}: in use by a live process") from None
+        time.sleep(AGAIN_S)
 
 
 def unlock(held: int) -> None:
--- a/fawnwharf/durable/store.py
+++ b/fawnwharf/durable/store.py
@@ -124,21 +124,26 @@
 
 def open_folder(
     path: str | Path, fleet: str, name: str, kinds: list[f.Kind], limits: f.Limits | None = None,
-    boot: str = "", empty_ok: bool = False, heard: Iterable[Sign] = (),
+    boot: str = "", empty_ok: bool = False, heard: Iterable[Sign] = (), within_s: float = 0.0,
 ) -> Store:  # fmt: skip
     """The store in a folder. `boot` names this boot of the machine; `empty_ok`: the member is new; `heard`:
-    how far others have heard that this folder had come. Raises DiskError, one line that names path and cause,
-    and has then changed nothing but made a folder that was not there."""
+    how far others have heard that this folder had come; `within_s`: for so long the lock is asked for, as the
+    writer of a process that was killed has it until its last job is done. Raises DiskError, one line that
+    names path and cause, and has then changed nothing but made a folder that was not there."""
     path, limits = Path(path), limits or f.Limits()
-    held = lock(path)
+    held = lock(path, within_s=within_s)
+    writer = Writer(path, held)
     try:
-        return made(
-            Folder(path), Writer(path, held), fleet, name, kinds, limits, boot, lambda: os.urandom(8).hex(),
+        store = made(
+            Folder(path), writer, fleet, name, kinds, limits, boot, lambda: os.urandom(8).hex(),
             unix_ms, empty_ok, heard, lambda: os.close(held),
         )  # fmt: skip
-    except Unreadable as error:
+        writer.begin()
+        return store
+    except (Unreadable, OSError) as error:
         os.close(held)
-        raise DiskError(f"{path / error.name if error.name else path}: {error.why}") from None
-    except OSError as error:
-        os.close(held)
-        raise DiskError(f"{error.filename or path}: {error.strerror}") from None
+        if isinstance(error, Unreadable):
+            text = f"{path / error.name if error.name else path}: {error.why}"
+        else:
+            text = f"{error.filename or path}: {error.strerror}"
+        raise DiskError(text) from None
--- a/fawnwharf/durable/writer.py
+++ b/fawnwharf/durable/writer.py
@@ -11,13 +11,14 @@
 import struct
 import subprocess
 import sys
+from collections.abc import Callable
 from pathlib import Path
 from typing import BinaryIO, Protocol
 
 import msgspec
 
 from fawnwharf.durable.folder import Folder
-from fawnwharf.durable.ops import Files, Job, Outcome, carry_out
+from fawnwharf.durable.ops import Job, Outcome, carry_out
 
 _LENGTH = struct.Struct(">I")
 READ_MOST = 64 * 1024
@@ -31,24 +32,11 @@
     def poll(self) -> Outcome | None:
         """The outcome of the job that is out, once; None while there is none. Never blocks."""
 
-    def close(self) -> None: ...
-
-
-class Inline:
-    """Carries jobs out in the caller's own time: for a file system in memory, and for commands."""
-
-    def __init__(self, files: Files) -> None:
-        self.files, self._outcome = files, None
-
-    def start(self, job: Job) -> None:
-        self._outcome = carry_out(self.files, job)
-
-    def poll(self) -> Outcome | None:
-        found, self._outcome = self._outcome, None
-        return found
+    @property
+    def unsent(self) -> bool:
+        """Part of the job waits for room: `poll` is to be called again soon."""
 
-    def close(self) -> None:
-        pass
+    def close(self) -> None: ...
 
 
 class Writer:
@@ -58,6 +46,8 @@
         """`lock`: the descriptor of the folder's lock."""
         self.path, self._lock = path, lock
         self.process: subprocess.Popen | None = None
+        self.begun: Callable[[BinaryIO], None] = lambda _end: None  # told of `incoming` as it comes
+        self.gone: Callable[[BinaryIO], None] = lambda _end: None  # and before it is closed
         self._out, self._in, self._failed = bytearray(), bytearray(), ""
 
     @property
@@ -69,13 +59,17 @@
         data = msgspec.msgpack.encode(job)
         self._out = bytearray(_LENGTH.pack(len(data)) + data)
         self._in.clear()
+        self.begin()
+        if self.process is not None:
+            self._push()
+
+    def begin(self) -> None:
+        """Starts the process, where there is none; it takes a while before it is ready for its first job."""
         try:
             if self.process is None:
                 self._begin()
         except OSError as error:
             self._failed = f"no writer: {error.strerror}"
-            return
-        self._push()
 
     def _begin(self) -> None:
         command = [sys.executable, "-m", "fawnwharf.durable.writer", str(self.path), str(self._lock)]
@@ -87,6 +81,7 @@
         )  # fmt: skip
         for end in (self.process.stdin, self.process.stdout):
             os.set_blocking(end.fileno(), False)
+        self.begun(self.process.stdout)
 
     def _push(self) -> None:
         """As much of the job as the pipe takes now."""
@@ -124,12 +119,13 @@
 
     @property
     def unsent(self) -> bool:
-        """The pipe was full: `poll` is to be called again soon."""
+        """The pipe was full."""
         return bool(self._out)
 
     def _gone(self, why: str) -> None:
         process, self.process, self._failed = self.process, None, why
         self._out.clear()
+        self.gone(process.stdout)
         for end in (process.stdin, process.stdout):
             with contextlib.suppress(OSError):
                 end.close()
--- a/tests/test_durable_folder.py
+++ b/tests/test_durable_folder.py
@@ -17,7 +17,9 @@
 from fawnwharf.durable import folder
 from fawnwharf.durable import form as f
 from fawnwharf.durable.reading import Sign
+from fawnwharf.durable.service import OnLoop
 from fawnwharf.durable.store import look, open_folder
+from fawnwharf.net.loop import Loop
 from fawnwharf.net.wheel import monotonic_ms
 
 LIMITS = f.Limits(10_000, 600, 200, 40.0, 300.0, 400.0, 100.0, 30.0, 200.0)
@@ -87,15 +89,7 @@
         child.send_signal(signal.SIGKILL)
         last = max([last, *(int(line) for line in child.stdout)])
         child.wait()
-        end = time.monotonic() + 20.0
-        while True:  # its writer may still be at the last job, and has the folder until then
-            try:
-                held = folder.lock(tmp_path)
-                break
-            except DiskError:
-                assert time.monotonic() < end
-                time.sleep(0.01)
-        folder.unlock(held)
+        folder.unlock(folder.lock(tmp_path, within_s=20.0))  # its writer may still be at the last job
         found = look(folder.Folder(tmp_path), "fleet", "a", f.Limits())
         assert int(found.entries["term", "t"]) >= last and not found.ended
 
@@ -124,6 +118,32 @@
     assert store.close(monotonic_ms, 20_000.0)
 
 
+def test_in_the_loop_what_comes_in_a_turn_goes_to_disk_together_and_faults_are_said(tmp_path):
+    said, told, loop = [], [], Loop(lambda now_ms, events: None, print)
+    store = OnLoop(loop, opened(tmp_path, empty_ok=True), lambda text, about: said.append(text))
+
+    def turn_until(done):
+        end = time.monotonic() + 20.0
+        while not done() and time.monotonic() < end:
+            loop.turn(1.0)
+        assert done()
+
+    turn_until(lambda: store.store.core.settled and not store.store.core.job_out)
+    said.clear()  # on a busy machine the start may be slow
+    for n in range(4):
+        store.put("term", f"t{n}", n, lambda on_disk, why: told.append(on_disk))
+    before = store.store.core.number
+    turn_until(lambda: len(told) == 4)
+    assert store.store.core.number == before + 1
+    os.kill(store.store.runner.process.pid, signal.SIGSTOP)
+    store.put("term", "t0", 5, lambda on_disk, why: told.append(why))
+    turn_until(lambda: "the disk is slow" in told and said[-1:] == ["the disk is slow"])
+    os.kill(store.store.runner.process.pid, signal.SIGKILL)
+    turn_until(lambda: said[-2:] == ["not durable now", "durable again"])
+    assert store.close(20_000.0)
+    loop.close()
+
+
 def test_a_job_larger_than_a_pipe_reaches_the_disk(tmp_path):
     store = opened(tmp_path, empty_ok=True, limits=f.Limits(wait_ms=20_000.0, piece_bytes=2_000_000))
     for n in range(100):
