--- a/fawnwharf/accord/disk.py
+++ b/fawnwharf/accord/disk.py
@@ -16,16 +16,12 @@
 from msgspec import Meta, Struct
 
 from fawnwharf.accord.messages import Saved
-from fawnwharf.accord.records import encode, records
+from fawnwharf.accord.records import DiskError, encode, records
 
 VERSION = 1
 REWRITE_BYTES = 1024 * 1024
 
 
-class DiskError(Exception):
-    """The folder can't be used; the text names the path and why."""
-
-
 class Label(Struct, frozen=True):
     """Whose disk it is. `mark` tells this disk from one that the same member had before."""
 
--- a/fawnwharf/accord/records.py
+++ b/fawnwharf/accord/records.py
@@ -18,6 +18,10 @@
 OVERHEAD = _HEAD.size
 
 
+class DiskError(Exception):
+    """The folder can't be used; the text names the path and why."""
+
+
 def checksum(number: int, data: bytes) -> int:
     return zlib.crc32(data, zlib.crc32(number.to_bytes(8, "big")))
 
--- a/fawnwharf/durable/folder.py
+++ b/fawnwharf/durable/folder.py
@@ -6,7 +6,7 @@
 import time
 from pathlib import Path
 
-from fawnwharf.accord.disk import DiskError
+from fawnwharf.accord.records import DiskError
 
 LOCK = "durable.lock"
 AGAIN_S = 0.02  # pace of asking for a lock
--- a/fawnwharf/durable/writer.py
+++ b/fawnwharf/durable/writer.py
@@ -23,6 +23,16 @@
 _LENGTH = struct.Struct(">I")
 READ_MOST = 64 * 1024
 
+# Without the package's own first lines, which bring all decisions along: less to start, less to hold.
+_PROGRAM = """
+import sys, types
+package = types.ModuleType("fawnwharf")
+package.__path__ = [sys.argv[1]]
+sys.modules["fawnwharf"] = package
+from fawnwharf.durable import writer
+writer.main(sys.argv[2])
+"""
+
 
 class Runner(Protocol):
     """Carries out one job at a time."""
@@ -72,12 +82,10 @@
             self._failed = f"no writer: {error.strerror}"
 
     def _begin(self) -> None:
-        command = [sys.executable, "-m", "fawnwharf.durable.writer", str(self.path), str(self._lock)]
-        root = str(Path(__file__).parent.parent.parent)
-        env = {**os.environ, "PYTHONPATH": os.pathsep.join([root, os.environ.get("PYTHONPATH", "")])}
+        command = [sys.executable, "-c", _PROGRAM, str(Path(__file__).parent.parent), str(self.path)]
         self.process = subprocess.Popen(
             command, stdin=subprocess.PIPE, stdout=subprocess.PIPE, bufsize=0, pass_fds=[self._lock],
-            env=env, start_new_session=True,
+            start_new_session=True,
         )  # fmt: skip
         for end in (self.process.stdin, self.process.stdout):
             os.set_blocking(end.fileno(), False)
@@ -165,7 +173,3 @@
             sys.stdout.buffer.flush()
         except OSError:
             return
-
-
-if __name__ == "__main__":
-    main(sys.argv[1])
