--- a/fawnwharf/operators/memory.py
+++ b/fawnwharf/operators/memory.py
@@ -181,7 +181,8 @@
         worker.strain, worker.strain_ms = told.strain, base - told.strain_seen
         worker.sent.extend(base - age for age in told.sent)
         for kind, (losses, rests, rest_ms) in told.lapses.items():
-            worker.lapses[kind] = state.Lapse(losses, base - rests, rest_ms)
+            lapse = worker.lapses[kind] = state.Lapse()
+            lapse.losses, lapse.rests_ms, lapse.rest_ms = losses, base - rests, rest_ms
         if told.suspect is not None:
             worker.suspect_ms = worker.sign_ms = base - told.suspect
             router.watched[worker.id] = worker
--- a/fawnwharf/policy/health.py
+++ b/fawnwharf/policy/health.py
@@ -41,15 +41,12 @@
 
     def _watch(self, worker: Worker) -> None:
         """Ask a silent worker for a sign; without one, leave it. Harm: a busy one loses its traffic."""
-        if worker.suspect_ms is not None:
-            if self.now - (worker.sign_ms or worker.suspect_ms) >= TRIAL_MS:
-                self._ask_sign(worker)
-        elif worker.sign_ms is not None and self.now - worker.sign_ms >= SIGN_WAIT_MS:
-            self._suspect(worker)
-        elif worker.sign_ms is None and worker.owed_ms is None:
+        asked, suspect = worker.sign_ms is not None, worker.suspect_ms is not None  # a suspect was asked
+        since_ms = worker.sign_ms if asked else worker.owed_ms
+        if since_ms is None:
             del self.watched[worker.id]
-        elif worker.sign_ms is None and self.now - worker.owed_ms >= self.silent_ms:
-            self._ask_sign(worker)
+        elif self.now - since_ms >= (TRIAL_MS if suspect else SIGN_WAIT_MS if asked else self.silent_ms):
+            (self._suspect if asked and not suspect else self._ask_sign)(worker)
 
     def _ask_sign(self, worker: Worker) -> None:
         worker.sign_ms = self.now
@@ -75,8 +72,7 @@
                 self._dispatch(attempt.function)
         near = [other for other in self.ready if other.entry.zone == worker.entry.zone] if self.wide else []
         quiet = [other for other in near if other.suspect_ms is None and other.sign_ms is None and other.last]
-        # Guards the calls that would each find out that one more worker of a lost zone is gone.
-        for other in quiet if len(near) - len(quiet) >= ZONE_SIGNS else ():
+        for other in quiet if len(near) - len(quiet) >= ZONE_SIGNS else ():  # else calls find out, each one
             self._ask_sign(other)
 
     def _miss_answers(self) -> None:
--- a/fawnwharf/policy/router.py
+++ b/fawnwharf/policy/router.py
@@ -1,21 +1,21 @@
-"""The Router: takes events, joins the parts, and is the only one that sends."""
+"""The Router: takes events, joins the parts, and is the only one that sends, sends again or gives up."""
 
 import math
 
 from fawnwharf import interface as io
 from fawnwharf.policy import state
-from fawnwharf.policy.admission import TRY_LEAST, Admission
 from fawnwharf.policy.health import ANSWER_GAIN, LOSSES, LOST_RUNS, STRAINED, TRIAL_MS, Health
-from fawnwharf.policy.loads import Loads
 from fawnwharf.policy.routing import BOUND_FLOOR, Routing
 from fawnwharf.policy.state import Attempt, Function, Request, Worker, mark, mix
 
 FUNCTIONS_MOST, FORGET_MS = 2_000, 60_000.0  # kept in mind; forgotten if not called, or gone, for so long
 RUN_GAIN = 0.02  # weight of one run in the mean run of workers that are not crowded
 ROOM_SPREAD = 1.5  # room for chance in a worker's limit, in square roots of its mean requests
+WINDOW_MARGIN_MS = 100.0  # a keyed repeat must arrive inside the window, not just leave inside it
+TRY_LEAST, HELD_PART = 0.2, 0.5  # of its class's time: a try with less is a later one; late by then, given up
 
 
-class Router(Health, Loads, Routing, Admission):
+class Router(Health, Routing):
     def handle(self, now_ms: float, events: list[io.Event]) -> list[io.Action]:
         """Take the events of one moment, in order; the actions take effect at that moment."""
         self.now, self.began_ms, self.actions = now_ms, min(self.began_ms, now_ms), []
@@ -36,8 +36,7 @@
             new = Worker(entry.worker, entry, mark(str(entry.worker)))
             worker = self.workers.setdefault(entry.worker, new)
             worker.entry, worker.gone_ms = entry, None
-            up_since_ms = -math.inf if entry.up_since_ms is None else entry.up_since_ms
-            worker.started_ms = max(worker.started_ms, up_since_ms)
+            worker.started_ms = max(worker.started_ms, -math.inf if (up := entry.up_since_ms) is None else up)
         self.ready = [worker for worker in self.workers.values() if worker.takes_new()]
         self.suspects = sum(worker.suspect_ms is not None for worker in self.ready)
         self._refresh()
@@ -151,19 +150,17 @@
             self._watch(worker)
         if self.now - self.refreshed_ms >= state.REFRESH_MS:
             self._refresh()
-        if self.waiting and len(self.flying) < self.limit:
+        if len(self.flying) < self.limit:
             self._dispatch_all()
 
-    def _dispatch_all(self, worker: Worker | None = None) -> None:  # most urgent first
-        held = [fn for fn in self.waiting.values() if fn.queue and (not worker or worker.id in fn.instances)]
+    def _dispatch_all(self, there: Worker | None = None) -> None:  # most urgent first
+        held = [fn for fn in self.functions.values() if fn.queue and (not there or there.id in fn.instances)]
         for fn in sorted(held, key=lambda fn: min(map(self._urgency, fn.queue))):
             self._dispatch(fn)
 
     def _dispatch(self, fn: Function) -> None:
         self._fill(fn)
-        self.waiting.pop(fn.name, None)
         if fn.queue:
-            self.waiting[fn.name] = fn
             self._race(fn)
 
     def _fill(self, fn: Function) -> None:  # the only place that sends
@@ -184,8 +181,7 @@
         fn.queue.remove(request)
         fn.waits.timed.extend([(self.now, self.now - request.held_ms)] * (self.now > request.held_ms))
         instance.own, worker.own, instance.seen_ms = instance.own + 1, worker.own + 1, self.now
-        if self._warmth(worker) < 1.0:
-            worker.sent.append(self.now)
+        worker.sent.extend([self.now] * (self._warmth(worker) < 1.0))
         self._owe(worker)
         if (lapse := worker.lapses.get(fn.kind)) and lapse.losses >= LOSSES:
             lapse.rest_ms = min(state.REST_MOST_MS, 2 * lapse.rest_ms)  # this one tries it
@@ -213,10 +209,9 @@
         self.wide = self.worker_most < peers
         usual = sorted(self._strained(worker) for worker in self.ready)[len(self.ready) // 2 :]
         self.strain_most = STRAINED * usual[0] if self.wide and usual else math.inf
-        # Long runs are no silence: where each worker gets few calls, all that are slow would be asked.
-        self.silent_ms = LOST_RUNS * (self.runs.median(self.now) or 200.0) if self.wide else state.SILENT_MS
-        # In all, what the fleet gets through in a part of the promise: beyond that all would come late.
-        through = sold * self.promise_ms * state.LATE_MOST / peers or math.inf
+        runs_ms = LOST_RUNS * (self.runs.median(self.now) or 200.0)  # long runs of few calls are no silence
+        self.silent_ms = runs_ms if self.wide else state.SILENT_MS
+        through = sold * self.promise_ms * state.LATE_MOST / peers or math.inf  # beyond, all would be late
         self.limit = self._room(through) if self.wide else math.inf
 
     def _room(self, mean: float) -> float:  # for chance
@@ -236,10 +231,69 @@
             if worker.gone_ms < past and not worker.own:
                 for fn in self.functions.values():
                     fn.instances.pop(worker.id, None)
-                    fn.known = None
                 self.watched.pop(worker.id, None)
                 del self.workers[worker.id]
 
+    def _over_share(self, tenant: str) -> bool:  # a token bucket of its share, in part
+        if tenant not in self.settings.quotas_rps:
+            return False
+        rate = self.settings.quotas_rps[tenant] / self.peers
+        most = rate + self.wide * 2 * math.sqrt(rate * state.WINDOW_MS / 1000)  # of a second; uneven
+        tokens, since = self.tokens.get(tenant, (most, self.now))
+        tokens = min(most, tokens + rate * (self.now - since) / 1000)
+        self.tokens[tenant] = (tokens - (tokens >= 1), self.now)
+        return tokens < 1
+
+    def _urgency(self, request: Request) -> tuple[bool, bool, float, str]:
+        return request.over_share, self._late(request), request.arrived_ms, request.id
+
+    def _late(self, request: Request) -> bool:  # hardly to be answered in time any more
+        most = request.spec.promise_ms * state.LATE_MOST  # where runs are so long that all would be
+        return request.aim_ms - self.now < min(state.LATE_RUNS * self._te(request.function), most)
+
+    def _hopeless(self, request: Request) -> bool:
+        """Never sent, and hardly to be on time: given up. Harm: a late answer that it might have had."""
+        half = request.arrived_ms + HELD_PART * (request.deadline_ms - request.arrived_ms)
+        past = request.over_share or self.now + state.SWEEP_MS + state.LEAD_MS >= half
+        return past and not request.attempts and self._late(request)
+
+    def _may_send_here(self, request: Request, worker: Worker, part: float) -> bool:  # now?
+        ran = any(attempt.worker == worker.id and attempt.may_have_run for attempt in request.attempts)
+        if ran or not self._able(worker, request.function) or worker.own >= worker.limit * part:
+            return False
+        if (first := request.first_run()) is None or request.spec.effect is io.Effect.SAFE:
+            return True
+        origin, here, group = self.workers[first.worker].entry, worker.entry, request.spec.group
+        same = origin.zone == here.zone if group is io.Group.ZONE else origin.cell == here.cell
+        return (group is io.Group.ALL or same) and self._may_send_again(request)
+
+    def _may_send_again(self, request: Request) -> bool:  # may another attempt be made at all?
+        twice, first, spec = any(a.open for a in request.attempts), request.first_run(), request.spec
+        if len(request.attempts) >= self.settings.max_attempts or (twice and not self.settings.second_copies):
+            return False
+        keyed_ms = spec.dedup_window_ms - WINDOW_MARGIN_MS if spec.effect is io.Effect.KEYED else -math.inf
+        return first is None or spec.effect is io.Effect.SAFE or self.now - first.sent_ms < keyed_ms
+
+    def _again(self, request: Request) -> None:  # hold it again, or end it
+        if self._may_send_again(request):
+            request.held_ms = self.now
+            request.function.queue.append(request)
+        elif not any(attempt.open for attempt in request.attempts):
+            self._finish(request)
+
+    def _finish(self, request: Request) -> None:  # the one final answer that this front end gives itself
+        advice = self.settings.max_retry_after_ms * (request.over_share or not request.attempts)  # no room
+        keyed = request.spec.effect is io.Effect.KEYED and request.spec.group is io.Group.ALL
+        harmless = keyed or request.spec.effect is io.Effect.SAFE or request.first_run() is None
+        self._close(request)
+        self.actions.append(io.Refuse(request.id, advice) if harmless else io.Fail(request.id))
+
+    def _close(self, request: Request) -> None:
+        del self.requests[request.id]
+        request.function.queue = [held for held in request.function.queue if held is not request]
+        numbers = [number for number, attempt in enumerate(request.attempts) if attempt.open]
+        self.actions.extend(io.Cancel(request.id, number) for number in numbers * self.settings.may_cancel)
+
     handlers = {io.RosterChanged: _on_roster, io.RequestArrived: _on_request, io.ClientLeft: _on_left,
                 io.AttemptEnded: _on_attempt, io.OrderAnswered: _on_order, io.TimerDue: _on_timer,
                 io.LimitsChanged: _on_limits}  # fmt: skip
--- a/fawnwharf/policy/routing.py
+++ b/fawnwharf/policy/routing.py
@@ -1,20 +1,25 @@
-"""Where a call may go: hash order, width, free lanes, bounds and the cold budget."""
+"""Where calls and loads go: hash order, width, free lanes, bounds, the cold budget; the race, the ration."""
 
 import math
 from itertools import islice
 
+from fawnwharf import interface as io
 from fawnwharf.policy import state
-from fawnwharf.policy.state import REFRESH_MS, Function, Instance, Known, Request, Worker, mix
+from fawnwharf.policy.state import REFRESH_MS, Function, Instance, Known, Request, Samples, Worker, mix
 
-# A worker takes these multiples of its fair share of own requests, far and near, and never fewer than:
-BOUND_FACTOR, BOUND_NEAR, BOUND_FLOOR = 1.5, 2.4, 2.0  # crossing costs more than sharing the cores
+BOUND_FACTOR, BOUND_NEAR, BOUND_FLOOR = 1.5, 2.4, 2.0  # of its fair share a worker takes, far, near; at least
 TRIED = 2**60  # of the draws: one call in sixteen tries a place not seen yet while others are known
 COLD_SAFETY = 0.6  # part of a cold worker's budget that is used: capacity and other front ends are guesses
 SPREAD_LANES, SPREAD_PART = 0.6, 0.3  # of a copy's lanes, and of a worker's room, for a wide function's calls
 YIELD = 0.35  # part of a worker's limit open to requests beyond a share or past their time
+LOADS_START, LOADS_LEAST, LOADS_MOST = 8.0, 2.0, 24.0  # own loads under way: at the start, and at all times
+BLOCK_MS, LOAD_SLOW = 1_000.0, 2.5  # no room, or failed: a place rests; so much slower: the store is crowded
+RENEW_LIVES, RENEW_HELD = 3.0, 8  # copies are renewed for so long, while fewer than one in so many is held
 
 
 class Routing(Known):
+    loading, loads_limit = 0, LOADS_START  # own ones under way
+
     def _ordered(self, fn: Function) -> list[Worker]:  # by rendezvous hashing, the same at every front end
         if fn.order_members is not self.members:
             drawn = {w: math.log((mix(fn.mark ^ w.mark) + 1) / (2**64 + 1)) for w in self.ready}
@@ -58,14 +63,13 @@
 
     def _measure(self, fn: Function) -> None:
         """Workers a function needs: own arrivals times front ends, or the crowd told. Guards the first."""
-        if fn.last_ms:
-            faded = math.exp((fn.last_ms[-1] - self.now) / state.FADE_MS)
-            fn.arrived, fn.crowd = fn.arrived * faded, fn.crowd * faded
+        faded = math.exp((max(fn.last_ms, default=self.now) - self.now) / state.FADE_MS)
+        fn.arrived, fn.crowd = fn.arrived * faded, fn.crowd * faded
         rate = self._surely(fn.arrived) / min(state.FADE_MS, self.now - self.began_ms + REFRESH_MS)
         if len(fn.last_ms) == state.RUSH:
             rate = max(rate, self._surely(state.RUSH) / max(self.now - fn.last_ms[0], REFRESH_MS))
         demand = max(rate * self.peers * self._te(fn), fn.crowd)
-        share = min(SPREAD_LANES * fn.lanes, SPREAD_PART * self.worker_most)
+        share = min(SPREAD_LANES * fn.lanes, SPREAD_PART * self.worker_most or 1.0)  # 0: none is ready
         fn.width = min(max(1, math.ceil(demand / share)), max(1, len(self.ready)))
         fn.arrived += 1
         fn.last_ms.append(self.now)
@@ -99,12 +103,11 @@
         """A free warm lane; copies long unseen are asked after first. Harm: a round trip's wait."""
         if self.now < instance.blocked_ms or self._copies(fn, worker) * fn.lanes <= instance.own:
             return False
-        most = max(-(-instance.own // fn.lanes), self.now - instance.seen_ms < state.STALE_MS) * fn.lanes
-        counted = self.now - instance.counted_ms < state.STALE_MS
-        sure = counted or most > instance.own or self.wide or not self.settings.may_order
-        if not sure and not instance.asks and self._usable(worker, fn):
+        sign_ms = instance.counted_ms if instance.own else instance.seen_ms  # of a lane more than are in use
+        sure = instance.own % fn.lanes > 0 or self.now - sign_ms < state.STALE_MS or self.wide
+        if not sure and self.settings.may_order and not instance.asks and self._usable(worker, fn):
             self._ask(fn, worker)
-        return sure
+        return sure or not self.settings.may_order
 
     def _bound(self, worker: Worker) -> float:  # own requests: a multiple of a fair share
         fair = (len(self.attempts) + 1) * self._size(worker) / self.total
@@ -137,3 +140,90 @@
 
     def _size(self, worker: Worker) -> float:
         return self.members[worker.id] * self._warmth(worker)
+
+    def _race(self, fn: Function) -> None:  # the loads that held requests need, one for the lanes of a copy
+        warm, waited = self._is_warm(fn), self.now - min(r.held_ms for r in fn.queue)
+        early = self.wide and waited < self._te(fn)  # others load too
+        idle = early or len(self.flying) >= self.limit or not self._load_path(fn, waited)
+        if self._asking(fn) or (warm and idle):
+            return
+        pending = sum(fn.instances[w.id].order_ms is not None for w in self._known(fn) if self._usable(w, fn))
+        held = sum(not (warm and (r.over_share or (self.wide and self._late(r)))) for r in fn.queue)
+        for _ in range(math.ceil(held / fn.lanes) - pending):
+            if not self._may_load():
+                return
+            order = self._turned(fn, fn.queue[0]) + self._ordered(fn)
+            order.sort(key=lambda w: warm and self._is_far(w))  # the first copy stands at the function's home
+            able = [w for w in order if self._may_load_at(fn, w, warm)]
+            bare = (w for w in able if not self._copies(fn, w) and w.own < self._bound(w))
+            if able:
+                self._load(fn, next(bare, able[0]), warm)
+
+    def _load(self, fn: Function, worker: Worker, warm: bool) -> None:
+        instance = self._instance(fn, worker)
+        instance.order_ms, instance.raced, self.loading = self.now, warm, self.loading + 1
+        instance.order_count = min(16, self._copies(fn, worker) + 1)
+        self.ordered.append(self.now)
+        self._owe(worker)
+        self.actions.append(io.Hold(worker.id, fn.name, instance.order_count))
+
+    def _load_answered(self, fn: Function, instance: Instance, event: io.OrderAnswered) -> None:
+        good, took = event.ending is io.Ending.GOOD, self.now - instance.order_ms
+        timely = took < LOAD_SLOW * (fn.load_told_ms or self._tp(fn)) and good
+        instance.order_ms, self.loading = None, self.loading - 1
+        fn.loads.timed.extend([(self.now, took)] * good)
+        instance.blocked_ms = instance.blocked_ms if good else self.now + BLOCK_MS
+        # Guards the store: slow or failed loads lower the number under way. Harm: so does a slow worker.
+        if event.ending in (io.Ending.GOOD, io.Ending.ERROR):
+            limit = self.loads_limit + (1 / self.loads_limit if timely else -0.2 * self.loads_limit)
+            self.loads_limit = min(LOADS_MOST, max(LOADS_LEAST, limit))
+
+    def _load_path(self, fn: Function, waited_ms: float) -> bool:  # the switch: off at Ti > Te, on at Td > Tp
+        if fn.load_path:
+            unused = [self.now - i.unused_ms for i in fn.instances.values() if i.unused_ms is not None]
+            seen = self.peers if self.wide else 1  # of so many calls, one: the others use the copy as often
+            flip = max([fn.idle_ms, *unused]) > self._te(fn) * seen
+        else:
+            flip = max(waited_ms, fn.waits.median(self.now) or 0.0) > self._tp(fn)
+        if flip:
+            fn.load_path, fn.idle_ms, fn.waits = not fn.load_path, 0.0, Samples()
+        for instance in fn.instances.values() if flip else ():
+            instance.unused_ms = None
+        return fn.load_path
+
+    def _may_load(self) -> bool:  # anything, anywhere
+        return self.loading < self.loads_limit and self.settings.may_order and self._ration_left() >= 1
+
+    def _may_load_at(self, fn: Function, worker: Worker, warm: bool) -> bool:
+        instance = fn.instances.get(worker.id) or Instance()
+        free = instance.order_ms is None and self.now >= instance.blocked_ms and self._usable(worker, fn)
+        return free and not (warm and (worker.own >= worker.limit or not self._within_cold_budget(worker)))
+
+    def _ration_left(self) -> float:  # of orders to load: some are free, and a part of the arrivals
+        window = self.settings.load_window_ms
+        while self.ordered and self.ordered[0] < self.now - window - self.settings.tick_ms:
+            self.ordered.popleft()
+        ration = self.settings.free_loads + self.settings.load_part * len(self.taken)
+        return ration - len(self.ordered) if window > 0 else math.inf
+
+    def _renew(self) -> None:
+        """Renew a copy of each function called lately before it lapses. Harm: less room in a squeeze."""
+        held, life = sum(len(fn.queue) for fn in self.functions.values()), self.settings.idle_life_ms
+        calm = RENEW_HELD * held <= len(self.requests) and not self.wide and self._may_load()
+        for fn in self.functions.values() if calm else ():  # in a wide fleet others' calls renew as well
+            told = [(i.seen_ms, n) for n, i in fn.instances.items() if self._copies(fn, self.workers[n])]
+            seen, id = max(told, default=(self.now, 0))
+            due = seen + life < self.now + 2 * REFRESH_MS and fn.last_ms[-1] + RENEW_LIVES * life > self.now
+            spared = due and self._ration_left() > len(self.ordered)
+            if spared and self._may_load_at(fn, self.workers[id], warm=True):
+                self.ordered.append(self.now)
+                self._ask(fn, self.workers[id], 1)
+
+    def _ask(self, fn: Function, worker: Worker, copies: int = 0) -> None:
+        instance = self._instance(fn, worker)
+        instance.asks, instance.asked_ms, fn.asked_ms = instance.asks + 1, self.now, self.now
+        self._owe(worker)
+        self.actions.append(io.Hold(worker.id, fn.name, copies))
+
+    def _asking(self, fn: Function) -> bool:  # answers to questions are awaited, for a round trip at the most
+        return self.now - fn.asked_ms < state.ASK_WAIT_MS and any(i.asks for i in fn.instances.values())
--- a/fawnwharf/policy/state.py
+++ b/fawnwharf/policy/state.py
@@ -29,11 +29,9 @@
     return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=8).digest(), "big")
 
 
-@dataclass(slots=True)
 class Samples:  # timed, of the window; their median is worked out anew once a sweep at the most
-    timed: deque[tuple[float, float]] = field(default_factory=lambda: deque(maxlen=SAMPLES_MOST))
-    value: float | None = None
-    at_ms: float = -math.inf
+    def __init__(self) -> None:
+        self.timed, self.at_ms = deque[tuple[float, float]](maxlen=SAMPLES_MOST), -math.inf
 
     def median(self, now_ms: float) -> float | None:
         if now_ms - self.at_ms >= SWEEP_MS:
@@ -66,11 +64,8 @@
         return self.entry.state == io.State.READY
 
 
-@dataclass(slots=True, eq=False)
 class Lapse:  # answers of a class that a worker lost or turned to errors, though it answers others
-    losses: float = 0.0
-    rests_ms: float = -math.inf  # until then
-    rest_ms: float = REST_MS
+    losses, rests_ms, rest_ms = 0.0, -math.inf, REST_MS  # it rests until, and for so long
 
 
 @dataclass(slots=True, eq=False)
@@ -149,14 +144,13 @@
         self.actions, self.ready = list[io.Action](), list[Worker]()
         self.workers, self.watched = dict[int, Worker](), dict[int, Worker]()  # watched: owe one, or suspect
         self.members, self.tokens = dict[int, float](), dict[str, tuple[float, float]]()  # sizes; shares
-        self.functions, self.waiting = dict[str, Function](), dict[str, Function]()
+        self.functions = dict[str, Function]()
         self.requests, self.attempts = dict[str, Request](), dict[tuple[str, int], Attempt]()
-        self.suspects, self.hedges = 0, HEDGES_MOST
+        self.suspects, self.hedges, self.wide = 0, HEDGES_MOST, False  # wide: its part of a worker is below 1
         self.taken, self.ordered, self.flying = deque[float](), deque[float](), set[Attempt]()  # out lately
         self.total, self.fleet = 1.0, 0.01  # size of the ready fleet, cold workers in part; the largest seen
         self.peers, self.silent_ms = max(1, settings.fleet_size), SILENT_MS  # front ends; see _watch
         self.sold = sum(settings.quotas_rps.values()) / 1000  # by all together, a millisecond
-        self.wide = False  # this front end's part of what a worker can take is below one request
         self.limit, self.worker_most, self.strain_most = math.inf, 0.0, math.inf  # in flight: own; a worker's
         self.promise_ms = min((spec.promise_ms for spec in settings.classes.values()), default=1000.0)
         self.runs, self.run_ms = Samples(), self.promise_ms / 5
