Decision module: sites, classes that change, copies wanted, and what others told of a worker

Need: sessions have homes, policies change while a front end runs, foresight orders copies, and front ends tell each other what they sent, found and load.

RequestArrived.site takes the place of the own zone for a function's calls, in its hash order too. ClassChanged holds for later arrivals only. CopiesWanted orders one copy more, or renews, after all that binds loads and with an order left for each held call. Elsewhere fades and counts for nothing across a worker's start; the cold budget by it is never looser than the guess while it is old or not whole, as others' parts are reckoned in from their word on.

Turned down: lanes of copies told as counted ones (others use them); renewing what is wanted and never called for as long as what is called.

--- a/fawnwharf/interface.py
+++ b/fawnwharf/interface.py
@@ -180,7 +180,7 @@
 @dataclass(slots=True)
 class ClassChanged:
     """Calls of this class that arrive from now on are judged by this; those that are here stay as they
-    are."""
+    are. Nothing that was learnt is lost."""
 
     spec: ClassSpec
 
@@ -188,10 +188,11 @@
 @dataclass(slots=True)
 class Elsewhere:
     """What other front ends told of one worker. It takes the place of what was told of it before, and
-    fades."""
+    fades: `sent` counts for `fall_ms`, `loading` for a load's usual time, `copies` as if an answer had
+    told of them at that time. None of it counts across a start of the worker."""
 
     worker: int
-    sent: int | None = None  # calls that all others sent there within the last `fall_ms`; None: not known
+    sent: int | None = None  # calls that all others sent there within the last `fall_ms`; None: unknown
     copies: dict[str, int] = field(default_factory=dict)  # that answers proved to others, by function
     loading: tuple[str, ...] = ()  # functions of which others have an order to load there under way
     age_ms: float = 0.0  # of the oldest word that it rests on
@@ -199,12 +200,13 @@
 
 @dataclass(slots=True)
 class CopiesWanted:
-    """Copies are wanted at a worker before calls come: ordered within the ration, or not at all."""
+    """Copies are wanted at a worker before calls come. One more is ordered, or what is about to lapse is
+    renewed, within the ration and once held calls have theirs; else nothing happens."""
 
     worker: int
     function: str
     class_name: str
-    copies: int = 1
+    copies: int = 1  # that are to stand there in all; nothing is ordered where they do
     lanes: int = 1
     load_ms: float | None = None
 
--- a/fawnwharf/operators/memory.py
+++ b/fawnwharf/operators/memory.py
@@ -17,7 +17,7 @@
 MAGIC = b"fwmem\x01"  # the last byte is the version
 HEAD = struct.Struct(">6sII")  # magic, length, checksum
 OLD_MS = 20_000.0  # beliefs that are older say nothing; who is taken out holds for good
-FUNCTIONS_MOST = 500  # the ones called last
+FUNCTIONS_MOST = 500  # the ones called or wanted last
 SIZE_MOST = 4 * 1024 * 1024
 
 Age = Annotated[float, Meta(ge=-1e12)]
@@ -116,7 +116,7 @@
     def aged(samples: state.Samples) -> list[tuple[float, float]]:
         return [(now_ms - at, value) for at, value in samples.timed]
 
-    last = sorted(router.functions.values(), key=lambda fn: -fn.last_ms[-1])[:FUNCTIONS_MOST]
+    last = sorted(router.functions.values(), key=lambda fn: -fn.needed_ms)[:FUNCTIONS_MOST]
     return Memory(
         at_ms,
         sorted(out),
@@ -188,7 +188,7 @@
             router.watched[worker.id] = worker
             router.suspects += worker.entry.state == State.READY
     for known in memory.functions:
-        if known.called and known.name not in router.functions:
+        if (known.called or known.places) and known.name not in router.functions:
             router.functions[known.name] = _function(router, known, base, timed)
 
 
@@ -196,6 +196,7 @@
     fn = state.Function(known.name, known.kind, known.lanes, known.load_told_ms, state.mark(known.name))
     fn.runs, fn.loads, fn.waits = timed(known.runs), timed(known.loads), timed(known.waits)
     fn.last_ms.extend(base - age for age in known.called)
+    fn.needed_ms = max(fn.last_ms, default=base)
     fn.idle_ms, fn.load_path, fn.arrived = known.idle_ms, known.load_path, known.arrived
     fn.width, fn.crowd = known.width, known.crowd
     for place in known.places:
--- a/fawnwharf/policy/health.py
+++ b/fawnwharf/policy/health.py
@@ -6,8 +6,7 @@
 from fawnwharf.policy.state import FADE_MS, LATE_MOST, Attempt, Function, Known, Lapse, Request, Worker
 
 SIGN_WAIT_MS, TRIAL_MS = 80.0, 1_000.0  # for a sign, a round trip; pause between those asked of a suspect
-ZONE_SIGNS = 3  # so many silent or asked in one zone: all that are there are asked
-ANSWER_GAIN = 0.4  # weight of one answer in what answers tell of others' load: they are rare
+ZONE_SIGNS, ANSWER_GAIN = 3, 0.4  # so many silent or asked in a zone: all are asked; weight of a rare answer
 STRAINED, FAR_COST = 2.0, 0.5  # in usual runs: from so many on a worker is left; crossing, as places go
 OVERDUE_RUNS, LOST_RUNS = 3.0, 8.0  # out for so many runs, an attempt deserves a second; it is held lost
 LOSSES, LOSS_KEPT = 2.0, 0.7  # so many lost rest a class at a worker; each answer takes part of them back
@@ -26,8 +25,8 @@
     def _strained(self, worker: Worker) -> float:
         return 1 + (worker.strain - 1) * math.exp((worker.strain_ms - self.now) / FADE_MS)
 
-    def _cost(self, worker: Worker) -> float:  # of a run there, in usual ones
-        return max(1.0, self._strained(worker)) + FAR_COST * self._is_far(worker)
+    def _cost(self, worker: Worker, fn: Function) -> float:  # of a run there, in usual ones
+        return max(1.0, self._strained(worker)) + FAR_COST * self._is_far(worker, fn)
 
     def _owe(self, worker: Worker) -> None:
         worker.owed_ms = self.now if worker.owed_ms is None else worker.owed_ms  # if it owes none yet
@@ -65,9 +64,8 @@
         self.watched[worker.id] = worker
         self.suspects += worker.takes_new()
         self.actions.append(io.Log(f"worker {worker.id} is silent: nothing new goes there"))
-        for attempt in list(self.attempts.values()):
-            request = self.requests.get(attempt.request)
-            if attempt.worker == worker.id and request and request not in attempt.function.queue:
+        for attempt in [attempt for attempt in self.attempts.values() if attempt.worker == worker.id]:
+            if (request := self.requests.get(attempt.request)) and request not in attempt.function.queue:
                 self._again(request)
                 self._dispatch(attempt.function)
         near = [other for other in self.ready if other.entry.zone == worker.entry.zone] if self.wide else []
@@ -79,8 +77,7 @@
         """Hold overdue answers lost, try elsewhere, rest their class. Harm: a long call runs twice."""
         for attempt in list(self.attempts.values()):
             fn, worker = attempt.function, self.workers[attempt.worker]
-            lapse = worker.lapses.get(fn.kind)
-            runs = OVERDUE_RUNS if lapse and lapse.losses >= LOSSES else LOST_RUNS
+            runs = OVERDUE_RUNS if worker.lapses.get(fn.kind, Lapse()).losses >= LOSSES else LOST_RUNS
             due_ms = attempt.sent_ms + runs * max(self._te(fn), self.runs.median(self.now) or 0.0)
             if attempt.lost or worker.suspect_ms is not None or self.now < due_ms:
                 continue
@@ -103,12 +100,6 @@
         lapse.rests_ms = max(lapse.rests_ms, self.now + lapse.rest_ms * (lapse.losses >= LOSSES))
         return lapse.losses >= LOSSES
 
-    def _found(self, worker: Worker, attempt: Attempt) -> None:
-        if lapse := worker.lapses.get(attempt.function.kind):
-            lapse.losses = lapse.losses - 1 if attempt.lost else lapse.losses * LOSS_KEPT  # it was but slow
-            if lapse.losses < 1:
-                del worker.lapses[attempt.function.kind]
-
     def _rests(self, worker: Worker, fn: Function) -> bool:  # unless most of the fleet would
         if not (lapse := worker.lapses.get(fn.kind)) or lapse.losses < LOSSES or self.now >= lapse.rests_ms:
             return False
--- a/fawnwharf/policy/router.py
+++ b/fawnwharf/policy/router.py
@@ -4,13 +4,12 @@
 
 from fawnwharf import interface as io
 from fawnwharf.policy import state
-from fawnwharf.policy.health import ANSWER_GAIN, LOSSES, LOST_RUNS, STRAINED, TRIAL_MS, Health
+from fawnwharf.policy.health import ANSWER_GAIN, LOSS_KEPT, LOSSES, LOST_RUNS, STRAINED, TRIAL_MS, Health
 from fawnwharf.policy.routing import BOUND_FLOOR, Routing
 from fawnwharf.policy.state import Attempt, Function, Request, Worker, mark, mix
 
 FUNCTIONS_MOST, FORGET_MS = 2_000, 60_000.0  # kept in mind; forgotten if not called, or gone, for so long
-RUN_GAIN = 0.02  # weight of one run in the mean run of workers that are not crowded
-ROOM_SPREAD = 1.5  # room for chance in a worker's limit, in square roots of its mean requests
+RUN_GAIN, ROOM_SPREAD = 0.02, 1.5  # weight of an uncrowded run; room in limits, in square roots of means
 WINDOW_MARGIN_MS = 100.0  # a keyed repeat must arrive inside the window, not just leave inside it
 TRY_LEAST, HELD_PART = 0.2, 0.5  # of its class's time: a try with less is a later one; late by then, given up
 
@@ -44,11 +43,8 @@
 
     def _on_request(self, event: io.RequestArrived) -> None:
         self.taken.append(self.now)
-        if len(self.functions) >= FUNCTIONS_MOST and event.function not in self.functions:
-            self._forget()
-        name, kind, lanes = event.function, event.class_name, max(1, event.lanes)
-        fn = self.functions.setdefault(name, Function(name, kind, lanes, event.load_ms, mark(name)))
-        spec = self.settings.classes.get(kind) or io.ClassSpec(kind)
+        fn, spec = self._function(event), self.classes.get(event.class_name) or io.ClassSpec(event.class_name)
+        fn.site, fn.order_members = event.site, fn.order_members if event.site == fn.site else None
         self.seed, draw, deadline = self.seed + 1, mix(mix(self.seed)), self.now + event.budget_ms
         later = event.budget_ms < TRY_LEAST * spec.give_up_ms  # its share was taken by the first try
         aim = (deadline - spec.give_up_ms if later else self.now) + spec.promise_ms
@@ -68,6 +64,12 @@
             self._finish(request)  # the next sweep is past half its time
         self._dispatch(fn)
 
+    def _function(self, event: io.RequestArrived | io.CopiesWanted) -> Function:  # known, or made of it
+        if len(self.functions) >= FUNCTIONS_MOST and event.function not in self.functions:
+            self._forget()
+        name, kind, lanes = event.function, event.class_name, max(1, event.lanes)
+        return self.functions.setdefault(name, Function(name, kind, lanes, event.load_ms, mark(name)))
+
     def _on_left(self, event: io.ClientLeft) -> None:
         if request := self.requests.get(event.request):
             self._close(request)
@@ -77,6 +79,23 @@
         if event.tenant == io.ALL:  # no burst at first
             self.tokens[io.ALL] = (event.calls_rps / 10, self.now)
 
+    def _on_class(self, event: io.ClassChanged) -> None:  # a call keeps what it came with
+        self.classes[event.spec.name] = event.spec
+        self.promise_ms = min(spec.promise_ms for spec in self.classes.values())
+
+    def _on_elsewhere(self, event: io.Elsewhere) -> None:  # for functions not known yet see _ordered
+        if worker := self.workers.get(event.worker):
+            worker.told, worker.told_ms = event, self.now - max(0.0, event.age_ms)
+            for fn in filter(None, map(self.functions.get, [*event.copies, *event.loading])):
+                self._believe(fn, worker)
+            self._dispatch_all(worker)
+
+    def _believe(self, fn: Function, worker: Worker) -> None:  # others' word is as an answer of that time
+        if fn.name in worker.told.copies or fn.name in worker.told.loading:
+            instance, copies = self._instance(fn, worker), worker.told.copies.get(fn.name, 0)
+            if copies > 0 and worker.told_ms > instance.seen_ms:
+                instance.copies, instance.seen_ms = max(copies, self._copies(fn, worker)), worker.told_ms
+
     def _on_attempt(self, event: io.AttemptEnded) -> None:
         if (attempt := self.attempts.pop((event.request, event.attempt), None)) is None:
             return
@@ -94,11 +113,14 @@
                 self.runs.timed.append((self.now, event.took_ms))
                 self.run_ms += RUN_GAIN * (event.took_ms - self.run_ms) * attempt.alone
                 self._strain(worker, event.took_ms / te)
-            self._found(worker, attempt)
+            if lapse := worker.lapses.get(fn.kind):
+                lapse.losses = lapse.losses - 1 if attempt.lost else lapse.losses * LOSS_KEPT  # but slow
+                if lapse.losses < 1:
+                    del worker.lapses[fn.kind]
         elif event.ending in (io.Ending.CANCELLED, io.Ending.TIMEOUT) and event.took_ms > STRAINED * te:
             self._strain(worker, event.took_ms / te)  # it may be the slow ones that never get to answer
         elif event.ending is io.Ending.MISS or event.warmth is io.Warmth.LOAD_FAILED:
-            instance.copies = 0
+            instance.copies, instance.seen_ms = 0, self.now
         elif event.ending is io.Ending.ERROR and fn.runs.timed:  # else the call itself may be at fault
             self._lose(worker, fn)
         elif event.ending is io.Ending.FULL:
@@ -222,9 +244,9 @@
         self.forgot_ms, past = self.now, self.now - FORGET_MS
         used = {worker.last for worker in self.workers.values()}
         half = FUNCTIONS_MOST // 2 * (len(self.functions) >= FUNCTIONS_MOST)
-        for n, fn in enumerate(sorted(self.functions.values(), key=lambda fn: fn.last_ms[-1])):
+        for n, fn in enumerate(sorted(self.functions.values(), key=lambda fn: fn.needed_ms)):
             busy = any(i.own or i.asks or i.order_ms is not None for i in fn.instances.values())
-            if not (busy or fn.queue or fn in used) and (n < half or fn.last_ms[-1] < past):
+            if not (busy or fn.queue or fn in used) and (n < half or fn.needed_ms < past):
                 del self.functions[fn.name]
         for worker in [w for w in self.workers.values() if w.entry.state is io.State.GONE]:
             worker.gone_ms = worker.gone_ms or self.now
@@ -238,7 +260,7 @@
         if tenant not in self.settings.quotas_rps:
             return False
         rate = self.settings.quotas_rps[tenant] / self.peers
-        most = rate + self.wide * 2 * math.sqrt(rate * state.WINDOW_MS / 1000)  # of a second; uneven
+        most = rate + self.wide * 2 * math.sqrt(rate * state.WINDOW_MS / 1000)  # a second's, and for chance
         tokens, since = self.tokens.get(tenant, (most, self.now))
         tokens = min(most, tokens + rate * (self.now - since) / 1000)
         self.tokens[tenant] = (tokens - (tokens >= 1), self.now)
@@ -296,4 +318,5 @@
 
     handlers = {io.RosterChanged: _on_roster, io.RequestArrived: _on_request, io.ClientLeft: _on_left,
                 io.AttemptEnded: _on_attempt, io.OrderAnswered: _on_order, io.TimerDue: _on_timer,
-                io.LimitsChanged: _on_limits}  # fmt: skip
+                io.LimitsChanged: _on_limits, io.ClassChanged: _on_class, io.Elsewhere: _on_elsewhere,
+                io.CopiesWanted: Routing._on_wanted}  # fmt: skip
--- a/fawnwharf/policy/routing.py
+++ b/fawnwharf/policy/routing.py
@@ -9,9 +9,8 @@
 
 BOUND_FACTOR, BOUND_NEAR, BOUND_FLOOR = 1.5, 2.4, 2.0  # of its fair share a worker takes, far, near; at least
 TRIED = 2**60  # of the draws: one call in sixteen tries a place not seen yet while others are known
-COLD_SAFETY = 0.6  # part of a cold worker's budget that is used: capacity and other front ends are guesses
+COLD_SAFETY, YIELD = 0.6, 0.35  # used of a cold budget, a guess; of a limit, by calls past share or time
 SPREAD_LANES, SPREAD_PART = 0.6, 0.3  # of a copy's lanes, and of a worker's room, for a wide function's calls
-YIELD = 0.35  # part of a worker's limit open to requests beyond a share or past their time
 LOADS_START, LOADS_LEAST, LOADS_MOST = 8.0, 2.0, 24.0  # own loads under way: at the start, and at all times
 BLOCK_MS, LOAD_SLOW = 1_000.0, 2.5  # no room, or failed: a place rests; so much slower: the store is crowded
 RENEW_LIVES, RENEW_HELD = 3.0, 8  # copies are renewed for so long, while fewer than one in so many is held
@@ -20,17 +19,20 @@
 class Routing(Known):
     loading, loads_limit = 0, LOADS_START  # own ones under way
 
-    def _ordered(self, fn: Function) -> list[Worker]:  # by rendezvous hashing, the same at every front end
+    def _ordered(self, fn: Function) -> list[Worker]:  # by rendezvous hashing; a told site first
         if fn.order_members is not self.members:
             drawn = {w: math.log((mix(fn.mark ^ w.mark) + 1) / (2**64 + 1)) for w in self.ready}
             fn.order = sorted(drawn, key=lambda w: (-drawn[w] / self.members[w.id], w.id))
+            fn.order.sort(key=lambda w: fn.site != "" and self._is_far(w, fn))
             fn.order_members, fn.known = self.members, None
+            for worker in fn.order:
+                self._believe(fn, worker)
         return fn.order
 
     def _known(self, fn: Function) -> list[Worker]:  # with some belief, the own zone's first, in hash order
         order = self._ordered(fn)
         if fn.known is None:
-            fn.known = sorted((w for w in order if w.id in fn.instances), key=self._is_far)
+            fn.known = sorted((w for w in order if w.id in fn.instances), key=lambda w: self._is_far(w, fn))
         return fn.known
 
     def _places(self, fn: Function, request: Request) -> list[Worker]:  # believed warm, wide from a draw
@@ -58,7 +60,7 @@
         fit = (worker for worker in self._ordered(fn) if self._fit(worker, fn))
         order = list(islice(fit, fn.width)) or fn.order[: fn.width]
         turns = [draw % len(order) for draw in (request.draw, request.draw >> 32) if order]
-        turn = min(turns, key=lambda turn: self.wide * self._cost(order[turn]), default=0)
+        turn = min(turns, key=lambda turn: self.wide * self._cost(order[turn], fn), default=0)
         return order[turn:] + order[:turn]
 
     def _measure(self, fn: Function) -> None:
@@ -71,7 +73,7 @@
         demand = max(rate * self.peers * self._te(fn), fn.crowd)
         share = min(SPREAD_LANES * fn.lanes, SPREAD_PART * self.worker_most or 1.0)  # 0: none is ready
         fn.width = min(max(1, math.ceil(demand / share)), max(1, len(self.ready)))
-        fn.arrived += 1
+        fn.arrived, fn.needed_ms = fn.arrived + 1, self.now
         fn.last_ms.append(self.now)
 
     def _surely(self, seen: float) -> float:  # arrivals less their chance, which many front ends multiply
@@ -88,11 +90,11 @@
         if len(self.flying) >= self.limit * (1.0 if again else part) or (self.wide and self._asking(fn)):
             return None  # one question at a time; the drawn place is to answer first
         for worker in places:
-            if asked and self._is_far(worker):
+            if asked and self._is_far(worker, fn):
                 break
             instance = fn.instances[worker.id]
             if self._free(fn, instance, worker) and self._may_send_here(request, worker, part):
-                if worker.own < self._bound(worker):
+                if worker.own < self._bound(worker, fn):
                     return worker
                 spare.append(worker)
             fresh = instance.asks and self.now - instance.asked_ms < state.ASK_WAIT_MS
@@ -109,9 +111,9 @@
             self._ask(fn, worker)
         return sure or not self.settings.may_order
 
-    def _bound(self, worker: Worker) -> float:  # own requests: a multiple of a fair share
+    def _bound(self, worker: Worker, fn: Function) -> float:  # own requests: a multiple of a fair share
         fair = (len(self.attempts) + 1) * self._size(worker) / self.total
-        factor = BOUND_FACTOR if self._is_far(worker) else BOUND_NEAR
+        factor = BOUND_FACTOR if self._is_far(worker, fn) else BOUND_NEAR
         return max(BOUND_FLOOR * self._warmth(worker), factor * fair)
 
     def _fit(self, worker: Worker, fn: Function) -> bool:
@@ -130,9 +132,13 @@
             answered = len(self.runs.timed) / max(REFRESH_MS, self.now - next(iter(self.runs.timed), (0,))[0])
             rate = max(self.sold / self.peers / self.fleet, COLD_SAFETY * answered / self.total)
             rate *= self.members[worker.id]
-        budget = self.settings.fall_multiple * share * self.settings.fall_ms * rate
+        left = own = self.settings.fall_multiple * share * self.settings.fall_ms * rate
+        # Who is unsure gets no more than its part: all others see the same room, and may be about to take it.
+        if worker.told.sent is not None and self._is_told(worker, self.settings.fall_ms):
+            since = (self.now - worker.told_ms) / self.settings.fall_ms  # others have sent their parts since
+            left = own * (self.peers - since * (self.peers - 1)) - worker.told.sent
         # Guards against a least send for each front end: a part below one falls to as many of them by chance.
-        return len(worker.sent) + 1 <= budget + mix(mix(self.chance ^ worker.mark)) / 2**64
+        return len(worker.sent) + 1 <= max(left, min(left, own) + mix(mix(self.chance ^ worker.mark)) / 2**64)
 
     def _warmth(self, worker: Worker) -> float:  # the part of its capacity that a worker has at the least
         age = max(0.0, self.now - worker.started_ms) / max(1.0, self.settings.cold_ms)
@@ -147,15 +153,15 @@
         idle = early or len(self.flying) >= self.limit or not self._load_path(fn, waited)
         if self._asking(fn) or (warm and idle):
             return
-        pending = sum(fn.instances[w.id].order_ms is not None for w in self._known(fn) if self._usable(w, fn))
+        pending = sum(self._is_loading(fn, w) for w in self._known(fn) if self._usable(w, fn))
         held = sum(not (warm and (r.over_share or (self.wide and self._late(r)))) for r in fn.queue)
         for _ in range(math.ceil(held / fn.lanes) - pending):
             if not self._may_load():
                 return
             order = self._turned(fn, fn.queue[0]) + self._ordered(fn)
-            order.sort(key=lambda w: warm and self._is_far(w))  # the first copy stands at the function's home
+            order.sort(key=lambda w: warm and self._is_far(w, fn))  # the first copy stands at its home
             able = [w for w in order if self._may_load_at(fn, w, warm)]
-            bare = (w for w in able if not self._copies(fn, w) and w.own < self._bound(w))
+            bare = (w for w in able if not self._copies(fn, w) and w.own < self._bound(w, fn))
             if able:
                 self._load(fn, next(bare, able[0]), warm)
 
@@ -195,10 +201,15 @@
         return self.loading < self.loads_limit and self.settings.may_order and self._ration_left() >= 1
 
     def _may_load_at(self, fn: Function, worker: Worker, warm: bool) -> bool:
-        instance = fn.instances.get(worker.id) or Instance()
-        free = instance.order_ms is None and self.now >= instance.blocked_ms and self._usable(worker, fn)
+        blocked_ms = (fn.instances.get(worker.id) or Instance()).blocked_ms
+        free = self.now >= blocked_ms and self._usable(worker, fn) and not self._is_loading(fn, worker)
         return free and not (warm and (worker.own >= worker.limit or not self._within_cold_budget(worker)))
 
+    def _is_loading(self, fn: Function, worker: Worker) -> bool:  # by an own order, or another's, as told
+        told, own = worker.told, (fn.instances.get(worker.id) or Instance()).order_ms is not None
+        others = fn.name in told.loading and self._is_told(worker, self._tp(fn))
+        return own or (others and self._copies(fn, worker) <= told.copies.get(fn.name, 0))  # else it has come
+
     def _ration_left(self) -> float:  # of orders to load: some are free, and a part of the arrivals
         window = self.settings.load_window_ms
         while self.ordered and self.ordered[0] < self.now - window - self.settings.tick_ms:
@@ -212,12 +223,24 @@
         calm = RENEW_HELD * held <= len(self.requests) and not self.wide and self._may_load()
         for fn in self.functions.values() if calm else ():  # in a wide fleet others' calls renew as well
             told = [(i.seen_ms, n) for n, i in fn.instances.items() if self._copies(fn, self.workers[n])]
-            seen, id = max(told, default=(self.now, 0))
-            due = seen + life < self.now + 2 * REFRESH_MS and fn.last_ms[-1] + RENEW_LIVES * life > self.now
-            spared = due and self._ration_left() > len(self.ordered)
-            if spared and self._may_load_at(fn, self.workers[id], warm=True):
+            called = max(fn.last_ms, default=-math.inf) + RENEW_LIVES * life > self.now
+            if told and called and self._ration_left() > len(self.ordered):
+                self._keep(fn, self.workers[max(told)[1]], 1)
+
+    def _keep(self, fn: Function, worker: Worker, copies: int) -> None:  # one more, or those about to lapse
+        if worker in self._ordered(fn) and self._may_load_at(fn, worker, warm=True):
+            if self._copies(fn, worker) < copies:
+                self._load(fn, worker, warm=False)
+            elif fn.instances[worker.id].seen_ms + self.settings.idle_life_ms < self.now + 2 * REFRESH_MS:
                 self.ordered.append(self.now)
-                self._ask(fn, self.workers[id], 1)
+                self._ask(fn, worker, copies)
+
+    def _on_wanted(self, event: io.CopiesWanted) -> None:  # calls first: an order for each held one is left
+        worker, held = self.workers.get(event.worker), sum(len(fn.queue) for fn in self.functions.values())
+        if worker and event.copies > 0 and self._may_load() and self._ration_left() >= held + 1:
+            fn = self._function(event)
+            fn.needed_ms = self.now
+            self._keep(fn, worker, event.copies)
 
     def _ask(self, fn: Function, worker: Worker, copies: int = 0) -> None:
         instance = self._instance(fn, worker)
--- a/fawnwharf/policy/state.py
+++ b/fawnwharf/policy/state.py
@@ -10,9 +10,8 @@
 WINDOW_MS, SAMPLES_MOST = 10_000.0, 64  # samples of a median: the design's window; more would not move it
 SWEEP_MS, LEAD_MS = 40.0, 20.0  # pace of the timer; a final answer comes so long before the client leaves
 REFRESH_MS, STALE_MS = 1_000.0, 1_000.0  # pace of sums over the fleet; a copy unseen so long may be gone
-RATE_MS = 5_000.0  # stretch over which arrivals are counted, and pause between questions for an empty place
+RATE_MS, SILENT_MS = 5_000.0, 300.0  # of arrivals, between questions for a place; owed so long: ask a sign
 SURVEY_WIDTH, ASK_WAIT_MS = 4, 12.0  # workers asked after an unknown function; a load waits so long for them
-SILENT_MS = 300.0  # nothing heard for this long with something owed: ask the worker for a sign
 FADE_MS, RUSH = 30_000.0, 3  # a function's width forgets over this; so many arrivals at once turn it hot
 REST_MS, REST_MOST_MS = 2_000.0, 8_000.0  # then one call tries it, and after each try it rests for longer
 HEDGE_SHARE, HEDGES_MOST = 0.1, 3.0  # second attempts a request, and saved up; what came first is given back
@@ -59,6 +58,8 @@
     last: "Function | None" = None  # the function last seen there
     gone_ms: float | None = None  # since when
     lapses: dict[str, "Lapse"] = field(default_factory=dict)  # by class
+    told: io.Elsewhere = field(default_factory=lambda: io.Elsewhere(0))  # by others, last
+    told_ms: float = -math.inf  # of the oldest word that it rests on
 
     def takes_new(self) -> bool:  # the rule on drains: one that drains gets questions, but no calls and loads
         return self.entry.state == io.State.READY
@@ -136,6 +137,8 @@
     last_ms: deque[float] = field(default_factory=lambda: deque(maxlen=RUSH))  # the last arrivals
     width: int = 1  # first workers in order that the whole fleet's calls need
     crowd: float = 0.0  # calls of all front ends in flight, as answers tell
+    site: str = ""  # the zone that is near for its calls, where one is told
+    needed_ms: float = -math.inf  # last call, or copies wanted last
 
 
 class Known:
@@ -144,7 +147,7 @@
         self.actions, self.ready = list[io.Action](), list[Worker]()
         self.workers, self.watched = dict[int, Worker](), dict[int, Worker]()  # watched: owe one, or suspect
         self.members, self.tokens = dict[int, float](), dict[str, tuple[float, float]]()  # sizes; shares
-        self.functions = dict[str, Function]()
+        self.functions, self.classes = dict[str, Function](), dict(settings.classes)
         self.requests, self.attempts = dict[str, Request](), dict[tuple[str, int], Attempt]()
         self.suspects, self.hedges, self.wide = 0, HEDGES_MOST, False  # wide: its part of a worker is below 1
         self.taken, self.ordered, self.flying = deque[float](), deque[float](), set[Attempt]()  # out lately
@@ -174,5 +177,8 @@
             fn.instances[worker.id], fn.known = Instance(), None
         return fn.instances[worker.id]
 
-    def _is_far(self, worker: Worker) -> bool:  # a call there crosses zones, at a price
-        return worker.entry.zone != self.settings.zone
+    def _is_far(self, worker: Worker, fn: Function) -> bool:  # a call there crosses zones, at a price
+        return worker.entry.zone != (fn.site or self.settings.zone)
+
+    def _is_told(self, worker: Worker, span_ms: float) -> bool:  # by others, so lately, and since it started
+        return worker.told_ms > max(worker.started_ms, self.now - span_ms)
--- a/tests/test_policy_rules.py
+++ b/tests/test_policy_rules.py
@@ -229,3 +229,10 @@
     drive.feed(io.LimitsChanged(10.0, "t"))
     drive.now += 1000.0
     assert over("t") > 30
+
+
+def test_a_call_while_no_worker_is_ready_is_held_and_refused_also_with_shares():
+    d = Drive(workers=2, quotas_rps={"t": 100.0})
+    d.feed(io.RosterChanged([], complete=True))
+    d.ask("r1", tenant="t")
+    assert [refusal.request for refusal in of(d.sweep(2500), io.Refuse)] == ["r1"]
--- /dev/null
+++ b/tests/test_policy_told.py
@@ -0,0 +1,446 @@
+"""What is told from outside: classes that change, sites, copies wanted, and what others told of a worker."""
+
+import pytest
+from bench import KEYED, SAFE, UNSAFE, Drive, of
+
+from fawnwharf import interface as io
+from fawnwharf.interface import Ending, State
+from fawnwharf.operators import memory
+
+LIFE_MS, LOAD_MS, FALL_MS = 10_000.0, 500.0, 1_000.0
+
+
+def arrived(d, name, fn="f", site="", spec="safe", budget=2500.0, lanes=1):
+    return d.feed(io.RequestArrived(name, fn, spec, "", budget, lanes, load_ms=LOAD_MS, site=site))
+
+
+def loads(actions):
+    return [(hold.worker, hold.copies) for hold in of(actions, io.Hold) if hold.copies]
+
+
+def asked(actions):
+    return [hold.worker for hold in of(actions, io.Hold) if not hold.copies]
+
+
+def want(d, worker, copies=1, fn="f"):
+    return loads(d.feed(io.CopiesWanted(worker, fn, "safe", copies, load_ms=LOAD_MS)))
+
+
+def spec_of(spec, **changes):
+    fields = {name: getattr(spec, name) for name in spec.__slots__}
+    return io.ClassSpec(**{**fields, **changes})
+
+
+# --- a class that changes ------------------------------------------------------------------
+
+
+def test_calls_in_flight_keep_the_class_with_which_they_came():
+    d = Drive()
+    d.warm(lanes=4)
+    [old] = of(arrived(d, "old", lanes=4), io.Send)
+    assert not d.feed(io.ClassChanged(spec_of(SAFE, effect=io.Effect.UNSAFE)))
+    [new] = of(arrived(d, "new", lanes=4), io.Send)
+    assert d.router.functions["f"].runs.timed  # what was learnt is kept
+    d.end(new, Ending.ERROR, closed=False)
+    d.end(old, Ending.ERROR, closed=False)
+    assert "old" in d.router.requests  # safe as it came: it may be sent again, or else is refused
+    d.sweep(d.now + 2600.0)
+    finals = [a for _, a in d.log if isinstance(a, io.Refuse | io.Fail)]
+    assert finals == [io.Fail("new"), io.Refuse("old")]
+
+
+@pytest.mark.parametrize(
+    ("told", "least"),
+    [
+        ([("safe", 300.0)], 300.0),
+        ([("safe", 300.0), ("safe", 2000.0)], 900.0),  # the short class's again
+        ([("short", 1500.0)], 1000.0),
+        ([("brand new", 100.0)], 100.0),
+    ],
+)
+def test_the_least_promise_follows_and_the_settings_handed_in_stay(told, least):
+    d = Drive()
+    for name, promise_ms in told:
+        d.feed(io.ClassChanged(io.ClassSpec(name, promise_ms)))
+    assert d.router.promise_ms == least
+    assert d.router.settings.classes["safe"] == SAFE and "brand new" not in d.router.settings.classes
+
+
+@pytest.mark.parametrize(
+    ("changed", "after_ms", "again"), [(None, 100, True), (150.0, 100, False), (150.0, 40, True)]
+)
+def test_the_window_of_a_class_counts_for_what_arrives_later(changed, after_ms, again):
+    for came_before in (True, False):
+        d = Drive(workers=4)
+        if changed and not came_before:
+            d.feed(io.ClassChanged(spec_of(KEYED, dedup_window_ms=changed, group=io.Group.ALL)))
+        arrived(d, "r", spec="keyed", budget=4000.0)
+        if changed and came_before:
+            d.feed(io.ClassChanged(spec_of(KEYED, dedup_window_ms=changed, group=io.Group.ALL)))
+        for worker in (1, 2, 3, 4):
+            d.count(worker, 1)
+        [send] = [a for _, a in d.log if isinstance(a, io.Send)]
+        d.sweep(after_ms)
+        for worker in (1, 2, 3, 4):
+            d.count(worker, 1)
+        sends = of(d.end(send, Ending.ERROR, closed=False), io.Send)
+        assert bool(sends) is (again or came_before)
+
+
+# --- sites -----------------------------------------------------------------------------------
+
+
+def sites(own="a", workers=6):
+    d = Drive(workers=workers, zones=("a", "b", "c"), zone=own, idle_life_ms=LIFE_MS)
+    return d, {entry.worker: entry.zone for entry in d.entries}
+
+
+def test_a_function_goes_by_the_site_of_its_latest_arrival():
+    for own in ("a", "b", "c"):
+        d, zones = sites(own)
+        arrived(d, "first", lanes=9)
+        for worker in zones:
+            d.count(worker, 1)
+        for n, site in enumerate(("b", "a", "", "c", "", "b")):
+            [send] = of(arrived(d, f"r{n}", site=site), io.Send)
+            assert zones[send.worker] == (site or own)
+            d.end(send)
+            d.count(send.worker, 1)
+
+
+def test_the_first_questions_the_first_copy_and_raced_ones_stand_at_the_site():
+    for own, site in (("a", "b"), ("a", "c"), ("b", "a")):
+        d, zones = sites(own)
+        there = [worker for worker, zone in zones.items() if zone == site]
+        actions = arrived(d, "r0", site=site)
+        assert set(asked(actions)[:2]) == set(there)
+        [(first, _)] = loads(d.answer_asks(actions))
+        [send] = of(d.count(first, 1), io.Send)
+        [(second, _)] = loads(arrived(d, "r1", site=site))
+        assert {first, second} == set(there) and send.worker == first
+        other = Drive(workers=6, zones=("a", "b", "c"), zone=own)
+        arrived(other, "r0")
+        orders = [w.id for w in d.router._ordered(d.router.functions["f"])]
+        plain = [w.id for w in other.router._ordered(other.router.functions["f"])]
+        assert orders == sorted(plain, key=lambda w: zones[w] != site)  # in hash order within and without
+
+
+@pytest.mark.parametrize(("site", "most"), [("", 8), ("b", 16), ("a", 8)])
+def test_the_bound_goes_by_the_site(site, most):  # 2.4 and 1.5 times a fair share, as in the own zone
+    d = Drive(workers=6, zones=("a", "b"), zone="c")
+    for fn, places in (("g", (2, 4, 6)), ("f", (1, 3))):
+        arrived(d, f"first-{fn}", fn, lanes=64)
+        for place in places:
+            d.count(place, 1, fn)
+    for n in range(20):
+        arrived(d, f"g{n}", "g", lanes=64)
+    sends = [s.worker for n in range(20) for s in of(arrived(d, f"f{n}", "f", site, lanes=64), io.Send)]
+    assert next(n for n, worker in enumerate(sends) if worker != sends[0]) == most
+
+
+# --- copies wanted -----------------------------------------------------------------------------
+
+
+def test_a_copy_wanted_is_ordered_answered_and_used_by_the_first_call():
+    d = Drive(idle_life_ms=LIFE_MS)
+    assert want(d, 3) == [(3, 1)]
+    assert d.router.loading == 1 and len(d.router.ordered) == 1
+    assert want(d, 3) == []  # it is under way
+    d.now += LOAD_MS
+    d.count(3, 1)
+    assert d.router.loading == 0 and want(d, 3) == []
+    assert want(d, 3, copies=2) == [(3, 2)]
+    d.count(3, 2)
+    [send] = of(arrived(d, "r"), io.Send)
+    assert send.worker == 3
+
+
+def wanted_case(case):
+    settings = {"load_window_ms": 5000.0, "free_loads": 3.0, "idle_life_ms": LIFE_MS}
+    worker, copies = 2, 1
+    if case == "orders off":
+        settings["may_order"] = False
+    if case == "cold":
+        settings |= {"cold_ms": 60_000.0, "fall_multiple": 0.0}
+    d = Drive(**settings)
+    if case == "unknown worker":
+        worker = 77
+    elif case in ("draining", "gone"):
+        state = State.DRAINING if case == "draining" else State.GONE
+        d.feed(io.RosterChanged([io.WorkerEntry(2, state)], False))
+    elif case == "suspect":
+        d.router._suspect(d.router.workers[2])
+    elif case == "ration exhausted":
+        d.router.ordered.extend([d.now] * 3)
+    elif case == "blocked":
+        want(d, 2)
+        d.count(2, 0, ending=Ending.FULL)
+    elif case == "stands":
+        d.now += 1.0
+        arrived(d, "r")
+        d.count(2, 1)
+    elif case == "none":
+        copies = 0
+    elif case == "cold":
+        d.now += 1000.0
+        d.feed(io.RosterChanged([io.WorkerEntry(2, up_since_ms=d.now)], False))
+        d.router.chance = next(n for n in range(99) if not d.router._within_cold_budget(cold_with(d, n)))
+    elif case == "too many under way":
+        d.router.loading = 99
+    return want(d, worker, copies)
+
+
+def cold_with(d, chance):
+    d.router.chance = chance
+    d.router.workers[2].sent.append(d.now)
+    return d.router.workers[2]
+
+
+@pytest.mark.parametrize(
+    ("case", "ordered"),
+    [
+        ("plain", True),
+        ("unknown worker", False),
+        ("draining", False),
+        ("gone", False),
+        ("suspect", False),
+        ("ration exhausted", False),
+        ("blocked", False),
+        ("stands", False),
+        ("none", False),
+        ("cold", False),
+        ("too many under way", False),
+        ("orders off", False),
+    ],
+)
+def test_copies_are_ordered_within_all_that_binds_loads_or_not_at_all(case, ordered):
+    assert wanted_case(case) == ([(2, 1)] if ordered else [])
+
+
+def test_foresight_leaves_an_order_for_each_held_call():
+    for left in (1, 2, 3):
+        d = Drive(load_window_ms=5000.0, free_loads=4.0)
+        arrived(d, "r0", "g0")
+        arrived(d, "r1", "g1")
+        d.router.ordered.extend([d.now] * (4 - left))
+        assert want(d, 2) == ([(2, 1)] if left == 3 else [])
+
+
+def test_a_copy_that_is_wanted_yet_is_renewed_before_it_lapses_and_a_failed_one_rests():
+    d = Drive(idle_life_ms=LIFE_MS)
+    want(d, 2)
+    d.count(2, 1)
+    d.now += LIFE_MS - 2500.0
+    assert want(d, 2) == []
+    d.now += 1000.0
+    assert want(d, 2) == [(2, 1)] and d.router.loading == 0
+    d.count(2, 1)
+    assert want(d, 2) == []
+    d.now += LIFE_MS + 1.0
+    assert want(d, 2) == [(2, 1)] and d.router.loading == 1  # it lapsed
+    before = d.router.loads_limit
+    d.count(2, 0, ending=Ending.ERROR)
+    assert d.router.loading == 0 and d.router.loads_limit < before
+
+
+def test_what_is_wanted_and_never_called_is_kept_in_mind_for_its_time_and_handed_over():
+    d = Drive(idle_life_ms=1e9)
+    want(d, 2)
+    d.count(2, 1)
+    d.feed(io.CopiesWanted(2, "g", "safe"))
+    d.count(2, 1, "g")
+    told = memory.learnt(d.router, set(), d.now, 0.0)
+    other = Drive(idle_life_ms=1e9).router
+    memory.restore(other, told, 1000.0, 0.0)
+    assert other._copies(other.functions["f"], other.workers[2]) == 1
+    for _ in range(61):
+        d.now += 1000.0
+        d.feed(io.TimerDue(0))
+        known = "f" in d.router.functions
+        assert known or d.now > 60_000.0
+    d.sweep(d.now + 20_000.0)
+    assert "f" not in d.router.functions
+
+
+# --- what others told --------------------------------------------------------------------------
+
+
+def elsewhere(d, worker=2, **told):
+    return d.feed(io.Elsewhere(worker, **told))
+
+
+@pytest.mark.parametrize(
+    ("age_ms", "what"),
+    [(0.0, "sent"), (900.0, "sent"), (1100.0, "asked"), (LIFE_MS - 1, "asked"), (LIFE_MS + 1, "survey")],
+)
+def test_a_copy_that_others_told_of_serves_is_asked_after_or_fades(age_ms, what):
+    for known in (True, False):
+        d = Drive(idle_life_ms=LIFE_MS)
+        d.now = 50_000.0
+        if known:
+            d.feed(io.CopiesWanted(1, "f", "safe"))
+            d.count(1, 0, ending=Ending.FULL)
+            d.router.functions["f"].instances[1].blocked_ms = 0.0
+        elsewhere(d, copies={"f": 1, "other": 2}, age_ms=age_ms)
+        actions = arrived(d, "r")
+        sends, questions = [send.worker for send in of(actions, io.Send)], asked(actions)
+        assert (sends == [2], questions == [2], len(questions) > 1) == (
+            what == "sent",
+            what == "asked",
+            what == "survey",
+        )
+
+
+def test_a_word_never_overrides_a_newer_own_sign_and_a_newer_one_does():
+    for ending in ("miss", "count"):
+        d = Drive(workers=1)
+        d.warm()
+        [send] = of(arrived(d, "r"), io.Send)
+        d.now += 50.0
+        if ending == "miss":
+            d.end(send, Ending.MISS, closed=False)
+        else:
+            d.count(1, 0)
+        fn, worker = d.router.functions["f"], d.router.workers[1]
+        d.now += 100.0
+        for age_ms, copies in ((101.0, 0), (100.0, 0), (99.0, 3)):
+            elsewhere(d, 1, copies={"f": 3}, age_ms=age_ms)
+            assert d.router._copies(fn, worker) == copies
+
+
+def test_a_word_never_counts_across_a_start_of_the_worker():
+    d = Drive(workers=1)
+    arrived(d, "first")
+    d.feed(io.ClientLeft("first"))
+    d.count(1, 0)
+    d.now = 5_000.0
+    fn, worker = d.router.functions["f"], d.router.workers[1]
+    start = io.RosterChanged([io.WorkerEntry(1, up_since_ms=d.now - 100.0)], False)
+    elsewhere(d, 1, copies={"f": 1}, loading=("f",), sent=0, age_ms=200.0)
+    assert d.router._copies(fn, worker) == 1
+    d.feed(start)
+    assert not d.router._copies(fn, worker) and not d.router._is_loading(fn, worker)
+    elsewhere(d, 1, copies={"f": 1}, loading=("f",), age_ms=101.0)  # told before it started
+    assert not d.router._copies(fn, worker) and not d.router._is_loading(fn, worker)
+    elsewhere(d, 1, copies={"f": 1}, loading=("f",), age_ms=99.0)
+    assert d.router._copies(fn, worker) and d.router._is_loading(fn, worker)
+
+
+def test_words_on_what_is_not_known_draining_or_gone_bring_nothing():
+    d = Drive(workers=2)
+    assert elsewhere(d, 99, sent=1, copies={"f": 1}, loading=("f",)) == []
+    for state in (State.DRAINING, State.GONE):
+        d.feed(io.RosterChanged([io.WorkerEntry(2, state)], False))
+        elsewhere(d, 2, copies={"f": 1}, loading=("f",))
+        actions = arrived(d, f"r{state}")
+        assert not of(actions, io.Send) and 2 not in asked(actions)
+    assert d.router.functions.keys() == {"f"}
+
+
+@pytest.mark.parametrize(
+    ("word", "waits"),
+    [
+        ({"loading": ("f",)}, True),
+        ({"loading": ("f", "g"), "age_ms": LOAD_MS - 60.0}, True),
+        ({"loading": ("f",), "age_ms": LOAD_MS + 1.0}, False),
+        ({"loading": ("g",)}, False),
+        ({}, False),
+    ],
+)
+def test_a_load_of_others_is_not_ordered_again_until_it_fades(word, waits):
+    d = Drive()
+    d.now = 5_000.0
+    elsewhere(d, **word)
+    actions = d.answer_asks(arrived(d, "r"))
+    assert bool(loads(actions)) is not waits
+    if waits:
+        fades = d.now + LOAD_MS - word.get("age_ms", 0.0)
+        assert not loads(d.sweep(fades - 20.0)) and loads(d.sweep(fades + 40.0))
+
+
+def test_a_load_of_others_ends_with_the_next_word_or_the_copy_and_one_need_more_is_ordered_elsewhere():
+    d = Drive()
+    d.now = 5_000.0
+    elsewhere(d, loading=("f",))
+    assert not loads(d.answer_asks(arrived(d, "r1")))
+    assert want(d, 2) == []  # where it is under way
+    [(worker, _)] = loads(arrived(d, "r2"))
+    assert worker != 2
+    d.now += 100.0
+    [send] = of(elsewhere(d, copies={"f": 1}), io.Send)  # it has come
+    assert (send.request, send.worker) == ("r1", 2)
+    d = Drive()
+    d.now = 5_000.0
+    elsewhere(d, loading=("f",))
+    d.answer_asks(arrived(d, "r1"))
+    assert loads(elsewhere(d))  # it has ended without a copy
+
+
+def cold(peers=4, calls=50, **told):
+    """How many calls may go to a worker that has just started, of a fleet of two: now, and 500 ms later."""
+    d = Drive(workers=2, fleet_size=peers, fall_ms=FALL_MS, fall_multiple=2.0, cold_share=0.2, cold_ms=1e9)
+    d.router.chance = 5
+    for n in range(calls):
+        d.now += 5_000.0 / calls
+        d.feed(io.ClientLeft(f"r{n - 1}"))
+        arrived(d, f"r{n}", f"f{n}")
+    d.feed(io.RosterChanged([io.WorkerEntry(1, up_since_ms=d.now - 5_000.0)], False))
+    if told:
+        elsewhere(d, 1, **told)
+    worker, counts = d.router.workers[1], []
+    for _ in range(2):
+        worker.sent.clear()
+        while d.router._within_cold_budget(worker) and len(worker.sent) < 999:
+            worker.sent.append(d.now)
+        counts.append(len(worker.sent))
+        d.now += 500.0
+    return counts
+
+
+@pytest.mark.parametrize("peers", [1, 4, 20])
+def test_the_cold_budget_goes_by_what_was_really_sent_while_that_is_known(peers):
+    guess, later = cold(peers, calls=200)
+    assert guess > 4  # 2 x 0.2 of a rate of 0.6 x 20 a second, and the chance
+    whole = 2.0 * 0.2 * 0.6 * 20.0 * peers
+    assert cold(peers, calls=200, sent=0)[0] in (int(whole), int(whole) + (peers == 1))
+    for unsure in ({"sent": None}, {"sent": 0, "age_ms": FALL_MS}, {"sent": 500, "age_ms": 2e3}):
+        assert cold(peers, calls=200, **unsure) == [guess, later]
+    by_sent = [cold(peers, calls=200, sent=sent)[0] for sent in range(0, int(whole) + 9, 3)]
+    assert by_sent == sorted(by_sent, reverse=True) and by_sent[-1] == 0  # others took it all
+    by_age = [cold(peers, calls=200, sent=0, age_ms=age)[0] for age in (0.0, 300.0, 600.0, 999.0)]
+    assert by_age == sorted(by_age, reverse=True) and by_age[-1] <= guess + 1
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_all_front_ends_together_keep_to_a_cold_workers_budget_and_use_more_of_it(seed):
+    """Two of four have calls for it, as many as they may, and all tell each other each 100 ms."""
+    budget, sent, drives = 2.0 * 0.2 * 0.6 * 20.0 * 4, 0, []
+    for n in range(4):
+        d = Drive(workers=2, fleet_size=4, fall_ms=FALL_MS, cold_share=0.2, cold_ms=1e9, seed=99 * seed + n)
+        for call in range(200):
+            d.now += 25.0
+            arrived(d, f"r{call}", f"f{call}")
+            d.feed(io.ClientLeft(f"r{call}"))
+        d.feed(io.RosterChanged([io.WorkerEntry(1, up_since_ms=d.now - 1.0)], False))
+        drives.append(d)
+    for _ in range(10):
+        told = [len(d.router.workers[1].sent) for d in drives]
+        for n, d in enumerate(drives):
+            elsewhere(d, 1, sent=sum(told) - told[n])
+            worker = d.router.workers[1]
+            for _ in range(4 * (n < 2)):
+                if d.router._within_cold_budget(worker):
+                    worker.sent.append(d.now)
+                    sent += 1
+            d.now += 100.0
+    assert 2 * (budget / 4 + 1) < sent <= budget + 4  # the guess gives two parts; four cross with a word
+
+
+def test_events_from_outside_leave_the_ration_of_orders_alone():
+    d = Drive(load_window_ms=5000.0, free_loads=5.0)
+    before = d.router._ration_left()
+    elsewhere(d, loading=("f", "g"), copies={"f": 2}, sent=3)
+    d.feed(io.ClassChanged(spec_of(UNSAFE, promise_ms=1.0)))
+    assert d.router._ration_left() == before
+    want(d, 1, fn="h")
+    assert d.router._ration_left() == before - 1
