Decision module: functions with held calls kept as a set; tests of what others told by themselves

Need: each answer looked at all functions for held calls, 2,000 at the most. Now at those that may have some, in one set that is swept with each look.

--- a/fawnwharf/policy/router.py
+++ b/fawnwharf/policy/router.py
@@ -80,18 +80,18 @@
             self.tokens[io.ALL] = (event.calls_rps / 10, self.now)
 
     def _on_class(self, event: io.ClassChanged) -> None:  # a call keeps what it came with
-        self.classes[event.spec.name] = event.spec
+        self.classes = {**self.classes, event.spec.name: event.spec}
         self.promise_ms = min(spec.promise_ms for spec in self.classes.values())
 
     def _on_elsewhere(self, event: io.Elsewhere) -> None:  # for functions not known yet see _ordered
         if worker := self.workers.get(event.worker):
             worker.told, worker.told_ms = event, self.now - max(0.0, event.age_ms)
             for fn in filter(None, map(self.functions.get, [*event.copies, *event.loading])):
-                self._believe(fn, worker)
+                self._believe(fn, [worker])
             self._dispatch_all(worker)
 
-    def _believe(self, fn: Function, worker: Worker) -> None:  # others' word is as an answer of that time
-        if fn.name in worker.told.copies or fn.name in worker.told.loading:
+    def _believe(self, fn: Function, workers: list[Worker]) -> None:  # as an answer of that time
+        for worker in [w for w in workers if fn.name in w.told.copies or fn.name in w.told.loading]:
             instance, copies = self._instance(fn, worker), worker.told.copies.get(fn.name, 0)
             if copies > 0 and worker.told_ms > instance.seen_ms:
                 instance.copies, instance.seen_ms = max(copies, self._copies(fn, worker)), worker.told_ms
@@ -176,13 +176,15 @@
             self._dispatch_all()
 
     def _dispatch_all(self, there: Worker | None = None) -> None:  # most urgent first
-        held = [fn for fn in self.functions.values() if fn.queue and (not there or there.id in fn.instances)]
+        self.waiting = {fn for fn in self.waiting if fn.queue}
+        held = [fn for fn in self.waiting if there is None or there.id in fn.instances]
         for fn in sorted(held, key=lambda fn: min(map(self._urgency, fn.queue))):
             self._dispatch(fn)
 
     def _dispatch(self, fn: Function) -> None:
         self._fill(fn)
         if fn.queue:
+            self.waiting.add(fn)
             self._race(fn)
 
     def _fill(self, fn: Function) -> None:  # the only place that sends
@@ -231,8 +233,7 @@
         self.wide = self.worker_most < peers
         usual = sorted(self._strained(worker) for worker in self.ready)[len(self.ready) // 2 :]
         self.strain_most = STRAINED * usual[0] if self.wide and usual else math.inf
-        runs_ms = LOST_RUNS * (self.runs.median(self.now) or 200.0)  # long runs of few calls are no silence
-        self.silent_ms = runs_ms if self.wide else state.SILENT_MS
+        self.silent_ms = LOST_RUNS * (self.runs.median(self.now) or 200.0) if self.wide else state.SILENT_MS
         through = sold * self.promise_ms * state.LATE_MOST / peers or math.inf  # beyond, all would be late
         self.limit = self._room(through) if self.wide else math.inf
 
@@ -300,6 +301,7 @@
         if self._may_send_again(request):
             request.held_ms = self.now
             request.function.queue.append(request)
+            self.waiting.add(request.function)
         elif not any(attempt.open for attempt in request.attempts):
             self._finish(request)
 
--- a/fawnwharf/policy/routing.py
+++ b/fawnwharf/policy/routing.py
@@ -25,8 +25,7 @@
             fn.order = sorted(drawn, key=lambda w: (-drawn[w] / self.members[w.id], w.id))
             fn.order.sort(key=lambda w: fn.site != "" and self._is_far(w, fn))
             fn.order_members, fn.known = self.members, None
-            for worker in fn.order:
-                self._believe(fn, worker)
+            self._believe(fn, fn.order)
         return fn.order
 
     def _known(self, fn: Function) -> list[Worker]:  # with some belief, the own zone's first, in hash order
@@ -187,8 +186,7 @@
     def _load_path(self, fn: Function, waited_ms: float) -> bool:  # the switch: off at Ti > Te, on at Td > Tp
         if fn.load_path:
             unused = [self.now - i.unused_ms for i in fn.instances.values() if i.unused_ms is not None]
-            seen = self.peers if self.wide else 1  # of so many calls, one: the others use the copy as often
-            flip = max([fn.idle_ms, *unused]) > self._te(fn) * seen
+            flip = max([fn.idle_ms, *unused]) > self._te(fn) * self.peers**self.wide  # others use it too
         else:
             flip = max(waited_ms, fn.waits.median(self.now) or 0.0) > self._tp(fn)
         if flip:
--- a/fawnwharf/policy/state.py
+++ b/fawnwharf/policy/state.py
@@ -147,7 +147,7 @@
         self.actions, self.ready = list[io.Action](), list[Worker]()
         self.workers, self.watched = dict[int, Worker](), dict[int, Worker]()  # watched: owe one, or suspect
         self.members, self.tokens = dict[int, float](), dict[str, tuple[float, float]]()  # sizes; shares
-        self.functions, self.classes = dict[str, Function](), dict(settings.classes)
+        self.functions, self.waiting, self.classes = dict[str, Function](), set[Function](), settings.classes
         self.requests, self.attempts = dict[str, Request](), dict[tuple[str, int], Attempt]()
         self.suspects, self.hedges, self.wide = 0, HEDGES_MOST, False  # wide: its part of a worker is below 1
         self.taken, self.ordered, self.flying = deque[float](), deque[float](), set[Attempt]()  # out lately
