--- a/tests/test_policy_told.py
+++ b/tests/test_policy_told.py
@@ -1,4 +1,4 @@
-"""What is told from outside: classes that change, sites, copies wanted. For others' words, test_policy_elsewhere."""
+"""Told from outside: classes that change, sites, copies wanted (others' words: test_policy_elsewhere)."""
 
 from dataclasses import replace
 
