Room that others leave in a cold scorer's budget is taken in parts, not by each as a whole

Seen by reading: with a word that nobody had sent anything yet, each of N front ends saw the whole budget of the fleet as its own, N times what the scorer bears. Each takes its own part and an equal part of what is left: less than twice the budget in all, if all send before the next word. Turned down: none of the room, which leaves it to nobody. Test: 4, 20 and 200 front ends at once.

--- a/fawnwharf/policy/routing.py
+++ b/fawnwharf/policy/routing.py
@@ -132,12 +132,12 @@
             rate = max(self.sold / self.peers / self.fleet, COLD_SAFETY * answered / self.total)
             rate *= self.members[worker.id]
         left = own = self.settings.fall_multiple * share * self.settings.fall_ms * rate
-        # Who is unsure gets no more than its part: all others see the same room, and may be about to take it.
         if worker.told.sent is not None and self._is_told(worker, self.settings.fall_ms):
-            since = (self.now - worker.told_ms) / self.settings.fall_ms  # others have sent their parts since
-            left = own * (self.peers - since * (self.peers - 1)) - worker.told.sent
+            past = (self.now - worker.told_ms) / self.settings.fall_ms  # others have sent their parts since
+            left = own * (self.peers - past * (self.peers - 1)) - worker.told.sent  # all see it at once
         # Guards against a least send for each front end: a part below one falls to as many of them by chance.
-        return len(worker.sent) + 1 <= max(left, min(left, own) + mix(mix(self.chance ^ worker.mark)) / 2**64)
+        left = min(left, own + (left - own) / self.peers) + mix(mix(self.chance ^ worker.mark)) / 2**64
+        return len(worker.sent) + 1 <= left
 
     def _warmth(self, worker: Worker) -> float:  # the part of its capacity that a worker has at the least
         age = max(0.0, self.now - worker.started_ms) / max(1.0, self.settings.cold_ms)
