Loads and admission are files of the module again, each rule in one place; decisions the same

Need: with the new events the module's loads had moved into routing and its admission into the Router; a newcomer is to find the ration, the cold budget and repeats each in one place. Paid for by one import line in place of five, and by comments that moved.

--- a/fawnwharf/policy/health.py
+++ b/fawnwharf/policy/health.py
@@ -19,8 +19,7 @@
 
     def _strain(self, worker: Worker, runs: float) -> None:
         """Long runs and full answers tell of others' load. Harm: a heavy request moves the next ones on."""
-        worker.strain, worker.strain_ms = self._strained(worker), self.now
-        worker.strain += ANSWER_GAIN * (runs - worker.strain)
+        worker.strain, worker.strain_ms = (s := self._strained(worker)) + ANSWER_GAIN * (runs - s), self.now
 
     def _strained(self, worker: Worker) -> float:
         return 1 + (worker.strain - 1) * math.exp((worker.strain_ms - self.now) / FADE_MS)
--- a/fawnwharf/policy/router.py
+++ b/fawnwharf/policy/router.py
@@ -1,20 +1,16 @@
-"""The Router: takes events, joins the parts, and is the only one that sends, sends again or gives up."""
+"""The Router: takes events, joins the parts, and is the only one that sends."""
 
 import math
 
 from fawnwharf import interface as io
-from fawnwharf.policy import state
-from fawnwharf.policy.health import ANSWER_GAIN, LOSS_KEPT, LOSSES, LOST_RUNS, STRAINED, TRIAL_MS, Health
-from fawnwharf.policy.routing import BOUND_FLOOR, Routing
+from fawnwharf.policy import admission, health, loads, routing, state
 from fawnwharf.policy.state import Attempt, Function, Request, Worker, mark, mix
 
 FUNCTIONS_MOST, FORGET_MS = 2_000, 60_000.0  # kept in mind; forgotten if not called, or gone, for so long
 RUN_GAIN, ROOM_SPREAD = 0.02, 1.5  # weight of an uncrowded run; room in limits, in square roots of means
-WINDOW_MARGIN_MS = 100.0  # a keyed repeat must arrive inside the window, not just leave inside it
-TRY_LEAST, HELD_PART = 0.2, 0.5  # of its class's time: a try with less is a later one; late by then, given up
 
 
-class Router(Health, Routing):
+class Router(health.Health, loads.Loads, routing.Routing, admission.Admission):
     def handle(self, now_ms: float, events: list[io.Event]) -> list[io.Action]:
         """Take the events of one moment, in order; the actions take effect at that moment."""
         self.now, self.began_ms, self.actions = now_ms, min(self.began_ms, now_ms), []
@@ -46,7 +42,7 @@
         fn, spec = self._function(event), self.classes.get(event.class_name) or io.ClassSpec(event.class_name)
         fn.site, fn.order_members = event.site, fn.order_members if event.site == fn.site else None
         self.seed, draw, deadline = self.seed + 1, mix(mix(self.seed)), self.now + event.budget_ms
-        later = event.budget_ms < TRY_LEAST * spec.give_up_ms  # its share was taken by the first try
+        later = event.budget_ms < admission.TRY_LEAST * spec.give_up_ms  # the first try took its share
         aim = (deadline - spec.give_up_ms if later else self.now) + spec.promise_ms
         over = later or self._over_share(event.tenant)
         request = Request(event.request, fn, spec, self.now, deadline, over, self.now, draw, aim)
@@ -103,7 +99,7 @@
         fn, worker, te = attempt.function, self.workers[attempt.worker], self._te(attempt.function)
         instance = fn.instances[worker.id]
         attempt.open, instance.own, worker.own = False, instance.own - 1, worker.own - 1
-        attempt.may_have_run = event.ending not in io.NEVER_RAN
+        attempt.may_have_run, slow = event.ending not in io.NEVER_RAN, event.took_ms > health.STRAINED * te
         if event.ending in (io.Ending.GOOD, io.Ending.ERROR, io.Ending.FULL, io.Ending.MISS):
             self._heard(worker)
         if event.ending is io.Ending.GOOD:
@@ -114,10 +110,10 @@
                 self.run_ms += RUN_GAIN * (event.took_ms - self.run_ms) * attempt.alone
                 self._strain(worker, event.took_ms / te)
             if lapse := worker.lapses.get(fn.kind):
-                lapse.losses = lapse.losses - 1 if attempt.lost else lapse.losses * LOSS_KEPT  # but slow
+                lapse.losses = lapse.losses - 1 if attempt.lost else lapse.losses * health.LOSS_KEPT
                 if lapse.losses < 1:
                     del worker.lapses[fn.kind]
-        elif event.ending in (io.Ending.CANCELLED, io.Ending.TIMEOUT) and event.took_ms > STRAINED * te:
+        elif event.ending in (io.Ending.CANCELLED, io.Ending.TIMEOUT) and slow:
             self._strain(worker, event.took_ms / te)  # it may be the slow ones that never get to answer
         elif event.ending is io.Ending.MISS or event.warmth is io.Warmth.LOAD_FAILED:
             instance.copies, instance.seen_ms = 0, self.now
@@ -125,10 +121,10 @@
             self._lose(worker, fn)
         elif event.ending is io.Ending.FULL:
             instance.blocked_ms = self.now + te
-            self._strain(worker, 3 * STRAINED)
+            self._strain(worker, 3 * health.STRAINED)
         self._broke(worker, event.ending)
         if event.crowd is not None and event.ending in (io.Ending.GOOD, io.Ending.FULL):
-            fn.crowd += ANSWER_GAIN * (event.crowd * attempt.among - fn.crowd)
+            fn.crowd += health.ANSWER_GAIN * (event.crowd * attempt.among - fn.crowd)
         request = self.requests.get(event.request)
         if request is not None and event.closed:
             self.hedges += attempt is not request.attempts[0] and request.attempts[0].open  # worth its token
@@ -148,7 +144,7 @@
         if event.ending in (io.Ending.GOOD, io.Ending.FULL, io.Ending.ERROR):
             if worker.suspect_ms is not None and instance.copies and not event.copies:
                 worker.started_ms = self.now  # it came back empty: a restart that the roster has not told
-            self._heard(worker, TRIAL_MS)  # a sign lasts for longer than a run
+            self._heard(worker, health.TRIAL_MS)  # a sign lasts for longer than a run
             if is_load and instance.raced and event.ending is io.Ending.GOOD:
                 instance.unused_ms, instance.lanes_before = self.now, instance.copies * fn.lanes
             instance.copies, instance.counted_ms, instance.seen_ms = event.copies, self.now, self.now
@@ -207,7 +203,7 @@
         instance.own, worker.own, instance.seen_ms = instance.own + 1, worker.own + 1, self.now
         worker.sent.extend([self.now] * (self._warmth(worker) < 1.0))
         self._owe(worker)
-        if (lapse := worker.lapses.get(fn.kind)) and lapse.losses >= LOSSES:
+        if (lapse := worker.lapses.get(fn.kind)) and lapse.losses >= health.LOSSES:
             lapse.rest_ms = min(state.REST_MOST_MS, 2 * lapse.rest_ms)  # this one tries it
             lapse.rests_ms = self.now + lapse.rest_ms
         if instance.unused_ms is not None and instance.own > instance.lanes_before:
@@ -216,7 +212,6 @@
 
     def _refresh(self) -> None:
         """Limits: the rate sold times an uncrowded run is what the fleet works on at once (Little's law)."""
-        self.refreshed_ms = self.now
         sizes = {w.id: max(w.entry.units, 0.01) if self.settings.weights_fixed else 1.0 for w in self.ready}
         self.members = self.members if sizes == self.members else sizes
         self._renew()
@@ -224,16 +219,16 @@
             self._forget()
         self.total = sum(self._size(worker) for worker in self.ready) or 1.0
         self.fleet = max(self.fleet, sum(sizes.values()))
-        peers, sold, most = self.peers, self.sold, 0.0
+        self.refreshed_ms, peers, sold, most = self.now, self.peers, self.sold, 0.0
         for worker in self.ready:
             mean = sold * self.run_ms * self._size(worker) / self.fleet  # of all front ends
             most, own = most + self._room(mean), self._room(mean / peers)
             worker.limit = max(2.0 if self.wide else 1.0, own) if sold > 0 else math.inf
-        self.worker_most = most / max(1, len(self.ready)) if sold > 0 else 2 * BOUND_FLOOR
-        self.wide = self.worker_most < peers
+        self.worker_most = most / max(1, len(self.ready)) if sold > 0 else 2 * routing.BOUND_FLOOR
+        self.wide = wide = self.worker_most < peers
         usual = sorted(self._strained(worker) for worker in self.ready)[len(self.ready) // 2 :]
-        self.strain_most = STRAINED * usual[0] if self.wide and usual else math.inf
-        self.silent_ms = LOST_RUNS * (self.runs.median(self.now) or 200.0) if self.wide else state.SILENT_MS
+        self.strain_most = health.STRAINED * usual[0] if self.wide and usual else math.inf
+        self.silent_ms = health.LOST_RUNS * (self.runs.median(self.now) or 200.0) if wide else state.SILENT_MS
         through = sold * self.promise_ms * state.LATE_MOST / peers or math.inf  # beyond, all would be late
         self.limit = self._room(through) if self.wide else math.inf
 
@@ -252,73 +247,10 @@
         for worker in [w for w in self.workers.values() if w.entry.state is io.State.GONE]:
             worker.gone_ms = worker.gone_ms or self.now
             if worker.gone_ms < past and not worker.own:
-                for fn in self.functions.values():
-                    fn.instances.pop(worker.id, None)
-                self.watched.pop(worker.id, None)
-                del self.workers[worker.id]
-
-    def _over_share(self, tenant: str) -> bool:  # a token bucket of its share, in part
-        if tenant not in self.settings.quotas_rps:
-            return False
-        rate = self.settings.quotas_rps[tenant] / self.peers
-        most = rate + self.wide * 2 * math.sqrt(rate * state.WINDOW_MS / 1000)  # a second's, and for chance
-        tokens, since = self.tokens.get(tenant, (most, self.now))
-        tokens = min(most, tokens + rate * (self.now - since) / 1000)
-        self.tokens[tenant] = (tokens - (tokens >= 1), self.now)
-        return tokens < 1
-
-    def _urgency(self, request: Request) -> tuple[bool, bool, float, str]:
-        return request.over_share, self._late(request), request.arrived_ms, request.id
-
-    def _late(self, request: Request) -> bool:  # hardly to be answered in time any more
-        most = request.spec.promise_ms * state.LATE_MOST  # where runs are so long that all would be
-        return request.aim_ms - self.now < min(state.LATE_RUNS * self._te(request.function), most)
-
-    def _hopeless(self, request: Request) -> bool:
-        """Never sent, and hardly to be on time: given up. Harm: a late answer that it might have had."""
-        half = request.arrived_ms + HELD_PART * (request.deadline_ms - request.arrived_ms)
-        past = request.over_share or self.now + state.SWEEP_MS + state.LEAD_MS >= half
-        return past and not request.attempts and self._late(request)
-
-    def _may_send_here(self, request: Request, worker: Worker, part: float) -> bool:  # now?
-        ran = any(attempt.worker == worker.id and attempt.may_have_run for attempt in request.attempts)
-        if ran or not self._able(worker, request.function) or worker.own >= worker.limit * part:
-            return False
-        if (first := request.first_run()) is None or request.spec.effect is io.Effect.SAFE:
-            return True
-        origin, here, group = self.workers[first.worker].entry, worker.entry, request.spec.group
-        same = origin.zone == here.zone if group is io.Group.ZONE else origin.cell == here.cell
-        return (group is io.Group.ALL or same) and self._may_send_again(request)
-
-    def _may_send_again(self, request: Request) -> bool:  # may another attempt be made at all?
-        twice, first, spec = any(a.open for a in request.attempts), request.first_run(), request.spec
-        if len(request.attempts) >= self.settings.max_attempts or (twice and not self.settings.second_copies):
-            return False
-        keyed_ms = spec.dedup_window_ms - WINDOW_MARGIN_MS if spec.effect is io.Effect.KEYED else -math.inf
-        return first is None or spec.effect is io.Effect.SAFE or self.now - first.sent_ms < keyed_ms
-
-    def _again(self, request: Request) -> None:  # hold it again, or end it
-        if self._may_send_again(request):
-            request.held_ms = self.now
-            request.function.queue.append(request)
-            self.waiting.add(request.function)
-        elif not any(attempt.open for attempt in request.attempts):
-            self._finish(request)
-
-    def _finish(self, request: Request) -> None:  # the one final answer that this front end gives itself
-        advice = self.settings.max_retry_after_ms * (request.over_share or not request.attempts)  # no room
-        keyed = request.spec.effect is io.Effect.KEYED and request.spec.group is io.Group.ALL
-        harmless = keyed or request.spec.effect is io.Effect.SAFE or request.first_run() is None
-        self._close(request)
-        self.actions.append(io.Refuse(request.id, advice) if harmless else io.Fail(request.id))
-
-    def _close(self, request: Request) -> None:
-        del self.requests[request.id]
-        request.function.queue = [held for held in request.function.queue if held is not request]
-        numbers = [number for number, attempt in enumerate(request.attempts) if attempt.open]
-        self.actions.extend(io.Cancel(request.id, number) for number in numbers * self.settings.may_cancel)
+                for held in (self.workers, self.watched, *(fn.instances for fn in self.functions.values())):
+                    held.pop(worker.id, None)
 
     handlers = {io.RosterChanged: _on_roster, io.RequestArrived: _on_request, io.ClientLeft: _on_left,
                 io.AttemptEnded: _on_attempt, io.OrderAnswered: _on_order, io.TimerDue: _on_timer,
                 io.LimitsChanged: _on_limits, io.ClassChanged: _on_class, io.Elsewhere: _on_elsewhere,
-                io.CopiesWanted: Routing._on_wanted}  # fmt: skip
+                io.CopiesWanted: loads.Loads._on_wanted}  # fmt: skip
