--- a/fawnwharf/cli.py
+++ b/fawnwharf/cli.py
@@ -7,11 +7,13 @@
 from fawnwharf import __version__, config, serving
 from fawnwharf.lab.commands import app as lab_app
 from fawnwharf.replication.commands import app as state_app
+from fawnwharf.sessions.commands import app as sessions_app
 from fawnwharf.zones.commands import app as zones_app
 
 app = typer.Typer(add_completion=False, no_args_is_help=True, pretty_exceptions_enable=False)
 app.add_typer(zones_app, name="zones")
 app.add_typer(state_app, name="state")
+app.add_typer(sessions_app, name="sessions")
 app.add_typer(lab_app, name="lab")
 File = Annotated[str | None, typer.Option("--config", help="The JSON file, in place of ROUTER_CONFIG's.")]
 
--- a/fawnwharf/handover/messages.py
+++ b/fawnwharf/handover/messages.py
@@ -11,7 +11,7 @@
 
 from msgspec import Meta, Struct
 
-from fawnwharf.sites import Home, LetGo, Session, Span, Stage, Text
+from fawnwharf.sites import Home, LetGo, Move, Session, Span, Stage, Text
 
 Count = Annotated[int, Meta(ge=0, le=1 << 53)]
 Name = Annotated[str, Meta(max_length=80)]
@@ -71,6 +71,18 @@
     spent: tuple[tuple[Name, Count], ...] = ()  # of the tenant's quota, by who counted: merged, not added
 
 
+class Facts(Struct, frozen=True, gc=False):
+    """What one front end has seen of a session's calls: what copies elsewhere have to be ordered by.
+
+    Spans are milliseconds; a load's or a run's is 0 where none was seen."""
+
+    kind: Name  # the class
+    lanes: Annotated[int, Meta(ge=1, le=1_024)] = 1
+    load_ms: Span = 0.0
+    run_ms: Span = 0.0
+    rate: Annotated[float, Meta(ge=0.0, le=1e6)] = 0.0  # calls a second
+
+
 # --- between a mover and keepers ------------------------------------------------------------
 
 
@@ -116,6 +128,7 @@
     """A front end goes by this home for a session in use. A keeper that knows a later one tells it."""
 
     home: Home
+    facts: Facts | None = None
 
 
 class Resume(Struct, frozen=True, tag="resume"):
@@ -124,6 +137,21 @@
     session: Session
 
 
+class Please(Struct, frozen=True, tag="please"):
+    """A hand-over is wished for: to the session's mover, which says `Begun` and how it ends."""
+
+    move: Move
+
+
+class Begun(Struct, frozen=True, tag="begun"):
+    """A mover's word on a wish; `home` is the last one that it knows, `over` when no more comes of it."""
+
+    session: Session
+    home: Home | None
+    why: Name
+    over: bool
+
+
 # --- between keepers ------------------------------------------------------------------------
 
 
@@ -177,6 +205,7 @@
     copies: Annotated[int, Meta(ge=1, le=16)]
     until_ms: Span
     context: Context | None = None
+    facts: Facts | None = None
 
 
 class Ready(Struct, frozen=True, tag="ready"):
@@ -237,6 +266,8 @@
     | Told
     | Met
     | Resume
+    | Please
+    | Begun
     | Want
     | Piece
     | Give
--- a/fawnwharf/handover/settings.py
+++ b/fawnwharf/handover/settings.py
@@ -21,6 +21,7 @@
     still_ms: Wait = 60_000.0  # a session without a call for so long is over
     skew: Annotated[float, Meta(ge=0.0, le=0.5)] = 0.1  # by which clocks' rates may differ
     sessions: Annotated[int, Meta(ge=1, le=1_000_000)] = 100_000  # that a keeper or a front end knows
+    unload: bool = True  # old copies are unloaded once nobody uses them; else they lapse
 
     @property
     def stretch(self) -> float:
@@ -48,3 +49,7 @@
     margin: Annotated[float, Meta(ge=0.0)] = 0.15  # by what a site has to be better, as a part of the worse
     tries: Annotated[int, Meta(ge=1, le=10)] = 3  # of one session, each to another site where there is one
     memory: Annotated[int, Meta(ge=1)] = 100_000  # sessions whose last moves are known
+    within_ms: Wait = 30_000.0  # for a site to be emptied; what is left by then ends where it is
+    per_unit: Annotated[float, Meta(gt=0.0)] = 200.0  # sessions from elsewhere that a unit of scorers takes
+    cost: Annotated[float, Meta(ge=0.0)] = 0.02  # of a move, in the worth of a mean call
+    sure: Share = 0.9  # a move that is expected with less chance is staged at the most
--- /dev/null
+++ b/fawnwharf/sessions/settings.py
@@ -0,0 +1,111 @@
+"""The operators' files for sessions: settings, and what is asked. Pure: bytes in, values or one line out.
+
+JSON, taken whole or not at all; a faulty one raises FileFault, whose text names the key. Durations are
+milliseconds.
+"""
+
+from pathlib import Path
+from typing import Annotated, Any
+
+import msgspec
+from msgspec import Meta, Struct
+from msgspec.structs import replace
+
+from fawnwharf.handover.settings import DrainSettings
+from fawnwharf.handover.settings import Settings as Handover
+from fawnwharf.interface import ClassSpec
+from fawnwharf.sites import Session, Text
+from fawnwharf.zones.settings import FileFault, Name
+
+VERSION = 1
+MOVES_MOST = 1_000  # of one file
+
+
+class Settings(Struct, frozen=True):
+    """The one file that switches sessions on. Relative paths are from its own folder."""
+
+    version: int
+    folder: str = ""  # for what operators ask; that of state where it is not said, and this file's own else
+    handover: Handover = msgspec.field(default_factory=Handover)
+    drain: DrainSettings = msgspec.field(default_factory=DrainSettings)
+    foresight: dict[str, Any] | None = None  # checked by its own part; without it nothing is foreseen
+
+
+class Asked(Struct, frozen=True):
+    """One session that is to be at home at a site."""
+
+    org: Text
+    row: Text
+    site: Name
+
+    @property
+    def session(self) -> Session:
+        return Session(self.org, self.row)
+
+
+class Wishes(Struct, frozen=True):
+    """What operators ask of this member. Moves are begun once, where a file with a larger number comes while
+    it serves; sites are kept empty for as long as they stand here."""
+
+    version: int = VERSION
+    number: Annotated[int, Meta(ge=0, le=1 << 53)] = 0
+    moves: Annotated[tuple[Asked, ...], Meta(max_length=MOVES_MOST)] = ()
+    drained: Annotated[tuple[Name, ...], Meta(max_length=64)] = ()
+
+
+def _read(data: bytes, kind: type, what: str) -> Any:
+    try:
+        found = msgspec.json.decode(data, type=kind)
+    except msgspec.ValidationError as error:
+        text, _, place = str(error).partition(" - at `$")
+        raise FileFault(f"{place.rstrip('`').lstrip('.') or what}: {text}") from None
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise FileFault(f"{what}: not JSON: {error}") from None
+    if found.version != VERSION:
+        raise FileFault(f"version: {found.version}, and this program knows {VERSION}")
+    return found
+
+
+def settings_from(data: bytes) -> Settings:
+    """The file, checked by key; the part `foresight` is for foresight's own check."""
+    found: Settings = _read(data, Settings, "sessions")
+    rules, drain = found.handover, found.drain
+    if rules.lapse_ms < rules.stage_ms:
+        raise FileFault("handover.lapse_ms: less than handover.stage_ms")
+    if rules.settle_ms < rules.give_up_ms * rules.stretch:
+        raise FileFault("handover.settle_ms: less than handover.give_up_ms, stretched by the skew")
+    if rules.still_ms < rules.settle_ms:
+        raise FileFault("handover.still_ms: less than handover.settle_ms")
+    if drain.dwell_most_ms < drain.dwell_ms:
+        raise FileFault("drain.dwell_most_ms: less than drain.dwell_ms")
+    return found
+
+
+def by_classes(settings: Settings, classes: dict[str, ClassSpec]) -> Settings:
+    """The same with the spans that classes make longer: no call may be under way for longer than it says."""
+    rules = settings.handover
+    longest = max([rules.give_up_ms, *(spec.give_up_ms for spec in classes.values())])
+    settle = max(rules.settle_ms, 2 * longest * rules.stretch)
+    changed = replace(rules, give_up_ms=longest, settle_ms=settle, still_ms=max(rules.still_ms, settle))
+    return replace(settings, handover=changed)
+
+
+def wishes_from(data: bytes, sites: set[str]) -> Wishes:
+    """Wishes that name sites of the fleet, and leave one that serves."""
+    wishes: Wishes = _read(data, Wishes, "moves")
+    for n, asked in enumerate(wishes.moves):
+        if asked.site not in sites:
+            raise FileFault(f"moves[{n}].site: no site {asked.site}")
+    for n, site in enumerate(wishes.drained):
+        if site not in sites:
+            raise FileFault(f"drained[{n}]: no site {site}")
+    if sites and set(wishes.drained) >= sites:
+        raise FileFault("drained: no site would be left")
+    return wishes
+
+
+def wishes_place(settings: Settings, path: Path, state_folder: str, state_path: Path) -> Path:
+    """The file in which operators ask: the same for the command line and the front end."""
+    if settings.folder:
+        return path.parent / settings.folder / "moves.json"
+    return (state_path.parent / state_folder if state_folder else path.parent) / "moves.json"
