--- a/fawnwharf/handover/homes.py
+++ b/fawnwharf/handover/homes.py
@@ -21,6 +21,7 @@
 from fawnwharf.sites import Home, Session
 
 EMPTY = m.Record()
+UNSURE_PAUSE = 5  # times `again_ms`, before a fellow is asked again that did not know all itself
 LOOKS = 200  # records that are looked at in one tick for what is over, or open and without a mover
 
 
@@ -106,6 +107,14 @@
             self._sure = not self._missing or now_ms - self._since_ms >= self.settings.window_ms
         return self._sure
 
+    def placed_anew(self, now_ms: float, fellows: Iterable[str]) -> None:
+        """Other front ends keep homes from now on. By the earlier list some may have been granted that this
+        one was never asked for: until every home in use was told again it neither promises nor grants."""
+        self.fellows = frozenset(fellows) - {self.name}
+        self._since_ms, self._sure, self._missing = now_ms, False, set(self.fellows)
+        self._hearing.clear()
+        self._telling.clear()
+
     # --- what is held -----------------------------------------------------------------------------
 
     def record(self, session: Session) -> m.Record:
@@ -289,8 +298,10 @@
         self._hearing[sender] = (number, part + 1, now_ms)
         room = all([self._take(now_ms, held.session, held.record) for held in piece.held])
         if piece.last or not room:
-            del self._hearing[sender]
+            # Guards two that wait for each other against telling all they hold over and over.
+            self._hearing[sender] = (-1, 0, now_ms + (UNSURE_PAUSE - 1) * self.settings.again_ms)
         if piece.last and room and piece.sure:
+            del self._hearing[sender]
             self._missing.discard(sender)
         return []
 
--- a/fawnwharf/handover/mover.py
+++ b/fawnwharf/handover/mover.py
@@ -67,6 +67,8 @@
         another with each start, so that no turn is taken twice."""
         self.name, self.settings, self.keepers_of = name, settings, keepers_of
         self.life = life
+        # Counts of turns that are known here: the first ask need not be one that keepers have passed.
+        self.turns: Callable[[Session], int] = lambda _session: 0
         self.hands: dict[Session, Hand] = {}
         self.seen: dict[str, tuple[str, bool, float]] = {}  # site of each front end, heard or not, since when
         self.lives: dict[str, int] = {}
@@ -140,7 +142,8 @@
     def _ask(self, now_ms: float, hand: Hand) -> list[m.Out]:
         """A turn of its own, larger than any that it met."""
         hand.step, hand.round_ms, hand.words, hand.records = ASKING, now_ms, {}, {}
-        hand.turn = m.Turn(max(hand.higher, hand.turn.count) + 1, f"{self.name}#{self.life}")
+        met = max(hand.higher, hand.turn.count, self.turns(hand.session))
+        hand.turn = m.Turn(met + 1, f"{self.name}#{self.life}")
         hand.tries += 1
         known = hand.known if hand.known.site else None
         ask = m.Ask(hand.session, hand.turn, known, hand.whither)
--- a/fawnwharf/handover/router.py
+++ b/fawnwharf/handover/router.py
@@ -124,7 +124,7 @@
         for claim in [c for c, (_, n) in claims.items() if c[0] == home.session and n <= home.number]:
             del claims[claim]  # it is at home, or that hand-over is over
         found: list[m.Out] = []
-        for name, call in self.calls.items():
+        for name, call in self.calls.items() if seen.under_way else ():
             if call.session == home.session and not call.sent:
                 self._move(seen, call, home.number)
                 found.append(m.Reroute(name, home))
--- a/fawnwharf/net/scorer_frames.py
+++ b/fawnwharf/net/scorer_frames.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 FROM_FRONT_END, FROM_SCORER = 128, 129
-RUN, GIVE_UP, ENSURE = 1, 2, 5
+RUN, GIVE_UP, ENSURE, UNLOAD = 1, 2, 5, 7
 OK, MISS, FULL, ERROR, OVER = 0, 2, 3, 4, 5
 BODY_MOST = 256 * 1024  # far over any body that a client may be passed; a length beyond it is no frame
 
@@ -46,6 +46,15 @@
     return encode(ENSURE, id, f"obj={function},slots_up={copies}")
 
 
+def unload(function: str) -> bytes:
+    """The function's idle copies are to go; no answer. Its key stands as the id: 16 hex digits, else
+    ValueError."""
+    id = bytes.fromhex(function)
+    if len(id) != 8:
+        raise ValueError(f"not a function's key: {function[:40]!r}")
+    return encode(UNLOAD, id)
+
+
 class FrameReader:
     """Splits a scorer's stream into frames; keeps at most one that is not whole yet."""
 
--- a/fawnwharf/net/scorers.py
+++ b/fawnwharf/net/scorers.py
@@ -234,6 +234,16 @@
         order.timer = self.loop.wheel.after(self.wire.load_wait_ms, lambda: self._out_of_time(order))
         self._place(order)
 
+    def unload(self, worker: int, function: str) -> bool:
+        """Have a function's idle copies unloaded there, where a link is up; there is no answer. Copies that
+        are not unloaded lapse, so nothing is dialled for it. Raises ValueError for what is no key."""
+        frame = frames.unload(function)
+        scorer = self.scorers.get(worker)
+        link = scorer.link_for(b"", self._trust_ms) if scorer and scorer.state is State.READY else None
+        if link is not None:
+            link.connection.write(frame)
+        return link is not None
+
     def _place(self, stream: Stream) -> None:
         scorer = self.scorers.get(stream.worker)
         closed = scorer is None or scorer.state is State.GONE
--- a/fawnwharf/replication/service.py
+++ b/fawnwharf/replication/service.py
@@ -44,6 +44,7 @@
         self.deployment, self.note = deployment, write
         place = Path(path)
         self.settings: Settings = load(place, settings_from, "state")
+        self.folder = place.parent / self.settings.folder if self.settings.folder else None
         self._members_path = place.parent / self.settings.members
         members: Members = load(self._members_path, members_from, "state")
         self._members_seen = self._mark()
@@ -69,9 +70,9 @@
         promises = (spec.promise_ms for spec in deployment.settings.classes.values())
         self.resting = Resting(min(promises, default=1_000.0), self.note)
         self.disk: OnFile | None = None
-        if self.settings.folder and self.core.keeper:
+        if self.folder and self.core.keeper:
             try:
-                self.disk = OnFile(place.parent / self.settings.folder, self.core, entry.name, self.note)
+                self.disk = OnFile(self.folder, self.core, entry.name, self.note)
             except DiskError as error:
                 raise ConfigError(f"state.folder: {error}") from None
         self.front: FrontEnd | None = None
@@ -154,6 +155,22 @@
         Only keepers are followed by all, and only keepers follow all."""
         self._carry_out(self.core.ride(m.Ride(rider, word), to))
 
+    def stands(self, rider: str, word: Any) -> None:
+        """Say a word that counts until the rider's next such one, to all that follow and whoever comes."""
+        said = Say((), m.Ride(rider, word))
+        self.server.say(msgspec.to_builtins(self.core.wrapped(said)), counts_as=f"ride {rider}")
+
+    def alive(self, now_ms: float) -> dict[str, int]:
+        """Members whose logs are followed here and gave a sign within `quiet_ms`, with their lives."""
+        self._hear()
+        quiet = self.settings.quiet_ms
+        return {name: life for name, (life, at_ms) in self.core.heard.items() if now_ms - at_ms <= quiet}
+
+    def _hear(self) -> None:
+        for name, feed in self._feeds.items():
+            if feed.up and feed.life:
+                self.core.hears(feed.heard_ms, name, feed.life)
+
     # --- what the core says ---------------------------------------------------------------------
 
     def _ridden(self) -> None:
@@ -177,9 +194,7 @@
         if self._stopped:
             return
         now = monotonic_ms()
-        for name, feed in self._feeds.items():
-            if feed.up and feed.life:
-                self.core.hears(feed.heard_ms, name, feed.life)
+        self._hear()
         self._carry_out(self.core.tick(now))
         self._look_after(now)
 
--- /dev/null
+++ b/fawnwharf/sessions/agent.py
@@ -0,0 +1,409 @@
+"""One front end's part in sessions that move between sites. Pure: calls, others' words and times come in,
+effects go out in order.
+
+It joins the cores of `handover`: a router at each front end; a keeper and a mover where homes are kept, as
+keepers hear all and are heard by all; and what a mover begins (`moves`). A call goes by the home that is
+known when the module is handed it, so it counts as sent from then on: nothing takes it again for a later one.
+Lives are counted here as they are heard, since members' own are numbers of no order.
+"""
+
+from collections import Counter, deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from msgspec.structs import replace
+
+from fawnwharf.handover import messages as m
+from fawnwharf.handover.homes import Keeper, key_of, mover_of
+from fawnwharf.handover.many import Live
+from fawnwharf.handover.mover import Mover
+from fawnwharf.handover.router import Router
+from fawnwharf.interface import ClassSpec
+from fawnwharf.sessions.asking import Asking
+from fawnwharf.sessions.effects import Copies, Dropped, Key, Note, Out, Words
+from fawnwharf.sessions.known import Known, copies
+from fawnwharf.sessions.moves import Moves, View
+from fawnwharf.sessions.settings import Settings
+from fawnwharf.sites import Home, LetGo, Move, Session, Stage
+
+STAGES_MOST = 4_096
+FIRSTS_MOST = 20_000
+BUSY_MS, CALM_MS = 50.0, 250.0  # pace of looks
+
+
+@dataclass(slots=True)
+class _Stage:
+    sender: str
+    receive: m.Receive
+    until_ms: float
+    stands: bool = False
+
+
+class Agent:
+    """Owns this front end's cores, what is staged here, and what operators asked for."""
+
+    def __init__(
+        self,
+        name: str,
+        life: int,
+        sites: dict[str, str],
+        keepers: Iterable[str],
+        keepers_of: Callable[[str], tuple[str, ...]],
+        settings: Settings,
+        classes: dict[str, ClassSpec],
+        now_ms: float,
+        fresh: bool = False,
+    ) -> None:
+        """`sites` of all members, this one among them; `life` is another one with each start. `fresh`: the
+        fleet begins, nobody has promised anything."""
+        self.name, self.life, self.site, self.sites = name, life, sites[name], dict(sites)
+        self.settings, self.rules, self.classes = settings, settings.handover, classes
+        self.keepers, self.keepers_of = tuple(keepers), keepers_of
+        self.router = Router(name, self.site, self.rules, keepers_of, now_ms, fresh)
+        self.keeper: Keeper | None = None
+        self.mover: Mover | None = None
+        self.moves = Moves(settings.drain)
+        if name in self.keepers:
+            self._keep(now_ms, fresh)
+        self.known = Known(self.rules.sessions)
+        self.alive: dict[str, int] = {}  # members that are heard, and the life of each, counted here
+        self.room: dict[str, int] = {}  # sessions that sites can take
+        self.spent: Callable[[str], int] = lambda _org: 0  # of a tenant's quota, counted here
+        self.counts: Counter[str] = Counter()
+        self.ended_by: Counter[str] = Counter()
+        self.asking = Asking()
+        self._lives: dict[str, tuple[int, int]] = {}  # as told, and counted
+        self._closed: dict[str, str] = {}
+        self._pleased: dict[Session, str] = {}  # who wished for what is in hand here
+        self._stages: dict[Key, _Stage] = {}
+        self._firsts: dict[Session, int] = {}  # sessions that moved: their first call here is yet to come
+        self._first_calls: dict[str, Session] = {}
+        self._out: list[Out] = []
+
+    def _keep(self, now_ms: float, fresh: bool) -> None:
+        self.keeper = Keeper(self.name, self.keepers, self.rules, now_ms, self.life, fresh)
+        self.mover = Mover(self.name, self.rules, self.keepers_of, now_ms, self.life)
+        self.mover.turns = lambda session: self.keeper.record(session).promised.count
+
+    def take(self) -> list[Out]:
+        """What is to be done, and taken from here by that."""
+        out, self._out = self._out, []
+        return out
+
+    # --- calls ------------------------------------------------------------------------------------
+
+    def begun(
+        self,
+        now_ms: float,
+        call: str,
+        session: Session,
+        kind: str,
+        lanes: int,
+        load_ms: float | None,
+        budget_ms: float,
+    ) -> Home:
+        """A call that the module is about to be handed, and the home that it goes by."""
+        self.known.came(now_ms, session, kind, lanes, load_ms)
+        urgent = self.router.home(session) is None
+        home = None
+        for effect in self.router.begin(now_ms, call, session, now_ms + budget_ms):
+            if isinstance(effect, m.Reroute):
+                home = effect.home
+            else:
+                self._carry(now_ms, [effect], urgent)
+        self.router.sent(call)
+        if self._firsts and self._firsts.pop(session, None) is not None:
+            self._first_calls[call] = session
+        return home
+
+    def ended(self, now_ms: float, call: str, found: bool | None = None) -> None:
+        """A call has its final answer, or is withdrawn. `found`: its copy stood; None: it told nothing."""
+        if self._first_calls and self._first_calls.pop(call, None) is not None and found is not None:
+            self.counts["first calls after a move, copy found" if found else "first calls, cold"] += 1
+        self._carry(now_ms, self.router.ended(now_ms, call))
+
+    # --- others' words ----------------------------------------------------------------------------
+
+    def hear(self, now_ms: float, sender: str, life: int, words: Iterable[m.Message]) -> None:
+        """Words of one member, in order."""
+        if sender not in self.sites:
+            self.counts["no member"] += 1
+            return
+        self._life(sender, life)
+        for word in words:
+            self._carry(now_ms, self._hear(now_ms, sender, word))
+
+    def _life(self, name: str, life: int) -> int:
+        told, count = self._lives.get(name, (None, 0))
+        if told != life:
+            count += 1
+            self._lives[name] = life, count
+        return count
+
+    def _hear(self, now_ms: float, sender: str, word: m.Message) -> list[m.Out]:
+        if isinstance(word, m.Please):
+            return self._please(now_ms, sender, word)
+        if isinstance(word, m.Begun):
+            self.asking.answered(word)
+            return []
+        if isinstance(word, m.Left):
+            word = replace(word, life=self._lives.get(sender, (0, 1))[1])
+        elif isinstance(word, m.Met) and self.keeper is not None:
+            self.known.tell(now_ms, word.home.session, word.facts, self.sites[sender])
+        elif isinstance(word, m.Give):
+            self.router.contexts[word.session] = self._context(now_ms, word.session)
+        elif isinstance(word, m.Given):
+            facts = self.known.best(now_ms, word.session)
+            more = max(word.context.copies, copies(facts))
+            word = replace(word, context=replace(word.context, copies=more))
+        found: list[m.Out] = []
+        if self.mover is not None:
+            found += self.mover.receive(now_ms, sender, word)
+        if isinstance(word, m.Told):
+            self._met(word)
+        found += [out for out in self.router.receive(now_ms, sender, word) if not isinstance(out, Stage)]
+        if self.keeper is not None:
+            found += self.keeper.receive(now_ms, sender, word)
+        if isinstance(word, m.Receive):
+            found += self._stage(now_ms, sender, word)
+        elif isinstance(word, m.Drop) and self._stages.pop((word.session, word.turn), None):
+            self._out.append(Dropped((word.session, word.turn)))
+        return found
+
+    def _met(self, told: m.Told) -> None:
+        """A home that is new here: the session's next call is its first after the move."""
+        home = self.router.home(told.home.session)
+        if told.step is m.Step.SWITCHED and home is not None and told.home.number > home.number:
+            self._firsts[told.home.session] = told.home.number
+            while len(self._firsts) > FIRSTS_MOST:
+                del self._firsts[next(iter(self._firsts))]
+
+    def _context(self, now_ms: float, session: Session) -> m.Context:
+        facts = self.known.facts(now_ms, session)
+        spent = self.spent(session.org)
+        mine = ((f"{self.name}#{self.life}", spent),) if spent else ()
+        return m.Context(facts.rate if facts else 0.0, copies(facts), mine)
+
+    # --- what is staged here ----------------------------------------------------------------------
+
+    def _stage(self, now_ms: float, sender: str, receive: m.Receive) -> list[m.Out]:
+        """A mover wants copies here; it asks until they stand."""
+        key = receive.session, receive.turn
+        stage = self._stages.get(key)
+        if stage is None:
+            while len(self._stages) >= STAGES_MOST:
+                self._out.append(Dropped(oldest := next(iter(self._stages))))
+                del self._stages[oldest]
+            facts = receive.facts or self.known.best(now_ms, receive.session)
+            until_ms = now_ms + receive.until_ms
+            self._stages[key] = _Stage(sender, receive, until_ms)
+            self.counts["staged"] += receive.copies
+            self._out.append(Copies(key, receive.session.row, receive.copies, facts, until_ms))
+            return []
+        stage.sender, stage.receive = sender, receive
+        return self.router.stood(now_ms, sender, receive, True) if stage.stands else []
+
+    def stood(self, now_ms: float, key: Key, stands: bool) -> None:
+        """By their scorers' own answers these copies stand, or can't."""
+        stage = self._stages.get(key)
+        if stage is None:
+            return
+        stage.stands = stands
+        if not stands:
+            del self._stages[key]
+            self.counts["could not be staged"] += 1
+        self._carry(now_ms, self.router.stood(now_ms, stage.sender, stage.receive, stands))
+
+    # --- what operators and plans ask ---------------------------------------------------------------
+
+    def mover_for(self, session: Session) -> str:
+        """Of the session's keepers that are heard, the one that moves it; another keeper where none is."""
+        heard = self.alive.keys() | {self.name}
+        own = [name for name in self.keepers_of(key_of(session)) if name in heard]
+        return mover_of(session, own or [name for name in self.keepers if name in heard])
+
+    def ask(self, now_ms: float, moves: Iterable[tuple[Session, str]]) -> None:
+        """Operators want these sessions at home at these sites."""
+        wanted = []
+        for session, site in moves:
+            whence = getattr(self.router.home(session), "site", self.site)
+            wanted.append(Move(session, whence, site, 0.0, 1.0, "operator"))
+        self.asking.ask(now_ms, wanted)
+        self._carry(now_ms, self.asking.due(now_ms, self.mover_for))
+
+    def _please(self, now_ms: float, sender: str, please: m.Please) -> list[m.Out]:
+        """Whatever home is known here: the session's keepers have the last word on it."""
+        move = please.move
+        if self.mover is None or self.keeper is None:
+            return []
+        home = self._home(move.session)
+        if home is None:
+            return [m.Say((sender,), m.Begun(move.session, None, "no such session", True))]
+        why = "at home there" if home.site == move.whither else ""
+        why = why or ("no such site" if move.whither not in self.sites.values() else "")
+        why = why or ("the site is closed" if move.whither in self._closed else "")
+        if why:
+            return [m.Say((sender,), m.Begun(move.session, home, why, True))]
+        begun = m.Say((sender,), m.Begun(move.session, home, "begun", False))
+        if self._pleased.get(move.session) == sender and move.session in self.mover.hands:
+            return [begun]
+        if move.session in self.mover.hands:
+            return [m.Say((sender,), m.Begun(move.session, home, "one is in hand", True))]
+        self._pleased[move.session] = sender
+        return [begun, *self._begin(now_ms, replace(move, whence=home.site), home.number)]
+
+    def _home(self, session: Session) -> Home | None:
+        """The last home that is known here, as a keeper or of calls."""
+        seen = self.router.home(session)
+        record = self.keeper.record(session) if self.keeper else m.Record()
+        if record.site and (seen is None or record.number >= seen.number):
+            return Home(session, record.site, record.number)
+        return seen
+
+    def close(self, now_ms: float, closed: dict[str, str]) -> None:
+        """Sites that are to be empty, and why: by a plan, or by operators' words."""
+        self._closed = dict(closed)
+        self.moves.close(now_ms, closed)
+
+    def expected(self, now_ms: float, moves: Iterable[Move]) -> None:
+        self.moves.expected(now_ms, moves)
+
+    # --- hand-overs -------------------------------------------------------------------------------
+
+    def _begin(self, now_ms: float, move: Move, number: int, haste: bool = False) -> list[m.Out]:
+        best = self.known.best(now_ms, move.session)
+        return self.mover.begin(now_ms, move, number, copies(best), haste)
+
+    def _live(self, now_ms: float, session: Session) -> Live:
+        """Worth by its class and its calls; what has been still for long is likely to be over."""
+        told = self.known.told.get(session)
+        facts = told.facts if told else None
+        spec = self.classes.get(facts.kind) if facts else None
+        worth = (spec.worth if spec else 1.0) * min(1.0, 0.1 + (facts.rate if facts else 0.0))
+        used = told.at_ms if told else self.keeper.records[session][1]
+        left = 1.25 * self.rules.still_ms - (now_ms - used)
+        return Live(session, worth, self.settings.drain.cost, left)
+
+    def _view(self, now_ms: float) -> View:
+        fronts = {self.name, *self.alive}
+        return View(
+            records=self.keeper.records,
+            mine=lambda session: self.mover_for(session) == self.name,
+            live=lambda session: self._live(now_ms, session),
+            room=self.room,
+            alive=frozenset(self.sites[name] for name in fronts if name in self.sites),
+            busy=lambda session: session in self.mover.hands,
+            movers=sum(name in fronts for name in self.keepers),
+        )
+
+    def _carry(self, now_ms: float, effects: Iterable[m.Out], urgent: bool = True) -> None:
+        """What is said to oneself is heard at once; the rest goes out, in order."""
+        waiting = deque(effects)
+        while waiting:
+            effect = waiting.popleft()
+            if isinstance(effect, m.Say):
+                message = self._filled(now_ms, effect.message)
+                others = tuple(name for name in effect.to if name != self.name)
+                if others:
+                    self._out.append(Words(others, message, urgent))
+                if len(others) < len(effect.to):
+                    waiting.extendleft(reversed(self._hear(now_ms, self.name, message)))
+            elif isinstance(effect, m.Moved):
+                waiting.extendleft(reversed(self._moved(now_ms, effect)))
+            elif isinstance(effect, m.Ended):
+                waiting.extendleft(reversed(self._over(now_ms, effect)))
+            elif isinstance(effect, LetGo):
+                self.counts["let go"] += 1
+                self._out.append(effect)
+
+    def _filled(self, now_ms: float, message: m.Message) -> m.Message:
+        """With what is known of the session, where a word has room for it."""
+        if isinstance(message, m.Met):
+            return replace(message, facts=self.known.facts(now_ms, message.home.session))
+        if isinstance(message, m.Receive):
+            return replace(message, facts=self.known.best(now_ms, message.session))
+        return message
+
+    def _moved(self, now_ms: float, moved: m.Moved) -> list[m.Out]:
+        home = moved.home
+        self.counts["moved"] += 1
+        self.moves.switched(now_ms, home, moved.whence)
+        fields = {"org": home.session.org, "row": home.session.row, "site": home.site, "number": home.number}
+        self._out.append(Note("session moved", fields | {"whence": moved.whence, "lost": list(moved.lost)}))
+        return self._please_over(home, "switched")
+
+    def _over(self, now_ms: float, ended: m.Ended) -> list[m.Out]:
+        home = ended.home
+        self.ended_by[ended.why] += 1
+        self.moves.ended(now_ms, home, ended.why)
+        fields = {"org": home.session.org, "row": home.session.row, "site": home.site, "number": home.number}
+        self._out.append(Note("hand-over ended", fields | {"why": ended.why, "done": ended.done}))
+        return self._please_over(home, ended.why)
+
+    def _please_over(self, home: Home, why: str) -> list[m.Out]:
+        wisher = self._pleased.pop(home.session, None)
+        return [m.Say((wisher,), m.Begun(home.session, home, why, True))] if wisher else []
+
+    # --- time, and who is there ---------------------------------------------------------------------
+
+    def place(self, now_ms: float, sites: dict[str, str], keepers: Iterable[str]) -> None:
+        """A later list of members."""
+        self.sites, keepers = dict(sites), tuple(keepers)
+        for name in [name for name in self._lives if name not in sites]:
+            del self._lives[name]
+        if self.mover is not None:
+            for name in [name for name in self.mover.seen if name not in sites]:
+                del self.mover.seen[name]
+        if keepers == self.keepers:
+            return
+        self.keepers = keepers
+        if self.keeper is not None:
+            self.keeper.placed_anew(now_ms, keepers)
+        elif self.name in keepers:
+            self._keep(now_ms, fresh=False)
+
+    def tick(self, now_ms: float, alive: dict[str, int], open_calls: Callable[[str], bool]) -> None:
+        """A look at all that is due. `alive`: members that are heard, with their lives as told;
+        `open_calls` says whether a call is still open here."""
+        self.alive = {name: self._life(name, life) for name, life in alive.items() if name in self.sites}
+        for call in [call for call in self.router.calls if not open_calls(call)]:
+            self.ended(now_ms, call)
+        self._carry(now_ms, self.router.tick(now_ms))
+        self.known.forget(now_ms, 2 * self.rules.still_ms)
+        self._carry(now_ms, self.asking.due(now_ms, self.mover_for))
+        for key in [key for key, stage in self._stages.items() if now_ms >= stage.until_ms]:
+            del self._stages[key]
+            self._out.append(Dropped(key))
+        if self.keeper is None or self.mover is None:
+            return
+        heard = {name: self.sites[name] for name in self.alive} | {self.name: self.site}
+        self._carry(now_ms, self.mover.heard(now_ms, heard, self.sites, self.alive))
+        self._carry(now_ms, self.mover.tick(now_ms))
+        movers = [name for name in self.keepers if name in heard]
+        self._carry(now_ms, self.keeper.tick(now_ms, movers))
+        for begin in self.moves.tick(now_ms, self._view(now_ms)):
+            self._carry(now_ms, self._begin(now_ms, begin.move, begin.number, begin.haste))
+        for event, fields in self.moves.notes:
+            self._out.append(Note(event, fields))
+        self.moves.notes.clear()
+
+    def pace_ms(self) -> float:
+        """How soon the next look is wanted."""
+        under_way = self.mover is not None and (self.mover.hands or self.moves.busy)
+        telling = self.keeper is not None and self.keeper._telling
+        return BUSY_MS if under_way or telling or self.asking else CALM_MS
+
+    def sure(self, now_ms: float) -> bool:
+        return self.keeper is not None and self.keeper.sure(now_ms)
+
+    def steps(self) -> dict[str, int]:
+        """Hand-overs under way here, by step."""
+        return dict(Counter(hand.step for hand in self.mover.hands.values())) if self.mover else {}
+
+    def all_counts(self) -> dict[str, int]:
+        cores = [self.router.counts, self.moves.counts]
+        cores += [self.keeper.counts] if self.keeper else []
+        found = self.counts.copy()
+        for counts in cores:
+            found.update(counts)
+        return dict(found)
--- /dev/null
+++ b/fawnwharf/sessions/asking.py
@@ -0,0 +1,57 @@
+"""What operators asked here, until the sessions' movers have said what came of it. Pure; milliseconds."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from fawnwharf.handover import messages as m
+from fawnwharf.sessions.words import Answer
+from fawnwharf.sites import Move, Session
+
+ANSWERS_MOST = 1_000
+AGAIN_MS, MOST_MS = 1_000.0, 8_000.0  # a mover that says nothing is asked again, for so long
+
+
+@dataclass(slots=True)
+class _Wish:
+    move: Move
+    asked_ms: float
+    said_ms: float = field(default=float("-inf"))
+
+
+class Asking:
+    """Owns the last wishes and their answers."""
+
+    def __init__(self) -> None:
+        self.answers: dict[Session, Answer] = {}
+        self._open: dict[Session, _Wish] = {}
+
+    def __bool__(self) -> bool:
+        return bool(self._open)
+
+    def ask(self, now_ms: float, moves: Iterable[Move]) -> None:
+        """These take the place of what was asked before."""
+        self.answers.clear()
+        self._open.clear()
+        for move in list(moves)[:ANSWERS_MOST]:
+            session = move.session
+            self.answers[session] = Answer(session.org, session.row, "asked")
+            self._open[session] = _Wish(move, now_ms)
+
+    def due(self, now_ms: float, mover_for: Callable[[Session], str]) -> list[m.Say]:
+        found = []
+        for session, wish in list(self._open.items()):
+            if now_ms - wish.asked_ms > MOST_MS:
+                del self._open[session]
+                self.answers[session] = Answer(session.org, session.row, "no mover answered", over=True)
+            elif now_ms - wish.said_ms >= AGAIN_MS and (name := mover_for(session)):
+                wish.said_ms = now_ms
+                found.append(m.Say((name,), m.Please(wish.move)))
+        return found
+
+    def answered(self, begun: m.Begun) -> None:
+        if begun.session not in self.answers:
+            return
+        self._open.pop(begun.session, None)
+        site, number = (begun.home.site, begun.home.number) if begun.home else ("", 0)
+        org, row = begun.session.org, begun.session.row
+        self.answers[begun.session] = Answer(org, row, begun.why, site, number, begun.over)
--- a/fawnwharf/sessions/commands.py
+++ b/fawnwharf/sessions/commands.py
@@ -41,7 +41,8 @@
         _fail(f"sessions: {error.filename}: {error.strerror}")
     except FileFault as error:
         _fail(f"sessions: {place}: {error}")
-    return settings, s.wishes_place(settings, Path(sessions), kept.folder, Path(state)), members
+    folder = Path(state).parent / kept.folder if kept.folder else None
+    return settings, s.wishes_place(settings, Path(sessions), folder), members
 
 
 def look(place: str, within_s: float = 3.0) -> w.Status:
--- /dev/null
+++ b/fawnwharf/sessions/known.py
@@ -0,0 +1,106 @@
+"""What a front end has seen of sessions and functions, and what keepers were told of sessions. Pure; bounded:
+those still for longest go first. Milliseconds of one clock."""
+
+import math
+from dataclasses import dataclass
+
+from fawnwharf.handover import messages as m
+from fawnwharf.sites import Session
+
+FADE_MS = 10_000.0  # over which calls are counted
+GAIN = 0.3  # weight of one run, or load, in a function's usual one
+ROWS_MOST = 20_000
+COPIES_MOST = 4  # that are staged for one session
+
+
+@dataclass(slots=True)
+class _Mine:
+    kind: str
+    lanes: int
+    calls: float
+    at_ms: float
+
+
+@dataclass(slots=True)
+class _Row:
+    run_ms: float = 0.0
+    load_ms: float = 0.0
+
+
+@dataclass(slots=True)
+class Told:
+    """A keeper's: what was last told of a session, and by which site's front end."""
+
+    facts: m.Facts | None
+    site: str
+    at_ms: float
+
+
+class Known:
+    """Owns what is known of sessions beside their homes."""
+
+    def __init__(self, most: int) -> None:
+        self.most = most
+        self.mine: dict[Session, _Mine] = {}
+        self.rows: dict[str, _Row] = {}
+        self.told: dict[Session, Told] = {}
+
+    def came(self, now_ms: float, session: Session, kind: str, lanes: int, load_ms: float | None) -> None:
+        mine = self.mine.pop(session, None) or _Mine(kind, lanes, 0.0, now_ms)
+        mine.calls = 1.0 + mine.calls * math.exp((mine.at_ms - now_ms) / FADE_MS)
+        mine.kind, mine.lanes, mine.at_ms = kind, max(1, min(1_024, lanes)), now_ms
+        _put(self.mine, session, mine, self.most)
+        if load_ms and load_ms > 0 and not self._row(session.row).load_ms:
+            self._row(session.row).load_ms = min(load_ms, 3_600_000.0)
+
+    def _row(self, row: str) -> _Row:
+        found = self.rows.get(row)
+        return found if found is not None else _put(self.rows, row, _Row(), ROWS_MOST)
+
+    def ran(self, row: str, took_ms: float) -> None:
+        entry = self._row(row)
+        entry.run_ms += (took_ms - entry.run_ms) * (GAIN if entry.run_ms else 1.0)
+
+    def loaded(self, row: str, took_ms: float) -> None:
+        entry = self._row(row)
+        entry.load_ms += (took_ms - entry.load_ms) * (GAIN if entry.load_ms else 1.0)
+
+    def facts(self, now_ms: float, session: Session) -> m.Facts | None:
+        """What this front end has seen of it; None: no call came here."""
+        mine, row = self.mine.get(session), self.rows.get(session.row) or _Row()
+        if mine is None:
+            return None
+        rate = 1_000.0 / FADE_MS * mine.calls * math.exp((mine.at_ms - now_ms) / FADE_MS)
+        return m.Facts(mine.kind, mine.lanes, round(row.load_ms, 1), round(row.run_ms, 1), round(rate, 3))
+
+    def tell(self, now_ms: float, session: Session, facts: m.Facts | None, site: str) -> None:
+        """A front end of a site told that the session is in use there."""
+        before = self.told.pop(session, None)
+        _put(self.told, session, Told(facts or (before and before.facts), site, now_ms), self.most)
+
+    def best(self, now_ms: float, session: Session) -> m.Facts | None:
+        """By what others told, else by what was seen here."""
+        told = self.told.get(session)
+        return told.facts if told and told.facts else self.facts(now_ms, session)
+
+    def forget(self, now_ms: float, still_ms: float) -> None:
+        for held in (self.mine, self.told):
+            while held:
+                session, entry = next(iter(held.items()))
+                if now_ms - entry.at_ms < still_ms:
+                    break
+                del held[session]
+
+
+def copies(facts: m.Facts | None) -> int:
+    """How many serve a session's calls (Little's law)."""
+    if facts is None:
+        return 1
+    return max(1, min(COPIES_MOST, math.ceil(facts.rate * facts.run_ms / 1_000.0 / facts.lanes)))
+
+
+def _put(held: dict, key: object, value, most: int):
+    while len(held) >= most:
+        del held[next(iter(held))]
+    held[key] = value
+    return value
--- /dev/null
+++ b/fawnwharf/sessions/moves.py
@@ -0,0 +1,234 @@
+"""Which hand-overs a mover begins: sites that are emptied, sessions that return, moves that are expected.
+
+Pure; milliseconds of one clock. Each mover looks after the sessions that are its own by hash, with its part
+of the budgets. A site is emptied for as long as it is closed: what comes later is moved later. Nothing here
+decides a home; `handover.mover` is told what to begin, and this what came of it.
+"""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from msgspec.structs import replace
+
+from fawnwharf.handover.many import Begin, Drain, Dwell, Leave, Live
+from fawnwharf.handover.messages import Record
+from fawnwharf.handover.settings import DrainSettings
+from fawnwharf.sites import Home, Move, Session
+
+LOOKS, HASHES = 5_000, 400  # records, and placements worked out, in one look
+AGAIN_MS = 1_000.0  # from one look over all records to the next
+REST_MS = 10_000.0  # one that was left is not tried again before
+WAIT_MOST = 20_000  # sessions that wait to return, or as expected
+EXPECTED_MS = 30_000.0  # a move that could not begin for so long is forgotten
+
+
+@dataclass(slots=True)
+class View:
+    """What a mover sees."""
+
+    records: dict[Session, tuple[Record, float]]  # of its keeper
+    mine: Callable[[Session], bool]
+    live: Callable[[Session], Live]
+    room: dict[str, int]  # sessions that each site can take; by the sizes of its scorers
+    alive: frozenset[str]  # sites of which a front end is heard
+    busy: Callable[[Session], bool]  # one is in hand
+    movers: int = 1  # that share the budgets
+
+
+@dataclass(slots=True)
+class _Closed:
+    """One site that is closed."""
+
+    why: str
+    keys: list[Session] | None = None  # yet to be looked at
+    found: list[Session] = field(default_factory=list)
+    next_ms: float = 0.0
+    drain: Drain | None = None
+
+
+@dataclass(slots=True)
+class _Wanted:
+    whence: str
+    whither: str
+    by: str
+    until_ms: float
+
+
+class Moves:
+    """Owns what is begun, and when a session may move again."""
+
+    def __init__(self, rules: DrainSettings) -> None:
+        self.rules, self.dwell = rules, Dwell(rules)
+        self.closed: dict[str, _Closed] = {}
+        self.away: dict[Session, str] = {}  # from which site they were taken; they return there
+        self.wanted: dict[Session, _Wanted] = {}
+        self.counts: dict[str, int] = {}
+        self.notes: list[tuple[str, dict]] = []
+        self._rests: dict[Session, float] = {}
+        self._tokens, self._filled_ms = float(rules.burst), 0.0
+        self._under_way: set[Session] = set()  # begun for `wanted`
+
+    def _count(self, cause: str) -> None:
+        self.counts[cause] = self.counts.get(cause, 0) + 1
+
+    # --- sites ------------------------------------------------------------------------------------
+
+    def close(self, now_ms: float, closed: dict[str, str]) -> None:
+        """These sites are closed, each with its cause; the others are open."""
+        for site in [site for site in self.closed if site not in closed]:
+            del self.closed[site]
+            self._opened(now_ms, site)
+        for site, why in closed.items():
+            if site not in self.closed:
+                self.closed[site] = _Closed(why, next_ms=now_ms)
+                for other in self.closed.values():
+                    if other.drain is not None:
+                        other.drain.room.pop(site, None)  # its own sessions move on from there
+            self.closed[site].why = why
+        for session in [s for s, wanted in self.wanted.items() if wanted.whither in self.closed]:
+            del self.wanted[session]
+
+    def _opened(self, now_ms: float, site: str) -> None:
+        """It is open again: its sessions may return, each when its dwell is over."""
+        for session in [s for s, at in self.away.items() if at == site]:
+            del self.away[session]
+            self._want(session, _Wanted("", site, "return", now_ms + 2 * self.rules.dwell_most_ms))
+
+    def _want(self, session: Session, wanted: _Wanted) -> None:
+        if len(self.wanted) < WAIT_MOST:
+            self.wanted[session] = wanted
+
+    def expected(self, now_ms: float, moves: Iterable[Move]) -> None:
+        """Moves that are foreseen; one that is not all but certain changes no home."""
+        for move in moves:
+            if move.chance >= self.rules.sure and move.session not in self.wanted:
+                until_ms = now_ms + move.within_ms + EXPECTED_MS
+                self._want(move.session, _Wanted(move.whence, move.whither, move.by, until_ms))
+
+    # --- what to begin ----------------------------------------------------------------------------
+
+    def tick(self, now_ms: float, view: View) -> list[Begin]:
+        found: list[Begin] = []
+        room = {site: room for site, room in view.room.items() if site not in self.closed and room > 0}
+        for site, closed in self.closed.items():
+            self._look(now_ms, site, closed, view, room)
+            if closed.drain is not None:
+                found += self._drained(now_ms, site, closed, closed.drain.tick(now_ms))
+        return found + self._others(now_ms, view)
+
+    def _look(self, now_ms: float, site: str, closed: _Closed, view: View, room: dict[str, int]) -> None:
+        """Go over the records, a part at a time: whoever is at home there, and this mover's."""
+        if closed.keys is None:
+            done = closed.drain is None or closed.drain.done
+            if now_ms < closed.next_ms or not done:
+                return
+            closed.keys, closed.found = list(view.records), []
+        hashes = looks = 0
+        while closed.keys and looks < LOOKS and hashes < HASHES:
+            session, looks = closed.keys.pop(), looks + 1
+            if (held := view.records.get(session)) is None or held[0].site != site:
+                continue
+            rests = now_ms < self._rests.get(session, 0.0) or view.busy(session)
+            hashes += not rests
+            if not rests and view.mine(session):
+                closed.found.append(session)
+        if not closed.keys:
+            closed.keys, closed.next_ms = None, now_ms + AGAIN_MS
+            closed.drain = self._drain(now_ms, site, closed, view, room) if closed.found else None
+
+    def _drain(self, now_ms: float, site: str, closed: _Closed, view: View, room: dict[str, int]) -> Drain:
+        """With this mover's part of the budgets."""
+        rules, movers = self.rules, max(1, view.movers)
+        part = replace(
+            rules,
+            at_once=max(1, rules.at_once // movers),
+            starts_per_s=rules.starts_per_s / movers,
+            burst=max(1, rules.burst // movers),
+        )
+        rooms = {other: max(1, count // movers) for other, count in room.items()}
+        haste = site not in view.alive
+        sessions = [(view.live(session), view.records[session][0].number) for session in closed.found]
+        drain = Drain(site, now_ms, rules.within_ms, sessions, rooms, part, self.dwell, haste)
+        note = {"site": site, "why": closed.why, "sessions": len(closed.found), "haste": haste}
+        self.notes.append(("site emptied", note))
+        closed.found = []
+        return drain
+
+    def _drained(self, now_ms: float, site: str, closed: _Closed, out: list[Begin | Leave]) -> list[Begin]:
+        for effect in out:
+            if isinstance(effect, Leave):
+                self._left(now_ms, effect)
+        begun = [effect for effect in out if isinstance(effect, Begin)]
+        for begin in begun:
+            self._count(f"begun: {begin.move.by}")
+        return begun
+
+    def _left(self, now_ms: float, leave: Leave) -> None:
+        self._count(f"left: {leave.why}")
+        self._rests.pop(leave.session, None)
+        self._rests[leave.session] = now_ms + REST_MS
+
+    def _others(self, now_ms: float, view: View) -> list[Begin]:
+        """Returns and expected moves, within the same pace; each when its dwell is over."""
+        while self._rests and next(iter(self._rests.values())) < now_ms:
+            del self._rests[next(iter(self._rests))]
+        rules, movers = self.rules, max(1, view.movers)
+        passed = (now_ms - self._filled_ms) / 1_000.0
+        self._tokens = min(float(rules.burst), self._tokens + rules.starts_per_s / movers * passed)
+        self._filled_ms = now_ms
+        found: list[Begin] = []
+        self._under_way = {session for session in self._under_way if view.busy(session)}
+        for session, wanted in list(self.wanted.items())[:LOOKS]:
+            if self._tokens < 1.0 or len(self._under_way) >= max(1, rules.at_once // movers):
+                break
+            if self.dwell.left_ms(now_ms, session) and now_ms < wanted.until_ms:
+                continue
+            del self.wanted[session]
+            record, _ = view.records.get(session, (Record(), 0.0))
+            there = record.site in ("", wanted.whither) or (wanted.whence and record.site != wanted.whence)
+            if there or now_ms >= wanted.until_ms or view.busy(session) or not view.mine(session):
+                continue
+            self._tokens -= 1.0
+            self._under_way.add(session)
+            self._count(f"begun: {wanted.by}")
+            move = Move(session, record.site, wanted.whither, 0.0, 1.0, wanted.by)
+            found.append(Begin(move, record.number, False))
+        return found
+
+    # --- what came of it --------------------------------------------------------------------------
+
+    def switched(self, now_ms: float, home: Home, whence: str) -> None:
+        """Decided: what the budgets are for is over, though it has yet to settle."""
+        for site, closed in self.closed.items():
+            if closed.drain is not None and home.session in closed.drain.going:
+                self._over(now_ms, site, closed.drain, home, "switched")
+                return
+        self._under_way.discard(home.session)
+        self.away.pop(home.session, None)
+        self.dwell.moved(now_ms, home.session, whence, home.site)
+
+    def ended(self, now_ms: float, home: Home, why: str) -> None:
+        self._under_way.discard(home.session)
+        for site, closed in self.closed.items():
+            if closed.drain is not None and home.session in closed.drain.going:
+                self._over(now_ms, site, closed.drain, home, why)
+
+    def _over(self, now_ms: float, site: str, drain: Drain, home: Home, why: str) -> None:
+        for leave in drain.ended(now_ms, home, why):
+            self._left(now_ms, leave)
+        if home.session in drain.moved and len(self.away) < WAIT_MOST:
+            self.away[home.session] = site
+
+    def waiting(self) -> dict[str, int]:
+        """Sites that are emptied, and the sessions that are yet to begin, or to be switched."""
+        return {
+            site: len(closed.drain.waiting) + len(closed.drain.going) if closed.drain else 0
+            for site, closed in self.closed.items()
+        }
+
+    @property
+    def busy(self) -> bool:
+        return bool(self.wanted) or any(
+            closed.keys is not None or (closed.drain is not None and not closed.drain.done)
+            for closed in self.closed.values()
+        )
--- /dev/null
+++ b/fawnwharf/sessions/service.py
@@ -0,0 +1,348 @@
+"""Sessions in a running front end: homes of the calls that come, hand-overs, what is staged and let go."""
+
+from collections.abc import Callable, Iterable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from fawnwharf import interface as io
+from fawnwharf.config import ConfigError, Deployment, Fleet
+from fawnwharf.handover import messages as m
+from fawnwharf.net.front_end import FrontEnd
+from fawnwharf.net.wheel import Timer, monotonic_ms
+from fawnwharf.policy.state import Function, mark
+from fawnwharf.sessions import words as w
+from fawnwharf.sessions.agent import Agent
+from fawnwharf.sessions.effects import Copies, Dropped, Note, Words
+from fawnwharf.sessions.settings import Settings, Wishes, by_classes, settings_from, wishes_from, wishes_place
+from fawnwharf.sessions.stages import Stages
+from fawnwharf.sites import LetGo, Session
+from fawnwharf.zones.files import WatchedFile, load
+from fawnwharf.zones.plan import LEAVING, OUT
+from fawnwharf.zones.settings import FileFault
+
+STATUS_MS, WISH_LIFE_MS = 1_000.0, 5_000.0  # pace of words on oneself; how long others' wishes count
+FILES_MS = 500.0
+ORDERS_MOST, COUNTS_MOST = 4_096, 96
+LINE_S = 1.0  # one note a second of each kind
+WARM = {io.Warmth.FOUND: True, io.Warmth.BEGAN_LOAD: False, io.Warmth.WAITED_FOR_LOAD: False}
+
+Write = Callable[[str, dict[str, Any]], None]
+
+
+class Sessions:
+    """Owns this front end's part in sessions that move between sites; a Seam of the front end."""
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        path: str | Path,
+        write: Write,
+        made: dict[str, Any],
+        fresh: bool = False,
+    ) -> None:
+        """Reads and checks the file; raises ConfigError with one line. `made` has the part that keeps state,
+        and that of zones where there is one. `fresh`: this fleet begins, nobody has promised anything yet."""
+        self.deployment, self.note, self.state, self.zones = (
+            deployment,
+            write,
+            made["state"],
+            made.get("zones"),
+        )
+        place = Path(path)
+        read: Settings = load(place, settings_from, "sessions")
+        self.settings = by_classes(read, deployment.settings.classes)
+        if read.foresight is not None:
+            from fawnwharf.foresight.settings import foresight_from
+
+            load(place, foresight_from, "sessions")
+        core, zone = self.state.core, deployment.settings.zone
+        entry = self.state.entry
+        if entry.zone != zone:
+            raise ConfigError(
+                f"sessions: {entry.name} is of zone {entry.zone}, and its configuration says {zone}"
+            )
+        self.site = zone
+        self.agent = Agent(
+            entry.name,
+            self.state.life,
+            self._sites(),
+            core.placement.keepers,
+            lambda key: self.state.core.placement.of(key),
+            self.settings,
+            deployment.settings.classes,
+            monotonic_ms(),
+            fresh,
+        )
+        self.agent.spent = lambda org: core.shares.counts.get(org, 0) if core.shares else 0
+        module = deployment.settings
+        self.stages = Stages(self._order, module.may_order, module.idle_life_ms)
+        self._wishes_file = WatchedFile(wishes_place(read, place, self.state.folder))
+        self.wishes = Wishes()
+        self._drained: dict[str, tuple[float, tuple[str, ...]]] = {}  # others' wishes, and when they came
+        self._orders: dict[str, Function] = {}  # hash orders that were asked for
+        self._placed: Any = core.placement
+        self._waiting: dict[tuple[str, ...], list[m.Message]] = {}  # words, by who they are for
+        self._noted: dict[str, float] = {}
+        self._status_ms = self._files_ms = 0.0
+        self._was_sure: bool | None = None
+        self._timer: Timer | None = None
+        self._timer_ms = 0.0
+        self._stopped = False
+        self.front: FrontEnd | None = None
+
+    def _sites(self) -> dict[str, str]:
+        return {entry.name: entry.zone for entry in self.state.core.members.members if entry.state}
+
+    # --- life -----------------------------------------------------------------------------------
+
+    def attach(self, front: FrontEnd) -> None:
+        """Begin, on the front end's loop."""
+        self.front = front
+        self.state.riders[w.RIDER] = self._heard
+        if (data := self._wishes_file.changed()) is not None:
+            self._wished(data, begin=False)  # what was asked of an earlier process was begun there
+        keeper = self.agent.keeper is not None
+        self.note("sessions on", {"member": self.agent.name, "site": self.site, "keeper": keeper})
+        self._look()
+
+    def close(self) -> None:
+        self._stopped = True
+        self.state.riders.pop(w.RIDER, None)
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def told(self, fleet: Fleet) -> None: ...
+
+    @property
+    def busy(self) -> bool:
+        """Never: whoever takes a hand-over on asks the keepers."""
+        return False
+
+    # --- what happens here ----------------------------------------------------------------------
+
+    def events(self, events: list[io.Event]) -> None:
+        """Sets the home of each call that came, and hears how calls and orders end."""
+        now = monotonic_ms()
+        for event in events:
+            if isinstance(event, io.RequestArrived):
+                self._came(now, event)
+            elif isinstance(event, io.AttemptEnded):
+                self._ended(now, event)
+            elif isinstance(event, io.ClientLeft):
+                self.agent.ended(now, event.request)
+            elif isinstance(event, io.OrderAnswered):
+                if event.ending is io.Ending.GOOD and event.copies and event.took_ms > 0:
+                    self.agent.known.loaded(event.function, event.took_ms)
+                self._tell(self.stages.answered(now, event))
+                self._staged(now)
+        self._carry_out(now)
+
+    def _came(self, now_ms: float, event: io.RequestArrived) -> None:
+        if not event.tenant or not event.function:
+            return
+        home = self.agent.begun(
+            now_ms,
+            event.request,
+            Session(event.tenant, event.function),
+            event.class_name,
+            event.lanes,
+            event.load_ms,
+            event.budget_ms,
+        )
+        event.site = home.site if home.site != self.site else ""
+
+    def _ended(self, now_ms: float, event: io.AttemptEnded) -> None:
+        call = self.agent.router.calls.get(event.request)
+        if call is None:
+            return
+        if event.ending is io.Ending.GOOD:
+            row = call.session.row
+            if event.warmth in (io.Warmth.FOUND, io.Warmth.UNTOLD):
+                self.agent.known.ran(row, event.took_ms)
+            worker = self.front.router.workers.get(event.worker)
+            if worker is not None and worker.entry.zone == self.site:
+                self.stages.seen(now_ms, row, event.worker, 1)
+        if event.closed:
+            self.agent.ended(now_ms, event.request, WARM.get(event.warmth))
+
+    def _order(self, row: str) -> list[int]:
+        """A function's scorers of this site that take calls, as the module's own order has them."""
+        fn = self._orders.get(row)
+        if fn is None:
+            while len(self._orders) >= ORDERS_MOST:
+                del self._orders[next(iter(self._orders))]
+            fn = self._orders[row] = Function(row, "", 1, None, mark(row))
+        order = self.front.router._ordered(fn)
+        return [one.id for one in order if one.entry.zone == self.site and one.suspect_ms is None]
+
+    def _tell(self, events: Iterable[io.Event]) -> None:
+        for event in events:
+            self.front.loop.tell(event)
+
+    def _staged(self, now_ms: float) -> None:
+        came, self.stages.came = self.stages.came, []
+        for key, stands in came:
+            self.agent.stood(now_ms, key, stands)
+
+    # --- what the agent says --------------------------------------------------------------------
+
+    def _carry_out(self, now_ms: float, all_words: bool = False) -> None:
+        urgent: set[tuple[str, ...]] = set()
+        while out := self.agent.take():
+            for effect in out:
+                if isinstance(effect, Words):
+                    words = self._waiting.setdefault(effect.to, [])
+                    words.append(effect.message)
+                    if effect.urgent or len(words) >= w.WORDS_MOST:
+                        urgent.add(effect.to)
+                elif isinstance(effect, Copies):
+                    self._tell(self.stages.want(now_ms, effect))
+                elif isinstance(effect, Dropped):
+                    self.stages.drop(effect.key)
+                elif isinstance(effect, LetGo):
+                    self._let_go(now_ms, effect)
+                elif isinstance(effect, Note):
+                    self.note(effect.event, effect.fields)
+            self._staged(now_ms)
+        for to in list(self._waiting) if all_words else urgent:
+            self._say(to, self._waiting.pop(to))
+        if self.agent.pace_ms() < self._timer_ms - now_ms:
+            self._set_timer(now_ms)
+
+    def _say(self, to: tuple[str, ...], words: list[m.Message]) -> None:
+        """What is for many is for all: only decided homes are."""
+        parts = [to[n : n + w.READERS_MOST] for n in range(0, len(to), w.READERS_MOST)]
+        if len(parts) > 1 and all(isinstance(word, m.Told) for word in words):
+            parts = [()]
+        for n in range(0, len(words), w.WORDS_MOST):
+            said = w.Hands(tuple(words[n : n + w.WORDS_MOST]))
+            for part in parts:
+                self.state.ride(w.RIDER, part, said)
+
+    def _let_go(self, now_ms: float, effect: LetGo) -> None:
+        if not self.settings.handover.unload or not self.deployment.settings.may_order:
+            return
+        try:
+            for worker in self.stages.where(now_ms, effect.row):
+                self.front.pool.unload(worker, effect.row)
+        except ValueError as error:
+            self._once("not let go", {"why": str(error)})
+        self.stages.let_go(effect.row)
+
+    # --- others' words --------------------------------------------------------------------------
+
+    def _heard(self, now_ms: float, sender: str, life: int, data: Any) -> None:
+        try:
+            word = w.word_from(data)
+        except msgspec.ValidationError as error:
+            self.agent.counts["bad line"] += 1
+            self._once("line dropped", {"why": f"not a word of sessions: {error}", "sender": sender})
+            return
+        if isinstance(word, w.Status):
+            self._drained[sender] = now_ms, word.drained
+            return
+        self.agent.hear(now_ms, sender, life, word.words)
+        self._carry_out(now_ms)
+
+    def _once(self, what: str, fields: dict[str, Any]) -> None:
+        now = monotonic_ms()
+        if now - self._noted.get(what, -1e9) >= LINE_S * 1_000.0:
+            self._noted[what] = now
+            self.note(what, fields)
+
+    # --- time -----------------------------------------------------------------------------------
+
+    def _look(self) -> None:
+        if self._stopped:
+            return
+        now, agent = monotonic_ms(), self.agent
+        if (placed := self.state.core.placement) is not self._placed:
+            self._placed = placed
+            agent.place(now, self._sites(), placed.keepers)
+        if now - self._files_ms >= FILES_MS:
+            self._files_ms = now
+            if (data := self._wishes_file.changed()) is not None:
+                self._wished(data)
+        agent.close(now, self._closed(now))
+        agent.room = self._room() if agent.moves.closed else {}
+        agent.tick(now, self.state.alive(now), self.front.table.open.__contains__)
+        self._tell(self.stages.tick(now))
+        self._staged(now)
+        if (sure := agent.sure(now)) != self._was_sure and agent.keeper is not None:
+            self._was_sure = sure
+            self.note("homes", {"sure": sure, "kept": len(agent.keeper.records)})
+        if now - self._status_ms >= STATUS_MS:
+            self._status(now)
+        self._carry_out(now, all_words=True)
+        self._set_timer(now)
+
+    def _set_timer(self, now_ms: float) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        pace = self.agent.pace_ms()
+        self._timer_ms = now_ms + pace
+        self._timer = self.front.loop.wheel.after(pace, self._look)
+
+    def _closed(self, now_ms: float) -> dict[str, str]:
+        """Sites that are to be empty: by the decided plan, and by operators' words here and elsewhere."""
+        found = {}
+        for sender, (at_ms, _) in list(self._drained.items()):
+            if now_ms - at_ms > WISH_LIFE_MS:
+                del self._drained[sender]
+        for drained in [self.wishes.drained, *(drained for _, drained in self._drained.values())]:
+            found |= dict.fromkeys(drained, "operators")
+        plan = self.zones.core.plan if self.zones is not None else None
+        for name, zone in plan.zones.items() if plan else ():
+            if zone.state in (LEAVING, OUT):
+                found[name] = zone.state
+        return found
+
+    def _room(self) -> dict[str, int]:
+        """Sessions that sites can take from elsewhere, by the scorers that this front end may use."""
+        units: dict[str, float] = {}
+        for worker in self.front.router.ready:
+            units[worker.entry.zone] = units.get(worker.entry.zone, 0.0) + worker.entry.units
+        return {site: int(self.settings.drain.per_unit * size) for site, size in units.items()}
+
+    # --- operators ------------------------------------------------------------------------------
+
+    def _wished(self, data: bytes, begin: bool = True) -> None:
+        """`begin`: moves of a file that came while this process serves."""
+        try:
+            wishes = wishes_from(data, set(self.agent.sites.values()))
+        except FileFault as error:
+            self.note("moves left aside, the old ones go on", {"fault": str(error)})
+            return
+        later, self.wishes = wishes.number > self.wishes.number, wishes
+        if begin and later:
+            now = monotonic_ms()
+            self.note(
+                "moves taken",
+                {"number": wishes.number, "moves": len(wishes.moves), "drained": list(wishes.drained)},
+            )
+            self.agent.ask(now, [(asked.session, asked.site) for asked in wishes.moves])
+            self._carry_out(now, all_words=True)
+            self._status(now)
+
+    def _status(self, now_ms: float) -> None:
+        agent, self._status_ms = self.agent, now_ms
+        keeper, homes = agent.keeper, agent.router.at_home
+        here = sum(count for (_, site), count in homes.items() if site == self.site)
+        status = w.Status(
+            known=len(agent.router.homes),
+            elsewhere=sum(homes.values()) - here,
+            kept=len(keeper.records) if keeper else 0,
+            keeps=keeper is not None,
+            sure=agent.sure(now_ms),
+            hands=agent.steps(),
+            draining=agent.moves.waiting(),
+            staged=len(agent.router.staged),
+            counts=dict(sorted(agent.all_counts().items())[:COUNTS_MOST]),
+            ended=dict(agent.ended_by.most_common(COUNTS_MOST)),
+            wish=self.wishes.number,
+            drained=self.wishes.drained,
+            answers=tuple(agent.asking.answers.values()),
+        )
+        self.state.stands(w.RIDER, status)
--- a/fawnwharf/sessions/settings.py
+++ b/fawnwharf/sessions/settings.py
@@ -104,8 +104,8 @@
     return wishes
 
 
-def wishes_place(settings: Settings, path: Path, state_folder: str, state_path: Path) -> Path:
-    """The file in which operators ask: the same for the command line and the front end."""
-    if settings.folder:
-        return path.parent / settings.folder / "moves.json"
-    return (state_path.parent / state_folder if state_folder else path.parent) / "moves.json"
+def wishes_place(settings: Settings, path: Path, state_folder: Path | None) -> Path:
+    """The file in which operators ask: the same for the command line and the front end. `path` is that of
+    the settings, `state_folder` what the settings of state name, if anything."""
+    own = path.parent / settings.folder if settings.folder else state_folder or path.parent
+    return own / "moves.json"
--- /dev/null
+++ b/fawnwharf/sessions/stages.py
@@ -0,0 +1,126 @@
+"""Which scorers of this site hold copies that were staged, or are to be let go. Pure; milliseconds.
+
+Orders go through the module (`CopiesWanted`), within its ration or not at all: what it did not order is asked
+for again, until it stands or is not wanted any more.
+"""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+
+from fawnwharf import interface as io
+from fawnwharf.sessions.effects import Copies, Key
+
+AGAIN_MS = 1_000.0  # an order of which nothing was heard is wanted again
+ROWS_MOST = 20_000  # functions of which it is known where they stand
+FRESH_PART = 0.5  # of an idle life: a copy seen longer ago is ordered again, which renews it
+LET_MOST = 4  # scorers that are told to unload one function
+
+
+@dataclass(slots=True)
+class _Wanted:
+    copies: Copies
+    asked: dict[int, float] = field(default_factory=dict)  # scorers, and when
+    failed: set[int] = field(default_factory=set)
+
+
+class Stages:
+    """Owns what is wanted here, and where copies were seen at this site."""
+
+    def __init__(self, order: Callable[[str], Sequence[int]], may_order: bool, idle_life_ms: float) -> None:
+        """`order`: a function's scorers here that take calls, as its calls look for copies."""
+        self.order, self.may_order, self.life_ms = order, may_order, idle_life_ms
+        self.wanted: dict[Key, _Wanted] = {}
+        self.came: list[tuple[Key, bool]] = []  # what stands, or can't; whoever goes by it clears it
+        self._rows: dict[str, set[Key]] = {}
+        self._seen: dict[str, dict[int, float]] = {}
+
+    # --- where copies are -------------------------------------------------------------------------
+
+    def seen(self, now_ms: float, row: str, worker: int, copies: int) -> None:
+        """An answer told how many stand there."""
+        places = self._seen.pop(row, None) or {}
+        if copies:
+            places[worker] = now_ms
+        else:
+            places.pop(worker, None)
+        while len(self._seen) >= ROWS_MOST:
+            del self._seen[next(iter(self._seen))]
+        if places:
+            self._seen[row] = places
+
+    def _stands(self, now_ms: float, row: str, worker: int) -> bool:
+        at_ms = self._seen.get(row, {}).get(worker)
+        return at_ms is not None and now_ms - at_ms < FRESH_PART * self.life_ms
+
+    def where(self, now_ms: float, row: str) -> list[int]:
+        """Scorers of this site with copies that may still be there, in the order of its calls: the first of
+        that, as others' calls went there, and those where copies were seen."""
+        places = {w for w, at_ms in self._seen.get(row, {}).items() if now_ms - at_ms < 2 * self.life_ms}
+        order = self.order(row)
+        return [worker for n, worker in enumerate(order) if not n or worker in places][:LET_MOST]
+
+    def let_go(self, row: str) -> None:
+        self._seen.pop(row, None)
+
+    # --- what is wanted ---------------------------------------------------------------------------
+
+    def want(self, now_ms: float, copies: Copies) -> list[io.CopiesWanted]:
+        if not self.may_order or copies.facts is None:
+            # Nothing can be ordered, or nobody alive knows its class: calls bring what they need.
+            self.came.append((copies.key, True))
+            return []
+        self.wanted[copies.key] = wanted = _Wanted(copies)
+        self._rows.setdefault(copies.row, set()).add(copies.key)
+        return self._order(now_ms, wanted)
+
+    def _order(self, now_ms: float, wanted: _Wanted) -> list[io.CopiesWanted]:
+        """The first scorers that take calls, but those that could not; those that lack a copy are asked."""
+        what, facts = wanted.copies, wanted.copies.facts
+        able = [worker for worker in self.order(what.row) if worker not in wanted.failed][: what.count]
+        if not able:
+            self._over(what.key, False)
+            return []
+        lacking = [worker for worker in able if not self._stands(now_ms, what.row, worker)]
+        if not lacking:
+            self._over(what.key, True)
+            return []
+        found = []
+        for worker in lacking:
+            if now_ms - wanted.asked.get(worker, float("-inf")) >= AGAIN_MS:
+                wanted.asked[worker] = now_ms
+                load_ms = facts.load_ms or None
+                found.append(io.CopiesWanted(worker, what.row, facts.kind, 1, facts.lanes, load_ms))
+        return found
+
+    def _over(self, key: Key, stands: bool) -> None:
+        self.drop(key)
+        self.came.append((key, stands))
+
+    def drop(self, key: Key) -> None:
+        if (wanted := self.wanted.pop(key, None)) is not None:
+            keys = self._rows[wanted.copies.row]
+            keys.discard(key)
+            if not keys:
+                del self._rows[wanted.copies.row]
+
+    def answered(self, now_ms: float, event: io.OrderAnswered) -> list[io.CopiesWanted]:
+        """An order's answer, whoever gave it."""
+        good = event.ending is io.Ending.GOOD
+        if good:
+            self.seen(now_ms, event.function, event.worker, event.copies)
+        found = []
+        for key in list(self._rows.get(event.function, ())):
+            wanted = self.wanted[key]
+            if not good and event.worker in wanted.asked:
+                wanted.failed.add(event.worker)
+            found += self._order(now_ms, wanted)
+        return found
+
+    def tick(self, now_ms: float) -> list[io.CopiesWanted]:
+        found = []
+        for key, wanted in list(self.wanted.items()):
+            if now_ms >= wanted.copies.until_ms:
+                self.drop(key)
+            else:
+                found += self._order(now_ms, wanted)
+        return found
