--- /dev/null
+++ b/tests/test_sessions_service.py
@@ -0,0 +1,194 @@
+"""Sessions of a few front ends on real sockets: moves by operators, what is unloaded, bad lines and files."""
+
+import json
+import os
+import subprocess
+import sys
+
+import msgspec
+import pytest
+from peers import ROW
+from session_rig import Fronts
+
+from fawnwharf.config import ConfigError
+from fawnwharf.handover import messages as m
+from fawnwharf.net import scorer_frames
+from fawnwharf.replication import messages as rm
+from fawnwharf.sessions import settings as s
+from fawnwharf.sessions.service import Sessions
+from fawnwharf.sites import Home, Session
+from fawnwharf.zones.settings import FileFault
+
+SESSION = Session("acme", ROW)
+
+
+@pytest.fixture
+def fronts(tmp_path, monkeypatch):
+    made = []
+
+    def make(**more):
+        made.append(Fronts(tmp_path, monkeypatch, **more))
+        made[-1].settle()
+        return made[-1]
+
+    yield make
+    for one in made:
+        one.close()
+
+
+def asked(rig, *words, member):
+    """The command line's status and what it said, while the front ends serve."""
+    command = [sys.executable, "-m", "fawnwharf", "sessions", *words, "--sessions"]
+    command += [f"sessions-{member}.json", "--state", "state.json", "--member", member]
+    child = subprocess.Popen(
+        command, cwd=rig.folder, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, env=os.environ
+    )
+    rig.until(lambda: child.poll() is not None, f"{words} ends")
+    with child.stdout:
+        return child.returncode, child.stdout.read().decode()
+
+
+def test_an_operators_move_makes_calls_go_by_it_everywhere_and_lets_the_old_copies_go(fronts):
+    rig = fronts()
+    client, other = rig.client("a1"), rig.client("a0")
+    assert rig.call(client) == rig.call(other) == "answer"
+    rig.until(lambda: rig.agent("b0").keeper.records, "keepers know it")
+    assert [event.site for event in rig.seen["a1"]] == [""]
+    near = {scorer.zone: scorer for scorer in rig.scorers}
+    before = len(near["b"].loads)  # of the calls' own
+    status, said = asked(rig, "move", "acme", ROW, "b", member="a1")
+    assert (status, said) == (0, f"moved: acme {ROW} is at home at b, number 1\n")
+    assert [(note["site"], note["number"]) for note in rig.noted("session moved")] == [("b", 1)]
+    rig.until(lambda: any(note["done"] for note in rig.noted("hand-over ended")), "it is released")
+    assert rig.call(client) == rig.call(other) == "answer"
+    assert [rig.seen[name][-1].site for name in ("a1", "a0")] == ["b", "b"]
+    assert len(near["b"].loads) == before + 1  # staged, once
+    rig.until(lambda: near["a"].unloaded, "the old copies are let go")
+    assert near["a"].unloaded == [ROW] and not near["b"].unloaded and not near["c"].unloaded
+    status, said = asked(rig, "show", member="b0")
+    assert status == 0 and "knows 1" in said and "ended, released: 1" in said
+
+
+def test_what_can_not_be_asked_says_why_and_changes_nothing(fronts):
+    rig = fronts()
+    rig.call(rig.client("a1"))
+    place = rig.folder / "a1" / "moves.json"
+    assert asked(rig, "move", "acme", ROW, "z", member="a1") == (
+        2,
+        "fawnwharf: sessions: moves[0].site: no site z\n",
+    )
+    assert asked(rig, "drain", "z", member="a1") == (2, "fawnwharf: sessions: no site z\n")
+    assert not place.exists()
+    row = "0" * 16
+    assert asked(rig, "move", "acme", row, "b", member="a1") == (
+        2,
+        f"fawnwharf: sessions: no session of acme with {row}\n",
+    )
+    assert not place.exists() and not rig.noted("session moved")
+
+
+def test_operators_drain_a_site_and_restore_it(fronts):
+    rig = fronts(drain={"dwell_ms": 200.0})
+    client = rig.client("a0")
+    rows = [f"{n:016x}" for n in range(12)]
+    for row in rows:
+        rig.call(client, row=row)
+    assert asked(rig, "drain", "a", member="c0")[0] == 0
+    router = rig.agent("a0").router
+    at = lambda: {router.home(Session("acme", row)).site for row in rows}  # noqa: E731
+    rig.until(lambda: "a" not in at(), "it is empty")
+    assert at() == {"b", "c"}
+    assert asked(rig, "restore", "a", member="c0") == (0, "asked: no site drained\n")
+    rig.until(lambda: at() == {"a"}, "they return")
+
+
+def test_lines_out_of_nowhere_are_counted_and_change_nothing(fronts):
+    rig = fronts()
+    state, part = rig.part("a1", 0), rig.part("a0")
+    home = m.Told(Home(SESSION, "b", 1), "a", m.Step.SWITCHED)
+    good = msgspec.to_builtins(home)
+    words = [
+        7, None, [], {"type": "hands"}, {"type": "nobody", "words": []},
+        {"type": "hands", "words": [{**good, "home": {**good["home"], "number": 2**60}}]},
+        {"type": "hands", "words": [{**good, "home": {**good["home"], "number": -1}}]},
+        {"type": "hands", "words": [{**good, "step": 9}]},
+        {"type": "hands", "words": [good] * 65},
+    ]  # fmt: skip
+    for word in words:
+        state._carry_out(state.core.ride(rm.Ride("sessions", word), ("a0",)))
+    rig.until(lambda: part.agent.counts["bad line"] == len(words), "all came")
+    assert len(rig.noted("line dropped")) <= 2 and part.agent.router.home(SESSION) is None
+    assert rig.call(rig.client("a0")) == "answer"
+
+
+def test_a_front_end_that_starts_anew_is_no_fresh_one_and_does_not_repeat_what_was_asked(fronts):
+    rig = fronts()
+    rig.call(rig.client("a0"))
+    assert asked(rig, "move", "acme", ROW, "b", member="a0")[0] == 0
+    assert asked(rig, "move", "acme", ROW, "c", member="a0")[0] == 0
+    assert asked(rig, "move", "acme", ROW, "a", member="b0")[0] == 0
+    rig.fronts["a0"].close()
+    rig.start("a0")
+    assert not rig.agent("a0").sure(0.0)
+    rig.until(lambda: rig.noted("homes")[-1] == {"member": "a0", "sure": True, "kept": 1}, "it heard all")
+    rig.until(lambda: rig.agent("a0").keeper.record(SESSION).number == 3, "it knows the home")
+    assert len(rig.noted("session moved")) == 3
+
+
+BAD = [
+    (b"{", "sessions: not JSON"),
+    (b"[]", "sessions: Expected"),
+    (b'{"version": 2}', "version: 2"),
+    (b'{"version": 1, "handover": {"wait_ms": -1}}', "handover.wait_ms: "),
+    (b'{"version": 1, "handover": {"skew": 0.9}}', "handover.skew: "),
+    (b'{"version": 1, "handover": {"lapse_ms": 10}}', "handover.lapse_ms: "),
+    (b'{"version": 1, "handover": {"settle_ms": 100}}', "handover.settle_ms: "),
+    (b'{"version": 1, "handover": {"still_ms": 900}}', "handover.still_ms: "),
+    (b'{"version": 1, "drain": {"at_once": 0}}', "drain.at_once: "),
+    (b'{"version": 1, "drain": {"dwell_ms": 200000}}', "drain.dwell_most_ms: "),
+    (b'{"version": 1, "foresight": 3}', "foresight: "),
+]
+
+
+@pytest.mark.parametrize(("data", "fault"), BAD, ids=[fault for _, fault in BAD])
+def test_a_faulty_file_is_named_by_its_key(data, fault):
+    with pytest.raises(FileFault) as error:
+        s.settings_from(data)
+    assert str(error.value).startswith(fault) and "\n" not in str(error.value)
+
+
+def test_foresights_part_is_checked_by_its_own_rules_and_a_zone_that_differs_is_a_fault(fronts):
+    rig = fronts()
+    path = rig.folder / "sessions-a0.json"
+    deployment, made = rig.fronts["a0"].deployment, {"state": rig.part("a0", 0)}
+    path.write_text(json.dumps({"version": 1, "foresight": {"beat_ms": "soon"}}))
+    with pytest.raises(ConfigError, match=r"foresight\.beat_ms"):
+        Sessions(deployment, path, lambda *_: None, made)
+    path.write_text(json.dumps({"version": 1}))
+    other = msgspec.structs.replace(deployment, settings=rig.fronts["b0"].deployment.settings)
+    with pytest.raises(ConfigError, match="a0 is of zone a, and its configuration says b"):
+        Sessions(other, path, lambda *_: None, made)
+
+
+@pytest.mark.parametrize(
+    ("data", "fault"),
+    [
+        (b'{"version": 1, "moves": [{"org": "", "row": "r", "site": "a"}]}', "moves[0].org: "),
+        (b'{"version": 1, "moves": [{"org": "o", "row": "r", "site": "z"}]}', "moves[0].site: no site z"),
+        (b'{"version": 1, "drained": ["z"]}', "drained[0]: no site z"),
+        (b'{"version": 1, "drained": ["a", "b"]}', "drained: no site would be left"),
+        (b'{"version": 1, "number": -4}', "number: "),
+    ],
+)
+def test_faulty_wishes_are_named_by_their_key(data, fault):
+    with pytest.raises(FileFault) as error:
+        s.wishes_from(data, {"a", "b"})
+    assert str(error.value).startswith(fault)
+
+
+def test_the_frame_that_unloads_has_the_function_as_its_id():
+    (frame,) = scorer_frames.FrameReader(scorer_frames.FROM_FRONT_END).feed(scorer_frames.unload(ROW))
+    assert (frame.code, frame.id.hex(), frame.fields, frame.body) == (7, ROW, {}, b"")
+    for key in ("", "7f3a", "zz" * 8, ROW + "00"):
+        with pytest.raises(ValueError):
+            scorer_frames.unload(key)
