--- /dev/null
+++ b/fawnwharf/foresight/known.py
@@ -0,0 +1,294 @@
+"""What one front end knows that a look at stages rests on: scorers, copies, functions, the ration.
+
+Pure; times are handed in, milliseconds of the monotonic clock. Scorers are the module's numbers. Hash order,
+warmth, the cold budget and the ration are the module's own functions, run on a roster and arrivals alone: it
+has no calls here, and nothing of it is written a second time.
+"""
+
+from collections import OrderedDict
+from collections.abc import Sequence
+from dataclasses import replace
+
+from msgspec import Struct
+
+from fawnwharf import interface as io
+from fawnwharf.foresight.worth import Facts
+from fawnwharf.policy import Router
+from fawnwharf.policy.state import Function, Worker, mark
+
+ORDERS_MOST = 4_096  # hash orders kept in mind
+PLACES_MOST = 50_000  # functions at sites with copies
+RESTS_MS = 5_000.0  # a scorer that was full, or bad, is not staged at for so long
+GAIN = 0.2  # weight of one run or load in what is held of a function
+RUN_MS, LOAD_MS, MEMORY_MB = 200.0, 1_000.0, 256.0  # guesses where nothing was seen or told
+
+
+class Scorers(Router):
+    """The module, told of the roster and of arrivals and orders by number: no call ever comes to it."""
+
+    def __init__(self, site: io.Settings) -> None:
+        super().__init__(replace(site, quotas_rps=dict(site.quotas_rps), classes=dict(site.classes)), 0)
+        self._kept: OrderedDict[str, Function] = OrderedDict()
+        self._rests: dict[int, float] = {}
+
+    def roster(self, now_ms: float, behind_ms: float, told: io.RosterChanged) -> None:
+        """`behind_ms` is this clock less the Unix time by which scorers say since when they are up."""
+        entries = [
+            replace(e, up_since_ms=None if e.up_since_ms is None else e.up_since_ms + behind_ms)
+            for e in told.entries
+        ]
+        self.handle(now_ms, [io.RosterChanged(entries, told.complete)])
+
+    def at(self, now_ms: float) -> None:
+        """The moment that is asked for from now on."""
+        self.handle(now_ms, [])
+        self._rests = {worker: until for worker, until in self._rests.items() if until > now_ms}
+
+    def arrived(self, now_ms: float) -> None:
+        self.taken.append(now_ms)
+
+    def rest(self, now_ms: float, worker: int) -> None:
+        self._rests[worker] = now_ms + RESTS_MS
+
+    def zone(self, worker: int) -> str:
+        found = self.workers.get(worker)
+        return found.entry.zone if found else ""
+
+    def takes(self, worker: int) -> Worker | None:
+        """Where it may be given something new."""
+        found = self.workers.get(worker)
+        return found if found and found.takes_new() else None
+
+    def sites(self) -> list[str]:
+        """Zones with a scorer that takes calls."""
+        return sorted({worker.entry.zone for worker in self.ready})
+
+    def units(self, site: str | None = None) -> float:
+        return sum(worker.entry.units for worker in self.ready if site is None or worker.entry.zone == site)
+
+    def order(self, row: str, site: str) -> list[int]:
+        """Scorers of a site as calls of a function look for its copies: the module's hash order."""
+        fn = self._kept.pop(row, None) or Function(row, "", 1, None, mark(row))
+        self._kept[row] = fn
+        if len(self._kept) > ORDERS_MOST:
+            self._kept.popitem(last=False)
+        return [w.id for w in self._ordered(fn) if w.entry.zone == site and w.id not in self._rests]
+
+    def cold_room(self, worker: int) -> float:
+        """Loads that a scorer may be given now: one within the module's budget for one that is cold."""
+        found = self.takes(worker)
+        if found is None:
+            return 0.0
+        if self._warmth(found) >= 1.0:
+            return float("inf")
+        return 1.0 if self._within_cold_budget(found) else 0.0
+
+    def gave(self, now_ms: float, worker: int) -> None:
+        """A call or a load was given to it: what is cold takes few."""
+        found = self.takes(worker)
+        if found and self._warmth(found) < 1.0:
+            found.sent.append(now_ms)
+
+    def ration(self, orders: float | None, told: int) -> tuple[float, float]:
+        """What the module's ration leaves, and would if no order had been given. `orders` are those of its
+        window as the module counted them; where nobody says, every answer to an order or a question, which
+        is more. `told`: ordered here and not yet counted there."""
+        settings = self.settings
+        if settings.load_window_ms <= 0:
+            return float("inf"), float("inf")
+        left = self._ration_left()
+        most = left + len(self.ordered)
+        return most - (len(self.ordered) if orders is None else orders) - told, most
+
+    def rate_ps(self) -> float:
+        """Own arrivals a second, over the window of the ration."""
+        return 1_000.0 * len(self.taken) / max(1.0, self.stretch_ms)
+
+
+class Told(Struct, frozen=True, array_like=True):
+    """What a front end tells of a function."""
+
+    row: str
+    class_name: str
+    lanes: int
+    memory_mb: float | None
+    load_ms: float | None
+    run_ms: float | None
+
+
+class _Fact:
+    __slots__ = ("class_name", "lanes", "load_ms", "memory_mb", "own", "run_ms", "told_ms")
+
+    def __init__(self, class_name: str, lanes: int) -> None:
+        self.class_name, self.lanes, self.own = class_name, lanes, False
+        self.memory_mb: float | None = None
+        self.load_ms: float | None = None
+        self.run_ms: float | None = None
+        self.told_ms = float("-inf")
+
+
+class Functions:
+    """Of each function what calls and answers told: those heard of last, `most` of them."""
+
+    def __init__(self, most: int, tell_ms: float = 60_000.0) -> None:
+        self.most, self.tell_ms = most, tell_ms
+        self._facts: OrderedDict[str, _Fact] = OrderedDict()
+        self._due: dict[str, None] = {}  # to be told
+        self.memory_mb, self.load_ms, self.run_ms = MEMORY_MB, LOAD_MS, RUN_MS  # means of all
+
+    def __len__(self) -> int:
+        return len(self._facts)
+
+    def arrived(self, now_ms: float, event: io.RequestArrived) -> None:
+        fact = self._fact(event.function, event.class_name, max(1, event.lanes))
+        fact.class_name, fact.lanes, fact.own = event.class_name, max(1, event.lanes), True
+        if event.memory_mb is not None:
+            fact.memory_mb = event.memory_mb
+            self.memory_mb += 0.02 * (event.memory_mb - self.memory_mb)
+        if event.load_ms is not None and fact.load_ms is None:
+            fact.load_ms = event.load_ms
+        if now_ms - fact.told_ms >= self.tell_ms:
+            self._due[event.function] = None
+
+    def ran(self, row: str, took_ms: float) -> None:
+        if (fact := self._facts.get(row)) is not None:
+            fact.run_ms = _toward(fact.run_ms, took_ms)
+            self.run_ms = _toward(self.run_ms, took_ms)
+
+    def loaded(self, row: str, took_ms: float) -> None:
+        if (fact := self._facts.get(row)) is not None:
+            fact.load_ms = _toward(fact.load_ms, took_ms)
+            self.load_ms = _toward(self.load_ms, took_ms)
+
+    def heard(self, told: Told) -> None:
+        """Others' word of a function; what was seen here goes before it."""
+        fact = self._fact(told.row, told.class_name, max(1, told.lanes))
+        if not fact.own:
+            fact.class_name, fact.lanes = told.class_name, max(1, told.lanes)
+        for name in ("memory_mb", "load_ms", "run_ms"):
+            if getattr(fact, name) is None or not fact.own:
+                setattr(fact, name, getattr(told, name))
+
+    def tells(self, now_ms: float, most: int) -> tuple[Told, ...]:
+        """What is to be told now; the rest follows."""
+        found = []
+        while self._due and len(found) < most:
+            row = next(iter(self._due))
+            del self._due[row]
+            fact = self._facts.get(row)
+            if fact is not None:
+                fact.told_ms = now_ms
+                found.append(
+                    Told(row, fact.class_name, fact.lanes, fact.memory_mb, fact.load_ms, fact.run_ms)
+                )
+        return tuple(found)
+
+    def facts(self, row: str) -> Facts | None:
+        """None where nobody told its class. What was not told is the mean of those that were: a guess."""
+        fact = self._facts.get(row)
+        if fact is None:
+            return None
+        memory = self.memory_mb if fact.memory_mb is None else fact.memory_mb
+        return Facts(
+            fact.class_name, memory, fact.load_ms or self.load_ms, fact.run_ms or self.run_ms, fact.lanes
+        )
+
+    def _fact(self, row: str, class_name: str, lanes: int) -> _Fact:
+        fact = self._facts.pop(row, None) or _Fact(class_name, lanes)
+        self._facts[row] = fact
+        if len(self._facts) > self.most:
+            gone, _ = self._facts.popitem(last=False)
+            self._due.pop(gone, None)
+        return fact
+
+
+def _toward(held: float | None, seen: float) -> float:
+    return seen if held is None else held + GAIN * (seen - held)
+
+
+class _Place:
+    __slots__ = ("at_ms", "memory_mb", "standing")
+
+    def __init__(self) -> None:
+        self.at_ms = 0.0
+        self.memory_mb = 0.0  # as counted
+        self.standing: dict[int, tuple[int, float]] = {}  # scorer: copies, when that was seen
+
+
+class Copies:
+    """Which functions stand at which sites, by answers and by others' words: those seen last. What nobody
+    used or renewed for an idle life is held to be gone."""
+
+    def __init__(self, scorers: Scorers, functions: Functions, idle_ms: float) -> None:
+        self.scorers, self.functions, self.idle_ms = scorers, functions, idle_ms
+        self._places: OrderedDict[tuple[str, str], _Place] = OrderedDict()  # not seen for longest first
+        self._held_mb: dict[str, float] = {}
+
+    def __len__(self) -> int:
+        return len(self._places)
+
+    def seen(self, now_ms: float, row: str, worker: int, copies: int) -> None:
+        """An answer told of copies at a scorer: none, or so many."""
+        site = self.scorers.zone(worker)
+        if copies <= 0:
+            place = self._places.get((row, site))
+            if place is not None and place.standing.pop(worker, None):
+                self._count(row, site, place)
+            return
+        place = self._place(now_ms, row, site)
+        held = place.standing.get(worker)
+        place.standing[worker] = (max(copies, held[0] if held and copies == 1 else 0), now_ms)
+        self._count(row, site, place)
+
+    def used(self, now_ms: float, row: str, site: str) -> None:
+        """A call ran there, wherever it stands."""
+        self._count(row, site, self._place(now_ms, row, site))
+
+    def standing(self, now_ms: float, row: str, site: str) -> int:
+        place = self._places.get((row, site))
+        if place is None or now_ms - place.at_ms > self.idle_ms:
+            return 0
+        able = 0
+        for worker, (copies, at_ms) in place.standing.items():
+            found = self.scorers.takes(worker)
+            if found and now_ms - at_ms <= self.idle_ms and found.started_ms < at_ms:
+                able += copies
+        # A site with calls and no scorer known by name: one copy somewhere.
+        return max(able, 0 if place.standing else 1)
+
+    def held_mb(self, site: str) -> float:
+        return self._held_mb.get(site, 0.0)
+
+    def sweep(self, now_ms: float, most: int = 500) -> bool:
+        """Forgets what has lapsed, some of it at a time; True: there is more."""
+        for _ in range(most):
+            key = next(iter(self._places), None)
+            if key is None or now_ms - self._places[key].at_ms <= self.idle_ms:
+                return False
+            self._drop(key)
+        return True
+
+    def _place(self, now_ms: float, row: str, site: str) -> _Place:
+        key = (row, site)
+        place = self._places.get(key)
+        if place is None:
+            if len(self._places) >= PLACES_MOST:
+                self._drop(next(iter(self._places)))
+            place = self._places[key] = _Place()
+        else:
+            self._places.move_to_end(key)
+        place.at_ms = now_ms
+        return place
+
+    def _count(self, row: str, site: str, place: _Place) -> None:
+        facts = self.functions.facts(row)
+        copies = max(1, sum(copies for copies, _ in place.standing.values()))
+        mb = copies * (facts.memory_mb if facts else self.functions.memory_mb)
+        self._held_mb[site] = self._held_mb.get(site, 0.0) + mb - place.memory_mb
+        place.memory_mb = mb
+
+    def _drop(self, key: tuple[str, str]) -> None:
+        place = self._places.pop(key)
+        self._held_mb[key[1]] = max(0.0, self._held_mb.get(key[1], 0.0) - place.memory_mb)
+
+
--- a/fawnwharf/foresight/settings.py
+++ b/fawnwharf/foresight/settings.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Mapping
-from typing import Annotated, Any
+from typing import Annotated, Any, Literal
 
 import msgspec
 from msgspec import Meta, Struct
@@ -17,6 +17,8 @@
 
 VERSION = 1
 
+Mode = Literal["foresight", "none", "react", "everything", "oracle"]
+
 
 class Foresight(Struct, frozen=True):
     """Spans are milliseconds, rates are a second, shares parts of one."""
@@ -46,6 +48,9 @@
     slack: Annotated[float, Meta(ge=1.0, le=10.0)] = 1.3  # of a load's time, as a crowd slows the store
     renewals: Annotated[int, Meta(ge=0, le=100)] = 3  # of a stage that nobody has used yet
     core_part: Share = 0.08  # of a load's time takes a core
+    unit_mb: Annotated[float, Meta(gt=0.0)] = 4_096.0  # memory of a scorer of size 1: rosters don't tell
+    mode: Mode = "foresight"  # the others are what it is measured by
+    told: str = ""  # trials alone: a file of moves told ahead, which the mode `oracle` goes by
 
 
 class Prices(Struct, frozen=True):
@@ -91,6 +96,8 @@
         raise FileFault(f"version: {read.version}, and this program knows {VERSION}")
     if read.foresight.slow_ms <= read.foresight.fast_ms:
         raise FileFault("foresight.slow_ms: not longer than foresight.fast_ms")
+    if (read.foresight.mode == "oracle") != bool(read.foresight.told):
+        raise FileFault("foresight.told: goes with foresight.mode oracle, and that with it")
     return read.foresight
 
 
