A look of foresight is done in slices, between which calls go on coming

With 100,000 sessions and a plan in force one look took up to 420 ms of the serving loop here.

Groups keep their sessions by level of calls, so that those that call most are found without a walk over all; predictions await their end in heaps; what a look does is bounded by who called and by `most`. Words come in parts of 500 counts.

--- a/fawnwharf/foresight/core.py
+++ b/fawnwharf/foresight/core.py
@@ -1,6 +1,6 @@
 """Foresight of one front end: counts in, words out, orders for stages. Pure; this is what a host drives."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from fawnwharf.foresight import messages as m
 from fawnwharf.foresight.planner import Planner, View
@@ -19,6 +19,7 @@
 from fawnwharf.foresight.seen import Watcher
 from fawnwharf.foresight.settings import Foresight as Bounds
 from fawnwharf.foresight.settings import Prices
+from fawnwharf.foresight.slices import Slices, drained
 from fawnwharf.interface import Settings
 from fawnwharf.sites import LetGo, Move, Session
 
@@ -73,24 +74,34 @@
 
     def step(self, now_ms: float, view: View) -> Sequence[m.Order | LetGo]:
         """One look: what rose, what it teaches, what is expected, what is staged."""
-        beat = self.watch.beat(now_ms)
-        self.scores.seen(now_ms, beat)
-        found: list[m.Order | LetGo] = list(self.planner.seen(now_ms, beat))
+        return drained(self.look(now_ms, lambda: view))
+
+    def look(self, now_ms: float, view: Callable[[], View]) -> Slices[list[m.Order | LetGo]]:
+        """The same in slices, between which calls, words and plans go on coming. `view` is asked for once, as
+        late as may be."""
+        watch, scores, planner = self.watch, self.scores, self.planner
+        beat = yield from watch.look(now_ms)
+        yield from scores.scoring(now_ms, beat)
+        found: list[m.Order | LetGo] = list((yield from planner.marking(now_ms, beat)))
         able = (self.trend, self.learnt)
         made: dict[str, list[Move]] = {}
         for predictor in able:
-            predictor.learn(now_ms, self.watch, beat)
-            made[predictor.name] = predictor.moves(now_ms, self.watch, self.span_ms)
-        certain = self.plans.moves(now_ms, self.watch, self.life_ms)
+            yield from predictor.learn(now_ms, watch, beat)
+            made[predictor.name] = yield from predictor.moves(now_ms, watch, self.span_ms)
+            yield
+        certain = yield from self.plans.moves(now_ms, watch, self.life_ms)
         for moves in (*made.values(), certain):
-            self.scores.predicted(now_ms, moves)
-        self.best = self.scores.best([predictor.name for predictor in able])
+            yield from scores.noting(now_ms, moves)
+        self.best = scores.best([predictor.name for predictor in able])
         still = self.plans.standby()
         guessed = [move for move in made.get(self.best or "", []) if move.whither not in still]
-        self.moves = self._due(certain, len(view.heard)) + guessed
-        return found + self.planner.step(
-            now_ms, self.moves, view, lambda session: self._rate(now_ms, session)
+        seen = view()
+        self.moves = self._due(certain, len(seen.heard)) + guessed
+        yield
+        planned = yield from planner.planning(
+            now_ms, self.moves, seen, lambda session: self._rate(now_ms, session)
         )
+        return found + planned
 
     def _due(self, certain: list[Move], heard: int) -> list[Move]:
         """Those that are to be ordered by now: as late as the queue of orders allows, so that copies do not
--- a/fawnwharf/foresight/known.py
+++ b/fawnwharf/foresight/known.py
@@ -6,7 +6,6 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Sequence
 from dataclasses import replace
 
 from msgspec import Struct
@@ -290,5 +289,3 @@
     def _drop(self, key: tuple[str, str]) -> None:
         place = self._places.pop(key)
         self._held_mb[key[1]] = max(0.0, self._held_mb.get(key[1], 0.0) - place.memory_mb)
-
-
--- a/fawnwharf/foresight/messages.py
+++ b/fawnwharf/foresight/messages.py
@@ -8,7 +8,7 @@
 from fawnwharf.sites import Part, Session, Span, Stage, Text
 
 Number = Annotated[int, Meta(ge=0, le=1 << 53)]
-ENTRIES_MOST = 5_000  # of one word: a line that is longer is a fault, or an attack
+ENTRIES_MOST = 500  # of one word: a line that is longer is a fault, or an attack
 
 
 class Count(Struct, frozen=True, array_like=True):
--- a/fawnwharf/foresight/past.py
+++ b/fawnwharf/foresight/past.py
@@ -10,11 +10,13 @@
 from fawnwharf.foresight import messages as m
 from fawnwharf.foresight.seen import Track, Watcher
 from fawnwharf.foresight.settings import Foresight
+from fawnwharf.foresight.slices import Slices, drained
 from fawnwharf.sites import Session
 
 PRIOR_MS = 10_000.0  # of a session's time without a move, held to be seen: guards against rates of few moves
 KEYS_MOST = 50_000
 AGES = 16  # doublings of a second
+GROUPS = 100  # of one slice
 
 
 class Past:
@@ -34,22 +36,31 @@
 
     def learn(self, now_ms: float, watch: Watcher, beat: m.Beat) -> None:
         """What one look has shown."""
+        drained(self.learning(now_ms, watch, beat))
+
+    def learning(self, now_ms: float, watch: Watcher, beat: m.Beat) -> Slices[None]:
         span = 0.0 if self._last_ms is None else min(now_ms - self._last_ms, 10 * self.settings.beat_ms)
         self._last_ms = now_ms
         phase = self.phase(now_ms)
-        for (org, site), group in watch.groups.items():
+        for n, ((org, site), group) in enumerate(list(watch.groups.items())):
+            if n % GROUPS == GROUPS - 1:
+                yield
             stay = self._row(self._stays, (org, site, phase), [0.0, now_ms])
             self._fade(stay, now_ms)
             stay[0] += span * len(group)
             if group and span:
-                first = next(iter(group.values()))  # one of each group stands for its ages: bounded work
-                self._age(now_ms, org, now_ms - first.began_ms, 0.0, span * len(group))
-        for moved in beat.moved:
+                began_ms = group.one().began_ms  # one of each group stands for its ages: bounded work
+                self._age(now_ms, org, now_ms - began_ms, 0.0, span * len(group))
+        for n, moved in enumerate(beat.moved):
+            if n % GROUPS == GROUPS - 1:
+                yield
             key = (moved.session.org, moved.whence, self.phase(moved.at_ms))
             count = self._row(self._moves, key, {}).setdefault(moved.whither, [0.0, now_ms])
             self._fade(count, now_ms)
             count[0] += 1.0
-        for ended in beat.ended:
+        for n, ended in enumerate(beat.ended):
+            if n % GROUPS == GROUPS - 1:
+                yield
             self._age(now_ms, ended.session.org, ended.age_ms, 1.0, 0.0)
 
     def hazards(self, now_ms: float, org: str, site: str, span_ms: float) -> dict[str, float]:
--- a/fawnwharf/foresight/planner.py
+++ b/fawnwharf/foresight/planner.py
@@ -12,6 +12,7 @@
 from fawnwharf.foresight import messages as m
 from fawnwharf.foresight.score import Scores
 from fawnwharf.foresight.settings import Foresight, Prices
+from fawnwharf.foresight.slices import Slices, drained
 from fawnwharf.foresight.worth import Facts, cost, fetched, loss, mean_worth
 from fawnwharf.interface import Settings
 from fawnwharf.replication.placement import weight
@@ -21,6 +22,7 @@
 HELD_MOST = 4_096  # stages of one front end
 AWAY_MS = 500.0  # a stage's load may end so much before its calls come
 RESTS_MOST = 20_000
+CALLED, WISHES, ORDERS_MOST = 400, 25, 64  # of one slice; hash orders worked out at one look
 
 
 @dataclass(slots=True)
@@ -117,13 +119,19 @@
 
     def seen(self, now_ms: float, beat: m.Beat) -> list[LetGo]:
         """Marks stages that are used, and lets those go that are over; their predictors earn or pay."""
-        called = {(session.row, site) for session, site in beat.called}
+        return drained(self.marking(now_ms, beat))
+
+    def marking(self, now_ms: float, beat: m.Beat) -> Slices[list[LetGo]]:
+        for n, (session, site) in enumerate(beat.called):
+            if n % CALLED == CALLED - 1:
+                yield
+            if (held := self.held.get((session.row, site))) is not None:
+                self.used += 1
+                self._settle(now_ms, (session.row, site), held.gain)
+        yield
         gone = []
         for key, held in list(self.held.items()):
-            if key in called:
-                self.used += 1
-                self._settle(now_ms, key, held.gain)
-            elif now_ms >= held.until_ms:
+            if now_ms >= held.until_ms:
                 self.wasted += 1
                 self._settle(now_ms, key, -held.price)
                 self._rest(now_ms, key)
@@ -134,6 +142,11 @@
         self, now_ms: float, moves: Sequence[Move], view: View, rate_ps: Callable[[Session], float]
     ) -> list[m.Order | LetGo]:
         """The orders of this look, and what is let go. `rate_ps` tells a session's calls a second."""
+        return drained(self.planning(now_ms, moves, view, rate_ps))
+
+    def planning(
+        self, now_ms: float, moves: Sequence[Move], view: View, rate_ps: Callable[[Session], float]
+    ) -> Slices[list[m.Order | LetGo]]:
         found: list[m.Order | LetGo] = []
         for site in view.disturbed:
             self._disturbed[site] = now_ms
@@ -151,18 +164,21 @@
             self._skip("not calm")
             return found
         wishes: dict[tuple[str, str], _Wish] = {}
+        yield
         for move in moves:
             if move.whither in self._disturbed:
                 self._skip("a disturbed site")
             else:
                 wishes.setdefault((move.session.row, move.whither), _Wish()).moves.append(move)
         ranked = []
-        for key, wish in wishes.items():
+        for n, (key, wish) in enumerate(wishes.items()):
+            if n % WISHES == WISHES - 1:
+                yield
             weighed = self._weigh(now_ms, key, wish, view, rate_ps)
             if weighed is not None:
                 ranked.append((*weighed, key, wish))
         ranked.sort(key=lambda item: (-item[0], item[3]))
-        return found + self._take(now_ms, ranked, view)
+        return found + (yield from self._take(now_ms, ranked, view))
 
     def _weigh(
         self,
@@ -227,7 +243,8 @@
             held.renewed, held.price = old.renewed + 1, old.price + copies * self.prices.probe
         return worth / max(price, 1e-6), copies, held
 
-    def _take(self, now_ms: float, ranked: list, view: View) -> list[m.Order | LetGo]:
+    def _take(self, now_ms: float, ranked: list, view: View) -> Slices[list[m.Order | LetGo]]:
+        yield
         left = min(self._fleet.left(now_ms) / self._parts(view), self._pace.left(now_ms))
         kept = (
             self.settings.free_part * view.ration_most + view.waiting if math.isfinite(view.ration) else 0.0
@@ -236,6 +253,7 @@
         spare: dict[str, float] = {}
         room: dict[str, float] = {}
         found: list[m.Order | LetGo] = []
+        asked = 0
         for _, copies, held, key, wish in ranked:
             row, site = key
             if len(self.held) >= HELD_MOST:
@@ -252,6 +270,10 @@
                 self._skip("no memory to spare")
                 continue
             scorers = []
+            if (asked := asked + 1) > ORDERS_MOST:
+                self._skip("too many hash orders")
+                break
+            yield
             for scorer in view.order(row, site):
                 if room.setdefault(scorer, view.cold_room(scorer)) >= 1.0:
                     scorers.append(scorer)
--- a/fawnwharf/foresight/predictors.py
+++ b/fawnwharf/foresight/predictors.py
@@ -1,23 +1,27 @@
 """Predictors of moves, behind one interface: nothing, trend, learnt, and what was announced.
 
 Pure. A prediction says that a session will be found at another site within a time; its chance is scored as it
-goes (`score`). None names more than `most` sessions at a look, those that call most first.
+goes (`score`). None names more than `most` sessions at a look, those that call most first. What a look takes
+is done in slices, and bounded by `most` and the groups of sessions, not by the sessions.
 """
 
 import heapq
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass
 from itertools import islice
 from typing import Protocol
 
 from fawnwharf.foresight import messages as m
 from fawnwharf.foresight.past import Past
-from fawnwharf.foresight.seen import Track, Watcher
+from fawnwharf.foresight.seen import Group, Track, Watcher
 from fawnwharf.foresight.settings import Foresight
+from fawnwharf.foresight.slices import Slices
 from fawnwharf.sites import Move, Session
 
 SPAN_MOST_MS = 3_600_000.0
+MOVES, GROUPS, RISING = 60, 60, 40  # of one slice
+FLUXES_MOST = 10_000
 
 Parts = tuple[tuple[str, float], ...]  # sites and the parts of a session's calls that go there
 Whither = Callable[[Session, str], Parts]
@@ -30,11 +34,11 @@
 
     name: str
 
-    def learn(self, now_ms: float, watch: Watcher, beat: m.Beat) -> None:
+    def learn(self, now_ms: float, watch: Watcher, beat: m.Beat) -> Slices[None]:
         """Takes what one look has shown."""
         ...
 
-    def moves(self, now_ms: float, watch: Watcher, span_ms: float) -> list[Move]:
+    def moves(self, now_ms: float, watch: Watcher, span_ms: float) -> Slices[list[Move]]:
         """The moves expected within a span, with their chances."""
         ...
 
@@ -44,18 +48,39 @@
 
     name = "nothing"
 
-    def learn(self, now_ms: float, watch: Watcher, beat: m.Beat) -> None:
-        pass
+    def learn(self, now_ms: float, watch: Watcher, beat: m.Beat) -> Slices[None]:
+        yield
 
-    def moves(self, now_ms: float, watch: Watcher, span_ms: float) -> list[Move]:
+    def moves(self, now_ms: float, watch: Watcher, span_ms: float) -> Slices[list[Move]]:
+        yield
         return []
 
 
-def _busiest(
-    group: Iterable[tuple[Session, Track]], settings: Foresight, now_ms: float
-) -> list[tuple[Session, Track]]:
-    most = heapq.nlargest(settings.most, group, key=lambda pair: pair[1].rate_ps(settings, now_ms))
-    return most
+# Sessions that stand in one group and go the same way: (chance, group, whence, whither).
+_Way = tuple[float, Group, str, str]
+
+
+def _by_chance(
+    now_ms: float,
+    ways: list[_Way],
+    by: str,
+    past: Past | None,
+    settings: Foresight,
+    span_ms: float,
+    ahead: float,
+) -> Slices[list[Move]]:
+    """Moves by ways, the likeliest first, until there are twice as many as may be named: `past` tells which
+    sessions live for so long `ahead`."""
+    found: list[Move] = []
+    for chance, group, whence, whither in sorted(ways, key=lambda way: -way[0]):
+        if len(found) >= 2 * settings.most:
+            break
+        for session, track in group.busiest(settings.most):
+            lives = past.lives(now_ms, session, track, ahead) if past else 1.0
+            found.append(Move(session, whence, whither, span_ms, chance * lives, by))
+            if len(found) % MOVES == 0:
+                yield
+    return found
 
 
 @dataclass(slots=True)
@@ -79,26 +104,39 @@
         self._flux: dict[tuple[str, str, str], _Flux] = {}
         self._called: dict[Session, None] = {}
 
-    def learn(self, now_ms: float, watch: Watcher, beat: m.Beat) -> None:
-        for moved in beat.moved:
+    def learn(self, now_ms: float, watch: Watcher, beat: m.Beat) -> Slices[None]:
+        for n, moved in enumerate(beat.moved):
+            if n % MOVES == MOVES - 1:
+                yield
             key = (moved.session.org, moved.whence, moved.whither)
-            flux = self._flux.get(key) or _Flux(0.0, 0.0, now_ms)
-            self._flux[key] = self._faded(flux, now_ms)
+            flux = self._flux.pop(key, None) or _Flux(0.0, 0.0, now_ms)
+            self._flux[key] = self._faded(flux, now_ms)  # the last one, so that the first is the oldest
             self._flux[key].fast += 1.0
             self._flux[key].slow += 1.0
-        old = [k for k, f in self._flux.items() if now_ms - f.at_ms > 5 * self.settings.slow_ms]
-        for key in old:
+        while self._flux:
+            key, flux = next(iter(self._flux.items()))
+            if now_ms - flux.at_ms <= 5 * self.settings.slow_ms and len(self._flux) <= FLUXES_MOST:
+                break
             del self._flux[key]
-        self._called = {moved: None for moved, _ in beat.called}
+        self._called = {}
+        for n, (session, _) in enumerate(beat.called):
+            if n % (10 * RISING) == 0:
+                yield
+            track = watch.tracks.get(session)
+            if track is not None and len(track.flows) > 1 and len(self._called) < 2 * self.settings.most:
+                self._called[session] = None
 
     def _faded(self, flux: _Flux, now_ms: float) -> _Flux:
         span = flux.at_ms - now_ms
         fast = flux.fast * math.exp(span / self.settings.fast_ms)
         return _Flux(fast, flux.slow * math.exp(span / self.settings.slow_ms), now_ms)
 
-    def moves(self, now_ms: float, watch: Watcher, span_ms: float) -> list[Move]:
-        settings, found = self.settings, []
-        for (org, whence, whither), held in sorted(self._flux.items()):
+    def moves(self, now_ms: float, watch: Watcher, span_ms: float) -> Slices[list[Move]]:
+        settings = self.settings
+        ways: list[_Way] = []
+        for n, ((org, whence, whither), held) in enumerate(self._flux.items()):
+            if n % GROUPS == GROUPS - 1:
+                yield
             group = watch.groups.get((org, whence))
             flux = self._faded(held, now_ms)
             if not group or flux.fast < 0.5:
@@ -107,12 +145,13 @@
             hazard = max(0.0, fast + max(0.0, fast - slow)) / (len(group) + flux.fast)
             chance = 1.0 - math.exp(-hazard * span_ms)
             if chance >= settings.floor:
-                for session, track in _busiest(group.items(), settings, now_ms):
-                    lives = self.past.lives(now_ms, session, track, 0.0) if self.past else 1.0
-                    found.append(Move(session, whence, whither, span_ms, chance * lives, self.name))
-        for session in self._called:
+                ways.append((chance, group, whence, whither))
+        found = yield from _by_chance(now_ms, ways, self.name, self.past, settings, span_ms, 0.0)
+        for n, session in enumerate(self._called):
+            if n % RISING == RISING - 1:
+                yield
             track = watch.tracks.get(session)
-            if track is not None and len(track.flows) > 1 and len(found) < 2 * settings.most:
+            if track is not None and len(track.flows) > 1 and len(found) < 3 * settings.most:
                 found += self._rising(session, track, span_ms)
         return heapq.nlargest(settings.most, found, key=lambda move: move.chance)
 
@@ -136,12 +175,15 @@
         self.settings = settings
         self.past = Past(settings)
 
-    def learn(self, now_ms: float, watch: Watcher, beat: m.Beat) -> None:
-        self.past.learn(now_ms, watch, beat)
+    def learn(self, now_ms: float, watch: Watcher, beat: m.Beat) -> Slices[None]:
+        yield from self.past.learning(now_ms, watch, beat)
 
-    def moves(self, now_ms: float, watch: Watcher, span_ms: float) -> list[Move]:
-        settings, found = self.settings, []
-        for (org, site), group in sorted(watch.groups.items(), key=lambda item: item[0]):
+    def moves(self, now_ms: float, watch: Watcher, span_ms: float) -> Slices[list[Move]]:
+        settings = self.settings
+        ways: list[_Way] = []
+        for n, ((org, site), group) in enumerate(list(watch.groups.items())):
+            if n % GROUPS == GROUPS - 1:
+                yield
             hazards = self.past.hazards(now_ms, org, site, span_ms)
             total = sum(hazards.values())
             if total <= 0.0:
@@ -149,11 +191,9 @@
             leaves = 1.0 - math.exp(-total)
             for whither, hazard in sorted(hazards.items()):
                 chance = leaves * hazard / total
-                if chance < settings.floor or whither == site:
-                    continue
-                for session, track in _busiest(group.items(), settings, now_ms):
-                    lives = self.past.lives(now_ms, session, track, span_ms)
-                    found.append(Move(session, site, whither, span_ms, chance * lives, self.name))
+                if chance >= settings.floor and whither != site:
+                    ways.append((chance, group, site, whither))
+        found = yield from _by_chance(now_ms, ways, self.name, self.past, settings, span_ms, span_ms)
         return heapq.nlargest(settings.most, found, key=lambda move: move.chance)
 
 
@@ -200,10 +240,10 @@
         """Sites that stand by: no session goes there by itself."""
         return frozenset(site for site, (_, plan) in self._plans.items() if plan.kind == "standby")
 
-    def learn(self, now_ms: float, watch: Watcher, beat: m.Beat) -> None:
-        pass
+    def learn(self, now_ms: float, watch: Watcher, beat: m.Beat) -> Slices[None]:
+        yield
 
-    def moves(self, now_ms: float, watch: Watcher, span_ms: float) -> list[Move]:
+    def moves(self, now_ms: float, watch: Watcher, span_ms: float) -> Slices[list[Move]]:
         found: list[Move] = []
         for site, (told_ms, plan) in sorted(self._plans.items()):
             was = 1.0 if plan.kind == "drain" else 0.0
@@ -212,11 +252,8 @@
                 # A session shows where it is by its next call alone: it may be due for a while.
                 if -span_ms <= ahead <= span_ms and plan.kind != "standby":
                     falls = step.open < was
-                    found += (
-                        self._leave(now_ms, watch, site, was, step.open, ahead)
-                        if falls
-                        else self._return(now_ms, watch, site, was, step.open, ahead)
-                    )
+                    way = self._leave if falls else self._return
+                    found += yield from way(now_ms, watch, site, was, step.open, ahead)
                 was = step.open
         return heapq.nlargest(self.settings.most, found, key=lambda move: move.chance)
 
@@ -225,13 +262,18 @@
 
     def _leave(
         self, now_ms: float, watch: Watcher, site: str, was: float, left: float, ahead: float
-    ) -> list[Move]:
-        found = []
-        groups = [group for (_, at), group in sorted(watch.groups.items(), key=lambda g: g[0]) if at == site]
-        pairs = (pair for group in groups for pair in group.items())
-        for session, track in _busiest(pairs, self.settings, now_ms):
+    ) -> Slices[list[Move]]:
+        found: list[Move] = []
+        group = watch.here.get(site, Group())
+        for n, (session, track) in enumerate(group.busiest(4 * self.settings.most)):
+            if n % MOVES == MOVES - 1:
+                yield
+            if len(found) >= self.settings.most:
+                break
             place = self.place(session, site)
             part = (was - left) / max(was, 1e-9) if place is None else float(left <= place < was)
+            if part <= 0.0:
+                continue
             part *= self._lives(now_ms, session, track, max(0.0, ahead))
             for target, share in self.whither(session, site):
                 if part * share > 0 and target != site:
@@ -241,17 +283,29 @@
 
     def _return(
         self, now_ms: float, watch: Watcher, site: str, was: float, open_: float, ahead: float
-    ) -> list[Move]:
-        found = []
-        back = dict(watch.left.get(site, {}))
+    ) -> Slices[list[Move]]:
+        found: list[Move] = []
+        back = dict(watch.left.get(site, Group()).busiest(4 * self.settings.most))
+        yield
         # Those that began while the site was out have never been there. Bounded: the last that called.
-        latest = islice(reversed(watch.tracks.items()), 4 * self.settings.most)
-        back.update((session, track) for session, track in latest if self.belongs(session) == site)
-        for session, track in _busiest(back.items(), self.settings, now_ms):
+        latest = list(islice(reversed(watch.tracks.items()), 4 * self.settings.most))
+        for n, (session, track) in enumerate(latest):
+            if n % MOVES == MOVES - 1:
+                yield
+            if self.belongs(session) == site:
+                back[session] = track
+        yield
+        for n, (session, track) in enumerate(sorted(back.items(), key=lambda pair: -pair[1].level)):
+            if n % MOVES == MOVES - 1:
+                yield
+            if len(found) >= self.settings.most:
+                break
             if track.site == site:
                 continue
             place = self.place(session, site)
             part = (open_ - was) / max(1.0 - was, 1e-9) if place is None else float(was <= place < open_)
+            if part <= 0.0:
+                continue
             part *= self._lives(now_ms, session, track, max(0.0, ahead))
             if part > 0:
                 within = min(SPAN_MOST_MS, max(0.0, ahead) + self.settings.fast_ms)
--- a/fawnwharf/foresight/score.py
+++ b/fawnwharf/foresight/score.py
@@ -6,15 +6,19 @@
 good where being right saves little.
 """
 
+import heapq
+import itertools
 import math
 from dataclasses import dataclass, field
 
 from fawnwharf.foresight import messages as m
 from fawnwharf.foresight.settings import Foresight
+from fawnwharf.foresight.slices import Slices, drained
 from fawnwharf.sites import Move, Session
 
 BINS = 10
 OPEN_MOST = 20_000  # predictions of one predictor whose end is awaited
+KEYS = 60  # of one slice
 LEAST_CHANCE = 0.001  # for the log loss: guards against an infinite one
 
 
@@ -74,26 +78,49 @@
         self.missed = 0  # moves that no predictor foresaw
         self._open: dict[str, dict[tuple[Session, str], list[tuple[float, float]]]] = {}  # chances, dues
         self._count: dict[str, int] = {}
+        self._dues: dict[str, list[tuple[float, int, tuple[Session, str]]]] = {}  # heaps, of the same
+        self._numbers = itertools.count()
 
     def predicted(self, now_ms: float, moves: list[Move]) -> None:
-        for move in moves:
+        drained(self.noting(now_ms, moves))
+
+    def noting(self, now_ms: float, moves: list[Move]) -> Slices[None]:
+        for n, move in enumerate(moves):
+            if n % KEYS == KEYS - 1:
+                yield
             held = self._open.setdefault(move.by, {})
             if self._count.get(move.by, 0) >= OPEN_MOST:
                 self.dropped += 1
                 continue
             self._count[move.by] = self._count.get(move.by, 0) + 1
             due = now_ms + move.within_ms + self.grace_ms
-            held.setdefault((move.session, move.whither), []).append((move.chance, due))
+            key = (move.session, move.whither)
+            held.setdefault(key, []).append((move.chance, due))
+            heapq.heappush(self._dues.setdefault(move.by, []), (due, next(self._numbers), key))
 
     def seen(self, now_ms: float, beat: m.Beat) -> None:
         """What one look has shown: the predictions that came true, and those whose time is over."""
+        drained(self.scoring(now_ms, beat))
+
+    def scoring(self, now_ms: float, beat: m.Beat) -> Slices[None]:
         for sums in self.sums.values():
             sums.fade(now_ms, self.settings.score_ms)
-        moved = {(move.session, move.whither) for move in beat.moved}
-        known: set[tuple[Session, str]] = set()
+        moved: dict[tuple[Session, str], None] = {}
+        for n, move in enumerate(beat.moved):
+            if n % KEYS == KEYS - 1:
+                yield
+            key = (move.session, move.whither)
+            moved[key] = None
+            self.missed += not any(key in held for held in self._open.values())
         for by, held in self._open.items():
-            known |= moved & held.keys()
-            for key in [key for key, made in held.items() if key in moved or made[0][1] < now_ms]:
+            over_ms, found = self._dues.get(by, []), list(moved)
+            while over_ms and over_ms[0][0] < now_ms:
+                found.append(heapq.heappop(over_ms)[2])
+            for n, key in enumerate(found):
+                if n % KEYS == KEYS - 1:
+                    yield
+                if key not in held:
+                    continue
                 came, made = key in moved, held.pop(key)
                 over = [one for one in made if came or one[1] < now_ms]
                 self._count[by] -= len(over)
@@ -101,7 +128,6 @@
                     self._of(by, now_ms).add(chance, came and due >= now_ms)
                 if len(over) < len(made):
                     held[key] = [one for one in made if one[1] >= now_ms]
-        self.missed += len(moved - known)
 
     def charge(self, now_ms: float, by: str, cost: float) -> None:
         """A stage by a predictor was not used: its fetch and its work, in mean calls."""
--- a/fawnwharf/foresight/seen.py
+++ b/fawnwharf/foresight/seen.py
@@ -3,15 +3,19 @@
 Pure. Counters are a grow-only map (a G-counter, Shapiro et al. 2011): a session's at a site of one owner is a
 pair (since, calls) of which the larger one holds, so that words may come late, twice or in any order. Rates
 are made of what counters rose by from one look (`beat`) to the next, not of when words came: two front ends
-that heard the same words by a look have the same rates.
+that heard the same words by a look have the same rates. A look may be done in slices (`look`), between which
+calls and words go on coming.
 """
 
 import math
 from collections import OrderedDict
-from collections.abc import Iterator
+from itertools import chain, islice
+
+from msgspec import Struct
 
 from fawnwharf.foresight import messages as m
 from fawnwharf.foresight.settings import Foresight
+from fawnwharf.foresight.slices import Slices, drained
 from fawnwharf.sites import Session
 
 _BITS = 31
@@ -20,27 +24,30 @@
 BEGAN = 0.2  # of a call in the fast window: a site with less had none of late
 OWNERS_MOST = 512
 SITES_MOST = 8  # of one session: one that calls everywhere moves nowhere
+RISES, PLACES, ENDS = 150, 80, 40  # of one slice
 
 
-class Flow:
+# Not seen by the collector of garbage, which would walk all sessions in one go: no cycle goes through them.
+class Flow(Struct, eq=False, gc=False):
     """Calls of a session at a site."""
 
-    __slots__ = ("at_ms", "fast", "session", "since_ms", "site", "slow")
-
-    def __init__(self, session: Session, site: str) -> None:
-        self.session, self.site = session, site
-        self.fast = self.slow = self.at_ms = self.since_ms = 0.0
+    session: Session
+    site: str
+    at_ms: float
+    fast: float = 0.0
+    slow: float = 0.0
+    since_ms: float = 0.0
 
 
-class Track:
+class Track(Struct, eq=False, gc=False):
     """A session: where it is, where it was before, and its flows by site."""
 
-    __slots__ = ("began_ms", "flows", "last_ms", "site", "was")
-
-    def __init__(self, now_ms: float) -> None:
-        self.began_ms = self.last_ms = now_ms
-        self.site = self.was = ""
-        self.flows: tuple[Flow, ...] = ()
+    began_ms: float
+    last_ms: float
+    site: str = ""
+    was: str = ""
+    level: int = 0  # doublings of its calls of late, as of the last look that saw one
+    flows: tuple[Flow, ...] = ()
 
     def rate_ps(self, settings: Foresight, now_ms: float) -> float:
         """Calls a second at all sites, by the slow window, or by its life where that is shorter."""
@@ -50,6 +57,43 @@
         )
 
 
+class Group:
+    """Sessions by level, so that those that call most are found without a look at all."""
+
+    __slots__ = ("_levels", "_size")
+
+    def __init__(self) -> None:
+        self._levels: dict[int, dict[Session, Track]] = {}
+        self._size = 0
+
+    def __len__(self) -> int:
+        return self._size
+
+    def __contains__(self, session: Session) -> bool:
+        return any(session in some for some in self._levels.values())
+
+    def add(self, session: Session, track: Track) -> None:
+        some = self._levels.setdefault(track.level, {})
+        self._size += session not in some
+        some[session] = track
+
+    def remove(self, session: Session, track: Track) -> None:
+        some = self._levels.get(track.level, {})
+        if some.pop(session, None) is not None:
+            self._size -= 1
+            if not some:
+                del self._levels[track.level]
+
+    def one(self) -> Track:
+        """Any one of them."""
+        return next(iter(next(iter(self._levels.values())).values()))
+
+    def busiest(self, most: int) -> list[tuple[Session, Track]]:
+        """Those that call most, within a factor of two, first."""
+        levels = (self._levels[level].items() for level in sorted(self._levels, reverse=True))
+        return list(islice(chain.from_iterable(levels), most))
+
+
 class Watcher:
     """A front end's: own calls are counted in, others' words heard; `beat` looks at what rose."""
 
@@ -57,13 +101,15 @@
         self.settings, self.me = settings, me
         self.number = 1
         self.tracks: OrderedDict[Session, Track] = OrderedDict()  # those still for longest first
-        self.groups: dict[tuple[str, str], dict[Session, Track]] = {}  # by tenant and site
-        self.left: dict[str, dict[Session, Track]] = {}  # by the site that they were at before
+        self.groups: dict[tuple[str, str], Group] = {}  # by tenant and site
+        self.here: dict[str, Group] = {}  # by site
+        self.left: dict[str, Group] = {}  # by the site that they were at before
         self.dropped: dict[str, int] = {}
         self._counters: dict[str, dict[Flow, int]] = {me: {}}
         self._numbers: dict[str, int] = {}
         self._rose: dict[tuple[str, Flow], int | None] = {}  # what stood before, since the last look
         self._told: dict[Flow, None] = {}  # own counters that are to be told
+        self._graves: list[dict[Flow, int]] = []  # counters of owners that are gone, freed by and by
 
     def _drop(self, cause: str, count: int = 1) -> None:
         self.dropped[cause] = self.dropped.get(cause, 0) + count
@@ -78,17 +124,30 @@
         self._rose.setdefault((self.me, flow), before)
         mine[flow] = (self.number << _BITS) + 1 if before is None else before + 1
         self._told[flow] = None
+        self._touch(now_ms, flow.session)
 
     def word(self) -> m.Word:
         """The own counters that rose since the last word; what is over its bound follows in the next ones."""
-        chosen = list(self._told)[: m.ENTRIES_MOST]
+        word = self.part(m.ENTRIES_MOST)
+        self.number += 1
+        return word
+
+    def part(self, most: int) -> m.Word:
+        """So many of them, under the number of now: with those that follow it is one word."""
         mine, counts = self._counters[self.me], []
-        for flow in chosen:
+        for flow in list(islice(self._told, most)):
             del self._told[flow]
             counts.append(m.Count(flow.session, flow.site, mine[flow] >> _BITS, mine[flow] & _MASK))
-        word = m.Word(self.number, tuple(counts))
-        self.number += 1
-        return word
+        return m.Word(self.number, tuple(counts))
+
+    @property
+    def untold(self) -> int:
+        return len(self._told)
+
+    def _touch(self, now_ms: float, session: Session) -> None:
+        track = self.tracks[session]
+        track.last_ms = max(track.last_ms, now_ms)
+        self.tracks.move_to_end(session)
 
     def heard(self, now_ms: float, owner: str, word: m.Word) -> None:
         """Counters of one life of another front end. What is not larger changes nothing."""
@@ -112,47 +171,68 @@
                 continue
             self._rose.setdefault((owner, flow), before)
             held[flow] = value
+            self._touch(now_ms, flow.session)
 
     def gone(self, owner: str) -> None:
         """A front end's life is over: its counters count no more, what they amounted to fades."""
-        if owner != self.me:
-            self._counters.pop(owner, None)
+        if owner != self.me and (held := self._counters.pop(owner, None)) is not None:
             self._numbers.pop(owner, None)
-            self._rose = {key: before for key, before in self._rose.items() if key[0] != owner}
+            self._graves.append(held)
 
     def beat(self, now_ms: float) -> m.Beat:
+        """A look in one go."""
+        return drained(self.look(now_ms))
+
+    def look(self, now_ms: float) -> Slices[m.Beat]:
         """Takes what rose since the last look; tells moves, ends, and who called where."""
-        called: dict[Flow, int] = {}
-        for (owner, flow), before in self._rose.items():
-            value = self._counters[owner][flow]
-            if before is None:
-                # Guards against a burst that was none: a session dropped here, but not by its owner, comes
-                # with all its past. Only what is counted since the latest words is news.
-                new = self._numbers.get(owner, self.number) - (value >> _BITS) <= 2
-                rise = value & _MASK if new else min(1, value & _MASK)
-            else:
-                same = value >> _BITS == before >> _BITS
-                rise = value - before if same else value & _MASK
-            if rise:
-                called[flow] = called.get(flow, 0) + rise
-        self._rose = {}
+        called: dict[Flow, None] = {}
+        sessions: dict[Session, None] = {}
+        pairs: list[tuple[Session, str]] = []
+        for n, key in enumerate(list(self._rose)):
+            if n % RISES == RISES - 1:
+                yield
+            if key in self._rose and (rise := self._rise(key, self._rose.pop(key))):
+                flow = key[1]
+                self._fade(flow, now_ms)
+                if flow.fast < BEGAN:
+                    flow.since_ms = now_ms
+                flow.fast += rise
+                flow.slow += rise
+                if flow not in called:
+                    called[flow] = sessions[flow.session] = None
+                    pairs.append((flow.session, flow.site))
         moved: list[m.Moved] = []
-        for session in {flow.session: None for flow in called}:
-            self.tracks[session].last_ms = now_ms
-            self.tracks.move_to_end(session)
-        for flow, rise in called.items():
-            self._fade(flow, now_ms)
-            if flow.fast < BEGAN:
-                flow.since_ms = now_ms
-            flow.fast += rise
-            flow.slow += rise
-        for session in {flow.session: None for flow in called}:
-            move = self._place(session, self.tracks[session], now_ms)
+        for n, session in enumerate(sessions):
+            if n % PLACES == PLACES - 1:
+                yield
+            track = self.tracks.get(session)
+            move = self._place(session, track, now_ms) if track is not None else None
             if move is not None:
                 moved.append(move)
-        ended = tuple(self._end_still(now_ms))
-        pairs = tuple((flow.session, flow.site) for flow in called)
-        return m.Beat(tuple(sorted(moved, key=lambda move: move.session)), ended, pairs)
+        ended: list[m.Ended] = []
+        while (end := self._end_still(now_ms)) is not None:
+            ended.append(end)
+            if len(ended) % ENDS == 0:
+                yield
+        while self._graves:
+            for _ in range(min(RISES, len(self._graves[-1]))):
+                self._graves[-1].popitem()
+            if not self._graves[-1]:
+                self._graves.pop()
+            yield
+        return m.Beat(tuple(moved), tuple(ended), tuple(pairs))
+
+    def _rise(self, key: tuple[str, Flow], before: int | None) -> int:
+        owner, flow = key
+        value = self._counters.get(owner, {}).get(flow)
+        if value is None:  # that owner is gone
+            return 0
+        if before is None:
+            # Guards against a burst that was none: a session dropped here, but not by its owner, comes
+            # with all its past. Only what is counted since the latest words is news.
+            new = self._numbers.get(owner, self.number) - (value >> _BITS) <= 2
+            return value & _MASK if new else min(1, value & _MASK)
+        return value - before if value >> _BITS == before >> _BITS else value & _MASK
 
     def counters(self) -> dict[tuple[str, Session, str], tuple[int, int]]:
         """All counters, to compare: (owner, session, site) to (since, calls)."""
@@ -174,15 +254,14 @@
                 oldest = next(iter(self.tracks))
                 self._forget(oldest)
                 self._drop("a session beyond the bound")
-            track = self.tracks[session] = Track(now_ms)
+            track = self.tracks[session] = Track(now_ms, now_ms)
         for flow in track.flows:
             if flow.site == site:
                 return flow
         if len(track.flows) >= SITES_MOST:
             self._drop("a site beyond the bound")
             return None
-        flow = Flow(session, site)
-        flow.at_ms = now_ms
+        flow = Flow(session, site, now_ms)
         track.flows += (flow,)
         return flow
 
@@ -191,15 +270,20 @@
             self._fade(flow, now_ms)
         total = sum(flow.fast for flow in track.flows)
         most = max(track.flows, key=lambda flow: (flow.fast, flow.site))
+        level = max(0, math.frexp(sum(flow.slow for flow in track.flows))[1])
         if most.site == track.site or (track.site and most.fast < MOVED_SHARE * total):
+            if level != track.level:
+                self._leave(session, track)
+                track.level = level
+                self._join(session, track)
             return None
         whence = track.site
+        self._leave(session, track)
+        track.level = level
         if whence:
-            self._leave(session, track)
             track.was = whence
-            self.left.setdefault(whence, {})[session] = track
         track.site = most.site
-        self.groups.setdefault((session.org, most.site), {})[session] = track
+        self._join(session, track)
         return m.Moved(session, whence, most.site, most.since_ms) if whence else None
 
     def _forget(self, session: Session) -> Track:
@@ -212,18 +296,24 @@
         self._leave(session, track)
         return track
 
+    def _join(self, session: Session, track: Track) -> None:
+        self.groups.setdefault((session.org, track.site), Group()).add(session, track)
+        self.here.setdefault(track.site, Group()).add(session, track)
+        if track.was:
+            self.left.setdefault(track.was, Group()).add(session, track)
+
     def _leave(self, session: Session, track: Track) -> None:
-        for table, key in ((self.groups, (session.org, track.site)), (self.left, track.was)):
+        groups = ((self.groups, (session.org, track.site)), (self.here, track.site), (self.left, track.was))
+        for table, key in groups:
             group = table.get(key)
             if group is not None:
-                group.pop(session, None)
+                group.remove(session, track)
                 if not group:
                     del table[key]
 
-    def _end_still(self, now_ms: float) -> Iterator[m.Ended]:
-        while self.tracks:
-            session, track = next(iter(self.tracks.items()))
-            if now_ms - track.last_ms <= self.settings.still_ms:
-                return
-            self._forget(session)
-            yield m.Ended(session, track.site, track.last_ms - track.began_ms)
+    def _end_still(self, now_ms: float) -> m.Ended | None:
+        session, track = next(iter(self.tracks.items()), (None, None))
+        if session is None or now_ms - track.last_ms <= self.settings.still_ms:
+            return None
+        self._forget(session)
+        return m.Ended(session, track.site, track.last_ms - track.began_ms)
--- a/fawnwharf/sessions/staging.py
+++ b/fawnwharf/sessions/staging.py
@@ -170,9 +170,7 @@
         self._look_ms = now_ms
         self.scorers.at(now_ms)
         self._weather(seen)
-        found.words.append(
-            Word(self.core.word(), self.functions.tells(now_ms, TELLS_MOST), self._calm)
-        )
+        found.words.append(Word(self.core.word(), self.functions.tells(now_ms, TELLS_MOST), self._calm))
         for order in self.core.step(now_ms, self._view(now_ms, seen)):
             if isinstance(order, LetGo):
                 found.let_gos.append(order)
@@ -196,9 +194,7 @@
         for name in order.scorers:
             self.scorers.gave(now_ms, int(name))
             found.append(
-                io.CopiesWanted(
-                    int(name), order.stage.row, facts.class_name, 1, facts.lanes, facts.load_ms
-                )
+                io.CopiesWanted(int(name), order.stage.row, facts.class_name, 1, facts.lanes, facts.load_ms)
             )
         return found
 
--- a/fawnwharf/sites.py
+++ b/fawnwharf/sites.py
@@ -9,7 +9,7 @@
 Part = Annotated[float, Meta(ge=0.0, le=1.0)]
 
 
-class Session(Struct, frozen=True, order=True):
+class Session(Struct, frozen=True, order=True, gc=False):
     """A live series of calls by one tenant to one function."""
 
     org: Text
