--- a/fawnwharf/foresight/known.py
+++ b/fawnwharf/foresight/known.py
@@ -5,12 +5,12 @@
 has no calls here, and nothing of it is written a second time.
 """
 
-from collections import OrderedDict
 from dataclasses import replace
 
 from msgspec import Struct
 
 from fawnwharf import interface as io
+from fawnwharf.foresight.kept import Kept
 from fawnwharf.foresight.worth import Facts
 from fawnwharf.policy import Router
 from fawnwharf.policy.state import Function, Worker, mark
@@ -27,7 +27,7 @@
 
     def __init__(self, site: io.Settings) -> None:
         super().__init__(replace(site, quotas_rps=dict(site.quotas_rps), classes=dict(site.classes)), 0)
-        self._kept: OrderedDict[str, Function] = OrderedDict()
+        self._kept: dict[str, Function] = {}
         self._rests: dict[int, float] = {}
 
     def roster(self, now_ms: float, behind_ms: float, told: io.RosterChanged) -> None:
@@ -67,10 +67,9 @@
 
     def order(self, row: str, site: str) -> list[int]:
         """Scorers of a site as calls of a function look for its copies: the module's hash order."""
-        fn = self._kept.pop(row, None) or Function(row, "", 1, None, mark(row))
-        self._kept[row] = fn
-        if len(self._kept) > ORDERS_MOST:
-            self._kept.popitem(last=False)
+        if row not in self._kept and len(self._kept) >= ORDERS_MOST:
+            self._kept.clear()
+        fn = self._kept.setdefault(row, Function(row, "", 1, None, mark(row)))
         return [w.id for w in self._ordered(fn) if w.entry.zone == site and w.id not in self._rests]
 
     def cold_room(self, worker: int) -> float:
@@ -115,15 +114,15 @@
     run_ms: float | None
 
 
-class _Fact:
-    __slots__ = ("class_name", "lanes", "load_ms", "memory_mb", "own", "run_ms", "told_ms")
-
-    def __init__(self, class_name: str, lanes: int) -> None:
-        self.class_name, self.lanes, self.own = class_name, lanes, False
-        self.memory_mb: float | None = None
-        self.load_ms: float | None = None
-        self.run_ms: float | None = None
-        self.told_ms = float("-inf")
+class _Fact(Struct, eq=False, gc=False):
+    class_name: str
+    lanes: int
+    own: bool = False  # calls of it came here
+    memory_mb: float | None = None
+    load_ms: float | None = None
+    run_ms: float | None = None
+    told_ms: float = float("-inf")
+    mark: int = 0
 
 
 class Functions:
@@ -131,7 +130,7 @@
 
     def __init__(self, most: int, tell_ms: float = 60_000.0) -> None:
         self.most, self.tell_ms = most, tell_ms
-        self._facts: OrderedDict[str, _Fact] = OrderedDict()
+        self._facts: Kept[str, _Fact] = Kept()
         self._due: dict[str, None] = {}  # to be told
         self.memory_mb, self.load_ms, self.run_ms = MEMORY_MB, LOAD_MS, RUN_MS  # means of all
 
@@ -193,10 +192,11 @@
         )
 
     def _fact(self, row: str, class_name: str, lanes: int) -> _Fact:
-        fact = self._facts.pop(row, None) or _Fact(class_name, lanes)
-        self._facts[row] = fact
+        fact = self._facts.get(row) or _Fact(class_name, lanes)
+        self._facts.use(row, fact)
         if len(self._facts) > self.most:
-            gone, _ = self._facts.popitem(last=False)
+            gone = self._facts.oldest()
+            self._facts.pop(gone)
             self._due.pop(gone, None)
         return fact
 
@@ -205,13 +205,12 @@
     return seen if held is None else held + GAIN * (seen - held)
 
 
-class _Place:
-    __slots__ = ("at_ms", "memory_mb", "standing")
-
-    def __init__(self) -> None:
-        self.at_ms = 0.0
-        self.memory_mb = 0.0  # as counted
-        self.standing: dict[int, tuple[int, float]] = {}  # scorer: copies, when that was seen
+class _Place(Struct, eq=False, gc=False):
+    at_ms: float = 0.0
+    memory_mb: float = 0.0  # as counted
+    copies: dict[int, int] = {}  # by scorer
+    seen_ms: dict[int, float] = {}  # when that was seen
+    mark: int = 0
 
 
 class Copies:
@@ -220,7 +219,7 @@
 
     def __init__(self, scorers: Scorers, functions: Functions, idle_ms: float) -> None:
         self.scorers, self.functions, self.idle_ms = scorers, functions, idle_ms
-        self._places: OrderedDict[tuple[str, str], _Place] = OrderedDict()  # not seen for longest first
+        self._places: Kept[tuple[str, str], _Place] = Kept()
         self._held_mb: dict[str, float] = {}
 
     def __len__(self) -> int:
@@ -231,29 +230,32 @@
         site = self.scorers.zone(worker)
         if copies <= 0:
             place = self._places.get((row, site))
-            if place is not None and place.standing.pop(worker, None):
+            if place is not None and place.copies.pop(worker, None):
                 self._count(row, site, place)
             return
         place = self._place(now_ms, row, site)
-        held = place.standing.get(worker)
-        place.standing[worker] = (max(copies, held[0] if held and copies == 1 else 0), now_ms)
+        place.copies[worker], place.seen_ms[worker] = copies, now_ms
         self._count(row, site, place)
 
-    def used(self, now_ms: float, row: str, site: str) -> None:
-        """A call ran there, wherever it stands."""
-        self._count(row, site, self._place(now_ms, row, site))
+    def used(self, now_ms: float, row: str, site: str, worker: int | None = None) -> None:
+        """A call ran there; None: others know where it stands."""
+        place = self._place(now_ms, row, site)
+        if worker is not None:
+            place.copies[worker] = max(1, place.copies.get(worker, 0))
+            place.seen_ms[worker] = now_ms
+        self._count(row, site, place)
 
     def standing(self, now_ms: float, row: str, site: str) -> int:
         place = self._places.get((row, site))
         if place is None or now_ms - place.at_ms > self.idle_ms:
             return 0
         able = 0
-        for worker, (copies, at_ms) in place.standing.items():
-            found = self.scorers.takes(worker)
+        for worker, copies in place.copies.items():
+            found, at_ms = self.scorers.takes(worker), place.seen_ms[worker]
             if found and now_ms - at_ms <= self.idle_ms and found.started_ms < at_ms:
                 able += copies
         # A site with calls and no scorer known by name: one copy somewhere.
-        return max(able, 0 if place.standing else 1)
+        return max(able, 0 if place.copies else 1)
 
     def held_mb(self, site: str) -> float:
         return self._held_mb.get(site, 0.0)
@@ -261,7 +263,7 @@
     def sweep(self, now_ms: float, most: int = 500) -> bool:
         """Forgets what has lapsed, some of it at a time; True: there is more."""
         for _ in range(most):
-            key = next(iter(self._places), None)
+            key = self._places.oldest()
             if key is None or now_ms - self._places[key].at_ms <= self.idle_ms:
                 return False
             self._drop(key)
@@ -272,16 +274,15 @@
         place = self._places.get(key)
         if place is None:
             if len(self._places) >= PLACES_MOST:
-                self._drop(next(iter(self._places)))
-            place = self._places[key] = _Place()
-        else:
-            self._places.move_to_end(key)
-        place.at_ms = now_ms
+                self._drop(self._places.oldest())
+            place = _Place()
+        self._places.use(key, place)
+        place.at_ms = max(place.at_ms, now_ms)
         return place
 
     def _count(self, row: str, site: str, place: _Place) -> None:
         facts = self.functions.facts(row)
-        copies = max(1, sum(copies for copies, _ in place.standing.values()))
+        copies = max(1, sum(place.copies.values()))
         mb = copies * (facts.memory_mb if facts else self.functions.memory_mb)
         self._held_mb[site] = self._held_mb.get(site, 0.0) + mb - place.memory_mb
         place.memory_mb = mb
--- a/fawnwharf/foresight/predictors.py
+++ b/fawnwharf/foresight/predictors.py
@@ -9,7 +9,6 @@
 import math
 from collections.abc import Callable
 from dataclasses import dataclass
-from itertools import islice
 from typing import Protocol
 
 from fawnwharf.foresight import messages as m
@@ -288,7 +287,7 @@
         back = dict(watch.left.get(site, Group()).busiest(4 * self.settings.most))
         yield
         # Those that began while the site was out have never been there. Bounded: the last that called.
-        latest = list(islice(reversed(watch.tracks.items()), 4 * self.settings.most))
+        latest = watch.tracks.latest(4 * self.settings.most)
         for n, (session, track) in enumerate(latest):
             if n % MOVES == MOVES - 1:
                 yield
--- a/fawnwharf/foresight/seen.py
+++ b/fawnwharf/foresight/seen.py
@@ -8,12 +8,12 @@
 """
 
 import math
-from collections import OrderedDict
 from itertools import chain, islice
 
 from msgspec import Struct
 
 from fawnwharf.foresight import messages as m
+from fawnwharf.foresight.kept import Kept
 from fawnwharf.foresight.settings import Foresight
 from fawnwharf.foresight.slices import Slices, drained
 from fawnwharf.sites import Session
@@ -25,6 +25,7 @@
 OWNERS_MOST = 512
 SITES_MOST = 8  # of one session: one that calls everywhere moves nowhere
 RISES, PLACES, ENDS = 150, 80, 40  # of one slice
+RISES_MOST, ENDS_MOST = 20_000, 5_000  # of one look: what is beyond stays for the next ones
 
 
 # Not seen by the collector of garbage, which would walk all sessions in one go: no cycle goes through them.
@@ -46,6 +47,7 @@
     last_ms: float
     site: str = ""
     was: str = ""
+    mark: int = 0  # where it is kept
     level: int = 0  # doublings of its calls of late, as of the last look that saw one
     flows: tuple[Flow, ...] = ()
 
@@ -100,15 +102,16 @@
     def __init__(self, settings: Foresight, me: str = "me") -> None:
         self.settings, self.me = settings, me
         self.number = 1
-        self.tracks: OrderedDict[Session, Track] = OrderedDict()  # those still for longest first
+        self.tracks: Kept[Session, Track] = Kept()  # those still for longest first
         self.groups: dict[tuple[str, str], Group] = {}  # by tenant and site
         self.here: dict[str, Group] = {}  # by site
         self.left: dict[str, Group] = {}  # by the site that they were at before
         self.dropped: dict[str, int] = {}
         self._counters: dict[str, dict[Flow, int]] = {me: {}}
         self._numbers: dict[str, int] = {}
-        self._rose: dict[tuple[str, Flow], int | None] = {}  # what stood before, since the last look
+        self._rose: dict[str, dict[Flow, int | None]] = {me: {}}  # what stood before, since the last look
         self._told: dict[Flow, None] = {}  # own counters that are to be told
+        self._looks = 0
         self._graves: list[dict[Flow, int]] = []  # counters of owners that are gone, freed by and by
 
     def _drop(self, cause: str, count: int = 1) -> None:
@@ -121,7 +124,7 @@
             return
         mine = self._counters[self.me]
         before = mine.get(flow)
-        self._rose.setdefault((self.me, flow), before)
+        self._rose[self.me].setdefault(flow, before)
         mine[flow] = (self.number << _BITS) + 1 if before is None else before + 1
         self._told[flow] = None
         self._touch(now_ms, flow.session)
@@ -147,7 +150,7 @@
     def _touch(self, now_ms: float, session: Session) -> None:
         track = self.tracks[session]
         track.last_ms = max(track.last_ms, now_ms)
-        self.tracks.move_to_end(session)
+        self.tracks.use(session, track)
 
     def heard(self, now_ms: float, owner: str, word: m.Word) -> None:
         """Counters of one life of another front end. What is not larger changes nothing."""
@@ -160,6 +163,7 @@
                 self._drop("an owner beyond the bound")
                 return
             held = self._counters[owner] = {}
+            self._rose[owner] = {}
         self._numbers[owner] = max(word.number, self._numbers.get(owner, 0))
         for count in word.counts:
             flow = self._flow(now_ms, count.session, count.site)
@@ -169,7 +173,7 @@
             if before is not None and value <= before:
                 self._drop("an older count")
                 continue
-            self._rose.setdefault((owner, flow), before)
+            self._rose[owner].setdefault(flow, before)
             held[flow] = value
             self._touch(now_ms, flow.session)
 
@@ -177,7 +181,7 @@
         """A front end's life is over: its counters count no more, what they amounted to fades."""
         if owner != self.me and (held := self._counters.pop(owner, None)) is not None:
             self._numbers.pop(owner, None)
-            self._graves.append(held)
+            self._graves += [held, self._rose.pop(owner)]
 
     def beat(self, now_ms: float) -> m.Beat:
         """A look in one go."""
@@ -188,19 +192,24 @@
         called: dict[Flow, None] = {}
         sessions: dict[Session, None] = {}
         pairs: list[tuple[Session, str]] = []
-        for n, key in enumerate(list(self._rose)):
-            if n % RISES == RISES - 1:
-                yield
-            if key in self._rose and (rise := self._rise(key, self._rose.pop(key))):
-                flow = key[1]
-                self._fade(flow, now_ms)
-                if flow.fast < BEGAN:
-                    flow.since_ms = now_ms
-                flow.fast += rise
-                flow.slow += rise
-                if flow not in called:
-                    called[flow] = sessions[flow.session] = None
-                    pairs.append((flow.session, flow.site))
+        count, owners = 0, list(self._rose)
+        self._looks += 1
+        first = self._looks % len(owners)
+        for owner in owners[first:] + owners[:first]:
+            for flow in list(islice(self._rose.get(owner, ()), RISES_MOST - count)):
+                count += 1
+                if count % RISES == 0:
+                    yield
+                if rise := self._rise(owner, flow):
+                    self._fade(flow, now_ms)
+                    if flow.fast < BEGAN:
+                        flow.since_ms = now_ms
+                    flow.fast += rise
+                    flow.slow += rise
+                    if flow not in called:
+                        called[flow] = sessions[flow.session] = None
+                        pairs.append((flow.session, flow.site))
+        yield
         moved: list[m.Moved] = []
         for n, session in enumerate(sessions):
             if n % PLACES == PLACES - 1:
@@ -210,7 +219,7 @@
             if move is not None:
                 moved.append(move)
         ended: list[m.Ended] = []
-        while (end := self._end_still(now_ms)) is not None:
+        while len(ended) < ENDS_MOST and (end := self._end_still(now_ms)) is not None:
             ended.append(end)
             if len(ended) % ENDS == 0:
                 yield
@@ -222,11 +231,12 @@
             yield
         return m.Beat(tuple(moved), tuple(ended), tuple(pairs))
 
-    def _rise(self, key: tuple[str, Flow], before: int | None) -> int:
-        owner, flow = key
-        value = self._counters.get(owner, {}).get(flow)
-        if value is None:  # that owner is gone
+    def _rise(self, owner: str, flow: Flow) -> int:
+        """What it rose by since the last look; none where owner or session have gone since this one began."""
+        rose = self._rose.get(owner, {})
+        if flow not in rose:
             return 0
+        before, value = rose.pop(flow), self._counters[owner][flow]
         if before is None:
             # Guards against a burst that was none: a session dropped here, but not by its owner, comes
             # with all its past. Only what is counted since the latest words is news.
@@ -251,10 +261,10 @@
         track = self.tracks.get(session)
         if track is None:
             while len(self.tracks) >= self.settings.sessions:
-                oldest = next(iter(self.tracks))
-                self._forget(oldest)
+                self._forget(self.tracks.oldest())
                 self._drop("a session beyond the bound")
-            track = self.tracks[session] = Track(now_ms, now_ms)
+            track = Track(now_ms, now_ms)
+            self.tracks.use(session, track)
         for flow in track.flows:
             if flow.site == site:
                 return flow
@@ -292,7 +302,7 @@
             self._told.pop(flow, None)
             for owner, held in self._counters.items():
                 if held.pop(flow, None) is not None:
-                    self._rose.pop((owner, flow), None)
+                    self._rose[owner].pop(flow, None)
         self._leave(session, track)
         return track
 
@@ -312,8 +322,8 @@
                     del table[key]
 
     def _end_still(self, now_ms: float) -> m.Ended | None:
-        session, track = next(iter(self.tracks.items()), (None, None))
-        if session is None or now_ms - track.last_ms <= self.settings.still_ms:
+        session = self.tracks.oldest()
+        if session is None or now_ms - self.tracks[session].last_ms <= self.settings.still_ms:
             return None
-        self._forget(session)
+        track = self._forget(session)
         return m.Ended(session, track.site, track.last_ms - track.began_ms)
--- a/tests/test_foresight.py
+++ b/tests/test_foresight.py
@@ -47,8 +47,8 @@
     assert plain.counters() == mixed.counters()
     one, other = plain.beat(1_000.0), mixed.beat(1_000.0)
     assert set(one.moved) == set(other.moved) and set(one.called) == set(other.called)
-    for session, track in plain.tracks.items():
-        seen = {f.site: (f.fast, f.slow) for f in track.flows}
+    for session in plain.tracks:
+        seen = {f.site: (f.fast, f.slow) for f in plain.tracks[session].flows}
         assert seen == {f.site: (f.fast, f.slow) for f in mixed.tracks[session].flows}
 
 
