--- a/fawnwharf/foresight/known.py
+++ b/fawnwharf/foresight/known.py
@@ -15,7 +15,7 @@
 from fawnwharf.policy import Router
 from fawnwharf.policy.state import Function, Worker, mark
 
-ORDERS_MOST = 4_096  # hash orders kept in mind
+ORDERS_MOST = 512  # hash orders kept in mind
 PLACES_MOST = 50_000  # functions at sites with copies
 RESTS_MS = 5_000.0  # a scorer that was full, or bad, is not staged at for so long
 GAIN = 0.2  # weight of one run or load in what is held of a function
@@ -210,6 +210,7 @@
     memory_mb: float = 0.0  # as counted
     copies: dict[int, int] = {}  # by scorer
     seen_ms: dict[int, float] = {}  # when that was seen
+    used_ms: float = float("-inf")  # a call of others ran, wherever it stands
     mark: int = 0
 
 
@@ -234,7 +235,8 @@
                 self._count(row, site, place)
             return
         place = self._place(now_ms, row, site)
-        place.copies[worker], place.seen_ms[worker] = copies, now_ms
+        if now_ms >= place.seen_ms.get(worker, now_ms):
+            place.copies[worker], place.seen_ms[worker] = copies, now_ms
         self._count(row, site, place)
 
     def used(self, now_ms: float, row: str, site: str, worker: int | None = None) -> None:
@@ -243,6 +245,8 @@
         if worker is not None:
             place.copies[worker] = max(1, place.copies.get(worker, 0))
             place.seen_ms[worker] = now_ms
+        else:
+            place.used_ms = now_ms
         self._count(row, site, place)
 
     def standing(self, now_ms: float, row: str, site: str) -> int:
@@ -254,8 +258,7 @@
             found, at_ms = self.scorers.takes(worker), place.seen_ms[worker]
             if found and now_ms - at_ms <= self.idle_ms and found.started_ms < at_ms:
                 able += copies
-        # A site with calls and no scorer known by name: one copy somewhere.
-        return max(able, 0 if place.copies else 1)
+        return max(able, int(now_ms - place.used_ms <= self.idle_ms))
 
     def held_mb(self, site: str) -> float:
         return self._held_mb.get(site, 0.0)
--- a/fawnwharf/foresight/planner.py
+++ b/fawnwharf/foresight/planner.py
@@ -59,7 +59,7 @@
 
 
 @dataclass(slots=True)
-class _Bucket:
+class Bucket:
     """A token bucket that is full at the start."""
 
     rate_ps: float
@@ -95,6 +95,13 @@
     return max(heard, key=lambda name: (weight("stage", name, row, site), name))
 
 
+def parts(view: View, fleet_size: int) -> float:
+    """Front ends that share the fleet's fetches: those that are heard, or all where they are half or
+    less, so that both sides of a cut together fetch no more than the fleet may, or little more."""
+    heard, fleet = len(view.heard), max(1, fleet_size)
+    return float(heard if 2 * heard > fleet else fleet)
+
+
 class Planner:
     """A front end's: its orders, what it holds, what was not used."""
 
@@ -103,8 +110,8 @@
         self.held: dict[tuple[str, str], _Held] = {}
         self.skipped: dict[str, int] = {}
         self.ordered = self.used = self.wasted = 0
-        self._fleet = _Bucket(settings.fetches_ps)
-        self._pace = _Bucket(settings.pace_ps)
+        self._fleet = Bucket(settings.fetches_ps)
+        self._pace = Bucket(settings.pace_ps)
         self._rests: dict[tuple[str, str], float] = {}  # let go: until when
         self._quiet_ms = -math.inf
         self._disturbed: dict[str, float] = {}
@@ -245,7 +252,8 @@
 
     def _take(self, now_ms: float, ranked: list, view: View) -> Slices[list[m.Order | LetGo]]:
         yield
-        left = min(self._fleet.left(now_ms) / self._parts(view), self._pace.left(now_ms))
+        share = parts(view, self.site.fleet_size)
+        left = min(self._fleet.left(now_ms) / share, self._pace.left(now_ms))
         kept = (
             self.settings.free_part * view.ration_most + view.waiting if math.isfinite(view.ration) else 0.0
         )
@@ -285,7 +293,7 @@
             for scorer in scorers:
                 room[scorer] -= 1.0
             left, ration = left - copies, ration - copies
-            self._fleet.tokens -= copies * self._parts(view)
+            self._fleet.tokens -= copies * share
             self._pace.tokens -= copies
             spare[site] -= more
             self.held[key] = held
@@ -295,11 +303,13 @@
             found.append(m.Order(Stage(row, site, copies, held.until_ms - now_ms, why), tuple(scorers)))
         return found
 
-    def _parts(self, view: View) -> float:
-        """Front ends that share the fleet's fetches: those that are heard, or all where they are half or
-        less, so that both sides of a cut together fetch no more than the fleet may, or little more."""
-        heard, fleet = len(view.heard), max(1, self.site.fleet_size)
-        return float(heard if 2 * heard > fleet else fleet)
+    def failed(self, now_ms: float, row: str, site: str) -> bool:
+        """What was ordered did not come to stand: nobody's fault, and not tried at once again."""
+        if (row, site) not in self.held:
+            return False
+        self._settle(now_ms, (row, site), 0.0)
+        self._rest(now_ms, (row, site))
+        return True
 
     def _settle(self, now_ms: float, key: tuple[str, str], net: float) -> None:
         held = self.held.pop(key)
--- /dev/null
+++ b/fawnwharf/foresight/ways.py
@@ -0,0 +1,173 @@
+"""Other ways to meet moves, by which foresight is measured in running front ends: the setting `mode`.
+
+Pure. *none* stages nothing. *react* stages a site's sessions once it is out or back. *everything*
+keeps a copy of each live session at every site, renewed before it lapses. *oracle* is told each move ahead,
+from a file: for trials alone. All go by the same ration, orderer and paces as foresight, but that the oracle
+has no pace, and none leaves a part of the ration to calls.
+"""
+
+import heapq
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta, Struct
+
+from fawnwharf.foresight import messages as m
+from fawnwharf.foresight.planner import Bucket, View, orderer, parts
+from fawnwharf.foresight.predictors import Belongs, Whither
+from fawnwharf.foresight.seen import Group, Watcher
+from fawnwharf.foresight.settings import Foresight
+from fawnwharf.foresight.slices import Slices
+from fawnwharf.interface import Settings
+from fawnwharf.sites import Session, Stage, Text
+from fawnwharf.zones.settings import FileFault
+
+QUEUE_MOST = 20_000
+RENEW_PART = 0.75  # of an idle life: by then what stands idle is renewed
+LEAD_MS = 500.0  # by which the oracle's loads are ready before they are needed
+LOOKED, TRIED = 100, 20  # of one slice: sessions, places that are ordered for
+LINES_MOST = 200_000
+
+
+class Foretold(Struct, frozen=True):
+    """A line of the oracle's file: from `at_ms` (Unix) on the session's calls go to another site."""
+
+    at_ms: Annotated[float, Meta(ge=0.0)]
+    org: Text
+    row: Text
+    whither: Text
+
+
+def foretold_from(data: bytes) -> list[Foretold]:
+    """JSON lines; raises FileFault, which names the line."""
+    found: list[Foretold] = []
+    for n, line in enumerate(data.splitlines(), 1):
+        if not line.strip():
+            continue
+        if len(found) >= LINES_MOST:
+            raise FileFault(f"foresight.told: line {n}: more than {LINES_MOST}")
+        try:
+            found.append(msgspec.json.decode(line, type=Foretold))
+        except (msgspec.DecodeError, RecursionError) as error:
+            raise FileFault(f"foresight.told: line {n}: {error}") from None
+    return found
+
+
+class Ways:
+    """Owns what is to be ordered, and when it was."""
+
+    def __init__(
+        self, bounds: Foresight, site: Settings, watch: Watcher, whither: Whither, belongs: Belongs
+    ) -> None:
+        self.bounds, self.watch, self.whither, self.belongs = bounds, watch, whither, belongs
+        self.idle_ms = site.idle_life_ms
+        self.fleet_size = site.fleet_size
+        self.dropped = 0
+        self._queue: dict[tuple[str, str], None] = {}
+        self._asked: dict[tuple[str, str], float] = {}
+        self._out: frozenset[str] = frozenset()
+        self._told: list[tuple[float, str, str]] = []
+        self._turn: list[Session] = []  # sessions that are yet to be looked at, of all
+        self._fleet, self._pace = Bucket(bounds.fetches_ps), Bucket(bounds.pace_ps)
+
+    def foretold(self, now_ms: float, unix_ms: float, moves: list[Foretold]) -> None:
+        """All that is known of moves to come; it takes the place of what was told before."""
+        self._told = [(one.at_ms - unix_ms + now_ms, one.row, one.whither) for one in moves]
+        heapq.heapify(self._told)
+
+    def look(self, now_ms: float, view: View, out: frozenset[str]) -> Slices[list[m.Order]]:
+        mode = self.bounds.mode
+        if mode == "react":
+            yield from self._react(out)
+        elif mode == "everything":
+            yield from self._everything(now_ms, view, out)
+        elif mode == "oracle":
+            self._oracle(now_ms, view)
+        self._out = out
+        yield
+        return (yield from self._order(now_ms, view))
+
+    def _want(self, row: str, site: str) -> None:
+        if len(self._queue) >= QUEUE_MOST and (row, site) not in self._queue:
+            self.dropped += 1
+        else:
+            self._queue[row, site] = None
+
+    def _react(self, out: frozenset[str]) -> Slices[None]:
+        watch, most = self.watch, 4 * self.bounds.most
+        for site in sorted(out - self._out):
+            for n, (session, _) in enumerate(watch.here.get(site, Group()).busiest(most)):
+                if n % LOOKED == LOOKED - 1:
+                    yield
+                for target, _ in self.whither(session, site):
+                    self._want(session.row, target)
+        for site in sorted(self._out - out):
+            back = dict(watch.left.get(site, Group()).busiest(most)) | {
+                session: track
+                for session, track in watch.tracks.latest(most)
+                if self.belongs(session) == site
+            }
+            for n, (session, track) in enumerate(back.items()):
+                if n % LOOKED == LOOKED - 1:
+                    yield
+                if track.site != site:
+                    self._want(session.row, site)
+
+    def _everything(self, now_ms: float, view: View, out: frozenset[str]) -> Slices[None]:
+        if not self._turn:
+            self._turn = list(self.watch.tracks)
+        sites = [site for site in self.watch.here if site not in out]
+        for n in range(min(len(self._turn), 4 * self.bounds.most)):
+            if n % LOOKED == LOOKED - 1:
+                yield
+            session = self._turn.pop()
+            track = self.watch.tracks.get(session)
+            for site in sites if track is not None else ():
+                key = (session.row, site)
+                late = now_ms - self._asked.get(key, -self.idle_ms) >= RENEW_PART * self.idle_ms
+                if site != track.site and late:
+                    self._want(*key)
+
+    def _oracle(self, now_ms: float, view: View) -> None:
+        while self._told:
+            at_ms, row, site = self._told[0]
+            facts = view.facts(row)
+            load_ms = facts.load_ms if facts else 1_000.0
+            if at_ms - 1.5 * load_ms - LEAD_MS > now_ms + self.bounds.beat_ms:
+                return
+            heapq.heappop(self._told)
+            if at_ms + LEAD_MS >= now_ms:
+                self._want(row, site)
+
+    def _order(self, now_ms: float, view: View) -> Slices[list[m.Order]]:
+        share = parts(view, self.fleet_size)
+        left = min(self._fleet.left(now_ms) / share, self._pace.left(now_ms))
+        free = self.bounds.mode == "oracle"
+        ration, found = view.ration, []
+        for n, key in enumerate(list(self._queue)):
+            if n % TRIED == TRIED - 1:
+                yield
+            if n >= self.bounds.most or ration < 1.0:
+                break
+            row, site = key
+            if not view.heard or orderer(row, site, view.heard) != view.me or view.facts(row) is None:
+                del self._queue[key]
+                continue
+            fetch = view.standing(row, site) == 0
+            if fetch and left < 1.0 and not free:
+                continue
+            scorer = next((one for one in view.order(row, site) if view.cold_room(one) >= 1.0), None)
+            if scorer is None:
+                continue
+            del self._queue[key]
+            self._asked.pop(key, None)
+            self._asked[key] = now_ms
+            if len(self._asked) > 5 * QUEUE_MOST:
+                del self._asked[next(iter(self._asked))]
+            ration -= 1.0
+            if fetch and not free:
+                left -= 1.0
+                self._fleet.tokens -= share
+                self._pace.tokens -= 1.0
+            found.append(m.Order(Stage(row, site, 1, self.idle_ms, self.bounds.mode), (scorer,)))
+        return found
--- a/fawnwharf/sessions/staging.py
+++ b/fawnwharf/sessions/staging.py
@@ -1,14 +1,13 @@
 """Foresight in a running front end: what it hears in, its word to others, orders and moves out.
 
 Free of I/O and clock. A host hands in each batch of events (`events`), others' words (`heard`), plans
-(`announced`), and calls `beat` until it says to wait: a look at all sessions is done in slices, so that none
-holds up the serving loop. Times are milliseconds of the monotonic clock.
+(`announced`), and calls `beat` again after as long as that says: a look at all sessions is done in slices, so
+that none holds up the serving loop. Times are milliseconds of the monotonic clock.
 
 Logs of state are a star: keepers hear all, and all hear the keepers. So keepers alone foresee and order; a
 front end that is none only tells what it counted.
 """
 
-from collections import OrderedDict
 from collections.abc import Iterable, Sequence
 
 from msgspec import Struct
@@ -19,14 +18,27 @@
 from fawnwharf.foresight.known import Copies, Functions, Scorers, Told
 from fawnwharf.foresight.planner import View
 from fawnwharf.foresight.predictors import Belongs, Parts, Place, Whither, _homeless, _unplaced
+from fawnwharf.foresight.seen import OWNERS_MOST
 from fawnwharf.foresight.settings import Foresight as Bounds
 from fawnwharf.foresight.settings import Prices
+from fawnwharf.foresight.slices import Slices
+from fawnwharf.foresight.ways import Foretold, Ways
 from fawnwharf.replication.placement import weight
 from fawnwharf.sites import LetGo, Move, Session, Stage
+from fawnwharf.zones.evidence import Observer
+from fawnwharf.zones.evidence import View as Sight
+from fawnwharf.zones.evidence import view as sight
+from fawnwharf.zones.plan import LEAVING, OUT, RETURNING, Plan
+from fawnwharf.zones.settings import Evidence, Ramp
 
 OPEN_MOST = 50_000  # calls whose answers are awaited
-TELLS_MOST = 200  # functions of one word
+COUNTS, FUNCTIONS, PARTS = 250, 50, 16  # of one word; words of one look
+SLICE_MS = 4.0  # from slice to slice: the wheel's tick
 ORDER_LAG_MS = 200.0  # by then the module has counted what was wanted of it
+LOADS = 3.0  # a stage that did not stand after so many loads, and a second, has failed
+WAITING_LEAST, WAITING_PART, REFUSED_PART = 3.0, 0.1, 0.02  # in calm; of a second's calls, of calls
+GAIN, GAIN_SURGE = 0.05, 0.01  # of a look in what is usual: what lasts becomes usual in the end
+OTHERS_PART = 1 / 3  # of those that told lately: if so many are in a surge, all hold back
 
 
 class Seen(Struct):
@@ -34,9 +46,10 @@
 
     heard: Sequence[str] = ()  # keepers that are heard, this one among them if it is one
     waiting: int = 0  # calls that wait in the module
-    refused: int = 0  # calls that were refused so far, a count that only grows
-    ordered: int | None = None  # orders within the window of the ration, as the module has them
-    disturbed: frozenset[str] = frozenset()  # sites that are lost, or power up, as far as the host knows
+    refused: int = 0  # calls that were refused so far: a count that only grows
+    ordered: int | None = None  # orders within the ration's window as the module has them; None: not known
+    disturbed: frozenset[str] = frozenset()  # sites that are lost, or power up
+    out: frozenset[str] = frozenset()  # sites that take no calls: drained, or lost, by the plan
 
 
 class Word(Struct, frozen=True):
@@ -50,12 +63,29 @@
 class Beat(Struct):
     """What is to be done now, and in how many milliseconds `beat` is to be called again."""
 
-    words: list[Word] = []  # to keepers; of a keeper to all
+    words: list[Word] = []  # of a keeper to all, of others to the keepers
     wanted: list[io.CopiesWanted] = []  # events for the module
     stages: list[Stage] = []  # the same by function and site
     let_gos: list[LetGo] = []  # staged, and not needed: nothing renews it any more
-    moves: list[Move] = []  # expected, as of the last whole look
-    again_ms: float = 0.0
+    moves: list[Move] | None = None  # that are expected; None: no look has ended since the last beat
+    again_ms: float = SLICE_MS
+
+
+def announced_from(plan: Plan, ramp: Ramp) -> list[m.Announced]:
+    """What a plan in force says of what is to come: the steps of sites that return, those that are drained,
+    and those that no session goes to by itself."""
+    found = []
+    for site, zone in sorted(plan.zones.items()):
+        kind, steps = "return", ()
+        if zone.state == LEAVING:
+            kind, steps = "drain", (m.Step(0.0, 0.0),)
+        elif zone.state == OUT:
+            kind = "standby"
+        elif zone.state == RETURNING:
+            shares = [zone.share, *(share for share in ramp.shares if share > zone.share), 1.0]
+            steps = tuple(m.Step(n * ramp.step_ms, share) for n, share in enumerate(shares))
+        found.append(m.Announced(site, plan.number, kind, steps))
+    return found
 
 
 class Staging:
@@ -76,14 +106,26 @@
         self.scorers = Scorers(site)
         self.functions = Functions(bounds.sessions)
         self.copies = Copies(self.scorers, self.functions, site.idle_life_ms)
-        self.core = Foresight(bounds, site, prices, me, whither or self._whither, place, belongs)
-        self.dropped: dict[str, int] = {}
-        self._open: OrderedDict[str, Session] = OrderedDict()
+        self.core = Foresight(
+            bounds, self.scorers.settings, prices, me, whither or self._whither, place, belongs
+        )
+        self.ways = Ways(bounds, site, self.core.watch, whither or self._whither, belongs)
+        self.calm = True
+        self.counts: dict[str, int] = {}
+        promise_ms = min((spec.promise_ms for spec in site.classes.values()), default=1_000.0)
+        self._evidence = Evidence()
+        self._observer = Observer(self._evidence, promise_ms)
+        self._open: dict[str, Session] = {}
         self._wanted: list[tuple[float, int]] = []  # when, how many
-        self._look_ms = float("-inf")
-        self._calm = True
-        self._refused = 0
-        self._usual = 0.0  # calls that wait, in calm
+        self._pending: dict[tuple[str, str], tuple[float, set[int]]] = {}  # ordered, not yet answered
+        self._calm_of: dict[str, tuple[float, bool]] = {}
+        self._look_ms, self._slices = float("-inf"), None
+        self._parts = 0  # words that this look may still say
+        self._seen = Seen()
+        self._refused, self._arrived, self._usual = 0, 0, 0.0  # as of the last look; `usual`: that wait
+
+    def _count(self, what: str) -> None:
+        self.counts[what] = self.counts.get(what, 0) + 1
 
     # --- what happens ---------------------------------------------------------------------------
 
@@ -92,12 +134,7 @@
         for event in events:
             kind = type(event)
             if kind is io.RequestArrived:
-                self.scorers.arrived(now_ms)
-                self.functions.arrived(now_ms, event)
-                if len(self._open) >= OPEN_MOST:
-                    self._open.popitem(last=False)
-                if event.tenant and event.function:
-                    self._open[event.request] = Session(event.tenant, event.function)
+                self._came(now_ms, event)
             elif kind is io.AttemptEnded:
                 self._ended(now_ms, event)
             elif kind is io.OrderAnswered:
@@ -106,39 +143,65 @@
                 self._open.pop(event.request, None)
             elif kind is io.RosterChanged:
                 self.scorers.roster(now_ms, now_ms - unix_ms, event)
+            elif kind is io.ClassChanged:
+                self.scorers.settings.classes[event.spec.name] = event.spec
             elif kind is io.Elsewhere:
                 for row, copies in event.copies.items():
                     self.copies.seen(now_ms - event.age_ms, row, event.worker, copies)
 
+    def _came(self, now_ms: float, event: io.RequestArrived) -> None:
+        self._arrived += 1
+        self.scorers.arrived(now_ms)
+        if not event.tenant or not event.function:
+            return
+        self.functions.arrived(now_ms, event)
+        # Calls that the module refuses end without an event; those asked for longest go.
+        if len(self._open) >= OPEN_MOST:
+            for request in list(self._open)[: OPEN_MOST // 8]:
+                del self._open[request]
+        self._open[event.request] = Session(event.tenant, event.function)
+
     def _ended(self, now_ms: float, event: io.AttemptEnded) -> None:
+        site = self.scorers.zone(event.worker)
+        self._observer.ended(now_ms, site, event.worker, event.ending, event.took_ms)
+        if event.ending in (io.Ending.CONNECT_FAILED, io.Ending.RESET, io.Ending.TIMEOUT):
+            self.scorers.rest(now_ms, event.worker)
+        self.scorers.gave(now_ms, event.worker)
         session = self._open.get(event.request)
         if session is None:
             return
         if event.closed:
             del self._open[event.request]
-        if event.ending in (io.Ending.CONNECT_FAILED, io.Ending.RESET, io.Ending.TIMEOUT):
-            self.scorers.rest(now_ms, event.worker)
-        self.scorers.gave(now_ms, event.worker)
-        if event.ending not in (io.Ending.GOOD, io.Ending.ERROR):
+        if event.ending not in (io.Ending.GOOD, io.Ending.ERROR) or not site:
             return
-        site = self.scorers.zone(event.worker)
-        if site:
-            self.called(now_ms, session, site)
+        self.called(now_ms, session, site)
         if event.ending is io.Ending.GOOD:
-            self.copies.seen(now_ms, session.row, event.worker, 1)
+            self.copies.used(now_ms, session.row, site, event.worker)
             if event.warmth in (io.Warmth.UNTOLD, io.Warmth.FOUND):
                 self.functions.ran(session.row, event.took_ms)
-            elif event.warmth is io.Warmth.BEGAN_LOAD:
-                facts = self.functions.facts(session.row)
-                run_ms = facts.run_ms if facts else 0.0
-                self.functions.loaded(session.row, max(1.0, event.took_ms - run_ms))
+            elif event.warmth is io.Warmth.BEGAN_LOAD and (facts := self.functions.facts(session.row)):
+                self.functions.loaded(session.row, max(1.0, event.took_ms - facts.run_ms))
 
     def _answered(self, now_ms: float, event: io.OrderAnswered) -> None:
         self.scorers.ordered.append(now_ms)
+        key = (event.function, self.scorers.zone(event.worker))
+        pending = self._pending.get(key)
+        asked = pending is not None and event.worker in pending[1]
         if event.ending is io.Ending.GOOD:
             self.copies.seen(now_ms, event.function, event.worker, event.copies)
+            if asked and event.copies:
+                pending[1].discard(event.worker)
+                if not pending[1]:
+                    del self._pending[key]
         elif event.ending not in (io.Ending.CANCELLED, io.Ending.NOT_SENT):
             self.scorers.rest(now_ms, event.worker)
+            if asked:
+                self._failed(now_ms, key)
+
+    def _failed(self, now_ms: float, key: tuple[str, str]) -> None:
+        del self._pending[key]
+        if self.core.planner.failed(now_ms, *key):
+            self._count("a stage that failed")
 
     def called(self, now_ms: float, session: Session, site: str) -> None:
         """A call ran somewhere; `events` tells it by itself."""
@@ -149,74 +212,132 @@
         self.core.heard(now_ms, owner, word.counts)
         for told in word.functions:
             self.functions.heard(told)
+        for count in word.counts.counts:
+            self.copies.used(now_ms, count.session.row, count.site)
+        if owner in self._calm_of or len(self._calm_of) < OWNERS_MOST:
+            self._calm_of[owner] = now_ms, word.calm
 
     def gone(self, owner: str) -> None:
         """That life is over."""
         self.core.watch.gone(owner)
+        self._calm_of.pop(owner, None)
 
     def announced(self, now_ms: float, plan: m.Announced) -> bool:
         """What is to become of a site. False: an older one than is known."""
         return self.core.announced(now_ms, plan)
 
+    def foretold(self, now_ms: float, unix_ms: float, moves: list[Foretold]) -> None:
+        """For trials: what the mode `oracle` goes by (`ways.foretold_from`)."""
+        self.ways.foretold(now_ms, unix_ms, moves)
+
     # --- looks ----------------------------------------------------------------------------------
 
     def beat(self, now_ms: float, seen: Seen) -> Beat:
-        """Does the next slice; to be called again after `again_ms`."""
-        found = Beat()
-        due = self._look_ms + self.bounds.beat_ms
-        if now_ms < due:
-            found.again_ms = due - now_ms
-            return found
-        self._look_ms = now_ms
+        """Does the next slice."""
+        found, self._seen = Beat(), seen
         self.scorers.at(now_ms)
-        self._weather(seen)
-        found.words.append(Word(self.core.word(), self.functions.tells(now_ms, TELLS_MOST), self._calm))
-        for order in self.core.step(now_ms, self._view(now_ms, seen)):
-            if isinstance(order, LetGo):
-                found.let_gos.append(order)
-            else:
-                found.stages.append(order.stage)
-                found.wanted += self._want(now_ms, order)
-        found.moves = self.core.moves
-        found.again_ms = self.bounds.beat_ms
+        if self._slices is None:
+            if (left_ms := self._look_ms + self.bounds.beat_ms - now_ms) > 0:
+                found.again_ms = left_ms
+                return found
+            self._begin(now_ms)
+        elif self._parts > 0 and self._say(now_ms, found):
+            self._parts -= 1
+        else:
+            try:
+                next(self._slices)
+            except StopIteration as end:
+                self._slices = None
+                self._end(now_ms, end.value, found)
         return found
 
-    def _weather(self, seen: Seen) -> None:
+    def _begin(self, now_ms: float) -> None:
+        self._look_ms, self._parts = now_ms, PARTS
+        self._weather(now_ms)
+        self.core.watch.number += 1
+        for key, (at_ms, _) in list(self._pending.items()):
+            facts = self.functions.facts(key[0])
+            if now_ms - at_ms > 1_000.0 + LOADS * (facts.load_ms if facts else 0.0):
+                self._failed(now_ms, key)
+        self._slices = self._look(now_ms)
+
+    def _say(self, now_ms: float, found: Beat) -> bool:
+        watch, functions = self.core.watch, self.functions.tells(now_ms, FUNCTIONS)
+        if not watch.untold and not functions and self._parts < PARTS:
+            return False
+        found.words.append(Word(watch.part(COUNTS), functions, self.calm))
+        return True
+
+    def _look(self, now_ms: float) -> Slices[list[m.Order | LetGo]]:
+        while self.copies.sweep(now_ms):
+            yield
+        mode = self.bounds.mode
+        if self.me not in self._seen.heard or mode == "none":
+            yield from self.core.watch.look(now_ms)
+            return []
+        if mode == "foresight":
+            return (yield from self.core.look(now_ms, lambda: self._view(now_ms)))
+        yield from self.core.watch.look(now_ms)
+        return (yield from self.ways.look(now_ms, self._view(now_ms), self._out(now_ms)))
+
+    def _end(self, now_ms: float, orders: list[m.Order | LetGo], found: Beat) -> None:
+        found.moves = list(self.core.moves)
+        found.again_ms = max(SLICE_MS, self._look_ms + self.bounds.beat_ms - now_ms)
+        for order in orders:
+            if isinstance(order, LetGo):
+                found.let_gos.append(order)
+                continue
+            stage, facts = order.stage, self.functions.facts(order.stage.row)
+            if facts is None:
+                continue
+            found.stages.append(stage)
+            self._wanted.append((now_ms, len(order.scorers)))
+            self._pending[stage.row, stage.site] = now_ms, {int(name) for name in order.scorers}
+            for name in order.scorers:
+                self.scorers.gave(now_ms, int(name))
+                found.wanted.append(
+                    io.CopiesWanted(int(name), stage.row, facts.class_name, 1, facts.lanes, facts.load_ms)
+                )
+
+    def _weather(self, now_ms: float) -> None:
+        """Calm, or a surge: more calls wait or are refused than is usual, here or at many others."""
+        seen = self._seen
         refused, self._refused = seen.refused - self._refused, seen.refused
-        self._calm = seen.waiting <= max(3.0, 2.0 * self._usual) and refused <= 1
-        if self._calm:
-            self._usual += 0.05 * (seen.waiting - self._usual)
-
-    def _want(self, now_ms: float, order: m.Order) -> list[io.CopiesWanted]:
-        facts = self.functions.facts(order.stage.row)
-        self._wanted.append((now_ms, len(order.scorers)))
-        found = []
-        for name in order.scorers:
-            self.scorers.gave(now_ms, int(name))
-            found.append(
-                io.CopiesWanted(int(name), order.stage.row, facts.class_name, 1, facts.lanes, facts.load_ms)
-            )
-        return found
-
-    def _view(self, now_ms: float, seen: Seen) -> View:
-        scorers, unit_mb = self.scorers, self.bounds.unit_mb
+        arrived, self._arrived = self._arrived, 0
+        least = max(WAITING_LEAST, WAITING_PART * self.scorers.rate_ps())
+        self.calm = seen.waiting <= least + 2.0 * self._usual and refused <= max(1.0, REFUSED_PART * arrived)
+        self._usual += (GAIN if self.calm else GAIN_SURGE) * (seen.waiting - self._usual)
+
+    def _all_calm(self, now_ms: float) -> bool:
+        recent = [calm for at_ms, calm in self._calm_of.values() if now_ms - at_ms < 3 * self.bounds.beat_ms]
+        return self.calm and recent.count(False) < max(1.0, OTHERS_PART * (len(recent) + 1))
+
+    def _out(self, now_ms: float) -> frozenset[str]:
+        """Sites that take no calls, by the host or by what was seen here."""
+        seen = self._observer.seen(now_ms).items()
+        dead = {site for site, signs in seen if sight(signs, self._evidence) is Sight.DEAD}
+        return self._seen.out | dead
+
+    def _view(self, now_ms: float) -> View:
+        seen, scorers, unit_mb = self._seen, self.scorers, self.bounds.unit_mb
         self._wanted = [one for one in self._wanted if now_ms - one[0] < ORDER_LAG_MS]
         left, most = scorers.ration(seen.ordered, sum(count for _, count in self._wanted))
         return View(
             me=self.me,
             heard=tuple(seen.heard),
-            calm=self._calm,
-            disturbed=seen.disturbed,
+            calm=self._all_calm(now_ms),
+            disturbed=seen.disturbed | self._out(now_ms),
             ration=left,
             ration_most=most,
             waiting=seen.waiting,
             facts=self.functions.facts,
             order=lambda row, site: [str(worker) for worker in scorers.order(row, site)],
             cold_room=lambda name: scorers.cold_room(int(name)),
+            # Rosters tell sizes, not memory: `unit_mb` is a guess, and so are functions that told none.
             spare_mb=lambda site: unit_mb * scorers.units(site) - self.copies.held_mb(site),
             standing=lambda row, site: self.copies.standing(now_ms, row, site),
             memory_mb=unit_mb * max(1.0, scorers.units()),
-            mean_ps=scorers.rate_ps() * max(1, len(seen.heard)),
+            mean_ps=scorers.rate_ps() * max(1, scorers.settings.fleet_size),
         )
 
     def _whither(self, session: Session, site: str) -> Parts:
