--- a/fawnwharf/config.py
+++ b/fawnwharf/config.py
@@ -66,6 +66,7 @@
     load_wait: Span = 10_000.0
     not_loaded: str = "miss"
     notes_peers_in_hand: bool = False
+    idle_memory_cost: Span = 0.0
 
 
 class _Rules(Struct):
@@ -77,6 +78,9 @@
 
 class _Costs(Struct):
     handshake: Span = 0.0
+    origin: Span = 0.0
+    waste: Span = 0.0
+    probe: Span = 0.0
 
 
 class _Settings(Struct):
@@ -130,6 +134,15 @@
     tenants: frozenset[str] = frozenset()  # empty: a site without tenants
 
 
+class Costs(Struct, frozen=True):
+    """What a fetch, work that served nothing, an order and memory cost, as parts of the result."""
+
+    origin: float = 0.0
+    waste: float = 0.0
+    probe: float = 0.0
+    memory: float = 0.0
+
+
 class Deployment(Struct, frozen=True):
     """The whole configuration of one front end."""
 
@@ -144,6 +157,7 @@
     settings: io.Settings
     wire: Wire
     control: Address | None = None  # for operators alone; None: there is no such address
+    costs: Costs = Costs()
 
 
 class Member(Struct, frozen=True):
@@ -240,6 +254,11 @@
     )
 
 
+def _costs(read: _Settings) -> Costs:
+    costs = read.costs
+    return Costs(costs.origin, costs.waste, costs.probe, read.family_info.idle_memory_cost)
+
+
 def address_from(text: str, key: str) -> Address:
     """A numeric address and port; names are not looked up, as there is no DNS."""
     host, _, port = text.rpartition(":")
@@ -276,6 +295,7 @@
         settings=_settings(read.settings),
         wire=_wire(read.settings),
         control=address_from(control, "control") if control else None,
+        costs=_costs(read.settings),
     )
 
 
--- a/fawnwharf/handover/many.py
+++ b/fawnwharf/handover/many.py
@@ -5,7 +5,7 @@
 was taken goes along as counts by who counted (`router.spent`), so that no call is taken twice.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from msgspec import Struct
@@ -95,9 +95,11 @@
         settings: DrainSettings,
         dwell: Dwell,
         haste: bool = False,
+        prefers: Callable[[Session], str] = lambda _session: "",
     ) -> None:
         """`sessions`, each with its home's number; `room`: sessions that other sites can take. `haste`: the
-        site is dead."""
+        site is dead. `prefers`: where a session goes first, if there is room."""
+        self.prefers = prefers
         self.site, self.settings, self.dwell, self.haste = site, settings, dwell, haste
         self.until_ms = now_ms + within_ms
         self.room = dict(room)
@@ -154,9 +156,12 @@
         return found
 
     def _where(self, going: _Going) -> str:
-        """The site with the most room, but where it is, and what it came from last if there is another."""
+        """Where it prefers to be, else the site with the most room; but where it is, and what was tried
+        last if there is another."""
         able = [site for site, room in self.room.items() if room > 0 and site not in (self.site, going.at)]
         fresh = [site for site in able if site != going.whither] or able
+        if (wish := self.prefers(going.live.session)) in fresh:
+            return wish
         return max(sorted(fresh), key=lambda site: self.room[site], default="")
 
     def _leave(self, going: _Going, why: str) -> Leave:
--- a/fawnwharf/sessions/agent.py
+++ b/fawnwharf/sessions/agent.py
@@ -15,19 +15,17 @@
 
 from fawnwharf.handover import messages as m
 from fawnwharf.handover.homes import Keeper, key_of, mover_of
-from fawnwharf.handover.many import Live
 from fawnwharf.handover.mover import Mover
 from fawnwharf.handover.router import Router
 from fawnwharf.interface import ClassSpec
 from fawnwharf.sessions.asking import Asking
 from fawnwharf.sessions.effects import Copies, Dropped, Key, Note, Out, Words
-from fawnwharf.sessions.known import Known, copies
-from fawnwharf.sessions.moves import Moves, View
+from fawnwharf.sessions.known import Firsts, Known, copies
+from fawnwharf.sessions.moves import Moves, View, target
 from fawnwharf.sessions.settings import Settings
 from fawnwharf.sites import Home, LetGo, Move, Session, Stage
 
 STAGES_MOST = 4_096
-FIRSTS_MOST = 20_000
 BUSY_MS, CALM_MS = 50.0, 250.0  # pace of looks
 
 
@@ -65,7 +63,7 @@
         self.moves = Moves(settings.drain)
         if name in self.keepers:
             self._keep(now_ms, fresh)
-        self.known = Known(self.rules.sessions)
+        self.known, self.firsts = Known(self.rules.sessions), Firsts()
         self.alive: dict[str, int] = {}  # members that are heard, and the life of each, counted here
         self.room: dict[str, int] = {}  # sessions that sites can take
         self.spent: Callable[[str], int] = lambda _org: 0  # of a tenant's quota, counted here
@@ -76,8 +74,7 @@
         self._closed: dict[str, str] = {}
         self._pleased: dict[Session, str] = {}  # who wished for what is in hand here
         self._stages: dict[Key, _Stage] = {}
-        self._firsts: dict[Session, int] = {}  # sessions that moved: their first call here is yet to come
-        self._first_calls: dict[str, Session] = {}
+        self._gone: set[str] = set()  # calls that were closed at the last look
         self._out: list[Out] = []
 
     def _keep(self, now_ms: float, fresh: bool) -> None:
@@ -112,14 +109,12 @@
             else:
                 self._carry(now_ms, [effect], urgent)
         self.router.sent(call)
-        if self._firsts and self._firsts.pop(session, None) is not None:
-            self._first_calls[call] = session
+        self.firsts.begun(call, session)
         return home
 
     def ended(self, now_ms: float, call: str, found: bool | None = None) -> None:
         """A call has its final answer, or is withdrawn. `found`: its copy stood; None: it told nothing."""
-        if self._first_calls and self._first_calls.pop(call, None) is not None and found is not None:
-            self.counts["first calls after a move, copy found" if found else "first calls, cold"] += 1
+        self.firsts.ended(call, found)
         self._carry(now_ms, self.router.ended(now_ms, call))
 
     # --- others' words ----------------------------------------------------------------------------
@@ -160,7 +155,7 @@
         if self.mover is not None:
             found += self.mover.receive(now_ms, sender, word)
         if isinstance(word, m.Told):
-            self._met(word)
+            self.firsts.met(word, self.router.home(word.home.session))
         found += [out for out in self.router.receive(now_ms, sender, word) if not isinstance(out, Stage)]
         if self.keeper is not None:
             found += self.keeper.receive(now_ms, sender, word)
@@ -170,14 +165,6 @@
             self._out.append(Dropped((word.session, word.turn)))
         return found
 
-    def _met(self, told: m.Told) -> None:
-        """A home that is new here: the session's next call is its first after the move."""
-        home = self.router.home(told.home.session)
-        if told.step is m.Step.SWITCHED and home is not None and told.home.number > home.number:
-            self._firsts[told.home.session] = told.home.number
-            while len(self._firsts) > FIRSTS_MOST:
-                del self._firsts[next(iter(self._firsts))]
-
     def _context(self, now_ms: float, session: Session) -> m.Context:
         facts = self.known.facts(now_ms, session)
         spent = self.spent(session.org)
@@ -260,10 +247,16 @@
             return Home(session, record.site, record.number)
         return seen
 
-    def close(self, now_ms: float, closed: dict[str, str]) -> None:
-        """Sites that are to be empty, and why: by a plan, or by operators' words."""
+    def close(self, now_ms: float, closed: dict[str, str], shares: dict[str, float] | None = None) -> None:
+        """Sites that are to be empty, and why: by a plan, or by operators' words; and the parts of those
+        that return."""
         self._closed = dict(closed)
-        self.moves.close(now_ms, closed)
+        self.moves.close(now_ms, closed, shares or {})
+
+    def target(self, session: Session, site: str) -> str:
+        """Where a session goes whose site is closed."""
+        room = {name: room for name, room in self.room.items() if name not in self._closed and name != site}
+        return target(session, room)
 
     def expected(self, now_ms: float, moves: Iterable[Move]) -> None:
         self.moves.expected(now_ms, moves)
@@ -274,22 +267,14 @@
         best = self.known.best(now_ms, move.session)
         return self.mover.begin(now_ms, move, number, copies(best), haste)
 
-    def _live(self, now_ms: float, session: Session) -> Live:
-        """Worth by its class and its calls; what has been still for long is likely to be over."""
-        told = self.known.told.get(session)
-        facts = told.facts if told else None
-        spec = self.classes.get(facts.kind) if facts else None
-        worth = (spec.worth if spec else 1.0) * min(1.0, 0.1 + (facts.rate if facts else 0.0))
-        used = told.at_ms if told else self.keeper.records[session][1]
-        left = 1.25 * self.rules.still_ms - (now_ms - used)
-        return Live(session, worth, self.settings.drain.cost, left)
-
     def _view(self, now_ms: float) -> View:
         fronts = {self.name, *self.alive}
         return View(
             records=self.keeper.records,
             mine=lambda session: self.mover_for(session) == self.name,
-            live=lambda session: self._live(now_ms, session),
+            live=lambda session: self.known.live(
+                now_ms, session, self.keeper.records[session][1], self.classes, self.settings
+            ),
             room=self.room,
             alive=frozenset(self.sites[name] for name in fronts if name in self.sites),
             busy=lambda session: session in self.mover.hands,
@@ -366,8 +351,13 @@
         """A look at all that is due. `alive`: members that are heard, with their lives as told;
         `open_calls` says whether a call is still open here."""
         self.alive = {name: self._life(name, life) for name, life in alive.items() if name in self.sites}
-        for call in [call for call in self.router.calls if not open_calls(call)]:
+        # One whose attempt has just ended is closed already, and the module is yet to be told: at the second
+        # look it was refused, failed or overdue.
+        gone = {call for call in self.router.calls if not open_calls(call)}
+        for call in gone & self._gone:
+            self.counts["calls without an answer"] += 1
             self.ended(now_ms, call)
+        self._gone = gone
         self._carry(now_ms, self.router.tick(now_ms))
         self.known.forget(now_ms, 2 * self.rules.still_ms)
         self._carry(now_ms, self.asking.due(now_ms, self.mover_for))
@@ -406,4 +396,5 @@
         found = self.counts.copy()
         for counts in cores:
             found.update(counts)
-        return dict(found)
+        firsts = {"first calls after a move, copy found": self.firsts.found}
+        return dict(found) | firsts | {"first calls after a move, cold": self.firsts.cold}
--- a/fawnwharf/sessions/commands.py
+++ b/fawnwharf/sessions/commands.py
@@ -97,6 +97,8 @@
             typer.echo(f"{'':16} {cause}: {count}")
         for cause, count in sorted(found.ended.items()):
             typer.echo(f"{'':16} ended, {cause}: {count}")
+        for cause, count in sorted(found.foreseen.items()):
+            typer.echo(f"{'':16} foresight, {cause}: {count}")
     if silent:
         raise typer.Exit(1)
 
--- /dev/null
+++ b/fawnwharf/sessions/foreseen.py
@@ -0,0 +1,137 @@
+"""Foresight in a running front end: its looks, its words on the logs of state, its orders and moves.
+
+What it lets go is left to lapse: to unload it would take copies of whoever uses them by now."""
+
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from fawnwharf import interface as io
+from fawnwharf.config import Deployment
+from fawnwharf.foresight.settings import Prices, foresight_from
+from fawnwharf.foresight.ways import foretold_from
+from fawnwharf.net.front_end import FrontEnd
+from fawnwharf.net.wheel import Timer, monotonic_ms, unix_ms
+from fawnwharf.replication.service import State
+from fawnwharf.sessions.agent import Agent
+from fawnwharf.sessions.moves import place_of
+from fawnwharf.sessions.staging import Beat, Seen, Staging, Word, announced_from
+from fawnwharf.sites import Session
+from fawnwharf.zones.files import load
+from fawnwharf.zones.plan import LEAVING, OUT
+
+RIDER = "foresight"
+SEE_MS = 50.0  # pace of looks at what the module holds
+
+
+class Foreseen:
+    """Owns a front end's `Staging`, and tells it what it sees."""
+
+    def __init__(
+        self, deployment: Deployment, path: Path, state: State, agent: Agent, zones: Any | None
+    ) -> None:
+        """Reads its part of the file; raises ConfigError with one line."""
+        self.state, self.agent, self.zones = state, agent, zones
+        bounds = load(path, foresight_from, "sessions")
+        costs = deployment.costs
+        self.staging = Staging(
+            agent.name,
+            bounds,
+            deployment.settings,
+            Prices(costs.origin, costs.waste, costs.probe, costs.memory),
+            whither=self._whither,
+            place=place_of,
+            belongs=lambda session: agent.moves.away.get(session, ""),
+        )
+        if bounds.told:
+            moves = load(path.parent / bounds.told, foretold_from, "sessions")
+            self.staging.foretold(monotonic_ms(), unix_ms(), moves)
+        self.bad = self.ordered = 0
+        self._owners: dict[str, str] = {}  # the life that is heard of each member
+        self._plan: Any = None
+        self._seen, self._seen_ms = Seen(), float("-inf")
+        self._timer: Timer | None = None
+        self._stopped = False
+        self.front: FrontEnd | None = None
+
+    def _whither(self, session: Session, site: str) -> tuple[tuple[str, float], ...]:
+        found = self.agent.target(session, site)
+        return ((found, 1.0),) if found else ()
+
+    def attach(self, front: FrontEnd) -> None:
+        self.front = front
+        self.state.riders[RIDER] = self._heard
+        self._beat()
+
+    def close(self) -> None:
+        self._stopped = True
+        self.state.riders.pop(RIDER, None)
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def events(self, now_ms: float, events: list[io.Event]) -> None:
+        self.staging.events(now_ms, unix_ms(), events)
+
+    def _heard(self, now_ms: float, sender: str, life: int, data: Any) -> None:
+        try:
+            word = msgspec.convert(data, Word)
+        except msgspec.ValidationError:
+            self.bad += 1
+            return
+        owner = f"{sender}#{life}"
+        if (before := self._owners.get(sender)) != owner:
+            if before is not None:
+                self.staging.gone(before)
+            self._owners[sender] = owner
+        self.staging.heard(now_ms, owner, word)
+
+    # --- looks ----------------------------------------------------------------------------------
+
+    def _beat(self) -> None:
+        if self._stopped:
+            return
+        now = monotonic_ms()
+        if now - self._seen_ms >= SEE_MS:
+            self._seen, self._seen_ms = self._look(now), now
+        beat = self.staging.beat(now, self._seen)
+        self._carry_out(now, beat)
+        self._timer = self.front.loop.wheel.after(beat.again_ms, self._beat)
+
+    def _look(self, now_ms: float) -> Seen:
+        agent, module = self.agent, self.front.router
+        plan = self.zones.core.plan if self.zones is not None else None
+        if plan is not None and plan is not self._plan:
+            self._plan = plan
+            for announced in announced_from(plan, self.zones.settings.ramp):
+                self.staging.announced(now_ms, announced)
+        states = {name: zone.state for name, zone in plan.zones.items()} if plan else {}
+        out_by_plan = {name for name, state in states.items() if state in (LEAVING, OUT)}
+        sent = {attempt.request for attempt in module.attempts.values()}
+        return Seen(
+            heard=tuple(n for n in agent.keepers if n in agent.alive or n == agent.name),
+            waiting=sum(request not in sent for request in module.requests),
+            refused=agent.counts["calls without an answer"],
+            ordered=len(module.ordered),
+            disturbed=frozenset(name for name, state in states.items() if state == OUT),
+            out=frozenset(out_by_plan | agent.moves.closed.keys()),
+        )
+
+    def _carry_out(self, now_ms: float, beat: Beat) -> None:
+        for word in beat.words:
+            self.state.ride(RIDER, (), word)
+        self.ordered += len(beat.wanted)
+        for wanted in beat.wanted:
+            self.front.loop.tell(wanted)
+        if beat.moves:
+            self.agent.expected(now_ms, beat.moves)
+
+    def counts(self) -> dict[str, int]:
+        planner = self.staging.core.planner
+        return {
+            **self.staging.counts,
+            "copies wanted": self.ordered,
+            "stages used": planner.used,
+            "stages in vain": planner.wasted,
+            "bad lines": self.bad,
+        }
--- a/fawnwharf/sessions/known.py
+++ b/fawnwharf/sessions/known.py
@@ -5,11 +5,16 @@
 from dataclasses import dataclass
 
 from fawnwharf.handover import messages as m
-from fawnwharf.sites import Session
+from fawnwharf.handover.many import Live
+from fawnwharf.interface import ClassSpec
+from fawnwharf.sessions.settings import Settings
+from fawnwharf.sites import Home, Session
 
 FADE_MS = 10_000.0  # over which calls are counted
 GAIN = 0.3  # weight of one run, or load, in a function's usual one
 ROWS_MOST = 20_000
+FIRSTS_MOST = 20_000
+TOLD_PART = 1.25  # of the time after which it is over: front ends tell of a session each quarter of that
 COPIES_MOST = 4  # that are staged for one session
 
 
@@ -83,6 +88,18 @@
         told = self.told.get(session)
         return told.facts if told and told.facts else self.facts(now_ms, session)
 
+    def live(
+        self, now_ms: float, session: Session, used_ms: float, classes: dict[str, ClassSpec], rules: Settings
+    ) -> Live:
+        """Worth by its class and its calls; what has been still for long is likely to be over. `used_ms`:
+        when its keeper last heard of it."""
+        told = self.told.get(session)
+        facts = told.facts if told else None
+        spec = classes.get(facts.kind) if facts else None
+        worth = (spec.worth if spec else 1.0) * min(1.0, 0.1 + (facts.rate if facts else 0.0))
+        still_ms = now_ms - (told.at_ms if told else used_ms)
+        return Live(session, worth, rules.drain.cost, TOLD_PART * rules.handover.still_ms - still_ms)
+
     def forget(self, now_ms: float, still_ms: float) -> None:
         for held in (self.mine, self.told):
             while held:
@@ -92,6 +109,29 @@
                 del held[session]
 
 
+class Firsts:
+    """Owns which sessions' next call here is the first since they moved, and how these found their copies."""
+
+    def __init__(self) -> None:
+        self.found = self.cold = 0
+        self._sessions: dict[Session, int] = {}
+        self._calls: dict[str, Session] = {}
+
+    def met(self, told: m.Told, before: Home | None) -> None:
+        """A home that is decided; `before` is the one that is known here."""
+        if told.step is m.Step.SWITCHED and before is not None and told.home.number > before.number:
+            _put(self._sessions, told.home.session, told.home.number, FIRSTS_MOST)
+
+    def begun(self, call: str, session: Session) -> None:
+        if self._sessions and self._sessions.pop(session, None) is not None:
+            _put(self._calls, call, session, FIRSTS_MOST)
+
+    def ended(self, call: str, found: bool | None) -> None:
+        """`found`: its copy stood; None: its end told nothing of that."""
+        if self._calls and self._calls.pop(call, None) is not None and found is not None:
+            self.found, self.cold = self.found + found, self.cold + (not found)
+
+
 def copies(facts: m.Facts | None) -> int:
     """How many serve a session's calls (Little's law)."""
     if facts is None:
--- a/fawnwharf/sessions/moves.py
+++ b/fawnwharf/sessions/moves.py
@@ -5,14 +5,17 @@
 decides a home; `handover.mover` is told what to begin, and this what came of it.
 """
 
+import math
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from msgspec.structs import replace
 
+from fawnwharf.handover.homes import key_of
 from fawnwharf.handover.many import Begin, Drain, Dwell, Leave, Live
 from fawnwharf.handover.messages import Record
 from fawnwharf.handover.settings import DrainSettings
+from fawnwharf.replication.placement import weight
 from fawnwharf.sites import Home, Move, Session
 
 LOOKS, HASHES = 5_000, 400  # records, and placements worked out, in one look
@@ -22,6 +25,23 @@
 EXPECTED_MS = 30_000.0  # a move that could not begin for so long is forgotten
 
 
+def place_of(session: Session, site: str) -> float:
+    """From 0 to 1: while a site returns, sessions below the part of it that is open go back to it."""
+    return weight("return", site, key_of(session)) / 2**64
+
+
+def target(session: Session, room: dict[str, int]) -> str:
+    """Of sites with room, the one a session goes to: by weighted rendezvous hashing (Schindelhauer and
+    Schomaker 2005), so the same at all that see the same room; empty where there is none."""
+    key = key_of(session)
+    drawn = {
+        site: room / -math.log((weight("target", site, key) + 1) / (2**64 + 1))
+        for site, room in room.items()
+        if room > 0
+    }
+    return max(sorted(drawn), key=lambda site: drawn[site], default="")
+
+
 @dataclass(slots=True)
 class View:
     """What a mover sees."""
@@ -52,6 +72,7 @@
     whither: str
     by: str
     until_ms: float
+    place: float = 0.0  # it goes once so much of the site is open
 
 
 class Moves:
@@ -60,6 +81,7 @@
     def __init__(self, rules: DrainSettings) -> None:
         self.rules, self.dwell = rules, Dwell(rules)
         self.closed: dict[str, _Closed] = {}
+        self.shares: dict[str, float] = {}  # parts of sites that are open, where they return
         self.away: dict[Session, str] = {}  # from which site they were taken; they return there
         self.wanted: dict[Session, _Wanted] = {}
         self.counts: dict[str, int] = {}
@@ -73,8 +95,9 @@
 
     # --- sites ------------------------------------------------------------------------------------
 
-    def close(self, now_ms: float, closed: dict[str, str]) -> None:
-        """These sites are closed, each with its cause; the others are open."""
+    def close(self, now_ms: float, closed: dict[str, str], shares: dict[str, float]) -> None:
+        """These sites are closed, each with its cause; the others are open, or to a part."""
+        self.shares = shares
         for site in [site for site in self.closed if site not in closed]:
             del self.closed[site]
             self._opened(now_ms, site)
@@ -92,7 +115,8 @@
         """It is open again: its sessions may return, each when its dwell is over."""
         for session in [s for s, at in self.away.items() if at == site]:
             del self.away[session]
-            self._want(session, _Wanted("", site, "return", now_ms + 2 * self.rules.dwell_most_ms))
+            until_ms = now_ms + 2 * self.rules.dwell_most_ms
+            self._want(session, _Wanted("", site, "return", until_ms, place_of(session, site)))
 
     def _want(self, session: Session, wanted: _Wanted) -> None:
         if len(self.wanted) < WAIT_MOST:
@@ -101,7 +125,8 @@
     def expected(self, now_ms: float, moves: Iterable[Move]) -> None:
         """Moves that are foreseen; one that is not all but certain changes no home."""
         for move in moves:
-            if move.chance >= self.rules.sure and move.session not in self.wanted:
+            known = move.session in self.wanted or move.whence in self.closed or move.whither in self.closed
+            if move.chance >= self.rules.sure and not known:
                 until_ms = now_ms + move.within_ms + EXPECTED_MS
                 self._want(move.session, _Wanted(move.whence, move.whither, move.by, until_ms))
 
@@ -148,7 +173,10 @@
         rooms = {other: max(1, count // movers) for other, count in room.items()}
         haste = site not in view.alive
         sessions = [(view.live(session), view.records[session][0].number) for session in closed.found]
-        drain = Drain(site, now_ms, rules.within_ms, sessions, rooms, part, self.dwell, haste)
+        drain = Drain(
+            site, now_ms, rules.within_ms, sessions, rooms, part, self.dwell, haste,
+            lambda session: target(session, room),
+        )  # fmt: skip
         note = {"site": site, "why": closed.why, "sessions": len(closed.found), "haste": haste}
         self.notes.append(("site emptied", note))
         closed.found = []
@@ -181,7 +209,8 @@
         for session, wanted in list(self.wanted.items())[:LOOKS]:
             if self._tokens < 1.0 or len(self._under_way) >= max(1, rules.at_once // movers):
                 break
-            if self.dwell.left_ms(now_ms, session) and now_ms < wanted.until_ms:
+            early = wanted.place >= self.shares.get(wanted.whither, 1.0)
+            if (early or self.dwell.left_ms(now_ms, session)) and now_ms < wanted.until_ms:
                 continue
             del self.wanted[session]
             record, _ = view.records.get(session, (Record(), 0.0))
--- a/fawnwharf/sessions/service.py
+++ b/fawnwharf/sessions/service.py
@@ -19,7 +19,7 @@
 from fawnwharf.sessions.stages import Stages
 from fawnwharf.sites import LetGo, Session
 from fawnwharf.zones.files import WatchedFile, load
-from fawnwharf.zones.plan import LEAVING, OUT
+from fawnwharf.zones.plan import LEAVING, OUT, RETURNING
 from fawnwharf.zones.settings import FileFault
 
 STATUS_MS, WISH_LIFE_MS = 1_000.0, 5_000.0  # pace of words on oneself; how long others' wishes count
@@ -53,10 +53,6 @@
         place = Path(path)
         read: Settings = load(place, settings_from, "sessions")
         self.settings = by_classes(read, deployment.settings.classes)
-        if read.foresight is not None:
-            from fawnwharf.foresight.settings import foresight_from
-
-            load(place, foresight_from, "sessions")
         core, zone = self.state.core, deployment.settings.zone
         entry = self.state.entry
         if entry.zone != zone:
@@ -91,6 +87,11 @@
         self._timer_ms = 0.0
         self._stopped = False
         self.front: FrontEnd | None = None
+        self.foreseen = None
+        if read.foresight is not None:
+            from fawnwharf.sessions.foreseen import Foreseen
+
+            self.foreseen = Foreseen(deployment, place, self.state, self.agent, self.zones)
 
     def _sites(self) -> dict[str, str]:
         return {entry.name: entry.zone for entry in self.state.core.members.members if entry.state}
@@ -106,10 +107,14 @@
         keeper = self.agent.keeper is not None
         self.note("sessions on", {"member": self.agent.name, "site": self.site, "keeper": keeper})
         self._look()
+        if self.foreseen is not None:
+            self.foreseen.attach(front)
 
     def close(self) -> None:
         self._stopped = True
         self.state.riders.pop(w.RIDER, None)
+        if self.foreseen is not None:
+            self.foreseen.close()
         if self._timer is not None:
             self._timer.cancel()
 
@@ -125,6 +130,8 @@
     def events(self, events: list[io.Event]) -> None:
         """Sets the home of each call that came, and hears how calls and orders end."""
         now = monotonic_ms()
+        if self.foreseen is not None:
+            self.foreseen.events(now, events)
         for event in events:
             if isinstance(event, io.RequestArrived):
                 self._came(now, event)
@@ -265,8 +272,8 @@
             self._files_ms = now
             if (data := self._wishes_file.changed()) is not None:
                 self._wished(data)
-        agent.close(now, self._closed(now))
-        agent.room = self._room() if agent.moves.closed else {}
+        agent.close(now, self._closed(now), self._shares())
+        agent.room = self._room()
         agent.tick(now, self.state.alive(now), self.front.table.open.__contains__)
         self._tell(self.stages.tick(now))
         self._staged(now)
@@ -299,6 +306,11 @@
                 found[name] = zone.state
         return found
 
+    def _shares(self) -> dict[str, float]:
+        plan = self.zones.core.plan if self.zones is not None else None
+        zones = plan.zones.items() if plan else ()
+        return {name: zone.share for name, zone in zones if zone.state == RETURNING}
+
     def _room(self) -> dict[str, int]:
         """Sessions that sites can take from elsewhere, by the scorers that this front end may use."""
         units: dict[str, float] = {}
@@ -344,5 +356,6 @@
             wish=self.wishes.number,
             drained=self.wishes.drained,
             answers=tuple(agent.asking.answers.values()),
+            foreseen=self.foreseen.counts() if self.foreseen is not None else {},
         )
         self.state.stands(w.RIDER, status)
--- a/fawnwharf/sessions/words.py
+++ b/fawnwharf/sessions/words.py
@@ -47,6 +47,7 @@
     staged: Count = 0  # functions staged here for sessions to come
     counts: Annotated[dict[str, Count], Meta(max_length=96)] = {}
     ended: Annotated[dict[str, Count], Meta(max_length=96)] = {}  # hand-overs, by cause
+    foreseen: Annotated[dict[str, Count], Meta(max_length=96)] = {}  # by foresight: ordered, used, in vain
     wish: Count = 0  # number of the last wishes taken
     drained: Annotated[tuple[Name, ...], Meta(max_length=64)] = ()  # by operators' word
     answers: Annotated[tuple[Answer, ...], Meta(max_length=1_000)] = ()
--- a/tests/test_sessions_service.py
+++ b/tests/test_sessions_service.py
@@ -123,6 +123,17 @@
     assert rig.call(rig.client("a0")) == "answer"
 
 
+def test_foresight_hears_of_calls_elsewhere_and_of_homes(fronts):
+    rig = fronts(foresight={"beat_ms": 100.0})
+    rig.call(rig.client("a1"))
+    watch = rig.part("b0").foreseen.staging.core.watch
+    rig.until(lambda: SESSION in watch.tracks, "a keeper elsewhere knows the session")
+    state = rig.part("a1", 0)
+    state._carry_out(state.core.ride(rm.Ride("foresight", {"counts": 3}), ()))
+    rig.until(lambda: rig.part("b0").foreseen.bad == 1, "a bad word is counted")
+    assert rig.part("b0").foreseen._look(0.0).heard == ("a0", "b0", "c0")
+
+
 def test_a_front_end_that_starts_anew_is_no_fresh_one_and_does_not_repeat_what_was_asked(fronts):
     rig = fronts()
     rig.call(rig.client("a0"))
