--- a/fawnwharf/sessions/service.py
+++ b/fawnwharf/sessions/service.py
@@ -80,6 +80,7 @@
         self._orders: dict[str, Function] = {}  # hash orders that were asked for
         self._placed: Any = core.placement
         self._waiting: dict[tuple[str, ...], list[m.Message]] = {}  # words, by who they are for
+        self._urgent: set[tuple[str, ...]] = set()  # of these, those that are to go at the end of this turn
         self._noted: dict[str, float] = {}
         self._status_ms = self._files_ms = 0.0
         self._was_sure: bool | None = None
@@ -196,14 +197,13 @@
     # --- what the agent says --------------------------------------------------------------------
 
     def _carry_out(self, now_ms: float, all_words: bool = False) -> None:
-        urgent: set[tuple[str, ...]] = set()
         while out := self.agent.take():
             for effect in out:
                 if isinstance(effect, Words):
                     words = self._waiting.setdefault(effect.to, [])
                     words.append(effect.message)
                     if effect.urgent or len(words) >= w.WORDS_MOST:
-                        urgent.add(effect.to)
+                        self._urgent.add(effect.to)
                 elif isinstance(effect, Copies):
                     self._tell(self.stages.want(now_ms, effect))
                 elif isinstance(effect, Dropped):
@@ -213,11 +213,20 @@
                 elif isinstance(effect, Note):
                     self.note(effect.event, effect.fields)
             self._staged(now_ms)
-        for to in list(self._waiting) if all_words else urgent:
-            self._say(to, self._waiting.pop(to))
+        if all_words:
+            self._urgent.update(self._waiting)
+        if self._urgent:
+            self.front.loop.flush_later(self)
         if self.agent.pace_ms() < self._timer_ms - now_ms:
             self._set_timer(now_ms)
 
+    def flush(self) -> None:
+        """At the end of a turn: what it made for the same readers goes in one line."""
+        urgent, self._urgent = self._urgent, set()
+        for to in urgent:
+            if (words := self._waiting.pop(to, None)) and not self._stopped:
+                self._say(to, words)
+
     def _say(self, to: tuple[str, ...], words: list[m.Message]) -> None:
         """What is for many is for all: only decided homes are."""
         parts = [to[n : n + w.READERS_MOST] for n in range(0, len(to), w.READERS_MOST)]
--- a/tests/test_sessions_service.py
+++ b/tests/test_sessions_service.py
@@ -4,6 +4,7 @@
 import os
 import subprocess
 import sys
+from types import SimpleNamespace
 
 import msgspec
 import pytest
@@ -13,10 +14,13 @@
 from fawnwharf.config import ConfigError
 from fawnwharf.handover import messages as m
 from fawnwharf.net import scorer_frames
+from fawnwharf.net.wheel import monotonic_ms
 from fawnwharf.replication import messages as rm
 from fawnwharf.sessions import settings as s
+from fawnwharf.sessions.moves import place_of
 from fawnwharf.sessions.service import Sessions
 from fawnwharf.sites import Home, Session
+from fawnwharf.zones.plan import Plan, Zone
 from fawnwharf.zones.settings import FileFault
 
 SESSION = Session("acme", ROW)
@@ -104,6 +108,45 @@
     rig.until(lambda: at() == {"a"}, "they return")
 
 
+def test_a_plan_empties_a_site_and_takes_its_sessions_back_in_step_with_its_share(fronts):
+    rig = fronts(drain={"dwell_ms": 100.0})
+    client, router = rig.client("a0"), rig.agent("a0").router
+    sessions = [Session("acme", f"{n:016x}") for n in range(16)]
+    for session in sessions:
+        rig.call(client, row=session.row)
+
+    def decide(state, share=1.0):
+        zones = {"a": Zone(state, share), "b": Zone(), "c": Zone()}
+        for name in rig.fronts:
+            rig.part(name).zones = SimpleNamespace(core=SimpleNamespace(plan=Plan(zones=zones)))
+
+    def at():
+        return {session: router.home(session).site for session in sessions}
+
+    decide("leaving")
+    rig.until(lambda: "a" not in at().values(), "it is empty")
+    early = {session for session in sessions if place_of(session, "a") < 0.5}
+    assert 0 < len(early) < len(sessions)
+    decide("returning", 0.5)
+    rig.until(lambda: {s for s, site in at().items() if site == "a"} == early, "the first ones are back")
+    decide("serving")
+    rig.until(lambda: set(at().values()) == {"a"}, "all are back")
+
+
+def test_a_process_that_lets_go_and_takes_back_is_no_fresh_one(fronts):
+    rig = fronts()
+    client = rig.client("a0")
+    rig.call(client)
+    rig.until(lambda: rig.agent("a0").keeper.records, "the keeper knows it")
+    seam = rig.seams["a0"]
+    seam.release()
+    assert rig.call(client) == "answer"  # nobody asks for homes meanwhile
+    seam.take_back(rig.fronts["a0"])
+    assert rig.agent("a0").keeper.records == {} and not rig.agent("a0").sure(monotonic_ms())
+    rig.until(lambda: rig.agent("a0").sure(monotonic_ms()), "it heard the others")
+    assert SESSION in rig.agent("a0").keeper.records and rig.call(client) == "answer"
+
+
 def test_lines_out_of_nowhere_are_counted_and_change_nothing(fronts):
     rig = fronts()
     state, part = rig.part("a1", 0), rig.part("a0")
