--- a/fawnwharf/foresight/known.py
+++ b/fawnwharf/foresight/known.py
@@ -16,7 +16,7 @@
 from fawnwharf.policy.state import Function, Worker, mark
 
 ORDERS_MOST = 512  # hash orders kept in mind
-PLACES_MOST = 50_000  # functions at sites with copies
+PLACES_MOST = 20_000  # functions with copies, of a site
 RESTS_MS = 5_000.0  # a scorer that was full, or bad, is not staged at for so long
 GAIN = 0.2  # weight of one run or load in what is held of a function
 RUN_MS, LOAD_MS, MEMORY_MB = 200.0, 1_000.0, 256.0  # guesses where nothing was seen or told
@@ -41,6 +41,7 @@
     def at(self, now_ms: float) -> None:
         """The moment that is asked for from now on."""
         self.handle(now_ms, [])
+        self._ration_left()  # what is past its window goes
         self._rests = {worker: until for worker, until in self._rests.items() if until > now_ms}
 
     def arrived(self, now_ms: float) -> None:
@@ -220,17 +221,17 @@
 
     def __init__(self, scorers: Scorers, functions: Functions, idle_ms: float) -> None:
         self.scorers, self.functions, self.idle_ms = scorers, functions, idle_ms
-        self._places: Kept[tuple[str, str], _Place] = Kept()
+        self._sites: dict[str, Kept[str, _Place]] = {}
         self._held_mb: dict[str, float] = {}
 
     def __len__(self) -> int:
-        return len(self._places)
+        return sum(map(len, self._sites.values()))
 
     def seen(self, now_ms: float, row: str, worker: int, copies: int) -> None:
         """An answer told of copies at a scorer: none, or so many."""
         site = self.scorers.zone(worker)
         if copies <= 0:
-            place = self._places.get((row, site))
+            place = self._sites[site].get(row) if site in self._sites else None
             if place is not None and place.copies.pop(worker, None):
                 self._count(row, site, place)
             return
@@ -240,7 +241,7 @@
         self._count(row, site, place)
 
     def used(self, now_ms: float, row: str, site: str, worker: int | None = None) -> None:
-        """A call ran there; None: others know where it stands."""
+        """A call ran there; None: others know at which scorer."""
         place = self._place(now_ms, row, site)
         if worker is not None:
             place.copies[worker] = max(1, place.copies.get(worker, 0))
@@ -250,7 +251,7 @@
         self._count(row, site, place)
 
     def standing(self, now_ms: float, row: str, site: str) -> int:
-        place = self._places.get((row, site))
+        place = self._sites[site].get(row) if site in self._sites else None
         if place is None or now_ms - place.at_ms > self.idle_ms:
             return 0
         able = 0
@@ -263,23 +264,25 @@
     def held_mb(self, site: str) -> float:
         return self._held_mb.get(site, 0.0)
 
-    def sweep(self, now_ms: float, most: int = 500) -> bool:
-        """Forgets what has lapsed, some of it at a time; True: there is more."""
-        for _ in range(most):
-            key = self._places.oldest()
-            if key is None or now_ms - self._places[key].at_ms <= self.idle_ms:
-                return False
-            self._drop(key)
-        return True
+    def sweep(self, now_ms: float, most: int = 200) -> bool:
+        """Forgets what has lapsed, some of it at a time; True: there may be more."""
+        gone = 0
+        for site, rows in self._sites.items():
+            while (row := rows.oldest()) is not None and now_ms - rows[row].at_ms > self.idle_ms:
+                if gone >= most:
+                    return True
+                self._drop(row, site)
+                gone += 1
+        return False
 
     def _place(self, now_ms: float, row: str, site: str) -> _Place:
-        key = (row, site)
-        place = self._places.get(key)
+        rows = self._sites.setdefault(site, Kept())
+        place = rows.get(row)
         if place is None:
-            if len(self._places) >= PLACES_MOST:
-                self._drop(self._places.oldest())
+            if len(rows) >= PLACES_MOST:
+                self._drop(rows.oldest(), site)
             place = _Place()
-        self._places.use(key, place)
+        rows.use(row, place)
         place.at_ms = max(place.at_ms, now_ms)
         return place
 
@@ -290,6 +293,6 @@
         self._held_mb[site] = self._held_mb.get(site, 0.0) + mb - place.memory_mb
         place.memory_mb = mb
 
-    def _drop(self, key: tuple[str, str]) -> None:
-        place = self._places.pop(key)
-        self._held_mb[key[1]] = max(0.0, self._held_mb.get(key[1], 0.0) - place.memory_mb)
+    def _drop(self, row: str, site: str) -> None:
+        place = self._sites[site].pop(row)
+        self._held_mb[site] = max(0.0, self._held_mb.get(site, 0.0) - place.memory_mb)
--- a/fawnwharf/foresight/messages.py
+++ b/fawnwharf/foresight/messages.py
@@ -1,7 +1,8 @@
 """What foresight tells and is told, beyond what `sites` has. Values alone; milliseconds of the monotonic
 clock of whoever tells, and never compared with another machine's."""
 
-from typing import Annotated, Literal
+from collections.abc import Collection
+from typing import Annotated, Literal, Protocol
 
 from msgspec import Meta, Struct
 
@@ -11,7 +12,7 @@
 ENTRIES_MOST = 500  # of one word: a line that is longer is a fault, or an attack
 
 
-class Count(Struct, frozen=True, array_like=True):
+class Count(Struct, frozen=True, array_like=True, gc=False):
     """Calls of a session at a site that one owner saw, since the word of the number `since`."""
 
     session: Session
@@ -52,7 +53,7 @@
     scorers: tuple[Text, ...]
 
 
-class Moved(Struct, frozen=True):
+class Moved(Struct, frozen=True, gc=False):
     """A session's calls are found at another site than before, first at `at_ms`: a move is sure only
     later."""
 
@@ -62,7 +63,7 @@
     at_ms: float = 0.0
 
 
-class Ended(Struct, frozen=True):
+class Ended(Struct, frozen=True, gc=False):
     """A session was still for so long that it is over."""
 
     session: Session
@@ -70,9 +71,16 @@
     age_ms: float
 
 
+class Calls(Protocol):
+    """Of a session at a site."""
+
+    session: Session
+    site: str
+
+
 class Beat(Struct, frozen=True):
     """What came of one look at the counters."""
 
     moved: tuple[Moved, ...] = ()
     ended: tuple[Ended, ...] = ()
-    called: tuple[tuple[Session, str], ...] = ()  # sessions and the sites at which they called
+    called: Collection[Calls] = ()  # sessions and the sites at which they called
--- a/fawnwharf/foresight/planner.py
+++ b/fawnwharf/foresight/planner.py
@@ -129,12 +129,13 @@
         return drained(self.marking(now_ms, beat))
 
     def marking(self, now_ms: float, beat: m.Beat) -> Slices[list[LetGo]]:
-        for n, (session, site) in enumerate(beat.called):
+        for n, calls in enumerate(beat.called if self.held else ()):
             if n % CALLED == CALLED - 1:
                 yield
-            if (held := self.held.get((session.row, site))) is not None:
+            key = (calls.session.row, calls.site)
+            if (held := self.held.get(key)) is not None:
                 self.used += 1
-                self._settle(now_ms, (session.row, site), held.gain)
+                self._settle(now_ms, key, held.gain)
         yield
         gone = []
         for key, held in list(self.held.items()):
--- a/fawnwharf/foresight/predictors.py
+++ b/fawnwharf/foresight/predictors.py
@@ -118,12 +118,12 @@
                 break
             del self._flux[key]
         self._called = {}
-        for n, (session, _) in enumerate(beat.called):
-            if n % (10 * RISING) == 0:
+        for n, calls in enumerate(beat.called):
+            if n % (5 * RISING) == 0:
                 yield
-            track = watch.tracks.get(session)
+            track = watch.tracks.get(calls.session)
             if track is not None and len(track.flows) > 1 and len(self._called) < 2 * self.settings.most:
-                self._called[session] = None
+                self._called[calls.session] = None
 
     def _faded(self, flux: _Flux, now_ms: float) -> _Flux:
         span = flux.at_ms - now_ms
--- a/fawnwharf/foresight/seen.py
+++ b/fawnwharf/foresight/seen.py
@@ -189,26 +189,28 @@
 
     def look(self, now_ms: float) -> Slices[m.Beat]:
         """Takes what rose since the last look; tells moves, ends, and who called where."""
+        # No list of all of them: a collection of garbage would walk it.
         called: dict[Flow, None] = {}
         sessions: dict[Session, None] = {}
-        pairs: list[tuple[Session, str]] = []
-        count, owners = 0, list(self._rose)
+        count, slice_, owners = 0, 0, list(self._rose)
         self._looks += 1
         first = self._looks % len(owners)
         for owner in owners[first:] + owners[:first]:
-            for flow in list(islice(self._rose.get(owner, ()), RISES_MOST - count)):
-                count += 1
-                if count % RISES == 0:
-                    yield
-                if rise := self._rise(owner, flow):
-                    self._fade(flow, now_ms)
-                    if flow.fast < BEGAN:
-                        flow.since_ms = now_ms
-                    flow.fast += rise
-                    flow.slow += rise
-                    if flow not in called:
+            left = min(len(self._rose.get(owner, ())), RISES_MOST - count)
+            while left > 0 and (some := list(islice(self._rose.get(owner, ()), min(left, RISES)))):
+                left, count = left - len(some), count + len(some)
+                for flow in some:
+                    if rise := self._rise(owner, flow):
+                        self._fade(flow, now_ms)
+                        if flow.fast < BEGAN:
+                            flow.since_ms = now_ms
+                        flow.fast += rise
+                        flow.slow += rise
                         called[flow] = sessions[flow.session] = None
-                        pairs.append((flow.session, flow.site))
+                slice_ += len(some)
+                if slice_ >= RISES:
+                    slice_ = 0
+                    yield
         yield
         moved: list[m.Moved] = []
         for n, session in enumerate(sessions):
@@ -229,14 +231,11 @@
             if not self._graves[-1]:
                 self._graves.pop()
             yield
-        return m.Beat(tuple(moved), tuple(ended), tuple(pairs))
+        return m.Beat(tuple(moved), tuple(ended), called)
 
     def _rise(self, owner: str, flow: Flow) -> int:
-        """What it rose by since the last look; none where owner or session have gone since this one began."""
-        rose = self._rose.get(owner, {})
-        if flow not in rose:
-            return 0
-        before, value = rose.pop(flow), self._counters[owner][flow]
+        """What it rose by since the last look."""
+        before, value = self._rose[owner].pop(flow), self._counters[owner][flow]
         if before is None:
             # Guards against a burst that was none: a session dropped here, but not by its owner, comes
             # with all its past. Only what is counted since the latest words is news.
--- a/fawnwharf/sessions/staging.py
+++ b/fawnwharf/sessions/staging.py
@@ -32,7 +32,7 @@
 from fawnwharf.zones.settings import Evidence, Ramp
 
 OPEN_MOST = 50_000  # calls whose answers are awaited
-COUNTS, FUNCTIONS, PARTS = 250, 50, 16  # of one word; words of one look
+COUNTS, FUNCTIONS, PARTS = 100, 25, 40  # of one word; words of one look
 SLICE_MS = 4.0  # from slice to slice: the wheel's tick
 ORDER_LAG_MS = 200.0  # by then the module has counted what was wanted of it
 LOADS = 3.0  # a stage that did not stand after so many loads, and a second, has failed
@@ -106,10 +106,9 @@
         self.scorers = Scorers(site)
         self.functions = Functions(bounds.sessions)
         self.copies = Copies(self.scorers, self.functions, site.idle_life_ms)
-        self.core = Foresight(
-            bounds, self.scorers.settings, prices, me, whither or self._whither, place, belongs
-        )
-        self.ways = Ways(bounds, site, self.core.watch, whither or self._whither, belongs)
+        whither, rules = whither or self._whither, self.scorers.settings
+        self.core = Foresight(bounds, rules, prices, me, whither, place, belongs)
+        self.ways = Ways(bounds, rules, self.core.watch, whither, belongs)
         self.calm = True
         self.counts: dict[str, int] = {}
         promise_ms = min((spec.promise_ms for spec in site.classes.values()), default=1_000.0)
--- a/tests/test_foresight.py
+++ b/tests/test_foresight.py
@@ -34,6 +34,10 @@
 )
 
 
+def calls(beat):
+    return {(flow.session, flow.site) for flow in beat.called}
+
+
 @settings(derandomize=True, max_examples=150, deadline=None)
 @given(words, strategies.randoms(use_true_random=False))
 def test_words_merge_in_whatever_order_and_however_often_they_come(told, chance):
@@ -46,7 +50,7 @@
         mixed.heard(0.0, owner, word)
     assert plain.counters() == mixed.counters()
     one, other = plain.beat(1_000.0), mixed.beat(1_000.0)
-    assert set(one.moved) == set(other.moved) and set(one.called) == set(other.called)
+    assert set(one.moved) == set(other.moved) and calls(one) == calls(other)
     for session in plain.tracks:
         seen = {f.site: (f.fast, f.slow) for f in plain.tracks[session].flows}
         assert seen == {f.site: (f.fast, f.slow) for f in mixed.tracks[session].flows}
@@ -113,7 +117,7 @@
     watch.beat(0.0)
     watch.heard(0.0, "a", m.Word(2, (m.Count(A, "n", 1, 9),)))
     watch.gone("a")
-    assert watch.beat(1_000.0).called == () and watch.counters() == {}
+    assert not watch.beat(1_000.0).called and watch.counters() == {}
     assert 0.0 < watch.tracks[A].rate_ps(S, 1_000.0) <= 5.0
 
 
--- a/tests/test_foresight_planner.py
+++ b/tests/test_foresight_planner.py
@@ -10,6 +10,7 @@
 from fawnwharf.foresight.core import Foresight
 from fawnwharf.foresight.planner import Planner, View, orderer
 from fawnwharf.foresight.score import LEAST_CHANCE, Scores
+from fawnwharf.foresight.seen import Flow
 from fawnwharf.foresight.settings import Foresight as Bounds
 from fawnwharf.foresight.settings import Prices
 from fawnwharf.foresight.trial import compare, interval
@@ -191,7 +192,7 @@
     assert plan.wasted == 1 and plan.scores.sums["learnt"].net < -0.15
     assert step(plan, order.stage.until_ms, [move(1, 0.4)], view()) == []
     assert len(orders(step(plan, order.stage.until_ms + S.dwell_ms, [move(1, 0.4)], view()))) == 1
-    plan.seen(99_000.0, m.Beat(called=((move(1).session, "s"),)))
+    plan.seen(99_000.0, m.Beat(called=(Flow(move(1).session, "s", 0.0),)))
     assert plan.used == 1 and plan.scores.sums["learnt"].net > 0.0
 
 
