--- a/fawnwharf/foresight/kept.py
+++ b/fawnwharf/foresight/kept.py
@@ -66,9 +66,9 @@
         """The one not used for longest."""
         return next(iter(self), None)
 
-    def latest(self, most: int) -> list[tuple[Key, Value]]:
-        """Those used last."""
-        rows = (reversed(row.items()) for row in reversed(self._rows.values()))
+    def latest(self, most: int) -> list[Key]:
+        """Those used last, the last one first."""
+        rows = (reversed(row) for row in reversed(self._rows.values()))
         return list(islice(chain.from_iterable(rows), most))
 
     def _out(self, key: Key, value: Value) -> None:
--- a/fawnwharf/foresight/known.py
+++ b/fawnwharf/foresight/known.py
@@ -6,14 +6,16 @@
 """
 
 from dataclasses import replace
+from typing import Annotated
 
-from msgspec import Struct
+from msgspec import Meta, Struct
 
 from fawnwharf import interface as io
 from fawnwharf.foresight.kept import Kept
 from fawnwharf.foresight.worth import Facts
 from fawnwharf.policy import Router
 from fawnwharf.policy.state import Function, Worker, mark
+from fawnwharf.sites import Text
 
 ORDERS_MOST = 512  # hash orders kept in mind
 PLACES_MOST = 20_000  # functions with copies, of a site
@@ -104,15 +106,19 @@
         return 1_000.0 * len(self.taken) / max(1.0, self.stretch_ms)
 
 
-class Told(Struct, frozen=True, array_like=True):
+AMOUNT_MOST = 1e9
+Amount = Annotated[float, Meta(ge=0.0, le=AMOUNT_MOST)]
+
+
+class Told(Struct, frozen=True, array_like=True, gc=False):
     """What a front end tells of a function."""
 
-    row: str
-    class_name: str
-    lanes: int
-    memory_mb: float | None
-    load_ms: float | None
-    run_ms: float | None
+    row: Text
+    class_name: Text
+    lanes: Annotated[int, Meta(ge=1, le=1_024)]
+    memory_mb: Amount | None
+    load_ms: Amount | None
+    run_ms: Amount | None
 
 
 class _Fact(Struct, eq=False, gc=False):
@@ -140,12 +146,12 @@
 
     def arrived(self, now_ms: float, event: io.RequestArrived) -> None:
         fact = self._fact(event.function, event.class_name, max(1, event.lanes))
-        fact.class_name, fact.lanes, fact.own = event.class_name, max(1, event.lanes), True
+        fact.class_name, fact.lanes, fact.own = event.class_name, min(1_024, max(1, event.lanes)), True
         if event.memory_mb is not None:
-            fact.memory_mb = event.memory_mb
-            self.memory_mb += 0.02 * (event.memory_mb - self.memory_mb)
+            fact.memory_mb = min(AMOUNT_MOST, max(0.0, event.memory_mb))
+            self.memory_mb += 0.02 * (fact.memory_mb - self.memory_mb)
         if event.load_ms is not None and fact.load_ms is None:
-            fact.load_ms = event.load_ms
+            fact.load_ms = min(AMOUNT_MOST, max(0.0, event.load_ms))
         if now_ms - fact.told_ms >= self.tell_ms:
             self._due[event.function] = None
 
--- a/fawnwharf/foresight/past.py
+++ b/fawnwharf/foresight/past.py
@@ -16,7 +16,7 @@
 PRIOR_MS = 10_000.0  # of a session's time without a move, held to be seen: guards against rates of few moves
 KEYS_MOST = 50_000
 AGES = 16  # doublings of a second
-GROUPS = 100  # of one slice
+GROUPS = 30  # of one slice
 
 
 class Past:
--- a/fawnwharf/foresight/planner.py
+++ b/fawnwharf/foresight/planner.py
@@ -22,7 +22,7 @@
 HELD_MOST = 4_096  # stages of one front end
 AWAY_MS = 500.0  # a stage's load may end so much before its calls come
 RESTS_MOST = 20_000
-CALLED, WISHES, ORDERS_MOST = 400, 25, 64  # of one slice; hash orders worked out at one look
+CALLED, WISHES, ORDERS_MOST = 400, 12, 64  # of one slice; hash orders worked out at one look
 
 
 @dataclass(slots=True)
@@ -173,7 +173,9 @@
             return found
         wishes: dict[tuple[str, str], _Wish] = {}
         yield
-        for move in moves:
+        for n, move in enumerate(moves):
+            if n % CALLED == CALLED - 1:
+                yield
             if move.whither in self._disturbed:
                 self._skip("a disturbed site")
             else:
--- a/fawnwharf/foresight/predictors.py
+++ b/fawnwharf/foresight/predictors.py
@@ -19,7 +19,7 @@
 from fawnwharf.sites import Move, Session
 
 SPAN_MOST_MS = 3_600_000.0
-MOVES, GROUPS, RISING = 60, 60, 40  # of one slice
+MOVES, GROUPS, RISING = 40, 30, 30  # of one slice
 FLUXES_MOST = 10_000
 
 Parts = tuple[tuple[str, float], ...]  # sites and the parts of a session's calls that go there
@@ -61,6 +61,7 @@
 
 def _by_chance(
     now_ms: float,
+    watch: Watcher,
     ways: list[_Way],
     by: str,
     past: Past | None,
@@ -74,7 +75,10 @@
     for chance, group, whence, whither in sorted(ways, key=lambda way: -way[0]):
         if len(found) >= 2 * settings.most:
             break
-        for session, track in group.busiest(settings.most):
+        for session in group.busiest(settings.most):
+            track = watch.tracks.get(session)
+            if track is None:
+                continue
             lives = past.lives(now_ms, session, track, ahead) if past else 1.0
             found.append(Move(session, whence, whither, span_ms, chance * lives, by))
             if len(found) % MOVES == 0:
@@ -145,7 +149,7 @@
             chance = 1.0 - math.exp(-hazard * span_ms)
             if chance >= settings.floor:
                 ways.append((chance, group, whence, whither))
-        found = yield from _by_chance(now_ms, ways, self.name, self.past, settings, span_ms, 0.0)
+        found = yield from _by_chance(now_ms, watch, ways, self.name, self.past, settings, span_ms, 0.0)
         for n, session in enumerate(self._called):
             if n % RISING == RISING - 1:
                 yield
@@ -192,7 +196,7 @@
                 chance = leaves * hazard / total
                 if chance >= settings.floor and whither != site:
                     ways.append((chance, group, site, whither))
-        found = yield from _by_chance(now_ms, ways, self.name, self.past, settings, span_ms, span_ms)
+        found = yield from _by_chance(now_ms, watch, ways, self.name, self.past, settings, span_ms, span_ms)
         return heapq.nlargest(settings.most, found, key=lambda move: move.chance)
 
 
@@ -264,11 +268,13 @@
     ) -> Slices[list[Move]]:
         found: list[Move] = []
         group = watch.here.get(site, Group())
-        for n, (session, track) in enumerate(group.busiest(4 * self.settings.most)):
+        for n, session in enumerate(group.busiest(4 * self.settings.most)):
             if n % MOVES == MOVES - 1:
                 yield
             if len(found) >= self.settings.most:
                 break
+            if (track := watch.tracks.get(session)) is None:
+                continue
             place = self.place(session, site)
             part = (was - left) / max(was, 1e-9) if place is None else float(left <= place < was)
             if part <= 0.0:
@@ -284,22 +290,24 @@
         self, now_ms: float, watch: Watcher, site: str, was: float, open_: float, ahead: float
     ) -> Slices[list[Move]]:
         found: list[Move] = []
-        back = dict(watch.left.get(site, Group()).busiest(4 * self.settings.most))
+        back = dict.fromkeys(watch.left.get(site, Group()).busiest(4 * self.settings.most))
         yield
         # Those that began while the site was out have never been there. Bounded: the last that called.
         latest = watch.tracks.latest(4 * self.settings.most)
-        for n, (session, track) in enumerate(latest):
+        for n, session in enumerate(latest):
             if n % MOVES == MOVES - 1:
                 yield
             if self.belongs(session) == site:
-                back[session] = track
+                back[session] = None
+        yield
+        levels = {session: track.level for session in back if (track := watch.tracks.get(session))}
         yield
-        for n, (session, track) in enumerate(sorted(back.items(), key=lambda pair: -pair[1].level)):
+        for n, session in enumerate(sorted(levels, key=lambda session: -levels[session])):
             if n % MOVES == MOVES - 1:
                 yield
             if len(found) >= self.settings.most:
                 break
-            if track.site == site:
+            if (track := watch.tracks.get(session)) is None or track.site == site:
                 continue
             place = self.place(session, site)
             part = (open_ - was) / max(1.0 - was, 1e-9) if place is None else float(was <= place < open_)
--- a/fawnwharf/foresight/seen.py
+++ b/fawnwharf/foresight/seen.py
@@ -90,9 +90,9 @@
         """Any one of them."""
         return next(iter(next(iter(self._levels.values())).values()))
 
-    def busiest(self, most: int) -> list[tuple[Session, Track]]:
+    def busiest(self, most: int) -> list[Session]:
         """Those that call most, within a factor of two, first."""
-        levels = (self._levels[level].items() for level in sorted(self._levels, reverse=True))
+        levels = (self._levels[level] for level in sorted(self._levels, reverse=True))
         return list(islice(chain.from_iterable(levels), most))
 
 
--- a/fawnwharf/foresight/ways.py
+++ b/fawnwharf/foresight/ways.py
@@ -96,21 +96,19 @@
     def _react(self, out: frozenset[str]) -> Slices[None]:
         watch, most = self.watch, 4 * self.bounds.most
         for site in sorted(out - self._out):
-            for n, (session, _) in enumerate(watch.here.get(site, Group()).busiest(most)):
+            for n, session in enumerate(watch.here.get(site, Group()).busiest(most)):
                 if n % LOOKED == LOOKED - 1:
                     yield
                 for target, _ in self.whither(session, site):
                     self._want(session.row, target)
         for site in sorted(self._out - out):
-            back = dict(watch.left.get(site, Group()).busiest(most)) | {
-                session: track
-                for session, track in watch.tracks.latest(most)
-                if self.belongs(session) == site
-            }
-            for n, (session, track) in enumerate(back.items()):
+            back = dict.fromkeys(watch.left.get(site, Group()).busiest(most))
+            back |= dict.fromkeys(one for one in watch.tracks.latest(most) if self.belongs(one) == site)
+            for n, session in enumerate(back):
                 if n % LOOKED == LOOKED - 1:
                     yield
-                if track.site != site:
+                track = watch.tracks.get(session)
+                if track is not None and track.site != site:
                     self._want(session.row, site)
 
     def _everything(self, now_ms: float, view: View, out: frozenset[str]) -> Slices[None]:
--- a/fawnwharf/sessions/staging.py
+++ b/fawnwharf/sessions/staging.py
@@ -9,8 +9,9 @@
 """
 
 from collections.abc import Iterable, Sequence
+from typing import Annotated
 
-from msgspec import Struct
+from msgspec import Meta, Struct
 
 from fawnwharf import interface as io
 from fawnwharf.foresight import messages as m
@@ -33,6 +34,8 @@
 
 OPEN_MOST = 50_000  # calls whose answers are awaited
 COUNTS, FUNCTIONS, PARTS = 100, 25, 40  # of one word; words of one look
+NAME_MOST = 128  # characters, as `sites.Text` has it
+TOLD_MOST = 100  # functions of a word that is taken
 SLICE_MS = 4.0  # from slice to slice: the wheel's tick
 ORDER_LAG_MS = 200.0  # by then the module has counted what was wanted of it
 LOADS = 3.0  # a stage that did not stand after so many loads, and a second, has failed
@@ -56,7 +59,7 @@
     """What one front end tells others: calls by session and site, functions, and whether it is calm."""
 
     counts: m.Word
-    functions: tuple[Told, ...] = ()
+    functions: Annotated[tuple[Told, ...], Meta(max_length=TOLD_MOST)] = ()
     calm: bool = True
 
 
@@ -151,8 +154,8 @@
     def _came(self, now_ms: float, event: io.RequestArrived) -> None:
         self._arrived += 1
         self.scorers.arrived(now_ms)
-        if not event.tenant or not event.function:
-            return
+        if not all(0 < len(name) <= NAME_MOST for name in (event.tenant, event.function, event.class_name)):
+            return  # no word could tell of it
         self.functions.arrived(now_ms, event)
         # Calls that the module refuses end without an event; those asked for longest go.
         if len(self._open) >= OPEN_MOST:
