--- a/fawnwharf/handover/router.py
+++ b/fawnwharf/handover/router.py
@@ -11,6 +11,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from msgspec import Struct
+
 from fawnwharf.handover import messages as m
 from fawnwharf.handover.homes import key_of
 from fawnwharf.handover.settings import Settings
@@ -31,8 +33,7 @@
     return tuple(sorted(counts.items()))
 
 
-@dataclass(slots=True)
-class _Seen:
+class _Seen(Struct, gc=False):
     home: Home
     used_ms: float
     told_ms: float  # when keepers were last told that it is in use
@@ -73,6 +74,7 @@
         ] = {}  # function: until, number
         self.contexts: dict[Session, m.Context] = {}
         self.at_home: dict[tuple[str, str], int] = {}  # sessions by function and site
+        self.elsewhere = 0  # of all, those at home at other sites
         self.counts: dict[str, int] = {}
         self._lets: dict[Session, tuple[float, frozenset[str]]] = {}  # asked when, and who said yes
         self._sure_ms = now_ms if fresh else now_ms + settings.lapse_ms * settings.stretch
@@ -104,6 +106,7 @@
 
     def _at(self, home: Home, by: int) -> None:
         place = (home.session.row, home.site)
+        self.elsewhere += by * (home.site != self.site)
         self.at_home[place] = self.at_home.get(place, 0) + by
         if not self.at_home[place]:
             del self.at_home[place]
--- a/fawnwharf/sessions/known.py
+++ b/fawnwharf/sessions/known.py
@@ -2,7 +2,8 @@
 those still for longest go first. Milliseconds of one clock."""
 
 import math
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from fawnwharf.handover import messages as m
 from fawnwharf.handover.many import Live
@@ -18,22 +19,19 @@
 COPIES_MOST = 4  # that are staged for one session
 
 
-@dataclass(slots=True)
-class _Mine:
+class _Mine(Struct, gc=False):
     kind: str
     lanes: int
     calls: float
     at_ms: float
 
 
-@dataclass(slots=True)
-class _Row:
+class _Row(Struct, gc=False):
     run_ms: float = 0.0
     load_ms: float = 0.0
 
 
-@dataclass(slots=True)
-class Told:
+class Told(Struct, gc=False):
     """A keeper's: what was last told of a session, and by which site's front end."""
 
     facts: m.Facts | None
--- a/fawnwharf/sessions/moves.py
+++ b/fawnwharf/sessions/moves.py
@@ -18,7 +18,8 @@
 from fawnwharf.replication.placement import weight
 from fawnwharf.sites import Home, Move, Session
 
-LOOKS, HASHES = 5_000, 400  # records, and placements worked out, in one look
+LOOKS, HASHES = 2_000, 150  # records, and placements worked out, in one look
+BATCH = 256  # sessions that are emptied in the order of their worth; the next ones when these are done
 AGAIN_MS = 1_000.0  # from one look over all records to the next
 REST_MS = 10_000.0  # one that was left is not tried again before
 WAIT_MOST = 20_000  # sessions that wait to return, or as expected
@@ -143,9 +144,10 @@
 
     def _look(self, now_ms: float, site: str, closed: _Closed, view: View, room: dict[str, int]) -> None:
         """Go over the records, a part at a time: whoever is at home there, and this mover's."""
+        if closed.drain is not None and not closed.drain.done:
+            return
         if closed.keys is None:
-            done = closed.drain is None or closed.drain.done
-            if now_ms < closed.next_ms or not done:
+            if now_ms < closed.next_ms:
                 return
             closed.keys, closed.found = list(view.records), []
         hashes = looks = 0
@@ -159,7 +161,8 @@
                 closed.found.append(session)
         if not closed.keys:
             closed.keys, closed.next_ms = None, now_ms + AGAIN_MS
-            closed.drain = self._drain(now_ms, site, closed, view, room) if closed.found else None
+        if closed.found and (closed.keys is None or len(closed.found) >= BATCH):
+            closed.drain = self._drain(now_ms, site, closed, view, room)
 
     def _drain(self, now_ms: float, site: str, closed: _Closed, view: View, room: dict[str, int]) -> Drain:
         """With this mover's part of the budgets."""
--- a/fawnwharf/sessions/service.py
+++ b/fawnwharf/sessions/service.py
@@ -1,6 +1,6 @@
 """Sessions in a running front end: homes of the calls that come, hand-overs, what is staged and let go."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -16,7 +16,7 @@
 from fawnwharf.sessions.agent import Agent
 from fawnwharf.sessions.effects import Copies, Dropped, Note, Words
 from fawnwharf.sessions.settings import Settings, Wishes, by_classes, settings_from, wishes_from, wishes_place
-from fawnwharf.sessions.stages import Stages
+from fawnwharf.sessions.stages import Orders, Stages
 from fawnwharf.sites import LetGo, Session
 from fawnwharf.zones.files import WatchedFile, load
 from fawnwharf.zones.plan import LEAVING, OUT, RETURNING
@@ -185,9 +185,20 @@
         order = self.front.router._ordered(fn)
         return [one.id for one in order if one.entry.zone == self.site and one.suspect_ms is None]
 
-    def _tell(self, events: Iterable[io.Event]) -> None:
-        for event in events:
-            self.front.loop.tell(event)
+    def _tell(self, orders: Orders) -> None:
+        for order in orders:
+            if isinstance(order, io.Hold):
+                self._ask(order)
+            else:
+                self.front.loop.tell(order)
+
+    def _ask(self, question: io.Hold) -> None:
+        """The module hears the answer too, and so what it believed wrongly. It takes an answer for that of
+        its own order, so where one is under way that is waited for."""
+        fn = self.front.router.functions.get(question.function)
+        instance = fn.instances.get(question.worker) if fn else None
+        if instance is None or instance.order_ms is None:
+            self.front.table.order(question)
 
     def _staged(self, now_ms: float) -> None:
         came, self.stages.came = self.stages.came, []
@@ -242,7 +253,8 @@
             return
         try:
             for worker in self.stages.where(now_ms, effect.row):
-                self.front.pool.unload(worker, effect.row)
+                if self.front.pool.unload(worker, effect.row):
+                    self._ask(io.Hold(worker, effect.row, 0))
         except ValueError as error:
             self._once("not let go", {"why": str(error)})
         self.stages.let_go(effect.row)
@@ -349,11 +361,10 @@
 
     def _status(self, now_ms: float) -> None:
         agent, self._status_ms = self.agent, now_ms
-        keeper, homes = agent.keeper, agent.router.at_home
-        here = sum(count for (_, site), count in homes.items() if site == self.site)
+        keeper = agent.keeper
         status = w.Status(
             known=len(agent.router.homes),
-            elsewhere=sum(homes.values()) - here,
+            elsewhere=agent.router.elsewhere,
             kept=len(keeper.records) if keeper else 0,
             keeps=keeper is not None,
             sure=agent.sure(now_ms),
--- a/fawnwharf/sessions/stages.py
+++ b/fawnwharf/sessions/stages.py
@@ -1,5 +1,6 @@
 """Which scorers of this site hold copies that were staged, or are to be let go. Pure; milliseconds.
 
+A scorer is asked first: what front ends believe of copies is out of date where another one had them unloaded.
 Orders go through the module (`CopiesWanted`), within its ration or not at all: what it did not order is asked
 for again, until it stands or is not wanted any more.
 """
@@ -10,9 +11,8 @@
 from fawnwharf import interface as io
 from fawnwharf.sessions.effects import Copies, Key
 
-AGAIN_MS = 1_000.0  # an order of which nothing was heard is wanted again
+AGAIN_MS = 1_000.0  # a question, or an order, of which nothing was heard is made again
 ROWS_MOST = 20_000  # functions of which it is known where they stand
-FRESH_PART = 0.5  # of an idle life: a copy seen longer ago is ordered again, which renews it
 LET_MOST = 4  # scorers that are told to unload one function
 
 
@@ -20,9 +20,15 @@
 class _Wanted:
     copies: Copies
     asked: dict[int, float] = field(default_factory=dict)  # scorers, and when
+    empty: set[int] = field(default_factory=set)  # that answered that none stands
+    ordered: dict[int, float] = field(default_factory=dict)
+    stand: set[int] = field(default_factory=set)
     failed: set[int] = field(default_factory=set)
 
 
+Orders = list[io.CopiesWanted | io.Hold]  # a Hold of no copies is a question
+
+
 class Stages:
     """Owns what is wanted here, and where copies were seen at this site."""
 
@@ -48,10 +54,6 @@
         if places:
             self._seen[row] = places
 
-    def _stands(self, now_ms: float, row: str, worker: int) -> bool:
-        at_ms = self._seen.get(row, {}).get(worker)
-        return at_ms is not None and now_ms - at_ms < FRESH_PART * self.life_ms
-
     def where(self, now_ms: float, row: str) -> list[int]:
         """Scorers of this site with copies that may still be there, in the order of its calls: the first of
         that, as others' calls went there, and those where copies were seen."""
@@ -64,7 +66,7 @@
 
     # --- what is wanted ---------------------------------------------------------------------------
 
-    def want(self, now_ms: float, copies: Copies) -> list[io.CopiesWanted]:
+    def want(self, now_ms: float, copies: Copies) -> Orders:
         if not self.may_order or copies.facts is None:
             # Nothing can be ordered, or nobody alive knows its class: calls bring what they need.
             self.came.append((copies.key, True))
@@ -73,23 +75,28 @@
         self._rows.setdefault(copies.row, set()).add(copies.key)
         return self._order(now_ms, wanted)
 
-    def _order(self, now_ms: float, wanted: _Wanted) -> list[io.CopiesWanted]:
-        """The first scorers that take calls, but those that could not; those that lack a copy are asked."""
+    def _order(self, now_ms: float, wanted: _Wanted) -> Orders:
+        """Of the first scorers that take calls, but those that could not: what is yet to be asked."""
         what, facts = wanted.copies, wanted.copies.facts
         able = [worker for worker in self.order(what.row) if worker not in wanted.failed][: what.count]
         if not able:
             self._over(what.key, False)
             return []
-        lacking = [worker for worker in able if not self._stands(now_ms, what.row, worker)]
+        lacking = [worker for worker in able if worker not in wanted.stand]
         if not lacking:
             self._over(what.key, True)
             return []
-        found = []
+        found: Orders = []
         for worker in lacking:
-            if now_ms - wanted.asked.get(worker, float("-inf")) >= AGAIN_MS:
-                wanted.asked[worker] = now_ms
+            asked = wanted.ordered if worker in wanted.empty else wanted.asked
+            if now_ms - asked.get(worker, float("-inf")) < AGAIN_MS:
+                continue
+            asked[worker] = now_ms
+            if worker in wanted.empty:
                 load_ms = facts.load_ms or None
                 found.append(io.CopiesWanted(worker, what.row, facts.kind, 1, facts.lanes, load_ms))
+            else:
+                found.append(io.Hold(worker, what.row, 0))
         return found
 
     def _over(self, key: Key, stands: bool) -> None:
@@ -103,20 +110,22 @@
             if not keys:
                 del self._rows[wanted.copies.row]
 
-    def answered(self, now_ms: float, event: io.OrderAnswered) -> list[io.CopiesWanted]:
-        """An order's answer, whoever gave it."""
+    def answered(self, now_ms: float, event: io.OrderAnswered) -> Orders:
+        """A scorer's answer to an order or a question, whoever's that was."""
         good = event.ending is io.Ending.GOOD
         if good:
             self.seen(now_ms, event.function, event.worker, event.copies)
         found = []
         for key in list(self._rows.get(event.function, ())):
             wanted = self.wanted[key]
-            if not good and event.worker in wanted.asked:
+            if good:
+                (wanted.stand if event.copies else wanted.empty).add(event.worker)
+            elif event.worker in wanted.asked:
                 wanted.failed.add(event.worker)
             found += self._order(now_ms, wanted)
         return found
 
-    def tick(self, now_ms: float) -> list[io.CopiesWanted]:
+    def tick(self, now_ms: float) -> Orders:
         found = []
         for key, wanted in list(self.wanted.items()):
             if now_ms >= wanted.copies.until_ms:
--- a/fawnwharf/sites.py
+++ b/fawnwharf/sites.py
@@ -44,7 +44,7 @@
     site: Text
 
 
-class Home(Struct, frozen=True):
+class Home(Struct, frozen=True, gc=False):
     """At which site a session is at home, and the number of the hand-over that made it so."""
 
     session: Session
