--- a/fawnwharf/sessions/service.py
+++ b/fawnwharf/sessions/service.py
@@ -79,6 +79,7 @@
         self._drained: dict[str, tuple[float, tuple[str, ...]]] = {}  # others' wishes, and when they came
         self._orders: dict[str, Function] = {}  # hash orders that were asked for
         self._placed: Any = core.placement
+        self._out: dict[str, str] = {}  # sites whose scorers the plan closes: no call is near to them
         self._waiting: dict[tuple[str, ...], list[m.Message]] = {}  # words, by who they are for
         self._urgent: set[tuple[str, ...]] = set()  # of these, those that are to go at the end of this turn
         self._noted: dict[str, float] = {}
@@ -159,7 +160,7 @@
             event.load_ms,
             event.budget_ms,
         )
-        event.site = home.site if home.site != self.site else ""
+        event.site = home.site if home.site != self.site and home.site not in self._out else ""
 
     def _ended(self, now_ms: float, event: io.AttemptEnded) -> None:
         call = self.agent.router.calls.get(event.request)
@@ -322,10 +323,9 @@
         for drained in [self.wishes.drained, *(drained for _, drained in self._drained.values())]:
             found |= dict.fromkeys(drained, "operators")
         plan = self.zones.core.plan if self.zones is not None else None
-        for name, zone in plan.zones.items() if plan else ():
-            if zone.state in (LEAVING, OUT):
-                found[name] = zone.state
-        return found
+        zones = plan.zones.items() if plan else ()
+        self._out = {name: zone.state for name, zone in zones if zone.state in (LEAVING, OUT)}
+        return found | self._out
 
     def _shares(self) -> dict[str, float]:
         plan = self.zones.core.plan if self.zones is not None else None
--- a/tests/test_sessions_service.py
+++ b/tests/test_sessions_service.py
@@ -69,6 +69,10 @@
     assert len(near[site].loads) == 1  # staged, once
     rig.until(lambda: near["a"].unloaded, "the old copies are let go")
     assert near["a"].unloaded == [ROW] and not near["b"].unloaded and not near["c"].unloaded
+    plan = Plan(zones={"a": Zone(), site: Zone("out")})  # that this front end alone has heard of yet
+    rig.part("a1").zones = SimpleNamespace(core=SimpleNamespace(plan=plan))
+    rig.until(lambda: rig.part("a1")._out, "it is looked at")
+    assert rig.call(client) == "answer" and rig.seen["a1"][-1].site == ""
     mover = rig.noted("session moved")[0]["member"]
     rig.part(mover)._status(0.0)  # it tells of itself once a second
     status, said = asked(rig, "show", member=mover)
