--- a/fawnwharf/foresight/known.py
+++ b/fawnwharf/foresight/known.py
@@ -174,6 +174,14 @@
             if getattr(fact, name) is None or not fact.own:
                 setattr(fact, name, getattr(told, name))
 
+    def last(self, most: int) -> list[Told]:
+        """Those heard of last, the last one in the end."""
+        return [self._tell(row) for row in reversed(self._facts.latest(most))]
+
+    def _tell(self, row: str) -> Told:
+        fact = self._facts[row]
+        return Told(row, fact.class_name, fact.lanes, fact.memory_mb, fact.load_ms, fact.run_ms)
+
     def tells(self, now_ms: float, most: int) -> tuple[Told, ...]:
         """What is to be told now; the rest follows."""
         found = []
@@ -183,9 +191,7 @@
             fact = self._facts.get(row)
             if fact is not None:
                 fact.told_ms = now_ms
-                found.append(
-                    Told(row, fact.class_name, fact.lanes, fact.memory_mb, fact.load_ms, fact.run_ms)
-                )
+                found.append(self._tell(row))
         return tuple(found)
 
     def facts(self, row: str) -> Facts | None:
--- /dev/null
+++ b/fawnwharf/foresight/memory.py
@@ -0,0 +1,66 @@
+"""What one process has learnt, for the one that takes its place on its machine. Pure: bytes out, and back.
+
+Handed over: past moves, stays and ends of life by tenant, the predictors' scores, what is known of functions.
+Not: counters and sessions (a life's own; they come back with the next calls), plans (announced anew), what is
+staged (it stands, unused it lapses), and fluxes of the last seconds. Times are of the monotonic clock, which
+is the same for all processes of one machine until it starts anew; then nothing of it is taken.
+"""
+
+import msgspec
+from msgspec import Struct
+
+from fawnwharf.foresight.core import Foresight
+from fawnwharf.foresight.known import Functions, Told
+from fawnwharf.foresight.past import Age, Move, Stay
+from fawnwharf.foresight.score import Sums
+
+VERSION = 1
+ROWS_MOST, FUNCTIONS_MOST = 5_000, 2_000
+SIZE_MOST = 2 * 1024 * 1024
+SUMS = ("weight", "brier", "base", "loss", "base_loss", "net", "spent")
+
+
+class Memory(Struct):
+    version: int
+    at_ms: float
+    day_ms: float
+    phases: int
+    moves: list[Move]
+    stays: list[Stay]
+    ages: list[Age]
+    scores: dict[str, tuple[float, ...]]
+    functions: list[Told]
+
+
+def learnt(now_ms: float, core: Foresight, functions: Functions) -> bytes:
+    moves, stays, ages = core.learnt.past.rows(now_ms, ROWS_MOST)
+    scores = {}
+    for name, sums in core.scores.sums.items():
+        sums.fade(now_ms, core.bounds.score_ms)
+        scores[name] = tuple(getattr(sums, key) for key in SUMS)
+    told = functions.last(FUNCTIONS_MOST)
+    bounds = core.bounds
+    return msgspec.msgpack.encode(
+        Memory(VERSION, now_ms, bounds.day_ms, bounds.phases, moves, stays, ages, scores, told)
+    )
+
+
+def take(now_ms: float, data: bytes, core: Foresight, functions: Functions) -> bool:
+    """False where it is no memory, of another version, of other days, or of before the machine started."""
+    if len(data) > SIZE_MOST:
+        return False
+    try:
+        held = msgspec.msgpack.decode(data, type=Memory)
+    except (msgspec.DecodeError, RecursionError):
+        return False
+    bounds = core.bounds
+    same = (held.version, held.day_ms, held.phases) == (VERSION, bounds.day_ms, bounds.phases)
+    if not same or not 0.0 <= held.at_ms <= now_ms:
+        return False
+    core.learnt.past.take(held.at_ms, held.moves, held.stays, held.ages)
+    for name, values in held.scores.items():
+        if len(values) == len(SUMS):
+            core.scores.sums[name] = Sums(**dict(zip(SUMS, values, strict=True)), at_ms=held.at_ms)
+    for told in held.functions:
+        functions.heard(told)
+    return True
--- a/fawnwharf/foresight/past.py
+++ b/fawnwharf/foresight/past.py
@@ -5,6 +5,7 @@
 process that starts knows nothing of it, and of phases nothing but what it sees.
 """
 
+import heapq
 import math
 
 from fawnwharf.foresight import messages as m
@@ -18,6 +19,10 @@
 AGES = 16  # doublings of a second
 GROUPS = 30  # of one slice
 
+Move = tuple[str, str, int, str, float]  # tenant, whence, phase, whither, moves
+Stay = tuple[str, str, int, float]  # tenant, site, phase, milliseconds
+Age = tuple[str, int, float, float]  # tenant, doubling, ends, milliseconds
+
 
 class Past:
     """Hazards of moves, and chances that sessions live on."""
@@ -104,6 +109,30 @@
         alive = silent / (silent + ends / (calls + ends) * (1.0 - silent))
         return alive * math.exp(-span_ms * ends)
 
+    def rows(self, now_ms: float, most: int) -> tuple[list[Move], list[Stay], list[Age]]:
+        """What is held, faded to now: the largest of each, so many."""
+        moves = [
+            (*key, whither, self._now(count, now_ms))
+            for key, row in self._moves.items()
+            for whither, count in row.items()
+        ]
+        stays = [(*key, self._now(stay, now_ms)) for key, stay in self._stays.items()]
+        ages = [
+            (*key, *(row[n] * math.exp((row[2] - now_ms) / self.settings.learn_ms) for n in (0, 1)))
+            for key, row in self._ages.items()
+        ]
+        largest = (heapq.nlargest(most, some, key=lambda row: row[-1]) for some in (moves, stays, ages))
+        return tuple(largest)
+
+    def take(self, at_ms: float, moves: list[Move], stays: list[Stay], ages: list[Age]) -> None:
+        """What another process held at that moment of this clock, for one that has learnt nothing yet."""
+        for org, site, phase, whither, count in moves:
+            self._row(self._moves, (org, site, phase), {})[whither] = [count, at_ms]
+        for org, site, phase, stay_ms in stays:
+            self._row(self._stays, (org, site, phase), [0.0, at_ms])[:] = [stay_ms, at_ms]
+        for org, doubling, ends, stay_ms in ages:
+            self._row(self._ages, (org, doubling), [0.0, 0.0, at_ms])[:] = [ends, stay_ms, at_ms]
+
     def _age(self, now_ms: float, org: str, age_ms: float, ends: float, exposed_ms: float) -> None:
         row = self._row(self._ages, (org, _doubling(age_ms)), [0.0, 0.0, now_ms])
         part = math.exp((row[2] - now_ms) / self.settings.learn_ms)
--- a/fawnwharf/foresight/score.py
+++ b/fawnwharf/foresight/score.py
@@ -18,7 +18,7 @@
 
 BINS = 10
 OPEN_MOST = 20_000  # predictions of one predictor whose end is awaited
-KEYS = 60  # of one slice
+KEYS = 100  # of one slice
 LEAST_CHANCE = 0.001  # for the log loss: guards against an infinite one
 
 
@@ -113,14 +113,19 @@
             moved[key] = None
             self.missed += not any(key in held for held in self._open.values())
         for by, held in self._open.items():
-            over_ms, found = self._dues.get(by, []), list(moved)
+            over_ms, found = self._dues.get(by, []), dict.fromkeys(moved)
             while over_ms and over_ms[0][0] < now_ms:
-                found.append(heapq.heappop(over_ms)[2])
-            for n, key in enumerate(found):
-                if n % KEYS == KEYS - 1:
+                found[heapq.heappop(over_ms)[2]] = None
+                if len(found) % (2 * KEYS) == 0:
                     yield
+            done = 0
+            for key in found:
                 if key not in held:
                     continue
+                done += 1 + len(held[key])
+                if done > KEYS:
+                    done = 0
+                    yield
                 came, made = key in moved, held.pop(key)
                 over = [one for one in made if came or one[1] < now_ms]
                 self._count[by] -= len(over)
--- a/fawnwharf/foresight/ways.py
+++ b/fawnwharf/foresight/ways.py
@@ -7,6 +7,7 @@
 """
 
 import heapq
+from collections.abc import Callable, Sequence
 from typing import Annotated
 
 import msgspec
@@ -57,8 +58,16 @@
     """Owns what is to be ordered, and when it was."""
 
     def __init__(
-        self, bounds: Foresight, site: Settings, watch: Watcher, whither: Whither, belongs: Belongs
+        self,
+        bounds: Foresight,
+        site: Settings,
+        watch: Watcher,
+        whither: Whither,
+        belongs: Belongs,
+        sites: Callable[[], Sequence[str]],
     ) -> None:
+        """`sites`: those with a scorer that takes calls."""
+        self.sites = sites
         self.bounds, self.watch, self.whither, self.belongs = bounds, watch, whither, belongs
         self.idle_ms = site.idle_life_ms
         self.fleet_size = site.fleet_size
@@ -80,7 +89,7 @@
         if mode == "react":
             yield from self._react(out)
         elif mode == "everything":
-            yield from self._everything(now_ms, view, out)
+            yield from self._everything(now_ms, out)
         elif mode == "oracle":
             self._oracle(now_ms, view)
         self._out = out
@@ -111,10 +120,10 @@
                 if track is not None and track.site != site:
                     self._want(session.row, site)
 
-    def _everything(self, now_ms: float, view: View, out: frozenset[str]) -> Slices[None]:
+    def _everything(self, now_ms: float, out: frozenset[str]) -> Slices[None]:
         if not self._turn:
             self._turn = list(self.watch.tracks)
-        sites = [site for site in self.watch.here if site not in out]
+        sites = [site for site in self.sites() if site not in out]
         for n in range(min(len(self._turn), 4 * self.bounds.most)):
             if n % LOOKED == LOOKED - 1:
                 yield
--- a/fawnwharf/sessions/staging.py
+++ b/fawnwharf/sessions/staging.py
@@ -14,6 +14,7 @@
 from msgspec import Meta, Struct
 
 from fawnwharf import interface as io
+from fawnwharf.foresight import memory
 from fawnwharf.foresight import messages as m
 from fawnwharf.foresight.core import Foresight
 from fawnwharf.foresight.known import Copies, Functions, Scorers, Told
@@ -111,7 +112,7 @@
         self.copies = Copies(self.scorers, self.functions, site.idle_life_ms)
         whither, rules = whither or self._whither, self.scorers.settings
         self.core = Foresight(bounds, rules, prices, me, whither, place, belongs)
-        self.ways = Ways(bounds, rules, self.core.watch, whither, belongs)
+        self.ways = Ways(bounds, rules, self.core.watch, whither, belongs, self.scorers.sites)
         self.calm = True
         self.counts: dict[str, int] = {}
         promise_ms = min((spec.promise_ms for spec in site.classes.values()), default=1_000.0)
@@ -232,6 +233,14 @@
         """For trials: what the mode `oracle` goes by (`ways.foretold_from`)."""
         self.ways.foretold(now_ms, unix_ms, moves)
 
+    def learnt(self, now_ms: float) -> bytes:
+        """For the process that takes this one's place (`foresight.memory` says what is in it)."""
+        return memory.learnt(now_ms, self.core, self.functions)
+
+    def learn(self, now_ms: float, data: bytes) -> bool:
+        """Takes what another process has learnt, before any call came here. False: nothing was taken."""
+        return memory.take(now_ms, data, self.core, self.functions)
+
     # --- looks ----------------------------------------------------------------------------------
 
     def beat(self, now_ms: float, seen: Seen) -> Beat:
