--- a/fawnwharf/foresight/core.py
+++ b/fawnwharf/foresight/core.py
@@ -94,7 +94,9 @@
             yield from scores.noting(now_ms, moves)
         self.best = scores.best([predictor.name for predictor in able])
         still = self.plans.standby()
-        guessed = [move for move in made.get(self.best or "", []) if move.whither not in still]
+        # All that are good: each is scored by what it foretold itself, so of two the scores say little.
+        good = [name for name in made if scores.good(name)]
+        guessed = [move for name in good for move in made[name] if move.whither not in still]
         seen = view()
         self.moves = self._due(certain, len(seen.heard)) + guessed
         yield
--- a/tests/test_foresight_planner.py
+++ b/tests/test_foresight_planner.py
@@ -196,6 +196,26 @@
     assert plan.used == 1 and plan.scores.sums["learnt"].net > 0.0
 
 
+def test_all_predictors_that_are_good_are_followed_and_none_that_is_not():
+    core = Foresight(S, SITE, PRICES, "a")
+    made = {"trend": [move(1, by="trend")], "learnt": [move(2), move(3)]}
+    for name, good in (("trend", 0.9), ("learnt", 0.6)):
+        for _ in range(60):
+            core.scores._of(name, 0.0).add(good, True)
+        predictor = getattr(core, name)
+        predictor.moves = lambda now, watch, span, some=made[name]: iter_(some)
+    core.step(0.0, view())
+    assert {one.session.row for one in core.moves} == {"f1", "f2", "f3"}
+    core.scores.charge(0.0, "trend", 99.0)
+    core.step(1_000.0, view())
+    assert {one.session.row for one in core.moves} == {"f2", "f3"} and core.best == "learnt"
+
+
+def iter_(found):
+    yield
+    return found
+
+
 def test_false_signs_stop_staging_by_their_own_score():
     """Sessions that look as if they were going, by turns, and never do."""
     core, chance, staged = (
