--- a/fawnwharf/foresight/kept.py
+++ b/fawnwharf/foresight/kept.py
@@ -66,10 +66,10 @@
         """The one not used for longest."""
         return next(iter(self), None)
 
-    def latest(self, most: int) -> list[Key]:
+    def latest(self, most: int) -> dict[Key, None]:
         """Those used last, the last one first."""
         rows = (reversed(row) for row in reversed(self._rows.values()))
-        return list(islice(chain.from_iterable(rows), most))
+        return dict.fromkeys(islice(chain.from_iterable(rows), most))
 
     def _out(self, key: Key, value: Value) -> None:
         row = self._rows[value.mark]
--- a/fawnwharf/foresight/predictors.py
+++ b/fawnwharf/foresight/predictors.py
@@ -290,7 +290,7 @@
         self, now_ms: float, watch: Watcher, site: str, was: float, open_: float, ahead: float
     ) -> Slices[list[Move]]:
         found: list[Move] = []
-        back = dict.fromkeys(watch.left.get(site, Group()).busiest(4 * self.settings.most))
+        back = watch.left.get(site, Group()).busiest(4 * self.settings.most)
         yield
         # Those that began while the site was out have never been there. Bounded: the last that called.
         latest = watch.tracks.latest(4 * self.settings.most)
--- a/fawnwharf/foresight/seen.py
+++ b/fawnwharf/foresight/seen.py
@@ -90,10 +90,10 @@
         """Any one of them."""
         return next(iter(next(iter(self._levels.values())).values()))
 
-    def busiest(self, most: int) -> list[Session]:
-        """Those that call most, within a factor of two, first."""
+    def busiest(self, most: int) -> dict[Session, None]:
+        """Those that call most, within a factor of two, first. No list: the collector would walk it."""
         levels = (self._levels[level] for level in sorted(self._levels, reverse=True))
-        return list(islice(chain.from_iterable(levels), most))
+        return dict.fromkeys(islice(chain.from_iterable(levels), most))
 
 
 class Watcher:
--- a/fawnwharf/foresight/ways.py
+++ b/fawnwharf/foresight/ways.py
@@ -111,7 +111,7 @@
                 for target, _ in self.whither(session, site):
                     self._want(session.row, target)
         for site in sorted(self._out - out):
-            back = dict.fromkeys(watch.left.get(site, Group()).busiest(most))
+            back = watch.left.get(site, Group()).busiest(most)
             back |= dict.fromkeys(one for one in watch.tracks.latest(most) if self.belongs(one) == site)
             for n, session in enumerate(back):
                 if n % LOOKED == LOOKED - 1:
--- a/fawnwharf/sessions/measure.py
+++ b/fawnwharf/sessions/measure.py
@@ -83,6 +83,7 @@
 
 
 def run(sessions: int) -> None:
+    gc.collect()  # what is left of the scene before
     scene = Scene(sessions)
     for _ in range(10):
         scene.second(PART)
--- a/fawnwharf/sites.py
+++ b/fawnwharf/sites.py
@@ -16,7 +16,7 @@
     row: Text
 
 
-class Move(Struct, frozen=True):
+class Move(Struct, frozen=True, gc=False):
     """A session is expected at another site within a time."""
 
     session: Session
