--- a/fawnwharf/policy/routing.py
+++ b/fawnwharf/policy/routing.py
@@ -25,8 +25,7 @@
             fn.order = sorted(drawn, key=lambda w: (-drawn[w] / self.members[w.id], w.id))
             fn.order.sort(key=lambda w: fn.site != "" and self._is_far(w, fn))
             fn.order_members, fn.known = self.members, None
-            for worker in fn.order:
-                self._believe(fn, worker)
+            self._believe(fn, fn.order)
         return fn.order
 
     def _known(self, fn: Function) -> list[Worker]:  # with some belief, the own zone's first, in hash order
@@ -133,12 +132,12 @@
             rate = max(self.sold / self.peers / self.fleet, COLD_SAFETY * answered / self.total)
             rate *= self.members[worker.id]
         left = own = self.settings.fall_multiple * share * self.settings.fall_ms * rate
-        # Who is unsure gets no more than its part: all others see the same room, and may be about to take it.
         if worker.told.sent is not None and self._is_told(worker, self.settings.fall_ms):
-            since = (self.now - worker.told_ms) / self.settings.fall_ms  # others have sent their parts since
-            left = own * (self.peers - since * (self.peers - 1)) - worker.told.sent
+            past = (self.now - worker.told_ms) / self.settings.fall_ms  # others have sent their parts since
+            left = own * (self.peers - past * (self.peers - 1)) - worker.told.sent  # all see it at once
         # Guards against a least send for each front end: a part below one falls to as many of them by chance.
-        return len(worker.sent) + 1 <= max(left, min(left, own) + mix(mix(self.chance ^ worker.mark)) / 2**64)
+        left = min(left, own + (left - own) / self.peers) + mix(mix(self.chance ^ worker.mark)) / 2**64
+        return len(worker.sent) + 1 <= left
 
     def _warmth(self, worker: Worker) -> float:  # the part of its capacity that a worker has at the least
         age = max(0.0, self.now - worker.started_ms) / max(1.0, self.settings.cold_ms)
@@ -187,8 +186,7 @@
     def _load_path(self, fn: Function, waited_ms: float) -> bool:  # the switch: off at Ti > Te, on at Td > Tp
         if fn.load_path:
             unused = [self.now - i.unused_ms for i in fn.instances.values() if i.unused_ms is not None]
-            seen = self.peers if self.wide else 1  # of so many calls, one: the others use the copy as often
-            flip = max([fn.idle_ms, *unused]) > self._te(fn) * seen
+            flip = max([fn.idle_ms, *unused]) > self._te(fn) * self.peers**self.wide  # others use it too
         else:
             flip = max(waited_ms, fn.waits.median(self.now) or 0.0) > self._tp(fn)
         if flip:
