--- a/fawnwharf/sessions/foreseen.py
+++ b/fawnwharf/sessions/foreseen.py
@@ -2,6 +2,7 @@
 
 What it lets go is left to lapse: to unload it would take copies of whoever uses them by now."""
 
+import contextlib
 from pathlib import Path
 from typing import Any
 
@@ -29,9 +30,16 @@
     """Owns a front end's `Staging`, and tells it what it sees."""
 
     def __init__(
-        self, deployment: Deployment, path: Path, state: State, agent: Agent, zones: Any | None
+        self,
+        deployment: Deployment,
+        path: Path,
+        state: State,
+        agent: Agent,
+        zones: Any | None,
+        memory: Path,
     ) -> None:
-        """Reads its part of the file; raises ConfigError with one line."""
+        """Reads its part of the file; raises ConfigError with one line. `memory`: where what was learnt is
+        left for the process that takes this one's place."""
         self.state, self.agent, self.zones = state, agent, zones
         bounds = load(path, foresight_from, "sessions")
         costs = deployment.costs
@@ -47,6 +55,9 @@
         if bounds.told:
             moves = load(path.parent / bounds.told, foretold_from, "sessions")
             self.staging.foretold(monotonic_ms(), unix_ms(), moves)
+        self._memory = memory
+        with contextlib.suppress(OSError):  # none was left
+            self.staging.learn(monotonic_ms(), memory.read_bytes())
         self.bad = self.ordered = 0
         self._owners: dict[str, str] = {}  # the life that is heard of each member
         self._plan: Any = None
@@ -65,10 +76,16 @@
         self._beat()
 
     def close(self) -> None:
+        if self._stopped or self.front is None:
+            return
         self._stopped = True
         self.state.riders.pop(RIDER, None)
         if self._timer is not None:
             self._timer.cancel()
+        beside = self._memory.with_suffix(".new")
+        with contextlib.suppress(OSError):  # the next process learns anew
+            beside.write_bytes(self.staging.learnt(monotonic_ms()))
+            beside.rename(self._memory)
 
     def events(self, now_ms: float, events: list[io.Event]) -> None:
         self.staging.events(now_ms, unix_ms(), events)
--- a/fawnwharf/sessions/service.py
+++ b/fawnwharf/sessions/service.py
@@ -93,7 +93,8 @@
         if read.foresight is not None:
             from fawnwharf.sessions.foreseen import Foreseen
 
-            self.foreseen = Foreseen(deployment, place, self.state, self.agent, self.zones)
+            memory = self._wishes_file.path.with_name("learnt")
+            self.foreseen = Foreseen(deployment, place, self.state, self.agent, self.zones, memory)
 
     def _sites(self) -> dict[str, str]:
         return {entry.name: entry.zone for entry in self.state.core.members.members if entry.state}
--- a/tests/test_sessions_service.py
+++ b/tests/test_sessions_service.py
@@ -179,6 +179,10 @@
     state._carry_out(state.core.ride(rm.Ride("foresight", {"counts": 3}), ()))
     rig.until(lambda: rig.part("b0").foreseen.bad == 1, "a bad word is counted")
     assert rig.part("b0").foreseen._look(0.0).heard == ("a0", "b0", "c0")
+    (rig.folder / "b0").mkdir()
+    rig.seams["b0"].release()
+    rig.seams["b0"].take_back(rig.fronts["b0"])
+    assert rig.part("b0").foreseen.staging.functions.facts(ROW).class_name == "view"  # was left by the first
 
 
 def test_a_front_end_that_starts_anew_is_no_fresh_one_and_does_not_repeat_what_was_asked(fronts):
