--- a/fawnwharf/cli.py
+++ b/fawnwharf/cli.py
@@ -5,6 +5,7 @@
 import typer
 
 from fawnwharf import __version__, config, serving
+from fawnwharf.epochs.commands import app as policy_app
 from fawnwharf.lab.commands import app as lab_app
 from fawnwharf.replication.commands import app as state_app
 from fawnwharf.zones.commands import app as zones_app
@@ -12,6 +13,7 @@
 app = typer.Typer(add_completion=False, no_args_is_help=True, pretty_exceptions_enable=False)
 app.add_typer(zones_app, name="zones")
 app.add_typer(state_app, name="state")
+app.add_typer(policy_app, name="policy")
 app.add_typer(lab_app, name="lab")
 File = Annotated[str | None, typer.Option("--config", help="The JSON file, in place of ROUTER_CONFIG's.")]
 
--- /dev/null
+++ b/fawnwharf/epochs/agent.py
@@ -0,0 +1,326 @@
+"""One member's part in changes of policy: its holder, its steward where its voter leads, operators' words.
+
+Pure: words of others, decisions of the voters' log and ticks come in with a time, effects go out in order.
+`Say` is for other members alone; `Decide` is to be put to the voters' log at once. Nothing rests on the
+delivery of a word: holders ask again, a steward says again what is not answered, an operator's word is said
+again until a leader's standing tells what came of it.
+"""
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+
+from fawnwharf.epochs import messages as m
+from fawnwharf.epochs.document import DocumentFault, Known, document_from, register_from
+from fawnwharf.epochs.holder import Holder
+from fawnwharf.epochs.steward import Steward, Timing
+from fawnwharf.zones.lines import Seat
+
+OUTCOMES_MOST = 8  # of a reign, that are told
+WISHES_MOST = 4
+WISH_MS = 10_000.0  # a word that no leader answers for so long is given up
+TO_STEWARD = (m.Vote, m.Status, m.Changed)
+OF_OPERATORS = (m.Propose, m.Back, m.CallOff)
+
+
+@dataclass(slots=True)
+class Wish:
+    """An operator's word that was given here."""
+
+    message: m.Propose | m.Back | m.CallOff
+    digest: str  # of what it asks for; "": not known
+    began_ms: float
+    outcome: m.Outcome
+    term: int = 0  # of the leader that told the outcome
+    said_ms: float = 0.0
+
+
+@dataclass(slots=True)
+class Agent:
+    """Owns the two cores of one member, and what operators asked for at it."""
+
+    name: str
+    members: tuple[str, ...]
+    known: Known
+    timing: Timing
+    life: int
+    seat: Callable[[float], Seat]  # how its voter stands
+    votes: bool = False
+    disk: str = ""
+    holder: Holder = field(init=False)
+    steward: Steward | None = None
+    counts: dict[str, int] = field(default_factory=dict)  # what was dropped, by cause
+    standings: dict[str, m.Standing] = field(default_factory=dict)  # others', as last told
+    wishes: deque[Wish] = field(default_factory=lambda: deque(maxlen=WISHES_MOST))  # that were said here
+    term: int = 0  # the largest of a leader that was heard
+    outcomes: deque[m.Outcome] = field(default_factory=lambda: deque(maxlen=OUTCOMES_MOST))
+    unread: int = 0  # a reign that could not begin
+
+    def __post_init__(self) -> None:
+        self.holder = Holder(self.known, self.timing, self.life, self.disk)
+        if self.votes:
+            self.steward = Steward(self.timing, self.members)
+
+    def _count(self, cause: str) -> None:
+        self.counts[cause] = self.counts.get(cause, 0) + 1
+
+    def leads(self, now_ms: float) -> bool:
+        """For certain, at this moment."""
+        if self.steward is None or not self.steward.term:
+            return False
+        seat = self.seat(now_ms)
+        return seat.fresh and seat.term == self.steward.term
+
+    # --- what comes in --------------------------------------------------------------------------
+
+    def heard(self, now_ms: float, sender: str, said: tuple[Any, ...]) -> list[m.Effect]:
+        """Words of another member, decoded; what is none is dropped and counted."""
+        effects: list[m.Effect] = []
+        for data in said:
+            try:
+                message = m.message_from(data)
+            except msgspec.ValidationError:
+                self._count("bad word")
+                continue
+            effects += self._take(now_ms, sender, message)
+        return self._out(now_ms, effects)
+
+    def _take(self, now_ms: float, sender: str, message: m.Message) -> list[m.Effect]:
+        if isinstance(message, OF_OPERATORS):
+            return self._wished(now_ms, sender, message)
+        if not isinstance(message, TO_STEWARD):
+            return self.holder.heard(now_ms, sender, message)
+        if self.steward is None:
+            return []
+        return self.steward.heard(now_ms, sender, message, self.leads(now_ms))
+
+    def _out(self, now_ms: float, effects: list[m.Effect]) -> list[m.Effect]:
+        """What is for this member itself is taken at once; the rest goes out, in order."""
+        found, waiting = [], deque(effects)
+        while waiting:
+            effect = waiting.popleft()
+            if isinstance(effect, m.Say):
+                mine = effect.to == self.name or (effect.to == m.LEADER and self.leads(now_ms))
+                if mine:
+                    waiting.extend(self._take(now_ms, self.name, effect.message))
+                    continue
+            elif isinstance(effect, m.Note):
+                self._noted(effect)
+            found.append(effect)
+        if self.wishes and self.steward is not None and self.steward.term:
+            self._learn_outcomes(self.standing(now_ms))
+        return found
+
+    def decided(self, now_ms: float, text: str) -> list[m.Effect]:
+        """A register that the voters' log decided, at whichever voter."""
+        effects: list[m.Effect] = []
+        try:
+            if self.steward is not None and self.steward.term:
+                effects = self.steward.decided(now_ms, text, self.leads(now_ms))
+            number = register_from(text).last.number
+        except DocumentFault:
+            return self._out(now_ms, self.holder.decided(now_ms, text))  # it says so, and is not ready
+        if number > self.holder.register.last.number:
+            effects += self.holder.decided(now_ms, text)
+        return self._out(now_ms, effects)
+
+    def not_put(self, now_ms: float) -> list[m.Effect]:
+        """What was to be decided never came into the log."""
+        return self._out(now_ms, self.steward.not_put(now_ms)) if self.steward else []
+
+    def take_members(self, now_ms: float, members: tuple[str, ...], known: Known) -> list[m.Effect]:
+        self.members, self.known, self.holder.known = members, known, known
+        self.standings = {name: told for name, told in self.standings.items() if name in members}
+        if self.steward is None:
+            return []
+        return self._out(now_ms, self.steward.take_members(now_ms, members))
+
+    # --- reigns ---------------------------------------------------------------------------------
+
+    def turned(self, now_ms: float) -> list[m.Effect]:
+        """The voter may lead, or not lead any more: a reign begins when it leads, its last decision is the
+        fleet's last for certain, and nothing of its log is undecided."""
+        steward = self.steward
+        if steward is None:
+            return []
+        seat, effects = self.seat(now_ms), []
+        if steward.term and steward.term != seat.term:
+            effects.append(m.Note("steward rests", {"term": steward.term}))
+            steward.rest()
+            self.outcomes.clear()
+        if not steward.term and seat.fresh and seat.settled and seat.term != self.unread:
+            effects += steward.lead(now_ms, seat.term, seat.policy)
+            self.unread = 0 if steward.term else seat.term
+            self.term = max(self.term, steward.term)
+            self.holder.open_ms = min(self.holder.open_ms, now_ms)
+        return self._out(now_ms, effects) if effects else []
+
+    # --- time -----------------------------------------------------------------------------------
+
+    def due_ms(self) -> float:
+        dues = [self.holder.due_ms()]
+        if self.steward is not None and (due := self.steward.due_ms()) is not None:
+            dues.append(due)
+        asked = [w.said_ms for w in self.wishes if w.outcome.state == "asked"]
+        return min([*dues, *(said_ms + self.timing.again_ms for said_ms in asked)])
+
+    def tick(self, now_ms: float) -> list[m.Effect]:
+        effects = self.turned(now_ms)
+        more: list[m.Effect] = []
+        if self.steward is not None and (due := self.steward.due_ms()) is not None and now_ms >= due:
+            more += self.steward.tick(now_ms, self.leads(now_ms))
+        if now_ms >= self.holder.due_ms():
+            more += self.holder.tick(now_ms)
+        for wish in self.wishes:
+            more += self._wish_again(now_ms, wish)
+        return effects + self._out(now_ms, more)
+
+    # --- operators' words: at the leader ----------------------------------------------------------
+
+    def _wished(self, now_ms: float, by: str, word: m.Propose | m.Back | m.CallOff) -> list[m.Effect]:
+        if not self.leads(now_ms) or any((o.by, o.wish) == (by, word.wish) for o in self.outcomes):
+            return []
+        if isinstance(word, m.CallOff):
+            return self._called_off(now_ms, by, word)
+        steward, text = self.steward, word.text if isinstance(word, m.Propose) else ""
+        last, before = steward.register.last, steward.register.before
+        if isinstance(word, m.Back):
+            if word.number != last.number or before is None:
+                why = f"{last.number} is the last, not {word.number}" if before else "there is none before it"
+                self.outcomes.append(m.Outcome(by, word.wish, "refused", 0, why))
+                return [m.Note("refused", {"why": why})]
+            text = before.encode()
+        try:
+            same = steward.open is None and document_from(text).digest == last.digest
+        except DocumentFault:
+            same = False  # the steward says why
+        if same:  # said to a leader that knows nothing of it, or for nothing
+            state = "in force" if steward.settled else "decided"
+            self.outcomes.append(m.Outcome(by, word.wish, state, last.number))
+            return []
+        effects = steward.propose(now_ms, text)
+        first = next(effect for effect in effects if isinstance(effect, m.Note))
+        if first.event == "prepare":
+            self.outcomes.append(m.Outcome(by, word.wish, "preparing", first.fields["number"]))
+        else:
+            self.outcomes.append(m.Outcome(by, word.wish, "refused", 0, first.fields["why"][:300]))
+        return effects
+
+    def _called_off(self, now_ms: float, by: str, word: m.CallOff) -> list[m.Effect]:
+        opened = self.steward.open.document.number if self.steward.open else 0
+        if word.number not in (0, opened):
+            effects: list[m.Effect] = [m.Note("refused", {"why": f"{word.number} is not being prepared"})]
+        else:
+            effects = self.steward.call_off(now_ms, word.why)
+        refused = [e for e in effects if isinstance(e, m.Note) and e.event == "refused"]
+        why = refused[0].fields["why"] if refused else "called off"
+        self.outcomes.append(m.Outcome(by, word.wish, "refused" if refused else "ended", opened, why[:300]))
+        return effects
+
+    def _noted(self, note: m.Note) -> None:
+        """What a steward's note tells of a proposal."""
+        if note.event not in ("ended", "decided", "in force"):
+            return
+        for place, outcome in enumerate(self.outcomes):
+            if outcome.number == note.fields["number"] and outcome.state not in m.FINAL:
+                why = str(note.fields.get("why", ""))[:300]
+                self.outcomes[place] = msgspec.structs.replace(outcome, state=note.event, why=why)
+
+    # --- operators' words: where they are given -----------------------------------------------------
+
+    def ask(self, now_ms: float, wish: int, said: Any) -> list[m.Effect]:
+        """An operator's word, `Said`, checked by itself."""
+        register, digest = self.holder.register, ""
+        if said.propose is not None:
+            text = msgspec.json.encode(said.propose).decode()
+            digest, message = document_from(text).digest, m.Propose(text, wish)
+        elif said.back:
+            message = m.Back(register.last.number, wish)
+            digest = register.before.digest if register.before else ""
+        else:
+            leader = max(self.standings.values(), key=lambda told: told.term, default=None)
+            opened = leader.open if leader and leader.term else 0
+            message = m.CallOff(said.call_off[:200], opened, wish)
+        self.wishes.append(Wish(message, digest, now_ms, m.Outcome(self.name, wish, "asked"), 0, now_ms))
+        return self._out(now_ms, [m.Say(m.LEADER, message)])
+
+    def refuse(self, now_ms: float, wish: int, why: str) -> None:
+        """A word that can't be taken, for this cause."""
+        outcome = m.Outcome(self.name, wish, "refused", 0, why[:300])
+        self.wishes.append(Wish(m.CallOff("", 0, wish), "", now_ms, outcome))
+
+    def _wish_again(self, now_ms: float, wish: Wish) -> list[m.Effect]:
+        if wish.outcome.state != "asked":
+            return []
+        if now_ms - wish.began_ms >= WISH_MS:
+            wish.outcome = m.Outcome(self.name, wish.message.wish, "ended", 0, "no leader answered")
+            return []
+        if now_ms - wish.said_ms < self.timing.again_ms:
+            return []
+        wish.said_ms = now_ms
+        return [m.Say(m.LEADER, wish.message)]
+
+    # --- standings ------------------------------------------------------------------------------
+
+    def standing_of(self, now_ms: float, sender: str, data: Any) -> None:
+        """How another member stands, decoded; what is none is dropped and counted."""
+        try:
+            told = m.standing_from(data)
+        except msgspec.ValidationError:
+            self._count("bad standing")
+            return
+        self.standings[sender] = told
+        if told.term > self.term:
+            self.term = told.term
+            self.holder.open_ms = min(self.holder.open_ms, now_ms)  # a new leader: ask it at once
+        if told.term == self.term and told.term:
+            self._learn_outcomes(told)
+
+    def _learn_outcomes(self, leader: m.Standing) -> None:
+        known = {outcome.wish: outcome for outcome in leader.outcomes if outcome.by == self.name}
+        for wish in self.wishes:
+            if leader.term < wish.term:
+                continue
+            if (outcome := known.get(wish.message.wish)) is not None:
+                wish.outcome, wish.term = outcome, leader.term
+            elif leader.term > wish.term:
+                wish.outcome = _after(wish, leader)
+
+    def standing(self, now_ms: float) -> m.Standing:
+        holder, steward = self.holder, self.steward
+        last, told = holder.register.last, {}
+        if steward is not None and steward.term:
+            last = steward.register.last
+            told = {
+                "term": steward.term,
+                "open": steward.open.document.number if steward.open else 0,
+                "missing": tuple(steward._missing(now_ms)[:8]) if steward.open else (),
+                "settled": steward.settled,
+                "outcomes": tuple(self.outcomes),
+            }
+        return m.Standing(
+            ready=holder.ready,
+            how=holder.last.how if holder.last else "waiting",
+            number=last.number,
+            digest=last.digest,
+            prepared=holder.prepared.number if holder.prepared else 0,
+            life=self.life,
+            fault=holder.fault[:300],
+            wishes=tuple(wish.outcome for wish in self.wishes),
+            counts=dict(self.counts),
+            **told,
+        )
+
+
+def _after(wish: Wish, leader: m.Standing) -> m.Outcome:
+    """What came of a word of which an earlier leader told, by what is decided under this one."""
+    last = wish.outcome
+    if last.state not in ("preparing", "decided"):
+        return last
+    if leader.number >= last.number and (last.state == "decided" or leader.digest == wish.digest):
+        return msgspec.structs.replace(last, state="in force" if leader.settled else "decided")
+    why = "its leader was replaced before it was decided"
+    return msgspec.structs.replace(last, state="ended", why=why)
--- /dev/null
+++ b/fawnwharf/epochs/commands.py
@@ -0,0 +1,191 @@
+"""`fawnwharf policy`: what operators see of the policy in force, and how they change it."""
+
+import json
+import socket
+import time
+from pathlib import Path
+from typing import Annotated, Any
+
+import typer
+
+from fawnwharf.config import ConfigError, address_from
+from fawnwharf.epochs import messages as m
+from fawnwharf.epochs.document import Document, DocumentFault, Known, check_against, document_from
+from fawnwharf.epochs.service import SAID_FILE
+from fawnwharf.zones import settings as s
+
+LOOK_S = 0.1
+app = typer.Typer(no_args_is_help=True, help="The policy that front ends decide by.")
+File = Annotated[str, typer.Option("--zones", help="The settings of zones that this member serves with.")]
+Member = Annotated[
+    str, typer.Option("--member", help="Whose log is read; the settings' own listener without.")
+]
+Wait = Annotated[float, typer.Option("--wait", help="Seconds to wait for the fleet's decision; 0: none.")]
+
+
+def _fail(text: str, status: int = 2) -> None:
+    typer.echo(f"fawnwharf: {text}", err=True)
+    raise typer.Exit(status)
+
+
+def _settings(path: str) -> tuple[s.Settings, s.Members]:
+    try:
+        settings = s.settings_from(Path(path).read_bytes())
+        members = s.members_from((Path(path).parent / settings.members).read_bytes())
+    except OSError as error:
+        _fail(f"zones: {error.filename}: {error.strerror}")
+    except s.FileFault as error:
+        _fail(f"zones: {path}: {error}")
+    return settings, members
+
+
+def _address(settings: s.Settings, members: s.Members, member: str) -> tuple[str, int]:
+    try:
+        if not member:
+            if not settings.listen:
+                _fail("zones: the settings have no listener of their own; name a member with --member")
+            return address_from(settings.listen, "zones.listen")
+        if (entry := members.named(member)) is None:
+            _fail(f"zones: no member {member}")
+        return address_from(entry.address, "members.address")
+    except ConfigError as error:
+        _fail(str(error))
+
+
+def look(address: tuple[str, int], within_s: float = 3.0) -> m.Standing | None:
+    """How a member stands, None where it tells nothing of policy. Raises OSError where its log can't be
+    read, ValueError for what is none."""
+    with socket.create_connection(address, within_s) as sock:
+        sock.sendall(b"since 0\n")
+        reader, end = sock.makefile("rb"), time.monotonic() + within_s
+        while time.monotonic() < end:
+            line = reader.readline()
+            read = json.loads(line) if line else 0
+            if not isinstance(read, dict) or not read.get("whole"):
+                break
+            if "policy" in read.get("line", {}):
+                return m.standing_from(read["line"]["policy"])
+    return None
+
+
+def _told(outcome: m.Outcome) -> str:
+    number = f" number {outcome.number}" if outcome.number else ""
+    return f"{outcome.state}{number}" + (f": {outcome.why}" if outcome.why else "")
+
+
+@app.command()
+def show(zones: File, member: Member = "") -> None:
+    """How a member stands: what it knows to be decided, by what it judges, what is under way."""
+    try:
+        found = look(_address(*_settings(zones), member))
+    except (OSError, ValueError) as error:
+        _fail(f"policy: no answer: {error}", 1)
+    if found is None:
+        _fail("policy: this member tells nothing of policy; it needs `serve --policy`", 1)
+    ready = "ready" if found.ready else "NOT READY"
+    typer.echo(f"{ready}  number {found.number}  digest {found.digest}  by {found.how}")
+    if found.fault:
+        typer.echo(f"the decided document can't be read here: {found.fault}")
+    if found.prepared:
+        typer.echo(f"prepared for number {found.prepared}")
+    if found.term:
+        state = "in force" if found.settled else "not in force yet"
+        typer.echo(f"leads, term {found.term}; number {found.number} is {state}")
+        if found.open:
+            typer.echo(f"number {found.open} is under way; no yes yet from {', '.join(found.missing) or '-'}")
+        for outcome in found.outcomes:
+            typer.echo(f"word {outcome.wish} of {outcome.by}: {_told(outcome)}")
+    else:
+        for outcome in found.wishes:
+            typer.echo(f"word {outcome.wish}: {_told(outcome)}")
+    for cause, count in sorted(found.counts.items()):
+        typer.echo(f"dropped, {cause}: {count}")
+
+
+@app.command()
+def check(file: str, zones: Annotated[str, typer.Option("--zones")] = "") -> None:
+    """Read and check a document; by itself, and against the zones of the fleet where those are given."""
+    document = _document(file, _settings(zones)[1] if zones else None)
+    typer.echo(f"fawnwharf: good: {len(document.values)} keys, digest {document.digest}")
+
+
+def _document(file: str, members: s.Members | None) -> Document:
+    try:
+        document = document_from(Path(file).read_bytes())
+    except OSError as error:
+        _fail(f"policy: {file}: {error.strerror}")
+    except DocumentFault as error:
+        _fail(f"policy: {file}: {error}")
+    if members is not None:
+        # Classes and tenants stand in front ends' configurations: those say no by themselves.
+        named = {part: frozenset(path[1] for path, _ in document.values if path[0] in part) for part in PARTS}
+        known = Known(named[PARTS[0]], named[PARTS[1]], frozenset(members.zones))
+        if fault := check_against(document, known):
+            _fail(f"policy: {file}: {fault}")
+    return document
+
+
+PARTS = ("classes", "modes", "window_ms"), ("tenants",)
+
+
+@app.command()
+def propose(file: str, zones: File, wait: Wait = 0.0) -> None:
+    """Ask the fleet to go by a document. With --wait, tell what came of it: status 0 where it is in force."""
+    settings, members = _settings(zones)
+    document = _document(file, members)
+    _say(settings, members, zones, {"propose": {"version": 1, **document.nested()}}, wait, "in force")
+
+
+@app.command("call-off")
+def call_off(zones: File, why: Annotated[str, typer.Option("--why")] = "", wait: Wait = 0.0) -> None:
+    """End what is being prepared. What is decided stays: see `back`."""
+    settings, members = _settings(zones)
+    _say(settings, members, zones, {"call_off": why[:200]}, wait, "ended")
+
+
+@app.command()
+def back(zones: File, wait: Wait = 0.0) -> None:
+    """Go back to the policy before the last one, as a new change."""
+    settings, members = _settings(zones)
+    _say(settings, members, zones, {"back": True}, wait, "in force")
+
+
+def _say(
+    settings: s.Settings, members: s.Members, path: str, word: dict[str, Any], wait_s: float, good: str
+) -> None:
+    """Leave a word for this member's process, and wait for what comes of it."""
+    folder = Path(path).parent / settings.folder
+    place = folder / SAID_FILE
+    try:
+        before = json.loads(place.read_bytes())["number"] if place.exists() else 0
+    except (OSError, ValueError, KeyError, TypeError):
+        before = 0
+    number = max(before + 1 if type(before) is int else 0, time.time_ns() // 1_000_000)
+    try:
+        folder.mkdir(parents=True, exist_ok=True)
+        beside = place.with_suffix(".new")
+        beside.write_text(json.dumps({"version": 1, "number": number} | word))
+        beside.rename(place)
+    except OSError as error:
+        _fail(f"policy: {place}: {error.strerror}")
+    typer.echo(f"asked: word {number}")
+    if wait_s > 0.0:
+        _wait(_address(settings, members, ""), number, wait_s, good)
+
+
+def _wait(address: tuple[str, int], number: int, wait_s: float, good: str) -> None:
+    end, last = time.monotonic() + wait_s, "this member has not taken the word"
+    while time.monotonic() < end:
+        try:
+            found = look(address)
+        except (OSError, ValueError) as error:
+            found, last = None, f"no answer: {error}"
+        for outcome in found.wishes if found else ():
+            if outcome.wish != number:
+                continue
+            last = _told(outcome)
+            if outcome.state in m.FINAL:
+                typer.echo(last)
+                raise typer.Exit(0 if outcome.state == good else 1)
+        time.sleep(LOOK_S)
+    _fail(f"policy: not done within {wait_s:g} s: {last}", 1)
--- a/fawnwharf/epochs/document.py
+++ b/fawnwharf/epochs/document.py
@@ -14,6 +14,7 @@
 
 import functools
 import hashlib
+import math
 from collections.abc import Callable, Mapping
 from typing import Annotated, Any, Literal
 
@@ -188,6 +189,8 @@
     zones: frozenset[str]
     keeps: bool = True  # it keeps state over front ends, so that modes and windows mean something
     stages: bool = True  # it stages what sessions will need
+    give_up_most_ms: float = math.inf  # of a class, as what is kept counts on
+    window_ms: tuple[float, float] = (0.0, math.inf)  # the least and the most that can be kept
     base: Document = Document()
 
 
@@ -209,6 +212,10 @@
             return f"{key}: nothing is kept here"
         if section == "staging" and value > 0.0 and not known.stages:
             return f"{key}: nothing is staged here"
+        if path[-1] == "give_up_ms" and value > known.give_up_most_ms:
+            return f"{key}: longer than the {known.give_up_most_ms:g} that kept calls may take"
+        if section == "window_ms" and not known.window_ms[0] <= value <= known.window_ms[1]:
+            return f"{key}: not from {known.window_ms[0]:g} to {known.window_ms[1]:g}, as can be kept here"
     full = over(known.base, document)
     if known.zones and all(full.value("admission", zone) == 0.0 for zone in known.zones):
         return "admission: shuts out every zone"
--- /dev/null
+++ b/fawnwharf/epochs/follow.py
@@ -0,0 +1,116 @@
+"""What follows from the policy in force for this front end's parts."""
+
+from typing import Any
+
+import msgspec
+
+from fawnwharf import interface as io
+from fawnwharf.config import Deployment
+from fawnwharf.epochs.document import Document, Known, made
+from fawnwharf.epochs.judged import spec_of
+from fawnwharf.net.front_end import FrontEnd
+
+LIMIT = "policy"
+
+
+def known_of(deployment: Deployment, zones: Any, state: Any, stages: bool) -> Known:
+    """What this deployment has, and its settings as a document: what an absent key means. `zones` and `state`
+    are the parts, attached; `state` None where nothing is kept."""
+    settings, members = deployment.settings, zones.core.members
+    names = sorted(members.zones)
+    spill = zones.settings.spill
+    values: dict[tuple[str, ...], Any] = {}
+    for name, spec in settings.classes.items():
+        values["classes", name, "promise_ms"] = spec.promise_ms
+        values["classes", name, "give_up_ms"] = spec.give_up_ms
+        if state is not None:
+            values["modes", name] = state.gate.modes[name]
+            values["window_ms", name] = state.settings.window_ms
+    values |= {("tenants", name, "quota_rps"): rps for name, rps in settings.quotas_rps.items()}
+    values |= {("admission", name): 1.0 for name in names}
+    values |= {("spill", name): spill.zones.get(name, spill.share) for name in names}
+    found = Known(
+        classes=frozenset(settings.classes),
+        tenants=deployment.wire.tenants | frozenset(settings.quotas_rps),
+        zones=frozenset(names),
+        keeps=state is not None,
+        stages=stages,
+        base=made(0, values),
+    )
+    if state is None:
+        return found
+    kept = state.settings
+    window = 2 * kept.wait_most_ms, kept.window_ms
+    return msgspec.structs.replace(found, give_up_most_ms=kept.call_most_ms, window_ms=window)
+
+
+class Follower:
+    """Owns what was last handed to the parts, and hands them what changes."""
+
+    def __init__(self, deployment: Deployment, front: FrontEnd, zones: Any, state: Any) -> None:
+        self.front, self.zones, self.state = front, zones, state
+        self._base = dict(deployment.settings.classes)
+        self._quotas = dict(deployment.settings.quotas_rps)  # as sold, before the module adds limits to them
+        self._fronts, self._zone = deployment.settings.fleet_size, deployment.settings.zone
+        self.classes = dict(self._base)
+        self.quotas = dict(self._quotas)
+        self._limit: float = io.UNLIMITED_RPS
+        self._kept: tuple[Any, ...] = ()
+
+    def go_by(self, document: Document) -> bool:
+        """Whether classes changed."""
+        changed = self._classes(document)
+        self._tenants(document)
+        sold = sum(self.quotas.values())
+        part = document.value("admission", self._zone)
+        limited = part is not None and part < 1.0 and (sold > 0.0 or part == 0.0)
+        rps = float(part) * sold / self._fronts if limited else io.UNLIMITED_RPS
+        if rps != self._limit:
+            self._limit = rps
+            self.front.limit(LIMIT, rps)
+        told = self.zones.settings.spill
+        spill = {name: float(part) for name, part in document.section("spill").items()}
+        # The plan has the settings' own already.
+        self.zones.limits(sold, {n: p for n, p in spill.items() if p < told.zones.get(n, told.share)})
+        return changed
+
+    def _classes(self, document: Document) -> bool:
+        classes = {name: spec_of(spec, document) for name, spec in self._base.items()}
+        changed = [spec for name, spec in classes.items() if spec != self.classes[name]]
+        self.classes = classes
+        if self.front.port.classes is not classes:
+            self.front.port.classes = classes
+        for spec in changed:
+            self.front.loop.tell(io.ClassChanged(spec))
+        return bool(changed)
+
+    def _tenants(self, document: Document) -> None:
+        quotas = {path[1]: float(rps) for path, rps in document.values if path[0] == "tenants"}
+        if quotas == self.quotas:
+            return
+        before, self.quotas = self.quotas, quotas
+        shares = self.state.core.shares if self.state is not None else None
+        if shares is not None:
+            changes = shares.sell(quotas)
+        else:
+            changes = {name: rps / self._fronts for name, rps in quotas.items() if rps != before.get(name)}
+        changes |= {name: io.UNLIMITED_RPS for name in before if name not in quotas}
+        for name, rps in changes.items():
+            self.front.loop.tell(io.LimitsChanged(rps, name))
+
+    def keep_by(self, kept: dict[str, tuple[str, float]]) -> None:
+        """Modes and windows by class, as `Easing` has them."""
+        keeper = self.state.core.keeper if self.state is not None else None
+        if self.state is None or (kept, keeper, self.classes) == self._kept:
+            return
+        self._kept = kept, keeper, self.classes
+        gate = self.state.gate
+        gate.go_by(self.classes, gate.modes | {n: mode for n, (mode, _) in kept.items() if n in gate.modes})
+        if keeper is not None:
+            keeper.shelf.windows = {name: window for name, (_, window) in kept.items()}
+
+    def undo(self, base: Document) -> None:
+        """As the settings have it, for whoever takes the part over."""
+        self._classes(base)
+        self._tenants(base)
+        self.front.limit(LIMIT, io.UNLIMITED_RPS)
--- a/fawnwharf/epochs/messages.py
+++ b/fawnwharf/epochs/messages.py
@@ -25,15 +25,26 @@
 
 
 class Propose(_Said, frozen=True):
-    """An operator's word, from the front end where it was given to the leader's steward."""
+    """An operator's word, from the front end where it was given to the leader's steward. `wish` is its number
+    there: said again, it is the same one."""
 
     text: Text
+    wish: Number = 0
+
+
+class Back(_Said, frozen=True):
+    """An operator's word: from this decided number back to the one before it, as a new change."""
+
+    number: Number
+    wish: Number = 0
 
 
 class CallOff(_Said, frozen=True):
-    """An operator's word: end what is being prepared."""
+    """An operator's word: end what is being prepared, if it has this number; 0: whatever it is."""
 
     why: Line = ""
+    number: Number = 0
+    wish: Number = 0
 
 
 class Prepare(_Said, frozen=True):
@@ -103,7 +114,7 @@
     register: Annotated[str, Meta(max_length=64 * 1024)] = ""  # where the asker does not know the last
 
 
-Message = Propose | CallOff | Prepare | Vote | Abort | Decided | Status | Changed | Grant
+Message = Propose | Back | CallOff | Prepare | Vote | Abort | Decided | Status | Changed | Grant
 
 
 def message_from(data: object) -> Message:
@@ -111,6 +122,46 @@
     return msgspec.convert(data, Message, strict=True)
 
 
+# --- how a member stands, told to all that follow its log -----------------------------------------
+
+State = Literal["asked", "preparing", "ended", "refused", "decided", "in force"]
+FINAL = ("ended", "refused", "in force")
+
+
+class Outcome(Struct, frozen=True):
+    """What came of an operator's word so far: given at front end `by` under the number `wish`."""
+
+    by: Annotated[str, Meta(max_length=48)]
+    wish: Number
+    state: State
+    number: Number = 0  # of the policy
+    why: Line = ""
+
+
+class Standing(Struct, frozen=True):
+    """For operators and for those that wait for an outcome. The last five are of a leader's steward."""
+
+    ready: bool
+    how: Annotated[str, Meta(max_length=16)]
+    number: Number  # the last decided that it knows
+    digest: Annotated[str, Meta(max_length=32)]
+    prepared: Number = 0  # that it was asked to prepare for
+    life: Number = 0
+    fault: Line = ""  # of a decided document that it can't read
+    wishes: Annotated[tuple[Outcome, ...], Meta(max_length=16)] = ()  # of the last words given here
+    counts: Annotated[dict[str, int], Meta(max_length=64)] = {}
+    term: Number = 0  # of its reign; 0: it does not lead
+    open: Number = 0  # what is being prepared or decided
+    missing: Annotated[tuple[str, ...], Meta(max_length=8)] = ()  # whose yes is wanted still, of these some
+    settled: bool = False  # the last decided is in force
+    outcomes: Annotated[tuple[Outcome, ...], Meta(max_length=16)] = ()
+
+
+def standing_from(data: object) -> Standing:
+    """Raises msgspec.ValidationError."""
+    return msgspec.convert(data, Standing)
+
+
 # --- what is done by the owner ------------------------------------------------------------------
 
 
--- /dev/null
+++ b/fawnwharf/epochs/service.py
@@ -0,0 +1,356 @@
+"""Changes of policy in a running front end: by the zones' logs, its files, and what follows for its parts."""
+
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from fawnwharf import interface as io
+from fawnwharf.config import ConfigError, Deployment, Fleet
+from fawnwharf.epochs import keeping
+from fawnwharf.epochs import messages as m
+from fawnwharf.epochs.agent import Agent
+from fawnwharf.epochs.document import Document, check_against, document_of
+from fawnwharf.epochs.follow import Follower, known_of
+from fawnwharf.epochs.judged import Judged, handed_over, spec_of
+from fawnwharf.epochs.settings import Settings, said_from, settings_from
+from fawnwharf.epochs.trace import Trace
+from fawnwharf.net.front_end import FrontEnd
+from fawnwharf.net.wheel import Timer, monotonic_ms, unix_ms
+from fawnwharf.zones.files import WatchedFile, load
+from fawnwharf.zones.lines import Word
+from fawnwharf.zones.settings import FileFault
+
+NAME = "policy"
+KEPT_FILE, SAID_FILE = "policy.json", "proposal.json"
+FILES_MS = 200.0  # pace of the look at the operators' file
+TRACE_MS = 100.0  # pace of writing
+STAND_MS = 40.0  # how this one stands is told no more often than that
+ALONE_MS = 3_000.0  # without a leader's word for so long it is said who is missing, and how often
+MIXED_MS = 10_000.0  # for so long after a change of classes, calls of before may come from the gate
+SAID_MOST = 96 * 1024  # characters of what is said, in one line
+LINE_S = 1.0  # one note a second of each kind
+
+Write = Callable[[str, dict[str, Any]], None]
+
+
+class Policies:
+    """Owns this front end's part in changes of policy; a Seam of the front end, and the rider of zones."""
+
+    def __init__(self, deployment: Deployment, path: str | Path, write: Write, made: dict[str, Any]) -> None:
+        """Reads and checks the files; raises ConfigError with one line. `made` has the other parts by name,
+        of which `zones` has to be there already."""
+        self.deployment, self.note, self._made = deployment, write, made
+        self.settings: Settings = load(Path(path), settings_from, NAME)
+        self.zones = made["zones"]
+        self._kept_file = self.zones.folder / KEPT_FILE
+        self._said_file = WatchedFile(self.zones.folder / SAID_FILE)
+        before = keeping.read(self._kept_file)
+        self._register = before.register
+        self.life = max(time.time_ns() // 1_000, before.life + 1)
+        try:
+            keeping.write(self._kept_file, keeping.Kept(life=self.life, register=self._register))
+        except OSError as error:
+            raise ConfigError(f"{NAME}: {self._kept_file}: {error.strerror}") from None
+        self.trace: Trace | None = None
+        if self.settings.trace:
+            place = Path(path).parent / self.settings.trace
+            try:
+                self.trace = Trace(place)
+            except OSError as error:
+                raise ConfigError(f"{NAME}.trace: {place}: {error.strerror}") from None
+        self.front: FrontEnd | None = None
+        self.agent: Agent | None = None
+        self.calls: Judged | None = None
+        self._follower: Follower | None = None
+        self._module: dict[str, io.ClassSpec] = {}  # as the module has it
+        self._mixed_ms = 0.0
+        self._saying: list[m.Say] = []
+        self._told: m.Standing | None = None
+        self._told_ms = -1e9
+        self._stands_later = False
+        self._wish = 0  # the largest number of an operator's word that was read
+        self._noted: dict[str, float] = {}
+        self._began_ms = 0.0
+        self._timer: Timer | None = None
+        self._timer_ms = 0.0
+        self._stopped = False
+
+    # --- what other parts read ------------------------------------------------------------------
+
+    @property
+    def in_force(self) -> m.InForce:
+        """By what calls are judged at this moment, over the settings."""
+        return self.agent.holder.judged_by(monotonic_ms())
+
+    @property
+    def staging(self) -> dict[str, float]:
+        """Budgets of pre-staging, by their keys in the document; an absent one is as the settings have it."""
+        return self.in_force.document.section("staging")
+
+    @property
+    def ready(self) -> bool:
+        return self.agent.holder.ready
+
+    # --- life -----------------------------------------------------------------------------------
+
+    def attach(self, front: FrontEnd) -> None:
+        """Begin, on the front end's loop; zones and state are attached."""
+        self.front, self._began_ms = front, monotonic_ms()
+        core, state = self.zones.core, self._made.get("state")
+        known = known_of(self.deployment, self.zones, state, "sessions" in self._made)
+        self.agent = Agent(
+            self.zones.entry.name, self._names(), known, self.settings.timing, self.life,
+            self.zones.seat, core.voter is not None, self._register,
+        )  # fmt: skip
+        self._follower = Follower(self.deployment, front, self.zones, state)
+        self._module = dict(self._follower.classes)
+        front.port.waits_for.add(NAME)
+        below = front.port.table
+        self.calls = Judged(below, self._take, self.agent.holder.done, self._ended, unix_ms)
+        front.port.table = self.calls
+        self.zones.rider = self
+        if self._said_file.changed() is not None:
+            self.note("proposal left aside", {"why": "it was said before this start"})
+        self.note("policy on", {"life": self.life, "voter": core.voter is not None})
+        self._tick()
+        self._look_at_files()
+        self._look_alone()
+        if self.trace:
+            self._write_trace()
+
+    def _names(self) -> tuple[str, ...]:
+        return tuple(member.name for member in self.zones.core.members.members)
+
+    def close(self) -> None:
+        self._stopped = True
+        if self.front is not None:
+            if self.front.port.table is self.calls:
+                self.front.port.table = self.calls.below
+            self.front.port.waits_for.discard(NAME)
+            self._follower.undo(self.agent.known.base)
+        if self.trace:
+            self._flush_trace()
+            self.trace.close()
+
+    # --- the seam -------------------------------------------------------------------------------
+
+    def told(self, fleet: Fleet) -> None: ...
+
+    def events(self, events: list[io.Event]) -> None:
+        """Calls that waited at the gate through a change are handed over as they are judged."""
+        if monotonic_ms() < self._mixed_ms:
+            events[:] = handed_over(events, self._module, self._own_spec)
+
+    @property
+    def busy(self) -> bool:
+        return False  # the table and the gate know of all that is open
+
+    def _own_spec(self, event: io.RequestArrived) -> io.ClassSpec | None:
+        request = self.front.table.open.get(event.request)
+        base = self.deployment.settings.classes.get(event.class_name)
+        if request is None or base is None or request.call.judged is None:
+            return None
+        return spec_of(base, request.call.judged.document)
+
+    # --- calls ----------------------------------------------------------------------------------
+
+    def _take(self, number: str) -> m.InForce:
+        now, holder = monotonic_ms(), self.agent.holder
+        if now >= holder.lease[1] and holder.last is not None and holder.last.how == "leased":
+            self._tick()  # its lease is over, and the timer a moment late
+        return holder.take(now, number)
+
+    def _ended(self, id: bytes, by: m.InForce, taken_ms: float) -> None:
+        if self.trace is not None:
+            self.trace.call(id.hex(), by, taken_ms, unix_ms())
+
+    def _write_trace(self) -> None:
+        if not self._stopped:
+            self._flush_trace()
+            self.front.loop.wheel.after(TRACE_MS, self._write_trace)
+
+    def _flush_trace(self) -> None:
+        try:
+            self.trace.flush()
+        except OSError as error:
+            if self._once("trace"):
+                self.note("trace not written", {"why": error.strerror, "dropped": self.trace.dropped})
+
+    # --- the rider ------------------------------------------------------------------------------
+
+    def heard(self, sender: str, words: tuple[Any, ...], standing: Any) -> None:
+        now = monotonic_ms()
+        dropped = sum(self.agent.counts.values())
+        effects = self.agent.heard(now, sender, words)
+        if standing is not None:
+            self.agent.standing_of(now, sender, standing)
+        if sum(self.agent.counts.values()) > dropped and self._once("bad word"):
+            self.note("word dropped", {"sender": sender, "counts": dict(self.agent.counts)})
+        self._carry_out(effects)
+
+    def decided(self, text: str) -> None:
+        self._carry_out(self.agent.decided(monotonic_ms(), text))
+
+    def turned(self) -> None:
+        if not self._stopped and (effects := self.agent.turned(monotonic_ms())):
+            self._carry_out(effects)
+
+    def members_taken(self) -> None:
+        known = known_of(self.deployment, self.zones, self._made.get("state"), self.agent.known.stages)
+        known = msgspec.structs.replace(self.agent.known, zones=known.zones, base=self._base(known.base))
+        self._carry_out(self.agent.take_members(monotonic_ms(), self._names(), known))
+
+    def _base(self, base: Document) -> Document:
+        """Modes as they were at the start: the gate's own follow the policy by now."""
+        old = {path: value for path, value in self.agent.known.base.values if path[0] == "modes"}
+        return Document(0, tuple(sorted((dict(base.values) | old).items())))
+
+    # --- time -----------------------------------------------------------------------------------
+
+    def _tick(self) -> None:
+        if not self._stopped:
+            self._carry_out(self.agent.tick(monotonic_ms()))
+
+    def _set_timer(self) -> None:
+        now = monotonic_ms()
+        due = max(self.agent.due_ms(), now + 1.0)
+        if self._timer is not None and self._timer.callback and now < self._timer_ms <= due:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer_ms = due
+        self._timer = self.front.loop.wheel.after(due - now, self._tick)
+
+    def _carry_out(self, effects: list[m.Effect]) -> None:
+        for effect in effects:
+            if isinstance(effect, m.Say):
+                self._say(effect)
+            elif isinstance(effect, m.Decide):
+                if not self.zones.put(effect.register):
+                    self._carry_out(self.agent.not_put(monotonic_ms()))
+            elif isinstance(effect, m.Keep):
+                self._keep(effect.register)
+            elif isinstance(effect, m.InForce):
+                self._go_by(effect)
+            elif isinstance(effect, m.Note):
+                self.note(effect.event, effect.fields)
+        self._follower.keep_by(dict(self.agent.holder.keeping.now))
+        (self.front.port.waits_for.discard if self.ready else self.front.port.waits_for.add)(NAME)
+        self._stand()
+        self._set_timer()
+
+    def _go_by(self, effect: m.InForce) -> None:
+        if self._follower.go_by(effect.document):
+            self._mixed_ms = monotonic_ms() + MIXED_MS
+        fields = {"number": effect.number, "digest": effect.digest, "how": effect.how}
+        self.note("policy", fields | {"ready": self.ready})
+
+    def _keep(self, register: str) -> None:
+        self._register = register
+        try:
+            keeping.write(self._kept_file, keeping.Kept(life=self.life, register=register))
+        except OSError as error:
+            if self._once("keep"):
+                self.note("policy not kept", {"why": error.strerror})
+
+    def _once(self, what: str, every_ms: float = LINE_S * 1000.0) -> bool:
+        now = monotonic_ms()
+        if now - self._noted.get(what, -1e9) < every_ms:
+            return False
+        self._noted[what] = now
+        return True
+
+    # --- what is said ---------------------------------------------------------------------------
+
+    def _say(self, say: m.Say) -> None:
+        """All that is said in a turn goes into one line, at its end."""
+        if not self._saying:
+            self.front.loop.flush_later(self)
+        self._saying.append(say)
+
+    def flush(self) -> None:
+        """The end of the turn."""
+        saying, self._saying = self._saying, []
+        to: dict[m.Message, list[str]] = {}  # what is the same for several is said once
+        for say in saying:
+            to.setdefault(say.message, []).append(say.to)
+        words, size = [], 0
+        for message, names in to.items():
+            said = msgspec.to_builtins(message)
+            words.append(Word(said, () if m.LEADER in names else tuple(names)))
+            size += len(msgspec.json.encode(said))
+            if size > SAID_MOST:
+                self.zones.say(words)
+                words, size = [], 0
+        if words:
+            self.zones.say(words)
+
+    def _stand(self) -> None:
+        """Tell how this one stands, where that is another way than before."""
+        if self._stopped:
+            return
+        now = monotonic_ms()
+        standing = self.agent.standing(now)
+        if standing == self._told:
+            return
+        if now - self._told_ms < STAND_MS:
+            if not self._stands_later:
+                self._stands_later = True
+                self.front.loop.wheel.after(STAND_MS, self._stand_later)
+            return
+        self._told, self._told_ms = standing, now
+        self.zones.stand(msgspec.to_builtins(standing))
+
+    def _stand_later(self) -> None:
+        self._stands_later = False
+        self._stand()
+
+    def _look_alone(self) -> None:
+        """Say who is missing, where no leader's steward tells this front end what is in force."""
+        if self._stopped:
+            return
+        if not self.ready and monotonic_ms() - self._began_ms >= ALONE_MS:
+            voters = [e.name for e in self.zones.core.members.voters if e.name != self.zones.entry.name]
+            silent = sorted(name for name in voters if name not in self.agent.standings)
+            leads = [name for name, told in self.agent.standings.items() if told.term]
+            why = self.agent.holder.fault or "no leader's steward has told what is in force"
+            fields = {"why": why, "leads": leads, "voters that tell nothing of policy": silent}
+            self.note("policy: not ready", fields)
+        self.front.loop.wheel.after(ALONE_MS, self._look_alone)
+
+    # --- the operators' file --------------------------------------------------------------------
+
+    def _look_at_files(self) -> None:
+        if self._stopped:
+            return
+        if (data := self._said_file.changed()) is not None:
+            self._said(data)
+        self._follower.keep_by(dict(self.agent.holder.keeping.now))  # a keeper may be new
+        self.front.loop.wheel.after(FILES_MS, self._look_at_files)
+
+    def _said(self, data: bytes) -> None:
+        """A word that can't be taken changes nothing, and is said once with its key and cause."""
+        now, number = monotonic_ms(), 0
+        try:
+            said = said_from(data)
+            number = said.number
+            if number <= self._wish:
+                raise FileFault(f"number: {number} is not larger than {self._wish}, of the word before")
+            if said.propose is not None:
+                fault = check_against(document_of(said.propose), self.agent.known)
+                if fault:
+                    raise FileFault(fault)
+        except FileFault as error:
+            self.note("proposal left aside", {"fault": str(error)})
+            if number > self._wish:
+                self._wish = number
+                self.agent.refuse(now, number, str(error))
+                self._carry_out([])
+            return
+        self._wish = number
+        kind = "propose" if said.propose is not None else "back" if said.back else "call off"
+        self.note("proposal taken", {"number": number, "what": kind})
+        self._carry_out(self.agent.ask(now, number, said))
--- /dev/null
+++ b/fawnwharf/epochs/settings.py
@@ -0,0 +1,78 @@
+"""The operators' files for changes of policy: settings, and the word said to a running front end. Pure.
+
+JSON, taken whole or not at all; a faulty one raises FileFault, whose text names the key. Durations are
+milliseconds.
+"""
+
+from typing import Annotated, Any
+
+import msgspec
+from msgspec import Meta, Struct
+
+from fawnwharf.epochs.document import DocumentFault, document_of
+from fawnwharf.epochs.steward import Timing
+from fawnwharf.zones.settings import FileFault, Span
+
+VERSION = 1
+
+
+class Settings(Struct, frozen=True, forbid_unknown_fields=True):
+    """The one file that switches changes of policy on. The voters' count for the fleet."""
+
+    version: int
+    lease_ms: Span = 2_000.0  # a front end acts by an epoch for so long without a leader's word
+    renew_ms: Span = 500.0  # pace of its questions
+    prepare_ms: Span = 6_000.0  # for all to answer a proposal
+    again_ms: Span = 500.0  # pace at which what is not answered is said again
+    skew: Annotated[float, Meta(ge=0.0, le=0.5)] = 0.1  # by which clocks' rates may differ
+    trace: str = ""  # a file for a line a call, for trials; a relative path is from the settings' own folder
+
+    @property
+    def timing(self) -> Timing:
+        return Timing(self.lease_ms, self.renew_ms, self.prepare_ms, self.again_ms, self.skew)
+
+
+class Said(Struct, frozen=True, forbid_unknown_fields=True):
+    """An operator's word, `proposal.json`: one of the last three is there."""
+
+    version: int
+    number: Annotated[int, Meta(ge=1, lt=2**53)]  # larger than of the words before
+    propose: Any = None  # a document
+    call_off: Annotated[str, Meta(max_length=200)] | None = None  # why
+    back: bool = False  # to the policy before the last
+
+
+def _read(data: bytes, kind: type, what: str) -> Any:
+    try:
+        raw = msgspec.json.decode(data)
+    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as error:
+        raise FileFault(f"{what}: not JSON: {' '.join(str(error).split())[:200]}") from None
+    if isinstance(raw, dict) and raw.get("version") != VERSION:
+        raise FileFault(f"version: {raw.get('version')!r}, and this program knows {VERSION}")
+    try:
+        return msgspec.convert(raw, kind)
+    except msgspec.ValidationError as error:
+        text, _, place = str(error).partition(" - at `$")
+        raise FileFault(f"{place.rstrip('`').lstrip('.') or what}: {text}") from None
+
+
+def settings_from(data: bytes) -> Settings:
+    found: Settings = _read(data, Settings, "settings")
+    if found.renew_ms * 2 > found.lease_ms:
+        raise FileFault("renew_ms: two do not fit into lease_ms")
+    if found.prepare_ms < found.timing.over_ms:
+        raise FileFault(f"prepare_ms: less than a lease by the slowest clock, {found.timing.over_ms:.0f}")
+    return found
+
+
+def said_from(data: bytes) -> Said:
+    """A word whose document, where it has one, is checked by itself."""
+    said: Said = _read(data, Said, "proposal")
+    if (said.propose is not None) + (said.call_off is not None) + said.back != 1:
+        raise FileFault("proposal: one of propose, call_off and back is wanted")
+    if said.propose is not None:
+        try:
+            document_of(said.propose)
+        except DocumentFault as error:
+            raise FileFault(str(error)) from None
+    return said
--- a/fawnwharf/net/clients.py
+++ b/fawnwharf/net/clients.py
@@ -115,7 +115,7 @@
                 if (key := self.open.pop(item.seqid, None)) is not None:
                     self.port.table.withdraw(key)
             else:
-                self._write(thrift.answer("status", item.seqid, b"", {}, self.port.ready))
+                self._write(thrift.answer("status", item.seqid, b"", {}, self.port.takes_work))
 
     def _malformed(self, error: thrift.Malformed) -> None:
         self.port.log(f"client: {error}", "clients")
@@ -248,6 +248,7 @@
         self.loop, self.table, self.log = loop, table, log
         self.classes, self.tenants = classes, tenants
         self.ready = False
+        self.waits_for: set[str] = set()  # subsystems that have to know more before it may be ready
         self.clients: dict[Client, None] = {}
         self.most = most
         self.listener: socket.socket | None = listener or _listening(address, shared)
@@ -259,6 +260,10 @@
         if listener is None:
             self.accept(True)
 
+    @property
+    def takes_work(self) -> bool:
+        return self.ready and not self.waits_for
+
     def accept(self, on: bool) -> None:
         """Accept new connections, or leave them to whoever else has the listener."""
         if self.listener is None or on == self._accepting:
--- a/fawnwharf/net/requests.py
+++ b/fawnwharf/net/requests.py
@@ -7,6 +7,7 @@
 import itertools
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Any
 
 from fawnwharf import interface as io
 from fawnwharf.config import Wire
@@ -54,6 +55,7 @@
     memory_mb: float | None
     load_ms: float | None
     reply: Callable[[Outcome], None]
+    judged: Any = None  # by which policy, where that may change; kept by whoever takes the call
 
 
 @dataclass(slots=True, eq=False)
--- a/fawnwharf/operators/service.py
+++ b/fawnwharf/operators/service.py
@@ -59,7 +59,8 @@
             self._take(Asked("POST", path, (("target", target),) if target else ()))
 
     def _take(self, asked: Asked) -> tuple[Answer, Effect | None]:
-        self.desk.serving, self.desk.leaving = self.front.started, self.front.leaving
+        waits = bool(self.front.port.waits_for)
+        self.desk.serving, self.desk.leaving = self.front.started and not waits, self.front.leaving
         answer, effect = self.desk.take(asked)
         if asked.method != "GET":
             self.front.log(f"operators: {asked.path}: {answer.status} {answer.text}")
--- a/fawnwharf/replication/gate.py
+++ b/fawnwharf/replication/gate.py
@@ -74,18 +74,22 @@
         """`carry_out` does what the core says, and brings Go, Answer, GiveUp and TurnAway back here."""
         self._loop, self._table, self._core = loop, table, core
         self._settings, self._classes, self._carry_out = settings, classes, carry_out
-        self._modes = {name: mode_of(spec, settings) for name, spec in classes.items()}
+        self.modes = {name: mode_of(spec, settings) for name, spec in classes.items()}
         self._numbers = itertools.count(1)
         self._bytes = 0
         self.held: dict[str, _Held] = {}  # by the call's name
         self._by_key: dict[str, _Held] = {}  # by what the port knows them by
         self._waits: deque[float] = deque(maxlen=WAITS)  # milliseconds, of the last calls that went
 
+    def go_by(self, classes: dict[str, ClassSpec], modes: dict[str, Mode]) -> None:
+        """Other classes and modes, for calls that come from now on."""
+        self._classes, self.modes = classes, modes
+
     # --- from the port --------------------------------------------------------------------------
 
     def take(self, call: Call) -> str | None:
         """As RequestTable.take: the key of a new request, None where it had its answer at once."""
-        mode = self._modes[call.class_name]
+        mode = self.modes[call.class_name]
         if mode == "off":
             return self._table.take(call)
         if len(self.held) >= HELD_MOST or self._bytes + len(call.body) > HELD_BYTES_MOST:
--- a/fawnwharf/replication/keeper.py
+++ b/fawnwharf/replication/keeper.py
@@ -118,7 +118,7 @@
         free = not entry.standing()
         if free and sure:
             claim = Claim(ask.owner, ask.number, ask.number, ask.slot, Phase.TAKEN)
-            self.shelf.put(now_ms, ask.key, entry, claim, self.shelf.stretched())
+            self.shelf.put(now_ms, ask.key, entry, claim, self.shelf.stretched(ask.key))
             entry.waiters.pop(ask.owner, None)
         elif not free and (ask.owner in entry.waiters or len(entry.waiters) < self.settings.bounds.waiters):
             entry.waiters[ask.owner] = ask.number
@@ -157,7 +157,7 @@
         crowded = len(entry.claims) >= ASKS_MOST and tell.claim.id not in entry.claims
         if crowded and tell.claim.phase is Phase.CLEAR:  # not granted here, it stands in nobody's way
             return []
-        self.shelf.put(now_ms, tell.key, entry, tell.claim, self.shelf.stretched())
+        self.shelf.put(now_ms, tell.key, entry, tell.claim, self.shelf.stretched(tell.key))
         return self._news(now_ms, tell.key, entry)
 
     def _news(self, now_ms: float, key: str, entry: Entry) -> list[m.Say]:
--- a/fawnwharf/replication/shelf.py
+++ b/fawnwharf/replication/shelf.py
@@ -68,6 +68,7 @@
         self.settings, self.keepers_of = settings, keepers_of
         self.calls: dict[str, Entry] = {}
         self.bytes = 0  # of answers
+        self.windows: dict[str, float] = {}  # by class, where a policy has one; no longer than the settings'
         self.counts: dict[str, int] = {}
         self.conflicts: list[tuple[str, Claim, Claim]] = []  # whoever reads it clears it
         # When what ends; some are over earlier than they end by now. An entry of its own has no id.
@@ -115,10 +116,13 @@
             answered = [other for other in found.all if other.phase is Phase.ANSWERED]
             self._note("conflict", key, answered[0], answered[-1])
 
-    def stretched(self) -> float:
-        """The time that a claim counts, by the slowest clock. Keepers pass on what is left as it is:
-        stretched each time, what two of them tell each other would never end."""
-        return self.settings.longest_ms * (1.0 + 2.0 * self.settings.skew)
+    def stretched(self, key: str = "") -> float:
+        """The time that a claim counts, by the slowest clock; of a call, by its class. Keepers
+        pass on what is left as it is: stretched each time, what two of them tell each other would never
+        end."""
+        window_ms = self.windows.get(key.rpartition(":")[0], self.settings.window_ms)
+        longest_ms = self.settings.call_most_ms + min(window_ms, self.settings.window_ms)
+        return longest_ms * (1.0 + 2.0 * self.settings.skew)
 
     def _note(self, cause: str, key: str, one: Claim, other: Claim) -> None:
         self.count(cause)
--- a/fawnwharf/replication/use.py
+++ b/fawnwharf/replication/use.py
@@ -97,6 +97,17 @@
             if tenant in self.quotas:
                 self.counts[tenant] = self.counts.get(tenant, 0) + 1
 
+    def sell(self, quotas_rps: dict[str, float]) -> dict[str, float]:
+        """Other quotas from now on; the shares that change with them, at once and in proportion."""
+        found = {}
+        for tenant, quota in quotas_rps.items():
+            before, equal = self.quotas.get(tenant), quota / self.fronts
+            if quota != before:
+                found[tenant] = self.shares[tenant] * quota / before if before else equal
+        self.quotas = dict(quotas_rps)
+        self.shares = {tenant: found.get(tenant, self.shares.get(tenant, 0.0)) for tenant in quotas_rps}
+        return found
+
     def use(self, now_ms: float) -> m.Use:
         """The counters, to be told to the keepers."""
         self.number += 1
--- /dev/null
+++ b/fawnwharf/zones/lines.py
@@ -0,0 +1,119 @@
+"""What a line of a member's log says, and what a member has done by its owner. Values alone."""
+
+from dataclasses import dataclass, field
+from typing import Annotated, Any
+
+import msgspec
+from msgspec import Meta, Struct
+
+from fawnwharf.accord import messages as m
+from fawnwharf.zones import settings as s
+from fawnwharf.zones.judge import Report
+from fawnwharf.zones.plan import Plan
+
+TEXT_MOST = m.DATA_MOST
+WORDS_MOST = 1_024  # in one line
+
+
+class Word(Struct, frozen=True, omit_defaults=True):
+    """What a rider says by this log: to these members, to whoever leads the voters where none is named."""
+
+    said: Any
+    to: Annotated[tuple[s.Name, ...], Meta(max_length=s.MEMBERS_MOST)] = ()
+
+
+Words = Annotated[tuple[Word, ...], Meta(max_length=WORDS_MOST)]
+
+
+class Line(Struct, frozen=True, omit_defaults=True):
+    """What one line of a member's log says, besides its number; one of the last six is there."""
+
+    fleet: s.Name
+    sender: s.Name
+    report: Report | None = None
+    plan: Annotated[str, Meta(max_length=TEXT_MOST)] | None = None
+    fresh: bool = False  # the leader's word, at this moment: no later plan is decided than this index
+    index: Annotated[int, Meta(ge=0)] = 0  # of the plan, or of what is fresh
+    term: Annotated[int, Meta(ge=0)] = 0
+    ballot: Any = None  # a message of the voting
+    saves: Annotated[int, Meta(ge=0)] = 0  # times that the voter's disk was written, ever, as of this ballot
+    words: Any = None  # of a rider, checked by themselves: bad ones cost nothing else
+    policy: Any = None  # how this member stands to changes of policy
+
+
+class LineFault(ValueError):
+    """A line that costs its sender the connection; the text says why."""
+
+
+# --- effects --------------------------------------------------------------------------------
+
+
+class Keep(Struct, frozen=True):
+    saved: m.Saved
+
+
+class Publish(Struct, frozen=True):
+    line: Line
+
+
+class Ballot(Struct, frozen=True):
+    """For the log of ballots; only `to`, a member's name, has use of it."""
+
+    to: str
+    line: Line
+
+
+class Follow(Struct, frozen=True):
+    """The plan to go by from now on; None: none is known to be the last, and each is on its own."""
+
+    plan: Plan | None
+    index: int
+
+
+class Heard(Struct, frozen=True):
+    """For the rider: what another member's rider says to this one, and how that stands; None: not told."""
+
+    sender: str
+    words: tuple[Any, ...]
+    standing: Any
+
+
+class Policy(Struct, frozen=True):
+    """The voters' log decided this register of policy."""
+
+    index: int
+    text: str
+
+
+class Note(Struct, frozen=True):
+    """For the operators' log: an event and its fields."""
+
+    event: str
+    fields: dict[str, Any]
+
+
+Effect = Keep | Publish | Ballot | Follow | Heard | Policy | Note
+
+
+class Seat(Struct, frozen=True):
+    """How a member's voter stands at one moment."""
+
+    term: int = 0  # of its reign; 0: it does not lead
+    fresh: bool = False  # its last decided policy is the fleet's last, for certain
+    settled: bool = False  # nothing of its log is undecided
+    policy: str = ""  # the last decided register
+
+
+@dataclass(slots=True)
+class Counts:
+    """What was dropped, by cause."""
+
+    dropped: dict[str, int] = field(default_factory=dict)
+
+    def add(self, cause: str) -> None:
+        self.dropped[cause] = self.dropped.get(cause, 0) + 1
+
+
+def words_for(name: str, data: Any) -> tuple[Any, ...]:
+    """What is said to this member, or to whoever leads; raises msgspec.ValidationError."""
+    return tuple(word.said for word in msgspec.convert(data, Words) if not word.to or name in word.to)
--- a/fawnwharf/zones/member.py
+++ b/fawnwharf/zones/member.py
@@ -9,84 +9,32 @@
 of voters only, one for the other voters (what the voting itself says).
 """
 
-from dataclasses import dataclass, field
-from typing import Annotated, Any
+from typing import Any
 
 import msgspec
-from msgspec import Meta, Struct
 
 from fawnwharf.accord import messages as m
 from fawnwharf.accord.voter import Timing, Voter
 from fawnwharf.zones import settings as s
 from fawnwharf.zones.evidence import Seen
 from fawnwharf.zones.judge import Judge, Report
+from fawnwharf.zones.lines import (
+    Ballot,
+    Counts,
+    Effect,
+    Follow,
+    Heard,
+    Keep,
+    Line,
+    LineFault,
+    Note,
+    Policy,
+    Publish,
+    Seat,
+    words_for,
+)
 from fawnwharf.zones.plan import Plan, PlanFault, plan_from
 
-TEXT_MOST = m.DATA_MOST
-
-
-class Line(Struct, frozen=True, omit_defaults=True):
-    """What one line of a member's log says, besides its number; one of the last four is there."""
-
-    fleet: s.Name
-    sender: s.Name
-    report: Report | None = None
-    plan: Annotated[str, Meta(max_length=TEXT_MOST)] | None = None
-    fresh: bool = False  # the leader's word, at this moment: no later plan is decided than this index
-    index: Annotated[int, Meta(ge=0)] = 0  # of the plan, or of what is fresh
-    term: Annotated[int, Meta(ge=0)] = 0
-    ballot: Any = None  # a message of the voting
-    saves: Annotated[int, Meta(ge=0)] = 0  # times that the voter's disk was written, ever, as of this ballot
-
-
-class LineFault(ValueError):
-    """A line that costs its sender the connection; the text says why."""
-
-
-# --- effects --------------------------------------------------------------------------------
-
-
-class Keep(Struct, frozen=True):
-    saved: m.Saved
-
-
-class Publish(Struct, frozen=True):
-    line: Line
-
-
-class Ballot(Struct, frozen=True):
-    """For the log of ballots; only `to`, a member's name, has use of it."""
-
-    to: str
-    line: Line
-
-
-class Follow(Struct, frozen=True):
-    """The plan to go by from now on; None: none is known to be the last, and each is on its own."""
-
-    plan: Plan | None
-    index: int
-
-
-class Note(Struct, frozen=True):
-    """For the operators' log: an event and its fields."""
-
-    event: str
-    fields: dict[str, Any]
-
-
-Effect = Keep | Publish | Ballot | Follow | Note
-
-
-@dataclass(slots=True)
-class Counts:
-    """What was dropped, by cause."""
-
-    dropped: dict[str, int] = field(default_factory=dict)
-
-    def add(self, cause: str) -> None:
-        self.dropped[cause] = self.dropped.get(cause, 0) + 1
-
 
 class Member:
     """Owns a member's part in the fleet: its view of the plan, and where it votes, its voter and judge."""
@@ -173,7 +121,15 @@
             self.counts.add(
                 "word on an older plan" if line.index < self.index else "word on a plan not known"
             )
-        return self._given_out(now_ms)
+        return [*self._given_out(now_ms), *self._heard(sender, line)]
+
+    def _heard(self, sender: str, line: Line) -> list[Effect]:
+        try:
+            words = words_for(self.name, line.words) if line.words is not None else ()
+        except msgspec.ValidationError:
+            self.counts.add("bad words")
+            words = ()
+        return [Heard(sender, words, line.policy)] if words or line.policy is not None else []
 
     def _told(self, line: Line) -> None:
         """A decided plan from any member is as good as from the leader: a number is decided once."""
@@ -289,6 +245,8 @@
     def _decided(self, decided: m.Decided) -> list[Effect]:
         if decided.kind == "voters":
             return [Note("voters", {"index": decided.index, "voters": list(decided.voters)})]
+        if decided.kind == "policy":
+            return [Policy(decided.index, decided.plan)]
         if decided.kind != "plan" or not self._learn(decided.index, decided.plan):
             return []
         states = {name: f"{zone.state} {zone.share:g}" for name, zone in self.plan.zones.items()}
@@ -305,6 +263,21 @@
         self.index, self.text = index, text
         return True
 
+    def seat(self, now_ms: float) -> Seat:
+        """How its voter stands to changes of policy."""
+        voter = self.voter
+        if voter is None or not voter.is_leader:
+            return Seat()
+        settled = voter.commit == voter.saved.last_index
+        return Seat(voter.saved.term, voter.fresh(now_ms), settled, voter.policy[1])
+
+    def put_policy(self, now_ms: float, text: str) -> tuple[bool, list[Effect]]:
+        """Put a register of policy to the vote; False where it never came into the log."""
+        if self.voter is None:
+            return False, []
+        index, actions = self.voter.propose(now_ms, text, "policy")
+        return index is not None, self._voted(now_ms, actions)
+
     def _lead(self, now_ms: float) -> list[Effect]:
         effects: list[Effect] = []
         if now_ms >= self.judge_due_ms:
--- a/fawnwharf/zones/plan.py
+++ b/fawnwharf/zones/plan.py
@@ -66,6 +66,15 @@
     return plan
 
 
+def spilling(plan: Plan, most: dict[str, float]) -> Plan:
+    """The plan with no more spill by zone than this."""
+    zones = {
+        name: msgspec.structs.replace(zone, spill=min(zone.spill, most.get(name, 1.0)))
+        for name, zone in plan.zones.items()
+    }
+    return msgspec.structs.replace(plan, zones=zones)
+
+
 def tiers(plan: Plan, zone: str) -> list[list[str]]:
     """The open zones that a zone's front ends may send to: its own, its region's, the world's."""
     if zone not in plan.zones:
--- a/fawnwharf/zones/service.py
+++ b/fawnwharf/zones/service.py
@@ -4,7 +4,7 @@
 import time
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any
+from typing import Any, Protocol
 
 import msgspec
 
@@ -17,9 +17,23 @@
 from fawnwharf.zones import settings as s
 from fawnwharf.zones.evidence import Observer
 from fawnwharf.zones.files import WatchedFile, load
+from fawnwharf.zones.lines import (
+    Ballot,
+    Effect,
+    Follow,
+    Heard,
+    Keep,
+    Line,
+    LineFault,
+    Note,
+    Policy,
+    Publish,
+    Seat,
+    Word,
+)
 from fawnwharf.zones.links import LogServer, MemberLog
-from fawnwharf.zones.member import Ballot, Effect, Follow, Keep, LineFault, Member, Note, Publish
-from fawnwharf.zones.plan import Plan
+from fawnwharf.zones.member import Member
+from fawnwharf.zones.plan import Plan, spilling
 from fawnwharf.zones.probes import Probes
 
 FILES_MS = 500.0  # pace of the look at the files
@@ -30,6 +44,22 @@
 Write = Callable[[str, dict[str, Any]], None]
 
 
+class Rider(Protocol):
+    """Another subsystem that goes by these logs and by the voters' decisions. None of these may raise."""
+
+    def heard(self, sender: str, words: tuple[Any, ...], standing: Any) -> None:
+        """Words of another member's rider; `standing`, where it is told, is how that stands."""
+
+    def decided(self, text: str) -> None:
+        """The voters' log decided this register of policy."""
+
+    def turned(self) -> None:
+        """Something was carried out: the voter may lead, or not lead any more."""
+
+    def members_taken(self) -> None:
+        """There is a later list of members."""
+
+
 class Zones:
     """Owns this front end's membership: the core, its servers and feeds, its timers; a Seam of the
     front end."""
@@ -56,7 +86,7 @@
             raise ConfigError(
                 f"zones: {entry.name} is of zone {entry.zone}, and its configuration says {told}"
             )
-        self.entry, self.disk = entry, None
+        self.entry, self.folder, self.disk = entry, folder, None
         if entry.ballots:
             try:
                 self.disk = Disk(folder, members.fleet, entry.name)
@@ -70,6 +100,9 @@
         promise = min((c.promise_ms for c in deployment.settings.classes.values()), default=1_000.0)
         self.observer = Observer(self.settings.evidence, promise)
         self._sold = sum(deployment.settings.quotas_rps.values())  # before any limit stands among them
+        self._spill: dict[str, float] = {}  # the most that a policy lets zones take of others' calls
+        self._followed: Follow | None = None
+        self.rider: Rider | None = None
         self._zone_of: dict[int, str] = {}
         self._told_ms = now
         self._life = time.time_ns() // 1_000
@@ -150,7 +183,18 @@
                 zone = self._zone_of[event.worker]
                 self.observer.ended(now, zone, event.worker, event.ending, event.took_ms)
 
+    def limits(self, sold_rps: float, spill: dict[str, float]) -> None:
+        """What a policy says of quotas, all together, and of spill by zone; it counts where it is stricter
+        than the plan."""
+        if (sold_rps, spill) != (self._sold, self._spill):
+            self._sold, self._spill = sold_rps, spill
+            if self._followed is not None:
+                self._go_by(self._followed)
+
     def _go_by(self, effect: Follow) -> None:
+        self._followed = effect
+        if effect.plan is not None and self._spill:
+            effect = Follow(spilling(effect.plan, self._spill), effect.index)
         overlay, zone = self.front.overlay, self.entry.zone
         changes = overlay.close(CLOSER, roster.closer(effect.plan, zone))
         if changes.members:
@@ -215,6 +259,37 @@
                 self._go_by(effect)
             elif isinstance(effect, Note):
                 self._note_once(effect)
+            elif self.rider is not None and isinstance(effect, Heard):
+                self.rider.heard(effect.sender, effect.words, effect.standing)
+            elif self.rider is not None and isinstance(effect, Policy):
+                self.rider.decided(effect.text)
+        if self.rider is not None:
+            self.rider.turned()
+
+    # --- for the rider --------------------------------------------------------------------------
+
+    def say(self, words: list[Word]) -> None:
+        """Words of the rider, by this member's log: voters hear all, the others hear the voters."""
+        self._write_line(words=words)
+
+    def stand(self, standing: Any) -> None:
+        """How the rider stands, told until the next such word to whoever comes."""
+        self._write_line("policy", policy=standing)
+
+    def _write_line(self, counts_as: str | None = None, **parts: Any) -> None:
+        if not self._stopped and self.public is not None:
+            line = Line(self.core.members.fleet, self.entry.name, **parts)
+            self.public.write(msgspec.to_builtins(line), counts_as=counts_as)
+
+    def seat(self, now_ms: float) -> Seat:
+        return Seat() if self._failed else self.core.seat(now_ms)
+
+    def put(self, text: str) -> bool:
+        """Put a register of policy to the vote; False where it never came into the log."""
+        put, effects = self.core.put_policy(monotonic_ms(), text)
+        self._carry_out(effects)
+        self._set_timer()
+        return put
 
     def _keep(self, effect: Keep) -> bool:
         try:
@@ -307,3 +382,5 @@
             return
         self._carry_out(self.core.take_members(monotonic_ms(), members))
         self._follow_members()
+        if self.rider is not None:
+            self.rider.members_taken()
