--- a/fawnwharf/epochs/agent.py
+++ b/fawnwharf/epochs/agent.py
@@ -58,6 +58,7 @@
     term: int = 0  # the largest of a leader that was heard
     outcomes: deque[m.Outcome] = field(default_factory=lambda: deque(maxlen=OUTCOMES_MOST))
     unread: int = 0  # a reign that could not begin
+    taken: dict[str, int] = field(default_factory=dict)  # in this reign, by front end: the last word's number
 
     def __post_init__(self) -> None:
         self.holder = Holder(self.known, self.timing, self.life, self.disk)
@@ -133,6 +134,7 @@
 
     def take_members(self, now_ms: float, members: tuple[str, ...], known: Known) -> list[m.Effect]:
         self.members, self.known, self.holder.known = members, known, known
+        self.holder.stance = None  # what an absent key means may be another thing
         self.standings = {name: told for name, told in self.standings.items() if name in members}
         if self.steward is None:
             return []
@@ -151,6 +153,7 @@
             effects.append(m.Note("steward rests", {"term": steward.term}))
             steward.rest()
             self.outcomes.clear()
+            self.taken.clear()
         if not steward.term and seat.fresh and seat.settled and seat.term != self.unread:
             effects += steward.lead(now_ms, seat.term, seat.policy)
             self.unread = 0 if steward.term else seat.term
@@ -181,8 +184,11 @@
     # --- operators' words: at the leader ----------------------------------------------------------
 
     def _wished(self, now_ms: float, by: str, word: m.Propose | m.Back | m.CallOff) -> list[m.Effect]:
-        if not self.leads(now_ms) or any((o.by, o.wish) == (by, word.wish) for o in self.outcomes):
+        """Once each, and only where it is meant for this reign: an old one may come again by a log that was
+        cut off, and has had its outcome long ago."""
+        if not self.leads(now_ms) or word.term != self.steward.term or word.wish <= self.taken.get(by, 0):
             return []
+        self.taken[by] = word.wish
         if isinstance(word, m.CallOff):
             return self._called_off(now_ms, by, word)
         steward, text = self.steward, word.text if isinstance(word, m.Propose) else ""
@@ -236,14 +242,14 @@
         register, digest = self.holder.register, ""
         if said.propose is not None:
             text = msgspec.json.encode(said.propose).decode()
-            digest, message = document_from(text).digest, m.Propose(text, wish)
+            digest, message = document_from(text).digest, m.Propose(text, wish, self.term)
         elif said.back:
-            message = m.Back(register.last.number, wish)
+            message = m.Back(register.last.number, wish, self.term)
             digest = register.before.digest if register.before else ""
         else:
             leader = max(self.standings.values(), key=lambda told: told.term, default=None)
             opened = leader.open if leader and leader.term else 0
-            message = m.CallOff(said.call_off[:200], opened, wish)
+            message = m.CallOff(said.call_off[:200], opened, wish, self.term)
         self.wishes.append(Wish(message, digest, now_ms, m.Outcome(self.name, wish, "asked"), 0, now_ms))
         return self._out(now_ms, [m.Say(m.LEADER, message)])
 
@@ -261,6 +267,7 @@
         if now_ms - wish.said_ms < self.timing.again_ms:
             return []
         wish.said_ms = now_ms
+        wish.message = msgspec.structs.replace(wish.message, term=self.term)  # by now it may be another's
         return [m.Say(m.LEADER, wish.message)]
 
     # --- standings ------------------------------------------------------------------------------
@@ -297,7 +304,7 @@
             told = {
                 "term": steward.term,
                 "open": steward.open.document.number if steward.open else 0,
-                "missing": tuple(steward._missing(now_ms)[:8]) if steward.open else (),
+                "missing": tuple(steward.missing(now_ms)[:8]),
                 "settled": steward.settled,
                 "outcomes": tuple(self.outcomes),
             }
--- a/fawnwharf/epochs/messages.py
+++ b/fawnwharf/epochs/messages.py
@@ -26,10 +26,11 @@
 
 class Propose(_Said, frozen=True):
     """An operator's word, from the front end where it was given to the leader's steward. `wish` is its number
-    there: said again, it is the same one."""
+    there: said again, it is the same one. `term` is the reign that it is meant for."""
 
     text: Text
     wish: Number = 0
+    term: Number = 0
 
 
 class Back(_Said, frozen=True):
@@ -37,6 +38,7 @@
 
     number: Number
     wish: Number = 0
+    term: Number = 0
 
 
 class CallOff(_Said, frozen=True):
@@ -45,6 +47,7 @@
     why: Line = ""
     number: Number = 0
     wish: Number = 0
+    term: Number = 0
 
 
 class Prepare(_Said, frozen=True):
--- a/fawnwharf/epochs/service.py
+++ b/fawnwharf/epochs/service.py
@@ -31,6 +31,7 @@
 ALONE_MS = 3_000.0  # without a leader's word for so long it is said who is missing, and how often
 MIXED_MS = 10_000.0  # for so long after a change of classes, calls of before may come from the gate
 SAID_MOST = 96 * 1024  # characters of what is said, in one line
+TURN_MOST = 512 * 1024  # and in one turn; the rest is dropped, as all is said again
 LINE_S = 1.0  # one note a second of each kind
 
 Write = Callable[[str, dict[str, Any]], None]
@@ -277,14 +278,17 @@
         to: dict[m.Message, list[str]] = {}  # what is the same for several is said once
         for say in saying:
             to.setdefault(say.message, []).append(say.to)
-        words, size = [], 0
+        words, size, total = [], 0, 0
         for message, names in to.items():
-            said = msgspec.to_builtins(message)
-            words.append(Word(said, () if m.LEADER in names else tuple(names)))
-            size += len(msgspec.json.encode(said))
+            size += len(msgspec.json.encode(message))
+            if total + size > TURN_MOST:
+                if self._once("too much"):
+                    self.note("words not said", {"why": f"more than {TURN_MOST} characters in a turn"})
+                break
+            words.append(Word(msgspec.to_builtins(message), () if m.LEADER in names else tuple(names)))
             if size > SAID_MOST:
                 self.zones.say(words)
-                words, size = [], 0
+                words, size, total = [], 0, total + size
         if words:
             self.zones.say(words)
 
--- a/fawnwharf/epochs/steward.py
+++ b/fawnwharf/epochs/steward.py
@@ -179,6 +179,10 @@
         """Whether it may have a lease of this reign, of whatever number, at this moment."""
         return name in self.leases and now_ms < self.leases[name][1]
 
+    def missing(self, now_ms: float) -> list[str]:
+        """For operators: whose yes is wanted still; empty where nothing is being prepared."""
+        return self._missing(now_ms) if self.open and not self.open.deciding else []
+
     def _missing(self, now_ms: float) -> list[str]:
         """Those whose yes is wanted still: also those taken off the list, until their leases are over."""
         names = {*self.members, *self.leases}
--- a/fawnwharf/net/front_end.py
+++ b/fawnwharf/net/front_end.py
@@ -4,6 +4,7 @@
 import signal
 import socket
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any, Protocol
 
 from fawnwharf import interface as io
@@ -98,7 +99,9 @@
         self.log = log or Log(deployment.name or "fawnwharf")
         settings, wire, sockets = deployment.settings, deployment.wire, deployment.sockets
         self.loop = Loop(self._decide, self.log)
-        self.router = Router(settings, deployment.seed)
+        # A copy: the module writes what it is handed among them.
+        own = replace(settings, classes=dict(settings.classes), quotas_rps=dict(settings.quotas_rps))
+        self.router = Router(own, deployment.seed)
         self.pool = ScorerPool(self.loop, wire, _part(sockets, SCORER_SHARE), deployment.seed, self.log)
         self.table = RequestTable(self.loop, self.pool, wire)
         self._news: io.RosterChanged | None = None  # that the next batch brings
--- a/fawnwharf/zones/member.py
+++ b/fawnwharf/zones/member.py
@@ -128,7 +128,7 @@
             words = words_for(self.name, line.words) if line.words is not None else ()
         except msgspec.ValidationError:
             self.counts.add("bad words")
-            words = ()
+            return [Note("bad words", {"sender": sender, "counts": dict(self.counts.dropped)})]
         return [Heard(sender, words, line.policy)] if words or line.policy is not None else []
 
     def _told(self, line: Line) -> None:
--- a/fawnwharf/zones/service.py
+++ b/fawnwharf/zones/service.py
@@ -303,7 +303,7 @@
 
     def _note_once(self, note: Note) -> None:
         now = monotonic_ms()
-        if note.event in ("refused", "older disk"):
+        if note.event in ("refused", "older disk", "bad words"):
             if now - self._noted.get(note.event, -1e9) < LINE_S * 1000:
                 return
             self._noted[note.event] = now
