--- a/fawnwharf/epochs/follow.py
+++ b/fawnwharf/epochs/follow.py
@@ -59,7 +59,6 @@
 
     def go_by(self, document: Document) -> bool:
         """Whether classes changed."""
-        changed = self._classes(document)
         self._tenants(document)
         sold = sum(self.quotas.values())
         part = document.value("admission", self._zone)
@@ -72,7 +71,7 @@
         spill = {name: float(part) for name, part in document.section("spill").items()}
         # The plan has the settings' own already.
         self.zones.limits(sold, {n: p for n, p in spill.items() if p < told.zones.get(n, told.share)})
-        return changed
+        return self._classes(document)
 
     def _classes(self, document: Document) -> bool:
         classes = {name: spec_of(spec, document) for name, spec in self._base.items()}
--- /dev/null
+++ b/tests/policy_site.py
@@ -0,0 +1,174 @@
+"""Front ends with changes of policy in this thread: real sockets, real files, one loop after the other."""
+
+import json
+import time
+
+from peers import SETTINGS, ClientPeer, ScorerPeer
+from processes import Log, Port
+
+from fawnwharf.config import deployment_from
+from fawnwharf.epochs.service import Policies
+from fawnwharf.net.front_end import FrontEnd
+from fawnwharf.replication.service import State
+from fawnwharf.serving import Seams
+from fawnwharf.zones.founding import found
+from fawnwharf.zones.service import Zones
+
+PATIENCE_S = 30.0
+TIMING = {"lease_ms": 800.0, "renew_ms": 100.0, "prepare_ms": 2_500.0, "again_ms": 100.0}
+VOTING = {"beat_ms": 60.0, "election_ms": 400.0, "fresh_ms": 200.0, "valid_ms": 1_000.0}
+STATE = {"call_most_ms": 9_900.0, "window_ms": 1_500.0, "use_ms": 100.0}
+
+
+class Node:
+    """One front end of a site: its files, and what runs of it."""
+
+    def __init__(self, site, n, zone, policy=True):
+        self.site, self.name, self.zone, self.policy = site, f"n{n}", zone, policy
+        self.folder = site.folder / self.name
+        self.folder.mkdir()
+        self.log, self.scorer = Log(), ScorerPeer(f"s-{n}", copies=4)
+        self.ports = [Port() for _ in range(3)]
+        self.tenants = [{"name": "acme", "quota_rps": 30.0}]
+        self.front, self.notes = None, []
+
+    def entry(self):
+        address, ballots, state = (port.text for port in self.ports)
+        return {"name": self.name, "zone": self.zone, "address": address, "ballots": ballots, "state": state}
+
+    def start(self):
+        """Begin, or begin anew with the files that are there."""
+        event = {"seq": 1, "fleet": {"complete": True, "members": [self.scorer.member(locality=self.zone)]}}
+        deployment = deployment_from(
+            {
+                "name": self.name, "listen": "127.0.0.1:0", "changelog": self.log.host_port, "seed": "7",
+                "known": {"seq": 1, "results": [event]},
+                "settings": SETTINGS | {"tenants": self.tenants, "locality": self.zone, "fleet_size": 3},
+            },
+            {},
+        )  # fmt: skip
+        write = lambda event, fields: self.notes.append((event, dict(fields)))  # noqa: E731
+        made = {"zones": lambda first, made: Zones(deployment, self.folder / "zones.json", write)}
+        if self.site.state:
+            made["state"] = lambda first, made: State(deployment, self.folder / "state.json", write, first)
+        if self.policy:
+            path = self.folder / "settings.json"
+            made["policy"] = lambda first, made: Policies(deployment, path, write, made)
+        seam = Seams(made, True)
+        self.lines = []
+        self.front = FrontEnd(deployment, lambda text, source="": self.lines.append(text), seam=seam)
+        seam.attach(self.front)
+        self.front.start()
+
+    @property
+    def part(self):
+        return self.front.seam._parts[-1]
+
+    @property
+    def zones(self):
+        return self.front.seam._parts[0]
+
+    def close(self):
+        if self.front is not None:
+            self.front.close()
+            self.front = None
+
+    def noted(self, event):
+        return [fields for found, fields in self.notes if found == event]
+
+    def word(self, number, **word):
+        self.write("zones/proposal.json", {"version": 1, "number": number} | word)
+
+    def write(self, name, data):
+        path = self.folder / name
+        path.parent.mkdir(exist_ok=True)
+        beside = path.with_suffix(".beside")
+        beside.write_bytes(data if isinstance(data, bytes) else json.dumps(data).encode())
+        beside.rename(path)
+
+    def outcome(self, number):
+        return next((w.outcome for w in self.part.agent.wishes if w.outcome.wish == number), None)
+
+    def by(self):
+        """The number by which calls are judged here, and how."""
+        told = self.part.in_force
+        return told.number, told.how
+
+
+class Site:
+    def __init__(self, folder, state=False, policies=(True, True, True)):
+        self.folder, self.state, self.clients = folder, state, []
+        self.nodes = [Node(self, n, zone, policies[n]) for n, zone in enumerate("abc")]
+        members = {"version": 1, "fleet": "f", "number": 1, "members": [node.entry() for node in self.nodes]}
+        for node in self.nodes:
+            node.write("members.json", members)
+            zones = {"version": 1, "members": "members.json", "folder": "zones", "voting": VOTING}
+            node.write("zones.json", zones | {"listen": node.ports[0].text})
+            node.write("state.json", {"version": 1, "members": "members.json"} | STATE)
+            node.write("settings.json", {"version": 1, "trace": "trace.jsonl"} | TIMING)
+        found(self.nodes[0].folder / "zones.json", "n0")
+
+    def start(self):
+        for node in self.nodes:
+            node.start()
+
+    def begin(self):
+        self.start()
+        voter = self.nodes[0].zones.core.voter
+        self.until(lambda: len(voter.saved.voters) == 3, "all vote")
+        self.until(lambda: self.in_force(0), "all hold leases")
+
+    def turn(self):
+        for node in self.nodes:
+            if node.front is not None:
+                node.front.loop.turn(0.001)
+            node.log.pump()
+            node.scorer.pump()
+        for client in self.clients:
+            client.pump()
+
+    def until(self, condition, what):
+        end = time.monotonic() + PATIENCE_S
+        while not condition():
+            assert time.monotonic() < end, f"waited in vain until {what}: {self.told()}"
+            self.turn()
+
+    def rest(self, seconds):
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            self.turn()
+
+    def told(self):
+        return [(node.name, node.notes[-6:], node.lines[-3:]) for node in self.nodes if node.front]
+
+    def client(self, node):
+        self.clients.append(ClientPeer(node.front.address))
+        return self.clients[-1]
+
+    def ready(self, node):
+        """What the front end answers when it is asked whether it takes work."""
+        client = self.client(node)
+        client.status()
+        self.until(lambda: client.answers, "the status comes")
+        return client.answers[0][2][3]
+
+    def leader(self):
+        self.until(lambda: any(node.part.agent.steward.term for node in self.nodes), "one leads")
+        return next(node for node in self.nodes if node.part.agent.steward.term)
+
+    def in_force(self, number, nodes=None):
+        return all(node.by() == (number, "leased") for node in nodes or self.nodes)
+
+    def close(self):
+        for node in self.nodes:
+            node.close()
+            for peer in (node.log, node.scorer):
+                peer.close()
+            for port in node.ports:
+                port.sock.close()
+        for client in self.clients:
+            client.sock.close()
+
+
+def document(rps=20.0, **more):
+    return {"version": 1, "tenants": {"acme": {"quota_rps": rps}}} | more
--- /dev/null
+++ b/tests/test_policies.py
@@ -0,0 +1,279 @@
+"""Changes of policy over real sockets: three front ends, operators' files, calls under way, restarts."""
+
+import json
+import subprocess
+import sys
+
+import pytest
+from peers import handle_frame
+from policy_site import Site, document
+
+from fawnwharf.epochs import settings as s
+from fawnwharf.zones.settings import FileFault
+
+
+@pytest.fixture
+def site(request, tmp_path):
+    made = Site(tmp_path, **getattr(request, "param", {}))
+    yield made
+    made.close()
+
+
+def test_a_proposal_comes_into_force_at_all_and_what_follows_from_it_too(site):
+    site.begin()
+    a, b, c = site.nodes
+    classes = {"view": {"promise_ms": 400.0, "give_up_ms": 2_000.0}}
+    wanted = document(12.0, classes=classes, admission={"a": 0.5}, spill={"b": 0.25}, staging={})
+    b.word(5, propose=wanted)
+    site.until(lambda: site.in_force(1), "it is in force at all")
+    site.until(lambda: b.outcome(5).state == "in force", "the outcome is known where it was said")
+    site.until(lambda: all(n.front.router.settings.quotas_rps["acme"] == 12.0 for n in site.nodes), "quotas")
+    for node in site.nodes:
+        assert node.front.port.classes["view"].give_up_ms == 2_000.0
+        assert node.front._limits["policy"] == (0.5 * 12.0 / 3 if node is a else 1e9)
+        assert node.zones._spill == {"b": 0.25} and node.zones._sold == 12.0
+        assert node.part.in_force.digest == b.part.in_force.digest
+    client = site.client(c)
+    client.sock.sendall(
+        handle_frame(1, {"op": "view", "call": "0" * 16, "ttl": "2300", "org": "acme", "row": "0" * 16})
+    )
+    site.until(lambda: client.kinds(), "a call that would wait longer than its class is turned down")
+    assert client.kinds() == {1: "exception"}
+    a.word(1, back=True)
+    site.until(lambda: site.in_force(2), "the policy before is back")
+    assert c.front.port.classes["view"].give_up_ms == 9_000.0
+    site.until(lambda: c.front.router.settings.quotas_rps["acme"] == 30.0, "quotas as sold")
+    assert a.front._limits["policy"] == 1e9 and a.zones._spill == {} and a.zones._sold == 30.0
+
+
+def test_a_call_keeps_the_policy_by_which_it_was_taken_and_the_trace_says_so(site):
+    site.begin()
+    node = site.nodes[1]
+    client = site.client(node)
+    client.call(call="00000000000000aa")
+    site.until(lambda: node.scorer.runs, "the call runs")
+    node.word(1, propose=document(21.0))
+    site.until(lambda: site.in_force(1), "a change in the middle of it")
+    client.call(call="00000000000000bb")
+    site.until(lambda: len(node.scorer.runs) == 2, "the next one runs")
+    assert sorted(by.number for by in node.part.agent.holder.calls.values()) == [0, 1]
+    for run in node.scorer.runs:
+        node.scorer.answer(run)
+    site.until(lambda: len(client.kinds()) == 2, "both are answered")
+    gone = client.call(call="00000000000000cc")
+    site.until(lambda: len(node.scorer.runs) == 3, "one more runs")
+    client.withdraw(gone)
+    site.until(lambda: not node.front.table.open, "its client has left")
+    assert not node.part.agent.holder.calls and not len(node.part.calls)
+    trace = node.folder / "trace.jsonl"
+    site.until(lambda: trace.read_bytes().count(b"\n") == 3, "the trace is written")
+    lines = [json.loads(line) for line in trace.read_text().splitlines()]
+    assert [(line["call"][-2:], line["number"], line["how"]) for line in lines] == [
+        ("aa", 0, "leased"), ("bb", 1, "leased"), ("cc", 1, "leased"),
+    ]  # fmt: skip
+    assert all(line["taken_ms"] <= line["ended_ms"] for line in lines)
+    assert lines[1]["digest"] == node.part.in_force.digest != lines[0]["digest"]
+
+
+def test_a_no_is_told_with_its_key_where_the_word_was_said_and_changes_nothing(site):
+    site.nodes[2].tenants = [{"name": "acme", "quota_rps": 30.0}, {"name": "late", "quota_rps": 5.0}]
+    site.begin()
+    a, b, c = site.nodes
+    c.word(1, propose={"version": 1, "tenants": {"late": {"quota_rps": 2.0}}})
+    site.until(lambda: c.outcome(1) and c.outcome(1).state == "ended", "it has ended")
+    who, _, why = c.outcome(1).why.partition(": ")
+    assert who in ("n0", "n1") and why == "tenants.late: no such tenant"
+    site.until(lambda: not any(node.part.agent.holder.prepared for node in site.nodes), "all forget it")
+    assert site.in_force(0)
+
+
+def test_what_is_being_prepared_is_called_off_while_one_is_dead(site):
+    site.begin()
+    leader = site.leader()
+    dead, other = [node for node in site.nodes if node is not leader]
+    dead.close()
+    other.word(1, propose=document(9.0))
+    site.until(lambda: other.outcome(1) and other.outcome(1).state == "preparing", "it is prepared")
+    other.word(2, call_off="not now")
+    site.until(lambda: other.outcome(1).state == "ended", "it has ended")
+    assert other.outcome(1).why == "called off not now"
+    site.until(lambda: site.in_force(0, [leader, other]), "all as before")
+
+
+def test_one_that_is_restarted_in_the_middle_comes_up_in_the_new_one_before_it_is_ready(site):
+    site.begin()
+    leader = site.leader()
+    back, other = [node for node in site.nodes if node is not leader]
+    assert site.ready(back) is True
+    back.word(1, propose=document(9.0))
+    site.until(lambda: back.outcome(1) and back.outcome(1).state != "asked", "the leader has the word")
+    back.close()
+    site.until(lambda: site.in_force(1, [leader, other]), "it comes into force without the dead one")
+    other.word(1, propose=document(8.0))
+    site.until(lambda: site.in_force(2, [leader, other]), "and the next one")
+    for node in (leader, other):
+        node.close()
+    back.start()
+    assert back.noted("proposal left aside") and not site.ready(back)
+    site.until(lambda: back.noted("policy: not ready"), "it says what it waits for")
+    told = back.noted("policy: not ready")[0]
+    assert told["voters that tell nothing of policy"] == sorted(n.name for n in (leader, other))
+    assert (
+        back.by()[1] == "waiting"
+        and back.part.in_force.document.value("tenants", "acme", "quota_rps") <= 15.0
+    )
+    for node in (leader, other):
+        node.start()
+    site.until(lambda: back.part.ready, "a leader has told it")
+    assert back.part.agent.holder.register.last.number == 2 and site.ready(back) is True
+    site.until(lambda: site.in_force(2), "all go by the last one")
+    assert json.loads((back.folder / "zones/policy.json").read_text())["life"] == back.part.life
+
+
+BAD = [
+    (b'{"version": 1, "number": 2, "prop', "proposal: not JSON"),
+    ({"version": 2, "number": 2, "back": True}, "version: 2, and this program knows 1"),
+    ({"version": 1, "number": 2}, "proposal: one of propose, call_off and back is wanted"),
+    ({"version": 1, "number": 0, "back": True}, "number: Expected"),
+    ({"version": 1, "number": 2, "forward": True}, "proposal: Object contains unknown field `forward`"),
+    ({"version": 1, "number": 2, "propose": {"version": 3}}, "version: 3, and this program knows 1"),
+    ({"version": 1, "number": 2, "propose": document(-1.0)}, "tenants.acme.quota_rps: Expected"),
+    ({"version": 1, "number": 2, "propose": document(0.0)}, "tenants.acme.quota_rps: shuts out tenant acme"),
+    ({"version": 1, "number": 2, "propose": document(spil={"a": 0.5})}, "spil: unknown key"),
+    ({"version": 1, "number": 2, "propose": document(admission={"a": 0, "b": 0, "c": 0})}, "admission: s"),
+    ({"version": 1, "number": 2, "propose": document(modes={"view": "after"})}, "modes.view: nothing is"),
+]  # fmt: skip
+
+
+def test_a_faulty_word_changes_nothing_and_is_noted_once_by_its_key(site):
+    site.begin()
+    node = site.nodes[0]
+    for n, (data, line) in enumerate(BAD):
+        if isinstance(data, dict) and data["number"]:
+            data = data | {"number": 100 + n}
+        node.write("zones/proposal.json", data)
+        site.until(lambda n=n: len(node.noted("proposal left aside")) > n, f"{line} is noted")
+        assert node.noted("proposal left aside")[n]["fault"].startswith(line)
+    site.rest(0.5)
+    assert len(node.noted("proposal left aside")) == len(BAD)
+    assert node.outcome(109).state == "refused" and node.outcome(109).why.startswith(
+        "admission: shuts out every zone"
+    )
+    node.word(50, propose=document(9.0))
+    site.until(lambda: len(node.noted("proposal left aside")) > len(BAD), "an older number is left aside")
+    assert site.in_force(0) and not node.part.agent.steward.open
+
+
+@pytest.mark.parametrize("site", [{"policies": (False, False, True)}], indirect=True)
+def test_one_whose_voters_have_no_policy_is_not_ready_and_names_them(site):
+    site.start()
+    node = site.nodes[2]
+    site.until(lambda: node.noted("policy: not ready"), "it says so")
+    assert node.noted("policy: not ready")[0]["voters that tell nothing of policy"] == ["n0", "n1"]
+    assert site.ready(node) is False and site.ready(site.nodes[0]) is True
+
+
+def test_a_process_lets_go_of_its_part_and_takes_it_back(site):
+    site.begin()
+    node, other = site.nodes[1], site.nodes[0]
+    node.word(1, propose=document(9.0, classes={"view": {"give_up_ms": 5_000.0, "promise_ms": 400.0}}))
+    site.until(lambda: site.in_force(1), "a first change")
+    before = node.part
+    node.front.seam.release()
+    assert node.front.port.table is node.front.table and node.front.port.classes["view"].give_up_ms == 9_000.0
+    other.word(1, propose=document(8.0))
+    site.until(lambda: site.in_force(2, [site.nodes[0], site.nodes[2]]), "a change without it")
+    node.front.seam.take_back(node.front)
+    assert node.part is not before and not node.front.port.takes_work
+    site.until(lambda: site.in_force(2), "it goes by the last one")
+    site.until(lambda: node.front.router.settings.quotas_rps["acme"] == 8.0, "quotas too")
+    assert node.front.port.takes_work and node.part.life > before.life
+
+
+@pytest.mark.parametrize("site", [{"state": True}], indirect=True)
+def test_modes_and_windows_are_stricter_at_once_and_easier_after_the_old_window(site):
+    site.begin()
+    node = site.nodes[0]
+    gates = [n.front.seam._parts[1].gate for n in site.nodes]
+    shelves = [n.front.seam._parts[1].core.keeper.shelf for n in site.nodes]
+    assert {gate.modes["view"] for gate in gates} == {"off"}
+    strict = document(12.0, modes={"view": "before"}, window_ms={"view": 1_200.0})
+    node.word(1, propose=strict)
+    site.until(lambda: site.in_force(1), "the stricter one is in force")
+    assert {gate.modes["view"] for gate in gates} == {"before"}
+    shares = node.front.seam._parts[1].core.shares
+    assert shares.quotas == {"acme": 12.0}
+    site.until(
+        lambda: {shelf.windows.get("view") for shelf in shelves} == {1_200.0}, "the shorter window, later"
+    )
+    assert shelves[0].stretched("view:x") < shelves[0].stretched("save:x") == shelves[0].stretched()
+    node.word(2, propose=document(12.0))
+    site.until(lambda: site.in_force(2), "the easier one is in force")
+    assert {gate.modes["view"] for gate in gates} == {"before"}
+    assert {shelf.windows["view"] for shelf in shelves} == {1_500.0}
+    site.until(
+        lambda: {gate.modes["view"] for gate in gates} == {"off"}, "easier once the old window is over"
+    )
+    node.word(3, propose=document(12.0, window_ms={"view": 1_600.0}))
+    site.until(lambda: node.outcome(3), "one that can't be kept")
+    assert node.outcome(3).why == "window_ms.view: not from 1000 to 1500, as can be kept here"
+
+
+def cli(*words):
+    done = subprocess.run(
+        [sys.executable, "-m", "fawnwharf", "policy", *map(str, words)],
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
+    return done.returncode, (done.stdout + done.stderr).strip()
+
+
+def test_the_command_line_refuses_a_bad_document_and_leaves_a_word(site):
+    node = site.nodes[0]
+    zones, file = node.folder / "zones.json", node.folder / "p.json"
+    for data, line in [
+        (json.dumps(document())[:30], "document: not JSON"),
+        (json.dumps({"version": 2}), "version: 2, and this program knows 1"),
+        (json.dumps(document(admission={"a": 0, "b": 0, "c": 0})), "admission: shuts out every zone"),
+        (json.dumps(document(spill={"x": 0.5})), "spill.x: no such zone"),
+    ]:
+        file.write_text(data)
+        status, text = cli("propose", file, "--zones", zones)
+        assert status == 2 and text.startswith(f"fawnwharf: policy: {file}: {line}") and "\n" not in text
+    assert not (node.folder / "zones/proposal.json").exists()
+    file.write_text(json.dumps(document()))
+    status, text = cli("propose", file, "--zones", zones, "--wait", "0.2")
+    assert status == 1 and "no answer" in text
+    said = s.said_from((node.folder / "zones/proposal.json").read_bytes())
+    assert said.propose == document() and cli("check", file, "--zones", zones)[0] == 0
+
+
+def test_what_a_member_tells_of_itself_is_read_from_its_log(site):
+    site.begin()
+    site.nodes[1].word(1, propose=document(9.0))
+    site.until(lambda: site.in_force(1), "a change")
+    process = subprocess.Popen(
+        [sys.executable, "-m", "fawnwharf", "policy", "show", "--zones", site.nodes[1].folder / "zones.json"],
+        stdout=subprocess.PIPE, text=True,
+    )  # fmt: skip
+    site.until(lambda: process.poll() is not None, "the command ends")
+    told = process.stdout.read()
+    process.stdout.close()
+    assert process.returncode == 0 and "ready  number 1" in told and "word 1" in told
+
+
+@pytest.mark.parametrize(
+    ("data", "line"),
+    [
+        (b"{", "settings: not JSON"),
+        (b'{"version": 1, "leese_ms": 3}', "settings: Object contains unknown field `leese_ms`"),
+        (b'{"version": 1, "lease_ms": 0}', "lease_ms: Expected"),
+        (b'{"version": 1, "renew_ms": 1500}', "renew_ms: two do not fit into lease_ms"),
+        (b'{"version": 1, "prepare_ms": 2000}', "prepare_ms: less than a lease by the slowest clock, 2444"),
+    ],
+)
+def test_a_faulty_settings_file_names_its_key(data, line):
+    with pytest.raises(FileFault) as caught:
+        s.settings_from(data)
+    assert str(caught.value).startswith(line)
