A shorter give-up cuts calls, and is no fault of clients that know the longer one

The port goes by the larger of the settings' and the policy's; a call is cut to its policy's time where it is taken.

--- a/fawnwharf/epochs/follow.py
+++ b/fawnwharf/epochs/follow.py
@@ -1,5 +1,6 @@
 """What follows from the policy in force for this front end's parts."""
 
+from dataclasses import replace
 from typing import Any
 
 import msgspec
@@ -77,8 +78,12 @@
         classes = {name: spec_of(spec, document) for name, spec in self._base.items()}
         changed = [spec for name, spec in classes.items() if spec != self.classes[name]]
         self.classes = classes
-        if self.front.port.classes is not classes:
-            self.front.port.classes = classes
+        # To wait for longer than a policy gives is no fault of clients, which know the settings' time: the
+        # port refuses nothing for that, and a call is cut to its policy's time where it is taken (`Judged`).
+        self.front.port.classes = {
+            name: replace(spec, give_up_ms=max(spec.give_up_ms, self._base[name].give_up_ms))
+            for name, spec in classes.items()
+        }
         for spec in changed:
             self.front.loop.tell(io.ClassChanged(spec))
         return bool(changed)
--- a/fawnwharf/epochs/judged.py
+++ b/fawnwharf/epochs/judged.py
@@ -1,6 +1,7 @@
 """Calls as they are judged: stands before the table of requests, or before the gate, where there is one.
 
-A call gets the policy of the moment at which it is taken, and keeps it to its final answer, whatever comes.
+A call gets the policy of the moment at which it is taken, and keeps it to its final answer, whatever comes;
+it waits for no longer than that gives up.
 The module judges by its class as it stands when the call reaches it; a call that waited at the gate through a
 change is handed over between two words on its class, its own and the present one.
 """
@@ -49,6 +50,8 @@
         self._take, self._done, self._told, self._unix_ms = take, done, ended, unix_ms
         self._open: dict[str, _Taken] = {}
         self._number = 0
+        self._by: InForce | None = None  # of the last call
+        self._give_up: dict[str, float | None] = {}  # by class, as that has it
 
     def __len__(self) -> int:
         return len(self._open)
@@ -56,9 +59,14 @@
     def take(self, call: Call) -> str | None:
         """As RequestTable.take."""
         self._number += 1
-        number = f"p{self._number}"
-        call.judged = self._take(number)
-        taken = _Taken(call.id, call.judged, self._unix_ms(), number)
+        number, now_ms = f"p{self._number}", self._unix_ms()
+        by = call.judged = self._take(number)
+        if by is not self._by:
+            classes = by.document.nested().get("classes", {})
+            self._by, self._give_up = by, {name: told.get("give_up_ms") for name, told in classes.items()}
+        if (most_ms := self._give_up.get(call.class_name)) is not None:
+            call.budget_ms = min(call.budget_ms, most_ms)
+        taken = _Taken(call.id, by, now_ms, number)
         reply = call.reply
 
         def replied(outcome: Outcome) -> None:
