--- a/fawnwharf/epochs/commands.py
+++ b/fawnwharf/epochs/commands.py
@@ -154,6 +154,7 @@
     settings: s.Settings, members: s.Members, path: str, word: dict[str, Any], wait_s: float, good: str
 ) -> None:
     """Leave a word for this member's process, and wait for what comes of it."""
+    address = _address(settings, members, "") if wait_s > 0.0 else None  # before anything is written
     folder = Path(path).parent / settings.folder
     place = folder / SAID_FILE
     try:
@@ -169,8 +170,8 @@
     except OSError as error:
         _fail(f"policy: {place}: {error.strerror}")
     typer.echo(f"asked: word {number}")
-    if wait_s > 0.0:
-        _wait(_address(settings, members, ""), number, wait_s, good)
+    if address is not None:
+        _wait(address, number, wait_s, good)
 
 
 def _wait(address: tuple[str, int], number: int, wait_s: float, good: str) -> None:
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -7,7 +7,13 @@
 import pytest
 from policy_site import Site, document
 
+from fawnwharf import interface as io
 from fawnwharf.epochs import settings as s
+from fawnwharf.epochs.document import Document
+from fawnwharf.epochs.judged import handed_over
+from fawnwharf.epochs.messages import InForce
+from fawnwharf.epochs.trace import LINES_MOST, Trace
+from fawnwharf.replication.use import Shares
 from fawnwharf.zones.settings import FileFault
 
 
@@ -220,6 +226,36 @@
     assert node.outcome(3).why == "window_ms.view: not from 1000 to 1500, as can be kept here"
 
 
+def test_a_call_that_waited_through_a_change_is_handed_over_between_two_words_on_its_class():
+    old, new, save = io.ClassSpec("view", 500.0), io.ClassSpec("view", 300.0), io.ClassSpec("save")
+    calls = {name: io.RequestArrived(name, "f", "view", "acme", 900.0) for name in ("a", "b", "c")}
+    calls["d"] = io.RequestArrived("d", "f", "save", "acme", 900.0)
+    own = {"a": old, "b": old, "c": new, "d": save}
+    classes = {"view": old, "save": save}
+    batch = [calls["a"], io.ClassChanged(new), calls["b"], calls["c"], calls["d"]]
+    found = handed_over(batch, classes, lambda event: own[event.request])
+    assert found == [
+        calls["a"], io.ClassChanged(new), io.ClassChanged(old), calls["b"], io.ClassChanged(new), *batch[3:],
+    ]  # fmt: skip
+    assert classes["view"] == new
+
+
+def test_a_quota_that_changes_is_divided_as_the_one_before_was():
+    shares = Shares({"acme": 30.0, "other": 9.0}, 3)
+    shares.shares["acme"] = 20.0
+    assert shares.sell({"acme": 15.0, "new": 6.0}) == {"acme": 10.0, "new": 2.0}
+    assert shares.shares == {"acme": 10.0, "new": 2.0} and shares.changes(0.0) == {"acme": 5.0}
+
+
+def test_a_trace_that_is_not_written_drops_lines_and_counts_them(tmp_path):
+    trace, by = Trace(tmp_path / "t"), InForce(3, "d", Document())
+    for _ in range(LINES_MOST + 5):
+        trace.call("aa", by, 1.0, 2.0)
+    trace.flush()
+    trace.close()
+    assert trace.dropped == 5 and (tmp_path / "t").read_bytes().count(b"\n") == LINES_MOST
+
+
 def cli(*words):
     done = subprocess.run(
         [sys.executable, "-m", "fawnwharf", "policy", *map(str, words)],
--- a/tests/test_replication_claims.py
+++ b/tests/test_replication_claims.py
@@ -8,6 +8,8 @@
 from cores import FLEET, RULES
 from hypothesis import given, settings, strategies
 
+from fawnwharf.epochs.settings import settings_from as policy_settings
+from fawnwharf.epochs.steward import Timing
 from fawnwharf.lab.promises import fleet_file
 from fawnwharf.replication import messages as m
 from fawnwharf.replication import settings as s
@@ -196,6 +198,7 @@
 
 def test_the_deployments_examples_are_good_and_fit_each_other():
     folder = Path(__file__).parent.parent / "deploy"
+    assert policy_settings((folder / "policy-settings.json").read_bytes()).timing == Timing()
     zones = zone_settings((folder / "zones.json").read_bytes())
     state = s.settings_from((folder / "state.json").read_bytes())
     assert zones.members == state.members == "members.json"
