--- a/fawnwharf/epochs/service.py
+++ b/fawnwharf/epochs/service.py
@@ -27,6 +27,7 @@
 KEPT_FILE, SAID_FILE = "policy.json", "proposal.json"
 FILES_MS = 200.0  # pace of the look at the operators' file
 TRACE_MS = 100.0  # pace of writing
+RENEW_MS = 50.0  # renewals wait for so long, to be said together: each line goes to all readers
 STAND_MS = 40.0  # how this one stands is told no more often than that
 ALONE_MS = 3_000.0  # without a leader's word for so long it is said who is missing, and how often
 MIXED_MS = 10_000.0  # for so long after a change of classes, calls of before may come from the gate
@@ -69,6 +70,8 @@
         self._module: dict[str, io.ClassSpec] = {}  # as the module has it
         self._mixed_ms = 0.0
         self._saying: list[m.Say] = []
+        self._granted: dict[str, tuple[int, int]] = {}  # by member: life and number of its last lease
+        self._renews = False  # some wait to be renewed
         self._told: m.Standing | None = None
         self._told_ms = -1e9
         self._stands_later = False
@@ -200,6 +203,7 @@
             self._carry_out(effects)
 
     def members_taken(self) -> None:
+        self._granted.clear()
         known = known_of(self.deployment, self.zones, self._made.get("state"), self.agent.known.stages)
         known = msgspec.structs.replace(self.agent.known, zones=known.zones, base=self._base(known.base))
         self._carry_out(self.agent.take_members(monotonic_ms(), self._names(), known))
@@ -267,14 +271,21 @@
     # --- what is said ---------------------------------------------------------------------------
 
     def _say(self, say: m.Say) -> None:
-        """All that is said in a turn goes into one line, at its end."""
-        if not self._saying:
-            self.front.loop.flush_later(self)
+        """All that is said in a turn goes into one line, at its end; renewals wait for others."""
         self._saying.append(say)
+        word = say.message
+        if isinstance(word, m.Grant) and word.lease_ms:
+            held, self._granted[say.to] = self._granted.get(say.to), (word.life, word.number)
+            if held == self._granted[say.to]:
+                if not self._renews:
+                    self._renews = True
+                    self.front.loop.wheel.after(RENEW_MS, self.flush)
+                return
+        self.front.loop.flush_later(self)
 
     def flush(self) -> None:
-        """The end of the turn."""
-        saying, self._saying = self._saying, []
+        """The end of the turn, or of the wait."""
+        saying, self._saying, self._renews = self._saying, [], False
         to: dict[m.Message, list[str]] = {}  # what is the same for several is said once
         for say in saying:
             to.setdefault(say.message, []).append(say.to)
