A front end that was not told what is in force judges no call: it holds them, then refuses

Seen in the lab: one that was killed and came back judged calls by its disk for 0.6 s, by number 1 while 2 was in force. Turned down: to refuse at once, as each replacement of a process would fail calls for as long as it takes to be told.

--- a/fawnwharf/epochs/follow.py
+++ b/fawnwharf/epochs/follow.py
@@ -54,6 +54,7 @@
         self._quotas = dict(deployment.settings.quotas_rps)  # as sold, before the module adds limits to them
         self._fronts, self._zone = deployment.settings.fleet_size, deployment.settings.zone
         self.classes = dict(self._base)
+        self._longest = {name: spec.give_up_ms for name, spec in self._base.items()}  # ever gone by
         self.quotas = dict(self._quotas)
         self._limit: float = io.UNLIMITED_RPS
         self._kept: tuple[Any, ...] = ()
@@ -78,11 +79,12 @@
         classes = {name: spec_of(spec, document) for name, spec in self._base.items()}
         changed = [spec for name, spec in classes.items() if spec != self.classes[name]]
         self.classes = classes
-        # To wait for longer than a policy gives is no fault of clients, which know the settings' time: the
+        # To wait for longer than a policy gives is no fault of clients, which know an earlier time: the
         # port refuses nothing for that, and a call is cut to its policy's time where it is taken (`Judged`).
+        for name, spec in classes.items():
+            self._longest[name] = max(self._longest[name], spec.give_up_ms)
         self.front.port.classes = {
-            name: replace(spec, give_up_ms=max(spec.give_up_ms, self._base[name].give_up_ms))
-            for name, spec in classes.items()
+            name: replace(spec, give_up_ms=self._longest[name]) for name, spec in classes.items()
         }
         for spec in changed:
             self.front.loop.tell(io.ClassChanged(spec))
--- a/fawnwharf/epochs/judged.py
+++ b/fawnwharf/epochs/judged.py
@@ -13,7 +13,13 @@
 from fawnwharf import interface as io
 from fawnwharf.epochs.document import Document
 from fawnwharf.epochs.messages import InForce
-from fawnwharf.net.requests import Call, Outcome
+from fawnwharf.net.requests import Call, Outcome, Refused
+from fawnwharf.net.wheel import Timer, monotonic_ms
+
+# A call that comes before a leader has told what is in force: for so long it is held, then refused untouched.
+HOLD_PART, HOLD_MOST_MS = 0.5, 2_000.0  # of the time that its client waits, and at the most
+HELD_MOST, HELD_BYTES_MOST = 1_024, 8 * 1024 * 1024
+PUSHBACK_MS = 250.0
 
 
 class Taking(Protocol):
@@ -26,16 +32,19 @@
 
 @dataclass(slots=True, eq=False)
 class _Taken:
-    id: bytes
+    """One call. While nobody has told what is in force, it is held: judged by nothing, known to nobody."""
+
+    call: Call
+    reply: Callable[[Outcome], None]
     by: InForce
-    taken_ms: float
-    number: str
-    key: str | None = None
-    over: bool = False
+    at_ms: float  # Unix, when it was judged
+    came_ms: float  # of the loop's clock
+    key: str | None = None  # as what stands below knows it
+    timer: Timer | None = None  # of one that is held
 
 
 class Judged:
-    """Owns what is known of each call that is open here, from taken to its end."""
+    """Owns what is known of each call that is open here, from its coming to its end."""
 
     def __init__(
         self,
@@ -44,11 +53,16 @@
         done: Callable[[str], None],
         ended: Callable[[bytes, InForce, float], None],
         unix_ms: Callable[[], float],
+        after: Callable[[float, Callable[[], None]], Timer],
     ) -> None:
-        """`take` and `done` are the holder's; `ended` gets the call's id, its policy, when taken."""
+        """`take` and `done` are the holder's; `ended` gets the call's id, its policy, when it was judged;
+        `after` sets a timer."""
         self.below = below
         self._take, self._done, self._told, self._unix_ms = take, done, ended, unix_ms
+        self._after = after
         self._open: dict[str, _Taken] = {}
+        self._held: dict[str, _Taken] = {}
+        self._held_bytes = 0
         self._number = 0
         self._by: InForce | None = None  # of the last call
         self._give_up: dict[str, float | None] = {}  # by class, as that has it
@@ -56,44 +70,78 @@
     def __len__(self) -> int:
         return len(self._open)
 
+    @property
+    def held(self) -> int:
+        """Calls that wait until somebody tells what is in force."""
+        return len(self._held)
+
     def take(self, call: Call) -> str | None:
         """As RequestTable.take."""
         self._number += 1
-        number, now_ms = f"p{self._number}", self._unix_ms()
-        by = call.judged = self._take(number)
+        number, at_ms = f"p{self._number}", self._unix_ms()
+        by = self._take(number)
+        taken = self._open[number] = _Taken(call, call.reply, by, at_ms, monotonic_ms())
+        call.reply = lambda outcome: self._replied(number, outcome)
+        if by.how != "waiting":
+            self._hand_down(number, taken)
+        elif len(self._held) >= HELD_MOST or self._held_bytes + len(call.body) > HELD_BYTES_MOST:
+            call.reply(Refused(PUSHBACK_MS))
+        else:
+            self._done(number)
+            self._held[number] = taken
+            self._held_bytes += len(call.body)
+            most_ms = min(HOLD_MOST_MS, HOLD_PART * call.budget_ms)
+            taken.timer = self._after(most_ms, lambda: call.reply(Refused(PUSHBACK_MS)))
+        return number if number in self._open else None
+
+    def _hand_down(self, number: str, taken: _Taken) -> None:
+        call, by = taken.call, taken.by
+        call.judged = by
         if by is not self._by:
             classes = by.document.nested().get("classes", {})
             self._by, self._give_up = by, {name: told.get("give_up_ms") for name, told in classes.items()}
         if (most_ms := self._give_up.get(call.class_name)) is not None:
             call.budget_ms = min(call.budget_ms, most_ms)
-        taken = _Taken(call.id, by, now_ms, number)
-        reply = call.reply
-
-        def replied(outcome: Outcome) -> None:
-            self._end(taken)
-            reply(outcome)
-
-        call.reply = replied
         taken.key = self.below.take(call)
-        if taken.key is None:
-            self._end(taken)
-        elif not taken.over:
-            self._open[taken.key] = taken
-        return taken.key
-
-    def withdraw(self, key: str) -> None:
-        if taken := self._open.get(key):
-            self._end(taken)
-        self.below.withdraw(key)
-
-    def _end(self, taken: _Taken) -> None:
-        if taken.over:
-            return
-        taken.over = True
-        if taken.key is not None:
-            self._open.pop(taken.key, None)
-        self._done(taken.number)
-        self._told(taken.id, taken.by, taken.taken_ms)
+        if taken.key is None:  # it was answered at once, or what stands below has let go of it
+            self._end(number)
+
+    def release(self) -> None:
+        """It was told what is in force: what is held is judged by that."""
+        for number, taken in list(self._held.items()):
+            if number not in self._held:  # to judge one may have released all
+                continue
+            self._let_go(number, taken)
+            taken.at_ms, taken.by = self._unix_ms(), self._take(number)
+            taken.call.budget_ms = max(1.0, taken.call.budget_ms - (monotonic_ms() - taken.came_ms))
+            self._hand_down(number, taken)
+
+    def refuse(self) -> None:
+        """Nobody will tell it here any more: what is held may be asked for again elsewhere."""
+        for taken in list(self._held.values()):
+            taken.call.reply(Refused(PUSHBACK_MS))
+
+    def _let_go(self, number: str, taken: _Taken) -> None:
+        if self._held.pop(number, None) is not None:
+            self._held_bytes -= len(taken.call.body)
+            taken.timer.cancel()
+
+    def withdraw(self, number: str) -> None:
+        if (taken := self._end(number)) is not None and taken.key is not None:
+            self.below.withdraw(taken.key)
+
+    def _replied(self, number: str, outcome: Outcome) -> None:
+        if (taken := self._end(number)) is not None:
+            taken.reply(outcome)
+
+    def _end(self, number: str) -> _Taken | None:
+        """Once each."""
+        taken = self._open.pop(number, None)
+        if taken is not None:
+            self._let_go(number, taken)
+            self._done(number)
+            self._told(taken.call.id, taken.by, taken.at_ms)
+        return taken
 
 
 def spec_of(base: io.ClassSpec, document: Document) -> io.ClassSpec:
--- a/fawnwharf/epochs/service.py
+++ b/fawnwharf/epochs/service.py
@@ -28,6 +28,7 @@
 FILES_MS = 200.0  # pace of the look at the operators' file
 TRACE_MS = 100.0  # pace of writing
 RENEW_MS = 50.0  # renewals wait for so long, to be said together: each line goes to all readers
+LEASE_MS = 50.0  # one that was told what is in force waits for so long for a lease, before it judges calls
 STAND_MS = 40.0  # how this one stands is told no more often than that
 ALONE_MS = 3_000.0  # without a leader's word for so long it is said who is missing, and how often
 MIXED_MS = 10_000.0  # for so long after a change of classes, calls of before may come from the gate
@@ -113,7 +114,9 @@
         self._module = dict(self._follower.classes)
         front.port.waits_for.add(NAME)
         below = front.port.table
-        self.calls = Judged(below, self._take, self.agent.holder.done, self._ended, unix_ms)
+        self.calls = Judged(
+            below, self._take, self.agent.holder.done, self._ended, unix_ms, front.loop.wheel.after
+        )
         front.port.table = self.calls
         self.zones.rider = self
         if self._said_file.changed() is not None:
@@ -131,6 +134,7 @@
     def close(self) -> None:
         self._stopped = True
         if self.front is not None:
+            self.calls.refuse()
             if self.front.port.table is self.calls:
                 self.front.port.table = self.calls.below
             self.front.port.waits_for.discard(NAME)
@@ -150,7 +154,7 @@
 
     @property
     def busy(self) -> bool:
-        return False  # the table and the gate know of all that is open
+        return self.calls is not None and self.calls.held > 0  # the table and the gate know of the others
 
     def _own_spec(self, event: io.RequestArrived) -> io.ClassSpec | None:
         request = self.front.table.open.get(event.request)
@@ -244,9 +248,18 @@
                 self.note(effect.event, effect.fields)
         self._follower.keep_by(dict(self.agent.holder.keeping.now))
         (self.front.port.waits_for.discard if self.ready else self.front.port.waits_for.add)(NAME)
+        if self.ready and self.calls.held:
+            if self.in_force.how == "leased":
+                self.calls.release()
+            else:  # its first lease comes a round trip later
+                self.front.loop.wheel.after(LEASE_MS, self._release)
         self._stand()
         self._set_timer()
 
+    def _release(self) -> None:
+        if self.ready and not self._stopped:
+            self.calls.release()
+
     def _go_by(self, effect: m.InForce) -> None:
         if self._follower.go_by(effect.document):
             self._mixed_ms = monotonic_ms() + MIXED_MS
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -8,6 +8,7 @@
 from policy_site import Site, document
 
 from fawnwharf import interface as io
+from fawnwharf.epochs import judged
 from fawnwharf.epochs import settings as s
 from fawnwharf.epochs.document import Document
 from fawnwharf.epochs.judged import handed_over
@@ -124,6 +125,10 @@
     back.start()
     assert back.noted("proposal left aside") and not site.ready(back)
     site.until(lambda: back.noted("policy: not ready"), "it says what it waits for")
+    client = site.client(back)
+    client.call(call="00000000000000dd", ttl="200")
+    site.until(lambda: client.kinds(), "a call that came anyway is turned away, untouched")
+    assert client.kinds() == {1: "throttled"} and not back.scorer.runs
     told = back.noted("policy: not ready")[0]
     assert told["voters that tell nothing of policy"] == sorted(n.name for n in (leader, other))
     assert (
@@ -135,6 +140,8 @@
     site.until(lambda: back.part.ready, "a leader has told it")
     assert back.part.agent.holder.register.last.number == 2 and site.ready(back) is True
     site.until(lambda: site.in_force(2), "all go by the last one")
+    lines = [json.loads(line) for line in (back.folder / "trace.jsonl").read_text().splitlines()]
+    assert [(line["call"][-2:], line["how"]) for line in lines] == [("dd", "waiting")]
     assert json.loads((back.folder / "zones/policy.json").read_text())["life"] == back.part.life
 
 
@@ -181,7 +188,8 @@
     assert site.ready(node) is False and site.ready(site.nodes[0]) is True
 
 
-def test_a_process_lets_go_of_its_part_and_takes_it_back(site):
+def test_a_process_lets_go_of_its_part_and_takes_it_back(site, monkeypatch):
+    monkeypatch.setattr(judged, "HOLD_MOST_MS", 60_000.0)
     site.begin()
     node, other = site.nodes[1], site.nodes[0]
     node.word(1, propose=document(9.0, classes={"view": {"give_up_ms": 5_000.0, "promise_ms": 400.0}}))
@@ -193,7 +201,14 @@
     site.until(lambda: site.in_force(2, [site.nodes[0], site.nodes[2]]), "a change without it")
     node.front.seam.take_back(node.front)
     assert node.part is not before and not node.front.port.takes_work
+    client = site.client(node)
+    client.call(ttl="9000")
+    site.until(lambda: node.part.calls.held, "a call that comes before it is told is held")
+    assert node.front.seam.busy and not node.front.table.open
     site.until(lambda: site.in_force(2), "it goes by the last one")
+    site.until(lambda: node.front.table.open, "it goes on")
+    [request] = node.front.table.open.values()
+    assert (request.call.judged.number, request.call.judged.how) == (2, "leased")
     site.until(lambda: node.front.router.settings.quotas_rps["acme"] == 8.0, "quotas too")
     assert node.front.port.takes_work and node.part.life > before.life
 
