--- a/fawnwharf/policy/admission.py
+++ b/fawnwharf/policy/admission.py
@@ -14,8 +14,7 @@
         if tenant not in self.settings.quotas_rps:
             return False
         rate = self.settings.quotas_rps[tenant] / self.peers
-        # A second's calls at once; few come unevenly: room for chance where this front end sees but a part.
-        most = rate + self.wide * 2 * math.sqrt(rate * WINDOW_MS / 1000)
+        most = rate + self.wide * 2 * math.sqrt(rate * WINDOW_MS / 1000)  # a second's, and for chance
         tokens, since = self.tokens.get(tenant, (most, self.now))
         tokens = min(most, tokens + rate * (self.now - since) / 1000)
         self.tokens[tenant] = (tokens - (tokens >= 1), self.now)
@@ -25,9 +24,8 @@
         return request.over_share, self._late(request), request.arrived_ms, request.id
 
     def _late(self, request: Request) -> bool:  # hardly to be answered in time any more
-        left = request.aim_ms - self.now
-        # The second term guards against runs grown so long that all would count as late from the start.
-        return left < min(LATE_RUNS * self._te(request.function), request.spec.promise_ms * LATE_MOST)
+        most = request.spec.promise_ms * LATE_MOST  # where runs are so long that all would be
+        return request.aim_ms - self.now < min(LATE_RUNS * self._te(request.function), most)
 
     def _hopeless(self, request: Request) -> bool:
         """Never sent, and hardly to be on time: given up. Harm: a late answer that it might have had."""
@@ -46,18 +44,17 @@
         return (group is io.Group.ALL or same) and self._may_send_again(request)
 
     def _may_send_again(self, request: Request) -> bool:  # may another attempt be made at all?
-        twice, first = any(attempt.open for attempt in request.attempts), request.first_run()
+        twice, first, spec = any(a.open for a in request.attempts), request.first_run(), request.spec
         if len(request.attempts) >= self.settings.max_attempts or (twice and not self.settings.second_copies):
             return False
-        if first is None or request.spec.effect is not io.Effect.KEYED:
-            return first is None or request.spec.effect is io.Effect.SAFE
-        return self.now - first.sent_ms < request.spec.dedup_window_ms - WINDOW_MARGIN_MS
+        keyed_ms = spec.dedup_window_ms - WINDOW_MARGIN_MS if spec.effect is io.Effect.KEYED else -math.inf
+        return first is None or spec.effect is io.Effect.SAFE or self.now - first.sent_ms < keyed_ms
 
     def _again(self, request: Request) -> None:  # hold it again, or end it
         if self._may_send_again(request):
             request.held_ms = self.now
             request.function.queue.append(request)
-            self.waiting[request.function.name] = request.function
+            self.waiting.add(request.function)
         elif not any(attempt.open for attempt in request.attempts):
             self._finish(request)
 
@@ -71,6 +68,5 @@
     def _close(self, request: Request) -> None:
         del self.requests[request.id]
         request.function.queue = [held for held in request.function.queue if held is not request]
-        for number, attempt in enumerate(request.attempts if self.settings.may_cancel else ()):
-            if attempt.open:
-                self.actions.append(io.Cancel(request.id, number))
+        numbers = [number for number, attempt in enumerate(request.attempts) if attempt.open]
+        self.actions.extend(io.Cancel(request.id, number) for number in numbers * self.settings.may_cancel)
--- a/fawnwharf/policy/loads.py
+++ b/fawnwharf/policy/loads.py
@@ -1,4 +1,4 @@
-"""Loads of copies: the race, its switch, the ration of load orders, renewal and questions."""
+"""Loads of copies: the race, its switch, the ration of load orders, renewal, copies wanted, questions."""
 
 import math
 
@@ -14,20 +14,20 @@
     loading, loads_limit = 0, LOADS_START  # own ones under way
 
     def _race(self, fn: Function) -> None:  # the loads that held requests need, one for the lanes of a copy
-        warm = self._is_warm(fn)
-        early = self.wide and self.now - min(r.held_ms for r in fn.queue) < self._te(fn)  # others load too
-        idle = early or len(self.flying) >= self.limit or not self._load_path(fn)
+        warm, waited = self._is_warm(fn), self.now - min(r.held_ms for r in fn.queue)
+        early = self.wide and waited < self._te(fn)  # others load too
+        idle = early or len(self.flying) >= self.limit or not self._load_path(fn, waited)
         if self._asking(fn) or (warm and idle):
             return
-        pending = sum(fn.instances[w.id].order_ms is not None for w in self._known(fn) if self._usable(w, fn))
+        pending = sum(self._is_loading(fn, w) for w in self._known(fn) if self._usable(w, fn))
         held = sum(not (warm and (r.over_share or (self.wide and self._late(r)))) for r in fn.queue)
         for _ in range(math.ceil(held / fn.lanes) - pending):
             if not self._may_load():
                 return
             order = self._turned(fn, fn.queue[0]) + self._ordered(fn)
-            order.sort(key=lambda w: warm and self._is_far(w))  # the first copy stands at the function's home
+            order.sort(key=lambda w: warm and self._is_far(w, fn))  # the first copy stands at its home
             able = [w for w in order if self._may_load_at(fn, w, warm)]
-            bare = (w for w in able if not self._copies(fn, w) and w.own < self._bound(w))
+            bare = (w for w in able if not self._copies(fn, w) and w.own < self._bound(w, fn))
             if able:
                 self._load(fn, next(bare, able[0]), warm)
 
@@ -45,19 +45,16 @@
         instance.order_ms, self.loading = None, self.loading - 1
         fn.loads.timed.extend([(self.now, took)] * good)
         instance.blocked_ms = instance.blocked_ms if good else self.now + BLOCK_MS
-        # Guards the store: slow or failed loads lower the number under way. Harm: so does a slow worker.
-        if event.ending in (io.Ending.GOOD, io.Ending.ERROR):
+        if event.ending in (io.Ending.GOOD, io.Ending.ERROR):  # fewer after slow or failed: guards the store
             limit = self.loads_limit + (1 / self.loads_limit if timely else -0.2 * self.loads_limit)
             self.loads_limit = min(LOADS_MOST, max(LOADS_LEAST, limit))
 
-    def _load_path(self, fn: Function) -> bool:  # the switch: off at Ti > Te, on at Td > Tp
+    def _load_path(self, fn: Function, waited_ms: float) -> bool:  # the switch: off at Ti > Te, on at Td > Tp
         if fn.load_path:
             unused = [self.now - i.unused_ms for i in fn.instances.values() if i.unused_ms is not None]
-            # Where this front end sees one call in many, the others' calls use the copy as often.
-            flip = max([fn.idle_ms, *unused]) > self._te(fn) * (self.peers if self.wide else 1)
+            flip = max([fn.idle_ms, *unused]) > self._te(fn) * self.peers**self.wide  # others use it too
         else:
-            oldest = self.now - min((request.held_ms for request in fn.queue), default=self.now)
-            flip = max(oldest, fn.waits.median(self.now) or 0.0) > self._tp(fn)
+            flip = max(waited_ms, fn.waits.median(self.now) or 0.0) > self._tp(fn)
         if flip:
             fn.load_path, fn.idle_ms, fn.waits = not fn.load_path, 0.0, Samples()
         for instance in fn.instances.values() if flip else ():
@@ -68,10 +65,15 @@
         return self.loading < self.loads_limit and self.settings.may_order and self._ration_left() >= 1
 
     def _may_load_at(self, fn: Function, worker: Worker, warm: bool) -> bool:
-        instance = fn.instances.get(worker.id) or Instance()
-        free = instance.order_ms is None and self.now >= instance.blocked_ms and self._usable(worker, fn)
+        blocked_ms = (fn.instances.get(worker.id) or Instance()).blocked_ms
+        free = self.now >= blocked_ms and self._usable(worker, fn) and not self._is_loading(fn, worker)
         return free and not (warm and (worker.own >= worker.limit or not self._within_cold_budget(worker)))
 
+    def _is_loading(self, fn: Function, worker: Worker) -> bool:  # by an own order, or another's, as told
+        told, own = worker.told, (fn.instances.get(worker.id) or Instance()).order_ms is not None
+        others = fn.name in told.loading and self._is_told(worker, self._tp(fn))
+        return own or (others and self._copies(fn, worker) <= told.copies.get(fn.name, 0))  # else it has come
+
     def _ration_left(self) -> float:  # of orders to load: some are free, and a part of the arrivals
         window = self.settings.load_window_ms
         while self.ordered and self.ordered[0] < self.now - window - self.settings.tick_ms:
@@ -81,16 +83,28 @@
 
     def _renew(self) -> None:
         """Renew a copy of each function called lately before it lapses. Harm: less room in a squeeze."""
-        held, life = sum(len(fn.queue) for fn in self.waiting.values()), self.settings.idle_life_ms
+        held, life = sum(len(fn.queue) for fn in self.functions.values()), self.settings.idle_life_ms
         calm = RENEW_HELD * held <= len(self.requests) and not self.wide and self._may_load()
         for fn in self.functions.values() if calm else ():  # in a wide fleet others' calls renew as well
             told = [(i.seen_ms, n) for n, i in fn.instances.items() if self._copies(fn, self.workers[n])]
-            seen, id = max(told, default=(self.now, 0))
-            due = seen + life < self.now + 2 * REFRESH_MS and fn.last_ms[-1] + RENEW_LIVES * life > self.now
-            spared = due and self._ration_left() > len(self.ordered)
-            if spared and self._may_load_at(fn, self.workers[id], warm=True):
+            called = max(fn.last_ms, default=-math.inf) + RENEW_LIVES * life > self.now
+            if told and called and self._ration_left() > len(self.ordered):
+                self._keep(fn, self.workers[max(told)[1]], 1)
+
+    def _keep(self, fn: Function, worker: Worker, copies: int) -> None:  # one more, or those about to lapse
+        if worker in self._ordered(fn) and self._may_load_at(fn, worker, warm=True):
+            if self._copies(fn, worker) < copies:
+                self._load(fn, worker, warm=False)
+            elif fn.instances[worker.id].seen_ms + self.settings.idle_life_ms < self.now + 2 * REFRESH_MS:
                 self.ordered.append(self.now)
-                self._ask(fn, self.workers[id], 1)
+                self._ask(fn, worker, copies)
+
+    def _on_wanted(self, event: io.CopiesWanted) -> None:  # calls first: an order for each held one is left
+        worker, held = self.workers.get(event.worker), sum(len(fn.queue) for fn in self.functions.values())
+        if worker and event.copies > 0 and self._may_load() and self._ration_left() >= held + 1:
+            fn = self._function(event)
+            fn.needed_ms = self.now
+            self._keep(fn, worker, event.copies)
 
     def _ask(self, fn: Function, worker: Worker, copies: int = 0) -> None:
         instance = self._instance(fn, worker)
--- a/fawnwharf/policy/router.py
+++ b/fawnwharf/policy/router.py
@@ -3,19 +3,14 @@
 import math
 
 from fawnwharf import interface as io
-from fawnwharf.policy import state
-from fawnwharf.policy.admission import TRY_LEAST, Admission
-from fawnwharf.policy.health import ANSWER_GAIN, LOSSES, LOST_RUNS, STRAINED, TRIAL_MS, Health
-from fawnwharf.policy.loads import Loads
-from fawnwharf.policy.routing import BOUND_FLOOR, Routing
+from fawnwharf.policy import admission, health, loads, routing, state
 from fawnwharf.policy.state import Attempt, Function, Request, Worker, mark, mix
 
 FUNCTIONS_MOST, FORGET_MS = 2_000, 60_000.0  # kept in mind; forgotten if not called, or gone, for so long
-RUN_GAIN = 0.02  # weight of one run in the mean run of workers that are not crowded
-ROOM_SPREAD = 1.5  # room for chance in a worker's limit, in square roots of its mean requests
+RUN_GAIN, ROOM_SPREAD = 0.02, 1.5  # weight of an uncrowded run; room in limits, in square roots of means
 
 
-class Router(Health, Loads, Routing, Admission):
+class Router(health.Health, loads.Loads, routing.Routing, admission.Admission):
     def handle(self, now_ms: float, events: list[io.Event]) -> list[io.Action]:
         """Take the events of one moment, in order; the actions take effect at that moment."""
         self.now, self.began_ms, self.actions = now_ms, min(self.began_ms, now_ms), []
@@ -36,8 +31,7 @@
             new = Worker(entry.worker, entry, mark(str(entry.worker)))
             worker = self.workers.setdefault(entry.worker, new)
             worker.entry, worker.gone_ms = entry, None
-            up_since_ms = -math.inf if entry.up_since_ms is None else entry.up_since_ms
-            worker.started_ms = max(worker.started_ms, up_since_ms)
+            worker.started_ms = max(worker.started_ms, -math.inf if (up := entry.up_since_ms) is None else up)
         self.ready = [worker for worker in self.workers.values() if worker.takes_new()]
         self.suspects = sum(worker.suspect_ms is not None for worker in self.ready)
         self._refresh()
@@ -45,13 +39,10 @@
 
     def _on_request(self, event: io.RequestArrived) -> None:
         self.taken.append(self.now)
-        if len(self.functions) >= FUNCTIONS_MOST and event.function not in self.functions:
-            self._forget()
-        name, kind, lanes = event.function, event.class_name, max(1, event.lanes)
-        fn = self.functions.setdefault(name, Function(name, kind, lanes, event.load_ms, mark(name)))
-        spec = self.settings.classes.get(kind) or io.ClassSpec(kind)
+        fn, spec = self._function(event), self.classes.get(event.class_name) or io.ClassSpec(event.class_name)
+        fn.site, fn.order_members = event.site, fn.order_members if event.site == fn.site else None
         self.seed, draw, deadline = self.seed + 1, mix(mix(self.seed)), self.now + event.budget_ms
-        later = event.budget_ms < TRY_LEAST * spec.give_up_ms  # its share was taken by the first try
+        later = event.budget_ms < admission.TRY_LEAST * spec.give_up_ms  # the first try took its share
         aim = (deadline - spec.give_up_ms if later else self.now) + spec.promise_ms
         over = later or self._over_share(event.tenant)
         request = Request(event.request, fn, spec, self.now, deadline, over, self.now, draw, aim)
@@ -69,6 +60,12 @@
             self._finish(request)  # the next sweep is past half its time
         self._dispatch(fn)
 
+    def _function(self, event: io.RequestArrived | io.CopiesWanted) -> Function:  # known, or made of it
+        if len(self.functions) >= FUNCTIONS_MOST and event.function not in self.functions:
+            self._forget()
+        name, kind, lanes = event.function, event.class_name, max(1, event.lanes)
+        return self.functions.setdefault(name, Function(name, kind, lanes, event.load_ms, mark(name)))
+
     def _on_left(self, event: io.ClientLeft) -> None:
         if request := self.requests.get(event.request):
             self._close(request)
@@ -78,6 +75,23 @@
         if event.tenant == io.ALL:  # no burst at first
             self.tokens[io.ALL] = (event.calls_rps / 10, self.now)
 
+    def _on_class(self, event: io.ClassChanged) -> None:  # a call keeps what it came with
+        self.classes = {**self.classes, event.spec.name: event.spec}
+        self.promise_ms = min(spec.promise_ms for spec in self.classes.values())
+
+    def _on_elsewhere(self, event: io.Elsewhere) -> None:  # for functions not known yet see _ordered
+        if worker := self.workers.get(event.worker):
+            worker.told, worker.told_ms = event, self.now - max(0.0, event.age_ms)
+            for fn in filter(None, map(self.functions.get, [*event.copies, *event.loading])):
+                self._believe(fn, [worker])
+            self._dispatch_all(worker)
+
+    def _believe(self, fn: Function, workers: list[Worker]) -> None:  # as an answer of that time
+        for worker in [w for w in workers if fn.name in w.told.copies or fn.name in w.told.loading]:
+            instance, copies = self._instance(fn, worker), worker.told.copies.get(fn.name, 0)
+            if copies > 0 and worker.told_ms > instance.seen_ms:
+                instance.copies, instance.seen_ms = max(copies, self._copies(fn, worker)), worker.told_ms
+
     def _on_attempt(self, event: io.AttemptEnded) -> None:
         if (attempt := self.attempts.pop((event.request, event.attempt), None)) is None:
             return
@@ -85,7 +99,7 @@
         fn, worker, te = attempt.function, self.workers[attempt.worker], self._te(attempt.function)
         instance = fn.instances[worker.id]
         attempt.open, instance.own, worker.own = False, instance.own - 1, worker.own - 1
-        attempt.may_have_run = event.ending not in io.NEVER_RAN
+        attempt.may_have_run, slow = event.ending not in io.NEVER_RAN, event.took_ms > health.STRAINED * te
         if event.ending in (io.Ending.GOOD, io.Ending.ERROR, io.Ending.FULL, io.Ending.MISS):
             self._heard(worker)
         if event.ending is io.Ending.GOOD:
@@ -95,19 +109,22 @@
                 self.runs.timed.append((self.now, event.took_ms))
                 self.run_ms += RUN_GAIN * (event.took_ms - self.run_ms) * attempt.alone
                 self._strain(worker, event.took_ms / te)
-            self._found(worker, attempt)
-        elif event.ending in (io.Ending.CANCELLED, io.Ending.TIMEOUT) and event.took_ms > STRAINED * te:
+            if lapse := worker.lapses.get(fn.kind):
+                lapse.losses = lapse.losses - 1 if attempt.lost else lapse.losses * health.LOSS_KEPT
+                if lapse.losses < 1:
+                    del worker.lapses[fn.kind]
+        elif event.ending in (io.Ending.CANCELLED, io.Ending.TIMEOUT) and slow:
             self._strain(worker, event.took_ms / te)  # it may be the slow ones that never get to answer
         elif event.ending is io.Ending.MISS or event.warmth is io.Warmth.LOAD_FAILED:
-            instance.copies = 0
+            instance.copies, instance.seen_ms = 0, self.now
         elif event.ending is io.Ending.ERROR and fn.runs.timed:  # else the call itself may be at fault
             self._lose(worker, fn)
         elif event.ending is io.Ending.FULL:
             instance.blocked_ms = self.now + te
-            self._strain(worker, 3 * STRAINED)
+            self._strain(worker, 3 * health.STRAINED)
         self._broke(worker, event.ending)
         if event.crowd is not None and event.ending in (io.Ending.GOOD, io.Ending.FULL):
-            fn.crowd += ANSWER_GAIN * (event.crowd * attempt.among - fn.crowd)
+            fn.crowd += health.ANSWER_GAIN * (event.crowd * attempt.among - fn.crowd)
         request = self.requests.get(event.request)
         if request is not None and event.closed:
             self.hedges += attempt is not request.attempts[0] and request.attempts[0].open  # worth its token
@@ -127,7 +144,7 @@
         if event.ending in (io.Ending.GOOD, io.Ending.FULL, io.Ending.ERROR):
             if worker.suspect_ms is not None and instance.copies and not event.copies:
                 worker.started_ms = self.now  # it came back empty: a restart that the roster has not told
-            self._heard(worker, TRIAL_MS)  # a sign lasts for longer than a run
+            self._heard(worker, health.TRIAL_MS)  # a sign lasts for longer than a run
             if is_load and instance.raced and event.ending is io.Ending.GOOD:
                 instance.unused_ms, instance.lanes_before = self.now, instance.copies * fn.lanes
             instance.copies, instance.counted_ms, instance.seen_ms = event.copies, self.now, self.now
@@ -151,19 +168,19 @@
             self._watch(worker)
         if self.now - self.refreshed_ms >= state.REFRESH_MS:
             self._refresh()
-        if self.waiting and len(self.flying) < self.limit:
+        if len(self.flying) < self.limit:
             self._dispatch_all()
 
-    def _dispatch_all(self, worker: Worker | None = None) -> None:  # most urgent first
-        held = [fn for fn in self.waiting.values() if fn.queue and (not worker or worker.id in fn.instances)]
+    def _dispatch_all(self, there: Worker | None = None) -> None:  # most urgent first
+        self.waiting = {fn for fn in self.waiting if fn.queue}
+        held = [fn for fn in self.waiting if there is None or there.id in fn.instances]
         for fn in sorted(held, key=lambda fn: min(map(self._urgency, fn.queue))):
             self._dispatch(fn)
 
     def _dispatch(self, fn: Function) -> None:
         self._fill(fn)
-        self.waiting.pop(fn.name, None)
         if fn.queue:
-            self.waiting[fn.name] = fn
+            self.waiting.add(fn)
             self._race(fn)
 
     def _fill(self, fn: Function) -> None:  # the only place that sends
@@ -184,10 +201,9 @@
         fn.queue.remove(request)
         fn.waits.timed.extend([(self.now, self.now - request.held_ms)] * (self.now > request.held_ms))
         instance.own, worker.own, instance.seen_ms = instance.own + 1, worker.own + 1, self.now
-        if self._warmth(worker) < 1.0:
-            worker.sent.append(self.now)
+        worker.sent.extend([self.now] * (self._warmth(worker) < 1.0))
         self._owe(worker)
-        if (lapse := worker.lapses.get(fn.kind)) and lapse.losses >= LOSSES:
+        if (lapse := worker.lapses.get(fn.kind)) and lapse.losses >= health.LOSSES:
             lapse.rest_ms = min(state.REST_MOST_MS, 2 * lapse.rest_ms)  # this one tries it
             lapse.rests_ms = self.now + lapse.rest_ms
         if instance.unused_ms is not None and instance.own > instance.lanes_before:
@@ -196,7 +212,6 @@
 
     def _refresh(self) -> None:
         """Limits: the rate sold times an uncrowded run is what the fleet works on at once (Little's law)."""
-        self.refreshed_ms = self.now
         sizes = {w.id: max(w.entry.units, 0.01) if self.settings.weights_fixed else 1.0 for w in self.ready}
         self.members = self.members if sizes == self.members else sizes
         self._renew()
@@ -204,19 +219,17 @@
             self._forget()
         self.total = sum(self._size(worker) for worker in self.ready) or 1.0
         self.fleet = max(self.fleet, sum(sizes.values()))
-        peers, sold, most = self.peers, self.sold, 0.0
+        self.refreshed_ms, peers, sold, most = self.now, self.peers, self.sold, 0.0
         for worker in self.ready:
             mean = sold * self.run_ms * self._size(worker) / self.fleet  # of all front ends
             most, own = most + self._room(mean), self._room(mean / peers)
             worker.limit = max(2.0 if self.wide else 1.0, own) if sold > 0 else math.inf
-        self.worker_most = most / max(1, len(self.ready)) if sold > 0 else 2 * BOUND_FLOOR
-        self.wide = self.worker_most < peers
+        self.worker_most = most / max(1, len(self.ready)) if sold > 0 else 2 * routing.BOUND_FLOOR
+        self.wide = wide = self.worker_most < peers
         usual = sorted(self._strained(worker) for worker in self.ready)[len(self.ready) // 2 :]
-        self.strain_most = STRAINED * usual[0] if self.wide and usual else math.inf
-        # Long runs are no silence: where each worker gets few calls, all that are slow would be asked.
-        self.silent_ms = LOST_RUNS * (self.runs.median(self.now) or 200.0) if self.wide else state.SILENT_MS
-        # In all, what the fleet gets through in a part of the promise: beyond that all would come late.
-        through = sold * self.promise_ms * state.LATE_MOST / peers or math.inf
+        self.strain_most = health.STRAINED * usual[0] if self.wide and usual else math.inf
+        self.silent_ms = health.LOST_RUNS * (self.runs.median(self.now) or 200.0) if wide else state.SILENT_MS
+        through = sold * self.promise_ms * state.LATE_MOST / peers or math.inf  # beyond, all would be late
         self.limit = self._room(through) if self.wide else math.inf
 
     def _room(self, mean: float) -> float:  # for chance
@@ -227,19 +240,17 @@
         self.forgot_ms, past = self.now, self.now - FORGET_MS
         used = {worker.last for worker in self.workers.values()}
         half = FUNCTIONS_MOST // 2 * (len(self.functions) >= FUNCTIONS_MOST)
-        for n, fn in enumerate(sorted(self.functions.values(), key=lambda fn: fn.last_ms[-1])):
+        for n, fn in enumerate(sorted(self.functions.values(), key=lambda fn: fn.needed_ms)):
             busy = any(i.own or i.asks or i.order_ms is not None for i in fn.instances.values())
-            if not (busy or fn.queue or fn in used) and (n < half or fn.last_ms[-1] < past):
+            if not (busy or fn.queue or fn in used) and (n < half or fn.needed_ms < past):
                 del self.functions[fn.name]
         for worker in [w for w in self.workers.values() if w.entry.state is io.State.GONE]:
             worker.gone_ms = worker.gone_ms or self.now
             if worker.gone_ms < past and not worker.own:
-                for fn in self.functions.values():
-                    fn.instances.pop(worker.id, None)
-                    fn.known = None
-                self.watched.pop(worker.id, None)
-                del self.workers[worker.id]
+                for held in (self.workers, self.watched, *(fn.instances for fn in self.functions.values())):
+                    held.pop(worker.id, None)
 
     handlers = {io.RosterChanged: _on_roster, io.RequestArrived: _on_request, io.ClientLeft: _on_left,
                 io.AttemptEnded: _on_attempt, io.OrderAnswered: _on_order, io.TimerDue: _on_timer,
-                io.LimitsChanged: _on_limits}  # fmt: skip
+                io.LimitsChanged: _on_limits, io.ClassChanged: _on_class, io.Elsewhere: _on_elsewhere,
+                io.CopiesWanted: loads.Loads._on_wanted}  # fmt: skip
--- a/fawnwharf/policy/routing.py
+++ b/fawnwharf/policy/routing.py
@@ -6,26 +6,26 @@
 from fawnwharf.policy import state
 from fawnwharf.policy.state import REFRESH_MS, Function, Instance, Known, Request, Worker, mix
 
-# A worker takes these multiples of its fair share of own requests, far and near, and never fewer than:
-BOUND_FACTOR, BOUND_NEAR, BOUND_FLOOR = 1.5, 2.4, 2.0  # crossing costs more than sharing the cores
+BOUND_FACTOR, BOUND_NEAR, BOUND_FLOOR = 1.5, 2.4, 2.0  # of its fair share a worker takes, far, near; at least
 TRIED = 2**60  # of the draws: one call in sixteen tries a place not seen yet while others are known
-COLD_SAFETY = 0.6  # part of a cold worker's budget that is used: capacity and other front ends are guesses
+COLD_SAFETY, YIELD = 0.6, 0.35  # used of a cold budget, a guess; of a limit, by calls past share or time
 SPREAD_LANES, SPREAD_PART = 0.6, 0.3  # of a copy's lanes, and of a worker's room, for a wide function's calls
-YIELD = 0.35  # part of a worker's limit open to requests beyond a share or past their time
 
 
 class Routing(Known):
-    def _ordered(self, fn: Function) -> list[Worker]:  # by rendezvous hashing, the same at every front end
+    def _ordered(self, fn: Function) -> list[Worker]:  # by rendezvous hashing; a told site first
         if fn.order_members is not self.members:
             drawn = {w: math.log((mix(fn.mark ^ w.mark) + 1) / (2**64 + 1)) for w in self.ready}
             fn.order = sorted(drawn, key=lambda w: (-drawn[w] / self.members[w.id], w.id))
+            fn.order.sort(key=lambda w: fn.site != "" and self._is_far(w, fn))
             fn.order_members, fn.known = self.members, None
+            self._believe(fn, fn.order)
         return fn.order
 
     def _known(self, fn: Function) -> list[Worker]:  # with some belief, the own zone's first, in hash order
         order = self._ordered(fn)
         if fn.known is None:
-            fn.known = sorted((w for w in order if w.id in fn.instances), key=self._is_far)
+            fn.known = sorted((w for w in order if w.id in fn.instances), key=lambda w: self._is_far(w, fn))
         return fn.known
 
     def _places(self, fn: Function, request: Request) -> list[Worker]:  # believed warm, wide from a draw
@@ -33,8 +33,7 @@
             return self._known(fn)
         first = self._turned(fn, request)
         seen = any(self._copies(fn, w) and self._fit(w, fn) for w in self._known(fn))
-        # Guards the store, and calls: a place that is new to all would be tried by all, and each wait there.
-        tried = first if not seen or request.draw < TRIED else []
+        tried = first if not seen or request.draw < TRIED else []  # guards the store: all try what is new
         for worker in tried if self.settings.loads_on_miss else first[:1]:
             self._spread(fn, worker)
         known = sorted(self._known(fn), key=lambda w: self._strained(w) > self.strain_most)
@@ -53,21 +52,20 @@
         fit = (worker for worker in self._ordered(fn) if self._fit(worker, fn))
         order = list(islice(fit, fn.width)) or fn.order[: fn.width]
         turns = [draw % len(order) for draw in (request.draw, request.draw >> 32) if order]
-        turn = min(turns, key=lambda turn: self.wide * self._cost(order[turn]), default=0)
+        turn = min(turns, key=lambda turn: self.wide * self._cost(order[turn], fn), default=0)
         return order[turn:] + order[:turn]
 
     def _measure(self, fn: Function) -> None:
         """Workers a function needs: own arrivals times front ends, or the crowd told. Guards the first."""
-        if fn.last_ms:
-            faded = math.exp((fn.last_ms[-1] - self.now) / state.FADE_MS)
-            fn.arrived, fn.crowd = fn.arrived * faded, fn.crowd * faded
+        faded = math.exp((max(fn.last_ms, default=self.now) - self.now) / state.FADE_MS)
+        fn.arrived, fn.crowd = fn.arrived * faded, fn.crowd * faded
         rate = self._surely(fn.arrived) / min(state.FADE_MS, self.now - self.began_ms + REFRESH_MS)
         if len(fn.last_ms) == state.RUSH:
             rate = max(rate, self._surely(state.RUSH) / max(self.now - fn.last_ms[0], REFRESH_MS))
         demand = max(rate * self.peers * self._te(fn), fn.crowd)
-        share = min(SPREAD_LANES * fn.lanes, SPREAD_PART * self.worker_most)
+        share = min(SPREAD_LANES * fn.lanes, SPREAD_PART * self.worker_most or 1.0)  # 0: none is ready
         fn.width = min(max(1, math.ceil(demand / share)), max(1, len(self.ready)))
-        fn.arrived += 1
+        fn.arrived, fn.needed_ms = fn.arrived + 1, self.now
         fn.last_ms.append(self.now)
 
     def _surely(self, seen: float) -> float:  # arrivals less their chance, which many front ends multiply
@@ -84,11 +82,11 @@
         if len(self.flying) >= self.limit * (1.0 if again else part) or (self.wide and self._asking(fn)):
             return None  # one question at a time; the drawn place is to answer first
         for worker in places:
-            if asked and self._is_far(worker):
+            if asked and self._is_far(worker, fn):
                 break
             instance = fn.instances[worker.id]
             if self._free(fn, instance, worker) and self._may_send_here(request, worker, part):
-                if worker.own < self._bound(worker):
+                if worker.own < self._bound(worker, fn):
                     return worker
                 spare.append(worker)
             fresh = instance.asks and self.now - instance.asked_ms < state.ASK_WAIT_MS
@@ -99,16 +97,15 @@
         """A free warm lane; copies long unseen are asked after first. Harm: a round trip's wait."""
         if self.now < instance.blocked_ms or self._copies(fn, worker) * fn.lanes <= instance.own:
             return False
-        most = max(-(-instance.own // fn.lanes), self.now - instance.seen_ms < state.STALE_MS) * fn.lanes
-        counted = self.now - instance.counted_ms < state.STALE_MS
-        sure = counted or most > instance.own or self.wide or not self.settings.may_order
-        if not sure and not instance.asks and self._usable(worker, fn):
+        sign_ms = instance.counted_ms if instance.own else instance.seen_ms  # of a lane more than are in use
+        sure = instance.own % fn.lanes > 0 or self.now - sign_ms < state.STALE_MS or self.wide
+        if not sure and self.settings.may_order and not instance.asks and self._usable(worker, fn):
             self._ask(fn, worker)
-        return sure
+        return sure or not self.settings.may_order
 
-    def _bound(self, worker: Worker) -> float:  # own requests: a multiple of a fair share
+    def _bound(self, worker: Worker, fn: Function) -> float:  # own requests: a multiple of a fair share
         fair = (len(self.attempts) + 1) * self._size(worker) / self.total
-        factor = BOUND_FACTOR if self._is_far(worker) else BOUND_NEAR
+        factor = BOUND_FACTOR if self._is_far(worker, fn) else BOUND_NEAR
         return max(BOUND_FLOOR * self._warmth(worker), factor * fair)
 
     def _fit(self, worker: Worker, fn: Function) -> bool:
@@ -127,9 +124,12 @@
             answered = len(self.runs.timed) / max(REFRESH_MS, self.now - next(iter(self.runs.timed), (0,))[0])
             rate = max(self.sold / self.peers / self.fleet, COLD_SAFETY * answered / self.total)
             rate *= self.members[worker.id]
-        budget = self.settings.fall_multiple * share * self.settings.fall_ms * rate
-        # Guards against a least send for each front end: a part below one falls to as many of them by chance.
-        return len(worker.sent) + 1 <= budget + mix(mix(self.chance ^ worker.mark)) / 2**64
+        left = own = self.settings.fall_multiple * share * self.settings.fall_ms * rate
+        if worker.told.sent is not None and self._is_told(worker, self.settings.fall_ms):
+            past = (self.now - worker.told_ms) / self.settings.fall_ms  # others have sent their parts since
+            left = own * (self.peers - past * (self.peers - 1)) - worker.told.sent  # all see it at once
+        left = min(left, own + (left - own) / self.peers) + mix(mix(self.chance ^ worker.mark)) / 2**64
+        return len(worker.sent) + 1 <= left  # by chance: a part below one falls to as many front ends
 
     def _warmth(self, worker: Worker) -> float:  # the part of its capacity that a worker has at the least
         age = max(0.0, self.now - worker.started_ms) / max(1.0, self.settings.cold_ms)
