--- a/fawnwharf/durable/core.py
+++ b/fawnwharf/durable/core.py
@@ -74,6 +74,7 @@
             self._held[kind] = self._held.get(kind, 0) + 1
         self._seq, self._names = found.seq, set(found.names)
         self._dirty: dict[f.Key, None] = {}
+        self._churned = False  # more changed than `_dirty` may name
         self._since: dict[str, float] = {}  # mode -> when the first change of the next group came
         self._tickets = 0
         self._waiting: dict[int, float] = {}  # ticket -> until when, for the next group
@@ -98,6 +99,8 @@
         Raises Refused."""
         rules, place = self.kinds[kind], (kind, key)
         data = None if value is None else msgspec.json.encode(value)
+        if data == f.GONE:  # as JSON has it, of what is no number
+            data = None
         before = self.entries.get(place)
         if self._ending:
             raise Refused("the store is ending")
@@ -118,6 +121,9 @@
         else:
             self.entries[place] = data
         self._dirty[place] = None
+        if len(self._dirty) > 2 * len(self.entries) + self.limits.churn:
+            # A slow disk must not let them grow for ever.
+            self._dirty, self._churned = {}, True
         self._since.setdefault(rules.mode, now_ms)
         if self._behind_ms is None and rules.mode != f.HINT:
             self._behind_ms = now_ms
@@ -177,6 +183,8 @@
         """The next job for the disk; None where there is none now, or one is out."""
         if self._step is not None:
             return None
+        if self._churned:
+            self._segment, self._script, self._churned = "", None, False
         group, script = self._group_due_ms(), self._script_due_ms()
         step, self._script_out = None, False
         due = group is not None and group <= now_ms
--- a/fawnwharf/durable/crash.py
+++ b/fawnwharf/durable/crash.py
@@ -17,6 +17,8 @@
 from dataclasses import dataclass, field
 from random import Random
 
+import msgspec
+
 from fawnwharf.accord.records import later
 from fawnwharf.durable import form as f
 from fawnwharf.durable.ops import Job, Outcome, carry_out
@@ -82,11 +84,12 @@
     def found(self) -> Found:
         return look(self.disk, "fleet", "a", LIMITS)
 
-    def open(self, hold: int = 1) -> None:
+    def open(self, hold: int = 1, churn: int = 1_000) -> None:
         """Begins a life. Raises Unreadable."""
+        limits = msgspec.structs.replace(LIMITS, churn=churn)
         runner = _Runner(self.disk, self.bug, self._given, hold)
         self.store = made(
-            self.disk, runner, "fleet", "a", KINDS, LIMITS, "boot", lambda: "ab" * 8,
+            self.disk, runner, "fleet", "a", KINDS, limits, "boot", lambda: "ab" * 8,
             lambda: self.now_ms, True, core=self.bug.core,
         )  # fmt: skip
 
@@ -220,7 +223,7 @@
     elif trouble < 0.36:
         plan.lies_from = begun + chance.randrange(OPS_A_LIFE)
     try:
-        world.open(chance.choice((1, 1, 1, 3, 8)))
+        world.open(chance.choice((1, 1, 1, 3, 8)), chance.choice((1_000, 1_000, -9)))
         world.live(chance, chance.randrange(1, TURNS))
         if chance.random() < 0.3:
             world.end()
--- a/fawnwharf/durable/form.py
+++ b/fawnwharf/durable/form.py
@@ -44,6 +44,7 @@
     slow_ms: float = 250.0  # a job that takes longer is said
     retry_ms: float = 100.0  # after a failure, and twice as long after each further one
     retry_most_ms: float = 5_000.0
+    churn: int = 1_000  # changes that wait, beyond twice the entries: all is written anew then
 
     @property
     def folder_bytes(self) -> int:
--- a/tests/test_durable.py
+++ b/tests/test_durable.py
@@ -122,6 +122,24 @@
     assert crash.look(disk, "fleet", "a", LIMITS).entries == made.entries
 
 
+def test_changes_that_come_and_go_on_a_slow_disk_are_bounded_and_none_is_lost():
+    made, disk = core()
+    made.put(0.0, "use", "old", 1)
+    settle(made, disk, 100.0)
+    made.put(100.0, "term", "t", 1)
+    job = made.take(100.0)  # and the disk stands still
+    made.put(101.0, "use", "old", None)
+    for n in range(5_000):
+        made.put(101.0, "use", f"u{n}", float("nan") if n % 2 else n)
+        made.put(101.0, "use", f"u{n}", None)
+        assert len(made._dirty) < 1_100
+    ticket = made.put(102.0, "term", "u", 2)
+    made.done(200.0, carry_out(disk, job))
+    assert [(end.ticket, end.on_disk) for end in settle(made, disk, 200.0)] == [(ticket, True)]
+    held = crash.look(disk, "fleet", "a", LIMITS).entries
+    assert held == made.entries == {("term", "t"): b"1", ("term", "u"): b"2"}
+
+
 def test_nothing_of_a_folder_is_told_before_a_new_life_has_written_it_anew():
     """What a killed process wrote is read, but may go with the next power cut."""
     made, disk = core()
--- a/tests/test_durable_folder.py
+++ b/tests/test_durable_folder.py
@@ -241,6 +241,8 @@
     filled(tmp_path / "d")
     flipped(tmp_path / "d", "log-1.seg", 200)
     before = contents(tmp_path / "d")
+    done = asked("verify", tmp_path / "d")
+    assert done.exit_code == 2 and f"{tmp_path / 'd' / 'log-1.seg'}: damaged at byte" in done.stderr
     done = asked("repair", tmp_path / "d", "--dry-run")
     assert done.exit_code == 0 and "lost: log-1.seg: from byte" in done.output
     assert contents(tmp_path / "d") == before
