--- a/tests/test_durable.py
+++ b/tests/test_durable.py
@@ -1,15 +1,16 @@
 """The durable store on a disk in memory: what is told when, and crash tests."""
 
+import contextlib
 import random
 
 import pytest
 
-from fawnwharf.durable import crash
+from fawnwharf.durable import crash, repairs
 from fawnwharf.durable import form as f
 from fawnwharf.durable.core import Core, Refused
 from fawnwharf.durable.ops import Append, Outcome, Sync, carry_out
-from fawnwharf.durable.reading import Found
-from fawnwharf.standins.disks import MemoryDisk, Plan
+from fawnwharf.durable.reading import Found, Unreadable
+from fawnwharf.standins.disks import MemoryDisk, Plan, PowerCut
 
 LIMITS = f.Limits(10_000, 600, 200, 40.0, 300.0, 400.0, 100.0, 30.0, 200.0)
 KINDS = [f.Kind("term", f.SYNCED, 4, 500), f.Kind("use", f.SOON), f.Kind("copies", f.HINT)]
@@ -178,6 +179,31 @@
         crash.check_random(1_500, 1, crash.PLANTED[name])
 
 
+def test_a_repair_that_is_cut_leaves_a_folder_that_is_refused_or_repaired():
+    seen = set()
+    for cut in range(12):
+        for share in crash.SHARES:
+            made, disk = core()
+            for n in range(6):
+                made.put(0.0, "term", "t", n)
+                settle(made, disk, 0.0)
+            disk.flip("log-1.seg", 8 * 400)
+            files = {name: disk.read(name) for name in disk.names()}
+            plan = repairs.plan(files)
+            disk.plan.cut_at = disk.count + cut
+            with contextlib.suppress(PowerCut):
+                outcome = carry_out(disk, repairs.begin(plan))
+                carry_out(disk, repairs.finish(plan, outcome.inode, 0.0))
+            disk = disk.reboot(random.Random(cut), share)
+            try:
+                found = crash.look(disk, "fleet", "a", LIMITS)
+                assert found.entries == plan.keeps.entries and "damaged" in found.repaired
+                seen.add("repaired")
+            except Unreadable:
+                seen.add("refused")
+    assert seen == {"repaired", "refused"}
+
+
 def test_a_full_disk_refuses_and_comes_back_with_all_that_was_put():
     made, disk = core()
     disk.plan = Plan(room=sum(disk.names().values()) + 100)
