Recovery: what a start asks, of whom, in which order and how long

One thing after the other, each until its answer or its bound; a majority is of the list, not of those that are up. Answers of earlier lives, of other fleets and of those that are not sure do not count.

--- /dev/null
+++ b/fawnwharf/recovery/asking.py
@@ -0,0 +1,270 @@
+"""What a front end that starts asks, of whom, in which order, and how long it waits.
+
+Pure; times are milliseconds of its own monotonic clock. One thing is asked after the other, each until it is
+answered or its bound is over; then it goes on at the stated lower level, and takes the answer whenever it
+comes. A majority is one of all that are on the list, never of those that happen to be up: so the silence of
+the dead is no answer. And as nothing waits beyond its bound, who will not come is not waited for.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import Enum, IntEnum
+from typing import Annotated
+
+from msgspec import Meta, Struct
+
+from fawnwharf.recovery.trust import Others
+from fawnwharf.replication.placement import weight
+from fawnwharf.zones.settings import Name
+
+Number = Annotated[int, Meta(ge=0, lt=2**53)]
+
+
+class What(IntEnum):
+    """In the order of asking."""
+
+    MEMBERS = 0
+    PLAN = 1  # and policy
+    PROMISES = 2
+    ROSTER = 3
+    USE = 4
+
+
+class Of(Enum):
+    VOTERS = "voters"
+    KEEPERS = "keepers"
+    LOG = "change log"
+
+
+class Need(Enum):
+    MAJORITY = "of all on the list, itself counted where it is one of them"
+    ALL = "all others on the list"
+    ONE = "any"
+
+
+class Stand(Enum):
+    AHEAD = "not asked yet"
+    WAITING = "asked"
+    ANSWERED = "answered"
+    WITHOUT = "gone on without; an answer is still taken"
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    of: Of
+    need: Need
+    bound_ms: float
+    without: str  # the level at which it goes on
+
+
+STEPS: Mapping[What, Step] = {
+    What.MEMBERS: Step(
+        Of.VOTERS, Need.MAJORITY, 600.0, "its own file of members is a hint: nothing that takes a majority"
+    ),
+    What.PLAN: Step(
+        Of.VOTERS, Need.MAJORITY, 1_500.0, "no plan; the stricter of the policy on its disk and the floor"
+    ),
+    What.PROMISES: Step(
+        Of.KEEPERS, Need.ALL, 1_000.0, "grants nothing until all that it may have granted is over"
+    ),
+    What.ROSTER: Step(
+        Of.LOG, Need.ONE, 1_000.0, "addresses of the last roster that come up when dialled, all cold"
+    ),
+    What.USE: Step(Of.KEEPERS, Need.ONE, 400.0, "an even part of each budget, functions by worth alone"),
+}
+
+
+class Ask(Struct, frozen=True, tag=True):
+    """`life` and `turn` come back with the answer: what was asked by an earlier life is not answered to this
+    one."""
+
+    fleet: Name
+    life: Number
+    turn: Number
+    what: Annotated[int, Meta(ge=0, le=4)]
+
+
+class Answer(Struct, frozen=True, tag=True):
+    """`number` and `digest`: the file of members; the last plan in the log, decided or not; the roster's."""
+
+    fleet: Name
+    life: Number  # the asker's
+    turn: Number
+    what: Annotated[int, Meta(ge=0, le=4)]
+    sender_life: Number
+    sure: bool  # it trusts what it says: from a whole store, or heard in this life
+    number: Number = 0
+    digest: Annotated[str, Meta(max_length=64)] = ""
+    leased: bool = False  # a leader's word, under its lease, that this is the last one
+
+
+class Say(Struct, frozen=True):
+    to: str
+    message: Ask
+
+
+@dataclass(frozen=True, slots=True)
+class Pace:
+    again_ms: float = 200.0  # what is not answered is asked again
+    spread_ms: float = 200.0  # front ends that start together ask spread over this
+
+
+@dataclass(slots=True)
+class _Open:
+    stand: Stand = Stand.AHEAD
+    since_ms: float = 0.0
+    again_ms: float = 0.0
+    answers: dict[str, Answer] = field(default_factory=dict)
+
+
+class Asking:
+    """Owns what one life of a front end has asked, and what came of it."""
+
+    def __init__(
+        self,
+        me: str,
+        fleet: str,
+        life: int,
+        lists: Mapping[Of, tuple[str, ...]],
+        now_ms: float,
+        own: Mapping[What, tuple[int, str]] | None = None,
+        pace: Pace | None = None,
+        steps: Mapping[What, Step] = STEPS,
+    ) -> None:
+        """`lists`: all that there are by the file of members, up or not. `own`: number and digest of what its
+        own whole store says; without it, its own word counts in no majority. A keeper whose store is whole
+        gives `own` for PROMISES and asks nobody."""
+        self.me, self.fleet, self.life = me, fleet, life
+        self.lists, self.own, self.steps = dict(lists), dict(own or {}), steps
+        self.pace = pace or Pace()
+        self.turn = 0
+        self.behind = 0  # the largest number of a file of members that a voter went by, beyond the own one
+        self.dropped: dict[str, int] = {}
+        self.opens = {what: _Open() for what in What}
+        self.lives: dict[str, int] = {}
+        self._begin(now_ms, What.MEMBERS)
+
+    # --- what stands ----------------------------------------------------------------------------
+
+    def stand(self, what: What) -> Stand:
+        return self.opens[what].stand
+
+    @property
+    def done(self) -> bool:
+        """It goes on: nothing is waited for any more."""
+        return all(o.stand in (Stand.ANSWERED, Stand.WITHOUT) for o in self.opens.values())
+
+    def without(self) -> dict[What, str]:
+        """The levels at which it goes on, as far as they are lower than they might be."""
+        return {w: self.steps[w].without for w, o in self.opens.items() if o.stand is Stand.WITHOUT}
+
+    def others(self, what: What) -> Others:
+        """What those asked say of the own copy, for `trust`."""
+        open_ = self.opens[what]
+        if open_.stand is not Stand.ANSWERED:
+            return Others.SILENT
+        leased = [a for a in open_.answers.values() if a.leased]
+        said = [(a.number, a.digest) for a in leased or open_.answers.values()]
+        number, digest = self.own.get(what, (0, ""))
+        most = max((n for n, _ in said), default=0)
+        if most > number:
+            return Others.LATER
+        same = all(d == digest for n, d in said if n == number)
+        return Others.SAME if same else Others.OTHER
+
+    # --- time -----------------------------------------------------------------------------------
+
+    def due_ms(self) -> float | None:
+        """When `tick` is wanted; None: all is answered."""
+        dues = []
+        for what, o in self.opens.items():
+            if o.stand is Stand.WAITING:
+                dues.append(o.since_ms + self.steps[what].bound_ms)
+            if o.stand in (Stand.WAITING, Stand.WITHOUT):
+                dues.append(o.again_ms)
+        return min(dues, default=None)
+
+    def tick(self, now_ms: float) -> list[Say]:
+        """Call it at `due_ms` at the latest."""
+        said: list[Say] = []
+        for what, o in self.opens.items():
+            if o.stand is Stand.WAITING and now_ms >= o.since_ms + self.steps[what].bound_ms:
+                o.stand = Stand.WITHOUT
+                self._next(now_ms, what)
+            if o.stand in (Stand.WAITING, Stand.WITHOUT) and now_ms >= o.again_ms:
+                o.again_ms = now_ms + self.pace.again_ms * (1 if o.stand is Stand.WAITING else 5)
+                said += self._ask(what)
+        return said
+
+    def _begin(self, now_ms: float, what: What) -> None:
+        o = self.opens[what]
+        part = weight(self.me, str(self.life), what.name) / 2**64
+        o.stand, o.since_ms, o.again_ms = Stand.WAITING, now_ms, now_ms + part * self.pace.spread_ms
+        self._look(now_ms, what)
+
+    def _next(self, now_ms: float, what: What) -> None:
+        for later in What:
+            if later > what and self.opens[later].stand is Stand.AHEAD:
+                self._begin(now_ms, later)
+                return
+
+    def _targets(self, what: What) -> list[str]:
+        return [name for name in self.lists.get(self.steps[what].of, ()) if name != self.me]
+
+    def _ask(self, what: What) -> list[Say]:
+        self.turn += 1
+        ask = Ask(self.fleet, self.life, self.turn, int(what))
+        heard = self.opens[what].answers
+        return [Say(to, ask) for to in self._targets(what) if to not in heard]
+
+    # --- answers --------------------------------------------------------------------------------
+
+    def heard(self, now_ms: float, sender: str, answer: Answer) -> None:
+        """Take an answer; what doesn't count is dropped and counted."""
+        if why := self._unfit(sender, answer):
+            self.dropped[why] = self.dropped.get(why, 0) + 1
+            return
+        what = What(answer.what)
+        if answer.sender_life > self.lives.get(sender, 0):
+            self.lives[sender] = answer.sender_life
+            for o in self.opens.values():  # what its earlier life said, it may have said of what is lost
+                if o.stand is not Stand.ANSWERED:
+                    o.answers.pop(sender, None)
+        if not answer.sure:
+            return  # heard, and no word on it
+        self.opens[what].answers[sender] = answer
+        if what is What.MEMBERS and answer.number > self.own.get(what, (0, ""))[0]:
+            self.behind = max(self.behind, answer.number)
+        self._look(now_ms, what)
+
+    def _unfit(self, sender: str, answer: Answer) -> str:
+        if answer.fleet != self.fleet:
+            return "another fleet's"
+        if answer.life != self.life or answer.turn > self.turn:
+            return "to another life"
+        if answer.what not in list(What) or sender not in self._targets(What(answer.what)):
+            return "not asked"
+        if answer.sender_life < self.lives.get(sender, 0):
+            return "of an earlier life"
+        return ""
+
+    def _look(self, now_ms: float, what: What) -> None:
+        """Whether that is enough, and what comes next then."""
+        o = self.opens[what]
+        if o.stand in (Stand.AHEAD, Stand.ANSWERED) or not self._enough(what):
+            return
+        waited, o.stand = o.stand is Stand.WAITING, Stand.ANSWERED
+        if waited:
+            self._next(now_ms, what)
+
+    def _enough(self, what: What) -> bool:
+        need, answers = self.steps[what].need, self.opens[what].answers
+        if any(a.leased for a in answers.values()):
+            return True
+        everyone = self.lists.get(self.steps[what].of, ())
+        if need is Need.MAJORITY:
+            mine = self.me in everyone and what in self.own
+            return 2 * (len(answers) + mine) > len(everyone)
+        if need is Need.ALL:
+            return what in self.own or all(name in answers for name in everyone if name != self.me)
+        return bool(answers)
