--- /dev/null
+++ b/fawnwharf/recovery/budget.py
@@ -0,0 +1,238 @@
+"""Budgets of the whole fleet while it returns: the store's fetches, cold scorers' calls, clients' calls.
+
+Pure. None of them is an n-th part for each front end: with a thousand of them a part is far below one call,
+and what falls to all by chance falls at once. Instead each thing that is scarce has one front end that gives
+it out, the same for all that hear the same: a few *loaders* order all first copies, one *warden* gives out
+the calls of each cold scorer. Times are milliseconds of the own monotonic clock.
+"""
+
+from collections import deque
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from fawnwharf import interface as io
+from fawnwharf.replication.placement import weight
+
+FUNCTIONS_MOST = 20_000  # wanted of one loader
+WARD_MOST = 4_096  # calls given out within a window, of one scorer
+TICKET_MS = 50.0  # a ticket is used within so long, or not at all
+SAFETY = 0.9  # of a cold scorer's room; the rest is for what was sent as its warden changed
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """What the fleet may do at once. `fetches`: at a time of the store; `scorer_rps`: calls of a warm scorer
+    in calm; both are operators' or measured, the rest are the site's settings."""
+
+    fetches: int
+    scorer_rps: float
+    cold_ms: float
+    cold_share: float
+    fall_ms: float
+    fall_multiple: float
+    retry_most_ms: float  # clients take no longer advice; 0: they take none
+
+    def warmth(self, age_ms: float) -> float:
+        """The part of its capacity that a scorer of that age has at the least."""
+        part = min(1.0, max(0.0, age_ms) / max(1.0, self.cold_ms))
+        return min(1.0, self.cold_share + (1.0 - self.cold_share) * part)
+
+    def room(self, age_ms: float) -> int:
+        """Calls within `fall_ms` that a cold scorer of that age may get from all together; one at the least,
+        as it would never be used else."""
+        usual = self.scorer_rps * self.fall_ms / 1000.0
+        return max(1, int(SAFETY * self.fall_multiple * self.warmth(age_ms) * usual))
+
+    def calls_rps(self, ages_ms: Iterable[float]) -> float:
+        """What scorers of these ages take together, a second, at their pace of calm."""
+        return sum(self.warmth(age) for age in ages_ms) * self.scorer_rps
+
+
+def limits_from(settings: io.Settings, fetches: int, scorer_rps: float) -> Limits:
+    return Limits(
+        fetches=max(1, fetches),
+        scorer_rps=scorer_rps,
+        cold_ms=settings.cold_ms,
+        cold_share=settings.cold_share,
+        fall_ms=settings.fall_ms,
+        fall_multiple=settings.fall_multiple,
+        retry_most_ms=settings.max_retry_after_ms,
+    )
+
+
+# --- who gives out what ---------------------------------------------------------------------
+
+
+def loaders(heard: Iterable[str], most: int, cut: int) -> tuple[str, ...]:
+    """The front ends that order first copies, one fetch at a time each: as many as the store takes fetches.
+    Another power loss chooses others."""
+    return tuple(sorted(set(heard), key=lambda name: (-weight("loader", str(cut), name), name))[:most])
+
+
+def loader_of(function: str, chosen: tuple[str, ...]) -> str:
+    return max(chosen, key=lambda name: (weight("loads", name, function), name), default="")
+
+
+def warden_of(scorer: str, heard: Iterable[str]) -> str:
+    return max(heard, key=lambda name: (weight("warden", name, scorer), name), default="")
+
+
+def part_ms(me: str, cut: int, spread_ms: float) -> float:
+    """By how much this front end starts its loads later than the first, so that they do not start in step."""
+    return weight("start", str(cut), me) / 2**64 * spread_ms
+
+
+@dataclass(slots=True)
+class Loader:
+    """Owns what is wanted of one loader, in the order of what it is worth, and its fetches under way."""
+
+    at_a_time: int = 1
+    begins_ms: float = 0.0
+    fetch_ms: float = 500.0  # as measured lately; an estimate for `eta_ms` alone
+    wants: dict[str, float] = field(default_factory=dict)  # worth a second, as far as it is told
+    under_way: set[str] = field(default_factory=set)
+    stands: set[str] = field(default_factory=set)
+    queue: list[str] = field(default_factory=list)  # by falling worth, as of the last sort
+    sorted_ms: float = float("-inf")
+    dropped: int = 0
+
+    def want(self, function: str, worth_ps: float) -> None:
+        """A front end's calls want it, or the use before the cut says that they will; the larger word
+        holds."""
+        if function in self.stands or function in self.under_way:
+            return
+        if function not in self.wants and len(self.wants) >= FUNCTIONS_MOST:
+            self.dropped += 1
+            return
+        if function not in self.wants:
+            self.queue.append(function)
+        self.wants[function] = max(self.wants.get(function, 0.0), worth_ps)
+
+    def orders(self, now_ms: float, least: float = 0.0) -> list[str]:
+        """What to order now: at the first scorer in its hash order, one copy each. `least` worth a second."""
+        if now_ms < self.begins_ms:
+            return []
+        if now_ms - self.sorted_ms >= 250.0:
+            self.queue = sorted(self.wants, key=lambda f: (-self.wants[f], f))
+            self.sorted_ms = now_ms
+        found = []
+        while self.queue and len(self.under_way) < self.at_a_time and self.wants[self.queue[0]] >= least:
+            function = self.queue.pop(0)
+            del self.wants[function]
+            self.under_way.add(function)
+            found.append(function)
+        return found
+
+    def ended(self, function: str, good: bool, took_ms: float) -> None:
+        """An order was answered; one that failed is wanted again, as the last."""
+        self.under_way.discard(function)
+        if good:
+            self.fetch_ms += 0.2 * (took_ms - self.fetch_ms)
+            if (
+                len(self.stands) < FUNCTIONS_MOST
+            ):  # one that is not noted is ordered again, and stands at once
+                self.stands.add(function)
+        else:
+            self.want(function, 0.0)
+
+    def gone(self, function: str) -> None:
+        """No copy stands any more."""
+        self.stands.discard(function)
+
+    def eta_ms(self, function: str) -> float:
+        """When a copy may stand, from now, if all goes as it went; for honest advice."""
+        if function in self.stands:
+            return 0.0
+        worth = self.wants.get(function, 0.0)
+        before = sum(w > worth for w in self.wants.values()) if function in self.wants else 0
+        return self.fetch_ms * (1.0 + before / self.at_a_time)
+
+
+@dataclass(slots=True)
+class Warden:
+    """Owns the calls of some cold scorers: each is given out to one front end at a time."""
+
+    limits: Limits
+    given: dict[str, deque[float]] = field(default_factory=dict)
+    since: dict[str, float] = field(default_factory=dict)  # warden of it from then on
+
+    def ask(self, now_ms: float, scorer: str, age_ms: float) -> float:
+        """0: send within `TICKET_MS`; else after how long a call may be free, at the least.
+
+        Tickets of one window count for `TICKET_MS` longer, as they may be used late. A new warden does not
+        know what the one before gave out, and waits that long."""
+        span_ms = self.limits.fall_ms + TICKET_MS
+        since = self.since.setdefault(scorer, now_ms)
+        if now_ms - since < span_ms:
+            return span_ms - (now_ms - since)
+        given = self.given.setdefault(scorer, deque())
+        while given and given[0] <= now_ms - span_ms:
+            given.popleft()
+        if len(given) >= min(WARD_MOST, self.limits.room(age_ms)):
+            return given[0] + span_ms - now_ms
+        given.append(now_ms)
+        return 0.0
+
+    def known_from(self, scorer: str) -> None:
+        """Nobody was its warden before: it came up after this front end heard all others."""
+        self.since[scorer] = float("-inf")
+
+    def warm(self, scorer: str) -> None:
+        self.given.pop(scorer, None)
+        self.since.pop(scorer, None)
+
+
+@dataclass(slots=True)
+class Doors:
+    """Early refusal: who is beyond the pace is told when its turn is, each a turn of its own.
+
+    Advice is honest: nobody is told a time before which nothing can be free. What is longer than clients take
+    is spread over the later half of what they take."""
+
+    limits: Limits
+    rate_ps: float = 0.0  # calls a second that are let in; 0: none
+    burst_ms: float = 500.0
+    tokens: float = 0.0
+    at_ms: float = 0.0
+    turn_ms: float = 0.0  # the last turn that was given away
+
+    def pace(self, now_ms: float, rate_ps: float) -> None:
+        self._fill(now_ms)
+        self.rate_ps = rate_ps
+
+    def _fill(self, now_ms: float) -> None:
+        most = max(1.0, self.rate_ps * self.burst_ms / 1000.0)
+        self.tokens = min(most, self.tokens + self.rate_ps * (now_ms - self.at_ms) / 1000.0)
+        self.at_ms = now_ms
+
+    def let_in(self, now_ms: float, kept_back: float = 0.0) -> bool:
+        """`kept_back`: the part of the burst that is not for this class, as others are worth more."""
+        self._fill(now_ms)
+        most = max(1.0, self.rate_ps * self.burst_ms / 1000.0)
+        if self.rate_ps <= 0 or self.tokens < 1.0 + kept_back * (most - 1.0):
+            return False
+        self.tokens -= 1.0
+        return True
+
+    def pushback_ms(self, now_ms: float, client: str, not_before_ms: float = 0.0) -> float:
+        """After how long to come again; `not_before_ms` from now, nothing can be free. Each call beyond the
+        pace takes the next turn, within it by a hash of its own."""
+        slot_ms = 1000.0 / self.rate_ps if self.rate_ps > 0 else 1_000.0
+        part = weight("turn", client) / 2**64
+        self.turn_ms = max(self.turn_ms, now_ms) + slot_ms
+        wait_ms = max(self.turn_ms - now_ms, not_before_ms) + part * slot_ms
+        if not_before_ms > 0:  # many wait for the same: spread over a fifth of it as well
+            wait_ms += part * 0.2 * not_before_ms
+        most_ms = self.limits.retry_most_ms
+        if wait_ms > most_ms:
+            self.turn_ms = min(self.turn_ms, now_ms + most_ms)
+            return most_ms * (0.5 + 0.5 * part)
+        return wait_ms
+
+
+def first_classes(worths: Mapping[str, float]) -> frozenset[str]:
+    """The classes worth most: the upper half of the different worths, never all of them unless there is but
+    one."""
+    tiers = sorted(set(worths.values()), reverse=True)
+    upper = tiers[: max(1, len(tiers) // 2)]
+    return frozenset(name for name, worth in worths.items() if worth in upper)
--- /dev/null
+++ b/fawnwharf/recovery/stages.py
@@ -0,0 +1,348 @@
+"""The order in which service returns, decided in common: a register in the voters' log, and who goes by it.
+
+Pure; times are milliseconds of the own monotonic clock, and none is written down. The voters' leader tells
+the stage (`Conductor`), each front end goes by it (`Follower`) while a leader's word that it is the last one
+is fresh, and by what is safe alone without one (`alone.py`).
+
+| stage | is left, for the next one, once |
+| --- | --- |
+| listening | most members are heard, and nine in ten of these have ended asking; or `listen_ms` are over |
+| repeats | nine in ten keepers know all that they granted; or the windows of that are over |
+| worth | nine in ten calls of the classes worth most are served, for `hold_ms`; or `most_ms` are over |
+| rest | the same of all calls |
+| renewal | the same |
+| spill | never: this is calm |
+
+Listening is entered, from any stage, when a majority of the voters is in another boot than the register says.
+A stage overruns when loads take `slow` times what they take in calm for `over_ms`, or a cold scorer falls. It
+is stepped back with half the budget, and the next tries are longer.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import IntEnum
+from typing import Annotated, Any
+
+import msgspec
+from msgspec import Meta, Struct
+
+from fawnwharf.accord.messages import VOTERS_MOST, Identity
+from fawnwharf.recovery.budget import first_classes
+from fawnwharf.recovery.trust import Scope, scope
+
+VERSION = 1
+LEAST_PART = 0.125
+BACKS_MOST = 3  # times that a hold doubles
+
+Number = Annotated[int, Meta(ge=0, lt=2**53)]
+
+
+class Stage(IntEnum):
+    LISTENING = 0
+    REPEATS = 1
+    WORTH = 2
+    REST = 3
+    RENEWAL = 4
+    SPILL = 5
+
+
+class RegisterFault(ValueError):
+    """Not a register of this version; the text is 'key: cause', one line."""
+
+
+class Register(Struct, frozen=True):
+    """What the voters' log holds. A larger number is later; `cut` counts power losses of the fleet."""
+
+    recovery: int = VERSION
+    number: Number = 0
+    cut: Number = 0
+    stage: Annotated[int, Meta(ge=0, le=5)] = int(Stage.SPILL)
+    part: Annotated[float, Meta(gt=0.0, le=1.0)] = 1.0  # of the fleet's budgets
+    fronts: Number = 0  # front ends that were heard
+    boots: Annotated[dict[Identity, Annotated[str, Meta(max_length=64)]], Meta(max_length=VOTERS_MOST)] = {}
+    why: Annotated[str, Meta(max_length=200)] = ""  # for people
+
+    def encode(self) -> str:
+        return msgspec.json.encode(self, order="sorted").decode()
+
+
+def register_from(text: str) -> Register:
+    """What was decided last; an empty text: nothing was yet. Raises RegisterFault."""
+    if not text:
+        return Register()
+    try:
+        found = msgspec.json.decode(text, type=Register)
+    except msgspec.ValidationError as error:
+        cause, _, place = str(error).partition(" - at `$")
+        raise RegisterFault(f"{place.rstrip('`').lstrip('.') or 'register'}: {cause}") from None
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise RegisterFault(f"register: not JSON: {error}") from None
+    if found.recovery != VERSION:
+        raise RegisterFault(f"recovery: {found.recovery}, and this program knows {VERSION}")
+    return found
+
+
+@dataclass(frozen=True, slots=True)
+class Seen:
+    """What the leader's front end knows of the fleet, of the last second or so; parts of one."""
+
+    members: int  # on the list
+    heard: int
+    asked: int  # of these, that have ended their asking
+    sure: float = 1.0  # of the keepers on the list
+    first: float = 1.0  # of the calls of the classes worth most: served in time
+    served: float = 1.0  # of all calls
+    slow: float = 1.0  # loads, as a multiple of what they take in calm
+    fell: int = 0  # cold scorers that fell since the last look
+
+
+@dataclass(frozen=True, slots=True)
+class Timing:
+    listen_ms: float = 5_000.0
+    window_ms: float = 13_500.0  # after which no promise from before counts
+    hold_ms: float = 1_000.0
+    most_ms: float = 15_000.0
+    over_ms: float = 1_000.0
+    settle_ms: float = 30_000.0  # for so long a minority's new boots stand before they are noted in calm
+    valid_ms: float = 2_000.0  # a leader's word that this is the last one
+    alone_ms: float = 5_000.0  # without one for so long a front end does what is safe alone
+    good: float = 0.9
+    slow: float = 2.5
+
+
+# --- what is done by the owner --------------------------------------------------------------
+
+
+class Decide(Struct, frozen=True):
+    """Put this register to the vote, once; what comes of it is told by `Conductor.decided` or `not_put`."""
+
+    register: str
+
+
+class Note(Struct, frozen=True):
+    event: str
+    fields: dict[str, Any]
+
+
+Effect = Decide | Note
+
+
+@dataclass(slots=True)
+class Conductor:
+    """The leader's. Owns since when the stage stands and what speaks for leaving it."""
+
+    timing: Timing
+    voters: tuple[str, ...] = ()
+    leads: bool = False
+    register: Register = field(default_factory=Register)
+    asked: Register | None = None  # put to the vote, and not decided yet
+    since_ms: float = 0.0  # the stage stands here; a new leader begins anew
+    good_ms: float | None = None
+    slow_ms: float | None = None
+    calm_ms: float | None = None  # boots of a minority differ since then
+    backs: int = 0
+
+    def lead(self, now_ms: float, text: str, voters: tuple[str, ...]) -> list[Effect]:
+        """Begin a reign, as `Steward.lead`: nothing of this log is undecided."""
+        self.rest()
+        try:
+            self.register = register_from(text)
+        except RegisterFault as error:
+            return [Note("recovery not read", {"why": str(error)})]
+        self.leads, self.voters, self.backs = True, voters, 0
+        self._entered(now_ms)
+        return []
+
+    def rest(self) -> None:
+        self.leads, self.asked, self.calm_ms = False, None, None
+
+    def not_put(self) -> None:
+        """What was asked never came into the log, for certain."""
+        self.asked = None
+
+    def decided(self, now_ms: float, text: str) -> list[Effect]:
+        """Raises RegisterFault for a text that is none; what it asked for itself never is."""
+        register = register_from(text)
+        if not self.leads or register.number <= self.register.number:
+            return []
+        before, self.register, self.asked = self.register, register, None
+        if (register.cut, register.stage) != (before.cut, before.stage):
+            self.backs = 0 if register.cut != before.cut else self.backs
+            self._entered(now_ms)
+        fields = {"cut": register.cut, "stage": Stage(register.stage).name.lower(), "why": register.why}
+        return [Note("stage", fields)]
+
+    def _entered(self, now_ms: float) -> None:
+        self.since_ms, self.good_ms, self.slow_ms = now_ms, None, None
+
+    def tick(self, now_ms: float, seen: Seen, boots: Mapping[str, str], fresh: bool) -> list[Effect]:
+        """`boots`: marks of the voters that are heard, its own among them. `fresh`: `Voter.fresh`."""
+        if not self.leads or not fresh or self.asked is not None:
+            return []
+        if scope(True, self.voters, self.register.boots, boots) is Scope.FLEET:
+            cut = self.register.cut + 1
+            return self._put(Stage.LISTENING, seen, boots, "power loss", cut=cut, part=1.0)
+        register, stage = self.register, Stage(self.register.stage)
+        if effects := self._back(now_ms, stage, seen, boots):
+            return effects
+        if stage is Stage.SPILL:
+            return self._calm(now_ms, seen, boots)
+        if why := self._exit(now_ms, stage, seen):
+            part = min(1.0, 1.5 * register.part) if stage >= Stage.WORTH else register.part
+            part = 1.0 if stage is Stage.RENEWAL else part
+            return self._put(Stage(stage + 1), seen, boots, why, part=part)
+        if abs(seen.heard - register.fronts) * 4 > max(1, register.fronts):
+            return self._put(stage, seen, boots, "front ends came or went")
+        return []
+
+    def _exit(self, now_ms: float, stage: Stage, seen: Seen) -> str:
+        """Why the stage is left; empty: it is not."""
+        timing, stood_ms = self.timing, now_ms - self.since_ms
+        if stage is Stage.LISTENING:
+            ready = 2 * seen.heard > seen.members and seen.asked >= timing.good * seen.heard
+            return "asked" if ready else "no more came" if stood_ms >= timing.listen_ms else ""
+        if stage is Stage.REPEATS:
+            held = stood_ms >= timing.hold_ms * 2**self.backs if self.backs else True
+            if seen.sure >= timing.good and held:
+                return "keepers know all"
+            return "windows are over" if stood_ms >= timing.window_ms else ""
+        good = seen.first if stage is Stage.WORTH else seen.served
+        self.good_ms = None if good < timing.good else now_ms if self.good_ms is None else self.good_ms
+        if self.good_ms is not None and now_ms - self.good_ms >= timing.hold_ms * 2**self.backs:
+            return "served"
+        late = stood_ms >= timing.most_ms * 2**self.backs and self.slow_ms is None
+        return "takes long, and nothing is crowded" if late else ""
+
+    def _back(self, now_ms: float, stage: Stage, seen: Seen, boots: Mapping[str, str]) -> list[Effect]:
+        slow = seen.slow >= self.timing.slow
+        self.slow_ms = None if not slow else now_ms if self.slow_ms is None else self.slow_ms
+        crowded = self.slow_ms is not None and now_ms - self.slow_ms >= self.timing.over_ms
+        # Calm may be crowded for other reasons than a power loss: it is stepped back only while it is new.
+        new = stage is not Stage.SPILL or now_ms - self.since_ms < self.timing.most_ms
+        if stage < Stage.WORTH or not new or not (crowded or seen.fell):
+            return []
+        if stage is Stage.SPILL and not self.register.cut:
+            return []
+        self.backs = min(BACKS_MOST, self.backs + 1)
+        why = f"{seen.fell} scorers fell" if seen.fell else "the store is crowded"
+        part = max(LEAST_PART, self.register.part / 2)
+        return self._put(Stage(stage - 1), seen, boots, why, part=part)
+
+    def _calm(self, now_ms: float, seen: Seen, boots: Mapping[str, str]) -> list[Effect]:
+        """In calm new boots of a minority are noted, so that they do not add up to a power loss."""
+        if all(self.register.boots.get(name) == mark for name, mark in boots.items() if name in self.voters):
+            self.calm_ms = None
+            return []
+        self.calm_ms = now_ms if self.calm_ms is None else self.calm_ms
+        if self.register.boots and now_ms - self.calm_ms < self.timing.settle_ms:
+            return []
+        return self._put(Stage.SPILL, seen, boots, "boots noted", part=1.0)
+
+    def _put(
+        self,
+        stage: Stage,
+        seen: Seen,
+        boots: Mapping[str, str],
+        why: str,
+        part: float | None = None,
+        cut: int | None = None,
+    ) -> list[Effect]:
+        now = self.register
+        known = now.boots if cut is None else {}  # who is not heard may be in another boot by now
+        marks = {n: boots.get(n, known.get(n, "")) for n in self.voters}
+        self.asked = Register(
+            number=now.number + 1,
+            cut=now.cut if cut is None else cut,
+            stage=int(stage),
+            part=now.part if part is None else part,
+            fronts=seen.heard,
+            boots={name: mark for name, mark in marks.items() if mark},
+            why=why,
+        )
+        return [Decide(self.asked.encode())]
+
+
+# --- each front end -------------------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class Allowed:
+    """What a front end does now."""
+
+    status: bool = False  # `status` is good
+    repeats: bool = False  # repeats of promised calls get their answer, or are told that there is none
+    classes: frozenset[str] = frozenset()  # whose new calls are taken
+    loads: bool = False  # first copies, by loaders
+    own_loads: bool = False  # further copies, by whoever needs them: the race
+    renewal: bool = False
+    spill: bool = False  # into other zones, beyond what serves no zone of its own
+    part: float = 1.0  # of the fleet's budgets
+    alone: bool = False
+
+
+def allowed(stage: Stage, worths: Mapping[str, float], part: float = 1.0) -> Allowed:
+    """What a stage allows, the same at every front end."""
+    some = first_classes(worths) if stage is Stage.WORTH else frozenset(worths)
+    return Allowed(
+        status=stage >= Stage.WORTH,
+        repeats=stage >= Stage.REPEATS,
+        classes=some if stage >= Stage.WORTH else frozenset(),
+        loads=stage >= Stage.WORTH,
+        own_loads=stage >= Stage.RENEWAL,
+        renewal=stage >= Stage.RENEWAL,
+        spill=stage >= Stage.SPILL,
+        part=part,
+    )
+
+
+@dataclass(slots=True)
+class Follower:
+    """Owns by which register this front end goes. A life begins at listening, whatever its disk says."""
+
+    timing: Timing
+    began_ms: float
+    register: Register | None = None  # the last that it was told in this life
+    word_ms: float = float("-inf")  # a leader said so that long ago, counted from its own question
+    up_in: int = -1  # the cut in which it was told of calm: it went on serving through later ones
+
+    def told(self, text: str, asked_ms: float) -> list[Effect]:
+        """A leader's word, under its lease, that this is the last register; or the answer to a question that
+        was asked at `asked_ms`. One with a smaller number changes nothing, but the word itself counts
+        then for nothing as well."""
+        try:
+            register = register_from(text)
+        except RegisterFault as error:
+            return [Note("recovery not read", {"why": str(error)})]
+        if self.register is not None and register.number < self.register.number:
+            return []
+        if register.stage == Stage.SPILL:
+            self.up_in = register.cut
+        self.register, self.word_ms = register, max(self.word_ms, asked_ms)
+        return []
+
+    def stage(self, now_ms: float) -> Stage | None:
+        """The stage by which it goes; None: it knows of none, and is alone.
+
+        Where calm was the last word, it stays: a fleet without a leader is no fleet that has lost its power.
+        In a recovery the last stage holds for `alone_ms`, as a new leader is on its way."""
+        register = self.register
+        if register is None:
+            return Stage.LISTENING if now_ms - self.began_ms < self.timing.alone_ms else None
+        if register.stage == Stage.SPILL or now_ms - self.word_ms < self.timing.alone_ms:
+            return Stage(register.stage)
+        return None
+
+    def fresh(self, now_ms: float) -> bool:
+        return self.register is not None and now_ms - self.word_ms < self.timing.valid_ms
+
+    def allowed(self, now_ms: float, worths: Mapping[str, float]) -> Allowed | None:
+        """None: alone. One that served through the cut of others goes on, without what costs others."""
+        stage = self.stage(now_ms)
+        if stage is None:
+            return None
+        part = self.register.part if self.register else LEAST_PART
+        if not self.fresh(now_ms) and stage is not Stage.SPILL:
+            part /= 2  # it may have been stepped back since
+        if self.register is not None and 0 <= self.up_in < self.register.cut and stage < Stage.RENEWAL:
+            return allowed(Stage.REST, worths, part)
+        return allowed(stage, worths, part)
