--- a/fawnwharf/lab/explore.py
+++ b/fawnwharf/lab/explore.py
@@ -121,7 +121,7 @@
                     return found
                 seen.add(after)
                 parents[after] = world, label
-                if fault := broken(after):
+                if fault := self.fault(after):
                     found.broken, found.states, found.complete = fault, len(seen), False
                     found.path = _path(parents, after)
                     return found
@@ -129,6 +129,9 @@
         found.states = len(seen)
         return found
 
+    def fault(self, world: World) -> str:
+        return broken(world)
+
     def _steps(self, world: World) -> Iterator[tuple[str, World]]:
         for place, frozen in enumerate(world.voters):
             me, role = frozen[0], frozen[2]
--- a/fawnwharf/recovery/budget.py
+++ b/fawnwharf/recovery/budget.py
@@ -21,8 +21,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Limits:
-    """What the fleet may do at once. `fetches`: at a time of the store; `scorer_rps`: calls of a warm scorer
-    in calm; both are operators' or measured, the rest are the site's settings."""
+    """What the fleet may do at once. `fetches`: loads at a time that the store takes well; `scorer_rps`: calls
+    of a warm scorer in calm; both are operators' or measured, the rest are the site's settings."""
 
     fetches: int
     scorer_rps: float
@@ -164,12 +164,12 @@
         span_ms = self.limits.fall_ms + TICKET_MS
         since = self.since.setdefault(scorer, now_ms)
         if now_ms - since < span_ms:
-            return span_ms - (now_ms - since)
+            return max(1.0, span_ms - (now_ms - since))
         given = self.given.setdefault(scorer, deque())
         while given and given[0] <= now_ms - span_ms:
             given.popleft()
         if len(given) >= min(WARD_MOST, self.limits.room(age_ms)):
-            return given[0] + span_ms - now_ms
+            return max(1.0, given[0] + span_ms - now_ms)
         given.append(now_ms)
         return 0.0
 
--- /dev/null
+++ b/fawnwharf/recovery/search.py
@@ -0,0 +1,233 @@
+"""Model checkers extended by power loss: voters, a change of policy, promises on calls.
+
+A power loss ends all members at once, between any two things that one of them does: what was synced is
+found again, what was on its way is lost, and clocks come back with anything.
+
+    python -m fawnwharf.recovery.search [--states N]
+"""
+
+import argparse
+import sys
+import time
+from collections import deque
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, fields, replace
+from typing import Protocol
+
+from fawnwharf.accord import messages as am
+from fawnwharf.accord.voter import Voter
+from fawnwharf.epochs import check, scene
+from fawnwharf.epochs.holder import Holder
+from fawnwharf.epochs.steward import Steward
+from fawnwharf.lab import explore
+from fawnwharf.recovery.promises import Promises, Rules
+
+
+class Outcome(Protocol):
+    states: int
+    depth: int
+    complete: bool
+    broken: str
+    path: list[str]
+
+
+# --- voters -----------------------------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class VotersBounds(explore.Bounds):
+    cuts: int = 1
+
+
+@dataclass(frozen=True, slots=True)
+class VotersWorld(explore.World):
+    cuts: int = 0
+
+
+class VotersSearch(explore.Explorer):
+    """Every order of what voters do, with power losses between any two of their actions."""
+
+    def __init__(self, kind: type[Voter], names: tuple[str, ...], bounds: VotersBounds) -> None:
+        super().__init__(kind, names, bounds)
+        self.start = VotersWorld(self.start.voters, self.start.flying)
+
+    def found_again(self, place: int, disk: am.Saved) -> am.Saved:
+        """What a voter's disk gives back after a power loss; of one that lies, less than it was given."""
+        return disk
+
+    def fault(self, world: VotersWorld) -> str:
+        """Besides what must never be at all: what was decided is on a majority of the disks."""
+        if found := explore.broken(world):
+            return found
+        for index, what in world.decided:
+            held = sum(_has(frozen[8], index, what) for frozen in world.voters)
+            if 2 * held <= len(world.voters):
+                return f"decision {index} is on {held} disks of {len(world.voters)}"
+        return ""
+
+    def _steps(self, world: VotersWorld) -> Iterator[tuple[str, VotersWorld]]:
+        yield from super()._steps(world)
+        if world.cuts < self.bounds.cuts:
+            yield "power is lost", self._cut(world)
+
+    def _do(self, world: VotersWorld, place: int, label: str, step: explore.Step) -> Iterator:
+        yield from super()._do(world, place, label, step)
+        if world.cuts >= self.bounds.cuts:
+            return
+        voter = explore._thaw(self.kind, world.voters[place])
+        actions = step(voter)
+        saves = [n + 1 for n, action in enumerate(actions) if isinstance(action, am.Save)]
+        for count in sorted({*saves, len(actions)} - {0}):
+            after = self._after(world, place, voter, actions[:count])
+            yield f"{label}, and power is lost after {count}", self._cut(after)
+
+    def _cut(self, world: VotersWorld) -> VotersWorld:
+        voters = []
+        for place, frozen in enumerate(world.voters):
+            disk = self.found_again(place, frozen[8])
+            voters.append(
+                explore._freeze(self.kind(frozen[0], disk, explore.TIMING, explore.NOW_MS, 1), disk)
+            )
+        return replace(world, voters=tuple(voters), flying=frozenset(), cuts=world.cuts + 1)
+
+
+def _has(saved: am.Saved, index: int, what: str) -> bool:
+    if index <= saved.base.index:
+        return True
+    place = index - saved.base.index - 1
+    if place >= len(saved.entries):
+        return False
+    entry = saved.entries[place]
+    return f"{entry.kind} {entry.plan}{' '.join(entry.voters)}" == what
+
+
+# --- a change of policy -----------------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class PolicyBounds(check.Bounds):
+    cuts: int = 1
+
+
+@dataclass(frozen=True, slots=True)
+class PolicyWorld(scene.World):
+    cuts: int = 0
+
+
+class PolicySearch(check.Search):
+    """The same of stewards and holders. The log is what it promises: what is put to the vote as power goes is
+    lost, or found decided by the next leader."""
+
+    def start(self) -> PolicyWorld:
+        world = super().start()
+        return PolicyWorld(**{f.name: getattr(world, f.name) for f in fields(world)})
+
+    def _steps(self, world: PolicyWorld) -> Iterator[tuple[str, PolicyWorld]]:
+        yield from super()._steps(world)
+        if world.cuts >= self.bounds.cuts:
+            return
+        for lost in (True, False) if world.pending else (True,):
+            for crown in (0, 1):
+                state = scene.Scene(world, self)
+                self._cut(state, crown, lost)
+                how = f"power is lost, {crown} leads next" + (
+                    f", what was put is {'lost' if lost else 'decided'}" if world.pending else ""
+                )
+                yield how, state.frozen(cuts=world.cuts + 1)
+
+    def _cut(self, state: scene.Scene, crown: int, lost: bool) -> None:
+        term = max(s.term for s in state.stewards) + 1
+        if state.pending and not lost:
+            state.commit()
+        state.pending, state.crown = "", crown
+        state.stewards = [self.steward(scene.TIMING, scene.NAMES) for _ in state.stewards]
+        state.flying = [set() for _ in state.flying]
+        state.steward_does(crown, state.stewards[crown].lead(state.fast, term, state.log))
+        for place in range(len(state.holders)):
+            check._reborn(place, self)(state)
+
+
+# --- all --------------------------------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class PromiseFound:
+    states: int
+    depth: int
+    complete: bool
+    broken: str
+    path: list[str]
+
+
+def search_promises(rules: Rules, states: int, **bounds: int) -> PromiseFound:
+    """Breadth first over `Promises`."""
+    start = Promises.start(**bounds)
+    seen, edge = {start}, deque([(start, 0)])
+    parents: dict[Promises, tuple[Promises, str]] = {}
+    depth = 0
+    while edge:
+        world, depth = edge.popleft()
+        if len(seen) >= states:
+            return PromiseFound(len(seen), depth, False, "", [])
+        for label, after in world.steps(rules):
+            if after in seen:
+                continue
+            seen.add(after)
+            parents[after] = world, label
+            if after.broken:
+                path, at = [], after
+                while at in parents:
+                    at, label = parents[at]
+                    path.insert(0, label)
+                return PromiseFound(len(seen), depth + 1, False, after.broken, path)
+            edge.append((after, depth + 1))
+    return PromiseFound(len(seen), depth, True, "", [])
+
+
+def _voters(**more: int) -> Callable[[int], Outcome]:
+    bounds = VotersBounds(**({"depth": 40, "kills": 0, "repeats": 0, "patience": 2, "beats": 0} | more))
+    return lambda states: VotersSearch(Voter, ("a", "b", "c"), replace(bounds, states=states)).search()
+
+
+def _policy(**more: int) -> Callable[[int], Outcome]:
+    bounds = PolicyBounds(**({"turns": 3, "asks": 0} | more))
+    return lambda states: PolicySearch(replace(bounds, states=states), Steward, Holder).run()
+
+
+def _promises(**more: int) -> Callable[[int], Outcome]:
+    return lambda states: search_promises(Rules(), states, **more)
+
+
+SEARCHES: dict[str, Callable[[int], Outcome]] = {
+    "voters, a cut": _voters(plans=1),
+    "voters, two cuts": _voters(plans=1, cuts=2),
+    "voters, a kill and a cut": _voters(plans=1, kills=1),
+    "policy, a cut": _policy(),
+    "policy, two cuts": _policy(cuts=2, turns=2),
+    "policy, a kill and a cut": _policy(kills=1),
+    "promises, a cut": _promises(cuts=1, turns=6),
+    "promises, two cuts": _promises(cuts=2, turns=6),
+    "promises, two cuts, a lost disk": _promises(cuts=2, turns=6, lost=1),
+}
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description="Search states of the cores with power losses among them.")
+    parser.add_argument("--states", type=int, default=100_000)
+    states, broken = parser.parse_args().states, False
+    for name, search in SEARCHES.items():
+        began = time.perf_counter()
+        found = search(states)
+        whole = "whole" if found.complete else f"to depth {found.depth}"
+        print(
+            f"{name}: {found.states} states, {whole}, {time.perf_counter() - began:.0f} s {found.broken}",
+            flush=True,
+        )
+        for label in found.path:
+            print("   ", label)
+        broken = broken or bool(found.broken)
+    return int(broken)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/fawnwharf/recovery/stages.py
+++ b/fawnwharf/recovery/stages.py
@@ -303,6 +303,7 @@
     began_ms: float
     register: Register | None = None  # the last that it was told in this life
     word_ms: float = float("-inf")  # a leader said so that long ago, counted from its own question
+    lone: bool = False  # it was alone when it was last asked for its stage
     up_in: int = -1  # the cut in which it was told of calm: it went on serving through later ones
 
     def told(self, text: str, asked_ms: float) -> list[Effect]:
@@ -321,16 +322,20 @@
         return []
 
     def stage(self, now_ms: float) -> Stage | None:
-        """The stage by which it goes; None: it knows of none, and is alone.
+        """The stage by which it goes; None: it is alone.
 
         Where calm was the last word, it stays: a fleet without a leader is no fleet that has lost its power.
-        In a recovery the last stage holds for `alone_ms`, as a new leader is on its way."""
+        In a recovery the last stage holds for `alone_ms`, as a new leader is on its way. What is safe alone
+        stays so: one that was alone goes on until a stage allows more."""
         register = self.register
         if register is None:
-            return Stage.LISTENING if now_ms - self.began_ms < self.timing.alone_ms else None
-        if register.stage == Stage.SPILL or now_ms - self.word_ms < self.timing.alone_ms:
-            return Stage(register.stage)
-        return None
+            found = Stage.LISTENING if now_ms - self.began_ms < self.timing.alone_ms else None
+        elif register.stage == Stage.SPILL or now_ms - self.word_ms < self.timing.alone_ms:
+            found = Stage(register.stage)
+        else:
+            found = None
+        self.lone = found is None or (self.lone and found < Stage.WORTH)
+        return None if self.lone else found
 
     def fresh(self, now_ms: float) -> bool:
         return self.register is not None and now_ms - self.word_ms < self.timing.valid_ms
--- a/tests/test_recovery_stages.py
+++ b/tests/test_recovery_stages.py
@@ -162,11 +162,15 @@
     assert core.stage(10.0) is Stage.LISTENING and core.stage(TIMING.alone_ms) is None
     rest = Register(number=5, cut=1, stage=int(Stage.REST), part=0.5)
     core.told(rest.encode(), 6_000.0)
-    assert core.allowed(6_100.0, WORTHS).part == 0.5
+    assert core.allowed(6_100.0, WORTHS).part == 0.5 and not core.lone
     assert core.allowed(6_000.0 + TIMING.valid_ms, WORTHS).part == 0.25  # it may have been stepped back
     assert core.allowed(6_000.0 + TIMING.alone_ms, WORTHS) is None
     core.told(Register(number=4, cut=1, stage=5).encode(), 20_000.0)  # late, and of an earlier decision
     assert core.stage(20_000.0) is None
+    core.told(Register(number=6, cut=1, stage=1).encode(), 20_000.0)
+    assert core.stage(20_000.0) is None  # what is safe alone stays so, until a stage allows more
+    core.told(Register(number=7, cut=1, stage=2).encode(), 20_000.0)
+    assert core.stage(20_000.0) is Stage.WORTH
     core.told(Register(number=9, cut=1, stage=5).encode(), 20_000.0)
     assert core.stage(1e9) is Stage.SPILL  # calm without a leader is no power loss
     core.told(Register(number=10, cut=2, stage=0).encode(), 30_000.0)  # it served through this one
