--- a/fawnwharf/recovery/budget.py
+++ b/fawnwharf/recovery/budget.py
@@ -21,8 +21,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Limits:
-    """What the fleet may do at once. `fetches`: loads at a time that the store takes well; `scorer_rps`: calls
-    of a warm scorer in calm; both are operators' or measured, the rest are the site's settings."""
+    """What the fleet may do at once. `fetches`: loads at a time that the store takes well; `scorer_rps`: what
+    a warm scorer is sent in calm. Both are operators' or measured, the rest are the site's settings."""
 
     fetches: int
     scorer_rps: float
--- a/fawnwharf/recovery/stages.py
+++ b/fawnwharf/recovery/stages.py
@@ -98,10 +98,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Timing:
-    listen_ms: float = 5_000.0
+    listen_ms: float = 3_000.0
     window_ms: float = 13_500.0  # after which no promise from before counts
     hold_ms: float = 1_000.0
-    most_ms: float = 15_000.0
+    most_ms: float = 8_000.0
     over_ms: float = 1_000.0
     settle_ms: float = 30_000.0  # for so long a minority's new boots stand before they are noted in calm
     valid_ms: float = 2_000.0  # a leader's word that this is the last one
