--- a/fawnwharf/recovery/promises.py
+++ b/fawnwharf/recovery/promises.py
@@ -15,7 +15,7 @@
 # What a promise counts for, by the slowest clock: a grant may be rested on for a turn, and then the window.
 WHOLE_MS = (WINDOW + 1) * TURN_MS * (1 + SKEW) / (1 - SKEW)
 RATES = (1 + SKEW, 1 - SKEW, 1.0)  # of the keepers' monotonic clocks
-WALLS = (-1e7, 0.0, 1e7)  # wall clocks come back with one of these
+BACK = ((-1e7, False), (1e7, False), (0.0, True))  # wall clocks come back so; the first disk is moved
 UP_MS = 1e6  # a machine that is up for long, to which a disk may be moved
 
 
@@ -26,6 +26,7 @@
     left_ms: Callable[[t.Clock, t.Clock, float], float] = t.left_ms
     knows_all: Callable[[t.Store], bool] = t.knows_all
     writes_first: bool = True
+    keeps_doubt: bool = True  # its disk says that it did not know all, until it does
 
 
 Note = tuple[str, t.Clock, float]  # on disk: whose, when, for how long
@@ -67,7 +68,8 @@
                 g for g in self.grants if g[2] >= self.turn
             )  # a turn later it is rested on last
             yield "a turn", replace(self, turn=self.turn + 1, grants=fresh)
-        for owner in OWNERS:
+        known = {who for who, _, _ in self.grants} | {k.disk[0] for k in self.keepers if k.disk}
+        for owner in OWNERS if known else OWNERS[:1]:  # they are alike until one of them was granted it
             mine = {place for who, place, _ in self.grants if who == owner}
             if len(mine) >= 2:
                 yield f"{owner} runs it", self._run(owner)
@@ -83,7 +85,7 @@
                 yield label, replace(self, keepers=_with(self.keepers, place, after), grants=said)
                 if self.cuts and not rules.writes_first:  # it was said and rested on, and not written
                     yield from self._cuts(rules, self._run(owner) if len(mine) else self, label)
-        if self.cuts:
+        if self.cuts and known:
             yield from self._cuts(rules, self, "")
         for place in KEEPERS:
             keeper = self._reborn(rules, place, self.keepers[place], t.Store.WHOLE)
@@ -104,19 +106,18 @@
     def _cuts(self, rules: Rules, world: "Promises", label: str) -> Iterator[tuple[str, "Promises"]]:
         """Power goes everywhere. Wall clocks come back with anything; the first keeper's disk may come back
         on a machine that is up for long, the last one's with nothing."""
-        for wall in WALLS:
-            for moved in (False, True):
-                for lost in range(world.lost + 1):
-                    born = [self._booted(rules, world, k, wall, moved, bool(lost)) for k in KEEPERS]
-                    how = f"{label} power is lost; walls {wall:+.0f}{', 0 moved' * moved}{', 2 empty' * lost}"
-                    after = replace(world, keepers=tuple(born), grants=frozenset(), cuts=world.cuts - 1)
-                    yield how.strip(), replace(after, lost=world.lost - lost)
+        for wall, moved in BACK:
+            for lost in range(world.lost + 1):
+                born = [self._booted(rules, world, k, wall, moved, bool(lost)) for k in KEEPERS]
+                how = f"{label} power is lost; walls {wall:+.0f}{', 0 moved' * moved}{', 2 empty' * lost}"
+                after = replace(world, keepers=tuple(born), grants=frozenset(), cuts=world.cuts - 1)
+                yield how.strip(), replace(after, lost=world.lost - lost)
 
     def _booted(
         self, rules: Rules, world: "Promises", place: int, wall_ms: float, moved: bool, lost: bool
     ) -> Keeper:
         keeper, empty = world.keepers[place], lost and place == KEEPERS[-1]
-        unsure = keeper.clock(place, world.turn).mono_ms < keeper.dumb_until
+        unsure = rules.keeps_doubt and keeper.clock(place, world.turn).mono_ms < keeper.dumb_until
         keeper = Keeper(
             boot=keeper.boot + 1,
             start_ms=UP_MS if moved and place == 0 else 5.0,
