--- a/fawnwharf/lab/checker.py
+++ b/fawnwharf/lab/checker.py
@@ -12,6 +12,7 @@
 from fawnwharf.lab.files import DEDUP_MS, RATION, RULES
 from fawnwharf.lab.fleet import Fleet
 from fawnwharf.lab.processes import Front
+from fawnwharf.lab.proposals import judged
 from fawnwharf.standins.clients import LATE_MS, Try
 
 SLACK_MS = LATE_MS
@@ -36,6 +37,10 @@
     verdict = Verdict()
     for rule in (_answers, _doors, _effects, _drains, _outs, _cold, _loads, _ends):
         rule(fleet, verdict)
+    if fleet.scenario.policy is not None:
+        found = judged(fleet)
+        verdict.broken += found.broken
+        verdict.checked += found.checked
     return verdict
 
 
--- a/fawnwharf/lab/commands.py
+++ b/fawnwharf/lab/commands.py
@@ -68,6 +68,11 @@
     if found.comebacks:
         ends = "  ".join(f"{name} {count}" for name, count in sorted(found.comebacks.items()))
         typer.echo(f"lost at-most-once calls that were asked for again: {ends}")
+    for change in found.changes:
+        times = {"prepare": change.prepare_ms, "decided": change.decided_ms, "ended": change.ended_ms,
+                 "in force": change.in_force_ms, "leased by all": change.leased_ms}  # fmt: skip
+        told = "  ".join(f"{name} {at_ms:.0f} ms" for name, at_ms in times.items() if at_ms is not None)
+        typer.echo(f"policy {change.number}: {told}")
     typer.echo(
         "checked " + "  ".join(f"{name} {count}" for name, count in sorted(found.verdict.checked.items()))
     )
--- a/fawnwharf/lab/conditions.py
+++ b/fawnwharf/lab/conditions.py
@@ -5,6 +5,7 @@
 from fawnwharf.lab.fleet import Fleet
 from fawnwharf.lab.parties import Parties
 from fawnwharf.lab.processes import Front
+from fawnwharf.lab.proposals import came, stands
 from fawnwharf.lab.scenario import Step, When
 
 
@@ -69,6 +70,12 @@
         if when.voters_are is not None:
             named = sorted(when.voters_are.split(","))
             found.append((f"the voters {when.voters_are}", lambda: self.voters() == named))
+        if (wanted_policy := when.policy) in ("in force", "leased", "strict", "floor"):
+            text = f"policy {wanted_policy} at {when.of}"
+            found.append((text, lambda: enough(lambda f: stands(self.fleet, wanted_policy, f))))
+        elif wanted_policy is not None:
+            text = f"the policy {wanted_policy} {when.why}".rstrip()
+            found.append((text, lambda: came(self.fleet, wanted_policy, when.why)))
         if when.note is not None:
             found.append((f"the note {when.note!r}", lambda: self.was_noted(when.note)))
         return found
--- a/fawnwharf/lab/files.py
+++ b/fawnwharf/lab/files.py
@@ -8,6 +8,7 @@
 
 from fawnwharf.lab.processes import Front
 from fawnwharf.lab.topology import BALLOTS, CONTROL, KINDS, PORT, PUBLIC, STATE, TENANTS, Topology, hash_of
+from fawnwharf.net.wheel import unix_ms
 
 DEDUP_MS = 3_000.0
 RULES = {"cold": 4_000.0, "cold_share": 0.2, "fall": 1_500.0, "fall_multiple": 2.0, "drain_grace": 250.0}
@@ -67,6 +68,15 @@
         write_whole(front.folder / "members.json", members(fleet, front))
 
 
+def write_policy(fleet: Topology, front: Front) -> None:
+    """Settings of changes of policy, with a trace of its own for each life."""
+    trace = front.folder / f"trace-{len(front.traces)}.jsonl"
+    trace.unlink(missing_ok=True)  # of an earlier run
+    front.traces.append((unix_ms(), trace))
+    settings = {"version": 1, "trace": trace.name, **(fleet.scenario.policy or {})}
+    write_whole(front.folder / "policy.json", settings)
+
+
 def config(fleet: Topology, front: Front, beside: bool = False) -> dict[str, Any]:
     """`beside`: for a second process, while the first one runs."""
     members = fleet.entries(front)
@@ -96,6 +106,7 @@
             "tenants": [
                 {"name": name, "quota_rps": fleet.scenario.quotas.get(name, sold / len(TENANTS))}
                 for name in TENANTS
+                if fleet.scenario.lacks.get(front.name) != name
             ],
             "bounds": {
                 "max_attempts": 3,
--- a/fawnwharf/lab/fleet.py
+++ b/fawnwharf/lab/fleet.py
@@ -38,6 +38,7 @@
         self._looked_ms = 0.0
         self.stretches: list[Any] = []  # that operators' calls began, for the checker
         self.replaced: list[Any] = []
+        self.proposed: list[Any] = []
         super().__init__(scenario, seed, folder or Path(tempfile.mkdtemp(prefix="fawnwharf-lab-")))
 
     # --- processes ------------------------------------------------------------------------------
@@ -62,10 +63,12 @@
         files.write_whole(front.folder / "config.json", files.config(self, front))
         if self.scenario.decide or self.scenario.state is not None:
             files.write_files(self, front)
+        if self.scenario.policy is not None:
+            files.write_policy(self, front)
         shutil.rmtree(front.folder / "tmp", ignore_errors=True)  # what was learnt is lost with a restart
         (front.folder / "tmp").mkdir()
         self.launch(front)
-        front.plan, front.index, front.role = None, 0, ""
+        front.plan, front.index, front.role, front.policy = None, 0, "", None
         self._listens(front.name, False)
 
     def launch(self, front: Front) -> None:
@@ -84,6 +87,8 @@
         command = [sys.executable, "-m", "fawnwharf", "serve"]
         if self.scenario.decide:
             command += ["--zones", "zones.json"]
+        if self.scenario.policy is not None:
+            command += ["--policy", "policy.json"]
         if self.scenario.state is not None:
             command += ["--state", "state.json"] + ([] if front.lives else ["--fresh"])
         return command
@@ -111,6 +116,8 @@
             front.plan = None
         elif event == "role":
             front.role = fields.get("role", "")
+        elif event == "policy":
+            front.policy = fields.get("number", -1), fields.get("digest", ""), fields.get("how", "")
 
     def reap(self) -> None:
         """Notice processes that have ended by themselves."""
@@ -165,6 +172,7 @@
         if front.halts and front.halts[-1][1] == float("inf"):
             front.halts[-1][1] = monotonic_ms()
         front.ready, front.plan, front.apart, front.role, front.stopped = False, None, [], "", False
+        front.policy = None
         self._listens(front.name, False)
 
     def kill(self, front: Front) -> None:
--- a/fawnwharf/lab/measures.py
+++ b/fawnwharf/lab/measures.py
@@ -8,6 +8,7 @@
 
 from fawnwharf.lab.checker import Verdict, judge
 from fawnwharf.lab.fleet import Fleet
+from fawnwharf.lab.proposals import Change, changes
 from fawnwharf.lab.topology import STATE
 from fawnwharf.net.wheel import monotonic_ms
 from fawnwharf.replication.commands import look
@@ -55,6 +56,7 @@
     waits_ms: tuple[float, float] = (0.0, 0.0)  # for keepers: the mean median and the largest 99th percentile
     comebacks: Counter = field(default_factory=Counter)  # what became of lost at-most-once calls asked again
     complaints: list[str] = field(default_factory=list)
+    changes: list[Change] = field(default_factory=list)  # of policy
 
     def service(self, since_s: float = 0.0, until_s: float = 1e9) -> float:
         """Worth answered in time over worth asked."""
@@ -102,6 +104,7 @@
         passed = fleet.between_members() - self.passed
         runs = [a for a in fleet.arrivals if a.what == "run" and a.sender in fleet.fronts]
         far = sum(fleet.fronts[a.sender].zone != fleet.scorer_zone[a.scorer] for a in runs)
+        live = [front for front in fleet.fronts.values() if front.alive and not front.stopped]
         return Measures(
             scenario=fleet.scenario.name,
             seed=fleet.seed,
@@ -131,6 +134,7 @@
                 and any(attempt.outcome == "lost" for attempt in request.tries[:-1])
             ),
             complaints=list(fleet.complaints),
+            changes=changes(fleet.notes, fleet.proposed, {f.name: f.lives[-1][0] for f in live}),
         )
 
     def _by_tenant(self) -> dict[str, float]:
--- a/fawnwharf/lab/processes.py
+++ b/fawnwharf/lab/processes.py
@@ -55,6 +55,8 @@
     plan: dict[str, str] | None = None  # states that it follows; None: on its own
     apart: list[Any] = field(default_factory=list)
     role: str = ""
+    policy: tuple[int, str, str] | None = None  # number, digest and how, as it told last
+    traces: list[tuple[float, Path]] = field(default_factory=list)  # of its lives, each since when
     status: int | None = None  # of the last life that ended by itself
     number: int = 0  # of processes that took another's place: they have its addresses but one
     former: "Former | None" = None  # the process whose place another one takes
--- /dev/null
+++ b/fawnwharf/lab/proposals.py
@@ -0,0 +1,193 @@
+"""Operators' words on policy in the lab: who is told what, what steps wait for, what the checker is given."""
+
+import subprocess
+import sys
+from dataclasses import dataclass
+from typing import Any
+
+from fawnwharf.epochs.document import Document, document_of
+from fawnwharf.lab.files import write_whole
+from fawnwharf.lab.fleet import Fleet
+from fawnwharf.lab.policy import Found, Judged, Life, epochs, trace_of, words_of
+from fawnwharf.lab.processes import Front, LabFault, Noted
+from fawnwharf.lab.topology import KINDS
+from fawnwharf.net.wheel import monotonic_ms, unix_ms
+
+HELD_MS = 100.0  # waited for a processor: a call that lasts too long then is the machine's doing
+TRACED_MS = 1_000.0  # after its end a call stands in the trace, on a busy machine
+
+
+@dataclass(frozen=True, slots=True)
+class Proposed:
+    """The last word of an operator."""
+
+    at_ms: float  # when it was given
+    notes: int  # how many there were
+    document: Document
+    above: int  # its number is larger than this one
+
+
+@dataclass(slots=True)
+class Change:
+    """A change of policy by the notes, milliseconds from the operator's word; None: it never came."""
+
+    number: int
+    prepare_ms: float
+    decided_ms: float | None = None
+    ended_ms: float | None = None
+    in_force_ms: float | None = None
+    leased_ms: float | None = None  # by the last of those that hold it at the end
+
+
+class Proposals:
+    """Gives operators' words by the command line, as operators do."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet = fleet
+
+    def propose(self, front: Front, document: dict[str, Any]) -> None:
+        path = front.folder / "proposed.json"
+        write_whole(path, {"version": 1, **document})
+        self._noted(document_of({"version": 1, **document}))
+        self._say(front, "propose", path.name)
+
+    def back(self, front: Front) -> None:
+        """To the policy before the one in force."""
+        decided = {n.fields["number"]: n.fields["digest"] for n in self.fleet.notes if n.event == "decided"}
+        before = decided[sorted(decided)[-2]] if len(decided) > 1 else Document().digest
+        known = [Document(), *(proposed.document for proposed in self.fleet.proposed)]
+        self._noted(next(document for document in known if document.digest == before))
+        self._say(front, "back")
+
+    def call_off(self, front: Front) -> None:
+        self._say(front, "call-off")
+
+    def _noted(self, document: Document) -> None:
+        above = max((front.policy[0] for front in self.fleet.fronts.values() if front.policy), default=0)
+        self.fleet.proposed.append(Proposed(monotonic_ms(), len(self.fleet.notes), document, above))
+
+    def _say(self, front: Front, *words: str) -> None:
+        command = [sys.executable, "-m", "fawnwharf", "policy", *words, "--policy", "policy.json"]
+        command += ["--zones", "zones.json"]
+        said = subprocess.Popen(
+            command, cwd=front.folder, stdout=subprocess.DEVNULL, stderr=subprocess.PIPE, text=True
+        )
+        try:
+            self.fleet.until(lambda: said.poll() is not None, f"policy {words[0]} at {front.name}")
+        finally:
+            said.kill()
+            _, complaint = said.communicate()
+        if said.returncode:
+            raise LabFault(f"policy {words[0]} at {front.name}: {complaint.strip()}")
+
+
+# --- what steps wait for ------------------------------------------------------------------------
+
+
+def stands(fleet: Fleet, what: str, front: Front) -> bool:
+    """Whether a front end goes by the last proposal (`in force`), or how it goes by whatever it has."""
+    if front.policy is None:
+        return False
+    number, digest, how = front.policy
+    if what != "in force":
+        return how == what
+    last = fleet.proposed[-1]
+    return how == "leased" and digest == last.document.digest and number > last.above
+
+
+def came(fleet: Fleet, what: str, why: str = "") -> bool:
+    """Whether a steward said it of the last proposal: `prepare`, `decided`, `ended`; or `refused`, of any
+    word since. `why` is to be part of its cause."""
+    last = fleet.proposed[-1]
+    notes, mine = fleet.notes[last.notes :], set[int]()
+    for note in notes:
+        if note.event in ("prepare", "decided") and note.fields.get("digest") == last.document.digest:
+            mine.add(note.fields["number"])
+        about = what == "refused" or note.fields.get("number") in mine
+        if note.event == what and about and why in str(note.fields.get("why", "")):
+            return True
+    return False
+
+
+# --- what became of it --------------------------------------------------------------------------
+
+
+def changes(notes: list[Noted], proposed: list[Proposed], lives: dict[str, float]) -> list[Change]:
+    """Each change that was prepared, by when the lab read of it; `lives`: since when, of who lives."""
+    found: list[Change] = []
+    last = 0.0
+    held: dict[str, tuple[int, float]] = {}  # the number that each has a lease for, and since when
+    for note in notes:
+        number, at_ms = note.fields.get("number", -1), note.at_ms - last
+        mine = next((c for c in reversed(found) if c.number == number), None)
+        if note.event == "prepare":
+            last = max((p.at_ms for p in proposed if p.at_ms <= note.at_ms), default=note.at_ms)
+            found.append(Change(number, note.at_ms - last))
+        elif note.event == "policy" and note.fields.get("how") == "leased":
+            if held.get(note.front, (-1, 0.0))[0] != number and note.at_ms >= lives.get(note.front, 1e18):
+                held[note.front] = number, note.at_ms
+                if mine:
+                    mine.leased_ms = at_ms
+        elif mine and note.event == "decided" and mine.decided_ms is None:
+            mine.decided_ms = at_ms
+        elif mine and note.event == "ended":
+            mine.ended_ms = at_ms
+        elif mine and note.event == "in force" and mine.in_force_ms is None:
+            mine.in_force_ms = at_ms
+    return found
+
+
+def lives_of(fleet: Fleet) -> list[Life]:
+    found = []
+    for front in fleet.fronts.values():
+        for since_ms, path in front.traces:
+            if path.exists():
+                calls, bad = trace_of(path.read_bytes())
+                found.append(Life(front.name, since_ms, calls, bad))
+    return found
+
+
+def judged(fleet: Fleet) -> Found:
+    """The rule on epochs over a fleet's run, and that each call that was answered stands in a trace."""
+    lives, less = lives_of(fleet), unix_ms() - monotonic_ms()
+    found = epochs(lives, words_of(fleet.notes, less), _Limits(fleet, less, lives))
+    traced = {(life.front, call.call) for life in lives for call in life.calls}
+    for request in fleet.clients.requests:
+        for attempt in request.tries:
+            front = fleet.fronts[attempt.front]
+            if attempt.answers and front.well(
+                attempt.sent_ms, min(attempt.ended_ms + TRACED_MS, monotonic_ms())
+            ):
+                found.checked["in a trace"] += 1
+                if (attempt.front, attempt.call_id) not in traced:
+                    found.broken.append(f"epochs: {attempt.call_id} of {attempt.front} is in no trace")
+    return found
+
+
+class _Limits:
+    """How long a call may last by the epoch by which it was judged; the lab knows who asked for what."""
+
+    def __init__(self, fleet: Fleet, less_ms: float, lives: list[Life]) -> None:
+        self.fleet, self.less_ms = fleet, less_ms
+        known = [Document(), *(proposed.document for proposed in fleet.proposed)]
+        self.documents = {document.digest: document for document in known}
+        self.numbers: dict[int, set[str]] = {0: {Document().digest}}
+        for note in fleet.notes:
+            if note.event in ("prepare", "decided"):
+                self.numbers.setdefault(note.fields["number"], set()).add(note.fields["digest"])
+        self.front = {call.call: life.front for life in lives for call in life.calls}
+
+    def __call__(self, call: Judged) -> float | None:
+        """Between two epochs the stricter time counts, which is no longer than the later one's."""
+        request = self.fleet.clients.by_call.get(call.call)
+        front = self.fleet.fronts[self.front[call.call]]
+        held = front.waits.between(call.taken_ms - self.less_ms, call.ended_ms - self.less_ms)
+        if request is None or held > HELD_MS:
+            return None
+        digests = {call.digest} if call.how == "leased" else self.numbers.get(call.number, set())
+        if not digests or not digests <= self.documents.keys():
+            return None
+        usual = {kind.name: kind.give_up_ms for kind in KINDS}[request.kind.name]
+        path = "classes", request.kind.name, "give_up_ms"
+        times = [self.documents[digest].value(*path) or usual for digest in digests]
+        return float(max(times))
--- a/fawnwharf/lab/run.py
+++ b/fawnwharf/lab/run.py
@@ -7,6 +7,7 @@
 from fawnwharf.lab.measures import Measures, Meter
 from fawnwharf.lab.parties import Parties
 from fawnwharf.lab.processes import LabFault
+from fawnwharf.lab.proposals import TRACED_MS
 from fawnwharf.lab.scenario import Scenario, When
 from fawnwharf.lab.steps import Steps
 from fawnwharf.net.wheel import monotonic_ms
@@ -34,6 +35,8 @@
             if self.scenario.decide:
                 voters = sum(front.voter for front in fleet.fronts.values())
                 conditions.wait(When(valid=True, voters=voters, of="all"))
+            if self.scenario.policy is not None:
+                conditions.wait(When(policy="leased", of="all"))
             meter = Meter(fleet)
             steps = Steps(fleet, self.parties, meter)
             fleet.clients.start()
@@ -49,6 +52,8 @@
             fleet.rest(self.scenario.rest_s)
             fleet.clients.stop()
             fleet.until(lambda: not fleet.clients.open, "all calls to end", DRAIN_S + 10.0)
+            if self.scenario.policy is not None:
+                fleet.rest(TRACED_MS / 1000.0)
             return meter.measure()
         finally:
             fleet.close()
--- a/fawnwharf/lab/scenario.py
+++ b/fawnwharf/lab/scenario.py
@@ -11,13 +11,18 @@
 import msgspec
 from msgspec import Meta, Struct
 
+from fawnwharf.epochs.document import DocumentFault, document_of
+
 VERSION = 1
+SAID = "in force", "prepare", "decided", "ended", "refused"  # of a proposal
 FOLDER = Path(__file__).parent / "scenarios"
 
 Name = Annotated[str, Meta(min_length=1, max_length=32, pattern=r"^[0-9a-z_-]+$")]
 Span = Annotated[float, Meta(ge=0.0, le=3_600.0)]
 Part = Annotated[float, Meta(ge=0.0, le=1.0)]
 
+Stance = Literal["in force", "leased", "strict", "floor", "prepare", "decided", "ended", "refused"]
+
 
 class ScenarioFault(ValueError):
     """A scenario that can't be run; the text names the key."""
@@ -42,6 +47,8 @@
     valid: bool | None = None  # `of` go by a plan, or none of them does
     voters: Annotated[int, Meta(ge=0, le=9)] | None = None  # in the list that was decided last
     voters_are: str | None = None  # that list, as names with commas
+    policy: Stance | None = None  # `of` go so, or a steward said so of the last proposal
+    why: str = ""  # what it said is to have this in it
     note: str | None = None  # somebody's log says this since the step before began
     of: str = "live"  # front ends: live, all, zone:Z, or names with commas
     half: bool = False  # half of them are enough
@@ -54,12 +61,14 @@
         "lose_zone", "return_zone", "scorers_down", "scorers_up", "slow", "store", "rate",
         "wipe", "swap", "keep_disk", "old_disk", "members", "wish", "mark", "start_refused",
         "replace", "kill_replacing", "standby", "active", "take_out", "bring_back",
+        "propose", "back", "call_off",
     ]  # fmt: skip
     what: str = ""  # whom: front ends, scorers or zones
     to: str = ""  # the other end of links
     way: Literal["both", "forward", "backward"] = "both"
     value: float = 0.0
     text: str = ""
+    document: dict[str, Any] = {}  # of a policy that is proposed
     when: When = When()
 
 
@@ -71,6 +80,8 @@
     steps: list[Step]
     decide: bool = True  # in common, or each on its own
     state: dict[str, Any] | None = None  # replicated, by these settings over the lab's own; none: off
+    policy: dict[str, Any] | None = None  # changed while they run, by these settings; none: off
+    lacks: dict[Name, str] = {}  # a tenant that one front end does not know
     twice: Part = 0.0  # of the at-most-once calls are asked for at two front ends at once
     asks: bool = False  # what stands before front ends asks them whether they are ready
     comeback: bool = False  # clients whose at-most-once call was lost ask for it again, elsewhere
@@ -101,7 +112,20 @@
         raise ScenarioFault("zones: no front end at all")
     if found.decide and voters not in (1, 3, 5, 7):
         raise ScenarioFault(f"zones: {voters} voters, and it takes 3, 5 or 7")
+    if found.policy is not None and not found.decide:
+        raise ScenarioFault("policy: goes by the voters' log, and decide is false")
+    proposed = False
     for n, step in enumerate(found.steps):
+        if step.do in ("propose", "back", "call_off") and found.policy is None:
+            raise ScenarioFault(f"steps[{n}].do: {step.do}, and no policy is changed here")
+        if step.when.policy in SAID and not proposed:
+            raise ScenarioFault(f"steps[{n}].when.policy: nothing was proposed before")
+        if step.do == "propose":
+            proposed = True
+            try:
+                document_of({"version": 1, **step.document})
+            except DocumentFault as error:
+                raise ScenarioFault(f"steps[{n}].document: {error}") from None
         for zone in step.when.state or ():
             if zone not in found.zones:
                 raise ScenarioFault(f"steps[{n}].when.state: no zone {zone}")
--- a/fawnwharf/lab/steps.py
+++ b/fawnwharf/lab/steps.py
@@ -6,6 +6,7 @@
 from fawnwharf.lab.operators import Desk
 from fawnwharf.lab.parties import Parties
 from fawnwharf.lab.processes import LabFault
+from fawnwharf.lab.proposals import Proposals
 from fawnwharf.lab.scenario import Step
 from fawnwharf.standins.relay import BACKWARD, FORWARD
 
@@ -15,7 +16,7 @@
 
     def __init__(self, fleet: Fleet, parties: Parties, meter: Meter) -> None:
         self.fleet, self.parties, self.meter = fleet, parties, meter
-        self.desk = Desk(fleet)
+        self.desk, self.proposals = Desk(fleet), Proposals(fleet)
         self.members_number = 1
         self.wish_number = 0
 
@@ -169,6 +170,18 @@
     def _bring_back(self, step: Step) -> None:
         self.desk.bring_back(self.parties.fronts(step.to or "live"), self.parties.ids(step.what))
 
+    def _propose(self, step: Step) -> None:
+        [front] = self.parties.fronts(step.what)
+        self.proposals.propose(front, step.document)
+
+    def _back(self, step: Step) -> None:
+        [front] = self.parties.fronts(step.what)
+        self.proposals.back(front)
+
+    def _call_off(self, step: Step) -> None:
+        [front] = self.parties.fronts(step.what)
+        self.proposals.call_off(front)
+
     def _mark(self, step: Step) -> None:
         """Nothing but its mark, which every step leaves."""
 
