--- a/fawnwharf/lab/proposals.py
+++ b/fawnwharf/lab/proposals.py
@@ -67,8 +67,7 @@
         self.fleet.proposed.append(Proposed(monotonic_ms(), len(self.fleet.notes), document, above))
 
     def _say(self, front: Front, *words: str) -> None:
-        command = [sys.executable, "-m", "fawnwharf", "policy", *words, "--policy", "policy.json"]
-        command += ["--zones", "zones.json"]
+        command = [sys.executable, "-m", "fawnwharf", "policy", *words, "--zones", "zones.json"]
         said = subprocess.Popen(
             command, cwd=front.folder, stdout=subprocess.DEVNULL, stderr=subprocess.PIPE, text=True
         )
--- a/tests/test_lab_policy.py
+++ b/tests/test_lab_policy.py
@@ -4,10 +4,13 @@
 Steps wait on events; a verdict rests on rules alone, not on figures that a busy machine moves.
 """
 
+import msgspec
 import pytest
 
+from fawnwharf.lab import scenario as scenarios
 from fawnwharf.lab.policy import Judged, Life, Word, epochs, trace_of, words_of
 from fawnwharf.lab.processes import Noted
+from fawnwharf.lab.run import Runner
 
 ZERO, ONE, TWO = (0, "d0"), (1, "d1"), (2, "d2")
 PROPOSED = [Word(900.0, "n0", "prepare", 1, "d1"), Word(950.0, "n0", "decided", 1, "d1"),
@@ -107,3 +110,24 @@
         Word(1007.0, "n1", "in force", 3),
         Word(2500.0, "n0", "decided", 3, "d"),
     ]
+
+
+# --- processes ----------------------------------------------------------------------------------
+
+FORCED = {"policy-change": 3, "policy-dead": 2, "policy-leader": 2, "policy-cut": 3, "policy-no": 1}
+
+
+def played(name, **changes):
+    runner = Runner(msgspec.structs.replace(scenarios.load(name), **changes), seed=3)
+    return runner, runner.run()
+
+
+@pytest.mark.parametrize("name", sorted(FORCED))
+def test_no_two_front_ends_go_by_different_policies_whatever_fails(name):
+    runner, measures = played(name)
+    assert measures.verdict.broken == []
+    checked = measures.verdict.checked
+    assert checked["in a trace"] > 100 and checked["by an earlier epoch"] > 20
+    assert sum(change.in_force_ms is not None for change in measures.changes) >= FORCED[name]
+    goes_by = {front.policy for front in runner.fleet.fronts.values()}
+    assert len(goes_by) == 1 and goes_by.pop()[2] == "leased"
