--- a/fawnwharf/lab/steps.py
+++ b/fawnwharf/lab/steps.py
@@ -1,5 +1,7 @@
 """The steps of scenarios: what each does to the fleet."""
 
+from pathlib import Path
+
 from fawnwharf.lab.files import write_members, write_whole
 from fawnwharf.lab.fleet import Fleet
 from fawnwharf.lab.measures import Meter
@@ -10,6 +12,8 @@
 from fawnwharf.lab.scenario import Step
 from fawnwharf.standins.relay import BACKWARD, FORWARD
 
+DISKS = "voter.log", "policy.json"  # of a member, in its folder
+
 
 class Steps:
     """Carries out one step at a time; `do` of a step names its method."""
@@ -119,23 +123,29 @@
 
     def _wipe(self, step: Step) -> None:
         for front in self.parties.fronts(step.what):
-            (front.folder / "state" / "voter.log").unlink(missing_ok=True)
+            for name in DISKS:
+                (front.folder / "state" / name).unlink(missing_ok=True)
 
     def _swap(self, step: Step) -> None:
         """One front end's disk is put in another's place."""
         [one], [other] = self.parties.fronts(step.what), self.parties.fronts(step.to)
         (other.folder / "state").mkdir(exist_ok=True)
-        data = (one.folder / "state" / "voter.log").read_bytes()
-        (other.folder / "state" / "voter.log").write_bytes(data)
+        self._copy(one.folder / "state", other.folder / "state")
 
     def _keep_disk(self, step: Step) -> None:
         for front in self.parties.fronts(step.what):
-            (front.folder / "kept.log").write_bytes((front.folder / "state" / "voter.log").read_bytes())
+            (front.folder / "aside").mkdir(exist_ok=True)
+            self._copy(front.folder / "state", front.folder / "aside")
 
     def _old_disk(self, step: Step) -> None:
         """The disk is put back as it was kept: an older copy of itself."""
         for front in self.parties.fronts(step.what):
-            (front.folder / "state" / "voter.log").write_bytes((front.folder / "kept.log").read_bytes())
+            self._copy(front.folder / "aside", front.folder / "state")
+
+    def _copy(self, source: Path, target: Path) -> None:
+        for name in DISKS:
+            if (source / name).exists():
+                (target / name).write_bytes((source / name).read_bytes())
 
     def _members(self, step: Step) -> None:
         self.members_number += 1
