--- a/fawnwharf/lab/conditions.py
+++ b/fawnwharf/lab/conditions.py
@@ -70,7 +70,7 @@
         if when.voters_are is not None:
             named = sorted(when.voters_are.split(","))
             found.append((f"the voters {when.voters_are}", lambda: self.voters() == named))
-        if (wanted_policy := when.policy) in ("in force", "leased", "strict", "floor"):
+        if (wanted_policy := when.policy) in ("in force", "leased", "strict", "floor", "waiting"):
             text = f"policy {wanted_policy} at {when.of}"
             found.append((text, lambda: enough(lambda f: stands(self.fleet, wanted_policy, f))))
         elif wanted_policy is not None:
--- a/fawnwharf/lab/measures.py
+++ b/fawnwharf/lab/measures.py
@@ -104,7 +104,7 @@
         passed = fleet.between_members() - self.passed
         runs = [a for a in fleet.arrivals if a.what == "run" and a.sender in fleet.fronts]
         far = sum(fleet.fronts[a.sender].zone != fleet.scorer_zone[a.scorer] for a in runs)
-        live = [front for front in fleet.fronts.values() if front.alive and not front.stopped]
+        live = {front.name for front in fleet.fronts.values() if front.alive and not front.stopped}
         return Measures(
             scenario=fleet.scenario.name,
             seed=fleet.seed,
@@ -134,7 +134,7 @@
                 and any(attempt.outcome == "lost" for attempt in request.tries[:-1])
             ),
             complaints=list(fleet.complaints),
-            changes=changes(fleet.notes, fleet.proposed, {f.name: f.lives[-1][0] for f in live}),
+            changes=changes(fleet.notes, live),
         )
 
     def _by_tenant(self) -> dict[str, float]:
--- a/fawnwharf/lab/policy.py
+++ b/fawnwharf/lab/policy.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from datetime import datetime
-from typing import Any, Literal
+from typing import Literal
 
 import msgspec
 from msgspec import Struct
@@ -78,16 +78,17 @@
     for note in notes:
         if note.event in ("prepare", "decided", "in force", "ended") and "number" in note.fields:
             digest = note.fields.get("digest", "")
-            at_ms = _told_ms(note.fields, note.at_ms + unix_less_steady_ms)
+            at_ms = told_ms(note, unix_less_steady_ms)
             found.append(Word(at_ms, note.front, note.event, note.fields["number"], digest))
     return sorted(found, key=lambda word: word.at_ms)
 
 
-def _told_ms(fields: dict[str, Any], otherwise_ms: float) -> float:
+def told_ms(note: Noted, unix_less_steady_ms: float) -> float:
+    """When it was written, by its own word."""
     try:
-        return datetime.fromisoformat(fields["timestamp"]).timestamp() * 1000.0
+        return datetime.fromisoformat(note.fields["timestamp"]).timestamp() * 1000.0
     except (KeyError, ValueError, TypeError):
-        return otherwise_ms
+        return note.at_ms + unix_less_steady_ms
 
 
 # --- the rule -----------------------------------------------------------------------------------
--- a/fawnwharf/lab/proposals.py
+++ b/fawnwharf/lab/proposals.py
@@ -8,7 +8,7 @@
 from fawnwharf.epochs.document import Document, document_of
 from fawnwharf.lab.files import write_whole
 from fawnwharf.lab.fleet import Fleet
-from fawnwharf.lab.policy import Found, Judged, Life, epochs, trace_of, words_of
+from fawnwharf.lab.policy import Found, Judged, Life, epochs, told_ms, trace_of, words_of
 from fawnwharf.lab.processes import Front, LabFault, Noted
 from fawnwharf.lab.topology import KINDS
 from fawnwharf.net.wheel import monotonic_ms, unix_ms
@@ -29,14 +29,16 @@
 
 @dataclass(slots=True)
 class Change:
-    """A change of policy by the notes, milliseconds from the operator's word; None: it never came."""
+    """A change of policy by the notes, milliseconds from when an operator's word was taken; None: it never
+    came."""
 
     number: int
+    taken_ms: float  # Unix time
     prepare_ms: float
     decided_ms: float | None = None
     ended_ms: float | None = None
     in_force_ms: float | None = None
-    leased_ms: float | None = None  # by the last of those that hold it at the end
+    leased_ms: float | None = None  # by the last of those that had a lease of an earlier one and live on
 
 
 class Proposals:
@@ -111,28 +113,30 @@
 # --- what became of it --------------------------------------------------------------------------
 
 
-def changes(notes: list[Noted], proposed: list[Proposed], lives: dict[str, float]) -> list[Change]:
-    """Each change that was prepared, by when the lab read of it; `lives`: since when, of who lives."""
+def changes(notes: list[Noted], live: set[str]) -> list[Change]:
+    """Each change that was prepared, by the front ends' own times; `live` are those that live at the end."""
     found: list[Change] = []
-    last = 0.0
-    held: dict[str, tuple[int, float]] = {}  # the number that each has a lease for, and since when
-    for note in notes:
-        number, at_ms = note.fields.get("number", -1), note.at_ms - last
-        mine = next((c for c in reversed(found) if c.number == number), None)
-        if note.event == "prepare":
-            last = max((p.at_ms for p in proposed if p.at_ms <= note.at_ms), default=note.at_ms)
-            found.append(Change(number, note.at_ms - last))
+    taken_ms = 0.0
+    held: dict[str, int] = {}  # the number that each has a lease for
+    for at_ms, note in sorted(((told_ms(note, 0.0), note) for note in notes), key=lambda one: one[0]):
+        number = note.fields.get("number", -1)
+        mine = next((change for change in reversed(found) if change.number == number), None)
+        if note.event == "proposal taken":
+            taken_ms = at_ms
+        elif note.event == "policy on":
+            held.pop(note.front, None)
+        elif note.event == "prepare":
+            found.append(Change(number, taken_ms, at_ms - taken_ms))
         elif note.event == "policy" and note.fields.get("how") == "leased":
-            if held.get(note.front, (-1, 0.0))[0] != number and note.at_ms >= lives.get(note.front, 1e18):
-                held[note.front] = number, note.at_ms
-                if mine:
-                    mine.leased_ms = at_ms
+            if mine and note.front in live and held.get(note.front, number) != number:
+                mine.leased_ms = at_ms - mine.taken_ms
+            held[note.front] = number
         elif mine and note.event == "decided" and mine.decided_ms is None:
-            mine.decided_ms = at_ms
+            mine.decided_ms = at_ms - mine.taken_ms
         elif mine and note.event == "ended":
-            mine.ended_ms = at_ms
+            mine.ended_ms = at_ms - mine.taken_ms
         elif mine and note.event == "in force" and mine.in_force_ms is None:
-            mine.in_force_ms = at_ms
+            mine.in_force_ms = at_ms - mine.taken_ms
     return found
 
 
--- a/fawnwharf/lab/scenario.py
+++ b/fawnwharf/lab/scenario.py
@@ -21,7 +21,7 @@
 Span = Annotated[float, Meta(ge=0.0, le=3_600.0)]
 Part = Annotated[float, Meta(ge=0.0, le=1.0)]
 
-Stance = Literal["in force", "leased", "strict", "floor", "prepare", "decided", "ended", "refused"]
+Stance = Literal["in force", "leased", "strict", "floor", "waiting", "prepare", "decided", "ended", "refused"]
 
 
 class ScenarioFault(ValueError):
--- a/tests/test_lab_policy.py
+++ b/tests/test_lab_policy.py
@@ -4,6 +4,8 @@
 Steps wait on events; a verdict rests on rules alone, not on figures that a busy machine moves.
 """
 
+import sys
+
 import msgspec
 import pytest
 
@@ -131,3 +133,29 @@
     assert sum(change.in_force_ms is not None for change in measures.changes) >= FORCED[name]
     goes_by = {front.policy for front in runner.fleet.fronts.values()}
     assert len(goes_by) == 1 and goes_by.pop()[2] == "leased"
+
+
+LEASE = {"lease_ms": 4000}
+PLANTED = {
+    "acts on without a lease": "from fawnwharf.epochs.holder import Holder as H; "
+    "H.leased = lambda self, now_ms: self.ready and self.lease[0] == self.register.last.number",
+    "waits for no lease": "from fawnwharf.epochs.steward import Steward as S; "
+    "S._held = lambda self, now_ms, name: False",
+}
+
+
+@pytest.mark.parametrize("bug", sorted(PLANTED))
+def test_a_bug_that_is_planted_in_the_front_ends_is_found(bug):
+    whole = scenarios.load("policy-cut")
+    cut = next(n for n, step in enumerate(whole.steps) if step.do == "heal")
+    steps = [step for step in whole.steps[: cut + 1] if step.do != "mark"]
+    steps[-1] = msgspec.structs.replace(steps[-1], do="mark")
+    runner = Runner(msgspec.structs.replace(whole, steps=steps, policy=LEASE), seed=3)
+    command = runner.fleet.command
+
+    def planted(front):
+        _, _, _, *words = command(front)
+        return [sys.executable, "-c", f"{PLANTED[bug]}\nfrom fawnwharf.cli import app\napp()", *words]
+
+    runner.fleet.command = planted
+    assert any(" ms after " in text for text in runner.run().verdict.broken)
