--- a/fawnwharf/lab/policy.py
+++ b/fawnwharf/lab/policy.py
@@ -95,10 +95,14 @@
 
 
 def epochs(
-    lives: list[Life], words: list[Word], give_up_ms: Callable[[Judged], float | None] = lambda call: None
+    lives: list[Life],
+    words: list[Word],
+    give_up_ms: Callable[[Judged], float | None] = lambda call: None,
+    accepted: frozenset[tuple[str, str]] = frozenset(),
 ) -> Found:
     """All that must hold of epochs over all sides; `words` in order of time. `give_up_ms` tells what a call's
-    epoch gave it, None where that is not known."""
+    epoch gave it, None where that is not known; `accepted` are calls, each by its front end, that got another
+    answer than a refusal."""
     found = Found()
     leased = [(life.front, call) for life in lives for call in life.calls if call.how == "leased"]
     for life in lives:
@@ -111,7 +115,7 @@
     _one_at_a_time(leased, found)
     _one_digest(leased, words, found)
     _not_undone(leased, words, found)
-    _come_up_in_it(lives, words, found)
+    _come_up_in_it(lives, words, accepted, found)
     _one_epoch_a_call(lives, give_up_ms, found)
     return found
 
@@ -183,8 +187,11 @@
         last[front] = max(call.number, last.get(front, 0))
 
 
-def _come_up_in_it(lives: list[Life], words: list[Word], found: Found) -> None:
-    """Who is started after an epoch came into force judges no call by an earlier one, lease or none."""
+def _come_up_in_it(
+    lives: list[Life], words: list[Word], accepted: frozenset[tuple[str, str]], found: Found
+) -> None:
+    """Who is started after an epoch came into force judges no call by an earlier one, lease or none. Who does
+    not know yet what is in force judges none at all: it refuses what comes."""
     in_force: dict[int, float] = {}
     for word in words:
         if word.event == "in force":
@@ -193,7 +200,10 @@
         least = max((n for n, at_ms in in_force.items() if at_ms + SLACK_MS < life.since_ms), default=0)
         found.checked["came up later"] += least > 0 and bool(life.calls)
         for call in life.calls:
-            if call.number < least:
+            if call.how == "waiting":
+                if (life.front, call.call) in accepted:
+                    found.broken.append(f"epochs: {life.front} took {call.call} and knows nothing yet")
+            elif call.number < least:
                 found.broken.append(
                     f"epochs: {life.front} came up in {call.number} ({call.how}), while {least} was in force"
                 )
--- a/fawnwharf/lab/proposals.py
+++ b/fawnwharf/lab/proposals.py
@@ -153,17 +153,16 @@
 def judged(fleet: Fleet) -> Found:
     """The rule on epochs over a fleet's run, and that each call that was answered stands in a trace."""
     lives, less = lives_of(fleet), unix_ms() - monotonic_ms()
-    found = epochs(lives, words_of(fleet.notes, less), _Limits(fleet, less, lives))
+    tries = [attempt for request in fleet.clients.requests for attempt in request.tries]
+    accepted = frozenset((t.front, t.call_id) for t in tries if t.outcome in ("served", "failed"))
+    found = epochs(lives, words_of(fleet.notes, less), _Limits(fleet, less, lives), accepted)
     traced = {(life.front, call.call) for life in lives for call in life.calls}
-    for request in fleet.clients.requests:
-        for attempt in request.tries:
-            front = fleet.fronts[attempt.front]
-            if attempt.answers and front.well(
-                attempt.sent_ms, min(attempt.ended_ms + TRACED_MS, monotonic_ms())
-            ):
-                found.checked["in a trace"] += 1
-                if (attempt.front, attempt.call_id) not in traced:
-                    found.broken.append(f"epochs: {attempt.call_id} of {attempt.front} is in no trace")
+    for attempt in tries:
+        until_ms = min(attempt.ended_ms + TRACED_MS, monotonic_ms())
+        if attempt.answers and fleet.fronts[attempt.front].well(attempt.sent_ms, until_ms):
+            found.checked["in a trace"] += 1
+            if (attempt.front, attempt.call_id) not in traced:
+                found.broken.append(f"epochs: {attempt.call_id} of {attempt.front} is in no trace")
     return found
 
 
--- a/tests/test_lab_policy.py
+++ b/tests/test_lab_policy.py
@@ -92,6 +92,13 @@
     assert epochs(lives, words).broken == []
 
 
+def test_who_does_not_know_yet_what_is_in_force_judges_nothing():
+    lives = [life("n0", call(ZERO, 1200.0, how="waiting", name="x"), since_ms=1100.0)]
+    assert epochs(lives, PROPOSED).broken == []  # it was refused
+    [why] = epochs(lives, PROPOSED, accepted=frozenset({("n0", "x")})).broken
+    assert why == "epochs: n0 took x and knows nothing yet"
+
+
 def test_a_number_that_was_ended_may_be_anothers_and_decided_in_the_next_reign():
     words = [*ENDED, Word(1000.0, "n1", "prepare", 1, "d7"), Word(1001.0, "n1", "decided", 1, "d7")]
     assert epochs([life("n0", call((1, "d7"), 1100.0))], words).broken == []
