--- /dev/null
+++ b/tests/staging_rig.py
@@ -0,0 +1,55 @@
+"""A front end's staging with calls and looks at hand, for tests."""
+
+from fawnwharf import interface as io
+from fawnwharf.foresight.settings import Foresight as Bounds
+from fawnwharf.foresight.settings import Prices
+from fawnwharf.sessions.staging import (
+    Seen,
+    Staging,
+)
+
+UNIX = 1.7e12
+SPEC = io.ClassSpec("view", promise_ms=800.0, give_up_ms=3_000.0, late_share=0.2)
+S = Bounds(least=30, copies=1, score_ms=300_000.0, allow=0.0)
+SITES = ("n", "s", "w")
+
+
+def rules(**changes):
+    told = dict(classes={"view": SPEC}, fleet_size=3, load_window_ms=5_000.0, free_loads=6.0, load_part=0.3)
+    return io.Settings(**(told | changes))
+
+
+def staging(me="a", bounds=S, workers=9, **changes):
+    made = Staging(me, bounds, rules(**changes), Prices(0.15, 0.16, 0.01))
+    made.events(0.0, UNIX, [roster(range(workers))])
+    return made
+
+
+def roster(workers, complete=True, **changes):
+    return io.RosterChanged([io.WorkerEntry(n, zone=SITES[n % 3], **changes) for n in workers], complete)
+
+
+class Calls:
+    """Calls with their answers, as batches of events."""
+
+    count = 0
+
+    def events(self, row, site, org="club", warmth=io.Warmth.FOUND, ending=io.Ending.GOOD, worker=None):
+        self.count += 1
+        worker = SITES.index(site) if worker is None else worker
+        came = io.RequestArrived(f"r{self.count}", row, "view", org, 3_000.0, 1, 40.0, 900.0)
+        return [came, io.AttemptEnded(came.request, 0, worker, ending, 100.0, True, warmth)]
+
+
+def look(one, now, seen=None):
+    """A whole look; the time stands still meanwhile."""
+    beats = [one.beat(now, seen or Seen(heard=(one.me,), ordered=0))]
+    while one._slices is not None:
+        beats.append(one.beat(now, seen or Seen(heard=(one.me,), ordered=0)))
+    return beats
+
+
+def wanted(beats):
+    return [(w.function, w.worker) for beat in beats for w in beat.wanted]
+
+
