--- a/fawnwharf/sites.py
+++ b/fawnwharf/sites.py
@@ -9,14 +9,14 @@
 Part = Annotated[float, Meta(ge=0.0, le=1.0)]
 
 
-class Session(Struct, frozen=True, order=True):
+class Session(Struct, frozen=True, order=True, gc=False):
     """A live series of calls by one tenant to one function."""
 
     org: Text
     row: Text
 
 
-class Move(Struct, frozen=True):
+class Move(Struct, frozen=True, gc=False):
     """A session is expected at another site within a time."""
 
     session: Session
@@ -44,7 +44,7 @@
     site: Text
 
 
-class Home(Struct, frozen=True):
+class Home(Struct, frozen=True, gc=False):
     """At which site a session is at home, and the number of the hand-over that made it so."""
 
     session: Session
--- a/tests/test_foresight_planner.py
+++ b/tests/test_foresight_planner.py
@@ -10,6 +10,7 @@
 from fawnwharf.foresight.core import Foresight
 from fawnwharf.foresight.planner import Planner, View, orderer
 from fawnwharf.foresight.score import LEAST_CHANCE, Scores
+from fawnwharf.foresight.seen import Flow
 from fawnwharf.foresight.settings import Foresight as Bounds
 from fawnwharf.foresight.settings import Prices
 from fawnwharf.foresight.trial import compare, interval
@@ -191,10 +192,30 @@
     assert plan.wasted == 1 and plan.scores.sums["learnt"].net < -0.15
     assert step(plan, order.stage.until_ms, [move(1, 0.4)], view()) == []
     assert len(orders(step(plan, order.stage.until_ms + S.dwell_ms, [move(1, 0.4)], view()))) == 1
-    plan.seen(99_000.0, m.Beat(called=((move(1).session, "s"),)))
+    plan.seen(99_000.0, m.Beat(called=(Flow(move(1).session, "s", 0.0),)))
     assert plan.used == 1 and plan.scores.sums["learnt"].net > 0.0
 
 
+def test_all_predictors_that_are_good_are_followed_and_none_that_is_not():
+    core = Foresight(S, SITE, PRICES, "a")
+    made = {"trend": [move(1, by="trend")], "learnt": [move(2), move(3)]}
+    for name, good in (("trend", 0.9), ("learnt", 0.6)):
+        for _ in range(60):
+            core.scores._of(name, 0.0).add(good, True)
+        predictor = getattr(core, name)
+        predictor.moves = lambda now, watch, span, some=made[name]: iter_(some)
+    core.step(0.0, view())
+    assert {one.session.row for one in core.moves} == {"f1", "f2", "f3"}
+    core.scores.charge(0.0, "trend", 99.0)
+    core.step(1_000.0, view())
+    assert {one.session.row for one in core.moves} == {"f2", "f3"} and core.best == "learnt"
+
+
+def iter_(found):
+    yield
+    return found
+
+
 def test_false_signs_stop_staging_by_their_own_score():
     """Sessions that look as if they were going, by turns, and never do."""
     core, chance, staged = (
