Stand-in clients split: what is asked, the connections, the load

No change of what is done: the same chance draws the same calls; the messages and the connections have files of their own.

--- a/fawnwharf/standins/asking.py
+++ b/fawnwharf/standins/asking.py
@@ -3,10 +3,10 @@
 import struct
 
 from fawnwharf.config import Address
-from fawnwharf.net import thrift
 from fawnwharf.net.connection import Connection
 from fawnwharf.net.endings import End
 from fawnwharf.net.loop import Loop
+from fawnwharf.standins.calls import question
 
 DIAL_MS = 400.0
 ASK_MS = 100.0
@@ -42,8 +42,7 @@
 
     def on_up(self) -> None:
         self._number += 1
-        payload = struct.pack(">bhbb", thrift.BOOL, 1, 1, 0)
-        self.connection.write(thrift._frame(thrift.CALL, b"status", self._number, payload))
+        self.connection.write(question(self._number))
 
     def on_data(self, data: bytes) -> None:
         self._buffer += data
--- a/fawnwharf/standins/clients.py
+++ b/fawnwharf/standins/clients.py
@@ -7,134 +7,21 @@
 """
 
 import random
-import struct
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 
 from fawnwharf.config import Address
 from fawnwharf.net import thrift
 from fawnwharf.net.connection import Connection
 from fawnwharf.net.endings import End
 from fawnwharf.net.loop import Loop
-from fawnwharf.net.wheel import Timer, monotonic_ms
+from fawnwharf.net.wheel import monotonic_ms
 from fawnwharf.standins.asking import Asking
+from fawnwharf.standins.calls import LATE_MS, Kind, Request, Try, message, read, withdrawal
+from fawnwharf.standins.lines import DIAL_MS, Line, Probe
 
 PROBE_MS = 500.0  # pace of dials to a front end that is down; no call goes there until one comes up
-DIAL_MS = 400.0
 OPEN_MOST = 32
-# A try is listened for beyond its end before it is held to have no answer: for as long as a busy machine, on
-# which all run, may hold up the front end or this process.
-LATE_MS = 400.0
-
-
-@dataclass(frozen=True, slots=True)
-class Kind:
-    """A class of calls, as the settings have it."""
-
-    name: str
-    effect: str = "idempotent"
-    promise_ms: float = 400.0
-    give_up_ms: float = 1_500.0
-    worth: float = 1.0
-    part: float = 1.0  # of all calls
-
-
-@dataclass(slots=True, eq=False)
-class Try:
-    call_id: str
-    front: str
-    sent_ms: float
-    ttl_ms: float
-    seqid: int = 0
-    outcome: str = ""  # served, refused, failed, lost (the connection ended), late (nothing in time)
-    ended_ms: float = 0.0
-    pushback_ms: float = 0.0
-    answers: int = 0
-    body_good: bool = True
-    left: bool = False  # the client itself ended the connection, as another try on it was late
-
-
-@dataclass(slots=True, eq=False)
-class Request:
-    """One thing that a client wants, with all its tries."""
-
-    number: int
-    kind: Kind
-    zone: str
-    tenant: str
-    function: str
-    began_ms: float
-    token: str
-    tries: list[Try] = field(default_factory=list)
-    outcome: str = ""
-    ended_ms: float = 0.0
-    timer: Timer | None = None
-    call_id: str = ""  # of all its tries, where they share one
-
-    @property
-    def on_time(self) -> bool:
-        return self.outcome == "served" and self.ended_ms - self.began_ms <= self.kind.promise_ms
-
-
-class _Line:
-    """One connection to a front end."""
-
-    def __init__(self, crowd: "Clients", front: str) -> None:
-        self.crowd, self.front = crowd, front
-        self.connection: Connection | None = None
-        self.seqid = 0
-        self.open: dict[int, tuple[Request, Try]] = {}
-        self.waiting: list[bytes] = []
-        self._buffer = bytearray()
-
-    def on_up(self) -> None:
-        for data in self.waiting:
-            self.connection.write(data)
-        self.waiting.clear()
-
-    def on_data(self, data: bytes) -> None:
-        self._buffer += data
-        while len(self._buffer) >= 4:
-            (size,) = struct.unpack_from(">I", self._buffer)
-            if len(self._buffer) < 4 + size:
-                return
-            message = bytes(self._buffer[4 : 4 + size])
-            del self._buffer[: 4 + size]
-            self.crowd.answered(self, message)
-
-    def on_flushed(self) -> None:
-        pass
-
-    def on_end(self, end: End) -> None:
-        self.crowd.line_ended(self)
-
-
-class _Probe:
-    """Asks a front end whether it is ready; the answer, or the end of the connection, tells."""
-
-    def __init__(self, crowd: "Clients", front: str) -> None:
-        self.crowd, self.front, self.told = crowd, front, False
-        self.connection: Connection | None = None
-
-    def on_up(self) -> None:
-        payload = struct.pack(">bhbb", thrift.BOOL, 1, 1, 0)
-        self.connection.write(thrift._frame(thrift.CALL, b"status", 1, payload))
-        self.crowd.loop.wheel.after(DIAL_MS, lambda: self.connection.close(End.SILENT))
-
-    def on_data(self, data: bytes) -> None:
-        self._tell(True)
-        self.connection.close(End.IDLE)
-
-    def on_flushed(self) -> None:
-        pass
-
-    def on_end(self, end: End) -> None:
-        self._tell(False)
-
-    def _tell(self, good: bool) -> None:
-        if not self.told:
-            self.told = True
-            self.crowd.probed(self.front, good)
 
 
 class Clients:
@@ -172,7 +59,7 @@
         self._down: set[str] = set()
         self.unready: set[str] = set()  # that said so; new calls go elsewhere
         self._asks, self._asking = asks, list[Asking]()
-        self._lines: dict[str, list[_Line]] = {}
+        self._lines: dict[str, list[Line]] = {}
         self._ids = random.Random(seed + 1)
         self._running = False
         self.open = 0
@@ -204,25 +91,32 @@
         kind = chance.choices(self.kinds, [kind.part for kind in self.kinds])[0]
         function = chance.choices(self.functions, self.weights)[0]
         tenant = self._tenant_of.get(zone) or chance.choice(self.tenants)
+        self._ask(kind, zone, tenant, function)
+
+    def _ask(self, kind: Kind, zone: str, tenant: str, function: str) -> Request:
+        chance, now = self.chance, monotonic_ms()
         request = Request(
-            len(self.requests),
-            kind,
-            zone,
-            tenant,
-            function,
-            monotonic_ms(),
-            f"{self._ids.getrandbits(128):032x}",
+            len(self.requests), kind, zone, tenant, function, now, f"{self._ids.getrandbits(128):032x}"
         )
-        self.requests.append(request)
-        self.open += 1
+        self._add(request)
         if self._twice and kind.effect == "at_most_once" and chance.random() < self._twice:
             request.call_id = f"{self._ids.getrandbits(64):016x}"
-            zone = chance.choice(sorted(self.rates))
-            twin = replace(request, number=len(self.requests), zone=zone, tries=[])
-            self.requests.append(twin)
-            self.open += 1
-            self._try(twin)
+            self._try(self._again(request, chance.choice(sorted(self.rates))))
         self._try(request)
+        return request
+
+    def _again(self, request: Request, zone: str) -> Request:
+        """The same, under the same keys, as it is asked for from another zone too."""
+        twin = replace(
+            request, number=len(self.requests), zone=zone, began_ms=monotonic_ms(), tries=[], outcome="",
+            ended_ms=0.0, timer=None,
+        )  # fmt: skip
+        self._add(twin)
+        return twin
+
+    def _add(self, request: Request) -> None:
+        self.requests.append(request)
+        self.open += 1
 
     def _try(self, request: Request) -> None:
         left = request.kind.give_up_ms - (monotonic_ms() - request.began_ms)
@@ -244,7 +138,7 @@
         line.seqid += 1
         attempt.seqid = line.seqid
         line.open[line.seqid] = request, attempt
-        data = self._message(request, attempt, left)
+        data = message(request, attempt)
         if line.connection.up:
             line.connection.write(data)
         else:
@@ -258,32 +152,16 @@
         names = near or up
         return self.chance.choice(sorted(names)) if names else None
 
-    def _message(self, request: Request, attempt: Try, left: float) -> bytes:
-        kind = request.kind
-        fields = {
-            "op": kind.name,
-            "call": attempt.call_id,
-            "ttl": f"{left:.0f}",
-            "org": request.tenant,
-            "row": request.function,
-            "props": "memory_mb:300;lanes:2;load_ms:400",
-        }
-        if kind.effect == "deduplicated":
-            fields["dedupe"] = request.token
-        payload = struct.pack(">bh", thrift.MAP, 1) + thrift._fields(fields)
-        payload += struct.pack(">bh", thrift.STRING, 2) + thrift._text(request.token.encode()) + b"\0"
-        return thrift._frame(thrift.CALL, b"handle", attempt.seqid, payload)
-
     # --- lines ----------------------------------------------------------------------------------
 
-    def _line(self, front: str) -> _Line | None:
+    def _line(self, front: str) -> Line | None:
         lines = self._lines.setdefault(front, [])
         for line in lines:
             if not line.connection.closed and len(line.open) < OPEN_MOST // 4:
                 return line
         if len(lines) >= 8:
             return min(lines, key=lambda line: len(line.open))
-        line = _Line(self, front)
+        line = Line(self, front)
         made = Connection.dial(self.loop, self._fronts()[front][1], line, DIAL_MS)
         if isinstance(made, End):
             self._is_down(front)
@@ -292,7 +170,7 @@
         lines.append(line)
         return line
 
-    def line_ended(self, line: _Line) -> None:
+    def line_ended(self, line: Line) -> None:
         lines = self._lines.get(line.front, [])
         if line in lines:
             lines.remove(line)
@@ -312,7 +190,7 @@
     def _probe(self, front: str) -> None:
         if not self._running:
             return
-        probe = _Probe(self, front)
+        probe = Probe(self, front)
         made = Connection.dial(self.loop, self._fronts()[front][1], probe, DIAL_MS)
         if isinstance(made, End):
             self.probed(front, False)
@@ -325,7 +203,7 @@
         else:
             self.loop.wheel.after(PROBE_MS, lambda: self._probe(front))
 
-    def _overdue(self, line: _Line, request: Request, attempt: Try) -> None:
+    def _overdue(self, line: Line, request: Request, attempt: Try) -> None:
         if line.open.pop(attempt.seqid, None) is None:
             return
         if line.connection.up and line.connection.heard_ms < attempt.sent_ms:
@@ -337,30 +215,18 @@
             line.connection.close(End.SILENT)
             return
         if not line.connection.closed and line.connection.up:
-            payload = struct.pack(">bhib", thrift.I32, 1, attempt.seqid, 0)
-            line.connection.write(thrift._frame(thrift.ONEWAY, b"withdraw", 0, payload))
+            line.connection.write(withdrawal(attempt))
         self._ended(request, attempt, "late")
 
     # --- answers --------------------------------------------------------------------------------
 
-    def answered(self, line: _Line, message: bytes) -> None:
-        kind, _, seqid, at = thrift._head(message)
+    def answered(self, line: Line, data: bytes) -> None:
+        kind, _, seqid, at = thrift._head(data)
         found = line.open.pop(seqid, None)
         if found is None:
             return
         request, attempt = found
-        attempt.answers += 1
-        if kind == thrift.EXCEPTION:
-            self._ended(request, attempt, "failed")
-            return
-        _, number = struct.unpack_from(">bh", message, at)
-        outcome = ("served", "refused", "failed")[number]
-        if number == 0:
-            attempt.body_good = b"done:" + request.token.encode() in message
-        elif number == 1 and (place := message.find(b"pushback")) >= 0:
-            (size,) = struct.unpack_from(">i", message, place + 8)
-            attempt.pushback_ms = float(message[place + 12 : place + 12 + size])
-        self._ended(request, attempt, outcome)
+        self._ended(request, attempt, read(request, attempt, data, kind, at))
 
     def _ended(self, request: Request, attempt: Try, outcome: str) -> None:
         attempt.outcome, attempt.ended_ms = outcome, monotonic_ms()
