Stand-in clients as sessions that move; scorers note loads, unloads and waste

Need: trials of sessions that move between sites. Seen: idle copies lapsed at the next load only, so a call found a copy whose time was long over. Change: sessions of one tenant and function at a site, moved all, in part, of one tenant or by chance, their last calls coming again under their keys; scorers take frame code 7, lapse copies on time, void them at a release, and note what became of each load and how a call found its copy.

--- a/fawnwharf/net/scorer_frames.py
+++ b/fawnwharf/net/scorer_frames.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 FROM_FRONT_END, FROM_SCORER = 128, 129
-RUN, GIVE_UP, ENSURE = 1, 2, 5
+RUN, GIVE_UP, ENSURE, UNLOAD = 1, 2, 5, 7
 OK, MISS, FULL, ERROR, OVER = 0, 2, 3, 4, 5
 BODY_MOST = 256 * 1024  # far over any body that a client may be passed; a length beyond it is no frame
 
@@ -46,6 +46,11 @@
     return encode(ENSURE, id, f"obj={function},slots_up={copies}")
 
 
+def unload(function: bytes) -> bytes:
+    """Idle copies of a function go; its number's eight bytes are the id, and there is no answer."""
+    return encode(UNLOAD, function)
+
+
 class FrameReader:
     """Splits a scorer's stream into frames; keeps at most one that is not whole yet."""
 
--- a/fawnwharf/standins/scorers.py
+++ b/fawnwharf/standins/scorers.py
@@ -1,8 +1,9 @@
-"""Stand-in scorers and the store that they load modules from.
+"""Stand-in scorers.
 
 A scorer speaks the frames that front ends speak. It has cores, lanes, a bounded queue, copies of functions
 that take time to load, a keep-alive for idle ones, a cold start, and it falls when it is sent more than it
-bears while cold, and stays down. All that arrives is recorded with who sent it. Times are milliseconds.
+bears while cold, and stays down. All that arrives is recorded with who sent it, and what becomes of copies.
+Times are milliseconds.
 """
 
 import contextlib
@@ -19,75 +20,9 @@
 from fawnwharf.net.endings import End
 from fawnwharf.net.loop import READ, Loop
 from fawnwharf.net.wheel import Timer, monotonic_ms
+from fawnwharf.standins.nature import Arrival, Nature, Store
 
-
-@dataclass(frozen=True, slots=True)
-class Nature:
-    """What a scorer is like."""
-
-    cores: int = 4
-    lanes: int = 2
-    work_ms: float = 20.0  # the mean of a call on one core
-    load_ms: float = 250.0  # of a module, besides what the store takes
-    copies: int = 24  # that its memory holds
-    queue: int = 32
-    loads_at_once: int = 3
-    keep_ms: float = 9_000.0
-    cold_ms: float = 4_000.0
-    cold_share: float = 0.2
-    fall_ms: float = 1_500.0
-    fall_multiple: float = 3.0
-
-
-@dataclass(slots=True)
-class Store:
-    """The module store: so many fetches at full pace, slower for all when there are more."""
-
-    loop: Loop
-    fetch_ms: float = 120.0
-    at_once: int = 12
-    under_way: int = 0
-    fetches: int = 0
-    worst: int = 0  # under way at once
-    down: bool = False
-    _waiting: deque[Callable[[], None]] = field(default_factory=deque)
-
-    def fetch(self, done: Callable[[], None]) -> None:
-        self.fetches += 1
-        if self.down:
-            self._waiting.append(done)
-            return
-        self.under_way += 1
-        self.worst = max(self.worst, self.under_way)
-        crowd = max(1.0, self.under_way / self.at_once)
-
-        def came() -> None:
-            self.under_way -= 1
-            done()
-
-        self.loop.wheel.after(self.fetch_ms * crowd, came)
-
-    def up(self) -> None:
-        self.down = False
-        waiting, self._waiting = self._waiting, deque()
-        for done in waiting:
-            self.fetches -= 1
-            self.fetch(done)
-
-
-@dataclass(frozen=True, slots=True)
-class Arrival:
-    """Something that came whole to a scorer."""
-
-    at_ms: float
-    scorer: str
-    sender: str
-    what: str  # run, order, ask, give_up, turned (a run that was answered full)
-    id: str
-    kind: str
-    function: str
-    token: str
-    life: int
+WORDS = {frames.RUN: "run", frames.GIVE_UP: "give_up", frames.ENSURE: "order", frames.UNLOAD: "unload"}
 
 
 @dataclass(slots=True, eq=False)
@@ -101,15 +36,30 @@
     timer: Timer | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class _Load:
+    """Who had a copy loaded: an order, or a run that found none."""
+
+    sender: str
+    cause: str
+    id: str
+
+
 @dataclass(slots=True, eq=False)
 class _Function:
     copies: int = 0
+    stale: int = 0  # of an older release, at work still
     loading: int = 0
     running: int = 0
+    fresh: list["_Load"] = field(default_factory=list)  # copies that no call has had yet
     idle_ms: float = 0.0
     queue: deque[_Run] = field(default_factory=deque)
     orders: list[tuple["_Link", frames.Frame, int]] = field(default_factory=list)
 
+    @property
+    def at_work(self) -> bool:
+        return bool(self.running or self.queue)
+
 
 class _Link:
     def __init__(self, scorer: "Scorer", sock: socket.socket, sender: str) -> None:
@@ -174,7 +124,7 @@
         self.functions: dict[str, _Function] = {}
         self.links: dict[_Link, None] = {}
         self.busy = self.loads = 0
-        self._load_queue: deque[str] = deque()
+        self._load_queue: deque[tuple[str, _Load]] = deque()
         self._sent: deque[tuple[float, float]] = deque()
         self._start_ms = monotonic_ms() if cold else None
         self.life, self.up = self.life + 1, True
@@ -228,7 +178,7 @@
     # --- what comes -----------------------------------------------------------------------------
 
     def take(self, link: _Link, frame: frames.Frame) -> None:
-        what = {frames.RUN: "run", frames.GIVE_UP: "give_up", frames.ENSURE: "order"}.get(frame.code)
+        what = WORDS.get(frame.code)
         if what is None:
             link.answer(frames.ERROR, frame.id)
             return
@@ -240,14 +190,23 @@
                 self._give_up(run)
         elif what == "order":
             self._order(link, frame, fields.get("obj", ""), copies)
+        elif what == "unload":
+            self._go(frame.id.hex())
         else:
             self._run(link, frame, fields.get("obj", ""))
 
-    def _record(self, link: _Link, frame: frames.Frame, what: str) -> None:
+    def _record(self, link: _Link, frame: frames.Frame, what: str, note: str = "") -> None:
         fields = frame.fields
         kind, function, token = (fields.get(name, "") for name in ("kind", "obj", "token"))
         now, id = monotonic_ms(), frame.id.hex()
-        self._note(Arrival(now, self.id, link.sender, what, id, kind, function, token, self.life))
+        if what == "unload" and (fn := self.functions.get(function := id)):
+            note = str(fn.running + len(fn.queue))
+        self._note(Arrival(now, self.id, link.sender, what, id, kind, function, token, self.life, note))
+
+    def _tell(self, what: str, function: str, load: _Load) -> None:
+        """What became of a copy."""
+        now = monotonic_ms()
+        self._note(Arrival(now, self.id, load.sender, what, load.id, "", function, "", self.life, load.cause))
 
     def _turn_away(self, link: _Link, frame: frames.Frame) -> None:
         self._record(link, frame, "turned")
@@ -268,6 +227,7 @@
         if self._pressed():
             self.fall()
             return
+        self._lapse(name)
         fn = self.functions.setdefault(name, _Function())
         run = _Run(link, frame, monotonic_ms(), company=fn.running + len(fn.queue))
         waiting = sum(len(other.queue) for other in self.functions.values())
@@ -277,7 +237,7 @@
         link.runs[frame.id] = run
         if not fn.copies:
             run.waited_load = "shared_init" if fn.loading else "init"
-            if not fn.loading and not self._load(name):
+            if not fn.loading and not self._load(name, _Load(link.sender, "run", frame.id.hex())):
                 del link.runs[frame.id]
                 self._turn_away(link, frame)
                 return
@@ -285,6 +245,7 @@
         self._work(name)
 
     def _order(self, link: _Link, frame: frames.Frame, name: str, copies: int) -> None:
+        self._lapse(name)
         fn = self.functions.setdefault(name, _Function())
         if not copies or fn.copies >= copies:
             if copies:
@@ -292,49 +253,69 @@
             link.answer(frames.OK, frame.id, f"slots_up={fn.copies}")
             return
         while fn.copies + fn.loading < copies:
-            if not self._load(name):
+            if not self._load(name, _Load(link.sender, "order", frame.id.hex())):
                 link.answer(frames.FULL, frame.id, f"slots_up={fn.copies}")
                 return
         fn.orders.append((link, frame, copies))
 
     # --- copies ---------------------------------------------------------------------------------
 
-    def _load(self, name: str) -> bool:
-        self._unload_idle()
+    def _load(self, name: str, load: _Load) -> bool:
+        for other in list(self.functions):
+            self._lapse(other)
         held = sum(fn.copies + fn.loading for fn in self.functions.values())
         if held >= self.nature.copies and not self._make_room():
             return False
         self.functions[name].loading += 1
-        self._load_queue.append(name)
+        self._load_queue.append((name, load))
+        self._tell("load", name, load)
         self._begin_loads()
         return True
 
-    def _unload_idle(self) -> None:
-        past = monotonic_ms() - self.nature.keep_ms
-        for fn in self.functions.values():
-            if fn.copies and not fn.running and not fn.queue and fn.idle_ms < past:
-                fn.copies = 0
+    def _lapse(self, name: str) -> None:
+        fn = self.functions.get(name)
+        if fn and fn.copies and not fn.at_work and fn.idle_ms < monotonic_ms() - self.nature.keep_ms:
+            self._go(name)
+
+    def _go(self, name: str, all_idle: bool = True) -> None:
+        """Idle copies are unloaded: all of them, or one. Those at work or loading stay."""
+        fn = self.functions.get(name)
+        if fn is None:
+            return
+        at_work = -(-fn.running // self.nature.lanes)
+        fn.copies = min(fn.copies, at_work if all_idle else max(at_work, fn.copies - 1))
+        while len(fn.fresh) > fn.copies:
+            self._tell("wasted", name, fn.fresh.pop())
+
+    def release(self, names: list[str]) -> None:
+        """These functions are released anew: idle copies go at once, those at work when they are done."""
+        for name in names:
+            if fn := self.functions.get(name):
+                self._go(name)
+                fn.stale = fn.copies
 
     def _make_room(self) -> bool:
-        idle = [fn for fn in self.functions.values() if fn.copies and not fn.running and not fn.queue]
+        idle = {name: fn for name, fn in self.functions.items() if fn.copies and not fn.at_work}
         if not idle:
             return False
-        min(idle, key=lambda fn: fn.idle_ms).copies -= 1
+        self._go(min(idle, key=lambda name: idle[name].idle_ms), all_idle=False)
         return True
 
     def _begin_loads(self) -> None:
         while self._load_queue and self.loads < self.nature.loads_at_once:
-            name = self._load_queue.popleft()
+            name, load = self._load_queue.popleft()
             self.loads += 1
-            self.store.fetch(self._fetched(name, self.life))
+            self.store.fetch(self._fetched(name, load, self.life))
 
-    def _fetched(self, name: str, life: int) -> Callable[[], None]:
+    def _fetched(self, name: str, load: _Load, life: int) -> Callable[[], None]:
         def loaded() -> None:
             if life != self.life or not self.up:
                 return
             self.loads -= 1
             fn = self.functions[name]
             fn.loading, fn.copies, fn.idle_ms = fn.loading - 1, fn.copies + 1, monotonic_ms()
+            fn.fresh.append(load)
+            self._tell("loaded", name, load)
             for item in list(fn.orders):
                 link, frame, copies = item
                 if fn.copies >= copies:
@@ -354,6 +335,8 @@
             if run.over:
                 continue
             self.busy, fn.running = self.busy + 1, fn.running + 1
+            if fn.fresh and fn.running > (fn.copies - len(fn.fresh)) * n.lanes:
+                fn.fresh.pop(0)  # a call has it
             crowd = max(1.0, self.busy / n.cores)
             work = self.chance.expovariate(1.0) * 0.5 * n.work_ms + 0.5 * n.work_ms
             took = work * crowd * self.slow / self.share()
@@ -366,10 +349,13 @@
             fn = self.functions[name]
             self.busy, fn.running, fn.idle_ms = self.busy - 1, fn.running - 1, monotonic_ms()
             run.timer = None
+            while fn.stale and -(-fn.running // self.nature.lanes) < fn.stale:
+                fn.stale, fn.copies = fn.stale - 1, max(0, fn.copies - 1)
             if not run.over:
                 run.over = True
                 run.link.runs.pop(run.frame.id, None)
                 self.done += 1
+                self._record(run.link, run.frame, "done", run.waited_load)
                 fields = f"res={run.waited_load}" + (f",company={run.company}" if run.company else "")
                 run.link.answer(frames.OK, run.frame.id, fields, b"done:" + run.frame.body)
             for other, waiting in self.functions.items():
@@ -382,6 +368,7 @@
         """What is queued is dropped; what runs goes on to its end, and nobody hears of it."""
         run.over = True
         run.link.runs.pop(run.frame.id, None)
+        self._record(run.link, run.frame, "over")
         fn = self.functions.get(run.frame.fields.get("obj", ""))
         if fn and run in fn.queue:
             fn.queue.remove(run)
--- /dev/null
+++ b/fawnwharf/standins/sessions.py
@@ -0,0 +1,124 @@
+"""Stand-in clients whose calls are sessions: live series by one tenant to one function, each at one site at a
+time, that can be moved to another. Times are milliseconds.
+"""
+
+import random
+from collections import deque
+from dataclasses import dataclass, field
+from typing import Any
+
+from fawnwharf.net.wheel import monotonic_ms
+from fawnwharf.standins.calls import Request
+from fawnwharf.standins.clients import Clients
+
+AGAIN_MS = 1_000.0  # calls of the last second come again where a session goes
+RECENT = 8  # calls of a session that are remembered for it
+ANY = "*"
+
+
+@dataclass(slots=True, eq=False)
+class Live:
+    """One session, and where its clients are."""
+
+    org: str
+    row: str
+    site: str
+    recent: deque[Request] = field(default_factory=lambda: deque(maxlen=RECENT))
+
+
+@dataclass(frozen=True, slots=True)
+class Moved:
+    """Clients of a session left a site for another one; without a word to anybody."""
+
+    at_ms: float
+    org: str
+    row: str
+    whence: str
+    whither: str
+
+
+class SessionClients(Clients):
+    """Owns which sessions there are and where; each call is one of theirs, all alike often."""
+
+    def __init__(self, *args: Any, again: float = 0.0, **how: Any) -> None:
+        """`args` as of Clients, then how many sessions begin at each site. `again`: the chance that a call of
+        the last second comes again, under its keys, at the site that its session is moved to."""
+        *args, begin = args
+        super().__init__(*args, **how)
+        self._moving = random.Random(args[1] + 2)
+        self._again_part = again
+        self.moved: list[Moved] = []
+        self.live: list[Live] = []
+        pairs = [(org, row) for row in self.functions for org in self.tenants]
+        if sum(begin.values()) > len(pairs):
+            raise ValueError(f"{sum(begin.values())} sessions of {len(pairs)} tenants and functions")
+        self._moving.shuffle(pairs)
+        for site, count in begin.items():
+            self.live += [Live(*pairs.pop(), site) for _ in range(count)]
+        self._bounces_ps, self._bounced = 0.0, ""
+
+    def start(self) -> None:
+        rates = self.rates
+        self.rates = {}  # sites have none of their own: sessions take theirs along
+        super().start()
+        self.rates = rates
+        self._next("")
+
+    def _next(self, zone: str) -> None:
+        rate = sum(self.rates.values()) * self.factor
+        if self._running and rate > 0:
+            self.loop.wheel.after(self.chance.expovariate(rate) * 1000.0, lambda: self._arrive(""))
+
+    def _arrive(self, zone: str) -> None:
+        if not self._running:
+            return
+        self._next("")
+        live = self.chance.choice(self.live)
+        kind = self.chance.choices(self.kinds, [kind.part for kind in self.kinds])[0]
+        live.recent.append(self._ask(kind, live.site, live.org, live.row))
+
+    def _try(self, request: Request) -> None:
+        if self._again_part and request.kind.effect == "at_most_once" and not request.call_id:
+            request.call_id = f"{self._ids.getrandbits(64):016x}"
+        super()._try(request)
+
+    # --- moves ----------------------------------------------------------------------------------
+
+    def move(
+        self, whence: str, whither: str, share: float = 1.0, tenant: str = "", count: int | None = None
+    ) -> list[Moved]:
+        """Move so large a part of the sessions of a site, or so many, to another one; `*` is any site."""
+        there = [
+            live
+            for live in self.live
+            if whence in (ANY, live.site) and live.site != whither and tenant in ("", live.org)
+        ]
+        count = round(share * len(there)) if count is None else min(count, len(there))
+        return [self._move(live, whither) for live in self._moving.sample(there, count)]
+
+    def _move(self, live: Live, whither: str) -> Moved:
+        if whither == ANY:
+            whither = self._moving.choice([site for site in self.rates if site != live.site])
+        now = monotonic_ms()
+        moved = Moved(now, live.org, live.row, live.site, whither)
+        self.moved.append(moved)
+        live.site = whither
+        for request in list(live.recent):
+            if request.began_ms > now - AGAIN_MS and self._moving.random() < self._again_part:
+                self._try(self._again(request, whither))
+        return moved
+
+    def bounce(self, moves_ps: float, tenant: str = "") -> None:
+        """Sessions, of all or one tenant, go to sites by chance, so many a second; 0 ends it."""
+        begins = not self._bounces_ps
+        self._bounces_ps, self._bounced = moves_ps, tenant
+        if begins:
+            self._bounce_on(moved=False)
+
+    def _bounce_on(self, moved: bool = True) -> None:
+        if not self._running or not self._bounces_ps:
+            return
+        if moved:
+            self.move(ANY, ANY, tenant=self._bounced, count=1)
+        wait = self._moving.expovariate(self._bounces_ps) * 1000.0
+        self.loop.wheel.after(wait, self._bounce_on)
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -11,6 +11,7 @@
 from fawnwharf.standins.clients import Clients, Kind
 from fawnwharf.standins.relay import BACKWARD, FORWARD, Relay
 from fawnwharf.standins.scorers import Nature, Scorer, Store
+from fawnwharf.standins.sessions import SessionClients
 
 PATIENCE_S = 10.0
 
@@ -182,6 +183,47 @@
         crowd.stop()
 
 
+class Sessions(Case):
+    def crowd(self, **how):
+        kinds = [Kind("settle", "at_most_once", give_up_ms=2_000.0)]
+        where = {}  # no front end: all that is asked for is on record at once
+        return SessionClients(
+            self.loop, 1, kinds, {"a": 99.0, "b": 99.0}, 4, ["t", "u"], lambda: where, {"a": 4, "b": 4}, **how
+        )
+
+    def test_each_is_a_series_by_one_tenant_to_one_function_at_one_site(self):
+        crowd = self.crowd()
+        crowd.start()
+        self.until(lambda: len(crowd.requests) > 50, "calls come")
+        crowd.stop()
+        asked = {(r.tenant, r.function): r.zone for r in crowd.requests}
+        self.assertEqual(len(asked), 8)
+        self.assertEqual(sorted(asked.values()), ["a"] * 4 + ["b"] * 4)
+        self.assertTrue(all(asked[r.tenant, r.function] == r.zone for r in crowd.requests))
+
+    def test_they_move_all_or_a_part_or_of_one_tenant_and_to_any_site(self):
+        crowd = self.crowd()
+        self.assertEqual(len(crowd.move("a", "b", 0.5)), 2)
+        self.assertEqual(len(crowd.move("b", "a", tenant="t")), 3)
+        sites = [live.site for live in crowd.live]
+        self.assertEqual(crowd.move("*", "*", count=1)[0].whence in "ab", True)
+        self.assertNotEqual(sites, [live.site for live in crowd.live])
+        self.assertEqual(len(crowd.moved), 6)
+        crowd.move("a", "b")
+        self.assertEqual({live.site for live in crowd.live}, {"b"})
+
+    def test_calls_come_again_at_the_other_site_under_their_keys(self):
+        crowd = self.crowd(again=1.0)
+        crowd.start()
+        self.until(lambda: any(r.zone == "a" for r in crowd.requests), "a call comes")
+        crowd.stop()
+        first = next(r for r in crowd.requests if r.zone == "a")
+        crowd.move("a", "b")
+        twin = next(r for r in crowd.requests if r.token == first.token and r is not first)
+        self.assertEqual((twin.zone, twin.call_id, twin.tenant), ("b", first.call_id, first.tenant))
+        self.assertTrue(first.call_id)
+
+
 class Scorers(Case):
     def scorer(self, **nature):
         self.arrivals = []
@@ -212,7 +254,9 @@
         self.until(lambda: len(self.pump(sock)) == 2, "the second is answered")
         self.assertEqual([frame.fields["res"] for frame in self.frames], ["init", "reused"])
         self.assertEqual([frame.body for frame in self.frames], [b"done:body", b"done:two"])
-        self.assertEqual([arrival.what for arrival in self.arrivals], ["run", "run"])
+        came = [arrival.what for arrival in self.arrivals]
+        self.assertEqual(came, ["run", "load", "loaded", "done", "run", "done"])
+        self.assertEqual([a.note for a in self.arrivals if a.what == "done"], ["init", "reused"])
 
     def test_an_order_is_answered_when_the_copies_stand(self):
         scorer = self.scorer()
@@ -222,6 +266,44 @@
         told = {frame.id[:1]: frame.fields["slots_up"] for frame in self.frames}
         self.assertEqual(told, {b"1": "2", b"2": "0"})
 
+    def whats(self, *words):
+        return [arrival.what for arrival in self.arrivals if arrival.what in words]
+
+    def test_idle_copies_go_at_a_word_and_those_that_no_call_had_are_noted(self):
+        scorer, function = self.scorer(), bytes.fromhex("00000000000000ab")
+        sock = self.link(scorer)
+        sock.sendall(frames.ensure(b"1" * 8, function.hex(), 2))
+        self.until(lambda: self.pump(sock), "they stand")
+        sock.sendall(frames.run(b"2" * 8, "view", function.hex(), 1000.0, "", b""))
+        self.until(lambda: len(self.pump(sock)) == 2, "one is used")
+        sock.sendall(frames.unload(function) + frames.ensure(b"3" * 8, function.hex(), 0))
+        self.until(lambda: len(self.pump(sock)) == 3, "the question is answered, the word is not")
+        self.assertEqual(self.frames[-1].fields["slots_up"], "0")
+        self.assertEqual(self.whats("loaded", "wasted", "unload"), ["loaded", "loaded", "unload", "wasted"])
+        self.assertEqual([a.note for a in self.arrivals if a.what == "unload"], ["0"])
+
+    def test_copies_at_work_stay_at_a_word_and_go_when_they_are_done_at_a_release(self):
+        scorer = self.scorer(work_ms=60.0, lanes=1)
+        sock = self.link(scorer)
+        sock.sendall(frames.ensure(b"1" * 8, "f", 2))
+        self.until(lambda: self.pump(sock), "they stand")
+        sock.sendall(frames.run(b"2" * 8, "view", "f", 1000.0, "", b""))
+        self.until(lambda: scorer.functions["f"].running, "it runs")
+        scorer.release(["f", "none"])
+        self.assertEqual(scorer.functions["f"].copies, 1)  # the one at work
+        self.until(lambda: len(self.pump(sock)) == 2, "it is answered")
+        self.assertEqual(scorer.functions["f"].copies, 0)
+
+    def test_an_idle_copy_lapses_when_its_time_is_over_whoever_asks_then(self):
+        scorer = self.scorer(keep_ms=50.0)
+        sock = self.link(scorer)
+        sock.sendall(frames.run(b"1" * 8, "view", "f", 1000.0, "", b""))
+        self.until(lambda: self.pump(sock), "it is answered")
+        self.turns(0.08)
+        sock.sendall(frames.run(b"2" * 8, "view", "f", 1000.0, "", b""))
+        self.until(lambda: len(self.pump(sock)) == 2, "so is the next")
+        self.assertEqual(self.frames[-1].fields["res"], "init")
+
     def test_one_that_is_sent_more_than_it_bears_while_cold_falls_and_stays_down(self):
         scorer = self.scorer(cores=1, cold_ms=60_000.0, cold_share=0.1, fall_ms=1_000.0, work_ms=50.0)
         scorer.stop()
