--- a/fawnwharf/lab/checker.py
+++ b/fawnwharf/lab/checker.py
@@ -9,6 +9,7 @@
 from collections import Counter, defaultdict, deque
 from dataclasses import dataclass, field
 
+from fawnwharf.lab import moves
 from fawnwharf.lab.files import DEDUP_MS, RATION, RULES
 from fawnwharf.lab.fleet import Fleet
 from fawnwharf.lab.processes import Front
@@ -34,7 +35,7 @@
 
 def judge(fleet: Fleet) -> Verdict:
     verdict = Verdict()
-    for rule in (_answers, _doors, _effects, _drains, _outs, _cold, _loads, _ends):
+    for rule in (_answers, _doors, _effects, _drains, _outs, _cold, _loads, _ends, _sessions):
         rule(fleet, verdict)
     return verdict
 
@@ -210,3 +211,10 @@
     for front in fleet.fronts.values():
         if front.status not in (None, 0):
             verdict.broken.append(f"ends: {front.name} ended with {front.status}")
+
+
+def _sessions(fleet: Fleet, verdict: Verdict) -> None:
+    if fleet.scenario.sessions is not None:
+        broken, tried = moves.judge(fleet)
+        verdict.broken += broken
+        verdict.checked += tried
--- a/fawnwharf/lab/commands.py
+++ b/fawnwharf/lab/commands.py
@@ -17,6 +17,10 @@
 Bare = Annotated[bool, typer.Option("--bare", help="Without replicated state.")]
 
 
+MODES = "none", "react", "everything", "foresight", "oracle"  # of foresight
+HOW = "", "alone", "bare", "off", *MODES
+
+
 def load(name: str, front_ends: int = 0, alone: bool = False, bare: bool = False) -> scenarios.Scenario:
     """A scenario as the options change it; ends with status 2 and one line where it is faulty."""
     try:
@@ -30,10 +34,28 @@
         }
         found = msgspec.structs.replace(found, zones=zones)
     if bare:
-        found = msgspec.structs.replace(found, state=None)
+        found = msgspec.structs.replace(found, state=None, sessions=None)
     return msgspec.structs.replace(found, decide=found.decide and not alone)
 
 
+def side(word: str, front_ends: int = 0, alone: bool = False, bare: bool = False) -> scenarios.Scenario:
+    """NAME, or NAME:HOW: `off` is without sessions, a mode is that of foresight."""
+    name, _, how = word.partition(":")
+    if how not in HOW:
+        typer.echo(f"fawnwharf: lab: {word}: NAME, or NAME: and one of {', '.join(HOW[1:])}", err=True)
+        raise typer.Exit(2)
+    found = load(name, front_ends, alone or how == "alone", bare or how == "bare")
+    if how == "off":
+        found = msgspec.structs.replace(found, sessions=None)
+    if how in MODES:
+        if found.sessions is None:
+            typer.echo(f"fawnwharf: lab: {word}: {name} has no sessions", err=True)
+            raise typer.Exit(2)
+        foresight = {**(found.sessions.get("foresight") or {}), "mode": how}
+        found = msgspec.structs.replace(found, sessions={**found.sessions, "foresight": foresight})
+    return found
+
+
 def report(measures: Any) -> None:
     found = measures
     how = "decided in common" if found.decided else "each on its own"
@@ -65,6 +87,8 @@
         typer.echo(f"calls wait for their keepers {half:.1f} ms (median), {most:.1f} ms (99 %)")
     if found.second_runs or found.keyed_repeats:
         typer.echo(f"at-most-once runs beyond the first {found.second_runs}, keyed {found.keyed_repeats}")
+    if found.sessions:
+        tell_sessions(found.sessions)
     if found.comebacks:
         ends = "  ".join(f"{name} {count}" for name, count in sorted(found.comebacks.items()))
         typer.echo(f"lost at-most-once calls that were asked for again: {ends}")
@@ -75,6 +99,25 @@
         typer.echo(f"broken: {text}")
 
 
+def tell_sessions(found: Any) -> None:
+    for name, after in (("clients", found.clients), ("homes", found.homes)):
+        if after.moves:
+            spans = "  ".join(f"{span} s {part:.4f}" for span, part in after.service.items())
+            typer.echo(
+                f"{after.moves} moves of {name}: service in the first {spans}; "
+                f"{after.found:.3f} of {after.first_calls} first calls found a copy"
+            )
+    half, most = found.to_home_ms
+    typer.echo(f"hand-overs: {found.switched} switched, {found.done} done; home after the clients' move in "
+               f"{half:.0f} ms (median), {most:.0f} ms (99 %)")  # fmt: skip
+    for why, count in sorted(found.ends.items()):
+        typer.echo(f"  ended, {why or 'done'}: {count}")
+    typer.echo(
+        f"loads {found.loads}, staged {found.staged}; wasted {found.wasted}, staged {found.staged_wasted}; "
+        f"{found.orders} orders, {found.unloads} words to unload; result {found.result:.4f}"
+    )
+
+
 @app.command("list")
 def list_() -> None:
     """The scenarios that come with the project."""
@@ -90,7 +133,7 @@
     from fawnwharf.lab.run import LabFault
     from fawnwharf.lab.run import run as run_it
 
-    scenario = load(name, front_ends, alone, bare)
+    scenario = side(name, front_ends, alone, bare)
     folder = Path(out) if out else None
     if folder:
         folder.mkdir(parents=True, exist_ok=True)
@@ -125,17 +168,11 @@
     from fawnwharf.lab.run import LabFault
     from fawnwharf.lab.run import run as run_it
 
-    sides = []
-    for word in (one, other):
-        name, _, how = word.partition(":")
-        if how not in ("", "alone", "bare"):
-            typer.echo(f"fawnwharf: lab: {word}: NAME, NAME:alone or NAME:bare", err=True)
-            raise typer.Exit(2)
-        sides.append(load(name, front_ends, how == "alone", how == "bare"))
+    sides = [side(one, front_ends), side(other, front_ends)]
     pairs = comparing.Pairs([], [])
     for seed in range(first, first + seeds):
         try:
-            runs = [run_it(side, seed) for side in sides]
+            runs = [run_it(each, seed) for each in sides]
         except LabFault as error:
             typer.echo(f"seed {seed} left out, the ground gave way: {error}")
             continue
@@ -147,26 +184,7 @@
         typer.echo("verdict: broken ground: no pair of runs")
         raise typer.Exit(1)
     typer.echo(f"{len(pairs.one)} pairs; differences are {one} less {other}, with 95 % intervals")
-    figures = {
-        "service": lambda m: m.service(),
-        "crossing": lambda m: m.crossing,
-        "late": lambda m: m.outcomes["late"] / max(1, sum(m.outcomes.values())),
-        "refused": lambda m: m.outcomes["refused"] / max(1, sum(m.outcomes.values())),
-        "failed or lost": lambda m: (
-            (m.outcomes["failed"] + m.outcomes["lost"]) / max(1, sum(m.outcomes.values()))
-        ),
-        "fetches": lambda m: float(m.fetches),
-        "second runs": lambda m: float(m.second_runs),
-        "keyed repeats": lambda m: float(m.keyed_repeats),
-        "once, median ms": lambda m: float(m.once_ms[0]),
-        "once, 99 % ms": lambda m: float(m.once_ms[1]),
-        "memory, MB": lambda m: m.memory_mb,
-        "member bytes": lambda m: m.member_bytes,
-        "cpu": lambda m: m.cpu,
-    }
-    for tenant in pairs.one[0].by_tenant:
-        figures[f"of {tenant}"] = lambda m, tenant=tenant: m.by_tenant.get(tenant, 0.0)
-    for name, of in figures.items():
+    for name, of in comparing.figures(pairs).items():
         difference = pairs.difference(of)
         typer.echo(f"{name:16} {difference}  {difference.says if name == 'service' else ''}".rstrip())
     acted = [m.acted for m in pairs.one if m.acted]
@@ -185,6 +203,46 @@
     raise typer.Exit(1 if broken else 0)
 
 
+@app.command()
+def modes(
+    name: str,
+    of: Annotated[str, typer.Option("--of", help="Modes of foresight; differences are from the first.")] = (
+        "none,react,everything,foresight,oracle"
+    ),
+    seeds: int = 10,
+    first: int = 1,
+    out: Annotated[str, typer.Option("--out", help="File that gets a line of JSON a run.")] = "",
+) -> None:
+    """Run a scenario of sessions in each mode of foresight by the same seeds; status 1 if a rule broke."""
+    from fawnwharf.lab import compare as comparing
+    from fawnwharf.lab.run import LabFault
+    from fawnwharf.lab.run import run as run_it
+
+    words = of.split(",")
+    sides = {word: side(f"{name}:{word}") for word in words}
+    found: dict[str, list[Any]] = {word: [] for word in words}
+    for seed in range(first, first + seeds):
+        try:
+            runs = {word: run_it(scenario, seed) for word, scenario in sides.items()}
+        except LabFault as error:
+            typer.echo(f"seed {seed} left out, the ground gave way: {error}")
+            continue
+        for word, measures in runs.items():
+            found[word].append(measures)
+            typer.echo(f"seed {seed:3}  {word:10}  {measures.service():.4f}  {measures.verdict.line()}")
+            if out:
+                with open(out, "ab") as file:
+                    file.write(msgspec.json.encode(comparing.row(word, measures), enc_hook=str) + b"\n")
+    if not found[words[0]]:
+        typer.echo("verdict: broken ground: no run of all modes")
+        raise typer.Exit(1)
+    for line in comparing.by_mode(found):
+        typer.echo(line)
+    broken = sum(bool(m.verdict.broken) for runs in found.values() for m in runs)
+    typer.echo(f"verdict: broken in {broken} runs" if broken else "verdict: kept")
+    raise typer.Exit(1 if broken else 0)
+
+
 @app.command()
 def explore(states: int = 30_000, plant: str = "") -> None:
     """Search the voters' states for anything that must not be; status 1 where something is found."""
--- a/fawnwharf/lab/compare.py
+++ b/fawnwharf/lab/compare.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from dataclasses import asdict, dataclass
 from pathlib import Path
+from typing import Any
 
 from fawnwharf.lab.measures import Measures
 
@@ -68,6 +69,82 @@
         return found
 
 
+Of = Callable[[Measures], float]
+
+
+def _part(measures: Measures, *names: str) -> float:
+    return sum(measures.outcomes[name] for name in names) / max(1, sum(measures.outcomes.values()))
+
+
+def figures(pairs: Pairs) -> dict[str, Of]:
+    """What is compared, by name."""
+    found: dict[str, Of] = {
+        "service": lambda m: m.service(),
+        "crossing": lambda m: m.crossing,
+        "late": lambda m: _part(m, "late"),
+        "refused": lambda m: _part(m, "refused"),
+        "failed or lost": lambda m: _part(m, "failed", "lost"),
+        "fetches": lambda m: float(m.fetches),
+        "second runs": lambda m: float(m.second_runs),
+        "keyed repeats": lambda m: float(m.keyed_repeats),
+        "once, median ms": lambda m: float(m.once_ms[0]),
+        "once, 99 % ms": lambda m: float(m.once_ms[1]),
+        "memory, MB": lambda m: m.memory_mb,
+        "member bytes": lambda m: m.member_bytes,
+        "cpu": lambda m: m.cpu,
+    }
+    for tenant in pairs.one[0].by_tenant:
+        found[f"of {tenant}"] = lambda m, tenant=tenant: m.by_tenant.get(tenant, 0.0)
+    if all(m.sessions for m in [*pairs.one, *pairs.other]):
+        found |= OF_SESSIONS
+    return found
+
+
+OF_SESSIONS: dict[str, Of] = {
+    "moved, 1 s": lambda m: m.sessions.clients.service[1],
+    "moved, 5 s": lambda m: m.sessions.clients.service[5],
+    "moved, 20 s": lambda m: m.sessions.clients.service[20],
+    "first found": lambda m: m.sessions.clients.found,
+    "staged loads": lambda m: float(m.sessions.staged),
+    "staged, wasted": lambda m: float(m.sessions.staged_wasted),
+    "loads wasted": lambda m: float(m.sessions.wasted),
+    "orders": lambda m: float(m.sessions.orders),
+    "result": lambda m: m.sessions.result,
+}
+
+
+def by_mode(found: dict[str, list[Measures]]) -> list[str]:
+    """Lines: the mean of each figure in each mode, and its difference from the first mode's runs of the same
+    seeds."""
+    first, *others = found
+    lines = [f"{len(found[first])} seeds; behind each mean the difference from {first}, with a 95 % interval"]
+    shown: dict[str, Of] = {"service": lambda m: m.service(), "fetches": lambda m: float(m.fetches)}
+    shown |= {"second runs": lambda m: float(m.second_runs), **OF_SESSIONS}
+    for name, of in shown.items():
+        values = {mode: [of(m) for m in runs] for mode, runs in found.items()}
+        if any(value != value for row in values.values() for value in row):
+            continue  # nothing moved in one of them
+        means = {mode: sum(row) / len(row) for mode, row in values.items()}
+        told = [f"{first} {means[first]:.4f}"]
+        told += [f"{m} {means[m]:.4f} ({Pairs(found[m], found[first]).difference(of)})" for m in others]
+        lines.append(f"{name:15} " + "  ".join(told))
+    return lines
+
+
+def row(mode: str, measures: Measures) -> dict[str, Any]:
+    """A run in short, for a line of JSON."""
+    return {
+        "scenario": measures.scenario,
+        "mode": mode,
+        "seed": measures.seed,
+        "service": measures.service(),
+        "fetches": measures.fetches,
+        "second runs": measures.second_runs,
+        "broken": measures.verdict.broken[:5],
+        "sessions": measures.sessions,
+    }
+
+
 def table(pairs: Pairs, folder: Path) -> Path:
     """All runs, a row for each second of each, in a columnar file."""
     import pyarrow
--- a/fawnwharf/lab/conditions.py
+++ b/fawnwharf/lab/conditions.py
@@ -1,6 +1,7 @@
 """What steps wait for: events that the fleet tells of, and never luck."""
 
 from collections.abc import Callable
+from typing import Any
 
 from fawnwharf.lab.fleet import Fleet
 from fawnwharf.lab.parties import Parties
@@ -19,9 +20,12 @@
     def wait(self, when: When, what: str = "the start") -> None:
         if when.after_s:
             self.fleet.rest(when.after_s)
-        if not self.fleet.scenario.decide:
+        if self.fleet.scenario.decide:
+            conditions = list(self._conditions(when))
+        elif self.fleet.scenario.sessions is not None:
+            conditions = self._noted(when)
+        else:
             return  # each on its own: there is nothing to wait for but times
-        conditions = list(self._conditions(when))
         for text, condition in conditions:
             self.fleet.until(condition, f"{text} ({what})", when.within_s)
 
@@ -69,9 +73,12 @@
         if when.voters_are is not None:
             named = sorted(when.voters_are.split(","))
             found.append((f"the voters {when.voters_are}", lambda: self.voters() == named))
-        if when.note is not None:
-            found.append((f"the note {when.note!r}", lambda: self.was_noted(when.note)))
-        return found
+        return found + self._noted(when)
+
+    def _noted(self, when: When) -> list[tuple[str, Callable[[], bool]]]:
+        if when.note is None:
+            return []
+        return [(f"the note {when.note!r}", lambda: self.was_noted(when.note, when.fields, when.times))]
 
     def wait_for_roles(self, step: Step, what: str) -> None:
         """Between two leaders there is none: a step on it must wait for one, and not do nothing."""
@@ -85,9 +92,13 @@
         last = max(lists, key=lambda fields: fields["index"], default={"voters": [""]})
         return sorted(voter.partition("#")[0] for voter in last["voters"])
 
-    def was_noted(self, event: str) -> bool:
+    def was_noted(self, event: str, fields: dict[str, Any] | None = None, times: int = 1) -> bool:
         """Since the step before began, as it may have come while that was still under way. What was decided
         counts by its index: others tell of the same later."""
         before, since = self.fleet.notes[: self.noted], self.fleet.notes[self.noted :]
         known = max((n.fields.get("index", -1) for n in before if n.event == event), default=-1)
-        return any(n.event == event and n.fields.get("index", known + 1) > known for n in since)
+        wanted = (fields or {}).items()
+        return times <= sum(
+            n.event == event and n.fields.get("index", known + 1) > known and wanted <= n.fields.items()
+            for n in since
+        )
--- a/fawnwharf/lab/files.py
+++ b/fawnwharf/lab/files.py
@@ -12,6 +12,8 @@
 DEDUP_MS = 3_000.0
 RULES = {"cold": 4_000.0, "cold_share": 0.2, "fall": 1_500.0, "fall_multiple": 2.0, "drain_grace": 250.0}
 STATE_RULES = {"call_most_ms": 2_500.0, "window_ms": 4_000.0}
+PRICES = {"origin": 0.15, "waste": 0.16, "probe": 0.01}  # in worths of a mean call, as foresight's trial has
+HANDOVER_RULES = {"give_up_ms": 2_000.0, "settle_ms": 6_000.0, "still_ms": 20_000.0, "lapse_ms": 8_000.0}
 RATION = {"load_window": 5_000.0, "free_loads": 8.0, "load_part": 0.3}
 
 
@@ -63,10 +65,25 @@
         state = {"version": 1, "members": "members.json", "listen": f"{front.host}:{STATE}"}
         state["folder"] = "kept"
         write_whole(front.folder / "state.json", {**state, **STATE_RULES, **fleet.scenario.state})
+    if fleet.scenario.sessions is not None:
+        write_whole(front.folder / "sessions.json", sessions(fleet.scenario.sessions))
+        if not (front.folder / "told.json").exists():
+            write_whole(front.folder / "told.json", {"version": 1, "moves": []})
     if not front.lives or not (front.folder / "members.json").exists():  # a folder of an earlier run
         write_whole(front.folder / "members.json", members(fleet, front))
 
 
+def sessions(asked: dict[str, Any]) -> dict[str, Any]:
+    """The settings of sessions: what a scenario asks over the lab's own, part by part."""
+    own: dict[str, Any] = {"version": 1, "handover": HANDOVER_RULES, "trace": "trace.jsonl"}
+    found = {**own, **asked}
+    if "handover" in asked:
+        found["handover"] = {**HANDOVER_RULES, **asked["handover"]}
+    if (asked.get("foresight") or {}).get("mode") == "oracle":
+        found["foresight"] = {"told": "told.json", **asked["foresight"]}
+    return found
+
+
 def config(fleet: Topology, front: Front, beside: bool = False) -> dict[str, Any]:
     """`beside`: for a second process, while the first one runs."""
     members = fleet.entries(front)
@@ -116,5 +133,6 @@
             "fleet_size": len(fleet.fronts),
             "locality": front.zone,
             "weight_source": "nominal",
+            "costs": PRICES,
         },
     }
--- a/fawnwharf/lab/fleet.py
+++ b/fawnwharf/lab/fleet.py
@@ -38,6 +38,7 @@
         self._looked_ms = 0.0
         self.stretches: list[Any] = []  # that operators' calls began, for the checker
         self.replaced: list[Any] = []
+        self.asked = ""  # the front end that operators of sessions turned to last
         super().__init__(scenario, seed, folder or Path(tempfile.mkdtemp(prefix="fawnwharf-lab-")))
 
     # --- processes ------------------------------------------------------------------------------
@@ -86,6 +87,8 @@
             command += ["--zones", "zones.json"]
         if self.scenario.state is not None:
             command += ["--state", "state.json"] + ([] if front.lives else ["--fresh"])
+        if self.scenario.sessions is not None:
+            command += ["--sessions", "sessions.json"]
         return command
 
     def wrote(self, front: Front, line: str) -> None:
--- a/fawnwharf/lab/measures.py
+++ b/fawnwharf/lab/measures.py
@@ -3,11 +3,13 @@
 import contextlib
 from collections import Counter
 from dataclasses import dataclass, field
+from typing import Any
 
 from hdrh.histogram import HdrHistogram
 
 from fawnwharf.lab.checker import Verdict, judge
 from fawnwharf.lab.fleet import Fleet
+from fawnwharf.lab.moves import Figures, figures
 from fawnwharf.lab.topology import STATE
 from fawnwharf.net.wheel import monotonic_ms
 from fawnwharf.replication.commands import look
@@ -55,6 +57,7 @@
     waits_ms: tuple[float, float] = (0.0, 0.0)  # for keepers: the mean median and the largest 99th percentile
     comebacks: Counter = field(default_factory=Counter)  # what became of lost at-most-once calls asked again
     complaints: list[str] = field(default_factory=list)
+    sessions: Figures | None = None  # where calls are those of sessions
 
     def service(self, since_s: float = 0.0, until_s: float = 1e9) -> float:
         """Worth answered in time over worth asked."""
@@ -70,6 +73,7 @@
         self.fleet = fleet
         fleet.marks["load"] = monotonic_ms()
         self.used, self.passed = fleet.used(), fleet.between_members()
+        self.disturbed: list[Any] = []  # moves of sessions that follow from a site's loss and return
         self.lost: tuple[str, float] | None = None  # the first zone that was lost, and when
 
     def zone_lost(self, zone: str) -> None:
@@ -102,7 +106,7 @@
         passed = fleet.between_members() - self.passed
         runs = [a for a in fleet.arrivals if a.what == "run" and a.sender in fleet.fronts]
         far = sum(fleet.fronts[a.sender].zone != fleet.scorer_zone[a.scorer] for a in runs)
-        return Measures(
+        measures = Measures(
             scenario=fleet.scenario.name,
             seed=fleet.seed,
             decided=fleet.scenario.decide,
@@ -132,6 +136,9 @@
             ),
             complaints=list(fleet.complaints),
         )
+        if fleet.scenario.live:
+            measures.sessions = figures(fleet, self.disturbed, measures.service())
+        return measures
 
     def _by_tenant(self) -> dict[str, float]:
         asked: Counter = Counter()
--- a/fawnwharf/lab/parties.py
+++ b/fawnwharf/lab/parties.py
@@ -14,8 +14,8 @@
         self.fleet, self.chance = fleet, random.Random(seed)
 
     def fronts(self, what: str) -> list[Front]:
-        """Front ends by a word: all, live, leader, zone:Z, share:P of those that live, or names
-        with commas."""
+        """Front ends by a word: all, live, leader, asked (by operators, last), zone:Z, share:P of those that
+        live, or names with commas."""
         every = list(self.fleet.fronts.values())
         live = [front for front in every if front.alive and not front.stopped]
         if what in ("", "all"):
@@ -26,6 +26,8 @@
             return [front for front in live if front.role == "leader"][:1]
         if what == "follower":
             return [front for front in live if front.voter and front.role != "leader"][:1]
+        if what == "asked":
+            return [front for front in every if front.name == self.fleet.asked]
         if what == "old leader":
             return [front for front in every if front.stopped]
         if what.startswith("zone:"):
@@ -57,7 +59,7 @@
                 return lambda party: self.zone_of(party) == word[5:] and not party.startswith("clients-")
             if word.startswith("clients:"):
                 return lambda party: party == f"clients-{word[8:]}"
-            if word in ("leader", "follower", "old leader"):
+            if word in ("leader", "follower", "old leader", "asked"):
                 names = {front.name for front in self.fronts(word)}
                 return lambda party: party in names
             if word == "rest":
--- a/fawnwharf/lab/run.py
+++ b/fawnwharf/lab/run.py
@@ -41,6 +41,7 @@
             conditions.next_step()
             for n, step in enumerate(self.scenario.steps):
                 conditions.next_step()
+                steps.sessions.ahead(step)
                 what = f"step {n}, {step.do} {step.what}"
                 conditions.wait(step.when, what)
                 conditions.wait_for_roles(step, what)
--- a/fawnwharf/lab/scenario.py
+++ b/fawnwharf/lab/scenario.py
@@ -43,6 +43,8 @@
     voters: Annotated[int, Meta(ge=0, le=9)] | None = None  # in the list that was decided last
     voters_are: str | None = None  # that list, as names with commas
     note: str | None = None  # somebody's log says this since the step before began
+    fields: dict[str, Any] = {}  # with these fields
+    times: Annotated[int, Meta(ge=1, le=10_000)] = 1  # as often
     of: str = "live"  # front ends: live, all, zone:Z, or names with commas
     half: bool = False  # half of them are enough
     within_s: Span = 30.0
@@ -54,6 +56,7 @@
         "lose_zone", "return_zone", "scorers_down", "scorers_up", "slow", "store", "rate",
         "wipe", "swap", "keep_disk", "old_disk", "members", "wish", "mark", "start_refused",
         "replace", "kill_replacing", "standby", "active", "take_out", "bring_back",
+        "move_clients", "bounce", "move_session", "drain_site", "release",
     ]  # fmt: skip
     what: str = ""  # whom: front ends, scorers or zones
     to: str = ""  # the other end of links
@@ -71,6 +74,9 @@
     steps: list[Step]
     decide: bool = True  # in common, or each on its own
     state: dict[str, Any] | None = None  # replicated, by these settings over the lab's own; none: off
+    sessions: dict[str, Any] | None = None  # that move, by these settings over the lab's own; none: off
+    live: dict[Name, Annotated[int, Meta(ge=0, le=1_000)]] = {}  # sessions that begin at a zone
+    again: Part = 0.0  # of a session's last calls come again, by their keys, where it is moved to
     twice: Part = 0.0  # of the at-most-once calls are asked for at two front ends at once
     asks: bool = False  # what stands before front ends asks them whether they are ready
     comeback: bool = False  # clients whose at-most-once call was lost ask for it again, elsewhere
@@ -101,7 +107,14 @@
         raise ScenarioFault("zones: no front end at all")
     if found.decide and voters not in (1, 3, 5, 7):
         raise ScenarioFault(f"zones: {voters} voters, and it takes 3, 5 or 7")
+    if found.sessions is not None and found.state is None:
+        raise ScenarioFault("sessions: goes by the logs of state, which is not there")
+    for zone in found.live:
+        if zone not in found.zones:
+            raise ScenarioFault(f"live: no zone {zone}")
     for n, step in enumerate(found.steps):
+        if step.do in ("move_clients", "bounce", "move_session") and not found.live:
+            raise ScenarioFault(f"steps[{n}].do: {step.do}, and no sessions are live")
         for zone in step.when.state or ():
             if zone not in found.zones:
                 raise ScenarioFault(f"steps[{n}].when.state: no zone {zone}")
--- /dev/null
+++ b/fawnwharf/lab/sessions.py
@@ -0,0 +1,137 @@
+"""Steps of scenarios with sessions: clients that move, and what operators ask by their files."""
+
+from fawnwharf.lab.files import write_whole
+from fawnwharf.lab.fleet import Fleet
+from fawnwharf.lab.parties import Parties
+from fawnwharf.lab.processes import Front, LabFault
+from fawnwharf.lab.scenario import Step
+from fawnwharf.net.wheel import monotonic_ms, unix_ms
+from fawnwharf.standins.sessions import ANY, Live, Moved, Planned
+
+TOLD_MS = 500.0  # pace at which the oracle's file is written
+
+
+class SessionSteps:
+    """Moves clients, and asks what operators ask of sessions, by their files."""
+
+    def __init__(self, fleet: Fleet, parties: Parties) -> None:
+        self.fleet, self.parties = fleet, parties
+        self.number = 0
+        self.drained: list[str] = []
+        self.disturbed: list[Moved] = []  # sessions whose site was lost, or came back
+        self._drawn: list[Planned] | None = None
+        if oracle(fleet):
+            self._tell_on()
+
+    # --- clients --------------------------------------------------------------------------------
+
+    def ahead(self, step: Step) -> None:
+        """Draw who moves in a step that comes after a time, and tell the oracle."""
+        if step.do == "move_clients" and step.when.after_s:
+            at_ms = monotonic_ms() + 1000.0 * step.when.after_s
+            self._drawn = self._draw(step, at_ms)
+            self.tell_oracle()
+
+    def _draw(self, step: Step, at_ms: float) -> list[Planned]:
+        """`what` is a site, `*`, or one of both with a tenant behind a slash; `value` the part, all if 0;
+        `to` a site, several with commas to choose from by chance, or `*`."""
+        clients = self.fleet.clients
+        whence, _, tenant = step.what.partition("/")
+        open_ = step.to.split(",") if "," in step.to else None
+        whither = ANY if open_ else step.to or ANY
+        return [
+            Planned(at_ms, live, live.site, clients.elsewhere(live, whither, open_))
+            for live in clients.draw(whence or ANY, step.value or 1.0, tenant, but=whither)
+        ]
+
+    def move_clients(self, step: Step) -> None:
+        drawn, self._drawn = self._drawn, None
+        for planned in drawn if drawn is not None else self._draw(step, monotonic_ms()):
+            self.fleet.clients.move(planned.live, planned.whither)
+
+    def bounce(self, step: Step) -> None:
+        self.fleet.clients.bounce(step.value, step.what)
+
+    def tell_oracle(self) -> None:
+        """Write what is to come, where front ends go by a file of it."""
+        if not oracle(self.fleet):
+            return
+        offset = unix_ms() - monotonic_ms()
+        planned = sorted([*(self._drawn or ()), *self.fleet.clients.planned], key=lambda p: p.at_ms)
+        moves = [
+            {
+                "org": p.live.org, "row": p.live.row, "whence": p.whence, "whither": p.whither,
+                "at_ms": p.at_ms + offset,
+            }
+            for p in planned
+        ]  # fmt: skip
+        for front in self.fleet.fronts.values():
+            write_whole(front.folder / "told.json", {"version": 1, "moves": moves})
+
+    def _tell_on(self) -> None:
+        self.tell_oracle()
+        self.fleet.loop.wheel.after(TOLD_MS, self._tell_on)
+
+    def disturb(self, zone: str) -> None:
+        """Its sessions' calls go elsewhere from now on, or come back."""
+        for live in getattr(self.fleet.clients, "live", ()):
+            if live.site == zone:
+                self.disturbed.append(Moved(monotonic_ms(), live.org, live.row, zone, ""))
+
+    # --- operators ------------------------------------------------------------------------------
+
+    def keepers(self) -> list[Front]:
+        """Those that live, of the last list that was told; any front end where none was."""
+        for note in reversed(self.fleet.notes):
+            if note.event == "state on":
+                names = [name for names in note.fields["keepers"].values() for name in names]
+                break
+        else:
+            names = list(self.fleet.fronts)
+        live = {front.name for front in self.parties.fronts("live")}
+        found = [self.fleet.fronts[name] for name in names if name in live]
+        if not found:
+            raise LabFault("no keeper lives that could be asked")
+        return found
+
+    def asked(self, whither: str) -> Front:
+        """The keeper that an operator turns to: one of a site that is not emptied, of `whither` at best."""
+        found = [front for front in self.keepers() if front.zone not in self.drained] or self.keepers()
+        front = next((front for front in found if front.zone == whither), found[0])
+        self.fleet.asked = front.name
+        return front
+
+    def _write(self, front: Front, moves: list[dict[str, str]]) -> None:
+        self.number += 1
+        wishes = {"version": 1, "number": self.number, "moves": moves, "drained": self.drained}
+        write_whole(front.folder / "kept" / "moves.json", wishes)
+
+    def move_session(self, step: Step) -> None:
+        """`what` is a site, or one session as tenant/function; `value` how many of the site, all if 0."""
+        clients = self.fleet.clients
+        org, slash, row = step.what.partition("/")
+        if slash:
+            drawn = [Live(org, row, "")]
+        else:
+            drawn = clients.draw(org, count=int(step.value) or len(clients.live), but=step.to)
+        site = step.to
+        self._write(self.asked(site), [{"org": live.org, "row": live.row, "site": site} for live in drawn])
+
+    def drain_site(self, step: Step) -> None:
+        """`what` are the sites that are to be empty, with commas; none: all may have sessions again. `to` may
+        name who is asked."""
+        self.drained = step.what.split(",") if step.what else []
+        front = self.parties.fronts(step.to)[0] if step.to else self.asked("")
+        self.fleet.asked = front.name
+        self._write(front, [])
+
+    def release(self, step: Step) -> None:
+        """So large a part of the functions is released anew: their copies are void."""
+        rows = self.fleet.clients.functions
+        for scorer in self.fleet.scorers.values():
+            scorer.release(rows[: round((step.value or 1.0) * len(rows))])
+
+
+def oracle(fleet: Fleet) -> bool:
+    asked = (fleet.scenario.sessions or {}).get("foresight") or {}
+    return asked.get("mode") == "oracle"
--- a/fawnwharf/lab/steps.py
+++ b/fawnwharf/lab/steps.py
@@ -7,6 +7,7 @@
 from fawnwharf.lab.parties import Parties
 from fawnwharf.lab.processes import LabFault
 from fawnwharf.lab.scenario import Step
+from fawnwharf.lab.sessions import SessionSteps
 from fawnwharf.standins.relay import BACKWARD, FORWARD
 
 
@@ -16,6 +17,8 @@
     def __init__(self, fleet: Fleet, parties: Parties, meter: Meter) -> None:
         self.fleet, self.parties, self.meter = fleet, parties, meter
         self.desk = Desk(fleet)
+        self.sessions = SessionSteps(fleet, parties)
+        meter.disturbed = self.sessions.disturbed
         self.members_number = 1
         self.wish_number = 0
 
@@ -80,6 +83,7 @@
     def _lose_zone(self, step: Step) -> None:
         """A zone goes dark: its links first, so that nobody hears its processes end."""
         self.meter.zone_lost(step.what)
+        self.sessions.disturb(step.what)
         self._set(Step("cut", what=f"zone:{step.what}", to="rest"), cut=True)
         for relay in self.parties.doors(step.what):
             relay.set(None, cut=True)
@@ -95,6 +99,7 @@
             relay.heal()
         self.fleet.scorers_up(self.parties.ids(f"zone:{step.what}"))
         self._start(Step("start", what=f"zone:{step.what}"))
+        self.sessions.disturb(step.what)
 
     def _scorers_down(self, step: Step) -> None:
         for id in self.parties.ids(step.what):
@@ -169,6 +174,21 @@
     def _bring_back(self, step: Step) -> None:
         self.desk.bring_back(self.parties.fronts(step.to or "live"), self.parties.ids(step.what))
 
+    def _move_clients(self, step: Step) -> None:
+        self.sessions.move_clients(step)
+
+    def _bounce(self, step: Step) -> None:
+        self.sessions.bounce(step)
+
+    def _move_session(self, step: Step) -> None:
+        self.sessions.move_session(step)
+
+    def _drain_site(self, step: Step) -> None:
+        self.sessions.drain_site(step)
+
+    def _release(self, step: Step) -> None:
+        self.sessions.release(step)
+
     def _mark(self, step: Step) -> None:
         """Nothing but its mark, which every step leaves."""
 
--- a/fawnwharf/lab/topology.py
+++ b/fawnwharf/lab/topology.py
@@ -19,8 +19,10 @@
 from fawnwharf.net.wheel import unix_ms
 from fawnwharf.standins.changelog import ChangeLogServer
 from fawnwharf.standins.clients import Clients, Kind
+from fawnwharf.standins.nature import Arrival, Nature, Store
 from fawnwharf.standins.relay import Relay
-from fawnwharf.standins.scorers import Arrival, Nature, Scorer, Store
+from fawnwharf.standins.scorers import Scorer
+from fawnwharf.standins.sessions import SessionClients
 
 SLOTS = 24  # labs that may run side by side on one machine
 PORT, PUBLIC, BALLOTS, STATE = 4100, 4101, 4102, 4103
@@ -119,19 +121,13 @@
         parts = self.scenario.parts
         kinds = [replace(kind, part=parts.get(kind.name, kind.part)) for kind in KINDS]
         rates = {zone: spec.rps for zone, spec in self.scenario.zones.items() if spec.rps}
-        self.clients = Clients(
-            self.loop,
-            self.seed,
-            kinds,
-            rates,
-            self.scenario.functions,
-            TENANTS,
-            self._for_clients,
-            comeback=self.scenario.comeback,
-            twice=self.scenario.twice,
-            tenant_of=self.scenario.tenants,
-            asks=self.scenario.asks,
-        )
+        load = (self.loop, self.seed, kinds, rates, self.scenario.functions, TENANTS, self._for_clients)
+        how = {"comeback": self.scenario.comeback, "twice": self.scenario.twice, "asks": self.scenario.asks}
+        if self.scenario.live:
+            begin = dict(self.scenario.live)
+            self.clients = SessionClients(*load, begin, again=self.scenario.again, **how)
+        else:
+            self.clients = Clients(*load, tenant_of=self.scenario.tenants, **how)
 
     def _relay(self, source: str, target: str, what: str, host: str, address: Address) -> None:
         def dialled(own: Address) -> None:
--- a/fawnwharf/standins/sessions.py
+++ b/fawnwharf/standins/sessions.py
@@ -14,6 +14,7 @@
 AGAIN_MS = 1_000.0  # calls of the last second come again where a session goes
 RECENT = 8  # calls of a session that are remembered for it
 ANY = "*"
+AHEAD = 16  # moves by chance that are drawn before they come
 
 
 @dataclass(slots=True, eq=False)
@@ -37,6 +38,16 @@
     whither: str
 
 
+@dataclass(frozen=True, slots=True)
+class Planned:
+    """A move that is to come, as only an oracle knows."""
+
+    at_ms: float
+    live: Live
+    whence: str
+    whither: str
+
+
 class SessionClients(Clients):
     """Owns which sessions there are and where; each call is one of theirs, all alike often."""
 
@@ -45,7 +56,7 @@
         the last second comes again, under its keys, at the site that its session is moved to."""
         *args, begin = args
         super().__init__(*args, **how)
-        self._moving = random.Random(args[1] + 2)
+        self._moving, self._comes_again = random.Random(args[1] + 2), random.Random(args[1] + 3)
         self._again_part = again
         self.moved: list[Moved] = []
         self.live: list[Live] = []
@@ -56,6 +67,7 @@
         for site, count in begin.items():
             self.live += [Live(*pairs.pop(), site) for _ in range(count)]
         self._bounces_ps, self._bounced = 0.0, ""
+        self.planned: deque[Planned] = deque()  # moves by chance that are to come
 
     def start(self) -> None:
         rates = self.rates
@@ -84,27 +96,31 @@
 
     # --- moves ----------------------------------------------------------------------------------
 
-    def move(
-        self, whence: str, whither: str, share: float = 1.0, tenant: str = "", count: int | None = None
-    ) -> list[Moved]:
-        """Move so large a part of the sessions of a site, or so many, to another one; `*` is any site."""
+    def draw(
+        self, whence: str, share: float = 1.0, tenant: str = "", count: int | None = None, but: str = ""
+    ) -> list[Live]:
+        """So large a part of the sessions of a site (`*`: of all), or so many, but those at `but`."""
         there = [
             live
             for live in self.live
-            if whence in (ANY, live.site) and live.site != whither and tenant in ("", live.org)
+            if whence in (ANY, live.site) and live.site != but and tenant in ("", live.org)
         ]
         count = round(share * len(there)) if count is None else min(count, len(there))
-        return [self._move(live, whither) for live in self._moving.sample(there, count)]
+        return self._moving.sample(there, count)
 
-    def _move(self, live: Live, whither: str) -> Moved:
-        if whither == ANY:
-            whither = self._moving.choice([site for site in self.rates if site != live.site])
+    def elsewhere(self, live: Live, whither: str, open_: list[str] | None = None) -> str:
+        """The site itself, or one by chance for `*`."""
+        if whither != ANY:
+            return whither
+        return self._moving.choice([site for site in open_ or self.rates if site != live.site])
+
+    def move(self, live: Live, whither: str) -> Moved:
         now = monotonic_ms()
         moved = Moved(now, live.org, live.row, live.site, whither)
         self.moved.append(moved)
         live.site = whither
         for request in list(live.recent):
-            if request.began_ms > now - AGAIN_MS and self._moving.random() < self._again_part:
+            if request.began_ms > now - AGAIN_MS and self._comes_again.random() < self._again_part:
                 self._try(self._again(request, whither))
         return moved
 
@@ -112,13 +128,23 @@
         """Sessions, of all or one tenant, go to sites by chance, so many a second; 0 ends it."""
         begins = not self._bounces_ps
         self._bounces_ps, self._bounced = moves_ps, tenant
-        if begins:
-            self._bounce_on(moved=False)
+        if begins and moves_ps:
+            self.planned.clear()
+            self._bounce_on()
 
-    def _bounce_on(self, moved: bool = True) -> None:
+    def _bounce_on(self) -> None:
         if not self._running or not self._bounces_ps:
+            self.planned.clear()
             return
-        if moved:
-            self.move(ANY, ANY, tenant=self._bounced, count=1)
-        wait = self._moving.expovariate(self._bounces_ps) * 1000.0
-        self.loop.wheel.after(wait, self._bounce_on)
+        now = monotonic_ms()
+        while self.planned and self.planned[0].at_ms <= now:
+            planned = self.planned.popleft()
+            self.move(planned.live, planned.whither)
+        while len(self.planned) < AHEAD:
+            last_ms = self.planned[-1].at_ms if self.planned else now
+            at_ms = last_ms + self._moving.expovariate(self._bounces_ps) * 1000.0
+            [live] = self.draw(ANY, tenant=self._bounced, count=1)
+            site = next((p.whither for p in reversed(self.planned) if p.live is live), live.site)
+            whither = self._moving.choice([other for other in self.rates if other != site])
+            self.planned.append(Planned(at_ms, live, site, whither))
+        self.loop.wheel.after(max(1.0, self.planned[0].at_ms - now), self._bounce_on)
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -203,14 +203,28 @@
 
     def test_they_move_all_or_a_part_or_of_one_tenant_and_to_any_site(self):
         crowd = self.crowd()
-        self.assertEqual(len(crowd.move("a", "b", 0.5)), 2)
-        self.assertEqual(len(crowd.move("b", "a", tenant="t")), 3)
-        sites = [live.site for live in crowd.live]
-        self.assertEqual(crowd.move("*", "*", count=1)[0].whence in "ab", True)
-        self.assertNotEqual(sites, [live.site for live in crowd.live])
-        self.assertEqual(len(crowd.moved), 6)
-        crowd.move("a", "b")
-        self.assertEqual({live.site for live in crowd.live}, {"b"})
+        half = crowd.draw("a", 0.5)
+        self.assertEqual([live.site for live in half], ["a", "a"])
+        ours = crowd.draw("*", tenant="t")
+        self.assertEqual([live.org for live in ours], ["t"] * 4)
+        self.assertTrue(all(live.site == "b" for live in crowd.draw("*", but="a")))
+        for live in half:
+            crowd.move(live, crowd.elsewhere(live, "*"))
+        self.assertEqual([live.site for live in half], ["b", "b"])
+        self.assertEqual([(m.whence, m.whither) for m in crowd.moved], [("a", "b")] * 2)
+
+    def test_a_partner_bounces_them_at_a_pace_by_moves_that_are_known_ahead(self):
+        crowd = self.crowd()
+        crowd.start()
+        crowd.bounce(100.0, "t")
+        ahead = list(crowd.planned)
+        self.until(lambda: len(crowd.moved) >= 10, "they move")
+        crowd.bounce(0.0)
+        went = [(m.org, m.row, m.whence, m.whither) for m in crowd.moved[:10]]
+        self.assertEqual(went, [(p.live.org, p.live.row, p.whence, p.whither) for p in ahead[:10]])
+        self.assertEqual({moved.org for moved in crowd.moved}, {"t"})
+        self.until(lambda: not crowd.planned, "it is over")
+        crowd.stop()
 
     def test_calls_come_again_at_the_other_site_under_their_keys(self):
         crowd = self.crowd(again=1.0)
@@ -218,7 +232,8 @@
         self.until(lambda: any(r.zone == "a" for r in crowd.requests), "a call comes")
         crowd.stop()
         first = next(r for r in crowd.requests if r.zone == "a")
-        crowd.move("a", "b")
+        for live in crowd.draw("a"):
+            crowd.move(live, "b")
         twin = next(r for r in crowd.requests if r.token == first.token and r is not first)
         self.assertEqual((twin.zone, twin.call_id, twin.tenant), ("b", first.call_id, first.tenant))
         self.assertTrue(first.call_id)
