--- a/fawnwharf/net/scorer_frames.py
+++ b/fawnwharf/net/scorer_frames.py
@@ -46,9 +46,13 @@
     return encode(ENSURE, id, f"obj={function},slots_up={copies}")
 
 
-def unload(function: bytes) -> bytes:
-    """Idle copies of a function go; its number's eight bytes are the id, and there is no answer."""
-    return encode(UNLOAD, function)
+def unload(function: str) -> bytes:
+    """The function's idle copies are to go; no answer. Its key stands as the id: 16 hex digits, else
+    ValueError."""
+    id = bytes.fromhex(function)
+    if len(id) != 8:
+        raise ValueError(f"not a function's key: {function[:40]!r}")
+    return encode(UNLOAD, id)
 
 
 class FrameReader:
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -291,7 +291,7 @@
         self.until(lambda: self.pump(sock), "they stand")
         sock.sendall(frames.run(b"2" * 8, "view", function.hex(), 1000.0, "", b""))
         self.until(lambda: len(self.pump(sock)) == 2, "one is used")
-        sock.sendall(frames.unload(function) + frames.ensure(b"3" * 8, function.hex(), 0))
+        sock.sendall(frames.unload(function.hex()) + frames.ensure(b"3" * 8, function.hex(), 0))
         self.until(lambda: len(self.pump(sock)) == 3, "the question is answered, the word is not")
         self.assertEqual(self.frames[-1].fields["slots_up"], "0")
         self.assertEqual(self.whats("loaded", "wasted", "unload"), ["loaded", "loaded", "unload", "wasted"])
