Lab: links between zones may take their time; an exception at a front end breaks the verdict

Need: sites are apart, and a fault in the decisions, which the loop survives, went unseen by the checker: it was found in a log by eye. Change: far_ms of scenarios, to which a healed link goes back; lines 'fault in' of front ends are counted and judged.

--- a/fawnwharf/lab/checker.py
+++ b/fawnwharf/lab/checker.py
@@ -35,7 +35,7 @@
 
 def judge(fleet: Fleet) -> Verdict:
     verdict = Verdict()
-    for rule in (_answers, _doors, _effects, _drains, _outs, _cold, _loads, _ends, _sessions):
+    for rule in (_answers, _doors, _effects, _drains, _outs, _cold, _loads, _ends, _faults, _sessions):
         rule(fleet, verdict)
     return verdict
 
@@ -213,6 +213,13 @@
             verdict.broken.append(f"ends: {front.name} ended with {front.status}")
 
 
+def _faults(fleet: Fleet, verdict: Verdict) -> None:
+    """No exception reaches a front end's loop, though that would go on."""
+    for front, line in fleet.faults[:1]:
+        told = f"{line[:60]} .. {line.rstrip(' |')[-90:]}"
+        verdict.broken.append(f"faults: {len(fleet.faults)}, the first of {front}: {told}")
+
+
 def _sessions(fleet: Fleet, verdict: Verdict) -> None:
     if fleet.scenario.sessions is not None:
         broken, tried = moves.judge(fleet)
--- a/fawnwharf/lab/fleet.py
+++ b/fawnwharf/lab/fleet.py
@@ -38,6 +38,7 @@
         self._looked_ms = 0.0
         self.stretches: list[Any] = []  # that operators' calls began, for the checker
         self.replaced: list[Any] = []
+        self.faults: list[tuple[str, str]] = []  # front ends, and lines that tell of an exception
         self.asked = ""  # the front end that operators of sessions turned to last
         super().__init__(scenario, seed, folder or Path(tempfile.mkdtemp(prefix="fawnwharf-lab-")))
 
@@ -94,6 +95,8 @@
     def wrote(self, front: Front, line: str) -> None:
         now = monotonic_ms()
         front.lines.append(line)
+        if ": fault in " in line[:60]:  # the loop's own word on an exception
+            self.faults.append((front.name, line))
         if "serving on" in line:
             front.ready = True
             self._listens(front.name, True)
--- a/fawnwharf/lab/parties.py
+++ b/fawnwharf/lab/parties.py
@@ -41,13 +41,6 @@
             return [id for id, zone in self.fleet.scorer_zone.items() if zone == what[5:]]
         return what.split(",") if what else list(self.fleet.scorers)
 
-    def zone_of(self, party: str) -> str:
-        if party in self.fleet.fronts:
-            return self.fleet.fronts[party].zone
-        if party in self.fleet.scorer_zone:
-            return self.fleet.scorer_zone[party]
-        return party[8:] if party.startswith("clients-") else ""
-
     def links(self, step: Step) -> list[tuple[Relay, bool]]:
         """The relays between two parties, each with whether `what` is the one that dials.
 
@@ -56,7 +49,9 @@
 
         def side(word: str) -> Callable[[str], bool]:
             if word.startswith("zone:"):
-                return lambda party: self.zone_of(party) == word[5:] and not party.startswith("clients-")
+                return lambda party: (
+                    self.fleet.zone_of(party) == word[5:] and not party.startswith("clients-")
+                )
             if word.startswith("clients:"):
                 return lambda party: party == f"clients-{word[8:]}"
             if word in ("leader", "follower", "old leader", "asked"):
@@ -83,5 +78,5 @@
         return [
             relay
             for (_, target, what), relay in self.fleet.relays.items()
-            if what == "clients" and self.zone_of(target) == zone
+            if what == "clients" and self.fleet.zone_of(target) == zone
         ]
--- a/fawnwharf/lab/scenario.py
+++ b/fawnwharf/lab/scenario.py
@@ -80,6 +80,7 @@
     twice: Part = 0.0  # of the at-most-once calls are asked for at two front ends at once
     asks: bool = False  # what stands before front ends asks them whether they are ready
     comeback: bool = False  # clients whose at-most-once call was lost ask for it again, elsewhere
+    far_ms: Annotated[float, Meta(ge=0.0, le=1_000.0)] = 0.0  # of a good link between zones, each way
     tenants: dict[Name, str] = {}  # of a zone's clients; all of them by chance where it is not said
     quotas: dict[str, float] = {}  # calls a second sold to a tenant; all alike where it is not said
     parts: dict[str, float] = {}  # of the calls, by class, over the usual ones
--- a/fawnwharf/lab/topology.py
+++ b/fawnwharf/lab/topology.py
@@ -130,11 +130,20 @@
             self.clients = Clients(*load, tenant_of=self.scenario.tenants, **how)
 
     def _relay(self, source: str, target: str, what: str, host: str, address: Address) -> None:
+        far = {self.zone_of(source), self.zone_of(target)} - {""}
+
         def dialled(own: Address) -> None:
             self._senders[own] = source
 
         seed = hash_of(f"{self.seed}/{source}/{target}/{what}")
-        self.relays[source, target, what] = Relay(self.loop, host, address, seed, dialled)
+        usual_ms = self.scenario.far_ms if len(far) > 1 else 0.0
+        self.relays[source, target, what] = Relay(self.loop, host, address, seed, dialled, usual_ms)
+
+    def zone_of(self, party: str) -> str:
+        """Where a party stands; the change log of a front end stands beside it."""
+        if party in self.fronts:
+            return self.fronts[party].zone
+        return self.scorer_zone.get(party, party[8:] if party.startswith("clients-") else "")
 
     def _relays_of(self, front: Front) -> None:
         place = self.zones.index(front.zone)
--- a/fawnwharf/standins/relay.py
+++ b/fawnwharf/standins/relay.py
@@ -172,11 +172,14 @@
         target: Address,
         seed: int = 0,
         dialled: Callable[[Address], None] | None = None,
+        usual_ms: float = 0.0,
     ) -> None:
-        """`dialled` is told the address from which each connection to the target comes."""
+        """`dialled` is told the address from which each connection to the target comes. `usual_ms`: what a
+        good link takes, each way."""
         self.loop, self.target, self.chance = loop, target, random.Random(seed)
         self._dialled = dialled
-        self.faults = {FORWARD: Fault(), BACKWARD: Fault()}
+        self.good = Fault(delay_ms=usual_ms)
+        self.faults = {FORWARD: self.good, BACKWARD: self.good}
         self.pipes: dict[_Pipe, None] = {}
         self.bytes = {FORWARD: 0, BACKWARD: 0}
         self.touched_ms = -1e18  # when a fault was last there
@@ -213,7 +216,7 @@
 
     @property
     def faulty(self) -> bool:
-        return any(fault != Fault() for fault in self.faults.values())
+        return any(fault != self.good for fault in self.faults.values())
 
     def dialled(self, sock: socket.socket) -> None:
         if self._dialled:
@@ -226,7 +229,7 @@
         self._settle()
 
     def heal(self) -> None:
-        self.faults = {FORWARD: Fault(), BACKWARD: Fault()}
+        self.faults = {FORWARD: self.good, BACKWARD: self.good}
         self.touched_ms = monotonic_ms()
         self._settle()
 
--- a/tests/test_lab_steps.py
+++ b/tests/test_lab_steps.py
@@ -189,3 +189,12 @@
     before = waits.total_ms[-1]
     waits.look(2.0, os.getppid())
     assert waits.total_ms[-1] >= before and waits.between(0.0, 1e9) == waits.total_ms[-1] - before
+
+
+def test_an_exception_at_a_front_end_breaks_the_verdict_though_it_goes_on(runner):
+    fleet = runner.fleet
+    fleet.wrote(fleet.fronts["n1"], "n1: no fault in this")
+    assert judge(fleet).broken == []
+    fleet.wrote(fleet.fronts["n1"], "n1: fault in a timer: Traceback | KeyError: 3 | ")
+    [broken] = judge(fleet).broken
+    assert broken.startswith("faults: 1, the first of n1") and broken.endswith("KeyError: 3")
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -183,6 +183,38 @@
         crowd.stop()
 
 
+class FarLinks(Case):
+    def test_a_good_link_may_take_its_time_and_does_so_again_once_it_is_healed(self):
+        server = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(server.close)
+        relay = Relay(self.loop, "127.0.0.1", server.getsockname(), usual_ms=40.0)
+        self.addCleanup(relay.close)
+        self.assertFalse(relay.faulty)
+        relay.set(FORWARD, delay_ms=5.0)
+        self.assertTrue(relay.faulty)
+        relay.heal()
+        self.assertFalse(relay.faulty)
+        sock = socket.create_connection(relay.address)
+        self.addCleanup(sock.close)
+        server.setblocking(False)
+        far = []
+
+        def came():
+            if not far:
+                with contextlib.suppress(BlockingIOError):
+                    far.append(server.accept()[0])
+                    far[0].setblocking(False)
+                    self.addCleanup(far[0].close)
+                return False
+            with contextlib.suppress(BlockingIOError):
+                return far[0].recv(9) == b"x"
+
+        began = time.monotonic()
+        sock.sendall(b"x")
+        self.until(came, "it has come")
+        self.assertGreaterEqual(time.monotonic() - began, 0.04)
+
+
 class Sessions(Case):
     def crowd(self, **how):
         kinds = [Kind("settle", "at_most_once", give_up_ms=2_000.0)]
