--- a/fawnwharf/lab/sessions.py
+++ b/fawnwharf/lab/sessions.py
@@ -1,5 +1,7 @@
 """Steps of scenarios with sessions: clients that move, and what operators ask by their files."""
 
+import json
+
 from fawnwharf.lab.files import write_whole
 from fawnwharf.lab.fleet import Fleet
 from fawnwharf.lab.parties import Parties
@@ -59,14 +61,13 @@
         offset = unix_ms() - monotonic_ms()
         planned = sorted([*(self._drawn or ()), *self.fleet.clients.planned], key=lambda p: p.at_ms)
         moves = [
-            {
-                "org": p.live.org, "row": p.live.row, "whence": p.whence, "whither": p.whither,
-                "at_ms": p.at_ms + offset,
-            }
+            {"at_ms": p.at_ms + offset, "org": p.live.org, "row": p.live.row, "whither": p.whither}
             for p in planned
-        ]  # fmt: skip
+        ]
         for front in self.fleet.fronts.values():
-            write_whole(front.folder / "told.json", {"version": 1, "moves": moves})
+            beside = front.folder / "told.new"
+            beside.write_text("".join(json.dumps(move) + "\n" for move in moves))
+            beside.rename(front.folder / "told.jsonl")
 
     def _tell_on(self) -> None:
         self.tell_oracle()
