--- a/fawnwharf/lab/sessions.py
+++ b/fawnwharf/lab/sessions.py
@@ -20,6 +20,7 @@
         self.fleet, self.parties = fleet, parties
         self.number = 0
         self.drained: list[str] = []
+        self._drainers: set[str] = set()  # members at which sites were asked to be emptied
         self.disturbed: list[Moved] = []  # sessions whose site was lost, or came back
         self._drawn: list[Planned] | None = None
         if oracle(fleet):
@@ -105,6 +106,7 @@
     def _write(self, front: Front, moves: list[dict[str, str]]) -> None:
         self.number += 1
         wishes = {"version": 1, "number": self.number, "moves": moves, "drained": self.drained}
+        (front.folder / "kept").mkdir(exist_ok=True)
         write_whole(front.folder / "kept" / "moves.json", wishes)
 
     def move_session(self, step: Step) -> None:
@@ -124,7 +126,9 @@
         self.drained = step.what.split(",") if step.what else []
         front = self.parties.fronts(step.to)[0] if step.to else self.asked("")
         self.fleet.asked = front.name
-        self._write(front, [])
+        for name in {front.name} if self.drained else self._drainers:  # a wish stands where it was made
+            self._write(self.fleet.fronts[name], [])
+        self._drainers = self._drainers | {front.name} if self.drained else set()
 
     def release(self, step: Step) -> None:
         """So large a part of the functions is released anew: their copies are void."""
--- a/tests/test_lab_sessions.py
+++ b/tests/test_lab_sessions.py
@@ -16,6 +16,7 @@
 from fawnwharf.standins.calls import Kind, Request, Try
 from fawnwharf.standins.nature import Arrival
 
+CI = ["sessions-move", "sessions-cut", "sessions-killed"]
 S, OTHER = ("t", "f"), ("u", "f")
 
 
@@ -176,6 +177,8 @@
         fleet.fronts["n2"].process = None
         steps.drain_site(Step("drain_site", what="a,b"))
         assert fleet.asked == "n5" and asked_of(fleet.fronts["n5"])["number"] == 3
+        steps.drain_site(Step("drain_site"))  # each member that was asked is told of the end
+        assert [asked_of(fleet.fronts[name])["drained"] for name in ("n2", "n5")] == [[], []]
     finally:
         for front in fleet.fronts.values():
             front.process = None
@@ -195,3 +198,21 @@
     went = [(m.org, m.row, m.whither) for m in fleet.clients.moved]
     assert [(m.org, m.row, m.whither) for m in ahead] == went
     assert {m.whence for m in fleet.clients.moved} == {"a"} and first.at_ms > 1e12  # of the Unix clock
+
+
+@pytest.mark.parametrize("name", CI)
+def test_sessions_are_handed_over_and_all_rules_kept_whatever_fails(name):
+    measures = Runner(scenarios.load(name), seed=3).run()
+    assert measures.verdict.broken == []
+    assert measures.second_runs == 0
+    assert measures.sessions.switched >= 8 and measures.sessions.done >= 8
+    assert measures.sessions.clients.moves > 5
+    assert measures.verdict.checked["effects"] > 80  # a busy machine asks for less
+    assert measures.outcomes["served"] > 0.8 * sum(measures.outcomes.values())
+
+
+def test_the_same_clients_run_calls_twice_where_no_state_is_kept():
+    plain = msgspec.structs.replace(scenarios.load("sessions-cut"), state=None, sessions=None)
+    measures = Runner(plain, seed=3).run()
+    assert measures.second_runs > 0
+    assert any(text.startswith("effects: transfer-settle") for text in measures.verdict.broken)
