--- a/fawnwharf/lab/sessions.py
+++ b/fawnwharf/lab/sessions.py
@@ -110,13 +110,14 @@
         write_whole(front.folder / "kept" / "moves.json", wishes)
 
     def move_session(self, step: Step) -> None:
-        """`what` is a site, or one session as tenant/function; `value` how many of the site, all if 0."""
+        """`what` is a site, or one session as tenant/function; `value` how many of the site, all if 0. Of one
+        that has not called nobody knows."""
         clients = self.fleet.clients
         org, slash, row = step.what.partition("/")
         if slash:
             drawn = [Live(org, row, "")]
         else:
-            drawn = clients.draw(org, count=int(step.value) or len(clients.live), but=step.to)
+            drawn = clients.draw(org, count=int(step.value) or len(clients.live), but=step.to, called=True)
         site = step.to
         self._write(self.asked(site), [{"org": live.org, "row": live.row, "site": site} for live in drawn])
 
--- a/fawnwharf/standins/sessions.py
+++ b/fawnwharf/standins/sessions.py
@@ -97,13 +97,23 @@
     # --- moves ----------------------------------------------------------------------------------
 
     def draw(
-        self, whence: str, share: float = 1.0, tenant: str = "", count: int | None = None, but: str = ""
+        self,
+        whence: str,
+        share: float = 1.0,
+        tenant: str = "",
+        count: int | None = None,
+        but: str = "",
+        called: bool = False,
     ) -> list[Live]:
-        """So large a part of the sessions of a site (`*`: of all), or so many, but those at `but`."""
+        """So large a part of the sessions of a site (`*`: of all), or so many, but those at `but`; of those
+        that have called, where it is said."""
         there = [
             live
             for live in self.live
-            if whence in (ANY, live.site) and live.site != but and tenant in ("", live.org)
+            if whence in (ANY, live.site)
+            and live.site != but
+            and tenant in ("", live.org)
+            and (live.recent or not called)
         ]
         count = round(share * len(there)) if count is None else min(count, len(there))
         return self._moving.sample(there, count)
--- a/tests/test_lab_sessions.py
+++ b/tests/test_lab_sessions.py
@@ -164,13 +164,16 @@
         (front.folder / "kept").mkdir()
     try:
         fleet.notes.append(Noted(0.0, "n0", "state on", {"keepers": {"a": ["n1"], "b": ["n2"], "c": ["n5"]}}))
-        steps.move_session(Step("move_session", what="a", to="b", value=3))
+        fleet.clients.live[0].recent.clear()
+        for live in fleet.clients.live[1:]:
+            live.recent.append(request(0.0))
+        steps.move_session(Step("move_session", what="a", to="b", value=11))
         assert fleet.asked == "n2"
         wishes = asked_of(fleet.fronts["n2"])
         assert wishes["number"] == 1 and wishes["drained"] == []
-        at_a = {(live.org, live.row) for live in fleet.clients.live if live.site == "a"}
+        at_a = {(live.org, live.row) for live in fleet.clients.live[1:] if live.site == "a"}
         found = [(move["org"], move["row"], move["site"]) for move in wishes["moves"]]
-        assert len(found) == 3 and {(org, row) for org, row, _ in found} <= at_a
+        assert len(found) == 11 and {(org, row) for org, row, _ in found} == at_a
         assert {site for _, _, site in found} == {"b"}
         steps.drain_site(Step("drain_site", what="a"))
         assert fleet.asked == "n2" and asked_of(fleet.fronts["n2"])["drained"] == ["a"]
