--- a/fawnwharf/foresight/planner.py
+++ b/fawnwharf/foresight/planner.py
@@ -22,7 +22,7 @@
 HELD_MOST = 4_096  # stages of one front end
 AWAY_MS = 500.0  # a stage's load may end so much before its calls come
 RESTS_MOST = 20_000
-CALLED, WISHES, ORDERS_MOST = 400, 25, 64  # of one slice; hash orders worked out at one look
+CALLED, WISHES, ORDERS_MOST = 400, 12, 64  # of one slice; hash orders worked out at one look
 
 
 @dataclass(slots=True)
@@ -129,12 +129,13 @@
         return drained(self.marking(now_ms, beat))
 
     def marking(self, now_ms: float, beat: m.Beat) -> Slices[list[LetGo]]:
-        for n, (session, site) in enumerate(beat.called):
+        for n, calls in enumerate(beat.called if self.held else ()):
             if n % CALLED == CALLED - 1:
                 yield
-            if (held := self.held.get((session.row, site))) is not None:
+            key = (calls.session.row, calls.site)
+            if (held := self.held.get(key)) is not None:
                 self.used += 1
-                self._settle(now_ms, (session.row, site), held.gain)
+                self._settle(now_ms, key, held.gain)
         yield
         gone = []
         for key, held in list(self.held.items()):
@@ -172,7 +173,9 @@
             return found
         wishes: dict[tuple[str, str], _Wish] = {}
         yield
-        for move in moves:
+        for n, move in enumerate(moves):
+            if n % CALLED == CALLED - 1:
+                yield
             if move.whither in self._disturbed:
                 self._skip("a disturbed site")
             else:
