Sessions' trace for trials; the oracle's file is read again when it changes

Need: homes are a preference of the module, so a run at the old site proves nothing; by which number each call went, and what of quotas a hand-over carried, only front ends know. And the lab knows a move only as it is drawn, while the oracle's file was read at the start alone. Change: trace of sessions.json, read by the checker; a look at told each quarter second in trials.

--- a/fawnwharf/lab/moves.py
+++ b/fawnwharf/lab/moves.py
@@ -34,22 +34,25 @@
     return found
 
 
-def sent_of(fleet: Fleet) -> list[homes.Sent]:
-    """Front ends' own traces: by which number each call was sent. Lines that are not whole are the last ones
-    of a life."""
-    offset, found = monotonic_ms() - unix_ms(), []
+def traced(fleet: Fleet) -> tuple[list[homes.Sent], list[tuple[str, str, int]]]:
+    """Front ends' own traces: by which number each call was sent, and what of quotas hand-overs carried, as
+    (tenant, counter, count). Lines that are not whole are the last ones of a life."""
+    offset, found, carried = monotonic_ms() - unix_ms(), [], []
     for front in fleet.fronts.values():
         path = front.folder / "trace.jsonl"
         for line in path.read_text().splitlines() if path.exists() else ():
             try:
                 f = json.loads(line)
+                if "spent" in f:
+                    carried += [(f["org"], counter, count) for counter, count in f["spent"].items()]
+                    continue
                 at_ms = f["sent_ms"] + offset
                 session, call, number, site = (f["org"], f["row"]), f["call"], f["number"], f["site"]
             except (ValueError, KeyError, TypeError):
                 continue
             life = bisect_right([since for since, _ in front.lives], at_ms)
             found.append(homes.Sent(at_ms, front.name, life, call, session, number, site))
-    return found
+    return found, carried
 
 
 def uses_of(arrivals: Iterable[Any]) -> list[homes.Use]:
@@ -67,7 +70,8 @@
 
 def judge(fleet: Fleet) -> tuple[list[str], Counter]:
     """What was broken of homes and released copies, and by how much each rule was tried."""
-    told, sent = told_of(fleet.notes), sent_of(fleet)
+    told = told_of(fleet.notes)
+    sent, carried = traced(fleet)
     unloads = [
         homes.Unload(a.at_ms, a.scorer, fleet.scorer_zone[a.scorer], a.function, a.sender)
         for a in fleet.arrivals
@@ -99,12 +103,6 @@
     broken = homes.one_home(told, sent)
     broken += homes.by_the_number(told, sent, excused, LATE_MS)
     broken += homes.let_go(unloads, uses_of(fleet.arrivals), told, last_call, RACE_MS, still_ms)
-    carried = [
-        (note.fields["org"], counter, count)
-        for note in fleet.notes
-        if note.event == "session moved"
-        for counter, count in dict(note.fields.get("spent") or {}).items()
-    ]
     broken += homes.spent_once(carried, came)
     tried = Counter(homes=len(told), numbers=len(sent), quotas=len(carried))
     tried["let go"] = len(unloads)
--- a/fawnwharf/sessions/foreseen.py
+++ b/fawnwharf/sessions/foreseen.py
@@ -2,6 +2,7 @@
 
 What it lets go is left to lapse: to unload it would take copies of whoever uses them by now."""
 
+import contextlib
 from pathlib import Path
 from typing import Any
 
@@ -18,10 +19,12 @@
 from fawnwharf.sessions.moves import place_of
 from fawnwharf.sessions.staging import Beat, Seen, Staging, Word, announced_from
 from fawnwharf.sites import Session
-from fawnwharf.zones.files import load
+from fawnwharf.zones.files import WatchedFile, load
 from fawnwharf.zones.plan import LEAVING, OUT
+from fawnwharf.zones.settings import FileFault
 
 RIDER = "foresight"
+TOLD_MS = 250.0  # pace of looks at the oracle's file
 SEE_MS = 50.0  # pace of looks at what the module holds
 
 
@@ -44,9 +47,10 @@
             place=place_of,
             belongs=lambda session: agent.moves.away.get(session, ""),
         )
+        self._told = WatchedFile(path.parent / bounds.told) if bounds.told else None
+        self._told_ms = float("-inf")
         if bounds.told:
-            moves = load(path.parent / bounds.told, foretold_from, "sessions")
-            self.staging.foretold(monotonic_ms(), unix_ms(), moves)
+            load(path.parent / bounds.told, foretold_from, "sessions")
         self.bad = self.ordered = 0
         self._owners: dict[str, str] = {}  # the life that is heard of each member
         self._plan: Any = None
@@ -98,7 +102,16 @@
         self._carry_out(now, beat)
         self._timer = self.front.loop.wheel.after(beat.again_ms, self._beat)
 
+    def _foretold(self, now_ms: float) -> None:
+        """A trial tells of moves as it draws them; a file that can't be read changes nothing."""
+        self._told_ms = now_ms
+        if (data := self._told.changed()) is not None:
+            with contextlib.suppress(FileFault):
+                self.staging.foretold(now_ms, unix_ms(), foretold_from(data))
+
     def _look(self, now_ms: float) -> Seen:
+        if self._told is not None and now_ms - self._told_ms >= TOLD_MS:
+            self._foretold(now_ms)
         agent, module = self.agent, self.front.router
         plan = self.zones.core.plan if self.zones is not None else None
         if plan is not None and plan is not self._plan:
--- a/fawnwharf/sessions/service.py
+++ b/fawnwharf/sessions/service.py
@@ -17,6 +17,7 @@
 from fawnwharf.sessions.effects import Copies, Dropped, Note, Words
 from fawnwharf.sessions.settings import Settings, Wishes, by_classes, settings_from, wishes_from, wishes_place
 from fawnwharf.sessions.stages import Stages
+from fawnwharf.sessions.trace import Trace
 from fawnwharf.sites import LetGo, Session
 from fawnwharf.zones.files import WatchedFile, load
 from fawnwharf.zones.plan import LEAVING, OUT, RETURNING
@@ -88,6 +89,12 @@
         self._timer_ms = 0.0
         self._stopped = False
         self.front: FrontEnd | None = None
+        self.trace: Trace | None = None
+        if read.trace:
+            try:
+                self.trace = Trace(place.parent / read.trace)
+            except OSError as error:
+                raise ConfigError(f"sessions: trace: {read.trace}: {error.strerror}") from None
         self.foreseen = None
         if read.foresight is not None:
             from fawnwharf.sessions.foreseen import Foreseen
@@ -114,6 +121,9 @@
     def close(self) -> None:
         self._stopped = True
         self.state.riders.pop(w.RIDER, None)
+        if self.trace is not None:
+            self.trace.close()
+            self.trace = None
         if self.foreseen is not None:
             self.foreseen.close()
         if self._timer is not None:
@@ -159,6 +169,8 @@
             event.load_ms,
             event.budget_ms,
         )
+        if self.trace is not None:
+            self.trace.taken(event.request, home)
         event.site = home.site if home.site != self.site else ""
 
     def _ended(self, now_ms: float, event: io.AttemptEnded) -> None:
@@ -259,6 +271,8 @@
         if isinstance(word, w.Status):
             self._drained[sender] = now_ms, word.drained
             return
+        if self.trace is not None:
+            self.trace.received(word.words)
         self.agent.hear(now_ms, sender, life, word.words)
         self._carry_out(now_ms)
 
--- a/fawnwharf/sessions/settings.py
+++ b/fawnwharf/sessions/settings.py
@@ -28,6 +28,7 @@
     folder: str = ""  # for what operators ask; that of state where it is not said, and this file's own else
     handover: Handover = msgspec.field(default_factory=Handover)
     drain: DrainSettings = msgspec.field(default_factory=DrainSettings)
+    trace: str = ""  # trials alone: a file that gets a line for each call, and each session received
     foresight: dict[str, Any] | None = None  # checked by its own part; without it nothing is foreseen
 
 
--- /dev/null
+++ b/fawnwharf/sessions/trace.py
@@ -0,0 +1,37 @@
+"""For trials: a file with a line of JSON for each call that is taken, by which home, and for each session
+that is received, what it brought. Whoever judges a run reads it; nothing here does."""
+
+import contextlib
+import json
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Any
+
+from fawnwharf.handover import messages as m
+from fawnwharf.net.wheel import unix_ms
+from fawnwharf.sites import Home
+
+
+class Trace:
+    def __init__(self, path: Path) -> None:
+        """Raises OSError where the file can't be written."""
+        self._file = open(path, "ab", buffering=0)  # noqa: SIM115  one line, one write
+
+    def close(self) -> None:
+        self._file.close()
+
+    def taken(self, call: str, home: Home) -> None:
+        """`sent_ms` is the Unix millisecond at which the module was handed the call."""
+        session = home.session
+        said = {"call": call, "org": session.org, "row": session.row}
+        self._write(said | {"number": home.number, "site": home.site, "sent_ms": unix_ms()})
+
+    def received(self, words: Iterable[m.Message]) -> None:
+        for word in words:
+            if isinstance(word, m.Receive) and word.context is not None:
+                said = {"org": word.session.org, "row": word.session.row, "number": word.number}
+                self._write(said | {"spent": dict(word.context.spent)})
+
+    def _write(self, line: dict[str, Any]) -> None:
+        with contextlib.suppress(OSError):  # a full disk is no reason to stop serving
+            self._file.write(json.dumps(line).encode() + b"\n")
--- a/tests/test_lab_sessions.py
+++ b/tests/test_lab_sessions.py
@@ -2,10 +2,14 @@
 run is judged, each by records that break it.
 """
 
+import json
+from types import SimpleNamespace
+
 import msgspec
 import pytest
 
 from fawnwharf.foresight.ways import foretold_from
+from fawnwharf.handover import messages as m
 from fawnwharf.lab import homes, moves
 from fawnwharf.lab import scenario as scenarios
 from fawnwharf.lab.homes import Sent, Told, Unload, Use
@@ -13,8 +17,13 @@
 from fawnwharf.lab.run import Runner
 from fawnwharf.lab.scenario import ScenarioFault, Step, scenario_from
 from fawnwharf.lab.sessions import SessionSteps
+from fawnwharf.net.wheel import monotonic_ms
+from fawnwharf.sessions.foreseen import Foreseen
+from fawnwharf.sessions.trace import Trace
+from fawnwharf.sites import Home, Session
 from fawnwharf.standins.calls import Kind, Request, Try
 from fawnwharf.standins.nature import Arrival
+from fawnwharf.zones.files import WatchedFile
 
 CI = ["sessions-move", "sessions-cut", "sessions-killed"]
 S, OTHER = ("t", "f"), ("u", "f")
@@ -145,6 +154,37 @@
         scenario_from(msgspec.json.encode(plain | more))
 
 
+def test_a_front_ends_trace_tells_by_which_home_calls_went_and_what_was_carried(runner, tmp_path):
+    fleet = runner.fleet
+    front = fleet.fronts["n1"]
+    trace = Trace(front.folder / "trace.jsonl")
+    trace.taken("r1", Home(Session("t", "f"), "b", 3))
+    context = m.Context(spent=(("n0#7", 9),))
+    words = [m.Receive(Session("t", "f"), m.Turn(), 4, 1, 10.0, context), m.Give(Session("t", "f"), m.Turn())]
+    trace.received([*words, m.Receive(Session("t", "f"), m.Turn(), 4, 1, 10.0)])
+    trace.close()
+    with open(front.folder / "trace.jsonl", "ab") as file:
+        file.write(b'{"call": "r2", "or')  # it was killed there
+    front.lives.append([0.0, float("inf")])
+    [one], carried = moves.traced(fleet)
+    assert (one.front, one.life, one.session, one.number, one.site) == ("n1", 1, S, 3, "b")
+    assert abs(one.at_ms - monotonic_ms()) < 60_000.0  # of the lab's own clock
+    assert carried == [("t", "n0#7", 9)]
+
+
+def test_what_an_oracle_is_told_is_read_again_when_it_changes(tmp_path):
+    told = []
+    foreseen = object.__new__(Foreseen)
+    foreseen._told = WatchedFile(tmp_path / "told.jsonl")
+    foreseen.staging = SimpleNamespace(foretold=lambda now, unix, moves: told.append(moves))
+    line = json.dumps({"at_ms": 5.0, "org": "t", "row": "f", "whither": "b"}) + "\n"
+    for text in ("", line, line, "{", line + line):
+        (tmp_path / "told.jsonl").write_text(text)
+        foreseen._foretold(0.0)
+        foreseen._foretold(0.0)
+    assert [len(moves) for moves in told][:2] == [0, 1] and len(told[-1]) == 2
+
+
 @pytest.fixture
 def runner():
     made = Runner(scenarios.load("sessions-move"), seed=1)
