Owners tell sends to cold scorers, loads and copies; keepers answer with the others' sum

Front ends guess by dividing what others send to a scorer that is cold, order loads that others have ordered, and ask after copies that others have seen. With `elsewhere` in the settings of state (off without it) each tells its keepers, which answer each word with what all others have, the owner's own part taken off exactly.

Sends and orders are seen at the table of requests, by a witness at four places. A seam method that is told the actions was turned down: an action does not tell whether the call went, an order's end not whether it was a load or a question, an attempt's end not of which function.

Ages come from numbers that go back and forth, so that a held-up line or a wrong clock only makes a word older (property test with clocks set apart, delays up to 1.5 s, repeats). Merging does not depend on order or repeats (property tests of an owner's words and of the answers to five owners).

--- a/fawnwharf/net/requests.py
+++ b/fawnwharf/net/requests.py
@@ -7,6 +7,7 @@
 import itertools
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Protocol
 
 from fawnwharf import interface as io
 from fawnwharf.config import Wire
@@ -65,12 +66,25 @@
     attempts: int = 0  # sent so far; the module numbers them in the same order
 
 
+class Witness(Protocol):
+    """Who is told what goes to scorers and comes back, as it does."""
+
+    def sent(self, attempt: Attempt) -> None: ...
+
+    def ended(self, attempt: Attempt, ending: io.Ending, warmth: io.Warmth) -> None: ...
+
+    def ordered(self, order: Order) -> None: ...
+
+    def order_ended(self, order: Order, ending: io.Ending, copies: int) -> None: ...
+
+
 class RequestTable:
     """Owns every open request, and sees to it that each gets exactly one outcome."""
 
     def __init__(self, loop: Loop, pool: ScorerPool, wire: Wire) -> None:
         self.open: dict[str, OpenRequest] = {}
         self._loop, self._pool, self._wire = loop, pool, wire
+        self.witness: Witness | None = None
         self._bodies = 0
         self._numbers = itertools.count(1)
         # Attempts that are out, also of requests that are over: the module may still call them off.
@@ -159,6 +173,8 @@
             body=call.body,
             deadline_ms=request.deadline_ms,
         )
+        if self.witness:
+            self.witness.sent(attempt)
         self._pool.send(attempt)
 
     def cancel(self, action: io.Cancel) -> None:
@@ -183,6 +199,8 @@
             ending, warmth, crowd = answer.ending, answer.warmth, self._crowd(answer)
             if ending is io.Ending.GOOD:
                 self._finish(key, Served(answer.body))
+        if self.witness:
+            self.witness.ended(attempt, ending, warmth)
         took = monotonic_ms() - attempt.began_ms
         closed = key not in self.open
         self._loop.tell(io.AttemptEnded(key, number, attempt.worker, ending, took, closed, warmth, crowd))
@@ -193,10 +211,15 @@
         return min(CROWD_MOST, answer.crowd)
 
     def order(self, action: io.Hold) -> None:
-        self._pool.order(Order(action.worker, self._order_ended, action.function, action.copies))
+        order = Order(action.worker, self._order_ended, action.function, action.copies)
+        if self.witness:
+            self.witness.ordered(order)
+        self._pool.order(order)
 
     def _order_ended(self, order: Order, end: End | None, answer: Answer | None) -> None:
         took = monotonic_ms() - order.began_ms
         ending = answer.ending if answer else told(end or End.NEVER_SENT, order.begun)
         copies = answer.copies if answer else 0
+        if self.witness:
+            self.witness.order_ended(order, ending, copies)
         self._loop.tell(io.OrderAnswered(order.worker, order.function, ending, copies, took))
--- a/fawnwharf/replication/core.py
+++ b/fawnwharf/replication/core.py
@@ -8,12 +8,15 @@
 
 import msgspec
 
+from fawnwharf import interface as io
 from fawnwharf.interface import Effect
 from fawnwharf.replication import messages as m
 from fawnwharf.replication.beliefs import Sightings, Sights
 from fawnwharf.replication.claimant import Claimant, Out
 from fawnwharf.replication.claims import Phase
+from fawnwharf.replication.elsewhere import Own
 from fawnwharf.replication.keeper import Keeper
+from fawnwharf.replication.others import View, Words
 from fawnwharf.replication.placement import Placement
 from fawnwharf.replication.settings import Settings
 from fawnwharf.replication.use import Shares, Uses
@@ -56,6 +59,9 @@
         self.rides: list[tuple[str, int, m.Ride]] = []  # the same: by whom, and of which life
         self._named = False  # bad scorers were told last time
         self.shares: Shares | None = None  # where quotas are kept by the fleet
+        self.own: Own | None = None  # where work is told to others
+        self.words = Words(settings.word_ms, settings.copies_ms, life)
+        self.view = View(settings.word_ms, settings.copies_ms)
         self._tick_due_ms = now_ms
 
     def _count(self, cause: str) -> None:
@@ -111,6 +117,12 @@
     def _take(self, now_ms: float, sender: str, life: int, say: m.Message) -> list[Out]:
         if isinstance(say, m.Word):
             return self.claimant.word(now_ms, sender, say)
+        if isinstance(say, m.Others):
+            if self.own and say.life == self.life and sender in self.placement.keepers:
+                self.view.heard(sender, life, say)
+            else:
+                self._count("work: answers to nobody here")
+            return []
         if isinstance(say, m.Hello):
             self.hellos.append((sender, say.asked))
             return []
@@ -140,6 +152,9 @@
         elif isinstance(say, m.Named):
             self.sightings.heard(now_ms, f"{sender}#{life}", say)
             found = []
+        elif isinstance(say, m.Work):
+            answer = self.words.heard(now_ms, self.name, f"{sender}#{life}", say) if self.own else None
+            found = [m.Say((sender,), answer)] if answer else []
         else:
             found = keeper.digests(now_ms, sender, say)
         return list(found)
@@ -162,7 +177,7 @@
 
     def status(self, now_ms: float) -> m.Status:
         """For operators, and whoever looks after them."""
-        keeper, counts = self.keeper, self.counts | self.claimant.counts
+        keeper, counts = self.keeper, self.counts | self.claimant.counts | self._work_counts(now_ms)
         lags = {name: round(max(0.0, now_ms - at_ms), 1) for name, (_, at_ms) in sorted(self.heard.items())}
         if keeper is None:
             return m.Status(counts=counts, open=len(self.claimant.mine), lags_ms=lags)
@@ -215,6 +230,28 @@
                 found.append(m.Say((), hints))
         return found
 
+    def tell_work(self, now_ms: float) -> list[Out]:
+        """Own work to the keepers, which answer with that of the others."""
+        word = self.own.word(now_ms, self.view.after())
+        self.view.asked(now_ms, word.number)
+        return self._inward(now_ms, [m.Say(tuple(self.placement.keepers[:16]), word)])
+
+    def elsewhere(self, now_ms: float, fronts: int) -> list[io.Elsewhere]:
+        """What the module is to hear of others' work; `fronts` are all of the fleet, as it was told."""
+        fronts = max(fronts, sum(bool(member.state) for member in self.members.members))
+        return self.view.changes(now_ms, self.own.cold(now_ms), self.own.known, fronts)
+
+    def _work_counts(self, now_ms: float) -> dict[str, int]:
+        if self.own is None:
+            return {}
+        best = self.view.best(now_ms)
+        return self.words.counts | self.view.counts | {
+            "work: words told": self.own.number,
+            "work: cut from words": self.own.cut,
+            "work: front ends heard": best.others.heard if best else 0,
+            "work: copies known": self.view.copies,
+        }  # fmt: skip
+
     # --- who is there ---------------------------------------------------------------------------
 
     def hears(self, now_ms: float, name: str, life: int) -> None:
@@ -230,6 +267,7 @@
         self.members, before = members, self.placement
         self.placement = Placement(members, self.settings.zones, self.settings.per_zone)
         self.claimant.placement = self.placement
+        self.view.forget_keepers(set(before.keepers) - set(self.placement.keepers))
         if self.keeper is None and self.name in self.placement.keepers:
             self.keeper = Keeper(self.name, before, self.settings, now_ms, self.life)
         if self.keeper:
--- a/fawnwharf/replication/messages.py
+++ b/fawnwharf/replication/messages.py
@@ -136,6 +136,52 @@
     scorers: Annotated[dict[Worker, Count], Meta(max_length=64)]
 
 
+Function = Annotated[str, Meta(max_length=256)]
+Number = Annotated[int, Meta(ge=0, le=1 << 40)]  # a scorer's
+
+
+class Load(Struct, frozen=True, array_like=True):
+    """An order to load that is under way, and since when."""
+
+    worker: Number
+    function: Function
+    age_ms: Span
+
+
+class Copy(Struct, frozen=True, array_like=True):
+    """Copies that an answer proved, 0 where it proved that none stands, and how long ago."""
+
+    worker: Number
+    function: Function
+    copies: Annotated[int, Meta(ge=0, le=1_000)]
+    age_ms: Span
+
+
+class Work(Struct, frozen=True, tag="work"):
+    """What an owner has sent and ordered, and what that proved. It asks for what others have."""
+
+    number: Count
+    after: Annotated[dict[Name, Count], Meta(max_length=16)] = {}  # last answer had of each keeper
+    sent: Annotated[dict[Worker, Count], Meta(max_length=64)] = {}  # to cold scorers, of late
+    loading: Annotated[tuple[Load, ...], Meta(max_length=64)] = ()
+    copies: Annotated[tuple[Copy, ...], Meta(max_length=96)] = ()  # news
+    cut: Count = 0  # copies and loads that found no room
+
+
+class Others(Struct, frozen=True, tag="others"):
+    """A keeper's answer to a Work: what all others have, without what its owner has."""
+
+    number: Count  # of the Work
+    life: Count  # of its owner
+    answer: Count
+    heard: Count  # front ends, the one that asks among them
+    age_ms: Span  # of the oldest word that the sends rest on
+    sent: Annotated[dict[Worker, Count], Meta(max_length=64)] = {}
+    loading: Annotated[tuple[Load, ...], Meta(max_length=256)] = ()
+    copies: Annotated[tuple[Copy, ...], Meta(max_length=256)] = ()  # news since the answer that was had
+    cut: Count = 0
+
+
 class Status(Struct, frozen=True, tag="status"):
     """How a front end stands, for operators."""
 
@@ -159,7 +205,23 @@
     word: Any
 
 
-Message = Status | Hello | Use | Sums | Named | Hints | Ask | Tell | Word | Want | Piece | Digests | Ride
+Message = (
+    Status
+    | Hello
+    | Use
+    | Sums
+    | Named
+    | Hints
+    | Work
+    | Others
+    | Ask
+    | Tell
+    | Word
+    | Want
+    | Piece
+    | Digests
+    | Ride
+)
 
 
 class Say(Struct, frozen=True):
--- a/fawnwharf/replication/service.py
+++ b/fawnwharf/replication/service.py
@@ -22,6 +22,7 @@
 from fawnwharf.replication.resting import Resting
 from fawnwharf.replication.settings import Settings, check_members, settings_from
 from fawnwharf.replication.use import Shares
+from fawnwharf.replication.working import Working
 from fawnwharf.zones.files import load
 from fawnwharf.zones.settings import FileFault, Members, members_from
 
@@ -68,6 +69,7 @@
             self.core.shares = Shares(quotas, deployment.settings.fleet_size)
         promises = (spec.promise_ms for spec in deployment.settings.classes.values())
         self.resting = Resting(min(promises, default=1_000.0), self.note)
+        self.working = Working(self.core, deployment.settings) if self.settings.elsewhere else None
         self.disk: OnFile | None = None
         if self.settings.folder and self.core.keeper:
             try:
@@ -117,6 +119,8 @@
             self._use()
         if self.settings.hints:
             self._beliefs()
+        if self.working:
+            self.working.attach(front, self._carry_out)
         self._tick()
         keepers = {zone: list(names) for zone, names in self.core.placement.by_zone.items()}
         self.note("state on", {"member": self.entry.name, "owner": self.core.owner, "keepers": keepers})
@@ -125,6 +129,8 @@
 
     def close(self) -> None:
         self._stopped = True
+        if self.working:
+            self.working.close()
         for feed in self._feeds.values():
             feed.close()
         if self.server:
@@ -138,6 +144,8 @@
         if self.core.shares:
             self.core.shares.came(e.tenant for e in events if isinstance(e, io.RequestArrived))
         self.resting.events(monotonic_ms(), events)
+        if self.working:
+            self.working.events(events)
 
     @property
     def busy(self) -> bool:
@@ -285,6 +293,8 @@
                 self.server.named(sender, asked)
             self.core.hellos.clear()
             self._carry_out(effects)
+            if self.working:
+                self.working.answered()
 
         return take
 
--- a/fawnwharf/replication/settings.py
+++ b/fawnwharf/replication/settings.py
@@ -48,6 +48,11 @@
     hints: bool = False  # scorers that several front ends hold bad rest at the others too
     hints_ms: Span = 250.0  # pace at which those are told
     use_ms: Span = 500.0  # pace at which that is told
+    elsewhere: bool = False  # sends to cold scorers, loads under way and proved copies are told
+    elsewhere_ms: Span = 250.0  # pace at which those are told
+    cold_told_ms: Span = 100.0  # while a scorer is cold, or a load under way
+    word_ms: Span = 1_000.0  # a word on sends and loads counts for so long
+    copies_ms: Span = 3_000.0  # a copy counts for so long after its proof, and for half its idle life at most
     bounds: Bounds = msgspec.field(default_factory=Bounds)
 
     @property
@@ -72,6 +77,12 @@
         raise FileFault("quiet_ms: less than twice wait_most_ms")
     if found.window_ms < 2 * found.wait_most_ms:
         raise FileFault("window_ms: less than twice wait_most_ms")
+    if found.cold_told_ms > found.elsewhere_ms:
+        raise FileFault("cold_told_ms: more than elsewhere_ms")
+    if found.word_ms < 3 * found.elsewhere_ms:
+        raise FileFault("word_ms: less than three times elsewhere_ms")
+    if found.copies_ms < found.word_ms:
+        raise FileFault("copies_ms: less than word_ms")
     return found
 
 
--- /dev/null
+++ b/fawnwharf/replication/working.py
@@ -0,0 +1,106 @@
+"""A front end's own work as its table of requests sees it, when it is told, and what its module hears of the
+others'. The thin part round `elsewhere.py` and `others.py`."""
+
+from collections.abc import Callable
+
+from fawnwharf import interface as io
+from fawnwharf.net.front_end import FrontEnd, worker_number
+from fawnwharf.net.streams import Attempt, Order
+from fawnwharf.net.wheel import Timer, monotonic_ms
+from fawnwharf.replication.claimant import Out
+from fawnwharf.replication.core import Core
+from fawnwharf.replication.elsewhere import Own
+
+GATHER_MS = 4.0  # keepers answer at nearly the same moment: the module hears once
+
+
+class Working:
+    """Owns the pace at which work is told; a witness of the front end's table."""
+
+    def __init__(self, core: Core, settings: io.Settings) -> None:
+        """Switches the telling on in this core."""
+        self._core = core
+        copies_ms = min(core.settings.copies_ms, settings.idle_life_ms / 2)
+        core.own = self.own = Own(settings.cold_ms, settings.fall_ms, copies_ms)
+        self._fronts = settings.fleet_size
+        self._front: FrontEnd | None = None
+        self._carry_out: Callable[[list[Out]], None] | None = None
+        self._timer: Timer | None = None
+        self._due_ms = self._told_ms = 0.0
+        self._gathers = False
+
+    def attach(self, front: FrontEnd, carry_out: Callable[[list[Out]], None]) -> None:
+        self._front, self._carry_out = front, carry_out
+        front.table.witness = self
+        entries = [
+            io.WorkerEntry(worker_number(member.id), up_since_ms=member.up_since_ms or None)
+            for member in front.overlay.members.values()
+        ]
+        self.own.roster(monotonic_ms(), front.loop.clock.now_ms(), entries, True)
+        self._tell()
+
+    def close(self) -> None:
+        if self._front is not None:
+            self._front.table.witness = None
+            self._timer.cancel()
+            self._front = None
+
+    # --- what is seen ---------------------------------------------------------------------------
+
+    def events(self, events: list[io.Event]) -> None:
+        for event in events:
+            if isinstance(event, io.RosterChanged) and self._front is not None:
+                unix_ms = self._front.loop.clock.now_ms()
+                self.own.roster(monotonic_ms(), unix_ms, event.entries, event.complete)
+                self._hasten()
+
+    def sent(self, attempt: Attempt) -> None:
+        self.own.sent(monotonic_ms(), attempt.worker)
+
+    def ended(self, attempt: Attempt, ending: io.Ending, warmth: io.Warmth) -> None:
+        self.own.ended(monotonic_ms(), attempt.worker, attempt.function, ending, warmth)
+
+    def ordered(self, order: Order) -> None:
+        self.own.ordered(monotonic_ms(), order.worker, order.function, order.copies)
+        if order.copies:
+            self._hasten()
+
+    def order_ended(self, order: Order, ending: io.Ending, copies: int) -> None:
+        now = monotonic_ms()
+        self.own.order_ended(now, order.worker, order.function, order.copies, ending, copies)
+        if order.copies:
+            self._hasten()
+
+    # --- what is told ---------------------------------------------------------------------------
+
+    def _tell(self) -> None:
+        if self._front is None:
+            return
+        self._told_ms = now = monotonic_ms()
+        self._carry_out(self._core.tell_work(now))
+        rules = self._core.settings
+        quick = bool(self.own.loads or self.own.cold(now))
+        self._set(now + (rules.cold_told_ms if quick else rules.elsewhere_ms))
+
+    def _hasten(self) -> None:
+        """There is news: the next word goes at the quick pace."""
+        due = self._told_ms + self._core.settings.cold_told_ms
+        if self._front is not None and due < self._due_ms:
+            self._timer.cancel()
+            self._set(due)
+
+    def _set(self, due_ms: float) -> None:
+        self._due_ms = due_ms
+        self._timer = self._front.loop.wheel.after(max(0.0, due_ms - monotonic_ms()), self._tell)
+
+    def answered(self) -> None:
+        """Lines came; if a keeper's answer is among them, the module hears of it in a moment."""
+        if self._core.view.news and not self._gathers and self._front is not None:
+            self._gathers = True
+            self._front.loop.wheel.after(GATHER_MS, self._hand_on)
+
+    def _hand_on(self) -> None:
+        self._gathers = self._core.view.news = False
+        if self._front is not None:
+            for event in self._core.elsewhere(monotonic_ms(), self._fronts):
+                self._front.loop.tell(event)
