--- a/fawnwharf/lab/commands.py
+++ b/fawnwharf/lab/commands.py
@@ -55,6 +55,9 @@
         f"a front end: {found.cpu:.3f} of a core, {found.memory_mb:.0f} MB at the most; "
         f"{found.member_bytes:.0f} bytes a second between members for each"
     )
+    typer.echo(f"asked {found.asks} times after copies; {found.orders} orders, {found.twice} of them twice")
+    if found.cold_most:
+        typer.echo(f"cold scorers: {found.cold_most:.2f} of their budget at most, {found.cold_used:.2f} used")
     if found.acted:
         half, last = found.acted[len(found.acted) // 2], found.acted[-1]
         typer.echo(f"zone lost: half acted within {half:.2f} s, all {len(found.acted)} within {last:.2f} s")
@@ -163,12 +166,19 @@
         "memory, MB": lambda m: m.memory_mb,
         "member bytes": lambda m: m.member_bytes,
         "cpu": lambda m: m.cpu,
+        "asks": lambda m: float(m.asks),
+        "orders": lambda m: float(m.orders),
+        "ordered twice": lambda m: float(m.twice),
+        "cold, most": lambda m: m.cold_most,
+        "cold, used": lambda m: m.cold_used,
     }
     for tenant in pairs.one[0].by_tenant:
         figures[f"of {tenant}"] = lambda m, tenant=tenant: m.by_tenant.get(tenant, 0.0)
     for name, of in figures.items():
         difference = pairs.difference(of)
-        typer.echo(f"{name:16} {difference}  {difference.says if name == 'service' else ''}".rstrip())
+        means = "  ".join(f"{sum(map(of, side)) / len(side):.4f}" for side in (pairs.one, pairs.other))
+        says = difference.says if name == "service" else ""
+        typer.echo(f"{name:16} {difference}  of {means}  {says}".rstrip())
     acted = [m.acted for m in pairs.one if m.acted]
     for name, part in {"half acted": 0.5, "all acted": 1.0}.items():
         if acted:
--- a/fawnwharf/lab/measures.py
+++ b/fawnwharf/lab/measures.py
@@ -6,6 +6,7 @@
 
 from hdrh.histogram import HdrHistogram
 
+from fawnwharf.lab import work
 from fawnwharf.lab.checker import Verdict, judge
 from fawnwharf.lab.fleet import Fleet
 from fawnwharf.lab.topology import STATE
@@ -55,6 +56,11 @@
     waits_ms: tuple[float, float] = (0.0, 0.0)  # for keepers: the mean median and the largest 99th percentile
     comebacks: Counter = field(default_factory=Counter)  # what became of lost at-most-once calls asked again
     complaints: list[str] = field(default_factory=list)
+    cold_most: float = 0.0  # of a cold scorer's budget, the most that ever came within its window
+    cold_used: float = 0.0  # what came in all
+    asks: int = 0  # questions after copies
+    orders: int = 0  # to load
+    twice: int = 0  # of those, for what another front end had just ordered
 
     def service(self, since_s: float = 0.0, until_s: float = 1e9) -> float:
         """Worth answered in time over worth asked."""
@@ -102,6 +108,9 @@
         passed = fleet.between_members() - self.passed
         runs = [a for a in fleet.arrivals if a.what == "run" and a.sender in fleet.fronts]
         far = sum(fleet.fronts[a.sender].zone != fleet.scorer_zone[a.scorer] for a in runs)
+        starts = {id: scorer.cold_starts for id, scorer in fleet.scorers.items()}
+        cold = work.cold_use(fleet.arrivals, starts, [r.began_ms for r in fleet.clients.requests])
+        came = work.counts(fleet.arrivals)
         return Measures(
             scenario=fleet.scenario.name,
             seed=fleet.seed,
@@ -131,6 +140,11 @@
                 and any(attempt.outcome == "lost" for attempt in request.tries[:-1])
             ),
             complaints=list(fleet.complaints),
+            cold_most=cold[0],
+            cold_used=cold[1],
+            asks=came["ask"],
+            orders=came["order"],
+            twice=work.twice(fleet.arrivals),
         )
 
     def _by_tenant(self) -> dict[str, float]:
--- a/fawnwharf/standins/scorers.py
+++ b/fawnwharf/standins/scorers.py
@@ -161,6 +161,7 @@
         self.life = 0
         self.port = 0
         self.done = 0  # runs that were answered
+        self.cold_starts: list[float] = []
         self._sender_of, self._note, self._listens = sender_of, note, listens
         self._start_ms: float | None = None
         self.start(cold=False)
@@ -177,6 +178,7 @@
         self._load_queue: deque[str] = deque()
         self._sent: deque[tuple[float, float]] = deque()
         self._start_ms = monotonic_ms() if cold else None
+        self.cold_starts += [self._start_ms] if cold else []
         self.life, self.up = self.life + 1, True
         self._listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
--- /dev/null
+++ b/tests/test_elsewhere_live.py
@@ -0,0 +1,104 @@
+"""A front end's own work on real sockets: what its table sees, and when it is told."""
+
+from cores import Cores
+from peers import Rig, ScorerPeer
+
+from fawnwharf import interface as io
+from fawnwharf.lab.work import cold_use, counts, twice
+from fawnwharf.net import scorer_frames
+from fawnwharf.net.front_end import worker_number
+from fawnwharf.net.wheel import unix_ms
+from fawnwharf.replication import messages as m
+from fawnwharf.replication.working import Working
+from fawnwharf.standins.scorers import Arrival
+
+
+class Cold(ScorerPeer):
+    """Has just started; holds its answers to orders back until it is told to give them."""
+
+    def __init__(self):
+        super().__init__("s-1", copies=None)
+        self.up_since_ms = unix_ms()
+
+    def member(self, phase="in_service", **more):
+        return super().member(phase, up_since_ms=self.up_since_ms, **more)
+
+    def orders(self, load):
+        """Those that came, loads or questions."""
+        return [i for i in self.of(scorer_frames.ENSURE) if (i[1].fields["slots_up"] != "0") == load]
+
+
+def rig_with(scorer, cold_ms=60_000.0):
+    rig = Rig(scorer, settings={"invariants": {"cold": cold_ms, "fall": 50_000.0}})
+    core, said = Cores().cores["n0"], []
+    working = Working(core, rig.front.deployment.settings)
+    working.attach(rig.front, said.extend)
+
+    def told():
+        return [say.message for say in said if isinstance(say.message, m.Work)]
+
+    return rig, working, told
+
+
+def test_the_table_tells_what_went_and_what_came_of_it():
+    scorer = Cold()
+    rig, working, told = rig_with(scorer)
+    worker = worker_number("s-1")
+    try:
+        client = rig.client()
+        client.call()
+        rig.until(lambda: scorer.orders(load=False) or scorer.orders(load=True), "it is asked or ordered")
+        for item in scorer.orders(load=False):
+            assert not any(word.loading for word in told())
+            scorer.answer(item, 0, "slots_up=0")
+        rig.until(lambda: scorer.orders(load=True), "a load is ordered")
+        rig.until(lambda: told()[-1].loading, "the load is told")
+        [load] = told()[-1].loading
+        assert load.worker == worker and told()[-1].sent == {}
+        scorer.answer(scorer.orders(load=True)[0], 0, "slots_up=1")
+        rig.until(lambda: scorer.runs, "the call goes")
+        rig.until(lambda: told()[-1].sent, "it is told")
+        assert told()[-1].sent == {str(worker): 1} and told()[-1].loading == ()
+        proved = [copy for word in told() for copy in word.copies if copy.copies]
+        assert [(copy.worker, copy.function, copy.copies) for copy in proved] == [(worker, load.function, 1)]
+        scorer.answer(scorer.runs[0])
+        rig.until(lambda: client.answers, "the answer")
+        working.close()
+        rig.front.loop.tell(io.LimitsChanged())  # the loop goes on without it
+        rig.settle(client)
+        assert rig.front.table.witness is None
+    finally:
+        rig.close()
+
+
+def test_words_come_at_the_quick_pace_only_while_there_is_something_cold_or_under_way():
+    for cold_ms, most, least in ((60_000.0, 130.0, 90.0), (1.0, 1_000.0, 240.0)):
+        rig, _, told = rig_with(Cold(), cold_ms)
+        try:
+            rig.until(lambda told=told: len(told()) > 2, "three words")
+            times = []
+            while len(times) < 4:
+                count = len(told())
+                rig.until(lambda told=told, count=count: len(told()) > count, "one more")
+                times.append(rig.front.loop.turn_ms)
+            spans = sorted(b - a for a, b in zip(times, times[1:], strict=False))
+            assert spans[0] >= least - 20.0 and (spans[0] < most)  # one that was held up is followed sooner
+        finally:
+            rig.close()
+
+
+def run(at_ms, sender, scorer="s", what="run", function="f"):
+    return Arrival(at_ms, scorer, sender, what, "1", "view", function, "", 1)
+
+
+def test_cold_use_and_double_orders_are_measured_by_what_scorers_saw():
+    # One call each 10 ms for one scorer: 2 x 0.1 x 1500 = 300 for a warm one, 60 at the start.
+    asked = [10.0 * n for n in range(800)]
+    flood = [run(1_000.0 + n, "n1") for n in range(60)]
+    most, used = cold_use(flood, {"s": [1_000.0]}, asked)
+    assert 0.92 < most < 1.0 and abs(used - 60 / (300 * 0.6 * 4_000 / 1_500)) < 1e-6
+    assert cold_use(flood, {"s": [1_000.0, 7_900.0], "t": []}, [])[0] == 0.0
+    assert cold_use([run(5_000.0, "n1"), run(999.0, "n1")], {"s": [1_000.0]}, asked) == (0.0, 0.0)
+    orders = [run(0.0, "n1", what="order"), run(10.0, "n1", what="order"), run(500.0, "n2", what="order"),
+              run(501.0, "n3", what="order", function="g"), run(1_101.0, "n1", what="order")]  # fmt: skip
+    assert twice(orders) == 1 and counts(orders) == {"order": 5}
