--- a/fawnwharf/replication/others.py
+++ b/fawnwharf/replication/others.py
@@ -11,13 +11,13 @@
 
 from fawnwharf import interface as io
 from fawnwharf.replication import messages as m
-from fawnwharf.replication.elsewhere import LOAD_LONG_MS, Place
+from fawnwharf.replication.elsewhere import AGAIN, LOAD_LONG_MS, Place
 
 SCORERS_MOST, LOADS_MOST, NEWS_MOST = 64, 256, 256  # in an answer
 LIVES_MOST = 2  # of one front end
 PLACES_MOST = 8_000  # of copies, each as the last two owners have it
 ANSWERS_MOST = 32  # that an owner's word may name
-SUM_MS = 10.0  # sums are made anew after so long
+SUM_MS = 20.0  # sums are made anew after so long
 FLOOD_MS = 5.0  # between two answers to one owner
 TELL_MOST = 256  # copies of one scorer, to the module
 AGAIN_MS = 500.0  # what stays the same is told to the module again, when it is so much fresher
@@ -65,6 +65,16 @@
     names: set[str] = field(default_factory=set)
 
 
+@dataclass(slots=True)
+class _Place:
+    """Copies of a function at a scorer: who told of them, and what was news last."""
+
+    owners: set[str] = field(default_factory=set)
+    number: int = 0
+    copies: int = -1
+    proof_ms: float = -math.inf
+
+
 class Words:
     """A keeper's: the words of all owners."""
 
@@ -75,7 +85,7 @@
         self.owners: dict[str, Owner] = {}
         self.counts: dict[str, int] = {}
         self._answers: dict[str, deque[tuple[int, float]]] = {}  # number and time of those to each owner
-        self._places: dict[Place, tuple[int, set[str]]] = {}  # the latest news last: its number, its owners
+        self._places: dict[Place, _Place] = {}  # the latest news last
         self._number = first  # of the last answer or news
         self._sum: _Sum | None = None
 
@@ -109,23 +119,27 @@
         if work.number <= held.number:
             self._count("work: older words")
         for place in held.merge(work, made_ms):
-            self._number += 1
-            owners = self._places.pop(place, (0, set()))[1] | {owner}
-            self._places[place] = self._number, owners
-            if len(owners) > 2:  # one more than any answer looks at: each is without its owner's own
-                self._drop(place, min(owners, key=lambda o: self.owners[o].copies[place][2]))
+            known = self._places.setdefault(place, _Place())
+            known.owners.add(owner)
+            if len(known.owners) > 2:  # one more than any answer looks at: each is without its owner's own
+                self._drop(place, min(known.owners, key=lambda o: self.owners[o].copies[place][2]))
+            proof_ms, copies = max(self.owners[o].copies[place][:0:-1] for o in known.owners)
+            # Who only had an answer knows of one copy: fewer than was told is no news until it is told anew.
+            more = copies > known.copies or (not copies and known.copies)
+            if more or proof_ms - known.proof_ms >= AGAIN * self.copies_ms:
+                self._number += 1
+                known.number, known.copies, known.proof_ms = self._number, copies, proof_ms
+                self._places[place] = self._places.pop(place)
         while len(self._places) > PLACES_MOST:
-            place, (_, owners) = next(iter(self._places.items()))
-            for name in owners:
+            place, known = next(iter(self._places.items()))
+            for name in list(known.owners):
                 self._drop(place, name)
 
     def _drop(self, place: Place, owner: str) -> None:
         self.owners[owner].copies.pop(place, None)
-        if place in self._places:
-            number, owners = self._places[place]
-            if owners - {owner}:
-                self._places[place] = number, owners - {owner}
-            else:
+        if known := self._places.get(place):
+            known.owners.discard(owner)
+            if not known.owners:
                 del self._places[place]
 
     def _tidy(self, now_ms: float, owner: str) -> None:
@@ -188,10 +202,10 @@
     def _news(self, now_ms: float, owner: str, since: int) -> tuple[list[m.Copy], int]:
         """Copies of which there is news since an answer, as the others have them; the latest first."""
         found, cut = [], 0
-        for place, (number, owners) in reversed(self._places.items()):
-            if number <= since:
+        for place, known in reversed(self._places.items()):
+            if known.number <= since:
                 break
-            proofs = [self.owners[o].copies[place][:0:-1] for o in owners if o != owner]
+            proofs = [self.owners[o].copies[place][:0:-1] for o in known.owners if o != owner]
             proof_ms, copies = max(proofs, default=(-math.inf, 0))
             if now_ms - proof_ms > self.copies_ms:
                 continue
