Front ends say when they know what others sent, and take it back when no keeper answers

Operators could not see whether budgets of cold scorers went by what others told or by dividing. The log has a line when that changes, and status counts the front ends heard. Where keepers are silent for longer than a word counts, the module is told so, beyond the fading of what it has.

--- a/fawnwharf/replication/core.py
+++ b/fawnwharf/replication/core.py
@@ -238,17 +238,23 @@
 
     def elsewhere(self, now_ms: float, fronts: int) -> list[io.Elsewhere]:
         """What the module is to hear of others' work; `fronts` are all of the fleet, as it was told."""
-        fronts = max(fronts, sum(bool(member.state) for member in self.members.members))
-        return self.view.changes(now_ms, self.own.cold(now_ms), self.own.known, fronts)
+        return self.view.changes(now_ms, self.own.cold(now_ms), self.own.known, self._all(fronts))
+
+    def knows_sends(self, now_ms: float, fronts: int) -> tuple[bool, int]:
+        """Whether what others sent to cold scorers is known, and how many front ends are heard."""
+        best = self.view.best(now_ms)
+        return self.view.sure(now_ms, self._all(fronts)), best.others.heard if best else 0
+
+    def _all(self, fronts: int) -> int:
+        return max(fronts, sum(bool(member.state) for member in self.members.members))
 
     def _work_counts(self, now_ms: float) -> dict[str, int]:
         if self.own is None:
             return {}
-        best = self.view.best(now_ms)
         return self.words.counts | self.view.counts | {
             "work: words told": self.own.number,
             "work: cut from words": self.own.cut,
-            "work: front ends heard": best.others.heard if best else 0,
+            "work: front ends heard": self.knows_sends(now_ms, 0)[1],
             "work: copies known": self.view.copies,
         }  # fmt: skip
 
--- a/fawnwharf/replication/others.py
+++ b/fawnwharf/replication/others.py
@@ -280,13 +280,18 @@
         fresh = [h for h in self._answers.values() if now_ms - self._made(h) <= self.word_ms]
         return max(fresh, key=lambda held: (held.others.heard, held.asked_ms), default=None)
 
+    def sure(self, now_ms: float, fronts: int) -> bool:
+        """Whether what others sent is known; `fronts` are all of the fleet."""
+        best = self.best(now_ms)
+        return best is not None and enough(best.others.heard, fronts)
+
     def _made(self, held: _Answer) -> float:
         return held.asked_ms - held.others.age_ms
 
     def changes(self, now_ms: float, cold: set[int], known: set[int], fronts: int) -> list[io.Elsewhere]:
         """What the module is to be told now, by scorer. `fronts` are all of the fleet."""
         best = self.best(now_ms)
-        sure = best is not None and enough(best.others.heard, fronts)
+        sure = self.sure(now_ms, fronts)
         loading: dict[int, dict[str, float]] = {}
         for held in self._answers.values():
             if now_ms - held.asked_ms <= self.word_ms:
--- a/fawnwharf/replication/service.py
+++ b/fawnwharf/replication/service.py
@@ -69,7 +69,9 @@
             self.core.shares = Shares(quotas, deployment.settings.fleet_size)
         promises = (spec.promise_ms for spec in deployment.settings.classes.values())
         self.resting = Resting(min(promises, default=1_000.0), self.note)
-        self.working = Working(self.core, deployment.settings) if self.settings.elsewhere else None
+        self.working: Working | None = None
+        if self.settings.elsewhere:
+            self.working = Working(self.core, deployment.settings, self.note)
         self.disk: OnFile | None = None
         if self.settings.folder and self.core.keeper:
             try:
--- a/fawnwharf/replication/working.py
+++ b/fawnwharf/replication/working.py
@@ -2,6 +2,7 @@
 others'. The thin part round `elsewhere.py` and `others.py`."""
 
 from collections.abc import Callable
+from typing import Any
 
 from fawnwharf import interface as io
 from fawnwharf.net.front_end import FrontEnd, worker_number
@@ -17,9 +18,11 @@
 class Working:
     """Owns the pace at which work is told; a witness of the front end's table."""
 
-    def __init__(self, core: Core, settings: io.Settings) -> None:
+    def __init__(
+        self, core: Core, settings: io.Settings, note: Callable[[str, dict[str, Any]], None]
+    ) -> None:
         """Switches the telling on in this core."""
-        self._core = core
+        self._core, self._note = core, note
         copies_ms = min(core.settings.copies_ms, settings.idle_life_ms / 2)
         core.own = self.own = Own(settings.cold_ms, settings.fall_ms, copies_ms)
         self._fronts = settings.fleet_size
@@ -28,6 +31,8 @@
         self._timer: Timer | None = None
         self._due_ms = self._told_ms = 0.0
         self._gathers = False
+        self._handed_ms = 0.0  # when the module last heard
+        self._was_sure: bool | None = None
 
     def attach(self, front: FrontEnd, carry_out: Callable[[list[Out]], None]) -> None:
         self._front, self._carry_out = front, carry_out
@@ -78,7 +83,13 @@
             return
         self._told_ms = now = monotonic_ms()
         self._carry_out(self._core.tell_work(now))
+        sure, heard = self._core.knows_sends(now, self._fronts)
+        if sure != self._was_sure:
+            self._was_sure = sure
+            self._note("work elsewhere", {"known": sure, "heard": heard})
         rules = self._core.settings
+        if now - self._handed_ms > rules.word_ms:  # no keeper answers: what was told is taken back
+            self._hand_on()
         quick = bool(self.own.loads or self.own.cold(now))
         self._set(now + (rules.cold_told_ms if quick else rules.elsewhere_ms))
 
@@ -102,5 +113,6 @@
     def _hand_on(self) -> None:
         self._gathers = self._core.view.news = False
         if self._front is not None:
-            for event in self._core.elsewhere(monotonic_ms(), self._fronts):
+            self._handed_ms = monotonic_ms()
+            for event in self._core.elsewhere(self._handed_ms, self._fronts):
                 self._front.loop.tell(event)
--- a/tests/test_elsewhere_live.py
+++ b/tests/test_elsewhere_live.py
@@ -30,8 +30,8 @@
 
 def rig_with(scorer, cold_ms=60_000.0):
     rig = Rig(scorer, settings={"invariants": {"cold": cold_ms, "fall": 50_000.0}})
-    core, said = Cores().cores["n0"], []
-    working = Working(core, rig.front.deployment.settings)
+    core, said, notes = Cores().cores["n0"], [], []
+    working = Working(core, rig.front.deployment.settings, lambda event, fields: notes.append(fields))
     working.attach(rig.front, said.extend)
 
     def told():
