--- a/fawnwharf/replication/others.py
+++ b/fawnwharf/replication/others.py
@@ -21,6 +21,7 @@
 FLOOD_MS = 5.0  # between two answers to one owner
 TELL_MOST = 256  # copies of one scorer, to the module
 AGAIN_MS = 500.0  # what stays the same is told to the module again, when it is so much fresher
+BESIDE_MS = 100.0  # older than sends or loads of its scorer, a copy is not told beside them
 PART = 0.1  # of the fleet may be unheard while sends are held to be known
 
 
@@ -305,8 +306,11 @@
         for worker in (cold | self._copies.keys() | loading.keys() | self._told.keys()) & known:
             sent = best.others.sent.get(str(worker), 0) if sure and worker in cold else None
             bases = [self._made(best)] if sent is not None else []
-            copies = self._standing(now_ms, worker, self.word_ms if sent is not None else self.copies_ms)
-            bases += [proof for proof, _ in copies.values()] + list(loading.get(worker, {}).values())
+            bases += loading.get(worker, {}).values()
+            # The oldest word tells the age of all: old proofs, which were told before, leave the rest fresh.
+            span = now_ms - min(bases) + BESIDE_MS if bases else self.copies_ms
+            copies = self._standing(now_ms, worker, span)
+            bases += [proof for proof, _ in copies.values()]
             oldest = min(bases, default=now_ms)
             counts = {function: count for function, (_, count) in copies.items()}
             loads = tuple(sorted(loading.get(worker, ())))
--- a/tests/test_elsewhere.py
+++ b/tests/test_elsewhere.py
@@ -346,6 +346,14 @@
     assert view.copies == 0 and view.changes(3_000.0, set(), {1, 2}, 6) == []
 
 
+def test_old_proofs_leave_what_is_told_of_sends_and_loads_fresh():
+    view = asked(1)
+    copies = (m.Copy(7, "f", 1, 40.0), m.Copy(7, "g", 2, 400.0), m.Copy(8, "g", 2, 400.0))
+    view.heard("k", 1, others(1, sent={"7": 3}, copies=copies))
+    found = {event.worker: event for event in view.changes(50.0, {7}, {7, 8}, 6)}
+    assert found == {7: io.Elsewhere(7, 3, {"f": 1}, (), 90.0), 8: io.Elsewhere(8, None, {"g": 2}, (), 450.0)}
+
+
 def test_what_stays_the_same_is_told_again_when_it_is_fresher():
     view, told = asked(), []
     for n in range(1, 31):
