One keeper tells all, the others only that they heard; processes that know of each other's work

A word now names the keeper that is to tell all, the others answer with their number, which is what ages rest on. One that is silent or hears few has its turn taken by the next.

--- a/fawnwharf/replication/core.py
+++ b/fawnwharf/replication/core.py
@@ -17,7 +17,7 @@
 from fawnwharf.replication.elsewhere import Own
 from fawnwharf.replication.keeper import Keeper
 from fawnwharf.replication.others import View, Words
-from fawnwharf.replication.placement import Placement
+from fawnwharf.replication.placement import Placement, weight
 from fawnwharf.replication.settings import Settings
 from fawnwharf.replication.use import Shares, Uses
 from fawnwharf.zones.settings import Members
@@ -230,9 +230,13 @@
                 found.append(m.Say((), hints))
         return found
 
-    def tell_work(self, now_ms: float) -> list[Out]:
-        """Own work to the keepers, which answer with that of the others."""
-        word = self.own.word(now_ms, self.view.after())
+    def tell_work(self, now_ms: float, fronts: int = 0) -> list[Out]:
+        """Own work to the keepers, of which one answers with that of the others: this one itself, or the
+        next by a hash, so that all have about as many to tell. `fronts` are all of the fleet."""
+        order = sorted(
+            self.placement.keepers[:16], key=lambda k: (k != self.name, weight("work", self.name, k))
+        )
+        word = self.own.word(now_ms, self.view.after(), *self.view.wants(now_ms, order, self._all(fronts)))
         self.view.asked(now_ms, word.number)
         return self._inward(now_ms, [m.Say(tuple(self.placement.keepers[:16]), word)])
 
--- a/fawnwharf/replication/elsewhere.py
+++ b/fawnwharf/replication/elsewhere.py
@@ -129,8 +129,9 @@
 
     # --- what is told ---------------------------------------------------------------------------
 
-    def word(self, now_ms: float, after: dict[str, int]) -> m.Work:
-        """The next word; `after` names the last answer of each keeper."""
+    def word(self, now_ms: float, after: dict[str, int], wants: str = "", since: int = 0) -> m.Work:
+        """The next word; `after` names the last answer of each keeper, `wants` the one that is to tell all
+        that is news since its answer `since`."""
         self.number += 1
         cold, sent = self.cold(now_ms), {}
         for worker, times in self._sent.items():
@@ -149,6 +150,8 @@
         return m.Work(
             self.number,
             after,
+            wants,
+            since,
             {str(w): n for w, n in sorted(sent.items(), key=lambda item: -item[1])[:SCORERS_MOST]},
             tuple(m.Load(*place, round(now_ms - at, 1)) for at, place in loads[:LOADS_MOST]),
             tuple(m.Copy(*place, c.copies, round(now_ms - c.proof_ms, 1)) for place, c in news),
--- a/fawnwharf/replication/messages.py
+++ b/fawnwharf/replication/messages.py
@@ -162,6 +162,8 @@
 
     number: Count
     after: Annotated[dict[Name, Count], Meta(max_length=16)] = {}  # last answer had of each keeper
+    wants: Annotated[str, Meta(max_length=48)] = ""  # keeper that is to tell all; the others only answer
+    since: Count = 0  # last answer of that one that told all
     sent: Annotated[dict[Worker, Count], Meta(max_length=64)] = {}  # to cold scorers, of late
     loading: Annotated[tuple[Load, ...], Meta(max_length=64)] = ()
     copies: Annotated[tuple[Copy, ...], Meta(max_length=96)] = ()  # news
@@ -174,8 +176,8 @@
     number: Count  # of the Work
     life: Count  # of its owner
     answer: Count
-    heard: Count  # front ends, the one that asks among them
-    age_ms: Span  # of the oldest word that the sends rest on
+    heard: Count = 0  # front ends, the one that asks among them; 0: another keeper tells all
+    age_ms: Span = 0.0  # of the oldest word that the sends rest on
     sent: Annotated[dict[Worker, Count], Meta(max_length=64)] = {}
     loading: Annotated[tuple[Load, ...], Meta(max_length=256)] = ()
     copies: Annotated[tuple[Copy, ...], Meta(max_length=256)] = ()  # news since the answer that was had
--- a/fawnwharf/replication/others.py
+++ b/fawnwharf/replication/others.py
@@ -7,6 +7,7 @@
 
 import math
 from collections import deque
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 from fawnwharf import interface as io
@@ -22,6 +23,7 @@
 TELL_MOST = 256  # copies of one scorer, to the module
 AGAIN_MS = 500.0  # what stays the same is told to the module again, when it is so much fresher
 BESIDE_MS = 100.0  # older than sends or loads of its scorer, a copy is not told beside them
+TURN = 0.4  # of a word's time: a keeper that tells nothing, or hears few, for so long has its turn taken
 PART = 0.1  # of the fleet may be unheard while sends are held to be known
 
 
@@ -112,7 +114,9 @@
             return None
         self._number += 1
         answers.append((self._number, now_ms))
-        since = work.after[keeper] if made is not None else 0
+        if work.wants != keeper:
+            return m.Others(work.number, int(owner.partition("#")[2]), self._number)
+        since = work.since if work.since < self._number else 0  # else it is another life's
         return self._answer(now_ms, owner, work.number, since)
 
     def _take(self, owner: str, work: m.Work, made_ms: float) -> None:
@@ -237,7 +241,9 @@
         self.word_ms, self.copies_ms = word_ms, copies_ms
         self.counts: dict[str, int] = {}
         self.news = False  # an answer came; whoever looks at it clears this
-        self._answers: dict[str, _Answer] = {}  # by keeper
+        self._answers: dict[str, _Answer] = {}  # those that told all, by keeper
+        self._after: dict[str, tuple[int, int]] = {}  # the last of any kind, by keeper: its life and number
+        self._wants, self._wants_ms = "", -math.inf  # who is to tell all, and since when
         self._asked: deque[tuple[int, float]] = deque(maxlen=4 * ANSWERS_MOST)
         self._copies: dict[int, dict[str, tuple[float, int]]] = {}  # by scorer: proof and copies
         self._told: dict[int, _Told] = {}
@@ -250,15 +256,30 @@
         self._asked.append((number, now_ms))
 
     def after(self) -> dict[str, int]:
-        return {keeper: held.others.answer for keeper, held in self._answers.items()}
+        return {keeper: answer for keeper, (_, answer) in self._after.items()}
+
+    def wants(self, now_ms: float, keepers: Sequence[str], fronts: int) -> tuple[str, int]:
+        """The keeper that is to tell all, and its last answer that did: the same one while it answers and
+        hears enough, else the next of `keepers`."""
+        held = self._answers.get(self._wants)
+        well = held is not None and now_ms - held.asked_ms <= TURN * self.word_ms
+        well = well and enough(held.others.heard, fronts)
+        if self._wants not in keepers or (not well and now_ms - self._wants_ms > TURN * self.word_ms):
+            at = keepers.index(self._wants) + 1 if self._wants in keepers else 0
+            self._wants, self._wants_ms = keepers[at % len(keepers)] if keepers else "", now_ms
+        held = self._answers.get(self._wants)
+        return self._wants, held.others.answer if held else 0
 
     def heard(self, keeper: str, life: int, others: m.Others) -> None:
         """A keeper's answer; `life` is the keeper's."""
         asked_ms = next((at for number, at in reversed(self._asked) if number == others.number), None)
-        known = self._answers.get(keeper)
-        if asked_ms is None or (known and known.life == life and others.answer <= known.others.answer):
+        known = self._after.get(keeper, (0, 0))
+        if asked_ms is None or (known[0] == life and others.answer <= known[1]):
             self._count("work: answers out of place")
             return
+        self._after[keeper] = life, others.answer
+        if not others.heard:
+            return
         self._answers[keeper], self.news = _Answer(life, asked_ms, others), True
         for copy in others.copies:
             places = self._copies.setdefault(copy.worker, {})
@@ -275,6 +296,7 @@
     def forget_keepers(self, keepers: set[str]) -> None:
         """These are none any more."""
         self._answers = {k: held for k, held in self._answers.items() if k not in keepers}
+        self._after = {k: last for k, last in self._after.items() if k not in keepers}
 
     def best(self, now_ms: float) -> _Answer | None:
         """The answer that hears most, then the latest, of those that count."""
--- a/fawnwharf/replication/working.py
+++ b/fawnwharf/replication/working.py
@@ -82,7 +82,7 @@
         if self._front is None:
             return
         self._told_ms = now = monotonic_ms()
-        self._carry_out(self._core.tell_work(now))
+        self._carry_out(self._core.tell_work(now, self._fronts))
         sure, heard = self._core.knows_sends(now, self._fronts)
         if sure != self._was_sure:
             self._was_sure = sure
--- /dev/null
+++ b/tests/test_lab_elsewhere.py
@@ -0,0 +1,59 @@
+"""Several processes that tell each other of their work, with front ends killed, started again and stopped."""
+
+import msgspec
+
+from fawnwharf.lab import scenario as scenarios
+from fawnwharf.lab.checker import judge
+from fawnwharf.lab.run import Runner
+from fawnwharf.replication import commands as state
+
+
+def test_front_ends_in_processes_know_of_each_others_work_while_nearly_all_are_heard(capsys):
+    runner = Runner(scenarios.load("third-lost"), seed=5)
+    fleet = runner.fleet
+    fronts = list(fleet.fronts.values())
+
+    since = {}  # how much had been noted as each was started
+
+    def start(front):
+        since[front.name] = len(fleet.notes)
+        fleet.start(front)
+
+    def last(front):
+        notes = [n for n in fleet.notes[since[front.name] :] if n.front == front.name]
+        return next((n.fields["known"] for n in reversed(notes) if n.event == "work elsewhere"), None)
+
+    def until(known, what):
+        fleet.until(lambda: {last(front) for front in fronts if front.alive} == {known}, what)
+
+    try:
+        for front in fronts:
+            start(front)
+        until(True, "all to know")
+        fleet.clients.start()
+        for gone in (fleet.fronts["n0"], fleet.fronts["n1"]):
+            fleet.kill(gone)
+            until(False, "the others to miss it")
+            start(gone)
+            until(True, "it to be heard again")
+        fleet.stop(fleet.fronts["n3"])  # it stands still, and its connections stay
+        fleet.until(lambda: not any(last(f) for f in fronts if not f.stopped), "the others to miss it")
+        fleet.go_on(fleet.fronts["n3"])
+        until(True, "it to be heard again")
+        state.show(str(fronts[0].folder / "state.json"), "n0")
+        fleet.clients.stop()
+        fleet.until(lambda: not fleet.clients.open, "all calls to end")
+        assert judge(fleet).broken == []
+        faults = [line for front in fronts for line in front.lines if "fault in" in line]
+        assert faults == []
+    finally:
+        fleet.close()
+    told = capsys.readouterr().out
+    assert "work: front ends heard: 6" in told and "work: words told: " in told
+
+
+def test_scorers_come_back_cold_while_front_ends_tell_what_they_sent():
+    scenario = scenarios.load("cold-told")
+    measures = Runner(msgspec.structs.replace(scenario, steps=scenario.steps[:2]), seed=2).run()
+    assert measures.verdict.broken == [] and measures.verdict.checked["cold"] == 6
+    assert 0.0 < measures.cold_most < 1.0 and measures.cold_used > 0.0
