A hello that came before its hearer followed is told again: front ends sent each other all lines

A front end says in its own log by which number it asked for another's. If that one did not follow this log yet, the word was lost, and it sent all that it said to anybody to this reader too, for as long as the connection lasted: at a start, a third to a half of 30 readers of a keeper (seen by counting lines by kind: 55 answers a second for each front end in place of 10). Now a hello is told to whoever comes, as a status is.

Saying it again at a pace was turned down: it costs all the time, and leaves the time until then.

--- a/fawnwharf/replication/links.py
+++ b/fawnwharf/replication/links.py
@@ -32,6 +32,15 @@
             del self._names[next(iter(self._names))]
         self._names[asked] = name
 
+    def greet(self, name: str, line: Any) -> None:
+        """A Hello to the member of this name. It may not follow this log yet, and would then send all of its
+        own for ever: so it is told again to whoever comes."""
+        self.say(line, (name,), counts_as=("hello", name))
+
+    def forget(self, name: str) -> None:
+        """Its log is not followed any more."""
+        self._counting.pop(("hello", name), None)
+
     def say(self, line: Any, to: tuple[str, ...] = (), counts_as: str | None = None) -> None:
         """A line for these readers, for all where none is named."""
         if counts_as is not None:
--- a/fawnwharf/replication/service.py
+++ b/fawnwharf/replication/service.py
@@ -273,6 +273,7 @@
         }
         for name in [name for name in self._feeds if name not in wanted]:
             self._feeds.pop(name).close()
+            self.server.forget(name)
         for name, place in wanted.items():
             address = address_from(place, "members.state")
             if name in self._feeds:
@@ -302,7 +303,7 @@
 
     def _greeter(self, name: str) -> Callable[[int], None]:
         def hello(asked: int) -> None:
-            self._carry_out([Say((name,), Hello(asked))])
+            self.server.greet(name, msgspec.to_builtins(self.core.wrapped(Say((name,), Hello(asked)))))
 
         return hello
 
--- a/tests/test_elsewhere_live.py
+++ b/tests/test_elsewhere_live.py
@@ -1,14 +1,16 @@
 """A front end's own work on real sockets: what its table sees, and when it is told."""
 
 from cores import Cores
-from peers import Rig, ScorerPeer
+from peers import PATIENCE_S, Rig, ScorerPeer
 
 from fawnwharf import interface as io
 from fawnwharf.lab.work import cold_use, counts, twice
 from fawnwharf.net import scorer_frames
 from fawnwharf.net.front_end import worker_number
-from fawnwharf.net.wheel import unix_ms
+from fawnwharf.net.loop import Loop
+from fawnwharf.net.wheel import monotonic_ms, unix_ms
 from fawnwharf.replication import messages as m
+from fawnwharf.replication.links import DirectedLog, DirectedServer
 from fawnwharf.replication.working import Working
 from fawnwharf.standins.scorers import Arrival
 
@@ -87,6 +89,37 @@
             rig.close()
 
 
+def test_a_hello_is_heard_by_one_that_follows_only_later_and_it_sends_no_more_than_is_for_whom_it_knows():
+    loop = Loop(lambda now_ms, events: None, lambda text: None)
+    a, b = (DirectedServer(loop, ("127.0.0.1", 0), life, 4) for life in (1, 2))
+    told, feeds = [], []
+
+    def until(condition):
+        end = monotonic_ms() + 1_000.0 * PATIENCE_S
+        while not condition():
+            assert monotonic_ms() < end
+            loop.turn(0.005)
+
+    def follow(server, take, hello):
+        feeds.append(DirectedLog(loop, server.address, take, lambda text: None, hello))
+        feeds[-1].connect()
+
+    try:
+        follow(b, told.append, lambda asked: a.greet("b", {"asked": asked}))
+        until(lambda: any(reader.since is not None for reader in b.readers))
+        follow(a, lambda line: b.named("a", line["asked"]), lambda asked: None)
+        until(lambda: "a" in b._names.values())
+        b.say({"n": 1}, ("c",))
+        b.say({"n": 2}, ("a",))
+        until(lambda: told)
+        assert told == [{"n": 2}]
+        a.forget("b")
+        assert a._counting == {}
+    finally:
+        for part in (*feeds, a, b, loop):
+            part.close()
+
+
 def run(at_ms, sender, scorer="s", what="run", function="f"):
     return Arrival(at_ms, scorer, sender, what, "1", "view", function, "", 1)
 
