--- a/fawnwharf/lab/commands.py
+++ b/fawnwharf/lab/commands.py
@@ -77,6 +77,9 @@
         f"a front end: {found.cpu:.3f} of a core, {found.memory_mb:.0f} MB at the most; "
         f"{found.member_bytes:.0f} bytes a second between members for each"
     )
+    typer.echo(f"asked {found.asks} times after copies; {found.orders} orders, {found.twice} of them twice")
+    if found.cold_most:
+        typer.echo(f"cold scorers: {found.cold_most:.2f} of their budget at most, {found.cold_used:.2f} used")
     if found.acted:
         half, last = found.acted[len(found.acted) // 2], found.acted[-1]
         typer.echo(f"zone lost: half acted within {half:.2f} s, all {len(found.acted)} within {last:.2f} s")
@@ -186,7 +189,9 @@
     typer.echo(f"{len(pairs.one)} pairs; differences are {one} less {other}, with 95 % intervals")
     for name, of in comparing.figures(pairs).items():
         difference = pairs.difference(of)
-        typer.echo(f"{name:16} {difference}  {difference.says if name == 'service' else ''}".rstrip())
+        means = "  ".join(f"{sum(map(of, side)) / len(side):.4f}" for side in (pairs.one, pairs.other))
+        says = difference.says if name == "service" else ""
+        typer.echo(f"{name:16} {difference}  of {means}  {says}".rstrip())
     acted = [m.acted for m in pairs.one if m.acted]
     for name, part in {"half acted": 0.5, "all acted": 1.0}.items():
         if acted:
--- a/fawnwharf/lab/compare.py
+++ b/fawnwharf/lab/compare.py
@@ -92,6 +92,11 @@
         "memory, MB": lambda m: m.memory_mb,
         "member bytes": lambda m: m.member_bytes,
         "cpu": lambda m: m.cpu,
+        "asks": lambda m: float(m.asks),
+        "orders": lambda m: float(m.orders),
+        "ordered twice": lambda m: float(m.twice),
+        "cold, most": lambda m: m.cold_most,
+        "cold, used": lambda m: m.cold_used,
     }
     for tenant in pairs.one[0].by_tenant:
         found[f"of {tenant}"] = lambda m, tenant=tenant: m.by_tenant.get(tenant, 0.0)
@@ -108,7 +113,7 @@
     "staged loads": lambda m: float(m.sessions.staged),
     "staged, wasted": lambda m: float(m.sessions.staged_wasted),
     "loads wasted": lambda m: float(m.sessions.wasted),
-    "orders": lambda m: float(m.sessions.orders),
+    "orders, asks": lambda m: float(m.sessions.orders),
     "result": lambda m: m.sessions.result,
 }
 
--- a/fawnwharf/sessions/service.py
+++ b/fawnwharf/sessions/service.py
@@ -16,11 +16,8 @@
 from fawnwharf.sessions.agent import Agent
 from fawnwharf.sessions.effects import Copies, Dropped, Note, Words
 from fawnwharf.sessions.settings import Settings, Wishes, by_classes, settings_from, wishes_from, wishes_place
-from fawnwharf.sessions.stages import Stages
-from fawnwharf.sessions.trace import Trace
-=======
 from fawnwharf.sessions.stages import Orders, Stages
->>>>>>> sessions
+from fawnwharf.sessions.trace import Trace
 from fawnwharf.sites import LetGo, Session
 from fawnwharf.zones.files import WatchedFile, load
 from fawnwharf.zones.plan import LEAVING, OUT, RETURNING
@@ -173,7 +170,6 @@
             event.load_ms,
             event.budget_ms,
         )
-<<<<<<< HEAD
         if self.trace is not None:
             self.trace.taken(event.request, home)
         event.site = home.site if home.site != self.site and home.site not in self._out else ""
