--- a/fawnwharf/lab/commands.py
+++ b/fawnwharf/lab/commands.py
@@ -232,12 +232,16 @@
         except LabFault as error:
             typer.echo(f"seed {seed} left out, the ground gave way: {error}")
             continue
+        held = max(measures.held for measures in runs.values())
         for word, measures in runs.items():
-            found[word].append(measures)
+            if held <= comparing.HELD:
+                found[word].append(measures)
             typer.echo(f"seed {seed:3}  {word:10}  {measures.service():.4f}  {measures.verdict.line()}")
             if out:
                 with open(out, "ab") as file:
                     file.write(msgspec.json.encode(comparing.row(word, measures), enc_hook=str) + b"\n")
+        if held > comparing.HELD:
+            typer.echo(f"seed {seed} left out, the machine held the lab up for {held:.2f} of a run")
     if not found[words[0]]:
         typer.echo("verdict: broken ground: no run of all modes")
         raise typer.Exit(1)
--- a/fawnwharf/lab/compare.py
+++ b/fawnwharf/lab/compare.py
@@ -15,6 +15,7 @@
 RESOLUTION = 0.005  # of service
 DRAWS = 4_000
 LEVEL = 0.95
+HELD = 0.25  # of a run: beyond it, calls came late or not at all, and it tells of the machine alone
 
 
 @dataclass(frozen=True, slots=True)
@@ -145,6 +146,7 @@
         "service": measures.service(),
         "fetches": measures.fetches,
         "second runs": measures.second_runs,
+        "held": measures.held,
         "broken": measures.verdict.broken[:5],
         "sessions": measures.sessions,
     }
--- a/fawnwharf/lab/measures.py
+++ b/fawnwharf/lab/measures.py
@@ -58,6 +58,7 @@
     waits_ms: tuple[float, float] = (0.0, 0.0)  # for keepers: the mean median and the largest 99th percentile
     comebacks: Counter = field(default_factory=Counter)  # what became of lost at-most-once calls asked again
     complaints: list[str] = field(default_factory=list)
+    held: float = 0.0  # part of the run in which the lab's own process waited for a processor
     sessions: Figures | None = None  # where calls are those of sessions
     cold_most: float = 0.0  # of a cold scorer's budget, the most that ever came within its window
     cold_used: float = 0.0  # what came in all
@@ -149,6 +150,7 @@
             asks=came["ask"],
             orders=came["order"],
             twice=work.twice(fleet.arrivals),
+            held=fleet.waits.between(began, monotonic_ms()) / 1000.0 / spent,
         )
         if fleet.scenario.live:
             measures.sessions = figures(fleet, self.disturbed, measures.service())
