--- a/fawnwharf/lab/fleet.py
+++ b/fawnwharf/lab/fleet.py
@@ -39,6 +39,8 @@
         self.stretches: list[Any] = []  # that operators' calls began, for the checker
         self.replaced: list[Any] = []
         self.proposed: list[Any] = []
+        self.faults: list[tuple[str, str]] = []  # front ends, and lines that tell of an exception
+        self.asked = ""  # the front end that operators of sessions turned to last
         super().__init__(scenario, seed, folder or Path(tempfile.mkdtemp(prefix="fawnwharf-lab-")))
 
     # --- processes ------------------------------------------------------------------------------
@@ -91,11 +93,15 @@
             command += ["--policy", "policy.json"]
         if self.scenario.state is not None:
             command += ["--state", "state.json"] + ([] if front.lives else ["--fresh"])
+        if self.scenario.sessions is not None:
+            command += ["--sessions", "sessions.json"]
         return command
 
     def wrote(self, front: Front, line: str) -> None:
         now = monotonic_ms()
         front.lines.append(line)
+        if ": fault in " in line[:60]:  # the loop's own word on an exception
+            self.faults.append((front.name, line))
         if "serving on" in line:
             front.ready = True
             self._listens(front.name, True)
--- a/fawnwharf/lab/measures.py
+++ b/fawnwharf/lab/measures.py
@@ -3,11 +3,14 @@
 import contextlib
 from collections import Counter
 from dataclasses import dataclass, field
+from typing import Any
 
 from hdrh.histogram import HdrHistogram
 
+from fawnwharf.lab import work
 from fawnwharf.lab.checker import Verdict, judge
 from fawnwharf.lab.fleet import Fleet
+from fawnwharf.lab.moves import Figures, figures
 from fawnwharf.lab.proposals import Change, changes
 from fawnwharf.lab.topology import STATE
 from fawnwharf.net.wheel import monotonic_ms
@@ -57,6 +60,13 @@
     comebacks: Counter = field(default_factory=Counter)  # what became of lost at-most-once calls asked again
     complaints: list[str] = field(default_factory=list)
     changes: list[Change] = field(default_factory=list)  # of policy
+    held: float = 0.0  # part of the run in which the lab's own process waited for a processor
+    sessions: Figures | None = None  # where calls are those of sessions
+    cold_most: float = 0.0  # of a cold scorer's budget, the most that ever came within its window
+    cold_used: float = 0.0  # what came in all
+    asks: int = 0  # questions after copies
+    orders: int = 0  # to load
+    twice: int = 0  # of those, for what another front end had just ordered
 
     def service(self, since_s: float = 0.0, until_s: float = 1e9) -> float:
         """Worth answered in time over worth asked."""
@@ -72,6 +82,7 @@
         self.fleet = fleet
         fleet.marks["load"] = monotonic_ms()
         self.used, self.passed = fleet.used(), fleet.between_members()
+        self.disturbed: list[Any] = []  # moves of sessions that follow from a site's loss and return
         self.lost: tuple[str, float] | None = None  # the first zone that was lost, and when
 
     def zone_lost(self, zone: str) -> None:
@@ -105,7 +116,10 @@
         runs = [a for a in fleet.arrivals if a.what == "run" and a.sender in fleet.fronts]
         far = sum(fleet.fronts[a.sender].zone != fleet.scorer_zone[a.scorer] for a in runs)
         live = {front.name for front in fleet.fronts.values() if front.alive and not front.stopped}
-        return Measures(
+        starts = {id: scorer.cold_starts for id, scorer in fleet.scorers.items()}
+        cold = work.cold_use(fleet.arrivals, starts, [r.began_ms for r in fleet.clients.requests])
+        came = work.counts(fleet.arrivals)
+        measures = Measures(
             scenario=fleet.scenario.name,
             seed=fleet.seed,
             decided=fleet.scenario.decide,
@@ -135,7 +149,16 @@
             ),
             complaints=list(fleet.complaints),
             changes=changes(fleet.notes, live),
+            cold_most=cold[0],
+            cold_used=cold[1],
+            asks=came["ask"],
+            orders=came["order"],
+            twice=work.twice(fleet.arrivals),
+            held=fleet.waits.between(began, monotonic_ms()) / 1000.0 / spent,
         )
+        if fleet.scenario.live:
+            measures.sessions = figures(fleet, self.disturbed, measures.service())
+        return measures
 
     def _by_tenant(self) -> dict[str, float]:
         asked: Counter = Counter()
--- a/fawnwharf/lab/parties.py
+++ b/fawnwharf/lab/parties.py
@@ -14,8 +14,8 @@
         self.fleet, self.chance = fleet, random.Random(seed)
 
     def fronts(self, what: str) -> list[Front]:
-        """Front ends by a word: all, live, leader, zone:Z, share:P of those that live, or names
-        with commas."""
+        """Front ends by a word: all, live, leader, asked (by operators, last), zone:Z, share:P of those that
+        live, or names with commas."""
         every = list(self.fleet.fronts.values())
         live = [front for front in every if front.alive and not front.stopped]
         if what in ("", "all"):
@@ -26,6 +26,8 @@
             return [front for front in live if front.role == "leader"][:1]
         if what == "follower":
             return [front for front in live if front.voter and front.role != "leader"][:1]
+        if what == "asked":
+            return [front for front in every if front.name == self.fleet.asked]
         if what == "old leader":
             return [front for front in every if front.stopped]
         if what.startswith("zone:"):
@@ -39,13 +41,6 @@
             return [id for id, zone in self.fleet.scorer_zone.items() if zone == what[5:]]
         return what.split(",") if what else list(self.fleet.scorers)
 
-    def zone_of(self, party: str) -> str:
-        if party in self.fleet.fronts:
-            return self.fleet.fronts[party].zone
-        if party in self.fleet.scorer_zone:
-            return self.fleet.scorer_zone[party]
-        return party[8:] if party.startswith("clients-") else ""
-
     def links(self, step: Step) -> list[tuple[Relay, bool]]:
         """The relays between two parties, each with whether `what` is the one that dials.
 
@@ -54,10 +49,12 @@
 
         def side(word: str) -> Callable[[str], bool]:
             if word.startswith("zone:"):
-                return lambda party: self.zone_of(party) == word[5:] and not party.startswith("clients-")
+                return lambda party: (
+                    self.fleet.zone_of(party) == word[5:] and not party.startswith("clients-")
+                )
             if word.startswith("clients:"):
                 return lambda party: party == f"clients-{word[8:]}"
-            if word in ("leader", "follower", "old leader"):
+            if word in ("leader", "follower", "old leader", "asked"):
                 names = {front.name for front in self.fronts(word)}
                 return lambda party: party in names
             if word == "rest":
@@ -81,5 +78,5 @@
         return [
             relay
             for (_, target, what), relay in self.fleet.relays.items()
-            if what == "clients" and self.zone_of(target) == zone
+            if what == "clients" and self.fleet.zone_of(target) == zone
         ]
--- a/fawnwharf/lab/scenario.py
+++ b/fawnwharf/lab/scenario.py
@@ -50,6 +50,8 @@
     policy: Stance | None = None  # `of` go so, or a steward said so of the last proposal
     why: str = ""  # what it said is to have this in it
     note: str | None = None  # somebody's log says this since the step before began
+    fields: dict[str, Any] = {}  # with these fields
+    times: Annotated[int, Meta(ge=1, le=10_000)] = 1  # as often
     of: str = "live"  # front ends: live, all, zone:Z, or names with commas
     half: bool = False  # half of them are enough
     within_s: Span = 30.0
@@ -62,6 +64,7 @@
         "wipe", "swap", "keep_disk", "old_disk", "members", "wish", "mark", "start_refused",
         "replace", "kill_replacing", "standby", "active", "take_out", "bring_back",
         "propose", "back", "call_off",
+        "move_clients", "bounce", "move_session", "drain_site", "release",
     ]  # fmt: skip
     what: str = ""  # whom: front ends, scorers or zones
     to: str = ""  # the other end of links
@@ -82,9 +85,13 @@
     state: dict[str, Any] | None = None  # replicated, by these settings over the lab's own; none: off
     policy: dict[str, Any] | None = None  # changed while they run, by these settings; none: off
     lacks: dict[Name, str] = {}  # a tenant that one front end does not know
+    sessions: dict[str, Any] | None = None  # that move, by these settings over the lab's own; none: off
+    live: dict[Name, Annotated[int, Meta(ge=0, le=1_000)]] = {}  # sessions that begin at a zone
+    again: Part = 0.0  # of a session's last calls come again, by their keys, where it is moved to
     twice: Part = 0.0  # of the at-most-once calls are asked for at two front ends at once
     asks: bool = False  # what stands before front ends asks them whether they are ready
     comeback: bool = False  # clients whose at-most-once call was lost ask for it again, elsewhere
+    far_ms: Annotated[float, Meta(ge=0.0, le=1_000.0)] = 0.0  # of a good link between zones, each way
     tenants: dict[Name, str] = {}  # of a zone's clients; all of them by chance where it is not said
     quotas: dict[str, float] = {}  # calls a second sold to a tenant; all alike where it is not said
     parts: dict[str, float] = {}  # of the calls, by class, over the usual ones
@@ -126,6 +133,14 @@
                 document_of({"version": 1, **step.document})
             except DocumentFault as error:
                 raise ScenarioFault(f"steps[{n}].document: {error}") from None
+    if found.sessions is not None and found.state is None:
+        raise ScenarioFault("sessions: goes by the logs of state, which is not there")
+    for zone in found.live:
+        if zone not in found.zones:
+            raise ScenarioFault(f"live: no zone {zone}")
+    for n, step in enumerate(found.steps):
+        if step.do in ("move_clients", "bounce", "move_session") and not found.live:
+            raise ScenarioFault(f"steps[{n}].do: {step.do}, and no sessions are live")
         for zone in step.when.state or ():
             if zone not in found.zones:
                 raise ScenarioFault(f"steps[{n}].when.state: no zone {zone}")
