--- a/fawnwharf/lab/parties.py
+++ b/fawnwharf/lab/parties.py
@@ -28,6 +28,11 @@
             return [front for front in live if front.voter and front.role != "leader"][:1]
         if what == "asked":
             return [front for front in every if front.name == self.fleet.asked]
+        if what == "mover":
+            moved = [note.front for note in self.fleet.notes if note.event == "session moved"]
+            return [front for front in live if front.name in moved[-1:]]
+        if what == "keeper":  # that neither leads nor was asked
+            return [f for f in self.keepers() if f.role != "leader" and f.name != self.fleet.asked][:1]
         if what == "old leader":
             return [front for front in every if front.stopped]
         if what.startswith("zone:"):
@@ -36,6 +41,17 @@
             return self.chance.sample(live, round(float(what[6:]) * len(every)))
         return [self.fleet.fronts[name] for name in what.split(",")]
 
+    def keepers(self) -> list[Front]:
+        """Those that live, of the last list that was told; any front end where none was."""
+        for note in reversed(self.fleet.notes):
+            if note.event == "state on":
+                names = [name for names in note.fields["keepers"].values() for name in names]
+                break
+        else:
+            names = list(self.fleet.fronts)
+        live = {front.name for front in self.fronts("live")}
+        return [self.fleet.fronts[name] for name in names if name in live]
+
     def ids(self, what: str) -> list[str]:
         if what.startswith("zone:"):
             return [id for id, zone in self.fleet.scorer_zone.items() if zone == what[5:]]
--- a/fawnwharf/lab/sessions.py
+++ b/fawnwharf/lab/sessions.py
@@ -84,15 +84,7 @@
 
     def keepers(self) -> list[Front]:
         """Those that live, of the last list that was told; any front end where none was."""
-        for note in reversed(self.fleet.notes):
-            if note.event == "state on":
-                names = [name for names in note.fields["keepers"].values() for name in names]
-                break
-        else:
-            names = list(self.fleet.fronts)
-        live = {front.name for front in self.parties.fronts("live")}
-        found = [self.fleet.fronts[name] for name in names if name in live]
-        if not found:
+        if not (found := self.parties.keepers()):
             raise LabFault("no keeper lives that could be asked")
         return found
 
