--- a/fawnwharf/foresight/core.py
+++ b/fawnwharf/foresight/core.py
@@ -60,6 +60,11 @@
         self.best: str | None = None
         self.moves: list[Move] = []
 
+    def go_by(self, bounds: Bounds) -> None:
+        """Other budgets of stages, from now on."""
+        self.bounds = bounds
+        self.planner.go_by(bounds)
+
     def called(self, now_ms: float, session: Session, site: str) -> None:
         self.watch.called(now_ms, session, site)
 
--- a/fawnwharf/foresight/planner.py
+++ b/fawnwharf/foresight/planner.py
@@ -98,7 +98,11 @@
 def parts(view: View, fleet_size: int) -> float:
     """Front ends that share the fleet's fetches: those that are heard, or all where they are half or
     less, so that both sides of a cut together fetch no more than the fleet may, or little more."""
-    heard, fleet = len(view.heard), max(1, fleet_size)
+    return shared(len(view.heard), fleet_size)
+
+
+def shared(heard: int, fleet_size: int) -> float:
+    fleet = max(1, fleet_size)
     return float(heard if 2 * heard > fleet else fleet)
 
 
@@ -117,6 +121,10 @@
         self._disturbed: dict[str, float] = {}
         self._mean = mean_worth(site.classes)
 
+    def go_by(self, settings: Foresight) -> None:
+        """Others of the same shape, from now on."""
+        self.settings, self._fleet.rate_ps = settings, settings.fetches_ps
+
     def shares(self, calls: dict[str, float]) -> None:
         """How many calls of each class there were, for the mean worth."""
         self._mean = mean_worth(self.site.classes, calls) if sum(calls.values()) > 0 else self._mean
--- a/fawnwharf/foresight/ways.py
+++ b/fawnwharf/foresight/ways.py
@@ -79,6 +79,10 @@
         self._turn: list[Session] = []  # sessions that are yet to be looked at, of all
         self._fleet, self._pace = Bucket(bounds.fetches_ps), Bucket(bounds.pace_ps)
 
+    def fetches(self, rate_ps: float) -> None:
+        """Of the fleet, from now on."""
+        self._fleet.rate_ps = rate_ps
+
     def foretold(self, now_ms: float, unix_ms: float, moves: list[Foretold]) -> None:
         """All that is known of moves to come; it takes the place of what was told before."""
         self._told = [(one.at_ms - unix_ms + now_ms, one.row, one.whither) for one in moves]
--- a/fawnwharf/sessions/agent.py
+++ b/fawnwharf/sessions/agent.py
@@ -102,6 +102,8 @@
         """A call that the module is about to be handed, and the home that it goes by."""
         self.known.came(now_ms, session, kind, lanes, load_ms)
         urgent = self.router.home(session) is None
+        if urgent and (home := self._home(session)) and home.number:
+            self.router.meet(now_ms, home)  # kept here, and nobody tells it anew to who has begun anew
         home = None
         for effect in self.router.begin(now_ms, call, session, now_ms + budget_ms):
             if isinstance(effect, m.Reroute):
@@ -391,10 +393,8 @@
         return dict(Counter(hand.step for hand in self.mover.hands.values())) if self.mover else {}
 
     def all_counts(self) -> dict[str, int]:
-        cores = [self.router.counts, self.moves.counts]
-        cores += [self.keeper.counts] if self.keeper else []
-        found = self.counts.copy()
-        for counts in cores:
+        found, kept = self.counts.copy(), [self.keeper.counts] if self.keeper else []
+        for counts in (self.router.counts, self.moves.counts, *kept):
             found.update(counts)
         firsts = {"first calls after a move, copy found": self.firsts.found}
         return dict(found) | firsts | {"first calls after a move, cold": self.firsts.cold}
--- a/fawnwharf/sessions/foreseen.py
+++ b/fawnwharf/sessions/foreseen.py
@@ -39,10 +39,11 @@
         agent: Agent,
         zones: Any | None,
         memory: Path,
+        policies: Any | None = None,
     ) -> None:
         """Reads its part of the file; raises ConfigError with one line. `memory`: where what was learnt is
-        left for the process that takes this one's place."""
-        self.state, self.agent, self.zones = state, agent, zones
+        left for the process that takes this one's place. `policies`: the part by which policy changes."""
+        self.state, self.agent, self.zones, self.policies = state, agent, zones, policies
         bounds = load(path, foresight_from, "sessions")
         costs = deployment.costs
         self.staging = Staging(
@@ -114,6 +115,8 @@
         now = monotonic_ms()
         if now - self._seen_ms >= SEE_MS:
             self._seen, self._seen_ms = self._look(now), now
+        if self.policies is not None:
+            self.staging.go_by(self.policies.staging)
         beat = self.staging.beat(now, self._seen)
         self._carry_out(now, beat)
         self._timer = self.front.loop.wheel.after(beat.again_ms, self._beat)
--- a/fawnwharf/sessions/service.py
+++ b/fawnwharf/sessions/service.py
@@ -10,11 +10,12 @@
 from fawnwharf.config import ConfigError, Deployment, Fleet
 from fawnwharf.handover import messages as m
 from fawnwharf.net.front_end import FrontEnd
-from fawnwharf.net.wheel import Timer, monotonic_ms
+from fawnwharf.net.wheel import Timer, monotonic_ms, unix_ms
 from fawnwharf.policy.state import Function, mark
 from fawnwharf.sessions import words as w
 from fawnwharf.sessions.agent import Agent
 from fawnwharf.sessions.effects import Copies, Dropped, Note, Words
+from fawnwharf.sessions.left import Left
 from fawnwharf.sessions.settings import Settings, Wishes, by_classes, settings_from, wishes_from, wishes_place
 from fawnwharf.sessions.stages import Orders, Stages
 from fawnwharf.sessions.trace import Trace
@@ -52,8 +53,8 @@
             made.get("zones"),
         )
         place = Path(path)
-        read: Settings = load(place, settings_from, "sessions")
-        self.settings = by_classes(read, deployment.settings.classes)
+        read = load(place, settings_from, "sessions")
+        self.settings: Settings = by_classes(read, deployment.settings.classes)
         core, zone = self.state.core, deployment.settings.zone
         entry = self.state.entry
         if entry.zone != zone:
@@ -77,6 +78,7 @@
         self.stages = Stages(self._order, module.may_order, module.idle_life_ms)
         self._wishes_file = WatchedFile(wishes_place(read, place, self.state.folder))
         self.wishes = Wishes()
+        self._left = Left(self._wishes_file.path.with_name("homes"))
         self._drained: dict[str, tuple[float, tuple[str, ...]]] = {}  # others' wishes, and when they came
         self._orders: dict[str, Function] = {}  # hash orders that were asked for
         self._placed: Any = core.placement
@@ -100,8 +102,8 @@
         if read.foresight is not None:
             from fawnwharf.sessions.foreseen import Foreseen
 
-            memory = self._wishes_file.path.with_name("learnt")
-            self.foreseen = Foreseen(deployment, place, self.state, self.agent, self.zones, memory)
+            memory, policies = self._wishes_file.path.with_name("learnt"), made.get("policy")
+            self.foreseen = Foreseen(deployment, place, self.state, self.agent, self.zones, memory, policies)
 
     def _sites(self) -> dict[str, str]:
         return {entry.name: entry.zone for entry in self.state.core.members.members if entry.state}
@@ -112,15 +114,18 @@
         """Begin, on the front end's loop."""
         self.front = front
         self.state.riders[w.RIDER] = self._heard
+        self._left.take(self.agent.router, set(self.agent.sites.values()), monotonic_ms(), unix_ms())
         if (data := self._wishes_file.changed()) is not None:
             self._wished(data, begin=False)  # what was asked of an earlier process was begun there
-        keeper = self.agent.keeper is not None
-        self.note("sessions on", {"member": self.agent.name, "site": self.site, "keeper": keeper})
+        fields = {"member": self.agent.name, "site": self.site, "keeper": self.agent.keeper is not None}
+        self.note("sessions on", fields)
         self._look()
         if self.foreseen is not None:
             self.foreseen.attach(front)
 
     def close(self) -> None:
+        if self.front is not None and not self._stopped:
+            self._left.leave(self.agent.router, monotonic_ms(), unix_ms())
         self._stopped = True
         self.state.riders.pop(w.RIDER, None)
         if self.trace is not None:
--- a/fawnwharf/sessions/staging.py
+++ b/fawnwharf/sessions/staging.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterable, Sequence
 from typing import Annotated
 
+import msgspec
 from msgspec import Meta, Struct
 
 from fawnwharf import interface as io
@@ -18,7 +19,7 @@
 from fawnwharf.foresight import messages as m
 from fawnwharf.foresight.core import Foresight
 from fawnwharf.foresight.known import Copies, Functions, Scorers, Told
-from fawnwharf.foresight.planner import View
+from fawnwharf.foresight.planner import View, shared
 from fawnwharf.foresight.predictors import Belongs, Parts, Place, Whither, _homeless, _unplaced
 from fawnwharf.foresight.seen import OWNERS_MOST
 from fawnwharf.foresight.settings import Foresight as Bounds
@@ -123,10 +124,32 @@
         self._pending: dict[tuple[str, str], tuple[float, set[int]]] = {}  # ordered, not yet answered
         self._calm_of: dict[str, tuple[float, bool]] = {}
         self._look_ms, self._slices = float("-inf"), None
+        self._budgets: dict[str, float] = {}  # of a policy, over the settings'
+        self._cold = rules.fall_multiple
         self._parts = 0  # words that this look may still say
         self._seen = Seen()
         self._refused, self._arrived, self._usual = 0, 0, 0.0  # as of the last look; `usual`: that wait
 
+    def go_by(self, budgets: dict[str, float]) -> None:
+        """A policy's budgets, by their keys in its document; what is absent is as the settings have it. Kept
+        to by all that is ordered from now on; what stands lapses as it would have."""
+        if budgets == self._budgets:
+            return
+        self._budgets, own = dict(budgets), self.bounds
+        fetches_ps = budgets.get("fetches_rps", own.fetches_ps)
+        free_part = 1.0 - budgets["free_part"] if "free_part" in budgets else own.free_part
+        self.core.go_by(msgspec.structs.replace(own, fetches_ps=fetches_ps, free_part=free_part))
+        self.ways.fetches(fetches_ps)
+        self.scorers.settings.fall_multiple = self._cold * budgets.get("cold_part", 1.0)
+
+    def _spare_mb(self, site: str) -> float:
+        """Rosters tell sizes, not memory: `unit_mb` is a guess, and so are functions that told none."""
+        spare = self.bounds.unit_mb * self.scorers.units(site) - self.copies.held_mb(site)
+        if (most := self._budgets.get("memory_mb")) is None:
+            return spare
+        heard, fleet = len(self._seen.heard), self.scorers.settings.fleet_size
+        return min(spare, most / shared(heard, fleet))
+
     def _count(self, what: str) -> None:
         self.counts[what] = self.counts.get(what, 0) + 1
 
@@ -330,7 +353,7 @@
         return self._seen.out | dead
 
     def _view(self, now_ms: float) -> View:
-        seen, scorers, unit_mb = self._seen, self.scorers, self.bounds.unit_mb
+        seen, scorers = self._seen, self.scorers
         self._wanted = [one for one in self._wanted if now_ms - one[0] < ORDER_LAG_MS]
         left, most = scorers.ration(seen.ordered, sum(count for _, count in self._wanted))
         return View(
@@ -344,10 +367,9 @@
             facts=self.functions.facts,
             order=lambda row, site: [str(worker) for worker in scorers.order(row, site)],
             cold_room=lambda name: scorers.cold_room(int(name)),
-            # Rosters tell sizes, not memory: `unit_mb` is a guess, and so are functions that told none.
-            spare_mb=lambda site: unit_mb * scorers.units(site) - self.copies.held_mb(site),
+            spare_mb=self._spare_mb,
             standing=lambda row, site: self.copies.standing(now_ms, row, site),
-            memory_mb=unit_mb * max(1.0, scorers.units()),
+            memory_mb=self.bounds.unit_mb * max(1.0, scorers.units()),
             mean_ps=scorers.rate_ps() * max(1, scorers.settings.fleet_size),
         )
 
