--- a/fawnwharf/lab/checker.py
+++ b/fawnwharf/lab/checker.py
@@ -9,6 +9,7 @@
 from collections import Counter, defaultdict, deque
 from dataclasses import dataclass, field
 
+from fawnwharf.lab import moves
 from fawnwharf.lab.files import DEDUP_MS, RATION, RULES
 from fawnwharf.lab.fleet import Fleet
 from fawnwharf.lab.processes import Front
@@ -35,7 +36,7 @@
 
 def judge(fleet: Fleet) -> Verdict:
     verdict = Verdict()
-    for rule in (_answers, _doors, _effects, _drains, _outs, _cold, _loads, _ends):
+    for rule in (_answers, _doors, _effects, _drains, _outs, _cold, _loads, _ends, _faults, _sessions):
         rule(fleet, verdict)
     if fleet.scenario.policy is not None:
         found = judged(fleet)
@@ -215,3 +216,17 @@
     for front in fleet.fronts.values():
         if front.status not in (None, 0):
             verdict.broken.append(f"ends: {front.name} ended with {front.status}")
+
+
+def _faults(fleet: Fleet, verdict: Verdict) -> None:
+    """No exception reaches a front end's loop, though that would go on."""
+    for front, line in fleet.faults[:1]:
+        told = f"{line[:60]} .. {line.rstrip(' |')[-90:]}"
+        verdict.broken.append(f"faults: {len(fleet.faults)}, the first of {front}: {told}")
+
+
+def _sessions(fleet: Fleet, verdict: Verdict) -> None:
+    if fleet.scenario.sessions is not None:
+        broken, tried = moves.judge(fleet)
+        verdict.broken += broken
+        verdict.checked += tried
--- a/fawnwharf/replication/service.py
+++ b/fawnwharf/replication/service.py
@@ -22,6 +22,7 @@
 from fawnwharf.replication.resting import Resting
 from fawnwharf.replication.settings import Settings, check_members, settings_from
 from fawnwharf.replication.use import Shares
+from fawnwharf.replication.working import Working
 from fawnwharf.zones.files import load
 from fawnwharf.zones.settings import FileFault, Members, members_from
 
@@ -69,6 +70,9 @@
             self.core.shares = Shares(quotas, deployment.settings.fleet_size)
         promises = (spec.promise_ms for spec in deployment.settings.classes.values())
         self.resting = Resting(min(promises, default=1_000.0), self.note)
+        self.working: Working | None = None
+        if self.settings.elsewhere:
+            self.working = Working(self.core, deployment.settings, self.note)
         self.disk: OnFile | None = None
         if self.folder and self.core.keeper:
             try:
@@ -118,6 +122,8 @@
             self._use()
         if self.settings.hints:
             self._beliefs()
+        if self.working:
+            self.working.attach(front, self._carry_out)
         self._tick()
         keepers = {zone: list(names) for zone, names in self.core.placement.by_zone.items()}
         self.note("state on", {"member": self.entry.name, "owner": self.core.owner, "keepers": keepers})
@@ -126,6 +132,8 @@
 
     def close(self) -> None:
         self._stopped = True
+        if self.working:
+            self.working.close()
         for feed in self._feeds.values():
             feed.close()
         if self.server:
@@ -139,6 +147,8 @@
         if self.core.shares:
             self.core.shares.came(e.tenant for e in events if isinstance(e, io.RequestArrived))
         self.resting.events(monotonic_ms(), events)
+        if self.working:
+            self.working.events(events)
 
     @property
     def busy(self) -> bool:
@@ -278,6 +288,7 @@
         }
         for name in [name for name in self._feeds if name not in wanted]:
             self._feeds.pop(name).close()
+            self.server.forget(name)
         for name, place in wanted.items():
             address = address_from(place, "members.state")
             if name in self._feeds:
@@ -300,12 +311,14 @@
                 self.server.named(sender, asked)
             self.core.hellos.clear()
             self._carry_out(effects)
+            if self.working:
+                self.working.answered()
 
         return take
 
     def _greeter(self, name: str) -> Callable[[int], None]:
         def hello(asked: int) -> None:
-            self._carry_out([Say((name,), Hello(asked))])
+            self.server.greet(name, msgspec.to_builtins(self.core.wrapped(Say((name,), Hello(asked)))))
 
         return hello
 
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -11,6 +11,7 @@
 from fawnwharf.standins.clients import Clients, Kind
 from fawnwharf.standins.relay import BACKWARD, FORWARD, Relay
 from fawnwharf.standins.scorers import Nature, Scorer, Store
+from fawnwharf.standins.sessions import SessionClients
 
 PATIENCE_S = 10.0
 
@@ -182,6 +183,94 @@
         crowd.stop()
 
 
+class FarLinks(Case):
+    def test_a_good_link_may_take_its_time_and_does_so_again_once_it_is_healed(self):
+        server = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(server.close)
+        relay = Relay(self.loop, "127.0.0.1", server.getsockname(), usual_ms=40.0)
+        self.addCleanup(relay.close)
+        self.assertFalse(relay.faulty)
+        relay.set(FORWARD, delay_ms=5.0)
+        self.assertTrue(relay.faulty)
+        relay.heal()
+        self.assertFalse(relay.faulty)
+        sock = socket.create_connection(relay.address)
+        self.addCleanup(sock.close)
+        server.setblocking(False)
+        far = []
+
+        def came():
+            if not far:
+                with contextlib.suppress(BlockingIOError):
+                    far.append(server.accept()[0])
+                    far[0].setblocking(False)
+                    self.addCleanup(far[0].close)
+                return False
+            with contextlib.suppress(BlockingIOError):
+                return far[0].recv(9) == b"x"
+
+        began = time.monotonic()
+        sock.sendall(b"x")
+        self.until(came, "it has come")
+        self.assertGreaterEqual(time.monotonic() - began, 0.04)
+
+
+class Sessions(Case):
+    def crowd(self, **how):
+        kinds = [Kind("settle", "at_most_once", give_up_ms=2_000.0)]
+        where = {}  # no front end: all that is asked for is on record at once
+        return SessionClients(
+            self.loop, 1, kinds, {"a": 99.0, "b": 99.0}, 4, ["t", "u"], lambda: where, {"a": 4, "b": 4}, **how
+        )
+
+    def test_each_is_a_series_by_one_tenant_to_one_function_at_one_site(self):
+        crowd = self.crowd()
+        crowd.start()
+        self.until(lambda: len(crowd.requests) > 50, "calls come")
+        crowd.stop()
+        asked = {(r.tenant, r.function): r.zone for r in crowd.requests}
+        self.assertEqual(len(asked), 8)
+        self.assertEqual(sorted(asked.values()), ["a"] * 4 + ["b"] * 4)
+        self.assertTrue(all(asked[r.tenant, r.function] == r.zone for r in crowd.requests))
+
+    def test_they_move_all_or_a_part_or_of_one_tenant_and_to_any_site(self):
+        crowd = self.crowd()
+        half = crowd.draw("a", 0.5)
+        self.assertEqual([live.site for live in half], ["a", "a"])
+        ours = crowd.draw("*", tenant="t")
+        self.assertEqual([live.org for live in ours], ["t"] * 4)
+        self.assertTrue(all(live.site == "b" for live in crowd.draw("*", but="a")))
+        for live in half:
+            crowd.move(live, crowd.elsewhere(live, "*"))
+        self.assertEqual([live.site for live in half], ["b", "b"])
+        self.assertEqual([(m.whence, m.whither) for m in crowd.moved], [("a", "b")] * 2)
+
+    def test_a_partner_bounces_them_at_a_pace_by_moves_that_are_known_ahead(self):
+        crowd = self.crowd()
+        crowd.start()
+        crowd.bounce(100.0, "t")
+        ahead = list(crowd.planned)
+        self.until(lambda: len(crowd.moved) >= 10, "they move")
+        crowd.bounce(0.0)
+        went = [(m.org, m.row, m.whence, m.whither) for m in crowd.moved[:10]]
+        self.assertEqual(went, [(p.live.org, p.live.row, p.whence, p.whither) for p in ahead[:10]])
+        self.assertEqual({moved.org for moved in crowd.moved}, {"t"})
+        self.until(lambda: not crowd.planned, "it is over")
+        crowd.stop()
+
+    def test_calls_come_again_at_the_other_site_under_their_keys(self):
+        crowd = self.crowd(again=1.0)
+        crowd.start()
+        self.until(lambda: any(r.zone == "a" for r in crowd.requests), "a call comes")
+        crowd.stop()
+        first = next(r for r in crowd.requests if r.zone == "a")
+        for live in crowd.draw("a"):
+            crowd.move(live, "b")
+        twin = next(r for r in crowd.requests if r.token == first.token and r is not first)
+        self.assertEqual((twin.zone, twin.call_id, twin.tenant), ("b", first.call_id, first.tenant))
+        self.assertTrue(first.call_id)
+
+
 class Scorers(Case):
     def scorer(self, **nature):
         self.arrivals = []
@@ -212,7 +301,9 @@
         self.until(lambda: len(self.pump(sock)) == 2, "the second is answered")
         self.assertEqual([frame.fields["res"] for frame in self.frames], ["init", "reused"])
         self.assertEqual([frame.body for frame in self.frames], [b"done:body", b"done:two"])
-        self.assertEqual([arrival.what for arrival in self.arrivals], ["run", "run"])
+        came = [arrival.what for arrival in self.arrivals]
+        self.assertEqual(came, ["run", "load", "loaded", "done", "run", "done"])
+        self.assertEqual([a.note for a in self.arrivals if a.what == "done"], ["init", "reused"])
 
     def test_an_order_is_answered_when_the_copies_stand(self):
         scorer = self.scorer()
@@ -222,6 +313,44 @@
         told = {frame.id[:1]: frame.fields["slots_up"] for frame in self.frames}
         self.assertEqual(told, {b"1": "2", b"2": "0"})
 
+    def whats(self, *words):
+        return [arrival.what for arrival in self.arrivals if arrival.what in words]
+
+    def test_idle_copies_go_at_a_word_and_those_that_no_call_had_are_noted(self):
+        scorer, function = self.scorer(), bytes.fromhex("00000000000000ab")
+        sock = self.link(scorer)
+        sock.sendall(frames.ensure(b"1" * 8, function.hex(), 2))
+        self.until(lambda: self.pump(sock), "they stand")
+        sock.sendall(frames.run(b"2" * 8, "view", function.hex(), 1000.0, "", b""))
+        self.until(lambda: len(self.pump(sock)) == 2, "one is used")
+        sock.sendall(frames.unload(function.hex()) + frames.ensure(b"3" * 8, function.hex(), 0))
+        self.until(lambda: len(self.pump(sock)) == 3, "the question is answered, the word is not")
+        self.assertEqual(self.frames[-1].fields["slots_up"], "0")
+        self.assertEqual(self.whats("loaded", "wasted", "unload"), ["loaded", "loaded", "unload", "wasted"])
+        self.assertEqual([a.note for a in self.arrivals if a.what == "unload"], ["0"])
+
+    def test_copies_at_work_stay_at_a_word_and_go_when_they_are_done_at_a_release(self):
+        scorer = self.scorer(work_ms=60.0, lanes=1)
+        sock = self.link(scorer)
+        sock.sendall(frames.ensure(b"1" * 8, "f", 2))
+        self.until(lambda: self.pump(sock), "they stand")
+        sock.sendall(frames.run(b"2" * 8, "view", "f", 1000.0, "", b""))
+        self.until(lambda: scorer.functions["f"].running, "it runs")
+        scorer.release(["f", "none"])
+        self.assertEqual(scorer.functions["f"].copies, 1)  # the one at work
+        self.until(lambda: len(self.pump(sock)) == 2, "it is answered")
+        self.assertEqual(scorer.functions["f"].copies, 0)
+
+    def test_an_idle_copy_lapses_when_its_time_is_over_whoever_asks_then(self):
+        scorer = self.scorer(keep_ms=50.0)
+        sock = self.link(scorer)
+        sock.sendall(frames.run(b"1" * 8, "view", "f", 1000.0, "", b""))
+        self.until(lambda: self.pump(sock), "it is answered")
+        self.turns(0.08)
+        sock.sendall(frames.run(b"2" * 8, "view", "f", 1000.0, "", b""))
+        self.until(lambda: len(self.pump(sock)) == 2, "so is the next")
+        self.assertEqual(self.frames[-1].fields["res"], "init")
+
     def test_one_that_is_sent_more_than_it_bears_while_cold_falls_and_stays_down(self):
         scorer = self.scorer(cores=1, cold_ms=60_000.0, cold_share=0.1, fall_ms=1_000.0, work_ms=50.0)
         scorer.stop()
