Lab: operators move sessions that were served

Seen once more on a machine with a load of 30, where a part of the calls came: a session whose first call was on its way was asked to move, which nobody knew.

--- a/fawnwharf/lab/sessions.py
+++ b/fawnwharf/lab/sessions.py
@@ -111,13 +111,13 @@
 
     def move_session(self, step: Step) -> None:
         """`what` is a site, or one session as tenant/function; `value` how many of the site, all if 0. Of one
-        that has not called nobody knows."""
+        without a call that was served nobody knows."""
         clients = self.fleet.clients
         org, slash, row = step.what.partition("/")
         if slash:
             drawn = [Live(org, row, "")]
         else:
-            drawn = clients.draw(org, count=int(step.value) or len(clients.live), but=step.to, called=True)
+            drawn = clients.draw(org, count=int(step.value) or len(clients.live), but=step.to, served=True)
         site = step.to
         self._write(self.asked(site), [{"org": live.org, "row": live.row, "site": site} for live in drawn])
 
--- a/fawnwharf/standins/sessions.py
+++ b/fawnwharf/standins/sessions.py
@@ -103,17 +103,17 @@
         tenant: str = "",
         count: int | None = None,
         but: str = "",
-        called: bool = False,
+        served: bool = False,
     ) -> list[Live]:
         """So large a part of the sessions of a site (`*`: of all), or so many, but those at `but`; of those
-        that have called, where it is said."""
+        with a call that was served, where it is said: before that nobody knows of it for sure."""
         there = [
             live
             for live in self.live
             if whence in (ANY, live.site)
             and live.site != but
             and tenant in ("", live.org)
-            and (live.recent or not called)
+            and (not served or any(request.outcome == "served" for request in live.recent))
         ]
         count = round(share * len(there)) if count is None else min(count, len(there))
         return self._moving.sample(there, count)
