--- a/fawnwharf/lab/conditions.py
+++ b/fawnwharf/lab/conditions.py
@@ -98,7 +98,12 @@
         before, since = self.fleet.notes[: self.noted], self.fleet.notes[self.noted :]
         known = max((n.fields.get("index", -1) for n in before if n.event == event), default=-1)
         wanted = (fields or {}).items()
-        return times <= sum(
-            n.event == event and n.fields.get("index", known + 1) > known and wanted <= n.fields.items()
+        found = [
+            n
             for n in since
-        )
+            if n.event == event and n.fields.get("index", known + 1) > known and wanted <= n.fields.items()
+        ]
+        if len(found) < times:
+            return False
+        self.fleet.noted = found[times - 1].front
+        return True
--- a/fawnwharf/lab/fleet.py
+++ b/fawnwharf/lab/fleet.py
@@ -40,6 +40,7 @@
         self.replaced: list[Any] = []
         self.faults: list[tuple[str, str]] = []  # front ends, and lines that tell of an exception
         self.asked = ""  # the front end that operators of sessions turned to last
+        self.noted = ""  # the front end whose note a step waited for
         super().__init__(scenario, seed, folder or Path(tempfile.mkdtemp(prefix="fawnwharf-lab-")))
 
     # --- processes ------------------------------------------------------------------------------
--- a/fawnwharf/lab/parties.py
+++ b/fawnwharf/lab/parties.py
@@ -14,8 +14,8 @@
         self.fleet, self.chance = fleet, random.Random(seed)
 
     def fronts(self, what: str) -> list[Front]:
-        """Front ends by a word: all, live, leader, asked (by operators, last), zone:Z, share:P of those that
-        live, or names with commas."""
+        """Front ends by a word: all, live, leader, asked (by operators, last), noted (who wrote the note
+        that was waited for), zone:Z, share:P of those that live, or names with commas."""
         every = list(self.fleet.fronts.values())
         live = [front for front in every if front.alive and not front.stopped]
         if what in ("", "all"):
@@ -26,8 +26,9 @@
             return [front for front in live if front.role == "leader"][:1]
         if what == "follower":
             return [front for front in live if front.voter and front.role != "leader"][:1]
-        if what == "asked":
-            return [front for front in every if front.name == self.fleet.asked]
+        if what in ("asked", "noted"):
+            name = self.fleet.asked if what == "asked" else self.fleet.noted
+            return [front for front in every if front.name == name]
         if what == "old leader":
             return [front for front in every if front.stopped]
         if what.startswith("zone:"):
@@ -54,7 +55,7 @@
                 )
             if word.startswith("clients:"):
                 return lambda party: party == f"clients-{word[8:]}"
-            if word in ("leader", "follower", "old leader", "asked"):
+            if word in ("leader", "follower", "old leader", "asked", "noted"):
                 names = {front.name for front in self.fronts(word)}
                 return lambda party: party in names
             if word == "rest":
