--- a/fawnwharf/lab/moves.py
+++ b/fawnwharf/lab/moves.py
@@ -101,7 +101,7 @@
         return cut or held or not front.well(since_ms, until_ms)
 
     broken = homes.one_home(told, sent)
-    broken += homes.by_the_number(told, sent, excused, LATE_MS)
+    broken += homes.by_the_number(told, sent, excused, LATE_MS, still_ms)
     broken += homes.let_go(unloads, uses_of(fleet.arrivals), told, last_call, RACE_MS, still_ms)
     broken += homes.spent_once(carried, came)
     tried = Counter(homes=len(told), numbers=len(sent), quotas=len(carried))
--- a/tests/test_lab_sessions.py
+++ b/tests/test_lab_sessions.py
@@ -55,6 +55,8 @@
     [broken] = homes.by_the_number([], [sent(2.0, 1), sent(1.0, 0), sent(3.0, 0)], no, 9)
     assert broken == "numbers: n0 sent c of t f by 0 after 1"
     assert homes.by_the_number([], [sent(2.0, 1), sent(3.0, 0, life=2)], no, 9) == []  # it forgot
+    assert homes.by_the_number([], [sent(2.0, 1), sent(52.0, 0)], no, 9, still_ms=40.0) == []  # it was over
+    assert len(homes.by_the_number([], [sent(2.0, 1), sent(32.0, 1), sent(62.0, 0)], no, 9, 40.0)) == 1
     words = [told(100.0, "b", 1), told(500.0, "b", 1, settled=True)]
     assert homes.by_the_number(words, [sent(505.0, 0)], no, 9.0) == []
     [broken] = homes.by_the_number(words, [sent(520.0, 0)], no, 9.0)
