--- a/fawnwharf/cli.py
+++ b/fawnwharf/cli.py
@@ -5,6 +5,8 @@
 import typer
 
 from fawnwharf import __version__, config, serving
+from fawnwharf.durable.commands import app as recovery_app
+from fawnwharf.epochs.commands import app as policy_app
 from fawnwharf.lab.commands import app as lab_app
 from fawnwharf.replication.commands import app as state_app
 from fawnwharf.sessions.commands import app as sessions_app
@@ -14,7 +16,9 @@
 app.add_typer(zones_app, name="zones")
 app.add_typer(state_app, name="state")
 app.add_typer(sessions_app, name="sessions")
+app.add_typer(policy_app, name="policy")
 app.add_typer(lab_app, name="lab")
+app.add_typer(recovery_app, name="recovery")
 File = Annotated[str | None, typer.Option("--config", help="The JSON file, in place of ROUTER_CONFIG's.")]
 
 
--- a/fawnwharf/lab/checker.py
+++ b/fawnwharf/lab/checker.py
@@ -13,6 +13,7 @@
 from fawnwharf.lab.files import DEDUP_MS, RATION, RULES
 from fawnwharf.lab.fleet import Fleet
 from fawnwharf.lab.processes import Front
+from fawnwharf.lab.proposals import judged
 from fawnwharf.standins.clients import LATE_MS, Try
 
 SLACK_MS = LATE_MS
@@ -37,6 +38,10 @@
     verdict = Verdict()
     for rule in (_answers, _doors, _effects, _drains, _outs, _cold, _loads, _ends, _faults, _sessions):
         rule(fleet, verdict)
+    if fleet.scenario.policy is not None:
+        found = judged(fleet)
+        verdict.broken += found.broken
+        verdict.checked += found.checked
     return verdict
 
 
--- a/fawnwharf/lab/fleet.py
+++ b/fawnwharf/lab/fleet.py
@@ -41,6 +41,7 @@
         self.faults: list[tuple[str, str]] = []  # front ends, and lines that tell of an exception
         self.asked = ""  # the front end that operators of sessions turned to last
         self.noted = ""  # the front end whose note a step waited for
+        self.proposed: list[Any] = []
         super().__init__(scenario, seed, folder or Path(tempfile.mkdtemp(prefix="fawnwharf-lab-")))
 
     # --- processes ------------------------------------------------------------------------------
@@ -65,10 +66,12 @@
         files.write_whole(front.folder / "config.json", files.config(self, front))
         if self.scenario.decide or self.scenario.state is not None:
             files.write_files(self, front)
+        if self.scenario.policy is not None:
+            files.write_policy(self, front)
         shutil.rmtree(front.folder / "tmp", ignore_errors=True)  # what was learnt is lost with a restart
         (front.folder / "tmp").mkdir()
         self.launch(front)
-        front.plan, front.index, front.role = None, 0, ""
+        front.plan, front.index, front.role, front.policy = None, 0, "", None
         self._listens(front.name, False)
 
     def launch(self, front: Front) -> None:
@@ -87,6 +90,8 @@
         command = [sys.executable, "-m", "fawnwharf", "serve"]
         if self.scenario.decide:
             command += ["--zones", "zones.json"]
+        if self.scenario.policy is not None:
+            command += ["--policy", "policy.json"]
         if self.scenario.state is not None:
             command += ["--state", "state.json"] + ([] if front.lives else ["--fresh"])
         if self.scenario.sessions is not None:
@@ -118,6 +123,8 @@
             front.plan = None
         elif event == "role":
             front.role = fields.get("role", "")
+        elif event == "policy":
+            front.policy = fields.get("number", -1), fields.get("digest", ""), fields.get("how", "")
 
     def reap(self) -> None:
         """Notice processes that have ended by themselves."""
@@ -172,6 +179,7 @@
         if front.halts and front.halts[-1][1] == float("inf"):
             front.halts[-1][1] = monotonic_ms()
         front.ready, front.plan, front.apart, front.role, front.stopped = False, None, [], "", False
+        front.policy = None
         self._listens(front.name, False)
 
     def kill(self, front: Front) -> None:
--- a/fawnwharf/lab/measures.py
+++ b/fawnwharf/lab/measures.py
@@ -11,6 +11,7 @@
 from fawnwharf.lab.checker import Verdict, judge
 from fawnwharf.lab.fleet import Fleet
 from fawnwharf.lab.moves import Figures, figures
+from fawnwharf.lab.proposals import Change, changes
 from fawnwharf.lab.topology import STATE
 from fawnwharf.net.wheel import monotonic_ms
 from fawnwharf.replication.commands import look
@@ -65,6 +66,7 @@
     asks: int = 0  # questions after copies
     orders: int = 0  # to load
     twice: int = 0  # of those, for what another front end had just ordered
+    changes: list[Change] = field(default_factory=list)  # of policy
 
     def service(self, since_s: float = 0.0, until_s: float = 1e9) -> float:
         """Worth answered in time over worth asked."""
@@ -116,6 +118,7 @@
         starts = {id: scorer.cold_starts for id, scorer in fleet.scorers.items()}
         cold = work.cold_use(fleet.arrivals, starts, [r.began_ms for r in fleet.clients.requests])
         came = work.counts(fleet.arrivals)
+        live = {front.name for front in fleet.fronts.values() if front.alive and not front.stopped}
         measures = Measures(
             scenario=fleet.scenario.name,
             seed=fleet.seed,
@@ -151,6 +154,7 @@
             orders=came["order"],
             twice=work.twice(fleet.arrivals),
             held=fleet.waits.between(began, monotonic_ms()) / 1000.0 / spent,
+            changes=changes(fleet.notes, live),
         )
         if fleet.scenario.live:
             measures.sessions = figures(fleet, self.disturbed, measures.service())
