--- a/fawnwharf/lab/scenario.py
+++ b/fawnwharf/lab/scenario.py
@@ -123,6 +123,8 @@
         raise ScenarioFault("policy: goes by the voters' log, and decide is false")
     proposed = False
     for n, step in enumerate(found.steps):
+        if step.do in ("move_clients", "bounce", "move_session") and not found.live:
+            raise ScenarioFault(f"steps[{n}].do: {step.do}, and no sessions are live")
         if step.do in ("propose", "back", "call_off") and found.policy is None:
             raise ScenarioFault(f"steps[{n}].do: {step.do}, and no policy is changed here")
         if step.when.policy in SAID and not proposed:
--- a/tests/test_lab_sessions.py
+++ b/tests/test_lab_sessions.py
@@ -55,6 +55,8 @@
     [broken] = homes.by_the_number([], [sent(2.0, 1), sent(1.0, 0), sent(3.0, 0)], no, 9)
     assert broken == "numbers: n0 sent c of t f by 0 after 1"
     assert homes.by_the_number([], [sent(2.0, 1), sent(3.0, 0, life=2)], no, 9) == []  # it forgot
+    assert homes.by_the_number([], [sent(2.0, 1), sent(52.0, 0)], no, 9, still_ms=40.0) == []  # it was over
+    assert len(homes.by_the_number([], [sent(2.0, 1), sent(32.0, 1), sent(62.0, 0)], no, 9, 40.0)) == 1
     words = [told(100.0, "b", 1), told(500.0, "b", 1, settled=True)]
     assert homes.by_the_number(words, [sent(505.0, 0)], no, 9.0) == []
     [broken] = homes.by_the_number(words, [sent(520.0, 0)], no, 9.0)
@@ -204,7 +206,7 @@
         (front.folder / "kept").mkdir()
     try:
         fleet.notes.append(Noted(0.0, "n0", "state on", {"keepers": {"a": ["n1"], "b": ["n2"], "c": ["n5"]}}))
-        fleet.clients.live[0].recent.clear()
+        fleet.clients.live[0].recent.append(request(0.0, ""))
         for live in fleet.clients.live[1:]:
             live.recent.append(request(0.0))
         steps.move_session(Step("move_session", what="a", to="b", value=11))
