--- a/fawnwharf/lab/scenario.py
+++ b/fawnwharf/lab/scenario.py
@@ -14,14 +14,17 @@
 from fawnwharf.epochs.document import DocumentFault, document_of
 
 VERSION = 1
-SAID = "in force", "prepare", "decided", "ended", "refused"  # of a proposal
+SAID = "in force", "prepare", "decided", "ended", "over", "refused"  # of a proposal
 FOLDER = Path(__file__).parent / "scenarios"
 
 Name = Annotated[str, Meta(min_length=1, max_length=32, pattern=r"^[0-9a-z_-]+$")]
 Span = Annotated[float, Meta(ge=0.0, le=3_600.0)]
 Part = Annotated[float, Meta(ge=0.0, le=1.0)]
 
-Stance = Literal["in force", "leased", "strict", "floor", "waiting", "prepare", "decided", "ended", "refused"]
+Stance = Literal[
+    "in force", "leased", "strict", "floor", "waiting",  # of front ends
+    "prepare", "decided", "ended", "over", "refused",  # of the last proposal; over: one way or the other
+]  # fmt: skip
 
 
 class ScenarioFault(ValueError):
