--- a/fawnwharf/sessions/service.py
+++ b/fawnwharf/sessions/service.py
@@ -58,9 +58,8 @@
         core, zone = self.state.core, deployment.settings.zone
         entry = self.state.entry
         if entry.zone != zone:
-            raise ConfigError(
-                f"sessions: {entry.name} is of zone {entry.zone}, and its configuration says {zone}"
-            )
+            told = f"{entry.name} is of zone {entry.zone}, and its configuration says {zone}"
+            raise ConfigError(f"sessions: {told}")
         self.site = zone
         self.agent = Agent(
             entry.name,
--- a/tests/test_lab_joint.py
+++ b/tests/test_lab_joint.py
@@ -1,4 +1,4 @@
-"""All parts on in real processes, and faults between them: policy changed over hand-overs, replaced processes."""
+"""All parts on in real processes, and faults between them: changes over hand-overs, replaced processes."""
 
 import msgspec
 import pytest
