--- a/fawnwharf/recovery/search.py
+++ b/fawnwharf/recovery/search.py
@@ -202,10 +202,12 @@
     "voters, a cut": _voters(plans=1),
     "voters, two cuts": _voters(plans=1, cuts=2),
     "voters, a kill and a cut": _voters(plans=1, kills=1),
+    "policy, a cut at one moment": _policy(turns=0),
     "policy, a cut": _policy(),
     "policy, two cuts": _policy(cuts=2, turns=2),
     "policy, a kill and a cut": _policy(kills=1),
-    "promises, a cut": _promises(cuts=1, turns=6),
+    "promises, a cut, a lost disk": _promises(cuts=1, turns=3, lost=1),
+    "promises, two cuts, a lost disk, at one moment": _promises(cuts=2, turns=0, lost=1),
     "promises, two cuts": _promises(cuts=2, turns=6),
     "promises, two cuts, a lost disk": _promises(cuts=2, turns=6, lost=1),
 }
