--- a/fawnwharf/sessions/left.py
+++ b/fawnwharf/sessions/left.py
@@ -72,5 +72,6 @@
     def leave(self, router: Router, now_ms: float, unix_ms: float) -> None:
         beside = self.path.with_suffix(".new")
         with contextlib.suppress(OSError):
+            beside.parent.mkdir(parents=True, exist_ok=True)  # there only where operators asked for something
             beside.write_bytes(left(router, now_ms, unix_ms))
             beside.rename(self.path)
--- a/tests/test_lab_joint.py
+++ b/tests/test_lab_joint.py
@@ -1,4 +1,4 @@
-"""All parts on in real processes, and faults between them: policy changed over hand-overs, replaced processes."""
+"""All parts on in real processes, with faults: a policy changed over hand-overs, processes replaced."""
 
 import msgspec
 import pytest
