--- a/tests/test_lab_elsewhere.py
+++ b/tests/test_lab_elsewhere.py
@@ -5,6 +5,7 @@
 from fawnwharf.lab import scenario as scenarios
 from fawnwharf.lab.checker import judge
 from fawnwharf.lab.run import Runner
+from fawnwharf.lab.topology import STATE
 from fawnwharf.replication import commands as state
 
 
@@ -40,6 +41,9 @@
         fleet.until(lambda: not any(last(f) for f in fronts if not f.stopped), "the others to miss it")
         fleet.go_on(fleet.fronts["n3"])
         until(True, "it to be heard again")
+        place = f"{fleet.fronts['n0'].host}:{STATE}"
+        heard = "work: front ends heard"  # it tells of itself every two seconds
+        fleet.until(lambda: state.look(place, 0.5).counts.get(heard) == 6, "its word on itself")
         state.show(str(fronts[0].folder / "state.json"), "n0")
         fleet.clients.stop()
         fleet.until(lambda: not fleet.clients.open, "all calls to end")
