--- a/tests/test_elsewhere.py
+++ b/tests/test_elsewhere.py
@@ -3,23 +3,17 @@
 import random
 
 import msgspec
+from elsewhere_rig import greeted, own
 from hypothesis import given, settings, strategies
 
 from fawnwharf import interface as io
 from fawnwharf.replication import messages as m
-from fawnwharf.replication.elsewhere import COPIES_MOST, NEWS_MOST, Own
+from fawnwharf.replication.elsewhere import COPIES_MOST, NEWS_MOST
 from fawnwharf.replication.others import PLACES_MOST, Owner, View, Words
 
 GOOD, UNTOLD = io.Ending.GOOD, io.Warmth.UNTOLD
 
 
-def own(*cold, now=0.0, copies_ms=3_000.0):
-    found = Own(4_000.0, 1_000.0, copies_ms)
-    entries = [io.WorkerEntry(n, up_since_ms=now if n in cold else None) for n in range(1, 10)]
-    found.roster(now, now, entries, True)
-    return found
-
-
 # --- what an owner tells ------------------------------------------------------------------------
 
 
@@ -130,11 +124,6 @@
     assert plain == mixed
 
 
-def greeted(words, owners, now=0.0):
-    """Each owner's first word names nothing; the number of the answer to it."""
-    return {owner: words.heard(now, "k", owner, m.Work(0)).answer for owner in owners}
-
-
 @given(strategies.lists(strategies.tuples(strategies.integers(0, 4), works), max_size=12), strategies.data())
 def test_each_owner_is_told_what_all_others_have_and_nothing_of_its_own(found, data):
     words, owners = Words(1_000.0, 3_000.0, 1), [f"n{n}#1" for n in range(5)]
--- a/tests/test_elsewhere_answers.py
+++ b/tests/test_elsewhere_answers.py
@@ -1,9 +1,9 @@
 """What a front end makes of what keepers answer on others' work; several cores; faults of settings."""
 
-
 import msgspec
 import pytest
 from cores import Cores
+from elsewhere_rig import greeted, own
 
 from fawnwharf import interface as io
 from fawnwharf.replication import messages as m
