--- a/tests/staging_rig.py
+++ b/tests/staging_rig.py
@@ -1,6 +1,7 @@
 """A front end's staging with calls and looks at hand, for tests."""
 
 from fawnwharf import interface as io
+from fawnwharf.foresight import messages as m
 from fawnwharf.foresight.settings import Foresight as Bounds
 from fawnwharf.foresight.settings import Prices
 from fawnwharf.sessions.staging import (
@@ -53,3 +54,10 @@
     return [(w.function, w.worker) for beat in beats for w in beat.wanted]
 
 
+def drained_site(one, calls, rows, now=0.0, seen=None):
+    """Sessions at n, which is to be drained in 8 s."""
+    for second in range(5):
+        for row in rows:
+            one.events(now + 1_000.0 * second, UNIX, calls.events(row, "n"))
+        look(one, now + 1_000.0 * second, seen)
+    one.announced(now + 5_000.0, m.Announced("n", 1, "drain", (m.Step(8_000.0, 0.0),)))
--- a/tests/test_sessions_joined.py
+++ b/tests/test_sessions_joined.py
@@ -6,7 +6,7 @@
 from peers import ROW
 from session_fleet import Fleet
 from session_rig import Fronts
-from test_staging import Calls, S, drained_site, look, staging, wanted
+from staging_rig import Calls, S, drained_site, look, staging, wanted
 
 from fawnwharf.handover.router import Router
 from fawnwharf.handover.settings import Settings
--- a/tests/test_staging_orders.py
+++ b/tests/test_staging_orders.py
@@ -2,7 +2,7 @@
 
 import msgspec
 import pytest
-from staging_rig import SITES, UNIX, Calls, S, look, staging, wanted
+from staging_rig import SITES, UNIX, Calls, S, drained_site, look, staging, wanted
 
 from fawnwharf import interface as io
 from fawnwharf.foresight import messages as m
@@ -18,15 +18,6 @@
 from fawnwharf.zones.settings import FileFault, Ramp
 
 
-def drained_site(one, calls, rows, now=0.0, seen=None):
-    """Sessions at n, which is to be drained in 8 s."""
-    for second in range(5):
-        for row in rows:
-            one.events(now + 1_000.0 * second, UNIX, calls.events(row, "n"))
-        look(one, now + 1_000.0 * second, seen)
-    one.announced(now + 5_000.0, m.Announced("n", 1, "drain", (m.Step(8_000.0, 0.0),)))
-
-
 def test_what_is_to_come_is_ordered_once_at_the_first_scorers_of_the_site_within_the_ration():
     one, calls = staging(load_part=0.5), Calls()
     drained_site(one, calls, [f"f{n}" for n in range(4)])
