Between two epochs, a larger budget of staging waits until its policy is in force

Need: between two policies a front end goes by the stricter one of each key. Budgets of staging had no value of the settings in what that rests on (`known_of`), so where only the next policy named one, its value counted at once: 100 fetches a second in place of 8 before anything was in force; and without a leader's word no half of it was taken. Now the settings' own budgets are in it. A policy with `staging` is a no where sessions are on without foresight, as nothing there could go by it. Seen by reading, with a test that fails without it.

--- a/fawnwharf/epochs/follow.py
+++ b/fawnwharf/epochs/follow.py
@@ -14,9 +14,9 @@
 LIMIT = "policy"
 
 
-def known_of(deployment: Deployment, zones: Any, state: Any, stages: bool) -> Known:
+def known_of(deployment: Deployment, zones: Any, state: Any, staging: dict[str, float] | None) -> Known:
     """What this deployment has, and its settings as a document: what an absent key means. `zones` and `state`
-    are the parts, attached; `state` None where nothing is kept."""
+    are the parts, attached; `state` None where nothing is kept, `staging` where nothing is foreseen."""
     settings, members = deployment.settings, zones.core.members
     names = sorted(members.zones)
     spill = zones.settings.spill
@@ -28,6 +28,7 @@
             values["modes", name] = state.gate.modes[name]
             values["window_ms", name] = state.settings.window_ms
     values |= {("tenants", name, "quota_rps"): rps for name, rps in settings.quotas_rps.items()}
+    values |= {("staging", key): value for key, value in (staging or {}).items()}
     values |= {("admission", name): 1.0 for name in names}
     values |= {("spill", name): spill.zones.get(name, spill.share) for name in names}
     found = Known(
@@ -35,7 +36,7 @@
         tenants=deployment.wire.tenants | frozenset(settings.quotas_rps),
         zones=frozenset(names),
         keeps=state is not None,
-        stages=stages,
+        stages=staging is not None,
         base=made(0, values),
     )
     if state is None:
--- a/fawnwharf/epochs/service.py
+++ b/fawnwharf/epochs/service.py
@@ -12,7 +12,7 @@
 from fawnwharf.epochs import keeping
 from fawnwharf.epochs import messages as m
 from fawnwharf.epochs.agent import Agent
-from fawnwharf.epochs.document import Document, check_against, document_of
+from fawnwharf.epochs.document import Document, Known, check_against, document_of
 from fawnwharf.epochs.follow import Follower, known_of
 from fawnwharf.epochs.judged import Judged, handed_over, spec_of
 from fawnwharf.epochs.settings import Settings, said_from, settings_from
@@ -95,6 +95,11 @@
         """Budgets of pre-staging, by their keys in the document; an absent one is as the settings have it."""
         return self.in_force.document.section("staging")
 
+    def _known(self) -> Known:
+        foreseen = getattr(self._made.get("sessions"), "foreseen", None)
+        budgets = foreseen.staging.budgets if foreseen is not None else None
+        return known_of(self.deployment, self.zones, self._made.get("state"), budgets)
+
     @property
     def ready(self) -> bool:
         return self.agent.holder.ready
@@ -104,8 +109,7 @@
     def attach(self, front: FrontEnd) -> None:
         """Begin, on the front end's loop; zones and state are attached."""
         self.front, self._began_ms = front, monotonic_ms()
-        core, state = self.zones.core, self._made.get("state")
-        known = known_of(self.deployment, self.zones, state, "sessions" in self._made)
+        core, state, known = self.zones.core, self._made.get("state"), self._known()
         self.agent = Agent(
             self.zones.entry.name, self._names(), known, self.settings.timing, self.life,
             self.zones.seat, core.voter is not None, self._register,
@@ -208,7 +212,7 @@
 
     def members_taken(self) -> None:
         self._granted.clear()
-        known = known_of(self.deployment, self.zones, self._made.get("state"), self.agent.known.stages)
+        known = self._known()
         known = msgspec.structs.replace(self.agent.known, zones=known.zones, base=self._base(known.base))
         self._carry_out(self.agent.take_members(monotonic_ms(), self._names(), known))
 
--- a/fawnwharf/sessions/staging.py
+++ b/fawnwharf/sessions/staging.py
@@ -130,6 +130,12 @@
         self._seen = Seen()
         self._refused, self._arrived, self._usual = 0, 0, 0.0  # as of the last look; `usual`: that wait
 
+    @property
+    def budgets(self) -> dict[str, float]:
+        """The settings' own, by a policy's keys; of memory they have none but what there is."""
+        own = self.bounds
+        return {"fetches_rps": own.fetches_ps, "free_part": 1.0 - own.free_part, "cold_part": 1.0}
+
     def go_by(self, budgets: dict[str, float]) -> None:
         """A policy's budgets, by their keys in its document; what is absent is as the settings have it. Kept
         to by all that is ordered from now on; what stands lapses as it would have."""
--- a/tests/test_sessions_joined.py
+++ b/tests/test_sessions_joined.py
@@ -6,8 +6,10 @@
 from peers import ROW
 from session_fleet import Fleet
 from session_rig import Fronts
-from test_staging import Calls, S, drained_site, look, staging, wanted
+from test_staging import Calls, S, drained_site, look, rules, staging, wanted
 
+from fawnwharf.epochs.document import check_against, document_of, floor, made, over, stricter
+from fawnwharf.epochs.service import Policies
 from fawnwharf.handover.router import Router
 from fawnwharf.handover.settings import Settings
 from fawnwharf.sessions import left
@@ -126,3 +128,21 @@
         assert rig.call(rig.client("a1")) == "answer" and rig.seen["a1"][-1].site == "b"
     finally:
         rig.close()
+
+
+def test_a_larger_budget_counts_only_once_its_policy_is_in_force_and_half_of_it_without_a_leader():
+    policies = object.__new__(Policies)
+    settings = SimpleNamespace(spill=SimpleNamespace(zones={}, share=0.5))
+    policies.zones = SimpleNamespace(
+        core=SimpleNamespace(members=SimpleNamespace(zones={"n": ()})), settings=settings
+    )
+    policies.deployment = SimpleNamespace(settings=rules(), wire=SimpleNamespace(tenants=frozenset()))
+    policies._made = {"sessions": SimpleNamespace(foreseen=SimpleNamespace(staging=staging()))}
+    base = policies._known().base
+    more = document_of({"version": 1, "number": 2, "staging": {"fetches_rps": 100.0}})
+    between = stricter(over(base, made(1, {})), over(base, more))
+    assert between.section("staging") == {"fetches_rps": S.fetches_ps, "free_part": 0.5, "cold_part": 1.0}
+    assert floor(over(base, more)).value("staging", "fetches_rps") == 50.0
+    assert floor(base).value("staging", "fetches_rps") == S.fetches_ps / 2
+    policies._made = {"sessions": SimpleNamespace(foreseen=None)}  # homes alone: nothing to give budgets to
+    assert check_against(more, policies._known()) == "staging.fetches_rps: nothing is staged here"
