--- a/fawnwharf/sessions/service.py
+++ b/fawnwharf/sessions/service.py
@@ -55,8 +55,7 @@
         place = Path(path)
         read = load(place, settings_from, "sessions")
         self.settings: Settings = by_classes(read, deployment.settings.classes)
-        core, zone = self.state.core, deployment.settings.zone
-        entry = self.state.entry
+        core, entry, zone = self.state.core, self.state.entry, deployment.settings.zone
         if entry.zone != zone:
             raise ConfigError(
                 f"sessions: {entry.name} is of zone {entry.zone}, and its configuration says {zone}"
