--- a/fawnwharf/recovery/search.py
+++ b/fawnwharf/recovery/search.py
@@ -200,6 +200,7 @@
 
 SEARCHES: dict[str, Callable[[int], Outcome]] = {
     "voters, a cut": _voters(plans=1),
+    "voters, one election, a cut": _voters(plans=1, patience=1),
     "voters, two cuts": _voters(plans=1, cuts=2),
     "voters, a kill and a cut": _voters(plans=1, kills=1),
     "policy, a cut at one moment": _policy(turns=0),
