Sessions: copies stay where another front end's session or call uses them

Two ways led there. handover/router.py `_others` was told once, when a front end met the new home: what began to use the old site while the hand-over settled, seconds in a cut, was not. And after a Drop (`_ask_keepers`) only the session's own keepers were asked, who answered for that session alone: sessions of the same function that another front end of the site served counted for nothing. A call that crossed to the site against its home counted nowhere.

Change: a front end tells the mover of a use that begins while that may wait (at the call, or at the next look, 50 ms, for calls that cross); all keepers that are heard are asked, and each says whether it keeps another session at home there that is in use; nothing goes where calls from here are at the site's scorers, as the module has it. What is kept lapses by itself.

--- a/fawnwharf/handover/explore.py
+++ b/fawnwharf/handover/explore.py
@@ -321,7 +321,7 @@
             world = self._with_keeper(world, KEEPERS.index(to), self._kept(keeper))
 
         def step(_mover: Mover, router: Router) -> list[m.Out]:
-            router._lets[SESSION] = (0.0, frozenset())
+            router._lets[SESSION] = (0.0, frozenset(), frozenset())
             return [o for by, word in words for o in router.receive(0.0, by, word)]
 
         return self._at(world, name, step)
--- a/fawnwharf/handover/homes.py
+++ b/fawnwharf/handover/homes.py
@@ -91,6 +91,7 @@
         self._looked = 0
         self._open: dict[Session, float] = {}  # what somebody has to go on with, and since when it is so
         self._letting: dict[Session, float] = {}  # until when; about in the order of time
+        self._of_row: dict[str, set[Session]] = {}  # of `records`, by function
 
     def _count(self, cause: str) -> None:
         self.counts[cause] = self.counts.get(cause, 0) + 1
@@ -129,6 +130,8 @@
                 return False
         before, _ = self.records.pop(session, (None, 0.0))
         self.records[session] = (record, now_ms)
+        if before is None:
+            self._of_row.setdefault(session.row, set()).add(session)
         if record != before or session not in self._open:
             self._open.pop(session, None)
             if is_open(record):
@@ -141,6 +144,9 @@
         for session in [s for s, (_, used) in islice(self.records.items(), LOOKS) if used < over]:
             del self.records[session]
             self._open.pop(session, None)
+            self._of_row[session.row].discard(session)
+            if not self._of_row[session.row]:
+                del self._of_row[session.row]
             self._count("forgotten")
 
     def _take(self, now_ms: float, session: Session, record: m.Record) -> bool:
@@ -204,7 +210,17 @@
         yes = self.sure(now_ms) and mine.number == may.home.number and not back
         if yes:
             self._letting[session] = now_ms + self.settings.wait_ms * self.settings.stretch
-        return [m.Say((sender,), m.Let(session, may.home.number, yes))]
+        return [m.Say((sender,), m.Let(session, may.home.number, yes, self._used_there(now_ms, may)))]
+
+    def _used_there(self, now_ms: float, may: m.MayLetGo) -> bool:
+        """Whether another session that is in use is at home there: front ends tell that each quarter of
+        `still_ms`."""
+        still_ms = 1.25 * self.settings.still_ms
+        for session in self._of_row.get(may.home.session.row, ()):
+            record, used_ms = self.records[session]
+            if session != may.home.session and record.site == may.site and now_ms - used_ms < still_ms:
+                return True
+        return False
 
     def _letting_go(self, now_ms: float, session: Session) -> bool:
         while self._letting and next(iter(self._letting.values())) < now_ms:
--- a/fawnwharf/handover/messages.py
+++ b/fawnwharf/handover/messages.py
@@ -254,9 +254,12 @@
 
 
 class Let(Struct, frozen=True, tag="let"):
+    """A keeper's word on that. `used`: another session of the function is at home there, by what it keeps."""
+
     session: Session
     number: Count
     yes: bool
+    used: bool = False
 
 
 Message = (
--- a/fawnwharf/handover/router.py
+++ b/fawnwharf/handover/router.py
@@ -8,7 +8,7 @@
 different numbers still need two of the same three keepers for the same call.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from msgspec import Struct
@@ -40,6 +40,7 @@
     under_way: dict[int, int] | None = None  # calls by number
     asks: str = ""  # the mover that waits for those of smaller numbers
     whence: str = ""
+    used_there: bool = False  # it was told that others use the old site from here
 
 
 @dataclass(slots=True)
@@ -76,7 +77,13 @@
         self.at_home: dict[tuple[str, str], int] = {}  # sessions by function and site
         self.elsewhere = 0  # of all, those at home at other sites
         self.counts: dict[str, int] = {}
-        self._lets: dict[Session, tuple[float, frozenset[str]]] = {}  # asked when, and who said yes
+        # Asked when, who said yes, and whose word on other sessions is waited for.
+        self._lets: dict[Session, tuple[float, frozenset[str], frozenset[str]]] = {}
+        self.heard_keepers: Callable[[], Iterable[str]] = lambda: ()  # of all sessions
+        # Whether calls from here are at a site's scorers of a function, wherever their sessions are at home.
+        self.uses: Callable[[str, str], bool] = lambda _row, _site: False
+        self._settling: dict[str, dict[Session, float]] = {}  # by function: hand-overs that may wait, until
+        self._touched: dict[str, float] = {}  # of these functions: calls came since, until they are over
         self._sure_ms = now_ms if fresh else now_ms + settings.lapse_ms * settings.stretch
 
     def _count(self, cause: str) -> None:
@@ -142,6 +149,9 @@
         found: list[m.Out] = []
         home = self.home(session)
         seen = self._goes_by(now_ms, home or Home(session, self.site, 0))
+        if session.row in self._settling:
+            self._touched[session.row] = max(until_ms, self._touched.get(session.row, until_ms))
+            found += self._used_since(now_ms, session.row)
         # A quarter, so that keepers and fellows know it for as long as anybody does.
         if now_ms - seen.told_ms >= self.settings.still_ms / 4 or home is None:
             seen.told_ms = now_ms
@@ -192,19 +202,32 @@
         seen = self.homes.get(told.home.session)
         if seen is None or told.step is not m.Step.SWITCHED:
             return found
-        seen.asks, seen.whence = sender, told.whence
+        seen.asks, seen.whence, seen.used_there = sender, told.whence, False
+        waits = self._settling.setdefault(told.home.session.row, {})
+        waits[told.home.session] = now_ms + self.settings.settle_ms * self.settings.stretch
         return [*found, *self._left(told.home.session, seen)]
 
     def _left(self, session: Session, seen: _Seen) -> list[m.Out]:
         others = self._others(session, seen.whence)
+        seen.used_there = others > 0
         left = m.Left(session, seen.home.number, self._older(seen), others, self.life)
         return [m.Say((seen.asks,), left)]
 
+    def _used_since(self, now_ms: float, row: str) -> list[m.Out]:
+        """Movers that may still wait hear of a use of the old site that began after this one's last word."""
+        found: list[m.Out] = []
+        for session in self._settling[row]:
+            seen = self.homes.get(session)
+            if seen and not seen.used_there and self._others(session, seen.whence):
+                found += self._left(session, seen)
+        return found
+
     def _others(self, session: Session, site: str) -> int:
         """Who uses what stands at a site of this session's function, but the session itself."""
         count = self.at_home.get((session.row, site), 0)
         mine = self.homes.get(session)
         count -= bool(mine and mine.home.site == site)
+        count += self.uses(session.row, site)
         return count + (len(self.staged.get(session.row, ())) if site == self.site else 0)
 
     def give(self, now_ms: float, sender: str, give: m.Give) -> list[m.Out]:
@@ -247,20 +270,28 @@
         return self._ask_keepers(now_ms, home)
 
     def _ask_keepers(self, now_ms: float, home: Home) -> list[m.Out]:
-        """Another front end of this site may have been told more, or have staged it for another mover."""
-        self._lets[home.session] = (now_ms, frozenset())
-        return [m.Say(self.keepers_of(key_of(home.session)), m.MayLetGo(home, self.site))]
+        """Another front end of this site may have been told more, or have staged it for another mover; and
+        sessions of the function that others serve there are known to their own keepers alone."""
+        own, heard = self.keepers_of(key_of(home.session)), frozenset(self.heard_keepers())
+        self._lets[home.session] = (now_ms, frozenset(), heard)
+        return [m.Say((*own, *sorted(heard - set(own))), m.MayLetGo(home, self.site))]
 
     def let(self, now_ms: float, sender: str, let: m.Let) -> list[m.Out]:
         """A keeper's word on that; it counts no longer than keepers hold turns back."""
-        asked_ms, names = self._lets.get(let.session, (float("-inf"), frozenset()))
+        none: frozenset[str] = frozenset()
+        asked_ms, names, waits = self._lets.get(let.session, (float("-inf"), none, none))
         home, keepers = self.home(let.session), self.keepers_of(key_of(let.session))
         if now_ms - asked_ms > self.settings.wait_ms or home is None or home.number != let.number:
             self._lets.pop(let.session, None)
             return []
+        if let.used:
+            del self._lets[let.session]
+            self._count("kept: others use it, or may")
+            return []
         names |= {sender} if let.yes and sender in keepers else set()
-        self._lets[let.session] = (asked_ms, names)
-        if len(names) < len(keepers) // 2 + 1:
+        waits -= {sender}
+        self._lets[let.session] = (asked_ms, names, waits)
+        if waits or len(names) < len(keepers) // 2 + 1:
             return []
         del self._lets[let.session]
         self.contexts.pop(let.session, None)
@@ -268,6 +299,7 @@
 
     def _let_go(self, now_ms: float, session: Session) -> list[m.Out]:
         used = self.at_home.get((session.row, self.site), 0) or self.staged.get(session.row)
+        used = used or self.uses(session.row, self.site)
         if used or now_ms < self._sure_ms:
             self._count("kept: others use it, or may")
             return []
@@ -275,6 +307,11 @@
 
     # --- time -------------------------------------------------------------------------------------
 
+    @property
+    def watches(self) -> bool:
+        """Whether calls here may begin to use a site that a mover is about to have let go."""
+        return bool(self._touched)
+
     def tick(self, now_ms: float) -> list[m.Out]:
         """Calls past their time are given up, stages past theirs lapse, still sessions are forgotten."""
         found: list[m.Out] = []
@@ -286,7 +323,17 @@
                 del claims[claim]
             if not claims:
                 del self.staged[row]
-        for session in [s for s, (at, _) in self._lets.items() if now_ms - at > self.settings.wait_ms]:
+        for row, until_ms in list(self._touched.items()):
+            found += self._used_since(now_ms, row)
+            if now_ms >= until_ms:
+                del self._touched[row]
+        for row in [row for row, waits in self._settling.items() if min(waits.values()) <= now_ms]:
+            waits = {s: until for s, until in self._settling[row].items() if until > now_ms}
+            self._settling[row] = waits
+            if not waits:
+                del self._settling[row]
+                self._touched.pop(row, None)
+        for session in [s for s, (at, *_) in self._lets.items() if now_ms - at > self.settings.wait_ms]:
             del self._lets[session]
         while self.homes:
             session, seen = next(iter(self.homes.items()))
--- a/fawnwharf/sessions/agent.py
+++ b/fawnwharf/sessions/agent.py
@@ -56,11 +56,11 @@
         fleet begins, nobody has promised anything."""
         self.name, self.life, self.site, self.sites = name, life, sites[name], dict(sites)
         self.settings, self.rules, self.classes = settings, settings.handover, classes
-        self.keepers, self.keepers_of = tuple(keepers), keepers_of
+        self.keepers, self.keepers_of, self.moves = tuple(keepers), keepers_of, Moves(settings.drain)
         self.router = Router(name, self.site, self.rules, keepers_of, now_ms, fresh)
+        self.router.heard_keepers = lambda: {n for n in self.keepers if n in self.alive or n == self.name}
         self.keeper: Keeper | None = None
         self.mover: Mover | None = None
-        self.moves = Moves(settings.drain)
         if name in self.keepers:
             self._keep(now_ms, fresh)
         self.known, self.firsts = Known(self.rules.sessions), Firsts()
@@ -109,7 +109,7 @@
             if isinstance(effect, m.Reroute):
                 home = effect.home
             else:
-                self._carry(now_ms, [effect], urgent)
+                self._carry(now_ms, [effect], urgent or isinstance(effect.message, m.Left))
         self.router.sent(call)
         self.firsts.begun(call, session)
         return home
@@ -383,7 +383,7 @@
         """How soon the next look is wanted."""
         under_way = self.mover is not None and (self.mover.hands or self.moves.busy)
         telling = self.keeper is not None and self.keeper._telling
-        return BUSY_MS if under_way or telling or self.asking else CALM_MS
+        return BUSY_MS if under_way or telling or self.router.watches or self.asking else CALM_MS
 
     def sure(self, now_ms: float) -> bool:
         return self.keeper is not None and self.keeper.sure(now_ms)
--- a/fawnwharf/sessions/service.py
+++ b/fawnwharf/sessions/service.py
@@ -11,11 +11,11 @@
 from fawnwharf.handover import messages as m
 from fawnwharf.net.front_end import FrontEnd
 from fawnwharf.net.wheel import Timer, monotonic_ms, unix_ms
-from fawnwharf.policy.state import Function, mark
 from fawnwharf.sessions import words as w
 from fawnwharf.sessions.agent import Agent
 from fawnwharf.sessions.effects import Copies, Dropped, Note, Words
 from fawnwharf.sessions.left import Left
+from fawnwharf.sessions.places import Places
 from fawnwharf.sessions.settings import Settings, Wishes, by_classes, settings_from, wishes_from, wishes_place
 from fawnwharf.sessions.stages import Orders, Stages
 from fawnwharf.sessions.trace import Trace
@@ -26,7 +26,7 @@
 
 STATUS_MS, WISH_LIFE_MS = 1_000.0, 5_000.0  # pace of words on oneself; how long others' wishes count
 FILES_MS = 500.0
-ORDERS_MOST, COUNTS_MOST = 4_096, 96
+COUNTS_MOST = 96
 LINE_S = 1.0  # one note a second of each kind
 WARM = {io.Warmth.FOUND: True, io.Warmth.BEGAN_LOAD: False, io.Warmth.WAITED_FOR_LOAD: False}
 
@@ -78,7 +78,7 @@
         self.wishes = Wishes()
         self._left = Left(self._wishes_file.path.with_name("homes"))
         self._drained: dict[str, tuple[float, tuple[str, ...]]] = {}  # others' wishes, and when they came
-        self._orders: dict[str, Function] = {}  # hash orders that were asked for
+        self.places: Places | None = None
         self._placed: Any = core.placement
         self._out: dict[str, str] = {}  # sites whose scorers the plan closes: no call is near to them
         self._waiting: dict[tuple[str, ...], list[m.Message]] = {}  # words, by who they are for
@@ -110,7 +110,8 @@
 
     def attach(self, front: FrontEnd) -> None:
         """Begin, on the front end's loop."""
-        self.front = front
+        self.front, self.places = front, Places(front, self.site)
+        self.agent.router.uses = self.places.uses
         self.state.riders[w.RIDER] = self._heard
         self._left.take(self.agent.router, set(self.agent.sites.values()), monotonic_ms(), unix_ms())
         if (data := self._wishes_file.changed()) is not None:
@@ -193,14 +194,7 @@
             self.agent.ended(now_ms, event.request, WARM.get(event.warmth))
 
     def _order(self, row: str) -> list[int]:
-        """A function's scorers of this site that take calls, as the module's own order has them."""
-        fn = self._orders.get(row)
-        if fn is None:
-            while len(self._orders) >= ORDERS_MOST:
-                del self._orders[next(iter(self._orders))]
-            fn = self._orders[row] = Function(row, "", 1, None, mark(row))
-        order = self.front.router._ordered(fn)
-        return [one.id for one in order if one.entry.zone == self.site and one.suspect_ms is None]
+        return self.places.order(row) if self.places else []
 
     def _tell(self, orders: Orders) -> None:
         for order in orders:
