Voters' log: a third kind, recovery; zones' riders told apart by name

A register of stages is decided beside plan and policy, folded and installed as they are. Older files are read: they have none of it. Words without a rider are the policy's, as before; one of another rider names it.

--- a/fawnwharf/accord/decided.py
+++ b/fawnwharf/accord/decided.py
@@ -4,6 +4,8 @@
 
 from fawnwharf.accord import messages as m
 
+KINDS = ("plan", "policy", "recovery")  # of texts, of each of which the last one says all
+
 
 def entry_at(saved: m.Saved, index: int) -> m.Entry:
     """The entry of an index that is in the log and not folded away."""
@@ -11,7 +13,7 @@
 
 
 def last_of(saved: m.Saved, commit: int, kind: str) -> tuple[int, str]:
-    """The last decided plan or policy and its index; (0, "") before the first."""
+    """The last decided text of a kind and its index; (0, "") before the first."""
     for index in range(commit, saved.base.index, -1):
         entry = entry_at(saved, index)
         if entry.kind == kind:
@@ -21,8 +23,8 @@
 
 def texts(base: m.Base) -> list[tuple[str, tuple[int, str]]]:
     """What is folded, by kind: the index and text of the last decision, in the order of their indexes."""
-    found = {"plan": (base.plan_index, base.plan), "policy": (base.policy_index, base.policy)}
-    return sorted(found.items(), key=lambda item: item[1][0])
+    found = [(kind, (getattr(base, f"{kind}_index"), getattr(base, kind))) for kind in KINDS]
+    return sorted(found, key=lambda item: item[1][0])
 
 
 def open_voters(saved: m.Saved, commit: int) -> bool:
@@ -36,16 +38,14 @@
     lives."""
     base = saved.base
     decided = saved.entries[: commit - base.index]
-    plan_index, plan = last_of(saved, commit, "plan")
-    policy_index, policy = last_of(saved, commit, "policy")
+    last: dict[str, int | str] = {}
+    for kind in KINDS:
+        last[f"{kind}_index"], last[kind] = last_of(saved, commit, kind)
     lists = [entry.voters for entry in decided if entry.kind == "voters"]
     made = m.Base(
         index=commit,
         term=saved.term_at(commit) or 0,
-        plan=plan,
-        plan_index=plan_index,
-        policy=policy,
-        policy_index=policy_index,
         voters=lists[-1] if lists else base.voters,
+        **last,
     )
     return msgspec.structs.replace(saved, base=made, entries=saved.entries[len(decided) :])
--- a/fawnwharf/accord/messages.py
+++ b/fawnwharf/accord/messages.py
@@ -17,11 +17,11 @@
 
 
 class Entry(Struct, frozen=True):
-    """One decision of the log: a plan, a policy, a list of voters, or nothing (each reign begins with one of
-    these). The text of a plan or a policy is in `plan`."""
+    """One decision of the log: a plan, a register of policy or of recovery, a list of voters, or nothing
+    (each reign begins with one of these). The text of the first three is in `plan`."""
 
     term: Number
-    kind: Annotated[str, Meta(pattern="^(none|plan|policy|voters)$")]
+    kind: Annotated[str, Meta(pattern="^(none|plan|policy|recovery|voters)$")]
     plan: Annotated[str, Meta(max_length=DATA_MOST)] = ""
     voters: Annotated[tuple[Identity, ...], Meta(max_length=VOTERS_MOST)] = ()
 
@@ -39,6 +39,8 @@
     voters: Annotated[tuple[Identity, ...], Meta(max_length=VOTERS_MOST)] = ()
     policy: Annotated[str, Meta(max_length=DATA_MOST)] = ""
     policy_index: Number = 0
+    recovery: Annotated[str, Meta(max_length=DATA_MOST)] = ""  # files of before have none
+    recovery_index: Number = 0
 
 
 class Saved(Struct, frozen=True):
--- a/fawnwharf/accord/voter.py
+++ b/fawnwharf/accord/voter.py
@@ -90,7 +90,11 @@
     @property
     def policy(self) -> tuple[int, str]:
         """The last decided policy and its index; (0, "") before the first."""
-        return last_of(self.saved, self.commit, "policy")
+        return self.last("policy")
+
+    def last(self, kind: str) -> tuple[int, str]:
+        """The last decided text of a kind of `decided.KINDS` and its index; (0, "") before the first."""
+        return last_of(self.saved, self.commit, kind)
 
     def fresh(self, now_ms: float) -> bool:
         """Whether its last decided plan is the fleet's last at this moment, for certain."""
@@ -126,7 +130,7 @@
         return getattr(self, self._HANDLERS[type(message)])(now_ms, message)
 
     def propose(self, now_ms: float, plan: str, kind: str = "plan") -> tuple[int | None, list[m.Action]]:
-        """Put a plan or a policy to the vote; its index, or None where this is not the leader."""
+        """Put a text of a kind to the vote; its index, or None where this is not the leader."""
         if not self.is_leader or len(plan) > m.DATA_MOST or len(self.saved.entries) >= m.ENTRIES_MOST:
             return None, []
         return self.saved.last_index + 1, self._lead_on(now_ms, m.Entry(self.saved.term, kind, plan=plan))
--- a/fawnwharf/epochs/service.py
+++ b/fawnwharf/epochs/service.py
@@ -122,7 +122,7 @@
             below, self._take, self.agent.holder.done, self._ended, unix_ms, front.loop.wheel.after
         )
         front.port.table = self.calls
-        self.zones.rider = self
+        self.zones.riders[NAME] = self
         if self._said_file.changed() is not None:
             self.note("proposal left aside", {"why": "it was said before this start"})
         self.note("policy on", {"life": self.life, "voter": core.voter is not None})
--- a/fawnwharf/zones/lines.py
+++ b/fawnwharf/zones/lines.py
@@ -15,18 +15,22 @@
 WORDS_MOST = 1_024  # in one line
 
 
+POLICY, RECOVERY = "policy", "recovery"  # riders, and the kinds of their registers in the voters' log
+
+
 class Word(Struct, frozen=True, omit_defaults=True):
     """What a rider says by this log: to these members, to whoever leads the voters where none is named."""
 
     said: Any
     to: Annotated[tuple[s.Name, ...], Meta(max_length=s.MEMBERS_MOST)] = ()
+    rider: s.Name = POLICY
 
 
 Words = Annotated[tuple[Word, ...], Meta(max_length=WORDS_MOST)]
 
 
 class Line(Struct, frozen=True, omit_defaults=True):
-    """What one line of a member's log says, besides its number; one of the last six is there."""
+    """What one line of a member's log says, besides its number; one of those from `report` on is there."""
 
     fleet: s.Name
     sender: s.Name
@@ -39,6 +43,7 @@
     saves: Annotated[int, Meta(ge=0)] = 0  # times that the voter's disk was written, ever, as of this ballot
     words: Any = None  # of a rider, checked by themselves: bad ones cost nothing else
     policy: Any = None  # how this member stands to changes of policy
+    recovery: Any = None  # and in a recovery
 
 
 class LineFault(ValueError):
@@ -71,18 +76,20 @@
 
 
 class Heard(Struct, frozen=True):
-    """For the rider: what another member's rider says to this one, and how that stands; None: not told."""
+    """For a rider: what another member's says to this one, and how that stands; None: not told."""
 
     sender: str
     words: tuple[Any, ...]
     standing: Any
+    rider: str = POLICY
 
 
-class Policy(Struct, frozen=True):
-    """The voters' log decided this register of policy."""
+class Ruled(Struct, frozen=True):
+    """The voters' log decided this register, of policy or of recovery."""
 
     index: int
     text: str
+    kind: str = POLICY
 
 
 class Note(Struct, frozen=True):
@@ -92,16 +99,18 @@
     fields: dict[str, Any]
 
 
-Effect = Keep | Publish | Ballot | Follow | Heard | Policy | Note
+Effect = Keep | Publish | Ballot | Follow | Heard | Ruled | Note
 
 
 class Seat(Struct, frozen=True):
     """How a member's voter stands at one moment."""
 
     term: int = 0  # of its reign; 0: it does not lead
-    fresh: bool = False  # its last decided policy is the fleet's last, for certain
+    fresh: bool = False  # its last decided registers are the fleet's last, for certain
     settled: bool = False  # nothing of its log is undecided
-    policy: str = ""  # the last decided register
+    policy: str = ""  # the last decided register of each kind
+    recovery: str = ""
+    voters: tuple[str, ...] = ()  # identities, by the list in force
 
 
 @dataclass(slots=True)
@@ -114,6 +123,10 @@
         self.dropped[cause] = self.dropped.get(cause, 0) + 1
 
 
-def words_for(name: str, data: Any) -> tuple[Any, ...]:
-    """What is said to this member, or to whoever leads; raises msgspec.ValidationError."""
-    return tuple(word.said for word in msgspec.convert(data, Words) if not word.to or name in word.to)
+def words_for(name: str, data: Any) -> dict[str, tuple[Any, ...]]:
+    """What is said to this member, or to whoever leads, by rider; raises msgspec.ValidationError."""
+    found: dict[str, tuple[Any, ...]] = {}
+    for word in msgspec.convert(data, Words):
+        if not word.to or name in word.to:
+            found[word.rider] = (*found.get(word.rider, ()), word.said)
+    return found
--- a/fawnwharf/zones/member.py
+++ b/fawnwharf/zones/member.py
@@ -19,6 +19,8 @@
 from fawnwharf.zones.evidence import Seen
 from fawnwharf.zones.judge import Judge, Report
 from fawnwharf.zones.lines import (
+    POLICY,
+    RECOVERY,
     Ballot,
     Counts,
     Effect,
@@ -28,8 +30,8 @@
     Line,
     LineFault,
     Note,
-    Policy,
     Publish,
+    Ruled,
     Seat,
     words_for,
 )
@@ -125,11 +127,13 @@
 
     def _heard(self, sender: str, line: Line) -> list[Effect]:
         try:
-            words = words_for(self.name, line.words) if line.words is not None else ()
+            words = words_for(self.name, line.words) if line.words is not None else {}
         except msgspec.ValidationError:
             self.counts.add("bad words")
             return [Note("bad words", {"sender": sender, "counts": dict(self.counts.dropped)})]
-        return [Heard(sender, words, line.policy)] if words or line.policy is not None else []
+        stands = {POLICY: line.policy, RECOVERY: line.recovery}
+        riders = dict.fromkeys([*words, *(rider for rider, told in stands.items() if told is not None)])
+        return [Heard(sender, words.get(rider, ()), stands.get(rider), rider) for rider in riders]
 
     def _told(self, line: Line) -> None:
         """A decided plan from any member is as good as from the leader: a number is decided once."""
@@ -245,8 +249,8 @@
     def _decided(self, decided: m.Decided) -> list[Effect]:
         if decided.kind == "voters":
             return [Note("voters", {"index": decided.index, "voters": list(decided.voters)})]
-        if decided.kind == "policy":
-            return [Policy(decided.index, decided.plan)]
+        if decided.kind in (POLICY, RECOVERY):
+            return [Ruled(decided.index, decided.plan, decided.kind)]
         if decided.kind != "plan" or not self._learn(decided.index, decided.plan):
             return []
         states = {name: f"{zone.state} {zone.share:g}" for name, zone in self.plan.zones.items()}
@@ -264,18 +268,20 @@
         return True
 
     def seat(self, now_ms: float) -> Seat:
-        """How its voter stands to changes of policy."""
+        """How its voter stands to changes of the registers."""
         voter = self.voter
         if voter is None or not voter.is_leader:
             return Seat()
         settled = voter.commit == voter.saved.last_index
-        return Seat(voter.saved.term, voter.fresh(now_ms), settled, voter.policy[1])
+        policy, recovery = voter.last(POLICY)[1], voter.last(RECOVERY)[1]
+        fresh = voter.fresh(now_ms)
+        return Seat(voter.saved.term, fresh, settled, policy, recovery, voter.saved.voters)
 
-    def put_policy(self, now_ms: float, text: str) -> tuple[bool, list[Effect]]:
-        """Put a register of policy to the vote; False where it never came into the log."""
+    def put(self, now_ms: float, text: str, kind: str = POLICY) -> tuple[bool, list[Effect]]:
+        """Put a register to the vote; False where it never came into the log."""
         if self.voter is None:
             return False, []
-        index, actions = self.voter.propose(now_ms, text, "policy")
+        index, actions = self.voter.propose(now_ms, text, kind)
         return index is not None, self._voted(now_ms, actions)
 
     def _lead(self, now_ms: float) -> list[Effect]:
--- a/fawnwharf/zones/service.py
+++ b/fawnwharf/zones/service.py
@@ -18,6 +18,7 @@
 from fawnwharf.zones.evidence import Observer
 from fawnwharf.zones.files import WatchedFile, load
 from fawnwharf.zones.lines import (
+    POLICY,
     Ballot,
     Effect,
     Follow,
@@ -26,8 +27,8 @@
     Line,
     LineFault,
     Note,
-    Policy,
     Publish,
+    Ruled,
     Seat,
     Word,
 )
@@ -51,7 +52,7 @@
         """Words of another member's rider; `standing`, where it is told, is how that stands."""
 
     def decided(self, text: str) -> None:
-        """The voters' log decided this register of policy."""
+        """The voters' log decided this register of its kind."""
 
     def turned(self) -> None:
         """Something was carried out: the voter may lead, or not lead any more."""
@@ -102,7 +103,7 @@
         self._sold = sum(deployment.settings.quotas_rps.values())  # before any limit stands among them
         self._spill: dict[str, float] = {}  # the most that a policy lets zones take of others' calls
         self._followed: Follow | None = None
-        self.rider: Rider | None = None
+        self.riders: dict[str, Rider] = {}  # by the kinds of their registers
         self._zone_of: dict[int, str] = {}
         self._told_ms = now
         self._life = time.time_ns() // 1_000
@@ -259,22 +260,23 @@
                 self._go_by(effect)
             elif isinstance(effect, Note):
                 self._note_once(effect)
-            elif self.rider is not None and isinstance(effect, Heard):
-                self.rider.heard(effect.sender, effect.words, effect.standing)
-            elif self.rider is not None and isinstance(effect, Policy):
-                self.rider.decided(effect.text)
-        if self.rider is not None:
-            self.rider.turned()
+            elif isinstance(effect, Heard):
+                if rider := self.riders.get(effect.rider):
+                    rider.heard(effect.sender, effect.words, effect.standing)
+            elif isinstance(effect, Ruled) and (rider := self.riders.get(effect.kind)):
+                rider.decided(effect.text)
+        for rider in list(self.riders.values()):
+            rider.turned()
 
-    # --- for the rider --------------------------------------------------------------------------
+    # --- for riders -----------------------------------------------------------------------------
 
     def say(self, words: list[Word]) -> None:
-        """Words of the rider, by this member's log: voters hear all, the others hear the voters."""
+        """Words of a rider, by this member's log: voters hear all, the others hear the voters."""
         self._write_line(words=words)
 
-    def stand(self, standing: Any) -> None:
-        """How the rider stands, told until the next such word to whoever comes."""
-        self._write_line("policy", policy=standing)
+    def stand(self, standing: Any, rider: str = POLICY) -> None:
+        """How a rider stands, told until its next such word to whoever comes."""
+        self._write_line(rider, **{rider: standing})
 
     def _write_line(self, counts_as: str | None = None, **parts: Any) -> None:
         if not self._stopped and self.public is not None:
@@ -284,9 +286,9 @@
     def seat(self, now_ms: float) -> Seat:
         return Seat() if self._failed else self.core.seat(now_ms)
 
-    def put(self, text: str) -> bool:
-        """Put a register of policy to the vote; False where it never came into the log."""
-        put, effects = self.core.put_policy(monotonic_ms(), text)
+    def put(self, text: str, kind: str = POLICY) -> bool:
+        """Put a register to the vote; False where it never came into the log."""
+        put, effects = self.core.put(monotonic_ms(), text, kind)
         self._carry_out(effects)
         self._set_timer()
         return put
@@ -382,5 +384,5 @@
             return
         self._carry_out(self.core.take_members(monotonic_ms(), members))
         self._follow_members()
-        if self.rider is not None:
-            self.rider.members_taken()
+        for rider in list(self.riders.values()):
+            rider.members_taken()
--- a/tests/test_accord.py
+++ b/tests/test_accord.py
@@ -6,6 +6,7 @@
 import pytest
 
 from fawnwharf.accord import messages as m
+from fawnwharf.accord.decided import KINDS
 from fawnwharf.accord.voter import SNAPSHOT_AFTER, Role, Timing, Voter, founding
 from fawnwharf.lab.explore import replace_voters
 
@@ -192,11 +193,12 @@
     assert fleet["c"].plan[1]
 
 
-def test_plans_and_policies_are_decided_in_one_log_and_neither_takes_the_others_place():
+def test_texts_of_three_kinds_are_decided_in_one_log_and_none_takes_anothers_place():
     fleet = Fleet("a", "b", "c")
     leader = fleet.elect("a")
     fleet.cut = {"c"}
-    texts = [("policy", "p1"), ("plan", "one"), ("policy", "p2")] + [("plan", f"n{n}") for n in range(40)]
+    texts = [("policy", "p1"), ("plan", "one"), ("recovery", "r1"), ("policy", "p2"), ("recovery", "r2")]
+    texts += [("plan", f"n{n}") for n in range(40)]
     for kind, text in texts:
         index, actions = leader.propose(fleet.now, text, kind)
         fleet.do("a", actions)
@@ -204,18 +206,32 @@
         fleet.now += 10.0
         fleet.do("a", leader.tick(fleet.now))
         fleet.settle()
-    assert (leader.plan[1], leader.policy[1]) == ("n39", "p2")
-    assert leader.saved.base.policy == "p2" and leader.saved.base.index > leader.policy[0]  # folded by now
+    assert [leader.last(kind)[1] for kind in KINDS] == ["n39", "p2", "r2"]
+    base = leader.saved.base
+    assert (base.policy, base.recovery) == ("p2", "r2")  # folded by now
+    assert base.index > base.recovery_index > base.policy_index == leader.policy[0]
     fleet.cut = set()
     for _ in range(6):
         fleet.now += 110.0
         fleet.do("a", leader.tick(fleet.now))
         fleet.settle()
-    assert (fleet["c"].plan, fleet["c"].policy) == (leader.plan, leader.policy)
-    told = [entry for entry in fleet.decided["c"] if entry[1] == "policy"]
-    assert told == [(leader.policy[0], "policy", "p2")]  # what came with the base is told once
+    last = [leader.last(kind) for kind in KINDS]
+    assert [fleet["c"].last(kind) for kind in KINDS] == last
+    told = [entry for entry in fleet.decided["c"] if entry[1] in ("policy", "recovery")]
+    assert told == [(last[1][0], "policy", "p2"), (last[2][0], "recovery", "r2")]  # of the base, once each
     fleet.restart("c")
-    assert fleet["c"].policy == leader.policy
+    assert [fleet["c"].last(kind) for kind in KINDS[1:]] == last[1:]
+
+
+def test_what_was_saved_before_there_was_a_third_kind_is_read():
+    base = {"index": 9, "term": 2, "voters": ["a"], "plan": "p", "plan_index": 8}
+    base |= {"policy": "x", "policy_index": 7}
+    saved = {"term": 2, "voted": "a", "base": base, "entries": [{"term": 2, "kind": "policy", "plan": "y"}]}
+    voter = Voter("a", msgspec.convert(saved, m.Saved), Timing(), 0.0, 1)
+    assert (voter.last("recovery"), voter.policy) == ((0, ""), (7, "x"))
+    voter.tick(voter.due_ms)
+    voter.propose(voter.due_ms, "r", "recovery")
+    assert (voter.last("recovery")[1], voter.policy) == ("r", (10, "y"))
 
 
 def test_voters_join_a_founder_one_by_one_and_an_empty_disk_counts_for_nothing_before():
--- a/tests/test_epochs_agent.py
+++ b/tests/test_epochs_agent.py
@@ -12,7 +12,7 @@
 from fawnwharf.epochs.settings import Said
 from fawnwharf.epochs.steward import Timing
 from fawnwharf.epochs.walk import KNOWN
-from fawnwharf.zones.lines import Heard, Policy, Word
+from fawnwharf.zones.lines import Heard, Ruled, Word
 
 STEP_S = 0.005
 
@@ -43,7 +43,7 @@
                 self.act(name, agent.heard(self.now, effect.sender, effect.words))
                 if effect.standing is not None:
                     agent.standing_of(self.now, effect.sender, effect.standing)
-            elif isinstance(effect, Policy):
+            elif isinstance(effect, Ruled):
                 self.act(name, agent.decided(self.now, effect.text))
         self.act(name, agent.turned(self.now))
 
@@ -54,7 +54,7 @@
                 to = () if effect.to == m.LEADER else (effect.to,)
                 self.tell(name, core._line(words=[Word(effect.message, to)]))
             elif isinstance(effect, m.Decide):
-                put, more = core.put_policy(self.now, effect.register)
+                put, more = core.put(self.now, effect.register)
                 self.do(name, more)
                 if not put:
                     self.act(name, agent.not_put(self.now))
--- a/tests/test_zone_members.py
+++ b/tests/test_zone_members.py
@@ -11,6 +11,7 @@
 from fawnwharf.accord.voter import founding
 from fawnwharf.zones import plan as p
 from fawnwharf.zones import settings as s
+from fawnwharf.zones.lines import Heard, Ruled, Word
 from fawnwharf.zones.member import Ballot, Follow, Keep, LineFault, Member, Note, Publish
 
 
@@ -262,6 +263,37 @@
     assert any(isinstance(effect, Keep) for effect in effects)
 
 
+def test_words_of_two_riders_are_told_apart_and_one_of_before_there_were_two_is_the_policys():
+    fleet = Fleet(members("abc", 3))
+    line = {"fleet": "f", "sender": "n1", "policy": 1, "recovery": 2}
+    line["words"] = [{"said": "p"}, {"said": "r", "rider": "recovery"}, {"said": "q", "to": ["n2"]}]
+    found = fleet.cores["n0"].line(1.0, "n1", line, False)
+    heard = {effect.rider: (effect.words, effect.standing) for effect in found if isinstance(effect, Heard)}
+    assert heard == {"policy": (("p",), 1), "recovery": (("r",), 2)}
+    word = msgspec.json.encode(Word("p", ("n2",)))
+    assert word == b'{"said":"p","to":["n2"]}'  # as it was said before
+
+
+def test_registers_of_both_kinds_are_decided_at_all_voters_and_stand_in_the_seat():
+    fleet, found = Fleet(members("abc", 3)).run(15), {}
+    [leader] = fleet.leaders()
+    do = fleet.do
+
+    def kept(name, effects):
+        found.setdefault(name, []).extend((e.kind, e.text) for e in effects if isinstance(e, Ruled))
+        do(name, effects)
+
+    fleet.do = kept
+    for text, kind in (("one", "policy"), ("two", "recovery"), ("three", "policy")):
+        put, effects = fleet.cores[leader].put(fleet.now, text, kind)
+        assert put
+        fleet.do(leader, effects)
+        fleet.run(0.5)
+    assert list(found.values()) == [[("policy", "one"), ("recovery", "two"), ("policy", "three")]] * 3
+    seat = fleet.cores[leader].seat(fleet.now)
+    assert (seat.policy, seat.recovery, seat.fresh, len(seat.voters)) == ("three", "two", True, 3)
+
+
 def test_a_disk_is_told_as_written_as_often_as_it_was():
     fleet = Fleet(members("abc", 3))
     kept = dict.fromkeys(fleet.cores, 0)
