Rejoin: agents of recovery, a fleet's stages from a loss of power to calm

One core a member: it asks and answers by zones' logs (members, plan) and logs of state (promises, use), tells its boot and how it stands, follows the leader's word on the stage, and where its voter leads, merges what all told for the conductor. A start takes a stage only of a voter that has answered it in this life, which by the order of a log knew its boot; a leader tells none before it has heard most voters' boots, or while these say that the fleet lost its power. Lateness of a word is measured against the least of its teller's life. A fleet of five in virtual time: stages in order, a leader killed and a second loss at each stage, a minority, words lost (3 in 10) and late by seed.

--- a/fawnwharf/recovery/asking.py
+++ b/fawnwharf/recovery/asking.py
@@ -237,6 +237,17 @@
             self.behind = max(self.behind, answer.number)
         self._look(now_ms, what)
 
+    def ask_one(self, to: str, what: What) -> Say:
+        """Ask one again, whatever came so far: an answer tells at least that it knows of this life."""
+        self.turn += 1
+        return Say(to, Ask(self.fleet, self.life, self.turn, int(what)))
+
+    def knows(self, now_ms: float, what: What) -> None:
+        """By now it has this by itself, and need not wait for the others."""
+        if what not in self.own:
+            self.own[what] = (0, "")
+            self._look(now_ms, what)
+
     def _unfit(self, sender: str, answer: Answer) -> str:
         if answer.fleet != self.fleet:
             return "another fleet's"
--- /dev/null
+++ b/fawnwharf/rejoin/agent.py
@@ -0,0 +1,396 @@
+"""One member's part in a recovery: what it asks and answers, the stage by which it goes, and where its voter
+leads, the stage of all.
+
+Pure: words of others, decisions of the voters' log and ticks come in with a time, effects go out in order.
+`Say` is for others; `Decide` is to be put to the voters' log at once, as kind `recovery`. Nothing rests on
+the delivery of a word. A front end takes the leader's word from the moment on when it has had an answer of
+that voter in this life: it has told its boot before it asked, and a log keeps its order, so the word was said
+by one that knew of this life.
+"""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field, replace
+
+import msgspec
+
+from fawnwharf.durable.reading import Sign
+from fawnwharf.recovery import alone
+from fawnwharf.recovery.asking import Answer, Ask, Asking, Of, Pace, Stand, What
+from fawnwharf.recovery.stages import Allowed, Decide, Follower, Note, RegisterFault, Stage, Timing
+from fawnwharf.rejoin import words as w
+from fawnwharf.rejoin.lead import Lead, Lists
+from fawnwharf.zones.lines import Seat
+
+LOG = "change log"  # as one that answers; it is no member
+LOOK_MS, CALM_LOOK_MS = 50.0, 250.0
+CALM_PACE = 4  # in calm a front end tells how it stands so many times less often
+TOLD_TIMES = 3  # a sign is told to one that started anew
+SHOWN_MOST = 16
+
+
+class Say(msgspec.Struct, frozen=True):
+    """By zones' logs where `zone`, else by logs of state; to all that hear this one where none is named."""
+
+    to: tuple[str, ...]
+    word: w.Word
+    zone: bool = True
+
+
+class Go(msgspec.Struct, frozen=True):
+    """Go by this from now on."""
+
+    allowed: Allowed
+    stage: Stage | None  # None: alone
+    cut: int
+
+
+class Signed(msgspec.Struct, frozen=True):
+    """Others heard this of the own folder before this life."""
+
+    sign: Sign
+
+
+Effect = Say | Decide | Note | Go | Signed
+
+
+@dataclass(frozen=True, slots=True)
+class Own:
+    """What this front end knows of itself at a moment."""
+
+    settled: bool  # its store has all anew: what was found may be told
+    whole: bool  # its store has all that it ever told
+    sure: bool  # its keeper knows all that it granted; True where it keeps nothing
+    votes: bool  # its voter may vote by the disk that it has
+    plan: tuple[int, str]  # number and digest of the last plan in its voter's log, decided or not
+    sign: Sign
+    uses: bool = False  # it knows what was used before
+    rostered: bool = False  # the change log was heard, in this life
+    scorers: bool = False  # some take calls
+    heard: int = 1  # front ends that it hears, itself among them
+    standing: w.Standing | None = None  # its calls, loads and scorers
+
+
+@dataclass(slots=True)
+class _Heard:
+    """A folder's signs, as its member told them: of this life of it, and the farthest before that."""
+
+    life: int
+    last: Sign
+    before: Sign | None = None
+    told: int = 0
+
+
+@dataclass(slots=True)
+class Agent:
+    """Owns what one life of a front end asks, by which stage it goes, and its part in leading."""
+
+    name: str
+    fleet: str
+    life: int
+    mark: str  # of the machine's boot
+    lists: Lists
+    own: Own
+    seat: Callable[[float], Seat]  # how its voter stands
+    worths: Mapping[str, float]  # of classes
+    timing: Timing
+    now_ms: float
+    pace: Pace = Pace()
+    stand_ms: float = 500.0
+    stage_ms: float = 300.0
+    asking: Asking = field(init=False)
+    follower: Follower = field(init=False)
+    lead: Lead = field(init=False)
+    counts: dict[str, int] = field(default_factory=dict)  # what was dropped, by cause
+    signs: dict[str, dict[str, _Heard]] = field(default_factory=dict)  # by member and disk
+    _told: dict[str, tuple[int, float]] = field(default_factory=dict)  # leader's life and least lateness
+    _heard_ms: dict[str, float] = field(default_factory=dict)  # when voters said something last
+    _term: int = 0  # the largest of a leader that was followed
+    _going: tuple[Allowed, Stage | None, int] | None = None
+    _stand_due_ms: float = 0.0
+    _ask_due_ms: float = 0.0  # of a leader that has not answered yet
+    _asked: bool = False  # it was noted
+
+    def __post_init__(self) -> None:
+        lists, own = self.lists, self.own
+        found: dict[What, tuple[int, str]] = {}
+        if self.name in lists.voters and own.votes and own.whole:
+            found |= {What.MEMBERS: (lists.number, lists.digest), What.PLAN: own.plan}
+        if own.sure or self.name not in lists.keepers:
+            found[What.PROMISES] = (0, "")
+        asked_of = {Of.VOTERS: lists.voters, Of.KEEPERS: lists.keepers, Of.LOG: (LOG,)}
+        self.asking = Asking(self.name, self.fleet, self.life, asked_of, self.now_ms, found, self.pace)
+        self.follower = Follower(self.timing, self.now_ms)
+        self.lead = Lead(self.timing, lists, self.heard_ms, 3.0 * self.stand_ms, self.stage_ms)
+        self._stand_due_ms = self._ask_due_ms = self.now_ms
+
+    @property
+    def heard_ms(self) -> float:
+        """Who told something within that time is heard, also in calm."""
+        return 3.0 * CALM_PACE * self.stand_ms
+
+    @property
+    def asked(self) -> bool:
+        return self.asking.done
+
+    @property
+    def cut(self) -> int:
+        return self.follower.register.cut if self.follower.register is not None else 0
+
+    def stage(self, now_ms: float) -> Stage | None:
+        return self.follower.stage(now_ms)
+
+    def allowed(self, now_ms: float) -> Allowed:
+        """What this front end does now."""
+        found = self.follower.allowed(now_ms, self.worths)
+        if found is None:
+            own, members = self.own, len(self.lists.members)
+            found = alone.allowed(self.worths, own.heard, members, own.scorers, self.asked)
+        return found if self.asked else replace(found, status=False)
+
+    def _count(self, cause: str) -> None:
+        self.counts[cause] = self.counts.get(cause, 0) + 1
+
+    # --- what comes in --------------------------------------------------------------------------
+
+    def hear_zone(self, now_ms: float, sender: str, word: w.Word) -> list[Effect]:
+        """A word of a member, by its zones' log."""
+        if sender not in self.lists.members:
+            self._count("of no member")
+            return []
+        if sender in self.lists.voters:
+            self._heard_ms[sender] = now_ms
+        if isinstance(word, Ask):
+            return self._answer(now_ms, sender, word, zone=True)
+        if isinstance(word, Answer):
+            return self._answered(now_ms, sender, word, Of.VOTERS)
+        if isinstance(word, w.Boot):
+            self.lead.booted(now_ms, sender, word)
+            return self._signed(sender, word)
+        if isinstance(word, w.Known):
+            if word.life != self.life:
+                self._count("to another life")
+                return []
+            return [Signed(word.sign)]
+        if isinstance(word, w.Standing):
+            if not self.lead.stands(now_ms, sender, word):
+                self._count("of an earlier life")
+            return []
+        return self._told_stage(now_ms, sender, word)
+
+    def hear_state(self, now_ms: float, sender: str, word: w.Word) -> list[Effect]:
+        """A word of a member, by its log of state: questions to keepers, and their answers."""
+        if sender not in self.lists.members:
+            self._count("of no member")
+            return []
+        if isinstance(word, Ask):
+            return self._answer(now_ms, sender, word, zone=False)
+        if isinstance(word, Answer):
+            return self._answered(now_ms, sender, word, Of.KEEPERS)
+        self._count("by the wrong log")
+        return []
+
+    def _answer(self, now_ms: float, sender: str, ask: Ask, zone: bool) -> list[Effect]:
+        """What is not sure, or found in a store that has not all anew yet, is not told: such an answer says
+        of whom it is, and no more."""
+        own, what = self.own, What(ask.what)
+        if ask.fleet != self.fleet:
+            self._count("another fleet's")
+            return []
+        if (what in (What.MEMBERS, What.PLAN)) is not zone or what is What.ROSTER:
+            self._count("by the wrong log")
+            return []
+        if self.name not in (self.lists.voters if zone else self.lists.keepers):
+            return []
+        number, digest, sure, leased = 0, "", own.sure, False
+        if what is What.MEMBERS:
+            number, digest, sure = self.lists.number, self.lists.digest, own.votes
+        elif what is What.PLAN:
+            (number, digest), sure, leased = own.plan, own.votes, self.seat(now_ms).fresh
+        elif what is What.USE:
+            sure = own.uses
+        answer = Answer(self.fleet, ask.life, ask.turn, ask.what, self.life, False)
+        if own.settled and sure:
+            told = {"sure": True, "number": number, "digest": digest, "leased": leased}
+            answer = msgspec.structs.replace(answer, **told)
+        return [Say((sender,), answer, zone)]
+
+    def _answered(self, now_ms: float, sender: str, answer: Answer, of: Of) -> list[Effect]:
+        if answer.what > What.USE or self.asking.steps[What(answer.what)].of is not of:
+            self._count("by the wrong log")
+            return []
+        self.asking.heard(now_ms, sender, answer)
+        return self._go(now_ms)
+
+    def _signed(self, sender: str, boot: w.Boot) -> list[Effect]:
+        """Tell one that started anew how far its folder had come by its own earlier word; it may be an older
+        copy."""
+        sign, disks = boot.sign, self.signs.setdefault(sender, {})
+        if not sign.mark:
+            return []
+        heard = disks.get(sign.mark)
+        if heard is None:
+            while len(disks) > 1:
+                del disks[next(iter(disks))]
+            disks[sign.mark] = _Heard(boot.life, sign)
+            return []
+        if boot.life != heard.life:
+            heard.before = max(heard.last, heard.before or heard.last, key=_order)
+            heard.life, heard.told = boot.life, 0
+        heard.last = sign
+        if heard.before is None or heard.told >= TOLD_TIMES or sender == self.name:
+            return []
+        heard.told += 1
+        return [Say((sender,), w.Known(boot.life, heard.before))]
+
+    def _told_stage(self, now_ms: float, sender: str, word: w.Told) -> list[Effect]:
+        if sender not in self.lists.voters or word.term < self._term:
+            self._count("a stage of no leader")
+            return []
+        if self.asking.lives.get(sender, 0) > word.life:
+            self._count("of an earlier life")
+            return []
+        if sender != self.name and self.follower.register is None and sender not in self.asking.lives:
+            if now_ms < self._ask_due_ms:
+                return []
+            self._ask_due_ms = now_ms + self.pace.again_ms
+            return [self._boot(), Say((sender,), self.asking.ask_one(sender, What.MEMBERS).message)]
+        late = now_ms - word.at_ms  # and the two clocks' difference, which the least of it stands for
+        life, least = self._told.get(sender, (0, 0.0))
+        least = min(least, late) if life == word.life else late
+        self._told[sender], self._term = (word.life, least), word.term
+        notes = self.follower.told(word.register, word.at_ms + least)
+        return [*notes, *self._go(now_ms)]
+
+    # --- the voters' log ------------------------------------------------------------------------
+
+    def decided(self, now_ms: float, text: str) -> list[Effect]:
+        """A register that the voters' log decided, at whichever voter."""
+        try:
+            effects = self.lead.decided(now_ms, text)
+        except RegisterFault as error:
+            return [Note("recovery not read", {"why": str(error)})]
+        return [*effects, *self._leading(now_ms)]
+
+    def not_put(self) -> None:
+        """What was to be decided never came into the log."""
+        self.lead.conductor.not_put()
+
+    def turned(self, now_ms: float) -> list[Effect]:
+        """The voter may lead, or not lead any more."""
+        return self.lead.turned(now_ms, self.seat(now_ms))
+
+    def take_lists(self, now_ms: float, lists: Lists) -> list[Effect]:
+        """There is a later file of members."""
+        self.lists = self.lead.lists = lists
+        self.asking.lists |= {Of.VOTERS: lists.voters, Of.KEEPERS: lists.keepers}
+        self.signs = {name: signs for name, signs in self.signs.items() if name in lists.members}
+        self.lead.forget()
+        return self._go(now_ms)
+
+    # --- time -----------------------------------------------------------------------------------
+
+    def due_ms(self, now_ms: float) -> float:
+        """When `tick` is wanted next."""
+        calm = self._going is not None and self._going[1] is Stage.SPILL and not self.lead.term
+        dues = [now_ms + (CALM_LOOK_MS if calm else LOOK_MS), self._stand_due_ms]
+        if (due := self.asking.due_ms()) is not None:
+            dues.append(due)
+        return min(dues)
+
+    def tick(self, now_ms: float, own: Own) -> list[Effect]:
+        """Call it at `due_ms` at the latest. `own` counts until the next one."""
+        self.own = own
+        if own.sure:
+            self.asking.knows(now_ms, What.PROMISES)
+        if own.rostered and self.asking.stand(What.ROSTER) not in (Stand.AHEAD, Stand.ANSWERED):
+            said = Answer(self.fleet, self.life, self.asking.turn, int(What.ROSTER), 1, True)
+            self.asking.heard(now_ms, LOG, said)
+        effects: list[Effect] = [*self.turned(now_ms)]
+        for said in self.asking.tick(now_ms):
+            if said.to != LOG:
+                zone = self.asking.steps[What(said.message.what)].of is Of.VOTERS
+                effects.append(Say((said.to,), said.message, zone))
+        if any(isinstance(effect, Say) for effect in effects):
+            effects.insert(0, self._boot())  # a voter that answers knows it
+        effects += self._go(now_ms)
+        if now_ms >= self._stand_due_ms:
+            calm = self._going is not None and self._going[1] is Stage.SPILL
+            self._stand_due_ms = now_ms + self.stand_ms * (CALM_PACE if calm else 1)
+            effects += [self._boot(), Say((), self._standing())]
+        self.lead.booted(now_ms, self.name, w.Boot(self.life, self.mark, own.sign))
+        self.lead.stands(now_ms, self.name, self._standing())
+        return [*effects, *self._leading(now_ms)]
+
+    def _boot(self) -> Say:
+        return Say((), w.Boot(self.life, self.mark, self.own.sign))
+
+    def _standing(self) -> w.Standing:
+        known = {"life": self.life, "asked": self.asked, "sure": self.own.sure}
+        if self.own.standing is None:
+            return w.Standing(**known)
+        return msgspec.structs.replace(self.own.standing, **known)
+
+    def _leading(self, now_ms: float) -> list[Effect]:
+        """What the leader decides, and its word to all; it is one of those itself."""
+        effects: list[Effect] = [*self.lead.tick(now_ms, self.seat(now_ms))]
+        if (text := self.lead.word(now_ms, self.seat(now_ms))) is not None:
+            told = w.Told(self.life, self.lead.term, now_ms, text)
+            effects.append(Say((), told))
+            effects += self._told_stage(now_ms, self.name, told)
+        return effects
+
+    def _go(self, now_ms: float) -> list[Effect]:
+        """What follows for this front end, where that is another thing than before."""
+        effects: list[Effect] = []
+        if self.asked and not self._asked:
+            self._asked = True
+            effects.append(Note("asked", {"without": list(self.asking.without().values())}))
+        going = (self.allowed(now_ms), self.stage(now_ms), self.cut)
+        if going == self._going:
+            return effects
+        before, self._going = self._going, going
+        effects.append(Go(*going))
+        if before is None or (before[1:], before[0].part) != (going[1:], going[0].part):
+            stage = "alone" if going[1] is None else going[1].name.lower()
+            fields = {"stage": stage, "cut": going[2], "part": going[0].part, "status": going[0].status}
+            effects.append(Note("stage", fields))
+        if before is not None and before[1] is not going[1]:
+            self._stand_due_ms = min(self._stand_due_ms, now_ms)  # by another pace from now on
+        return effects
+
+    # --- for people -----------------------------------------------------------------------------
+
+    def shown(self, now_ms: float) -> w.Shown:
+        allowed, stage, asking = self.allowed(now_ms), self.stage(now_ms), self.asking
+        register, own = self.follower.register, self.own
+        doubts = [] if own.whole else ["its store is not whole"]
+        doubts += [] if own.settled else ["its store has not written all anew"]
+        doubts += [] if own.sure else ["its keeper does not know all that it granted"]
+        doubts += [] if self.mark else ["the system tells no boot"]
+        if asking.behind:
+            doubts.append(f"a voter goes by list of members {asking.behind}, which is later than its own")
+        fresh = self.follower.fresh(now_ms)
+        how = "alone" if stage is None else "a leader's word" if fresh else "the last word"
+        if stage is not None and register is None:
+            how = "no word yet"
+        counts = self.counts | {f"answers {why}": n for why, n in asking.dropped.items()}
+        return w.Shown(
+            life=self.life,
+            boot=self.mark,
+            stage="" if stage is None else stage.name.lower(),
+            how=how,
+            cut=self.cut,
+            part=allowed.part,
+            leads=self.lead.term,
+            why=register.why if register is not None else "",
+            fronts=self.lead.heard(now_ms) if self.lead.term else 0,
+            heard=tuple(sorted(n for n, at_ms in self._heard_ms.items() if now_ms - at_ms < self.heard_ms)),
+            asked={what.name.lower(): asking.stand(what).value for what in What},
+            without=tuple(asking.without().values())[:SHOWN_MOST],
+            doubts=tuple(doubts[:SHOWN_MOST]),
+            counts=dict(sorted(counts.items())[:64]),
+        )
+
+
+def _order(sign: Sign) -> tuple[int, int]:
+    return sign.life, sign.number
--- /dev/null
+++ b/tests/rejoin_rig.py
@@ -0,0 +1,170 @@
+"""Agents of recovery at real members of zones in virtual time: words by their logs, decisions by their
+voters' log, and losses of power."""
+
+import random
+
+import msgspec
+from test_zone_members import Fleet
+from zone_files import members
+
+from fawnwharf.durable.reading import Sign
+from fawnwharf.recovery.asking import Pace
+from fawnwharf.recovery.stages import Decide, Note, Stage, Timing
+from fawnwharf.rejoin import words as w
+from fawnwharf.rejoin.agent import Agent, Go, Own, Say, Signed
+from fawnwharf.rejoin.lead import Lists
+from fawnwharf.zones.lines import RECOVERY, Heard, Ruled, Word
+
+STEP_S = 0.02
+WORTHS = {"view": 1.0, "save": 5.0}
+TIMING = Timing(settle_ms=3_000.0)
+
+
+class Agents(Fleet):
+    def __init__(self, zones="abcab", seed=1, lost=0.0, late_ms=0.0):
+        self.agents, self.chance, self.lost, self.late_ms = {}, random.Random(seed), lost, late_ms
+        self.marks, self.lives, self.whole = {}, {}, {}
+        self.standing, self.trail, self.noted, self.signed = {}, [], [], []
+        self.due = []  # words of state under way
+        super().__init__(members(zones, 3), seed)
+
+    @property
+    def names(self):
+        return [entry.name for entry in self.file.members]
+
+    def own(self, name, sign=None):
+        core = self.cores[name]
+        votes = core.voter is not None
+        plan = (core.voter.saved.last_index, "") if votes else (0, "")
+        return Own(
+            True, self.whole.get(name, True), True, votes, plan, sign or Sign(name, self.lives[name], 1),
+            True, True, True, 1, self.standing.get(name),
+        )  # fmt: skip
+
+    def start(self, name, identity, seed=99):
+        super().start(name, identity, seed)
+        self.lives[name] = self.lives.get(name, 0) + 1
+        voters = tuple(entry.name for entry in self.file.voters)
+        lists = Lists(tuple(self.names), voters, voters, 1, "d")
+        core = self.cores[name]
+        self.agents[name] = Agent(
+            name, "f", self.lives[name], self.marks.setdefault(name, "boot 1"), lists, self.own(name),
+            core.seat, WORTHS, TIMING, self.now, Pace(), 100.0, 150.0,
+        )  # fmt: skip
+
+    # --- power ----------------------------------------------------------------------------------
+
+    def end(self, *names):
+        for name in names:
+            self.dead.add(name)
+            self.due = [word for word in self.due if name not in word[1:3]]
+
+    def begin(self, mark, *names):
+        for name in names:
+            self.marks[name] = mark or self.marks[name]
+            self.start(name, f"{name}#0", seed=self.chance.randrange(1_000))
+
+    def power_loss(self, mark, *names):
+        self.end(*(names or self.names))
+        self.run(0.1)
+        self.begin(mark, *(names or self.names))
+
+    # --- what is carried ------------------------------------------------------------------------
+
+    def do(self, name, effects):
+        super().do(name, effects)
+        agent = self.agents.get(name)
+        for effect in effects:
+            if isinstance(effect, Heard) and effect.rider == RECOVERY:
+                for data in effect.words:
+                    self.act(name, agent.hear_zone(self.now, effect.sender, w.word_from(data)))
+            elif isinstance(effect, Ruled) and effect.kind == RECOVERY:
+                self.act(name, agent.decided(self.now, effect.text))
+        if agent is not None:
+            self.act(name, agent.turned(self.now))
+
+    def act(self, name, effects):
+        core = self.cores[name]
+        for effect in effects:
+            if isinstance(effect, Say) and effect.zone:
+                line = core._line(words=[Word(msgspec.to_builtins(effect.word), effect.to, RECOVERY)])
+                for other in self.names:
+                    voter = self.file.named(name).ballots or self.file.named(other).ballots
+                    if other != name and voter and self.chance.random() >= self.lost:
+                        self.send(name, other, line, False)
+            elif isinstance(effect, Say):
+                for to in effect.to:
+                    if self.chance.random() >= self.lost:
+                        delay = 2.0 + self.chance.random() * self.late_ms
+                        data = msgspec.json.encode(effect.word)
+                        self.due.append((self.now + delay, name, to, data))
+            elif isinstance(effect, Decide):
+                put, more = core.put(self.now, effect.register, RECOVERY)
+                self.do(name, more)
+                if not put:
+                    self.agents[name].not_put()
+            elif isinstance(effect, Go):
+                self.trail.append((name, effect.stage, effect.cut, effect.allowed))
+            elif isinstance(effect, Signed):
+                self.signed.append((name, effect.sign))
+            elif isinstance(effect, Note):
+                self.noted.append((name, effect.event, effect.fields))
+
+    def run(self, seconds):
+        for _ in range(round(seconds / STEP_S)):
+            super().run(STEP_S)
+            due = [word for word in self.due if word[0] <= self.now]
+            self.due = [word for word in self.due if word[0] > self.now]
+            for _, sender, to, data in due:
+                if to not in self.dead:
+                    word = w.word_from(msgspec.json.decode(data))
+                    self.act(to, self.agents[to].hear_state(self.now, sender, word))
+            for name in self.up:
+                if self.now >= self.agents[name].due_ms(self.now - 1000.0 * STEP_S):
+                    self.act(name, self.agents[name].tick(self.now, self.own(name)))
+            self.check()
+        return self
+
+    def check(self):
+        """Whoever goes by a register of one number goes by the same one."""
+        stages = {n: a.follower.register for n, a in self.agents.items() if a.follower.register}
+        by_number = {}
+        for register in stages.values():
+            assert by_number.setdefault(register.number, register) == register
+
+    # --- looks ----------------------------------------------------------------------------------
+
+    @property
+    def up(self):
+        return [name for name in self.names if name not in self.dead]
+
+    def stages(self, names=None):
+        return {self.agents[name].stage(self.now) for name in names or self.up}
+
+    def until(self, condition, seconds=40.0):
+        for _ in range(round(seconds / STEP_S)):
+            if condition():
+                return self
+            self.run(STEP_S)
+        raise AssertionError(f"waited in vain: {self.trail[-8:]} {self.noted[-8:]}")
+
+    def until_stage(self, stage, names=None, cut=None):
+        def there():
+            by = [self.agents[name] for name in names or self.up]
+            return self.stages(names) == {stage} and all(cut in (None, agent.cut) for agent in by)
+
+        return self.until(there)
+
+    @property
+    def leader(self):
+        found = [n for n in self.up if self.agents[n].lead.term and self.cores[n].seat(self.now).fresh]
+        return found[0] if found else None
+
+    def calm(self):
+        self.until(lambda: all(len(self.cores[n].voter.saved.voters) == 3 for n in self.names[:3]))
+        self.until_stage(Stage.SPILL)
+        self.until(lambda: all(agent.asked for agent in self.agents.values()))
+        leader = self.leader
+        self.until(lambda: len(self.agents[leader].lead.conductor.register.boots) == 3)
+        self.until(lambda: self.agents[leader].lead.conductor.asked is None)
+        return self
