Recovery: a front end's store, and keepers whose grants are on disk before they are said

A keeper's file is trusted within one boot alone, so that after a loss of power every keeper waits out all that it may have granted. With a store that syncs before it tells, one whose store is whole knows what it granted and goes on at once.

Kept opens the folder, reads the boot's mark from a file that settings name, and makes of what it finds what the table of trust says. Its doubt (an empty folder, a repair, an older copy that others show) is an entry, so that a second cut makes nothing whole of it.

OnStore takes the place of OnFile. All goes as 'soon', and a ticket of an entry put after it tells that it is on disk: one log is there up to a group and no further. What says 'granted', and an own call that may go by its own keeper's grant, waits for that ticket; a ticket that ends unsure takes the own keeper's word back, and the others' are weighed. Tests cut, kill, hold back and fail keepers' disks in virtual time.

--- a/fawnwharf/__main__.py
+++ b/fawnwharf/__main__.py
@@ -4,6 +4,8 @@
 import sys
 from typing import Any
 
+OPTIONS = "--zones", "--state", "--policy", "--sessions", "--recovery"
+
 
 def plain_serve(words: list[str]) -> dict[str, Any] | None:
     """What to serve with, where that is all that is asked for; None where the command line has to look."""
@@ -13,7 +15,7 @@
     rest = list(words[1:])
     while rest:
         word = rest.pop(0)
-        if word in ("--zones", "--state", "--policy", "--sessions") and rest and not rest[0].startswith("-"):
+        if word in OPTIONS and rest and not rest[0].startswith("-"):
             found[word[2:]] = rest.pop(0)
         elif word == "--fresh":
             found["fresh"] = True
--- a/fawnwharf/cli.py
+++ b/fawnwharf/cli.py
@@ -34,6 +34,10 @@
 Sessions = Annotated[
     str | None, typer.Option("--sessions", help="Settings of sessions that move; off without, needs --state.")
 ]
+Recovery = Annotated[
+    str | None,
+    typer.Option("--recovery", help="Settings of recovery; off without, needs --zones and --state."),
+]
 Fresh = Annotated[
     bool, typer.Option("--fresh", help="The whole fleet begins: no front end has promised anything before.")
 ]
@@ -47,9 +51,10 @@
     policy: Policy = None,
     sessions: Sessions = None,
     fresh: Fresh = False,
+    recovery: Recovery = None,
 ) -> None:
     """Serve until SIGTERM, then finish what was taken."""
-    raise typer.Exit(serving.serve(path, zones, state, policy, sessions, fresh))
+    raise typer.Exit(serving.serve(path, zones, state, policy, sessions, fresh, recovery))
 
 
 @app.command("check-config")
--- /dev/null
+++ b/fawnwharf/rejoin/kept.py
@@ -0,0 +1,180 @@
+"""What a front end keeps in its store, and what a start makes of what it finds there. Pure.
+
+Every entry bears the clock's reading at which it was put. All kinds are `soon` or `hint` for the store: what
+is to be on disk before it is said has its ticket from an entry put after it, as a log is there up to some
+group and no further. So one ticket serves all of a turn, and nothing is refused because the disk fails.
+"""
+
+import hashlib
+from typing import Any, NamedTuple
+
+import msgspec
+
+from fawnwharf.durable import form as f
+from fawnwharf.durable import reading
+from fawnwharf.recovery.trust import (
+    Age,
+    Clock,
+    Found,
+    Kind,
+    Span,
+    Spans,
+    Store,
+    Trust,
+    age_of,
+    left_ms,
+    same_boot,
+    trust,
+)
+
+
+class Rule(NamedTuple):
+    """One kind's name in the store, its mode, and its bounds: entries, bytes of one, bytes of all."""
+
+    name: str
+    mode: str
+    most: int
+    value_bytes: int
+    all_bytes: int
+
+
+# 'Where copies stood' and 'load counts' are hardly ever more than gone, and terms are in the voters' file.
+RULES = {
+    Kind.PROMISE: Rule("promise", f.SOON, 40_000, 32 * 1024, 8 * 1024 * 1024),
+    Kind.PLAN: Rule("plan", f.SOON, 16, 256 * 1024, 1024 * 1024),
+    Kind.POLICY: Rule("policy", f.SOON, 16, 256 * 1024, 1024 * 1024),
+    Kind.HOMES: Rule("homes", f.SOON, 10_000, 4 * 1024, 1024 * 1024),
+    Kind.ROSTER: Rule("roster", f.HINT, 16, 1024 * 1024, 1024 * 1024),
+    Kind.USE: Rule("use", f.HINT, 16, 512 * 1024, 512 * 1024),
+}
+START, DOUBT, SURE, TURN = "start", "doubt", "sure", "turn"  # the store's own, one entry each
+LAST = "last"
+KINDS = [f.Kind(rule.name, rule.mode, rule.most, rule.value_bytes) for rule in RULES.values()] + [
+    f.Kind(START, f.SOON, 1, 256),
+    f.Kind(DOUBT, f.SOON, 1, 2_048),
+    f.Kind(SURE, f.SOON, 1, 64),
+    f.Kind(TURN, f.SYNCED, 1, 64),
+]
+WHY_MOST = 500  # characters of a cause
+
+
+class Stamped(msgspec.Struct, frozen=True, array_like=True):
+    """An entry as it is in the store. `boot`: the mark's digest, as it stands in each of them."""
+
+    boot: str
+    mono_ms: float
+    wall_ms: float
+    value: Any
+
+    @property
+    def clock(self) -> Clock:
+        return Clock(self.boot, self.mono_ms, self.wall_ms)
+
+
+class Row(NamedTuple):
+    key: str
+    value: Any
+    age: Age
+
+
+class Start(NamedTuple):
+    """What a folder is found to be. `doubt`: why the store is in part, empty: it is whole; `new`: no life
+    before this one knew of that, so that what a keeper knew of itself counts no more."""
+
+    same_boot: bool
+    in_order: bool
+    doubt: str
+    new: bool
+    sure: int  # the list of members by which the keeper knew all that it had granted; 0: it did not
+    rows: dict[Kind, list[Row]]
+    old: list[tuple[str, str]]  # what is over or can't be read: it goes
+
+
+def short(mark: str) -> str:
+    """A boot's mark as entries bear it; one that the system does not tell stays empty."""
+    return hashlib.blake2b(mark.encode(), digest_size=6).hexdigest() if mark else ""
+
+
+def stamped(clock: Clock, value: Any) -> bytes:
+    return msgspec.json.encode(
+        Stamped(clock.boot, round(clock.mono_ms, 1), float(round(clock.wall_ms)), value)
+    )
+
+
+def started(found: reading.Found, now: Clock, fresh: bool, spans: Spans) -> Start:
+    """`now`: of this start, its boot as `short` has it. `fresh`: nobody in the fleet has promised anything,
+    so that an empty folder has lost nothing."""
+    entries, same = found.entries, False
+    if (data := entries.get((START, LAST))) is not None and (last := _stamped(data)) is not None:
+        same = same_boot(last.clock, now)
+    rows: dict[Kind, list[Row]] = {}
+    old, faulty = [], ""
+    by_name = {rule.name: kind for kind, rule in RULES.items()}
+    for (name, key), data in entries.items():
+        if (kind := by_name.get(name)) is None:
+            continue
+        row = _row(kind, key, data, now, spans)
+        if row is None:
+            faulty = faulty or f"{name}: an entry that can't be read"
+        if row is None or _trust(kind, row.age, same, found.ended, Store.WHOLE) is Trust.GONE:
+            old.append((name, key))
+        else:
+            rows.setdefault(kind, []).append(row)
+    before = _text(entries, DOUBT)
+    doubt = faulty or _found_to_be(found, fresh) or before
+    new = bool(doubt) and (bool(faulty) or doubt != before)
+    return Start(same, found.ended, doubt, new, 0 if new else _sure(entries), rows, old)
+
+
+def _stamped(data: bytes) -> Stamped | None:
+    try:
+        return msgspec.json.decode(data, type=Stamped)
+    except msgspec.DecodeError:
+        return None
+
+
+def _row(kind: Kind, key: str, data: bytes, now: Clock, spans: Spans) -> Row | None:
+    """None where it is none. What is kept of a promise is a list that begins with how long it counts; it is
+    read with what is left of that, and since when it stands, None where another boot wrote it."""
+    if (found := _stamped(data)) is None:
+        return None
+    if kind is not Kind.PROMISE:
+        return Row(key, found.value, age_of(kind, found.clock, now, spans.of(kind)))
+    value = found.value
+    if not isinstance(value, list) or not value or not isinstance(value[0], int | float):
+        return None
+    left = left_ms(found.clock, now, value[0])
+    since = now.mono_ms - found.mono_ms if same_boot(found.clock, now) else None
+    return Row(key, [left, since, *value[1:]], age_of(kind, found.clock, now, Span(value[0], value[0])))
+
+
+def _found_to_be(found: reading.Found, fresh: bool) -> str:
+    """What the folder itself says against it."""
+    if found.repaired:
+        return f"repaired: {found.repaired}"[:WHY_MOST]
+    return "empty" if found.fresh and not fresh else ""
+
+
+def _text(entries: f.Entries, name: str) -> str:
+    if (data := entries.get((name, LAST))) is None:
+        return ""
+    found = _stamped(data)
+    return str(found.value) if found is not None else "a doubt that can't be read"
+
+
+def _sure(entries: f.Entries) -> int:
+    found = _stamped(entries.get((SURE, LAST), b""))
+    return found.value if found is not None and isinstance(found.value, int) else 0
+
+
+def _trust(kind: Kind, age: Age, same: bool, in_order: bool, store: Store) -> Trust:
+    return trust(Found(kind, age, in_order, same, store=store))
+
+
+def read(start: Start, kind: Kind, store: Store) -> list[tuple[str, Any, Trust]]:
+    """What was found of a kind, by the table, as the store is held to be now."""
+    return [
+        (row.key, row.value, held)
+        for row in start.rows.get(kind, ())
+        if (held := _trust(kind, row.age, start.same_boot, start.in_order, store)) is not Trust.GONE
+    ]
--- /dev/null
+++ b/fawnwharf/rejoin/onstore.py
@@ -0,0 +1,243 @@
+"""The store of a running front end: its folder and the boot's mark, on the loop."""
+
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from fawnwharf.accord.records import DiskError
+from fawnwharf.config import ConfigError, Deployment, Fleet
+from fawnwharf.durable import form as f
+from fawnwharf.durable.core import Refused
+from fawnwharf.durable.reading import Found, Sign, older
+from fawnwharf.durable.service import OnLoop
+from fawnwharf.durable.store import open_folder, unix_ms
+from fawnwharf.net.front_end import FrontEnd
+from fawnwharf.net.loop import Loop
+from fawnwharf.net.wheel import monotonic_ms
+from fawnwharf.recovery.trust import Clock, Kind, Spans, Store, Trust
+from fawnwharf.rejoin import kept as k
+from fawnwharf.rejoin.promises import OnStore
+from fawnwharf.rejoin.settings import settings_from
+from fawnwharf.replication.core import Core
+from fawnwharf.replication.settings import settings_from as state_settings
+from fawnwharf.zones.files import load
+from fawnwharf.zones.settings import members_from
+
+LOCK_S = 3.0  # a writer of a process that was killed has the folder until its last job is done
+CLOSE_MS = 1_000.0  # for the last groups, and the word that it ended in order
+
+Note = Callable[[str, dict[str, Any]], None]
+Told = Callable[[bool, str], None]  # whether it is on disk; if not, why that is unsure
+
+
+def boot_mark(path: str) -> str:
+    """Of this boot of the machine; empty where nobody tells, and each start is another boot then."""
+    try:
+        return Path(path).read_text().strip() if path else ""
+    except OSError:
+        return ""
+
+
+class Kept:
+    """Owns the folder's store, and what is held true of what was found in it; a Seam of the front end."""
+
+    def __init__(
+        self, folder: str | Path, fleet: str, member: str, boot_file: str, limits: f.Limits, note: Note,
+        fresh: bool = False, spans: Spans | None = None,
+    ) -> None:  # fmt: skip
+        """Reads the folder; waits up to `LOCK_S` for its lock. `fresh`: the fleet begins, an empty folder has
+        lost nothing. Raises ConfigError with one line."""
+        self.boot, self._note = boot_mark(boot_file), note
+        self._mark = k.short(self.boot)
+        try:
+            self.store = open_folder(
+                folder, fleet, member, k.KINDS, limits, self.boot, empty_ok=True, within_s=LOCK_S
+            )
+        except DiskError as error:
+            raise ConfigError(f"recovery.folder: {error}") from None
+        found = self.store.found
+        now = self._clock()
+        self._start = k.started(found, now, fresh, spans or Spans())
+        self.same_boot, self.in_order, self.sure = self._start.same_boot, found.ended, self._start.sure
+        self.whole = Store.PART if self._start.doubt else Store.WHOLE
+        self.why, self.fresh, self.life = self._start.doubt, found.fresh, found.sign.life + 1
+        self._found, self._told = found.sign, Sign("", 0, 0)
+        self._doubted: list[Callable[[], None]] = []  # who is told of a doubt that comes up later
+        self._loop: OnLoop | None = None
+        self._closed = False
+        self._turns, self._refused = 0, ""
+        self._anew(now)
+        self._bytes = {rule.name: 0 for rule in k.RULES.values()}
+        for (name, key), data in self.store.core.entries.items():
+            if name in self._bytes:
+                self._bytes[name] += f.size((name, key), data)
+
+    def _clock(self) -> Clock:
+        return Clock(self._mark, monotonic_ms(), unix_ms())
+
+    def _anew(self, now: Clock) -> None:
+        """What this start makes of the entries; the store has not written anything yet, and its first
+        snapshot has it so."""
+        start = self._start
+        for name, key in start.old:
+            self._put(name, key, None)
+        if start.new:
+            self._doubt(start.doubt)
+        self._put(k.START, k.LAST, k.stamped(now, self.life))
+
+    # --- life -----------------------------------------------------------------------------------
+
+    def attach(self, front: FrontEnd | Loop) -> None:
+        """Begin, on the front end's loop."""
+        self._loop = OnLoop(getattr(front, "loop", front), self.store, self._note)
+        self._note("store read", {
+            "life": self.life, "same_boot": self.same_boot, "in_order": self.in_order, "why": self.why,
+            "entries": len(self.store.core.entries), "torn": self.store.found.torn,
+        })  # fmt: skip
+
+    def close(self) -> None:
+        """What there is goes to disk, within `CLOSE_MS`; the folder is given back in any case."""
+        if self._closed:
+            return
+        self._closed = True
+        if self._loop is not None:
+            self._loop.close(CLOSE_MS)
+        else:
+            self.store.close(monotonic_ms, CLOSE_MS)
+
+    def told(self, fleet: Fleet) -> None: ...
+
+    def events(self, events: list[Any]) -> None: ...
+
+    @property
+    def busy(self) -> bool:
+        return False
+
+    def promises(self, core: Core, folder: Path | None) -> OnStore:
+        """For the front end's keeper; `folder`: where it would have its own file without a store."""
+        return OnStore(self, core, self._note, folder)
+
+    # --- what was found -------------------------------------------------------------------------
+
+    @property
+    def settled(self) -> bool:
+        """What was found is on disk for certain; nothing of it is told to others before."""
+        return self.store.core.settled
+
+    @property
+    def failing(self) -> str:
+        """Why nothing is durable now; empty: it is."""
+        return self.store.standing(monotonic_ms()).failing
+
+    def read(self, kind: Kind) -> list[tuple[str, Any, Trust]]:
+        """Key, value and trust of what was found at the start, by the table, as the store is held to be now.
+        A promise's value is a list that begins with what was left of its time at the start, and for how long
+        it had stood, None where another boot wrote it; both in ms."""
+        return k.read(self._start, kind, self.whole)
+
+    def dropped(self, kind: Kind) -> None:
+        """What was found of a kind is read by nobody any more."""
+        self._start.rows.pop(kind, None)
+
+    def sign(self) -> Sign:
+        """How far this folder has come, for others; of life 0 until it is settled."""
+        sign = self.store.sign()
+        self._told = sign if sign.life else self._told
+        return sign
+
+    def heard_sign(self, sign: Sign) -> bool:
+        """Another member's word of a sign that it heard of this one. False: it is a later one than this
+        folder has, which is an older copy; the store is in part from then on."""
+        mine = self._told if self._told.life else self._found
+        why = older(Found(sign=mine), [sign])
+        if why:
+            self._doubt(why[: k.WHY_MOST])
+        return not why
+
+    def doubt(self, why: str) -> None:
+        """The store is in part, and stays so over further lives, until others confirm what was found."""
+        self._doubt(why)
+
+    def _doubt(self, why: str) -> None:
+        self.whole, self.why, self.sure = Store.PART, why, 0
+        self._put(k.DOUBT, k.LAST, k.stamped(self._clock(), why))
+        self._put(k.SURE, k.LAST, None)
+        self._note("the store is in part", {"why": why})
+        for tell in self._doubted:
+            tell()
+
+    def on_doubt(self, tell: Callable[[], None]) -> None:
+        self._doubted.append(tell)
+
+    def confirm(self) -> None:
+        """Others confirmed what was found: the store is whole from now on, and in lives to come. Raises
+        nothing; what a keeper knows of its grants is another matter."""
+        self.whole, self.why = Store.WHOLE, ""
+        self._put(k.DOUBT, k.LAST, None)
+        self.store.core.confirm()
+        if self._loop is not None:
+            self._loop.loop.flush_later(self._loop)
+
+    # --- what is kept ---------------------------------------------------------------------------
+
+    def keep(self, kind: Kind, key: str, value: Any | None, told: Told | None = None) -> bool:
+        """The entry is this from now on, JSON or a Struct; None: there is none. False: it was refused, and
+        nothing has changed. `told` once, that it is on disk or why that is unsure; where it is refused before
+        this returns."""
+        rule = k.RULES[kind]
+        data = None if value is None else k.stamped(self._clock(), value)
+        before = self.store.core.entries.get((rule.name, key))
+        grows = sum(f.size((rule.name, key), one) * by for one, by in ((data, 1), (before, -1)) if one)
+        if data is not None and grows > 0 and self._bytes[rule.name] + grows > rule.all_bytes:
+            why = f"{rule.name}: {rule.all_bytes} bytes in all is the most"
+        elif not (why := self._put(rule.name, key, data)):
+            self._bytes[rule.name] += grows
+            if told is not None:
+                self.on_disk(told)
+            return True
+        if why != self._refused and not self._closed:
+            self._refused = why
+            self._note("not kept", {"why": why})
+        if told is not None:
+            told(False, why)
+        return False
+
+    def keep_sure(self, members: int) -> None:
+        """The keeper knows all that it granted, by this list of members; 0: it does not."""
+        self.sure = members
+        self._put(k.SURE, k.LAST, k.stamped(self._clock(), members) if members else None)
+
+    def on_disk(self, told: Told) -> None:
+        """`told` once: all that was kept before this is on disk, or why that is unsure. While the disk fails
+        it is told at once."""
+        self._turns += 1
+        if why := self._put(k.TURN, k.LAST, msgspec.json.encode(self._turns), told):
+            told(False, why)
+
+    def _put(self, name: str, key: str, data: bytes | None, told: Told | None = None) -> str:
+        """Why it was refused; empty: it was not."""
+        if self._closed:
+            return "closed"
+        value = None if data is None else msgspec.Raw(data)
+        try:
+            if self._loop is not None:
+                self._loop.put(name, key, value, told)
+            else:
+                self.store.put(monotonic_ms(), name, key, value, told)
+        except Refused as error:
+            return str(error)
+        return ""
+
+
+def kept(deployment: Deployment, place: str, state: str, note: Note, fresh: bool) -> Kept:
+    """The store of a front end, by the files of recovery and of replicated state. Raises ConfigError."""
+    settings = load(Path(place), settings_from, "recovery")
+    rules = load(Path(state), state_settings, "state")
+    members = load(Path(state).parent / rules.members, members_from, "state")
+    spans = Spans(window_ms=rules.longest_ms * (1.0 + 2.0 * rules.skew))
+    folder = Path(place).parent / settings.folder
+    return Kept(
+        folder, members.fleet, deployment.name, settings.boot_file, settings.store, note, fresh, spans
+    )
--- /dev/null
+++ b/fawnwharf/rejoin/promises.py
@@ -0,0 +1,240 @@
+"""A keeper's grants, on disk before they are said: in place of `replication.onfile` where there is a store.
+
+All that comes to the keeper's shelf is kept. What says 'granted', and a call of this front end's own that may
+go by its own keeper's grant, waits for a ticket; all else goes at once. A grant whose ticket ends unsure is
+never said, and stands in the way of others as if it had been: it may be found on the disk later.
+"""
+
+import contextlib
+import heapq
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any, Protocol
+
+import msgspec
+
+from fawnwharf.net.wheel import monotonic_ms
+from fawnwharf.recovery.trust import Kind, Trust
+from fawnwharf.replication.claimant import Go, Out
+from fawnwharf.replication.claims import Claim, Phase
+from fawnwharf.replication.core import Core
+from fawnwharf.replication.messages import Piece, Say
+from fawnwharf.replication.onfile import ungranted
+
+SWEEP_MS = 1_000.0  # pace at which entries go whose time is over
+LONG_AGO_MS = 3_000_000.0  # age of what another boot wrote: nobody knows how long the machine was down
+
+Later = Callable[[list[Out]], None]
+Note = Callable[[str, dict[str, Any]], None]
+
+
+class Keeps(Protocol):
+    """The store, as it is used here: `onstore.Kept`."""
+
+    sure: int
+    why: str
+
+    @property
+    def failing(self) -> str: ...
+    def read(self, kind: Kind) -> list[tuple[str, Any, Trust]]: ...
+    def dropped(self, kind: Kind) -> None: ...
+    def keep(self, kind: Kind, key: str, value: Any | None) -> bool: ...
+    def keep_sure(self, members: int) -> None: ...
+    def on_disk(self, told: Callable[[bool, str], None]) -> None: ...
+    def doubt(self, why: str) -> None: ...
+    def on_doubt(self, tell: Callable[[], None]) -> None: ...
+
+
+@dataclass(slots=True, eq=False)
+class _Batch:
+    """What waits for one ticket: effects in their order, and the own calls whose grants it tells of."""
+
+    held: list[Out] = field(default_factory=list)
+    own: dict[str, int] = field(default_factory=dict)  # call -> number of the ask
+
+
+class OnStore:
+    """Owns what of a keeper's shelf is in the store, and what waits until it is on disk."""
+
+    def __init__(self, kept: Keeps, core: Core, note: Note, folder: Path | None = None) -> None:
+        """What this keeper granted before is on its shelf then, and it grants at once where it is sure that
+        this is all. `folder`: where a life without a store would have left a file; one that is there makes
+        the store one in part."""
+        self._kept, self._core, self._note = kept, core, note
+        self._entries: dict[str, tuple[Claim, float]] = {}  # by name, and until when
+        self._ends: list[tuple[float, str]] = []
+        self._open: dict[str, tuple[int, _Batch]] = {}  # own calls whose grants wait: ask, and for what
+        self._shy: _Batch | None = None  # until it is on disk that this keeper knows not all
+        self._sweep_ms = 0.0
+        self.counts: dict[str, int] = {}
+        kept.on_doubt(self._doubted)
+        self._files_aside(folder)
+        now, shelf = monotonic_ms(), core.keeper.shelf
+        room = self._found(now)
+        self._sure_kept = kept.sure
+        trusted = room and kept.sure == core.placement.number
+        if trusted:
+            core.keeper.knows_all()
+        shelf.unwritten = []
+        self.found = {"calls": len(shelf.calls), "trusted": trusted, "why": kept.why}
+
+    def _files_aside(self, folder: Path | None) -> None:
+        """Guards against lives without the store in between: what they granted it does not know."""
+        files = sorted(folder.glob("keeper-*.log")) if folder is not None else []
+        if not files:
+            return
+        self._kept.doubt("a life without the store")
+
+        def told(on_disk: bool, _why: str) -> None:
+            for path in files if on_disk else ():
+                with contextlib.suppress(OSError):
+                    path.rename(path.with_suffix(".aside"))
+
+        self._kept.on_disk(told)
+
+    def _found(self, now_ms: float) -> bool:
+        """What was kept, on the shelf; False: not all had room there."""
+        shelf, room = self._core.keeper.shelf, True
+        for name, value, trusted in self._kept.read(Kind.PROMISE):
+            if trusted is not Trust.NOW:
+                continue
+            left_ms, since_ms, age_ms, data = value
+            claim, key = msgspec.convert(data, Claim), name.split("/", 2)[2]
+            age_ms = LONG_AGO_MS if since_ms is None else min(LONG_AGO_MS, age_ms + since_ms)
+            if since_ms is None:  # from now on it counts by this boot's clock
+                self._kept.keep(Kind.PROMISE, name, [left_ms, age_ms, claim])
+            if (entry := shelf.entry(now_ms, key)) is None:
+                room = False
+                continue
+            shelf.put(now_ms, key, entry, claim, left_ms)
+            entry.first_ms = min(entry.first_ms, now_ms - age_ms)
+            self._entries[name] = claim, now_ms + left_ms
+            heapq.heappush(self._ends, (now_ms + left_ms, name))
+        self._kept.dropped(Kind.PROMISE)
+        return room
+
+    def _doubted(self) -> None:
+        """The store turned out to be in part while this keeper goes by it."""
+        self._sure_kept = 0
+        self._core.keeper.forgot(monotonic_ms())
+
+    def close(self) -> None: ...
+
+    # --- what is kept ---------------------------------------------------------------------------
+
+    def _keep(self, now_ms: float, key: str, claim: Claim, until_ms: float) -> bool:
+        name = f"{claim.owner}/{claim.ask}/{key}"
+        if self._entries.get(name) == (claim, until_ms):
+            return True
+        entry = self._core.keeper.shelf.calls.get(key)
+        age_ms = now_ms - entry.first_ms if entry is not None else 0.0
+        value = [round(until_ms - now_ms, 1), round(age_ms, 1), claim]
+        if not self._kept.keep(Kind.PROMISE, name, value):
+            self._count("not kept")
+            if claim.answer is None:
+                return False
+            value[2] = msgspec.structs.replace(claim, answer=None)
+            if not self._kept.keep(Kind.PROMISE, name, value):
+                return False
+        self._entries[name] = claim, until_ms
+        heapq.heappush(self._ends, (until_ms, name))
+        return True
+
+    def _sweep(self, now_ms: float) -> None:
+        """What is over goes."""
+        if now_ms < self._sweep_ms:
+            return
+        self._sweep_ms = now_ms + SWEEP_MS
+        while self._ends and self._ends[0][0] <= now_ms:
+            _, name = heapq.heappop(self._ends)
+            found = self._entries.get(name)
+            if found is not None and found[1] <= now_ms:  # else it counts for longer by now
+                del self._entries[name]
+                self._kept.keep(Kind.PROMISE, name, None)
+
+    def _keep_sure(self, now_ms: float) -> None:
+        """Whether this keeper knows all, where that has changed. That it does not is on disk before another
+        keeper hears anything that rests on it."""
+        keeper = self._core.keeper
+        keeper.broken = False
+        sure = self._core.placement.number if keeper.sure(now_ms) else 0
+        keeper.broken = bool(self._kept.failing)  # nothing more is granted meanwhile
+        if sure == self._sure_kept:
+            return
+        self._sure_kept = sure
+        self._kept.keep_sure(sure)
+        self._shy = None if sure else self._shy or _Batch()
+
+    def _count(self, cause: str) -> None:
+        self.counts[cause] = self.counts.get(cause, 0) + 1
+
+    # --- what may be said -----------------------------------------------------------------------
+
+    def written(self, effects: list[Out], later: Later) -> list[Out]:
+        """What may be said and done now; what rests on grants that are not on disk yet goes to `later` once
+        they are, or as it is without them."""
+        now, core = monotonic_ms(), self._core
+        shelf = core.keeper.shelf
+        rows, shelf.unwritten = shelf.unwritten, []
+        self._sweep(now)
+        batch, refused = _Batch(), set()
+        for key, claim, until_ms in rows:
+            if not self._keep(now, key, claim, until_ms):
+                refused.add(key)
+            mine = core.claimant.mine.get(key)
+            own = mine is not None and claim.id == (core.owner, mine.number)
+            if own and mine.must and claim.phase is Phase.TAKEN:
+                batch.own[key] = mine.number
+                self._open[key] = mine.number, batch
+        shy = self._shy
+        self._keep_sure(now)
+        found: list[Out] = []
+        for effect in effects:
+            if isinstance(effect, Go) and effect.kept and effect.key in self._open:
+                core.claimant.hold(effect.key)
+                self._open[effect.key][1].held.append(effect)
+            elif isinstance(effect, Say) and getattr(effect.message, "granted", False):
+                if effect.message.key in refused:
+                    found.append(ungranted(effect))
+                else:
+                    batch.held.append(effect)
+            elif isinstance(effect, Say) and isinstance(effect.message, Piece) and self._shy is not None:
+                self._shy.held.append(effect)
+            else:
+                found.append(effect)
+        if self._shy is not None and self._shy is not shy:
+            self._wait(self._shy, later)
+        for key in batch.own.keys() & refused:
+            self._open.pop(key)
+            found += core.ungranted(now, key, batch.own.pop(key))
+        if batch.held or batch.own:
+            self._wait(batch, later)
+        return found
+
+    def _wait(self, batch: _Batch, later: Later) -> None:
+        self._kept.on_disk(lambda on_disk, why: self._told(batch, on_disk, later))
+
+    def _told(self, batch: _Batch, on_disk: bool, later: Later) -> None:
+        now, core = monotonic_ms(), self._core
+        if self._shy is batch:
+            self._shy = None
+            if not on_disk:
+                self._sure_kept = -1  # once more
+        for key in batch.own:
+            if (held := self._open.get(key)) is not None and held[1] is batch:
+                del self._open[key]
+        self._count("on disk" if on_disk else "unsure")
+        found: list[Out] = []
+        for effect in batch.held:
+            if isinstance(effect, Go):
+                if on_disk and core.claimant.release(effect.key, batch.own[effect.key]):
+                    found.append(effect)
+            elif on_disk:
+                found.append(effect)
+            elif not isinstance(effect.message, Piece):  # pieces are wanted again
+                found.append(ungranted(effect))
+        if not on_disk:
+            for key, ask in batch.own.items():
+                found += core.ungranted(now, key, ask)
+        later(found)
--- a/fawnwharf/replication/claimant.py
+++ b/fawnwharf/replication/claimant.py
@@ -8,6 +8,7 @@
 
 from dataclasses import dataclass, field
 
+import msgspec
 from msgspec import Struct
 
 from fawnwharf.interface import Effect
@@ -72,7 +73,7 @@
     must: bool  # it goes only when it is kept
     keepers: tuple[str, ...]
     words: dict[str, m.Word] = field(default_factory=dict)
-    state: str = "asking"  # going, waiting for another's, over
+    state: str = "asking"  # held until a grant is on disk, going, waiting for another's, over
     kept: bool = False
 
 
@@ -147,6 +148,32 @@
             return self._look(now_ms, mine)
         return []
 
+    # --- where grants are on disk later than they are made ----------------------------------------
+
+    def hold(self, key: str) -> None:
+        """A call that may go waits until its own keeper's grant is on disk. Who leaves meanwhile gives it
+        back."""
+        self.mine[key].state = "held"
+
+    def release(self, key: str, number: int) -> bool:
+        """It goes now; False: it is not there any more."""
+        mine = self.mine.get(key)
+        if mine is None or (mine.number, mine.state) != (number, "held"):
+            return False
+        mine.state = "going"
+        return True
+
+    def ungranted(self, now_ms: float, key: str, number: int, keeper: str) -> list[Out]:
+        """What its own keeper granted does not count: the others' words are weighed alone."""
+        mine = self.mine.get(key)
+        if mine is None or mine.number != number or mine.state not in ("asking", "held"):
+            return []
+        if (word := mine.words.get(keeper)) is None:
+            return []
+        mine.words[keeper] = msgspec.structs.replace(word, granted=False, sure=False)
+        mine.state, mine.kept = "asking", False
+        return self._weigh(now_ms, mine)
+
     def _weigh(self, now_ms: float, mine: _Mine) -> list[Out]:
         """Whether it may go, may never, or has to wait for more words."""
         enough = len(mine.keepers) // 2 + 1
--- a/fawnwharf/replication/core.py
+++ b/fawnwharf/replication/core.py
@@ -80,6 +80,10 @@
     def left(self, now_ms: float, key: str) -> list[Out]:
         return self._inward(now_ms, self.claimant.left(now_ms, key))
 
+    def ungranted(self, now_ms: float, key: str, number: int) -> list[Out]:
+        """What the keeper here granted to an own call is not on disk."""
+        return self._inward(now_ms, self.claimant.ungranted(now_ms, key, number, self.name))
+
     # --- lines ----------------------------------------------------------------------------------
 
     def line(self, now_ms: float, sender: str, data: Any) -> list[Out]:
--- a/fawnwharf/replication/keeper.py
+++ b/fawnwharf/replication/keeper.py
@@ -82,6 +82,12 @@
         self._sure = True
         self._missing.clear()
 
+    def forgot(self, now_ms: float) -> None:
+        """A disk that had all turned out to be an older copy: it hears the others, or waits."""
+        self._sure, self._since_ms = False, now_ms
+        self._missing |= self._others()
+        self.catchup.start_over()
+
     def move(self, now_ms: float, placement: Placement) -> None:
         """Another list of members: calls may have come here from other keepers, whom it has to hear."""
         if placement.number <= self.placement.number:
--- a/fawnwharf/replication/onfile.py
+++ b/fawnwharf/replication/onfile.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any
+from typing import Any, Protocol
 
 import msgspec
 
@@ -16,6 +16,23 @@
 DISK_PUSHBACK_MS = 250.0
 
 
+class Disk(Protocol):
+    """Where a keeper's grants are before they are said."""
+
+    found: dict[str, Any]  # for operators
+
+    def written(self, effects: list[Out], later: Callable[[list[Out]], None]) -> list[Out]:
+        """What may be said and done now that what it rests on is written; the rest goes to `later`."""
+
+    def close(self) -> None: ...
+
+
+class Stores(Protocol):
+    """Something that writes a keeper's grants in the place of its own file."""
+
+    def promises(self, core: Core, folder: Path | None) -> Disk: ...
+
+
 class OnFile:
     """Owns a keeper's disk; what can't be written is taken back, and nothing is granted from then on."""
 
@@ -48,9 +65,9 @@
         """The list of members by which this keeper knows all that it granted; 0 where it does not."""
         return self._core.placement.number if self._core.keeper.sure(now_ms) else 0
 
-    def written(self, effects: list[Out]) -> list[Out]:
-        """What may be said and done now that what it rests on is on file; where that fails, nothing is
-        granted any more."""
+    def written(self, effects: list[Out], later: Callable[[list[Out]], None] | None = None) -> list[Out]:
+        """What may be said and done now that what it rests on is on file, which is all; where that fails,
+        nothing is granted any more."""
         keeper, shelf = self._core.keeper, self._core.keeper.shelf
         kept, shelf.unwritten = shelf.unwritten, []
         now = monotonic_ms()
@@ -70,6 +87,11 @@
     """An effect as it is where what was just granted here does not count."""
     if isinstance(effect, Go) and effect.kept:
         return TurnAway(effect.key, DISK_PUSHBACK_MS, "disk failed")
+    return ungranted(effect)
+
+
+def ungranted(effect: Out) -> Out:
+    """A keeper's word without a grant."""
     if isinstance(effect, Say) and isinstance(effect.message, Word):
         word = msgspec.structs.replace(effect.message, granted=False, sure=False)
         return Say(effect.to, word)
--- a/fawnwharf/replication/service.py
+++ b/fawnwharf/replication/service.py
@@ -18,7 +18,7 @@
 from fawnwharf.replication.gate import Gate
 from fawnwharf.replication.links import DirectedLog, DirectedServer
 from fawnwharf.replication.messages import Hello, Say
-from fawnwharf.replication.onfile import OnFile
+from fawnwharf.replication.onfile import Disk, OnFile, Stores
 from fawnwharf.replication.resting import Resting
 from fawnwharf.replication.settings import Settings, check_members, settings_from
 from fawnwharf.replication.use import Shares
@@ -39,9 +39,16 @@
 class State:
     """Owns this front end's part in the state that is kept together; a Seam of the front end."""
 
-    def __init__(self, deployment: Deployment, path: str | Path, write: Write, fresh: bool = False) -> None:
+    def __init__(
+        self,
+        deployment: Deployment,
+        path: str | Path,
+        write: Write,
+        fresh: bool = False,
+        kept: Stores | None = None,
+    ) -> None:
         """Reads and checks the files; raises ConfigError with one line. `fresh`: this fleet begins, nobody
-        has promised anything yet."""
+        has promised anything yet. `kept`: what grants go to in the place of a file."""
         self.deployment, self.note = deployment, write
         place = Path(path)
         self.settings: Settings = load(place, settings_from, "state")
@@ -73,8 +80,11 @@
         self.working: Working | None = None
         if self.settings.elsewhere:
             self.working = Working(self.core, deployment.settings, self.note)
-        self.disk: OnFile | None = None
-        if self.folder and self.core.keeper:
+        self.disk: Disk | None = None
+        self._kept = kept
+        if kept and self.core.keeper:
+            self.disk = kept.promises(self.core, self.folder)
+        elif self.folder and self.core.keeper:
             try:
                 self.disk = OnFile(self.folder, self.core, entry.name, self.note)
             except DiskError as error:
@@ -191,14 +201,18 @@
 
     def _carry_out(self, effects: list[Out]) -> None:
         if self.disk is not None:
-            effects = self.disk.written(effects)
+            effects = self.disk.written(effects, self._say)
+        self._say(effects)
+        self._ridden()
+
+    def _say(self, effects: list[Out]) -> None:
+        """Now that what they rest on is written."""
         for effect in effects:
             if isinstance(effect, Say):
                 self.server.say(msgspec.to_builtins(self.core.wrapped(effect)), effect.to)
             else:
                 self.gate.told(effect)
         self._set_timer()
-        self._ridden()
 
     def _tick(self) -> None:
         if self._stopped:
@@ -357,5 +371,7 @@
             self.note("members left aside, the old ones go on", {"fault": str(error)})
             return
         self.core.take_members(monotonic_ms(), members)
+        if self._kept and self.core.keeper and self.disk is None:
+            self.disk = self._kept.promises(self.core, self.folder)
         self._follow()
         self.note("members taken", {"number": members.number, "keepers": self.core.placement.keepers})
--- a/fawnwharf/serving.py
+++ b/fawnwharf/serving.py
@@ -11,7 +11,8 @@
 from fawnwharf.net.front_end import FrontEnd
 
 LAID = "zones", "state"  # what subsystems lay over the roster, which begins anew with them
-NEEDS = {"policy": "zones", "sessions": "state"}  # what goes by whose logs
+# What goes by whose logs.
+NEEDS = {"policy": ("zones",), "sessions": ("state",), "recovery": ("zones", "state")}
 Made = dict[str, Any]  # subsystems by the names of their options
 Maker = Callable[[bool, Made], Any]
 
@@ -23,16 +24,18 @@
     policy: str | None = None,
     sessions: str | None = None,
     fresh: bool = False,
+    recovery: str | None = None,
 ) -> int:
     """Serve until SIGTERM; 0 when all that was taken is answered, 2 with the key's name on a bad start.
 
     `zones` names the settings of failover between zones, `state` those of replicated state, `policy` those
-    of changes of policy, `sessions` those of sessions that move between sites; without them they are off, and
-    not even imported. `fresh`: the fleet begins, and nobody has promised anything."""
+    of changes of policy, `sessions` those of sessions that move between sites, `recovery` those of the return
+    from a loss of power; without them they are off, and not even imported. `fresh`: the fleet begins, and
+    nobody has promised anything."""
     signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})  # until the loop has its handlers
     try:
         deployment = config.load(path)
-        asked = {"zones": zones, "state": state, "policy": policy, "sessions": sessions}
+        asked = {"zones": zones, "state": state, "policy": policy, "sessions": sessions, "recovery": recovery}
         front = _bound(deployment, path, {name: file for name, file in asked.items() if file}, fresh)
     except config.ConfigError as error:
         print(f"fawnwharf: {error}", file=sys.stderr)
@@ -46,8 +49,9 @@
     """By the options' names, in the order in which they are made; each is imported only where it is asked
     for."""
     for name, needed in NEEDS.items():
-        if name in files and needed not in files:
-            raise config.ConfigError(f"--{name}: goes by the logs of --{needed}, which is not given")
+        missing = [each for each in needed if name in files and each not in files]
+        if missing:
+            raise config.ConfigError(f"--{name}: goes by the logs of --{missing[0]}, which is not given")
     makers: dict[str, Maker] = {}
     if files:
         from fawnwharf.zones.log import writer
@@ -57,10 +61,18 @@
         from fawnwharf.zones.service import Zones
 
         makers["zones"] = lambda first, made, place=place: Zones(deployment, place, write)
+    if place := files.get("recovery"):
+        from fawnwharf.rejoin.onstore import kept
+
+        makers["kept"] = lambda first, made, place=place: kept(
+            deployment, place, files["state"], write, fresh and first
+        )
     if place := files.get("state"):
         from fawnwharf.replication.service import State
 
-        makers["state"] = lambda first, made, place=place: State(deployment, place, write, fresh and first)
+        makers["state"] = lambda first, made, place=place: State(
+            deployment, place, write, fresh and first, made.get("kept")
+        )
     if place := files.get("policy"):
         from fawnwharf.epochs.service import Policies
 
--- /dev/null
+++ b/tests/kept_rig.py
@@ -0,0 +1,170 @@
+"""Stores of front ends on disks in memory, in virtual time: cut, killed, held back, failing."""
+
+from random import Random
+
+import msgspec
+from cores import RULES, Cores
+
+from fawnwharf.accord.records import DiskError
+from fawnwharf.durable import store as stores
+from fawnwharf.durable.form import Limits
+from fawnwharf.durable.ops import carry_out
+from fawnwharf.durable.reading import Unreadable
+from fawnwharf.rejoin import onstore, promises
+from fawnwharf.replication import messages as m
+from fawnwharf.replication.core import Core
+from fawnwharf.replication.settings import Settings
+from fawnwharf.standins.disks import MemoryDisk, Plan
+
+LIMITS = Limits(soon_ms=50.0, hint_ms=100.0, wait_ms=1_000.0, slow_ms=100.0, retry_ms=50.0)
+
+
+class Writer:
+    """Does a job when it is asked what came of it, unless it is held."""
+
+    incoming, unsent = None, False
+
+    def __init__(self, machine):
+        self.machine, self.job = machine, None
+
+    def start(self, job):
+        self.job = job
+
+    def poll(self):
+        if self.job is None or self.machine.held:
+            return None
+        job, self.job = self.job, None
+        return carry_out(self.machine.disk, job)
+
+    def close(self):
+        self.job = None
+
+
+class Machine:
+    """One front end's disk and boot."""
+
+    def __init__(self, place):
+        self.disk, self.held, self.boots, self.place = MemoryDisk(), False, 1, place
+        self.place.write_text("boot 1\n")
+
+    def cut(self, seed=1, share=0.5):
+        """The power goes: what was not synced is there in part, and it is another boot."""
+        self.disk = self.disk.reboot(Random(seed), share)
+        self.boots += 1
+        self.place.write_text(f"boot {self.boots}\n")
+
+    def kill(self):
+        self.disk = self.disk.restart()
+
+    def fails(self, operations=10**6):
+        self.disk.plan = Plan(fail_at=self.disk.count, fail_for=operations)
+
+    def works(self):
+        self.disk.plan = Plan()
+
+
+class Site:
+    """Opens stores on its machines, by a member's name."""
+
+    def __init__(self, patch, folder):
+        self.now, self.folder, self.machines, self.notes = 1_000.0, folder, {}, []
+        patch.setattr(onstore, "open_folder", self._open)
+        patch.setattr(onstore, "monotonic_ms", lambda: self.now)
+        patch.setattr(onstore, "unix_ms", lambda: 1e12 + self.now)
+        patch.setattr(promises, "monotonic_ms", lambda: self.now)
+
+    def machine(self, name="n0"):
+        if name not in self.machines:
+            self.machines[name] = Machine(self.folder / f"boot-{name}")
+        return self.machines[name]
+
+    def _open(self, path, fleet, name, kinds, limits, boot, empty_ok, within_s):
+        machine = self.machine(name)
+        try:
+            return stores.made(
+                machine.disk, Writer(machine), fleet, name, kinds, limits, boot, lambda: "ab" * 8,
+                lambda: 1e12 + self.now, empty_ok,
+            )  # fmt: skip
+        except Unreadable as error:
+            raise DiskError(str(error)) from None
+
+    def kept(self, name="n0", fresh=False, settle=True, limits=LIMITS, boot_file=None):
+        place = str(self.machine(name).place) if boot_file is None else boot_file
+        kept = onstore.Kept(
+            self.folder, "f", name, place, limits, lambda what, more: self.notes.append((what, more)), fresh
+        )
+        if settle:
+            self.pump(kept)
+        return kept
+
+    def pump(self, kept, span_ms=0.0):
+        """The store's turns until nothing is due, now or within a span."""
+        end = self.now + span_ms
+        for _ in range(10_000):
+            kept.store.turn(self.now)
+            due = kept.store.due_ms()
+            if kept.store.core.job_out and not self.machines[kept.store.core._head.name].held:
+                continue
+            if due is None or due > end:
+                break
+            self.now = max(self.now, due)
+        self.now = end
+
+
+class StoreCores(Cores):
+    """Cores whose keepers have stores; `turn` lets those come to disk."""
+
+    def __init__(self, site, fresh=True, rules: Settings = RULES):
+        super().__init__(rules)
+        self.site, self.kepts, self.disks = site, {}, {}
+        site.now = self.now
+        for name in self.keepers:
+            self._give(name, fresh)
+            self.carry(name, [])
+        self.turn()
+
+    def _give(self, name, fresh=False):
+        self.kepts[name] = self.site.kept(name, fresh, settle=False)
+        self.disks[name] = self.kepts[name].promises(self.cores[name], None)
+
+    def carry(self, name, effects):
+        self.site.now = self.now
+        if (disk := self.disks.get(name)) is not None:
+            effects = disk.written(effects, lambda more: super(StoreCores, self).carry(name, more))
+        super().carry(name, effects)
+
+    def turn(self, *names):
+        for _ in range(6):  # what one tells may have another write
+            for name in names or list(self.kepts):
+                self.site.now = self.now
+                self.site.pump(self.kepts[name])
+
+    def wait(self, span_ms):
+        end = self.now + span_ms
+        while self.now < end:
+            super().wait(50.0)
+            self.turn()
+
+    def end_all(self, what, *names):
+        """Front ends end at once, their machines as `what` says, and start again with what is on disk."""
+        for name in names or list(self.cores):
+            if name in self.site.machines:
+                getattr(self.site.machine(name), what)()
+            self.cores[name] = Core(
+                name, self.cores[name].life + 1, self.cores[name].members, self.rules, self.now
+            )
+            if name in self.kepts:
+                self._give(name)
+
+    def sure(self, name):
+        return self.cores[name].keeper.sure(self.now)
+
+
+def asks(cores, owner, keeper, key="k"):
+    """A keeper's word on a bare ask, None while it says nothing."""
+    core, said = cores.cores[keeper], []
+    ask = m.Ask(key, f"{owner}#{cores.cores[owner].life}", 1, core.placement.number, 0)
+    line = msgspec.to_builtins(cores.cores[owner].wrapped(m.Say((keeper,), ask)))
+    cores.site.now = cores.now
+    said += cores.disks[keeper].written(core.line(cores.now, owner, line), said.extend)
+    return lambda: next((say.message for say in said if isinstance(getattr(say, "message", 0), m.Word)), None)
