--- /dev/null
+++ b/fawnwharf/rejoin/given_words.py
@@ -0,0 +1,80 @@
+"""What front ends say to each other about loads and cold scorers' calls, by the logs of state. Values,
+checked as they come; no logic.
+
+Words may be lost, and what a life before said may come late. So each answer names what it answers, and what
+is told of copies is numbered by whoever tells it.
+"""
+
+from typing import Annotated, Any
+
+import msgspec
+from msgspec import Meta, Struct
+
+ROWS_MOST = 200  # of one word
+TICKETS_MOST = 256  # asked for at a time, of one scorer
+
+Count = Annotated[int, Meta(ge=0, le=1 << 53)]
+Span = Annotated[float, Meta(ge=0.0, le=3_600_000.0)]
+RowKey = Annotated[str, Meta(min_length=1, max_length=128)]
+Kind = Annotated[str, Meta(min_length=1, max_length=128)]
+
+
+class Wanted(Struct, frozen=True, array_like=True):
+    """A function that calls here want: its class, what they are worth a second, and what an order takes."""
+
+    row: RowKey
+    kind: Kind
+    worth_ps: Annotated[float, Meta(ge=0.0, le=1e12)]
+    lanes: Annotated[int, Meta(ge=1, le=4_096)] = 1
+    load_ms: Span | None = None
+    lost: Count | None = None  # the scorer where a copy was told to stand, and does not
+
+
+class Want(Struct, frozen=True, tag="want"):
+    """To the loader of these functions."""
+
+    rows: Annotated[tuple[Wanted, ...], Meta(max_length=ROWS_MOST)]
+
+
+class Place(Struct, frozen=True, array_like=True):
+    """A function's first copy: where it stands (`eta_ms` 0), in how many milliseconds it may, or no more
+    (None)."""
+
+    row: RowKey
+    worker: Count = 0
+    eta_ms: Span | None = 0.0
+
+
+class Stands(Struct, frozen=True, tag="stands"):
+    """From a loader: what stands, to all; what is to be expected, to those that want it. Of two words of one
+    life the one with the larger number is later."""
+
+    life: Count
+    number: Count
+    rows: Annotated[tuple[Place, ...], Meta(max_length=ROWS_MOST)]
+
+
+class Asked(Struct, frozen=True, tag="asked"):
+    """To the warden of a cold scorer: so many calls wait for it here."""
+
+    scorer: Count
+    number: Count  # of the question; another one of the same life is another number
+    life: Count
+    count: Annotated[int, Meta(ge=1, le=TICKETS_MOST)]
+
+
+class Given(Struct, frozen=True, tag="given"):
+    """Its answer, by call: 0 is a ticket, else not before so many milliseconds."""
+
+    scorer: Count
+    number: Count
+    life: Count  # of the one that asked
+    free_ms: Annotated[tuple[Span, ...], Meta(max_length=TICKETS_MOST)]
+
+
+Word = Want | Stands | Asked | Given
+
+
+def word_from(data: Any) -> Word:
+    """Raises msgspec.ValidationError for what no member says."""
+    return msgspec.convert(data, Word)
--- /dev/null
+++ b/fawnwharf/rejoin/giving.py
@@ -0,0 +1,309 @@
+"""First copies and cold scorers' calls while the fleet returns: what this front end gives out, and what it
+asks of others.
+
+Pure: times, words and answers come in, and what is to be done goes out (`outs.py`). Loaders and wardens are
+chosen among the keepers that are heard, as only keepers hear all; where none is heard, a front end gives to
+itself, within its part. Wants are told to a function's loader once a turn and again while nothing comes of
+them, and each is answered: so a word that is lost costs time alone.
+"""
+
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
+
+from fawnwharf import interface as io
+from fawnwharf.recovery.budget import Limits, part_ms
+from fawnwharf.recovery.stages import Allowed
+from fawnwharf.rejoin import given_words as m
+from fawnwharf.rejoin.loading import LEAST_MS, PROVES, RETRY_MS, Loading
+from fawnwharf.rejoin.outs import Out, Stood, Words
+from fawnwharf.rejoin.seats import Seats
+from fawnwharf.rejoin.wards import Wards
+
+TURN_MS = 50.0  # words are gathered for so long
+AGAIN_MS = 1_000.0  # a want of which nothing came is told again
+FORGET_MS = 10_000.0  # nobody here has wanted it for so long
+LAG_MS = 1_750.0  # within which all see who is heard: a quiet member's time, and a look
+USUAL_MS = 2_000.0  # a load takes no longer, as a rule
+SPREAD_MS = 1_000.0  # loaders begin within that
+WANTS_MOST, PLACES_MOST, WORDS_MOST = 4_096, 20_000, 20_000
+
+
+@dataclass(slots=True)
+class _Mine:
+    """A function that calls here want."""
+
+    kind: str
+    lanes: int
+    load_ms: float | None
+    worth_ps: float
+    wanted_ms: float  # last
+    told_ms: float = float("-inf")  # to `to`
+    to: str = ""
+    due_ms: float | None = None  # a copy may stand then, by its loader's word
+
+
+class Giving:
+    """Owns what is wanted here and of here, and where first copies stand as far as is known."""
+
+    def __init__(
+        self,
+        name: str,
+        life: int,
+        limits: Limits,
+        order: Callable[[str], Sequence[int]],
+        lag_ms: float = LAG_MS,
+        usual_ms: float = USUAL_MS,
+    ) -> None:
+        """`life` is another one with each start; `order`: a function's scorers that take calls, by its hash
+        order."""
+        self.name, self.life, self.limits = name, life, limits
+        self.wards = Wards(name, life, limits, lag_ms)
+        self.seats = Seats(name, limits, lag_ms, usual_ms)
+        self.places: dict[str, tuple[int, str]] = {}  # where a function's first copy stands, and who told
+        self.loading = Loading(name, self.seats, order, self.places.__contains__)
+        self._counts: dict[str, int] = {}
+        self._allowed = Allowed()
+        self._cut = -1
+        self._heard: frozenset[str] = frozenset()
+        self._mine: dict[str, _Mine] = {}
+        self._lost: dict[str, int] = {}  # scorers where a copy was told to stand, and did not
+        self._last: dict[str, tuple[str, int, int]] = {}  # of a function's copy: who told last, life, number
+        self._news: dict[str, None] = {}  # functions of which all are to be told
+        self._askers: dict[str, dict[str, None]] = {}  # who is to be told of which
+        self._number = 0
+
+    def _count(self, cause: str) -> None:
+        self._counts[cause] = self._counts.get(cause, 0) + 1
+
+    @property
+    def counts(self) -> dict[str, int]:
+        """What was dropped, or came late, by cause."""
+        found = {**self._counts, **self.loading.counts, **self.wards.counts}
+        if dropped := self.loading.loader.dropped:
+            found["wants of others beyond what is kept"] = dropped
+        return found
+
+    # --- who gives out what -----------------------------------------------------------------------
+
+    def set(
+        self, now_ms: float, heard: Iterable[str], keepers: Iterable[str], allowed: Allowed, cut: int
+    ) -> None:
+        """What is seen now; to be told at each change. `heard`: members that gave a sign lately."""
+        heard = frozenset(heard) | {self.name}
+        givers = tuple(sorted(heard & frozenset(keepers))) or (self.name,)
+        self.seats.set(now_ms, givers, allowed.part, cut)
+        self.wards.set(now_ms, givers, allowed.part)
+        if allowed.loads and (not self._allowed.loads or cut != self._cut):
+            self.loading.loader.begins_ms = now_ms + part_ms(self.name, cut, SPREAD_MS)
+        for name in heard - self._heard - {self.name} if allowed.loads else ():  # it is told all that stands
+            own = [row for row, (_, by) in self.places.items() if by == self.name]
+            self._askers.setdefault(name, {}).update(dict.fromkeys(own))
+        for name in self._askers.keys() - heard:
+            del self._askers[name]
+        self._allowed, self._cut, self._heard = allowed, cut, heard
+        if allowed.spill:
+            self._mine.clear()
+            self.loading.rest()
+
+    def scorer(self, now_ms: float, id: int, age_ms: float) -> None:
+        """It takes calls, and started so long ago. One that started anew holds no copy."""
+        known_ms = self.wards.age_ms(now_ms, id)
+        if known_ms is not None and age_ms < known_ms - RETRY_MS:
+            self._empty(now_ms, id)
+        self.wards.scorer(now_ms, id, age_ms)
+
+    def gone(self, now_ms: float, id: int) -> list[Out]:
+        self._empty(now_ms, id)
+        return [*self.wards.gone(id)]
+
+    def _empty(self, now_ms: float, id: int) -> None:
+        for row in [row for row, (worker, _) in self.places.items() if worker == id]:
+            self.lost(now_ms, row, id)
+
+    # --- calls here -------------------------------------------------------------------------------
+
+    def want(
+        self,
+        now_ms: float,
+        row: str,
+        worth_ps: float,
+        kind: str,
+        lanes: int = 1,
+        load_ms: float | None = None,
+    ) -> None:
+        """Calls here want it, or the use before the cut says that they will."""
+        if row in self.places:
+            return
+        mine = self._mine.get(row)
+        if mine is None:
+            if len(self._mine) >= WANTS_MOST:
+                self._count("wants beyond what is kept")
+                return
+            mine = self._mine[row] = _Mine(kind, lanes, load_ms, worth_ps, now_ms)
+        mine.worth_ps, mine.wanted_ms = max(mine.worth_ps, worth_ps), now_ms
+
+    def place(self, row: str) -> int | None:
+        """The scorer where its first copy stands."""
+        found = self.places.get(row)
+        return None if found is None else found[0]
+
+    def lost(self, now_ms: float, row: str, worker: int) -> None:
+        """No copy stands there any more, as an answer or the roster told."""
+        if self.place(row) != worker:
+            return
+        if self.places.pop(row)[1] == self.name:
+            self._news[row] = None
+        self.loading.loader.gone(row)
+        if len(self._lost) < WANTS_MOST:
+            self._lost[row] = worker
+
+    def eta_ms(self, now_ms: float, row: str) -> float:
+        """When a copy may stand, from now; 0: it stands."""
+        if row in self.places:
+            return 0.0
+        if self.seats.owner(row) == self.name:
+            return self.loading.eta_ms(now_ms, row)
+        mine = self._mine.get(row)
+        if mine is None or mine.due_ms is None:
+            return self.loading.loader.fetch_ms + 2 * TURN_MS
+        return max(LEAST_MS, mine.due_ms - now_ms)
+
+    def ask(self, now_ms: float, scorer: int, key: str) -> float | None:
+        """0: send; > 0: not before; None: asked, a `Ticket` tells."""
+        return self.wards.ask(now_ms, scorer, key)
+
+    def drop(self, key: str) -> None:
+        """The call waits for no ticket any more."""
+        self.wards.drop(key)
+
+    # --- words ------------------------------------------------------------------------------------
+
+    def hear(self, now_ms: float, sender: str, word: m.Word) -> list[Out]:
+        if isinstance(word, m.Want):
+            self._wanted(now_ms, sender, word.rows)
+        elif isinstance(word, m.Stands):
+            return self._stands(now_ms, sender, word)
+        elif isinstance(word, m.Asked):
+            return [*self.wards.asked(now_ms, sender, word)]
+        else:
+            return [*self.wards.given(now_ms, sender, word)]
+        return []
+
+    def _wanted(self, now_ms: float, sender: str, rows: Iterable[m.Wanted]) -> None:
+        """Its loader is asked; each is answered with the next turn, also what stands already."""
+        for wanted in rows:
+            if self.seats.owner(wanted.row) != self.name:
+                self._count("wanted of another loader")
+                continue
+            if wanted.lost is not None:
+                self.lost(now_ms, wanted.row, wanted.lost)
+            if sender != self.name:
+                self._askers.setdefault(sender, {})[wanted.row] = None
+            if wanted.row not in self.places:
+                self.loading.want(now_ms, wanted)
+
+    def _stands(self, now_ms: float, sender: str, word: m.Stands) -> list[Out]:
+        found: list[Out] = []
+        for told in word.rows:
+            row, last = told.row, self._last.get(told.row)
+            if last is not None and last[:2] == (sender, word.life) and word.number <= last[2]:
+                self._count("a word on copies that came late")
+                continue
+            self._last.pop(row, None)
+            self._last[row] = (sender, word.life, word.number)
+            if len(self._last) > WORDS_MOST:
+                del self._last[next(iter(self._last))]
+            if told.eta_ms == 0.0:
+                found += self._note(row, told.worker, sender)
+                continue
+            place, mine = self.places.get(row), self._mine.get(row)
+            if place is not None and sender in (place[1], self.seats.owner(row)):
+                del self.places[row]
+            if mine is not None and told.eta_ms is not None:
+                mine.due_ms = now_ms + told.eta_ms
+        return found
+
+    def _note(self, row: str, worker: int, teller: str) -> list[Stood]:
+        """A copy stands; calls that wait for it are told, if it is news."""
+        if row not in self.places and len(self.places) >= PLACES_MOST:
+            self._count("places beyond what is kept")
+            return []
+        new = self.place(row) != worker
+        self.places[row] = (worker, teller)
+        self._mine.pop(row, None)
+        self._lost.pop(row, None)
+        return [Stood(row)] if new else []
+
+    # --- loads ------------------------------------------------------------------------------------
+
+    def ordered(self, now_ms: float, worker: int, row: str) -> None:
+        """The module made an order; to be told of each that goes out."""
+        self.loading.ordered(now_ms, worker, row)
+
+    def answered(self, now_ms: float, event: io.OrderAnswered) -> list[Out]:
+        """A scorer's answer to an order or a question, whoever's that was."""
+        if event.ending in PROVES and not event.copies:
+            self.lost(now_ms, event.function, event.worker)
+        if not self.loading.answered(now_ms, event):
+            return []
+        self._news[event.function] = None
+        return [*self._note(event.function, event.worker, self.name)]
+
+    # --- turns ------------------------------------------------------------------------------------
+
+    def tick(self, now_ms: float) -> list[Out]:
+        """What is due; to be called every `TURN_MS`."""
+        found: list[Out] = [*self.loading.overdue(now_ms)]
+        if self._allowed.loads and not self._allowed.spill:
+            found += self._wants(now_ms)
+            found += self.loading.orders(now_ms)
+        return [*found, *self._told(now_ms), *self.wards.tick(now_ms)]
+
+    def _wants(self, now_ms: float) -> list[Words]:
+        """What calls here want, worth most first, to each loader; to this one itself without a word."""
+        by_loader: dict[str, list[tuple[str, _Mine]]] = {}
+        for row, mine in list(self._mine.items()):
+            if now_ms - mine.wanted_ms > FORGET_MS:
+                del self._mine[row]
+                continue
+            owner = self.seats.owner(row)
+            if owner and (mine.to != owner or now_ms - mine.told_ms >= AGAIN_MS):
+                by_loader.setdefault(owner, []).append((row, mine))
+        found = []
+        for owner, items in sorted(by_loader.items()):
+            rows = []
+            for row, mine in sorted(items, key=lambda item: (-item[1].worth_ps, item[0]))[: m.ROWS_MOST]:
+                if mine.to != owner:
+                    mine.due_ms = None
+                mine.to, mine.told_ms = owner, now_ms
+                lost = self._lost.get(row)
+                rows.append(m.Wanted(row, mine.kind, mine.worth_ps, mine.lanes, mine.load_ms, lost))
+            if owner == self.name:
+                self._wanted(now_ms, self.name, rows)
+            else:
+                found.append(Words((owner,), m.Want(tuple(rows))))
+        return found
+
+    def _told(self, now_ms: float) -> list[Words]:
+        """What stands or no longer does, to all; what is wanted, to those that want it; a line each."""
+        found = [self._word((), now_ms, self._news)] if self._news else []
+        for name in list(self._askers):
+            if self._askers[name]:
+                found.append(self._word((name,), now_ms, self._askers[name]))
+            if not self._askers[name]:
+                del self._askers[name]
+        return found
+
+    def _word(self, to: tuple[str, ...], now_ms: float, rows: dict[str, None]) -> Words:
+        """Of these functions the first that a line holds, which are taken out."""
+        self._number += 1
+        told = []
+        for row in list(rows)[: m.ROWS_MOST]:
+            del rows[row]
+            if (worker := self.place(row)) is not None:
+                told.append(m.Place(row, worker))
+            elif self.loading.knows(row) and self.seats.owner(row) == self.name:
+                told.append(m.Place(row, 0, max(1.0, self.loading.eta_ms(now_ms, row))))
+            else:
+                told.append(m.Place(row, 0, None))
+        return Words(to, m.Stands(self.life, self._number, tuple(told)))
--- /dev/null
+++ b/fawnwharf/rejoin/loading.py
@@ -0,0 +1,194 @@
+"""One loader's work: what is wanted of it, its orders under way, and when a copy may stand.
+
+Pure. Orders go through the module (`CopiesWanted`), within its ration or not at all. So one that is not made
+is asked for again, after its scorer was asked whether a copy stands there by another's order.
+"""
+
+from bisect import bisect_right
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+
+from fawnwharf import interface as io
+from fawnwharf.recovery.budget import Loader
+from fawnwharf.rejoin.given_words import Wanted
+from fawnwharf.rejoin.outs import Order
+from fawnwharf.rejoin.seats import Seats
+
+ORDER_MS = 200.0  # by then the module has made an order of what it was told, or it makes none
+UNMADE_MS = 1_000.0  # an order that was not made, and of which its scorer says nothing for so long
+LOST_MS = 10_000.0  # an order without an answer for so long has failed
+RETRY_MS = 500.0  # after an order that came to nothing
+SORT_MS = 250.0  # pace of the look at who is ahead of whom
+LEAST_MS = 50.0  # no copy is expected earlier
+FACTS_MOST = 20_000  # functions
+
+PROVES = (io.Ending.GOOD, io.Ending.FULL, io.Ending.ERROR)  # an order's answer that counts copies
+
+
+@dataclass(slots=True)
+class _Facts:
+    kind: str
+    lanes: int
+    load_ms: float | None
+    failed: dict[int, float] = field(default_factory=dict)  # scorers, until when
+
+
+@dataclass(slots=True)
+class _UnderWay:
+    worker: int
+    told_ms: float  # to the module; once the order went, when that was
+    went: bool = False
+    asked_ms: float | None = None  # the scorer, as the module made no order
+
+
+class Loading:
+    """Owns what is wanted of this loader, and its orders."""
+
+    def __init__(
+        self, me: str, seats: Seats, order: Callable[[str], Sequence[int]], stands: Callable[[str], bool]
+    ) -> None:
+        """`order`: a function's scorers that take calls, by its hash order; `stands`: a copy does."""
+        self.me, self.seats, self._order, self._stands = me, seats, order, stands
+        self.loader = Loader(at_a_time=0)
+        self.counts: dict[str, int] = {}
+        self.under_way: dict[str, _UnderWay] = {}
+        self._facts: dict[str, _Facts] = {}
+        self._later: dict[str, tuple[float, float]] = {}  # from when, worth
+        self._worths: tuple[float, list[float]] = (float("-inf"), [])
+
+    def _count(self, cause: str) -> None:
+        self.counts[cause] = self.counts.get(cause, 0) + 1
+
+    def rest(self) -> None:
+        """It is calm: each orders what it needs."""
+        self._later.clear()
+        self.loader.wants, self.loader.queue = {}, []
+        self._facts = {row: facts for row, facts in self._facts.items() if row in self.under_way}
+
+    # --- what is wanted ---------------------------------------------------------------------------
+
+    def want(self, now_ms: float, wanted: Wanted) -> None:
+        if wanted.row in self.under_way:
+            return
+        if wanted.row not in self._facts:
+            if len(self._facts) >= FACTS_MOST:
+                self._count("functions beyond what is kept")
+                return
+            self._facts[wanted.row] = _Facts(wanted.kind, wanted.lanes, wanted.load_ms)
+        self.loader.gone(wanted.row)  # whoever wants it goes by what stands
+        self._put(now_ms, wanted.row, wanted.worth_ps)
+
+    def knows(self, row: str) -> bool:
+        return row in self._facts
+
+    def _put(self, now_ms: float, row: str, worth_ps: float, at_ms: float = 0.0) -> None:
+        """To be ordered when it may be; the larger word on its worth holds."""
+        due_ms, worth = max(at_ms, self.seats.due_ms(now_ms, row)), worth_ps
+        if row in self._later:
+            due_ms, worth = max(due_ms, self._later[row][0]), max(worth, self._later[row][1])
+        if due_ms > now_ms:
+            self._later[row] = (due_ms, worth)
+        else:
+            self._later.pop(row, None)
+            self.loader.want(row, worth)
+
+    def eta_ms(self, now_ms: float, row: str) -> float:
+        """As `Loader.eta_ms`, of many."""
+        fetch_ms, way = self.loader.fetch_ms, self.under_way.get(row)
+        if way is not None:
+            return max(LEAST_MS, way.told_ms + fetch_ms - now_ms)
+        if now_ms - self._worths[0] >= SORT_MS:
+            self._worths = (now_ms, sorted(self.loader.wants.values()))
+        worths, later = self._worths[1], self._later.get(row)
+        worth = self.loader.wants.get(row, later[1] if later else 0.0)
+        ahead = len(worths) - bisect_right(worths, worth) + len(self.under_way)
+        begins_ms = max(self.loader.begins_ms, later[0] if later else now_ms, self.seats.first_ms(now_ms))
+        seats = max(1, self.seats.mine) * self.seats.rest
+        return max(0.0, begins_ms - now_ms) + fetch_ms * (1.0 + ahead / seats)
+
+    # --- orders -----------------------------------------------------------------------------------
+
+    def orders(self, now_ms: float) -> list[Order]:
+        found: list[Order] = []
+        for row, (due_ms, worth) in list(self._later.items()):
+            if due_ms <= now_ms:
+                self._put(now_ms, row, worth)
+        self.loader.at_a_time = self.seats.ready(now_ms)
+        while self.loader.at_a_time and (rows := self.loader.orders(now_ms)):
+            for row in rows:
+                self.loader.under_way.discard(row)
+                if (order := self._begin(now_ms, row)) is not None:
+                    found.append(order)
+        return found
+
+    def _begin(self, now_ms: float, row: str) -> Order | None:
+        if self.seats.owner(row) != self.me or self._stands(row):
+            return None  # it is another's by now, or was told to stand
+        if (due_ms := self.seats.due_ms(now_ms, row)) > now_ms:
+            self._later[row] = (due_ms, 0.0)
+            return None
+        facts = self._facts[row]
+        facts.failed = {worker: until for worker, until in facts.failed.items() if until > now_ms}
+        able = [worker for worker in self._order(row) if worker not in facts.failed]
+        if not able:
+            self._later[row] = (now_ms + RETRY_MS, 0.0)
+            return None
+        self.loader.under_way.add(row)
+        self.under_way[row] = _UnderWay(able[0], now_ms)
+        return Order(io.CopiesWanted(able[0], row, facts.kind, 1, facts.lanes, facts.load_ms))
+
+    def ordered(self, now_ms: float, worker: int, row: str) -> None:
+        """The module made an order of what it was told: its load is under way."""
+        way = self.under_way.get(row)
+        if way is not None and way.worker == worker and not way.went:
+            way.went, way.told_ms = True, now_ms
+
+    def is_own(self, worker: int, row: str) -> bool:
+        """Whether an order there is one that this loader wants."""
+        way = self.under_way.get(row)
+        return way is not None and way.worker == worker
+
+    def answered(self, now_ms: float, event: io.OrderAnswered) -> bool:
+        """A scorer's answer to an order or a question, whoever's that was. Whether a copy stands that was
+        ordered here."""
+        row, way = event.function, self.under_way.get(event.function)
+        if way is None or way.worker != event.worker:
+            return False
+        if event.ending in PROVES and event.copies:
+            del self.under_way[row]
+            took_ms = now_ms - way.told_ms if way.went else self.loader.fetch_ms
+            self.loader.ended(row, True, took_ms)
+            self._rests(now_ms, took_ms)
+            return True
+        if way.went or way.asked_ms is not None:  # else what the module was told is yet to be made
+            self._failed(now_ms, row, way, event.ending is not io.Ending.GOOD)
+        return False
+
+    def _failed(self, now_ms: float, row: str, way: _UnderWay, there: bool) -> None:
+        """It is wanted again, as the last; elsewhere for a while, if that was the scorer's fault."""
+        del self.under_way[row]
+        self.loader.under_way.discard(row)
+        self._rests(now_ms, now_ms - way.told_ms)
+        if there:
+            self._facts[row].failed[way.worker] = now_ms + 2 * RETRY_MS
+        self._count("orders that failed" if way.went else "orders that were not made")
+        self._put(now_ms, row, 0.0, now_ms + RETRY_MS)
+
+    def _rests(self, now_ms: float, took_ms: float) -> None:
+        """Where the budget is a part of one fetch, it is that part of the time."""
+        if self.seats.rest < 1.0:
+            self.loader.begins_ms = now_ms + took_ms * (1.0 / self.seats.rest - 1.0)
+
+    def overdue(self, now_ms: float) -> list[Order]:
+        """The module made no order: it has none to spare, or holds that a copy stands. The scorer knows."""
+        found: list[Order] = []
+        for row, way in list(self.under_way.items()):
+            waited_ms = now_ms - way.told_ms
+            if way.went and waited_ms >= LOST_MS:
+                self._failed(now_ms, row, way, True)
+            elif not way.went and way.asked_ms is None and waited_ms >= ORDER_MS:
+                way.asked_ms = now_ms
+                found.append(Order(io.Hold(way.worker, row, 0)))
+            elif not way.went and waited_ms >= ORDER_MS + UNMADE_MS:
+                self._failed(now_ms, row, way, True)
+        return found
--- /dev/null
+++ b/fawnwharf/rejoin/outs.py
@@ -0,0 +1,35 @@
+"""What is to be done for loaders and wardens by whoever owns the logs, the module and the door."""
+
+from msgspec import Struct
+
+from fawnwharf import interface as io
+from fawnwharf.rejoin.given_words import Word
+
+
+class Words(Struct, frozen=True):
+    """Say this to these members, to all that follow where none is named."""
+
+    to: tuple[str, ...]
+    word: Word
+
+
+class Order(Struct, frozen=True):
+    """An event for the module; a `Hold` of no copies is a question for the table."""
+
+    what: io.CopiesWanted | io.Hold
+
+
+class Ticket(Struct, frozen=True):
+    """For a call that waits at the door: 0: it goes now, or not at all by this; else not before."""
+
+    key: str
+    free_ms: float
+
+
+class Stood(Struct, frozen=True):
+    """A copy of this function stands, as far as is known here: calls that wait for it may go."""
+
+    row: str
+
+
+Out = Words | Order | Ticket | Stood
--- /dev/null
+++ b/fawnwharf/rejoin/seats.py
@@ -0,0 +1,71 @@
+"""Whose turn it is to order first copies: seats among the loaders, and which functions are whose.
+
+Pure. There are as many seats as the store takes fetches at a time, dealt to the loaders (`budget.loaders`)
+by what is heard. Who gains a seat waits until whoever had it has seen that it has it no more, and until what
+that one had under way has ended; who loses one orders nothing by it from then on. So where views differ for
+no longer than `lag_ms`, and loads take no longer than `usual_ms`, no more fetches are under way than there
+are seats: those under way now were begun by seats that were held by one view, `lag_ms` and `usual_ms` ago.
+"""
+
+from collections import deque
+from collections.abc import Iterable
+
+from fawnwharf.recovery.budget import Limits, loader_of, loaders
+
+OWNERS_MOST = 20_000  # functions whose loader is kept in mind
+
+
+class Seats:
+    """Owns the own seats, from when each may be used, and the last views."""
+
+    def __init__(self, me: str, limits: Limits, lag_ms: float, usual_ms: float) -> None:
+        self.me, self.limits, self.lag_ms, self.usual_ms = me, limits, lag_ms, usual_ms
+        self.chosen: tuple[str, ...] = ()
+        self.rest = 1.0  # parts of one seat, where the budget is below one
+        self._from: list[float] = []  # of each own seat, the oldest first
+        self._before: deque[tuple[float, tuple[str, ...]]] = deque(maxlen=64)  # until when, who
+        self._owners: dict[str, str] = {}
+
+    def set(self, now_ms: float, givers: Iterable[str], part: float, cut: int) -> None:
+        """`givers`: who may be a loader; `part`: of the fleet's budgets."""
+        fetches = self.limits.fetches * part
+        most = max(1, int(fetches))
+        self.rest = min(1.0, max(1e-3, fetches))
+        chosen = loaders(givers, most, cut)
+        if chosen != self.chosen:
+            if self.chosen:
+                self._before.append((now_ms + self.usual_ms, self.chosen))
+            self.chosen = chosen
+            self._owners.clear()
+        mine = 0
+        if self.me in chosen:
+            mine = most // len(chosen) + (chosen.index(self.me) < most % len(chosen))
+        del self._from[mine:]
+        self._from += [now_ms + self.lag_ms + self.usual_ms] * (mine - len(self._from))
+
+    def ready(self, now_ms: float) -> int:
+        """Own seats that may be used."""
+        return sum(from_ms <= now_ms for from_ms in self._from)
+
+    @property
+    def mine(self) -> int:
+        return len(self._from)
+
+    def first_ms(self, now_ms: float) -> float:
+        """When one may be used."""
+        return max(now_ms, self._from[0]) if self._from else now_ms
+
+    def owner(self, row: str) -> str:
+        """The loader of a function; empty: there is none."""
+        found = self._owners.get(row)
+        if found is None:
+            if len(self._owners) >= OWNERS_MOST:
+                self._owners.clear()
+            found = self._owners[row] = loader_of(row, self.chosen)
+        return found
+
+    def due_ms(self, now_ms: float, row: str) -> float:
+        """When this front end may order a function that is its own: another one may have had it under way."""
+        while self._before and self._before[0][0] <= now_ms:
+            self._before.popleft()
+        return max((until for until, was in self._before if loader_of(row, was) != self.me), default=now_ms)
--- /dev/null
+++ b/fawnwharf/rejoin/wards.py
@@ -0,0 +1,206 @@
+"""Calls for cold scorers: who gives them out, and how they are asked for.
+
+Pure; milliseconds of the own monotonic clock. Each cold scorer has one warden among those that give
+(`budget.warden_of`), which gives no more tickets within the scorer's window than its room. Others ask it in
+bunches, one question a scorer at a time. That holds while wardens change, as long as all see within `lag_ms`
+who is heard: a new one waits a window and that long, and a ticket counts for `TICKET_MS` from when its
+question was asked, by the clock of the one who asked, whatever the way took.
+"""
+
+from collections import deque
+from dataclasses import dataclass, field, replace
+
+from fawnwharf.recovery.budget import TICKET_MS, Limits, Warden, warden_of
+from fawnwharf.rejoin.given_words import TICKETS_MOST, Asked, Given
+from fawnwharf.rejoin.outs import Ticket, Words
+
+SCORERS_MOST = 4_096
+KEYS_MOST = 4_096  # calls that wait for a ticket here
+TURNS_MOST = 1_024  # of one scorer, that were told to those who got no ticket
+AGAIN_MS = 200.0  # a question without an answer for so long is asked again
+RESTART_MS = 500.0  # a scorer's age may be told a little differently each time
+
+
+@dataclass(slots=True)
+class _Scorer:
+    up_ms: float
+    warden: str = ""
+    waiting: deque[str] = field(default_factory=deque)  # keys that are not asked for, or not answered
+    number: int = 0  # of the question under way; 0: none is
+    asked_ms: float = float("-inf")
+    full_ms: float = float("-inf")  # its warden said that nothing is free before
+    turns: deque[float] = field(default_factory=deque)  # told by this warden to those without a ticket
+
+
+class Wards:
+    """Owns the scorers that are there, what this front end gives out of them, and what it asks others for."""
+
+    def __init__(self, me: str, life: int, limits: Limits, lag_ms: float) -> None:
+        self.me, self.life, self.limits, self.lag_ms = me, life, limits, lag_ms
+        self.warden = Warden(limits)
+        self.scorers: dict[int, _Scorer] = {}
+        self.keys: dict[str, int] = {}  # that wait, and for which scorer
+        self.counts: dict[str, int] = {}
+        self._givers: tuple[str, ...] = ()
+        self._since_ms = float("inf")  # these are the givers since
+        self._number = 0
+
+    def _count(self, cause: str) -> None:
+        self.counts[cause] = self.counts.get(cause, 0) + 1
+
+    # --- who is there -----------------------------------------------------------------------------
+
+    def set(self, now_ms: float, givers: tuple[str, ...], part: float) -> None:
+        """`givers`: who may be a warden; `part`: of the fleet's budgets."""
+        part = min(1.0, max(0.0, part))
+        self.warden.limits = replace(self.limits, fall_multiple=self.limits.fall_multiple * part)
+        if givers == self._givers:
+            return
+        self._givers, self._since_ms = givers, now_ms
+        for id, scorer in self.scorers.items():
+            self._ward(now_ms, id, scorer)
+
+    def _ward(self, now_ms: float, id: int, scorer: _Scorer, nobodys: bool = False) -> None:
+        """Find its warden. `nobodys`: it came up when all had long known who that would be."""
+        warden = warden_of(str(id), self._givers)
+        if warden == scorer.warden:
+            return
+        scorer.warden, scorer.number, scorer.full_ms = warden, 0, float("-inf")
+        scorer.turns.clear()
+        self.warden.warm(str(id))
+        if warden == self.me:
+            if nobodys:
+                self.warden.known_from(str(id))
+            else:
+                self.warden.since[str(id)] = now_ms + self.lag_ms
+
+    def scorer(self, now_ms: float, id: int, age_ms: float) -> None:
+        """It is there, and that old."""
+        up_ms, known = now_ms - age_ms, self.scorers.get(id)
+        if known is not None:
+            if abs(up_ms - known.up_ms) > RESTART_MS:
+                known.up_ms = up_ms  # what was given out before may still be on its way: it counts
+            return
+        if len(self.scorers) >= SCORERS_MOST:
+            self._count("scorers beyond what is kept")
+            return
+        found = self.scorers[id] = _Scorer(up_ms)
+        if self._givers:
+            self._ward(now_ms, id, found, nobodys=up_ms >= self._since_ms + self.lag_ms)
+
+    def gone(self, id: int) -> list[Ticket]:
+        """It is there no more; who waited for it may look elsewhere."""
+        scorer = self.scorers.pop(id, None)
+        if scorer is None:
+            return []
+        self.warden.warm(str(id))
+        keys = [key for key in scorer.waiting if self.keys.pop(key, None) is not None]
+        return [Ticket(key, 1.0) for key in keys]
+
+    def age_ms(self, now_ms: float, id: int) -> float | None:
+        scorer = self.scorers.get(id)
+        return None if scorer is None else now_ms - scorer.up_ms
+
+    def cold(self, now_ms: float, id: int) -> bool:
+        age_ms = self.age_ms(now_ms, id)
+        return age_ms is not None and age_ms < self.limits.cold_ms
+
+    # --- calls here -------------------------------------------------------------------------------
+
+    def ask(self, now_ms: float, id: int, key: str) -> float | None:
+        """0: send now; > 0: not before; None: asked, `tick` and `given` tell."""
+        scorer = self.scorers.get(id)
+        if scorer is None or not self.cold(now_ms, id):
+            return 0.0
+        if scorer.warden == self.me:
+            return self._give(now_ms, id, scorer)
+        if now_ms < scorer.full_ms:
+            return scorer.full_ms - now_ms
+        if len(self.keys) >= KEYS_MOST:
+            self._count("calls for tickets beyond what is kept")
+            return self.limits.fall_ms
+        if key not in self.keys:
+            self.keys[key] = id
+            scorer.waiting.append(key)
+        return None
+
+    def drop(self, key: str) -> None:
+        """The call needs none any more; a ticket that comes for it is the next one's."""
+        id = self.keys.pop(key, None)
+        if id is not None and id in self.scorers:
+            self.scorers[id].waiting.remove(key)
+
+    def _give(self, now_ms: float, id: int, scorer: _Scorer) -> float:
+        """A ticket, or a turn of one's own: not all come again at the same moment."""
+        wait_ms = self.warden.ask(now_ms, str(id), now_ms - scorer.up_ms)
+        if wait_ms <= 0.0:
+            return 0.0
+        turns = scorer.turns
+        while turns and turns[0] <= now_ms:
+            turns.popleft()
+        span_ms = self.limits.fall_ms + TICKET_MS
+        given, ahead = self.warden.given.get(str(id)) or (), len(turns)
+        if given:
+            due_ms = given[ahead % len(given)] + span_ms * (1 + ahead // len(given))
+        else:  # it waits, as it is new: its room comes after that, one after the other
+            room = self.warden.limits.room(now_ms - scorer.up_ms)
+            due_ms = now_ms + wait_ms + span_ms * ahead / room
+        if len(turns) < TURNS_MOST:
+            turns.append(max(due_ms, turns[-1] if turns else due_ms))
+        return max(1.0, wait_ms, due_ms - now_ms)
+
+    # --- words ------------------------------------------------------------------------------------
+
+    def asked(self, now_ms: float, sender: str, word: Asked) -> list[Words]:
+        """Somebody asks this front end; if that is not its warden, it says nothing: a view is about to
+        change."""
+        scorer = self.scorers.get(word.scorer)
+        if scorer is None or scorer.warden != self.me:
+            self._count("asked for no ward")
+            return []
+        if not self.cold(now_ms, word.scorer):
+            free = [0.0] * word.count
+        else:
+            free = [self._give(now_ms, word.scorer, scorer) for _ in range(word.count)]
+        return [Words((sender,), Given(word.scorer, word.number, word.life, tuple(free)))]
+
+    def given(self, now_ms: float, sender: str, word: Given) -> list[Ticket]:
+        scorer = self.scorers.get(word.scorer)
+        if scorer is None or word.life != self.life or not scorer.number or scorer.number != word.number:
+            self._count("an answer to nothing")
+            return []
+        scorer.number = 0
+        late = now_ms - scorer.asked_ms > TICKET_MS
+        tickets, later = [], [free for free in word.free_ms if free > 0.0]
+        for free_ms in word.free_ms:
+            if free_ms <= 0.0 and late:
+                self._count("a ticket came too late")
+                continue
+            if not scorer.waiting:
+                self._count("a ticket for nobody" if free_ms <= 0.0 else "a turn for nobody")
+                continue
+            key = scorer.waiting.popleft()
+            del self.keys[key]
+            tickets.append(Ticket(key, free_ms))
+        if later:
+            scorer.full_ms = now_ms + min(later)
+        return tickets
+
+    def tick(self, now_ms: float) -> list[Words | Ticket]:
+        """Ask for what waits; those whose scorer is warm by now, or one's own, go by that."""
+        found: list[Words | Ticket] = []
+        for id in list(dict.fromkeys(self.keys.values())):
+            scorer = self.scorers[id]
+            if scorer.warden == self.me or not self.cold(now_ms, id):
+                keys = list(scorer.waiting)
+                scorer.waiting.clear()
+                for key in keys:
+                    del self.keys[key]
+                    free_ms = self.ask(now_ms, id, key)
+                    found.append(Ticket(key, 0.0 if free_ms is None else free_ms))
+            elif scorer.warden and (not scorer.number or now_ms - scorer.asked_ms >= AGAIN_MS):
+                self._number += 1
+                scorer.number, scorer.asked_ms = self._number, now_ms
+                count = min(TICKETS_MOST, len(scorer.waiting))
+                found.append(Words((scorer.warden,), Asked(id, self._number, self.life, count)))
+        return found
--- /dev/null
+++ b/tests/giving_rig.py
@@ -0,0 +1,158 @@
+"""Front ends with loaders and wardens in virtual time: words late and lost by seed, front ends that die and
+come back, scorers whose loads go on when whoever ordered them is gone."""
+
+import heapq
+import random
+
+import msgspec
+
+from fawnwharf import interface as io
+from fawnwharf.recovery.budget import Limits
+from fawnwharf.recovery.stages import Stage, allowed
+from fawnwharf.rejoin.given_words import word_from
+from fawnwharf.rejoin.giving import TURN_MS, Giving
+from fawnwharf.rejoin.outs import Order, Stood, Ticket, Words
+from fawnwharf.replication.placement import weight
+
+WORTHS = {"view": 1.0, "settle": 5.0}
+LIMITS = Limits(
+    fetches=4, scorer_rps=12.0, cold_ms=10_000.0, cold_share=0.2, fall_ms=1_000.0, fall_multiple=2.0,
+    retry_most_ms=4_000.0,
+)  # fmt: skip
+
+
+class Fleet:
+    """`n` front ends, the first `keepers` of them keepers; `loads`: how long a load takes, at the least and
+    at the most."""
+
+    def __init__(self, seed=1, n=6, keepers=4, lag_ms=300.0, usual_ms=500.0, loads=(80.0, 480.0), lost=0.0):
+        self.chance, self.lost = random.Random(f"giving {seed}"), lost
+        self.names = [f"n{i}" for i in range(n)]
+        self.keepers = self.names[:keepers]
+        self.lag_ms, self.usual_ms, self.loads = lag_ms, usual_ms, loads
+        self.now, self.heap, self.count, self.lives = 0.0, [], 0, 0
+        self.up, self.fronts, self.views, self.changes = set(), {}, {}, 0
+        self.may = allowed(Stage.REST, WORTHS)
+        self.stands, self.loading = set(), {}  # (scorer, function); until when
+        self.most = 0  # loads at a time
+        self.orders = []  # when, by whom, of what, and whether that one lived on until it was answered
+        self.tickets, self.stood, self.words = [], {}, 0
+        for name in self.names:
+            self.start(name)
+        self.at(TURN_MS, self._turns)
+
+    def at(self, delay_ms, call):
+        self.count += 1
+        heapq.heappush(self.heap, (self.now + delay_ms, self.count, call))
+
+    def run(self, until_ms):
+        while self.heap and self.heap[0][0] <= until_ms:
+            self.now, _, call = heapq.heappop(self.heap)
+            call()
+        self.now = until_ms
+
+    # --- who is there ---------------------------------------------------------------------------
+
+    def start(self, name):
+        self.lives += 1
+        order = lambda row: sorted(range(3), key=lambda s: weight(str(s), row))  # noqa: E731
+        self.fronts[name] = Giving(name, self.lives, LIMITS, order, self.lag_ms, self.usual_ms)
+        self.views[name] = 0, frozenset((name,))
+        self.up.add(name)
+        self._changed(name)
+
+    def kill(self, name):
+        self.up.discard(name)
+        self.fronts.pop(name)
+        self.orders = [(*o[:3], o[3] and (o[1] != name or o[4] <= self.now), o[4]) for o in self.orders]
+        self._changed()
+
+    def _changed(self, new=None):
+        """Each sees it within `lag_ms`, who starts at once."""
+        seen = frozenset(self.up)
+        self.changes += 1
+        for name in self.up:
+            delay = 0.0 if name == new else self.chance.uniform(0.0, self.lag_ms)
+            self.at(delay, self._seer(name, self.changes, seen))
+
+    def _seer(self, name, change, seen):
+        front = self.fronts[name]
+
+        def see():
+            if self.fronts.get(name) is front and self.views[name][0] < change:
+                self.views[name] = change, seen
+                front.set(self.now, seen, self.keepers, self.may, 1)
+
+        return see
+
+    def go_by(self, may):
+        self.may = may
+        for name, front in self.fronts.items():
+            front.set(self.now, self.views[name][1], self.keepers, may, 1)
+
+    # --- what comes out -------------------------------------------------------------------------
+
+    def _turns(self):
+        self.at(TURN_MS, self._turns)
+        for name, front in list(self.fronts.items()):
+            self.carry(name, front.tick(self.now))
+
+    def carry(self, name, outs):
+        for out in outs:
+            if isinstance(out, Words):
+                for to in [other for other in out.to or self.names if other != name]:
+                    if name in self.keepers or to in self.keepers:
+                        self._say(name, to, out.word)
+            elif isinstance(out, Order):
+                self.at(1.0, lambda what=out.what: self._ordered(name, what))
+            elif isinstance(out, Ticket):
+                self.tickets.append((self.now, name, out.key, out.free_ms))
+            elif isinstance(out, Stood):
+                self.stood.setdefault(name, set()).add(out.row)
+
+    def _say(self, name, to, word):
+        self.words += 1
+        if self.chance.random() < self.lost:
+            return
+        late = self.chance.uniform(1.0, 5.0) if self.chance.random() > self.lost else 400.0
+
+        def come():
+            if to in self.fronts:
+                self.carry(to, self.fronts[to].hear(self.now, name, word_from(builtins(word))))
+
+        self.at(late, come)
+
+    def _ordered(self, name, what):
+        """The module, and a scorer."""
+        front, place = self.fronts.get(name), (what.worker, what.function)
+        if front is None:
+            return
+        life = front.life
+
+        def answer(ending, copies):
+            if (front := self.fronts.get(name)) and front.life == life:
+                event = io.OrderAnswered(what.worker, what.function, ending, copies, 0.0)
+                self.carry(name, front.answered(self.now, event))
+
+        if isinstance(what, io.Hold):
+            self.at(2.0, lambda: answer(io.Ending.GOOD, int(place in self.stands)))
+            return
+        if self.chance.random() < self.lost:  # the module has none to spare
+            return
+        front.ordered(self.now, *place)
+        took = 2.0 if place in self.stands else self.chance.uniform(*self.loads)
+        if place not in self.stands and place not in self.loading:
+            self.loading[place] = self.now + took
+            self.most = max(self.most, len(self.loading))
+            self.at(took, lambda: self._loaded(place))
+        took = max(took, self.loading.get(place, self.now) - self.now)
+        self.orders.append((self.now, name, what.function, True, self.now + took))
+        self.at(took + 1.0, lambda: answer(io.Ending.GOOD, 1))
+
+    def _loaded(self, place):
+        del self.loading[place]
+        self.stands.add(place)
+
+
+def builtins(word):
+    return msgspec.json.decode(msgspec.json.encode(word))
--- /dev/null
+++ b/tests/test_rejoin_giving.py
@@ -0,0 +1,308 @@
+"""Loaders and wardens among front ends: the store's budget, a scorer's room, and words that come late."""
+
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from fawnwharf import interface as io
+from fawnwharf.recovery.budget import loader_of, loaders
+from fawnwharf.recovery.stages import Stage, allowed
+from fawnwharf.rejoin import given_words as m
+from fawnwharf.rejoin.giving import Giving
+from fawnwharf.rejoin.outs import Order, Words
+from fawnwharf.rejoin.wards import Wards
+from tests.giving_rig import LIMITS, WORTHS, Fleet
+
+ROWS = [f"f{i}" for i in range(60)]
+
+
+def want_all(fleet, names=None):
+    for name in names or fleet.up:
+        for i, row in enumerate(ROWS):
+            fleet.fronts[name].want(fleet.now, row, 60.0 - i, "view")
+
+
+@pytest.mark.parametrize("seed", range(6))
+@pytest.mark.parametrize("lost", [0.0, 0.15])
+def test_no_more_fetches_at_a_time_than_the_budget_while_loaders_die_and_come_back(seed, lost):
+    fleet, chance = Fleet(seed, lost=lost), random.Random(seed)
+    for second in range(24):
+        fleet.run(1_000.0 * second)
+        if second < 18 and second % 2:
+            down = [name for name in fleet.names if name not in fleet.up]
+            if down and chance.random() < 0.6:
+                fleet.start(chance.choice(down))
+            else:
+                fleet.kill(chance.choice(sorted(fleet.up)))
+        want_all(fleet)
+    assert 0 < fleet.most <= LIMITS.fetches
+    for name in fleet.up & set(fleet.keepers):
+        assert set(fleet.fronts[name].places) == set(ROWS)
+    for name in fleet.up:
+        assert not fleet.fronts[name]._mine
+
+
+def test_what_a_dead_loader_had_under_way_is_not_ordered_again_within_a_loads_usual_time():
+    again = 0
+    for seed in range(8):
+        fleet = Fleet(seed, loads=(400.0, 480.0))
+        want_all(fleet)
+        fleet.run(2_000.0)
+        before = next(o for o in reversed(fleet.orders) if o[4] > fleet.now)
+        fleet.kill(before[1])
+        fleet.run(6_000.0)
+        left = [o for o in fleet.orders if not o[3]]
+        assert left
+        for at_ms, name, row, _, _ in left:
+            later = [o[0] for o in fleet.orders if o[2] == row and o[0] > at_ms and o[1] != name]
+            again += len(later)
+            assert all(at - at_ms >= fleet.usual_ms for at in later)
+    assert again  # another one did take over
+
+
+def test_the_worth_most_is_ordered_first_and_each_function_once():
+    fleet = Fleet(3)
+    want_all(fleet)
+    fleet.run(30_000.0)
+    rows = [row for _, _, row, *_ in fleet.orders]
+    assert sorted(rows) == sorted(ROWS)
+    seats = loaders(fleet.keepers, LIMITS.fetches, 1)
+    for name in seats:
+        own = [row for _, by, row, *_ in fleet.orders if by == name]
+        assert own == sorted((row for row in ROWS if loader_of(row, seats) == name), key=ROWS.index)
+
+
+def test_a_word_is_said_once_a_turn_and_not_again_while_its_answer_is_fresh():
+    fleet = Fleet(1)
+    fleet.run(900.0)
+    want_all(fleet, ["n5"])
+    fleet.run(1_000.0)
+    assert fleet.words <= 2 * len(fleet.keepers)  # a want to each loader, an answer from each
+
+
+def lone(**more):
+    front = Giving("n0", 1, LIMITS, lambda row: [7, 8], 100.0, 200.0)
+    front.set(0.0, {"n0"}, {"n0"}, allowed(Stage.REST, WORTHS, **more), 1)
+    return front
+
+
+def orders(outs):
+    return [out.what for out in outs if isinstance(out, Order)]
+
+
+def test_an_order_that_the_module_does_not_make_is_asked_after_and_made_again_elsewhere_if_it_fails():
+    front = lone()
+    front.want(0.0, "f", 1.0, "view", 2, 400.0)
+    [order] = orders(front.tick(2_000.0))
+    assert order == io.CopiesWanted(7, "f", "view", 1, 2, 400.0)
+    assert orders(front.tick(2_150.0)) == [] and orders(front.tick(2_250.0)) == [io.Hold(7, "f", 0)]
+    front.answered(2_260.0, io.OrderAnswered(7, "f", io.Ending.GOOD, 0, 1.0))
+    assert orders(front.tick(2_300.0)) == []
+    assert orders(front.tick(2_800.0)) == [order]
+    front.ordered(2_800.0, 7, "f")
+    front.answered(2_900.0, io.OrderAnswered(7, "f", io.Ending.FULL, 0, 1.0))
+    assert [order.worker for order in orders(front.tick(3_500.0))] == [8]
+    front.ordered(3_500.0, 8, "f")
+    assert front.answered(3_900.0, io.OrderAnswered(8, "f", io.Ending.GOOD, 1, 400.0))
+    assert front.place("f") == 8
+
+
+def test_a_late_word_does_not_bring_back_a_copy_that_is_gone():
+    front = Giving("n5", 1, LIMITS, lambda row: [7], 100.0, 200.0)
+    front.set(0.0, {"n0", "n5"}, {"n0"}, allowed(Stage.REST, WORTHS), 1)
+    first, gone = m.Stands(9, 1, (m.Place("f", 7),)), m.Stands(9, 2, (m.Place("f", 0, None),))
+    assert front.hear(1.0, "n0", first) and front.place("f") == 7
+    front.hear(2.0, "n0", gone)
+    assert front.hear(3.0, "n0", first) == [] and front.place("f") is None
+    assert front.counts == {"a word on copies that came late": 1}
+    assert front.hear(4.0, "n0", m.Stands(10, 1, (m.Place("f", 7),))) and front.place("f") == 7
+
+
+def test_a_copy_that_is_lost_is_wanted_of_its_loader_again_by_the_scorer_where_it_was():
+    fleet = Fleet(2)
+    fleet.fronts["n5"].want(0.0, "f", 1.0, "view")
+    fleet.run(4_000.0)
+    worker = fleet.fronts["n5"].place("f")
+    fleet.stands.clear()
+    fleet.fronts["n5"].lost(fleet.now, "f", worker)
+    fleet.fronts["n5"].want(fleet.now, "f", 1.0, "view")
+    fleet.run(8_000.0)
+    assert len(fleet.orders) == 2 and fleet.stands == {(worker, "f")}
+    assert all(front.place("f") == worker for front in fleet.fronts.values())
+
+
+def test_the_eta_is_what_the_loader_says_less_what_went_by():
+    front = Giving("n5", 1, LIMITS, lambda row: [7], 100.0, 200.0)
+    front.set(0.0, {"n0", "n5"}, {"n0"}, allowed(Stage.REST, WORTHS), 1)
+    front.want(0.0, "f", 1.0, "view")
+    assert front.eta_ms(0.0, "f") >= 500.0
+    front.hear(100.0, "n0", m.Stands(9, 1, (m.Place("f", 0, 2_000.0),)))
+    assert front.eta_ms(600.0, "f") == 1_500.0
+    front.hear(700.0, "n0", m.Stands(9, 2, (m.Place("f", 7),)))
+    assert front.eta_ms(700.0, "f") == 0.0
+
+
+def test_what_is_kept_is_bounded_and_what_is_dropped_is_counted(monkeypatch):
+    monkeypatch.setattr("fawnwharf.rejoin.giving.WANTS_MOST", 2)
+    monkeypatch.setattr("fawnwharf.rejoin.giving.PLACES_MOST", 1)
+    front = Giving("n5", 1, LIMITS, lambda row: [7], 100.0, 200.0)
+    front.set(0.0, {"n0", "n5"}, {"n0"}, allowed(Stage.REST, WORTHS), 1)
+    for row in "abc":
+        front.want(0.0, row, 1.0, "view")
+    [words] = [out for out in front.tick(50.0) if isinstance(out, Words)]
+    assert [wanted.row for wanted in words.word.rows] == ["a", "b"]
+    front.hear(60.0, "n0", m.Stands(9, 1, (m.Place("x", 7), m.Place("y", 7))))
+    assert front.counts == {"wants beyond what is kept": 1, "places beyond what is kept": 1}
+
+
+def test_a_front_end_that_hears_no_keeper_loads_for_itself_a_part_of_the_time():
+    front = Giving("n5", 1, LIMITS, lambda row: [7], 100.0, 200.0)
+    front.set(0.0, {"n4", "n5"}, {"n0"}, allowed(Stage.REST, WORTHS, 0.05), 1)  # a fifth of one fetch
+    made = []
+    for now in range(0, 20_000, 50):
+        front.want(now, f"f{now}", 1.0, "view")
+        for order in orders(front.tick(now)):
+            made.append(now)
+            front.ordered(now, order.worker, order.function)
+            front.answered(now + 40, io.OrderAnswered(7, order.function, io.Ending.GOOD, 1, 40.0))
+    assert 60 <= len(made) <= 20_000 * 0.2 / 40 + 1
+
+
+# --- wardens --------------------------------------------------------------------------------------
+
+ACTS = st.lists(
+    st.tuples(
+        st.sampled_from(["ask", "ask", "ask", "down", "up", "wait", "more"]),
+        st.integers(0, 4),
+        st.sampled_from([0.0, 3.0, 20.0, 49.0, 60.0, 130.0, 400.0]),
+    ),
+    max_size=120,
+)
+
+
+class Wardens:
+    """Front ends that ask for one cold scorer's calls. Each sees within `LAG` who is there."""
+
+    LAG = 300.0
+
+    def __init__(self):
+        self.now, self.due, self.keys, self.count = 0.0, [], 0, 0
+        self.up, self.lives, self.seen = set(), 0, {}
+        self.fronts, self.used = {}, []
+        for i in range(5):
+            self.start(f"n{i}")
+
+    def start(self, name):
+        self.lives += 1
+        front = self.fronts[name] = Wards(name, self.lives, LIMITS, self.LAG)
+        self.up.add(name)
+        front.set(self.now, tuple(sorted(self.up)), 1.0)
+        front.scorer(self.now, 7, self.now)
+        self.changed(0.0)
+
+    def changed(self, late):
+        givers = tuple(sorted(self.up))
+        for n, name in enumerate(givers):
+            self.later(min(self.LAG, late * (n + 1) / 2), self.seer(self.fronts[name], self.count, givers))
+
+    def seer(self, front, change, givers):
+        def see():
+            if self.seen.get(front, -1) < change:  # a view never goes back
+                self.seen[front] = change
+                front.set(self.now, givers, 1.0)
+
+        return see
+
+    def later(self, delay, call):
+        self.count += 1
+        self.due.append((self.now + delay, self.count, call))
+
+    def pass_by(self, ms):
+        until = self.now + ms
+        while ready := [item for item in self.due if item[0] <= until]:
+            item = min(ready)
+            self.due.remove(item)
+            self.now = max(self.now, item[0])
+            item[2]()
+        self.now = until
+
+    def carry(self, name, outs, delay):
+        for out in outs:
+            if isinstance(out, Words):
+                self.later(delay, lambda to=out.to[0], word=out.word: self.hear(name, to, word, delay))
+            elif out.free_ms == 0.0:
+                self.used.append(self.now)
+
+    def hear(self, sender, to, word, delay):
+        if to in self.up:
+            front = self.fronts[to]
+            take = front.asked if isinstance(word, m.Asked) else front.given
+            self.carry(to, take(self.now, sender, word), delay)
+
+    def ask(self, name, count, delay):
+        for _ in range(count):
+            self.keys += 1
+            if self.fronts[name].ask(self.now, 7, f"k{self.keys}") == 0.0:
+                self.used.append(self.now)
+        self.carry(name, self.fronts[name].tick(self.now), delay)
+
+
+@settings(max_examples=150, deadline=None)
+@given(ACTS)
+def test_never_more_tickets_within_a_scorers_window_than_its_room_whoever_gives_them_out(acts):
+    world = Wardens()
+    world.pass_by(1_400.0)
+    for what, i, ms in acts:
+        name = f"n{i}"
+        if what in ("ask", "more") and name in world.up:
+            world.ask(name, 1 if what == "ask" else 12, ms)
+        elif what == "down" and name in world.up and len(world.up) > 1:
+            world.up.discard(name)
+            world.changed(ms)
+        elif what == "up" and name not in world.up:
+            world.start(name)
+        elif what == "wait":
+            world.pass_by(4 * ms)
+        world.pass_by(ms)
+    for n, at in enumerate(world.used):
+        within = sum(at - LIMITS.fall_ms < other <= at for other in world.used[: n + 1])
+        assert within <= LIMITS.room(at)
+
+
+def test_tickets_are_given_out_to_the_full_and_those_beyond_them_get_turns_of_their_own():
+    world = Wardens()
+    world.pass_by(2_000.0)
+    for _ in range(60):
+        for name in sorted(world.up):
+            world.ask(name, 3, 2.0)
+        world.pass_by(50.0)
+    window = [at for at in world.used if 3_000.0 <= at < 4_050.0]
+    assert LIMITS.room(3_000.0) - 1 <= len(window) <= LIMITS.room(4_050.0)
+    warden = next(front for name, front in world.fronts.items() if front.scorers[7].warden == name)
+    waits = [warden.ask(world.now, 7, f"w{i}") for i in range(20)]
+    assert all(wait > 0 for wait in waits) and len(set(waits)) > 10 and waits == sorted(waits)
+
+
+def test_who_is_warden_of_a_scorer_that_came_up_after_all_heard_each_other_gives_at_once():
+    front = Wards("n0", 1, LIMITS, 300.0)
+    front.set(0.0, ("n0",), 1.0)
+    front.scorer(100.0, 1, 0.0)
+    front.scorer(500.0, 2, 100.0)
+    assert front.ask(500.0, 1, "a") > 0 and front.ask(500.0, 2, "b") == 0.0
+    assert front.ask(500.0, 3, "of nobody") == 0.0 and front.ask(11_000.0, 1, "warm") == 0.0
+
+
+def test_a_ticket_that_was_long_on_its_way_is_void():
+    front = Wards("n1", 1, LIMITS, 300.0)
+    front.set(0.0, ("n0",), 1.0)
+    front.scorer(0.0, 7, 0.0)
+    assert front.ask(10.0, 7, "a") is None
+    [words] = front.tick(10.0)
+    answer = m.Given(7, words.word.number, 1, (0.0,))
+    assert front.given(61.0, "n0", answer) == [] and front.counts == {"a ticket came too late": 1}
+    [words] = front.tick(62.0)
+    answer = m.Given(7, words.word.number, 1, (0.0,))
+    assert [ticket.key for ticket in front.given(70.0, "n0", answer)] == ["a"]
+    assert front.given(70.0, "n0", answer) == []
