--- a/tests/test_rejoin_giving.py
+++ b/tests/test_rejoin_giving.py
@@ -7,11 +7,12 @@
 from hypothesis import strategies as st
 
 from fawnwharf import interface as io
-from fawnwharf.recovery.budget import loader_of, loaders
+from fawnwharf.recovery.budget import loader_of, loaders, warden_of
 from fawnwharf.recovery.stages import Stage, allowed
 from fawnwharf.rejoin import given_words as m
 from fawnwharf.rejoin.giving import Giving
 from fawnwharf.rejoin.outs import Order, Words
+from fawnwharf.rejoin.seats import Seats
 from fawnwharf.rejoin.wards import Wards
 from tests.giving_rig import LIMITS, WORTHS, Fleet
 
@@ -62,6 +63,17 @@
     assert again  # another one did take over
 
 
+def test_a_function_that_was_anothers_waits_for_a_loads_usual_time_and_one_that_was_ones_own_does_not():
+    seats = Seats("n0", LIMITS, 300.0, 500.0)
+    seats.set(0.0, ("n0", "n1"), 1.0, 1)
+    rows = {seats.owner(row): row for row in ROWS}
+    seats.set(2_000.0, ("n0",), 1.0, 1)
+    assert seats.owner(rows["n1"]) == "n0" and seats.ready(2_000.0) == 2  # the two others' wait
+    assert seats.due_ms(2_000.0, rows["n1"]) == 2_500.0 and seats.due_ms(2_000.0, rows["n0"]) == 2_000.0
+    assert seats.due_ms(2_500.0, rows["n1"]) == 2_500.0
+    assert seats.ready(2_799.0) == 2 and seats.ready(2_800.0) == 4
+
+
 def test_the_worth_most_is_ordered_first_and_each_function_once():
     fleet = Fleet(3)
     want_all(fleet)
@@ -271,6 +283,21 @@
         assert within <= LIMITS.room(at)
 
 
+def test_a_new_warden_waits_for_the_one_before_to_see_it_too():
+    old, new = (Wards(name, 1, LIMITS, 300.0) for name in ("n0", "n1"))
+    loser = next(i for i in range(50) if warden_of(str(i), ("n0", "n1")) == "n1")  # n1's once it is heard
+    for front, givers in ((old, ("n0",)), (new, ("n0", "n1"))):
+        front.set(0.0 if front is old else 3_000.0, givers, 1.0)
+        front.scorer(3_000.0, loser, 3_000.0)
+    used = []
+    for now in range(3_000, 6_000):
+        if now == 3_299:
+            old.set(now, ("n0", "n1"), 1.0)
+        used += [now for front in (old, new) if now != 3_299 and front.ask(now, loser, f"{now}") == 0.0]
+    assert min(at for at in used if at > 3_299) >= 3_300 + LIMITS.fall_ms
+    assert max(sum(at - 1_000 < other <= at for other in used) for at in used) <= LIMITS.room(6_000.0)
+
+
 def test_tickets_are_given_out_to_the_full_and_those_beyond_them_get_turns_of_their_own():
     world = Wardens()
     world.pass_by(2_000.0)
