Rejoin: recovery in a running front end, by both logs, with what it counts

The seam Rejoin carries its agent's words (zones' logs for what voters answer, logs of state for keepers), keeps status false until a stage allows it, counts calls served in time, loads against what they should take and cold scorers that fell, gives stages to the door and to loaders and wardens, dials the last roster where no change log comes, and keeps roster and use in calm. Three front ends over real sockets and folders: a loss of power, one started anew in calm, a minority that is alone and follows.

--- a/fawnwharf/accord/decided.py
+++ b/fawnwharf/accord/decided.py
@@ -21,6 +21,11 @@
     return dict(texts(saved.base))[kind]
 
 
+def last_put(saved: m.Saved, kind: str) -> tuple[int, str]:
+    """The same of what is in the log, decided or not."""
+    return last_of(saved, saved.last_index, kind)
+
+
 def texts(base: m.Base) -> list[tuple[str, tuple[int, str]]]:
     """What is folded, by kind: the index and text of the last decision, in the order of their indexes."""
     found = [(kind, (getattr(base, f"{kind}_index"), getattr(base, kind))) for kind in KINDS]
--- a/fawnwharf/net/changelog.py
+++ b/fawnwharf/net/changelog.py
@@ -30,6 +30,7 @@
         self, loop: Loop, address: Address, seq: int, told: Callable[[Fleet], None], log: Log
     ) -> None:
         self.seq = seq  # of the last event passed on
+        self.told_all = False  # it has said in this life that nothing more is to be told
         self._loop, self._address, self._told, self._log = loop, address, told, log
         self._connection: Connection | None = None
         self._buffer = bytearray()
@@ -111,7 +112,7 @@
         self._pause_ms = PAUSE_MS
         if isinstance(read, int) and not isinstance(read, bool):
             if read == self.seq:
-                self._stumbled_at = None  # all has come: a later stumble is a new one
+                self._stumbled_at, self.told_all = None, True  # a later stumble is a new one
             # Events that it says it has told have not come: they are lost on this connection.
             return read <= self.seq or self._stumble(f"at {read}, but only {self.seq} came")
         return self.event(read) or self._stumble(f"not an event: {line[:60]!r}")
--- a/fawnwharf/rejoin/agent.py
+++ b/fawnwharf/rejoin/agent.py
@@ -42,6 +42,7 @@
     allowed: Allowed
     stage: Stage | None  # None: alone
     cut: int
+    fronts: int = 1  # front ends among which what is allowed is divided
 
 
 class Signed(msgspec.Struct, frozen=True):
@@ -105,7 +106,7 @@
     _told: dict[str, tuple[int, float]] = field(default_factory=dict)  # leader's life and least lateness
     _heard_ms: dict[str, float] = field(default_factory=dict)  # when voters said something last
     _term: int = 0  # the largest of a leader that was followed
-    _going: tuple[Allowed, Stage | None, int] | None = None
+    _going: tuple[Allowed, Stage | None, int, int] | None = None
     _stand_due_ms: float = 0.0
     _ask_due_ms: float = 0.0  # of a leader that has not answered yet
     _asked: bool = False  # it was noted
@@ -225,7 +226,7 @@
         """Tell one that started anew how far its folder had come by its own earlier word; it may be an older
         copy."""
         sign, disks = boot.sign, self.signs.setdefault(sender, {})
-        if not sign.mark:
+        if not sign.mark or not sign.life:  # it has no store, or that has not written all anew yet
             return []
         heard = disks.get(sign.mark)
         if heard is None:
@@ -345,12 +346,14 @@
         if self.asked and not self._asked:
             self._asked = True
             effects.append(Note("asked", {"without": list(self.asking.without().values())}))
-        going = (self.allowed(now_ms), self.stage(now_ms), self.cut)
+        stage, register = self.stage(now_ms), self.follower.register
+        fronts = self.own.heard if stage is None or register is None else register.fronts
+        going = (self.allowed(now_ms), stage, self.cut, max(1, fronts))
         if going == self._going:
             return effects
         before, self._going = self._going, going
         effects.append(Go(*going))
-        if before is None or (before[1:], before[0].part) != (going[1:], going[0].part):
+        if before is None or (before[1:3], before[0].part) != (going[1:3], going[0].part):
             stage = "alone" if going[1] is None else going[1].name.lower()
             fields = {"stage": stage, "cut": going[2], "part": going[0].part, "status": going[0].status}
             effects.append(Note("stage", fields))
--- /dev/null
+++ b/fawnwharf/rejoin/joined.py
@@ -0,0 +1,202 @@
+"""First copies, cold scorers' calls and the door, joined to a running front end: logs, the module, the table.
+
+Thin: what is given out is decided in `giving.py`, who is let in at `door.py`. Both are made in `made`.
+"""
+
+from collections.abc import Callable
+from typing import Any, Protocol
+
+import msgspec
+
+from fawnwharf import interface as io
+from fawnwharf.net.front_end import FrontEnd, worker_number
+from fawnwharf.net.requests import Call
+from fawnwharf.net.streams import Attempt, Order
+from fawnwharf.net.wheel import Timer, monotonic_ms, unix_ms
+from fawnwharf.policy.state import Function, mark
+from fawnwharf.recovery.budget import Limits, limits_from
+from fawnwharf.recovery.stages import Allowed
+from fawnwharf.rejoin import given_words as g
+from fawnwharf.rejoin import outs
+from fawnwharf.rejoin.giving import TURN_MS, Giving
+from fawnwharf.rejoin.settings import Settings
+from fawnwharf.replication.service import State
+
+RIDER = "recovery-given"  # by the logs of state
+USED_AGAIN_MS = 5_000.0  # what was used before the cut is wanted again, as a want that stands for long ends
+ORDERS_MOST = 4_096  # functions whose hash order is kept in mind
+
+
+class Door(Protocol):
+    """What stands before the gate; see `door.py`."""
+
+    below: Any
+    busy: bool
+
+    def take(self, call: Call) -> str | None: ...
+
+    def withdraw(self, key: str) -> None: ...
+
+    def go_by(self, allowed: Allowed, rate_ps: float, giving: Giving) -> None: ...
+
+    def told(self, out: outs.Ticket | outs.Stood) -> None: ...
+
+
+def made(front: FrontEnd, giving: Giving, limits: Limits) -> Door:
+    """The door, before whatever stands there."""
+    from fawnwharf.rejoin.door import Door as Made
+
+    return Made(front.loop, front.port.table, front.deployment.settings.classes, limits)
+
+
+class Joined:
+    """Owns the pace at which things are given out, and the way of words, orders and tickets; a witness of the
+    front end's table, which passes on what it is told."""
+
+    def __init__(
+        self,
+        front: FrontEnd,
+        state: State,
+        settings: Settings,
+        life: int,
+        door: Callable[[FrontEnd, Giving, Limits], Door] = made,
+    ) -> None:
+        self.front, self.state = front, state
+        self.limits = limits_from(front.deployment.settings, settings.fetches, settings.scorer_rps)
+        self.giving = Giving(state.entry.name, life, self.limits, self._order)
+        self.counts: dict[str, int] = {}
+        self._going: tuple[Allowed, int, int] = (Allowed(), 0, 1)
+        self._used: dict[tuple[str, str], float] = {}  # calls a second before the cut, by function and class
+        self._used_ms = float("-inf")
+        self._heard: frozenset[str] = frozenset()
+        self._orders: dict[str, Function] = {}
+        self._up_ms: dict[int, float | None] = {}  # Unix; None: long past
+        self._timer: Timer | None = None
+        self._stopped = False
+        self.door = door(front, self.giving, self.limits)
+        self._before = front.table.witness
+        front.table.witness = self
+        state.riders[RIDER] = self._ridden
+        self.roster()
+        self._turn()
+
+    def close(self) -> None:
+        self._stopped = True
+        self.state.riders.pop(RIDER, None)
+        if self.front.table.witness is self:
+            self.front.table.witness = None if self._before is self.state.working else self._before
+        if self._timer is not None:
+            self._timer.cancel()
+
+    # --- what is allowed ------------------------------------------------------------------------
+
+    def go_by(self, allowed: Allowed, cut: int, fronts: int) -> None:
+        """`fronts`: among how many front ends the fleet's calls are divided; alone, among those that hear
+        each other, whose part of the budgets `allowed` has."""
+        self._going = (allowed, cut, fronts)
+        self._set(monotonic_ms())
+
+    def use_before(self, used: dict[tuple[str, str], float]) -> None:
+        """Calls a second before the cut, by function and class: that these will be wanted first."""
+        self._used = used
+
+    def _set(self, now_ms: float) -> None:
+        allowed, cut, fronts = self._going
+        self._heard = frozenset(self.state.alive(now_ms)) | {self.state.entry.name}
+        self.giving.set(now_ms, self._heard, self.state.core.placement.keepers, allowed, cut)
+        rate_ps = allowed.part * self.limits.fall_multiple * self.limits.calls_rps(self.ages()) / fronts
+        self.door.go_by(allowed, rate_ps, self.giving)
+        if allowed.own_loads:
+            self._used = {}
+        elif allowed.loads and self._used and now_ms - self._used_ms >= USED_AGAIN_MS:
+            self._used_ms = now_ms
+            classes = self.front.deployment.settings.classes
+            for (row, name), rps in self._used.items():
+                if name in classes:
+                    self.giving.want(now_ms, row, rps * classes[name].worth, name)
+
+    # --- scorers --------------------------------------------------------------------------------
+
+    def roster(self) -> None:
+        """The roster as it is told by now."""
+        now, found = monotonic_ms(), {}
+        for member in self.front.overlay.members.values():
+            if member.phase == "in_service":
+                found[worker_number(member.id)] = member.up_since_ms or None
+        for id in [id for id in self._up_ms if id not in found]:
+            self._carry_out(self.giving.gone(now, id))
+        self._up_ms = found
+        for id in found:
+            self.giving.scorer(now, id, self.age_ms(id))
+
+    def age_ms(self, worker: int) -> float:
+        """One that is not known counts as warm: nothing of it is given out."""
+        up_ms = self._up_ms.get(worker)
+        return float("inf") if up_ms is None else max(0.0, unix_ms() - up_ms)
+
+    def ages(self) -> list[float]:
+        return [self.age_ms(id) for id in self._up_ms]
+
+    def _order(self, row: str) -> list[int]:
+        """A function's scorers that take calls, as the module's own order has them."""
+        fn = self._orders.get(row)
+        if fn is None:
+            while len(self._orders) >= ORDERS_MOST:
+                del self._orders[next(iter(self._orders))]
+            fn = self._orders[row] = Function(row, "", 1, None, mark(row))
+        return [one.id for one in self.front.router._ordered(fn) if one.suspect_ms is None]
+
+    # --- turns, words and answers ---------------------------------------------------------------
+
+    def _turn(self) -> None:
+        if self._stopped:
+            return
+        now = monotonic_ms()
+        self._set(now)
+        self._carry_out(self.giving.tick(now))
+        self._timer = self.front.loop.wheel.after(TURN_MS, self._turn)
+
+    def _ridden(self, now_ms: float, sender: str, _life: int, data: Any) -> None:
+        try:
+            word = g.word_from(data)
+        except msgspec.ValidationError:
+            self.counts["bad word"] = self.counts.get("bad word", 0) + 1
+            return
+        self._carry_out(self.giving.hear(now_ms, sender, word))
+
+    def events(self, now_ms: float, events: list[io.Event]) -> None:
+        for event in events:
+            if isinstance(event, io.OrderAnswered):
+                self._carry_out(self.giving.answered(now_ms, event))
+
+    def _carry_out(self, found: list[outs.Out]) -> None:
+        for out in found:
+            if isinstance(out, outs.Words):
+                self.state.ride(RIDER, out.to, msgspec.to_builtins(out.word))
+            elif isinstance(out, outs.Order):
+                if isinstance(out.what, io.Hold):
+                    self.front.table.order(out.what)
+                else:
+                    self.front.loop.tell(out.what)
+            else:
+                self.door.told(out)
+
+    # --- the table's witness --------------------------------------------------------------------
+
+    def sent(self, attempt: Attempt) -> None:
+        if self._before:
+            self._before.sent(attempt)
+
+    def ended(self, attempt: Attempt, ending: io.Ending, warmth: io.Warmth) -> None:
+        if self._before:
+            self._before.ended(attempt, ending, warmth)
+
+    def ordered(self, order: Order) -> None:
+        if order.copies:
+            self.giving.ordered(monotonic_ms(), order.worker, order.function)
+        if self._before:
+            self._before.ordered(order)
+
+    def order_ended(self, order: Order, ending: io.Ending, copies: int) -> None:
+        if self._before:
+            self._before.order_ended(order, ending, copies)
--- a/fawnwharf/rejoin/lead.py
+++ b/fawnwharf/rejoin/lead.py
@@ -154,4 +154,3 @@
             return None
         self._word = conductor.register.number, now_ms
         return conductor.register.encode()
-
--- /dev/null
+++ b/fawnwharf/rejoin/service.py
@@ -0,0 +1,314 @@
+"""Recovery in a running front end: its agent on the fleet's logs, what it counts, and what follows for its
+parts."""
+
+import hashlib
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from fawnwharf import interface as io
+from fawnwharf.accord.decided import last_put
+from fawnwharf.config import Deployment, Fleet
+from fawnwharf.net.front_end import FrontEnd
+from fawnwharf.net.wheel import Timer, monotonic_ms, unix_ms
+from fawnwharf.recovery.asking import Stand, What
+from fawnwharf.recovery.stages import Decide, Note, Stage
+from fawnwharf.recovery.trust import Kind, Others, Store
+from fawnwharf.rejoin import joined
+from fawnwharf.rejoin import words as w
+from fawnwharf.rejoin.agent import Agent, Effect, Go, Lists, Own, Say, Signed
+from fawnwharf.rejoin.counted import Counted
+from fawnwharf.rejoin.hints import KEY, LastRoster, LastUse
+from fawnwharf.rejoin.settings import Settings, settings_from
+from fawnwharf.rejoin.tallies import Tallies
+from fawnwharf.zones.files import load
+from fawnwharf.zones.lines import RECOVERY, Word
+
+SHOW_MS = 200.0  # how this one stands is told for people no more often than that
+LINE_S = 1.0  # one note a second of each kind
+
+Write = Callable[[str, dict[str, Any]], None]
+Join = Callable[..., joined.Joined]
+
+
+class Rejoin:
+    """Owns this front end's part in recoveries; a Seam of the front end, and a rider of both logs."""
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        path: str | Path,
+        write: Write,
+        made: dict[str, Any],
+        join: Join = joined.Joined,
+    ) -> None:
+        """Reads and checks the file; raises ConfigError with one line. `made` has the other parts by name, of
+        which `zones`, `kept` and `state` have to be there already."""
+        self.deployment, self.note, self._join = deployment, write, join
+        self.settings: Settings = load(Path(path), settings_from, RECOVERY)
+        self.zones, self.kept, self.state = made["zones"], made["kept"], made["state"]
+        self.life = max(self.kept.life, time.time_ns() // 1_000)
+        self._used = LastUse.read(self.kept.read(Kind.USE))
+        self._roster, self._use = LastRoster(), LastUse(monotonic_ms())
+        classes = deployment.settings.classes
+        self.tallies = Tallies({n: c.worth for n, c in classes.items()}, deployment.settings.cold_ms)
+        self.front: FrontEnd | None = None
+        self.agent: Agent | None = None
+        self.joined: joined.Joined | None = None
+        self.calls: Counted | None = None
+        self._rostered = self._dialled = False
+        self._calm_ms: float | None = None  # since when
+        self._words: list[Word] = []
+        self._shown: w.Shown | None = None
+        self._shown_ms = -1e9
+        self._noted: dict[str, float] = {}
+        self._timer: Timer | None = None
+        self._timer_ms = 0.0
+        self._stopped = False
+
+    # --- life -----------------------------------------------------------------------------------
+
+    def attach(self, front: FrontEnd) -> None:
+        """Begin, on the front end's loop; the parts before this one are attached."""
+        self.front, settings = front, self.settings
+        front.port.waits_for.add(RECOVERY)
+        self.agent = Agent(
+            self.zones.entry.name, self.zones.core.members.fleet, self.life, self.kept.boot, self._lists(),
+            self._own(), self.zones.seat, self.tallies.worths, settings.timing.of_stages, monotonic_ms(),
+            settings.pace.of_asking, settings.pace.stand_ms, settings.pace.stage_ms,
+        )  # fmt: skip
+        self.joined = self._join(front, self.state, settings, self.life)
+        self.joined.use_before(self._used)
+        self.calls = Counted(self.joined.door, self.deployment.settings.classes, self.tallies.ended)
+        front.port.table = self.calls
+        self.zones.riders[RECOVERY] = self
+        self.state.riders[w.RIDER] = self._heard_state
+        told = {"life": self.life, "boot": self.kept.boot, "same boot": self.kept.same_boot}
+        self.note("recovery on", told | {"store": self.kept.whole.value, "why": self.kept.why})
+        self._tick()
+
+    def close(self) -> None:
+        if self._stopped:
+            return
+        self._stopped = True
+        if self._timer is not None:
+            self._timer.cancel()
+        if self.front is None or self.joined is None:
+            return
+        self.joined.close()
+        if self.front.port.table is self.calls:
+            self.front.port.table = self.joined.door.below
+        self.front.port.waits_for.discard(RECOVERY)
+        self.zones.riders.pop(RECOVERY, None)
+        self.state.riders.pop(w.RIDER, None)
+
+    # --- the seam -------------------------------------------------------------------------------
+
+    def told(self, fleet: Fleet) -> None:
+        if self.joined is not None:
+            self._rostered = True  # by the log, in this life; what the start knew came before
+            self._roster.told(Fleet(list(self.front.overlay.members.values()), True))
+            self.joined.roster()
+
+    def _dial_last(self) -> None:
+        """No change log, and no roster of the start: the scorers of the last one are tried, all cold."""
+        self._dialled = True
+        if self.front.overlay.members:
+            return
+        found = LastRoster.read(self.kept.read(Kind.ROSTER))
+        up_ms = unix_ms()
+        cold = [msgspec.structs.replace(member, up_since_ms=up_ms) for member in found]
+        if cold:
+            self.front.take_fleet(Fleet(cold, True))
+            self.zones.told(Fleet(cold, True))
+            self.joined.roster()
+            self.note("last roster dialled", {"scorers": len(cold)})
+
+    def _keep_hints(self, now_ms: float) -> None:
+        for kind, hint in ((Kind.ROSTER, self._roster), (Kind.USE, self._use)):
+            if (value := hint.due(now_ms)) is not None:
+                self.kept.keep(kind, KEY, value)
+
+    def events(self, events: list[io.Event]) -> None:
+        if self.joined is None or self._stopped:
+            return
+        now = monotonic_ms()
+        for event in events:
+            worker = getattr(event, "worker", None)
+            age_ms = self.joined.age_ms(worker) if worker is not None else 0.0
+            self.tallies.event(now, event, age_ms)
+            if isinstance(event, io.RequestArrived):
+                self._use.came(now, event.function, event.class_name)
+        self.joined.events(now, events)
+
+    @property
+    def busy(self) -> bool:
+        return self.joined is not None and self.joined.door.busy
+
+    # --- what this front end knows of itself ------------------------------------------------------
+
+    def _lists(self) -> Lists:
+        members = self.zones.core.members
+        names = tuple(entry.name for entry in members.members)
+        text = msgspec.json.encode(sorted(members.members, key=lambda entry: entry.name))
+        keepers = tuple(self.state.core.placement.keepers)
+        voters = tuple(entry.name for entry in members.voters)
+        return Lists(names, voters, keepers, members.number, _digest(text))
+
+    def _own(self) -> Own:
+        now, keeper, voter = monotonic_ms(), self.state.core.keeper, self.zones.core.voter
+        number, text = last_put(voter.saved, "plan") if voter is not None else (0, "")
+        seen = self.zones.observer.seen(now)
+        rostered = self._rostered or (self.front is not None and self.front.changelog.told_all)
+        serves = any(m.phase == "in_service" for m in self.front.overlay.members.values())
+        return Own(
+            settled=self.kept.settled,
+            whole=self.kept.whole is Store.WHOLE,
+            sure=keeper is None or keeper.sure(now),
+            votes=voter is not None,
+            plan=(number, _digest(text.encode())),
+            sign=self.kept.sign(),
+            uses=bool(self._used or self.state.core.uses.owners),
+            rostered=rostered,
+            scorers=(rostered and serves) or self.tallies.up or any(s.heard for s in seen.values()),
+            heard=len(set(self.state.alive(now)) | {self.zones.entry.name}),
+            standing=self.tallies.standing(now),
+        )
+
+    def _confirm(self) -> None:
+        """A store that is in part is whole again once a majority said that its list and its plan are the last
+        ones, its keeper has heard the others, and the fleet is calm."""
+        asking = self.agent.asking
+        same = all(
+            asking.stand(what) is Stand.ANSWERED and asking.others(what) is Others.SAME
+            for what in (What.MEMBERS, What.PLAN)
+        )
+        if same and self.agent.own.sure and self.kept.settled:
+            self.kept.confirm()
+            self.note("the store is confirmed", {})
+
+    # --- the riders -----------------------------------------------------------------------------
+
+    def heard(self, sender: str, words: tuple[Any, ...], standing: Any) -> None:
+        for data in words:
+            self._word(sender, data, self.agent.hear_zone)
+
+    def _heard_state(self, _now_ms: float, sender: str, _life: int, data: Any) -> None:
+        self._word(sender, data, self.agent.hear_state)
+
+    def _word(self, sender: str, data: Any, hear: Callable[..., list[Effect]]) -> None:
+        if self._stopped:
+            return
+        counts = self.agent.counts
+        dropped = sum(counts.values())
+        try:
+            effects = hear(monotonic_ms(), sender, w.word_from(data))
+        except msgspec.ValidationError:
+            counts["bad word"] = counts.get("bad word", 0) + 1
+            effects = []
+        if sum(counts.values()) > dropped and self._once("word"):
+            self.note("word dropped", {"sender": sender, "counts": dict(counts)})
+        self._carry_out(effects)
+
+    def decided(self, text: str) -> None:
+        self._carry_out(self.agent.decided(monotonic_ms(), text))
+
+    def turned(self) -> None:
+        if not self._stopped and (effects := self.agent.turned(monotonic_ms())):
+            self._carry_out(effects)
+
+    def members_taken(self) -> None:
+        self._carry_out(self.agent.take_lists(monotonic_ms(), self._lists()))
+
+    # --- time -----------------------------------------------------------------------------------
+
+    def _tick(self) -> None:
+        if self._stopped:
+            return
+        now = monotonic_ms()
+        counting = self._calm_ms is None or now - self._calm_ms < self.settings.timing.most_ms
+        self.calls.counting, self.tallies.calm = counting, not counting
+        if not counting:
+            self._keep_hints(now)
+            if self.kept.whole is Store.PART:
+                self._confirm()
+        if not self._dialled and self.agent.asking.stand(What.ROSTER) is Stand.WITHOUT:
+            self._dial_last()
+        self._carry_out(self.agent.tick(now, self._own()))
+
+    def _set_timer(self) -> None:
+        now = monotonic_ms()
+        due = max(self.agent.due_ms(now), now + 1.0)
+        if self._timer is not None and self._timer.callback and now < self._timer_ms <= due:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer_ms = due
+        self._timer = self.front.loop.wheel.after(due - now, self._tick)
+
+    def _carry_out(self, effects: list[Effect]) -> None:
+        for effect in effects:
+            if isinstance(effect, Say):
+                self._say(effect)
+            elif isinstance(effect, Decide):
+                if not self.zones.put(effect.register, RECOVERY):
+                    self.agent.not_put()
+            elif isinstance(effect, Go):
+                self._go_by(effect)
+            elif isinstance(effect, Signed):
+                self.kept.heard_sign(effect.sign)
+            elif isinstance(effect, Note):
+                self.note(effect.event, effect.fields)
+        self._show()
+        self._set_timer()
+
+    def _go_by(self, effect: Go) -> None:
+        allowed = effect.allowed
+        if effect.stage is not Stage.SPILL:
+            self._calm_ms = None
+        elif self._calm_ms is None:
+            self._calm_ms = monotonic_ms()
+        waits_for = self.front.port.waits_for
+        (waits_for.discard if allowed.status else waits_for.add)(RECOVERY)
+        self.joined.go_by(allowed, effect.cut, effect.fronts)
+
+    def _once(self, what: str) -> bool:
+        now = monotonic_ms()
+        if now - self._noted.get(what, -1e9) < LINE_S * 1000.0:
+            return False
+        self._noted[what] = now
+        return True
+
+    # --- what is said ---------------------------------------------------------------------------
+
+    def _say(self, say: Say) -> None:
+        """By zones' logs all that is said in a turn goes into one line, in its order; state's go at once."""
+        word = msgspec.to_builtins(say.word)
+        if say.zone:
+            self._words.append(Word(word, say.to, RECOVERY))
+            self.front.loop.flush_later(self)
+        else:
+            self.state.ride(w.RIDER, say.to, word)
+
+    def flush(self) -> None:
+        """The end of the turn."""
+        words, self._words = self._words, []
+        if words and not self._stopped:
+            self.zones.say(words)
+
+    def _show(self) -> None:
+        """Tell how this one stands, where that is another way than before."""
+        now = monotonic_ms()
+        if self._stopped or now - self._shown_ms < SHOW_MS:
+            return  # the next tick tells it
+        shown = self.agent.shown(now)
+        if shown != self._shown:
+            self._shown, self._shown_ms = shown, now
+            self.zones.stand(msgspec.to_builtins(shown), RECOVERY)
+
+
+def _digest(data: bytes) -> str:
+    return hashlib.blake2b(data, digest_size=8).hexdigest()
--- /dev/null
+++ b/fawnwharf/rejoin/tallies.py
@@ -0,0 +1,114 @@
+"""What a front end counts for its standing while the fleet returns: calls served in time, loads against what
+they take in calm, cold scorers that fell. Pure; milliseconds of the own monotonic clock.
+"""
+
+from collections import deque
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from fawnwharf import interface as io
+from fawnwharf.recovery.budget import first_classes
+from fawnwharf.rejoin import words as w
+
+SPAN_MS = 1_000.0  # over which calls and loads are told
+ENDS_MOST = 20_000  # of calls within it
+FELL_AFTER = 3  # sends in a row that broke, at a cold scorer that had answered
+PAIRS_MOST, ROWS_MOST = 20_000, 20_000
+CALM_PART = 0.05  # by which a load changes what a load takes in calm
+GONE = (io.Ending.RESET, io.Ending.CONNECT_FAILED)
+
+
+@dataclass(slots=True)
+class Tallies:
+    """Owns the counts of one front end."""
+
+    worths: Mapping[str, float]  # of classes
+    cold_ms: float
+    calm: bool = False  # what loads take is what they take in calm
+    fell: int = 0
+    up: bool = False  # a scorer answered in this life
+    calm_ms: float | None = None  # what a load took in calm, of this life
+    _first: frozenset[str] = frozenset()
+    _ends: deque[tuple[float, bool, bool]] = field(default_factory=lambda: deque(maxlen=ENDS_MOST))
+    _loads: deque[tuple[float, float]] = field(default_factory=lambda: deque(maxlen=ENDS_MOST))
+    _expected: dict[str, float] = field(default_factory=dict)  # what a load of it takes, as calls told
+    _proved: dict[tuple[int, str], None] = field(default_factory=dict)  # scorers and functions with a copy
+    _broken: dict[int, int] = field(default_factory=dict)  # in a row, of scorers that had answered
+
+    def __post_init__(self) -> None:
+        self._first = first_classes(self.worths)
+
+    # --- calls ----------------------------------------------------------------------------------
+
+    def ended(self, now_ms: float, class_name: str, in_time: bool) -> None:
+        """A call that came here ended, served in time or not; refused is not served."""
+        self._ends.append((now_ms, class_name in self._first, in_time))
+
+    # --- what the module hears ------------------------------------------------------------------
+
+    def event(self, now_ms: float, event: io.Event, age_ms: float) -> None:
+        """`age_ms`: of the scorer that it is about."""
+        if isinstance(event, io.RequestArrived):
+            if event.load_ms:
+                _put(self._expected, event.function, event.load_ms, ROWS_MOST)
+        elif isinstance(event, io.AttemptEnded):
+            self._signed(event.worker, event.ending, age_ms)
+        elif isinstance(event, io.OrderAnswered):
+            self._signed(event.worker, event.ending, age_ms)
+            self._answered(now_ms, event)
+
+    def _signed(self, worker: int, ending: io.Ending, age_ms: float) -> None:
+        """A cold scorer has fallen when calls that went there break one after the other, and it had answered
+        before: one that was never up did not fall."""
+        if ending is io.Ending.GOOD:
+            self.up = True
+            _put(self._broken, worker, 0, PAIRS_MOST)
+        elif ending in GONE and worker in self._broken:
+            self._broken[worker] += 1
+            if self._broken[worker] >= FELL_AFTER:
+                del self._broken[worker]
+                self.fell += age_ms < self.cold_ms
+
+    def _answered(self, now_ms: float, event: io.OrderAnswered) -> None:
+        """The first proof of a copy is an answer to the order that loaded it; later ones are at once."""
+        pair = event.worker, event.function
+        if event.ending is not io.Ending.GOOD or not event.copies:
+            self._proved.pop(pair, None)
+            return
+        if pair in self._proved:
+            return
+        _put(self._proved, pair, None, PAIRS_MOST)
+        usual_ms = self._expected.get(event.function, self.calm_ms)
+        if usual_ms:
+            self._loads.append((now_ms, event.took_ms / usual_ms))
+        if self.calm:
+            before = event.took_ms if self.calm_ms is None else self.calm_ms
+            self.calm_ms = before + CALM_PART * (event.took_ms - before)
+
+    # --- what is told ---------------------------------------------------------------------------
+
+    def standing(self, now_ms: float) -> w.Standing:
+        """Without what the agent fills in: life, whether it asked, whether its keeper is sure."""
+        for held in (self._ends, self._loads):
+            while held and now_ms - held[0][0] > SPAN_MS:
+                held.popleft()
+        first = [good for _, first, good in self._ends if first]
+        loads = [slow for _, slow in self._loads]
+        return w.Standing(
+            life=0,
+            asked=False,
+            sure=False,
+            first=w.Tally(sum(first), len(first)),
+            served=w.Tally(sum(good for _, _, good in self._ends), len(self._ends)),
+            loads=len(loads),
+            slow=min(1e6, sum(loads) / len(loads)) if loads else 1.0,
+            fell=self.fell,
+        )
+
+
+def _put(held: dict, key: object, value: object, most: int) -> None:
+    """Put it last; the first one goes where there are too many."""
+    held.pop(key, None)
+    held[key] = value
+    if len(held) > most:
+        del held[next(iter(held))]
--- a/fawnwharf/serving.py
+++ b/fawnwharf/serving.py
@@ -83,6 +83,10 @@
         makers["sessions"] = lambda first, made, place=place: Sessions(
             deployment, place, write, made, fresh and first
         )
+    if place := files.get("recovery"):
+        from fawnwharf.rejoin.service import Rejoin
+
+        makers["recovery"] = lambda first, made, place=place: Rejoin(deployment, place, write, made)
     return makers
 
 
--- /dev/null
+++ b/tests/rejoin_site.py
@@ -0,0 +1,215 @@
+"""Front ends with recovery in this thread: real sockets, real folders, boots' marks in files."""
+
+import json
+import time
+
+from peers import SETTINGS, ClientPeer, ScorerPeer
+from processes import Log, Port
+
+from fawnwharf.config import deployment_from
+from fawnwharf.net.front_end import FrontEnd
+from fawnwharf.net.requests import Refused
+from fawnwharf.recovery.stages import Allowed, Stage
+from fawnwharf.rejoin.joined import Joined
+from fawnwharf.rejoin.onstore import kept
+from fawnwharf.rejoin.service import Rejoin
+from fawnwharf.replication.service import State
+from fawnwharf.serving import Seams
+from fawnwharf.zones.founding import found
+from fawnwharf.zones.service import Zones
+
+PATIENCE_S = 40.0
+VOTING = {"beat_ms": 60.0, "election_ms": 400.0, "fresh_ms": 200.0, "valid_ms": 1_000.0}
+STATE = {"call_most_ms": 9_900.0, "window_ms": 1_500.0, "use_ms": 100.0}
+TIMING = {"hold_ms": 300.0, "listen_ms": 1_500.0, "most_ms": 2_000.0, "settle_ms": 1_500.0}
+PACE = {"again_ms": 100.0, "spread_ms": 50.0, "stand_ms": 100.0, "stage_ms": 150.0}
+
+
+class StandDoor:
+    """In the place of the door: classes alone."""
+
+    def __init__(self, front, giving, limits):
+        self.below, self.allowed, self.rate_ps, self.outs, self.busy = (
+            front.port.table,
+            Allowed(),
+            0.0,
+            [],
+            False,
+        )
+
+    def take(self, call):
+        if call.class_name in self.allowed.classes:
+            return self.below.take(call)
+        call.reply(Refused(250.0))
+        return None
+
+    def withdraw(self, key):
+        self.below.withdraw(key)
+
+    def go_by(self, allowed, rate_ps, giving):
+        self.allowed, self.rate_ps = allowed, rate_ps
+
+    def told(self, out):
+        self.outs.append(out)
+
+
+class Node:
+    """One front end of a site: its files, and what runs of it."""
+
+    def __init__(self, site, n, zone):
+        self.site, self.name, self.zone = site, f"n{n}", zone
+        self.folder = site.folder / self.name
+        self.folder.mkdir()
+        self.log, self.scorer = Log(), ScorerPeer(f"s-{n}", copies=4)
+        self.ports = [Port() for _ in range(3)]
+        self.front, self.notes, self.known = None, [], True
+        self.boot(1)
+
+    def boot(self, number):
+        (self.folder / "boot").write_text(f"boot {number}\n")
+
+    def entry(self):
+        address, ballots, state = (port.text for port in self.ports)
+        return {"name": self.name, "zone": self.zone, "address": address, "ballots": ballots, "state": state}
+
+    def start(self, fresh=False):
+        """Begin, or begin anew with the files that are there."""
+        event = {"seq": 1, "fleet": {"complete": True, "members": [self.scorer.member(locality=self.zone)]}}
+        deployment = deployment_from(
+            {
+                "name": self.name, "listen": "127.0.0.1:0", "changelog": self.log.host_port, "seed": "7",
+                "known": {"seq": 1, "results": [event]} if self.known else {"seq": 0, "results": []},
+                "settings": SETTINGS | {"locality": self.zone, "fleet_size": 3},
+            },
+            {},
+        )  # fmt: skip
+        here = self.folder
+        write = lambda event, fields: self.notes.append((event, dict(fields)))  # noqa: E731
+        made = {
+            "zones": lambda first, made: Zones(deployment, here / "zones.json", write),
+            "kept": lambda first, made: kept(
+                deployment, str(here / "recovery.json"), str(here / "state.json"), write, fresh
+            ),
+            "state": lambda first, made: State(
+                deployment, here / "state.json", write, fresh, made["kept"]
+            ),
+            "recovery": lambda first, made: Rejoin(
+                deployment, here / "recovery.json", write, made,
+                lambda *arguments: Joined(*arguments, door=StandDoor),
+            ),
+        }  # fmt: skip
+        seam = Seams(made, True)
+        self.lines = []
+        self.front = FrontEnd(deployment, lambda text, source="": self.lines.append(text), seam=seam)
+        seam.attach(self.front)
+        self.front.start()
+
+    @property
+    def part(self):
+        return self.front.seam._parts[-1]
+
+    @property
+    def agent(self):
+        return self.part.agent
+
+    def stage(self):
+        return self.agent.stage(time.monotonic() * 1000.0)
+
+    def close(self):
+        if self.front is not None:
+            self.front.close()
+            self.front = None
+
+    def noted(self, event):
+        return [fields for found, fields in self.notes if found == event]
+
+    def stages(self):
+        """Cut and stage by which it went, each once."""
+        found = []
+        for fields in self.noted("stage"):
+            if not found or found[-1] != (fields["cut"], fields["stage"]):
+                found.append((fields["cut"], fields["stage"]))
+        return found
+
+    def write(self, name, data):
+        (self.folder / name).write_text(json.dumps(data))
+
+
+class Site:
+    def __init__(self, folder, **timing):
+        self.folder, self.clients = folder, []
+        self.nodes = [Node(self, n, zone) for n, zone in enumerate("abc")]
+        members = {"version": 1, "fleet": "f", "number": 1, "members": [node.entry() for node in self.nodes]}
+        for node in self.nodes:
+            node.write("members.json", members)
+            zones = {"version": 1, "members": "members.json", "folder": "zones", "voting": VOTING}
+            node.write("zones.json", zones | {"listen": node.ports[0].text})
+            node.write("state.json", {"version": 1, "members": "members.json"} | STATE)
+            settings = {"version": 1, "folder": "kept", "fetches": 4, "scorer_rps": 100}
+            settings |= {"boot_file": str(node.folder / "boot"), "pace": PACE, "timing": TIMING | timing}
+            node.write("recovery.json", settings)
+        found(self.nodes[0].folder / "zones.json", "n0")
+
+    def start(self, nodes=None, fresh=False):
+        for node in nodes or self.nodes:
+            node.start(fresh)
+
+    def begin(self):
+        """A new fleet, until it is calm and its boots are noted."""
+        self.start(fresh=True)
+        self.until(
+            lambda: all(node.stage() is Stage.SPILL and node.agent.asked for node in self.nodes), "calm"
+        )
+        noted = lambda: any(len(n.agent.lead.conductor.register.boots) == 3 for n in self.nodes)  # noqa: E731
+        self.until(noted, "boots are noted")
+
+    def power_loss(self, number, nodes=None):
+        for node in nodes or self.nodes:
+            node.close()
+        for node in nodes or self.nodes:
+            node.notes.clear()
+            node.boot(number)
+
+    def turn(self):
+        for node in self.nodes:
+            if node.front is not None:
+                node.front.loop.turn(0.001)
+            node.log.pump()
+            node.scorer.pump()
+        for client in self.clients:
+            client.pump()
+
+    def until(self, condition, what):
+        end = time.monotonic() + PATIENCE_S
+        while not condition():
+            assert time.monotonic() < end, f"waited in vain until {what}: {self.told()}"
+            self.turn()
+
+    def rest(self, seconds):
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            self.turn()
+
+    def told(self):
+        return [(node.name, node.notes[-8:], node.lines[-3:]) for node in self.nodes if node.front]
+
+    def client(self, node):
+        self.clients.append(ClientPeer(node.front.address))
+        return self.clients[-1]
+
+    def ready(self, node):
+        """What the front end answers when it is asked whether it takes work."""
+        client = self.client(node)
+        client.status()
+        self.until(lambda: client.answers, "the status comes")
+        return client.answers[0][2][3]
+
+    def close(self):
+        for node in self.nodes:
+            node.close()
+            for peer in (node.log, node.scorer):
+                peer.close()
+            for port in node.ports:
+                port.sock.close()
+        for client in self.clients:
+            client.sock.close()
--- /dev/null
+++ b/tests/test_rejoin_service.py
@@ -0,0 +1,137 @@
+"""Recovery over real sockets: three front ends with stores, boots' marks in files, calls and `status`."""
+
+import json
+import time
+
+import pytest
+from rejoin_site import Site
+
+from fawnwharf.recovery.stages import Stage
+from fawnwharf.recovery.trust import Store
+
+RETURN = ["listening", "repeats", "worth", "rest", "renewal", "spill"]
+
+
+@pytest.fixture
+def site(request, tmp_path):
+    made = Site(tmp_path, **getattr(request, "param", {}))
+    yield made
+    made.close()
+
+
+def test_all_that_lost_their_power_come_back_by_the_stages_and_status_is_good_from_worth_on(site):
+    site.begin()
+    assert all(site.ready(node) is True for node in site.nodes)
+    site.power_loss(2)
+    site.start()
+    assert not any(site.ready(node) for node in site.nodes)
+    site.until(
+        lambda: all(node.stage() is Stage.SPILL and node.agent.cut == 1 for node in site.nodes), "calm"
+    )
+    for node in site.nodes:
+        # What was decided while it had not asked yet may have been left again before it heard of it.
+        stages = [stage for cut, stage in node.stages() if cut == 1]
+        assert stages == [stage for stage in RETURN if stage in stages] and stages[-4:] == RETURN[-4:]
+        assert not any(f["status"] for f in node.noted("stage") if f["stage"] in RETURN[:2])
+        assert site.ready(node) is True
+        assert node.agent.asking.without() == {} and node.noted("asked") == [{"without": []}]
+        assert node.part.kept.whole is Store.WHOLE and node.noted("recovery on")[0]["same boot"] is False
+    whys = [fields["why"] for node in site.nodes for fields in node.noted("stage decided")]
+    assert whys.count("power loss") == 1
+
+
+def test_one_that_starts_anew_in_calm_starts_no_recovery_whether_its_machine_did_or_not(site):
+    site.begin()
+    back = site.nodes[1]
+    for number in (1, 2):
+        site.power_loss(number, [back])
+        site.start([back])
+        assert not site.ready(back)
+        site.until(lambda: back.stage() is Stage.SPILL and back.agent.asked, "it is calm here")
+        site.until(lambda: site.ready(back), "and its status good")
+        assert {cut for cut, _ in back.stages()} == {0} and back.stages()[-1] == (0, "spill")
+        assert "repeats" not in [stage for _, stage in back.stages()]
+    marks = lambda: [n.agent.lead.conductor.register.boots for n in site.nodes]  # noqa: E731
+    site.until(lambda: any("boot 2" in boots.values() for boots in marks()), "its boot is noted")
+    assert all(node.agent.cut == 0 for node in site.nodes)
+
+
+@pytest.mark.parametrize("site", [{"listen_ms": 60_000.0, "alone_ms": 2_500.0}], indirect=True)
+def test_a_minority_serves_alone_what_is_safe_and_follows_when_the_others_come(site):
+    site.begin()
+    site.power_loss(2)
+    alone = site.nodes[0]
+    site.start([alone])
+    client = site.client(alone)
+    client.call(call="00000000000000aa", ttl="500")
+    site.until(lambda: client.kinds(), "a call that came anyway is turned away")
+    assert client.kinds() == {1: "throttled"} and not alone.scorer.runs
+    site.until(lambda: alone.stage() is None, "it is alone")
+    site.until(lambda: site.ready(alone), "and its status good, as scorers are there")
+    door = alone.part.joined.door
+    assert door.allowed.alone and door.allowed.part == pytest.approx(1 / 3) and not door.allowed.spill
+    assert alone.noted("asked")[0]["without"] and alone.noted("stage")[-1]["stage"] == "alone"
+    client.call(call="00000000000000bb")
+    site.until(lambda: alone.scorer.runs, "a call that may run twice is served")
+    alone.scorer.answer(alone.scorer.runs[0])
+    site.start(site.nodes[1:])
+    site.until(
+        lambda: all(node.stage() is Stage.SPILL and node.agent.cut == 1 for node in site.nodes), "calm"
+    )
+    assert "listening" not in [stage for cut, stage in alone.stages() if cut == 1]
+
+
+def test_calls_are_counted_for_the_leader_until_it_has_been_calm_for_a_while(site):
+    site.begin()
+    node = site.nodes[2]
+    site.until(lambda: not any(n.part.calls.counting for n in site.nodes), "it has been calm for long")
+    assert all(n.part.tallies.calm for n in site.nodes)
+    site.power_loss(2)
+    site.start()
+    site.until(
+        lambda: all(n.stage() in (Stage.REST, Stage.RENEWAL) for n in site.nodes), "all calls are let in"
+    )
+    client = site.client(node)
+    for n in range(3):
+        client.call(call=f"00000000000000a{n}")
+    site.until(lambda: len(node.scorer.runs) == 3, "they run")
+    for run in node.scorer.runs[:2]:
+        node.scorer.answer(run)
+    site.until(lambda: len(client.kinds()) == 2, "two are answered")
+    told = node.part.tallies.standing(time.monotonic() * 1000.0)
+    assert (told.served.good, told.served.all) == (2, 2)
+    leader = next(n for n in site.nodes if n.agent.lead.term)
+    heard = lambda: leader.agent.lead.standings["n2"][0].served  # noqa: E731
+    site.until(lambda: heard().all == 2, "the leader hears it")
+    node.scorer.answer(node.scorer.runs[2])
+
+
+def test_one_without_a_change_log_dials_the_scorers_of_its_last_roster(site):
+    site.begin()
+    node = site.nodes[0]
+    event = {"seq": 2, "fleet": {"complete": True, "members": [node.scorer.member(locality="a")]}}
+    node.log.links[-1].sock.sendall(json.dumps(event).encode() + b"\n")
+    site.until(lambda: node.part._roster._kept, "the roster is kept")
+    site.until(lambda: node.part.kept.store.standing(time.monotonic() * 1000.0).failing == "", "on disk")
+    site.rest(0.3)
+    site.power_loss(2, [node])
+    node.known = False
+    pump, node.log.pump = node.log.pump, lambda: None  # it takes connections and says nothing
+    site.start([node])
+    site.until(lambda: node.noted("last roster dialled"), "it goes by the last roster")
+    assert list(node.front.overlay.members) == [node.scorer.member()["id"]]
+    site.until(lambda: node.stage() is Stage.SPILL and site.ready(node), "it serves")
+    assert "addresses" in node.noted("asked")[0]["without"][0]
+    node.log.pump = pump
+
+
+def test_a_bad_word_is_dropped_and_said_once_a_second(site):
+    site.begin()
+    node = site.nodes[0]
+    before = dict(node.agent.counts)
+    for word in (1, {"type": "Other"}, {"type": "Ask", "fleet": "g", "life": 1, "turn": 1, "what": 0}):
+        node.part.heard("n1", (word,), None)
+        node.part._heard_state(0.0, "n1", 1, word)
+    gained = {why: n - before.get(why, 0) for why, n in node.agent.counts.items() if n != before.get(why, 0)}
+    assert gained == {"bad word": 4, "another fleet's": 2}
+    assert len(node.noted("word dropped")) == 1
--- /dev/null
+++ b/tests/test_rejoin_tallies.py
@@ -0,0 +1,114 @@
+"""What a front end counts for its standing."""
+
+from types import SimpleNamespace
+
+from fawnwharf import interface as io
+from fawnwharf.net.requests import Refused, Served
+from fawnwharf.rejoin import counted
+from fawnwharf.rejoin.counted import Counted
+from fawnwharf.rejoin.tallies import SPAN_MS, Tallies
+from fawnwharf.rejoin.words import Tally
+
+WORTHS = {"view": 1.0, "save": 5.0}
+
+
+def order(worker, copies=1, took_ms=100.0, ending=io.Ending.GOOD, function="f"):
+    return io.OrderAnswered(worker, function, ending, copies, took_ms)
+
+
+def attempt(worker, ending):
+    return io.AttemptEnded("r", 1, worker, ending, 1.0, True)
+
+
+def test_calls_of_the_last_second_are_told_by_class_and_older_ones_are_not():
+    tallies = Tallies(WORTHS, 10_000.0)
+    for at_ms, name, good in (
+        (0, "save", False),
+        (900, "save", True),
+        (950, "view", False),
+        (999, "view", True),
+    ):
+        tallies.ended(at_ms, name, good)
+    told = tallies.standing(1_000.0)
+    assert (told.first, told.served) == (Tally(1, 2), Tally(2, 4))
+    told = tallies.standing(SPAN_MS + 500)
+    assert (told.first, told.served) == (Tally(1, 1), Tally(2, 3))
+    assert tallies.standing(9_000.0).served.part == 1.0  # no calls: none was served late
+
+
+def test_loads_are_held_against_what_calls_said_or_what_they_took_in_calm():
+    tallies = Tallies(WORTHS, 10_000.0)
+    tallies.event(0.0, order(1), 0.0)
+    assert tallies.standing(1.0).loads == 0  # nobody knows what it takes
+    tallies.event(2.0, io.RequestArrived("r", "f", "view", "t", 1.0, load_ms=50.0), 0.0)
+    tallies.event(3.0, order(1, took_ms=1.0), 0.0)  # it stood
+    assert tallies.standing(3.0).loads == 0
+    tallies.event(4.0, order(2, took_ms=150.0), 0.0)
+    assert (tallies.standing(5.0).loads, tallies.standing(5.0).slow) == (1, 3.0)
+    tallies.event(6.0, order(2, copies=0), 0.0)
+    tallies.event(7.0, order(2, took_ms=50.0), 0.0)  # it had gone, and was loaded anew
+    assert tallies.standing(8.0).slow == 2.0
+    tallies.calm = True
+    tallies.event(5_000.0, order(3, function="g", took_ms=40.0), 0.0)
+    assert tallies.calm_ms == 40.0
+    tallies.calm = False
+    tallies.event(5_001.0, order(4, function="g", took_ms=400.0), 0.0)
+    assert tallies.standing(5_002.0).slow == 10.0 and tallies.calm_ms == 40.0
+
+
+def test_a_cold_scorer_that_had_answered_falls_once_and_a_warm_or_an_unseen_one_does_not():
+    tallies = Tallies(WORTHS, 10_000.0)
+    for worker, age_ms, seen in ((1, 500.0, True), (2, 500.0, False), (3, 20_000.0, True)):
+        if seen:
+            tallies.event(0.0, attempt(worker, io.Ending.GOOD), age_ms)
+        for _ in range(5):
+            tallies.event(1.0, attempt(worker, io.Ending.RESET), age_ms)
+    assert tallies.fell == 1 and tallies.standing(2.0).fell == 1
+    tallies.event(3.0, attempt(1, io.Ending.GOOD), 900.0)
+    for ending in (io.Ending.RESET, io.Ending.RESET, io.Ending.GOOD, io.Ending.RESET):
+        tallies.event(4.0, attempt(1, ending), 900.0)
+    assert tallies.fell == 1
+
+
+class Below:
+    def __init__(self):
+        self.calls, self.left, self.at_once = {}, [], None
+
+    def take(self, call):
+        if self.at_once is not None:
+            call.reply(self.at_once)
+            return None
+        self.calls[key := f"r{len(self.calls)}"] = call
+        return key
+
+    def withdraw(self, key):
+        self.left.append(key)
+
+
+def test_a_call_is_counted_once_by_its_end_and_its_client_has_its_answer(monkeypatch):
+    now, told, answers = [0.0], [], []
+    monkeypatch.setattr(counted, "monotonic_ms", lambda: now[0])
+    below = Below()
+    table = Counted(below, {"view": io.ClassSpec("view", promise_ms=100.0)}, lambda *end: told.append(end))
+
+    def call():
+        return SimpleNamespace(class_name="view", reply=answers.append)
+
+    keys = [table.take(call()) for _ in range(5)]
+    below.calls["r0"].reply(Served(b"x"))
+    now[0] = 50.0
+    table.withdraw(keys[1])  # before its time: nobody's fault
+    below.calls["r1"].reply(Refused(1.0))
+    now[0] = 150.0
+    below.calls["r2"].reply(Served(b"late"))
+    below.calls["r3"].reply(Refused(1.0))
+    table.withdraw(keys[4])
+    assert [good for _, _, good in told] == [True, False, False, False]
+    assert below.left == ["r1", "r4"] and answers[0] == Served(b"x") and len(answers) == 4
+    below.at_once = Refused(2.0)
+    assert table.take(call()) is None and len(told) == 5 and not table._open
+    table.counting, below.at_once = False, None
+    key = table.take(call())
+    below.calls[key].reply(Served(b"y"))
+    table.withdraw(key)
+    assert key == "r5" and len(told) == 5 and below.left[-1] == "r5"
