--- a/fawnwharf/cli.py
+++ b/fawnwharf/cli.py
@@ -8,6 +8,7 @@
 from fawnwharf.durable.commands import app as recovery_app
 from fawnwharf.epochs.commands import app as policy_app
 from fawnwharf.lab.commands import app as lab_app
+from fawnwharf.rejoin.commands import show as recovery_show
 from fawnwharf.replication.commands import app as state_app
 from fawnwharf.sessions.commands import app as sessions_app
 from fawnwharf.zones.commands import app as zones_app
@@ -18,6 +19,7 @@
 app.add_typer(sessions_app, name="sessions")
 app.add_typer(policy_app, name="policy")
 app.add_typer(lab_app, name="lab")
+recovery_app.command("show")(recovery_show)
 app.add_typer(recovery_app, name="recovery")
 File = Annotated[str | None, typer.Option("--config", help="The JSON file, in place of ROUTER_CONFIG's.")]
 
--- a/fawnwharf/rejoin/joined.py
+++ b/fawnwharf/rejoin/joined.py
@@ -42,11 +42,12 @@
     def told(self, out: outs.Ticket | outs.Stood) -> None: ...
 
 
-def made(front: FrontEnd, giving: Giving, limits: Limits) -> Door:
+def made(front: FrontEnd, state: State, settings: Settings, limits: Limits) -> Door:
     """The door, before whatever stands there."""
-    from fawnwharf.rejoin.door import Door as Made
+    from fawnwharf.rejoin import door
 
-    return Made(front.loop, front.port.table, front.deployment.settings.classes, limits)
+    classes, promises = front.deployment.settings.classes, door.Kept(state.gate, state.core)
+    return door.Door(front.loop, front.port.table, classes, limits, promises, settings.timing.window_ms)
 
 
 class Joined:
@@ -59,7 +60,7 @@
         state: State,
         settings: Settings,
         life: int,
-        door: Callable[[FrontEnd, Giving, Limits], Door] = made,
+        door: Callable[[FrontEnd, State, Settings, Limits], Door] = made,
     ) -> None:
         self.front, self.state = front, state
         self.limits = limits_from(front.deployment.settings, settings.fetches, settings.scorer_rps)
@@ -73,7 +74,7 @@
         self._up_ms: dict[int, float | None] = {}  # Unix; None: long past
         self._timer: Timer | None = None
         self._stopped = False
-        self.door = door(front, self.giving, self.limits)
+        self.door = door(front, state, settings, self.limits)
         self._before = front.table.witness
         front.table.witness = self
         state.riders[RIDER] = self._ridden
--- a/tests/rejoin_site.py
+++ b/tests/rejoin_site.py
@@ -28,7 +28,7 @@
 class StandDoor:
     """In the place of the door: classes alone."""
 
-    def __init__(self, front, giving, limits):
+    def __init__(self, front, state, settings, limits):
         self.below, self.allowed, self.rate_ps, self.outs, self.busy = (
             front.port.table,
             Allowed(),
--- /dev/null
+++ b/tests/test_rejoin_commands.py
@@ -0,0 +1,79 @@
+"""`fawnwharf recovery show` and the options of `serve`."""
+
+import threading
+
+import pytest
+from rejoin_site import Site
+from typer.testing import CliRunner
+
+from fawnwharf import serving
+from fawnwharf.cli import app
+from fawnwharf.rejoin import words as w
+from fawnwharf.rejoin.commands import told
+
+RUNNER = CliRunner()
+
+
+def show(site, *arguments):
+    """The command in a thread of its own, as this one serves what it reads."""
+    found = []
+    thread = threading.Thread(
+        target=lambda: found.append(RUNNER.invoke(app, ["recovery", "show", *arguments]))
+    )
+    thread.start()
+    site.until(lambda: found, "the command is done")
+    thread.join()
+    return found[0]
+
+
+def test_show_tells_stage_cut_part_and_what_this_member_heard_asked_and_doubts(tmp_path):
+    site = Site(tmp_path, alone_ms=30_000.0)
+    try:
+        site.begin()
+        path = str(site.nodes[1].folder / "zones.json")
+        site.power_loss(2)
+        site.start(site.nodes[1:2])
+        site.until(lambda: site.nodes[1].part._shown is not None, "it tells how it stands")
+        found = show(site, path)
+        assert found.exit_code == 0, found.output
+        lines = found.output.splitlines()
+        assert lines[0] == "listening  cut 0  part 0.0625  by no word yet" and "boot boot 2" in lines[1]
+        assert "voters heard: none" in lines
+        site.start([site.nodes[0], site.nodes[2]])
+        site.until(lambda: all(n.stage() == 5 and n.agent.asked for n in site.nodes), "calm")
+        calm = lambda: site.nodes[1].part._shown.asked.get("use") == "answered"  # noqa: E731
+        site.until(lambda: calm() and site.nodes[1].part._shown.stage == "spill", "it tells so")
+        site.rest(0.3)
+        lines = show(site, path, "--member", "n1").output.splitlines()
+        assert lines[0].startswith("spill  cut 1  part 1  by ") and "members: answered" in lines
+        assert any(line.startswith("voters heard: n0, n2") for line in lines)
+        assert show(site, path, "--member", "x").exit_code == 2
+    finally:
+        site.close()
+    assert RUNNER.invoke(app, ["recovery", "show", path]).exit_code == 1
+    assert RUNNER.invoke(app, ["recovery", "show", str(tmp_path / "none")]).exit_code == 2
+
+
+def test_what_is_doubted_and_gone_without_is_told_a_line_each():
+    shown = w.Shown(
+        7, without=("no plan",), doubts=("its store is not whole",), counts={"bad word": 3}, leads=2
+    )
+    lines = told(shown)
+    assert lines[0].startswith("ALONE") and "boot not told by the system" in lines[1]
+    assert {"goes without: no plan", "doubt: its store is not whole", "dropped, bad word: 3"} <= set(lines)
+    assert "leads, term 2; hears 0 front ends" in lines
+
+
+@pytest.mark.parametrize("without", ["zones", "state"])
+def test_recovery_takes_zones_and_state(tmp_path, capsys, without):
+    site = Site(tmp_path)
+    try:
+        files = {name: str(site.nodes[0].folder / f"{name}.json") for name in ("zones", "state", "recovery")}
+    finally:
+        site.close()
+    del files[without]
+    config = tmp_path / "config.json"
+    config.write_text('{"name": "n0", "listen": "127.0.0.1:0", "changelog": "127.0.0.1:9", "settings": {}}')
+    assert serving.serve(str(config), **files) == 2
+    said = capsys.readouterr().err
+    assert said.count("\n") == 1 and f"--recovery: goes by the logs of --{without}" in said
