Recovery: a door before the gate, and the module's own loads wait for their stage

Stages said what is allowed and nothing held calls to it. rejoin/door.py stands between the clients' port and the gate (or table): repeats that the shelf knows pass, classes and pace as the stage has them, a call without a copy is wanted of its loader and refused with its eta, or held while 0.6 of its promise lasts, calls to cold scorers go by tickets. rejoin/holds.py stands between the module and the table for orders: before renewal they are answered 'not sent'. The module asks its first scorers itself; where a loader's copy stands is asked as well. net/front_end.py gains stand_between, called once at a start by who needs it: run is as it was. Seen: one answer each over 200 drawn orders of events; a Router that ordered nothing sends to the loader's copy within 10 ms wherever it stands.

--- a/fawnwharf/net/front_end.py
+++ b/fawnwharf/net/front_end.py
@@ -233,6 +233,12 @@
         """Take this roster, or these changes of it, and go by what is laid over it."""
         self.go_by(self.overlay.told(fleet))
 
+    def stand_between(
+        self, kind: type, part: Callable[[Callable[[Any], None]], Callable[[Any], None]]
+    ) -> None:
+        """Have a part carry out all actions of a kind from now on; it is handed what did so before."""
+        self._carriers[kind] = part(self._carriers[kind])
+
     def limit(self, who: str, calls_rps: float) -> None:
         """No more than so many calls a second are to be taken here, as `who` has it; the least counts."""
         before = min(self._limits.values(), default=io.UNLIMITED_RPS)
--- /dev/null
+++ b/fawnwharf/rejoin/door.py
@@ -0,0 +1,329 @@
+"""Where calls are let in while the fleet returns: a table between the clients' port and what stands below.
+
+By the stage that is allowed: repeats of promised calls, classes worth most, calls whose function has a copy,
+and calls to cold scorers by tickets. The rest is refused at once, with the time before which nothing can be
+free as advice; a call is held only while its promise may still be kept. Whatever comes, each call has one
+final answer.
+"""
+
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from fawnwharf.interface import ClassSpec, Effect
+from fawnwharf.net.loop import Loop
+from fawnwharf.net.requests import Call, Outcome, Refused
+from fawnwharf.net.wheel import Timer, monotonic_ms
+from fawnwharf.recovery import alone
+from fawnwharf.recovery.budget import Doors, Limits, first_classes
+from fawnwharf.recovery.stages import Allowed
+from fawnwharf.rejoin.giving import Giving
+from fawnwharf.rejoin.outs import Stood, Ticket
+from fawnwharf.replication.claims import Phase
+from fawnwharf.replication.core import Core
+from fawnwharf.replication.gate import Gate, name_of
+
+HELD_MOST, HELD_BYTES_MOST = 4_096, 8 * 1024 * 1024
+HOLD_PART, LEAD_MS = 0.6, 100.0  # of a promise; and so long before the client gives up, at the least
+KEPT_BACK = 0.3  # of the burst, for the classes worth most
+LATER_MS = 1_000.0  # a class that is not taken yet: not before
+RATES_MOST, RATE_MS = 4_096, 5_000.0  # functions whose calls are counted, and for how long
+
+
+class Taking(Protocol):
+    """What takes calls and withdraws them: the table, or what stands before it."""
+
+    def take(self, call: Call) -> str | None: ...
+
+    def withdraw(self, key: str) -> None: ...
+
+
+class Promises(Protocol):
+    def repeat(self, call: Call) -> bool:
+        """Whether a call has its answer, or none for good, by what is kept here."""
+
+    def asks(self, class_name: str) -> bool:
+        """Whether calls of the class run only with their keepers' grants."""
+
+
+class NoPromises:
+    """Where there is no gate."""
+
+    def repeat(self, call: Call) -> bool:
+        return False
+
+    def asks(self, class_name: str) -> bool:
+        return False
+
+
+class Kept:
+    """What the gate and this front end's own shelf tell of a call, without asking anybody."""
+
+    def __init__(self, gate: Gate, core: Core) -> None:
+        self._gate, self._core = gate, core
+
+    def repeat(self, call: Call) -> bool:
+        """It is under way here; or it was answered; or it may run but once, and may have. One that is kept by
+        others alone can't be told from a new one."""
+        if self._gate.modes.get(call.class_name, "off") == "off":
+            return False
+        name, keeper = name_of(call), self._core.keeper
+        if name in self._gate.held:
+            return True
+        entry = keeper.shelf.calls.get(name) if keeper else None
+        claims = entry.standing() if entry else []
+        if any(claim.phase is Phase.ANSWERED for claim in claims):
+            return True
+        return bool(claims) and self._gate.modes[call.class_name] == "before"
+
+    def asks(self, class_name: str) -> bool:
+        return self._gate.modes.get(class_name) == "before"
+
+
+@dataclass(slots=True, eq=False)
+class _Held:
+    """One call that was not let through at once, to its end."""
+
+    key: str
+    call: Call
+    reply: Callable[[Outcome], None]
+    came_ms: float
+    until_ms: float
+    end: Timer | None = None
+    turn: Timer | None = None
+    ticket: bool = False  # it waits for one
+    passed: bool = False
+    below: str | None = None  # as what stands below knows it
+
+
+class Door:
+    """Owns the calls that wait here for a copy, a ticket or a turn; takes and withdraws as the table does."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        below: Taking,
+        classes: dict[str, ClassSpec],
+        limits: Limits,
+        promises: Promises | None = None,
+        window_ms: float = 13_500.0,
+        clock: Callable[[], float] = monotonic_ms,
+    ) -> None:
+        """`window_ms`: for so long after a start a repeat of a keyed call may come that its scorer forgot."""
+        self._loop, self.below, self._classes, self._clock = loop, below, classes, clock
+        self._promises = promises or NoPromises()
+        self._window_ms, self._began_ms = window_ms, clock()
+        self.open = False  # calm: all is passed on as it comes
+        self.doors = Doors(limits, at_ms=clock())
+        self.counts: dict[str, int] = {}
+        self._may = Allowed()
+        self._giving: Giving | None = None
+        self._first = frozenset[str]()
+        self._numbers = itertools.count(1)
+        self._held: dict[str, _Held] = {}
+        self._bytes = 0
+        self._rows: dict[str, dict[str, None]] = {}  # keys that wait for a function's copy
+        self._rates: dict[str, list[float]] = {}  # functions: since when, worth
+
+    def _count(self, cause: str) -> None:
+        self.counts[cause] = self.counts.get(cause, 0) + 1
+
+    def go_by(self, allowed: Allowed, rate_ps: float, giving: Giving | None) -> None:
+        """To be told at each change. `rate_ps`: calls a second that are let in here."""
+        now = self._clock()
+        self._may, self._giving, self.open = allowed, giving, allowed.spill
+        self._first = first_classes({name: spec.worth for name, spec in self._classes.items()})
+        self.doors.pace(now, rate_ps)
+        for held in [held for held in self._held.values() if not held.passed]:
+            if self.open:
+                self._pass(held)
+            elif not self._takes(held.call.class_name):
+                self._refuse(held, LATER_MS)
+        if self.open:
+            self._rates.clear()
+        for row in list(self._rows) if allowed.own_loads else ():  # the module orders what they need
+            self.told(Stood(row))
+
+    # --- from the port ----------------------------------------------------------------------------
+
+    def take(self, call: Call) -> str | None:
+        """As RequestTable.take: the key of a new request, None where it had its answer at once."""
+        if self.open:
+            return self.below.take(call)
+        return self._weigh(call)
+
+    def withdraw(self, key: str) -> None:
+        """The client waits no more."""
+        held = self._held.get(key) if self._held else None
+        if held is None:
+            self.below.withdraw(key)
+        else:
+            self._end(held)
+            if held.below is not None:
+                self.below.withdraw(held.below)
+
+    @property
+    def busy(self) -> bool:
+        """Whether somebody still waits for an answer."""
+        return bool(self._held) or getattr(self.below, "busy", False)
+
+    # --- what becomes of a call -------------------------------------------------------------------
+
+    def _takes(self, class_name: str) -> bool:
+        """Alone only what stays right if all others serve as well."""
+        if class_name not in self._may.classes:
+            return False
+        if not self._may.alone:
+            return True
+        effect = self._classes[class_name].effect
+        granted = effect is Effect.UNSAFE and self._promises.asks(class_name)  # its keepers are asked
+        standing = alone.Standing(granted=granted, since_start_ms=self._clock() - self._began_ms)
+        return alone.call(effect, standing, self._window_ms) is alone.Alone.SERVE
+
+    def _weigh(self, call: Call) -> str | None:
+        now = self._clock()
+        if self._may.repeats and self._promises.repeat(call):
+            self._count("repeats")
+            return self.below.take(call)
+        if not self._takes(call.class_name):
+            return self._turn_away(call, "class", LATER_MS)
+        hold_ms = min(HOLD_PART * self._classes[call.class_name].promise_ms, call.budget_ms - LEAD_MS)
+        bare = self._bare(call.function)
+        if bare:
+            self._want(now, call)
+            if (eta_ms := self._giving.eta_ms(now, call.function)) > hold_ms:
+                return self._turn_away(call, "copy", eta_ms)
+        if not self.doors.let_in(now, 0.0 if call.class_name in self._first else KEPT_BACK):
+            return self._turn_away(call, "pace")
+        if len(self._held) >= HELD_MOST or self._bytes + len(call.body) > HELD_BYTES_MOST:
+            return self._turn_away(call, "room")
+        return self._place(now, call, hold_ms)
+
+    def _turn_away(self, call: Call, cause: str, not_before_ms: float = 0.0) -> None:
+        self._count(f"refused: {cause}")
+        call.reply(Refused(self.doors.pushback_ms(self._clock(), call.id.hex(), not_before_ms)))
+
+    def _bare(self, row: str) -> bool:
+        """No copy of it stands, and the module may order none."""
+        return self._giving is not None and not self._may.own_loads and self._giving.place(row) is None
+
+    def _want(self, now: float, call: Call) -> None:
+        """Its loader is to know, by what its calls of the last seconds were worth."""
+        worth = self._classes[call.class_name].worth
+        rate = self._rates.get(call.function)
+        if rate is None or now - rate[0] > RATE_MS:
+            if rate is None and len(self._rates) >= RATES_MOST:
+                self._rates.clear()  # they are counted anew
+            rate = self._rates[call.function] = [now, 0.0]
+        rate[1] += worth
+        worth_ps = 1_000.0 * rate[1] / max(1_000.0, now - rate[0])
+        row, kind = call.function, call.class_name
+        self._giving.want(now, row, worth_ps, kind, call.lanes, call.load_ms)
+
+    def _place(self, now: float, call: Call, hold_ms: float) -> str | None:
+        """It may go as far as its class and the pace have it: to its copy, at once or when there is one."""
+        key, row = f"d{next(self._numbers)}", call.function
+        bare, free_ms = self._bare(row), None
+        if not bare:
+            free_ms = self._ask(now, row, key)
+            if free_ms == 0.0:
+                return self.below.take(call)
+            if free_ms is not None and free_ms > hold_ms:
+                return self._turn_away(call, "ticket", free_ms)
+        held = self._held[key] = _Held(key, call, call.reply, now, now + hold_ms)
+        self._bytes += len(call.body)
+        call.reply = lambda outcome: self._replied(held, outcome)
+        held.end = self._loop.wheel.after(hold_ms, lambda: self._overdue(held))
+        if bare:
+            self._rows.setdefault(row, {})[key] = None
+        elif free_ms is None:
+            held.ticket = True
+        else:
+            held.turn = self._loop.wheel.after(free_ms, lambda: self._try(held))
+        return key
+
+    def _ask(self, now: float, row: str, key: str) -> float | None:
+        """As Giving.ask, at the place of its copy."""
+        place = self._giving.place(row) if self._giving is not None else None
+        return 0.0 if place is None else self._giving.ask(now, place, key)
+
+    def _try(self, held: _Held) -> None:
+        """Pass it on, or have it wait for what it lacks, or refuse it, if that comes too late."""
+        now, row = self._clock(), held.call.function
+        left_ms = held.until_ms - now
+        if self._bare(row):
+            self._want(now, held.call)
+            if (eta_ms := self._giving.eta_ms(now, row)) > left_ms:
+                self._refuse(held, eta_ms)
+            else:
+                self._rows.setdefault(row, {})[held.key] = None
+            return
+        free_ms = self._ask(now, row, held.key)
+        held.ticket = free_ms is None
+        if free_ms is not None:
+            self._turn(held, free_ms)
+
+    def _turn(self, held: _Held, free_ms: float) -> None:
+        if free_ms <= 0.0:
+            self._pass(held)
+        elif free_ms > held.until_ms - self._clock():
+            self._refuse(held, free_ms)
+        else:
+            held.turn = self._loop.wheel.after(free_ms, lambda: self._try(held))
+
+    def _overdue(self, held: _Held) -> None:
+        now, row = self._clock(), held.call.function
+        self._refuse(held, self._giving.eta_ms(now, row) if self._bare(row) else 0.0)
+
+    def told(self, out: Ticket | Stood) -> None:
+        """What `Giving` says of calls that wait here."""
+        if isinstance(out, Stood):
+            for key in self._rows.pop(out.row, ()):
+                if (held := self._held.get(key)) is not None:
+                    self._try(held)
+        elif (held := self._held.get(out.key)) is not None and held.ticket:
+            held.ticket = False
+            self._turn(held, out.free_ms)
+
+    def _pass(self, held: _Held) -> None:
+        if held.key not in self._held:
+            return
+        self._rest(held)
+        held.call.budget_ms = max(1.0, held.call.budget_ms - (self._clock() - held.came_ms))
+        held.passed = True
+        held.below = self.below.take(held.call)
+        if held.below is None:  # it was answered at once
+            self._end(held)
+
+    def _refuse(self, held: _Held, not_before_ms: float) -> None:
+        """It never went further than here, so that to try again is harmless."""
+        self._count("refused: waited")
+        wait_ms = self.doors.pushback_ms(self._clock(), held.call.id.hex(), not_before_ms)
+        self._replied(held, Refused(wait_ms))
+
+    def _replied(self, held: _Held, outcome: Outcome) -> None:
+        if self._end(held):
+            held.reply(outcome)
+
+    def _rest(self, held: _Held) -> None:
+        """It waits for nothing here any more."""
+        for timer in (held.end, held.turn):
+            if timer is not None:
+                timer.cancel()
+        held.end = held.turn = None
+        if held.ticket and self._giving is not None:
+            self._giving.drop(held.key)
+        held.ticket = False
+        if (keys := self._rows.get(held.call.function)) is not None:
+            keys.pop(held.key, None)
+            if not keys:
+                del self._rows[held.call.function]
+
+    def _end(self, held: _Held) -> bool:
+        """Once each."""
+        if self._held.pop(held.key, None) is None:
+            return False
+        self._bytes -= len(held.call.body)
+        self._rest(held)
+        return True
--- /dev/null
+++ b/fawnwharf/rejoin/holds.py
@@ -0,0 +1,91 @@
+"""Orders to load while the fleet returns: stands between the module and the table of requests.
+
+The module orders what held calls need and renews what was used. Before the stage that allows it, such an
+order does not go out: the module is told that it was not sent, which changes nothing of what it holds true,
+and that place rests for a second. Where a loader's copy stands is asked instead, so that the module knows of
+it. What a loader wanted of the module goes out. In calm an order costs one test more.
+"""
+
+from collections.abc import Callable
+
+from fawnwharf import interface as io
+from fawnwharf.net.endings import End, told
+from fawnwharf.net.requests import OpenRequest
+from fawnwharf.net.streams import Answer, Order
+from fawnwharf.net.wheel import monotonic_ms
+from fawnwharf.recovery.stages import Allowed
+from fawnwharf.rejoin.giving import Giving
+from fawnwharf.rejoin.outs import Out
+
+ASK_MS = 1_000.0  # a place is asked no sooner again
+ASKED_MOST = 4_096  # functions
+
+
+class Holds:
+    """Owns what becomes of the module's orders, by what is allowed."""
+
+    def __init__(
+        self,
+        below: Callable[[io.Hold], None],
+        ask: Callable[[Order], None],
+        tell: Callable[[io.Event], object],
+        open: dict[str, OpenRequest],
+        clock: Callable[[], float] = monotonic_ms,
+    ) -> None:
+        """`below` carries an order out; `ask` puts a question to a scorer; `tell` hands the module an event;
+        `open`: the table's requests, by key."""
+        self._below, self._ask, self._tell, self._requests, self._clock = below, ask, tell, open, clock
+        self.calm, self.own_loads = False, False
+        self.giving: Giving | None = None
+        self.held_back = 0
+        self._asked: dict[str, float] = {}  # functions: when their place was asked
+
+    def go_by(self, allowed: Allowed, giving: Giving | None) -> None:
+        self.calm = allowed.spill or giving is None
+        self.own_loads, self.giving = allowed.own_loads, giving
+        if self.calm:
+            self._asked.clear()
+
+    def carry(self, action: io.Hold) -> None:
+        """As RequestTable.order, for the module's actions."""
+        if self.calm or not action.copies:
+            self._below(action)
+            return
+        if self.giving.loading.is_own(action.worker, action.function):
+            self.giving.ordered(self._clock(), action.worker, action.function)
+            self._below(action)
+        elif self.own_loads:
+            self._below(action)
+        else:
+            self._hold_back(action)
+
+    def _hold_back(self, action: io.Hold) -> None:
+        self.held_back += 1
+        now, place = self._clock(), self.giving.place(action.function)
+        if place is not None and now - self._asked.get(action.function, float("-inf")) >= ASK_MS:
+            if len(self._asked) >= ASKED_MOST:
+                self._asked.clear()
+            self._asked[action.function] = now
+            self._ask(Order(place, self._answered, action.function, 0))
+        self._tell(io.OrderAnswered(action.worker, action.function, io.Ending.NOT_SENT, 0, 0.0))
+
+    def _answered(self, order: Order, end: End | None, answer: Answer | None) -> None:
+        ending = answer.ending if answer else told(end or End.NEVER_SENT, order.begun)
+        copies, took_ms = answer.copies if answer else 0, self._clock() - order.began_ms
+        self._tell(io.OrderAnswered(order.worker, order.function, ending, copies, took_ms))
+
+    def events(self, now_ms: float, events: list[io.Event]) -> list[Out]:
+        """What a batch tells of copies: scorers' answers to orders, and calls that found none."""
+        found: list[Out] = []
+        for event in events if self.giving is not None else ():
+            if isinstance(event, io.OrderAnswered):
+                found += self.giving.answered(now_ms, event)
+            elif isinstance(event, io.AttemptEnded) and _found_none(event):
+                request = self._requests.get(event.request)
+                if request is not None:
+                    self.giving.lost(now_ms, request.call.function, event.worker)
+        return found
+
+
+def _found_none(event: io.AttemptEnded) -> bool:
+    return event.ending is io.Ending.MISS or event.warmth is io.Warmth.LOAD_FAILED
--- /dev/null
+++ b/tests/test_rejoin_door.py
@@ -0,0 +1,321 @@
+"""The door before the gate: one final answer each, advice that is honest, classes, repeats, tickets."""
+
+import base64
+from dataclasses import replace
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from fawnwharf import interface as io
+from fawnwharf.lab.promises import fleet_file
+from fawnwharf.net.requests import Call, Failed, Refused, Served
+from fawnwharf.net.streams import Answer
+from fawnwharf.policy import Router
+from fawnwharf.recovery.stages import Allowed, Stage, allowed
+from fawnwharf.rejoin.door import HOLD_PART, Kept
+from fawnwharf.rejoin.holds import Holds
+from fawnwharf.rejoin.outs import Stood, Ticket
+from fawnwharf.replication import settings as s
+from fawnwharf.replication.claims import Claim, Phase
+from fawnwharf.replication.core import Core
+from fawnwharf.replication.gate import Gate, name_of
+from tests.door_rig import CLASSES, LIMITS, WORTHS, Ground
+
+
+def test_in_calm_all_is_passed_on_as_it_comes():
+    ground = Ground(Stage.SPILL, rate_ps=0.0)
+    key, got = ground.ask()
+    assert key == "r1" and got == [] and ground.giving.wanted == []
+    ground.door.withdraw(key)
+    assert ground.withdrawn == ["r1"] and not ground.door.busy
+
+
+@pytest.mark.parametrize(
+    "stage, passed",
+    [(Stage.LISTENING, []), (Stage.REPEATS, []), (Stage.WORTH, ["settle"]), (Stage.REST, [*CLASSES])],
+)
+def test_classes_are_taken_by_their_stage_and_the_rest_is_refused_at_once(stage, passed):
+    ground = Ground(stage)
+    ground.giving.places["f"] = 7
+    for kind in CLASSES:
+        key, got = ground.ask(kind)
+        assert (key is not None) == (kind in passed) == (got == [])
+        if got:
+            assert isinstance(got[0], Refused) and 1_000.0 <= got[0].hold_off_ms <= LIMITS.retry_most_ms
+    assert [call.class_name for call in ground.calls.values()] == passed
+
+
+def test_a_call_without_a_copy_is_wanted_and_refused_with_no_time_before_the_eta():
+    ground = Ground()
+    for eta_ms in (700.0, 1_500.0, 3_000.0):
+        ground.giving.etas["f"] = eta_ms
+        advice = [ground.ask()[1][0].hold_off_ms for _ in range(20)]
+        assert eta_ms <= min(advice) and max(advice) <= 1.25 * eta_ms + 1.0 and len(set(advice)) == 20
+    assert [row for row, *_ in ground.giving.wanted] == ["f"] * 60 and ground.giving.wanted[-1][1] > 1.0
+    ground.giving.etas["f"] = 9_000.0  # clients take no such advice
+    assert 2_000.0 <= ground.ask()[1][0].hold_off_ms <= 4_000.0
+
+
+def test_where_clients_take_no_advice_none_is_given():
+    ground = Ground(limits=replace(LIMITS, retry_most_ms=0.0))
+    ground.giving.etas["f"] = 2_000.0
+    assert ground.ask() == (None, [Refused(0.0)])
+
+
+def test_a_call_whose_copy_comes_within_its_promise_is_held_till_then_and_not_longer():
+    ground = Ground()
+    ground.giving.etas["f"] = 300.0
+    key, got = ground.ask()
+    late_key, late = ground.ask(row="g")
+    assert key and ground.calls == {} and ground.door.busy
+    ground.pass_by(250.0)
+    ground.giving.places["f"] = 7
+    ground.door.told(Stood("f"))
+    [call] = ground.calls.values()
+    assert call.budget_ms == pytest.approx(1_750.0)
+    call.reply(Served(b"x"))
+    assert got == [Served(b"x")]
+    ground.giving.etas["g"] = 800.0  # it takes longer than was said
+    ground.pass_by(HOLD_PART * 1_000.0 - 250.0 - 8.0)
+    assert late == []
+    ground.pass_by(16.0)
+    assert late[0].hold_off_ms >= 800.0 and not ground.door.busy
+    ground.door.told(Stood("g"))
+    ground.door.withdraw(late_key)  # it crossed the answer: nothing is left to withdraw here
+    assert len(ground.calls) == 1
+
+
+def test_a_short_budget_is_not_held_beyond():
+    ground = Ground()
+    assert isinstance(ground.ask(budget_ms=350.0)[1][0], Refused)
+    assert ground.ask(budget_ms=450.0)[0]
+
+
+def test_beyond_the_pace_each_gets_a_turn_of_its_own_and_the_classes_worth_most_keep_a_part():
+    ground = Ground(rate_ps=20.0)  # a burst of ten
+    ground.giving.places["f"] = 7
+    views = [ground.ask("view") for _ in range(12)]
+    settles = [ground.ask("settle") for _ in range(12)]
+    let = [sum(key is not None for key, _ in asked) for asked in (views, settles)]
+    assert sum(let) == 10 and 2 <= let[1] <= 4
+    waits = [got[0].hold_off_ms for _, got in views + settles if got]
+    assert min(waits) >= 50.0 and max(waits) <= (24 - 10 + 1) * 50.0 and len(set(waits)) == len(waits)
+
+
+def test_a_call_to_a_cold_scorer_goes_by_its_ticket():
+    ground = Ground()
+    ground.giving.places.update(f=7, g=8)
+    ground.giving.free = {7: None, 8: 200.0}
+    key, got = ground.ask()
+    assert ground.giving.asked == [key] and ground.calls == {}
+    other, left = ground.ask()
+    ground.door.withdraw(other)
+    assert ground.giving.asked == [key]
+    ground.door.told(Ticket(other, 0.0))
+    assert ground.calls == {}
+    ground.door.told(Ticket(key, 0.0))
+    assert len(ground.calls) == 1
+    ground.door.withdraw(key)
+    assert ground.withdrawn == ["r1"] and got == left == []
+    turn, got = ground.ask(row="g")  # not before a turn: it asks again then
+    ground.pass_by(150.0)
+    assert len(ground.calls) == 1
+    ground.giving.free[8] = 0.0
+    ground.pass_by(60.0)
+    assert len(ground.calls) == 2 and got == []
+    ground.giving.free[8] = 900.0
+    assert ground.ask(row="g")[1][0].hold_off_ms >= 900.0
+
+
+def test_calm_and_renewal_let_go_what_is_held_and_a_step_back_refuses_what_is_not_taken():
+    for stage, passed in ((Stage.SPILL, 1), (Stage.RENEWAL, 1), (Stage.WORTH, 0)):
+        ground = Ground()
+        _, got = ground.ask("view")
+        ground.go_by(stage)
+        assert len(ground.calls) == passed and len(got) == 1 - passed
+
+
+def test_alone_only_what_stays_right_if_all_others_serve_too():
+    class Asks:
+        repeat = staticmethod(lambda call: False)
+        asks = staticmethod(lambda name: True)
+
+    may = Allowed(status=True, classes=frozenset(WORTHS), loads=True, part=0.3, alone=True)
+    for promises, passed in ((Asks(), ["settle", "view"]), (None, ["view"])):
+        ground = Ground(may, promises=promises)
+        ground.giving.places["f"] = 7
+        for kind in CLASSES:
+            ground.ask(kind)
+        assert [call.class_name for call in ground.calls.values()] == passed
+        ground.pass_by(13_500.0)
+        assert ground.ask("keyed")[0]  # no repeat from before can come any more
+
+
+class Promised(Ground):
+    """With the real gate and keeper below."""
+
+    def __init__(self, stage):
+        rules, file = s.Settings(1, "m", zones=1), fleet_file("a")
+        keeper = Core("n0", 1, file, rules, 0.0).placement.keepers[0]
+        self.core = Core(keeper, 1, file, rules, 0.0, True)
+        self.wheel = self  # the gate's timers never ring here
+        self.gate = Gate(self, self, self.core, rules, CLASSES, self.carry)
+        super().__init__(stage, promises=Kept(self.gate, self.core))
+        self.door.below = self.gate
+
+    def after(self, delay_ms, callback):
+        return type("Timer", (), {"cancel": lambda self: None})()
+
+    def carry(self, effects):
+        for effect in effects:
+            if hasattr(effect, "key"):
+                self.gate.told(effect)
+
+    def knows(self, kind, id, phase, answer=None):
+        call = Call(id, kind, "t", "f", 1.0, b"", "" if kind != "keyed" else id.hex(), 1, None, None, print)
+        claim = Claim("n9#3", 1, 1, 0, phase, "d", answer)
+        shelf, name = self.core.keeper.shelf, name_of(call)
+        shelf.put(1.0, name, shelf.entry(1.0, name), claim, 10_000.0)
+
+
+def test_repeats_of_promised_calls_have_their_answer_before_new_calls_are_taken():
+    ground = Promised(Stage.REPEATS)
+    ground.knows("settle", (1).to_bytes(8, "big"), Phase.ANSWERED, base64.b64encode(b"kept").decode())
+    ground.knows("settle", (2).to_bytes(8, "big"), Phase.TAKEN)
+    ground.knows("settle", (3).to_bytes(8, "big"), Phase.CLEAR)
+    answers = [ground.ask("settle")[1] for _ in range(4)]
+    assert answers[:2] == [[Served(b"kept")], [Failed()]]  # it may have run, and nobody is left who knows
+    assert all(isinstance(got[0], Refused) and got[0].hold_off_ms >= 1_000.0 for got in answers[2:])
+    assert ground.calls == {} and ground.door.counts["repeats"] == 2
+    ground.go_by(Stage.LISTENING)
+    ground.numbers = 0
+    assert isinstance(ground.ask("settle")[1][0], Refused)  # not before its stage
+
+
+DOES = ["take"] * 3 + ["answer", "withdraw", "go_by", "wait", "stood", "ticket", "copy", "gone", "at_once"]
+ACTS = st.lists(
+    st.tuples(
+        st.sampled_from(DOES),
+        st.integers(0, 30),
+    ),
+    max_size=60,
+)
+
+
+@settings(max_examples=200, deadline=None)
+@given(ACTS)
+def test_one_final_answer_whatever_the_order_of_take_answer_withdraw_and_stages(acts):
+    ground, asked, left = Ground(rate_ps=40.0), [], set()
+    rows = ("f", "g", "h")
+    ground.giving.free = {1: 0.0, 2: None, 3: 250.0}
+    for what, n in acts:
+        row = rows[n % 3]
+        if what == "take":
+            key, got = ground.ask([*CLASSES][n % 3], row=rows[n // 3 % 3])
+            asked.append((key, got))
+            assert (key is None) == bool(got)
+        elif what == "answer" and ground.calls:
+            ground.calls.pop([*ground.calls][n % len(ground.calls)]).reply(
+                [Served(b"x"), Failed(), Refused(1.0)][n % 3]
+            )
+        elif what == "withdraw" and asked:
+            key, got = asked[n % len(asked)]
+            if key is not None and not got and key not in left:
+                left.add(key)
+                ground.door.withdraw(key)
+                for gone in ground.withdrawn:  # the table answers no more
+                    ground.calls.pop(gone, None)
+        elif what == "go_by":
+            ground.go_by(Stage(n % 6), 40.0)
+        elif what == "wait":
+            ground.pass_by(20.0 * n)
+        elif what in ("copy", "stood"):
+            ground.giving.places[row] = 1 + n % 3
+            ground.door.told(Stood(row))
+        elif what == "ticket" and ground.giving.asked:
+            ground.door.told(Ticket(ground.giving.asked.pop(0), [0.0, 100.0, 900.0][n % 3]))
+        elif what == "gone":
+            ground.giving.places.pop(row, None)
+        elif what == "at_once":
+            ground.at_once = n % 2 == 1
+        assert all(len(got) <= 1 for _, got in asked)
+        assert not any(got for key, got in asked if key in left)
+    ground.pass_by(3_000.0)  # nothing waits here for longer
+    for call in list(ground.calls.values()):
+        call.reply(Failed())
+    for key, got in asked:
+        assert len(got) == (key not in left)
+    assert not ground.door.busy and not ground.door._rows and ground.door._bytes == 0
+
+
+# --- orders of the module -------------------------------------------------------------------------
+
+
+ANSWER = Answer(io.Ending.GOOD, b"", io.Warmth.UNTOLD, 0, 1)
+
+
+class Holding:
+    def __init__(self, own=()):
+        self.out, self.asked, self.told, self.made, self.now = [], [], [], [], 5_000.0
+        self.loading, self.own, self.places = self, set(own), {"f": 7}
+        self.holds = Holds(self.out.append, self.asked.append, self.told.append, {}, lambda: self.now)
+
+    def is_own(self, worker, row):
+        return (worker, row) in self.own
+
+    def place(self, row):
+        return self.places.get(row)
+
+    def ordered(self, now, worker, row):
+        self.made.append((worker, row))
+
+    def go_by(self, stage):
+        self.holds.go_by(allowed(stage, WORTHS), self)
+
+
+def test_before_renewal_the_modules_own_orders_do_not_go_out_and_change_nothing_it_believes():
+    ground = Holding(own=[(7, "own")])
+    ground.go_by(Stage.REST)
+    race, own, question = io.Hold(8, "f", 2), io.Hold(7, "own", 1), io.Hold(9, "f", 0)
+    for order in (race, own, question):
+        ground.holds.carry(order)
+    assert ground.out == [own, question] and ground.made == [(7, "own")]
+    assert ground.told == [io.OrderAnswered(8, "f", io.Ending.NOT_SENT, 0, 0.0)]
+    [asked] = ground.asked  # where its copy stands, once a second
+    assert (asked.worker, asked.function, asked.copies) == (7, "f", 0)
+    ground.holds.carry(race)
+    assert len(ground.asked) == 1
+    asked.ended(asked, None, ANSWER)
+    assert (ground.told[-1].worker, ground.told[-1].copies) == (7, 1)
+    for stage in (Stage.RENEWAL, Stage.SPILL):
+        ground.go_by(stage)
+        ground.holds.carry(race)
+    assert ground.out[2:] == [race, race] and ground.holds.held_back == 2
+
+
+@pytest.mark.parametrize("place", range(6))
+def test_the_module_sends_where_the_loaders_copy_stands_though_it_ordered_nothing(place):
+    site = io.Settings(classes=dict(CLASSES), quotas_rps={"t": 100.0}, tick_ms=1.0)
+    router, ground, now = Router(site, 1), Holding(), 1_000.0
+    entries = [io.WorkerEntry(n) for n in range(6)]
+    events = [io.RosterChanged(entries, True), io.RequestArrived("r1", "f", "view", "t", 2_000.0)]
+    ground.places["f"] = place
+    ground.go_by(Stage.REST)
+    sent = []
+    for _ in range(8):
+        for action in router.handle(now, events):
+            if isinstance(action, io.Hold):
+                ground.holds.carry(action)
+            elif isinstance(action, io.Send):
+                sent.append((now, action.worker))
+        events, ground.told[:] = [*ground.told], []
+        for order in ground.out:  # questions of the module's own
+            assert order.copies == 0
+            copies = int(order.worker == place)
+            events.append(io.OrderAnswered(order.worker, "f", io.Ending.GOOD, copies, 1.0))
+        for order in ground.asked:
+            order.ended(order, None, ANSWER)
+        ground.out.clear(), ground.asked.clear()
+        now += 2.0
+    assert [worker for _, worker in sent] == [place] and sent[0][0] <= 1_010.0
