--- a/tests/test_rejoin_door.py
+++ b/tests/test_rejoin_door.py
@@ -117,6 +117,7 @@
     ground.door.told(Ticket(key, 0.0))
     assert len(ground.calls) == 1
     ground.door.withdraw(key)
+    ground.calls["r1"].reply(Served(b"crossed"))
     assert ground.withdrawn == ["r1"] and got == left == []
     turn, got = ground.ask(row="g")  # not before a turn: it asks again then
     ground.pass_by(150.0)
@@ -136,6 +137,17 @@
         assert len(ground.calls) == passed and len(got) == 1 - passed
 
 
+def test_an_answer_that_makes_a_client_leave_takes_its_other_held_calls_along():
+    ground = Ground()
+    ground.ask()
+    other, left = ground.ask()
+    ground.at_once = True
+    held = ground.door._held
+    held[next(iter(held))].reply = lambda outcome: ground.door.withdraw(other)
+    ground.go_by(Stage.SPILL)
+    assert len(ground.passed) == 1 and left == [] and not ground.door.busy
+
+
 def test_alone_only_what_stays_right_if_all_others_serve_too():
     class Asks:
         repeat = staticmethod(lambda call: False)
