--- a/fawnwharf/rejoin/loading.py
+++ b/fawnwharf/rejoin/loading.py
@@ -14,7 +14,7 @@
 from fawnwharf.rejoin.outs import Order
 from fawnwharf.rejoin.seats import Seats
 
-ORDER_MS = 200.0  # by then the module has made an order of what it was told, or it makes none
+ORDER_MS = 100.0  # by then the module has made an order of what it was told, or it makes none
 UNMADE_MS = 1_000.0  # an order that was not made, and of which its scorer says nothing for so long
 LOST_MS = 10_000.0  # an order without an answer for so long has failed
 RETRY_MS = 500.0  # after an order that came to nothing
@@ -160,8 +160,11 @@
             self.loader.ended(row, True, took_ms)
             self._rests(now_ms, took_ms)
             return True
-        if way.went or way.asked_ms is not None:  # else what the module was told is yet to be made
-            self._failed(now_ms, row, way, event.ending is not io.Ending.GOOD)
+        # None stands: that answers a question, maybe the module's own of before. An order that is under way
+        # it does not end, and one that the module is yet to make neither.
+        counted = event.ending is io.Ending.GOOD
+        if way.went != counted and (way.went or way.asked_ms is not None):
+            self._failed(now_ms, row, way, way.went)
         return False
 
     def _failed(self, now_ms: float, row: str, way: _UnderWay, there: bool) -> None:
--- a/tests/test_rejoin_giving.py
+++ b/tests/test_rejoin_giving.py
@@ -1,6 +1,7 @@
 """Loaders and wardens among front ends: the store's budget, a scorer's room, and words that come late."""
 
 import random
+from dataclasses import replace
 
 import pytest
 from hypothesis import given, settings
@@ -94,30 +95,30 @@
     assert fleet.words <= 2 * len(fleet.keepers)  # a want to each loader, an answer from each
 
 
-def lone(**more):
-    front = Giving("n0", 1, LIMITS, lambda row: [7, 8], 100.0, 200.0)
-    front.set(0.0, {"n0"}, {"n0"}, allowed(Stage.REST, WORTHS, **more), 1)
-    return front
-
-
 def orders(outs):
     return [out.what for out in outs if isinstance(out, Order)]
 
 
 def test_an_order_that_the_module_does_not_make_is_asked_after_and_made_again_elsewhere_if_it_fails():
-    front = lone()
+    front = Giving("n0", 1, replace(LIMITS, fetches=1), lambda row: [7, 8], 100.0, 200.0)
+    front.set(0.0, {"n0"}, {"n0"}, allowed(Stage.REST, WORTHS), 1)
     front.want(0.0, "f", 1.0, "view", 2, 400.0)
     [order] = orders(front.tick(2_000.0))
     assert order == io.CopiesWanted(7, "f", "view", 1, 2, 400.0)
-    assert orders(front.tick(2_150.0)) == [] and orders(front.tick(2_250.0)) == [io.Hold(7, "f", 0)]
+    assert orders(front.tick(2_050.0)) == [] and orders(front.tick(2_150.0)) == [io.Hold(7, "f", 0)]
     front.answered(2_260.0, io.OrderAnswered(7, "f", io.Ending.GOOD, 0, 1.0))
     assert orders(front.tick(2_300.0)) == []
     assert orders(front.tick(2_800.0)) == [order]
     front.ordered(2_800.0, 7, "f")
-    front.answered(2_900.0, io.OrderAnswered(7, "f", io.Ending.FULL, 0, 1.0))
-    assert [order.worker for order in orders(front.tick(3_500.0))] == [8]
-    front.ordered(3_500.0, 8, "f")
-    assert front.answered(3_900.0, io.OrderAnswered(8, "f", io.Ending.GOOD, 1, 400.0))
+    front.want(2_850.0, "g", 9.0, "view")
+    front.answered(2_850.0, io.OrderAnswered(7, "f", io.Ending.GOOD, 0, 1.0))  # a question's of before
+    assert orders(front.tick(2_870.0)) == orders(front.tick(3_400.0)) == []  # its load is under way
+    front.answered(3_450.0, io.OrderAnswered(7, "f", io.Ending.FULL, 0, 1.0))
+    assert [order.worker for order in orders(front.tick(3_500.0))] == [7]
+    front.answered(3_550.0, io.OrderAnswered(7, "g", io.Ending.GOOD, 1, 1.0))
+    assert [order.worker for order in orders(front.tick(4_000.0))] == [8]
+    front.ordered(4_000.0, 8, "f")
+    assert front.answered(4_400.0, io.OrderAnswered(8, "f", io.Ending.GOOD, 1, 400.0))
     assert front.place("f") == 8
 
 
