Recovery: door, holds and a loader on a front end's real loop, tested by real sockets

The parts were tested each alone. Here one front end is joined by stand_between, a door before its table and the seam: the loader's order goes out by the module and its copy serves the call that was held; the module's own order waits for renewal; a client that ends takes its held call along.

--- /dev/null
+++ b/tests/test_rejoin_joined.py
@@ -0,0 +1,143 @@
+"""A front end with a door, orders held back and a loader of its own, on its real loop, by real sockets."""
+
+import pytest
+
+from fawnwharf import interface as io
+from fawnwharf.net import scorer_frames as frames
+from fawnwharf.net.front_end import worker_number
+from fawnwharf.net.wheel import monotonic_ms
+from fawnwharf.recovery.budget import limits_from
+from fawnwharf.recovery.stages import Stage, allowed
+from fawnwharf.rejoin.door import Door
+from fawnwharf.rejoin.giving import Giving
+from fawnwharf.rejoin.holds import Holds
+from fawnwharf.rejoin.outs import Order, Stood, Ticket
+from tests.peers import ROW, SETTINGS, Rig, ScorerPeer
+
+
+class Loading(ScorerPeer):
+    """Tells truly what stands; an order waits until the test lets it load."""
+
+    def __init__(self):
+        super().__init__(copies=None)
+        self.seen, self.stand = 0, 0
+
+    def pump(self):
+        super().pump()
+        for item in self.of(frames.ENSURE)[self.seen :]:
+            self.seen += 1
+            if int(item[1].fields["slots_up"]) <= self.stand:
+                self.answer(item, 0, f"slots_up={self.stand}")
+
+    @property
+    def orders(self):
+        return [item for item in self.of(frames.ENSURE) if item[1].fields["slots_up"] != "0"]
+
+
+class Joined:
+    """In the place of the service: the seam, and a turn of 20 ms."""
+
+    def __init__(self, front, settings):
+        self.front, self.busy = front, False
+        limits = limits_from(settings, 2, 100.0)
+        self.giving = Giving("n0", 1, limits, lambda row: [worker_number("s-1")], 50.0, 50.0)
+        self.door = front.port.table = Door(front.loop, front.table, settings.classes, limits)
+        front.stand_between(io.Hold, self.between)
+        front._seam = self
+        self.turn()
+
+    def between(self, below):
+        front = self.front
+        self.holds = Holds(below, front.pool.order, front.loop.tell, front.table.open)
+        return self.holds.carry
+
+    def go_by(self, stage):
+        may = allowed(stage, {"view": 1.0, "save": 1.0, "settle": 5.0})
+        self.giving.set(monotonic_ms(), ["n0"], ["n0"], may, 1)
+        self.holds.go_by(may, self.giving)
+        self.door.go_by(may, 1_000.0, self.giving)
+        self.door.doors.tokens = 500.0  # as if it had gone by it for a while
+
+    def turn(self):
+        self.carry(self.giving.tick(monotonic_ms()))
+        self.front.loop.wheel.after(20.0, self.turn)
+
+    def events(self, events):
+        self.carry(self.holds.events(monotonic_ms(), events))
+
+    def carry(self, outs):
+        for out in outs:
+            if isinstance(out, Order):
+                tell = self.front.table.order if isinstance(out.what, io.Hold) else self.front.loop.tell
+                tell(out.what)
+            elif isinstance(out, Ticket | Stood):
+                self.door.told(out)
+
+    def told(self, fleet): ...
+
+    def close(self): ...
+
+
+@pytest.fixture
+def joined():
+    scorer = Loading()
+    bounds = SETTINGS["bounds"] | {"retry_after": True, "max_retry_after": 4_000.0}
+    rig = Rig(scorer, settings={"bounds": bounds})
+    rig.joined = Joined(rig.front, rig.front.deployment.settings)
+    yield rig
+    rig.close()
+
+
+def test_a_call_waits_at_the_door_for_the_loaders_copy_and_is_served_by_the_module(joined):
+    scorer, client = joined.scorers[0], joined.client()
+    joined.joined.go_by(Stage.REST)
+    seqid = client.call()
+    joined.until(lambda: scorer.orders, "the loader's order goes out by the module")
+    assert not joined.front.table.open and joined.front.router.loading == 1
+    [order] = scorer.orders
+    scorer.stand = 1
+    scorer.answer(order, 0, "slots_up=1")
+    joined.until(lambda: scorer.runs, "the call is let in")
+    scorer.answer(scorer.runs[0], 0, "res=reused", b"done")
+    joined.until(lambda: seqid in client.kinds(), "it is answered")
+    assert client.kinds() == {seqid: "answer"} and len(scorer.orders) == 1
+    assert not joined.joined.door.busy and joined.joined.giving.place(ROW) == worker_number("s-1")
+
+
+def test_before_its_stage_a_call_is_refused_with_advice_and_the_module_sees_nothing(joined):
+    scorer, client = joined.scorers[0], joined.client()
+    joined.joined.go_by(Stage.WORTH)
+    seqid = client.call("view")
+    joined.until(lambda: seqid in client.kinds(), "it is refused")
+    assert client.kinds() == {seqid: "throttled"} and not scorer.frames
+    joined.joined.go_by(Stage.SPILL)
+    later = client.call("view")
+    joined.until(lambda: scorer.orders, "the module orders for itself")
+    scorer.answer(scorer.orders[0], 0, "slots_up=1")
+    joined.until(lambda: scorer.runs, "the call is sent")
+    scorer.answer(scorer.runs[0])
+    joined.until(lambda: later in client.kinds(), "it is answered")
+    assert client.kinds()[later] == "answer" and joined.joined.holds.held_back == 0
+
+
+def test_an_order_of_the_modules_own_does_not_go_out_before_renewal(joined):
+    scorer, client = joined.scorers[0], joined.client()
+    joined.joined.go_by(Stage.REST)
+    joined.front.port.table = joined.front.table  # this call passes no door
+    client.call()
+    joined.until(lambda: joined.joined.holds.held_back, "the module orders")
+    joined.settle(client)
+    assert scorer.orders == []
+    joined.joined.go_by(Stage.RENEWAL)
+    joined.until(lambda: scorer.orders, "its place has rested, and the order goes out")
+
+
+def test_a_client_that_ends_takes_its_held_call_along(joined):
+    client = joined.client()
+    joined.joined.go_by(Stage.REST)
+    client.call()
+    joined.until(lambda: joined.joined.door.busy, "it is held")
+    client.sock.close()
+    joined.clients.clear()
+    joined.until(lambda: not joined.joined.door.busy, "it is let go of")
+    assert not joined.joined.door.counts and not joined.front.table.open
