--- a/fawnwharf/rejoin/joined.py
+++ b/fawnwharf/rejoin/joined.py
@@ -1,58 +1,42 @@
 """First copies, cold scorers' calls and the door, joined to a running front end: logs, the module, the table.
 
-Thin: what is given out is decided in `giving.py`, who is let in at `door.py`. Both are made in `made`.
+Thin: what is given out is decided in `giving.py`, who is let in at `door.py`, what the module may order in
+`holds.py`.
 """
 
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Any
 
 import msgspec
 
 from fawnwharf import interface as io
 from fawnwharf.net.front_end import FrontEnd, worker_number
-from fawnwharf.net.requests import Call
-from fawnwharf.net.streams import Attempt, Order
 from fawnwharf.net.wheel import Timer, monotonic_ms, unix_ms
 from fawnwharf.policy.state import Function, mark
 from fawnwharf.recovery.budget import Limits, limits_from
 from fawnwharf.recovery.stages import Allowed
 from fawnwharf.rejoin import given_words as g
 from fawnwharf.rejoin import outs
+from fawnwharf.rejoin.door import Door, Kept
 from fawnwharf.rejoin.giving import TURN_MS, Giving
+from fawnwharf.rejoin.holds import Holds
 from fawnwharf.rejoin.settings import Settings
 from fawnwharf.replication.service import State
 
 RIDER = "recovery-given"  # by the logs of state
+CALM_TURN_MS = 250.0  # in calm little is to be said, and that to others that are not yet
 USED_AGAIN_MS = 5_000.0  # what was used before the cut is wanted again, as a want that stands for long ends
 ORDERS_MOST = 4_096  # functions whose hash order is kept in mind
 
 
-class Door(Protocol):
-    """What stands before the gate; see `door.py`."""
-
-    below: Any
-    busy: bool
-
-    def take(self, call: Call) -> str | None: ...
-
-    def withdraw(self, key: str) -> None: ...
-
-    def go_by(self, allowed: Allowed, rate_ps: float, giving: Giving) -> None: ...
-
-    def told(self, out: outs.Ticket | outs.Stood) -> None: ...
-
-
 def made(front: FrontEnd, state: State, settings: Settings, limits: Limits) -> Door:
     """The door, before whatever stands there."""
-    from fawnwharf.rejoin import door
-
-    classes, promises = front.deployment.settings.classes, door.Kept(state.gate, state.core)
-    return door.Door(front.loop, front.port.table, classes, limits, promises, settings.timing.window_ms)
+    classes, promises = front.deployment.settings.classes, Kept(state.gate, state.core)
+    return Door(front.loop, front.port.table, classes, limits, promises, settings.timing.window_ms)
 
 
 class Joined:
-    """Owns the pace at which things are given out, and the way of words, orders and tickets; a witness of the
-    front end's table, which passes on what it is told."""
+    """Owns the pace at which things are given out, and the way of words, orders and tickets."""
 
     def __init__(
         self,
@@ -75,8 +59,9 @@
         self._timer: Timer | None = None
         self._stopped = False
         self.door = door(front, state, settings, self.limits)
-        self._before = front.table.witness
-        front.table.witness = self
+        self.holds: Holds | None = None
+        self._order_out: Callable[[io.Hold], None] | None = None
+        front.stand_between(io.Hold, self._between)
         state.riders[RIDER] = self._ridden
         self.roster()
         self._turn()
@@ -84,10 +69,14 @@
     def close(self) -> None:
         self._stopped = True
         self.state.riders.pop(RIDER, None)
-        if self.front.table.witness is self:
-            self.front.table.witness = None if self._before is self.state.working else self._before
         if self._timer is not None:
             self._timer.cancel()
+        self.front.stand_between(io.Hold, lambda _own: self._order_out)
+
+    def _between(self, below: Callable[[io.Hold], None]) -> Callable[[io.Hold], None]:
+        front, self._order_out = self.front, below
+        self.holds = Holds(below, front.pool.order, front.loop.tell, front.table.open)
+        return self.holds.carry
 
     # --- what is allowed ------------------------------------------------------------------------
 
@@ -107,6 +96,7 @@
         self.giving.set(now_ms, self._heard, self.state.core.placement.keepers, allowed, cut)
         rate_ps = allowed.part * self.limits.fall_multiple * self.limits.calls_rps(self.ages()) / fronts
         self.door.go_by(allowed, rate_ps, self.giving)
+        self.holds.go_by(allowed, self.giving)
         if allowed.own_loads:
             self._used = {}
         elif allowed.loads and self._used and now_ms - self._used_ms >= USED_AGAIN_MS:
@@ -155,7 +145,8 @@
         now = monotonic_ms()
         self._set(now)
         self._carry_out(self.giving.tick(now))
-        self._timer = self.front.loop.wheel.after(TURN_MS, self._turn)
+        calm = self._going[0].spill
+        self._timer = self.front.loop.wheel.after(CALM_TURN_MS if calm else TURN_MS, self._turn)
 
     def _ridden(self, now_ms: float, sender: str, _life: int, data: Any) -> None:
         try:
@@ -166,9 +157,7 @@
         self._carry_out(self.giving.hear(now_ms, sender, word))
 
     def events(self, now_ms: float, events: list[io.Event]) -> None:
-        for event in events:
-            if isinstance(event, io.OrderAnswered):
-                self._carry_out(self.giving.answered(now_ms, event))
+        self._carry_out(self.holds.events(now_ms, events))
 
     def _carry_out(self, found: list[outs.Out]) -> None:
         for out in found:
@@ -181,23 +170,3 @@
                     self.front.loop.tell(out.what)
             else:
                 self.door.told(out)
-
-    # --- the table's witness --------------------------------------------------------------------
-
-    def sent(self, attempt: Attempt) -> None:
-        if self._before:
-            self._before.sent(attempt)
-
-    def ended(self, attempt: Attempt, ending: io.Ending, warmth: io.Warmth) -> None:
-        if self._before:
-            self._before.ended(attempt, ending, warmth)
-
-    def ordered(self, order: Order) -> None:
-        if order.copies:
-            self.giving.ordered(monotonic_ms(), order.worker, order.function)
-        if self._before:
-            self._before.ordered(order)
-
-    def order_ended(self, order: Order, ending: io.Ending, copies: int) -> None:
-        if self._before:
-            self._before.order_ended(order, ending, copies)
--- a/tests/rejoin_site.py
+++ b/tests/rejoin_site.py
@@ -8,9 +8,7 @@
 
 from fawnwharf.config import deployment_from
 from fawnwharf.net.front_end import FrontEnd
-from fawnwharf.net.requests import Refused
-from fawnwharf.recovery.stages import Allowed, Stage
-from fawnwharf.rejoin.joined import Joined
+from fawnwharf.recovery.stages import Stage
 from fawnwharf.rejoin.onstore import kept
 from fawnwharf.rejoin.service import Rejoin
 from fawnwharf.replication.service import State
@@ -25,34 +23,6 @@
 PACE = {"again_ms": 100.0, "spread_ms": 50.0, "stand_ms": 100.0, "stage_ms": 150.0}
 
 
-class StandDoor:
-    """In the place of the door: classes alone."""
-
-    def __init__(self, front, state, settings, limits):
-        self.below, self.allowed, self.rate_ps, self.outs, self.busy = (
-            front.port.table,
-            Allowed(),
-            0.0,
-            [],
-            False,
-        )
-
-    def take(self, call):
-        if call.class_name in self.allowed.classes:
-            return self.below.take(call)
-        call.reply(Refused(250.0))
-        return None
-
-    def withdraw(self, key):
-        self.below.withdraw(key)
-
-    def go_by(self, allowed, rate_ps, giving):
-        self.allowed, self.rate_ps = allowed, rate_ps
-
-    def told(self, out):
-        self.outs.append(out)
-
-
 class Node:
     """One front end of a site: its files, and what runs of it."""
 
@@ -94,8 +64,7 @@
                 deployment, here / "state.json", write, fresh, made["kept"]
             ),
             "recovery": lambda first, made: Rejoin(
-                deployment, here / "recovery.json", write, made,
-                lambda *arguments: Joined(*arguments, door=StandDoor),
+                deployment, here / "recovery.json", write, made
             ),
         }  # fmt: skip
         seam = Seams(made, True)
--- a/tests/test_rejoin_service.py
+++ b/tests/test_rejoin_service.py
@@ -68,8 +68,9 @@
     assert client.kinds() == {1: "throttled"} and not alone.scorer.runs
     site.until(lambda: alone.stage() is None, "it is alone")
     site.until(lambda: site.ready(alone), "and its status good, as scorers are there")
-    door = alone.part.joined.door
-    assert door.allowed.alone and door.allowed.part == pytest.approx(1 / 3) and not door.allowed.spill
+    may = alone.agent.allowed(time.monotonic() * 1000.0)
+    assert may.alone and may.part == pytest.approx(1 / 3) and not may.spill
+    assert alone.part.joined.door.doors.rate_ps == pytest.approx(200.0 / 3)  # of one scorer, and it is warm
     assert alone.noted("asked")[0]["without"] and alone.noted("stage")[-1]["stage"] == "alone"
     client.call(call="00000000000000bb")
     site.until(lambda: alone.scorer.runs, "a call that may run twice is served")
