--- a/fawnwharf/cli.py
+++ b/fawnwharf/cli.py
@@ -8,6 +8,7 @@
 from fawnwharf.durable.commands import app as recovery_app
 from fawnwharf.epochs.commands import app as policy_app
 from fawnwharf.lab.commands import app as lab_app
+from fawnwharf.rejoin.commands import show as recovery_show
 from fawnwharf.replication.commands import app as state_app
 from fawnwharf.sessions.commands import app as sessions_app
 from fawnwharf.zones.commands import app as zones_app
@@ -18,6 +19,7 @@
 app.add_typer(sessions_app, name="sessions")
 app.add_typer(policy_app, name="policy")
 app.add_typer(lab_app, name="lab")
+recovery_app.command("show")(recovery_show)
 app.add_typer(recovery_app, name="recovery")
 File = Annotated[str | None, typer.Option("--config", help="The JSON file, in place of ROUTER_CONFIG's.")]
 
@@ -34,6 +36,10 @@
 Sessions = Annotated[
     str | None, typer.Option("--sessions", help="Settings of sessions that move; off without, needs --state.")
 ]
+Recovery = Annotated[
+    str | None,
+    typer.Option("--recovery", help="Settings of recovery; off without, needs --zones and --state."),
+]
 Fresh = Annotated[
     bool, typer.Option("--fresh", help="The whole fleet begins: no front end has promised anything before.")
 ]
@@ -47,9 +53,10 @@
     policy: Policy = None,
     sessions: Sessions = None,
     fresh: Fresh = False,
+    recovery: Recovery = None,
 ) -> None:
     """Serve until SIGTERM, then finish what was taken."""
-    raise typer.Exit(serving.serve(path, zones, state, policy, sessions, fresh))
+    raise typer.Exit(serving.serve(path, zones, state, policy, sessions, fresh, recovery))
 
 
 @app.command("check-config")
