Durable state: a writer that loses what was not synced, as the power does

FAWNWHARF_TEST_WRITER, read where the writer's process is begun, names a module whose main runs in its place; standins/lossy.py keeps bytes and names in memory until their sync, puts all in the folder at an end in order, nothing at SIGKILL, and a part drawn by its seed at SIGUSR1.

A store in a process of its own, killed with its writer: all that was told is there after six cuts, torn and not; what was not synced is gone with the power and there after a kill of the process alone; a planted store that tells before it syncs is found at its first cut.

--- a/fawnwharf/durable/writer.py
+++ b/fawnwharf/durable/writer.py
@@ -29,9 +29,11 @@
 package = types.ModuleType("fawnwharf")
 package.__path__ = [sys.argv[1]]
 sys.modules["fawnwharf"] = package
-from fawnwharf.durable import writer
-writer.main(sys.argv[2])
+import importlib
+importlib.import_module(sys.argv[3]).main(sys.argv[2])
 """
+# For tests alone: the module whose `main` is run in this one's place, as one that loses what was not synced.
+INSTEAD = "FAWNWHARF_TEST_WRITER"
 
 
 class Runner(Protocol):
@@ -82,7 +84,8 @@
             self._failed = f"no writer: {error.strerror}"
 
     def _begin(self) -> None:
-        command = [sys.executable, "-c", _PROGRAM, str(Path(__file__).parent.parent), str(self.path)]
+        module = os.environ.get(INSTEAD) or __name__
+        command = [sys.executable, "-c", _PROGRAM, str(Path(__file__).parent.parent), str(self.path), module]
         self.process = subprocess.Popen(
             command, stdin=subprocess.PIPE, stdout=subprocess.PIPE, bufsize=0, pass_fds=[self._lock],
             start_new_session=True,
@@ -160,14 +163,20 @@
 
 def main(path: str) -> None:
     """Serves jobs until its input ends."""
+    files = Folder(path)
+    serve(lambda job: carry_out(files, job))
+
+
+def serve(carry: Callable[[Job], Outcome]) -> None:
+    """Has each job carried out, until the input ends."""
     for number in (signal.SIGINT, signal.SIGTERM):  # its front end says when it ends
         signal.signal(number, signal.SIG_IGN)
-    files, jobs = Folder(path), sys.stdin.buffer
+    jobs = sys.stdin.buffer
     while head := _whole(jobs, _LENGTH.size):
         data = _whole(jobs, _LENGTH.unpack(head)[0])
         if not data:
             return
-        answer = msgspec.msgpack.encode(carry_out(files, msgspec.msgpack.decode(data, type=Job)))
+        answer = msgspec.msgpack.encode(carry(msgspec.msgpack.decode(data, type=Job)))
         try:
             sys.stdout.buffer.write(_LENGTH.pack(len(answer)) + answer)
             sys.stdout.buffer.flush()
--- /dev/null
+++ b/tests/test_lossy.py
@@ -0,0 +1,141 @@
+"""The writer that loses what was not synced: what a loss of power leaves of files, names and promises."""
+
+import json
+import os
+import random
+import signal
+import subprocess
+import sys
+import time
+
+import pytest
+
+from fawnwharf.durable import form as f
+from fawnwharf.durable import ops
+from fawnwharf.durable.folder import Folder, lock, unlock
+from fawnwharf.durable.reading import Unreadable
+from fawnwharf.durable.store import look
+from fawnwharf.durable.writer import Writer
+from fawnwharf.standins import lossy
+from fawnwharf.standins.lossy import LossyFolder
+
+WRITING = """
+import sys, time
+from fawnwharf.durable.form import Kind, Limits
+from fawnwharf.durable.store import open_folder
+from fawnwharf.net.wheel import monotonic_ms
+limits = Limits(segment_bytes=3_000, wait_ms=20_000)
+store = open_folder(sys.argv[1], "fleet", "a", [Kind("term", "synced")], limits, empty_ok=True, within_s=20.0)
+n = store.get("term", "t") or 0
+while True:
+    n += 1
+    store.put(monotonic_ms(), "term", "t", n, lambda ok, why, n=n: print(n, flush=True) if ok else None)
+    for _ in range(3):
+        store.turn(monotonic_ms())
+        time.sleep(0.0005)
+"""
+
+
+@pytest.fixture
+def instead(tmp_path, monkeypatch):
+    """Settings of the writer in the environment; what it is to do is added by who uses them."""
+
+    def settings(**words):
+        monkeypatch.setenv(lossy.VARIABLE, json.dumps({"folder": str(tmp_path / "power")} | words))
+        for name, value in lossy.SAYS.items():
+            monkeypatch.setenv(name, value)
+
+    (tmp_path / "power").mkdir()
+    settings()
+    return settings
+
+
+def told_and_found(tmp_path, until, tear):
+    """A store's last promise when the power went, and what its folder holds then."""
+    path = tmp_path / "durable"
+    child = subprocess.Popen([sys.executable, "-c", WRITING, str(path)], stdout=subprocess.PIPE, text=True)
+    last = 0
+    for line in child.stdout:
+        last = int(line)
+        if last % 100 >= until:
+            break
+    assert lossy.cut(tmp_path / "power", tear) == 1
+    child.send_signal(signal.SIGKILL)
+    last = max([last, *(int(line) for line in child.stdout)])
+    child.wait()
+    unlock(lock(path, within_s=20.0))
+    found = look(Folder(path), "fleet", "a", f.Limits())
+    return last, int(found.entries.get(("term", "t"), 0))
+
+
+@pytest.mark.parametrize("tear", [False, True], ids=["all is lost", "the last write is torn"])
+def test_what_a_store_told_is_there_after_losses_of_power(tmp_path, instead, tear):
+    for seed, until in enumerate((15, 40, 65)):
+        instead(seed=seed)
+        last, found = told_and_found(tmp_path, until, tear)
+        assert found >= last >= until
+
+
+def test_a_store_that_tells_before_it_syncs_is_found(tmp_path, instead):
+    instead(bug="told before sync")
+    try:
+        last, found = told_and_found(tmp_path, 40, tear=False)
+    except Unreadable:  # not even a snapshot whose name is there
+        return
+    assert found < last
+
+
+def carried(writer, *job):
+    writer.start(ops.Job(job))
+    end = time.monotonic() + 20.0
+    while (outcome := writer.poll()) is None and time.monotonic() < end:
+        time.sleep(0.001)
+    assert outcome is not None and not outcome.failed
+
+
+@pytest.mark.parametrize("end", ["power", "kill of who writes"])
+def test_what_was_not_synced_goes_with_the_power_and_not_with_the_process(tmp_path, instead, end):
+    path = tmp_path / "durable"
+    writer = Writer(path, lock(path))
+    carried(writer, ops.Begin("a"), ops.Append("a", b"synced"), ops.Sync("a"), ops.SyncFolder())
+    carried(writer, ops.Append("a", b", not synced"), ops.Begin("b"), ops.Append("b", b"b"), ops.Sync("b"))
+    assert Folder(path).read("a")[0] == b"synced" and "b" not in Folder(path).names()
+    if end == "power":
+        lossy.cut(tmp_path / "power", tear=False)
+        writer.process.wait(20.0)
+        assert (path / "a").read_bytes() == b"synced" and not (path / "b").exists()
+    else:
+        writer.close(20.0)
+        assert (path / "a").read_bytes() == b"synced, not synced" and (path / "b").read_bytes() == b"b"
+        assert not list((tmp_path / "power").glob("writer-*"))
+
+
+def test_a_cut_leaves_processes_alone_that_only_have_a_writers_number(tmp_path):
+    (tmp_path / f"writer-{os.getpid()}").write_bytes(b"another program")
+    assert lossy.cut(tmp_path, tear=False) == 0
+
+
+def test_any_blocks_and_any_names_are_there_after_a_torn_write(tmp_path):
+    """Over seeds all ends come: nothing, a part with a hole, all; and each the same by the same seed."""
+    data, ends = bytes(range(1, 201)), {}
+    for seed in range(40):
+        for again in range(2):
+            path = tmp_path / f"{seed}-{again}"
+            path.mkdir()
+            files = LossyFolder(path, tmp_path / f"cache-{seed}-{again}")
+            files.begin("a")
+            files.append("a", data[:30])
+            files.sync("a")
+            files.sync_folder()
+            files.append("a", data[30:])
+            files.rename("a", "b")
+            files.tear(random.Random(seed), 0.5)
+            [name] = Folder(path).names()
+            end = name, (path / name).read_bytes()
+            assert ends.setdefault(seed, end) == end
+            assert end[1].startswith(data[:30]) and len(end[1]) <= len(data)
+            assert all(byte in (0, data[n]) for n, byte in enumerate(end[1]))
+    found = set(ends.values())
+    assert {name for name, _ in found} == {"a", "b"}
+    assert {data[:30], data} < {content for _, content in found}
+    assert any(0 in content for _, content in found)
