Lab: front ends that pass over their change log after a loss of power are counted

A change log that lost its power may begin again with 1, while a front end asks for what comes after the number of its configuration: every event and pulse is then taken for one told before, and no line says so. The stand-in knows what was asked; the figure is shown and compared with the others of a loss of power.

--- a/fawnwharf/lab/measures.py
+++ b/fawnwharf/lab/measures.py
@@ -181,6 +181,7 @@
         found.fell, found.second_runs = fell, sum(len(runs) - 1 for runs in once)
         found.came = len(self.came)
         found.serving = sum(fleet.fronts[name].ready for name in self.came)
+        found.unheard = sum(fleet.fronts[name].log.unheard for name in self.came)
         return found
 
     def _by_tenant(self) -> dict[str, float]:
--- a/fawnwharf/lab/outage.py
+++ b/fawnwharf/lab/outage.py
@@ -30,6 +30,7 @@
     mean: float = 0.0  # service from the last cut to the end of the load
     came: int = 0  # front ends whose machines came back
     serving: int = 0  # of those, at the end
+    unheard: int = 0  # of those, whose change log tells them what they pass over, by its number
 
     def until(self, part: float) -> float:
         """As `to`; all of the run where it was not reached within it."""
@@ -39,12 +40,15 @@
     def lines(self) -> list[str]:
         """For who reads them."""
         times = "  ".join(f"{p} {'never' if at is None else f'{at:.0f} s'}" for p, at in self.to.items())
-        return [
+        found = [
             f"power lost: service {self.before:.4f} before, {self.mean:.4f} since; back after  {times}",
             f"  {self.serving} of {self.came} front ends that came back serve; {self.fell} scorers fell; "
             f"{self.second_runs} at-most-once runs beyond the first",
             f"  store: {self.asked_worst} fetches asked in its worst second, {self.waiting_most} waited",
         ]
+        if self.unheard:
+            found.append(f"  {self.unheard} pass over what their change log tells, as its numbers are lower")
+        return found
 
 
 def by_second(requests: Iterable[Request], since_ms: float, until_ms: float) -> list[float]:
@@ -110,5 +114,6 @@
     "store, waiting": lambda o: float(o.waiting_most),
     "fell": lambda o: float(o.fell),
     "run twice": lambda o: float(o.second_runs),
+    "log unheard": lambda o: float(o.unheard),
     "after the cut": lambda o: o.mean,
 }
--- a/fawnwharf/lab/power.py
+++ b/fawnwharf/lab/power.py
@@ -170,4 +170,3 @@
             front = self.fleet.fronts[name]
             front.log.power_back(self.fleet.entries(front), again)
         self._light({f"log:{name}" for name in names})
-
--- a/fawnwharf/standins/changelog.py
+++ b/fawnwharf/standins/changelog.py
@@ -70,6 +70,11 @@
         self.add(members, complete=True)
         self._timer = self.loop.wheel.after(PULSE_MS, self._pulse)
 
+    @property
+    def unheard(self) -> bool:
+        """Somebody asked for what comes after a number that it has not reached, and passes over the rest."""
+        return any(f.since is not None and f.since > len(self.events) for f in self.followers)
+
     def begin(self, members: list[dict[str, Any]]) -> dict[str, Any]:
         """A new life of the front end: what its configuration has as `known`."""
         for follower in list(self.followers):
--- a/tests/test_lab_power.py
+++ b/tests/test_lab_power.py
@@ -6,15 +6,18 @@
 import random
 import socket
 import sys
+from collections import Counter
 
 import msgspec
 import pytest
 from typer.testing import CliRunner
 
 from fawnwharf.cli import app
+from fawnwharf.lab import compare as comparing
 from fawnwharf.lab import files, outage
 from fawnwharf.lab import scenario as scenarios
-from fawnwharf.lab.measures import Meter
+from fawnwharf.lab.checker import Verdict
+from fawnwharf.lab.measures import Measures, Meter
 from fawnwharf.lab.power import LAST_S, LOG, STORE, Machine, drawn, never
 from fawnwharf.lab.run import Runner
 from fawnwharf.lab.scenario import Returns, ScenarioFault, Step, scenario_from
@@ -99,6 +102,20 @@
     assert "99% never" in found.lines()[0] and "9 waited" in found.lines()[2]
 
 
+def test_the_two_sides_of_a_comparison_are_paired_by_what_a_loss_cost():
+    def side(*seconds):
+        found = [Measures("x", n, True, Verdict(), [], {}, Counter(), {}, 0.0, 0, 0, 0) for n in range(3)]
+        for n, one in enumerate(found):
+            one.outage = outage.Outage(1.0, [0.0] * 40, {"50%": seconds[n], "90%": None, "99%": None})
+        return found
+
+    pairs = comparing.Pairs(side(10.0, 12.0, 30.0), side(15.0, 17.0, 35.0))
+    figures = comparing.figures(pairs)
+    found = {name: pairs.difference(figures[name]) for name in ("to 50%, s", "to 90%, s")}
+    assert found["to 50%, s"] == comparing.Interval(-5.0, -5.0, -5.0)  # what seeds differ by is in both
+    assert found["to 90%, s"].mean == 0.0 and figures["to 90%, s"](pairs.one[0]) == 40.0
+
+
 # --- what a scenario may ask ------------------------------------------------------------------------
 
 
