Lab: a test that front ends' durable state is cut with them, and keeps what was told

The lab's front ends with recovery have the writer that loses what was not synced. A process that does nothing but keep promises stands for one: after three cuts all that it told is there.

--- a/tests/test_lab_power.py
+++ b/tests/test_lab_power.py
@@ -10,6 +10,7 @@
 
 import msgspec
 import pytest
+from lossy_rig import WRITING, found_in
 from typer.testing import CliRunner
 
 from fawnwharf.cli import app
@@ -217,6 +218,22 @@
     assert after == before and meter.came == set(fleet.fronts)
 
 
+def test_durable_state_of_front_ends_is_cut_with_them_and_no_promise_is_lost(still):
+    fleet, (steps, _) = still.fleet, steps_of(still)
+    front = fleet.fronts["n0"]
+    fleet.kill(front)
+    fleet.command = lambda front: [sys.executable, "-c", WRITING, "durable"]
+    for _ in range(3):
+        fleet.start(front)
+        fleet.until(lambda: len(front.lines) > 5, "promises")
+        steps.carry_out(Step("power_cut"))
+        last = int(front.last_line.split()[-1])
+        fleet.until(lambda: not list((front.folder / files.POWER).glob("writer-*")), "the writer's end")
+        assert found_in(front.folder / "durable") >= last > 0
+        kept = sorted(path.name for path in (front.folder / files.POWER).iterdir())
+        assert any(name.startswith("cache-") for name in kept)  # it is that writer, and no other
+
+
 def test_who_has_power_hears_nothing_of_the_end_of_those_that_lose_it(still):
     fleet, (steps, _) = still.fleet, steps_of(still)
     relay = fleet.relays["n1", "s-a0", "calls"]
--- a/tests/test_lossy.py
+++ b/tests/test_lossy.py
@@ -9,32 +9,15 @@
 import time
 
 import pytest
+from lossy_rig import WRITING, found_in
 
-from fawnwharf.durable import form as f
 from fawnwharf.durable import ops
-from fawnwharf.durable.folder import Folder, lock, unlock
+from fawnwharf.durable.folder import Folder, lock
 from fawnwharf.durable.reading import Unreadable
-from fawnwharf.durable.store import look
 from fawnwharf.durable.writer import Writer
 from fawnwharf.standins import lossy
 from fawnwharf.standins.lossy import LossyFolder
 
-WRITING = """
-import sys, time
-from fawnwharf.durable.form import Kind, Limits
-from fawnwharf.durable.store import open_folder
-from fawnwharf.net.wheel import monotonic_ms
-limits = Limits(segment_bytes=3_000, wait_ms=20_000)
-store = open_folder(sys.argv[1], "fleet", "a", [Kind("term", "synced")], limits, empty_ok=True, within_s=20.0)
-n = store.get("term", "t") or 0
-while True:
-    n += 1
-    store.put(monotonic_ms(), "term", "t", n, lambda ok, why, n=n: print(n, flush=True) if ok else None)
-    for _ in range(3):
-        store.turn(monotonic_ms())
-        time.sleep(0.0005)
-"""
-
 
 @pytest.fixture
 def instead(tmp_path, monkeypatch):
@@ -53,19 +36,17 @@
 def told_and_found(tmp_path, until, tear):
     """A store's last promise when the power went, and what its folder holds then."""
     path = tmp_path / "durable"
-    child = subprocess.Popen([sys.executable, "-c", WRITING, str(path)], stdout=subprocess.PIPE, text=True)
+    child = subprocess.Popen([sys.executable, "-c", WRITING, str(path)], stderr=subprocess.PIPE, text=True)
     last = 0
-    for line in child.stdout:
-        last = int(line)
+    for line in child.stderr:
+        last = int(line.split()[-1]) if "told" in line else 0
         if last % 100 >= until:
             break
     assert lossy.cut(tmp_path / "power", tear) == 1
     child.send_signal(signal.SIGKILL)
-    last = max([last, *(int(line) for line in child.stdout)])
+    last = max([last, *(int(line.split()[-1]) for line in child.stderr)])
     child.wait()
-    unlock(lock(path, within_s=20.0))
-    found = look(Folder(path), "fleet", "a", f.Limits())
-    return last, int(found.entries.get(("term", "t"), 0))
+    return last, found_in(path)
 
 
 @pytest.mark.parametrize("tear", [False, True], ids=["all is lost", "the last write is torn"])
