--- a/fawnwharf/lab/power.py
+++ b/fawnwharf/lab/power.py
@@ -56,7 +56,8 @@
     away = never(chance, fronts, returns)
     found = []
     for machine in [*fronts, *others]:
-        at_s = chance.uniform(0.0, over_s) + returns.late_s * (machine.zone == returns.late)
+        own_s = returns.store_s if machine.name == STORE and returns.store_s is not None else over_s
+        at_s = chance.uniform(0.0, own_s) + returns.late_s * (machine.zone == returns.late)
         if machine.name not in away:
             found.append((at_s, machine.name))
     if returns.log == "last":
--- a/fawnwharf/lab/scenario.py
+++ b/fawnwharf/lab/scenario.py
@@ -67,6 +67,7 @@
     late_s: Span = 0.0
     never: Part = 0.0  # of the front ends, drawn
     few_voters: bool = False  # a majority of the voters is among those; else a majority is not
+    store_s: Span | None = None  # the store comes back within this span, not the step's
     log: Literal["any", "last"] = "any"  # the change log, among others or after all
     log_again: bool = False  # with numbers from 1
     new_ids: bool = False  # scorers under their old addresses
