--- /dev/null
+++ b/tests/power_rig.py
@@ -0,0 +1,114 @@
+"""Real front ends whose machines lose their power: all killed at once, in another boot by its mark."""
+
+import shutil
+
+import msgspec
+
+from fawnwharf.lab import files
+from fawnwharf.lab import scenario as scenarios
+from fawnwharf.lab.fleet import Fleet
+from fawnwharf.lab.topology import KINDS, TENANTS
+from fawnwharf.net.wheel import monotonic_ms
+
+SETTLE = KINDS[2]  # at most once
+RULES = {"call_most_ms": 2_500.0, "window_ms": 4_000.0}  # as the lab has them
+WINDOW_MS = 1.2 * sum(RULES.values())
+
+
+def scenario():
+    found = scenarios.load("state-killed")
+    zones = {zone: msgspec.structs.replace(spec, front_ends=1) for zone, spec in found.zones.items()}
+    return msgspec.structs.replace(found, zones=zones, decide=True)
+
+
+class PowerFleet(Fleet):
+    """Three front ends, one in each zone, all keepers and voters; with a store each, or with files alone."""
+
+    def __init__(self, seed, stores=True):
+        super().__init__(scenario(), seed)
+        self.stores, self.boot = stores, 1
+
+    def start(self, front):
+        (front.folder / "boot").write_text(f"{front.name} {self.boot}\n")
+        recovery = {"version": 1, "folder": "durable", "boot_file": "boot", "fetches": 8, "scorer_rps": 50.0}
+        recovery["boot_file"] = str((front.folder / "boot").resolve())
+        files.write_whole(front.folder / "recovery.json", recovery)
+        super().start(front)
+
+    def command(self, front):
+        return super().command(front) + (["--recovery", "recovery.json"] if self.stores else [])
+
+    def begin(self):
+        self.found()
+        self.up()
+
+    def up(self):
+        fronts = list(self.fronts.values())
+        for front in fronts:
+            self.start(front)
+        self.until_ready(fronts, "all front ends")
+        self.clients._down.clear()  # their probes go with a load of their own, which there is none of
+
+    def cut(self):
+        """All at once; a file is of no use in another boot, and goes as the mark of the boot can't be set."""
+        for front in self.fronts.values():
+            front.process.kill()
+        for front in self.fronts.values():
+            self.kill(front)
+            if not self.stores:
+                shutil.rmtree(front.folder / "kept")
+        self.boot += 1
+
+    def ask(self, zone="a"):
+        return self.clients._ask(SETTLE, zone, TENANTS[0], self.clients.functions[0])
+
+    def outcome(self, request, zone):
+        """Of the same call, asked for from a zone until it is not refused: logs have to come up first."""
+        twins = []
+
+        def ended():
+            if not twins or twins[-1].outcome in ("refused", "no front end"):
+                twins.append(self.clients._again(request, zone))
+                self.clients._try(twins[-1])
+            return twins[-1].outcome not in ("", "refused", "no front end")
+
+        self.until(ended, "a call to end")
+        return twins[-1].outcome
+
+    def runs(self, request):
+        """How often it came to a scorer that did not turn it away."""
+        mine = [one for one in self.arrivals if one.id == request.call_id]
+        return sum((one.what == "run") - (one.what == "turned") for one in mine)
+
+    def running(self):
+        """A call that runs at a scorer now; earlier ones may have come before all was up."""
+        asked = [self.ask()]
+
+        def runs():
+            if asked[-1].outcome:
+                asked.append(self.ask())
+            return not asked[-1].outcome and self.runs(asked[-1]) == 1
+
+        self.until(runs, "a call to run")
+        return asked[-1]
+
+    def served(self, what, within_s=40.0):
+        """A call is served, however often it has to be asked for; when, in ms of the monotonic clock."""
+        asked = [self.ask()]
+
+        def good():
+            if asked[-1].outcome and asked[-1].outcome != "served":
+                asked.append(self.ask())
+            return asked[-1].outcome == "served"
+
+        self.until(good, what, within_s)
+        return asked[-1].ended_ms
+
+    def back(self):
+        """The power goes, all start again: ms from the moment at which all serve until a call that may run
+        at most once is served."""
+        self.served("the fleet to serve")
+        self.cut()
+        self.up()
+        ready = monotonic_ms()
+        return self.served("a call after the cut") - ready
--- /dev/null
+++ b/tests/test_rejoin_processes.py
@@ -0,0 +1,106 @@
+"""Real processes with stores: all killed at once, started in another boot; one killed as it granted."""
+
+import json
+import signal
+import subprocess
+import sys
+
+import pytest
+from power_rig import WINDOW_MS, PowerFleet
+
+from fawnwharf.durable import folder
+from fawnwharf.durable.form import Limits
+from fawnwharf.recovery.trust import Kind, Store, Trust
+from fawnwharf.rejoin.onstore import Kept
+
+GRANTING = """
+import json, sys
+from fawnwharf.durable.form import Limits
+from fawnwharf.lab.promises import fleet_file
+from fawnwharf.net.loop import Loop
+from fawnwharf.net.wheel import monotonic_ms
+from fawnwharf.rejoin.onstore import Kept
+from fawnwharf.replication import messages as m
+from fawnwharf.replication.core import Core
+from fawnwharf.replication.settings import Settings
+
+members, name, folder, boot = fleet_file("abc"), "n0", sys.argv[1], sys.argv[2]
+kept = Kept(folder, "f", name, boot, Limits(wait_ms=20_000.0), lambda what, more: None, fresh=True)
+core = Core(name, 1, members, Settings(1, "members"), monotonic_ms(), fresh=True)
+disk = kept.promises(core, None)
+loop = Loop(lambda now_ms, events: None, lambda text: print(text, file=sys.stderr))
+kept.attach(loop)
+
+def say(effects):
+    for effect in effects:
+        if isinstance(effect, m.Say) and isinstance(effect.message, m.Word) and effect.message.granted:
+            print(effect.message.key, flush=True)
+
+number = 0
+while True:
+    number += 1
+    ask = m.Say((name,), m.Ask(f"k{number}", "n1#1", number, members.number, 0))
+    line = json.loads(__import__("msgspec").json.encode(m.Line("f", "n1", 1, ask.to, ask.message)))
+    say(disk.written(core.line(monotonic_ms(), "n1", line), say))
+    loop.turn(0.002)
+"""
+
+
+def test_a_keeper_that_was_killed_as_it_granted_finds_each_grant_that_it_said(tmp_path):
+    boot = tmp_path / "boot"
+    boot.write_text("one")
+    child = subprocess.Popen(
+        [sys.executable, "-c", GRANTING, str(tmp_path / "d"), str(boot)], stdout=subprocess.PIPE, text=True
+    )
+    said = []
+    for line in child.stdout:
+        said.append(line.strip())
+        if len(said) == 40:
+            break
+    child.send_signal(signal.SIGKILL)
+    said += [line.strip() for line in child.stdout if line.endswith("\n")]
+    child.wait()
+    folder.unlock(folder.lock(tmp_path / "d", within_s=20.0))
+    boot.write_text("another")
+    kept = Kept(tmp_path / "d", "f", "n0", str(boot), Limits(), lambda what, more: None)
+    try:
+        assert (kept.whole, kept.same_boot, kept.in_order, kept.sure) == (Store.WHOLE, False, False, 1)
+        found = {name.split("/", 2)[2]: value for name, value, trust in kept.read(Kind.PROMISE)}
+        assert set(said) <= found.keys() and all(value[1] is None for value in found.values())
+        assert {trust for _, _, trust in kept.read(Kind.PROMISE)} == {Trust.NOW}
+    finally:
+        kept.close()
+
+
+def test_what_may_have_run_is_not_run_again_after_a_cut_and_new_calls_go_at_once():
+    fleet = PowerFleet(seed=5)
+    try:
+        fleet.begin()
+        request = fleet.running()  # its scorer is of this process, and answers nothing before the cut
+        fleet.cut()
+        fleet.up()
+        for zone in ("b", "c"):
+            assert fleet.outcome(request, zone) == "failed"
+        assert fleet.runs(request) == 1
+        read = [note.fields for note in fleet.notes if note.event == "disk read"][-3:]
+        assert [row["trusted"] for row in read] == [True] * 3 and any(row["calls"] for row in read)
+        stores = [note.fields for note in fleet.notes if note.event == "store read"][-3:]
+        assert [(row["same_boot"], row["why"]) for row in stores] == [(False, "")] * 3
+        assert not [note for note in fleet.notes if note.event == "the store is in part"]
+        assert not fleet.faults
+    finally:
+        fleet.close()
+
+
+@pytest.mark.parametrize("stores", [True, False])
+def test_keepers_grant_at_once_after_a_cut_with_stores_and_wait_with_files(stores):
+    fleet = PowerFleet(seed=6, stores=stores)
+    try:
+        fleet.begin()
+        took_ms = fleet.back()
+        notes = [note.fields for note in fleet.notes if note.event == "keeper"]
+        assert [row["sure"] for row in notes[3:6]] == [stores] * 3
+        assert stores or took_ms > 0.4 * WINDOW_MS
+        print(json.dumps({"stores": stores, "served_ms": round(took_ms)}))
+    finally:
+        fleet.close()
