Recovery: a store's later signs once confirmed, and an own call that can't be written

A sign that others went over, by confirming what was found, was taken for a new doubt each time it came; a call of one keeper alone whose grant the store refused would have been looked up among the batch's calls after it had left them.

--- a/fawnwharf/rejoin/onstore.py
+++ b/fawnwharf/rejoin/onstore.py
@@ -64,6 +64,7 @@
         self.whole = Store.PART if self._start.doubt else Store.WHOLE
         self.why, self.fresh, self.life = self._start.doubt, found.fresh, found.sign.life + 1
         self._found, self._told = found.sign, Sign("", 0, 0)
+        self._later = self._passed = (0, 0)  # life and number that others told, and that were confirmed over
         self._doubted: list[Callable[[], None]] = []  # who is told of a doubt that comes up later
         self._loop: OnLoop | None = None
         self._closed = False
@@ -150,10 +151,14 @@
     def heard_sign(self, sign: Sign) -> bool:
         """Another member's word of a sign that it heard of this one. False: it is a later one than this
         folder has, which is an older copy; the store is in part from then on."""
+        if sign.mark != self._found.mark or (sign.life, sign.number) <= self._passed:
+            return True
         mine = self._told if self._told.life else self._found
         why = older(Found(sign=mine), [sign])
         if why:
-            self._doubt(why[: k.WHY_MOST])
+            self._later = max(self._later, (sign.life, sign.number))
+            if self.why != why[: k.WHY_MOST]:
+                self._doubt(why[: k.WHY_MOST])
         return not why
 
     def doubt(self, why: str) -> None:
@@ -174,7 +179,7 @@
     def confirm(self) -> None:
         """Others confirmed what was found: the store is whole from now on, and in lives to come. Raises
         nothing; what a keeper knows of its grants is another matter."""
-        self.whole, self.why = Store.WHOLE, ""
+        self.whole, self.why, self._passed = Store.WHOLE, "", self._later
         self._put(k.DOUBT, k.LAST, None)
         self.store.core.confirm()
         if self._loop is not None:
--- a/fawnwharf/rejoin/promises.py
+++ b/fawnwharf/rejoin/promises.py
@@ -228,7 +228,7 @@
         found: list[Out] = []
         for effect in batch.held:
             if isinstance(effect, Go):
-                if on_disk and core.claimant.release(effect.key, batch.own[effect.key]):
+                if on_disk and core.claimant.release(effect.key, batch.own.get(effect.key, 0)):
                     found.append(effect)
             elif on_disk:
                 found.append(effect)
--- a/tests/test_rejoin_kept.py
+++ b/tests/test_rejoin_kept.py
@@ -169,10 +169,18 @@
     assert kept.whole is Store.WHOLE and kept.sure == 3  # by the folder alone nothing shows it
     assert not kept.heard_sign(heard)
     assert told == [Store.PART] and kept.sure == 0 and kept.why.startswith("rolled back")
+    assert not kept.heard_sign(heard) and told == [Store.PART]  # said once
     site.pump(kept, 200.0)
     machine.cut()
     kept = site.kept()
     assert (kept.whole, kept.sure) == (Store.PART, 0)
+    far = Sign(heard.mark, 9, 9)
+    assert not kept.heard_sign(far)
+    kept.confirm()
+    assert kept.heard_sign(far) and kept.whole is Store.WHOLE  # others went over it
+    site.pump(kept, 200.0)
+    kept = site.kept()
+    assert kept.whole is Store.WHOLE and not kept.heard_sign(far)  # a start hears of it anew
 
 
 def test_what_is_beyond_the_bounds_is_refused_and_said_once(site):
--- a/tests/test_rejoin_onstore.py
+++ b/tests/test_rejoin_onstore.py
@@ -4,6 +4,7 @@
 
 import msgspec
 import pytest
+from cores import RULES
 from kept_rig import Site, StoreCores, asks
 
 from fawnwharf.interface import Effect
@@ -283,6 +284,16 @@
     assert cores.what(keeper) == [Go("own", True)]  # by the other two
 
 
+def test_a_call_of_one_keeper_alone_that_it_can_t_write_is_turned_away(site):
+    cores = StoreCores(site, rules=msgspec.structs.replace(RULES, zones=1))
+    [keeper] = cores.cores[cores.keepers[0]].placement.of("k")
+    cores.kepts[keeper]._bytes["promise"] = 8 * 1024 * 1024 - 10
+    cores.begin(keeper)
+    cores.turn()
+    [turned] = cores.what(keeper)
+    assert isinstance(turned, TurnAway) and not cores.cores[keeper].claimant.mine
+
+
 def test_a_file_of_a_life_without_the_store_makes_the_store_one_in_part(site, tmp_path):
     cores = StoreCores(site)
     keeper = cores.keepers[0]
