Recovery: functions are dealt by seats, and an order that was not made keeps its place

An order that the module did not make came last, whatever it was worth, and a seat that fell free waited for the next turn.

--- a/fawnwharf/rejoin/giving.py
+++ b/fawnwharf/rejoin/giving.py
@@ -247,14 +247,19 @@
         if not self.loading.answered(now_ms, event):
             return []
         self._news[event.function] = None
-        return [*self._note(event.function, event.worker, self.name)]
+        found: list[Out] = [*self._note(event.function, event.worker, self.name)]
+        return [*found, *(self.loading.orders(now_ms) if self._loads else ())]  # the seat is free
+
+    @property
+    def _loads(self) -> bool:
+        return self._allowed.loads and not self._allowed.spill
 
     # --- turns ------------------------------------------------------------------------------------
 
     def tick(self, now_ms: float) -> list[Out]:
         """What is due; to be called every `TURN_MS`."""
         found: list[Out] = [*self.loading.overdue(now_ms)]
-        if self._allowed.loads and not self._allowed.spill:
+        if self._loads:
             found += self._wants(now_ms)
             found += self.loading.orders(now_ms)
         return [*found, *self._told(now_ms), *self.wards.tick(now_ms)]
--- a/fawnwharf/rejoin/loading.py
+++ b/fawnwharf/rejoin/loading.py
@@ -17,7 +17,7 @@
 ORDER_MS = 100.0  # by then the module has made an order of what it was told, or it makes none
 UNMADE_MS = 1_000.0  # an order that was not made, and of which its scorer says nothing for so long
 LOST_MS = 10_000.0  # an order without an answer for so long has failed
-RETRY_MS = 500.0  # after an order that came to nothing
+RETRY_MS, UNMADE_AGAIN_MS = 500.0, 250.0  # after an order that failed, or that the module did not make
 SORT_MS = 250.0  # pace of the look at who is ahead of whom
 LEAST_MS = 50.0  # no copy is expected earlier
 FACTS_MOST = 20_000  # functions
@@ -30,6 +30,7 @@
     kind: str
     lanes: int
     load_ms: float | None
+    worth_ps: float = 0.0  # the largest that was told
     failed: dict[int, float] = field(default_factory=dict)  # scorers, until when
 
 
@@ -75,6 +76,8 @@
                 self._count("functions beyond what is kept")
                 return
             self._facts[wanted.row] = _Facts(wanted.kind, wanted.lanes, wanted.load_ms)
+        facts = self._facts[wanted.row]
+        facts.worth_ps = max(facts.worth_ps, wanted.worth_ps)
         self.loader.gone(wanted.row)  # whoever wants it goes by what stands
         self._put(now_ms, wanted.row, wanted.worth_ps)
 
@@ -124,14 +127,14 @@
     def _begin(self, now_ms: float, row: str) -> Order | None:
         if self.seats.owner(row) != self.me or self._stands(row):
             return None  # it is another's by now, or was told to stand
+        facts = self._facts[row]
         if (due_ms := self.seats.due_ms(now_ms, row)) > now_ms:
-            self._later[row] = (due_ms, 0.0)
+            self._later[row] = (due_ms, facts.worth_ps)
             return None
-        facts = self._facts[row]
         facts.failed = {worker: until for worker, until in facts.failed.items() if until > now_ms}
         able = [worker for worker in self._order(row) if worker not in facts.failed]
         if not able:
-            self._later[row] = (now_ms + RETRY_MS, 0.0)
+            self._later[row] = (now_ms + RETRY_MS, facts.worth_ps)
             return None
         self.loader.under_way.add(row)
         self.under_way[row] = _UnderWay(able[0], now_ms)
@@ -168,14 +171,18 @@
         return False
 
     def _failed(self, now_ms: float, row: str, way: _UnderWay, there: bool) -> None:
-        """It is wanted again, as the last; elsewhere for a while, if that was the scorer's fault."""
+        """It is wanted again, as the last; elsewhere for a while, if that was the scorer's fault. One that
+        was never made keeps its place."""
         del self.under_way[row]
         self.loader.under_way.discard(row)
-        self._rests(now_ms, now_ms - way.told_ms)
+        facts = self._facts[row]
         if there:
-            self._facts[row].failed[way.worker] = now_ms + 2 * RETRY_MS
+            facts.failed[way.worker] = now_ms + 2 * RETRY_MS
+        if way.went:
+            self._rests(now_ms, now_ms - way.told_ms)
+            facts.worth_ps = 0.0
         self._count("orders that failed" if way.went else "orders that were not made")
-        self._put(now_ms, row, 0.0, now_ms + RETRY_MS)
+        self._put(now_ms, row, facts.worth_ps, now_ms + (RETRY_MS if way.went else UNMADE_AGAIN_MS))
 
     def _rests(self, now_ms: float, took_ms: float) -> None:
         """Where the budget is a part of one fetch, it is that part of the time."""
--- a/fawnwharf/rejoin/seats.py
+++ b/fawnwharf/rejoin/seats.py
@@ -15,12 +15,16 @@
 OWNERS_MOST = 20_000  # functions whose loader is kept in mind
 
 
+def _holder(seat: str) -> str:
+    return seat.rstrip("\0")
+
+
 class Seats:
     """Owns the own seats, from when each may be used, and the last views."""
 
     def __init__(self, me: str, limits: Limits, lag_ms: float, usual_ms: float) -> None:
         self.me, self.limits, self.lag_ms, self.usual_ms = me, limits, lag_ms, usual_ms
-        self.chosen: tuple[str, ...] = ()
+        self.dealt: tuple[str, ...] = ()  # all seats, as `_holder` reads them
         self.rest = 1.0  # parts of one seat, where the budget is below one
         self._from: list[float] = []  # of each own seat, the oldest first
         self._before: deque[tuple[float, tuple[str, ...]]] = deque(maxlen=64)  # until when, who
@@ -32,14 +36,14 @@
         most = max(1, int(fetches))
         self.rest = min(1.0, max(1e-3, fetches))
         chosen = loaders(givers, most, cut)
-        if chosen != self.chosen:
-            if self.chosen:
-                self._before.append((now_ms + self.usual_ms, self.chosen))
-            self.chosen = chosen
+        # The first seat of a loader has its name alone; functions are dealt by seats, so that all are used.
+        dealt = tuple(chosen[n % len(chosen)] + "\0" * (n // len(chosen)) for n in range(most))
+        if dealt != self.dealt:
+            if self.dealt:
+                self._before.append((now_ms + self.usual_ms, self.dealt))
+            self.dealt = dealt
             self._owners.clear()
-        mine = 0
-        if self.me in chosen:
-            mine = most // len(chosen) + (chosen.index(self.me) < most % len(chosen))
+        mine = sum(_holder(seat) == self.me for seat in dealt)
         del self._from[mine:]
         self._from += [now_ms + self.lag_ms + self.usual_ms] * (mine - len(self._from))
 
@@ -61,11 +65,12 @@
         if found is None:
             if len(self._owners) >= OWNERS_MOST:
                 self._owners.clear()
-            found = self._owners[row] = loader_of(row, self.chosen)
+            found = self._owners[row] = _holder(loader_of(row, self.dealt))
         return found
 
     def due_ms(self, now_ms: float, row: str) -> float:
         """When this front end may order a function that is its own: another one may have had it under way."""
         while self._before and self._before[0][0] <= now_ms:
             self._before.popleft()
-        return max((until for until, was in self._before if loader_of(row, was) != self.me), default=now_ms)
+        others = (until for until, was in self._before if _holder(loader_of(row, was)) != self.me)
+        return max(others, default=now_ms)
--- a/tests/test_rejoin_giving.py
+++ b/tests/test_rejoin_giving.py
@@ -75,6 +75,13 @@
     assert seats.ready(2_799.0) == 2 and seats.ready(2_800.0) == 4
 
 
+def test_functions_are_dealt_by_seats_so_that_none_is_idle_while_another_has_many():
+    seats = Seats("n0", replace(LIMITS, fetches=3), 300.0, 500.0)
+    seats.set(0.0, ("n0", "n1"), 1.0, 1)
+    owners = [seats.owner(f"f{i}") for i in range(3_000)]
+    assert set(owners) == {"n0", "n1"} and abs(owners.count("n0") - 1_000 * seats.mine) < 150
+
+
 def test_the_worth_most_is_ordered_first_and_each_function_once():
     fleet = Fleet(3)
     want_all(fleet)
