--- a/fawnwharf/rejoin/agent.py
+++ b/fawnwharf/rejoin/agent.py
@@ -25,7 +25,6 @@
 LOOK_MS, CALM_LOOK_MS = 50.0, 250.0
 CALM_PACE = 4  # in calm a front end tells how it stands so many times less often
 TOLD_TIMES = 3  # a sign is told to one that started anew
-SHOWN_MOST = 16
 
 
 class Say(msgspec.Struct, frozen=True):
@@ -151,6 +150,19 @@
     def _count(self, cause: str) -> None:
         self.counts[cause] = self.counts.get(cause, 0) + 1
 
+    def heard_lately(self, now_ms: float) -> tuple[str, ...]:
+        """Voters of whom something came."""
+        return tuple(sorted(n for n, at_ms in self._heard_ms.items() if now_ms - at_ms < self.heard_ms))
+
+    def confirmed(self) -> bool:
+        """Most voters go by this list of members, or by an earlier one, and the keeper here knows all that it
+        granted: nothing that was not found is missed any more."""
+        asking, lists = self.asking, self.lists
+        if asking.stand(What.MEMBERS) is not Stand.ANSWERED or not (self.own.sure and self.own.settled):
+            return False
+        said = [(a.number, a.digest) for a in asking.opens[What.MEMBERS].answers.values()]
+        return all(n < lists.number or (n, d) == (lists.number, lists.digest) for n, d in said)
+
     # --- what comes in --------------------------------------------------------------------------
 
     def hear_zone(self, now_ms: float, sender: str, word: w.Word) -> list[Effect]:
@@ -361,39 +373,6 @@
             self._stand_due_ms = min(self._stand_due_ms, now_ms)  # by another pace from now on
         return effects
 
-    # --- for people -----------------------------------------------------------------------------
-
-    def shown(self, now_ms: float) -> w.Shown:
-        allowed, stage, asking = self.allowed(now_ms), self.stage(now_ms), self.asking
-        register, own = self.follower.register, self.own
-        doubts = [] if own.whole else ["its store is not whole"]
-        doubts += [] if own.settled else ["its store has not written all anew"]
-        doubts += [] if own.sure else ["its keeper does not know all that it granted"]
-        doubts += [] if self.mark else ["the system tells no boot"]
-        if asking.behind:
-            doubts.append(f"a voter goes by list of members {asking.behind}, which is later than its own")
-        fresh = self.follower.fresh(now_ms)
-        how = "alone" if stage is None else "a leader's word" if fresh else "the last word"
-        if stage is not None and register is None:
-            how = "no word yet"
-        counts = self.counts | {f"answers {why}": n for why, n in asking.dropped.items()}
-        return w.Shown(
-            life=self.life,
-            boot=self.mark,
-            stage="" if stage is None else stage.name.lower(),
-            how=how,
-            cut=self.cut,
-            part=allowed.part,
-            leads=self.lead.term,
-            why=register.why if register is not None else "",
-            fronts=self.lead.heard(now_ms) if self.lead.term else 0,
-            heard=tuple(sorted(n for n, at_ms in self._heard_ms.items() if now_ms - at_ms < self.heard_ms)),
-            asked={what.name.lower(): asking.stand(what).value for what in What},
-            without=tuple(asking.without().values())[:SHOWN_MOST],
-            doubts=tuple(doubts[:SHOWN_MOST]),
-            counts=dict(sorted(counts.items())[:64]),
-        )
-
 
 def _order(sign: Sign) -> tuple[int, int]:
     return sign.life, sign.number
--- a/fawnwharf/rejoin/lead.py
+++ b/fawnwharf/rejoin/lead.py
@@ -112,10 +112,10 @@
         self._word = (-1, 0.0)
         return effects
 
-    def decided(self, now_ms: float, text: str) -> list[Effect]:
+    def decided(self, now_ms: float, text: str) -> list[Note]:
         """Raises RegisterFault."""
-        notes = self.conductor.decided(now_ms, text)
-        return [Note("stage decided", n.fields) if isinstance(n, Note) else n for n in notes]
+        notes, boots = self.conductor.decided(now_ms, text), len(self.conductor.register.boots)
+        return [Note("stage decided", note.fields | {"boots": boots}) for note in notes]
 
     def _boots(self, now_ms: float) -> tuple[dict[str, str], int]:
         """Marks of voters that are heard, by identity, and how many are heard, also without a mark."""
--- a/fawnwharf/rejoin/service.py
+++ b/fawnwharf/rejoin/service.py
@@ -16,8 +16,8 @@
 from fawnwharf.net.wheel import Timer, monotonic_ms, unix_ms
 from fawnwharf.recovery.asking import Stand, What
 from fawnwharf.recovery.stages import Decide, Note, Stage
-from fawnwharf.recovery.trust import Kind, Others, Store
-from fawnwharf.rejoin import joined
+from fawnwharf.recovery.trust import Kind, Store
+from fawnwharf.rejoin import joined, showing
 from fawnwharf.rejoin import words as w
 from fawnwharf.rejoin.agent import Agent, Effect, Go, Lists, Own, Say, Signed
 from fawnwharf.rejoin.counted import Counted
@@ -28,6 +28,7 @@
 from fawnwharf.zones.lines import RECOVERY, Word
 
 SHOW_MS = 200.0  # how this one stands is told for people no more often than that
+WORDS_MOST = 200  # in one line
 LINE_S = 1.0  # one note a second of each kind
 
 Write = Callable[[str, dict[str, Any]], None]
@@ -179,14 +180,8 @@
         )
 
     def _confirm(self) -> None:
-        """A store that is in part is whole again once a majority said that its list and its plan are the last
-        ones, its keeper has heard the others, and the fleet is calm."""
-        asking = self.agent.asking
-        same = all(
-            asking.stand(what) is Stand.ANSWERED and asking.others(what) is Others.SAME
-            for what in (What.MEMBERS, What.PLAN)
-        )
-        if same and self.agent.own.sure and self.kept.settled:
+        """A store that is in part is whole again once others have confirmed it, and the fleet is calm."""
+        if self.agent.confirmed():
             self.kept.confirm()
             self.note("the store is confirmed", {})
 
@@ -296,15 +291,15 @@
     def flush(self) -> None:
         """The end of the turn."""
         words, self._words = self._words, []
-        if words and not self._stopped:
-            self.zones.say(words)
+        for at in range(0, 0 if self._stopped else len(words), WORDS_MOST):
+            self.zones.say(words[at : at + WORDS_MOST])
 
     def _show(self) -> None:
         """Tell how this one stands, where that is another way than before."""
         now = monotonic_ms()
         if self._stopped or now - self._shown_ms < SHOW_MS:
             return  # the next tick tells it
-        shown = self.agent.shown(now)
+        shown = showing.shown(self.agent, now)
         if shown != self._shown:
             self._shown, self._shown_ms = shown, now
             self.zones.stand(msgspec.to_builtins(shown), RECOVERY)
