--- a/fawnwharf/rejoin/lead.py
+++ b/fawnwharf/rejoin/lead.py
@@ -10,6 +10,8 @@
 from fawnwharf.rejoin import words as w
 from fawnwharf.zones.lines import Seat
 
+LOOK_MS = 100.0  # pace of the look at what all told
+
 
 @dataclass(frozen=True, slots=True)
 class Lists:
@@ -37,6 +39,7 @@
     marks: dict[str, tuple[int, str, float]] = field(default_factory=dict)  # life, boot's mark, when
     standings: dict[str, tuple[w.Standing, float]] = field(default_factory=dict)
     _fell: dict[str, tuple[int, int]] = field(default_factory=dict)  # life, and fallen by the last look
+    _look_ms: float = 0.0
     _word: tuple[int, float] = (-1, 0.0)  # number of the register that was told last, and when
 
     def __post_init__(self) -> None:
@@ -129,8 +132,9 @@
         return found, heard
 
     def tick(self, now_ms: float, seat: Seat) -> list[Effect]:
-        if not self.term or self.term != seat.term:
+        if not self.term or self.term != seat.term or now_ms < self._look_ms:
             return []
+        self._look_ms = now_ms + LOOK_MS
         self.conductor.voters = seat.voters
         boots, heard = self._boots(now_ms)
         if 2 * heard <= len(seat.voters):  # it can't tell yet whether the fleet lost its power
--- a/fawnwharf/rejoin/tallies.py
+++ b/fawnwharf/rejoin/tallies.py
@@ -49,7 +49,7 @@
     def event(self, now_ms: float, event: io.Event, age_ms: float) -> None:
         """`age_ms`: of the scorer that it is about."""
         if isinstance(event, io.RequestArrived):
-            if event.load_ms:
+            if event.load_ms and self._expected.get(event.function) != event.load_ms:
                 _put(self._expected, event.function, event.load_ms, ROWS_MOST)
         elif isinstance(event, io.AttemptEnded):
             self._signed(event.worker, event.ending, age_ms)
@@ -62,7 +62,8 @@
         before: one that was never up did not fall."""
         if ending is io.Ending.GOOD:
             self.up = True
-            _put(self._broken, worker, 0, PAIRS_MOST)
+            if self._broken.get(worker, -1):
+                _put(self._broken, worker, 0, PAIRS_MOST)
         elif ending in GONE and worker in self._broken:
             self._broken[worker] += 1
             if self._broken[worker] >= FELL_AFTER:
