--- a/fawnwharf/recovery/stages.py
+++ b/fawnwharf/recovery/stages.py
@@ -229,12 +229,15 @@
         return self._put(Stage(stage - 1), seen, boots, why, part=part)
 
     def _calm(self, now_ms: float, seen: Seen, boots: Mapping[str, str]) -> list[Effect]:
-        """In calm new boots of a minority are noted, so that they do not add up to a power loss."""
-        if all(self.register.boots.get(name) == mark for name, mark in boots.items() if name in self.voters):
+        """In calm new boots of a minority are noted, so that they do not add up to a power loss. Those of
+        which none was noted are at once: till then a loss of theirs would not be seen."""
+        noted = self.register.boots
+        news = [n for n, mark in boots.items() if n in self.voters and noted.get(n) != mark]
+        if not news:
             self.calm_ms = None
             return []
         self.calm_ms = now_ms if self.calm_ms is None else self.calm_ms
-        if self.register.boots and now_ms - self.calm_ms < self.timing.settle_ms:
+        if any(name in noted for name in news) and now_ms - self.calm_ms < self.timing.settle_ms:
             return []
         return self._put(Stage.SPILL, seen, boots, "boots noted", part=1.0)
 
--- a/fawnwharf/rejoin/joined.py
+++ b/fawnwharf/rejoin/joined.py
@@ -72,6 +72,8 @@
         if self._timer is not None:
             self._timer.cancel()
         self.front.stand_between(io.Hold, lambda _own: self._order_out)
+        if not self._going[0].spill:
+            self.door.go_by(Allowed(), 0.0, self.giving)  # what waits may be asked for again elsewhere
 
     def _between(self, below: Callable[[io.Hold], None]) -> Callable[[io.Hold], None]:
         front, self._order_out = self.front, below
--- a/fawnwharf/rejoin/service.py
+++ b/fawnwharf/rejoin/service.py
@@ -99,9 +99,9 @@
             self._timer.cancel()
         if self.front is None or self.joined is None:
             return
+        # The tables stay where they are: what is open here may still be withdrawn, by its keys.
+        self.calls.counting = False
         self.joined.close()
-        if self.front.port.table is self.calls:
-            self.front.port.table = self.joined.door.below
         self.front.port.waits_for.discard(RECOVERY)
         self.zones.riders.pop(RECOVERY, None)
         self.state.riders.pop(w.RIDER, None)
--- a/tests/test_recovery_stages.py
+++ b/tests/test_recovery_stages.py
@@ -93,6 +93,17 @@
     assert led.core.register.cut == 2 and led.core.register.boots == boots("new")
 
 
+def test_boots_of_new_voters_are_noted_at_once_and_others_beside_them_in_time():
+    led = Led(Register(1, 4, 2, 5, 1.0, 9, {"a#1": "old"}))
+    led.step(mark="old")
+    assert led.core.register.boots == boots("old") and led.told[-1].cut == 2
+    core, marks = led.core, boots("old") | {"b#1": "new"}
+    core.voters = (*VOTERS, "d#1")
+    assert core.tick(led.now, GOOD, marks | {"d#1": "new"}, True) == []  # b's may be the first of many
+    (put,) = core.tick(led.now + TIMING.settle_ms, GOOD, marks | {"d#1": "new"}, True)
+    assert register_from(put.register).boots == marks | {"d#1": "new"}
+
+
 def test_nothing_is_put_without_a_lease_or_while_something_is_put():
     core = Conductor(TIMING)
     core.lead(0.0, Register(1, 4, 2, 5, 1.0, 9, boots("old")).encode(), VOTERS)
