--- a/tests/rejoin_site.py
+++ b/tests/rejoin_site.py
@@ -7,6 +7,7 @@
 from processes import Log, Port
 
 from fawnwharf.config import deployment_from
+from fawnwharf.epochs.service import Policies
 from fawnwharf.net.front_end import FrontEnd
 from fawnwharf.recovery.stages import Stage
 from fawnwharf.rejoin.onstore import kept
@@ -19,6 +20,7 @@
 PATIENCE_S = 40.0
 VOTING = {"beat_ms": 60.0, "election_ms": 400.0, "fresh_ms": 200.0, "valid_ms": 1_000.0}
 STATE = {"call_most_ms": 9_900.0, "window_ms": 1_500.0, "use_ms": 100.0}
+LEASES = {"lease_ms": 800.0, "renew_ms": 100.0, "prepare_ms": 2_500.0, "again_ms": 100.0}
 TIMING = {"hold_ms": 300.0, "listen_ms": 1_500.0, "most_ms": 2_000.0, "settle_ms": 1_500.0}
 PACE = {"again_ms": 100.0, "spread_ms": 50.0, "stand_ms": 100.0, "stage_ms": 150.0}
 
@@ -63,10 +65,13 @@
             "state": lambda first, made: State(
                 deployment, here / "state.json", write, fresh, made["kept"]
             ),
+            "policy": lambda first, made: Policies(deployment, here / "policy.json", write, made),
             "recovery": lambda first, made: Rejoin(
                 deployment, here / "recovery.json", write, made
             ),
         }  # fmt: skip
+        if not self.site.policy:
+            del made["policy"]
         seam = Seams(made, True)
         self.lines = []
         self.front = FrontEnd(deployment, lambda text, source="": self.lines.append(text), seam=seam)
@@ -105,8 +110,8 @@
 
 
 class Site:
-    def __init__(self, folder, **timing):
-        self.folder, self.clients = folder, []
+    def __init__(self, folder, policy=False, **timing):
+        self.folder, self.clients, self.policy = folder, [], policy
         self.nodes = [Node(self, n, zone) for n, zone in enumerate("abc")]
         members = {"version": 1, "fleet": "f", "number": 1, "members": [node.entry() for node in self.nodes]}
         for node in self.nodes:
@@ -117,6 +122,7 @@
             settings = {"version": 1, "folder": "kept", "fetches": 4, "scorer_rps": 100}
             settings |= {"boot_file": str(node.folder / "boot"), "pace": PACE, "timing": TIMING | timing}
             node.write("recovery.json", settings)
+            node.write("policy.json", {"version": 1} | LEASES)
         found(self.nodes[0].folder / "zones.json", "n0")
 
     def start(self, nodes=None, fresh=False):
--- a/tests/test_rejoin_service.py
+++ b/tests/test_rejoin_service.py
@@ -20,6 +20,7 @@
     made.close()
 
 
+@pytest.mark.parametrize("site", [{}, {"policy": True}], indirect=True)
 def test_all_that_lost_their_power_come_back_by_the_stages_and_status_is_good_from_worth_on(site):
     site.begin()
     assert all(site.ready(node) is True for node in site.nodes)
