--- a/tests/test_rejoin_service.py
+++ b/tests/test_rejoin_service.py
@@ -7,6 +7,7 @@
 import pytest
 from rejoin_site import Site
 
+from fawnwharf import interface as io
 from fawnwharf.recovery.stages import Stage
 from fawnwharf.recovery.trust import Store
 
@@ -154,3 +155,23 @@
     gained = {why: n - before.get(why, 0) for why, n in node.agent.counts.items() if n != before.get(why, 0)}
     assert gained == {"bad word": 4, "another fleet's": 2}
     assert len(node.noted("word dropped")) == 1
+
+
+def test_one_that_gave_its_parts_to_another_process_and_takes_them_back_asks_anew(site):
+    site.begin()
+    node = site.nodes[2]
+    seam, life = node.front.seam, node.part.life
+    order = node.front._carriers[io.Hold]
+    seam.release()
+    assert node.front._carriers[io.Hold] != order and not node.front.port.waits_for
+    seam.take_back(node.front)
+    assert node.part.life > life and not site.ready(node)
+    site.until(
+        lambda: node.stage() is Stage.SPILL and site.ready(node), "it is calm here, and its status good"
+    )
+    client = site.client(node)
+    client.call()
+    site.until(lambda: node.scorer.runs, "a call goes through the new tables")
+    node.scorer.answer(node.scorer.runs[0])
+    site.until(lambda: client.kinds(), "it is answered")
+    assert client.kinds() == {1: "answer"} and {cut for cut, _ in node.stages()} == {0}
