--- a/tests/test_rejoin_processes.py
+++ b/tests/test_rejoin_processes.py
@@ -104,3 +104,23 @@
         print(json.dumps({"stores": stores, "served_ms": round(took_ms)}))
     finally:
         fleet.close()
+
+
+def test_front_ends_that_end_in_order_say_so_in_their_stores_and_go_on_as_they_were():
+    fleet = PowerFleet(seed=7)
+    try:
+        fleet.begin()
+        fleet.served("the fleet to serve")
+        for front in fleet.fronts.values():
+            front.process.send_signal(signal.SIGTERM)
+        fleet.until(lambda: all(front.process is None for front in fleet.fronts.values()), "all to end")
+        assert [front.status for front in fleet.fronts.values()] == [0] * 3
+        fleet.up()
+        stores = [note.fields for note in fleet.notes if note.event == "store read"][-3:]
+        assert [(row["life"], row["same_boot"], row["in_order"], row["why"]) for row in stores] == [
+            (2, True, True, "")
+        ] * 3
+        fleet.served("a call of the next life")
+        assert not fleet.faults
+    finally:
+        fleet.close()
