A keeper that comes late is told at once of the sessions in use, not by the next quarter

Operators' moves in sessions-move ended with one hand-over missing on a busy machine. Its front end had followed the log of the session's one late, and what was said there before is lost to a reader (replication/links.py); the word on a session in use (Router.begin, Met) comes again after a quarter of still_ms only, 15 s.

A front end now hears who follows its log from when on, by the reader's Hello and its question, whichever comes second, and tells keepers that come of all sessions in use: with their next call, or 200 a look. Operators' wishes have a note of what came of each. What movers want staged is a file of its own.

--- a/fawnwharf/handover/router.py
+++ b/fawnwharf/handover/router.py
@@ -19,6 +19,7 @@
 from fawnwharf.sites import Home, LetGo, Session, Stage
 
 CALLS_MOST = 50_000
+LOOKS = 200  # sessions that are told of anew in one tick
 
 
 Spent = tuple[tuple[str, int], ...]
@@ -76,6 +77,7 @@
         self.at_home: dict[tuple[str, str], int] = {}  # sessions by function and site
         self.elsewhere = 0  # of all, those at home at other sites
         self.counts: dict[str, int] = {}
+        self._anew_ms, self._untold = float("-inf"), list[Session]()
         self._lets: dict[Session, tuple[float, frozenset[str]]] = {}  # asked when, and who said yes
         self._sure_ms = now_ms if fresh else now_ms + settings.lapse_ms * settings.stretch
 
@@ -116,6 +118,10 @@
         self._at(seen.home, -1)
         self.contexts.pop(session, None)
 
+    def followed(self, now_ms: float) -> None:
+        """A keeper hears this front end from now on. What was said before that, it may not know."""
+        self._anew_ms, self._untold = now_ms, list(self.homes)
+
     def meet(self, now_ms: float, home: Home, whence: str = "") -> list[m.Out]:
         """Somebody goes by this home: if its number is larger, so does this front end from now on."""
         before = self.home(home.session)
@@ -143,9 +149,8 @@
         home = self.home(session)
         seen = self._goes_by(now_ms, home or Home(session, self.site, 0))
         # A quarter, so that keepers and fellows know it for as long as anybody does.
-        if now_ms - seen.told_ms >= self.settings.still_ms / 4 or home is None:
-            seen.told_ms = now_ms
-            found.append(m.Say(self.keepers_of(key_of(session)), m.Met(seen.home)))
+        if now_ms - seen.told_ms >= self.settings.still_ms / 4 or seen.told_ms <= self._anew_ms:
+            found.append(self._tell(now_ms, seen))
         if len(self.calls) < CALLS_MOST:
             self.calls[call] = _Call(session, seen.home.number, until_ms)
             self._under(seen, seen.home.number, 1)
@@ -153,6 +158,10 @@
             self._count("too many calls")
         return [m.Reroute(call, seen.home), *found]
 
+    def _tell(self, now_ms: float, seen: _Seen) -> m.Say:
+        seen.told_ms = now_ms
+        return m.Say(self.keepers_of(key_of(seen.home.session)), m.Met(seen.home))
+
     def sent(self, call: str) -> None:
         if call in self.calls:
             self.calls[call].sent = True
@@ -288,6 +297,11 @@
                 del self.staged[row]
         for session in [s for s, (at, _) in self._lets.items() if now_ms - at > self.settings.wait_ms]:
             del self._lets[session]
+        for session in self._untold[-LOOKS:]:
+            seen = self.homes.get(session)
+            if seen is not None and seen.told_ms <= self._anew_ms:
+                found.append(self._tell(now_ms, seen))
+        del self._untold[-LOOKS:]
         while self.homes:
             session, seen = next(iter(self.homes.items()))
             if now_ms - seen.used_ms < self.settings.still_ms or seen.under_way:
--- a/fawnwharf/replication/links.py
+++ b/fawnwharf/replication/links.py
@@ -24,13 +24,18 @@
         super().__init__(loop, address, life, readers_most)
         self._names: dict[int, str] = {}  # by the number that a reader asked with
         self._sent: dict[Any, int] = {}  # lines, by reader
+        self.followed: Callable[[str], None] = lambda _name: None  # it hears all that is said from now on
         self.lines = self.bytes = 0  # that went out
 
     def named(self, name: str, asked: int) -> None:
         """Who it was that asked since this number."""
+        if self._names.get(asked) == name:
+            return
         while len(self._names) >= NAMES_MOST:
             del self._names[next(iter(self._names))]
         self._names[asked] = name
+        if any(reader.since == asked for reader in self.readers):
+            self.followed(name)
 
     def greet(self, name: str, line: Any) -> None:
         """A Hello to the member of this name. It may not follow this log yet, and would then send all of its
@@ -61,6 +66,8 @@
         head = {"seq": 1, "life": self.life, "whole": True}
         for item in [{**head, "line": line} for line in self._counting.values()] or [head]:
             reader.connection.write(encoder.encode(item) + b"\n")
+        if name := self._names.get(reader.since):
+            self.followed(name)
 
     def unwritten(self) -> bool:
         return any(reader.connection.waiting_bytes for reader in self.readers if reader.since is not None)
--- a/fawnwharf/replication/service.py
+++ b/fawnwharf/replication/service.py
@@ -83,6 +83,7 @@
         self.gate: Gate | None = None
         self.server: DirectedServer | None = None
         self._feeds: dict[str, DirectedLog] = {}
+        self.followers: list[Callable[[float, str], None]] = []  # hear of members that follow this log anew
         self.riders: dict[str, Ridden] = {}  # other subsystems whose words go by these logs
         self._timer: Timer | None = None
         self._timer_ms = 0.0
@@ -106,6 +107,7 @@
             )
         except OSError as error:
             raise ConfigError(f"state.listen: {error.strerror}: {place}") from None
+        self.server.followed = self._followed
         self.gate = Gate(
             front.loop,
             front.table,
@@ -322,6 +324,10 @@
 
         return hello
 
+    def _followed(self, name: str) -> None:
+        for taker in self.followers:
+            taker(monotonic_ms(), name)
+
     def _dropped(self, text: str) -> None:
         if self._once("line"):
             self.note("line dropped", {"why": text, "counts": dict(self.core.counts)})
--- a/fawnwharf/sessions/agent.py
+++ b/fawnwharf/sessions/agent.py
@@ -9,7 +9,6 @@
 
 from collections import Counter, deque
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 
 from msgspec.structs import replace
 
@@ -18,25 +17,17 @@
 from fawnwharf.handover.mover import Mover
 from fawnwharf.handover.router import Router
 from fawnwharf.interface import ClassSpec
-from fawnwharf.sessions.asking import Asking
-from fawnwharf.sessions.effects import Copies, Dropped, Key, Note, Out, Words
+from fawnwharf.sessions.asking import Asking, why_not
+from fawnwharf.sessions.effects import Key, Note, Out, Words, named
 from fawnwharf.sessions.known import Firsts, Known, copies
 from fawnwharf.sessions.moves import Moves, View, target
 from fawnwharf.sessions.settings import Settings
+from fawnwharf.sessions.staged import Staged
 from fawnwharf.sites import Home, LetGo, Move, Session, Stage
 
-STAGES_MOST = 4_096
 BUSY_MS, CALM_MS = 50.0, 250.0  # pace of looks
 
 
-@dataclass(slots=True)
-class _Stage:
-    sender: str
-    receive: m.Receive
-    until_ms: float
-    stands: bool = False
-
-
 class Agent:
     """Owns this front end's cores, what is staged here, and what operators asked for."""
 
@@ -73,7 +64,7 @@
         self._lives: dict[str, tuple[int, int]] = {}  # as told, and counted
         self._closed: dict[str, str] = {}
         self._pleased: dict[Session, str] = {}  # who wished for what is in hand here
-        self._stages: dict[Key, _Stage] = {}
+        self._staged = Staged(self.counts)
         self._gone: set[str] = set()  # calls that were closed at the last look
         self._out: list[Out] = []
 
@@ -130,6 +121,11 @@
         for word in words:
             self._carry(now_ms, self._hear(now_ms, sender, word))
 
+    def followed(self, now_ms: float, name: str) -> None:
+        """A member hears what is said here from now on."""
+        if name in self.keepers:
+            self.router.followed(now_ms)
+
     def _life(self, name: str, life: int) -> int:
         told, count = self._lives.get(name, (None, 0))
         if told != life:
@@ -141,7 +137,7 @@
         if isinstance(word, m.Please):
             return self._please(now_ms, sender, word)
         if isinstance(word, m.Begun):
-            self.asking.answered(word)
+            self._answered(word)
             return []
         if isinstance(word, m.Left):
             word = replace(word, life=self._lives.get(sender, (0, 1))[1])
@@ -163,8 +159,8 @@
             found += self.keeper.receive(now_ms, sender, word)
         if isinstance(word, m.Receive):
             found += self._stage(now_ms, sender, word)
-        elif isinstance(word, m.Drop) and self._stages.pop((word.session, word.turn), None):
-            self._out.append(Dropped((word.session, word.turn)))
+        elif isinstance(word, m.Drop):
+            self._out += self._staged.drop((word.session, word.turn))
         return found
 
     def _context(self, now_ms: float, session: Session) -> m.Context:
@@ -177,31 +173,16 @@
 
     def _stage(self, now_ms: float, sender: str, receive: m.Receive) -> list[m.Out]:
         """A mover wants copies here; it asks until they stand."""
-        key = receive.session, receive.turn
-        stage = self._stages.get(key)
-        if stage is None:
-            while len(self._stages) >= STAGES_MOST:
-                self._out.append(Dropped(oldest := next(iter(self._stages))))
-                del self._stages[oldest]
-            facts = receive.facts or self.known.best(now_ms, receive.session)
-            until_ms = now_ms + receive.until_ms
-            self._stages[key] = _Stage(sender, receive, until_ms)
-            self.counts["staged"] += receive.copies
-            self._out.append(Copies(key, receive.session.row, receive.copies, facts, until_ms))
-            return []
-        stage.sender, stage.receive = sender, receive
-        return self.router.stood(now_ms, sender, receive, True) if stage.stands else []
+        facts = receive.facts or self.known.best(now_ms, receive.session)
+        effects, stands = self._staged.want(now_ms, sender, receive, facts)
+        self._out += effects
+        return self.router.stood(now_ms, sender, receive, True) if stands else []
 
     def stood(self, now_ms: float, key: Key, stands: bool) -> None:
         """By their scorers' own answers these copies stand, or can't."""
-        stage = self._stages.get(key)
-        if stage is None:
-            return
-        stage.stands = stands
-        if not stands:
-            del self._stages[key]
-            self.counts["could not be staged"] += 1
-        self._carry(now_ms, self.router.stood(now_ms, stage.sender, stage.receive, stands))
+        if (stage := self._staged.stood(key, stands)) is not None:
+            self.counts["could not be staged"] += not stands
+            self._carry(now_ms, self.router.stood(now_ms, stage.sender, stage.receive, stands))
 
     # --- what operators and plans ask ---------------------------------------------------------------
 
@@ -220,18 +201,17 @@
         self.asking.ask(now_ms, wanted)
         self._carry(now_ms, self.asking.due(now_ms, self.mover_for))
 
+    def _answered(self, begun: m.Begun) -> None:
+        if self.asking.answered(begun) and begun.over:
+            self._out.append(Note("move answered", named(begun.session) | {"why": begun.why}))
+
     def _please(self, now_ms: float, sender: str, please: m.Please) -> list[m.Out]:
         """Whatever home is known here: the session's keepers have the last word on it."""
         move = please.move
         if self.mover is None or self.keeper is None:
             return []
         home = self._home(move.session)
-        if home is None:
-            return [m.Say((sender,), m.Begun(move.session, None, "no such session", True))]
-        why = "at home there" if home.site == move.whither else ""
-        why = why or ("no such site" if move.whither not in self.sites.values() else "")
-        why = why or ("the site is closed" if move.whither in self._closed else "")
-        if why:
+        if why := why_not(home, move.whither, self.sites.values(), self._closed):
             return [m.Say((sender,), m.Begun(move.session, home, why, True))]
         begun = m.Say((sender,), m.Begun(move.session, home, "begun", False))
         if self._pleased.get(move.session) == sender and move.session in self.mover.hands:
@@ -315,7 +295,7 @@
         home = moved.home
         self.counts["moved"] += 1
         self.moves.switched(now_ms, home, moved.whence)
-        fields = {"org": home.session.org, "row": home.session.row, "site": home.site, "number": home.number}
+        fields = named(home.session) | {"site": home.site, "number": home.number}
         self._out.append(Note("session moved", fields | {"whence": moved.whence, "lost": list(moved.lost)}))
         return self._please_over(home, "switched")
 
@@ -323,7 +303,7 @@
         home = ended.home
         self.ended_by[ended.why] += 1
         self.moves.ended(now_ms, home, ended.why)
-        fields = {"org": home.session.org, "row": home.session.row, "site": home.site, "number": home.number}
+        fields = named(home.session) | {"site": home.site, "number": home.number}
         self._out.append(Note("hand-over ended", fields | {"why": ended.why, "done": ended.done}))
         return self._please_over(home, ended.why)
 
@@ -363,9 +343,7 @@
         self._carry(now_ms, self.router.tick(now_ms))
         self.known.forget(now_ms, 2 * self.rules.still_ms)
         self._carry(now_ms, self.asking.due(now_ms, self.mover_for))
-        for key in [key for key, stage in self._stages.items() if now_ms >= stage.until_ms]:
-            del self._stages[key]
-            self._out.append(Dropped(key))
+        self._out += self._staged.over(now_ms)
         if self.keeper is None or self.mover is None:
             return
         heard = {name: self.sites[name] for name in self.alive} | {self.name: self.site}
--- a/fawnwharf/sessions/asking.py
+++ b/fawnwharf/sessions/asking.py
@@ -1,16 +1,27 @@
 """What operators asked here, until the sessions' movers have said what came of it. Pure; milliseconds."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
 
 from fawnwharf.handover import messages as m
 from fawnwharf.sessions.words import Answer
-from fawnwharf.sites import Move, Session
+from fawnwharf.sites import Home, Move, Session
 
 ANSWERS_MOST = 1_000
 AGAIN_MS, MOST_MS = 1_000.0, 8_000.0  # a mover that says nothing is asked again, for so long
 
 
+def why_not(home: Home | None, whither: str, sites: Collection[str], closed: Collection[str]) -> str:
+    """Why a session of this home can't move there; empty where it can."""
+    if home is None:
+        return "no such session"
+    if home.site == whither:
+        return "at home there"
+    if whither not in sites:
+        return "no such site"
+    return "the site is closed" if whither in closed else ""
+
+
 @dataclass(slots=True)
 class _Wish:
     move: Move
@@ -48,10 +59,12 @@
                 found.append(m.Say((name,), m.Please(wish.move)))
         return found
 
-    def answered(self, begun: m.Begun) -> None:
+    def answered(self, begun: m.Begun) -> bool:
+        """A mover's word; whether it is on one of these wishes."""
         if begun.session not in self.answers:
-            return
+            return False
         self._open.pop(begun.session, None)
         site, number = (begun.home.site, begun.home.number) if begun.home else ("", 0)
         org, row = begun.session.org, begun.session.row
         self.answers[begun.session] = Answer(org, row, begun.why, site, number, begun.over)
+        return True
--- a/fawnwharf/sessions/effects.py
+++ b/fawnwharf/sessions/effects.py
@@ -40,3 +40,8 @@
 
 
 Out = Words | Copies | Dropped | LetGo | Note
+
+
+def named(session: Session) -> dict[str, Any]:
+    """A session in the fields of a note."""
+    return {"org": session.org, "row": session.row}
--- a/fawnwharf/sessions/service.py
+++ b/fawnwharf/sessions/service.py
@@ -112,6 +112,7 @@
         """Begin, on the front end's loop."""
         self.front = front
         self.state.riders[w.RIDER] = self._heard
+        self.state.followers.append(self.agent.followed)
         self._left.take(self.agent.router, set(self.agent.sites.values()), monotonic_ms(), unix_ms())
         if (data := self._wishes_file.changed()) is not None:
             self._wished(data, begin=False)  # what was asked of an earlier process was begun there
--- a/tests/test_sessions_agent.py
+++ b/tests/test_sessions_agent.py
@@ -65,6 +65,30 @@
     fleet.check()
 
 
+def test_a_keeper_that_came_late_is_told_at_once_what_was_said_before_it_heard():
+    fleet = Fleet()
+    front = next(f for f in fleet.others() if f.site == "a")
+    late = front.agent.mover_for(ROW)
+    fleet.cut = {(front.name, late)}
+    fleet.call(front, ROW)
+    fleet.run(400.0)
+    fleet.cut = set()
+    asker = next(f for f in fleet.keepers() if f.name != late)
+    assert fleet.fronts[late].agent.keeper.record(ROW).site == ""
+    front.agent.followed(fleet.now, late)  # it has no call any more
+    fleet.run(300.0)
+    ask(fleet, asker, ROW, "b")
+    fleet.until(lambda: answer(asker).over)
+    assert answer(asker).why == "switched" and fleet.home(ROW) == "b"
+    assert {"org": "acme", "row": ROW.row, "why": "switched", "at": asker.name} in [
+        fields for event, fields in fleet.notes if event == "move answered"
+    ]
+    before = fleet.lines
+    fleet.run(RULES.handover.still_ms / 8)
+    assert fleet.lines - before < 60  # once, not over and over
+    fleet.check()
+
+
 def test_a_move_ends_where_copies_can_not_stand_and_the_session_stays():
     fleet = Fleet()
     fleet.stands = False
--- a/tests/test_sessions_service.py
+++ b/tests/test_sessions_service.py
@@ -199,6 +199,15 @@
     assert len(rig.noted("session moved")) == 3
 
 
+def test_a_keeper_that_came_after_a_call_hears_of_its_session_without_another_one(fronts):
+    rig = fronts()
+    rig.fronts.pop("c0").close()
+    rig.call(rig.client("a1"))
+    rig.start("c0", fresh=True)  # it asks nobody for what was before it
+    assert rig.agent("c0").keeper.record(SESSION).site == ""
+    rig.until(lambda: rig.agent("c0").keeper.record(SESSION).site == "a", "it is told of the session")
+
+
 BAD = [
     (b"{", "sessions: not JSON"),
     (b"[]", "sessions: Expected"),
