--- a/fawnwharf/handover/homes.py
+++ b/fawnwharf/handover/homes.py
@@ -8,6 +8,11 @@
 All that holds as long as no keeper forgets. One that has started anew neither promises nor grants until
 nobody may rest on its former words any more and it has then heard all that its fellows hold; or, where they
 forgot as well, until every home in use was told again by the front ends that use it (`window_ms`).
+
+Keepers are those of a list of members, and grant by that alone: a turn by another list is not heard. After a
+change of the list they hear those of the one before it, each as it is once it has changed over itself. Where
+all of them in most zones did, no two of a session's three are left that could grant by the earlier list, and
+what was granted by it at least one of those that were heard holds.
 """
 
 from collections.abc import Callable, Iterable
@@ -20,6 +25,8 @@
 from fawnwharf.replication.placement import weight
 from fawnwharf.sites import Home, Session
 
+Before = tuple[int, dict[str, str], int]  # a list: number, its keepers' zones, zones that may be silent
+
 EMPTY = m.Record()
 UNSURE_PAUSE = 5  # times `again_ms`, before a fellow is asked again that did not know all itself
 LOOKS = 200  # records that are looked at in one tick for what is over, or open and without a mover
@@ -85,6 +92,9 @@
         self.counts: dict[str, int] = {}
         self._since_ms, self._sure = now_ms, fresh
         self._missing = set() if fresh else set(self.fellows)
+        self.list = self.earlier = 0  # of members: that it goes by; the one before, if it knew all by that
+        self._old: Before = (0, {}, 0)
+        self._vouched: set[str] = set()  # keepers by the list before, which have changed over and told all
         self._hearing: dict[str, tuple[int, int, float]] = {}  # number of the want, next part, when
         self._telling: dict[str, tuple[int, int, int, list[Session]]] = {}
         self._wants = 0
@@ -104,12 +114,28 @@
     def sure(self, now_ms: float) -> bool:
         """Whether it knows all that it ever promised or granted and that still counts."""
         if not self._sure and self._lapsed(now_ms):
-            self._sure = not self._missing or now_ms - self._since_ms >= self.settings.window_ms
+            over = now_ms - self._since_ms >= self.settings.window_ms
+            self._sure = not self._missing or self._is_vouched() or over
         return self._sure
 
-    def placed_anew(self, now_ms: float, fellows: Iterable[str]) -> None:
-        """Other front ends keep homes from now on. By the earlier list some may have been granted that this
-        one was never asked for: until every home in use was told again it neither promises nor grants."""
+    def _is_vouched(self) -> bool:
+        """Whether enough of the keepers before are heard: all in all zones but as many as may be silent."""
+        _, zones, spare = self._old
+        return bool(zones) and len({zones[name] for name in zones.keys() - self._vouched}) <= spare
+
+    def placed_anew(
+        self,
+        now_ms: float,
+        fellows: Iterable[str],
+        number: int = 0,
+        before: Before = (0, {}, 0),
+    ) -> None:
+        """Other front ends keep homes by the list of this number. By the one `before` some may have
+        been granted that this one was never asked for: until it has heard that one's keepers, it neither
+        promises nor grants. Where too few of them are left, until every home in use was told again."""
+        sure = self.sure(now_ms)
+        self.list, self.earlier, self._old = number, before[0] if sure else 0, before
+        self._vouched = {self.name} if sure else set()
         self.fellows = frozenset(fellows) - {self.name}
         self._since_ms, self._sure, self._missing = now_ms, False, set(self.fellows)
         self._hearing.clear()
@@ -247,12 +273,14 @@
         `fronts` are those that are heard; without them no stand-in is called."""
         found: list[m.Say] = []
         if not self.sure(now_ms) and self._lapsed(now_ms):
-            found += [say for name in sorted(self._missing) for say in self._want(now_ms, name)]
+            unheard = self._missing | (self._old[1].keys() - self._vouched - {self.name})
+            found += [say for name in sorted(unheard) for say in self._want(now_ms, name)]
         sure = self.sure(now_ms)
         for name, (life, number, part, left) in list(self._telling.items()):
             taken, left = left[: m.PIECE_MOST], left[m.PIECE_MOST :]
             held = tuple(m.Held(s, self.records[s][0]) for s in taken if s in self.records)
-            found.append(m.Say((name,), m.Piece(life, number, part, not left, sure, held)))
+            piece = m.Piece(life, number, part, not left, sure, held, self.list, self.earlier)
+            found.append(m.Say((name,), piece))
             if left:
                 self._telling[name] = (life, number, part + 1, left)
             else:
@@ -300,13 +328,23 @@
         if piece.last or not room:
             # Guards two that wait for each other against telling all they hold over and over.
             self._hearing[sender] = (-1, 0, now_ms + (UNSURE_PAUSE - 1) * self.settings.again_ms)
-        if piece.last and room and piece.sure:
-            del self._hearing[sender]
-            self._missing.discard(sender)
+        if piece.last and room and piece.list == self.list:
+            if piece.earlier and piece.earlier == self._old[0]:
+                self._vouched.add(sender)
+            if piece.sure:
+                del self._hearing[sender]
+                self._missing.discard(sender)
         return []
 
+    def _goes_by(self, message: m.Message) -> bool:
+        """Whether who says it goes by the same list of members, where that matters."""
+        return not isinstance(message, m.Ask | m.Switch | m.MayLetGo) or message.list == self.list
+
     def receive(self, now_ms: float, sender: str, message: m.Message) -> list[m.Say]:
         """Any message; those that are not for a keeper are dropped."""
+        if not self._goes_by(message):
+            self._count("asked by another list")
+            return []
         takes: Callable | None = {
             m.Ask: self.ask,
             m.Switch: self.switch,
--- a/fawnwharf/handover/messages.py
+++ b/fawnwharf/handover/messages.py
@@ -94,6 +94,7 @@
     turn: Turn
     known: Home | None
     whither: Site = ""
+    list: Count = 0  # number of the list of members that the mover goes by
 
 
 class Switch(Struct, frozen=True, tag="switch"):
@@ -103,6 +104,7 @@
     turn: Turn
     before: Home
     site: Text
+    list: Count = 0
 
 
 class Word(Struct, frozen=True, tag="word"):
@@ -176,6 +178,8 @@
     last: bool
     sure: bool  # the sender knows all that it should
     held: Annotated[tuple[Held, ...], Meta(max_length=PIECE_MOST)]
+    list: Count = 0  # by which the sender grants, if at all
+    earlier: Count = 0  # the list before that, if it knew all by that one
 
 
 # --- between a mover and front ends ---------------------------------------------------------
@@ -251,6 +255,7 @@
 
     home: Home
     site: Text
+    list: Count = 0
 
 
 class Let(Struct, frozen=True, tag="let"):
--- a/fawnwharf/handover/mover.py
+++ b/fawnwharf/handover/mover.py
@@ -7,51 +7,20 @@
 """
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
 from functools import reduce
 
 from fawnwharf.handover import messages as m
-from fawnwharf.handover.homes import EMPTY, is_open, key_of, merged
+from fawnwharf.handover.hand import ASKING, SETTLING, STAGING, SWITCHING, Hand
+from fawnwharf.handover.homes import is_open, key_of, merged
 from fawnwharf.handover.settings import Settings
 from fawnwharf.replication.placement import weight
 from fawnwharf.sites import Home, Move, Session
 
-ASKING, STAGING, SWITCHING, SETTLING = "asking", "staging", "switching", "settling"
 HANDS_MOST = 20_000
 LOST_IN_HASTE = ("quota spent since it was last told", "rate of calls", "calls under way without a claim")
 LOST_ADOPTED = ("context, unless it was staged before",)
 
 
-@dataclass(slots=True)
-class Hand:
-    """One hand-over that this mover has in hand."""
-
-    session: Session
-    whence: str
-    whither: str  # empty: one that is taken over
-    known: Home
-    turn: m.Turn
-    copies: int = 1
-    haste: bool = False  # its old site is dead
-    step: str = ASKING
-    base: m.Record = EMPTY  # what keepers held when this turn began
-    step_ms: float = 0.0  # when the step began
-    round_ms: float = 0.0  # when keepers were asked, or others told
-    words: dict[str, bool] = field(default_factory=dict)  # keepers' to this round
-    records: dict[str, m.Record] = field(default_factory=dict)
-    higher: int = 0  # count of the largest turn met
-    tries: int = 0
-    open: bool = False  # a switch by this turn, or an earlier one, may have been granted
-    adopted: bool = False  # it completes another mover's switch
-    receiver: str = ""
-    stands: bool = False
-    has: bool = False
-    context: m.Context | None = None
-    home: Home | None = None  # decided
-    left: frozenset[str] = frozenset()  # front ends that have left the old site
-    others: frozenset[str] = frozenset()  # of those, who use it for other sessions
-
-
 class Mover:
     """Owns the hand-overs of one front end, by session."""
 
@@ -66,7 +35,7 @@
         """`keepers_of` says who keeps what has this key, a zone each (`replication.placement`); `life` is
         another with each start, so that no turn is taken twice."""
         self.name, self.settings, self.keepers_of = name, settings, keepers_of
-        self.life = life
+        self.life, self.list = life, 0
         # Counts of turns that are known here: the first ask need not be one that keepers have passed.
         self.turns: Callable[[Session], int] = lambda _session: 0
         self.hands: dict[Session, Hand] = {}
@@ -103,6 +72,17 @@
                 found += self._receive(now_ms, hand)
         return found
 
+    def placed_anew(self, now_ms: float, number: int) -> list[m.Out]:
+        """By this list of members others may keep homes: what is not decided begins a turn with them, as
+        promises of the earlier ones are none of theirs."""
+        self.list = number
+        found: list[m.Out] = []
+        for hand in list(self.hands.values()):
+            if hand.step != SETTLING:
+                hand.tries = 0
+                found += self._ask(now_ms, hand)
+        return found
+
     def _lives(self, name: str, life: int) -> bool:
         """Whether this is its last life that is known here."""
         known = self.lives.get(name, 0)
@@ -146,7 +126,7 @@
         hand.turn = m.Turn(met + 1, f"{self.name}#{self.life}")
         hand.tries += 1
         known = hand.known if hand.known.site else None
-        ask = m.Ask(hand.session, hand.turn, known, hand.whither)
+        ask = m.Ask(hand.session, hand.turn, known, hand.whither, self.list)
         return [m.Say(self.keepers_of(key_of(hand.session)), ask)]
 
     # --- keepers' words ---------------------------------------------------------------------------
@@ -253,7 +233,7 @@
         hand.round_ms, hand.words, hand.records, hand.open = now_ms, {}, {}, True
         hand.tries += 1
         before = Home(hand.session, hand.whence, hand.base.number)
-        switch = m.Switch(hand.session, hand.turn, before, hand.whither)
+        switch = m.Switch(hand.session, hand.turn, before, hand.whither, self.list)
         return [m.Say(self.keepers_of(key_of(hand.session)), switch)]
 
     def _decided(self, now_ms: float, hand: Hand) -> list[m.Out]:
--- a/fawnwharf/handover/planted.py
+++ b/fawnwharf/handover/planted.py
@@ -29,6 +29,20 @@
         return True
 
 
+class _AnyList(Keeper):
+    """Grants to whoever goes by an earlier list of members."""
+
+    def _goes_by(self, message: m.Message) -> bool:
+        return True
+
+
+class _FirstVouch(Keeper):
+    """Takes the word of the first keeper by the list before for that of all."""
+
+    def _is_vouched(self) -> bool:
+        return bool(self._vouched)
+
+
 class _Old(Router):
     """Says that it goes by a larger number, and begins calls by the old one."""
 
@@ -50,6 +64,8 @@
     "releases before settled": Kinds(mover=_Early),
     "two numbers at once": Kinds(keeper=_Twice),
     "grants after forgetting": Kinds(keeper=_Forgets),
+    "grants by any list": Kinds(keeper=_AnyList),
+    "hears one keeper of the list before": Kinds(keeper=_FirstVouch),
     "acts by an older number": Kinds(router=_Old),
     "switches by one keeper": Kinds(mover=_Alone),
 }
--- a/fawnwharf/sessions/agent.py
+++ b/fawnwharf/sessions/agent.py
@@ -42,12 +42,13 @@
         classes: dict[str, ClassSpec],
         now_ms: float,
         fresh: bool = False,
+        number: int = 0,
     ) -> None:
         """`sites` of all members, this one among them; `life` is another one with each start. `fresh`: the
-        fleet begins, nobody has promised anything."""
+        fleet begins, nobody has promised anything. `number`: of the list of members."""
         self.name, self.life, self.site, self.sites = name, life, sites[name], dict(sites)
         self.settings, self.rules, self.classes = settings, settings.handover, classes
-        self.keepers, self.keepers_of = tuple(keepers), keepers_of
+        self.keepers, self.keepers_of, self.number = tuple(keepers), keepers_of, number
         self.router = Router(name, self.site, self.rules, keepers_of, now_ms, fresh)
         self.keeper: Keeper | None = None
         self.mover: Mover | None = None
@@ -71,6 +72,7 @@
     def _keep(self, now_ms: float, fresh: bool) -> None:
         self.keeper = Keeper(self.name, self.keepers, self.rules, now_ms, self.life, fresh)
         self.mover = Mover(self.name, self.rules, self.keepers_of, now_ms, self.life)
+        self.keeper.list = self.mover.list = self.number
         self.mover.turns = lambda session: self.keeper.record(session).promised.count
 
     def take(self) -> list[Out]:
@@ -289,6 +291,8 @@
             return replace(message, facts=self.known.facts(now_ms, message.home.session))
         if isinstance(message, m.Receive):
             return replace(message, facts=self.known.best(now_ms, message.session))
+        if isinstance(message, m.MayLetGo):
+            return replace(message, list=self.number)
         return message
 
     def _moved(self, now_ms: float, moved: m.Moved) -> list[m.Out]:
@@ -313,21 +317,27 @@
 
     # --- time, and who is there ---------------------------------------------------------------------
 
-    def place(self, now_ms: float, sites: dict[str, str], keepers: Iterable[str]) -> None:
+    def place(self, now_ms: float, sites: dict[str, str], keepers: Iterable[str], number: int = 0) -> None:
         """A later list of members."""
-        self.sites, keepers = dict(sites), tuple(keepers)
+        zones = {name: self.sites[name] for name in self.keepers}
+        kept = min(len(set(zones.values())), len(self.keepers_of("")))  # of a session: of as many zones
+        before = self.number, zones, (kept - 1) // 2
+        self.sites, keepers, self.number = dict(sites), tuple(keepers), number
         for name in [name for name in self._lives if name not in sites]:
             del self._lives[name]
         if self.mover is not None:
             for name in [name for name in self.mover.seen if name not in sites]:
                 del self.mover.seen[name]
-        if keepers == self.keepers:
-            return
-        self.keepers = keepers
-        if self.keeper is not None:
-            self.keeper.placed_anew(now_ms, keepers)
-        elif self.name in keepers:
+        was, self.keepers = self.keepers, keepers
+        if self.keeper is None and self.name in keepers:
             self._keep(now_ms, fresh=False)
+        if self.keeper is None or self.mover is None:
+            return
+        if set(was) == set(keepers) and zones == {name: sites[name] for name in keepers}:
+            self.keeper.list = self.mover.list = number
+            return
+        self.keeper.placed_anew(now_ms, keepers, number, before)
+        self._carry(now_ms, self.mover.placed_anew(now_ms, number))
 
     def tick(self, now_ms: float, alive: dict[str, int], open_calls: Callable[[str], bool]) -> None:
         """A look at all that is due. `alive`: members that are heard, with their lives as told;
--- a/fawnwharf/sessions/service.py
+++ b/fawnwharf/sessions/service.py
@@ -46,12 +46,8 @@
     ) -> None:
         """Reads and checks the file; raises ConfigError with one line. `made` has the part that keeps state,
         and that of zones where there is one. `fresh`: this fleet begins, nobody has promised anything yet."""
-        self.deployment, self.note, self.state, self.zones = (
-            deployment,
-            write,
-            made["state"],
-            made.get("zones"),
-        )
+        self.deployment, self.note = deployment, write
+        self.state, self.zones = made["state"], made.get("zones")
         place = Path(path)
         read = load(place, settings_from, "sessions")
         self.settings: Settings = by_classes(read, deployment.settings.classes)
@@ -70,6 +66,7 @@
             deployment.settings.classes,
             monotonic_ms(),
             fresh,
+            core.placement.number,
         )
         self.agent.spent = lambda org: core.shares.counts.get(org, 0) if core.shares else 0
         module = deployment.settings
@@ -308,7 +305,7 @@
         now, agent = monotonic_ms(), self.agent
         if (placed := self.state.core.placement) is not self._placed:
             self._placed = placed
-            agent.place(now, self._sites(), placed.keepers)
+            agent.place(now, self._sites(), placed.keepers, placed.number)
         if now - self._files_ms >= FILES_MS:
             self._files_ms = now
             if (data := self._wishes_file.changed()) is not None:
--- a/tests/session_fleet.py
+++ b/tests/session_fleet.py
@@ -30,6 +30,7 @@
     def __init__(self, name, site):
         self.name, self.site, self.agent, self.life = name, site, None, 0
         self.heard, self.open, self.waiting, self.let_go, self.staged = {}, {}, {}, [], []
+        self.placement = None  # by which it goes
 
 
 class Fleet:
@@ -42,7 +43,7 @@
             MemberEntry(name, front.site, "127.0.0.1:1", state=f"127.0.0.1:{n + 2}")
             for n, (name, front) in enumerate(self.fronts.items())
         ]
-        self.placement = Placement(Members(1, "f", 1, entries), 3, 1)
+        self.entries, self.placement = entries, Placement(Members(1, "f", 1, entries), 3, 1)
         self.events, self.order = [], itertools.count()
         self.notes, self.bytes, self.lines, self.delay_ms = [], 0, 0, (1.0, 10.0)
         self.closed, self.stands, self.cut = {}, True, set()
@@ -63,13 +64,26 @@
     def start(self, front, fresh=False, life=None):
         front.life = life or self.chance.getrandbits(52) | 1
         front.heard, front.open, front.waiting = {}, {}, {}
+        front.placement = placed = self.placement
         front.agent = Agent(
-            front.name, front.life, self.sites(), self.placement.keepers, self.placement.of, self.rules,
-            CLASSES, self.now, fresh,
+            front.name, front.life, self.sites(), placed.keepers, lambda key: front.placement.of(key),
+            self.rules, CLASSES, self.now, fresh, placed.number,
         )  # fmt: skip
         self.soon(self.chance.uniform(0.0, 50.0), self.look, front, front.life)
         self.soon(0.0, self.pulse, front, front.life)
 
+    def relist(self, without):
+        """A list with this one as no keeper, which all go by within half a second."""
+        entries = [entry for entry in self.entries if entry.name != without]
+        self.placement = Placement(Members(1, "f", self.placement.number + 1, entries), 3, 1)
+        for front in self.fronts.values():
+            self.soon(self.chance.uniform(0.0, 500.0), self.adopt, front, self.placement)
+
+    def adopt(self, front, placement):
+        front.placement = placement
+        front.agent.place(self.now, self.sites(), placement.keepers, placement.number)
+        self.carry(front)
+
     def kill(self, *names):
         for name in names:
             self.fronts[name].agent = None
--- a/tests/test_sessions_service.py
+++ b/tests/test_sessions_service.py
@@ -208,6 +208,29 @@
     rig.until(lambda: rig.agent("c0").keeper.record(SESSION).site == "a", "it is told of the session")
 
 
+def test_another_list_of_members_stops_no_hand_over_for_longer_than_seconds(fronts):
+    rig = fronts(zones="aabc")
+    other, gone = ("a0", "a1") if rig.agent("a1").keeper else ("a1", "a0")
+    rig.call(rig.client(other))
+    assert asked(rig, "move", "acme", ROW, "b", member="b0")[0] == 0
+    rig.until(lambda: rig.noted("hand-over ended"), "the hand-over ends")
+    began = monotonic_ms()
+    members = json.loads((rig.folder / "members.json").read_bytes())
+    [votes] = [entry for entry in members["members"] if entry["name"] == "a0"]
+    left = [
+        entry | {"ballots": entry.get("ballots", votes["ballots"])}
+        for entry in members["members"]
+        if entry["name"] != gone
+    ]
+    rig.write("members.json", members | {"number": 2, "members": left})  # it goes on by the old one
+    rig.until(lambda: rig.agent(other).sure(monotonic_ms()), "the new keeper is sure")
+    assert rig.agent(other).keeper.record(SESSION).number == 1
+    rig.until(lambda: all(rig.agent(name).sure(monotonic_ms()) for name in ("b0", "c0")), "all are")
+    assert monotonic_ms() - began < rig.agent(other).rules.window_ms / 2
+    assert asked(rig, "move", "acme", ROW, "a", member="b0")[0] == 0
+    rig.until(lambda: rig.noted("session moved")[-1]["number"] == 2, "it is moved again")
+
+
 BAD = [
     (b"{", "sessions: not JSON"),
     (b"[]", "sessions: Expected"),
