Sessions: moves of a drain outlive their mover; stages in line; windows by site

A mover that began anew had lost which sessions its drain had moved: they stayed away when the site was open again (a test of virtual time with clients that stay, in the middle of the drain and after it). Every keeper now notes from the decided homes what left a site that is closed, says it with what it tells a keeper that asks, and whoever moves the session by then brings it back; so also where the mover is gone for good. A wish to empty a site of a member that is not heard stood for 5 s, so that a process that took longer to be replaced sent the sessions back in between: it stands for ten minutes, or as long as the list has the member. A return whose session still settled was forgotten; it waits.

--- a/fawnwharf/handover/hand.py
+++ b/fawnwharf/handover/hand.py
@@ -6,6 +6,7 @@
 from fawnwharf.handover.homes import EMPTY
 from fawnwharf.sites import Home, Session
 
+UNSTAGED = "not staged in time"
 ASKING, STAGING, SWITCHING, SETTLING = "asking", "staging", "switching", "settling"
 
 
--- a/fawnwharf/handover/many.py
+++ b/fawnwharf/handover/many.py
@@ -11,8 +11,11 @@
 from msgspec import Struct
 
 from fawnwharf.handover.settings import DrainSettings
+from fawnwharf.handover.windows import Windows
 from fawnwharf.sites import Home, Move, Session
 
+AHEAD = 32  # sessions that may begin before one whose site takes no other yet
+
 
 class Live(Struct, frozen=True):
     """A session at the site: what a late first call would cost, what its move costs, how long it may last."""
@@ -96,10 +99,12 @@
         dwell: Dwell,
         haste: bool = False,
         prefers: Callable[[Session], str] = lambda _session: "",
+        windows: Windows | None = None,
     ) -> None:
         """`sessions`, each with its home's number; `room`: sessions that other sites can take. `haste`: the
         site is dead. `prefers`: where a session goes first, if there is room."""
         self.prefers = prefers
+        self.windows = windows or Windows(settings.at_once, 0.0)
         self.site, self.settings, self.dwell, self.haste = site, settings, dwell, haste
         self.until_ms = now_ms + within_ms
         self.room = dict(room)
@@ -141,12 +146,15 @@
             found += [self._leave(going, "no time is left") for going in self.waiting]
             self.waiting = []
         while self.waiting and len(self.going) < rules.at_once and self._tokens >= 1.0:
-            going = self.waiting.pop(0)
-            whither = self._where(going)
+            place, whither = self._next()
+            if place is None:
+                break
+            going = self.waiting.pop(place)
             if not whither:
                 found.append(self._leave(going, "no site has room"))
                 continue
             self._tokens -= 1.0
+            self.windows.begun(going.live.session, whither)
             self.room[whither] -= 1
             going.whither, going.tries, going.began_ms = whither, going.tries + 1, now_ms
             self.going[going.live.session] = going
@@ -155,6 +163,14 @@
             found.append(Begin(move, going.number, self.haste or going.at != self.site))
         return found
 
+    def _next(self) -> tuple[int | None, str]:
+        """The place of the first one whose site takes another now, of the next few, and that site."""
+        for place, going in enumerate(self.waiting[:AHEAD]):
+            whither = self._where(going)
+            if not whither or self.windows.may(whither):
+                return place, whither
+        return None, ""
+
     def _where(self, going: _Going) -> str:
         """Where it prefers to be, else the site with the most room; but where it is, and what was tried
         last if there is another."""
@@ -173,6 +189,7 @@
         going = self.going.pop(home.session, None)
         if going is None:
             return []
+        self.windows.ended(now_ms, home.session, why)
         going.number, going.at = home.number, home.site or going.at
         if going.at != going.whither and going.whither in self.room:
             self.room[going.whither] += 1
--- a/fawnwharf/handover/messages.py
+++ b/fawnwharf/handover/messages.py
@@ -167,6 +167,7 @@
 class Held(Struct, frozen=True):
     session: Session
     record: Record
+    away: Site = ""  # the closed site that it was taken from, and returns to
 
 
 class Piece(Struct, frozen=True, tag="piece"):
--- a/fawnwharf/handover/mover.py
+++ b/fawnwharf/handover/mover.py
@@ -10,7 +10,7 @@
 from functools import reduce
 
 from fawnwharf.handover import messages as m
-from fawnwharf.handover.hand import ASKING, SETTLING, STAGING, SWITCHING, Hand
+from fawnwharf.handover.hand import ASKING, SETTLING, STAGING, SWITCHING, UNSTAGED, Hand
 from fawnwharf.handover.homes import is_open, key_of, merged
 from fawnwharf.handover.settings import Settings
 from fawnwharf.replication.placement import weight
@@ -340,7 +340,7 @@
 
     def _unstaged(self, now_ms: float, hand: Hand) -> list[m.Out]:
         if now_ms - hand.step_ms > self.settings.stage_ms:
-            return self._end(hand, "not staged in time")
+            return self._end(hand, UNSTAGED)
         if now_ms - hand.round_ms <= self.settings.again_ms:
             return []
         if not self._at(hand.whence, key_of(hand.session)) and hand.stands:
--- /dev/null
+++ b/fawnwharf/handover/windows.py
@@ -0,0 +1,50 @@
+"""How many hand-overs to one site are under way at once. Pure; milliseconds of one clock.
+
+What a site can stage in a time is known to its front ends alone, by the ration of their orders, and changes
+with their calls: one that returns cold stages a few a second. So each site has a window that is halved when
+one was not staged in time and grows by one for each window that was (Chiu and Jain 1989).
+"""
+
+from collections import Counter
+
+from fawnwharf.handover.hand import UNSTAGED
+from fawnwharf.sites import Session
+
+LEAST = 1.0
+
+
+class Windows:
+    """Owns the windows of one mover, by site. `most`: that a window begins with and never exceeds."""
+
+    def __init__(self, most: int, pause_ms: float) -> None:
+        """`pause_ms`: those that were under way together halve it once."""
+        self.most, self.pause_ms = max(LEAST, float(most)), pause_ms
+        self.sizes: dict[str, float] = {}
+        self._going: dict[Session, str] = {}
+        self._count: Counter[str] = Counter()
+        self._halved_ms: dict[str, float] = {}
+
+    def may(self, site: str) -> bool:
+        return self._count[site] < int(self.sizes.get(site, self.most))
+
+    def begun(self, session: Session, site: str) -> None:
+        self._drop(session)
+        self._going[session] = site
+        self._count[site] += 1
+
+    def ended(self, now_ms: float, session: Session, why: str) -> None:
+        """It switched, or ended by this cause; any but a site that was late says nothing of the site."""
+        site = self._drop(session)
+        if site is None:
+            return
+        size = self.sizes.get(site, self.most)
+        if why == "switched":
+            self.sizes[site] = min(self.most, size + 1.0 / size)
+        elif why == UNSTAGED and now_ms - self._halved_ms.get(site, float("-inf")) >= self.pause_ms:
+            self.sizes[site], self._halved_ms[site] = max(LEAST, size / 2), now_ms
+
+    def _drop(self, session: Session) -> str | None:
+        site = self._going.pop(session, None)
+        if site is not None:
+            self._count[site] -= 1
+        return site
--- a/fawnwharf/sessions/agent.py
+++ b/fawnwharf/sessions/agent.py
@@ -156,6 +156,13 @@
             found += self.mover.receive(now_ms, sender, word)
         if isinstance(word, m.Told):
             self.firsts.met(word, self.router.home(word.home.session))
+            known = self.keeper.record(word.home.session).number if self.keeper else word.home.number
+            if word.home.number > known and sender != self.name:
+                self.moves.seen(now_ms, word.home, word.whence)
+        elif isinstance(word, m.Piece):
+            for held in word.held:
+                if held.away:
+                    self.moves.taken_from(now_ms, held.session, held.away)
         found += [out for out in self.router.receive(now_ms, sender, word) if not isinstance(out, Stage)]
         if self.keeper is not None:
             found += self.keeper.receive(now_ms, sender, word)
@@ -291,6 +298,9 @@
             return replace(message, facts=self.known.facts(now_ms, message.home.session))
         if isinstance(message, m.Receive):
             return replace(message, facts=self.known.best(now_ms, message.session))
+        if isinstance(message, m.Piece):
+            held = tuple(replace(one, away=self.moves.whence(one.session)) for one in message.held)
+            return replace(message, held=held)
         if isinstance(message, m.MayLetGo):
             return replace(message, list=self.number)
         return message
--- a/fawnwharf/sessions/moves.py
+++ b/fawnwharf/sessions/moves.py
@@ -8,6 +8,7 @@
 import math
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from itertools import islice
 
 from msgspec.structs import replace
 
@@ -15,6 +16,7 @@
 from fawnwharf.handover.many import Begin, Drain, Dwell, Leave, Live
 from fawnwharf.handover.messages import Record
 from fawnwharf.handover.settings import DrainSettings
+from fawnwharf.handover.windows import Windows
 from fawnwharf.replication.placement import weight
 from fawnwharf.sites import Home, Move, Session
 
@@ -23,6 +25,8 @@
 AGAIN_MS = 1_000.0  # from one look over all records to the next
 REST_MS = 10_000.0  # one that was left is not tried again before
 WAIT_MOST = 20_000  # sessions that wait to return, or as expected
+PARK_MS = 5_000.0  # before it is looked at again whether another one's return is this mover's by now
+WINDOW_MS = 3_000.0  # those to one site that were under way together shorten what is begun there once
 EXPECTED_MS = 30_000.0  # a move that could not begin for so long is forgotten
 
 
@@ -74,6 +78,8 @@
     by: str
     until_ms: float
     place: float = 0.0  # it goes once so much of the site is open
+    next_ms: float = 0.0  # not before
+    tries: int = 0
 
 
 class Moves:
@@ -81,6 +87,7 @@
 
     def __init__(self, rules: DrainSettings) -> None:
         self.rules, self.dwell = rules, Dwell(rules)
+        self.windows = Windows(rules.at_once, WINDOW_MS)
         self.closed: dict[str, _Closed] = {}
         self.shares: dict[str, float] = {}  # parts of sites that are open, where they return
         self.away: dict[Session, str] = {}  # from which site they were taken; they return there
@@ -89,7 +96,7 @@
         self.notes: list[tuple[str, dict]] = []
         self._rests: dict[Session, float] = {}
         self._tokens, self._filled_ms = float(rules.burst), 0.0
-        self._under_way: set[Session] = set()  # begun for `wanted`
+        self._under_way: dict[Session, _Wanted] = {}  # begun for these
 
     def _count(self, cause: str) -> None:
         self.counts[cause] = self.counts.get(cause, 0) + 1
@@ -110,14 +117,38 @@
                         other.drain.room.pop(site, None)  # its own sessions move on from there
             self.closed[site].why = why
         for session in [s for s, wanted in self.wanted.items() if wanted.whither in self.closed]:
-            del self.wanted[session]
+            wanted = self.wanted.pop(session)
+            if wanted.by == "return":
+                self._away(session, wanted.whither)
 
     def _opened(self, now_ms: float, site: str) -> None:
         """It is open again: its sessions may return, each when its dwell is over."""
         for session in [s for s, at in self.away.items() if at == site]:
             del self.away[session]
-            until_ms = now_ms + 2 * self.rules.dwell_most_ms
-            self._want(session, _Wanted("", site, "return", until_ms, place_of(session, site)))
+            self._return(now_ms, session, site)
+
+    def _return(self, now_ms: float, session: Session, site: str) -> None:
+        until_ms = now_ms + 2 * self.rules.dwell_most_ms
+        self._want(session, _Wanted("", site, "return", until_ms, place_of(session, site)))
+
+    def _away(self, session: Session, site: str) -> None:
+        if session in self.away or len(self.away) < WAIT_MOST:
+            self.away.setdefault(session, site)
+
+    def whence(self, session: Session) -> str:
+        """The site to which it is to return, once that is open; empty where there is none."""
+        wanted = self.wanted.get(session) or self._under_way.get(session)
+        return self.away.get(session, wanted.whither if wanted and wanted.by == "return" else "")
+
+    def taken_from(self, now_ms: float, session: Session, site: str) -> None:
+        """By another keeper's word it is to return there: this one has begun anew, and did not see it."""
+        if self.whence(session):
+            return
+        self.dwell.moved(now_ms, session, site, "")  # which sites are closed need not be known here yet
+        if site in self.closed:
+            self._away(session, site)
+        else:
+            self._return(now_ms, session, site)
 
     def _want(self, session: Session, wanted: _Wanted) -> None:
         if len(self.wanted) < WAIT_MOST:
@@ -178,7 +209,7 @@
         sessions = [(view.live(session), view.records[session][0].number) for session in closed.found]
         drain = Drain(
             site, now_ms, rules.within_ms, sessions, rooms, part, self.dwell, haste,
-            lambda session: target(session, room),
+            lambda session: target(session, room), self.windows,
         )  # fmt: skip
         note = {"site": site, "why": closed.why, "sessions": len(closed.found), "haste": haste}
         self.notes.append(("site emptied", note))
@@ -208,20 +239,33 @@
         self._tokens = min(float(rules.burst), self._tokens + rules.starts_per_s / movers * passed)
         self._filled_ms = now_ms
         found: list[Begin] = []
-        self._under_way = {session for session in self._under_way if view.busy(session)}
-        for session, wanted in list(self.wanted.items())[:LOOKS]:
+        hashes = 0
+        for session in list(islice(self.wanted, LOOKS)):
             if self._tokens < 1.0 or len(self._under_way) >= max(1, rules.at_once // movers):
                 break
-            early = wanted.place >= self.shares.get(wanted.whither, 1.0)
-            if (early or self.dwell.left_ms(now_ms, session)) and now_ms < wanted.until_ms:
-                continue
-            del self.wanted[session]
+            wanted = self.wanted.pop(session)
             record, _ = view.records.get(session, (Record(), 0.0))
             there = record.site in ("", wanted.whither) or (wanted.whence and record.site != wanted.whence)
-            if there or now_ms >= wanted.until_ms or view.busy(session) or not view.mine(session):
+            if there or now_ms >= wanted.until_ms:
                 continue
+            self.wanted[session] = wanted  # behind the others
+            early = wanted.place >= self.shares.get(wanted.whither, 1.0) or now_ms < wanted.next_ms
+            if early or self.dwell.left_ms(now_ms, session) or not self.windows.may(wanted.whither):
+                continue
+            if hashes >= HASHES:
+                break
+            hashes += 1
+            if view.busy(session):
+                continue
+            if not view.mine(session):
+                wanted.next_ms = now_ms + PARK_MS
+                if wanted.by != "return":
+                    del self.wanted[session]
+                continue
+            del self.wanted[session]
             self._tokens -= 1.0
-            self._under_way.add(session)
+            self._under_way[session] = wanted
+            self.windows.begun(session, wanted.whither)
             self._count(f"begun: {wanted.by}")
             move = Move(session, record.site, wanted.whither, 0.0, 1.0, wanted.by)
             found.append(Begin(move, record.number, False))
@@ -231,25 +275,43 @@
 
     def switched(self, now_ms: float, home: Home, whence: str) -> None:
         """Decided: what the budgets are for is over, though it has yet to settle."""
+        self.windows.ended(now_ms, home.session, "switched")
         for site, closed in self.closed.items():
             if closed.drain is not None and home.session in closed.drain.going:
                 self._over(now_ms, site, closed.drain, home, "switched")
                 return
-        self._under_way.discard(home.session)
-        self.away.pop(home.session, None)
+        self.seen(now_ms, home, whence)
+        self._under_way.pop(home.session, None)
+
+    def seen(self, now_ms: float, home: Home, whence: str) -> None:
+        """A switch that is decided, whoever moved it: another mover may have to bring it back."""
         self.dwell.moved(now_ms, home.session, whence, home.site)
+        if whence in self.closed and self.whence(home.session) != home.site:
+            if home.site not in self.closed:
+                self._away(home.session, whence)
+        elif home.site not in self.closed:
+            self.away.pop(home.session, None)
+            self.wanted.pop(home.session, None)
 
     def ended(self, now_ms: float, home: Home, why: str) -> None:
-        self._under_way.discard(home.session)
+        self.windows.ended(now_ms, home.session, why)
         for site, closed in self.closed.items():
             if closed.drain is not None and home.session in closed.drain.going:
                 self._over(now_ms, site, closed.drain, home, why)
+                return
+        wanted = self._under_way.pop(home.session, None)
+        if wanted is None:
+            return
+        wanted.tries += 1
+        if home.site != wanted.whither and wanted.tries < self.rules.tries:
+            wanted.next_ms = now_ms + AGAIN_MS
+            self._want(home.session, wanted)
 
     def _over(self, now_ms: float, site: str, drain: Drain, home: Home, why: str) -> None:
         for leave in drain.ended(now_ms, home, why):
             self._left(now_ms, leave)
-        if home.session in drain.moved and len(self.away) < WAIT_MOST:
-            self.away[home.session] = site
+        if home.session in drain.moved:
+            self._away(home.session, site)
 
     def waiting(self) -> dict[str, int]:
         """Sites that are emptied, and the sessions that are yet to begin, or to be switched."""
--- a/fawnwharf/sessions/service.py
+++ b/fawnwharf/sessions/service.py
@@ -24,7 +24,8 @@
 from fawnwharf.zones.plan import LEAVING, OUT, RETURNING
 from fawnwharf.zones.settings import FileFault
 
-STATUS_MS, WISH_LIFE_MS = 1_000.0, 5_000.0  # pace of words on oneself; how long others' wishes count
+STATUS_MS, WISH_LIFE_MS = 1_000.0, 5_000.0  # pace of words on oneself; how long others' wishes count,
+WISH_GONE_MS = 600_000.0  # and those of a member that is not heard: its process may only be replaced
 FILES_MS = 500.0
 ORDERS_MOST, COUNTS_MOST = 4_096, 96
 LINE_S = 1.0  # one note a second of each kind
@@ -70,7 +71,7 @@
         )
         self.agent.spent = lambda org: core.shares.counts.get(org, 0) if core.shares else 0
         module = deployment.settings
-        self.stages = Stages(self._order, module.may_order, module.idle_life_ms)
+        self.stages = Stages(self._order, module.may_order, module.idle_life_ms, self._is_loading)
         self._wishes_file = WatchedFile(wishes_place(read, place, self.state.folder))
         self.wishes = Wishes()
         self._left = Left(self._wishes_file.path.with_name("homes"))
@@ -113,8 +114,8 @@
         self._left.take(self.agent.router, set(self.agent.sites.values()), monotonic_ms(), unix_ms())
         if (data := self._wishes_file.changed()) is not None:
             self._wished(data, begin=False)  # what was asked of an earlier process was begun there
-        fields = {"member": self.agent.name, "site": self.site, "keeper": self.agent.keeper is not None}
-        self.note("sessions on", fields)
+        keeps = self.agent.keeper is not None
+        self.note("sessions on", {"member": self.agent.name, "site": self.site, "keeper": keeps})
         self._look()
         if self.foreseen is not None:
             self.foreseen.attach(front)
@@ -210,11 +211,14 @@
     def _ask(self, question: io.Hold) -> None:
         """The module hears the answer too, and so what it believed wrongly. It takes an answer for that of
         its own order, so where one is under way that is waited for."""
-        fn = self.front.router.functions.get(question.function)
-        instance = fn.instances.get(question.worker) if fn else None
-        if instance is None or instance.order_ms is None:
+        if not self._is_loading(question.worker, question.function):
             self.front.table.order(question)
 
+    def _is_loading(self, worker: int, row: str) -> bool:
+        """Whether the module has an order for a function there."""
+        fn = self.front.router.functions.get(row)
+        return bool(fn and (held := fn.instances.get(worker)) and held.order_ms is not None)
+
     def _staged(self, now_ms: float) -> None:
         came, self.stages.came = self.stages.came, []
         for key, stands in came:
@@ -334,7 +338,8 @@
         """Sites that are to be empty: by the decided plan, and by operators' words here and elsewhere."""
         found = {}
         for sender, (at_ms, _) in list(self._drained.items()):
-            if now_ms - at_ms > WISH_LIFE_MS:
+            life_ms = WISH_LIFE_MS if sender in self.agent.alive else WISH_GONE_MS
+            if now_ms - at_ms > life_ms or sender not in self.agent.sites:
                 del self._drained[sender]
         for drained in [self.wishes.drained, *(drained for _, drained in self._drained.values())]:
             found |= dict.fromkeys(drained, "operators")
@@ -367,10 +372,8 @@
         later, self.wishes = wishes.number > self.wishes.number, wishes
         if begin and later:
             now = monotonic_ms()
-            self.note(
-                "moves taken",
-                {"number": wishes.number, "moves": len(wishes.moves), "drained": list(wishes.drained)},
-            )
+            fields = {"number": wishes.number, "moves": len(wishes.moves), "drained": list(wishes.drained)}
+            self.note("moves taken", fields)
             self.agent.ask(now, [(asked.session, asked.site) for asked in wishes.moves])
             self._carry_out(now, all_words=True)
             self._status(now)
--- a/fawnwharf/sessions/stages.py
+++ b/fawnwharf/sessions/stages.py
@@ -2,7 +2,8 @@
 
 A scorer is asked first: what front ends believe of copies is out of date where another one had them unloaded.
 Orders go through the module (`CopiesWanted`), within its ration or not at all: what it did not order is asked
-for again, until it stands or is not wanted any more.
+for again, until it stands or is not wanted any more. Those wait in a line, the oldest first, so that what the
+ration has left goes to the one that has the least time; none that comes later goes before them.
 """
 
 from collections.abc import Callable, Sequence
@@ -12,7 +13,9 @@
 from fawnwharf.sessions.effects import Copies, Key
 
 AGAIN_MS = 1_000.0  # a question, or an order, of which nothing was heard is made again
+BATCH_MS = 20.0  # after which the module has heard of an order
 ROWS_MOST = 20_000  # functions of which it is known where they stand
+RETRIES_MOST = 4  # orders of those in line that are made again in one look
 LET_MOST = 4  # scorers that are told to unload one function
 
 
@@ -32,8 +35,16 @@
 class Stages:
     """Owns what is wanted here, and where copies were seen at this site."""
 
-    def __init__(self, order: Callable[[str], Sequence[int]], may_order: bool, idle_life_ms: float) -> None:
-        """`order`: a function's scorers here that take calls, as its calls look for copies."""
+    def __init__(
+        self,
+        order: Callable[[str], Sequence[int]],
+        may_order: bool,
+        idle_life_ms: float,
+        under_way: Callable[[int, str], bool] | None = None,
+    ) -> None:
+        """`order`: a function's scorers here that take calls, as its calls look for copies. `under_way`:
+        whether the module has an order for it there; not known: each is made again after a second."""
+        self.under_way, self._line = under_way, False  # whether some wait that the module did not order
         self.order, self.may_order, self.life_ms = order, may_order, idle_life_ms
         self.wanted: dict[Key, _Wanted] = {}
         self.came: list[tuple[Key, bool]] = []  # what stands, or can't; whoever goes by it clears it
@@ -75,8 +86,9 @@
         self._rows.setdefault(copies.row, set()).add(copies.key)
         return self._order(now_ms, wanted)
 
-    def _order(self, now_ms: float, wanted: _Wanted) -> Orders:
-        """Of the first scorers that take calls, but those that could not: what is yet to be asked."""
+    def _order(self, now_ms: float, wanted: _Wanted, most: int | None = None) -> Orders:
+        """Of the first scorers that take calls, but those that could not: what is yet to be asked, with so
+        many orders at the most; none where others are in line, if it is not said."""
         what, facts = wanted.copies, wanted.copies.facts
         able = [worker for worker in self.order(what.row) if worker not in wanted.failed][: what.count]
         if not able:
@@ -86,19 +98,30 @@
         if not lacking:
             self._over(what.key, True)
             return []
+        if most is None:
+            most = 0 if self._line else len(lacking)
         found: Orders = []
         for worker in lacking:
-            asked = wanted.ordered if worker in wanted.empty else wanted.asked
-            if now_ms - asked.get(worker, float("-inf")) < AGAIN_MS:
-                continue
-            asked[worker] = now_ms
-            if worker in wanted.empty:
-                load_ms = facts.load_ms or None
-                found.append(io.CopiesWanted(worker, what.row, facts.kind, 1, facts.lanes, load_ms))
-            else:
-                found.append(io.Hold(worker, what.row, 0))
+            if worker not in wanted.empty:
+                if now_ms - wanted.asked.get(worker, float("-inf")) >= AGAIN_MS:
+                    wanted.asked[worker] = now_ms
+                    found.append(io.Hold(worker, what.row, 0))
+            elif not self._is_ordered(now_ms, wanted, worker):
+                self._line = self._line or most < 1 or worker in wanted.ordered
+                if most > 0:
+                    most -= 1
+                    wanted.ordered[worker] = now_ms
+                    load_ms = facts.load_ms or None
+                    found.append(io.CopiesWanted(worker, what.row, facts.kind, 1, facts.lanes, load_ms))
         return found
 
+    def _is_ordered(self, now_ms: float, wanted: _Wanted, worker: int) -> bool:
+        """Whether the module has it, as far as is known."""
+        passed_ms = now_ms - wanted.ordered.get(worker, float("-inf"))
+        if self.under_way is None:
+            return passed_ms < AGAIN_MS
+        return passed_ms < BATCH_MS or self.under_way(worker, wanted.copies.row)
+
     def _over(self, key: Key, stands: bool) -> None:
         self.drop(key)
         self.came.append((key, stands))
@@ -126,10 +149,13 @@
         return found
 
     def tick(self, now_ms: float) -> Orders:
-        found = []
+        """Whatever is due, those first that wait for longest."""
+        found, left, self._line = [], RETRIES_MOST, False
         for key, wanted in list(self.wanted.items()):
             if now_ms >= wanted.copies.until_ms:
                 self.drop(key)
-            else:
-                found += self._order(now_ms, wanted)
+                continue
+            orders = self._order(now_ms, wanted, left)
+            left -= sum(isinstance(order, io.CopiesWanted) for order in orders)
+            found += orders
         return found
--- a/tests/test_handover_core_hard.py
+++ b/tests/test_handover_core_hard.py
@@ -7,12 +7,14 @@
 from cores import Cores
 
 from fawnwharf.handover import messages as m
+from fawnwharf.handover.hand import UNSTAGED
 from fawnwharf.handover.homes import is_open, mover_of
 from fawnwharf.handover.many import Begin, Drain, Dwell, Leave, Live
 from fawnwharf.handover.mover import ASKING, SETTLING, STAGING, SWITCHING
 from fawnwharf.handover.router import Router
 from fawnwharf.handover.settings import DrainSettings
 from fawnwharf.handover.walk import CALM, RULES, Walk
+from fawnwharf.handover.windows import Windows
 from fawnwharf.replication.claimant import Go
 from fawnwharf.sites import Home, Move, Session
 
@@ -240,3 +242,34 @@
 @pytest.mark.parametrize(("here", "there", "may"), [(1.0, 0.9, False), (1.0, 0.8, True), (0.0, 0.0, False)])
 def test_a_little_better_is_not_worth_a_move(here, there, may):
     assert Dwell(DrainSettings()).may(0.0, A, here, there) is may
+
+
+def test_a_site_that_stages_late_has_fewer_at_once_and_more_again_as_it_keeps_up():
+    windows = Windows(8, 1_000.0)
+    for n in range(8):
+        assert windows.may("y")
+        windows.begun(n, "y")
+    assert not windows.may("y") and windows.may("z")
+    for n in range(3):
+        windows.ended(10.0, n, UNSTAGED)
+    assert windows.sizes["y"] == 4 and not windows.may("y")  # 5 are under way
+    windows.ended(20.0, 3, "keepers did not answer")  # no fault of the site's
+    windows.ended(20.0, 4, "switched")
+    assert 4 < windows.sizes["y"] < 5 and windows.may("y")
+    windows.ended(30.0, 4, "switched")  # it is over already
+    windows.ended(2_000.0, 5, UNSTAGED)
+    assert 2 < windows.sizes["y"] < 3
+
+
+def test_a_drain_goes_on_with_others_where_one_site_takes_no_more():
+    rules = DrainSettings(at_once=10, starts_per_s=1_000.0, burst=100)
+    windows = Windows(2, 1_000.0)
+    lives = [(Live(Session("o", f"r{n}"), 1.0, 0.1, 60_000.0), 0) for n in range(8)]
+    prefers = lambda session: "y" if session.row < "r5" else "z"  # noqa: E731
+    drain = Drain(
+        "x", 0.0, 60_000.0, lives, {"y": 50, "z": 50}, rules, Dwell(rules), False, prefers, windows
+    )
+    begun = [begin.move.whither for begin in drain.tick(0.0)]
+    assert begun == ["y", "y", "z", "z"]
+    drain.ended(5.0, Home(Session("o", "r0"), "y", 1), "switched")
+    assert [begin.move.whither for begin in drain.tick(10.0)] == ["y"]
--- a/tests/test_sessions_agent.py
+++ b/tests/test_sessions_agent.py
@@ -116,6 +116,61 @@
     fleet.check()
 
 
+@pytest.mark.parametrize("when", ["while it is emptied", "after it was"])
+def test_a_mover_that_restarts_brings_back_what_its_drain_had_moved(when):
+    fleet = Fleet()
+    front = next(f for f in fleet.others() if f.site == "a")  # clients stay there
+    all_of_them = sessions(24)
+    for session in all_of_them:
+        used(fleet, front, session)
+    restarts = next(f for f in fleet.keepers() if f.site == "b")
+    its = {s.row for s in all_of_them if front.agent.mover_for(s) == restarts.name}
+    mine = lambda: {moved["row"] for moved in fleet.moved()} & its  # noqa: E731
+    fleet.closed = {"a": "operators"}
+    fleet.until(lambda: mine() if when == "while it is emptied" else mine() == its)
+    fleet.kill(restarts.name)
+    fleet.start(restarts)
+    fleet.until(lambda: all(fleet.home(s) in ("b", "c") for s in all_of_them))
+    fleet.run(3 * RULES.drain.dwell_ms)
+    moves = [moved for moved in fleet.moved() if moved["whence"] == "a"]
+    assert len(moves) == len({moved["row"] for moved in moves})  # none went back meanwhile
+    fleet.closed = {}
+    fleet.until(lambda: all(fleet.home(session) == "a" for session in all_of_them))
+    fleet.check()
+
+
+def test_a_mover_that_dies_for_good_has_its_sessions_brought_back_by_another():
+    fleet = Fleet()
+    front = next(f for f in fleet.others() if f.site == "a")
+    all_of_them = sessions(12)
+    for session in all_of_them:
+        used(fleet, front, session)
+    fleet.closed = {"a": "operators"}
+    fleet.until(lambda: all(fleet.home(s) in ("b", "c") for s in all_of_them))
+    fleet.until(lambda: all(not f.agent.mover.hands for f in fleet.keepers()))
+    fleet.kill(next(f.name for f in fleet.keepers() if f.site == "b"))
+    fleet.run(1_000.0)
+    fleet.closed = {}
+    fleet.until(lambda: all(fleet.home(session) == "a" for session in all_of_them))
+    fleet.check()
+
+
+def test_a_return_that_was_not_staged_in_time_is_tried_again_and_fewer_at_once():
+    fleet = Fleet()
+    front = next(f for f in fleet.others() if f.site == "a")
+    used(fleet, front, ROW)
+    fleet.closed = {"a": "operators"}
+    fleet.until(lambda: fleet.home(ROW) in ("b", "c"))
+    mover = fleet.fronts[front.agent.mover_for(ROW)].agent
+    fleet.until(lambda: not mover.mover.hands)
+    fleet.stands, fleet.closed = False, {}
+    fleet.until(lambda: mover.ended_by["not staged in time"] == 1)
+    assert mover.moves.windows.sizes["a"] == RULES.drain.at_once / 2
+    fleet.stands = True
+    fleet.until(lambda: fleet.home(ROW) == "a", 6_000.0)
+    fleet.check()
+
+
 def test_what_begins_at_a_closed_site_leaves_it_too():
     fleet = Fleet()
     fleet.closed = {"a": "out"}
--- a/tests/test_sessions_stages.py
+++ b/tests/test_sessions_stages.py
@@ -3,7 +3,7 @@
 from fawnwharf import interface as io
 from fawnwharf.handover import messages as m
 from fawnwharf.sessions.effects import Copies
-from fawnwharf.sessions.stages import AGAIN_MS, Stages
+from fawnwharf.sessions.stages import AGAIN_MS, RETRIES_MOST, Stages
 from fawnwharf.sites import Session
 
 FACTS = m.Facts("view", 2, 300.0)
@@ -34,6 +34,25 @@
     assert answer(stages, 7, 1) == [] and stages.came == [(KEY, True)]
 
 
+def test_what_the_ration_has_left_goes_to_the_one_that_waits_for_longest():
+    under_way = set()
+    stages = Stages(lambda _row: [7], True, 10_000.0, lambda worker, row: row in under_way)
+    rows = [f"r{n}" for n in range(RETRIES_MOST + 2)]
+    for n, row in enumerate(rows):
+        stages.want(0.0, Copies((Session("org", row), m.Turn(1, "n0")), row, 1, FACTS, 5_000.0))
+        stages.answered(10.0 + n, io.OrderAnswered(7, row, io.Ending.GOOD, 0, 5.0))
+    ordered = [order.function for order in stages.tick(10.0)]
+    assert ordered == []  # the module is yet to hear of them
+    assert [order.function for order in stages.tick(60.0)] == rows[:RETRIES_MOST]  # it took none
+    late = Copies((Session("org", "late"), m.Turn(1, "n0")), "late", 1, FACTS, 5_000.0)
+    assert stages.want(70.0, late) == [io.Hold(7, "late", 0)]
+    assert stages.answered(80.0, io.OrderAnswered(7, "late", io.Ending.GOOD, 0, 5.0)) == []  # behind them
+    under_way |= {*rows[:-1]}
+    assert [order.function for order in stages.tick(110.0)] == [rows[-1], "late"]
+    under_way |= {rows[-1], "late"}
+    assert stages.tick(2_000.0) == []  # loads that take long are not ordered again
+
+
 def test_a_scorer_that_can_not_is_passed_over_and_without_any_it_can_not_stand():
     stages = Stages(lambda _row: [7, 8], True, 10_000.0)
     wanted(stages)
