--- a/tests/test_sessions_service.py
+++ b/tests/test_sessions_service.py
@@ -208,6 +208,20 @@
     rig.until(lambda: rig.agent("c0").keeper.record(SESSION).site == "a", "it is told of the session")
 
 
+def test_a_wish_of_a_member_that_is_silent_stands_while_its_process_may_be_replaced(fronts):
+    rig = fronts()
+    part = rig.part("b0")
+    for heard, now_ms, closed in (
+        (True, 4_000.0, {"c": "operators"}),
+        (True, 6_000.0, {}),
+        (False, 6_000.0, {"c": "operators"}),
+        (False, 700_000.0, {}),
+    ):
+        part._drained["a0"] = 0.0, ("c",)
+        part.agent.alive = dict.fromkeys({"a0", "c0"} if heard else {"c0"}, 1)
+        assert part._closed(now_ms) == closed
+
+
 def test_another_list_of_members_stops_no_hand_over_for_longer_than_seconds(fronts):
     rig = fronts(zones="aabc")
     other, gone = ("a0", "a1") if rig.agent("a1").keeper else ("a1", "a0")
