--- a/tests/test_rejoin_door.py
+++ b/tests/test_rejoin_door.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 
 import pytest
+from door_rig import CLASSES, LIMITS, WORTHS, Ground
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -20,7 +21,6 @@
 from fawnwharf.replication.claims import Claim, Phase
 from fawnwharf.replication.core import Core
 from fawnwharf.replication.gate import Gate, name_of
-from tests.door_rig import CLASSES, LIMITS, WORTHS, Ground
 
 
 def test_in_calm_all_is_passed_on_as_it_comes():
--- a/tests/test_sessions_service.py
+++ b/tests/test_sessions_service.py
@@ -199,6 +199,52 @@
     assert len(rig.noted("session moved")) == 3
 
 
+def test_a_keeper_that_came_after_a_call_hears_of_its_session_without_another_one(fronts):
+    rig = fronts()
+    rig.fronts.pop("c0").close()
+    rig.call(rig.client("a1"))
+    rig.start("c0", fresh=True)  # it asks nobody for what was before it
+    assert rig.agent("c0").keeper.record(SESSION).site == ""
+    rig.until(lambda: rig.agent("c0").keeper.record(SESSION).site == "a", "it is told of the session")
+
+
+def test_a_wish_of_a_member_that_is_silent_stands_while_its_process_may_be_replaced(fronts):
+    rig = fronts()
+    part = rig.part("b0")
+    for heard, now_ms, closed in (
+        (True, 4_000.0, {"c": "operators"}),
+        (True, 6_000.0, {}),
+        (False, 6_000.0, {"c": "operators"}),
+        (False, 700_000.0, {}),
+    ):
+        part._drained["a0"] = 0.0, ("c",)
+        part.agent.alive = dict.fromkeys({"a0", "c0"} if heard else {"c0"}, 1)
+        assert part._closed(now_ms) == closed
+
+
+def test_another_list_of_members_stops_no_hand_over_for_longer_than_seconds(fronts):
+    rig = fronts(zones="aabc")
+    other, gone = ("a0", "a1") if rig.agent("a1").keeper else ("a1", "a0")
+    rig.call(rig.client(other))
+    assert asked(rig, "move", "acme", ROW, "b", member="b0")[0] == 0
+    rig.until(lambda: rig.noted("hand-over ended"), "the hand-over ends")
+    began = monotonic_ms()
+    members = json.loads((rig.folder / "members.json").read_bytes())
+    [votes] = [entry for entry in members["members"] if entry["name"] == "a0"]
+    left = [
+        entry | {"ballots": entry.get("ballots", votes["ballots"])}
+        for entry in members["members"]
+        if entry["name"] != gone
+    ]
+    rig.write("members.json", members | {"number": 2, "members": left})  # it goes on by the old one
+    rig.until(lambda: rig.agent(other).sure(monotonic_ms()), "the new keeper is sure")
+    assert rig.agent(other).keeper.record(SESSION).number == 1
+    rig.until(lambda: all(rig.agent(name).sure(monotonic_ms()) for name in ("b0", "c0")), "all are")
+    assert monotonic_ms() - began < rig.agent(other).rules.window_ms / 2
+    assert asked(rig, "move", "acme", ROW, "a", member="b0")[0] == 0
+    rig.until(lambda: rig.noted("session moved")[-1]["number"] == 2, "it is moved again")
+
+
 BAD = [
     (b"{", "sessions: not JSON"),
     (b"[]", "sessions: Expected"),
