Recovery: a module whose orders are held back tries a few places a second, not all

Ruled out: 'full' with what the module holds true, as a place alone rests by it; an Elsewhere that says 'others load', as that takes the place of what work elsewhere told.

--- a/fawnwharf/rejoin/holds.py
+++ b/fawnwharf/rejoin/holds.py
@@ -4,6 +4,10 @@
 order does not go out: the module is told that it was not sent, which changes nothing of what it holds true,
 and that place rests for a second. Where a loader's copy stands is asked instead, so that the module knows of
 it. What a loader wanted of the module goes out. In calm an order costs one test more.
+
+The module tries one place after the other for calls that wait for a lane, and is told at once of each: with a
+thousand scorers that alone would take all its time. So after some the next one is left open for the rest of
+the second, as an order that takes long; it counts among the module's loads at a time meanwhile.
 """
 
 from collections.abc import Callable
@@ -19,6 +23,7 @@
 
 ASK_MS = 1_000.0  # a place is asked no sooner again
 ASKED_MOST = 4_096  # functions
+QUICK, WINDOW_MS = 4, 1_000.0  # orders for a function that are answered at once, of so long
 
 
 class Holds:
@@ -39,12 +44,24 @@
         self.giving: Giving | None = None
         self.held_back = 0
         self._asked: dict[str, float] = {}  # functions: when their place was asked
+        self._rates: dict[str, list[float]] = {}  # functions: since when, how many were held back
+        self._open: list[tuple[float, io.OrderAnswered]] = []  # that the module is to be told, and when
 
     def go_by(self, allowed: Allowed, giving: Giving | None) -> None:
         self.calm = allowed.spill or giving is None
         self.own_loads, self.giving = allowed.own_loads, giving
+        self._release(float("inf") if self.calm or self.own_loads else self._clock())
         if self.calm:
             self._asked.clear()
+            self._rates.clear()
+
+    def _release(self, now_ms: float) -> None:
+        due, self._open = self._open, []
+        for at_ms, event in due:
+            if at_ms <= now_ms:
+                self._tell(event)
+            else:
+                self._open.append((at_ms, event))
 
     def carry(self, action: io.Hold) -> None:
         """As RequestTable.order, for the module's actions."""
@@ -67,7 +84,17 @@
                 self._asked.clear()
             self._asked[action.function] = now
             self._ask(Order(place, self._answered, action.function, 0))
-        self._tell(io.OrderAnswered(action.worker, action.function, io.Ending.NOT_SENT, 0, 0.0))
+        event = io.OrderAnswered(action.worker, action.function, io.Ending.NOT_SENT, 0, 0.0)
+        rate = self._rates.get(action.function)
+        if rate is None or now - rate[0] >= WINDOW_MS:
+            if rate is None and len(self._rates) >= ASKED_MOST:
+                self._rates.clear()
+            rate = self._rates[action.function] = [now, 0]
+        rate[1] += 1
+        if rate[1] <= QUICK:
+            self._tell(event)
+        else:
+            self._open.append((rate[0] + WINDOW_MS, event))
 
     def _answered(self, order: Order, end: End | None, answer: Answer | None) -> None:
         ending = answer.ending if answer else told(end or End.NEVER_SENT, order.begun)
@@ -76,6 +103,7 @@
 
     def events(self, now_ms: float, events: list[io.Event]) -> list[Out]:
         """What a batch tells of copies: scorers' answers to orders, and calls that found none."""
+        self._release(now_ms)
         found: list[Out] = []
         for event in events if self.giving is not None else ():
             if isinstance(event, io.OrderAnswered):
--- a/tests/test_rejoin_door.py
+++ b/tests/test_rejoin_door.py
@@ -271,7 +271,13 @@
     def __init__(self, own=()):
         self.out, self.asked, self.told, self.made, self.now = [], [], [], [], 5_000.0
         self.loading, self.own, self.places = self, set(own), {"f": 7}
-        self.holds = Holds(self.out.append, self.asked.append, self.told.append, {}, lambda: self.now)
+        self.requests = {}
+        self.holds = Holds(
+            self.out.append, self.asked.append, self.told.append, self.requests, lambda: self.now
+        )
+
+    def answered(self, now, event):
+        return []
 
     def is_own(self, worker, row):
         return (worker, row) in self.own
@@ -331,3 +337,37 @@
         ground.out.clear(), ground.asked.clear()
         now += 2.0
     assert [worker for _, worker in sent] == [place] and sent[0][0] <= 1_010.0
+
+
+def test_a_module_that_tries_all_scorers_for_calls_that_wait_is_told_of_a_few_at_once():
+    site = io.Settings(classes=dict(CLASSES), quotas_rps={"t": 1e4}, tick_ms=1.0)
+    router, ground = Router(site, 1), Holding()
+    ground.go_by(Stage.REST)
+    calls = [io.RequestArrived(f"r{n}", "f", "view", "t", 60_000.0) for n in range(3)]
+    events = [io.RosterChanged([io.WorkerEntry(n) for n in range(100)], True), *calls]
+    held = []
+    while ground.now < 8_000.0:
+        for action in router.handle(ground.now, events):
+            if isinstance(action, io.Hold):
+                ground.holds.carry(action)
+        ground.holds.events(ground.now, events)
+        none = [io.OrderAnswered(o.worker, "f", io.Ending.GOOD, 0, 1.0) for o in ground.out]
+        events, ground.told[:] = [*ground.told, *none, io.TimerDue(0)], []
+        ground.out.clear()
+        ground.now += 5.0
+        held.append(ground.holds.held_back)
+    assert 3 <= held[199] <= 8 < held[-1] <= 24  # it goes on trying, some a second
+    ground.go_by(Stage.RENEWAL)
+    assert ground.told and not ground.holds._open
+
+
+def test_a_call_that_found_no_copy_tells_that_it_is_gone():
+    ground, lost = Holding(), []
+    ground.lost = lambda now, row, worker: lost.append((row, worker))
+    ground.answered = lambda now, event: [event]
+    ground.go_by(Stage.REST)
+    ground.requests["r1"] = type("Open", (), {"call": type("Of", (), {"function": "f"})})
+    miss = io.AttemptEnded("r1", 0, 7, io.Ending.MISS, 1.0, False)
+    good, other = replace(miss, ending=io.Ending.GOOD), replace(miss, request="r2")
+    answer = io.OrderAnswered(7, "g", io.Ending.GOOD, 1, 1.0)
+    assert ground.holds.events(1.0, [miss, good, other, answer]) == [answer] and lost == [("f", 7)]
