--- a/tests/test_lab_power.py
+++ b/tests/test_lab_power.py
@@ -281,13 +281,23 @@
     assert len(meter.cuts) == 2
 
 
-def test_a_whole_loss_of_power_breaks_no_rule_and_its_return_is_measured():
-    runner = Runner(scenarios.load("power-cut"), seed=2)
+@pytest.mark.parametrize("how", ["from nothing", "recovery"])
+def test_a_whole_loss_of_power_breaks_no_rule_and_its_return_is_measured(how):
+    found = scenarios.load("power-cut")
+    runner = Runner(msgspec.structs.replace(found, recovery={} if how == "recovery" else None), seed=2)
     measures = runner.run()
-    found = measures.outage
+    found, notes = measures.outage, runner.fleet.notes
     assert measures.verdict.broken == [] and found.second_runs == 0
     assert found.came == found.serving == 4
     assert found.service[1] == 0.0 and found.until(0.5) >= 2.0  # nobody serves while all are dark
     assert 0 < found.asked_worst <= measures.fetches
     ids = [request.call_id for request in runner.fleet.clients.requests if request.call_id]
     assert len(ids) > len(set(ids))  # clients came again for calls of the last moments
+    cut_ms = runner.fleet.marks["the power goes"]
+    read = [n.fields for n in notes if n.event == "disk read" and n.at_ms > cut_ms]
+    stages = [n.fields["stage"] for n in notes if n.event == "stage decided" and n.fields["cut"] == 1]
+    if how == "recovery":  # promises outlive the power, and are counted before anything runs
+        assert read and all(fields["trusted"] and fields["calls"] > 0 for fields in read)
+        assert list(dict.fromkeys(stages))[:3] == ["listening", "repeats", "worth"]
+    else:
+        assert read and not any(fields["trusted"] for fields in read) and stages == []
