--- a/fawnwharf/sessions/foreseen.py
+++ b/fawnwharf/sessions/foreseen.py
@@ -166,4 +166,5 @@
             "stages used": planner.used,
             "stages in vain": planner.wasted,
             "bad lines": self.bad,
+            **{f"not staged: {cause}": count for cause, count in planner.skipped.items()},
         }
--- a/tests/test_sessions_joined.py
+++ b/tests/test_sessions_joined.py
@@ -73,6 +73,15 @@
     assert seen == [{"fetches_rps": 2.0}, None, {"fetches_rps": 1.0}, None]
 
 
+def test_operators_are_told_why_something_was_not_staged():
+    foreseen = object.__new__(Foreseen)
+    _, _, foreseen.staging = staged({"fetches_rps": 0.0})
+    foreseen.ordered = foreseen.bad = 0
+    told = foreseen.counts()
+    assert told["not staged: no fetch left"] == foreseen.staging.core.planner.skipped["no fetch left"] > 0
+    assert told["stages used"] == told["stages in vain"] == 0
+
+
 # --- what a process leaves ----------------------------------------------------------------------
 
 
