--- a/fawnwharf/lab/sessions.py
+++ b/fawnwharf/lab/sessions.py
@@ -1,13 +1,16 @@
 """Steps of scenarios with sessions: clients that move, and what operators ask by their files."""
 
 import json
+from collections.abc import Mapping
 
 from fawnwharf.lab.files import write_whole
 from fawnwharf.lab.fleet import Fleet
 from fawnwharf.lab.parties import Parties
 from fawnwharf.lab.processes import Front, LabFault
-from fawnwharf.lab.scenario import Step
+from fawnwharf.lab.scenario import Step, ZoneSpec
 from fawnwharf.net.wheel import monotonic_ms, unix_ms
+from fawnwharf.sessions.moves import target
+from fawnwharf.sites import Session
 from fawnwharf.standins.sessions import ANY, Live, Moved, Planned
 
 TOLD_MS = 500.0  # pace at which the oracle's file is written
@@ -37,9 +40,14 @@
 
     def _draw(self, step: Step, at_ms: float) -> list[Planned]:
         """`what` is a site, `*`, or one of both with a tenant behind a slash; `value` the part, all if 0;
-        `to` a site, several with commas to choose from by chance, or `*`."""
+        `to` a site, several with commas to choose from by chance, `*`, or `target`: the site that the front
+        ends hand each session over to."""
         clients = self.fleet.clients
         whence, _, tenant = step.what.partition("/")
+        if step.to == "target":
+            drawn = clients.draw(whence or ANY, step.value or 1.0, tenant)
+            zones = self.fleet.scenario.zones
+            return [Planned(at_ms, live, live.site, handed_over(live, zones)) for live in drawn]
         open_ = step.to.split(",") if "," in step.to else None
         whither = ANY if open_ else step.to or ANY
         return [
@@ -130,6 +138,12 @@
             scorer.release(rows[: round((step.value or 1.0) * len(rows))])
 
 
+def handed_over(live: Live, zones: Mapping[str, ZoneSpec]) -> str:
+    """Where a session goes whose site is emptied, of zones with as many rooms as scorers."""
+    room = {name: zone.scorers for name, zone in zones.items() if name != live.site}
+    return target(Session(live.org, live.row), room)
+
+
 def oracle(fleet: Fleet) -> bool:
     asked = (fleet.scenario.sessions or {}).get("foresight") or {}
     return asked.get("mode") == "oracle"
--- a/tests/test_lab_sessions.py
+++ b/tests/test_lab_sessions.py
@@ -15,14 +15,16 @@
 from fawnwharf.lab.homes import Sent, Told, Unload, Use
 from fawnwharf.lab.processes import Noted
 from fawnwharf.lab.run import Runner
-from fawnwharf.lab.scenario import ScenarioFault, Step, scenario_from
-from fawnwharf.lab.sessions import SessionSteps
+from fawnwharf.lab.scenario import ScenarioFault, Step, ZoneSpec, scenario_from
+from fawnwharf.lab.sessions import SessionSteps, handed_over
 from fawnwharf.net.wheel import monotonic_ms
 from fawnwharf.sessions.foreseen import Foreseen
+from fawnwharf.sessions.moves import target
 from fawnwharf.sessions.trace import Trace
 from fawnwharf.sites import Home, Session
 from fawnwharf.standins.calls import Kind, Request, Try
 from fawnwharf.standins.nature import Arrival
+from fawnwharf.standins.sessions import Live
 from fawnwharf.zones.files import WatchedFile
 
 CI = ["sessions-move", "sessions-cut", "sessions-killed"]
@@ -245,6 +247,16 @@
     assert {m.whence for m in fleet.clients.moved} == {"a"} and first.at_ms > 1e12  # of the Unix clock
 
 
+def test_clients_may_follow_their_sessions_to_where_front_ends_hand_them_over():
+    zones = {"a": ZoneSpec(2, 4), "b": ZoneSpec(2, 4), "c": ZoneSpec(2, 4), "w": ZoneSpec(1, 0)}
+    went = set()
+    for n in range(40):
+        live = Live("t", f"f{n}", "a")
+        went.add(found := handed_over(live, zones))
+        assert found == target(Session("t", f"f{n}"), {"b": 400, "c": 400})  # a mover's room, of any size
+    assert went == {"b", "c"}
+
+
 @pytest.mark.parametrize("name", CI)
 def test_sessions_are_handed_over_and_all_rules_kept_whatever_fails(name):
     measures = Runner(scenarios.load(name), seed=3).run()
