--- a/fawnwharf/recovery/stages.py
+++ b/fawnwharf/recovery/stages.py
@@ -89,7 +89,7 @@
     members: int  # on the list
     heard: int
     asked: int  # of these, that have ended their asking
-    sure: float = 1.0  # of the keepers on the list
+    sure: float = 1.0  # of the keepers on the list, as far as calls need them
     first: float = 1.0  # of the calls of the classes worth most: served in time
     served: float = 1.0  # of all calls
     slow: float = 1.0  # loads, as a multiple of what they take in calm
--- a/fawnwharf/rejoin/lead.py
+++ b/fawnwharf/rejoin/lead.py
@@ -3,6 +3,7 @@
 Pure. Every member that votes keeps it, so that one that begins to lead knows what the others told before.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from fawnwharf.recovery.stages import Conductor, Effect, Note, Seen, Stage, Timing
@@ -22,6 +23,17 @@
     keepers: tuple[str, ...]
     number: int = 0
     digest: str = ""
+    by_zone: tuple[tuple[str, ...], ...] = ()  # the keepers, by zone
+
+    def sure(self, knows: Callable[[str], bool]) -> float:
+        """The part of the keepers that know all they granted, as far as calls need them.
+
+        A call's keepers are of a zone each, and more than half of them make a promise: with three zones or
+        more, one zone's that don't come back are not waited for, as the others hold what they granted."""
+        zones = [sum(map(knows, names)) / len(names) for names in self.by_zone if names]
+        if len(zones) < 3:
+            return sum(map(knows, self.keepers)) / len(self.keepers) if self.keepers else 1.0
+        return min(sorted(zones)[1:])
 
 
 @dataclass(slots=True)
@@ -87,12 +99,11 @@
             life, before = self._fell.get(name, (told.life, told.fell))
             fell = max(fell, told.fell - before if life == told.life else told.fell)
             self._fell[name] = told.life, told.fell
-        sure = sum(name in alive and alive[name].sure for name in lists.keepers)
         return Seen(
             members=len(lists.members),
             heard=len(alive),
             asked=sum(told.asked for told in alive.values()),
-            sure=sure / len(lists.keepers) if lists.keepers else 1.0,
+            sure=lists.sure(lambda name: name in alive and alive[name].sure),
             first=w.Tally(sum(t.good for t in first), sum(t.all for t in first)).part,
             served=w.Tally(sum(t.good for t in served), sum(t.all for t in served)).part,
             slow=slow,
--- a/fawnwharf/rejoin/service.py
+++ b/fawnwharf/rejoin/service.py
@@ -157,7 +157,8 @@
         text = msgspec.json.encode(sorted(members.members, key=lambda entry: entry.name))
         keepers = tuple(self.state.core.placement.keepers)
         voters = tuple(entry.name for entry in members.voters)
-        return Lists(names, voters, keepers, members.number, _digest(text))
+        by_zone = tuple(map(tuple, self.state.core.placement.by_zone.values()))
+        return Lists(names, voters, keepers, members.number, _digest(text), by_zone)
 
     def _own(self) -> Own:
         now, keeper, voter = monotonic_ms(), self.state.core.keeper, self.zones.core.voter
--- a/tests/test_rejoin_agent.py
+++ b/tests/test_rejoin_agent.py
@@ -8,6 +8,7 @@
 from fawnwharf.recovery.asking import Answer, Ask, Stand, What
 from fawnwharf.recovery.stages import Register, Stage
 from fawnwharf.rejoin import words as w
+from fawnwharf.rejoin.lead import Lead, Lists
 from fawnwharf.rejoin.showing import shown
 
 RETURN = list(Stage)
@@ -258,3 +259,29 @@
     assert agent.asking.stand(What.MEMBERS) is Stand.WAITING  # it was no word on the members
     agent.hear_zone(fleet.now, leader, told)
     assert agent.stage(fleet.now) is Stage.SPILL
+
+
+@pytest.mark.parametrize(
+    ("by_zone", "away", "part"),
+    [
+        ((("a",), ("b",), ("c",)), "c", 1.0),
+        ((("a",), ("b",), ("c",)), "bc", 0.0),
+        ((("a", "b"), ("c", "d"), ("e", "f")), "ef", 1.0),
+        ((("a", "b"), ("c", "d"), ("e", "f")), "cf", 0.5),  # a call of these two has one keeper left
+        ((("a", "b"), ("c", "d")), "c", 0.75),  # two zones: both keepers of a call are needed
+        ((), "", 1.0),
+    ],
+)
+def test_keepers_of_one_zone_that_do_not_come_back_are_not_waited_for(by_zone, away, part):
+    keepers = tuple(name for names in by_zone for name in names)
+    assert Lists(keepers, (), keepers, by_zone=by_zone).sure(lambda name: name not in away) == part
+
+
+def test_a_leader_merges_keepers_by_their_zones():
+    lists = Lists(tuple("abcd"), tuple("abc"), tuple("abc"), by_zone=(("a",), ("b",), ("c",)))
+    lead = Lead(TIMING, lists, 1_000.0, 1_000.0, 100.0)
+    for name in "abd":
+        lead.stands(0.0, name, w.Standing(1, True, True))
+    assert lead.seen(10.0).sure == 1.0 and lead.seen(10.0).heard == 3
+    lead.stands(10.0, "b", w.Standing(1, True, False))
+    assert lead.seen(10.0).sure == 0.0
