--- a/fawnwharf/net/changelog.py
+++ b/fawnwharf/net/changelog.py
@@ -31,6 +31,7 @@
     ) -> None:
         self.seq = seq  # of the last event passed on
         self.told_all = False  # it has said in this life that nothing more is to be told
+        self.may_begin_anew = False  # smaller numbers are of a log that lost its own, and count from the first
         self._loop, self._address, self._told, self._log = loop, address, told, log
         self._connection: Connection | None = None
         self._buffer = bytearray()
@@ -113,10 +114,19 @@
         if isinstance(read, int) and not isinstance(read, bool):
             if read == self.seq:
                 self._stumbled_at, self.told_all = None, True  # a later stumble is a new one
+            elif read < self.seq and self.may_begin_anew:
+                return self._anew(read)
             # Events that it says it has told have not come: they are lost on this connection.
             return read <= self.seq or self._stumble(f"at {read}, but only {self.seq} came")
         return self.event(read) or self._stumble(f"not an event: {line[:60]!r}")
 
+    def _anew(self, last: int) -> bool:
+        """Its numbers began with 1 again: all that it has told since is to be told, its whole list first."""
+        self._log(f"change log: at {last}, after {self.seq} before: it has begun anew")
+        self.seq, self._stumbled_at = 0, None
+        self._connection.close(End.BAD_BYTES)
+        return False
+
     def event(self, read: Any, of_start: bool = False) -> bool:
         """Take one event, of the start or of the log; False where it is none."""
         if not isinstance(read, dict) or not isinstance(seq := read.get("seq"), int):
--- a/fawnwharf/rejoin/service.py
+++ b/fawnwharf/rejoin/service.py
@@ -76,6 +76,7 @@
         """Begin, on the front end's loop; the parts before this one are attached."""
         self.front, settings = front, self.settings
         front.port.waits_for.add(RECOVERY)
+        front.changelog.may_begin_anew = True
         self.agent = Agent(
             self.zones.entry.name, self.zones.core.members.fleet, self.life, self.kept.boot, self._lists(),
             self._own(), self.zones.seat, self.tallies.worths, settings.timing.of_stages, monotonic_ms(),
