--- a/fawnwharf/rejoin/service.py
+++ b/fawnwharf/rejoin/service.py
@@ -76,6 +76,7 @@
         """Begin, on the front end's loop; the parts before this one are attached."""
         self.front, settings = front, self.settings
         front.port.waits_for.add(RECOVERY)
+        front.changelog.may_begin_anew = True
         self.agent = Agent(
             self.zones.entry.name, self.zones.core.members.fleet, self.life, self.kept.boot, self._lists(),
             self._own(), self.zones.seat, self.tallies.worths, settings.timing.of_stages, monotonic_ms(),
@@ -157,7 +158,8 @@
         text = msgspec.json.encode(sorted(members.members, key=lambda entry: entry.name))
         keepers = tuple(self.state.core.placement.keepers)
         voters = tuple(entry.name for entry in members.voters)
-        return Lists(names, voters, keepers, members.number, _digest(text))
+        by_zone = tuple(map(tuple, self.state.core.placement.by_zone.values()))
+        return Lists(names, voters, keepers, members.number, _digest(text), by_zone)
 
     def _own(self) -> Own:
         now, keeper, voter = monotonic_ms(), self.state.core.keeper, self.zones.core.voter
--- a/tests/test_rejoin_giving.py
+++ b/tests/test_rejoin_giving.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 
 import pytest
+from giving_rig import LIMITS, WORTHS, Fleet
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -15,7 +16,6 @@
 from fawnwharf.rejoin.outs import Order, Words
 from fawnwharf.rejoin.seats import Seats
 from fawnwharf.rejoin.wards import Wards
-from tests.giving_rig import LIMITS, WORTHS, Fleet
 
 ROWS = [f"f{i}" for i in range(60)]
 
--- a/tests/test_rejoin_joined.py
+++ b/tests/test_rejoin_joined.py
@@ -1,6 +1,7 @@
 """A front end with a door, orders held back and a loader of its own, on its real loop, by real sockets."""
 
 import pytest
+from peers import ROW, SETTINGS, Rig, ScorerPeer
 
 from fawnwharf import interface as io
 from fawnwharf.net import scorer_frames as frames
@@ -12,7 +13,6 @@
 from fawnwharf.rejoin.giving import Giving
 from fawnwharf.rejoin.holds import Holds
 from fawnwharf.rejoin.outs import Order, Stood, Ticket
-from tests.peers import ROW, SETTINGS, Rig, ScorerPeer
 
 
 class Loading(ScorerPeer):
