Stages are weighed by the mean worth of the calls that come

Ruled out for it: the part of the ration that is left to calls (free_part), and sessions counted where calls come to, not where they run.

Change: own calls by class, fading over slow_ms, are told at each look.

--- a/fawnwharf/sessions/staging.py
+++ b/fawnwharf/sessions/staging.py
@@ -8,6 +8,7 @@
 front end that is none only tells what it counted.
 """
 
+import math
 from collections.abc import Iterable, Sequence
 from typing import Annotated
 
@@ -128,6 +129,7 @@
         self._cold = rules.fall_multiple
         self._parts = 0  # words that this look may still say
         self._seen = Seen()
+        self._by_class = dict.fromkeys(site.classes, 0.0)  # own calls, fading: what a mean one is worth
         self._refused, self._arrived, self._usual = 0, 0, 0.0  # as of the last look; `usual`: that wait
 
     @property
@@ -183,6 +185,8 @@
 
     def _came(self, now_ms: float, event: io.RequestArrived) -> None:
         self._arrived += 1
+        if event.class_name in self._by_class:
+            self._by_class[event.class_name] += 1.0
         self.scorers.arrived(now_ms)
         if not all(0 < len(name) <= NAME_MOST for name in (event.tenant, event.function, event.class_name)):
             return  # no word could tell of it
@@ -294,6 +298,9 @@
     def _begin(self, now_ms: float) -> None:
         self._look_ms, self._parts = now_ms, PARTS
         self._weather(now_ms)
+        self.core.planner.shares(self._by_class)
+        kept = math.exp(-self.bounds.beat_ms / self.bounds.slow_ms)
+        self._by_class = {name: kept * calls for name, calls in self._by_class.items()}
         self.core.watch.number += 1
         for key, (at_ms, _) in list(self._pending.items()):
             facts = self.functions.facts(key[0])
--- a/tests/test_staging.py
+++ b/tests/test_staging.py
@@ -2,10 +2,11 @@
 
 import math
 import random
+from dataclasses import replace
 
 import msgspec
 import pytest
-from staging_rig import SITES, UNIX, Calls, S, look, roster, rules, staging
+from staging_rig import SITES, SPEC, UNIX, Calls, S, look, roster, rules, staging
 
 from fawnwharf import interface as io
 from fawnwharf.foresight import messages as m
@@ -135,6 +136,23 @@
     assert not one.copies.sweep(99_000.0) and len(one.copies) == 0 and one.copies.held_mb("s") == 0.0
 
 
+def test_a_stage_is_weighed_by_the_mean_worth_of_the_calls_that_come():
+    dear = replace(SPEC, name="bet", worth=9.0)
+    one, calls = staging(classes={"view": SPEC, "bet": dear, "none": dear}), Calls()
+    assert one.core.planner._mean == pytest.approx(19 / 3)  # nothing came yet: equal parts
+    for second in range(10):
+        for n in range(20):
+            one.events(1_000.0 * second, UNIX, calls.events(f"f{n}", "n"))
+        look(one, 1_000.0 * second)
+    assert one.core.planner._mean == pytest.approx(1.0)  # all were views
+    for second in range(10, 400):
+        came, ended = calls.events("f1", "n")
+        told = [replace(came, class_name="bet"), ended]
+        one.events(1_000.0 * second, UNIX, told)
+        look(one, 1_000.0 * second)
+    assert one.core.planner._mean == pytest.approx(9.0, rel=0.01)  # what was long ago fades
+
+
 def test_facts_of_functions_are_those_seen_and_else_others_words():
     one, other = staging(), staging("b")
     for _ in range(20):
