Recovery: seats and wards are dealt by the register, the first dealing without a wait

The register names the keepers that give (`givers`, at most 64) and counts the dealings of a cut (`deals`). With the first one nobody has given by a stage of that cut, so nothing waits at one that went by a stage of it before; the loaders' spread of a second goes too. Each later one waits for as long as the one before may be gone by (`alone_ms`, a look of 250 ms) and as before on top. Where somebody that is heard gave alone or through the others' cut within 2 s, the first dealing counts as a later one. Keepers that come once `worth` is entered are taken only when a giver is gone for `over_ms`, or when they are more than twice as many.

Found on the way: a warden that was told of `worth` later than those that ask it forgot what it had given them; it keeps that now.

--- /dev/null
+++ b/fawnwharf/recovery/register.py
@@ -0,0 +1,73 @@
+"""What the voters' log holds of a recovery: stage, budgets of the fleet, and who gives them out. Pure."""
+
+from dataclasses import dataclass
+from enum import IntEnum
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta, Struct
+
+from fawnwharf.accord.messages import VOTERS_MOST, Identity
+
+VERSION = 1
+GIVERS_MOST = 64  # loaders and wardens of the fleet; others of its keepers are none
+
+Number = Annotated[int, Meta(ge=0, lt=2**53)]
+Name = Annotated[str, Meta(min_length=1, max_length=64)]
+
+
+class Stage(IntEnum):
+    LISTENING = 0
+    REPEATS = 1
+    WORTH = 2
+    REST = 3
+    RENEWAL = 4
+    SPILL = 5
+
+
+class RegisterFault(ValueError):
+    """Not a register of this version; the text is 'key: cause', one line."""
+
+
+class Register(Struct, frozen=True):
+    """What the voters' log holds. A larger number is later; `cut` counts power losses of the fleet."""
+
+    recovery: int = VERSION
+    number: Number = 0
+    cut: Number = 0
+    stage: Annotated[int, Meta(ge=0, le=5)] = int(Stage.SPILL)
+    part: Annotated[float, Meta(gt=0.0, le=1.0)] = 1.0  # of the fleet's budgets
+    fronts: Number = 0  # front ends that were heard
+    boots: Annotated[dict[Identity, Annotated[str, Meta(max_length=64)]], Meta(max_length=VOTERS_MOST)] = {}
+    why: Annotated[str, Meta(max_length=200)] = ""  # for people
+    # Keepers among which seats and wards are dealt; none: by what each hears, as texts of before.
+    givers: Annotated[tuple[Name, ...], Meta(max_length=GIVERS_MOST)] = ()
+    deals: Number = 0  # of the cut, from `worth` on; 0: nobody has given anything by a stage of it
+
+    def encode(self) -> str:
+        return msgspec.json.encode(self, order="sorted").decode()
+
+
+def register_from(text: str) -> Register:
+    """What was decided last; an empty text: nothing was yet. Raises RegisterFault."""
+    if not text:
+        return Register()
+    try:
+        found = msgspec.json.decode(text, type=Register)
+    except msgspec.ValidationError as error:
+        cause, _, place = str(error).partition(" - at `$")
+        raise RegisterFault(f"{place.rstrip('`').lstrip('.') or 'register'}: {cause}") from None
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise RegisterFault(f"register: not JSON: {error}") from None
+    if found.recovery != VERSION:
+        raise RegisterFault(f"recovery: {found.recovery}, and this program knows {VERSION}")
+    return found
+
+
+@dataclass(frozen=True, slots=True)
+class Dealt:
+    """Among whom seats and wards are dealt by a register, as its `givers`, `cut` and `deals`."""
+
+    givers: tuple[str, ...]
+    cut: int
+    deals: int
--- a/fawnwharf/recovery/stages.py
+++ b/fawnwharf/recovery/stages.py
@@ -20,67 +20,17 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
-from enum import IntEnum
-from typing import Annotated, Any
+from typing import Any
 
-import msgspec
-from msgspec import Meta, Struct
+from msgspec import Struct
 
-from fawnwharf.accord.messages import VOTERS_MOST, Identity
 from fawnwharf.recovery.budget import first_classes
+from fawnwharf.recovery.register import Dealt, Register, RegisterFault, Stage, register_from
 from fawnwharf.recovery.trust import Scope, scope
 
-VERSION = 1
 LEAST_PART = 0.125
 BACKS_MOST = 3  # times that a hold doubles
 
-Number = Annotated[int, Meta(ge=0, lt=2**53)]
-
-
-class Stage(IntEnum):
-    LISTENING = 0
-    REPEATS = 1
-    WORTH = 2
-    REST = 3
-    RENEWAL = 4
-    SPILL = 5
-
-
-class RegisterFault(ValueError):
-    """Not a register of this version; the text is 'key: cause', one line."""
-
-
-class Register(Struct, frozen=True):
-    """What the voters' log holds. A larger number is later; `cut` counts power losses of the fleet."""
-
-    recovery: int = VERSION
-    number: Number = 0
-    cut: Number = 0
-    stage: Annotated[int, Meta(ge=0, le=5)] = int(Stage.SPILL)
-    part: Annotated[float, Meta(gt=0.0, le=1.0)] = 1.0  # of the fleet's budgets
-    fronts: Number = 0  # front ends that were heard
-    boots: Annotated[dict[Identity, Annotated[str, Meta(max_length=64)]], Meta(max_length=VOTERS_MOST)] = {}
-    why: Annotated[str, Meta(max_length=200)] = ""  # for people
-
-    def encode(self) -> str:
-        return msgspec.json.encode(self, order="sorted").decode()
-
-
-def register_from(text: str) -> Register:
-    """What was decided last; an empty text: nothing was yet. Raises RegisterFault."""
-    if not text:
-        return Register()
-    try:
-        found = msgspec.json.decode(text, type=Register)
-    except msgspec.ValidationError as error:
-        cause, _, place = str(error).partition(" - at `$")
-        raise RegisterFault(f"{place.rstrip('`').lstrip('.') or 'register'}: {cause}") from None
-    except (msgspec.DecodeError, RecursionError) as error:
-        raise RegisterFault(f"register: not JSON: {error}") from None
-    if found.recovery != VERSION:
-        raise RegisterFault(f"recovery: {found.recovery}, and this program knows {VERSION}")
-    return found
-
 
 @dataclass(frozen=True, slots=True)
 class Seen:
@@ -94,6 +44,8 @@
     served: float = 1.0  # of all calls
     slow: float = 1.0  # loads, as a multiple of what they take in calm
     fell: int = 0  # cold scorers that fell since the last look
+    givers: tuple[str, ...] = ()  # keepers that are heard, in order, at most GIVERS_MOST
+    gave: bool = False  # one that is heard gave out loads or calls lately, and by no stage
 
 
 @dataclass(frozen=True, slots=True)
@@ -141,6 +93,7 @@
     slow_ms: float | None = None
     calm_ms: float | None = None  # boots of a minority differ since then
     backs: int = 0
+    lost_ms: float | None = None  # the givers ought to be others since then
 
     def lead(self, now_ms: float, text: str, voters: tuple[str, ...]) -> list[Effect]:
         """Begin a reign, as `Steward.lead`: nothing of this log is undecided."""
@@ -193,8 +146,24 @@
             return self._put(Stage(stage + 1), seen, boots, why, part=part)
         if abs(seen.heard - register.fronts) * 4 > max(1, register.fronts):
             return self._put(stage, seen, boots, "front ends came or went")
+        if not register.deals or self._givers(stage, seen) == register.givers:
+            self.lost_ms = None
+        elif self.lost_ms is None:
+            self.lost_ms = now_ms
+        elif now_ms - self.lost_ms >= self.timing.over_ms:
+            return self._put(stage, seen, boots, "keepers came or went")
         return []
 
+    def _givers(self, stage: Stage, seen: Seen, anew: bool = False) -> tuple[str, ...]:
+        """Before `worth` all keepers that are heard. From then on each change costs a wait, so those that
+        come later are taken only when one is lost, or when they are more than those that give."""
+        now = self.register.givers
+        if stage is Stage.SPILL:
+            return ()
+        if anew or not self.register.deals or not set(now) <= set(seen.givers):
+            return seen.givers
+        return seen.givers if len(seen.givers) > 2 * len(now) else now
+
     def _exit(self, now_ms: float, stage: Stage, seen: Seen) -> str:
         """Why the stage is left; empty: it is not."""
         timing, stood_ms = self.timing, now_ms - self.since_ms
@@ -253,6 +222,15 @@
         now = self.register
         known = now.boots if cut is None else {}  # who is not heard may be in another boot by now
         marks = {n: boots.get(n, known.get(n, "")) for n in self.voters}
+        begun = now.deals if cut is None else 0
+        givers, deals = self._givers(stage, seen, cut is not None), begun
+        if stage is Stage.SPILL:
+            pass
+        elif begun:
+            deals += givers != now.givers
+        elif stage >= Stage.WORTH:
+            deals = 2 if seen.gave else 1  # the first of the cut; where one gave before, all wait
+        self.lost_ms = None
         self.asked = Register(
             number=now.number + 1,
             cut=now.cut if cut is None else cut,
@@ -261,6 +239,8 @@
             fronts=seen.heard,
             boots={name: mark for name, mark in marks.items() if mark},
             why=why,
+            givers=givers,
+            deals=deals,
         )
         return [Decide(self.asked.encode())]
 
@@ -340,6 +320,13 @@
         self.lone = found is None or (self.lone and found < Stage.WORTH)
         return None if self.lone else found
 
+    def dealt(self, now_ms: float) -> Dealt | None:
+        """How seats and wards are dealt; None: by what is heard, as it is alone, in calm, or not told."""
+        stage, register = self.stage(now_ms), self.register
+        if stage is None or stage is Stage.SPILL or register is None or not register.givers:
+            return None
+        return Dealt(register.givers, register.cut, register.deals)
+
     def fresh(self, now_ms: float) -> bool:
         return self.register is not None and now_ms - self.word_ms < self.timing.valid_ms
 
--- a/fawnwharf/rejoin/agent.py
+++ b/fawnwharf/rejoin/agent.py
@@ -16,6 +16,7 @@
 from fawnwharf.durable.reading import Sign
 from fawnwharf.recovery import alone
 from fawnwharf.recovery.asking import Answer, Ask, Asking, Of, Pace, Stand, What
+from fawnwharf.recovery.register import Dealt
 from fawnwharf.recovery.stages import Allowed, Decide, Follower, Note, RegisterFault, Stage, Timing
 from fawnwharf.rejoin import words as w
 from fawnwharf.rejoin.lead import Lead, Lists
@@ -24,6 +25,7 @@
 LOG = "change log"  # as one that answers; it is no member
 LOOK_MS, CALM_LOOK_MS = 50.0, 250.0
 CALM_PACE = 4  # in calm a front end tells how it stands so many times less often
+GAVE_MS = 2_000.0  # what was given out alone ends within that
 TOLD_TIMES = 3  # a sign is told to one that started anew
 
 
@@ -42,6 +44,7 @@
     stage: Stage | None  # None: alone
     cut: int
     fronts: int = 1  # front ends among which what is allowed is divided
+    dealt: Dealt | None = None  # None: by what is heard
 
 
 class Signed(msgspec.Struct, frozen=True):
@@ -105,7 +108,8 @@
     _told: dict[str, tuple[int, float]] = field(default_factory=dict)  # leader's life and least lateness
     _heard_ms: dict[str, float] = field(default_factory=dict)  # when voters said something last
     _term: int = 0  # the largest of a leader that was followed
-    _going: tuple[Allowed, Stage | None, int, int] | None = None
+    _going: tuple[Allowed, Stage | None, int, int, Dealt | None] | None = None
+    _gave_ms: float = float("-inf")  # loads were allowed here, and by no stage
     _stand_due_ms: float = 0.0
     _ask_due_ms: float = 0.0  # of a leader that has not answered yet
     _asked: bool = False  # it was noted
@@ -329,16 +333,17 @@
         if now_ms >= self._stand_due_ms:
             calm = self._going is not None and self._going[1] is Stage.SPILL
             self._stand_due_ms = now_ms + self.stand_ms * (CALM_PACE if calm else 1)
-            effects += [self._boot(), Say((), self._standing())]
+            effects += [self._boot(), Say((), self._standing(now_ms))]
         self.lead.booted(now_ms, self.name, w.Boot(self.life, self.mark, own.sign))
-        self.lead.stands(now_ms, self.name, self._standing())
+        self.lead.stands(now_ms, self.name, self._standing(now_ms))
         return [*effects, *self._leading(now_ms)]
 
     def _boot(self) -> Say:
         return Say((), w.Boot(self.life, self.mark, self.own.sign))
 
-    def _standing(self) -> w.Standing:
-        known = {"life": self.life, "asked": self.asked, "sure": self.own.sure}
+    def _standing(self, now_ms: float) -> w.Standing:
+        gave = now_ms - self._gave_ms < GAVE_MS
+        known = {"life": self.life, "asked": self.asked, "sure": self.own.sure, "gave": gave}
         if self.own.standing is None:
             return w.Standing(**known)
         return msgspec.structs.replace(self.own.standing, **known)
@@ -360,7 +365,9 @@
             effects.append(Note("asked", {"without": list(self.asking.without().values())}))
         stage, register = self.stage(now_ms), self.follower.register
         fronts = self.own.heard if stage is None or register is None else register.fronts
-        going = (self.allowed(now_ms), stage, self.cut, max(1, fronts))
+        going = (self.allowed(now_ms), stage, self.cut, max(1, fronts), self.follower.dealt(now_ms))
+        if going[0].loads and not going[0].spill and (stage is None or stage < Stage.WORTH):
+            self._gave_ms = now_ms
         if going == self._going:
             return effects
         before, self._going = self._going, going
--- a/fawnwharf/rejoin/giving.py
+++ b/fawnwharf/rejoin/giving.py
@@ -12,6 +12,7 @@
 
 from fawnwharf import interface as io
 from fawnwharf.recovery.budget import Limits, part_ms
+from fawnwharf.recovery.register import Dealt
 from fawnwharf.recovery.stages import Allowed
 from fawnwharf.rejoin import given_words as m
 from fawnwharf.rejoin.loading import LEAST_MS, PROVES, RETRY_MS, Loading
@@ -24,7 +25,9 @@
 FORGET_MS = 10_000.0  # nobody here has wanted it for so long
 LAG_MS = 1_750.0  # within which all see who is heard: a quiet member's time, and a look
 USUAL_MS = 2_000.0  # a load takes no longer, as a rule
-SPREAD_MS = 1_000.0  # loaders begin within that
+SPREAD_MS = 1_000.0  # loaders begin within that, where they are dealt by what is heard
+WORD_MS = 5_000.0  # for so long one goes by a register that it was told (`Timing.alone_ms`)
+LOOK_MS = 250.0  # and sees so late at the most that it is over
 WANTS_MOST, PLACES_MOST, WORDS_MOST = 4_096, 20_000, 20_000
 
 
@@ -64,6 +67,8 @@
         self._counts: dict[str, int] = {}
         self._allowed = Allowed()
         self._cut = -1
+        self.word_ms = WORD_MS
+        self._opening = -1  # this life went by stages of that cut before anything was given in it
         self._heard: frozenset[str] = frozenset()
         self._mine: dict[str, _Mine] = {}
         self._lost: dict[str, int] = {}  # scorers where a copy was told to stand, and did not
@@ -86,15 +91,35 @@
     # --- who gives out what -----------------------------------------------------------------------
 
     def set(
-        self, now_ms: float, heard: Iterable[str], keepers: Iterable[str], allowed: Allowed, cut: int
+        self,
+        now_ms: float,
+        heard: Iterable[str],
+        keepers: Iterable[str],
+        allowed: Allowed,
+        cut: int,
+        dealt: Dealt | None = None,
     ) -> None:
-        """What is seen now; to be told at each change. `heard`: members that gave a sign lately."""
+        """What is seen now; to be told at each change. `heard`: members that gave a sign lately; `dealt`: by
+        the register that it follows.
+
+        The first dealing of a cut waits for nothing at one that went by a stage of it before `worth`: no
+        earlier life of its own gave in it. One that was told later waits as for any other."""
         heard = frozenset(heard) | {self.name}
         givers = tuple(sorted(heard & frozenset(keepers))) or (self.name,)
-        self.seats.set(now_ms, givers, allowed.part, cut)
-        self.wards.set(now_ms, givers, allowed.part)
+        deal, first = None, False
+        if dealt is not None and dealt.deals:
+            givers, deal = dealt.givers, (dealt.cut, dealt.deals)
+            first = dealt.deals == 1 and self._opening == dealt.cut
+        elif allowed.loads:
+            self._opening = -1  # alone, or through the cut of others
+        elif dealt is not None:
+            self._opening = dealt.cut
+        lag_ms = self.word_ms + LOOK_MS if deal is not None and not first else 0.0
+        self.seats.set(now_ms, givers, allowed.part, cut, deal, lag_ms, first)
+        self.wards.set(now_ms, givers, allowed.part, deal, lag_ms, first)
         if allowed.loads and (not self._allowed.loads or cut != self._cut):
-            self.loading.loader.begins_ms = now_ms + part_ms(self.name, cut, SPREAD_MS)
+            spread_ms = SPREAD_MS if deal is None else 0.0
+            self.loading.loader.begins_ms = now_ms + part_ms(self.name, cut, spread_ms)
         for name in heard - self._heard - {self.name} if allowed.loads else ():  # it is told all that stands
             own = [row for row, (_, by) in self.places.items() if by == self.name]
             self._askers.setdefault(name, {}).update(dict.fromkeys(own))
--- a/fawnwharf/rejoin/joined.py
+++ b/fawnwharf/rejoin/joined.py
@@ -14,6 +14,7 @@
 from fawnwharf.net.wheel import Timer, monotonic_ms, unix_ms
 from fawnwharf.policy.state import Function, mark
 from fawnwharf.recovery.budget import Limits, limits_from
+from fawnwharf.recovery.register import Dealt
 from fawnwharf.recovery.stages import Allowed
 from fawnwharf.rejoin import given_words as g
 from fawnwharf.rejoin import outs
@@ -49,8 +50,9 @@
         self.front, self.state = front, state
         self.limits = limits_from(front.deployment.settings, settings.fetches, settings.scorer_rps)
         self.giving = Giving(state.entry.name, life, self.limits, self._order)
+        self.giving.word_ms = settings.timing.alone_ms
         self.counts: dict[str, int] = {}
-        self._going: tuple[Allowed, int, int] = (Allowed(), 0, 1)
+        self._going: tuple[Allowed, int, int, Dealt | None] = (Allowed(), 0, 1, None)
         self._used: dict[tuple[str, str], float] = {}  # calls a second before the cut, by function and class
         self._used_ms = float("-inf")
         self._heard: frozenset[str] = frozenset()
@@ -82,10 +84,10 @@
 
     # --- what is allowed ------------------------------------------------------------------------
 
-    def go_by(self, allowed: Allowed, cut: int, fronts: int) -> None:
+    def go_by(self, allowed: Allowed, cut: int, fronts: int, dealt: Dealt | None = None) -> None:
         """`fronts`: among how many front ends the fleet's calls are divided; alone, among those that hear
         each other, whose part of the budgets `allowed` has."""
-        self._going = (allowed, cut, fronts)
+        self._going = (allowed, cut, fronts, dealt)
         self._set(monotonic_ms())
 
     def use_before(self, used: dict[tuple[str, str], float]) -> None:
@@ -93,9 +95,9 @@
         self._used = used
 
     def _set(self, now_ms: float) -> None:
-        allowed, cut, fronts = self._going
+        allowed, cut, fronts, dealt = self._going
         self._heard = frozenset(self.state.alive(now_ms)) | {self.state.entry.name}
-        self.giving.set(now_ms, self._heard, self.state.core.placement.keepers, allowed, cut)
+        self.giving.set(now_ms, self._heard, self.state.core.placement.keepers, allowed, cut, dealt)
         rate_ps = allowed.part * self.limits.fall_multiple * self.limits.calls_rps(self.ages()) / fronts
         self.door.go_by(allowed, rate_ps, self.giving)
         self.holds.go_by(allowed, self.giving)
--- a/fawnwharf/rejoin/lead.py
+++ b/fawnwharf/rejoin/lead.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from fawnwharf.recovery.budget import loaders
+from fawnwharf.recovery.register import GIVERS_MOST
 from fawnwharf.recovery.stages import Conductor, Effect, Note, Seen, Stage, Timing
 from fawnwharf.recovery.trust import Scope, scope
 from fawnwharf.rejoin import words as w
@@ -108,6 +110,8 @@
             served=w.Tally(sum(t.good for t in served), sum(t.all for t in served)).part,
             slow=slow,
             fell=fell,
+            givers=tuple(sorted(loaders((n for n in lists.keepers if n in alive), GIVERS_MOST, 0))),
+            gave=any(told.gave for told in alive.values()),
         )
 
     # --- reigns ---------------------------------------------------------------------------------
--- a/fawnwharf/rejoin/service.py
+++ b/fawnwharf/rejoin/service.py
@@ -270,7 +270,7 @@
             self._calm_ms = monotonic_ms()
         waits_for = self.front.port.waits_for
         (waits_for.discard if allowed.status else waits_for.add)(RECOVERY)
-        self.joined.go_by(allowed, effect.cut, effect.fronts)
+        self.joined.go_by(allowed, effect.cut, effect.fronts, effect.dealt)
 
     def _once(self, what: str) -> bool:
         now = monotonic_ms()
--- a/fawnwharf/rejoin/wards.py
+++ b/fawnwharf/rejoin/wards.py
@@ -13,6 +13,7 @@
 from fawnwharf.recovery.budget import TICKET_MS, Limits, Warden, warden_of
 from fawnwharf.rejoin.given_words import TICKETS_MOST, Asked, Given
 from fawnwharf.rejoin.outs import Ticket, Words
+from fawnwharf.rejoin.seats import follows
 
 SCORERS_MOST = 4_096
 KEYS_MOST = 4_096  # calls that wait for a ticket here
@@ -43,6 +44,8 @@
         self.counts: dict[str, int] = {}
         self._givers: tuple[str, ...] = ()
         self._since_ms = float("inf")  # these are the givers since
+        self._deal: tuple[int, int] | None = None  # cut and number of it
+        self._wait_ms, self._first = lag_ms, False  # how long others may go by the givers before
         self._number = 0
 
     def _count(self, cause: str) -> None:
@@ -50,29 +53,46 @@
 
     # --- who is there -----------------------------------------------------------------------------
 
-    def set(self, now_ms: float, givers: tuple[str, ...], part: float) -> None:
-        """`givers`: who may be a warden; `part`: of the fleet's budgets."""
+    def set(
+        self,
+        now_ms: float,
+        givers: tuple[str, ...],
+        part: float,
+        deal: tuple[int, int] | None = None,
+        lag_ms: float = 0.0,
+        first: bool = False,
+    ) -> None:
+        """As `Seats.set`; `givers`: who may be a warden."""
         part = min(1.0, max(0.0, part))
         self.warden.limits = replace(self.limits, fall_multiple=self.limits.fall_multiple * part)
-        if givers == self._givers:
+        self._wait_ms = self.lag_ms if deal is None else lag_ms
+        if (deal, first) == (self._deal, self._first) and givers == self._givers:
             return
+        if not follows(self._deal, deal) or first:
+            for scorer in self.scorers.values():
+                scorer.warden = ""  # another may have been it since, or nobody was ever
+        self._deal, self._first = deal, first
         self._givers, self._since_ms = givers, now_ms
         for id, scorer in self.scorers.items():
-            self._ward(now_ms, id, scorer)
+            self._ward(now_ms, id, scorer, first)
 
     def _ward(self, now_ms: float, id: int, scorer: _Scorer, nobodys: bool = False) -> None:
-        """Find its warden. `nobodys`: it came up when all had long known who that would be."""
+        """Find its warden. `nobodys`: it came up when all had long known who that would be, or
+        nobody gave in this cut."""
         warden = warden_of(str(id), self._givers)
         if warden == scorer.warden:
             return
         scorer.warden, scorer.number, scorer.full_ms = warden, 0, float("-inf")
         scorer.turns.clear()
+        given = self.warden.given.get(str(id))
         self.warden.warm(str(id))
         if warden == self.me:
             if nobodys:
                 self.warden.known_from(str(id))
+                if given:  # to others, that were told of this dealing before
+                    self.warden.given[str(id)] = given
             else:
-                self.warden.since[str(id)] = now_ms + self.lag_ms
+                self.warden.since[str(id)] = now_ms + self._wait_ms
 
     def scorer(self, now_ms: float, id: int, age_ms: float) -> None:
         """It is there, and that old."""
@@ -86,7 +106,7 @@
             return
         found = self.scorers[id] = _Scorer(up_ms)
         if self._givers:
-            self._ward(now_ms, id, found, nobodys=up_ms >= self._since_ms + self.lag_ms)
+            self._ward(now_ms, id, found, nobodys=self._first or up_ms >= self._since_ms + self._wait_ms)
 
     def gone(self, id: int) -> list[Ticket]:
         """It is there no more; who waited for it may look elsewhere."""
--- a/fawnwharf/rejoin/words.py
+++ b/fawnwharf/rejoin/words.py
@@ -56,6 +56,7 @@
     loads: Number = 0  # that ended
     slow: Annotated[float, Meta(ge=0.0, le=1e6)] = 1.0  # and took so many times what they take in calm
     fell: Number = 0  # cold scorers that fell, since its start
+    gave: bool = False  # it gave out loads or calls lately, and by no stage: alone, or through others' cut
 
 
 class Told(Struct, frozen=True, tag=True):
--- /dev/null
+++ b/tests/dealt_rig.py
@@ -0,0 +1,101 @@
+"""Front ends whose seats and wards are dealt by a register, in virtual time: some are told of a later one as
+late as they may be, and go by the one before meanwhile, from `VALID` of that on at half the budget."""
+
+from giving_rig import LIMITS, WORTHS, Fleet
+from rejoin_rig import STEP_S, Agents
+
+from fawnwharf.recovery.register import Dealt
+from fawnwharf.recovery.stages import Allowed, Stage, allowed
+from fawnwharf.rejoin.giving import Giving
+from fawnwharf.rejoin.outs import Order, Words
+from fawnwharf.replication.placement import weight
+
+WORD_MS, VALID = 1_500.0, 0.4
+OPEN_MS = 1_000.0  # `worth` is entered
+REST = allowed(Stage.REST, WORTHS)
+
+
+class DealtFleet(Fleet):
+    """`word_ms`: by which front ends reckon their wait; others go by a register for `WORD_MS` more."""
+
+    def __init__(self, seed=1, lost=0.0, word_ms=WORD_MS):
+        self.word_ms, self.goes, self.dealt = word_ms, {}, Dealt(("n0",), 1, 0)
+        super().__init__(seed, lost=lost)
+        self.at(OPEN_MS, self._deal)
+
+    def start(self, name):
+        super().start(name)
+        self.fronts[name].word_ms = self.word_ms
+
+    def _changed(self, new=None):
+        """One that starts is told of the last register; a giver that is lost is seen a little later."""
+        if new is not None:
+            self.goes[new] = (Allowed(), None)
+            self.at(self.chance.uniform(0.0, 100.0), lambda: self._told(new, self.dealt))
+        elif self.dealt.deals:
+            self.at(self.chance.uniform(50.0, 300.0), self._deal)
+
+    def _deal(self):
+        keepers = tuple(name for name in self.keepers if name in self.up)
+        if keepers and not (self.dealt.deals and set(self.dealt.givers) <= self.up):
+            before, self.dealt = self.dealt, Dealt(keepers, 1, self.dealt.deals + 1)
+            for name in sorted(self.up):
+                late = self.chance.random() < 0.4
+                delay = self.chance.uniform(0.8, 1.0) * WORD_MS if late else self.chance.uniform(0.0, 100.0)
+                if late and before.deals:
+                    self.at(VALID * WORD_MS, lambda name=name: self._stale(name, before))
+                self.at(delay, lambda name=name, dealt=self.dealt: self._told(name, dealt))
+
+    def _stale(self, name, before):
+        if name in self.up and self.goes[name][1] == before:
+            self.goes[name] = (allowed(Stage.REST, WORTHS, 0.5), before)
+
+    def _told(self, name, dealt):
+        known = self.goes[name][1]
+        if name in self.up and (known is None or known.deals < dealt.deals):
+            self.goes[name] = (REST if dealt.deals else Allowed(), dealt)
+            self._go(name)
+
+    def _go(self, name):
+        may, dealt = self.goes[name]
+        self.fronts[name].set(self.now, self.up, self.keepers, may, 1, dealt)
+
+    def _turns(self):
+        for name in sorted(self.up):
+            self._go(name)
+        super()._turns()
+
+    def gives(self, name):
+        return name in self.up and self.goes[name][0].loads
+
+
+class GivingAgents(Agents):
+    """Agents, each with what it gives out; words and answers come with the next step."""
+
+    def __init__(self, *args, **kwargs):
+        self.giving, self.orders, self.entered = {}, [], {}
+        super().__init__(*args, **kwargs)
+
+    def start(self, name, identity, seed=99):
+        super().start(name, identity, seed)
+        order = lambda row: sorted(range(3), key=lambda s: weight(str(s), row))  # noqa: E731
+        self.giving[name] = Giving(name, self.lives[name], LIMITS, order)
+
+    def run(self, seconds):
+        for _ in range(round(seconds / STEP_S)):
+            super().run(STEP_S)
+            for name in sorted(self.up):
+                agent, giving = self.agents[name], self.giving[name]
+                may, dealt = agent.allowed(self.now), agent.follower.dealt(self.now)
+                giving.set(self.now, self.up, agent.lists.keepers, may, agent.cut, dealt)
+                if may.loads and not may.spill:
+                    self.entered.setdefault(name, self.now)
+                    for n in range(30):
+                        giving.want(self.now, f"f{n}", 1.0, "view")
+                for out in giving.tick(self.now):
+                    if isinstance(out, Order):
+                        self.orders.append((self.now, name, out.what))
+                    elif isinstance(out, Words):
+                        for to in [to for to in out.to or self.up if to != name and to in self.up]:
+                            self.giving[to].hear(self.now, name, out.word)
+        return self
--- /dev/null
+++ b/tests/test_rejoin_dealt.py
@@ -0,0 +1,167 @@
+"""Seats and wards by the register: at once where nobody gave before, and never two of one."""
+
+import random
+
+import pytest
+from dealt_rig import WORD_MS, DealtFleet, GivingAgents
+from giving_rig import LIMITS, WORTHS
+from test_recovery_stages import Led
+
+from fawnwharf.recovery.budget import warden_of
+from fawnwharf.recovery.register import GIVERS_MOST, Dealt, Register, register_from
+from fawnwharf.recovery.stages import Allowed, Follower, Seen, Stage, Timing, allowed
+from fawnwharf.rejoin import words as w
+from fawnwharf.rejoin.giving import LOOK_MS, TURN_MS
+from fawnwharf.rejoin.lead import Lead, Lists
+from fawnwharf.rejoin.wards import Wards
+
+ROWS = [f"f{i}" for i in range(400)]
+STEP_MS = 20.0
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_six_that_come_back_within_4_s_order_within_a_turn_of_worth(seed):
+    fleet, chance = GivingAgents("abcabc", seed).calm(), random.Random(seed)
+    fleet.end(*fleet.names)
+    fleet.run(0.1)
+    fleet.orders.clear()
+    fleet.entered.clear()
+    delays = sorted((chance.uniform(0.0, 4.0), name) for name in fleet.names)
+    began = fleet.now
+    for delay, name in delays:
+        fleet.run(max(0.0, delay - (fleet.now - began) / 1_000.0))
+        fleet.begin("boot 2", name)
+    fleet.until(lambda: fleet.orders)
+    assert fleet.orders[0][0] - min(fleet.entered.values()) <= TURN_MS + STEP_MS
+    fleet.until_stage(Stage.REST, cut=1)
+    dealt = fleet.agents["n0"].follower.register
+    assert dealt.deals == 1 and set(dealt.givers) <= set(fleet.agents["n0"].lists.keepers)
+
+
+def played(seed, lost=0.0, word_ms=WORD_MS):
+    """Loaders die and come back while all want and ask; the most loads at a time, and by how much tickets
+    went beyond a scorer's room."""
+    fleet, chance = DealtFleet(seed, lost, word_ms), random.Random(f"dealt {seed}")
+    for step in range(1, 100):
+        fleet.run(200.0 * step)
+        if 8 < step < 80 and step % 8 == 0:
+            down = [name for name in fleet.names if name not in fleet.up]
+            if down and chance.random() < 0.5:
+                fleet.start(chance.choice(down))
+            elif len(fleet.up) > 2:
+                fleet.kill(chance.choice(sorted(fleet.up & set(fleet.keepers)) or sorted(fleet.up)))
+        for name in sorted(filter(fleet.gives, fleet.up)):
+            fleet.ask(name, 4)
+            for i, row in enumerate(ROWS):
+                fleet.fronts[name].want(fleet.now, row, 400.0 - i, "view")
+    sent = [at for at in fleet.sent if at < LIMITS.cold_ms]
+    within = {at: sum(at - LIMITS.fall_ms < other <= at for other in sent) for at in sent}
+    return fleet.most, max(count - LIMITS.room(at) for at, count in within.items()), fleet
+
+
+@pytest.mark.parametrize("seed", range(8))
+@pytest.mark.parametrize("lost", [0.0, 0.15])
+def test_never_beyond_the_budgets_while_some_go_by_the_register_before_for_as_long_as_they_may(seed, lost):
+    most, beyond, fleet = played(seed, lost)
+    assert most <= LIMITS.fetches and beyond <= 0
+    assert fleet.dealt.deals > 1 and len(fleet.orders) > 50 and len(fleet.sent) > 50
+
+
+def test_a_later_change_without_its_wait_is_found():
+    assert max(played(seed, word_ms=-LOOK_MS - 500.0)[0] for seed in range(8)) > LIMITS.fetches
+
+
+@pytest.mark.parametrize(("lag_ms", "kept"), [(WORD_MS, True), (0.0, False)])
+def test_a_new_warden_waits_for_as_long_as_one_may_go_by_the_register_before(lag_ms, kept):
+    old, new = (Wards(name, 1, LIMITS, 0.0) for name in ("n0", "n1"))
+    id = next(i for i in range(50) if warden_of(str(i), ("n0", "n1")) == "n1")  # n1's by the second dealing
+    for front in (old, new):
+        front.set(0.0, ("n0",), 1.0, (1, 1), 0.0, True)
+        front.scorer(1_000.0, id, 1_000.0)
+    new.set(2_000.0, ("n0", "n1"), 1.0, (1, 2), lag_ms)
+    sent = []
+    for now in range(2_000, 6_000, 5):
+        if now < 2_000.0 + WORD_MS and old.ask(now, id, f"old {now}") == 0.0:
+            sent.append(now)
+        if new.ask(now, id, f"new {now}") == 0.0:
+            sent.append(now)
+    assert len(sent) > 3 * LIMITS.room(2_000.0) and max(sent) > 5_000
+    beyond = max(sum(at - LIMITS.fall_ms < other <= at for other in sent) - LIMITS.room(at) for at in sent)
+    assert (beyond <= 0) is kept
+
+
+def test_a_later_dealing_waits_for_the_word_of_the_one_before_and_a_missed_one_for_all():
+    fleet = DealtFleet()
+    fleet.run(1_200.0)
+    seats, rest = fleet.fronts["n0"].seats, allowed(Stage.REST, WORTHS)
+    fleet.fronts["n0"].set(1_200.0, {"n0"}, ["n0"], rest, 1, Dealt(fleet.dealt.givers, 1, 1))
+    assert seats.mine == seats.ready(1_200.0) == 1
+    fleet.fronts["n0"].set(2_000.0, {"n0"}, ["n0"], rest, 1, Dealt(("n0", "n1"), 1, 2))
+    due = 2_000.0 + WORD_MS + LOOK_MS + fleet.usual_ms
+    assert (seats.mine, seats.ready(due - 1), seats.ready(due)) == (2, 1, 2)
+    fleet.fronts["n0"].set(due, {"n0"}, ["n0"], rest, 1, Dealt(("n0", "n1"), 1, 4))
+    assert seats.ready(due) == 0  # they may have been another's by the third
+
+
+def test_one_that_started_after_worth_waits_in_the_first_dealing_too():
+    fleet = DealtFleet()
+    fleet.run(1_200.0)
+    name = "n0"
+    fleet.kill(name)
+    fleet.start(name)
+    dealt = fleet.dealt
+    assert dealt.deals == 1
+    fleet.fronts[name].set(1_210.0, {name}, [name], Allowed(loads=True), 1, dealt)
+    assert fleet.fronts[name].seats.ready(1_210.0) == 0
+
+
+def seen(*givers, gave=False):
+    return Seen(members=9, heard=9, asked=9, givers=givers, gave=gave, first=0.0, served=0.0)
+
+
+def test_the_conductor_deals_with_worth_and_again_only_when_a_giver_is_gone_for_a_time():
+    led = Led().until(Stage.WORTH, seen("a", "b"))
+    assert [(r.stage, r.givers, r.deals) for r in led.told] == [
+        (0, ("a", "b"), 0), (1, ("a", "b"), 0), (2, ("a", "b"), 1),
+    ]  # fmt: skip
+    for _ in range(15):
+        led.step(seen("a", "b", "c"))  # who comes is not needed
+    for _ in range(5):
+        led.step(seen("a", "c"))
+        led.step(seen("a", "b", "c"))  # it was away for a moment
+    assert len(led.told) == 3
+    for _ in range(15):
+        led.step(seen("a", "c"))
+    last = led.told[-1]
+    assert (last.givers, last.deals, last.why) == (("a", "c"), 2, "keepers came or went")
+    assert len(led.told) == 4
+    for _ in range(15):
+        led.step(seen("a", "c", "d", "e", "f"))  # they are more than twice as many
+    assert led.told[-1].deals == 3 and len(led.told[-1].givers) == 5
+    led.until(Stage.SPILL, seen("a", "c", "d", "e", "f"))
+    assert led.told[-1].givers == () and led.told[-1].deals == 3
+
+
+def test_where_one_gave_without_a_stage_the_first_dealing_waits_as_a_later_one():
+    led = Led().until(Stage.WORTH, seen("a", gave=True))
+    assert led.told[-1].deals == 2
+    lead = Lead(Timing(), Lists(tuple("abcd"), tuple("abc"), tuple("bcd")), 1_000.0, 1_000.0, 100.0)
+    for name in "abd":
+        lead.stands(0.0, name, w.Standing(1, True, True, gave=name == "a"))
+    assert lead.seen(10.0).givers == ("b", "d") and lead.seen(10.0).gave
+
+
+def test_a_text_of_before_deals_nothing_and_many_keepers_are_bounded():
+    old = '{"recovery":1,"number":4,"cut":1,"stage":2,"part":1.0,"fronts":3,"boots":{},"why":""}'
+    follower = Follower(Timing(), 0.0)
+    follower.told(old, 0.0)
+    assert follower.stage(1.0) is Stage.WORTH and follower.dealt(1.0) is None
+    follower.told(Register(number=5, cut=1, stage=2, givers=("a",), deals=1).encode(), 0.0)
+    assert follower.dealt(1.0) == Dealt(("a",), 1, 1) and follower.dealt(6_000.0) is None  # alone
+    names = tuple(f"n{i}" for i in range(500))
+    lead = Lead(Timing(), Lists(names, names[:3], names), 1_000.0, 1_000.0, 100.0)
+    for name in names:
+        lead.stands(0.0, name, w.Standing(1, True, True))
+    givers = lead.seen(1.0).givers
+    assert len(givers) == GIVERS_MOST and givers == tuple(sorted(givers))
+    assert register_from(Register(givers=givers).encode()).givers == givers
