--- a/fawnwharf/recovery/stages.py
+++ b/fawnwharf/recovery/stages.py
@@ -146,21 +146,19 @@
             return self._put(Stage(stage + 1), seen, boots, why, part=part)
         if abs(seen.heard - register.fronts) * 4 > max(1, register.fronts):
             return self._put(stage, seen, boots, "front ends came or went")
-        if not register.deals or self._givers(stage, seen) == register.givers:
+        if not register.deals or self._givers(seen) == register.givers:
             self.lost_ms = None
         elif self.lost_ms is None:
             self.lost_ms = now_ms
         elif now_ms - self.lost_ms >= self.timing.over_ms:
-            return self._put(stage, seen, boots, "keepers came or went")
+            return self._put(stage, seen, boots, "keepers came or went", anew=True)
         return []
 
-    def _givers(self, stage: Stage, seen: Seen, anew: bool = False) -> tuple[str, ...]:
-        """Before `worth` all keepers that are heard. From then on each change costs a wait, so those that
-        come later are taken only when one is lost, or when they are more than those that give."""
+    def _givers(self, seen: Seen) -> tuple[str, ...]:
+        """Each change costs a wait, so keepers that come later are taken only when one is lost, or when they
+        are more than those that give."""
         now = self.register.givers
-        if stage is Stage.SPILL:
-            return ()
-        if anew or not self.register.deals or not set(now) <= set(seen.givers):
+        if not set(now) <= set(seen.givers):
             return seen.givers
         return seen.givers if len(seen.givers) > 2 * len(now) else now
 
@@ -218,19 +216,21 @@
         why: str,
         part: float | None = None,
         cut: int | None = None,
+        anew: bool = False,
     ) -> list[Effect]:
+        """`anew`: the givers, whose change costs a wait; else they stay from `worth` on."""
         now = self.register
         known = now.boots if cut is None else {}  # who is not heard may be in another boot by now
         marks = {n: boots.get(n, known.get(n, "")) for n in self.voters}
         begun = now.deals if cut is None else 0
-        givers, deals = self._givers(stage, seen, cut is not None), begun
+        givers, deals = (seen.givers if anew or not begun else now.givers or seen.givers), begun
         if stage is Stage.SPILL:
-            pass
+            givers = ()
         elif begun:
             deals += givers != now.givers
         elif stage >= Stage.WORTH:
             deals = 2 if seen.gave else 1  # the first of the cut; where one gave before, all wait
-        self.lost_ms = None
+        self.lost_ms = None if anew or not begun else self.lost_ms
         self.asked = Register(
             number=now.number + 1,
             cut=now.cut if cut is None else cut,
--- a/tests/test_rejoin_dealt.py
+++ b/tests/test_rejoin_dealt.py
@@ -142,6 +142,16 @@
     assert led.told[-1].givers == () and led.told[-1].deals == 3
 
 
+def test_a_stage_that_is_entered_while_a_giver_is_not_heard_for_a_moment_changes_no_dealing():
+    led = Led().until(Stage.WORTH, seen("a", "b"))
+    while led.now < led.core.since_ms + Timing().most_ms - 300.0:
+        led.step(seen("a", "b"))
+    led.until(Stage.REST, seen("a"))
+    assert (led.told[-1].givers, led.told[-1].deals) == (("a", "b"), 1)
+    led.step(seen("a", "b"))
+    assert led.core.lost_ms is None
+
+
 def test_where_one_gave_without_a_stage_the_first_dealing_waits_as_a_later_one():
     led = Led().until(Stage.WORTH, seen("a", gave=True))
     assert led.told[-1].deals == 2
