Recovery: doubt ends where members reach each other by other addresses; disks tested

A store in doubt was never confirmed in the lab: members compared a digest of the whole file of members, and each has its own addresses of the others there. The digest is of who there is (name, zone, region, votes, state) now, not of where.

The first, second and fourth end with status 2 and one line and change nothing; repaired, and empty, they come up in doubt, grant nothing beside one other, learn from the others, and the call is not run again.

Voters of a version before tell another digest: doubt ends once all voters run this one.

--- a/fawnwharf/rejoin/service.py
+++ b/fawnwharf/rejoin/service.py
@@ -155,11 +155,12 @@
     def _lists(self) -> Lists:
         members = self.zones.core.members
         names = tuple(entry.name for entry in members.members)
-        text = msgspec.json.encode(sorted(members.members, key=lambda entry: entry.name))
+        # Who there is, not where: each may reach the others by other addresses, and goes by the same list.
+        who = sorted((e.name, e.zone, e.region, bool(e.ballots), bool(e.state)) for e in members.members)
         keepers = tuple(self.state.core.placement.keepers)
         voters = tuple(entry.name for entry in members.voters)
         by_zone = tuple(map(tuple, self.state.core.placement.by_zone.values()))
-        return Lists(names, voters, keepers, members.number, _digest(text), by_zone)
+        return Lists(names, voters, keepers, members.number, _digest(msgspec.json.encode(who)), by_zone)
 
     def _own(self) -> Own:
         now, keeper, voter = monotonic_ms(), self.state.core.keeper, self.zones.core.voter
--- a/tests/power_rig.py
+++ b/tests/power_rig.py
@@ -24,15 +24,16 @@
 class PowerFleet(Fleet):
     """Three front ends, one in each zone, all keepers and voters; with a store each, or with files alone."""
 
-    def __init__(self, seed, stores=True):
+    def __init__(self, seed, stores=True, **recovery):
+        """`recovery`: parts of `recovery.json`, over its defaults."""
         super().__init__(scenario(), seed)
-        self.stores, self.boot = stores, 1
+        self.stores, self.boot, self.recovery = stores, 1, recovery
 
     def start(self, front):
         (front.folder / "boot").write_text(f"{front.name} {self.boot}\n")
         recovery = {"version": 1, "folder": "durable", "boot_file": "boot", "fetches": 8, "scorer_rps": 50.0}
         recovery["boot_file"] = str((front.folder / "boot").resolve())
-        files.write_whole(front.folder / "recovery.json", recovery)
+        files.write_whole(front.folder / "recovery.json", recovery | self.recovery)
         super().start(front)
 
     def command(self, front):
@@ -50,7 +51,6 @@
         lives = len(fronts[0].lives)
         if self.stores:  # one that is cut before its first start has written anything has an empty folder
             self.until(lambda: all(self.settled(front, lives) for front in fronts), "stores to settle")
-        self.clients._down.clear()  # their probes go with a load of their own, which there is none of
 
     def settled(self, front, lives):
         """Its log of this life is there, and with it all that the start wrote."""
@@ -60,7 +60,8 @@
     def cut(self):
         """All at once; a file is of no use in another boot, and goes as the mark of the boot can't be set."""
         for front in self.fronts.values():
-            front.process.kill()
+            if front.process is not None:
+                front.process.kill()
         for front in self.fronts.values():
             self.kill(front)
             if not self.stores:
@@ -68,16 +69,23 @@
         self.boot += 1
 
     def ask(self, zone="a"):
+        self.clients._down.clear()  # their probes go with a load of their own, which there is none of
         return self.clients._ask(SETTLE, zone, TENANTS[0], self.clients.functions[0])
 
+    def again(self, request, zone):
+        """The same call, asked for from a zone."""
+        self.clients._down.clear()
+        twin = self.clients._again(request, zone)
+        self.clients._try(twin)
+        return twin
+
     def outcome(self, request, zone):
         """Of the same call, asked for from a zone until it is not refused: logs have to come up first."""
         twins = []
 
         def ended():
             if not twins or twins[-1].outcome in ("refused", "no front end"):
-                twins.append(self.clients._again(request, zone))
-                self.clients._try(twins[-1])
+                twins.append(self.again(request, zone))
             return twins[-1].outcome not in ("", "refused", "no front end")
 
         self.until(ended, "a call to end")
--- /dev/null
+++ b/tests/test_rejoin_disks.py
@@ -0,0 +1,171 @@
+"""Real processes whose machines lost their power, one of them with another disk than it had: an older copy,
+another member's, an empty one, one with a bit that is another."""
+
+import shutil
+import subprocess
+import sys
+
+import msgspec
+import pytest
+from power_rig import PowerFleet
+
+from fawnwharf.accord.records import leading
+from fawnwharf.durable import form as f
+
+TIMING = {"hold_ms": 200.0, "listen_ms": 1_000.0, "most_ms": 500.0, "settle_ms": 300.0}
+PACE = {"again_ms": 50.0, "spread_ms": 20.0, "stand_ms": 50.0, "stage_ms": 100.0}
+ALONE_S = 0.5  # for so long a pair of front ends is asked, of which one is in doubt
+
+
+class DiskFleet(PowerFleet):
+    """`one` is the member whose disk is another; the second is up beside it, the third comes last."""
+
+    def __init__(self, seed):
+        super().__init__(seed, timing=TIMING, pace=PACE)
+        self.begin()
+        self.served("the fleet to serve")
+        self.one, self.second, self.third = self.fronts.values()
+        self.began = 0  # notes before this cut
+
+    def disk(self, front):
+        return front.folder / "durable"
+
+    def said(self, front, event):
+        return [n.fields for n in self.notes[self.began :] if (n.front, n.event) == (front.name, event)]
+
+    def lose(self):
+        """A call runs, then the power goes."""
+        request = self.running()
+        self.cut()
+        self.began = len(self.notes)
+        return request
+
+    def refused(self, front):
+        """It ends by itself; its one line, once it is seen that nothing was changed."""
+        before = contents(self.disk(front))
+        self.start(front)
+        self.until(lambda: front.process is None, f"{front.name} to end")
+        assert front.status == 2 and contents(self.disk(front)) == before
+        lines = [line for line in front.lines if not line.startswith("{")]
+        assert len(lines) == 1 and not self.said(front, "store read"), list(front.lines)
+        return lines[0]
+
+    def ready(self, *fronts):
+        for front in fronts:
+            self.start(front)
+        self.until_ready(fronts, "front ends")
+
+    def in_doubt(self, request, why):
+        """The one serves beside the second, then with all; what it lost is not run again, and all is well in
+        the end."""
+        one, second, third = self.one, self.second, self.third
+        self.ready(one, *([] if second.alive else [second]))
+        assert self.said(one, "store read")[-1]["why"].startswith(why)
+        assert self.said(one, "disk read")[-1]["trusted"] is False
+        assert self.said(second, "disk read")[-1]["trusted"] is True
+        asked = [self.again(request, zone) for zone in (one.zone, second.zone)]
+        asked += [self.ask(zone) for zone in (one.zone, second.zone)]
+        self.rest(ALONE_S)
+        assert not [twin for twin in asked if twin.outcome == "served"] and self.runs(request) == 1
+        assert not self.sure(one) and self.sure(second)
+        self.ready(third)
+        self.until(lambda: self.sure(one), f"{one.name} to know what was granted")
+        for front in self.fronts.values():
+            assert self.outcome(request, front.zone) == "failed"
+        assert self.runs(request) == 1
+        self.served("a new call")
+        self.until(lambda: self.said(one, "the store is confirmed"), "doubt to end")
+        assert not self.faults
+
+    def sure(self, front):
+        return bool(found := self.said(front, "keeper")) and found[-1]["sure"]
+
+
+def contents(folder):
+    files = {path.name: path for path in folder.glob("*") if path.name != "durable.lock"}
+    return {name: (path.read_bytes(), path.stat().st_ino) for name, path in files.items()}
+
+
+def last(folder, pattern):
+    return max(folder.glob(pattern), key=lambda path: f.parts(path.name)[1])
+
+
+def proven(log):
+    """A place in its first group, which a later one tells to be on disk; 0: none does."""
+    data = log.read_bytes()
+    groups = [content for _, content in leading(data)[0][1:]]
+    if not groups:
+        return 0
+    synced, number = msgspec.json.decode(groups[-1], type=f.Group).synced, leading(data)[0][1][0]
+    return data.index(groups[0]) + 5 if synced >= number else 0
+
+
+def flip(path, place):
+    data = bytearray(path.read_bytes())
+    data[place] ^= 4
+    with path.open("r+b") as file:  # in place: its inode stays
+        file.write(data)
+    return place
+
+
+def swap(one, other):
+    beside = one.with_name("beside")
+    one.rename(beside)
+    other.rename(one)
+    beside.rename(other)
+
+
+def recovery(what, folder):
+    command = [sys.executable, "-m", "fawnwharf", "recovery", what, str(folder)]
+    return subprocess.run(command, capture_output=True, text=True, timeout=30.0)
+
+
+@pytest.fixture(scope="module")
+def fleet():
+    found = DiskFleet(seed=8)
+    yield found
+    found.close()
+
+
+def test_a_folder_put_back_from_a_copy_is_refused_and_repaired_in_doubt(fleet):
+    disk = fleet.disk(fleet.one)
+    copy = disk.with_name("copy")
+    shutil.copytree(disk, copy)
+    request = fleet.lose()
+    shutil.rmtree(disk)
+    copy.rename(disk)
+    fleet.start(fleet.second)
+    line = fleet.refused(fleet.one)
+    assert f"{disk.name}/snap-" in line and line.endswith("a copy of another file, and may be an older one")
+    assert recovery("repair", disk).returncode == 0
+    fleet.in_doubt(request, "repaired: snap-")
+
+
+def test_swapped_folders_are_refused_and_an_empty_one_comes_up_in_doubt(fleet):
+    request = fleet.lose()
+    one, second = fleet.one, fleet.second
+    disks = fleet.disk(one), fleet.disk(second)
+    swap(*disks)
+    for front, other in ((one, second), (second, one)):
+        assert f"the disk of member {other.name}, not of {front.name}" in fleet.refused(front)
+    mended = recovery("repair", disks[0])
+    assert mended.returncode == 0 and mended.stdout.strip() == "nothing to repair"
+    swap(*disks)  # what is at its place again is whole: the second is, as `in_doubt` looks
+    shutil.rmtree(disks[0])
+    fleet.in_doubt(request, "empty")
+
+
+def test_a_flipped_bit_in_what_was_synced_is_refused_and_repaired_in_doubt(fleet):
+    disk = fleet.disk(fleet.one)
+    fleet.served("a call, in the log of this life")
+    fleet.until(lambda: proven(last(disk, "log-*.seg")), "its groups to be proven")
+    request = fleet.lose()
+    snap, log = last(disk, "snap-*.snap"), last(disk, "log-*.seg")
+    fleet.start(fleet.second)
+    place = flip(snap, snap.stat().st_size // 2)
+    assert f"{snap.name}: damaged: a snapshot that is not whole" in fleet.refused(fleet.one)
+    flip(snap, place)
+    flip(log, proven(log))
+    assert f"{log.name}: damaged at byte " in fleet.refused(fleet.one)
+    assert recovery("repair", disk).returncode == 0
+    fleet.in_doubt(request, f"repaired: {log.name}: damaged at byte ")
