Recovery: a copy from within the last life is known also once its store has settled

Others' sign of a life up to the one that was found was held against what this life had told, whose life is larger whatever was lost. It is held against what was found; signs of this life against what it told, as before. The new test, in virtual time, failed before.

--- a/fawnwharf/rejoin/onstore.py
+++ b/fawnwharf/rejoin/onstore.py
@@ -153,7 +153,8 @@
         folder has, which is an older copy; the store is in part from then on."""
         if sign.mark != self._found.mark or (sign.life, sign.number) <= self._passed:
             return True
-        mine = self._told if self._told.life else self._found
+        here = sign.life > self._found.life and self._told.life  # of this life; else of what was found
+        mine = self._told if here else self._found
         why = older(Found(sign=mine), [sign])
         if why:
             self._later = max(self._later, (sign.life, sign.number))
--- a/tests/test_rejoin_kept.py
+++ b/tests/test_rejoin_kept.py
@@ -183,6 +183,22 @@
     assert kept.whole is Store.WHOLE and not kept.heard_sign(far)  # a start hears of it anew
 
 
+def test_a_copy_of_within_the_last_life_is_shown_to_a_store_that_has_settled_too(site):
+    kept = site.kept(fresh=True)
+    on_disk(site, kept, Kind.PLAN, "last", 1)
+    older, between = site.machine().disk.copy(), kept.sign()
+    for number in range(2, 6):
+        on_disk(site, kept, Kind.PLAN, "last", number)
+    heard = kept.sign()
+    site.machine().disk = older
+    kept = site.kept()
+    now = kept.sign()
+    assert (heard.life, now.life) == (1, 2) and kept.settled and heard.number > now.number
+    assert kept.heard_sign(now) and kept.heard_sign(between) and kept.whole is Store.WHOLE
+    assert not kept.heard_sign(heard) and kept.whole is Store.PART and kept.why.startswith("rolled back")
+    assert f"life 1, number {between.number}" in kept.why
+
+
 def test_what_is_beyond_the_bounds_is_refused_and_said_once(site):
     kept = site.kept(fresh=True)
     told, whole = [], "x" * (k.RULES[Kind.HOMES].value_bytes - 100)
