--- a/tests/policy_site.py
+++ b/tests/policy_site.py
@@ -96,6 +96,8 @@
 
 
 class Site:
+    patience_s = PATIENCE_S
+
     def __init__(self, folder, state=False, policies=(True, True, True), **timing):
         self.folder, self.state, self.clients = folder, state, []
         self.nodes = [Node(self, n, zone, policies[n]) for n, zone in enumerate("abc")]
@@ -128,7 +130,7 @@
             client.pump()
 
     def until(self, condition, what):
-        end = time.monotonic() + PATIENCE_S
+        end = time.monotonic() + self.patience_s
         while not condition():
             assert time.monotonic() < end, f"waited in vain until {what}: {self.told()}"
             self.turn()
@@ -139,7 +141,7 @@
             self.turn()
 
     def told(self):
-        return [(node.name, node.notes[-6:], node.lines[-3:]) for node in self.nodes if node.front]
+        return [(node.name, node.notes[-8:], node.lines[-3:]) for node in self.nodes if node.front]
 
     def client(self, node):
         self.clients.append(ClientPeer(node.front.address))
--- a/tests/rejoin_site.py
+++ b/tests/rejoin_site.py
@@ -1,10 +1,10 @@
 """Front ends with recovery in this thread: real sockets, real folders, boots' marks in files."""
 
-import json
 import time
 
-from peers import SETTINGS, ClientPeer, ScorerPeer
-from processes import Log, Port
+import policy_site
+from peers import SETTINGS
+from policy_site import STATE, VOTING
 
 from fawnwharf.config import deployment_from
 from fawnwharf.epochs.service import Policies
@@ -17,33 +17,22 @@
 from fawnwharf.zones.founding import found
 from fawnwharf.zones.service import Zones
 
-PATIENCE_S = 40.0
-VOTING = {"beat_ms": 60.0, "election_ms": 400.0, "fresh_ms": 200.0, "valid_ms": 1_000.0}
-STATE = {"call_most_ms": 9_900.0, "window_ms": 1_500.0, "use_ms": 100.0}
-LEASES = {"lease_ms": 800.0, "renew_ms": 100.0, "prepare_ms": 2_500.0, "again_ms": 100.0}
+LEASES = policy_site.TIMING
 TIMING = {"hold_ms": 300.0, "listen_ms": 1_500.0, "most_ms": 2_000.0, "settle_ms": 1_500.0}
 PACE = {"again_ms": 100.0, "spread_ms": 50.0, "stand_ms": 100.0, "stage_ms": 150.0}
 
 
-class Node:
+class Node(policy_site.Node):
     """One front end of a site: its files, and what runs of it."""
 
     def __init__(self, site, n, zone):
-        self.site, self.name, self.zone = site, f"n{n}", zone
-        self.folder = site.folder / self.name
-        self.folder.mkdir()
-        self.log, self.scorer = Log(), ScorerPeer(f"s-{n}", copies=4)
-        self.ports = [Port() for _ in range(3)]
-        self.front, self.notes, self.known = None, [], True
+        super().__init__(site, n, zone)
+        self.known = True
         self.boot(1)
 
     def boot(self, number):
         (self.folder / "boot").write_text(f"boot {number}\n")
 
-    def entry(self):
-        address, ballots, state = (port.text for port in self.ports)
-        return {"name": self.name, "zone": self.zone, "address": address, "ballots": ballots, "state": state}
-
     def start(self, fresh=False):
         """Begin, or begin anew with the files that are there."""
         event = {"seq": 1, "fleet": {"complete": True, "members": [self.scorer.member(locality=self.zone)]}}
@@ -78,10 +67,6 @@
         seam.attach(self.front)
         self.front.start()
 
-    @property
-    def part(self):
-        return self.front.seam._parts[-1]
-
     @property
     def agent(self):
         return self.part.agent
@@ -89,14 +74,6 @@
     def stage(self):
         return self.agent.stage(time.monotonic() * 1000.0)
 
-    def close(self):
-        if self.front is not None:
-            self.front.close()
-            self.front = None
-
-    def noted(self, event):
-        return [fields for found, fields in self.notes if found == event]
-
     def stages(self):
         """Cut and stage by which it went, each once."""
         found = []
@@ -105,11 +82,10 @@
                 found.append((fields["cut"], fields["stage"]))
         return found
 
-    def write(self, name, data):
-        (self.folder / name).write_text(json.dumps(data))
 
+class Site(policy_site.Site):
+    patience_s = 40.0
 
-class Site:
     def __init__(self, folder, policy=False, **timing):
         self.folder, self.clients, self.policy = folder, [], policy
         self.nodes = [Node(self, n, zone) for n, zone in enumerate("abc")]
@@ -144,47 +120,3 @@
         for node in nodes or self.nodes:
             node.notes.clear()
             node.boot(number)
-
-    def turn(self):
-        for node in self.nodes:
-            if node.front is not None:
-                node.front.loop.turn(0.001)
-            node.log.pump()
-            node.scorer.pump()
-        for client in self.clients:
-            client.pump()
-
-    def until(self, condition, what):
-        end = time.monotonic() + PATIENCE_S
-        while not condition():
-            assert time.monotonic() < end, f"waited in vain until {what}: {self.told()}"
-            self.turn()
-
-    def rest(self, seconds):
-        end = time.monotonic() + seconds
-        while time.monotonic() < end:
-            self.turn()
-
-    def told(self):
-        return [(node.name, node.notes[-8:], node.lines[-3:]) for node in self.nodes if node.front]
-
-    def client(self, node):
-        self.clients.append(ClientPeer(node.front.address))
-        return self.clients[-1]
-
-    def ready(self, node):
-        """What the front end answers when it is asked whether it takes work."""
-        client = self.client(node)
-        client.status()
-        self.until(lambda: client.answers, "the status comes")
-        return client.answers[0][2][3]
-
-    def close(self):
-        for node in self.nodes:
-            node.close()
-            for peer in (node.log, node.scorer):
-                peer.close()
-            for port in node.ports:
-                port.sock.close()
-        for client in self.clients:
-            client.sock.close()
