--- a/fawnwharf/epochs/commands.py
+++ b/fawnwharf/epochs/commands.py
@@ -1,71 +1,29 @@
 """`fawnwharf policy`: what operators see of the policy in force, and how they change it."""
 
 import json
-import socket
 import time
 from pathlib import Path
 from typing import Annotated, Any
 
 import typer
 
-from fawnwharf.config import ConfigError, address_from
 from fawnwharf.epochs import messages as m
 from fawnwharf.epochs.document import Document, DocumentFault, Known, check_against, document_from
 from fawnwharf.epochs.service import SAID_FILE
 from fawnwharf.zones import settings as s
+from fawnwharf.zones.looking import Member, address, fail, files, lines
 
 LOOK_S = 0.1
 app = typer.Typer(no_args_is_help=True, help="The policy that front ends decide by.")
 File = Annotated[str, typer.Option("--zones", help="The settings of zones that this member serves with.")]
-Member = Annotated[
-    str, typer.Option("--member", help="Whose log is read; the settings' own listener without.")
-]
 Wait = Annotated[float, typer.Option("--wait", help="Seconds to wait for the fleet's decision; 0: none.")]
 
 
-def _fail(text: str, status: int = 2) -> None:
-    typer.echo(f"fawnwharf: {text}", err=True)
-    raise typer.Exit(status)
-
-
-def _settings(path: str) -> tuple[s.Settings, s.Members]:
-    try:
-        settings = s.settings_from(Path(path).read_bytes())
-        members = s.members_from((Path(path).parent / settings.members).read_bytes())
-    except OSError as error:
-        _fail(f"zones: {error.filename}: {error.strerror}")
-    except s.FileFault as error:
-        _fail(f"zones: {path}: {error}")
-    return settings, members
-
-
-def _address(settings: s.Settings, members: s.Members, member: str) -> tuple[str, int]:
-    try:
-        if not member:
-            if not settings.listen:
-                _fail("zones: the settings have no listener of their own; name a member with --member")
-            return address_from(settings.listen, "zones.listen")
-        if (entry := members.named(member)) is None:
-            _fail(f"zones: no member {member}")
-        return address_from(entry.address, "members.address")
-    except ConfigError as error:
-        _fail(str(error))
-
-
-def look(address: tuple[str, int], within_s: float = 3.0) -> m.Standing | None:
+def look(place: tuple[str, int], within_s: float = 3.0) -> m.Standing | None:
     """How a member stands, None where it tells nothing of policy. Raises OSError where its log can't be
     read, ValueError for what is none."""
-    with socket.create_connection(address, within_s) as sock:
-        sock.sendall(b"since 0\n")
-        reader, end = sock.makefile("rb"), time.monotonic() + within_s
-        while time.monotonic() < end:
-            line = reader.readline()
-            read = json.loads(line) if line else 0
-            if not isinstance(read, dict) or not read.get("whole"):
-                break
-            if "policy" in read.get("line", {}):
-                return m.standing_from(read["line"]["policy"])
-    return None
+    line = lines(place, ("policy",), within_s).get("policy")
+    return None if line is None else m.standing_from(line["policy"])
 
 
 def _told(outcome: m.Outcome) -> str:
@@ -77,11 +35,11 @@
 def show(zones: File, member: Member = "") -> None:
     """How a member stands: what it knows to be decided, by what it judges, what is under way."""
     try:
-        found = look(_address(*_settings(zones), member))
+        found = look(address(*files(zones), member))
     except (OSError, ValueError) as error:
-        _fail(f"policy: no answer: {error}", 1)
+        fail(f"policy: no answer: {error}", 1)
     if found is None:
-        _fail("policy: this member tells nothing of policy; it needs `serve --policy`", 1)
+        fail("policy: this member tells nothing of policy; it needs `serve --policy`", 1)
     ready = "ready" if found.ready else "NOT READY"
     typer.echo(f"{ready}  number {found.number}  digest {found.digest}  by {found.how}")
     if found.fault:
@@ -105,7 +63,7 @@
 @app.command()
 def check(file: str, zones: Annotated[str, typer.Option("--zones")] = "") -> None:
     """Read and check a document; by itself, and against the zones of the fleet where those are given."""
-    document = _document(file, _settings(zones)[1] if zones else None)
+    document = _document(file, files(zones)[1] if zones else None)
     typer.echo(f"fawnwharf: good: {len(document.values)} keys, digest {document.digest}")
 
 
@@ -113,15 +71,15 @@
     try:
         document = document_from(Path(file).read_bytes())
     except OSError as error:
-        _fail(f"policy: {file}: {error.strerror}")
+        fail(f"policy: {file}: {error.strerror}")
     except DocumentFault as error:
-        _fail(f"policy: {file}: {error}")
+        fail(f"policy: {file}: {error}")
     if members is not None:
         # Classes and tenants stand in front ends' configurations: those say no by themselves.
         named = {part: frozenset(path[1] for path, _ in document.values if path[0] in part) for part in PARTS}
         known = Known(named[PARTS[0]], named[PARTS[1]], frozenset(members.zones))
         if fault := check_against(document, known):
-            _fail(f"policy: {file}: {fault}")
+            fail(f"policy: {file}: {fault}")
     return document
 
 
@@ -131,7 +89,7 @@
 @app.command()
 def propose(file: str, zones: File, wait: Wait = 0.0) -> None:
     """Ask the fleet to go by a document. With --wait, tell what came of it: status 0 where it is in force."""
-    settings, members = _settings(zones)
+    settings, members = files(zones)
     document = _document(file, members)
     _say(settings, members, zones, {"propose": {"version": 1, **document.nested()}}, wait, "in force")
 
@@ -139,14 +97,14 @@
 @app.command("call-off")
 def call_off(zones: File, why: Annotated[str, typer.Option("--why")] = "", wait: Wait = 0.0) -> None:
     """End what is being prepared. What is decided stays: see `back`."""
-    settings, members = _settings(zones)
+    settings, members = files(zones)
     _say(settings, members, zones, {"call_off": why[:200]}, wait, "ended")
 
 
 @app.command()
 def back(zones: File, wait: Wait = 0.0) -> None:
     """Go back to the policy before the last one, as a new change."""
-    settings, members = _settings(zones)
+    settings, members = files(zones)
     _say(settings, members, zones, {"back": True}, wait, "in force")
 
 
@@ -154,7 +112,7 @@
     settings: s.Settings, members: s.Members, path: str, word: dict[str, Any], wait_s: float, good: str
 ) -> None:
     """Leave a word for this member's process, and wait for what comes of it."""
-    address = _address(settings, members, "") if wait_s > 0.0 else None  # before anything is written
+    log = address(settings, members, "") if wait_s > 0.0 else None  # before anything is written
     folder = Path(path).parent / settings.folder
     place = folder / SAID_FILE
     try:
@@ -168,17 +126,17 @@
         beside.write_text(json.dumps({"version": 1, "number": number} | word))
         beside.rename(place)
     except OSError as error:
-        _fail(f"policy: {place}: {error.strerror}")
+        fail(f"policy: {place}: {error.strerror}")
     typer.echo(f"asked: word {number}")
-    if address is not None:
-        _wait(address, number, wait_s, good)
+    if log is not None:
+        _wait(log, number, wait_s, good)
 
 
-def _wait(address: tuple[str, int], number: int, wait_s: float, good: str) -> None:
+def _wait(place: tuple[str, int], number: int, wait_s: float, good: str) -> None:
     end, last = time.monotonic() + wait_s, "this member has not taken the word"
     while time.monotonic() < end:
         try:
-            found = look(address)
+            found = look(place)
         except (OSError, ValueError) as error:
             found, last = None, f"no answer: {error}"
         for outcome in found.wishes if found else ():
@@ -189,4 +147,4 @@
                 typer.echo(last)
                 raise typer.Exit(0 if outcome.state == good else 1)
         time.sleep(LOOK_S)
-    _fail(f"policy: not done within {wait_s:g} s: {last}", 1)
+    fail(f"policy: not done within {wait_s:g} s: {last}", 1)
--- a/fawnwharf/zones/commands.py
+++ b/fawnwharf/zones/commands.py
@@ -1,77 +1,32 @@
 """`fawnwharf zones`: what operators see of the fleet's zones, and ask of it."""
 
 import json
-import socket
 import time
 from pathlib import Path
 from typing import Annotated, Any
 
 import typer
 
-from fawnwharf.config import ConfigError, address_from
+from fawnwharf.config import ConfigError
 from fawnwharf.zones import settings as s
+from fawnwharf.zones.looking import Member, address, fail, files, lines
 
 app = typer.Typer(no_args_is_help=True, help="Zones that are decided in common.")
 File = Annotated[str, typer.Option("--zones", help="The settings of zones that this member serves with.")]
-Member = Annotated[
-    str, typer.Option("--member", help="Whose log is read; the settings' own listener without.")
-]
 Wait = Annotated[float, typer.Option("--wait", help="Seconds to wait for the fleet's decision.")]
 
 
-def _fail(text: str, status: int = 2) -> None:
-    typer.echo(f"fawnwharf: {text}", err=True)
-    raise typer.Exit(status)
-
-
-def _settings(path: str) -> tuple[s.Settings, s.Members]:
-    base = Path(path).parent
-    try:
-        settings = s.settings_from(Path(path).read_bytes())
-        members = s.members_from((base / settings.members).read_bytes())
-    except OSError as error:
-        _fail(f"zones: {error.filename}: {error.strerror}")
-    except s.FileFault as error:
-        _fail(f"zones: {path}: {error}")
-    return settings, members
-
-
-def _address(settings: s.Settings, members: s.Members, member: str) -> tuple[str, int]:
-    if member:
-        entry = members.named(member)
-        if entry is None:
-            _fail(f"zones: no member {member}")
-        return address_from(entry.address, "members.address")
-    if not settings.listen:
-        _fail("zones: the settings have no listener of their own; name a member with --member")
-    return address_from(settings.listen, "zones.listen")
-
-
-def look(address: tuple[str, int], within_s: float = 3.0) -> dict[str, Any]:
+def look(place: tuple[str, int], within_s: float = 3.0) -> dict[str, Any]:
     """What counts of a member's log: its last plan and report. Raises OSError where it can't be read."""
-    found: dict[str, Any] = {}
-    with socket.create_connection(address, within_s) as sock:
-        sock.sendall(b"since 0\n")
-        reader, end = sock.makefile("rb"), time.monotonic() + within_s
-        while time.monotonic() < end:
-            line = reader.readline()
-            if not line:
-                break
-            read = json.loads(line)
-            if isinstance(read, int) or not read.get("whole"):
-                break
-            for key in ("plan", "report"):
-                if key in read.get("line", {}):
-                    found[key] = read["line"]
-    return found
+    return lines(place, ("plan", "report"), within_s)
 
 
 def _look(path: str, member: str) -> dict[str, Any]:
-    settings, members = _settings(path)
+    settings, members = files(path)
     try:
-        return look(_address(settings, members, member))
+        return look(address(settings, members, member))
     except (OSError, ValueError) as error:
-        _fail(f"zones: no answer: {error}", 1)
+        fail(f"zones: no answer: {error}", 1)
     return {}
 
 
@@ -97,12 +52,12 @@
     """The decided plan, as JSON."""
     line = _look(zones, member).get("plan")
     if line is None:
-        _fail("zones: this member knows no plan", 1)
+        fail("zones: this member knows no plan", 1)
     typer.echo(json.dumps({"index": line["index"]} | json.loads(line["plan"]), indent=1))
 
 
 def _wish(path: str, change: Any, zone: str, states: tuple[str, ...], wait_s: float) -> None:
-    settings, members = _settings(path)
+    settings, members = files(path)
     base = Path(path).parent
     folder = base / settings.folder
     place = base / settings.wishes if settings.wishes else folder / "wishes.json"
@@ -112,7 +67,7 @@
         wanted = {"version": 1, "number": number, "drained": sorted(change(set(before.drained)))}
         s.wishes_from(wanted, set(members.zones))
     except s.FileFault as error:
-        _fail(f"zones: {error}")
+        fail(f"zones: {error}")
     folder.mkdir(parents=True, exist_ok=True)
     beside = place.with_suffix(".new")
     beside.write_text(json.dumps(wanted))
@@ -121,7 +76,7 @@
     end = time.monotonic() + wait_s
     while time.monotonic() < end:
         try:
-            line = look(_address(settings, members, "")).get("plan")
+            line = look(address(settings, members, "")).get("plan")
         except (OSError, ValueError):
             line = None
         state = json.loads(line["plan"])["zones"].get(zone, {}).get("state") if line else None
@@ -129,7 +84,7 @@
             typer.echo(f"decided: {zone} is {state}, plan {line['index']}")
             return
         time.sleep(0.2)
-    _fail(f"zones: not decided within {wait_s:g} s; the wish stands", 1)
+    fail(f"zones: not decided within {wait_s:g} s; the wish stands", 1)
 
 
 @app.command()
@@ -152,13 +107,13 @@
     try:
         typer.echo(f"founded: {begin(zones, name)} is the first voter")
     except ConfigError as error:
-        _fail(str(error))
+        fail(str(error))
 
 
 @app.command()
 def check(zones: File) -> None:
     """Read and check the settings and the file of members."""
-    settings, members = _settings(zones)
+    settings, members = files(zones)
     voters = ", ".join(voter.name for voter in members.voters)
     typer.echo(
         f"fawnwharf: good: {len(members.members)} members, zones {', '.join(members.zones)}, voters {voters}"
--- /dev/null
+++ b/fawnwharf/zones/looking.py
@@ -0,0 +1,64 @@
+"""What operators' commands share: the files that name a fleet, a member's address, what its log tells."""
+
+import json
+import socket
+import time
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Annotated, Any, NoReturn
+
+import typer
+
+from fawnwharf.config import ConfigError, address_from
+from fawnwharf.zones import settings as s
+
+Member = Annotated[
+    str, typer.Option("--member", help="Whose log is read; the settings' own listener without.")
+]
+
+
+def fail(text: str, status: int = 2) -> NoReturn:
+    typer.echo(f"fawnwharf: {text}", err=True)
+    raise typer.Exit(status)
+
+
+def files(path: str) -> tuple[s.Settings, s.Members]:
+    """Settings of zones and the members that they name; ends with status 2 where they can't be taken."""
+    try:
+        settings = s.settings_from(Path(path).read_bytes())
+        members = s.members_from((Path(path).parent / settings.members).read_bytes())
+    except OSError as error:
+        fail(f"zones: {error.filename}: {error.strerror}")
+    except s.FileFault as error:
+        fail(f"zones: {path}: {error}")
+    return settings, members
+
+
+def address(settings: s.Settings, members: s.Members, member: str) -> tuple[str, int]:
+    """Of a member's log, of the settings' own listener without a name; ends with status 2 for none."""
+    try:
+        if not member:
+            if not settings.listen:
+                fail("zones: the settings have no listener of their own; name a member with --member")
+            return address_from(settings.listen, "zones.listen")
+        if (entry := members.named(member)) is None:
+            fail(f"zones: no member {member}")
+        return address_from(entry.address, "members.address")
+    except ConfigError as error:
+        fail(str(error))
+
+
+def lines(place: tuple[str, int], keys: Iterable[str], within_s: float) -> dict[str, Any]:
+    """What counts of a member's log, the last line with each of these keys. Raises OSError where it can't be
+    read, ValueError for what is none."""
+    found: dict[str, Any] = {}
+    with socket.create_connection(place, within_s) as sock:
+        sock.sendall(b"since 0\n")
+        reader, end = sock.makefile("rb"), time.monotonic() + within_s
+        while time.monotonic() < end:
+            line = reader.readline()
+            read = json.loads(line) if line else 0
+            if not isinstance(read, dict) or not read.get("whole"):
+                break
+            found |= {key: read["line"] for key in keys if key in read.get("line", {})}
+    return found
