Starts of scorers by the own clock: a clock that is behind held them empty for hours

Need: clocks of machines are apart and set while they serve (hard cases of sessions and of the return from a loss of power), and no test put that between processes.

Cause: `up_since_ms` is another machine's time and was held against the own clock. policy/state.py `_copies` believes nothing that was seen before `started_ms`, so with a clock two hours behind a restarted scorer stays empty for two hours, and each call orders a load; routing.py `_warmth` holds it cold for as long. With a clock ahead a cold scorer counts as warm. Ruled out: the windows of keepers and the stages of the return, which went through as on true clocks.

Change, in net/starts.py (pure): a start is never ahead of now; one that comes as a change while the log is followed, and is older than what the log may be late by (7 s) and had not been heard for, was told by another clock: it counts from now. What is told again keeps its start. With clocks that agree nothing changes. rejoin and sessions read the clock that the module is shown, and not the system's, where they hold starts against it. The module is as it was.

--- a/fawnwharf/lab/fleet.py
+++ b/fawnwharf/lab/fleet.py
@@ -17,6 +17,7 @@
 from typing import Any
 
 from fawnwharf.lab import files
+from fawnwharf.lab.clocks import PAGE, Clocks
 from fawnwharf.lab.processes import Former, Front, LabFault, Noted, Pipe, Waits
 from fawnwharf.lab.scenario import Scenario
 from fawnwharf.lab.topology import Topology
@@ -43,6 +44,7 @@
         self.faults: list[tuple[str, str]] = []  # front ends, and lines that tell of an exception
         self.asked = ""  # the front end that operators of sessions turned to last
         self.noted = ""  # the front end whose note a step waited for
+        self.clocks = Clocks(scenario.clocks, seed)
         super().__init__(scenario, seed, folder or Path(tempfile.mkdtemp(prefix="fawnwharf-lab-")))
 
     # --- processes ------------------------------------------------------------------------------
@@ -73,6 +75,8 @@
             files.write_policy(self, front)
         shutil.rmtree(front.folder / "tmp", ignore_errors=True)  # what was learnt is lost with a restart
         (front.folder / "tmp").mkdir()
+        if not self.clocks.begun(front.name):
+            self.clocks.begin(front.name, front.folder)
         self.launch(front)
         front.plan, front.index, front.role, front.policy = None, 0, "", None
         self._listens(front.name, False)
@@ -92,7 +96,8 @@
         front.pipe = Pipe(self.loop, front, self.wrote)
 
     def command(self, front: Front) -> list[str]:
-        command = [sys.executable, "-m", "fawnwharf", "serve"]
+        program = ["fawnwharf"] if self.scenario.clocks is None else ["fawnwharf.standins.clocks", PAGE]
+        command = [sys.executable, "-m", *program, "serve"]
         if self.scenario.decide:
             command += ["--zones", "zones.json"]
         if self.scenario.policy is not None:
@@ -292,5 +297,6 @@
                     front.process.send_signal(signal.SIGCONT)
                 self.kill(front)
         super().close()
+        self.clocks.close()
         if self._temporary:
             shutil.rmtree(self.folder, ignore_errors=True)
--- a/fawnwharf/lab/moves.py
+++ b/fawnwharf/lab/moves.py
@@ -46,7 +46,7 @@
                 if "spent" in f:
                     carried += [(f["org"], counter, count) for counter, count in f["spent"].items()]
                     continue
-                at_ms = f["sent_ms"] + offset
+                at_ms = fleet.clocks.true_ms(front.name, f["sent_ms"]) + offset
                 session, call, number, site = (f["org"], f["row"]), f["call"], f["number"], f["site"]
             except (ValueError, KeyError, TypeError):
                 continue
--- a/fawnwharf/lab/power.py
+++ b/fawnwharf/lab/power.py
@@ -92,6 +92,7 @@
         fleet.cut(fronts)
         for front in fronts:
             files.new_boot(front)
+            fleet.clocks.begin(front.name, front.folder)
             front.log.power_cut()
         for id in ids:
             fleet.scorers[id].stop()
--- a/fawnwharf/lab/proposals.py
+++ b/fawnwharf/lab/proposals.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from typing import Any
 
+import msgspec
+
 from fawnwharf.epochs.document import Document, document_of
 from fawnwharf.lab.files import write_whole
 from fawnwharf.lab.fleet import Fleet
@@ -147,10 +149,18 @@
         for since_ms, path in front.traces:
             if path.exists():
                 calls, bad = trace_of(path.read_bytes())
+                if fleet.clocks.spec is not None:
+                    calls = [_truly(fleet, front.name, call) for call in calls]
                 found.append(Life(front.name, since_ms, calls, bad))
     return found
 
 
+def _truly(fleet: Fleet, front: str, call: Judged) -> Judged:
+    """By true times, whatever the clocks there told."""
+    taken_ms, ended_ms = (fleet.clocks.true_ms(front, ms) for ms in (call.taken_ms, call.ended_ms))
+    return msgspec.structs.replace(call, taken_ms=taken_ms, ended_ms=ended_ms)
+
+
 def judged(fleet: Fleet) -> Found:
     """The rule on epochs over a fleet's run, and that each call that was answered stands in a trace."""
     lives, less = lives_of(fleet), unix_ms() - monotonic_ms()
--- a/fawnwharf/lab/scenario.py
+++ b/fawnwharf/lab/scenario.py
@@ -73,6 +73,13 @@
     new_ids: bool = False  # scorers under their old addresses
 
 
+class ClockSpec(Struct, frozen=True, forbid_unknown_fields=True):
+    """Machines' clocks, each drawn within these bounds as a boot begins."""
+
+    apart_s: Annotated[float, Meta(ge=0.0, le=864_000.0)] = 0.0  # Unix time, either way
+    rate: Annotated[float, Meta(ge=0.0, le=0.1)] = 0.0  # part of a second in a second, fast or slow
+
+
 class Step(Struct, frozen=True, forbid_unknown_fields=True):
     do: Literal[
         "cut", "heal", "delay", "lossy", "stall", "reset", "kill", "end", "stop", "go_on", "start",
@@ -81,7 +88,7 @@
         "replace", "kill_replacing", "standby", "active", "take_out", "bring_back",
         "propose", "back", "call_off",
         "move_clients", "bounce", "move_session", "drain_site", "release",
-        "power_cut", "power_back", "clients_rush",
+        "power_cut", "power_back", "clients_rush", "clock",
     ]  # fmt: skip
     what: str = ""  # whom: front ends, scorers or zones
     to: str = ""  # the other end of links
@@ -120,6 +127,7 @@
     settings: dict[str, Any] = {}  # of zones, over the lab's own
     nature: dict[str, float] = {}  # of scorers, over the usual one
     pushback_ms: float = 500.0
+    clocks: ClockSpec | None = None  # of the machines of front ends; none: the true ones
 
 
 def scenario_from(data: bytes) -> Scenario:
@@ -147,6 +155,8 @@
     for n, step in enumerate(found.steps):
         if step.do in ("move_clients", "bounce", "move_session") and not found.live:
             raise ScenarioFault(f"steps[{n}].do: {step.do}, and no sessions are live")
+        if step.do == "clock" and found.clocks is None:
+            raise ScenarioFault(f"steps[{n}].do: clock, and front ends go by the true ones")
         if step.do in ("propose", "back", "call_off") and found.policy is None:
             raise ScenarioFault(f"steps[{n}].do: {step.do}, and no policy is changed here")
         if step.when.policy in SAID and not proposed:
--- a/fawnwharf/lab/steps.py
+++ b/fawnwharf/lab/steps.py
@@ -224,6 +224,11 @@
     def _clients_rush(self, step: Step) -> None:
         self.power.rush(step.value)
 
+    def _clock(self, step: Step) -> None:
+        """Unix time is set by `value` seconds, forward or back."""
+        for front in self.parties.fronts(step.what):
+            self.fleet.clocks.step(front.name, step.value)
+
     def _mark(self, step: Step) -> None:
         """Nothing but its mark, which every step leaves."""
 
--- a/fawnwharf/net/changelog.py
+++ b/fawnwharf/net/changelog.py
@@ -30,7 +30,7 @@
         self, loop: Loop, address: Address, seq: int, told: Callable[[Fleet], None], log: Log
     ) -> None:
         self.seq = seq  # of the last event passed on
-        self.told_all = False  # it has said in this life that nothing more is to be told
+        self.told_all_ms: float | None = None  # when it said last that nothing more is to be told
         self.may_begin_anew = False  # smaller numbers are of a log that lost its own, and count too
         self._loop, self._address, self._told, self._log = loop, address, told, log
         self._connection: Connection | None = None
@@ -113,7 +113,7 @@
         self._pause_ms = PAUSE_MS
         if isinstance(read, int) and not isinstance(read, bool):
             if read == self.seq:
-                self._stumbled_at, self.told_all = None, True  # a later stumble is a new one
+                self._stumbled_at, self.told_all_ms = None, monotonic_ms()  # a later stumble is a new one
             elif read < self.seq and self.may_begin_anew:
                 return self._anew(read)
             # Events that it says it has told have not come: they are lost on this connection.
--- a/fawnwharf/net/front_end.py
+++ b/fawnwharf/net/front_end.py
@@ -16,6 +16,7 @@
 from fawnwharf.net.overlay import Overlay
 from fawnwharf.net.requests import RequestTable
 from fawnwharf.net.scorers import ScorerPool
+from fawnwharf.net.starts import Starts
 from fawnwharf.net.wheel import monotonic_ms
 from fawnwharf.policy import Router
 
@@ -105,7 +106,7 @@
         self.pool = ScorerPool(self.loop, wire, _part(sockets, SCORER_SHARE), deployment.seed, self.log)
         self.table = RequestTable(self.loop, self.pool, wire)
         self._news: io.RosterChanged | None = None  # that the next batch brings
-        self.overlay = Overlay()
+        self.overlay, self.starts = Overlay(), Starts()
         self._limits: dict[str, float] = {}  # by who sets it
         self.changelog = ChangeLog(self.loop, deployment.changelog, 0, self._on_fleet, self.log)
         self._known()
@@ -225,6 +226,11 @@
         self.changelog.seq = max(self.changelog.seq, self.deployment.known_seq)
 
     def _on_fleet(self, fleet: Fleet) -> None:
+        heard_ms, before = self.changelog.told_all_ms, self.starts.apart
+        unheard_ms = float("inf") if heard_ms is None else monotonic_ms() - heard_ms
+        fleet = self.starts.own(fleet, self.loop.clock.now_ms(), unheard_ms)
+        if self.starts.apart > before:
+            self.log("starts of scorers are told by a clock that is apart from this one", "clock")
         self.take_fleet(fleet)
         if self._seam:
             self._seam.told(fleet)
--- /dev/null
+++ b/fawnwharf/net/starts.py
@@ -0,0 +1,52 @@
+"""Starts of scorers, by this front end's clock. Pure.
+
+The change log tells a start as Unix time, by the clock of whoever saw it, and nobody vouches that two agree.
+A start that lies ahead of now would hold a scorer cold and empty until the own clock has come there; one told
+as long past would let a cold scorer have all. What is known without any clock: nothing is told before it was,
+and a change that comes while the log is followed is not older than the log may be late.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+import msgspec
+
+from fawnwharf.config import Fleet, Member
+
+# What there is to tell counts as told that much later at the most: a start that is told as longer past was
+# told by a clock that is apart from this one.
+LATE_MS = 7_000.0
+APART_MS = 1_000.0  # ahead of now: less than that is no news
+KNOWN_MOST = 10_000  # scorers, those told last; gone ones among them, as they may be listed again
+
+
+@dataclass(slots=True)
+class Starts:
+    """Keeps of each scorer its start as it was told and as it is gone by, in Unix milliseconds."""
+
+    apart: int = 0  # starts that were not gone by as told
+    _known: dict[str, tuple[float, float]] = field(default_factory=dict)
+
+    def own(self, fleet: Fleet, now_ms: float, unheard_ms: float) -> Fleet:
+        """The list, or these changes of it, with starts as this front end is to go by them. `unheard_ms`: for
+        how long before now the log may have had something untold; infinite where it was not followed yet."""
+        late_ms = LATE_MS + (float("inf") if fleet.complete else unheard_ms)
+        return msgspec.structs.replace(fleet, members=list(self._members(fleet.members, now_ms, late_ms)))
+
+    def _members(self, members: Iterable[Member], now_ms: float, late_ms: float) -> Iterable[Member]:
+        for member in members:
+            told_ms = member.up_since_ms
+            if not told_ms:  # long past, by whatever clock
+                yield member
+                continue
+            before = self._known.pop(member.id, None)
+            if before is not None and before[0] == told_ms:
+                start_ms = before[1]
+            else:
+                old = now_ms - told_ms > late_ms
+                start_ms = now_ms if old else min(told_ms, now_ms)
+                self.apart += old or told_ms - now_ms > APART_MS
+            self._known[member.id] = told_ms, start_ms
+            yield msgspec.structs.replace(member, up_since_ms=start_ms)
+        while len(self._known) > KNOWN_MOST:
+            del self._known[next(iter(self._known))]
--- a/fawnwharf/rejoin/joined.py
+++ b/fawnwharf/rejoin/joined.py
@@ -11,7 +11,7 @@
 
 from fawnwharf import interface as io
 from fawnwharf.net.front_end import FrontEnd, worker_number
-from fawnwharf.net.wheel import Timer, monotonic_ms, unix_ms
+from fawnwharf.net.wheel import Timer, monotonic_ms
 from fawnwharf.policy.state import Function, mark
 from fawnwharf.recovery.budget import Limits, limits_from
 from fawnwharf.recovery.register import Dealt
@@ -127,7 +127,7 @@
     def age_ms(self, worker: int) -> float:
         """One that is not known counts as warm: nothing of it is given out."""
         up_ms = self._up_ms.get(worker)
-        return float("inf") if up_ms is None else max(0.0, unix_ms() - up_ms)
+        return float("inf") if up_ms is None else max(0.0, self.front.loop.clock.now_ms() - up_ms)
 
     def ages(self) -> list[float]:
         return [self.age_ms(id) for id in self._up_ms]
--- a/fawnwharf/rejoin/service.py
+++ b/fawnwharf/rejoin/service.py
@@ -13,7 +13,7 @@
 from fawnwharf.accord.decided import last_put
 from fawnwharf.config import Deployment, Fleet
 from fawnwharf.net.front_end import FrontEnd
-from fawnwharf.net.wheel import Timer, monotonic_ms, unix_ms
+from fawnwharf.net.wheel import Timer, monotonic_ms
 from fawnwharf.recovery.asking import Stand, What
 from fawnwharf.recovery.stages import Decide, Note, Stage
 from fawnwharf.recovery.trust import Kind, Store
@@ -121,7 +121,7 @@
         if self.front.overlay.members:
             return
         found = LastRoster.read(self.kept.read(Kind.ROSTER))
-        up_ms = unix_ms()
+        up_ms = self.front.loop.clock.now_ms()
         cold = [msgspec.structs.replace(member, up_since_ms=up_ms) for member in found]
         if cold:
             self.front.take_fleet(Fleet(cold, True))
@@ -166,7 +166,7 @@
         now, keeper, voter = monotonic_ms(), self.state.core.keeper, self.zones.core.voter
         number, text = last_put(voter.saved, "plan") if voter is not None else (0, "")
         seen = self.zones.observer.seen(now)
-        rostered = self._rostered or (self.front is not None and self.front.changelog.told_all)
+        rostered = self._rostered or (self.front is not None and self.front.changelog.told_all_ms is not None)
         serves = any(m.phase == "in_service" for m in self.front.overlay.members.values())
         return Own(
             settled=self.kept.settled,
--- a/fawnwharf/sessions/foreseen.py
+++ b/fawnwharf/sessions/foreseen.py
@@ -92,7 +92,7 @@
             beside.rename(self._memory)
 
     def events(self, now_ms: float, events: list[io.Event]) -> None:
-        self.staging.events(now_ms, unix_ms(), events)
+        self.staging.events(now_ms, self.front.loop.clock.now_ms(), events)
 
     def _heard(self, now_ms: float, sender: str, life: int, data: Any) -> None:
         try:
--- a/tests/test_log_anew.py
+++ b/tests/test_log_anew.py
@@ -15,7 +15,7 @@
     """The log has told up to number 40."""
     rig.front.changelog.seq = 40
     rig.log.say(40)
-    rig.until(lambda: rig.front.changelog.told_all, "it has told all")
+    rig.until(lambda: rig.front.changelog.told_all_ms is not None, "it has told all")
 
 
 def test_a_log_that_lost_its_numbers_is_asked_for_all_and_its_list_taken(rig):
