--- a/fawnwharf/lab/commands.py
+++ b/fawnwharf/lab/commands.py
@@ -18,7 +18,8 @@
 
 
 MODES = "none", "react", "everything", "foresight", "oracle"  # of foresight
-HOW = "", "alone", "bare", "off", "recovery", *MODES
+HOW = "alone", "bare", "off", "recovery", "clocks", *MODES
+CLOCKS = scenarios.ClockSpec(apart_s=10_800.0, rate=0.04)  # of a form with clocks that are apart
 
 
 def load(name: str, front_ends: int = 0, alone: bool = False, bare: bool = False) -> scenarios.Scenario:
@@ -41,20 +42,23 @@
 
 
 def side(word: str, front_ends: int = 0, alone: bool = False, bare: bool = False) -> scenarios.Scenario:
-    """NAME, or NAME:HOW: `off` is without sessions, `recovery` with it, a mode is that of foresight."""
-    name, _, how = word.partition(":")
-    if how not in HOW:
-        typer.echo(f"fawnwharf: lab: {word}: NAME, or NAME: and one of {', '.join(HOW[1:])}", err=True)
+    """NAME, or NAME:HOW, also several: `off` is without sessions, `recovery` with it, `clocks` with clocks
+    that are apart, a mode is that of foresight."""
+    name, *hows = word.split(":")
+    if not set(hows) <= set(HOW):
+        typer.echo(f"fawnwharf: lab: {word}: NAME, or NAME: and one of {', '.join(HOW)}", err=True)
         raise typer.Exit(2)
-    found = load(name, front_ends, alone or how == "alone", bare or how == "bare")
-    if how == "off":
+    found = load(name, front_ends, alone or "alone" in hows, bare or "bare" in hows)
+    if "off" in hows:
         found = msgspec.structs.replace(found, sessions=None)
-    if how == "recovery" and found.recovery is None:
+    if "clocks" in hows:
+        found = msgspec.structs.replace(found, clocks=found.clocks or CLOCKS)
+    if "recovery" in hows and found.recovery is None:
         if found.state is None or not found.decide:
             typer.echo(f"fawnwharf: lab: {word}: {name} lacks decisions in common, or state", err=True)
             raise typer.Exit(2)
         found = msgspec.structs.replace(found, recovery={})
-    if how in MODES:
+    for how in set(hows) & set(MODES):
         if found.sessions is None:
             typer.echo(f"fawnwharf: lab: {word}: {name} has no sessions", err=True)
             raise typer.Exit(2)
@@ -179,7 +183,7 @@
     out: Out = "",
 ) -> None:
     """Compare two sides by paired runs, each NAME, NAME:alone, which is without the decision in common,
-    NAME:bare, without replicated state, or NAME:recovery.
+    NAME:bare, without replicated state, NAME:recovery, or NAME:clocks, by clocks that are apart.
 
     Both should have their faults at the same moments, as scenarios do whose steps wait for times alone."""
     from fawnwharf.lab import compare as comparing
