Lives of members are counted as heard: a lost disk and a clock set back shut one out

Cause: a life is numbered by Unix time, raised above the last one on disk (epochs/service.py); without the disk nothing raises it, and the steward drops what comes of a smaller life than it knows (steward.py, vote and status). Ruled out: its links and its log, which the others followed ("voters that tell nothing of policy": none).

Lives have no order. fawnwharf/lives.py counts them by member as they are heard; a number that was followed by another one is of an earlier life for good. The agent hands the steward counts and gives grants the number that the asker told; sessions, which counted lives by itself and took an old number for a new life, uses the same. The cores and their model checks are as before.

Tests: table, bounds, a leader's agent asked by a life with a smaller number, which fails without the change.

--- a/fawnwharf/epochs/agent.py
+++ b/fawnwharf/epochs/agent.py
@@ -17,6 +17,7 @@
 from fawnwharf.epochs.document import DocumentFault, Known, document_from, register_from
 from fawnwharf.epochs.holder import Holder
 from fawnwharf.epochs.steward import Steward, Timing
+from fawnwharf.lives import Lives
 from fawnwharf.zones.lines import Seat
 
 OUTCOMES_MOST = 8  # of a reign, that are told
@@ -59,6 +60,7 @@
     outcomes: deque[m.Outcome] = field(default_factory=lambda: deque(maxlen=OUTCOMES_MOST))
     unread: int = 0  # a reign that could not begin
     taken: dict[str, int] = field(default_factory=dict)  # in this reign, by front end: the last word's number
+    lives: Lives = field(default_factory=Lives)  # the steward knows them as counted, their members as told
 
     def __post_init__(self) -> None:
         self.holder = Holder(self.known, self.timing, self.life, self.disk)
@@ -96,6 +98,10 @@
             return self.holder.heard(now_ms, sender, message)
         if self.steward is None:
             return []
+        if not (life := self.lives.heard(sender, message.life)):
+            self._count("of an earlier life")
+            return []
+        message = msgspec.structs.replace(message, life=life)
         return self.steward.heard(now_ms, sender, message, self.leads(now_ms))
 
     def _out(self, now_ms: float, effects: list[m.Effect]) -> list[m.Effect]:
@@ -104,6 +110,8 @@
         while waiting:
             effect = waiting.popleft()
             if isinstance(effect, m.Say):
+                if isinstance(effect.message, m.Grant):
+                    effect = self._as_told(effect)
                 mine = effect.to == self.name or (effect.to == m.LEADER and self.leads(now_ms))
                 if mine:
                     waiting.extend(self._take(now_ms, self.name, effect.message))
@@ -115,6 +123,11 @@
             self._learn_outcomes(self.standing(now_ms))
         return found
 
+    def _as_told(self, say: m.Say) -> m.Say:
+        """A grant is for the life that asked, by its own number."""
+        life = self.lives.told(say.to, say.message.life)
+        return msgspec.structs.replace(say, message=msgspec.structs.replace(say.message, life=life))
+
     def decided(self, now_ms: float, text: str) -> list[m.Effect]:
         """A register that the voters' log decided, at whichever voter."""
         effects: list[m.Effect] = []
@@ -136,6 +149,7 @@
         self.members, self.known, self.holder.known = members, known, known
         self.holder.stance = None  # what an absent key means may be another thing
         self.standings = {name: told for name, told in self.standings.items() if name in members}
+        self.lives.keep(members)
         if self.steward is None:
             return []
         return self._out(now_ms, self.steward.take_members(now_ms, members))
--- a/fawnwharf/epochs/messages.py
+++ b/fawnwharf/epochs/messages.py
@@ -89,7 +89,7 @@
 
     What it knows to be decided binds it: it takes no lease of an earlier number any more."""
 
-    life: Number  # larger after each restart: what is meant for, or said by, an earlier one is not taken
+    life: Number  # another one after each restart: what is meant for, or said by, an earlier one is not taken
     sent_ms: float
     known: Held  # the last decided that it knows
     granted: Held  # the last for which it had a lease in this life: that one has been in force
--- a/fawnwharf/sessions/agent.py
+++ b/fawnwharf/sessions/agent.py
@@ -17,6 +17,7 @@
 from fawnwharf.handover.mover import Mover
 from fawnwharf.handover.router import Router
 from fawnwharf.interface import ClassSpec
+from fawnwharf.lives import Lives
 from fawnwharf.sessions.asking import Asking, why_not
 from fawnwharf.sessions.effects import Key, Note, Out, Words, named
 from fawnwharf.sessions.known import Firsts, Known, copies
@@ -63,7 +64,7 @@
         self.counts: Counter[str] = Counter()
         self.ended_by: Counter[str] = Counter()
         self.asking = Asking()
-        self._lives: dict[str, tuple[int, int]] = {}  # as told, and counted
+        self._lives = Lives()
         self._closed: dict[str, str] = {}
         self._pleased: dict[Session, str] = {}  # who wished for what is in hand here
         self._staged = Staged(self.counts)
@@ -120,7 +121,9 @@
         if sender not in self.sites:
             self.counts["no member"] += 1
             return
-        self._life(sender, life)
+        if not self._lives.heard(sender, life):
+            self.counts["of an earlier life"] += 1
+            return
         for word in words:
             self._carry(now_ms, self._hear(now_ms, sender, word))
 
@@ -129,13 +132,6 @@
         if name in self.keepers:
             self.router.followed(now_ms)
 
-    def _life(self, name: str, life: int) -> int:
-        told, count = self._lives.get(name, (None, 0))
-        if told != life:
-            count += 1
-            self._lives[name] = life, count
-        return count
-
     def _hear(self, now_ms: float, sender: str, word: m.Message) -> list[m.Out]:
         if isinstance(word, m.Please):
             return self._please(now_ms, sender, word)
@@ -143,7 +139,7 @@
             self._answered(word)
             return []
         if isinstance(word, m.Left):
-            word = replace(word, life=self._lives.get(sender, (0, 1))[1])
+            word = replace(word, life=self._lives.last(sender))
         elif isinstance(word, m.Met) and self.keeper is not None:
             self.known.tell(now_ms, word.home.session, word.facts, self.sites[sender])
         elif isinstance(word, m.Give):
@@ -334,8 +330,7 @@
         kept = min(len(set(zones.values())), len(self.keepers_of("")))  # of a session: of as many zones
         before = self.number, zones, (kept - 1) // 2
         self.sites, keepers, self.number = dict(sites), tuple(keepers), number
-        for name in [name for name in self._lives if name not in sites]:
-            del self._lives[name]
+        self._lives.keep(sites)
         if self.mover is not None:
             for name in [name for name in self.mover.seen if name not in sites]:
                 del self.mover.seen[name]
@@ -353,7 +348,8 @@
     def tick(self, now_ms: float, alive: dict[str, int], open_calls: Callable[[str], bool]) -> None:
         """A look at all that is due. `alive`: members that are heard, with their lives as told;
         `open_calls` says whether a call is still open here."""
-        self.alive = {name: self._life(name, life) for name, life in alive.items() if name in self.sites}
+        counted = {name: self._lives.heard(name, life) for name, life in alive.items() if name in self.sites}
+        self.alive = {name: count for name, count in counted.items() if count}
         # One whose attempt has just ended is closed already, and the module is yet to be told: at the second
         # look it was refused, failed or overdue.
         gone = {call for call in self.router.calls if not open_calls(call)}
--- /dev/null
+++ b/tests/test_lives.py
@@ -0,0 +1,79 @@
+"""Lives of members whose numbers have no order: clocks that were set back, disks that were lost."""
+
+import random
+
+import msgspec
+import pytest
+
+from fawnwharf.epochs import messages as m
+from fawnwharf.epochs.agent import Agent
+from fawnwharf.epochs.document import Known
+from fawnwharf.epochs.steward import Timing
+from fawnwharf.lives import KNOWN_MOST, NAMES_MOST, Lives
+from fawnwharf.zones.lines import Seat
+
+
+@pytest.mark.parametrize(
+    ("heard", "counted"),
+    [
+        ([7, 7, 7], [1, 1, 1]),
+        ([7, 9, 9], [1, 2, 2]),
+        ([9, 7, 7], [1, 2, 2]),  # a smaller number is another life as well
+        ([9, 7, 9, 7], [1, 2, 0, 2]),  # and what follows of the earlier one is late
+        ([3, 2, 1, 3, 2, 1], [1, 2, 3, 0, 0, 3]),
+    ],
+)
+def test_lives_are_counted_as_they_are_heard(heard, counted):
+    lives = Lives()
+    assert [lives.heard("n1", number) for number in heard] == counted
+    assert lives.last("n1") == max(counted) and lives.last("n2") == 0
+
+
+def test_a_count_leads_back_to_its_number_while_it_is_known():
+    lives, chance = Lives(), random.Random(4)
+    numbers = chance.sample(range(1, 10**6), 3 * KNOWN_MOST)
+    counts = [lives.heard("n1", number) for number in numbers]
+    assert counts == list(range(1, len(numbers) + 1))
+    told = [lives.told("n1", count) for count in counts]
+    assert told == [0] * 2 * KNOWN_MOST + numbers[-KNOWN_MOST:]
+    assert lives.told("n1", len(numbers) + 1) == lives.told("n1", 0) == lives.told("n2", 1) == 0
+
+
+def test_what_is_known_is_bounded_and_members_that_go_are_forgotten():
+    lives = Lives()
+    for n in range(NAMES_MOST + 5):
+        lives.heard(f"n{n}", 1)
+    assert len(lives._members) == NAMES_MOST and lives.last("n0") == 0
+    lives.keep((f"n{NAMES_MOST}",))
+    assert list(lives._members) == [f"n{NAMES_MOST}"]
+
+
+def leader():
+    """The agent of a voter that leads, a lease's time after it began: it may grant."""
+    known = Known(frozenset(), frozenset(), frozenset({"a"}))
+    made = Agent("n0", ("n0", "n1"), known, Timing(), 50, lambda now: Seat(1, True, True, ""), True)
+    now = 0.0
+    for _ in range(40):
+        made.turned(now)
+        made.tick(now)
+        now += 100.0
+    return made, now
+
+
+def asks(agent, now, life, sent_ms):
+    """What is answered to one that asks for a lease."""
+    status = m.Status(life, sent_ms, agent.steward.register.last.number, -1)
+    effects = agent.heard(now, "n1", (msgspec.to_builtins(status),))
+    return [say.message for say in effects if isinstance(say, m.Say) and isinstance(say.message, m.Grant)]
+
+
+def test_a_member_whose_next_life_has_a_smaller_number_gets_a_lease_for_that_one():
+    agent, now = leader()
+    [grant] = asks(agent, now, 9_000, 10.0)
+    assert grant.life == 9_000 and grant.lease_ms > 0
+    [grant] = asks(agent, now + 50.0, 4_000, 5.0)  # without its disk, by a clock of an earlier day
+    assert grant.life == 4_000 and grant.lease_ms > 0 and grant.sent_ms == 5.0
+    assert asks(agent, now + 60.0, 9_000, 20.0) == []  # what was on its way still
+    assert agent.counts["of an earlier life"] == 1
+    [grant] = asks(agent, now + 70.0, 4_000, 6.0)
+    assert grant.life == 4_000 and grant.lease_ms > 0
