Recovery: a life's number is raised above the last one in the store, whatever the clock says

Cause: rejoin/service.py took max(count of the store's lives, Unix microseconds), two numbers of which the first is 1, 2, 3: nothing raised it above the last life's. Now the store's entry of its start bears the number by which others know the life, and the next one is larger. Ruled out: one that stays alone in each of these runs is the front end drawn never to return, which the step `start dead` had started in the dark; steps start `killed` now.

Tests: five starts by clocks that go back, and the scenario; the first fails without the change.

--- a/fawnwharf/lab/fleet.py
+++ b/fawnwharf/lab/fleet.py
@@ -43,6 +43,7 @@
         self.proposed: list[Any] = []
         self.faults: list[tuple[str, str]] = []  # front ends, and lines that tell of an exception
         self.asked = ""  # the front end that operators of sessions turned to last
+        self.killed: list[str] = []  # the front ends that a step killed last
         self.noted = ""  # the front end whose note a step waited for
         self.clocks = Clocks(scenario.clocks, seed)
         super().__init__(scenario, seed, folder or Path(tempfile.mkdtemp(prefix="fawnwharf-lab-")))
--- a/fawnwharf/lab/parties.py
+++ b/fawnwharf/lab/parties.py
@@ -14,16 +14,17 @@
         self.fleet, self.chance = fleet, random.Random(seed)
 
     def fronts(self, what: str) -> list[Front]:
-        """Front ends by a word: all, live, dead, leader, asked (by operators, last), noted (who wrote the
-        note that was waited for), zone:Z, share:P of those that live, or names with commas."""
+        """Front ends by a word: all, live, killed (by the last such step), leader, asked (by operators,
+        last), noted (who wrote the note that was waited for), zone:Z, share:P of those that live, or names
+        with commas."""
         every = list(self.fleet.fronts.values())
         live = [front for front in every if front.alive and not front.stopped]
         if what in ("", "all"):
             return every
         if what == "live":
             return live
-        if what == "dead":
-            return [front for front in every if not front.alive]
+        if what == "killed":
+            return [front for front in every if front.name in self.fleet.killed]
         if what == "leader":
             return [front for front in live if front.role == "leader"][:1]
         if what == "follower":
--- a/fawnwharf/lab/steps.py
+++ b/fawnwharf/lab/steps.py
@@ -63,8 +63,10 @@
                 relay.heal()
 
     def _kill(self, step: Step) -> None:
-        for front in self.parties.fronts(step.what):
+        killed = self.parties.fronts(step.what)
+        for front in killed:
             self.fleet.kill(front)
+        self.fleet.killed = [front.name for front in killed]
 
     def _end(self, step: Step) -> None:
         """As on a release: they are asked to end, and do so when all is answered."""
--- a/fawnwharf/rejoin/kept.py
+++ b/fawnwharf/rejoin/kept.py
@@ -79,8 +79,10 @@
 
 class Start(NamedTuple):
     """What a folder is found to be. `doubt`: why the store is in part, empty: it is whole; `new`: no life
-    before this one knew of that, so that what a keeper knew of itself counts no more."""
+    before this one knew of that, so that what a keeper knew of itself counts no more. `number`: that the life
+    before was known by."""
 
+    number: int
     same_boot: bool
     in_order: bool
     doubt: str
@@ -104,9 +106,10 @@
 def started(found: reading.Found, now: Clock, fresh: bool, spans: Spans) -> Start:
     """`now`: of this start, its boot as `short` has it. `fresh`: nobody in the fleet has promised anything,
     so that an empty folder has lost nothing."""
-    entries, same = found.entries, False
+    entries, same, number = found.entries, False, 0
     if (data := entries.get((START, LAST))) is not None and (last := _stamped(data)) is not None:
         same = same_boot(last.clock, now)
+        number = last.value if type(last.value) is int else 0
     rows: dict[Kind, list[Row]] = {}
     old, faulty = [], ""
     by_name = {rule.name: kind for kind, rule in RULES.items()}
@@ -123,7 +126,7 @@
     before = _text(entries, DOUBT)
     doubt = faulty or _found_to_be(found, fresh) or before
     new = bool(doubt) and (bool(faulty) or doubt != before)
-    return Start(same, found.ended, doubt, new, 0 if new else _sure(entries), rows, old)
+    return Start(number, same, found.ended, doubt, new, 0 if new else _sure(entries), rows, old)
 
 
 def _stamped(data: bytes) -> Stamped | None:
--- a/fawnwharf/rejoin/onstore.py
+++ b/fawnwharf/rejoin/onstore.py
@@ -63,6 +63,8 @@
         self.same_boot, self.in_order, self.sure = self._start.same_boot, found.ended, self._start.sure
         self.whole = Store.PART if self._start.doubt else Store.WHOLE
         self.why, self.fresh, self.life = self._start.doubt, found.fresh, found.sign.life + 1
+        # By which others know this life: larger than the one before, also by a clock that was set back.
+        self.number = max(self._start.number + 1, self.life, int(unix_ms() * 1_000))
         self._found, self._told = found.sign, Sign("", 0, 0)
         self._later = self._passed = (0, 0)  # life and number that others told, and that were confirmed over
         self._doubted: list[Callable[[], None]] = []  # who is told of a doubt that comes up later
@@ -86,7 +88,7 @@
             self._put(name, key, None)
         if start.new:
             self._doubt(start.doubt)
-        self._put(k.START, k.LAST, k.stamped(now, self.life))
+        self._put(k.START, k.LAST, k.stamped(now, self.number))
 
     # --- life -----------------------------------------------------------------------------------
 
--- a/fawnwharf/rejoin/service.py
+++ b/fawnwharf/rejoin/service.py
@@ -2,7 +2,6 @@
 parts."""
 
 import hashlib
-import time
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -51,7 +50,7 @@
         self.deployment, self.note, self._join = deployment, write, join
         self.settings: Settings = load(Path(path), settings_from, RECOVERY)
         self.zones, self.kept, self.state = made["zones"], made["kept"], made["state"]
-        self.life = max(self.kept.life, time.time_ns() // 1_000)
+        self.life = self.kept.number
         self._used = LastUse.read(self.kept.read(Kind.USE))
         self._roster, self._use = LastRoster(), LastUse(monotonic_ms())
         classes = deployment.settings.classes
--- a/tests/test_lab_clocks.py
+++ b/tests/test_lab_clocks.py
@@ -128,6 +128,18 @@
     assert checked["numbers"] > 100 and checked["homes"] >= 10 and checked["cold"] == 3
 
 
+def test_a_leader_of_the_return_that_is_back_by_an_earlier_clock_is_followed():
+    scenario = msgspec.structs.replace(scenarios.load("power-leader"), recovery={})
+    runner = Runner(scenario, 3)
+    measures = runner.run()
+    assert measures.verdict.broken == []
+    stages = {n.front: n.fields["stage"] for n in runner.fleet.notes if n.event == "stage"}
+    lives = {front.name: front.lives for front in runner.fleet.fronts.values()}
+    back = [name for name, life in lives.items() if len(life) > 1]
+    assert len(back) == 5 and max(len(lives[name]) for name in back) == 3
+    assert not {stages[name] for name in back} & {"alone", "listening"}
+
+
 @pytest.mark.parametrize("recovery", [None, {}])
 def test_a_fleet_returns_by_clocks_that_are_hours_off_and_step_as_it_does(recovery):
     scenario = msgspec.structs.replace(scenarios.load("power-clocks"), recovery=recovery)
--- a/tests/test_rejoin_kept.py
+++ b/tests/test_rejoin_kept.py
@@ -10,7 +10,7 @@
 from fawnwharf.durable.ops import carry_out
 from fawnwharf.durable.reading import Sign
 from fawnwharf.recovery.trust import Kind, Store, Trust
-from fawnwharf.rejoin import hints
+from fawnwharf.rejoin import hints, onstore
 from fawnwharf.rejoin import kept as k
 from fawnwharf.standins.disks import Plan, PowerCut
 
@@ -59,6 +59,18 @@
         assert later is Trust.MAJORITY
 
 
+def test_a_life_has_a_larger_number_than_the_one_before_also_by_a_clock_that_was_set_back(site, monkeypatch):
+    numbers = []
+    for unix_ms in (5_000_000.0, 5_000_000.0, 1_000.0, 9_000_000.0, 0.0):
+        monkeypatch.setattr(onstore, "unix_ms", lambda unix_ms=unix_ms: unix_ms)
+        kept = site.kept(fresh=not numbers)
+        site.pump(kept, 200.0)
+        numbers.append(kept.number)
+        ended_in_order(site, kept)
+        site.machine().kill()
+    assert numbers == [5_000_000_000, 5_000_000_001, 5_000_000_002, 9_000_000_000, 9_000_000_001]
+
+
 def test_a_promise_counts_down_within_a_boot_and_whole_in_another_one(site):
     kept = site.kept(fresh=True)
     on_disk(site, kept, Kind.PROMISE, "a", [5_000.0, "x"])
