--- a/fawnwharf/rejoin/door.py
+++ b/fawnwharf/rejoin/door.py
@@ -117,6 +117,7 @@
         self.open = False  # calm: all is passed on as it comes
         self.doors = Doors(limits, at_ms=clock())
         self.counts: dict[str, int] = {}
+        self._since: dict[str, int] = {}
         self._may = Allowed()
         self._giving: Giving | None = None
         self._first = frozenset[str]()
@@ -128,6 +129,14 @@
 
     def _count(self, cause: str) -> None:
         self.counts[cause] = self.counts.get(cause, 0) + 1
+        if not self.open:
+            self._since[cause] = self._since.get(cause, 0) + 1
+
+    def since(self) -> dict[str, int]:
+        """What became of calls since the last such question, by cause; how many are held now. Nothing while
+        it is open."""
+        found, self._since = self._since, {}
+        return found | {"held": len(self._held)} if found else {}
 
     def go_by(self, allowed: Allowed, rate_ps: float, giving: Giving | None) -> None:
         """To be told at each change. `rate_ps`: calls a second that are let in here."""
@@ -228,6 +237,7 @@
         if not bare:
             free_ms = self._ask(now, row, key)
             if free_ms == 0.0:
+                self._count("let in")
                 return self.below.take(call)
             if free_ms is not None and free_ms > hold_ms:
                 return self._turn_away(call, "ticket", free_ms)
@@ -292,6 +302,7 @@
         self._rest(held)
         held.call.budget_ms = max(1.0, held.call.budget_ms - (self._clock() - held.came_ms))
         held.passed = True
+        self._count("let in after a wait")
         held.below = self.below.take(held.call)
         if held.below is None:  # it was answered at once
             self._end(held)
--- a/fawnwharf/rejoin/service.py
+++ b/fawnwharf/rejoin/service.py
@@ -235,6 +235,8 @@
         if not self._dialled and self.agent.asking.stand(What.ROSTER) is Stand.WITHOUT:
             self._dial_last()
         self._carry_out(self.agent.tick(now, self._own()))
+        if self._once("door") and (what := self.joined.door.since()):
+            self.note("door", what)
 
     def _set_timer(self) -> None:
         now = monotonic_ms()
--- a/tests/test_rejoin_disks.py
+++ b/tests/test_rejoin_disks.py
@@ -1,9 +1,12 @@
 """Real processes whose machines lost their power, one of them with another disk than it had: an older copy,
 another member's, an empty one, one with a bit that is another."""
 
+import contextlib
+import resource
 import shutil
 import subprocess
 import sys
+from pathlib import Path
 
 import msgspec
 import pytest
@@ -170,3 +173,50 @@
     assert f"{log.name}: damaged at byte " in fleet.refused(fleet.one)[0]
     assert recovery("repair", disk).returncode == 0
     fleet.in_doubt(request, f"repaired: {log.name}: damaged at byte ")
+
+
+def processes(front):
+    """Of a machine that has this front end: it, and the writer of its store."""
+    pid = front.process.pid
+    return [pid, *map(int, Path(f"/proc/{pid}/task/{pid}/children").read_text().split())]
+
+
+def full(front, on):
+    """Its machine's disk takes not one byte more, or does again: the system turns away what is written."""
+    for pid in processes(front):
+        with contextlib.suppress(ProcessLookupError):
+            most = 0 if on else resource.RLIM_INFINITY
+            resource.prlimit(pid, resource.RLIMIT_FSIZE, (most, resource.RLIM_INFINITY))
+
+
+def test_a_full_disk_grants_nothing_and_serves_on_and_what_was_granted_before_it_holds(fleet):
+    one, second, third = fleet.one, fleet.second, fleet.third
+    fleet.served("a call before")
+    assert len(processes(one)) == 2
+    began = len(fleet.notes)
+
+    def noted(front, event):
+        return [n for n in fleet.notes[began:] if (n.front, n.event) == (front.name, event)]
+
+    full(one, True)
+    fleet.until(lambda: fleet.ask(one.zone) and noted(one, "not durable now"), "the full disk to be seen")
+    fleet.until(lambda: not fleet.sure(one), f"{one.name} to grant nothing")
+    fleet.served("a call by two of three keepers")  # it comes in at the one whose disk is full
+    assert fleet.sure(second) and fleet.sure(third)
+    full(second, True)
+    fleet.until(lambda: fleet.ask(second.zone) and noted(second, "not durable now"), "the second one")
+    fleet.until(lambda: not fleet.sure(second), f"{second.name} to grant nothing")
+    asked = [fleet.ask(front.zone) for front in fleet.fronts.values()]
+    fleet.until(lambda: all(r.outcome for r in asked), "calls without keepers to end")
+    assert {r.outcome for r in asked} <= {"refused", "failed"} and not any(map(fleet.runs, asked))
+    for front in (one, second):
+        full(front, False)
+        fleet.until(lambda front=front: noted(front, "durable again"), f"{front.name} to be durable again")
+    fleet.until(lambda: fleet.sure(one) and fleet.sure(second), "both to grant again")
+    fleet.served("a call after")
+    request = fleet.lose()
+    fleet.ready(one, second, third)
+    for front in fleet.fronts.values():
+        assert fleet.outcome(request, front.zone) == "failed"
+    assert fleet.runs(request) == 1 and not fleet.faults
+    assert all(front.alive for front in fleet.fronts.values())
--- a/tests/test_rejoin_door.py
+++ b/tests/test_rejoin_door.py
@@ -371,3 +371,23 @@
     good, other = replace(miss, ending=io.Ending.GOOD), replace(miss, request="r2")
     answer = io.OrderAnswered(7, "g", io.Ending.GOOD, 1, 1.0)
     assert ground.holds.events(1.0, [miss, good, other, answer]) == [answer] and lost == [("f", 7)]
+
+
+def test_what_became_of_calls_is_told_by_cause_since_it_was_told_last_and_not_in_calm():
+    ground = Ground(Stage.WORTH)
+    assert ground.door.since() == {}
+    ground.giving.places["f"] = 7
+    ground.ask("view")  # not its stage
+    ground.ask("settle")
+    ground.giving.etas["g"] = 5_000.0
+    ground.ask("settle", row="g")
+    ground.giving.etas["h"] = 300.0
+    ground.ask("settle", row="h")
+    told = ground.door.since()
+    assert told == {"refused: class": 1, "let in": 1, "refused: copy": 1, "held": 1}
+    ground.giving.places["h"] = 7
+    ground.door.told(Stood("h"))
+    assert ground.door.since() == {"let in after a wait": 1, "held": 1} and ground.door.since() == {}
+    ground.go_by(Stage.SPILL)
+    ground.ask("view")
+    assert ground.door.since() == {}
