Recovery: a loader whose ration is used up lends its order to a front end that has some

Now who waits for copies tells its loaders how many orders it could make (Spare), a loader that has none left lends (Lend), and is told what came of it (Lent). The seat stays the loader's until then. An order may so begin 350 ms after its loader was lost: gained seats wait so much longer.

Tests in virtual time: loaders die and come back with four orders each in 5 s, words lost and late: the store's budget and each ration hold, all rations are used, nothing is loaded twice; seats that do not wait are found.

--- a/fawnwharf/rejoin/given_words.py
+++ b/fawnwharf/rejoin/given_words.py
@@ -5,6 +5,7 @@
 is told of copies is numbered by whoever tells it.
 """
 
+from enum import IntEnum
 from typing import Annotated, Any
 
 import msgspec
@@ -72,7 +73,42 @@
     free_ms: Annotated[tuple[Span, ...], Meta(max_length=TICKETS_MOST)]
 
 
-Word = Want | Stands | Asked | Given
+class Spare(Struct, frozen=True, tag="spare"):
+    """To loaders that keep one waiting: it could make so many orders for each of them."""
+
+    life: Count
+    number: Count
+    count: Annotated[int, Meta(ge=1, le=64)]
+
+
+class Lend(Struct, frozen=True, tag="lend"):
+    """A loader's order, to be made by the one that told `number` in `life`."""
+
+    life: Count
+    number: Count
+    worker: Count
+    row: RowKey
+    kind: Kind
+    lanes: Annotated[int, Meta(ge=1, le=4_096)] = 1
+    load_ms: Span | None = None
+
+
+class What(IntEnum):
+    NOT = 0  # it was not made
+    MADE = 1
+    STANDS = 2
+    FAILED = 3
+
+
+class Lent(Struct, frozen=True, tag="lent"):
+    """What came of a loan, to its loader."""
+
+    worker: Count
+    row: RowKey
+    what: Annotated[int, Meta(ge=0, le=3)]
+
+
+Word = Want | Stands | Asked | Given | Spare | Lend | Lent
 
 
 def word_from(data: Any) -> Word:
--- a/fawnwharf/rejoin/giving.py
+++ b/fawnwharf/rejoin/giving.py
@@ -7,6 +7,7 @@
 them, and each is answered: so a word that is lost costs time alone.
 """
 
+import math
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 
@@ -15,6 +16,7 @@
 from fawnwharf.recovery.register import Dealt
 from fawnwharf.recovery.stages import Allowed
 from fawnwharf.rejoin import given_words as m
+from fawnwharf.rejoin.lent import LENT_MS, Helping
 from fawnwharf.rejoin.loading import LEAST_MS, PROVES, RETRY_MS, Loading
 from fawnwharf.rejoin.outs import Out, Stood, Words
 from fawnwharf.rejoin.seats import Seats
@@ -56,14 +58,16 @@
         order: Callable[[str], Sequence[int]],
         lag_ms: float = LAG_MS,
         usual_ms: float = USUAL_MS,
+        room: Callable[[], float] = lambda: math.inf,
     ) -> None:
         """`life` is another one with each start; `order`: a function's scorers that take calls, by its hash
-        order."""
+        order; `room`: orders that the module may still make."""
         self.name, self.life, self.limits = name, life, limits
         self.wards = Wards(name, life, limits, lag_ms)
-        self.seats = Seats(name, limits, lag_ms, usual_ms)
+        self.seats = Seats(name, limits, lag_ms, usual_ms + LENT_MS)
         self.places: dict[str, tuple[int, str]] = {}  # where a function's first copy stands, and who told
-        self.loading = Loading(name, self.seats, order, self.places.__contains__)
+        self.loading = Loading(name, self.seats, order, self.places.__contains__, room)
+        self.helping, self._room = Helping(life), room
         self._counts: dict[str, int] = {}
         self._allowed = Allowed()
         self._cut = -1
@@ -83,7 +87,7 @@
     @property
     def counts(self) -> dict[str, int]:
         """What was dropped, or came late, by cause."""
-        found = {**self._counts, **self.loading.counts, **self.wards.counts}
+        found = {**self._counts, **self.loading.counts, **self.wards.counts, **self.helping.counts}
         if dropped := self.loading.loader.dropped:
             found["wants of others beyond what is kept"] = dropped
         return found
@@ -125,6 +129,7 @@
             self._askers.setdefault(name, {}).update(dict.fromkeys(own))
         for name in self._askers.keys() - heard:
             del self._askers[name]
+        self.loading.spares.keep(heard)
         self._allowed, self._cut, self._heard = allowed, cut, heard
         if allowed.spill:
             self._mine.clear()
@@ -210,6 +215,13 @@
             return self._stands(now_ms, sender, word)
         elif isinstance(word, m.Asked):
             return [*self.wards.asked(now_ms, sender, word)]
+        elif isinstance(word, m.Spare):
+            self.loading.spares.told(now_ms, sender, word)
+        elif isinstance(word, m.Lend):
+            return self.helping.lend(now_ms, sender, word, self._loads)
+        elif isinstance(word, m.Lent):
+            if self.loading.lent(now_ms, sender, word):
+                return self._stood(now_ms, word.row, word.worker)
         else:
             return [*self.wards.given(now_ms, sender, word)]
         return []
@@ -264,15 +276,25 @@
     def ordered(self, now_ms: float, worker: int, row: str) -> None:
         """The module made an order; to be told of each that goes out."""
         self.loading.ordered(now_ms, worker, row)
+        self.helping.ordered(worker, row)
+
+    def is_own(self, worker: int, row: str) -> bool:
+        """Whether an order there is one that a loader wants, this one or one that lent it."""
+        return self.loading.is_own(worker, row) or self.helping.is_own(worker, row)
 
     def answered(self, now_ms: float, event: io.OrderAnswered) -> list[Out]:
         """A scorer's answer to an order or a question, whoever's that was."""
         if event.ending in PROVES and not event.copies:
             self.lost(now_ms, event.function, event.worker)
-        if not self.loading.answered(now_ms, event):
-            return []
-        self._news[event.function] = None
-        found: list[Out] = [*self._note(event.function, event.worker, self.name)]
+        found: list[Out] = [*self.helping.answered(event, event.ending in PROVES)]
+        if self.loading.answered(now_ms, event):
+            found += self._stood(now_ms, event.function, event.worker)
+        return found
+
+    def _stood(self, now_ms: float, row: str, worker: int) -> list[Out]:
+        """A copy stands that was ordered here."""
+        self._news[row] = None
+        found: list[Out] = [*self._note(row, worker, self.name)]
         return [*found, *(self.loading.orders(now_ms) if self._loads else ())]  # the seat is free
 
     @property
@@ -283,12 +305,18 @@
 
     def tick(self, now_ms: float) -> list[Out]:
         """What is due; to be called every `TURN_MS`."""
-        found: list[Out] = [*self.loading.overdue(now_ms)]
+        found: list[Out] = [*self.loading.overdue(now_ms), *self.helping.tick(now_ms)]
         if self._loads:
             found += self._wants(now_ms)
+            found += self._spare(now_ms)
             found += self.loading.orders(now_ms)
         return [*found, *self._told(now_ms), *self.wards.tick(now_ms)]
 
+    def _spare(self, now_ms: float) -> list[Words]:
+        """Others keep this one waiting: it could order for them."""
+        loaders = {mine.to for mine in self._mine.values() if mine.to} - {self.name}
+        return self.helping.spare(now_ms, loaders, self._room(), len(self._heard)) if loaders else []
+
     def _wants(self, now_ms: float) -> list[Words]:
         """What calls here want, worth most first, to each loader; to this one itself without a word."""
         by_loader: dict[str, list[tuple[str, _Mine]]] = {}
--- a/fawnwharf/rejoin/hints.py
+++ b/fawnwharf/rejoin/hints.py
@@ -68,9 +68,7 @@
     def read(rows: Rows) -> list[Member]:
         """The scorers of the last roster, by their ids then; none where nothing usable was kept."""
         found = _value(rows, list[_Scorer], SCORERS_MOST)
-        return [
-            Member(s.id, "in_service", s.host_port, s.locality, s.flavor, s.cell, s.size) for s in found
-        ]
+        return [Member(s.id, "in_service", s.host_port, s.locality, s.flavor, s.cell, s.size) for s in found]
 
 
 class LastUse:
--- a/fawnwharf/rejoin/holds.py
+++ b/fawnwharf/rejoin/holds.py
@@ -68,7 +68,7 @@
         if self.calm or not action.copies:
             self._below(action)
             return
-        if self.giving.loading.is_own(action.worker, action.function):
+        if self.giving.is_own(action.worker, action.function):
             self.giving.ordered(self._clock(), action.worker, action.function)
             self._below(action)
         elif self.own_loads:
--- a/fawnwharf/rejoin/joined.py
+++ b/fawnwharf/rejoin/joined.py
@@ -49,7 +49,7 @@
     ) -> None:
         self.front, self.state = front, state
         self.limits = limits_from(front.deployment.settings, settings.fetches, settings.scorer_rps)
-        self.giving = Giving(state.entry.name, life, self.limits, self._order)
+        self.giving = Giving(state.entry.name, life, self.limits, self._order, room=self._room)
         self.giving.word_ms = settings.timing.alone_ms
         self.counts: dict[str, int] = {}
         self._going: tuple[Allowed, int, int, Dealt | None] = (Allowed(), 0, 1, None)
@@ -141,6 +141,12 @@
             fn = self._orders[row] = Function(row, "", 1, None, mark(row))
         return [one.id for one in self.front.router._ordered(fn) if one.suspect_ms is None]
 
+    def _room(self) -> float:
+        """Orders that the module would make of `CopiesWanted`: one is left for each held call."""
+        router = self.front.router
+        held = sum(len(fn.queue) for fn in router.functions.values())
+        return router._ration_left() - held if router.settings.may_order else 0.0
+
     # --- turns, words and answers ---------------------------------------------------------------
 
     def _turn(self) -> None:
--- a/fawnwharf/rejoin/loading.py
+++ b/fawnwharf/rejoin/loading.py
@@ -10,8 +10,9 @@
 
 from fawnwharf import interface as io
 from fawnwharf.recovery.budget import Loader
-from fawnwharf.rejoin.given_words import Wanted
-from fawnwharf.rejoin.outs import Order
+from fawnwharf.rejoin.given_words import Lend, Lent, Wanted, What
+from fawnwharf.rejoin.lent import Spares
+from fawnwharf.rejoin.outs import Order, Words
 from fawnwharf.rejoin.seats import Seats
 
 ORDER_MS = 100.0  # by then the module has made an order of what it was told, or it makes none
@@ -40,16 +41,25 @@
     told_ms: float  # to the module; once the order went, when that was
     went: bool = False
     asked_ms: float | None = None  # the scorer, as the module made no order
+    lent: str = ""  # to whom; it counts as gone out
+    made: bool = False  # there
 
 
 class Loading:
     """Owns what is wanted of this loader, and its orders."""
 
     def __init__(
-        self, me: str, seats: Seats, order: Callable[[str], Sequence[int]], stands: Callable[[str], bool]
+        self,
+        me: str,
+        seats: Seats,
+        order: Callable[[str], Sequence[int]],
+        stands: Callable[[str], bool],
+        room: Callable[[], float],
     ) -> None:
-        """`order`: a function's scorers that take calls, by its hash order; `stands`: a copy does."""
-        self.me, self.seats, self._order, self._stands = me, seats, order, stands
+        """`order`: a function's scorers that take calls, by its hash order; `stands`: a copy does; `room`:
+        orders that the module may still make."""
+        self.me, self.seats, self._order, self._stands, self._room = me, seats, order, stands, room
+        self.spares = Spares()
         self.loader = Loader(at_a_time=0)
         self.counts: dict[str, int] = {}
         self.under_way: dict[str, _UnderWay] = {}
@@ -111,8 +121,8 @@
 
     # --- orders -----------------------------------------------------------------------------------
 
-    def orders(self, now_ms: float) -> list[Order]:
-        found: list[Order] = []
+    def orders(self, now_ms: float) -> list[Order | Words]:
+        found: list[Order | Words] = []
         for row, (due_ms, worth) in list(self._later.items()):
             if due_ms <= now_ms:
                 self._put(now_ms, row, worth)
@@ -124,7 +134,7 @@
                     found.append(order)
         return found
 
-    def _begin(self, now_ms: float, row: str) -> Order | None:
+    def _begin(self, now_ms: float, row: str) -> Order | Words | None:
         if self.seats.owner(row) != self.me or self._stands(row):
             return None  # it is another's by now, or was told to stand
         facts = self._facts[row]
@@ -137,6 +147,13 @@
             self._later[row] = (now_ms + RETRY_MS, facts.worth_ps)
             return None
         self.loader.under_way.add(row)
+        own = sum(not way.went for way in self.under_way.values())  # that the module is yet to make
+        if self._room() - own < 1.0 and (helper := self.spares.take(now_ms)) is not None:
+            name, life, number = helper
+            self.under_way[row] = _UnderWay(able[0], now_ms, went=True, lent=name)
+            self._count("orders that were lent")
+            lend = Lend(life, number, able[0], row, facts.kind, facts.lanes, facts.load_ms)
+            return Words((name,), lend)
         self.under_way[row] = _UnderWay(able[0], now_ms)
         return Order(io.CopiesWanted(able[0], row, facts.kind, 1, facts.lanes, facts.load_ms))
 
@@ -163,6 +180,8 @@
             self.loader.ended(row, True, took_ms)
             self._rests(now_ms, took_ms)
             return True
+        if way.lent:
+            return False  # whoever made the order tells
         # None stands: that answers a question, maybe the module's own of before. An order that is under way
         # it does not end, and one that the module is yet to make neither.
         counted = event.ending is io.Ending.GOOD
@@ -170,6 +189,23 @@
             self._failed(now_ms, row, way, way.went)
         return False
 
+    def lent(self, now_ms: float, sender: str, word: Lent) -> bool:
+        """What came of a loan. Whether a copy stands by it."""
+        row, way, what = word.row, self.under_way.get(word.row), What(word.what)
+        if way is None or (way.lent, way.worker) != (sender, word.worker):
+            self._count("words on loans that were over")
+        elif what is What.MADE:
+            way.made, way.told_ms = True, now_ms
+        elif what is What.STANDS:
+            del self.under_way[row]
+            self.loader.ended(row, True, now_ms - way.told_ms)
+            self._rests(now_ms, now_ms - way.told_ms)
+            return True
+        else:
+            way.went = what is What.FAILED
+            self._failed(now_ms, row, way, way.went)
+        return False
+
     def _failed(self, now_ms: float, row: str, way: _UnderWay, there: bool) -> None:
         """It is wanted again, as the last; elsewhere for a while, if that was the scorer's fault. One that
         was never made keeps its place."""
@@ -194,7 +230,10 @@
         found: list[Order] = []
         for row, way in list(self.under_way.items()):
             waited_ms = now_ms - way.told_ms
-            if way.went and waited_ms >= LOST_MS:
+            if way.lent and not way.made and waited_ms >= self.seats.usual_ms:
+                way.went = False  # it was void, or nothing was heard of it
+                self._failed(now_ms, row, way, False)
+            elif way.went and waited_ms >= LOST_MS:
                 self._failed(now_ms, row, way, True)
             elif not way.went and way.asked_ms is None and waited_ms >= ORDER_MS:
                 way.asked_ms = now_ms
