Sessions: homes that were decided outlive a loss of power, in the store of recovery

Cause: a front end leaves its homes in a file when it ends in order (sessions/left.py); who loses its power leaves none, and keepers that all begin anew know none. The store's table had a place for them, which nothing wrote.

Now a front end with recovery keeps the homes that it goes by in the store, each half second what changed, 100 at the most, and meets them at its start, as those of the file: while the session is in use, and not from a store in part. A number that is met is one that was decided; the larger one wins as before. Without recovery nothing changes.

Not settled: hand-overs wait for their window after it ("too few keepers"), as no keeper is sure.

--- a/fawnwharf/rejoin/onstore.py
+++ b/fawnwharf/rejoin/onstore.py
@@ -212,6 +212,14 @@
             told(False, why)
         return False
 
+    def homes(self) -> list[tuple[str, Any]]:
+        """Homes of sessions that were kept; no hints: a number that is over may have been given anew."""
+        return [(key, value) for key, value, trust in self.read(Kind.HOMES) if trust is not Trust.HINT]
+
+    def keep_home(self, key: str, value: Any | None) -> bool:
+        """As `keep`, of one session."""
+        return self.keep(Kind.HOMES, key, value)
+
     def keep_sure(self, members: int) -> None:
         """The keeper knows all that it granted, by this list of members; 0: it does not."""
         self.sure = members
--- a/fawnwharf/sessions/service.py
+++ b/fawnwharf/sessions/service.py
@@ -74,7 +74,7 @@
         self.stages = Stages(self._order, module.may_order, module.idle_life_ms, self._is_loading)
         self._wishes_file = WatchedFile(wishes_place(read, place, self.state.folder))
         self.wishes = Wishes()
-        self._left = Left(self._wishes_file.path.with_name("homes"))
+        self._left = Left(self._wishes_file.path.with_name("homes"), made.get("kept"))
         self._drained: dict[str, tuple[float, tuple[str, ...]]] = {}  # others' wishes, and when they came
         self.places: Places | None = None
         self._placed: Any = core.placement
@@ -304,6 +304,7 @@
         if (placed := self.state.core.placement) is not self._placed:
             self._placed = placed
             agent.place(now, self._sites(), placed.keepers, placed.number)
+        self._left.look(agent.router, now, unix_ms())
         if now - self._files_ms >= FILES_MS:
             self._files_ms = now
             if (data := self._wishes_file.changed()) is not None:
--- a/tests/test_sessions_joined.py
+++ b/tests/test_sessions_joined.py
@@ -107,6 +107,64 @@
         assert left.take(router(), bad, {"a"}, 0.0, 0.0) == 0
 
 
+class InMemory:
+    """A store, some writes of which are refused."""
+
+    def __init__(self, entries=(), refuses=0):
+        self.entries, self.refuses, self.writes = dict(entries), refuses, []
+
+    def homes(self):
+        return list(self.entries.items())
+
+    def keep_home(self, key, value):
+        self.refuses -= 1
+        if self.refuses >= 0:
+            return False
+        self.writes.append(key)
+        self.entries.pop(key, None)
+        if value is not None:
+            self.entries[key] = value
+        return True
+
+
+def test_homes_are_in_the_store_while_they_are_known_and_are_met_after_a_loss_of_power(tmp_path):
+    store, one = InMemory(refuses=1), router()
+    kept = left.Left(tmp_path / "homes", store)
+    one.meet(1_000.0, Home(Session("acme", "f1"), "b", 1))
+    one.begin(1_000.0, "r", Session("acme", "f5"), 2_000.0)  # never moved
+    kept.look(one, 1_000.0, 1e12)
+    assert store.writes == []  # it was refused, and is tried again
+    kept.look(one, 1_100.0, 1e12 + 100.0)
+    assert store.writes == []  # not at each look
+    for now in (1_600.0, 2_200.0):
+        kept.look(one, now, 1e12 + now - 1_000.0)
+    assert store.writes == ["f1/acme"]  # once, as nothing changes
+    one.meet(3_000.0, Home(Session("acme", "f1"), "c", 2))
+    kept.look(one, 3_000.0, 1e12 + 2_000.0)
+    store.entries["bad"] = [1]
+    heir = router()
+    left.Left(tmp_path / "homes", store).take(heir, {"b", "c"}, 50.0, 1e12 + 9_000.0)
+    assert heir.home(Session("acme", "f1")) == Home(Session("acme", "f1"), "c", 2) and len(heir.homes) == 1
+    for unix_ms in (1e12 + 2_000.0 + 20_000.0, 1e12):  # over by now; by a clock that was set back
+        other = router()
+        left.Left(tmp_path / "homes", store).take(other, {"b", "c"}, 50.0, unix_ms)
+        assert not other.homes
+    one.homes.clear()
+    kept.look(one, 9_000.0, 1e12 + 8_000.0)
+    assert "f1/acme" not in store.entries
+
+
+def test_a_look_writes_no_more_homes_than_its_bound(tmp_path):
+    store, one = InMemory(), router()
+    kept = left.Left(tmp_path / "homes", store)
+    for n in range(left.STORED_A_LOOK + 30):
+        one.meet(0.0, Home(Session("acme", f"f{n}"), "b", 1))
+    kept.look(one, 0.0, 1e12)
+    assert len(store.entries) == left.STORED_A_LOOK
+    kept.look(one, left.STORE_MS, 1e12)
+    assert len(store.entries) == left.STORED_A_LOOK + 30
+
+
 def test_a_keeper_that_begins_anew_sends_the_first_call_by_the_home_that_it_keeps():
     fleet = Fleet()
     front = next(f for f in fleet.others() if f.site == "a")
