--- a/tests/giving_rig.py
+++ b/tests/giving_rig.py
@@ -167,5 +167,20 @@
         self.stands.add(place)
 
 
+def storm(fleet, seed, want_all):
+    """Loaders die and come back while all front ends want everything."""
+    chance = random.Random(seed)
+    for second in range(24):
+        fleet.run(1_000.0 * second)
+        if second < 18 and second % 2:
+            down = [name for name in fleet.names if name not in fleet.up]
+            if down and chance.random() < 0.6:
+                fleet.start(chance.choice(down))
+            else:
+                fleet.kill(chance.choice(sorted(fleet.up)))
+        want_all(fleet)
+    return fleet
+
+
 def builtins(word):
     return msgspec.json.decode(msgspec.json.encode(word))
--- a/tests/test_rejoin_giving.py
+++ b/tests/test_rejoin_giving.py
@@ -1,10 +1,9 @@
 """Loaders and wardens among front ends: the store's budget, a scorer's room, and words that come late."""
 
-import random
 from dataclasses import replace
 
 import pytest
-from giving_rig import LIMITS, WORTHS, Fleet
+from giving_rig import LIMITS, WORTHS, Fleet, storm
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -29,16 +28,7 @@
 @pytest.mark.parametrize("seed", range(6))
 @pytest.mark.parametrize("lost", [0.0, 0.15])
 def test_no_more_fetches_at_a_time_than_the_budget_while_loaders_die_and_come_back(seed, lost):
-    fleet, chance = Fleet(seed, lost=lost), random.Random(seed)
-    for second in range(24):
-        fleet.run(1_000.0 * second)
-        if second < 18 and second % 2:
-            down = [name for name in fleet.names if name not in fleet.up]
-            if down and chance.random() < 0.6:
-                fleet.start(chance.choice(down))
-            else:
-                fleet.kill(chance.choice(sorted(fleet.up)))
-        want_all(fleet)
+    fleet = storm(Fleet(seed, lost=lost), seed, want_all)
     assert 0 < fleet.most <= LIMITS.fetches
     for name in fleet.up & set(fleet.keepers):
         assert set(fleet.fronts[name].places) == set(ROWS)
--- a/tests/test_rejoin_lent.py
+++ b/tests/test_rejoin_lent.py
@@ -1,9 +1,7 @@
 """Orders that loaders lend to front ends with ration to spare: budget, rations, words that come late."""
 
-import random
-
 import pytest
-from giving_rig import LIMITS, RATION_MS, Fleet
+from giving_rig import LIMITS, RATION_MS, Fleet, storm
 from test_rejoin_giving import ROWS, want_all
 
 from fawnwharf import interface as io
@@ -21,25 +19,10 @@
     return found
 
 
-def storm(seed, lost):
-    """Loaders die and come back while all front ends want everything, each with few orders."""
-    fleet, chance = Fleet(seed, lost=lost, ration=4), random.Random(seed)
-    for second in range(24):
-        fleet.run(1_000.0 * second)
-        if second < 18 and second % 2:
-            down = [name for name in fleet.names if name not in fleet.up]
-            if down and chance.random() < 0.6:
-                fleet.start(chance.choice(down))
-            else:
-                fleet.kill(chance.choice(sorted(fleet.up)))
-        want_all(fleet)
-    return fleet
-
-
 @pytest.mark.parametrize("seed", range(6))
 @pytest.mark.parametrize("lost", [0.0, 0.15])
 def test_the_budget_and_each_ration_hold_while_orders_are_lent_and_loaders_die(seed, lost):
-    fleet = storm(seed, lost)
+    fleet = storm(Fleet(seed, lost=lost, ration=4), seed, want_all)
     assert 0 < fleet.most <= LIMITS.fetches
     assert most_of_one(fleet) <= 4
     assert any(name not in fleet.keepers for _, name, *_ in fleet.orders)
@@ -181,4 +164,7 @@
 
 def test_seats_that_do_not_wait_for_what_was_lent_are_found(monkeypatch):
     monkeypatch.setattr("fawnwharf.rejoin.giving.LENT_MS", -500.0)
-    assert max(storm(seed, 0.15).most for seed in range(6)) > LIMITS.fetches
+    assert (
+        max(storm(Fleet(seed, lost=0.15, ration=4), seed, want_all).most for seed in range(6))
+        > LIMITS.fetches
+    )
