Recovery: a loader counts its room once a look, not for each row

Read again: loading.py `_begin` asked for the room of each row that it orders, and the room goes through all functions of the module (joined.py `_room`): with as many seats as fetches, seats times functions in a turn of 50 ms. Nothing but the loader's own orders changes it within a look, and these are counted beside it.

--- a/fawnwharf/rejoin/loading.py
+++ b/fawnwharf/rejoin/loading.py
@@ -60,6 +60,7 @@
         orders that the module may still make."""
         self.me, self.seats, self._order, self._stands, self._room = me, seats, order, stands, room
         self.spares = Spares()
+        self._left = 0.0  # of the room, as of this look
         self.loader = Loader(at_a_time=0)
         self.counts: dict[str, int] = {}
         self.under_way: dict[str, _UnderWay] = {}
@@ -127,6 +128,7 @@
             if due_ms <= now_ms:
                 self._put(now_ms, row, worth)
         self.loader.at_a_time = self.seats.ready(now_ms)
+        self._left = self._room() if self.loader.wants else 0.0  # it looks through all functions
         while self.loader.at_a_time and (rows := self.loader.orders(now_ms)):
             for row in rows:
                 self.loader.under_way.discard(row)
@@ -148,7 +150,7 @@
             return None
         self.loader.under_way.add(row)
         own = sum(not way.went for way in self.under_way.values())  # that the module is yet to make
-        if self._room() - own < 1.0 and (helper := self.spares.take(now_ms)) is not None:
+        if self._left - own < 1.0 and (helper := self.spares.take(now_ms)) is not None:
             name, life, number = helper
             self.under_way[row] = _UnderWay(able[0], now_ms, went=True, lent=name)
             self._count("orders that were lent")
