--- a/fawnwharf/durable/repairs.py
+++ b/fawnwharf/durable/repairs.py
@@ -82,6 +82,4 @@
     data = encode(0, head) + b"".join(f.snapshot(found.entries, f.Limits().piece_bytes))
     beside = name + f.BESIDE
     aside = [Rename(each, each + ASIDE) for each in plan.aside]
-    return Job(
-        (Append(beside, data), Sync(beside), Rename(beside, name), SyncFolder(), *aside, SyncFolder())
-    )
+    return Job((Append(beside, data), Sync(beside), Rename(beside, name), SyncFolder(), *aside, SyncFolder()))
--- a/tests/test_durable_folder.py
+++ b/tests/test_durable_folder.py
@@ -263,4 +263,3 @@
 def told_of(store, path):
     assert store.close(monotonic_ms, 20_000.0)
     return asked("verify", path).output
-
--- a/tests/test_handover_core_hard.py
+++ b/tests/test_handover_core_hard.py
@@ -266,9 +266,7 @@
     windows = Windows(2, 1_000.0)
     lives = [(Live(Session("o", f"r{n}"), 1.0, 0.1, 60_000.0), 0) for n in range(8)]
     prefers = lambda session: "y" if session.row < "r5" else "z"  # noqa: E731
-    drain = Drain(
-        "x", 0.0, 60_000.0, lives, {"y": 50, "z": 50}, rules, Dwell(rules), False, prefers, windows
-    )
+    drain = Drain("x", 0.0, 60_000.0, lives, {"y": 50, "z": 50}, rules, Dwell(rules), False, prefers, windows)
     begun = [begin.move.whither for begin in drain.tick(0.0)]
     assert begun == ["y", "y", "z", "z"]
     drain.ended(5.0, Home(Session("o", "r0"), "y", 1), "switched")
--- a/tests/test_handover_uses.py
+++ b/tests/test_handover_uses.py
@@ -21,7 +21,6 @@
     return at
 
 
-
 def test_a_use_of_the_old_site_that_begins_while_a_hand_over_settles_is_told_once():
     at = router()
     at.told(0.0, "mover", m.Told(Home(S, "y", 1), "x", m.Step.SWITCHED))
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -69,7 +69,6 @@
         [then] = of(drive.ask("next", tenant="t"), io.Send)
         self.assertNotEqual(first.worker, then.worker)
 
-
     def test_of_two_drawn_places_the_near_one_comes_first_unless_it_is_strained(self):
         def far(strain):
             crossed = 0
