--- a/fawnwharf/interface.py
+++ b/fawnwharf/interface.py
@@ -4,6 +4,7 @@
 ``Router.handle`` and carries out the actions that come back, in order.
 """
 
+import math
 from dataclasses import dataclass, field
 from enum import Enum, IntEnum
 
@@ -230,8 +231,12 @@
 
 @dataclass(slots=True)
 class Send:
+    """Send a request to a worker. Where it can't begin to be written within `within_ms` of this moment, it
+    must not be sent any more: it ends as one that was not sent."""
+
     request: str
     worker: int
+    within_ms: float = field(default=math.inf, repr=False)
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/tests/support/__init__.py
@@ -0,0 +1,1 @@
+"""Shared helpers of the tests, grouped by what they do."""
--- /dev/null
+++ b/tests/support/system_faults.py
@@ -0,0 +1,127 @@
+"""Failing system calls, injected at the call itself.
+
+`SystemFaults` replaces `socket.socket` by a subclass while it is installed. Each planned fault hits the
+next matching call, so a test decides which call fails, how, and how often.
+"""
+
+import errno
+import os
+import socket
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+from unittest import mock
+
+Predicate = Callable[[socket.socket], bool]
+
+
+def _any_socket(_sock: socket.socket) -> bool:
+    return True
+
+
+@dataclass
+class Fault:
+    """One planned fault: the call that it hits, what it does there, and how often."""
+
+    call: str
+    error: int = 0  # errno to fail with; 0: the call is shortened instead
+    most_bytes: int = 0  # bytes that a shortened read or write moves
+    times: int = 1  # calls that it hits
+    where: Predicate = _any_socket
+    hits: int = 0
+
+
+class SystemFaults:
+    """Plans faults of the calls socket, accept, connect, recv, recvmsg, send, sendmsg, shutdown and
+    `SO_ERROR` (the outcome of a connect that did not finish at once, as `so_error`)."""
+
+    def __init__(self) -> None:
+        self.planned: list[Fault] = []
+        self.calls: dict[str, int] = {}
+
+    def fail(self, call: str, error: int, times: int = 1, where: Predicate = _any_socket) -> Fault:
+        """Let the next `times` matching calls fail with `error`."""
+        return self._plan(Fault(call, error=error, times=times, where=where))
+
+    def shorten(self, call: str, most_bytes: int, times: int = 1, where: Predicate = _any_socket) -> Fault:
+        """Let the next `times` matching reads or writes move `most_bytes` at the most."""
+        return self._plan(Fault(call, most_bytes=most_bytes, times=times, where=where))
+
+    def _plan(self, fault: Fault) -> Fault:
+        self.planned.append(fault)
+        return fault
+
+    def take(self, call: str, sock: socket.socket) -> Fault | None:
+        """The fault that hits this call, if any."""
+        self.calls[call] = self.calls.get(call, 0) + 1
+        for fault in self.planned:
+            if fault.call == call and fault.hits < fault.times and fault.where(sock):
+                fault.hits += 1
+                return fault
+        return None
+
+    def raise_for(self, call: str, sock: socket.socket) -> Fault | None:
+        """Fail if a fault with an errno hits this call; a fault that shortens it is returned."""
+        fault = self.take(call, sock)
+        if fault and fault.error:
+            raise OSError(fault.error, os.strerror(fault.error))
+        return fault
+
+    @contextmanager
+    def installed(self) -> Iterator["SystemFaults"]:
+        """All sockets made or accepted inside can be hit."""
+        with mock.patch.object(socket, "socket", _socket_class(self, socket.socket)):
+            yield self
+
+
+def _socket_class(faults: SystemFaults, base: type[socket.socket]) -> type[socket.socket]:
+    class FaultySocket(base):  # type: ignore[valid-type, misc]
+        def __init__(self, family=-1, type=-1, proto=-1, fileno=None):
+            if fileno is None:
+                faults.raise_for("socket", None)
+            super().__init__(family, type, proto, fileno)
+
+        def accept(self):
+            faults.raise_for("accept", self)
+            return super().accept()
+
+        def connect(self, address):
+            faults.raise_for("connect", self)
+            return super().connect(address)
+
+        def connect_ex(self, address):
+            fault = faults.take("connect", self)
+            return fault.error if fault else super().connect_ex(address)
+
+        def getsockopt(self, level, option, *size):
+            if (level, option) == (socket.SOL_SOCKET, socket.SO_ERROR):
+                fault = faults.take("so_error", self)
+                if fault:
+                    return fault.error
+            return super().getsockopt(level, option, *size)
+
+        def recv(self, size, *flags):
+            fault = faults.raise_for("recv", self)
+            return super().recv(min(size, fault.most_bytes) if fault else size, *flags)
+
+        def recvmsg(self, size, *more):
+            fault = faults.raise_for("recvmsg", self)
+            return super().recvmsg(min(size, fault.most_bytes) if fault else size, *more)
+
+        def send(self, data, *flags):
+            fault = faults.raise_for("send", self)
+            return super().send(data[: fault.most_bytes] if fault else data, *flags)
+
+        def sendmsg(self, buffers, *more):
+            fault = faults.raise_for("sendmsg", self)
+            if not fault:
+                return super().sendmsg(buffers, *more)
+            if not fault.most_bytes:
+                raise BlockingIOError(errno.EAGAIN, os.strerror(errno.EAGAIN))
+            return super().send(b"".join(buffers)[: fault.most_bytes])
+
+        def shutdown(self, how):
+            faults.raise_for("shutdown", self)
+            return super().shutdown(how)
+
+    return FaultySocket
