Import graph: allowed directions as a table, kept by a test, with a diagram of packages

tests/test_import_graph.py reads all imports by ast: packages import inwards only, no module is in a circle, nothing imports trials, lab or standins but the command line, and what serves without options imports net, policy, config and interface alone (by the graph, and by a process that goes all the way of serve but for the loop). docs/architecture.md shows the transitive reduction; the test compares it with the table.

Fails when serving imports zones at its start (2 tests) and when sites imports replication (1); both tried.

--- /dev/null
+++ b/tests/test_import_graph.py
@@ -0,0 +1,252 @@
+"""Who may import whom: packages import inwards only, and `run` imports nothing that is off.
+
+`ALLOWED` is the whole of it, and the diagram in docs/architecture.md has to say the same. An import that is
+not in the table fails here, and so does an entry of the table that no import needs any more.
+"""
+
+import json
+import re
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from support.imports import PROGRAM, ImportGraph, cycle, package_of, reduction
+
+ROOT = Path(__file__).resolve().parents[1]
+
+# Model checkers, random walks, trials and measurements: run by themselves or by tests, imported by no part of
+# the program. They count as one package of their own, wherever they stand.
+TRIALS = {
+    f"{PROGRAM}.{name}"
+    for name in (
+        "durable.crash",
+        "epochs.check",
+        "epochs.measure",
+        "epochs.scene",
+        "epochs.walk",
+        "foresight.scenes",
+        "foresight.trial",
+        "foresight.world",
+        "handover.explore",
+        "handover.measure",
+        "handover.planted",
+        "handover.relisted",
+        "handover.walk",
+        "handover.world",
+        "recovery.planned",
+        "recovery.promises",
+        "recovery.search",
+        "recovery.trial",
+        "recovery.world",
+        "rejoin.trial",
+        "sessions.measure",
+    )
+}
+
+# Each package and what it may import: always what stands above it, never what stands below.
+ALLOWED = {
+    "interface": "",
+    "lives": "",
+    "sites": "",
+    "accord": "",
+    "config": "interface",
+    "policy": "interface",
+    "fawnwharf": "policy",
+    "wirehost": "config interface policy",
+    "net": "config interface policy",
+    "operators": "config interface net policy",
+    "durable": "accord net",
+    "zones": "accord config interface net",
+    "epochs": "config interface lives net zones",
+    "replication": "accord config interface net zones",
+    "foresight": "config interface policy replication sites zones",
+    "handover": "replication sites",
+    "recovery": "accord interface replication zones",
+    "sessions": "config foresight handover interface lives net policy replication sites zones",
+    "rejoin": "accord config durable interface net policy recovery replication zones",
+    "serving": "config epochs interface net operators rejoin replication sessions zones",
+    "standins": "__main__ config durable net",
+    "lab": "accord config epochs interface net replication sessions sites standins zones",
+    "cli": "config durable epochs fawnwharf lab rejoin replication serving sessions zones",
+    "__main__": "cli serving",
+}
+# Outermost: these may import anything, and nothing imports them but the command line (`fawnwharf lab`).
+OUTERMOST = {"trials", "standins", "lab"}
+COMMAND = (f"{PROGRAM}.cli", f"{PROGRAM}.lab.commands")
+
+# What `run` never imports: the subsystems behind an option, the trials' ground, and the extras' libraries.
+OFF = {
+    "accord",
+    "cli",
+    "durable",
+    "epochs",
+    "foresight",
+    "handover",
+    "lab",
+    "lives",
+    "operators",
+    "recovery",
+    "rejoin",
+    "replication",
+    "sessions",
+    "sites",
+    "standins",
+    "wirehost",
+    "zones",
+}
+OFF_LIBRARIES = {"typer", "httptools", "structlog", "hdrh", "pyarrow", "matplotlib"}
+
+
+@pytest.fixture(scope="module")
+def graph() -> ImportGraph:
+    """The program as it stands."""
+    return ImportGraph(ROOT)
+
+
+def node_of(module: str) -> str:
+    """The row of the table that a module belongs to."""
+    return "trials" if module in TRIALS else package_of(module)
+
+
+def edges(graph: ImportGraph) -> dict[str, set[str]]:
+    """What each row of the table imports, itself left out."""
+    found: dict[str, set[str]] = {node_of(name): set() for name in graph.modules}
+    for each in graph.imports:
+        found[node_of(each.importer)].add(node_of(each.imported))
+    return {name: inner - {name} for name, inner in found.items()}
+
+
+def allowed() -> dict[str, set[str]]:
+    """The table, as sets."""
+    return {name: set(inner.split()) for name, inner in ALLOWED.items()}
+
+
+def test_packages_import_what_the_table_allows_and_all_of_it(graph):
+    found = edges(graph)
+    found.pop("trials")
+    assert found == allowed()
+
+
+def layers() -> dict[str, set[str]]:
+    """The table without the one way back: `standins.clocks` runs the whole program under other clocks."""
+    table = allowed()
+    table["standins"].remove("__main__")
+    return table
+
+
+def test_packages_import_inwards_only():
+    order = list(ALLOWED)
+    for name, inner in layers().items():
+        assert all(order.index(each) < order.index(name) for each in inner), name
+    assert cycle(layers()) == []
+
+
+def test_modules_do_not_import_each_other_in_a_circle(graph):
+    modules = {name: set() for name in graph.modules}
+    for each in graph.imports:
+        if each.at_start:
+            modules[each.importer].add(each.imported)
+    assert cycle(modules) == []
+
+
+def test_nothing_imports_the_outermost_packages(graph):
+    inwards = {
+        (each.importer, each.imported)
+        for each in graph.imports
+        if node_of(each.imported) in OUTERMOST and node_of(each.importer) not in OUTERMOST
+    }
+    assert inwards == {COMMAND}
+
+
+def test_every_trial_named_here_is_there(graph):
+    assert set(graph.modules) >= TRIALS
+
+
+def test_importing_what_serves_reaches_nothing_that_is_off(graph):
+    reached = graph.closure(f"{PROGRAM}.serving") | graph.closure(f"{PROGRAM}.__main__")
+    assert {package_of(name) for name in reached} == {
+        PROGRAM,
+        "__main__",
+        "config",
+        "interface",
+        "net",
+        "policy",
+        "serving",
+    }
+
+
+def test_a_front_end_without_options_has_imported_nothing_that_is_off(tmp_path):
+    config = tmp_path / "config.json"
+    config.write_text(
+        json.dumps({"listen": "127.0.0.1:0", "changelog": "127.0.0.1:1", "settings": {"classes": []}})
+    )
+    # The whole way of `serve`, but for the loop: what is imported by then is all that `run` imports.
+    code = (
+        "import sys; from fawnwharf import __main__; from fawnwharf.net.front_end import FrontEnd\n"
+        "FrontEnd.serve = lambda self: print(*sorted(sys.modules))\n"
+        "sys.argv = ['fawnwharf', 'serve']\n"
+        "sys.exit(__main__.main())"
+    )
+    done = subprocess.run(
+        [sys.executable, "-c", code],
+        capture_output=True,
+        text=True,
+        timeout=60,
+        cwd=ROOT,
+        env={"ROUTER_CONFIG": str(config), "PATH": "/usr/bin:/bin", "PYTHONPATH": str(ROOT)},
+    )
+    assert done.returncode == 0, done.stderr
+    imported = done.stdout.split()
+    assert f"{PROGRAM}.net.loop" in imported
+    assert [name for name in imported if name.startswith(f"{PROGRAM}.") and package_of(name) in OFF] == []
+    assert [name for name in imported if name.split(".")[0] in OFF_LIBRARIES] == []
+
+
+def test_the_diagram_in_the_documents_shows_the_table():
+    """The diagram leaves out edges that follow from longer paths, and shows all others."""
+    page = (ROOT / "docs" / "architecture.md").read_text()
+    diagram = re.search(r"```mermaid\n(.*?)```", page, re.S).group(1)
+    shown: dict[str, set[str]] = {}
+    for importer, imported in re.findall(r"^ *(\w+) --> (\w+)$", diagram, re.M):
+        shown.setdefault(importer, set()).add(imported)
+    expected = {name: inner for name, inner in reduction(layers()).items() if inner}
+    assert shown == expected
+
+
+@pytest.mark.parametrize(
+    ("graph_of_names", "found"),
+    [
+        ({"a": {"b"}, "b": set()}, []),
+        ({"a": {"b"}, "b": {"a"}}, ["a", "b", "a"]),
+        ({"a": {"b"}, "b": {"c"}, "c": {"b"}}, ["b", "c", "b"]),
+    ],
+)
+def test_a_circle_is_found(graph_of_names, found):
+    assert cycle(graph_of_names) == found
+
+
+def test_an_edge_that_follows_from_others_is_left_out():
+    assert reduction({"a": {"b", "c"}, "b": {"c"}, "c": set()}) == {"a": {"b"}, "b": {"c"}, "c": set()}
+
+
+def test_imports_within_functions_and_for_type_checkers_count_as_late(tmp_path):
+    package = tmp_path / PROGRAM
+    package.mkdir()
+    (package / "__init__.py").write_text("")
+    (package / "one.py").write_text(
+        "import fawnwharf.two\n\n\ndef late():\n    from fawnwharf import three\n"
+    )
+    (package / "two.py").write_text("class Body:\n    from fawnwharf import four\n")
+    (package / "three.py").write_text("")
+    (package / "four.py").write_text("")
+    graph = ImportGraph(tmp_path)
+    assert {(each.importer[10:], each.imported[10:], each.at_start) for each in graph.imports} == {
+        ("one", "two", True),
+        ("one", "three", False),
+        ("two", "four", True),
+    }
+    assert graph.closure(f"{PROGRAM}.one") == {
+        PROGRAM,
+        *(f"{PROGRAM}.{name}" for name in ("one", "two", "four")),
+    }
