Config, lives, sites: docstrings on every public item, in the terms of the glossary

Docstrings alone: purpose, units and what is raised. The parsed code without docstrings is the same as before.

--- a/fawnwharf/config.py
+++ b/fawnwharf/config.py
@@ -1,8 +1,8 @@
-"""The one place where configuration and settings are read, checked and given defaults.
+"""Reads, checks and gives defaults to configuration and settings; nothing else in the program does.
 
-Both hosts of the module use it: the adapter for the settings of an instance, the front end for its
-whole configuration. Unknown keys are passed over, absent and null ones keep their defaults, and
-a faulty one raises ConfigError, whose text names the key.
+Both hosts of the decision module use it: the adapter for the settings of an instance, the front end for its
+whole configuration. Unknown keys are ignored, absent and null keys keep their defaults, and a faulty key
+raises `ConfigError`, whose text names it. Durations are milliseconds.
 """
 
 import ipaddress
@@ -135,7 +135,7 @@
 
 
 class Costs(Struct, frozen=True):
-    """What a fetch, work that served nothing, an order and memory cost, as parts of the result."""
+    """Prices of a fetch, of wasted work, of a load order and of memory, as parts of the result."""
 
     origin: float = 0.0
     waste: float = 0.0
@@ -144,7 +144,12 @@
 
 
 class Deployment(Struct, frozen=True):
-    """The whole configuration of one front end."""
+    """The whole configuration of one front end.
+
+    `listen`, `changelog` and `control` are numeric addresses; `control` is the operators' and may be None,
+    for no such address. `memory_mb` and `sockets` are the limits of the process; `known_seq` and
+    `known_events` are what the change log had told when the configuration was written.
+    """
 
     name: str
     listen: Address
@@ -161,7 +166,7 @@
 
 
 class Member(Struct, frozen=True):
-    """A scorer as an event of the change log gives it."""
+    """A scorer as an event of the change log gives it; `up_since_ms` is Unix time in milliseconds."""
 
     id: str
     phase: Literal["in_service", "terminating", "terminated"]
@@ -174,6 +179,11 @@
 
 
 class Fleet(Struct, frozen=True):
+    """The list of scorers in an event of the change log.
+
+    `complete` tells a whole list from a list of changes; `revision` is the list's number.
+    """
+
     members: list[Member]
     complete: bool = False
     revision: int = 0
@@ -197,7 +207,10 @@
 
 
 def settings_from(config: Any) -> io.Settings:
-    """The module's settings, from the object that an instance is given."""
+    """The decision module's settings, from the object that an instance is given.
+
+    Raises `ConfigError` with the name of a faulty key.
+    """
     return _settings(_read(config, _Settings, "settings"))
 
 
@@ -260,7 +273,10 @@
 
 
 def address_from(text: str, key: str) -> Address:
-    """A numeric address and port; names are not looked up, as there is no DNS."""
+    """A numeric address and port; names are not looked up, as there is no DNS.
+
+    Raises `ConfigError` under the name `key`.
+    """
     host, _, port = text.rpartition(":")
     try:
         ipaddress.ip_address(host.strip("[]"))
@@ -280,6 +296,10 @@
 
 
 def deployment_from(data: Any, environment: Mapping[str, str]) -> Deployment:
+    """The configuration of a front end from decoded JSON; variables ROUTER_* of `environment` go first.
+
+    Raises `ConfigError` with the name of a faulty key.
+    """
     read = _read(data, _Deployment)
     listen = environment.get("ROUTER_LISTEN") or read.listen
     control = environment.get("ROUTER_CONTROL") or read.control
@@ -300,7 +320,10 @@
 
 
 def load(path: str | None = None, environment: Mapping[str, str] = os.environ) -> Deployment:
-    """The configuration at `path`, or where ROUTER_CONFIG says."""
+    """The configuration at `path`, or where ROUTER_CONFIG says.
+
+    Raises `ConfigError` where there is no path, the file can't be read, or a key is faulty.
+    """
     place = path or environment.get("ROUTER_CONFIG")
     if not place:
         raise ConfigError("ROUTER_CONFIG: not set, and no path given")
@@ -314,5 +337,5 @@
 
 
 def fleet_from(data: Any) -> Fleet:
-    """The list in a change-log event."""
+    """The list in an event of the change log; raises `ConfigError` with the name of a faulty key."""
     return _read(data, Fleet, "fleet")
--- a/fawnwharf/lives.py
+++ b/fawnwharf/lives.py
@@ -1,8 +1,9 @@
-"""Lives of members, counted as they are heard. Pure.
+"""Incarnations of members, counted as they are heard of. Pure.
 
-Each process of a member has a number of its own for its life. They are numbers of no order: they come from a
-clock, which may have been set back, and from a disk, which may have been lost. What a hearer can tell is that
-a number is another one than before; a number that was followed by another one is of an earlier life for good.
+Each process of a member has a number of its own, its incarnation. The numbers have no order: they come from a
+clock, which may have been set back, and from a disk, which may have been lost. A receiver can only tell that
+a number differs from the one before; a number that was followed by another one is of an earlier incarnation
+for good.
 """
 
 from dataclasses import dataclass, field
@@ -19,12 +20,12 @@
 
 @dataclass(slots=True)
 class Lives:
-    """Counts from 1 on, by member: larger after each restart that was heard of."""
+    """Counts incarnations from 1 on, by member: the count is larger after each restart that was heard of."""
 
     _members: dict[str, _Member] = field(default_factory=dict)
 
     def heard(self, name: str, told: int) -> int:
-        """The count of the life that has this number; 0: it is an earlier one's."""
+        """The count of the incarnation that has this number; 0 where it is an earlier one's."""
         member = self._members.get(name)
         if member is None:
             while len(self._members) >= NAMES_MOST:
@@ -40,17 +41,17 @@
         return member.before + len(member.told)
 
     def last(self, name: str) -> int:
-        """The count of the life that was heard last; 0: none was."""
+        """The count of the incarnation that was heard last; 0 where none was."""
         member = self._members.get(name)
         return member.before + len(member.told) if member else 0
 
     def told(self, name: str, count: int) -> int:
-        """The number that a counted life has; 0: it is not known any more."""
+        """The number of a counted incarnation; 0 where it is not known any more."""
         member = self._members.get(name)
         place = count - member.before - 1 if member else -1
         return member.told[place] if member and 0 <= place < len(member.told) else 0
 
     def keep(self, names: set[str] | dict[str, str] | tuple[str, ...]) -> None:
-        """Forget all others."""
+        """Forget all members but these."""
         for name in [name for name in self._members if name not in names]:
             del self._members[name]
--- a/fawnwharf/sites.py
+++ b/fawnwharf/sites.py
@@ -1,4 +1,4 @@
-"""What the parts that move sessions between sites say to each other. Values alone; milliseconds."""
+"""Values that the packages for moving sessions exchange. Durations are milliseconds."""
 
 from typing import Annotated
 
@@ -10,14 +10,14 @@
 
 
 class Session(Struct, frozen=True, order=True, gc=False):
-    """A live series of calls by one tenant to one function."""
+    """A live series of calls by one tenant (`org`) to one function (`row`)."""
 
     org: Text
     row: Text
 
 
 class Move(Struct, frozen=True, gc=False):
-    """A session is expected at another site within a time."""
+    """A prediction: a session is expected to move to another zone within a time, with this probability."""
 
     session: Session
     whence: Text
@@ -28,7 +28,7 @@
 
 
 class Stage(Struct, frozen=True):
-    """So many loaded copies of a function are to stand at a site, for so long if nobody uses them."""
+    """A prefetch order: so many loaded copies of a function are to stand at a zone, for so long if unused."""
 
     row: Text
     site: Text
@@ -38,14 +38,14 @@
 
 
 class LetGo(Struct, frozen=True):
-    """What was staged there is not needed: it may lapse."""
+    """Copies that were prefetched there are not needed: they may expire."""
 
     row: Text
     site: Text
 
 
 class Home(Struct, frozen=True, gc=False):
-    """At which site a session is at home, and the number of the hand-over that made it so."""
+    """The placement of a session: its zone, and the number of the migration that made it so (0: none did)."""
 
     session: Session
     site: Text
