--- a/fawnwharf/foresight/__init__.py
+++ b/fawnwharf/foresight/__init__.py
@@ -1,2 +1,4 @@
-"""Which sessions will move between sites, and what is staged for it. Pure; times are of the monotonic
-clock."""
+"""Prefetch: predicts which sessions will move between zones, and has copies loaded there before. Pure.
+
+Times are milliseconds of the monotonic clock and are handed in.
+"""
--- a/fawnwharf/foresight/core.py
+++ b/fawnwharf/foresight/core.py
@@ -1,9 +1,13 @@
-"""Foresight of one front end: counts in, words out, orders for stages. Pure; this is what a host drives."""
+"""The prefetcher of one front end: counts go in, messages and load orders come out. Pure.
+
+This is what a host drives.
+"""
 
 from collections.abc import Callable, Sequence
 
 from fawnwharf.foresight import messages as m
-from fawnwharf.foresight.planner import Planner, View
+from fawnwharf.foresight.budgets import View
+from fawnwharf.foresight.planner import Planner
 from fawnwharf.foresight.predictors import (
     Belongs,
     Learnt,
@@ -28,11 +32,12 @@
 
 
 class Foresight:
-    """Owns the watcher, the predictors, their scores and the planner.
+    """Joins the session monitor, the predictors, their scores and the planner.
 
-    A host calls `called` for each call that ran somewhere, `heard` for each word of another front end,
-    `announced` for plans; each `beat_ms` it calls `step`, sends `word` to the others and carries out the
-    orders."""
+    A host calls `called` for each call that ran somewhere, `heard` for each message of another front end and
+    `announced` for plans; every `beat_ms` it calls `step`, sends `word` to the others and carries the orders
+    out.
+    """
 
     def __init__(
         self,
@@ -61,29 +66,38 @@
         self.moves: list[Move] = []
 
     def go_by(self, bounds: Bounds) -> None:
-        """Other budgets of stages, from now on."""
+        """Use other budgets from now on."""
         self.bounds = bounds
         self.planner.go_by(bounds)
 
     def called(self, now_ms: float, session: Session, site: str) -> None:
+        """Count a call of a session at a zone."""
         self.watch.called(now_ms, session, site)
 
     def heard(self, now_ms: float, owner: str, word: m.Word) -> None:
+        """Take the counters that another front end sent."""
         self.watch.heard(now_ms, owner, word)
 
     def announced(self, now_ms: float, plan: m.Announced) -> bool:
+        """Take a plan for a zone; False where a later one is known."""
         return self.plans.announced(now_ms, plan)
 
     def word(self) -> m.Word:
+        """The message for the other front ends: own counters that rose since the last one."""
         return self.watch.word()
 
     def step(self, now_ms: float, view: View) -> Sequence[m.Order | LetGo]:
-        """One look: what rose, what it teaches, what is expected, what is staged."""
+        """One pass over what has changed.
+
+        Count, learn, predict and plan; the orders, and what is not needed any more.
+        """
         return drained(self.look(now_ms, lambda: view))
 
     def look(self, now_ms: float, view: Callable[[], View]) -> Slices[list[m.Order | LetGo]]:
-        """The same in slices, between which calls, words and plans go on coming. `view` is asked for once, as
-        late as may be."""
+        """The same as `step` in slices, between which calls, messages and plans may come in.
+
+        `view` is called once, as late as possible.
+        """
         watch, scores, planner = self.watch, self.scores, self.planner
         beat = yield from watch.look(now_ms)
         yield from scores.scoring(now_ms, beat)
@@ -111,8 +125,10 @@
         return found + planned
 
     def _due(self, certain: list[Move], heard: int) -> list[Move]:
-        """Those that are to be ordered by now: as late as the queue of orders allows, so that copies do not
-        lapse before they are needed."""
+        """Those certain moves whose copies have to be ordered by now.
+
+        As late as the queue of orders allows, so that copies do not expire before they are needed.
+        """
         rows = len({(move.session.row, move.whither) for move in certain} - self.planner.held.keys())
         bounds = self.bounds
         pace = max(0.1, min(bounds.fetches_ps, bounds.pace_ps * max(1, heard)))
--- a/fawnwharf/foresight/kept.py
+++ b/fawnwharf/foresight/kept.py
@@ -1,8 +1,8 @@
-"""A table in the order of last use. Pure.
+"""A map in order of last use, built to be cheap for the garbage collector. Pure.
 
-Made of dicts of some hundred entries in a row, as neither an OrderedDict nor one dict would do: the collector
-of garbage walks all of the first, and the first entry of the second is found only past all that were taken
-out before it. Keys and values that are not seen by the collector leave nothing for it to walk here.
+It is made of dicts of about a thousand entries each, because neither an OrderedDict nor a single dict would
+do: the collector walks all of the former, and finding the first entry of the latter means skipping all that
+were removed before it. Keys and values that the collector does not track leave it nothing to walk here.
 """
 
 from collections.abc import Iterator
@@ -13,7 +13,7 @@
 
 
 class Marked(Protocol):
-    """What is kept: `mark` is the table's."""
+    """A value of the map; `mark` belongs to the map and tells the dict that the entry is in."""
 
     mark: int
 
@@ -23,6 +23,8 @@
 
 
 class Kept(Generic[Key, Value]):
+    """The map: the least recently used entry comes first."""
+
     def __init__(self) -> None:
         self._all: dict[Key, Value] = {}
         self._rows: dict[int, dict[Key, Value]] = {0: {}}
@@ -35,17 +37,18 @@
         return key in self._all
 
     def __iter__(self) -> Iterator[Key]:
-        """Not used for longest first."""
+        """Keys, the least recently used first."""
         return chain.from_iterable(self._rows.values())
 
     def __getitem__(self, key: Key) -> Value:
         return self._all[key]
 
     def get(self, key: Key) -> Value | None:
+        """The value of a key, or None; this is no use of it."""
         return self._all.get(key)
 
     def use(self, key: Key, value: Value) -> None:
-        """It is the last one used, be it new or not."""
+        """Make the entry, new or not, the one most recently used."""
         if key in self._all:
             self._out(key, value)
         else:
@@ -57,17 +60,18 @@
         row[key], value.mark = value, self._last
 
     def pop(self, key: Key) -> Value | None:
+        """Remove an entry and return its value; None where there is none."""
         value = self._all.pop(key, None)
         if value is not None:
             self._out(key, value)
         return value
 
     def oldest(self) -> Key | None:
-        """The one not used for longest."""
+        """The key least recently used; None for an empty map."""
         return next(iter(self), None)
 
     def latest(self, most: int) -> dict[Key, None]:
-        """Those used last, the last one first."""
+        """At most `most` keys, the most recently used first."""
         rows = (reversed(row) for row in reversed(self._rows.values()))
         return dict.fromkeys(islice(chain.from_iterable(rows), most))
 
--- a/fawnwharf/foresight/known.py
+++ b/fawnwharf/foresight/known.py
@@ -1,8 +1,8 @@
-"""What one front end knows that a look at stages rests on: scorers, copies, functions, the ration.
+"""What one front end knows of scorers, copies and functions, as far as prefetching needs it. Pure.
 
-Pure; times are handed in, milliseconds of the monotonic clock. Scorers are the module's numbers. Hash order,
-warmth, the cold budget and the ration are the module's own functions, run on a roster and arrivals alone: it
-has no calls here, and nothing of it is written a second time.
+Times are milliseconds of the monotonic clock and are handed in. Scorers are named by the decision module's
+numbers. Hash order, slow start, its limit and the load rate limit are computed by the decision module's own
+functions on a roster and on arrivals alone, so that none of it is written twice.
 """
 
 from dataclasses import replace
@@ -25,7 +25,10 @@
 
 
 class Scorers(Router):
-    """The module, told of the roster and of arrivals and orders by number: no call ever comes to it."""
+    """The decision module, fed with the roster and with the number of arrivals and orders.
+
+    No call ever comes to it.
+    """
 
     def __init__(self, site: io.Settings) -> None:
         super().__init__(replace(site, quotas_rps=dict(site.quotas_rps), classes=dict(site.classes)), 0)
@@ -33,7 +36,10 @@
         self._rests: dict[int, float] = {}
 
     def roster(self, now_ms: float, behind_ms: float, told: io.RosterChanged) -> None:
-        """`behind_ms` is this clock less the Unix time by which scorers say since when they are up."""
+        """Take a change of the roster.
+
+        `behind_ms` is this clock less the Unix time in which scorers tell their start.
+        """
         entries = [
             replace(e, up_since_ms=None if e.up_since_ms is None else e.up_since_ms + behind_ms)
             for e in told.entries
@@ -41,23 +47,26 @@
         self.handle(now_ms, [io.RosterChanged(entries, told.complete)])
 
     def at(self, now_ms: float) -> None:
-        """The moment that is asked for from now on."""
+        """Set the moment that later questions are about."""
         self.handle(now_ms, [])
         self._ration_left()  # what is past its window goes
         self._rests = {worker: until for worker, until in self._rests.items() if until > now_ms}
 
     def arrived(self, now_ms: float) -> None:
+        """Count an arrival for the load rate limit."""
         self.taken.append(now_ms)
 
     def rest(self, now_ms: float, worker: int) -> None:
+        """Give no prefetch order to a scorer for `RESTS_MS`: it was full, or failed."""
         self._rests[worker] = now_ms + RESTS_MS
 
     def zone(self, worker: int) -> str:
+        """The zone of a scorer; empty where it is unknown."""
         found = self.workers.get(worker)
         return found.entry.zone if found else ""
 
     def takes(self, worker: int) -> Worker | None:
-        """Where it may be given something new."""
+        """The scorer if it may be given something new, else None."""
         found = self.workers.get(worker)
         return found if found and found.takes_new() else None
 
@@ -66,17 +75,21 @@
         return sorted({worker.entry.zone for worker in self.ready})
 
     def units(self, site: str | None = None) -> float:
+        """Capacity units of the scorers that take calls, in one zone or in all."""
         return sum(worker.entry.units for worker in self.ready if site is None or worker.entry.zone == site)
 
     def order(self, row: str, site: str) -> list[int]:
-        """Scorers of a site as calls of a function look for its copies: the module's hash order."""
+        """The scorers of a zone in the hash order in which a function's calls look for copies."""
         if row not in self._kept and len(self._kept) >= ORDERS_MOST:
             self._kept.clear()
         fn = self._kept.setdefault(row, Function(row, "", 1, None, mark(row)))
         return [w.id for w in self._ordered(fn) if w.entry.zone == site and w.id not in self._rests]
 
     def cold_room(self, worker: int) -> float:
-        """Loads that a scorer may be given now: one within the module's budget for one that is cold."""
+        """Loads that a scorer may be given now.
+
+        Infinite, or at most one within its limit while in slow start.
+        """
         found = self.takes(worker)
         if found is None:
             return 0.0
@@ -85,15 +98,18 @@
         return 1.0 if self._within_cold_budget(found) else 0.0
 
     def gave(self, now_ms: float, worker: int) -> None:
-        """A call or a load was given to it: what is cold takes few."""
+        """Count a call or load that was given to a scorer, if it is in slow start."""
         found = self.takes(worker)
         if found and self._warmth(found) < 1.0:
             found.sent.append(now_ms)
 
     def ration(self, orders: float | None, told: int) -> tuple[float, float]:
-        """What the module's ration leaves, and would if no order had been given. `orders` are those of its
-        window as the module counted them; where nobody says, every answer to an order or a question, which
-        is more. `told`: ordered here and not yet counted there."""
+        """What the load rate limit leaves now, and would leave if no order had been given.
+
+        `orders` are the orders of the window as the decision module counted them; where it did not say, every
+        answer to an order or a probe counts, which is more. `told` were ordered here and are not counted
+        there yet.
+        """
         settings = self.settings
         if settings.load_window_ms <= 0:
             return float("inf"), float("inf")
@@ -102,7 +118,7 @@
         return most - (len(self.ordered) if orders is None else orders) - told, most
 
     def rate_ps(self) -> float:
-        """Own arrivals a second, over the window of the ration."""
+        """Own arrivals a second, over the window of the load rate limit."""
         return 1_000.0 * len(self.taken) / max(1.0, self.stretch_ms)
 
 
@@ -111,7 +127,7 @@
 
 
 class Told(Struct, frozen=True, array_like=True, gc=False):
-    """What a front end tells of a function."""
+    """What a front end tells the others of a function."""
 
     row: Text
     class_name: Text
@@ -133,7 +149,7 @@
 
 
 class Functions:
-    """Of each function what calls and answers told: those heard of last, `most` of them."""
+    """What calls and answers told of each function; the `most` functions heard of last are kept."""
 
     def __init__(self, most: int, tell_ms: float = 60_000.0) -> None:
         self.most, self.tell_ms = most, tell_ms
@@ -145,6 +161,7 @@
         return len(self._facts)
 
     def arrived(self, now_ms: float, event: io.RequestArrived) -> None:
+        """Take what a call's arrival tells of its function."""
         fact = self._fact(event.function, event.class_name, max(1, event.lanes))
         fact.class_name, fact.lanes, fact.own = event.class_name, min(1_024, max(1, event.lanes)), True
         if event.memory_mb is not None:
@@ -156,17 +173,19 @@
             self._due[event.function] = None
 
     def ran(self, row: str, took_ms: float) -> None:
+        """Take the duration of a run, in milliseconds."""
         if (fact := self._facts.get(row)) is not None:
             fact.run_ms = _toward(fact.run_ms, took_ms)
             self.run_ms = _toward(self.run_ms, took_ms)
 
     def loaded(self, row: str, took_ms: float) -> None:
+        """Take the duration of a load, in milliseconds."""
         if (fact := self._facts.get(row)) is not None:
             fact.load_ms = _toward(fact.load_ms, took_ms)
             self.load_ms = _toward(self.load_ms, took_ms)
 
     def heard(self, told: Told) -> None:
-        """Others' word of a function; what was seen here goes before it."""
+        """Take what another front end tells of a function; what was seen here has priority."""
         fact = self._fact(told.row, told.class_name, max(1, told.lanes))
         if not fact.own:
             fact.class_name, fact.lanes = told.class_name, max(1, told.lanes)
@@ -175,7 +194,7 @@
                 setattr(fact, name, getattr(told, name))
 
     def last(self, most: int) -> list[Told]:
-        """Those heard of last, the last one in the end."""
+        """At most `most` functions heard of last, the latest at the end."""
         return [self._tell(row) for row in reversed(self._facts.latest(most))]
 
     def _tell(self, row: str) -> Told:
@@ -183,7 +202,7 @@
         return Told(row, fact.class_name, fact.lanes, fact.memory_mb, fact.load_ms, fact.run_ms)
 
     def tells(self, now_ms: float, most: int) -> tuple[Told, ...]:
-        """What is to be told now; the rest follows."""
+        """What is to be told to others now; the rest follows in later calls."""
         found = []
         while self._due and len(found) < most:
             row = next(iter(self._due))
@@ -195,7 +214,10 @@
         return tuple(found)
 
     def facts(self, row: str) -> Facts | None:
-        """None where nobody told its class. What was not told is the mean of those that were: a guess."""
+        """What is known of a function; None where nobody told its class.
+
+        What was not told is guessed as the mean of the functions that did.
+        """
         fact = self._facts.get(row)
         if fact is None:
             return None
@@ -228,8 +250,10 @@
 
 
 class Copies:
-    """Which functions stand at which sites, by answers and by others' words: those seen last. What nobody
-    used or renewed for an idle life is held to be gone."""
+    """Where copies of functions stand, by answers and by other front ends' messages.
+
+    The places seen last are kept. What nobody used or refreshed for an idle life counts as expired.
+    """
 
     def __init__(self, scorers: Scorers, functions: Functions, idle_ms: float) -> None:
         self.scorers, self.functions, self.idle_ms = scorers, functions, idle_ms
@@ -240,7 +264,7 @@
         return sum(map(len, self._sites.values()))
 
     def seen(self, now_ms: float, row: str, worker: int, copies: int) -> None:
-        """An answer told of copies at a scorer: none, or so many."""
+        """Take an answer that told how many copies stand at a scorer."""
         site = self.scorers.zone(worker)
         if copies <= 0:
             place = self._sites[site].get(row) if site in self._sites else None
@@ -253,7 +277,7 @@
         self._count(row, site, place)
 
     def used(self, now_ms: float, row: str, site: str, worker: int | None = None) -> None:
-        """A call ran there; None: others know at which scorer."""
+        """Take a call that ran in a zone; `worker` is None where only others know at which scorer."""
         place = self._place(now_ms, row, site)
         if worker is not None:
             place.copies[worker] = max(1, place.copies.get(worker, 0))
@@ -263,6 +287,7 @@
         self._count(row, site, place)
 
     def standing(self, now_ms: float, row: str, site: str) -> int:
+        """The number of copies that are held to stand in a zone."""
         place = self._sites[site].get(row) if site in self._sites else None
         if place is None or now_ms - place.at_ms > self.idle_ms:
             return 0
@@ -274,10 +299,11 @@
         return max(able, int(now_ms - place.used_ms <= self.idle_ms))
 
     def held_mb(self, site: str) -> float:
+        """Memory that copies in a zone take, in megabytes, as far as is known."""
         return self._held_mb.get(site, 0.0)
 
     def sweep(self, now_ms: float, most: int = 200) -> bool:
-        """Forgets what has lapsed, some of it at a time; True: there may be more."""
+        """Forget at most `most` expired places; True where there may be more."""
         gone = 0
         for site, rows in self._sites.items():
             while (row := rows.oldest()) is not None and now_ms - rows[row].at_ms > self.idle_ms:
--- a/fawnwharf/foresight/memory.py
+++ b/fawnwharf/foresight/memory.py
@@ -1,9 +1,10 @@
-"""What one process has learnt, for the one that takes its place on its machine. Pure: bytes out, and back.
+"""Hands what one process has learnt to its successor on the same machine. Pure: bytes out, and back.
 
-Handed over: past moves, stays and ends of life by tenant, the predictors' scores, what is known of functions.
-Not: counters and sessions (a life's own; they come back with the next calls), plans (announced anew), what is
-staged (it stands, unused it lapses), and fluxes of the last seconds. Times are of the monotonic clock, which
-is the same for all processes of one machine until it starts anew; then nothing of it is taken.
+Included: past moves, stays and session ends by tenant, the predictors' scores, what is known of functions.
+Left out: counters and sessions, which belong to one incarnation and come back with the next calls; plans,
+which are announced anew; prefetched copies, which stand and expire if unused; the flux of the last seconds.
+Times are of the monotonic clock, which is the same for all processes of one machine until it reboots; after
+that nothing is taken.
 """
 
 import msgspec
@@ -21,6 +22,8 @@
 
 
 class Memory(Struct):
+    """What is handed over; `at_ms` is when it was written."""
+
     version: int
     at_ms: float
     day_ms: float
@@ -33,6 +36,7 @@
 
 
 def learnt(now_ms: float, core: Foresight, functions: Functions) -> bytes:
+    """Encode what `core` and `functions` have learnt, within the bounds on rows and functions."""
     moves, stays, ages = core.learnt.past.rows(now_ms, ROWS_MOST)
     scores = {}
     for name, sums in core.scores.sums.items():
@@ -46,7 +50,10 @@
 
 
 def take(now_ms: float, data: bytes, core: Foresight, functions: Functions) -> bool:
-    """False where it is no memory, of another version, of other days, or of before the machine started."""
+    """Take what an earlier process handed over; False where it can't be used.
+
+    That is so where it is malformed, of another version, of other day settings, or from before a reboot.
+    """
     if len(data) > SIZE_MOST:
         return False
     try:
--- a/fawnwharf/foresight/messages.py
+++ b/fawnwharf/foresight/messages.py
@@ -1,5 +1,7 @@
-"""What foresight tells and is told, beyond what `sites` has. Values alone; milliseconds of the monotonic
-clock of whoever tells, and never compared with another machine's."""
+"""Messages and results of the prefetcher, beyond those in `sites`. Values alone.
+
+Times are milliseconds of the sender's monotonic clock and are never compared with another machine's.
+"""
 
 from collections.abc import Collection
 from typing import Annotated, Literal, Protocol
@@ -13,7 +15,7 @@
 
 
 class Count(Struct, frozen=True, array_like=True, gc=False):
-    """Calls of a session at a site that one owner saw, since the word of the number `since`."""
+    """Calls of a session at a zone that one owner counted since its message with the number `since`."""
 
     session: Session
     site: Text
@@ -22,23 +24,28 @@
 
 
 class Word(Struct, frozen=True):
-    """Counters of one owner that rose since its word before; each stands for itself, so a lost word is made
-    good by the next one that names the same session."""
+    """Counters of one owner that rose since its last message.
+
+    Each entry is the counter's value, so that a lost message is made up for by the next one with that
+    session.
+    """
 
     number: Annotated[int, Meta(ge=1, le=1 << 31)]
     counts: Annotated[tuple[Count, ...], Meta(max_length=ENTRIES_MOST)] = ()
 
 
 class Step(Struct, frozen=True):
-    """From then on so much of a site is open. `in_ms` is from when the plan is told."""
+    """From `in_ms` after the plan was told, this part of a zone is open."""
 
     in_ms: Span
     open: Part
 
 
 class Announced(Struct, frozen=True):
-    """What is to become of a site: a drain, a return in steps, or that it stands by. A later plan of the same
-    site has a larger number; one without steps takes back what was said."""
+    """What is to become of a zone: a drain, a return in steps, or standby.
+
+    A later plan of the same zone has a larger number; one without steps cancels what was announced.
+    """
 
     site: Text
     number: Number
@@ -47,15 +54,17 @@
 
 
 class Order(Struct, frozen=True):
-    """A stage, and the scorers that are to hold a copy each, in the order in which its calls will look."""
+    """A prefetch order, and the scorers that are to load a copy each.
+
+    They come in the order in which calls will look.
+    """
 
     stage: Stage
     scorers: tuple[Text, ...]
 
 
 class Moved(Struct, frozen=True, gc=False):
-    """A session's calls are found at another site than before, first at `at_ms`: a move is sure only
-    later."""
+    """A session's calls are found at another zone than before, first at `at_ms`."""
 
     session: Session
     whence: Text
@@ -64,7 +73,7 @@
 
 
 class Ended(Struct, frozen=True, gc=False):
-    """A session was still for so long that it is over."""
+    """A session had no calls for so long that it counts as over; `age_ms` is how long it lasted."""
 
     session: Session
     site: Text
@@ -72,14 +81,14 @@
 
 
 class Calls(Protocol):
-    """Of a session at a site."""
+    """The calls of a session at a zone."""
 
     session: Session
     site: str
 
 
 class Beat(Struct, frozen=True):
-    """What came of one look at the counters."""
+    """The result of one pass over the counters."""
 
     moved: tuple[Moved, ...] = ()
     ended: tuple[Ended, ...] = ()
--- a/fawnwharf/foresight/past.py
+++ b/fawnwharf/foresight/past.py
@@ -1,8 +1,8 @@
-"""What is remembered of past moves and ends: decaying counts, bounded.
+"""History of moves and session ends as decaying counts, bounded in size. Pure.
 
-Pure. Moves by tenant, pair of sites and phase of a day that repeats on the monotonic clock, with the time
-that sessions stood at risk (occurrence and exposure, as in survival analysis); ends by tenant and age. A
-process that starts knows nothing of it, and of phases nothing but what it sees.
+Moves are counted by tenant, pair of zones and phase of a day that repeats on the monotonic clock, together
+with the time that sessions were at risk (occurrence and exposure, as in survival analysis); ends are counted
+by tenant and age. A process starts with an empty history, and knows only the phases that it has seen.
 """
 
 import heapq
@@ -25,7 +25,7 @@
 
 
 class Past:
-    """Hazards of moves, and chances that sessions live on."""
+    """Estimates hazards of moves, and the chance that a session lives on, from the history."""
 
     def __init__(self, settings: Foresight) -> None:
         self.settings = settings
@@ -36,14 +36,16 @@
         self._last_ms: float | None = None
 
     def phase(self, now_ms: float) -> int:
+        """The phase of the day at a moment, from 0 on."""
         day = self.settings.day_ms
         return int((now_ms % day) / day * self.settings.phases) % self.settings.phases
 
     def learn(self, now_ms: float, watch: Watcher, beat: m.Beat) -> None:
-        """What one look has shown."""
+        """Take the result of one pass."""
         drained(self.learning(now_ms, watch, beat))
 
     def learning(self, now_ms: float, watch: Watcher, beat: m.Beat) -> Slices[None]:
+        """The same as `learn`, in slices."""
         span = 0.0 if self._last_ms is None else min(now_ms - self._last_ms, 10 * self.settings.beat_ms)
         self._last_ms = now_ms
         phase = self.phase(now_ms)
@@ -69,8 +71,10 @@
             self._age(now_ms, ended.session.org, ended.age_ms, 1.0, 0.0)
 
     def hazards(self, now_ms: float, org: str, site: str, span_ms: float) -> dict[str, float]:
-        """Expected moves of a session of this tenant at this site within a span, by whither (a cumulative
-        hazard; the chance of one move is 1 - exp(-sum))."""
+        """Expected moves within a span of a session of this tenant at this zone, by destination.
+
+        These are cumulative hazards: the chance of one move at least is 1 - exp(-sum).
+        """
         found: dict[str, float] = {}
         width = self.settings.day_ms / self.settings.phases
         at, end = now_ms, now_ms + min(span_ms, self.settings.day_ms)
@@ -89,7 +93,7 @@
         return found
 
     def ending(self, now_ms: float, org: str, age_ms: float) -> float:
-        """Ends a millisecond of sessions of that age (constant within its doubling)."""
+        """The rate of ends, per millisecond, of sessions of that age; constant within a doubling of age."""
         row = self._ages.get((org, _doubling(age_ms)))
         if row is None:
             return 0.0
@@ -97,10 +101,12 @@
         return ends / (exposed + PRIOR_MS)
 
     def lives(self, now_ms: float, session: Session, track: Track, span_ms: float) -> float:
-        """The chance that a session is alive, though it was silent of late, and calls on for a span.
+        """The chance that a session is alive although it was silent of late, and goes on calling for a span.
 
-        With calls at a rate r and ends at a rate e, of the sessions that are silent for x those alive are
-        exp(-(r + e) x) to e / (r + e) (1 - exp(-(r + e) x)) (as in Schmittlein et al. 1987)."""
+        With calls at rate r and ends at rate e, the sessions that are silent for x and alive relate to those
+        that have ended as exp(-(r + e) x) to e / (r + e) (1 - exp(-(r + e) x)) (as in Schmittlein et al.
+        1987).
+        """
         ends = self.ending(now_ms, session.org, track.last_ms - track.began_ms)
         if ends <= 0.0:
             return 1.0
@@ -110,7 +116,7 @@
         return alive * math.exp(-span_ms * ends)
 
     def rows(self, now_ms: float, most: int) -> tuple[list[Move], list[Stay], list[Age]]:
-        """What is held, faded to now: the largest of each, so many."""
+        """The history decayed to now, at most `most` rows of each table, the largest ones."""
         moves = [
             (*key, whither, self._now(count, now_ms))
             for key, row in self._moves.items()
@@ -125,7 +131,7 @@
         return tuple(largest)
 
     def take(self, at_ms: float, moves: list[Move], stays: list[Stay], ages: list[Age]) -> None:
-        """What another process held at that moment of this clock, for one that has learnt nothing yet."""
+        """Take the history of another process, as of `at_ms` of this clock, into an empty one."""
         for org, site, phase, whither, count in moves:
             self._row(self._moves, (org, site, phase), {})[whither] = [count, at_ms]
         for org, site, phase, stay_ms in stays:
--- a/fawnwharf/foresight/planner.py
+++ b/fawnwharf/foresight/planner.py
@@ -1,8 +1,9 @@
-"""What is staged for moves that are expected: ranked by worth for its cost, under four budgets.
+"""Plans prefetch orders: ranks expected moves by value for price, within four budgets. Pure.
 
-Pure; a greedy knapsack over what is handed in. One front end orders for a function at a site, by rendezvous
-hash over those that are heard (Thaler and Ravishankar 1998): when it is gone, the next one stands in. Two
-that hear different ones may both order, which costs an order, as copies that stand count for it.
+A greedy knapsack over what is handed in. For each function and zone one front end orders, chosen by
+rendezvous hashing over those that are heard (Thaler and Ravishankar 1998); when it is gone, the next one
+takes over. Two that hear different members may both order, which costs one order, as copies that stand are
+counted.
 """
 
 import math
@@ -10,42 +11,21 @@
 from dataclasses import dataclass, field
 
 from fawnwharf.foresight import messages as m
+from fawnwharf.foresight.budgets import Bucket, View, orderer, parts
 from fawnwharf.foresight.score import Scores
 from fawnwharf.foresight.settings import Foresight, Prices
 from fawnwharf.foresight.slices import Slices, drained
 from fawnwharf.foresight.worth import Facts, cost, fetched, loss, mean_worth
 from fawnwharf.interface import Settings
-from fawnwharf.replication.placement import weight
 from fawnwharf.sites import LetGo, Move, Session, Stage
 
-BURST_S = 2.0  # of the fleet's fetches, and of the own pace
 HELD_MOST = 4_096  # stages of one front end
 AWAY_MS = 500.0  # a stage's load may end so much before its calls come
 RESTS_MOST = 20_000
+SPAN_MOST_MS = 3_600_000.0  # of an order: what the message may say
 CALLED, WISHES, ORDERS_MOST = 400, 12, 64  # of one slice; hash orders worked out at one look
 
 
-@dataclass(slots=True)
-class View:
-    """What a front end sees at a look. Functions are asked for what they say only of what may be staged."""
-
-    me: str
-    heard: Sequence[str]  # front ends that are heard, this one among them
-    calm: bool  # no surge: no calls beyond what is usual wait, none are refused
-    disturbed: frozenset[str]  # sites that were lost, or power up
-    ration: float  # orders to load that the module's ration leaves now; infinite where there is none
-    ration_most: float  # and would leave if none had been given
-    waiting: int  # calls that wait for a load now
-    facts: Callable[[str], Facts | None]  # of a function; None: not known
-    order: Callable[[str, str], Sequence[str]]  # function, site: scorers as its calls will look
-    cold_room: Callable[[str], float]  # loads that a scorer may take now, beside its calls: infinite if warm
-    spare_mb: Callable[[str], float]  # memory that a site can give to stages, copies staged before not in it
-    standing: Callable[[str, str], int]  # function, site: copies that stand or load
-    memory_mb: float = 1e6  # of the fleet
-    mean_ps: float = 1.0  # calls a second of the fleet
-    pushes_out: Callable[[str], float] = lambda _site: 0.0  # the part of a copy in use that a stage displaces
-
-
 @dataclass(slots=True)
 class _Held:
     until_ms: float
@@ -58,27 +38,9 @@
     renewed: int = 0
 
 
-@dataclass(slots=True)
-class Bucket:
-    """A token bucket that is full at the start."""
-
-    rate_ps: float
-    tokens: float = -1.0
-    at_ms: float = 0.0
-
-    def left(self, now_ms: float) -> float:
-        most = max(1.0, self.rate_ps * BURST_S) if self.rate_ps > 0 else 0.0
-        if self.tokens < 0:
-            self.tokens = most
-        else:
-            self.tokens = min(most, self.tokens + self.rate_ps * max(0.0, now_ms - self.at_ms) / 1000.0)
-        self.at_ms = now_ms
-        return self.tokens
-
-
 @dataclass(slots=True)
 class _Wish:
-    """Moves to one site that one function's copies would serve."""
+    """Expected moves to one zone that copies of one function would serve."""
 
     moves: list[Move] = field(default_factory=list)
 
@@ -90,24 +52,29 @@
         return 1.0 - math.prod(1.0 - chance for chance in best.values())
 
 
-def orderer(row: str, site: str, heard: Sequence[str]) -> str:
-    """The front end that orders for a function at a site."""
-    return max(heard, key=lambda name: (weight("stage", name, row, site), name))
+@dataclass(slots=True)
+class _Candidate:
+    """Copies that are worth ordering, with their value for the price."""
 
+    value: float
+    copies: int
+    held: _Held
+    key: tuple[str, str]  # function, zone
+    chance: float
 
-def parts(view: View, fleet_size: int) -> float:
-    """Front ends that share the fleet's fetches: those that are heard, or all where they are half or
-    less, so that both sides of a cut together fetch no more than the fleet may, or little more."""
-    return shared(len(view.heard), fleet_size)
 
+@dataclass(slots=True)
+class _Budgets:
+    """What is left of the four budgets within one pass."""
 
-def shared(heard: int, fleet_size: int) -> float:
-    fleet = max(1, fleet_size)
-    return float(heard if 2 * heard > fleet else fleet)
+    fetches: float
+    orders: float  # of the load rate limit
+    spare_mb: dict[str, float] = field(default_factory=dict)  # by zone
+    cold_room: dict[str, float] = field(default_factory=dict)  # by scorer
 
 
 class Planner:
-    """A front end's: its orders, what it holds, what was not used."""
+    """Owns the orders of one front end, the copies it has had loaded, and their use."""
 
     def __init__(self, settings: Foresight, site: Settings, prices: Prices, scores: Scores) -> None:
         self.settings, self.site, self.prices, self.scores = settings, site, prices, scores
@@ -122,21 +89,25 @@
         self._mean = mean_worth(site.classes)
 
     def go_by(self, settings: Foresight) -> None:
-        """Others of the same shape, from now on."""
+        """Use other settings of the same shape from now on."""
         self.settings, self._fleet.rate_ps = settings, settings.fetches_ps
 
     def shares(self, calls: dict[str, float]) -> None:
-        """How many calls of each class there were, for the mean worth."""
+        """Take the number of calls by class, for the mean worth of a call."""
         self._mean = mean_worth(self.site.classes, calls) if sum(calls.values()) > 0 else self._mean
 
     def _skip(self, cause: str) -> None:
         self.skipped[cause] = self.skipped.get(cause, 0) + 1
 
     def seen(self, now_ms: float, beat: m.Beat) -> list[LetGo]:
-        """Marks stages that are used, and lets those go that are over; their predictors earn or pay."""
+        """Mark prefetched copies that are used, and release those whose time is over.
+
+        Predictors are scored.
+        """
         return drained(self.marking(now_ms, beat))
 
     def marking(self, now_ms: float, beat: m.Beat) -> Slices[list[LetGo]]:
+        """The same as `seen`, in slices."""
         for n, calls in enumerate(beat.called if self.held else ()):
             if n % CALLED == CALLED - 1:
                 yield
@@ -157,30 +128,46 @@
     def step(
         self, now_ms: float, moves: Sequence[Move], view: View, rate_ps: Callable[[Session], float]
     ) -> list[m.Order | LetGo]:
-        """The orders of this look, and what is let go. `rate_ps` tells a session's calls a second."""
+        """The orders of this pass, and the copies that are released.
+
+        `rate_ps` gives a session's calls a second.
+        """
         return drained(self.planning(now_ms, moves, view, rate_ps))
 
     def planning(
         self, now_ms: float, moves: Sequence[Move], view: View, rate_ps: Callable[[Session], float]
     ) -> Slices[list[m.Order | LetGo]]:
-        found: list[m.Order | LetGo] = []
+        """The same as `step`, in slices."""
+        self._note_disturbances(now_ms, view)
+        found: list[m.Order | LetGo] = [*self._release_for_calls(now_ms, view)]
+        if now_ms < self._quiet_ms:
+            self._skip("not calm")
+            return found
+        yield
+        wishes = yield from self._wishes(moves)
+        candidates = yield from self._rank(now_ms, wishes, view, rate_ps)
+        return found + (yield from self._take(now_ms, candidates, view))
+
+    def _note_disturbances(self, now_ms: float, view: View) -> None:
         for site in view.disturbed:
             self._disturbed[site] = now_ms
         self._disturbed = {s: t for s, t in self._disturbed.items() if now_ms - t < self.settings.quiet_ms}
         if not view.calm:
             self._quiet_ms = now_ms + self.settings.quiet_ms
-        # Foresight yields first: what it holds unused makes room for calls that wait now.
-        hushed = now_ms < self._quiet_ms
+
+    def _release_for_calls(self, now_ms: float, view: View) -> list[LetGo]:
+        """Unused copies that make room for calls: all of them in a surge, else those at disturbed zones."""
+        found = []
         for key in list(self.held):
             if not view.calm or key[1] in view.disturbed:
                 self._settle(now_ms, key, 0.0)  # nobody's fault
                 self._rest(now_ms, key)
                 found.append(LetGo(*key))
-        if hushed:
-            self._skip("not calm")
-            return found
+        return found
+
+    def _wishes(self, moves: Sequence[Move]) -> Slices[dict[tuple[str, str], _Wish]]:
+        """The moves by function and zone, without those to disturbed zones."""
         wishes: dict[tuple[str, str], _Wish] = {}
-        yield
         for n, move in enumerate(moves):
             if n % CALLED == CALLED - 1:
                 yield
@@ -188,15 +175,25 @@
                 self._skip("a disturbed site")
             else:
                 wishes.setdefault((move.session.row, move.whither), _Wish()).moves.append(move)
-        ranked = []
+        return wishes
+
+    def _rank(
+        self,
+        now_ms: float,
+        wishes: dict[tuple[str, str], _Wish],
+        view: View,
+        rate_ps: Callable[[Session], float],
+    ) -> Slices[list[_Candidate]]:
+        """What is worth ordering, the best value for the price first."""
+        candidates = []
         for n, (key, wish) in enumerate(wishes.items()):
             if n % WISHES == WISHES - 1:
                 yield
-            weighed = self._weigh(now_ms, key, wish, view, rate_ps)
-            if weighed is not None:
-                ranked.append((*weighed, key, wish))
-        ranked.sort(key=lambda item: (-item[0], item[3]))
-        return found + (yield from self._take(now_ms, ranked, view))
+            candidate = self._weigh(now_ms, key, wish, view, rate_ps)
+            if candidate is not None:
+                candidates.append(candidate)
+        candidates.sort(key=lambda one: (-one.value, one.key))
+        return candidates
 
     def _weigh(
         self,
@@ -205,117 +202,163 @@
         wish: _Wish,
         view: View,
         rate_ps: Callable[[Session], float],
-    ) -> tuple[float, float, _Held] | None:
-        """(worth for its price, copies, what would be held), or None where it is not worth staging."""
+    ) -> _Candidate | None:
+        """What to order for a wish; None where this front end has nothing to order, or it is not worth it."""
         row, site = key
         facts = view.facts(row)
         spec = self.site.classes.get(facts.class_name) if facts else None
         if facts is None or spec is None:
             return self._skip("an unknown function")
-        if orderer(row, site, view.heard) != view.me:
-            return None
         old = self.held.get(key)
-        if old is not None:
-            soon = old.until_ms - now_ms <= 2 * self.settings.beat_ms
-            if not soon or old.renewed >= self.settings.renewals:
-                return None
+        if orderer(row, site, view.heard) != view.me or not self._due(now_ms, old):
+            return None
         chance = wish.chance
-        within = max(move.within_ms for move in wish.moves)
-        life = max(self.site.idle_life_ms, facts.load_ms)
         rate = sum({move.session: move.chance * rate_ps(move.session) for move in wish.moves}.values())
-        needed = max(1, math.ceil(rate * facts.run_ms / 1000.0 / max(1, facts.lanes)))
         standing = view.standing(row, site)
+        needed = max(1, math.ceil(rate * facts.run_ms / 1000.0 / max(1, facts.lanes)))
         copies = min(self.settings.copies, needed) - (0 if old is not None else standing)
         if copies < 1:
             return None
         gain = loss(spec, facts, rate / max(chance, 1e-9), self.settings.slack) / self._mean
-        idle = min(within, life)
-        price = copies * cost(
+        if old is not None and standing >= copies:
+            price = copies * self.prices.probe  # what it was fetched for is spent either way
+        else:
+            price = copies * self._price(wish, facts, chance, site, view)
+        if not self._pays(now_ms, key, chance, chance * gain, price):
+            return self._skip("not worth it")
+        held = self._held_for(now_ms, wish, facts, copies, gain)
+        if old is not None:
+            held.renewed, held.price = old.renewed + 1, old.price + copies * self.prices.probe
+        return _Candidate(chance * gain / max(price, 1e-6), copies, held, key, chance)
+
+    def _due(self, now_ms: float, old: _Held | None) -> bool:
+        """Whether to order copies: none are held, or they are to be refreshed, `renewals` times at most."""
+        if old is None:
+            return True
+        soon = old.until_ms - now_ms <= 2 * self.settings.beat_ms
+        return soon and old.renewed < self.settings.renewals
+
+    def _life_ms(self, facts: Facts) -> float:
+        return max(self.site.idle_life_ms, facts.load_ms)
+
+    def _price(self, wish: _Wish, facts: Facts, chance: float, site: str, view: View) -> float:
+        """The price of one copy."""
+        idle_ms = min(max(move.within_ms for move in wish.moves), self._life_ms(facts))
+        return cost(
             self.settings,
             self.prices,
             facts,
             chance,
-            idle,
+            idle_ms,
             view.memory_mb,
             view.pushes_out(site),
             view.mean_ps,
         )
-        if old is not None and standing >= copies:
-            price = copies * self.prices.probe  # what it was fetched for is spent either way
-        worth = chance * gain
-        # Hysteresis: what was let go here of late has to be worth more than what was never tried.
+
+    def _pays(self, now_ms: float, key: tuple[str, str], chance: float, worth: float, price: float) -> bool:
+        """Whether the worth exceeds the price.
+
+        Hysteresis: what was released here of late has to be worth more than what was never tried.
+        """
         again = now_ms < self._rests.get(key, -math.inf)
-        if worth <= price * (self.settings.hysteresis if again else 1.0) or (again and chance < 0.5):
-            return self._skip("not worth it")
+        if again and chance < 0.5:
+            return False
+        return worth > price * (self.settings.hysteresis if again else 1.0)
+
+    def _held_for(self, now_ms: float, wish: _Wish, facts: Facts, copies: int, gain: float) -> _Held:
+        """What is held once the copies are ordered; the predictors share it by their parts of the chance."""
         by: dict[str, float] = {}
         for move in wish.moves:
             by[move.by] = by.get(move.by, 0.0) + move.chance
         total = sum(by.values())
-        until = min(facts.load_ms + life, 3_600_000.0)
+        until = min(facts.load_ms + self._life_ms(facts), SPAN_MOST_MS)
         wasted = copies * (fetched(self.settings, self.prices, facts) + self.prices.probe)
         sessions = frozenset(move.session for move in wish.moves)
-        parts = {name: part / total for name, part in by.items()}
-        size = facts.memory_mb * copies
-        held = _Held(now_ms + until, now_ms, parts, sessions, wasted, gain, size)
-        if old is not None:
-            held.renewed, held.price = old.renewed + 1, old.price + copies * self.prices.probe
-        return worth / max(price, 1e-6), copies, held
+        shares = {name: part / total for name, part in by.items()}
+        return _Held(now_ms + until, now_ms, shares, sessions, wasted, gain, facts.memory_mb * copies)
 
-    def _take(self, now_ms: float, ranked: list, view: View) -> Slices[list[m.Order | LetGo]]:
+    def _take(
+        self, now_ms: float, candidates: Sequence[_Candidate], view: View
+    ) -> Slices[list[m.Order | LetGo]]:
+        """Orders for the candidates in their order, as far as the budgets go."""
         yield
         share = parts(view, self.site.fleet_size)
-        left = min(self._fleet.left(now_ms) / share, self._pace.left(now_ms))
-        kept = (
-            self.settings.free_part * view.ration_most + view.waiting if math.isfinite(view.ration) else 0.0
-        )
-        ration = view.ration - kept
-        spare: dict[str, float] = {}
-        room: dict[str, float] = {}
+        budgets = self._budgets(now_ms, view, share)
         found: list[m.Order | LetGo] = []
         asked = 0
-        for _, copies, held, key, wish in ranked:
-            row, site = key
+        for one in candidates:
             if len(self.held) >= HELD_MOST:
                 self._skip("too many held")
                 break
-            if min(left, ration) < copies:
-                self._skip("no fetch left" if left < copies else "no ration left")
+            if cause := self._lacks(one, budgets, view):
+                self._skip(cause)
                 continue
-            if site not in spare:
-                mine = sum(h.memory_mb for (_, at), h in self.held.items() if at == site)
-                spare[site] = view.spare_mb(site) - mine
-            more = held.memory_mb - (self.held[key].memory_mb if key in self.held else 0.0)
-            if spare[site] < more:
-                self._skip("no memory to spare")
-                continue
-            scorers = []
             if (asked := asked + 1) > ORDERS_MOST:
                 self._skip("too many hash orders")
                 break
             yield
-            for scorer in view.order(row, site):
-                if room.setdefault(scorer, view.cold_room(scorer)) >= 1.0:
-                    scorers.append(scorer)
-                if len(scorers) == copies:
-                    break
-            if len(scorers) < copies:
+            scorers = self._scorers(one, budgets, view)
+            if scorers is None:
                 self._skip("cold scorers")
                 continue
-            for scorer in scorers:
-                room[scorer] -= 1.0
-            left, ration = left - copies, ration - copies
-            self._fleet.tokens -= copies * share
-            self._pace.tokens -= copies
-            spare[site] -= more
-            self.held[key] = held
-            self._rests.pop(key, None)
-            self.ordered += copies
-            why = "+".join(sorted(held.by)) + f" {wish.chance:.2f}"
-            found.append(m.Order(Stage(row, site, copies, held.until_ms - now_ms, why), tuple(scorers)))
+            self._spend(one, scorers, budgets, share)
+            found.append(self._order(now_ms, one, scorers))
         return found
 
+    def _budgets(self, now_ms: float, view: View, share: float) -> _Budgets:
+        fetches = min(self._fleet.left(now_ms) / share, self._pace.left(now_ms))
+        kept = 0.0
+        if math.isfinite(view.ration):
+            kept = self.settings.free_part * view.ration_most + view.waiting
+        return _Budgets(fetches, view.ration - kept)
+
+    def _more_mb(self, one: _Candidate) -> float:
+        """Memory that a candidate takes beyond what is held for it already."""
+        return one.held.memory_mb - (self.held[one.key].memory_mb if one.key in self.held else 0.0)
+
+    def _lacks(self, one: _Candidate, budgets: _Budgets, view: View) -> str:
+        """Which budget has no room for a candidate; empty where all have."""
+        if min(budgets.fetches, budgets.orders) < one.copies:
+            return "no fetch left" if budgets.fetches < one.copies else "no ration left"
+        site = one.key[1]
+        if site not in budgets.spare_mb:
+            mine = sum(held.memory_mb for (_, at), held in self.held.items() if at == site)
+            budgets.spare_mb[site] = view.spare_mb(site) - mine
+        return "no memory to spare" if budgets.spare_mb[site] < self._more_mb(one) else ""
+
+    def _scorers(self, one: _Candidate, budgets: _Budgets, view: View) -> list[str] | None:
+        """The first scorers in hash order that may load a copy each; None where there are too few."""
+        found: list[str] = []
+        room = budgets.cold_room
+        for scorer in view.order(*one.key):
+            if room.setdefault(scorer, view.cold_room(scorer)) >= 1.0:
+                found.append(scorer)
+            if len(found) == one.copies:
+                return found
+        return None
+
+    def _spend(self, one: _Candidate, scorers: list[str], budgets: _Budgets, share: float) -> None:
+        for scorer in scorers:
+            budgets.cold_room[scorer] -= 1.0
+        budgets.fetches -= one.copies
+        budgets.orders -= one.copies
+        budgets.spare_mb[one.key[1]] -= self._more_mb(one)
+        self._fleet.tokens -= one.copies * share
+        self._pace.tokens -= one.copies
+
+    def _order(self, now_ms: float, one: _Candidate, scorers: list[str]) -> m.Order:
+        row, site = one.key
+        self.held[one.key] = one.held
+        self._rests.pop(one.key, None)
+        self.ordered += one.copies
+        why = "+".join(sorted(one.held.by)) + f" {one.chance:.2f}"
+        return m.Order(Stage(row, site, one.copies, one.held.until_ms - now_ms, why), tuple(scorers))
+
     def failed(self, now_ms: float, row: str, site: str) -> bool:
-        """What was ordered did not come to stand: nobody's fault, and not tried at once again."""
+        """Take that an order did not lead to a copy; False where none was held.
+
+        No predictor is charged, and it is not tried again at once.
+        """
         if (row, site) not in self.held:
             return False
         self._settle(now_ms, (row, site), 0.0)
--- a/fawnwharf/foresight/predictors.py
+++ b/fawnwharf/foresight/predictors.py
@@ -1,8 +1,8 @@
-"""Predictors of moves, behind one interface: nothing, trend, learnt, and what was announced.
+"""Predictors of session moves behind one interface: none, trend, learnt history, and announced plans. Pure.
 
-Pure. A prediction says that a session will be found at another site within a time; its chance is scored as it
-goes (`score`). None names more than `most` sessions at a look, those that call most first. What a look takes
-is done in slices, and bounded by `most` and the groups of sessions, not by the sessions.
+A prediction says that a session will be found at another zone within a time; its probability is scored
+afterwards (`score`). None names more than `most` sessions in a pass, the busiest first. The work of a pass is
+done in slices, and bounded by `most` and the number of groups, not by the number of sessions.
 """
 
 import heapq
@@ -29,28 +29,30 @@
 
 
 class Predictor(Protocol):
-    """One way to foresee moves. `name` stands in its moves and scores."""
+    """One way to predict moves; `name` is in its predictions and scores."""
 
     name: str
 
     def learn(self, now_ms: float, watch: Watcher, beat: m.Beat) -> Slices[None]:
-        """Takes what one look has shown."""
+        """Take the result of one pass."""
         ...
 
     def moves(self, now_ms: float, watch: Watcher, span_ms: float) -> Slices[list[Move]]:
-        """The moves expected within a span, with their chances."""
+        """The moves expected within `span_ms`, with their probabilities."""
         ...
 
 
 class Nothing:
-    """Nothing moves: what the others are measured by."""
+    """Predicts no move: the baseline of the others."""
 
     name = "nothing"
 
     def learn(self, now_ms: float, watch: Watcher, beat: m.Beat) -> Slices[None]:
+        """Nothing is learnt."""
         yield
 
     def moves(self, now_ms: float, watch: Watcher, span_ms: float) -> Slices[list[Move]]:
+        """No moves."""
         yield
         return []
 
@@ -69,8 +71,10 @@
     span_ms: float,
     ahead: float,
 ) -> Slices[list[Move]]:
-    """Moves by ways, the likeliest first, until there are twice as many as may be named: `past` tells which
-    sessions live for so long `ahead`."""
+    """Moves of the sessions in `ways`, the likeliest first, until there are twice as many as may be named.
+
+    `past` gives the chance that a session lives for `ahead` milliseconds more.
+    """
     found: list[Move] = []
     for chance, group, whence, whither in sorted(ways, key=lambda way: -way[0]):
         if len(found) >= 2 * settings.most:
@@ -88,7 +92,7 @@
 
 @dataclass(slots=True)
 class _Flux:
-    """Moves of a tenant from one site to another, in two fading windows."""
+    """Moves of a tenant from one zone to another, in two decaying windows."""
 
     fast: float
     slow: float
@@ -96,8 +100,11 @@
 
 
 class Trend:
-    """Rates and slope: those that stand where others have just left will follow (the flux of the fast window,
-    widened by its slope against the slow one), and a session whose share at another site rises goes there."""
+    """Predicts from recent rates and their slope.
+
+    Sessions follow others that have just left the same zone: the flux of the fast window, increased by its
+    excess over the slow one. A session whose share of calls at another zone rises goes there.
+    """
 
     name = "trend"
 
@@ -108,6 +115,7 @@
         self._called: dict[Session, None] = {}
 
     def learn(self, now_ms: float, watch: Watcher, beat: m.Beat) -> Slices[None]:
+        """Count moves, and remember which sessions called at several zones."""
         for n, moved in enumerate(beat.moved):
             if n % MOVES == MOVES - 1:
                 yield
@@ -135,6 +143,7 @@
         return _Flux(fast, flux.slow * math.exp(span / self.settings.slow_ms), now_ms)
 
     def moves(self, now_ms: float, watch: Watcher, span_ms: float) -> Slices[list[Move]]:
+        """Sessions that follow a flux, and sessions whose calls shift to another zone."""
         settings = self.settings
         ways: list[_Way] = []
         for n, ((org, whence, whither), held) in enumerate(self._flux.items()):
@@ -170,7 +179,7 @@
 
 
 class Learnt:
-    """Past moves by tenant, pair and phase of the day, and whether a session lives so long."""
+    """Predicts from the history by tenant, zones and phase of the day, and from how long sessions live."""
 
     name = "learnt"
 
@@ -179,9 +188,11 @@
         self.past = Past(settings)
 
     def learn(self, now_ms: float, watch: Watcher, beat: m.Beat) -> Slices[None]:
+        """Add the result of one pass to the history."""
         yield from self.past.learning(now_ms, watch, beat)
 
     def moves(self, now_ms: float, watch: Watcher, span_ms: float) -> Slices[list[Move]]:
+        """Moves by the hazards of the history."""
         settings = self.settings
         ways: list[_Way] = []
         for n, ((org, site), group) in enumerate(list(watch.groups.items())):
@@ -213,10 +224,12 @@
 
 
 class Plans:
-    """What was announced, as certain: a session at a site that is to be drained goes where `whither` says
-    (sites and parts, as the plan's flows have it), one that left a site which returns goes back once the
-    part that is open covers its place. Where a place isn't known, the chance is the step's part of those
-    that are left."""
+    """Predicts what was announced, as certain.
+
+    A session at a zone that is drained goes where `whither` says (zones and shares, as the plan's flows have
+    it). One that left a zone which returns goes back once the open part covers its place; where its place is
+    unknown, the chance is the step's share of those that are left.
+    """
 
     name = "announced"
 
@@ -232,7 +245,7 @@
         self._plans: dict[str, tuple[float, m.Announced]] = {}
 
     def announced(self, now_ms: float, plan: m.Announced) -> bool:
-        """Takes a plan, unless a later one of that site is known. Repeats change nothing."""
+        """Take a plan, unless a later one of that zone is known. Repeats change nothing."""
         known = self._plans.get(plan.site)
         if known is not None and plan.number <= known[1].number:
             return False
@@ -240,13 +253,15 @@
         return True
 
     def standby(self) -> frozenset[str]:
-        """Sites that stand by: no session goes there by itself."""
+        """Zones on standby: no session goes there by itself."""
         return frozenset(site for site, (_, plan) in self._plans.items() if plan.kind == "standby")
 
     def learn(self, now_ms: float, watch: Watcher, beat: m.Beat) -> Slices[None]:
+        """Nothing is learnt."""
         yield
 
     def moves(self, now_ms: float, watch: Watcher, span_ms: float) -> Slices[list[Move]]:
+        """Moves by the steps of the announced plans that are due within `span_ms`."""
         found: list[Move] = []
         for site, (told_ms, plan) in sorted(self._plans.items()):
             was = 1.0 if plan.kind == "drain" else 0.0
--- a/fawnwharf/foresight/scenes.py
+++ b/fawnwharf/foresight/scenes.py
@@ -1,8 +1,9 @@
-"""Scenes of the trial: sessions, their calls and their moves, drawn from a seed before anything is staged.
+"""Scenarios of the trial: sessions, their calls and moves, drawn from a seed before anything is prefetched.
 
-Five: a drain that was announced, a loss that nobody foresees, its announced return in steps, days on which a
-tenant's sessions move at the same time (but not at a week's end), and moves at random with calls elsewhere
-that mean nothing."""
+Five kinds: an announced drain; a loss that nobody foresees; its announced return in steps; days on which a
+tenant's sessions move at the same time (but not at weekends); and random moves with calls elsewhere that mean
+nothing.
+"""
 
 import math
 import random
@@ -44,6 +45,8 @@
 
 @dataclass(slots=True)
 class Shift:
+    """A session's move from one zone to another."""
+
     at_ms: float
     session: Session
     whence: str
@@ -52,7 +55,7 @@
 
 @dataclass(slots=True)
 class Turn:
-    """From then on so much of a site is open, where it was so much before."""
+    """From `at_ms` on the part `open` of a zone is open, where `was` was open before."""
 
     at_ms: float
     site: str
@@ -62,6 +65,8 @@
 
 @dataclass(slots=True)
 class Scene:
+    """One scenario; only what happens between `from_ms` and `until_ms` is measured."""
+
     name: str
     end_ms: float
     from_ms: float  # what was before isn't measured
@@ -75,20 +80,22 @@
 
 
 def place(session: Session, site: str) -> float:
+    """The place of a session in a zone's order of return, from 0 to 1."""
     return weight("place", session.org, session.row, site) / 2**64
 
 
 def home(session: Session) -> str:
+    """The zone that a session belongs to."""
     return SITES[weight("home", session.org, session.row) % len(SITES)]
 
 
 def whither(session: Session, site: str) -> str:
-    """Where a session goes whose site is closed: by rendezvous hash over the others."""
+    """Where a session goes whose zone is closed: by rendezvous hash over the others."""
     return max((s for s in SITES if s != site), key=lambda s: weight("site", s, session.org, session.row))
 
 
 def scene(name: str, seed: int, sessions: int = SESSIONS) -> Scene:
-    """One of `SCENES`; a KeyError for another name."""
+    """The scenario `name` of `SCENES` drawn from `seed`; raises KeyError for another name."""
     chance = random.Random(f"{name} {seed}")
     made, route = SCENES[name](chance)
     for n in range(ROWS):
--- a/fawnwharf/foresight/score.py
+++ b/fawnwharf/foresight/score.py
@@ -1,9 +1,11 @@
-"""How good predictions are, as they go: proper scores against 'nothing moves', and what stages cost them.
+"""Scores of predictions by proper scoring rules, and the costs of the prefetch orders that rest on them.
 
-Pure. Brier score (Brier 1950) and log loss, both decaying; a skill is one less the score over that of the
-base; a reliability table in ten bins (predicted against seen). A predictor is used only while its skill is
-above a margin over enough predictions, and while stages by it earned more than they cost: a score can be
-good where being right saves little.
+Pure.
+
+Brier score (Brier 1950) and log loss, both decaying, against the baseline 'nothing moves'; the skill is one
+less the ratio of a predictor's score to the baseline's. A reliability table has ten bins (predicted against
+seen). A predictor is used only while its skill over enough predictions is above a margin and its prefetch
+orders saved more than they cost, as a score can be good where being right saves little.
 """
 
 import heapq
@@ -19,12 +21,14 @@
 BINS = 10
 OPEN_MOST = 20_000  # predictions of one predictor whose end is awaited
 KEYS = 100  # of one slice
+Key = tuple[Session, str]  # a session and where it is expected
+Open = tuple[float, float]  # an open prediction: its chance, and when it is due
 LEAST_CHANCE = 0.001  # for the log loss: guards against an infinite one
 
 
 @dataclass(slots=True)
 class Sums:
-    """Of one predictor, decaying alike."""
+    """Decaying sums of one predictor."""
 
     weight: float = 0.0
     brier: float = 0.0
@@ -37,6 +41,7 @@
     at_ms: float = 0.0
 
     def fade(self, now_ms: float, span_ms: float) -> None:
+        """Let all sums decay to now, with the time constant `span_ms`."""
         part, self.at_ms = math.exp((self.at_ms - now_ms) / span_ms), now_ms
         for name in ("weight", "brier", "base", "loss", "base_loss", "net", "spent"):
             setattr(self, name, getattr(self, name) * part)
@@ -44,6 +49,7 @@
             row[:] = [value * part for value in row]
 
     def add(self, chance: float, came: bool) -> None:
+        """Add a prediction with its chance, and whether the move came."""
         seen = float(came)
         self.weight += 1.0
         self.brier += (chance - seen) ** 2
@@ -57,7 +63,7 @@
 
     @property
     def skill(self) -> float:
-        """One less the Brier score over the base's: 0 is no better than 'nothing moves', less is worse."""
+        """One less the Brier score over the baseline's: 0 is as good as 'nothing moves', less is worse."""
         return 1.0 - self.brier / self.base if self.base > 0 else (-1.0 if self.brier > 0 else 0.0)
 
 
@@ -66,9 +72,12 @@
 
 
 class Scores:
-    """Of all predictors. A prediction is open until its session is found there or its time is over, with
-    `grace_ms` for moves to be seen. One that is made at each look counts each time with the chance it had
-    then: the first one alone would be the least sure."""
+    """The scores of all predictors.
+
+    A prediction is open until its session is found there or its time is over, with `grace_ms` for moves to be
+    noticed. One that is repeated in each pass counts each time with the chance it had then, since the first
+    one alone would be the least certain.
+    """
 
     def __init__(self, settings: Foresight) -> None:
         self.settings = settings
@@ -76,15 +85,17 @@
         self.sums: dict[str, Sums] = {}
         self.dropped = 0  # predictions that were not scored, as too many were open
         self.missed = 0  # moves that no predictor foresaw
-        self._open: dict[str, dict[tuple[Session, str], list[tuple[float, float]]]] = {}  # chances, dues
+        self._open: dict[str, dict[Key, list[Open]]] = {}  # by predictor
         self._count: dict[str, int] = {}
-        self._dues: dict[str, list[tuple[float, int, tuple[Session, str]]]] = {}  # heaps, of the same
+        self._dues: dict[str, list[tuple[float, int, Key]]] = {}  # heaps, of the same
         self._numbers = itertools.count()
 
     def predicted(self, now_ms: float, moves: list[Move]) -> None:
+        """Take the predictions of one pass."""
         drained(self.noting(now_ms, moves))
 
     def noting(self, now_ms: float, moves: list[Move]) -> Slices[None]:
+        """The same as `predicted`, in slices."""
         for n, move in enumerate(moves):
             if n % KEYS == KEYS - 1:
                 yield
@@ -99,53 +110,75 @@
             heapq.heappush(self._dues.setdefault(move.by, []), (due, next(self._numbers), key))
 
     def seen(self, now_ms: float, beat: m.Beat) -> None:
-        """What one look has shown: the predictions that came true, and those whose time is over."""
+        """Score the predictions that came true in one pass, and those whose time is over."""
         drained(self.scoring(now_ms, beat))
 
     def scoring(self, now_ms: float, beat: m.Beat) -> Slices[None]:
+        """The same as `seen`, in slices."""
         for sums in self.sums.values():
             sums.fade(now_ms, self.settings.score_ms)
-        moved: dict[tuple[Session, str], None] = {}
+        moved = yield from self._moved(beat)
+        for by, held in self._open.items():
+            closing = yield from self._closing(by, moved, now_ms)
+            yield from self._close(by, held, closing, moved, now_ms)
+
+    def _moved(self, beat: m.Beat) -> Slices[dict[Key, None]]:
+        """The moves of a pass; those that nobody predicted are counted."""
+        moved: dict[Key, None] = {}
         for n, move in enumerate(beat.moved):
             if n % KEYS == KEYS - 1:
                 yield
             key = (move.session, move.whither)
             moved[key] = None
             self.missed += not any(key in held for held in self._open.values())
-        for by, held in self._open.items():
-            over_ms, found = self._dues.get(by, []), dict.fromkeys(moved)
-            while over_ms and over_ms[0][0] < now_ms:
-                found[heapq.heappop(over_ms)[2]] = None
-                if len(found) % (2 * KEYS) == 0:
-                    yield
-            done = 0
-            for key in found:
-                if key not in held:
-                    continue
-                done += 1 + len(held[key])
-                if done > KEYS:
-                    done = 0
-                    yield
-                came, made = key in moved, held.pop(key)
-                over = [one for one in made if came or one[1] < now_ms]
-                self._count[by] -= len(over)
-                for chance, due in over:
-                    self._of(by, now_ms).add(chance, came and due >= now_ms)
-                if len(over) < len(made):
-                    held[key] = [one for one in made if one[1] >= now_ms]
+        return moved
+
+    def _closing(self, by: str, moved: dict[Key, None], now_ms: float) -> Slices[dict[Key, None]]:
+        """What may be scored of one predictor: what moved, and what is overdue."""
+        due, found = self._dues.get(by, []), dict.fromkeys(moved)
+        while due and due[0][0] < now_ms:
+            found[heapq.heappop(due)[2]] = None
+            if len(found) % (2 * KEYS) == 0:
+                yield
+        return found
+
+    def _close(
+        self,
+        by: str,
+        held: dict[Key, list[Open]],
+        keys: dict[Key, None],
+        moved: dict[Key, None],
+        now_ms: float,
+    ) -> Slices[None]:
+        """Score the predictions of `keys` that came true or are overdue; the others stay open."""
+        done = 0
+        for key in keys:
+            if key not in held:
+                continue
+            done += 1 + len(held[key])
+            if done > KEYS:
+                done = 0
+                yield
+            came, made = key in moved, held.pop(key)
+            over = [one for one in made if came or one[1] < now_ms]
+            self._count[by] -= len(over)
+            for chance, due in over:
+                self._of(by, now_ms).add(chance, came and due >= now_ms)
+            if len(over) < len(made):
+                held[key] = [one for one in made if one[1] >= now_ms]
 
     def charge(self, now_ms: float, by: str, cost: float) -> None:
-        """A stage by a predictor was not used: its fetch and its work, in mean calls."""
+        """Charge a predictor for an unused prefetch order, in mean calls' worth."""
         sums = self._of(by, now_ms)
         sums.net -= cost
         sums.spent += cost
 
     def credit(self, now_ms: float, by: str, gain: float) -> None:
-        """A stage by a predictor was used: what calls would have lost without it."""
+        """Credit a predictor for a used prefetch order: what calls would have lost without it."""
         self._of(by, now_ms).net += gain
 
     def good(self, by: str) -> bool:
-        """Whether a predictor is worth following of late."""
+        """Whether a predictor was good enough of late to be used."""
         sums = self.sums.get(by)
         if sums is None or sums.weight < self.settings.least:
             return False
@@ -156,13 +189,15 @@
         )
 
     def best(self, names: list[str]) -> str | None:
-        """Of these, the one with most skill that is worth following; None: nothing is to be foreseen."""
+        """Of these predictors the one with the highest skill that may be used; None where there is none."""
         able = [name for name in names if self.good(name)]
         return max(able, key=lambda name: (self.sums[name].skill, name), default=None)
 
     def table(self, by: str) -> list[tuple[float, float, float]]:
-        """Reliability: for each tenth of chance the predictions, their mean chance, and the part that
-        came."""
+        """The reliability table by tenths of chance.
+
+        The count, the mean chance, and the part that came true.
+        """
         rows = self.sums.get(by, Sums()).bins
         return [(n, p / n if n else 0.0, seen / n if n else 0.0) for n, p, seen in rows]
 
--- a/fawnwharf/foresight/seen.py
+++ b/fawnwharf/foresight/seen.py
@@ -1,10 +1,12 @@
-"""Calls by session and site: counters by owner, merged by law, and the fading windows that they amount to.
+"""Rates of calls by session and zone.
 
-Pure. Counters are a grow-only map (a G-counter, Shapiro et al. 2011): a session's at a site of one owner is a
-pair (since, calls) of which the larger one holds, so that words may come late, twice or in any order. Rates
-are made of what counters rose by from one look (`beat`) to the next, not of when words came: two front ends
-that heard the same words by a look have the same rates. A look may be done in slices (`look`), between which
-calls and words go on coming.
+Counters by owner, merged, and the decaying windows made from them. Pure.
+
+The counters are a grow-only map (a G-counter, Shapiro et al. 2011): an owner's counter for a session at a
+zone is a pair (since, calls) of which the larger one wins, so messages may come late, twice or in any order.
+Rates are computed from how counters rose between two passes (`beat`), not from when messages came: two front
+ends that received the same messages by a pass have the same rates. A pass may be done in slices (`look`),
+between which calls and messages may come in.
 """
 
 import math
@@ -30,7 +32,7 @@
 
 # Not seen by the collector of garbage, which would walk all sessions in one go: no cycle goes through them.
 class Flow(Struct, eq=False, gc=False):
-    """Calls of a session at a site."""
+    """Calls of a session at a zone, in two decaying windows."""
 
     session: Session
     site: str
@@ -41,7 +43,7 @@
 
 
 class Track(Struct, eq=False, gc=False):
-    """A session: where it is, where it was before, and its flows by site."""
+    """A session: its zone, the one before, and its flows by zone."""
 
     began_ms: float
     last_ms: float
@@ -52,7 +54,7 @@
     flows: tuple[Flow, ...] = ()
 
     def rate_ps(self, settings: Foresight, now_ms: float) -> float:
-        """Calls a second at all sites, by the slow window, or by its life where that is shorter."""
+        """Calls a second at all zones, by the slow window, or since its first call where that is shorter."""
         span = min(settings.slow_ms, max(2 * settings.beat_ms, now_ms - self.began_ms))
         return (
             1000.0 * sum(f.slow * math.exp((f.at_ms - now_ms) / settings.slow_ms) for f in self.flows) / span
@@ -60,7 +62,7 @@
 
 
 class Group:
-    """Sessions by level, so that those that call most are found without a look at all."""
+    """Sessions by level of activity, so that the busiest are found without a pass over all of them."""
 
     __slots__ = ("_levels", "_size")
 
@@ -75,11 +77,13 @@
         return any(session in some for some in self._levels.values())
 
     def add(self, session: Session, track: Track) -> None:
+        """Add a session at its track's level."""
         some = self._levels.setdefault(track.level, {})
         self._size += session not in some
         some[session] = track
 
     def remove(self, session: Session, track: Track) -> None:
+        """Remove a session from its track's level, if it is there."""
         some = self._levels.get(track.level, {})
         if some.pop(session, None) is not None:
             self._size -= 1
@@ -91,13 +95,19 @@
         return next(iter(next(iter(self._levels.values())).values()))
 
     def busiest(self, most: int) -> dict[Session, None]:
-        """Those that call most, within a factor of two, first. No list: the collector would walk it."""
+        """At most `most` sessions, the busiest first, within a factor of two.
+
+        The result is a dict, as the garbage collector would walk a list.
+        """
         levels = (self._levels[level] for level in sorted(self._levels, reverse=True))
         return dict.fromkeys(islice(chain.from_iterable(levels), most))
 
 
 class Watcher:
-    """A front end's: own calls are counted in, others' words heard; `beat` looks at what rose."""
+    """The session monitor of one front end.
+
+    Counts its own calls, merges others' counters, and finds moves.
+    """
 
     def __init__(self, settings: Foresight, me: str = "me") -> None:
         self.settings, self.me = settings, me
@@ -118,7 +128,7 @@
         self.dropped[cause] = self.dropped.get(cause, 0) + count
 
     def called(self, now_ms: float, session: Session, site: str) -> None:
-        """A call of a session ran, or was sent, at a site."""
+        """Count a call of a session that ran, or was sent, at a zone."""
         flow = self._flow(now_ms, session, site)
         if flow is None:
             return
@@ -130,13 +140,19 @@
         self._touch(now_ms, flow.session)
 
     def word(self) -> m.Word:
-        """The own counters that rose since the last word; what is over its bound follows in the next ones."""
+        """The own counters that rose since the last message.
+
+        What exceeds its bound follows in the next ones.
+        """
         word = self.part(m.ENTRIES_MOST)
         self.number += 1
         return word
 
     def part(self, most: int) -> m.Word:
-        """So many of them, under the number of now: with those that follow it is one word."""
+        """At most `most` of these counters, under the current number.
+
+        The parts with one number are one message.
+        """
         mine, counts = self._counters[self.me], []
         for flow in list(islice(self._told, most)):
             del self._told[flow]
@@ -145,6 +161,7 @@
 
     @property
     def untold(self) -> int:
+        """The number of own counters that are still to be sent."""
         return len(self._told)
 
     def _touch(self, now_ms: float, session: Session) -> None:
@@ -153,7 +170,7 @@
         self.tracks.use(session, track)
 
     def heard(self, now_ms: float, owner: str, word: m.Word) -> None:
-        """Counters of one life of another front end. What is not larger changes nothing."""
+        """Merge the counters of one incarnation of another front end; what is not larger changes nothing."""
         held = self._counters.get(owner)
         if owner == self.me:
             self._drop("a word of my own")
@@ -178,22 +195,40 @@
             self._touch(now_ms, flow.session)
 
     def gone(self, owner: str) -> None:
-        """A front end's life is over: its counters count no more, what they amounted to fades."""
+        """Drop the counters of an incarnation that is over; the rates made from them decay."""
         if owner != self.me and (held := self._counters.pop(owner, None)) is not None:
             self._numbers.pop(owner, None)
             self._graves += [held, self._rose.pop(owner)]
 
     def beat(self, now_ms: float) -> m.Beat:
-        """A look in one go."""
+        """A whole pass at once."""
         return drained(self.look(now_ms))
 
     def look(self, now_ms: float) -> Slices[m.Beat]:
-        """Takes what rose since the last look; tells moves, ends, and who called where."""
-        # No list of all of them: a collection of garbage would walk it.
+        """A pass over what rose since the last one, in slices: moves, ends, and who called where."""
+        self._looks += 1
+        # No lists of all of them: the garbage collector would walk them.
         called: dict[Flow, None] = {}
         sessions: dict[Session, None] = {}
+        yield from self._count_rises(now_ms, called, sessions)
+        yield
+        moved = yield from self._find_moves(now_ms, sessions)
+        ended: list[m.Ended] = []
+        while len(ended) < ENDS_MOST and (end := self._end_still(now_ms)) is not None:
+            ended.append(end)
+            if len(ended) % ENDS == 0:
+                yield
+        yield from self._free_graves()
+        return m.Beat(tuple(moved), tuple(ended), called)
+
+    def _count_rises(
+        self, now_ms: float, called: dict[Flow, None], sessions: dict[Session, None]
+    ) -> Slices[None]:
+        """Add what rose to the windows, owner by owner; each pass begins with another owner.
+
+        What had calls is added to `called` and `sessions`.
+        """
         count, slice_, owners = 0, 0, list(self._rose)
-        self._looks += 1
         first = self._looks % len(owners)
         for owner in owners[first:] + owners[:first]:
             left = min(len(self._rose.get(owner, ())), RISES_MOST - count)
@@ -201,17 +236,22 @@
                 left, count = left - len(some), count + len(some)
                 for flow in some:
                     if rise := self._rise(owner, flow):
-                        self._fade(flow, now_ms)
-                        if flow.fast < BEGAN:
-                            flow.since_ms = now_ms
-                        flow.fast += rise
-                        flow.slow += rise
+                        self._add(flow, rise, now_ms)
                         called[flow] = sessions[flow.session] = None
                 slice_ += len(some)
                 if slice_ >= RISES:
                     slice_ = 0
                     yield
-        yield
+
+    def _add(self, flow: Flow, rise: int, now_ms: float) -> None:
+        self._fade(flow, now_ms)
+        if flow.fast < BEGAN:
+            flow.since_ms = now_ms
+        flow.fast += rise
+        flow.slow += rise
+
+    def _find_moves(self, now_ms: float, sessions: dict[Session, None]) -> Slices[list[m.Moved]]:
+        """Place the sessions that called; those found at another zone than before have moved."""
         moved: list[m.Moved] = []
         for n, session in enumerate(sessions):
             if n % PLACES == PLACES - 1:
@@ -220,21 +260,19 @@
             move = self._place(session, track, now_ms) if track is not None else None
             if move is not None:
                 moved.append(move)
-        ended: list[m.Ended] = []
-        while len(ended) < ENDS_MOST and (end := self._end_still(now_ms)) is not None:
-            ended.append(end)
-            if len(ended) % ENDS == 0:
-                yield
+        return moved
+
+    def _free_graves(self) -> Slices[None]:
+        """Free the counters of owners that are gone, some in each slice."""
         while self._graves:
             for _ in range(min(RISES, len(self._graves[-1]))):
                 self._graves[-1].popitem()
             if not self._graves[-1]:
                 self._graves.pop()
             yield
-        return m.Beat(tuple(moved), tuple(ended), called)
 
     def _rise(self, owner: str, flow: Flow) -> int:
-        """What it rose by since the last look."""
+        """By how much a counter rose since the last pass."""
         before, value = self._rose[owner].pop(flow), self._counters[owner][flow]
         if before is None:
             # Guards against a burst that was none: a session dropped here, but not by its owner, comes
@@ -244,7 +282,7 @@
         return value - before if value >> _BITS == before >> _BITS else value & _MASK
 
     def counters(self) -> dict[tuple[str, Session, str], tuple[int, int]]:
-        """All counters, to compare: (owner, session, site) to (since, calls)."""
+        """All counters, for comparison: (owner, session, zone) to (since, calls)."""
         return {
             (owner, flow.session, flow.site): (value >> _BITS, value & _MASK)
             for owner, held in self._counters.items()
--- a/fawnwharf/foresight/settings.py
+++ b/fawnwharf/foresight/settings.py
@@ -1,8 +1,7 @@
-"""What operators set for foresight, and the prices that its stages are weighed by. Pure: values or one line
-out.
+"""Settings of the prefetcher, and the prices that its orders are weighed by. Pure.
 
-Classes, tenants, limits and prices are the settings' of the site; the file `sessions.json` has paces and
-bounds alone. A faulty file raises FileFault, a faulty site's settings ConfigError; either text names the key.
+Classes, tenants, limits and prices are those of the site's settings; the file `sessions.json` has only paces
+and bounds. A faulty file raises FileFault, faulty settings raise ConfigError; either text names the key.
 """
 
 from collections.abc import Mapping
@@ -21,7 +20,7 @@
 
 
 class Foresight(Struct, frozen=True):
-    """Spans are milliseconds, rates are a second, shares parts of one."""
+    """The settings: times are milliseconds, rates are per second, shares are parts of one."""
 
     beat_ms: Span = 1_000.0  # pace of looks at the counters, and of words
     still_ms: Span = 30_000.0  # after so long without a call a session is over
@@ -54,7 +53,7 @@
 
 
 class Prices(Struct, frozen=True):
-    """What a point is lost by, as parts of the result: each in mean calls' worths."""
+    """What a point is lost by, as parts of the result, each in mean calls' worth."""
 
     origin: float = 0.0  # a fetch from the store
     waste: float = 0.0  # work that served nothing, as much as a mean call's
@@ -83,8 +82,10 @@
 
 
 def foresight_from(data: bytes) -> Foresight:
-    """The part `foresight` of the operators' file; other parts of it are others' to check. Raises
-    FileFault."""
+    """The part `foresight` of the operators' file; other parts are checked by their own readers.
+
+    Raises FileFault.
+    """
     try:
         read = msgspec.json.decode(data, type=_File)
     except msgspec.ValidationError as error:
@@ -102,7 +103,7 @@
 
 
 def site_from(config: Mapping[str, Any]) -> tuple[io.Settings, Prices]:
-    """The site's settings and prices, of the object that an instance is given. Raises ConfigError."""
+    """The site's settings and prices, from the object that an instance is given. Raises ConfigError."""
     settings = settings_from(config)
     parts = {key: config.get(key) or {} for key in ("costs", "family_info")}
     kept = {key: {k: v for k, v in part.items() if v is not None} for key, part in parts.items()}
--- a/fawnwharf/foresight/slices.py
+++ b/fawnwharf/foresight/slices.py
@@ -1,5 +1,7 @@
-"""Work that is done in slices, so that none holds up the loop. A slice is bounded by what it counts, not by
-a clock."""
+"""Work in slices, so that none of it holds up the event loop.
+
+Slices are bounded by counts, not by a clock.
+"""
 
 from collections.abc import Generator
 from typing import TypeVar
@@ -9,7 +11,7 @@
 
 
 def drained(slices: Slices[Kind]) -> Kind:
-    """All slices, one after the other."""
+    """Run all slices, one after the other, and return the result."""
     while True:
         try:
             next(slices)
--- a/fawnwharf/foresight/trial.py
+++ b/fawnwharf/foresight/trial.py
@@ -1,8 +1,8 @@
-"""Five ways to meet moves, compared in virtual time: `python -m fawnwharf.foresight.trial`.
+"""Compares five prefetch strategies in virtual time: `python -m fawnwharf.foresight.trial`.
 
-*none* stages nothing, *react* orders the copies of a site's sessions once it is out, *everything* keeps a
-copy of each live session at every site, *foresight* is this package, *oracle* knows each move. All have the
-same ration. Runs are paired by seed; intervals are Student's, 95 %, over seeds.
+*none* prefetches nothing, *react* orders the copies of a zone's sessions once it is out, *everything* keeps a
+copy of each live session at every zone, *foresight* is this package, *oracle* knows each move. All have the
+same load rate limit. Runs are paired by seed; intervals are Student's, 95 %, over seeds.
 """
 
 import math
@@ -11,8 +11,8 @@
 from collections.abc import Sequence
 
 from fawnwharf.foresight import messages as m
+from fawnwharf.foresight.budgets import View
 from fawnwharf.foresight.core import Foresight
-from fawnwharf.foresight.planner import View
 from fawnwharf.foresight.scenes import CONFIG, DAY_MS, SCENES, SITES, Scene, Turn, home, place, scene, whither
 from fawnwharf.foresight.settings import Foresight as Bounds
 from fawnwharf.foresight.settings import site_from
@@ -44,7 +44,7 @@
 
 
 class Run:
-    """One scene met in one way."""
+    """One scenario with one strategy."""
 
     def __init__(self, way: str, made: Scene) -> None:
         self.way, self.made = way, made
@@ -66,6 +66,7 @@
         self.core.planner.shares(calls)
 
     def run(self) -> tuple[Tally, Tally]:
+        """Run it; the tallies of the whole run and of the measured part."""
         made, world = self.made, self.world
         firsts = self._oracle() if self.way == "oracle" else []
         plans, losses, turns = list(made.plans), list(made.losses), list(made.turns)
@@ -94,27 +95,41 @@
         self.live = {s: held for s, held in self.live.items() if now - held[1] < 10_000.0}
         world.waits = [until for until in world.waits if until > now]
         if self.way == "react":
-            for turn in turned:
-                for session, (at, _) in sorted(self.live.items()):
-                    if at == turn.site and turn.open == 0.0:
-                        self.queue.append((session.row, whither(session, at)))
-                    elif home(session) == turn.site and turn.was <= place(session, turn.site) < turn.open:
-                        self.queue.append((session.row, turn.site))
+            self._react(turned)
         elif self.way == "everything":
-            wanted = [
-                (s.row, site) for s, (at, _) in sorted(self.live.items()) for site in SITES if site != at
-            ]
-            due = [key for key in wanted if now - self.asked.get(key, -1e9) >= RENEW_MS]
-            self.queue = sorted(due, key=lambda key: self.asked.get(key, -1e9))
+            self._everything(now)
         elif self.way == "oracle":
             while firsts and firsts[0][0] <= now + LOOK_MS:
                 self.queue.append(firsts.pop(0)[1:])
         elif self.way == "foresight":
-            for order in self.core.step(now, self._view(now)):
-                if isinstance(order, m.Order):
-                    for scorer in order.scorers:
-                        world.stage(now, order.stage.row, world.by_name[scorer])
-        # The same pace of fetches as foresight has, but for the oracle: a crowd at the store makes all late.
+            self._foresight(now)
+        self._order(now)
+
+    def _react(self, turned: list[Turn]) -> None:
+        for turn in turned:
+            for session, (at, _) in sorted(self.live.items()):
+                if at == turn.site and turn.open == 0.0:
+                    self.queue.append((session.row, whither(session, at)))
+                elif home(session) == turn.site and turn.was <= place(session, turn.site) < turn.open:
+                    self.queue.append((session.row, turn.site))
+
+    def _everything(self, now: float) -> None:
+        wanted = [(s.row, site) for s, (at, _) in sorted(self.live.items()) for site in SITES if site != at]
+        due = [key for key in wanted if now - self.asked.get(key, -1e9) >= RENEW_MS]
+        self.queue = sorted(due, key=lambda key: self.asked.get(key, -1e9))
+
+    def _foresight(self, now: float) -> None:
+        for order in self.core.step(now, self._view(now)):
+            if isinstance(order, m.Order):
+                for scorer in order.scorers:
+                    self.world.stage(now, order.stage.row, self.world.by_name[scorer])
+
+    def _order(self, now: float) -> None:
+        """Order what is queued, at the pace of fetches that the prefetcher has.
+
+        The oracle has no pace: a crowd at the store makes all late.
+        """
+        world = self.world
         self.left = min(2 * PACE_PS, self.left + PACE_PS * LOOK_MS / 1000.0)
         for row, site in list(self.queue):
             fetch = self.way != "oracle" and world.standing(now, row, site) == 0
@@ -157,8 +172,11 @@
 
 
 def figures(tally: Tally, window: Tally) -> Figures:
-    """What is compared: service while it is measured, of all calls and of those so soon after a move, and
-    first calls that found a copy, parts of one; counts and the result in all are of the whole run."""
+    """What is compared.
+
+    Service in the measured part, of all calls and of those soon after a move, and the part of first calls
+    that found a copy; counts and the total result are of the whole run.
+    """
     prices = site_from(CONFIG)[1]
     return {
         "service": window.service(),
@@ -174,7 +192,7 @@
 
 
 def interval(values: Sequence[float]) -> tuple[float, float, float]:
-    """Mean, and the ends of its 95 % interval (Student's t)."""
+    """The mean, and both ends of its 95 % interval (Student's t)."""
     mean = statistics.fmean(values)
     if len(values) < 2:
         return mean, mean, mean
@@ -183,12 +201,12 @@
 
 
 def compare(name: str, seeds: Sequence[int] = SEEDS, ways: Sequence[str] = WAYS) -> dict[str, list[Figures]]:
-    """Figures of each way by seed."""
+    """Figures of each strategy by seed."""
     return {way: [figures(*Run(way, scene(name, seed)).run()) for seed in seeds] for way in ways}
 
 
 def shown(name: str, found: dict[str, list[Figures]]) -> str:
-    """The table of one scene, differences and goals below it."""
+    """The table of one scenario, with differences and goals below it."""
     keys = list(next(iter(found.values()))[0])
     lines = [
         f"{name}: means of {len(next(iter(found.values())))} seeds",
@@ -232,6 +250,7 @@
 
 
 def main(arguments: Sequence[str]) -> None:
+    """Print the comparison of the scenarios named, or of all."""
     for name in arguments or SCENES:
         print(shown(name, compare(name)), flush=True)
         print()
--- a/fawnwharf/foresight/ways.py
+++ b/fawnwharf/foresight/ways.py
@@ -1,9 +1,9 @@
-"""Other ways to meet moves, by which foresight is measured in running front ends: the setting `mode`.
+"""Baseline strategies that the prefetcher is compared with in running front ends: the setting `mode`. Pure.
 
-Pure. *none* stages nothing. *react* stages a site's sessions once it is out or back. *everything*
-keeps a copy of each live session at every site, renewed before it lapses. *oracle* is told each move ahead,
-from a file: for trials alone. All go by the same ration, orderer and paces as foresight, but that the oracle
-has no pace, and none leaves a part of the ration to calls.
+*none* prefetches nothing. *react* prefetches a zone's sessions once it is out or back. *everything* keeps a
+copy of each live session at every zone, refreshed before it expires. *oracle* is told each move in advance
+from a file, for trials only. All use the same load rate limit, choice of orderer and paces as the prefetcher,
+except that *oracle* has no pace and none reserves a part of the limit for calls.
 """
 
 import heapq
@@ -14,7 +14,7 @@
 from msgspec import Meta, Struct
 
 from fawnwharf.foresight import messages as m
-from fawnwharf.foresight.planner import Bucket, View, orderer, parts
+from fawnwharf.foresight.budgets import Bucket, View, orderer, parts
 from fawnwharf.foresight.predictors import Belongs, Whither
 from fawnwharf.foresight.seen import Group, Watcher
 from fawnwharf.foresight.settings import Foresight
@@ -31,7 +31,7 @@
 
 
 class Foretold(Struct, frozen=True):
-    """A line of the oracle's file: from `at_ms` (Unix) on the session's calls go to another site."""
+    """A line of the oracle's file: from `at_ms` (Unix) on the session's calls go to another zone."""
 
     at_ms: Annotated[float, Meta(ge=0.0)]
     org: Text
@@ -40,7 +40,7 @@
 
 
 def foretold_from(data: bytes) -> list[Foretold]:
-    """JSON lines; raises FileFault, which names the line."""
+    """Parse JSON lines; raises FileFault, which names the line."""
     found: list[Foretold] = []
     for n, line in enumerate(data.splitlines(), 1):
         if not line.strip():
@@ -55,7 +55,7 @@
 
 
 class Ways:
-    """Owns what is to be ordered, and when it was."""
+    """Owns what is to be ordered, and when each was ordered."""
 
     def __init__(
         self,
@@ -80,15 +80,19 @@
         self._fleet, self._pace = Bucket(bounds.fetches_ps), Bucket(bounds.pace_ps)
 
     def fetches(self, rate_ps: float) -> None:
-        """Of the fleet, from now on."""
+        """Set the fleet's rate of fetches."""
         self._fleet.rate_ps = rate_ps
 
     def foretold(self, now_ms: float, unix_ms: float, moves: list[Foretold]) -> None:
-        """All that is known of moves to come; it takes the place of what was told before."""
+        """Take all that is known of future moves; it replaces what was told before."""
         self._told = [(one.at_ms - unix_ms + now_ms, one.row, one.whither) for one in moves]
         heapq.heapify(self._told)
 
     def look(self, now_ms: float, view: View, out: frozenset[str]) -> Slices[list[m.Order]]:
+        """One pass, in slices: the orders of the strategy that is set.
+
+        `out` are the zones without service.
+        """
         mode = self.bounds.mode
         if mode == "react":
             yield from self._react(out)
--- a/fawnwharf/foresight/world.py
+++ b/fawnwharf/foresight/world.py
@@ -1,10 +1,11 @@
-"""A small world in virtual time for the trial: sites of scorers, a store, sessions, and what calls find.
+"""A small model in virtual time for the trial: zones of scorers, a store, sessions, and what calls find.
 
-It leaves out what the question does not turn on: cores and queues at scorers (a call runs at once when its
-copy stands), several front ends (one sees all), lost messages. Kept are what staging can spend: the store's
-fetches, which slow each other down; loads at a time of a scorer; memory, in which the copy idle for longest
-gives way; the idle life of copies; the ration of orders. Same seed, same sessions and calls, whatever is
-staged."""
+It leaves out what the question does not depend on: cores and queues at scorers (a call runs at once when its
+copy stands), several front ends (one sees all), lost messages. It keeps what prefetching can use up: the
+store's fetches, which slow each other down; concurrent loads of a scorer; memory, in which the least recently
+used copy is evicted; the idle life of copies; the load rate limit. Equal seeds give equal sessions and calls,
+whatever is prefetched.
+"""
 
 import heapq
 from collections.abc import Iterable
@@ -24,6 +25,8 @@
 
 @dataclass(slots=True)
 class Copy:
+    """A loaded copy of a function at a scorer."""
+
     row: str
     ready_ms: float
     used_ms: float
@@ -33,6 +36,8 @@
 
 @dataclass(slots=True)
 class Scorer:
+    """A scorer with its memory and copies."""
+
     name: str
     site: str
     memory_mb: float
@@ -40,11 +45,14 @@
     cold_until_ms: float = 0.0
 
     def held_mb(self) -> float:
+        """Memory that its copies take, in megabytes."""
         return sum(copy.memory_mb for copy in self.copies.values())
 
 
 @dataclass(slots=True)
 class Call:
+    """A call of a session at a zone."""
+
     at_ms: float
     session: Session
     site: str
@@ -72,6 +80,7 @@
     wasted_ms: float = 0.0  # work of loads that served nothing
 
     def add(self, call: Call, worth: float, served: float, found: bool) -> None:
+        """Count a call: its worth, what of it was served, and whether it found a copy."""
         self.calls += 1
         self.worth += worth
         self.served += served
@@ -83,18 +92,18 @@
                 row[1] += worth
 
     def service(self, span_s: int | None = None) -> float:
-        """The part of the worth that was served, of all calls or those so soon after a move."""
+        """The part of the worth that was served: of all calls, or of those `span_s` seconds after a move."""
         part, whole = (self.served, self.worth) if span_s is None else self.spans[span_s]
         return part / whole if whole else 1.0
 
     def price(self, prices: Prices, run_ms: float) -> float:
-        """The result in all: service, less what its fetches, orders and waste cost, of one."""
+        """The total result: service less what fetches, orders and waste cost, per call."""
         spent = prices.origin * self.fetches + prices.probe * self.orders
         return self.service() - (spent + prices.waste * self.wasted_ms / run_ms) / max(1, self.calls)
 
 
 class World:
-    """Owns scorers and copies. `call` is what a call finds, `stage` an order to load."""
+    """Owns scorers and copies. `call` is what a call finds, `stage` a prefetch order."""
 
     def __init__(
         self, site: Settings, sites: Iterable[str], each: int, memory_mb: float, facts: dict[str, Facts]
@@ -116,17 +125,18 @@
         self._orders: dict[tuple[str, str], list[Scorer]] = {}
 
     def order(self, row: str, site: str) -> list[Scorer]:
-        """Scorers as calls look for a copy, in hash order."""
+        """The scorers of a zone in the hash order in which calls look for a copy."""
         key = (row, site)
         if key not in self._orders:
             self._orders[key] = sorted(self.scorers[site], key=lambda s: weight(s.name, row), reverse=True)
         return self._orders[key]
 
     def standing(self, now_ms: float, row: str, site: str) -> int:
+        """The number of copies of a function that stand or load in a zone."""
         return sum(self._copy(now_ms, scorer, row) is not None for scorer in self.scorers[site])
 
     def ration(self, now_ms: float) -> tuple[float, float]:
-        """Orders to load that are left, and that were there at first."""
+        """Load orders that are left now, and that were there at first."""
         settings = self.settings
         since = now_ms - settings.load_window_ms
         self.taken = [at for at in self.taken if at > since]
@@ -135,14 +145,14 @@
         return most - len(self.orders), most
 
     def spare_mb(self, now_ms: float, site: str) -> float:
-        """Memory that holds no copy; those whose idle life is over are swept first."""
+        """Free memory in a zone; expired copies are removed first."""
         for scorer in self.scorers[site]:
             for row in list(scorer.copies):
                 self._copy(now_ms, scorer, row)
         return sum(scorer.memory_mb - scorer.held_mb() for scorer in self.scorers[site])
 
     def call(self, call: Call) -> None:
-        """A call takes the first copy in hash order, or begins a load there and waits for it."""
+        """Serve a call by the first copy in hash order, or load one there and wait for it."""
         now, row = call.at_ms, call.session.row
         facts, tally = self.facts[row], self.tally
         spec = self.settings.classes[facts.class_name]
@@ -164,7 +174,10 @@
             one.add(call, spec.worth, spec.worth * part, found)
 
     def stage(self, now_ms: float, row: str, scorer: Scorer) -> bool:
-        """An order to hold a copy; the ration counts it whether or not one stands. False: none was left."""
+        """Order a copy; False where the load rate limit leaves none.
+
+        The limit counts the order whether or not a copy stands.
+        """
         if self.ration(now_ms)[0] < 1:
             return False
         self.orders.append(now_ms)
@@ -177,13 +190,13 @@
         return True
 
     def lose(self, site: str) -> None:
-        """All copies of a site go with it."""
+        """Drop all copies of a zone."""
         for scorer in self.scorers[site]:
             for copy in list(scorer.copies.values()):
                 self._drop(scorer, copy)
 
     def end(self) -> tuple[Tally, Tally]:
-        """Of the whole run, and of what was measured."""
+        """End the run; the tallies of the whole run and of the measured part."""
         for some in self.scorers.values():
             for scorer in some:
                 for copy in list(scorer.copies.values()):
--- a/fawnwharf/foresight/worth.py
+++ b/fawnwharf/foresight/worth.py
@@ -1,8 +1,8 @@
-"""What a stage is worth and what it costs, in mean calls' worths. Pure.
+"""Worth and cost of a prefetched copy, in mean calls' worth. Pure.
 
 A call that waits for a load may be late: it then earns its class's late share, and nothing once its client
-has given up. A copy that stands spares it that, and the load that it would have begun, so that the fetch is
-lost only where the session does not come.
+has given up. A copy that stands spares it that wait, and the load that it would have begun itself, so that
+the fetch is lost only where the session does not come.
 """
 
 from collections.abc import Mapping
@@ -14,8 +14,7 @@
 
 
 class Facts(Struct, frozen=True):
-    """Of a function, as its calls tell: megabytes of a copy, milliseconds of a load and of a run, its
-    class."""
+    """What is known of a function: megabytes of a copy, milliseconds of a load and of a run, its class."""
 
     class_name: str
     memory_mb: float
@@ -25,7 +24,7 @@
 
 
 def mean_worth(classes: Mapping[str, ClassSpec], shares: Mapping[str, float] | None = None) -> float:
-    """The mean worth of a call, by what part of the calls each class was (absent: equal parts)."""
+    """The mean worth of a call, by the share of each class in the calls (absent: equal shares)."""
     parts = {name: (shares or {}).get(name, 0.0 if shares else 1.0) for name in classes}
     total = sum(parts.values())
     mean = sum(classes[name].worth * part for name, part in parts.items()) / total if total > 0 else 0.0
@@ -33,10 +32,11 @@
 
 
 def loss(spec: ClassSpec, facts: Facts, rate_ps: float, slack: float = 1.0) -> float:
-    """What calls of a session lose while its first one waits for a load, in worths of a call of worth 1.
+    """What a session's calls lose while the first one waits for a load, in units of a call of worth 1.
 
-    The first comes at the load's begin, others at `rate_ps`; one that comes t into it waits for the rest.
-    `slack` is how much longer loads take than usual."""
+    The first call comes as the load begins, the others at `rate_ps`; a call that comes t into it waits for
+    the rest. `slack` is how much longer loads take than usual.
+    """
     load_ms = slack * facts.load_ms
     wait = load_ms + facts.run_ms
     late, dead = wait > spec.promise_ms, wait > spec.give_up_ms
@@ -48,7 +48,7 @@
 
 
 def fetched(settings: Foresight, prices: Prices, facts: Facts) -> float:
-    """What a load costs that serves nothing: the fetch, and the part of it that takes a core."""
+    """The cost of a load that serves nothing: the fetch, and the core time it takes."""
     return prices.origin + prices.waste * settings.core_part * facts.load_ms / max(1.0, facts.run_ms)
 
 
@@ -62,8 +62,11 @@
     pushes_out: float,
     mean_ps: float,
 ) -> float:
-    """A copy's price: `memory_mb` of the whole fleet, calls `mean_ps` in it, `pushes_out` the part of a copy
-    in use that gives way (its own first call is late then, as dear as this one's fetch)."""
+    """The price of one copy that stands idle for `idle_ms` and is used with probability `chance`.
+
+    `memory_mb` is the memory of the whole fleet, `mean_ps` its calls a second. `pushes_out` is the part of a
+    copy in use that is displaced: that one's next call is then late, at the price of this copy's fetch.
+    """
     lost = (1.0 - chance) * fetched(settings, prices, facts)
     room = prices.memory * facts.memory_mb / max(1.0, memory_mb) * mean_ps * idle_ms / 1000.0
     return lost + prices.probe + room + pushes_out * (1.0 + fetched(settings, prices, facts))
--- a/fawnwharf/sessions/staging.py
+++ b/fawnwharf/sessions/staging.py
@@ -18,9 +18,9 @@
 from fawnwharf import interface as io
 from fawnwharf.foresight import memory
 from fawnwharf.foresight import messages as m
+from fawnwharf.foresight.budgets import View, shared
 from fawnwharf.foresight.core import Foresight
 from fawnwharf.foresight.known import Copies, Functions, Scorers, Told
-from fawnwharf.foresight.planner import View, shared
 from fawnwharf.foresight.predictors import Belongs, Parts, Place, Whither, _homeless, _unplaced
 from fawnwharf.foresight.seen import OWNERS_MOST
 from fawnwharf.foresight.settings import Foresight as Bounds
--- a/tests/test_foresight_planner.py
+++ b/tests/test_foresight_planner.py
@@ -7,8 +7,9 @@
 from hypothesis import given, settings, strategies
 
 from fawnwharf.foresight import messages as m
+from fawnwharf.foresight.budgets import View, orderer
 from fawnwharf.foresight.core import Foresight
-from fawnwharf.foresight.planner import Planner, View, orderer
+from fawnwharf.foresight.planner import Planner
 from fawnwharf.foresight.score import LEAST_CHANCE, Scores
 from fawnwharf.foresight.seen import Flow
 from fawnwharf.foresight.settings import Foresight as Bounds
--- a/tests/test_staging_orders.py
+++ b/tests/test_staging_orders.py
@@ -6,7 +6,7 @@
 
 from fawnwharf import interface as io
 from fawnwharf.foresight import messages as m
-from fawnwharf.foresight.planner import orderer
+from fawnwharf.foresight.budgets import orderer
 from fawnwharf.foresight.settings import foresight_from
 from fawnwharf.foresight.ways import foretold_from
 from fawnwharf.sessions.staging import (
