Voter's disk: nothing rests on a found record before its sync, nor on a file whose sync failed

Cause: a voter's file was gone on with in places where what it holds is not certain. - A record written before a kill and never synced was found by the next start, which answered by it (the same vote again, entries that are there already) without a save; a loss of power then took it back. - After a failed write or sync the file was cut with ftruncate and appended to again. Where that ftruncate failed too, the next record stood behind half of one, and the start after that was refused as damaged. - A file written anew whose folder could not be synced had the name already, while saves that fitted went on into the old one, which had none: they were lost by a plain kill. - A kill in the first start left half a first record, which refused every start after it. - A refused start kept the folder's lock and its file open.

Lines at fault: accord/disk.py, __init__ (no sync of what was found; `except OSError` without a close), _append (ftruncate and go on), _rewrite (old descriptor kept after rename), _found ("no whole record").

Change: any failure closes the file and the next save writes a new one, beside and then over it; a start writes the last whole record again in its place and syncs it, which takes no room; the first record goes the same way as every new file (beside, sync, rename, sync of the folder); a file that ends within its first record begins a new disk, under a new mark.

Ruled out: a sync alone at the start, since after a failed one in the life before it reports success for what was dropped; a save before a voter's first word, since a voter's contract is that what it is given is saved.

--- a/fawnwharf/accord/disk.py
+++ b/fawnwharf/accord/disk.py
@@ -2,10 +2,16 @@
 
 The first record (`accord/records.py`) names the fleet, the member and the disk; each later one holds all that
 is to be kept, so that the last whole one says everything. A record that is cut short at the end was never
-answered for and is cut off; damage before a whole record is no such thing, and the file is refused. The file
-is written anew, beside and then over the old one, once it has grown.
+answered for and is cut off; damage before a whole record is no such thing, and the file is refused.
+
+The file is written anew, beside and then over the old one, once it has grown, and at the next save after a
+failure: after a failed sync the system may drop what was written and report success for the next sync of the
+same file, so nothing more is appended to it. The last record that a start finds may have been written and not
+synced before a kill: it is written again and synced before anything rests on it. That takes no room, so that
+a full disk refuses no start.
 """
 
+import contextlib
 import fcntl
 import os
 from collections.abc import Callable
@@ -16,7 +22,7 @@
 from msgspec import Meta, Struct
 
 from fawnwharf.accord.messages import Saved
-from fawnwharf.accord.records import DiskError, encode, records
+from fawnwharf.accord.records import MAGIC, OVERHEAD, DiskError, encode, records
 
 VERSION = 1
 REWRITE_BYTES = 1024 * 1024
@@ -44,29 +50,24 @@
         """`draw` gives the mark of a new disk. Raises DiskError, and has then changed nothing."""
         self.folder = Path(folder)
         self.path = self.folder / "voter.log"
+        self._file, self._size = -1, 0  # the log that is appended to; -1: the next save writes a new one
         self._lock = self._locked()
         try:
             data = self.path.read_bytes() if self.path.exists() else b""
-            self.fresh = not data
-            if data:
-                self.label, self.saved, self.number, whole = self._found(data, fleet, name)
-            else:
+            self.fresh = _unfinished(data)
+            if self.fresh:
                 mark = draw() if draw else os.urandom(8).hex()
-                self.label, self.saved, self.number, whole = Label(VERSION, fleet, name, mark), Saved(), 0, 0
-            self._file = os.open(self.path, os.O_RDWR | os.O_CREAT, 0o600)
-            if data:
-                os.ftruncate(self._file, whole)
-                os.lseek(self._file, whole, os.SEEK_SET)
-                self._size = whole
+                self.label, self.saved, self.number = Label(VERSION, fleet, name, mark), Saved(), 0
+                self._write_anew(encode(0, self.label))
             else:
-                self._size = 0
-                self._append(encode(0, self.label))
-                self._sync_folder()
-        except OSError as error:
+                found, whole = self._records(data)
+                self.label, self.saved, self.number = self._found(found, fleet, name)
+                self._settle(data, whole, OVERHEAD + len(found[-1][1]))
+        except (OSError, DiskError) as error:
+            self.close()
+            if isinstance(error, DiskError):
+                raise
             raise self._fault(error.strerror or "not usable") from None
-        except DiskError:
-            os.close(self._lock)
-            raise
 
     def _fault(self, why: str) -> DiskError:
         return DiskError(f"{self.path}: {why}")
@@ -84,12 +85,16 @@
             raise DiskError(f"{self.folder}: in use by a live process") from None
         return lock
 
-    def _found(self, data: bytes, fleet: str, name: str) -> tuple[Label, Saved, int, int]:
+    def _records(self, data: bytes) -> tuple[list[tuple[int, bytes]], int]:
+        """The whole records, and where they end."""
         found, whole, damaged = records(data)
         if damaged:
             raise self._fault(f"damaged at byte {whole}, before records that are whole")
         if not found:
             raise self._fault("no whole record")
+        return found, whole
+
+    def _found(self, found: list[tuple[int, bytes]], fleet: str, name: str) -> tuple[Label, Saved, int]:
         try:
             label = msgspec.json.decode(found[0][1], type=Label)
             saved = msgspec.json.decode(found[-1][1], type=Saved) if len(found) > 1 else Saved()
@@ -104,49 +109,50 @@
         numbers = [number for number, _ in found[1:]]
         if any(later <= earlier for earlier, later in zip(numbers, numbers[1:], strict=False)):
             raise self._fault("records out of order")
-        return label, saved, numbers[-1] if numbers else 0, whole
+        return label, saved, numbers[-1] if numbers else 0
+
+    def _settle(self, data: bytes, whole: int, last: int) -> None:
+        """Opens the file that was found; its last record, of so many bytes, is on disk afterwards, and what
+        was cut short behind it is gone. All before it was synced when it was begun."""
+        self._file, self._size = os.open(self.path, os.O_RDWR), whole
+        if whole < len(data):
+            os.ftruncate(self._file, whole)
+        os.lseek(self._file, whole - last, os.SEEK_SET)
+        _write(self._file, data[whole - last : whole])
+        os.fsync(self._file)
+        self._sync_folder()
 
     def save(self, saved: Saved) -> None:
         """Keep it; it is on disk when this returns. Raises DiskError, and then nothing may rest on it."""
         record = encode(self.number + 1, saved)
         try:
-            if self._size + len(record) > REWRITE_BYTES:
-                self._rewrite(record)
-            else:
+            if self._file >= 0 and self._size + len(record) <= REWRITE_BYTES:
                 self._append(record)
+            else:
+                self._write_anew(encode(0, self.label) + record)
         except OSError as error:
+            self._close_file()
             raise self._fault(error.strerror or "not writable") from None
         self.number, self.saved = self.number + 1, saved
 
     def _append(self, record: bytes) -> None:
-        start = self._size
-        try:
-            rest = memoryview(record)
-            while rest:
-                rest = rest[os.write(self._file, rest) :]
-            os.fsync(self._file)
-        except OSError:
-            os.ftruncate(self._file, start)  # half a record must not stand before the next one
-            os.lseek(self._file, start, os.SEEK_SET)
-            raise
+        _write(self._file, record)
+        os.fsync(self._file)
         self._size += len(record)
 
-    def _rewrite(self, record: bytes) -> None:
+    def _write_anew(self, data: bytes) -> None:
+        """A new file in the place of the last; its name is on disk as well when this returns."""
+        self._close_file()
         beside = self.path.with_suffix(".new")
-        data = encode(0, self.label) + record
-        file = os.open(beside, os.O_RDWR | os.O_CREAT | os.O_TRUNC, 0o600)
+        self._file, self._size = os.open(beside, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600), len(data)
         try:
-            rest = memoryview(data)
-            while rest:
-                rest = rest[os.write(file, rest) :]
-            os.fsync(file)
+            _write(self._file, data)
+            os.fsync(self._file)
             os.rename(beside, self.path)
+            self._sync_folder()
         except OSError:
-            os.close(file)
+            self._close_file()
             raise
-        self._sync_folder()
-        os.close(self._file)
-        self._file, self._size = file, len(data)
 
     def _sync_folder(self) -> None:
         folder = os.open(self.folder, os.O_RDONLY)
@@ -155,6 +161,29 @@
         finally:
             os.close(folder)
 
+    def _close_file(self) -> None:
+        file, self._file = self._file, -1
+        if file >= 0:
+            with contextlib.suppress(OSError):  # what counts was synced
+                os.close(file)
+
     def close(self) -> None:
-        os.close(self._file)
+        self._close_file()
         os.close(self._lock)
+
+
+def _unfinished(data: bytes) -> bool:
+    """Whether a file ends within its first record: a kill in the first start, when nothing was promised yet.
+    Whole records after that are damage instead."""
+    if not MAGIC.startswith(data[: len(MAGIC)]):
+        return False
+    length = int.from_bytes(data[len(MAGIC) : len(MAGIC) + 4], "big")
+    short = len(data) < OVERHEAD or len(data) < OVERHEAD + length
+    return short and not records(data)[2]
+
+
+def _write(file: int, data: bytes) -> None:
+    """All of it, however little each call takes."""
+    rest = memoryview(data)
+    while rest:
+        rest = rest[os.write(file, rest) :]
--- /dev/null
+++ b/tests/test_disk_faults_voter.py
@@ -0,0 +1,239 @@
+"""A voter's disk whose file calls fail, fall short or are its last: what was promised is found again."""
+
+import errno
+import os
+from contextlib import suppress
+from itertools import product
+
+import pytest
+from support.file_faults import ALWAYS, Faults, FileFaults, Killed
+
+from fawnwharf.accord import disk as disks
+from fawnwharf.accord import messages as m
+from fawnwharf.accord.disk import Disk, DiskError
+
+SAVES = 8
+REWRITE_BYTES = 900  # a few saves: a run writes its file anew twice
+
+
+@pytest.fixture(autouse=True)
+def _small_files(monkeypatch):
+    monkeypatch.setattr(disks, "REWRITE_BYTES", REWRITE_BYTES)
+
+
+def saved(term):
+    return m.Saved(term, "a#0", m.Base(1, 1, "plan", 1, ("a#0",)), (m.Entry(term, "plan", plan="p" * 40),))
+
+
+class World:
+    """One folder, and what a voter may have told of it."""
+
+    def __init__(self, folder):
+        self.faults = FileFaults(folder)
+        self.promised = 0  # the last term whose save returned
+        self.tried = 0  # the last one that was to be saved
+
+    def open(self):
+        return Disk(self.faults.folder, "fleet", "a")
+
+    def live(self, saves=SAVES):
+        """One life: a save that fails is followed by the next one."""
+        disk = None
+        for _ in range(3):
+            with suppress(DiskError):
+                disk = disk or self.open()
+        for _ in range(saves if disk else 0):
+            self.tried += 1
+            with suppress(DiskError):
+                disk.save(saved(self.tried))
+                self.promised = self.tried
+        if disk:
+            disk.close()
+
+    def check(self):
+        """A start after that finds what was promised or what was tried later, and goes on from it."""
+        disk = self.open()
+        found = disk.saved.term
+        assert self.promised <= found <= self.tried
+        assert disk.saved == (saved(found) if found else m.Saved())
+        self.promised = found  # a voter answers by what it found
+        self.faults.cut(late_names=False)
+        disk = self.open()
+        assert disk.saved.term == found
+        self.tried += 1
+        disk.save(saved(self.tried))
+        self.promised = self.tried
+        self.faults.cut(late_names=False)
+        assert self.open().saved == saved(self.tried)
+
+
+ENDS = {
+    "kill": lambda faults: faults.kill(),
+    "cut": lambda faults: faults.cut(late_names=False),
+    "cut, late names": lambda faults: faults.cut(late_names=True),
+}
+
+
+def calls_of_a_life(folder):
+    world = World(folder)
+    with world.faults.installed():
+        world.live()
+        return list(world.faults.made)
+
+
+def run(folder, plan, end):
+    world = World(folder)
+    with world.faults.installed():
+        world.live(3)
+        made = world.faults.count
+        plan.fail_at += made if plan.fail_at >= 0 else 0
+        plan.kill_at += made if plan.kill_at >= 0 else 0
+        world.faults.plan = plan
+        with suppress(Killed):
+            world.live()
+        ENDS[end](world.faults)
+        world.check()
+    return world
+
+
+def fresh_run(folder, plan, end):
+    """The same in the folder's first life."""
+    world = World(folder)
+    with world.faults.installed():
+        world.faults.plan = plan
+        with suppress(Killed):
+            world.live()
+        ENDS[end](world.faults)
+        world.check()
+    return world
+
+
+@pytest.mark.parametrize("end", ENDS)
+@pytest.mark.parametrize("first", [True, False], ids=["first life", "later life"])
+@pytest.mark.parametrize("times", [1, 3, ALWAYS])
+def test_each_call_can_fail_once_or_for_a_while_and_no_promise_is_lost(tmp_path, end, first, times):
+    count = len(calls_of_a_life(tmp_path / "measured"))
+    go = fresh_run if first else run
+    for at, (error, half) in product(range(count), ((errno.ENOSPC, True), (errno.EIO, False))):
+        world = go(tmp_path / f"{at}-{error}", Faults(at, times, error, half=half), end)
+        if times < ALWAYS:
+            assert world.promised == world.tried  # it went on by itself
+
+
+@pytest.mark.parametrize("end", ENDS)
+@pytest.mark.parametrize("first", [True, False], ids=["first life", "later life"])
+def test_a_kill_at_each_call_loses_no_promise(tmp_path, end, first):
+    count = len(calls_of_a_life(tmp_path / "measured"))
+    go = fresh_run if first else run
+    for at, half in product(range(count), (False, True)):
+        go(tmp_path / f"{at}-{half}", Faults(kill_at=at, half=half), end)
+
+
+def test_writes_that_fall_short_are_gone_on_with(tmp_path):
+    world = World(tmp_path)
+    with world.faults.installed():
+        world.faults.plan = Faults(most_bytes=7)
+        world.live()
+        assert world.promised == world.tried == SAVES
+        world.faults.cut(late_names=False)
+        world.check()
+
+
+def test_nothing_is_appended_to_a_file_whose_sync_failed(tmp_path):
+    world = World(tmp_path)
+    with world.faults.installed():
+        disk = world.open()
+        disk.save(saved(1))
+        inode = disk.path.stat().st_ino
+        made = world.faults.count
+        world.faults.plan = Faults(fail_at=made + 1)  # the sync after the write
+        with pytest.raises(DiskError, match="Input/output error"):
+            disk.save(saved(2))
+        assert world.faults.made[made:] == ["write", "fsync"]
+        disk.save(saved(3))
+        assert disk.path.stat().st_ino != inode
+        world.faults.cut(late_names=False)
+        assert world.open().saved == saved(3)
+
+
+def test_after_a_failed_sync_of_the_folder_saves_go_to_a_file_that_has_the_name(tmp_path):
+    world = World(tmp_path)
+    with world.faults.installed():
+        disk = world.open()
+        for term in range(1, 30):
+            made = world.faults.count
+            world.faults.plan = Faults(fail_at=made + 5)  # the folder's sync, where the file is written anew
+            with suppress(DiskError):
+                disk.save(saved(term))
+            if world.faults.made[made + 3 : made + 4] == ["rename"]:
+                break
+        world.faults.works()
+        shorter = m.Saved(50, "a#0")  # the old file would have had room for it
+        disk.save(shorter)
+        world.faults.kill()
+        assert world.open().saved == shorter
+
+
+def test_a_record_that_was_written_before_a_kill_and_never_synced_is_on_disk_once_it_is_found(tmp_path):
+    world = World(tmp_path)
+    with world.faults.installed():
+        disk = world.open()
+        disk.save(saved(1))
+        world.faults.plan = Faults(kill_at=world.faults.count + 1)  # between write and sync
+        with pytest.raises(Killed):
+            disk.save(saved(2))
+        world.faults.kill()
+        assert world.open().saved == saved(2)  # and it may answer by that
+        world.faults.cut(late_names=False)
+        assert world.open().saved == saved(2)
+
+
+def test_a_full_disk_refuses_no_start_and_takes_no_save_until_it_has_room(tmp_path):
+    world = World(tmp_path)
+    with world.faults.installed():
+        world.live(2)
+        disk = world.open()
+        world.faults.fail(error=errno.ENOSPC)
+        for _ in range(3):
+            with pytest.raises(DiskError, match="No space left"):
+                disk.save(saved(3))
+        assert disk.saved == saved(2)
+        world.faults.works()
+        disk.save(saved(4))
+        world.faults.cut(late_names=False)
+        assert world.open().saved == saved(4)
+
+
+def test_a_file_cut_within_its_first_record_begins_a_new_disk_and_damage_there_does_not(tmp_path):
+    disk = Disk(tmp_path, "fleet", "a")
+    disk.close()
+    label = disk.path.read_bytes()
+    for size in range(len(label)):
+        disk.path.write_bytes(label[:size])
+        again = Disk(tmp_path, "fleet", "a")
+        assert again.fresh and again.label.mark != disk.label.mark
+        again.save(saved(1))
+        again.close()
+        disk = Disk(tmp_path, "fleet", "a")
+        assert (disk.saved, disk.label) == (saved(1), again.label)
+        disk.close()
+    whole = disk.path.read_bytes()
+    for data in (b"\0" * len(whole), b"x" + whole[1:], label[:20] + whole):
+        disk.path.write_bytes(data)
+        with pytest.raises(DiskError):
+            Disk(tmp_path, "fleet", "a")
+        assert disk.path.read_bytes() == data
+
+
+def test_a_failed_start_gives_the_folder_back(tmp_path):
+    world = World(tmp_path)
+    with world.faults.installed():
+        world.live(2)
+        before = len(os.listdir("/proc/self/fd"))
+        for after in range(5):  # lock, log, write, sync, folder
+            world.faults.plan = Faults(fail_at=world.faults.count + after, fail_for=ALWAYS)
+            with pytest.raises(DiskError):
+                world.open()
+            world.faults.works()
+        assert len(os.listdir("/proc/self/fd")) == before
+        assert world.open().saved == saved(2)
