Tests: the store of durable state on a real folder, each file call failing once or for a while

The store was read line by line and played on a real folder through tests/support/file_faults.py: each call of a life fails with ENOSPC (half a write done) or EIO, once, three times or to the end; each call is the last one before a kill; writes of five bytes at a time; the last log cut at every byte. What is found after a kill, and after a loss of power with and without the names that were not synced, is what was told or given to the disk later, and the store goes on without a restart once the fault has passed. Three of the planted bugs (a failed sync done again, no sync of the folder, told before sync) are found by the same runs.

The seam keeps inodes over a loss of power, since the store knows copies of its files by theirs.

--- a/tests/support/file_faults.py
+++ b/tests/support/file_faults.py
@@ -54,6 +54,7 @@
         self._handles: set[int] = set()  # of the folder and its files
         self._inodes: dict[int, _Inode] = {}
         self._names: dict[str, int] = {}  # that are on the disk, and their inodes
+        self._links = folder.with_name(folder.name + ".inodes")  # all files, also those that were removed
         self._all_on_disk()
 
     @property
@@ -83,11 +84,12 @@
         """The power goes as well. `late_names`: names that were not synced are on the disk after all."""
         self.kill()
         names = self._seen() if late_names else self._names
-        found = {name: self._inodes.get(inode, _Inode()).kept for name, inode in names.items()}
         for path in list(self.folder.iterdir()):
             self._real["unlink"](path)
-        for name, data in found.items():
-            (self.folder / name).write_bytes(data)
+        for name, inode in names.items():
+            link = self._links / str(inode)
+            link.write_bytes(self._inodes[inode].kept)
+            os.link(link, self.folder / name)
         self._all_on_disk()
 
     def _seen(self) -> dict[str, int]:
@@ -98,9 +100,17 @@
 
     def _all_on_disk(self) -> None:
         self._names = self._seen()
-        self._inodes = {
-            inode: _Inode((self.folder / name).read_bytes()) for name, inode in self._names.items()
-        }
+        for name, inode in self._names.items():
+            self._made(self.folder / name)
+            self._inodes[inode] = _Inode((self.folder / name).read_bytes())
+
+    def _made(self, path: Path) -> None:
+        """A link to a file keeps its inode from being another's later."""
+        self._links.mkdir(parents=True, exist_ok=True)
+        inode = os.stat(path).st_ino
+        if inode not in self._inodes:
+            os.link(path, self._links / str(inode))
+            self._inodes[inode] = _Inode()
 
     # --- the calls ----------------------------------------------------------------------------------
 
@@ -145,17 +155,16 @@
         return Path(path) == self.folder or Path(path).parent == self.folder
 
     def _inode(self, handle: int) -> _Inode:
-        return self._inodes.setdefault(os.fstat(handle).st_ino, _Inode())
+        return self._inodes[os.fstat(handle).st_ino]
 
     def _open(self, path, flags, *more, **others):
         if not self._here(path):
             return self._real["open"](path, flags, *more, **others)
         self._step("open")
-        new = flags & os.O_CREAT and not Path(path).exists()
         handle = self._real["open"](path, flags, *more, **others)
         self._handles.add(handle)
-        if new:  # an inode's number may have been another file's
-            self._inodes[os.fstat(handle).st_ino] = _Inode()
+        if flags & os.O_CREAT:
+            self._made(path)
         if flags & os.O_TRUNC:
             self._inode(handle).dirty = []
         return handle
--- /dev/null
+++ b/tests/test_disk_faults_store.py
@@ -0,0 +1,155 @@
+"""The store of durable state on a real folder, whose file calls fail, fall short or are its last."""
+
+import errno
+from contextlib import suppress
+from itertools import product
+from random import Random
+
+import pytest
+from support.file_faults import ALWAYS, Faults, FileFaults, Killed
+
+from fawnwharf.durable.crash import Broken, World
+from fawnwharf.durable.folder import Folder
+from fawnwharf.durable.planted import NONE, PLANTED
+from fawnwharf.durable.reading import Unreadable
+
+TURNS = 12
+ENDS = {
+    "kill": lambda faults: faults.kill(),
+    "cut": lambda faults: faults.cut(late_names=False),
+    "cut, late names": lambda faults: faults.cut(late_names=True),
+}
+
+
+class Site:
+    """One folder, and the model of what was told of it."""
+
+    def __init__(self, folder, bug=NONE):
+        folder.mkdir()
+        self.faults = FileFaults(folder)
+        self.world = World(bug, Folder(folder))
+
+    def live(self, seed, turns=TURNS):
+        self.world.open()
+        self.world.live(Random(seed), turns)
+
+    def found(self, end):
+        """What a start after that finds is what was told, or given to the disk later."""
+        ENDS[end](self.faults)
+        self.world.disk = Folder(self.faults.folder)
+        self.world.check(self.world.found())
+
+    def works_again(self):
+        """Without a restart: a change is told to be on disk, and it is."""
+        self.faults.works()
+        told = []
+        for _ in range(60):
+            if not self.world.store.standing(self.world.now_ms).failing:
+                break
+            self.world.turn([], 100.0)
+        self.world.store.put(self.world.now_ms, "term", "k1", None)  # there is room for four
+        self.world.store.put(self.world.now_ms, "term", "k0", "put", lambda *how: told.append(how))
+        for _ in range(60):
+            self.world.turn([], 10.0)
+        assert told == [(True, "")]
+
+
+def calls_of_a_life(folder):
+    site = Site(folder)
+    with site.faults.installed():
+        site.live(1)
+        before = site.faults.count
+        site.world.end()
+        site.found("kill")
+        site.live(2)
+        return site.faults.count - before
+
+
+@pytest.mark.parametrize("end", ENDS)
+@pytest.mark.parametrize("times", [1, 3, ALWAYS])
+def test_each_call_can_fail_once_or_for_a_while_and_what_was_told_is_found(tmp_path, end, times):
+    count = calls_of_a_life(tmp_path / "measured")
+    for at, (error, half) in product(range(0, count), ((errno.ENOSPC, True), (errno.EIO, False))):
+        site = Site(tmp_path / f"{at}-{error}")
+        with site.faults.installed():
+            site.live(1)
+            site.world.end()
+            site.found("kill")
+            site.faults.plan = Faults(site.faults.count + at, times, error, half=half)
+            with suppress(OSError):  # of the start
+                site.live(2)
+                if times < ALWAYS:
+                    site.works_again()
+            site.found(end)
+            site.live(3)
+            site.works_again()
+            site.found("cut")
+            assert site.world.found().entries["term", "k0"] == b'"put"'
+
+
+@pytest.mark.parametrize("name", ["a failed sync done again", "no sync of the folder", "told before sync"])
+def test_the_faults_find_what_is_planted(tmp_path, name):
+    count, broken = calls_of_a_life(tmp_path / "measured"), 0
+    for at in range(count):
+        site = Site(tmp_path / str(at), PLANTED[name])
+        with site.faults.installed():
+            site.live(1)
+            site.found("kill")
+            site.faults.plan = Faults(site.faults.count + at)
+            site.live(2)
+            try:
+                site.found("cut")
+            except (Broken, Unreadable):
+                broken += 1
+    assert broken
+
+
+@pytest.mark.parametrize("end", ENDS)
+def test_a_kill_at_each_call_loses_nothing_that_was_told(tmp_path, end):
+    count = calls_of_a_life(tmp_path / "measured")
+    for at, half in product(range(count), (False, True)):
+        site = Site(tmp_path / f"{at}-{half}")
+        with site.faults.installed():
+            site.live(1)
+            site.found("kill")
+            site.faults.plan = Faults(kill_at=site.faults.count + at, half=half)
+            with suppress(Killed):
+                site.live(2)
+            site.found(end)
+            site.live(3)
+            site.works_again()
+            site.found("cut")
+
+
+def test_writes_that_fall_short_are_gone_on_with(tmp_path):
+    site = Site(tmp_path / "folder")
+    with site.faults.installed():
+        site.faults.plan = Faults(most_bytes=5)
+        site.live(1)
+        site.world.end()
+        assert site.world.store.core.ended
+        site.found("cut")
+        assert site.world.found().ended
+
+
+def test_a_folder_cut_at_every_byte_of_its_last_file_gives_back_the_groups_before_it(tmp_path):
+    site = Site(tmp_path / "folder")
+    folder, heads, turns = site.faults.folder, [], 0
+    with site.faults.installed():
+        site.live(1)
+        while len(heads) <= 4:  # a head and some groups
+            site.world.live(Random(turns := turns + 1), 1)
+            last = max(folder.glob("log-*.seg"), key=lambda path: int(path.stem[4:]))
+            data = last.read_bytes()
+            heads = [at for at in range(len(data)) if data.startswith(b"fwv1", at)]
+        site.faults.kill()
+    numbers = []
+    for size in range(heads[1], len(data) + 1):
+        with open(last, "r+b") as file:
+            file.truncate(0)
+            file.write(data[:size])
+        found = site.world.found()
+        numbers.append(found.sign.number)
+        site.world.was_given(found)
+        assert found.torn == size - max(at for at in [*heads, len(data)] if at <= size)
+    assert numbers == sorted(numbers) and len(set(numbers)) == len(heads)
