Clients: a call is parsed in a module of its own into a frozen, typed value

call_from gave a dict that was spread into a Call; a misspelt key would have been seen with the first call only. net/calls.py holds the parsing and ParsedCall, which becomes a Call in one place. A Call can bring a check of its client, which the table of requests makes before each send; no client brings one yet. ParsedCall can be read by name as well, since tests/test_codecs.py reads figures so.

--- /dev/null
+++ b/fawnwharf/net/calls.py
@@ -0,0 +1,117 @@
+"""Parsing of a client's call: from the text fields of a Thrift message to checked, typed values. Pure."""
+
+import re
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from fawnwharf.interface import ClassSpec, Effect
+from fawnwharf.net import thrift
+from fawnwharf.net.requests import Call, Outcome
+
+TTL_ROOM = 1.1  # a client waits for its class's time at the most; room for rounding
+LANES_MOST = 4_096
+TENANT_MOST = 128  # characters of a tenant's name
+
+_HEX16 = re.compile(r"[0-9a-fA-F]{16}\Z")
+_TOKEN = re.compile(r"[0-9A-Za-z_.:-]{1,128}\Z")
+_NUMBER = re.compile(r"[0-9]{1,12}(\.[0-9]{1,9})?\Z")
+
+
+@dataclass(frozen=True, slots=True)
+class ParsedCall:
+    """What a client asks, checked: each value is one that a scorer can be passed."""
+
+    id: bytes
+    class_name: str
+    tenant: str
+    function: str
+    budget_ms: float  # from when the client sent it
+    body: bytes
+    token: str
+    lanes: int
+    memory_mb: float | None
+    load_ms: float | None
+
+    def __getitem__(self, name: str) -> object:
+        """A value by its name."""
+        return getattr(self, name)
+
+    def open(self, age_ms: float, reply: Callable[[Outcome], None], check_client: Callable[[], None]) -> Call:
+        """The call as the table of requests takes it; `age_ms`: how long it has waited already."""
+        return Call(
+            id=self.id,
+            class_name=self.class_name,
+            tenant=self.tenant,
+            function=self.function,
+            budget_ms=max(0.0, self.budget_ms - age_ms),
+            body=self.body,
+            token=self.token,
+            lanes=self.lanes,
+            memory_mb=self.memory_mb,
+            load_ms=self.load_ms,
+            reply=reply,
+            check_client=check_client,
+        )
+
+
+def _number(text: str | None, name: str) -> float | None:
+    if text is None:
+        return None
+    if not _NUMBER.match(text):
+        raise thrift.Malformed(f"{name}: not a number")
+    return float(text)
+
+
+def _spec(fields: dict[str, str], classes: dict[str, ClassSpec]) -> ClassSpec:
+    spec = classes.get(fields.get("op", ""))
+    if spec is None:
+        raise thrift.Malformed("op: no such class")
+    return spec
+
+
+def _budget_ms(fields: dict[str, str], spec: ClassSpec) -> float:
+    budget = _number(fields.get("ttl"), "ttl")
+    if not budget or budget > TTL_ROOM * spec.give_up_ms:
+        raise thrift.Malformed("ttl: missing, or not a time to wait")
+    return budget
+
+
+def _props(fields: dict[str, str]) -> dict[str, str]:
+    parts = (part.partition(":") for part in fields.get("props", "").split(";") if part)
+    return {name: value for name, _, value in parts}
+
+
+def _lanes(props: dict[str, str]) -> int:
+    lanes = _number(props.get("lanes"), "lanes") or 1
+    if lanes > LANES_MOST:
+        raise thrift.Malformed("lanes: too many")
+    return max(1, int(lanes))
+
+
+def call_from(
+    message: thrift.Handle, classes: dict[str, ClassSpec], tenants: frozenset[str] = frozenset()
+) -> ParsedCall:
+    """What a call's fields say; raises Malformed for what no scorer could be passed."""
+    fields = message.fields
+    spec, token = _spec(fields, classes), fields.get("dedupe", "")
+    if tenants and fields.get("org") not in tenants:
+        raise thrift.Malformed("org: no such tenant")
+    for name in ("call", "row"):
+        if not _HEX16.match(fields.get(name, "")):
+            raise thrift.Malformed(f"{name}: not 16 hex digits")
+    if (token or spec.effect is Effect.KEYED) and not _TOKEN.match(token):
+        raise thrift.Malformed("dedupe: missing, or not a key")
+    budget_ms = _budget_ms(fields, spec)
+    props = _props(fields)
+    return ParsedCall(
+        id=bytes.fromhex(fields["call"]),
+        class_name=spec.name,
+        tenant=fields.get("org", "")[:TENANT_MOST],
+        function=fields["row"],
+        budget_ms=budget_ms,
+        body=message.body,
+        token=token,
+        lanes=_lanes(props),
+        memory_mb=_number(props.get("memory_mb"), "memory_mb"),
+        load_ms=_number(props.get("load_ms"), "load_ms"),
+    )
--- a/fawnwharf/net/clients.py
+++ b/fawnwharf/net/clients.py
@@ -2,19 +2,18 @@
 
 import errno
 import math
-import re
 import socket
 from collections import deque
-from typing import Any
 
 from fawnwharf.config import Address
-from fawnwharf.interface import ClassSpec, Effect
+from fawnwharf.interface import ClassSpec
 from fawnwharf.net import thrift
+from fawnwharf.net.calls import call_from
 from fawnwharf.net.connection import Connection, stamp_reads
 from fawnwharf.net.endings import End, end_of
 from fawnwharf.net.log import Log
 from fawnwharf.net.loop import READ, Loop
-from fawnwharf.net.requests import Call, Failed, Outcome, Refused, RequestTable, Served
+from fawnwharf.net.requests import Failed, Outcome, Refused, RequestTable, Served
 from fawnwharf.net.wheel import monotonic_ms
 
 READ_MOST = 16 * 1024  # bytes of one client in a turn: the smallest messages in it take some 10 ms
@@ -28,60 +27,9 @@
 SKIP_MS = 6_000.0  # for the rest of an oversized one, which was refused when its head came
 YOUNG_MS = 250.0  # a connection that said nothing yet may be about to: others give way first
 ROOM_LOOK_MS = 50.0  # a look over all clients serves for so long: a crowd must not cost one for each accept
-TTL_ROOM = 1.1  # a client waits for its class's time at the most; room for rounding
 UNREAD_STOP = 64 * 1024  # bytes that wait for a client which does not read: it is not read either
 UNREAD_MOST = 1024 * 1024  # and with these it is dropped
 UNREAD_ALL_MOST = 32 * 1024 * 1024  # of all clients together: part of the memory limit
-LANES_MOST = 4_096
-
-_HEX16 = re.compile(r"[0-9a-fA-F]{16}\Z")
-_TOKEN = re.compile(r"[0-9A-Za-z_.:-]{1,128}\Z")
-_NUMBER = re.compile(r"[0-9]{1,12}(\.[0-9]{1,9})?\Z")
-
-
-def _number(text: str | None, name: str) -> float | None:
-    if text is None:
-        return None
-    if not _NUMBER.match(text):
-        raise thrift.Malformed(f"{name}: not a number")
-    return float(text)
-
-
-def call_from(
-    message: thrift.Handle, classes: dict[str, ClassSpec], tenants: frozenset[str] = frozenset()
-) -> dict[str, Any]:
-    """What a call's fields say; raises Malformed for what no scorer could be passed."""
-    fields = message.fields
-    spec, token = classes.get(fields.get("op", "")), fields.get("dedupe", "")
-    if spec is None:
-        raise thrift.Malformed("op: no such class")
-    if tenants and fields.get("org") not in tenants:
-        raise thrift.Malformed("org: no such tenant")
-    for name in ("call", "row"):
-        if not _HEX16.match(fields.get(name, "")):
-            raise thrift.Malformed(f"{name}: not 16 hex digits")
-    if (token or spec.effect is Effect.KEYED) and not _TOKEN.match(token):
-        raise thrift.Malformed("dedupe: missing, or not a key")
-    budget = _number(fields.get("ttl"), "ttl")
-    if not budget or budget > TTL_ROOM * spec.give_up_ms:
-        raise thrift.Malformed("ttl: missing, or not a time to wait")
-    parts = (part.partition(":") for part in fields.get("props", "").split(";") if part)
-    props = {name: value for name, _, value in parts}
-    lanes = _number(props.get("lanes"), "lanes") or 1
-    if lanes > LANES_MOST:
-        raise thrift.Malformed("lanes: too many")
-    return {
-        "id": bytes.fromhex(fields["call"]),
-        "class_name": spec.name,
-        "tenant": fields.get("org", "")[:128],
-        "function": fields["row"],
-        "budget_ms": budget,
-        "body": message.body,
-        "token": token,
-        "lanes": max(1, int(lanes)),
-        "memory_mb": _number(props.get("memory_mb"), "memory_mb"),
-        "load_ms": _number(props.get("load_ms"), "load_ms"),
-    }
 
 
 class Client:
@@ -178,13 +126,12 @@
                 raise thrift.Malformed("a second request under an open number")
             if len(self.open) >= OPEN_MOST:
                 raise thrift.Malformed("too many open requests")
-            fields = call_from(message, self.port.classes, self.port.tenants)
+            parsed = call_from(message, self.port.classes, self.port.tenants)
         except thrift.Malformed as error:
             error.seqid = seqid
             self._malformed(error)
             return
-        fields["budget_ms"] = max(0.0, fields["budget_ms"] - self.connection.age_ms)
-        call = Call(reply=lambda outcome: self._reply(seqid, outcome), **fields)
+        call = parsed.open(self.connection.age_ms, lambda outcome: self._reply(seqid, outcome), lambda: None)
         if (key := self.port.table.take(call)) is not None:
             self.open[seqid] = key
 
--- a/fawnwharf/net/requests.py
+++ b/fawnwharf/net/requests.py
@@ -40,6 +40,10 @@
 Outcome = Served | Refused | Failed
 
 
+def _nothing_to_check() -> None:
+    pass
+
+
 @dataclass(slots=True)
 class Call:
     """What a client asks, free of its protocol."""
@@ -55,6 +59,8 @@
     memory_mb: float | None
     load_ms: float | None
     reply: Callable[[Outcome], None]
+    # Called before each send: a client whose connection has ended behind unread bytes withdraws its requests.
+    check_client: Callable[[], None] = _nothing_to_check
     judged: Any = None  # by which policy, where that may change; kept by whoever takes the call
 
 
@@ -159,6 +165,8 @@
         request = self.open.get(key) or self._ended.get(key) or self._ended_before.get(key)
         if request is None:
             return
+        if key in self.open:
+            request.call.check_client()
         number, request.attempts = request.attempts, request.attempts + 1
         if key not in self.open:  # it ended in the very batch that this answers
             self._loop.tell(io.AttemptEnded(key, number, worker, io.Ending.NOT_SENT, 0.0, closed=True))
