Clients that have gone are found behind unread bytes; half-close; order of a turn

Cause, by reading: the end of a client's connection was seen by a read alone (connection.py `_read`). With reading off (64 KiB of unread answers, or `port.paused`) the socket was not even in the selector; with more than 16 KiB before the end, or where 64 events ended the gathering, the end came turns later. A send or retry that came due meanwhile was made. An end of output closed the connection at once, so a client that still reads had no answer. A withdrawal waited behind a crowd of new requests.

- Connection.peer_ended asks the system (poll for POLLRDHUP, no waiting) without reading; asked before each send and each take, only if this turn's reads can't have shown the end (may_have_ended).
- slow_clients.py looks every 40 ms at clients that are not read as their bytes come: at their end, and (unless paused) at what they sent, so that requests and withdrawals behind unread ones are seen too.
- The end of a client's output withdraws what is open, answers it failed, writes it, then closes.
- Loop serves sockets with something open before those that can only bring what is new; each of the two has its part of the events of a turn.
A connection that was watched anew lost `first`; it keeps it.
- finish ends the output at once where nothing waits, and waits for a peer that goes on reading.
- Idle connections are ended in one way: read, handled, then finished with 60 ms to linger (release); `close_unheard`, a look at unread bytes and then a close, is gone.
Room is made half a port at a time.
- Client, port, listener (listener.py) and slow clients are in files of their own.

--- a/fawnwharf/net/clients.py
+++ b/fawnwharf/net/clients.py
@@ -1,6 +1,5 @@
-"""Clients: the listener, their connections, and the translation between Thrift and calls."""
+"""Clients: their connections, the translation between Thrift and calls, and the port that owns them."""
 
-import errno
 import math
 import socket
 from collections import deque
@@ -9,27 +8,30 @@
 from fawnwharf.interface import ClassSpec
 from fawnwharf.net import thrift
 from fawnwharf.net.calls import call_from
-from fawnwharf.net.connection import Connection, stamp_reads
-from fawnwharf.net.endings import End, end_of
+from fawnwharf.net.connection import Connection
+from fawnwharf.net.endings import End
+from fawnwharf.net.listener import Acceptor, listening
 from fawnwharf.net.log import Log
-from fawnwharf.net.loop import READ, Loop
+from fawnwharf.net.loop import Loop, Order
 from fawnwharf.net.requests import Failed, Outcome, Refused, RequestTable, Served
+from fawnwharf.net.slow_clients import SlowClients
 from fawnwharf.net.wheel import monotonic_ms
 
 READ_MOST = 16 * 1024  # bytes of one client in a turn: the smallest messages in it take some 10 ms
 OPEN_MOST = 32  # requests open on one connection
-BACKLOG = 1024
-ACCEPTS_MOST = 64  # in a turn, and never more than half of all, so that a first request can be read
-ACCEPT_PAUSE_MS = 50.0  # where the system has no descriptor left
 IDLE_MS = 30_000.0  # clients close after 4 s; one that asked and is still here holds its connection for good
 # A peer is owed an answer or a close within 3 s of connecting; what a client sends comes within a round trip.
 SPEAK_MS = 2_300.0  # for a first message, and for the rest of one that has begun
 SKIP_MS = 6_000.0  # for the rest of an oversized one, which was refused when its head came
-YOUNG_MS = 250.0  # a connection that said nothing yet may be about to: others give way first
+# Where room is made: one that said nothing yet may be about to, and is ended after others; one with half a
+# message is ended last, and only if nothing came for so long.
+YOUNG_MS = 250.0
 ROOM_LOOK_MS = 50.0  # a look over all clients serves for so long: a crowd must not cost one for each accept
-UNREAD_STOP = 64 * 1024  # bytes that wait for a client which does not read: it is not read either
-UNREAD_MOST = 1024 * 1024  # and with these it is dropped
-UNREAD_ALL_MOST = 32 * 1024 * 1024  # of all clients together: part of the memory limit
+ROOM_PART = 0.5  # of all connections are ended at a time, where there is no room for another
+# A client sends again what crosses a close within 50 ms; the rest is for the way and for ticks.
+IDLE_LINGER_MS = 60.0
+RELEASE_READS_MOST = 4  # of an idle connection, before it is ended
+UNREAD_MOST = 8 * 1024 * 1024  # with these it is dropped: 32 of the longest answers
 
 
 class Client:
@@ -38,10 +40,16 @@
     def __init__(self, port: "ClientPort", sock: socket.socket) -> None:
         self.port = port
         self.open: dict[int, str] = {}
-        self.connection = Connection.accepted(port.loop, sock, self, READ_MOST)
-        self._reader = thrift.FrameReader()
+        self.gone = False  # the client has ended its output: nothing is begun for it any more
         self.spoke = False  # a whole message has come
+        self._reader = thrift.FrameReader()
         self._since_ms = monotonic_ms()  # it connected, or the message that is not whole yet began
+        self.connection = Connection.accepted(
+            port.loop, sock, self, READ_MOST, order=self._order, half_close=True
+        )
+
+    def _order(self) -> Order:
+        return Order.OPEN if self.open else Order.NEW
 
     def on_up(self) -> None:
         pass
@@ -52,37 +60,85 @@
         if items or not before:
             self._since_ms = monotonic_ms() if items or self.spoke else self._since_ms
         self.spoke = self.spoke or bool(items)
-        for item in items:
-            if self.connection.closed or self.connection.finishing:
+        for place, item in enumerate(items):
+            try:
+                end = self._take(item)
+            except Exception:  # a fault here costs the connection, but no request on it its answer
+                self.port.loop.fault("reading")
+                end = End.BAD_BYTES
+            if end is not None:
+                self._end_amid(items[place:], end)
                 return
-            if isinstance(item, thrift.Malformed):
-                self._malformed(item)
-            elif isinstance(item, thrift.Handle):
-                self._handle(item)
-            elif isinstance(item, thrift.Withdraw):
-                if (key := self.open.pop(item.seqid, None)) is not None:
-                    self.port.table.withdraw(key)
-            else:
-                self._write(thrift.answer("status", item.seqid, b"", {}, self.port.takes_work))
-
-    def _malformed(self, error: thrift.Malformed) -> None:
+
+    def _take(self, item: thrift.Message | thrift.Malformed) -> End | None:
+        """Act on one message; why the connection has to end, where it has to."""
+        if isinstance(item, thrift.Malformed):
+            return self._malformed(item)
+        if isinstance(item, thrift.Handle):
+            return self._handle(item)
+        if isinstance(item, thrift.Withdraw):
+            self._withdraw(item.seqid)
+        else:
+            self._write(thrift.answer("status", item.seqid, b"", {}, self.port.takes_work))
+        return None
+
+    def _withdraw(self, seqid: int) -> None:
+        if (key := self.open.pop(seqid, None)) is not None:
+            self.port.table.withdraw(key)
+
+    def _malformed(self, error: thrift.Malformed) -> End | None:
         self.port.log(f"client: {error}", "clients")
         # An exception under an open request's number would be that request's answer.
         if error.seqid is None or error.seqid in self.open:
-            self._finish(End.BAD_BYTES)
-        else:
-            self._write(thrift.application_exception(error.seqid, str(error), error.kind))
+            return End.BAD_BYTES
+        self._write(thrift.application_exception(error.seqid, str(error), error.kind))
+        return None
+
+    def _end_amid(self, items: list[thrift.Message | thrift.Malformed], end: End) -> None:
+        """End the connection at the first of these messages. Requests that were read whole after it are
+        failed too: they were taken, and only their bytes' neighbour was bad."""
+        for item in items:
+            if isinstance(item, thrift.Withdraw):
+                self._withdraw(item.seqid)
+        failed = set(self.open)
+        for item in items:
+            if isinstance(item, thrift.Handle) and item.seqid not in failed:
+                failed.add(item.seqid)
+                self._reply(item.seqid, Failed())
+        self._finish(end)
 
     def _finish(self, end: End) -> None:
         """End the connection; what is open on it is failed, so that each request has its answer."""
+        self._fail_open()
+        self.connection.finish(end)
+
+    def _fail_open(self) -> None:
         for seqid, key in list(self.open.items()):
             self.port.table.withdraw(key)
             self._reply(seqid, Failed())
-        self.connection.finish(end)
+
+    # --- the client's end -----------------------------------------------------------------------
+
+    def check(self) -> None:
+        """Withdraw what is open where the client has ended its output behind bytes that are unread yet.
+
+        Costs nothing where this turn's reads have seen all that came."""
+        if self.connection.may_have_ended() and self.connection.peer_ended():
+            self.on_half_close()
+
+    def on_half_close(self) -> None:
+        """A client that ends its output may have closed, or may still read: nothing is begun for it any more,
+        and what is open gets its one final answer now."""
+        self.gone = True
+        self._fail_open()
+
+    # --- where nothing is open ------------------------------------------------------------------
 
     @property
     def idle(self) -> bool:
-        return not (self.open or self.connection.waiting_bytes or self.connection.closed)
+        """Whether nothing is open on it or unwritten, and it has not begun to end."""
+        connection = self.connection
+        return not (self.open or connection.waiting_bytes or connection.closed or connection.finishing)
 
     def state(self) -> tuple[bytes, int]:
         return self._reader.state()
@@ -100,16 +156,27 @@
         return self._reader.waits
 
     def end_overdue(self) -> None:
-        if self.spoke or self._reader.waits:
+        """End one that has said nothing, or half a message, for too long, unless the rest lies unread."""
+        if self._read_all() and self.overdue(monotonic_ms()):
             self._finish(End.SILENT)
-        else:
-            self.close_unheard()
 
-    def close_unheard(self) -> bool:
-        """Close it, but for one whose request is just arriving."""
-        if self.connection.unread() and not self.connection.finishing:
-            return False
-        self.connection.close(End.IDLE if self.spoke else End.SILENT)
+    def _read_all(self) -> bool:
+        """Read and handle what has come; whether that is all, and the connection is still there."""
+        if self.port.paused:
+            return False  # what lies unread is for another process
+        for _ in range(RELEASE_READS_MOST):
+            if self.connection.read_now():
+                return not (self.connection.closed or self.connection.finishing)
+        return False
+
+    def release(self) -> bool:
+        """End it in order, if there is nothing to do on it once all that came is read; whether it ends.
+
+        What comes after that read crosses the close, and is thrown away: the client sends it again."""
+        used_ms = self.connection.used_ms
+        if not self._read_all() or self.connection.used_ms != used_ms or not self.idle:
+            return self.connection.closed
+        self.connection.finish(End.IDLE if self.spoke else End.SILENT, IDLE_LINGER_MS)
         return True
 
     def overdue(self, now_ms: float) -> bool:
@@ -119,7 +186,7 @@
         most = SKIP_MS if self._reader.skips else SPEAK_MS
         return now_ms - self._since_ms > most
 
-    def _handle(self, message: thrift.Handle) -> None:
+    def _handle(self, message: thrift.Handle) -> End | None:
         seqid = message.seqid
         try:
             if seqid in self.open:
@@ -129,11 +196,15 @@
             parsed = call_from(message, self.port.classes, self.port.tenants)
         except thrift.Malformed as error:
             error.seqid = seqid
-            self._malformed(error)
-            return
-        call = parsed.open(self.connection.age_ms, lambda outcome: self._reply(seqid, outcome), lambda: None)
+            return self._malformed(error)
+        self.check()
+        if self.gone:
+            self._reply(seqid, Failed())
+            return None
+        call = parsed.open(self.connection.age_ms, lambda outcome: self._reply(seqid, outcome), self.check)
         if (key := self.port.table.take(call)) is not None:
             self.open[seqid] = key
+        return None
 
     def _reply(self, seqid: int, outcome: Outcome) -> None:
         self.open.pop(seqid, None)
@@ -150,10 +221,12 @@
 
     def on_flushed(self) -> None:
         """After the connection's own write of this turn: what is left is what the client does not read."""
-        left = self.connection.waiting_bytes
-        self.connection.read_on(left < UNREAD_STOP and not self.port.paused)
-        if left > UNREAD_MOST or (left > UNREAD_STOP and self.port.unread() > UNREAD_ALL_MOST):
+        if self.connection.waiting_bytes > UNREAD_MOST:
             self.connection.close(End.STUFFED)
+            return
+        self.port.slow.regulate(self)
+        if not self.connection.reads:
+            self.port.slow.shed()
 
     def on_end(self, end: End) -> None:
         keys, self.open = list(self.open.values()), {}
@@ -162,19 +235,6 @@
         self.port.ended(self)
 
 
-def _listening(address: Address, shared: bool) -> socket.socket:
-    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-    listener = socket.socket(family, socket.SOCK_STREAM)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    if shared:
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
-    stamp_reads(listener)
-    listener.bind(address)
-    listener.listen(BACKLOG)
-    listener.setblocking(False)
-    return listener
-
-
 class ClientPort:
     """Owns the listener and the client connections, within a share of the descriptors."""
 
@@ -198,86 +258,72 @@
         self.waits_for: set[str] = set()  # subsystems that have to know more before it may be ready
         self.clients: dict[Client, None] = {}
         self.most = most
-        self.listener: socket.socket | None = listener or _listening(address, shared)
+        self._acceptor = Acceptor(loop, listener or listening(address, shared), self._admit, self._room, log)
         self.address: Address = self.listener.getsockname()[:2]
-        self.paused = False  # nothing is read: what comes is another process's
-        self._accepting = self._resting = False
-        self._idlest: deque[tuple[Client, float]] = deque()  # whom to close first, by the last look
+        self.slow = SlowClients(loop, self.clients)
+        self._idlest: deque[tuple[Client, float]] = deque()  # whom to end first, by the last look
         self._looked_ms = 0.0
         if listener is None:
             self.accept(True)
 
+    @property
+    def paused(self) -> bool:
+        """Whether nothing is read, as what comes is another process's."""
+        return self.slow.paused
+
+    @property
+    def listener(self) -> socket.socket | None:
+        """The listening socket; None once the port is closed."""
+        return self._acceptor.socket
+
     @property
     def takes_work(self) -> bool:
         return self.ready and not self.waits_for
 
+    # --- new connections and room for them ------------------------------------------------------
+
     def accept(self, on: bool) -> None:
         """Accept new connections, or leave them to whoever else has the listener."""
-        if self.listener is None or on == self._accepting:
-            return
-        self._accepting = on
-        if not self._resting:
-            self._watch(on)
+        self._acceptor.accept(on)
 
-    def _watch(self, on: bool) -> None:
-        if on:
-            self.loop.watch(self.listener, READ, self._accept)
-        else:
-            self.loop.forget(self.listener)
-
-    def _accept(self, _mask: int) -> None:
-        for _ in range(min(ACCEPTS_MOST, max(1, self.most // 2))):
-            if self.listener is None or (len(self.clients) >= self.most and not self._make_room()):
-                self._pause()
-                return
-            try:
-                sock, _ = self.listener.accept()
-            except BlockingIOError:
-                return
-            except OSError as error:
-                if end_of(error) is End.NO_DESCRIPTOR:
-                    self._pause()
-                    return
-                if error.errno in (errno.ECONNABORTED, errno.EINTR):
-                    continue
-                self.log(f"accept: {error}")
-                self._pause()
-                return
-            client = Client(self, sock)
-            self.clients[client] = None
+    def _admit(self, sock: socket.socket) -> None:
+        client = Client(self, sock)
+        self.clients[client] = None
 
-    def _make_room(self) -> bool:
-        """Close one that has nothing open: one that should have spoken by now, else one that is finished
-        with, else the one that has been idle for longest. What has something unread is about to ask."""
+    def _room(self) -> int:
+        """How many connections to accept now: never more than half of all, so that a first request can be
+        read. Where there is no room, some is made, which takes until the connections have lingered."""
+        if len(self.clients) >= self.most:
+            self._make_room()
+        free = self.most - len(self.clients)
+        return max(0, min(free, max(1, self.most // 2)))
+
+    def _make_room(self) -> None:
+        """End some that have nothing open: those that should have spoken by now, then those that have been
+        idle for longest, then those with half a message of which nothing comes any more."""
+        wanted = max(1, int(self.most * ROOM_PART))
+        wanted -= sum(client.connection.finishing for client in self.clients)
         for _ in range(2):  # from the last look, then from a new one
             while self._idlest and monotonic_ms() - self._looked_ms < ROOM_LOOK_MS:
+                if wanted <= 0 or self.loop.crowded:
+                    return
                 client, used_ms = self._idlest.popleft()
-                if client.idle and client.connection.used_ms == used_ms and client.close_unheard():
-                    return True
+                if client.idle and client.connection.used_ms == used_ms:
+                    wanted -= client.release()
+            if wanted <= 0:
+                return
             self._idlest, self._looked_ms = self._by_idleness(), monotonic_ms()
-        return False
 
     def _by_idleness(self) -> deque[tuple[Client, float]]:
         since = monotonic_ms() - YOUNG_MS
 
         def rank(client: Client) -> tuple[bool, bool, float]:
-            used_ms, finishing = client.connection.used_ms, client.connection.finishing
-            return client.spoke or used_ms >= since, not finishing, used_ms
-
-        idle = sorted((client for client in self.clients if client.idle), key=rank)
-        return deque((client, client.connection.used_ms) for client in idle)
+            used_ms = client.connection.used_ms
+            return client.begun, client.spoke or used_ms >= since, used_ms
 
-    def _pause(self) -> None:
-        """Leave new connections to the system's queue for a moment, rather than spin on them."""
-        if self.listener is not None and not self._resting:
-            self._resting = True
-            self._watch(False)
-            self.loop.wheel.after(ACCEPT_PAUSE_MS, self._resume)
-
-    def _resume(self) -> None:
-        self._resting = False
-        if self.listener is not None and self._accepting:
-            self._watch(True)
+        idle = [client for client in self.clients if client.idle]
+        able = [client for client in idle if not client.begun or client.connection.used_ms < since]
+        return deque((client, client.connection.used_ms) for client in sorted(able, key=rank))
 
     # --- to and from another process ------------------------------------------------------------
 
@@ -290,45 +336,48 @@
 
     def adopt(self, sock: socket.socket, partial: bytes, skip: int, spoke: bool, rest: bytes) -> None:
         """Go on with a connection that another process had."""
-        client = Client(self, sock)
+        try:
+            client = Client(self, sock)
+        except OSError as error:
+            self.log(f"a connection of another process can't be kept: {error}")
+            sock.close()
+            return
         self.clients[client] = None
         client.resume(partial, skip, spoke, rest)
-        client.connection.read_on(not self.paused)
+        self.slow.regulate(client)
 
     def pause(self, on: bool) -> None:
         """Read no further on any connection, or go on: what lies unread is for another process."""
-        self.paused = on
-        for client in self.clients:
-            client.connection.read_on(not on and client.connection.waiting_bytes < UNREAD_STOP)
-
-    def unread(self) -> int:
-        return sum(client.connection.waiting_bytes for client in self.clients)
+        self.slow.pause(on)
 
     def unwritten(self) -> bool:
         return any(client.connection.waiting_bytes for client in self.clients)
 
+    # --- ends -----------------------------------------------------------------------------------
+
     def end_idle(self) -> None:
         """End every connection on which nothing is open and nothing has begun to arrive."""
         for client in [client for client in self.clients if client.idle and not client.begun]:
-            client.close_unheard()
+            client.release()
 
     def ended(self, client: Client) -> None:
         self.clients.pop(client, None)
+        self._acceptor.go_on()
 
     def tidy(self) -> None:
+        """End connections that have been idle, silent or stuck for too long."""
         now = monotonic_ms()
         self._idlest.clear()  # it must not keep those that have ended
         for client in list(self.clients):
-            idle = not client.open and now - client.connection.used_ms > IDLE_MS
-            if idle:
-                client.connection.close(End.IDLE)
+            unused = not client.open and now - client.connection.used_ms > IDLE_MS
+            if unused and client.connection.waiting_bytes:
+                client.connection.close(End.STUFFED)
+            elif unused:
+                client.release()
             elif client.overdue(now):
                 client.end_overdue()
 
     def close(self) -> None:
-        self.accept(False)
-        if self.listener is not None:
-            self.listener.close()
-            self.listener = None
+        self._acceptor.close()
         for client in list(self.clients):
             client.connection.close(End.STOPPED)
--- a/fawnwharf/net/connection.py
+++ b/fawnwharf/net/connection.py
@@ -5,12 +5,14 @@
 import socket
 import struct
 from collections import deque
+from collections.abc import Callable
 from itertools import islice
-from typing import Protocol
 
 from fawnwharf.config import Address
 from fawnwharf.net.endings import End, end_of
-from fawnwharf.net.loop import READ, WRITE, Loop
+from fawnwharf.net.loop import READ, WRITE, Loop, Order
+from fawnwharf.net.owners import NOBODY, Owner
+from fawnwharf.net.unread import discard, peek, peer_ended
 from fawnwharf.net.wheel import Timer, monotonic_ms
 
 READ_MOST = 64 * 1024  # bytes taken from one connection in a turn, so that none starves the others; the rest
@@ -20,6 +22,10 @@
 NOTES_MOST = socket.CMSG_SPACE(STAMP.size)
 PIECES_MOST = 64  # in one write
 LINGER_MS = 1_000.0  # for a peer that is being finished with: it may still read, and end by itself
+FINISH_MOST_MS = 10_000.0  # for one that goes on taking what was queued for it
+READ_AGAIN_MS = 50.0  # after a read for which the system had no memory
+# Bytes that lay unread for this long, or a turn that runs for this long: the peer may have ended meanwhile.
+FRESH_MS = 40.0
 
 
 def stamp_reads(listener: socket.socket) -> None:
@@ -37,34 +43,6 @@
         self.data, self.written = data, 0
 
 
-class Owner(Protocol):
-    """Whoever is told what happens on a connection."""
-
-    def on_up(self) -> None: ...
-
-    def on_data(self, data: bytes) -> None: ...
-
-    def on_flushed(self) -> None: ...
-
-    def on_end(self, end: End) -> None: ...
-
-
-class _Nobody:
-    """Owns connections that have ended. Guards the memory: owner and connection would hold each other until
-    a full collection, which comes ever more seldom."""
-
-    def on_up(self) -> None: ...
-
-    def on_data(self, data: bytes) -> None: ...
-
-    def on_flushed(self) -> None: ...
-
-    def on_end(self, end: End) -> None: ...
-
-
-NOBODY = _Nobody()
-
-
 class Connection:
     def __init__(
         self,
@@ -74,7 +52,11 @@
         up: bool = True,
         read_most: int = READ_MOST,
         first: bool = False,
+        order: Callable[[], Order] | None = None,
+        half_close: bool = False,
     ) -> None:
+        """`order`: when it is served in a turn, where that changes. `half_close`: a peer that ends its output
+        may still read; the owner (a HalfCloseOwner) is told, and what is queued is written before the end."""
         self.loop, self.owner, self.up, self.closed = loop, owner, up, False
         self._read_most = read_most
         self.heard_ms = self.used_ms = monotonic_ms()
@@ -83,9 +65,14 @@
         self._sock, self._reading, self._blocked = sock, True, False
         self._outbox: deque[Piece] = deque()
         self._dial: Timer | None = None
+        self._first, self._order, self._half_close = first, order, half_close
         self._finishing: End | None = None
+        self._linger_ms, self._finish_by_ms = LINGER_MS, 0.0
+        self._input_over = self._output_over = False  # the peer has ended its output; this side has
+        self._input_full = False  # the last read took as much as it may: there may be more
+        self._resting = False  # the system had no memory for a read
         self._mask = READ if up else WRITE
-        loop.watch(sock, self._mask, self._ready, first)
+        loop.watch(sock, self._mask, self._ready, first, order)
 
     @classmethod
     def accepted(
@@ -95,10 +82,12 @@
         owner: Owner,
         read_most: int = READ_MOST,
         first: bool = False,
+        order: Callable[[], Order] | None = None,
+        half_close: bool = False,
     ) -> "Connection":
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        return cls(loop, sock, owner, read_most=read_most, first=first)
+        return cls(loop, sock, owner, read_most=read_most, first=first, order=order, half_close=half_close)
 
     @classmethod
     def dial(cls, loop: Loop, address: Address, owner: Owner, within_ms: float) -> "Connection | End":
@@ -143,8 +132,7 @@
         if self.up and not self.closed and not self._blocked and self._outbox:
             self._write_out()
         if self._finishing and not self.closed and not self._outbox:
-            with contextlib.suppress(OSError):
-                self._sock.shutdown(socket.SHUT_WR)
+            self._end_output()
         if not self.closed:
             self.owner.on_flushed()
 
@@ -169,29 +157,83 @@
         self._blocked = bool(self._outbox)
         self._set_mask()
 
-    def finish(self, end: End) -> None:
-        """End it after what is queued: written first, then ended on this side, and read on without keeping.
-        Guards the last answers, which a close with bytes unread would reset. Harm: it lives on a while."""
-        if not self.closed and not self._finishing:
-            self._finishing = end
-            self.loop.wheel.after(LINGER_MS, lambda: self.close(end))
+    # --- ending ---------------------------------------------------------------------------------
+
+    def finish(self, end: End, linger_ms: float = LINGER_MS) -> None:
+        """End it in order: what is queued is written, the output is ended, and what still comes is read and
+        thrown away for `linger_ms`. Guards the last answers, which a close with bytes unread would reset.
+        Harm: it lives on for that long, or until the peer ends it."""
+        if self.closed or self._finishing:
+            return
+        self._finishing, self._linger_ms = end, linger_ms
+        if self._outbox:
+            self._finish_by_ms = monotonic_ms() + FINISH_MOST_MS
+            self.loop.wheel.after(LINGER_MS, self._check_unwritten)
             self.loop.flush_later(self)
+        else:
+            self._end_output()
+
+    def _check_unwritten(self) -> None:
+        """Close it where its peer has taken nothing for a while."""
+        if self.closed or not self._outbox:
+            return
+        now = monotonic_ms()
+        left = min(self.used_ms + LINGER_MS, self._finish_by_ms) - now
+        if left > 0:
+            self.loop.wheel.after(left, self._check_unwritten)
+        else:
+            self.close(self._finishing)
+
+    def _end_output(self) -> None:
+        if self._output_over:
+            return
+        self._output_over = True
+        if self._input_over:
+            self.close(self._finishing)
+            return
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_WR)
+        self.loop.wheel.after(self._linger_ms, lambda: self.close(self._finishing))
 
     @property
     def finishing(self) -> bool:
         return self._finishing is not None
 
+    @property
+    def waiting_pieces(self) -> int:
+        """How many queued pieces are not written whole yet."""
+        return len(self._outbox)
+
+    # --- what lies unread -----------------------------------------------------------------------
+
     def unread(self) -> bytes | None:
         """A look at what lies unread: None where nothing does, empty where the peer has ended it."""
-        try:
-            return self._sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return None
-        except OSError:
-            return b""
+        return peek(self._sock)
+
+    def may_have_ended(self) -> bool:
+        """Whether the peer may have ended its output some time ago without this turn's reads showing it."""
+        if not self.reads or self._input_full or self.loop.left_behind(self._sock):
+            return True
+        return max(self.age_ms, monotonic_ms() - self.loop.turn_ms) > FRESH_MS
+
+    def peer_ended(self) -> bool:
+        """Whether the peer has ended its output or reset the connection, also behind unread bytes. False
+        where the system can't tell."""
+        return self.closed or self._input_over or peer_ended(self._sock)
 
     # --- reading ------------------------------------------------------------------------------
 
+    @property
+    def reads(self) -> bool:
+        """Whether it is read as bytes come."""
+        return self._reading and not self._resting and not self._input_over
+
+    def read_now(self) -> bool:
+        """Read once without waiting for the selector; whether all that had come was read."""
+        if not (self.closed or self._input_over or self._resting):
+            self._read()
+        return not (self._input_full or self._resting)
+
     def read_on(self, on: bool) -> None:
         """Stop or go on reading: a peer that does not read its answers is not read either."""
         if self._reading != on and not self.closed:
@@ -199,13 +241,13 @@
             self._set_mask()
 
     def _set_mask(self) -> None:
-        mask = (READ * self._reading) | (WRITE * self._blocked)
+        mask = (READ * self.reads) | (WRITE * self._blocked)
         if mask == self._mask or self.closed:
             return
         if not mask:  # a selector takes no empty one
             self.loop.forget(self._sock)
         elif not self._mask:
-            self.loop.watch(self._sock, mask, self._ready)
+            self.loop.watch(self._sock, mask, self._ready, self._first, self._order)
         else:
             self.loop.change(self._sock, mask, self._ready)
         self._mask = mask
@@ -233,16 +275,18 @@
         self.owner.on_up()
 
     def _read(self) -> None:
+        self._input_full = False
         try:
             data, notes, _, _ = self._sock.recvmsg(self._read_most, NOTES_MOST)
-        except BlockingIOError:
+        except (BlockingIOError, InterruptedError):
             return
         except OSError as error:
-            self.close(end_of(error))
+            self._read_failed(error)
             return
         if not data:
-            self.close(End.CLOSED_BY_PEER)
+            self._peer_closed()
             return
+        self._input_full = len(data) >= self._read_most
         if self._finishing:
             return
         self.heard_ms = self.used_ms = monotonic_ms()
@@ -253,6 +297,31 @@
             self.loop.fault("reading")
             self.close(End.BAD_BYTES)
 
+    def _read_failed(self, error: OSError) -> None:
+        """A want of memory here passes and says nothing of the peer; any other error ends the connection."""
+        end = end_of(error)
+        if end is not End.NO_DESCRIPTOR:
+            self.close(end)
+            return
+        self._resting = True
+        self._set_mask()
+        self.loop.wheel.after(READ_AGAIN_MS, self._rested)
+
+    def _rested(self) -> None:
+        self._resting = False
+        self._set_mask()
+
+    def _peer_closed(self) -> None:
+        """The peer has ended its output: it may have closed, or may still read what it is owed."""
+        if self._half_close and not self._finishing:
+            self.owner.on_half_close()
+        if not self._outbox or not (self._half_close or self._finishing):
+            self.close(End.CLOSED_BY_PEER)
+            return
+        self._input_over = True  # what has ended stays readable: it is not watched any more
+        self._set_mask()
+        self.finish(End.CLOSED_BY_PEER)
+
     def _age(self, notes: list[tuple[int, int, bytes]]) -> float:
         """How long the last of the bytes just read had waited when the turn began, by the system's stamp.
         Guards deadlines: a process that was held up reads late, but the client's time has run on."""
@@ -266,7 +335,7 @@
 
     def detach(self) -> tuple[socket.socket, bytes]:
         """Give the socket away, with what is unwritten on it; it is no connection of this loop any more."""
-        self.closed, self.owner = True, NOBODY
+        self.closed, self.owner, self._order = True, NOBODY, None
         if self._mask:
             self.loop.forget(self._sock)
         rest = b"".join(piece.data[piece.written :] for piece in self._outbox)
@@ -278,7 +347,7 @@
         """Guards answers that are still on their way: closing with unread bytes would reset them."""
         with contextlib.suppress(OSError):
             self._sock.shutdown(socket.SHUT_WR)
-            self._sock.recv(READ_MOST)
+        discard(self._sock)
 
     def close(self, end: End) -> None:
         """The one way out; the owner hears of it once."""
@@ -289,10 +358,11 @@
             self._dial.cancel()
         if self._mask:
             self.loop.forget(self._sock)
-        if self.up and end in (End.IDLE, End.STOPPED):
+        if self.up and (self._finishing or end in (End.IDLE, End.STOPPED)):
             self._part()
         self._sock.close()
         self._outbox.clear()
         self.waiting_bytes = 0
+        self._order = None  # it may hold the owner
         owner, self.owner = self.owner, NOBODY
         owner.on_end(end)
--- /dev/null
+++ b/fawnwharf/net/listener.py
@@ -0,0 +1,147 @@
+"""The listening socket of the clients' port: which errors of accept concern one connection, which all."""
+
+import errno
+import socket
+from collections.abc import Callable
+
+from fawnwharf.config import Address
+from fawnwharf.net.connection import stamp_reads
+from fawnwharf.net.endings import End, end_of
+from fawnwharf.net.log import Log
+from fawnwharf.net.loop import READ, Loop, Order
+from fawnwharf.net.wheel import Timer
+
+BACKLOG = 1024
+ACCEPTS_MOST = 64  # in a turn
+# Where the system has no descriptor or memory left, or the listener fails in a way that is unknown here.
+ACCEPT_PAUSE_MS = 50.0
+# Errors of a connection that ended, or of its network, before it was accepted: the next one may be well.
+OF_ONE_CONNECTION = frozenset(
+    {
+        errno.ECONNABORTED,
+        errno.ECONNRESET,
+        errno.EINTR,
+        errno.EPROTO,
+        errno.ENOPROTOOPT,
+        errno.EOPNOTSUPP,
+        errno.EPERM,  # turned away by a firewall
+        errno.ENETDOWN,
+        errno.ENETUNREACH,
+        errno.EHOSTDOWN,
+        errno.EHOSTUNREACH,
+        errno.ENONET,
+        errno.ETIMEDOUT,
+    }
+)
+
+
+def listening(address: Address, shared: bool) -> socket.socket:
+    """A socket that listens there; `shared`: another process may listen on the same address."""
+    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    if shared:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+    stamp_reads(listener)
+    listener.bind(address)
+    listener.listen(BACKLOG)
+    listener.setblocking(False)
+    return listener
+
+
+class Acceptor:
+    """Owns the listening socket; accepts while it is on, there is room, and the system gives descriptors."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        listener: socket.socket,
+        admit: Callable[[socket.socket], None],
+        room: Callable[[], int],
+        log: Log,
+    ) -> None:
+        """`admit` takes an accepted socket, or raises OSError and leaves it. `room`: how many more to accept
+        in this turn; where it is 0, `go_on` says when there may be room again."""
+        self.loop, self.log = loop, log
+        self.socket: socket.socket | None = listener
+        self._admit, self._room = admit, room
+        self._on = False
+        self._pause: Timer | None = None
+        self._in_vain = 0  # tries of this turn that brought no connection
+
+    def accept(self, on: bool) -> None:
+        """Accept new connections, or leave them to whoever else has the listener."""
+        if self.socket is None or on == self._on:
+            return
+        self._on = on
+        if self._pause is None:
+            self._watch(on)
+
+    def _watch(self, on: bool) -> None:
+        if on:
+            self.loop.watch(self.socket, READ, self._ready, order=lambda: Order.NEW)
+        else:
+            self.loop.forget(self.socket)
+
+    def _ready(self, _mask: int) -> None:
+        most = min(ACCEPTS_MOST, self._room())
+        if not most:
+            self.pause()
+            return
+        self._in_vain = 0
+        for _ in range(most):
+            if not self._accept_one():
+                return
+        if self._in_vain == most:
+            self.pause()
+
+    def _accept_one(self) -> bool:
+        """Whether there may be more to accept now."""
+        try:
+            accepted, _ = self.socket.accept()
+        except BlockingIOError:
+            return False
+        except OSError as error:
+            return self._failed(error)
+        try:
+            self._admit(accepted)
+        except OSError as error:
+            # Reset already, or the selector has no memory: this one is lost, the next may be well.
+            accepted.close()
+            self.log(f"accepted, but of no use: {error}", "accept")
+        return True
+
+    def _failed(self, error: OSError) -> bool:
+        if error.errno in OF_ONE_CONNECTION:
+            self._in_vain += 1
+            return True
+        if end_of(error) is not End.NO_DESCRIPTOR:
+            self.log(f"accept: {error}", "accept")
+        self.pause()
+        return False
+
+    def pause(self) -> None:
+        """Leave new connections to the system's queue for a moment, rather than spin on them."""
+        if self.socket is not None and self._on and self._pause is None:
+            self._watch(False)
+            self._pause = self.loop.wheel.after(ACCEPT_PAUSE_MS, self.go_on)
+
+    def go_on(self) -> None:
+        """There may be room, or the system may have descriptors again."""
+        if self._pause is None:
+            return
+        self._pause.cancel()
+        self._pause = None
+        if self.socket is None or not self._on:
+            return
+        try:
+            self._watch(True)
+        except OSError as error:  # the selector has no memory: a listener that nobody watches would be lost
+            self.log(f"accept: {error}", "accept")
+            self._pause = self.loop.wheel.after(ACCEPT_PAUSE_MS, self.go_on)
+
+    def close(self) -> None:
+        self.accept(False)
+        if self.socket is not None:
+            self.socket.close()
+            self.socket = None
--- a/fawnwharf/net/loop.py
+++ b/fawnwharf/net/loop.py
@@ -6,6 +6,7 @@
 import socket
 import traceback
 from collections.abc import Callable
+from enum import IntEnum
 from typing import Protocol
 
 from fawnwharf import interface as io
@@ -16,6 +17,9 @@
 # So many events end the gathering of a turn: what else is ready waits in the system's buffers for the next
 # one, and comes first there. Guards timers and final answers against a crowd that all asks at once.
 EVENTS_MOST = 64
+# What can end a request (an answer, a withdrawal, a close) is read before what can only bring new ones. Each
+# of the two has at least its part of the events of a turn, however much the other brings.
+OPEN_PART, NEW_PART = 0.5, 0.25
 
 AGE_MOST_MS = 60_000.0
 # Reads that are paused, and more bytes than a turn takes, make some stamps old though they fit.
@@ -24,6 +28,14 @@
 READ, WRITE = selectors.EVENT_READ, selectors.EVENT_WRITE
 
 
+class Order(IntEnum):
+    """In which order sockets that are ready together are served in a turn."""
+
+    FIRST = 0  # operators, and the process that takes this one's place: few, and never made to wait
+    OPEN = 1  # something may be open on it
+    NEW = 2  # nothing is open on it: it can only bring what is new
+
+
 class Flushable(Protocol):
     def flush(self) -> None: ...
 
@@ -61,26 +73,34 @@
         self._inbox: dict[int, io.Event] = {}  # by ticket, in order
         self._tickets = itertools.count()
         self._behind: set[int] = set()  # descriptors that the last turn left ready
-        self._first: set[int] = set()  # descriptors that are looked at before all others
+        self._orders: dict[int, Callable[[], Order]] = {}  # by descriptor; Order.OPEN for all others
         self._dirty: dict[Flushable, None] = {}
         self._wake: tuple[socket.socket, socket.socket] | None = None
 
     # --- what the parts use -----------------------------------------------------------------
 
     def watch(
-        self, sock: socket.socket, mask: int, ready: Callable[[int], None], first: bool = False
+        self,
+        sock: socket.socket,
+        mask: int,
+        ready: Callable[[int], None],
+        first: bool = False,
+        order: Callable[[], Order] | None = None,
     ) -> None:
-        """`first`: before all others in each turn, however many of these are ready."""
+        """`first`: before all others in each turn, however many of these are ready. `order` tells the order
+        where it changes; it is asked in each turn in which the socket is ready."""
         self._selector.register(sock, mask, ready)
         if first:
-            self._first.add(sock.fileno())
+            self._orders[sock.fileno()] = lambda: Order.FIRST
+        elif order is not None:
+            self._orders[sock.fileno()] = order
 
     def change(self, sock: socket.socket, mask: int, ready: Callable[[int], None]) -> None:
         self._selector.modify(sock, mask, ready)
 
     def forget(self, sock: socket.socket) -> None:
         self._selector.unregister(sock)
-        self._first.discard(sock.fileno())
+        self._orders.pop(sock.fileno(), None)
 
     def tell(self, event: io.Event) -> int:
         """An event for the next batch. One that carrying out a batch brings waits for the one after.
@@ -94,6 +114,15 @@
         """The module is never to hear of this event, which is still to be handed over."""
         del self._inbox[ticket]
 
+    @property
+    def crowded(self) -> bool:
+        """Whether the next batch has as many events as the gathering of a turn may bring."""
+        return len(self._inbox) >= EVENTS_MOST
+
+    def left_behind(self, sock: socket.socket) -> bool:
+        """Whether this turn's gathering ended before a socket that was ready."""
+        return sock.fileno() in self._behind
+
     def flush_later(self, part: Flushable) -> None:
         self._dirty[part] = None
 
@@ -118,13 +147,26 @@
             self.guarded(part.flush)
 
     def _gather(self, ready: list[tuple[selectors.SelectorKey, int]]) -> None:
-        ready = sorted(
-            ready, key=lambda item: (item[0].fd not in self._first, item[0].fd not in self._behind)
-        )
+        groups: dict[Order, list[tuple[selectors.SelectorKey, int]]] = {order: [] for order in Order}
+        for item in sorted(ready, key=lambda item: item[0].fd not in self._behind):
+            groups[self._order(item[0].fd)].append(item)
         self._behind = set()
+        self._serve_ready(groups[Order.FIRST], None)
+        self._serve_ready(groups[Order.OPEN], self._events_until(OPEN_PART))
+        self._serve_ready(groups[Order.NEW], self._events_until(NEW_PART))
+
+    def _order(self, descriptor: int) -> Order:
+        order = self._orders.get(descriptor)
+        return Order.OPEN if order is None else order()
+
+    def _events_until(self, part: float) -> int:
+        """How many events end the gathering of a group that has this part of them for itself."""
+        return max(EVENTS_MOST, len(self._inbox) + max(1, int(part * EVENTS_MOST)))
+
+    def _serve_ready(self, ready: list[tuple[selectors.SelectorKey, int]], most: int | None) -> None:
         for place, (key, mask) in enumerate(ready):
-            if len(self._inbox) >= EVENTS_MOST:
-                self._behind = {key.fd for key, _ in ready[place:]}
+            if most is not None and len(self._inbox) >= most:
+                self._behind |= {key.fd for key, _ in ready[place:]}
                 return
             # One that an earlier part of this turn closed is no longer registered under its key.
             if self._selector.get_map().get(key.fd) is key:
