Shutdown: late arrivals, accept queue, then a half-close of each connection as it falls idle

Cause: after SIGTERM the front end looked only at open requests and unwritten bytes, and stopped in the moment in which there were none, 0.8 s later (`_look_to_leave`). What was still in the accept queue, unread in the kernel, half read or in the send buffer of a slow reader went down with the process; closing the listener resets its queue, and closing with unread bytes resets the connection with the answers on it. The limit of 20 s was one constant for all classes.

Change: `net/leaving.py`. Served in full for 0.8 s; then the accept queue is emptied and the listener closed, new calls are refused, and each connection on which nothing is open, begun, unread or unsent (SIOCOUTQ, 0 where the system doesn't tell) gets a half-close and is read on until its peer ends. The limit follows the longest give-up time with its room. If the loop stops early, what is open is answered as failed. Each part is tidied by itself with the timer set first. SIGTERM and SIGINT are held back from the first line as SIGHUP was, taken once the start is done, each handler guarded by itself, and held back again at the interpreter's end, which puts the default action back.

Ruled out: reading the requests that cross a half-close; the output is ended, and the protocol has them sent again.

--- a/fawnwharf/__main__.py
+++ b/fawnwharf/__main__.py
@@ -4,6 +4,7 @@
 import sys
 from typing import Any
 
+SIGNALS = signal.SIGHUP, signal.SIGTERM, signal.SIGINT  # what the loop takes once it runs
 OPTIONS = "--zones", "--state", "--policy", "--sessions", "--recovery"
 
 
@@ -25,9 +26,21 @@
 
 
 def main() -> int:
+    """Run what the command line asks for; the exit status."""
+    if sys.argv[1:2] != ["serve"]:
+        return run()
+    # Held back until the loop has its handlers: a signal ends a program that has none yet.
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
+    try:
+        return run()
+    finally:
+        # The interpreter takes its handlers away as it ends: a second signal must not change the status.
+        signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
+
+
+def run() -> int:
+    """Serve at once, or have the command line look at its words."""
     if (asked := plain_serve(sys.argv[1:])) is not None:
-        # Guards a reload that is asked for early: SIGHUP ends a program that has no handler yet.
-        signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
         # Guards the time to be ready after a restart, and some 11 MB: the command line's libraries take
         # longer to import than all the rest, and serving needs none of them.
         from fawnwharf.serving import serve
--- a/fawnwharf/net/clients.py
+++ b/fawnwharf/net/clients.py
@@ -10,8 +10,9 @@
 from fawnwharf.config import Address
 from fawnwharf.interface import ClassSpec, Effect
 from fawnwharf.net import thrift
-from fawnwharf.net.connection import Connection, stamp_reads
+from fawnwharf.net.connection import Connection
 from fawnwharf.net.endings import End, end_of
+from fawnwharf.net.listener import listening
 from fawnwharf.net.log import Log
 from fawnwharf.net.loop import READ, Loop
 from fawnwharf.net.requests import Call, Failed, Outcome, Refused, RequestTable, Served
@@ -19,7 +20,6 @@
 
 READ_MOST = 16 * 1024  # bytes of one client in a turn: the smallest messages in it take some 10 ms
 OPEN_MOST = 32  # requests open on one connection
-BACKLOG = 1024
 ACCEPTS_MOST = 64  # in a turn, and never more than half of all, so that a first request can be read
 ACCEPT_PAUSE_MS = 50.0  # where the system has no descriptor left
 IDLE_MS = 30_000.0  # clients close after 4 s; one that asked and is still here holds its connection for good
@@ -215,19 +215,6 @@
         self.port.ended(self)
 
 
-def _listening(address: Address, shared: bool) -> socket.socket:
-    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-    listener = socket.socket(family, socket.SOCK_STREAM)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    if shared:
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
-    stamp_reads(listener)
-    listener.bind(address)
-    listener.listen(BACKLOG)
-    listener.setblocking(False)
-    return listener
-
-
 class ClientPort:
     """Owns the listener and the client connections, within a share of the descriptors."""
 
@@ -251,7 +238,7 @@
         self.waits_for: set[str] = set()  # subsystems that have to know more before it may be ready
         self.clients: dict[Client, None] = {}
         self.most = most
-        self.listener: socket.socket | None = listener or _listening(address, shared)
+        self.listener: socket.socket | None = listener or listening(address, shared)
         self.address: Address = self.listener.getsockname()[:2]
         self.paused = False  # nothing is read: what comes is another process's
         self._accepting = self._resting = False
@@ -365,6 +352,25 @@
         for client in [client for client in self.clients if client.idle and not client.begun]:
             client.close_unheard()
 
+    def close_listener(self) -> bool:
+        """Accept all that the system's queue holds, then close the listener: closing it resets what it holds.
+        False while there is no room for all of it."""
+        self.accept(False)
+        while self.listener is not None:
+            if len(self.clients) >= self.most and not self._make_room():
+                return False
+            try:
+                sock, _ = self.listener.accept()
+            except BlockingIOError:
+                self.listener.close()
+                self.listener = None
+            except OSError as error:
+                if error.errno not in (errno.ECONNABORTED, errno.EINTR):
+                    return False
+            else:
+                self.clients[Client(self, sock)] = None
+        return True
+
     def ended(self, client: Client) -> None:
         self.clients.pop(client, None)
 
@@ -384,4 +390,7 @@
             self.listener.close()
             self.listener = None
         for client in list(self.clients):
+            if client.open:  # the loop was stopped before its time: each request has its answer all the same
+                client._finish(End.STOPPED)
+                client.connection.flush()
             client.connection.close(End.STOPPED)
--- a/fawnwharf/net/connection.py
+++ b/fawnwharf/net/connection.py
@@ -2,8 +2,10 @@
 
 import contextlib
 import errno
+import fcntl
 import socket
 import struct
+import termios
 from collections import deque
 from itertools import islice
 from typing import Protocol
@@ -18,6 +20,7 @@
 SO_TIMESTAMPNS = 35  # Linux: each read tells when its bytes came in
 STAMP = struct.Struct("@qq")
 NOTES_MOST = socket.CMSG_SPACE(STAMP.size)
+COUNT = struct.Struct("@i")
 PIECES_MOST = 64  # in one write
 LINGER_MS = 1_000.0  # for a peer that is being finished with: it may still read, and end by itself
 
@@ -274,6 +277,14 @@
         self.waiting_bytes = 0
         return self._sock, rest
 
+    def unsent(self) -> int:
+        """Written bytes that the peer's system has not acknowledged; 0 where this system does not tell."""
+        try:
+            found = fcntl.ioctl(self._sock, termios.TIOCOUTQ, bytes(COUNT.size))
+        except (OSError, ValueError):
+            return 0
+        return max(0, COUNT.unpack(found)[0])
+
     def _part(self) -> None:
         """Guards answers that are still on their way: closing with unread bytes would reset them."""
         with contextlib.suppress(OSError):
--- a/fawnwharf/net/front_end.py
+++ b/fawnwharf/net/front_end.py
@@ -5,12 +5,14 @@
 import socket
 from collections.abc import Callable
 from dataclasses import replace
+from functools import partial
 from typing import Any, Protocol
 
 from fawnwharf import interface as io
 from fawnwharf.config import Address, ConfigError, Deployment, Fleet, Member, address_from
 from fawnwharf.net.changelog import ChangeLog
 from fawnwharf.net.clients import ClientPort
+from fawnwharf.net.leaving import Leaving
 from fawnwharf.net.log import Log
 from fawnwharf.net.loop import Loop
 from fawnwharf.net.overlay import Overlay
@@ -21,9 +23,6 @@
 from fawnwharf.policy import Router
 
 TIDY_MS = 250.0  # pace of the look after idle and silent connections
-LATE_ARRIVALS_MS = 800.0  # after SIGTERM, connections and requests keep coming for 0.6 s
-LINGER_MS = 20_000.0  # and never longer than this, whatever is still open
-LEAVE_LOOK_MS = 20.0
 CLIENT_SHARE = 0.4  # of the descriptors; clients hold a third at most
 SCORER_SHARE = 0.4
 # Keys that a reload leaves alone.
@@ -123,7 +122,7 @@
             io.SetTimer: self._set_timer,
             io.Log: lambda action: self.log(action.text),
         }
-        self._leaving_ms: float | None = None
+        self._leaving: Leaving | None = None
         self.started = False
         self.operators: OperatorsPart | None = None
 
@@ -133,7 +132,12 @@
 
     @property
     def leaving(self) -> bool:
-        return self._leaving_ms is not None
+        return self._leaving is not None
+
+    @property
+    def replaced(self) -> bool:
+        """Whether another process has taken this one's place."""
+        return self.operators is not None and self.operators.replaced
 
     @property
     def address(self) -> Address:
@@ -150,15 +154,17 @@
         if self.operators:
             self.loop.turn(0.0)  # the module has its roster before it is told what another process learnt
             self.operators.begin()
+        self.port.accept(True)
         self.changelog.connect()
         self.loop.wheel.after(TIDY_MS, self._tidy)
         self.started = self.port.ready = True
 
     def serve(self) -> None:
         """Serve until SIGTERM or SIGINT, then until all that was taken has its answer."""
-        handlers = {signal.SIGTERM: self.leave, signal.SIGINT: self.leave, signal.SIGHUP: self.reload}
-        self.loop.on_signals(handlers)
-        self.start()
+        self.start()  # signals that come before are taken after: the start would undo what they bring
+        calls = {signal.SIGTERM: self.leave, signal.SIGINT: self.leave, signal.SIGHUP: self.reload}
+        # Each by itself: a fault in a reload must not swallow the signal that was read along with it.
+        self.loop.on_signals({number: partial(self.loop.guarded, call) for number, call in calls.items()})
         self.log(f"serving on {self.address[0]}:{self.address[1]}")
         try:
             self.loop.run()
@@ -180,27 +186,16 @@
         self.changelog.move(read.changelog)
 
     def leave(self) -> None:
-        """Begin to end: keep accepting and serving until late arrivals are in and all is answered."""
-        if self._leaving_ms is None:
-            self.log("leaving")
-            self._leaving_ms = monotonic_ms()
-            if self.operators:
-                self.operators.leave()
-            self.port.ready = self._replaced  # the front asks for the other process's sake, too
-            self._look_to_leave()
-
-    @property
-    def _replaced(self) -> bool:
-        return self.operators is not None and self.operators.replaced
-
-    def _look_to_leave(self) -> None:
-        since = monotonic_ms() - self._leaving_ms
-        busy = bool(self.table.open) or self.port.unwritten() or (self._seam and self._seam.busy)
-        busy = busy or (self.operators is not None and self.operators.busy)
-        if since > LINGER_MS or ((since > LATE_ARRIVALS_MS or self._replaced) and not busy):
-            self.loop.running = False
-        else:
-            self.loop.wheel.after(LEAVE_LOOK_MS, self._look_to_leave)
+        """Begin to end: keep accepting and serving until late arrivals are in and all is answered. Told
+        again, it goes on as it was."""
+        if self._leaving is not None:
+            return
+        self.log("leaving")
+        self._leaving = Leaving(self)
+        if self.operators:
+            self.loop.guarded(self.operators.leave)
+        self.port.ready = self.replaced  # the front asks for the other process's sake, too
+        self._leaving.look()
 
     def close(self) -> None:
         for part in (self.operators, self._seam):
@@ -212,10 +207,10 @@
         self.loop.close()
 
     def _tidy(self) -> None:
-        self.changelog.tidy()
-        self.pool.tidy()
-        self.port.tidy()
+        # First, and each part by itself: a fault in one must not end the tidying of all.
         self.loop.wheel.after(TIDY_MS, self._tidy)
+        for part in (self.changelog, self.pool, self.port):
+            self.loop.guarded(part.tidy)
 
     # --- the roster -----------------------------------------------------------------------------
 
--- /dev/null
+++ b/fawnwharf/net/leaving.py
@@ -0,0 +1,100 @@
+"""The orderly end after SIGTERM: late arrivals, the accept queue, each connection's half-close."""
+
+from typing import TYPE_CHECKING
+
+from fawnwharf.interface import Settings
+from fawnwharf.net import connection
+from fawnwharf.net.clients import SPEAK_MS, TTL_ROOM, YOUNG_MS, Client
+from fawnwharf.net.endings import End
+from fawnwharf.net.wheel import monotonic_ms
+
+if TYPE_CHECKING:
+    from fawnwharf.net.front_end import FrontEnd
+
+LATE_ARRIVALS_MS = 800.0  # after SIGTERM, connections and requests keep coming for 0.6 s
+LOOK_MS = 20.0  # pace of the look after connections that have fallen idle
+LIMIT_LEAST_MS = 20_000.0  # for readers that are slow, and for a hand-over to another process
+MARGIN_MS = 500.0  # coarse timers and long turns
+STALLED_MS = 1_000.0  # a peer whose system took nothing of its answer for so long does not read it
+LIMIT = "leaving"  # who sets the limit of calls taken
+
+
+def limit_ms(settings: Settings) -> float:
+    """The longest that an end may take, whatever is open: every request that was read has its answer by then.
+
+    A request read in the last moment of the late arrivals has its whole time; one that had only begun has the
+    time of a message in pieces, and is refused once it is whole."""
+    longest = max((spec.give_up_ms for spec in settings.classes.values()), default=0.0)
+    of_requests = max(TTL_ROOM * longest, SPEAK_MS)
+    return max(LIMIT_LEAST_MS, LATE_ARRIVALS_MS + of_requests + connection.LINGER_MS + MARGIN_MS)
+
+
+class Leaving:
+    """Ends a front end: serves on until late arrivals are in, then ends each connection as it falls idle.
+
+    In order: all is accepted and served for `LATE_ARRIVALS_MS`. Then the accept queue is emptied and the
+    listener closed, new calls are refused, and a connection on which nothing is open, begun, unread or unsent
+    gets a half-close, after which it is read until its peer ends it, for a bounded time. The loop stops when
+    no connection is left. While another process has this one's place, connections go to it instead."""
+
+    def __init__(self, front: "FrontEnd") -> None:
+        self._front = front
+        self._since_ms = monotonic_ms()
+        self._limit_ms = limit_ms(front.deployment.settings)
+        self._refusing = False
+        self._unsent: dict[Client, tuple[int, float]] = {}  # bytes at the last change, and when that was
+
+    def look(self) -> None:
+        """One look, and the next one in a while; the loop stops once all is done."""
+        since_ms = monotonic_ms() - self._since_ms
+        if since_ms > self._limit_ms:
+            self._front.loop.running = False
+            return
+        # First, as a fault in this look must not be the last one.
+        self._front.loop.wheel.after(LOOK_MS, self.look)
+        if self._front.replaced:
+            done = not self._busy()
+        else:
+            done = since_ms > LATE_ARRIVALS_MS and self._end_connections() and not self._busy()
+        if done:
+            self._front.loop.running = False
+
+    def _busy(self) -> bool:
+        """Whether anybody is still to be answered or given to another process."""
+        front = self._front
+        if front.table.open or front.port.unwritten():
+            return True
+        return bool(front.seam and front.seam.busy) or bool(front.operators and front.operators.busy)
+
+    def _end_connections(self) -> bool:
+        """Whether none is left, neither in the accept queue nor here."""
+        front = self._front
+        if front.operators and front.operators.busy:  # the listener may still go to another process
+            return False
+        if not self._refusing:
+            self._refusing = True
+            front.limit(LIMIT, 0.0)
+        closed = front.port.close_listener()
+        for client in list(front.port.clients):
+            if self._ended_with(client):
+                client.connection.finish(End.STOPPED)
+                client.connection.flush()  # at once: nothing may be read between the look and the half-close
+        return closed and not front.port.clients
+
+    def _ended_with(self, client: Client) -> bool:
+        """Whether a half-close costs nobody an answer: a request that crosses it is sent again."""
+        link = client.connection
+        if not client.idle or client.begun or link.finishing:
+            return False
+        if not client.spoke and monotonic_ms() - link.used_ms < YOUNG_MS:
+            return False
+        return link.unread() is None and not self._is_being_sent(client)
+
+    def _is_being_sent(self, client: Client) -> bool:
+        """Whether the system still holds bytes for this peer, and the peer takes some now and then."""
+        unsent, now = client.connection.unsent(), monotonic_ms()
+        before, changed_ms = self._unsent.get(client, (None, now))
+        if unsent != before:
+            changed_ms = now
+            self._unsent[client] = (unsent, now)
+        return unsent > 0 and now - changed_ms < STALLED_MS
