--- a/fawnwharf/net/clients.py
+++ b/fawnwharf/net/clients.py
@@ -109,10 +109,11 @@
 
     def _finish(self, end: End) -> None:
         """End the connection; what is open on it is failed, so that each request has its answer."""
-        self._fail_open()
+        self.fail_open()
         self.connection.finish(end)
 
-    def _fail_open(self) -> None:
+    def fail_open(self) -> None:
+        """Give each open request its final answer: failed."""
         for seqid, key in list(self.open.items()):
             self.port.table.withdraw(key)
             self._reply(seqid, Failed())
@@ -130,7 +131,7 @@
         """A client that ends its output may have closed, or may still read: nothing is begun for it any more,
         and what is open gets its one final answer now."""
         self.gone = True
-        self._fail_open()
+        self.fail_open()
 
     # --- where nothing is open ------------------------------------------------------------------
 
@@ -360,6 +361,10 @@
         for client in [client for client in self.clients if client.idle and not client.begun]:
             client.release()
 
+    def close_listener(self) -> bool:
+        """Accept all that the system's queue holds and stop listening; False while some is left there."""
+        return self._acceptor.drain()
+
     def ended(self, client: Client) -> None:
         self.clients.pop(client, None)
         self._acceptor.go_on()
@@ -380,4 +385,7 @@
     def close(self) -> None:
         self._acceptor.close()
         for client in list(self.clients):
+            if client.open:  # the loop was stopped before its time: each request has its answer all the same
+                client.fail_open()
+                client.connection.flush()
             client.connection.close(End.STOPPED)
--- a/fawnwharf/net/listener.py
+++ b/fawnwharf/net/listener.py
@@ -39,13 +39,17 @@
     """A socket that listens there; `shared`: another process may listen on the same address."""
     family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
     listener = socket.socket(family, socket.SOCK_STREAM)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    if shared:
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
-    stamp_reads(listener)
-    listener.bind(address)
-    listener.listen(BACKLOG)
-    listener.setblocking(False)
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if shared:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        stamp_reads(listener)
+        listener.bind(address)
+        listener.listen(BACKLOG)
+        listener.setblocking(False)
+    except OSError:
+        listener.close()
+        raise
     return listener
 
 
@@ -103,13 +107,16 @@
             return False
         except OSError as error:
             return self._failed(error)
+        self._take(accepted)
+        return True
+
+    def _take(self, accepted: socket.socket) -> None:
         try:
             self._admit(accepted)
         except OSError as error:
             # Reset already, or the selector has no memory: this one is lost, the next may be well.
             accepted.close()
             self.log(f"accepted, but of no use: {error}", "accept")
-        return True
 
     def _failed(self, error: OSError) -> bool:
         if error.errno in OF_ONE_CONNECTION:
@@ -140,7 +147,28 @@
             self.log(f"accept: {error}", "accept")
             self._pause = self.loop.wheel.after(ACCEPT_PAUSE_MS, self.go_on)
 
+    def drain(self) -> bool:
+        """Accept all that the system's queue holds, then close the listener: closing it resets what it holds.
+        False while there is no room for all of it, or the system has no descriptor."""
+        self.accept(False)
+        for _ in range(ACCEPTS_MOST):
+            if self.socket is None:
+                return True
+            if not self._room():
+                return False
+            try:
+                accepted, _ = self.socket.accept()
+            except BlockingIOError:
+                self.close()
+            except OSError as error:
+                if error.errno not in OF_ONE_CONNECTION:
+                    return False
+            else:
+                self._take(accepted)
+        return self.socket is None
+
     def close(self) -> None:
+        """Stop listening; what the system's queue still holds is reset."""
         self.accept(False)
         if self.socket is not None:
             self.socket.close()
--- a/tests/client_rig.py
+++ b/tests/client_rig.py
@@ -16,6 +16,8 @@
 
 
 class Case(unittest.TestCase):
+    """A test of client connections, with the events that the decisions were handed."""
+
     def rig(self, *peers, **more):
         """A front end in this thread; `self.heard` has the batches that its module was given."""
         rig = Rig(*peers, **more)
@@ -31,6 +33,7 @@
         return rig
 
     def told(self, *kinds):
+        """Events of these kinds that the decisions were handed, in order."""
         return [event for batch in self.heard for event in batch if isinstance(event, kinds)]
 
     def asked(self, rig, client, **fields):
@@ -56,10 +59,12 @@
 
 
 def given_up(scorer):
+    """Frames by which the front end gave up attempts at this scorer."""
     return scorer.of(scorer_frames.GIVE_UP)
 
 
 def arrivals(case):
+    """Requests whose arrival the decisions were told."""
     return case.told(io.RequestArrived)
 
 
