Discovery: each event counts as read, in any order, and numbers that begin anew are followed

Cause: the follower of the change log took events strictly in order of number. An event ahead of a missing one was thrown away until a new connection brought the missing one, and a missing one that was passed over after the second try was dropped when it came late ("told before"): a drain in either went unheard (changelog.py, `event`, `_stumble`). A log whose numbers began with 1 again was never followed again, as `run` leaves `may_begin_anew` off (`_line`): all drains told afterwards were missed. One member that could not be read hid the whole event, other members' drains among them (`fleet_from` on the whole list).

Ruled out: reading the log without numbers at all (a repeated list would bring drained scorers back); taking any smaller number for a restart (a replica that lags would bring them back as well).

Change: `EventOrder` keeps, of each scorer, the number of the event that it rests on, and of each number what was told under it. Every event is passed on as it is read; what is missing is asked for, and counts where no later event said otherwise, so that the outcome does not depend on the order. A bad member is left out alone, with a log line, and is not removed by a whole list. The connection to the log is looked at first in each turn.

--- a/fawnwharf/net/connection.py
+++ b/fawnwharf/net/connection.py
@@ -101,8 +101,10 @@
         return cls(loop, sock, owner, read_most=read_most, first=first)
 
     @classmethod
-    def dial(cls, loop: Loop, address: Address, owner: Owner, within_ms: float) -> "Connection | End":
-        """A connection that comes up or ends later; or why it can't even be tried."""
+    def dial(
+        cls, loop: Loop, address: Address, owner: Owner, within_ms: float, first: bool = False
+    ) -> "Connection | End":
+        """A connection that comes up or ends later, or why none can be tried. `first`: see `Loop.watch`."""
         sock = None
         try:
             family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
@@ -116,7 +118,7 @@
             if sock is not None:
                 sock.close()
             return end_of(error)
-        made = cls(loop, sock, owner, up=False)
+        made = cls(loop, sock, owner, up=False, first=first)
         made._dial = loop.wheel.after(within_ms, lambda: made.close(End.DIAL_TIMED_OUT))
         return made
 
--- /dev/null
+++ b/tests/test_event_order.py
@@ -0,0 +1,97 @@
+"""Events of the change log in every order: the newest word on each scorer counts."""
+
+import itertools
+
+import pytest
+
+from fawnwharf.config import ConfigError, Fleet, Member
+from fawnwharf.net import event_order
+from fawnwharf.net.event_order import EventOrder, Told
+from fawnwharf.net.fleet_events import read_fleet
+from fawnwharf.net.overlay import Overlay
+
+
+def member(id, phase="in_service"):
+    return Member(id, phase, f"127.0.0.1:{ord(id[0])}")
+
+
+EVENTS = {
+    1: Fleet([member("a"), member("b"), member("c")], complete=True),
+    2: Fleet([member("a", "terminating")]),
+    3: Fleet([member("a", "terminated"), member("d")]),
+    4: Fleet([member("b"), member("d", "terminating"), member("e")], complete=True),
+    5: Fleet([member("a"), member("e", "terminated")]),
+}
+
+
+def outcome(numbers):
+    order, overlay = EventOrder(), Overlay()
+    for number in numbers:
+        overlay.told(order.take(number, EVENTS[number]))
+    return {id: found.phase for id, found in overlay.members.items()}
+
+
+@pytest.mark.parametrize("numbers", itertools.permutations(EVENTS))
+def test_events_in_any_order_have_the_same_outcome(numbers):
+    assert outcome(numbers) == {"a": "in_service", "b": "in_service", "d": "terminating"}
+
+
+def test_an_event_is_told_never_the_same_or_otherwise():
+    order = EventOrder()
+    order.take(1, EVENTS[1])
+    assert order.told(1, EVENTS[1]) is Told.SAME
+    assert order.told(1, EVENTS[4]) is Told.OTHERWISE
+    assert order.told(2, EVENTS[1]) is Told.NEVER
+
+
+@pytest.mark.parametrize(
+    ("complete", "revision", "told"),
+    [(True, 7, Told.SAME), (True, 8, Told.OTHERWISE), (False, 7, Told.OTHERWISE)],
+)
+def test_a_whole_list_of_one_revision_stands_in_for_the_change_of_its_number(complete, revision, told):
+    order = EventOrder()
+    order.take(9, Fleet([member("a", "terminating")], False, 7))
+    assert order.told(9, Fleet([member("a"), member("b")], complete, revision)) is told
+
+
+def test_a_whole_list_removes_nobody_whom_it_names_unreadably():
+    order = EventOrder()
+    order.take(1, EVENTS[1])
+    fleet = order.take(2, Fleet([member("b")], complete=True), spared={"c"})
+    assert (fleet.complete, [(m.id, m.phase) for m in fleet.members]) == (
+        False, [("b", "in_service"), ("a", "terminated")]
+    )  # fmt: skip
+
+
+def test_what_is_remembered_is_bounded_and_the_first_event_stays(monkeypatch):
+    monkeypatch.setattr(event_order, "EVENTS_MOST", 5)
+    monkeypatch.setattr(event_order, "SCORERS_MOST", 5)
+    order = EventOrder()
+    for number in range(1, 40):
+        order.take(number, Fleet([member(f"s{number}")], complete=number == 1))
+    assert (len(order._events), len(order._scorers)) == (5, 5)
+    assert order.told(1, Fleet([member("s1")], complete=True)) is Told.SAME
+
+
+@pytest.mark.parametrize(
+    ("bad", "spared"),
+    [
+        ({"id": "x", "phase": "asleep"}, {"x"}),
+        ({"id": "x", "phase": "in_service", "host_port": "nowhere"}, {"x"}),
+        ({"id": "x"}, {"x"}),
+        ({"id": 5, "phase": "in_service"}, set()),
+        (None, set()),
+        ("x", set()),
+    ],
+)
+def test_a_member_that_cant_be_read_is_left_out_alone(bad, spared):
+    good = {"id": "a", "phase": "terminating", "host_port": "127.0.0.1:1"}
+    read = read_fleet({"complete": True, "revision": 3, "members": [bad, good]})
+    assert ([m.id for m in read.fleet.members], read.spared, len(read.faults)) == (["a"], spared, 1)
+    assert (read.fleet.complete, read.fleet.revision) == (True, 3)
+
+
+@pytest.mark.parametrize("data", [None, [], 5, {}, {"members": 5}, {"members": [], "revision": "x"}])
+def test_a_list_that_cant_be_read_is_none(data):
+    with pytest.raises(ConfigError):
+        read_fleet(data)
