--- a/tests/log_rig.py
+++ b/tests/log_rig.py
@@ -25,6 +25,7 @@
         self.front.changelog._told = lambda fleet: (self.told.append(fleet), take(fleet))
 
     def member(self, id, phase="in_service", **more):
+        """The entry of a scorer in an event."""
         return self.by_id[id].member(phase, **more)
 
     @contextmanager
@@ -35,10 +36,12 @@
             yield
 
     def asked_times(self, count):
+        """Wait until the log was asked so often; its last question, in words."""
         self.until(lambda: len(self.log.asked()) == count, f"the log is asked {count} times")
         return self.log.asked()[-1]
 
     def at(self, seq):
+        """Wait until this event is taken."""
         self.until(lambda: self.front.changelog.seq == seq, f"event {seq} is taken")
 
     def log_read(self, seq):
@@ -56,6 +59,7 @@
         return {id: state for id, state in states.items() if state is not io.State.GONE}
 
     def move_to(self, peer):
+        """Follow another change log from now on."""
         host, port = peer.host_port.split(":")
         self.front.changelog.move((host, int(port)))
 
