--- a/fawnwharf/net/clients.py
+++ b/fawnwharf/net/clients.py
@@ -23,9 +23,11 @@
 # A peer is owed an answer or a close within 3 s of connecting; what a client sends comes within a round trip.
 SPEAK_MS = 2_300.0  # for a first message, and for the rest of one that has begun
 SKIP_MS = 6_000.0  # for the rest of an oversized one, which was refused when its head came
-# Where room is made: one that said nothing yet may be about to, and is ended after others; one with half a
-# message is ended last, and only if nothing came for so long.
+# Where room is made, one that said nothing yet may be about to: others that are idle give way first.
 YOUNG_MS = 250.0
+# And one with half a message is ended last, and only if nothing came for so long: more than a round trip, and
+# short enough that half messages which hold all connections keep nobody out for long.
+PIECES_MS = 100.0
 ROOM_LOOK_MS = 50.0  # a look over all clients serves for so long: a crowd must not cost one for each accept
 ROOM_PART = 0.5  # of all connections are ended at a time, where there is no room for another
 # A client sends again what crosses a close within 50 ms; the rest is for the way and for ticks.
@@ -101,6 +103,7 @@
             if isinstance(item, thrift.Withdraw):
                 self._withdraw(item.seqid)
         failed = set(self.open)
+        self._fail_open()
         for item in items:
             if isinstance(item, thrift.Handle) and item.seqid not in failed:
                 failed.add(item.seqid)
@@ -315,14 +318,14 @@
             self._idlest, self._looked_ms = self._by_idleness(), monotonic_ms()
 
     def _by_idleness(self) -> deque[tuple[Client, float]]:
-        since = monotonic_ms() - YOUNG_MS
+        now = monotonic_ms()
 
         def rank(client: Client) -> tuple[bool, bool, float]:
             used_ms = client.connection.used_ms
-            return client.begun, client.spoke or used_ms >= since, used_ms
+            return client.begun, client.spoke or used_ms >= now - YOUNG_MS, used_ms
 
         idle = [client for client in self.clients if client.idle]
-        able = [client for client in idle if not client.begun or client.connection.used_ms < since]
+        able = [c for c in idle if not c.begun or c.connection.used_ms < now - PIECES_MS]
         return deque((client, client.connection.used_ms) for client in sorted(able, key=rank))
 
     # --- to and from another process ------------------------------------------------------------
