Slow readers are read on at a slower pace, and dropped only for the memory of all

A client that reads slowly and had 1 MB unread was dropped with its answers, though 32 answers of 230,000 bytes are within the protocol; with 64 KiB unread it was not read at all, so that requests that it had written, and their withdrawals, stayed unread. The bound of one client is now 32 of the longest answers; of all clients together it is as before, and the one that took nothing for longest goes first.

tests/test_client_slow.py: 6 tests.

--- a/tests/test_client_closing.py
+++ b/tests/test_client_closing.py
@@ -171,8 +171,9 @@
         begun.sock.sendall(call_frame(1)[:60])
         rig.until(lambda: self.served(rig, begun).begun, "one has begun")
         rig.front.port.most = 6  # up to three are ended at a time
-        rig.front.port._make_room()
-        rig.front.port._make_room()
+        with mock.patch.object(clients, "PIECES_MS", 60_000.0):
+            rig.front.port._make_room()
+            rig.front.port._make_room()
         finishing = [self.served(rig, c).connection.finishing for c in (asked, begun, idle)]
         self.assertEqual(finishing, [False, False, True])
 
--- /dev/null
+++ b/tests/test_client_slow.py
@@ -0,0 +1,120 @@
+"""Clients that read slowly or not at all: none is dropped while it reads, none costs too much."""
+
+import contextlib
+import unittest
+from unittest import mock
+
+from client_rig import Case, arrivals, call_frame, junk_statuses
+from peers import ScorerPeer
+
+from fawnwharf import interface as io
+from fawnwharf.net import clients, slow_clients
+
+LONG = 230_000  # bytes of a long answer
+STUCK = b"x" * 7_000_000  # more than the system's buffers take
+STEP = 64 * 1024  # bytes that a slow reader takes at a time
+
+
+class SlowReader(Case):
+    def stuck(self, *peers):
+        """A rig whose client has not read what was written; its own side, and the front end's."""
+        rig = self.rig(*(peers or [ScorerPeer(copies=None)]))
+        client = rig.client()
+        rig.settle(client)
+        rig.clients.remove(client)  # from here on it reads when the test says so
+        self.addCleanup(client.sock.close)
+        served = self.served(rig, client)
+        served._write(STUCK)
+        rig.front.loop.turn(0.0)
+        self.assertFalse(served.connection.reads)
+        return rig, client, served
+
+    def test_one_with_32_long_answers_unread_gets_all_of_them(self):
+        scorer = ScorerPeer(copies=32)
+        rig = self.rig(scorer)
+        client = rig.client()
+        rig.settle(client)
+        rig.clients.remove(client)
+        self.addCleanup(client.sock.close)
+        client.sock.sendall(b"".join(call_frame(n) for n in range(1, 33)))
+        answered = []
+
+        def all_answered():
+            for run in scorer.runs[len(answered) :]:
+                answered.append(run)
+                scorer.links[0].sock.setblocking(True)
+                scorer.answer(run, body=b"y" * LONG)
+                scorer.links[0].sock.setblocking(False)
+            return len(answered) == 32 and not rig.front.table.open
+
+        rig.until(all_answered, "all are answered, and none is read")
+        [served] = rig.front.port.clients
+        self.assertGreater(served.connection.waiting_bytes, clients.READ_MOST)
+
+        def all_read():
+            client.data += self.step(client)
+            return len(client.data) >= 32 * LONG and not served.connection.waiting_bytes
+
+        rig.until(all_read, "all are read")
+        client.pump()
+        self.assertEqual(client.kinds(), {1000: "answer"} | dict.fromkeys(range(1, 33), "answer"))
+        self.assertFalse(client.ended)
+
+    def step(self, client):
+        try:
+            return client.sock.recv(STEP)
+        except BlockingIOError:
+            return b""
+
+    def test_a_request_and_its_withdrawal_are_seen_while_answers_wait(self):
+        rig, client, _ = self.stuck()
+        client.call(seqid=1)
+        rig.until(lambda: rig.front.table.open, "the request is read")
+        client.call(seqid=2, body=b"z" * 16_000, call=f"{2:016x}")
+        client.withdraw(1)
+        rig.until(lambda: self.told(io.ClientLeft), "the withdrawal behind another request is seen")
+        rig.until(lambda: len(arrivals(self)) == 2, "and that request")
+        self.assertEqual(len(rig.front.table.open), 1)
+
+    def test_it_is_read_as_its_bytes_come_as_soon_as_there_is_room(self):
+        rig, client, served = self.stuck()
+        while served.connection.waiting_bytes >= slow_clients.UNREAD_STOP:
+            self.step(client)
+            rig.front.loop.turn(0.0)
+        self.assertTrue(served.connection.reads)
+
+    def test_one_that_reads_nothing_and_sends_on_is_kept_to_a_bound(self):
+        rig, client, served = self.stuck()
+        one_read = clients.READ_MOST // len(junk_statuses(0)) + 1
+        with mock.patch.object(slow_clients, "LOOK_MS", 0.0):
+            sent = 0
+            for _ in range(100):
+                with contextlib.suppress(BlockingIOError):
+                    sent += client.sock.send(junk_statuses(64 * 1024))
+                rig.front.loop.turn(0.01)
+        self.assertGreater(sent, 4 * clients.READ_MOST)
+        self.assertLessEqual(served.connection.waiting_pieces, slow_clients.PIECES_MOST + one_read)
+
+    def test_where_too_much_waits_for_all_the_one_that_took_nothing_for_longest_is_dropped(self):
+        rig, _, longest = self.stuck()
+        other = rig.client()
+        rig.settle(other)
+        rig.clients.remove(other)
+        self.addCleanup(other.sock.close)
+        other_served = self.served(rig, other)
+        most = longest.connection.waiting_bytes * 3 // 2
+        with mock.patch.object(slow_clients, "UNREAD_ALL_MOST", most):
+            other_served._write(STUCK)
+            rig.front.loop.turn(0.0)
+        self.assertTrue(longest.connection.closed)
+        self.assertFalse(other_served.connection.closed)
+
+    def test_one_that_leaves_with_answers_unread_is_freed(self):
+        rig, client, served = self.stuck()
+        client.sock.close()
+        rig.until(lambda: served.connection.closed, "the connection ends")
+        self.assertEqual(list(rig.front.port.clients), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
