Descriptors: kept for all else at small limits; a new connection is spared where room is made

Clients and scorers had 0.4 of the limit each: 12 + 12 of 32, while a process with operators holds 11 more with its change log up, so that the change log could not come up again while both were full. The scorers' part now leaves 13 for everything else (7 links at a limit of 32; nothing changes from 65 on).

The test of it showed that a port which is full ended connections some milliseconds after it had accepted them, before their first request: what crossed such a close was lost to a client that does not send again. One that said nothing is now spared for 50 ms.

--- a/fawnwharf/net/clients.py
+++ b/fawnwharf/net/clients.py
@@ -23,9 +23,10 @@
 # A peer is owed an answer or a close within 3 s of connecting; what a client sends comes within a round trip.
 SPEAK_MS = 2_300.0  # for a first message, and for the rest of one that has begun
 SKIP_MS = 6_000.0  # for the rest of an oversized one, which was refused when its head came
-# Where room is made, one that said nothing yet may be about to: others that are idle give way first.
-YOUNG_MS = 250.0
-# And one with half a message is ended last, and only if nothing came for so long: more than a round trip, and
+# Where room is made, one that said nothing yet may be about to: it is spared at first, and others that are
+# idle give way before it for a while longer.
+SPARED_MS, YOUNG_MS = 50.0, 250.0
+# One with half a message is ended last, and only if nothing came for so long: more than a round trip, and
 # short enough that half messages which hold all connections keep nobody out for long.
 PIECES_MS = 100.0
 ROOM_LOOK_MS = 50.0  # a look over all clients serves for so long: a crowd must not cost one for each accept
@@ -158,6 +159,13 @@
         """Whether a message has come in part."""
         return self._reader.waits
 
+    def may_give_way(self, now_ms: float) -> bool:
+        """Whether it may be ended for another's sake: nothing that it sends is likely to be under way."""
+        unused_ms = now_ms - self.connection.used_ms
+        if self.begun:
+            return unused_ms > PIECES_MS
+        return self.spoke or unused_ms > SPARED_MS
+
     def end_overdue(self) -> None:
         """End one that has said nothing, or half a message, for too long, unless the rest lies unread."""
         if self._read_all() and self.overdue(monotonic_ms()):
@@ -324,8 +332,7 @@
             used_ms = client.connection.used_ms
             return client.begun, client.spoke or used_ms >= now - YOUNG_MS, used_ms
 
-        idle = [client for client in self.clients if client.idle]
-        able = [c for c in idle if not c.begun or c.connection.used_ms < now - PIECES_MS]
+        able = [client for client in self.clients if client.idle and client.may_give_way(now)]
         return deque((client, client.connection.used_ms) for client in sorted(able, key=rank))
 
     # --- to and from another process ------------------------------------------------------------
--- a/fawnwharf/net/front_end.py
+++ b/fawnwharf/net/front_end.py
@@ -26,6 +26,10 @@
 LEAVE_LOOK_MS = 20.0
 CLIENT_SHARE = 0.4  # of the descriptors; clients hold a third at most
 SCORER_SHARE = 0.4
+# Left over by both, at small limits too: three standard streams, selector, listener, wake pair, change log,
+# the operators' listener and a connection to it, the socket for a replacement and the channel to it, one to
+# accept or dial with.
+KEPT_DESCRIPTORS = 13
 # Keys that a reload leaves alone.
 AT_START = ("name", "listen", "control", "memory_mb", "sockets", "settings", "wire")
 AFTER_FAULT_MS = 40.0  # the module's sweep, set again where a fault may have lost it
@@ -37,6 +41,12 @@
     return max(4, int(sockets * share))
 
 
+def _scorer_part(sockets: int, part: float = 1.0) -> int:
+    """The scorers' part: what is kept for everything else comes out of it at small limits."""
+    rest = sockets - _part(sockets, CLIENT_SHARE) - KEPT_DESCRIPTORS
+    return max(4, int(part * min(sockets * SCORER_SHARE, rest)))
+
+
 def worker_number(id: str) -> int:
     """The same at every front end, so that all make the same hash orders."""
     return int.from_bytes(hashlib.blake2b(id.encode(), digest_size=4).digest(), "big")
@@ -103,7 +113,7 @@
         # A copy: the module writes what it is handed among them.
         own = replace(settings, classes=dict(settings.classes), quotas_rps=dict(settings.quotas_rps))
         self.router = Router(own, deployment.seed)
-        self.pool = ScorerPool(self.loop, wire, _part(sockets, SCORER_SHARE), deployment.seed, self.log)
+        self.pool = ScorerPool(self.loop, wire, _scorer_part(sockets), deployment.seed, self.log)
         self.table = RequestTable(self.loop, self.pool, wire)
         self._news: io.RosterChanged | None = None  # that the next batch brings
         self.overlay, self.starts = Overlay(), Starts()
@@ -144,7 +154,7 @@
     def keep_to(self, part: float) -> None:
         """Keep to a part of the descriptors: another process has the rest."""
         self.port.most = _part(self.deployment.sockets, part * CLIENT_SHARE)
-        self.pool.links_most = _part(self.deployment.sockets, part * SCORER_SHARE)
+        self.pool.links_most = _scorer_part(self.deployment.sockets, part)
 
     def start(self) -> None:
         if self.operators:
--- a/tests/test_client_closing.py
+++ b/tests/test_client_closing.py
@@ -177,6 +177,16 @@
         finishing = [self.served(rig, c).connection.finishing for c in (asked, begun, idle)]
         self.assertEqual(finishing, [False, False, True])
 
+    def test_one_that_has_just_connected_is_spared(self):
+        rig = self.rig(ScorerPeer())
+        client, idle = rig.client(), rig.client()
+        rig.settle(idle)
+        rig.front.port.most = 6
+        with mock.patch.object(clients, "SPARED_MS", 60_000.0):
+            rig.front.port._make_room()
+        finishing = [self.served(rig, c).connection.finishing for c in (client, idle)]
+        self.assertEqual(finishing, [False, True])
+
     def test_one_that_stopped_within_a_message_is_ended_after_the_others(self):
         rig = self.rig(ScorerPeer())
         begun, idle = rig.client(), rig.client()
