--- a/fawnwharf/net/clients.py
+++ b/fawnwharf/net/clients.py
@@ -368,6 +368,8 @@
     def end_idle(self) -> None:
         """End every connection on which nothing is open and nothing has begun to arrive."""
         for client in [client for client in self.clients if client.idle and not client.begun]:
+            if self.loop.crowded:  # by requests that were read just now: the rest at the next look
+                return
             client.release()
 
     def ended(self, client: Client) -> None:
@@ -379,6 +381,8 @@
         now = monotonic_ms()
         self._idlest.clear()  # it must not keep those that have ended
         for client in list(self.clients):
+            if self.loop.crowded:  # by requests that were read just now: the rest at the next look
+                return
             unused = not client.open and now - client.connection.used_ms > IDLE_MS
             if unused and client.connection.waiting_bytes:
                 client.connection.close(End.STUFFED)
--- a/tests/test_client_accepting.py
+++ b/tests/test_client_accepting.py
@@ -11,6 +11,7 @@
 
 from fawnwharf.net import listener
 from fawnwharf.net.connection import READ_AGAIN_MS, Connection
+from fawnwharf.net.endings import End
 
 SHORTAGES = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
@@ -159,17 +160,31 @@
             rig.settle(client)
         self.assertEqual(fault.hits, 1)
 
-    def test_a_reset_withdraws_what_is_open(self):
-        faults = SystemFaults()
-        with faults.installed():
-            rig = self.rig(ScorerPeer(copies=None))
-            client = rig.client()
-            self.asked(rig, client)
-            here = self.served(rig, client).connection._sock
-            faults.fail("recvmsg", errno.ECONNRESET, where=lambda s: s is here)
-            client.status(7)
-            rig.until(lambda: client.ended, "the connection ends")
-        self.assertEqual(rig.front.table.open, {})
+    def test_any_other_error_of_a_read_ends_the_connection_and_withdraws_what_is_open(self):
+        ends = {
+            errno.ECONNRESET: End.RESET_BY_PEER,
+            errno.EPIPE: End.RESET_BY_PEER,
+            errno.ETIMEDOUT: End.UNREACHABLE,
+            errno.EHOSTUNREACH: End.UNREACHABLE,
+            errno.ENETDOWN: End.UNREACHABLE,
+            errno.EIO: End.UNREACHABLE,
+        }
+        for error, end in ends.items():
+            with self.subTest(errno.errorcode[error]):
+                faults = SystemFaults()
+                with faults.installed():
+                    rig = self.rig(ScorerPeer(copies=None))
+                    client, other = rig.client(), rig.client()
+                    self.asked(rig, client)
+                    kept = self.asked(rig, other)
+                    served = self.served(rig, client)
+                    here = served.connection._sock
+                    faults.fail("recvmsg", error, where=lambda s, here=here: s is here)
+                    with mock.patch.object(served, "on_end", wraps=served.on_end) as ended:
+                        client.status(7)
+                        rig.until(lambda client=client: client.ended, "the connection ends")
+                ended.assert_called_once_with(end)
+                self.assertEqual(list(rig.front.table.open), [kept])
 
 
 if __name__ == "__main__":
