--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -8,7 +8,7 @@
 from peers import ScorerPeer
 
 from fawnwharf import interface as io
-from fawnwharf.net import loop, slow_clients
+from fawnwharf.net import connection, loop, scorer_frames, slow_clients
 from fawnwharf.net.front_end import worker_number
 
 
@@ -134,6 +134,100 @@
             self.assertEqual(list(rig.front.table.open), [key])
 
 
+class InTheSameTurn(Case):
+    """What would have a request sent comes together with the client's end."""
+
+    def leaves(self, rig, client, scorer, answer):
+        """The client leaves as the scorer answers; one turn sees both."""
+        answer()
+        client.sock.close()
+        client.ended = True
+        runs = len(scorer.runs)
+        rig.until(lambda: self.told(io.ClientLeft) or not rig.front.port.clients, "its end is seen")
+        wait(rig, 100.0)
+        scorer.pump()
+        self.assertEqual(len(scorer.runs), runs)
+        self.assertEqual(rig.front.table.open, {})
+
+    def test_an_answer_that_has_a_request_tried_again_comes_with_the_end(self):
+        for code in (scorer_frames.MISS, scorer_frames.FULL, scorer_frames.ERROR):
+            with self.subTest(code=code):
+                scorer = ScorerPeer()
+                rig = self.rig(scorer)
+                client = rig.client()
+                self.asked(rig, client)
+                rig.until(lambda scorer=scorer: scorer.runs, "it runs")
+                answer = lambda scorer=scorer, code=code: scorer.answer(scorer.runs[0], code, "")  # noqa: E731
+                self.leaves(rig, client, scorer, answer)
+
+    def test_a_copy_for_which_a_request_was_held_comes_with_the_end(self):
+        scorer = ScorerPeer(copies=None)
+        rig = self.rig(scorer)
+        client = rig.client()
+        self.asked(rig, client)
+        rig.until(lambda: scorer.of(scorer_frames.ENSURE), "a copy is asked for")
+
+        def answer():
+            for order in scorer.of(scorer_frames.ENSURE):
+                scorer.answer(order, 0, "slots_up=4")
+
+        self.leaves(rig, client, scorer, answer)
+
+    def test_a_link_that_ends_comes_with_the_end(self):
+        scorer = ScorerPeer()
+        rig = self.rig(scorer)
+        client = rig.client()
+        self.asked(rig, client)
+        rig.until(lambda: scorer.runs, "it runs")
+
+        def answer():
+            for link in scorer.links:
+                link.sock.close()
+                link.ended = True
+            scorer.links.clear()
+
+        self.leaves(rig, client, scorer, answer)
+
+    def test_an_end_within_a_long_turn_is_seen_before_a_send(self):
+        scorer = ScorerPeer(copies=None)
+        rig = self.rig(scorer)
+        client = rig.client()
+        key = self.asked(rig, client)
+        client.sock.close()
+        client.ended = True
+        rig.front.loop.turn_ms -= 2 * connection.FRESH_MS  # the turn has run for so long by now
+        rig.front.table.send(io.Send(key, worker_number("s-1")))
+        self.assertNotIn(key, rig.front.table.open)
+        wait(rig, 50.0)
+        self.assertEqual(scorer.runs, [])
+
+    def test_an_end_right_behind_a_request_that_lay_unread_for_long_is_seen_at_once(self):
+        rig = self.rig(ScorerPeer())
+        client = rig.client()
+        rig.settle(client)
+        client.sock.sendall(call_frame(1))
+        client.sock.close()
+        client.ended = True
+        age_ms = 2 * connection.FRESH_MS
+        with mock.patch.object(connection.Connection, "_age", return_value=age_ms):
+            rig.until(lambda: not rig.front.port.clients, "the connection has ended")
+        self.assertEqual(arrivals(self), [])
+
+    def test_on_the_ordinary_way_nothing_is_asked_of_the_system(self):
+        scorer = ScorerPeer()
+        rig = self.rig(scorer)
+        client = rig.client()
+        with (
+            mock.patch.object(connection, "FRESH_MS", 60_000.0),  # however busy the machine is
+            mock.patch("select.poll") as poll,
+        ):
+            client.call()
+            rig.until(lambda: scorer.runs, "it runs")
+            scorer.answer(scorer.runs[0])
+            rig.until(lambda: client.answers, "it is answered")
+        poll.assert_not_called()
+
+
 class HalfClose(Case):
     def test_a_client_that_ends_its_output_gets_its_one_answer_and_then_the_end(self):
         scorer = ScorerPeer()
