--- a/fawnwharf/net/clients.py
+++ b/fawnwharf/net/clients.py
@@ -23,9 +23,12 @@
 # A peer is owed an answer or a close within 3 s of connecting; what a client sends comes within a round trip.
 SPEAK_MS = 2_300.0  # for a first message, and for the rest of one that has begun
 SKIP_MS = 6_000.0  # for the rest of an oversized one, which was refused when its head came
-# Where room is made: one that said nothing yet may be about to, and is ended after others; one with half a
-# message is ended last, and only if nothing came for so long.
-YOUNG_MS = 250.0
+# Where room is made, one that said nothing yet may be about to: it is spared at first, and others that are
+# idle give way before it for a while longer.
+SPARED_MS, YOUNG_MS = 50.0, 250.0
+# One with half a message is ended last, and only if nothing came for so long: more than a round trip, and
+# short enough that half messages which hold all connections keep nobody out for long.
+PIECES_MS = 100.0
 ROOM_LOOK_MS = 50.0  # a look over all clients serves for so long: a crowd must not cost one for each accept
 ROOM_PART = 0.5  # of all connections are ended at a time, where there is no room for another
 # A client sends again what crosses a close within 50 ms; the rest is for the way and for ticks.
@@ -101,6 +104,7 @@
             if isinstance(item, thrift.Withdraw):
                 self._withdraw(item.seqid)
         failed = set(self.open)
+        self._fail_open()
         for item in items:
             if isinstance(item, thrift.Handle) and item.seqid not in failed:
                 failed.add(item.seqid)
@@ -156,6 +160,13 @@
         """Whether a message has come in part."""
         return self._reader.waits
 
+    def may_give_way(self, now_ms: float) -> bool:
+        """Whether it may be ended for another's sake: nothing that it sends is likely to be under way."""
+        unused_ms = now_ms - self.connection.used_ms
+        if self.begun:
+            return unused_ms > PIECES_MS
+        return self.spoke or unused_ms > SPARED_MS
+
     def end_overdue(self) -> None:
         """End one that has said nothing, or half a message, for too long, unless the rest lies unread."""
         if self._read_all() and self.overdue(monotonic_ms()):
@@ -316,14 +327,13 @@
             self._idlest, self._looked_ms = self._by_idleness(), monotonic_ms()
 
     def _by_idleness(self) -> deque[tuple[Client, float]]:
-        since = monotonic_ms() - YOUNG_MS
+        now = monotonic_ms()
 
         def rank(client: Client) -> tuple[bool, bool, float]:
             used_ms = client.connection.used_ms
-            return client.begun, client.spoke or used_ms >= since, used_ms
+            return client.begun, client.spoke or used_ms >= now - YOUNG_MS, used_ms
 
-        idle = [client for client in self.clients if client.idle]
-        able = [client for client in idle if not client.begun or client.connection.used_ms < since]
+        able = [client for client in self.clients if client.idle and client.may_give_way(now)]
         return deque((client, client.connection.used_ms) for client in sorted(able, key=rank))
 
     # --- to and from another process ------------------------------------------------------------
@@ -359,6 +369,8 @@
     def end_idle(self) -> None:
         """End every connection on which nothing is open and nothing has begun to arrive."""
         for client in [client for client in self.clients if client.idle and not client.begun]:
+            if self.loop.crowded:  # by requests that were read just now: the rest at the next look
+                return
             client.release()
 
     def close_listener(self) -> bool:
@@ -374,6 +386,8 @@
         now = monotonic_ms()
         self._idlest.clear()  # it must not keep those that have ended
         for client in list(self.clients):
+            if self.loop.crowded:  # by requests that were read just now: the rest at the next look
+                return
             unused = not client.open and now - client.connection.used_ms > IDLE_MS
             if unused and client.connection.waiting_bytes:
                 client.connection.close(End.STUFFED)
