Keeper on a store: a claim that the store can't take is not known after a restart, and says so

Cause: a keeper that heard a claim which its store had no room for (bounds of promises, of all entries) had it on its shelf alone. It went on to keep on disk that it knew all. After a restart it was sure at once without that claim, and granted the same call to another owner: with one more keeper that had not heard either, a call could run twice. Beside it, in a store that had reached its bound of bytes, the word that the store is in part was refused and forgotten by the next start, and tickets were refused for what had been taken; a cause of 500 characters outside ASCII or with control characters was longer than its entry may be.

Lines at fault: rejoin/promises.py, written (`refused` blocks the grant alone) and _keep_sure (asks the shelf alone); rejoin/kept.py, KINDS (START, DOUBT, SURE, TURN under the common bound); durable/core.py, put.

Change: what is kept of 'knows all' is derived from the shelf and from until when a claim counts that the store could not take; that it does not is on disk before another keeper hears a piece, as before. Kinds may be reserved: one entry each of a few bytes is taken also where the store is full. The entry of a cause has room for six bytes a character.

Ruled out: a doubt of the store for each refused claim, since a keeper that is merely full would then grant nothing until it has heard the others.

--- a/fawnwharf/durable/core.py
+++ b/fawnwharf/durable/core.py
@@ -112,7 +112,7 @@
                 raise Refused(f"{kind}: {len(data)} bytes, and {rules.value_bytes} is the most")
             if before is None and self._held.get(kind, 0) >= rules.most:
                 raise Refused(f"{kind}: {rules.most} entries is the most")
-            if grows > 0 and self._bytes + grows > self.limits.state_bytes:
+            if not rules.reserved and grows > 0 and self._bytes + grows > self.limits.state_bytes:
                 raise Refused(f"{kind}: {self.limits.state_bytes} bytes in all is the most")
         self._bytes += grows
         self._held[kind] = self._held.get(kind, 0) + (data is not None) - (before is not None)
--- a/fawnwharf/durable/form.py
+++ b/fawnwharf/durable/form.py
@@ -32,6 +32,7 @@
     mode: Literal["synced", "soon", "hint"]
     most: Annotated[int, Meta(ge=1)] = 1_000  # entries
     value_bytes: Annotated[int, Meta(ge=1, le=1024 * 1024)] = 16 * 1024
+    reserved: bool = False  # taken also where all entries together have reached their bound
 
 
 class Limits(Struct, frozen=True):
--- a/fawnwharf/rejoin/kept.py
+++ b/fawnwharf/rejoin/kept.py
@@ -50,12 +50,13 @@
 START, DOUBT, SURE, TURN = "start", "doubt", "sure", "turn"  # the store's own, one entry each
 LAST = "last"
 KINDS = [f.Kind(rule.name, rule.mode, rule.most, rule.value_bytes) for rule in RULES.values()] + [
-    f.Kind(START, f.SOON, 1, 256),
-    f.Kind(DOUBT, f.SOON, 1, 2_048),
-    f.Kind(SURE, f.SOON, 1, 64),
-    f.Kind(TURN, f.SYNCED, 1, 64),
+    # A store that is full must not forget that it is in part, nor refuse the ticket of what it took.
+    f.Kind(START, f.SOON, 1, 256, reserved=True),
+    f.Kind(DOUBT, f.SOON, 1, 4_096, reserved=True),
+    f.Kind(SURE, f.SOON, 1, 64, reserved=True),
+    f.Kind(TURN, f.SYNCED, 1, 64, reserved=True),
 ]
-WHY_MOST = 500  # characters of a cause
+WHY_MOST = 500  # characters of a cause, of six bytes at the most as JSON
 
 
 class Stamped(msgspec.Struct, frozen=True, array_like=True):
--- a/fawnwharf/rejoin/promises.py
+++ b/fawnwharf/rejoin/promises.py
@@ -67,6 +67,7 @@
         self._open: dict[str, tuple[int, _Batch]] = {}  # own calls whose grants wait: ask, and for what
         self._shy: _Batch | None = None  # until it is on disk that this keeper knows not all
         self._sweep_ms = 0.0
+        self._lacks_ms = 0.0  # until when a claim counts that the shelf has and the store could not take
         self.counts: dict[str, int] = {}
         kept.on_doubt(self._doubted)
         self._files_aside(folder)
@@ -154,11 +155,12 @@
                 self._kept.keep(Kind.PROMISE, name, None)
 
     def _keep_sure(self, now_ms: float) -> None:
-        """Whether this keeper knows all, where that has changed. That it does not is on disk before another
-        keeper hears anything that rests on it."""
+        """Whether this keeper knows all, and would after a restart, where that has changed. That it does not
+        is on disk before another keeper hears anything that rests on it."""
         keeper = self._core.keeper
         keeper.broken = False
-        sure = self._core.placement.number if keeper.sure(now_ms) else 0
+        whole = now_ms >= self._lacks_ms
+        sure = self._core.placement.number if whole and keeper.sure(now_ms) else 0
         keeper.broken = bool(self._kept.failing)  # nothing more is granted meanwhile
         if sure == self._sure_kept:
             return
@@ -182,6 +184,7 @@
         for key, claim, until_ms in rows:
             if not self._keep(now, key, claim, until_ms):
                 refused.add(key)
+                self._lacks_ms = max(self._lacks_ms, until_ms)
             mine = core.claimant.mine.get(key)
             own = mine is not None and claim.id == (core.owner, mine.number)
             if own and mine.must and claim.phase is Phase.TAKEN:
--- /dev/null
+++ b/tests/test_disk_faults_promises.py
@@ -0,0 +1,91 @@
+"""A keeper's promises where its store has no room: what it can't keep, it does not know after a restart."""
+
+import itertools
+
+import msgspec
+import pytest
+from kept_rig import LIMITS, Site, StoreCores, asks
+
+from fawnwharf.recovery.trust import Kind, Store
+from fawnwharf.rejoin import kept as k
+
+PROMISES = k.RULES[Kind.PROMISE]
+
+
+@pytest.fixture
+def site(monkeypatch, tmp_path):
+    return Site(monkeypatch, tmp_path)
+
+
+def no_room(kept):
+    """The bytes of promises are used up."""
+    kept._bytes[PROMISES.name] = PROMISES.all_bytes - 10
+
+
+def room(kept):
+    kept._bytes[PROMISES.name] = 0
+
+
+def test_a_keeper_that_could_not_keep_what_it_heard_knows_not_all_after_a_restart(site):
+    cores = StoreCores(site)
+    keeper, (owner, other, _) = cores.keepers[0], cores.owners
+    cores.lost = {keeper}
+    cores.begin(owner)  # granted by the other two
+    cores.turn()
+    cores.lost = set()
+    del site.machines[keeper]
+    cores.end_all("cut", keeper)
+    no_room(cores.kepts[keeper])
+    cores.wait(1_500)
+    assert cores.sure(keeper) and not asks(cores, other, keeper)().granted  # it heard of the call
+    room(cores.kepts[keeper])
+    cores.end_all("kill", keeper)
+    cores.lost = set(cores.keepers[1:])  # nobody tells it now
+    cores.turn(keeper)
+    assert not cores.sure(keeper) and not asks(cores, other, keeper)().granted
+
+
+def test_once_what_it_could_not_keep_is_over_a_keeper_is_known_to_know_all(site):
+    cores = StoreCores(site)
+    keeper = cores.keepers[0]
+    no_room(cores.kepts[keeper])
+    assert not asks(cores, cores.owners[0], keeper)().granted
+    cores.turn()
+    assert cores.kepts[keeper].sure == 0 and cores.sure(keeper)
+    cores.wait(9_000)
+    assert cores.kepts[keeper].sure == cores.cores[keeper].placement.number
+    cores.end_all("cut", keeper)
+    assert cores.sure(keeper)
+
+
+def filled(kept):
+    """All bytes of the store are used, but for fewer than one more entry takes."""
+    numbers = itertools.count()
+    for size in (1_000, 100, 1):
+        while kept.keep(Kind.HOMES, str(next(numbers)), "x" * size):
+            pass
+
+
+def test_a_full_store_does_not_forget_that_it_is_in_part_nor_refuse_a_ticket(site):
+    limits = msgspec.structs.replace(LIMITS, state_bytes=20_000)
+    kept = site.kept(fresh=True, limits=limits)
+    filled(kept)
+    kept.doubt("a reason of some length" * 10)
+    told = []
+    for _ in range(12):  # its number grows by a digit
+        kept.on_disk(lambda good, why: told.append((good, why)))
+        site.pump(kept)
+    assert told == [(True, "")] * 12
+    site.machine().cut(share=0.0)
+    again = site.kept(limits=limits)
+    assert again.whole is Store.PART and again.why.startswith("a reason of some length")
+
+
+def test_a_cause_of_any_characters_has_room(site):
+    kept = site.kept(fresh=True)
+    for why in ("\U0001f4be" * 900, "\0" * 900):
+        kept.doubt(why[: k.WHY_MOST])
+        site.pump(kept, 200.0)
+        site.machine().cut(share=0.0)
+        kept = site.kept()
+        assert kept.whole is Store.PART and kept.why == why[: k.WHY_MOST]
