Keeper's own file: a full disk refuses no start, and 'no more by this list' outlives a restart

Cause: - A keeper whose folder takes nothing at a start (ENOSPC, EIO on the new file) ended the start, though the rest of the front end can serve and a failure a moment later grants nothing until a restart. - A keeper that had heard of a later list of members grants no more by its own, which others may rest on. Its file had that as 0, which is read as 'as before': after a restart by the old list it was trusted to know all and granted again. The keeper on a store has that on disk before another keeper hears of it. - After a failed write the file stayed open, and a later record would have stood behind half of one. Its owner writes no more then, but nothing in the file saw to that; a file begun in vain left a descriptor open.

Lines at fault: replication/onfile.py, __init__ (begin outside of what a failure in service goes through) and _sure_by; replication/disk.py, _read_one (max over all), begin (the old descriptor lost), write.

Change: a start goes through the same end as a failure in service, and says it in the same words; NO_MORE is a record of its own, and files of before are read as they were; a failure closes the file.

--- a/fawnwharf/replication/disk.py
+++ b/fawnwharf/replication/disk.py
@@ -24,6 +24,7 @@
 VERSION = 1
 BOOT_ID = Path("/proc/sys/kernel/random/boot_id")
 BATCH = 2_000  # claims in a record, where a file begins with what is held
+NO_MORE = -1  # in the place of a list of members: from here on the keeper does not know all it granted
 
 Kept = tuple[str, Claim, float]  # key, claim, and until when it counts, by the machine's monotonic clock
 
@@ -44,7 +45,7 @@
 
 class Batch(Struct, frozen=True):
     kept: list[tuple[Key, Claim, float]]
-    sure: int = 0  # from here on it knew all, by this list; 0: as before
+    sure: int = 0  # from here on it knew all, by this list, or NO_MORE; 0: as before
 
 
 def boot_id() -> str:
@@ -124,7 +125,9 @@
         if (head.fleet, head.name) != (self._fleet, self._name):
             raise DiskError(f"{path}: of {head.name} in fleet {head.fleet}")
         self.kept += [kept for batch in batches for kept in batch.kept]
-        self.sure = max([head.sure, *(batch.sure for batch in batches)])
+        self.sure = head.sure
+        for batch in batches:
+            self.sure = max(0, batch.sure) if batch.sure else self.sure
         if damaged or [number for number, _ in found] != list(range(1, len(found) + 1)):
             self.why = f"{path.name}: damaged"
         elif head.version != VERSION:
@@ -139,23 +142,23 @@
         """A new file, with all that is held where that is told; the last one stays beside one that is not
         whole. Raises DiskError."""
         before = self._files()
+        self._close_file()
         self._generation += 1
         path = self.folder / f"keeper-{self._generation}.log"
         beside = path.with_suffix(".new")
         try:
-            file = os.open(beside, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o644)
+            self._file = os.open(beside, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o644)
             head = Head(
-                VERSION, self._fleet, self._name, self._boot, os.fstat(file).st_ino, sure,
+                VERSION, self._fleet, self._name, self._boot, os.fstat(self._file).st_ino, max(0, sure),
                 self._generation, held is not None, now_ms,
             )  # fmt: skip
-            old, self._file, self._number = self._file, file, 0
+            self._number = 0
             self._append(head)
             for n in range(0, len(held or ()), BATCH):
                 self._append(Batch(held[n : n + BATCH]))
             os.rename(beside, path)
-            if old is not None:
-                os.close(old)
         except OSError as error:
+            self._close_file()
             raise DiskError(f"{path}: {error.strerror}") from None
         self._began_ms = now_ms
         for path in before if held is not None else before[:-1]:
@@ -169,7 +172,8 @@
             raise OSError(28, "no room for a whole record")
 
     def write(self, now_ms: float, kept: list[Kept], sure: int) -> None:
-        """Before anything that rests on these is said. Raises DiskError: then nothing may rest on them."""
+        """Before anything that rests on these is said. Raises DiskError: then nothing may rest on them, and
+        nothing more is written behind what may be half a record."""
         if self._file is None:
             raise DiskError(f"{self.folder}: not begun")
         if now_ms - self._began_ms >= self._life_ms:
@@ -177,10 +181,14 @@
         try:
             self._append(Batch(kept, sure))
         except OSError as error:
+            self._close_file()
             raise DiskError(f"{self.folder}: {error.strerror}") from None
 
-    def close(self) -> None:
+    def _close_file(self) -> None:
         if self._file is not None:
             os.close(self._file)
             self._file = None
+
+    def close(self) -> None:
+        self._close_file()
         os.close(self._lock)
--- a/fawnwharf/replication/onfile.py
+++ b/fawnwharf/replication/onfile.py
@@ -10,7 +10,7 @@
 from fawnwharf.net.wheel import monotonic_ms
 from fawnwharf.replication.claimant import Go, Out, TurnAway
 from fawnwharf.replication.core import Core
-from fawnwharf.replication.disk import KeeperDisk, boot_id
+from fawnwharf.replication.disk import NO_MORE, KeeperDisk, boot_id
 from fawnwharf.replication.messages import Say, Word
 
 DISK_PUSHBACK_MS = 250.0
@@ -39,10 +39,9 @@
     def __init__(
         self, folder: Path, core: Core, name: str, note: Callable[[str, dict[str, Any]], None]
     ) -> None:
-        """What this keeper granted before is on its shelf then, where its disk is to be trusted; raises
-        DiskError."""
+        """What this keeper granted before is on its shelf then, where its disk is to be trusted. Raises
+        DiskError where the folder can't be used or read; one that takes nothing refuses no start."""
         self._core, self._note = core, note
-        self._sure_told = -1
         keeper, shelf = core.keeper, core.keeper.shelf
         now = monotonic_ms()
         self.disk = KeeperDisk(folder, core.members.fleet, name, now, shelf.stretched(), boot_id())
@@ -54,7 +53,11 @@
         if trusted:
             keeper.knows_all()
         self.disk.kept = []
-        self.disk.begin(now, self._sure_by(now), shelf.held_all(now))
+        self._sure_told = self._sure_by(now)
+        try:
+            self.disk.begin(now, self._sure_told, shelf.held_all(now))
+        except DiskError as error:
+            self._fails(error)
         shelf.unwritten = []
         self.found = {"calls": len(shelf.calls), "trusted": trusted, "why": self.disk.why}
 
@@ -62,8 +65,12 @@
         self.disk.close()
 
     def _sure_by(self, now_ms: float) -> int:
-        """The list of members by which this keeper knows all that it granted; 0 where it does not."""
-        return self._core.placement.number if self._core.keeper.sure(now_ms) else 0
+        """The list of members by which this keeper knows all that it granted; NO_MORE where it does not."""
+        return self._core.placement.number if self._core.keeper.sure(now_ms) else NO_MORE
+
+    def _fails(self, error: DiskError) -> None:
+        self._core.keeper.broken = True
+        self._note("disk failed: nothing is granted here until a restart", {"why": str(error)})
 
     def written(self, effects: list[Out], later: Callable[[list[Out]], None] | None = None) -> list[Out]:
         """What may be said and done now that what it rests on is on file, which is all; where that fails,
@@ -77,8 +84,7 @@
             try:
                 self.disk.write(now, kept, sure)
             except DiskError as error:
-                keeper.broken = True
-                self._note("disk failed: nothing is granted here until a restart", {"why": str(error)})
+                self._fails(error)
                 return [_without(effect) for effect in effects]
         return effects
 
--- /dev/null
+++ b/tests/test_disk_faults_keeper.py
@@ -0,0 +1,205 @@
+"""A keeper's own file whose calls fail, fall short or are its last: what was told is found within a boot."""
+
+import errno
+from contextlib import suppress
+from itertools import product
+
+import msgspec
+import pytest
+from cores import Cores
+from support.file_faults import ALWAYS, Faults, FileFaults, Killed
+
+from fawnwharf.accord.disk import DiskError
+from fawnwharf.replication import messages as m
+from fawnwharf.replication import onfile
+from fawnwharf.replication.claimant import Go, TurnAway
+from fawnwharf.replication.claims import Claim, Phase
+from fawnwharf.replication.disk import KeeperDisk
+from fawnwharf.replication.onfile import OnFile
+
+LIFE_MS = 60.0  # a new file follows after so long
+WRITES = 20
+STEP_MS = 10.0
+
+
+def opened(folder, now_ms):
+    return KeeperDisk(folder, "f", "n1", now_ms, LIFE_MS, "boot")
+
+
+class World:
+    """One folder, and what a keeper told by it."""
+
+    def __init__(self, folder):
+        self.faults, self.now_ms, self.number = FileFaults(folder), 0.0, 0
+        self.told = {}  # key -> until when
+
+    def live(self, sure=1):
+        """A life up to its first failure, after which its owner writes no more."""
+        disk = opened(self.faults.folder, self.now_ms)
+        held = [kept for kept in disk.kept if kept[2] > self.now_ms]
+        disk.begin(self.now_ms, sure, held)
+        for _ in range(WRITES):
+            self.now_ms += STEP_MS
+            self.number += 1
+            key, until_ms = f"k{self.number}", self.now_ms + LIFE_MS
+            claim = Claim("n9#1", self.number, self.number, 0, Phase.TAKEN)
+            disk.write(self.now_ms, [(key, claim, until_ms)], sure)
+            self.told[key] = until_ms
+
+    def check(self):
+        """What still counts is there, as the folder is trusted; and it can be gone on with."""
+        disk = opened(self.faults.folder, self.now_ms)
+        found = {key for key, _, until_ms in disk.kept if until_ms > self.now_ms}
+        missing = {key for key, until_ms in self.told.items() if until_ms > self.now_ms} - found
+        assert (disk.why, disk.sure, missing) == ("", 1, set())
+        self.faults.kill()
+        self.live()
+        self.faults.kill()
+        again = opened(self.faults.folder, self.now_ms)
+        assert (again.why, again.sure) == ("", 1)
+
+
+def calls_of_a_life(folder):
+    world = World(folder)
+    with world.faults.installed():
+        world.live()
+        world.faults.kill()
+        before = world.faults.count
+        world.live()
+        return world.faults.count - before
+
+
+def run(folder, plan):
+    world = World(folder)
+    with world.faults.installed():
+        world.live()
+        world.faults.kill()
+        made = world.faults.count
+        plan.fail_at += made if plan.fail_at >= 0 else 0
+        plan.kill_at += made if plan.kill_at >= 0 else 0
+        world.faults.plan = plan
+        with suppress(Killed, DiskError):
+            world.live()
+        world.faults.kill()
+        world.check()
+
+
+@pytest.mark.parametrize("times", [1, 3, ALWAYS])
+def test_each_call_can_fail_and_what_was_told_before_is_found(tmp_path, times):
+    count = calls_of_a_life(tmp_path / "measured")
+    for at, (error, half) in product(range(count), ((errno.ENOSPC, True), (errno.EIO, False))):
+        run(tmp_path / f"{at}-{error}", Faults(at, times, error, half=half))
+
+
+def test_a_kill_at_each_call_loses_nothing_that_was_told(tmp_path):
+    count = calls_of_a_life(tmp_path / "measured")
+    for at, half in product(range(count), (False, True)):
+        run(tmp_path / f"{at}-{half}", Faults(kill_at=at, half=half))
+
+
+def test_nothing_is_written_behind_half_a_record(tmp_path):
+    world = World(tmp_path)
+    with world.faults.installed():
+        world.live()
+        world.faults.kill()
+        disk = opened(tmp_path, world.now_ms)
+        disk.begin(world.now_ms, 1, [])
+        world.faults.plan = Faults(fail_at=world.faults.count, half=True)
+        claim = Claim("n9#1", 1, 1, 0, Phase.TAKEN)
+        for key in ("half", "next"):
+            with pytest.raises(DiskError):
+                disk.write(world.now_ms, [(key, claim, world.now_ms + 1.0)], 1)
+        world.faults.kill()
+        again = opened(tmp_path, world.now_ms)
+        assert (again.why, again.sure) == ("", 1)
+
+
+# --- in service -------------------------------------------------------------------------------------
+
+
+@pytest.fixture
+def placed(tmp_path, monkeypatch):
+    """Cores, one keeper among them with its disk in a folder with faults, and what it notes."""
+    cores, notes = Cores(), []
+    name = cores.keepers[0]
+    faults = FileFaults(tmp_path / "state")
+    monkeypatch.setattr(onfile, "monotonic_ms", lambda: cores.now)
+    monkeypatch.setattr(onfile, "boot_id", lambda: "boot")
+
+    def start():
+        return OnFile(faults.folder, cores.cores[name], name, lambda what, more: notes.append((what, more)))
+
+    with faults.installed():
+        yield cores, name, faults, start, notes
+
+
+def word(cores, name, disk, key):
+    """The keeper's word on an ask."""
+    owner, core = cores.owners[0], cores.cores[name]
+    ask = m.Ask(key, f"{owner}#{cores.cores[owner].life}", 1, core.placement.number, 0)
+    line = msgspec.to_builtins(cores.cores[owner].wrapped(m.Say((name,), ask)))
+    said = disk.written(core.line(cores.now, owner, line))
+    return next(say.message for say in said if isinstance(getattr(say, "message", None), m.Word))
+
+
+def test_a_disk_that_fails_at_the_start_refuses_no_start_and_grants_nothing(placed):
+    cores, name, faults, start, notes = placed
+    disk = start()
+    assert word(cores, name, disk, "before").granted
+    faults.kill()
+    cores.restart(name)
+    for after in (1, 2, 3, 4):  # the file, its head, what is held, its name
+        faults.plan = Faults(fail_at=faults.count + after, fail_for=ALWAYS, error=errno.ENOSPC)
+        disk = start()
+        assert faults.count > faults.plan.fail_at
+        [(what, more)] = notes
+        assert what == "disk failed: nothing is granted here until a restart" and "No space" in more["why"]
+        assert "before" in cores.cores[name].keeper.shelf.calls
+        assert not word(cores, name, disk, "new").granted and not cores.cores[name].keeper.sure(cores.now)
+        faults.works()
+        assert not word(cores, name, disk, "newer").granted  # as it was said
+        disk.close()
+        faults.kill()
+        notes.clear()
+        cores.restart(name)
+    disk = start()
+    assert disk.found["trusted"] and word(cores, name, disk, "newest").granted
+
+
+def test_a_disk_that_fails_in_service_takes_back_what_it_could_not_write(placed):
+    cores, name, faults, start, notes = placed
+    disk = start()
+    assert word(cores, name, disk, "before").granted
+    faults.plan = Faults(fail_at=faults.count, error=errno.ENOSPC, half=True)
+    assert not word(cores, name, disk, "new").granted
+    assert [what for what, _ in notes] == ["disk failed: nothing is granted here until a restart"]
+    assert not word(cores, name, disk, "newer").granted
+    faults.kill()
+    cores.restart(name)
+    disk = start()
+    assert disk.found["trusted"] and set(cores.cores[name].keeper.shelf.calls) == {"before"}
+
+
+def test_a_call_of_the_keepers_own_is_turned_away_where_its_grant_could_not_be_written(placed):
+    cores, name, faults, start, _ = placed
+    disk = start()
+    core = cores.cores[name]
+    entry = core.keeper.shelf.entry(cores.now, "k")
+    core.keeper.shelf.put(cores.now, "k", entry, Claim(core.owner, 1, 1, 0, Phase.TAKEN), 1_000.0)
+    faults.fail(error=errno.EIO)
+    [turned] = disk.written([Go("k", kept=True)])
+    assert isinstance(turned, TurnAway) and turned.key == "k"
+
+
+def test_a_keeper_that_said_that_it_grants_no_more_by_its_list_does_not_after_a_restart(placed):
+    cores, name, faults, start, _ = placed
+    disk = start()
+    assert word(cores, name, disk, "before").granted
+    other = cores.keepers[1]
+    want = msgspec.to_builtins(cores.cores[other].wrapped(m.Say((name,), m.Want(1, 1, 2))))
+    disk.written(cores.cores[name].line(cores.now, other, want))
+    assert not cores.cores[name].keeper.sure(cores.now)
+    faults.kill()
+    cores.restart(name)
+    disk = start()
+    assert not disk.found["trusted"] and not word(cores, name, disk, "after").granted
