Policies' kept life: synced before its name is taken over, so that a loss of power leaves no empty file

Cause: a front end's last life and register were written beside and renamed without a sync. After a loss of power the name may be there with nothing behind it; read as 'nothing kept', the next life comes from the clock alone, which a loss of power may have set back: smaller than the last one, and taken for an earlier life.

Lines at fault: epochs/keeping.py, write.

Change: write, sync, rename, sync of the folder, as one function beside the store's folder (durable/folder.py, replace_file); its parts are those of the store and of the voter's disk as well, which had their own copies.

--- a/fawnwharf/accord/disk.py
+++ b/fawnwharf/accord/disk.py
@@ -23,6 +23,7 @@
 
 from fawnwharf.accord.messages import Saved
 from fawnwharf.accord.records import MAGIC, OVERHEAD, DiskError, encode, records
+from fawnwharf.durable.folder import sync_folder, write_all
 
 VERSION = 1
 REWRITE_BYTES = 1024 * 1024
@@ -118,9 +119,9 @@
         if whole < len(data):
             os.ftruncate(self._file, whole)
         os.lseek(self._file, whole - last, os.SEEK_SET)
-        _write(self._file, data[whole - last : whole])
+        write_all(self._file, data[whole - last : whole])
         os.fsync(self._file)
-        self._sync_folder()
+        sync_folder(self.folder)
 
     def save(self, saved: Saved) -> None:
         """Keep it; it is on disk when this returns. Raises DiskError, and then nothing may rest on it."""
@@ -136,7 +137,7 @@
         self.number, self.saved = self.number + 1, saved
 
     def _append(self, record: bytes) -> None:
-        _write(self._file, record)
+        write_all(self._file, record)
         os.fsync(self._file)
         self._size += len(record)
 
@@ -146,21 +147,14 @@
         beside = self.path.with_suffix(".new")
         self._file, self._size = os.open(beside, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600), len(data)
         try:
-            _write(self._file, data)
+            write_all(self._file, data)
             os.fsync(self._file)
             os.rename(beside, self.path)
-            self._sync_folder()
+            sync_folder(self.folder)
         except OSError:
             self._close_file()
             raise
 
-    def _sync_folder(self) -> None:
-        folder = os.open(self.folder, os.O_RDONLY)
-        try:
-            os.fsync(folder)
-        finally:
-            os.close(folder)
-
     def _close_file(self) -> None:
         file, self._file = self._file, -1
         if file >= 0:
@@ -180,10 +174,3 @@
     length = int.from_bytes(data[len(MAGIC) : len(MAGIC) + 4], "big")
     short = len(data) < OVERHEAD or len(data) < OVERHEAD + length
     return short and not records(data)[2]
-
-
-def _write(file: int, data: bytes) -> None:
-    """All of it, however little each call takes."""
-    rest = memoryview(data)
-    while rest:
-        rest = rest[os.write(file, rest) :]
--- a/fawnwharf/durable/folder.py
+++ b/fawnwharf/durable/folder.py
@@ -12,6 +12,36 @@
 AGAIN_S = 0.02  # pace of asking for a lock
 
 
+def write_all(file: int, data: bytes) -> None:
+    """All of it to an open file, however little each call takes."""
+    rest = memoryview(data)
+    while rest:
+        rest = rest[os.write(file, rest) :]
+
+
+def sync_folder(path: Path) -> None:
+    """The names in a folder, and what was removed from it, are on disk."""
+    folder = os.open(path, os.O_RDONLY | os.O_CLOEXEC)
+    try:
+        os.fsync(folder)
+    finally:
+        os.close(folder)
+
+
+def replace_file(path: Path, data: bytes, mode: int = 0o644) -> None:
+    """The file is this from now on, on disk when this returns; found whole or as it was before in any case.
+    Raises OSError."""
+    beside = path.with_suffix(".new")
+    file = os.open(beside, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC, mode)
+    try:
+        write_all(file, data)
+        os.fsync(file)
+    finally:
+        os.close(file)
+    os.replace(beside, path)
+    sync_folder(path.parent)
+
+
 class Folder:
     """One folder's files; keeps those open that it began. `ops.Files` says what each method does."""
 
@@ -26,9 +56,7 @@
         return os.fstat(self._open[name]).st_ino
 
     def append(self, name: str, data: bytes) -> None:
-        rest = memoryview(data)
-        while rest:
-            rest = rest[os.write(self._open[name], rest) :]
+        write_all(self._open[name], data)
 
     def sync(self, name: str) -> None:
         os.fsync(self._open[name])
@@ -42,11 +70,7 @@
             self._close(new)  # nothing more is written to it
 
     def sync_folder(self) -> None:
-        folder = os.open(self.path, os.O_RDONLY | os.O_CLOEXEC)
-        try:
-            os.fsync(folder)
-        finally:
-            os.close(folder)
+        sync_folder(self.path)
 
     def remove(self, name: str) -> None:
         self._close(name)
--- a/fawnwharf/epochs/keeping.py
+++ b/fawnwharf/epochs/keeping.py
@@ -1,16 +1,17 @@
 """What a front end keeps of changes of policy on its disk: the last register that it knew, its life.
 
 Nothing of the protocol rests on it but that a life is larger than the one before, and that only while the
-system's clock was set back.
+system's clock was set back, as a loss of power may set it: what is written is synced.
 """
 
 import contextlib
-import os
 from pathlib import Path
 
 import msgspec
 from msgspec import Struct
 
+from fawnwharf.durable.folder import replace_file
+
 VERSION = 1
 
 
@@ -30,8 +31,6 @@
 
 
 def write(path: Path, kept: Kept) -> None:
-    """Whole or not at all; raises OSError."""
+    """Whole or not at all, and on disk when this returns; raises OSError."""
     path.parent.mkdir(parents=True, exist_ok=True)
-    beside = path.with_suffix(".new")
-    beside.write_bytes(msgspec.json.encode(kept))
-    os.replace(beside, path)
+    replace_file(path, msgspec.json.encode(kept))
--- a/tests/support/file_faults.py
+++ b/tests/support/file_faults.py
@@ -83,6 +83,8 @@
     def cut(self, late_names: bool) -> None:
         """The power goes as well. `late_names`: names that were not synced are on the disk after all."""
         self.kill()
+        for name in self._seen():
+            self._made(self.folder / name)  # one that was not opened by these calls: nothing of it was synced
         names = self._seen() if late_names else self._names
         for path in list(self.folder.iterdir()):
             self._real["unlink"](path)
