--- a/fawnwharf/epochs/agent.py
+++ b/fawnwharf/epochs/agent.py
@@ -1,9 +1,11 @@
-"""One member's part in changes of policy: its holder, its steward where its voter leads, operators' words.
+"""One member's part in policy rollouts.
 
-Pure: words of others, decisions of the voters' log and ticks come in with a time, effects go out in order.
-`Say` is for other members alone; `Decide` is to be put to the voters' log at once. Nothing rests on the
-delivery of a word: holders ask again, a steward says again what is not answered, an operator's word is said
-again until a leader's standing tells what came of it.
+Its lease holder, its coordinator while it leads, operators' requests.
+
+Pure: messages of other members, decisions of the consensus log and ticks come in with a time, effects go out
+in order. `Say` is for other members only; `Decide` is to be proposed to the consensus log at once. Nothing
+depends on the delivery of a message: holders ask again, a coordinator repeats what is not answered, and an
+operator's request is repeated until a leader's status tells what came of it.
 """
 
 from collections import deque
@@ -29,7 +31,7 @@
 
 @dataclass(slots=True)
 class Wish:
-    """An operator's word that was given here."""
+    """An operator's request that was made at this member."""
 
     message: m.Propose | m.Back | m.CallOff
     digest: str  # of what it asks for; "": not known
@@ -41,7 +43,7 @@
 
 @dataclass(slots=True)
 class Agent:
-    """Owns the two cores of one member, and what operators asked for at it."""
+    """Owns the lease holder and the coordinator of one member, and the operators' requests made at it."""
 
     name: str
     members: tuple[str, ...]
@@ -71,7 +73,7 @@
         self.counts[cause] = self.counts.get(cause, 0) + 1
 
     def leads(self, now_ms: float) -> bool:
-        """For certain, at this moment."""
+        """Whether this member leads for certain at this moment."""
         if self.steward is None or not self.steward.term:
             return False
         seat = self.seat(now_ms)
@@ -80,7 +82,7 @@
     # --- what comes in --------------------------------------------------------------------------
 
     def heard(self, now_ms: float, sender: str, said: tuple[Any, ...]) -> list[m.Effect]:
-        """Words of another member, decoded; what is none is dropped and counted."""
+        """Take messages of another member; what can't be decoded is dropped and counted."""
         effects: list[m.Effect] = []
         for data in said:
             try:
@@ -105,7 +107,7 @@
         return self.steward.heard(now_ms, sender, message, self.leads(now_ms))
 
     def _out(self, now_ms: float, effects: list[m.Effect]) -> list[m.Effect]:
-        """What is for this member itself is taken at once; the rest goes out, in order."""
+        """Deliver what is for this member itself at once; the rest is returned, in order."""
         found, waiting = [], deque(effects)
         while waiting:
             effect = waiting.popleft()
@@ -124,12 +126,12 @@
         return found
 
     def _as_told(self, say: m.Say) -> m.Say:
-        """A grant is for the life that asked, by its own number."""
+        """A grant, with the incarnation's own number in place of its count."""
         life = self.lives.told(say.to, say.message.life)
         return msgspec.structs.replace(say, message=msgspec.structs.replace(say.message, life=life))
 
     def decided(self, now_ms: float, text: str) -> list[m.Effect]:
-        """A register that the voters' log decided, at whichever voter."""
+        """Take a register that the consensus log decided, at any voter."""
         effects: list[m.Effect] = []
         try:
             if self.steward is not None and self.steward.term:
@@ -142,10 +144,11 @@
         return self._out(now_ms, effects)
 
     def not_put(self, now_ms: float) -> list[m.Effect]:
-        """What was to be decided never came into the log."""
+        """Take that what was to be decided never came into the log."""
         return self._out(now_ms, self.steward.not_put(now_ms)) if self.steward else []
 
     def take_members(self, now_ms: float, members: tuple[str, ...], known: Known) -> list[m.Effect]:
+        """Take another list of members, and what the deployment then knows."""
         self.members, self.known, self.holder.known = members, known, known
         self.holder.stance = None  # what an absent key means may be another thing
         self.standings = {name: told for name, told in self.standings.items() if name in members}
@@ -157,8 +160,11 @@
     # --- reigns ---------------------------------------------------------------------------------
 
     def turned(self, now_ms: float) -> list[m.Effect]:
-        """The voter may lead, or not lead any more: a reign begins when it leads, its last decision is the
-        fleet's last for certain, and nothing of its log is undecided."""
+        """Take that the voter may have begun or ceased to lead.
+
+        A term begins here when the voter leads, its last decision is certainly the fleet's last, and nothing
+        in its log is undecided.
+        """
         steward = self.steward
         if steward is None:
             return []
@@ -178,6 +184,7 @@
     # --- time -----------------------------------------------------------------------------------
 
     def due_ms(self) -> float:
+        """When `tick` has to be called at the latest."""
         dues = [self.holder.due_ms()]
         if self.steward is not None and (due := self.steward.due_ms()) is not None:
             dues.append(due)
@@ -185,6 +192,7 @@
         return min([*dues, *(said_ms + self.timing.again_ms for said_ms in asked)])
 
     def tick(self, now_ms: float) -> list[m.Effect]:
+        """Do what is due: lease questions, repeats, time-outs."""
         effects = self.turned(now_ms)
         more: list[m.Effect] = []
         if self.steward is not None and (due := self.steward.due_ms()) is not None and now_ms >= due:
@@ -198,8 +206,11 @@
     # --- operators' words: at the leader ----------------------------------------------------------
 
     def _wished(self, now_ms: float, by: str, word: m.Propose | m.Back | m.CallOff) -> list[m.Effect]:
-        """Once each, and only where it is meant for this reign: an old one may come again by a log that was
-        cut off, and has had its outcome long ago."""
+        """Take an operator's request at the leader.
+
+        Each is taken once, and only if it is meant for this term: an old one may be repeated by a log that
+        was cut off, and had its outcome long ago.
+        """
         if not self.leads(now_ms) or word.term != self.steward.term or word.wish <= self.taken.get(by, 0):
             return []
         self.taken[by] = word.wish
@@ -241,7 +252,7 @@
         return effects
 
     def _noted(self, note: m.Note) -> None:
-        """What a steward's note tells of a proposal."""
+        """Update the outcomes of requests by a coordinator's note."""
         if note.event not in ("ended", "decided", "in force"):
             return
         for place, outcome in enumerate(self.outcomes):
@@ -252,7 +263,7 @@
     # --- operators' words: where they are given -----------------------------------------------------
 
     def ask(self, now_ms: float, wish: int, said: Any) -> list[m.Effect]:
-        """An operator's word, `Said`, checked by itself."""
+        """Take an operator's request at this member, checked by itself."""
         register, digest = self.holder.register, ""
         if said.propose is not None:
             text = msgspec.json.encode(said.propose).decode()
@@ -268,7 +279,7 @@
         return self._out(now_ms, [m.Say(m.LEADER, message)])
 
     def refuse(self, now_ms: float, wish: int, why: str) -> None:
-        """A word that can't be taken, for this cause."""
+        """Note a request that can't be taken, and why."""
         outcome = m.Outcome(self.name, wish, "refused", 0, why[:300])
         self.wishes.append(Wish(m.CallOff("", 0, wish), "", now_ms, outcome))
 
@@ -287,7 +298,7 @@
     # --- standings ------------------------------------------------------------------------------
 
     def standing_of(self, now_ms: float, sender: str, data: Any) -> None:
-        """How another member stands, decoded; what is none is dropped and counted."""
+        """Take another member's status; what can't be decoded is dropped and counted."""
         try:
             told = m.standing_from(data)
         except msgspec.ValidationError:
@@ -311,6 +322,7 @@
                 wish.outcome = _after(wish, leader)
 
     def standing(self, now_ms: float) -> m.Standing:
+        """This member's status, as it is told to the others."""
         holder, steward = self.holder, self.steward
         last, told = holder.register.last, {}
         if steward is not None and steward.term:
--- a/fawnwharf/epochs/check.py
+++ b/fawnwharf/epochs/check.py
@@ -1,12 +1,12 @@
-"""A model checker for a change of policy: every order of what may happen, breadth first, to a depth.
+"""Model checker for a policy rollout: every interleaving, breadth first, to a depth.
 
-The steward and the holders are the real ones. Three members' holders, two members that may be the leader,
-and the voters' log taken as what it promises: a register whose every decision stands, and at each moment one
-member at the most that may say so (`Voter.fresh`). A leader that was replaced goes on as it was, without that
-word. What it had put to the vote is decided by the change of leader, or lost by it.
+The coordinator and the lease holders are the real ones. There are three members' holders, two members that
+may be the leader, and the consensus log reduced to what it promises: a register whose every decision stands,
+and at any moment at most one member that may say so (`Voter.fresh`). A leader that was replaced goes on as it
+was, without that. What it had proposed is decided by the change of leader, or lost.
 
-Messages may come in any order, late, twice or never; a holder's answers are heard at once but for so many
-that are late.
+Messages may come in any order, late, twice or never; holders' answers come at once, except for a number of
+them that are late.
 
     python -m fawnwharf.epochs.check [--states N]
 """
@@ -45,6 +45,8 @@
 
 @dataclass(slots=True)
 class Found:
+    """The result of a search; `path` leads to what is broken, if anything is."""
+
     states: int = 0
     depth: int = 0
     complete: bool = True
@@ -53,13 +55,13 @@
 
 
 class Search:
-    """Breadth first, so that what is found broken comes with a shortest path."""
+    """Searches breadth first, so that what is found broken comes with a shortest path."""
 
     def __init__(self, bounds: Bounds, steward: type = Steward, holder: type = Holder) -> None:
         self.bounds, self.steward, self.holder = bounds, steward, holder
 
     def start(self) -> World:
-        """All three hold leases of epoch 0, granted at this moment."""
+        """The first state: all three hold leases of epoch 0, granted at this moment."""
         leader = Steward(TIMING, NAMES)
         leader.lead(0.0, 1, "")
         leader.clear_ms = 0.0
@@ -70,6 +72,7 @@
         return World(((holder, "", 0, views, frozenset()),) * len(NAMES), tuple(states))
 
     def run(self) -> Found:
+        """Search all states within the bounds, or up to the first one that is broken."""
         found, start = Found(), self.start()
         seen, edge = {start}, deque([(start, 0)])
         parents: dict[World, tuple[World, str]] = {}
@@ -95,47 +98,59 @@
         return found
 
     def _steps(self, world: World) -> Iterator[tuple[str, World]]:
-        bounds = self.bounds
+        """All that may happen next, by a label each, and the states after it."""
+        yield from self._of_clock_and_operators(world)
+        yield from self._of_leaders(world)
+        for place, part in enumerate(world.members):
+            if part not in world.members[:place]:  # else as one before it
+                yield from self._of_member(world, place)
 
-        def after(do: Callable[[Scene], None], **change: int) -> World:
-            scene = Scene(world, self)
-            do(scene)
-            return scene.frozen(**change)
+    def _after(self, world: World, do: Callable[[Scene], None], **change: int) -> World:
+        scene = Scene(world, self)
+        do(scene)
+        return scene.frozen(**change)
 
+    def _of_clock_and_operators(self, world: World) -> Iterator[tuple[str, World]]:
+        bounds = self.bounds
         if world.turn < bounds.turns:
-            yield "the clock turns", after(lambda s: setattr(s, "now", s.now + 1), turn=world.turn + 1)
+            turns = self._after(world, lambda s: setattr(s, "now", s.now + 1), turn=world.turn + 1)
+            yield "the clock turns", turns
         at = world.crown
         if world.proposals < bounds.proposals:
             text = TEXTS[world.proposals]
             step = lambda s: s.steward_does(at, s.stewards[at].propose(s.fast, text))  # noqa: E731
-            yield "a proposal", after(step, proposals=world.proposals + 1)
+            yield "a proposal", self._after(world, step, proposals=world.proposals + 1)
         if world.called_off < bounds.called_off:
             step = lambda s: s.steward_does(at, s.stewards[at].call_off(s.fast))  # noqa: E731
-            yield "it is called off", after(step, called_off=world.called_off + 1)
-        yield "the steward looks", after(lambda s: s.steward_does(at, s.stewards[at].tick(s.fast, True)))
+            yield "it is called off", self._after(world, step, called_off=world.called_off + 1)
+
+    def _of_leaders(self, world: World) -> Iterator[tuple[str, World]]:
+        at = world.crown
+        step = lambda s: s.steward_does(at, s.stewards[at].tick(s.fast, True))  # noqa: E731
+        yield "the steward looks", self._after(world, step)
         if world.pending:
-            yield "the log decides", after(_decides)
-        if world.leaders < bounds.leaders:
+            yield "the log decides", self._after(world, _decides)
+        if world.leaders < self.bounds.leaders:
             for lost in (True, False) if world.pending else (True,):
                 label = f"another leader; what is put is {'lost' if lost else 'decided'}"
-                yield label, after(_replaced(lost), leaders=world.leaders + 1)
-        for place, part in enumerate(world.members):
-            if part in world.members[:place]:
-                continue  # as one before it
-            name = NAMES[place]
-            if world.asks < bounds.asks:
-                yield f"{name} asks", after(_asks(place), asks=world.asks + 1)
-            if world.kills < bounds.kills:
-                yield f"{name} is killed and comes back", after(_reborn(place, self), kills=world.kills + 1)
-            for way, message in part[4]:
-                label = f"{name} {'takes' if way[0] == 's' else 'is heard:'} {message}"
-                yield label, after(_arrives(place, way, message, False))
-                if world.late < bounds.late and way[0] == "s" and not isinstance(message, m.Abort):
-                    step = _arrives(place, way, message, False, True)
-                    yield label + ", and answers late", after(step, late=world.late + 1)
-                if world.repeats < bounds.repeats:
-                    step = _arrives(place, way, message, True)
-                    yield label + ", to come again", after(step, repeats=world.repeats + 1)
+                yield label, self._after(world, _replaced(lost), leaders=world.leaders + 1)
+
+    def _of_member(self, world: World, place: int) -> Iterator[tuple[str, World]]:
+        bounds, name = self.bounds, NAMES[place]
+        if world.asks < bounds.asks:
+            yield f"{name} asks", self._after(world, _asks(place), asks=world.asks + 1)
+        if world.kills < bounds.kills:
+            after = self._after(world, _reborn(place, self), kills=world.kills + 1)
+            yield f"{name} is killed and comes back", after
+        for way, message in world.members[place][4]:
+            label = f"{name} {'takes' if way[0] == 's' else 'is heard:'} {message}"
+            yield label, self._after(world, _arrives(place, way, message, False))
+            if world.late < bounds.late and way[0] == "s" and not isinstance(message, m.Abort):
+                step = _arrives(place, way, message, False, True)
+                yield label + ", and answers late", self._after(world, step, late=world.late + 1)
+            if world.repeats < bounds.repeats:
+                step = _arrives(place, way, message, True)
+                yield label + ", to come again", self._after(world, step, repeats=world.repeats + 1)
 
 
 def _decides(scene: Scene) -> None:
@@ -196,6 +211,7 @@
 
 
 def main() -> int:
+    """Run all searches of `SEARCHES`; the exit status is 1 where one found something broken."""
     parser = argparse.ArgumentParser(description="Search the states of a change of policy.")
     parser.add_argument("--states", type=int, default=100_000)
     states = parser.parse_args().states
--- a/fawnwharf/epochs/commands.py
+++ b/fawnwharf/epochs/commands.py
@@ -20,8 +20,10 @@
 
 
 def look(place: tuple[str, int], within_s: float = 3.0) -> m.Standing | None:
-    """How a member stands, None where it tells nothing of policy. Raises OSError where its log can't be
-    read, ValueError for what is none."""
+    """A member's status; None where it tells nothing of policy.
+
+    Raises OSError where its log can't be read, ValueError where the status is malformed.
+    """
     line = lines(place, ("policy",), within_s).get("policy")
     return None if line is None else m.standing_from(line["policy"])
 
--- a/fawnwharf/epochs/document.py
+++ b/fawnwharf/epochs/document.py
@@ -34,7 +34,7 @@
 
 
 class DocumentFault(ValueError):
-    """A document that can't be taken; the text is 'key: cause', one line."""
+    """A document that can't be taken; the text is 'key: cause' in one line."""
 
 
 def _more_careful(one: Value, other: Value) -> Value:
@@ -42,9 +42,11 @@
 
 
 class Key(Struct, frozen=True):
-    """One kind of key: what its value may be, which of two values is stricter, and what half of it is.
+    """One kind of key: the type of its value, which of two values is stricter, and whether it is a limit.
 
-    `stricter` None: there is no order, and the older document's value stands."""
+    `stricter` is None where there is no order; then the older document's value stands. `halved` marks a
+    limit, of which `floor` takes half.
+    """
 
     kind: Any
     stricter: Callable[[Any, Any], Any] | None
@@ -75,22 +77,22 @@
 
 
 class Document(Struct, frozen=True):
-    """One policy: its epoch's number, and its values by path, sorted. Hashable, and equal by contents."""
+    """One policy: the number of its epoch, and its values by path, sorted. Hashable, equal by contents."""
 
     number: Annotated[int, Meta(ge=0, lt=2**53)] = 0
     values: tuple[tuple[Path, Value], ...] = ()
 
     def value(self, *path: str) -> Value | None:
-        """What stands under a path; None: as the settings have it."""
+        """The value under a path; None where it is left to the settings."""
         return dict(self.values).get(path)
 
     def section(self, *path: str) -> dict[str, Value]:
-        """All that stands right under a path: `section("spill")` gives shares by zone."""
+        """All values directly under a path: `section("spill")` gives shares by zone."""
         depth = len(path)
         return {p[depth]: v for p, v in self.values if len(p) == depth + 1 and p[:depth] == path}
 
     def nested(self) -> dict[str, Any]:
-        """The same as the JSON has it, without version and number."""
+        """The values as nested objects, as in the JSON, without version and number."""
         found: dict[str, Any] = {}
         for path, value in self.values:
             place = found
@@ -100,21 +102,26 @@
         return found
 
     def encode(self) -> str:
+        """The document as JSON text, with sorted keys."""
         whole = {"version": VERSION, "number": self.number, **self.nested()}
         return msgspec.json.encode(whole, order="sorted").decode()
 
     @property
     def digest(self) -> str:
-        """Of the values over sorted keys, without the number: who goes back to an earlier policy gets its
-        digest again, under a new number."""
+        """Digest of the values, without the number.
+
+        A return to an earlier policy has that one's digest again, under a new number.
+        """
         text = msgspec.json.encode(self.nested(), order="sorted")
         return hashlib.blake2b(text, digest_size=12).hexdigest()
 
     def numbered(self, number: int) -> "Document":
+        """The same values under another number."""
         return Document(number, self.values)
 
 
 def made(number: int, values: Mapping[Path, Value]) -> Document:
+    """A document of these values."""
     return Document(number, tuple(sorted(values.items())))
 
 
@@ -123,7 +130,7 @@
 
 @functools.lru_cache(maxsize=32)  # the same text comes again with each repeat, and from each that asks
 def document_from(text: str | bytes) -> Document:
-    """A document, checked by itself. Raises DocumentFault."""
+    """Parse a document and check it by itself. Raises DocumentFault."""
     if len(text) > TEXT_MOST:
         raise DocumentFault(f"document: {len(text)} characters, and {TEXT_MOST} are the most")
     try:
@@ -182,7 +189,8 @@
 class Known(Struct, frozen=True):
     """What one deployment has, for a document to be checked against.
 
-    `base` are the settings' own values as a document with the number 0: what an absent key means."""
+    `base` are the settings' own values as a document with the number 0: the meaning of absent keys.
+    """
 
     classes: frozenset[str]
     tenants: frozenset[str]
@@ -235,11 +243,12 @@
 
 
 def stricter(one: Document, other: Document) -> Document:
-    """Key by key the one that takes less or keeps more; a meet of two policies, under the later number.
+    """Key by key the value that admits less or keeps more: a meet of two policies, under the later number.
 
-    Commutative, associative and idempotent for each key that has an order. Promises have none: the value of
-    the document with the smaller number stands. A key that only one of them has is no limit in the other;
-    fill in by `over` first where the settings have one."""
+    Commutative, associative and idempotent for each key that has an order. Latency targets have none: the
+    value of the document with the smaller number stands. A key that only one of them has is no limit in the
+    other; fill in by `over` first where the settings have one.
+    """
     old, new = sorted((one, other), key=lambda document: (document.number, document.values))
     values, more = dict(old.values), dict(new.values)
     for path, value in more.items():
@@ -263,25 +272,28 @@
 
 
 class Register(Struct, frozen=True):
-    """What the voters' log holds: the last decided document, and the one before it.
+    """The value in the consensus log: the last decided document, and the one before it.
 
-    The one before has to be known for as long as some front end may still act by it."""
+    The one before has to be known for as long as some front end may still act by it.
+    """
 
     last: Document = Document()
     before: Document | None = None
 
     def encode(self) -> str:
+        """The register as JSON text."""
         parts = {"last": self.last, "before": self.before}
         inner = [f'"{name}":{document.encode()}' for name, document in parts.items() if document]
         return '{"policy":1,' + ",".join(inner) + "}"
 
     def followed_by(self, document: Document) -> "Register":
+        """The register after a further decision."""
         return Register(document, self.last)
 
 
 @functools.lru_cache(maxsize=32)
 def register_from(text: str) -> Register:
-    """What was decided last; an empty text: nothing was yet. Raises DocumentFault."""
+    """Parse a register; an empty text stands for no decision yet. Raises DocumentFault."""
     if not text:
         return Register()
     try:
--- a/fawnwharf/epochs/follow.py
+++ b/fawnwharf/epochs/follow.py
@@ -1,4 +1,4 @@
-"""What follows from the policy in force for this front end's parts."""
+"""Applies the policy in force to this front end's parts."""
 
 from dataclasses import replace
 from typing import Any
@@ -15,8 +15,11 @@
 
 
 def known_of(deployment: Deployment, zones: Any, state: Any, staging: dict[str, float] | None) -> Known:
-    """What this deployment has, and its settings as a document: what an absent key means. `zones` and `state`
-    are the parts, attached; `state` None where nothing is kept, `staging` where nothing is foreseen."""
+    """What this deployment has, and its settings as a document, which gives absent keys their meaning.
+
+    `zones` and `state` are the attached parts; `state` is None where no calls are replicated, and `staging`
+    where nothing is prefetched.
+    """
     settings, members = deployment.settings, zones.core.members
     names = sorted(members.zones)
     spill = zones.settings.spill
@@ -47,7 +50,7 @@
 
 
 class Follower:
-    """Owns what was last handed to the parts, and hands them what changes."""
+    """Owns what was last applied to the parts, and applies what changes."""
 
     def __init__(self, deployment: Deployment, front: FrontEnd, zones: Any, state: Any) -> None:
         self.front, self.zones, self.state = front, zones, state
@@ -61,7 +64,7 @@
         self._kept: tuple[Any, ...] = ()
 
     def go_by(self, document: Document) -> bool:
-        """Whether classes changed."""
+        """Apply a document; True where classes changed."""
         self._tenants(document)
         sold = sum(self.quotas.values())
         part = document.value("admission", self._zone)
@@ -106,7 +109,7 @@
             self.front.loop.tell(io.LimitsChanged(rps, name))
 
     def keep_by(self, kept: dict[str, tuple[str, float]]) -> None:
-        """Modes and windows by class, as `Easing` has them."""
+        """Apply modes and windows of replication by class, as `Easing` has them."""
         keeper = self.state.core.keeper if self.state is not None else None
         if self.state is None or (kept, keeper, self.classes) == self._kept:
             return
@@ -117,7 +120,7 @@
             keeper.shelf.windows = {name: window for name, (_, window) in kept.items()}
 
     def undo(self, base: Document) -> None:
-        """As the settings have it, for whoever takes the part over."""
+        """Restore the settings, for whoever takes the parts over."""
         self._classes(base)
         self._tenants(base)
         self.front.limit(LIMIT, io.UNLIMITED_RPS)
--- a/fawnwharf/epochs/holder.py
+++ b/fawnwharf/epochs/holder.py
@@ -1,13 +1,13 @@
-"""The holder, at each front end: by which policy a call is judged at this moment.
+"""The lease holder at each front end: by which policy a call is judged at this moment.
 
-No I/O, no clock and no chance but what is handed in; times are milliseconds of its own clock. It acts by an
-epoch only under a lease for it. Between two it goes by the stricter of both, key by key, which takes no more
-than either policy would let it; where it has lost its lease and knows of no next one, by the stricter of the
-last one and `floor`.
+No I/O, no clock and no randomness but what is handed in; times are milliseconds of its own clock. It acts by
+an epoch only under a lease for it. Between two epochs it goes by the stricter of both, key by key, which
+admits no more than either policy would; where it has lost its lease and knows of no next epoch, by the
+stricter of the last one and `floor`.
 
-Whatever it knows to be decided binds it at once: no lease of an earlier number counts from then on. After a
-restart it has no lease and no word that may be relied on, whatever its disk says; it is not ready before a
-leader's steward has told it the last decided one.
+Whatever it knows to be decided binds it at once: from then on no lease of an earlier number counts. After a
+restart it has no lease and nothing that may be relied on, whatever its disk says; it is not ready before a
+leader's coordinator has told it the last decided document.
 """
 
 from dataclasses import dataclass, field
@@ -31,16 +31,18 @@
 
 @dataclass(slots=True)
 class Easing:
-    """Modes and windows of keeping, as they follow the policy: stricter at once, easier only later.
+    """Modes and windows of replication, following the policy: stricter at once, looser only with a delay.
 
     A call that was taken under an old window may be repeated until that has passed. So a shorter window, or a
-    less careful mode, counts only after the old window, by the slowest clock."""
+    less careful mode, takes effect only after the old window, by the slowest clock.
+    """
 
     skew: float
     now: dict[str, tuple[str, float]] = field(default_factory=dict)  # by class: mode, window in ms
     later: dict[str, tuple[str, float, float]] = field(default_factory=dict)  # and from when
 
     def follow(self, now_ms: float, document: Document) -> None:
+        """Take the document that is in force from now on."""
         modes, windows = document.section("modes"), document.section("window_ms")
         self.step(now_ms)
         for name in {*modes, *windows, *self.now}:
@@ -54,6 +56,7 @@
                 self.later[name] = *new, now_ms + old[1] * (1 + self.skew) / (1 - self.skew)
 
     def step(self, now_ms: float) -> None:
+        """Apply what was delayed until now."""
         for name, (mode, window, at_ms) in list(self.later.items()):
             if now_ms >= at_ms:
                 self.now[name] = mode, window
@@ -92,11 +95,12 @@
     # --- what calls are judged by ---------------------------------------------------------------
 
     def leased(self, now_ms: float) -> bool:
+        """Whether it has a lease for the last decided document."""
         number, until_ms = self.lease
         return self.ready and number == self.register.last.number and now_ms < until_ms
 
     def _stance(self, now_ms: float) -> tuple[str, Document, Document | None]:
-        """How it stands: leased; or by the stricter of two; or, with no second one, of one and its floor."""
+        """By what it decides: the lease; or the stricter of two documents; or one document and its floor."""
         last, before = self.register.last, self.register.before
         if self.leased(now_ms):
             return "leased", last, None
@@ -122,17 +126,19 @@
         return m.InForce(whole.number, one.digest if how == "leased" else whole.digest, whole, how)
 
     def take(self, now_ms: float, call: str) -> m.InForce:
-        """A call begins: by this it is judged, from here to its final answer."""
+        """Begin a call: the policy of this moment judges it up to its final answer."""
         return self.calls.setdefault(call, self.judged_by(now_ms))
 
     def of(self, call: str) -> m.InForce | None:
+        """The policy of an open call; None for an unknown one."""
         return self.calls.get(call)
 
     def done(self, call: str) -> None:
+        """End a call."""
         self.calls.pop(call, None)
 
     def _given_out(self, now_ms: float) -> list[m.Effect]:
-        """Tell the owner where the policy of this moment is another one than before."""
+        """Tell the owner the policy of this moment, if it is another one than before."""
         new = self.judged_by(now_ms)
         self.keeping.step(now_ms)
         if new == self.last:
@@ -144,13 +150,14 @@
     # --- time -----------------------------------------------------------------------------------
 
     def due_ms(self) -> float:
+        """When `tick` has to be called at the latest."""
         dues = [self.open_ms, *(at_ms for _, _, at_ms in self.keeping.later.values())]
         if self.last is not None and self.last.how == "leased":
             dues.append(self.lease[1])
         return min(dues)
 
     def tick(self, now_ms: float) -> list[m.Effect]:
-        """Call it at `due_ms` at the latest: a lease that is over ends here."""
+        """Do what is due; call it at `due_ms` at the latest, as a lease that is over ends here."""
         effects = self._given_out(now_ms)
         if now_ms >= self.open_ms:
             self.open_ms = now_ms + self.timing.renew_ms
@@ -159,7 +166,7 @@
         return effects
 
     def heard(self, now_ms: float, sender: str, message: m.Message) -> list[m.Effect]:
-        """Any message that is a holder's; others change nothing."""
+        """Take any message that is for a holder; others change nothing."""
         if isinstance(message, m.Grant):
             return self.grant(now_ms, message)
         if isinstance(message, m.Prepare):
@@ -171,8 +178,10 @@
     # --- what comes in --------------------------------------------------------------------------
 
     def prepare(self, now_ms: float, sender: str, word: m.Prepare) -> list[m.Effect]:
-        """Answers yes, or no with key and cause. A yes binds to nothing but the stricter of both, and that
-        only without a lease."""
+        """Answer a proposal with yes, or with no, key and cause.
+
+        A yes binds to nothing but the stricter of both documents, and to that only while there is no lease.
+        """
         if (word.term, word.turn) < self.word or word.number <= self.register.last.number:
             return []
         if not self.ready:
@@ -188,6 +197,7 @@
         return [m.Say(sender, vote), *self._given_out(now_ms)]
 
     def abort(self, now_ms: float, word: m.Abort) -> list[m.Effect]:
+        """Take that a proposal was ended."""
         if (word.term, word.turn) < self.word:
             return []
         self.word = word.term, word.turn
@@ -196,7 +206,7 @@
         return self._given_out(now_ms)
 
     def decided(self, now_ms: float, text: str) -> list[m.Effect]:
-        """The register, from whoever has it: this front end changes over, and tells the leader's steward."""
+        """Take the register from whoever has it: change over, and tell the leader's coordinator."""
         effects = self._learn(text)
         if self.ready:
             effects.append(self._changed(now_ms))
@@ -207,8 +217,10 @@
         return m.Say(m.LEADER, m.Changed(self.life, now_ms, number, self.granted))
 
     def _learn(self, text: str, anew: bool = False) -> list[m.Effect]:
-        """Take a later register; `anew`: this one, whatever the disk said. One that this version does not
-        know ends its readiness: others may act by it already."""
+        """Take a later register; with `anew` take this one, whatever the disk said.
+
+        A register that this version can't read ends its readiness, as others may act by it already.
+        """
         try:
             register = register_from(text)
         except DocumentFault as error:
@@ -223,7 +235,10 @@
         return [m.Keep(text)]
 
     def grant(self, now_ms: float, word: m.Grant) -> list[m.Effect]:
-        """A steward's answer. Not taken: one for an earlier life, and a lease of what is not the last."""
+        """Take a coordinator's answer.
+
+        One for an earlier incarnation, or of an older document, is ignored.
+        """
         if word.life != self.life:
             return []
         effects: list[m.Effect] = []
--- a/fawnwharf/epochs/judged.py
+++ b/fawnwharf/epochs/judged.py
@@ -1,9 +1,13 @@
-"""Calls as they are judged: stands before the table of requests, or before the gate, where there is one.
+"""Binds each call to the policy at its arrival.
 
-A call gets the policy of the moment at which it is taken, and keeps it to its final answer, whatever comes;
-it waits for no longer than that gives up.
-The module judges by its class as it stands when the call reaches it; a call that waited at the gate through a
-change is handed over between two words on its class, its own and the present one.
+Stands before the table of requests, or before the claim gate.
+
+A call gets the policy of the moment at which it is taken, and keeps it up to its final answer, whatever
+comes; it waits no longer than that policy's deadline.
+
+The decision module judges a call by its class as it stands when the call reaches it. A call that waited at
+the claim gate through a change is therefore handed over between two changes of its class: to its own version,
+and back to the present one.
 """
 
 from collections.abc import Callable
@@ -23,16 +27,20 @@
 
 
 class Taking(Protocol):
-    """What takes calls and withdraws them: the table, or what stands before it."""
+    """What takes calls and withdraws them: the table of requests, or what stands before it."""
 
-    def take(self, call: Call) -> str | None: ...
+    def take(self, call: Call) -> str | None:
+        """Take a call; the key to withdraw it by, or None where it was answered at once."""
+        ...
 
-    def withdraw(self, key: str) -> None: ...
+    def withdraw(self, key: str) -> None:
+        """Withdraw a call by its key."""
+        ...
 
 
 @dataclass(slots=True, eq=False)
 class _Taken:
-    """One call. While nobody has told what is in force, it is held: judged by nothing, known to nobody."""
+    """One open call. While nobody has told what is in force it is held, and judged by nothing."""
 
     call: Call
     reply: Callable[[Outcome], None]
@@ -44,7 +52,7 @@
 
 
 class Judged:
-    """Owns what is known of each call that is open here, from its coming to its end."""
+    """Owns the policy of each open call, from its arrival to its end."""
 
     def __init__(
         self,
@@ -55,8 +63,10 @@
         unix_ms: Callable[[], float],
         after: Callable[[float, Callable[[], None]], Timer],
     ) -> None:
-        """`take` and `done` are the holder's; `ended` gets the call's id, its policy, when it was judged;
-        `after` sets a timer."""
+        """`take` and `done` are the lease holder's; `after` sets a timer.
+
+        `ended` gets a call's id, its policy, and when it was judged.
+        """
         self.below = below
         self._take, self._done, self._told, self._unix_ms = take, done, ended, unix_ms
         self._after = after
@@ -72,11 +82,11 @@
 
     @property
     def held(self) -> int:
-        """Calls that wait until somebody tells what is in force."""
+        """The number of calls that wait until somebody tells what is in force."""
         return len(self._held)
 
     def take(self, call: Call) -> str | None:
-        """As RequestTable.take."""
+        """Take a call, as `RequestTable.take` does."""
         self._number += 1
         number, at_ms = f"p{self._number}", self._unix_ms()
         by = self._take(number)
@@ -107,7 +117,7 @@
             self._end(number)
 
     def release(self) -> None:
-        """It was told what is in force: what is held is judged by that."""
+        """Judge the held calls by the policy that is now known."""
         for number, taken in list(self._held.items()):
             if number not in self._held:  # to judge one may have released all
                 continue
@@ -117,7 +127,7 @@
             self._hand_down(number, taken)
 
     def refuse(self) -> None:
-        """Nobody will tell it here any more: what is held may be asked for again elsewhere."""
+        """Refuse the held calls, as nobody will tell the policy here: they may be tried elsewhere."""
         for taken in list(self._held.values()):
             taken.call.reply(Refused(PUSHBACK_MS))
 
@@ -127,6 +137,7 @@
             taken.timer.cancel()
 
     def withdraw(self, number: str) -> None:
+        """Withdraw a call, as `RequestTable.withdraw` does."""
         if (taken := self._end(number)) is not None and taken.key is not None:
             self.below.withdraw(taken.key)
 
@@ -135,7 +146,7 @@
             taken.reply(outcome)
 
     def _end(self, number: str) -> _Taken | None:
-        """Once each."""
+        """Forget a call, once."""
         taken = self._open.pop(number, None)
         if taken is not None:
             self._let_go(number, taken)
@@ -164,9 +175,11 @@
     classes: dict[str, io.ClassSpec],
     own: Callable[[io.RequestArrived], io.ClassSpec | None],
 ) -> list[io.Event]:
-    """The batch, with each call that is judged by an older word on its class between that word and the one
-    that the module goes by. `classes` is what that goes by, and is kept up to date; `own` gives the class as
-    the call has it, None where that is not known."""
+    """The batch, with each call of an older version of its class put between two changes of the class.
+
+    `classes` is what the module goes by, and is kept up to date; `own` gives the class as the call has it, or
+    None where that is not known.
+    """
     found: list[io.Event] = []
     for event in events:
         if isinstance(event, io.ClassChanged):
--- a/fawnwharf/epochs/keeping.py
+++ b/fawnwharf/epochs/keeping.py
@@ -1,7 +1,7 @@
-"""What a front end keeps of changes of policy on its disk: the last register that it knew, its life.
+"""What a front end keeps on disk of policy rollouts: the last register that it knew, and its incarnation.
 
-Nothing of the protocol rests on it but that a life is larger than the one before, and that only while the
-system's clock was set back.
+The protocol depends on nothing of it, except that an incarnation is larger than the one before; and on that
+only while the system's clock was set back.
 """
 
 import contextlib
@@ -15,13 +15,15 @@
 
 
 class Kept(Struct, frozen=True):
+    """The contents of the file."""
+
     version: int = VERSION
     life: int = 0
     register: str = ""
 
 
 def read(path: Path) -> Kept:
-    """What is there; nothing where there is none, or where it can't be read."""
+    """The file's contents; defaults where there is no file, or it can't be read."""
     with contextlib.suppress(OSError, msgspec.MsgspecError, RecursionError):
         found = msgspec.json.decode(path.read_bytes(), type=Kept)
         if found.version == VERSION and 0 <= found.life < 2**52:
@@ -30,7 +32,7 @@
 
 
 def write(path: Path, kept: Kept) -> None:
-    """Whole or not at all; raises OSError."""
+    """Write the file atomically; raises OSError."""
     path.parent.mkdir(parents=True, exist_ok=True)
     beside = path.with_suffix(".new")
     beside.write_bytes(msgspec.json.encode(kept))
--- a/fawnwharf/epochs/measure.py
+++ b/fawnwharf/epochs/measure.py
@@ -1,4 +1,4 @@
-"""How long a change of policy takes, and how many messages, in virtual time.
+"""Measures the duration and the messages of a policy rollout in virtual time.
 
 Links take 0.5 to 5 ms, a decision of the log 2 to 20 ms, clocks differ by up to a tenth. `down`: a tenth of
 the members was killed long before; `dies`: at the moment of the proposal; `cut`: a tenth is cut off at the
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 
 from fawnwharf.epochs.document import register_from
-from fawnwharf.epochs.walk import CALM, Walk
+from fawnwharf.epochs.walk import CALM, Node, Walk
 
 SIZES = (12, 30, 200, 1_000)
 CASES = ("calm", "down", "dies", "cut")
@@ -18,8 +18,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Took:
-    """Milliseconds from the proposal until it is decided, in force, and leased by all that can be reached;
-    messages beyond those that renew leases."""
+    """Milliseconds from the proposal until each step, and the messages beyond those that renew leases.
+
+    The steps are: decided, in force, and leased by all that can be reached.
+    """
 
     decided_ms: float
     in_force_ms: float
@@ -28,36 +30,46 @@
 
 
 def change(size: int, case: str, seed: int) -> Took:
+    """Measure one rollout in a fleet of `size` members; `case` is one of `CASES`."""
     walk = Walk(size, seed, CALM, watched=False)
     walk.run(10**9, until_ms=5_000.0)
     tenth = [f"f{n}" for n in range(size - max(1, size // 10), size)]
     if case == "down":
-        for name in tenth:
-            walk.kill(name, LONG_MS)
+        _kill(walk, tenth)
         walk.run(10**9, until_ms=10_000.0)
-    before, began_ms, stop_ms = walk.outcome.messages.copy(), walk.now, walk.now
+    before, began_ms = walk.outcome.messages.copy(), walk.now
     walk.propose(7)
     if case == "dies":
-        for name in tenth:
-            walk.kill(name, LONG_MS)
-    steward, marks = walk.nodes[walk.crown].steward, {}
+        _kill(walk, tenth)
     live = [node for node in walk.nodes.values() if case == "calm" or node.name not in tenth]
+    marks = _marks(walk, live, tenth if case == "cut" else [])
+    said = walk.outcome.messages - before
+    grants = said["Grant"] - said["Status"]
+    messages = sum(said[kind] for kind in ("Prepare", "Vote", "Decided", "Changed")) + max(0, grants)
+    return Took(*(marks[key] - began_ms for key in ("decided", "in force", "all")), messages)
+
+
+def _kill(walk: Walk, names: list[str]) -> None:
+    for name in names:
+        walk.kill(name, LONG_MS)
+
+
+def _marks(walk: Walk, live: list[Node], cut: list[str]) -> dict[str, float]:
+    """When each step of the rollout is reached; `cut` are cut off at the moment of the decision."""
+    steward, stop_ms = walk.nodes[walk.crown].steward, walk.now
+    marks: dict[str, float] = {}
     while len(marks) < 3:
         stop_ms += STEP_MS
         walk.run(10**9, until_ms=stop_ms)
         if "decided" not in marks and register_from(walk.log).last.number:
             marks["decided"] = walk.now
-            if case == "cut":
-                for name in tenth:
-                    walk.nodes[name].cut_ms = LONG_MS
+            for name in cut:
+                walk.nodes[name].cut_ms = LONG_MS
         if "in force" not in marks and steward.settled and "decided" in marks:
             marks["in force"] = walk.now
         if "all" not in marks and all(n.holder.granted == 1 and walk._acts(n) for n in live):
             marks["all"] = walk.now
-    said = walk.outcome.messages - before
-    grants = said["Grant"] - said["Status"]
-    messages = sum(said[kind] for kind in ("Prepare", "Vote", "Decided", "Changed")) + max(0, grants)
-    return Took(*(marks[key] - began_ms for key in ("decided", "in force", "all")), messages)
+    return marks
 
 
 def table(sizes: tuple[int, ...] = SIZES, seeds: int = 3) -> str:
--- a/fawnwharf/epochs/messages.py
+++ b/fawnwharf/epochs/messages.py
@@ -1,9 +1,11 @@
-"""What stewards and holders say to each other, and what both have done by their owners. Values alone.
+"""Messages between coordinators and lease holders, and the effects that both ask of their owners.
 
-Documents travel as text, so that a front end of another version can still read what surrounds one, and say
-no with the key. Times are milliseconds of the holder's own clock and come back to it unread. A steward's
-words carry `term`, its reign in the voters' log, and `turn`, which counts what it began and ended in that
-reign: a word with a smaller pair is older, and begins or ends nothing.
+Values alone.
+
+Documents travel as text, so that a front end of another version can still read the rest of the message, and
+answer no with the key. Times are milliseconds of the holder's own clock and come back to it unread. A
+coordinator's messages carry `term`, as in the consensus log, and `turn`, which counts what it began and ended
+in that term: a message with a smaller pair is older, and begins or ends nothing.
 """
 
 from typing import Annotated, Any, Literal
@@ -25,8 +27,10 @@
 
 
 class Propose(_Said, frozen=True):
-    """An operator's word, from the front end where it was given to the leader's steward. `wish` is its number
-    there: said again, it is the same one. `term` is the reign that it is meant for."""
+    """An operator's proposal, from the front end where it was made to the leader's coordinator.
+
+    `wish` is its number there: a repeat has the same number. `term` is the term that it is meant for.
+    """
 
     text: Text
     wish: Number = 0
@@ -34,7 +38,7 @@
 
 
 class Back(_Said, frozen=True):
-    """An operator's word: from this decided number back to the one before it, as a new change."""
+    """An operator's request to go from this decided number back to the one before it, as a new change."""
 
     number: Number
     wish: Number = 0
@@ -42,7 +46,7 @@
 
 
 class CallOff(_Said, frozen=True):
-    """An operator's word: end what is being prepared, if it has this number; 0: whatever it is."""
+    """An operator's request to end the proposal with this number; 0 stands for any."""
 
     why: Line = ""
     number: Number = 0
@@ -51,7 +55,7 @@
 
 
 class Prepare(_Said, frozen=True):
-    """Could you go by this? It is in force nowhere, and may never be."""
+    """Asks whether a member can go by this document, which is in force nowhere and may never be."""
 
     term: Number
     turn: Number
@@ -60,7 +64,7 @@
 
 
 class Vote(_Said, frozen=True):
-    """Yes, or no with key and cause. A yes is of one life: the next one knows nothing of it."""
+    """Yes, or no with key and cause. A yes is of one incarnation: the next one knows nothing of it."""
 
     life: Number
     term: Number
@@ -70,7 +74,7 @@
 
 
 class Abort(_Said, frozen=True):
-    """It was not decided, and will not be: forget it."""
+    """The proposal was not decided, and will not be: forget it."""
 
     term: Number
     turn: Number
@@ -79,15 +83,16 @@
 
 
 class Decided(_Said, frozen=True):
-    """The log's register. As good from any member as from the leader: a number is decided once."""
+    """The log's register; as good from any member as from the leader, since a number is decided once."""
 
     register: Annotated[str, Meta(max_length=64 * 1024)]
 
 
 class Status(_Said, frozen=True):
-    """A holder's sign of life, and its question for a lease, which counts from `sent_ms`.
+    """A holder's heartbeat and its question for a lease, which counts from `sent_ms`.
 
-    What it knows to be decided binds it: it takes no lease of an earlier number any more."""
+    What it knows to be decided binds it: it takes no lease of an earlier number any more.
+    """
 
     life: Number  # another one after each restart: what is meant for, or said by, an earlier one is not taken
     sent_ms: float
@@ -96,7 +101,7 @@
 
 
 class Changed(_Said, frozen=True):
-    """It does not act by anything before this number any more. A question for a lease as well."""
+    """A holder does not act by anything before this number any more; also a question for a lease."""
 
     life: Number
     sent_ms: float
@@ -105,7 +110,7 @@
 
 
 class Grant(_Said, frozen=True):
-    """Answer to one Status or Changed: a lease for an epoch, or none while `lease_ms` is 0."""
+    """The answer to one Status or Changed: a lease for an epoch, or none where `lease_ms` is 0."""
 
     term: Number
     turn: Number
@@ -121,7 +126,7 @@
 
 
 def message_from(data: object) -> Message:
-    """A message of a decoded line; raises msgspec.ValidationError for anything else."""
+    """The message in a decoded line; raises msgspec.ValidationError for anything else."""
     return msgspec.convert(data, Message, strict=True)
 
 
@@ -169,25 +174,35 @@
 
 
 class Say(Struct, frozen=True):
+    """Effect: send a message to a member; LEADER stands for whoever leads the voters."""
+
     to: Name  # LEADER: whoever leads the voters
     message: Message
 
 
 class Decide(Struct, frozen=True):
-    """Put this register to the vote, once. What comes of it is told by `Steward.decided`, or by
-    `Steward.not_put` where it never came into the log."""
+    """Effect: propose this register to the consensus log, once.
+
+    `Steward.decided` tells what came of it, or `Steward.not_put` where it never came into the log.
+    """
 
     register: str
 
 
 class Keep(Struct, frozen=True):
-    """On disk, at leisure: for people, and for the limits of a front end that hears of no leader."""
+    """Effect: write to disk, without haste.
+
+    For people, and for the limits of a front end that hears no leader.
+    """
 
     register: str
 
 
 class InForce(Struct, frozen=True):
-    """By what calls are judged from now on. `number` of a strict one is the later of its documents."""
+    """Effect: calls are judged by this from now on.
+
+    `number` of a strict one is the later of its documents.
+    """
 
     number: int
     digest: str
@@ -196,7 +211,7 @@
 
 
 class Note(Struct, frozen=True):
-    """For the operators' log."""
+    """Effect: a line for the operators' log."""
 
     event: str
     fields: dict[str, Any]
--- a/fawnwharf/epochs/scene.py
+++ b/fawnwharf/epochs/scene.py
@@ -1,7 +1,7 @@
-"""One state of a change of policy, for the model checker: frozen, so that states compare, or thawed.
+"""One state of a policy rollout for the model checker: frozen, so that states compare, or with live cores.
 
-Clocks are as far apart as they may be: those of stewards fast, those of holders slow, and one turn of the
-clock is a third of a holder's lease. Members are alike, so states that differ only by names are one.
+Clocks differ as much as they may: those of coordinators are fast, those of holders slow, and one step of the
+clock is a third of a holder's lease. Members are alike, so states that differ only by names are the same.
 """
 
 from dataclasses import dataclass, replace
@@ -20,7 +20,10 @@
 
 @dataclass(frozen=True, slots=True)
 class World:
-    """One state. A member's part holds all that is said of it anywhere, so that members can change places."""
+    """One frozen state.
+
+    A member's part holds all that is on its way to or from it, so that members are exchangeable.
+    """
 
     members: tuple[tuple, ...]  # holder, disk, what it has to know at the least, views of stewards, messages
     stewards: tuple[tuple, ...]
@@ -41,7 +44,7 @@
 
 
 class Kinds(Protocol):
-    """The cores to be tried: the real ones, or some with a bug planted."""
+    """The classes to be tried: the real ones, or mutants with a bug on purpose."""
 
     steward: type[Steward]
     holder: type[Holder]
@@ -51,45 +54,61 @@
 STEWARD_STATE = ("term", "turn", "register", "settled", "clear_ms", "top", "again_ms")
 
 
+def _thawed_steward(search: Kinds, frozen: tuple) -> Steward:
+    steward = search.steward(TIMING, NAMES)
+    for name, value in zip(STEWARD_STATE, frozen, strict=False):
+        setattr(steward, name, value)
+    if frozen[-1]:
+        document, turn, until_ms, deciding = frozen[-1]
+        steward.open = Open(document, turn, until_ms, deciding=deciding)
+    return steward
+
+
+def _thaw_view(steward: Steward, name: str, view: tuple) -> None:
+    """Give a coordinator back what it knows of one member."""
+    yes, lease, asked, told, life = view
+    if yes:
+        steward.open.yes |= {name}
+    if lease:
+        steward.leases[name] = lease
+    if asked:
+        steward.asked[name] = asked
+    if life:
+        steward.lives[name] = life
+    if told:
+        steward.told |= {name}
+
+
 class Scene:
-    """One state thawed: real cores, to which one thing happens."""
+    """One state with live cores, to which one thing happens."""
 
     def __init__(self, world: World, search: Kinds) -> None:
         self.world, self.broken = world, ""
         self.now = world.turn
         self.holders: list[Holder] = []
         self.disks, self.least, self.flying = [], [], []
-        self.stewards = [search.steward(TIMING, NAMES) for _ in world.stewards]
-        for steward, frozen in zip(self.stewards, world.stewards, strict=True):
-            for name, value in zip(STEWARD_STATE, frozen, strict=False):
-                setattr(steward, name, value)
-            if frozen[-1]:
-                document, turn, until_ms, deciding = frozen[-1]
-                steward.open = Open(document, turn, until_ms, deciding=deciding)
-        for name, (frozen, disk, least, views, flying) in zip(NAMES, world.members, strict=True):
-            holder = search.holder(KNOWN, TIMING, frozen[0])
-            for key, value in zip(HOLDER_STATE, frozen, strict=True):
-                setattr(holder, key, value)
-            holder.open_ms = 1e9
-            self.holders.append(holder)
-            self.disks.append(disk)
-            self.least.append(least)
-            self.flying.append(set(flying))
-            for steward, (yes, lease, asked, told, life) in zip(self.stewards, views, strict=True):
-                if yes:
-                    steward.open.yes |= {name}
-                if lease:
-                    steward.leases[name] = lease
-                if asked:
-                    steward.asked[name] = asked
-                if life:
-                    steward.lives[name] = life
-                if told:
-                    steward.told |= {name}
+        self.stewards = [_thawed_steward(search, frozen) for frozen in world.stewards]
+        for name, part in zip(NAMES, world.members, strict=True):
+            self._thaw_member(search, name, part)
         self.log, self.pending, self.crown = world.log, world.pending, world.crown
         self.decided, self.opened = dict(world.decided), dict(world.opened)
 
+    def _thaw_member(self, search: Kinds, name: str, part: tuple) -> None:
+        """Make a member's holder, and what is known of the member, out of its part of a frozen state."""
+        frozen, disk, least, views, flying = part
+        holder = search.holder(KNOWN, TIMING, frozen[0])
+        for key, value in zip(HOLDER_STATE, frozen, strict=True):
+            setattr(holder, key, value)
+        holder.open_ms = 1e9
+        self.holders.append(holder)
+        self.disks.append(disk)
+        self.least.append(least)
+        self.flying.append(set(flying))
+        for steward, view in zip(self.stewards, views, strict=True):
+            _thaw_view(steward, name, view)
+
     def frozen(self, **change: int) -> World:
+        """The state as it is now, for comparing."""
         members = []
         for place, name in enumerate(NAMES):
             holder = self.holders[place]
@@ -135,7 +154,7 @@
         return f"in force at once: {sorted(acting)}" if len(acting) > 1 else ""
 
     def _matters(self, place: int, way: str, message: m.Message) -> bool:
-        """What would change nothing, whenever it came, need not be kept."""
+        """Whether a message could change anything, whenever it came."""
         holder = self.holders[place]
         if way.startswith(">"):
             steward = self.stewards[int(way[2:])]
@@ -150,6 +169,7 @@
         return (message.term, message.turn) >= holder.word
 
     def commit(self) -> None:
+        """Let the log decide what was proposed to it."""
         last = register_from(self.pending).last
         if self.decided.setdefault(last.number, last.digest) != last.digest:
             self.broken = f"two documents with the number {last.number}"
@@ -159,13 +179,16 @@
 
     @property
     def fast(self) -> float:
+        """The time by a coordinator's clock, in milliseconds."""
         return self.now * FAST
 
     @property
     def slow(self) -> float:
+        """The time by a holder's clock, in milliseconds."""
         return self.now * SLOW
 
     def steward_does(self, place: int, effects: list[m.Effect]) -> None:
+        """Carry out the effects of a coordinator."""
         steward = self.stewards[place]
         for effect in effects:
             if isinstance(effect, m.Decide):
@@ -198,7 +221,10 @@
             self.opened.pop(term, None)
 
     def holder_does(self, place: int, effects: list[m.Effect], late: bool = True) -> None:
-        """`late`: what it says is on its way for a while; else it is heard at once."""
+        """Carry out the effects of a holder.
+
+        With `late` its messages stay on their way, else they arrive at once.
+        """
         for effect in effects:
             if isinstance(effect, m.Keep):
                 self.disks[place] = effect.register
@@ -210,6 +236,7 @@
                     self.arrives(place, f">{to}", effect.message)
 
     def arrives(self, place: int, way: str, message: m.Message, late: bool = True) -> None:
+        """Deliver a message; `way` tells the coordinator that it is from or for."""
         if way.startswith(">"):
             at = int(way[2:])
             steward, name, fresh = self.stewards[at], NAMES[place], at == self.crown
--- a/fawnwharf/epochs/service.py
+++ b/fawnwharf/epochs/service.py
@@ -1,4 +1,7 @@
-"""Changes of policy in a running front end: by the zones' logs, its files, and what follows for its parts."""
+"""Policy rollouts in a running front end.
+
+Messages by the zones' logs, files, and what follows for its parts.
+"""
 
 import time
 from collections.abc import Callable
@@ -40,11 +43,16 @@
 
 
 class Policies:
-    """Owns this front end's part in changes of policy; a Seam of the front end, and the rider of zones."""
+    """Owns this front end's part in policy rollouts.
+
+    A Seam of the front end, and a client of the zones' logs.
+    """
 
     def __init__(self, deployment: Deployment, path: str | Path, write: Write, made: dict[str, Any]) -> None:
-        """Reads and checks the files; raises ConfigError with one line. `made` has the other parts by name,
-        of which `zones` has to be there already."""
+        """Read and check the files; raises ConfigError with one line.
+
+        `made` has the other parts by name, of which `zones` has to be there already.
+        """
         self.deployment, self.note, self._made = deployment, write, made
         self.settings: Settings = load(Path(path), settings_from, NAME)
         self.zones = made["zones"]
@@ -92,7 +100,7 @@
 
     @property
     def staging(self) -> dict[str, float]:
-        """Budgets of pre-staging, by their keys in the document; an absent one is as the settings have it."""
+        """Budgets of prefetching by their keys in the document; absent ones are as the settings have them."""
         return self.in_force.document.section("staging")
 
     def _known(self) -> Known:
@@ -102,12 +110,13 @@
 
     @property
     def ready(self) -> bool:
+        """Whether a leader's coordinator has told what is in force."""
         return self.agent.holder.ready
 
     # --- life -----------------------------------------------------------------------------------
 
     def attach(self, front: FrontEnd) -> None:
-        """Begin, on the front end's loop; zones and state are attached."""
+        """Begin on the front end's loop; zones and state are attached already."""
         self.front, self._began_ms = front, monotonic_ms()
         core, state, known = self.zones.core, self._made.get("state"), self._known()
         self.agent = Agent(
@@ -136,6 +145,7 @@
         return tuple(member.name for member in self.zones.core.members.members)
 
     def close(self) -> None:
+        """Stop, refuse the held calls, and restore the settings in the other parts."""
         self._stopped = True
         if self.front is not None:
             self.calls.refuse()
@@ -149,15 +159,18 @@
 
     # --- the seam -------------------------------------------------------------------------------
 
-    def told(self, fleet: Fleet) -> None: ...
+    def told(self, fleet: Fleet) -> None:
+        """Changes of the roster matter nothing here."""
+        ...
 
     def events(self, events: list[io.Event]) -> None:
-        """Calls that waited at the gate through a change are handed over as they are judged."""
+        """Hand calls that waited at the claim gate through a change over as they are judged."""
         if monotonic_ms() < self._mixed_ms:
             events[:] = handed_over(events, self._module, self._own_spec)
 
     @property
     def busy(self) -> bool:
+        """Whether calls are held; the table and the gate know of the others."""
         return self.calls is not None and self.calls.held > 0  # the table and the gate know of the others
 
     def _own_spec(self, event: io.RequestArrived) -> io.ClassSpec | None:
@@ -194,6 +207,7 @@
     # --- the rider ------------------------------------------------------------------------------
 
     def heard(self, sender: str, words: tuple[Any, ...], standing: Any) -> None:
+        """Take messages and the status of another member."""
         now = monotonic_ms()
         dropped = sum(self.agent.counts.values())
         effects = self.agent.heard(now, sender, words)
@@ -204,20 +218,23 @@
         self._carry_out(effects)
 
     def decided(self, text: str) -> None:
+        """Take a register that the consensus log decided."""
         self._carry_out(self.agent.decided(monotonic_ms(), text))
 
     def turned(self) -> None:
+        """Take that this member's voter may have begun or ceased to lead."""
         if not self._stopped and (effects := self.agent.turned(monotonic_ms())):
             self._carry_out(effects)
 
     def members_taken(self) -> None:
+        """Take that the list of members changed."""
         self._granted.clear()
         known = self._known()
         known = msgspec.structs.replace(self.agent.known, zones=known.zones, base=self._base(known.base))
         self._carry_out(self.agent.take_members(monotonic_ms(), self._names(), known))
 
     def _base(self, base: Document) -> Document:
-        """Modes as they were at the start: the gate's own follow the policy by now."""
+        """Modes as they were at the start, since the gate's own follow the policy by now."""
         old = {path: value for path, value in self.agent.known.base.values if path[0] == "modes"}
         return Document(0, tuple(sorted((dict(base.values) | old).items())))
 
@@ -288,7 +305,7 @@
     # --- what is said ---------------------------------------------------------------------------
 
     def _say(self, say: m.Say) -> None:
-        """All that is said in a turn goes into one line, at its end; renewals wait for others."""
+        """Queue a message: all of one event loop iteration go into one line; renewals wait for others."""
         self._saying.append(say)
         word = say.message
         if isinstance(word, m.Grant) and word.lease_ms:
@@ -301,7 +318,7 @@
         self.front.loop.flush_later(self)
 
     def flush(self) -> None:
-        """The end of the turn, or of the wait."""
+        """Send what is queued, at the end of the iteration or of the wait."""
         saying, self._saying, self._renews = self._saying, [], False
         to: dict[m.Message, list[str]] = {}  # what is the same for several is said once
         for say in saying:
@@ -321,7 +338,7 @@
             self.zones.say(words)
 
     def _stand(self) -> None:
-        """Tell how this one stands, where that is another way than before."""
+        """Tell this member's status, where it has changed."""
         if self._stopped:
             return
         now = monotonic_ms()
@@ -341,7 +358,7 @@
         self._stand()
 
     def _look_alone(self) -> None:
-        """Say who is missing, where no leader's steward tells this front end what is in force."""
+        """Log who is missing, where no leader's coordinator tells what is in force."""
         if self._stopped:
             return
         if not self.ready and monotonic_ms() - self._began_ms >= ALONE_MS:
--- a/fawnwharf/epochs/settings.py
+++ b/fawnwharf/epochs/settings.py
@@ -1,4 +1,4 @@
-"""The operators' files for changes of policy: settings, and the word said to a running front end. Pure.
+"""The operators' files for policy rollouts: settings, and requests to a running front end. Pure.
 
 JSON, taken whole or not at all; a faulty one raises FileFault, whose text names the key. Durations are
 milliseconds.
@@ -17,7 +17,7 @@
 
 
 class Settings(Struct, frozen=True, forbid_unknown_fields=True):
-    """The one file that switches changes of policy on. The voters' count for the fleet."""
+    """The file that switches policy rollouts on; the voters' values count for the fleet."""
 
     version: int
     lease_ms: Span = 2_000.0  # a front end acts by an epoch for so long without a leader's word
@@ -29,11 +29,12 @@
 
     @property
     def timing(self) -> Timing:
+        """The times that coordinators and holders go by."""
         return Timing(self.lease_ms, self.renew_ms, self.prepare_ms, self.again_ms, self.skew)
 
 
 class Said(Struct, frozen=True, forbid_unknown_fields=True):
-    """An operator's word, `proposal.json`: one of the last three is there."""
+    """An operator's request, `proposal.json`: exactly one of `propose`, `call_off` and `back` is there."""
 
     version: int
     number: Annotated[int, Meta(ge=1, lt=2**53)]  # larger than of the words before
@@ -57,6 +58,7 @@
 
 
 def settings_from(data: bytes) -> Settings:
+    """Parse and check the settings; raises FileFault."""
     found: Settings = _read(data, Settings, "settings")
     if found.renew_ms * 2 > found.lease_ms:
         raise FileFault("renew_ms: two do not fit into lease_ms")
@@ -66,7 +68,7 @@
 
 
 def said_from(data: bytes) -> Said:
-    """A word whose document, where it has one, is checked by itself."""
+    """Parse a request and check its document, where it has one, by itself; raises FileFault."""
     said: Said = _read(data, Said, "proposal")
     if (said.propose is not None) + (said.call_off is not None) + said.back != 1:
         raise FileFault("proposal: one of propose, call_off and back is wanted")
--- a/fawnwharf/epochs/steward.py
+++ b/fawnwharf/epochs/steward.py
@@ -1,16 +1,18 @@
-"""The steward, at the voters' leader: takes one change of policy through, and grants the leases it rests on.
+"""The rollout coordinator at the voters' leader: takes one change through, and grants the leases behind it.
 
-No I/O, no clock and no chance but what is handed in; times are milliseconds of its own clock, which may run
-fast or slow against a holder's by `skew` and must not step back. Leases are after Gray and Cheriton, 'Leases'
-(1989): one counts from the sending of its holder's question, so that no delay of the answer makes it longer,
-and the steward holds it to be over by the slowest clock that a holder may have, on the fastest of its own.
+No I/O, no clock and no randomness but what is handed in; times are milliseconds of its own clock, which may
+run fast or slow against a holder's by `skew` and must not step back. Leases are after Gray and Cheriton,
+'Leases' (1989): a lease counts from the sending of its holder's question, so that no delay of the answer
+makes it longer, and the coordinator takes it to be over by the slowest clock that a holder may have, on the
+fastest of its own.
 
 A change is an atomic commit whose decision is the voters' (Gray and Lamport, 'Consensus on Transaction
-Commit', 2006): all that live say yes, one decision stands in the log, and no steward's end leaves it open.
+Commit', 2006): all that are alive agree, one decision stands in the log, and the end of no coordinator leaves
+it open.
 
-What a new leader does not know: which leases the one before it granted. So it holds every holder to have one
-for a lease's time from when it began, unless a holder shows that the last epoch has been in force: then no
-lease of an earlier one is left.
+A new leader does not know which leases the one before it granted. So it assumes that every holder has one for
+a lease's time from when it began, unless a holder shows that the last epoch has been in force: then no lease
+of an earlier one is left.
 """
 
 from dataclasses import dataclass, field
@@ -21,7 +23,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Timing:
-    """Milliseconds, and the part by which a clock's rate may differ from true time."""
+    """Times in milliseconds, and the part by which a clock's rate may differ from true time."""
 
     lease_ms: float = 2_000.0
     renew_ms: float = 500.0  # pace of holders' questions
@@ -31,13 +33,13 @@
 
     @property
     def over_ms(self) -> float:
-        """After so long by any clock, a lease of `lease_ms` by any other one is over."""
+        """The time by any clock after which a lease of `lease_ms` by any other clock is over."""
         return self.lease_ms * (1 + self.skew) / (1 - self.skew)
 
 
 @dataclass(slots=True)
 class Open:
-    """The one proposal under way."""
+    """The one proposal in progress."""
 
     document: Document
     turn: int
@@ -48,7 +50,7 @@
 
 @dataclass(slots=True)
 class Steward:
-    """Owns what is proposed, who has said yes, and who may hold which lease."""
+    """Owns what is proposed, who has agreed, and who may hold which lease."""
 
     timing: Timing
     members: tuple[str, ...] = ()
@@ -69,8 +71,11 @@
     # --- reigns ---------------------------------------------------------------------------------
 
     def lead(self, now_ms: float, term: int, text: str) -> list[m.Effect]:
-        """Begin a reign: this member's voter leads, what it decided last is the fleet's last for certain
-        (`Voter.fresh`), and nothing of its log is undecided. `text` is the register there; "": none yet."""
+        """Begin a term.
+
+        This member's voter leads, what it decided last is certainly the fleet's last (`Voter.fresh`), and
+        nothing in its log is undecided. `text` is the register there; empty for none yet.
+        """
         self.rest()
         try:
             self.register = register_from(text)
@@ -83,12 +88,15 @@
         return [m.Note("steward", {"term": term, "number": self.top})]
 
     def rest(self) -> None:
-        """Its voter does not lead any more. What it was preparing is the next one's to end."""
+        """End the term: the voter does not lead any more.
+
+        What was being prepared is the next coordinator's to end.
+        """
         self.term, self.open, self.settled = 0, None, False
         self.leases, self.asked, self.lives, self.told = {}, {}, {}, frozenset()
 
     def due_ms(self) -> float | None:
-        """When `tick` is wanted next; None: not before something comes in."""
+        """When `tick` is wanted next; None for not before something comes in."""
         if not self.term or (self.open is None and self.settled):
             return None
         ends = [self.clear_ms, *(until for _, until in self.leases.values())]
@@ -97,7 +105,7 @@
         return min([self.again_ms, *(end for end in ends if end > self.ticked_ms)])
 
     def heard(self, now_ms: float, sender: str, message: m.Message, fresh: bool) -> list[m.Effect]:
-        """Any message that is a steward's; others change nothing. `fresh` as for `status`."""
+        """Take any message that is for a coordinator; others change nothing. `fresh` as for `status`."""
         if isinstance(message, m.Vote):
             return self.vote(now_ms, sender, message)
         if isinstance(message, m.Status):
@@ -111,7 +119,7 @@
     # --- a proposal -----------------------------------------------------------------------------
 
     def propose(self, now_ms: float, text: str) -> list[m.Effect]:
-        """An operator's word. Refused with a cause while another one is under way."""
+        """Take an operator's proposal; refused with a cause while another one is in progress."""
         if not self.term:
             return [_refused("this one does not lead")]
         if cause := self._busy():
@@ -140,6 +148,7 @@
         return m.Prepare(self.term, self.open.turn, document.number, document.encode())
 
     def vote(self, now_ms: float, sender: str, vote: m.Vote) -> list[m.Effect]:
+        """Take a member's answer to the proposal."""
         if self.open is None or self.open.deciding or sender not in self.members:
             return []
         if (vote.term, vote.turn) != (self.term, self.open.turn):
@@ -153,7 +162,7 @@
         return self._next(now_ms)
 
     def call_off(self, now_ms: float, why: str = "") -> list[m.Effect]:
-        """An operator's word: end what is being prepared, while nothing is decided."""
+        """End what is being prepared, on an operator's request, while nothing is decided."""
         if self.open is None:
             return [_refused("nothing is being prepared")]
         if self.open.deciding:
@@ -161,7 +170,7 @@
         return self._end(f"called off {why}".strip())
 
     def take_members(self, now_ms: float, members: tuple[str, ...]) -> list[m.Effect]:
-        """Another list of members. Who is taken off keeps its lease until that is over."""
+        """Take another list of members; whoever is taken off keeps its lease until that is over."""
         effects: list[m.Effect] = []
         if members != self.members and self.open and not self.open.deciding:
             effects = self._end("the list of members changed")
@@ -176,20 +185,20 @@
         return [*(m.Say(to, word) for to in self.members), m.Note("ended", {"number": number, "why": why})]
 
     def _held(self, now_ms: float, name: str) -> bool:
-        """Whether it may have a lease of this reign, of whatever number, at this moment."""
+        """Whether a member may have a lease of this term, of whatever number, at this moment."""
         return name in self.leases and now_ms < self.leases[name][1]
 
     def missing(self, now_ms: float) -> list[str]:
-        """For operators: whose yes is wanted still; empty where nothing is being prepared."""
+        """Whose agreement is still wanted, for operators; empty where nothing is being prepared."""
         return self._missing(now_ms) if self.open and not self.open.deciding else []
 
     def _missing(self, now_ms: float) -> list[str]:
-        """Those whose yes is wanted still: also those taken off the list, until their leases are over."""
+        """Whose agreement is still wanted: also of those taken off the list, until their leases are over."""
         names = {*self.members, *self.leases}
         return sorted(n for n in names if n not in self.open.yes and self._held(now_ms, n))
 
     def _next(self, now_ms: float) -> list[m.Effect]:
-        """Ask for the decision, once nobody is missing."""
+        """Ask for the decision once nobody is missing."""
         if self.open is None or self.open.deciding or self._missing(now_ms):
             return []
         if now_ms < self.clear_ms:
@@ -202,12 +211,14 @@
     # --- the decision ---------------------------------------------------------------------------
 
     def not_put(self, now_ms: float) -> list[m.Effect]:
-        """What was asked to be decided never came into the log, for certain."""
+        """Take that what was proposed to the log certainly never came into it."""
         return self._end("the voters' log did not take it") if self.open and self.open.deciding else []
 
     def decided(self, now_ms: float, text: str, fresh: bool) -> list[m.Effect]:
-        """The log's register, as it was decided while this one leads. Raises DocumentFault for a text that
-        is none; what it asked for itself never is. `fresh` as for `status`."""
+        """Take the log's register, as it was decided while this one leads. `fresh` as for `status`.
+
+        Raises DocumentFault for a malformed text; what it asked for itself never is.
+        """
         register = register_from(text)
         if not self.term or register.last.number <= self.register.last.number:
             return []
@@ -227,7 +238,10 @@
         return [name for name, (number, _) in self.leases.items() if number < self.register.last.number]
 
     def _settle(self, now_ms: float, proof: bool = False) -> list[m.Effect]:
-        """In force, once no lease of an earlier number can be left; `proof`: it has been in force already."""
+        """Declare the register in force, once no lease of an earlier number can be left.
+
+        `proof` tells that it has been in force already.
+        """
         if self.settled or not self.term:
             return []
         if not proof and (now_ms < self.clear_ms or any(self._held(now_ms, name) for name in self._early())):
@@ -244,8 +258,11 @@
     # --- leases ---------------------------------------------------------------------------------
 
     def status(self, now_ms: float, sender: str, word: m.Status, fresh: bool) -> list[m.Effect]:
-        """A holder's question. `fresh`: `Voter.fresh` at this moment; without it nothing is granted, as
-        another steward may have been taken on."""
+        """Answer a holder's question for a lease.
+
+        `fresh` is `Voter.fresh` at this moment; without it nothing is granted, as there may be another
+        coordinator.
+        """
         if not self.term or not fresh or sender not in self.members:
             return []
         if word.life < self.lives.get(sender, 0):
@@ -273,13 +290,13 @@
         return effects
 
     def changed(self, now_ms: float, sender: str, word: m.Changed, fresh: bool) -> list[m.Effect]:
-        """A holder acts by nothing before that number any more."""
+        """Take that a holder does not act by anything before that number any more."""
         status = m.Status(word.life, word.sent_ms, word.number, word.granted)
         effects = self.status(now_ms, sender, status, fresh)
         return effects if self.settled else []  # an answer follows once there is a lease to be had
 
     def _lives(self, name: str, life: int) -> None:
-        """One that was restarted has forgotten what it said yes to."""
+        """Note a member's incarnation: one that was restarted has forgotten what it agreed to."""
         if life > self.lives.get(name, 0):
             self.lives[name] = life
             self.told -= {name}
@@ -287,9 +304,12 @@
                 self.open.yes -= {name}
 
     def _grant(self, name: str, life: int, sent_ms: float, heard_ms: float, register: str) -> m.Grant:
-        """A lease where there may be one. Whoever has not said yes to what is being decided gets none: it
-        would have to be waited for again. Nor does one that has not shown that it can read the last one: it
-        would hold up every change, also the one that helps it."""
+        """The answer to a holder: a lease where there may be one.
+
+        A holder that has not agreed to what is being decided gets none, as it would have to be waited for
+        again. Nor does one that has not shown that it can read the last document: it would hold up every
+        change, also the one that helps it.
+        """
         last, opened = self.register.last.number, self.open
         late = opened is not None and opened.deciding and name not in opened.yes
         able = self.settled and name in self.told and not late
@@ -303,7 +323,7 @@
     # --- time -----------------------------------------------------------------------------------
 
     def tick(self, now_ms: float, fresh: bool) -> list[m.Effect]:
-        """Call it at `due_ms` at the latest. `fresh` as for `status`."""
+        """Do what is due; call it at `due_ms` at the latest. `fresh` as for `status`."""
         self.ticked_ms = now_ms
         if not self.term or not fresh:
             self.again_ms = now_ms + self.timing.again_ms
--- a/fawnwharf/epochs/trace.py
+++ b/fawnwharf/epochs/trace.py
@@ -1,4 +1,7 @@
-"""For trials: a file with a line a call, by which policy it was judged from taken to its final answer."""
+"""Writes a line a call for trials.
+
+The policy by which it was judged, from its arrival to its final answer.
+"""
 
 from collections import deque
 from pathlib import Path
@@ -23,7 +26,7 @@
         self.written, self.dropped = 0, 0
 
     def call(self, id: str, by: InForce, taken_ms: float, ended_ms: float) -> None:
-        """Unix milliseconds."""
+        """Add the line of a call; times are Unix milliseconds."""
         if len(self._lines) >= LINES_MOST or self.written >= BYTES_MOST:
             self.dropped += 1
             return
@@ -32,7 +35,7 @@
         self._lines.append(encoder.encode(line) + b"\n")
 
     def flush(self) -> None:
-        """Raises OSError; what was to be written is dropped then."""
+        """Write the lines; raises OSError, and then drops them."""
         if self._lines:
             data, count = b"".join(self._lines), len(self._lines)
             self._lines.clear()
@@ -44,4 +47,5 @@
             self.written += len(data)
 
     def close(self) -> None:
+        """Close the file."""
         self._file.close()
--- a/fawnwharf/epochs/walk.py
+++ b/fawnwharf/epochs/walk.py
@@ -1,8 +1,8 @@
-"""Random walks: stewards and holders in virtual time, with clocks that run apart, and all that may happen.
+"""Randomized simulation: coordinators and holders in virtual time, with clock skew and faults of every kind.
 
-Deeper than `check.py`, and with real timers. One seed gives one walk. Messages are lost, repeated, overtaken
-and held up; holders are cut off, killed, restarted, and stand still and go on as if nothing were; leaders
-change, with what they had put to the vote decided or lost; the list of members changes.
+Deeper than `check.py`, and with real timers. One seed gives one run. Messages are lost, repeated, reordered
+and delayed; holders are cut off, killed, restarted, and paused without noticing; leaders change, with what
+they had proposed decided or lost; the list of members changes.
 
     python -m fawnwharf.epochs.walk [--steps N] [--seeds N]     broken or not
     python -m fawnwharf.epochs.walk --measure                   times and messages of a change, by fleet
@@ -26,7 +26,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Weather:
-    """How much goes wrong; chances are of one message, or of one second of true time."""
+    """Rates of faults: chances per message, or per second of true time."""
 
     lost: float = 0.05
     repeated: float = 0.05
@@ -50,7 +50,7 @@
 
 @dataclass(slots=True)
 class Outcome:
-    """What a walk has come to; `broken` is empty where all held."""
+    """The result of a run; `broken` is empty where all rules held."""
 
     steps: int = 0
     true_ms: float = 0.0
@@ -63,7 +63,7 @@
 
 @dataclass(slots=True)
 class Node:
-    """One member: a clock, a holder while it lives, and a steward where it may lead."""
+    """One member: a clock, a holder while it lives, and a coordinator where it may lead."""
 
     name: str
     rate: float
@@ -78,7 +78,7 @@
 
 
 class Walk:
-    """One fleet and its ghost, which knows all that was ever decided."""
+    """One fleet, and the reference model, which knows all that was ever decided."""
 
     def __init__(
         self,
@@ -113,6 +113,7 @@
     # --- the walk -------------------------------------------------------------------------------
 
     def run(self, steps: int, until_ms: float = float("inf")) -> Outcome:
+        """Run so many steps, or up to a time, or to the first broken rule."""
         while self.outcome.steps < steps and not self.outcome.broken and self.queue[0][0] <= until_ms:
             self.now, _, what, about = heapq.heappop(self.queue)
             self.outcome.steps += 1
@@ -304,33 +305,43 @@
     # --- the weather ----------------------------------------------------------------------------
 
     def propose(self, quota: int) -> None:
+        """Let the leader's coordinator propose a change of a quota."""
         node = self.nodes[self.crown]
         text = f'{{"version":1,"tenants":{{"t":{{"quota_rps":{quota}}}}}}}'
         self._steward_does(node, node.steward.propose(self._clock(node), text))
 
     def _weather(self) -> None:
-        """Every tenth of a second of true time."""
+        """Inject faults and events; runs every tenth of a second of true time."""
         self._soon("_weather", 100.0)
         chance, weather = self.chance, self.weather
         up = [node for node in self.nodes.values() if node.holder]
         if up:
             self._calls(chance.choice(up))
-        if up and chance.random() < weather.cuts / 10:
+            self._strike(up)
+        if chance.random() < weather.leaders / 10:
+            self._unseat()
+        node = self.nodes.get(self.crown)
+        if node is not None and node.halted_ms <= self.now:
+            self._operate(node)
+
+    def _strike(self, up: list[Node]) -> None:
+        """Cut off, pause or kill members of those that are up, by chance."""
+        chance, weather = self.chance, self.weather
+        if chance.random() < weather.cuts / 10:
             chance.choice(up).cut_ms = self.now + chance.uniform(0.0, weather.cut_ms)
-        if up and chance.random() < weather.halts / 10:
+        if chance.random() < weather.halts / 10:
             node = chance.choice(up)
             node.halted_ms = self.now + chance.uniform(0.0, weather.halt_ms)
             if node.name == self.crown:
                 self.decided_ms = None
                 if node.halted_ms - self.now > 500.0:
                     self._unseat()
-        if up and chance.random() < weather.kills / 10:
+        if chance.random() < weather.kills / 10:
             self.kill(chance.choice(up).name, chance.uniform(1.0, weather.away_ms))
-        if chance.random() < weather.leaders / 10:
-            self._unseat()
-        node = self.nodes.get(self.crown)
-        if node is None or node.halted_ms > self.now:
-            return
+
+    def _operate(self, node: Node) -> None:
+        """Let operators act at the leader, by chance: propose, call off, change the list of members."""
+        chance, weather = self.chance, self.weather
         if chance.random() < weather.proposals / 10:
             self.propose(chance.randrange(1, 100))
             if chance.random() < weather.called_off:
@@ -345,7 +356,7 @@
             self._steward_does(node, node.steward.call_off(self._clock(node)))
 
     def _calls(self, node: Node) -> None:
-        """A call keeps the epoch by which it was taken, whatever comes, to its end."""
+        """Check that a call keeps the epoch by which it was taken up to its end."""
         call = f"{node.name}.{node.life}"
         if call in self.taken and node.holder.of(call) != self.taken.pop(call):
             self._break(f"a call of {node.name} is judged by another epoch")
@@ -354,6 +365,7 @@
         self.outcome.calls += 1
 
     def kill(self, name: str, away_ms: float) -> None:
+        """Kill a member, which comes back after `away_ms`."""
         self.outcome.events["kills"] += 1
         node = self.nodes[name]
         node.holder, node.wound = None, {}
@@ -365,6 +377,7 @@
 
 
 def main() -> int:
+    """Run the simulations, or measure; the exit status is 1 where a rule was broken."""
     parser = argparse.ArgumentParser(description="Walk at random through changes of policy.")
     parser.add_argument("--steps", type=int, default=100_000, help="of each walk")
     parser.add_argument("--seeds", type=int, default=10)
