--- a/fawnwharf/epochs/agent.py
+++ b/fawnwharf/epochs/agent.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from fawnwharf.epochs import messages as m
-from fawnwharf.epochs.document import DocumentFault, Known, document_from, register_from
+from fawnwharf.epochs.document import DocumentError, Known, document_from, register_from
 from fawnwharf.epochs.holder import Holder
 from fawnwharf.epochs.steward import Steward, Timing
 from fawnwharf.lives import Lives
@@ -137,7 +137,7 @@
             if self.steward is not None and self.steward.term:
                 effects = self.steward.decided(now_ms, text, self.leads(now_ms))
             number = register_from(text).last.number
-        except DocumentFault:
+        except DocumentError:
             return self._out(now_ms, self.holder.decided(now_ms, text))  # it says so, and is not ready
         if number > self.holder.register.last.number:
             effects += self.holder.decided(now_ms, text)
@@ -226,7 +226,7 @@
             text = before.encode()
         try:
             same = steward.open is None and document_from(text).digest == last.digest
-        except DocumentFault:
+        except DocumentError:
             same = False  # the steward says why
         if same:  # said to a leader that knows nothing of it, or for nothing
             state = "in force" if steward.settled else "decided"
--- a/fawnwharf/epochs/commands.py
+++ b/fawnwharf/epochs/commands.py
@@ -8,7 +8,7 @@
 import typer
 
 from fawnwharf.epochs import messages as m
-from fawnwharf.epochs.document import Document, DocumentFault, Known, check_against, document_from
+from fawnwharf.epochs.document import Document, DocumentError, Known, check_against, document_from
 from fawnwharf.epochs.service import SAID_FILE
 from fawnwharf.zones import settings as s
 from fawnwharf.zones.looking import Member, address, fail, files, lines
@@ -74,7 +74,7 @@
         document = document_from(Path(file).read_bytes())
     except OSError as error:
         fail(f"policy: {file}: {error.strerror}")
-    except DocumentFault as error:
+    except DocumentError as error:
         fail(f"policy: {file}: {error}")
     if members is not None:
         # Classes and tenants stand in front ends' configurations: those say no by themselves.
--- a/fawnwharf/epochs/document.py
+++ b/fawnwharf/epochs/document.py
@@ -1,6 +1,6 @@
 """The policy document: what may be changed while front ends run. Pure: text in, a value or one line out.
 
-JSON, taken whole or not at all; a faulty one raises DocumentFault, whose text is 'key: cause'. What is absent
+JSON, taken whole or not at all; a faulty one raises DocumentError, whose text is 'key: cause'. What is absent
 is as the deployment's settings have it. A key that this version does not know is a fault, never passed over:
 two front ends of which one leaves a key aside would decide by different policies under one number.
 
@@ -33,7 +33,7 @@
 CAREFUL = ("off", "after", "before")  # rising
 
 
-class DocumentFault(ValueError):
+class DocumentError(ValueError):
     """A document that can't be taken; the text is 'key: cause' in one line."""
 
 
@@ -130,56 +130,56 @@
 
 @functools.lru_cache(maxsize=32)  # the same text comes again with each repeat, and from each that asks
 def document_from(text: str | bytes) -> Document:
-    """Parse a document and check it by itself. Raises DocumentFault."""
+    """Parse a document and check it by itself. Raises DocumentError."""
     if len(text) > TEXT_MOST:
-        raise DocumentFault(f"document: {len(text)} characters, and {TEXT_MOST} are the most")
+        raise DocumentError(f"document: {len(text)} characters, and {TEXT_MOST} are the most")
     try:
         raw = msgspec.json.decode(text)
     except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as error:
-        raise DocumentFault(f"document: not JSON: {_line(error)}") from None
+        raise DocumentError(f"document: not JSON: {_line(error)}") from None
     return document_of(raw)
 
 
 def document_of(raw: Any) -> Document:
     """The same, from what was decoded already."""
     if not isinstance(raw, dict):
-        raise DocumentFault("document: not an object")
+        raise DocumentError("document: not an object")
     if raw.get("version") != VERSION:
-        raise DocumentFault(f"version: {raw.get('version')!r}, and this program knows {VERSION}")
+        raise DocumentError(f"version: {raw.get('version')!r}, and this program knows {VERSION}")
     number = raw.get("number", 0)
     if type(number) is not int or not 0 <= number < 2**53:
-        raise DocumentFault(f"number: {number!r} is none")
+        raise DocumentError(f"number: {number!r} is none")
     values: dict[Path, Value] = {}
     for name, part in raw.items():
         if name not in ("version", "number"):
             _read((name,), part, values)
     for path, value in values.items():
         if path[-1] == "quota_rps" and value == 0.0:
-            raise DocumentFault(f"{'.'.join(path)}: shuts out tenant {path[1]}")
+            raise DocumentError(f"{'.'.join(path)}: shuts out tenant {path[1]}")
         if path[-1] == "promise_ms" and value > values.get((*path[:2], "give_up_ms"), value):
-            raise DocumentFault(f"{'.'.join(path)}: longer than give_up_ms")
+            raise DocumentError(f"{'.'.join(path)}: longer than give_up_ms")
     return made(number, values)
 
 
 def _read(path: Path, raw: Any, values: dict[Path, Value]) -> None:
     key, shape = ".".join(path), _shape(path)
     if shape is None:
-        raise DocumentFault(f"{key}: unknown key")
+        raise DocumentError(f"{key}: unknown key")
     if shape[len(path) - 1] == "*":
         try:
             msgspec.convert(path[-1], Name)
         except msgspec.ValidationError:
-            raise DocumentFault(f"{'.'.join(path[:-1])}: {path[-1][:48]!r} is no name") from None
+            raise DocumentError(f"{'.'.join(path[:-1])}: {path[-1][:48]!r} is no name") from None
     if len(path) < len(shape):
         if not isinstance(raw, dict):
-            raise DocumentFault(f"{key}: not an object")
+            raise DocumentError(f"{key}: not an object")
         for name, part in raw.items():
             _read((*path, name), part, values)
         return
     try:
         values[path] = msgspec.convert(raw, KEYS[shape].kind)
     except msgspec.ValidationError as error:
-        raise DocumentFault(f"{key}: {_line(error)}") from None
+        raise DocumentError(f"{key}: {_line(error)}") from None
 
 
 def _line(error: Exception) -> str:
@@ -293,14 +293,14 @@
 
 @functools.lru_cache(maxsize=32)
 def register_from(text: str) -> Register:
-    """Parse a register; an empty text stands for no decision yet. Raises DocumentFault."""
+    """Parse a register; an empty text stands for no decision yet. Raises DocumentError."""
     if not text:
         return Register()
     try:
         raw = msgspec.json.decode(text)
     except (msgspec.DecodeError, RecursionError) as error:
-        raise DocumentFault(f"register: not JSON: {_line(error)}") from None
+        raise DocumentError(f"register: not JSON: {_line(error)}") from None
     if not isinstance(raw, dict) or raw.get("policy") != 1 or "last" not in raw:
-        raise DocumentFault("register: none of this version")
+        raise DocumentError("register: none of this version")
     before = raw.get("before")
     return Register(document_of(raw["last"]), document_of(before) if before else None)
--- a/fawnwharf/epochs/holder.py
+++ b/fawnwharf/epochs/holder.py
@@ -16,7 +16,7 @@
 from fawnwharf.epochs.document import (
     CAREFUL,
     Document,
-    DocumentFault,
+    DocumentError,
     Known,
     Register,
     check_against,
@@ -89,7 +89,7 @@
         if self.disk:
             try:
                 self.register = register_from(self.disk)
-            except DocumentFault:
+            except DocumentError:
                 self.disk = ""
 
     # --- what calls are judged by ---------------------------------------------------------------
@@ -190,7 +190,7 @@
         try:
             document = document_from(word.text)
             fault = check_against(document, self.known) or ""
-        except DocumentFault as error:
+        except DocumentError as error:
             document, fault = None, str(error)
         self.prepared = None if fault else document
         vote = m.Vote(self.life, word.term, word.turn, word.number, fault[:300])
@@ -223,7 +223,7 @@
         """
         try:
             register = register_from(text)
-        except DocumentFault as error:
+        except DocumentError as error:
             new, self.fault = str(error) != self.fault, str(error)
             self.ready, self.lease, self.granted = False, (-1, 0.0), -1
             return [m.Note("policy not read", {"why": self.fault})] if new else []
--- a/fawnwharf/epochs/settings.py
+++ b/fawnwharf/epochs/settings.py
@@ -9,7 +9,7 @@
 import msgspec
 from msgspec import Meta, Struct
 
-from fawnwharf.epochs.document import DocumentFault, document_of
+from fawnwharf.epochs.document import DocumentError, document_of
 from fawnwharf.epochs.steward import Timing
 from fawnwharf.zones.settings import FileFault, Span
 
@@ -75,6 +75,6 @@
     if said.propose is not None:
         try:
             document_of(said.propose)
-        except DocumentFault as error:
+        except DocumentError as error:
             raise FileFault(str(error)) from None
     return said
--- a/fawnwharf/epochs/steward.py
+++ b/fawnwharf/epochs/steward.py
@@ -18,7 +18,7 @@
 from dataclasses import dataclass, field
 
 from fawnwharf.epochs import messages as m
-from fawnwharf.epochs.document import Document, DocumentFault, Register, document_from, register_from
+from fawnwharf.epochs.document import Document, DocumentError, Register, document_from, register_from
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,7 +79,7 @@
         self.rest()
         try:
             self.register = register_from(text)
-        except DocumentFault as error:
+        except DocumentError as error:
             return [m.Note("policy not read", {"why": str(error), "term": term})]
         self.term, self.turn = term, 1
         self.top = self.register.last.number
@@ -126,7 +126,7 @@
             return [_refused(cause)]
         try:
             document = document_from(text)
-        except DocumentFault as error:
+        except DocumentError as error:
             return [_refused(str(error))]
         self.top += 1
         self.turn += 1
@@ -217,7 +217,7 @@
     def decided(self, now_ms: float, text: str, fresh: bool) -> list[m.Effect]:
         """Take the log's register, as it was decided while this one leads. `fresh` as for `status`.
 
-        Raises DocumentFault for a malformed text; what it asked for itself never is.
+        Raises DocumentError for a malformed text; what it asked for itself never is.
         """
         register = register_from(text)
         if not self.term or register.last.number <= self.register.last.number:
--- a/fawnwharf/lab/scenario.py
+++ b/fawnwharf/lab/scenario.py
@@ -11,7 +11,7 @@
 import msgspec
 from msgspec import Meta, Struct
 
-from fawnwharf.epochs.document import DocumentFault, document_of
+from fawnwharf.epochs.document import DocumentError, document_of
 
 VERSION = 1
 SAID = "in force", "prepare", "decided", "ended", "over", "refused"  # of a proposal
@@ -165,7 +165,7 @@
             proposed = True
             try:
                 document_of({"version": 1, **step.document})
-            except DocumentFault as error:
+            except DocumentError as error:
                 raise ScenarioFault(f"steps[{n}].document: {error}") from None
     if found.sessions is not None and found.state is None:
         raise ScenarioFault("sessions: goes by the logs of state, which is not there")
--- a/tests/test_epochs.py
+++ b/tests/test_epochs.py
@@ -12,7 +12,7 @@
     KEYS,
     TEXT_MOST,
     Document,
-    DocumentFault,
+    DocumentError,
     Known,
     Register,
     check_against,
@@ -73,7 +73,7 @@
     ],
 )
 def test_a_faulty_document_is_one_line_with_its_key(said, line):
-    with pytest.raises(DocumentFault) as caught:
+    with pytest.raises(DocumentError) as caught:
         document_from(said)
     assert str(caught.value).startswith(line) and "\n" not in str(caught.value)
 
