--- a/fawnwharf/epochs/measure.py
+++ b/fawnwharf/epochs/measure.py
@@ -8,7 +8,8 @@
 from dataclasses import dataclass
 
 from fawnwharf.epochs.document import register_from
-from fawnwharf.epochs.walk import CALM, Node, Walk
+from fawnwharf.epochs.simulated import CALM, Node
+from fawnwharf.epochs.walk import Walk
 
 SIZES = (12, 30, 200, 1_000)
 CASES = ("calm", "down", "dies", "cut")
--- a/fawnwharf/epochs/service.py
+++ b/fawnwharf/epochs/service.py
@@ -18,25 +18,22 @@
 from fawnwharf.epochs.document import Document, Known, check_against, document_of
 from fawnwharf.epochs.follow import Follower, known_of
 from fawnwharf.epochs.judged import Judged, handed_over, spec_of
+from fawnwharf.epochs.outbox import Outbox
 from fawnwharf.epochs.settings import Settings, said_from, settings_from
 from fawnwharf.epochs.trace import Trace
 from fawnwharf.net.front_end import FrontEnd
 from fawnwharf.net.wheel import Timer, monotonic_ms, unix_ms
 from fawnwharf.zones.files import WatchedFile, load
-from fawnwharf.zones.lines import Word
 from fawnwharf.zones.settings import FileFault
 
 NAME = "policy"
 KEPT_FILE, SAID_FILE = "policy.json", "proposal.json"
 FILES_MS = 200.0  # pace of the look at the operators' file
 TRACE_MS = 100.0  # pace of writing
-RENEW_MS = 50.0  # renewals wait for so long, to be said together: each line goes to all readers
 LEASE_MS = 50.0  # one that was told what is in force waits for so long for a lease, before it judges calls
 STAND_MS = 40.0  # how this one stands is told no more often than that
 ALONE_MS = 3_000.0  # without a leader's word for so long it is said who is missing, and how often
 MIXED_MS = 10_000.0  # for so long after a change of classes, calls of before may come from the gate
-SAID_MOST = 96 * 1024  # characters of what is said, in one line
-TURN_MOST = 512 * 1024  # and in one turn; the rest is dropped, as all is said again
 LINE_S = 1.0  # one note a second of each kind
 
 Write = Callable[[str, dict[str, Any]], None]
@@ -65,22 +62,14 @@
             keeping.write(self._kept_file, keeping.Kept(life=self.life, register=self._register))
         except OSError as error:
             raise ConfigError(f"{NAME}: {self._kept_file}: {error.strerror}") from None
-        self.trace: Trace | None = None
-        if self.settings.trace:
-            place = Path(path).parent / self.settings.trace
-            try:
-                self.trace = Trace(place)
-            except OSError as error:
-                raise ConfigError(f"{NAME}.trace: {place}: {error.strerror}") from None
+        self.trace = self._open_trace(Path(path).parent)
         self.front: FrontEnd | None = None
         self.agent: Agent | None = None
         self.calls: Judged | None = None
         self._follower: Follower | None = None
         self._module: dict[str, io.ClassSpec] = {}  # as the module has it
         self._mixed_ms = 0.0
-        self._saying: list[m.Say] = []
-        self._granted: dict[str, tuple[int, int]] = {}  # by member: life and number of its last lease
-        self._renews = False  # some wait to be renewed
+        self._outbox: Outbox | None = None
         self._told: m.Standing | None = None
         self._told_ms = -1e9
         self._stands_later = False
@@ -91,6 +80,16 @@
         self._timer_ms = 0.0
         self._stopped = False
 
+    def _open_trace(self, folder: Path) -> Trace | None:
+        """The trace that the settings name; raises ConfigError where it can't be written."""
+        if not self.settings.trace:
+            return None
+        place = folder / self.settings.trace
+        try:
+            return Trace(place)
+        except OSError as error:
+            raise ConfigError(f"{NAME}.trace: {place}: {error.strerror}") from None
+
     # --- what other parts read ------------------------------------------------------------------
 
     @property
@@ -123,6 +122,7 @@
             self.zones.entry.name, self._names(), known, self.settings.timing, self.life,
             self.zones.seat, core.voter is not None, self._register,
         )  # fmt: skip
+        self._outbox = Outbox(front.loop, self.zones, self._too_much)
         self._follower = Follower(self.deployment, front, self.zones, state)
         self._module = dict(self._follower.classes)
         front.port.waits_for.add(NAME)
@@ -228,7 +228,7 @@
 
     def members_taken(self) -> None:
         """Take that the list of members changed."""
-        self._granted.clear()
+        self._outbox.forget_grants()
         known = self._known()
         known = msgspec.structs.replace(self.agent.known, zones=known.zones, base=self._base(known.base))
         self._carry_out(self.agent.take_members(monotonic_ms(), self._names(), known))
@@ -257,7 +257,7 @@
     def _carry_out(self, effects: list[m.Effect]) -> None:
         for effect in effects:
             if isinstance(effect, m.Say):
-                self._say(effect)
+                self._outbox.send(effect)
             elif isinstance(effect, m.Decide):
                 if not self.zones.put(effect.register):
                     self._carry_out(self.agent.not_put(monotonic_ms()))
@@ -304,38 +304,9 @@
 
     # --- what is said ---------------------------------------------------------------------------
 
-    def _say(self, say: m.Say) -> None:
-        """Queue a message: all of one event loop iteration go into one line; renewals wait for others."""
-        self._saying.append(say)
-        word = say.message
-        if isinstance(word, m.Grant) and word.lease_ms:
-            held, self._granted[say.to] = self._granted.get(say.to), (word.life, word.number)
-            if held == self._granted[say.to]:
-                if not self._renews:
-                    self._renews = True
-                    self.front.loop.wheel.after(RENEW_MS, self.flush)
-                return
-        self.front.loop.flush_later(self)
-
-    def flush(self) -> None:
-        """Send what is queued, at the end of the iteration or of the wait."""
-        saying, self._saying, self._renews = self._saying, [], False
-        to: dict[m.Message, list[str]] = {}  # what is the same for several is said once
-        for say in saying:
-            to.setdefault(say.message, []).append(say.to)
-        words, size, total = [], 0, 0
-        for message, names in to.items():
-            size += len(msgspec.json.encode(message))
-            if total + size > TURN_MOST:
-                if self._once("too much"):
-                    self.note("words not said", {"why": f"more than {TURN_MOST} characters in a turn"})
-                break
-            words.append(Word(msgspec.to_builtins(message), () if m.LEADER in names else tuple(names)))
-            if size > SAID_MOST:
-                self.zones.say(words)
-                words, size, total = [], 0, total + size
-        if words:
-            self.zones.say(words)
+    def _too_much(self, why: str) -> None:
+        if self._once("too much"):
+            self.note("words not said", {"why": why})
 
     def _stand(self) -> None:
         """Tell this member's status, where it has changed."""
--- a/tests/test_import_graph.py
+++ b/tests/test_import_graph.py
@@ -24,6 +24,7 @@
         "epochs.check",
         "epochs.measure",
         "epochs.scene",
+        "epochs.simulated",
         "epochs.walk",
         "foresight.scenes",
         "foresight.trial",
