--- a/fawnwharf/zones/__init__.py
+++ b/fawnwharf/zones/__init__.py
@@ -1,1 +1,1 @@
-"""Failover between zones, decided by the front ends in common. Off unless `serve` is given its settings."""
+"""Failover between zones, decided by the front ends together. Off unless `serve` is given its settings."""
--- a/fawnwharf/zones/commands.py
+++ b/fawnwharf/zones/commands.py
@@ -1,4 +1,4 @@
-"""`fawnwharf zones`: what operators see of the fleet's zones, and ask of it."""
+"""`fawnwharf zones`: what operators see of the fleet's zones, and what they ask of it."""
 
 import json
 import time
@@ -17,7 +17,10 @@
 
 
 def look(place: tuple[str, int], within_s: float = 3.0) -> dict[str, Any]:
-    """What counts of a member's log: its last plan and report. Raises OSError where it can't be read."""
+    """The current lines of a member's log.
+
+    Its last plan and report. Raises OSError where it can't be read.
+    """
     return lines(place, ("plan", "report"), within_s)
 
 
--- a/fawnwharf/zones/evidence.py
+++ b/fawnwharf/zones/evidence.py
@@ -1,4 +1,7 @@
-"""What one front end sees of each zone, and what that amounts to. Pure; times in milliseconds."""
+"""Health evidence: what one front end sees of each zone, and what follows from it.
+
+Pure; times in milliseconds.
+"""
 
 from collections import deque
 from dataclasses import dataclass, field
@@ -14,7 +17,7 @@
 
 
 class Seen(Struct, frozen=True):
-    """Signs of one zone within the window."""
+    """Successes and failures of one zone within the window."""
 
     heard: Count = 0  # answers of any kind, and dials that came up
     slow: Count = 0  # of those, answers past their promise
@@ -26,10 +29,13 @@
 
     @property
     def bad(self) -> int:
+        """The number of failures."""
         return self.silent + self.refused + self.broken
 
 
 class View(Enum):
+    """What one front end makes of a zone."""
+
     UNKNOWN = "unknown"
     GOOD = "good"
     SLOW = "slow"
@@ -37,8 +43,11 @@
 
 
 def view(seen: Seen | None, rules: s.Evidence) -> View:
-    """What the signs amount to. A run of bad ones at different scorers, with no good one between, tells of a
-    death long before the good ones of the window are forgotten."""
+    """The view that the evidence amounts to.
+
+    A run of failures at different scorers with no success between them shows a dead zone long before the
+    successes of the window are forgotten.
+    """
     if seen is not None and seen.run >= rules.least and seen.quiet_ms >= rules.quiet_ms:
         return View.DEAD
     if seen is None or seen.heard + seen.bad < rules.least:
@@ -76,7 +85,7 @@
 
 
 class Observer:
-    """Counts signs by zone; what is older than the window is forgotten in quarters of it."""
+    """Counts evidence by zone; what is older than the window is forgotten in quarters of it."""
 
     def __init__(self, rules: s.Evidence, promise_ms: float) -> None:
         self._rules, self._promise_ms = rules, promise_ms
@@ -84,8 +93,10 @@
         self._runs: dict[str, _Run] = {}
 
     def ended(self, now_ms: float, zone: str, scorer: int, ending: Ending, took_ms: float) -> None:
-        """An attempt or an order has ended. One that was called off tells only that nothing came
-        for so long."""
+        """Take the end of an attempt or a load order.
+
+        A cancelled one tells only that nothing came for so long.
+        """
         if ending is Ending.CANCELLED and took_ms > self._promise_ms:
             self.sign(now_ms, zone, scorer, "silent")
         elif kind := _KINDS.get(ending):
@@ -94,9 +105,11 @@
                 self._count(now_ms, zone, "slow")
 
     def dialled(self, now_ms: float, zone: str, scorer: int, good: bool) -> None:
+        """Take the result of a probe."""
         self.sign(now_ms, zone, scorer, "heard" if good else "refused")
 
     def sign(self, now_ms: float, zone: str, scorer: int, kind: str) -> None:
+        """Count one piece of evidence; `kind` is a field of `Seen`."""
         self._count(now_ms, zone, kind)
         run = self._runs.setdefault(zone, _Run(now_ms))
         if kind == "heard":
@@ -106,7 +119,7 @@
             run.bad.add(scorer)
 
     def quiet_ms(self, now_ms: float, zone: str) -> float:
-        """How long there was no good sign of a zone."""
+        """The time without a success from a zone."""
         run = self._runs.get(zone)
         return now_ms - run.good_ms if run else float("inf")
 
@@ -122,6 +135,7 @@
             self._slices.popleft()
 
     def seen(self, now_ms: float) -> dict[str, Seen]:
+        """The evidence of the window, by zone."""
         self._forget(now_ms)
         sums: dict[str, dict[str, int]] = {}
         for part in self._slices:
--- a/fawnwharf/zones/files.py
+++ b/fawnwharf/zones/files.py
@@ -1,4 +1,4 @@
-"""Files in a running front end: read at a start, and looked at again while it serves."""
+"""Files of a running front end: read at start, and checked for changes while it serves."""
 
 from collections.abc import Callable
 from pathlib import Path
@@ -15,7 +15,7 @@
         self.path, self._seen = path, None
 
     def changed(self) -> bytes | None:
-        """Its bytes where it changed since the last look; None where it did not, or can't be read."""
+        """The file's bytes where it changed since the last call; None where it did not, or can't be read."""
         try:
             stat = self.path.stat()
             mark = (stat.st_mtime_ns, stat.st_size, stat.st_ino)
--- a/fawnwharf/zones/founding.py
+++ b/fawnwharf/zones/founding.py
@@ -1,4 +1,4 @@
-"""The beginning of a fleet: once, at one voter, by an operator's word."""
+"""Bootstrap of a fleet: once, at one voter, by an operator's command."""
 
 from pathlib import Path
 
@@ -10,7 +10,7 @@
 
 
 def found(path: str | Path, name: str) -> str:
-    """Make a member the first voter of a new fleet, once; its identity. Raises ConfigError."""
+    """Make a member the first voter of a new fleet, once; its disk identity. Raises ConfigError."""
     settings = load(Path(path), s.settings_from, "zones")
     base = Path(path).parent
     members = load(base / settings.members, s.members_from, "zones")
--- a/fawnwharf/zones/judge.py
+++ b/fawnwharf/zones/judge.py
@@ -1,9 +1,10 @@
-"""From what all front ends see to a plan: what is lost, cut off, slow or back, and what is to be done about
-it.
+"""Failure detector of zones and planner.
 
-Pure; each voter has one and watches by it, and the leader's alone makes plans. What it remembers is only for
-how long its holder has seen something to be so, without a break: a voter that comes to lead need not begin to
-count, and one that did not watch for a while does. Times are milliseconds of its holder's clock.
+What is lost, cut off, slow or back, and what is to be done about it.
+
+Pure. Each voter has one and feeds it with all members' reports; only the leader's makes plans. What it
+remembers is only for how long its owner has seen something without a break: a voter that comes to lead need
+not begin to count, and one that was paused does. Times are milliseconds of its owner's clock.
 """
 
 from dataclasses import dataclass, field
@@ -14,13 +15,13 @@
 
 from fawnwharf.zones import settings as s
 from fawnwharf.zones.evidence import Seen, View, view
-from fawnwharf.zones.plan import LEAVING, OUT, RETURNING, SERVING, Plan, Zone
+from fawnwharf.zones.plan import LEAVING, OUT, RETURNING, SERVING, Plan, State, Zone
 
 DRAINED = "drained by an operator"
 
 
 class Report(Struct, frozen=True):
-    """What one front end sees, said by itself; a later one has a larger number within its life."""
+    """What one front end sees; a later report has a larger number within its incarnation."""
 
     name: s.Name
     zone: s.Name
@@ -58,8 +59,11 @@
     apart: dict[str, tuple[float, float]] = field(default_factory=dict)  # since when, and last
 
 
+_Change = tuple[State, float, str, int]  # state, share, why, flaps of a zone
+
+
 class Judge:
-    """Weighs the reports that are alive, zone by zone, and says what the next plan should be."""
+    """Combines the current reports zone by zone, and says what the next plan should be."""
 
     def __init__(self, settings: s.Settings, now_ms: float) -> None:
         self.settings, self.now = settings, now_ms
@@ -71,11 +75,13 @@
         self.watched_ms = self.since_ms = now_ms  # the last look, and the first of those without a gap
 
     def heard(self, now_ms: float, report: Report) -> None:
+        """Take a report."""
         self.reports[report.name] = (now_ms, report)
         if report.wishes.number > self.wishes.number:
             self.wishes = report.wishes
 
     def alive(self, now_ms: float, members: s.Members) -> dict[str, Report]:
+        """The reports that are not too old, by member."""
         life = self.settings.evidence.report_life_ms
         zones = {member.name: member.zone for member in members.members}
         self.reports = {name: held for name, held in self.reports.items() if name in zones}
@@ -88,7 +94,7 @@
     # --- weighing -------------------------------------------------------------------------------
 
     def verdicts(self, now_ms: float, members: s.Members) -> dict[str, Verdict]:
-        """One for each zone of the members."""
+        """The verdict on each zone of the members."""
         rules, alive = self.settings.evidence, self.alive(now_ms, members)
         heard = {name for name in alive if now_ms - self.reports[name][0] <= rules.hush_ms}
         views = {
@@ -106,8 +112,10 @@
         return {zone: self._verdict(zone, members, heard, opinions) for zone in members.zones}
 
     def _opinion(self, near: str, far: str, members: s.Members, views: dict[str, dict[str, View]]) -> View:
-        """A zone's word on another: what more than half of its observers with a view say, and
-        enough of them."""
+        """One zone's view of another.
+
+        It is what more than half of its observers with a view say, if they are enough.
+        """
         own = [member.name for member in members.members if member.zone == near]
         said = [views[name][far] for name in own if name in views and views[name][far] is not View.UNKNOWN]
         enough = min(self.settings.evidence.witnesses, len(own))
@@ -149,8 +157,10 @@
     # --- the next plan --------------------------------------------------------------------------
 
     def watch(self, now_ms: float, members: s.Members, plan: Plan) -> dict[str, Verdict]:
-        """Look at all zones and count on for how long something has been so; anew where the last look is
-        too long ago."""
+        """Look at all zones, and count for how long something has been so.
+
+        Anew where the last look is too long ago.
+        """
         if now_ms - self.watched_ms > self.settings.evidence.report_life_ms:
             self.tracks.clear()
             self.since_ms = now_ms
@@ -203,47 +213,74 @@
     def _zone(
         self, now_ms: float, name: str, region: str, before: Zone, track: _Track, verdict: Verdict
     ) -> Zone:
-        damping, ramp = self.settings.damping, self.settings.ramp
+        """The zone as the next plan should have it."""
         spill = self.settings.spill.zones.get(name, self.settings.spill.share)
-        if _for(now_ms, track.slow_ms) >= damping.slow_ms:
+        if _for(now_ms, track.slow_ms) >= self.settings.damping.slow_ms:
             spill = 0.0
         size = max(before.size, self.sizes.get(name, 0.0))
         after = msgspec.structs.replace(before, spill=spill, size=size, region=region)
+        change = self._change(now_ms, before, track, verdict, name in self.wishes.drained)
+        if change is None:
+            return after
+        state, share, why, flaps = change
+        return msgspec.structs.replace(after, state=state, share=share, why=why, flaps=flaps)
+
+    def _change(
+        self, now_ms: float, before: Zone, track: _Track, verdict: Verdict, drained: bool
+    ) -> _Change | None:
+        """What state the zone goes to, if any; `drained`: operators ask for it to be out."""
         held = now_ms - track.state_ms
-        drained = name in self.wishes.drained
-
-        def to(state: str, share: float, why: str, flaps: int = before.flaps) -> Zone:
-            return msgspec.structs.replace(after, state=state, share=share, why=why, flaps=flaps)
-
-        if drained and before.state in (SERVING, RETURNING):
-            return to(LEAVING, 0.0, DRAINED)
-        if before.state == LEAVING and not drained:
-            return to(SERVING, 1.0, "")
-        if before.state == LEAVING and held >= damping.leave_ms:
-            return to(OUT, 0.0, before.why)
-        if before.state in (SERVING, RETURNING):
-            patience = damping.out_ms / (2 if before.state == RETURNING else 1)  # it was lost a moment ago
-            # That nobody is heard takes its own time to show: the two need not wait for each other.
-            sure = _for(now_ms, track.sure_ms) >= damping.sure_ms
-            if verdict.lost and (sure or _for(now_ms, track.dead_ms) >= patience):
-                return to(OUT, 0.0, verdict.why, before.flaps + 1)
-        if before.state == OUT and not drained:
-            if before.why == DRAINED and not verdict.lost:
-                return to(RETURNING, ramp.shares[0], "restored by an operator")
-            if _for(now_ms, track.good_ms) >= self.pause_ms(before):
-                return to(RETURNING, ramp.shares[0], "seen well again")
-        if before.state == RETURNING and held >= ramp.step_ms and track.good_ms is not None:
-            later = [share for share in ramp.shares if share > before.share]
-            if later and later[0] < 1.0:
-                return to(RETURNING, later[0], before.why)
-            return to(SERVING, 1.0, "")
-        if before.state == SERVING and before.flaps and held >= damping.flap_ms:
+        if before.state == LEAVING:
+            return self._leaving(before, held, drained)
+        if before.state == OUT:
+            return None if drained else self._return(now_ms, before, track, verdict)
+        if drained:
+            return LEAVING, 0.0, DRAINED, before.flaps
+        if self._is_lost(now_ms, before, track, verdict):
+            return OUT, 0.0, verdict.why, before.flaps + 1
+        if before.state == RETURNING:
+            return self._ramp_up(before, held) if track.good_ms is not None else None
+        if before.flaps and held >= self.settings.damping.flap_ms:
             track.state_ms = now_ms
-            return to(SERVING, 1.0, before.why, before.flaps - 1)
-        return after
+            return SERVING, 1.0, before.why, before.flaps - 1
+        return None
+
+    def _leaving(self, before: Zone, held: float, drained: bool) -> _Change | None:
+        if not drained:
+            return SERVING, 1.0, "", before.flaps
+        if held >= self.settings.damping.leave_ms:
+            return OUT, 0.0, before.why, before.flaps
+        return None
+
+    def _is_lost(self, now_ms: float, before: Zone, track: _Track, verdict: Verdict) -> bool:
+        damping = self.settings.damping
+        patience = damping.out_ms / (2 if before.state == RETURNING else 1)  # it was lost a moment ago
+        # That nobody is heard takes its own time to show: the two need not wait for each other.
+        sure = _for(now_ms, track.sure_ms) >= damping.sure_ms
+        return verdict.lost and (sure or _for(now_ms, track.dead_ms) >= patience)
+
+    def _return(self, now_ms: float, before: Zone, track: _Track, verdict: Verdict) -> _Change | None:
+        first = self.settings.ramp.shares[0]
+        if before.why == DRAINED and not verdict.lost:
+            return RETURNING, first, "restored by an operator", before.flaps
+        if _for(now_ms, track.good_ms) >= self.pause_ms(before):
+            return RETURNING, first, "seen well again", before.flaps
+        return None
+
+    def _ramp_up(self, before: Zone, held: float) -> _Change | None:
+        ramp = self.settings.ramp
+        if held < ramp.step_ms:
+            return None
+        later = [share for share in ramp.shares if share > before.share]
+        if later and later[0] < 1.0:
+            return RETURNING, later[0], before.why, before.flaps
+        return SERVING, 1.0, "", before.flaps
 
     def pause_ms(self, zone: Zone) -> float:
-        """How long a zone has to be seen well before it returns: twice as long for each time out lately."""
+        """How long a zone has to be seen well before it returns.
+
+        Twice as long for each time it was out lately.
+        """
         damping = self.settings.damping
         return min(damping.back_most_ms, damping.back_ms * 2.0 ** min(20, max(0, zone.flaps - 1)))
 
@@ -262,8 +299,10 @@
         return plan.zones.get(name, Zone()).open > 0
 
     def _apart(self, now_ms: float, plan: Plan, verdicts: dict[str, Verdict]) -> tuple[tuple[str, str], ...]:
-        """Pairs that have been apart for long enough; they stay so until they were together for as long as a
-        zone has to be seen well."""
+        """The pairs of zones that have been apart for long enough.
+
+        They stay so until they were together for as long as a zone has to be seen well.
+        """
         found = set()
         for zone, track in self.tracks.items():
             for near, (since_ms, last_ms) in track.apart.items():
--- a/fawnwharf/zones/lines.py
+++ b/fawnwharf/zones/lines.py
@@ -1,4 +1,4 @@
-"""What a line of a member's log says, and what a member has done by its owner. Values alone."""
+"""Lines of a member's log, and the effects that a member asks of its owner. Values alone."""
 
 from dataclasses import dataclass, field
 from typing import Annotated, Any
@@ -19,7 +19,7 @@
 
 
 class Word(Struct, frozen=True, omit_defaults=True):
-    """What a rider says by this log: to these members, to whoever leads the voters where none is named."""
+    """A message of a log client: to these members, or to whoever leads the voters where none is named."""
 
     said: Any
     to: Annotated[tuple[s.Name, ...], Meta(max_length=s.MEMBERS_MOST)] = ()
@@ -30,7 +30,7 @@
 
 
 class Line(Struct, frozen=True, omit_defaults=True):
-    """What one line of a member's log says, besides its number; one of those from `report` on is there."""
+    """One line of a member's log, besides its number; one of the fields from `report` on is there."""
 
     fleet: s.Name
     sender: s.Name
@@ -54,29 +54,39 @@
 
 
 class Keep(Struct, frozen=True):
+    """Effect: save the voter's state to disk."""
+
     saved: m.Saved
 
 
 class Publish(Struct, frozen=True):
+    """Effect: write a line to the own log."""
+
     line: Line
 
 
 class Ballot(Struct, frozen=True):
-    """For the log of ballots; only `to`, a member's name, has use of it."""
+    """Effect: write a line to the log of ballots; only `to`, a member's name, has use of it."""
 
     to: str
     line: Line
 
 
 class Follow(Struct, frozen=True):
-    """The plan to go by from now on; None: none is known to be the last, and each is on its own."""
+    """Effect: go by this plan from now on.
+
+    None stands for no plan that is known to be the last: each front end is on its own then.
+    """
 
     plan: Plan | None
     index: int
 
 
 class Heard(Struct, frozen=True):
-    """For a rider: what another member's says to this one, and how that stands; None: not told."""
+    """Effect, for a log client.
+
+    Another member's messages to this one, and its status; None where it tells none.
+    """
 
     sender: str
     words: tuple[Any, ...]
@@ -85,7 +95,7 @@
 
 
 class Ruled(Struct, frozen=True):
-    """The voters' log decided this register, of policy or of recovery."""
+    """Effect: the consensus log decided this register, of policy or of recovery."""
 
     index: int
     text: str
@@ -93,7 +103,7 @@
 
 
 class Note(Struct, frozen=True):
-    """For the operators' log: an event and its fields."""
+    """Effect: a line for the operators' log, an event and its fields."""
 
     event: str
     fields: dict[str, Any]
@@ -103,7 +113,7 @@
 
 
 class Seat(Struct, frozen=True):
-    """How a member's voter stands at one moment."""
+    """The state of a member's voter at one moment."""
 
     term: int = 0  # of its reign; 0: it does not lead
     fresh: bool = False  # its last decided registers are the fleet's last, for certain
@@ -120,11 +130,12 @@
     dropped: dict[str, int] = field(default_factory=dict)
 
     def add(self, cause: str) -> None:
+        """Count something that was dropped."""
         self.dropped[cause] = self.dropped.get(cause, 0) + 1
 
 
 def words_for(name: str, data: Any) -> dict[str, tuple[Any, ...]]:
-    """What is said to this member, or to whoever leads, by rider; raises msgspec.ValidationError."""
+    """The messages to this member, or to whoever leads, by log client; raises msgspec.ValidationError."""
     found: dict[str, tuple[Any, ...]] = {}
     for word in msgspec.convert(data, Words):
         if not word.to or name in word.to:
--- a/fawnwharf/zones/links.py
+++ b/fawnwharf/zones/links.py
@@ -1,10 +1,10 @@
-"""Logs of members over TCP, in the change log's line form: `since N`, numbered lines of JSON, a number a
-second.
+"""Logs of members over TCP, in the change log's line form.
 
-A line is `{"seq":N,"life":L,"line":{...}}`. Each start of a process is a life with numbers of its own;
-whoever asks since a number that is not at hand, or has followed another life, gets what still counts of the
-log as lines marked `whole`, and goes on from their number. Nothing is buffered for a reader that does not
-read: it is dropped, and comes again for what counts by then.
+A reader asks `since N` and gets numbered lines of JSON, and at least the last number every second. A line is
+`{"seq":N,"life":L,"line":{...}}`. Each start of a process is an incarnation with numbers of its own; a reader
+that asks since a number that is not at hand, or of another incarnation, gets the lines that are still
+current, marked `whole`, and goes on from their number. Nothing is buffered for a reader that does not read:
+it is dropped, and gets the current lines when it comes again.
 """
 
 import contextlib
@@ -35,7 +35,7 @@
 
 
 class MemberLog(ChangeLog):
-    """Follows one member's log. A line that can't be taken costs the connection, and nothing else."""
+    """Follows one member's log; a line that can't be taken costs the connection and nothing else."""
 
     pause_most_ms, line_most = PAUSE_MOST_MS, LINE_MOST
 
@@ -49,14 +49,16 @@
 
     @property
     def up(self) -> bool:
+        """Whether the connection is established."""
         return self._connection is not None and self._connection.up
 
     @property
     def heard_ms(self) -> float:
-        """When the log last gave a sign, if only its number."""
+        """When the log was last heard, if only its number."""
         return self._connection.heard_ms if self._connection else 0.0
 
     def event(self, read: Any, of_start: bool = False) -> bool:
+        """Take a parsed line; False where it is malformed."""
         if not isinstance(read, dict):
             return False
         seq, life, whole = read.get("seq"), read.get("life"), read.get("whole") is True
@@ -96,9 +98,11 @@
         self.connection = Connection.accepted(server.loop, sock, self, ASK_MOST)
 
     def on_up(self) -> None:
+        """Nothing to do: the connection was accepted."""
         pass
 
     def on_data(self, data: bytes) -> None:
+        """Take the reader's one request."""
         if self.since is not None:  # it has asked, and has nothing more to say
             self.connection.close(End.BAD_BYTES)
             return
@@ -115,15 +119,17 @@
             self.server.begin(self)
 
     def on_flushed(self) -> None:
+        """Drop a reader that does not read."""
         if self.connection.waiting_bytes > UNREAD_MOST:
             self.connection.close(End.STUFFED)
 
     def on_end(self, end: End) -> None:
+        """Forget the reader."""
         self.server.readers.pop(self, None)
 
 
 class LogServer:
-    """Owns a listener, the log behind it and its readers."""
+    """Owns a listener, the log behind it, and its readers."""
 
     def __init__(self, loop: Loop, address: Address, life: int, readers_most: int) -> None:
         """Raises OSError where the address can't be had."""
@@ -149,8 +155,10 @@
         loop.wheel.after(PULSE_MS, self._pulse)
 
     def write(self, line: Any, counts_as: Hashable = None) -> None:
-        """A line for all readers. One that counts as something is told, until the next such one, to
-        whoever comes."""
+        """Write a line for all readers.
+
+        With a key, it is current until the next line of that key, and sent to whoever comes.
+        """
         self.seq += 1
         if counts_as is not None:
             self._counting[counts_as] = line
@@ -164,7 +172,10 @@
                 reader.connection.write(data)
 
     def begin(self, reader: _Reader) -> None:
-        """What the reader lacks: the lines after its number where all are at hand, else what counts."""
+        """Send what a reader lacks.
+
+        The lines after its number where all are at hand, else the current ones.
+        """
         first = self._kept[0][0] if self._kept else self.seq + 1
         if reader.since == 0 or not first - 1 <= reader.since <= self.seq:
             head = {"seq": self.seq, "life": self.life, "whole": True}
@@ -177,7 +188,7 @@
                 reader.connection.write(data)
 
     def number(self, reader: _Reader) -> int:
-        """Of the last line that a reader was sent."""
+        """The number of the last line that a reader was sent."""
         return self.seq
 
     def _accept(self, _mask: int) -> None:
@@ -204,6 +215,7 @@
         self.loop.wheel.after(PULSE_MS, self._pulse)
 
     def close(self) -> None:
+        """Close the listener and all readers' connections."""
         self._closed = True
         self.loop.forget(self._listener)
         self._listener.close()
--- a/fawnwharf/zones/log.py
+++ b/fawnwharf/zones/log.py
@@ -1,4 +1,4 @@
-"""The operators' log of zones: one line of JSON for each event, on standard error."""
+"""The operators' log: one line of JSON for each event, on standard error."""
 
 import contextlib
 import sys
@@ -9,7 +9,7 @@
 
 
 def writer(member: str) -> Callable[[str, dict[str, Any]], None]:
-    """Writes an event and its fields, with the member's name and the time in UTC."""
+    """A function that writes an event and its fields, with the member's name and the time in UTC."""
     log = structlog.wrap_logger(
         structlog.PrintLogger(sys.stderr),
         processors=[
--- a/fawnwharf/zones/looking.py
+++ b/fawnwharf/zones/looking.py
@@ -1,4 +1,4 @@
-"""What operators' commands share: the files that name a fleet, a member's address, what its log tells."""
+"""Shared parts of operators' commands: a fleet's files, a member's address, the current lines of its log."""
 
 import json
 import socket
@@ -18,12 +18,13 @@
 
 
 def fail(text: str, status: int = 2) -> NoReturn:
+    """Print an error and exit with this status."""
     typer.echo(f"fawnwharf: {text}", err=True)
     raise typer.Exit(status)
 
 
 def files(path: str) -> tuple[s.Settings, s.Members]:
-    """Settings of zones and the members that they name; ends with status 2 where they can't be taken."""
+    """The settings of zones and the members that they name; exits with status 2 where they can't be taken."""
     try:
         settings = s.settings_from(Path(path).read_bytes())
         members = s.members_from((Path(path).parent / settings.members).read_bytes())
@@ -35,7 +36,10 @@
 
 
 def address(settings: s.Settings, members: s.Members, member: str) -> tuple[str, int]:
-    """Of a member's log, of the settings' own listener without a name; ends with status 2 for none."""
+    """The address of a member's log.
+
+    Without a name it is the settings' own listener. Exits with status 2 where there is none.
+    """
     try:
         if not member:
             if not settings.listen:
@@ -49,8 +53,10 @@
 
 
 def lines(place: tuple[str, int], keys: Iterable[str], within_s: float) -> dict[str, Any]:
-    """What counts of a member's log, the last line with each of these keys. Raises OSError where it can't be
-    read, ValueError for what is none."""
+    """The current lines of a member's log, the last one with each of these keys.
+
+    Raises OSError where the log can't be read, ValueError where a line is malformed.
+    """
     found: dict[str, Any] = {}
     with socket.create_connection(place, within_s) as sock:
         sock.sendall(b"since 0\n")
--- a/fawnwharf/zones/member.py
+++ b/fawnwharf/zones/member.py
@@ -1,12 +1,11 @@
-"""One front end as a member of the fleet: what it takes from the others' logs and what it writes into its
-own.
+"""The core of one member of the fleet: what it takes from others' logs, and what it writes into its own.
 
 Pure: lines, evidence, ticks and files come in with a time, and effects go out in order. A Keep has to be on
 disk before any later effect of the same list is carried out. The same core runs in `serve`, and by the
 thousand in virtual time.
 
-Two logs: one that everybody may follow (reports, the decided plan, a leader's word that it is the last) and,
-of voters only, one for the other voters (what the voting itself says).
+There are two logs: one that everybody may follow (reports, the decided plan, a leader's statement that it is
+the last) and, of voters only, one for the other voters (the consensus protocol itself).
 """
 
 from typing import Any
@@ -39,7 +38,10 @@
 
 
 class Member:
-    """Owns a member's part in the fleet: its view of the plan, and where it votes, its voter and judge."""
+    """Owns a member's part in the fleet.
+
+    Its view of the plan, and as a voter also the voter and the judge.
+    """
 
     def __init__(
         self,
@@ -52,8 +54,7 @@
         saved: m.Saved | None = None,
         saves: int = 0,
     ) -> None:
-        """A voter brings its identity, what its disk has kept and how often it was written; whoever brings
-        none only follows."""
+        """A voter brings its identity, its saved state and how often that was written; others only follow."""
         self.name, self.members, self.settings = name, members, settings
         self.identity, self.counts = identity, Counts()
         voting = settings.voting
@@ -77,6 +78,7 @@
 
     @property
     def zone(self) -> str:
+        """This member's zone; empty where it is on no list."""
         entry = self.members.named(self.name)
         return entry.zone if entry else ""
 
@@ -96,16 +98,11 @@
     # --- what comes in --------------------------------------------------------------------------
 
     def line(self, now_ms: float, sender: str, data: Any, ballots: bool) -> list[Effect]:
-        """One line of a member's log, or of its ballots. Raises LineFault for what no honest member
-        writes."""
-        try:
-            line = msgspec.convert(data, Line)
-        except msgspec.ValidationError as error:
-            raise LineFault(f"not a line of a member: {error}") from None
-        if line.fleet != self.members.fleet:
-            raise LineFault(f"of fleet {line.fleet}")
-        if line.sender != sender:
-            raise LineFault(f"says that it is {line.sender}, and is {sender}")
+        """Take one line of a member's log, or of its ballots.
+
+        Raises LineFault for what no correct member writes.
+        """
+        line = self._checked(sender, data)
         if self.members.named(sender) is None:
             self.counts.add("no member")
             return []
@@ -125,6 +122,18 @@
             )
         return [*self._given_out(now_ms), *self._heard(sender, line)]
 
+    def _checked(self, sender: str, data: Any) -> Line:
+        """The line, of this fleet and of its sender; raises LineFault for any other."""
+        try:
+            line = msgspec.convert(data, Line)
+        except msgspec.ValidationError as error:
+            raise LineFault(f"not a line of a member: {error}") from None
+        if line.fleet != self.members.fleet:
+            raise LineFault(f"of fleet {line.fleet}")
+        if line.sender != sender:
+            raise LineFault(f"says that it is {line.sender}, and is {sender}")
+        return line
+
     def _heard(self, sender: str, line: Line) -> list[Effect]:
         try:
             words = words_for(self.name, line.words) if line.words is not None else {}
@@ -167,7 +176,7 @@
         return self._voted(now_ms, self.voter.receive(now_ms, message))
 
     def take_members(self, now_ms: float, members: s.Members) -> list[Effect]:
-        """A later file of members; older ones and other fleets' are left aside."""
+        """Take a later file of members; older ones and other fleets' are ignored."""
         if members.fleet != self.members.fleet or members.number <= self.members.number:
             why = (
                 "of another fleet" if members.fleet != self.members.fleet else "not later than the one in use"
@@ -177,6 +186,7 @@
         return [Note("members taken", {"number": members.number, "members": len(members.members)})]
 
     def take_wishes(self, wishes: s.Wishes) -> list[Effect]:
+        """Take a later file of operators' requests."""
         if wishes.number <= self.wishes.number:
             return []
         self.wishes = wishes
@@ -188,7 +198,7 @@
     def tick(
         self, now_ms: float, seen: dict[str, Seen], sizes: dict[str, float], roster_ms: float
     ) -> list[Effect]:
-        """Whatever has come due; `seen`, `sizes` and `roster_ms` are for the next report."""
+        """Do what is due; `seen`, `sizes` and `roster_ms` are for the next report."""
         effects: list[Effect] = []
         if now_ms >= self.report_due_ms:
             effects.append(self._report(now_ms, seen, sizes, roster_ms))
@@ -202,8 +212,10 @@
         return effects + self._given_out(now_ms)
 
     def changed(self, now_ms: float) -> None:
-        """What this front end sees of a zone has turned: say so soon, and not more often than three times
-        as fast as the pace of reports."""
+        """Take that this front end's view of a zone changed, and report it soon.
+
+        Such reports come at most three times as fast as usual.
+        """
         soon = now_ms + self.settings.evidence.report_ms / 3
         self.report_due_ms = min(self.report_due_ms, soon)
 
@@ -268,7 +280,7 @@
         return True
 
     def seat(self, now_ms: float) -> Seat:
-        """How its voter stands to changes of the registers."""
+        """The state of its voter, for those that change registers."""
         voter = self.voter
         if voter is None or not voter.is_leader:
             return Seat()
@@ -278,7 +290,7 @@
         return Seat(voter.saved.term, fresh, settled, policy, recovery, voter.saved.voters)
 
     def put(self, now_ms: float, text: str, kind: str = POLICY) -> tuple[bool, list[Effect]]:
-        """Put a register to the vote; False where it never came into the log."""
+        """Propose a register to the consensus log; False where it never came into the log."""
         if self.voter is None:
             return False, []
         index, actions = self.voter.propose(now_ms, text, kind)
@@ -325,9 +337,10 @@
     def _reconcile(self, now_ms: float) -> list[Effect]:
         """Bring the list of voters to what the file of members wants, one at a time.
 
-        A voter that comes with another disk than the one in the list is another voter: what the old one said
-        may still count, and what it had promised is not known to the new one. The old one goes, then the new
-        one comes."""
+        A voter with another disk than the one on the list is another voter: what the old one said may still
+        count, and the new one does not know what it had promised. The old one is taken off, then the new one
+        is added.
+        """
         now = self.voter.saved.voters
         wanted = {member.name for member in self.members.voters}
         present = {
--- a/fawnwharf/zones/plan.py
+++ b/fawnwharf/zones/plan.py
@@ -1,7 +1,7 @@
-"""Plans: what the fleet has decided about its zones, and what follows from one for a front end.
+"""Plans: what the fleet has decided about its zones, and what follows from a plan for a front end.
 
-Pure values and functions, the same at every front end that holds the same plan. Sizes are in scorers' units;
-flows and admissions are parts of one.
+Pure values and functions, with equal results at all front ends that hold the same plan. Sizes are in scorers'
+units; flows and admissions are parts of one.
 """
 
 import hashlib
@@ -23,6 +23,8 @@
 
 
 class Zone(Struct, frozen=True):
+    """The decided state of one zone."""
+
     state: State = SERVING
     share: Share = 1.0  # of its scorers that are open; below one while it returns
     spill: Share = 0.5  # of its size that may come from front ends of zones that do not serve
@@ -47,11 +49,12 @@
     apart: Annotated[tuple[tuple[Name, Name], ...], Meta(max_length=400)] = ()
 
     def encode(self) -> str:
+        """The plan as JSON text."""
         return msgspec.json.encode(self, order="sorted").decode()
 
 
 def plan_from(text: str) -> Plan:
-    """A plan that a front end may follow; raises PlanFault."""
+    """Parse a plan that a front end may follow; raises PlanFault."""
     try:
         plan = msgspec.json.decode(text.encode(), type=Plan)
     except (msgspec.DecodeError, RecursionError) as error:
@@ -67,7 +70,7 @@
 
 
 def spilling(plan: Plan, most: dict[str, float]) -> Plan:
-    """The plan with no more spill by zone than this."""
+    """The plan with no more spillover by zone than this."""
     zones = {
         name: msgspec.structs.replace(zone, spill=min(zone.spill, most.get(name, 1.0)))
         for name, zone in plan.zones.items()
@@ -91,9 +94,9 @@
 def flows(plan: Plan) -> dict[str, dict[str, float]]:
     """What each zone that does not fully serve sends to each other one, in sizes.
 
-    A zone's part that is not open is displaced. It goes to its region first, then to the world; each zone
-    takes no more than its limit of all together, and displaced zones share what a tier has by their
-    needs."""
+    The part of a zone that is not open is displaced. It goes to its region first, then to the world; each
+    zone takes no more than its limit in total, and displaced zones share a tier's capacity by their needs.
+    """
     need = {name: zone.size * (1.0 - zone.open) for name, zone in plan.zones.items() if zone.open < 1.0}
     room = {name: zone.spill * zone.size * zone.open for name, zone in plan.zones.items()}
     for name, zone in plan.zones.items():
@@ -123,7 +126,7 @@
 
 
 def admission(plan: Plan, zone: str) -> float:
-    """The part of what comes to a zone's front ends that may be served; the rest is refused at once."""
+    """The part of a zone's calls that may be served; the rest is refused at once."""
     mine = plan.zones.get(zone)
     if mine is None or mine.open >= 1.0 or mine.size <= 0:
         return 1.0
@@ -131,7 +134,7 @@
 
 
 def open_zones(plan: Plan, zone: str) -> set[str] | None:
-    """The zones whose scorers a front end of a zone may use; None where the plan says nothing of its zone."""
+    """The zones whose scorers a front end of a zone may use; None where the plan does not name its zone."""
     mine = plan.zones.get(zone)
     if mine is None:
         return None
--- a/fawnwharf/zones/probes.py
+++ b/fawnwharf/zones/probes.py
@@ -1,4 +1,4 @@
-"""Dials into zones from which too few signs come, and the look at what all signs amount to."""
+"""Probes of zones with too little evidence, and the periodic look at what all evidence amounts to."""
 
 from collections.abc import Callable, Iterable
 
@@ -16,9 +16,10 @@
 
 
 class _Probe:
-    """One dial into a zone, which tells whether somebody listens there, and goes on doing so for a moment.
+    """One connection to a scorer, which tells whether it is accepted and stays open for a moment.
 
-    Guards against what stands before a dead scorer and takes its connections, only to end them."""
+    Guards against what stands before a dead scorer and accepts its connections only to close them.
+    """
 
     def __init__(self, wheel: Wheel, told: Callable[[bool], None]) -> None:
         self.connection: Connection | None = None
@@ -31,6 +32,7 @@
             told(good)
 
     def on_up(self) -> None:
+        """Wait for a moment whether it stays."""
         self._wheel.after(HELD_MS, self._held)
 
     def _held(self) -> None:
@@ -38,16 +40,21 @@
             self._tell(True)
             self.connection.close(End.IDLE)
 
-    def on_data(self, data: bytes) -> None: ...
+    def on_data(self, data: bytes) -> None:
+        """Nothing is expected."""
+        ...
 
-    def on_flushed(self) -> None: ...
+    def on_flushed(self) -> None:
+        """Nothing is sent."""
+        ...
 
     def on_end(self, end: End) -> None:
+        """The probe has failed."""
         self._tell(False)
 
 
 class Probes:
-    """Owns which zones are dead for this front end, and whom it dials next in each."""
+    """Owns which zones are dead for this front end, and whom it probes next in each."""
 
     def __init__(
         self,
@@ -67,11 +74,14 @@
         self._stopped = False
 
     def close(self) -> None:
+        """Stop probing."""
         self._stopped = True
 
     def look(self) -> None:
-        """Dial into each zone that gives no good sign: what is closed must be seen to come back, and what
-        falls silent must be seen to be gone. Goes on by itself from then on."""
+        """Probe each zone without a recent success, and go on doing so.
+
+        A closed zone must be seen to come back, and one that falls silent must be seen to be gone.
+        """
         if self._stopped:
             return
         now = monotonic_ms()
--- a/fawnwharf/zones/roster.py
+++ b/fawnwharf/zones/roster.py
@@ -1,8 +1,9 @@
 """What a plan closes, and what of the roster it is made from. Pure.
 
 The plan is laid over the roster (`net/overlay.py`): a scorer that it closes is told as one that drains, so
-the module's own rules on drains, repeats and cold scorers hold through every change of plan. What the plan
-is made from is the roster as told, whatever is closed at the moment: a zone that is out keeps its size.
+that the decision module's own rules on drains, repeats and slow start hold through every change of plan. The
+plan itself is made from the roster as told, whatever is closed at the moment: a zone that is out keeps its
+size.
 """
 
 from collections.abc import Iterable
@@ -13,7 +14,7 @@
 
 
 def closer(plan: p.Plan | None, zone: str) -> Closer | None:
-    """What this plan closes for a front end of this zone; None without a plan."""
+    """The predicate of scorers that this plan closes for a front end of this zone; None without a plan."""
     if plan is None:
         return None
     zones = p.open_zones(plan, zone)
@@ -27,7 +28,7 @@
 
 
 def sizes(members: Iterable[Member]) -> dict[str, float]:
-    """What is in service in each zone, in units, as the change log tells."""
+    """The units in service in each zone, as the change log tells."""
     found: dict[str, float] = {}
     for member in members:
         if member.phase == "in_service":
@@ -36,7 +37,7 @@
 
 
 def in_zone(members: Iterable[Member], zone: str) -> list[Member]:
-    """The zone's scorers that are in service for the change log, whatever closes them, in a fixed order."""
+    """The zone's scorers that are in service by the change log, whatever closes them, in a fixed order."""
     found = [m for m in members if m.locality == zone and m.phase == "in_service"]
     return sorted(found, key=lambda member: member.id)
 
--- a/fawnwharf/zones/service.py
+++ b/fawnwharf/zones/service.py
@@ -1,10 +1,12 @@
-"""Zones in a running front end: its part in the fleet's logs, its disk, its files, and the seam to the
-module."""
+"""Zones in a running front end.
+
+Its part in the fleet's logs, its disk and files, and the seam to the module.
+"""
 
 import time
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any, Protocol
+from typing import Any
 
 import msgspec
 
@@ -36,6 +38,7 @@
 from fawnwharf.zones.member import Member
 from fawnwharf.zones.plan import Plan, spilling
 from fawnwharf.zones.probes import Probes
+from fawnwharf.zones.rider import Rider
 
 FILES_MS = 500.0  # pace of the look at the files
 READERS_SPARE = 16  # beyond the members, for operators
@@ -45,25 +48,11 @@
 Write = Callable[[str, dict[str, Any]], None]
 
 
-class Rider(Protocol):
-    """Another subsystem that goes by these logs and by the voters' decisions. None of these may raise."""
-
-    def heard(self, sender: str, words: tuple[Any, ...], standing: Any) -> None:
-        """Words of another member's rider; `standing`, where it is told, is how that stands."""
-
-    def decided(self, text: str) -> None:
-        """The voters' log decided this register of its kind."""
-
-    def turned(self) -> None:
-        """Something was carried out: the voter may lead, or not lead any more."""
-
-    def members_taken(self) -> None:
-        """There is a later list of members."""
-
-
 class Zones:
-    """Owns this front end's membership: the core, its servers and feeds, its timers; a Seam of the
-    front end."""
+    """Owns this front end's membership.
+
+    The core, its servers and feeds, its timers; a Seam of the front end.
+    """
 
     def __init__(self, deployment: Deployment, path: str | Path, write: Write) -> None:
         """Reads and checks all files; raises ConfigError with one line. `write` takes structured notes."""
@@ -77,27 +66,13 @@
         self._wishes_file = WatchedFile(wishes)
         members = load(self._members_file.path, s.members_from, "zones")
         self._members_file.changed()
-        entry = members.named(deployment.name)
-        if entry is None:
-            raise ConfigError(
-                f"zones: {deployment.name} is not among the members of {self._members_file.path}"
-            )
-        if entry.zone != deployment.settings.zone:
-            told = deployment.settings.zone
-            raise ConfigError(
-                f"zones: {entry.name} is of zone {entry.zone}, and its configuration says {told}"
-            )
-        self.entry, self.folder, self.disk = entry, folder, None
-        if entry.ballots:
-            try:
-                self.disk = Disk(folder, members.fleet, entry.name)
-            except DiskError as error:
-                raise ConfigError(f"zones: {error}") from None
+        self.entry, self.folder = self._own_entry(members), folder
+        self.disk = self._open_disk(members.fleet) if self.entry.ballots else None
         now = monotonic_ms()
         identity = self.disk.label.identity if self.disk else ""
-        saved = self.disk.saved if self.disk else None
-        saves = self.disk.number if self.disk else 0
-        self.core = Member(entry.name, members, self.settings, now, deployment.seed, identity, saved, saves)
+        kept = (self.disk.saved, self.disk.number) if self.disk else (None, 0)
+        name, seed = self.entry.name, deployment.seed
+        self.core = Member(name, members, self.settings, now, seed, identity, *kept)
         promise = min((c.promise_ms for c in deployment.settings.classes.values()), default=1_000.0)
         self.observer = Observer(self.settings.evidence, promise)
         self._sold = sum(deployment.settings.quotas_rps.values())  # before any limit stands among them
@@ -118,10 +93,28 @@
         self.public: LogServer | None = None
         self.ballots: LogServer | None = None
 
+    def _own_entry(self, members: s.Members) -> s.MemberEntry:
+        """This front end among the members; raises ConfigError where it is none, or of another zone."""
+        deployment = self.deployment
+        entry = members.named(deployment.name)
+        if entry is None:
+            place = self._members_file.path
+            raise ConfigError(f"zones: {deployment.name} is not among the members of {place}")
+        if entry.zone != deployment.settings.zone:
+            zones = f"zone {entry.zone}, and its configuration says {deployment.settings.zone}"
+            raise ConfigError(f"zones: {entry.name} is of {zones}")
+        return entry
+
+    def _open_disk(self, fleet: str) -> Disk:
+        try:
+            return Disk(self.folder, fleet, self.entry.name)
+        except DiskError as error:
+            raise ConfigError(f"zones: {error}") from None
+
     # --- life -----------------------------------------------------------------------------------
 
     def attach(self, front: FrontEnd) -> None:
-        """Begin, on the front end's loop."""
+        """Begin on the front end's loop."""
         self.front = front
         most = len(self.core.members.members) + READERS_SPARE
         self.public = self._server("listen", self.settings.listen or self.entry.address, most)
@@ -151,6 +144,7 @@
             raise ConfigError(f"zones.{key}: {error.strerror}: {place}") from None
 
     def close(self) -> None:
+        """Stop: close the probes, feeds, servers and the disk."""
         self._stopped = True
         if self.probes:
             self.probes.close()
@@ -163,11 +157,13 @@
             self.disk.close()
 
     def note(self, event: str, fields: dict[str, Any]) -> None:
+        """Write an event to the operators' log."""
         self._write(event, fields)
 
     # --- the seam -------------------------------------------------------------------------------
 
     def told(self, fleet: Fleet) -> None:
+        """Take changes of the roster, as the change log tells them."""
         self._told_ms = monotonic_ms()
         for member in fleet.members:
             if member.locality:
@@ -175,9 +171,11 @@
 
     @property
     def busy(self) -> bool:
+        """Nothing here keeps a leaving front end up."""
         return False
 
     def events(self, events: list[io.Event]) -> None:
+        """Take the batch's evidence on zones."""
         now = monotonic_ms()
         for event in events:
             if isinstance(event, io.AttemptEnded | io.OrderAnswered) and event.worker in self._zone_of:
@@ -185,8 +183,10 @@
                 self.observer.ended(now, zone, event.worker, event.ending, event.took_ms)
 
     def limits(self, sold_rps: float, spill: dict[str, float]) -> None:
-        """What a policy says of quotas, all together, and of spill by zone; it counts where it is stricter
-        than the plan."""
+        """Take a policy's total quota and spillover by zone.
+
+        They count where they are stricter than the plan.
+        """
         if (sold_rps, spill) != (self._sold, self._spill):
             self._sold, self._spill = sold_rps, spill
             if self._followed is not None:
@@ -249,33 +249,41 @@
             if isinstance(effect, Keep):
                 if not self._keep(effect):
                     return  # nothing that rests on it may be said
-            elif isinstance(effect, Publish):
-                line = effect.line
-                kind = "plan" if line.plan is not None else "report" if line.report is not None else None
-                self.public.write(msgspec.to_builtins(line), counts_as=kind)
-            elif isinstance(effect, Ballot):
-                if self.ballots:
-                    self.ballots.write(msgspec.to_builtins(effect.line))
+            elif isinstance(effect, Publish | Ballot):
+                self._write_out(effect)
             elif isinstance(effect, Follow):
                 self._go_by(effect)
             elif isinstance(effect, Note):
                 self._note_once(effect)
-            elif isinstance(effect, Heard):
-                if rider := self.riders.get(effect.rider):
-                    rider.heard(effect.sender, effect.words, effect.standing)
-            elif isinstance(effect, Ruled) and (rider := self.riders.get(effect.kind)):
-                rider.decided(effect.text)
+            elif isinstance(effect, Heard | Ruled):
+                self._pass_on(effect)
         for rider in list(self.riders.values()):
             rider.turned()
 
+    def _write_out(self, effect: Publish | Ballot) -> None:
+        line = effect.line
+        if isinstance(effect, Publish):
+            kind = "plan" if line.plan is not None else "report" if line.report is not None else None
+            self.public.write(msgspec.to_builtins(line), counts_as=kind)
+        elif self.ballots:
+            self.ballots.write(msgspec.to_builtins(line))
+
+    def _pass_on(self, effect: Heard | Ruled) -> None:
+        """Hand a client of the logs what is for it."""
+        if isinstance(effect, Heard):
+            if rider := self.riders.get(effect.rider):
+                rider.heard(effect.sender, effect.words, effect.standing)
+        elif rider := self.riders.get(effect.kind):
+            rider.decided(effect.text)
+
     # --- for riders -----------------------------------------------------------------------------
 
     def say(self, words: list[Word]) -> None:
-        """Words of a rider, by this member's log: voters hear all, the others hear the voters."""
+        """Send a client's messages by this member's log: voters hear all, the others hear the voters."""
         self._write_line(words=words)
 
     def stand(self, standing: Any, rider: str = POLICY) -> None:
-        """How a rider stands, told until its next such word to whoever comes."""
+        """Tell a client's status, to whoever comes, until its next one."""
         self._write_line(rider, **{rider: standing})
 
     def _write_line(self, counts_as: str | None = None, **parts: Any) -> None:
@@ -284,10 +292,11 @@
             self.public.write(msgspec.to_builtins(line), counts_as=counts_as)
 
     def seat(self, now_ms: float) -> Seat:
+        """The state of this member's voter; a blank one after its disk has failed."""
         return Seat() if self._failed else self.core.seat(now_ms)
 
     def put(self, text: str, kind: str = POLICY) -> bool:
-        """Put a register to the vote; False where it never came into the log."""
+        """Propose a register to the consensus log; False where it never came into the log."""
         put, effects = self.core.put(monotonic_ms(), text, kind)
         self._carry_out(effects)
         self._set_timer()
--- a/fawnwharf/zones/settings.py
+++ b/fawnwharf/zones/settings.py
@@ -1,5 +1,4 @@
-"""The files that operators write for zones: settings, members and wishes. Pure: bytes in, values or one line
-out.
+"""The operators' files for zones: settings, members and requests. Pure.
 
 Each is JSON, taken whole or not at all; a faulty one raises FileFault, whose text names the key. Durations
 are milliseconds, shares are parts of one.
@@ -25,7 +24,7 @@
 
 
 class MemberEntry(Struct, frozen=True):
-    """One front end: where its log is followed, and where a voter's ballots are."""
+    """One front end: the address of its log, and of its ballots where it votes."""
 
     name: Name
     zone: Name
@@ -36,7 +35,7 @@
 
 
 class Members(Struct, frozen=True):
-    """Who belongs to the fleet. A later file has a larger number."""
+    """The members of the fleet; a later file has a larger number."""
 
     version: int
     fleet: Name
@@ -45,6 +44,7 @@
 
     @property
     def voters(self) -> list[MemberEntry]:
+        """The members that vote."""
         return [member for member in self.members if member.ballots]
 
     @property
@@ -53,11 +53,12 @@
         return {member.zone: member.region for member in self.members}
 
     def named(self, name: str) -> MemberEntry | None:
+        """The member of this name; None for an unknown one."""
         return next((member for member in self.members if member.name == name), None)
 
 
 class Evidence(Struct, frozen=True):
-    """When what is seen of a zone counts, and for what."""
+    """When evidence on a zone counts, and for what."""
 
     window_ms: Span = 2_000.0  # what was seen longer ago is forgotten
     least: Annotated[int, Meta(ge=1)] = 3  # signs that a view of a zone rests on
@@ -83,7 +84,7 @@
 
 
 class Ramp(Struct, frozen=True):
-    """How a zone is taken back: what part of its scorers, and for how long each."""
+    """How a zone returns: what parts of its scorers, and for how long each."""
 
     shares: Annotated[tuple[Share, ...], Meta(min_length=1, max_length=20)] = (0.25, 0.5, 0.75)
     step_ms: Span = 3_000.0
@@ -97,6 +98,8 @@
 
 
 class Voting(Struct, frozen=True):
+    """Times of the consensus protocol, and the part by which clocks' rates may differ."""
+
     beat_ms: Span = 150.0
     election_ms: Span = 1_000.0
     skew: Annotated[float, Meta(ge=0.0, le=0.5)] = 0.1
@@ -105,7 +108,7 @@
 
 
 class Settings(Struct, frozen=True):
-    """The one file that switches zones on. Relative paths are from its own folder."""
+    """The file that switches zones on; relative paths are from its own folder."""
 
     version: int
     members: str
@@ -121,7 +124,7 @@
 
 
 class Wishes(Struct, frozen=True):
-    """What an operator asks: these zones drained. A later wish has a larger number."""
+    """An operator's request: these zones drained. A later one has a larger number."""
 
     version: int = VERSION
     number: Annotated[int, Meta(ge=0)] = 0
@@ -143,7 +146,10 @@
 
 
 def members_from(data: bytes | Any) -> Members:
-    """A file of members, checked. Voters are spread: no zone goes without while another has two."""
+    """Parse a file of members and check it; raises FileFault.
+
+    Voters are spread: no zone goes without one while another has two.
+    """
     members: Members = _read(data, Members, "members")
     seen: dict[str, int] = {}
     used: dict[str, int] = {}
@@ -170,6 +176,7 @@
 
 
 def settings_from(data: bytes | Any) -> Settings:
+    """Parse and check the settings; raises FileFault."""
     settings: Settings = _read(data, Settings, "settings")
     if list(settings.ramp.shares) != sorted(settings.ramp.shares):
         raise FileFault("ramp.shares: not in rising order")
@@ -187,7 +194,10 @@
 
 
 def wishes_from(data: bytes | Any, zones: set[str]) -> Wishes:
-    """Wishes that name zones of the fleet, and leave one that serves."""
+    """Parse requests: they may name zones of the fleet, and have to leave one that serves.
+
+    Raises FileFault.
+    """
     wishes: Wishes = _read(data, Wishes, "wishes")
     for n, zone in enumerate(wishes.drained):
         if zone not in zones:
