--- a/fawnwharf/handover/__init__.py
+++ b/fawnwharf/handover/__init__.py
@@ -1,1 +1,1 @@
-"""Hand-over: at which site a session is at home, and how that changes. Pure cores."""
+"""Migration of sessions between zones: at which zone a session is placed, and how that changes. Pure."""
--- a/fawnwharf/handover/explore.py
+++ b/fawnwharf/handover/explore.py
@@ -1,11 +1,13 @@
-"""A model checker for hand-overs: every order of messages, losses, repeats, time-outs and kills, to a depth.
-
-The cores are the real ones: three keepers, and front ends of two or three sites with a mover and a router
-each, about one session. Time is taken out in the harshest way: whoever waits may run out of patience at any
-moment, and only what rests on a wait of a keeper that started anew (no round that it took part in before
-counts any more) is kept in step with it. Message loss is a message that never comes. A hand-over takes some
-twenty five messages, so searches go in two ways: all of them each by itself, not as deep, and with answers
-that come at once or never (`at_once`), through whole hand-overs.
+"""Model checker for migrations.
+
+Every interleaving of messages, losses, repeats, time-outs and kills, to a depth.
+
+The cores are the real ones: three placement replicas, and front ends of two or three zones with a coordinator
+and a router each, around one session. Time is modelled in the harshest way: whoever waits may time out at any
+moment; only what depends on the wait of a restarted replica (no round that it took part in before counts any
+more) is kept in step with it. A lost message is one that never comes. A migration takes about twenty-five
+messages, so searches go in two ways: all interleavings, less deep; and through whole migrations, with answers
+that come at once or never (`at_once`).
 """
 
 from collections import deque
@@ -14,8 +16,9 @@
 
 from fawnwharf.handover import messages as m
 from fawnwharf.handover.homes import Keeper
+from fawnwharf.handover.in_use import OpenCall, Seen
 from fawnwharf.handover.mover import ASKING, SETTLING, SWITCHING, Hand, Mover
-from fawnwharf.handover.router import Router, _Call, _Seen
+from fawnwharf.handover.router import Router
 from fawnwharf.handover.settings import Settings
 from fawnwharf.handover.world import Bounds, Found, Kinds, World, path_to, use
 from fawnwharf.sites import Home, LetGo, Move, Session, Stage
@@ -51,6 +54,7 @@
         self.start = World(keepers, fronts, standing=frozenset({"x"}))
 
     def search(self) -> Found:
+        """Search all states within the bounds, or up to the first one that is broken."""
         found = Found()
         seen = {self.start}
         parents: dict[World, tuple[World, str]] = {}
@@ -111,9 +115,9 @@
             mover.hands[SESSION] = Hand(**values)
         router = self.kinds.router(name, self.sites[name], RULES, _placed, 0.0, fresh, life)
         if home is not None:
-            router.homes[SESSION] = _Seen(home, 0.0, 0.0, dict(under) or None, asks, whence)
+            router.homes[SESSION] = Seen(home, 0.0, 0.0, dict(under) or None, asks, whence)
             router._at(home, 1)
-        router.calls = {call: _Call(SESSION, number, LATER_MS, True) for call, number in calls}
+        router.calls = {call: OpenCall(SESSION, number, LATER_MS, True) for call, number in calls}
         if staged:
             router.staged["row"] = {(SESSION, turn): (LATER_MS, number) for turn, number in staged}
         return mover, router
@@ -141,7 +145,20 @@
     # --- steps ------------------------------------------------------------------------------------
 
     def _steps(self, world: World) -> Iterator[tuple[str, World]]:
-        patience, keeper_kills, front_kills, calls, repeats = world.used
+        """All that may happen next, by a label each, and the states after it."""
+        yield from self._arrivals(world)
+        if world.wished < len(self.bounds.wishes):
+            yield self._wish(world)
+        for name, frozen in zip(self.names, world.fronts, strict=True):
+            if frozen is not None:
+                yield from self._of_front(world, name, frozen)
+        for name, frozen in zip(self.names, world.fronts, strict=True):
+            if frozen is None:
+                yield f"{name} comes back", self._return(world, name)
+        yield from self._of_keepers(world)
+
+    def _arrivals(self, world: World) -> Iterator[tuple[str, World]]:
+        repeats = world.used[4]
         for message in sorted(world.flying, key=repr):
             to, sender, what = message
             label = f"{sender} to {to}: {what!r}"
@@ -154,37 +171,36 @@
                 yield label + ", its answer is lost", after
             if repeats < self.bounds.repeats:
                 yield label + ", to come again", self._deliver(use(world, 4), to, sender, what)
-        if world.wished < len(self.bounds.wishes):
-            name, whither, haste = self.bounds.wishes[world.wished]
-            after = replace(world, wished=world.wished + 1)
-            home = self._home_at(world, name)
-            if home is None or home.site == whither:
-                yield f"{name} has nothing to wish", after
-            else:
-                move = Move(SESSION, home.site, whither, 0.0, 1.0, "")
-                step = self._as_mover(lambda mv: mv.begin(0.0, move, home.number, 1, haste))
-                yield f"{name} begins {home.site} to {whither}", self._at(after, name, step)
-        for name, frozen in zip(self.names, world.fronts, strict=True):
-            if frozen is None:
-                continue
-            if patience < self.bounds.patience and frozen[1] is not None:
-                step = self._as_mover(lambda mv: mv.tick(LATER_MS))
-                yield f"{name} runs out of patience", self._at(use(world, 0), name, step)
-            if calls < self.bounds.calls:
-                yield f"{name} begins a call", self._call(use(world, 3), name, f"c{calls}")
-            for call, _ in frozen[7]:
-                yield f"{call} ends", self._at(world, name, lambda _mv, ro, c=call: ro.ended(0.0, c))
-            if front_kills < self.bounds.front_kills:
-                yield f"{name} is killed", self._kill(use(world, 2), name)
-            if front_kills and frozen[1] is None and patience < self.bounds.patience:
-                step = self._as_mover(lambda mv: mv.resume(0.0, "k0", m.Resume(SESSION)))
-                yield f"{name} stands in", self._at(use(world, 0), name, step)
-        for name, frozen in zip(self.names, world.fronts, strict=True):
-            if frozen is None:
-                yield f"{name} comes back", self._return(world, name)
+
+    def _wish(self, world: World) -> tuple[str, World]:
+        name, whither, haste = self.bounds.wishes[world.wished]
+        after = replace(world, wished=world.wished + 1)
+        home = self._home_at(world, name)
+        if home is None or home.site == whither:
+            return f"{name} has nothing to wish", after
+        move = Move(SESSION, home.site, whither, 0.0, 1.0, "")
+        step = self._as_mover(lambda mv: mv.begin(0.0, move, home.number, 1, haste))
+        return f"{name} begins {home.site} to {whither}", self._at(after, name, step)
+
+    def _of_front(self, world: World, name: str, frozen: tuple) -> Iterator[tuple[str, World]]:
+        patience, _, front_kills, calls, _ = world.used
+        if patience < self.bounds.patience and frozen[1] is not None:
+            step = self._as_mover(lambda mv: mv.tick(LATER_MS))
+            yield f"{name} runs out of patience", self._at(use(world, 0), name, step)
+        if calls < self.bounds.calls:
+            yield f"{name} begins a call", self._call(use(world, 3), name, f"c{calls}")
+        for call, _ in frozen[7]:
+            yield f"{call} ends", self._at(world, name, lambda _mv, ro, c=call: ro.ended(0.0, c))
+        if front_kills < self.bounds.front_kills:
+            yield f"{name} is killed", self._kill(use(world, 2), name)
+        if front_kills and frozen[1] is None and patience < self.bounds.patience:
+            step = self._as_mover(lambda mv: mv.resume(0.0, "k0", m.Resume(SESSION)))
+            yield f"{name} stands in", self._at(use(world, 0), name, step)
+
+    def _of_keepers(self, world: World) -> Iterator[tuple[str, World]]:
         for place, name in enumerate(KEEPERS):
             _, sure, _, life, hearing = world.keepers[place]
-            if keeper_kills < self.bounds.keeper_kills and sure:
+            if world.used[1] < self.bounds.keeper_kills and sure:
                 blank = (m.Record(), False, frozenset(KEEPERS) - {name}, life + 1, None)
                 after = self._with_keeper(use(world, 1), place, self._kept(self._keeper(name, blank)))
                 yield f"{name} is killed and starts anew", after
--- a/fawnwharf/handover/hand.py
+++ b/fawnwharf/handover/hand.py
@@ -1,4 +1,4 @@
-"""One hand-over as a mover has it in hand. Values alone; times are milliseconds of the mover's clock."""
+"""The state of one migration at its coordinator. Values alone; times are milliseconds of its clock."""
 
 from dataclasses import dataclass, field
 
@@ -12,7 +12,7 @@
 
 @dataclass(slots=True)
 class Hand:
-    """One hand-over that this mover has in hand."""
+    """One migration that this coordinator drives."""
 
     session: Session
     whence: str
--- a/fawnwharf/handover/homes.py
+++ b/fawnwharf/handover/homes.py
@@ -1,18 +1,20 @@
-"""One keeper of homes: what it promises and grants to movers, and when it may at all.
+"""One replica of session placements: what it promises and accepts, and when it may do so at all.
 
 Pure; times are milliseconds of its own clock, which is never compared with another's. Each number of a
-session is decided by single-decree Paxos (Lamport 1998) among its three keepers, a zone each: a mover that
-has two promises may ask for the switch, and two grants decide it. What two keepers may have granted already,
-the next turn finds at one of them and completes, so a number is decided once whoever asks.
-
-All that holds as long as no keeper forgets. One that has started anew neither promises nor grants until
-nobody may rest on its former words any more and it has then heard all that its fellows hold; or, where they
-forgot as well, until every home in use was told again by the front ends that use it (`window_ms`).
-
-Keepers are those of a list of members, and grant by that alone: a turn by another list is not heard. After a
-change of the list they hear those of the one before it, each as it is once it has changed over itself. Where
-all of them in most zones did, no two of a session's three are left that could grant by the earlier list, and
-what was granted by it at least one of those that were heard holds.
+session is decided by single-decree Paxos (Lamport 1998) among the session's three replicas, a zone each: a
+coordinator with two promises may ask for the switch, and two grants decide it. What two replicas may have
+granted already, the next ballot finds at one of them and completes, so a number is decided once, whoever
+asks.
+
+That holds as long as no replica forgets. One that has restarted neither promises nor grants until nobody may
+depend on its former answers any more and it has then received all that the other replicas hold; or, where
+they forgot as well, until every placement in use was reported again by the front ends that use it
+(`window_ms`).
+
+Replicas are chosen by a list of members, and grant by that list alone: a ballot by another list is ignored.
+After a change of the list they receive the state of the replicas before it, each once it has changed over
+itself. Where all of them in most zones did, no two of a session's three are left that could grant by the
+earlier list, and what was granted by it is held by at least one of those that were heard.
 """
 
 from collections.abc import Callable, Iterable
@@ -33,21 +35,22 @@
 
 
 def key_of(session: Session) -> str:
-    """By which a session's keepers and its mover are placed."""
+    """The key by which a session's replicas and its coordinator are placed."""
     return f"{session.org}\0{session.row}"
 
 
 def mover_of(session: Session, fronts: Iterable[str]) -> str:
-    """Of the front ends that are heard, the one that moves a session; with it gone, its stand-in."""
+    """The front end that coordinates a session's migration, of those that are heard; else its backup."""
     return max(sorted(fronts), key=lambda name: weight("mover", name, key_of(session)), default="")
 
 
 def merged(one: m.Record, other: m.Record) -> m.Record:
-    """Of two records of a session, what both together say.
+    """The join of two records of a session.
 
-    Each part is the larger one, and what is of a number that was decided since goes: a join of a semilattice,
-    so commutative, associative and idempotent. Two homes under one number are a fault; the one that is later
-    in the order of all records stands, at every keeper the same."""
+    Each part is the larger one, and what is of a number that was decided since is dropped: a join of a
+    semilattice, so commutative, associative and idempotent. Two placements under one number are a fault; the
+    one that is later in the order of all records stands, the same at every replica.
+    """
     first = max(one, other, key=lambda record: (record.number, record.site, record.whence, record.step))
     offers = [r.offer for r in (one, other) if r.offer and r.offer.number > first.number]
     grants = [r.grant for r in (one, other) if r.grant and r.grant.number > first.number]
@@ -63,17 +66,17 @@
 
 
 def contradicts(one: m.Record, other: m.Record) -> bool:
-    """Whether one number has two homes; must never be."""
+    """Whether one number has two placements, which must never be."""
     return one.number == other.number > 0 and one.site != other.site
 
 
 def is_open(record: m.Record) -> bool:
-    """Whether somebody has to go on with it."""
+    """Whether somebody has to go on with the migration."""
     return bool(record.offer or record.grant) or record.step is not m.Step.RELEASED
 
 
 class Keeper:
-    """Owns the homes that this front end keeps for the fleet."""
+    """Owns the placements that this front end stores for the fleet."""
 
     def __init__(
         self,
@@ -84,8 +87,10 @@
         life: int,
         fresh: bool = False,
     ) -> None:
-        """`fellows` are the other keepers of anything kept here. `fresh`: nothing was ever promised under
-        this name that is not here."""
+        """`fellows` are the other replicas of anything stored here.
+
+        `fresh`: nothing was ever promised under this name that is not here.
+        """
         self.name, self.settings, self.life = name, settings, life
         self.fellows = frozenset(fellows) - {name}
         self.records: dict[Session, tuple[m.Record, float]] = {}  # and when it was used: the oldest first
@@ -131,9 +136,12 @@
         number: int = 0,
         before: Before = (0, {}, 0),
     ) -> None:
-        """Other front ends keep homes by the list of this number. By the one `before` some may have
-        been granted that this one was never asked for: until it has heard that one's keepers, it neither
-        promises nor grants. Where too few of them are left, until every home in use was told again."""
+        """Take that replicas are now chosen by the list of this number.
+
+        By the list `before`, some may have been granted that this replica was never asked for: until it has
+        heard that list's replicas, it neither promises nor grants; where too few of them are left, until
+        every placement in use was reported again.
+        """
         sure = self.sure(now_ms)
         self.list, self.earlier, self._old = number, before[0] if sure else 0, before
         self._vouched = {self.name} if sure else set()
@@ -145,6 +153,7 @@
     # --- what is held -----------------------------------------------------------------------------
 
     def record(self, session: Session) -> m.Record:
+        """The record of a session; an empty one for an unknown session."""
         return self.records.get(session, (EMPTY, 0.0))[0]
 
     def _put(self, now_ms: float, session: Session, record: m.Record) -> bool:
@@ -194,7 +203,7 @@
     # --- movers -----------------------------------------------------------------------------------
 
     def ask(self, now_ms: float, sender: str, ask: m.Ask) -> list[m.Say]:
-        """Promise that nothing of an earlier turn will be granted, and say what is held."""
+        """Promise that nothing of an earlier ballot will be granted, and report what is held."""
         self._known(now_ms, ask.known)
         mine, sure = self.record(ask.session), self.sure(now_ms)
         yes = sure and ask.turn > mine.promised and not self._letting_go(now_ms, ask.session)
@@ -204,9 +213,10 @@
         return [self._word(sender, ask.session, ask.turn, 0, yes, sure, mine)]
 
     def switch(self, now_ms: float, sender: str, switch: m.Switch) -> list[m.Say]:
-        """Grant a number to a site, but not by a turn that is over, and no number twice.
+        """Grant a number to a zone, but not by a ballot that is over, and no number twice.
 
-        The number before it was decided, or nobody could ask for this one."""
+        The number before it was decided, or nobody could ask for this one.
+        """
         self._known(now_ms, switch.before)
         mine, sure = self.record(switch.session), self.sure(now_ms)
         number = switch.before.number + 1
@@ -227,7 +237,7 @@
         return m.Say((to,), m.Word(session, turn, number, yes, sure, record))
 
     def let(self, now_ms: float, sender: str, may: m.MayLetGo) -> list[m.Say]:
-        """Old copies may go, if nothing brings the session back there; till then no turn begins."""
+        """Let old copies go, if nothing brings the session back there; until then no ballot begins."""
         session = may.home.session
         self._known(now_ms, may.home)
         mine = self.record(session)
@@ -239,8 +249,10 @@
         return [m.Say((sender,), m.Let(session, may.home.number, yes, self._used_there(now_ms, may)))]
 
     def _used_there(self, now_ms: float, may: m.MayLetGo) -> bool:
-        """Whether another session that is in use is at home there: front ends tell that each quarter of
-        `still_ms`."""
+        """Whether another session of the function is placed there and in use.
+
+        Front ends report that each quarter of `still_ms`.
+        """
         still_ms = 1.25 * self.settings.still_ms
         for session in self._of_row.get(may.home.session.row, ()):
             record, used_ms = self.records[session]
@@ -254,14 +266,14 @@
         return session in self._letting
 
     def drop(self, now_ms: float, sender: str, drop: m.Drop) -> list[m.Say]:
-        """A mover withdraws its offer: no stand-in goes on with it."""
+        """Take that a coordinator withdraws its offer: no backup goes on with it."""
         mine = self.record(drop.session)
         if mine.offer is not None and mine.offer.turn == drop.turn:
             self._put(now_ms, drop.session, replace(mine, offer=None))
         return []
 
     def told(self, now_ms: float, sender: str, told: m.Told) -> list[m.Say]:
-        """What was decided. One that goes by less than is known here is told."""
+        """Take what was decided; a sender that knows less than is known here is told."""
         home, mine = told.home, self.record(told.home.session)
         if home.number < mine.number:
             return [m.Say((sender,), self._tell(home.session, mine))]
@@ -269,7 +281,7 @@
         return []
 
     def met(self, now_ms: float, sender: str, met: m.Met) -> list[m.Say]:
-        """A front end uses a session: it stays known, here and there, by the larger number."""
+        """Take that a front end uses a session: it stays known on both sides, by the larger number."""
         self._known(now_ms, met.home)
         mine = self.record(met.home.session)
         if met.home.session in self.records:
@@ -284,9 +296,10 @@
     # --- among keepers ----------------------------------------------------------------------------
 
     def tick(self, now_ms: float, fronts: Iterable[str] = ()) -> list[m.Say]:
-        """Whatever is due: the next pieces, wants, and what is open and has lost its mover.
+        """Do what is due: chunks and requests of state, and open migrations that have lost their coordinator.
 
-        `fronts` are those that are heard; without them no stand-in is called."""
+        `fronts` are the front ends that are heard; without them no backup is called.
+        """
         found: list[m.Say] = []
         if not self.sure(now_ms) and self._lapsed(now_ms):
             unheard = self._missing | (self._old[1].keys() - self._vouched - {self.name})
@@ -328,13 +341,16 @@
         return [m.Say((name,), m.Want(self.life, self._wants))]
 
     def want(self, now_ms: float, sender: str, want: m.Want) -> list[m.Say]:
-        """Another keeper wants all; a later want takes the place of an earlier one."""
+        """Take another replica's request for all state; a later request replaces an earlier one."""
         if sender in self.fellows:
             self._telling[sender] = (want.life, want.number, 0, list(self.records))
         return []
 
     def piece(self, now_ms: float, sender: str, piece: m.Piece) -> list[m.Say]:
-        """Take a part; one that is missing, repeated or of another life ends nothing and adds nothing."""
+        """Take a chunk of state.
+
+        One that is missing, repeated or of another incarnation ends nothing and adds nothing.
+        """
         number, part, _ = self._hearing.get(sender, (0, 0, 0.0))
         if piece.life != self.life or (piece.number, piece.part) != (number, part):
             self._count("a piece out of place")
@@ -357,7 +373,7 @@
         return not isinstance(message, m.Ask | m.Switch | m.MayLetGo) or message.list == self.list
 
     def receive(self, now_ms: float, sender: str, message: m.Message) -> list[m.Say]:
-        """Any message; those that are not for a keeper are dropped."""
+        """Take any message; those that are not for a replica are dropped."""
         if not self._goes_by(message):
             self._count("asked by another list")
             return []
--- a/fawnwharf/handover/many.py
+++ b/fawnwharf/handover/many.py
@@ -1,8 +1,8 @@
-"""Many hand-overs at once: a site that is emptied within a time, what is left to end, and what does not
-bounce. Pure; times are milliseconds of one clock, worth and cost in one unit of the caller's choice.
+"""Many migrations at once: emptying a zone within a time, sessions left to end there, and hysteresis. Pure.
 
-Nothing here decides a home: it says which hand-overs to begin, and takes in how they ended. What of a quota
-was taken goes along as counts by who counted (`router.spent`), so that no call is taken twice.
+Times are milliseconds of one clock, worth and cost in one unit of the caller's choice. Nothing here decides a
+placement: it says which migrations to begin, and takes how they ended. What was used of a quota goes along as
+counters by who counted (`router.spent`), so that no call is counted twice.
 """
 
 from collections.abc import Callable, Iterable
@@ -18,7 +18,10 @@
 
 
 class Live(Struct, frozen=True):
-    """A session at the site: what a late first call would cost, what its move costs, how long it may last."""
+    """A session at the zone.
+
+    What a late first call would cost, what its migration costs, how long it may last.
+    """
 
     session: Session
     worth: float
@@ -27,7 +30,7 @@
 
 
 class Begin(Struct, frozen=True):
-    """Begin this hand-over; `number` of the home that it has."""
+    """Begin this migration; `number` is that of the placement that it has."""
 
     move: Move
     number: int
@@ -35,7 +38,7 @@
 
 
 class Leave(Struct, frozen=True):
-    """It is left to end where it is."""
+    """The session is left to end where it is."""
 
     session: Session
     why: str
@@ -49,14 +52,14 @@
 
 
 class Dwell:
-    """Owns when sessions moved last, so that none bounces (hysteresis). Bounded: the oldest go first."""
+    """Owns when sessions were last moved, so that none bounces (hysteresis). Bounded: the oldest go first."""
 
     def __init__(self, settings: DrainSettings) -> None:
         self.settings = settings
         self._last: dict[Session, _Last] = {}
 
     def moved(self, now_ms: float, session: Session, whence: str, whither: str) -> None:
-        """One that returns whence it came within `bounce_ms` stays twice as long as the last time."""
+        """Take a move; a session that returns within `bounce_ms` stays twice as long as the last time."""
         rules, before = self.settings, self._last.pop(session, None)
         back = before is not None and before.whence == whither and now_ms - before.at_ms < rules.bounce_ms
         dwell = min(rules.dwell_most_ms, 2 * before.dwell_ms) if back else rules.dwell_ms
@@ -65,12 +68,12 @@
         self._last[session] = _Last(now_ms, whence, dwell)
 
     def left_ms(self, now_ms: float, session: Session) -> float:
-        """For so long it stays where it is, but in haste."""
+        """For how long a session stays where it is, except in haste."""
         last = self._last.get(session)
         return max(0.0, last.at_ms + last.dwell_ms - now_ms) if last else 0.0
 
     def may(self, now_ms: float, session: Session, here: float, there: float) -> bool:
-        """Whether one whose site is not lost may move to a better one, by what each costs it."""
+        """Whether a session whose zone is not lost may move to a better one, by what each costs it."""
         better = here - there >= self.settings.margin * max(abs(here), abs(there)) and there < here
         return better and not self.left_ms(now_ms, session)
 
@@ -86,7 +89,7 @@
 
 
 class Drain:
-    """Owns the emptying of one site."""
+    """Owns the emptying of one zone."""
 
     def __init__(
         self,
@@ -101,8 +104,10 @@
         prefers: Callable[[Session], str] = lambda _session: "",
         windows: Windows | None = None,
     ) -> None:
-        """`sessions`, each with its home's number; `room`: sessions that other sites can take. `haste`: the
-        site is dead. `prefers`: where a session goes first, if there is room."""
+        """`sessions` come with their placement's number; `room` is how many sessions other zones can take.
+
+        `haste`: the zone is dead. `prefers` gives the zone that a session should go to, if there is room.
+        """
         self.prefers = prefers
         self.windows = windows or Windows(settings.at_once, 0.0)
         self.site, self.settings, self.dwell, self.haste = site, settings, dwell, haste
@@ -132,10 +137,11 @@
 
     @property
     def done(self) -> bool:
+        """Whether nothing waits and nothing is in progress."""
         return not self.waiting and not self.going
 
     def tick(self, now_ms: float) -> list[Begin | Leave]:
-        """What to begin now, under the budgets; what is left once the time is too short."""
+        """What to begin now, within the budgets, and what is left there once the time is too short."""
         found: list[Begin | Leave] = list(self._news)
         self._news = []
         rules = self.settings
@@ -172,8 +178,10 @@
         return None, ""
 
     def _where(self, going: _Going) -> str:
-        """Where it prefers to be, else the site with the most room; but where it is, and what was tried
-        last if there is another."""
+        """The preferred zone, else the one with the most room.
+
+        Never the zone where it is, and the one that was tried last only if there is no other.
+        """
         able = [site for site, room in self.room.items() if room > 0 and site not in (self.site, going.at)]
         fresh = [site for site in able if site != going.whither] or able
         if (wish := self.prefers(going.live.session)) in fresh:
@@ -185,7 +193,10 @@
         return Leave(going.live.session, why)
 
     def ended(self, now_ms: float, home: Home, why: str) -> list[Leave]:
-        """A hand-over ended: the session is at home there. What is yet at the site tries again."""
+        """Take that a migration ended.
+
+        The session is placed there. If that is still the zone, it is tried again.
+        """
         going = self.going.pop(home.session, None)
         if going is None:
             return []
@@ -206,10 +217,12 @@
         return []
 
     def lost(self, now_ms: float, site: str, stands: bool, homes: dict[Session, Home]) -> list[Begin | Leave]:
-        """A new home failed half-way: what was moved there goes on to another one, or, while the old site
-        `stands` and no other has room, back there. `homes`: the last that is known of each.
+        """Take that a destination failed half-way.
 
-        Those whose switch is not decided are at the old site still; their hand-overs end by themselves."""
+        What was moved there goes on to another zone or, while the old zone `stands` and no other has room,
+        back. `homes` are the last known placements. Sessions whose switch is not decided are still at the old
+        zone; their migrations end by themselves.
+        """
         self.room.pop(site, None)
         found: list[Begin | Leave] = []
         for session in [session for session, at in self.moved.items() if at == site]:
--- a/fawnwharf/handover/measure.py
+++ b/fawnwharf/handover/measure.py
@@ -1,7 +1,7 @@
-"""Figures of hand-overs in virtual time: six front ends at three sites, 1 to 5 ms between any two.
+"""Measures migrations in virtual time: six front ends at three zones, 1 to 5 ms between any two.
 
-A drain's worth of sessions is handed over, 32 at a time, beside calls to them. CPU is that of all six front
-ends and of the simulation, on one core; bytes are those of messages as JSON, each copy counted.
+The sessions of one drain are moved, 32 at a time, beside calls to them. CPU is that of all six front ends and
+of the simulation, on one core; bytes are those of messages as JSON, each copy counted.
 """
 
 import time
@@ -96,7 +96,7 @@
 
 
 def memory(count: int) -> tuple[float, float]:
-    """Bytes a session at a keeper, and at a front end that knows it."""
+    """Bytes per session at a replica, and at a front end that knows it."""
     tracemalloc.start()
     rules = Settings()
     keeper = Keeper("k", ("a", "b"), rules, 0.0, 1, fresh=True)
@@ -115,7 +115,7 @@
 
 
 def figures(known: int, moved: int) -> dict[str, float]:
-    """What a drain of `moved` of `known` sessions takes; milliseconds, bytes, hand-overs a second."""
+    """What a drain of `moved` of `known` sessions takes: milliseconds, bytes, migrations a second."""
     walk = _Timed(known, moved)
     core_s = walk.all()
     took = [walk.switched[s] - walk.begun[s] for s in walk.switched]
--- a/fawnwharf/handover/messages.py
+++ b/fawnwharf/handover/messages.py
@@ -1,9 +1,10 @@
-"""What front ends say to each other about sessions' homes, and what follows from it. Values, checked as they
-come in; no logic.
+"""Messages between front ends on session placements, and the effects that follow.
 
-Lines are lost where a log breaks for long, come twice, and come late: nothing here rests on their order. A
-`Turn` is a ballot, a `number` a slot, in the terms of Paxos (Lamport 1998): each number is decided once, by
-turns that only rise.
+Values, checked as they come in.
+
+Lines are lost where a log breaks for long, come twice, and come late: nothing depends on their order. A
+`Turn` is a ballot and a `number` a slot, in the terms of Paxos (Lamport 1998): each number is decided once,
+by ballots that only rise.
 """
 
 from enum import IntEnum
@@ -20,7 +21,7 @@
 
 
 class Step(IntEnum):
-    """How far the hand-over with a number has come, of those that are decided."""
+    """How far the migration with a number has come, of those that are decided."""
 
     SWITCHED = 1
     SETTLED = 2
@@ -28,14 +29,14 @@
 
 
 class Turn(Struct, frozen=True, order=True, gc=False):
-    """A mover's turn: later ones have a larger count, and no two movers share one."""
+    """A ballot: later ones have a larger count, and no two coordinators share one."""
 
     count: Count = 0
     mover: Name = ""
 
 
 class Offer(Struct, frozen=True, order=True, gc=False):
-    """What a mover means to do with its turn, so that a stand-in can go on with it."""
+    """What a coordinator means to do with its ballot, so that a backup can go on with it."""
 
     number: Count
     turn: Turn
@@ -43,7 +44,7 @@
 
 
 class Grant(Struct, frozen=True, order=True, gc=False):
-    """A keeper's word for a number: of several turns the last one counts."""
+    """A replica's accepted value for a number; of several ballots the last one counts."""
 
     number: Annotated[int, Meta(ge=1, le=1 << 53)]
     turn: Turn
@@ -52,7 +53,7 @@
 
 
 class Record(Struct, frozen=True, gc=False):
-    """All that a keeper holds of a session. Number 0: it was never handed over, and is where it began."""
+    """All that a replica holds of a session. Number 0: it was never moved, and is where it began."""
 
     number: Count = 0
     site: Site = ""  # its home by that number; empty where nobody said
@@ -64,7 +65,10 @@
 
 
 class Context(Struct, frozen=True, gc=False):
-    """What makes a session's next call cheap and safe. Claims are not in it: keepers hold those, by call."""
+    """What makes a session's next call cheap and safe.
+
+    Claims are not part of it, as they are stored by call.
+    """
 
     rate: Annotated[float, Meta(ge=0.0)] = 0.0  # calls a second
     copies: Annotated[int, Meta(ge=1, le=16)] = 1  # that serve it
@@ -72,9 +76,10 @@
 
 
 class Facts(Struct, frozen=True, gc=False):
-    """What one front end has seen of a session's calls: what copies elsewhere have to be ordered by.
+    """What one front end has seen of a session's calls, by which copies elsewhere have to be ordered.
 
-    Spans are milliseconds; a load's or a run's is 0 where none was seen."""
+    Durations are milliseconds; a load's or a run's is 0 where none was seen.
+    """
 
     kind: Name  # the class
     lanes: Annotated[int, Meta(ge=1, le=1_024)] = 1
@@ -87,8 +92,10 @@
 
 
 class Ask(Struct, frozen=True, tag="ask"):
-    """A mover wants a turn with a session. `known` is the home it goes by, `whither` its offer; a stand-in
-    has neither."""
+    """A coordinator wants a ballot for a session.
+
+    `known` is the placement it goes by, `whither` its offer; a backup has neither.
+    """
 
     session: Session
     turn: Turn
@@ -98,7 +105,7 @@
 
 
 class Switch(Struct, frozen=True, tag="switch"):
-    """By this turn the session is to be at home at `site` with the number after `before`."""
+    """By this ballot the session is to be placed at `site`, with the number after `before`."""
 
     session: Session
     turn: Turn
@@ -108,7 +115,7 @@
 
 
 class Word(Struct, frozen=True, tag="word"):
-    """A keeper's answer to an Ask, or to a Switch of `number`; `yes` is a promise, or a grant."""
+    """A replica's answer to an Ask, or to a Switch of `number`; `yes` is a promise, or a grant."""
 
     session: Session
     turn: Turn  # that was asked by
@@ -119,7 +126,7 @@
 
 
 class Told(Struct, frozen=True, tag="told"):
-    """What was decided and how far that is, to keepers and front ends. Whoever goes by less goes by this."""
+    """What was decided and how far it has come, to replicas and front ends; whoever knows less goes by it."""
 
     home: Home
     whence: Site
@@ -127,26 +134,29 @@
 
 
 class Met(Struct, frozen=True, tag="met"):
-    """A front end goes by this home for a session in use. A keeper that knows a later one tells it."""
+    """A front end uses this placement of a session; a replica that knows a later one answers."""
 
     home: Home
     facts: Facts | None = None
 
 
 class Resume(Struct, frozen=True, tag="resume"):
-    """A keeper holds a hand-over that is open, of a mover that is gone: to its stand-in."""
+    """A replica holds an open migration whose coordinator is gone: to the backup."""
 
     session: Session
 
 
 class Please(Struct, frozen=True, tag="please"):
-    """A hand-over is wished for: to the session's mover, which says `Begun` and how it ends."""
+    """Requests a migration from the session's coordinator, which answers `Begun` and how it ends."""
 
     move: Move
 
 
 class Begun(Struct, frozen=True, tag="begun"):
-    """A mover's word on a wish; `home` is the last one that it knows, `over` when no more comes of it."""
+    """A coordinator's answer to a request.
+
+    `home` is the last placement it knows, `over` says no more comes.
+    """
 
     session: Session
     home: Home | None
@@ -158,20 +168,25 @@
 
 
 class Want(Struct, frozen=True, tag="want"):
-    """A keeper that has begun a new life wants all that another one holds."""
+    """A restarted replica requests all that another one holds."""
 
     life: Count
     number: Count
 
 
 class Held(Struct, frozen=True):
+    """A session's record, as a replica holds it."""
+
     session: Session
     record: Record
     away: Site = ""  # the closed site that it was taken from, and returns to
 
 
 class Piece(Struct, frozen=True, tag="piece"):
-    """A part of it. What another life or an earlier want asked for is no answer."""
+    """A chunk of what a replica holds.
+
+    What another incarnation or an earlier request asked for is no answer.
+    """
 
     life: Count
     number: Count
@@ -187,22 +202,25 @@
 
 
 class Give(Struct, frozen=True, tag="give"):
-    """To a front end of the old site: the context is wanted."""
+    """To a front end of the old zone: the context is wanted."""
 
     session: Session
     turn: Turn
 
 
 class Given(Struct, frozen=True, tag="given"):
+    """Its answer: the context."""
+
     session: Session
     turn: Turn
     context: Context
 
 
 class Receive(Struct, frozen=True, tag="receive"):
-    """To a front end of the new site: have so many copies stand; hold what is told of the session.
+    """To a front end of the new zone: have so many copies loaded, and hold the session's context.
 
-    `number`: that the session will have there."""
+    `number` is the one that the session will have there.
+    """
 
     session: Session
     turn: Turn
@@ -214,7 +232,7 @@
 
 
 class Ready(Struct, frozen=True, tag="ready"):
-    """Its answer: whether they stand, and whether it has the context."""
+    """Its answer: whether the copies stand, and whether it has the context."""
 
     session: Session
     turn: Turn
@@ -223,16 +241,17 @@
 
 
 class Drop(Struct, frozen=True, tag="drop"):
-    """What was staged with this turn will not be used, and its offer is withdrawn: to both sides."""
+    """To both sides: what was prefetched with this ballot will not be used, and its offer is withdrawn."""
 
     session: Session
     turn: Turn
 
 
 class Left(Struct, frozen=True, tag="left"):
-    """A front end goes by this number, and has so many calls under way by smaller ones.
+    """A front end goes by this number, and has so many calls in flight by smaller ones.
 
-    `others`: sessions of the same function that it knows at home, or staged, at the old site."""
+    `others`: sessions of the same function that it knows as placed, or prefetched, at the old zone.
+    """
 
     session: Session
     number: Count
@@ -242,17 +261,20 @@
 
 
 class Release(Struct, frozen=True, tag="release"):
-    """To a front end of the old site: the session has settled elsewhere."""
+    """To a front end of the old zone: the session has settled elsewhere."""
 
     session: Session
     number: Count
 
 
 class MayLetGo(Struct, frozen=True, tag="may let go"):
-    """To keepers: may a session of this home have its copies at `site` let go? Not if it is offered there.
+    """To replicas: may the copies at `site` of a session with this placement be released?
+
+    Not if it is offered there.
 
-    A Release or a Drop may come late: two of three keepers that know no later number, and take no offer for
-    as long as their word counts, say that it is not too late."""
+    A Release or a Drop may come late: two of three replicas that know no later number, and take no offer for
+    as long as their answer counts, prove that it is not too late.
+    """
 
     home: Home
     site: Text
@@ -260,7 +282,10 @@
 
 
 class Let(Struct, frozen=True, tag="let"):
-    """A keeper's word on that. `used`: another session of the function is at home there, by what it keeps."""
+    """A replica's answer to that.
+
+    `used`: another session of the function is placed there, as far as it knows.
+    """
 
     session: Session
     number: Count
@@ -294,12 +319,14 @@
 
 
 class Say(Struct, frozen=True):
+    """Effect: send a message to these front ends."""
+
     to: tuple[str, ...]
     message: Message
 
 
 class Moved(Struct, frozen=True):
-    """Decided: from now on whoever hears of it sends the session's new calls home."""
+    """Effect, decided: from now on whoever hears of it sends the session's new calls there."""
 
     home: Home
     whence: str
@@ -307,8 +334,10 @@
 
 
 class Ended(Struct, frozen=True):
-    """This mover has nothing more to do with it. `home` is the last one it knows; `done`: all steps were
-    gone through."""
+    """Effect: this coordinator has nothing more to do with the migration.
+
+    `home` is the last placement it knows; `done` says that all steps were completed.
+    """
 
     home: Home
     why: str
@@ -316,7 +345,7 @@
 
 
 class Reroute(Struct, frozen=True):
-    """A call that was not yet sent goes to another site."""
+    """Effect: a call that was not yet sent goes to another zone."""
 
     call: str
     home: Home
--- a/fawnwharf/handover/mover.py
+++ b/fawnwharf/handover/mover.py
@@ -1,9 +1,10 @@
-"""The coordinator of hand-overs: one front end a session, by hash, or its stand-in when it is gone.
+"""The coordinator of migrations: one front end for each session, by hash, or its backup when that is gone.
 
-Pure; times are milliseconds of its own clock. Nothing of what it knows is needed by others: whoever takes
-over asks the keepers and goes on from what they hold. So a mover may stop, or be killed, at any step, and may
-give up whenever it likes: until front ends are told, the session is whole at its old site, and after that at
-the new one. A switch that may be decided and is not known to be is not undone: the next turn completes it.
+Pure; times are milliseconds of its own clock. Nothing that it knows is needed by others: whoever takes over
+asks the replicas and goes on from what they hold. So a coordinator may stop, or be killed, at any step, and
+may give up whenever it likes: until front ends are told, the session is whole at its old zone, and after that
+at the new one. A switch that may be decided but is not known to be is not undone: the next ballot completes
+it.
 """
 
 from collections.abc import Callable, Iterable
@@ -22,7 +23,7 @@
 
 
 class Mover:
-    """Owns the hand-overs of one front end, by session."""
+    """Owns the migrations of one front end, by session."""
 
     def __init__(
         self,
@@ -32,8 +33,10 @@
         now_ms: float,
         life: int = 1,
     ) -> None:
-        """`keepers_of` says who keeps what has this key, a zone each (`replication.placement`); `life` is
-        another with each start, so that no turn is taken twice."""
+        """`keepers_of` gives the replicas of a key, a zone each (`replication.placement`).
+
+        `life` differs with each start, so that no ballot is used twice.
+        """
         self.name, self.settings, self.keepers_of = name, settings, keepers_of
         self.life, self.list = life, 0
         # Counts of turns that are known here: the first ask need not be one that keepers have passed.
@@ -54,8 +57,10 @@
         members: dict[str, str] | None = None,
         lives: dict[str, int] | None = None,
     ) -> list[m.Out]:
-        """Front ends that are heard, and all there are, each with its site; and their lives. A receiver
-        that is gone is replaced; one that started anew has left nothing: it may have met less."""
+        """Take the front ends that are heard, all members with their zones, and their incarnations.
+
+        A receiver that is gone is replaced; one that restarted has acknowledged nothing, as it may know less.
+        """
         for name, life in (lives or {}).items():
             self._lives(name, life)
         for name, site in {**(members or {}), **fronts}.items():
@@ -73,8 +78,11 @@
         return found
 
     def placed_anew(self, now_ms: float, number: int) -> list[m.Out]:
-        """By this list of members others may keep homes: what is not decided begins a turn with them, as
-        promises of the earlier ones are none of theirs."""
+        """Take that another list of members chooses the replicas.
+
+        What is not decided begins a ballot with the new ones, as promises of the earlier ones don't bind
+        them.
+        """
         self.list = number
         found: list[m.Out] = []
         for hand in list(self.hands.values()):
@@ -103,7 +111,10 @@
     def begin(
         self, now_ms: float, move: Move, number: int = 0, copies: int = 1, haste: bool = False
     ) -> list[m.Out]:
-        """Hand a session over. `number` is that of the home it has here; `haste`: its site is dead."""
+        """Begin a migration.
+
+        `number` is that of the placement known here, `haste` says that its zone is dead.
+        """
         known = Home(move.session, move.whence, number)
         if move.session in self.hands or len(self.hands) >= HANDS_MOST:
             return [m.Ended(known, "one is in hand" if move.session in self.hands else "too many")]
@@ -112,7 +123,7 @@
         return self._ask(now_ms, hand)
 
     def resume(self, now_ms: float, sender: str, resume: m.Resume) -> list[m.Out]:
-        """Go on with whatever keepers hold of a session whose mover is gone."""
+        """Go on with what replicas hold of a session whose coordinator is gone."""
         if resume.session in self.hands or len(self.hands) >= HANDS_MOST:
             return []
         hand = Hand(resume.session, "", "", Home(resume.session, "", 0), m.Turn())
@@ -132,6 +143,7 @@
     # --- keepers' words ---------------------------------------------------------------------------
 
     def word(self, now_ms: float, sender: str, word: m.Word) -> list[m.Out]:
+        """Take a replica's promise, grant or refusal."""
         hand = self.hands.get(word.session)
         keepers = self.keepers_of(key_of(word.session))
         if hand is None or word.turn != hand.turn or sender not in keepers:
@@ -209,6 +221,7 @@
         return [m.Say((old,), m.Give(hand.session, hand.turn))] if old else []
 
     def given(self, now_ms: float, sender: str, given: m.Given) -> list[m.Out]:
+        """Take a session's context from its old zone."""
         hand = self.hands.get(given.session)
         if hand is None or given.turn != hand.turn or hand.step != STAGING or hand.context is not None:
             return []
@@ -216,6 +229,7 @@
         return self._stage(hand) if hand.receiver else []
 
     def ready(self, now_ms: float, sender: str, ready: m.Ready) -> list[m.Out]:
+        """Take that copies stand, or can't, at the new zone."""
         hand = self.hands.get(ready.session)
         if hand is None or ready.turn != hand.turn or hand.step != STAGING or sender != hand.receiver:
             return []
@@ -257,6 +271,7 @@
         return [*self._tell(hand, to, m.Step.SWITCHED), *self._look(now_ms, hand)]
 
     def left(self, now_ms: float, sender: str, left: m.Left) -> list[m.Out]:
+        """Take how many calls a front end still has in flight by smaller numbers."""
         hand = self.hands.get(left.session)
         if not self._lives(sender, left.life) or hand is None or hand.step != SETTLING:
             return []
@@ -270,8 +285,11 @@
         return self._look(now_ms, hand)
 
     def _pending(self, now_ms: float, hand: Hand) -> set[str]:
-        """Front ends that may have calls under way by a smaller number. The calls of one that is silent are
-        given up by their classes' rules; that it has met the number, only its own word proves."""
+        """Front ends that may have calls in flight by a smaller number.
+
+        The calls of a silent one are given up by their classes' rules; that it goes by the number, only its
+        own message proves.
+        """
         over = self.settings.give_up_ms * self.settings.stretch
         return {
             name
@@ -308,7 +326,10 @@
         return [*found, m.Ended(hand.known, why, done)]
 
     def met(self, now_ms: float, sender: str, told: m.Told) -> list[m.Out]:
-        """A home that somebody goes by: one with a larger number ends what is in hand here."""
+        """Take a placement that somebody uses.
+
+        One with a larger number ends the migration in progress here.
+        """
         hand = self.hands.get(told.home.session)
         at = hand.home.number if hand and hand.home else hand.base.number if hand else 0
         if hand is None or told.home.number <= at or (hand.step == ASKING and not hand.open):
@@ -318,7 +339,7 @@
     # --- time -------------------------------------------------------------------------------------
 
     def tick(self, now_ms: float) -> list[m.Out]:
-        """Whatever ran out of time, or has to be said again."""
+        """Do what is due: time-outs and repeats."""
         found: list[m.Out] = []
         for hand in list(self.hands.values()):
             found += {ASKING: self._late, STAGING: self._unstaged, SWITCHING: self._late}.get(
@@ -358,12 +379,12 @@
         return self._tell(hand, to, m.Step.SWITCHED)
 
     def due_ms(self) -> float:
-        """When `tick` is wanted next; infinite where nothing is in hand."""
+        """When `tick` is wanted next; infinite where nothing is in progress."""
         wait = min(self.settings.wait_ms, self.settings.again_ms)
         return min((hand.round_ms + wait for hand in self.hands.values()), default=float("inf"))
 
     def receive(self, now_ms: float, sender: str, message: m.Message) -> list[m.Out]:
-        """Any message; those that are not for a mover are dropped."""
+        """Take any message; those that are not for a coordinator are dropped."""
         takes: Callable | None = {
             m.Word: self.word,
             m.Given: self.given,
--- a/fawnwharf/handover/planted.py
+++ b/fawnwharf/handover/planted.py
@@ -1,4 +1,4 @@
-"""Cores with a planted bug each: what the model checker and the walks have to find."""
+"""Mutants: cores with one bug on purpose each, which the model checker and the simulations have to find."""
 
 from fawnwharf.handover import messages as m
 from fawnwharf.handover.homes import Keeper
@@ -26,6 +26,7 @@
     """Grants at once when it has started anew."""
 
     def sure(self, now_ms: float) -> bool:
+        """Claims to know everything after a restart."""
         return True
 
 
@@ -47,9 +48,11 @@
     """Says that it goes by a larger number, and begins calls by the old one."""
 
     def meet(self, now_ms: float, home: Home, whence: str = "") -> list[m.Out]:
+        """Ignores placements that it meets."""
         return []
 
     def told(self, now_ms: float, sender: str, told: m.Told) -> list[m.Out]:
+        """Acknowledges a number without going by it."""
         return [m.Say((sender,), m.Left(told.home.session, told.home.number, 0, 0))]
 
 
--- a/fawnwharf/handover/relisted.py
+++ b/fawnwharf/handover/relisted.py
@@ -1,4 +1,4 @@
-"""Random walks in which the list of members changes: other front ends keep homes, and each goes by it late.
+"""Randomized simulation in which the list of members changes: replicas move, and each front end follows late.
 
 `python -m fawnwharf.handover.relisted --steps 1000000`.
 """
@@ -17,8 +17,10 @@
 
 
 class Relisted(Walk):
-    """Keepers' lists are numbered from 1. A front end that is down goes by the last one when it comes back,
-    and has not known any before."""
+    """Lists of replicas are numbered from 1.
+
+    A front end that is down goes by the last one when it comes back, and has known none before.
+    """
 
     def __init__(
         self, seed: int, weather: Weather, kinds: Kinds | None = None, lists: float = 0.15, **more: int
@@ -89,6 +91,7 @@
 
 
 def main() -> None:
+    """Run the simulations and print what they came to."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--steps", type=int, default=20_000, help="of each walk")
     parser.add_argument("--walks", type=int, default=1)
--- a/fawnwharf/handover/router.py
+++ b/fawnwharf/handover/router.py
@@ -1,20 +1,20 @@
-"""A front end's view of homes: where a session's new calls go, what is under way, and what is staged here.
+"""A front end's view of placements.
+
+Where a session's new calls go, what is in flight, what is prefetched here.
 
 Pure; times are milliseconds of its own clock. It goes by the largest number that it met, from whomever, and
-keeps the old site until it is told of a later one. It begins no call by a number when it has met a larger
-one: a call that was taken and not yet sent is taken again for the new home. Calls that were sent end where
-they are, or are given up when their class's time is over. That a call runs once at most does not rest on
-homes at all: its claim is kept by call, not by site (`replication.claims`), so two front ends that go by
-different numbers still need two of the same three keepers for the same call.
+keeps the old zone until it is told of a later one. It begins no call by a number when it has met a larger
+one: a call that was taken and not yet sent is taken again for the new placement. Calls that were sent end
+where they are, or are given up when their class's time is over. That a call runs at most once does not depend
+on placements at all: its claim is stored by call, not by zone (`replication.claims`), so two front ends that
+go by different numbers still need two of the same three replicas for the same call.
 """
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
-
-from msgspec import Struct
 
 from fawnwharf.handover import messages as m
 from fawnwharf.handover.homes import key_of
+from fawnwharf.handover.in_use import OpenCall, Seen, spent
 from fawnwharf.handover.settings import Settings
 from fawnwharf.sites import Home, LetGo, Session, Stage
 
@@ -22,38 +22,8 @@
 LOOKS = 200  # sessions that are told of anew in one tick
 
 
-Spent = tuple[tuple[str, int], ...]
-
-
-def spent(one: Spent, other: Spent) -> Spent:
-    """What of a quota was taken, by who counted it: the larger count of each (a grow-only counter, Shapiro
-    2011). Its sum takes each call once, however often and on whichever side it is told."""
-    counts = dict(one)
-    for name, count in other:
-        counts[name] = max(count, counts.get(name, 0))
-    return tuple(sorted(counts.items()))
-
-
-class _Seen(Struct, gc=False):
-    home: Home
-    used_ms: float
-    told_ms: float  # when keepers were last told that it is in use
-    under_way: dict[int, int] | None = None  # calls by number
-    asks: str = ""  # the mover that waits for those of smaller numbers
-    whence: str = ""
-    used_there: bool = False  # it was told that others use the old site from here
-
-
-@dataclass(slots=True)
-class _Call:
-    session: Session
-    number: int
-    until_ms: float
-    sent: bool = False
-
-
 class Router:
-    """Owns this front end's homes, calls and stages."""
+    """Owns this front end's placements, calls and prefetched copies."""
 
     def __init__(
         self,
@@ -65,12 +35,14 @@
         fresh: bool = False,
         life: int = 1,
     ) -> None:
-        """`fresh`: nothing was staged by this name before. One that may have forgotten lets nothing go until
-        what it had staged has lapsed."""
+        """`fresh`: nothing was prefetched by this name before.
+
+        One that may have forgotten releases nothing until what it had prefetched has expired.
+        """
         self.name, self.site, self.settings, self.keepers_of = name, site, settings, keepers_of
         self.life = life
-        self.homes: dict[Session, _Seen] = {}  # the one still for longest first
-        self.calls: dict[str, _Call] = {}
+        self.homes: dict[Session, Seen] = {}  # the one still for longest first
+        self.calls: dict[str, OpenCall] = {}
         self.staged: dict[
             str, dict[tuple[Session, m.Turn], tuple[float, int]]
         ] = {}  # function: until, number
@@ -94,16 +66,19 @@
     # --- homes ------------------------------------------------------------------------------------
 
     def home(self, session: Session) -> Home | None:
-        """None: nobody has told; a call is served where it came, and keepers are asked."""
+        """The placement of a session.
+
+        None where none is known: calls are served where they came, and replicas asked.
+        """
         seen = self.homes.get(session)
         return seen.home if seen else None
 
-    def _goes_by(self, now_ms: float, home: Home) -> _Seen:
+    def _goes_by(self, now_ms: float, home: Home) -> Seen:
         seen = self.homes.pop(home.session, None)
         if seen is None:
             if len(self.homes) >= self.settings.sessions:
                 self._drop(next(iter(self.homes)))
-            seen = _Seen(home, now_ms, float("-inf"))
+            seen = Seen(home, now_ms, float("-inf"))
             self._at(home, 1)
         elif home.number > seen.home.number:
             self._at(seen.home, -1)
@@ -126,11 +101,17 @@
         self.contexts.pop(session, None)
 
     def followed(self, now_ms: float) -> None:
-        """A keeper hears this front end from now on. What was said before that, it may not know."""
+        """Take that a replica receives this front end's messages from now on.
+
+        It may not know earlier ones.
+        """
         self._anew_ms, self._untold = now_ms, list(self.homes)
 
     def meet(self, now_ms: float, home: Home, whence: str = "") -> list[m.Out]:
-        """Somebody goes by this home: if its number is larger, so does this front end from now on."""
+        """Take a placement that somebody goes by.
+
+        If its number is larger, so does this front end from now on.
+        """
         before = self.home(home.session)
         if before is not None and home.number <= before.number:
             return []
@@ -149,9 +130,11 @@
     # --- calls ------------------------------------------------------------------------------------
 
     def begin(self, now_ms: float, call: str, session: Session, until_ms: float) -> list[m.Out]:
-        """A call came: a Reroute says its home, and keepers hear that the session is in use.
+        """Take a call: a Reroute says its placement, and replicas hear that the session is in use.
 
-        Not sent yet: with a class that keeps calls, keepers' words come before it is."""
+        The call is not sent yet: with a class whose calls are claimed, the replicas' answers come before
+        that.
+        """
         found: list[m.Out] = []
         home = self.home(session)
         seen = self._goes_by(now_ms, home or Home(session, self.site, 0))
@@ -162,21 +145,22 @@
         if now_ms - seen.told_ms >= self.settings.still_ms / 4 or seen.told_ms <= self._anew_ms:
             found.append(self._tell(now_ms, seen))
         if len(self.calls) < CALLS_MOST:
-            self.calls[call] = _Call(session, seen.home.number, until_ms)
+            self.calls[call] = OpenCall(session, seen.home.number, until_ms)
             self._under(seen, seen.home.number, 1)
         else:
             self._count("too many calls")
         return [m.Reroute(call, seen.home), *found]
 
-    def _tell(self, now_ms: float, seen: _Seen) -> m.Say:
+    def _tell(self, now_ms: float, seen: Seen) -> m.Say:
         seen.told_ms = now_ms
         return m.Say(self.keepers_of(key_of(seen.home.session)), m.Met(seen.home))
 
     def sent(self, call: str) -> None:
+        """Take that a call was sent."""
         if call in self.calls:
             self.calls[call].sent = True
 
-    def _under(self, seen: _Seen, number: int, by: int) -> None:
+    def _under(self, seen: Seen, number: int, by: int) -> None:
         counts = seen.under_way = seen.under_way or {}
         counts[number] = counts.get(number, 0) + by
         if counts[number] <= 0:
@@ -184,13 +168,13 @@
         if not counts:
             seen.under_way = None
 
-    def _move(self, seen: _Seen, call: _Call, number: int) -> None:
+    def _move(self, seen: Seen, call: OpenCall, number: int) -> None:
         self._under(seen, call.number, -1)
         call.number = number
         self._under(seen, number, 1)
 
     def ended(self, now_ms: float, call: str) -> list[m.Out]:
-        """It was answered, failed, or given up."""
+        """Take that a call was answered, failed, or given up."""
         gone = self.calls.pop(call, None)
         seen = self.homes.get(gone.session) if gone else None
         if gone is None or seen is None:
@@ -200,13 +184,16 @@
             return self._left(gone.session, seen)
         return []
 
-    def _older(self, seen: _Seen) -> int:
+    def _older(self, seen: Seen) -> int:
         return sum(n for number, n in (seen.under_way or {}).items() if number < seen.home.number)
 
     # --- a mover's messages -----------------------------------------------------------------------
 
     def told(self, now_ms: float, sender: str, told: m.Told) -> list[m.Out]:
-        """A decided home. A mover that settles it hears what is under way by smaller numbers."""
+        """Take a decided placement.
+
+        A coordinator that settles it hears what is in flight by smaller numbers.
+        """
         found = self.meet(now_ms, told.home, told.whence)
         seen = self.homes.get(told.home.session)
         if seen is None or told.step is not m.Step.SWITCHED:
@@ -216,7 +203,7 @@
         waits[told.home.session] = now_ms + self.settings.settle_ms * self.settings.stretch
         return [*found, *self._left(told.home.session, seen)]
 
-    def _left(self, session: Session, seen: _Seen) -> list[m.Out]:
+    def _left(self, session: Session, seen: Seen) -> list[m.Out]:
         others = self._others(session, seen.whence)
         seen.used_there = others > 0
         left = m.Left(session, seen.home.number, self._older(seen), others, self.life)
@@ -240,12 +227,12 @@
         return count + (len(self.staged.get(session.row, ())) if site == self.site else 0)
 
     def give(self, now_ms: float, sender: str, give: m.Give) -> list[m.Out]:
-        """The context of a session, for its new site."""
+        """Give the context of a session, for its new zone."""
         context = self.contexts.get(give.session, m.Context())
         return [m.Say((sender,), m.Given(give.session, give.turn, context))]
 
     def take(self, now_ms: float, sender: str, receive: m.Receive) -> list[m.Out]:
-        """Stage it, and hold its context; `stood` is called when the copies stand."""
+        """Prefetch a session's copies, and hold its context; `stood` is called when the copies stand."""
         claims = self.staged.setdefault(receive.session.row, {})
         claims[receive.session, receive.turn] = (now_ms + receive.until_ms, receive.number)
         if receive.context is not None:
@@ -257,12 +244,15 @@
         return [Stage(row, self.site, receive.copies, receive.until_ms, why)]
 
     def stood(self, now_ms: float, to: str, receive: m.Receive, stands: bool) -> list[m.Out]:
-        """The copies that `receive` asked for stand, by their scorers' own answers, or can't."""
+        """Take that the copies which `receive` asked for stand, by their scorers' own answers, or can't."""
         has = receive.context is not None
         return [m.Say((to,), m.Ready(receive.session, receive.turn, stands, has))]
 
     def drop(self, now_ms: float, sender: str, drop: m.Drop) -> list[m.Out]:
-        """A stage that will not be used; others' stand, and so do what keepers know to be used."""
+        """Release what was prefetched and will not be used.
+
+        Others' copies stand, and those in use elsewhere.
+        """
         claims = self.staged.get(drop.session.row, {})
         if claims.pop((drop.session, drop.turn), None) is None:
             return []
@@ -272,21 +262,24 @@
         return self._ask_keepers(now_ms, home)
 
     def release(self, now_ms: float, sender: str, release: m.Release) -> list[m.Out]:
-        """The old copies may go, if by all that is known here and at two keepers they are the old ones."""
+        """Release the old copies, if they are the old ones by all that is known here and at two replicas."""
         home = self.home(release.session)
         if home is None or home.number != release.number or home.site == self.site:
             return []
         return self._ask_keepers(now_ms, home)
 
     def _ask_keepers(self, now_ms: float, home: Home) -> list[m.Out]:
-        """Another front end of this site may have been told more, or have staged it for another mover; and
-        sessions of the function that others serve there are known to their own keepers alone."""
+        """Ask the replicas whether copies may be released.
+
+        Another front end of this zone may know more, or have prefetched them for another coordinator; and
+        only their own replicas know the sessions of the function that others serve there.
+        """
         own, heard = self.keepers_of(key_of(home.session)), frozenset(self.heard_keepers())
         self._lets[home.session] = (now_ms, frozenset(), heard)
         return [m.Say((*own, *sorted(heard - set(own))), m.MayLetGo(home, self.site))]
 
     def let(self, now_ms: float, sender: str, let: m.Let) -> list[m.Out]:
-        """A keeper's word on that; it counts no longer than keepers hold turns back."""
+        """Take a replica's answer on a release; it counts no longer than replicas hold ballots back."""
         none: frozenset[str] = frozenset()
         asked_ms, names, waits = self._lets.get(let.session, (float("-inf"), none, none))
         home, keepers = self.home(let.session), self.keepers_of(key_of(let.session))
@@ -318,47 +311,65 @@
 
     @property
     def watches(self) -> bool:
-        """Whether calls here may begin to use a site that a mover is about to have let go."""
+        """Whether calls here may begin to use a zone whose copies a coordinator is about to release."""
         return bool(self._touched)
 
     def tick(self, now_ms: float) -> list[m.Out]:
-        """Calls past their time are given up, stages past theirs lapse, still sessions are forgotten."""
+        """Do what is due: give up late calls, expire prefetched copies, forget sessions without calls."""
         found: list[m.Out] = []
         for name in [name for name, call in self.calls.items() if now_ms >= call.until_ms]:
             self._count("given up")
             found += self.ended(now_ms, name)
+        self._expire_staged(now_ms)
+        for row, until_ms in list(self._touched.items()):
+            found += self._used_since(now_ms, row)
+            if now_ms >= until_ms:
+                del self._touched[row]
+        self._expire_settling(now_ms)
+        for session in [s for s, (at, *_) in self._lets.items() if now_ms - at > self.settings.wait_ms]:
+            del self._lets[session]
+        found += self._tell_untold(now_ms)
+        self._forget_still(now_ms)
+        return found
+
+    def _expire_staged(self, now_ms: float) -> None:
         for row, claims in list(self.staged.items()):
             for claim in [claim for claim, (until, _) in claims.items() if now_ms >= until]:
                 del claims[claim]
             if not claims:
                 del self.staged[row]
-        for row, until_ms in list(self._touched.items()):
-            found += self._used_since(now_ms, row)
-            if now_ms >= until_ms:
-                del self._touched[row]
+
+    def _expire_settling(self, now_ms: float) -> None:
         for row in [row for row, waits in self._settling.items() if min(waits.values()) <= now_ms]:
             waits = {s: until for s, until in self._settling[row].items() if until > now_ms}
             self._settling[row] = waits
             if not waits:
                 del self._settling[row]
                 self._touched.pop(row, None)
-        for session in [s for s, (at, *_) in self._lets.items() if now_ms - at > self.settings.wait_ms]:
-            del self._lets[session]
+
+    def _tell_untold(self, now_ms: float) -> list[m.Out]:
+        """Tell replicas of placements in use that they may not know, some in each tick."""
+        found: list[m.Out] = []
         for session in self._untold[-LOOKS:]:
             seen = self.homes.get(session)
             if seen is not None and seen.told_ms <= self._anew_ms:
                 found.append(self._tell(now_ms, seen))
         del self._untold[-LOOKS:]
+        return found
+
+    def _forget_still(self, now_ms: float) -> None:
+        """Forget sessions without calls, the oldest first."""
         while self.homes:
             session, seen = next(iter(self.homes.items()))
             if now_ms - seen.used_ms < self.settings.still_ms or seen.under_way:
                 break
             self._drop(session)
-        return found
 
     def receive(self, now_ms: float, sender: str, message: m.Message) -> list[m.Out]:
-        """Any message; those that are not for a router are dropped. After a Stage that comes back from
-        a Receive, its copies' state goes to `stood`."""
+        """Take any message; those that are not for a router are dropped.
+
+        After a Stage that comes back from a Receive, its copies' state goes to `stood`.
+        """
         takes: Callable | None = {
             m.Told: self.told,
             m.Give: self.give,
--- a/fawnwharf/handover/settings.py
+++ b/fawnwharf/handover/settings.py
@@ -1,4 +1,4 @@
-"""Figures that hand-overs go by. Durations are milliseconds of whoever counts them, shares parts of one."""
+"""Settings of migrations. Durations are milliseconds of whoever counts them, shares parts of one."""
 
 from typing import Annotated
 
@@ -9,7 +9,7 @@
 
 
 class Settings(Struct, frozen=True):
-    """One value for a fleet: keepers count on movers' waits, so all have to go by the same."""
+    """One value for a fleet: replicas count on coordinators' waits, so all have to use the same."""
 
     wait_ms: Wait = 300.0  # keepers' words count for so long after the ask, as grants of calls do
     again_ms: Wait = 400.0  # before what was not answered is said again
@@ -25,17 +25,20 @@
 
     @property
     def stretch(self) -> float:
-        """By what a span of one clock grows so that it is over by any other within the skew."""
+        """By what a duration of one clock grows so that it is over by any other clock within the skew."""
         return 1.0 + 2.0 * self.skew
 
     @property
     def window_ms(self) -> float:
-        """After so long every home in use was told again: front ends do each quarter of `still_ms`."""
+        """After this time every placement in use was reported again.
+
+        Front ends do so each quarter of `still_ms`.
+        """
         return (self.still_ms + self.wait_ms) * self.stretch
 
 
 class DrainSettings(Struct, frozen=True):
-    """How a site is emptied, and how soon a session may move again."""
+    """How a zone is emptied, and how soon a session may move again."""
 
     at_once: Annotated[int, Meta(ge=1, le=10_000)] = 32  # hand-overs under way
     starts_per_s: Annotated[float, Meta(gt=0.0)] = 100.0  # new ones, of the fleet's fetches
--- a/fawnwharf/handover/walk.py
+++ b/fawnwharf/handover/walk.py
@@ -1,8 +1,8 @@
-"""Random walks: a fleet of keepers, movers and routers in virtual time, with clocks that run apart.
+"""Randomized simulation: a fleet of replicas, coordinators and routers in virtual time, with clock skew.
 
-Deeper than `explore.py` and with the clocks left in. One seed gives one walk. Messages are lost, repeated,
-overtaken and held up; links are cut, one way too; front ends are killed, come back with nothing, and stand
-still for a while and go on as if nothing were. `python -m fawnwharf.handover.walk --steps 1000000`.
+Deeper than `explore.py` and with real clocks. One seed gives one run. Messages are lost, repeated, reordered
+and delayed; links are cut, in one direction too; front ends are killed and come back with nothing, or are
+paused without noticing. `python -m fawnwharf.handover.walk --steps 1000000`.
 """
 
 import argparse
@@ -36,7 +36,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Weather:
-    """How much goes wrong; chances are of one message, or of one second of true time."""
+    """Rates of faults: chances per message, or per second of true time."""
 
     lost: float = 0.02
     repeated: float = 0.03
@@ -61,7 +61,7 @@
 
 @dataclass(slots=True)
 class Outcome:
-    """What a walk has come to; `broken` is empty where all held."""
+    """The result of a run; `broken` is empty where all rules held."""
 
     steps: int = 0
     true_ms: float = 0.0
@@ -84,11 +84,12 @@
 
     @property
     def up(self) -> bool:
+        """Whether the process lives."""
         return self.mover is not None
 
 
 class Walk:
-    """One fleet, and its ghost, which knows all that was ever decided."""
+    """One fleet, and the reference model, which knows all that was ever decided."""
 
     def __init__(
         self, seed: int, weather: Weather, kinds: Kinds | None = None, sessions: int = 3, per_site: int = 2
@@ -119,6 +120,7 @@
         self._soon(0.0, self._blow)
 
     def run(self, steps: int) -> Outcome:
+        """Run so many steps, or up to the first broken rule."""
         while self.outcome.steps < steps and not self.outcome.broken:
             self.now, _, what, about = heapq.heappop(self.events)
             self.outcome.steps += 1
@@ -343,6 +345,7 @@
 
 
 def main() -> None:
+    """Run the simulations and print what they came to."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--steps", type=int, default=20_000, help="of each walk")
     parser.add_argument("--walks", type=int, default=1)
--- a/fawnwharf/handover/windows.py
+++ b/fawnwharf/handover/windows.py
@@ -1,8 +1,9 @@
-"""How many hand-overs to one site are under way at once. Pure; milliseconds of one clock.
+"""How many migrations to one zone are in progress at once. Pure; milliseconds of one clock.
 
-What a site can stage in a time is known to its front ends alone, by the ration of their orders, and changes
-with their calls: one that returns cold stages a few a second. So each site has a window that is halved when
-one was not staged in time and grows by one for each window that was (Chiu and Jain 1989).
+What a zone can prefetch in a time is known to its front ends only, by the rate limit of their load orders,
+and changes with their calls: a zone that returns cold prefetches a few copies a second. So each zone has a
+window that is halved when a prefetch was late and grows by one for each full window in time (Chiu and Jain
+1989).
 """
 
 from collections import Counter
@@ -14,7 +15,7 @@
 
 
 class Windows:
-    """Owns the windows of one mover, by site. `most`: that a window begins with and never exceeds."""
+    """Owns the windows of one coordinator, by zone; `most` is their first and largest size."""
 
     def __init__(self, most: int, pause_ms: float) -> None:
         """`pause_ms`: those that were under way together halve it once."""
@@ -25,15 +26,17 @@
         self._halved_ms: dict[str, float] = {}
 
     def may(self, site: str) -> bool:
+        """Whether a migration to a zone may begin."""
         return self._count[site] < int(self.sizes.get(site, self.most))
 
     def begun(self, session: Session, site: str) -> None:
+        """Take that a migration to a zone began."""
         self._drop(session)
         self._going[session] = site
         self._count[site] += 1
 
     def ended(self, now_ms: float, session: Session, why: str) -> None:
-        """It switched, or ended by this cause; any but a site that was late says nothing of the site."""
+        """Take that it switched, or ended by this cause; only a late zone says anything of the zone."""
         site = self._drop(session)
         if site is None:
             return
--- a/fawnwharf/handover/world.py
+++ b/fawnwharf/handover/world.py
@@ -1,4 +1,4 @@
-"""What the model checker searches among: states, the bounds of a search, and what it has come to."""
+"""States of the model checker, the bounds of a search, and its result."""
 
 from dataclasses import dataclass, field, replace
 
@@ -10,7 +10,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Bounds:
-    """What may happen on one path; the depth counts steps. `wishes`: front end, whither, in haste."""
+    """What may happen on one path; the depth counts steps. `wishes`: front end, destination, in haste."""
 
     depth: int = 14
     states: int = 30_000
@@ -26,7 +26,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Kinds:
-    """The cores that are tried: the real ones, or one with a planted bug."""
+    """The classes that are tried: the real ones, or a mutant."""
 
     keeper: type[Keeper] = Keeper
     mover: type[Mover] = Mover
@@ -35,7 +35,7 @@
 
 @dataclass(frozen=True, slots=True)
 class World:
-    """One state: what each is, what is on its way, and what a ghost knows of it all."""
+    """One state: each part's own, messages on their way, and what the reference model knows of it all."""
 
     keepers: tuple[tuple, ...]
     fronts: tuple[tuple | None, ...]
@@ -49,7 +49,7 @@
 
 @dataclass(slots=True)
 class Found:
-    """What a search has come to."""
+    """The result of a search."""
 
     states: int = 0
     depth: int = 0
@@ -59,12 +59,14 @@
 
 
 def use(world: World, place: int) -> World:
+    """The state with one more of the events that are counted at `place` of `used`."""
     used = list(world.used)
     used[place] += 1
     return replace(world, used=tuple(used))
 
 
 def path_to(parents: dict[World, tuple[World, str]], world: World) -> list[str]:
+    """The labels of the steps that lead to a state."""
     path = []
     while world in parents:
         world, label = parents[world]
--- a/tests/test_handover_core.py
+++ b/tests/test_handover_core.py
@@ -8,8 +8,9 @@
 
 from fawnwharf.handover import messages as m
 from fawnwharf.handover.homes import Keeper, contradicts, is_open, merged, mover_of
+from fawnwharf.handover.in_use import spent
 from fawnwharf.handover.mover import Mover
-from fawnwharf.handover.router import Router, spent
+from fawnwharf.handover.router import Router
 from fawnwharf.handover.settings import Settings
 from fawnwharf.sites import Home, LetGo, Move, Session
 
