--- /dev/null
+++ b/fawnwharf/net/scorer_links.py
@@ -0,0 +1,119 @@
+"""One connection to a scorer: what is open on it, its frames in both directions, and its end."""
+
+from typing import TYPE_CHECKING
+
+from fawnwharf.net import scorer_frames as frames
+from fawnwharf.net.connection import Connection
+from fawnwharf.net.endings import End
+from fawnwharf.net.streams import Attempt, Stream
+from fawnwharf.net.wheel import Timer, monotonic_ms
+
+if TYPE_CHECKING:
+    from fawnwharf.net.scorers import Scorer, ScorerPool
+
+STALL_MS = 250.0  # half a frame that goes no further for this long was cut off: nothing after it can be read
+SPENT_MOST = 1_024  # ids remembered on one link, as late answers or second copies may still come
+WAITING_BYTES_MOST = 256 * 1024  # unwritten on one link: a scorer that does not read gets no more
+
+
+class Link:
+    """One connection to a scorer, and what is open on it."""
+
+    def __init__(self, pool: "ScorerPool", scorer: "Scorer") -> None:
+        self.pool, self.scorer = pool, scorer
+        self.connection: Connection | None = None
+        self.streams: dict[bytes, Stream] = {}
+        self.retired = False  # gets nothing new, and is closed once empty
+        self._reader = frames.FrameReader()
+        self._spent: dict[bytes, None] = {}  # ids that may not be used again here
+        self._stall: Timer | None = None
+        self._owed_ms = 0.0  # since when something is open
+        self._gap_ms = 0.0  # for how long it had been idle by then
+        self._last_gave_up_ms = 0.0
+
+    @property
+    def up(self) -> bool:
+        return self.connection is not None and self.connection.up and not self.connection.closed
+
+    def quiet(self, span_ms: float) -> bool:
+        """Whether it has owed an answer in silence for so long.
+
+        Guards against a machine that vanished: its connections stay open and say nothing."""
+        since = max(self.connection.heard_ms, self._owed_ms)
+        return bool(self.streams) and monotonic_ms() - since > span_ms
+
+    def given_up_unheard(self, span_ms: float) -> bool:
+        """All that was open was given up, and the scorer had been silent for so long by then."""
+        return self._last_gave_up_ms - max(self.connection.heard_ms, self._owed_ms) > span_ms
+
+    def takes(self, id: bytes) -> bool:
+        room = len(self.streams) < self.pool.wire.streams_per_conn
+        fresh = id not in self.streams and id not in self._spent
+        return room and fresh and self.connection.waiting_bytes < WAITING_BYTES_MOST
+
+    def idle_ms(self) -> float:
+        return 0.0 if self.streams else monotonic_ms() - self.connection.used_ms
+
+    def stale_after_ms(self, end: End, within_ms: float) -> float | None:
+        """How long it was idle, where it broke so soon after it was used again."""
+        broke = end in (End.RESET_BY_PEER, End.CLOSED_BY_PEER) and self.streams
+        return self._gap_ms if broke and monotonic_ms() - self._owed_ms < within_ms else None
+
+    def start(self, stream: Stream) -> None:
+        if not self.streams:
+            self._gap_ms, self._owed_ms = self.idle_ms(), monotonic_ms()
+        self.streams[stream.id] = stream
+        stream.link, stream.piece = self, self.connection.write(stream.frame())
+
+    def withdraw(self, stream: Stream) -> None:
+        """Take a stream off the link, telling the scorer where it may have heard of it."""
+        self.streams.pop(stream.id, None)
+        if self.connection.take_back(stream.piece):
+            return
+        self._last_gave_up_ms = monotonic_ms()
+        if isinstance(stream, Attempt):
+            self.connection.write(frames.give_up(stream.id))
+        self._spend(stream.id)
+
+    def _spend(self, id: bytes) -> None:
+        self._spent[id] = None
+        if len(self._spent) > SPENT_MOST:
+            del self._spent[next(iter(self._spent))]
+
+    def unwritten(self) -> list[Stream]:
+        return [stream for stream in self.streams.values() if not stream.begun]
+
+    # --- from the connection ----------------------------------------------------------------
+
+    def on_up(self) -> None:
+        self.pool.link_up(self)
+
+    def on_data(self, data: bytes) -> None:
+        for frame in self._reader.feed(data):
+            # An answer to what is no longer open here comes too late and says nothing.
+            if (stream := self.streams.pop(frame.id, None)) is not None:
+                if frame.code != frames.OK:  # it may be tried again here, and a second copy must not end that
+                    self._spend(frame.id)
+                self.pool.answered(stream, frame)
+        if self._reader.fault:
+            self.pool.log(f"scorer {self.scorer.id}: bad frame: {self._reader.fault}")
+            self.connection.close(End.BAD_BYTES)
+        elif self._reader.waits and self._stall is None:
+            self._stall = self.pool.loop.wheel.after(STALL_MS, self._stalled)
+
+    def _stalled(self) -> None:
+        self._stall = None
+        if not self._reader.waits or self.connection.closed:
+            return
+        left = STALL_MS - (monotonic_ms() - self.connection.heard_ms)
+        if left > 0:
+            self._stall = self.pool.loop.wheel.after(left, self._stalled)
+        else:
+            self.pool.log(f"scorer {self.scorer.id}: a frame was cut off")
+            self.connection.close(End.SILENT)
+
+    def on_flushed(self) -> None:
+        pass
+
+    def on_end(self, end: End) -> None:
+        self.pool.link_ended(self, end)
--- a/fawnwharf/net/scorers.py
+++ b/fawnwharf/net/scorers.py
@@ -1,4 +1,4 @@
-"""The scorers: who they are, the connections to them, and the attempts and orders on these."""
+"""The scorers: who they are, who gets a connection when, and the attempts and orders on these."""
 
 import itertools
 import random
@@ -12,11 +12,11 @@
 from fawnwharf.net.endings import End
 from fawnwharf.net.log import Log
 from fawnwharf.net.loop import Loop
+from fawnwharf.net.scorer_links import Link
 from fawnwharf.net.streams import WARMTHS, Answer, Attempt, Order, Stream, number
-from fawnwharf.net.wheel import Timer, monotonic_ms
+from fawnwharf.net.wheel import monotonic_ms
 
 QUIET_MS = 1_000.0  # a link that owes an answer and says nothing for this long gets nothing new
-STALL_MS = 250.0  # half a frame that goes no further for this long was cut off: nothing after it can be read
 IDLE_PART = 0.7  # of the keep-alive: closed here before the scorer does, so that no send crosses a close
 # Something on the way may forget links that were idle for far less than the keep-alive: a call that is reset
 # at once on such a link says how long is too long. The trust grows again while nothing of the kind happens.
@@ -26,110 +26,7 @@
 LINKS_MOST = 6  # to one scorer
 LINKS_SPREAD = 4  # up to so many, a call finds a link of its own: what spoils one ends all that is on it
 HANDSHAKE_DEAR = 0.02  # where a handshake costs more points, calls share links while these have room
-SPENT_MOST = 1_024  # ids remembered on one link, as late answers or second copies may still come
 SPREAD_PART = 0.7  # of the descriptors for links: the rest is kept for calls that find none
-WAITING_BYTES_MOST = 256 * 1024  # unwritten on one link: a scorer that does not read gets no more
-
-
-class Link:
-    """One connection to a scorer, and what is open on it."""
-
-    def __init__(self, pool: "ScorerPool", scorer: "Scorer") -> None:
-        self.pool, self.scorer = pool, scorer
-        self.connection: Connection | None = None
-        self.streams: dict[bytes, Stream] = {}
-        self.retired = False  # gets nothing new, and is closed once empty
-        self._reader = frames.FrameReader()
-        self._spent: dict[bytes, None] = {}  # ids that may not be used again here
-        self._stall: Timer | None = None
-        self._owed_ms = 0.0  # since when something is open
-        self._gap_ms = 0.0  # for how long it had been idle by then
-        self._last_gave_up_ms = 0.0
-
-    @property
-    def up(self) -> bool:
-        return self.connection is not None and self.connection.up and not self.connection.closed
-
-    def quiet(self) -> bool:
-        """Guards against a machine that vanished: its connections stay open and say nothing."""
-        since = max(self.connection.heard_ms, self._owed_ms)
-        return bool(self.streams) and monotonic_ms() - since > QUIET_MS
-
-    def given_up_unheard(self) -> bool:
-        """All that was open was given up, and the scorer had long been silent by then."""
-        return self._last_gave_up_ms - max(self.connection.heard_ms, self._owed_ms) > QUIET_MS
-
-    def takes(self, id: bytes) -> bool:
-        room = len(self.streams) < self.pool.wire.streams_per_conn
-        fresh = id not in self.streams and id not in self._spent
-        return room and fresh and self.connection.waiting_bytes < WAITING_BYTES_MOST
-
-    def idle_ms(self) -> float:
-        return 0.0 if self.streams else monotonic_ms() - self.connection.used_ms
-
-    def stale_after_ms(self, end: End) -> float | None:
-        """How long it was idle, where it broke as soon as it was used again."""
-        broke = end in (End.RESET_BY_PEER, End.CLOSED_BY_PEER) and self.streams
-        return self._gap_ms if broke and monotonic_ms() - self._owed_ms < STALE_SIGN_MS else None
-
-    def start(self, stream: Stream) -> None:
-        if not self.streams:
-            self._gap_ms, self._owed_ms = self.idle_ms(), monotonic_ms()
-        self.streams[stream.id] = stream
-        stream.link, stream.piece = self, self.connection.write(stream.frame())
-
-    def withdraw(self, stream: Stream) -> None:
-        """Take a stream off the link, telling the scorer where it may have heard of it."""
-        self.streams.pop(stream.id, None)
-        if self.connection.take_back(stream.piece):
-            return
-        self._last_gave_up_ms = monotonic_ms()
-        if isinstance(stream, Attempt):
-            self.connection.write(frames.give_up(stream.id))
-        self._spend(stream.id)
-
-    def _spend(self, id: bytes) -> None:
-        self._spent[id] = None
-        if len(self._spent) > SPENT_MOST:
-            del self._spent[next(iter(self._spent))]
-
-    def unwritten(self) -> list[Stream]:
-        return [stream for stream in self.streams.values() if not stream.begun]
-
-    # --- from the connection ----------------------------------------------------------------
-
-    def on_up(self) -> None:
-        self.pool.link_up(self)
-
-    def on_data(self, data: bytes) -> None:
-        for frame in self._reader.feed(data):
-            # An answer to what is no longer open here comes too late and says nothing.
-            if (stream := self.streams.pop(frame.id, None)) is not None:
-                if frame.code != frames.OK:  # it may be tried again here, and a second copy must not end that
-                    self._spend(frame.id)
-                self.pool.answered(stream, frame)
-        if self._reader.fault:
-            self.pool.log(f"scorer {self.scorer.id}: bad frame: {self._reader.fault}")
-            self.connection.close(End.BAD_BYTES)
-        elif self._reader.waits and self._stall is None:
-            self._stall = self.pool.loop.wheel.after(STALL_MS, self._stalled)
-
-    def _stalled(self) -> None:
-        self._stall = None
-        if not self._reader.waits or self.connection.closed:
-            return
-        left = STALL_MS - (monotonic_ms() - self.connection.heard_ms)
-        if left > 0:
-            self._stall = self.pool.loop.wheel.after(left, self._stalled)
-        else:
-            self.pool.log(f"scorer {self.scorer.id}: a frame was cut off")
-            self.connection.close(End.SILENT)
-
-    def on_flushed(self) -> None:
-        pass
-
-    def on_end(self, end: End) -> None:
-        self.pool.link_ended(self, end)
 
 
 @dataclass(slots=True, eq=False)
@@ -147,7 +44,7 @@
     def link_for(self, id: bytes, trust_ms: float) -> Link | None:
         able = [link for link in self.links if link.up and not link.retired and link.takes(id)]
         able = [link for link in able if link.idle_ms() <= trust_ms]
-        lively = [link for link in able if not link.quiet()]
+        lively = [link for link in able if not link.quiet(QUIET_MS)]
         if not lively and len(self.links) >= LINKS_MOST:
             lively = able
         # Of links that are as empty, the one used last: one long idle may be about to be closed.
@@ -303,7 +200,7 @@
         scorer = link.scorer
         scorer.links.remove(link)
         self._links -= 1
-        if (gap := link.stale_after_ms(end)) is not None and gap >= TRUST_LEAST_MS:
+        if (gap := link.stale_after_ms(end, STALE_SIGN_MS)) is not None and gap >= TRUST_LEAST_MS:
             self._trust_ms = min(self._trust_ms, max(TRUST_LEAST_MS, TRUST_PART * gap))
         streams, link.streams = list(link.streams.values()), {}
         for stream in streams:
@@ -362,7 +259,7 @@
             for link in list(scorer.links):
                 if not link.up or link.streams:
                     continue
-                silent = link.given_up_unheard()
+                silent = link.given_up_unheard(QUIET_MS)
                 if silent or link.idle_ms() > self._trust_ms:
                     link.connection.close(End.SILENT if silent else End.IDLE)
 
--- a/fawnwharf/net/streams.py
+++ b/fawnwharf/net/streams.py
@@ -11,7 +11,7 @@
 from fawnwharf.net.wheel import Timer, monotonic_ms
 
 if TYPE_CHECKING:
-    from fawnwharf.net.scorers import Link
+    from fawnwharf.net.scorer_links import Link
 
 WARMTHS = {
     "reused": Warmth.FOUND,
