Scorer links: passing faults of this machine are waited out, late frames are not written

Cause: EADDRNOTAVAIL, ENETUNREACH and EINTR of connect() became UNREACHABLE, so the module held a healthy scorer suspect; EMFILE and ENOBUFS ended what waited at once, so that the module sent again in the next turn until a request had no attempt left; ENOBUFS on a write ended the link. A frame was made when it was queued, so on a blocked link its `ms` went stale, and one written in part was completed whenever the peer read on. An error of epoll_ctl in dial() left the socket open. At fault: end_of, Connection.dial, _write_out, _dial.

Change: endings.py holds the table of call and errno to End. Faults of this machine's own leave streams waiting; the dial is tried again every 20 ms for a dial's time from when each began to wait, then it ends as not sent. A write waits 20 ms. A frame is made as its first byte leaves and checked against its deadline then; one that stays in part for 80 ms ends its link. What the module is told has three stages: nothing written, in part, whole. A link to an address or process that a scorer had before is no dial that its calls wait for, and what had not left on it is placed anew. Ids of good answers are not used again at once on a link.

--- a/fawnwharf/net/connection.py
+++ b/fawnwharf/net/connection.py
@@ -5,12 +5,14 @@
 import socket
 import struct
 from collections import deque
+from collections.abc import Callable
 from itertools import islice
 from typing import Protocol
 
 from fawnwharf.config import Address
-from fawnwharf.net.endings import End, end_of
+from fawnwharf.net.endings import PASSING, End, SystemCall, end_of
 from fawnwharf.net.loop import READ, WRITE, Loop
+from fawnwharf.net.pieces import PartLimit, Piece
 from fawnwharf.net.wheel import Timer, monotonic_ms
 
 READ_MOST = 64 * 1024  # bytes taken from one connection in a turn, so that none starves the others; the rest
@@ -19,6 +21,7 @@
 STAMP = struct.Struct("@qq")
 NOTES_MOST = socket.CMSG_SPACE(STAMP.size)
 PIECES_MOST = 64  # in one write
+WRITE_PAUSE_MS = 20.0  # after a write that failed for want of memory: the system gets time to find some
 LINGER_MS = 1_000.0  # for a peer that is being finished with: it may still read, and end by itself
 
 
@@ -28,15 +31,6 @@
         listener.setsockopt(socket.SOL_SOCKET, SO_TIMESTAMPNS, 1)
 
 
-class Piece:
-    """Bytes to be written, and how many have been."""
-
-    __slots__ = ("data", "written")
-
-    def __init__(self, data: bytes) -> None:
-        self.data, self.written = data, 0
-
-
 class Owner(Protocol):
     """Whoever is told what happens on a connection."""
 
@@ -82,6 +76,8 @@
         self.age_ms, self._has_read = 0.0, False  # of the bytes read last; whether any were
         self._sock, self._reading, self._blocked = sock, True, False
         self._outbox: deque[Piece] = deque()
+        self._part_limit: PartLimit | None = None
+        self._write_pause: Timer | None = None
         self._dial: Timer | None = None
         self._finishing: End | None = None
         self._mask = READ if up else WRITE
@@ -103,20 +99,27 @@
     @classmethod
     def dial(cls, loop: Loop, address: Address, owner: Owner, within_ms: float) -> "Connection | End":
         """A connection that comes up or ends later; or why it can't even be tried."""
-        sock = None
+        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
         try:
-            family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
             sock = socket.socket(family, socket.SOCK_STREAM)
+        except OSError as error:
+            return end_of(error, SystemCall.SOCKET)
+        call = SystemCall.CONNECT
+        try:
             sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            with contextlib.suppress(OSError):  # a connection without it is slower, and works
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             code = sock.connect_ex(address)
             if code not in (0, errno.EINPROGRESS):
                 raise OSError(code, "connect")
+            call = SystemCall.WATCH
+            made = cls(loop, sock, owner, up=False)
         except OSError as error:
-            if sock is not None:
-                sock.close()
-            return end_of(error)
-        made = cls(loop, sock, owner, up=False)
+            sock.close()
+            return end_of(error, call)
+        except BaseException:
+            sock.close()
+            raise
         made._dial = loop.wheel.after(within_ms, lambda: made.close(End.DIAL_TIMED_OUT))
         return made
 
@@ -124,23 +127,36 @@
 
     def write(self, data: bytes) -> Piece:
         """Queue bytes for this turn's one write."""
-        piece = Piece(data)
+        return self._queue(Piece(data))
+
+    def write_late(self, make: Callable[[], bytes | None], size: int) -> Piece:
+        """Queue what is made as its first byte is about to leave, for what goes stale while it waits; `size`:
+        about how many bytes that will be. None from `make`: it is not written any more."""
+        return self._queue(Piece(b"", make, size))
+
+    def limit_parts(self, most_ms: float) -> None:
+        """End it where a piece stays written in part for longer than this."""
+        self._part_limit = PartLimit(self.loop.wheel, self._outbox, most_ms)
+
+    def _queue(self, piece: Piece) -> Piece:
         if not self.closed:
             self._outbox.append(piece)
-            self.waiting_bytes += len(data)
+            self.waiting_bytes += piece.size
             self.loop.flush_later(self)
         return piece
 
     def take_back(self, piece: Piece) -> bool:
         """Unqueue a piece of which nothing has been written; False where it is too late."""
-        if piece.written or piece not in self._outbox:
+        if piece.begun or piece not in self._outbox:
             return False
         self._outbox.remove(piece)
-        self.waiting_bytes -= len(piece.data)
+        self.waiting_bytes -= piece.size
+        piece.make = None  # it may hold its owner, which holds the piece
         return True
 
     def flush(self) -> None:
-        if self.up and not self.closed and not self._blocked and self._outbox:
+        able = self.up and not self.closed and not self._blocked and self._write_pause is None
+        if able and self._outbox:
             self._write_out()
         if self._finishing and not self.closed and not self._outbox:
             with contextlib.suppress(OSError):
@@ -149,25 +165,57 @@
             self.owner.on_flushed()
 
     def _write_out(self) -> None:
-        pieces = list(islice(self._outbox, PIECES_MOST))
+        if self._part_limit and self._part_limit.overdue():
+            self._part_overdue()
+            return
+        pieces = [piece for piece in list(islice(self._outbox, PIECES_MOST)) if self._made(piece)]
         views = [memoryview(piece.data)[piece.written :] for piece in pieces]
         try:
-            count = self._sock.sendmsg(views)
+            count = self._sock.sendmsg(views) if views else 0
         except BlockingIOError:
             count = 0
         except OSError as error:
-            self.close(end_of(error))
+            self._write_failed(end_of(error, SystemCall.SEND))
             return
         self.waiting_bytes -= count
-        self.used_ms = monotonic_ms()
+        now = monotonic_ms()
+        self.used_ms = now if views else self.used_ms
         for piece in pieces:
-            step = min(count, len(piece.data) - piece.written)
-            piece.written, count = piece.written + step, count - step
-            if piece.written < len(piece.data):
+            count = piece.advance(count, now)
+            if not piece.whole:
                 break
             self._outbox.popleft()
         self._blocked = bool(self._outbox)
         self._set_mask()
+        if self._part_limit:
+            self._part_limit.watch(self._part_overdue)
+
+    def _made(self, piece: Piece) -> bool:
+        """Have a piece's bytes made for the write that follows; one that must not leave is taken out."""
+        if piece.make is None:
+            return True
+        data = piece.make()
+        if data is None:
+            self.take_back(piece)
+            return False
+        self.waiting_bytes += len(data) - piece.size
+        piece.data, piece.size = data, len(data)
+        return True
+
+    def _write_failed(self, end: End) -> None:
+        """Try again after a pause where the fault is this machine's own and passes; else end it."""
+        if end not in PASSING:
+            self.close(end)
+            return
+        self._write_pause = self.loop.wheel.after(WRITE_PAUSE_MS, self._write_on)
+
+    def _part_overdue(self) -> None:
+        self.close(End.LOCAL_FAULT if self._write_pause else End.STUFFED)
+
+    def _write_on(self) -> None:
+        self._write_pause = None
+        if not self.closed:
+            self.loop.flush_later(self)
 
     def finish(self, end: End) -> None:
         """End it after what is queued: written first, then ended on this side, and read on without keeping.
@@ -221,15 +269,18 @@
             self._read()
 
     def _dialled(self) -> None:
-        code = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        if code:
-            self.close(end_of(OSError(code, "connect")))
+        try:
+            code = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if code:
+                raise OSError(code, "connect")
+            self.loop.change(self._sock, READ, self._ready)
+        except OSError as error:
+            self.close(end_of(error, SystemCall.CONNECTED))
             return
         self.up, self._mask = True, READ
         if self._dial:
             self._dial.cancel()
         self.heard_ms = self.used_ms = monotonic_ms()
-        self.loop.change(self._sock, READ, self._ready)
         self.owner.on_up()
 
     def _read(self) -> None:
--- a/fawnwharf/net/scorer_frames.py
+++ b/fawnwharf/net/scorer_frames.py
@@ -9,6 +9,8 @@
 OK, MISS, FULL, ERROR, OVER = 0, 2, 3, 4, 5
 BODY_MOST = 256 * 1024  # far over any body that a client may be passed; a length beyond it is no frame
 
+HEAD_ROUGH = 100  # bytes of a frame without its token and its body
+
 _HEADER = struct.Struct(">BBHI8s")
 _CHECK = struct.Struct(">I")
 
--- a/fawnwharf/net/scorer_links.py
+++ b/fawnwharf/net/scorer_links.py
@@ -1,5 +1,6 @@
 """One connection to a scorer: what is open on it, its frames in both directions, and its end."""
 
+from functools import partial
 from typing import TYPE_CHECKING
 
 from fawnwharf.net import scorer_frames as frames
@@ -12,7 +13,11 @@
     from fawnwharf.net.scorers import Scorer, ScorerPool
 
 STALL_MS = 250.0  # half a frame that goes no further for this long was cut off: nothing after it can be read
+# A frame that stays written in part for this long ends its link: what would be completed later was made for a
+# client that may have gone, and passes on a time that has run out. Below 100 ms by what a turn may take.
+PART_MOST_MS = 80.0
 SPENT_MOST = 1_024  # ids remembered on one link, as late answers or second copies may still come
+ANSWERED_MOST = 64  # and of those answered well, whose second copies come at once if at all
 WAITING_BYTES_MOST = 256 * 1024  # unwritten on one link: a scorer that does not read gets no more
 
 
@@ -26,6 +31,8 @@
         self.retired = False  # gets nothing new, and is closed once empty
         self._reader = frames.FrameReader()
         self._spent: dict[bytes, None] = {}  # ids that may not be used again here
+        self._answered: dict[bytes, None] = {}  # nor these, for a while
+        self._late: list[Stream] = []  # that were too late when they were to be written
         self._stall: Timer | None = None
         self._owed_ms = 0.0  # since when something is open
         self._gap_ms = 0.0  # for how long it had been idle by then
@@ -48,7 +55,7 @@
 
     def takes(self, id: bytes) -> bool:
         room = len(self.streams) < self.pool.wire.streams_per_conn
-        fresh = id not in self.streams and id not in self._spent
+        fresh = id not in self.streams and id not in self._spent and id not in self._answered
         return room and fresh and self.connection.waiting_bytes < WAITING_BYTES_MOST
 
     def idle_ms(self) -> float:
@@ -63,7 +70,15 @@
         if not self.streams:
             self._gap_ms, self._owed_ms = self.idle_ms(), monotonic_ms()
         self.streams[stream.id] = stream
-        stream.link, stream.piece = self, self.connection.write(stream.frame())
+        make = partial(self._frame_of, stream)
+        stream.link, stream.piece = self, self.connection.write_late(make, stream.rough_size())
+
+    def _frame_of(self, stream: Stream) -> bytes | None:
+        """Its frame as it leaves, so that the time passed on is the time left by then."""
+        if stream.too_late():
+            self._late.append(stream)
+            return None
+        return stream.frame()
 
     def withdraw(self, stream: Stream) -> None:
         """Take a stream off the link, telling the scorer where it may have heard of it."""
@@ -75,10 +90,11 @@
             self.connection.write(frames.give_up(stream.id))
         self._spend(stream.id)
 
-    def _spend(self, id: bytes) -> None:
-        self._spent[id] = None
-        if len(self._spent) > SPENT_MOST:
-            del self._spent[next(iter(self._spent))]
+    def _spend(self, id: bytes, good: bool = False) -> None:
+        spent, most = (self._answered, ANSWERED_MOST) if good else (self._spent, SPENT_MOST)
+        spent[id] = None
+        if len(spent) > most:
+            del spent[next(iter(spent))]
 
     def unwritten(self) -> list[Stream]:
         return [stream for stream in self.streams.values() if not stream.begun]
@@ -92,8 +108,7 @@
         for frame in self._reader.feed(data):
             # An answer to what is no longer open here comes too late and says nothing.
             if (stream := self.streams.pop(frame.id, None)) is not None:
-                if frame.code != frames.OK:  # it may be tried again here, and a second copy must not end that
-                    self._spend(frame.id)
+                self._spend(frame.id, frame.code == frames.OK)  # a second copy must not end a later one
                 self.pool.answered(stream, frame)
         if self._reader.fault:
             self.pool.log(f"scorer {self.scorer.id}: bad frame: {self._reader.fault}")
@@ -113,7 +128,10 @@
             self.connection.close(End.SILENT)
 
     def on_flushed(self) -> None:
-        pass
+        late, self._late = self._late, []
+        for stream in late:
+            self.streams.pop(stream.id, None)
+            self.pool.too_late(stream)
 
     def on_end(self, end: End) -> None:
         self.pool.link_ended(self, end)
--- a/fawnwharf/net/scorers.py
+++ b/fawnwharf/net/scorers.py
@@ -9,12 +9,12 @@
 from fawnwharf.interface import State, Warmth
 from fawnwharf.net import scorer_frames as frames
 from fawnwharf.net.connection import Connection
-from fawnwharf.net.endings import End
+from fawnwharf.net.endings import PASSING, End
 from fawnwharf.net.log import Log
 from fawnwharf.net.loop import Loop
-from fawnwharf.net.scorer_links import Link
+from fawnwharf.net.scorer_links import PART_MOST_MS, Link
 from fawnwharf.net.streams import WARMTHS, Answer, Attempt, Order, Stream, number
-from fawnwharf.net.wheel import monotonic_ms
+from fawnwharf.net.wheel import Timer, monotonic_ms
 
 QUIET_MS = 1_000.0  # a link that owes an answer and says nothing for this long gets nothing new
 IDLE_PART = 0.7  # of the keep-alive: closed here before the scorer does, so that no send crosses a close
@@ -22,6 +22,7 @@
 # at once on such a link says how long is too long. The trust grows again while nothing of the kind happens.
 STALE_SIGN_MS = 20.0  # a reset so soon after the first bytes was none by the call
 TRUST_LEAST_MS, TRUST_PART, TRUST_GROWTH = 50.0, 0.7, 1.02  # the last at each look, four times a second
+DIAL_PAUSE_MS = 20.0  # after a dial that failed by a fault of this machine's own, which may have passed then
 REDIALS_MOST = 3  # in a row: a dial that is reset as it comes up shows that somebody listens
 LINKS_MOST = 6  # to one scorer
 LINKS_SPREAD = 4  # up to so many, a call finds a link of its own: what spoils one ends all that is on it
@@ -40,6 +41,7 @@
     redials: int = 0  # since a link came up
     links: list[Link] = field(default_factory=list)
     waiting: deque[Stream] = field(default_factory=deque)
+    redial: Timer | None = None  # set while a fault of this machine's own keeps it from being dialled
 
     def link_for(self, id: bytes, trust_ms: float) -> Link | None:
         able = [link for link in self.links if link.up and not link.retired and link.takes(id)]
@@ -59,8 +61,13 @@
         """Whether the next call would share a link, while there may be more of them."""
         return len(self.links) < LINKS_SPREAD and all(link.up and link.streams for link in self.links)
 
+    def current(self) -> list[Link]:
+        """Its links, without those to an address or a process that it had before."""
+        return [link for link in self.links if not link.retired]
+
     def dialling(self) -> int:
-        return sum(not link.up for link in self.links)
+        """The dials under way that what waits may go by."""
+        return sum(not link.up for link in self.current())
 
 
 class ScorerPool:
@@ -83,8 +90,8 @@
                 self.scorers[id] = Scorer(id, address, state, up_since_ms)
             return
         moved = address is not None and address != scorer.address
-        if moved or up_since_ms > scorer.up_since_ms:
-            self._retire(scorer)
+        anew = moved or up_since_ms > scorer.up_since_ms
+        unsent = self._retire(scorer) if anew else []
         scorer.address = address or scorer.address
         scorer.state, scorer.up_since_ms = state, max(up_since_ms, scorer.up_since_ms)
         if state is not State.READY:
@@ -92,6 +99,11 @@
         if state is State.GONE:
             self._retire(scorer)
             self._drop_if_empty(scorer)
+        if anew:  # what had not left yet is for the new process, or the new address
+            scorer.redials = 0
+            for stream in unsent:
+                self._place(stream)
+            self._place_waiting(scorer)
 
     def gone_but(self, named: set[int]) -> None:
         """A complete list was told: whoever it does not name is gone."""
@@ -106,11 +118,18 @@
                 self._take_off(stream)
                 self._end(stream, End.PULLED_BACK)
 
-    def _retire(self, scorer: Scorer) -> None:
+    def _retire(self, scorer: Scorer) -> list[Stream]:
+        """Use its links for nothing new; the streams on them of which nothing was written, taken off."""
+        unsent: list[Stream] = []
         for link in list(scorer.links):
             link.retired = True
+            for stream in link.unwritten():
+                link.withdraw(stream)
+                stream.link = stream.piece = None
+                unsent.append(stream)
             if link.up and not link.streams:
                 link.connection.close(End.RETIRED)
+        return unsent
 
     def _drop_if_empty(self, scorer: Scorer) -> None:
         if scorer.state is State.GONE and not scorer.links and not scorer.waiting:
@@ -119,13 +138,19 @@
     # --- sending ------------------------------------------------------------------------------
 
     def send(self, attempt: Attempt) -> None:
-        left = attempt.deadline_ms - monotonic_ms()
-        if left <= 0:
-            self._end(attempt, End.NEVER_SENT)
-            return
-        attempt.timer = self.loop.wheel.after(left, lambda: self._out_of_time(attempt))
+        self._watch_time(attempt)
         self._place(attempt)
 
+    def _watch_time(self, attempt: Attempt) -> None:
+        due_ms = attempt.deadline_ms if attempt.begun else min(attempt.deadline_ms, attempt.begin_by_ms)
+        attempt.timer = self.loop.wheel.after(due_ms - monotonic_ms(), lambda: self._time_is_up(attempt))
+
+    def _time_is_up(self, attempt: Attempt) -> None:
+        if attempt.begun and monotonic_ms() < attempt.deadline_ms:
+            self._watch_time(attempt)
+        else:
+            self._out_of_time(attempt)
+
     def order(self, order: Order) -> None:
         order.id = next(self._order_ids).to_bytes(8, "big")
         order.timer = self.loop.wheel.after(self.wire.load_wait_ms, lambda: self._out_of_time(order))
@@ -142,17 +167,38 @@
         return link is not None
 
     def _place(self, stream: Stream) -> None:
+        if stream.over:
+            return
         scorer = self.scorers.get(stream.worker)
         closed = scorer is None or scorer.state is State.GONE
-        if closed or (stream.is_new_work and scorer.state is not State.READY):
+        if closed or (stream.is_new_work and scorer.state is not State.READY) or stream.too_late():
             self._end(stream, End.NEVER_SENT)
         elif link := scorer.link_for(stream.id, self._trust_ms):
+            stream.wait_no_longer()
             link.start(stream)
             if scorer.crowded() and self._may_spread():
                 self._dial_one(scorer)
         else:
-            scorer.waiting.append(stream)
-            self._dial(scorer)
+            self._wait(scorer, stream)
+
+    def _wait(self, scorer: Scorer, stream: Stream) -> None:
+        """Have it wait for a connection, for no longer than a dial may take; its own dial ends first."""
+        scorer.waiting.append(stream)
+        self._dial(scorer)
+        if stream.wait_timer is None and not stream.over:
+            most = self.wire.dial_timeout_ms
+            stream.wait_timer = self.loop.wheel.after(most, lambda: self._waited_out(stream))
+
+    def _waited_out(self, stream: Stream) -> None:
+        self._take_off(stream)
+        self._end(stream, End.NEVER_SENT)
+        if scorer := self.scorers.get(stream.worker):
+            self._drop_if_empty(scorer)
+
+    def _place_waiting(self, scorer: Scorer) -> None:
+        waiting, scorer.waiting = scorer.waiting, deque()
+        for stream in waiting:
+            self._place(stream)
 
     def _may_spread(self) -> bool:
         """Guards scorers' connections and the price: many front ends with links to each run them short."""
@@ -160,23 +206,34 @@
         return cheap and self._links < SPREAD_PART * self.links_most
 
     def _dial(self, scorer: Scorer) -> None:
-        """As many dials as the waiting streams need; they wait for no longer than a dial takes."""
-        while scorer.dialling() * self.wire.streams_per_conn < len(scorer.waiting):
-            if self._links >= self.links_most or len(scorer.links) >= LINKS_MOST:
-                failed = End.NO_DESCRIPTOR
-            else:
-                failed = self._dial_one(scorer)
+        """As many dials as the waiting streams need; none while a fault of this machine's own may last."""
+        while scorer.redial is None and scorer.dialling() * self.wire.streams_per_conn < len(scorer.waiting):
+            full = self._links >= self.links_most or len(scorer.current()) >= LINKS_MOST
+            failed = End.NO_DESCRIPTOR if full else self._dial_one(scorer)
+            if failed in PASSING and not full:
+                self._dial_later(scorer)
+            elif failed and not scorer.dialling():
+                self._fail_waiting(scorer, failed)
             if failed:
-                if not scorer.dialling():
-                    self._fail_waiting(scorer, failed)
                 return
 
+    def _dial_later(self, scorer: Scorer) -> None:
+        """Guards the scorer's good name, the loop and the requests against a passing fault of this machine:
+        what waits goes on waiting, and is dialled for again after a pause."""
+        if scorer.redial is None:
+            scorer.redial = self.loop.wheel.after(DIAL_PAUSE_MS, lambda: self._dial_again(scorer))
+
+    def _dial_again(self, scorer: Scorer) -> None:
+        scorer.redial = None
+        self._place_waiting(scorer)
+
     def _dial_one(self, scorer: Scorer) -> End | None:
         link = Link(self, scorer)
         made = Connection.dial(self.loop, scorer.address, link, self.wire.dial_timeout_ms)
         if isinstance(made, End):
             return made
         link.connection = made
+        made.limit_parts(PART_MOST_MS)
         scorer.links.append(link)
         self._links += 1
         return None
@@ -187,10 +244,9 @@
             self._end(stream, end)
 
     def link_up(self, link: Link) -> None:
-        link.scorer.redials = 0
-        waiting, link.scorer.waiting = link.scorer.waiting, deque()
-        for stream in waiting:
-            self._place(stream)
+        if not link.retired:
+            link.scorer.redials = 0
+            self._place_waiting(link.scorer)
         if link.retired and not link.streams:  # its scorer went while it was dialled
             link.connection.close(End.RETIRED)
 
@@ -209,14 +265,21 @@
             else:  # the scorer saw none of it: another connection may serve
                 stream.link = stream.piece = None
                 self._place(stream)
-        if not link.connection.up and not scorer.dialling():
-            if end is End.RESET_BY_PEER and scorer.redials < REDIALS_MOST:
-                scorer.redials += 1
-                self._dial(scorer)
-            else:
-                self._fail_waiting(scorer, end)
+        if not link.connection.up and not link.retired:
+            self._dial_failed(scorer, end)
         self._drop_if_empty(scorer)
 
+    def _dial_failed(self, scorer: Scorer, end: End) -> None:
+        if end in PASSING:
+            self._dial_later(scorer)
+        elif scorer.dialling():
+            return
+        elif end is End.RESET_BY_PEER and scorer.redials < REDIALS_MOST:
+            scorer.redials += 1
+            self._dial(scorer)
+        else:
+            self._fail_waiting(scorer, end)
+
     def answered(self, stream: Stream, frame: frames.Frame) -> None:
         fields = frame.fields
         warmth = WARMTHS.get(fields.get("res", ""), Warmth.UNTOLD)
@@ -228,6 +291,16 @@
             self._take_off(stream)
             self._end(stream, End.CALLED_OFF)
 
+    def take_back(self, stream: Stream) -> None:
+        """End it as never sent where nothing of it has been written; else leave it as it is."""
+        if not stream.over and not stream.begun:
+            self._take_off(stream)
+            self._end(stream, End.NEVER_SENT)
+
+    def too_late(self, stream: Stream) -> None:
+        """It was too late when it was to be written; the link has let go of it."""
+        self._end(stream, End.NEVER_SENT)
+
     def _out_of_time(self, stream: Stream) -> None:
         begun = stream.begun
         self._take_off(stream)
@@ -243,6 +316,7 @@
         if stream.over:
             return
         stream.over = True
+        stream.wait_no_longer()
         if stream.timer:
             stream.timer.cancel()
         link, stream.link = stream.link, None
--- a/fawnwharf/net/streams.py
+++ b/fawnwharf/net/streams.py
@@ -1,13 +1,14 @@
 """What is sent to a scorer and gets one end: attempts and orders, and what their answers tell."""
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from fawnwharf.interface import Ending, Warmth
 from fawnwharf.net import scorer_frames as frames
-from fawnwharf.net.connection import Piece
 from fawnwharf.net.endings import End
+from fawnwharf.net.pieces import Piece
 from fawnwharf.net.wheel import Timer, monotonic_ms
 
 if TYPE_CHECKING:
@@ -47,12 +48,27 @@
     link: "Link | None" = field(default=None, init=False)
     piece: Piece | None = field(default=None, init=False)
     timer: Timer | None = field(default=None, init=False)
+    wait_timer: Timer | None = field(default=None, init=False)  # set while it waits for a connection
     over: bool = field(default=False, init=False)
     id: bytes = field(default=b"", kw_only=True)
 
     @property
     def begun(self) -> bool:  # some of its bytes may have arrived
-        return self.piece is not None and self.piece.written > 0
+        return self.piece is not None and self.piece.begun
+
+    @property
+    def whole(self) -> bool:  # all of them may have
+        return self.piece is not None and self.piece.whole
+
+    def wait_no_longer(self) -> None:
+        """It waits for no connection any more."""
+        if self.wait_timer:
+            self.wait_timer.cancel()
+        self.wait_timer = None
+
+    def too_late(self) -> bool:
+        """Whether it must not begin to be written any more."""
+        return False
 
 
 @dataclass(slots=True, eq=False)
@@ -61,10 +77,19 @@
     function: str = ""
     token: str = ""
     body: bytes = b""
-    deadline_ms: float = 0.0
+    deadline_ms: float = 0.0  # of the monotonic clock, as the next
+    begin_by_ms: float = math.inf  # it may not leave later, however long the client waits
 
     is_new_work = True
 
+    def too_late(self) -> bool:
+        """Whether it must not begin to be written any more."""
+        return monotonic_ms() >= min(self.deadline_ms, self.begin_by_ms)
+
+    def rough_size(self) -> int:
+        """About how many bytes its frame will have."""
+        return frames.HEAD_ROUGH + len(self.token) + len(self.body)
+
     def frame(self) -> bytes:
         left = self.deadline_ms - monotonic_ms()
         return frames.run(self.id, self.kind, self.function, left, self.token, self.body)
@@ -82,6 +107,10 @@
     def is_new_work(self) -> bool:  # a question is none
         return self.copies > 0
 
+    def rough_size(self) -> int:
+        """About how many bytes its frame will have."""
+        return frames.HEAD_ROUGH
+
     def frame(self) -> bytes:
         return frames.ensure(self.id, self.function, self.copies)
 
--- /dev/null
+++ b/tests/scorer_rig.py
@@ -0,0 +1,139 @@
+"""A front end with scripted scorers, a settable clock and failing calls, driven step by step.
+
+What is sent is put straight to the table of requests, so that each order of events can be forced.
+"""
+
+import errno
+import socket
+import unittest
+
+import msgspec
+from peers import ROW, Rig, ready
+from support.clocks import SettableClock
+from support.system_faults import SystemFaults
+
+from fawnwharf import interface as io
+from fawnwharf.net import scorers, streams
+from fawnwharf.net.loop import READ
+
+BY_POOL = 9  # a scorer that the pool knows and the module does not: it is sent what the test says alone
+
+
+def reset(sock):
+    """Close a connection by a reset."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+    sock.close()
+
+
+def attempt(worker, ended, id=b"12345678", body=b"", within_ms=8000.0, **more):
+    """An attempt of which `ended` hears how it ended, and whether a byte had been written."""
+    return streams.Attempt(
+        worker, lambda stream, end, answer: ended.append((end or answer.ending, stream.begun)), id=id,
+        kind="view", function=ROW, body=body, deadline_ms=scorers.monotonic_ms() + within_ms, **more,
+    )  # fmt: skip
+
+
+def order(worker, ended, copies=1):
+    """The same for an order."""
+    return streams.Order(
+        worker, lambda stream, end, answer: ended.append((end or answer.ending, stream.begun)), ROW, copies
+    )
+
+
+class Case(unittest.TestCase):
+    """Has a clock that moves when told to, and calls that fail when told to, from its start."""
+
+    def setUp(self):
+        self.clock, self.faults = SettableClock(), SystemFaults()
+        for context in (self.clock.installed(), self.faults.installed()):
+            self.enterContext(context)
+
+    def rig(self, *peers, known=(), **more):
+        """The module knows of `known` alone; `peers` are known to the pool, from `BY_POOL` on."""
+        rig = Rig(*known, **more)
+        self.addCleanup(rig.close)
+        # Handshakes are dear: no link is dialled that nothing waits for.
+        rig.front.pool.wire = msgspec.structs.replace(rig.front.pool.wire, handshake_price=1.0)
+        for number, peer in enumerate(peers, BY_POOL):
+            rig.scorers.append(peer)
+            rig.front.pool.update(number, self.address(peer), io.State.READY, 0.0)
+        self.told = []  # events, in order
+        tell = rig.front.loop.tell
+        rig.front.loop.tell = lambda event: self.told.append(event) or tell(event)
+        return rig
+
+    def address(self, peer):
+        return peer.listener.getsockname()
+
+    def endings(self):
+        """How attempts ended, as the module was told."""
+        return [event.ending for event in self.told if isinstance(event, io.AttemptEnded)]
+
+    def order_endings(self):
+        return [event.ending for event in self.told if isinstance(event, io.OrderAnswered)]
+
+    def link_up(self, rig, peer, worker=BY_POOL):
+        """A first link to a scorer, with nothing open on it; and no spare."""
+        ended, answers, peer.copies = [], peer.copies, 0
+        rig.front.pool.order(order(worker, ended, copies=0))
+        rig.until(lambda: ended and self.links(rig, worker)[0].up, "a link is up")
+        [link] = self.links(rig, worker)
+        peer.frames.clear()
+        peer.copies = answers
+        return link
+
+    def links(self, rig, worker=BY_POOL):
+        return rig.front.pool.scorers[worker].links
+
+    def asked(self, rig, op="view", **fields):
+        """A client, and the key of its request, which the module holds: it knows of no scorer."""
+        client = rig.client()
+        before = set(rig.front.table.open)
+        client.call(op, **fields)
+        rig.until(lambda: set(rig.front.table.open) - before, "the request is open")
+        [key] = set(rig.front.table.open) - before
+        return client, key
+
+    def leave(self, rig, client, key, how):
+        """The client goes, and the front end reads that before anything else happens."""
+        [port] = [port for port in rig.front.port.clients if key in port.open.values()]
+        if how == "withdraw":
+            client.withdraw(client.seqid)
+        else:
+            client.sock.close()
+            client.ended = True
+        self.read(port.connection)
+        self.assertNotIn(key, rig.front.table.open)
+
+    def read(self, connection):
+        """Have this connection alone read what has come for it."""
+        self.assertTrue(ready(connection._sock))
+        connection._ready(READ)
+
+    def to(self, peer):
+        """For faults: whether a socket is a link to this scorer."""
+        port = peer.listener.getsockname()[1]
+
+        def leads_there(sock):
+            try:
+                return sock.getpeername()[1] == port
+            except OSError as error:
+                assert error.errno in (errno.ENOTCONN, errno.EINVAL)
+                return False
+
+        return leads_there
+
+    def block(self, peer, after_bytes=None):
+        """Links to this scorer take so many bytes more, and then none."""
+        if after_bytes:
+            self.faults.shorten("sendmsg", after_bytes, where=self.to(peer))
+        return self.faults.shorten("sendmsg", 0, times=10**9, where=self.to(peer))
+
+    def unblock(self, fault):
+        fault.times = fault.hits
+
+    def turn(self, rig, times=3):
+        for _ in range(times):
+            rig.front.loop.turn(0.005)
+            for peer in [*rig.scorers, *rig.clients]:
+                peer.pump()
--- /dev/null
+++ b/tests/test_scorer_faults.py
@@ -0,0 +1,242 @@
+"""Errors of the system on the way to a scorer, one by one, injected at the call."""
+
+import errno
+import os
+import unittest
+from unittest import mock
+
+from peers import ScorerPeer
+from scorer_rig import BY_POOL, Case, attempt
+
+from fawnwharf import interface as io
+from fawnwharf.net import connection, scorers
+from fawnwharf.net.endings import ERRORS, PASSING, End, SystemCall, end_of, told
+from fawnwharf.net.front_end import worker_number
+
+LOCAL = ("EMFILE", "ENFILE", "ENOBUFS", "ENOMEM", "EINTR")
+# Which errors of a call pass by themselves, and what the others tell of the scorer.
+PASSES = {
+    "socket": LOCAL,
+    "connect": (*LOCAL, "EAGAIN", "EADDRNOTAVAIL", "ENETUNREACH", "ENETDOWN"),
+    "so_error": (*LOCAL, "EADDRNOTAVAIL", "ENETDOWN"),
+    "sendmsg": ("ENOBUFS", "ENOMEM", "EINTR"),
+}
+OF_PEER = {
+    "connect": {
+        "ECONNREFUSED": End.REFUSED, "EHOSTUNREACH": End.UNREACHABLE, "ETIMEDOUT": End.UNREACHABLE,
+    },
+    "so_error": {
+        "ECONNREFUSED": End.REFUSED, "EHOSTUNREACH": End.UNREACHABLE, "ETIMEDOUT": End.UNREACHABLE,
+        "ENETUNREACH": End.UNREACHABLE,
+    },
+    "sendmsg": {
+        "ECONNRESET": End.RESET_BY_PEER, "EPIPE": End.RESET_BY_PEER, "ETIMEDOUT": End.UNREACHABLE,
+    },
+}  # fmt: skip
+PAUSE_MS = scorers.DIAL_PAUSE_MS + 5.0
+DIAL_MS = 250.0
+BOUNDS = {"max_attempts": 3, "cancel": True, "second_copies": True, "dial_timeout": DIAL_MS}
+
+
+def number(name):
+    return getattr(errno, name)
+
+
+class Dials(Case):
+    """What waits for a connection while one can't be made."""
+
+    def waiting(self, call, name, times=1):
+        scorer, ended = ScorerPeer(copies=None), []
+        rig = self.rig(scorer, settings={"bounds": BOUNDS})
+        fault = self.faults.fail(call, number(name), times=times)
+        rig.front.pool.send(attempt(BY_POOL, ended))
+        return rig, scorer, ended, fault
+
+    def test_a_passing_fault_is_tried_again_after_a_pause(self):
+        for call in ("socket", "connect", "so_error"):
+            for name in PASSES[call]:
+                with self.subTest(call=call, error=name):
+                    rig, scorer, ended, fault = self.waiting(call, name)
+                    self.turn(rig)
+                    self.assertEqual((fault.hits, ended, self.links(rig)), (1, [], []))
+                    self.clock.advance(PAUSE_MS)
+                    rig.until(lambda scorer=scorer: scorer.runs, "it runs")
+                    self.assertEqual(ended, [])
+
+    def test_one_that_lasts_ends_what_waits_as_not_sent_after_a_dials_time(self):
+        for call in ("socket", "connect", "so_error"):
+            with self.subTest(call):
+                rig, scorer, ended, fault = self.waiting(call, PASSES[call][0], times=10**9)
+                started_ms = self.clock.monotonic_ms
+                while not ended:
+                    self.clock.advance(5.0)
+                    self.turn(rig, times=1)
+                fault.times = fault.hits
+                self.assertEqual(told(*ended[0]), io.Ending.NOT_SENT)
+                self.assertLessEqual(abs(self.clock.monotonic_ms - started_ms - DIAL_MS), 10.0)
+                self.assertTrue(2 <= fault.hits <= DIAL_MS / scorers.DIAL_PAUSE_MS + 1, fault.hits)
+                self.assertEqual((self.links(rig), rig.front.pool._links), ([], 0))
+
+    def test_a_lasting_fault_ends_nothing_before_a_later_one_has_waited_as_long(self):
+        rig, scorer, ended, fault = self.waiting("connect", "EADDRNOTAVAIL", times=10**9)
+        self.clock.advance(DIAL_MS / 2)
+        later = []
+        rig.front.pool.send(attempt(BY_POOL, later, id=b"abcdefgh"))
+        self.clock.advance(DIAL_MS / 2 + 5.0)
+        self.turn(rig)
+        self.assertEqual((len(ended), later), (1, []))
+        fault.times = fault.hits
+        self.clock.advance(PAUSE_MS)
+        rig.until(lambda: scorer.runs, "the later one runs")
+
+    def test_what_the_other_side_did_ends_what_waits_at_once(self):
+        for call in ("connect", "so_error"):
+            for name, end in OF_PEER[call].items():
+                with self.subTest(call=call, error=name):
+                    rig, _, ended, _ = self.waiting(call, name)
+                    rig.until(lambda ended=ended: ended, "it ends")
+                    self.assertEqual(ended, [(end, False)])
+                    self.assertEqual(told(*ended[0]), io.Ending.CONNECT_FAILED)
+
+    def test_the_errors_are_those_of_the_table(self):
+        calls = {
+            "socket": SystemCall.SOCKET, "connect": SystemCall.CONNECT, "so_error": SystemCall.CONNECTED,
+            "sendmsg": SystemCall.SEND,
+        }  # fmt: skip
+        for call, names in PASSES.items():
+            for name in names:
+                self.assertIn(end_of(OSError(number(name), ""), calls[call]), PASSING)
+        for call, rows in OF_PEER.items():
+            for name, end in rows.items():
+                self.assertIs(end_of(OSError(number(name), ""), calls[call]), end)
+        for call in calls.values():
+            self.assertIs(end_of(OSError(errno.EXDEV, ""), call), End.UNREACHABLE)
+            self.assertNotIn(errno.EXDEV, ERRORS[call])
+
+    def test_a_drain_told_in_the_pause_brings_new_work_back_at_once(self):
+        for state in (io.State.DRAINING, io.State.GONE):
+            with self.subTest(state.name):
+                rig, scorer, ended, fault = self.waiting("connect", "EADDRNOTAVAIL")
+                self.turn(rig)
+                rig.front.pool.update(BY_POOL, None, state, 0.0)
+                self.assertEqual(ended, [(End.PULLED_BACK, False)])
+                self.clock.advance(PAUSE_MS)
+                self.turn(rig)
+                self.assertEqual(scorer.links, [])
+
+    def test_one_called_off_in_the_pause_is_not_dialled_for(self):
+        rig, scorer, ended, _ = self.waiting("connect", "ENETUNREACH")
+        [stream] = rig.front.pool.scorers[BY_POOL].waiting
+        rig.front.pool.cancel(stream)
+        self.clock.advance(PAUSE_MS)
+        self.turn(rig)
+        self.assertEqual((ended, scorer.links), ([(End.CALLED_OFF, False)], []))
+
+    def test_an_address_told_in_the_pause_is_the_one_that_is_dialled(self):
+        rig, scorer, ended, _ = self.waiting("connect", "ENETUNREACH")
+        rig.scorers.append(moved := ScorerPeer(copies=None))
+        rig.front.pool.update(BY_POOL, self.address(moved), io.State.READY, 0.0)
+        self.clock.advance(PAUSE_MS)
+        rig.until(lambda: moved.runs, "it runs at the new one")
+        self.assertEqual((scorer.links, ended), ([], []))
+
+    def test_a_passing_fault_counts_neither_against_the_scorer_nor_as_an_attempt(self):
+        for call, name in (("connect", "EADDRNOTAVAIL"), ("socket", "EMFILE"), ("so_error", "ENOBUFS")):
+            with self.subTest(call):
+                scorer = ScorerPeer()
+                rig = self.rig(known=[scorer])
+                client = rig.client()
+                rig.until(lambda rig=rig: rig.front.port.clients, "the client is accepted")
+                fault = self.faults.fail(call, number(name), times=2)
+                client.call()
+                for hits in (1, 2):
+                    rig.until(lambda fault=fault, hits=hits: fault.hits == hits, "a dial fails")
+                    self.clock.advance(PAUSE_MS)
+                rig.until(lambda scorer=scorer: scorer.runs, "it runs")
+                scorer.answer(scorer.runs[0])
+                rig.until(lambda client=client: client.answers, "it is answered")
+                worker = rig.front.router.workers[worker_number(scorer.id)]
+                self.assertEqual((client.kinds(), worker.suspect_ms), ({1: "answer"}, None))
+
+    def test_no_descriptor_is_leaked_where_a_dial_fails_half_way(self):
+        scorer, ended = ScorerPeer(copies=None), []
+        rig = self.rig(scorer)
+        before = len(os.listdir("/proc/self/fd"))
+        with mock.patch.object(rig.front.loop, "watch", side_effect=OSError(errno.ENOSPC, "watch")):
+            rig.front.pool.send(attempt(BY_POOL, ended))
+        self.assertEqual(len(os.listdir("/proc/self/fd")), before)
+        with (
+            mock.patch.object(rig.front.loop, "watch", side_effect=KeyError("watch")),
+            self.assertRaises(KeyError),
+        ):
+            connection.Connection.dial(rig.front.loop, self.address(scorer), mock.Mock(), DIAL_MS)
+        self.assertEqual(len(os.listdir("/proc/self/fd")), before)
+        self.clock.advance(PAUSE_MS)
+        rig.until(lambda: scorer.runs, "it runs")
+
+    def test_a_connection_without_its_options_serves_as_well(self):
+        scorer, ended = ScorerPeer(copies=None), []
+        rig = self.rig(scorer)
+        with mock.patch.object(connection.socket.socket, "setsockopt", side_effect=OSError(1, "no")):
+            rig.front.pool.send(attempt(BY_POOL, ended))
+        rig.until(lambda: scorer.runs, "it runs")
+
+
+class Writes(Case):
+    def test_a_passing_fault_is_tried_again_after_a_pause_and_does_not_spin(self):
+        for name in PASSES["sendmsg"]:
+            with self.subTest(name):
+                scorer, ended = ScorerPeer(copies=None), []
+                rig = self.rig(scorer)
+                link = self.link_up(rig, scorer)
+                fault = self.faults.fail("sendmsg", number(name), times=10**9, where=self.to(scorer))
+                rig.front.pool.send(attempt(BY_POOL, ended))
+                self.turn(rig, times=20)
+                self.assertEqual((fault.hits, ended, link.connection.closed), (1, [], False))
+                fault.times = fault.hits
+                self.clock.advance(connection.WRITE_PAUSE_MS + 5.0)
+                rig.until(lambda scorer=scorer: scorer.runs, "it runs")
+
+    def test_what_the_other_side_did_ends_the_link_and_nothing_of_it_had_left(self):
+        for name, end in OF_PEER["sendmsg"].items():
+            with self.subTest(name):
+                scorer, ended = ScorerPeer(copies=None), []
+                rig = self.rig(scorer)
+                link = self.link_up(rig, scorer)
+                self.faults.fail("sendmsg", number(name), where=self.to(scorer))
+                ends, end_of_link = [], link.on_end
+                link.on_end = lambda end, ends=ends, then=end_of_link: (ends.append(end), then(end))
+                rig.front.pool.send(attempt(BY_POOL, ended))
+                rig.until(lambda scorer=scorer: scorer.runs, "it runs on another link")
+                self.assertEqual((ends, ended), ([end], []))
+
+    def test_a_client_has_its_answer_in_spite_of_one(self):
+        rig = self.rig()
+        client = rig.client()
+        port = client.sock.getsockname()[1]
+        self.faults.fail("sendmsg", errno.ENOBUFS, where=lambda sock: sock.getpeername()[1] == port)
+        client.status(7)
+        self.turn(rig)
+        self.assertEqual(client.answers, [])
+        self.clock.advance(connection.WRITE_PAUSE_MS + 5.0)
+        rig.until(lambda: client.answers, "it has its answer")
+
+    def test_a_fault_in_the_middle_of_a_frame_does_not_make_it_late(self):
+        scorer, ended = ScorerPeer(copies=None), []
+        rig = self.rig(scorer)
+        link = self.link_up(rig, scorer)
+        self.faults.shorten("sendmsg", 30, where=self.to(scorer))
+        fault = self.faults.fail("sendmsg", errno.ENOMEM, times=10**9, where=self.to(scorer))
+        rig.front.pool.send(attempt(BY_POOL, ended))
+        rig.until(lambda: fault.hits, "it is in part")
+        while not link.connection.closed:
+            self.clock.advance(10.0)
+            self.turn(rig, times=1)
+        fault.times = fault.hits
+        rig.settle(rig.client())
+        self.assertEqual((ended, scorer.frames), ([(End.LOCAL_FAULT, True)], []))
+        self.assertEqual(told(*ended[0], whole=False), io.Ending.NOT_SENT)
+
+
+if __name__ == "__main__":
+    unittest.main()
