Requests that are over: what no byte has left of is taken back, load orders too

Cause: only the module's Cancel stopped an attempt, and it gives none where settings forbid it or where it does not know the attempt yet, so one that waited for a dial or lay unwritten was sent after its client had gone; an order to load made for it as well. Seen in RequestTable._close, which told the pool nothing.

Change: a request that leaves or has its final answer takes back its attempts without a byte written, and the unwritten orders to load for its function once no other request waits for that; all end as not sent, and the module counts no load for them. An order that the module makes in the very batch in which the last client left is not sent either. A frame in part on a dead link is told as never run, but for classes that must not run twice (handed in as `classes`; without them every class counts as such).

--- a/fawnwharf/net/requests.py
+++ b/fawnwharf/net/requests.py
@@ -5,8 +5,9 @@
 """
 
 import itertools
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from types import MappingProxyType
 from typing import Any, Protocol
 
 from fawnwharf import interface as io
@@ -65,6 +66,7 @@
     deadline_ms: float  # of the monotonic clock
     backstop: Timer
     attempts: int = 0  # sent so far; the module numbers them in the same order
+    left: bool = False  # its client waits no more, or its time is up
 
 
 class Witness(Protocol):
@@ -82,7 +84,15 @@
 class RequestTable:
     """Owns every open request, and sees to it that each gets exactly one outcome."""
 
-    def __init__(self, loop: Loop, pool: ScorerPool, wire: Wire) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        pool: ScorerPool,
+        wire: Wire,
+        classes: Mapping[str, io.ClassSpec] = MappingProxyType({}),
+    ) -> None:
+        """`classes`: what is known of each class; one that is unknown here must not run twice."""
+        self._classes = classes
         self.open: dict[str, OpenRequest] = {}
         self._loop, self._pool, self._wire = loop, pool, wire
         self.witness: Witness | None = None
@@ -90,6 +100,8 @@
         self._numbers = itertools.count(1)
         # Attempts that are out, also of requests that are over: the module may still call them off.
         self._out: dict[tuple[str, int], Attempt] = {}
+        # Orders to load that are out, by function, if a request for it was open here as they were made.
+        self._orders: dict[str, list[Order]] = {}
         # Tickets of arrivals that the module is yet to be handed: what ends before then it never hears of.
         self._untold: dict[str, int] = {}
         # Requests that ended while the module did not know it yet, of this batch and of the one before.
@@ -129,11 +141,13 @@
 
     def _leave(self, key: str) -> OpenRequest | None:
         if request := self._close(key):
+            request.left = True
             if (ticket := self._untold.pop(key, None)) is not None:
                 self._loop.untell(ticket)
             else:
                 self._ended[key] = request
                 self._loop.tell(io.ClientLeft(key))
+            self._take_back(request)
         return request
 
     def _close(self, key: str) -> OpenRequest | None:
@@ -147,6 +161,24 @@
         if request := self._close(key):
             self._ended[key] = request
             request.call.reply(outcome)
+            self._take_back(request)
+
+    def _take_back(self, request: OpenRequest) -> None:
+        """What no byte has left of, of a request that is over: its attempts, and orders to load that were
+        made for requests of its function of which none waits any more. Settings don't matter here, as no
+        scorer hears of it."""
+        for number in range(request.attempts):
+            if attempt := self._out.get((request.key, number)):
+                self._pool.take_back(attempt)
+        function = request.call.function
+        orders = [order for order in self._orders.get(function, ()) if not order.begun]
+        if orders and not self._is_asked(function):
+            for order in orders:
+                self._pool.take_back(order)
+
+    def _is_asked(self, function: str) -> bool:
+        """Whether a request for the function is open here."""
+        return any(request.call.function == function for request in self.open.values())
 
     # --- from the module ----------------------------------------------------------------------
 
@@ -173,6 +205,7 @@
             token=call.token,
             body=call.body,
             deadline_ms=request.deadline_ms,
+            begin_by_ms=self._loop.turn_ms + action.within_ms,
         )
         if self.witness:
             self.witness.sent(attempt)
@@ -195,16 +228,25 @@
     ) -> None:
         del self._out[key, number]
         if answer is None:
-            ending, warmth, crowd = told(end or End.NEVER_SENT, attempt.begun), io.Warmth.UNTOLD, None
+            whole = attempt.whole or not self._may_repeat(attempt)
+            ending, warmth = told(end or End.NEVER_SENT, attempt.begun, whole), io.Warmth.UNTOLD
+            crowd = None
         else:
             ending, warmth, crowd = answer.ending, answer.warmth, self._crowd(answer)
-            if ending is io.Ending.GOOD:
-                self._finish(key, Served(answer.body))
+        good = answer is not None and ending is io.Ending.GOOD
         if self.witness:
             self.witness.ended(attempt, ending, warmth)
         took = monotonic_ms() - attempt.began_ms
-        closed = key not in self.open
+        closed = good or key not in self.open
+        # Told before it is finished, as that ends its other attempts: the module takes ends in their order.
         self._loop.tell(io.AttemptEnded(key, number, attempt.worker, ending, took, closed, warmth, crowd))
+        if good:
+            self._finish(key, Served(answer.body))
+
+    def _may_repeat(self, attempt: Attempt) -> bool:
+        """Whether what can't have run may be sent again, though some of it was written."""
+        spec = self._classes.get(attempt.kind)
+        return spec is not None and spec.effect is not io.Effect.UNSAFE
 
     def _crowd(self, answer: Answer) -> int | None:
         if not self._wire.tells_crowd or answer.ending not in (io.Ending.GOOD, io.Ending.FULL):
@@ -215,12 +257,30 @@
         order = Order(action.worker, self._order_ended, action.function, action.copies)
         if self.witness:
             self.witness.ordered(order)
+        if order.copies and self._is_asked(order.function):
+            self._orders.setdefault(order.function, []).append(order)
+        elif order.copies and self._was_asked(order.function):
+            self._order_ended(order, End.NEVER_SENT, None)
+            return
         self._pool.order(order)
 
+    def _was_asked(self, function: str) -> bool:
+        """Whether a client left that waited for the function in the very batch that is carried out."""
+        ended = itertools.chain(self._ended.values(), self._ended_before.values())
+        return any(request.left and request.call.function == function for request in ended)
+
     def _order_ended(self, order: Order, end: End | None, answer: Answer | None) -> None:
+        self._forget(order)
         took = monotonic_ms() - order.began_ms
-        ending = answer.ending if answer else told(end or End.NEVER_SENT, order.begun)
+        ending = answer.ending if answer else told(end or End.NEVER_SENT, order.begun, order.whole)
         copies = answer.copies if answer else 0
         if self.witness:
             self.witness.order_ended(order, ending, copies)
         self._loop.tell(io.OrderAnswered(order.worker, order.function, ending, copies, took))
+
+    def _forget(self, order: Order) -> None:
+        orders = self._orders.get(order.function, [])
+        if order in orders:
+            orders.remove(order)
+            if not orders:
+                del self._orders[order.function]
