Tests: closes, dials, answers and ids that cross with sends to scorers

Each order is forced on real connections: an idle close before and after a send; a reset before any byte, in part and whole, by class; a dial up after its time; dials to a gone scorer's address, to one that a scorer has left, and to a process before a restart; second, cut and late answers; ids that are open twice, used again, or an order's and a call's at once.

--- a/tests/scorer_rig.py
+++ b/tests/scorer_rig.py
@@ -54,6 +54,7 @@
         self.addCleanup(rig.close)
         # Handshakes are dear: no link is dialled that nothing waits for.
         rig.front.pool.wire = msgspec.structs.replace(rig.front.pool.wire, handshake_price=1.0)
+        rig.front.table._classes = rig.front.deployment.settings.classes
         for number, peer in enumerate(peers, BY_POOL):
             rig.scorers.append(peer)
             rig.front.pool.update(number, self.address(peer), io.State.READY, 0.0)
--- a/tests/test_link_writes.py
+++ b/tests/test_link_writes.py
@@ -263,7 +263,6 @@
         endings = {}
         for op in ("view", "save", "settle"):
             rig, _, link, _, _ = self.part(op=op)
-            rig.front.table._classes = rig.front.deployment.settings.classes
             self.clock.advance(scorer_links.PART_MOST_MS + 5.0)
             rig.until(lambda link=link: link.connection.closed, "its link ends")
             endings[op] = self.endings()
--- /dev/null
+++ b/tests/test_scorer_answers.py
@@ -0,0 +1,306 @@
+"""Links to scorers: closes, dials, answers and ids that cross with what is sent."""
+
+import errno
+import itertools
+import unittest
+from unittest import mock
+
+from peers import ScorerPeer
+from scorer_rig import BY_POOL, Case, attempt, order, reset
+
+from fawnwharf import interface as io
+from fawnwharf.net import scorer_frames, scorers
+from fawnwharf.net.endings import End
+
+CLASSES = ("view", "save", "settle")
+DIAL_MS = 250.0
+BOUNDS = {"max_attempts": 3, "cancel": True, "second_copies": True, "dial_timeout": DIAL_MS}
+RESET, NOT_SENT = io.Ending.RESET, io.Ending.NOT_SENT
+
+
+class Closes(Case):
+    """A connection ends as something is sent on it."""
+
+    def test_an_idle_close_here_just_before_a_send_makes_it_dial_anew(self):
+        scorer, ended = ScorerPeer(copies=None), []
+        rig = self.rig(scorer)
+        self.link_up(rig, scorer)
+        self.clock.advance(60_000.0)
+        rig.front.pool.tidy()
+        rig.front.pool.send(attempt(BY_POOL, ended))
+        rig.until(lambda: scorer.runs, "it runs")
+        self.assertEqual((scorer.runs[0][0], ended), (scorer.links[1], []))
+
+    def test_an_idle_look_just_after_a_send_leaves_its_link_alone(self):
+        scorer, ended = ScorerPeer(copies=None), []
+        rig = self.rig(scorer)
+        link = self.link_up(rig, scorer)
+        self.clock.advance(rig.front.pool._trust_ms)  # the last moment at which it is used
+        rig.front.pool.send(attempt(BY_POOL, ended))
+        self.clock.advance(60.0)
+        rig.front.pool.tidy()
+        self.assertFalse(link.connection.closed)
+        rig.until(lambda: scorer.runs, "it runs")
+        self.assertEqual((scorer.runs[0][0], ended), (scorer.links[0], []))
+
+    def test_a_reset_before_any_byte_is_no_end_for_what_was_to_be_written(self):
+        scorer, ended = ScorerPeer(copies=None), []
+        rig = self.rig(scorer)
+        link = self.link_up(rig, scorer)
+        rig.front.pool.send(attempt(BY_POOL, ended))
+        reset(scorer.links[0].sock)
+        self.read(link.connection)
+        rig.until(lambda: scorer.runs, "it runs on another link")
+        self.assertEqual(ended, [])
+
+    def test_a_close_in_part_never_ran_but_where_it_must_not_run_twice(self):
+        for how, op in itertools.product((reset, lambda sock: sock.close()), CLASSES):
+            with self.subTest(op=op, how=how):
+                scorer = ScorerPeer()
+                rig = self.rig(scorer)
+                link = self.link_up(rig, scorer)
+                _, key = self.asked(rig, op, body=b"x" * 500)
+                self.block(scorer, after_bytes=100)
+                rig.front.table.send(io.Send(key, BY_POOL))
+                self.turn(rig, times=1)
+                how(scorer.links[0].sock)
+                self.read(link.connection)
+                self.assertEqual(self.endings(), [RESET if op == "settle" else NOT_SENT])
+
+    def test_a_close_after_it_was_written_whole_may_have_run(self):
+        for how, op in itertools.product((reset, lambda sock: sock.close()), CLASSES):
+            with self.subTest(op=op, how=how):
+                scorer = ScorerPeer()
+                rig = self.rig(scorer)
+                link = self.link_up(rig, scorer)
+                _, key = self.asked(rig, op)
+                rig.front.table.send(io.Send(key, BY_POOL))
+                rig.until(lambda scorer=scorer: scorer.runs, "it runs")
+                how(scorer.links[0].sock)
+                self.read(link.connection)
+                self.assertEqual(self.endings(), [RESET])
+
+    def test_giving_up_in_part_may_have_run_as_the_rest_may_still_go_out(self):
+        scorer = ScorerPeer()
+        rig = self.rig(scorer)
+        link = self.link_up(rig, scorer)
+        _, key = self.asked(rig, "settle", body=b"x" * 500)
+        blocked = self.block(scorer, after_bytes=100)
+        rig.front.table.send(io.Send(key, BY_POOL))
+        self.turn(rig, times=1)
+        rig.front.table.cancel(io.Cancel(key, 0))
+        self.assertEqual((self.endings(), link.streams), ([io.Ending.CANCELLED], {}))
+        self.unblock(blocked)
+        rig.until(lambda: scorer.of(scorer_frames.GIVE_UP), "it is given up")
+
+
+class Dials(Case):
+    """A connection comes up, or not, as its time runs out or its scorer changes."""
+
+    def test_one_that_comes_up_after_its_time_is_closed_unused(self):
+        scorer, ended = ScorerPeer(copies=None), []
+        rig = self.rig(scorer, settings={"bounds": BOUNDS})
+        rig.front.pool.send(attempt(BY_POOL, ended))
+        [link] = self.links(rig)
+        self.clock.advance(DIAL_MS + 5.0)
+        rig.front.loop.wheel.advance()  # its time runs out as it is up, and not read yet
+        self.assertEqual((ended, link.connection.closed), ([(End.DIAL_TIMED_OUT, False)], True))
+        rig.until(lambda: scorer.links and scorer.links[0].ended, "the scorer sees it end")
+        self.assertEqual((scorer.frames, rig.front.pool._links), ([], 0))
+
+    def test_one_that_is_seen_up_in_the_turn_in_which_its_time_runs_out_is_used(self):
+        scorer, ended = ScorerPeer(copies=None), []
+        rig = self.rig(scorer, settings={"bounds": BOUNDS})
+        rig.front.pool.send(attempt(BY_POOL, ended))
+        self.clock.advance(DIAL_MS + 5.0)
+        rig.until(lambda: scorer.runs, "it runs")
+        self.assertEqual(ended, [])
+
+    def test_one_to_a_gone_scorer_carries_nothing_for_the_next_at_its_address(self):
+        scorer, ended = ScorerPeer(copies=None), []
+        rig = self.rig(scorer)
+        pool, address = rig.front.pool, self.address(scorer)
+        pool.send(attempt(BY_POOL, ended))
+        [old] = self.links(rig)
+        pool.update(BY_POOL, None, io.State.GONE, 0.0)
+        pool.update(77, address, io.State.READY, 0.0)
+        pool.send(attempt(77, ended, id=b"abcdefgh"))
+        [new] = self.links(rig, 77)
+        rig.until(lambda: scorer.runs and old.connection.closed, "the next one runs its own")
+        self.assertEqual(ended, [(End.PULLED_BACK, False)])
+        self.assertEqual([frame.id for _, frame in scorer.frames], [b"abcdefgh"])
+        self.assertEqual(new.streams.keys(), {b"abcdefgh"})
+
+    def test_one_to_an_address_that_the_scorer_has_left_carries_nothing(self):
+        old, new, ended = ScorerPeer(copies=None), ScorerPeer(copies=None), []
+        rig = self.rig(old)
+        rig.scorers.append(new)
+        rig.front.pool.send(attempt(BY_POOL, ended))
+        [link] = self.links(rig)
+        rig.front.pool.update(BY_POOL, self.address(new), io.State.READY, 0.0)
+        rig.until(lambda: new.runs and link.connection.closed, "it runs at the new address")
+        self.assertEqual((old.frames, ended), ([], []))
+
+    def test_the_failure_of_a_dial_to_the_old_address_says_nothing_of_the_new_one(self):
+        old, new, ended = ScorerPeer(copies=None), ScorerPeer(copies=None), []
+        rig = self.rig(old)
+        rig.scorers.append(new)
+        rig.front.pool.send(attempt(BY_POOL, ended))
+        [link] = self.links(rig)
+        rig.front.pool.update(BY_POOL, self.address(new), io.State.READY, 0.0)
+        link.connection.close(End.REFUSED)
+        self.assertEqual(ended, [])
+        rig.until(lambda: new.runs, "it runs at the new address")
+
+    def test_nor_does_it_while_the_new_one_waits_for_a_fault_of_this_machine_to_pass(self):
+        old, new, ended = ScorerPeer(copies=None), ScorerPeer(copies=None), []
+        rig = self.rig(old)
+        rig.scorers.append(new)
+        rig.front.pool.send(attempt(BY_POOL, ended))
+        [link] = self.links(rig)
+        self.faults.fail("connect", errno.EADDRNOTAVAIL)
+        rig.front.pool.update(BY_POOL, self.address(new), io.State.READY, 0.0)
+        link.connection.close(End.REFUSED)
+        self.assertEqual(ended, [])
+        self.clock.advance(scorers.DIAL_PAUSE_MS + 5.0)
+        rig.until(lambda: new.runs, "it runs at the new address")
+
+    def test_a_second_dial_makes_nothing_wait_for_longer_than_one_takes(self):
+        scorer, ended = ScorerPeer(copies=None), []
+        rig = self.rig(scorer, settings={"bounds": BOUNDS | {"streams_per_conn": 1}})
+        rig.front.pool.send(attempt(BY_POOL, ended))
+        self.clock.advance(DIAL_MS / 2)
+        rig.front.pool.send(attempt(BY_POOL, [], id=b"abcdefgh"))
+        first, second = self.links(rig)
+        self.clock.advance(DIAL_MS / 2 + 5.0)
+        rig.front.loop.wheel.advance()  # before either is seen to be up
+        self.assertEqual((first.connection.closed, second.connection.closed), (True, False))
+        self.assertEqual(ended, [(End.NEVER_SENT, False)])
+        rig.until(lambda: scorer.runs, "the second one's call runs")
+        self.assertEqual([frame.id for _, frame in scorer.runs], [b"abcdefgh"])
+
+    def test_what_is_unwritten_when_a_restart_is_told_is_for_the_new_process(self):
+        scorer, ended = ScorerPeer(copies=None), []
+        rig = self.rig(scorer)
+        link = self.link_up(rig, scorer)
+        rig.front.pool.send(attempt(BY_POOL, ended))
+        rig.front.pool.update(BY_POOL, None, io.State.READY, 5.0)
+        self.assertTrue(link.connection.closed)
+        rig.until(lambda: scorer.runs, "it runs")
+        self.assertEqual((scorer.runs[0][0], ended), (scorer.links[1], []))
+
+    def test_links_to_the_process_before_leave_room_for_those_to_the_new_one(self):
+        scorer, ended = ScorerPeer(copies=None), []
+        rig = self.rig(scorer, settings={"bounds": BOUNDS | {"streams_per_conn": 1}})
+        for number in range(scorers.LINKS_MOST):
+            rig.front.pool.send(attempt(BY_POOL, ended, id=b"%08d" % number))
+        rig.until(lambda: len(scorer.runs) == scorers.LINKS_MOST, "all links are in use")
+        rig.front.pool.update(BY_POOL, None, io.State.READY, 5.0)
+        rig.front.pool.send(attempt(BY_POOL, ended, id=b"abcdefgh"))
+        rig.until(lambda: len(scorer.runs) > scorers.LINKS_MOST, "the new process runs it")
+        self.assertEqual(ended, [])
+
+
+class Answers(Case):
+    def test_a_second_good_answer_ends_no_later_attempt_under_its_id(self):
+        scorer, ended = ScorerPeer(copies=None), []
+        rig = self.rig(scorer)
+        rig.front.pool.send(attempt(BY_POOL, ended))
+        rig.until(lambda: scorer.runs, "it runs")
+        scorer.answer(scorer.runs[0], body=b"first")
+        rig.until(lambda: ended, "it is answered")
+        rig.front.pool.send(attempt(BY_POOL, ended))
+        scorer.answer(scorer.runs[0], body=b"first")
+        rig.until(lambda: len(scorer.runs) == 2, "the next one runs")
+        rig.settle(rig.client())
+        self.assertEqual(ended, [(io.Ending.GOOD, True)])
+        self.assertIsNot(scorer.runs[0][0], scorer.runs[1][0])
+
+    def test_an_id_that_is_open_twice_is_answered_on_each_link_for_itself(self):
+        scorer, first, second = ScorerPeer(copies=None), [], []
+        rig = self.rig(scorer)
+        rig.front.pool.send(attempt(BY_POOL, first))
+        rig.until(lambda: scorer.runs, "the first runs")
+        rig.front.pool.send(attempt(BY_POOL, second))
+        rig.until(lambda: len(scorer.runs) == 2, "the second runs")
+        scorer.answer(scorer.runs[1], 3, "")
+        rig.until(lambda: second, "the second is full")
+        self.assertEqual((first, second), ([], [(io.Ending.FULL, True)]))
+        scorer.answer(scorer.runs[0])
+        rig.until(lambda: first, "the first is answered")
+        self.assertEqual(first, [(io.Ending.GOOD, True)])
+
+    def test_an_answer_after_giving_up_and_its_second_copy_end_nothing(self):
+        scorer, ended, later = ScorerPeer(copies=None), [], []
+        rig = self.rig(scorer)
+        rig.front.pool.send(given_up := attempt(BY_POOL, ended))
+        rig.until(lambda: scorer.runs, "it runs")
+        rig.front.pool.cancel(given_up)
+        rig.front.pool.send(attempt(BY_POOL, later, id=b"abcdefgh"))
+        for _ in range(2):
+            scorer.answer(scorer.runs[0], body=b"late")
+        rig.until(lambda: len(scorer.runs) == 2, "the later one runs")
+        rig.settle(rig.client())
+        self.assertEqual((ended, later), ([(End.CALLED_OFF, True)], []))
+        self.assertFalse(self.links(rig)[0].connection.closed)
+
+    def test_an_answer_that_is_cut_by_a_close_is_none(self):
+        for op in CLASSES:
+            with self.subTest(op):
+                scorer = ScorerPeer()
+                rig = self.rig(scorer)
+                client, key = self.asked(rig, op)
+                rig.front.table.send(io.Send(key, BY_POOL))
+                rig.until(lambda scorer=scorer: scorer.runs, "it runs")
+                link, frame = scorer.runs[0]
+                whole = scorer_frames.encode(0, frame.id, body=b"x" * 50, mark=scorer_frames.FROM_SCORER)
+                link.sock.sendall(whole[:-1])
+                link.sock.close()
+                rig.until(lambda: self.endings(), "it ends")
+                self.assertEqual((self.endings(), client.answers), ([RESET], []))
+
+    def test_an_answer_that_is_cut_and_followed_by_nothing_ends_its_link(self):
+        scorer = ScorerPeer()
+        rig = self.rig(scorer)
+        client, key = self.asked(rig)
+        rig.front.table.send(io.Send(key, BY_POOL))
+        rig.until(lambda: scorer.runs, "it runs")
+        scorer.links[0].sock.sendall(b"\x81\0")
+        [link] = self.links(rig)
+        rig.until(lambda: link._reader.waits, "a part has come")
+        while not self.endings():
+            self.clock.advance(50.0)
+            self.turn(rig, times=1)
+        self.assertEqual((self.endings(), client.answers), ([RESET], []))
+
+    def test_an_order_whose_id_a_call_has_on_the_link_goes_on_another(self):
+        scorer, ended = ScorerPeer(copies=None), []
+        rig = self.rig(scorer)
+        next_id = (1 << 62) - 5
+        rig.front.pool._order_ids = itertools.count(next_id)
+        rig.front.pool.send(attempt(BY_POOL, ended, id=next_id.to_bytes(8, "big")))
+        rig.until(lambda: scorer.runs, "the call runs")
+        rig.front.pool.order(order(BY_POOL, ended))
+        rig.until(lambda: scorer.of(scorer_frames.ENSURE), "the order has come")
+        [(link, frame)], [(of_call, call)] = scorer.of(scorer_frames.ENSURE), scorer.runs
+        self.assertEqual(frame.id, call.id)
+        self.assertIsNot(link, of_call)
+        scorer.answer((link, frame), 0, "slots_up=1")
+        rig.until(lambda: ended, "the order is answered")
+        self.assertIn(call.id, self.links(rig)[0].streams)
+
+    def test_ids_of_good_answers_are_kept_within_bounds(self):
+        scorer, ended = ScorerPeer(copies=None), []
+        rig = self.rig(scorer)
+        link = self.link_up(rig, scorer)
+        with mock.patch("fawnwharf.net.scorer_links.ANSWERED_MOST", 4):
+            for number in range(6):
+                rig.front.pool.send(attempt(BY_POOL, ended, id=b"%08d" % number))
+                rig.until(lambda number=number: len(scorer.runs) > number, "it runs")
+                scorer.answer(scorer.runs[number])
+                rig.until(lambda number=number: len(ended) > number, "it is answered")
+        self.assertEqual([link.takes(b"%08d" % number) for number in range(6)], [True] * 2 + [False] * 4)
+
+
+if __name__ == "__main__":
+    unittest.main()
