--- a/fawnwharf/accord/disk.py
+++ b/fawnwharf/accord/disk.py
@@ -23,7 +23,7 @@
 
 from fawnwharf.accord.messages import Saved
 from fawnwharf.accord.records import MAGIC, OVERHEAD, DiskError, encode, records
-from fawnwharf.durable.folder import sync_folder, write_all
+from fawnwharf.file_writes import sync_folder, write_all
 
 VERSION = 1
 REWRITE_BYTES = 1024 * 1024
--- a/fawnwharf/durable/folder.py
+++ b/fawnwharf/durable/folder.py
@@ -7,41 +7,12 @@
 from pathlib import Path
 
 from fawnwharf.accord.records import DiskError
+from fawnwharf.file_writes import sync_folder, write_all
 
 LOCK = "durable.lock"
 AGAIN_S = 0.02  # pace of asking for a lock
 
 
-def write_all(file: int, data: bytes) -> None:
-    """All of it to an open file, however little each call takes."""
-    rest = memoryview(data)
-    while rest:
-        rest = rest[os.write(file, rest) :]
-
-
-def sync_folder(path: Path) -> None:
-    """The names in a folder, and what was removed from it, are on disk."""
-    folder = os.open(path, os.O_RDONLY | os.O_CLOEXEC)
-    try:
-        os.fsync(folder)
-    finally:
-        os.close(folder)
-
-
-def replace_file(path: Path, data: bytes, mode: int = 0o644) -> None:
-    """The file is this from now on, on disk when this returns; found whole or as it was before in any case.
-    Raises OSError."""
-    beside = path.with_suffix(".new")
-    file = os.open(beside, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC, mode)
-    try:
-        write_all(file, data)
-        os.fsync(file)
-    finally:
-        os.close(file)
-    os.replace(beside, path)
-    sync_folder(path.parent)
-
-
 class Folder:
     """One folder's files; keeps those open that it began. `ops.Files` says what each method does."""
 
--- a/fawnwharf/epochs/keeping.py
+++ b/fawnwharf/epochs/keeping.py
@@ -10,7 +10,7 @@
 import msgspec
 from msgspec import Struct
 
-from fawnwharf.durable.folder import replace_file
+from fawnwharf.file_writes import replace_file
 
 VERSION = 1
 
--- a/fawnwharf/net/clients.py
+++ b/fawnwharf/net/clients.py
@@ -104,7 +104,7 @@
             if isinstance(item, thrift.Withdraw):
                 self._withdraw(item.seqid)
         failed = set(self.open)
-        self._fail_open()
+        self.fail_open()
         for item in items:
             if isinstance(item, thrift.Handle) and item.seqid not in failed:
                 failed.add(item.seqid)
