Tests: faulty frames, fields and settings cost no other request

Each faulty frame lies between two good requests in the same bytes, with a third one open: one whose number can be read gets an exception and the others are served, one without a number fails what is open and ends that connection alone. Bad bytes and odd fields of scorers likewise; check-config names the key of each faulty setting with status 2.

--- /dev/null
+++ b/tests/test_bad_input.py
@@ -0,0 +1,286 @@
+"""Faulty frames, fields and settings cost themselves alone, never another request of the same connection."""
+
+import json
+import struct
+
+import pytest
+from peers import ROW, Rig, ScorerPeer, handle_frame
+from typer.testing import CliRunner
+
+from fawnwharf.cli import app
+from fawnwharf.config import ConfigError
+from fawnwharf.net import scorer_frames, thrift
+
+GOOD = {"op": "view", "call": f"{7:016x}", "ttl": "8000", "org": "acme", "row": ROW}
+BAD_SEQID = 90
+
+
+def without(name):
+    return {key: value for key, value in GOOD.items() if key != name}
+
+
+def framed(message):
+    return struct.pack(">I", len(message)) + message
+
+
+def head(kind=thrift.CALL, name=b"handle", seqid=BAD_SEQID, version=thrift.VERSION):
+    return struct.pack(">I", version | kind) + struct.pack(">I", len(name)) + name + struct.pack(">i", seqid)
+
+
+def bad(fields, body=b""):
+    return handle_frame(BAD_SEQID, fields, body)
+
+
+# Frames with a number that can be read: they get an application exception, and the connection goes on.
+ANSWERED = {
+    "class unknown": bad(GOOD | {"op": "unheard"}),
+    "class missing": bad(without("op")),
+    "class with odd characters": bad(GOOD | {"op": "vi\u00e9w,obj=1\n"}),
+    "tenant unknown": bad(GOOD | {"org": "nobody"}),
+    "tenant missing": bad(without("org")),
+    "key short": bad(GOOD | {"row": "7f3a"}),
+    "key not hex": bad(GOOD | {"row": "z" * 16}),
+    "key with a line feed": bad(GOOD | {"row": ROW + "\n"}),
+    "id short": bad(GOOD | {"call": "1"}),
+    "id missing": bad(without("call")),
+    "time missing": bad(without("ttl")),
+    "time zero": bad(GOOD | {"ttl": "0"}),
+    "time negative": bad(GOOD | {"ttl": "-5"}),
+    "time not a number": bad(GOOD | {"ttl": "nan"}),
+    "time in words": bad(GOOD | {"ttl": "1e3"}),
+    "time beyond its class": bad(GOOD | {"ttl": "99999999"}),
+    "token missing": bad(GOOD | {"op": "save"}),
+    "token that would add a field": bad(GOOD | {"op": "save", "dedupe": "a,ms=1"}),
+    "token too long": bad(GOOD | {"op": "save", "dedupe": "a" * 200}),
+    "lanes not a number": bad(GOOD | {"props": "lanes:x"}),
+    "lanes too many": bad(GOOD | {"props": "lanes:99999"}),
+    "memory not a number": bad(GOOD | {"props": "memory_mb:-1"}),
+    "no fields": framed(head() + b"\0"),
+    "body too large": bad(GOOD, b"x" * 17_000),
+    "frame too large": bad(GOOD, b"x" * 100_000),
+    "method unknown": framed(head(name=b"other") + b"\0"),
+    "not a call": framed(head(kind=thrift.REPLY) + b"\0"),
+    "arguments cut short": framed(head() + struct.pack(">bh", thrift.MAP, 1)),
+    "bytes after the arguments": framed(head() + b"\0more"),
+    "a map that the frame can't hold": framed(head() + struct.pack(">bhbbi", thrift.MAP, 1, 11, 11, 2**30)),
+    "a map of less than nothing": framed(head() + struct.pack(">bhbbi", thrift.MAP, 1, 11, 11, -1)),
+    "a kind of value that is none": framed(head() + struct.pack(">bh", 99, 1) + b"\0"),
+    "fields that are no text": bad(GOOD).replace(b"view", b"\xff\xfe\xfd\xfc"),
+}
+# Frames without a number that can be read: the connection ends, and what was open on it is failed.
+ENDING = {
+    "another protocol": b"GET / HTTP/1.1\r\nHost: x\r\n\r\n",
+    "not strict": framed(struct.pack(">I", 6) + b"handle\1\0\0\0\1\0"),
+    "an empty frame": framed(b""),
+    "cut in its head": framed(head()[:9]),
+    "a name of no sensible length": framed(struct.pack(">Ii", thrift.VERSION | thrift.CALL, -4) + b"\0" * 8),
+    "a huge frame of nothing": struct.pack(">I", 2**31 + 5) + b"\0" * 300,
+    "an open number again": handle_frame(1, GOOD | {"call": f"{99:016x}"}),
+    "an exception for an open number": handle_frame(1, GOOD | {"op": "unheard"}),
+}
+
+
+@pytest.fixture
+def rig():
+    made = Rig(ScorerPeer(copies=4))
+    yield made
+    assert not [line for line in made.lines if "fault in" in line]
+    made.close()
+
+
+def run_of(rig, number):
+    """The attempt of the client's call with this number, once it has come."""
+    [scorer] = rig.scorers
+    id = number.to_bytes(8, "big")
+    rig.until(lambda: any(frame.id == id for _, frame in scorer.runs), f"call {number} runs")
+    return next(item for item in scorer.runs if item[1].id == id)
+
+
+def serve(rig, number):
+    rig.scorers[0].answer(run_of(rig, number), body=b"for %d" % number)
+
+
+class TestFaultyFrames:
+    @pytest.mark.parametrize("data", ANSWERED.values(), ids=ANSWERED)
+    def test_one_with_a_number_gets_an_exception_and_all_others_are_served(self, rig, data):
+        client = rig.client()
+        client.call(seqid=1)
+        run_of(rig, 1)
+        second = handle_frame(2, GOOD | {"call": f"{2:016x}"})
+        third = handle_frame(3, GOOD | {"call": f"{3:016x}"})
+        client.sock.setblocking(True)
+        client.sock.sendall(second + data + third)  # whole in the same bytes, before it and behind it
+        client.sock.setblocking(False)
+        for number in (3, 1, 2):
+            serve(rig, number)
+        rig.until(lambda: len(client.answers) >= 4, "all are answered")
+        expected = {1: "answer", 2: "answer", 3: "answer", BAD_SEQID: "exception"}
+        assert client.kinds() == expected
+        assert len(client.answers) == 4
+        assert not client.ended
+
+    @pytest.mark.parametrize("data", ENDING.values(), ids=ENDING)
+    def test_one_without_a_number_fails_what_is_open_and_ends_the_connection(self, rig, data):
+        client, other = rig.client(), rig.client()
+        client.call(seqid=1)
+        other.call(seqid=5)
+        run_of(rig, 1)
+        run_of(rig, 5)
+        client.sock.sendall(handle_frame(2, GOOD | {"call": f"{2:016x}"}) + data)
+        rig.until(lambda: client.ended, "the connection ends")
+        assert client.kinds() == {1: "broken", 2: "broken"}
+        assert len(client.answers) == 2
+        serve(rig, 5)
+        rig.until(lambda: other.answers, "the other one is served")
+        assert other.kinds() == {5: "answer"}
+
+    @pytest.mark.parametrize("cut", [1, 4, 20, 60])
+    def test_a_faulty_frame_in_pieces_is_no_other(self, rig, cut):
+        client = rig.client()
+        client.call(seqid=1)
+        data = ANSWERED["class unknown"]
+        client.sock.sendall(data[:cut])
+        serve(rig, 1)
+        rig.until(lambda: client.answers, "the open one is answered meanwhile")
+        client.sock.sendall(data[cut:])
+        client.call(seqid=2)
+        serve(rig, 2)
+        rig.until(lambda: len(client.answers) >= 3, "all are answered")
+        assert client.kinds() == {1: "answer", BAD_SEQID: "exception", 2: "answer"}
+
+    def test_a_withdraw_of_an_unknown_number_changes_nothing(self, rig):
+        client = rig.client()
+        client.call(seqid=1)
+        client.withdraw(77)
+        client.withdraw(-1)
+        serve(rig, 1)
+        rig.until(lambda: client.answers, "it is answered")
+        assert client.kinds() == {1: "answer"}
+
+    def test_an_answer_that_crosses_an_ending_frame_is_the_only_one(self, rig):
+        client = rig.client()
+        client.call(seqid=1)
+        serve(rig, 1)  # lies unread at the front end when the faulty bytes come
+        client.sock.sendall(ENDING["another protocol"])
+        rig.until(lambda: client.ended, "the connection ends")
+        assert len(client.answers) == 1
+
+
+class TestFaultyAnswers:
+    """A scorer's bad bytes cost that link; each request on it still has one answer, by its class."""
+
+    BAD = {
+        "another mark": b"\x00" * 20,
+        "a check that does not fit": scorer_frames.encode(0, b"\0" * 8, "", b"x", 129)[:-1] + b"!",
+        "a huge body": struct.pack(">BBHI8s", 129, 0, 0, 2**31, b"\0" * 8),
+    }
+
+    @pytest.mark.parametrize("data", BAD.values(), ids=BAD)
+    def test_bad_bytes(self, rig, data):
+        client = rig.client()
+        client.call(op="settle", seqid=1)
+        link, _ = run_of(rig, 1)
+        link.sock.sendall(data)
+        rig.until(lambda: client.answers, "it is failed")
+        assert client.kinds() == {1: "broken"}
+        client.call(seqid=2)
+        serve(rig, 2)
+        rig.until(lambda: len(client.answers) == 2, "the next one is served")
+        assert client.kinds()[2] == "answer"
+
+    @pytest.mark.parametrize("fields", ["res=", "=", "res", "company=x,slots_up=-1", "res=\xff", ",,,=,"])
+    def test_odd_fields_of_a_good_answer_change_nothing(self, rig, fields):
+        client = rig.client()
+        client.call(seqid=1)
+        rig.scorers[0].answer(run_of(rig, 1), fields=fields, body=b"made")
+        rig.until(lambda: client.answers, "it is answered")
+        assert client.answers == [(1, "answer", {1: b"made", 2: {}, 3: True})]
+
+    @pytest.mark.parametrize("code", [1, 6, 7, 99, 255])
+    def test_an_unknown_code_may_have_run(self, rig, code):
+        client = rig.client()
+        client.call(op="settle", seqid=1)
+        rig.scorers[0].answer(run_of(rig, 1), code=code)
+        rig.until(lambda: client.answers, "it is failed")
+        assert client.kinds() == {1: "broken"}
+        rig.settle(client)
+        assert len(rig.scorers[0].runs) == 1
+
+
+BASE = {
+    "listen": "127.0.0.1:0",
+    "changelog": "127.0.0.1:1",
+    "settings": {"classes": [{"name": "view", "effect": "idempotent"}], "tenants": [{"name": "acme"}]},
+}
+# Where the fault lies, and what stands there.
+FAULTY = {
+    "settings.classes[0].effect": "sometimes",
+    "settings.classes[0].give_up": -1,
+    "settings.classes[0].dedup_window": "long",
+    "settings.classes[0].group": "town",
+    "settings.classes[0].name": 5,
+    "settings.classes": {"view": {}},
+    "settings.tenants[0].quota_rps": "many",
+    "settings.bounds.max_attempts": 0,
+    "settings.bounds.streams_per_conn": 0,
+    "settings.bounds.max_open": 0,
+    "settings.bounds.cancel": "yes",
+    "settings.bounds.dial_timeout": -5,
+    "settings.family_info.load_window": "x",
+    "settings.family_info.free_loads": -1,
+    "settings.invariants.cold": -1,
+    "settings.fleet_size": 0,
+    "settings.tick": [],
+    "limits.sockets": 31,
+    "limits.memory_mb": 0,
+    "known.seq": -1,
+    "known.results": 7,
+    "listen": "localhost:80",
+    "changelog": "10.0.0.1",
+    "seed": "not hex",
+}
+
+
+def laid(base, path, value):
+    """The configuration with this value at this place."""
+    made = json.loads(json.dumps(base))
+    *parts, last = path.replace("[0]", ".0").split(".")
+    place = made
+    for part in parts:
+        place = place[int(part)] if part.isdigit() else place.setdefault(part, {})
+    place[int(last) if last.isdigit() else last] = value
+    return made
+
+
+class TestFaultySettings:
+    @pytest.mark.parametrize(("path", "value"), FAULTY.items(), ids=FAULTY)
+    def test_check_config_names_the_key(self, tmp_path, monkeypatch, path, value):
+        for name in ("ROUTER_LISTEN", "ROUTER_NAME", "ROUTER_CONTROL", "ROUTER_CONFIG"):
+            monkeypatch.delenv(name, raising=False)
+        file = tmp_path / "config.json"
+        file.write_text(json.dumps(laid(BASE, path, value)))
+        result = CliRunner().invoke(app, ["check-config", "--config", str(file)])
+        assert result.exit_code == 2
+        assert path in result.output
+
+    def test_what_is_no_json_or_no_file_is_told(self, tmp_path):
+        file = tmp_path / "config.json"
+        file.write_text("{")
+        for place in (file, tmp_path / "none.json"):
+            result = CliRunner().invoke(app, ["check-config", "--config", str(place)])
+            assert result.exit_code == 2
+            assert "ROUTER_CONFIG" in result.output
+
+    def test_a_reload_with_faulty_settings_leaves_open_requests_alone(self, rig):
+        def reread():
+            raise ConfigError("settings.fleet_size: faulty")
+
+        rig.front._reread = reread
+        client = rig.client()
+        client.call(seqid=1)
+        run_of(rig, 1)
+        rig.front.reload()
+        serve(rig, 1)
+        rig.until(lambda: client.answers, "it is answered")
+        assert client.kinds() == {1: "answer"}
+        assert any("settings.fleet_size" in line for line in rig.lines)
