--- a/tests/support/request_driver.py
+++ b/tests/support/request_driver.py
@@ -76,11 +76,11 @@
         """Let a script decide when a connection to a scorer comes up: until then nothing tells of it."""
         watch = front.loop.watch
 
-        def watching(sock: Any, mask: int, ready: Callable[[int], None], first: bool = False) -> None:
+        def watching(sock: Any, mask: int, ready: Callable[[int], None], *how: Any, **more: Any) -> None:
             if mask == WRITE and self._dials_held is not None:
                 self._dials_held.append((sock, ready))
                 mask = READ
-            watch(sock, mask, ready, first)
+            watch(sock, mask, ready, *how, **more)
 
         front.loop.watch = watching
 
--- a/tests/support/request_steps.py
+++ b/tests/support/request_steps.py
@@ -205,21 +205,26 @@
             run = runs[first % len(runs)]
             run.scorer.answer(run, scorer_frames.OK, self._body(), most_bytes=1 + 5 * second)
 
-    def _scorer(self, index: int) -> ScriptedScorer:
-        return self.scorers[index % len(self.scorers)]
+    def _scorer(self, index: int) -> list[ScriptedScorer]:
+        """The scorer at this place, if there is any."""
+        return [self.scorers[index % len(self.scorers)]] if self.scorers else []
 
     def _do_scorer_reset(self, first: int, _second: int) -> None:
-        self._scorer(first).end_links(by_reset=True)
+        for scorer in self._scorer(first):
+            scorer.end_links(by_reset=True)
 
     def _do_scorer_close(self, first: int, _second: int) -> None:
-        self._scorer(first).end_links(by_reset=False)
+        for scorer in self._scorer(first):
+            scorer.end_links(by_reset=False)
 
     def _do_scorer_down(self, first: int, second: int) -> None:
-        self._scorer(first).stop_listening()
-        self._scorer(first).end_links(by_reset=second % 2 == 0)
+        for scorer in self._scorer(first):
+            scorer.stop_listening()
+            scorer.end_links(by_reset=second % 2 == 0)
 
     def _do_scorer_up(self, first: int, _second: int) -> None:
-        self._scorer(first).listen_again()
+        for scorer in self._scorer(first):
+            scorer.listen_again()
 
     def _do_hold_dials(self, _first: int, _second: int) -> None:
         if self._dials_held is None:
@@ -264,13 +269,16 @@
             self.model.drain_told_ms.setdefault(scorer.name, self.now)
 
     def _do_drain(self, first: int, _second: int) -> None:
-        self._tell(self._scorer(first), "terminating")
+        for scorer in self._scorer(first):
+            self._tell(scorer, "terminating")
 
     def _do_gone(self, first: int, _second: int) -> None:
-        self._tell(self._scorer(first), "terminated")
+        for scorer in self._scorer(first):
+            self._tell(scorer, "terminated")
 
     def _do_back(self, first: int, _second: int) -> None:
-        self._tell(self._scorer(first), "in_service", self.clock.wall_ms)
+        for scorer in self._scorer(first):
+            self._tell(scorer, "in_service", self.clock.wall_ms)
 
     def _do_log_reset(self, first: int, _second: int) -> None:
         self.logs[first % 2].reset_all()
--- a/tests/support/scripted_peers.py
+++ b/tests/support/scripted_peers.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from peers import reply_from
+from peers import handle_frame, reply_from
 
 from fawnwharf.net import scorer_frames, thrift
 
@@ -293,6 +293,10 @@
             del self._buffer[: 4 + size]
         return bool(data)
 
+    def ask(self, seqid: int, fields: dict[str, str], body: bytes = b"") -> bool:
+        """Send a request whole."""
+        return self.channel.send(handle_frame(seqid, fields, body))
+
     def withdraw(self, seqid: int) -> bool:
         payload = struct.pack(">bhib", thrift.I32, 1, seqid, 0)
         return self.channel.send(thrift._frame(thrift.ONEWAY, b"withdraw", 99, payload))
