--- a/tests/support/request_driver.py
+++ b/tests/support/request_driver.py
@@ -79,7 +79,8 @@
         watch = front.loop.watch
 
         def watching(sock: Any, mask: int, ready: Callable[[int], None], *how: Any, **more: Any) -> None:
-            if mask == WRITE and self._dials_held is not None:
+            dials_scorer = mask == WRITE and hasattr(ready.__self__.owner, "scorer")
+            if dials_scorer and self._dials_held is not None:
                 self._dials_held.append((sock, ready))
                 mask = READ
             watch(sock, mask, ready, *how, **more)
