--- a/fawnwharf/accord/disk.py
+++ b/fawnwharf/accord/disk.py
@@ -48,7 +48,7 @@
     def __init__(
         self, folder: str | Path, fleet: str, name: str, draw: Callable[[], str] | None = None
     ) -> None:
-        """`draw` gives the mark of a new disk. Raises DiskError, and has then changed nothing."""
+        """`draw` gives the mark of a new disk. Raises DiskError, and no whole record has changed then."""
         self.folder = Path(folder)
         self.path = self.folder / "voter.log"
         self._file, self._size = -1, 0  # the log that is appended to; -1: the next save writes a new one
