A front end told to end answers every request before the system may end it

Ruled out: new requests (all had come within 0.4 s of SIGTERM) and clients that do not read (nothing was unwritten). At fault: _look_to_leave, which only waits.

--- a/fawnwharf/interface.py
+++ b/fawnwharf/interface.py
@@ -212,6 +212,14 @@
     load_ms: float | None = None
 
 
+@dataclass(slots=True)
+class Closing:
+    """This front end is about to be ended: each request, open or still to come, is to have its final answer
+    within `within_ms` of this moment, however long its client would wait."""
+
+    within_ms: float
+
+
 Event = (
     RosterChanged
     | RequestArrived
@@ -223,6 +231,7 @@
     | ClassChanged
     | Elsewhere
     | CopiesWanted
+    | Closing
 )
 
 
--- a/fawnwharf/net/leaving.py
+++ b/fawnwharf/net/leaving.py
@@ -2,6 +2,7 @@
 
 from typing import TYPE_CHECKING
 
+from fawnwharf import interface as io
 from fawnwharf.interface import Settings
 from fawnwharf.net import connection
 from fawnwharf.net.calls import TTL_ROOM
@@ -16,6 +17,10 @@
 LOOK_MS = 20.0  # pace of the look after connections that have fallen idle
 LIMIT_LEAST_MS = 20_000.0  # for readers that are slow, and for a hand-over to another process
 MARGIN_MS = 500.0  # coarse timers and long turns
+# The system ends the process no earlier than so long after SIGTERM: the longest time that a class gives up
+# after, taken as `KILL_DEADLINE_MOST_MS` where it is longer, and `KILL_AFTER_MS`.
+KILL_DEADLINE_MOST_MS, KILL_AFTER_MS = 3_000.0, 700.0
+ANSWER_MARGIN_MS = 200.0  # before that, for a long turn and the way to the client
 STALLED_MS = 1_000.0  # a peer whose system took nothing of its answer for so long does not read it
 LIMIT = "leaving"  # who sets the limit of calls taken
 
@@ -30,6 +35,12 @@
     return max(LIMIT_LEAST_MS, LATE_ARRIVALS_MS + of_requests + connection.LINGER_MS + MARGIN_MS)
 
 
+def answer_within_ms(settings: Settings) -> float:
+    """How long after SIGTERM every request has its final answer: before the system may end the process."""
+    longest_ms = max((spec.give_up_ms for spec in settings.classes.values()), default=0.0)
+    return min(longest_ms, KILL_DEADLINE_MOST_MS) + KILL_AFTER_MS - ANSWER_MARGIN_MS
+
+
 class Leaving:
     """Ends a front end: serves on until late arrivals are in, then ends each connection as it falls idle.
 
@@ -43,6 +54,7 @@
         self._since_ms = monotonic_ms()
         self._limit_ms = limit_ms(front.deployment.settings)
         self._refusing = False
+        front.loop.tell(io.Closing(answer_within_ms(front.deployment.settings)))
         self._unsent: dict[Client, tuple[int, float]] = {}  # bytes at the last change, and when that was
 
     def look(self) -> None:
--- a/fawnwharf/policy/router.py
+++ b/fawnwharf/policy/router.py
@@ -41,9 +41,11 @@
         self.taken.append(self.now)
         fn, spec = self._function(event), self.classes.get(event.class_name) or io.ClassSpec(event.class_name)
         fn.site, fn.order_members = event.site, fn.order_members if event.site == fn.site else None
-        self.seed, draw, deadline = self.seed + 1, mix(mix(self.seed)), self.now + event.budget_ms
+        self.seed, draw = self.seed + 1, mix(mix(self.seed))
+        leaves_ms = self.now + event.budget_ms  # the client does
+        deadline = min(leaves_ms, self.answer_by_ms)
         later = event.budget_ms < admission.TRY_LEAST * spec.give_up_ms  # the first try took its share
-        aim = (deadline - spec.give_up_ms if later else self.now) + spec.promise_ms
+        aim = (leaves_ms - spec.give_up_ms if later else self.now) + spec.promise_ms
         over = later or self._over_share(event.tenant)
         request = Request(event.request, fn, spec, self.now, deadline, over, self.now, draw, aim)
         self._measure(fn)
@@ -70,6 +72,11 @@
         if request := self.requests.get(event.request):
             self._close(request)
 
+    def _on_closing(self, event: io.Closing) -> None:
+        self.answer_by_ms = min(self.answer_by_ms, self.now + event.within_ms)
+        for request in self.requests.values():
+            request.deadline_ms = min(request.deadline_ms, self.answer_by_ms)
+
     def _on_limits(self, event: io.LimitsChanged) -> None:  # one more share, of all calls, or another one
         self.settings.quotas_rps[event.tenant] = event.calls_rps * self.peers
         if event.tenant == io.ALL:  # no burst at first
@@ -253,4 +260,4 @@
     handlers = {io.RosterChanged: _on_roster, io.RequestArrived: _on_request, io.ClientLeft: _on_left,
                 io.AttemptEnded: _on_attempt, io.OrderAnswered: _on_order, io.TimerDue: _on_timer,
                 io.LimitsChanged: _on_limits, io.ClassChanged: _on_class, io.Elsewhere: _on_elsewhere,
-                io.CopiesWanted: loads.Loads._on_wanted}  # fmt: skip
+                io.CopiesWanted: loads.Loads._on_wanted, io.Closing: _on_closing}  # fmt: skip
--- a/fawnwharf/policy/state.py
+++ b/fawnwharf/policy/state.py
@@ -158,6 +158,7 @@
         self.promise_ms = min((spec.promise_ms for spec in settings.classes.values()), default=1000.0)
         self.runs, self.run_ms = Samples(), self.promise_ms / 5
         self.stretch_ms = settings.load_window_ms or RATE_MS  # over which arrivals are counted
+        self.answer_by_ms = math.inf  # this front end ends: no request may stay open for longer
         self.sweeping, self.refreshed_ms, self.forgot_ms = False, -math.inf, -math.inf
 
     def _te(self, fn: Function) -> float:  # te: the median run, of all functions while this one has none
