Scorer links: no answer ends what is not written yet, and idle links give way to needed ones

Cause, found by reading: Link.on_data took an answer for any open id, also one whose frame still lay unwritten, so a late answer to an earlier stream of that id ended the new one well, and its frame went out after the final answer. ScorerPool._dial turned calls away once its share of descriptors was in links, though most of these were idle: with more scorers than links (a low limit on sockets) each call to a scorer without one was not sent, in turn after turn, until its request had no attempt left. Closing the pool dialled anew for what was unwritten.

Change: an answer counts for what was written whole. A link that is needed closes the one that has been idle for longest where the share is used up. Nothing is placed anew when the front end ends.

Measured: tests/test_scorer_answers.py; each part taken out by itself fails one of its tests.

--- a/fawnwharf/net/scorer_links.py
+++ b/fawnwharf/net/scorer_links.py
@@ -106,8 +106,11 @@
 
     def on_data(self, data: bytes) -> None:
         for frame in self._reader.feed(data):
-            # An answer to what is no longer open here comes too late and says nothing.
-            if (stream := self.streams.pop(frame.id, None)) is not None:
+            # An answer to what is no longer open here comes too late and says nothing. Neither does one to
+            # what the scorer can't have yet: it is for an earlier stream of that id.
+            stream = self.streams.get(frame.id)
+            if stream is not None and stream.whole:
+                del self.streams[frame.id]
                 self._spend(frame.id, frame.code == frames.OK)  # a second copy must not end a later one
                 self.pool.answered(stream, frame)
         if self._reader.fault:
--- a/fawnwharf/net/scorers.py
+++ b/fawnwharf/net/scorers.py
@@ -208,7 +208,7 @@
     def _dial(self, scorer: Scorer) -> None:
         """As many dials as the waiting streams need; none while a fault of this machine's own may last."""
         while scorer.redial is None and scorer.dialling() * self.wire.streams_per_conn < len(scorer.waiting):
-            full = self._links >= self.links_most or len(scorer.current()) >= LINKS_MOST
+            full = len(scorer.current()) >= LINKS_MOST or not self._has_room()
             failed = End.NO_DESCRIPTOR if full else self._dial_one(scorer)
             if failed in PASSING and not full:
                 self._dial_later(scorer)
@@ -217,6 +217,17 @@
             if failed:
                 return
 
+    def _has_room(self) -> bool:
+        """Whether there may be one more link; an idle one gives way where all are in use.
+
+        Guards calls where there are more scorers than links: they would be turned away for idle links."""
+        if self._links >= self.links_most:
+            links = [link for scorer in self.scorers.values() for link in scorer.links]
+            idle = [link for link in links if link.up and not link.streams]
+            if longest := max(idle, key=Link.idle_ms, default=None):
+                longest.connection.close(End.IDLE)
+        return self._links < self.links_most
+
     def _dial_later(self, scorer: Scorer) -> None:
         """Guards the scorer's good name, the loop and the requests against a passing fault of this machine:
         what waits goes on waiting, and is dialled for again after a pause."""
@@ -260,7 +271,7 @@
             self._trust_ms = min(self._trust_ms, max(TRUST_LEAST_MS, TRUST_PART * gap))
         streams, link.streams = list(link.streams.values()), {}
         for stream in streams:
-            if stream.begun:
+            if stream.begun or end is End.STOPPED:
                 self._end(stream, end)
             else:  # the scorer saw none of it: another connection may serve
                 stream.link = stream.piece = None
--- a/tests/test_scorer_answers.py
+++ b/tests/test_scorer_answers.py
@@ -201,6 +201,41 @@
         self.assertEqual(ended, [])
 
 
+class Room(Case):
+    def test_nothing_is_dialled_any_more_for_what_is_unwritten_at_the_end(self):
+        scorer, ended = ScorerPeer(copies=None), []
+        rig = self.rig(scorer)
+        self.link_up(rig, scorer)
+        rig.front.pool.send(attempt(BY_POOL, ended))
+        rig.front.pool.close()
+        self.assertEqual((ended, rig.front.pool._links), ([(End.STOPPED, False)], 0))
+
+    def test_an_idle_link_gives_way_where_there_are_more_scorers_than_links(self):
+        peers = [ScorerPeer(f"s-{number}", copies=None) for number in range(3)]
+        rig = self.rig(*peers)
+        rig.front.pool.links_most = 2
+        ended = []
+        for number, peer in enumerate(peers):
+            self.clock.advance(1.0)
+            rig.front.pool.send(attempt(BY_POOL + number, ended))
+            rig.until(lambda peer=peer: peer.runs, "it runs")
+            peer.answer(peer.runs[0])
+            rig.until(lambda number=number: len(ended) > number, "it is answered")
+        self.assertEqual(ended, [(io.Ending.GOOD, True)] * 3)
+        self.assertEqual([len(self.links(rig, BY_POOL + number)) for number in range(3)], [0, 1, 1])
+
+    def test_a_link_with_something_open_does_not(self):
+        peers = [ScorerPeer(f"s-{number}", copies=None) for number in range(2)]
+        rig = self.rig(*peers)
+        rig.front.pool.links_most = 1
+        ended = []
+        rig.front.pool.send(attempt(BY_POOL, ended))
+        rig.until(lambda: peers[0].runs, "it runs")
+        rig.front.pool.send(attempt(BY_POOL + 1, ended))
+        self.assertEqual(ended, [(End.NO_DESCRIPTOR, False)])
+        self.assertEqual(len(self.links(rig)), 1)
+
+
 class Answers(Case):
     def test_a_second_good_answer_ends_no_later_attempt_under_its_id(self):
         scorer, ended = ScorerPeer(copies=None), []
@@ -244,6 +279,25 @@
         self.assertEqual((ended, later), ([(End.CALLED_OFF, True)], []))
         self.assertFalse(self.links(rig)[0].connection.closed)
 
+    def test_an_answer_to_what_is_not_written_yet_is_none(self):
+        for after_bytes in (None, 30):
+            with self.subTest(after_bytes=after_bytes):
+                scorer, ended = ScorerPeer(copies=None), []
+                rig = self.rig(scorer)
+                link = self.link_up(rig, scorer)
+                blocked = self.block(scorer, after_bytes)
+                rig.front.pool.send(attempt(BY_POOL, ended))
+                self.turn(rig)
+                before = scorer_frames.Frame(0, b"12345678", {}, b"")
+                scorer.answer((scorer.links[0], before), body=b"of an earlier one")
+                self.read(link.connection)
+                self.assertEqual((ended, list(link.streams)), ([], [b"12345678"]))
+                self.unblock(blocked)
+                rig.until(lambda scorer=scorer: scorer.runs, "it runs")
+                scorer.answer(scorer.runs[0])
+                rig.until(lambda ended=ended: ended, "it is answered")
+                self.assertEqual(ended, [(io.Ending.GOOD, True)])
+
     def test_an_answer_that_is_cut_by_a_close_is_none(self):
         for op in CLASSES:
             with self.subTest(op):
