Connection: what lies unread is read before a failed write ends it

Cause: a write that met a reset closed the connection at once, with an answer unread that had come after the turn's reads; the call was told as reset, though it was answered, and one that must not run twice was failed. The system hands out what came before a reset, so it is read first.

Measured: test_an_answer_that_came_just_before_a_reset_under_a_write_counts fails without it.

--- a/fawnwharf/net/connection.py
+++ b/fawnwharf/net/connection.py
@@ -203,8 +203,11 @@
         return True
 
     def _write_failed(self, end: End) -> None:
-        """Try again after a pause where the fault is this machine's own and passes; else end it."""
+        """Try again after a pause where the fault is this machine's own and passes; else end it, once what
+        the peer sent before is read: an answer may lie there that came after the turn's reads."""
         if end not in PASSING:
+            if self._reading:
+                self._read()
             self.close(end)
             return
         self._write_pause = self.loop.wheel.after(WRITE_PAUSE_MS, self._write_on)
--- a/tests/test_scorer_answers.py
+++ b/tests/test_scorer_answers.py
@@ -53,6 +53,23 @@
         rig.until(lambda: scorer.runs, "it runs on another link")
         self.assertEqual(ended, [])
 
+    def test_an_answer_that_came_just_before_a_reset_under_a_write_counts(self):
+        for op in CLASSES:
+            with self.subTest(op):
+                scorer = ScorerPeer()
+                rig = self.rig(scorer)
+                link = self.link_up(rig, scorer)
+                client, key = self.asked(rig, op)
+                rig.front.table.send(io.Send(key, BY_POOL))
+                rig.until(lambda scorer=scorer: scorer.runs, "it runs")
+                rig.front.pool.send(attempt(BY_POOL, [], id=b"abcdefgh"))
+                scorer.answer(scorer.runs[0], body=b"done")
+                reset(scorer.links[0].sock)
+                link.connection.flush()  # after the turn's reads
+                self.assertTrue(link.connection.closed)
+                self.assertEqual(self.endings(), [io.Ending.GOOD])
+                rig.until(lambda client=client: client.answers, "it is answered")
+
     def test_a_close_in_part_never_ran_but_where_it_must_not_run_twice(self):
         for how, op in itertools.product((reset, lambda sock: sock.close()), CLASSES):
             with self.subTest(op=op, how=how):
