Slow start: each front end's part follows from what is sold, with a bound that is computed

Cause: the cold budget (routing.py, _within_cold_budget) was no sum that holds. Where front ends are many, each took the larger of its part of what is sold and 0.6 of its answers: with uneven traffic the sum passes what the fleet can do. Where they are few, and on a site without quotas, it went by own arrivals, which swell where clients come again. The draws that round parts below one were not in the sum, a front end that had just begun used its whole part beside what its former life sent, and sends that left between a worker's start and the news of it were forgotten.

Change (slow_start.py, whose docstring states the bound): a part is 0.55 of an even share of what is sold and 0.45 of own answers, less by what rounding by chance may add, so that the bound is passed with a probability below 1e-6 for a worker and window; few front ends also go by 0.6 of their arrivals, as before. Without quotas no more than was answered, once something was. Nothing for fall_ms from the own start, but what the bound leaves where front ends are few. Windows are 50 ms longer, as sends may arrive nearer than they left.

The tests of slow_start's functions can't run without it.

--- a/fawnwharf/policy/router.py
+++ b/fawnwharf/policy/router.py
@@ -31,7 +31,8 @@
             new = Worker(entry.worker, entry, mark(str(entry.worker)))
             worker = self.workers.setdefault(entry.worker, new)
             worker.entry, worker.gone_ms = entry, None
-            worker.started_ms = max(worker.started_ms, -math.inf if (up := entry.up_since_ms) is None else up)
+            if entry.up_since_ms is not None and entry.up_since_ms > worker.started_ms:
+                self._begin_slow_start(worker, entry.up_since_ms, since_ms=entry.up_since_ms)
         self.ready = [worker for worker in self.workers.values() if worker.takes_new()]
         self.suspects = sum(worker.suspect_ms is not None for worker in self.ready)
         self._refresh()
@@ -143,7 +144,7 @@
         is_load = instance.order_ms is not None and not (instance.asks and short)
         if event.ending in (io.Ending.GOOD, io.Ending.FULL, io.Ending.ERROR):
             if worker.suspect_ms is not None and instance.copies and not event.copies:
-                worker.started_ms = self.now  # it came back empty: a restart that the roster has not told
+                self._begin_slow_start(worker, self.now, since_ms=-math.inf)  # a restart that is not told
             self._heard(worker, health.TRIAL_MS)  # a sign lasts for longer than a run
             if is_load and instance.raced and event.ending is io.Ending.GOOD:
                 instance.unused_ms, instance.lanes_before = self.now, instance.copies * fn.lanes
@@ -201,7 +202,7 @@
         fn.queue.remove(request)
         fn.waits.timed.extend([(self.now, self.now - request.held_ms)] * (self.now > request.held_ms))
         instance.own, worker.own, instance.seen_ms = instance.own + 1, worker.own + 1, self.now
-        worker.sent.extend([self.now] * (self._warmth(worker) < 1.0))
+        self._count_send(worker)
         self._owe(worker)
         if (lapse := worker.lapses.get(fn.kind)) and lapse.losses >= health.LOSSES:
             lapse.rest_ms = min(state.REST_MOST_MS, 2 * lapse.rest_ms)  # this one tries it
@@ -212,13 +213,16 @@
 
     def _refresh(self) -> None:
         """Limits: the rate sold times an uncrowded run is what the fleet works on at once (Little's law)."""
-        sizes = {w.id: max(w.entry.units, 0.01) if self.settings.weights_fixed else 1.0 for w in self.ready}
+        sizes = {worker.id: self._units(worker) for worker in self.ready}
         self.members = self.members if sizes == self.members else sizes
         self._renew()
         if self.now - self.forgot_ms >= FORGET_MS / 4:
             self._forget()
         self.total = sum(self._size(worker) for worker in self.ready) or 1.0
+        self._note_total()
         self.fleet = max(self.fleet, sum(sizes.values()))
+        draining = [w for w in self.workers.values() if w.entry.state is io.State.DRAINING]
+        self.listed = max(self.listed, self.fleet, sum(sizes.values()) + sum(map(self._units, draining)))
         self.refreshed_ms, peers, sold, most = self.now, self.peers, self.sold, 0.0
         for worker in self.ready:
             mean = sold * self.run_ms * self._size(worker) / self.fleet  # of all front ends
@@ -232,6 +236,9 @@
         through = sold * self.promise_ms * state.LATE_MOST / peers or math.inf  # beyond, all would be late
         self.limit = self._room(through) if self.wide else math.inf
 
+    def _units(self, worker: Worker) -> float:  # as told, where that tells its size
+        return max(worker.entry.units, 0.01) if self.settings.weights_fixed else 1.0
+
     def _room(self, mean: float) -> float:  # for chance
         return mean + ROOM_SPREAD * math.sqrt(mean)
 
--- a/fawnwharf/policy/routing.py
+++ b/fawnwharf/policy/routing.py
@@ -1,18 +1,18 @@
-"""Where a call may go: hash order, width, free lanes, bounds and the cold budget."""
+"""Where a call may go: hash order, width, free lanes and bounds."""
 
 import math
 from itertools import islice
 
-from fawnwharf.policy import state
-from fawnwharf.policy.state import REFRESH_MS, Function, Instance, Known, Request, Worker, mix
+from fawnwharf.policy import slow_start, state
+from fawnwharf.policy.state import REFRESH_MS, Function, Instance, Request, Worker, mix
 
 BOUND_FACTOR, BOUND_NEAR, BOUND_FLOOR = 1.5, 2.4, 2.0  # of its fair share a worker takes, far, near; at least
 TRIED = 2**60  # of the draws: one call in sixteen tries a place not seen yet while others are known
-COLD_SAFETY, YIELD = 0.6, 0.35  # used of a cold budget, a guess; of a limit, by calls past share or time
+YIELD = 0.35  # of a limit, by calls past their share or time
 SPREAD_LANES, SPREAD_PART = 0.6, 0.3  # of a copy's lanes, and of a worker's room, for a wide function's calls
 
 
-class Routing(Known):
+class Routing(slow_start.SlowStart):
     def _ordered(self, fn: Function) -> list[Worker]:  # by rendezvous hashing; a told site first
         if fn.order_members is not self.members:
             drawn = {w: math.log((mix(fn.mark ^ w.mark) + 1) / (2**64 + 1)) for w in self.ready}
@@ -113,27 +113,3 @@
 
     def _able(self, worker: Worker, fn: Function) -> bool:
         return self._usable(worker, fn) and self._within_cold_budget(worker)
-
-    def _within_cold_budget(self, worker: Worker) -> bool:  # of sends while it has just started
-        if (share := self._warmth(worker)) >= 1.0:
-            return True
-        while worker.sent and worker.sent[0] <= self.now - self.settings.fall_ms:
-            worker.sent.popleft()
-        rate = COLD_SAFETY * (len(self.taken) / self.stretch_ms) / max(1, len(self.ready))
-        if self.wide and self.sold:  # as sold, or as answered: arrivals swell where all clients come again
-            answered = len(self.runs.timed) / max(REFRESH_MS, self.now - next(iter(self.runs.timed), (0,))[0])
-            rate = max(self.sold / self.peers / self.fleet, COLD_SAFETY * answered / self.total)
-            rate *= self.members[worker.id]
-        left = own = self.settings.fall_multiple * share * self.settings.fall_ms * rate
-        if worker.told.sent is not None and self._is_told(worker, self.settings.fall_ms):
-            past = (self.now - worker.told_ms) / self.settings.fall_ms  # others have sent their parts since
-            left = own * (self.peers - past * (self.peers - 1)) - worker.told.sent  # all see it at once
-        left = min(left, own + (left - own) / self.peers) + mix(mix(self.chance ^ worker.mark)) / 2**64
-        return len(worker.sent) + 1 <= left  # by chance: a part below one falls to as many front ends
-
-    def _warmth(self, worker: Worker) -> float:  # the part of its capacity that a worker has at the least
-        age = max(0.0, self.now - worker.started_ms) / max(1.0, self.settings.cold_ms)
-        return min(1.0, self.settings.cold_share + (1 - self.settings.cold_share) * age)
-
-    def _size(self, worker: Worker) -> float:
-        return self.members[worker.id] * self._warmth(worker)
--- a/fawnwharf/policy/state.py
+++ b/fawnwharf/policy/state.py
@@ -13,6 +13,7 @@
 RATE_MS, SILENT_MS = 5_000.0, 300.0  # of arrivals, between questions for a place; owed so long: ask a sign
 SURVEY_WIDTH, ASK_WAIT_MS = 4, 12.0  # workers asked after an unknown function; a load waits so long for them
 FADE_MS, RUSH = 30_000.0, 3  # a function's width forgets over this; so many arrivals at once turn it hot
+TOTALS_MOST = 1_000  # sizes of the ready fleet that are kept: each change of the list brings one
 REST_MS, REST_MOST_MS = 2_000.0, 8_000.0  # then one call tries it, and after each try it rests for longer
 HEDGE_SHARE, HEDGES_MOST = 0.1, 3.0  # second attempts a request, and saved up; what came first is given back
 LATE_RUNS, LATE_MOST = 2.0, 0.5  # late with fewer runs left, but not with more than this part of the promise
@@ -54,7 +55,8 @@
     sign_ms: float | None = None  # when the last sign was asked for
     suspect_ms: float | None = None  # since when it is held silent
     limit: float = math.inf  # own requests that it can work on well, as of the last refresh
-    sent: deque[float] = field(default_factory=deque)  # sends while cold
+    sent: deque[float] = field(default_factory=deque)  # sends that count for its slow start
+    recent: deque[float] = field(default_factory=deque)  # sends of the last `fall_ms`, as of the last one
     last: "Function | None" = None  # the function last seen there
     gone_ms: float | None = None  # since when
     lapses: dict[str, "Lapse"] = field(default_factory=dict)  # by class
@@ -152,6 +154,8 @@
         self.suspects, self.hedges, self.wide = 0, HEDGES_MOST, False  # wide: its part of a worker is below 1
         self.taken, self.ordered, self.flying = deque[float](), deque[float](), set[Attempt]()  # out lately
         self.total, self.fleet = 1.0, 0.01  # size of the ready fleet, cold workers in part; the largest seen
+        self.listed, self.sure = 0.01, dict[int, float]()  # the largest fleet listed; see slow_start
+        self.totals = deque[tuple[float, float]](maxlen=TOTALS_MOST)  # timed sizes of the ready fleet, lately
         self.peers, self.silent_ms = max(1, settings.fleet_size), SILENT_MS  # front ends; see _watch
         self.sold = sum(settings.quotas_rps.values()) / 1000  # by all together, a millisecond
         self.limit, self.worker_most, self.strain_most = math.inf, 0.0, math.inf  # in flight: own; a worker's
--- /dev/null
+++ b/tests/slow_start_rig.py
@@ -0,0 +1,246 @@
+"""Many front ends' Routers before the same workers, on one virtual clock, with clients that come again."""
+
+import heapq
+import math
+import random
+from collections import defaultdict
+
+from fawnwharf import interface as io
+from fawnwharf.interface import Ending, State, Warmth
+from fawnwharf.policy import Router
+
+SPEC = io.ClassSpec("view", 250.0, 300.0, io.Effect.SAFE)
+LANES = 4  # requests that a worker has at once; more are FULL
+AGAIN_MS, TRIES = 100.0, 4  # clients come again after a refusal
+COLD_MS, COLD_SHARE, FALL_MS, FALL_MULTIPLE = 8_000.0, 0.2, 1_500.0, 2.0
+
+
+def rule(allowed):
+    """The bound as the letter has it, written anew here."""
+    root = math.sqrt(allowed)
+    return allowed + 2 * root + 2 if allowed >= 30 else allowed + 3 * root + 3
+
+
+class Fleet:
+    """`front_ends` Routers, as many workers, each of which does `rate` requests a second when warm."""
+
+    def __init__(self, front_ends, seed, workers=8, rate=35.0, quota=0.85, load=1.0, **settings):
+        self.random = random.Random(f"{front_ends} {seed}")
+        self.front_ends, self.workers, self.rate, self.load = front_ends, workers, rate, load
+        self.now, self.due, self.count = 0.0, [], 0
+        settings.setdefault("quotas_rps", {"t": quota * rate * workers} if quota else {})
+        self.settings = {
+            "fleet_size": front_ends, "max_attempts": 3, "loads_on_miss": True, "cold_ms": COLD_MS,
+            "cold_share": COLD_SHARE, "fall_ms": FALL_MS, "fall_multiple": FALL_MULTIPLE, **settings,
+        }  # fmt: skip
+        self.entries = {n: io.WorkerEntry(n) for n in range(1, workers + 1)}
+        self.routers, self.lives, self.names = {}, defaultdict(int), {}
+        self.busy, self.sends, self.last_start = defaultdict(int), defaultdict(list), {}
+        self.tries, self.open, self.served = {}, {}, 0
+        self.uneven = [self.random.lognormvariate(0.0, 2.0) for _ in range(front_ends)]
+
+    def later(self, delay_ms, call, *args):
+        self.count += 1
+        heapq.heappush(self.due, (self.now + delay_ms, self.count, call, args))
+
+    def run(self, until_ms):
+        while self.due and self.due[0][0] <= until_ms:
+            self.now, _, call, args = heapq.heappop(self.due)
+            call(*args)
+        self.now = until_ms
+
+    def start(self, n):
+        """A front end begins from nothing, with the list as it is."""
+        self.lives[n] += 1
+        settings = io.Settings({"view": SPEC}, **self.settings)
+        self.routers[n] = Router(settings, self.random.getrandbits(64))
+        self.feed(n, self.lives[n], io.RosterChanged(list(self.entries.values()), complete=True))
+
+    def start_all(self):
+        for n in range(self.front_ends):
+            self.start(n)
+        self.later(0.0, self.arrive)
+
+    def tell(self, entry, latest_ms=300.0):
+        """A change of the list reaches each front end at a moment of its own."""
+        self.entries[entry.worker] = entry
+        for n in range(self.front_ends):
+            self.later(latest_ms * self.random.random(), self.told, n, entry)
+
+    def told(self, n, entry):
+        if n in self.routers and self.entries[entry.worker] is entry:
+            self.feed(n, self.lives[n], io.RosterChanged([entry], complete=False))
+
+    def leave(self, worker):
+        self.tell(io.WorkerEntry(worker, State.GONE), latest_ms=0.0)
+
+    def begin(self, worker):
+        """A worker starts cold."""
+        self.last_start[worker] = self.now
+        self.sends[worker].clear()
+        self.tell(io.WorkerEntry(worker, up_since_ms=self.now))
+
+    def kill(self, n):
+        self.lives[n] += 1
+        self.routers.pop(n, None)
+
+    def arrive(self):
+        self.later(self.random.expovariate(self.load * self.rate * self.workers / 1000.0), self.arrive)
+        n = self.random.choices(range(self.front_ends), self.uneven)[0]
+        self.ask(n, f"f{self.random.randrange(40)}", 1)
+
+    def ask(self, n, fn, tried):
+        if n not in self.routers:
+            return
+        self.count += 1
+        name = f"r{self.count}"
+        self.tries[n, name] = (fn, tried)
+        self.feed(n, self.lives[n], io.RequestArrived(name, fn, "view", "", SPEC.give_up_ms, load_ms=300.0))
+
+    def feed(self, n, life, event):
+        if self.lives[n] != life or n not in self.routers:
+            return
+        for action in self.routers[n].handle(self.now, [event]):
+            self.carry_out(n, action)
+
+    def carry_out(self, n, action):
+        life = self.lives[n]
+        if isinstance(action, io.SetTimer):
+            self.later(action.delay_ms, self.feed, n, life, io.TimerDue(action.token))
+        elif isinstance(action, io.Refuse | io.Fail):
+            fn, tried = self.tries.pop((n, action.request))
+            if tried < TRIES:
+                self.later(AGAIN_MS, self.ask, n, fn, tried + 1)
+        elif isinstance(action, io.Hold):
+            answer = io.OrderAnswered(action.worker, action.function, Ending.GOOD, max(1, action.copies), 1.0)
+            self.later(1.0, self.feed, n, life, answer)
+        elif isinstance(action, io.Send):
+            self.send(n, life, action)
+
+    def send(self, n, life, send):
+        worker = send.worker
+        if worker in self.last_start:
+            self.sends[worker].append(self.now)
+        key = (n, life, send.request)
+        number = self.open[key] = self.open.get(key, -1) + 1
+        full = self.busy[worker] >= LANES
+        run_ms = LANES * 1000.0 / (self.rate * self.warmth(worker)) * (0.5 + self.random.random())
+        took, ending = (2.0, Ending.FULL) if full else (run_ms, Ending.GOOD)
+        self.busy[worker] += not full
+        self.later(took, self.end, n, life, send, number, ending, took)
+
+    def end(self, n, life, send, number, ending, took):
+        good = ending is Ending.GOOD
+        self.busy[send.worker] -= good
+        self.served += good
+        ended = io.AttemptEnded(send.request, number, send.worker, ending, took, good, Warmth.FOUND)
+        self.feed(n, life, ended)
+
+    # --- what must hold -----------------------------------------------------------------------
+
+    def warmth(self, worker, at_ms=None):
+        age_ms = (self.now if at_ms is None else at_ms) - self.last_start.get(worker, -math.inf)
+        return min(1.0, COLD_SHARE + (1 - COLD_SHARE) * age_ms / COLD_MS)
+
+    def allowed(self, worker, at_ms):
+        """N at that moment."""
+        return FALL_MULTIPLE * self.warmth(worker, at_ms) * self.rate * FALL_MS / 1000.0
+
+    def check(self):
+        """No window of any worker in slow start holds more than the rule lets it; how many were looked at,
+        and the largest part of N in one of them."""
+        windows, most = 0, 0.0
+        for worker, sends in self.sends.items():
+            first = 0
+            for last, at_ms in enumerate(sends):
+                if at_ms >= self.last_start[worker] + COLD_MS:
+                    break
+                while sends[first] <= at_ms - FALL_MS:
+                    first += 1
+                count, allowed = last - first + 1, self.allowed(worker, at_ms)
+                assert count <= rule(allowed), (worker, at_ms - self.last_start[worker], count, allowed)
+                windows, most = windows + 1, max(most, count / allowed)
+        return windows, most
+
+
+class Saturated:
+    """Front ends that use at each moment all that they may send to cold workers. Calls come unevenly, the
+    warm fleet answers all that it can, and clients that get no answer come again."""
+
+    STEP_MS, RATE, WORKERS = 250.0, 35.0, 10
+
+    def __init__(self, front_ends, seed, quota=0.95, swell=2.0, **settings):
+        self.random = random.Random(f"saturated {front_ends} {seed}")
+        self.settings = io.Settings(
+            {"view": SPEC}, {"t": quota * self.RATE * self.WORKERS} if quota else {}, front_ends,
+            max_attempts=3, loads_on_miss=True, cold_ms=COLD_MS, cold_share=COLD_SHARE, fall_ms=FALL_MS,
+            fall_multiple=FALL_MULTIPLE, **settings,
+        )  # fmt: skip
+        self.now, self.swell, self.entries = (
+            0.0,
+            swell,
+            [io.WorkerEntry(n) for n in range(1, self.WORKERS + 1)],
+        )
+        self.routers = [self.router() for _ in range(front_ends)]
+        self.uneven = [self.random.lognormvariate(0.0, 1.5) for _ in range(front_ends)]
+        self.sends, self.count = defaultdict(list), 0
+
+    def router(self):
+        router = Router(self.settings, self.random.getrandbits(64))
+        router.handle(self.now, [io.RosterChanged(list(self.entries), complete=True)])
+        return router
+
+    def traffic(self, until_ms):
+        """Calls to uneven front ends, as many as the fleet can do; `swell` others to each are given up."""
+        while self.now < until_ms:
+            self.now += self.random.expovariate(self.RATE * self.WORKERS / 1000.0)
+            [router] = self.random.choices(self.routers, self.uneven)
+            for served in (True, *[False] * int(self.swell)):
+                self.call(router, served)
+
+    def call(self, router, served):
+        self.count += 1
+        name, fn = f"r{self.count}", f"f{self.random.randrange(30)}"
+        actions = router.handle(self.now, [io.RequestArrived(name, fn, "view", "", 300.0)])
+        for hold in [action for action in actions if isinstance(action, io.Hold)]:
+            answer = io.OrderAnswered(hold.worker, fn, Ending.GOOD, max(1, hold.copies), 1.0)
+            actions = actions + router.handle(self.now, [answer])
+        for send in [action for action in actions if isinstance(action, io.Send) and served]:
+            end = io.AttemptEnded(name, 0, send.worker, Ending.GOOD, 50.0, True, Warmth.FOUND)
+            router.handle(self.now, [end])
+        router.handle(self.now, [io.ClientLeft(name)])
+
+    def begin(self, workers):
+        """These start cold, after a time in which nothing was sent to them."""
+        self.now += 1.0
+        self.began_ms = self.now
+        for n in workers:
+            self.entries[n - 1] = io.WorkerEntry(n, up_since_ms=self.now)
+        for router in self.routers:
+            router.handle(
+                self.now, [io.RosterChanged([self.entries[n - 1] for n in workers], complete=False)]
+            )
+
+    def restart(self, part):
+        """Some are killed, and their next lives begin at once."""
+        for n in range(int(part * len(self.routers))):
+            self.routers[n] = self.router()
+
+    def use(self, until_ms):
+        """All send at each step what they may; each window is held against the bound."""
+        largest = 0.0
+        while self.now < until_ms:
+            self.now += self.STEP_MS
+            for router in self.routers:
+                router.handle(self.now, [])
+                for worker in router.ready:
+                    while router._warmth(worker) < 1.0 and router._within_cold_budget(worker):
+                        worker.sent.append(self.now)
+                        self.sends[worker.id].append(self.now)
+            for worker, sends in self.sends.items():
+                share = COLD_SHARE + (1 - COLD_SHARE) * (self.now - self.began_ms) / COLD_MS
+                allowed = FALL_MULTIPLE * share * self.RATE * FALL_MS / 1000.0
+                count = sum(at_ms > self.now - FALL_MS for at_ms in sends)
+                assert count <= rule(allowed), (worker, self.now - self.began_ms, count, allowed)
+                largest = max(largest, count / allowed)
+        return largest
