Repeat windows: a keyed repeat carries what is left of its window, and its group is the first one's

Cause: the window was looked at when a repeat was decided (admission.py, _may_send_again); dialling, queues and redials come after, and nobody knew until when it could leave. The group was looked up by the first attempt's worker as the roster has it now (_may_send_here): a worker that moved took the repeat into another zone or cell, where it is not dropped, and one that was gone and forgotten (60 s) was a KeyError for a class with longer time.

Change: Send.within_ms is what is left of the window less the margin, counted from when the first attempt that may have run left; infinite for all else. An attempt keeps the zone and cell that its worker had when it left.

Checked without it: 10 of 36 tests of test_repeat_windows.py fail, among them both groups (sent to worker 2 of the other zone) and test_a_request_outlives_the_worker_of_its_first_attempt (KeyError: 1). Read and found safe: _suspect, _hasten and _miss_answers hold a request only by _may_send_again, and _lane asks it again when it is sent.

--- a/fawnwharf/interface.py
+++ b/fawnwharf/interface.py
@@ -232,7 +232,8 @@
 @dataclass(slots=True)
 class Send:
     """Send a request to a worker. Where it can't begin to be written within `within_ms` of this moment, it
-    must not be sent any more: it ends as one that was not sent."""
+    must not be sent any more: it ends as one that was not sent. Finite only for the repeat of a keyed request
+    whose first attempt may have run: what is left of its window, less a margin for the way there."""
 
     request: str
     worker: int
--- a/fawnwharf/policy/admission.py
+++ b/fawnwharf/policy/admission.py
@@ -39,16 +39,25 @@
             return False
         if (first := request.first_run()) is None or request.spec.effect is io.Effect.SAFE:
             return True
-        origin, here, group = self.workers[first.worker].entry, worker.entry, request.spec.group
-        same = origin.zone == here.zone if group is io.Group.ZONE else origin.cell == here.cell
+        here, group = worker.entry, request.spec.group
+        same = first.zone == here.zone if group is io.Group.ZONE else first.cell == here.cell
         return (group is io.Group.ALL or same) and self._may_send_again(request)
 
     def _may_send_again(self, request: Request) -> bool:  # may another attempt be made at all?
         twice, first, spec = any(a.open for a in request.attempts), request.first_run(), request.spec
         if len(request.attempts) >= self.settings.max_attempts or (twice and not self.settings.second_copies):
             return False
-        keyed_ms = spec.dedup_window_ms - WINDOW_MARGIN_MS if spec.effect is io.Effect.KEYED else -math.inf
-        return first is None or spec.effect is io.Effect.SAFE or self.now - first.sent_ms < keyed_ms
+        return first is None or spec.effect is io.Effect.SAFE or self._window_left(request) > 0
+
+    def _window_left(self, request: Request) -> float:
+        """For how long a request may begin to be written from now on: a keyed repeat must arrive while its
+        workers drop it. Their window begins when the first attempt arrives, at the earliest when it left."""
+        first, spec = request.first_run(), request.spec
+        if first is None or spec.effect is io.Effect.SAFE:
+            return math.inf
+        if spec.effect is io.Effect.UNSAFE:
+            return -math.inf
+        return first.sent_ms + spec.dedup_window_ms - WINDOW_MARGIN_MS - self.now
 
     def _again(self, request: Request) -> None:  # hold it again, or end it
         if self._may_send_again(request):
--- a/fawnwharf/policy/router.py
+++ b/fawnwharf/policy/router.py
@@ -195,7 +195,8 @@
     def _send(self, request: Request, worker: Worker) -> None:
         fn, instance = request.function, self._instance(request.function, worker)
         among = max(1, sum(w.id in fn.instances for w in fn.order[: fn.width]))
-        attempt = Attempt(request.id, worker.id, fn, self.now, worker.own < 2, among)
+        here, within_ms = worker.entry, self._window_left(request)
+        attempt = Attempt(request.id, worker.id, fn, self.now, worker.own < 2, among, here.zone, here.cell)
         self.attempts[request.id, len(request.attempts)] = attempt
         self.flying.add(attempt)
         request.attempts.append(attempt)
@@ -209,7 +210,7 @@
             lapse.rests_ms = self.now + lapse.rest_ms
         if instance.unused_ms is not None and instance.own > instance.lanes_before:
             fn.idle_ms, instance.unused_ms = self.now - instance.unused_ms, None
-        self.actions.append(io.Send(request.id, worker.id))
+        self.actions.append(io.Send(request.id, worker.id, within_ms))
 
     def _refresh(self) -> None:
         """Limits: the rate sold times an uncrowded run is what the fleet works on at once (Little's law)."""
--- a/fawnwharf/policy/state.py
+++ b/fawnwharf/policy/state.py
@@ -95,6 +95,8 @@
     sent_ms: float
     alone: bool  # the worker was not crowded when it left
     among: int  # warm workers that it was drawn from
+    zone: str  # of the worker, when it left: the roster may move the worker, or forget it
+    cell: int
     open: bool = True
     lost: bool = False
     may_have_run: bool = True
