--- a/fawnwharf/policy/router.py
+++ b/fawnwharf/policy/router.py
@@ -7,17 +7,24 @@
 from fawnwharf.policy.state import Attempt, Function, Request, Worker, mark, mix
 
 FUNCTIONS_MOST, FORGET_MS = 2_000, 60_000.0  # kept in mind; forgotten if not called, or gone, for so long
+ENDS = 1  # token of a timer for one request's end; the sweep's is 0
 RUN_GAIN, ROOM_SPREAD = 0.02, 1.5  # weight of an uncrowded run; room in limits, in square roots of means
 
 
 class Router(health.Health, loads.Loads, routing.Routing, admission.Admission):
     def handle(self, now_ms: float, events: list[io.Event]) -> list[io.Action]:
-        """Take the events of one moment, in order; the actions take effect at that moment."""
+        """Take the events of one moment; the actions take effect at that moment. Clients that left are heard
+        first, as nothing may be sent or ordered for them any more; the rest goes in order."""
         self.now, self.began_ms, self.actions = now_ms, min(self.began_ms, now_ms), []
         while self.taken and self.taken[0] <= now_ms - self.stretch_ms:
             self.taken.popleft()
+        left = {event.request for event in events if isinstance(event, io.ClientLeft)}
+        for event in events if left else ():
+            if isinstance(event, io.ClientLeft):
+                self._on_left(event)
         for event in events:
-            self.handlers[type(event)](self, event)
+            if not (isinstance(event, io.RequestArrived | io.ClientLeft) and event.request in left):
+                self.handlers[type(event)](self, event)
         if not self.sweeping and (self.requests or self.attempts):
             self.sweeping = True
             self.actions.append(io.SetTimer(state.SWEEP_MS, 0))
@@ -46,16 +53,21 @@
         later = event.budget_ms < admission.TRY_LEAST * spec.give_up_ms  # the first try took its share
         aim = (deadline - spec.give_up_ms if later else self.now) + spec.promise_ms
         over = later or self._over_share(event.tenant)
-        request = Request(event.request, fn, spec, self.now, deadline, over, self.now, draw, aim)
+        short = spec.give_up_ms <= state.SHORT_MS
+        lead_ms = min(state.LEAD_MS, event.budget_ms / 4) if short else state.SWEEP_MS + state.LEAD_MS
+        ends_ms = deadline - lead_ms
+        request = Request(event.request, fn, spec, self.now, deadline, over, self.now, draw, aim, ends_ms)
         self._measure(fn)
         self.hedges = min(state.HEDGES_MOST, self.hedges + state.HEDGE_SHARE)
         self.requests[request.id] = request
         fn.queue.append(request)
-        if self._over_share(io.ALL) or request.deadline_ms - self.now <= state.SWEEP_MS + state.LEAD_MS:
+        if self._over_share(io.ALL) or self.now >= ends_ms:
             self._finish(request)  # the next sweep may be too late: a client's last try has little time
         elif not self.wide and not self._is_warm(fn):
             for worker in self._ordered(fn)[: state.SURVEY_WIDTH]:
                 self._spread(fn, worker)
+        if short and request.id in self.requests:
+            self.actions.append(io.SetTimer(ends_ms - self.now, ENDS))
         self._fill(fn)
         if request in fn.queue and self._hopeless(request):
             self._finish(request)  # the next sweep is past half its time
@@ -157,9 +169,13 @@
         self._dispatch(fn)
 
     def _on_timer(self, event: io.TimerDue) -> None:
+        if event.token == ENDS:  # of one request with little time; the sweep goes on by its own
+            for request in [held for held in self.requests.values() if self.now >= held.ends_ms]:
+                self._finish(request)
+            return
         self.sweeping = False
         for request in list(self.requests.values()):
-            if self._hopeless(request) or self.now + state.SWEEP_MS + state.LEAD_MS >= request.deadline_ms:
+            if self._hopeless(request) or self.now >= request.ends_ms:
                 self._finish(request)
             elif self.wide and self.hedges >= 1 and request not in request.function.queue:
                 self._hasten(request, request.attempts[-1])
--- a/fawnwharf/policy/state.py
+++ b/fawnwharf/policy/state.py
@@ -13,6 +13,7 @@
 RATE_MS, SILENT_MS = 5_000.0, 300.0  # of arrivals, between questions for a place; owed so long: ask a sign
 SURVEY_WIDTH, ASK_WAIT_MS = 4, 12.0  # workers asked after an unknown function; a load waits so long for them
 FADE_MS, RUSH = 30_000.0, 3  # a function's width forgets over this; so many arrivals at once turn it hot
+SHORT_MS = 5 * (SWEEP_MS + LEAD_MS)  # requests of classes with no more time have timers of their own
 TOTALS_MOST = 1_000  # sizes of the ready fleet that are kept: each change of the list brings one
 REST_MS, REST_MOST_MS = 2_000.0, 8_000.0  # then one call tries it, and after each try it rests for longer
 HEDGE_SHARE, HEDGES_MOST = 0.1, 3.0  # second attempts a request, and saved up; what came first is given back
@@ -113,6 +114,7 @@
     held_ms: float
     draw: int  # where in a wide function's first workers it starts
     aim_ms: float  # an answer by then is on time
+    ends_ms: float  # without an answer by then it is given one here, so that it comes in time
     attempts: list[Attempt] = field(default_factory=list)
 
     def first_run(self) -> Attempt | None:  # the first that may have run
--- /dev/null
+++ b/tests/test_policy_crossing.py
@@ -0,0 +1,117 @@
+"""Events that cross in one batch, and classes whose times differ by a factor of thousands."""
+
+import itertools
+
+import pytest
+import test_policy_replay as replay
+from bench import Drive, of
+
+from fawnwharf import interface as io
+from fawnwharf.interface import Effect, Ending
+
+MIXED = {
+    "none": io.ClassSpec("none", 0.0, 0.0, Effect.SAFE),
+    "tiny": io.ClassSpec("tiny", 0.0, 40.0, Effect.SAFE),
+    "brief": io.ClassSpec("brief", 100.0, 150.0, Effect.KEYED, io.Group.ZONE, 120.0),
+    "usual": io.ClassSpec("usual", 800.0, 2_500.0, Effect.UNSAFE),
+    "long": io.ClassSpec("long", 20_000.0, 30_000.0, Effect.KEYED, io.Group.CELL, 50.0),
+    "ages": io.ClassSpec("ages", 300_000.0, 600_000.0, Effect.SAFE),
+}
+
+
+def retried():
+    """One request whose attempt is out, another that is held, and what their events would bring."""
+    d = Drive(2)
+    d.warm()
+    sends = of(d.ask("out"), io.Send)
+    assert [send.request for send in sends] == ["out"]
+    d.ask("held")
+    d.now += 50.0
+    return d, sends[0]
+
+
+@pytest.mark.parametrize("order", list(itertools.permutations(range(3))))
+@pytest.mark.parametrize("ending", [Ending.FULL, Ending.RESET, Ending.CONNECT_FAILED, Ending.GOOD])
+def test_nothing_is_sent_or_ordered_for_clients_that_left_in_whatever_order_the_batch_tells_it(order, ending):
+    d, send = retried()
+    ended = io.AttemptEnded("out", 0, send.worker, ending, 50.0, ending is Ending.GOOD)
+    events = [ended, io.TimerDue(0), io.ClientLeft("out"), io.ClientLeft("held")]
+    actions = d.feed(*[events[n] for n in order], events[3])
+    loads = [hold for hold in of(actions, io.Hold) if hold.copies]
+    assert not of(actions, io.Send) and not loads
+    assert not of(actions, io.Refuse) and not of(actions, io.Fail)
+    assert not d.router.requests
+    assert not of(d.sweep(d.now + 3_000.0), io.Send)
+
+
+def test_a_request_that_came_and_left_in_one_batch_brings_nothing():
+    d = Drive(2)
+    d.warm()
+    arrived = io.RequestArrived("r", "f", "safe", "", 2_500.0, load_ms=500.0)
+    actions = d.feed(arrived, io.ClientLeft("r"))
+    assert not of(actions, io.Send) and not of(actions, io.Hold) and not d.router.requests
+
+
+def test_a_request_that_was_finished_here_and_left_in_the_same_batch_has_one_answer():
+    d, _ = retried()
+    d.now = 2_700.0
+    actions = d.feed(io.TimerDue(0), io.ClientLeft("out"))
+    assert [type(action) for action in actions if getattr(action, "request", "") == "out"] == [io.Cancel]
+
+
+@pytest.mark.parametrize("budget", [40.0, 100.0, 150.0])
+def test_a_class_whose_whole_time_is_shorter_than_a_sweep_is_served(budget):
+    d = Drive(2)
+    d.feed(io.ClassChanged(io.ClassSpec("tiny", budget / 2, budget, Effect.SAFE)))
+    d.warm()
+    actions = d.ask("r", spec="tiny", budget=budget)
+    [send] = of(actions, io.Send)
+    [timer] = [action for action in of(actions, io.SetTimer) if action.token]
+    assert 0.7 * budget <= timer.delay_ms < budget
+    d.now += 0.5 * budget
+    assert not of(d.feed(io.TimerDue(0)), io.Refuse)  # a sweep before its end
+    d.now += timer.delay_ms - 0.5 * budget
+    assert [type(a) for a in d.feed(io.TimerDue(timer.token))] == [io.Cancel, io.Refuse]
+    assert not d.end(send, Ending.CANCELLED, closed=False)
+
+
+@pytest.mark.parametrize(
+    "settings",
+    [
+        {},
+        {"quotas_rps": {"t0": 0.0}},
+        {"quotas_rps": {"t0": 50.0, "t1": 20.0}, "fleet_size": 60, "loads_on_miss": True},
+        {"load_window_ms": 1_000.0, "free_loads": 2.0, "cold_ms": 0.0, "fall_ms": 0.0},
+        {"cold_share": 0.0, "fall_multiple": 0.0, "weights_fixed": True, "max_retry_after_ms": 100.0},
+    ],
+)
+@pytest.mark.parametrize("workers", [1, 6])
+def test_classes_of_all_lengths_in_one_settings_file_get_their_answers_in_time(
+    monkeypatch, settings, workers
+):
+    monkeypatch.setattr(replay, "CLASSES", MIXED | {"safe": MIXED["usual"]})
+    monkeypatch.setattr(replay, "KINDS", [*MIXED, "unheard of"])
+    world = {"workers": workers, "zones": 2, "functions": 14, "rps": 20.0, "roster": 0.02}
+    monkeypatch.setitem(replay.SETTINGS, "mixed", (world, {"max_attempts": 3, **settings}))
+    late = []
+
+    class World(replay.World):
+        def leave(self, request):
+            if request in self.router.requests and self.now >= self.router.requests[request].deadline_ms:
+                late.append((request, self.now))
+            super().leave(request)
+
+    World("mixed").run(2_500)
+    assert late == []
+
+
+@pytest.mark.parametrize("fleet_size", [1, 60])
+@pytest.mark.parametrize("quotas", [{}, {"t": 10.0}])
+def test_without_a_class_or_a_worker_each_request_gets_its_answer(fleet_size, quotas):
+    router = io.Settings(fleet_size=fleet_size, quotas_rps=quotas)
+    d = Drive(1)
+    d.router = type(d.router)(router, 1)
+    d.feed(io.RosterChanged([], complete=True))
+    d.ask("r", spec="unheard of", budget=500.0)
+    answers = of(d.sweep(500.0), io.Refuse)
+    assert [answer.request for answer in answers] == ["r"]
