--- a/fawnwharf/policy/router.py
+++ b/fawnwharf/policy/router.py
@@ -7,17 +7,24 @@
 from fawnwharf.policy.state import Attempt, Function, Request, Worker, mark, mix
 
 FUNCTIONS_MOST, FORGET_MS = 2_000, 60_000.0  # kept in mind; forgotten if not called, or gone, for so long
+ENDS = 1  # token of a timer for one request's end; the sweep's is 0
 RUN_GAIN, ROOM_SPREAD = 0.02, 1.5  # weight of an uncrowded run; room in limits, in square roots of means
 
 
 class Router(health.Health, loads.Loads, routing.Routing, admission.Admission):
     def handle(self, now_ms: float, events: list[io.Event]) -> list[io.Action]:
-        """Take the events of one moment, in order; the actions take effect at that moment."""
+        """Take the events of one moment; the actions take effect at that moment. Clients that left are heard
+        first, as nothing may be sent or ordered for them any more; the rest goes in order."""
         self.now, self.began_ms, self.actions = now_ms, min(self.began_ms, now_ms), []
         while self.taken and self.taken[0] <= now_ms - self.stretch_ms:
             self.taken.popleft()
+        left = {event.request for event in events if isinstance(event, io.ClientLeft)}
+        for event in events if left else ():
+            if isinstance(event, io.ClientLeft):
+                self._on_left(event)
         for event in events:
-            self.handlers[type(event)](self, event)
+            if not (isinstance(event, io.RequestArrived | io.ClientLeft) and event.request in left):
+                self.handlers[type(event)](self, event)
         if not self.sweeping and (self.requests or self.attempts):
             self.sweeping = True
             self.actions.append(io.SetTimer(state.SWEEP_MS, 0))
@@ -31,7 +38,8 @@
             new = Worker(entry.worker, entry, mark(str(entry.worker)))
             worker = self.workers.setdefault(entry.worker, new)
             worker.entry, worker.gone_ms = entry, None
-            worker.started_ms = max(worker.started_ms, -math.inf if (up := entry.up_since_ms) is None else up)
+            if entry.up_since_ms is not None and entry.up_since_ms > worker.started_ms:
+                self._begin_slow_start(worker, entry.up_since_ms, since_ms=entry.up_since_ms)
         self.ready = [worker for worker in self.workers.values() if worker.takes_new()]
         self.suspects = sum(worker.suspect_ms is not None for worker in self.ready)
         self._refresh()
@@ -47,16 +55,21 @@
         later = event.budget_ms < admission.TRY_LEAST * spec.give_up_ms  # the first try took its share
         aim = (leaves_ms - spec.give_up_ms if later else self.now) + spec.promise_ms
         over = later or self._over_share(event.tenant)
-        request = Request(event.request, fn, spec, self.now, deadline, over, self.now, draw, aim)
+        short = spec.give_up_ms <= state.SHORT_MS
+        lead_ms = min(state.LEAD_MS, event.budget_ms / 4) if short else state.SWEEP_MS + state.LEAD_MS
+        ends_ms = deadline - lead_ms
+        request = Request(event.request, fn, spec, self.now, deadline, over, self.now, draw, aim, ends_ms)
         self._measure(fn)
         self.hedges = min(state.HEDGES_MOST, self.hedges + state.HEDGE_SHARE)
         self.requests[request.id] = request
         fn.queue.append(request)
-        if self._over_share(io.ALL) or request.deadline_ms - self.now <= state.SWEEP_MS + state.LEAD_MS:
+        if self._over_share(io.ALL) or self.now >= ends_ms:
             self._finish(request)  # the next sweep may be too late: a client's last try has little time
         elif not self.wide and not self._is_warm(fn):
             for worker in self._ordered(fn)[: state.SURVEY_WIDTH]:
                 self._spread(fn, worker)
+        if short and request.id in self.requests:
+            self.actions.append(io.SetTimer(ends_ms - self.now, ENDS))
         self._fill(fn)
         if request in fn.queue and self._hopeless(request):
             self._finish(request)  # the next sweep is past half its time
@@ -76,6 +89,7 @@
         self.answer_by_ms = min(self.answer_by_ms, self.now + event.within_ms)
         for request in self.requests.values():
             request.deadline_ms = min(request.deadline_ms, self.answer_by_ms)
+            request.ends_ms = min(request.ends_ms, self.answer_by_ms - state.SWEEP_MS - state.LEAD_MS)
 
     def _on_limits(self, event: io.LimitsChanged) -> None:  # one more share, of all calls, or another one
         self.settings.quotas_rps[event.tenant] = event.calls_rps * self.peers
@@ -150,7 +164,7 @@
         is_load = instance.order_ms is not None and not (instance.asks and short)
         if event.ending in (io.Ending.GOOD, io.Ending.FULL, io.Ending.ERROR):
             if worker.suspect_ms is not None and instance.copies and not event.copies:
-                worker.started_ms = self.now  # it came back empty: a restart that the roster has not told
+                self._begin_slow_start(worker, self.now, since_ms=-math.inf)  # a restart that is not told
             self._heard(worker, health.TRIAL_MS)  # a sign lasts for longer than a run
             if is_load and instance.raced and event.ending is io.Ending.GOOD:
                 instance.unused_ms, instance.lanes_before = self.now, instance.copies * fn.lanes
@@ -163,9 +177,13 @@
         self._dispatch(fn)
 
     def _on_timer(self, event: io.TimerDue) -> None:
+        if event.token == ENDS:  # of one request with little time; the sweep goes on by its own
+            for request in [held for held in self.requests.values() if self.now >= held.ends_ms]:
+                self._finish(request)
+            return
         self.sweeping = False
         for request in list(self.requests.values()):
-            if self._hopeless(request) or self.now + state.SWEEP_MS + state.LEAD_MS >= request.deadline_ms:
+            if self._hopeless(request) or self.now >= request.ends_ms:
                 self._finish(request)
             elif self.wide and self.hedges >= 1 and request not in request.function.queue:
                 self._hasten(request, request.attempts[-1])
@@ -201,31 +219,35 @@
     def _send(self, request: Request, worker: Worker) -> None:
         fn, instance = request.function, self._instance(request.function, worker)
         among = max(1, sum(w.id in fn.instances for w in fn.order[: fn.width]))
-        attempt = Attempt(request.id, worker.id, fn, self.now, worker.own < 2, among)
+        here, within_ms = worker.entry, self._window_left(request)
+        attempt = Attempt(request.id, worker.id, fn, self.now, worker.own < 2, among, here.zone, here.cell)
         self.attempts[request.id, len(request.attempts)] = attempt
         self.flying.add(attempt)
         request.attempts.append(attempt)
         fn.queue.remove(request)
         fn.waits.timed.extend([(self.now, self.now - request.held_ms)] * (self.now > request.held_ms))
         instance.own, worker.own, instance.seen_ms = instance.own + 1, worker.own + 1, self.now
-        worker.sent.extend([self.now] * (self._warmth(worker) < 1.0))
+        self._count_send(worker)
         self._owe(worker)
         if (lapse := worker.lapses.get(fn.kind)) and lapse.losses >= health.LOSSES:
             lapse.rest_ms = min(state.REST_MOST_MS, 2 * lapse.rest_ms)  # this one tries it
             lapse.rests_ms = self.now + lapse.rest_ms
         if instance.unused_ms is not None and instance.own > instance.lanes_before:
             fn.idle_ms, instance.unused_ms = self.now - instance.unused_ms, None
-        self.actions.append(io.Send(request.id, worker.id))
+        self.actions.append(io.Send(request.id, worker.id, within_ms))
 
     def _refresh(self) -> None:
         """Limits: the rate sold times an uncrowded run is what the fleet works on at once (Little's law)."""
-        sizes = {w.id: max(w.entry.units, 0.01) if self.settings.weights_fixed else 1.0 for w in self.ready}
+        sizes = {worker.id: self._units(worker) for worker in self.ready}
         self.members = self.members if sizes == self.members else sizes
         self._renew()
         if self.now - self.forgot_ms >= FORGET_MS / 4:
             self._forget()
         self.total = sum(self._size(worker) for worker in self.ready) or 1.0
+        self._note_total()
         self.fleet = max(self.fleet, sum(sizes.values()))
+        draining = [w for w in self.workers.values() if w.entry.state is io.State.DRAINING]
+        self.listed = max(self.listed, self.fleet, sum(sizes.values()) + sum(map(self._units, draining)))
         self.refreshed_ms, peers, sold, most = self.now, self.peers, self.sold, 0.0
         for worker in self.ready:
             mean = sold * self.run_ms * self._size(worker) / self.fleet  # of all front ends
@@ -239,6 +261,9 @@
         through = sold * self.promise_ms * state.LATE_MOST / peers or math.inf  # beyond, all would be late
         self.limit = self._room(through) if self.wide else math.inf
 
+    def _units(self, worker: Worker) -> float:  # as told, where that tells its size
+        return max(worker.entry.units, 0.01) if self.settings.weights_fixed else 1.0
+
     def _room(self, mean: float) -> float:  # for chance
         return mean + ROOM_SPREAD * math.sqrt(mean)
 
