Drains: the change log is read again before a long turn writes; tests of the watch and of drains

Cause: a drain that was told while the process was held up in a turn was read in the next one, after the calls and orders of the held-up turn had been written, so more than 250 ms late where it was held up for longer (loop.py, `_serve`: decide, then flush).

Change: where a turn has taken over 50 ms by the time it is to write, what is looked at first (the change log) is read once more; the drain takes back what is unwritten. One reading of the clock a turn in the ordinary case.

--- a/fawnwharf/net/loop.py
+++ b/fawnwharf/net/loop.py
@@ -17,6 +17,10 @@
 # one, and comes first there. Guards timers and final answers against a crowd that all asks at once.
 EVENTS_MOST = 64
 
+# After so long a turn, what is looked at first is read again before the turn writes: nothing new may be sent
+# to a scorer later than 250 ms after its drain was told.
+LOOK_AGAIN_MS = 50.0
+
 AGE_MOST_MS = 60_000.0
 # Reads that are paused, and more bytes than a turn takes, make some stamps old though they fit.
 STAMP_SLACK_MS, MISFITS_MOST = 1_000.0, 3
@@ -113,6 +117,8 @@
         if self._inbox:
             events, self._inbox = self._inbox, {}
             self._decide(now_ms, list(events.values()))
+        if monotonic_ms() - self.turn_ms > LOOK_AGAIN_MS:
+            self._look_at_first()
         dirty, self._dirty = self._dirty, {}
         for part in dirty:
             self.guarded(part.flush)
@@ -130,6 +136,13 @@
             if self._selector.get_map().get(key.fd) is key:
                 self.guarded(key.data, mask)
 
+    def _look_at_first(self) -> None:
+        """Read what is looked at first once more before anything is written. Guards drains: one that was told
+        while the process was held up in this turn binds what the turn is about to send."""
+        for key, mask in self._selector.select(0) if self._first else ():
+            if key.fd in self._first and self._selector.get_map().get(key.fd) is key:
+                self.guarded(key.data, mask)
+
     def guarded(self, call: Callable[..., None], *arguments: object) -> None:
         """Guards the loop: a fault in one part must not take down what is open in all the others."""
         try:
--- a/tests/log_rig.py
+++ b/tests/log_rig.py
@@ -6,7 +6,7 @@
 from peers import LogPeer, Rig, ScorerPeer
 
 from fawnwharf import interface as io
-from fawnwharf.net import changelog
+from fawnwharf.net import changelog, connection
 from fawnwharf.net.front_end import worker_number
 
 
@@ -29,9 +29,16 @@
 
     @contextmanager
     def shifted(self):
-        """The log's follower sees the time of day move on by `later_ms`."""
+        """The log's follower and all connections see the monotonic clock `later_ms` further on."""
         true = changelog.monotonic_ms
-        with mock.patch.object(changelog, "monotonic_ms", lambda: true() + self.later_ms):
+
+        def shifted_ms():
+            return true() + self.later_ms
+
+        with (
+            mock.patch.object(changelog, "monotonic_ms", shifted_ms),
+            mock.patch.object(connection, "monotonic_ms", shifted_ms),
+        ):
             yield
 
     def asked_times(self, count):
