Clocks: stamps of before a step are not believed, and unstamped calls count as old as they may be

Cause: a call's age was the difference of a receive stamp and the wall clock (connection.py, `_age`): a clock set forward by five seconds between the two cut a call's time by as much, one set back left it uncut. Without a stamp that is believed the age was 0, so that a call which had lain unread through a turn of 400 ms, a pause of reading or a hand-over got its full time again, more than the 150 ms that a deadline passed on may exceed. After a step the shown clock ran 0.5 % fast or slow for as long as 200 hours (wheel.py, `Clock`).

Change: the clock tells a step (both clocks read together apart by 100 ms at once) from drift, never follows a step, and keeps the moment of the last one. Stamps count only for bytes that came after it. The loop knows when each descriptor was last empty; bytes without a believed stamp count as old as that allows where the turn before worked, or the sleep overran, for more than 50 ms, or where they had been left unread. `Connection.lay_unread` says so of a connection that another process had.

Ruled out: a bound in every turn (a call that wakes a sleeping process would seem to have waited for the whole sleep); a shown clock without any slewing (it would lose drift, which a test asks for).

--- a/fawnwharf/net/connection.py
+++ b/fawnwharf/net/connection.py
@@ -10,7 +10,7 @@
 
 from fawnwharf.config import Address
 from fawnwharf.net.endings import End, end_of
-from fawnwharf.net.loop import READ, WRITE, Loop
+from fawnwharf.net.loop import HELD_UP_MS, READ, WRITE, Loop
 from fawnwharf.net.wheel import Timer, monotonic_ms
 
 READ_MOST = 64 * 1024  # bytes taken from one connection in a turn, so that none starves the others; the rest
@@ -80,6 +80,7 @@
         self.heard_ms = self.used_ms = monotonic_ms()
         self.waiting_bytes = 0
         self.age_ms, self._has_read = 0.0, False  # of the bytes read last; whether any were
+        self._unread_since_ms: float | None = None  # where reads left something, or there were none
         self._sock, self._reading, self._blocked = sock, True, False
         self._outbox: deque[Piece] = deque()
         self._dial: Timer | None = None
@@ -198,6 +199,8 @@
         """Stop or go on reading: a peer that does not read its answers is not read either."""
         if self._reading != on and not self.closed:
             self._reading = on
+            if not on:
+                self._unread_since_ms = self._empty_ms()
             self._set_mask()
 
     def _set_mask(self) -> None:
@@ -249,22 +252,42 @@
             return
         self.heard_ms = self.used_ms = monotonic_ms()
         self.age_ms, self._has_read = self._age(notes), True
+        self._unread_since_ms = self._empty_ms() if len(data) >= self._read_most else None
         try:
             self.owner.on_data(data)
         except Exception:  # whatever a peer managed to send, it costs no more than its own connection
             self.loop.fault("reading")
             self.close(End.BAD_BYTES)
 
+    def _empty_ms(self) -> float:
+        """When nothing lay unread on it, as far as is known."""
+        looked_ms = self.loop.empty_ms(self._sock.fileno())
+        return looked_ms if self._unread_since_ms is None else min(looked_ms, self._unread_since_ms)
+
+    def lay_unread(self, since_ms: float) -> None:
+        """It may have bytes unread that came since this moment of the monotonic clock, before it was watched
+        here: another process had the connection."""
+        self._unread_since_ms = since_ms
+
     def _age(self, notes: list[tuple[int, int, bytes]]) -> float:
         """How long the last of the bytes just read had waited when the turn began, by the system's stamp.
-        Guards deadlines: a process that was held up reads late, but the client's time has run on."""
+        Guards deadlines: a process that was held up reads late, but the client's time has run on. A stamp
+        that may be of before a step of the clock is not believed; then the bytes count as old as may be."""
+        loop = self.loop
+        since_ms = self._empty_ms()  # they came later than that
         for level, kind, note in notes:
-            if (level, kind, len(note)) == (socket.SOL_SOCKET, SO_TIMESTAMPNS, STAMP.size):
-                seconds, nanoseconds = STAMP.unpack(note)
-                age = self.loop.turn_unix_ms - seconds * 1e3 - nanoseconds / 1e6
-                gap = self.loop.turn_ms - self.loop.before_ms
-                return self.loop.stamps.age_ms(age, gap, looked_at=self._has_read)
-        return 0.0
+            if (level, kind, len(note)) != (socket.SOL_SOCKET, SO_TIMESTAMPNS, STAMP.size):
+                continue
+            if since_ms <= loop.clock.stepped_ms:
+                break
+            seconds, nanoseconds = STAMP.unpack(note)
+            age = loop.turn_unix_ms - seconds * 1e3 - nanoseconds / 1e6
+            gap = loop.turn_ms - loop.before_ms
+            believed_ms = loop.stamps.age_ms(age, gap, looked_at=self._has_read)
+            if loop.stamps.trusted:
+                return believed_ms
+        left_ms = loop.turn_ms - since_ms if since_ms < loop.before_ms else 0.0
+        return max(loop.held_ms, left_ms if left_ms > HELD_UP_MS else 0.0)
 
     def detach(self) -> tuple[socket.socket, bytes]:
         """Give the socket away, with what is unwritten on it; it is no connection of this loop any more."""
--- a/fawnwharf/net/loop.py
+++ b/fawnwharf/net/loop.py
@@ -21,6 +21,10 @@
 # to a scorer later than 250 ms after its drain was told.
 LOOK_AGAIN_MS = 50.0
 
+# Bytes without a believed stamp count as old as they may be, where that is more than this: what is passed on
+# may exceed what the client has left by 150 ms at the most.
+HELD_UP_MS = 50.0
+
 AGE_MOST_MS = 60_000.0
 # Reads that are paused, and more bytes than a turn takes, make some stamps old though they fit.
 STAMP_SLACK_MS, MISFITS_MOST = 1_000.0, 3
@@ -41,13 +45,17 @@
     def __init__(self) -> None:
         self._fits, self._misfits = 0, 0
 
+    @property
+    def trusted(self) -> bool:
+        """Whether the stamps have fitted so far, but for a few."""
+        return self._misfits <= MISFITS_MOST + self._fits // 8
+
     def age_ms(self, age_ms: float, gap_ms: float, looked_at: bool) -> float:
         """The age to go by, of bytes of a connection that may have been looked at one turn ago."""
         if looked_at:
             fits = -STAMP_SLACK_MS <= age_ms <= gap_ms + STAMP_SLACK_MS
             self._fits, self._misfits = self._fits + fits, self._misfits + (not fits)
-        trusted = self._misfits <= MISFITS_MOST + self._fits // 8
-        return age_ms if trusted and 0 < age_ms < AGE_MOST_MS else 0.0
+        return age_ms if self.trusted and 0 < age_ms < AGE_MOST_MS else 0.0
 
 
 class Loop:
@@ -58,6 +66,7 @@
         self.running = True
         self.turn_ms, self.turn_unix_ms = monotonic_ms(), unix_ms()  # when the turn began, on both clocks
         self.before_ms = self.turn_ms  # when the turn before began
+        self.held_ms = 0.0  # how long bytes may have waited for this turn, where the process was held up
         self.stamps = StampTrust()
         self._decide, self._log = decide, log
         self._selector = selectors.DefaultSelector()
@@ -65,6 +74,7 @@
         self._inbox: dict[int, io.Event] = {}  # by ticket, in order
         self._tickets = itertools.count()
         self._behind: set[int] = set()  # descriptors that the last turn left ready
+        self._left: dict[int, float] = {}  # of these, when each was last known to have nothing unread
         self._first: set[int] = set()  # descriptors that are looked at before all others
         self._dirty: dict[Flushable, None] = {}
         self._wake: tuple[socket.socket, socket.socket] | None = None
@@ -104,12 +114,27 @@
     # --- the turns --------------------------------------------------------------------------
 
     def turn(self, most_s: float | None = None) -> None:
-        ready = self._selector.select(self._sleep_s(most_s))
+        sleep_s, began_ms = self._sleep_s(most_s), monotonic_ms()
+        ready = self._selector.select(sleep_s)
         self.before_ms, self.turn_ms, self.turn_unix_ms = self.turn_ms, monotonic_ms(), unix_ms()
-        self._serve(ready, self.clock.now_ms())
+        self.held_ms = self._held_ms(began_ms, sleep_s)
+        now_ms = self.clock.now_ms()
+        self._serve(ready, now_ms)
+        self._left = {fd: self._left.get(fd, self.before_ms) for fd in self._behind}
         if (took := monotonic_ms() - self.turn_ms) > SLOW_TURN_MS:
             self._log(f"a slow turn: {took:.0f} ms for {len(ready)} sockets")
 
+    def _held_ms(self, began_ms: float, sleep_s: float | None) -> float:
+        """The longest that bytes may have waited which are read in this turn: since the turn before looked,
+        where that one worked for long, or the sleep took longer than it was to."""
+        worked_ms = began_ms - self.before_ms
+        late_ms = 0.0 if sleep_s is None else self.turn_ms - began_ms - sleep_s * 1000.0
+        return self.turn_ms - self.before_ms if max(worked_ms, late_ms) > HELD_UP_MS else 0.0
+
+    def empty_ms(self, fd: int) -> float:
+        """When a descriptor that is watched was last known to have nothing unread."""
+        return self._left.get(fd, self.before_ms)
+
     def _serve(self, ready: list[tuple[selectors.SelectorKey, int]], now_ms: float) -> None:
         # All of a turn happens at the moment at which it began, however long the process is held up in it.
         self._gather(ready)
--- a/fawnwharf/net/wheel.py
+++ b/fawnwharf/net/wheel.py
@@ -6,6 +6,8 @@
 
 TICK_MS = 4.0
 SLOTS = 512  # a turn of the wheel takes two seconds; longer timers stay on it for some turns
+STEP_MS = 100.0  # by which the system's clocks move apart at once where its Unix time is set; drift is slower
+READ_MOST_MS = 20.0  # between two readings that are held against each other
 SLEW = 0.005  # part of the time passed by which the shown clock may run fast or slow
 
 
@@ -21,21 +23,33 @@
     """The Unix time in milliseconds, without its steps.
 
     Guards against a system clock that is set while requests are open: the module's deadlines and
-    windows all live on this clock. It runs with the monotonic one and closes in on the system's.
+    windows all live on this clock. It runs with the monotonic one and closes in on the system's where that
+    drifts; a step of the system's is never followed, so that spans stay exact after it.
     """
 
     def __init__(self, steady: Callable[[], float] = monotonic_ms, wall: Callable[[], float] = unix_ms):
         self._steady, self._wall = steady, wall
         self._at = steady()
-        self._offset = wall() - self._at
+        self._apart = wall() - self._at  # of the system's two clocks
+        self._offset = self._apart
+        self.stepped_ms = -math.inf  # when the last step was found, on the monotonic clock
+        self.stepped_by_ms = 0.0  # all steps together: by so much the system's time is apart from this one
 
     def now_ms(self) -> float:
-        at = self._steady()
-        most = SLEW * (at - self._at)
-        self._offset += max(-most, min(most, self._wall() - at - self._offset))
+        """Now, as the module is shown it."""
+        before, wall, at = self._steady(), self._wall(), self._steady()
+        if at - before < READ_MOST_MS:  # held up between the readings, they say nothing of each other
+            self._follow(at, wall - at)
         self._at = at
         return at + self._offset
 
+    def _follow(self, at: float, apart: float) -> None:
+        step, self._apart = apart - self._apart, apart
+        if abs(step) >= STEP_MS:
+            self.stepped_ms, self.stepped_by_ms = at, self.stepped_by_ms + step
+        most = SLEW * (at - self._at)
+        self._offset += max(-most, min(most, apart - self.stepped_by_ms - self._offset))
+
 
 class Timer:
     __slots__ = ("due_tick", "callback")
--- /dev/null
+++ b/tests/test_clock_steps.py
@@ -0,0 +1,116 @@
+"""The wall clock stepped, and turns that are held up: spans stay exact, and no call gets its time twice."""
+
+import time
+
+import pytest
+from peers import Rig, ScorerPeer
+from support.clocks import SettableClock
+
+from fawnwharf.net import connection, loop, wheel
+
+HOUR = 3_600_000.0
+STEPS = [5_000.0, -5_000.0, HOUR, -HOUR]
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    """A clock that only the test moves, for the loop, its timers and the connections."""
+    made = SettableClock(wall_ms=time.time() * 1_000.0)  # as the stamps of the system have it
+    with made.installed():
+        yield made
+
+
+@pytest.fixture
+def rig(clock, monkeypatch):
+    made = Rig(ScorerPeer(copies=None), start=False)
+    for _ in range(5):  # it comes up and asks the change log
+        made.front.loop.turn(0.0)
+        made.log.pump()
+    yield made
+    made.close()
+
+
+def without_stamps(monkeypatch):
+    monkeypatch.setattr(connection, "SO_TIMESTAMPNS", -1)
+
+
+def settled_client(rig):
+    client = rig.client()
+    rig.settle(client)
+    return client
+
+
+def budget_left(rig):
+    """The time that the one open call has, as the front end counts it."""
+    rig.until(lambda: rig.front.table.open, "it is read")
+    [request] = rig.front.table.open.values()
+    return request.deadline_ms - rig.front.loop.turn_ms
+
+
+@pytest.mark.parametrize("step", STEPS)
+def test_spans_of_the_shown_clock_are_exact_after_a_step(clock, step):
+    shown = wheel.Clock(wheel.monotonic_ms, wheel.unix_ms)
+    before = shown.now_ms()
+    clock.step_wall(step)
+    for _ in range(1_000):
+        clock.advance(100.0)
+        shown.now_ms()
+    assert abs(shown.now_ms() - before - 100_000.0) < 1.0
+    assert (shown.stepped_by_ms, shown.stepped_ms) == (pytest.approx(step), 1_000_100.0)
+
+
+def test_a_pause_between_two_readings_is_no_step(clock):
+    readings = iter([1.0, 1.0, 400.0, 401.0])
+    shown = wheel.Clock(lambda: next(readings), lambda: clock.wall_ms)
+    shown.now_ms()
+    assert shown.stepped_by_ms == 0.0
+
+
+@pytest.mark.parametrize("step", STEPS)
+def test_a_stamp_of_before_a_step_is_not_believed(rig, clock, step):
+    client = settled_client(rig)
+    client.call(ttl="8000")
+    clock.step_wall(step)
+    assert budget_left(rig) == pytest.approx(8_000.0, abs=loop.HELD_UP_MS)
+
+
+@pytest.mark.parametrize("step", [0.0, *STEPS])
+def test_a_call_without_believed_stamp_counts_as_old_as_a_held_up_turn_lets_it_be(
+    rig, clock, monkeypatch, step
+):
+    without_stamps(monkeypatch)
+    client = settled_client(rig)
+    rig.front.loop.turn(0.0)
+    client.call(ttl="8000")
+    clock.advance(400.0)  # the turn before took so long
+    clock.step_wall(step)
+    assert budget_left(rig) == pytest.approx(7_600.0, abs=loop.HELD_UP_MS)
+
+
+def test_a_call_that_a_short_turn_left_keeps_its_time(rig, clock, monkeypatch):
+    without_stamps(monkeypatch)
+    client = settled_client(rig)
+    client.call(ttl="8000")
+    clock.advance(10.0)
+    assert budget_left(rig) == pytest.approx(8_000.0)
+
+
+def test_a_call_that_came_while_nothing_was_read_counts_since_then(rig, clock, monkeypatch):
+    without_stamps(monkeypatch)
+    client = settled_client(rig)
+    rig.front.port.pause(True)
+    client.call(ttl="8000")
+    for _ in range(30):
+        clock.advance(20.0)
+        rig.front.loop.turn(0.0)
+    rig.front.port.pause(False)
+    assert budget_left(rig) == pytest.approx(7_400.0, abs=loop.HELD_UP_MS)
+
+
+def test_a_connection_that_another_process_had_counts_since_that_one_read_it(rig, clock, monkeypatch):
+    without_stamps(monkeypatch)
+    client = settled_client(rig)
+    [taken] = rig.front.port.clients
+    taken.connection.lay_unread(clock.monotonic_ms - 700.0)
+    client.call(ttl="8000")
+    assert budget_left(rig) == pytest.approx(7_300.0, abs=loop.HELD_UP_MS)
