Starts: told after the clock was set back, a start counts as no older than it is

Cause: starts of scorers are told on the system's Unix clock; the shown clock takes no steps. After a step back by 5 s a start of this moment lay 5 s back on the shown clock, less than the 7 s that the log may be late by, so a scorer that was cold counted as half warm (starts.py, `Starts._members`).

Change: `StepsBack` moves a start on by what the clock was set back in sum, so that the later of both readings counts; one told before keeps its value. A step forward puts starts ahead of now, where they count from now, as before.

Measured: test_clock_steps.py, `a_start_told_after_a_step...[-5000.0]` fails without it; the other three steps held before as well.

--- a/fawnwharf/net/changelog.py
+++ b/fawnwharf/net/changelog.py
@@ -13,6 +13,7 @@
 from fawnwharf.net.log import Log
 from fawnwharf.net.loop import Loop
 from fawnwharf.net.overlay import Overlay
+from fawnwharf.net.starts import StepsBack
 from fawnwharf.net.wheel import Timer, monotonic_ms
 
 # What it has to tell counts as told 4 s after it stopped, and 2 s after it broke off: to notice, to dial and
@@ -54,7 +55,7 @@
         self._retry: Timer | None = None  # of the next dial
         self._stumbled_at: int | None = None  # where the log could not be followed last time
         self._stopped = False
-        self._order = EventOrder()
+        self._order, self._steps_back = EventOrder(), StepsBack()
         self._smaller = 0  # numbers below the own in a row, on this connection
         self._smaller_ms: float | None = None  # since when the log says numbers below the own
         self._fresh = False  # nothing was said on this connection yet
@@ -273,6 +274,7 @@
     def _take(self, seq: int, found: FleetRead, earlier: bool) -> None:
         """Pass on what is new in an event."""
         fleet = self._order.take(seq, found.fleet, found.spared)
+        fleet = self._steps_back.own(fleet, self._loop.clock.stepped_by_ms)
         if earlier and not fleet.members and not fleet.complete:
             return
         try:
--- a/fawnwharf/net/starts.py
+++ b/fawnwharf/net/starts.py
@@ -50,3 +50,27 @@
             yield msgspec.structs.replace(member, up_since_ms=start_ms)
         while len(self._known) > KNOWN_MOST:
             del self._known[next(iter(self._known))]
+
+
+@dataclass(slots=True)
+class StepsBack:
+    """Tells starts on the clock that takes no steps. After the system's clock was set back, a start may be
+    told by it or by one that was not: it counts as the later of the two, so that no cold scorer passes for a
+    warmer one. Set forward, a start lies ahead of now at the most, which `Starts` sees to."""
+
+    _known: dict[str, tuple[float, float]] = field(default_factory=dict)  # as told, as counted
+
+    def own(self, fleet: Fleet, stepped_by_ms: float) -> Fleet:
+        """The list with the starts moved on by what the clock was set back in sum; one told before stays."""
+        return msgspec.structs.replace(fleet, members=[self._own(m, stepped_by_ms) for m in fleet.members])
+
+    def _own(self, member: Member, stepped_by_ms: float) -> Member:
+        told_ms = member.up_since_ms
+        if not told_ms:
+            return member
+        known = self._known.pop(member.id, None)
+        counted_ms = known[1] if known and known[0] == told_ms else told_ms - min(0.0, stepped_by_ms)
+        self._known[member.id] = told_ms, counted_ms
+        if len(self._known) > KNOWN_MOST:
+            del self._known[next(iter(self._known))]
+        return member if counted_ms == told_ms else msgspec.structs.replace(member, up_since_ms=counted_ms)
--- a/tests/test_clock_steps.py
+++ b/tests/test_clock_steps.py
@@ -7,6 +7,7 @@
 from support.clocks import SettableClock
 
 from fawnwharf.net import connection, loop, wheel
+from fawnwharf.net.front_end import worker_number
 
 HOUR = 3_600_000.0
 STEPS = [5_000.0, -5_000.0, HOUR, -HOUR]
@@ -114,3 +115,21 @@
     taken.connection.lay_unread(clock.monotonic_ms - 700.0)
     client.call(ttl="8000")
     assert budget_left(rig) == pytest.approx(7_300.0, abs=loop.HELD_UP_MS)
+
+
+@pytest.mark.parametrize("step", STEPS)
+def test_a_start_told_after_a_step_is_not_older_than_it_is(rig, clock, step):
+    rig.log.say(1)
+    rig.until(lambda: rig.front.changelog.told_all_ms is not None, "the log is followed")
+    clock.advance(100.0)
+    clock.step_wall(step)
+    rig.front.loop.turn(0.0)
+    clock.advance(100.0)
+    member = rig.scorers[0].member(up_since_ms=clock.wall_ms - 50.0)
+    for seq in (2, 3):  # told again, it is the same start
+        rig.log.say({"seq": seq, "fleet": {"members": [member]}})
+        rig.until(lambda seq=seq: rig.front.changelog.seq == seq and not rig.front._news, "it is taken")
+        clock.advance(500.0)
+    worker = rig.front.router.workers[worker_number("s-1")]
+    age_ms = rig.front.loop.clock.now_ms() - worker.started_ms
+    assert 1_000.0 - 1.0 <= age_ms <= 1_050.0 + 1.0
