Merge clocks and ages of requests; older requests of one read, questions without pace, no orders

A stamp is the last byte's: what lies before it counts as old as it may be, since its socket was last known to have nothing unread, or since the accept queue was last empty. - A question refused by a scorer was asked again at once, one dial a turn: 100 ms apart now (Routing._free). - Where no orders are allowed (may_order false) no copy was ever known and nobody was served: calls find out (Routing._spread). - A withdrawn call in front of a half-close had a failed answer.

--- a/fawnwharf/net/clients.py
+++ b/fawnwharf/net/clients.py
@@ -45,6 +45,7 @@
         self.open: dict[int, str] = {}
         self.gone = False  # the client has ended its output: nothing is begun for it any more
         self.spoke = False  # a whole message has come
+        self._age_ms = 0.0  # how long the message that is acted on has waited to be read
         self._reader = thrift.FrameReader()
         self._since_ms = monotonic_ms()  # it connected, or the message that is not whole yet began
         self.connection = Connection.accepted(
@@ -63,9 +64,12 @@
         if items or not before:
             self._since_ms = monotonic_ms() if items or self.spoke else self._since_ms
         self.spoke = self.spoke or bool(items)
+        withdrawn = {item.seqid for item in items if isinstance(item, thrift.Withdraw)}
         for place, item in enumerate(items):
+            is_newest = place == len(items) - 1 and not self._reader.waits
+            self._age_ms = self.connection.age_ms if is_newest else self.connection.oldest_age_ms
             try:
-                end = self._take(item)
+                end = self._take(item, withdrawn)
             except Exception:  # a fault here costs the connection, but no request on it its answer
                 self.port.loop.fault("reading")
                 end = End.BAD_BYTES
@@ -73,12 +77,13 @@
                 self._end_amid(items[place:], end)
                 return
 
-    def _take(self, item: thrift.Message | thrift.Malformed) -> End | None:
-        """Act on one message; why the connection has to end, where it has to."""
+    def _take(self, item: thrift.Message | thrift.Malformed, withdrawn: set[int]) -> End | None:
+        """Act on one message; why the connection has to end, where it has to. `withdrawn`: requests whose
+        withdrawal was read along with it."""
         if isinstance(item, thrift.Malformed):
             return self._malformed(item)
         if isinstance(item, thrift.Handle):
-            return self._handle(item)
+            return self._handle(item, withdrawn)
         if isinstance(item, thrift.Withdraw):
             self._withdraw(item.seqid)
         else:
@@ -198,7 +203,7 @@
         most = SKIP_MS if self._reader.skips else SPEAK_MS
         return now_ms - self._since_ms > most
 
-    def _handle(self, message: thrift.Handle) -> End | None:
+    def _handle(self, message: thrift.Handle, withdrawn: set[int]) -> End | None:
         seqid = message.seqid
         try:
             if seqid in self.open:
@@ -211,9 +216,10 @@
             return self._malformed(error)
         self.check()
         if self.gone:
-            self._reply(seqid, Failed())
+            if seqid not in withdrawn:
+                self._reply(seqid, Failed())
             return None
-        call = parsed.open(self.connection.age_ms, lambda outcome: self._reply(seqid, outcome), self.check)
+        call = parsed.open(self._age_ms, lambda outcome: self._reply(seqid, outcome), self.check)
         if (key := self.port.table.take(call)) is not None:
             self.open[seqid] = key
         return None
@@ -298,8 +304,9 @@
         """Accept new connections, or leave them to whoever else has the listener."""
         self._acceptor.accept(on)
 
-    def _admit(self, sock: socket.socket) -> None:
+    def _admit(self, sock: socket.socket, waiting_ms: float) -> None:
         client = Client(self, sock)
+        client.connection.lay_unread(waiting_ms)
         self.clients[client] = None
 
     def _room(self) -> int:
--- a/fawnwharf/net/listener.py
+++ b/fawnwharf/net/listener.py
@@ -9,7 +9,7 @@
 from fawnwharf.net.endings import End, end_of
 from fawnwharf.net.log import Log
 from fawnwharf.net.loop import READ, Loop, Order
-from fawnwharf.net.wheel import Timer
+from fawnwharf.net.wheel import Timer, monotonic_ms
 
 BACKLOG = 1024
 ACCEPTS_MOST = 64  # in a turn
@@ -60,17 +60,20 @@
         self,
         loop: Loop,
         listener: socket.socket,
-        admit: Callable[[socket.socket], None],
+        admit: Callable[[socket.socket, float], None],
         room: Callable[[], int],
         log: Log,
     ) -> None:
-        """`admit` takes an accepted socket, or raises OSError and leaves it. `room`: how many more to accept
-        in this turn; where it is 0, `go_on` says when there may be room again."""
+        """`admit` takes an accepted socket, and since when it may have waited by the monotonic clock; or it
+        raises OSError and leaves it. `room`: how many more to accept in this turn; where it is 0, `go_on`
+        says when there may be room again."""
         self.loop, self.log = loop, log
         self.socket: socket.socket | None = listener
         self._admit, self._room = admit, room
         self._on = False
         self._pause: Timer | None = None
+        # Since when connections may wait in the queue; None: it was emptied.
+        self._waiting_ms: float | None = monotonic_ms()
         self._in_vain = 0  # tries of this turn that brought no connection
 
     def accept(self, on: bool) -> None:
@@ -88,6 +91,8 @@
             self.loop.forget(self.socket)
 
     def _ready(self, _mask: int) -> None:
+        if self._waiting_ms is None:
+            self._waiting_ms = self.loop.ready_since_ms(self.socket.fileno())
         most = min(ACCEPTS_MOST, self._room())
         if not most:
             self.pause()
@@ -104,6 +109,7 @@
         try:
             accepted, _ = self.socket.accept()
         except BlockingIOError:
+            self._waiting_ms = None
             return False
         except OSError as error:
             return self._failed(error)
@@ -112,7 +118,7 @@
 
     def _take(self, accepted: socket.socket) -> None:
         try:
-            self._admit(accepted)
+            self._admit(accepted, self.loop.turn_ms if self._waiting_ms is None else self._waiting_ms)
         except OSError as error:
             # Reset already, or the selector has no memory: this one is lost, the next may be well.
             accepted.close()
--- a/fawnwharf/net/loop.py
+++ b/fawnwharf/net/loop.py
@@ -21,6 +21,14 @@
 # of the two has at least its part of the events of a turn, however much the other brings.
 OPEN_PART, NEW_PART = 0.5, 0.25
 
+# After so long a turn, what is looked at first is read again before the turn writes: nothing new may be sent
+# to a scorer later than 250 ms after its drain was told.
+LOOK_AGAIN_MS = 50.0
+
+# Bytes without a believed stamp count as old as they may be, where that is more than this: what is passed on
+# may exceed what the client has left by 150 ms at the most.
+HELD_UP_MS = 50.0
+
 AGE_MOST_MS = 60_000.0
 # Reads that are paused, and more bytes than a turn takes, make some stamps old though they fit.
 STAMP_SLACK_MS, MISFITS_MOST = 1_000.0, 3
@@ -49,13 +57,17 @@
     def __init__(self) -> None:
         self._fits, self._misfits = 0, 0
 
+    @property
+    def trusted(self) -> bool:
+        """Whether the stamps have fitted so far, but for a few."""
+        return self._misfits <= MISFITS_MOST + self._fits // 8
+
     def age_ms(self, age_ms: float, gap_ms: float, looked_at: bool) -> float:
         """The age to go by, of bytes of a connection that may have been looked at one turn ago."""
         if looked_at:
             fits = -STAMP_SLACK_MS <= age_ms <= gap_ms + STAMP_SLACK_MS
             self._fits, self._misfits = self._fits + fits, self._misfits + (not fits)
-        trusted = self._misfits <= MISFITS_MOST + self._fits // 8
-        return age_ms if trusted and 0 < age_ms < AGE_MOST_MS else 0.0
+        return age_ms if self.trusted and 0 < age_ms < AGE_MOST_MS else 0.0
 
 
 class Loop:
@@ -66,6 +78,7 @@
         self.running = True
         self.turn_ms, self.turn_unix_ms = monotonic_ms(), unix_ms()  # when the turn began, on both clocks
         self.before_ms = self.turn_ms  # when the turn before began
+        self.held_ms = 0.0  # how long bytes may have waited for this turn, where the process was held up
         self.stamps = StampTrust()
         self._decide, self._log = decide, log
         self._selector = selectors.DefaultSelector()
@@ -74,6 +87,7 @@
         self._tickets = itertools.count()
         self._behind: set[int] = set()  # descriptors that the last turn left ready
         self._orders: dict[int, Callable[[], Order]] = {}  # by descriptor; Order.OPEN for all others
+        self._left: dict[int, float] = {}  # of these, when each was last known to have nothing unread
         self._dirty: dict[Flushable, None] = {}
         self._wake: tuple[socket.socket, socket.socket] | None = None
 
@@ -129,12 +143,31 @@
     # --- the turns --------------------------------------------------------------------------
 
     def turn(self, most_s: float | None = None) -> None:
-        ready = self._selector.select(self._sleep_s(most_s))
+        sleep_s, began_ms = self._sleep_s(most_s), monotonic_ms()
+        ready = self._selector.select(sleep_s)
         self.before_ms, self.turn_ms, self.turn_unix_ms = self.turn_ms, monotonic_ms(), unix_ms()
-        self._serve(ready, self.clock.now_ms())
+        self.held_ms = self._held_ms(began_ms, sleep_s)
+        now_ms = self.clock.now_ms()
+        self._serve(ready, now_ms)
+        self._left = {fd: self._left.get(fd, self.before_ms) for fd in self._behind}
         if (took := monotonic_ms() - self.turn_ms) > SLOW_TURN_MS:
             self._log(f"a slow turn: {took:.0f} ms for {len(ready)} sockets")
 
+    def _held_ms(self, began_ms: float, sleep_s: float | None) -> float:
+        """The longest that bytes may have waited which are read in this turn: since the turn before looked,
+        where that one worked for long, or the sleep took longer than it was to."""
+        worked_ms = began_ms - self.before_ms
+        late_ms = 0.0 if sleep_s is None else self.turn_ms - began_ms - sleep_s * 1000.0
+        return self.turn_ms - self.before_ms if max(worked_ms, late_ms) > HELD_UP_MS else 0.0
+
+    def empty_ms(self, fd: int) -> float:
+        """When a descriptor that is watched was last known to have nothing unread."""
+        return self._left.get(fd, self.before_ms)
+
+    def ready_since_ms(self, fd: int) -> float:
+        """The earliest moment from which on a descriptor that is ready in this turn may have been ready."""
+        return self._left.get(fd, self.turn_ms - self.held_ms)
+
     def _serve(self, ready: list[tuple[selectors.SelectorKey, int]], now_ms: float) -> None:
         # All of a turn happens at the moment at which it began, however long the process is held up in it.
         self._gather(ready)
@@ -142,6 +175,8 @@
         if self._inbox:
             events, self._inbox = self._inbox, {}
             self._decide(now_ms, list(events.values()))
+        if monotonic_ms() - self.turn_ms > LOOK_AGAIN_MS:
+            self._look_at_first()
         dirty, self._dirty = self._dirty, {}
         for part in dirty:
             self.guarded(part.flush)
@@ -172,6 +207,13 @@
             if self._selector.get_map().get(key.fd) is key:
                 self.guarded(key.data, mask)
 
+    def _look_at_first(self) -> None:
+        """Read what is looked at first once more before anything is written. Guards drains: one that was told
+        while the process was held up in this turn binds what the turn is about to send."""
+        for key, mask in self._selector.select(0):
+            if self._order(key.fd) is Order.FIRST and self._selector.get_map().get(key.fd) is key:
+                self.guarded(key.data, mask)
+
     def guarded(self, call: Callable[..., None], *arguments: object) -> None:
         """Guards the loop: a fault in one part must not take down what is open in all the others."""
         try:
--- a/fawnwharf/policy/routing.py
+++ b/fawnwharf/policy/routing.py
@@ -8,6 +8,7 @@
 
 BOUND_FACTOR, BOUND_NEAR, BOUND_FLOOR = 1.5, 2.4, 2.0  # of its fair share a worker takes, far, near; at least
 TRIED = 2**60  # of the draws: one call in sixteen tries a place not seen yet while others are known
+ASK_PAUSE_MS = 100.0  # between questions after the same copy
 YIELD = 0.35  # of a limit, by calls past their share or time
 SPREAD_LANES, SPREAD_PART = 0.6, 0.3  # of a copy's lanes, and of a worker's room, for a wide function's calls
 
@@ -42,8 +43,9 @@
     def _spread(self, fn: Function, worker: Worker) -> None:
         """Ask after a copy; in a wide fleet it is held to stand, as calls keep it or bring it."""
         instance = self._instance(fn, worker)
-        bare = self.settings.may_order and self._usable(worker, fn) and not self._copies(fn, worker)
-        if bare and self.wide and self.settings.loads_on_miss:
+        bare = self._usable(worker, fn) and not self._copies(fn, worker)
+        # Where no question may be asked, calls alone find out.
+        if bare and (not self.settings.may_order or (self.wide and self.settings.loads_on_miss)):
             instance.copies, instance.seen_ms = 1, self.now
         elif bare and self.now - instance.asked_ms > state.RATE_MS:
             self._ask(fn, worker)
@@ -99,7 +101,9 @@
             return False
         sign_ms = instance.counted_ms if instance.own else instance.seen_ms  # of a lane more than are in use
         sure = instance.own % fn.lanes > 0 or self.now - sign_ms < state.STALE_MS or self.wide
-        if not sure and self.settings.may_order and not instance.asks and self._usable(worker, fn):
+        # A question that was refused is not asked again at once: each may cost a connection.
+        due = not instance.asks and self.now - instance.asked_ms >= ASK_PAUSE_MS
+        if not sure and self.settings.may_order and due and self._usable(worker, fn):
             self._ask(fn, worker)
         return sure or not self.settings.may_order
 
