Tests: plays that break a rule at this point, each as its shortest list of steps

The shuffled plays now draw half-closes and 250 lists each; the table of pairs has its row of arrival and reset; odd settings are played with resets and drains that cross.

--- a/tests/test_crossing_settings.py
+++ b/tests/test_crossing_settings.py
@@ -9,6 +9,18 @@
 SERVES = [("call", 0, 0, "quiet"), ("serve", 0, 0, "quiet")]
 THREE = [step for number in (0, 1, 2) for step in (("call", 0, number, "quiet"), ("serve", 0, 0, "quiet"))]
 
+CROSSING = [
+    ("call", 0, 0, "batched"),
+    ("call", 1, 2, "quiet"),
+    ("scorer_reset", 0, 0, "quiet"),
+    ("call", 2, 1, "batched"),
+    ("answer", 0, 2, "quiet"),
+    ("drain", 0, 0, "quiet"),
+    ("call", 0, 0, "quiet"),
+    ("wait", 4, 0, "quiet"),
+    ("serve", 0, 0, "quiet"),
+]
+
 
 def classes(*names, **more):
     spec = {"effect": "idempotent", "give_up": 2_000.0, "promise": 1_600.0}
@@ -58,10 +70,11 @@
         more={"fleet_size": 1_000, "tenants": [{"name": "acme", "quota_rps": 50_000.0}]}
     ),
     "sockets 32": Site(sockets=32),
+    "no orders": Site(may_order=False),
+    "no orders, and a miss where none is loaded": Site(may_order=False, not_loaded="miss"),
 }
 # Here a call may be refused: how it ends is left open, but it ends once and in time.
 ANY_END = {
-    "no orders": Site(may_order=False),
     "promise 0": Site(more={"classes": classes("view", promise=0.0)}),
     "fleet_size 1000 with a small quota": Site(
         more={"fleet_size": 1_000, "tenants": [{"name": "acme", "quota_rps": 1.0}]}
@@ -105,3 +118,8 @@
         steps = THREE if len(known) == 3 else SERVES
         driver = play(site, steps)
         assert all(len(request.answers) == 1 for request in driver.model.requests.values())
+
+    @pytest.mark.parametrize("site", (SERVING | ANY_END).values(), ids=SERVING | ANY_END)
+    def test_resets_drains_and_arrivals_that_cross(self, site):
+        known = {spec["name"] for spec in site.settings()["classes"]}
+        play(site, [step for step in CROSSING if step[0] != "call" or step[2] == 0 or len(known) == 3])
--- a/tests/test_request_orders.py
+++ b/tests/test_request_orders.py
@@ -10,7 +10,7 @@
 
 ROOT = Path(__file__).parent.parent
 PACES = ("batched", "turn", "quiet")
-CLIENT_STEPS = ("call", "call", "pair", "call_in_part", "rest", "withdraw", "close", "reset")
+CLIENT_STEPS = ("call", "call", "pair", "call_in_part", "rest", "withdraw", "close", "reset", "half_close")
 SCORER_STEPS = ("answer", "serve", "answer_again", "answer_in_part", "scorer_reset", "scorer_close")
 LINK_STEPS = ("scorer_down", "scorer_up", "hold_dials", "release_dials", "short_write")
 TIME_STEPS = ("due", "wait", "wait_long", "halt")
@@ -21,7 +21,7 @@
     derandomize=True,
     deadline=None,
     database=None,
-    max_examples=150,
+    max_examples=250,
     suppress_health_check=[HealthCheck.too_slow, HealthCheck.data_too_large],
 )
 
--- a/tests/test_request_pairs.py
+++ b/tests/test_request_pairs.py
@@ -22,6 +22,7 @@
     ("arrival", "close"): (NOTHING, NOTHING),
     ("arrival", "withdraw"): (NOTHING, NOTHING),
     ("arrival", "answer"): (SERVED, SERVED),
+    ("arrival", "reset"): (SERVED_AGAIN, FAILED),
     ("arrival", "due"): (REFUSED, FAILED),
     ("arrival", "drain"): (SERVED, SERVED),
     ("arrival", "shutdown"): (SERVED, SERVED),
