--- a/tests/test_request_faults.py
+++ b/tests/test_request_faults.py
@@ -57,6 +57,14 @@
         assert not loads(play(Site(modes=("empty",), more=SLOW_DIAL), steps))
 
 
+class TestWithdrawn:
+    def test_a_withdraw_and_an_end_that_lie_unread_behind_the_call(self):
+        """It has been withdrawn: a failed answer is owed no more."""
+        steps = [("crowd", 0, 0, "quiet"), ("crowd", 0, 0, "quiet"), ("call", 0, 2, "quiet")]
+        steps += [("withdraw", 0, 0, "quiet"), ("half_close", 0, 0, "quiet")]
+        assert kinds(play(Site(modes=("empty",), sockets=32), steps)) == [()]
+
+
 class TestTimePassedOn:
     def test_two_requests_in_one_read_each_count_from_their_own_arrival(self):
         """The first lay unread for 360 ms; the receive stamp of the read is the second one's."""
@@ -69,6 +77,14 @@
         play(Site(modes=TWO, give_up_ms=10_000.0, sockets=32), steps)
 
 
+class TestQuestions:
+    @pytest.mark.parametrize("number", [0, 1, 2])
+    def test_a_scorer_that_refuses_is_not_asked_at_each_turn(self, number):
+        """Each refused question after a copy long unseen brought the next one at once, and a dial with it."""
+        steps = [("call", 0, number, "quiet"), ("scorer_down", 0, 1, "quiet"), ("wait_long", 7, 0, "quiet")]
+        play(Site(modes=ONE), steps)
+
+
 class TestLoads:
     def test_a_request_that_may_not_go_back_to_a_scorer_has_no_copies_loaded_there(self):
         """Its first attempt there may have run; each answered order brought another one at once."""
