Tests: signals that cross the start, the end and each other, at the program as a process

SIGTERM or SIGINT before the program can serve (held back, as its configuration is still unread), by both ways in; a second SIGTERM, SIGINT and a reload in the middle of an end; a signal while the interpreter takes its modules apart. With only SIGHUP held back, four of the five fail (status -15 or no end in order); the fifth shows that signals after the first change nothing.

--- /dev/null
+++ b/tests/test_shutdown_signals.py
@@ -0,0 +1,170 @@
+"""Signals that cross the start, the end and each other, at the program as a process of its own."""
+
+import os
+import signal
+import subprocess
+import sys
+
+import msgspec
+import pytest
+from peers import PATIENCE_S, SETTINGS, ClientPeer, LogPeer, ScorerPeer, ready
+
+
+class Program:
+    """`serve` with its configuration in a pipe, so that the test decides when it has been read."""
+
+    def __init__(self, folder, *words):
+        self.scorer, self.log = ScorerPeer(), LogPeer()
+        event = {"seq": 1, "fleet": {"complete": True, "members": [self.scorer.member()]}}
+        self.config = {
+            "listen": "127.0.0.1:0",
+            "changelog": self.log.host_port,
+            "settings": SETTINGS,
+            "seed": "1",
+            "known": {"seq": 1, "results": [event]},
+        }
+        self.pipe = folder / "config"
+        os.mkfifo(self.pipe)
+        unset = ("ROUTER_LISTEN", "ROUTER_NAME", "ROUTER_CONTROL")
+        env = {name: value for name, value in os.environ.items() if name not in unset}
+        command = [sys.executable, "-m", "fawnwharf", "serve", *(words or ())]
+        env |= {} if words else {"ROUTER_CONFIG": str(self.pipe)}
+        self.child = subprocess.Popen(command, env=env, stderr=subprocess.PIPE, text=True)
+        self.clients = []
+
+    def configure(self, before=()):
+        """Let it read its configuration; `before`: signals that come while it waits for that."""
+        pipe = os.open(self.pipe, os.O_WRONLY)  # returns once the program opens it
+        for number in before:
+            self.child.send_signal(number)
+        os.write(pipe, msgspec.json.encode(self.config))
+        os.close(pipe)
+
+    def line(self, text):
+        """The next line of its log, which has this text."""
+        line = self.child.stderr.readline()
+        assert text in line, line + self.rest()
+        return line
+
+    def rest(self):
+        return self.child.stderr.read() if self.child.poll() is not None else ""
+
+    def serving(self):
+        host, port = self.line("serving").rsplit(" ", 1)[1].strip().split(":")
+        self.address = host, int(port)
+
+    def client(self):
+        self.clients.append(ClientPeer(self.address))
+        return self.clients[-1]
+
+    def until(self, condition):
+        """Turn the peers until something is so."""
+        for _ in range(int(PATIENCE_S / 0.005)):
+            for peer in (self.scorer, self.log, *self.clients):
+                peer.pump()
+            if condition():
+                return
+            ready(self.scorer.listener, 0.005)
+        raise AssertionError([client.kinds() for client in self.clients])
+
+    def close(self):
+        self.child.kill()
+        self.child.wait()
+        self.child.stderr.close()
+        for peer in (self.scorer, self.log):
+            peer.close()
+        for client in self.clients:
+            client.sock.close()
+
+
+@pytest.fixture
+def program(tmp_path):
+    made = Program(tmp_path)
+    yield made
+    made.close()
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
+def test_told_to_end_before_it_can_serve_it_serves_what_comes_and_ends_with_0(program, number):
+    program.configure(before=[number])
+    program.serving()
+    program.line("leaving")
+    client = program.client()
+    client.status()
+    client.call()
+    program.until(lambda: program.scorer.runs)
+    program.scorer.answer(program.scorer.runs[0], body=b"one")
+    program.until(lambda: len(client.answers) == 2 and client.ended)
+    assert client.kinds()[1] == "answer"
+    assert next(content for seqid, _, content in client.answers if seqid == 500)[3] is False
+    client.sock.close()
+    assert program.child.wait(PATIENCE_S) == 0
+
+
+def test_told_to_end_by_way_of_the_command_line_it_ends_with_0(tmp_path):
+    made = Program(tmp_path, "--config", str(tmp_path / "config"))
+    try:
+        made.configure(before=[signal.SIGTERM])
+        made.serving()
+        made.line("leaving")
+        made.child.send_signal(signal.SIGTERM)
+        assert made.child.wait(PATIENCE_S) == 0
+    finally:
+        made.close()
+
+
+def test_signals_in_the_middle_of_an_end_change_nothing_of_it(program):
+    program.configure()
+    program.serving()
+    client = program.client()
+    client.call()
+    program.until(lambda: program.scorer.runs)
+    program.child.send_signal(signal.SIGTERM)
+    program.line("leaving")
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGTERM):
+        program.child.send_signal(number)
+    program.child.send_signal(signal.SIGHUP)
+    program.configure()  # read again
+    program.line("read again")
+    client.status()
+    program.until(lambda: client.answers)
+    assert client.answers[0][2][3] is False
+    late = program.client()
+    late.call(call="ff" * 8)
+    program.scorer.answer(program.scorer.runs[0])  # its one copy is free again
+    program.until(lambda: len(program.scorer.runs) == 2)
+    program.scorer.answer(program.scorer.runs[1])
+    program.until(lambda: 1 in client.kinds() and 1 in late.kinds())
+    assert (client.kinds()[1], late.kinds()[1]) == ("answer", "answer")
+    program.until(lambda: client.ended and late.ended)
+    for each in (client, late):
+        each.sock.close()
+    assert program.child.wait(PATIENCE_S) == 0
+    assert "leaving" not in program.child.stderr.read()
+
+
+LAST_SIGNAL = """
+import os, signal, sys
+from unittest import mock
+from fawnwharf import serving
+from fawnwharf.__main__ import main
+
+class Last:
+    def __del__(self, kill=os.kill, pid=os.getpid(), number=signal.SIGTERM):
+        kill(pid, number)
+
+def serve(**asked):
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, [signal.SIGTERM, signal.SIGINT, signal.SIGHUP])
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, lambda *_: None)
+    return 0
+
+last = Last()  # goes as the interpreter takes its modules apart, which is after its signal handlers
+serving.serve = serve
+sys.argv = ["fawnwharf", "serve"]
+sys.exit(main())
+"""
+
+
+def test_a_signal_in_the_interpreters_last_moment_does_not_change_the_status():
+    assert subprocess.run([sys.executable, "-c", LAST_SIGNAL], timeout=PATIENCE_S).returncode == 0
