Start: an address still held, a faulty known event or an empty roster no longer fails it

Cause: an address whose process before was still ending refused the start with status 2 (`ClientPort`, `ControlPort`); one faulty event of `known` did as well (`FrontEnd._known`), although the log passes over the same event; and a front end that knew no scorer in service said `good` at once (`start`) and refused all that came.

Change: both addresses are waited for, 6 s at the most and not once the process was told to end. Sound events are taken, faulty ones are logged; where the first, the whole list, is faulty, the log is asked from its beginning; where none is sound, the start is refused as before. `good` waits for a scorer in service, or for the log to say that nothing more is to be told, 4 s at the most.

--- a/fawnwharf/net/front_end.py
+++ b/fawnwharf/net/front_end.py
@@ -23,6 +23,9 @@
 from fawnwharf.policy import Router
 
 TIDY_MS = 250.0  # pace of the look after idle and silent connections
+ROSTER = "roster"  # what a front end without a scorer in service waits for
+ROSTER_MOST_MS = 4_000.0  # ready within 6 s, where the change log is down and nobody is known
+ROSTER_LOOK_MS = 20.0
 CLIENT_SHARE = 0.4  # of the descriptors; clients hold a third at most
 SCORER_SHARE = 0.4
 # Keys that a reload leaves alone.
@@ -123,6 +126,7 @@
             io.Log: lambda action: self.log(action.text),
         }
         self._leaving: Leaving | None = None
+        self._start_ms = monotonic_ms()
         self.started = False
         self.operators: OperatorsPart | None = None
 
@@ -157,6 +161,8 @@
         self.port.accept(True)
         self.changelog.connect()
         self.loop.wheel.after(TIDY_MS, self._tidy)
+        self._start_ms = monotonic_ms()
+        self._await_roster()
         self.started = self.port.ready = True
 
     def serve(self) -> None:
@@ -215,10 +221,30 @@
     # --- the roster -----------------------------------------------------------------------------
 
     def _known(self) -> None:
-        for event in self.deployment.known_events:
-            if not self.changelog.event(event, of_start=True):
+        """Take the events of the start. A faulty one costs itself alone, as a refused start costs all; where
+        nothing can be read, the configuration is another one's."""
+        events = self.deployment.known_events
+        taken = [self.changelog.event(event, of_start=True) for event in events]
+        faulty = [event for event, sound in zip(events, taken, strict=True) if not sound]
+        for event in faulty:
+            if len(faulty) == len(events):
                 raise ConfigError(f"known.results: not an event: {str(event)[:80]}")
-        self.changelog.seq = max(self.changelog.seq, self.deployment.known_seq)
+            self.log(f"known.results: passed over, not an event: {str(event)[:80]}")
+        if faulty and not taken[0]:  # what came first, the whole list, is to be told by the log
+            self.changelog.seq = 0
+        else:
+            self.changelog.seq = max(self.changelog.seq, self.deployment.known_seq)
+
+    def _await_roster(self) -> None:
+        """Take no work while no scorer in service is known, unless the log has nothing more to tell: it would
+        all be refused. Bounded, as a front end that never says that it is ready serves nobody."""
+        told = self.changelog.told_all_ms is not None
+        known = any(scorer.state is io.State.READY for scorer in self.pool.scorers.values())
+        if told or known or monotonic_ms() - self._start_ms > ROSTER_MOST_MS:
+            self.port.waits_for.discard(ROSTER)
+        else:
+            self.port.waits_for.add(ROSTER)
+            self.loop.wheel.after(ROSTER_LOOK_MS, self._await_roster)
 
     def _on_fleet(self, fleet: Fleet) -> None:
         heard_ms, before = self.changelog.told_all_ms, self.starts.apart
--- a/fawnwharf/net/listener.py
+++ b/fawnwharf/net/listener.py
@@ -1,11 +1,18 @@
-"""The listening socket that clients connect to."""
+"""Listening sockets: the one that clients connect to, and the wait for an address that is still held."""
 
+import errno
+import signal
 import socket
+import time
+from collections.abc import Callable
 
 from fawnwharf.config import Address
 from fawnwharf.net.connection import stamp_reads
 
 BACKLOG = 1024
+# The process before may be ending still: it holds its address until its last look after new connections.
+IN_USE_MOST_S = 6.0  # and a process that starts is to be ready within 10 s
+IN_USE_LOOK_S = 0.05
 
 
 def listening(address: Address, shared: bool) -> socket.socket:
@@ -24,3 +31,17 @@
         listener.close()
         raise
     return listener
+
+
+def once_free(listen: Callable[[], socket.socket], most_s: float = IN_USE_MOST_S) -> socket.socket:
+    """What `listen` makes, as soon as its address is free; raises OSError where it is not for too long, or
+    where this process has been told to end meanwhile."""
+    until = time.monotonic() + most_s
+    while True:
+        try:
+            return listen()
+        except OSError as error:
+            told_to_end = {signal.SIGTERM, signal.SIGINT} & signal.sigpending()
+            if error.errno != errno.EADDRINUSE or told_to_end or time.monotonic() >= until:
+                raise
+        time.sleep(IN_USE_LOOK_S)
--- a/fawnwharf/operators/port.py
+++ b/fawnwharf/operators/port.py
@@ -6,6 +6,7 @@
 from fawnwharf.config import Address
 from fawnwharf.net.connection import Connection
 from fawnwharf.net.endings import End
+from fawnwharf.net.listener import once_free
 from fawnwharf.net.loop import READ, Loop
 from fawnwharf.net.wheel import monotonic_ms
 from fawnwharf.operators.http import Answer, Asked, CallReader, encode
@@ -47,6 +48,20 @@
         self.port.callers.pop(self, None)
 
 
+def _listening(address: Address) -> socket.socket:
+    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(address)
+        listener.listen(BACKLOG)
+        listener.setblocking(False)
+    except OSError:
+        listener.close()
+        raise
+    return listener
+
+
 class ControlPort:
     """Owns the listener for operators and their connections, a few of the descriptors."""
 
@@ -54,12 +69,7 @@
         self.loop, self.take = loop, take
         self.callers: dict[Caller, None] = {}
         self._most = max(HELD_LEAST, min(HELD_MOST, sockets // HELD_PART))
-        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-        self._listener = socket.socket(family, socket.SOCK_STREAM)
-        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._listener.bind(address)
-        self._listener.listen(BACKLOG)
-        self._listener.setblocking(False)
+        self._listener = once_free(lambda: _listening(address))
         self.address: Address = self._listener.getsockname()[:2]
         loop.watch(self._listener, READ, self._accept, first=True)
 
--- a/fawnwharf/serving.py
+++ b/fawnwharf/serving.py
@@ -2,6 +2,7 @@
 
 import gc
 import signal
+import socket
 import sys
 from collections.abc import Callable
 from typing import Any
@@ -9,6 +10,7 @@
 from fawnwharf import config
 from fawnwharf import interface as io
 from fawnwharf.net.front_end import FrontEnd
+from fawnwharf.net.listener import listening, once_free
 
 LAID = "zones", "state"  # what subsystems lay over the roster, which begins anew with them
 # What goes by whose logs.
@@ -98,11 +100,8 @@
 
         inherited = inherit(deployment, bool(makers))  # first: the process before may have their disks
     seam = Seams(makers, not (inherited and inherited.channel)) if makers else None
-    listener = inherited.listener if inherited else None
-    try:
-        front = FrontEnd(deployment, reread=lambda: config.load(path), seam=seam, listener=listener)
-    except OSError as error:
-        raise config.ConfigError(f"listen: {error.strerror}: {deployment.listen}") from None
+    listener = (inherited and inherited.listener) or _listener(deployment)
+    front = FrontEnd(deployment, reread=lambda: config.load(path), seam=seam, listener=listener)
     if seam:
         seam.attach(front)
     if deployment.control:
@@ -112,6 +111,14 @@
     return front
 
 
+def _listener(deployment: config.Deployment) -> socket.socket:
+    shared = deployment.control is not None  # another process may listen there, to take this one's place
+    try:
+        return once_free(lambda: listening(deployment.listen, shared))
+    except OSError as error:
+        raise config.ConfigError(f"listen: {error.strerror}: {deployment.listen}") from None
+
+
 class Seams:
     """The subsystems at the one seam, in their order: all of them, or none while another process has them."""
 
