Hand-over: a process that stands still, trickles or faults no longer leaves clients unread

Seen in reading: (1) after the other process was lost, `status` stayed good on one that leaves or is on standby (`_go_on` never set it back); (2) a process that took nothing of what it was given kept connections, unread, for as long as it stood; (3) a fault in one look at the hand-over, at a drain or in tidying the second address ended the looks for good, as the timer was set last; (4) a fault other than ConfigError in taking parts back, or any in letting go of them, left the clients unread for good (`Parts`); (5) the wait for what the process before has learnt was bounded for each message, not in all (`ask`).

Change: `good` follows the operators' state again; 3 s without progress on a channel that has something to send end it, and what was not sent is taken back; timers are set first; any fault in taking back is tried again within the bound that was there; one bound for the whole answer.

--- a/fawnwharf/operators/channel.py
+++ b/fawnwharf/operators/channel.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 
 from fawnwharf.net.loop import READ, WRITE, Loop
+from fawnwharf.net.wheel import monotonic_ms
 from fawnwharf.operators import handover as h
 from fawnwharf.operators.memory import SIZE_MOST
 
@@ -78,6 +79,14 @@
     sock.sendmsg([data], notes)
 
 
+def _left_s(until_ms: float) -> float:
+    """Seconds to wait until then; raises TimeoutError where it is past."""
+    left_ms = until_ms - monotonic_ms()
+    if left_ms <= 0.0:
+        raise TimeoutError("no answer in time")
+    return left_ms / 1e3
+
+
 def ask(
     place: Place, listen: tuple[str, int], parts: bool = False
 ) -> tuple[socket.socket, bytes, socket.socket] | None:
@@ -85,13 +94,15 @@
 
     Waits, as nothing else can be done at the start; None where nobody is there or no answer comes in time."""
     sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
-    sock.settimeout(h.EMPTY_S if parts else h.ANSWER_S)
+    until_ms = monotonic_ms() + 1e3 * (h.EMPTY_S if parts else h.ANSWER_S)
+    sock.settimeout(_left_s(until_ms))
     memory, door = bytearray(), None
     try:
         with place.short() as address:
             sock.connect(address)
         send(sock, h.encode(h.Hello(h.VERSION, listen, parts)), None)
         while door is None:
+            sock.settimeout(_left_s(until_ms))  # for all of the answer, however slowly its parts come
             found = receive(sock)
             if found is None or not isinstance(found[0], h.Part | h.Door):
                 raise ConnectionError("turned away")
@@ -123,6 +134,7 @@
         self._begun: list[tuple[h.Message, socket.socket | None]] = []  # parts of what is not sent whole yet
         sock.setblocking(False)
         self._mask = READ
+        self._moved_ms = monotonic_ms()  # when the last message went out, or the first one began to wait
         loop.watch(sock, READ, self._ready, first=True)
 
     def say(self, message: h.Message, carried: socket.socket | None = None) -> None:
@@ -131,6 +143,8 @@
             if carried is not None:
                 carried.close()
             return
+        if not self._queue:
+            self._moved_ms = monotonic_ms()
         self._queue.append((message, carried))
         self._write()
 
@@ -138,6 +152,10 @@
     def unsent(self) -> bool:
         return bool(self._queue)
 
+    def stuck_ms(self, now_ms: float) -> float:
+        """For how long the other end has taken nothing of what waits for it."""
+        return now_ms - self._moved_ms if self._queue else 0.0
+
     def take_back(self) -> list[tuple[h.Message, socket.socket | None]]:
         """What was never sent, or not whole: parts are nothing without what they are of."""
         queue, self._queue, self._begun = [*self._begun, *self._queue], deque(), []
@@ -156,6 +174,7 @@
                 self.close()
                 return
             self._queue.popleft()
+            self._moved_ms = monotonic_ms()
             if isinstance(message, h.Part):
                 self._begun.append((message, None))
             else:
--- a/fawnwharf/operators/handover.py
+++ b/fawnwharf/operators/handover.py
@@ -13,6 +13,7 @@
 AWAIT_MS = 2_800.0  # after SIGTERM: for the process before this one, which was told to end earlier
 EMPTY_S = 5.0  # and where that lets go of its parts first: without them this one can't start beside it
 READY_MOST_MS = 6_000.0  # how long one that let go of its parts waits for the other to be ready
+STUCK_MS = 3_000.0  # a process that takes nothing of what it is given for so long stands still
 ANSWER_S = 1.5  # how long the new process waits for the old one at its start, before it goes on without it
 
 
--- a/fawnwharf/operators/parts.py
+++ b/fawnwharf/operators/parts.py
@@ -56,7 +56,7 @@
         if busy and monotonic_ms() - self._since_ms < EMPTY_MOST_MS:
             front.loop.wheel.after(LOOK_MS, lambda: self._look(done))
             return
-        front.seam.release()
+        front.loop.guarded(front.seam.release)  # after a fault, too: nobody is read until this has ended
         self.where = Where.AWAY
         took_ms = monotonic_ms() - self._since_ms
         front.log(f"let go of what only one process may have, {took_ms:.0f} ms after it was asked")
@@ -79,7 +79,9 @@
         if not any(client.open for client in front.port.clients):
             try:
                 front.seam.take_back(front)
-            except ConfigError as error:
+            except Exception as error:  # any fault: without another try no client would be read again
+                if not isinstance(error, ConfigError):
+                    front.loop.fault("taking parts back")
                 why = str(error)
             else:
                 self.where = Where.HERE
--- a/fawnwharf/operators/replacement.py
+++ b/fawnwharf/operators/replacement.py
@@ -177,6 +177,8 @@
         self._do(what)
         self.front.port.accept(True)
         self.front.port.pause(False)
+        # Who asked here asked for the other process; from now on it is this one again that answers.
+        self.front.port.ready = self.front.operators.ready
         self._adopt_again(unsent)
         self._share()
 
@@ -248,15 +250,20 @@
     def _look(self) -> None:
         if self._looking or not self.giver.gives:
             return
+        # First: a fault in this look must not be the end of all, with clients that nobody reads.
+        self._looking = True
+        self.front.loop.wheel.after(LOOK_MS, self._look_again)
         now = monotonic_ms()
+        if self.after.stuck_ms(now) > h.STUCK_MS:
+            self.front.log("the process that took this one's place stands still")
+            self.after.close()
+            return
         self._do(self.giver.look(now))
         self._give()
         to_come = self.before is not None and self.giver.awaits(now)
         if self.giver.phase is h.Phase.ENDING and not (to_come or self.front.port.clients or self._said_done):
             self._said_done = True
             self.after.say(h.Done())
-        self._looking = True
-        self.front.loop.wheel.after(LOOK_MS, self._look_again)
 
     def _look_again(self) -> None:
         self._looking = False
--- a/fawnwharf/operators/service.py
+++ b/fawnwharf/operators/service.py
@@ -110,15 +110,14 @@
     def _look(self) -> None:
         if self._draining_ms is None or self.front.leaving:
             return
+        self.front.loop.wheel.after(drain.LOOK_MS, self._look)  # first: a fault must not be the last look
         if self.replaced:  # its connections are the other's, which is ready: none is ended or refused
             self._refuse(False)
-            self.front.loop.wheel.after(drain.LOOK_MS, self._look)
             return
         step = drain.step(monotonic_ms() - self._draining_ms)
         if step >= drain.Step.EMPTYING:
             self.front.port.end_idle()
         self._refuse(step >= drain.Step.REFUSING)
-        self.front.loop.wheel.after(drain.LOOK_MS, self._look)
 
     def _refuse(self, on: bool) -> None:
         if on != self._refusing:
@@ -128,8 +127,8 @@
     # --- now and then ---------------------------------------------------------------------------
 
     def _tidy(self) -> None:
+        self.front.loop.wheel.after(TIDY_MS, self._tidy)  # first: a fault must not be the last look
         self.port.tidy()
-        self.front.loop.wheel.after(TIDY_MS, self._tidy)
 
     def close(self) -> None:
         self.replacement.close()
--- /dev/null
+++ b/tests/test_handover_orders.py
@@ -0,0 +1,145 @@
+"""Hand-over between processes and what crosses it: each order forced, in the test's own thread."""
+
+import socket
+import tempfile
+from unittest import mock
+
+import pytest
+from peers import Rig, ScorerPeer, ready
+
+from fawnwharf.config import ConfigError
+from fawnwharf.net import leaving
+from fawnwharf.operators import channel, service
+from fawnwharf.operators import handover as h
+from fawnwharf.operators.http import Asked
+from fawnwharf.operators.parts import Parts, Where
+from fawnwharf.operators.replacement import Inherited
+
+
+@pytest.fixture
+def rig():
+    with tempfile.TemporaryDirectory() as folder:
+        made = Rig(ScorerPeer(copies=4))
+        place = channel.Place(folder, "", made.front.address)
+        made.operators = service.Operators(made.front, ("127.0.0.1", 0), Inherited(place))
+        made.operators.begin()
+        made.peers = []
+        yield made
+        made.close()
+        for peer in made.peers:
+            peer.close()
+
+
+def taker(rig):
+    """The process that takes its place, played by the test."""
+    sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+    with rig.operators.replacement.place.short() as address:
+        sock.connect(address)
+    rig.peers.append(sock)
+    channel.send(sock, h.encode(h.Hello(h.VERSION, rig.front.address)), None)
+    channel.send(sock, h.encode(h.Ready()), None)
+    rig.until(lambda: rig.operators.replaced, "it gives")
+    return sock
+
+
+def good(rig, client):
+    """What a client is told that asks whether this front end takes work."""
+    rig.settle(client)
+    return client.answers[-1][2][3]
+
+
+@pytest.mark.parametrize("why", ["leaving", "standby", "neither"])
+def test_once_the_other_process_is_gone_it_says_good_only_where_it_takes_work(rig, why):
+    client = rig.client()
+    client.call()
+    rig.until(lambda: rig.scorers[0].runs, "it runs, so that the connection stays here")
+    sock = taker(rig)
+    if why == "leaving":
+        rig.front.leave()
+    elif why == "standby":
+        rig.operators.desk.standby = True
+    assert good(rig, client)  # for the other process's sake
+    sock.close()
+    rig.until(lambda: not rig.operators.replaced, "it goes on by itself")
+    assert good(rig, client) is (why == "neither")
+
+
+def test_a_process_that_stands_still_gets_nothing_more_and_its_connections_come_back(rig):
+    sock = taker(rig)
+    talk = rig.operators.replacement.after
+    refused = mock.patch.object(channel, "send", side_effect=BlockingIOError)
+    client = rig.client()
+    with refused:  # its buffer is full, as it reads nothing
+        rig.front.port.accept(True)
+        client.call()
+        rig.until(lambda: rig.scorers[0].runs, "it runs")
+        rig.scorers[0].answer(rig.scorers[0].runs[0])
+        rig.until(lambda: client.answers and not rig.front.port.clients, "its connection is on its way")
+        assert talk.unsent and not talk.closed
+        talk._moved_ms -= h.STUCK_MS
+        rig.until(lambda: not rig.operators.replaced, "it goes on by itself")
+    assert rig.front.port.clients and good(rig, client) is True
+    assert not ready(sock, 0.0) or channel.receive(sock)
+
+
+def test_a_fault_in_a_look_at_what_is_to_be_given_is_not_the_last_one(rig):
+    client = rig.client()
+    rig.settle(client)
+    with mock.patch.object(rig.front.port, "give", side_effect=RuntimeError("planted")) as give:
+        taker(rig)
+        rig.until(lambda: give.call_count >= 2, "it tries again")
+    rig.until(lambda: not rig.front.port.clients, "it is given")
+
+
+def test_a_fault_in_a_look_at_a_drain_or_in_tidying_is_not_the_last_one(rig):
+    rig.operators.take(Asked("POST", "/standby"))
+    with mock.patch.object(service.drain, "step", side_effect=RuntimeError("planted")) as step:
+        rig.until(lambda: step.call_count >= 2, "it looks again")
+    with mock.patch.object(rig.operators.port, "tidy", side_effect=RuntimeError("planted")) as tidy:
+        rig.until(lambda: tidy.call_count >= 2, "it tidies again")
+
+
+@pytest.mark.parametrize("fault", [ConfigError("held"), OSError("planted"), RuntimeError("planted")])
+def test_parts_come_back_after_any_fault_on_the_way(rig, fault):
+    seam = mock.Mock(busy=False)
+    seam.release.side_effect = RuntimeError("planted")
+    seam.take_back.side_effect = [fault, None]
+    rig.front._seam = seam
+    parts, steps = Parts(rig.front), []
+    parts.let_go(lambda: steps.append("away"))
+    rig.until(lambda: steps, "they are let go of")
+    assert parts.where is Where.AWAY
+    parts.take_back(lambda: steps.append("here"))
+    rig.until(lambda: parts.here, "they are back")
+    assert steps == ["away", "here"]
+    rig.front._seam = None
+
+
+def test_an_answer_in_drops_is_not_waited_for_longer_than_one_that_does_not_come(tmp_path):
+    place, now = channel.Place(str(tmp_path), "", ("127.0.0.1", 1)), [0.0]
+    with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as door:
+        with place.short() as address:
+            door.bind(address)
+        door.listen(1)
+
+        def drop(_sock):
+            now[0] += 1_000.0  # each part comes in time by itself
+            assert now[0] < 1e5, "it waits for as long as parts come"
+            return h.Part(b"x"), None
+
+        with (
+            mock.patch.object(channel, "monotonic_ms", lambda: now[0]),
+            mock.patch.object(channel, "receive", drop),
+        ):
+            assert channel.ask(place, ("127.0.0.1", 1)) is None
+    assert now[0] <= 1e3 * h.ANSWER_S + 1_000.0
+
+
+def test_told_to_end_with_the_place_given_no_connection_is_ended_here(rig):
+    client = rig.client()
+    rig.settle(client)
+    taker(rig)
+    rig.front.leave()
+    rig.front._leaving._since_ms -= leaving.LATE_ARRIVALS_MS
+    rig.until(lambda: not rig.front.port.clients, "its connection is given")
+    assert not client.ended and rig.front.loop.running  # until the other one says that all has come
