Hand-over: a new process told to end before it has the place leaves it alone

Cause: signals are held back during a start, so a new process that was told to end while it waited for the old one's answer still took the place, and gave it up 0.8 s later: the old one stopped accepting and gave its connections to a process that was leaving. Now it ends with 0 before it says that it is ready, and the old one goes on as if it had not come (`serving.serve`).

--- a/fawnwharf/net/front_end.py
+++ b/fawnwharf/net/front_end.py
@@ -55,6 +55,7 @@
     """What operators ask, in a running front end."""
 
     replaced: bool  # another process has taken this one's place
+    takes_over: bool  # this one is about to take another process's place
     busy: bool  # something is still to be given to it
 
     def begin(self) -> None:
--- a/fawnwharf/net/listener.py
+++ b/fawnwharf/net/listener.py
@@ -33,6 +33,11 @@
     return listener
 
 
+def told_to_end() -> bool:
+    """Whether a signal to end has come and is held back, as it is during a start."""
+    return bool({signal.SIGTERM, signal.SIGINT} & signal.sigpending())
+
+
 def once_free(listen: Callable[[], socket.socket], most_s: float = IN_USE_MOST_S) -> socket.socket:
     """What `listen` makes, as soon as its address is free; raises OSError where it is not for too long, or
     where this process has been told to end meanwhile."""
@@ -41,7 +46,6 @@
         try:
             return listen()
         except OSError as error:
-            told_to_end = {signal.SIGTERM, signal.SIGINT} & signal.sigpending()
-            if error.errno != errno.EADDRINUSE or told_to_end or time.monotonic() >= until:
+            if error.errno != errno.EADDRINUSE or told_to_end() or time.monotonic() >= until:
                 raise
         time.sleep(IN_USE_LOOK_S)
--- a/fawnwharf/operators/replacement.py
+++ b/fawnwharf/operators/replacement.py
@@ -238,6 +238,11 @@
         self.remember()
         self.giver.leave(monotonic_ms())
 
+    @property
+    def takes_over(self) -> bool:
+        """Whether a process serves whose place this one will take as it begins."""
+        return self._inherited.channel is not None
+
     @property
     def replaced(self) -> bool:
         return self.giver.gives
@@ -289,6 +294,6 @@
         """This process ends: it takes nothing back, and leaves the meeting place to the other."""
         self._ended = True
         self._close_door()
-        for channel in (self.before, self.after):
+        for channel in (self.before, self.after, self._inherited.channel):
             if channel is not None:
                 channel.close()
--- a/fawnwharf/operators/service.py
+++ b/fawnwharf/operators/service.py
@@ -94,6 +94,10 @@
         """Whether the front end is to say that it takes work."""
         return self.front.started and not self.front.leaving and not self.desk.standby
 
+    @property
+    def takes_over(self) -> bool:
+        return self.replacement.takes_over
+
     @property
     def replaced(self) -> bool:
         return self.replacement.replaced
--- a/fawnwharf/serving.py
+++ b/fawnwharf/serving.py
@@ -10,7 +10,7 @@
 from fawnwharf import config
 from fawnwharf import interface as io
 from fawnwharf.net.front_end import FrontEnd
-from fawnwharf.net.listener import listening, once_free
+from fawnwharf.net.listener import listening, once_free, told_to_end
 
 LAID = "zones", "state"  # what subsystems lay over the roster, which begins anew with them
 # What goes by whose logs.
@@ -42,6 +42,9 @@
     except config.ConfigError as error:
         print(f"fawnwharf: {error}", file=sys.stderr)
         return 2
+    if front.operators is not None and front.operators.takes_over and told_to_end():
+        front.close()  # the process that serves goes on as if this one had not come
+        return 0
     gc.freeze()  # what the start has made stays: no collection needs to walk it
     front.serve()
     return 0
--- a/tests/test_handover_orders.py
+++ b/tests/test_handover_orders.py
@@ -1,11 +1,13 @@
 """Hand-over between processes and what crosses it: each order forced, in the test's own thread."""
 
+import signal
 import socket
 import tempfile
 from unittest import mock
 
 import pytest
-from peers import Rig, ScorerPeer, ready
+from peers import PATIENCE_S, Rig, ScorerPeer, ready
+from processes import Site
 
 from fawnwharf.config import ConfigError
 from fawnwharf.net import leaving
@@ -135,6 +137,31 @@
     assert now[0] <= 1e3 * h.ANSWER_S + 1_000.0
 
 
+def test_told_to_end_before_it_takes_the_place_it_leaves_the_place_alone():
+    site = Site()
+    try:
+        with (
+            socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as meeting,
+            socket.create_server(("127.0.0.1", 0)) as door,
+        ):
+            with site.place.short() as address:
+                meeting.bind(address)
+            meeting.listen(1)
+            meeting.settimeout(PATIENCE_S)
+            new = site.begin()
+            sock, _ = meeting.accept()
+            sock.settimeout(PATIENCE_S)
+            assert isinstance(channel.receive(sock)[0], h.Hello)
+            new.signal(signal.SIGTERM)
+            channel.send(sock, h.encode(h.Door()), door)
+            assert channel.receive(sock) is None  # no word that it is ready
+            sock.close()
+            site.until(lambda: new.ended, "it has ended")
+            assert new.child.returncode == 0, new.log
+    finally:
+        site.close()
+
+
 def test_told_to_end_with_the_place_given_no_connection_is_ended_here(rig):
     client = rig.client()
     rig.settle(client)
