--- a/tests/test_shutdown_orders.py
+++ b/tests/test_shutdown_orders.py
@@ -1,5 +1,6 @@
 """SIGTERM and what crosses it, each order forced in the test's own thread."""
 
+import signal
 import socket
 from unittest import mock
 
@@ -205,6 +206,21 @@
     rig.until(lambda: client.answers and client.ended, "it has its answer, then the end")
 
 
+def test_a_fault_in_a_reload_does_not_swallow_the_signal_read_along_with_it(rig):
+    rig.front._reread = mock.Mock(side_effect=RuntimeError("planted"))
+    handlers = {}
+    with (
+        mock.patch.object(rig.front, "start"),
+        mock.patch.object(rig.front, "close"),
+        mock.patch.object(rig.front.loop, "on_signals", handlers.update),
+        mock.patch.object(rig.front.loop, "run"),
+    ):
+        rig.front.serve()
+    for number in (signal.SIGHUP, signal.SIGTERM):  # as the loop does with what it reads in one go
+        handlers[number]()
+    assert rig.front.leaving
+
+
 def test_a_reload_while_it_ends_moves_the_change_log_and_brings_nothing_back(rig):
     rig.front._reread = lambda: rig.front.deployment
     rig.front.leave()
