--- a/fawnwharf/net/clients.py
+++ b/fawnwharf/net/clients.py
@@ -7,10 +7,11 @@
 from fawnwharf.config import Address
 from fawnwharf.interface import ClassSpec
 from fawnwharf.net import thrift
+from fawnwharf.net.acceptor import Acceptor
 from fawnwharf.net.calls import call_from
 from fawnwharf.net.connection import Connection
 from fawnwharf.net.endings import End
-from fawnwharf.net.listener import Acceptor, listening
+from fawnwharf.net.listener import listening
 from fawnwharf.net.log import Log
 from fawnwharf.net.loop import Loop, Order
 from fawnwharf.net.requests import Failed, Outcome, Refused, RequestTable, Served
--- a/fawnwharf/net/wheel.py
+++ b/fawnwharf/net/wheel.py
@@ -19,6 +19,11 @@
     return time.time() * 1000.0
 
 
+def sleep_s(span_s: float) -> None:
+    """Halt the process: only before its loop runs."""
+    time.sleep(span_s)
+
+
 class Clock:
     """The Unix time in milliseconds, without its steps.
 
--- a/tests/test_client_accepting.py
+++ b/tests/test_client_accepting.py
@@ -9,7 +9,7 @@
 from peers import ScorerPeer
 from support.system_faults import SystemFaults
 
-from fawnwharf.net import listener
+from fawnwharf.net import acceptor
 from fawnwharf.net.connection import READ_AGAIN_MS, Connection
 from fawnwharf.net.endings import End
 
@@ -27,7 +27,7 @@
         return lambda sock: sock is rig.front.port.listener
 
     def test_an_error_of_one_connection_leaves_the_next_one_to_be_accepted_in_the_same_turn(self):
-        for error in sorted(listener.OF_ONE_CONNECTION):
+        for error in sorted(acceptor.OF_ONE_CONNECTION):
             with self.subTest(errno.errorcode[error]):
                 rig = self.rig(ScorerPeer())
                 fault = self.faults.fail("accept", error, where=self.at_listener(rig))
@@ -44,7 +44,7 @@
                 fault = self.faults.fail("accept", error, times=1_000, where=self.at_listener(rig))
                 late = rig.client()
                 late.status(1)
-                wait(rig, 4 * listener.ACCEPT_PAUSE_MS)
+                wait(rig, 4 * acceptor.ACCEPT_PAUSE_MS)
                 self.assertLessEqual(fault.hits, 5)  # one in each pause
                 rig.settle(client)
                 fault.times = 0
@@ -55,7 +55,7 @@
         fault = self.faults.fail("accept", errno.EINVAL, times=1_000, where=self.at_listener(rig))
         late = rig.client()
         late.status(1)
-        wait(rig, 4 * listener.ACCEPT_PAUSE_MS)
+        wait(rig, 4 * acceptor.ACCEPT_PAUSE_MS)
         self.assertLessEqual(fault.hits, 5)
         fault.times = 0
         rig.until(lambda: late.answers, "it is accepted in the end")
@@ -65,8 +65,8 @@
         fault = self.faults.fail("accept", errno.EPROTO, times=100_000, where=self.at_listener(rig))
         late = rig.client()
         late.status(1)
-        wait(rig, 4 * listener.ACCEPT_PAUSE_MS)
-        self.assertLessEqual(fault.hits, 5 * listener.ACCEPTS_MOST)
+        wait(rig, 4 * acceptor.ACCEPT_PAUSE_MS)
+        self.assertLessEqual(fault.hits, 5 * acceptor.ACCEPTS_MOST)
         fault.times = 0
         rig.until(lambda: late.answers, "it is accepted in the end")
 
