--- a/tests/test_clock_steps.py
+++ b/tests/test_clock_steps.py
@@ -1,5 +1,6 @@
 """The wall clock stepped, and turns that are held up: spans stay exact, and no call gets its time twice."""
 
+import socket
 import time
 
 import pytest
@@ -133,3 +134,35 @@
     worker = rig.front.router.workers[worker_number("s-1")]
     age_ms = rig.front.loop.clock.now_ms() - worker.started_ms
     assert 1_000.0 - 1.0 <= age_ms <= 1_050.0 + 1.0
+
+
+def budgets_by_turns(rig, clock, count):
+    """The time that each call has as it is read, with 40 ms from one turn to the next."""
+    found, known = [], set()
+    while len(found) < count:
+        clock.advance(40.0)
+        rig.front.loop.turn(0.0)
+        new = [request for key, request in rig.front.table.open.items() if key not in known]
+        known.update(rig.front.table.open)
+        found += [request.deadline_ms - rig.front.loop.turn_ms for request in new]
+    return found
+
+
+def test_a_call_that_a_full_turn_left_behind_counts_since_it_could_have_come(rig, clock, monkeypatch):
+    without_stamps(monkeypatch)
+    crowd = [settled_client(rig) for _ in range(2)]
+    rig.front.loop.turn(0.0)
+    for number, client in enumerate(crowd):
+        client.call(ttl="8000", call=f"{number:016x}")
+    monkeypatch.setattr(loop, "EVENTS_MOST", 1)
+    assert budgets_by_turns(rig, clock, 2) == pytest.approx([8_000.0, 7_920.0])
+
+
+def test_calls_that_take_several_reads_count_since_they_could_have_come(rig, clock, monkeypatch):
+    without_stamps(monkeypatch)
+    client = settled_client(rig)
+    client.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)  # all of it lies unread at once
+    rig.front.loop.turn(0.0)
+    for number in range(3):
+        client.call(ttl="8000", call=f"{number:016x}", body=b"x" * 15_000)
+    assert budgets_by_turns(rig, clock, 3) == pytest.approx([8_000.0, 7_920.0, 7_880.0])
