--- a/fawnwharf/sessions/__init__.py
+++ b/fawnwharf/sessions/__init__.py
@@ -1,1 +1,1 @@
-"""Sessions that move between sites, in running front ends: homes, hand-overs, what is staged."""
+"""Sessions that move between zones, in running front ends: placements, migrations, prefetched copies."""
--- a/fawnwharf/sessions/agent.py
+++ b/fawnwharf/sessions/agent.py
@@ -1,10 +1,12 @@
-"""One front end's part in sessions that move between sites. Pure: calls, others' words and times come in,
-effects go out in order.
+"""One front end's part in moving sessions between zones.
 
-It joins the cores of `handover`: a router at each front end; a keeper and a mover where homes are kept, as
-keepers hear all and are heard by all; and what a mover begins (`moves`). A call goes by the home that is
-known when the module is handed it, so it counts as sent from then on: nothing takes it again for a later one.
-Lives are counted here as they are heard, since members' own are numbers of no order.
+Pure: calls, others' messages and times come in, effects go out in order. It joins the cores of `handover`: a
+router at each front end; a replica and a coordinator where placements are stored, as replicas hear all
+members and are heard by all; and the choice of migrations to begin (`moves`). A call goes by the placement
+that is known when the decision module gets it, so it counts as sent from then on: nothing takes it again for
+a later one.
+
+Incarnations are counted here as they are heard of, since members' own numbers have no order.
 """
 
 from collections import Counter, deque
@@ -19,6 +21,7 @@
 from fawnwharf.interface import ClassSpec
 from fawnwharf.lives import Lives
 from fawnwharf.sessions.asking import Asking, why_not
+from fawnwharf.sessions.completing import context_of, filled, with_copies
 from fawnwharf.sessions.effects import Key, Note, Out, Words, named
 from fawnwharf.sessions.known import Firsts, Known, copies
 from fawnwharf.sessions.moves import Moves, View, target
@@ -30,7 +33,7 @@
 
 
 class Agent:
-    """Owns this front end's cores, what is staged here, and what operators asked for."""
+    """Owns this front end's cores, what is prefetched here, and what operators asked for."""
 
     def __init__(
         self,
@@ -45,8 +48,10 @@
         fresh: bool = False,
         number: int = 0,
     ) -> None:
-        """`sites` of all members, this one among them; `life` is another one with each start. `fresh`: the
-        fleet begins, nobody has promised anything. `number`: of the list of members."""
+        """`sites` are the zones of all members, this one among them; `life` differs with each start.
+
+        `fresh`: the fleet begins, nobody has promised anything. `number` is that of the list of members.
+        """
         self.name, self.life, self.site, self.sites = name, life, sites[name], dict(sites)
         self.settings, self.rules, self.classes = settings, settings.handover, classes
         self.keepers, self.keepers_of, self.number = tuple(keepers), keepers_of, number
@@ -78,7 +83,7 @@
         self.mover.turns = lambda session: self.keeper.record(session).promised.count
 
     def take(self) -> list[Out]:
-        """What is to be done, and taken from here by that."""
+        """Return the effects that are to be carried out, once."""
         out, self._out = self._out, []
         return out
 
@@ -94,7 +99,7 @@
         load_ms: float | None,
         budget_ms: float,
     ) -> Home:
-        """A call that the module is about to be handed, and the home that it goes by."""
+        """Take a call that the module is about to get; the placement that it goes by."""
         self.known.came(now_ms, session, kind, lanes, load_ms)
         urgent = self.router.home(session) is None
         if urgent and (home := self._home(session)) and home.number:
@@ -110,14 +115,17 @@
         return home
 
     def ended(self, now_ms: float, call: str, found: bool | None = None) -> None:
-        """A call has its final answer, or is withdrawn. `found`: its copy stood; None: it told nothing."""
+        """Take that a call has its final answer, or is withdrawn.
+
+        `found`: its copy stood; None where the end told nothing of that.
+        """
         self.firsts.ended(call, found)
         self._carry(now_ms, self.router.ended(now_ms, call))
 
     # --- others' words ----------------------------------------------------------------------------
 
     def hear(self, now_ms: float, sender: str, life: int, words: Iterable[m.Message]) -> None:
-        """Words of one member, in order."""
+        """Take messages of one member, in order."""
         if sender not in self.sites:
             self.counts["no member"] += 1
             return
@@ -128,7 +136,7 @@
             self._carry(now_ms, self._hear(now_ms, sender, word))
 
     def followed(self, now_ms: float, name: str) -> None:
-        """A member hears what is said here from now on."""
+        """Take that a member receives this front end's messages from now on."""
         if name in self.keepers:
             self.router.followed(now_ms)
 
@@ -138,19 +146,35 @@
         if isinstance(word, m.Begun):
             self._answered(word)
             return []
+        word = self._completed(now_ms, sender, word)
+        found: list[m.Out] = []
+        if self.mover is not None:
+            found += self.mover.receive(now_ms, sender, word)
+        self._note_moves(now_ms, sender, word)
+        found += [out for out in self.router.receive(now_ms, sender, word) if not isinstance(out, Stage)]
+        if self.keeper is not None:
+            found += self.keeper.receive(now_ms, sender, word)
+        if isinstance(word, m.Receive):
+            found += self._stage(now_ms, sender, word)
+        elif isinstance(word, m.Drop):
+            self._out += self._staged.drop((word.session, word.turn))
+        return found
+
+    def _completed(self, now_ms: float, sender: str, word: m.Message) -> m.Message:
+        """A received message with what is known here; what it tells of a session is noted."""
         if isinstance(word, m.Left):
-            word = replace(word, life=self._lives.last(sender))
-        elif isinstance(word, m.Met) and self.keeper is not None:
+            return replace(word, life=self._lives.last(sender))
+        if isinstance(word, m.Met) and self.keeper is not None:
             self.known.tell(now_ms, word.home.session, word.facts, self.sites[sender])
         elif isinstance(word, m.Give):
-            self.router.contexts[word.session] = self._context(now_ms, word.session)
+            mine = ((f"{self.name}#{self.life}", spent),) if (spent := self.spent(word.session.org)) else ()
+            self.router.contexts[word.session] = context_of(now_ms, word.session, self.known, mine)
         elif isinstance(word, m.Given):
-            facts = self.known.best(now_ms, word.session)
-            more = max(word.context.copies, copies(facts))
-            word = replace(word, context=replace(word.context, copies=more))
-        found: list[m.Out] = []
-        if self.mover is not None:
-            found += self.mover.receive(now_ms, sender, word)
+            return with_copies(now_ms, word, self.known)
+        return word
+
+    def _note_moves(self, now_ms: float, sender: str, word: m.Message) -> None:
+        """Note the switches that a message tells of, and the sessions that are to return."""
         if isinstance(word, m.Told):
             self.firsts.met(word, self.router.home(word.home.session))
             known = self.keeper.record(word.home.session).number if self.keeper else word.home.number
@@ -160,20 +184,6 @@
             for held in word.held:
                 if held.away:
                     self.moves.taken_from(now_ms, held.session, held.away)
-        found += [out for out in self.router.receive(now_ms, sender, word) if not isinstance(out, Stage)]
-        if self.keeper is not None:
-            found += self.keeper.receive(now_ms, sender, word)
-        if isinstance(word, m.Receive):
-            found += self._stage(now_ms, sender, word)
-        elif isinstance(word, m.Drop):
-            self._out += self._staged.drop((word.session, word.turn))
-        return found
-
-    def _context(self, now_ms: float, session: Session) -> m.Context:
-        facts = self.known.facts(now_ms, session)
-        spent = self.spent(session.org)
-        mine = ((f"{self.name}#{self.life}", spent),) if spent else ()
-        return m.Context(facts.rate if facts else 0.0, copies(facts), mine)
 
     # --- what is staged here ----------------------------------------------------------------------
 
@@ -185,7 +195,7 @@
         return self.router.stood(now_ms, sender, receive, True) if stands else []
 
     def stood(self, now_ms: float, key: Key, stands: bool) -> None:
-        """By their scorers' own answers these copies stand, or can't."""
+        """Take that copies stand, or can't, by their scorers' own answers."""
         if (stage := self._staged.stood(key, stands)) is not None:
             self.counts["could not be staged"] += not stands
             self._carry(now_ms, self.router.stood(now_ms, stage.sender, stage.receive, stands))
@@ -193,13 +203,13 @@
     # --- what operators and plans ask ---------------------------------------------------------------
 
     def mover_for(self, session: Session) -> str:
-        """Of the session's keepers that are heard, the one that moves it; another keeper where none is."""
+        """The coordinator of a session, of its replicas that are heard; another replica where none is."""
         heard = self.alive.keys() | {self.name}
         own = [name for name in self.keepers_of(key_of(session)) if name in heard]
         return mover_of(session, own or [name for name in self.keepers if name in heard])
 
     def ask(self, now_ms: float, moves: Iterable[tuple[Session, str]]) -> None:
-        """Operators want these sessions at home at these sites."""
+        """Take operators' requests: these sessions are to be placed at these zones."""
         wanted = []
         for session, site in moves:
             whence = getattr(self.router.home(session), "site", self.site)
@@ -236,17 +246,17 @@
         return seen
 
     def close(self, now_ms: float, closed: dict[str, str], shares: dict[str, float] | None = None) -> None:
-        """Sites that are to be empty, and why: by a plan, or by operators' words; and the parts of those
-        that return."""
+        """Take the zones that are to be empty, and why, and the open parts of those that return."""
         self._closed = dict(closed)
         self.moves.close(now_ms, closed, shares or {})
 
     def target(self, session: Session, site: str) -> str:
-        """Where a session goes whose site is closed."""
+        """Where a session goes whose zone is closed."""
         room = {name: room for name, room in self.room.items() if name not in self._closed and name != site}
         return target(session, room)
 
     def expected(self, now_ms: float, moves: Iterable[Move]) -> None:
+        """Take moves that are predicted."""
         self.moves.expected(now_ms, moves)
 
     # --- hand-overs -------------------------------------------------------------------------------
@@ -275,7 +285,7 @@
         while waiting:
             effect = waiting.popleft()
             if isinstance(effect, m.Say):
-                message = self._filled(now_ms, effect.message)
+                message = filled(now_ms, effect.message, self.known, self.moves, self.number)
                 others = tuple(name for name in effect.to if name != self.name)
                 if others:
                     self._out.append(Words(others, message, urgent))
@@ -289,19 +299,6 @@
                 self.counts["let go"] += 1
                 self._out.append(effect)
 
-    def _filled(self, now_ms: float, message: m.Message) -> m.Message:
-        """With what is known of the session, where a word has room for it."""
-        if isinstance(message, m.Met):
-            return replace(message, facts=self.known.facts(now_ms, message.home.session))
-        if isinstance(message, m.Receive):
-            return replace(message, facts=self.known.best(now_ms, message.session))
-        if isinstance(message, m.Piece):
-            held = tuple(replace(one, away=self.moves.whence(one.session)) for one in message.held)
-            return replace(message, held=held)
-        if isinstance(message, m.MayLetGo):
-            return replace(message, list=self.number)
-        return message
-
     def _moved(self, now_ms: float, moved: m.Moved) -> list[m.Out]:
         home = moved.home
         self.counts["moved"] += 1
@@ -325,7 +322,7 @@
     # --- time, and who is there ---------------------------------------------------------------------
 
     def place(self, now_ms: float, sites: dict[str, str], keepers: Iterable[str], number: int = 0) -> None:
-        """A later list of members."""
+        """Take a later list of members."""
         zones = {name: self.sites[name] for name in self.keepers}
         kept = min(len(set(zones.values())), len(self.keepers_of("")))  # of a session: of as many zones
         before = self.number, zones, (kept - 1) // 2
@@ -346,8 +343,11 @@
         self._carry(now_ms, self.mover.placed_anew(now_ms, number))
 
     def tick(self, now_ms: float, alive: dict[str, int], open_calls: Callable[[str], bool]) -> None:
-        """A look at all that is due. `alive`: members that are heard, with their lives as told;
-        `open_calls` says whether a call is still open here."""
+        """Do what is due.
+
+        `alive` are the members that are heard, with their incarnations' numbers; `open_calls` says whether a
+        call is still open here.
+        """
         counted = {name: self._lives.heard(name, life) for name, life in alive.items() if name in self.sites}
         self.alive = {name: count for name, count in counted.items() if count}
         # One whose attempt has just ended is closed already, and the module is yet to be told: at the second
@@ -375,19 +375,21 @@
         self.moves.notes.clear()
 
     def pace_ms(self) -> float:
-        """How soon the next look is wanted."""
+        """How soon the next tick is wanted."""
         under_way = self.mover is not None and (self.mover.hands or self.moves.busy)
         telling = self.keeper is not None and self.keeper._telling
         return BUSY_MS if under_way or telling or self.router.watches or self.asking else CALM_MS
 
     def sure(self, now_ms: float) -> bool:
+        """Whether the replica here knows all that it promised."""
         return self.keeper is not None and self.keeper.sure(now_ms)
 
     def steps(self) -> dict[str, int]:
-        """Hand-overs under way here, by step."""
+        """Migrations in progress here, by step."""
         return dict(Counter(hand.step for hand in self.mover.hands.values())) if self.mover else {}
 
     def all_counts(self) -> dict[str, int]:
+        """The counters of all cores."""
         found, kept = self.counts.copy(), [self.keeper.counts] if self.keeper else []
         for counts in (self.router.counts, self.moves.counts, *kept):
             found.update(counts)
--- a/fawnwharf/sessions/asking.py
+++ b/fawnwharf/sessions/asking.py
@@ -1,4 +1,7 @@
-"""What operators asked here, until the sessions' movers have said what came of it. Pure; milliseconds."""
+"""Operators' requests made here, until the sessions' coordinators have told the outcome.
+
+Pure; milliseconds.
+"""
 
 from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
@@ -12,7 +15,7 @@
 
 
 def why_not(home: Home | None, whither: str, sites: Collection[str], closed: Collection[str]) -> str:
-    """Why a session of this home can't move there; empty where it can."""
+    """Why a session of this placement can't move there; empty where it can."""
     if home is None:
         return "no such session"
     if home.site == whither:
@@ -30,7 +33,7 @@
 
 
 class Asking:
-    """Owns the last wishes and their answers."""
+    """Owns the latest requests and their answers."""
 
     def __init__(self) -> None:
         self.answers: dict[Session, Answer] = {}
@@ -40,7 +43,7 @@
         return bool(self._open)
 
     def ask(self, now_ms: float, moves: Iterable[Move]) -> None:
-        """These take the place of what was asked before."""
+        """Take requests in place of the earlier ones."""
         self.answers.clear()
         self._open.clear()
         for move in list(moves)[:ANSWERS_MOST]:
@@ -49,6 +52,7 @@
             self._open[session] = _Wish(move, now_ms)
 
     def due(self, now_ms: float, mover_for: Callable[[Session], str]) -> list[m.Say]:
+        """The requests that are to be sent again; old ones are given up."""
         found = []
         for session, wish in list(self._open.items()):
             if now_ms - wish.asked_ms > MOST_MS:
@@ -60,7 +64,7 @@
         return found
 
     def answered(self, begun: m.Begun) -> bool:
-        """A mover's word; whether it is on one of these wishes."""
+        """Take a coordinator's answer; False where it is on none of these requests."""
         if begun.session not in self.answers:
             return False
         self._open.pop(begun.session, None)
--- a/fawnwharf/sessions/commands.py
+++ b/fawnwharf/sessions/commands.py
@@ -1,4 +1,4 @@
-"""`fawnwharf sessions`: what operators see of sessions' homes, and ask of them."""
+"""`fawnwharf sessions`: what operators see of sessions' placements, and what they ask of them."""
 
 import json
 import socket
@@ -46,8 +46,10 @@
 
 
 def look(place: str, within_s: float = 3.0) -> w.Status:
-    """A front end's last word on its sessions. Raises OSError where its log can't be read, ValueError where
-    it has none."""
+    """A front end's last status of its sessions.
+
+    Raises OSError where its log can't be read, ValueError where it has none.
+    """
     with socket.create_connection(address_from(place, "members.state"), within_s) as sock:
         sock.sendall(b"since 0\n")
         reader, end = sock.makefile("rb"), time.monotonic() + within_s
--- a/fawnwharf/sessions/effects.py
+++ b/fawnwharf/sessions/effects.py
@@ -1,4 +1,4 @@
-"""What an agent of sessions has its host do. Values alone."""
+"""Effects that an agent of sessions asks of its host. Values alone."""
 
 from typing import Any
 
@@ -11,7 +11,7 @@
 
 
 class Words(Struct, frozen=True):
-    """Something for these members. What is not `urgent` may wait for others that go the same way."""
+    """Messages to these members; what is not `urgent` may wait for others that go the same way."""
 
     to: tuple[str, ...]
     message: m.Message
@@ -19,7 +19,7 @@
 
 
 class Copies(Struct, frozen=True):
-    """So many copies are to stand at this site; what came of it goes to `Agent.stood`."""
+    """So many copies are to stand in this zone; the outcome goes to `Agent.stood`."""
 
     key: Key
     row: str
@@ -29,12 +29,14 @@
 
 
 class Dropped(Struct, frozen=True):
-    """They are not wanted any more."""
+    """The copies are not wanted any more."""
 
     key: Key
 
 
 class Note(Struct, frozen=True):
+    """A line for the operators' log."""
+
     event: str
     fields: dict[str, Any]
 
--- a/fawnwharf/sessions/foreseen.py
+++ b/fawnwharf/sessions/foreseen.py
@@ -1,6 +1,7 @@
-"""Foresight in a running front end: its looks, its words on the logs of state, its orders and moves.
+"""The prefetcher in a running front end: its passes, its messages on the logs of state, its orders and moves.
 
-What it lets go is left to lapse: to unload it would take copies of whoever uses them by now."""
+Copies that it releases are left to expire: to unload them would take them from whoever uses them by now.
+"""
 
 import contextlib
 from pathlib import Path
@@ -29,7 +30,7 @@
 
 
 class Foreseen:
-    """Owns a front end's `Staging`, and tells it what it sees."""
+    """Owns a front end's `Staging`, and gives it what it sees."""
 
     def __init__(
         self,
@@ -41,8 +42,10 @@
         memory: Path,
         policies: Any | None = None,
     ) -> None:
-        """Reads its part of the file; raises ConfigError with one line. `memory`: where what was learnt is
-        left for the process that takes this one's place. `policies`: the part by which policy changes."""
+        """Read its part of the file; raises ConfigError with one line.
+
+        `memory` is the file for the next process, `policies` the part by which policy changes.
+        """
         self.state, self.agent, self.zones, self.policies = state, agent, zones, policies
         bounds = load(path, foresight_from, "sessions")
         costs = deployment.costs
@@ -75,11 +78,13 @@
         return ((found, 1.0),) if found else ()
 
     def attach(self, front: FrontEnd) -> None:
+        """Begin on the front end's loop."""
         self.front = front
         self.state.riders[RIDER] = self._heard
         self._beat()
 
     def close(self) -> None:
+        """Stop, and leave what was learnt for the next process."""
         if self._stopped or self.front is None:
             return
         self._stopped = True
@@ -92,6 +97,7 @@
             beside.rename(self._memory)
 
     def events(self, now_ms: float, events: list[io.Event]) -> None:
+        """Take a batch of events."""
         self.staging.events(now_ms, self.front.loop.clock.now_ms(), events)
 
     def _heard(self, now_ms: float, sender: str, life: int, data: Any) -> None:
@@ -159,6 +165,7 @@
             self.agent.expected(now_ms, beat.moves)
 
     def counts(self) -> dict[str, int]:
+        """The counters, for operators."""
         planner = self.staging.core.planner
         return {
             **self.staging.counts,
--- a/fawnwharf/sessions/known.py
+++ b/fawnwharf/sessions/known.py
@@ -1,5 +1,7 @@
-"""What a front end has seen of sessions and functions, and what keepers were told of sessions. Pure; bounded:
-those still for longest go first. Milliseconds of one clock."""
+"""What a front end has seen of sessions and functions, and what replicas were told of sessions.
+
+Pure; bounded: those without calls for longest are dropped first. Milliseconds of one clock.
+"""
 
 import math
 
@@ -32,7 +34,7 @@
 
 
 class Told(Struct, gc=False):
-    """A keeper's: what was last told of a session, and by which site's front end."""
+    """At a replica: what was last told of a session, and by which zone's front end."""
 
     facts: m.Facts | None
     site: str
@@ -40,7 +42,7 @@
 
 
 class Known:
-    """Owns what is known of sessions beside their homes."""
+    """Owns what is known of sessions besides their placements."""
 
     def __init__(self, most: int) -> None:
         self.most = most
@@ -49,6 +51,7 @@
         self.told: dict[Session, Told] = {}
 
     def came(self, now_ms: float, session: Session, kind: str, lanes: int, load_ms: float | None) -> None:
+        """Take a call of a session."""
         mine = self.mine.pop(session, None) or _Mine(kind, lanes, 0.0, now_ms)
         mine.calls = 1.0 + mine.calls * math.exp((mine.at_ms - now_ms) / FADE_MS)
         mine.kind, mine.lanes, mine.at_ms = kind, max(1, min(1_024, lanes)), now_ms
@@ -61,15 +64,17 @@
         return found if found is not None else _put(self.rows, row, _Row(), ROWS_MOST)
 
     def ran(self, row: str, took_ms: float) -> None:
+        """Take the duration of a run, in milliseconds."""
         entry = self._row(row)
         entry.run_ms += (took_ms - entry.run_ms) * (GAIN if entry.run_ms else 1.0)
 
     def loaded(self, row: str, took_ms: float) -> None:
+        """Take the duration of a load, in milliseconds."""
         entry = self._row(row)
         entry.load_ms += (took_ms - entry.load_ms) * (GAIN if entry.load_ms else 1.0)
 
     def facts(self, now_ms: float, session: Session) -> m.Facts | None:
-        """What this front end has seen of it; None: no call came here."""
+        """What this front end has seen of a session; None where no call came here."""
         mine, row = self.mine.get(session), self.rows.get(session.row) or _Row()
         if mine is None:
             return None
@@ -77,20 +82,22 @@
         return m.Facts(mine.kind, mine.lanes, round(row.load_ms, 1), round(row.run_ms, 1), round(rate, 3))
 
     def tell(self, now_ms: float, session: Session, facts: m.Facts | None, site: str) -> None:
-        """A front end of a site told that the session is in use there."""
+        """Take what a front end of a zone told of a session that is in use there."""
         before = self.told.pop(session, None)
         _put(self.told, session, Told(facts or (before and before.facts), site, now_ms), self.most)
 
     def best(self, now_ms: float, session: Session) -> m.Facts | None:
-        """By what others told, else by what was seen here."""
+        """What others told of a session, else what was seen here."""
         told = self.told.get(session)
         return told.facts if told and told.facts else self.facts(now_ms, session)
 
     def live(
         self, now_ms: float, session: Session, used_ms: float, classes: dict[str, ClassSpec], rules: Settings
     ) -> Live:
-        """Worth by its class and its calls; what has been still for long is likely to be over. `used_ms`:
-        when its keeper last heard of it."""
+        """The worth of a session, by its class and calls; one that has been still for long is likely over.
+
+        `used_ms`: when its replica last heard of it.
+        """
         told = self.told.get(session)
         facts = told.facts if told else None
         spec = classes.get(facts.kind) if facts else None
@@ -99,6 +106,7 @@
         return Live(session, worth, rules.drain.cost, TOLD_PART * rules.handover.still_ms - still_ms)
 
     def forget(self, now_ms: float, still_ms: float) -> None:
+        """Forget sessions without calls for `still_ms`."""
         for held in (self.mine, self.told):
             while held:
                 session, entry = next(iter(held.items()))
@@ -108,7 +116,7 @@
 
 
 class Firsts:
-    """Owns which sessions' next call here is the first since they moved, and how these found their copies."""
+    """Owns which sessions' next call here is the first after a migration, and whether it found a copy."""
 
     def __init__(self) -> None:
         self.found = self.cold = 0
@@ -116,22 +124,23 @@
         self._calls: dict[str, Session] = {}
 
     def met(self, told: m.Told, before: Home | None) -> None:
-        """A home that is decided; `before` is the one that is known here."""
+        """Take a decided placement; `before` is the one that is known here."""
         if told.step is m.Step.SWITCHED and before is not None and told.home.number > before.number:
             _put(self._sessions, told.home.session, told.home.number, FIRSTS_MOST)
 
     def begun(self, call: str, session: Session) -> None:
+        """Take the begin of a call."""
         if self._sessions and self._sessions.pop(session, None) is not None:
             _put(self._calls, call, session, FIRSTS_MOST)
 
     def ended(self, call: str, found: bool | None) -> None:
-        """`found`: its copy stood; None: its end told nothing of that."""
+        """Take the end of a call; `found`: its copy stood; None where the end told nothing of that."""
         if self._calls and self._calls.pop(call, None) is not None and found is not None:
             self.found, self.cold = self.found + found, self.cold + (not found)
 
 
 def copies(facts: m.Facts | None) -> int:
-    """How many serve a session's calls (Little's law)."""
+    """How many copies serve a session's calls (Little's law)."""
     if facts is None:
         return 1
     return max(1, min(COPIES_MOST, math.ceil(facts.rate * facts.run_ms / 1_000.0 / facts.lanes)))
--- a/fawnwharf/sessions/left.py
+++ b/fawnwharf/sessions/left.py
@@ -1,9 +1,8 @@
-"""What a front end's process leaves for the next one: the homes that it went by. Pure but for the file, and
-the store that outlives a loss of power, where there is one.
+"""What a front end's process leaves for the next one: the placements that it went by.
 
-Without it a process that takes another's place sends each session's first call to where the session was
-before it was moved. What is left is true for good: a number stands for one home, and a larger one is met by
-whoever is told of it.
+Pure but for the file, and the store that outlives a loss of power, where there is one. Without it a process
+that takes another's place sends each session's first call to where the session was before it was moved. What
+is left stays true: a number stands for one placement, and whoever is told of it learns of a larger one.
 """
 
 import contextlib
@@ -49,13 +48,15 @@
 
 
 def left(router: Router, now_ms: float, unix_ms: float) -> bytes:
-    """Sessions that were handed over, as they are known here."""
+    """The placements of sessions that were moved, as they are known here."""
     return msgspec.json.encode(_Left(VERSION, _moved(router, now_ms, unix_ms, LEFT_MOST)))
 
 
 def take(router: Router, data: bytes, sites: set[str], now_ms: float, unix_ms: float) -> int:
-    """How many homes were taken from what a process left; none from what can't be read. Sessions that are
-    over by now, or at home where no site is any more, are left aside."""
+    """Take what a process left; how many placements were taken, none where it can't be read.
+
+    Sessions that are over by now, or placed where no zone is any more, are ignored.
+    """
     try:
         found = msgspec.json.decode(data, type=_Left)
     except msgspec.DecodeError:
@@ -75,18 +76,17 @@
 
 
 class Store(Protocol):
-    """Outlives a loss of power; what it has may be some milliseconds old then."""
+    """A store that outlives a loss of power; its contents may be some milliseconds old then."""
 
     def homes(self) -> list[tuple[str, Any]]:
-        """What was kept, by key, as it was found at the start."""
+        """The entries found at the start, by key."""
 
     def keep_home(self, key: str, value: Any | None) -> bool:
-        """None: there is none any more. False: it was refused, and nothing has changed."""
+        """Store an entry, None to remove it; False where it was refused, and nothing has changed."""
 
 
 class Left:
-    """The file; not there, or not to be written: the next process learns anew. And the store: who loses its
-    power leaves no file."""
+    """The file and the store; without a file, as after a loss of power, the next process learns anew."""
 
     def __init__(self, path: Path, store: Store | None = None) -> None:
         self.path, self._store = path, store
@@ -94,6 +94,7 @@
         self._look_ms = float("-inf")
 
     def take(self, router: Router, sites: set[str], now_ms: float, unix_ms: float) -> None:
+        """Take what the last process left, in the file and in the store."""
         with contextlib.suppress(OSError):
             take(router, self.path.read_bytes(), sites, now_ms, unix_ms)
         for key, value in self._store.homes() if self._store else ():
@@ -102,6 +103,7 @@
         _taken(router, list(self._stored.values()), sites, now_ms, unix_ms)
 
     def leave(self, router: Router, now_ms: float, unix_ms: float) -> None:
+        """Write the file for the next process; failures are ignored."""
         beside = self.path.with_suffix(".new")
         with contextlib.suppress(OSError):
             beside.parent.mkdir(parents=True, exist_ok=True)  # there only where operators asked for something
@@ -109,7 +111,7 @@
             beside.rename(self.path)
 
     def look(self, router: Router, now_ms: float, unix_ms: float) -> None:
-        """Keep what changed since the last look; what is known no more goes."""
+        """Store what changed since the last call, and remove what is not known any more."""
         if self._store is None or now_ms - self._look_ms < STORE_MS:
             return
         self._look_ms = now_ms
--- a/fawnwharf/sessions/measure.py
+++ b/fawnwharf/sessions/measure.py
@@ -1,8 +1,10 @@
-"""What foresight takes of a front end's loop: `python -m fawnwharf.sessions.measure [SESSIONS ...]`.
+"""Measures the prefetcher's share of a front end's loop.
 
-Sessions of twenty tenants at three sites, sixty scorers, keepers of six. Each second a tenth of the sessions
-call here, between the beats, and as many words are heard as those calls make; at the end a site is drained.
-Longest steps in milliseconds, by this thread's processor time and by the clock.
+`python -m fawnwharf.sessions.measure [SESSIONS ...]`.
+
+Sessions of twenty tenants at three zones, sixty scorers, replicas of six. Each second a tenth of the sessions
+call here, between the passes, and as many messages come in as those calls make; at the end a zone is drained.
+The longest steps are in milliseconds, by this thread's processor time and by the clock.
 """
 
 import gc
@@ -24,7 +26,7 @@
 
 
 class Scene:
-    """One front end that keeps, in virtual time."""
+    """One front end with a replica, in virtual time."""
 
     def __init__(self, sessions: int, seed: int = 1) -> None:
         self.chance, self.now = random.Random(seed), 0.0
@@ -41,6 +43,7 @@
         self.calls = self.requests = self.beats = self.orders = 0
 
     def timed(self, what: str, step: Callable[[], object]) -> object:
+        """Run a step, and keep the longest time of its kind."""
         clock, work = time.perf_counter(), time.thread_time()
         found = step()
         took = (1e3 * (time.thread_time() - work), 1e3 * (time.perf_counter() - clock))
@@ -49,7 +52,7 @@
         return found
 
     def call(self, n: int) -> None:
-        """A call of a session comes and has its answer."""
+        """A call of a session comes and is answered."""
         self.requests += 1
         session, worker = self.sessions[n], 3 * self.chance.randrange(WORKERS // 3) + self.at[n]
         request = f"r{self.requests}"
@@ -58,7 +61,7 @@
         self.staging.events(self.now, self.now + 1e9, [came, ended])
 
     def second(self, part: float) -> None:
-        """So many of the sessions call, here and at another front end, spread over the beats of a second."""
+        """One second: a part of the sessions call, here and at another front end, spread over its passes."""
         callers = self.chance.sample(range(len(self.sessions)), max(1, int(part * len(self.sessions))))
         others = [m.Count(self.sessions[n], SITES[self.at[n]], 1, self.requests + 1) for n in callers]
         until, seen, done = self.now + 1_000.0, Seen(heard=KEEPERS, ordered=0), 0
@@ -75,6 +78,7 @@
             done = due
 
     def show(self, what: str) -> None:
+        """Print the longest steps."""
         held = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024
         steps = ", ".join(f"{k} {w:.1f} ({c:.1f})" for k, (w, c) in sorted(self.longest.items()))
         text = f"{what}: longest {steps} ms; beats {self.beats}, orders {self.orders}, {held:.0f} MB"
@@ -83,6 +87,7 @@
 
 
 def run(sessions: int) -> None:
+    """Measure with so many sessions."""
     gc.collect()  # what is left of the scene before
     scene = Scene(sessions)
     for _ in range(10):
@@ -109,6 +114,7 @@
 
 
 def main(arguments: Sequence[str]) -> None:
+    """Measure with each number of sessions that is given."""
     gc.freeze()
     for sessions in arguments or ("1000", "10000", "100000"):
         run(int(sessions))
--- a/fawnwharf/sessions/moves.py
+++ b/fawnwharf/sessions/moves.py
@@ -1,8 +1,8 @@
-"""Which hand-overs a mover begins: sites that are emptied, sessions that return, moves that are expected.
+"""Which migrations a coordinator begins: emptied zones, returning sessions, predicted moves.
 
-Pure; milliseconds of one clock. Each mover looks after the sessions that are its own by hash, with its part
-of the budgets. A site is emptied for as long as it is closed: what comes later is moved later. Nothing here
-decides a home; `handover.mover` is told what to begin, and this what came of it.
+Pure; milliseconds of one clock. Each coordinator looks after the sessions that are its own by hash, with its
+part of the budgets. A zone is emptied for as long as it is closed: what comes later is moved later. Nothing
+here decides a placement; `handover.mover` is told what to begin, and this module what came of it.
 """
 
 import math
@@ -31,13 +31,16 @@
 
 
 def place_of(session: Session, site: str) -> float:
-    """From 0 to 1: while a site returns, sessions below the part of it that is open go back to it."""
+    """A session's place from 0 to 1: while its zone returns, sessions below the open part go back to it."""
     return weight("return", site, key_of(session)) / 2**64
 
 
 def target(session: Session, room: dict[str, int]) -> str:
-    """Of sites with room, the one a session goes to: by weighted rendezvous hashing (Schindelhauer and
-    Schomaker 2005), so the same at all that see the same room; empty where there is none."""
+    """Of the zones with room, the one that a session goes to; empty where there is none.
+
+    By weighted rendezvous hashing (Schindelhauer and Schomaker 2005), so the same for all that see the same
+    room.
+    """
     key = key_of(session)
     drawn = {
         site: room / -math.log((weight("target", site, key) + 1) / (2**64 + 1))
@@ -49,7 +52,7 @@
 
 @dataclass(slots=True)
 class View:
-    """What a mover sees."""
+    """What a coordinator sees."""
 
     records: dict[Session, tuple[Record, float]]  # of its keeper
     mine: Callable[[Session], bool]
@@ -83,7 +86,7 @@
 
 
 class Moves:
-    """Owns what is begun, and when a session may move again."""
+    """Owns the migrations that were begun, and when a session may move again."""
 
     def __init__(self, rules: DrainSettings) -> None:
         self.rules, self.dwell = rules, Dwell(rules)
@@ -104,7 +107,7 @@
     # --- sites ------------------------------------------------------------------------------------
 
     def close(self, now_ms: float, closed: dict[str, str], shares: dict[str, float]) -> None:
-        """These sites are closed, each with its cause; the others are open, or to a part."""
+        """Take the closed zones, each with its cause; the others are open, or open in part."""
         self.shares = shares
         for site in [site for site in self.closed if site not in closed]:
             del self.closed[site]
@@ -136,12 +139,15 @@
             self.away.setdefault(session, site)
 
     def whence(self, session: Session) -> str:
-        """The site to which it is to return, once that is open; empty where there is none."""
+        """The zone to which a session is to return, once that is open; empty where there is none."""
         wanted = self.wanted.get(session) or self._under_way.get(session)
         return self.away.get(session, wanted.whither if wanted and wanted.by == "return" else "")
 
     def taken_from(self, now_ms: float, session: Session, site: str) -> None:
-        """By another keeper's word it is to return there: this one has begun anew, and did not see it."""
+        """Take from another replica that a session is to return there.
+
+        This one restarted and did not see it.
+        """
         if self.whence(session):
             return
         self.dwell.moved(now_ms, session, site, "")  # which sites are closed need not be known here yet
@@ -155,7 +161,7 @@
             self.wanted[session] = wanted
 
     def expected(self, now_ms: float, moves: Iterable[Move]) -> None:
-        """Moves that are foreseen; one that is not all but certain changes no home."""
+        """Take predicted moves; one that is not all but certain changes no placement."""
         for move in moves:
             known = move.session in self.wanted or move.whence in self.closed or move.whither in self.closed
             if move.chance >= self.rules.sure and not known:
@@ -165,6 +171,7 @@
     # --- what to begin ----------------------------------------------------------------------------
 
     def tick(self, now_ms: float, view: View) -> list[Begin]:
+        """The migrations to begin now."""
         found: list[Begin] = []
         room = {site: room for site, room in view.room.items() if site not in self.closed and room > 0}
         for site, closed in self.closed.items():
@@ -274,7 +281,7 @@
     # --- what came of it --------------------------------------------------------------------------
 
     def switched(self, now_ms: float, home: Home, whence: str) -> None:
-        """Decided: what the budgets are for is over, though it has yet to settle."""
+        """Take that a switch is decided: it uses no budget any more, though it has yet to settle."""
         self.windows.ended(now_ms, home.session, "switched")
         for site, closed in self.closed.items():
             if closed.drain is not None and home.session in closed.drain.going:
@@ -284,7 +291,7 @@
         self._under_way.pop(home.session, None)
 
     def seen(self, now_ms: float, home: Home, whence: str) -> None:
-        """A switch that is decided, whoever moved it: another mover may have to bring it back."""
+        """Take a decided switch, whoever drove it: another coordinator may have to bring the session back."""
         self.dwell.moved(now_ms, home.session, whence, home.site)
         if whence in self.closed and self.whence(home.session) != home.site:
             if home.site not in self.closed:
@@ -294,6 +301,7 @@
             self.wanted.pop(home.session, None)
 
     def ended(self, now_ms: float, home: Home, why: str) -> None:
+        """Take that a migration ended."""
         self.windows.ended(now_ms, home.session, why)
         for site, closed in self.closed.items():
             if closed.drain is not None and home.session in closed.drain.going:
@@ -314,7 +322,7 @@
             self._away(home.session, site)
 
     def waiting(self) -> dict[str, int]:
-        """Sites that are emptied, and the sessions that are yet to begin, or to be switched."""
+        """The zones that are emptied, and the sessions that are yet to begin, or to be switched."""
         return {
             site: len(closed.drain.waiting) + len(closed.drain.going) if closed.drain else 0
             for site, closed in self.closed.items()
@@ -322,6 +330,7 @@
 
     @property
     def busy(self) -> bool:
+        """Whether anything is left to begin."""
         return bool(self.wanted) or any(
             closed.keys is not None or (closed.drain is not None and not closed.drain.done)
             for closed in self.closed.values()
--- a/fawnwharf/sessions/places.py
+++ b/fawnwharf/sessions/places.py
@@ -1,4 +1,4 @@
-"""What the module of this front end holds of where functions' calls go: read, never changed."""
+"""Where the decision module sends a function's calls: read, never changed."""
 
 from fawnwharf.net.front_end import FrontEnd
 from fawnwharf.policy.state import Function, mark
@@ -7,14 +7,14 @@
 
 
 class Places:
-    """Owns the functions that were made to be asked for their order of scorers."""
+    """Owns the functions that were made to ask the module for their order of scorers."""
 
     def __init__(self, front: FrontEnd, site: str) -> None:
         self._router, self.site = front.router, site
         self._orders: dict[str, Function] = {}
 
     def order(self, row: str) -> list[int]:
-        """A function's scorers of this site that take calls, as the module's own order has them."""
+        """A function's scorers in this zone that take calls, in the module's own order."""
         fn = self._orders.get(row)
         if fn is None:
             while len(self._orders) >= ORDERS_MOST:
@@ -24,7 +24,7 @@
         return [one.id for one in order if one.entry.zone == self.site and one.suspect_ms is None]
 
     def uses(self, row: str, site: str) -> bool:
-        """Whether calls from here are at a site's scorers now: homes do not bind the module."""
+        """Whether calls from here are at a zone's scorers now, as placements do not bind the module."""
         fn = self._router.functions.get(row)
         busy = (id for id, instance in fn.instances.items() if instance.own > 0) if fn else ()
         workers = (self._router.workers.get(id) for id in busy)
--- a/fawnwharf/sessions/service.py
+++ b/fawnwharf/sessions/service.py
@@ -1,4 +1,4 @@
-"""Sessions in a running front end: homes of the calls that come, hand-overs, what is staged and let go."""
+"""Sessions in a running front end: placements of the calls that come, migrations, prefetched copies."""
 
 from collections.abc import Callable
 from pathlib import Path
@@ -8,13 +8,13 @@
 
 from fawnwharf import interface as io
 from fawnwharf.config import ConfigError, Deployment, Fleet
-from fawnwharf.handover import messages as m
 from fawnwharf.net.front_end import FrontEnd
 from fawnwharf.net.wheel import Timer, monotonic_ms, unix_ms
 from fawnwharf.sessions import words as w
 from fawnwharf.sessions.agent import Agent
-from fawnwharf.sessions.effects import Copies, Dropped, Note, Words
+from fawnwharf.sessions.effects import Copies, Dropped, Note, Out, Words
 from fawnwharf.sessions.left import Left
+from fawnwharf.sessions.outbox import Outbox
 from fawnwharf.sessions.places import Places
 from fawnwharf.sessions.settings import Settings, Wishes, by_classes, settings_from, wishes_from, wishes_place
 from fawnwharf.sessions.stages import Orders, Stages
@@ -35,7 +35,7 @@
 
 
 class Sessions:
-    """Owns this front end's part in sessions that move between sites; a Seam of the front end."""
+    """Owns this front end's part in moving sessions between zones; a Seam of the front end."""
 
     def __init__(
         self,
@@ -45,31 +45,18 @@
         made: dict[str, Any],
         fresh: bool = False,
     ) -> None:
-        """Reads and checks the file; raises ConfigError with one line. `made` has the part that keeps state,
-        and that of zones where there is one. `fresh`: this fleet begins, nobody has promised anything yet."""
+        """Read and check the file; raises ConfigError with one line.
+
+        `made` has the part that replicates calls, and that of zones where there is one. `fresh`: this fleet
+        begins, nobody has promised anything yet.
+        """
         self.deployment, self.note = deployment, write
         self.state, self.zones = made["state"], made.get("zones")
         place = Path(path)
         read = load(place, settings_from, "sessions")
         self.settings: Settings = by_classes(read, deployment.settings.classes)
-        core, entry, zone = self.state.core, self.state.entry, deployment.settings.zone
-        if entry.zone != zone:
-            told = f"{entry.name} is of zone {entry.zone}, and its configuration says {zone}"
-            raise ConfigError(f"sessions: {told}")
-        self.site = zone
-        self.agent = Agent(
-            entry.name,
-            self.state.life,
-            self._sites(),
-            core.placement.keepers,
-            lambda key: self.state.core.placement.of(key),
-            self.settings,
-            deployment.settings.classes,
-            monotonic_ms(),
-            fresh,
-            core.placement.number,
-        )
-        self.agent.spent = lambda org: core.shares.counts.get(org, 0) if core.shares else 0
+        self.site = self._own_zone()
+        self.agent = self._made_agent(fresh)
         module = deployment.settings
         self.stages = Stages(self._order, module.may_order, module.idle_life_ms, self._is_loading)
         self._wishes_file = WatchedFile(wishes_place(read, place, self.state.folder))
@@ -77,10 +64,9 @@
         self._left = Left(self._wishes_file.path.with_name("homes"), made.get("kept"))
         self._drained: dict[str, tuple[float, tuple[str, ...]]] = {}  # others' wishes, and when they came
         self.places: Places | None = None
-        self._placed: Any = core.placement
+        self._placed: Any = self.state.core.placement
         self._out: dict[str, str] = {}  # sites whose scorers the plan closes: no call is near to them
-        self._waiting: dict[tuple[str, ...], list[m.Message]] = {}  # words, by who they are for
-        self._urgent: set[tuple[str, ...]] = set()  # of these, those that are to go at the end of this turn
+        self._outbox = Outbox(self.state)
         self._noted: dict[str, float] = {}
         self._status_ms = self._files_ms = 0.0
         self._was_sure: bool | None = None
@@ -88,18 +74,48 @@
         self._timer_ms = 0.0
         self._stopped = False
         self.front: FrontEnd | None = None
-        self.trace: Trace | None = None
-        if read.trace:
-            try:
-                self.trace = Trace(place.parent / read.trace)
-            except OSError as error:
-                raise ConfigError(f"sessions: trace: {read.trace}: {error.strerror}") from None
-        self.foreseen = None
-        if read.foresight is not None:
-            from fawnwharf.sessions.foreseen import Foreseen
-
-            memory, policies = self._wishes_file.path.with_name("learnt"), made.get("policy")
-            self.foreseen = Foreseen(deployment, place, self.state, self.agent, self.zones, memory, policies)
+        self.trace = self._open_trace(place.parent, read.trace)
+        self.foreseen = self._made_foreseen(place, made) if read.foresight is not None else None
+
+    def _made_foreseen(self, place: Path, made: dict[str, Any]) -> Any:
+        from fawnwharf.sessions.foreseen import Foreseen
+
+        memory, policies = self._wishes_file.path.with_name("learnt"), made.get("policy")
+        return Foreseen(self.deployment, place, self.state, self.agent, self.zones, memory, policies)
+
+    def _own_zone(self) -> str:
+        """This front end's zone; raises ConfigError where the file of members says another one."""
+        entry, zone = self.state.entry, self.deployment.settings.zone
+        if entry.zone != zone:
+            told = f"{entry.name} is of zone {entry.zone}, and its configuration says {zone}"
+            raise ConfigError(f"sessions: {told}")
+        return zone
+
+    def _made_agent(self, fresh: bool) -> Agent:
+        core = self.state.core
+        agent = Agent(
+            self.state.entry.name,
+            self.state.life,
+            self._sites(),
+            core.placement.keepers,
+            lambda key: self.state.core.placement.of(key),
+            self.settings,
+            self.deployment.settings.classes,
+            monotonic_ms(),
+            fresh,
+            core.placement.number,
+        )
+        agent.spent = lambda org: core.shares.counts.get(org, 0) if core.shares else 0
+        return agent
+
+    def _open_trace(self, folder: Path, name: str) -> Trace | None:
+        """The trace of this name; raises ConfigError where it can't be written."""
+        if not name:
+            return None
+        try:
+            return Trace(folder / name)
+        except OSError as error:
+            raise ConfigError(f"sessions: trace: {name}: {error.strerror}") from None
 
     def _sites(self) -> dict[str, str]:
         return {entry.name: entry.zone for entry in self.state.core.members.members if entry.state}
@@ -107,7 +123,7 @@
     # --- life -----------------------------------------------------------------------------------
 
     def attach(self, front: FrontEnd) -> None:
-        """Begin, on the front end's loop."""
+        """Begin on the front end's loop."""
         self.front, self.places = front, Places(front, self.site)
         self.agent.router.uses = self.places.uses
         self.state.riders[w.RIDER] = self._heard
@@ -122,9 +138,11 @@
             self.foreseen.attach(front)
 
     def close(self) -> None:
+        """Stop, and leave the placements for the next process."""
         if self.front is not None and not self._stopped:
             self._left.leave(self.agent.router, monotonic_ms(), unix_ms())
         self._stopped = True
+        self._outbox.close()
         self.state.riders.pop(w.RIDER, None)
         if self.trace is not None:
             self.trace.close()
@@ -134,17 +152,18 @@
         if self._timer is not None:
             self._timer.cancel()
 
-    def told(self, fleet: Fleet) -> None: ...
+    def told(self, fleet: Fleet) -> None:
+        """Changes of the roster matter nothing here."""
 
     @property
     def busy(self) -> bool:
-        """Never: whoever takes a hand-over on asks the keepers."""
+        """Never: whoever takes a migration over asks the replicas."""
         return False
 
     # --- what happens here ----------------------------------------------------------------------
 
     def events(self, events: list[io.Event]) -> None:
-        """Sets the home of each call that came, and hears how calls and orders end."""
+        """Set the placement of each call that came, and take how calls and load orders ended."""
         now = monotonic_ms()
         if self.foreseen is not None:
             self.foreseen.events(now, events)
@@ -203,8 +222,11 @@
                 self.front.loop.tell(order)
 
     def _ask(self, question: io.Hold) -> None:
-        """The module hears the answer too, and so what it believed wrongly. It takes an answer for that of
-        its own order, so where one is under way that is waited for."""
+        """Probe a scorer for copies of a function.
+
+        The module hears the answer too, and so what it believed wrongly. It takes an answer for that of its
+        own order, so where one is in progress that is waited for.
+        """
         if not self._is_loading(question.worker, question.function):
             self.front.table.order(question)
 
@@ -223,43 +245,26 @@
     def _carry_out(self, now_ms: float, all_words: bool = False) -> None:
         while out := self.agent.take():
             for effect in out:
-                if isinstance(effect, Words):
-                    words = self._waiting.setdefault(effect.to, [])
-                    words.append(effect.message)
-                    if effect.urgent or len(words) >= w.WORDS_MOST:
-                        self._urgent.add(effect.to)
-                elif isinstance(effect, Copies):
-                    self._tell(self.stages.want(now_ms, effect))
-                elif isinstance(effect, Dropped):
-                    self.stages.drop(effect.key)
-                elif isinstance(effect, LetGo):
-                    self._let_go(now_ms, effect)
-                elif isinstance(effect, Note):
-                    self.note(effect.event, effect.fields)
+                self._carry_out_one(now_ms, effect)
             self._staged(now_ms)
         if all_words:
-            self._urgent.update(self._waiting)
-        if self._urgent:
-            self.front.loop.flush_later(self)
+            self._outbox.hurry()
+        if self._outbox.urgent:
+            self.front.loop.flush_later(self._outbox)
         if self.agent.pace_ms() < self._timer_ms - now_ms:
             self._set_timer(now_ms)
 
-    def flush(self) -> None:
-        """At the end of a turn: what it made for the same readers goes in one line."""
-        urgent, self._urgent = self._urgent, set()
-        for to in urgent:
-            if (words := self._waiting.pop(to, None)) and not self._stopped:
-                self._say(to, words)
-
-    def _say(self, to: tuple[str, ...], words: list[m.Message]) -> None:
-        """What is for many is for all: only decided homes are."""
-        parts = [to[n : n + w.READERS_MOST] for n in range(0, len(to), w.READERS_MOST)]
-        if len(parts) > 1 and all(isinstance(word, m.Told) for word in words):
-            parts = [()]
-        for n in range(0, len(words), w.WORDS_MOST):
-            said = w.Hands(tuple(words[n : n + w.WORDS_MOST]))
-            for part in parts:
-                self.state.ride(w.RIDER, part, said)
+    def _carry_out_one(self, now_ms: float, effect: Out) -> None:
+        if isinstance(effect, Words):
+            self._outbox.add(effect)
+        elif isinstance(effect, Copies):
+            self._tell(self.stages.want(now_ms, effect))
+        elif isinstance(effect, Dropped):
+            self.stages.drop(effect.key)
+        elif isinstance(effect, LetGo):
+            self._let_go(now_ms, effect)
+        elif isinstance(effect, Note):
+            self.note(effect.event, effect.fields)
 
     def _let_go(self, now_ms: float, effect: LetGo) -> None:
         if not self.settings.handover.unload or not self.deployment.settings.may_order:
--- a/fawnwharf/sessions/settings.py
+++ b/fawnwharf/sessions/settings.py
@@ -1,4 +1,4 @@
-"""The operators' files for sessions: settings, and what is asked. Pure: bytes in, values or one line out.
+"""The operators' files for sessions: settings and requests. Pure.
 
 JSON, taken whole or not at all; a faulty one raises FileFault, whose text names the key. Durations are
 milliseconds.
@@ -22,7 +22,7 @@
 
 
 class Settings(Struct, frozen=True):
-    """The one file that switches sessions on. Relative paths are from its own folder."""
+    """The file that switches sessions on; relative paths are from its own folder."""
 
     version: int
     folder: str = ""  # for what operators ask; that of state where it is not said, and this file's own else
@@ -33,7 +33,7 @@
 
 
 class Asked(Struct, frozen=True):
-    """One session that is to be at home at a site."""
+    """A request: one session is to be placed at a zone."""
 
     org: Text
     row: Text
@@ -41,12 +41,16 @@
 
     @property
     def session(self) -> Session:
+        """The session that it is about."""
         return Session(self.org, self.row)
 
 
 class Wishes(Struct, frozen=True):
-    """What operators ask of this member. Moves are begun once, where a file with a larger number comes while
-    it serves; sites are kept empty for as long as they stand here."""
+    """What operators ask of this member.
+
+    Migrations are begun once, where a file with a larger number comes while it serves; zones are kept empty
+    for as long as they are listed here.
+    """
 
     version: int = VERSION
     number: Annotated[int, Meta(ge=0, le=1 << 53)] = 0
@@ -68,7 +72,7 @@
 
 
 def settings_from(data: bytes) -> Settings:
-    """The file, checked by key; the part `foresight` is for foresight's own check."""
+    """Parse the file and check it by key; the part `foresight` is left to the prefetcher's own check."""
     found: Settings = _read(data, Settings, "sessions")
     rules, drain = found.handover, found.drain
     if rules.lapse_ms < rules.stage_ms:
@@ -83,7 +87,7 @@
 
 
 def by_classes(settings: Settings, classes: dict[str, ClassSpec]) -> Settings:
-    """The same with the spans that classes make longer: no call may be under way for longer than it says."""
+    """The settings with the times that classes make longer: no call may last longer than they say."""
     rules = settings.handover
     longest = max([rules.give_up_ms, *(spec.give_up_ms for spec in classes.values())])
     settle = max(rules.settle_ms, 2 * longest * rules.stretch)
@@ -92,7 +96,7 @@
 
 
 def wishes_from(data: bytes, sites: set[str]) -> Wishes:
-    """Wishes that name sites of the fleet, and leave one that serves."""
+    """Parse requests: they may name zones of the fleet, and have to leave one that serves."""
     wishes: Wishes = _read(data, Wishes, "moves")
     for n, asked in enumerate(wishes.moves):
         if asked.site not in sites:
@@ -106,7 +110,9 @@
 
 
 def wishes_place(settings: Settings, path: Path, state_folder: Path | None) -> Path:
-    """The file in which operators ask: the same for the command line and the front end. `path` is that of
-    the settings, `state_folder` what the settings of state name, if anything."""
+    """The file of operators' requests, the same for the command line and the front end.
+
+    `path` is that of the settings, `state_folder` what the settings of state name, if anything.
+    """
     own = path.parent / settings.folder if settings.folder else state_folder or path.parent
     return own / "moves.json"
--- a/fawnwharf/sessions/staged.py
+++ b/fawnwharf/sessions/staged.py
@@ -1,5 +1,7 @@
-"""What movers want staged at this site for sessions to come, until it stands and its time is over. Pure;
-milliseconds. Bounded: the oldest go first."""
+"""Copies that coordinators want prefetched in this zone, until they stand and their time is over.
+
+Pure; milliseconds. Bounded: the oldest are dropped first.
+"""
 
 from collections import Counter
 from dataclasses import dataclass
@@ -12,6 +14,8 @@
 
 @dataclass(slots=True)
 class Stage:
+    """One request for copies."""
+
     sender: str
     receive: m.Receive
     until_ms: float
@@ -19,7 +23,7 @@
 
 
 class Staged:
-    """Owns the stages of one front end, by session and turn."""
+    """Owns the requests at one front end, by session and ballot."""
 
     def __init__(self, counts: Counter[str]) -> None:
         self.counts = counts
@@ -28,7 +32,7 @@
     def want(
         self, now_ms: float, sender: str, receive: m.Receive, facts: m.Facts | None
     ) -> tuple[list[Out], bool]:
-        """A mover wants copies here; it asks until they stand, which is told back where they do."""
+        """Take a coordinator's request, which is repeated until the copies stand; that is told back."""
         key = receive.session, receive.turn
         if (stage := self.stages.get(key)) is not None:
             stage.sender, stage.receive = sender, receive
@@ -42,15 +46,17 @@
         return [*found, Copies(key, receive.session.row, receive.copies, facts, until_ms)], False
 
     def stood(self, key: Key, stands: bool) -> Stage | None:
-        """What became of one that is wanted still."""
+        """Take the outcome of a request that is still open."""
         stage = self.stages.get(key) if stands else self.stages.pop(key, None)
         if stage is not None:
             stage.stands = stands
         return stage
 
     def drop(self, key: Key) -> list[Out]:
+        """Drop a request."""
         return [Dropped(key)] if self.stages.pop(key, None) is not None else []
 
     def over(self, now_ms: float) -> list[Out]:
+        """Drop the requests whose time is over."""
         late = [key for key, stage in self.stages.items() if now_ms >= stage.until_ms]
         return [out for key in late for out in self.drop(key)]
--- a/fawnwharf/sessions/stages.py
+++ b/fawnwharf/sessions/stages.py
@@ -1,9 +1,12 @@
-"""Which scorers of this site hold copies that were staged, or are to be let go. Pure; milliseconds.
+"""Which scorers of this zone hold prefetched copies, and which are to be loaded or released.
 
-A scorer is asked first: what front ends believe of copies is out of date where another one had them unloaded.
-Orders go through the module (`CopiesWanted`), within its ration or not at all: what it did not order is asked
-for again, until it stands or is not wanted any more. Those wait in a line, the oldest first, so that what the
-ration has left goes to the one that has the least time; none that comes later goes before them.
+Pure; milliseconds.
+
+A scorer is probed first, as what front ends believe of copies is out of date where another one had them
+unloaded. Orders go through the decision module (`CopiesWanted`), within its rate limit or not at all: what it
+did not order is asked for again, until it stands or is not wanted any more. Those requests wait in a queue,
+the oldest first, so that what the rate limit leaves goes to the one that has the least time; no later request
+goes before them.
 """
 
 from collections.abc import Callable, Sequence
@@ -33,7 +36,7 @@
 
 
 class Stages:
-    """Owns what is wanted here, and where copies were seen at this site."""
+    """Owns what is wanted here, and where copies were seen in this zone."""
 
     def __init__(
         self,
@@ -42,8 +45,11 @@
         idle_life_ms: float,
         under_way: Callable[[int, str], bool] | None = None,
     ) -> None:
-        """`order`: a function's scorers here that take calls, as its calls look for copies. `under_way`:
-        whether the module has an order for it there; not known: each is made again after a second."""
+        """`order` gives a function's scorers here that take calls, in the order of its calls.
+
+        `under_way` says whether the module has an order for it there; where that is not known, each is
+        repeated after a second.
+        """
         self.under_way, self._line = under_way, False  # whether some wait that the module did not order
         self.order, self.may_order, self.life_ms = order, may_order, idle_life_ms
         self.wanted: dict[Key, _Wanted] = {}
@@ -54,7 +60,7 @@
     # --- where copies are -------------------------------------------------------------------------
 
     def seen(self, now_ms: float, row: str, worker: int, copies: int) -> None:
-        """An answer told how many stand there."""
+        """Take an answer that told how many copies stand at a scorer."""
         places = self._seen.pop(row, None) or {}
         if copies:
             places[worker] = now_ms
@@ -66,18 +72,22 @@
             self._seen[row] = places
 
     def where(self, now_ms: float, row: str) -> list[int]:
-        """Scorers of this site with copies that may still be there, in the order of its calls: the first of
-        that, as others' calls went there, and those where copies were seen."""
+        """Scorers of this zone with copies that may still be there, in the order of the function's calls.
+
+        These are the first of that order, as others' calls went there, and those where copies were seen.
+        """
         places = {w for w, at_ms in self._seen.get(row, {}).items() if now_ms - at_ms < 2 * self.life_ms}
         order = self.order(row)
         return [worker for n, worker in enumerate(order) if not n or worker in places][:LET_MOST]
 
     def let_go(self, row: str) -> None:
+        """Forget where copies of a function were seen."""
         self._seen.pop(row, None)
 
     # --- what is wanted ---------------------------------------------------------------------------
 
     def want(self, now_ms: float, copies: Copies) -> Orders:
+        """Take a request for copies; the probes and orders to make now."""
         if not self.may_order or copies.facts is None:
             # Nothing can be ordered, or nobody alive knows its class: calls bring what they need.
             self.came.append((copies.key, True))
@@ -87,8 +97,11 @@
         return self._order(now_ms, wanted)
 
     def _order(self, now_ms: float, wanted: _Wanted, most: int | None = None) -> Orders:
-        """Of the first scorers that take calls, but those that could not: what is yet to be asked, with so
-        many orders at the most; none where others are in line, if it is not said."""
+        """The probes and orders to make at the first scorers that take calls.
+
+        Scorers that could not load are left out; there are so many orders at the most, and none where other
+        requests are queued, unless told so.
+        """
         what, facts = wanted.copies, wanted.copies.facts
         able = [worker for worker in self.order(what.row) if worker not in wanted.failed][: what.count]
         if not able:
@@ -127,6 +140,7 @@
         self.came.append((key, stands))
 
     def drop(self, key: Key) -> None:
+        """Drop a request."""
         if (wanted := self.wanted.pop(key, None)) is not None:
             keys = self._rows[wanted.copies.row]
             keys.discard(key)
@@ -134,7 +148,7 @@
                 del self._rows[wanted.copies.row]
 
     def answered(self, now_ms: float, event: io.OrderAnswered) -> Orders:
-        """A scorer's answer to an order or a question, whoever's that was."""
+        """Take a scorer's answer to an order or a probe, whoever's that was."""
         good = event.ending is io.Ending.GOOD
         if good:
             self.seen(now_ms, event.function, event.worker, event.copies)
@@ -149,7 +163,7 @@
         return found
 
     def tick(self, now_ms: float) -> Orders:
-        """Whatever is due, those first that wait for longest."""
+        """Do what is due, the requests that wait for longest first."""
         found, left, self._line = [], RETRIES_MOST, False
         for key, wanted in list(self.wanted.items()):
             if now_ms >= wanted.copies.until_ms:
--- a/fawnwharf/sessions/staging.py
+++ b/fawnwharf/sessions/staging.py
@@ -1,11 +1,11 @@
-"""Foresight in a running front end: what it hears in, its word to others, orders and moves out.
+"""The prefetcher of a running front end: what it hears comes in, messages, orders and moves go out.
 
-Free of I/O and clock. A host hands in each batch of events (`events`), others' words (`heard`), plans
-(`announced`), and calls `beat` again after as long as that says: a look at all sessions is done in slices, so
-that none holds up the serving loop. Times are milliseconds of the monotonic clock.
+Free of I/O and clock. A host hands in each batch of events (`events`), others' messages (`heard`) and plans
+(`announced`), and calls `beat` again after as long as that says: a pass over all sessions is done in slices,
+so that none holds up the event loop. Times are milliseconds of the monotonic clock.
 
-Logs of state are a star: keepers hear all, and all hear the keepers. So keepers alone foresee and order; a
-front end that is none only tells what it counted.
+The logs of state are a star: replicas hear all members, and all hear the replicas. So only replicas predict
+and order; a front end that is none only tells what it counted.
 """
 
 import math
@@ -48,7 +48,7 @@
 
 
 class Seen(Struct):
-    """What a host sees at a beat."""
+    """What a host sees at a pass."""
 
     heard: Sequence[str] = ()  # keepers that are heard, this one among them if it is one
     waiting: int = 0  # calls that wait in the module
@@ -59,7 +59,7 @@
 
 
 class Word(Struct, frozen=True):
-    """What one front end tells others: calls by session and site, functions, and whether it is calm."""
+    """What one front end tells others: calls by session and zone, functions, and whether it has no surge."""
 
     counts: m.Word
     functions: Annotated[tuple[Told, ...], Meta(max_length=TOLD_MOST)] = ()
@@ -78,8 +78,10 @@
 
 
 def announced_from(plan: Plan, ramp: Ramp) -> list[m.Announced]:
-    """What a plan in force says of what is to come: the steps of sites that return, those that are drained,
-    and those that no session goes to by itself."""
+    """What a plan in force announces.
+
+    These are the steps of zones that return, the zones that are drained, and those on standby.
+    """
     found = []
     for site, zone in sorted(plan.zones.items()):
         kind, steps = "return", ()
@@ -95,7 +97,7 @@
 
 
 class Staging:
-    """Owns one front end's foresight, and what it rests on."""
+    """Owns one front end's prefetcher, and what it depends on."""
 
     def __init__(
         self,
@@ -134,13 +136,15 @@
 
     @property
     def budgets(self) -> dict[str, float]:
-        """The settings' own, by a policy's keys; of memory they have none but what there is."""
+        """The settings' own budgets, by a policy's keys; for memory they have none but what there is."""
         own = self.bounds
         return {"fetches_rps": own.fetches_ps, "free_part": 1.0 - own.free_part, "cold_part": 1.0}
 
     def go_by(self, budgets: dict[str, float]) -> None:
-        """A policy's budgets, by their keys in its document; what is absent is as the settings have it. Kept
-        to by all that is ordered from now on; what stands lapses as it would have."""
+        """Apply a policy's budgets, by their keys in its document; absent ones are as the settings have them.
+
+        They hold for all that is ordered from now on; what stands expires as it would have.
+        """
         if budgets == self._budgets:
             return
         self._budgets, own = dict(budgets), self.bounds
@@ -164,7 +168,7 @@
     # --- what happens ---------------------------------------------------------------------------
 
     def events(self, now_ms: float, unix_ms: float, events: Iterable[io.Event]) -> None:
-        """A batch, before the module has it."""
+        """Take a batch of events, before the module gets it."""
         for event in events:
             kind = type(event)
             if kind is io.RequestArrived:
@@ -240,11 +244,11 @@
             self._count("a stage that failed")
 
     def called(self, now_ms: float, session: Session, site: str) -> None:
-        """A call ran somewhere; `events` tells it by itself."""
+        """Take a call that ran somewhere; `events` does so by itself."""
         self.core.called(now_ms, session, site)
 
     def heard(self, now_ms: float, owner: str, word: Word) -> None:
-        """Another front end's word; `owner` is of one life of it."""
+        """Take another front end's message; `owner` names one incarnation of it."""
         self.core.heard(now_ms, owner, word.counts)
         for told in word.functions:
             self.functions.heard(told)
@@ -254,30 +258,30 @@
             self._calm_of[owner] = now_ms, word.calm
 
     def gone(self, owner: str) -> None:
-        """That life is over."""
+        """Take that an incarnation is over."""
         self.core.watch.gone(owner)
         self._calm_of.pop(owner, None)
 
     def announced(self, now_ms: float, plan: m.Announced) -> bool:
-        """What is to become of a site. False: an older one than is known."""
+        """Take a plan for a zone; False for an older one than is known."""
         return self.core.announced(now_ms, plan)
 
     def foretold(self, now_ms: float, unix_ms: float, moves: list[Foretold]) -> None:
-        """For trials: what the mode `oracle` goes by (`ways.foretold_from`)."""
+        """For trials: take the moves that the mode `oracle` goes by (`ways.foretold_from`)."""
         self.ways.foretold(now_ms, unix_ms, moves)
 
     def learnt(self, now_ms: float) -> bytes:
-        """For the process that takes this one's place (`foresight.memory` says what is in it)."""
+        """What was learnt, for the next process (`foresight.memory` says what is in it)."""
         return memory.learnt(now_ms, self.core, self.functions)
 
     def learn(self, now_ms: float, data: bytes) -> bool:
-        """Takes what another process has learnt, before any call came here. False: nothing was taken."""
+        """Take what another process has learnt, before any call came here; False where nothing was taken."""
         return memory.take(now_ms, data, self.core, self.functions)
 
     # --- looks ----------------------------------------------------------------------------------
 
     def beat(self, now_ms: float, seen: Seen) -> Beat:
-        """Does the next slice."""
+        """Do the next slice."""
         found, self._seen = Beat(), seen
         self.scorers.at(now_ms)
         if self._slices is None:
--- a/fawnwharf/sessions/words.py
+++ b/fawnwharf/sessions/words.py
@@ -1,7 +1,6 @@
-"""What the parts of sessions say by the logs of state: the words of their rider. Values, checked as they
-come.
+"""Messages of the session parts on the logs of state. Values, checked as they come in.
 
-A line has at most `WORDS_MOST` words of hand-overs for the same readers, or a front end's word on itself.
+A line has at most `WORDS_MOST` messages on migrations for the same readers, or a front end's status.
 """
 
 from typing import Annotated, Any
@@ -20,11 +19,13 @@
 
 
 class Hands(Struct, frozen=True, tag="hands"):
+    """Messages on migrations."""
+
     words: Annotated[tuple[m.Message, ...], Meta(max_length=WORDS_MOST)]
 
 
 class Answer(Struct, frozen=True):
-    """What came of one move that operators asked for."""
+    """The outcome of one move that operators asked for."""
 
     org: str
     row: str
@@ -35,7 +36,7 @@
 
 
 class Status(Struct, frozen=True, tag="status"):
-    """How a front end stands: for operators, and its wish for movers."""
+    """A front end's status, for operators and for coordinators."""
 
     known: Count = 0  # sessions in use here
     elsewhere: Count = 0  # of these, at home at another site
@@ -57,5 +58,5 @@
 
 
 def word_from(data: Any) -> Word:
-    """Raises msgspec.ValidationError for what no member says."""
+    """Parse a message; raises msgspec.ValidationError for what no correct member sends."""
     return msgspec.convert(data, Word)
