--- a/fawnwharf/recovery/__init__.py
+++ b/fawnwharf/recovery/__init__.py
@@ -1,5 +1,4 @@
-"""Return of a whole fleet from a power loss: what is trusted, what is asked, and in which order service
-returns.
+"""Return of a whole fleet from a power loss: what is trusted, what is asked, in which order service returns.
 
-Pure cores alone: no I/O, no clock, no chance but what is handed in. Nothing of it is imported by `run`.
+Pure cores only: no I/O, no clock, no randomness but what is handed in. `run` imports nothing of it.
 """
--- a/fawnwharf/recovery/alone.py
+++ b/fawnwharf/recovery/alone.py
@@ -1,7 +1,7 @@
-"""What is safe without agreement: a minority that returns first, or alone.
+"""What is safe without agreement: for a minority that returns first, or a single front end. Pure.
 
-Pure. It may be that the others serve too, and can't be heard. So alone a front end does only what stays right
-if all others do the same at this moment.
+The others may be serving too, and not be heard. So without a leader a front end does only what stays right if
+all others do the same at this moment.
 """
 
 from collections.abc import Mapping
@@ -22,8 +22,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Standing:
-    """What this front end knows of a call. Windows count from its start, as scorers may have lost power with
-    it and remember no key."""
+    """What this front end knows of a call.
+
+    Windows count from its start, as scorers may have lost power with it and remember no key.
+    """
 
     known: bool = False  # its own whole store, or an answer of enough keepers, has the call's answer
     granted: bool = False  # more than half of the call's own keepers granted it, as ever
@@ -31,11 +33,13 @@
 
 
 def call(effect: io.Effect, standing: Standing, window_ms: float) -> Alone:
-    """`window_ms`: for so long a repeat of a keyed call may come, by the slowest clock.
+    """What to do with a call.
 
-    At most once takes the grants of the call's own keepers, however few front ends are up: two of three are
-    on one side only. A keyed call is dropped as a repeat by scorers that ran it; those that lost power do
-    not know. Until all repeats are over, it is taken as at most once."""
+    `window_ms` is for how long a repeat of a keyed call may come, by the slowest clock. An at-most-once call
+    takes the grants of its own replicas, however few front ends are up: two of three are on one side only. A
+    keyed call is dropped as a repeat by scorers that ran it; those that lost power do not know. Until all
+    repeats are over, it is treated as at most once.
+    """
     if standing.known:
         return Alone.ANSWER
     if effect is io.Effect.SAFE or standing.granted:
@@ -46,16 +50,21 @@
 
 
 def part(mine: int, members: int) -> float:
-    """Of the fleet's budgets, for `mine` front ends that hear each other: that of their number on the list.
-    Whoever else is up does the same."""
+    """The part of the fleet's budgets for `mine` front ends that hear each other: their share of the list.
+
+    Whoever else is up does the same.
+    """
     return min(1.0, mine / max(1, members))
 
 
 def allowed(worths: Mapping[str, float], mine: int, members: int, rostered: bool, asked: bool) -> Allowed:
-    """`rostered`: some scorers came up when dialled, or the roster was heard. `status` is good then, once the
-    asking is over: a front end that refuses half of its calls serves more than none.
+    """What a front end may do while it is alone.
 
-    Not alone: new plans, policies, numbers of homes, stages; renewal, races and spill, which cost others."""
+    `rostered`: some scorers came up when dialled, or the roster was heard. `status` is good then, once the
+    asking is over: a front end that refuses half of its calls serves more than none. Not allowed alone: new
+    plans, policies, placement numbers, phases; and what costs others, as refreshes of copies, speculative
+    loads and spillover.
+    """
     able = rostered and asked
     return Allowed(
         status=able,
--- a/fawnwharf/recovery/asking.py
+++ b/fawnwharf/recovery/asking.py
@@ -1,9 +1,9 @@
-"""What a front end that starts asks, of whom, in which order, and how long it waits.
+"""What a starting front end asks, of whom, in which order, and how long it waits.
 
 Pure; times are milliseconds of its own monotonic clock. One thing is asked after the other, each until it is
 answered or its bound is over; then it goes on at the stated lower level, and takes the answer whenever it
 comes. A majority is one of all that are on the list, never of those that happen to be up: so the silence of
-the dead is no answer. And as nothing waits beyond its bound, who will not come is not waited for.
+the dead is no answer. And as nothing waits beyond its bound, whoever will not come is not waited for.
 """
 
 from collections.abc import Mapping
@@ -21,7 +21,7 @@
 
 
 class What(IntEnum):
-    """In the order of asking."""
+    """What is asked, in this order."""
 
     MEMBERS = 0
     PLAN = 1  # and policy
@@ -31,18 +31,24 @@
 
 
 class Of(Enum):
+    """Who is asked."""
+
     VOTERS = "voters"
     KEEPERS = "keepers"
     LOG = "change log"
 
 
 class Need(Enum):
+    """How many answers are needed."""
+
     MAJORITY = "of all on the list, itself counted where it is one of them"
     ALL = "all others on the list"
     ONE = "any"
 
 
 class Stand(Enum):
+    """How far a question has come."""
+
     AHEAD = "not asked yet"
     WAITING = "asked"
     ANSWERED = "answered"
@@ -51,6 +57,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Step:
+    """How one question is asked, and what it is to go on without an answer."""
+
     of: Of
     need: Need
     bound_ms: float
@@ -75,8 +83,11 @@
 
 
 class Ask(Struct, frozen=True, tag=True):
-    """`life` and `turn` come back with the answer: what was asked by an earlier life is not answered to this
-    one."""
+    """A question.
+
+    `life` and `turn` come back with the answer: what an earlier incarnation asked is not answered to this
+    one.
+    """
 
     fleet: Name
     life: Number
@@ -85,7 +96,7 @@
 
 
 class Answer(Struct, frozen=True, tag=True):
-    """`number` and `digest`: the file of members; the last plan in the log, decided or not; the roster's."""
+    """The answer; `number` and `digest` are of the file of members, of the last plan, or of the roster."""
 
     fleet: Name
     life: Number  # the asker's
@@ -99,12 +110,16 @@
 
 
 class Say(Struct, frozen=True):
+    """Effect: send a question."""
+
     to: str
     message: Ask
 
 
 @dataclass(frozen=True, slots=True)
 class Pace:
+    """How fast questions are repeated and spread."""
+
     again_ms: float = 200.0  # what is not answered is asked again
     spread_ms: float = 200.0  # front ends that start together ask spread over this
 
@@ -118,7 +133,7 @@
 
 
 class Asking:
-    """Owns what one life of a front end has asked, and what came of it."""
+    """Owns what one incarnation of a front end has asked, and the answers."""
 
     def __init__(
         self,
@@ -131,9 +146,11 @@
         pace: Pace | None = None,
         steps: Mapping[What, Step] = STEPS,
     ) -> None:
-        """`lists`: all that there are by the file of members, up or not. `own`: number and digest of what its
-        own whole store says; without it, its own word counts in no majority. A keeper whose store is whole
-        gives `own` for PROMISES and asks nobody."""
+        """`lists`: all that there are by the file of members, up or not.
+
+        `own`: number and digest of what its own intact store says; without it, its own answer counts in no
+        majority. A replica whose store is intact gives `own` for PROMISES and asks nobody.
+        """
         self.me, self.fleet, self.life = me, fleet, life
         self.lists, self.own, self.steps = dict(lists), dict(own or {}), steps
         self.pace = pace or Pace()
@@ -147,11 +164,12 @@
     # --- what stands ----------------------------------------------------------------------------
 
     def stand(self, what: What) -> Stand:
+        """How far a question has come."""
         return self.opens[what].stand
 
     @property
     def done(self) -> bool:
-        """It goes on: nothing is waited for any more."""
+        """Whether nothing is waited for any more."""
         return all(o.stand in (Stand.ANSWERED, Stand.WITHOUT) for o in self.opens.values())
 
     def without(self) -> dict[What, str]:
@@ -175,7 +193,7 @@
     # --- time -----------------------------------------------------------------------------------
 
     def due_ms(self) -> float | None:
-        """When `tick` is wanted; None: all is answered."""
+        """When `tick` is wanted; None where all is answered."""
         dues = []
         for what, o in self.opens.items():
             if o.stand is Stand.WAITING:
@@ -185,7 +203,7 @@
         return min(dues, default=None)
 
     def tick(self, now_ms: float) -> list[Say]:
-        """Call it at `due_ms` at the latest."""
+        """Do what is due; call it at `due_ms` at the latest."""
         said: list[Say] = []
         for what, o in self.opens.items():
             if o.stand is Stand.WAITING and now_ms >= o.since_ms + self.steps[what].bound_ms:
@@ -238,12 +256,12 @@
         self._look(now_ms, what)
 
     def ask_one(self, to: str, what: What) -> Say:
-        """Ask one again, whatever came so far: an answer tells at least that it knows of this life."""
+        """Ask one again, whatever came so far: an answer tells at least that it knows of this incarnation."""
         self.turn += 1
         return Say(to, Ask(self.fleet, self.life, self.turn, int(what)))
 
     def knows(self, now_ms: float, what: What) -> None:
-        """By now it has this by itself, and need not wait for the others."""
+        """Take that it has the answer by itself, and need not wait for the others."""
         if what not in self.own:
             self.own[what] = (0, "")
             self._look(now_ms, what)
--- a/fawnwharf/recovery/budget.py
+++ b/fawnwharf/recovery/budget.py
@@ -1,9 +1,10 @@
-"""Budgets of the whole fleet while it returns: the store's fetches, cold scorers' calls, clients' calls.
+"""Budgets of the whole fleet while it returns: the store's fetches, slow start calls, clients' calls. Pure.
 
-Pure. None of them is an n-th part for each front end: with a thousand of them a part is far below one call,
-and what falls to all by chance falls at once. Instead each thing that is scarce has one front end that gives
-it out, the same for all that hear the same: a few *loaders* order all first copies, one *warden* gives out
-the calls of each cold scorer. Times are milliseconds of the own monotonic clock.
+None of them is divided by the number of front ends: with a thousand of them a part is far below one call, and
+what all take by chance comes at once. Instead each scarce resource has one front end that hands it out, the
+same for all that hear the same: a few load coordinators (*loaders*) order all first copies, and one slow
+start coordinator (*warden*) hands out the calls of each cold scorer. Times are milliseconds of the own
+monotonic clock.
 """
 
 from collections import deque
@@ -21,8 +22,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Limits:
-    """What the fleet may do at once. `fetches`: loads at a time that the store takes well; `scorer_rps`: what
-    a warm scorer is sent in calm. Both are operators' or measured, the rest are the site's settings."""
+    """What the fleet may do at once.
+
+    `fetches` is how many concurrent loads the store takes well, `scorer_rps` what a warm scorer is sent
+    usually; both are operators' or measured. The rest are the site's settings.
+    """
 
     fetches: int
     scorer_rps: float
@@ -38,17 +42,20 @@
         return min(1.0, self.cold_share + (1.0 - self.cold_share) * part)
 
     def room(self, age_ms: float) -> int:
-        """Calls within `fall_ms` that a cold scorer of that age may get from all together; one at the least,
-        as it would never be used else."""
+        """Calls within `fall_ms` that a cold scorer of that age may get from all together.
+
+        At least one, as it would never be used otherwise.
+        """
         usual = self.scorer_rps * self.fall_ms / 1000.0
         return max(1, int(SAFETY * self.fall_multiple * self.warmth(age_ms) * usual))
 
     def calls_rps(self, ages_ms: Iterable[float]) -> float:
-        """What scorers of these ages take together, a second, at their pace of calm."""
+        """What scorers of these ages take together per second, at their usual pace."""
         return sum(self.warmth(age) for age in ages_ms) * self.scorer_rps
 
 
 def limits_from(settings: io.Settings, fetches: int, scorer_rps: float) -> Limits:
+    """The limits by the site's settings and these two numbers."""
     return Limits(
         fetches=max(1, fetches),
         scorer_rps=scorer_rps,
@@ -64,16 +71,20 @@
 
 
 def loaders(heard: Iterable[str], most: int, cut: int) -> tuple[str, ...]:
-    """The front ends that order first copies, one fetch at a time each: as many as the store takes fetches.
-    Another power loss chooses others."""
+    """The load coordinators, one fetch at a time each: as many as the store takes fetches.
+
+    Another power loss chooses others.
+    """
     return tuple(sorted(set(heard), key=lambda name: (-weight("loader", str(cut), name), name))[:most])
 
 
 def loader_of(function: str, chosen: tuple[str, ...]) -> str:
+    """The load coordinator of a function, of those that are chosen; empty for none."""
     return max(chosen, key=lambda name: (weight("loads", name, function), name), default="")
 
 
 def warden_of(scorer: str, heard: Iterable[str]) -> str:
+    """The slow start coordinator of a scorer, of those that are heard; empty for none."""
     return max(heard, key=lambda name: (weight("warden", name, scorer), name), default="")
 
 
@@ -84,7 +95,7 @@
 
 @dataclass(slots=True)
 class Loader:
-    """Owns what is wanted of one loader, in the order of what it is worth, and its fetches under way."""
+    """Owns the load requests of one load coordinator, by their worth, and its fetches in progress."""
 
     at_a_time: int = 1
     begins_ms: float = 0.0
@@ -97,8 +108,10 @@
     dropped: int = 0
 
     def want(self, function: str, worth_ps: float) -> None:
-        """A front end's calls want it, or the use before the cut says that they will; the larger word
-        holds."""
+        """Take that a front end's calls want a function, or that they will by its use before the power loss.
+
+        The larger request holds.
+        """
         if function in self.stands or function in self.under_way:
             return
         if function not in self.wants and len(self.wants) >= FUNCTIONS_MOST:
@@ -109,7 +122,10 @@
         self.wants[function] = max(self.wants.get(function, 0.0), worth_ps)
 
     def orders(self, now_ms: float, least: float = 0.0) -> list[str]:
-        """What to order now: at the first scorer in its hash order, one copy each. `least` worth a second."""
+        """What to order now, if worth `least` a second.
+
+        One copy each, at the first scorer in its hash order.
+        """
         if now_ms < self.begins_ms:
             return []
         if now_ms - self.sorted_ms >= 250.0:
@@ -124,7 +140,7 @@
         return found
 
     def ended(self, function: str, good: bool, took_ms: float) -> None:
-        """An order was answered; one that failed is wanted again, as the last."""
+        """Take the answer to an order; one that failed is requested again, as the last."""
         self.under_way.discard(function)
         if good:
             self.fetch_ms += 0.2 * (took_ms - self.fetch_ms)
@@ -136,11 +152,11 @@
             self.want(function, 0.0)
 
     def gone(self, function: str) -> None:
-        """No copy stands any more."""
+        """Take that no copy of a function stands any more."""
         self.stands.discard(function)
 
     def eta_ms(self, function: str) -> float:
-        """When a copy may stand, from now, if all goes as it went; for honest advice."""
+        """When a copy may stand, from now, if all goes on as before; for honest advice."""
         if function in self.stands:
             return 0.0
         worth = self.wants.get(function, 0.0)
@@ -150,17 +166,18 @@
 
 @dataclass(slots=True)
 class Warden:
-    """Owns the calls of some cold scorers: each is given out to one front end at a time."""
+    """Owns the calls of some cold scorers: each is handed out to one front end at a time."""
 
     limits: Limits
     given: dict[str, deque[float]] = field(default_factory=dict)
     since: dict[str, float] = field(default_factory=dict)  # warden of it from then on
 
     def ask(self, now_ms: float, scorer: str, age_ms: float) -> float:
-        """0: send within `TICKET_MS`; else after how long a call may be free, at the least.
+        """Ask for a call: 0 allows it within `TICKET_MS`, else in how long one may be free, at the least.
 
-        Tickets of one window count for `TICKET_MS` longer, as they may be used late. A new warden does not
-        know what the one before gave out, and waits that long."""
+        Permits of one window count for `TICKET_MS` longer, as they may be used late. A new coordinator does
+        not know what the one before handed out, and waits that long.
+        """
         span_ms = self.limits.fall_ms + TICKET_MS
         since = self.since.setdefault(scorer, now_ms)
         if now_ms - since < span_ms:
@@ -174,20 +191,22 @@
         return 0.0
 
     def known_from(self, scorer: str) -> None:
-        """Nobody was its warden before: it came up after this front end heard all others."""
+        """Take that nobody coordinated a scorer before: it came up after this front end heard all others."""
         self.since[scorer] = float("-inf")
 
     def warm(self, scorer: str) -> None:
+        """Forget a scorer that is out of slow start."""
         self.given.pop(scorer, None)
         self.since.pop(scorer, None)
 
 
 @dataclass(slots=True)
 class Doors:
-    """Early refusal: who is beyond the pace is told when its turn is, each a turn of its own.
+    """Early refusal: calls beyond the rate are told when their turn is, each a turn of its own.
 
-    Advice is honest: nobody is told a time before which nothing can be free. What is longer than clients take
-    is spread over the later half of what they take."""
+    Advice is honest: nobody is told a time before which nothing can be free. What is longer than clients
+    accept is spread over the later half of what they accept.
+    """
 
     limits: Limits
     rate_ps: float = 0.0  # calls a second that are let in; 0: none
@@ -197,6 +216,7 @@
     turn_ms: float = 0.0  # the last turn that was given away
 
     def pace(self, now_ms: float, rate_ps: float) -> None:
+        """Set the rate, in calls a second."""
         self._fill(now_ms)
         self.rate_ps = rate_ps
 
@@ -206,7 +226,10 @@
         self.at_ms = now_ms
 
     def let_in(self, now_ms: float, kept_back: float = 0.0) -> bool:
-        """`kept_back`: the part of the burst that is not for this class, as others are worth more."""
+        """Whether a call may go in.
+
+        `kept_back` is the part of the burst that is not for its class, as others are worth more.
+        """
         self._fill(now_ms)
         most = max(1.0, self.rate_ps * self.burst_ms / 1000.0)
         if self.rate_ps <= 0 or self.tokens < 1.0 + kept_back * (most - 1.0):
@@ -215,8 +238,10 @@
         return True
 
     def pushback_ms(self, now_ms: float, client: str, not_before_ms: float = 0.0) -> float:
-        """After how long to come again; `not_before_ms` from now, nothing can be free. Each call beyond the
-        pace takes the next turn, within it by a hash of its own."""
+        """After how long to come again; before `not_before_ms` from now nothing can be free.
+
+        Each call beyond the rate takes the next turn, and a moment within it by a hash of its own.
+        """
         slot_ms = 1000.0 / self.rate_ps if self.rate_ps > 0 else 1_000.0
         part = weight("turn", client) / 2**64
         self.turn_ms = max(self.turn_ms, now_ms) + slot_ms
@@ -231,8 +256,7 @@
 
 
 def first_classes(worths: Mapping[str, float]) -> frozenset[str]:
-    """The classes worth most: the upper half of the different worths, never all of them unless there is but
-    one."""
+    """The classes worth most: the upper half of the different worths, never all unless there is but one."""
     tiers = sorted(set(worths.values()), reverse=True)
     upper = tiers[: max(1, len(tiers) // 2)]
     return frozenset(name for name, worth in worths.items() if worth in upper)
--- a/fawnwharf/recovery/planned.py
+++ b/fawnwharf/recovery/planned.py
@@ -1,7 +1,7 @@
-"""The same small world with front ends that return by the plan: the real cores of stages and budgets.
+"""The model of `world` with front ends that return by the plan: the real cores of phases and budgets.
 
-One `Conductor` decides, and all hear it at once; what leads is there `ELECTS_MS` after a majority of the
-voters. Before that front ends are alone and hear each other. A front end takes calls once it has asked.
+One `Conductor` decides, and all hear it at once; a leader is there `ELECTS_MS` after a majority of the
+voters. Before that front ends have no leader, and hear each other. A front end takes calls once it has asked.
 """
 
 from fawnwharf.interface import Effect
@@ -17,7 +17,7 @@
 
 
 class Planned(World):
-    """Owns what is decided in common, and who gives out what."""
+    """Owns what is decided together, and who hands out what."""
 
     def __init__(self, scene: Scene, seed: int) -> None:
         super().__init__(scene, seed)
@@ -158,9 +158,11 @@
         kind = self.facts[one.function][0]
         doors = self.doors[one.front.name]
         if not self._takes(now, one.front, kind):
-            return self._again(now, one, doors.pushback_ms(now, one.client, 1_000.0))
+            self._again(now, one, doors.pushback_ms(now, one.client, 1_000.0))
+            return
         if not self.may.spill and not doors.let_in(now, 0.0 if WORTHS[kind] > 1.0 else KEPT_BACK):
-            return self._again(now, one, doors.pushback_ms(now, one.client))
+            self._again(now, one, doors.pushback_ms(now, one.client))
+            return
         self._placed(now, one)
 
     def _takes(self, now: float, front: Front, kind: str) -> bool:
@@ -179,7 +181,8 @@
         s = self.place.get(f)
         if s is None:
             if not self.loaders:
-                return self._again(now, one, doors.pushback_ms(now, one.client, 1_000.0))
+                self._again(now, one, doors.pushback_ms(now, one.client, 1_000.0))
+                return
             loader = self.loaders[self._owner(f, tuple(self.loaders))]
             if str(f) not in loader.wants and str(f) not in loader.under_way:
                 self._want(f)
@@ -187,10 +190,13 @@
         else:
             wait = self._ticket(now, s)
         if wait <= 0.0:
-            return self._send(now, one, s)
+            self._send(now, one, s)
+            return
         if wait <= left:
-            return self._push(now + min(wait, 100.0), "placed", one)
-        return self._again(now, one, doors.pushback_ms(now, one.client, wait))
+            self._push(now + min(wait, 100.0), "placed", one)
+            return
+        self._again(now, one, doors.pushback_ms(now, one.client, wait))
+        return
 
     def _ticket(self, now: float, s: int) -> float:
         age = self._age(now, s)
--- a/fawnwharf/recovery/promises.py
+++ b/fawnwharf/recovery/promises.py
@@ -1,8 +1,8 @@
-"""One state of a call's promise for the model checker: three keepers, two owners, clocks and power losses.
+"""One state of a call's claim for the model checker: three replicas, two owners, clocks and power losses.
 
-What a keeper does at a start is decided by `trust`, as in a front end; `Rules` holds those functions so that
-bugs can be planted. The call may run by two grants of one life of an owner, none rested on for longer than a
-turn; then no other may run it before `WINDOW` turns are over by true time.
+What a replica does at a start is decided by `trust`, as in a front end; `Rules` holds those functions so that
+mutants can be tried. The call may run by two grants of one incarnation of an owner, none relied on for longer
+than a turn; then no other may run it before `WINDOW` turns are over by true time.
 """
 
 from collections.abc import Callable, Iterator
@@ -21,7 +21,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Rules:
-    """What a keeper goes by at a start."""
+    """What a replica goes by at a start."""
 
     left_ms: Callable[[t.Clock, t.Clock, float], float] = t.left_ms
     knows_all: Callable[[t.Store], bool] = t.knows_all
@@ -34,6 +34,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Keeper:
+    """A replica's machine, by what its clocks read."""
+
     boot: int = 0
     start_ms: float = 5.0  # of its machine's monotonic clock, as this boot was first seen
     from_turn: int = 0
@@ -43,12 +45,15 @@
     dumb_until: float = 0.0  # till then it does not know all that it granted, and its disk says so
 
     def clock(self, place: int, turn: int) -> t.Clock:
+        """The reading of its clocks at a turn."""
         mono = self.start_ms + RATES[place] * (turn - self.from_turn) * TURN_MS
         return t.Clock(str(self.boot), mono, self.wall_ms + mono)
 
 
 @dataclass(frozen=True, slots=True)
 class Promises:
+    """One frozen state."""
+
     keepers: tuple[Keeper, ...]
     grants: frozenset[tuple[str, int, int]] = frozenset()  # owner, keeper, turn
     runs: tuple[int, ...] = ()  # turns
@@ -60,9 +65,11 @@
 
     @classmethod
     def start(cls, **bounds: int) -> "Promises":
+        """The first state of a search with these bounds."""
         return cls(tuple(Keeper() for _ in KEEPERS), **bounds)
 
     def steps(self, rules: Rules) -> Iterator[tuple[str, "Promises"]]:
+        """All that may happen next, by a label each, and the states after it."""
         if self.turn < self.turns:
             fresh = frozenset(
                 g for g in self.grants if g[2] >= self.turn
@@ -104,8 +111,11 @@
         return replace(self, grants=mine, runs=(*self.runs, self.turn)[-2:], broken=broken)
 
     def _cuts(self, rules: Rules, world: "Promises", label: str) -> Iterator[tuple[str, "Promises"]]:
-        """Power goes everywhere. Wall clocks come back with anything; the first keeper's disk may come back
-        on a machine that is up for long, the last one's with nothing."""
+        """Power losses everywhere.
+
+        Wall clocks come back with anything; the first replica's disk may come back on a machine that is up
+        for long, the last one's with nothing.
+        """
         for wall, moved in BACK:
             for lost in range(world.lost + 1):
                 born = [self._booted(rules, world, k, wall, moved, bool(lost)) for k in KEEPERS]
--- a/fawnwharf/recovery/register.py
+++ b/fawnwharf/recovery/register.py
@@ -1,4 +1,4 @@
-"""What the voters' log holds of a recovery: stage, budgets of the fleet, and who gives them out. Pure."""
+"""The recovery register in the consensus log: phase, budgets, and who hands them out. Pure."""
 
 from dataclasses import dataclass
 from enum import IntEnum
@@ -17,6 +17,8 @@
 
 
 class Stage(IntEnum):
+    """The phases of a recovery."""
+
     LISTENING = 0
     REPEATS = 1
     WORTH = 2
@@ -26,11 +28,11 @@
 
 
 class RegisterFault(ValueError):
-    """Not a register of this version; the text is 'key: cause', one line."""
+    """Not a register of this version; the text is 'key: cause' in one line."""
 
 
 class Register(Struct, frozen=True):
-    """What the voters' log holds. A larger number is later; `cut` counts power losses of the fleet."""
+    """The register's value. A larger number is later; `cut` counts power losses of the fleet."""
 
     recovery: int = VERSION
     number: Number = 0
@@ -45,11 +47,12 @@
     deals: Number = 0  # of the cut, from `worth` on; 0: nobody has given anything by a stage of it
 
     def encode(self) -> str:
+        """The register as JSON text."""
         return msgspec.json.encode(self, order="sorted").decode()
 
 
 def register_from(text: str) -> Register:
-    """What was decided last; an empty text: nothing was yet. Raises RegisterFault."""
+    """Parse a register; an empty text stands for no decision yet. Raises RegisterFault."""
     if not text:
         return Register()
     try:
@@ -66,7 +69,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Dealt:
-    """Among whom seats and wards are dealt by a register, as its `givers`, `cut` and `deals`."""
+    """Among whom permits and scorers are divided by a register: its `givers`, `cut` and `deals`."""
 
     givers: tuple[str, ...]
     cut: int
--- a/fawnwharf/recovery/search.py
+++ b/fawnwharf/recovery/search.py
@@ -1,7 +1,7 @@
-"""Model checkers extended by power loss: voters, a change of policy, promises on calls.
+"""Model checkers extended by power losses: voters, a policy rollout, claims on calls.
 
-A power loss ends all members at once, between any two things that one of them does: what was synced is
-found again, what was on its way is lost, and clocks come back with anything.
+A power loss ends all members at once, between any two things that one of them does: what was synced is found
+again, what was on its way is lost, and clocks come back with anything.
 
     python -m fawnwharf.recovery.search [--states N]
 """
@@ -24,6 +24,8 @@
 
 
 class Outcome(Protocol):
+    """The result of a search."""
+
     states: int
     depth: int
     complete: bool
@@ -36,16 +38,20 @@
 
 @dataclass(frozen=True, slots=True)
 class VotersBounds(explore.Bounds):
+    """What may happen on one path, with power losses."""
+
     cuts: int = 1
 
 
 @dataclass(frozen=True, slots=True)
 class VotersWorld(explore.World):
+    """A state of the voters, with the power losses so far."""
+
     cuts: int = 0
 
 
 class VotersSearch(explore.Explorer):
-    """Every order of what voters do, with power losses between any two of their actions."""
+    """All interleavings of the voters, with power losses between any two of their actions."""
 
     def __init__(self, kind: type[Voter], names: tuple[str, ...], bounds: VotersBounds) -> None:
         super().__init__(kind, names, bounds)
@@ -56,7 +62,7 @@
         return disk
 
     def fault(self, world: VotersWorld) -> str:
-        """Besides what must never be at all: what was decided is on a majority of the disks."""
+        """What is broken, if anything: also whether all that was decided is on a majority of the disks."""
         if found := explore.broken(world):
             return found
         for index, what in world.decided:
@@ -106,19 +112,26 @@
 
 @dataclass(frozen=True, slots=True)
 class PolicyBounds(check.Bounds):
+    """What may happen on one path, with power losses."""
+
     cuts: int = 1
 
 
 @dataclass(frozen=True, slots=True)
 class PolicyWorld(scene.World):
+    """A state of a policy rollout, with the power losses so far."""
+
     cuts: int = 0
 
 
 class PolicySearch(check.Search):
-    """The same of stewards and holders. The log is what it promises: what is put to the vote as power goes is
-    lost, or found decided by the next leader."""
+    """The same for coordinators and lease holders.
+
+    The log is what it promises: what is proposed as power goes is lost, or found decided by the next leader.
+    """
 
     def start(self) -> PolicyWorld:
+        """The first state, with no power loss yet."""
         world = super().start()
         return PolicyWorld(**{f.name: getattr(world, f.name) for f in fields(world)})
 
@@ -152,6 +165,8 @@
 
 @dataclass(frozen=True, slots=True)
 class PromiseFound:
+    """The result of a search over claims."""
+
     states: int
     depth: int
     complete: bool
@@ -160,7 +175,7 @@
 
 
 def search_promises(rules: Rules, states: int, **bounds: int) -> PromiseFound:
-    """Breadth first over `Promises`."""
+    """Search `Promises` breadth first."""
     start = Promises.start(**bounds)
     seen, edge = {start}, deque([(start, 0)])
     parents: dict[Promises, tuple[Promises, str]] = {}
@@ -215,6 +230,7 @@
 
 
 def main() -> int:
+    """Run all searches; the exit status is 1 where one found something broken."""
     parser = argparse.ArgumentParser(description="Search states of the cores with power losses among them.")
     parser.add_argument("--states", type=int, default=100_000)
     states, broken = parser.parse_args().states, False
--- a/fawnwharf/recovery/stages.py
+++ b/fawnwharf/recovery/stages.py
@@ -1,21 +1,21 @@
-"""The order in which service returns, decided in common: a register in the voters' log, and who goes by it.
+"""The order in which service returns, decided together: a register in the consensus log, and who goes by it.
 
-Pure; times are milliseconds of the own monotonic clock, and none is written down. The voters' leader tells
-the stage (`Conductor`), each front end goes by it (`Follower`) while a leader's word that it is the last one
-is fresh, and by what is safe alone without one (`alone.py`).
+Pure; times are milliseconds of the own monotonic clock, and none is written down. The leader tells the phase
+(`Conductor`); each front end goes by it (`Follower`) while a leader's message that it is the last one is
+fresh, and without one by what is safe alone (`alone.py`).
 
-| stage | is left, for the next one, once |
+| phase | is left, for the next one, once |
 | --- | --- |
 | listening | most members are heard, and nine in ten of these have ended asking; or `listen_ms` are over |
-| repeats | nine in ten keepers know all that they granted; or the windows of that are over |
+| repeats | nine in ten replicas know all that they granted; or the windows of that are over |
 | worth | nine in ten calls of the classes worth most are served, for `hold_ms`; or `most_ms` are over |
 | rest | the same of all calls |
 | renewal | the same |
-| spill | never: this is calm |
+| spill | never: this is the normal state, 'calm' |
 
-Listening is entered, from any stage, when a majority of the voters is in another boot than the register says.
-A stage overruns when loads take `slow` times what they take in calm for `over_ms`, or a cold scorer falls. It
-is stepped back with half the budget, and the next tries are longer.
+Listening is entered, from any phase, when a majority of the voters is in another boot than the register says.
+A phase overruns when loads take `slow` times their usual time for `over_ms`, or a cold scorer falls. It then
+steps back with half the budget, and the next tries are longer.
 """
 
 from collections.abc import Mapping
@@ -34,7 +34,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Seen:
-    """What the leader's front end knows of the fleet, of the last second or so; parts of one."""
+    """What the leader's front end knows of the fleet in the last second or so; parts of one."""
 
     members: int  # on the list
     heard: int
@@ -50,6 +50,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Timing:
+    """Times and thresholds of the phases."""
+
     listen_ms: float = 3_000.0
     window_ms: float = 13_500.0  # after which no promise from before counts
     hold_ms: float = 1_000.0
@@ -66,12 +68,14 @@
 
 
 class Decide(Struct, frozen=True):
-    """Put this register to the vote, once; what comes of it is told by `Conductor.decided` or `not_put`."""
+    """Effect: propose this register, once; `Conductor.decided` or `not_put` tells what came of it."""
 
     register: str
 
 
 class Note(Struct, frozen=True):
+    """Effect: a line for the operators' log."""
+
     event: str
     fields: dict[str, Any]
 
@@ -81,7 +85,10 @@
 
 @dataclass(slots=True)
 class Conductor:
-    """The leader's. Owns since when the stage stands and what speaks for leaving it."""
+    """The recovery coordinator at the leader.
+
+    Owns since when a phase lasts, and what speaks for leaving it.
+    """
 
     timing: Timing
     voters: tuple[str, ...] = ()
@@ -96,7 +103,7 @@
     lost_ms: float | None = None  # the givers ought to be others since then
 
     def lead(self, now_ms: float, text: str, voters: tuple[str, ...]) -> list[Effect]:
-        """Begin a reign, as `Steward.lead`: nothing of this log is undecided."""
+        """Begin a term, as `Steward.lead`: nothing in this log is undecided."""
         self.rest()
         try:
             self.register = register_from(text)
@@ -107,14 +114,15 @@
         return []
 
     def rest(self) -> None:
+        """End the term."""
         self.leads, self.asked, self.calm_ms = False, None, None
 
     def not_put(self) -> None:
-        """What was asked never came into the log, for certain."""
+        """Take that what was proposed certainly never came into the log."""
         self.asked = None
 
     def decided(self, now_ms: float, text: str) -> list[Effect]:
-        """Raises RegisterFault for a text that is none; what it asked for itself never is."""
+        """Take a decided register. Raises RegisterFault for a malformed text; what it asked for never is."""
         register = register_from(text)
         if not self.leads or register.number <= self.register.number:
             return []
@@ -129,7 +137,10 @@
         self.since_ms, self.good_ms, self.slow_ms = now_ms, None, None
 
     def tick(self, now_ms: float, seen: Seen, boots: Mapping[str, str], fresh: bool) -> list[Effect]:
-        """`boots`: marks of the voters that are heard, its own among them. `fresh`: `Voter.fresh`."""
+        """Do what is due.
+
+        `boots` are the boot marks of the voters that are heard, its own among them. `fresh` is `Voter.fresh`.
+        """
         if not self.leads or not fresh or self.asked is not None:
             return []
         if scope(True, self.voters, self.register.boots, boots) is Scope.FLEET:
@@ -155,8 +166,11 @@
         return []
 
     def _givers(self, seen: Seen) -> tuple[str, ...]:
-        """Each change costs a wait, so keepers that come later are taken only when one is lost, or when they
-        are more than those that give."""
+        """The members that hand out permits.
+
+        Each change costs a wait, so replicas that come later are taken only when one is lost, or when they
+        outnumber those that hand out now.
+        """
         now = self.register.givers
         if not set(now) <= set(seen.givers):
             return seen.givers
@@ -196,8 +210,10 @@
         return self._put(Stage(stage - 1), seen, boots, why, part=part)
 
     def _calm(self, now_ms: float, seen: Seen, boots: Mapping[str, str]) -> list[Effect]:
-        """In calm new boots of a minority are noted, so that they do not add up to a power loss. Those of
-        which none was noted are at once: till then a loss of theirs would not be seen."""
+        """In the normal state, note new boots of a minority, so that they do not add up to a power loss.
+
+        Members of which no boot was noted are noted at once: until then a loss of theirs would not be seen.
+        """
         noted = self.register.boots
         news = [n for n, mark in boots.items() if n in self.voters and noted.get(n) != mark]
         if not news:
@@ -264,7 +280,7 @@
 
 
 def allowed(stage: Stage, worths: Mapping[str, float], part: float = 1.0) -> Allowed:
-    """What a stage allows, the same at every front end."""
+    """What a phase allows, the same at every front end."""
     some = first_classes(worths) if stage is Stage.WORTH else frozenset(worths)
     return Allowed(
         status=stage >= Stage.WORTH,
@@ -280,7 +296,10 @@
 
 @dataclass(slots=True)
 class Follower:
-    """Owns by which register this front end goes. A life begins at listening, whatever its disk says."""
+    """Owns by which register this front end goes.
+
+    An incarnation begins at listening, whatever its disk says.
+    """
 
     timing: Timing
     began_ms: float
@@ -290,9 +309,11 @@
     up_in: int = -1  # the cut in which it was told of calm: it went on serving through later ones
 
     def told(self, text: str, asked_ms: float) -> list[Effect]:
-        """A leader's word, under its lease, that this is the last register; or the answer to a question that
-        was asked at `asked_ms`. One with a smaller number changes nothing, but the word itself counts
-        then for nothing as well."""
+        """Take a leader's message, under its lease, that this is the last register.
+
+        The same for the answer to a question that was asked at `asked_ms`. One with a smaller number changes
+        nothing, but the message itself counts then for nothing as well.
+        """
         try:
             register = register_from(text)
         except RegisterFault as error:
@@ -305,11 +326,12 @@
         return []
 
     def stage(self, now_ms: float) -> Stage | None:
-        """The stage by which it goes; None: it is alone.
+        """The phase by which it goes; None without a leader.
 
-        Where calm was the last word, it stays: a fleet without a leader is no fleet that has lost its power.
-        In a recovery the last stage holds for `alone_ms`, as a new leader is on its way. What is safe alone
-        stays so: one that was alone goes on until a stage allows more."""
+        Where the normal state was the last message, it stays: a fleet without a leader is no fleet that has
+        lost its power. In a recovery the last phase holds for `alone_ms`, as a new leader is on its way. What
+        is safe alone stays so: a front end without a leader goes on that way until a phase allows more.
+        """
         register = self.register
         if register is None:
             found = Stage.LISTENING if now_ms - self.began_ms < self.timing.alone_ms else None
@@ -321,17 +343,24 @@
         return None if self.lone else found
 
     def dealt(self, now_ms: float) -> Dealt | None:
-        """How seats and wards are dealt; None: by what is heard, as it is alone, in calm, or not told."""
+        """How permits and scorers are divided by the register.
+
+        None where it goes by what is heard: without a leader, in the normal state, or where nothing was told.
+        """
         stage, register = self.stage(now_ms), self.register
         if stage is None or stage is Stage.SPILL or register is None or not register.givers:
             return None
         return Dealt(register.givers, register.cut, register.deals)
 
     def fresh(self, now_ms: float) -> bool:
+        """Whether a leader's message is recent enough."""
         return self.register is not None and now_ms - self.word_ms < self.timing.valid_ms
 
     def allowed(self, now_ms: float, worths: Mapping[str, float]) -> Allowed | None:
-        """None: alone. One that served through the cut of others goes on, without what costs others."""
+        """What is allowed; None without a leader.
+
+        One that served through the power loss of others goes on, without what costs others.
+        """
         stage = self.stage(now_ms)
         if stage is None:
             return None
--- a/fawnwharf/recovery/trial.py
+++ b/fawnwharf/recovery/trial.py
@@ -1,10 +1,10 @@
-"""The return by the plan against that from nothing, paired by seed: `python -m fawnwharf.recovery.trial`.
+"""Compares the return by the plan with that from nothing, paired by seed.
 
     python -m fawnwharf.recovery.trial [--fronts 12 30] [--seeds 11 20] [--scene last]
 
-Service of a second is the part of the worth of all tries that came then which was served in time; refused and
-lost tries, and those of clients that found nobody, are served by nothing. It counts as reached when three
-seconds together are there and stay there for ten. Intervals are Student's, 95 %, over seeds.
+Service of a second is the part of the worth of all tries in it that was served in time; refused and lost
+tries, and those of clients that found nobody, count as not served. A part is reached when three consecutive
+seconds have it and it then lasts for ten. Intervals are Student's, 95 %, over seeds.
 """
 
 import argparse
@@ -27,6 +27,7 @@
 
 
 def scene_of(name: str, fronts: int) -> Scene:
+    """The scenario of this name with so many front ends."""
     return replace(SCENES[name], fronts=fronts)
 
 
@@ -43,8 +44,11 @@
 
 
 def figures(world: World) -> Figures:
-    """Seconds from the cut; fetches asked of the store in its worst second, and waiting there at the most;
-    cold scorers that fell; worth served of what came in all."""
+    """The figures of one run.
+
+    Seconds from the power loss; fetches requested of the store in its worst second, and queued there at the
+    most; cold scorers that fell; the part of all worth that was served.
+    """
     rows = world.seconds[: int(world.scene.end_ms / 1000) - 4]
     found = {f"{int(100 * part)} %": reached(rows, part) for part in (0.5, 0.9, 0.99)}
     found["asked"] = float(max(world.fetches.values(), default=0))
@@ -56,12 +60,13 @@
 
 
 def compare(name: str, fronts: int, seeds: Sequence[int]) -> dict[str, list[Figures]]:
+    """The figures of both ways, by seed."""
     scene = scene_of(name, fronts)
     return {way: [figures(kind(scene, seed).run()) for seed in seeds] for way, kind in WAYS.items()}
 
 
 def shown(name: str, fronts: int, found: dict[str, list[Figures]]) -> str:
-    """A row of the table for each figure."""
+    """The table, with a row for each figure."""
     lines = []
     for key in next(iter(found.values()))[0]:
         means = [interval([row[key] for row in found[way]])[0] for way in WAYS]
@@ -75,6 +80,7 @@
 
 
 def main(arguments: Sequence[str] | None = None) -> None:
+    """Print the comparison."""
     parser = argparse.ArgumentParser(description="Compare returns from a power loss in virtual time.")
     parser.add_argument("--fronts", type=int, nargs="+", default=[12, 30, 200, 1_000])
     parser.add_argument("--seeds", type=int, nargs=2, default=[11, 20], help="first and last")
--- a/fawnwharf/recovery/trust.py
+++ b/fawnwharf/recovery/trust.py
@@ -1,9 +1,9 @@
-"""What a front end that starts may hold true of what it finds on its disk: one table, one pure function.
+"""What a starting front end may believe of what it finds on its disk: one table, one pure function.
 
-Two laws stand above the table. Nothing gets more trust by being older, by a writer that was killed, by
-another boot or by a store that is not whole. And no clock makes a promise shorter: it is counted by the
-monotonic clock within one boot, and anew and whole from its reading in any other one. A wall clock says how
-old a hint may be, and decides about nothing that is rested on.
+Two rules stand above the table. Nothing gets more trust by being older, by a writer that was killed, by
+another boot or by a store that is not intact. And no clock makes a promise shorter: it is counted by the
+monotonic clock within one boot, and anew and in full from its reading in any other one. A wall clock says how
+old a hint may be, and decides nothing that is relied on.
 """
 
 from collections.abc import Mapping
@@ -26,6 +26,8 @@
 
 
 class Trust(IntEnum):
+    """For what a piece of state may be used."""
+
     GONE = 0  # thrown away
     HINT = 1  # where to look and what to expect first; nothing rests on it
     MAJORITY = 2  # once a majority confirms it, and a hint until then
@@ -33,13 +35,15 @@
 
 
 class Age(IntEnum):
+    """How old a piece of state is."""
+
     FRESH = 0  # younger than `Span.fresh_ms`
     LIFE = 1  # younger than `Span.life_ms`
     OLD = 2
 
 
 class Others(Enum):
-    """What a majority of those whose word counts says; voters of a plan, the call's keepers of a promise."""
+    """What a majority says: of the voters on a plan, of a call's replicas on a promise."""
 
     SILENT = "no majority answered"
     SAME = "this is the last one"
@@ -48,13 +52,15 @@
 
 
 class Store(Enum):
+    """Whether the store is intact."""
+
     WHOLE = "whole"  # all that was ever told is there: synced, checked, by its number the newest known
     PART = "in part"  # damaged in the middle, an older copy, not synced before another boot, not of this disk
 
 
 @dataclass(frozen=True, slots=True)
 class Clock:
-    """One reading. `boot` marks a boot of the machine, empty where the system does not tell."""
+    """One reading; `boot` marks a boot of the machine, and is empty where the system does not tell."""
 
     boot: str
     mono_ms: float  # of the monotonic clock, which goes on from process to process within a boot
@@ -63,7 +69,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Span:
-    """Ages of one kind, milliseconds."""
+    """The ages of one kind, in milliseconds."""
 
     fresh_ms: float
     life_ms: float
@@ -118,7 +124,7 @@
 
 
 def trust(found: Found) -> Trust:
-    """The table read; total over all that can be found."""
+    """The table: total over all that can be found."""
     column = (0 if found.same_boot else 2) + (0 if found.in_order else 1)
     held = _LETTERS[TABLE[found.kind][column][found.age]]
     if found.store is Store.PART:
@@ -138,8 +144,11 @@
 
 
 def knows_all(store: Store) -> bool:
-    """Whether a keeper knows all that it ever promised, and may grant at once. One that does not hears every
-    other keeper that does, or waits until all that it may have granted is over."""
+    """Whether a replica knows all that it ever promised, and may grant at once.
+
+    One that does not hears every other replica that does, or waits until all that it may have granted is
+    over.
+    """
     return store is Store.WHOLE
 
 
@@ -147,23 +156,28 @@
 
 
 def same_boot(written: Clock, read: Clock) -> bool:
-    """A restart of the process alone. What would be from the future of one clock is of another one."""
+    """Whether only the process restarted; a reading from the future of a clock is another clock's."""
     return bool(written.boot) and written.boot == read.boot and written.mono_ms <= read.mono_ms
 
 
 def left_ms(written: Clock, read: Clock, whole_ms: float) -> float:
-    """For how long a promise still counts from `read`, at the least; 0: it is over.
+    """For how long a promise still counts from `read`, at the least; 0 where it is over.
 
     `whole_ms` is what it counted for when it was written, by the slowest clock. In another boot it begins
-    anew. Turned down: less the time since this boot; a disk may be moved to a machine that is up for long."""
+    anew. Rejected: to subtract the time since this boot, as a disk may be moved to a machine that is up for
+    long.
+    """
     gone_ms = read.mono_ms - written.mono_ms if same_boot(written, read) else 0.0
     return max(0.0, whole_ms - gone_ms)
 
 
 def age_of(kind: Kind, written: Clock, read: Clock, span: Span) -> Age:
-    """By the monotonic clock within a boot. In another one by the wall clocks, where that is no promise; a
-    clock that went back makes it fresh, and nothing that is fresh in another boot is more than a hint
-    until others confirm it."""
+    """The age of a piece of state.
+
+    By the monotonic clock within a boot. In another one by the wall clocks, where that is no promise; a clock
+    that went back makes it fresh, and nothing that is fresh in another boot is more than a hint until others
+    confirm it.
+    """
     if kind is Kind.PROMISE:
         return Age.FRESH if left_ms(written, read, span.life_ms) > 0 else Age.OLD
     if same_boot(written, read):
@@ -175,7 +189,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Spans:
-    """Ages by kind, from the settings that stand; milliseconds."""
+    """The ages by kind, from the current settings; milliseconds."""
 
     valid_ms: float = 2_000.0  # zones: a leader's word that a plan is the last one
     window_ms: float = 13_500.0  # state: a call's time and window, by the slowest clock
@@ -186,6 +200,7 @@
     still_ms: float = 30_000.0  # sessions
 
     def of(self, kind: Kind) -> Span:
+        """The ages of a kind."""
         return {
             Kind.TERM: Span(0.0, 0.0),
             Kind.PLAN: Span(self.valid_ms, self.valid_ms),
@@ -200,7 +215,7 @@
 
 
 class Scope(Enum):
-    """What has ended with this front end's last life."""
+    """What has ended with this front end's last incarnation."""
 
     PROCESS = "the process alone"
     MACHINE = "the machine, and most of the others go on"
@@ -211,8 +226,11 @@
 def scope(
     mine_same: bool, voters: tuple[str, ...], boots: Mapping[str, str], now: Mapping[str, str]
 ) -> Scope:
-    """`boots` are the marks of voters' boots as decided last, `now` those heard since this start (by voter).
-    Those that are not heard are in neither half."""
+    """What a restart is part of.
+
+    `boots` are the marks of voters' boots as decided last, `now` those heard since this start, by voter.
+    Voters that are not heard are in neither half.
+    """
     most = len(voters) // 2 + 1
     changed = sum(name in now and now[name] != boots.get(name, now[name]) for name in voters)
     if changed >= most:
--- a/fawnwharf/recovery/world.py
+++ b/fawnwharf/recovery/world.py
@@ -1,13 +1,15 @@
-"""A small world in virtual time: a fleet that returns from a power loss, by the plan or from nothing.
-
-It leaves out what the question does not turn on: zones of scorers, cores and queues of scorers beyond the
-lanes of a copy, lost messages, their delay (1 to 5 ms), copies that lapse. Kept are: the order in which
-machines come back, the roster that comes last, the store that serves so many fetches at a time, loads at a
-time of a scorer, cold scorers that fall when too many calls come to them within `fall_ms`, clients that come
-again. Front ends here share nothing and do as the module does: the first copy where the hash order has it,
-further copies for calls that are held, at most 8 loads of one's own under way, a cold budget of one's own.
-`planned.py` has those that return by the plan. The same seed is the same machines and the same first
-tries for both.
+"""A small model in virtual time: a fleet that returns from a power loss, by the plan or from nothing.
+
+It leaves out what the question does not depend on: zones of scorers, cores and queues of scorers beyond the
+lanes of a copy, lost messages, their delay (1 to 5 ms), copies that expire. It keeps the order in which
+machines come back, the roster that comes last, the store with its limit of concurrent fetches, concurrent
+loads of a scorer, cold scorers that fall when too many calls come to them within `fall_ms`, and clients that
+come again.
+
+Front ends here share nothing and do as the decision module does: the first copy where the hash order has it,
+further copies for calls that are held, at most 8 concurrent loads of their own, a slow start limit of their
+own. `planned.py` has those that return by the plan. The same seed gives the same machines and first tries for
+both.
 """
 
 import heapq
@@ -33,7 +35,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Scene:
-    """Milliseconds from the cut. A third of the front ends never comes back, one zone comes later."""
+    """A scenario; milliseconds from the power loss.
+
+    A third of the front ends never comes back, a zone comes later.
+    """
 
     fronts: int
     back_ms: float = 60_000.0
@@ -48,6 +53,8 @@
 
 @dataclass(slots=True)
 class Scorer:
+    """A scorer with its copies."""
+
     up_ms: float
     copies: dict[int, list[float]] = field(default_factory=dict)  # by function: when each lane is free
     ready: dict[int, float] = field(default_factory=dict)
@@ -56,6 +63,8 @@
 
 @dataclass(slots=True)
 class Front:
+    """A front end, with what it believes."""
+
     name: str
     up_ms: float
     known: dict[int, list[int]] = field(default_factory=dict)  # believed copies, by function
@@ -67,6 +76,8 @@
 
 @dataclass(slots=True)
 class Try:
+    """One try of a call."""
+
     client: str
     front: Front | None
     function: int
@@ -75,8 +86,11 @@
 
 
 class World:
-    """One return. `seconds`: by second of a try, worth that came and that was served in time; the same of the
-    classes worth most."""
+    """One return.
+
+    `seconds`: by second of a try, the worth that came and that was served in time; the same of the classes
+    worth most.
+    """
 
     def __init__(self, scene: Scene, seed: int) -> None:
         self.scene = scene
@@ -142,6 +156,7 @@
         heapq.heappush(self.heap, (at_ms, self.count, what, value))
 
     def run(self) -> "World":
+        """Run up to the scenario's end."""
         while self.heap:
             now, _, what, value = heapq.heappop(self.heap)
             if now < self.scene.end_ms:
@@ -159,7 +174,8 @@
         second[0] += worth
         second[2] += worth * (worth > 1.0)
         if not self.up:
-            return self._again(now, one, 1_000.0)
+            self._again(now, one, 1_000.0)
+            return
         one.front = self.up[weight("at", one.client, str(one.left)) % len(self.up)]
         one.front.taken.append(now)
         self._begin(now, one)
@@ -196,7 +212,8 @@
             if len(scorer.sent) > max(1.0, rate):
                 self._falls(s)
                 scorer.up_ms, scorer.copies, scorer.ready, scorer.sent = now + 3_000.0, {}, {}, []
-                return self._again(now, one, 500.0)
+                self._again(now, one, 500.0)
+                return
         lanes = scorer.copies[one.function]
         begins = max(now, heapq.heappop(lanes))
         heapq.heappush(lanes, begins + run)
@@ -229,19 +246,23 @@
         front, f = one.front, one.function
         give_up = KINDS[self.facts[f][0]][2]
         if now - one.at_ms >= HELD_PART * give_up - 1e-3:
-            return self._again(now, one, SITE.max_retry_after_ms)
+            self._again(now, one, SITE.max_retry_after_ms)
+            return
         if now < self.scene.roster_ms:
             half = one.at_ms + HELD_PART * give_up
             if half < self.scene.roster_ms:
-                return self._again(half, one, SITE.max_retry_after_ms)
-            return self._push(self.scene.roster_ms, "bare", one)
+                self._again(half, one, SITE.max_retry_after_ms)
+                return
+            self._push(self.scene.roster_ms, "bare", one)
+            return
         known = front.known.setdefault(f, [])
         able = [s for s in known if f in self.scorers[s].copies and self._within(now, front, s)]
         ready = [s for s in able if self.scorers[s].ready[f] <= now]
         if ready:
             s = min(ready, key=lambda s: self.scorers[s].copies[f][0])
             front.sent.setdefault(s, []).append(now)
-            return self._send(now, one, s)
+            self._send(now, one, s)
+            return
         front.loads = [at for at in front.loads if at > now]
         front.held[f] = front.held.get(f, 0) + 1
         pending = sum(self.scorers[s].ready.get(f, 0.0) > now for s in known)
