--- a/fawnwharf/recovery/register.py
+++ b/fawnwharf/recovery/register.py
@@ -27,7 +27,7 @@
     SPILL = 5
 
 
-class RegisterFault(ValueError):
+class RegisterError(ValueError):
     """Not a register of this version; the text is 'key: cause' in one line."""
 
 
@@ -52,18 +52,18 @@
 
 
 def register_from(text: str) -> Register:
-    """Parse a register; an empty text stands for no decision yet. Raises RegisterFault."""
+    """Parse a register; an empty text stands for no decision yet. Raises RegisterError."""
     if not text:
         return Register()
     try:
         found = msgspec.json.decode(text, type=Register)
     except msgspec.ValidationError as error:
         cause, _, place = str(error).partition(" - at `$")
-        raise RegisterFault(f"{place.rstrip('`').lstrip('.') or 'register'}: {cause}") from None
+        raise RegisterError(f"{place.rstrip('`').lstrip('.') or 'register'}: {cause}") from None
     except (msgspec.DecodeError, RecursionError) as error:
-        raise RegisterFault(f"register: not JSON: {error}") from None
+        raise RegisterError(f"register: not JSON: {error}") from None
     if found.recovery != VERSION:
-        raise RegisterFault(f"recovery: {found.recovery}, and this program knows {VERSION}")
+        raise RegisterError(f"recovery: {found.recovery}, and this program knows {VERSION}")
     return found
 
 
--- a/fawnwharf/recovery/stages.py
+++ b/fawnwharf/recovery/stages.py
@@ -25,7 +25,7 @@
 from msgspec import Struct
 
 from fawnwharf.recovery.budget import first_classes
-from fawnwharf.recovery.register import Dealt, Register, RegisterFault, Stage, register_from
+from fawnwharf.recovery.register import Dealt, Register, RegisterError, Stage, register_from
 from fawnwharf.recovery.trust import Scope, scope
 
 LEAST_PART = 0.125
@@ -107,7 +107,7 @@
         self.rest()
         try:
             self.register = register_from(text)
-        except RegisterFault as error:
+        except RegisterError as error:
             return [Note("recovery not read", {"why": str(error)})]
         self.leads, self.voters, self.backs = True, voters, 0
         self._entered(now_ms)
@@ -122,7 +122,7 @@
         self.asked = None
 
     def decided(self, now_ms: float, text: str) -> list[Effect]:
-        """Take a decided register. Raises RegisterFault for a malformed text; what it asked for never is."""
+        """Take a decided register. Raises RegisterError for a malformed text; what it asked for never is."""
         register = register_from(text)
         if not self.leads or register.number <= self.register.number:
             return []
@@ -316,7 +316,7 @@
         """
         try:
             register = register_from(text)
-        except RegisterFault as error:
+        except RegisterError as error:
             return [Note("recovery not read", {"why": str(error)})]
         if self.register is not None and register.number < self.register.number:
             return []
--- a/fawnwharf/rejoin/agent.py
+++ b/fawnwharf/rejoin/agent.py
@@ -17,7 +17,7 @@
 from fawnwharf.recovery import alone
 from fawnwharf.recovery.asking import Answer, Ask, Asking, Of, Pace, Stand, What
 from fawnwharf.recovery.register import Dealt
-from fawnwharf.recovery.stages import Allowed, Decide, Follower, Note, RegisterFault, Stage, Timing
+from fawnwharf.recovery.stages import Allowed, Decide, Follower, Note, RegisterError, Stage, Timing
 from fawnwharf.rejoin import words as w
 from fawnwharf.rejoin.lead import Lead, Lists
 from fawnwharf.zones.lines import Seat
@@ -284,7 +284,7 @@
         """A register that the voters' log decided, at whichever voter."""
         try:
             effects = self.lead.decided(now_ms, text)
-        except RegisterFault as error:
+        except RegisterError as error:
             return [Note("recovery not read", {"why": str(error)})]
         return [*effects, *self._leading(now_ms)]
 
--- a/fawnwharf/rejoin/lead.py
+++ b/fawnwharf/rejoin/lead.py
@@ -131,7 +131,7 @@
         return effects
 
     def decided(self, now_ms: float, text: str) -> list[Note]:
-        """Raises RegisterFault."""
+        """Raises RegisterError."""
         notes, boots = self.conductor.decided(now_ms, text), len(self.conductor.register.boots)
         return [Note("stage decided", note.fields | {"boots": boots}) for note in notes]
 
--- a/tests/test_recovery_stages.py
+++ b/tests/test_recovery_stages.py
@@ -12,7 +12,7 @@
     Decide,
     Follower,
     Register,
-    RegisterFault,
+    RegisterError,
     Seen,
     Stage,
     Timing,
@@ -150,7 +150,7 @@
     "text", ["[]", "{", '{"recovery":2}', '{"stage":9}', '{"part":0}', '{"boots":{"":"x"}}']
 )
 def test_a_register_that_is_none_is_told_by_its_key(text):
-    with pytest.raises(RegisterFault, match=r"^\w+.*: "):
+    with pytest.raises(RegisterError, match=r"^\w+.*: "):
         register_from(text)
     follower, core = Follower(TIMING, 0.0), Conductor(TIMING)
     assert follower.told(text, 1.0)[0].event == core.lead(0.0, text, VOTERS)[0].event == "recovery not read"
