--- a/fawnwharf/lab/__init__.py
+++ b/fawnwharf/lab/__init__.py
@@ -1,1 +1,1 @@
-"""The ground on which many processes of the program are tried out together, and faults put between them."""
+"""The test bed: many processes of the program on one machine, with faults injected between them."""
--- a/fawnwharf/lab/checker.py
+++ b/fawnwharf/lab/checker.py
@@ -1,9 +1,9 @@
-"""Judges a run by what all sides recorded: the five rules, and that each call got one final answer. Pure.
+"""Checks a run by what all sides recorded: the five rules, and that each call got one final answer. Pure.
 
 Faults of the path are not the program's: a try counts where its front end lived and ran, and no fault lay on
 the client's link, from its sending to its end. Where it has no answer in time, it counts only if the machine
-gave both sides a processor for it: the system's count tells. `SLACK_MS` is what one busy machine may hold
-everybody up.
+gave both sides a processor for it, by the system's own count. `SLACK_MS` is how long one busy machine may
+delay everybody.
 """
 
 from collections import Counter, defaultdict, deque
@@ -29,14 +29,18 @@
 
 @dataclass(slots=True)
 class Verdict:
+    """What was broken, and how much each rule was checked."""
+
     broken: list[str] = field(default_factory=list)
     checked: Counter = field(default_factory=Counter)  # how much each rule was tried by
 
     def line(self) -> str:
+        """The verdict in one line."""
         return f"verdict: broken {self.broken[0]}" if self.broken else "verdict: kept"
 
 
 def judge(fleet: Fleet) -> Verdict:
+    """Check all rules on a run."""
     verdict = Verdict()
     for rule in (_answers, _doors, _effects, _drains, _outs, _cold, _loads, _ends, _faults, _sessions):
         rule(fleet, verdict)
@@ -77,8 +81,11 @@
 
 
 def _drains_by(fleet: Fleet, attempt: Try) -> bool:
-    """Sent to a front end on standby, by somebody who was held up and had not heard of it: its connection may
-    be ended then with the call on its way, which is nobody's fault."""
+    """Whether an end is excused by a standby.
+
+    A call may be sent to a front end on standby by somebody who was delayed and had not heard of it; its
+    connection may be ended then with the call on its way, which is nobody's fault.
+    """
     return attempt.outcome in ("lost", "not taken") and any(
         not stretch.scorer
         and stretch.front == attempt.front
@@ -132,7 +139,7 @@
 
 
 def runs_of(fleet: Fleet) -> list[tuple[Kind, list[Arrival]]]:
-    """What of each request began to run at scorers, and was not turned away there."""
+    """The runs of each request that began at scorers and were not turned away there."""
     turned = {(a.scorer, a.sender, a.id) for a in fleet.arrivals if a.what == "turned"}
     runs: dict[int, list] = defaultdict(list)
     for arrival in fleet.arrivals:
--- a/fawnwharf/lab/clocks.py
+++ b/fawnwharf/lab/clocks.py
@@ -1,4 +1,7 @@
-"""The clocks of a lab's machines: drawn by the run's seed, stepped, and read back as true times."""
+"""The clocks of the test bed's machines.
+
+Drawn by the run's seed, stepped, and converted back to true time.
+"""
 
 import random
 import time
@@ -13,7 +16,7 @@
 
 
 class Clocks:
-    """Owns the pages. Without a `spec` all go by the machine's own clocks, and nothing is written."""
+    """Owns the clock pages; without a `spec` all use the machine's own clocks, and nothing is written."""
 
     def __init__(self, spec: ClockSpec | None, seed: int) -> None:
         self.spec, self._chance = spec, random.Random(f"{seed}/clocks")
@@ -21,7 +24,7 @@
         self._told: dict[str, list[Reading]] = {}  # by front end, one after another
 
     def begin(self, name: str, folder: Path) -> None:
-        """A machine begins a boot: other clocks than before."""
+        """A machine boots: its clocks differ from those before."""
         if self.spec is None:
             return
         if name not in self._pages:
@@ -32,10 +35,11 @@
         self._write(name, Reading(time.monotonic(), unix_s, steady_s, rate))
 
     def begun(self, name: str) -> bool:
+        """Whether a machine has booted; always so without a `spec`."""
         return self.spec is None or name in self._pages
 
     def step(self, name: str, by_s: float) -> None:
-        """Unix time is set there."""
+        """Set a machine's Unix time."""
         self._write(name, self._told[name][-1].stepped(time.monotonic(), by_s))
 
     def _write(self, name: str, reading: Reading) -> None:
@@ -43,14 +47,18 @@
         self._pages[name].write(reading)
 
     def true_ms(self, name: str, unix_ms: float) -> float:
-        """The true Unix time of what one told as Unix time, in milliseconds. The first stretch that holds it
-        counts: they overlap only where a clock is set by less than the run's length."""
+        """The true Unix time, in milliseconds, of what a machine told as Unix time.
+
+        The first stretch of its clock that holds the value counts; stretches overlap only where a clock is
+        set by less than the run's length.
+        """
         if self.spec is None:
             return unix_ms
         found = true_s(self._told[name], unix_ms / 1000.0)
         return 1000.0 * (found + time.time() - time.monotonic())
 
     def close(self) -> None:
+        """Close the pages."""
         for page in self._pages.values():
             page.close()
         self._pages.clear()
--- a/fawnwharf/lab/commands.py
+++ b/fawnwharf/lab/commands.py
@@ -1,4 +1,4 @@
-"""`fawnwharf lab`: trials of many processes together, with faults put between them."""
+"""`fawnwharf lab`: runs of many processes together, with faults injected between them."""
 
 import json
 from pathlib import Path
@@ -23,7 +23,7 @@
 
 
 def load(name: str, front_ends: int = 0, alone: bool = False, bare: bool = False) -> scenarios.Scenario:
-    """A scenario as the options change it; ends with status 2 and one line where it is faulty."""
+    """A scenario as the options change it; exits with status 2 and one line where it is faulty."""
     try:
         found = scenarios.load(name)
     except scenarios.ScenarioFault as error:
@@ -42,8 +42,11 @@
 
 
 def side(word: str, front_ends: int = 0, alone: bool = False, bare: bool = False) -> scenarios.Scenario:
-    """NAME, or NAME:HOW, also several: `off` is without sessions, `recovery` with it, `clocks` with clocks
-    that are apart, a mode is that of foresight."""
+    """NAME, or NAME:HOW, also several.
+
+    `off` is without sessions, `recovery` with it, `clocks` with clocks that are apart, a mode is that of
+    foresight.
+    """
     name, *hows = word.split(":")
     if not set(hows) <= set(HOW):
         typer.echo(f"fawnwharf: lab: {word}: NAME, or NAME: and one of {', '.join(HOW)}", err=True)
@@ -68,6 +71,7 @@
 
 
 def report(measures: Any) -> None:
+    """Print the figures of a run."""
     found = measures
     how = "decided in common" if found.decided else "each on its own"
     typer.echo(f"{found.scenario}  seed {found.seed}  {how}")
@@ -122,6 +126,7 @@
 
 
 def tell_sessions(found: Any) -> None:
+    """Print the figures of sessions that moved."""
     for name, after in (("clients", found.clients), ("homes", found.homes)):
         if after.moves:
             spans = "  ".join(f"{span} s {part:.4f}" for span, part in after.service.items())
@@ -182,10 +187,12 @@
     front_ends: Fronts = 0,
     out: Out = "",
 ) -> None:
-    """Compare two sides by paired runs, each NAME, NAME:alone, which is without the decision in common,
-    NAME:bare, without replicated state, NAME:recovery, or NAME:clocks, by clocks that are apart.
+    """Compare two sides by paired runs.
 
-    Both should have their faults at the same moments, as scenarios do whose steps wait for times alone."""
+    Each is NAME, NAME:alone, which is without the decision in common, NAME:bare, without replicated state,
+    NAME:recovery, or NAME:clocks, by clocks that are apart. Both should have their faults at the same
+    moments, as scenarios do whose steps wait for times alone.
+    """
     from fawnwharf.lab import compare as comparing
     from fawnwharf.lab.run import LabFault
     from fawnwharf.lab.run import run as run_it
--- a/fawnwharf/lab/compare.py
+++ b/fawnwharf/lab/compare.py
@@ -1,7 +1,7 @@
-"""Compares two ways of running by paired runs: the same scenario, seeds and faults at the same moments.
+"""Compares two sides by paired runs: the same scenario, seeds, and faults at the same moments.
 
 What differs from seed to seed is common to both sides of a pair, so intervals are of the paired differences,
-by a bootstrap over seeds with a seed of its own. Under `RESOLUTION` a difference counts as none seen.
+by a bootstrap over seeds with a seed of its own. A difference below `RESOLUTION` counts as none seen.
 """
 
 import random
@@ -21,6 +21,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Interval:
+    """A mean and its confidence interval."""
+
     mean: float
     low: float
     high: float
@@ -30,6 +32,7 @@
 
     @property
     def says(self) -> str:
+        """The interval in words."""
         if self.low <= 0.0 <= self.high or abs(self.mean) < RESOLUTION:
             return "no difference seen"
         return "better" if self.mean > 0 else "worse"
@@ -54,11 +57,14 @@
     other: list[Measures]
 
     def difference(self, of: Callable[[Measures], float]) -> Interval:
-        """How much more the first side has."""
+        """By how much the first side has more."""
         return bootstrap([of(a) - of(b) for a, b in zip(self.one, self.other, strict=True)])
 
     def by_second(self) -> list[tuple[int, float, float, Interval]]:
-        """Second, both means and the paired difference; seconds in which a run had no calls are left out."""
+        """For each second both means and the paired difference.
+
+        Seconds without calls in a run are left out.
+        """
         length = min(len(m.seconds) for m in [*self.one, *self.other])
         found = []
         for n in range(length):
@@ -123,8 +129,10 @@
 
 
 def by_mode(found: dict[str, list[Measures]]) -> list[str]:
-    """Lines: the mean of each figure in each mode, and its difference from the first mode's runs of the same
-    seeds."""
+    """Lines.
+
+    The mean of each figure in each mode, and its difference from the first mode's runs of the same seeds.
+    """
     first, *others = found
     lines = [f"{len(found[first])} seeds; behind each mean the difference from {first}, with a 95 % interval"]
     shown: dict[str, Of] = {"service": lambda m: m.service(), "fetches": lambda m: float(m.fetches)}
--- a/fawnwharf/lab/conditions.py
+++ b/fawnwharf/lab/conditions.py
@@ -1,4 +1,4 @@
-"""What steps wait for: events that the fleet tells of, and never luck."""
+"""What steps wait for: events that the fleet reports, never mere chance."""
 
 from collections.abc import Callable
 from typing import Any
@@ -11,14 +11,18 @@
 
 
 class Conditions:
+    """Waits for the conditions of steps."""
+
     def __init__(self, fleet: Fleet, parties: Parties) -> None:
         self.fleet, self.parties = fleet, parties
         self.noted = self._began = 0  # how many notes there were as the step before and this one began
 
     def next_step(self) -> None:
+        """Take that the next step begins."""
         self.noted, self._began = self._began, len(self.fleet.notes)
 
     def wait(self, when: When, what: str = "the start") -> None:
+        """Wait until a step's conditions hold; raises LabFault where they don't in time."""
         if when.after_s:
             self.fleet.rest(when.after_s)
         if self.fleet.scenario.decide:
@@ -88,20 +92,26 @@
         return [(f"the note {when.note!r}", lambda: self.was_noted(when.note, when.fields, when.times))]
 
     def wait_for_roles(self, step: Step, what: str) -> None:
-        """Between two leaders there is none: a step on it must wait for one, and not do nothing."""
+        """Wait until there is a leader, where a step is about it: between two leaders it would do nothing."""
         for word in {step.what, step.to} & {"leader", "follower"} if self.fleet.scenario.decide else ():
             self.fleet.until(lambda word=word: self.parties.fronts(word) != [], f"a {word} ({what})")
 
     def voters(self) -> list[str]:
-        """The list that was decided last, which need not be the one that was told last: a member that comes
-        late to it, or starts again, tells of earlier ones."""
+        """The list of voters that was decided last.
+
+        It need not be the one that was told last: a member that comes late to it, or restarts, tells of
+        earlier ones.
+        """
         lists = [note.fields for note in self.fleet.notes if note.event == "voters"]
         last = max(lists, key=lambda fields: fields["index"], default={"voters": [""]})
         return sorted(voter.partition("#")[0] for voter in last["voters"])
 
     def was_noted(self, event: str, fields: dict[str, Any] | None = None, times: int = 1) -> bool:
-        """Since the step before began, as it may have come while that was still under way. What was decided
-        counts by its index: others tell of the same later."""
+        """Whether something was logged since the step before began.
+
+        It may have come while that step was in progress. What was decided counts by its index, as others tell
+        of the same later.
+        """
         before, since = self.fleet.notes[: self.noted], self.fleet.notes[self.noted :]
         known = max((n.fields.get("index", -1) for n in before if n.event == event), default=-1)
         wanted = (fields or {}).items()
--- a/fawnwharf/lab/explore.py
+++ b/fawnwharf/lab/explore.py
@@ -1,9 +1,9 @@
-"""A model checker for voters: every order of messages, losses, repeats, time-outs and kills, to a depth.
+"""Model checker for voters: every interleaving of messages, losses, repeats, time-outs and kills, to a depth.
 
-The voters are the real ones, `fawnwharf.accord.voter.Voter`. Time is taken out in the harshest way: any
-voter may run out of patience at any moment, so that what holds here holds for clocks of any skew. What rests
-on clocks, leases, is for `walk.py`. A kill may cut a list of actions short after any of them: what was saved
-stays, what was to be said is not.
+The voters are the real ones, `fawnwharf.accord.voter.Voter`. Time is modelled in the harshest way: any voter
+may time out at any moment, so that what holds here holds for clocks of any skew. Leases, which depend on
+clocks, are for `walk.py`. A kill may cut a list of actions short after any of them: what was saved stays,
+what was to be sent is not.
 """
 
 from collections import deque
@@ -35,7 +35,7 @@
 
 @dataclass(frozen=True, slots=True)
 class World:
-    """One state: what each voter is, and what is on its way."""
+    """One state: each voter's own, and the messages on their way."""
 
     voters: tuple[tuple, ...]
     flying: frozenset[m.Message]
@@ -51,7 +51,7 @@
 
 @dataclass(slots=True)
 class Found:
-    """What a search has come to."""
+    """The result of a search."""
 
     states: int = 0
     depth: int = 0
@@ -103,6 +103,7 @@
         self.start = World(tuple(_freeze(voter, voter.saved) for voter in made), frozenset())
 
     def search(self) -> Found:
+        """Search all states within the bounds, or up to the first one that is broken."""
         found = Found()
         seen = {self.start}
         parents: dict[World, tuple[World, str]] = {}
@@ -130,6 +131,7 @@
         return found
 
     def fault(self, world: World) -> str:
+        """What is broken in a state; empty where nothing is."""
         return broken(world)
 
     def _steps(self, world: World) -> Iterator[tuple[str, World]]:
@@ -239,6 +241,7 @@
 
 
 def replace_voters(saved: m.Saved, voters: tuple[str, ...]) -> m.Saved:
+    """A saved state with another list of voters, decided before everything in it."""
     base = m.Base(saved.base.index, saved.base.term, "", 0, tuple(sorted(voters)))
     return m.Saved(saved.term, saved.voted, base, saved.entries)
 
--- a/fawnwharf/lab/files.py
+++ b/fawnwharf/lab/files.py
@@ -1,4 +1,4 @@
-"""The files that front ends read: configuration, members, settings of zones and of state."""
+"""The files that front ends read: configuration, members, settings of all parts."""
 
 import os
 import random
@@ -23,7 +23,7 @@
 
 
 def write_whole(path: Path, data: Any) -> None:
-    """Beside it first, then in its place: a reader finds all of it or the one before."""
+    """Write a file atomically: a reader finds all of it or the one before."""
     beside = path.with_suffix(".new")
     beside.write_bytes(msgspec.json.format(msgspec.json.encode(data), indent=1))
     os.rename(beside, path)
@@ -32,7 +32,7 @@
 def members(
     fleet: Topology, viewer: Front, number: int = 1, voters: set[str] | None = None
 ) -> dict[str, Any]:
-    """The file of members as one front end reaches the others."""
+    """The file of members, with the addresses by which one front end reaches the others."""
     entries = []
     for front in fleet.fronts.values():
         votes = front.voter if voters is None else front.name in voters
@@ -52,11 +52,13 @@
 
 
 def write_members(fleet: Topology, number: int, voters: set[str] | None = None) -> None:
+    """Write the file of members for each front end."""
     for front in fleet.fronts.values():
         write_whole(front.folder / "members.json", members(fleet, front, number, voters))
 
 
 def write_files(fleet: Topology, front: Front) -> None:
+    """Write the files of a front end."""
     settings = {
         "version": 1,
         "members": "members.json",
@@ -82,15 +84,18 @@
 
 
 def new_boot(front: Front) -> None:
-    """Its machine begins a boot. Keepers without recovery know one by the system's mark alone, and trust a
-    file of this boot: they find none."""
+    """A front end's machine boots.
+
+    Replicas without recovery know a boot by the system's mark alone, and trust a file of this boot: they find
+    none.
+    """
     (front.folder / BOOT).write_text(f"{random.SystemRandom().getrandbits(64):016x}\n")
     for path in (front.folder / "kept").glob("keeper-*.log"):
         path.unlink()
 
 
 def recovery(fleet: Topology) -> dict[str, Any]:
-    """The settings of recovery: what a scenario asks over the lab's own."""
+    """The settings of recovery: a scenario's over the lab's own."""
     zones = fleet.scenario.zones.values()
     own: dict[str, Any] = {"version": 1, "folder": "durable", "boot_file": BOOT}
     own["fetches"] = fleet.store.at_once
@@ -109,7 +114,7 @@
 
 
 def known_late(front: Front, seq: int) -> None:
-    """The configuration on its disk is of a time when the change log had come that far."""
+    """Let the configuration on disk be of a time when the change log had come that far."""
     path = front.folder / "config.json"
     found = msgspec.json.decode(path.read_bytes())
     found["known"]["seq"] = found["known"]["results"][-1]["seq"] = seq
@@ -117,7 +122,7 @@
 
 
 def write_policy(fleet: Topology, front: Front) -> None:
-    """Settings of changes of policy, with a trace of its own for each life."""
+    """Write the settings of policy rollouts, with a trace of its own for each incarnation."""
     trace = front.folder / f"trace-{len(front.traces)}.jsonl"
     trace.unlink(missing_ok=True)  # of an earlier run
     front.traces.append((unix_ms(), trace))
@@ -126,7 +131,7 @@
 
 
 def sessions(asked: dict[str, Any]) -> dict[str, Any]:
-    """The settings of sessions: what a scenario asks over the lab's own, part by part."""
+    """The settings of sessions: a scenario's over the lab's own, part by part."""
     own: dict[str, Any] = {"version": 1, "handover": HANDOVER_RULES, "trace": "trace.jsonl"}
     found = {**own, **asked}
     if "handover" in asked:
@@ -137,7 +142,7 @@
 
 
 def config(fleet: Topology, front: Front, beside: bool = False) -> dict[str, Any]:
-    """`beside`: for a second process, while the first one runs."""
+    """The configuration of a front end; `beside` is for a second process, while the first one runs."""
     members = fleet.entries(front)
     sold = sum(spec.rps for spec in fleet.scenario.zones.values()) * 1.25
     classes = [
--- a/fawnwharf/lab/fleet.py
+++ b/fawnwharf/lab/fleet.py
@@ -1,7 +1,7 @@
-"""A fleet on loopback: real processes of `serve`, with all that they talk to.
+"""A fleet on loopback: real processes of `serve`, with fakes for all that they talk to.
 
-The one loop of this process drives the stand-ins, the relays and the clients; the front ends are processes
-of their own, which can be killed, stopped and started again.
+The one event loop of this process drives the fake servers, the relays and the clients; the front ends are
+processes of their own, which can be killed, paused and started again.
 """
 
 import contextlib
@@ -30,7 +30,7 @@
 
 
 class Fleet(Topology):
-    """Owns everything of one run: processes, stand-ins, relays, files, and what was noted."""
+    """Owns everything of one run: processes, fakes, relays, files, and what was logged."""
 
     def __init__(self, scenario: Scenario, seed: int, folder: Path | None = None) -> None:
         self._temporary = folder is None
@@ -51,7 +51,7 @@
     # --- processes ------------------------------------------------------------------------------
 
     def found(self) -> None:
-        """One voter begins the fleet, by the operators' own command."""
+        """Bootstrap the fleet at one voter, by the operators' own command."""
         first = next(front for front in self.fronts.values() if front.voter)
         files.write_files(self, first)
         command = [sys.executable, "-m", "fawnwharf", "zones", "found", first.name, "--zones", "zones.json"]
@@ -65,7 +65,7 @@
             raise LabFault(f"zones found: {done.stderr.strip()}")
 
     def start(self, front: Front, as_it_was: bool = False) -> None:
-        """`as_it_was`: nobody gives it another configuration than the one that is on its disk."""
+        """Start front ends; with `as_it_was` by the configuration that is on their disks."""
         if front.alive:
             return
         if not as_it_was:
@@ -83,7 +83,7 @@
         self._listens(front.name, False)
 
     def launch(self, front: Front) -> None:
-        """One more process by the files that are there; `front` is that one from now on."""
+        """Start one more process by the files that are there; `front` is that one from now on."""
         environment = {k: v for k, v in os.environ.items() if not k.startswith("ROUTER_")}
         environment |= {"ROUTER_CONFIG": "config.json", "TMPDIR": str((front.folder / "tmp").resolve())}
         if self.scenario.recovery is not None:
@@ -97,6 +97,7 @@
         front.pipe = Pipe(self.loop, front, self.wrote)
 
     def command(self, front: Front) -> list[str]:
+        """The command line of a front end."""
         program = ["fawnwharf"] if self.scenario.clocks is None else ["fawnwharf.standins.clocks", PAGE]
         command = [sys.executable, "-m", *program, "serve"]
         if self.scenario.decide:
@@ -112,6 +113,7 @@
         return command
 
     def wrote(self, front: Front, line: str) -> None:
+        """Take a line of a front end's log."""
         now = monotonic_ms()
         front.lines.append(line)
         if ": fault in " in line[:60]:  # the loop's own word on an exception
@@ -152,7 +154,7 @@
             self._ended(front)
 
     def reap_former(self, front: Front) -> None:
-        """Notice that the process whose place another took has ended, as it should."""
+        """Notice that a replaced process has ended, as it should."""
         former = front.former
         if (status := former.process.poll()) is None:
             return
@@ -162,7 +164,7 @@
             front.status = status
 
     def former_wrote(self, front: Front, former: Former, line: str) -> None:
-        """The one that is replaced tells its own, and no more how the front end stands."""
+        """Take a line of a replaced process, which no longer tells of the front end's state."""
         former.lines.append(line)
         if line.startswith("{"):
             with contextlib.suppress(ValueError):
@@ -170,7 +172,7 @@
                 self.notes.append(Noted(monotonic_ms(), front.name, fields.pop("event", ""), fields))
 
     def back_to_former(self, front: Front) -> None:
-        """The new process has ended before the old one: that is the front end, as before."""
+        """Go back to the old process, as the new one ended first."""
         front.pipe.finish()
         former, front.former = front.former, None
         front.process, front.pipe, front.ready = former.process, former.pipe, True
@@ -178,13 +180,17 @@
         front.pipe.wrote = self.wrote
 
     def new_life(self, front: Front) -> None:
+        """Take that a front end's process is another one from now on."""
         now = monotonic_ms()
         front.lives[-1][1] = now
         front.lives.append([now, float("inf")])
 
     def _ended(self, front: Front) -> None:
-        """The end is seen only together with all that was written before it: a line that were read later
-        would be taken for one of the next life, or not be there for who looks why it ended."""
+        """Take that a process ended, together with all that it wrote before.
+
+        A line that were read later would be taken for one of the next process, or be missing for whoever
+        looks why it ended.
+        """
         front.pipe.finish()
         front.process = None
         if front.lives and front.lives[-1][1] == float("inf"):
@@ -196,6 +202,7 @@
         self._listens(front.name, False)
 
     def kill(self, front: Front) -> None:
+        """Kill a front end; one that had ended by itself is judged by its status."""
         self._reap(front)  # one that had ended by itself was not killed, and is judged by its status
         if front.process is None:
             return
@@ -204,7 +211,7 @@
         self._ended(front)
 
     def cut(self, fronts: list[Front]) -> None:
-        """Their machines lose their power at one moment: what they wrote and did not sync with it."""
+        """Cut the power of these machines at one moment: what was written and not synced is lost."""
         for front in fronts:
             self._reap(front)
         ending = [front for front in fronts if front.process is not None]
@@ -224,19 +231,21 @@
             self._ended(front)
 
     def stop(self, front: Front) -> None:
+        """Pause a front end's process."""
         if front.process is not None and not front.stopped:
             front.process.send_signal(signal.SIGSTOP)
             front.stopped = True
             front.halts.append([monotonic_ms(), float("inf")])
 
     def go_on(self, front: Front) -> None:
+        """Resume a paused process."""
         if front.process is not None and front.stopped:
             front.process.send_signal(signal.SIGCONT)
             front.stopped = False
             front.halts[-1][1] = monotonic_ms()
 
     def used(self) -> dict[str, tuple[float, float]]:
-        """Processor seconds and megabytes of memory of each front end that lives, from the system."""
+        """Processor seconds and megabytes of memory of each front end that lives, by the system's count."""
         found = {}
         tick, page = os.sysconf("SC_CLK_TCK"), os.sysconf("SC_PAGE_SIZE")
         for front in self.fronts.values():
@@ -252,6 +261,7 @@
     # --- turning --------------------------------------------------------------------------------
 
     def turn(self, most_s: float = 0.02) -> None:
+        """Run one iteration of the event loop."""
         self.loop.turn(most_s)
         self.reap()
         if (now := monotonic_ms()) - self._looked_ms >= LOOK_MS:
@@ -265,6 +275,7 @@
                     front.waits.look(now, front.process.pid)
 
     def until(self, condition: Callable[[], bool], what: str, within_s: float = PATIENCE_S) -> None:
+        """Run until a condition holds; raises LabFault where it doesn't in time."""
         end = monotonic_ms() + 1000.0 * within_s
         while not condition():
             if monotonic_ms() > end:
@@ -272,7 +283,7 @@
             self.turn()
 
     def until_ready(self, fronts: list[Front], what: str) -> None:
-        """One that ends before it serves is told at once, by its last line."""
+        """Run until all of these are ready; raises LabFault with the last line of one that ends."""
 
         def ready() -> bool:
             for front in fronts:
@@ -283,11 +294,13 @@
         self.until(ready, what)
 
     def rest(self, seconds: float) -> None:
+        """Run for some seconds."""
         end = monotonic_ms() + 1000.0 * seconds
         while monotonic_ms() < end:
             self.turn()
 
     def close(self) -> None:
+        """End all processes and close everything."""
         for front in self.fronts.values():
             if front.former is not None:
                 front.former.process.kill()
--- a/fawnwharf/lab/homes.py
+++ b/fawnwharf/lab/homes.py
@@ -1,5 +1,6 @@
-"""Judges what a run's records tell of sessions' homes and of copies that were released. Pure: records in,
-what was broken out. Times are milliseconds of the lab's monotonic clock.
+"""Checks a run's records of sessions' placements and of copies that were released. Pure.
+
+Records go in, what was broken comes out. Times are milliseconds of the lab's monotonic clock.
 """
 
 from bisect import bisect_right
@@ -12,7 +13,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Told:
-    """A front end's word, in its log, that a session is at home at a site by a number."""
+    """A front end's log line that a session is placed at a zone by a number."""
 
     at_ms: float
     front: str
@@ -57,8 +58,10 @@
 
 
 def one_home(told: Iterable[Told], sent: Iterable[Sent]) -> list[str]:
-    """A number stands for one site, whoever tells of it. Number 0 is where a session began: it may have begun
-    at two sites at once."""
+    """A number stands for one zone, whoever tells of it.
+
+    Number 0 is where a session began: it may have begun at two zones at once.
+    """
     sites: dict[tuple[Key, int], dict[str, str]] = defaultdict(dict)
     for word in (*told, *sent):
         if word.number:
@@ -80,8 +83,9 @@
 ) -> list[str]:
     """No front end sends by an older number than one that it sent by, or that all had settled on.
 
-    `excused(front, since, until)`: it was cut off or held up for a part of this time, or it began anew. After
-    `still_ms` without a call a session is over, and may be forgotten."""
+    `excused(front, since, until)`: it was cut off or delayed for a part of this time, or it restarted. After
+    `still_ms` without a call a session is over, and may be forgotten.
+    """
     broken = []
     last: dict[tuple[str, int, Key], tuple[int, float]] = {}
     settled: dict[Key, list[tuple[float, int]]] = defaultdict(list)
@@ -116,10 +120,12 @@
     race_ms: float,
     still_ms: float,
 ) -> list[str]:
-    """Copies that somebody uses are not let go: no call of the function was at the scorer for longer than a
-    race, and no session in use is at home at that site. `last_calls(session, at)`: when its last call before
-    then began. Homes count from `race_ms` after they were told, and until one with a larger number is told
-    `race_ms` later."""
+    """Copies that somebody uses are not released.
+
+    No call of the function was at the scorer for longer than a race, and no session in use is placed in that
+    zone. `last_calls(session, at)`: when its last call before then began. Placements count from `race_ms`
+    after they were told, and until one with a larger number is told `race_ms` later.
+    """
     broken = []
     at_scorer: dict[tuple[str, str], list[Use]] = defaultdict(list)
     for use in uses:
@@ -149,9 +155,11 @@
 
 
 def spent_once(carried: Iterable[tuple[str, str, int]], came: dict[tuple[str, str], int]) -> list[str]:
-    """What a hand-over carries of a quota, by who counted it, is never more than came to that front end:
-    a call that is taken twice would make it so. `carried` has (tenant, counter, count); a counter is a front
-    end's name, with its life behind a # or without."""
+    """What a migration carries of a quota, by who counted it, is never more than came to that front end.
+
+    A call that is counted twice would make it so. `carried` has (tenant, counter, count); a counter is a
+    front end's name, with its incarnation behind a # or without.
+    """
     broken = []
     for tenant, counter, count in carried:
         most = came.get((tenant, counter.partition("#")[0]), 0)
--- a/fawnwharf/lab/measures.py
+++ b/fawnwharf/lab/measures.py
@@ -20,7 +20,7 @@
 
 @dataclass(slots=True)
 class Second:
-    """Of one second, by when its requests began."""
+    """The figures of one second, by when its requests began."""
 
     asked: float = 0.0  # worth
     served: float = 0.0  # worth, in time
@@ -32,7 +32,7 @@
 
 @dataclass(slots=True)
 class Measures:
-    """Figures of one run; milliseconds, worth and counts."""
+    """The figures of one run; milliseconds, worth and counts."""
 
     scenario: str
     seed: int
@@ -71,14 +71,14 @@
     twice: int = 0  # of those, for what another front end had just ordered
 
     def service(self, since_s: float = 0.0, until_s: float = 1e9) -> float:
-        """Worth answered in time over worth asked."""
+        """The worth answered in time over the worth asked."""
         part = [s for n, s in enumerate(self.seconds) if since_s <= n < until_s]
         asked = sum(s.asked for s in part)
         return sum(s.served for s in part) / asked if asked else float("nan")
 
 
 class Meter:
-    """Begins with the load: what was used before it is not counted."""
+    """Measures from the begin of the load; what was used before that is not counted."""
 
     def __init__(self, fleet: Fleet) -> None:
         self.fleet = fleet
@@ -90,16 +90,20 @@
         self.lost: tuple[str, float] | None = None  # the first zone that was lost, and when
 
     def power_cut(self, fronts: set[str]) -> None:
+        """Take that these front ends lost their power."""
         self.cuts.append(monotonic_ms())
         self.came -= fronts
 
     def power_back(self, front: str) -> None:
+        """Take that a front end's power is back."""
         self.came.add(front)
 
     def zone_lost(self, zone: str) -> None:
+        """Take that a zone was lost; the first one counts."""
         self.lost = self.lost or (zone, monotonic_ms())
 
     def measure(self) -> Measures:
+        """The figures up to now."""
         fleet = self.fleet
         began = fleet.marks["load"]
         length = int((monotonic_ms() - began) / 1000.0) + 1
--- a/fawnwharf/lab/moves.py
+++ b/fawnwharf/lab/moves.py
@@ -1,4 +1,4 @@
-"""What a run tells of sessions that moved: for the checker, and as figures of what came of moves."""
+"""What a run's records tell of sessions that moved, for the checker and as figures."""
 
 import json
 from bisect import bisect_left, bisect_right
@@ -21,7 +21,7 @@
 
 
 def told_of(notes: Iterable[Any]) -> list[homes.Told]:
-    """Words on homes in front ends' logs."""
+    """The placements that front ends' logs tell of."""
     found = []
     for note in notes:
         if note.event not in ("session moved", "hand-over ended"):
@@ -35,8 +35,10 @@
 
 
 def traced(fleet: Fleet) -> tuple[list[homes.Sent], list[tuple[str, str, int]]]:
-    """Front ends' own traces: by which number each call was sent, and what of quotas hand-overs carried, as
-    (tenant, counter, count). Lines that are not whole are the last ones of a life."""
+    """Front ends' own traces: by which number each call was sent, and what of quotas migrations carried.
+
+    The latter as (tenant, counter, count). Incomplete lines are the last ones of a process.
+    """
     offset, found, carried = monotonic_ms() - unix_ms(), [], []
     for front in fleet.fronts.values():
         path = front.folder / "trace.jsonl"
@@ -56,7 +58,7 @@
 
 
 def uses_of(arrivals: Iterable[Any]) -> list[homes.Use]:
-    """Calls at scorers. One that is not seen to end is left out."""
+    """The calls at scorers; one that is not seen to end is left out."""
     open_: dict[tuple[str, int, str, str], Any] = {}
     found = []
     for arrival in arrivals:
@@ -69,7 +71,7 @@
 
 
 def judge(fleet: Fleet) -> tuple[list[str], Counter]:
-    """What was broken of homes and released copies, and by how much each rule was tried."""
+    """What was broken of placements and released copies, and by how much each rule was checked."""
     told = told_of(fleet.notes)
     sent, carried = traced(fleet)
     unloads = [
@@ -124,7 +126,7 @@
 
 @dataclass(slots=True)
 class Figures:
-    """Of one run; counts, parts, milliseconds."""
+    """The figures of one run; counts, parts, milliseconds."""
 
     clients: After = field(default_factory=After)  # after clients moved, or their site was lost or came back
     homes: After = field(default_factory=After)  # after homes did
@@ -142,8 +144,10 @@
 
 
 def after(moves: list[tuple[float, homes.Key]], requests: list[Request], found: dict[str, bool]) -> After:
-    """`moves` are (time, session); `found` tells by call whether its run found a copy. Calls after a
-    session's next move are that one's."""
+    """The outcome of calls after moves; calls after a session's next move are counted for that one.
+
+    `moves` are (time, session); `found` tells by call whether its run found a copy.
+    """
     times: dict[homes.Key, list[float]] = defaultdict(list)
     for at_ms, session in sorted(moves):
         times[session].append(at_ms)
@@ -168,8 +172,11 @@
 
 
 def staged(arrivals: Iterable[Any], requests: Iterable[Request]) -> tuple[int, int, int, int]:
-    """(loads, those that were staged, wasted ones, staged wasted ones). A load is staged where it was begun
-    by an order of a front end at which no call for that function was open."""
+    """Counts of loads: (all, prefetched, wasted, prefetched and wasted).
+
+    A load is a prefetch where it was begun by an order of a front end at which no call for that function was
+    open.
+    """
     open_: dict[tuple[str, str], list[tuple[float, float]]] = defaultdict(list)
     for request in requests:
         for attempt in request.tries:
@@ -192,7 +199,7 @@
 
 
 def figures(fleet: Fleet, disturbed: list[Moved], service: float) -> Figures:
-    """`disturbed`: moves of clients that follow from a site's loss and return."""
+    """The figures of a run; `disturbed` are moves of clients that follow from a zone's loss and return."""
     clients, arrivals = fleet.clients, fleet.arrivals
     found = {a.id: a.note == FIRST for a in arrivals if a.what == "done"}
     moved = [(m.at_ms, (m.org, m.row)) for m in [*getattr(clients, "moved", ()), *disturbed]]
--- a/fawnwharf/lab/operators.py
+++ b/fawnwharf/lab/operators.py
@@ -1,4 +1,7 @@
-"""What operators ask of a lab's front ends, at their second addresses: drains, scorers out, replacement."""
+"""Operators' calls to the test bed's front ends, at their second addresses.
+
+Drains, scorers out, replacement.
+"""
 
 import signal
 from collections.abc import Callable
@@ -40,24 +43,29 @@
         self.ended = self.connection is None
 
     def on_up(self) -> None:
+        """Send the call."""
         self.connection.write(self._asks)
 
     def on_data(self, data: bytes) -> None:
+        """Take the answer."""
         self._data += data
         head, end, _ = bytes(self._data).partition(b"\r\n")
         if end and not self.status:
             self.status = int(head.split()[1])
             self.connection.close(End.IDLE)
 
-    def on_flushed(self) -> None: ...
+    def on_flushed(self) -> None:
+        """Nothing to do."""
+        ...
 
     def on_end(self, end: End) -> None:
+        """The connection ended."""
         self.ended = True
 
 
 @dataclass(slots=True)
 class Replaced:
-    """A replacement, for the checker: milliseconds."""
+    """A replacement, for the checker; milliseconds."""
 
     front: str
     began_ms: float
@@ -69,7 +77,7 @@
 
 @dataclass(slots=True)
 class Stretch:
-    """From a yes until the call that ends what it began: of a front end on standby, or a scorer out there."""
+    """From a yes until the call that ends what it began: a standby, or a scorer out of service."""
 
     front: str
     scorer: str
@@ -90,6 +98,7 @@
         return call.status
 
     def must(self, front: Front, path: str) -> None:
+        """Make a call that has to succeed; raises LabFault where it doesn't."""
         status = self.ask(front, "POST", path)
         if status != 200:
             raise LabFault(f"{front.name} answered {path} with {status}")
@@ -97,24 +106,28 @@
     # --- scorers out, and drains ----------------------------------------------------------------
 
     def take_out(self, fronts: list[Front], ids: list[str]) -> None:
+        """Take scorers out of service at these front ends."""
         for front in fronts:
             for id in ids:
                 self.must(front, f"/maintenance/enter?target={id}")
                 self.fleet.stretches.append(Stretch(front.name, id, monotonic_ms()))
 
     def bring_back(self, fronts: list[Front], ids: list[str]) -> None:
+        """Take scorers back into service at these front ends."""
         for front in fronts:
             for id in ids:
                 self._ends(front, id)  # from the call on it may be sent to
                 self.must(front, f"/maintenance/exit?target={id}")
 
     def standby(self, fronts: list[Front]) -> None:
+        """Put front ends on standby."""
         for front in fronts:
             # From the call on, not the yes: a connection may be ended 0.4 s after the former.
             self.fleet.stretches.append(Stretch(front.name, "", monotonic_ms()))
             self.must(front, "/standby")
 
     def active(self, fronts: list[Front]) -> None:
+        """End the standby of front ends."""
         for front in fronts:
             self.must(front, "/active")
             self._ends(front, "")
@@ -140,7 +153,7 @@
         return found
 
     def ready(self, found: Replaced) -> None:
-        """Until the new process says that it takes work."""
+        """Wait until the new process says that it takes work."""
         front = self.fleet.fronts[found.front]
         call: list[_Call] = []
         last_ms = 0.0
@@ -161,7 +174,7 @@
         self.fleet.until(lambda: front.ready, f"the new process of {front.name} to serve")
 
     def end_former(self, found: Replaced) -> None:
-        """SIGTERM to the old process, and SIGKILL to one that takes too long."""
+        """Send SIGTERM to the old process, and SIGKILL where it takes too long."""
         front = self.fleet.fronts[found.front]
         former, told_ms = front.former, monotonic_ms()
         found.told_ms = told_ms
@@ -181,6 +194,7 @@
         found.ended_ms = monotonic_ms()
 
     def replace(self, front: Front) -> None:
+        """Replace a front end's process."""
         found = self.begin(front)
         self.ready(found)
         self._tried(found)
@@ -198,10 +212,12 @@
         self.fleet.until(tried, f"calls to {found.front}")
 
     def kill(self, front: Front, which: str) -> None:
-        """Kill a process in the middle of a replacement: the new one as soon as it has asked (`early`), once
-        the old one has let go of what only one may have (`away`) or once it has taken the place (`new`); or
-        the old one then (`old`). A kill that comes too late on a busy machine is judged as what it was, and
-        tried again."""
+        """Kill a process in the middle of a replacement.
+
+        The new one as soon as it has asked (`early`), once the old one has released what only one may have
+        (`away`) or once it has taken the place (`new`); or the old one then (`old`). A kill that comes too
+        late on a busy machine is judged as what it was, and tried again.
+        """
         for _ in range(1 + MISSED_MOST):
             if self._killed(front, which):
                 return
--- a/fawnwharf/lab/outage.py
+++ b/fawnwharf/lab/outage.py
@@ -1,8 +1,8 @@
-"""What a loss of power cost, from the records of a run. Pure.
+"""What a power loss cost, by the records of a run. Pure.
 
 Service of a second is the worth of its requests that were answered in time over the worth of all, by when
-they began. A part of the service before the first cut is back with the first second after the last cut from
-which on it is there for `STAYS_S` seconds.
+they began. A part of the service before the first power loss is back with the first second after the last one
+from which on it lasts for `STAYS_S` seconds.
 """
 
 from collections import Counter
@@ -18,7 +18,7 @@
 
 @dataclass(slots=True)
 class Outage:
-    """Seconds from the last cut; counts from the first one."""
+    """The cost of a power loss: seconds from the last one, counts from the first one."""
 
     before: float  # service before the first cut
     service: list[float] = field(default_factory=list)  # of each whole second; nan: nothing was asked
@@ -33,12 +33,12 @@
     unheard: int = 0  # of those, whose change log tells them what they pass over, by its number
 
     def until(self, part: float) -> float:
-        """As `to`; all of the run where it was not reached within it."""
+        """As `to`; the length of the run where it was not reached."""
         found = self.to.get(f"{part:.0%}")
         return float(len(self.service)) if found is None else found
 
     def lines(self) -> list[str]:
-        """For who reads them."""
+        """The figures as text."""
         times = "  ".join(f"{p} {'never' if at is None else f'{at:.0f} s'}" for p, at in self.to.items())
         found = [
             f"power lost: service {self.before:.4f} before, {self.mean:.4f} since; back after  {times}",
@@ -91,8 +91,11 @@
     requests: list[Request],
     asked: list[tuple[float, int]],
 ) -> Outage:
-    """`began_ms` and `ended_ms` are those of the load; `asked` has of each fetch when it was asked of the
-    store and how many waited there then, with it. What else is known is set by whoever knows it."""
+    """The cost, by the records of a run.
+
+    `began_ms` and `ended_ms` are those of the load; `asked` has of each fetch when it was requested of the
+    store and how many were queued there then, itself included. What else is known is set by the caller.
+    """
     first, last = cuts_ms[0], cuts_ms[-1]
     service = by_second(requests, last, ended_ms)
     before = whole(requests, began_ms + 1000.0 * BEFORE_S, first)
--- a/fawnwharf/lab/parties.py
+++ b/fawnwharf/lab/parties.py
@@ -1,4 +1,4 @@
-"""Whom a step is about: front ends, scorers and links, by the words that scenarios use."""
+"""Whom a step is about: front ends, scorers and links, by the words of scenarios."""
 
 import random
 from collections.abc import Callable
@@ -10,13 +10,17 @@
 
 
 class Parties:
+    """Finds the front ends, scorers and links that a step names."""
+
     def __init__(self, fleet: Fleet, seed: int) -> None:
         self.fleet, self.chance = fleet, random.Random(seed)
 
     def fronts(self, what: str) -> list[Front]:
-        """Front ends by a word: all, live, killed (by the last such step), leader, asked (by operators,
-        last), noted (who wrote the note that was waited for), zone:Z, share:P of those that live, or names
-        with commas."""
+        """Front ends by a word.
+
+        One of: all, live, killed (by the last such step), leader, asked (by operators, last), noted (who
+        logged what was waited for), zone:Z, share:P of those that live, or names with commas.
+        """
         every = list(self.fleet.fronts.values())
         live = [front for front in every if front.alive and not front.stopped]
         if what in ("", "all"):
@@ -46,7 +50,7 @@
         return [self.fleet.fronts[name] for name in what.split(",")]
 
     def keepers(self) -> list[Front]:
-        """Those that live, of the last list that was told; any front end where none was."""
+        """The replicas that live, of the last list that was told; any front end where none was."""
         for note in reversed(self.fleet.notes):
             if note.event == "state on":
                 names = [name for names in note.fields["keepers"].values() for name in names]
@@ -57,6 +61,7 @@
         return [self.fleet.fronts[name] for name in names if name in live]
 
     def ids(self, what: str) -> list[str]:
+        """Scorers by a word: zone:Z, names with commas, or all for an empty one."""
         if what.startswith("zone:"):
             return [id for id in self.fleet.scorers if self.fleet.scorer_zone[id] == what[5:]]
         return what.split(",") if what else list(self.fleet.scorers)
@@ -65,7 +70,8 @@
         """The relays between two parties, each with whether `what` is the one that dials.
 
         A zone is all that stands in it but its clients, who stay with their front ends; a front end is
-        itself."""
+        itself.
+        """
 
         def side(word: str) -> Callable[[str], bool]:
             if word.startswith("zone:"):
--- a/fawnwharf/lab/policy.py
+++ b/fawnwharf/lab/policy.py
@@ -1,8 +1,11 @@
-"""Changes of policy in the lab: operators' words, and the checker's rule `epochs` over what front ends tell.
+"""Policy rollouts in the test bed.
 
-The rule is pure. It is given a trace of calls by front end and life, and the stewards' notes; all times are
-Unix milliseconds of the one machine. `SLACK_MS` is what two processes' readings of that clock may differ by,
-and nothing else: a process that is held up is no excuse, as a call's time is that by which it was judged.
+Operators' requests, and the checker's rule `epochs` on what front ends tell.
+
+The rule is pure. It is given a trace of calls by front end and incarnation, and the coordinators' log lines;
+all times are Unix milliseconds of the one machine. `SLACK_MS` is what two processes' readings of that clock
+may differ by, and nothing else: a process that is delayed is no excuse, as a call's time is that by which it
+was judged.
 """
 
 from bisect import bisect_left, bisect_right
@@ -57,12 +60,17 @@
 
 @dataclass(slots=True)
 class Found:
+    """What was broken, and how much each rule was checked."""
+
     broken: list[str] = field(default_factory=list)
     checked: Counter = field(default_factory=Counter)
 
 
 def trace_of(data: bytes) -> tuple[list[Judged], int]:
-    """The lines of a trace, and how many are none. A last one without its end was cut short by a kill."""
+    """The lines of a trace, and how many are malformed.
+
+    A last line without its end was cut short by a kill.
+    """
     found, bad = [], 0
     for line in data.split(b"\n")[:-1]:
         try:
@@ -73,7 +81,7 @@
 
 
 def words_of(notes: Iterable[Noted], unix_less_steady_ms: float) -> list[Word]:
-    """Stewards' notes by the time that they tell themselves, else that at which they were read."""
+    """Coordinators' log lines, by the time that they tell themselves, else that at which they were read."""
     found = []
     for note in notes:
         if note.event in ("prepare", "decided", "in force", "ended") and "number" in note.fields:
@@ -84,7 +92,7 @@
 
 
 def told_ms(note: Noted, unix_less_steady_ms: float) -> float:
-    """When it was written, by its own word."""
+    """When a line was written, by its own field."""
     try:
         return datetime.fromisoformat(note.fields["timestamp"]).timestamp() * 1000.0
     except (KeyError, ValueError, TypeError):
@@ -100,9 +108,11 @@
     give_up_ms: Callable[[Judged], float | None] = lambda call: None,
     accepted: frozenset[tuple[str, str]] = frozenset(),
 ) -> Found:
-    """All that must hold of epochs over all sides; `words` in order of time. `give_up_ms` tells what a call's
-    epoch gave it, None where that is not known; `accepted` are calls, each by its front end, that got another
-    answer than a refusal."""
+    """Check all rules on epochs; `words` are in order of time.
+
+    `give_up_ms` tells what a call's epoch gave it, None where that is not known; `accepted` are calls, each
+    by its front end, that got another answer than a refusal.
+    """
     found = Found()
     leased = [(life.front, call) for life in lives for call in life.calls if call.how == "leased"]
     for life in lives:
@@ -190,8 +200,10 @@
 def _come_up_in_it(
     lives: list[Life], words: list[Word], accepted: frozenset[tuple[str, str]], found: Found
 ) -> None:
-    """Who is started after an epoch came into force judges no call by an earlier one, lease or none. Who does
-    not know yet what is in force judges none at all: it refuses what comes."""
+    """Whoever starts after an epoch came into force judges no call by an earlier one, lease or none.
+
+    Whoever does not know yet what is in force judges none at all: it refuses what comes.
+    """
     in_force: dict[int, float] = {}
     for word in words:
         if word.event == "in force":
--- a/fawnwharf/lab/power.py
+++ b/fawnwharf/lab/power.py
@@ -1,7 +1,8 @@
-"""Losses of power: all of a fleet, or a zone, ends without a word and comes back, some never.
+"""Power losses: all of a fleet, or a zone, ends without notice and comes back, some of it never.
 
-What is dark says nothing and is not reached: links to it are cut before its processes are killed, so that
-nobody hears them end. Its machine comes back first, and refuses what is dialled until its process listens.
+What is off sends nothing and is not reached: its links are cut before its processes are killed, so that
+nobody sees their connections end. Its machine comes back first, and refuses connections until its process
+listens.
 """
 
 import random
@@ -27,7 +28,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Machine:
-    """What may lose its power, of a zone."""
+    """A machine of a zone that may lose its power."""
 
     name: str
     zone: str
@@ -52,7 +53,7 @@
 def drawn(
     chance: random.Random, over_s: float, fronts: list[Machine], others: Iterable[Machine], returns: Returns
 ) -> list[tuple[float, str]]:
-    """When each comes back, in seconds, by time. `others`: scorers, store and change log."""
+    """When each comes back, in seconds, by time; `others` are scorers, the store and the change log."""
     away = never(chance, fronts, returns)
     found = []
     for machine in [*fronts, *others]:
@@ -67,7 +68,7 @@
 
 
 class Power:
-    """Owns who is dark, and when who comes back."""
+    """Owns who is off, and when who comes back."""
 
     def __init__(self, fleet: Fleet, parties: Parties, meter: Meter) -> None:
         self.fleet, self.parties, self.meter = fleet, parties, meter
@@ -77,7 +78,7 @@
         self._steps = 0
 
     def cut(self, what: str) -> None:
-        """All, store and change log included, or zone:Z, with the change logs of its front ends."""
+        """Cut the power of all, the store and the change log included, or of zone:Z with its change logs."""
         fleet = self.fleet
         fronts, ids = self.parties.fronts(what), self.parties.ids(what)
         now = {*(front.name for front in fronts), *(f"log:{front.name}" for front in fronts), *ids}
@@ -102,6 +103,7 @@
         fleet.loop.wheel.after(AGAIN_MS, lambda: fleet.clients.ask_again(since_ms))
 
     def back(self, step: Step) -> None:
+        """Let what lost its power come back."""
         fleet, returns = self.fleet, step.returns
         self._steps += 1
         chance = random.Random(f"{fleet.seed}/power/{self._steps}")
@@ -128,6 +130,7 @@
             self._coming[name] = fleet.loop.wheel.after(1000.0 * at_s, lambda name=name: come(name))
 
     def rush(self, factor: float) -> None:
+        """Let all clients come at once."""
         self.fleet.clients.rush(factor or RUSH, RUSH_MS)
 
     # --- who comes back -------------------------------------------------------------------------
--- a/fawnwharf/lab/processes.py
+++ b/fawnwharf/lab/processes.py
@@ -20,7 +20,7 @@
 
 
 class LabFault(RuntimeError):
-    """The ground itself gave way; no verdict."""
+    """The test bed itself failed; there is no verdict."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,14 +63,16 @@
 
     @property
     def alive(self) -> bool:
+        """Whether its process lives."""
         return self.process is not None
 
     @property
     def last_line(self) -> str:
+        """The last line that it wrote."""
         return self.lines[-1] if self.lines else "it wrote nothing"
 
     def well(self, since_ms: float, until_ms: float) -> bool:
-        """Whether it lived and ran through all of a stretch."""
+        """Whether it lived and ran throughout a stretch of time."""
         lived = any(start <= since_ms and until_ms <= end for start, end in self.lives)
         return lived and not any(start <= until_ms and since_ms <= end for start, end in self.halts)
 
@@ -87,7 +89,8 @@
 class Waits:
     """How long a process waited for a processor that others had, by the system's own count.
 
-    It tells what a busy machine did from what the program did."""
+    It tells what a busy machine did from what the program did.
+    """
 
     def __init__(self) -> None:
         self.at_ms: list[float] = []
@@ -95,6 +98,7 @@
         self._pid, self._last_ms = 0, 0.0
 
     def look(self, now_ms: float, pid: int) -> None:
+        """Read the system's count."""
         try:
             waited_ms = int(Path(f"/proc/{pid}/schedstat").read_text().split()[1]) / 1e6
         except (OSError, IndexError):
@@ -105,7 +109,10 @@
         self.total_ms.append((self.total_ms[-1] if self.total_ms else 0.0) + waited_ms - before_ms)
 
     def stood_still(self, for_ms: float) -> None:
-        """Since the last look; the system does not count what a disk or a whole machine costs."""
+        """The time waited since the last reading.
+
+        The system does not count what a disk or a whole machine costs.
+        """
         if self.total_ms:
             self.total_ms[-1] += for_ms
 
@@ -131,6 +138,7 @@
         loop.watch(self.pipe, READ, self.read)
 
     def read(self, _mask: int) -> None:
+        """Take what the pipe holds."""
         self._take(READ_BYTES)
 
     def _take(self, most: int) -> int:
@@ -154,10 +162,11 @@
         self.wrote(self.front, line.decode(errors="replace"))
 
     def finish(self) -> None:
-        """Once the process has ended: take what it left in its pipe, however many reads that is.
+        """Once the process has ended, take what it left in its pipe, in as many reads as that needs.
 
         All that it wrote is in there by then. Nothing is waited for: a child of it that keeps the pipe open
-        can add to it, and never end it."""
+        can add to it, and never end it.
+        """
         if self.file.closed:
             return
         left = struct.unpack("i", fcntl.ioctl(self.pipe.fileno(), termios.FIONREAD, b"\0" * 4))[0]
@@ -166,6 +175,7 @@
         self.close()
 
     def close(self) -> None:
+        """Close the pipe."""
         if self.file.closed:
             return
         self.loop.forget(self.pipe)
--- a/fawnwharf/lab/promises.py
+++ b/fawnwharf/lab/promises.py
@@ -1,9 +1,8 @@
-"""Front ends that keep calls together, in virtual time, with faults: does any call run twice?
+"""Randomized simulation of front ends that replicate calls, with faults: does any call run twice?
 
-One seed gives one walk. Calls come at random front ends, some at two at the same moment, some again later,
-elsewhere. Lines are lost, repeated, late and overtaken; links are cut; front ends are killed at any step and
-come back with nothing, or stand still and go on as if nothing were. Clocks run at different rates, up to a
-minute apart.
+One seed gives one run. Calls come at random front ends, some at two at the same moment, some again later
+elsewhere. Lines are lost, repeated, late and reordered; links are cut; front ends are killed at any step and
+come back with nothing, or are paused without noticing. Clocks run at different rates, up to a minute apart.
 """
 
 import heapq
@@ -31,7 +30,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Weather:
-    """How much goes wrong; chances are of one line, or rates a second of true time."""
+    """Rates of faults: chances per line, or rates per second of true time."""
 
     calls: float = 30.0
     again: float = 0.5  # of the calls come a second time, elsewhere
@@ -56,6 +55,8 @@
 
 @dataclass(slots=True)
 class Outcome:
+    """The result of a run."""
+
     calls: int = 0
     lines: int = 0
     kills: int = 0
@@ -128,13 +129,15 @@
     # --- time -----------------------------------------------------------------------------------
 
     def at(self, at: float, do: Callable[[], None]) -> None:
+        """Plan an event."""
         heapq.heappush(self.events, (at, next(self.order), do))
 
     def clock(self, front: _Front) -> float:
+        """A front end's clock, in milliseconds."""
         return self.now * front.rate + front.offset_ms
 
     def run(self, seconds: float, rest_s: float = 12.0) -> Outcome:
-        """So long with all that goes wrong, then a rest without faults until keepers hold the same."""
+        """Run so long with faults, then without, until replicas hold the same."""
         w, end = self.weather, 1000.0 * seconds
         rates = {
             self._call: w.calls, self._cut: w.cuts, self._kill: w.kills, self._halt: w.halts, self._move:
--- a/fawnwharf/lab/proposals.py
+++ b/fawnwharf/lab/proposals.py
@@ -1,4 +1,7 @@
-"""Operators' words on policy in the lab: who is told what, what steps wait for, what the checker is given."""
+"""Operators' requests on policy in the test bed.
+
+Whom they go to, what steps wait for, what the checker gets.
+"""
 
 import subprocess
 import sys
@@ -21,7 +24,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Proposed:
-    """The last word of an operator."""
+    """The last request of an operator."""
 
     at_ms: float  # when it was given
     notes: int  # how many there were
@@ -31,8 +34,7 @@
 
 @dataclass(slots=True)
 class Change:
-    """A change of policy by the notes, milliseconds from when an operator's word was taken; None: it never
-    came."""
+    """A rollout by the log lines; milliseconds from when the request was taken, None for what never came."""
 
     number: int
     taken_ms: float  # Unix time
@@ -44,19 +46,20 @@
 
 
 class Proposals:
-    """Gives operators' words by the command line, as operators do."""
+    """Makes operators' requests by the command line, as operators do."""
 
     def __init__(self, fleet: Fleet) -> None:
         self.fleet = fleet
 
     def propose(self, front: Front, document: dict[str, Any]) -> None:
+        """Propose a document."""
         path = front.folder / "proposed.json"
         write_whole(path, {"version": 1, **document})
         self._noted(document_of({"version": 1, **document}))
         self._say(front, "propose", path.name)
 
     def back(self, front: Front) -> None:
-        """To the policy before the one in force."""
+        """Ask for the policy before the one in force."""
         decided = {n.fields["number"]: n.fields["digest"] for n in self.fleet.notes if n.event == "decided"}
         before = decided[sorted(decided)[-2]] if len(decided) > 1 else Document().digest
         known = [Document(), *(proposed.document for proposed in self.fleet.proposed)]
@@ -64,6 +67,7 @@
         self._say(front, "back")
 
     def call_off(self, front: Front) -> None:
+        """Ask for the end of what is being prepared."""
         self._say(front, "call-off")
 
     def _noted(self, document: Document) -> None:
@@ -99,8 +103,11 @@
 
 
 def came(fleet: Fleet, what: str, why: str = "") -> bool:
-    """Whether a steward said it of the last proposal: `prepare`, `decided`, `ended`, `over` for one of these
-    two; or `refused`, of any word since. `why` is to be part of its cause."""
+    """Whether a coordinator logged this of the last proposal.
+
+    One of `prepare`, `decided`, `ended`, `over` for one of these two; or `refused`, of any request since.
+    `why` is to be part of its cause.
+    """
     said = ("decided", "ended") if what == "over" else (what,)
     last = fleet.proposed[-1]
     notes, mine = fleet.notes[last.notes :], set[int]()
@@ -117,7 +124,7 @@
 
 
 def changes(notes: list[Noted], live: set[str]) -> list[Change]:
-    """Each change that was prepared, by the front ends' own times; `live` are those that live at the end."""
+    """Each rollout that was prepared, by the front ends' own times; `live` are those that live at the end."""
     found: list[Change] = []
     taken_ms = 0.0
     held: dict[str, int] = {}  # the number that each has a lease for
@@ -144,6 +151,7 @@
 
 
 def lives_of(fleet: Fleet) -> list[Life]:
+    """The incarnations of all front ends, with their traces."""
     found = []
     for front in fleet.fronts.values():
         for since_ms, path in front.traces:
@@ -162,7 +170,7 @@
 
 
 def judged(fleet: Fleet) -> Found:
-    """The rule on epochs over a fleet's run, and that each call that was answered stands in a trace."""
+    """Check the rules on epochs, and that each call that was answered is in a trace."""
     lives, less = lives_of(fleet), unix_ms() - monotonic_ms()
     tries = [attempt for request in fleet.clients.requests for attempt in request.tries]
     accepted = frozenset((t.front, t.call_id) for t in tries if t.outcome in ("served", "failed"))
--- a/fawnwharf/lab/run.py
+++ b/fawnwharf/lab/run.py
@@ -25,6 +25,7 @@
         self.conditions = Conditions(self.fleet, self.parties)
 
     def run(self) -> Measures:
+        """Run all steps; the figures of the run."""
         fleet, conditions = self.fleet, self.conditions
         try:
             if self.scenario.decide:
@@ -61,7 +62,7 @@
 
 
 def run(scenario: Scenario, seed: int, folder: Path | None = None) -> Measures:
-    """One run, from the first process to the verdict; raises LabFault where the ground gave way."""
+    """One run, from the first process to the verdict; raises LabFault where the test bed failed."""
     return Runner(scenario, seed, folder).run()
 
 
--- a/fawnwharf/lab/scenario.py
+++ b/fawnwharf/lab/scenario.py
@@ -2,7 +2,7 @@
 
 Steps come one after another. Each waits for its `when`, an event or a time since the step before, and then
 does one thing. A wait for an event that does not come within `within_s` is a failure of the run, never
-passed over.
+ignored.
 """
 
 from pathlib import Path
@@ -32,6 +32,8 @@
 
 
 class ZoneSpec(Struct, frozen=True):
+    """The machines and the load of a zone."""
+
     front_ends: Annotated[int, Meta(ge=0, le=40)]
     scorers: Annotated[int, Meta(ge=0, le=40)]
     region: str = "r"
@@ -40,7 +42,7 @@
 
 
 class When(Struct, frozen=True, forbid_unknown_fields=True):
-    """One of these; all are waited for where there are more."""
+    """What a step waits for; where there are more conditions, all are waited for."""
 
     after_s: Span = 0.0
     state: dict[Name, str] | None = None  # of zones, as `of` follow it
@@ -81,6 +83,8 @@
 
 
 class Step(Struct, frozen=True, forbid_unknown_fields=True):
+    """One step: what to do, to whom, and when."""
+
     do: Literal[
         "cut", "heal", "delay", "lossy", "stall", "reset", "kill", "end", "stop", "go_on", "start",
         "lose_zone", "return_zone", "scorers_down", "scorers_up", "slow", "store", "rate",
@@ -101,6 +105,8 @@
 
 
 class Scenario(Struct, frozen=True, forbid_unknown_fields=True):
+    """A whole scenario."""
+
     version: int
     name: Name
     about: str
@@ -131,6 +137,7 @@
 
 
 def scenario_from(data: bytes) -> Scenario:
+    """Parse a scenario and check it; raises ScenarioFault."""
     try:
         found = msgspec.json.decode(data, type=Scenario)
     except msgspec.ValidationError as error:
@@ -213,4 +220,5 @@
 
 
 def names() -> list[str]:
+    """The names of the project's scenarios."""
     return sorted(path.stem for path in FOLDER.glob("*.json"))
--- a/fawnwharf/lab/sessions.py
+++ b/fawnwharf/lab/sessions.py
@@ -1,4 +1,4 @@
-"""Steps of scenarios with sessions: clients that move, and what operators ask by their files."""
+"""Steps of scenarios with sessions: clients that move, and operators' requests by their files."""
 
 import json
 from collections.abc import Mapping
@@ -17,7 +17,7 @@
 
 
 class SessionSteps:
-    """Moves clients, and asks what operators ask of sessions, by their files."""
+    """Moves clients, and makes operators' requests on sessions by their files."""
 
     def __init__(self, fleet: Fleet, parties: Parties) -> None:
         self.fleet, self.parties = fleet, parties
@@ -39,9 +39,12 @@
             self.tell_oracle()
 
     def _draw(self, step: Step, at_ms: float) -> list[Planned]:
-        """`what` is a site, `*`, or one of both with a tenant behind a slash; `value` the part, all if 0;
-        `to` a site, several with commas to choose from by chance, `*`, or `target`: the site that the front
-        ends hand each session over to."""
+        """Draw the sessions that a step moves.
+
+        `what` is a zone, `*`, or one of both with a tenant behind a slash; `value` the part, all if 0; `to` a
+        zone, several with commas to choose from at random, `*`, or `target`: the zone that the front ends
+        move each session to.
+        """
         clients = self.fleet.clients
         whence, _, tenant = step.what.partition("/")
         if step.to == "target":
@@ -56,11 +59,13 @@
         ]
 
     def move_clients(self, step: Step) -> None:
+        """Move clients of sessions to another zone."""
         drawn, self._drawn = self._drawn, None
         for planned in drawn if drawn is not None else self._draw(step, monotonic_ms()):
             self.fleet.clients.move(planned.live, planned.whither)
 
     def bounce(self, step: Step) -> None:
+        """Let clients call elsewhere for a moment and come back."""
         self.fleet.clients.bounce(step.value, step.what)
 
     def tell_oracle(self) -> None:
@@ -83,7 +88,7 @@
         self.fleet.loop.wheel.after(TOLD_MS, self._tell_on)
 
     def disturb(self, zone: str) -> None:
-        """Its sessions' calls go elsewhere from now on, or come back."""
+        """Let a zone's sessions call elsewhere from now on, or come back."""
         for live in getattr(self.fleet.clients, "live", ()):
             if live.site == zone:
                 self.disturbed.append(Moved(monotonic_ms(), live.org, live.row, zone, ""))
@@ -91,13 +96,13 @@
     # --- operators ------------------------------------------------------------------------------
 
     def keepers(self) -> list[Front]:
-        """Those that live, of the last list that was told; any front end where none was."""
+        """The replicas that live, of the last list that was told; any front end where none was."""
         if not (found := self.parties.keepers()):
             raise LabFault("no keeper lives that could be asked")
         return found
 
     def asked(self, whither: str) -> Front:
-        """The keeper that an operator turns to: one of a site that is not emptied, of `whither` at best."""
+        """The replica that an operator turns to: one of a zone that is not emptied, of `whither` at best."""
         found = [front for front in self.keepers() if front.zone not in self.drained] or self.keepers()
         front = next((front for front in found if front.zone == whither), found[0])
         self.fleet.asked = front.name
@@ -110,8 +115,11 @@
         write_whole(front.folder / "kept" / "moves.json", wishes)
 
     def move_session(self, step: Step) -> None:
-        """`what` is a site, or one session as tenant/function; `value` how many of the site, all if 0. Of one
-        without a call that was served nobody knows."""
+        """Ask for migrations.
+
+        `what` is a zone, or one session as tenant/function; `value` is how many of the zone, all if 0. A
+        session without a call that was served is known to nobody.
+        """
         clients = self.fleet.clients
         org, slash, row = step.what.partition("/")
         if slash:
@@ -122,8 +130,10 @@
         self._write(self.asked(site), [{"org": live.org, "row": live.row, "site": site} for live in drawn])
 
     def drain_site(self, step: Step) -> None:
-        """`what` are the sites that are to be empty, with commas; none: all may have sessions again. `to` may
-        name who is asked."""
+        """Ask for zones to be emptied.
+
+        `what` are the zones, with commas; empty to let all have sessions again. `to` may name who is asked.
+        """
         self.drained = step.what.split(",") if step.what else []
         front = self.parties.fronts(step.to)[0] if step.to else self.asked("")
         self.fleet.asked = front.name
@@ -132,18 +142,19 @@
         self._drainers = self._drainers | {front.name} if self.drained else set()
 
     def release(self, step: Step) -> None:
-        """So large a part of the functions is released anew: their copies are void."""
+        """Release a part of the functions anew: their copies are void."""
         rows = self.fleet.clients.functions
         for scorer in self.fleet.scorers.values():
             scorer.release(rows[: round((step.value or 1.0) * len(rows))])
 
 
 def handed_over(live: Live, zones: Mapping[str, ZoneSpec]) -> str:
-    """Where a session goes whose site is emptied, of zones with as many rooms as scorers."""
+    """Where a session goes whose zone is emptied, among zones with as much room as scorers."""
     room = {name: zone.scorers for name, zone in zones.items() if name != live.site}
     return target(Session(live.org, live.row), room)
 
 
 def oracle(fleet: Fleet) -> bool:
+    """Whether front ends are told of moves in advance."""
     asked = (fleet.scenario.sessions or {}).get("foresight") or {}
     return asked.get("mode") == "oracle"
--- a/fawnwharf/lab/steps.py
+++ b/fawnwharf/lab/steps.py
@@ -30,6 +30,7 @@
         self.wish_number = 0
 
     def carry_out(self, step: Step) -> None:
+        """Carry out a step."""
         getattr(self, f"_{step.do}")(step)
 
     def _set(self, step: Step, **faults: object) -> None:
--- a/fawnwharf/lab/topology.py
+++ b/fawnwharf/lab/topology.py
@@ -1,4 +1,4 @@
-"""What stands where on loopback: stand-ins for all that front ends talk to, and a relay on each path.
+"""Addresses on loopback: fakes for all that front ends talk to, and a relay on each path.
 
 Each zone has its own addresses.
 """
@@ -37,8 +37,10 @@
 
 
 class Slot:
-    """A range of loopback addresses of its own, held while the lab or one of its front ends lives: they
-    inherit the lock. A lab that was killed leaves front ends that still listen."""
+    """A range of loopback addresses of its own, locked while the lab or one of its front ends lives.
+
+    Front ends inherit the lock, as a lab that was killed leaves front ends that still listen.
+    """
 
     def __init__(self) -> None:
         first = random.SystemRandom().randrange(SLOTS)
@@ -53,9 +55,11 @@
         raise LabFault("no free range of loopback addresses")
 
     def host(self, zone: int, part: int, number: int) -> str:
+        """An address by zone, kind of party and number."""
         return f"127.{self.base + zone}.{part}.{number + 1}"
 
     def close(self) -> None:
+        """Release the range."""
         self.lock.close()
 
 
@@ -140,7 +144,7 @@
         self.relays[source, target, what] = Relay(self.loop, host, address, seed, dialled, usual_ms)
 
     def zone_of(self, party: str) -> str:
-        """Where a party stands; the change log of a front end stands beside it."""
+        """The zone of a party; the change log of a front end stands beside it."""
         if party in self.fronts:
             return self.fronts[party].zone
         return self.scorer_zone.get(party, party[8:] if party.startswith("clients-") else "")
@@ -183,9 +187,11 @@
     # --- scorers and the roster -----------------------------------------------------------------
 
     def entries(self, front: Front) -> list[dict[str, Any]]:
+        """The scorers as a front end's change log lists them."""
         return [self.entry(front, id) for id in self.scorers if self.phase[id] != "terminated"]
 
     def entry(self, front: Front, id: str) -> dict[str, Any]:
+        """One scorer as a front end's change log lists it."""
         return {
             "id": id,
             "host_port": self.relays[front.name, id, "calls"].host_port,
@@ -196,12 +202,13 @@
         }
 
     def tell(self, ids: list[str]) -> None:
-        """Each change log tells of these scorers as they are now."""
+        """Let each change log tell of these scorers as they are now."""
         for front in self.fronts.values():
             if front.alive and not front.log.dark:
                 front.log.add([self.entry(front, id) for id in ids])
 
     def scorers_up(self, ids: list[str], told: bool = True) -> None:
+        """Start scorers; `told` says whether the change logs tell of it."""
         for id in ids:
             self.scorers[id].start()
             self.up_since[id] = unix_ms()
@@ -210,7 +217,7 @@
             self.tell(ids)
 
     def rename(self, id: str) -> str:
-        """Another scorer is at this one's addresses; its id. The old one is in no list any more."""
+        """Put another scorer at this one's addresses; its id. The old one is in no list any more."""
         new = f"{id.partition('.')[0]}.{self.scorers[id].life + 1}"
         scorer = self.scorers[new] = self.scorers.pop(id)
         scorer.id = new
@@ -232,6 +239,7 @@
         return sum(sum(relay.bytes.values()) for relay in links)
 
     def close(self) -> None:
+        """Close all fakes and relays."""
         for relay in self.relays.values():
             relay.close()
         for scorer in self.scorers.values():
@@ -243,6 +251,7 @@
 
 
 def hash_of(text: str) -> int:
+    """The number of a scorer: a hash of its id."""
     return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=8).digest(), "big")
 
 
--- a/fawnwharf/lab/walk.py
+++ b/fawnwharf/lab/walk.py
@@ -1,9 +1,8 @@
-"""Random walks: voters in virtual time, with clocks that run apart, and all that may happen to what they say.
+"""Randomized simulation of voters in virtual time, with clock skew and faults of every kind.
 
-Deeper than `explore.py` and with the clocks left in, so that leases are tried as well. One seed gives one
-walk. Messages are lost, repeated, overtaken and held up; links are cut, one way too; voters are killed
-between any two of their actions, come back later from what they saved, and stand still for a while and go on
-as if nothing were.
+Deeper than `explore.py` and with real clocks, so that leases are tried as well. One seed gives one run.
+Messages are lost, repeated, reordered and delayed; links are cut, in one direction too; voters are killed
+between any two of their actions, come back later from what they saved, and are paused without noticing.
 """
 
 import heapq
@@ -20,7 +19,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Weather:
-    """How much goes wrong; chances are of one message, or of one second of true time."""
+    """Rates of faults: chances per message, or per second of true time."""
 
     lost: float = 0.05
     repeated: float = 0.05
@@ -42,7 +41,7 @@
 
 @dataclass(slots=True)
 class Outcome:
-    """What a walk has come to; `broken` is empty where all held."""
+    """The result of a run; `broken` is empty where all rules held."""
 
     steps: int = 0
     true_ms: float = 0.0
@@ -65,7 +64,7 @@
 
 
 class Walk:
-    """One fleet of voters and its ghost, which knows all that was ever decided."""
+    """One fleet of voters and the reference model, which knows all that was ever decided."""
 
     def __init__(self, kind: type[Voter], size: int, seed: int, weather: Weather, spare: int = 0) -> None:
         """`spare` members more may be taken into the list of voters, and any may be taken off it."""
@@ -90,6 +89,7 @@
     # --- the walk -------------------------------------------------------------------------------
 
     def run(self, steps: int) -> Outcome:
+        """Run so many steps, or up to the first broken rule."""
         while self.outcome.steps < steps and not self.outcome.broken:
             self.now, _, what, about = heapq.heappop(self.events)
             self.outcome.steps += 1
--- a/fawnwharf/lab/work.py
+++ b/fawnwharf/lab/work.py
@@ -1,6 +1,6 @@
-"""How cold scorers' budgets were kept, and loads that two front ends ordered for one need. Pure.
+"""How slow start limits were kept, and loads that two front ends ordered for one need. Pure.
 
-The budget is that of the decision module without its safety margin: `fall_multiple` times the part of its
+The limit is that of the decision module without its safety margin: `fall_multiple` times the part of its
 capacity that a scorer has, of an even part of what clients asked, within `fall_ms`.
 """
 
@@ -16,9 +16,11 @@
 def cold_use(
     arrivals: Iterable[Arrival], starts: dict[str, list[float]], asked: list[float]
 ) -> tuple[float, float]:
-    """Of the cold stretches of scorers, which began at `starts`: the most that ever came within a window, and
-    what came in all, both as parts of the budget; means of all stretches, 0 where there was none. `asked`
-    are the times at which clients began to ask."""
+    """The use of slow start limits: the most within a window, and the total, as parts of the limit.
+
+    Both are means over the scorers' starts at `starts`, 0 where there was none. `asked` are the times at
+    which clients began to ask.
+    """
     cold, fall, share = RULES["cold"], RULES["fall"], RULES["cold_share"]
     runs: dict[str, list[float]] = {}
     for arrival in arrivals:
@@ -46,7 +48,7 @@
 
 
 def twice(arrivals: Iterable[Arrival]) -> int:
-    """Orders to load that another front end had just given for the same function."""
+    """Load orders that another front end had just given for the same function."""
     last: dict[str, tuple[float, str]] = {}
     found = 0
     for arrival in sorted((a for a in arrivals if a.what == "order"), key=lambda a: a.at_ms):
