--- a/tests/giving_rig.py
+++ b/tests/support/load_permits.py
@@ -1,5 +1,8 @@
-"""Front ends with loaders and wardens in virtual time: words late and lost by seed, front ends that die and
-come back, scorers whose loads go on when whoever ordered them is gone."""
+"""Front ends that coordinate loads and slow starts, in virtual time.
+
+Messages are late and lost by seed, front ends die and come back, and scorers go on with loads when whoever
+ordered them is gone.
+"""
 
 import heapq
 import random
@@ -23,8 +26,10 @@
 
 
 class Fleet:
-    """`n` front ends, the first `keepers` of them keepers; `loads`: how long a load takes, at the least and
-    at the most."""
+    """`n` front ends, of which the first `keepers` are replicas.
+
+    `loads` is the least and the most time of a load.
+    """
 
     def __init__(
         self, seed=1, n=6, keepers=4, lag_ms=300.0, usual_ms=500.0, loads=(80.0, 480.0), lost=0.0, ration=None
@@ -46,10 +51,12 @@
         self.at(TURN_MS, self._turns)
 
     def at(self, delay_ms, call):
+        """Plan a call."""
         self.count += 1
         heapq.heappush(self.heap, (self.now + delay_ms, self.count, call))
 
     def run(self, until_ms):
+        """Run up to a time."""
         while self.heap and self.heap[0][0] <= until_ms:
             self.now, _, call = heapq.heappop(self.heap)
             call()
@@ -58,6 +65,7 @@
     # --- who is there ---------------------------------------------------------------------------
 
     def start(self, name):
+        """Start a front end, which knows only itself at first."""
         self.lives += 1
         order = lambda row: sorted(range(3), key=lambda s: weight(str(s), row))  # noqa: E731
         more = {} if self.ration is None else {"room": lambda: self.room(name)}
@@ -68,16 +76,18 @@
         self._changed(name)
 
     def room(self, name):
+        """Load orders that a front end's rate limit leaves."""
         return self.ration - sum(o[1] == name and o[0] > self.now - RATION_MS for o in self.orders)
 
     def kill(self, name):
+        """Kill a front end."""
         self.up.discard(name)
         self.fronts.pop(name)
         self.orders = [(*o[:3], o[3] and (o[1] != name or o[4] <= self.now), o[4]) for o in self.orders]
         self._changed()
 
     def _changed(self, new=None):
-        """Each sees it within `lag_ms`, who starts at once."""
+        """Let each front end see who is up within `lag_ms`; one that starts, at once."""
         seen = frozenset(self.up)
         self.changes += 1
         for name in self.up:
@@ -95,6 +105,7 @@
         return see
 
     def go_by(self, may):
+        """Let all front ends go by what is allowed now."""
         self.may = may
         for name, front in self.fronts.items():
             front.set(self.now, self.views[name][1], self.keepers, may, 1)
@@ -107,6 +118,7 @@
             self.carry(name, front.tick(self.now))
 
     def carry(self, name, outs):
+        """Carry out the effects of a front end."""
         for out in outs:
             if isinstance(out, Words):
                 for to in [other for other in out.to or self.names if other != name]:
@@ -118,6 +130,7 @@
                 self.sent.append(self.now)
 
     def ask(self, name, count):
+        """Let a front end ask for permits for the cold scorer 7."""
         for _ in range(count):
             self.keys += 1
             if self.fronts[name].ask(self.now, 7, f"k{self.keys}") == 0.0:
@@ -136,7 +149,7 @@
         self.at(late, come)
 
     def _ordered(self, name, what):
-        """The module, and a scorer."""
+        """Stands for the decision module and a scorer."""
         front, place = self.fronts.get(name), (what.worker, what.function)
         if front is None:
             return
@@ -183,4 +196,5 @@
 
 
 def builtins(word):
+    """A message after a trip through JSON."""
     return msgspec.json.decode(msgspec.json.encode(word))
--- a/tests/elsewhere_rig.py
+++ b/tests/support/load_reports.py
@@ -1,4 +1,4 @@
-"""An owner with a roster of its own, and words that owners were greeted by, for tests."""
+"""Owners of load reports with a roster, and owners that a replica has heard of."""
 
 from fawnwharf import interface as io
 from fawnwharf.replication import messages as m
@@ -6,6 +6,7 @@
 
 
 def own(*cold, now=0.0, copies_ms=3_000.0):
+    """The reports of one owner; the scorers `cold` are in slow start since `now`."""
     found = Own(4_000.0, 1_000.0, copies_ms)
     entries = [io.WorkerEntry(n, up_since_ms=now if n in cold else None) for n in range(1, 10)]
     found.roster(now, now, entries, True)
@@ -13,5 +14,5 @@
 
 
 def greeted(words, owners, now=0.0):
-    """Each owner's first word names nothing; the number of the answer to it."""
+    """Let a replica hear each owner's first, empty report; the numbers of the answers."""
     return {owner: words.heard(now, "k", owner, m.Work(0)).answer for owner in owners}
--- a/tests/kept_rig.py
+++ b/tests/support/memory_stores.py
@@ -1,4 +1,4 @@
-"""Stores of front ends on disks in memory, in virtual time: cut, killed, held back, failing."""
+"""Durable stores of front ends on disks in memory, in virtual time: cut, killed, held back, failing."""
 
 from random import Random
 
@@ -20,7 +20,7 @@
 
 
 class Writer:
-    """Does a job when it is asked what came of it, unless it is held."""
+    """Carries a job out when asked for its outcome, unless it is held."""
 
     incoming, unsent = None, False
 
@@ -28,38 +28,44 @@
         self.machine, self.job = machine, None
 
     def start(self, job):
+        """Take a job."""
         self.job = job
 
     def poll(self):
+        """The outcome of the job, which is carried out now; None while it is held."""
         if self.job is None or self.machine.held:
             return None
         job, self.job = self.job, None
         return carry_out(self.machine.disk, job)
 
     def close(self):
+        """Drop the job."""
         self.job = None
 
 
 class Machine:
-    """One front end's disk and boot."""
+    """One front end's disk and boot mark."""
 
     def __init__(self, place):
         self.disk, self.held, self.boots, self.place = MemoryDisk(), False, 1, place
         self.place.write_text("boot 1\n")
 
     def cut(self, seed=1, share=0.5):
-        """The power goes: what was not synced is there in part, and it is another boot."""
+        """Lose power: of what was not synced a part is there, and it is another boot."""
         self.disk = self.disk.reboot(Random(seed), share)
         self.boots += 1
         self.place.write_text(f"boot {self.boots}\n")
 
     def kill(self):
+        """Kill the process: the disk stays as it is."""
         self.disk = self.disk.restart()
 
     def fails(self, operations=10**6):
+        """Let so many operations of the disk fail from now on."""
         self.disk.plan = Plan(fail_at=self.disk.count, fail_for=operations)
 
     def works(self):
+        """Let the disk work again."""
         self.disk.plan = Plan()
 
 
@@ -74,6 +80,7 @@
         patch.setattr(promises, "monotonic_ms", lambda: self.now)
 
     def machine(self, name="n0"):
+        """The machine of a member, made when it is first asked for."""
         if name not in self.machines:
             self.machines[name] = Machine(self.folder / f"boot-{name}")
         return self.machines[name]
@@ -89,6 +96,7 @@
             raise DiskError(str(error)) from None
 
     def kept(self, name="n0", fresh=False, settle=True, limits=LIMITS, boot_file=None):
+        """Open a member's store."""
         place = str(self.machine(name).place) if boot_file is None else boot_file
         kept = onstore.Kept(
             self.folder, "f", name, place, limits, lambda what, more: self.notes.append((what, more)), fresh
@@ -98,7 +106,7 @@
         return kept
 
     def pump(self, kept, span_ms=0.0):
-        """The store's turns until nothing is due, now or within a span."""
+        """Run a store until nothing is due, now or within a span."""
         end = self.now + span_ms
         for _ in range(10_000):
             kept.store.turn(self.now)
@@ -112,7 +120,7 @@
 
 
 class StoreCores(Cores):
-    """Cores whose keepers have stores; `turn` lets those come to disk."""
+    """Cores whose replicas have stores; `turn` lets their contents come to disk."""
 
     def __init__(self, site, fresh=True, rules: Settings = RULES):
         super().__init__(rules)
@@ -128,25 +136,28 @@
         self.disks[name] = self.kepts[name].promises(self.cores[name], None)
 
     def carry(self, name, effects):
+        """Carry out the effects of a front end, through its store."""
         self.site.now = self.now
         if (disk := self.disks.get(name)) is not None:
             effects = disk.written(effects, lambda more: super(StoreCores, self).carry(name, more))
         super().carry(name, effects)
 
     def turn(self, *names):
+        """Let the stores run until nothing is due."""
         for _ in range(6):  # what one tells may have another write
             for name in names or list(self.kepts):
                 self.site.now = self.now
                 self.site.pump(self.kepts[name])
 
     def wait(self, span_ms):
+        """Let time pass, with all stores running."""
         end = self.now + span_ms
         while self.now < end:
             super().wait(50.0)
             self.turn()
 
     def end_all(self, what, *names):
-        """Front ends end at once, their machines as `what` says, and start again with what is on disk."""
+        """End front ends at once, their machines as `what` says, and start them with what is on disk."""
         for name in names or list(self.cores):
             if name in self.site.machines:
                 getattr(self.site.machine(name), what)()
@@ -157,11 +168,12 @@
                 self._give(name)
 
     def sure(self, name):
+        """Whether a replica knows all that it promised."""
         return self.cores[name].keeper.sure(self.now)
 
 
 def asks(cores, owner, keeper, key="k"):
-    """A keeper's word on a bare ask, None while it says nothing."""
+    """A replica's answer to a bare question, None while it gives none."""
     core, said = cores.cores[keeper], []
     ask = m.Ask(key, f"{owner}#{cores.cores[owner].life}", 1, core.placement.number, 0)
     line = msgspec.to_builtins(cores.cores[owner].wrapped(m.Say((keeper,), ask)))
--- a/tests/policy_site.py
+++ b/tests/support/policy_front_ends.py
@@ -1,4 +1,4 @@
-"""Front ends with changes of policy in this thread: real sockets, real files, one loop after the other."""
+"""Front ends with policy rollouts in this thread: real sockets, real files, one loop after the other."""
 
 import json
 import time
@@ -21,7 +21,7 @@
 
 
 class Node:
-    """One front end of a site: its files, and what runs of it."""
+    """One front end: its files, and what runs of it."""
 
     def __init__(self, site, n, zone, policy=True):
         self.site, self.name, self.zone, self.policy = site, f"n{n}", zone, policy
@@ -33,11 +33,12 @@
         self.front, self.notes = None, []
 
     def entry(self):
+        """Its entry in the file of members."""
         address, ballots, state = (port.text for port in self.ports)
         return {"name": self.name, "zone": self.zone, "address": address, "ballots": ballots, "state": state}
 
     def start(self):
-        """Begin, or begin anew with the files that are there."""
+        """Start, or start again with the files that are there."""
         event = {"seq": 1, "fleet": {"complete": True, "members": [self.scorer.member(locality=self.zone)]}}
         deployment = deployment_from(
             {
@@ -62,24 +63,30 @@
 
     @property
     def part(self):
+        """The part under test, the last one made."""
         return self.front.seam._parts[-1]
 
     @property
     def zones(self):
+        """Its part for zones."""
         return self.front.seam._parts[0]
 
     def close(self):
+        """Close the front end, if it runs."""
         if self.front is not None:
             self.front.close()
             self.front = None
 
     def noted(self, event):
+        """The fields of the log lines of an event."""
         return [fields for found, fields in self.notes if found == event]
 
     def word(self, number, **word):
+        """Leave an operator's request."""
         self.write("zones/proposal.json", {"version": 1, "number": number} | word)
 
     def write(self, name, data):
+        """Write a file atomically."""
         path = self.folder / name
         path.parent.mkdir(exist_ok=True)
         beside = path.with_suffix(".beside")
@@ -87,6 +94,7 @@
         beside.rename(path)
 
     def outcome(self, number):
+        """The outcome of a request made here; None for an unknown one."""
         return next((w.outcome for w in self.part.agent.wishes if w.outcome.wish == number), None)
 
     def by(self):
@@ -96,6 +104,8 @@
 
 
 class Site:
+    """Three front ends, one in each zone, with all that they read."""
+
     patience_s = PATIENCE_S
 
     def __init__(self, folder, state=False, policies=(True, True, True), **timing):
@@ -111,16 +121,19 @@
         found(self.nodes[0].folder / "zones.json", "n0")
 
     def start(self):
+        """Start all."""
         for node in self.nodes:
             node.start()
 
     def begin(self):
+        """Start all, up to a fleet in which all vote and hold leases."""
         self.start()
         voter = self.nodes[0].zones.core.voter
         self.until(lambda: len(voter.saved.voters) == 3, "all vote")
         self.until(lambda: self.in_force(0), "all hold leases")
 
     def turn(self):
+        """Run one iteration of each loop and peer."""
         for node in self.nodes:
             if node.front is not None:
                 node.front.loop.turn(0.001)
@@ -130,38 +143,45 @@
             client.pump()
 
     def until(self, condition, what):
+        """Run until a condition holds; fails after `patience_s`."""
         end = time.monotonic() + self.patience_s
         while not condition():
             assert time.monotonic() < end, f"waited in vain until {what}: {self.told()}"
             self.turn()
 
     def rest(self, seconds):
+        """Run for some seconds."""
         end = time.monotonic() + seconds
         while time.monotonic() < end:
             self.turn()
 
     def told(self):
+        """The last log lines of each front end, for messages of failures."""
         return [(node.name, node.notes[-8:], node.lines[-3:]) for node in self.nodes if node.front]
 
     def client(self, node):
+        """Connect a client to a front end."""
         self.clients.append(ClientPeer(node.front.address))
         return self.clients[-1]
 
     def ready(self, node):
-        """What the front end answers when it is asked whether it takes work."""
+        """What a front end answers when it is asked whether it takes work."""
         client = self.client(node)
         client.status()
         self.until(lambda: client.answers, "the status comes")
         return client.answers[0][2][3]
 
     def leader(self):
+        """The front end that leads, once one does."""
         self.until(lambda: any(node.part.agent.steward.term for node in self.nodes), "one leads")
         return next(node for node in self.nodes if node.part.agent.steward.term)
 
     def in_force(self, number, nodes=None):
+        """Whether front ends hold a lease for this number."""
         return all(node.by() == (number, "leased") for node in nodes or self.nodes)
 
     def close(self):
+        """Close everything."""
         for node in self.nodes:
             node.close()
             for peer in (node.log, node.scorer):
@@ -173,4 +193,5 @@
 
 
 def document(rps=20.0, **more):
+    """A policy with this quota and more."""
     return {"version": 1, "tenants": {"acme": {"quota_rps": rps}}} | more
--- a/tests/power_rig.py
+++ b/tests/support/power_losses.py
@@ -16,13 +16,14 @@
 
 
 def scenario():
+    """The lab's scenario that these runs are made from."""
     found = scenarios.load("state-killed")
     zones = {zone: msgspec.structs.replace(spec, front_ends=1) for zone, spec in found.zones.items()}
     return msgspec.structs.replace(found, zones=zones, decide=True)
 
 
 class PowerFleet(Fleet):
-    """Three front ends, one in each zone, all keepers and voters; with a store each, or with files alone."""
+    """Three front ends, one in each zone, all replicas and voters; with a store each, or with files only."""
 
     def __init__(self, seed, stores=True, **recovery):
         """`recovery`: parts of `recovery.json`, over its defaults."""
@@ -30,6 +31,7 @@
         self.stores, self.boot, self.recovery = stores, 1, recovery
 
     def start(self, front):
+        """Start a front end in the present boot."""
         (front.folder / "boot").write_text(f"{front.name} {self.boot}\n")
         recovery = {"version": 1, "folder": "durable", "boot_file": "boot", "fetches": 8, "scorer_rps": 50.0}
         recovery["boot_file"] = str((front.folder / "boot").resolve())
@@ -37,13 +39,16 @@
         super().start(front)
 
     def command(self, front):
+        """The command line, with recovery where there are stores."""
         return super().command(front) + (["--recovery", "recovery.json"] if self.stores else [])
 
     def begin(self):
+        """Bootstrap the fleet and start all."""
         self.found()
         self.up()
 
     def up(self):
+        """Start all, until they are ready and their stores have settled."""
         fronts = list(self.fronts.values())
         for front in fronts:
             self.start(front)
@@ -53,12 +58,15 @@
             self.until(lambda: all(self.settled(front, lives) for front in fronts), "stores to settle")
 
     def settled(self, front, lives):
-        """Its log of this life is there, and with it all that the start wrote."""
+        """Whether the log of this incarnation is there, and with it all that the start wrote."""
         logs = [int(path.stem[4:]) for path in (front.folder / "durable").glob("log-*.seg")]
         return max(logs, default=0) >= lives
 
     def cut(self):
-        """All at once; a file is of no use in another boot, and goes as the mark of the boot can't be set."""
+        """Cut the power of all at once.
+
+        A file is of no use in another boot, and is removed, as the mark of the boot can't be set.
+        """
         for front in self.fronts.values():
             if front.process is not None:
                 front.process.kill()
@@ -69,18 +77,22 @@
         self.boot += 1
 
     def ask(self, zone="a"):
+        """Make an at-most-once call from a zone."""
         self.clients._down.clear()  # their probes go with a load of their own, which there is none of
         return self.clients._ask(SETTLE, zone, TENANTS[0], self.clients.functions[0])
 
     def again(self, request, zone):
-        """The same call, asked for from a zone."""
+        """Make the same call again from a zone."""
         self.clients._down.clear()
         twin = self.clients._again(request, zone)
         self.clients._try(twin)
         return twin
 
     def outcome(self, request, zone):
-        """Of the same call, asked for from a zone until it is not refused: logs have to come up first."""
+        """The outcome of the same call, made from a zone until it is not refused.
+
+        Logs have to come up first.
+        """
         twins = []
 
         def ended():
@@ -92,7 +104,7 @@
         return twins[-1].outcome
 
     def runs(self, request):
-        """How often it came to a scorer that did not turn it away."""
+        """How often a call came to a scorer that did not turn it away."""
         mine = [one for one in self.arrivals if one.id == request.call_id]
         return sum((one.what == "run") - (one.what == "turned") for one in mine)
 
@@ -109,7 +121,7 @@
         return asked[-1]
 
     def served(self, what, within_s=40.0):
-        """A call is served, however often it has to be asked for; when, in ms of the monotonic clock."""
+        """Make calls until one is served; when, in ms of the monotonic clock."""
         asked = [self.ask()]
 
         def good():
@@ -121,8 +133,10 @@
         return asked[-1].ended_ms
 
     def back(self):
-        """The power goes, all start again: ms from the moment at which all serve until a call that may run
-        at most once is served."""
+        """Cut the power and start all again: how long an at-most-once call takes to be served, in ms.
+
+        The time counts from when all are ready.
+        """
         self.served("the fleet to serve")
         self.cut()
         self.up()
--- a/tests/staging_rig.py
+++ b/tests/support/prefetch_driver.py
@@ -1,4 +1,4 @@
-"""A front end's staging with calls and looks at hand, for tests."""
+"""Drives a front end's prefetcher with calls and passes."""
 
 from fawnwharf import interface as io
 from fawnwharf.foresight import messages as m
@@ -16,17 +16,20 @@
 
 
 def rules(**changes):
+    """The settings of a site."""
     told = dict(classes={"view": SPEC}, fleet_size=3, load_window_ms=5_000.0, free_loads=6.0, load_part=0.3)
     return io.Settings(**(told | changes))
 
 
 def staging(me="a", bounds=S, workers=9, **changes):
+    """A prefetcher that knows a roster of `workers` scorers."""
     made = Staging(me, bounds, rules(**changes), Prices(0.15, 0.16, 0.01))
     made.events(0.0, UNIX, [roster(range(workers))])
     return made
 
 
 def roster(workers, complete=True, **changes):
+    """A change of the roster: scorers spread over the zones."""
     return io.RosterChanged([io.WorkerEntry(n, zone=SITES[n % 3], **changes) for n in workers], complete)
 
 
@@ -36,6 +39,7 @@
     count = 0
 
     def events(self, row, site, org="club", warmth=io.Warmth.FOUND, ending=io.Ending.GOOD, worker=None):
+        """The events of one call."""
         self.count += 1
         worker = SITES.index(site) if worker is None else worker
         came = io.RequestArrived(f"r{self.count}", row, "view", org, 3_000.0, 1, 40.0, 900.0)
@@ -43,7 +47,7 @@
 
 
 def look(one, now, seen=None):
-    """A whole look; the time stands still meanwhile."""
+    """A whole pass, during which time stands still."""
     beats = [one.beat(now, seen or Seen(heard=(one.me,), ordered=0))]
     while one._slices is not None:
         beats.append(one.beat(now, seen or Seen(heard=(one.me,), ordered=0)))
@@ -51,11 +55,12 @@
 
 
 def wanted(beats):
+    """The functions and scorers of all orders."""
     return [(w.function, w.worker) for beat in beats for w in beat.wanted]
 
 
 def drained_site(one, calls, rows, now=0.0, seen=None):
-    """Sessions at n, which is to be drained in 8 s."""
+    """Let sessions call at zone n, and announce its drain in 8 s."""
     for second in range(5):
         for row in rows:
             one.events(now + 1_000.0 * second, UNIX, calls.events(row, "n"))
--- a/tests/lossy_rig.py
+++ b/tests/support/promise_process.py
@@ -1,4 +1,4 @@
-"""A process that does nothing but keep promises in a durable store, and what a folder holds of them."""
+"""A process that only writes promises into a durable store, and what a folder holds of them."""
 
 from fawnwharf.durable import form as f
 from fawnwharf.durable.folder import Folder, lock, unlock
--- a/tests/door_rig.py
+++ b/tests/support/recovery_admission.py
@@ -1,5 +1,4 @@
-"""A door in virtual time: a real wheel, what stands below as the test answers for it, loaders and wardens
-whose word the test gives."""
+"""Recovery admission in virtual time: a real timer wheel, and answers of all others by the test."""
 
 from fawnwharf.interface import ClassSpec, Effect
 from fawnwharf.net.requests import Call, Refused
@@ -21,32 +20,39 @@
 
 
 class Words:
-    """In the place of Giving."""
+    """Stands for `Giving`: its answers are set by the test."""
 
     def __init__(self):
         self.places, self.etas, self.free, self.wanted, self.asked = {}, {}, {}, [], []
 
     def place(self, row):
+        """The scorer of a function's copy, if it is set."""
         return self.places.get(row)
 
     def eta_ms(self, now, row):
+        """When a copy may stand, in milliseconds."""
         return self.etas.get(row, 300.0)
 
     def want(self, now, row, worth_ps, kind, lanes, load_ms):
+        """Note a load request."""
         self.wanted.append((row, worth_ps, kind))
 
     def ask(self, now, scorer, key):
+        """The answer set for a scorer: 0 to send, else milliseconds to wait, or None for later."""
         found = self.free.get(scorer, 0.0)
         if found is None:
             self.asked.append(key)
         return found
 
     def drop(self, key):
+        """Forget a call that waits for a permit."""
         if key in self.asked:
             self.asked.remove(key)
 
 
 class Ground:
+    """The admission under test, and the table below it."""
+
     def __init__(self, stage=Stage.REST, rate_ps=1e6, promises=None, limits=LIMITS, **more):
         self.now = 0.0
         self.wheel = Wheel(lambda: self.now)
@@ -57,16 +63,19 @@
         self.pass_by(1_000.0)  # so that there is a burst to be let in
 
     def go_by(self, stage, rate_ps=1e6, **more):
+        """Go by a phase, or by what is allowed."""
         may = allowed(stage, WORTHS) if isinstance(stage, Stage) else stage
         self.door.go_by(may, rate_ps, self.giving)
 
     def pass_by(self, ms):
+        """Let milliseconds pass."""
         until = self.now + ms
         while self.now < until:
             self.now = min(until, self.now + 4.0)
             self.wheel.advance()
 
     def take(self, call):
+        """Take a call, as the table below; fails for a call taken twice."""
         assert call.id not in self.passed, "a call twice"
         self.passed.add(call.id)
         if self.at_once:
@@ -78,9 +87,11 @@
         return key
 
     def withdraw(self, key):
+        """Note a withdrawal."""
         self.withdrawn.append(key)
 
     def ask(self, kind="view", row="f", budget_ms=2_000.0, token=""):
+        """Make a call: its key, and a list for its outcome."""
         self.numbers += 1
         got = []
         call = Call(
--- a/tests/rejoin_rig.py
+++ b/tests/support/recovery_agents.py
@@ -1,11 +1,12 @@
-"""Agents of recovery at real members of zones in virtual time: words by their logs, decisions by their
-voters' log, and losses of power."""
+"""Agents of recovery at real members of zones, in virtual time.
+
+Messages go by their logs, decisions by the consensus log, and power losses happen.
+"""
 
 import random
 
 import msgspec
 from test_zone_members import Fleet
-from zone_files import members
 
 from fawnwharf.durable.reading import Sign
 from fawnwharf.recovery.asking import Pace
@@ -14,6 +15,7 @@
 from fawnwharf.rejoin.agent import Agent, Go, Own, Say, Signed
 from fawnwharf.rejoin.lead import Lists
 from fawnwharf.zones.lines import RECOVERY, Heard, Ruled, Word
+from support.zone_files import members
 
 STEP_S = 0.02
 WORTHS = {"view": 1.0, "save": 5.0}
@@ -21,6 +23,8 @@
 
 
 class Agents(Fleet):
+    """Members with an agent of recovery each."""
+
     def __init__(self, zones="abcab", seed=1, lost=0.0, late_ms=0.0):
         self.agents, self.chance, self.lost, self.late_ms = {}, random.Random(seed), lost, late_ms
         self.marks, self.lives, self.whole = {}, {}, {}
@@ -30,9 +34,11 @@
 
     @property
     def names(self):
+        """The names of all members."""
         return [entry.name for entry in self.file.members]
 
     def own(self, name, sign=None):
+        """What a member knows of itself."""
         core = self.cores[name]
         votes = core.voter is not None
         plan = (core.voter.saved.last_index, "") if votes else (0, "")
@@ -42,6 +48,7 @@
         )  # fmt: skip
 
     def start(self, name, identity, seed=99):
+        """Start a member and its agent."""
         super().start(name, identity, seed)
         self.lives[name] = self.lives.get(name, 0) + 1
         voters = tuple(entry.name for entry in self.file.voters)
@@ -55,16 +62,19 @@
     # --- power ----------------------------------------------------------------------------------
 
     def end(self, *names):
+        """End members without notice."""
         for name in names:
             self.dead.add(name)
             self.due = [word for word in self.due if name not in word[1:3]]
 
     def begin(self, mark, *names):
+        """Start members again, in a boot with this mark, or in the same one for an empty mark."""
         for name in names:
             self.marks[name] = mark or self.marks[name]
             self.start(name, f"{name}#0", seed=self.chance.randrange(1_000))
 
     def power_loss(self, mark, *names):
+        """End members and start them in another boot."""
         self.end(*(names or self.names))
         self.run(0.1)
         self.begin(mark, *(names or self.names))
@@ -72,6 +82,7 @@
     # --- what is carried ------------------------------------------------------------------------
 
     def do(self, name, effects):
+        """Carry out the effects of a member's core."""
         super().do(name, effects)
         agent = self.agents.get(name)
         for effect in effects:
@@ -84,20 +95,13 @@
             self.act(name, agent.turned(self.now))
 
     def act(self, name, effects):
+        """Carry out the effects of a member's agent."""
         core = self.cores[name]
         for effect in effects:
             if isinstance(effect, Say) and effect.zone:
-                line = core._line(words=[Word(msgspec.to_builtins(effect.word), effect.to, RECOVERY)])
-                for other in self.names:
-                    voter = self.file.named(name).ballots or self.file.named(other).ballots
-                    if other != name and voter and self.chance.random() >= self.lost:
-                        self.send(name, other, line, False)
+                self._say_by_zones(name, effect)
             elif isinstance(effect, Say):
-                for to in effect.to:
-                    if self.chance.random() >= self.lost:
-                        delay = 2.0 + self.chance.random() * self.late_ms
-                        data = msgspec.json.encode(effect.word)
-                        self.due.append((self.now + delay, name, to, data))
+                self._say_by_state(name, effect)
             elif isinstance(effect, Decide):
                 put, more = core.put(self.now, effect.register, RECOVERY)
                 self.do(name, more)
@@ -110,7 +114,21 @@
             elif isinstance(effect, Note):
                 self.noted.append((name, effect.event, effect.fields))
 
+    def _say_by_zones(self, name, effect):
+        line = self.cores[name]._line(words=[Word(msgspec.to_builtins(effect.word), effect.to, RECOVERY)])
+        for other in self.names:
+            voter = self.file.named(name).ballots or self.file.named(other).ballots
+            if other != name and voter and self.chance.random() >= self.lost:
+                self.send(name, other, line, False)
+
+    def _say_by_state(self, name, effect):
+        for to in effect.to:
+            if self.chance.random() >= self.lost:
+                delay = 2.0 + self.chance.random() * self.late_ms
+                self.due.append((self.now + delay, name, to, msgspec.json.encode(effect.word)))
+
     def run(self, seconds):
+        """Let seconds pass."""
         for _ in range(round(seconds / STEP_S)):
             super().run(STEP_S)
             due = [word for word in self.due if word[0] <= self.now]
@@ -136,12 +154,15 @@
 
     @property
     def up(self):
+        """The members that are up."""
         return [name for name in self.names if name not in self.dead]
 
     def stages(self, names=None):
+        """The phases by which members go."""
         return {self.agents[name].stage(self.now) for name in names or self.up}
 
     def until(self, condition, seconds=40.0):
+        """Run until a condition holds; fails after `seconds`."""
         for _ in range(round(seconds / STEP_S)):
             if condition():
                 return self
@@ -149,6 +170,8 @@
         raise AssertionError(f"waited in vain: {self.trail[-8:]} {self.noted[-8:]}")
 
     def until_stage(self, stage, names=None, cut=None):
+        """Run until members go by this phase, and know of so many power losses."""
+
         def there():
             by = [self.agents[name] for name in names or self.up]
             return self.stages(names) == {stage} and all(cut in (None, agent.cut) for agent in by)
@@ -157,10 +180,12 @@
 
     @property
     def leader(self):
+        """The member that leads; None where none does."""
         found = [n for n in self.up if self.agents[n].lead.term and self.cores[n].seat(self.now).fresh]
         return found[0] if found else None
 
     def calm(self):
+        """Run until the fleet is in its normal state and all boots are noted."""
         self.until(lambda: all(len(self.cores[n].voter.saved.voters) == 3 for n in self.names[:3]))
         self.until_stage(Stage.SPILL)
         self.until(lambda: all(agent.asked for agent in self.agents.values()))
--- a/tests/rejoin_site.py
+++ b/tests/support/recovery_front_ends.py
@@ -1,10 +1,8 @@
-"""Front ends with recovery in this thread: real sockets, real folders, boots' marks in files."""
+"""Front ends with recovery in this thread: real sockets, real folders, boot marks in files."""
 
 import time
 
-import policy_site
 from peers import SETTINGS
-from policy_site import STATE, VOTING
 
 from fawnwharf.config import deployment_from
 from fawnwharf.epochs.service import Policies
@@ -16,14 +14,16 @@
 from fawnwharf.serving import Seams
 from fawnwharf.zones.founding import found
 from fawnwharf.zones.service import Zones
+from support import policy_front_ends
+from support.policy_front_ends import STATE, VOTING
 
-LEASES = policy_site.TIMING
+LEASES = policy_front_ends.TIMING
 TIMING = {"hold_ms": 300.0, "listen_ms": 1_500.0, "most_ms": 2_000.0, "settle_ms": 1_500.0}
 PACE = {"again_ms": 100.0, "spread_ms": 50.0, "stand_ms": 100.0, "stage_ms": 150.0}
 
 
-class Node(policy_site.Node):
-    """One front end of a site: its files, and what runs of it."""
+class Node(policy_front_ends.Node):
+    """One front end: its files, and what runs of it."""
 
     def __init__(self, site, n, zone):
         super().__init__(site, n, zone)
@@ -31,10 +31,11 @@
         self.boot(1)
 
     def boot(self, number):
+        """Set the mark of its machine's boot."""
         (self.folder / "boot").write_text(f"boot {number}\n")
 
     def start(self, fresh=False):
-        """Begin, or begin anew with the files that are there."""
+        """Start, or start again with the files that are there."""
         event = {"seq": 1, "fleet": {"complete": True, "members": [self.scorer.member(locality=self.zone)]}}
         deployment = deployment_from(
             {
@@ -69,13 +70,15 @@
 
     @property
     def agent(self):
+        """Its agent of recovery."""
         return self.part.agent
 
     def stage(self):
+        """The phase by which it goes."""
         return self.agent.stage(time.monotonic() * 1000.0)
 
     def stages(self):
-        """Cut and stage by which it went, each once."""
+        """The power losses and phases by which it went, each once."""
         found = []
         for fields in self.noted("stage"):
             if not found or found[-1] != (fields["cut"], fields["stage"]):
@@ -83,7 +86,9 @@
         return found
 
 
-class Site(policy_site.Site):
+class Site(policy_front_ends.Site):
+    """Three front ends, one in each zone, with all that they read."""
+
     patience_s = 40.0
 
     def __init__(self, folder, policy=False, **timing):
@@ -102,11 +107,12 @@
         found(self.nodes[0].folder / "zones.json", "n0")
 
     def start(self, nodes=None, fresh=False):
+        """Start front ends, all by default."""
         for node in nodes or self.nodes:
             node.start(fresh)
 
     def begin(self):
-        """A new fleet, until it is calm and its boots are noted."""
+        """Start a new fleet, until it is in its normal state and its boots are noted."""
         self.start(fresh=True)
         self.until(
             lambda: all(node.stage() is Stage.SPILL and node.agent.asked for node in self.nodes), "calm"
@@ -115,6 +121,7 @@
         self.until(noted, "boots are noted")
 
     def power_loss(self, number, nodes=None):
+        """Close front ends and set their machines to another boot."""
         for node in nodes or self.nodes:
             node.close()
         for node in nodes or self.nodes:
--- a/tests/dealt_rig.py
+++ b/tests/support/register_permits.py
@@ -1,14 +1,16 @@
-"""Front ends whose seats and wards are dealt by a register, in virtual time: some are told of a later one as
-late as they may be, and go by the one before meanwhile, from `VALID` of that on at half the budget."""
+"""Front ends that divide load permits by a register, in virtual time.
 
-from giving_rig import LIMITS, WORTHS, Fleet
-from rejoin_rig import STEP_S, Agents
+Some are told of a later register as late as may be, and go by the one before meanwhile; from `VALID` of that
+time on at half the budget.
+"""
 
 from fawnwharf.recovery.register import Dealt
 from fawnwharf.recovery.stages import Allowed, Stage, allowed
 from fawnwharf.rejoin.giving import Giving
 from fawnwharf.rejoin.outs import Order, Words
 from fawnwharf.replication.placement import weight
+from support.load_permits import LIMITS, WORTHS, Fleet
+from support.recovery_agents import STEP_S, Agents
 
 WORD_MS, VALID = 1_500.0, 0.4
 OPEN_MS = 1_000.0  # `worth` is entered
@@ -16,7 +18,7 @@
 
 
 class DealtFleet(Fleet):
-    """`word_ms`: by which front ends reckon their wait; others go by a register for `WORD_MS` more."""
+    """`word_ms` is the wait that front ends reckon with; others go by a register for `WORD_MS` more."""
 
     def __init__(self, seed=1, lost=0.0, word_ms=WORD_MS):
         self.word_ms, self.goes, self.dealt = word_ms, {}, Dealt(("n0",), 1, 0)
@@ -24,11 +26,12 @@
         self.at(OPEN_MS, self._deal)
 
     def start(self, name):
+        """Start a front end."""
         super().start(name)
         self.fronts[name].word_ms = self.word_ms
 
     def _changed(self, new=None):
-        """One that starts is told of the last register; a giver that is lost is seen a little later."""
+        """Tell one that starts of the last register, and decide a new one a little after a loss."""
         if new is not None:
             self.goes[new] = (Allowed(), None)
             self.at(self.chance.uniform(0.0, 100.0), lambda: self._told(new, self.dealt))
@@ -66,22 +69,25 @@
         super()._turns()
 
     def gives(self, name):
+        """Whether a front end hands out permits."""
         return name in self.up and self.goes[name][0].loads
 
 
 class GivingAgents(Agents):
-    """Agents, each with what it gives out; words and answers come with the next step."""
+    """Agents that hand out permits as well; messages and answers come with the next step."""
 
     def __init__(self, *args, **kwargs):
         self.giving, self.orders, self.entered = {}, [], {}
         super().__init__(*args, **kwargs)
 
     def start(self, name, identity, seed=99):
+        """Start a member, its agent, and what it hands out."""
         super().start(name, identity, seed)
         order = lambda row: sorted(range(3), key=lambda s: weight(str(s), row))  # noqa: E731
         self.giving[name] = Giving(name, self.lives[name], LIMITS, order)
 
     def run(self, seconds):
+        """Let seconds pass, while each member that may load wants thirty functions."""
         for _ in range(round(seconds / STEP_S)):
             super().run(STEP_S)
             for name in sorted(self.up):
--- a/tests/session_fleet.py
+++ b/tests/support/session_agents.py
@@ -1,4 +1,4 @@
-"""Agents of sessions in virtual time, on a star of logs: keepers follow all, the others follow keepers."""
+"""Agents of sessions in virtual time, on a star of logs: replicas follow all, the others follow replicas."""
 
 import heapq
 import itertools
@@ -27,6 +27,8 @@
 
 
 class Front:
+    """One front end, and what became of its calls and copies."""
+
     def __init__(self, name, site):
         self.name, self.site, self.agent, self.life = name, site, None, 0
         self.heard, self.open, self.waiting, self.let_go, self.staged = {}, {}, {}, [], []
@@ -34,7 +36,7 @@
 
 
 class Fleet:
-    """Front ends a0, a1, b0, ...; of each site the keeper is whoever the placement takes."""
+    """Front ends a0, a1, b0, ...; the replica of each zone is whoever the placement takes."""
 
     def __init__(self, seed=1, zones="abc", per_zone=2, rules=RULES, fresh=True):
         self.chance, self.rules, self.now = random.Random(seed), rules, 0.0
@@ -53,15 +55,19 @@
         self.run(600.0)
 
     def keepers(self):
+        """The front ends that are replicas."""
         return [self.fronts[name] for name in self.placement.keepers]
 
     def others(self):
+        """The front ends that are no replicas."""
         return [front for name, front in self.fronts.items() if name not in self.placement.keepers]
 
     def sites(self):
+        """The zones of all front ends."""
         return {name: front.site for name, front in self.fronts.items()}
 
     def start(self, front, fresh=False, life=None):
+        """Start a front end in a new incarnation."""
         front.life = life or self.chance.getrandbits(52) | 1
         front.heard, front.open, front.waiting = {}, {}, {}
         front.placement = placed = self.placement
@@ -73,25 +79,29 @@
         self.soon(0.0, self.pulse, front, front.life)
 
     def relist(self, without):
-        """A list with this one as no keeper, which all go by within half a second."""
+        """Take one front end off the list of replicas; all go by that within half a second."""
         entries = [entry for entry in self.entries if entry.name != without]
         self.placement = Placement(Members(1, "f", self.placement.number + 1, entries), 3, 1)
         for front in self.fronts.values():
             self.soon(self.chance.uniform(0.0, 500.0), self.adopt, front, self.placement)
 
     def adopt(self, front, placement):
+        """Let a front end go by a list of members."""
         front.placement = placement
         front.agent.place(self.now, self.sites(), placement.keepers, placement.number)
         self.carry(front)
 
     def kill(self, *names):
+        """Kill front ends."""
         for name in names:
             self.fronts[name].agent = None
 
     def soon(self, delay_ms, what, *about):
+        """Plan an event."""
         heapq.heappush(self.events, (self.now + delay_ms, next(self.order), what, about))
 
     def run(self, span_ms):
+        """Let milliseconds pass."""
         until = self.now + span_ms
         while self.events[0][0] <= until:
             self.now, _, what, about = heapq.heappop(self.events)
@@ -99,7 +109,7 @@
         self.now = until
 
     def until(self, condition, most_ms=60_000.0):
-        """Milliseconds that it took; fails where it does not come."""
+        """Run until a condition holds; the milliseconds it took. Fails where it takes too long."""
         began = self.now
         while not condition():
             assert self.now - began < most_ms, "it did not come"
@@ -109,10 +119,11 @@
     # --- logs -----------------------------------------------------------------------------------
 
     def follows(self, one, other):
+        """Whether one front end follows another one's log."""
         return one.name in self.placement.keepers or other.name in self.placement.keepers
 
     def pulse(self, front, life):
-        """A sign of life, to those that follow it."""
+        """Send a heartbeat to those that follow a front end."""
         if front.agent is None or front.life != life:
             return
         for other in self.fronts.values():
@@ -121,6 +132,7 @@
         self.soon(200.0, self.pulse, front, life)
 
     def look(self, front, life):
+        """Tick a front end's agent."""
         if front.agent is None or front.life != life:
             return
         alive = {name: life for name, (life, at) in front.heard.items() if self.now - at <= QUIET_MS}
@@ -131,6 +143,7 @@
         self.soon(front.agent.pace_ms(), self.look, front, life)
 
     def carry(self, front, all_words=False):
+        """Carry out the effects of a front end's agent."""
         for effect in front.agent.take():
             if isinstance(effect, Words):
                 self.say(front, effect)
@@ -144,11 +157,13 @@
                 self.notes.append((effect.event, {"at": front.name, **effect.fields}))
 
     def check_let_go(self, effect):
+        """Note a release of copies in the zone where a session is placed."""
         homes = self.homes(Session("acme", effect.row))
         if homes and homes[max(homes)] == {effect.site}:
             self.wrong.append(f"the home of {effect.row} was let go")
 
     def say(self, front, words):
+        """Send messages; those to front ends that don't follow are noted as wrong."""
         data = w.msgspec.json.encode(w.Hands((words.message,)))
         for name in words.to:
             other = self.fronts[name]
@@ -158,12 +173,14 @@
             self.soon(self.chance.uniform(*self.delay_ms), self.arrive, front.name, front.life, other, data)
 
     def arrive(self, sender, life, other, data):
+        """Deliver a line."""
         if other.agent is not None and (sender, other.name) not in self.cut:
             word = w.word_from(w.msgspec.json.decode(data))
             other.agent.hear(self.now, sender, life, word.words)
             self.carry(other)
 
     def stood(self, front, life, key):
+        """Tell an agent whether copies stand."""
         if front.agent is not None and front.life == life:
             front.agent.stood(self.now, key, self.stands)
             self.carry(front)
@@ -171,6 +188,7 @@
     # --- calls ----------------------------------------------------------------------------------
 
     def call(self, front, session, took_ms=60.0):
+        """Make a call at a front end; the placement that it goes by."""
         name = f"r{next(self.order)}"
         front.open[name] = session
         home = front.agent.begun(self.now, name, session, "view", 1, 300.0, 800.0)
@@ -179,12 +197,13 @@
         return home
 
     def answer(self, front, life, name):
+        """Answer a call."""
         if front.agent is not None and front.life == life and front.open.pop(name, None):
             front.agent.ended(self.now, name, True)
             self.carry(front)
 
     def calls(self, front, session, each_ms=150.0):
-        """Until its front end is killed; then another one of its own site has them, or any."""
+        """Make calls until the front end is killed, then at another one of its zone, or any."""
         if front.agent is None:
             up = [f for f in self.fronts.values() if f.agent is not None]
             front = next((f for f in up if f.site == front.site), up[0])
@@ -192,7 +211,7 @@
         self.soon(each_ms, self.calls, front, session, each_ms)
 
     def homes(self, session):
-        """Sites by number, of all that are up and know it."""
+        """The zones of a session by number, of all that are up and know it."""
         found = {}
         for front in self.fronts.values():
             home = front.agent.router.home(session) if front.agent else None
@@ -201,18 +220,20 @@
         return found
 
     def home(self, session):
-        """Where all that know it hold it to be; None where they differ."""
+        """The zone where all that know a session place it; None where they differ."""
         homes = self.homes(session)
         return next(iter(homes[max(homes)])) if len(homes) == 1 and len(homes[max(homes)]) == 1 else None
 
     def moved(self):
+        """The fields of all notes of migrations."""
         return [fields for event, fields in self.notes if event == "session moved"]
 
     def ends(self):
+        """The fields of all notes of ended migrations."""
         return [fields for event, fields in self.notes if event == "hand-over ended"]
 
     def check(self):
-        """One home a number, each number decided once, nothing said to whom it can't reach."""
+        """One placement a number, each number decided once, nothing sent to whom it can't reach."""
         assert not self.wrong, self.wrong
         decided = {}
         for fields in self.moved():
--- a/tests/session_rig.py
+++ b/tests/support/session_front_ends.py
@@ -1,4 +1,4 @@
-"""Front ends with sessions on, in this thread and on real sockets, with scorers, clients and a change log."""
+"""Front ends with sessions in this thread and on real sockets, with scorers, clients and a change log."""
 
 import json
 import time
@@ -22,27 +22,29 @@
 
 
 def ordered(router, event):
-    """Stands in for a module that does not know the event yet: it orders at once."""
+    """Stands for a decision module that does not know the event: it orders at once."""
     router.actions.append(io.Hold(event.worker, event.function, event.copies))
 
 
 class Held(Scorer):
-    """Has one copy of a function from its first order to load or its first run on, until it is unloaded."""
+    """Has one copy of a function from its first load order or run on, until it is unloaded."""
 
     def __init__(self, id, zone, delay_s=0.01):
         super().__init__(id, delay_s, copies=1)
         self.zone = zone
 
     def member(self, phase="in_service", **more):
+        """Its entry in the roster."""
         return super().member(phase, locality=self.zone, **more)
 
     @property
     def unloaded(self):
+        """The functions that it was told to unload."""
         return [frame.id.hex() for _, frame in self.of(scorer_frames.UNLOAD)]
 
 
 class Fronts:
-    """Front ends a0, a1, b0, ... of the zones given; the first of each zone is a keeper, or the second."""
+    """Front ends a0, a1, b0, ... of the zones given; the first of each zone is a replica, or the second."""
 
     def __init__(self, folder, monkeypatch, zones="aabc", handover=None, drain=None, scorers=1, **more):
         self.folder, self.notes, self.clients, self.habits = folder, [], [], []
@@ -67,12 +69,15 @@
             self.start(name, fresh=True)
 
     def write(self, name, data):
+        """Write a file of JSON."""
         (self.folder / name).write_text(json.dumps(data))
 
     def writer(self, name):
+        """A log that keeps its lines."""
         return lambda event, fields: self.notes.append((event, {"member": name, **fields}))
 
     def start(self, name, fresh=False):
+        """Start a front end."""
         event = {"seq": 1, "fleet": {"complete": True, "members": [s.member() for s in self.scorers]}}
         config = {
             "name": name,
@@ -101,16 +106,20 @@
         front.start()
 
     def part(self, name, place=1):
+        """A part of a front end, by its place in the order in which they are made."""
         return self.seams[name]._parts[place]
 
     def agent(self, name):
+        """The agent of a front end."""
         return self.part(name).agent
 
     def client(self, name):
+        """Connect a client to a front end."""
         self.clients.append(peers.ClientPeer(self.fronts[name].address))
         return self.clients[-1]
 
     def turn(self):
+        """Run one iteration of each loop and peer."""
         for front in self.fronts.values():
             front.loop.turn(0.0005)
         for peer in [self.log, *self.scorers, *self.clients]:
@@ -121,6 +130,7 @@
             habit()
 
     def until(self, condition, what="it happens"):
+        """Run until a condition holds, and return what it gave; fails after `PATIENCE_S`."""
         end = time.monotonic() + PATIENCE_S
         while not (found := condition()):
             assert time.monotonic() < end, f"waited in vain until {what}: {self.notes[-8:]}"
@@ -128,7 +138,7 @@
         return found
 
     def settle(self):
-        """All hear each other, and keepers may grant."""
+        """Run until all hear each other, and replicas may grant."""
         self.until(
             lambda: all(
                 len(self.agent(name).alive) == (len(self.fronts) - 1 if self.agent(name).keeper else 3)
@@ -138,15 +148,17 @@
         )
 
     def call(self, client, **fields):
-        """One call and its answer."""
+        """Make a call; its answer."""
         seqid = client.call(ttl="1500", **fields)
         self.until(lambda: seqid in client.kinds(), "the call is answered")
         return client.kinds()[seqid]
 
     def noted(self, event):
+        """The fields of the log lines of an event."""
         return [fields for noted, fields in self.notes if noted == event]
 
     def close(self):
+        """Close everything."""
         for front in self.fronts.values():
             front.close()
         for peer in [self.log, *self.scorers]:
--- a/tests/zone_files.py
+++ b/tests/support/zone_files.py
@@ -1,4 +1,4 @@
-"""Files of zones and views of them, for tests."""
+"""Files of zones, and evidence on them."""
 
 from fawnwharf.zones import settings as s
 from fawnwharf.zones.evidence import Seen
@@ -7,7 +7,7 @@
 
 
 def members_data(zones="aab", voters=3, regions=None):
-    """Members n0, n1, ... of these zones; the first ones are voters."""
+    """Members n0, n1, ... of these zones, the first ones voters, as in the file."""
     regions = regions or {}
     list_of = [
         {"name": f"n{n}", "zone": zone, "region": regions.get(zone, "r"), "address": f"127.0.0.1:{5000 + n}"}
@@ -18,8 +18,10 @@
 
 
 def members(zones="aab", voters=3, **more):
+    """The same, parsed and checked."""
     return s.members_from(members_data(zones, voters, **more))
 
 
 def settings(**more):
+    """Settings of zones, parsed and checked."""
     return s.settings_from({"version": 1, "members": "m.json", "folder": "state"} | more)
--- a/tests/test_elsewhere.py
+++ b/tests/test_elsewhere.py
@@ -3,8 +3,8 @@
 import random
 
 import msgspec
-from elsewhere_rig import greeted, own
 from hypothesis import given, settings, strategies
+from support.load_reports import greeted, own
 
 from fawnwharf import interface as io
 from fawnwharf.replication import messages as m
--- a/tests/test_elsewhere_answers.py
+++ b/tests/test_elsewhere_answers.py
@@ -3,7 +3,7 @@
 import msgspec
 import pytest
 from cores import Cores
-from elsewhere_rig import greeted, own
+from support.load_reports import greeted, own
 
 from fawnwharf import interface as io
 from fawnwharf.replication import messages as m
--- a/tests/test_epochs_agent.py
+++ b/tests/test_epochs_agent.py
@@ -4,8 +4,8 @@
 
 import msgspec
 import pytest
+from support.zone_files import members
 from test_zone_members import Fleet
-from zone_files import members
 
 from fawnwharf.epochs import messages as m
 from fawnwharf.epochs.agent import Agent
--- a/tests/test_handover_relisted.py
+++ b/tests/test_handover_relisted.py
@@ -1,7 +1,7 @@
 """Another list of members: who keeps homes by it hears those of the list before, and no number is lost."""
 
 import pytest
-from session_fleet import RULES, Fleet
+from support.session_agents import RULES, Fleet
 
 from fawnwharf.handover import messages as m
 from fawnwharf.handover.homes import Keeper
--- a/tests/test_lab_power.py
+++ b/tests/test_lab_power.py
@@ -10,7 +10,7 @@
 
 import msgspec
 import pytest
-from lossy_rig import WRITING, found_in
+from support.promise_process import WRITING, found_in
 from typer.testing import CliRunner
 
 from fawnwharf.cli import app
--- a/tests/test_lossy.py
+++ b/tests/test_lossy.py
@@ -9,7 +9,7 @@
 import time
 
 import pytest
-from lossy_rig import WRITING, found_in
+from support.promise_process import WRITING, found_in
 
 from fawnwharf.durable import ops
 from fawnwharf.durable.folder import Folder, lock
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -5,7 +5,7 @@
 import sys
 
 import pytest
-from policy_site import Site, document
+from support.policy_front_ends import Site, document
 
 from fawnwharf import interface as io
 from fawnwharf.epochs import judged
--- a/tests/test_rejoin_agent.py
+++ b/tests/test_rejoin_agent.py
@@ -2,7 +2,7 @@
 
 import msgspec
 import pytest
-from rejoin_rig import TIMING, Agents
+from support.recovery_agents import TIMING, Agents
 
 from fawnwharf.durable.reading import Sign
 from fawnwharf.recovery.asking import Answer, Ask, Stand, What
--- a/tests/test_rejoin_commands.py
+++ b/tests/test_rejoin_commands.py
@@ -3,7 +3,7 @@
 import threading
 
 import pytest
-from rejoin_site import Site
+from support.recovery_front_ends import Site
 from typer.testing import CliRunner
 
 from fawnwharf import serving
--- a/tests/test_rejoin_dealt.py
+++ b/tests/test_rejoin_dealt.py
@@ -3,8 +3,8 @@
 import random
 
 import pytest
-from dealt_rig import WORD_MS, DealtFleet, GivingAgents
-from giving_rig import LIMITS, WORTHS
+from support.load_permits import LIMITS, WORTHS
+from support.register_permits import WORD_MS, DealtFleet, GivingAgents
 from test_recovery_stages import Led
 
 from fawnwharf.recovery.budget import warden_of
--- a/tests/test_rejoin_disks.py
+++ b/tests/test_rejoin_disks.py
@@ -10,7 +10,7 @@
 
 import msgspec
 import pytest
-from power_rig import PowerFleet
+from support.power_losses import PowerFleet
 
 from fawnwharf.accord.records import leading
 from fawnwharf.durable import form as f
--- a/tests/test_rejoin_door.py
+++ b/tests/test_rejoin_door.py
@@ -4,9 +4,9 @@
 from dataclasses import replace
 
 import pytest
-from door_rig import CLASSES, LIMITS, WORTHS, Ground
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from support.recovery_admission import CLASSES, LIMITS, WORTHS, Ground
 
 from fawnwharf import interface as io
 from fawnwharf.lab.promises import fleet_file
--- a/tests/test_rejoin_giving.py
+++ b/tests/test_rejoin_giving.py
@@ -3,9 +3,9 @@
 from dataclasses import replace
 
 import pytest
-from giving_rig import LIMITS, WORTHS, Fleet, storm
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from support.load_permits import LIMITS, WORTHS, Fleet, storm
 
 from fawnwharf import interface as io
 from fawnwharf.recovery.budget import loader_of, loaders, warden_of
--- a/tests/test_rejoin_kept.py
+++ b/tests/test_rejoin_kept.py
@@ -2,7 +2,7 @@
 
 import msgspec
 import pytest
-from kept_rig import LIMITS, Site
+from support.memory_stores import LIMITS, Site
 
 from fawnwharf.config import ConfigError, Fleet, Member
 from fawnwharf.durable import repairs
--- a/tests/test_rejoin_killed.py
+++ b/tests/test_rejoin_killed.py
@@ -9,7 +9,7 @@
 import pytest
 from peers import SETTINGS, ClientPeer
 from processes import Port
-from rejoin_site import Site
+from support.recovery_front_ends import Site
 
 from fawnwharf.rejoin.commands import look
 
--- a/tests/test_rejoin_lent.py
+++ b/tests/test_rejoin_lent.py
@@ -1,7 +1,7 @@
 """Orders that loaders lend to front ends with ration to spare: budget, rations, words that come late."""
 
 import pytest
-from giving_rig import LIMITS, RATION_MS, Fleet, storm
+from support.load_permits import LIMITS, RATION_MS, Fleet, storm
 from test_rejoin_giving import ROWS, want_all
 
 from fawnwharf import interface as io
--- a/tests/test_rejoin_onstore.py
+++ b/tests/test_rejoin_onstore.py
@@ -5,7 +5,7 @@
 import msgspec
 import pytest
 from cores import RULES
-from kept_rig import Site, StoreCores, asks
+from support.memory_stores import Site, StoreCores, asks
 
 from fawnwharf.interface import Effect
 from fawnwharf.recovery.trust import Store
--- a/tests/test_rejoin_processes.py
+++ b/tests/test_rejoin_processes.py
@@ -6,7 +6,7 @@
 import sys
 
 import pytest
-from power_rig import WINDOW_MS, PowerFleet
+from support.power_losses import WINDOW_MS, PowerFleet
 
 from fawnwharf.durable import folder
 from fawnwharf.durable.form import Limits
--- a/tests/test_rejoin_service.py
+++ b/tests/test_rejoin_service.py
@@ -5,7 +5,7 @@
 import time
 
 import pytest
-from rejoin_site import Site
+from support.recovery_front_ends import Site
 
 from fawnwharf import interface as io
 from fawnwharf.recovery.stages import Stage
--- a/tests/test_sessions_agent.py
+++ b/tests/test_sessions_agent.py
@@ -1,7 +1,7 @@
 """Agents of several front ends in virtual time: hand-overs in order and in haste, with kills and restarts."""
 
 import pytest
-from session_fleet import RULES, Fleet
+from support.session_agents import RULES, Fleet
 
 from fawnwharf.handover import messages as m
 from fawnwharf.sites import Home, Move, Session
--- a/tests/test_sessions_joined.py
+++ b/tests/test_sessions_joined.py
@@ -4,9 +4,9 @@
 
 import pytest
 from peers import ROW
-from session_fleet import Fleet
-from session_rig import Fronts
-from staging_rig import Calls, S, drained_site, look, rules, staging, wanted
+from support.prefetch_driver import Calls, S, drained_site, look, rules, staging, wanted
+from support.session_agents import Fleet
+from support.session_front_ends import Fronts
 
 from fawnwharf.epochs.document import check_against, document_of, floor, made, over, stricter
 from fawnwharf.epochs.service import Policies
--- a/tests/test_sessions_service.py
+++ b/tests/test_sessions_service.py
@@ -9,7 +9,7 @@
 import msgspec
 import pytest
 from peers import ROW
-from session_rig import Fronts
+from support.session_front_ends import Fronts
 
 from fawnwharf.config import ConfigError
 from fawnwharf.handover import messages as m
--- a/tests/test_staging.py
+++ b/tests/test_staging.py
@@ -6,7 +6,7 @@
 
 import msgspec
 import pytest
-from staging_rig import SITES, SPEC, UNIX, Calls, S, look, roster, rules, staging
+from support.prefetch_driver import SITES, SPEC, UNIX, Calls, S, look, roster, rules, staging
 
 from fawnwharf import interface as io
 from fawnwharf.foresight import messages as m
--- a/tests/test_staging_orders.py
+++ b/tests/test_staging_orders.py
@@ -2,7 +2,7 @@
 
 import msgspec
 import pytest
-from staging_rig import SITES, UNIX, Calls, S, drained_site, look, staging, wanted
+from support.prefetch_driver import SITES, UNIX, Calls, S, drained_site, look, staging, wanted
 
 from fawnwharf import interface as io
 from fawnwharf.foresight import messages as m
--- a/tests/test_zone_judge.py
+++ b/tests/test_zone_judge.py
@@ -2,7 +2,7 @@
 
 import itertools
 
-from zone_files import DEAD, GOOD, SLOW, members, settings
+from support.zone_files import DEAD, GOOD, SLOW, members, settings
 
 from fawnwharf.zones import plan as p
 from fawnwharf.zones import settings as s
--- a/tests/test_zone_members.py
+++ b/tests/test_zone_members.py
@@ -5,7 +5,7 @@
 
 import msgspec
 import pytest
-from zone_files import DEAD, GOOD, members, members_data, settings
+from support.zone_files import DEAD, GOOD, members, members_data, settings
 
 from fawnwharf.accord.messages import Saved
 from fawnwharf.accord.voter import founding
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -2,7 +2,7 @@
 
 import msgspec
 import pytest
-from zone_files import members_data, settings
+from support.zone_files import members_data, settings
 
 from fawnwharf import config
 from fawnwharf.interface import Ending
