--- a/fawnwharf/lab/checker.py
+++ b/fawnwharf/lab/checker.py
@@ -6,6 +6,7 @@
 delay everybody.
 """
 
+from bisect import bisect_left, bisect_right
 from collections import Counter, defaultdict, deque
 from dataclasses import dataclass, field
 
@@ -60,24 +61,27 @@
             relay = fleet.relays[f"clients-{front.zone}", front.name, "clients"]
             clear = relay.touched_ms < attempt.sent_ms - SLACK_MS
             well = front.well(attempt.sent_ms - SLACK_MS, attempt.ended_ms + 1.0)
-            if not clear or not well or attempt.left:  # the one that was late is judged by itself
-                continue
-            if _drains_by(fleet, attempt):
+            # The one that was late is judged by itself.
+            if not clear or not well or attempt.left or _drains_by(fleet, attempt):
                 continue
             held_ms = max(w.between(attempt.sent_ms, attempt.ended_ms) for w in (front.waits, fleet.waits))
             if attempt.outcome == "late" and held_ms > HELD_MS:
                 verdict.checked["held up"] += 1
                 continue
             verdict.checked["answers"] += 1
-            where = f"of {front.name} for call {attempt.call_id}"
-            if attempt.outcome == "late":
-                verdict.broken.append(f"answers: none in time {where}")
-            elif attempt.outcome == "lost":
-                verdict.broken.append(f"answers: the connection ended {where}")
-            elif attempt.answers != 1 and attempt.outcome != "not taken":
-                verdict.broken.append(f"answers: {attempt.answers} {where}")
-            elif not attempt.body_good:
-                verdict.broken.append(f"answers: another's body {where}")
+            if fault := _fault_of(attempt):
+                verdict.broken.append(f"answers: {fault} of {front.name} for call {attempt.call_id}")
+
+
+def _fault_of(attempt: Try) -> str:
+    """What is wrong with the answer to a try; empty where nothing is."""
+    if attempt.outcome == "late":
+        return "none in time"
+    if attempt.outcome == "lost":
+        return "the connection ended"
+    if attempt.answers != 1 and attempt.outcome != "not taken":
+        return str(attempt.answers)
+    return "" if attempt.body_good else "another's body"
 
 
 def _drains_by(fleet: Fleet, attempt: Try) -> bool:
@@ -196,7 +200,6 @@
 
 
 def _loads(fleet: Fleet, verdict: Verdict) -> None:
-    window, free, part = RATION["load_window"], RATION["free_loads"], RATION["load_part"]
     taken: dict[str, list[float]] = defaultdict(list)
     for request in fleet.clients.requests:
         for attempt in request.tries:
@@ -207,22 +210,25 @@
         if arrival.what == "order":
             orders[arrival.sender].append(arrival.at_ms)
     for name, times in orders.items():
-        recent: deque[float] = deque()
-        arrived = sorted(taken[name])
-        first = last = 0
-        for at_ms in sorted(times):
-            recent.append(at_ms)
-            while recent[0] < at_ms - window:
-                recent.popleft()
-            while last < len(arrived) and arrived[last] <= at_ms:
-                last += 1
-            while first < last and arrived[first] < at_ms - window - SLACK_MS:
-                first += 1
-            verdict.checked["loads"] += 1
-            most = RATION_ROOM * (free + part * (last - first)) + 1
-            if len(recent) > most:
-                verdict.broken.append(f"loads: {name} gave {len(recent)} orders for {last - first} requests")
-                break
+        _check_orders(name, sorted(times), sorted(taken[name]), verdict)
+
+
+def _check_orders(name: str, times: list[float], arrived: list[float], verdict: Verdict) -> None:
+    """That a front end's load orders at `times` are within the rate limit that follows from its requests."""
+    window, free, part = RATION["load_window"], RATION["free_loads"], RATION["load_part"]
+    recent: deque[float] = deque()
+    first = last = 0
+    for at_ms in times:
+        recent.append(at_ms)
+        while recent[0] < at_ms - window:
+            recent.popleft()
+        last = bisect_right(arrived, at_ms)
+        first = bisect_left(arrived, at_ms - window - SLACK_MS)
+        verdict.checked["loads"] += 1
+        most = RATION_ROOM * (free + part * (last - first)) + 1
+        if len(recent) > most:
+            verdict.broken.append(f"loads: {name} gave {len(recent)} orders for {last - first} requests")
+            return
 
 
 def _ends(fleet: Fleet, verdict: Verdict) -> None:
--- a/fawnwharf/lab/commands.py
+++ b/fawnwharf/lab/commands.py
@@ -1,6 +1,7 @@
 """`fawnwharf lab`: runs of many processes together, with faults injected between them."""
 
 import json
+from collections.abc import Iterable
 from pathlib import Path
 from typing import Annotated, Any
 
@@ -70,11 +71,22 @@
     return found
 
 
-def report(measures: Any) -> None:
+def report(found: Any) -> None:
     """Print the figures of a run."""
-    found = measures
     how = "decided in common" if found.decided else "each on its own"
     typer.echo(f"{found.scenario}  seed {found.seed}  {how}")
+    _tell_seconds(found)
+    _tell_costs(found)
+    _tell_calls(found)
+    _tell_parts(found)
+    typer.echo(
+        "checked " + "  ".join(f"{name} {count}" for name, count in sorted(found.verdict.checked.items()))
+    )
+    for text in found.verdict.broken[:10]:
+        typer.echo(f"broken: {text}")
+
+
+def _tell_seconds(found: Any) -> None:
     marks = sorted(found.marks.items(), key=lambda mark: mark[1])
     names = {int(at): name for name, at in marks if at >= 0}
     for n, second in enumerate(found.seconds):
@@ -84,6 +96,9 @@
                 f"{n:4} s  {second.requests:4} calls  in time {part:5.3f}  refused {second.refused:3}"
                 f"  failed {second.failed:3}  late {second.late:3}  {names.get(n, '')}".rstrip()
             )
+
+
+def _tell_costs(found: Any) -> None:
     typer.echo(f"service {found.service():.4f}  crossing {found.crossing:.3f}  " + "  ".join(
         f"{name} {value} ms" for name, value in found.percentiles.items()))  # fmt: skip
     typer.echo("ends " + "  ".join(f"{name} {count}" for name, count in sorted(found.outcomes.items())))
@@ -98,6 +113,9 @@
     if found.acted:
         half, last = found.acted[len(found.acted) // 2], found.acted[-1]
         typer.echo(f"zone lost: half acted within {half:.2f} s, all {len(found.acted)} within {last:.2f} s")
+
+
+def _tell_calls(found: Any) -> None:
     told = "  ".join(f"{tenant} {part:.4f}" for tenant, part in found.by_tenant.items())
     typer.echo(f"service by tenant: {told}")
     if found.waits_ms[1]:
@@ -105,6 +123,9 @@
         typer.echo(f"calls wait for their keepers {half:.1f} ms (median), {most:.1f} ms (99 %)")
     if found.second_runs or found.keyed_repeats:
         typer.echo(f"at-most-once runs beyond the first {found.second_runs}, keyed {found.keyed_repeats}")
+
+
+def _tell_parts(found: Any) -> None:
     if found.sessions:
         tell_sessions(found.sessions)
     if found.outage:
@@ -118,11 +139,6 @@
                  "in force": change.in_force_ms, "leased by all": change.leased_ms}  # fmt: skip
         told = "  ".join(f"{name} {at_ms:.0f} ms" for name, at_ms in times.items() if at_ms is not None)
         typer.echo(f"policy {change.number}: {told}")
-    typer.echo(
-        "checked " + "  ".join(f"{name} {count}" for name, count in sorted(found.verdict.checked.items()))
-    )
-    for text in found.verdict.broken[:10]:
-        typer.echo(f"broken: {text}")
 
 
 def tell_sessions(found: Any) -> None:
@@ -194,12 +210,29 @@
     moments, as scenarios do whose steps wait for times alone.
     """
     from fawnwharf.lab import compare as comparing
+
+    pairs = _run_pairs([side(one, front_ends), side(other, front_ends)], range(first, first + seeds))
+    if not pairs.one:
+        typer.echo("verdict: broken ground: no pair of runs")
+        raise typer.Exit(1)
+    _show_pairs(pairs, one, other)
+    if out:
+        folder = Path(out)
+        folder.mkdir(parents=True, exist_ok=True)
+        typer.echo(f"kept: {comparing.table(pairs, folder)}, {comparing.chart(pairs, (one, other), folder)}")
+    broken = [m for m in [*pairs.one, *pairs.other] if m.verdict.broken]
+    typer.echo(f"verdict: broken in {len(broken)} runs" if broken else "verdict: kept")
+    raise typer.Exit(1 if broken else 0)
+
+
+def _run_pairs(sides: list[Any], seeds: Iterable[int]) -> Any:
+    """Runs of both sides by seed; seeds at which the test bed failed are left out."""
+    from fawnwharf.lab import compare as comparing
     from fawnwharf.lab.run import LabFault
     from fawnwharf.lab.run import run as run_it
 
-    sides = [side(one, front_ends), side(other, front_ends)]
     pairs = comparing.Pairs([], [])
-    for seed in range(first, first + seeds):
+    for seed in seeds:
         try:
             runs = [run_it(each, seed) for each in sides]
         except LabFault as error:
@@ -209,9 +242,12 @@
         pairs.other.append(runs[1])
         told = "  ".join(f"{measures.service():.4f} {measures.verdict.line()}" for measures in runs)
         typer.echo(f"seed {seed:3}  {told}")
-    if not pairs.one:
-        typer.echo("verdict: broken ground: no pair of runs")
-        raise typer.Exit(1)
+    return pairs
+
+
+def _show_pairs(pairs: Any, one: str, other: str) -> None:
+    from fawnwharf.lab import compare as comparing
+
     typer.echo(f"{len(pairs.one)} pairs; differences are {one} less {other}, with 95 % intervals")
     for name, of in comparing.figures(pairs).items():
         difference = pairs.difference(of)
@@ -225,13 +261,6 @@
             typer.echo(f"{name:15} {spans} s after the loss")
     for n, mine, theirs, difference in pairs.by_second():
         typer.echo(f"{n:4} s  {mine:6.3f}  {theirs:6.3f}  {difference}")
-    if out:
-        folder = Path(out)
-        folder.mkdir(parents=True, exist_ok=True)
-        typer.echo(f"kept: {comparing.table(pairs, folder)}, {comparing.chart(pairs, (one, other), folder)}")
-    broken = [m for m in [*pairs.one, *pairs.other] if m.verdict.broken]
-    typer.echo(f"verdict: broken in {len(broken)} runs" if broken else "verdict: kept")
-    raise typer.Exit(1 if broken else 0)
 
 
 @app.command()
@@ -264,8 +293,7 @@
                 found[word].append(measures)
             typer.echo(f"seed {seed:3}  {word:10}  {measures.service():.4f}  {measures.verdict.line()}")
             if out:
-                with open(out, "ab") as file:
-                    file.write(msgspec.json.encode(comparing.row(word, measures), enc_hook=str) + b"\n")
+                _add_row(out, comparing.row(word, measures))
         if held > comparing.HELD:
             typer.echo(f"seed {seed} left out, the machine held the lab up for {held:.2f} of a run")
     if not found[words[0]]:
@@ -278,6 +306,11 @@
     raise typer.Exit(1 if broken else 0)
 
 
+def _add_row(path: str, row: Any) -> None:
+    with open(path, "ab") as file:
+        file.write(msgspec.json.encode(row, enc_hook=str) + b"\n")
+
+
 @app.command()
 def explore(states: int = 30_000, plant: str = "") -> None:
     """Search the voters' states for anything that must not be; status 1 where something is found."""
--- a/fawnwharf/lab/conditions.py
+++ b/fawnwharf/lab/conditions.py
@@ -1,6 +1,6 @@
 """What steps wait for: events that the fleet reports, never mere chance."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Any
 
 from fawnwharf.lab.fleet import Fleet
@@ -9,6 +9,8 @@
 from fawnwharf.lab.proposals import came, stands
 from fawnwharf.lab.scenario import Step, When
 
+Condition = tuple[str, Callable[[], bool]]  # what is waited for, and whether it is so
+
 
 class Conditions:
     """Waits for the conditions of steps."""
@@ -34,59 +36,62 @@
         for text, condition in conditions:
             self.fleet.until(condition, f"{text} ({what})", when.within_s)
 
-    def _conditions(self, when: When) -> list[tuple[str, Callable[[], bool]]]:
-        found: list[tuple[str, Callable[[], bool]]] = []
+    def _conditions(self, when: When) -> list[Condition]:
+        return [
+            *self._of_plans(when),
+            *self._of_leaders(when),
+            *self._of_voters(when),
+            *self._of_policy(when),
+            *self._noted(when),
+        ]
 
-        def enough(holds: Callable[[Front], bool]) -> bool:
-            fronts = self.parties.fronts(when.of)
-            count = sum(holds(front) for front in fronts)
-            return count > 0 and (2 * count >= len(fronts) if when.half else count == len(fronts))
+    def _enough(self, when: When, holds: Callable[[Front], bool]) -> bool:
+        """Whether something holds at all front ends that a step waits for, or at half of them."""
+        fronts = self.parties.fronts(when.of)
+        count = sum(holds(front) for front in fronts)
+        return count > 0 and (2 * count >= len(fronts) if when.half else count == len(fronts))
 
-        if when.state is not None:
-            wanted = when.state
+    def _of_plans(self, when: When) -> Iterator[Condition]:
+        if (wanted := when.state) is not None:
 
             def in_state(front: Front) -> bool:
                 return front.plan is not None and all(
                     front.plan.get(zone, "").split(" ")[0] == state for zone, state in wanted.items()
                 )
 
-            found.append((f"{wanted} at {when.of}", lambda: enough(in_state)))
+            yield f"{wanted} at {when.of}", lambda: self._enough(when, in_state)
         if when.valid is not None:
-            found.append(
-                (f"a valid plan: {when.valid}", lambda: enough(lambda f: (f.plan is not None) == when.valid))
-            )
+            holds = lambda front: (front.plan is not None) == when.valid  # noqa: E731
+            yield f"a valid plan: {when.valid}", lambda: self._enough(when, holds)
+
+    def _of_leaders(self, when: When) -> Iterator[Condition]:
         if when.leader is not None:
-            found.append(
-                (
-                    "a leader",
-                    lambda: any(f.role == "leader" for f in self.parties.fronts("live")) == when.leader,
-                )
-            )
+            leads = lambda: any(f.role == "leader" for f in self.parties.fronts("live"))  # noqa: E731
+            yield "a leader", lambda: leads() == when.leader
         if when.leader_in is not None:
-            found.append(
-                (
-                    f"a leader in {when.leader_in}",
-                    lambda: [f.zone for f in self.parties.fronts("leader")] == [when.leader_in],
-                )
-            )
+            zones = lambda: [front.zone for front in self.parties.fronts("leader")]  # noqa: E731
+            yield f"a leader in {when.leader_in}", lambda: zones() == [when.leader_in]
+
+    def _of_voters(self, when: When) -> Iterator[Condition]:
         if when.apart is not None:
-            found.append(
-                (f"zones apart: {when.apart}", lambda: enough(lambda f: bool(f.apart) == when.apart))
-            )
+            apart = lambda front: bool(front.apart) == when.apart  # noqa: E731
+            yield f"zones apart: {when.apart}", lambda: self._enough(when, apart)
         if when.voters is not None:
-            found.append((f"{when.voters} voters", lambda: len(self.voters()) == when.voters))
+            yield f"{when.voters} voters", lambda: len(self.voters()) == when.voters
         if when.voters_are is not None:
             named = sorted(when.voters_are.split(","))
-            found.append((f"the voters {when.voters_are}", lambda: self.voters() == named))
-        if (wanted_policy := when.policy) in ("in force", "leased", "strict", "floor", "waiting"):
-            text = f"policy {wanted_policy} at {when.of}"
-            found.append((text, lambda: enough(lambda f: stands(self.fleet, wanted_policy, f))))
-        elif wanted_policy is not None:
-            text = f"the policy {wanted_policy} {when.why}".rstrip()
-            found.append((text, lambda: came(self.fleet, wanted_policy, when.why)))
-        return found + self._noted(when)
-
-    def _noted(self, when: When) -> list[tuple[str, Callable[[], bool]]]:
+            yield f"the voters {when.voters_are}", lambda: self.voters() == named
+
+    def _of_policy(self, when: When) -> Iterator[Condition]:
+        wanted = when.policy
+        if wanted in ("in force", "leased", "strict", "floor", "waiting"):
+            holds = lambda front: stands(self.fleet, wanted, front)  # noqa: E731
+            yield f"policy {wanted} at {when.of}", lambda: self._enough(when, holds)
+        elif wanted is not None:
+            text = f"the policy {wanted} {when.why}".rstrip()
+            yield text, lambda: came(self.fleet, wanted, when.why)
+
+    def _noted(self, when: When) -> list[Condition]:
         if when.note is None:
             return []
         return [(f"the note {when.note!r}", lambda: self.was_noted(when.note, when.fields, when.times))]
--- a/fawnwharf/lab/explore.py
+++ b/fawnwharf/lab/explore.py
@@ -141,21 +141,26 @@
                 born = self.kind(me, frozen[8], TIMING, NOW_MS, 1)
                 killed = replace(world, kills=world.kills + 1)
                 yield f"{me} is killed", self._after(killed, place, born, [])
-            if role is not Role.LEADER and world.patience < self.bounds.patience:
+            if role is Role.LEADER:
+                yield from self._of_leader(world, place, me)
+            elif world.patience < self.bounds.patience:
                 after = replace(world, patience=world.patience + 1)
                 yield from self._do(after, place, f"{me} runs out of patience", self._impatient)
-            if role is Role.LEADER:
-                if world.beats < self.bounds.beats:
-                    after = replace(world, beats=world.beats + 1)
-                    yield from self._do(after, place, f"{me} beats", lambda voter: voter.tick(NOW_MS))
-                if world.plans < self.bounds.plans:
-                    text, after = f"plan {world.plans + 1}", replace(world, plans=world.plans + 1)
-                    propose = self._proposing(text)
-                    yield from self._do(after, place, f"{me} proposes {text}", propose)
-                if world.changes < self.bounds.changes:
-                    for name in self.names:
-                        after = replace(world, changes=world.changes + 1)
-                        yield from self._do(after, place, f"{me} exchanges {name}", self._exchanging(name))
+        yield from self._arrivals(world)
+
+    def _of_leader(self, world: World, place: int, me: str) -> Iterator[tuple[str, World]]:
+        if world.beats < self.bounds.beats:
+            after = replace(world, beats=world.beats + 1)
+            yield from self._do(after, place, f"{me} beats", lambda voter: voter.tick(NOW_MS))
+        if world.plans < self.bounds.plans:
+            text, after = f"plan {world.plans + 1}", replace(world, plans=world.plans + 1)
+            yield from self._do(after, place, f"{me} proposes {text}", self._proposing(text))
+        if world.changes < self.bounds.changes:
+            for name in self.names:
+                after = replace(world, changes=world.changes + 1)
+                yield from self._do(after, place, f"{me} exchanges {name}", self._exchanging(name))
+
+    def _arrivals(self, world: World) -> Iterator[tuple[str, World]]:
         for message in sorted(world.flying, key=repr):
             place = self.names.index(message.to)
             label = f"{message.to} takes {message!r}"
--- a/fawnwharf/lab/files.py
+++ b/fawnwharf/lab/files.py
@@ -11,6 +11,7 @@
 from fawnwharf.lab.topology import BALLOTS, CONTROL, KINDS, PORT, PUBLIC, STATE, TENANTS, Topology, hash_of
 from fawnwharf.net.wheel import unix_ms
 from fawnwharf.standins import lossy as standins
+from fawnwharf.standins.calls import Kind
 
 BOOT, POWER = "boot", "power"  # in a front end's folder: its machine's mark, what its writer did not sync
 DEDUP_MS = 3_000.0
@@ -144,19 +145,6 @@
 def config(fleet: Topology, front: Front, beside: bool = False) -> dict[str, Any]:
     """The configuration of a front end; `beside` is for a second process, while the first one runs."""
     members = fleet.entries(front)
-    sold = sum(spec.rps for spec in fleet.scenario.zones.values()) * 1.25
-    classes = [
-        {
-            "name": kind.name,
-            "effect": kind.effect,
-            "promise": kind.promise_ms,
-            "give_up": kind.give_up_ms,
-            "group": "all",
-            "dedup_window": DEDUP_MS if kind.effect == "deduplicated" else 0.0,
-            "worth": kind.worth,
-        }
-        for kind in KINDS
-    ]
     return {
         "name": front.name,
         "listen": f"{front.host}:{PORT}",
@@ -165,32 +153,54 @@
         "seed": f"{hash_of(f'{fleet.seed}/{front.name}/{len(front.lives)}/{front.number}'):016x}",
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
         "known": front.log.known(members) if beside else front.log.begin(members),
-        "settings": {
-            "classes": classes,
-            "tenants": [
-                {"name": name, "quota_rps": fleet.scenario.quotas.get(name, sold / len(TENANTS))}
-                for name in TENANTS
-                if fleet.scenario.lacks.get(front.name) != name
-            ],
-            "bounds": {
-                "max_attempts": 3,
-                "cancel": True,
-                "second_copies": True,
-                "dial_timeout": 250.0,
-                "retry_after": True,
-                "max_retry_after": fleet.scenario.pushback_ms,
-            },
-            "family_info": {
-                "may_order": True,
-                "not_loaded": "load",
-                "notes_peers_in_hand": True,
-                "idle_life": 9_000.0,
-                **RATION,
-            },
-            "invariants": RULES,
-            "fleet_size": len(fleet.fronts),
-            "locality": front.zone,
-            "weight_source": "nominal",
-            "costs": PRICES,
+        "settings": _settings(fleet, front),
+    }
+
+
+def _settings(fleet: Topology, front: Front) -> dict[str, Any]:
+    return {
+        "classes": [_class(kind) for kind in KINDS],
+        "tenants": _tenants(fleet, front),
+        "bounds": {
+            "max_attempts": 3,
+            "cancel": True,
+            "second_copies": True,
+            "dial_timeout": 250.0,
+            "retry_after": True,
+            "max_retry_after": fleet.scenario.pushback_ms,
         },
+        "family_info": {
+            "may_order": True,
+            "not_loaded": "load",
+            "notes_peers_in_hand": True,
+            "idle_life": 9_000.0,
+            **RATION,
+        },
+        "invariants": RULES,
+        "fleet_size": len(fleet.fronts),
+        "locality": front.zone,
+        "weight_source": "nominal",
+        "costs": PRICES,
     }
+
+
+def _class(kind: Kind) -> dict[str, Any]:
+    return {
+        "name": kind.name,
+        "effect": kind.effect,
+        "promise": kind.promise_ms,
+        "give_up": kind.give_up_ms,
+        "group": "all",
+        "dedup_window": DEDUP_MS if kind.effect == "deduplicated" else 0.0,
+        "worth": kind.worth,
+    }
+
+
+def _tenants(fleet: Topology, front: Front) -> list[dict[str, Any]]:
+    """Quotas as the scenario has them, else equal parts of somewhat more than all clients ask."""
+    sold = sum(spec.rps for spec in fleet.scenario.zones.values()) * 1.25
+    return [
+        {"name": name, "quota_rps": fleet.scenario.quotas.get(name, sold / len(TENANTS))}
+        for name in TENANTS
+        if fleet.scenario.lacks.get(front.name) != name
+    ]
--- a/fawnwharf/lab/measures.py
+++ b/fawnwharf/lab/measures.py
@@ -106,30 +106,10 @@
         """The figures up to now."""
         fleet = self.fleet
         began = fleet.marks["load"]
-        length = int((monotonic_ms() - began) / 1000.0) + 1
-        seconds = [Second() for _ in range(length)]
-        outcomes: Counter = Counter()
-        times, once = HdrHistogram(1, 60_000, 3), HdrHistogram(1, 60_000, 3)
-        for request in fleet.clients.requests:
-            second = seconds[min(length - 1, int((request.began_ms - began) / 1000.0))]
-            second.asked += request.kind.worth
-            second.requests += 1
-            second.served += request.kind.worth * request.on_time
-            second.refused += request.outcome == "refused"
-            second.late += request.outcome == "late" or (request.outcome == "served" and not request.on_time)
-            second.failed += request.outcome in ("failed", "lost", "not taken", "no front end")
-            outcomes[request.outcome] += 1
-            if request.outcome == "served":
-                took = max(1, int(request.ended_ms - request.began_ms))
-                times.record_value(took)
-                if request.kind.effect == "at_most_once":
-                    once.record_value(took)
+        seconds, outcomes, times, once = self._calls(began)
         spent, used = (monotonic_ms() - began) / 1000.0, fleet.used()
-        lived = [name for name in used if name in self.used and used[name][0] >= self.used[name][0]]
-        cpu = [(used[name][0] - self.used[name][0]) / spent for name in lived]
+        cpu = self._cpu(used, spent)
         passed = fleet.between_members() - self.passed
-        runs = [a for a in fleet.arrivals if a.what == "run" and a.sender in fleet.fronts]
-        far = sum(fleet.fronts[a.sender].zone != fleet.scorer_zone[a.scorer] for a in runs)
         live = {front.name for front in fleet.fronts.values() if front.alive and not front.stopped}
         starts = {id: scorer.cold_starts for id, scorer in fleet.scorers.items()}
         cold = work.cold_use(fleet.arrivals, starts, [r.began_ms for r in fleet.clients.requests])
@@ -143,7 +123,7 @@
             marks={name: (at - began) / 1000.0 for name, at in fleet.marks.items()},
             outcomes=outcomes,
             percentiles={f"p{p}": times.get_value_at_percentile(p) for p in (50, 95, 99)},
-            crossing=far / len(runs) if runs else 0.0,
+            crossing=self._crossing(),
             fetches=fleet.store.fetches,
             worst_fetches=fleet.store.worst,
             fell=sum(scorer.fallen for scorer in fleet.scorers.values()),
@@ -156,12 +136,7 @@
             by_tenant=self._by_tenant(),
             once_ms=(once.get_value_at_percentile(50), once.get_value_at_percentile(99)),
             waits_ms=self._waits(),
-            comebacks=Counter(
-                request.outcome
-                for request in fleet.clients.requests
-                if request.kind.effect == "at_most_once"
-                and any(attempt.outcome == "lost" for attempt in request.tries[:-1])
-            ),
+            comebacks=self._comebacks(),
             complaints=list(fleet.complaints),
             changes=changes(fleet.notes, live),
             cold_most=cold[0],
@@ -177,6 +152,49 @@
             measures.outage = self._outage(began, measures.fell)
         return measures
 
+    def _calls(self, began: float) -> tuple[list[Second], Counter, HdrHistogram, HdrHistogram]:
+        """By second and by outcome; the times of all served calls, and of those that run at most once."""
+        length = int((monotonic_ms() - began) / 1000.0) + 1
+        seconds = [Second() for _ in range(length)]
+        outcomes: Counter = Counter()
+        times, once = HdrHistogram(1, 60_000, 3), HdrHistogram(1, 60_000, 3)
+        for request in self.fleet.clients.requests:
+            second = seconds[min(length - 1, int((request.began_ms - began) / 1000.0))]
+            second.asked += request.kind.worth
+            second.requests += 1
+            second.served += request.kind.worth * request.on_time
+            second.refused += request.outcome == "refused"
+            second.late += request.outcome == "late" or (request.outcome == "served" and not request.on_time)
+            second.failed += request.outcome in ("failed", "lost", "not taken", "no front end")
+            outcomes[request.outcome] += 1
+            if request.outcome == "served":
+                took = max(1, int(request.ended_ms - request.began_ms))
+                times.record_value(took)
+                if request.kind.effect == "at_most_once":
+                    once.record_value(took)
+        return seconds, outcomes, times, once
+
+    def _cpu(self, used: dict[str, tuple[float, float]], spent: float) -> list[float]:
+        """Parts of a core, of each front end that lived through the run."""
+        lived = [name for name in used if name in self.used and used[name][0] >= self.used[name][0]]
+        return [(used[name][0] - self.used[name][0]) / spent for name in lived]
+
+    def _crossing(self) -> float:
+        """The part of runs at scorers of another zone than the front end's."""
+        fleet = self.fleet
+        runs = [a for a in fleet.arrivals if a.what == "run" and a.sender in fleet.fronts]
+        far = sum(fleet.fronts[a.sender].zone != fleet.scorer_zone[a.scorer] for a in runs)
+        return far / len(runs) if runs else 0.0
+
+    def _comebacks(self) -> Counter:
+        """Outcomes of at-most-once calls that were lost before and asked for again."""
+        return Counter(
+            request.outcome
+            for request in self.fleet.clients.requests
+            if request.kind.effect == "at_most_once"
+            and any(attempt.outcome == "lost" for attempt in request.tries[:-1])
+        )
+
     def _outage(self, began_ms: float, fell: int) -> Outage:
         fleet, requests = self.fleet, self.fleet.clients.requests
         ended_ms = max((request.began_ms for request in requests), default=began_ms)
--- a/fawnwharf/lab/parties.py
+++ b/fawnwharf/lab/parties.py
@@ -23,32 +23,35 @@
         """
         every = list(self.fleet.fronts.values())
         live = [front for front in every if front.alive and not front.stopped]
-        if what in ("", "all"):
-            return every
-        if what == "live":
-            return live
-        if what == "killed":
-            return [front for front in every if front.name in self.fleet.killed]
-        if what == "leader":
-            return [front for front in live if front.role == "leader"][:1]
-        if what == "follower":
-            return [front for front in live if front.voter and front.role != "leader"][:1]
-        if what in ("asked", "noted"):
-            name = self.fleet.asked if what == "asked" else self.fleet.noted
-            return [front for front in every if front.name == name]
-        if what == "mover":
-            moved = [note.front for note in self.fleet.notes if note.event == "session moved"]
-            return [front for front in live if front.name in moved[-1:]]
-        if what == "keeper":  # that neither leads nor was asked
-            return [f for f in self.keepers() if f.role != "leader" and f.name != self.fleet.asked][:1]
-        if what == "old leader":
-            return [front for front in every if front.stopped]
         if what.startswith("zone:"):
             return [front for front in every if front.zone == what[5:]]
         if what.startswith("share:"):
             return self.chance.sample(live, round(float(what[6:]) * len(every)))
+        by_word = {
+            "": lambda: every,
+            "all": lambda: every,
+            "live": lambda: live,
+            "killed": lambda: [front for front in every if front.name in self.fleet.killed],
+            "leader": lambda: [front for front in live if front.role == "leader"][:1],
+            "follower": lambda: [front for front in live if front.voter and front.role != "leader"][:1],
+            "asked": lambda: [front for front in every if front.name == self.fleet.asked],
+            "noted": lambda: [front for front in every if front.name == self.fleet.noted],
+            "mover": lambda: self._last_mover(live),
+            "keeper": self._idle_keeper,
+            "old leader": lambda: [front for front in every if front.stopped],
+        }
+        if what in by_word:
+            return by_word[what]()
         return [self.fleet.fronts[name] for name in what.split(",")]
 
+    def _last_mover(self, live: list[Front]) -> list[Front]:
+        moved = [note.front for note in self.fleet.notes if note.event == "session moved"]
+        return [front for front in live if front.name in moved[-1:]]
+
+    def _idle_keeper(self) -> list[Front]:
+        """A replica that neither leads nor was asked by operators."""
+        return [f for f in self.keepers() if f.role != "leader" and f.name != self.fleet.asked][:1]
+
     def keepers(self) -> list[Front]:
         """The replicas that live, of the last list that was told; any front end where none was."""
         for note in reversed(self.fleet.notes):
--- a/fawnwharf/lab/policy.py
+++ b/fawnwharf/lab/policy.py
@@ -164,8 +164,8 @@
             found.broken.append(f"epochs: {number} is {before} by {by} and {digest} by {front}")
 
 
-def _not_undone(leased: list[tuple[str, Judged]], words: list[Word], found: Found) -> None:
-    """What was ended is in force nowhere, what was decided is not ended, and no front end goes back."""
+def _decisions(words: list[Word]) -> tuple[set[Epoch], dict[Epoch, float], dict[Epoch, float]]:
+    """The epochs that were prepared, decided and ended, the latter two with when."""
     preparing: dict[str, Epoch] = {}  # by steward
     prepared: set[Epoch] = set()
     decided: dict[Epoch, float] = {}
@@ -178,6 +178,12 @@
             decided.setdefault((word.number, word.digest), word.at_ms)
         elif word.event == "ended" and preparing.get(word.front, (0, ""))[0] == word.number:
             ended[preparing[word.front]] = word.at_ms
+    return prepared, decided, ended
+
+
+def _not_undone(leased: list[tuple[str, Judged]], words: list[Word], found: Found) -> None:
+    """What was ended is in force nowhere, what was decided is not ended, and no front end goes back."""
+    prepared, decided, ended = _decisions(words)
     found.checked["decided"], found.checked["ended"] = len(decided), len(ended)
     for epoch, at_ms in ended.items():
         if at_ms > decided.get(epoch, float("inf")):
@@ -188,6 +194,11 @@
             found.broken.append(f"epochs: {front} took {call.call} by {call.number}, which nobody proposed")
         elif epoch in ended and epoch not in decided:
             found.broken.append(f"epochs: {front} took {call.call} by {call.number}, which was ended")
+    _never_back(leased, found)
+
+
+def _never_back(leased: list[tuple[str, Judged]], found: Found) -> None:
+    """No front end goes back to an earlier epoch."""
     last: dict[str, int] = {}
     for front, call in sorted(leased, key=lambda one: (one[1].taken_ms, one[1].number)):
         if call.number < last.get(front, 0):
--- a/fawnwharf/lab/scenario.py
+++ b/fawnwharf/lab/scenario.py
@@ -138,6 +138,20 @@
 
 def scenario_from(data: bytes) -> Scenario:
     """Parse a scenario and check it; raises ScenarioFault."""
+    found = _parsed(data)
+    _check_parts(found)
+    _power(found)
+    _check_steps(found)
+    if found.sessions is not None and found.state is None:
+        raise ScenarioFault("sessions: goes by the logs of state, which is not there")
+    for zone in found.live:
+        if zone not in found.zones:
+            raise ScenarioFault(f"live: no zone {zone}")
+    _check_zones_of_steps(found)
+    return found
+
+
+def _parsed(data: bytes) -> Scenario:
     try:
         found = msgspec.json.decode(data, type=Scenario)
     except msgspec.ValidationError as error:
@@ -147,6 +161,11 @@
         raise ScenarioFault(f"scenario: not JSON: {error}") from None
     if found.version != VERSION:
         raise ScenarioFault(f"version: {found.version}, and this program knows {VERSION}")
+    return found
+
+
+def _check_parts(found: Scenario) -> None:
+    """That there are front ends, and that each part has what it goes by."""
     fronts = sum(zone.front_ends for zone in found.zones.values())
     voters = sum(min(zone.voters, zone.front_ends) for zone in found.zones.values())
     if not fronts:
@@ -157,7 +176,10 @@
         raise ScenarioFault("policy: goes by the voters' log, and decide is false")
     if found.recovery is not None and (found.state is None or not found.decide):
         raise ScenarioFault("recovery: goes by the logs of voters and of state, which are not both there")
-    _power(found)
+
+
+def _check_steps(found: Scenario) -> None:
+    """That each step has the parts that it is about, and that no step waits for what was never proposed."""
     proposed = False
     for n, step in enumerate(found.steps):
         if step.do in ("move_clients", "bounce", "move_session") and not found.live:
@@ -170,24 +192,23 @@
             raise ScenarioFault(f"steps[{n}].when.policy: nothing was proposed before")
         if step.do == "propose":
             proposed = True
-            try:
-                document_of({"version": 1, **step.document})
-            except DocumentError as error:
-                raise ScenarioFault(f"steps[{n}].document: {error}") from None
-    if found.sessions is not None and found.state is None:
-        raise ScenarioFault("sessions: goes by the logs of state, which is not there")
-    for zone in found.live:
-        if zone not in found.zones:
-            raise ScenarioFault(f"live: no zone {zone}")
+            _check_document(n, step)
+
+
+def _check_document(n: int, step: Step) -> None:
+    try:
+        document_of({"version": 1, **step.document})
+    except DocumentError as error:
+        raise ScenarioFault(f"steps[{n}].document: {error}") from None
+
+
+def _check_zones_of_steps(found: Scenario) -> None:
     for n, step in enumerate(found.steps):
-        if step.do in ("move_clients", "bounce", "move_session") and not found.live:
-            raise ScenarioFault(f"steps[{n}].do: {step.do}, and no sessions are live")
         for zone in step.when.state or ():
             if zone not in found.zones:
                 raise ScenarioFault(f"steps[{n}].when.state: no zone {zone}")
         if step.do in ("lose_zone", "return_zone") and step.what not in found.zones:
             raise ScenarioFault(f"steps[{n}].what: no zone {step.what}")
-    return found
 
 
 def _power(found: Scenario) -> None:
--- a/fawnwharf/lab/topology.py
+++ b/fawnwharf/lab/topology.py
@@ -98,21 +98,8 @@
         number = 0
         for place, (zone, spec) in enumerate(self.scenario.zones.items()):
             for n in range(spec.scorers):
-                id = f"s-{zone}{n}"
                 host = self.slot.host(place, 2, n)
-                seed = chance.getrandbits(32)
-                self.scorers[id] = Scorer(
-                    self.loop,
-                    id,
-                    host,
-                    kind,
-                    self.store,
-                    seed,
-                    self._sender,
-                    self.arrivals.append,
-                    self._listens,
-                )
-                self.scorer_zone[id], self.phase[id], self.up_since[id] = zone, "in_service", 0.0
+                self._add_scorer(f"s-{zone}{n}", zone, host, kind, chance.getrandbits(32))
             for n in range(spec.front_ends):
                 name, host = f"n{number}", self.slot.host(place, 1, n)
                 folder = self.folder / name
@@ -122,6 +109,15 @@
                 number += 1
         for front in self.fronts.values():
             self._relays_of(front)
+        self._add_clients()
+
+    def _add_scorer(self, id: str, zone: str, host: str, kind: Nature, seed: int) -> None:
+        self.scorers[id] = Scorer(
+            self.loop, id, host, kind, self.store, seed, self._sender, self.arrivals.append, self._listens
+        )
+        self.scorer_zone[id], self.phase[id], self.up_since[id] = zone, "in_service", 0.0
+
+    def _add_clients(self) -> None:
         parts = self.scenario.parts
         kinds = [replace(kind, part=parts.get(kind.name, kind.part)) for kind in KINDS]
         rates = {zone: spec.rps for zone, spec in self.scenario.zones.items() if spec.rps}
