One home for the breadth-first search and for reading operators' files

Both model checkers on voters and on migrations search by lab/breadth_first.py; sessions, foresight and replication decode their files by zones.settings.file_from, with the same messages.

--- a/fawnwharf/foresight/settings.py
+++ b/fawnwharf/foresight/settings.py
@@ -12,7 +12,7 @@
 
 from fawnwharf import interface as io
 from fawnwharf.config import ConfigError, settings_from
-from fawnwharf.zones.settings import FileFault, Share, Span
+from fawnwharf.zones.settings import FileFault, Share, Span, file_from
 
 VERSION = 1
 
@@ -86,15 +86,7 @@
 
     Raises FileFault.
     """
-    try:
-        read = msgspec.json.decode(data, type=_File)
-    except msgspec.ValidationError as error:
-        text, _, place = str(error).partition(" - at `$")
-        raise FileFault(f"{place.rstrip('`').lstrip('.') or 'sessions'}: {text}") from None
-    except (msgspec.DecodeError, RecursionError) as error:
-        raise FileFault(f"sessions: not JSON: {error}") from None
-    if read.version != VERSION:
-        raise FileFault(f"version: {read.version}, and this program knows {VERSION}")
+    read: _File = file_from(data, _File, "sessions", VERSION)
     if read.foresight.slow_ms <= read.foresight.fast_ms:
         raise FileFault("foresight.slow_ms: not longer than foresight.fast_ms")
     if (read.foresight.mode == "oracle") != bool(read.foresight.told):
--- a/fawnwharf/handover/explore.py
+++ b/fawnwharf/handover/explore.py
@@ -10,7 +10,6 @@
 that come at once or never (`at_once`).
 """
 
-from collections import deque
 from collections.abc import Iterator
 from dataclasses import fields, replace
 
@@ -20,7 +19,8 @@
 from fawnwharf.handover.mover import ASKING, SETTLING, SWITCHING, Hand, Mover
 from fawnwharf.handover.router import Router
 from fawnwharf.handover.settings import Settings
-from fawnwharf.handover.world import Bounds, Found, Kinds, World, path_to, use
+from fawnwharf.handover.world import Bounds, Kinds, World, use
+from fawnwharf.lab.breadth_first import Found, search
 from fawnwharf.sites import Home, LetGo, Move, Session, Stage
 
 RULES = Settings()
@@ -55,31 +55,10 @@
 
     def search(self) -> Found:
         """Search all states within the bounds, or up to the first one that is broken."""
-        found = Found()
-        seen = {self.start}
-        parents: dict[World, tuple[World, str]] = {}
-        edge = deque([(self.start, 0)])
-        while edge:
-            world, depth = edge.popleft()
-            found.depth = max(found.depth, depth)
-            if depth >= self.bounds.depth:
-                found.complete = False
-                continue
-            for label, after in self._steps(world):
-                if after in seen:
-                    continue
-                if len(seen) >= self.bounds.states:
-                    found.complete, found.states = False, len(seen)
-                    return found
-                seen.add(after)
-                parents[after] = (world, label)
-                if after.broken or self._wrong(after):
-                    found.broken, found.states = after.broken or self._wrong(after), len(seen)
-                    found.path = path_to(parents, after)
-                    return found
-                edge.append((after, depth + 1))
-        found.states = len(seen)
-        return found
+        return search(self.start, self._steps, self._fault, self.bounds.depth, self.bounds.states)
+
+    def _fault(self, world: World) -> str:
+        return world.broken or self._wrong(world)
 
     # --- out of and into states -------------------------------------------------------------------
 
--- a/fawnwharf/handover/world.py
+++ b/fawnwharf/handover/world.py
@@ -1,6 +1,6 @@
 """States of the model checker, the bounds of a search, and its result."""
 
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 
 from fawnwharf.handover import messages as m
 from fawnwharf.handover.homes import Keeper
@@ -47,28 +47,8 @@
     used: tuple[int, ...] = (0, 0, 0, 0, 0)  # patience, keepers' kills, front ends' kills, calls, repeats
 
 
-@dataclass(slots=True)
-class Found:
-    """The result of a search."""
-
-    states: int = 0
-    depth: int = 0
-    complete: bool = True  # all states within the bounds were seen
-    broken: str = ""
-    path: list[str] = field(default_factory=list)
-
-
 def use(world: World, place: int) -> World:
     """The state with one more of the events that are counted at `place` of `used`."""
     used = list(world.used)
     used[place] += 1
     return replace(world, used=tuple(used))
-
-
-def path_to(parents: dict[World, tuple[World, str]], world: World) -> list[str]:
-    """The labels of the steps that lead to a state."""
-    path = []
-    while world in parents:
-        world, label = parents[world]
-        path.append(label)
-    return path[::-1]
--- a/fawnwharf/lab/explore.py
+++ b/fawnwharf/lab/explore.py
@@ -6,12 +6,12 @@
 what was to be sent is not.
 """
 
-from collections import deque
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 
 from fawnwharf.accord import messages as m
 from fawnwharf.accord.voter import Role, Timing, Voter, founding
+from fawnwharf.lab.breadth_first import Found, search
 
 TIMING = Timing(beat_ms=1.0, election_ms=1.0, skew=0.0)
 PAST_MS, NOW_MS = -1e9, 0.0
@@ -49,17 +49,6 @@
     repeats: int = 0
 
 
-@dataclass(slots=True)
-class Found:
-    """The result of a search."""
-
-    states: int = 0
-    depth: int = 0
-    complete: bool = True  # all states within the bounds were seen
-    broken: str = ""
-    path: list[str] = field(default_factory=list)
-
-
 _TABLES = ("match", "sent")
 
 
@@ -104,31 +93,7 @@
 
     def search(self) -> Found:
         """Search all states within the bounds, or up to the first one that is broken."""
-        found = Found()
-        seen = {self.start}
-        parents: dict[World, tuple[World, str]] = {}
-        edge = deque([(self.start, 0)])
-        while edge:
-            world, depth = edge.popleft()
-            found.depth = max(found.depth, depth)
-            if depth >= self.bounds.depth:
-                found.complete = False
-                continue
-            for label, after in self._steps(world):
-                if after in seen:
-                    continue
-                if len(seen) >= self.bounds.states:
-                    found.complete, found.states = False, len(seen)
-                    return found
-                seen.add(after)
-                parents[after] = world, label
-                if fault := self.fault(after):
-                    found.broken, found.states, found.complete = fault, len(seen), False
-                    found.path = _path(parents, after)
-                    return found
-                edge.append((after, depth + 1))
-        found.states = len(seen)
-        return found
+        return search(self.start, self._steps, self.fault, self.bounds.depth, self.bounds.states)
 
     def fault(self, world: World) -> str:
         """What is broken in a state; empty where nothing is."""
@@ -260,11 +225,3 @@
         if what == "two":
             return f"two decisions with the number {index}"
     return ""
-
-
-def _path(parents: dict[World, tuple[World, str]], world: World) -> list[str]:
-    path = []
-    while world in parents:
-        world, label = parents[world]
-        path.append(label)
-    return path[::-1]
--- a/fawnwharf/replication/settings.py
+++ b/fawnwharf/replication/settings.py
@@ -9,7 +9,7 @@
 import msgspec
 from msgspec import Meta, Struct
 
-from fawnwharf.zones.settings import FileFault, Members, Name, Share, Span
+from fawnwharf.zones.settings import FileFault, Members, Name, Share, Span, file_from
 
 VERSION = 1
 KEEPER_ZONES = (1, 3, 5)
@@ -62,15 +62,7 @@
 
 
 def settings_from(data: bytes) -> Settings:
-    try:
-        found = msgspec.json.decode(data, type=Settings)
-    except msgspec.ValidationError as error:
-        text, _, place = str(error).partition(" - at `$")
-        raise FileFault(f"{place.rstrip('`').lstrip('.') or 'settings'}: {text}") from None
-    except (msgspec.DecodeError, RecursionError) as error:
-        raise FileFault(f"settings: not JSON: {error}") from None
-    if found.version != VERSION:
-        raise FileFault(f"version: {found.version}, and this program knows {VERSION}")
+    found: Settings = file_from(data, Settings, "settings", VERSION)
     if found.zones not in KEEPER_ZONES:
         raise FileFault(f"zones: {found.zones}, and it takes 1, 3 or 5")
     if found.quiet_ms < 2 * found.wait_most_ms:
--- a/fawnwharf/sessions/settings.py
+++ b/fawnwharf/sessions/settings.py
@@ -15,7 +15,7 @@
 from fawnwharf.handover.settings import Settings as Handover
 from fawnwharf.interface import ClassSpec
 from fawnwharf.sites import Session, Text
-from fawnwharf.zones.settings import FileFault, Name
+from fawnwharf.zones.settings import FileFault, Name, file_from
 
 VERSION = 1
 MOVES_MOST = 1_000  # of one file
@@ -58,22 +58,9 @@
     drained: Annotated[tuple[Name, ...], Meta(max_length=64)] = ()
 
 
-def _read(data: bytes, kind: type, what: str) -> Any:
-    try:
-        found = msgspec.json.decode(data, type=kind)
-    except msgspec.ValidationError as error:
-        text, _, place = str(error).partition(" - at `$")
-        raise FileFault(f"{place.rstrip('`').lstrip('.') or what}: {text}") from None
-    except (msgspec.DecodeError, RecursionError) as error:
-        raise FileFault(f"{what}: not JSON: {error}") from None
-    if found.version != VERSION:
-        raise FileFault(f"version: {found.version}, and this program knows {VERSION}")
-    return found
-
-
 def settings_from(data: bytes) -> Settings:
     """Parse the file and check it by key; the part `foresight` is left to the prefetcher's own check."""
-    found: Settings = _read(data, Settings, "sessions")
+    found: Settings = file_from(data, Settings, "sessions", VERSION)
     rules, drain = found.handover, found.drain
     if rules.lapse_ms < rules.stage_ms:
         raise FileFault("handover.lapse_ms: less than handover.stage_ms")
@@ -97,7 +84,7 @@
 
 def wishes_from(data: bytes, sites: set[str]) -> Wishes:
     """Parse requests: they may name zones of the fleet, and have to leave one that serves."""
-    wishes: Wishes = _read(data, Wishes, "moves")
+    wishes: Wishes = file_from(data, Wishes, "moves", VERSION)
     for n, asked in enumerate(wishes.moves):
         if asked.site not in sites:
             raise FileFault(f"moves[{n}].site: no site {asked.site}")
--- a/fawnwharf/zones/settings.py
+++ b/fawnwharf/zones/settings.py
@@ -131,6 +131,23 @@
     drained: Annotated[tuple[Name, ...], Meta(max_length=64)] = ()
 
 
+def file_from(data: bytes, kind: type, what: str, version: int) -> Any:
+    """Decode a file of JSON by its type, whose `version` has to be this one.
+
+    Raises FileFault with the key at fault, or `what` for the whole file.
+    """
+    try:
+        found = msgspec.json.decode(data, type=kind)
+    except msgspec.ValidationError as error:
+        text, _, place = str(error).partition(" - at `$")
+        raise FileFault(f"{place.rstrip('`').lstrip('.') or what}: {text}") from None
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise FileFault(f"{what}: not JSON: {error}") from None
+    if found.version != version:
+        raise FileFault(f"version: {found.version}, and this program knows {version}")
+    return found
+
+
 def _read(data: bytes | Any, kind: type, what: str) -> Any:
     try:
         value = msgspec.json.decode(data) if isinstance(data, bytes) else data
