--- a/fawnwharf/lab/checker.py
+++ b/fawnwharf/lab/checker.py
@@ -1,11 +1,12 @@
-"""Judges a run by what all sides recorded: the five rules, and that each call got one final answer. Pure.
+"""Checks a run by what all sides recorded: the five rules, and that each call got one final answer. Pure.
 
 Faults of the path are not the program's: a try counts where its front end lived and ran, and no fault lay on
 the client's link, from its sending to its end. Where it has no answer in time, it counts only if the machine
-gave both sides a processor for it: the system's count tells. `SLACK_MS` is what one busy machine may hold
-everybody up.
+gave both sides a processor for it, by the system's own count. `SLACK_MS` is how long one busy machine may
+delay everybody.
 """
 
+from bisect import bisect_left, bisect_right
 from collections import Counter, defaultdict, deque
 from dataclasses import dataclass, field
 
@@ -29,14 +30,18 @@
 
 @dataclass(slots=True)
 class Verdict:
+    """What was broken, and how much each rule was checked."""
+
     broken: list[str] = field(default_factory=list)
     checked: Counter = field(default_factory=Counter)  # how much each rule was tried by
 
     def line(self) -> str:
+        """The verdict in one line."""
         return f"verdict: broken {self.broken[0]}" if self.broken else "verdict: kept"
 
 
 def judge(fleet: Fleet) -> Verdict:
+    """Check all rules on a run."""
     verdict = Verdict()
     for rule in (_answers, _doors, _effects, _drains, _outs, _cold, _loads, _ends, _faults, _sessions):
         rule(fleet, verdict)
@@ -56,29 +61,35 @@
             relay = fleet.relays[f"clients-{front.zone}", front.name, "clients"]
             clear = relay.touched_ms < attempt.sent_ms - SLACK_MS
             well = front.well(attempt.sent_ms - SLACK_MS, attempt.ended_ms + 1.0)
-            if not clear or not well or attempt.left:  # the one that was late is judged by itself
-                continue
-            if _drains_by(fleet, attempt):
+            # The one that was late is judged by itself.
+            if not clear or not well or attempt.left or _drains_by(fleet, attempt):
                 continue
             held_ms = max(w.between(attempt.sent_ms, attempt.ended_ms) for w in (front.waits, fleet.waits))
             if attempt.outcome == "late" and held_ms > HELD_MS:
                 verdict.checked["held up"] += 1
                 continue
             verdict.checked["answers"] += 1
-            where = f"of {front.name} for call {attempt.call_id}"
-            if attempt.outcome == "late":
-                verdict.broken.append(f"answers: none in time {where}")
-            elif attempt.outcome == "lost":
-                verdict.broken.append(f"answers: the connection ended {where}")
-            elif attempt.answers != 1 and attempt.outcome != "not taken":
-                verdict.broken.append(f"answers: {attempt.answers} {where}")
-            elif not attempt.body_good:
-                verdict.broken.append(f"answers: another's body {where}")
+            if fault := _fault_of(attempt):
+                verdict.broken.append(f"answers: {fault} of {front.name} for call {attempt.call_id}")
+
+
+def _fault_of(attempt: Try) -> str:
+    """What is wrong with the answer to a try; empty where nothing is."""
+    if attempt.outcome == "late":
+        return "none in time"
+    if attempt.outcome == "lost":
+        return "the connection ended"
+    if attempt.answers != 1 and attempt.outcome != "not taken":
+        return str(attempt.answers)
+    return "" if attempt.body_good else "another's body"
 
 
 def _drains_by(fleet: Fleet, attempt: Try) -> bool:
-    """Sent to a front end on standby, by somebody who was held up and had not heard of it: its connection may
-    be ended then with the call on its way, which is nobody's fault."""
+    """Whether an end is excused by a standby.
+
+    A call may be sent to a front end on standby by somebody who was delayed and had not heard of it; its
+    connection may be ended then with the call on its way, which is nobody's fault.
+    """
     return attempt.outcome in ("lost", "not taken") and any(
         not stretch.scorer
         and stretch.front == attempt.front
@@ -132,7 +143,7 @@
 
 
 def runs_of(fleet: Fleet) -> list[tuple[Kind, list[Arrival]]]:
-    """What of each request began to run at scorers, and was not turned away there."""
+    """The runs of each request that began at scorers and were not turned away there."""
     turned = {(a.scorer, a.sender, a.id) for a in fleet.arrivals if a.what == "turned"}
     runs: dict[int, list] = defaultdict(list)
     for arrival in fleet.arrivals:
@@ -189,7 +200,6 @@
 
 
 def _loads(fleet: Fleet, verdict: Verdict) -> None:
-    window, free, part = RATION["load_window"], RATION["free_loads"], RATION["load_part"]
     taken: dict[str, list[float]] = defaultdict(list)
     for request in fleet.clients.requests:
         for attempt in request.tries:
@@ -200,22 +210,25 @@
         if arrival.what == "order":
             orders[arrival.sender].append(arrival.at_ms)
     for name, times in orders.items():
-        recent: deque[float] = deque()
-        arrived = sorted(taken[name])
-        first = last = 0
-        for at_ms in sorted(times):
-            recent.append(at_ms)
-            while recent[0] < at_ms - window:
-                recent.popleft()
-            while last < len(arrived) and arrived[last] <= at_ms:
-                last += 1
-            while first < last and arrived[first] < at_ms - window - SLACK_MS:
-                first += 1
-            verdict.checked["loads"] += 1
-            most = RATION_ROOM * (free + part * (last - first)) + 1
-            if len(recent) > most:
-                verdict.broken.append(f"loads: {name} gave {len(recent)} orders for {last - first} requests")
-                break
+        _check_orders(name, sorted(times), sorted(taken[name]), verdict)
+
+
+def _check_orders(name: str, times: list[float], arrived: list[float], verdict: Verdict) -> None:
+    """That a front end's load orders at `times` are within the rate limit that follows from its requests."""
+    window, free, part = RATION["load_window"], RATION["free_loads"], RATION["load_part"]
+    recent: deque[float] = deque()
+    first = last = 0
+    for at_ms in times:
+        recent.append(at_ms)
+        while recent[0] < at_ms - window:
+            recent.popleft()
+        last = bisect_right(arrived, at_ms)
+        first = bisect_left(arrived, at_ms - window - SLACK_MS)
+        verdict.checked["loads"] += 1
+        most = RATION_ROOM * (free + part * (last - first)) + 1
+        if len(recent) > most:
+            verdict.broken.append(f"loads: {name} gave {len(recent)} orders for {last - first} requests")
+            return
 
 
 def _ends(fleet: Fleet, verdict: Verdict) -> None:
--- a/fawnwharf/lab/conditions.py
+++ b/fawnwharf/lab/conditions.py
@@ -1,6 +1,6 @@
-"""What steps wait for: events that the fleet tells of, and never luck."""
+"""What steps wait for: events that the fleet reports, never mere chance."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Any
 
 from fawnwharf.lab.fleet import Fleet
@@ -9,16 +9,22 @@
 from fawnwharf.lab.proposals import came, stands
 from fawnwharf.lab.scenario import Step, When
 
+Condition = tuple[str, Callable[[], bool]]  # what is waited for, and whether it is so
+
 
 class Conditions:
+    """Waits for the conditions of steps."""
+
     def __init__(self, fleet: Fleet, parties: Parties) -> None:
         self.fleet, self.parties = fleet, parties
         self.noted = self._began = 0  # how many notes there were as the step before and this one began
 
     def next_step(self) -> None:
+        """Take that the next step begins."""
         self.noted, self._began = self._began, len(self.fleet.notes)
 
     def wait(self, when: When, what: str = "the start") -> None:
+        """Wait until a step's conditions hold; raises LabFault where they don't in time."""
         if when.after_s:
             self.fleet.rest(when.after_s)
         if self.fleet.scenario.decide:
@@ -30,78 +36,87 @@
         for text, condition in conditions:
             self.fleet.until(condition, f"{text} ({what})", when.within_s)
 
-    def _conditions(self, when: When) -> list[tuple[str, Callable[[], bool]]]:
-        found: list[tuple[str, Callable[[], bool]]] = []
+    def _conditions(self, when: When) -> list[Condition]:
+        return [
+            *self._of_plans(when),
+            *self._of_leaders(when),
+            *self._of_voters(when),
+            *self._of_policy(when),
+            *self._noted(when),
+        ]
 
-        def enough(holds: Callable[[Front], bool]) -> bool:
-            fronts = self.parties.fronts(when.of)
-            count = sum(holds(front) for front in fronts)
-            return count > 0 and (2 * count >= len(fronts) if when.half else count == len(fronts))
+    def _enough(self, when: When, holds: Callable[[Front], bool]) -> bool:
+        """Whether something holds at all front ends that a step waits for, or at half of them."""
+        fronts = self.parties.fronts(when.of)
+        count = sum(holds(front) for front in fronts)
+        return count > 0 and (2 * count >= len(fronts) if when.half else count == len(fronts))
 
-        if when.state is not None:
-            wanted = when.state
+    def _of_plans(self, when: When) -> Iterator[Condition]:
+        if (wanted := when.state) is not None:
 
             def in_state(front: Front) -> bool:
                 return front.plan is not None and all(
                     front.plan.get(zone, "").split(" ")[0] == state for zone, state in wanted.items()
                 )
 
-            found.append((f"{wanted} at {when.of}", lambda: enough(in_state)))
+            yield f"{wanted} at {when.of}", lambda: self._enough(when, in_state)
         if when.valid is not None:
-            found.append(
-                (f"a valid plan: {when.valid}", lambda: enough(lambda f: (f.plan is not None) == when.valid))
-            )
+            holds = lambda front: (front.plan is not None) == when.valid  # noqa: E731
+            yield f"a valid plan: {when.valid}", lambda: self._enough(when, holds)
+
+    def _of_leaders(self, when: When) -> Iterator[Condition]:
         if when.leader is not None:
-            found.append(
-                (
-                    "a leader",
-                    lambda: any(f.role == "leader" for f in self.parties.fronts("live")) == when.leader,
-                )
-            )
+            leads = lambda: any(f.role == "leader" for f in self.parties.fronts("live"))  # noqa: E731
+            yield "a leader", lambda: leads() == when.leader
         if when.leader_in is not None:
-            found.append(
-                (
-                    f"a leader in {when.leader_in}",
-                    lambda: [f.zone for f in self.parties.fronts("leader")] == [when.leader_in],
-                )
-            )
+            zones = lambda: [front.zone for front in self.parties.fronts("leader")]  # noqa: E731
+            yield f"a leader in {when.leader_in}", lambda: zones() == [when.leader_in]
+
+    def _of_voters(self, when: When) -> Iterator[Condition]:
         if when.apart is not None:
-            found.append(
-                (f"zones apart: {when.apart}", lambda: enough(lambda f: bool(f.apart) == when.apart))
-            )
+            apart = lambda front: bool(front.apart) == when.apart  # noqa: E731
+            yield f"zones apart: {when.apart}", lambda: self._enough(when, apart)
         if when.voters is not None:
-            found.append((f"{when.voters} voters", lambda: len(self.voters()) == when.voters))
+            yield f"{when.voters} voters", lambda: len(self.voters()) == when.voters
         if when.voters_are is not None:
             named = sorted(when.voters_are.split(","))
-            found.append((f"the voters {when.voters_are}", lambda: self.voters() == named))
-        if (wanted_policy := when.policy) in ("in force", "leased", "strict", "floor", "waiting"):
-            text = f"policy {wanted_policy} at {when.of}"
-            found.append((text, lambda: enough(lambda f: stands(self.fleet, wanted_policy, f))))
-        elif wanted_policy is not None:
-            text = f"the policy {wanted_policy} {when.why}".rstrip()
-            found.append((text, lambda: came(self.fleet, wanted_policy, when.why)))
-        return found + self._noted(when)
-
-    def _noted(self, when: When) -> list[tuple[str, Callable[[], bool]]]:
+            yield f"the voters {when.voters_are}", lambda: self.voters() == named
+
+    def _of_policy(self, when: When) -> Iterator[Condition]:
+        wanted = when.policy
+        if wanted in ("in force", "leased", "strict", "floor", "waiting"):
+            holds = lambda front: stands(self.fleet, wanted, front)  # noqa: E731
+            yield f"policy {wanted} at {when.of}", lambda: self._enough(when, holds)
+        elif wanted is not None:
+            text = f"the policy {wanted} {when.why}".rstrip()
+            yield text, lambda: came(self.fleet, wanted, when.why)
+
+    def _noted(self, when: When) -> list[Condition]:
         if when.note is None:
             return []
         return [(f"the note {when.note!r}", lambda: self.was_noted(when.note, when.fields, when.times))]
 
     def wait_for_roles(self, step: Step, what: str) -> None:
-        """Between two leaders there is none: a step on it must wait for one, and not do nothing."""
+        """Wait until there is a leader, where a step is about it: between two leaders it would do nothing."""
         for word in {step.what, step.to} & {"leader", "follower"} if self.fleet.scenario.decide else ():
             self.fleet.until(lambda word=word: self.parties.fronts(word) != [], f"a {word} ({what})")
 
     def voters(self) -> list[str]:
-        """The list that was decided last, which need not be the one that was told last: a member that comes
-        late to it, or starts again, tells of earlier ones."""
+        """The list of voters that was decided last.
+
+        It need not be the one that was told last: a member that comes late to it, or restarts, tells of
+        earlier ones.
+        """
         lists = [note.fields for note in self.fleet.notes if note.event == "voters"]
         last = max(lists, key=lambda fields: fields["index"], default={"voters": [""]})
         return sorted(voter.partition("#")[0] for voter in last["voters"])
 
     def was_noted(self, event: str, fields: dict[str, Any] | None = None, times: int = 1) -> bool:
-        """Since the step before began, as it may have come while that was still under way. What was decided
-        counts by its index: others tell of the same later."""
+        """Whether something was logged since the step before began.
+
+        It may have come while that step was in progress. What was decided counts by its index, as others tell
+        of the same later.
+        """
         before, since = self.fleet.notes[: self.noted], self.fleet.notes[self.noted :]
         known = max((n.fields.get("index", -1) for n in before if n.event == event), default=-1)
         wanted = (fields or {}).items()
--- a/fawnwharf/lab/explore.py
+++ b/fawnwharf/lab/explore.py
@@ -1,17 +1,17 @@
-"""A model checker for voters: every order of messages, losses, repeats, time-outs and kills, to a depth.
+"""Model checker for voters: every interleaving of messages, losses, repeats, time-outs and kills, to a depth.
 
-The voters are the real ones, `fawnwharf.accord.voter.Voter`. Time is taken out in the harshest way: any
-voter may run out of patience at any moment, so that what holds here holds for clocks of any skew. What rests
-on clocks, leases, is for `walk.py`. A kill may cut a list of actions short after any of them: what was saved
-stays, what was to be said is not.
+The voters are the real ones, `fawnwharf.accord.voter.Voter`. Time is modelled in the harshest way: any voter
+may time out at any moment, so that what holds here holds for clocks of any skew. Leases, which depend on
+clocks, are for `walk.py`. A kill may cut a list of actions short after any of them: what was saved stays,
+what was to be sent is not.
 """
 
-from collections import deque
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 
 from fawnwharf.accord import messages as m
 from fawnwharf.accord.voter import Role, Timing, Voter, founding
+from fawnwharf.lab.breadth_first import Found, search
 
 TIMING = Timing(beat_ms=1.0, election_ms=1.0, skew=0.0)
 PAST_MS, NOW_MS = -1e9, 0.0
@@ -35,7 +35,7 @@
 
 @dataclass(frozen=True, slots=True)
 class World:
-    """One state: what each voter is, and what is on its way."""
+    """One state: each voter's own, and the messages on their way."""
 
     voters: tuple[tuple, ...]
     flying: frozenset[m.Message]
@@ -49,17 +49,6 @@
     repeats: int = 0
 
 
-@dataclass(slots=True)
-class Found:
-    """What a search has come to."""
-
-    states: int = 0
-    depth: int = 0
-    complete: bool = True  # all states within the bounds were seen
-    broken: str = ""
-    path: list[str] = field(default_factory=list)
-
-
 _TABLES = ("match", "sent")
 
 
@@ -103,33 +92,11 @@
         self.start = World(tuple(_freeze(voter, voter.saved) for voter in made), frozenset())
 
     def search(self) -> Found:
-        found = Found()
-        seen = {self.start}
-        parents: dict[World, tuple[World, str]] = {}
-        edge = deque([(self.start, 0)])
-        while edge:
-            world, depth = edge.popleft()
-            found.depth = max(found.depth, depth)
-            if depth >= self.bounds.depth:
-                found.complete = False
-                continue
-            for label, after in self._steps(world):
-                if after in seen:
-                    continue
-                if len(seen) >= self.bounds.states:
-                    found.complete, found.states = False, len(seen)
-                    return found
-                seen.add(after)
-                parents[after] = world, label
-                if fault := self.fault(after):
-                    found.broken, found.states, found.complete = fault, len(seen), False
-                    found.path = _path(parents, after)
-                    return found
-                edge.append((after, depth + 1))
-        found.states = len(seen)
-        return found
+        """Search all states within the bounds, or up to the first one that is broken."""
+        return search(self.start, self._steps, self.fault, self.bounds.depth, self.bounds.states)
 
     def fault(self, world: World) -> str:
+        """What is broken in a state; empty where nothing is."""
         return broken(world)
 
     def _steps(self, world: World) -> Iterator[tuple[str, World]]:
@@ -139,21 +106,26 @@
                 born = self.kind(me, frozen[8], TIMING, NOW_MS, 1)
                 killed = replace(world, kills=world.kills + 1)
                 yield f"{me} is killed", self._after(killed, place, born, [])
-            if role is not Role.LEADER and world.patience < self.bounds.patience:
+            if role is Role.LEADER:
+                yield from self._of_leader(world, place, me)
+            elif world.patience < self.bounds.patience:
                 after = replace(world, patience=world.patience + 1)
                 yield from self._do(after, place, f"{me} runs out of patience", self._impatient)
-            if role is Role.LEADER:
-                if world.beats < self.bounds.beats:
-                    after = replace(world, beats=world.beats + 1)
-                    yield from self._do(after, place, f"{me} beats", lambda voter: voter.tick(NOW_MS))
-                if world.plans < self.bounds.plans:
-                    text, after = f"plan {world.plans + 1}", replace(world, plans=world.plans + 1)
-                    propose = self._proposing(text)
-                    yield from self._do(after, place, f"{me} proposes {text}", propose)
-                if world.changes < self.bounds.changes:
-                    for name in self.names:
-                        after = replace(world, changes=world.changes + 1)
-                        yield from self._do(after, place, f"{me} exchanges {name}", self._exchanging(name))
+        yield from self._arrivals(world)
+
+    def _of_leader(self, world: World, place: int, me: str) -> Iterator[tuple[str, World]]:
+        if world.beats < self.bounds.beats:
+            after = replace(world, beats=world.beats + 1)
+            yield from self._do(after, place, f"{me} beats", lambda voter: voter.tick(NOW_MS))
+        if world.plans < self.bounds.plans:
+            text, after = f"plan {world.plans + 1}", replace(world, plans=world.plans + 1)
+            yield from self._do(after, place, f"{me} proposes {text}", self._proposing(text))
+        if world.changes < self.bounds.changes:
+            for name in self.names:
+                after = replace(world, changes=world.changes + 1)
+                yield from self._do(after, place, f"{me} exchanges {name}", self._exchanging(name))
+
+    def _arrivals(self, world: World) -> Iterator[tuple[str, World]]:
         for message in sorted(world.flying, key=repr):
             place = self.names.index(message.to)
             label = f"{message.to} takes {message!r}"
@@ -239,6 +211,7 @@
 
 
 def replace_voters(saved: m.Saved, voters: tuple[str, ...]) -> m.Saved:
+    """A saved state with another list of voters, decided before everything in it."""
     base = m.Base(saved.base.index, saved.base.term, "", 0, tuple(sorted(voters)))
     return m.Saved(saved.term, saved.voted, base, saved.entries)
 
@@ -252,11 +225,3 @@
         if what == "two":
             return f"two decisions with the number {index}"
     return ""
-
-
-def _path(parents: dict[World, tuple[World, str]], world: World) -> list[str]:
-    path = []
-    while world in parents:
-        world, label = parents[world]
-        path.append(label)
-    return path[::-1]
--- a/fawnwharf/lab/policy.py
+++ b/fawnwharf/lab/policy.py
@@ -1,8 +1,11 @@
-"""Changes of policy in the lab: operators' words, and the checker's rule `epochs` over what front ends tell.
+"""Policy rollouts in the test bed.
 
-The rule is pure. It is given a trace of calls by front end and life, and the stewards' notes; all times are
-Unix milliseconds of the one machine. `SLACK_MS` is what two processes' readings of that clock may differ by,
-and nothing else: a process that is held up is no excuse, as a call's time is that by which it was judged.
+Operators' requests, and the checker's rule `epochs` on what front ends tell.
+
+The rule is pure. It is given a trace of calls by front end and incarnation, and the coordinators' log lines;
+all times are Unix milliseconds of the one machine. `SLACK_MS` is what two processes' readings of that clock
+may differ by, and nothing else: a process that is delayed is no excuse, as a call's time is that by which it
+was judged.
 """
 
 from bisect import bisect_left, bisect_right
@@ -57,12 +60,17 @@
 
 @dataclass(slots=True)
 class Found:
+    """What was broken, and how much each rule was checked."""
+
     broken: list[str] = field(default_factory=list)
     checked: Counter = field(default_factory=Counter)
 
 
 def trace_of(data: bytes) -> tuple[list[Judged], int]:
-    """The lines of a trace, and how many are none. A last one without its end was cut short by a kill."""
+    """The lines of a trace, and how many are malformed.
+
+    A last line without its end was cut short by a kill.
+    """
     found, bad = [], 0
     for line in data.split(b"\n")[:-1]:
         try:
@@ -73,7 +81,7 @@
 
 
 def words_of(notes: Iterable[Noted], unix_less_steady_ms: float) -> list[Word]:
-    """Stewards' notes by the time that they tell themselves, else that at which they were read."""
+    """Coordinators' log lines, by the time that they tell themselves, else that at which they were read."""
     found = []
     for note in notes:
         if note.event in ("prepare", "decided", "in force", "ended") and "number" in note.fields:
@@ -84,7 +92,7 @@
 
 
 def told_ms(note: Noted, unix_less_steady_ms: float) -> float:
-    """When it was written, by its own word."""
+    """When a line was written, by its own field."""
     try:
         return datetime.fromisoformat(note.fields["timestamp"]).timestamp() * 1000.0
     except (KeyError, ValueError, TypeError):
@@ -100,9 +108,11 @@
     give_up_ms: Callable[[Judged], float | None] = lambda call: None,
     accepted: frozenset[tuple[str, str]] = frozenset(),
 ) -> Found:
-    """All that must hold of epochs over all sides; `words` in order of time. `give_up_ms` tells what a call's
-    epoch gave it, None where that is not known; `accepted` are calls, each by its front end, that got another
-    answer than a refusal."""
+    """Check all rules on epochs; `words` are in order of time.
+
+    `give_up_ms` tells what a call's epoch gave it, None where that is not known; `accepted` are calls, each
+    by its front end, that got another answer than a refusal.
+    """
     found = Found()
     leased = [(life.front, call) for life in lives for call in life.calls if call.how == "leased"]
     for life in lives:
@@ -154,8 +164,8 @@
             found.broken.append(f"epochs: {number} is {before} by {by} and {digest} by {front}")
 
 
-def _not_undone(leased: list[tuple[str, Judged]], words: list[Word], found: Found) -> None:
-    """What was ended is in force nowhere, what was decided is not ended, and no front end goes back."""
+def _decisions(words: list[Word]) -> tuple[set[Epoch], dict[Epoch, float], dict[Epoch, float]]:
+    """The epochs that were prepared, decided and ended, the latter two with when."""
     preparing: dict[str, Epoch] = {}  # by steward
     prepared: set[Epoch] = set()
     decided: dict[Epoch, float] = {}
@@ -168,6 +178,12 @@
             decided.setdefault((word.number, word.digest), word.at_ms)
         elif word.event == "ended" and preparing.get(word.front, (0, ""))[0] == word.number:
             ended[preparing[word.front]] = word.at_ms
+    return prepared, decided, ended
+
+
+def _not_undone(leased: list[tuple[str, Judged]], words: list[Word], found: Found) -> None:
+    """What was ended is in force nowhere, what was decided is not ended, and no front end goes back."""
+    prepared, decided, ended = _decisions(words)
     found.checked["decided"], found.checked["ended"] = len(decided), len(ended)
     for epoch, at_ms in ended.items():
         if at_ms > decided.get(epoch, float("inf")):
@@ -178,6 +194,11 @@
             found.broken.append(f"epochs: {front} took {call.call} by {call.number}, which nobody proposed")
         elif epoch in ended and epoch not in decided:
             found.broken.append(f"epochs: {front} took {call.call} by {call.number}, which was ended")
+    _never_back(leased, found)
+
+
+def _never_back(leased: list[tuple[str, Judged]], found: Found) -> None:
+    """No front end goes back to an earlier epoch."""
     last: dict[str, int] = {}
     for front, call in sorted(leased, key=lambda one: (one[1].taken_ms, one[1].number)):
         if call.number < last.get(front, 0):
@@ -190,8 +211,10 @@
 def _come_up_in_it(
     lives: list[Life], words: list[Word], accepted: frozenset[tuple[str, str]], found: Found
 ) -> None:
-    """Who is started after an epoch came into force judges no call by an earlier one, lease or none. Who does
-    not know yet what is in force judges none at all: it refuses what comes."""
+    """Whoever starts after an epoch came into force judges no call by an earlier one, lease or none.
+
+    Whoever does not know yet what is in force judges none at all: it refuses what comes.
+    """
     in_force: dict[int, float] = {}
     for word in words:
         if word.event == "in force":
--- a/tests/test_client_accepting.py
+++ b/tests/test_client_accepting.py
@@ -88,7 +88,7 @@
         self.faults.fail("accept", errno.EMFILE, where=self.at_listener(rig))
         late = rig.client()
         late.status(1)
-        with mock.patch.object(listener, "ACCEPT_PAUSE_MS", 60_000.0):
+        with mock.patch.object(acceptor, "ACCEPT_PAUSE_MS", 60_000.0):
             rig.front.loop.turn(1.0)
             client.sock.close()
             client.ended = True
--- a/tests/test_disk_faults_promises.py
+++ b/tests/test_disk_faults_promises.py
@@ -4,7 +4,7 @@
 
 import msgspec
 import pytest
-from kept_rig import LIMITS, Site, StoreCores, asks
+from support.memory_stores import LIMITS, Site, StoreCores, asks
 
 from fawnwharf.recovery.trust import Kind, Store
 from fawnwharf.rejoin import kept as k
--- a/tests/test_disk_faults_service.py
+++ b/tests/test_disk_faults_service.py
@@ -7,7 +7,7 @@
 import msgspec
 import pytest
 from support.file_faults import FileFaults, Killed
-from zone_files import members_data
+from support.zone_files import members_data
 
 from fawnwharf.accord import messages as m
 from fawnwharf.net.wheel import monotonic_ms
