--- a/fawnwharf/net/clients.py
+++ b/fawnwharf/net/clients.py
@@ -63,6 +63,8 @@
         if items or not before:
             self._since_ms = monotonic_ms() if items or self.spoke else self._since_ms
         self.spoke = self.spoke or bool(items)
+        if self.connection.input_full and self.open:
+            self.port.slow.look_later(self)
         for place, item in enumerate(items):
             try:
                 end = self._take(item)
--- a/fawnwharf/net/connection.py
+++ b/fawnwharf/net/connection.py
@@ -69,7 +69,7 @@
         self._finishing: End | None = None
         self._linger_ms, self._finish_by_ms = LINGER_MS, 0.0
         self._input_over = self._output_over = False  # the peer has ended its output; this side has
-        self._input_full = False  # the last read took as much as it may: there may be more
+        self.input_full = False  # the last read took as much as it may: there may be more
         self._resting = False  # the system had no memory for a read
         self._mask = READ if up else WRITE
         loop.watch(sock, self._mask, self._ready, first, order)
@@ -212,7 +212,7 @@
 
     def may_have_ended(self) -> bool:
         """Whether the peer may have ended its output some time ago without this turn's reads showing it."""
-        if not self.reads or self._input_full or self.loop.left_behind(self._sock):
+        if not self.reads or self.input_full or self.loop.left_behind(self._sock):
             return True
         return max(self.age_ms, monotonic_ms() - self.loop.turn_ms) > FRESH_MS
 
@@ -232,7 +232,7 @@
         """Read once without waiting for the selector; whether all that had come was read."""
         if not (self.closed or self._input_over or self._resting):
             self._read()
-        return not (self._input_full or self._resting)
+        return not (self.input_full or self._resting)
 
     def read_on(self, on: bool) -> None:
         """Stop or go on reading: a peer that does not read its answers is not read either."""
@@ -275,7 +275,7 @@
         self.owner.on_up()
 
     def _read(self) -> None:
-        self._input_full = False
+        self.input_full = False
         try:
             data, notes, _, _ = self._sock.recvmsg(self._read_most, NOTES_MOST)
         except (BlockingIOError, InterruptedError):
@@ -286,7 +286,7 @@
         if not data:
             self._peer_closed()
             return
-        self._input_full = len(data) >= self._read_most
+        self.input_full = len(data) >= self._read_most
         if self._finishing:
             return
         self.heard_ms = self.used_ms = monotonic_ms()
--- a/fawnwharf/net/slow_clients.py
+++ b/fawnwharf/net/slow_clients.py
@@ -1,4 +1,5 @@
-"""Clients that are not read as their bytes come: they do not read their answers, or reading is paused."""
+"""Clients whose bytes are not read as they come: they do not read their answers, send more than a turn
+reads, or reading is paused."""
 
 from typing import TYPE_CHECKING
 
@@ -29,8 +30,11 @@
         connection = client.connection
         slower = self.paused or connection.waiting_bytes >= UNREAD_STOP
         connection.read_on(connection.finishing or not slower)
-        if connection.reads or connection.closed:
-            return
+        if not (connection.reads or connection.closed):
+            self.look_later(client)
+
+    def look_later(self, client: "Client") -> None:
+        """Look at a client soon whose end may lie behind bytes that are not read yet."""
         self._held[client] = None
         if not self._looks:
             self._looks = True
@@ -46,12 +50,11 @@
         self._looks = False
         held, self._held = self._held, {}
         for client in held:
-            if not client.connection.reads:
-                self._loop.guarded(self._look_at, client)
+            self._loop.guarded(self._look_at, client)
 
     def _look_at(self, client: "Client") -> None:
         client.check()
-        if not self.paused:  # what lies unread is for another process otherwise
+        if not (self.paused or client.connection.reads):  # where paused, it is for another process
             self._read(client)
         self.regulate(client)
 
--- a/fawnwharf/net/unread.py
+++ b/fawnwharf/net/unread.py
@@ -33,7 +33,7 @@
     """Read and throw away what lies unread: a close would reset the connection otherwise."""
     try:
         for _ in range(DISCARDS_MOST):
-            if not sock.recv(DISCARD_BYTES):
+            if not sock.recv(DISCARD_BYTES, socket.MSG_DONTWAIT):
                 return
     except OSError:
         return
--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -8,7 +8,7 @@
 from peers import ScorerPeer
 
 from fawnwharf import interface as io
-from fawnwharf.net import connection, loop, scorer_frames, slow_clients
+from fawnwharf.net import clients, connection, loop, scorer_frames, slow_clients
 from fawnwharf.net.front_end import worker_number
 
 
@@ -228,6 +228,22 @@
         poll.assert_not_called()
 
 
+class ReadForLong(Case):
+    def test_an_end_behind_more_than_some_turns_read_is_found_by_the_look(self):
+        rig = self.rig(ScorerPeer(copies=None))
+        with mock.patch.object(clients, "READ_MOST", 8):  # so that the rest takes thousands of turns
+            client = rig.client()
+            self.asked(rig, client)
+            served = self.served(rig, client)
+        client.sock.setblocking(True)
+        client.sock.sendall(junk_statuses(256 * 1024))
+        client.sock.shutdown(socket.SHUT_WR)  # a close with answers unread would reset it
+        client.sock.setblocking(False)
+        rig.until(lambda: not rig.front.table.open, "its request is withdrawn")
+        self.assertTrue(served.gone)
+        self.assertTrue(served.connection.unread())  # and the end is not read yet
+
+
 class HalfClose(Case):
     def test_a_client_that_ends_its_output_gets_its_one_answer_and_then_the_end(self):
         scorer = ScorerPeer()
@@ -295,6 +311,20 @@
             rig.front.loop.turn(0.0)
         self.assertNotIn(key, rig.front.table.open)
 
+    def test_a_connection_that_is_read_on_after_a_pause_keeps_its_place_in_the_order(self):
+        rig = self.rig(ScorerPeer(copies=None))
+        client = rig.client()
+        self.asked(rig, client)
+        for order, first in ((loop.Order.FIRST, True), (loop.Order.OPEN, False)):
+            sock = socket.socketpair()
+            sock[0].setblocking(False)
+            self.addCleanup(sock[1].close)
+            here = connection.Connection(rig.front.loop, sock[0], mock.Mock(), first=first)
+            self.addCleanup(here.close, connection.End.STOPPED)
+            here.read_on(False)
+            here.read_on(True)
+            self.assertEqual(rig.front.loop._order(sock[0].fileno()), order)
+
     def test_new_requests_have_their_part_of_each_turn(self):
         rig = self.rig(ScorerPeer(copies=None))
         known, new = [rig.client() for _ in range(6)], rig.client()
