--- a/fawnwharf/net/clients.py
+++ b/fawnwharf/net/clients.py
@@ -66,6 +66,8 @@
         if items or not before:
             self._since_ms = monotonic_ms() if items or self.spoke else self._since_ms
         self.spoke = self.spoke or bool(items)
+        if self.connection.input_full and self.open:
+            self.port.slow.look_later(self)
         withdrawn = {item.seqid for item in items if isinstance(item, thrift.Withdraw)}
         for place, item in enumerate(items):
             is_newest = place == len(items) - 1 and not self._reader.waits
