--- a/tests/slow_start_rig.py
+++ b/tests/slow_start_rig.py
@@ -40,10 +40,12 @@
         self.uneven = [self.random.lognormvariate(0.0, 2.0) for _ in range(front_ends)]
 
     def later(self, delay_ms, call, *args):
+        """Schedule a call on the virtual clock."""
         self.count += 1
         heapq.heappush(self.due, (self.now + delay_ms, self.count, call, args))
 
     def run(self, until_ms):
+        """Carry out all that falls due until then, in order of time."""
         while self.due and self.due[0][0] <= until_ms:
             self.now, _, call, args = heapq.heappop(self.due)
             call(*args)
@@ -57,6 +59,7 @@
         self.feed(n, self.lives[n], io.RosterChanged(list(self.entries.values()), complete=True))
 
     def start_all(self):
+        """Start every front end, and the arrival of requests."""
         for n in range(self.front_ends):
             self.start(n)
         self.later(0.0, self.arrive)
@@ -68,10 +71,12 @@
             self.later(latest_ms * self.random.random(), self.told, n, entry)
 
     def told(self, n, entry):
+        """The front end takes in the entry, unless a newer one stands in its place or it is down."""
         if n in self.routers and self.entries[entry.worker] is entry:
             self.feed(n, self.lives[n], io.RosterChanged([entry], complete=False))
 
     def leave(self, worker):
+        """A worker goes, and every front end learns it at this moment."""
         self.tell(io.WorkerEntry(worker, State.GONE), latest_ms=0.0)
 
     def begin(self, worker):
@@ -81,15 +86,18 @@
         self.tell(io.WorkerEntry(worker, up_since_ms=self.now))
 
     def kill(self, n):
+        """A front end ends without warning; what it had open is lost."""
         self.lives[n] += 1
         self.routers.pop(n, None)
 
     def arrive(self):
+        """A request comes to a front end chosen by uneven weights, and the next one is scheduled."""
         self.later(self.random.expovariate(self.load * self.rate * self.workers / 1000.0), self.arrive)
         n = self.random.choices(range(self.front_ends), self.uneven)[0]
         self.ask(n, f"f{self.random.randrange(40)}", 1)
 
     def ask(self, n, fn, tried):
+        """Hand a client's request to a front end; one that is down takes none."""
         if n not in self.routers:
             return
         self.count += 1
@@ -98,12 +106,14 @@
         self.feed(n, self.lives[n], io.RequestArrived(name, fn, "view", "", SPEC.give_up_ms, load_ms=300.0))
 
     def feed(self, n, life, event):
+        """Hand an event to this life of a front end and carry out its decisions; a former life gets none."""
         if self.lives[n] != life or n not in self.routers:
             return
         for action in self.routers[n].handle(self.now, [event]):
             self.carry_out(n, action)
 
     def carry_out(self, n, action):
+        """Do what a front end has decided: timers, clients that come again, loads, sends."""
         life = self.lives[n]
         if isinstance(action, io.SetTimer):
             self.later(action.delay_ms, self.feed, n, life, io.TimerDue(action.token))
@@ -118,6 +128,7 @@
             self.send(n, life, action)
 
     def send(self, n, life, send):
+        """A worker takes an attempt, or answers FULL where all its lanes are busy; the end is scheduled."""
         worker = send.worker
         if worker in self.last_start:
             self.sends[worker].append(self.now)
@@ -130,6 +141,7 @@
         self.later(took, self.end, n, life, send, number, ending, took)
 
     def end(self, n, life, send, number, ending, took):
+        """The attempt is over, and its front end learns how it ended."""
         good = ending is Ending.GOOD
         self.busy[send.worker] -= good
         self.served += good
@@ -139,6 +151,7 @@
     # --- what must hold -----------------------------------------------------------------------
 
     def warmth(self, worker, at_ms=None):
+        """The part of its full rate that a worker can do at that moment (by default now)."""
         age_ms = (self.now if at_ms is None else at_ms) - self.last_start.get(worker, -math.inf)
         return min(1.0, COLD_SHARE + (1 - COLD_SHARE) * age_ms / COLD_MS)
 
@@ -147,8 +160,11 @@
         return FALL_MULTIPLE * self.warmth(worker, at_ms) * self.rate * FALL_MS / 1000.0
 
     def check(self):
-        """No window of any worker in slow start holds more than the rule lets it; how many were looked at,
-        and the largest part of N in one of them."""
+        """No window of any worker in slow start holds more than the rule lets it.
+
+        Returns:
+            How many windows were looked at, and the largest part of N in one of them.
+        """
         windows, most = 0, 0.0
         for worker, sends in self.sends.items():
             first = 0
@@ -164,8 +180,10 @@
 
 
 class Saturated:
-    """Front ends that use at each moment all that they may send to cold workers. Calls come unevenly, the
-    warm fleet answers all that it can, and clients that get no answer come again."""
+    """Front ends that use at each moment all that they may send to cold workers.
+
+    Calls come unevenly, the warm fleet answers all that it can, and clients that get no answer come again.
+    """
 
     STEP_MS, RATE, WORKERS = 250.0, 35.0, 10
 
@@ -186,6 +204,7 @@
         self.sends, self.count = defaultdict(list), 0
 
     def router(self):
+        """A new front end's Router, which has the list as it is and no memory."""
         router = Router(self.settings, self.random.getrandbits(64))
         router.handle(self.now, [io.RosterChanged(list(self.entries), complete=True)])
         return router
@@ -199,6 +218,7 @@
                 self.call(router, served)
 
     def call(self, router, served):
+        """A request to this front end; its sends are answered if `served`, and then its client leaves."""
         self.count += 1
         name, fn = f"r{self.count}", f"f{self.random.randrange(30)}"
         actions = router.handle(self.now, [io.RequestArrived(name, fn, "view", "", 300.0)])
--- a/tests/support/request_driver.py
+++ b/tests/support/request_driver.py
@@ -121,6 +121,7 @@
         self._seen[scorer] = [len(scorer.runs), len(scorer.orders)]
 
     def quiet(self) -> None:
+        """Turn until nothing moves any more; the front end has then seen which requests were given up."""
         for _ in range(QUIET_TURNS_MOST):
             if not self.turn():
                 break
@@ -153,6 +154,7 @@
         self.check()
 
     def check(self) -> None:
+        """Check that no rule is broken so far, and that no connection closed with a request unanswered."""
         faults = [line for line in self.lines if "fault in" in line]
         assert not faults, faults
         assert not self.model.broken, self.model.broken
@@ -197,6 +199,7 @@
         assert front.pool._links == len(links)
 
     def close(self) -> None:
+        """End the front end and all peers, and take the clock and the faults out again."""
         self.front.close()
         for peer in [*self.scorers, *self.logs]:
             peer.close()
--- a/tests/support/request_model.py
+++ b/tests/support/request_model.py
@@ -69,6 +69,7 @@
     # --- what the driver reports ------------------------------------------------------------------
 
     def answered(self, request: Request, kind: str, body: bytes, now_ms: float) -> None:
+        """A client has read an answer of this kind to its request."""
         if request.answers:
             self._break(request, f"a second answer, {kind} after {request.answers[0][0]}")
         if request.whole_ms is None:
@@ -117,6 +118,7 @@
     # --- the rules --------------------------------------------------------------------------------
 
     def attempts_of(self, id: bytes) -> list[Run]:
+        """The attempts of a request in the order in which they reached scorers."""
         return self._attempts.setdefault(id, [])
 
     def _break(self, request: Request, what: str) -> None:
@@ -172,6 +174,7 @@
             self.broken.append(f"{given} orders to load in a window, {most:.1f} allowed")
 
     def last_deadline_ms(self) -> float:
+        """When the latest deadline of all requests that were sent whole is over; 0 if there is none."""
         whole = [request for request in self.requests.values() if request.whole_ms is not None]
         return max((request.whole_ms + request.ttl_ms for request in whole), default=0.0)
 
--- a/tests/support/request_site.py
+++ b/tests/support/request_site.py
@@ -29,6 +29,7 @@
     more: dict[str, Any] = field(default_factory=dict)  # further settings
 
     def settings(self) -> dict[str, Any]:
+        """The settings as a front end reads them."""
         classes = [{"name": name, "effect": effect, "group": self.group} for name, effect in EFFECTS.items()]
         for spec in classes:
             spec |= {"give_up": self.give_up_ms, "promise": 0.8 * self.give_up_ms}
@@ -54,6 +55,7 @@
         } | self.more
 
     def limits(self) -> Limits:
+        """The limits that the model of the rules checks against."""
         return Limits(
             self.max_attempts, self.second_copies, self.load_window_ms, self.free_loads, self.load_part
         )
--- a/tests/support/request_steps.py
+++ b/tests/support/request_steps.py
@@ -50,6 +50,7 @@
 
     @property
     def now(self) -> float:
+        """The time on the settable clock, in ms."""
         return self.clock.monotonic_ms
 
     def wait(self, span_ms: float) -> None:
--- a/tests/support/scripted_peers.py
+++ b/tests/support/scripted_peers.py
@@ -59,10 +59,12 @@
             return False
 
     def close(self) -> None:
+        """Close the connection."""
         self.ended = True
         self.sock.close()
 
     def reset(self) -> None:
+        """End the connection by a reset."""
         self.ended = True
         reset(self.sock)
 
@@ -108,6 +110,7 @@
         self._begun: Run | None = None
 
     def pump(self, now_ms: float) -> bool:
+        """Take in what came; whether anything did."""
         data = self.channel.received()
         self._buffer += data
         while self._frame(now_ms):
@@ -145,6 +148,7 @@
         self.standing: dict[str, int] = {}  # copies, by function
 
     def member(self, phase: str = "in_service", up_since_ms: float = 0.0) -> dict:
+        """The entry of this scorer in an event of the change log."""
         host_port = f"{self.address[0]}:{self.address[1]}"
         member = {"id": self.name, "host_port": host_port, "phase": phase, "size": 4}
         return member | {"locality": self.zone, "up_since_ms": up_since_ms}
@@ -164,6 +168,7 @@
         return found
 
     def take(self, frame: scorer_frames.Frame, link: ScorerLink, begun: Run | None, now_ms: float) -> None:
+        """Take in a whole frame; `begun` is the attempt that it completes, if it is one."""
         if begun is not None:
             begun.whole_ms, begun.fields, begun.body = now_ms, frame.fields, frame.body
         elif frame.code == scorer_frames.GIVE_UP:
@@ -193,21 +198,25 @@
             run.answered.append(code)
 
     def end_links(self, by_reset: bool) -> None:
+        """End all connections from front ends, by a reset if so asked."""
         for link in self.links:
             if not link.channel.ended:
                 link.channel.reset() if by_reset else link.channel.close()
 
     def stop_listening(self) -> None:
+        """Close the listener; connections that are up stay."""
         if self.listener is not None:
             self.listener.close()
             self.listener = None
 
     def listen_again(self) -> None:
+        """Listen at the same address as before."""
         if self.listener is None:
             self.listener = socket.create_server(self.address)
             self.listener.setblocking(False)
 
     def close(self) -> None:
+        """Close the listener and all connections."""
         self.stop_listening()
         self.end_links(by_reset=False)
 
@@ -223,6 +232,7 @@
         self._channels: dict[Channel, int | None] = {}  # the last event told, once it has asked
 
     def pump(self) -> bool:
+        """Take in connections and questions, and answer them; whether anything came."""
         found = False
         while True:
             try:
@@ -251,17 +261,20 @@
         return any(not channel.ended and last for channel, last in self._channels.items())
 
     def heartbeat(self) -> None:
+        """Write the number of the last event told to each connection that has asked."""
         for channel, last in self._channels.items():
             if last is not None:
                 channel.send(b"%d\n" % last)
 
     def reset_all(self) -> None:
+        """End all connections by a reset; the listener stays."""
         for channel in self._channels:
             if not channel.ended:
                 channel.reset()
         self._channels.clear()
 
     def close(self) -> None:
+        """Close the listener and all connections."""
         self.listener.close()
         for channel in self._channels:
             channel.close()
@@ -278,13 +291,16 @@
 
     @property
     def usable(self) -> bool:
+        """Whether requests can still be sent on this connection."""
         return not (self.channel.ended or self.left)
 
     def next_seqid(self) -> int:
+        """The next sequence number, which counts as used."""
         self.seqid += 1
         return self.seqid
 
     def pump(self) -> bool:
+        """Hand on the answers that came; whether any bytes did."""
         data = self.channel.received()
         self._buffer += data
         while len(self._buffer) >= 4:
@@ -300,13 +316,16 @@
         return self.channel.send(handle_frame(seqid, fields, body))
 
     def withdraw(self, seqid: int) -> bool:
+        """Withdraw a request; False where the connection has ended."""
         payload = struct.pack(">bhib", thrift.I32, 1, seqid, 0)
         return self.channel.send(thrift._frame(thrift.ONEWAY, b"withdraw", 99, payload))
 
     def half_close(self) -> None:
+        """End the output, and read on."""
         self.left = True
         self.channel.sock.shutdown(socket.SHUT_WR)
 
     def close(self, by_reset: bool = False) -> None:
+        """Close the connection, by a reset if so asked."""
         self.left = True
         self.channel.reset() if by_reset else self.channel.close()
