--- a/tests/scorer_rig.py
+++ b/tests/support/scorer_link_cases.py
@@ -9,12 +9,12 @@
 
 import msgspec
 from peers import ROW, Rig, ready
-from support.clocks import SettableClock
-from support.system_faults import SystemFaults
 
 from fawnwharf import interface as io
 from fawnwharf.net import scorers, streams
 from fawnwharf.net.loop import READ
+from support.clocks import SettableClock
+from support.system_faults import SystemFaults
 
 BY_POOL = 9  # a scorer that the pool knows and the module does not: it is sent what the test says alone
 
--- a/tests/test_client_accepting.py
+++ b/tests/test_client_accepting.py
@@ -5,8 +5,8 @@
 import unittest
 from unittest import mock
 
-from client_rig import Case, wait
 from peers import ScorerPeer
+from support.client_cases import Case, wait
 from support.system_faults import SystemFaults
 
 from fawnwharf.net import acceptor
--- a/tests/test_client_closing.py
+++ b/tests/test_client_closing.py
@@ -4,8 +4,8 @@
 import unittest
 from unittest import mock
 
-from client_rig import Case, arrivals, call_frame
 from peers import ScorerPeer
+from support.client_cases import Case, arrivals, call_frame
 
 from fawnwharf.net import clients, loop
 
--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -4,8 +4,8 @@
 import unittest
 from unittest import mock
 
-from client_rig import Case, arrivals, call_frame, given_up, junk_statuses, wait
 from peers import ScorerPeer
+from support.client_cases import Case, arrivals, call_frame, given_up, junk_statuses, wait
 
 from fawnwharf import interface as io
 from fawnwharf.net import connection, loop, scorer_frames, slow_clients
--- a/tests/test_client_gone_sends.py
+++ b/tests/test_client_gone_sends.py
@@ -3,7 +3,7 @@
 import itertools
 
 from peers import ROW, ScorerPeer
-from scorer_rig import BY_POOL, Case
+from support.scorer_link_cases import BY_POOL, Case
 
 from fawnwharf import interface as io
 from fawnwharf.net import scorer_frames
--- a/tests/test_client_slow.py
+++ b/tests/test_client_slow.py
@@ -4,8 +4,8 @@
 import unittest
 from unittest import mock
 
-from client_rig import Case, arrivals, call_frame, junk_statuses
 from peers import ScorerPeer
+from support.client_cases import Case, arrivals, call_frame, junk_statuses
 
 from fawnwharf import interface as io
 from fawnwharf.net import clients, slow_clients
--- a/tests/test_client_streams.py
+++ b/tests/test_client_streams.py
@@ -5,8 +5,8 @@
 import struct
 import unittest
 
-from client_rig import Case, call_frame
 from peers import ScorerPeer, handle_frame
+from support.client_cases import Case, call_frame
 
 from fawnwharf.net import thrift
 
--- a/tests/test_discovery_life.py
+++ b/tests/test_discovery_life.py
@@ -5,7 +5,7 @@
 import socket
 
 import pytest
-from log_rig import LogRig, event, new_log
+from support.change_log_front_end import LogRig, event, new_log
 from support.system_faults import SystemFaults
 
 from fawnwharf import interface as io
--- a/tests/test_discovery_orders.py
+++ b/tests/test_discovery_orders.py
@@ -4,7 +4,7 @@
 import json
 
 import pytest
-from log_rig import LogRig, event
+from support.change_log_front_end import LogRig, event
 
 from fawnwharf import interface as io
 from fawnwharf.net import changelog
--- a/tests/test_drains.py
+++ b/tests/test_drains.py
@@ -3,7 +3,7 @@
 import json
 
 import pytest
-from log_rig import LogRig, event, new_log
+from support.change_log_front_end import LogRig, event, new_log
 
 from fawnwharf import interface as io
 from fawnwharf.net import changelog, loop, scorer_frames
--- a/tests/test_link_writes.py
+++ b/tests/test_link_writes.py
@@ -4,7 +4,7 @@
 from unittest import mock
 
 from peers import ScorerPeer
-from scorer_rig import BY_POOL, Case, attempt, order
+from support.scorer_link_cases import BY_POOL, Case, attempt, order
 
 from fawnwharf import interface as io
 from fawnwharf.net import scorer_links, wheel
--- a/tests/test_load_orders.py
+++ b/tests/test_load_orders.py
@@ -3,7 +3,7 @@
 import pytest
 from bench import Drive, of
 from peers import ScorerPeer
-from scorer_rig import BY_POOL, Case, order
+from support.scorer_link_cases import BY_POOL, Case, order
 
 from fawnwharf import interface as io
 from fawnwharf.net import streams
--- a/tests/test_scorer_answers.py
+++ b/tests/test_scorer_answers.py
@@ -6,7 +6,7 @@
 from unittest import mock
 
 from peers import ScorerPeer
-from scorer_rig import BY_POOL, Case, attempt, order, reset
+from support.scorer_link_cases import BY_POOL, Case, attempt, order, reset
 
 from fawnwharf import interface as io
 from fawnwharf.net import scorer_frames, scorers
--- a/tests/test_scorer_faults.py
+++ b/tests/test_scorer_faults.py
@@ -6,7 +6,7 @@
 from unittest import mock
 
 from peers import ScorerPeer
-from scorer_rig import BY_POOL, Case, attempt
+from support.scorer_link_cases import BY_POOL, Case, attempt
 
 from fawnwharf import interface as io
 from fawnwharf.net import connection, scorers
--- a/tests/test_scorer_shuffles.py
+++ b/tests/test_scorer_shuffles.py
@@ -7,7 +7,7 @@
 import unittest
 
 from peers import ScorerPeer
-from scorer_rig import BY_POOL, Case, attempt, order, reset
+from support.scorer_link_cases import BY_POOL, Case, attempt, order, reset
 
 from fawnwharf import interface as io
 from fawnwharf.net.endings import End, told
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -8,7 +8,7 @@
 
 import pytest
 from bench import Drive, of
-from slow_start_rig import FALL_MS, Fleet, Saturated, rule
+from support.slow_start_world import FALL_MS, Fleet, Saturated, rule
 
 from fawnwharf import interface as io
 from fawnwharf.interface import Ending, State
--- a/tests/test_slow_start_sockets.py
+++ b/tests/test_slow_start_sockets.py
@@ -3,7 +3,7 @@
 import time
 
 from peers import PATIENCE_S, Rig, ScorerPeer
-from slow_start_rig import rule
+from support.slow_start_world import rule
 
 from fawnwharf.net.wheel import unix_ms
 
