Linter: no exemption for the injection of failing system calls

The class that injects faults was one function of complexity 16: it is two now, one for the calls that make and end connections and one for those that read and write, stacked on the socket class that they are given as before (a second set of faults may still be installed inside a first). The bound on exemptions falls from 33 to 31.

Measured: tests that use the module: 447 passed, 1 failed. The failure, test_request_orders.py TestShuffledEvents.test_connections_to_scorers ("the loop does not come to rest"), is the same with this change taken back (three runs of three each way).

--- a/tests/support/system_faults.py
+++ b/tests/support/system_faults.py
@@ -32,8 +32,11 @@
 
 
 class SystemFaults:
-    """Plans faults of the calls socket, accept, connect, recv, recvmsg, send, sendmsg, shutdown and
-    `SO_ERROR` (the outcome of a connect that did not finish at once, as `so_error`)."""
+    """Plans faults of system calls, and makes them happen while it is installed.
+
+    The calls are socket, accept, connect, shutdown, recv, recvmsg, send, sendmsg, and `so_error` (the read of
+    `SO_ERROR`, which is the outcome of a connect that did not finish at once).
+    """
 
     def __init__(self) -> None:
         self.planned: list[Fault] = []
@@ -75,7 +78,13 @@
 
 
 def _socket_class(faults: SystemFaults, base: type[socket.socket]) -> type[socket.socket]:
-    class FaultySocket(base):  # type: ignore[valid-type, misc]
+    return _faulty_transfers(faults, _faulty_connections(faults, base))
+
+
+def _faulty_connections(faults: SystemFaults, base: type[socket.socket]) -> type[socket.socket]:
+    """The calls that make and end connections."""
+
+    class FaultyConnections(base):  # type: ignore[valid-type, misc]
         def __init__(self, family=-1, type=-1, proto=-1, fileno=None):
             if fileno is None:
                 faults.raise_for("socket", None)
@@ -100,6 +109,17 @@
                     return fault.error
             return super().getsockopt(level, option, *size)
 
+        def shutdown(self, how):
+            faults.raise_for("shutdown", self)
+            return super().shutdown(how)
+
+    return FaultyConnections
+
+
+def _faulty_transfers(faults: SystemFaults, base: type[socket.socket]) -> type[socket.socket]:
+    """The calls that read and write."""
+
+    class FaultyTransfers(base):  # type: ignore[valid-type, misc]
         def recv(self, size, *flags):
             fault = faults.raise_for("recv", self)
             return super().recv(min(size, fault.most_bytes) if fault else size, *flags)
@@ -120,8 +140,4 @@
                 raise BlockingIOError(errno.EAGAIN, os.strerror(errno.EAGAIN))
             return super().send(b"".join(buffers)[: fault.most_bytes])
 
-        def shutdown(self, how):
-            faults.raise_for("shutdown", self)
-            return super().shutdown(how)
-
-    return FaultySocket
+    return FaultyTransfers
--- a/tests/test_lint_exemptions.py
+++ b/tests/test_lint_exemptions.py
@@ -15,7 +15,7 @@
     (pattern, group) for pattern, groups in CONFIG["lint"]["per-file-ignores"].items() for group in groups
 }
 # Lower it with each exemption that goes; it is never raised.
-EXEMPTIONS_MOST = 33
+EXEMPTIONS_MOST = 31
 GROUPS = {"N", "D", "C90", "RET"}
 
 
