--- a/tests/test_replacement.py
+++ b/tests/test_replacement.py
@@ -1,8 +1,11 @@
 """Replacement of the process: several real processes of one front end, and faults put between them."""
 
+import contextlib
+import os
 import signal
 import time
 import unittest
+from pathlib import Path
 
 from peers import ready
 from processes import OUGHT_S, Case, unsent_of
@@ -11,6 +14,16 @@
 from fawnwharf.operators import handover as h
 
 
+def has_connected(pid):
+    """Whether a process holds one end of a connected Unix socket that keeps message bounds."""
+    links = set()
+    for link in Path(f"/proc/{pid}/fd").iterdir():
+        with contextlib.suppress(FileNotFoundError):  # closed meanwhile
+            links.add(os.readlink(link))
+    rows = [row.split() for row in Path("/proc/net/unix").read_text().splitlines()[1:]]
+    return any(f"socket:[{row[6]}]" in links for row in rows if (row[4], row[5]) == ("0005", "03"))
+
+
 class Upgrade(Case):
     def test_clients_of_every_kind_come_through_an_upgrade_under_load(self):
         site = self.site(3, delay_s=0.05)
@@ -90,9 +103,12 @@
             with site.place.short() as address:
                 sock.connect(address)
             site.served(kept)
+        old.child.send_signal(signal.SIGSTOP)  # it answers nothing, so that the new one can't get ready
         new = site.begin()
-        site.until_logged(old, "another process is about to")
+        site.until(lambda: has_connected(new.child.pid), "it has connected")
         new.kill()
+        old.child.send_signal(signal.SIGCONT)
+        site.until_logged(old, "another process is about to")
         site.served(kept)
         site.served()
         self.settled(site)
