--- /dev/null
+++ b/tests/test_event_order_pages.py
@@ -0,0 +1,81 @@
+"""The pages on orders of events cite tests that exist: names of tests in backticks, and files of tests."""
+
+import ast
+import re
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).resolve().parents[1]
+TESTS = ROOT / "tests"
+DOCS = ROOT / "docs"
+PAGES = sorted((DOCS / "event-orders").glob("*.md")) + sorted(DOCS.glob("event-orders.md"))
+
+IN_BACKTICKS = re.compile(r"`([^`\n]+)`")
+# Not the stem of a file: `test_starts.py` is looked for as a file.
+TEST_NAME = re.compile(r"\btest_\w+\b(?!\.py\b)")
+TEST_FILE = re.compile(r"(?<![\w/.])(?:tests/(?:\w+/)*\w+\.py|test_\w+\.py)\b")
+
+
+def cited_names(text: str) -> set[str]:
+    """Identifiers that begin with `test_`, in backticks; parameters in brackets are not looked at."""
+    return {name for span in IN_BACKTICKS.findall(text) for name in TEST_NAME.findall(span)}
+
+
+def cited_files(text: str) -> set[str]:
+    """Paths below tests/, and files of tests by their name alone, in backticks or not."""
+    return set(TEST_FILE.findall(text))
+
+
+def names_of_tests() -> set[str]:
+    """Functions and methods that pytest collects, by their names."""
+    return {
+        node.name
+        for path in TESTS.glob("test_*.py")
+        for node in ast.walk(ast.parse(path.read_text()))
+        if isinstance(node, ast.FunctionDef) and node.name.startswith("test_")
+    }
+
+
+def is_there(file: str) -> bool:
+    return (ROOT / file if file.startswith("tests/") else TESTS / file).is_file()
+
+
+@pytest.fixture(scope="module")
+def names() -> set[str]:
+    return names_of_tests()
+
+
+def test_there_are_pages_and_they_cite_tests(names):
+    assert PAGES
+    assert all(cited_files(page.read_text()) for page in PAGES)
+    assert len(names & {name for page in PAGES for name in cited_names(page.read_text())}) > 0
+
+
+@pytest.mark.parametrize("page", PAGES, ids=lambda page: page.name)
+def test_each_test_that_a_page_cites_exists(page, names):
+    assert cited_names(page.read_text()) - names == set()
+
+
+@pytest.mark.parametrize("page", PAGES, ids=lambda page: page.name)
+def test_each_file_of_tests_that_a_page_cites_exists(page):
+    assert {file for file in cited_files(page.read_text()) if not is_there(file)} == set()
+
+
+def test_what_is_cited_is_found_wherever_it_stands():
+    text = (
+        "Tests are in tests/test_a.py (A), `test_b.py` and `tests/support/c.py`.\n"
+        "| A `test_first[late]`, `test_b.py` `TestX.test_second`, `test_cut_short...`; net/test_no.py |\n"
+    )
+    assert cited_names(text) == {"test_first", "test_second", "test_cut_short"}
+    assert cited_files(text) == {"tests/test_a.py", "test_b.py", "tests/support/c.py"}
+
+
+def test_names_and_files_that_are_not_there_are_told_from_those_that_are(names):
+    here = "test_names_and_files_that_are_not_there_are_told_from_those_that_are"
+    assert here in names
+    assert here.replace("told", "kept") not in names
+    assert is_there("test_event_order_pages.py")
+    assert is_there("tests/test_event_order_pages.py")
+    assert not is_there("tests/test_event_order_page.py")
+    assert not is_there("event_orders.md")
