Ages: what a later turn saw empty has not waited; no load order for a client that has closed

Cause, found by a review of the joined parts: the moment since which bytes or connections may wait unread was only cleared by a read with data, or by an accept that found the queue empty. Where no receive stamp is believed, the first call after an idle start, a hand-over, a pause of reading or at the limit of connections lost the time that its connection had been idle (8,000 ms became 0 to 6,500), and was refused or passed on with too little. At fault: Acceptor._ready, Connection._empty_ms. And an order to load was not asked whether its clients had closed in a turn that is held up (RequestTable.order).

--- a/fawnwharf/net/acceptor.py
+++ b/fawnwharf/net/acceptor.py
@@ -53,6 +53,7 @@
         self._pause: Timer | None = None
         # Since when connections may wait in the queue; None: it was emptied.
         self._waiting_ms: float | None = monotonic_ms()
+        self._looked_ms = self._waiting_ms  # the last turn that found it ready, or began to watch it
         self._in_vain = 0  # tries of this turn that brought no connection
 
     def accept(self, on: bool) -> None:
@@ -65,13 +66,15 @@
 
     def _watch(self, on: bool) -> None:
         if on:
+            self._looked_ms = max(self._looked_ms, self.loop.turn_ms)
             self.loop.watch(self.socket, READ, self._ready, order=lambda: Order.NEW)
         else:
             self.loop.forget(self.socket)
 
     def _ready(self, _mask: int) -> None:
-        if self._waiting_ms is None:
+        if self._waiting_ms is None or self._looked_ms < self.loop.empty_ms(self.socket.fileno()):
             self._waiting_ms = self.loop.ready_since_ms(self.socket.fileno())
+        self._looked_ms = self.loop.turn_ms
         most = min(ACCEPTS_MOST, self._room())
         if not most:
             self.pause()
--- a/fawnwharf/net/connection.py
+++ b/fawnwharf/net/connection.py
@@ -62,6 +62,7 @@
         )
         self._has_read = False  # whether any bytes were
         self._unread_since_ms: float | None = None  # where reads left something, or there were none
+        self._left_ms = 0.0  # the turn in which that was noted, or reading went on
         self._sock, self._reading, self._blocked = sock, True, False
         self._outbox: deque[Piece] = deque()
         self._part_limit: PartLimit | None = None
@@ -203,6 +204,7 @@
             self._reading = on
             if not on:
                 self._unread_since_ms = self._empty_ms()
+            self._left_ms = self.loop.turn_ms
             self._set_mask()
 
     def _set_mask(self) -> None:
@@ -246,7 +248,10 @@
         self.input_full = False
         try:
             data, notes, _, _ = self._sock.recvmsg(self._read_most, NOTES_MOST)
-        except (BlockingIOError, InterruptedError):
+        except BlockingIOError:
+            self._unread_since_ms = None if self.reads else self.loop.turn_ms
+            return
+        except InterruptedError:
             return
         except OSError as error:
             self._read_failed(error)
@@ -261,7 +266,8 @@
         self.age_ms = self._age(notes)
         self.oldest_age_ms = max(self.age_ms, self._age_bound_ms())  # the stamp is the last byte's
         self._has_read = True
-        self._unread_since_ms = self._empty_ms() if len(data) >= self._read_most else None
+        self._unread_since_ms = self._empty_ms() if self.input_full else None
+        self._left_ms = self.loop.turn_ms
         try:
             self.owner.on_data(data)
         except Exception:  # whatever a peer managed to send, it costs no more than its own connection
@@ -274,12 +280,13 @@
         if end is not End.NO_DESCRIPTOR:
             self.close(end)
             return
+        self._unread_since_ms = self._empty_ms()
         self._resting = True
         self._set_mask()
         self.loop.wheel.after(READ_AGAIN_MS, self._rested)
 
     def _rested(self) -> None:
-        self._resting = False
+        self._resting, self._left_ms = False, self.loop.turn_ms
         self._set_mask()
 
     def _peer_closed(self) -> None:
@@ -296,7 +303,10 @@
     def _empty_ms(self) -> float:
         """When nothing lay unread on it, as far as is known."""
         looked_ms = self.loop.empty_ms(self._sock.fileno())
-        return looked_ms if self._unread_since_ms is None else min(looked_ms, self._unread_since_ms)
+        # Where it was watched already, a later turn that did not find it ready saw that nothing was left.
+        if self._unread_since_ms is None or (self.reads and self._left_ms < looked_ms):
+            return looked_ms
+        return min(looked_ms, self._unread_since_ms)
 
     @property
     def empty_ms(self) -> float:
@@ -308,7 +318,7 @@
     def lay_unread(self, since_ms: float) -> None:
         """It may have bytes unread that came since this moment of the monotonic clock, before it was watched
         here: another process had the connection."""
-        self._unread_since_ms = since_ms
+        self._unread_since_ms, self._left_ms = since_ms, self.loop.turn_ms
 
     def _age(self, notes: list[tuple[int, int, bytes]]) -> float:
         """How long the last of the bytes just read had waited when the turn began, by the system's stamp.
--- a/fawnwharf/net/requests.py
+++ b/fawnwharf/net/requests.py
@@ -182,6 +182,11 @@
             for order in orders:
                 self._pool.take_back(order)
 
+    def _check_clients(self, function: str) -> None:
+        """Have requests for the function withdrawn whose client has ended its connection meanwhile."""
+        for request in [each for each in self.open.values() if each.call.function == function]:
+            request.call.check_client()
+
     def _is_asked(self, function: str) -> bool:
         """Whether a request for the function is open here."""
         return any(request.call.function == function for request in self.open.values())
@@ -265,6 +270,8 @@
         order = Order(action.worker, self._order_ended, action.function, action.copies)
         if self.witness:
             self.witness.ordered(order)
+        if order.copies:
+            self._check_clients(order.function)
         if order.copies and self._is_asked(order.function):
             self._orders.setdefault(order.function, []).append(order)
         elif order.copies and self._was_asked(order.function):
