Rare losses: a connection that the selector refused once, scorers of a list not read whole

Found by the review: a connection whose epoll_ctl failed once for want of memory was never read again (Connection._set_mask), and a new numbering of the change log whose list had a member that could not be read removed that scorer, or all (ChangeLog._end_replay).

--- a/fawnwharf/net/changelog.py
+++ b/fawnwharf/net/changelog.py
@@ -62,6 +62,7 @@
         self._probing = False  # the next connection, or this one, asks for all events
         self._replay: Overlay | None = None  # a new numbering that is being read from its start
         self._replay_seq = 0
+        self._replay_whole = False  # a list of all scorers was among it
         self._replay_timer: Timer | None = None
 
     def connect(self) -> None:
@@ -213,18 +214,21 @@
         a scorer that these drain must not come back for a moment."""
         if self._replay_timer is None:
             self._replay_timer = self._loop.wheel.after(REPLAY_MS, self._end_replay)
+        self._replay_whole = self._replay_whole or fleet.complete
         self._replay.told(fleet)
 
     def _end_replay(self) -> None:
-        replay, seq = self._replay, self._replay_seq
+        replay, seq, whole = self._replay, self._replay_seq, self._replay_whole
         self._stop_replay()
         self.seq = seq
-        self._told(Fleet(list(replay.members.values()), True, replay.revision))
+        # Whom a whole list did not name is gone; where none could be read whole, nobody is.
+        self._told(Fleet(list(replay.members.values()), whole, replay.revision))
 
     def _stop_replay(self) -> None:
         if self._replay_timer:
             self._replay_timer.cancel()
         self._replay, self._replay_timer, self._replay_seq = None, None, 0
+        self._replay_whole = False
 
     # --- events -------------------------------------------------------------------------------
 
--- a/fawnwharf/net/connection.py
+++ b/fawnwharf/net/connection.py
@@ -211,13 +211,20 @@
         mask = (READ * self.reads) | (WRITE * self._blocked)
         if mask == self._mask or self.closed:
             return
+        try:
+            self._watch_for(mask)
+        except OSError:  # the selector has no memory: else it would never be read, or written, again
+            self.loop.wheel.after(READ_AGAIN_MS, self._set_mask)
+            return
+        self._mask = mask
+
+    def _watch_for(self, mask: int) -> None:
         if not mask:  # a selector takes no empty one
             self.loop.forget(self._sock)
         elif not self._mask:
             self.loop.watch(self._sock, mask, self._ready, self._first, self._order)
         else:
             self.loop.change(self._sock, mask, self._ready)
-        self._mask = mask
 
     def _ready(self, mask: int) -> None:
         if not self.up:
