Rare shortages: accept at the second address, sleep after a long turn, a close behind a message

Found by the review: EMFILE at the operators' listener spun the loop (2,439 accepts in 200 ms, ControlPort._accept; the same in Door); a call that ended a sleep after 60 ms of work lost 210 ms of its time (Loop._held_ms); an attempt that waited for its dial left 200 ms after its client had closed behind another message (Client.on_data).

--- a/fawnwharf/net/clients.py
+++ b/fawnwharf/net/clients.py
@@ -76,6 +76,8 @@
             if end is not None:
                 self._end_amid(items[place:], end)
                 return
+        if self.open:  # also behind what was no request: an attempt may wait for its connection
+            self.check()
 
     def _take(self, item: thrift.Message | thrift.Malformed, withdrawn: set[int]) -> End | None:
         """Act on one message; why the connection has to end, where it has to. `withdrawn`: requests whose
--- a/fawnwharf/net/loop.py
+++ b/fawnwharf/net/loop.py
@@ -28,6 +28,7 @@
 # Bytes without a believed stamp count as old as they may be, where that is more than this: what is passed on
 # may exceed what the client has left by 150 ms at the most.
 HELD_UP_MS = 50.0
+NO_WAIT_MS = 1.0  # a shorter wait for the selector was none: something was ready before
 
 AGE_MOST_MS = 60_000.0
 # Reads that are paused, and more bytes than a turn takes, make some stamps old though they fit.
@@ -110,10 +111,17 @@
             self._orders[sock.fileno()] = order
 
     def change(self, sock: socket.socket, mask: int, ready: Callable[[int], None]) -> None:
+        """Watch a socket for something else. Raises OSError, and then it is watched no more."""
         self._selector.modify(sock, mask, ready)
 
+    def watches(self, sock: socket.socket) -> bool:
+        """Whether a socket is watched."""
+        return sock.fileno() in self._selector.get_map()
+
     def forget(self, sock: socket.socket) -> None:
-        self._selector.unregister(sock)
+        """Watch a socket no more, if it is watched."""
+        if self.watches(sock):
+            self._selector.unregister(sock)
         self._orders.pop(sock.fileno(), None)
 
     def tell(self, event: io.Event) -> int:
@@ -154,11 +162,15 @@
             self._log(f"a slow turn: {took:.0f} ms for {len(ready)} sockets")
 
     def _held_ms(self, began_ms: float, sleep_s: float | None) -> float:
-        """The longest that bytes may have waited which are read in this turn: since the turn before looked,
-        where that one worked for long, or the sleep took longer than it was to."""
-        worked_ms = began_ms - self.before_ms
-        late_ms = 0.0 if sleep_s is None else self.turn_ms - began_ms - sleep_s * 1000.0
-        return self.turn_ms - self.before_ms if max(worked_ms, late_ms) > HELD_UP_MS else 0.0
+        """The longest that bytes may have waited which are read in this turn, where the process was held up.
+
+        What was ready as the wait began may have come since the turn before looked; what came during the wait
+        ended it at once, unless the process was held up meanwhile."""
+        waited_ms = self.turn_ms - began_ms
+        if waited_ms < NO_WAIT_MS:
+            return self.turn_ms - self.before_ms if began_ms - self.before_ms > HELD_UP_MS else 0.0
+        late_ms = 0.0 if sleep_s is None else waited_ms - sleep_s * 1000.0
+        return waited_ms if late_ms > HELD_UP_MS else 0.0
 
     def empty_ms(self, fd: int) -> float:
         """When a descriptor that is watched was last known to have nothing unread."""
--- a/fawnwharf/operators/channel.py
+++ b/fawnwharf/operators/channel.py
@@ -17,6 +17,7 @@
 
 MESSAGE_MOST = 128 * 1024
 READS_MOST = 64  # messages in a turn
+ACCEPT_PAUSE_MS = 50.0  # where the system has no descriptor or memory left
 _FD = array.array("i", [0]).itemsize
 
 
@@ -235,10 +236,18 @@
     def _accept(self, _mask: int) -> None:
         try:
             sock, _ = self._sock.accept()
-        except OSError:
+        except BlockingIOError:
+            return
+        except OSError:  # no descriptor: rather than spin, leave it in the system's queue for a moment
+            self.loop.forget(self._sock)
+            self.loop.wheel.after(ACCEPT_PAUSE_MS, self._watch)
             return
         self._came(sock)
 
+    def _watch(self) -> None:
+        if self._sock.fileno() >= 0:
+            self.loop.watch(self._sock, READ, self._accept, first=True)
+
     @property
     def mine(self) -> bool:
         """Whether no other process has put its own in this one's stead."""
--- a/fawnwharf/operators/port.py
+++ b/fawnwharf/operators/port.py
@@ -8,12 +8,13 @@
 from fawnwharf.net.endings import End
 from fawnwharf.net.listener import once_free
 from fawnwharf.net.loop import READ, Loop
-from fawnwharf.net.wheel import monotonic_ms
+from fawnwharf.net.wheel import Timer, monotonic_ms
 from fawnwharf.operators.http import Answer, Asked, CallReader, encode
 
 BACKLOG = 64
 READ_MOST = 4 * 1024
 ACCEPTS_MOST = 16  # in a turn
+ACCEPT_PAUSE_MS = 50.0  # where the system has no descriptor or memory left
 HELD_MOST, HELD_LEAST = 16, 4  # connections; a few operators at a time, and some that say nothing
 HELD_PART = 32  # of the descriptors: one in so many
 UNFINISHED_MS = 5_000.0  # for a call to come in whole
@@ -71,18 +72,33 @@
         self._most = max(HELD_LEAST, min(HELD_MOST, sockets // HELD_PART))
         self._listener = once_free(lambda: _listening(address))
         self.address: Address = self._listener.getsockname()[:2]
+        self._pause: Timer | None = None
         loop.watch(self._listener, READ, self._accept, first=True)
 
     def _accept(self, _mask: int) -> None:
         for _ in range(ACCEPTS_MOST):
             try:
                 sock, _ = self._listener.accept()
-            except OSError:  # nobody, one that left, or no descriptor: the next turn tells
+            except BlockingIOError:
+                return
+            except OSError:  # one that left, or no descriptor
+                self._rest()
                 return
             while len(self.callers) >= self._most:
                 self._give_way()
             self.callers[Caller(self, sock)] = None
 
+    def _rest(self) -> None:
+        """Leave callers to the system's queue for a moment, rather than spin on them."""
+        if self._pause is None:
+            self.loop.forget(self._listener)
+            self._pause = self.loop.wheel.after(ACCEPT_PAUSE_MS, self._go_on)
+
+    def _go_on(self) -> None:
+        self._pause = None
+        if self._listener.fileno() >= 0:
+            self.loop.watch(self._listener, READ, self._accept, first=True)
+
     def _give_way(self) -> None:
         """Guards callers that ask against those that never do: one answered goes first, else the oldest."""
         first = min(self.callers, key=lambda caller: (not caller.answered, caller.since_ms))
