Repair: what is known of a scorer is a lease, renewed by the change log, answers and queries

Cause: a scorer's state held until an event contradicted it. An event counts as received 7 s after it, received or not, so from 7 s after the last proof on nobody may be taken to be in service. Class: something learnt from elsewhere that never expires.

Change: policy/roster_lease.py. A lease of 6.9 s runs from the last proof: the change log that has no further event (io.RosterConfirmed, aged by net/change_log_heartbeat.py, as a heartbeat that was held back on its way proves less), a good answer to a call or load order (as of when it was sent), or to a query with a count of 0. Without a lease nothing new begins to be sent: Send and OrderCopies carry what is left of it, checked as the first byte leaves. Scorers are queried as they are about to be used, two for a request at the most, never while the log confirms. Rejections while it does not are doubts: queried before more is sent, then after 1, 2, 4 s. A scorer that answers well after a rejected query or a lost connection in that time may have restarted: slow start. What the configuration knows at a start is no proof, except where no queries may be sent. A replica whose last event was received before as it is lags, however long: it is no longer followed as a new numbering, which returned drained scorers to service. tests/net/test_net_discovery_orders.py asserted that; replaced by two: other content is followed as before, the same content is not, and confirms nothing.

Logs: roster unconfirmed and confirmed again, with counters of queries, rejections, suspected restarts and requests that ended unsent; heartbeats held back; scorers that reject queries or may have restarted.

Rejected: a longer trust in rejections alone (a full scorer rejects as well); refusing all work without the log.

--- a/fawnwharf/interface.py
+++ b/fawnwharf/interface.py
@@ -108,6 +108,8 @@
     slow_start_initial_share: float = 0.2  # part of its capacity that it has at its start
     slow_start_window_ms: float = 1000.0  # window of the limit on requests to a scorer in slow start
     slow_start_multiple: float = 2.0  # that limit, as a multiple of the capacity at the time
+    # What proves that a scorer is in service holds for so long; infinite: the roster is never out of date.
+    roster_lease_ms: float = math.inf
 
 
 # --- events ---------------------------------------------------------------------------------
@@ -134,6 +136,13 @@
     complete: bool  # True: scorers that are missing here are gone; False: changed entries only
 
 
+@dataclass(slots=True)
+class RosterConfirmed:
+    """The change log has no event that was not received, as of `age_ms` before this moment."""
+
+    age_ms: float
+
+
 @dataclass(slots=True)
 class RequestArrived:
     """A client's request was received."""
@@ -261,6 +270,7 @@
 
 Event = (
     RosterChanged
+    | RosterConfirmed
     | RequestArrived
     | RequestCancelled
     | AttemptEnded
@@ -285,9 +295,9 @@
     """Send a request to a scorer, as its next attempt.
 
     If the caller can't begin to write it within `within_ms` of this moment, it must not send it: the attempt
-    then ends as `AttemptResult.NOT_SENT`. The time is finite only for the retry of a request with an
-    idempotency key whose first attempt may have run: what is left of its deduplication window, less a margin
-    for the way to the scorer.
+    then ends as `AttemptResult.NOT_SENT`. The time is the least of what is left of the scorer's lease
+    (`Settings.roster_lease_ms`) and, for the retry of a request with an idempotency key whose first attempt
+    may have run, of its deduplication window, less a margin for the way to the scorer.
     """
 
     request: str
@@ -320,11 +330,15 @@
 
 @dataclass(slots=True)
 class OrderCopies:
-    """Order a scorer to have `copies` copies of a function loaded; 0 is a probe for their number."""
+    """Order a scorer to have `copies` copies of a function loaded; 0 is a probe for their number.
+
+    An order whose first byte can't be written within `within_ms` must not be sent; a probe always may.
+    """
 
     scorer: int
     function: str
     copies: int
+    within_ms: float = field(default=math.inf, repr=False)
 
 
 @dataclass(slots=True)
--- a/fawnwharf/net/change_log.py
+++ b/fawnwharf/net/change_log.py
@@ -1,18 +1,18 @@
 """The change log: followed over TCP, reconnected when it is silent, and never trusted to be well-formed."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from typing import Any
 
 import msgspec
 
 from fawnwharf.config import Address, ConfigError, Fleet, fleet_from
+from fawnwharf.net.change_log_heartbeat import HeartbeatAge
+from fawnwharf.net.change_log_replay import Replay
 from fawnwharf.net.connection import Connection
 from fawnwharf.net.end_reasons import EndReason
 from fawnwharf.net.event_loop import EventLoop
 from fawnwharf.net.event_order import EventMatch, EventOrder
 from fawnwharf.net.fleet_events import FleetRead, read_fleet
-from fawnwharf.net.roster_overlay import RosterOverlay
 from fawnwharf.net.scorer_start_times import ClockStepCorrection
 from fawnwharf.net.timer_wheel import Timer, monotonic_ms
 
@@ -28,33 +28,22 @@
 PROGRESS_BYTES = 16 * 1024  # of one line within the silence timeout: a long list in transfer, no trickle
 LINE_MS = 10_000.0  # within which a line has to be complete, however fast it arrives
 MAX_DELAY_MS = 7_000.0  # a log that lags for longer than this has restarted its numbering
+MAX_HEARTBEAT_AGE_MS = 3_000.0  # of heartbeats whose path or rhythm holds them back: reconnect
+MIN_RECONNECT_MS = 10_000.0  # a connection is not ended for that before it is as old
 REPLAY_MS = 100.0  # to receive all events of a new numbering; a drain in it must be applied within 250 ms
 MAX_SMALLER_NUMBERS = 1  # numbers below the own in a row, before all events are requested
 
 
-@dataclass(slots=True)
-class _Replay:
-    """The events of a new numbering that are collected from its start."""
-
-    overlay: RosterOverlay = field(default_factory=RosterOverlay)
-    seq: int = 0
-    complete: bool = False  # a list of all scorers was among them
-    timer: Timer | None = None  # set with the first event; the events are delivered when it expires
-
-    def cancel(self) -> None:
-        if self.timer:
-            self.timer.cancel()
-
-
 class ChangeLog:
     """Follows the log from an event on, and delivers what each event newly says.
 
     An event is delivered as soon as it is read, also ahead of missing ones: a drain in it applies from then
     on. Missing events are requested, and count where no later event has replaced them (`EventOrder`).
 
-    `seq`: all events up to this one were delivered, or are missing for good. `up_to_date_ms`: when the log
-    last reported that it has no more events, on the monotonic clock in milliseconds. `expects_renumbering`:
-    any smaller number comes from a log that has lost its events.
+    `seq`: all events up to this one were delivered, or are missing for good. `up_to_date_ms`: the latest
+    moment at which the log provably had no more events, on the monotonic clock in milliseconds. `confirm`:
+    called with each such moment. `expects_renumbering`: any smaller number comes from a log that has lost its
+    events.
     """
 
     max_backoff_ms = MAX_BACKOFF_MS
@@ -72,6 +61,7 @@
         self.seq = seq
         self.up_to_date_ms: float | None = None
         self.expects_renumbering = False
+        self.confirm: Callable[[float], None] = lambda _proved_ms: None
         self._loop = loop
         self._address = address
         self._deliver = deliver
@@ -90,9 +80,11 @@
         self._clock_steps = ClockStepCorrection()
         self._smaller_numbers = 0  # numbers below the own in a row, on this connection
         self._smaller_ms: float | None = None  # since when the log reports numbers below the own
+        self._heartbeat_age = HeartbeatAge()
+        self._same_seq = 0  # on this connection, the last event that was received before as it is
         self._fresh = False  # nothing was received on this connection yet
         self._probing = False  # the next connection, or this one, requests all events
-        self._replay: _Replay | None = None
+        self._replay: Replay | None = None
 
     def connect(self) -> None:
         """Connect, unless a connection exists or is being opened."""
@@ -145,6 +137,8 @@
         """Request the events after the last one received."""
         self._connected_ms = self._alive_ms = monotonic_ms()
         self._fresh = True
+        self._same_seq = 0
+        self._heartbeat_age.begin(self._connected_ms)
         self._smaller_numbers = 0
         if self._connection:
             self._connection.write(b"since %d\n" % (0 if self._probing else self._position))
@@ -181,7 +175,7 @@
         if self._replay is not None:
             self._replay.cancel()
             self._order = EventOrder()
-            self._replay = _Replay()
+            self._replay = Replay()
         if not self._stopped:
             self._connect_later()
 
@@ -209,6 +203,7 @@
         """
         fresh = self._fresh
         self._fresh = False
+        written_ms = self._heartbeat_age.received(monotonic_ms())
         if last > self._position:
             skipped = self._stumble(f"at {last}, but only {self._position} came")
             if skipped and monotonic_ms() - self._connected_ms < MAX_DELAY_MS:
@@ -220,11 +215,21 @@
         if self._replay is not None and self._replay.timer is not None:
             self._end_replay()
         self._stumbled_at = None  # a later failure to follow is a new one
-        self.up_to_date_ms = monotonic_ms()
         self._smaller_numbers = 0
         self._smaller_ms = None
         self._probing = False
-        return True
+        self.up_to_date_ms = max(written_ms, self.up_to_date_ms or written_ms)
+        self.confirm(written_ms)
+        return self._keep_up(written_ms)
+
+    def _keep_up(self, written_ms: float) -> bool:
+        """Reconnect where heartbeats are older and older when they arrive; return False if so."""
+        age_ms = monotonic_ms() - written_ms
+        if age_ms < MAX_HEARTBEAT_AGE_MS or monotonic_ms() - self._connected_ms < MIN_RECONNECT_MS:
+            return True
+        self._log(f"change log: heartbeats may be {age_ms:.0f} ms old, reconnecting")
+        self._disconnect(EndReason.SILENT)
+        return False
 
     # --- a log that restarts its numbering ----------------------------------------------------
 
@@ -240,7 +245,7 @@
         self._smaller_numbers += 1
         if self._smaller_ms is None:
             self._smaller_ms = monotonic_ms()
-        if monotonic_ms() - self._smaller_ms > MAX_DELAY_MS:
+        if monotonic_ms() - self._smaller_ms > MAX_DELAY_MS and not self._is_lagging_replica(last):
             return self._follow_renumbered(last)
         if not self._probing and (fresh or self._smaller_numbers > MAX_SMALLER_NUMBERS):
             self._log(f"change log: at {last}, after {self.seq} before; requesting all events")
@@ -249,6 +254,13 @@
             return False
         return True
 
+    def _is_lagging_replica(self, last: int) -> bool:
+        """Whether the log has, up to its last event, the events that were received before.
+
+        Following it would return scorers to service that later events have drained.
+        """
+        return 0 < last == self._same_seq
+
     def _follow_renumbered(self, last: int) -> bool:
         """Reconnect to receive the new numbering from its start, with its complete list first."""
         self._start_replay(last)
@@ -264,9 +276,9 @@
         self._order = EventOrder()
         if self._replay is not None:
             self._replay.cancel()
-        self._replay = _Replay()
+        self._replay = Replay()
 
-    def _collect(self, replay: _Replay, fleet: Fleet) -> None:
+    def _collect(self, replay: Replay, fleet: Fleet) -> None:
         """Collect an event of a new numbering.
 
         Its first list is older than its last events, and a scorer that these drain must not return to service
@@ -325,6 +337,7 @@
         match = self._order.compare(seq, fleet)
         earlier = seq <= self._position
         if match is EventMatch.SAME:
+            self._same_seq = max(seq, self._same_seq)
             return self._advance(seq, follows)
         if earlier and not known and self._replay is None and self._is_renumbered(seq, fleet, match):
             self._start_replay(seq)
--- a/fawnwharf/net/front_end.py
+++ b/fawnwharf/net/front_end.py
@@ -12,10 +12,12 @@
 from fawnwharf.config import Address, ConfigError, Deployment, Fleet, Member, address_from
 from fawnwharf.net.change_log import ChangeLog
 from fawnwharf.net.client_port import ClientPort, ClientPortSettings
+from fawnwharf.net.descriptor_shares import CLIENT_SHARE, descriptor_share, scorer_descriptors
 from fawnwharf.net.event_loop import EventLoop
 from fawnwharf.net.graceful_shutdown import GracefulShutdown
 from fawnwharf.net.log_writer import LogWriter
 from fawnwharf.net.requests import RequestTable
+from fawnwharf.net.roster_confirmation import ROSTER_LEASE_MS, RosterConfirmation
 from fawnwharf.net.roster_overlay import RosterOverlay
 from fawnwharf.net.scorer_pool import ScorerPool
 from fawnwharf.net.scorer_start_times import ScorerStartTimes
@@ -26,12 +28,6 @@
 ROSTER = "roster"  # the reason of a front end that knows no scorer in service for not being ready
 MAX_ROSTER_WAIT_MS = 4_000.0  # ready within 6 s also where the change log is down and no scorer is known
 ROSTER_SCAN_MS = 20.0
-CLIENT_SHARE = 0.4  # of the descriptors; clients hold a third at most
-SCORER_SHARE = 0.4
-# Left over by both, at small limits too: three standard streams, selector, listener, wake pair, change log,
-# the operators' listener and a connection to it, the socket for a replacement and the channel to it, one to
-# accept or dial with.
-RESERVED_DESCRIPTORS = 13
 # Keys that a reload leaves alone.
 START_ONLY_KEYS = ("name", "listen", "control", "memory_mb", "sockets", "settings", "wire")
 AFTER_ERROR_MS = 40.0  # until the router's timer is set again, where an error may have lost it
@@ -44,22 +40,12 @@
 }
 
 
-def _descriptor_share(sockets: int, share: float) -> int:
-    return max(4, int(sockets * share))
-
-
-def _scorer_descriptors(sockets: int, part: float = 1.0) -> int:
-    """The scorers' share; at small limits the reserved descriptors are taken from it."""
-    rest = sockets - _descriptor_share(sockets, CLIENT_SHARE) - RESERVED_DESCRIPTORS
-    return max(4, int(part * min(sockets * SCORER_SHARE, rest)))
-
-
 def _client_port_settings(deployment: Deployment) -> ClientPortSettings:
     return ClientPortSettings(
         address=deployment.listen,
         classes=deployment.settings.classes,
         tenants=deployment.wire.tenants,
-        max_connections=_descriptor_share(deployment.sockets, CLIENT_SHARE),
+        max_connections=descriptor_share(deployment.sockets, CLIENT_SHARE),
         shared=deployment.control is not None,
     )
 
@@ -142,17 +128,25 @@
         settings, wire, sockets = deployment.settings, deployment.wire, deployment.sockets
         self.loop = EventLoop(self._decide, self.log)
         # A copy: the router changes its settings when a class or a limit changes.
-        own = replace(settings, classes=dict(settings.classes), quotas_rps=dict(settings.quotas_rps))
-        self.router = Router(own, deployment.seed)
-        self.scorer_pool = ScorerPool(
-            self.loop, wire, _scorer_descriptors(sockets), deployment.seed, self.log
+        own = replace(
+            settings,
+            classes=dict(settings.classes),
+            quotas_rps=dict(settings.quotas_rps),
+            roster_lease_ms=ROSTER_LEASE_MS,
         )
+        self.router = Router(own, deployment.seed)
+        self.scorer_pool = ScorerPool(self.loop, wire, scorer_descriptors(sockets), deployment.seed, self.log)
         self.requests = RequestTable(self.loop, self.scorer_pool, wire, settings.classes)
         self._pending_change: io.RosterChanged | None = None  # already in the next batch
         self.roster_overlay, self.start_times = RosterOverlay(), ScorerStartTimes()
         self._call_limits: dict[str, float] = {}  # by name of the component that set it, per second
         self.change_log = ChangeLog(self.loop, deployment.changelog, 0, self._on_fleet_event, self.log)
+        self.change_log.confirm = self._on_roster_confirmed
+        self.roster_confirmation = RosterConfirmation(self.router.lease_counters, self.log, monotonic_ms())
         self._apply_known_events()
+        if not settings.load_orders_allowed:
+            # No query can prove that a scorer is in service: `known` has to do, as written for this start.
+            self._on_roster_confirmed(monotonic_ms())
         self.client_port = ClientPort(
             self.loop, _client_port_settings(deployment), self.requests, self.log, listener
         )
@@ -198,8 +192,8 @@
 
     def use_share(self, share: float) -> None:
         """Use only this share of the descriptors, because another process uses the rest."""
-        self.client_port.max_connections = _descriptor_share(self.deployment.sockets, share * CLIENT_SHARE)
-        self.scorer_pool.max_connections = _scorer_descriptors(self.deployment.sockets, share)
+        self.client_port.max_connections = descriptor_share(self.deployment.sockets, share * CLIENT_SHARE)
+        self.scorer_pool.max_connections = scorer_descriptors(self.deployment.sockets, share)
 
     def start(self) -> None:
         """Start the admin interface, accept connections and follow the change log."""
@@ -272,6 +266,7 @@
         self.loop.timers.after(MAINTENANCE_MS, self._run_maintenance)
         for part in (self.change_log, self.scorer_pool, self.client_port):
             self.loop.run_guarded(part.run_maintenance)
+        self.roster_confirmation.run_maintenance(monotonic_ms())
 
     # --- the roster -----------------------------------------------------------------------------
 
@@ -317,6 +312,10 @@
         if self._extension:
             self._extension.on_fleet(fleet)
 
+    def _on_roster_confirmed(self, proved_ms: float) -> None:
+        if (event := self.roster_confirmation.confirm(proved_ms)) is not None:
+            self.loop.enqueue(event)
+
     def receive_fleet(self, fleet: Fleet) -> None:
         """Apply a complete list or changes of it, as the roster overlay filters them."""
         self.apply_fleet(self.roster_overlay.apply(fleet))
@@ -364,6 +363,7 @@
 
     def _decide(self, now_ms: float, events: list[io.Event]) -> None:
         self._pending_change = None
+        self.roster_confirmation.begin_batch(self.loop.iteration_ms)
         self.requests.begin_batch()
         if self._extension:
             self.loop.run_guarded(self._extension.on_events, events)
--- a/fawnwharf/net/requests.py
+++ b/fawnwharf/net/requests.py
@@ -311,7 +311,8 @@
         Where the clients that waited for the function have gone in the meantime, an order is reported as not
         sent.
         """
-        order = LoadOrder(action.scorer, self._order_ended, action.function, action.copies)
+        begin_by_ms = self._loop.iteration_ms + action.within_ms
+        order = LoadOrder(action.scorer, self._order_ended, action.function, action.copies, begin_by_ms)
         if self.observer:
             self.observer.ordered(order)
         if order.copies:
--- a/fawnwharf/net/scorer_streams.py
+++ b/fawnwharf/net/scorer_streams.py
@@ -141,10 +141,12 @@
 
     function: str = ""
     copies: int = 0
+    begin_by_ms: float = math.inf  # on the monotonic clock; an order may not be sent later
 
     def is_expired(self) -> bool:
         """Whether it is too late to begin to write it, as the load limit counts it from its creation."""
-        return self.is_new_work and monotonic_ms() >= self.began_ms + LOAD_ORDER_WAIT_MS
+        begin_by_ms = min(self.begin_by_ms, self.began_ms + LOAD_ORDER_WAIT_MS)
+        return self.is_new_work and monotonic_ms() >= begin_by_ms
 
     @property
     def is_new_work(self) -> bool:
--- a/fawnwharf/policy/admission.py
+++ b/fawnwharf/policy/admission.py
@@ -118,6 +118,7 @@
     def _finish(self, request: Request) -> None:
         """End a request by the one final answer that the front end gives itself."""
         # Retry-After is advised where capacity was missing, not after failed attempts.
+        self._count_unsent(request)
         retry_after_ms = self.settings.max_retry_after_ms * (request.over_quota or not request.attempts)
         effect = request.spec.effect
         is_deduplicated = effect is io.Effect.DEDUPLICATED and request.spec.group is io.DeduplicationGroup.ALL
--- a/fawnwharf/policy/health.py
+++ b/fawnwharf/policy/health.py
@@ -30,12 +30,13 @@
     """Failure detection of scorers, hedging of overdue attempts and outlier ejection by class."""
 
     def _is_usable(self, scorer: Scorer, fn: Function) -> bool:
-        """Whether a scorer may get calls of a function.
+        """Whether a scorer may get calls of a function, after a query for its state where it has no lease.
 
         A suspect may not, unless most of the fleet are suspects: then the fault is on this side.
         """
         heard = scorer.suspect_ms is None or self.suspects * 2 > len(self.ready)
-        return heard and scorer.takes_new() and not (scorer.loss_records and self._is_ejected(scorer, fn))
+        may_serve = scorer.takes_new() and self._may_be_in_service(scorer)
+        return heard and may_serve and not (scorer.loss_records and self._is_ejected(scorer, fn))
 
     def _record_slowdown(self, scorer: Scorer, runs: float) -> None:
         """Smooth a scorer's slowdown by one answer that took `runs` usual runs.
@@ -106,6 +107,8 @@
         A reset alone does not show that the process is gone. The cost: if it is, calls are lost until the
         probe has no answer.
         """
+        if result in (io.AttemptResult.CONNECT_FAILED, io.AttemptResult.RESET):
+            self._note_interruption(scorer)
         if scorer.suspect_ms is not None:
             return
         if result is io.AttemptResult.CONNECT_FAILED:
--- a/fawnwharf/policy/loads.py
+++ b/fawnwharf/policy/loads.py
@@ -48,8 +48,13 @@
         for _ in range(math.ceil(waiting / fn.lanes) - pending):
             if not self._may_load():
                 return
-            if (scorer := self._place_for_load(fn, is_warm)) is not None:
-                self._load(fn, scorer, is_warm)
+            scorer = self._place_for_load(fn, is_warm)
+            if scorer is None:
+                continue
+            if not self._has_lease(scorer):  # an order to a scorer that drains unreported breaks its drain
+                self._query_state(fn, scorer)
+                return
+            self._load(fn, scorer, is_warm)
 
     def _deserves_load(self, request: Request, is_warm: bool) -> bool:
         """Whether a request counts for another copy, where one is there already."""
@@ -85,7 +90,8 @@
         self.loading += 1
         self.load_orders_ms.append(self.now)
         self._expect_answer(scorer)
-        self.actions.append(io.OrderCopies(scorer.id, fn.name, place.order_count))
+        within_ms = self._lease_left_ms(scorer)
+        self.actions.append(io.OrderCopies(scorer.id, fn.name, place.order_count, within_ms))
 
     def _load_answered(
         self, fn: Function, place: ScorerCopies, event: io.LoadOrderAnswered, ordered_ms: float
@@ -188,6 +194,8 @@
         """Have `copies` copies at a scorer: order one more, or refresh those that are about to expire."""
         if scorer not in self._ordered(fn) or not self._may_load_at(fn, scorer, is_warm=True):
             return
+        if not self._has_lease(scorer):
+            return
         if self._copies(fn, scorer) < copies:
             self._load(fn, scorer, is_warm=False)
             return
@@ -212,7 +220,8 @@
         place.probed_ms = self.now
         fn.probed_ms = self.now
         self._expect_answer(scorer)
-        self.actions.append(io.OrderCopies(scorer.id, fn.name, copies))
+        within_ms = self._lease_left_ms(scorer) if copies else math.inf
+        self.actions.append(io.OrderCopies(scorer.id, fn.name, copies, within_ms))
 
     def _awaits_probe(self, fn: Function) -> bool:
         """Whether answers to probes are awaited, for a round trip at the most."""
--- /dev/null
+++ b/fawnwharf/policy/roster_lease.py
@@ -0,0 +1,132 @@
+"""The lease on a scorer's state: until when "in service" may be acted on, and the queries that renew it.
+
+A scorer that begins to drain is known to do so from its event in the change log on, and no later than
+`Settings.roster_lease_ms` after it drained, whether that event was received or not. So what is known of a
+scorer is a lease: it runs from the last moment at which the scorer was proved to be in service. After its end
+nothing new is sent there, neither calls nor load orders, until it is proved again.
+
+What proves that a scorer was in service:
+
+- the change log, which has no further event (`RosterConfirmed`): all scorers in service as of that moment;
+- a good answer to a call or a load order: the scorer took it, so it was in service when that was sent;
+- a good answer to a query for copies, an order with a count of 0, which may be sent to any scorer: one that
+  drains answers that it is full.
+
+An answer of another kind proves that the process runs, no more. A rejection proves nothing either, as a
+scorer without capacity rejects as well. While the change log does not confirm, it casts doubt all the same:
+the scorer is queried before it gets anything more. One that rejects a query is left alone for a pause that
+doubles, whether it drains or has no room. If it answers well later on, or after a failed connection, it may
+have been restarted, and its slow start begins.
+
+Queries are sent when a scorer is about to be used, to that scorer, and while the change log confirms none is
+sent.
+"""
+
+import math
+from dataclasses import dataclass
+
+from fawnwharf import interface as io
+from fawnwharf.policy.state import QUERY_PAUSE_MS, Function, Request, RouterState, Scorer
+
+# The change log confirms each second, as of two seconds before at the most. Without that for so long it is
+# out of reach, and rejections may come from scorers that drain.
+UNCONFIRMED_MS = 5_000.0
+QUERY_WAIT_MS = 50.0  # a scorer that was queried counts as a candidate for so long
+MAX_QUERY_PAUSE_MS = 4_000.0  # between two queries of a scorer that rejects them
+
+
+@dataclass(slots=True)
+class LeaseCounters:
+    """What became of leases since the start."""
+
+    queries: int = 0  # that were sent because a lease had ended or was in doubt
+    rejected_queries: int = 0  # queries that a scorer rejected while the change log did not confirm
+    doubts: int = 0  # rejections of calls and load orders while the change log did not confirm
+    suspected_restarts: int = 0  # slow starts that no event reported
+    unsent_requests: int = 0  # requests ended without an attempt while the change log did not confirm
+
+
+class RosterLease(RouterState):
+    """Which scorers may be sent new work, by when they were last proved to be in service."""
+
+    lease_counters: LeaseCounters
+
+    def _lease_left_ms(self, scorer: Scorer) -> float:
+        """For how many milliseconds new work may begin to be sent to a scorer; 0 or less: it may not."""
+        proved_ms = max(self.roster_proved_ms, scorer.proved_ms)
+        if proved_ms <= scorer.doubted_ms:
+            return 0.0
+        return proved_ms + self.settings.roster_lease_ms - self.now
+
+    def _has_lease(self, scorer: Scorer) -> bool:
+        """Whether new work may be sent to a scorer that the roster has in service."""
+        return self._lease_left_ms(scorer) > 0
+
+    def _may_be_in_service(self, scorer: Scorer) -> bool:
+        """Whether a scorer has a lease, or can be expected to get one by a query."""
+        is_awaited = self.now - scorer.queried_ms < QUERY_WAIT_MS
+        return self._has_lease(scorer) or is_awaited or self.now >= scorer.next_query_ms
+
+    def _is_roster_confirmed(self) -> bool:
+        """Whether the change log has confirmed the roster lately."""
+        is_unlimited = math.isinf(self.settings.roster_lease_ms)
+        return is_unlimited or self.now - self.roster_proved_ms < UNCONFIRMED_MS
+
+    def _query_state(self, fn: Function, scorer: Scorer) -> bool:
+        """Query a scorer that is about to be used and has no lease; tells whether an answer is awaited."""
+        if self.now >= scorer.next_query_ms and self.settings.load_orders_allowed:
+            scorer.queried_ms = self.now
+            scorer.next_query_ms = self.now + scorer.query_pause_ms
+            self.lease_counters.queries += 1
+            self._probe(fn, scorer)
+        return self.now - scorer.queried_ms < QUERY_WAIT_MS
+
+    def _on_roster_confirmed(self, event: io.RosterConfirmed) -> None:
+        """Renew all leases from the moment that the change log proved."""
+        had_expired = self.now >= self.roster_proved_ms + self.settings.roster_lease_ms
+        self.roster_proved_ms = max(self.roster_proved_ms, self.now - event.age_ms)
+        if had_expired:
+            self._dispatch_all()
+
+    def _confirm_in_service(self, scorer: Scorer, sent_ms: float) -> bool:
+        """Renew a scorer's lease, as it took what was sent at `sent_ms`; tells whether it had none."""
+        had_lease = self._has_lease(scorer)
+        scorer.proved_ms = max(scorer.proved_ms, sent_ms)
+        if sent_ms > scorer.doubted_ms:
+            scorer.query_pause_ms = QUERY_PAUSE_MS
+            scorer.next_query_ms = self.now
+        if scorer.interrupted_ms is not None and sent_ms > scorer.interrupted_ms:
+            scorer.interrupted_ms = None
+            self.lease_counters.suspected_restarts += 1
+            self.actions.append(io.Log(f"scorer {scorer.id} may have restarted unreported: slow start"))
+            self._begin_slow_start(scorer, sent_ms, since_ms=-math.inf)
+        return not had_lease and self._has_lease(scorer)
+
+    def _doubt(self, scorer: Scorer, sent_ms: float) -> None:
+        """Take the rejection of what was sent at `sent_ms`; only a later proof counts from now on."""
+        if self._is_roster_confirmed():
+            return
+        self.lease_counters.doubts += 1
+        scorer.doubted_ms = max(scorer.doubted_ms, sent_ms)
+
+    def _refute(self, scorer: Scorer, sent_ms: float) -> None:
+        """Take the rejection of a query that was sent at `sent_ms`: query again after a longer pause."""
+        if self._is_roster_confirmed():
+            return
+        if scorer.interrupted_ms is None:
+            self.actions.append(io.Log(f"scorer {scorer.id} rejects queries: it may drain unreported"))
+        self.lease_counters.rejected_queries += 1
+        scorer.doubted_ms = max(scorer.doubted_ms, sent_ms)
+        scorer.interrupted_ms = self.now
+        scorer.queried_ms = -math.inf
+        scorer.next_query_ms = self.now + scorer.query_pause_ms
+        scorer.query_pause_ms = min(MAX_QUERY_PAUSE_MS, 2 * scorer.query_pause_ms)
+
+    def _count_unsent(self, request: Request) -> None:
+        """Count a request that ends without an attempt while the change log does not confirm."""
+        self.lease_counters.unsent_requests += not (request.attempts or self._is_roster_confirmed())
+
+    def _note_interruption(self, scorer: Scorer) -> None:
+        """Note a lost or failed connection: while no event is received, its process may be another one."""
+        if not self._is_roster_confirmed():
+            scorer.interrupted_ms = self.now
--- a/fawnwharf/policy/router.py
+++ b/fawnwharf/policy/router.py
@@ -3,7 +3,7 @@
 import math
 
 from fawnwharf import interface as io
-from fawnwharf.policy import admission, health, loads, routing, state
+from fawnwharf.policy import admission, health, loads, roster_lease, routing, state
 from fawnwharf.policy.state import Attempt, Function, Request, Scorer, mark, mix
 
 SWEEP_TOKEN = 0  # of the timer of the sweep
@@ -19,9 +19,13 @@
 COPIES_COUNTED = (io.AttemptResult.GOOD, io.AttemptResult.FULL, io.AttemptResult.ERROR)
 
 
-class Router(health.Health, loads.Loads, routing.Routing, admission.Admission):
+class Router(health.Health, loads.Loads, routing.Routing, admission.Admission, roster_lease.RosterLease):
     """The decisions of one front end: events in, actions out."""
 
+    def __init__(self, settings: io.Settings, seed: int) -> None:
+        super().__init__(settings, seed)
+        self.lease_counters = roster_lease.LeaseCounters()
+
     def handle(self, now_ms: float, events: list[io.Event]) -> list[io.Action]:
         """Take the events of one moment; the actions take effect at that moment, in their order.
 
@@ -201,6 +205,7 @@
         place = fn.copies_by_scorer[scorer.id]
         result = event.result
         if result is io.AttemptResult.GOOD:
+            self._confirm_in_service(scorer, attempt.sent_ms)
             place.copies = max(1, place.copies)
             place.seen_ms = self.now
             self._record_answer(event, attempt, scorer, run_ms)
@@ -214,6 +219,7 @@
             # Where no run of the function is known, the call itself may be at fault.
             self._record_loss(scorer, fn)
         elif result is io.AttemptResult.FULL:
+            self._doubt(scorer, attempt.sent_ms)
             place.blocked_ms = self.now + run_ms
             self._record_slowdown(scorer, 3 * health.OUTLIER_SLOWDOWN)
 
@@ -241,6 +247,7 @@
         is_short = event.result is io.AttemptResult.GOOD and event.copies < place.order_count
         # With both in progress, an answer with too few copies is that to a probe.
         ordered_ms = None if place.open_probes and is_short else place.order_ms
+        is_renewed = self._learn_state(event, scorer, is_query=ordered_ms is None)
         if event.result in COPIES_COUNTED:
             if scorer.suspect_ms is not None and place.copies and not event.copies:
                 # The copies are gone: it restarted, which was not reported.
@@ -258,7 +265,21 @@
             self._load_answered(fn, place, event, ordered_ms)
         else:
             place.open_probes = max(0, place.open_probes - 1)
-        self._dispatch(fn)
+        if is_renewed:  # other functions may wait for the same scorer
+            self._dispatch_all()
+        else:
+            self._dispatch(fn)
+
+    def _learn_state(self, event: io.LoadOrderAnswered, scorer: Scorer, is_query: bool) -> bool:
+        """Take what an answer shows of its scorer's state; tells whether it renewed an expired lease."""
+        sent_ms = self.now - event.took_ms
+        if event.result is io.AttemptResult.GOOD:
+            return self._confirm_in_service(scorer, sent_ms)
+        if event.result is io.AttemptResult.FULL and is_query:
+            self._refute(scorer, sent_ms)
+        elif event.result is io.AttemptResult.FULL:
+            self._doubt(scorer, sent_ms)
+        return False
 
     def _on_timer(self, event: io.TimerDue) -> None:
         """Take a timer: that of a request's end, or that of the sweep, which goes on by itself."""
@@ -320,7 +341,7 @@
         fn = request.function
         place = self._copies_at(fn, scorer)
         # Before the attempt is added, as that counts as one that may have run.
-        within_ms = self._window_left(request)
+        within_ms = min(self._window_left(request), self._lease_left_ms(scorer))
         attempt = Attempt(
             request=request.id,
             scorer=scorer.id,
@@ -358,6 +379,7 @@
 
     handlers: dict[type, io.EventHandler] = {
         io.RosterChanged: _on_roster,
+        io.RosterConfirmed: roster_lease.RosterLease._on_roster_confirmed,
         io.RequestArrived: _on_request,
         io.RequestCancelled: _on_cancelled,
         io.AttemptEnded: _on_attempt,
--- a/fawnwharf/policy/routing.py
+++ b/fawnwharf/policy/routing.py
@@ -12,6 +12,7 @@
 TRIAL_DRAWS = 2**60  # of the draws: one call in sixteen tries a new place while others are known
 PROBE_PAUSE_MS = 100.0  # between two probes for the same copy
 LOW_PRIORITY_PART = 0.35  # of a limit, for calls past their quota or time
+QUERIES_AT_ONCE = 2  # of scorers without a lease, for one request
 SPREAD_LANES = 0.6  # part of a copy's lanes that a spread function's calls may fill
 SPREAD_PART = 0.3  # part of a scorer's capacity that they may fill
 
@@ -131,11 +132,18 @@
             return None  # one probe at a time; the place that was drawn is to answer first
         beyond_bound = list[Scorer]()
         is_probing = False
+        queried = 0
         for scorer in candidates:
             if is_probing and self._is_far(scorer, fn):
                 break
             place = fn.copies_by_scorer[scorer.id]
             if self._has_free_lane(fn, place, scorer) and self._may_send_here(request, scorer, part):
+                if not self._has_lease(scorer):
+                    # Without a proof that it is in service it is queried, and another one serves meanwhile.
+                    if queried < QUERIES_AT_ONCE:
+                        queried += 1
+                        is_probing = self._query_state(fn, scorer) or is_probing
+                    continue
                 if scorer.in_flight < self._in_flight_bound(scorer, fn):
                     return scorer
                 beyond_bound.append(scorer)
--- a/fawnwharf/policy/state.py
+++ b/fawnwharf/policy/state.py
@@ -33,6 +33,7 @@
 LATE_RUNS = 2.0  # a request with less time than so many runs left is late
 MAX_FUNCTIONS = 2_000  # functions that are remembered
 FORGET_MS = 60_000.0  # functions not called, and scorers gone, for so long are forgotten
+QUERY_PAUSE_MS = 1_000.0  # between two queries for a scorer's state; it doubles with each rejected one
 MAX_LATE_PART = 0.5  # a request with more than this part of its latency target left is never late
 
 
@@ -89,6 +90,12 @@
     loss_records: dict[str, "LossRecord"] = field(default_factory=dict)  # by class
     remote_load: io.RemoteLoadReport = field(default_factory=lambda: io.RemoteLoadReport(0))  # the last
     remote_load_ms: float = -math.inf  # of the oldest message that the report rests on
+    proved_ms: float = -math.inf  # what it took and answered well was sent then: it was in service
+    doubted_ms: float = -math.inf  # it rejected what was sent then: only a later proof counts
+    interrupted_ms: float | None = None  # since when its process may be another one, unreported
+    queried_ms: float = -math.inf  # when the last query for its state was sent
+    next_query_ms: float = -math.inf  # no such query before then
+    query_pause_ms: float = QUERY_PAUSE_MS  # after the next one
 
     def takes_new(self) -> bool:
         """Whether it takes new calls and loads; a draining scorer is only probed."""
@@ -205,6 +212,7 @@
         # What the parts call of each other; see the part for the meaning.
         # Router
         def _dispatch(self, fn: Function) -> None: ...
+        def _dispatch_all(self, there: Scorer | None = None) -> None: ...
         def _send_queued(self, fn: Function) -> None: ...
 
         # Admission
@@ -225,7 +233,17 @@
         def _probe(self, fn: Function, scorer: Scorer, copies: int = 0) -> None: ...
         def _refresh_copies(self) -> None: ...
 
+        # RosterLease
+        def _confirm_in_service(self, scorer: Scorer, sent_ms: float) -> bool: ...
+        def _count_unsent(self, request: Request) -> None: ...
+        def _has_lease(self, scorer: Scorer) -> bool: ...
+        def _lease_left_ms(self, scorer: Scorer) -> float: ...
+        def _may_be_in_service(self, scorer: Scorer) -> bool: ...
+        def _note_interruption(self, scorer: Scorer) -> None: ...
+        def _query_state(self, fn: Function, scorer: Scorer) -> bool: ...
+
         # Routing and SlowStart
+        def _begin_slow_start(self, scorer: Scorer, started_ms: float, since_ms: float) -> None: ...
         def _can_take(self, scorer: Scorer, fn: Function) -> bool: ...
         def _in_flight_bound(self, scorer: Scorer, fn: Function) -> float: ...
         def _is_warm(self, fn: Function) -> bool: ...
@@ -248,6 +266,8 @@
         self.ready = list[Scorer]()
         self.watched = dict[int, Scorer]()  # those that owe an answer, or are suspect
         self.suspects = 0
+        # As of when the change log had no further event.
+        self.roster_proved_ms = 0.0 if math.isinf(settings.roster_lease_ms) else -math.inf
         self.members = dict[int, float]()  # sizes of the ready scorers
         self.total = 1.0  # size of the ready fleet; scorers in slow start count in part
         self.totals = deque[tuple[float, float]](maxlen=MAX_TOTALS)  # timed sizes of the ready fleet
--- a/tests/net/test_net_clients.py
+++ b/tests/net/test_net_clients.py
@@ -10,7 +10,7 @@
 
 from fawnwharf.net import (
     clients,
-    front_end,
+    descriptor_shares,
 )
 
 ROOT = Path(__file__).parents[2]
@@ -150,12 +150,12 @@
             client = rig.client()
             client.status()
             rig.until(lambda client=client: client.answers, "each is answered")
-            self.assertLessEqual(len(rig.front.client_port.clients), 32 * front_end.CLIENT_SHARE)
+            self.assertLessEqual(len(rig.front.client_port.clients), 32 * descriptor_shares.CLIENT_SHARE)
         self.assertFalse(first.ended)
 
     def test_a_crowd_that_connects_does_not_cost_a_look_over_all_clients_each(self):
         rig = self.rig(limits={"sockets": 32})
-        port, room = rig.front.client_port, int(32 * front_end.CLIENT_SHARE)
+        port, room = rig.front.client_port, int(32 * descriptor_shares.CLIENT_SHARE)
         maker = port._idle_releaser
         with (
             mock.patch("fawnwharf.net.idle_connections.SCAN_MS", 60_000.0),
--- a/tests/net/test_net_discovery_orders.py
+++ b/tests/net/test_net_discovery_orders.py
@@ -189,26 +189,44 @@
     assert rig.asked_times(2) == ["since", "0"]
 
 
+def say_less_for_longer_than_a_log_lags(rig, *lines):
+    """The log says 2 where 3 and more were received, and goes on to say so, with these lines before."""
+    break_off(rig, 2)
+    rig.log.say(2)
+    rig.asked_times(3)
+    for line in lines:
+        rig.log.say(line)
+    rig.log.say(2)
+    rig.until(lambda: rig.front.change_log._smaller_numbers == 1, "it says less than it said before")
+    rig.later_ms += change_log.MAX_DELAY_MS + 1.0
+    rig.log.say(2)
+
+
 def test_numbers_below_the_own_for_longer_than_any_log_lags_are_a_new_numbering(rig):
-    far_on(rig)
+    rig.log.say(event(5, rig.member("s-1"), rig.member("s-2"), complete=True))
+    rig.at(5)
+    lines = first_list(rig), event(2)
     with rig.shifted():
-        break_off(rig, 2)
-        rig.log.say(2)
-        rig.asked_times(3)
-        rig.log.say(first_list(rig))
-        rig.log.say(event(2))
-        rig.log.say(2)
-        rig.until(lambda: rig.front.change_log._smaller_numbers == 1, "it says less than it said before")
-        rig.later_ms += change_log.MAX_DELAY_MS + 1.0
-        rig.log.say(2)
+        say_less_for_longer_than_a_log_lags(rig, *lines)
         assert rig.asked_times(4) == ["since", "0"]
-        rig.log.say(first_list(rig))
-        rig.log.say(event(2))
-        rig.log.say(2)
+        for line in (*lines, 2):
+            rig.log.say(line)
         rig.at(2)
     assert rig.states() == {"s-1": READY, "s-2": READY, "s-3": READY}
 
 
+def test_a_replica_that_lags_for_longer_brings_no_scorer_back_and_confirms_nothing(rig):
+    far_on(rig)
+    confirmed_ms = rig.front.change_log.up_to_date_ms
+    with rig.shifted():
+        say_less_for_longer_than_a_log_lags(rig, first_list(rig), event(2))
+        rig.log.say(event(6, rig.member("s-2", "terminating")))
+        rig.at(6)
+    assert rig.states() == {"s-1": READY, "s-2": DRAINING, "s-3": DRAINING}
+    assert len(rig.log.asked()) == 3
+    assert rig.front.change_log.up_to_date_ms == confirmed_ms
+
+
 def test_while_a_new_numbering_is_read_no_drained_scorer_comes_back(rig):
     far_on(rig)
     break_off(rig, 2)
--- a/tests/net/test_net_scorer_connections.py
+++ b/tests/net/test_net_scorer_connections.py
@@ -9,7 +9,7 @@
 from peers import ROW, Rig, ScorerPeer, ready
 
 from fawnwharf import interface as io
-from fawnwharf.net import front_end, scorer_frames, scorer_pool, scorer_streams
+from fawnwharf.net import descriptor_shares, front_end, scorer_frames, scorer_pool, scorer_streams
 from fawnwharf.net.end_reasons import EndReason
 
 ROOT = Path(__file__).parents[2]
@@ -350,4 +350,4 @@
             rig.front.scorer_pool.send(attempt(id, ended, id=b"%08d" % n))
         rig.until(lambda: len(scorer.runs) + len(ended) == 40, "all run or end")
         self.assertEqual(set(ended), {(EndReason.NO_DESCRIPTOR, False)})
-        self.assertLessEqual(len(scorer.links), 32 * front_end.SCORER_SHARE)
+        self.assertLessEqual(len(scorer.links), 32 * descriptor_shares.SCORER_SHARE)
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -197,6 +197,8 @@
         self.front.start()
         if start:
             self.until(lambda: self.log.asked(), "the change log is asked")
+            self.log.say(1)  # as real ones do: without it no scorer is proved to be in service
+            self.until(lambda: self.front.router.roster_proved_ms > 0, "the roster is confirmed")
 
     def client(self):
         self.clients.append(ClientPeer(self.front.address))
--- a/tests/test_slow_start_sockets.py
+++ b/tests/test_slow_start_sockets.py
@@ -2,13 +2,14 @@
 
 import time
 
-from peers import PATIENCE_S, Rig, ScorerPeer
+from peers import Rig, ScorerPeer
 from support.slow_start_world import rule
 
 from fawnwharf.net.timer_wheel import unix_ms
 
 FRONT_ENDS, CONNECTIONS, CALLS = 6, 9, 30
 SOLD_RPS, FALL_MS, COLD_SHARE, FALL_MULTIPLE = 62.5, 400.0, 0.2, 2.0
+PATIENCE_S = 120.0  # iterations may take seconds, as the price of a decision grows with the calls that wait
 ARRIVALS = 40  # that are waited for: more than the bound, some windows of them
 
 
@@ -29,6 +30,13 @@
             self.answer(item)
 
 
+def call_again(client, answered):
+    """Replace each answered call by a new one, so that the storm lasts; returns the answers so far."""
+    for _ in client.answers[answered:]:
+        client.call(org="another")
+    return len(client.answers)
+
+
 def test_front_ends_in_a_storm_keep_a_scorers_bound_in_each_window():
     scorer = ColdScorer(unix_ms())
     settings = {
@@ -44,6 +52,7 @@
         for client in clients:
             for _ in range(CALLS):
                 client.call(org="another")  # over no share of a tenant: only the slow start holds them
+        answered = dict.fromkeys(clients, 0)
         end = time.monotonic() + PATIENCE_S
         while len(scorer.at_ms) < ARRIVALS:
             assert time.monotonic() < end, f"{len(scorer.at_ms)} calls have arrived"
@@ -52,6 +61,8 @@
                 for peer in [rig.log, *rig.clients]:
                     peer.pump()
             scorer.pump()
+            for client in clients:
+                answered[client] = call_again(client, answered[client])
     finally:
         for rig in rigs:
             rig.close()
