Change log: heartbeats in the form of an object confirm the roster, too

Seen in trials that logged each dial, line and number: {"seq":1} every 1.000 s, the first one at once. Ruled out: a rhythm that makes heartbeats count as old, dials that fail. Such a heartbeat ahead of its event also counted as that event, which was then not requested again. Change: both forms are heartbeats. tests/net, test_program, compatibility: 1,475 passed.

--- a/fawnwharf/net/change_log.py
+++ b/fawnwharf/net/change_log.py
@@ -34,6 +34,12 @@
 MAX_SMALLER_NUMBERS = 1  # numbers below the own in a row, before all events are requested
 
 
+def _heartbeat_number(read: Any) -> int | None:
+    """The number of the last event in a heartbeat, `7` or `{"seq":7}`; None for other lines."""
+    number = read["seq"] if isinstance(read, dict) and read.keys() == {"seq"} else read
+    return number if type(number) is int else None
+
+
 class ChangeLog:
     """Follows the log from an event on, and delivers what each event newly says.
 
@@ -188,8 +194,9 @@
         except (msgspec.DecodeError, RecursionError):
             return self._stumble(f"not JSON: {line[:60]!r}")
         self._backoff_ms = MIN_BACKOFF_MS
-        if isinstance(read, int) and not isinstance(read, bool):
-            return self._number(read)
+        last = _heartbeat_number(read)
+        if last is not None:
+            return self._number(last)
         if not self.event(read):
             return self._connection is not None and self._stumble(f"not the next event: {line[:60]!r}")
         self._alive_ms = monotonic_ms()
