--- a/tests/processes.py
+++ b/tests/processes.py
@@ -165,14 +165,14 @@
 class Process:
     """One process of the front end, under an address for operators of its own."""
 
-    def __init__(self, site, env, options=()):
+    def __init__(self, site, env, options=(), program=("fawnwharf",)):
         self.site, self.port = site, Port()
         self.errors = tempfile.TemporaryFile(dir=site.folder)  # noqa: SIM115
         env = {**os.environ, **env, "ROUTER_CONTROL": self.port.text, "ROUTER_CONFIG": str(site.config)}
         env = {name: value for name, value in env.items() if value is not None}
         self.began, self.ended_s = time.monotonic(), None
         self.child = subprocess.Popen(
-            [sys.executable, "-m", "fawnwharf", "serve", *options],
+            [sys.executable, "-m", *program, "serve", *options],
             env=env,
             stdout=self.errors,
             stderr=self.errors,
@@ -244,7 +244,8 @@
     def turn(self):
         with selectors.DefaultSelector() as selector:
             for peer in [self.log, *self.scorers]:
-                selector.register(peer.listener, selectors.EVENT_READ)
+                if peer.listener.fileno() >= 0:  # else it is stopped
+                    selector.register(peer.listener, selectors.EVENT_READ)
             links = [link for peer in [self.log, *self.scorers] for link in peer.links]
             readers = [caller for caller in self.callers if caller.reads]
             for link in [*links, *readers, *self.questions]:
--- a/tests/support/discovery_outage.py
+++ b/tests/support/discovery_outage.py
@@ -33,6 +33,7 @@
     def __init__(self, id: str, delay_s: float = 0.02, copies: int = 4) -> None:
         super().__init__(id, delay_s, copies)
         self.new_work_s: list[float] = []  # of each call, and each order for copies
+        self.orders_s: list[float] = []  # of each order for copies
         self.questions_s: list[float] = []  # of each order with a count of 0
         self._seen = 0
 
@@ -43,6 +44,8 @@
         for _, frame in self.frames[self._seen :]:
             if frame.code == scorer_frames.RUN or frame.fields.get("slots_up", "0") != "0":
                 self.new_work_s.append(now_s)
+                if frame.code == scorer_frames.LOAD:
+                    self.orders_s.append(now_s)
             elif frame.code == scorer_frames.LOAD:
                 self.questions_s.append(now_s)
         self._seen = len(self.frames)
--- a/tests/test_drain_during_discovery_outage.py
+++ b/tests/test_drain_during_discovery_outage.py
@@ -84,3 +84,16 @@
     assert late == [], json.dumps({"late": len(late), "first_s": late[:1]})
     assert served_share(caller, sent_s, due_s, due_s + OBSERVED_S - 1.0) > 0.95
     assert not process.ended
+
+
+def test_what_the_configuration_knows_is_no_proof_at_a_start_within_an_outage(site):
+    site.log.silent = True
+    drained = site.scorers[0]
+    drained.drained_s = time.monotonic()
+    site.start()
+    began_s = time.monotonic()
+    caller, sent_s = call_steadily(site)
+    wait(site, began_s + WARM_UP_S + 1.0)
+    assert drained.new_work_s == []
+    assert drained.questions_s
+    assert served_share(caller, sent_s, began_s, began_s + WARM_UP_S) > 0.95
