Leases: rejected queries outlast the log's confirmation; a renumbered log is noticed

Its heartbeats then confirmed a list whose drains it told under numbers that were not requested. Ruled out: leases themselves, as the sends came within 7 s of a confirmation. Change: after 4.5 s without a proof the last event is requested again, so other content under its number shows (the path for a new numbering that was there). And a log that confirms wrongly is contradicted by scorers: what rejects a call, having served nothing for 2 s, is queried whatever the log confirms, and one that rejects the query gets nothing until it answers well.

--- a/fawnwharf/net/change_log.py
+++ b/fawnwharf/net/change_log.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from fawnwharf.config import Address, ConfigError, Fleet, fleet_from
-from fawnwharf.net.change_log_heartbeat import HeartbeatAge
+from fawnwharf.net.change_log_heartbeat import HeartbeatAge, heartbeat_number
 from fawnwharf.net.change_log_replay import Replay
 from fawnwharf.net.connection import Connection
 from fawnwharf.net.end_reasons import EndReason
@@ -20,8 +20,7 @@
 # detect that, to connect and to receive them must fit in, also where a first connection attempt fails.
 SILENCE_TIMEOUT_MS = 1_800.0  # it writes a line every second; this is one missing line and most of the next
 CONNECT_TIMEOUT_MS = 500.0
-# Before the next connection attempt.
-MIN_BACKOFF_MS = 50.0
+MIN_BACKOFF_MS = 50.0  # before the next connection attempt
 MAX_BACKOFF_MS = 250.0
 MAX_GAP = 1_000  # events that may be missing for good where the log cannot be followed
 MAX_LINE_BYTES = 4 * 1024 * 1024  # a list of thousands of scorers is shorter
@@ -29,17 +28,12 @@
 LINE_MS = 10_000.0  # within which a line has to be complete, however fast it arrives
 MAX_DELAY_MS = 7_000.0  # a log that lags for longer than this has restarted its numbering
 MAX_HEARTBEAT_AGE_MS = 3_000.0  # of heartbeats whose path or rhythm holds them back: reconnect
+MAX_ABSENCE_MS = 4_500.0  # longer than this the log may have restarted its numbering unnoticed
 MIN_RECONNECT_MS = 10_000.0  # a connection is not ended for that before it is as old
 REPLAY_MS = 100.0  # to receive all events of a new numbering; a drain in it must be applied within 250 ms
 MAX_SMALLER_NUMBERS = 1  # numbers below the own in a row, before all events are requested
 
 
-def _heartbeat_number(read: Any) -> int | None:
-    """The number of the last event in a heartbeat, `7` or `{"seq":7}`; None for other lines."""
-    number = read["seq"] if isinstance(read, dict) and read.keys() == {"seq"} else read
-    return number if type(number) is int else None
-
-
 class ChangeLog:
     """Follows the log from an event on, and delivers what each event newly says.
 
@@ -74,6 +68,7 @@
         self._log = log
         self._connection: Connection | None = None
         self._buffer = bytearray()
+        self._began_ms = monotonic_ms()
         self._connected_ms = 0.0
         self._alive_ms = 0.0  # when the log last gave a sign of life on this connection
         self._line_ms = 0.0  # when the line that is arriving began
@@ -147,7 +142,18 @@
         self._heartbeat_age.begin(self._connected_ms)
         self._smaller_numbers = 0
         if self._connection:
-            self._connection.write(b"since %d\n" % (0 if self._probing else self._position))
+            self._connection.write(b"since %d\n" % self._resume_after())
+
+    def _resume_after(self) -> int:
+        """The number after which events are requested.
+
+        After a long absence the last event is requested again: a log that restarted its numbering meanwhile
+        may have reached the same number, and has other content under it.
+        """
+        if self._probing:
+            return 0
+        absent_ms = monotonic_ms() - (self.up_to_date_ms or self._began_ms)
+        return max(0, self._position - 1) if absent_ms > MAX_ABSENCE_MS else self._position
 
     def on_data(self, data: bytes) -> None:
         """Handle the lines that are complete with these bytes."""
@@ -194,7 +200,7 @@
         except (msgspec.DecodeError, RecursionError):
             return self._stumble(f"not JSON: {line[:60]!r}")
         self._backoff_ms = MIN_BACKOFF_MS
-        last = _heartbeat_number(read)
+        last = heartbeat_number(read)
         if last is not None:
             return self._number(last)
         if not self.event(read):
--- a/fawnwharf/net/change_log_heartbeat.py
+++ b/fawnwharf/net/change_log_heartbeat.py
@@ -8,6 +8,7 @@
 """
 
 from dataclasses import dataclass
+from typing import Any
 
 PERIOD_MS = 1_000.0  # between two heartbeats
 
@@ -29,3 +30,9 @@
         periods = max(0, self._count - 1)
         self._count += 1
         return min(now_ms, self._requested_ms + periods * PERIOD_MS)
+
+
+def heartbeat_number(read: Any) -> int | None:
+    """The number of the last event in a heartbeat, `7` or `{"seq":7}`; None for other lines."""
+    number = read["seq"] if isinstance(read, dict) and read.keys() == {"seq"} else read
+    return number if type(number) is int else None
--- a/fawnwharf/policy/roster_lease.py
+++ b/fawnwharf/policy/roster_lease.py
@@ -2,8 +2,8 @@
 
 A scorer that begins to drain is known to do so from its event in the change log on, and no later than
 `Settings.roster_lease_ms` after it drained, whether that event was received or not. So what is known of a
-scorer is a lease: it runs from the last moment at which the scorer was proved to be in service. After its end
-nothing new is sent there, neither calls nor load orders, until it is proved again.
+scorer is a lease: it runs from the last moment at which the scorer was proved to be in service. After its
+end nothing new is sent there, neither calls nor load orders, until it is proved again.
 
 What proves that a scorer was in service:
 
@@ -13,13 +13,15 @@
   drains answers that it is full.
 
 An answer of another kind proves that the process runs, no more. A rejection proves nothing either, as a
-scorer without capacity rejects as well. While the change log does not confirm, it casts doubt all the same:
-the scorer is queried before it gets anything more. One that rejects a query is left alone for a pause that
-doubles, whether it drains or has no room. If it answers well later on, or after a failed connection, it may
-have been restarted, and its slow start begins.
-
-Queries are sent when a scorer is about to be used, to that scorer, and while the change log confirms none is
-sent.
+scorer without capacity rejects as well. It casts doubt all the same, unless the scorer was proved by an
+answer just before: the scorer is queried before it gets anything more, or has to be confirmed by the change
+log after that. One that rejects a query is left alone for a pause that doubles, whether it drains or has no
+room, until it answers well; the change log may not have that drain, or may be a replica that lags. If it
+answers well later on, or after a connection that failed while the change log was out of reach, it may have
+been restarted, and its slow start begins.
+
+Queries are sent when a scorer is about to be used, to that scorer. While the change log confirms, only
+scorers that rejected something are queried.
 """
 
 import math
@@ -31,6 +33,8 @@
 # The change log confirms each second, as of two seconds before at the most. Without that for so long it is
 # out of reach, and rejections may come from scorers that drain.
 UNCONFIRMED_MS = 5_000.0
+# A scorer that served so recently rejects for lack of capacity: no doubt while the change log confirms.
+RECENT_PROOF_MS = 2_000.0
 QUERY_WAIT_MS = 50.0  # a scorer that was queried counts as a candidate for so long
 MAX_QUERY_PAUSE_MS = 4_000.0  # between two queries of a scorer that rejects them
 
@@ -40,8 +44,8 @@
     """What became of leases since the start."""
 
     queries: int = 0  # that were sent because a lease had ended or was in doubt
-    rejected_queries: int = 0  # queries that a scorer rejected while the change log did not confirm
-    doubts: int = 0  # rejections of calls and load orders while the change log did not confirm
+    rejected_queries: int = 0  # queries that a scorer rejected
+    doubts: int = 0  # rejections of calls and load orders that may come from a drain
     suspected_restarts: int = 0  # slow starts that no event reported
     unsent_requests: int = 0  # requests ended without an attempt while the change log did not confirm
 
@@ -54,7 +58,7 @@
     def _lease_left_ms(self, scorer: Scorer) -> float:
         """For how many milliseconds new work may begin to be sent to a scorer; 0 or less: it may not."""
         proved_ms = max(self.roster_proved_ms, scorer.proved_ms)
-        if proved_ms <= scorer.doubted_ms:
+        if proved_ms <= scorer.doubted_ms or scorer.proved_ms < scorer.refuted_ms:
             return 0.0
         return proved_ms + self.settings.roster_lease_ms - self.now
 
@@ -72,9 +76,13 @@
         is_unlimited = math.isinf(self.settings.roster_lease_ms)
         return is_unlimited or self.now - self.roster_proved_ms < UNCONFIRMED_MS
 
+    def _can_query(self) -> bool:
+        """Whether states expire at all, and queries for them may be sent."""
+        return self.settings.load_orders_allowed and not math.isinf(self.settings.roster_lease_ms)
+
     def _query_state(self, fn: Function, scorer: Scorer) -> bool:
         """Query a scorer that is about to be used and has no lease; tells whether an answer is awaited."""
-        if self.now >= scorer.next_query_ms and self.settings.load_orders_allowed:
+        if self.now >= scorer.next_query_ms and self._can_query():
             scorer.queried_ms = self.now
             scorer.next_query_ms = self.now + scorer.query_pause_ms
             self.lease_counters.queries += 1
@@ -92,7 +100,7 @@
         """Renew a scorer's lease, as it took what was sent at `sent_ms`; tells whether it had none."""
         had_lease = self._has_lease(scorer)
         scorer.proved_ms = max(scorer.proved_ms, sent_ms)
-        if sent_ms > scorer.doubted_ms:
+        if sent_ms > max(scorer.doubted_ms, scorer.refuted_ms):
             scorer.query_pause_ms = QUERY_PAUSE_MS
             scorer.next_query_ms = self.now
         if scorer.interrupted_ms is not None and sent_ms > scorer.interrupted_ms:
@@ -105,19 +113,21 @@
     def _doubt(self, scorer: Scorer, sent_ms: float) -> None:
         """Take the rejection of what was sent at `sent_ms`; only a later proof counts from now on."""
         if self._is_roster_confirmed():
-            return
+            is_serving = self.now - scorer.proved_ms < RECENT_PROOF_MS
+            if is_serving or not self._can_query():
+                return
         self.lease_counters.doubts += 1
         scorer.doubted_ms = max(scorer.doubted_ms, sent_ms)
 
     def _refute(self, scorer: Scorer, sent_ms: float) -> None:
         """Take the rejection of a query that was sent at `sent_ms`: query again after a longer pause."""
-        if self._is_roster_confirmed():
+        if not self._can_query():
             return
-        if scorer.interrupted_ms is None:
+        if scorer.proved_ms >= scorer.refuted_ms:
             self.actions.append(io.Log(f"scorer {scorer.id} rejects queries: it may drain unreported"))
         self.lease_counters.rejected_queries += 1
-        scorer.doubted_ms = max(scorer.doubted_ms, sent_ms)
-        scorer.interrupted_ms = self.now
+        scorer.refuted_ms = max(scorer.refuted_ms, sent_ms)
+        self._note_interruption(scorer)
         scorer.queried_ms = -math.inf
         scorer.next_query_ms = self.now + scorer.query_pause_ms
         scorer.query_pause_ms = min(MAX_QUERY_PAUSE_MS, 2 * scorer.query_pause_ms)
--- a/fawnwharf/policy/state.py
+++ b/fawnwharf/policy/state.py
@@ -92,6 +92,7 @@
     remote_load_ms: float = -math.inf  # of the oldest message that the report rests on
     proved_ms: float = -math.inf  # what it took and answered well was sent then: it was in service
     doubted_ms: float = -math.inf  # it rejected what was sent then: only a later proof counts
+    refuted_ms: float = -math.inf  # it rejected a query that was sent then: only a later answer counts
     interrupted_ms: float | None = None  # since when its process may be another one, unreported
     queried_ms: float = -math.inf  # when the last query for its state was sent
     next_query_ms: float = -math.inf  # no such query before then
--- a/tests/net/test_net_discovery_orders.py
+++ b/tests/net/test_net_discovery_orders.py
@@ -227,6 +227,16 @@
     assert rig.front.change_log.up_to_date_ms == confirmed_ms
 
 
+def test_after_a_long_absence_a_new_numbering_that_reached_the_same_number_is_noticed(rig):
+    rig.log.say(event(2))
+    rig.at(2)
+    with rig.shifted():
+        rig.later_ms += change_log.MAX_ABSENCE_MS + 1.0  # silent for so long, so it reconnects by itself
+        assert rig.asked_times(2) == ["since", "1"]
+        rig.log.say(event(2, rig.member("s-1", "terminating")))
+        assert rig.asked_times(3) == ["since", "0"]
+
+
 def test_while_a_new_numbering_is_read_no_drained_scorer_comes_back(rig):
     far_on(rig)
     break_off(rig, 2)
