--- a/fawnwharf/policy/roster_lease.py
+++ b/fawnwharf/policy/roster_lease.py
@@ -107,7 +107,8 @@
             scorer.interrupted_ms = None
             self.lease_counters.suspected_restarts += 1
             self.actions.append(io.Log(f"scorer {scorer.id} may have restarted unreported: slow start"))
-            self._begin_slow_start(scorer, sent_ms, since_ms=-math.inf)
+            # A start that was reported meanwhile may be later than what this answers.
+            self._begin_slow_start(scorer, max(sent_ms, scorer.started_ms), since_ms=-math.inf)
         return not had_lease and self._has_lease(scorer)
 
     def _doubt(self, scorer: Scorer, sent_ms: float) -> None:
--- a/tests/policy/test_policy_roster_lease.py
+++ b/tests/policy/test_policy_roster_lease.py
@@ -153,6 +153,19 @@
     assert drive.router.lease_counters.suspected_restarts == 1
 
 
+def test_a_guessed_start_is_no_earlier_than_a_reported_one():
+    drive, home = leased(workers=1)
+    serve_until_unconfirmed(drive)
+    [send] = of(drive.ask("r1"), io.Send)
+    drive.end(send, AttemptResult.RESET)
+    reported_ms = drive.now + 500.0
+    drive.now += 1_000.0
+    drive.feed(io.RosterChanged([io.ScorerEntry(home, zone="a", up_since_ms=reported_ms)], complete=False))
+    drive.feed(io.LoadOrderAnswered(home, "f", AttemptResult.GOOD, 1, 900.0))  # sent before that start
+    assert drive.router.lease_counters.suspected_restarts == 1
+    assert drive.router.scorers[home].started_ms == reported_ms
+
+
 def test_a_confirmed_roster_serves_what_waits_at_once():
     drive, home = leased(workers=1)
     drive.now += 60_000.0
