--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 
 from peers import CLASSES
-from processes import Caller, Port, Process, Site
+from processes import PATIENCE_S, Caller, Port, Process, Site
 from support.discovery_outage import GRACE_S, SLACK_S, TOLD_AFTER_S
 
 from fawnwharf.fakes.clocks import Page, Reading
@@ -130,7 +130,8 @@
         process.kill()
 
     def _wait(self, at_s: float) -> None:
-        self.until(lambda: time.monotonic() >= self.began_s + at_s, "the time has come")
+        due_s = self.began_s + at_s
+        self.until(lambda: time.monotonic() >= due_s, "the time has come", patience_s=at_s + PATIENCE_S)
 
     def _call_when_due(self) -> None:
         """Send the calls that are due on open connections; new ones only before SIGTERM."""
