Review: case on an operator's call that is lost while a process is replaced

Cause: the new process answers a forwarded call with 404 where its list does not name the scorer yet. Change: a scorer joins and is taken out by its operator while a process is replaced.

--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -272,6 +272,7 @@
     def __init__(self, members, record):
         self.record, self.events, self._readers, self._lock = record, [], [], threading.RLock()
         self.silent = False
+        self.first_line_delay_ms = 0.0  # on connections that ask from now on
         self.add(members, complete=True)
         self._listener = socket.create_server(("127.0.0.1", 0))
         self.address = "%s:%d" % self._listener.getsockname()[:2]
@@ -326,9 +327,10 @@
                 line += read_exactly(sock, 1)
         except OSError:
             return
+        self.record(f"change log: asked since {int(line.split()[1])}")
+        time.sleep(self.first_line_delay_ms / 1e3)
         with self._lock:
             reader = [sock, int(line.split()[1])]
-            self.record(f"change log: asked since {reader[1]}")
             self._readers.append(reader)
             self._tell(reader)
 
