--- a/review/3/case.py
+++ b/review/3/case.py
@@ -14,10 +14,11 @@
 DRAIN_MS = 250.0
 LOG_DELAY_MS = 400.0  # of the change log's first line on a connection: discovery is slow
 LOAD_MS = 6000.0
+RESTART_AFTER_MS = 4000.0  # "operators restart the scorer in that time"
 
 
 def case(platform, record, trouble):
-    scorers = [s.Scorer(f"s-{number}", record) for number in (1, 2, 3)]
+    scorers = [s.Scorer(f"s-{number}", record, work_ms=200.0) for number in (1, 2, 3)]
     joining = scorers[2]
     log = s.ChangeLog([scorer.member() for scorer in scorers[:2]], record)
     listen, control, second_control = s.free_address(), s.free_address(), s.free_address()
@@ -47,23 +48,28 @@
 
     client = s.Client(listen, "client", record)
     requests, functions = [], [secrets.token_hex(8) for _ in range(12)]
-    # A few modules draw most calls; every fourth call is for one that was not called before.
+    # A few modules draw most calls; every fourth is for one that was not called before.
     binds_ms = max(out_ms, yes_ms + BINDS_AFTER_YES_MS * trouble) + DRAIN_MS + s.SLACK_MS
-    until_ms = s.now_ms() + LOAD_MS
+    until_ms, restart_ms = s.now_ms() + LOAD_MS, out_ms + RESTART_AFTER_MS
     while s.now_ms() < until_ms:
+        if s.now_ms() > restart_ms:
+            restart_ms = float("inf")
+            joining.restart()
         function = functions[len(requests) % len(functions)] if len(requests) % 4 else secrets.token_hex(8)
-        requests.append(client.call("points-view", function, 2500))
-        time.sleep(0.05)
+        requests.append(client.call(("points-view", "transfer-settle")[len(requests) % 2], function, 2000))
+        time.sleep(0.025)
     time.sleep(1.0)
     new_work = [arrival for arrival in joining.arrivals if arrival[1] in ("call", "order")]
     late = [arrival for arrival in new_work if arrival[0] > binds_ms]
-    record(f"{joining.id} got {len(new_work)} calls and orders to load while it was out, {len(late)} after all grace")
+    record(f"{joining.id} got {len(new_work)} calls and orders while it was out, {len(late)} after all grace")
+    failed = sum(answer[1] == "failed" for request in requests for answer in request.answers)
+    record(f"{failed} of {len(requests)} calls failed")
     faults = s.judge_answers(requests, record)
     if late:
         calls = sum(arrival[1] == "call" for arrival in late)
         faults.append(
-            f"{joining.id} is out by its operator's call, and got {calls} calls and {len(late) - calls} orders "
-            f"to load from {late[0][0] - out_ms:.0f} to {late[-1][0] - out_ms:.0f} ms after the yes"
+            f"{joining.id} is out by its operator's call, and got {calls} calls and {len(late) - calls} "
+            f"orders to load from {late[0][0] - out_ms:.0f} to {late[-1][0] - out_ms:.0f} ms after the yes"
         )
         record(f"BROKEN: {faults[-1]}")
     return faults
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -121,6 +121,10 @@
     return bytes(data)
 
 
+def text_of(address):
+    return f"{address[0]}:{address[1]}"
+
+
 class Link:
     """One connection of a front end to a scorer."""
 
@@ -135,6 +139,14 @@
             except OSError:
                 pass
 
+    def reset(self):
+        try:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            self.sock.shutdown(socket.SHUT_RD)
+            self.sock.close()
+        except OSError:
+            pass
+
     def serve(self):
         try:
             while True:
@@ -161,7 +173,7 @@
     """
 
     def __init__(self, id, record, work_ms=100.0, load_ms=0.0, host="127.0.0.1", tokens=None):
-        """`tokens`: the idempotency keys that all scorers have seen, with when, where keyed calls are made."""
+        """`tokens`: when all scorers first saw each idempotency key, where keyed calls are made."""
         self.id, self.record, self.work_ms, self.load_ms, self.tokens = id, record, work_ms, load_ms, tokens
         self.hangs = False  # takes all that comes, and says nothing
         self.drains = False  # turns new work away
@@ -171,8 +183,8 @@
         self.arrivals = []  # of calls and orders: time of the first byte, what, id, fields, body
         self.runs = []  # of calls: time, id, fields
         self._listener = socket.create_server((host, 0))
-        self.address = "%s:%d" % self._listener.getsockname()[:2]
-        self._numbers = itertools.count(1)
+        self.address = text_of(self._listener.getsockname())
+        self._numbers, self._links, self.life = itertools.count(1), [], 1
         threading.Thread(target=self._accept, daemon=True).start()
 
     def member(self, phase="in_service", zone="hall-a", up_since_ms=0):
@@ -187,8 +199,17 @@
                 return
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             link = Link(self, sock, next(self._numbers))
+            self._links.append(link)
             threading.Thread(target=link.serve, daemon=True).start()
 
+    def restart(self):
+        """The process ends, with all that it runs, and comes back at once with nothing loaded."""
+        self.record(f"{self.id}: its process ends and starts again")
+        links, self._links, self.copies = self._links, [], {}
+        self.life += 1
+        for link in links:
+            link.reset()
+
     def take(self, link, first_ms, code, id, fields, body):
         what = {RUN: "call", GIVE_UP: "give-up", UNLOAD: "unload"}.get(code, "probe")
         if code == ORDER:
@@ -229,8 +250,10 @@
         self.runs.append((now_ms(), id.hex(), fields))
         self.record(f"{self.id}: RUNS {id.hex()} {fields.get('token', '')}")
 
+        life = self.life
+
         def done():
-            if not self.hangs and id not in link.given_up:
+            if not self.hangs and id not in link.given_up and life == self.life:
                 self.record(f"{self.id}: answers {id.hex()}")
                 link.answer(0, id, f"res={note}", b"ran:" + body)
 
@@ -275,7 +298,7 @@
         self.first_line_delay_ms = 0.0  # on connections that ask from now on
         self.add(members, complete=True)
         self._listener = socket.create_server(("127.0.0.1", 0))
-        self.address = "%s:%d" % self._listener.getsockname()[:2]
+        self.address = text_of(self._listener.getsockname())
         threading.Thread(target=self._accept, daemon=True).start()
         threading.Thread(target=self._beat, daemon=True).start()
 
@@ -458,7 +481,9 @@
             data = handle_message(request.seqid, fields, body)
             request.sent_ms = now_ms()
             self.sock.sendall(data)
-        self.record(f"{self.name}: sends {request.name} row={function} number {request.seqid}", request.sent_ms)
+        self.record(
+            f"{self.name}: sends {request.name} row={function} number {request.seqid}", request.sent_ms
+        )
         return request
 
     def withdraw(self, request):
@@ -519,7 +544,9 @@
             faults.append(f"{request.name}: no answer {at_ms - request.sent_ms:.0f} ms after it was sent")
         elif request.answers and request.answers[0][0] - request.sent_ms > due_ms:
             took_ms = request.answers[0][0] - request.sent_ms
-            faults.append(f"{request.name}: its only answer ({request.answers[0][1]}) came after {took_ms:.0f} ms")
+            faults.append(
+                f"{request.name}: its only answer ({request.answers[0][1]}) came after {took_ms:.0f} ms"
+            )
     for fault in faults:
         record(f"BROKEN: {fault}")
     return faults
