Hot restart: busy connections move with their open calls, and held calls are watched

With replicated state or zones on, all clients lay unread from the request for the hand-off until the longest open call had ended.

Cause: a connection could change its process only with nothing open on it, so the old process stopped reading its clients (0.4 s after SIGTERM, or during the release of the extensions). No process read them meanwhile: no deadline ran, no withdrawal and no disconnect was heard.

Change: 0.4 s after SIGTERM a busy connection is handed off with its open calls. The new process reads it; the old one completes the calls and forwards their answers, and gets their withdrawals (OpenCalls, ForwardedAnswer, ForwardedWithdrawal). Held calls go over with their connection (WaitingCall). The processes agree on it beforehand (hands_off_open_calls in the state, AcceptsOpenCalls); messages and records that exist keep their bytes. With an older process it is as before.

Turned down: holding the calls behind a long one in the old process in all replacements (refuses calls that the new one can serve), and serving on until the kill (what is open then is lost).

--- a/fawnwharf/admin/exclusive_extensions.py
+++ b/fawnwharf/admin/exclusive_extensions.py
@@ -2,8 +2,8 @@
 
 Only one process at a time may act for the fleet member and have its disks open. The old process releases the
 extensions before the new one acquires them. If the new one ends before it is ready, the old process
-reacquires them. No process reads from clients in between, because a call could otherwise run without the
-grant that these extensions record.
+reacquires them. No process runs a call in between, as that call would have no grant, which these extensions
+record. The old process reads its clients all the time and holds their calls (`net.call_hold`).
 """
 
 from collections.abc import Callable
@@ -53,17 +53,21 @@
         return self.state is ExtensionState.HELD
 
     def release(self, on_released: Callable[[], None]) -> None:
-        """Stops reading from clients, waits for open requests, and releases the extensions.
+        """Holds new calls, waits for open ones, and releases the extensions.
 
         Only for a front end that has extensions. `on_released` is called once, after RELEASE_DRAIN_TIMEOUT_MS
         at the latest, also after an error in the extensions; never if `reacquire` is called before that.
         """
         self.state = ExtensionState.DRAINING
         self._since_ms = monotonic_ms()
-        self.front.client_port.set_accepting(False)
-        self.front.client_port.set_paused(True)
+        self.front.client_port.hold_calls(self._may_run)
         self._drain(on_released)
 
+    def _may_run(self, budget_ms: float) -> bool:
+        """Whether a call that ends within `budget_ms` has ended before the extensions are released."""
+        remaining_ms = self._since_ms + RELEASE_DRAIN_TIMEOUT_MS - monotonic_ms()
+        return self.state is ExtensionState.DRAINING and budget_ms < remaining_ms
+
     def _drain(self, on_released: Callable[[], None]) -> None:
         front = self.front
         extension = front.extension
@@ -73,7 +77,7 @@
         if busy and monotonic_ms() - self._since_ms < RELEASE_DRAIN_TIMEOUT_MS:
             front.loop.timers.after(CHECK_INTERVAL_MS, lambda: self._drain(on_released))
             return
-        # Continues after an error: no process reads from clients until the extensions are released.
+        # Continues after an error: no process runs new calls until the extensions are released.
         front.loop.run_guarded(extension.suspend)
         self.state = ExtensionState.RELEASED
         elapsed_ms = monotonic_ms() - self._since_ms
@@ -115,14 +119,14 @@
     def _reacquire_failure(self) -> str | None:
         """Tries once to reacquire; returns why that failed, None on success."""
         front = self.front
-        if any(client.open for client in front.client_port.clients):
+        if front.client_port.has_running_calls:
             return "requests from before the release are still open"
         try:
             if front.extension is not None:
                 front.extension.resume(front)
         except ConfigError as error:
             return str(error)
-        except Exception as error:  # must lead to another attempt: until then no client is read
+        except Exception as error:  # must lead to another attempt: until then no call is run
             front.loop.log_exception("reacquiring the exclusive extensions")
             return str(error)
         return None
--- a/fawnwharf/admin/handoff_channel.py
+++ b/fawnwharf/admin/handoff_channel.py
@@ -98,7 +98,7 @@
         self._on_message = on_message
         self._on_end = on_end
         self._queue = deque[Outgoing]()
-        self._sent_chunks: list[Outgoing] = []  # chunks sent before their final message
+        self._sent_parts: list[Outgoing] = []  # sent messages that belong to the next one of another kind
         self._mask = READ
         self._progress_ms = monotonic_ms()  # when a message was last sent, or the first one was queued
         sock.setblocking(False)
@@ -127,12 +127,12 @@
     def take_unsent(self) -> list[Outgoing]:
         """Removes and returns the unsent messages, whose sockets the caller then owns.
 
-        Includes chunks that were sent already if their final message was not: the receiver can't use them.
-        Does not close the channel.
+        Includes parts that were sent already if the message to which they belong was not: the receiver can't
+        use them. Does not close the channel.
         """
-        unsent = [*self._sent_chunks, *self._queue]
+        unsent = [*self._sent_parts, *self._queue]
         self._queue = deque()
-        self._sent_chunks = []
+        self._sent_parts = []
         return unsent
 
     def _write(self) -> None:
@@ -153,10 +153,10 @@
 
     def _sent(self, message: messages.Message, carried: socket.socket | None) -> None:
         self._progress_ms = monotonic_ms()
-        if isinstance(message, messages.Chunk):
-            self._sent_chunks.append(Outgoing(message, None))
+        if isinstance(message, messages.Part):
+            self._sent_parts.append(Outgoing(message, None))
         else:
-            self._sent_chunks.clear()
+            self._sent_parts.clear()
         if carried is not None:
             carried.close()
 
--- a/fawnwharf/admin/handoff_messages.py
+++ b/fawnwharf/admin/handoff_messages.py
@@ -30,9 +30,10 @@
 
 
 class Chunk(msgspec.Struct, tag="part", frozen=True):
-    """Predecessor: a chunk of the encoded learned state, or of the unwritten bytes of the next connection.
+    """Predecessor: a chunk of the learned state, of a connection's unwritten bytes, or of an answer.
 
-    The last chunk is followed by the ListenerHandoff or ConnectionHandoff to which the data belongs.
+    The last chunk is followed by the ListenerHandoff, ConnectionHandoff or ForwardedAnswer to which the data
+    belongs.
     """
 
     data: bytes
@@ -42,12 +43,45 @@
     """Predecessor: the learned state is complete. Carries the descriptor of the clients' listener."""
 
 
+class AcceptsOpenCalls(msgspec.Struct, tag="accepts_open_calls", frozen=True):
+    """Successor, before SuccessorReady: it accepts connections with open and with waiting calls.
+
+    Sent only if the predecessor's state says that it hands off such connections: older versions end the
+    channel at a message that they don't know.
+    """
+
+
 class SuccessorReady(msgspec.Struct, tag="ready", frozen=True):
     """Successor: it accepts connections. The predecessor stops accepting and hands off its connections."""
 
 
+class WaitingCall(msgspec.Struct, tag="waiting_call", frozen=True):
+    """Predecessor: a call that it has read and not run. The ConnectionHandoff that it belongs to follows.
+
+    `seqid`, `fields` and `body` are those of the client's message. `received_ms` is when it arrived, on the
+    monotonic clock, which both processes share.
+    """
+
+    seqid: int
+    fields: dict[str, str]
+    body: bytes
+    received_ms: float
+
+
+class OpenCalls(msgspec.Struct, tag="open_calls", frozen=True):
+    """Predecessor: calls that it still runs. The ConnectionHandoff that they belong to follows.
+
+    The predecessor watches their deadlines and forwards their answers; the successor watches for their
+    withdrawal. `number` identifies the connection in ForwardedAnswer and ForwardedWithdrawal. `seqids` has
+    the calls' sequence numbers.
+    """
+
+    number: int
+    seqids: tuple[int, ...]
+
+
 class ConnectionHandoff(msgspec.Struct, tag="kept", frozen=True):
-    """Predecessor: a client connection on which no request is open. Carries its descriptor.
+    """Predecessor: a client connection. Carries its descriptor.
 
     - `partial`: the bytes received so far of an incomplete message from the client.
     - `skip`: number of further bytes of an oversized message, which the receiver must discard.
@@ -62,6 +96,20 @@
     empty_ms: float | None = None
 
 
+class ForwardedAnswer(msgspec.Struct, tag="answer", frozen=True):
+    """Predecessor: the answer of an open call is complete; the chunks before it have its encoded message."""
+
+    number: int
+    seqid: int
+
+
+class ForwardedWithdrawal(msgspec.Struct, tag="withdrawal", frozen=True):
+    """Successor: the client no longer waits for an open call that the predecessor runs."""
+
+    number: int
+    seqid: int
+
+
 class OperatorCommand(msgspec.Struct, tag="told", frozen=True):
     """Either process: an admin command that applies to both.
 
@@ -87,12 +135,20 @@
     | Rejected
     | Chunk
     | ListenerHandoff
+    | AcceptsOpenCalls
     | SuccessorReady
+    | WaitingCall
+    | OpenCalls
     | ConnectionHandoff
+    | ForwardedAnswer
+    | ForwardedWithdrawal
     | OperatorCommand
     | HandoffComplete
 )
 
+# Messages that belong to the next message of another kind, and are of no use without it.
+Part = Chunk | WaitingCall | OpenCalls
+
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Message)
 
--- a/fawnwharf/admin/hot_restart.py
+++ b/fawnwharf/admin/hot_restart.py
@@ -6,13 +6,16 @@
 
 from fawnwharf.admin import handoff_messages as messages
 from fawnwharf.admin import learned_state
+from fawnwharf.admin.connection_receiver import ConnectionReceiver
+from fawnwharf.admin.connection_sender import ConnectionSender
 from fawnwharf.admin.exclusive_extensions import ExclusiveExtensions
-from fawnwharf.admin.handoff_channel import HandoffChannel, Outgoing
+from fawnwharf.admin.handoff_channel import HandoffChannel
 from fawnwharf.admin.handoff_listener import HandoffListener
 from fawnwharf.admin.handoff_request import InheritedState
-from fawnwharf.admin.learned_state import LearnedState
+from fawnwharf.admin.learned_state import HandedOverState
 from fawnwharf.admin.predecessor_handoff import HandoffAction, HandoffPhase, PredecessorHandoff
-from fawnwharf.net.connection_handoff import HandedOffConnection
+from fawnwharf.net.client_calls import RemoteCall, TableCall
+from fawnwharf.net.clients import ClientConnection
 from fawnwharf.net.front_end import FrontEnd
 from fawnwharf.net.timer_wheel import monotonic_ms
 
@@ -55,7 +58,8 @@
         self.successor: HandoffChannel | None = None
         self._callbacks = callbacks
         self._inherited = inherited
-        self._unwritten = bytearray()  # unwritten bytes of the next connection from the predecessor
+        self._receiver = ConnectionReceiver(front.client_port, self._send_to_predecessor)
+        self._sender = ConnectionSender(front.client_port)
         self._predecessor_done = False
         self._listener: HandoffListener | None = None
         self._ticking = False
@@ -63,18 +67,18 @@
         self._sent_done = False
         self._successor_done = False
 
-    def decoded_learned_state(self) -> LearnedState | None:
+    def decoded_learned_state(self) -> HandedOverState | None:
         """The predecessor's learned state of any age; None if there is none or it can't be decoded.
 
         To be called before `start`. The owner uses its scorers in maintenance, which have no age limit.
         """
         data = self._inherited.encoded_learned_state
-        learned = learned_state.decode(data) if data else None
+        learned = learned_state.decode_handed_over(data) if data else None
         if data and learned is None:
             self.front.log("learned state of the previous process can't be read: starting without it")
         return learned
 
-    def start(self, learned: LearnedState | None) -> None:
+    def start(self, learned: HandedOverState | None) -> None:
         """Takes over from the predecessor: restores the learned state and accepts connections.
 
         Then listens for a successor.
@@ -94,6 +98,8 @@
             self.predecessor = HandoffChannel(
                 front.loop, sock, self._on_predecessor_message, self._on_predecessor_end
             )
+            if learned is not None and learned.hands_off_open_calls:
+                self.predecessor.send(messages.AcceptsOpenCalls())
             self.predecessor.send(messages.SuccessorReady())
         self._share_descriptors()
         self._open_listener()
@@ -151,18 +157,14 @@
         except Exception:  # the scorers in maintenance must be passed on even if the learned state is faulty
             front.loop.log_exception("learned state")
             expired_ms = at_ms - 2 * learned_state.MAX_AGE_MS
-            return learned_state.encode(LearnedState(expired_ms, sorted(in_maintenance)))
+            return learned_state.encode(
+                HandedOverState(expired_ms, sorted(in_maintenance), hands_off_open_calls=True)
+            )
 
     # --- in the role of the successor ---------------------------------------------------------------
 
     def _on_predecessor_message(self, message: messages.Message, carried: socket.socket | None) -> None:
         match message:
-            case messages.Chunk():
-                self._unwritten += message.data
-            case messages.ConnectionHandoff() if carried is not None:
-                unwritten = bytes(self._unwritten)
-                self._unwritten.clear()
-                self.front.client_port.take_over(_handed_connection(message, carried, unwritten))
             case messages.OperatorCommand():
                 self._callbacks.on_command(message)
                 if self.successor is not None:
@@ -171,14 +173,19 @@
                 if self.predecessor is not None:
                     self.predecessor.send(messages.HandoffComplete())
                 self._predecessor_done = True
-            case _ if carried is not None:
-                carried.close()
+            case _:
+                self._receiver.on_message(message, carried)
+
+    def _send_to_predecessor(self, message: messages.Message) -> None:
+        if self.predecessor is not None:
+            self.predecessor.send(message)
 
     def _on_predecessor_end(self, _channel: HandoffChannel) -> None:
         self.predecessor = None
         self._predecessor_done = False
         if not self._closed:
             self.front.log("hot restart: the previous process has ended")
+            self._receiver.fail_remote_calls()
             self._share_descriptors()
 
     # --- in the role of the predecessor -------------------------------------------------------------
@@ -197,49 +204,42 @@
         match message:
             case messages.Hello():
                 self._act(self.handoff.on_hello(message, holds_exclusive_extensions=self.extensions.exist))
+            case messages.AcceptsOpenCalls():
+                self.handoff.on_open_calls_accepted()
             case messages.SuccessorReady():
                 self._act(self.handoff.on_ready())
             case messages.OperatorCommand():
                 self._callbacks.on_command(message)
                 if self.predecessor is not None and not self._predecessor_done:
                     self.predecessor.send(message)
+            case messages.ForwardedWithdrawal():
+                self._sender.withdraw(message)
             case messages.HandoffComplete():
                 self._successor_done = True
 
     def _on_successor_end(self, channel: HandoffChannel) -> None:
         if channel is not self.successor or self._closed:
             return
-        unsent = channel.take_unsent()
         self.successor = None
         self._sent_done = False
         self._successor_done = False
         action = self.handoff.on_successor_lost()
+        self._sender.take_back(channel.take_unsent())
         if self.extensions.are_held:
-            self._resume(action, unsent)
+            self._resume(action)
         else:
-            self.extensions.reacquire(lambda: self._resume(action, unsent))
+            self.extensions.reacquire(lambda: self._resume(action))
 
-    def _resume(self, action: HandoffAction, unsent: list[Outgoing]) -> None:
+    def _resume(self, action: HandoffAction) -> None:
         """Serves alone again after the successor was lost."""
         self._act(action)
         self.front.client_port.set_accepting(True)
         self.front.client_port.set_paused(False)
+        self.front.client_port.run_held_calls()
         # During the hand-off readiness checks were answered for the successor.
         self.front.client_port.ready = self._callbacks.is_ready_to_serve()
-        self._adopt_unsent(unsent)
         self._share_descriptors()
 
-    def _adopt_unsent(self, unsent: list[Outgoing]) -> None:
-        unwritten = bytearray()
-        for message, carried in unsent:
-            if isinstance(message, messages.Chunk):
-                unwritten += message.data
-            elif isinstance(message, messages.ConnectionHandoff) and carried is not None:
-                self.front.client_port.take_over(_handed_connection(message, carried, bytes(unwritten)))
-                unwritten.clear()
-            elif carried is not None:
-                carried.close()
-
     def _act(self, action: HandoffAction) -> None:
         front = self.front
         match action:
@@ -290,7 +290,7 @@
             self.front.loop.timers.after(SUCCESSOR_READY_TIMEOUT_MS, lambda: self._check_ready(channel))
 
     def _check_ready(self, channel: HandoffChannel) -> None:
-        """Closes the channel if the successor did not become ready in time, as no process reads from clients.
+        """Closes the channel if the successor did not become ready in time, as no process runs new calls.
 
         This process then reacquires its extensions. A process that finds the disks and addresses in use ends.
         """
@@ -333,8 +333,7 @@
         successor = self.successor
         if self._ticking or not self.handoff.is_handing_off or successor is None:
             return
-        # Schedules the next tick first: after an error in this one the hand-off must go on, as otherwise no
-        # process would read from the clients.
+        # Schedules the next tick first: after an error in this one the hand-off must go on.
         self._ticking = True
         self.front.loop.timers.after(TICK_INTERVAL_MS, self._tick_again)
         now_ms = monotonic_ms()
@@ -356,7 +355,8 @@
         if self.handoff.phase is not HandoffPhase.SHUTTING_DOWN or self._sent_done:
             return False
         awaits_predecessor = self.predecessor is not None and self.handoff.awaits_predecessor(now_ms)
-        return not awaits_predecessor and not self.front.client_port.clients
+        has_connections = bool(self.front.client_port.clients) or self._sender.has_open_calls
+        return not awaits_predecessor and not has_connections
 
     def _hand_off_idle(self, successor: HandoffChannel) -> None:
         port = self.front.client_port
@@ -365,22 +365,20 @@
             connection = client.connection
             if connection.finishing or connection.closed or count == MAX_HANDOFFS_PER_TICK:
                 continue
-            has_open = bool(client.open)
-            has_unwritten = bool(connection.unwritten_bytes)
-            if not self.handoff.may_hand_off(has_open_request=has_open, has_unwritten_response=has_unwritten):
+            if not self._may_hand_off(client):
                 continue
-            handed = port.hand_off(client)
-            for chunk in messages.chunks(handed.unwritten):
-                successor.send(chunk)
-            if successor.closed:  # it ended while the chunks were sent, before this connection was queued
-                port.take_over(handed)
+            if not self.handoff.successor_accepts_open_calls:
+                client.reject_held()
+            self._sender.send(successor, client)
+            if successor.closed:
                 return
-            message = messages.ConnectionHandoff(
-                handed.partial, handed.skip, handed.has_sent, handed.empty_ms
-            )
-            successor.send(message, handed.sock)
             count += 1
 
+    def _may_hand_off(self, client: ClientConnection) -> bool:
+        has_running = any(isinstance(call, TableCall | RemoteCall) for call in client.open.values())
+        has_unwritten = bool(client.connection.unwritten_bytes)
+        return self.handoff.may_hand_off(has_open_request=has_running, has_unwritten_response=has_unwritten)
+
     def close(self) -> None:
         """Closes all channels as this process ends; takes no connection back."""
         self._closed = True
@@ -388,11 +386,3 @@
         for channel in (self.predecessor, self.successor, self._inherited.predecessor_socket):
             if channel is not None:
                 channel.close()
-
-
-def _handed_connection(
-    message: messages.ConnectionHandoff, sock: socket.socket, unwritten: bytes
-) -> HandedOffConnection:
-    return HandedOffConnection(
-        sock, message.partial, message.skip, message.has_sent, unwritten, message.empty_ms
-    )
--- a/fawnwharf/admin/learned_state.py
+++ b/fawnwharf/admin/learned_state.py
@@ -12,7 +12,7 @@
 import struct
 import zlib
 from collections.abc import Iterable
-from typing import Annotated
+from typing import Annotated, TypeVar
 
 import msgspec
 from msgspec import Meta, field
@@ -143,6 +143,18 @@
     functions: list[LearnedFunction] = field(default_factory=list)
 
 
+DecodedState = TypeVar("DecodedState", bound=LearnedState)
+
+
+class HandedOverState(LearnedState):
+    """The state with what older versions ignore.
+
+    - `hands_off_open_calls`: the writer hands off connections with open calls if its successor accepts them.
+    """
+
+    hands_off_open_calls: bool = False
+
+
 def encode(learned: LearnedState) -> bytes:
     """Encodes a state, with a header."""
     body = msgspec.msgpack.encode(learned)
@@ -151,6 +163,15 @@
 
 def decode(data: bytes) -> LearnedState | None:
     """Decodes a state; None if the bytes are truncated, damaged or of another version."""
+    return _decode(data, LearnedState)
+
+
+def decode_handed_over(data: bytes) -> HandedOverState | None:
+    """Decodes a state with what older versions ignore, at its defaults if such a version wrote it."""
+    return _decode(data, HandedOverState)
+
+
+def _decode(data: bytes, kind: type[DecodedState]) -> DecodedState | None:
     if not HEADER.size <= len(data) <= MAX_BYTES:
         return None
     magic, length, checksum = HEADER.unpack_from(data)
@@ -158,7 +179,7 @@
     if (magic, length, checksum) != (MAGIC, len(body), zlib.crc32(body)):
         return None
     try:
-        return msgspec.msgpack.decode(body, type=LearnedState)
+        return msgspec.msgpack.decode(body, type=kind)
     except msgspec.DecodeError:
         return None
 
@@ -173,9 +194,9 @@
 
 def capture(
     router: Router, scorers_in_maintenance: set[str], clock_ms: float, monotonic_ms: float
-) -> LearnedState:
+) -> HandedOverState:
     """Captures the decision module's state; both times are now, on its clock and on the monotonic clock."""
-    return LearnedState(
+    return HandedOverState(
         monotonic_ms,
         sorted(scorers_in_maintenance),
         started_age_ms=clock_ms - min(clock_ms, router.first_event_ms),
@@ -192,6 +213,7 @@
         run_time_samples=_aged(router.run_times, clock_ms),
         scorers=_captured_scorers(router, clock_ms),
         functions=_captured_functions(router, clock_ms),
+        hands_off_open_calls=True,
     )
 
 
--- a/fawnwharf/admin/predecessor_handoff.py
+++ b/fawnwharf/admin/predecessor_handoff.py
@@ -4,9 +4,9 @@
 
 from fawnwharf.admin.handoff_messages import VERSION, Hello
 
-# Time from SIGTERM until reading from clients stops, so that connections which never become idle can be
-# handed off.
-PAUSE_READING_AFTER_MS = 400.0
+# Time from SIGTERM until connections that have not become idle are handed off with their open calls, or, for
+# a successor that does not accept those, until reading from clients stops.
+HAND_OFF_BUSY_AFTER_MS = 400.0
 # Time from SIGTERM for which this process waits for the connections of its own predecessor, which was told to
 # end before it.
 OWN_PREDECESSOR_TIMEOUT_MS = 2_800.0
@@ -30,7 +30,7 @@
     REJECT = auto()
     STOP_ACCEPTING = auto()
     RESUME_ACCEPTING = auto()
-    PAUSE_CLIENT_READS = auto()  # from then on connections with unwritten responses are handed off as well
+    PAUSE_CLIENT_READS = auto()  # the successor does not accept connections with open calls
 
 
 class PredecessorHandoff:
@@ -43,8 +43,9 @@
         """`listen` is the address for clients, which the successor must share."""
         self.listen = listen
         self.phase = HandoffPhase.NO_SUCCESSOR
+        self.successor_accepts_open_calls = False
         self._shutdown_ms: float | None = None
-        self._paused = False
+        self._hands_off_busy = False
 
     @property
     def is_handing_off(self) -> bool:
@@ -67,9 +68,14 @@
             return HandoffAction.REJECT
         self.phase = HandoffPhase.REQUESTED
         if holds_exclusive_extensions and hello.needs_exclusive_extensions:
+            self._hands_off_busy = True  # calls arrive that only the successor may run
             return HandoffAction.RELEASE_EXTENSIONS
         return HandoffAction.SEND_STATE
 
+    def on_open_calls_accepted(self) -> None:
+        """The successor accepts connections with open calls."""
+        self.successor_accepts_open_calls = True
+
     def on_ready(self) -> HandoffAction:
         """The successor has begun to accept connections."""
         if self.phase is not HandoffPhase.REQUESTED:
@@ -81,7 +87,8 @@
         """The channel has ended: the successor has crashed, has ended or was given up."""
         was_handing_off = self.is_handing_off
         self.phase = HandoffPhase.NO_SUCCESSOR
-        self._paused = False
+        self._hands_off_busy = False
+        self.successor_accepts_open_calls = False
         return HandoffAction.RESUME_ACCEPTING if was_handing_off else HandoffAction.NONE
 
     def shut_down(self, now_ms: float) -> None:
@@ -104,19 +111,23 @@
         return is_ending and self._elapsed_ms(now_ms) < OWN_PREDECESSOR_TIMEOUT_MS
 
     def tick(self, now_ms: float) -> HandoffAction:
-        """Returns PAUSE_CLIENT_READS once, PAUSE_READING_AFTER_MS after this process was told to end."""
+        """Begins to hand off busy connections HAND_OFF_BUSY_AFTER_MS after this process was told to end.
+
+        Returns PAUSE_CLIENT_READS once if the successor does not accept open calls.
+        """
         is_ending = self.phase is HandoffPhase.SHUTTING_DOWN
-        if not is_ending or self._paused or self._elapsed_ms(now_ms) < PAUSE_READING_AFTER_MS:
+        if not is_ending or self._hands_off_busy or self._elapsed_ms(now_ms) < HAND_OFF_BUSY_AFTER_MS:
             return HandoffAction.NONE
-        self._paused = True
-        return HandoffAction.PAUSE_CLIENT_READS
+        self._hands_off_busy = True
+        return HandoffAction.NONE if self.successor_accepts_open_calls else HandoffAction.PAUSE_CLIENT_READS
 
     def may_hand_off(self, *, has_open_request: bool, has_unwritten_response: bool) -> bool:
         """Whether a connection may be handed off now.
 
-        `has_open_request`: a request on it has no complete response yet. Such a connection stays, because a
-        connection must have one owner at a time. `has_unwritten_response`: not all bytes of its responses
-        have been sent. This process sends them itself until client reads are paused; after that they are
-        handed off with the connection.
+        `has_open_request`: a request that runs here has no complete response yet. `has_unwritten_response`:
+        not all bytes of its responses have been sent. This process finishes both by itself at first. Later
+        the connection is handed off with them, with open requests only if the successor accepts those.
         """
-        return self.is_handing_off and not has_open_request and (self._paused or not has_unwritten_response)
+        if not self.is_handing_off or (has_open_request and not self.successor_accepts_open_calls):
+            return False
+        return self._hands_off_busy or not (has_open_request or has_unwritten_response)
--- a/fawnwharf/net/client_port.py
+++ b/fawnwharf/net/client_port.py
@@ -1,11 +1,15 @@
 """The port that clients connect to: its listener, its connections and its connection limit."""
 
 import socket
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from fawnwharf.config import Address
 from fawnwharf.interface import ClassSpec
+from fawnwharf.net import thrift
 from fawnwharf.net.acceptor import Acceptor
+from fawnwharf.net.call_hold import CallHold
+from fawnwharf.net.client_calls import OpenCall, TableCall
 from fawnwharf.net.clients import ClientConnection
 from fawnwharf.net.connection_handoff import HandedOffConnection
 from fawnwharf.net.end_reasons import EndReason
@@ -13,7 +17,7 @@
 from fawnwharf.net.idle_connections import IdleConnectionReleaser
 from fawnwharf.net.listener import open_listener
 from fawnwharf.net.log_writer import LogWriter
-from fawnwharf.net.requests import RequestTable
+from fawnwharf.net.requests import Call, RequestTable
 from fawnwharf.net.slow_clients import SlowClients
 from fawnwharf.net.timer_wheel import monotonic_ms
 
@@ -21,6 +25,10 @@
 IDLE_TIMEOUT_MS = 30_000.0
 
 
+def _no_remote_call(_seqid: int) -> None:
+    """Default of `take_over` for a connection without remote calls."""
+
+
 @dataclass(frozen=True, slots=True)
 class ClientPortSettings:
     """The configuration of a client port.
@@ -67,6 +75,7 @@
         self.address: Address = opened.getsockname()[:2]
         self.slow_clients = SlowClients(loop, self.clients)
         self._idle_releaser = IdleConnectionReleaser(loop, self.clients)
+        self._hold: CallHold | None = None  # set while calls are held
         if listener is None:
             self.set_accepting(True)
 
@@ -107,29 +116,79 @@
         free = self.max_connections - len(self.clients)
         return max(0, min(free, max(1, self.max_connections // 2)))
 
+    # --- calls ----------------------------------------------------------------------------------
+
+    def open_call(
+        self, client: ClientConnection, message: thrift.Handle, call: Call, age_ms: float
+    ) -> OpenCall | None:
+        """Run or hold a call that a client has sent `age_ms` ago; None if it was answered at once."""
+        if self._hold is not None:
+            return self._hold.add(client, message, call, age_ms)
+        return self.run_call(call)
+
+    def run_call(self, call: Call) -> OpenCall | None:
+        """Pass a call to the request table; None if it was answered at once."""
+        key = self.requests.take(call)
+        return None if key is None else TableCall(self, key)
+
+    def hold_calls(self, may_run: Callable[[float], bool]) -> None:
+        """Hold the calls that arrive from now on, because another process is about to run them.
+
+        A call that has waited for long is run all the same if `may_run` allows it; its argument is the time
+        in milliseconds that the call has left.
+        """
+        if self._hold is None:
+            self._hold = CallHold(self.loop.timers, may_run)
+
+    def run_held_calls(self) -> None:
+        """Run the held calls, and hold no further ones."""
+        if (hold := self._hold) is not None:
+            self._hold = None
+            hold.run_all()
+
+    @property
+    def has_running_calls(self) -> bool:
+        """Whether any call of a client runs in this process."""
+        return any(isinstance(call, TableCall) for client in self.clients for call in client.open.values())
+
     # --- hand-off to and from another process ---------------------------------------------------
 
     def hand_off(self, client: ClientConnection) -> HandedOffConnection:
-        """Detach a connection without open requests, and return it for another process."""
+        """Detach a connection and return it for another process, with the calls that are held on it.
+
+        Calls that run here remain open on `client`; the caller forwards their answers to the other process.
+        """
         del self.clients[client]
         empty_ms = client.connection.empty_ms
         sock, unwritten = client.connection.detach()
         partial, skip = client.state()
-        return HandedOffConnection(sock, partial, skip, client.has_sent, unwritten, empty_ms)
-
-    def take_over(self, handed: HandedOffConnection) -> None:
-        """Continue a connection of another process; it is closed if it is not usable."""
+        waiting = client.take_held()
+        running = tuple(client.open)
+        return HandedOffConnection(
+            sock, partial, skip, client.has_sent, unwritten, empty_ms, waiting, running
+        )
+
+    def take_over(
+        self, handed: HandedOffConnection, withdraw_remote: Callable[[int], None] = _no_remote_call
+    ) -> ClientConnection | None:
+        """Continue a connection of another process; it is closed, and None returned, if it is not usable.
+
+        `withdraw_remote` gets the sequence number of a remote call that the client has withdrawn.
+        """
         try:
             client = ClientConnection(self, handed.sock)
         except OSError as error:
             self.log(f"connection handed off by another process is not usable: {error}")
             handed.sock.close()
-            return
+            for seqid in handed.remote_calls:
+                withdraw_remote(seqid)
+            return None
         self.clients[client] = None
         if handed.empty_ms is not None:
             client.connection.assume_unread_since(handed.empty_ms)
-        client.resume(handed)
+        client.resume(handed, withdraw_remote)
         self.slow_clients.regulate(client)
+        return client
 
     def set_paused(self, on: bool) -> None:
         """Pause reading on all connections, or resume it: unread bytes belong to another process."""
--- a/fawnwharf/net/clients.py
+++ b/fawnwharf/net/clients.py
@@ -2,15 +2,18 @@
 
 import math
 import socket
+from collections.abc import Callable, Sequence
 from typing import TYPE_CHECKING
 
 from fawnwharf.net import thrift
+from fawnwharf.net.call_hold import HeldCall
 from fawnwharf.net.calls import call_from
+from fawnwharf.net.client_calls import OpenCall, RemoteCall
 from fawnwharf.net.connection import Connection
-from fawnwharf.net.connection_handoff import HandedOffConnection
+from fawnwharf.net.connection_handoff import HandedOffConnection, ReceivedCall
 from fawnwharf.net.end_reasons import EndReason
 from fawnwharf.net.event_loop import ReadPriority
-from fawnwharf.net.requests import Failed, Outcome, Rejected, Succeeded
+from fawnwharf.net.requests import Call, Failed, Outcome, Rejected, Succeeded
 from fawnwharf.net.timer_wheel import monotonic_ms
 
 if TYPE_CHECKING:
@@ -38,10 +41,12 @@
     def __init__(self, port: "ClientPort", sock: socket.socket) -> None:
         """Take over an accepted socket; raises OSError if it is not usable, and leaves it open then."""
         self.port = port
-        self.open: dict[int, str] = {}  # by sequence number: the key in the request table
+        self.open: dict[int, OpenCall] = {}  # by sequence number
         self.output_ended = False  # the client has ended its output: no new request is accepted
         self.has_sent = False  # a complete message has been received
         self._age_ms = 0.0  # how long the message that is being handled was unread
+        # Set once another process has the connection; gets a call's sequence number and its encoded answer.
+        self._forward_answer: Callable[[int, bytes], None] | None = None
         self._reader = thrift.FrameReader()
         self._timeout_start_ms = monotonic_ms()  # when the client connected, or when a partial message began
         self.connection = Connection.accepted(
@@ -69,17 +74,22 @@
         for index, item in enumerate(items):
             is_newest = index == len(items) - 1 and not self._reader.has_partial_frame
             self._age_ms = self.connection.age_ms if is_newest else self.connection.oldest_age_ms
-            try:
-                end = self._handle_message(item, withdrawn)
-            except Exception:  # an error ends the connection, but each request on it gets its answer
-                self.port.loop.log_exception("reading")
-                end = EndReason.PROTOCOL_ERROR
-            if end is not None:
+            if (end := self._handle_guarded(item, withdrawn)) is not None:
                 self._end_with(items[index:], end)
                 return
         if self.open:  # also after a message that is no request: an attempt may still wait to be sent
             self.check_peer_ended()
 
+    def _handle_guarded(
+        self, item: thrift.Message | thrift.MalformedMessageError, withdrawn: set[int]
+    ) -> EndReason | None:
+        """Handle one message; an error ends the connection, but each request on it gets its answer."""
+        try:
+            return self._handle_message(item, withdrawn)
+        except Exception:
+            self.port.loop.log_exception("reading")
+            return EndReason.PROTOCOL_ERROR
+
     def _handle_message(
         self, item: thrift.Message | thrift.MalformedMessageError, withdrawn: set[int]
     ) -> EndReason | None:
@@ -92,7 +102,7 @@
         if isinstance(item, thrift.Handle):
             return self._handle_request(item, withdrawn)
         if isinstance(item, thrift.Withdraw):
-            self._withdraw(item.seqid)
+            self.withdraw(item.seqid)
         else:
             self._write(thrift.answer("status", item.seqid, b"", {}, self.port.accepts_requests))
         return None
@@ -116,13 +126,20 @@
                 self._reply(seqid, Failed())
             return None
         call = parsed.open(self._age_ms, lambda outcome: self._reply(seqid, outcome), self.check_peer_ended)
-        if (key := self.port.requests.take(call)) is not None:
-            self.open[seqid] = key
+        if (opened := self.port.open_call(self, message, call, self._age_ms)) is not None:
+            self.open[seqid] = opened
         return None
 
-    def _withdraw(self, seqid: int) -> None:
-        if (key := self.open.pop(seqid, None)) is not None:
-            self.port.requests.withdraw(key)
+    def run_held(self, seqid: int, call: Call) -> None:
+        """Run a call that was held; it has not been answered or withdrawn."""
+        del self.open[seqid]
+        if (opened := self.port.run_call(call)) is not None:
+            self.open[seqid] = opened
+
+    def withdraw(self, seqid: int) -> None:
+        """Withdraw an open call; does nothing if it is not open."""
+        if (call := self.open.pop(seqid, None)) is not None:
+            call.withdraw()
 
     def _reject_malformed(self, error: thrift.MalformedMessageError) -> EndReason | None:
         self.port.log(f"client: {error}", "clients")
@@ -135,12 +152,19 @@
     def _reply(self, seqid: int, outcome: Outcome) -> None:
         self.open.pop(seqid, None)
         if isinstance(outcome, Succeeded):
-            self._write(thrift.answer("handle", seqid, outcome.body, {}, True))
+            self._answer(seqid, thrift.answer("handle", seqid, outcome.body, {}, True))
         elif isinstance(outcome, Rejected):
             retry_after_ms = math.ceil(max(0.0, outcome.hold_off_ms))
-            self._write(thrift.throttled(seqid, {"pushback": str(retry_after_ms)}))
+            self._answer(seqid, thrift.throttled(seqid, {"pushback": str(retry_after_ms)}))
         elif isinstance(outcome, Failed):
-            self._write(thrift.broken(seqid, {}))
+            self._answer(seqid, thrift.broken(seqid, {}))
+
+    def _answer(self, seqid: int, data: bytes) -> None:
+        """Write the answer of a call, or pass it on to the process that has the connection."""
+        if self._forward_answer is None:
+            self._write(data)
+        else:
+            self._forward_answer(seqid, data)
 
     def _write(self, data: bytes) -> None:
         self.connection.write(data)
@@ -156,14 +180,16 @@
 
     # --- the end --------------------------------------------------------------------------------
 
-    def _end_with(self, items: list[thrift.Message | thrift.MalformedMessageError], end: EndReason) -> None:
+    def _end_with(
+        self, items: Sequence[thrift.Message | thrift.MalformedMessageError], end: EndReason
+    ) -> None:
         """End the connection because of the first of these messages.
 
         The requests that were read completely are failed, also those after it, so that each has its answer.
         """
         for item in items:
             if isinstance(item, thrift.Withdraw):
-                self._withdraw(item.seqid)
+                self.withdraw(item.seqid)
         failed = set(self.open)
         self.fail_open()
         for item in items:
@@ -179,15 +205,18 @@
 
     def fail_open(self) -> None:
         """Answer each open request as failed."""
-        for seqid, key in list(self.open.items()):
-            self.port.requests.withdraw(key)
+        for seqid, call in list(self.open.items()):
+            call.withdraw()
             self._reply(seqid, Failed())
 
     def check_peer_ended(self) -> None:
         """Fail the open requests if the client has ended its output behind bytes that are not read yet.
 
-        Makes no system call if this iteration has read everything that was received.
+        Makes no system call if this iteration has read everything that was received. Does nothing once
+        another process has the connection: that process withdraws the calls of a client that has ended.
         """
+        if self._forward_answer is not None:
+            return
         if self.connection.may_have_ended() and self.connection.peer_ended():
             self.on_half_close()
 
@@ -201,12 +230,16 @@
 
     def on_end(self, _end: EndReason) -> None:
         """Withdraw the open requests, because the connection has ended."""
-        keys = list(self.open.values())
-        self.open = {}
-        for key in keys:
-            self.port.requests.withdraw(key)
+        self.withdraw_open()
         self.port.ended(self)
 
+    def withdraw_open(self) -> None:
+        """Withdraw all open calls, because their client has gone."""
+        calls = list(self.open.values())
+        self.open = {}
+        for call in calls:
+            call.withdraw()
+
     # --- idle connections -----------------------------------------------------------------------
 
     @property
@@ -220,16 +253,59 @@
         """Whether a message has been received in part."""
         return self._reader.has_partial_frame
 
+    # --- hand-off to and from another process ---------------------------------------------------
+
     def state(self) -> tuple[bytes, int]:
         """Return the bytes of a partial message, and how many bytes of an oversized one are still to skip."""
         return self._reader.state()
 
-    def resume(self, handed: HandedOffConnection) -> None:
+    def take_held(self) -> tuple[ReceivedCall, ...]:
+        """Remove the calls that are held here and return them, for another process."""
+        held = [call for call in self.open.values() if isinstance(call, HeldCall)]
+        for call in held:
+            self.withdraw(call.received.seqid)
+        return tuple(call.received for call in held)
+
+    def reject_held(self) -> None:
+        """Reject the calls that are held here, for a process that can't receive them."""
+        for call in [call for call in self.open.values() if isinstance(call, HeldCall)]:
+            call.reject()
+
+    def forward_answers(self, forward: Callable[[int, bytes], None]) -> None:
+        """Pass the answers of the open calls on, because another process has the connection.
+
+        `forward` gets the sequence number and the encoded answer.
+        """
+        self._forward_answer = forward
+
+    def resume(self, handed: HandedOffConnection, withdraw_remote: Callable[[int], None]) -> None:
         """Continue a connection in the state in which another process handed it off."""
         self._reader.resume(handed.partial, handed.skip)
         self.has_sent = handed.has_sent
         if handed.unwritten:
             self.connection.write(handed.unwritten)
+        for seqid in handed.remote_calls:
+            self.open[seqid] = RemoteCall(seqid, withdraw_remote)
+        waiting = handed.waiting_calls
+        calls: list[thrift.Message] = [thrift.Handle(each.seqid, each.fields, each.body) for each in waiting]
+        for index, call in enumerate(calls):
+            self._age_ms = max(0.0, monotonic_ms() - waiting[index].received_ms)
+            if (end := self._handle_guarded(call, set())) is not None:
+                self._end_with(calls[index:], end)
+                return
+
+    def answer_remote(self, seqid: int, data: bytes) -> None:
+        """Write the answer of a call that another process ran, if the client still waits for it."""
+        if isinstance(self.open.get(seqid), RemoteCall):
+            del self.open[seqid]
+            self._answer(seqid, data)
+
+    def fail_remote(self) -> None:
+        """Fail the calls that another process ran, because that process has ended."""
+        for seqid in [seqid for seqid, call in self.open.items() if isinstance(call, RemoteCall)]:
+            self._reply(seqid, Failed())
+
+    # --- idle connections: closing --------------------------------------------------------------
 
     def may_be_released(self, now_ms: float) -> bool:
         """Whether it may be closed to make capacity, because the client is probably not sending now.
--- a/tests/admin/test_admin_handoff.py
+++ b/tests/admin/test_admin_handoff.py
@@ -6,6 +6,7 @@
 from dataclasses import replace
 from unittest import mock
 
+import msgspec
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -31,6 +32,10 @@
     name, _, at = step.partition("@")
     steps = {
         "hello": lambda: source.on_hello(HELLO),
+        "accepts": source.on_open_calls_accepted,
+        "extensions": lambda: source.on_hello(
+            msgspec.structs.replace(HELLO, needs_exclusive_extensions=True), holds_exclusive_extensions=True
+        ),
         "newer": lambda: source.on_hello(messages.Hello(messages.VERSION + 1, ADDRESS)),
         "other": lambda: source.on_hello(messages.Hello(messages.VERSION, ("127.0.0.1", 8001))),
         "ready": source.on_ready,
@@ -41,8 +46,8 @@
     return steps[name]()
 
 
-NONE, SEND, REJECT, STOP, RESUME, PAUSE = (
-    HandoffAction.NONE, HandoffAction.SEND_STATE, HandoffAction.REJECT,
+NONE, SEND, RELEASE, REJECT, STOP, RESUME, PAUSE = (
+    HandoffAction.NONE, HandoffAction.SEND_STATE, HandoffAction.RELEASE_EXTENSIONS, HandoffAction.REJECT,
     HandoffAction.STOP_ACCEPTING, HandoffAction.RESUME_ACCEPTING, HandoffAction.PAUSE_CLIENT_READS,
 )  # fmt: skip
 SEQUENCES = [
@@ -58,6 +63,10 @@
      HandoffPhase.SHUTTING_DOWN),
     ("paused once", "hello ready shutdown@0 tick@400 tick@500", [SEND, STOP, None, PAUSE, NONE],
      HandoffPhase.SHUTTING_DOWN),
+    ("open calls are handed off, nothing is paused", "hello accepts ready shutdown@0 tick@400 tick@500",
+     [SEND, None, STOP, None, NONE, NONE], HandoffPhase.SHUTTING_DOWN),
+    ("extensions are released", "extensions ready shutdown@0 tick@400", [RELEASE, STOP, None, NONE],
+     HandoffPhase.SHUTTING_DOWN),
     ("shutting down before it is ready", "hello shutdown@0 ready", [SEND, None, STOP],
      HandoffPhase.SHUTTING_DOWN),
     ("no pause while it is not shutting down", "hello ready tick@9999", [SEND, STOP, NONE],
@@ -87,6 +96,16 @@
     ("hello ready shutdown@0 tick@399", [True, False, False, False]),
     ("hello ready shutdown@0 tick@400", [True, True, False, False]),
     ("hello ready shutdown@0 tick@400 lost", [False] * 4),
+    ("hello accepts", [False] * 4),
+    ("hello accepts ready", [True, False, False, False]),
+    ("hello accepts ready shutdown@0 tick@399", [True, False, False, False]),
+    ("hello accepts ready shutdown@0 tick@400", [True] * 4),
+    ("hello accepts ready shutdown@0 tick@400 lost", [False] * 4),
+    ("hello accepts ready lost hello ready shutdown@0 tick@400", [True, True, False, False]),
+    ("extensions accepts", [False] * 4),
+    ("extensions ready", [True, True, False, False]),
+    ("extensions accepts ready", [True] * 4),
+    ("extensions accepts ready lost hello accepts ready", [True, False, False, False]),
 ]
 
 
@@ -208,7 +227,7 @@
     sock = connect_successor(rig)
     rig.scorers[0].answer(rig.scorers[0].runs[0], body=b"y" * 5000)
     hot_restart = rig.admin.hot_restart
-    hot_restart.handoff._paused = True
+    hot_restart.handoff._hands_off_busy = True
     [held] = rig.front.client_port.clients
     hand_off = rig.front.client_port.hand_off
 
--- a/tests/admin/test_admin_hot_restart.py
+++ b/tests/admin/test_admin_hot_restart.py
@@ -14,6 +14,9 @@
 from fawnwharf.admin import handoff_channel
 from fawnwharf.admin import handoff_messages as messages
 from fawnwharf.admin.handoff_request import request_handoff
+from fawnwharf.admin.predecessor_handoff import HAND_OFF_BUSY_AFTER_MS
+
+LATEST_ANSWER_S = 0.8 + 0.5  # an answer counts until half a second after a call's time
 
 
 def has_connected(pid):
@@ -86,6 +89,31 @@
         assert len(site.gone) > 10
         assert [kind for caller in kept for _, kind, _ in caller.answers if kind != "answer"] == []
 
+    def test_requests_behind_a_long_one_are_served_by_the_new_process(self):
+        """Guards against requests that no process read until the call before them had ended."""
+        site = self.site(delay_s=3.0)
+        old = site.start()
+        kept = site.caller()
+        kept.ask()
+        site.until(lambda: any(scorer.due for scorer in site.scorers), "the long call runs")
+        for scorer in site.scorers:
+            scorer.delay_s = 0.02
+        site.start()
+        old.signal(signal.SIGTERM)
+        told = time.monotonic()
+        site.until(
+            lambda: time.monotonic() - told > HAND_OFF_BUSY_AFTER_MS / 1e3 + 0.1,
+            "connections that are not idle are handed off",
+        )
+        asked = time.monotonic()
+        kept.ask(ttl="800")
+        site.until(lambda: kept.open == 1, "the short call is answered")
+        assert time.monotonic() - asked < LATEST_ANSWER_S
+        site.until(lambda: not kept.open, "the long call is answered")
+        assert [kind for _, kind, _ in kept.answers] == ["answer", "answer"]
+        assert site.end(old) < OUGHT_S
+        self.settled(site)
+
 
 class SuccessorKilled(Case):
     """The predecessor continues to serve if its successor is lost, at whatever step."""
--- a/tests/compatibility/compatibility_boundaries.py
+++ b/tests/compatibility/compatibility_boundaries.py
@@ -108,6 +108,7 @@
     "migration/message": converted(migrations.Message),
     "successor/message": Boundary(successor.Message, successor.decode, successor.encode, binary=True),
     "successor/memory": packed(beliefs.LearnedState),
+    "successor/state": packed(beliefs.HandedOverState),
     "recovery/register": Boundary(
         recovery_register.RecoveryRegister, lambda data: recovery_register.parse_register(data.decode()),
         lambda value: value.encode().encode(),
--- a/tests/net/test_net_iteration_fairness.py
+++ b/tests/net/test_net_iteration_fairness.py
@@ -159,7 +159,9 @@
                 rig.front.loop.run_iteration(0.0)
         keys = [event.request for event in self.events_of(io.RequestArrived)]
         owners = {
-            key: n for n, owner in enumerate(rig.front.client_port.clients) for key in owner.open.values()
+            call.key: n
+            for n, owner in enumerate(rig.front.client_port.clients)
+            for call in owner.open.values()
         }
         self.assertEqual({owners[key] for key in keys}, set(range(len(clients))))
 
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -57,8 +57,9 @@
         for item in self.runs[self.taken :]:
             self.due.append((now + self.delay_s, item))
         self.taken = len(self.runs)
-        while self.due and self.due[0][0] <= now:
-            _, (link, frame) = self.due.popleft()
+        for entry in [entry for entry in self.due if entry[0] <= now]:  # delays may differ
+            self.due.remove(entry)
+            _, (link, frame) = entry
             size = int(frame.body.split(b":")[1]) if frame.body.startswith(b"big:") else 0
             self.answer((link, frame), body=b"done:" + frame.body + b"." * size)
         for link, outbox in self.outboxes.items():
--- a/tests/support/scorer_link_cases.py
+++ b/tests/support/scorer_link_cases.py
@@ -103,7 +103,9 @@
 
     def leave(self, rig, client, key, how):
         """Withdraw a request or close its client, and have the front end read that at once."""
-        [port] = [port for port in rig.front.client_port.clients if key in port.open.values()]
+        [port] = [
+            port for port in rig.front.client_port.clients if key in [call.key for call in port.open.values()]
+        ]
         if how == "withdraw":
             client.withdraw(client.seqid)
         else:
