Hot restart: an older successor's clients are read between short pauses

Cause: the pause of reading, by which busy connections become idle, had no end but their hand-off.

Change: it lasts 180 ms at a time, with 20 ms of reading between two of them. Calls of up to 180 ms leave the connection idle as before; behind a longer one, requests are served by the old process.

--- a/fawnwharf/admin/hot_restart.py
+++ b/fawnwharf/admin/hot_restart.py
@@ -259,6 +259,8 @@
                     self._open_listener()
             case HandoffAction.PAUSE_CLIENT_READS:
                 front.client_port.set_paused(True)
+            case HandoffAction.RESUME_CLIENT_READS:
+                front.client_port.set_paused(False)
 
     def _on_handoff_request(self) -> None:
         self.front.log("hot restart: another process requests the hand-off")
--- a/fawnwharf/admin/predecessor_handoff.py
+++ b/fawnwharf/admin/predecessor_handoff.py
@@ -5,8 +5,11 @@
 from fawnwharf.admin.handoff_messages import VERSION, Hello
 
 # Time from SIGTERM until connections that have not become idle are handed off with their open calls, or, for
-# a successor that does not accept those, until reading from clients stops.
+# a successor that does not accept those, until reading from clients is paused so that they become idle.
 HAND_OFF_BUSY_AFTER_MS = 400.0
+# Each pause ends after this time, as calls behind a long one must be read, and is followed by the next one.
+CLIENT_READ_PAUSE_MS = 180.0
+CLIENT_READ_MS = 20.0  # between two pauses
 # Time from SIGTERM for which this process waits for the connections of its own predecessor, which was told to
 # end before it.
 OWN_PREDECESSOR_TIMEOUT_MS = 2_800.0
@@ -31,6 +34,7 @@
     STOP_ACCEPTING = auto()
     RESUME_ACCEPTING = auto()
     PAUSE_CLIENT_READS = auto()  # the successor does not accept connections with open calls
+    RESUME_CLIENT_READS = auto()  # until the next pause
 
 
 class PredecessorHandoff:
@@ -46,6 +50,7 @@
         self.successor_accepts_open_calls = False
         self._shutdown_ms: float | None = None
         self._hands_off_busy = False
+        self._paused = False
 
     @property
     def is_handing_off(self) -> bool:
@@ -88,6 +93,7 @@
         was_handing_off = self.is_handing_off
         self.phase = HandoffPhase.NO_SUCCESSOR
         self._hands_off_busy = False
+        self._paused = False
         self.successor_accepts_open_calls = False
         return HandoffAction.RESUME_ACCEPTING if was_handing_off else HandoffAction.NONE
 
@@ -113,13 +119,18 @@
     def tick(self, now_ms: float) -> HandoffAction:
         """Begins to hand off busy connections HAND_OFF_BUSY_AFTER_MS after this process was told to end.
 
-        Returns PAUSE_CLIENT_READS once if the successor does not accept open calls.
+        From then on it returns PAUSE_CLIENT_READS and RESUME_CLIENT_READS by turns if the successor does not
+        accept open calls.
         """
-        is_ending = self.phase is HandoffPhase.SHUTTING_DOWN
-        if not is_ending or self._hands_off_busy or self._elapsed_ms(now_ms) < HAND_OFF_BUSY_AFTER_MS:
+        late_ms = self._elapsed_ms(now_ms) - HAND_OFF_BUSY_AFTER_MS
+        if self.phase is not HandoffPhase.SHUTTING_DOWN or late_ms < 0:
             return HandoffAction.NONE
         self._hands_off_busy = True
-        return HandoffAction.NONE if self.successor_accepts_open_calls else HandoffAction.PAUSE_CLIENT_READS
+        pauses = late_ms % (CLIENT_READ_PAUSE_MS + CLIENT_READ_MS) < CLIENT_READ_PAUSE_MS
+        if self.successor_accepts_open_calls or pauses == self._paused:
+            return HandoffAction.NONE
+        self._paused = pauses
+        return HandoffAction.PAUSE_CLIENT_READS if pauses else HandoffAction.RESUME_CLIENT_READS
 
     def may_hand_off(self, *, has_open_request: bool, has_unwritten_response: bool) -> bool:
         """Whether a connection may be handed off now.
--- a/tests/admin/test_admin_handoff.py
+++ b/tests/admin/test_admin_handoff.py
@@ -46,9 +46,10 @@
     return steps[name]()
 
 
-NONE, SEND, RELEASE, REJECT, STOP, RESUME, PAUSE = (
+NONE, SEND, RELEASE, REJECT, STOP, RESUME, PAUSE, READ = (
     HandoffAction.NONE, HandoffAction.SEND_STATE, HandoffAction.RELEASE_EXTENSIONS, HandoffAction.REJECT,
     HandoffAction.STOP_ACCEPTING, HandoffAction.RESUME_ACCEPTING, HandoffAction.PAUSE_CLIENT_READS,
+    HandoffAction.RESUME_CLIENT_READS,
 )  # fmt: skip
 SEQUENCES = [
     ("requested", "hello", [SEND], HandoffPhase.REQUESTED),
@@ -63,9 +64,12 @@
      HandoffPhase.SHUTTING_DOWN),
     ("paused once", "hello ready shutdown@0 tick@400 tick@500", [SEND, STOP, None, PAUSE, NONE],
      HandoffPhase.SHUTTING_DOWN),
+    ("paused by turns", "hello ready shutdown@0 tick@400 tick@579 tick@580 tick@599 tick@600 tick@780",
+     [SEND, STOP, None, PAUSE, NONE, READ, NONE, PAUSE, READ], HandoffPhase.SHUTTING_DOWN),
     ("open calls are handed off, nothing is paused", "hello accepts ready shutdown@0 tick@400 tick@500",
      [SEND, None, STOP, None, NONE, NONE], HandoffPhase.SHUTTING_DOWN),
-    ("extensions are released", "extensions ready shutdown@0 tick@400", [RELEASE, STOP, None, NONE],
+    ("extensions are released", "extensions accepts ready shutdown@0 tick@400",
+     [RELEASE, None, STOP, None, NONE],
      HandoffPhase.SHUTTING_DOWN),
     ("shutting down before it is ready", "hello shutdown@0 ready", [SEND, None, STOP],
      HandoffPhase.SHUTTING_DOWN),
--- a/tests/admin/test_admin_handoff_open_calls.py
+++ b/tests/admin/test_admin_handoff_open_calls.py
@@ -13,7 +13,7 @@
 
 from fawnwharf.admin import handoff_channel, hot_restart
 from fawnwharf.admin import handoff_messages as messages
-from fawnwharf.admin.predecessor_handoff import HAND_OFF_BUSY_AFTER_MS
+from fawnwharf.admin.predecessor_handoff import CLIENT_READ_PAUSE_MS, HAND_OFF_BUSY_AFTER_MS
 from fawnwharf.net import scorer_frames, thrift
 from fawnwharf.net.timer_wheel import monotonic_ms
 
@@ -147,6 +147,18 @@
     rig.until(lambda: client.answers or successor.data_before(handed), "the answer is written or handed off")
 
 
+def test_requests_behind_an_open_one_are_served_for_an_older_successor_too(rig):
+    """Guards against requests that lay unread behind an open one for as long as that one took."""
+    client = rig.called(rig.scorers[0])
+    ready_successor(rig, accepts_open_calls=False)
+    rig.front.shut_down()
+    rig.run_for(HAND_OFF_BUSY_AFTER_MS + 50.0)
+    client.call()
+    before_ms = monotonic_ms()
+    rig.until(lambda: len(rig.scorers[0].runs) == 2, "the next call runs")
+    assert monotonic_ms() - before_ms < CLIENT_READ_PAUSE_MS + 500.0
+
+
 def test_calls_of_connections_that_end_with_the_successor_are_withdrawn(rig):
     rig.called(rig.scorers[0])
     successor = ready_successor(rig)
