Directed logs: a connection begins its count of heartbeats, due at fixed times

Cause: DirectedLog.on_up replaced ChangeLog.on_up, which begins the count of heartbeats, so that a heartbeat counted as being as old as the machine's clock. Log servers set each heartbeat by when the last one was written, so that the count lagged more with each.

Change: DirectedLog overrides the number that is requested alone; heartbeats are due at fixed times.

--- a/fawnwharf/net/change_log.py
+++ b/fawnwharf/net/change_log.py
@@ -143,9 +143,9 @@
         self._heartbeat_age.begin(self._connected_ms)
         self._smaller_numbers = 0
         if self._connection:
-            self._connection.write(b"since %d\n" % self._resume_after())
+            self._connection.write(b"since %d\n" % self._number_to_request())
 
-    def _resume_after(self) -> int:
+    def _number_to_request(self) -> int:
         """The number after which events are requested.
 
         After a long time without confirmation the last event is requested again: its content shows whether
--- a/fawnwharf/replication/directed_log.py
+++ b/fawnwharf/replication/directed_log.py
@@ -107,11 +107,9 @@
         super().__init__(loop, address, on_line, cast(LogWriter, log))  # it only calls `log` with a text
         self._send_hello = send_hello
 
-    def on_up(self) -> None:
-        """Request the log with a new random number."""
-        if self._connection is None:
-            return
+    def _number_to_request(self) -> int:
+        """A new random number, which is announced to the member; overrides the method of `ChangeLog`."""
         self.seq = self.incarnation = 0
         reader_number = secrets.randbits(READER_NUMBER_BITS) + MIN_READER_NUMBER
-        self._connection.write(b"since %d\n" % reader_number)
         self._send_hello(reader_number)
+        return reader_number
--- a/fawnwharf/zones/member_log.py
+++ b/fawnwharf/zones/member_log.py
@@ -165,7 +165,8 @@
         self.address: Address = self._listener.getsockname()[:2]
         self._closed = False
         loop.watch(self._listener, READ, self._accept)
-        loop.timers.after(HEARTBEAT_MS, self._heartbeat)
+        self._heartbeat_ms = monotonic_ms()
+        self._schedule_heartbeat()
 
     def write(self, line: Any, counts_as: Hashable = None) -> None:
         """Write a line for all readers.
@@ -232,7 +233,12 @@
                 reader.connection.write(b"%d\n" % self.number(reader))
             elif now - reader.accepted_ms > REQUEST_TIMEOUT_MS:
                 reader.connection.close(EndReason.SILENT)
-        self.loop.timers.after(HEARTBEAT_MS, self._heartbeat)
+        self._schedule_heartbeat()
+
+    def _schedule_heartbeat(self) -> None:
+        """Schedule the next one by the last one's due time: readers count them to tell their age."""
+        self._heartbeat_ms += HEARTBEAT_MS
+        self.loop.timers.after(max(0.0, self._heartbeat_ms - monotonic_ms()), self._heartbeat)
 
     def close(self) -> None:
         """Close the listener and all readers' connections."""
