Claim gate: without a client, no attempt of an at-most-once call begins

Cause: the gate took a call that it had passed to the request table for one that runs, and lets those run on when their client leaves. It also asked only the first client of a call, before a send, whether it had ended.

Change: RequestTable.has_attempt_out tells whether an attempt is out. If none is, the call is withdrawn and its claim released, as it never ran; if one is, it may complete, and no further one is sent.

--- a/fawnwharf/net/requests.py
+++ b/fawnwharf/net/requests.py
@@ -158,6 +158,14 @@
         """
         self._abandon(key)
 
+    def has_attempt_out(self, key: str) -> bool:
+        """Whether an attempt of an open request has begun to be sent and has not ended."""
+        request = self.open.get(key)
+        attempts = [
+            self._in_flight.get((key, number)) for number in range(request.attempts if request else 0)
+        ]
+        return any(attempt is not None and attempt.begun for attempt in attempts)
+
     def _fail_overdue(self, key: str) -> None:
         """Fail a request whose deadline has passed.
 
--- a/fawnwharf/replication/claim_gate.py
+++ b/fawnwharf/replication/claim_gate.py
@@ -2,8 +2,8 @@
 
 A call of a claimed class proceeds when a quorum of its replicas has granted it. A repeat of an earlier call,
 made here or at another front end, gets the stored answer, waits for the running call, fails, or is rejected.
-Each client gets exactly one reply. An at-most-once call that is already running continues when its client
-leaves, so that its answer is stored when the client retries.
+Each client gets exactly one reply. When its last client leaves, a call is withdrawn. Only an attempt of an
+at-most-once call that is out already may complete, so that its answer is stored when the client retries.
 """
 
 import base64
@@ -12,6 +12,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
+from typing import NamedTuple
 
 from fawnwharf.interface import ClassSpec, Effect
 from fawnwharf.net.event_loop import EventLoop
@@ -39,6 +40,13 @@
 }
 
 
+class WaitingClient(NamedTuple):
+    """A client that waits for a call: its reply, and the check whether it has ended."""
+
+    reply: Callable[[Outcome], None]
+    check: Callable[[], None]
+
+
 @dataclass(slots=True, eq=False)
 class HeldCall:
     """One call and all clients that wait for it here."""
@@ -47,7 +55,7 @@
     call: Call
     spec: ClassSpec
     arrived_ms: float
-    waiting: dict[str, Callable[[Outcome], None]] = field(default_factory=dict)  # by port key
+    waiting: dict[str, WaitingClient] = field(default_factory=dict)  # by port key
     timers: dict[str, Timer] = field(default_factory=dict)
     running: bool = False
     table_key: str | None = None  # set while the call is in the request table
@@ -126,7 +134,7 @@
 
     def _add_client(self, held: HeldCall, port_key: str, call: Call) -> None:
         """Add a client that waits for this call until its own deadline."""
-        held.waiting[port_key] = call.reply
+        held.waiting[port_key] = WaitingClient(call.reply, call.check_client)
         self._by_port_key[port_key] = held
         remaining_ms = max(1.0, call.budget_ms - DEADLINE_MARGIN_MS)
         held.timers[port_key] = self._loop.timers.after(
@@ -135,17 +143,17 @@
 
     def _deadline_passed(self, held: HeldCall, port_key: str) -> None:
         """Fail the call for this client at its deadline: the call may have run."""
-        if (reply := self._remove_waiting(held, port_key)) is not None:
-            reply(Failed())
+        if (client := self._remove_waiting(held, port_key)) is not None:
+            client.reply(Failed())
 
-    def _remove_waiting(self, held: HeldCall, port_key: str) -> Callable[[Outcome], None] | None:
+    def _remove_waiting(self, held: HeldCall, port_key: str) -> WaitingClient | None:
         self._by_port_key.pop(port_key, None)
         if timer := held.timers.pop(port_key, None):
             timer.cancel()
-        reply = held.waiting.pop(port_key, None)
+        client = held.waiting.pop(port_key, None)
         if not held.waiting:
             self._last_client_left(held)
-        return reply
+        return client
 
     def withdraw(self, key: str) -> None:
         """Withdraw a call whose client left, as the request table does."""
@@ -162,10 +170,30 @@
         if not held.running:
             self._remove(held)
             self._carry_out(self._core.client_left(monotonic_ms(), held.key))
-        elif held.spec.effect is not Effect.AT_MOST_ONCE and held.table_key is not None:
-            self._table.withdraw(held.table_key)
-            self._remove(held)
-            self._carry_out(self._core.call_ended(monotonic_ms(), held.key, ClaimPhase.FAILED))
+        elif held.spec.effect is Effect.AT_MOST_ONCE:
+            self._withdraw_unsent(held)
+        elif held.table_key is not None:
+            self._withdraw(held, held.table_key, ClaimPhase.FAILED)
+
+    def _withdraw_unsent(self, held: HeldCall) -> None:
+        """Withdraw an at-most-once call that no client waits for, unless an attempt of it is out."""
+        if held.table_key is not None and not self._table.has_attempt_out(held.table_key):
+            self._withdraw(held, held.table_key, ClaimPhase.RELEASED)
+
+    def _withdraw(self, held: HeldCall, table_key: str, phase: ClaimPhase) -> None:
+        self._table.withdraw(table_key)
+        self._remove(held)
+        self._carry_out(self._core.call_ended(monotonic_ms(), held.key, phase))
+
+    def _check_clients(self, held: HeldCall) -> None:
+        """Called before each attempt and load order: removes clients that have ended.
+
+        Without any client no further attempt is sent.
+        """
+        for client in list(held.waiting.values()):
+            client.check()
+        if not held.waiting and self.calls.get(held.key) is held:
+            self._withdraw_unsent(held)
 
     # --- from the core ------------------------------------------------------------------------
 
@@ -194,6 +222,7 @@
             held.call,
             budget_ms=max(1.0, held.call.budget_ms - waited_ms),
             reply=lambda outcome: self._call_ended(held, outcome),
+            check_client=lambda: self._check_clients(held),
         )
         held.table_key = self._table.take(call)
 
@@ -217,10 +246,10 @@
 
     def _finish(self, held: HeldCall, outcome: Outcome) -> None:
         self._remove(held)
-        for port_key, reply in list(held.waiting.items()):
+        for port_key, client in list(held.waiting.items()):
             self._by_port_key.pop(port_key, None)
             held.timers.pop(port_key).cancel()
-            reply(outcome)
+            client.reply(outcome)
         held.waiting.clear()
 
     def wait_percentiles_ms(self) -> tuple[float, float]:
--- a/tests/net/test_net_request_rules.py
+++ b/tests/net/test_net_request_rules.py
@@ -47,6 +47,20 @@
         self.assertEqual((frame.id.hex(), frame.body), ("9b1f03aa5c7e2d41", body))
         self.assertTrue(0 < int(frame.fields["ms"]) <= 8000)
 
+    def test_an_attempt_is_out_from_its_first_byte_to_its_end(self):
+        scorer = ScorerPeer()
+        rig = self.rig(scorer)
+        client = rig.client()
+        client.call()
+        rig.until(lambda: rig.front.requests.open, "the request is open")
+        [key] = rig.front.requests.open
+        self.assertFalse(rig.front.requests.has_attempt_out(key))  # a copy is loaded first
+        rig.until(lambda: scorer.runs, "the request runs")
+        self.assertTrue(rig.front.requests.has_attempt_out(key))
+        scorer.answer(scorer.runs[0], code=scorer_frames.MISS)
+        rig.until(lambda: not rig.front.requests.has_attempt_out(key), "the attempt has ended")
+        self.assertFalse(rig.front.requests.has_attempt_out("unknown"))
+
     def test_a_withdrawn_request_gets_no_answer_and_a_late_one_is_dropped(self):
         scorer = ScorerPeer()
         rig = self.rig(scorer)
--- a/tests/replication/test_replication_claim_gate.py
+++ b/tests/replication/test_replication_claim_gate.py
@@ -50,6 +50,7 @@
         name = next(e.name for e in file.members if zones == "a" or e.name not in replicas)
         self.core = ReplicationCore(name, 1, file, rules, 0.0, fresh=fresh)
         self.calls, self.withdrawn, self.full = {}, [], False
+        self.attempts_out = True  # each call that runs has an attempt at a scorer
         self.gate = ClaimGate(self, self, self.core, rules, CLASSES, self.carry_out)
         self.sent = []
 
@@ -75,12 +76,15 @@
     def withdraw(self, key):
         self.withdrawn.append(key)
 
-    def submit(self, kind="once", number=1, token=""):
+    def has_attempt_out(self, key):
+        return self.attempts_out and key in self.calls and key not in self.withdrawn
+
+    def submit(self, kind="once", number=1, token="", **more):
         """Pass a call to the gate; returns its key and the list of its outcomes."""
         got = []
         call = Call(
             id=bytes([number] * 8), class_name=kind, tenant="t", function="f", budget_ms=2_000.0,
-            body=b"body", token=token, lanes=1, memory_mb=None, load_ms=None, reply=got.append,
+            body=b"body", token=token, lanes=1, memory_mb=None, load_ms=None, reply=got.append, **more,
         )  # fmt: skip
         return self.gate.take(call), got
 
@@ -123,6 +127,49 @@
     assert harness.submit()[1] == [Succeeded(b"x")]
 
 
+def test_an_at_most_once_call_that_was_not_sent_is_withdrawn_when_its_client_leaves():
+    """Guards against a call that waited for a copy and was sent long after its withdrawal."""
+    harness = GateHarness()
+    harness.attempts_out = False
+    key, got = harness.submit()
+    _, other = harness.submit()
+    harness.gate.withdraw(key)
+    assert harness.withdrawn == []  # the other client still waits
+    [port_key] = harness.gate._by_port_key
+    harness.gate.withdraw(port_key)
+    assert harness.withdrawn == ["r1"]
+    assert got == other == []
+    assert [claim.phase for claim in harness.claims()] == [ClaimPhase.RELEASED]
+    assert not harness.gate.busy
+    harness.submit()
+    assert list(harness.calls) == ["r1", "r2"]  # a repeat runs, as the first call never did
+
+
+def test_without_a_client_no_further_attempt_of_an_at_most_once_call_is_sent():
+    harness = GateHarness()
+    key, _ = harness.submit()
+    harness.gate.withdraw(key)
+    harness.calls["r1"].check_client()  # before a load order, say
+    assert harness.withdrawn == []  # the attempt that is out may complete
+    harness.attempts_out = False  # the scorer has turned it away
+    harness.calls["r1"].check_client()
+    assert harness.withdrawn == ["r1"]
+    assert [claim.phase for claim in harness.claims()] == [ClaimPhase.RELEASED]
+
+
+@pytest.mark.parametrize("kind", ["once", "keyed"])
+def test_each_client_is_checked_before_an_attempt(kind):
+    harness = GateHarness()
+    harness.attempts_out = False
+    keys = {}
+    for number in (1, 2):
+        check = lambda number=number: harness.gate.withdraw(keys[number])  # noqa: E731 - the client has ended
+        keys[number], _ = harness.submit(kind, token="k", check_client=check)
+    harness.calls["r1"].check_client()
+    assert harness.withdrawn == ["r1"]
+    assert not harness.gate.calls
+
+
 def test_a_deduplicated_call_is_withdrawn_as_failed_when_its_client_leaves():
     harness = GateHarness()
     key, _ = harness.submit("keyed", token="k")
