Operators' commands: a yes of one process holds at the other, whatever it crosses

Cause: the new process carried out a forwarded command as if an operator had made it there, with a check against its own list, which did not name the scorer yet. Its 404 was read by nobody. The same mistake, a yes taken for a question or told to a process that can't hear it, on related paths: a command before the state was sent ended the hand-off (a starting process took it for a rejection); a call back overtook the call at the other process; 'active' or 'standby' that changed nothing here was not forwarded; a replaced process kept its own standby after the loss of the new one; standby before the start was overridden by the start; a command on a scorer at a replaced process that ends turned readiness checks to no; a start without a hand-off left each process with its own commands.

Change: CommandHandler.apply_answered asks nothing. CommandLink queues commands until the other process can handle them. The channel to the predecessor is open before the first command is handled, and read before each. Every yes is forwarded. Without a channel, the old process tells the new one by a message of its own, and follows its file.

test_a_command_before_the_start_reaches_the_predecessor_at_the_start asserted that commands are sent at the start; they are sent at once now, and its successor asserts what arrives at a predecessor, once.

--- a/fawnwharf/admin/command_handler.py
+++ b/fawnwharf/admin/command_handler.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from fawnwharf.admin import command_paths as paths
+from fawnwharf.admin.handoff_messages import OperatorCommand
 from fawnwharf.admin.http import MAX_SCORER_ID_CHARACTERS, AdminRequest, AdminResponse
 
 
@@ -85,10 +87,13 @@
         scorer_id = _target(request)
         if isinstance(scorer_id, AdminResponse):
             return CommandResult(scorer_id)
+        if scorer_id not in self.scorers_in_maintenance and not self.is_known_scorer(scorer_id):
+            return CommandResult(AdminResponse(404, f"no scorer {scorer_id}"))
+        return self._enter(scorer_id)
+
+    def _enter(self, scorer_id: str) -> CommandResult:
         if scorer_id in self.scorers_in_maintenance:
             return CommandResult(AdminResponse(200, f"{scorer_id} is out already"))
-        if not self.is_known_scorer(scorer_id):
-            return CommandResult(AdminResponse(404, f"no scorer {scorer_id}"))
         self.scorers_in_maintenance.add(scorer_id)
         return CommandResult(AdminResponse(200, f"{scorer_id} is out"), EnterMaintenance(scorer_id))
 
@@ -96,28 +101,55 @@
         scorer_id = _target(request)
         if isinstance(scorer_id, AdminResponse):
             return CommandResult(scorer_id)
-        if scorer_id in self.scorers_in_maintenance:
-            self.scorers_in_maintenance.discard(scorer_id)
-            return CommandResult(
-                AdminResponse(200, f"{scorer_id} may serve again"), ExitMaintenance(scorer_id)
-            )
-        if not self.is_known_scorer(scorer_id):
+        if scorer_id not in self.scorers_in_maintenance and not self.is_known_scorer(scorer_id):
             return CommandResult(AdminResponse(404, f"no scorer {scorer_id}"))
-        return CommandResult(AdminResponse(200, f"{scorer_id} was not out"))
+        return self._exit(scorer_id)
+
+    def _exit(self, scorer_id: str) -> CommandResult:
+        if scorer_id not in self.scorers_in_maintenance:
+            return CommandResult(AdminResponse(200, f"{scorer_id} was not out"))
+        self.scorers_in_maintenance.discard(scorer_id)
+        return CommandResult(AdminResponse(200, f"{scorer_id} may serve again"), ExitMaintenance(scorer_id))
 
     def _enter_standby(self, _request: AdminRequest) -> CommandResult:
         if self.is_shutting_down:
             return CommandResult(AdminResponse(409, "it is leaving"))
-        effect = None if self.is_on_standby else EnterStandby()
-        self.is_on_standby = True
-        return CommandResult(AdminResponse(200, "draining"), effect)
+        return self._set_standby(on=True)
 
     def _exit_standby(self, _request: AdminRequest) -> CommandResult:
         if self.is_shutting_down:
             return CommandResult(AdminResponse(409, "it is leaving"))
-        effect = ExitStandby() if self.is_on_standby else None
-        self.is_on_standby = False
-        return CommandResult(AdminResponse(200, "back to work"), effect)
+        return self._set_standby(on=False)
+
+    def _set_standby(self, *, on: bool) -> CommandResult:
+        changes = on != self.is_on_standby
+        self.is_on_standby = on
+        if on:
+            return CommandResult(AdminResponse(200, "draining"), EnterStandby() if changes else None)
+        return CommandResult(AdminResponse(200, "back to work"), ExitStandby() if changes else None)
+
+    def apply_answered(self, command: OperatorCommand) -> CommandResult | None:
+        """Apply a command to which another process has answered yes; None for an unknown one.
+
+        That process knows a scorer that may not be listed here yet, or not any more, and a process that is
+        shutting down may serve on if its successor is lost.
+        """
+        match command.path:
+            case paths.ENTER_MAINTENANCE if command.scorer_id:
+                return self._enter(command.scorer_id)
+            case paths.EXIT_MAINTENANCE if command.scorer_id:
+                return self._exit(command.scorer_id)
+            case paths.STANDBY:
+                return self._set_standby(on=True)
+            case paths.ACTIVE:
+                return self._set_standby(on=False)
+        return None
+
+
+def command_of(request: AdminRequest) -> OperatorCommand:
+    """The command that tells another process of a request which was answered with yes."""
+    target = _target(request) if request.path in (paths.ENTER_MAINTENANCE, paths.EXIT_MAINTENANCE) else ""
+    return OperatorCommand(request.path, target if isinstance(target, str) else "")
 
 
 def _target(request: AdminRequest) -> str | AdminResponse:
@@ -128,9 +160,9 @@
 
 
 ROUTES: dict[str, tuple[str, Callable[[CommandHandler, AdminRequest], CommandResult]]] = {
-    "/status": ("GET", CommandHandler._status),
-    "/maintenance/enter": ("POST", CommandHandler._enter_maintenance),
-    "/maintenance/exit": ("POST", CommandHandler._exit_maintenance),
-    "/standby": ("POST", CommandHandler._enter_standby),
-    "/active": ("POST", CommandHandler._exit_standby),
+    paths.STATUS: ("GET", CommandHandler._status),
+    paths.ENTER_MAINTENANCE: ("POST", CommandHandler._enter_maintenance),
+    paths.EXIT_MAINTENANCE: ("POST", CommandHandler._exit_maintenance),
+    paths.STANDBY: ("POST", CommandHandler._enter_standby),
+    paths.ACTIVE: ("POST", CommandHandler._exit_standby),
 }
--- a/fawnwharf/admin/connection_sender.py
+++ b/fawnwharf/admin/connection_sender.py
@@ -7,10 +7,14 @@
 from fawnwharf.admin import handoff_messages as messages
 from fawnwharf.admin.connection_assembler import ConnectionAssembler
 from fawnwharf.admin.handoff_channel import HandoffChannel, Outgoing
+from fawnwharf.admin.predecessor_handoff import PredecessorHandoff
+from fawnwharf.net.client_calls import RemoteCall, TableCall
 from fawnwharf.net.client_port import ClientPort
 from fawnwharf.net.clients import ClientConnection
 from fawnwharf.net.connection_handoff import HandedOffConnection
 
+MAX_HANDOFFS_PER_CALL = 256  # so that a call does not block the event loop for long
+
 
 class ConnectionSender:
     """Owns the calls that this process still runs for connections that its successor has."""
@@ -25,7 +29,19 @@
         """Whether an answer is still to be forwarded."""
         return any(client.open for client in self._handed_off.values())
 
-    def send(self, channel: HandoffChannel, client: ClientConnection) -> None:
+    def hand_off(self, channel: HandoffChannel, handoff: PredecessorHandoff) -> None:
+        """Hand off the connections for which it is time, up to MAX_HANDOFFS_PER_CALL."""
+        count = 0
+        for client in list(self._port.clients):
+            if channel.closed or count == MAX_HANDOFFS_PER_CALL:
+                return
+            if _may_hand_off(client, handoff):
+                if not handoff.successor_accepts_open_calls:
+                    client.reject_held()
+                self._send(channel, client)
+                count += 1
+
+    def _send(self, channel: HandoffChannel, client: ClientConnection) -> None:
         """Hand off a connection with its calls; it is taken back if the channel ends before that."""
         handed = self._port.hand_off(client)
         for chunk in messages.chunks(handed.unwritten):
@@ -92,6 +108,15 @@
         return client
 
 
+def _may_hand_off(client: ClientConnection, handoff: PredecessorHandoff) -> bool:
+    connection = client.connection
+    if connection.finishing or connection.closed:
+        return False
+    has_running = any(isinstance(call, TableCall | RemoteCall) for call in client.open.values())
+    has_unwritten = bool(connection.unwritten_bytes)
+    return handoff.may_hand_off(has_open_request=has_running, has_unwritten_response=has_unwritten)
+
+
 def _forward(channel: HandoffChannel, number: int, seqid: int, data: bytes) -> None:
     for chunk in messages.chunks(data):
         channel.send(chunk)
--- a/fawnwharf/admin/handoff_channel.py
+++ b/fawnwharf/admin/handoff_channel.py
@@ -13,6 +13,7 @@
 
 MAX_MESSAGE_BYTES = 128 * 1024
 MAX_READS_PER_ITERATION = 64  # messages read in one event loop iteration
+MAX_PENDING_MESSAGES = 4_096  # more than the system queues on a socket
 DESCRIPTOR_BYTES = array.array("i", [0]).itemsize
 # Errors of sendmsg at the system's limit of descriptors in transit; it works again once the other end has
 # read some.
@@ -43,7 +44,7 @@
     timeout.
     """
     try:
-        data, ancillary, _, _ = sock.recvmsg(MAX_MESSAGE_BYTES, socket.CMSG_SPACE(DESCRIPTOR_BYTES))
+        data, ancillary = _receive_bytes(sock)
     except (BlockingIOError, TimeoutError):
         raise
     except OSError:
@@ -54,6 +55,13 @@
     return Received(messages.decode(data), carried)
 
 
+def _receive_bytes(sock: socket.socket) -> tuple[bytes, list[tuple[int, int, bytes]]]:
+    """Receives the bytes of one message and its ancillary data."""
+    ancillary_bytes = socket.CMSG_SPACE(DESCRIPTOR_BYTES)
+    data, ancillary, _, _ = sock.recvmsg(MAX_MESSAGE_BYTES, ancillary_bytes)
+    return data, ancillary
+
+
 def _carried_socket(ancillary: list[tuple[int, int, bytes]]) -> socket.socket | None:
     """The last socket in the ancillary data; others are closed, because a message carries at most one."""
     carried = None
@@ -174,19 +182,29 @@
 
     def _read(self) -> None:
         for _ in range(MAX_READS_PER_ITERATION):
-            if self.closed:
-                return
-            try:
-                received = receive(self._sock)
-            except BlockingIOError:
+            if self.closed or not self._read_one():
                 return
-            message, carried = received or (None, None)
-            if message is None:
-                if carried is not None:
-                    carried.close()
-                self.close()
+
+    def read_pending(self) -> None:
+        """Reads all messages that are there, without waiting for the event loop."""
+        for _ in range(MAX_PENDING_MESSAGES):
+            if self.closed or not self._read_one():
                 return
-            self._on_message(message, carried)
+
+    def _read_one(self) -> bool:
+        """Reads one message; returns whether there may be another one."""
+        try:
+            received = receive(self._sock)
+        except BlockingIOError:
+            return False
+        message, carried = received or (None, None)
+        if message is None:
+            if carried is not None:
+                carried.close()
+            self.close()
+            return False
+        self._on_message(message, carried)
+        return True
 
     def close(self) -> None:
         """Ends the channel; further calls do nothing."""
--- a/fawnwharf/admin/handoff_messages.py
+++ b/fawnwharf/admin/handoff_messages.py
@@ -124,9 +124,8 @@
 class HandoffComplete(msgspec.Struct, tag="done", frozen=True):
     """Predecessor: it has sent everything and is about to end. Successor: it has received everything.
 
-    Each sends nothing after it. The predecessor ends only after the successor's answer, because messages in
-    transit would be lost otherwise: if one end of the socket closes with unread messages, the next read at
-    the other end fails, even if messages are there.
+    The successor sends nothing after it, the predecessor only commands. The predecessor ends only after the
+    successor's answer: what it has not read would be lost otherwise.
     """
 
 
--- a/fawnwharf/admin/hot_restart.py
+++ b/fawnwharf/admin/hot_restart.py
@@ -6,6 +6,7 @@
 
 from fawnwharf.admin import handoff_messages as messages
 from fawnwharf.admin import learned_state
+from fawnwharf.admin.command_link import CommandLink, StateFileReader, send_to_newer_process
 from fawnwharf.admin.connection_receiver import ConnectionReceiver
 from fawnwharf.admin.connection_sender import ConnectionSender
 from fawnwharf.admin.exclusive_extensions import ExclusiveExtensions
@@ -13,14 +14,12 @@
 from fawnwharf.admin.handoff_listener import HandoffListener
 from fawnwharf.admin.handoff_request import InheritedState
 from fawnwharf.admin.learned_state import HandedOverState
+from fawnwharf.admin.learned_state_capture import encoded_state
 from fawnwharf.admin.predecessor_handoff import HandoffAction, HandoffPhase, PredecessorHandoff
-from fawnwharf.net.client_calls import RemoteCall, TableCall
-from fawnwharf.net.clients import ClientConnection
 from fawnwharf.net.front_end import FrontEnd
 from fawnwharf.net.timer_wheel import monotonic_ms
 
 TICK_INTERVAL_MS = 20.0  # between checks for connections that have become idle
-MAX_HANDOFFS_PER_TICK = 256
 # Timeout of SuccessorReady after the state was sent, if this process has released its extensions. After it
 # the channel is closed.
 SUCCESSOR_READY_TIMEOUT_MS = 6_000.0
@@ -32,7 +31,7 @@
 class HotRestartCallbacks:
     """The callbacks through which HotRestart calls its owner, the admin service.
 
-    - `on_command`: handles an admin command that another process of this front end has received.
+    - `on_command`: handles an admin command to which another process of this front end has answered yes.
     - `scorers_in_maintenance`: returns the ids of the scorers in maintenance.
     - `is_ready_to_serve`: returns whether readiness checks of this process should succeed.
     """
@@ -58,14 +57,26 @@
         self.successor: HandoffChannel | None = None
         self._callbacks = callbacks
         self._inherited = inherited
+        self._started = False
         self._receiver = ConnectionReceiver(front.client_port, self._send_to_predecessor)
         self._sender = ConnectionSender(front.client_port)
-        self._predecessor_done = False
+        self._predecessor_commands = CommandLink()
+        self._successor_commands = CommandLink()
+        self._state_file: StateFileReader | None = None
         self._listener: HandoffListener | None = None
         self._ticking = False
         self._closed = False
         self._sent_done = False
         self._successor_done = False
+        if inherited.predecessor_socket is not None:
+            self._open_predecessor_channel(inherited.predecessor_socket)
+
+    def _open_predecessor_channel(self, sock: socket.socket) -> None:
+        """Opens the channel before the first operator's command: the predecessor may have told of others."""
+        self.predecessor = HandoffChannel(
+            self.front.loop, sock, self._on_predecessor_message, self._on_predecessor_end
+        )
+        self._predecessor_commands.open(self.predecessor)
 
     def decoded_learned_state(self) -> HandedOverState | None:
         """The predecessor's learned state of any age; None if there is none or it can't be decoded.
@@ -93,18 +104,25 @@
             functions, scorers = len(learned.functions), len(learned.scorers)
             front.log(f"hot restart: taking over {functions} functions, {scorers} scorers")
         front.client_port.set_accepting(True)
-        if self._inherited.predecessor_socket is not None:
-            sock = self._inherited.predecessor_socket
-            self.predecessor = HandoffChannel(
-                front.loop, sock, self._on_predecessor_message, self._on_predecessor_end
-            )
+        if self.predecessor is not None:
             if learned is not None and learned.hands_off_open_calls:
                 self.predecessor.send(messages.AcceptsOpenCalls())
             self.predecessor.send(messages.SuccessorReady())
+        self._started = True
         self._share_descriptors()
         self._open_listener()
+        if self.directory is not None:
+            self._state_file = StateFileReader(self.directory, self._inherited.encoded_learned_state)
+        if self.predecessor is None:
+            self._apply_state_file()  # the previous process may have written to it until the socket was open
         self._inherited = InheritedState()
 
+    def _apply_state_file(self) -> None:
+        """Applies the commands that another process has written to the state file."""
+        if self._state_file is not None:
+            for command in self._state_file.new_commands():
+                self._callbacks.on_command(command)
+
     def _open_listener(self) -> None:
         if self.directory is None:
             return
@@ -122,15 +140,28 @@
         """Reduces the descriptor limits while two processes run, as they hold for both together."""
         self.front.use_share(DESCRIPTOR_SHARE_WHILE_TWO_RUN if self.predecessor or self.successor else 1.0)
 
-    def forward_command(self, path: str, scorer_id: str) -> None:
-        """Forwards an admin command that this process received to its predecessor and successor, if any.
+    @property
+    def _is_superseded(self) -> bool:
+        """Whether another process has replaced the socket file of this one, without a hand-off."""
+        return self._listener is not None and not self._listener.owns_socket_path
 
-        `scorer_id` is "" for a command without a scorer.
-        """
-        predecessor = None if self._predecessor_done else self.predecessor
-        for channel in (predecessor, self.successor):
+    def read_pending(self) -> None:
+        """Handles all that other processes have sent: commands that they have answered come first."""
+        for channel in (self.predecessor, self.successor):
             if channel is not None:
-                channel.send(messages.OperatorCommand(path, scorer_id))
+                channel.read_pending()
+
+    def forward_command(self, command: messages.OperatorCommand) -> None:
+        """Forwards an admin command that this process has answered to the other processes, if any."""
+        self._predecessor_commands.send(command)
+        self._successor_commands.send(command)
+        if self.directory is not None and self.successor is None and self._is_superseded:
+            send_to_newer_process(self.directory, command)
+
+    def follow_newer_process(self) -> None:
+        """Applies commands of a process that replaces this one without a hand-off; called periodically."""
+        if self.successor is None and self._is_superseded:
+            self._apply_state_file()
 
     def write_learned_state(self) -> None:
         """Writes the learned state to its file, for a successor that starts after this process has ended.
@@ -138,8 +169,7 @@
         Called at each change of the scorers in maintenance and at the shutdown. Does nothing once the file
         belongs to a newer process.
         """
-        is_replaced = self._listener is not None and not self._listener.owns_socket_path
-        if self.directory is None or self.handoff.is_handing_off or is_replaced:
+        if self.directory is None or self.handoff.is_handing_off or self._is_superseded:
             return  # the file belongs to the newer process
         try:
             self.directory.write_learned_state(self._encoded_state())
@@ -147,19 +177,7 @@
             self.front.log(f"learned state not written: {error.strerror}")
 
     def _encoded_state(self) -> bytes:
-        front = self.front
-        in_maintenance = self._callbacks.scorers_in_maintenance()
-        clock_ms = front.loop.clock.now_ms()
-        at_ms = monotonic_ms()
-        try:
-            learned = learned_state.capture(front.router, in_maintenance, clock_ms, at_ms)
-            return learned_state.encode(learned)
-        except Exception:  # the scorers in maintenance must be passed on even if the learned state is faulty
-            front.loop.log_exception("learned state")
-            expired_ms = at_ms - 2 * learned_state.MAX_AGE_MS
-            return learned_state.encode(
-                HandedOverState(expired_ms, sorted(in_maintenance), hands_off_open_calls=True)
-            )
+        return encoded_state(self.front, self._callbacks.scorers_in_maintenance())
 
     # --- in the role of the successor ---------------------------------------------------------------
 
@@ -167,12 +185,10 @@
         match message:
             case messages.OperatorCommand():
                 self._callbacks.on_command(message)
-                if self.successor is not None:
-                    self.successor.send(message)
+                self._successor_commands.send(message)
             case messages.HandoffComplete():
-                if self.predecessor is not None:
-                    self.predecessor.send(messages.HandoffComplete())
-                self._predecessor_done = True
+                self._send_to_predecessor(messages.HandoffComplete())
+                self._predecessor_commands.close()
             case _:
                 self._receiver.on_message(message, carried)
 
@@ -182,7 +198,7 @@
 
     def _on_predecessor_end(self, _channel: HandoffChannel) -> None:
         self.predecessor = None
-        self._predecessor_done = False
+        self._predecessor_commands.close()
         if not self._closed:
             self.front.log("hot restart: the previous process has ended")
             self._receiver.fail_remote_calls()
@@ -199,6 +215,7 @@
         self.successor = HandoffChannel(
             self.front.loop, sock, self._on_successor_message, self._on_successor_end
         )
+        self._successor_commands.expect()
 
     def _on_successor_message(self, message: messages.Message, _carried: socket.socket | None) -> None:
         match message:
@@ -210,8 +227,7 @@
                 self._act(self.handoff.on_ready())
             case messages.OperatorCommand():
                 self._callbacks.on_command(message)
-                if self.predecessor is not None and not self._predecessor_done:
-                    self.predecessor.send(message)
+                self._predecessor_commands.send(message)
             case messages.ForwardedWithdrawal():
                 self._sender.withdraw(message)
             case messages.HandoffComplete():
@@ -221,6 +237,7 @@
         if channel is not self.successor or self._closed:
             return
         self.successor = None
+        self._successor_commands.close()
         self._sent_done = False
         self._successor_done = False
         action = self.handoff.on_successor_lost()
@@ -288,6 +305,7 @@
         for chunk in messages.chunks(self._encoded_state()):
             channel.send(chunk)
         channel.send(messages.ListenerHandoff(), listener.dup())
+        self._successor_commands.open(channel)  # a starting process takes an earlier command for a rejection
         if not self.extensions.are_held:
             self.front.loop.timers.after(SUCCESSOR_READY_TIMEOUT_MS, lambda: self._check_ready(channel))
 
@@ -310,7 +328,7 @@
     @property
     def will_take_over(self) -> bool:
         """Whether `start` was not called yet and will take over from a running predecessor."""
-        return self._inherited.predecessor_socket is not None
+        return self.predecessor is not None and not self._started
 
     @property
     def is_replaced(self) -> bool:
@@ -328,7 +346,8 @@
         the exclusive extensions of this one.
         """
         if self.handoff.is_handing_off:
-            return not self._successor_done
+            has_unsent = self.successor is not None and self.successor.has_unsent
+            return has_unsent or not self._successor_done
         return not self.extensions.are_held
 
     def _tick(self) -> None:
@@ -344,7 +363,7 @@
             successor.close()
             return
         self._act(self.handoff.tick(now_ms))
-        self._hand_off_idle(successor)
+        self._sender.hand_off(successor, self.handoff)
         if self._has_handed_off_everything(now_ms):
             self._sent_done = True
             successor.send(messages.HandoffComplete())
@@ -360,31 +379,10 @@
         has_connections = bool(self.front.client_port.clients) or self._sender.has_open_calls
         return not awaits_predecessor and not has_connections
 
-    def _hand_off_idle(self, successor: HandoffChannel) -> None:
-        port = self.front.client_port
-        count = 0
-        for client in list(port.clients):
-            connection = client.connection
-            if connection.finishing or connection.closed or count == MAX_HANDOFFS_PER_TICK:
-                continue
-            if not self._may_hand_off(client):
-                continue
-            if not self.handoff.successor_accepts_open_calls:
-                client.reject_held()
-            self._sender.send(successor, client)
-            if successor.closed:
-                return
-            count += 1
-
-    def _may_hand_off(self, client: ClientConnection) -> bool:
-        has_running = any(isinstance(call, TableCall | RemoteCall) for call in client.open.values())
-        has_unwritten = bool(client.connection.unwritten_bytes)
-        return self.handoff.may_hand_off(has_open_request=has_running, has_unwritten_response=has_unwritten)
-
     def close(self) -> None:
         """Closes all channels as this process ends; takes no connection back."""
         self._closed = True
         self._close_listener()
-        for channel in (self.predecessor, self.successor, self._inherited.predecessor_socket):
+        for channel in (self.predecessor, self.successor):
             if channel is not None:
                 channel.close()
--- a/fawnwharf/admin/learned_state.py
+++ b/fawnwharf/admin/learned_state.py
@@ -213,7 +213,6 @@
         run_time_samples=_aged(router.run_times, clock_ms),
         scorers=_captured_scorers(router, clock_ms),
         functions=_captured_functions(router, clock_ms),
-        hands_off_open_calls=True,
     )
 
 
--- a/fawnwharf/admin/service.py
+++ b/fawnwharf/admin/service.py
@@ -4,13 +4,13 @@
 from fawnwharf.admin import draining
 from fawnwharf.admin.admin_listener import AdminListener
 from fawnwharf.admin.command_handler import (
-    CommandEffect,
     CommandHandler,
     CommandResult,
     EnterMaintenance,
     EnterStandby,
     ExitMaintenance,
     ExitStandby,
+    command_of,
 )
 from fawnwharf.admin.handoff_messages import OperatorCommand
 from fawnwharf.admin.handoff_request import InheritedState
@@ -24,6 +24,7 @@
 OVERDUE_CHECK_INTERVAL_MS = 250.0  # between checks for requests that are not complete in time
 ROSTER_FILTER_NAME = "operators"  # of the filter that removes scorers in maintenance from the roster
 CALL_LIMIT_NAME = "operators"  # of the limit by which a draining front end rejects calls
+OK = 200  # the status of a response that says yes
 MAX_SCORER_LIST_CHARACTERS = 200  # of the list of scorers in maintenance in a log line
 
 
@@ -44,7 +45,7 @@
         self._draining_since_ms: float | None = None
         self._rejecting = False
         callbacks = HotRestartCallbacks(
-            on_command=self._on_forwarded_command,
+            on_command=self._on_answered_command,
             scorers_in_maintenance=lambda: self.commands.scorers_in_maintenance,
             is_ready_to_serve=lambda: self.is_ready_to_serve,
         )
@@ -72,58 +73,50 @@
         restart.
         """
         self.hot_restart.start(self._inherited)
-        inherited = set(self._inherited.scorers_in_maintenance) if self._inherited else set()
-        # Forwards commands that this process received while it had no channel to the predecessor.
-        for scorer_id in inherited ^ self.commands.scorers_in_maintenance:
-            entered = scorer_id in self.commands.scorers_in_maintenance
-            path = "/maintenance/enter" if entered else "/maintenance/exit"
-            self.hot_restart.forward_command(path, scorer_id)
         self._inherited = None
 
     def handle(self, request: AdminRequest) -> AdminResponse:
-        """Handles a command that an operator sent to this process, and forwards its effect."""
-        response, effect = self._execute(request)
-        if effect is not None:
-            scorer_id = effect.scorer_id if isinstance(effect, EnterMaintenance | ExitMaintenance) else ""
-            self.hot_restart.forward_command(request.path, scorer_id)
-        return response
+        """Handles a command that an operator sent to this process, and forwards it.
 
-    def _on_forwarded_command(self, command: OperatorCommand) -> None:
-        """Handles a command that another process has received.
-
-        Standby and its end apply only to the process that serves the clients.
+        What another process has answered to before is handled first, so that the operator's last call counts.
+        A command that changes nothing here is forwarded, too: the other process may be in another state.
         """
-        if not self.is_replaced or command.scorer_id:
-            query = (("target", command.scorer_id),) if command.scorer_id else ()
-            self._execute(AdminRequest("POST", command.path, query))
-
-    def _execute(self, request: AdminRequest) -> CommandResult:
+        self.hot_restart.read_pending()
         self.commands.is_serving = self.front.started and not self.front.client_port.not_ready_reasons
         self.commands.is_shutting_down = self.front.shutting_down
         result = self.commands.handle(request)
-        response, effect = result
         if request.method != "GET":
-            self.front.log(f"admin command {request.path}: {response.status} {response.text}")
-        if effect is not None:
-            self._carry_out(effect)
-        return result
-
-    def _maintenance_filter(self) -> RosterFilter:
-        in_maintenance = frozenset(self.commands.scorers_in_maintenance)
-        return lambda member: member.id in in_maintenance
-
-    def _carry_out(self, effect: CommandEffect) -> None:
+            self._carry_out(request.path, result)
+            if result.response.status == OK:
+                self.hot_restart.forward_command(command_of(request))
+        return result.response
+
+    def _on_answered_command(self, command: OperatorCommand) -> None:
+        """Handles a command to which another process of this front end has answered yes."""
+        result = self.commands.apply_answered(command)
+        if result is not None:
+            self._carry_out(command.path, result)
+
+    def _carry_out(self, path: str, result: CommandResult) -> None:
+        """Logs a command's response and carries out its effect."""
+        response, effect = result
+        self.front.log(f"admin command {path}: {response.status} {response.text}")
+        if effect is None:
+            return
         if isinstance(effect, EnterMaintenance | ExitMaintenance):
             self._update_roster(effect)
-        elif self.is_replaced:
-            return  # the command is passed on to the successor
         elif isinstance(effect, EnterStandby):
             self._draining_since_ms = monotonic_ms()
             self._drain()
         elif isinstance(effect, ExitStandby):
             self._draining_since_ms = None
             self._set_rejecting(on=False)
-        self.front.client_port.ready = self.is_ready_to_serve
+        if not self.is_replaced:  # else readiness checks here are meant for the successor
+            self.front.client_port.ready = self.is_ready_to_serve
+
+    def _maintenance_filter(self) -> RosterFilter:
+        in_maintenance = frozenset(self.commands.scorers_in_maintenance)
+        return lambda member: member.id in in_maintenance
 
     def _update_roster(self, effect: EnterMaintenance | ExitMaintenance) -> None:
         overlay = self.front.roster_overlay
@@ -183,6 +176,7 @@
         # Schedules the next check first: an error in this one must not end the checks.
         self.front.loop.timers.after(OVERDUE_CHECK_INTERVAL_MS, self._close_overdue)
         self.listener.close_overdue()
+        self.hot_restart.follow_newer_process()
 
     def close(self) -> None:
         """Closes the admin listener and the hot restart channels as the front end ends."""
--- a/fawnwharf/net/front_end.py
+++ b/fawnwharf/net/front_end.py
@@ -70,6 +70,10 @@
     def is_replaced(self) -> bool:
         """Whether another process has taken over from this one."""
 
+    @property
+    def is_ready_to_serve(self) -> bool:
+        """Whether readiness checks should succeed."""
+
     @property
     def will_take_over(self) -> bool:
         """Whether this process is about to take over from another one."""
@@ -211,7 +215,9 @@
         self.loop.timers.after(MAINTENANCE_MS, self._run_maintenance)
         self._start_ms = monotonic_ms()
         self._wait_for_roster()
-        self.started = self.client_port.ready = True
+        self.started = True
+        # An operator may have called for standby before.
+        self.client_port.ready = self.admin is None or self.admin.is_ready_to_serve
 
     def serve(self) -> None:
         """Serve until SIGTERM or SIGINT, then until every accepted request has its answer."""
--- a/tests/admin/test_admin_handoff.py
+++ b/tests/admin/test_admin_handoff.py
@@ -17,7 +17,6 @@
 from fawnwharf.admin.handoff_directory import HandoffDirectory
 from fawnwharf.admin.handoff_listener import HandoffListener
 from fawnwharf.admin.handoff_request import InheritedState
-from fawnwharf.admin.hot_restart import HotRestart
 from fawnwharf.admin.http import AdminRequest
 from fawnwharf.admin.predecessor_handoff import HandoffAction, HandoffPhase
 from fawnwharf.net.connection_handoff import HandedOffConnection
@@ -209,10 +208,7 @@
     """Connect a predecessor, whose side the test plays."""
     near, far = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
     rig.peers.append(far)
-    hot_restart = rig.admin.hot_restart
-    hot_restart.predecessor = handoff_channel.HandoffChannel(
-        rig.front.loop, near, hot_restart._on_predecessor_message, hot_restart._on_predecessor_end
-    )
+    rig.admin.hot_restart._open_predecessor_channel(near)
     far.setblocking(False)
     return far
 
@@ -363,13 +359,18 @@
     assert not client.answers
 
 
-def test_a_command_before_the_start_reaches_the_predecessor_at_the_start(rig):
-    other = service.AdminService(rig.front, ("127.0.0.1", 0))
+def test_a_command_before_the_start_reaches_the_predecessor_once(rig):
+    near, far = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+    rig.peers.append(far)
+    far.setblocking(False)
+    inherited = InheritedState(predecessor_socket=near)
+    other = service.AdminService(rig.front, ("127.0.0.1", 0), inherited)
     other.handle(AdminRequest("POST", "/maintenance/enter", (("target", "s-1"),)))
-    with mock.patch.object(HotRestart, "forward_command") as forward_command:
-        other.start()
-    forward_command.assert_called_once_with("/maintenance/enter", "s-1")
-    other.listener.close()
+    command = messages.OperatorCommand("/maintenance/enter", "s-1")
+    assert receive_all(far) == [command]
+    other.start()
+    assert command not in receive_all(far)
+    other.close()
     rig.front.admin = rig.admin
 
 
--- a/tests/admin/test_admin_hot_restart_overlap.py
+++ b/tests/admin/test_admin_hot_restart_overlap.py
@@ -4,7 +4,7 @@
 import time
 import unittest
 
-from processes import OUGHT_S, START_S, Case
+from processes import OUGHT_S, START_S, Case, Scorer
 
 from fawnwharf.admin.handoff_directory import HandoffDirectory
 
@@ -82,6 +82,50 @@
         assert [after[0], after[2]] == [counts[0], counts[2]]
         self.settled(site)
 
+    def test_a_scorer_that_joins_and_is_taken_out_while_the_new_process_starts_gets_nothing(self):
+        """Guards against a yes of the old process that the new one forgot."""
+        site = self.site(2)
+        old = site.start()
+        joining = Scorer("s-9")
+        site.scorers.append(joining)
+        listed = {"seq": 2, "fleet": {"members": [joining.member()]}}
+        new = site.begin()
+        site.until_logged(old, "hot restart: another process requests")
+        site.log.say(listed, link=0)
+        site.until(lambda: site.ask(old, ENTER + joining.id) == 200, "the old process knows the scorer")
+        site.until_ready(new)
+        site.until(lambda: len(site.log.links) > 1, "the new process follows the change log")
+        site.log.say(listed, link=1)
+        assert site.end(old) < OUGHT_S
+        caller = site.caller()
+        for number in range(40):
+            caller.ask(row=f"{number:016x}")
+            site.until(lambda: caller.open < 16, "some calls are answered")
+        site.until(lambda: not caller.open, "all calls are answered")
+        assert not joining.runs
+        assert not joining.loads
+        assert site.ask(new, EXIT + joining.id) == 200
+        self.settled(site)
+
+    def test_commands_at_either_process_hold_at_both_after_a_start_without_a_hand_off(self):
+        """The old process did not answer in time, so there is no channel between the two."""
+        site = self.site(3)
+        old = site.start()
+        old.signal(signal.SIGSTOP)
+        self.addCleanup(old.signal, signal.SIGCONT)
+        new = site.start()
+        old.signal(signal.SIGCONT)
+        site.until_logged(old, "hot restart: another process requests")  # reads the outdated request
+        assert site.ask(old, ENTER + "s-1") == 200
+        site.until_logged(new, "/maintenance/enter: 200 s-1 is out")
+        assert site.ask(new, ENTER + "s-2") == 200
+        site.until_logged(old, "/maintenance/enter: 200 s-2 is out")
+        assert site.ask(new, EXIT + "s-1") == 200
+        site.until_logged(old, "/maintenance/exit: 200 s-1 may serve again")
+        assert site.end(old) < OUGHT_S
+        site.served()
+        self.settled(site)
+
     def test_a_successor_of_a_process_on_standby_is_ready(self):
         site = self.site()
         old = site.start()
--- a/tests/support/handoff_peers.py
+++ b/tests/support/handoff_peers.py
@@ -117,10 +117,7 @@
 def connect_predecessor(rig):
     """Connect the end of a predecessor."""
     near, far = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
-    hot_restart = rig.admin.hot_restart
-    hot_restart.predecessor = handoff_channel.HandoffChannel(
-        rig.front.loop, near, hot_restart._on_predecessor_message, hot_restart._on_predecessor_end
-    )
+    rig.admin.hot_restart._open_predecessor_channel(near)
     far.setblocking(False)
     return ChannelEnd(rig, far)
 
