Maintenance: a scorer brought back before it is listed begins a slow start

What would be seen: an operator brings a scorer back, restarted and cold, while the list of this process does not name it: as it has left the list, or as this process has just started. Once listed, it counted as warm, and could get more work than a cold scorer bears.

Cause: RosterOverlay.mark_restarted ignored scorers that are not listed, and the state that is handed over had start times of listed scorers alone, by which a list that lags loses them.

Change: the overlay keeps such times until the scorer is listed, and drops them when a listed scorer ends. The state that is handed over has them by id (restart_ages_ms, which older versions ignore).

--- a/fawnwharf/admin/learned_state.py
+++ b/fawnwharf/admin/learned_state.py
@@ -150,9 +150,11 @@
     """The state with what older versions ignore.
 
     - `hands_off_open_calls`: the writer hands off connections with open calls if its successor accepts them.
+    - `restart_ages_ms`: by id of a scorer, since an operator ended its maintenance, in which it restarted.
     """
 
     hands_off_open_calls: bool = False
+    restart_ages_ms: dict[str, AgeMs] = field(default_factory=dict)
 
 
 def encode(learned: LearnedState) -> bytes:
--- a/fawnwharf/admin/learned_state_capture.py
+++ b/fawnwharf/admin/learned_state_capture.py
@@ -1,4 +1,4 @@
-"""The encoded learned state of a running front end."""
+"""The encoded learned state of a running front end, with what its roster overlay knows of restarts."""
 
 from fawnwharf.admin import learned_state
 from fawnwharf.admin.learned_state import HandedOverState
@@ -14,13 +14,23 @@
     clock_ms, at_ms = front.loop.clock.now_ms(), monotonic_ms()
     try:
         learned = learned_state.capture(front.router, scorers_in_maintenance, clock_ms, at_ms)
-        return _encode(learned)
+        return _encode(front, learned, clock_ms)
     except Exception:
         front.loop.log_exception("learned state")
         expired_ms = at_ms - 2 * learned_state.MAX_AGE_MS
-        return _encode(HandedOverState(expired_ms, sorted(scorers_in_maintenance)))
+        return _encode(front, HandedOverState(expired_ms, sorted(scorers_in_maintenance)), clock_ms)
 
 
-def _encode(learned: HandedOverState) -> bytes:
+def _encode(front: FrontEnd, learned: HandedOverState, clock_ms: float) -> bytes:
     learned.hands_off_open_calls = True
+    learned.restart_ages_ms = {
+        scorer_id: clock_ms - restarted_ms
+        for scorer_id, restarted_ms in front.roster_overlay.restart_times_ms.items()
+    }
     return learned_state.encode(learned)
+
+
+def restart_times_ms(learned: HandedOverState, clock_ms: float, monotonic_ms: float) -> dict[str, float]:
+    """When operators brought scorers back, on the clock of this process; both times are now."""
+    written_ms = clock_ms - (monotonic_ms - learned.written_monotonic_ms)
+    return {scorer_id: written_ms - age_ms for scorer_id, age_ms in learned.restart_ages_ms.items()}
--- a/fawnwharf/admin/service.py
+++ b/fawnwharf/admin/service.py
@@ -16,6 +16,8 @@
 from fawnwharf.admin.handoff_request import InheritedState
 from fawnwharf.admin.hot_restart import HotRestart, HotRestartCallbacks
 from fawnwharf.admin.http import AdminRequest, AdminResponse
+from fawnwharf.admin.learned_state import HandedOverState, is_fresh
+from fawnwharf.admin.learned_state_capture import restart_times_ms
 from fawnwharf.config import Address, ConfigError
 from fawnwharf.net.front_end import FrontEnd
 from fawnwharf.net.roster_overlay import RosterFilter
@@ -53,6 +55,7 @@
         self._inherited = self.hot_restart.decoded_learned_state()
         if self._inherited is not None:
             self._restore_maintenance(self._inherited.scorers_in_maintenance)
+            self._restore_restart_times(self._inherited)
         front.admin = self
         self._close_overdue()
 
@@ -66,6 +69,13 @@
             self.front.roster_overlay.set_filter(ROSTER_FILTER_NAME, self._maintenance_filter())
         )
 
+    def _restore_restart_times(self, learned: HandedOverState) -> None:
+        """Continue the slow start of scorers that operators have brought back, also of unlisted ones."""
+        if not is_fresh(learned, monotonic_ms()):
+            return
+        times_ms = restart_times_ms(learned, self.front.loop.clock.now_ms(), monotonic_ms())
+        self.front.apply_filtered_roster(self.front.roster_overlay.set_restart_times(times_ms))
+
     def start(self) -> None:
         """Called when the front end starts: takes over from the predecessor, if there is one.
 
--- a/fawnwharf/net/roster_overlay.py
+++ b/fawnwharf/net/roster_overlay.py
@@ -5,13 +5,15 @@
 complete. The router's rules for drains, retries and slow start apply to it as to any draining scorer.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
 import msgspec
 
 from fawnwharf.config import Fleet, Member
 
+MAX_RESTART_TIMES = 10_000  # of scorers; the latest are kept
+
 RosterFilter = Callable[[Member], bool]  # whether it excludes this scorer
 
 
@@ -22,11 +24,17 @@
         self.members: dict[str, Member] = {}  # as reported, by id
         self.revision = 0
         self._filters: dict[str, RosterFilter] = {}  # by the name of the component that set it
-        # Start times in Unix milliseconds that override earlier reported ones, by id.
-        self._restarted_ms: dict[str, float] = {}
+        # Start times in Unix milliseconds that override earlier reported ones, by id. The scorer may not be
+        # listed yet.
+        self.restart_times_ms: dict[str, float] = {}
 
     def apply(self, fleet: Fleet) -> Fleet:
         """Store a reported list, or changes of it, and return it with the filters applied."""
+        ended = {
+            member.id
+            for member in fleet.members
+            if member.phase == "terminated" and member.id in self.members
+        }
         if fleet.complete:
             self.members.clear()
         for member in fleet.members:
@@ -36,7 +44,8 @@
         for member in fleet.members:
             if member.phase == "terminated":
                 self.members.pop(member.id, None)
-                self._restarted_ms.pop(member.id, None)
+        for member_id in ended:
+            self.restart_times_ms.pop(member_id, None)
         return Fleet(filtered, fleet.complete, fleet.revision)
 
     def _with_known_address(self, member: Member) -> Member:
@@ -77,11 +86,18 @@
     def mark_restarted(self, ids: Iterable[str], now_ms: float) -> Fleet:
         """Set the start time of these scorers to `now_ms` (Unix milliseconds); return the changes.
 
-        Slow start begins again for them. Unknown ids are ignored.
+        Slow start begins again for them. A scorer that is not listed now begins it when it is.
         """
-        found = [member_id for member_id in ids if member_id in self.members]
-        self._restarted_ms.update(dict.fromkeys(found, now_ms))
-        return self._changes(found)
+        return self.set_restart_times(dict.fromkeys(ids, now_ms))
+
+    def set_restart_times(self, restart_times_ms: Mapping[str, float]) -> Fleet:
+        """Set start times by id, in Unix milliseconds, as `mark_restarted` does; return the changes."""
+        for member_id, restarted_ms in restart_times_ms.items():
+            self.restart_times_ms.pop(member_id, None)
+            self.restart_times_ms[member_id] = restarted_ms
+        for member_id in list(self.restart_times_ms)[:-MAX_RESTART_TIMES]:
+            del self.restart_times_ms[member_id]
+        return self._changes(member_id for member_id in restart_times_ms if member_id in self.members)
 
     def _changes(self, ids: Iterable[str]) -> Fleet:
         members = [self._filtered(self.members[member_id]) for member_id in ids]
@@ -95,5 +111,5 @@
         return any(roster_filter(member) for who, roster_filter in self._filters.items() if who != except_for)
 
     def _filtered(self, member: Member) -> Member:
-        up_since_ms = max(member.up_since_ms, self._restarted_ms.get(member.id, 0.0))
+        up_since_ms = max(member.up_since_ms, self.restart_times_ms.get(member.id, 0.0))
         return msgspec.structs.replace(member, phase=self._phase(member), up_since_ms=up_since_ms)
--- a/tests/admin/test_admin_commands_across_processes.py
+++ b/tests/admin/test_admin_commands_across_processes.py
@@ -68,6 +68,54 @@
     rig.until(lambda: not in_maintenance(rig), "it is brought back")
 
 
+@pytest.mark.parametrize("where", ["here", "at the other process"])
+def test_a_scorer_that_is_brought_back_before_it_is_listed_begins_a_slow_start(rig, where):
+    joining = ScorerPeer("s-9", copies=4)
+    rig.scorers.append(joining)
+    predecessor = connect_predecessor(rig)
+    predecessor.send(messages.OperatorCommand(paths.ENTER_MAINTENANCE, "s-9"))
+    rig.until(lambda: in_maintenance(rig), "the command is handled")
+    before_ms = rig.front.loop.clock.now_ms()
+    if where == "here":
+        assert rig.command(paths.EXIT_MAINTENANCE, "s-9") == 200
+    else:
+        predecessor.send(messages.OperatorCommand(paths.EXIT_MAINTENANCE, "s-9"))
+    rig.until(lambda: not in_maintenance(rig), "it is brought back")
+    entry = list_scorer(rig, joining, 2)
+    assert entry.entry.state is ScorerState.READY
+    assert entry.started_ms >= before_ms
+
+
+def test_a_slow_start_after_maintenance_is_handed_over_for_scorers_that_are_not_listed(rig):
+    rig.command(paths.ENTER_MAINTENANCE, "s-1")
+    rig.command(paths.EXIT_MAINTENANCE, "s-1")
+    restarted_ms = rig.front.loop.clock.now_ms()
+    rig.run_for(100.0)
+    state = rig.admin.hot_restart._encoded_state()
+    successor = HandoffRig(ScorerPeer("s-2"))
+    try:
+        other = service.AdminService(
+            successor.front, ("127.0.0.1", 0), InheritedState(encoded_learned_state=state)
+        )
+        entry = list_scorer(successor, rig.scorers[0], 2)
+        assert entry.started_ms == pytest.approx(restarted_ms, abs=50.0)
+        other.close()
+        successor.front.admin = successor.admin
+    finally:
+        successor.close()
+
+
+def test_a_restart_time_ends_with_the_life_of_a_listed_scorer(rig):
+    overlay = rig.front.roster_overlay
+    rig.command(paths.ENTER_MAINTENANCE, "s-1")
+    rig.command(paths.EXIT_MAINTENANCE, "s-1")
+    list_scorer(rig, rig.scorers[0], 2, phase="terminated")
+    assert overlay.restart_times_ms == {}
+    overlay.mark_restarted(["s-1"], 5_000.0)
+    list_scorer(rig, rig.scorers[0], 3, phase="terminated")  # told again: it is not listed
+    assert overlay.restart_times_ms == {"s-1": 5_000.0}
+
+
 # --- the start --------------------------------------------------------------------------------------
 
 
