Hot restart: messages of an end that closed with unread ones are read

What would be seen: a process of a replacement that is killed right after its yes to an operator, or after an answer that it forwarded, while it had not read all: the other process never handled it.

Cause: the first read of such a socket fails with a reset, and the channel ended there; what the other end had sent was still readable (tried with a socket pair: the second read returns it).

Change: the read is tried once more after a reset.

Measured: test_the_last_commands_of_a_process_that_ends_are_heard fails without the change and passes.

--- a/fawnwharf/admin/handoff_channel.py
+++ b/fawnwharf/admin/handoff_channel.py
@@ -56,9 +56,16 @@
 
 
 def _receive_bytes(sock: socket.socket) -> tuple[bytes, list[tuple[int, int, bytes]]]:
-    """Receives the bytes of one message and its ancillary data."""
+    """Receives the bytes of one message and its ancillary data.
+
+    If the other end was closed with unread messages, the first read fails once. The messages that it had sent
+    are still there.
+    """
     ancillary_bytes = socket.CMSG_SPACE(DESCRIPTOR_BYTES)
-    data, ancillary, _, _ = sock.recvmsg(MAX_MESSAGE_BYTES, ancillary_bytes)
+    try:
+        data, ancillary, _, _ = sock.recvmsg(MAX_MESSAGE_BYTES, ancillary_bytes)
+    except ConnectionResetError:
+        data, ancillary, _, _ = sock.recvmsg(MAX_MESSAGE_BYTES, ancillary_bytes)
     return data, ancillary
 
 
--- a/tests/admin/test_admin_commands_across_processes.py
+++ b/tests/admin/test_admin_commands_across_processes.py
@@ -231,6 +231,16 @@
         assert not client.ended
 
 
+def test_the_last_commands_of_a_process_that_ends_are_heard(rig):
+    """An end that closes with unread messages resets the channel; what it has sent is still there."""
+    successor = ready_successor(rig)
+    rig.command(paths.EXIT_MAINTENANCE, "s-1")  # unread at the other end
+    successor.send(ENTER)
+    successor.sock.close()
+    rig.until(lambda: not rig.admin.is_replaced, "the front end serves alone")
+    assert in_maintenance(rig) == {"s-1"}
+
+
 def test_a_process_that_has_handed_off_everything_forwards_commands_until_it_ends(rig):
     successor = ready_successor(rig)
     rig.front.shut_down()
