Replicated state: no repeat of a keyed call begins after scorers have forgotten its key

Scorers drop repeats for 1.5 s: the call is applied twice. In mode 'before', and in the default mode 'after'.

Cause: the window was looked at once, when the call was allowed to run again. RunCall did not say what was left of it, and the decision module counts from its own first attempt. In mode 'after' the call runs before replicas answer, and what they tell of earlier attempts was not held against it.

Change: RunCall.window_ms, and LimitRun for a call that runs, say until when an attempt may begin. The request table lets none begin later; the gate then fails the call as one that may have run, unless an attempt is out. OwnedCall has a module of its own.

test_a_deduplicated_call_is_retried_within_the_scorers_window_only compares the action with its window now.

The new tests use names that the change adds.

--- a/fawnwharf/net/requests.py
+++ b/fawnwharf/net/requests.py
@@ -5,6 +5,7 @@
 """
 
 import itertools
+import math
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from types import MappingProxyType
@@ -71,6 +72,7 @@
     # Called before each send. Withdraws the requests of a client that has disconnected behind unread bytes.
     check_client: Callable[[], None] = _nothing_to_check
     context: Any = None  # data of the component that receives the call, such as the policy that applies to it
+    begin_by_ms: float = math.inf  # on the monotonic clock; no attempt may begin later
 
 
 @dataclass(slots=True, eq=False)
@@ -166,6 +168,15 @@
         ]
         return any(attempt is not None and attempt.begun for attempt in attempts)
 
+    def limit_begin(self, key: str, begin_by_ms: float) -> None:
+        """Let no attempt of an open request begin later than `begin_by_ms`, on the monotonic clock."""
+        if (request := self.open.get(key)) is None:
+            return
+        request.call.begin_by_ms = min(request.call.begin_by_ms, begin_by_ms)
+        for number in range(request.attempts):
+            if attempt := self._in_flight.get((key, number)):
+                attempt.begin_by_ms = min(attempt.begin_by_ms, begin_by_ms)
+
     def _fail_overdue(self, key: str) -> None:
         """Fail a request whose deadline has passed.
 
@@ -254,7 +265,7 @@
             token=call.token,
             body=call.body,
             deadline_ms=request.deadline_ms,
-            begin_by_ms=self._loop.iteration_ms + action.within_ms,
+            begin_by_ms=min(call.begin_by_ms, self._loop.iteration_ms + action.within_ms),
         )
         if self.observer:
             self.observer.sent(attempt)
--- a/fawnwharf/replication/call_owner.py
+++ b/fawnwharf/replication/call_owner.py
@@ -7,10 +7,9 @@
 answer, fails, or is rejected, and the owner releases the grants that it received.
 """
 
+import math
 from collections import Counter
 from collections.abc import Iterable
-from dataclasses import dataclass, field
-from enum import Enum, auto
 
 import msgspec
 from msgspec import Struct
@@ -20,30 +19,38 @@
 from fawnwharf.replication.claims import (
     CallState,
     Claim,
-    ClaimId,
     ClaimPhase,
     ClaimSummary,
-    merge_claims,
-    summarize_claims,
 )
 from fawnwharf.replication.counters import ReplicationCounter
+from fawnwharf.replication.owned_call import CallProgress, CallTerms, OwnedCall
 from fawnwharf.replication.placement import ReplicaPlacement, rendezvous_weight
 from fawnwharf.replication.settings import ReplicationSettings
 
 MAX_OPEN_CALLS = 20_000
 BUCKET_MS = 1_000.0
 PUSHBACK_RANGE_MS = (120.0, 400.0)  # jittered, so that two concurrent requests do not collide again
-DEDUP_MARGIN_MS = 300.0  # a retry must reach the scorers this long before their idempotency window ends
 
 
 # --- actions --------------------------------------------------------------------------------
 
 
 class RunCall(Struct, frozen=True):
-    """Run the call; `claimed` is true if a quorum of its replicas has granted it."""
+    """Run the call; `claimed` is true if a quorum of its replicas has granted it.
+
+    `window_ms`: an earlier attempt may have run, so no attempt may begin later than this from now.
+    """
 
     key: str
     claimed: bool
+    window_ms: float = math.inf
+
+
+class LimitRun(Struct, frozen=True):
+    """An earlier attempt of a running call may have run: none may begin later than `window_ms` from now."""
+
+    key: str
+    window_ms: float
 
 
 class AnswerCall(Struct, frozen=True):
@@ -68,63 +75,7 @@
     reason: str
 
 
-OwnerAction = m.Send | RunCall | AnswerCall | FailCall | RejectCall
-
-
-# --- calls ----------------------------------------------------------------------------------
-
-
-class CallTerms(Struct, frozen=True):
-    """The requirements of a call's class and client that determine how it is claimed."""
-
-    effect: Effect
-    latency_target_ms: float
-    budget_ms: float  # until the client's deadline
-    dedup_window_ms: float = 0.0  # how long the scorers drop repeats of it
-    claim_required: bool = True  # it may run only with a quorum
-
-
-class CallProgress(Enum):
-    """The progress of a call at its owner."""
-
-    REQUESTED = auto()
-    PERSISTING = auto()  # a quorum granted it, but the local replica's grant is not on disk yet
-    RUNNING = auto()
-    WAITING = auto()  # for the result from another owner
-    ENDED = auto()
-
-
-@dataclass(slots=True)
-class OwnedCall:
-    """One call that this owner has requested."""
-
-    key: str
-    effect: Effect
-    request_number: int
-    requested_ms: float
-    wait_ms: float
-    deadline_ms: float  # when its client stops waiting
-    bucket: int
-    dedup_window_ms: float
-    claim_required: bool  # it may run only with a quorum
-    replicas: tuple[str, ...]
-    replies: dict[str, m.ClaimReply] = field(default_factory=dict)  # the last one of each replica
-    progress: CallProgress = CallProgress.REQUESTED
-
-    def accepts_grants(self, now_ms: float) -> bool:
-        """Whether grants that arrive now still count."""
-        return now_ms - self.requested_ms <= self.wait_ms
-
-    def summary(self, owner_id: str) -> ClaimSummary:
-        """Summarize the other requests' claims in the latest replies of all replicas."""
-        claims: dict[ClaimId, Claim] = {}
-        live_owners: set[str] = set()
-        for reply in self.replies.values():
-            live_owners |= set(reply.live_owners)
-            for claim in reply.claims:
-                if claim.claim_id != (owner_id, self.request_number):
-                    claims[claim.claim_id] = merge_claims(claim, claims.get(claim.claim_id, claim))
-        return summarize_claims(list(claims.values()), live_owners)
+OwnerAction = m.Send | RunCall | LimitRun | AnswerCall | FailCall | RejectCall
 
 
 class CallOwner:
@@ -179,11 +130,11 @@
         if sender not in call.replicas:
             self.counts[ReplicationCounter.REPLIES_NOT_FROM_REPLICA] += 1
             return []
-        call.replies[sender] = reply
+        call.add_reply(now_ms, sender, reply)
         if call.progress is CallProgress.REQUESTED:
             return self._evaluate(now_ms, call)
         if call.progress is CallProgress.RUNNING:
-            return self._check_answered_elsewhere(call)
+            return self._check_answered_elsewhere(call) or self._limit_run(call)
         if call.progress is CallProgress.WAITING:
             return self._check_other_owner(call)
         return []
@@ -262,18 +213,20 @@
             return []
         if summary.state is CallState.CONFLICT:
             return self._fail(call, ReplicationCounter.FAILED_CONFLICT, "two different answers")
-        if self._scorers_drop_repeat(call):
+        window_ms = call.dedup_window_left_ms()
+        if call.effect is Effect.DEDUPLICATED and window_ms > 0.0:
             call.progress = CallProgress.RUNNING
+            call.limit()
             self.counts[ReplicationCounter.CALLS_RETRIED_IN_WINDOW] += 1
-            return [RunCall(call.key, claimed=False)]
+            return [RunCall(call.key, claimed=False, window_ms=window_ms)]
         return self._fail(call, ReplicationCounter.FAILED_MAY_HAVE_RUN, "it may have run")
 
-    @staticmethod
-    def _scorers_drop_repeat(call: OwnedCall) -> bool:
-        """Whether a second run is harmless because the scorers still store the idempotency key."""
-        age_ms = max((reply.age_ms for reply in call.replies.values()), default=0.0)
-        window_ms = call.dedup_window_ms - call.wait_ms - DEDUP_MARGIN_MS
-        return call.effect is Effect.DEDUPLICATED and age_ms < window_ms
+    def _limit_run(self, call: OwnedCall) -> list[OwnerAction]:
+        """Limit a deduplicated call that runs without a claim, if another owner may have run it before."""
+        may_have_run = call.summary(self.owner_id).state is not CallState.FREE
+        if call.effect is not Effect.DEDUPLICATED or not may_have_run or not call.limit():
+            return []
+        return [LimitRun(call.key, call.dedup_window_left_ms())]
 
     def _check_other_owner(self, call: OwnedCall) -> list[OwnerAction]:
         """Handle an update on a call that waits for another owner."""
--- a/fawnwharf/replication/claim_gate.py
+++ b/fawnwharf/replication/claim_gate.py
@@ -9,6 +9,7 @@
 import base64
 import hashlib
 import itertools
+import math
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
@@ -18,9 +19,17 @@
 from fawnwharf.net.event_loop import EventLoop
 from fawnwharf.net.requests import Call, Failed, Outcome, Rejected, RequestTable, Succeeded
 from fawnwharf.net.timer_wheel import Timer, monotonic_ms
-from fawnwharf.replication.call_owner import AnswerCall, CallTerms, FailCall, OwnerAction, RejectCall, RunCall
+from fawnwharf.replication.call_owner import (
+    AnswerCall,
+    FailCall,
+    LimitRun,
+    OwnerAction,
+    RejectCall,
+    RunCall,
+)
 from fawnwharf.replication.claims import ClaimPhase
 from fawnwharf.replication.core import ReplicationCore
+from fawnwharf.replication.owned_call import CallTerms
 from fawnwharf.replication.settings import ClaimMode, ReplicationSettings
 
 MAX_HELD_BYTES = 8 * 1024 * 1024  # bodies of calls that wait for their claims
@@ -32,7 +41,7 @@
 WAIT_MARGIN_MS, DEADLINE_MARGIN_MS = 60.0, 20.0
 MAX_WAIT_SAMPLES = 500  # the latest calls, for the percentiles shown to operators
 
-CallAction = RunCall | AnswerCall | FailCall | RejectCall
+CallAction = RunCall | LimitRun | AnswerCall | FailCall | RejectCall
 MODE_BY_EFFECT: dict[Effect, ClaimMode] = {
     Effect.AT_MOST_ONCE: "before",
     Effect.DEDUPLICATED: "after",
@@ -59,6 +68,7 @@
     timers: dict[str, Timer] = field(default_factory=dict)
     running: bool = False
     table_key: str | None = None  # set while the call is in the request table
+    begin_by_ms: float = math.inf  # on the monotonic clock; no attempt may begin later
 
 
 def claim_mode(spec: ClassSpec, settings: ReplicationSettings) -> ClaimMode:
@@ -185,14 +195,18 @@
         self._remove(held)
         self._carry_out(self._core.call_ended(monotonic_ms(), held.key, phase))
 
-    def _check_clients(self, held: HeldCall) -> None:
+    def _before_attempt(self, held: HeldCall) -> None:
         """Called before each attempt and load order: removes clients that have ended.
 
-        Without any client no further attempt is sent.
+        Without any client, or after its window, no further attempt is sent.
         """
         for client in list(held.waiting.values()):
             client.check()
-        if not held.waiting and self.calls.get(held.key) is held:
+        if self.calls.get(held.key) is not held:
+            return
+        if held.waiting:
+            self._check_window(held)
+        else:
             self._withdraw_unsent(held)
 
     # --- from the core ------------------------------------------------------------------------
@@ -203,7 +217,9 @@
         if held is None:
             return
         if isinstance(action, RunCall):
-            self._run(held)
+            self._run(held, action.window_ms)
+        elif isinstance(action, LimitRun):
+            self._limit(held, action.window_ms)
         elif isinstance(action, AnswerCall):
             if held.table_key is not None:  # it is running, but was answered elsewhere
                 self._table.withdraw(held.table_key)
@@ -214,7 +230,7 @@
         else:
             self._finish(held, Rejected(action.pushback_ms))
 
-    def _run(self, held: HeldCall) -> None:
+    def _run(self, held: HeldCall, window_ms: float) -> None:
         waited_ms = monotonic_ms() - held.arrived_ms
         self._waits_ms.append(waited_ms)
         held.running = True
@@ -222,9 +238,29 @@
             held.call,
             budget_ms=max(1.0, held.call.budget_ms - waited_ms),
             reply=lambda outcome: self._call_ended(held, outcome),
-            check_client=lambda: self._check_clients(held),
+            check_client=lambda: self._before_attempt(held),
         )
         held.table_key = self._table.take(call)
+        self._limit(held, window_ms)
+
+    def _limit(self, held: HeldCall, window_ms: float) -> None:
+        """Let no attempt begin later than `window_ms` from now, as an earlier one may have run."""
+        begin_by_ms = monotonic_ms() + window_ms
+        if held.table_key is None or begin_by_ms >= held.begin_by_ms:
+            return
+        held.begin_by_ms = begin_by_ms
+        self._table.limit_begin(held.table_key, begin_by_ms)
+        self._loop.timers.after(max(0.0, window_ms), lambda: self._check_window(held))
+
+    def _check_window(self, held: HeldCall) -> None:
+        """Fail a call that may not be sent any more, unless an attempt of it is out."""
+        key = held.table_key
+        if key is None or monotonic_ms() < held.begin_by_ms or self._table.has_attempt_out(key):
+            return
+        self._table.withdraw(key)
+        held.table_key = None
+        self._finish(held, Failed())
+        self._carry_out(self._core.call_ended(monotonic_ms(), held.key, ClaimPhase.FAILED))
 
     def _call_ended(self, held: HeldCall, outcome: Outcome) -> None:
         """Pass the table's outcome to all waiting clients and report it to the replicas."""
--- a/fawnwharf/replication/core.py
+++ b/fawnwharf/replication/core.py
@@ -11,12 +11,13 @@
 
 from fawnwharf import interface as io
 from fawnwharf.replication import messages as m
-from fawnwharf.replication.call_owner import CallOwner, CallTerms, OwnerAction
+from fawnwharf.replication.call_owner import CallOwner, OwnerAction
 from fawnwharf.replication.claims import ClaimPhase
 from fawnwharf.replication.counters import ReplicationCounter
 from fawnwharf.replication.failure_reports import FailureReportStore, FailureTracker
 from fawnwharf.replication.load_report import LoadReporter
 from fawnwharf.replication.load_report_store import LoadReportStore
+from fawnwharf.replication.owned_call import CallTerms
 from fawnwharf.replication.placement import ReplicaPlacement, rendezvous_weight
 from fawnwharf.replication.remote_loads import RemoteLoads
 from fawnwharf.replication.replica import Replica
--- a/fawnwharf/testbed/promises.py
+++ b/fawnwharf/testbed/promises.py
@@ -16,10 +16,11 @@
 import msgspec
 
 from fawnwharf.interface import Effect
-from fawnwharf.replication.call_owner import AnswerCall, CallTerms, FailCall, OwnerAction, RejectCall, RunCall
+from fawnwharf.replication.call_owner import AnswerCall, FailCall, OwnerAction, RejectCall, RunCall
 from fawnwharf.replication.claims import ClaimPhase
 from fawnwharf.replication.core import ReplicationCore
 from fawnwharf.replication.messages import Send
+from fawnwharf.replication.owned_call import CallTerms
 from fawnwharf.replication.settings import ReplicationSettings
 from fawnwharf.zones.settings import Membership, membership_from
 
--- a/tests/cores.py
+++ b/tests/cores.py
@@ -5,9 +5,9 @@
 from fawnwharf.interface import Effect
 from fawnwharf.replication import messages as m
 from fawnwharf.replication import settings as s
-from fawnwharf.replication.call_owner import CallTerms
 from fawnwharf.replication.claims import ClaimPhase
 from fawnwharf.replication.core import ReplicationCore
+from fawnwharf.replication.owned_call import CallTerms
 from fawnwharf.testbed.promises import fleet_file
 
 FLEET = fleet_file("abcabc")
--- a/tests/net/test_net_request_rules.py
+++ b/tests/net/test_net_request_rules.py
@@ -61,6 +61,21 @@
         rig.until(lambda: not rig.front.requests.has_attempt_out(key), "the attempt has ended")
         self.assertFalse(rig.front.requests.has_attempt_out("unknown"))
 
+    def test_no_attempt_begins_after_the_limit_of_its_request(self):
+        scorer = ScorerPeer(copies=4)
+        rig = self.rig(scorer)
+        client = rig.client()
+        client.call()
+        rig.until(lambda: scorer.runs, "the request runs")
+        [key] = rig.front.requests.open
+        rig.front.requests.limit_begin(key, timer_wheel.monotonic_ms())
+        rig.front.requests.limit_begin("unknown", 0.0)
+        scorer.answer(scorer.runs[0], code=scorer_frames.MISS)  # it is sent again, if it may be
+        rig.until(lambda: not rig.front.requests.has_attempt_out(key), "the attempt has ended")
+        client.call(op="save")
+        rig.until(lambda: len(scorer.runs) == 2, "another request is sent")
+        self.assertEqual([frame.id[-1] for _, frame in scorer.runs], [1, 2])
+
     def test_a_withdrawn_request_gets_no_answer_and_a_late_one_is_dropped(self):
         scorer = ScorerPeer()
         rig = self.rig(scorer)
--- a/tests/replication/test_replication_calls.py
+++ b/tests/replication/test_replication_calls.py
@@ -8,8 +8,9 @@
 from fawnwharf.interface import Effect
 from fawnwharf.replication import messages as m
 from fawnwharf.replication import settings as s
-from fawnwharf.replication.call_owner import AnswerCall, FailCall, RejectCall, RunCall
+from fawnwharf.replication.call_owner import AnswerCall, FailCall, LimitRun, RejectCall, RunCall
 from fawnwharf.replication.claims import Claim, ClaimPhase
+from fawnwharf.replication.owned_call import DEDUP_MARGIN_MS
 from fawnwharf.testbed.promises import fleet_file
 
 
@@ -89,13 +90,42 @@
     cores.lost.add(one)
     cores.wait(1_700)
     cores.begin(other, **keyed)
-    assert cores.what(other) == [RunCall("k", False)]
+    [run] = cores.what(other)
+    # What is left of the scorers' window, less the wait for replies and the margin.
+    assert run == RunCall("k", False, 2_500.0 - 1_700.0 - 200.0 - DEDUP_MARGIN_MS)
     cores.end(other, ClaimPhase.FAILED)
     cores.wait(1_000)
     cores.begin(third, **keyed)
     assert cores.what(third) == [FailCall("k", "it may have run")]
 
 
+def test_a_call_that_runs_unclaimed_is_limited_once_replicas_tell_of_an_earlier_attempt():
+    """Guards against a keyed call that ran again after scorers had forgotten its key."""
+    cores = Cores()
+    one, other, third = cores.owners
+    keyed = {"effect": Effect.DEDUPLICATED, "dedup_window_ms": 2_500.0, "claim_required": False}
+    cores.begin(one, **keyed)
+    cores.lost.add(one)
+    cores.wait(1_700)
+    cores.begin(other, **keyed)
+    left_ms = 2_500.0 - 1_700.0 - 200.0 - DEDUP_MARGIN_MS
+    assert cores.what(other) == [RunCall("k", False), LimitRun("k", left_ms)]  # once, for three replies
+    cores.wait(1_000)
+    cores.begin(third, **keyed)
+    assert cores.what(third) == [RunCall("k", False), LimitRun("k", left_ms - 1_000.0)]
+
+
+def test_a_call_without_an_earlier_attempt_is_not_limited():
+    cores = Cores()
+    one, other = cores.owners[:2]
+    cores.begin(one, effect=Effect.DEDUPLICATED, dedup_window_ms=2_500.0, claim_required=False)
+    assert cores.what(one) == [RunCall("k", False)]
+    cores.end(one, ClaimPhase.RELEASED)
+    cores.wait(300)
+    cores.begin(other, effect=Effect.DEDUPLICATED, dedup_window_ms=2_500.0, claim_required=False)
+    assert cores.what(other) == [RunCall("k", False)]
+
+
 def test_a_call_that_runs_unclaimed_takes_a_stored_answer():
     cores = Cores()
     one, other = cores.owners[:2]
--- a/tests/replication/test_replication_claim_gate.py
+++ b/tests/replication/test_replication_claim_gate.py
@@ -1,6 +1,7 @@
 """The claim gate in front of the request table: one answer per client, one run per claimed call."""
 
 import base64
+from unittest import mock
 
 import msgspec
 import pytest
@@ -9,10 +10,11 @@
 from fawnwharf.net.requests import Call, Failed, Rejected, Succeeded
 from fawnwharf.replication import messages as m
 from fawnwharf.replication import settings as s
-from fawnwharf.replication.call_owner import CallProgress
+from fawnwharf.replication.call_owner import LimitRun
 from fawnwharf.replication.claim_gate import DEADLINE_MARGIN_MS, WAIT_MARGIN_MS, ClaimGate, call_key
 from fawnwharf.replication.claims import Claim, ClaimPhase
 from fawnwharf.replication.core import ReplicationCore
+from fawnwharf.replication.owned_call import CallProgress
 from fawnwharf.testbed.promises import fleet_file
 
 CLASSES = {
@@ -51,6 +53,7 @@
         self.core = ReplicationCore(name, 1, file, rules, 0.0, fresh=fresh)
         self.calls, self.withdrawn, self.full = {}, [], False
         self.attempts_out = True  # each call that runs has an attempt at a scorer
+        self.limits_ms = {}  # until when an attempt may begin, by key
         self.gate = ClaimGate(self, self, self.core, rules, CLASSES, self.carry_out)
         self.sent = []
 
@@ -76,6 +79,9 @@
     def withdraw(self, key):
         self.withdrawn.append(key)
 
+    def limit_begin(self, key, begin_by_ms):
+        self.limits_ms[key] = begin_by_ms
+
     def has_attempt_out(self, key):
         return self.attempts_out and key in self.calls and key not in self.withdrawn
 
@@ -208,6 +214,66 @@
     assert harness.gate.calls.keys() == {call_key(harness.calls["r3"])}
 
 
+def limited_call(window_ms, clock):
+    """A keyed call whose earlier attempt may have run, its outcomes, and the timer of its window."""
+    harness = GateHarness()
+    clock.return_value = 1_000.0
+    _, got = harness.submit("keyed", token="k")
+    [name] = harness.gate.calls
+    harness.gate.apply(LimitRun(name, window_ms))
+    return harness, got, harness.planned[-1]
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    clock = mock.Mock(return_value=1_000.0)
+    monkeypatch.setattr("fawnwharf.replication.claim_gate.monotonic_ms", clock)
+    return clock
+
+
+def test_a_repeat_that_is_not_sent_within_the_scorers_window_fails(clock):
+    """Guards against a keyed call that waited for a copy and ran after scorers had forgotten its key."""
+    harness, got, (delay_ms, timer) = limited_call(70.0, clock)
+    harness.attempts_out = False
+    assert (delay_ms, harness.limits_ms) == (70.0, {"r1": 1_070.0})
+    harness.calls["r1"].check_client()
+    assert got == []
+    clock.return_value = 1_070.0
+    timer.callback()
+    assert got == [Failed()]
+    assert harness.withdrawn == ["r1"]
+    assert [claim.phase for claim in harness.claims()] == [ClaimPhase.FAILED]
+    assert not harness.gate.busy
+
+
+def test_an_attempt_that_is_out_at_the_end_of_the_window_completes_and_is_the_last(clock):
+    harness, got, (_, timer) = limited_call(70.0, clock)
+    clock.return_value = 1_070.0
+    timer.callback()
+    assert got == []
+    harness.attempts_out = False  # it has ended without an answer
+    harness.calls["r1"].check_client()  # before the next attempt
+    assert got == [Failed()]
+    assert harness.withdrawn == ["r1"]
+
+
+def test_only_an_earlier_end_of_the_window_changes_it(clock):
+    harness, _, _ = limited_call(70.0, clock)
+    [name] = harness.gate.calls
+    count = len(harness.planned)
+    harness.gate.apply(LimitRun(name, 80.0))
+    assert (harness.limits_ms, len(harness.planned)) == ({"r1": 1_070.0}, count)
+    harness.gate.apply(LimitRun(name, -5.0))
+    assert harness.limits_ms == {"r1": 995.0}
+    assert harness.planned[-1][0] == 0.0
+
+
+def test_a_call_that_runs_for_the_first_time_is_not_limited():
+    harness = GateHarness()
+    harness.submit()
+    assert harness.limits_ms == {}
+
+
 @pytest.mark.parametrize("kind", ["once", "keyed"])
 def test_a_stored_answer_is_sent_at_once_and_nothing_stays_open(kind):
     """If the gate returned a key for an answered call, the client's connection would never close the call."""
--- a/tests/replication/test_replication_faults.py
+++ b/tests/replication/test_replication_faults.py
@@ -7,10 +7,11 @@
 
 from fawnwharf.consensus.voter_store import DiskError
 from fawnwharf.replication import messages as m
-from fawnwharf.replication.call_owner import CallProgress, RunCall
+from fawnwharf.replication.call_owner import RunCall
 from fawnwharf.replication.claims import Claim, ClaimPhase
 from fawnwharf.replication.core import InvalidLineError, ReplicationCore
 from fawnwharf.replication.grant_log import GrantLog
+from fawnwharf.replication.owned_call import CallProgress
 from fawnwharf.testbed.promises import STORM, Walk, Weather
 
 # --- the grant log ------------------------------------------------------------------------------
