Replicated state: a claim of unknown age counts as old

The window in which scorers drop repeats seemed to be longer than it was, and a keyed call could be repeated past it.

Cause: the entry of a call was created with the time of the restart (GrantLogStorage, state chunks).

Change: ClaimStore.restore gives a new entry the age of the oldest valid claim. Repeats that would have been harmless fail instead. The recovery store, which stores ages, is as before.

Measured: test_a_claim_of_unknown_age_counts_as_old and test_a_logged_claim_counts_as_old_after_a_restart fail without the change (RunCall with 650 ms left where none was) and pass.

--- a/fawnwharf/replication/claim_store.py
+++ b/fawnwharf/replication/claim_store.py
@@ -121,6 +121,21 @@
             heapq.heappush(self._expiries, (now_ms + EMPTY_ENTRY_LIFETIME_MS, key, ()))
         return entry
 
+    def restore(self, now_ms: float, key: str, claim: Claim, remaining_ms: float) -> CallEntry | None:
+        """Merge a claim that was stored on disk or at another replica; None if the store is full.
+
+        When its call was first requested is not known. So a new entry counts as being as old as a valid one
+        can be, as its age tells whether scorers still drop repeats.
+        """
+        is_new = key not in self.calls
+        entry = self.get_or_create(now_ms, key)
+        if entry is None:
+            return None
+        if is_new:
+            entry.created_ms = now_ms - self.claim_lifetime_ms(key)
+        self.merge(now_ms, key, entry, claim, remaining_ms)
+        return entry
+
     def merge(self, now_ms: float, key: str, entry: CallEntry, claim: Claim, remaining_ms: float) -> None:
         """Merge one claim. Its expiry time is only ever extended, at most by the delay of a line."""
         expires_ms = self._extend_expiry(now_ms, key, entry, claim, remaining_ms)
--- a/fawnwharf/replication/grant_storage.py
+++ b/fawnwharf/replication/grant_storage.py
@@ -60,9 +60,8 @@
             folder, core.membership.fleet, core.name, now_ms, store.claim_lifetime_ms(), boot_id()
         )
         for key, claim, expires_ms in self.log.grants:
-            entry = store.get_or_create(now_ms, key) if expires_ms > now_ms else None
-            if entry is not None:
-                store.merge(now_ms, key, entry, claim, expires_ms - now_ms)
+            if expires_ms > now_ms:
+                store.restore(now_ms, key, claim, expires_ms - now_ms)
         trusted = not self.log.distrust_reason and self.log.complete_for == core.placement.number
         if trusted:
             replica.mark_complete()
--- a/fawnwharf/replication/replica.py
+++ b/fawnwharf/replication/replica.py
@@ -298,9 +298,8 @@
         sends: list[m.Send] = []
 
         def store_claim(stored: m.StoredClaim) -> bool:
-            entry = self.claim_store.get_or_create(now_ms, stored.key)
+            entry = self.claim_store.restore(now_ms, stored.key, stored.claim, stored.remaining_ms)
             if entry is not None:
-                self.claim_store.merge(now_ms, stored.key, entry, stored.claim, stored.remaining_ms)
                 sends.extend(self._notify_waiters(now_ms, stored.key, entry))
             return entry is not None
 
--- a/tests/replication/test_replication_calls.py
+++ b/tests/replication/test_replication_calls.py
@@ -126,6 +126,21 @@
     assert cores.what(other) == [RunCall("k", False)]
 
 
+def test_a_claim_of_unknown_age_counts_as_old():
+    """Guards against a replica that counted a call's age anew from its own restart."""
+    cores = Cores()
+    one, other = cores.owners[:2]
+    keyed = {"effect": Effect.DEDUPLICATED, "dedup_window_ms": 5_000.0}
+    cores.begin(one, **keyed)
+    cores.lost.add(one)
+    for keeper in cores.keepers:
+        cores.restart(keeper)
+        cores.wait(1_500)
+    assert all("k" in cores.cores[keeper].replica.claim_store.calls for keeper in cores.keepers)
+    cores.begin(other, **keyed)
+    assert cores.what(other) == [FailCall("k", "it may have run")]
+
+
 def test_a_call_that_runs_unclaimed_takes_a_stored_answer():
     cores = Cores()
     one, other = cores.owners[:2]
--- a/tests/replication/test_replication_grant_log_faults.py
+++ b/tests/replication/test_replication_grant_log_faults.py
@@ -208,6 +208,25 @@
     assert rejection.key == "k"
 
 
+def test_a_logged_claim_counts_as_old_after_a_restart(replica_with_log):
+    """Its age tells whether scorers still drop repeats, and the log does not have the time of the request."""
+    cores, name, faults, start, _ = replica_with_log
+    log = start()
+    assert claim_reply(cores, name, log, "before").granted
+    faults.kill()
+    cores.now += 100.0
+    cores.restart(name)
+    log = start()
+    owner, store = cores.owners[1], cores.cores[name].replica.claim_store
+    request = m.ClaimRequest("before", f"{owner}#{cores.cores[owner].incarnation}", 1, 1, 0)
+    line = msgspec.to_builtins(cores.cores[owner].log_line(m.Send((name,), request)))
+    [reply] = [send.message for send in log.persist(cores.cores[name].receive_line(cores.now, owner, line))]
+    assert not reply.granted
+    assert reply.age_ms >= store.claim_lifetime_ms("before")
+    claim_reply(cores, name, log, "after")
+    assert store.calls["after"].created_ms == cores.now  # a new call has its own age
+
+
 def test_a_replica_that_heard_of_a_later_membership_grants_nothing_after_a_restart(replica_with_log):
     cores, name, faults, start, _ = replica_with_log
     log = start()
