Operators' commands: a process knows what it wrote to the state file itself

What would be seen: after a start without a hand-off, a call back at the new process did not reach the old one, if it came within 0.25 s of the start: the old process compared the file with what it had read at its own start.

Change: what a process writes counts as known.

Measured: test_a_call_back_at_a_newer_process_without_a_channel_ends_what_this_process_was_told fails without the change and passes.

--- a/fawnwharf/admin/command_link.py
+++ b/fawnwharf/admin/command_link.py
@@ -62,6 +62,10 @@
         self._directory = directory
         self._data = data
 
+    def note_written(self, data: bytes) -> None:
+        """Note that this process has written this content to the file."""
+        self._data = data
+
     def new_commands(self) -> list[messages.OperatorCommand]:
         """The commands that lead from the known content of the file to its present one, if that is newer."""
         known = learned_state.decode(self._data)
--- a/fawnwharf/admin/hot_restart.py
+++ b/fawnwharf/admin/hot_restart.py
@@ -171,10 +171,14 @@
         """
         if self.directory is None or self.handoff.is_handing_off or self._is_superseded:
             return  # the file belongs to the newer process
+        data = self._encoded_state()
         try:
-            self.directory.write_learned_state(self._encoded_state())
+            self.directory.write_learned_state(data)
         except OSError as error:
             self.front.log(f"learned state not written: {error.strerror}")
+            return
+        if self._state_file is not None:
+            self._state_file.note_written(data)
 
     def _encoded_state(self) -> bytes:
         return encoded_state(self.front, self._callbacks.scorers_in_maintenance())
--- a/tests/admin/test_admin_commands_across_processes.py
+++ b/tests/admin/test_admin_commands_across_processes.py
@@ -21,6 +21,7 @@
 from fawnwharf.admin.handoff_request import InheritedState
 from fawnwharf.interface import ScorerState
 from fawnwharf.net.front_end import scorer_number
+from fawnwharf.net.timer_wheel import monotonic_ms
 
 ENTER = messages.OperatorCommand(paths.ENTER_MAINTENANCE, "s-1")
 EXIT = messages.OperatorCommand(paths.EXIT_MAINTENANCE, "s-1")
@@ -285,6 +286,18 @@
             sock.close()
 
 
+def test_a_call_back_at_a_newer_process_without_a_channel_ends_what_this_process_was_told(rig):
+    assert rig.command(paths.ENTER_MAINTENANCE, "s-1") == 200
+    directory = rig.admin.hot_restart.directory
+    listener = HandoffListener(rig.front.loop, directory, mock.Mock())
+    try:
+        state = learned_state.LearnedState(monotonic_ms(), [])
+        directory.write_learned_state(learned_state.encode(state))
+        rig.until(lambda: not in_maintenance(rig), "the call back is applied")
+    finally:
+        listener.close()
+
+
 def test_a_newer_process_handles_a_command_of_an_older_one_without_a_hand_off(rig):
     with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as sock:
         with rig.admin.hot_restart.directory.socket_address() as address:
