--- a/review/second/rig.py
+++ b/review/second/rig.py
@@ -4,7 +4,8 @@
 one `Record`, which a case writes to `record.txt`.
 
 A request's body tells the scorers what to do with it, as `key=value` pairs: `work` (milliseconds), `end`
-(`good` or `error`, good when absent). Scorers run each request that they read, and note when it begins.
+(`good` or `error`, good when absent), `size` (bytes of the answer). Scorers run each request that they read,
+and note when it begins.
 """
 
 import asyncio
@@ -122,7 +123,13 @@
 
 def answer_of(request: str, body: bytes) -> bytes:
     """The body that a scorer answers with."""
-    return hashlib.sha256(request.encode() + body).hexdigest().encode()
+    made = hashlib.sha256(request.encode() + body).hexdigest().encode()
+    return made * max(1, int(wishes_of(body).get("size", "1")) // len(made))
+
+
+def wishes_of(body: bytes) -> dict[str, str]:
+    """What a request's body asks of its scorer."""
+    return dict(part.split("=", 1) for part in body.decode().split() if "=" in part)
 
 
 class Scorer:
@@ -197,7 +204,7 @@
         self, writer: asyncio.StreamWriter, ident: bytes, fields: dict[str, str], body: bytes
     ) -> None:
         request = ident.hex()
-        wishes = dict(part.split("=", 1) for part in body.decode().split() if "=" in part)
+        wishes = wishes_of(body)
         function, token = fields["obj"], fields.get("token", "")
         note = "reused" if self.copies.get(function) else "init"
         self.copies.setdefault(function, 1)
