--- a/review/second/rig.py
+++ b/review/second/rig.py
@@ -414,15 +414,17 @@
     {"name": "transfer-settle", "effect": "at_most_once", "give_up": 2000, "promise": 800, "worth": 5.0},
 ]
 
+TENANTS: list[dict[str, Any]] = [
+    {"name": "medijska-hisa", "quota_rps": 122.0, "share": 0.61},
+    {"name": "klub-sever", "quota_rps": 78.0, "share": 0.39},
+]
+
 
 def settings(front_ends: int, zone: str, number: int) -> dict[str, Any]:
     """The settings of a small deployment, with the figures of the site's first message."""
     return {
         "classes": CLASSES,
-        "tenants": [
-            {"name": "medijska-hisa", "quota_rps": 122.0, "share": 0.61},
-            {"name": "klub-sever", "quota_rps": 78.0, "share": 0.39},
-        ],
+        "tenants": TENANTS,
         "bounds": {
             "cancel": True,
             "second_copies": True,
