--- a/review/10/case.py
+++ b/review/10/case.py
@@ -28,9 +28,9 @@
 
 async def bad_client(world: rig.World, ident: str, number: int) -> rig.Answer:
     """Use the id of an open request with a different function and body, at one of the front ends."""
-    client = await rig.Client(world.record, f"bad{number}", world.fronts[number % 3].port).connect()
+    client = await world.client(f"bad{number}", world.fronts[number % 3])
     body = f"work=30 settle=other-{number}"
-    answer = await rig.wait_for(client.call("transfer-settle", ident, 1800, OTHER_ROW, body), 3.0)
+    answer = await rig.wait_for(client.call("publish", ident, 1800, OTHER_ROW, body), 3.0)
     client.close()
     return answer
 
@@ -38,9 +38,9 @@
 async def one(world: rig.World, number: int) -> bool:
     """One usual request, with a bad client beside it; return whether both got what is theirs."""
     ident = rig.new_id()
-    client = await rig.Client(world.record, f"c{number}", world.fronts[0].port).connect()
+    client = await world.client(f"c{number}", world.fronts[0])
     body = f"work=400 settle=mine-{number}"
-    asked = client.call("transfer-settle", ident, 1800, ROW, body)
+    asked = client.call("publish", ident, 1800, ROW, body)
     await asyncio.sleep(0.15)
     bad = await bad_client(world, ident, number) if TROUBLE else rig.Answer("refused")
     answer = await rig.wait_for(asked, 3.0)
@@ -69,4 +69,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(rig.run(play, Path(__file__).resolve().parent))
+    sys.exit(rig.run(play, Path(__file__).resolve().parent, rig.BILBAO))
--- a/review/second/rig.py
+++ b/review/second/rig.py
@@ -107,7 +107,8 @@
         for event in self.events[int(line[1]) :]:
             writer.write(json.dumps(event).encode() + b"\n")
         self._readers.add(writer)
-        await reader.read()
+        with contextlib.suppress(OSError):
+            await reader.read()
         self._readers.discard(writer)
         writer.close()
 
@@ -135,8 +136,17 @@
 class Scorer:
     """Runs each request that it reads; `drops_ms`: for so long it drops repeats under one key."""
 
-    def __init__(self, name: str, record: Record, keys: dict[str, float], drops_ms: float = 1500.0) -> None:
+    def __init__(
+        self,
+        name: str,
+        record: Record,
+        keys: dict[str, float],
+        drops_ms: float = 1500.0,
+        misses: bool = False,
+    ) -> None:
+        """`misses`: without a copy it answers a request with a miss, and loads nothing by itself."""
         self.name, self.record, self.keys, self.drops_ms = name, record, keys, drops_ms
+        self.misses = misses
         self.port = 0
         self.copies: dict[str, int] = {}
         self.held: dict[str, int] = {}
@@ -206,6 +216,10 @@
         request = ident.hex()
         wishes = wishes_of(body)
         function, token = fields["obj"], fields.get("token", "")
+        if self.misses and not self.copies.get(function):
+            self.record.note(self.name, f"answers MISS to {request}")
+            self._answer(writer, MISS, ident)
+            return
         note = "reused" if self.copies.get(function) else "init"
         self.copies.setdefault(function, 1)
         company = self.held.get(function, 0)
@@ -291,8 +305,9 @@
 class Client:
     """One client connection."""
 
-    def __init__(self, record: Record, name: str, port: int) -> None:
-        self.record, self.name, self.port = record, name, port
+    def __init__(self, record: Record, name: str, port: int, org: str = "") -> None:
+        """`org` is its tenant."""
+        self.record, self.name, self.port, self.org = record, name, port, org
         self.last = 0
         self.closed = False
         self.waits: dict[int, asyncio.Future[Answer]] = {}
@@ -310,7 +325,7 @@
     ) -> asyncio.Future[Answer]:
         """Send a request; the future gets its answer."""
         fields = {"op": op, "call": ident, "ttl": str(int(ttl)), "row": row, **more}
-        fields.setdefault("org", "medijska-hisa")
+        fields.setdefault("org", self.org)
         fields.setdefault("props", "memory_mb:256;lanes:8;load_ms:100")
         pairs = b"".join(_text(name.encode()) + _text(value.encode()) for name, value in fields.items())
         arguments = struct.pack(">bh", MAP, 1) + struct.pack(">bbi", STRING, STRING, len(fields)) + pairs
@@ -400,59 +415,119 @@
 
 # --- front ends -----------------------------------------------------------------------------------
 
-CLASSES: list[dict[str, Any]] = [
-    {"name": "points-view", "effect": "idempotent", "give_up": 3000, "promise": 800, "worth": 1.0},
-    {
-        "name": "lineup-save",
-        "effect": "deduplicated",
-        "group": "all",
-        "dedup_window": 1500,
-        "give_up": 2500,
-        "promise": 600,
-        "worth": 5.0,
-    },
-    {"name": "transfer-settle", "effect": "at_most_once", "give_up": 2000, "promise": 800, "worth": 5.0},
-]
-
-TENANTS: list[dict[str, Any]] = [
-    {"name": "medijska-hisa", "quota_rps": 122.0, "share": 0.61},
-    {"name": "klub-sever", "quota_rps": 78.0, "share": 0.39},
-]
-
-
-def settings(front_ends: int, zone: str, number: int) -> dict[str, Any]:
-    """The settings of a small deployment, with the figures of the site's first message."""
-    return {
-        "classes": CLASSES,
-        "tenants": TENANTS,
-        "bounds": {
-            "cancel": True,
-            "second_copies": True,
-            "max_attempts": 3,
-            "retry_after": True,
-            "max_retry_after": 1000.0,
-            "dial_timeout": 250.0,
-            "keepalive": 15000.0,
-            "streams_per_conn": 32,
+LJUBLJANA: dict[str, Any] = {
+    "classes": [
+        {"name": "points-view", "effect": "idempotent", "give_up": 3000, "promise": 800, "worth": 1.0},
+        {
+            "name": "lineup-save",
+            "effect": "deduplicated",
+            "group": "all",
+            "dedup_window": 1500,
+            "give_up": 2500,
+            "promise": 600,
+            "worth": 5.0,
         },
-        "family_info": {
-            "may_order": True,
-            "idle_life": 9300.0,
-            "load_window": 5000.0,
-            "free_loads": 6.0,
-            "load_part": 0.3,
-            "load_wait": 10000.0,
-            "not_loaded": "load",
-            "notes_peers_in_hand": True,
-            "says_warm": True,
+        {"name": "transfer-settle", "effect": "at_most_once", "give_up": 2000, "promise": 800, "worth": 5.0},
+    ],
+    "tenants": [
+        {"name": "medijska-hisa", "quota_rps": 122.0, "share": 0.61},
+        {"name": "klub-sever", "quota_rps": 78.0, "share": 0.39},
+    ],
+    "bounds": {
+        "cancel": True,
+        "second_copies": True,
+        "max_attempts": 3,
+        "retry_after": True,
+        "max_retry_after": 1000.0,
+        "dial_timeout": 250.0,
+        "keepalive": 15000.0,
+        "streams_per_conn": 32,
+    },
+    "family_info": {
+        "may_order": True,
+        "idle_life": 9300.0,
+        "load_window": 5000.0,
+        "free_loads": 6.0,
+        "load_part": 0.3,
+        "load_wait": 10000.0,
+        "not_loaded": "load",
+        "notes_peers_in_hand": True,
+        "says_warm": True,
+    },
+    "invariants": {
+        "cold": 14000.0,
+        "cold_share": 0.15,
+        "drain_grace": 250.0,
+        "fall": 1500.0,
+        "fall_multiple": 2.0,
+    },
+}
+BILBAO: dict[str, Any] = {
+    "classes": [
+        {"name": "preview", "effect": "idempotent", "give_up": 3000, "promise": 600, "worth": 1.0},
+        {
+            "name": "ad-stitch",
+            "effect": "deduplicated",
+            "group": "zone",
+            "dedup_window": 1500,
+            "give_up": 2500,
+            "promise": 750,
+            "worth": 3.0,
         },
-        "invariants": {
-            "cold": 14000.0,
-            "cold_share": 0.15,
-            "drain_grace": 250.0,
-            "fall": 1500.0,
-            "fall_multiple": 2.0,
+        {"name": "publish", "effect": "at_most_once", "give_up": 3000, "promise": 800, "worth": 5.0},
+    ],
+    "tenants": [
+        {"name": "cantabrico-media", "quota_rps": 48.0, "share": 0.37},
+        {"name": "voces-del-norte", "quota_rps": 44.0, "share": 0.34},
+        {"name": "ria-sonora", "quota_rps": 38.0, "share": 0.29},
+    ],
+    "bounds": {**LJUBLJANA["bounds"], "max_attempts": 4},
+    "family_info": {
+        **LJUBLJANA["family_info"],
+        "load_part": 0.15,
+        "not_loaded": "miss",
+        "notes_peers_in_hand": False,
+        "says_warm": False,
+    },
+    "invariants": {
+        "cold": 16000.0,
+        "cold_share": 0.16,
+        "drain_grace": 500.0,
+        "fall": 3000.0,
+        "fall_multiple": 4.0,
+    },
+}
+QUAY: dict[str, Any] = {
+    "classes": [
+        {"name": "seat-glance", "effect": "idempotent", "give_up": 400, "promise": 160, "worth": 1.0},
+        {
+            "name": "seat-hold",
+            "effect": "deduplicated",
+            "group": "all",
+            "dedup_window": 150,
+            "give_up": 1300,
+            "promise": 450,
+            "worth": 3.0,
         },
+        {"name": "basket-price", "effect": "idempotent", "give_up": 1900, "promise": 650, "worth": 2.0},
+        {"name": "ticket-pay", "effect": "at_most_once", "give_up": 2800, "promise": 900, "worth": 6.0},
+        {"name": "season-plan", "effect": "idempotent", "give_up": 12000, "promise": 4000, "worth": 4.0},
+    ],
+    "tenants": [
+        {"name": "ferry-line", "quota_rps": 88.0, "share": 0.44},
+        {"name": "opera", "quota_rps": 62.0, "share": 0.31},
+        {"name": "ice-rink", "quota_rps": 50.0, "share": 0.25},
+    ],
+    "bounds": {**LJUBLJANA["bounds"], "max_attempts": 4, "dial_timeout": 200.0, "max_retry_after": 700.0},
+    "family_info": LJUBLJANA["family_info"],
+    "invariants": LJUBLJANA["invariants"],
+}
+
+
+def settings(site: dict[str, Any], front_ends: int, zone: str, number: int) -> dict[str, Any]:
+    """The settings of a small deployment of a site."""
+    return {
+        **site,
         "fleet_size": front_ends,
         "locality": zone,
         "me": number,
@@ -477,7 +552,9 @@
         self.port, self.control = free_port(), 0
         self.processes: list[asyncio.subprocess.Process] = []
 
-    def configure(self, changelog: ChangeLog, front_ends: int, number: int, **more: Any) -> None:
+    def configure(
+        self, site: dict[str, Any], changelog: ChangeLog, front_ends: int, number: int, **more: Any
+    ) -> None:
         """Write its configuration file."""
         (self.folder / "tmp").mkdir(parents=True, exist_ok=True)
         known = {"seq": len(changelog.events), "results": changelog.events}
@@ -488,7 +565,7 @@
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "changelog": f"{HOST}:{changelog.port}",
             "known": known,
-            "settings": settings(front_ends, self.zone, number),
+            "settings": settings(site, front_ends, self.zone, number),
             **more,
         }
         (self.folder / "config.json").write_text(json.dumps(config))
@@ -549,7 +626,8 @@
 class World:
     """A change log, scorers and front ends in a folder of their own; ends all of them."""
 
-    def __init__(self) -> None:
+    def __init__(self, site: dict[str, Any]) -> None:
+        self.site = site
         self.record = Record()
         self.folder = Path(tempfile.mkdtemp(prefix="case-"))
         self.changelog = ChangeLog(self.record)
@@ -561,7 +639,8 @@
         """Start the change log, and one scorer in each of these zones."""
         await self.changelog.start()
         for number, zone in enumerate(zones):
-            scorer = Scorer(f"s-{number}", self.record, self.keys)
+            misses = self.site["family_info"]["not_loaded"] == "miss"
+            scorer = Scorer(f"s-{number}", self.record, self.keys, misses=misses)
             await scorer.start()
             self.scorers.append(scorer)
             self.changelog.events or self.changelog.tell([], complete=True)
@@ -571,7 +650,7 @@
         """Configure front ends, one in each of these zones."""
         for number, zone in enumerate(zones):
             front = FrontEnd(f"n{number}", zone, self.folder, self.record, more)
-            front.configure(self.changelog, len(zones), number, **config)
+            front.configure(self.site, self.changelog, len(zones), number, **config)
             self.fronts.append(front)
 
     def members(self, ballots: bool = False) -> dict[str, Any]:
@@ -585,6 +664,11 @@
             found.append(entry)
         return {"version": 1, "fleet": "main", "number": 1, "members": found}
 
+    async def client(self, name: str, front: FrontEnd) -> Client:
+        """A client of the site's first tenant, connected to a front end."""
+        org = self.site["tenants"][0]["name"]
+        return await Client(self.record, name, front.port, org).connect()
+
     async def close(self) -> None:
         """End all processes, and remove the folder."""
         for front in self.fronts:
@@ -592,14 +676,14 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def run(play: Callable[[World], Any], folder: Path) -> int:
-    """Play a case and write `record.txt`.
+def run(play: Callable[[World], Any], folder: Path, site: dict[str, Any]) -> int:
+    """Play a case with the settings of a site, and write `record.txt`.
 
     Returns 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
     """
 
     async def whole() -> int:
-        world = World()
+        world = World(site)
         status = 2
         try:
             status = await asyncio.wait_for(play(world), 110.0)
