--- a/review/second/rig.py
+++ b/review/second/rig.py
@@ -47,7 +47,8 @@
     def __init__(self) -> None:
         self.began_ms = now_ms()
         self.lines: list[str] = []
-        self.runs: dict[str, list[tuple[float, str]]] = {}  # of each request: when and where it began to run
+        # By idempotency key, or by request where there is none: when and where it began to run.
+        self.runs: dict[str, list[tuple[float, str]]] = {}
 
     def note(self, who: str, text: str) -> None:
         """Add a line."""
@@ -229,7 +230,7 @@
         else:
             if token:
                 self.keys[token] = now_ms()
-            self.record.ran(request, self.name)
+            self.record.ran(token or request, self.name)
         await asyncio.sleep(float(wishes.get("work", "20")) / 1000.0)
         self.held[function] -= 1
         more = f"res={note},company={company}"
@@ -346,6 +347,14 @@
         if self._writer is not None:
             self._writer.write(_message(4, b"withdraw", self.last, arguments))
 
+    def reset(self) -> None:
+        """Reset the connection, as the network does."""
+        self.record.note(self.name, "its connection is reset")
+        self.closed = True
+        self.waits.clear()
+        if self._writer is not None:
+            self._writer.transport.abort()
+
     def close(self) -> None:
         """Close the connection: this client has gone."""
         if not self.closed and self._writer is not None:
@@ -631,7 +640,7 @@
         self.record = Record()
         self.folder = Path(tempfile.mkdtemp(prefix="case-"))
         self.changelog = ChangeLog(self.record)
-        self.keys: dict[str, float] = {}
+        self.keys: dict[str, dict[str, float]] = {}  # that scorers share, by zone where they do by zone
         self.scorers: list[Scorer] = []
         self.fronts: list[FrontEnd] = []
 
@@ -640,7 +649,9 @@
         await self.changelog.start()
         for number, zone in enumerate(zones):
             misses = self.site["family_info"]["not_loaded"] == "miss"
-            scorer = Scorer(f"s-{number}", self.record, self.keys, misses=misses)
+            by_zone = any(each.get("group") == "zone" for each in self.site["classes"])
+            keys = self.keys.setdefault(zone if by_zone else "all", {})
+            scorer = Scorer(f"s-{number}", self.record, keys, misses=misses)
             await scorer.start()
             self.scorers.append(scorer)
             self.changelog.events or self.changelog.tell([], complete=True)
