--- a/review/second/rig.py
+++ b/review/second/rig.py
@@ -506,31 +506,6 @@
         "fall_multiple": 4.0,
     },
 }
-QUAY: dict[str, Any] = {
-    "classes": [
-        {"name": "seat-glance", "effect": "idempotent", "give_up": 400, "promise": 160, "worth": 1.0},
-        {
-            "name": "seat-hold",
-            "effect": "deduplicated",
-            "group": "all",
-            "dedup_window": 150,
-            "give_up": 1300,
-            "promise": 450,
-            "worth": 3.0,
-        },
-        {"name": "basket-price", "effect": "idempotent", "give_up": 1900, "promise": 650, "worth": 2.0},
-        {"name": "ticket-pay", "effect": "at_most_once", "give_up": 2800, "promise": 900, "worth": 6.0},
-        {"name": "season-plan", "effect": "idempotent", "give_up": 12000, "promise": 4000, "worth": 4.0},
-    ],
-    "tenants": [
-        {"name": "ferry-line", "quota_rps": 88.0, "share": 0.44},
-        {"name": "opera", "quota_rps": 62.0, "share": 0.31},
-        {"name": "ice-rink", "quota_rps": 50.0, "share": 0.25},
-    ],
-    "bounds": {**LJUBLJANA["bounds"], "max_attempts": 4, "dial_timeout": 200.0, "max_retry_after": 700.0},
-    "family_info": LJUBLJANA["family_info"],
-    "invariants": LJUBLJANA["invariants"],
-}
 
 
 def settings(site: dict[str, Any], front_ends: int, zone: str, number: int) -> dict[str, Any]:
