Client port: what is sent past the limit of open requests is never served

What callers saw: clients that sent hundreds of requests at once, or again the moment they were turned away, were served requests that they had sent while 32 were open. Cause: ClientConnection counted what was open as it read a request (len(self.open)). Answers that were written while later requests lay unread, in the socket or in the client's system, freed places for them; with silent scorers and slow iterations more of them. Change: OpenRequestLimit counts as the client does. A request stays open until its answer is written, and for all that had arrived before that write (FIONREAD before it). A connection whose read is full is read on in the same iteration, up to 36 reads or 64 messages, so that a burst is seen before it is answered. A request past the limit ends the connection; all that was read on it fails. Requests whose client's time ends within 100 ms are not counted, so that a client that stops waiting at its time is not turned away. Replaced, as strict: a_33rd_open_request: all 33 fail and the connection ends, in place of one exception. Two tests went on from 32 open calls: test_net_drains sends its further call on a new connection; test_net_clock_steps forbids reading ahead, as it is about several iterations.

--- a/fawnwharf/net/clients.py
+++ b/fawnwharf/net/clients.py
@@ -13,6 +13,7 @@
 from fawnwharf.net.connection_handoff import HandedOffConnection, ReceivedCall
 from fawnwharf.net.end_reasons import EndReason
 from fawnwharf.net.event_loop import ReadPriority
+from fawnwharf.net.open_request_limit import MAX_OPEN_REQUESTS, OpenRequestLimit
 from fawnwharf.net.requests import Call, Failed, Outcome, Rejected, Succeeded
 from fawnwharf.net.timer_wheel import monotonic_ms
 
@@ -20,7 +21,6 @@
     from fawnwharf.net.client_port import ClientPort
 
 MAX_READ_BYTES = 16 * 1024  # per iteration; decoding so many small messages takes about 10 ms
-MAX_OPEN_REQUESTS = 32  # on one connection
 # A peer must get an answer or a close within 3 s of connecting; a client's bytes arrive within a round trip.
 MESSAGE_TIMEOUT_MS = 2_300.0  # for the first message, and for the rest of a partial message
 OVERSIZED_TIMEOUT_MS = 6_000.0  # for the rest of an oversized message, which was rejected by its header
@@ -32,6 +32,9 @@
 # A client retries a request that crosses a close within 50 ms; the rest allows for the network and timers.
 IDLE_LINGER_MS = 60.0
 MAX_RELEASE_READS = 4  # reads of an idle connection before it is closed
+# A connection with further requests behind a full read is read on in the same iteration, up to the largest
+# requests that may be open on it, or this many messages.
+MAX_READS_AHEAD, MAX_MESSAGES_AHEAD = 36, 64
 MAX_UNSENT_BYTES = 8 * 1024 * 1024  # 32 of the longest answers; a connection with more is closed
 
 
@@ -48,10 +51,14 @@
         # Set once another process has the connection; gets a call's sequence number and its encoded answer.
         self._forward_answer: Callable[[int, bytes], None] | None = None
         self._reader = thrift.FrameReader()
+        self._limit = OpenRequestLimit()
+        self._messages_read = 0  # since the last read that the event loop began
+        self._reads_ahead = False
         self._timeout_start_ms = monotonic_ms()  # when the client connected, or when a partial message began
         self.connection = Connection.accepted(
             port.loop, sock, self, MAX_READ_BYTES, order=self._priority, half_close=True
         )
+        self.connection.before_write = self._note_answers_written
 
     def _priority(self) -> ReadPriority:
         return ReadPriority.ACTIVE if self.open else ReadPriority.IDLE
@@ -62,7 +69,26 @@
         """Do nothing: the connection was accepted."""
 
     def on_data(self, data: bytes) -> None:
-        """Handle the messages that these bytes complete."""
+        """Handle the messages that these bytes complete, and those that have arrived behind them."""
+        self._messages_read = self._handle_data(data)
+        if not self._reads_ahead:
+            self._read_ahead()
+
+    def _read_ahead(self) -> None:
+        """Read on while each read is full: what a client sent at once is seen before it is answered."""
+        self._reads_ahead = True
+        messages_read = self._messages_read
+        for _ in range(MAX_READS_AHEAD):
+            is_full = self.connection.input_full and bool(self.open) and not self._reader.is_skipping
+            is_allowed = messages_read < MAX_MESSAGES_AHEAD and not self.port.loop.batch_full
+            if not (is_full and is_allowed and self.connection.reads):
+                break
+            self.connection.read_once()
+            messages_read += self._messages_read
+        self._reads_ahead = False
+
+    def _handle_data(self, data: bytes) -> int:
+        """Handle the messages that these bytes complete; return how many there were."""
         was_partial = self._reader.has_partial_frame
         items = self._reader.feed(data)
         if items or not was_partial:
@@ -76,9 +102,10 @@
             self._age_ms = self.connection.age_ms if is_newest else self.connection.oldest_age_ms
             if (end := self._handle_guarded(item, withdrawn)) is not None:
                 self._end_with(items[index:], end)
-                return
+                return len(items)
         if self.open:  # also after a message that is no request: an attempt may still wait to be sent
             self.check_peer_ended()
+        return len(items)
 
     def _handle_guarded(
         self, item: thrift.Message | thrift.MalformedMessageError, withdrawn: set[int]
@@ -113,6 +140,9 @@
             return self._reject_malformed(
                 thrift.MalformedMessageError("a second request under an open number", seqid)
             )
+        if self._limit.is_exceeded(message.end_bytes, self.port.loop.iteration_ms):
+            self.port.log("client: sent past the limit of open requests", "clients")
+            return EndReason.PROTOCOL_ERROR
         if len(self.open) >= MAX_OPEN_REQUESTS:
             return self._reject_malformed(thrift.MalformedMessageError("too many open requests", seqid))
         try:
@@ -125,6 +155,7 @@
             if seqid not in withdrawn:
                 self._reply(seqid, Failed())
             return None
+        self._limit.opened(seqid, self.port.loop.iteration_ms + parsed.budget_ms - self._age_ms)
         call = parsed.open(self._age_ms, lambda outcome: self._reply(seqid, outcome), self.check_peer_ended)
         if (opened := self.port.open_call(self, message, call, self._age_ms)) is not None:
             self.open[seqid] = opened
@@ -138,6 +169,7 @@
 
     def withdraw(self, seqid: int) -> None:
         """Withdraw an open call; does nothing if it is not open."""
+        self._limit.withdrawn(seqid)
         if (call := self.open.pop(seqid, None)) is not None:
             call.withdraw()
 
@@ -151,6 +183,7 @@
 
     def _reply(self, seqid: int, outcome: Outcome) -> None:
         self.open.pop(seqid, None)
+        self._limit.answered(seqid)
         if isinstance(outcome, Succeeded):
             self._answer(seqid, thrift.answer("handle", seqid, outcome.body, {}, True))
         elif isinstance(outcome, Rejected):
@@ -169,6 +202,11 @@
     def _write(self, data: bytes) -> None:
         self.connection.write(data)
 
+    def _note_answers_written(self) -> None:
+        """Note what the client had sent before it can have read the answers that are about to be written."""
+        if self._limit.has_unwritten:
+            self._limit.writing(self._reader.received_bytes + self.connection.unread_bytes())
+
     def on_flushed(self) -> None:
         """Limit the unsent answers after the write of an iteration: the client does not read them."""
         if self.connection.unwritten_bytes > MAX_UNSENT_BYTES:
--- a/fawnwharf/net/connection.py
+++ b/fawnwharf/net/connection.py
@@ -2,10 +2,7 @@
 
 import contextlib
 import errno
-import fcntl
 import socket
-import struct
-import termios
 from collections import deque
 from collections.abc import Callable
 from typing import Self, cast
@@ -16,14 +13,13 @@
 from fawnwharf.net.end_reasons import EndReason, SystemCall, end_reason_of
 from fawnwharf.net.event_loop import READ, WRITE, EventLoop, ReadPriority
 from fawnwharf.net.receive_age import MAX_ANCILLARY_BYTES, ReceiveAge
-from fawnwharf.net.socket_inspection import discard, peek, peer_ended
+from fawnwharf.net.socket_inspection import discard, peek, peer_ended, unacknowledged_bytes, unread_bytes
 from fawnwharf.net.timer_wheel import Timer, monotonic_ms
 from fawnwharf.net.write_buffer import PartialWriteLimit, WriteBuffer
 
 # Read from one connection in each event loop iteration, so that none starves the others. The rest stays in
 # the kernel's buffer, which slows the sender down, and is read in the next iterations.
 MAX_READ_BYTES = 64 * 1024
-OUTPUT_QUEUE_SIZE = struct.Struct("@i")  # the result of the ioctl TIOCOUTQ
 LINGER_MS = 1_000.0  # after the output was ended: time for the peer to read it and to close its side
 MAX_FINISH_MS = 10_000.0  # for writing the queued output to a peer that keeps receiving
 READ_AGAIN_MS = 50.0  # pause after a read that failed for lack of memory
@@ -56,6 +52,7 @@
         # used_ms: when bytes were last received or sent
         self.last_received_ms = self.used_ms = monotonic_ms()
         self.unwritten_bytes = 0  # queued and not written yet
+        self.before_write: Callable[[], None] | None = None
         self.input_full = False  # the last read returned the maximum: there may be more
         self.age_ms = 0.0
         self.oldest_age_ms = 0.0
@@ -339,7 +336,7 @@
         """Remove the connection from the event loop; return its socket and the unwritten bytes."""
         self.closed = True
         self.owner = NO_OWNER
-        self._order = None
+        self._order = self.before_write = None
         if self._mask:
             self.loop.unwatch(self._sock)
         unwritten = b"".join(buffer.data[buffer.written :] for buffer in self._outbox)
@@ -349,11 +346,11 @@
 
     def unsent(self) -> int:
         """The number of written bytes that the peer has not acknowledged; 0 if the system can't report it."""
-        try:
-            count = fcntl.ioctl(self._sock, termios.TIOCOUTQ, bytes(OUTPUT_QUEUE_SIZE.size))
-        except (OSError, ValueError):
-            return 0
-        return max(0, int(OUTPUT_QUEUE_SIZE.unpack(count)[0]))
+        return unacknowledged_bytes(self._sock)
+
+    def unread_bytes(self) -> int:
+        """The number of bytes that have arrived and are not read yet; 0 if the system can't report it."""
+        return unread_bytes(self._sock)
 
     def _shut_down_output(self) -> None:
         """End the output and discard unread input: a reset on close could lose answers in transit."""
@@ -375,7 +372,7 @@
         self._sock.close()
         self._outbox.clear()
         self.unwritten_bytes = 0
-        self._order = None  # it may refer to the owner
+        self._order = self.before_write = None  # they may refer to the owner
         owner = self.owner
         self.owner = NO_OWNER
         owner.on_end(end)
--- a/fawnwharf/net/connection_writer.py
+++ b/fawnwharf/net/connection_writer.py
@@ -24,6 +24,7 @@
     closed: bool
     used_ms: float
     unwritten_bytes: int
+    before_write: Callable[[], None] | None  # called before each write of queued output
     _sock: socket.socket
     _reading: bool
     _outbox: deque[WriteBuffer]
@@ -80,6 +81,8 @@
         """Write as much of the queue as the system accepts, and notify the owner."""
         able = self.up and not self.closed and not self._blocked and self._write_pause is None
         if able and self._outbox:
+            if self.before_write is not None:
+                self.before_write()
             self._write_out()
         if self._finishing and not self.closed and not self._outbox:
             self._end_output(self._finishing)
--- a/fawnwharf/net/socket_inspection.py
+++ b/fawnwharf/net/socket_inspection.py
@@ -1,10 +1,14 @@
 """Inspects a socket's unread bytes and whether the peer has ended, without delivering the bytes."""
 
+import fcntl
 import select
 import socket
+import struct
+import termios
 
 DISCARD_BYTES = 64 * 1024  # in one read
 MAX_DISCARD_READS = 16  # when a connection is closed
+QUEUE_SIZE = struct.Struct("@i")  # the result of the ioctls FIONREAD and TIOCOUTQ
 PEER_ENDED = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
@@ -34,6 +38,24 @@
         return False
 
 
+def unread_bytes(sock: socket.socket) -> int:
+    """The number of bytes that have arrived and are not read yet; 0 if the system can't report it."""
+    return _queue_size(sock, termios.FIONREAD)
+
+
+def unacknowledged_bytes(sock: socket.socket) -> int:
+    """The number of written bytes that the peer has not acknowledged; 0 if the system can't report it."""
+    return _queue_size(sock, termios.TIOCOUTQ)
+
+
+def _queue_size(sock: socket.socket, request: int) -> int:
+    try:
+        answer = fcntl.ioctl(sock, request, bytes(QUEUE_SIZE.size))
+    except (OSError, ValueError):
+        return 0
+    return max(0, int(QUEUE_SIZE.unpack(answer)[0]))
+
+
 def discard(sock: socket.socket) -> None:
     """Read and discard unread bytes, up to a limit: with unread bytes, a close resets the connection."""
     try:
--- a/fawnwharf/net/thrift.py
+++ b/fawnwharf/net/thrift.py
@@ -5,7 +5,7 @@
 
 import struct
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 MAX_FRAME_BYTES = 48 * 1024  # far more than a body of 16 KiB and its fields need
@@ -74,11 +74,15 @@
 
 @dataclass(slots=True)
 class Handle:
-    """A call of the method `handle`: a request's text fields by name, and its body."""
+    """A call of the method `handle`: a request's text fields by name, and its body.
+
+    `end_bytes` is where the message ends in the client's stream, counted from where its `FrameReader` began.
+    """
 
     seqid: int
     fields: dict[str, str]
     body: bytes
+    end_bytes: int = field(default=0, compare=False)
 
 
 @dataclass(slots=True)
@@ -104,6 +108,7 @@
     def __init__(self) -> None:
         self._buffer = bytearray()
         self._skip = 0  # bytes of an oversized frame that are still to be discarded
+        self.received_bytes = 0  # since the beginning, with those of a frame that was resumed
 
     @property
     def has_partial_frame(self) -> bool:
@@ -123,6 +128,7 @@
         """Continue from the state of another reader."""
         self._buffer = bytearray(partial)
         self._skip = skip
+        self.received_bytes = len(partial)
 
     def feed(self, data: bytes) -> list[Message | MalformedMessageError]:
         """Add received bytes; return the messages that are complete now, and an error for each invalid one.
@@ -130,6 +136,7 @@
         After an error without a sequence number the stream is unusable, and the rest is not decoded.
         """
         self._buffer += data
+        self.received_bytes += len(data)
         found: list[Message | MalformedMessageError] = []
         start = 0
         while True:
@@ -149,8 +156,11 @@
                 continue
             if len(self._buffer) - first < size:
                 break
-            found.append(_parse_message(bytes(self._buffer[first : first + size])))
+            message = _parse_message(bytes(self._buffer[first : first + size]))
             start = first + size
+            if isinstance(message, Handle):
+                message.end_bytes = self.received_bytes - (len(self._buffer) - start)
+            found.append(message)
         del self._buffer[:start]
         return found
 
--- a/tests/net/test_net_clients.py
+++ b/tests/net/test_net_clients.py
@@ -72,14 +72,15 @@
         rig.until(lambda: scorer.runs, "the other client's request runs")
         self.assertIn("boom", "".join(rig.lines))
 
-    def test_a_33rd_open_request_gets_an_exception(self):
+    def test_a_33rd_open_request_ends_the_connection_and_all_have_failed(self):
         rig = self.rig(ScorerPeer(copies=None))
         client = rig.client()
         for _ in range(33):
             client.call()
-        rig.until(lambda: client.answers, "one request is answered")
-        self.assertEqual(client.kinds(), {33: "exception"})
-        self.assertEqual(len(rig.front.requests.open), 32)
+        rig.until(lambda: client.ended, "the connection ends")
+        self.assertEqual(client.kinds(), dict.fromkeys(range(1, 34), "broken"))
+        self.assertEqual(len(client.answers), 33)
+        self.assertEqual(len(rig.front.requests.open), 0)
 
     def test_a_reused_open_sequence_number_ends_the_connection(self):
         rig = self.rig(ScorerPeer(copies=None))
--- a/tests/net/test_net_clock_steps.py
+++ b/tests/net/test_net_clock_steps.py
@@ -7,7 +7,7 @@
 from peers import Rig, ScorerPeer
 from support.clocks import SettableClock
 
-from fawnwharf.net import event_loop, receive_age, timer_wheel
+from fawnwharf.net import clients, event_loop, receive_age, timer_wheel
 from fawnwharf.net.front_end import scorer_number
 
 HOUR = 3_600_000.0
@@ -163,6 +163,7 @@
 
 def test_calls_that_take_several_reads_count_from_their_earliest_arrival(rig, clock, monkeypatch):
     without_receive_timestamps(monkeypatch)
+    monkeypatch.setattr(clients, "MAX_READS_AHEAD", 0)  # one read in each iteration
     client = settled_client(rig)
     client.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)  # so that all calls arrive at once
     rig.front.loop.run_iteration(0.0)
--- a/tests/net/test_net_drains.py
+++ b/tests/net/test_net_drains.py
@@ -90,7 +90,7 @@
     if not rig.clients:
         write_calls(rig)
     rig.until(lambda: rig.scorers[1].runs, "the other scorer receives calls")
-    client = rig.clients[-1]
+    client = rig.client()  # the others have as many open as they may
     client.call(row="aa" * 8)
     rig.settle(client)
     assert new_work(rig.by_id["s-1"]) == []
