Client calls: unsound estimates and bodies of another type are refused

What callers saw: values of props far out of range (twelve digits), 0 or fractions of lanes, and a body argument of another type were served. Cause: calls.py took any number of up to twelve digits for memory_mb and load_ms, cut lanes to an integer of at least 1, and looked only at the last of repeated names; thrift.py looked for (2, string) and took a body of another type for an empty one. Change: FIGURE_RANGES, and a check of argument types. Accepted as before, each with a test: no, empty or unknown estimates, decimals, lanes 2.0, 0 MB and 0 ms, the ends of the ranges, ids in capitals, no body, unknown arguments.

--- a/fawnwharf/net/calls.py
+++ b/fawnwharf/net/calls.py
@@ -9,7 +9,6 @@
 from fawnwharf.net.requests import Call, Outcome
 
 TTL_TOLERANCE = 1.1  # a ttl may exceed its class's deadline by this factor, to allow for rounding
-MAX_LANES = 4_096
 MAX_TENANT_LENGTH = 128  # characters of a tenant's name
 
 _HEX16 = re.compile(r"[0-9a-fA-F]{16}\Z")
@@ -17,6 +16,23 @@
 _NUMBER = re.compile(r"[0-9]{1,12}(\.[0-9]{1,9})?\Z")
 
 
+@dataclass(frozen=True, slots=True)
+class FigureRange:
+    """The values that a client's estimate may have, from `least` to `most`; `is_whole`: no fractions."""
+
+    least: float
+    most: float
+    is_whole: bool = False
+
+
+# The estimates in `props`, by name. Other names there are ignored.
+FIGURE_RANGES = {
+    "lanes": FigureRange(1, 4_096, is_whole=True),
+    "memory_mb": FigureRange(0, 1024 * 1024),  # a TiB for one copy
+    "load_ms": FigureRange(0, 3_600_000),  # an hour
+}
+
+
 @dataclass(frozen=True, slots=True)
 class ParsedCall:
     """A validated client request; scorers accept all its values.
@@ -80,16 +96,23 @@
     return budget
 
 
-def _props(fields: dict[str, str]) -> dict[str, str]:
-    parts = (part.partition(":") for part in fields.get("props", "").split(";") if part)
-    return {name: value for name, _, value in parts}
+def _figures(fields: dict[str, str]) -> dict[str, float]:
+    """Parse the client's estimates by name; each given one has to be sound, also one that is repeated."""
+    figures = {}
+    for part in fields.get("props", "").split(";"):
+        name, _, text = part.partition(":")
+        if (allowed := FIGURE_RANGES.get(name)) is not None:
+            figures[name] = _figure(name, text, allowed)
+    return figures
 
 
-def _lanes(props: dict[str, str]) -> int:
-    lanes = _number(props.get("lanes"), "lanes") or 1
-    if lanes > MAX_LANES:
-        raise thrift.MalformedMessageError("lanes: too many")
-    return max(1, int(lanes))
+def _figure(name: str, text: str, allowed: FigureRange) -> float:
+    value = _number(text, name)
+    if value is None or not allowed.least <= value <= allowed.most:
+        raise thrift.MalformedMessageError(f"{name}: out of range")
+    if allowed.is_whole and not value.is_integer():
+        raise thrift.MalformedMessageError(f"{name}: not a whole number")
+    return value
 
 
 def call_from(
@@ -111,7 +134,7 @@
     if (token or spec.effect is Effect.DEDUPLICATED) and not _TOKEN.match(token):
         raise thrift.MalformedMessageError("dedupe: missing, or not a key")
     budget_ms = _budget_ms(fields, spec)
-    props = _props(fields)
+    figures = _figures(fields)
     return ParsedCall(
         id=bytes.fromhex(fields["call"]),
         class_name=spec.name,
@@ -120,7 +143,7 @@
         budget_ms=budget_ms,
         body=message.body,
         token=token,
-        lanes=_lanes(props),
-        memory_mb=_number(props.get("memory_mb"), "memory_mb"),
-        load_ms=_number(props.get("load_ms"), "load_ms"),
+        lanes=int(figures.get("lanes", 1)),
+        memory_mb=figures.get("memory_mb"),
+        load_ms=figures.get("load_ms"),
     )
--- a/fawnwharf/net/thrift.py
+++ b/fawnwharf/net/thrift.py
@@ -38,6 +38,7 @@
 MAP = 13
 SET = 14
 LIST = 15
+HANDLE_TYPES = {1: MAP, 2: STRING}  # of the arguments of `handle`, by number
 WIDTHS = {BOOL: 1, BYTE: 1, DOUBLE: 8, I16: 2, I32: 4, I64: 8}  # in bytes
 
 # Kinds of application exceptions.
@@ -298,7 +299,15 @@
         return found
 
 
+def _check_types(arguments: _Fields, types: dict[int, int]) -> None:
+    """Raise MalformedMessageError if an argument has another type than the service gives it, by number."""
+    for number, kind in arguments:
+        if types.get(number, kind) != kind:
+            raise MalformedMessageError(f"argument {number} has another type")
+
+
 def _parse_handle(seqid: int, arguments: _Fields) -> Handle:
+    _check_types(arguments, HANDLE_TYPES)
     fields = arguments.get((1, MAP))
     body: bytes = arguments.get((2, STRING), b"")
     if not isinstance(fields, dict):
--- a/tests/net/test_net_codecs.py
+++ b/tests/net/test_net_codecs.py
@@ -105,12 +105,39 @@
         self.assertEqual((call.id.hex(), call.function), (FIELDS["call"], ROW))
         self.assertEqual(call.budget_ms, 1500.0)
 
+    def test_odd_and_missing_estimates_are_accepted(self):
+        cases = [
+            ("", 1, None, None),
+            (";;", 1, None, None),
+            ("lanes:2.0;", 2, None, None),
+            ("lanes:4096;memory_mb:1048576;load_ms:3600000", 4096, 1_048_576.0, 3_600_000.0),
+            ("memory_mb:512.25;load_ms:0.5", 1, 512.25, 0.5),
+            ("memory_mb:0;load_ms:0", 1, 0.0, 0.0),
+            ("hint:12.0;unheard;other:999999999999", 1, None, None),
+        ]
+        for props, *expected in cases:
+            with self.subTest(props):
+                call = call_from(thrift.Handle(1, FIELDS | {"props": props}, b""), self.CLASSES)
+                self.assertEqual([call.lanes, call.memory_mb, call.load_ms], expected)
+        call = call_from(thrift.Handle(1, FIELDS | {"call": FIELDS["call"].upper()}, b""), self.CLASSES)
+        self.assertEqual((call.id.hex(), call.lanes), (FIELDS["call"], 1))
+
+    def test_a_request_without_a_body_or_with_unknown_arguments_is_accepted(self):
+        head = struct.pack(">Ii", thrift.VERSION | thrift.CALL, 6) + b"handle" + struct.pack(">i", 7)
+        fields = struct.pack(">bh", thrift.MAP, 1) + thrift._fields(FIELDS)
+        for more in (b"", struct.pack(">bhi", thrift.I32, 3, 5)):
+            message = head + fields + more + b"\0"
+            found = thrift.FrameReader().feed(struct.pack(">I", len(message)) + message)
+            self.assertEqual(found, [thrift.Handle(7, FIELDS, b"")])
+
     def test_invalid_calls_are_rejected(self):
         cases = [
             {"op": "nothing"}, {"call": "xyz"}, {"call": "9b1f03aa5c7e2d4"}, {"row": ROW + ",kind=x"},
             {"row": ""}, {"ttl": "0"}, {"ttl": "-5"}, {"ttl": "nan"}, {"ttl": "1e9"}, {"ttl": ""},
             {"ttl": "9" * 12}, {"op": "save"}, {"op": "save", "dedupe": "a,b=c"}, {"dedupe": "x" * 200},
-            {"props": "lanes:-1"}, {"props": "lanes:999999"}, {"props": "memory_mb:inf"}, {"row": "७" * 16},
+            {"props": "lanes:-1"}, {"props": "lanes:999999"}, {"props": "memory_mb:inf"},
+            {"props": "lanes:0"}, {"props": "lanes:1.5"}, {"props": "lanes"}, {"props": "load_ms:3600000.1"},
+            {"props": "memory_mb:999999999999"}, {"row": "७" * 16},
         ]  # fmt: skip
         for change in cases:
             with self.subTest(change), self.assertRaises(thrift.MalformedMessageError):
--- a/tests/net/test_net_malformed_input.py
+++ b/tests/net/test_net_malformed_input.py
@@ -31,6 +31,12 @@
     return handle_frame(BAD_SEQID, fields, body)
 
 
+def arguments_after_fields(arguments):
+    """A request with sound fields, followed by these encoded arguments."""
+    fields = struct.pack(">bh", thrift.MAP, 1) + thrift._fields(GOOD)
+    return framed(head() + fields + arguments + b"\0")
+
+
 # Frames with a readable sequence number: answered with an application exception; the connection stays open.
 ANSWERED = {
     "class unknown": bad(GOOD | {"op": "unheard"}),
@@ -54,7 +60,18 @@
     "token too long": bad(GOOD | {"op": "save", "dedupe": "a" * 200}),
     "lanes not a number": bad(GOOD | {"props": "lanes:x"}),
     "lanes too many": bad(GOOD | {"props": "lanes:99999"}),
+    "lanes zero": bad(GOOD | {"props": "lanes:0"}),
+    "lanes not whole": bad(GOOD | {"props": "lanes:2.5"}),
+    "lanes empty": bad(GOOD | {"props": "lanes:"}),
+    "lanes repeated, one not a number": bad(GOOD | {"props": "lanes:x;lanes:2"}),
     "memory not a number": bad(GOOD | {"props": "memory_mb:-1"}),
+    "memory far out of range": bad(GOOD | {"props": "memory_mb:999999999999"}),
+    "load time far out of range": bad(GOOD | {"props": "memory_mb:512;load_ms:999999999999"}),
+    "load time of 13 digits": bad(GOOD | {"props": "load_ms:1000000000000"}),
+    "a body of another type": arguments_after_fields(struct.pack(">bhi", thrift.I32, 2, 5)),
+    "a second body of another type": arguments_after_fields(
+        struct.pack(">bhi", thrift.STRING, 2, 0) + struct.pack(">bhi", thrift.I32, 2, 5)
+    ),
     "no fields": framed(head() + b"\0"),
     "body too large": bad(GOOD, b"x" * 17_000),
     "frame too large": bad(GOOD, b"x" * 100_000),
