Client port: a request whose number does not count up is never served

What callers saw: requests under 0, under negative numbers, and under a number used before (after its answer, an error or a withdrawal) were served. Cause: ClientConnection compared a number only with those of requests that were open at that moment. Change: SequenceNumbers knows the highest number of the requests of a connection, also of refused ones. A number below 1 gets an exception; one that does not count up ends the connection, and gets no second answer. The number goes over with a connection that is handed off: a field that is left out unless it is told, so recorded bytes stay the same.

--- a/fawnwharf/admin/connection_assembler.py
+++ b/fawnwharf/admin/connection_assembler.py
@@ -51,5 +51,6 @@
             message.empty_ms,
             tuple(waiting_calls),
             open_calls.seqids,
+            message.highest_seqid or 0,
         )
         return open_calls.number, handed
--- a/fawnwharf/admin/connection_sender.py
+++ b/fawnwharf/admin/connection_sender.py
@@ -55,7 +55,9 @@
         if number:
             self._handed_off[number] = client
             client.forward_answers(lambda seqid, data: _forward(channel, number, seqid, data))
-        message = messages.ConnectionHandoff(handed.partial, handed.skip, handed.has_sent, handed.empty_ms)
+        message = messages.ConnectionHandoff(
+            handed.partial, handed.skip, handed.has_sent, handed.empty_ms, handed.highest_seqid
+        )
         channel.send(message, handed.sock)
 
     def _send_open_calls(self, channel: HandoffChannel, handed: HandedOffConnection) -> int:
--- a/fawnwharf/admin/handoff_messages.py
+++ b/fawnwharf/admin/handoff_messages.py
@@ -88,12 +88,14 @@
     - `has_sent`: whether the client has ever sent a complete message on the connection.
     - `empty_ms`: when the connection last had no unread bytes, on the monotonic clock, which both processes
       share; None if that is not known.
+    - `highest_seqid`: the highest sequence number of a request on it; older processes don't tell it.
     """
 
     partial: bytes = b""
     skip: int = 0
     has_sent: bool = field(default=True, name="spoke")
     empty_ms: float | None = None
+    highest_seqid: int | msgspec.UnsetType = msgspec.UNSET
 
 
 class ForwardedAnswer(msgspec.Struct, tag="answer", frozen=True):
--- a/fawnwharf/net/client_port.py
+++ b/fawnwharf/net/client_port.py
@@ -166,7 +166,7 @@
         waiting = client.take_held()
         running = tuple(client.open)
         return HandedOffConnection(
-            sock, partial, skip, client.has_sent, unwritten, empty_ms, waiting, running
+            sock, partial, skip, client.has_sent, unwritten, empty_ms, waiting, running, client.highest_seqid
         )
 
     def take_over(
--- a/fawnwharf/net/clients.py
+++ b/fawnwharf/net/clients.py
@@ -9,26 +9,20 @@
 from fawnwharf.net.call_hold import HeldCall
 from fawnwharf.net.calls import call_from
 from fawnwharf.net.client_calls import OpenCall, RemoteCall
+from fawnwharf.net.client_timeouts import MessageTimeouts
 from fawnwharf.net.connection import Connection
 from fawnwharf.net.connection_handoff import HandedOffConnection, ReceivedCall
 from fawnwharf.net.end_reasons import EndReason
 from fawnwharf.net.event_loop import ReadPriority
 from fawnwharf.net.open_request_limit import MAX_OPEN_REQUESTS, OpenRequestLimit
 from fawnwharf.net.requests import Call, Failed, Outcome, Rejected, Succeeded
+from fawnwharf.net.sequence_numbers import FIRST_NUMBER, SequenceNumbers
 from fawnwharf.net.timer_wheel import monotonic_ms
 
 if TYPE_CHECKING:
     from fawnwharf.net.client_port import ClientPort
 
 MAX_READ_BYTES = 16 * 1024  # per iteration; decoding so many small messages takes about 10 ms
-# A peer must get an answer or a close within 3 s of connecting; a client's bytes arrive within a round trip.
-MESSAGE_TIMEOUT_MS = 2_300.0  # for the first message, and for the rest of a partial message
-OVERSIZED_TIMEOUT_MS = 6_000.0  # for the rest of an oversized message, which was rejected by its header
-# A connection that has sent no message yet is not closed to make capacity before it is this old.
-MIN_SILENT_MS = 50.0
-# A connection with a partial message is closed last, and only if nothing has arrived for this long. That is
-# more than a round trip, and short enough that partial messages on all connections don't block new clients.
-PARTIAL_MESSAGE_MS = 100.0
 # A client retries a request that crosses a close within 50 ms; the rest allows for the network and timers.
 IDLE_LINGER_MS = 60.0
 MAX_RELEASE_READS = 4  # reads of an idle connection before it is closed
@@ -46,15 +40,15 @@
         self.port = port
         self.open: dict[int, OpenCall] = {}  # by sequence number
         self.output_ended = False  # the client has ended its output: no new request is accepted
-        self.has_sent = False  # a complete message has been received
         self._age_ms = 0.0  # how long the message that is being handled was unread
         # Set once another process has the connection; gets a call's sequence number and its encoded answer.
         self._forward_answer: Callable[[int, bytes], None] | None = None
         self._reader = thrift.FrameReader()
         self._limit = OpenRequestLimit()
+        self._numbers = SequenceNumbers()
         self._messages_read = 0  # since the last read that the event loop began
         self._reads_ahead = False
-        self._timeout_start_ms = monotonic_ms()  # when the client connected, or when a partial message began
+        self.timeouts = MessageTimeouts(monotonic_ms())
         self.connection = Connection.accepted(
             port.loop, sock, self, MAX_READ_BYTES, order=self._priority, half_close=True
         )
@@ -91,9 +85,7 @@
         """Handle the messages that these bytes complete; return how many there were."""
         was_partial = self._reader.has_partial_frame
         items = self._reader.feed(data)
-        if items or not was_partial:
-            self._timeout_start_ms = monotonic_ms() if items or self.has_sent else self._timeout_start_ms
-        self.has_sent = self.has_sent or bool(items)
+        self.timeouts.received(monotonic_ms(), completes_message=bool(items), continues_message=was_partial)
         if self.connection.input_full and self.open:
             self.port.slow_clients.check_later(self)
         withdrawn = {item.seqid for item in items if isinstance(item, thrift.Withdraw)}
@@ -115,6 +107,8 @@
             return self._handle_message(item, withdrawn)
         except Exception:
             self.port.loop.log_exception("reading")
+            if isinstance(item, thrift.Handle) and item.seqid not in self.open:
+                self._reply(item.seqid, Failed())
             return EndReason.PROTOCOL_ERROR
 
     def _handle_message(
@@ -136,20 +130,20 @@
 
     def _handle_request(self, message: thrift.Handle, withdrawn: set[int]) -> EndReason | None:
         seqid = message.seqid
-        if seqid in self.open:
-            return self._reject_malformed(
-                thrift.MalformedMessageError("a second request under an open number", seqid)
-            )
+        if seqid < FIRST_NUMBER:
+            return self._refuse(seqid, thrift.MalformedMessageError("a sequence number below 1"))
         if self._limit.is_exceeded(message.end_bytes, self.port.loop.iteration_ms):
             self.port.log("client: sent past the limit of open requests", "clients")
             return EndReason.PROTOCOL_ERROR
+        if not self._numbers.use(seqid):
+            self.port.log("client: a sequence number that does not count up", "clients")
+            return EndReason.PROTOCOL_ERROR
         if len(self.open) >= MAX_OPEN_REQUESTS:
-            return self._reject_malformed(thrift.MalformedMessageError("too many open requests", seqid))
+            return self._refuse(seqid, thrift.MalformedMessageError("too many open requests"))
         try:
             parsed = call_from(message, self.port.classes, self.port.tenants)
         except thrift.MalformedMessageError as error:
-            error.seqid = seqid
-            return self._reject_malformed(error)
+            return self._refuse(seqid, error)
         self.check_peer_ended()
         if self.output_ended:
             if seqid not in withdrawn:
@@ -174,11 +168,20 @@
             call.withdraw()
 
     def _reject_malformed(self, error: thrift.MalformedMessageError) -> EndReason | None:
-        self.port.log(f"client: {error}", "clients")
-        # An exception with the sequence number of an open request would count as that request's answer.
-        if error.seqid is None or error.seqid in self.open:
+        """Refuse a message that is not valid; return why the connection has to end, or None."""
+        # An exception with the number of an earlier request would count as that request's answer.
+        is_used = (
+            error.seqid is not None and error.seqid >= FIRST_NUMBER and not self._numbers.use(error.seqid)
+        )
+        if error.seqid is None or is_used:
+            self.port.log(f"client: {error}", "clients")
             return EndReason.PROTOCOL_ERROR
-        self._write(thrift.application_exception(error.seqid, str(error), error.kind))
+        return self._refuse(error.seqid, error)
+
+    def _refuse(self, seqid: int, error: thrift.MalformedMessageError) -> EndReason | None:
+        """Refuse the request with this number; the connection stays open."""
+        self.port.log(f"client: {error}", "clients")
+        self._write(thrift.application_exception(seqid, str(error), error.kind))
         return None
 
     def _reply(self, seqid: int, outcome: Outcome) -> None:
@@ -223,16 +226,15 @@
     ) -> None:
         """End the connection because of the first of these messages.
 
-        The requests that were read completely are failed, also those after it, so that each has its answer.
+        The requests that were read completely are failed, also those after it, so that each has its answer;
+        a number that was used before gets no second one.
         """
         for item in items:
             if isinstance(item, thrift.Withdraw):
                 self.withdraw(item.seqid)
-        failed = set(self.open)
         self.fail_open()
         for item in items:
-            if isinstance(item, thrift.Handle) and item.seqid not in failed:
-                failed.add(item.seqid)
+            if isinstance(item, thrift.Handle) and self._numbers.use(item.seqid):
                 self._reply(item.seqid, Failed())
         self._finish(end)
 
@@ -286,6 +288,11 @@
         connection = self.connection
         return not (self.open or connection.unwritten_bytes or connection.closed or connection.finishing)
 
+    @property
+    def has_sent(self) -> bool:
+        """Whether a complete message has been received."""
+        return self.timeouts.has_sent
+
     @property
     def has_partial_message(self) -> bool:
         """Whether a message has been received in part."""
@@ -319,7 +326,7 @@
     def resume(self, handed: HandedOffConnection, withdraw_remote: Callable[[int], None]) -> None:
         """Continue a connection in the state in which another process handed it off."""
         self._reader.resume(handed.partial, handed.skip)
-        self.has_sent = handed.has_sent
+        self.timeouts.has_sent = handed.has_sent
         if handed.unwritten:
             self.connection.write(handed.unwritten)
         for seqid in handed.remote_calls:
@@ -331,6 +338,12 @@
             if (end := self._handle_guarded(call, set())) is not None:
                 self._end_with(calls[index:], end)
                 return
+        self._numbers.use(handed.highest_seqid)
+
+    @property
+    def highest_seqid(self) -> int:
+        """The highest sequence number that a request has used here; 0 if none has."""
+        return self._numbers.highest
 
     def answer_remote(self, seqid: int, data: bytes) -> None:
         """Write the answer of a call that another process ran, if the client still waits for it."""
@@ -350,10 +363,7 @@
 
         `now_ms` is on the monotonic clock.
         """
-        unused_ms = now_ms - self.connection.used_ms
-        if self.has_partial_message:
-            return unused_ms > PARTIAL_MESSAGE_MS
-        return self.has_sent or unused_ms > MIN_SILENT_MS
+        return self.timeouts.may_be_released(now_ms - self.connection.used_ms, self.has_partial_message)
 
     def release(self) -> bool:
         """Read what has arrived and, if the connection is still idle, close it; return whether it ends.
@@ -376,10 +386,9 @@
 
         Keeps silent peers from occupying descriptors. `now_ms` is on the monotonic clock.
         """
-        if self.open or (self.has_sent and not self._reader.has_partial_frame):
+        if self.open:
             return False
-        timeout_ms = OVERSIZED_TIMEOUT_MS if self._reader.is_skipping else MESSAGE_TIMEOUT_MS
-        return now_ms - self._timeout_start_ms > timeout_ms
+        return self.timeouts.is_overdue(now_ms, self.has_partial_message, self._reader.is_skipping)
 
     def _read_all(self) -> bool:
         """Read and handle what has arrived; return whether all was read and the connection stays open."""
--- a/fawnwharf/net/connection_handoff.py
+++ b/fawnwharf/net/connection_handoff.py
@@ -27,7 +27,8 @@
     `unwritten` has the bytes of answers that were not written yet. `empty_ms` is when the receive buffer was
     last known to be empty, on the monotonic clock, which both processes share; None if that is not known.
     `waiting_calls` are to be run by the receiving process. `remote_calls` has the sequence numbers of the
-    calls that the sending process still runs; it forwards their answers.
+    calls that the sending process still runs; it forwards their answers. `highest_seqid` is the highest
+    sequence number that a request has used; 0 if that is not known.
     """
 
     sock: socket.socket
@@ -38,3 +39,4 @@
     empty_ms: float | None = None
     waiting_calls: tuple[ReceivedCall, ...] = ()
     remote_calls: tuple[int, ...] = ()
+    highest_seqid: int = 0
--- a/fawnwharf/net/graceful_shutdown.py
+++ b/fawnwharf/net/graceful_shutdown.py
@@ -6,7 +6,8 @@
 from fawnwharf.interface import Settings
 from fawnwharf.net import connection
 from fawnwharf.net.calls import TTL_TOLERANCE
-from fawnwharf.net.clients import MESSAGE_TIMEOUT_MS, ClientConnection
+from fawnwharf.net.client_timeouts import MESSAGE_TIMEOUT_MS
+from fawnwharf.net.clients import ClientConnection
 from fawnwharf.net.end_reasons import EndReason
 from fawnwharf.net.idle_connections import MIN_SILENT_AGE_MS
 from fawnwharf.net.timer_wheel import monotonic_ms
--- a/tests/compatibility/test_compatibility_messages.py
+++ b/tests/compatibility/test_compatibility_messages.py
@@ -30,6 +30,7 @@
 ADDED_FIELDS = {
     ("recovery/claim/full", "content"): "recovery/claim/content/full",
     ("policy/kept/full", "replication"): "policy/kept/replication/full",
+    ("successor/message/kept/full", "highest_seqid"): "successor/message/kept/highest_seqid/full",
 }
 
 
