An id that comes again with another content is refused; at-most-once ids run once

Cause: nothing in net/ compared ids. The request table gives each request a key of its own, and forgets it at its end. Change: RequestContents (client port) remembers class, tenant, function, key and body of recent ids as a digest: another content is refused with an exception. RunIds (request table) remembers at-most-once ids that are open or may have run: these fail, as they may have run. Ids that never ran are forgotten. Both go over to a process that replaces this one, in a part of the learned state that older processes ignore; ids that come between that state and the hand-off of their connections do not.

--- a/fawnwharf/admin/hot_restart.py
+++ b/fawnwharf/admin/hot_restart.py
@@ -13,8 +13,8 @@
 from fawnwharf.admin.handoff_channel import HandoffChannel
 from fawnwharf.admin.handoff_listener import HandoffListener
 from fawnwharf.admin.handoff_request import InheritedState
-from fawnwharf.admin.learned_state import HandedOverState
-from fawnwharf.admin.learned_state_capture import encoded_state
+from fawnwharf.admin.learned_state import StateWithRequestIds
+from fawnwharf.admin.learned_state_capture import encoded_state, restore_request_ids
 from fawnwharf.admin.predecessor_handoff import HandoffAction, HandoffPhase, PredecessorHandoff
 from fawnwharf.net.front_end import FrontEnd
 from fawnwharf.net.timer_wheel import monotonic_ms
@@ -78,7 +78,7 @@
         )
         self._predecessor_commands.open(self.predecessor)
 
-    def decoded_learned_state(self) -> HandedOverState | None:
+    def decoded_learned_state(self) -> StateWithRequestIds | None:
         """The predecessor's learned state of any age; None if there is none or it can't be decoded.
 
         To be called before `start`. The owner uses its scorers in maintenance, which have no age limit.
@@ -89,7 +89,7 @@
             self.front.log("learned state of the previous process can't be read: starting without it")
         return learned
 
-    def start(self, learned: HandedOverState | None) -> None:
+    def start(self, learned: StateWithRequestIds | None) -> None:
         """Takes over from the predecessor: restores the learned state and accepts connections.
 
         Then listens for a successor.
@@ -101,6 +101,7 @@
         if learned is not None and learned_state.is_fresh(learned, at_ms):
             clock_ms = front.loop.clock.now_ms()
             front.loop.run_guarded(learned_state.restore, front.router, learned, clock_ms, at_ms)
+            front.loop.run_guarded(restore_request_ids, front, learned, at_ms)
             functions, scorers = len(learned.functions), len(learned.scorers)
             front.log(f"hot restart: taking over {functions} functions, {scorers} scorers")
         front.client_port.set_accepting(True)
--- a/fawnwharf/admin/learned_state.py
+++ b/fawnwharf/admin/learned_state.py
@@ -157,6 +157,13 @@
     restart_ages_ms: dict[str, AgeMs] = field(default_factory=dict)
 
 
+class StateWithRequestIds(HandedOverState):
+    """The state with the encoded `RequestContents` and `RunIds`, which older versions ignore as well."""
+
+    request_contents: bytes = b""
+    at_most_once_ids: bytes = b""
+
+
 def encode(learned: LearnedState) -> bytes:
     """Encodes a state, with a header."""
     body = msgspec.msgpack.encode(learned)
@@ -168,9 +175,9 @@
     return _decode(data, LearnedState)
 
 
-def decode_handed_over(data: bytes) -> HandedOverState | None:
+def decode_handed_over(data: bytes) -> StateWithRequestIds | None:
     """Decodes a state with what older versions ignore, at its defaults if such a version wrote it."""
-    return _decode(data, HandedOverState)
+    return _decode(data, StateWithRequestIds)
 
 
 def _decode(data: bytes, kind: type[DecodedState]) -> DecodedState | None:
--- a/fawnwharf/admin/learned_state_capture.py
+++ b/fawnwharf/admin/learned_state_capture.py
@@ -1,7 +1,9 @@
 """The encoded learned state of a running front end, with what its roster overlay knows of restarts."""
 
+import msgspec
+
 from fawnwharf.admin import learned_state
-from fawnwharf.admin.learned_state import HandedOverState
+from fawnwharf.admin.learned_state import HandedOverState, StateWithRequestIds
 from fawnwharf.net.front_end import FrontEnd
 from fawnwharf.net.timer_wheel import monotonic_ms
 
@@ -27,7 +29,18 @@
         scorer_id: clock_ms - restarted_ms
         for scorer_id, restarted_ms in front.roster_overlay.restart_times_ms.items()
     }
-    return learned_state.encode(learned)
+    with_ids = StateWithRequestIds(
+        **msgspec.structs.asdict(learned),
+        request_contents=front.client_port.contents.encode(),
+        at_most_once_ids=front.requests.at_most_once_ids.encode(),
+    )
+    return learned_state.encode(with_ids)
+
+
+def restore_request_ids(front: FrontEnd, learned: StateWithRequestIds, monotonic_ms: float) -> None:
+    """Restore what the previous process knew of recent requests; older processes don't tell it."""
+    front.client_port.contents.restore(learned.request_contents, monotonic_ms)
+    front.requests.at_most_once_ids.restore(learned.at_most_once_ids, monotonic_ms)
 
 
 def restart_times_ms(learned: HandedOverState, clock_ms: float, monotonic_ms: float) -> dict[str, float]:
--- a/fawnwharf/net/calls.py
+++ b/fawnwharf/net/calls.py
@@ -6,6 +6,7 @@
 
 from fawnwharf.interface import ClassSpec, Effect
 from fawnwharf.net import thrift
+from fawnwharf.net.request_ids import content_digest
 from fawnwharf.net.requests import Call, Outcome
 
 TTL_TOLERANCE = 1.1  # a ttl may exceed its class's deadline by this factor, to allow for rounding
@@ -52,6 +53,11 @@
     memory_mb: float | None
     load_ms: float | None
 
+    @property
+    def content(self) -> int:
+        """The digest of what it asks for."""
+        return content_digest(self.class_name, self.tenant, self.function, self.token, self.body)
+
     def open(self, age_ms: float, reply: Callable[[Outcome], None], check_client: Callable[[], None]) -> Call:
         """Return the call in the form that the request table accepts.
 
--- a/fawnwharf/net/client_port.py
+++ b/fawnwharf/net/client_port.py
@@ -17,6 +17,7 @@
 from fawnwharf.net.idle_connections import IdleConnectionReleaser
 from fawnwharf.net.listener import open_listener
 from fawnwharf.net.log_writer import LogWriter
+from fawnwharf.net.request_ids import RequestContents
 from fawnwharf.net.requests import Call, RequestTable
 from fawnwharf.net.slow_clients import SlowClients
 from fawnwharf.net.timer_wheel import monotonic_ms
@@ -70,6 +71,7 @@
         self.not_ready_reasons: set[str] = set()  # names of subsystems that are not ready for requests
         self.clients: dict[ClientConnection, None] = {}
         self.max_connections = settings.max_connections
+        self.contents = RequestContents()
         opened = listener or open_listener(settings.address, settings.shared)
         self._acceptor = Acceptor(loop, opened, self._admit, self._capacity, log)
         self.address: Address = opened.getsockname()[:2]
--- a/fawnwharf/net/clients.py
+++ b/fawnwharf/net/clients.py
@@ -144,6 +144,8 @@
             parsed = call_from(message, self.port.classes, self.port.tenants)
         except thrift.MalformedMessageError as error:
             return self._refuse(seqid, error)
+        if not self.port.contents.accept(parsed.id, parsed.content, monotonic_ms()):
+            return self._refuse(seqid, thrift.MalformedMessageError("call: the id of another request"))
         self.check_peer_ended()
         if self.output_ended:
             if seqid not in withdrawn:
@@ -280,8 +282,6 @@
         for call in calls:
             call.withdraw()
 
-    # --- idle connections -----------------------------------------------------------------------
-
     @property
     def idle(self) -> bool:
         """Whether it has no open request and no unwritten answer, and is not being closed."""
@@ -356,8 +356,6 @@
         for seqid in [seqid for seqid, call in self.open.items() if isinstance(call, RemoteCall)]:
             self._reply(seqid, Failed())
 
-    # --- idle connections: closing --------------------------------------------------------------
-
     def may_be_released(self, now_ms: float) -> bool:
         """Whether it may be closed to make capacity, because the client is probably not sending now.
 
--- a/fawnwharf/net/requests.py
+++ b/fawnwharf/net/requests.py
@@ -15,6 +15,7 @@
 from fawnwharf.config import ConnectionSettings
 from fawnwharf.net.end_reasons import EndReason, attempt_result
 from fawnwharf.net.event_loop import EventLoop
+from fawnwharf.net.request_ids import RunIds
 from fawnwharf.net.scorer_pool import ScorerPool
 from fawnwharf.net.scorer_streams import Answer, Attempt, LoadOrder
 from fawnwharf.net.timer_wheel import Timer, monotonic_ms
@@ -133,14 +134,21 @@
         # Requests that ended in this batch and in the previous one. The router may not know it yet.
         self._ended: dict[str, OpenRequest] = {}
         self._previously_ended: dict[str, OpenRequest] = {}
+        self.at_most_once_ids = RunIds()
 
     # --- from clients -------------------------------------------------------------------------
 
     def take(self, call: Call) -> str | None:
-        """Open a request and return its key; None if it was rejected for lack of capacity."""
+        """Open a request and return its key; None if it was answered at once.
+
+        It is rejected for lack of capacity, and fails if it must not run twice and its id may have run.
+        """
         if len(self.open) >= self._wire.max_open or self._body_bytes + len(call.body) > MAX_BODY_BYTES:
             call.reply(Rejected(FULL_RETRY_AFTER_MS))
             return None
+        if self._is_at_most_once(call) and not self.at_most_once_ids.begin(call.id, monotonic_ms()):
+            call.reply(Failed())
+            return None
         key = f"r{next(self._key_numbers)}"
         self._body_bytes += len(call.body)
         deadline_timer = self._loop.timers.after(call.budget_ms, lambda: self._fail_overdue(key))
@@ -176,7 +184,10 @@
         The request is open, or has ended in this batch.
         """
         request = self.open.get(key) or self._ended.get(key)
-        return request is not None and (request.may_have_run or self._has_attempt_out(request))
+        return request is not None and self._may_have_run(request)
+
+    def _may_have_run(self, request: OpenRequest) -> bool:
+        return request.may_have_run or self._has_attempt_out(request)
 
     def limit_begin(self, key: str, begin_by_ms: float) -> None:
         """Let no attempt of an open request begin later than `begin_by_ms`, on the monotonic clock."""
@@ -211,8 +222,15 @@
         if request:
             request.deadline_timer.cancel()
             self._body_bytes -= len(request.call.body)
+            if self._is_at_most_once(request.call) and not self._may_have_run(request):
+                self.at_most_once_ids.never_ran(request.call.id)
         return request
 
+    def _is_at_most_once(self, call: Call) -> bool:
+        """Whether a call must not run twice; a call of an unknown class must not."""
+        spec = self._classes.get(call.class_name)
+        return spec is None or spec.effect is io.Effect.AT_MOST_ONCE
+
     def _finish(self, key: str, outcome: Outcome) -> None:
         if request := self._close(key):
             self._ended[key] = request
--- a/tests/compatibility/compatibility_boundaries.py
+++ b/tests/compatibility/compatibility_boundaries.py
@@ -109,6 +109,7 @@
     "successor/message": Boundary(successor.Message, successor.decode, successor.encode, binary=True),
     "successor/memory": packed(beliefs.LearnedState),
     "successor/state": packed(beliefs.HandedOverState),
+    "successor/ids": packed(beliefs.StateWithRequestIds),
     "recovery/register": Boundary(
         recovery_register.RecoveryRegister, lambda data: recovery_register.parse_register(data.decode()),
         lambda value: value.encode().encode(),
