Client port: after a stall, calls wait until all that their client sent is read

What callers saw: a client sent 32 requests with bodies of 16,000 bytes and closed its connection while the front end stood still for 0.4 s; 4 to 8 of them were sent to scorers after that. Cause: the end of a client's output is known only behind its last byte. What did not fit into the receive buffer arrives as it is emptied, and the end after it, so check_peer_ended saw none while the first requests were sent. Change: ClientReading holds the calls of a connection whose bytes are over 40 ms old while a read was full or a message is incomplete, reads on every 5 ms, and runs them once all is read, after 50 ms at the latest, or after a quarter of their time. Reading ahead moved there as well.

--- a/fawnwharf/net/client_port.py
+++ b/fawnwharf/net/client_port.py
@@ -124,8 +124,9 @@
         self, client: ClientConnection, message: thrift.Handle, call: Call, age_ms: float
     ) -> OpenCall | None:
         """Run or hold a call that a client has sent `age_ms` ago; None if it was answered at once."""
-        if self._hold is not None:
-            return self._hold.add(client, message, call, age_ms)
+        hold = self._hold or client.reading.hold
+        if hold is not None:
+            return hold.add(client, message, call, age_ms)
         return self.run_call(call)
 
     def run_call(self, call: Call) -> OpenCall | None:
--- a/fawnwharf/net/clients.py
+++ b/fawnwharf/net/clients.py
@@ -9,6 +9,7 @@
 from fawnwharf.net.call_hold import HeldCall
 from fawnwharf.net.calls import call_from
 from fawnwharf.net.client_calls import OpenCall, RemoteCall
+from fawnwharf.net.client_reading import ClientReading
 from fawnwharf.net.client_timeouts import MessageTimeouts
 from fawnwharf.net.connection import Connection
 from fawnwharf.net.connection_handoff import HandedOffConnection, ReceivedCall
@@ -26,9 +27,6 @@
 # A client retries a request that crosses a close within 50 ms; the rest allows for the network and timers.
 IDLE_LINGER_MS = 60.0
 MAX_RELEASE_READS = 4  # reads of an idle connection before it is closed
-# A connection with further requests behind a full read is read on in the same iteration, up to the largest
-# requests that may be open on it, or this many messages.
-MAX_READS_AHEAD, MAX_MESSAGES_AHEAD = 36, 64
 MAX_UNSENT_BYTES = 8 * 1024 * 1024  # 32 of the longest answers; a connection with more is closed
 
 
@@ -46,8 +44,7 @@
         self._reader = thrift.FrameReader()
         self._limit = OpenRequestLimit()
         self._numbers = SequenceNumbers()
-        self._messages_read = 0  # since the last read that the event loop began
-        self._reads_ahead = False
+        self.reading = ClientReading()
         self.timeouts = MessageTimeouts(monotonic_ms())
         self.connection = Connection.accepted(
             port.loop, sock, self, MAX_READ_BYTES, order=self._priority, half_close=True
@@ -64,22 +61,8 @@
 
     def on_data(self, data: bytes) -> None:
         """Handle the messages that these bytes complete, and those that have arrived behind them."""
-        self._messages_read = self._handle_data(data)
-        if not self._reads_ahead:
-            self._read_ahead()
-
-    def _read_ahead(self) -> None:
-        """Read on while each read is full: what a client sent at once is seen before it is answered."""
-        self._reads_ahead = True
-        messages_read = self._messages_read
-        for _ in range(MAX_READS_AHEAD):
-            is_full = self.connection.input_full and bool(self.open) and not self._reader.is_skipping
-            is_allowed = messages_read < MAX_MESSAGES_AHEAD and not self.port.loop.batch_full
-            if not (is_full and is_allowed and self.connection.reads):
-                break
-            self.connection.read_once()
-            messages_read += self._messages_read
-        self._reads_ahead = False
+        self.reading.messages_read = self._handle_data(data)
+        self.reading.read_ahead(self)
 
     def _handle_data(self, data: bytes) -> int:
         """Handle the messages that these bytes complete; return how many there were."""
@@ -88,6 +71,7 @@
         self.timeouts.received(monotonic_ms(), completes_message=bool(items), continues_message=was_partial)
         if self.connection.input_full and self.open:
             self.port.slow_clients.check_later(self)
+        self.reading.note_age(self)
         withdrawn = {item.seqid for item in items if isinstance(item, thrift.Withdraw)}
         for index, item in enumerate(items):
             is_newest = index == len(items) - 1 and not self._reader.has_partial_frame
@@ -298,6 +282,11 @@
         """Whether a message has been received in part."""
         return self._reader.has_partial_frame
 
+    @property
+    def is_skipping(self) -> bool:
+        """Whether the rest of an oversized message is still to be discarded."""
+        return self._reader.is_skipping
+
     # --- hand-off to and from another process ---------------------------------------------------
 
     def state(self) -> tuple[bytes, int]:
@@ -386,7 +375,7 @@
         """
         if self.open:
             return False
-        return self.timeouts.is_overdue(now_ms, self.has_partial_message, self._reader.is_skipping)
+        return self.timeouts.is_overdue(now_ms, self.has_partial_message, self.is_skipping)
 
     def _read_all(self) -> bool:
         """Read and handle what has arrived; return whether all was read and the connection stays open."""
--- a/tests/net/test_net_clock_steps.py
+++ b/tests/net/test_net_clock_steps.py
@@ -1,5 +1,6 @@
 """Steps of the wall clock and stalled iterations: durations stay exact, and no call gets extra time."""
 
+import math
 import socket
 import time
 
@@ -7,7 +8,7 @@
 from peers import Rig, ScorerPeer
 from support.clocks import SettableClock
 
-from fawnwharf.net import clients, event_loop, receive_age, timer_wheel
+from fawnwharf.net import client_reading, event_loop, receive_age, timer_wheel
 from fawnwharf.net.front_end import scorer_number
 
 HOUR = 3_600_000.0
@@ -163,7 +164,8 @@
 
 def test_calls_that_take_several_reads_count_from_their_earliest_arrival(rig, clock, monkeypatch):
     without_receive_timestamps(monkeypatch)
-    monkeypatch.setattr(clients, "MAX_READS_AHEAD", 0)  # one read in each iteration
+    monkeypatch.setattr(client_reading, "MAX_READS_AHEAD", 0)  # one read in each iteration
+    monkeypatch.setattr(client_reading, "PEER_CHECK_AFTER_MS", math.inf)  # no call waits for later reads
     client = settled_client(rig)
     client.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)  # so that all calls arrive at once
     rig.front.loop.run_iteration(0.0)
