Logs: one line a cause and second with a count and ids; unsound clients are closed

What operators saw: thousands of equal lines 'client: too many open requests' filled the 20 lines a second of their source and hid all others; none had an id. Cause: one limit for all lines about clients, no text of why attempts, requests and connections ended. Change: CauseLog: the first event of a cause in a second is a line with ids, the others are a count; totals by cause every 10 s. It covers refused requests, connections that end for an unusual reason, requests that are rejected or fail, attempts that end without a good answer.

--- a/fawnwharf/net/client_port.py
+++ b/fawnwharf/net/client_port.py
@@ -9,6 +9,7 @@
 from fawnwharf.net import thrift
 from fawnwharf.net.acceptor import Acceptor
 from fawnwharf.net.call_hold import CallHold
+from fawnwharf.net.cause_log import CauseLog
 from fawnwharf.net.client_calls import OpenCall, TableCall
 from fawnwharf.net.clients import ClientConnection
 from fawnwharf.net.connection_handoff import HandedOffConnection
@@ -65,6 +66,7 @@
         self.loop = loop
         self.requests = requests
         self.log = log
+        self.causes = CauseLog(log)
         self.classes = settings.classes
         self.tenants = settings.tenants
         self.ready = False
@@ -223,6 +225,7 @@
     def run_maintenance(self) -> None:
         """Close connections that have been idle, silent or blocked for too long."""
         now_ms = monotonic_ms()
+        self.causes.flush()
         self._idle_releaser.clear()
         for client in list(self.clients):
             if self.loop.batch_full:  # requests were read just now; the next call checks the others
--- a/fawnwharf/net/clients.py
+++ b/fawnwharf/net/clients.py
@@ -18,6 +18,7 @@
 from fawnwharf.net.open_request_limit import MAX_OPEN_REQUESTS, OpenRequestLimit
 from fawnwharf.net.requests import Call, Failed, Outcome, Rejected, Succeeded
 from fawnwharf.net.sequence_numbers import FIRST_NUMBER, SequenceNumbers
+from fawnwharf.net.socket_inspection import peer_name
 from fawnwharf.net.timer_wheel import monotonic_ms
 
 if TYPE_CHECKING:
@@ -27,6 +28,8 @@
 # A client retries a request that crosses a close within 50 ms; the rest allows for the network and timers.
 IDLE_LINGER_MS = 60.0
 MAX_RELEASE_READS = 4  # reads of an idle connection before it is closed
+USUAL_ENDS = frozenset((EndReason.CLOSED_BY_PEER, EndReason.IDLE, EndReason.STOPPED))
+MAX_REFUSALS = 32  # of unsound requests on one connection, which is closed then
 MAX_UNSENT_BYTES = 8 * 1024 * 1024  # 32 of the longest answers; a connection with more is closed
 
 
@@ -36,6 +39,7 @@
     def __init__(self, port: "ClientPort", sock: socket.socket) -> None:
         """Take over an accepted socket; raises OSError if it is not usable, and leaves it open then."""
         self.port = port
+        self.peer_name = peer_name(sock)  # for the log
         self.open: dict[int, OpenCall] = {}  # by sequence number
         self.output_ended = False  # the client has ended its output: no new request is accepted
         self._age_ms = 0.0  # how long the message that is being handled was unread
@@ -45,6 +49,7 @@
         self._limit = OpenRequestLimit()
         self._numbers = SequenceNumbers()
         self.reading = ClientReading()
+        self._refusals = 0  # of unsound requests
         self.timeouts = MessageTimeouts(monotonic_ms())
         self.connection = Connection.accepted(
             port.loop, sock, self, MAX_READ_BYTES, order=self._priority, half_close=True
@@ -54,8 +59,6 @@
     def _priority(self) -> ReadPriority:
         return ReadPriority.ACTIVE if self.open else ReadPriority.IDLE
 
-    # --- messages -------------------------------------------------------------------------------
-
     def on_up(self) -> None:
         """Do nothing: the connection was accepted."""
 
@@ -117,10 +120,10 @@
         if seqid < FIRST_NUMBER:
             return self._refuse(seqid, thrift.MalformedMessageError("a sequence number below 1"))
         if self._limit.is_exceeded(message.end_bytes, self.port.loop.iteration_ms):
-            self.port.log("client: sent past the limit of open requests", "clients")
+            self._note("sent past the limit of open requests", seqid)
             return EndReason.PROTOCOL_ERROR
         if not self._numbers.use(seqid):
-            self.port.log("client: a sequence number that does not count up", "clients")
+            self._note("a sequence number that does not count up", seqid)
             return EndReason.PROTOCOL_ERROR
         if len(self.open) >= MAX_OPEN_REQUESTS:
             return self._refuse(seqid, thrift.MalformedMessageError("too many open requests"))
@@ -160,15 +163,20 @@
             error.seqid is not None and error.seqid >= FIRST_NUMBER and not self._numbers.use(error.seqid)
         )
         if error.seqid is None or is_used:
-            self.port.log(f"client: {error}", "clients")
+            self._note(error.cause, error.seqid)
             return EndReason.PROTOCOL_ERROR
         return self._refuse(error.seqid, error)
 
     def _refuse(self, seqid: int, error: thrift.MalformedMessageError) -> EndReason | None:
-        """Refuse the request with this number; the connection stays open."""
-        self.port.log(f"client: {error}", "clients")
+        """Refuse the request with this number; return why the connection has to end, or None."""
+        self._note(error.cause, seqid)
         self._write(thrift.application_exception(seqid, str(error), error.kind))
-        return None
+        self._refusals += 1
+        return EndReason.PROTOCOL_ERROR if self._refusals >= MAX_REFUSALS else None
+
+    def _note(self, cause: str, seqid: int | None) -> None:
+        """Log why a request was refused or the connection is ended."""
+        self.port.causes.note(f"client: {cause}", lambda: f"request {seqid} of {self.peer_name}")
 
     def _reply(self, seqid: int, outcome: Outcome) -> None:
         self.open.pop(seqid, None)
@@ -205,8 +213,6 @@
         if not self.connection.reads:
             self.port.slow_clients.enforce_limit()
 
-    # --- the end --------------------------------------------------------------------------------
-
     def _end_with(
         self, items: Sequence[thrift.Message | thrift.MalformedMessageError], end: EndReason
     ) -> None:
@@ -254,8 +260,13 @@
         self.output_ended = True
         self.fail_open()
 
-    def on_end(self, _end: EndReason) -> None:
+    def on_end(self, end: EndReason) -> None:
         """Withdraw the open requests, because the connection has ended."""
+        if end not in USUAL_ENDS or self.open:
+            open_count, reason = len(self.open), end.name.lower()
+            self.port.causes.note(
+                f"client connection ended, {reason}", lambda: f"{self.peer_name}, {open_count} open"
+            )
         self.withdraw_open()
         self.port.ended(self)
 
--- a/fawnwharf/net/front_end.py
+++ b/fawnwharf/net/front_end.py
@@ -159,6 +159,7 @@
         self.client_port = ClientPort(
             self.loop, _client_port_settings(deployment), self.requests, self.log, listener
         )
+        self.requests.causes = self.client_port.causes
         self._action_handlers = self._default_handlers()
         self._shutdown: GracefulShutdown | None = None
         self._start_ms = monotonic_ms()
--- a/fawnwharf/net/requests.py
+++ b/fawnwharf/net/requests.py
@@ -9,13 +9,15 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from types import MappingProxyType
-from typing import Any, Protocol
+from typing import Any
 
 from fawnwharf import interface as io
 from fawnwharf.config import ConnectionSettings
+from fawnwharf.net.cause_log import CauseLog
 from fawnwharf.net.end_reasons import EndReason, attempt_result
 from fawnwharf.net.event_loop import EventLoop
 from fawnwharf.net.request_ids import RunIds
+from fawnwharf.net.request_observer import RequestObserver
 from fawnwharf.net.scorer_pool import ScorerPool
 from fawnwharf.net.scorer_streams import Answer, Attempt, LoadOrder
 from fawnwharf.net.timer_wheel import Timer, monotonic_ms
@@ -89,22 +91,6 @@
     may_have_run: bool = False  # by the end of an attempt, which the router may not know yet
 
 
-class RequestObserver(Protocol):
-    """A component that is notified of each attempt and load order, and of how it ends."""
-
-    def sent(self, attempt: Attempt) -> None:
-        """An attempt is about to be sent."""
-
-    def ended(self, attempt: Attempt, result: io.AttemptResult, warmth: io.Warmth) -> None:
-        """An attempt has ended."""
-
-    def ordered(self, order: LoadOrder) -> None:
-        """A load order is about to be sent."""
-
-    def order_ended(self, order: LoadOrder, result: io.AttemptResult, copies: int) -> None:
-        """A load order has ended; `copies` is the number that the scorer reported, 0 without an answer."""
-
-
 class RequestTable:
     """Owns all open requests, and ensures that each gets exactly one outcome."""
 
@@ -116,6 +102,7 @@
         classes: Mapping[str, io.ClassSpec] = MappingProxyType({}),
     ) -> None:
         """`classes` has the specifications by class name; requests of an unknown class must not run twice."""
+        self.causes = CauseLog()
         self._classes = classes
         self._loop = loop
         self._pool = pool
@@ -144,9 +131,11 @@
         It is rejected for lack of capacity, and fails if it must not run twice and its id may have run.
         """
         if len(self.open) >= self._wire.max_open or self._body_bytes + len(call.body) > MAX_BODY_BYTES:
+            self._note("rejected, too many are open here", call)
             call.reply(Rejected(FULL_RETRY_AFTER_MS))
             return None
         if self._is_at_most_once(call) and not self.at_most_once_ids.begin(call.id, monotonic_ms()):
+            self._note("failed, its id may have run", call)
             call.reply(Failed())
             return None
         key = f"r{next(self._key_numbers)}"
@@ -204,8 +193,13 @@
         The router normally ends requests earlier; this guarantees the outcome if the router has an error.
         """
         if request := self._abandon(key):
+            self._note("failed at its deadline", request.call)
             request.call.reply(Failed())
 
+    def _note(self, cause: str, call: Call) -> None:
+        """Log why a request is refused or fails."""
+        self.causes.note(f"request {cause}", lambda: f"{call.id.hex()}, {call.class_name}")
+
     def _abandon(self, key: str) -> OpenRequest | None:
         if request := self._close(key):
             request.abandoned = True
@@ -306,10 +300,14 @@
 
     def reject(self, action: io.Reject) -> None:
         """Close a request as rejected."""
+        if request := self.open.get(action.request):
+            self._note("rejected by the router", request.call)
         self._finish(action.request, Rejected(action.hold_off_ms))
 
     def fail(self, action: io.Fail) -> None:
         """Close a request as failed."""
+        if request := self.open.get(action.request):
+            self._note("failed by the router", request.call)
         self._finish(action.request, Failed())
 
     # --- from scorers -------------------------------------------------------------------------
@@ -330,6 +328,11 @@
         good = answer is not None and result is io.AttemptResult.GOOD
         if key in self.open and result not in io.NEVER_RAN:
             self.open[key].may_have_run = True
+        if result is not io.AttemptResult.GOOD:
+            self.causes.note(
+                f"attempt ended, {result.name.lower()}",
+                lambda: f"attempt {number} of {attempt.id.hex()} at scorer {attempt.scorer}",
+            )
         if self.observer:
             self.observer.ended(attempt, result, warmth)
         took_ms = monotonic_ms() - attempt.began_ms
--- a/fawnwharf/net/socket_inspection.py
+++ b/fawnwharf/net/socket_inspection.py
@@ -56,6 +56,15 @@
     return max(0, int(QUEUE_SIZE.unpack(answer)[0]))
 
 
+def peer_name(sock: socket.socket) -> str:
+    """The address of a connected peer, for the log; `unknown` if the system can't report it."""
+    try:
+        host, port = sock.getpeername()[:2]
+    except (OSError, ValueError):
+        return "unknown"
+    return f"{host}:{port}"
+
+
 def discard(sock: socket.socket) -> None:
     """Read and discard unread bytes, up to a limit: with unread bytes, a close resets the connection."""
     try:
--- a/fawnwharf/net/thrift.py
+++ b/fawnwharf/net/thrift.py
@@ -60,13 +60,16 @@
     """A frame that is not a valid message; its text is sent to the client.
 
     `seqid`: the sequence number of the request, None if unknown; `kind`: the kind of the application
-    exception that answers it.
+    exception that answers it; `cause`: the text without numbers, under which such errors are counted.
     """
 
-    def __init__(self, text: str, seqid: int | None = None, kind: int = PROTOCOL_ERROR) -> None:
+    def __init__(
+        self, text: str, seqid: int | None = None, kind: int = PROTOCOL_ERROR, cause: str = ""
+    ) -> None:
         super().__init__(text)
         self.seqid = seqid
         self.kind = kind
+        self.cause = cause or text
 
 
 class TruncatedMessageError(MalformedMessageError):
@@ -173,7 +176,7 @@
 
     def _oversized(self, start: int, size: int) -> MalformedMessageError | None:
         """The error for an oversized frame; None until its sequence number has been received."""
-        error = MalformedMessageError(f"a frame of {size} bytes")
+        error = MalformedMessageError(f"a frame of {size} bytes", cause="a frame that is too long")
         if size < 2**31:
             try:
                 error.seqid = _head(bytes(self._buffer[start : start + MAX_HEADER_BYTES]))[2]
@@ -303,7 +306,9 @@
     """Raise MalformedMessageError if an argument has another type than the service gives it, by number."""
     for number, kind in arguments:
         if types.get(number, kind) != kind:
-            raise MalformedMessageError(f"argument {number} has another type")
+            raise MalformedMessageError(
+                f"argument {number} has another type", cause="an argument of another type"
+            )
 
 
 def _parse_handle(seqid: int, arguments: _Fields) -> Handle:
