Soak: unsound clients, floods past the limit, idle crowds and signals in series

What is new: plans draw kinds of unsound clients, clients past the limit of open requests, crowds that say nothing or stop half way, and SIGHUPs in series; the checker knows what of theirs may count for the ration, and reports what was served or got no reaction within 3 s. The clients' load goes on until the kill at its earliest, as before.

--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -3,6 +3,8 @@
 import random
 from dataclasses import dataclass, field
 
+from support.unsound_clients import KINDS
+
 from soak.discovery import Fault
 
 OUTAGE_SPANS_S = (3.0, 7.0, 8.0, 15.0)
@@ -35,6 +37,9 @@
     ends_s: float  # SIGTERM
     unwritable_tmpdir: bool
     steps: list[Step] = field(default_factory=list)
+    unsound: tuple[str, ...] = ()  # kinds of unsound clients
+    floods: int = 0  # clients that go past the limit of open requests
+    idle_crowd: int = 0  # connections that say nothing, or stop half way through a request
 
     @property
     def outage_until_s(self) -> float:
@@ -55,6 +60,8 @@
     outage_s = outage_s or span_s
     ends_s = max(from_s + outage_s + AFTER_S, 14.0)
     steps = _scorer_steps(chance, scorers, from_s, outage_s) + _other_steps(chance, from_s, outage_s)
+    unsound, floods, idle_crowd = _bad_clients(chance)
+    steps += _bad_client_steps(chance, ends_s)
     steps.sort(key=lambda step: step.at_s)
     return Plan(
         seed=seed,
@@ -68,9 +75,27 @@
         ends_s=ends_s,
         unwritable_tmpdir=unwritable_tmpdir,
         steps=steps,
+        unsound=unsound,
+        floods=floods,
+        idle_crowd=idle_crowd,
     )
 
 
+def _bad_clients(chance: random.Random) -> tuple[tuple[str, ...], int, int]:
+    """Kinds of unsound clients, how many go past the limit of open requests, and the size of a crowd."""
+    unsound = chance.sample(sorted(KINDS), chance.choice([0, 1, 3, 8]))
+    return tuple(unsound), chance.choice([0, 0, 1, 2]), chance.choice([0, 0, 50, 150])
+
+
+def _bad_client_steps(chance: random.Random, ends_s: float) -> list[Step]:
+    """When they come, and signals in series."""
+    steps = [Step(chance.uniform(1.0, ends_s / 2.0), "bad clients")]
+    if chance.random() < 0.4:
+        at_s = chance.uniform(2.0, ends_s - 1.0)
+        steps += [Step(at_s + 0.02 * number, "reload") for number in range(chance.randint(2, 6))]
+    return steps
+
+
 def _scorer_steps(chance: random.Random, scorers: int, from_s: float, outage_s: float) -> list[Step]:
     """Drains of up to half of the scorers, some with a removal and a return, and other troubles."""
     steps = []
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -11,6 +11,7 @@
 from support.discovery_outage import GRACE_S, SLACK_S, TOLD_AFTER_S
 
 from fawnwharf.fakes.clocks import Page, Reading
+from soak.bad_clients import BadClients
 from soak.discovery import DiscoveryProxy, EventLog, Fault
 from soak.plan import LOADS_RPS, Plan, Step
 from soak.scorers import SoakScorer
@@ -66,6 +67,7 @@
         self.dead_end = Port()
         self.sent: list[Sent] = []
         self.term_s = float("inf")
+        self.bad_clients: BadClients | None = None
         self._page = Page(self.folder / "clock", write=True)
         self._page.write(Reading(time.monotonic(), time.time(), time.monotonic()))
         self._elsewhere = False
@@ -120,6 +122,8 @@
         return process
 
     def _end(self, process: Process) -> None:
+        if self.bad_clients is not None:
+            self.habits.remove(self.bad_clients.pump)
         longest_s = min(3.0, max(DEADLINES_MS.values()) / 1000.0)
         process.signal(signal.SIGTERM)
         self.term_s = time.monotonic()
@@ -200,6 +204,12 @@
             self._elsewhere = what == "reload elsewhere"
             self._write_configuration(self.dead_end.text if self._elsewhere else self.proxy.host_port)
             self.processes[-1].signal(signal.SIGHUP)
+        elif what == "bad clients":
+            plan = self.plan
+            self.bad_clients = BadClients(self.listen.address, plan.unsound, plan.floods, plan.idle_crowd)
+            self.habits.append(self.bad_clients.pump)
+        elif what == "reload":
+            self.processes[-1].signal(signal.SIGHUP)
         elif what in ("hour on", "hour back"):
             by_s = HOUR_S if what == "hour on" else -HOUR_S
             self._page.write(self._page.read().stepped(time.monotonic(), by_s))
@@ -228,6 +238,8 @@
         self._check_drains(found)
         self._check_repeats(found)
         self._check_loads(found)
+        if self.bad_clients is not None:
+            found.faults += self.bad_clients.faults()
         for process in self.processes:
             if "fault in" in process.log:
                 found.faults.append("fault: " + process.log[process.log.index("fault in") :][:200])
@@ -285,6 +297,8 @@
         for at_s in orders:
             ordered = sum(at_s - LOAD_WINDOW_S < other <= at_s for other in orders)
             arrived = sum(at_s - LOAD_WINDOW_S < other <= at_s for other in calls)
+            if self.bad_clients is not None:
+                arrived += self.bad_clients.requests_between(at_s - LOAD_WINDOW_S, at_s)
             if ordered > 1.15 * (FREE_LOADS + LOAD_SHARE * arrived) + 1:
                 found.faults.append(f"loads: {ordered} with {arrived} calls")
                 return
@@ -296,6 +310,8 @@
 
     def close(self) -> None:
         """End all processes and peers."""
+        if self.bad_clients is not None:
+            self.bad_clients.close()
         self.proxy.close()
         self.dead_end.sock.close()
         super().close()
--- a/tests/support/pipelining_client.py
+++ b/tests/support/pipelining_client.py
@@ -4,6 +4,7 @@
 import random
 import socket
 import struct
+import time
 
 from peers import handle_frame, reply_from
 
@@ -23,6 +24,7 @@
         self.sock = socket.create_connection(address)
         self.sock.setblocking(False)
         self.ended = False
+        self.began_s = time.monotonic()
         self.kinds = collections.Counter()  # of answers
         self.past_limit = set()  # sequence numbers
         self.served_past_limit = set()
--- a/tests/support/unsound_clients.py
+++ b/tests/support/unsound_clients.py
@@ -95,6 +95,7 @@
         self.kinds = collections.Counter()
         self._address, self._max_rounds, self._reaction_s = address, max_rounds, reaction_s
         self._sock = None
+        self.began_s = []  # when each connection was opened
         self._begin()
 
     def close(self):
@@ -113,7 +114,7 @@
             return  # nobody listens at present; the next `pump` tries again
         self._sock.setblocking(False)
         self._outbox, self._data = bytearray(KINDS[self.kind]()), bytearray()
-        self._began_s = time.monotonic()
+        self.began_s.append(time.monotonic())
         if self.kind == "half a request":
             self._write()
             self.close()  # the next `pump` begins anew
@@ -138,7 +139,7 @@
         except OSError:
             data = b""
         if data is None:
-            if time.monotonic() - self._began_s > self._reaction_s:
+            if time.monotonic() - self.began_s[-1] > self._reaction_s:
                 self.faults.append(f"{self.kind}: no reaction within {self._reaction_s} s")
                 self._begin()
             return
--- a/tests/test_outage_soak.py
+++ b/tests/test_outage_soak.py
@@ -4,7 +4,7 @@
 from soak.plan import plan_from
 from soak.run import play
 
-SEEDS = (1, 2, 3, 4)
+SEEDS = (1, 2, 3, 4, 5)
 
 
 @pytest.mark.parametrize("seed", SEEDS)
