Client port: what the bytes of clients take follows the memory limit of the process

Cause: the limits were constants (32 MB of bodies, 32 MB of unsent answers), and incomplete messages of all clients together had none. Change: memory_shares gives bodies, unsent answers and incomplete messages their parts of what the limit leaves over 32 MB, at least 1 MB and at most 32 as before each. PartialMessages ends the connections whose incomplete messages got nothing for longest. Connections that catch up after a stall hold at most half of the bodies' part, one at least.

--- a/fawnwharf/net/client_port.py
+++ b/fawnwharf/net/client_port.py
@@ -2,7 +2,7 @@
 
 import socket
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from fawnwharf.config import Address
 from fawnwharf.interface import ClassSpec
@@ -18,6 +18,9 @@
 from fawnwharf.net.idle_connections import IdleConnectionReleaser
 from fawnwharf.net.listener import open_listener
 from fawnwharf.net.log_writer import LogWriter
+from fawnwharf.net.memory_shares import MemoryShares
+from fawnwharf.net.open_request_limit import MAX_OPEN_REQUESTS
+from fawnwharf.net.partial_messages import PartialMessages
 from fawnwharf.net.request_ids import RequestContents
 from fawnwharf.net.requests import Call, RequestTable
 from fawnwharf.net.slow_clients import SlowClients
@@ -25,6 +28,7 @@
 
 # Clients normally close their idle connections after 4 s; this closes those of clients that do not.
 IDLE_TIMEOUT_MS = 30_000.0
+MAX_OPEN_BYTES = MAX_OPEN_REQUESTS * thrift.MAX_BODY_BYTES  # of the requests on one connection
 
 
 def _no_remote_call(_seqid: int) -> None:
@@ -37,7 +41,8 @@
 
     `address` is where it listens. `classes` has the known classes by name. `tenants` has the known tenants;
     if it is empty, any tenant is accepted. `max_connections` limits the simultaneous connections. `shared`
-    allows another process to listen on the same address, to replace this one.
+    allows another process to listen on the same address, to replace this one. `memory` limits what the bytes
+    of clients take.
     """
 
     address: Address
@@ -45,6 +50,7 @@
     tenants: frozenset[str]
     max_connections: int
     shared: bool = False
+    memory: MemoryShares = field(default_factory=MemoryShares)
 
 
 class ClientPort:
@@ -77,9 +83,12 @@
         opened = listener or open_listener(settings.address, settings.shared)
         self._acceptor = Acceptor(loop, opened, self._admit, self._capacity, log)
         self.address: Address = opened.getsockname()[:2]
-        self.slow_clients = SlowClients(loop, self.clients)
+        self.slow_clients = SlowClients(loop, self.clients, settings.memory.unsent_bytes)
+        self.partial_messages = PartialMessages(settings.memory.partial_bytes)
         self._idle_releaser = IdleConnectionReleaser(loop, self.clients)
         self._hold: CallHold | None = None  # set while calls are held
+        self._catching_up = 0  # connections
+        self._max_catching_up = max(1, settings.memory.body_bytes // (2 * MAX_OPEN_BYTES))
         if listener is None:
             self.set_accepting(True)
 
@@ -120,6 +129,17 @@
         free = self.max_connections - len(self.clients)
         return max(0, min(free, max(1, self.max_connections // 2)))
 
+    def begin_catch_up(self) -> bool:
+        """Whether one more connection may hold its calls while it is read after a stall; counts it."""
+        if self._catching_up >= self._max_catching_up:
+            return False
+        self._catching_up += 1
+        return True
+
+    def end_catch_up(self) -> None:
+        """A connection for which `begin_catch_up` was true holds its calls no longer."""
+        self._catching_up -= 1
+
     # --- calls ----------------------------------------------------------------------------------
 
     def open_call(
@@ -165,6 +185,7 @@
         Calls that run here remain open on `client`; the caller forwards their answers to the other process.
         """
         del self.clients[client]
+        self.partial_messages.forget(client)
         empty_ms = client.connection.empty_ms
         sock, unwritten = client.connection.detach()
         partial, skip = client.state()
@@ -220,6 +241,7 @@
     def ended(self, client: ClientConnection) -> None:
         """Remove a connection that has ended, which frees capacity for a new one."""
         self.clients.pop(client, None)
+        self.partial_messages.forget(client)
         self._acceptor.resume()
 
     def run_maintenance(self) -> None:
--- a/fawnwharf/net/client_reading.py
+++ b/fawnwharf/net/client_reading.py
@@ -58,23 +58,30 @@
     def note_age(self, client: "ClientConnection") -> None:
         """Hold the calls of this connection if bytes were read that are old, and more may be behind them."""
         is_old = client.connection.reads and client.connection.oldest_age_ms > PEER_CHECK_AFTER_MS
-        if self.hold is not None or not is_old or _is_drained(client):
+        if self.hold is not None or not is_old or _is_drained(client) or not client.port.begin_catch_up():
             return
         timers = client.port.loop.timers
         self.hold = CallHold(timers, _may_run)
         self._catch_up_until_ms = monotonic_ms() + MAX_CATCH_UP_MS
         timers.after(CATCH_UP_CHECK_MS, lambda: self._check(client))
 
+    def _end(self, client: "ClientConnection") -> None:
+        self.hold = None
+        client.port.end_catch_up()
+
     def _check(self, client: "ClientConnection") -> None:
         """Run the held calls once everything was read, or after a while."""
         hold, connection = self.hold, client.connection
-        if hold is None or connection.closed:
+        if hold is None:
+            return
+        if connection.closed:
+            self._end(client)
             return
         if connection.reads and not connection.finishing:
             connection.read_once()
             client.check_peer_ended()
-        if connection.closed or _is_drained(client) or monotonic_ms() >= self._catch_up_until_ms:
-            self.hold = None
+        if _is_drained(client) or monotonic_ms() >= self._catch_up_until_ms:
+            self._end(client)
             hold.run_all()
         else:
             client.port.loop.timers.after(CATCH_UP_CHECK_MS, lambda: self._check(client))
--- a/fawnwharf/net/clients.py
+++ b/fawnwharf/net/clients.py
@@ -60,7 +60,7 @@
         return ReadPriority.ACTIVE if self.open else ReadPriority.IDLE
 
     def on_up(self) -> None:
-        """Do nothing: the connection was accepted."""
+        """Do nothing: it was accepted."""
 
     def on_data(self, data: bytes) -> None:
         """Handle the messages that these bytes complete, and those that have arrived behind them."""
@@ -71,6 +71,7 @@
         """Handle the messages that these bytes complete; return how many there were."""
         was_partial = self._reader.has_partial_frame
         items = self._reader.feed(data)
+        self.port.partial_messages.update(self, self._reader.partial_bytes)
         self.timeouts.received(monotonic_ms(), completes_message=bool(items), continues_message=was_partial)
         if self.connection.input_full and self.open:
             self.port.slow_clients.check_later(self)
@@ -182,19 +183,17 @@
         self.open.pop(seqid, None)
         self._limit.answered(seqid)
         if isinstance(outcome, Succeeded):
-            self._answer(seqid, thrift.answer("handle", seqid, outcome.body, {}, True))
+            data = thrift.answer("handle", seqid, outcome.body, {}, True)
         elif isinstance(outcome, Rejected):
-            retry_after_ms = math.ceil(max(0.0, outcome.hold_off_ms))
-            self._answer(seqid, thrift.throttled(seqid, {"pushback": str(retry_after_ms)}))
-        elif isinstance(outcome, Failed):
-            self._answer(seqid, thrift.broken(seqid, {}))
+            data = thrift.throttled(seqid, {"pushback": str(math.ceil(max(0.0, outcome.hold_off_ms)))})
+        else:
+            data = thrift.broken(seqid, {})
+        self._answer(seqid, data)
 
     def _answer(self, seqid: int, data: bytes) -> None:
         """Write the answer of a call, or pass it on to the process that has the connection."""
-        if self._forward_answer is None:
-            self._write(data)
-        else:
-            self._forward_answer(seqid, data)
+        forward = self._forward_answer
+        self._write(data) if forward is None else forward(seqid, data)
 
     def _write(self, data: bytes) -> None:
         self.connection.write(data)
@@ -235,6 +234,12 @@
         self.fail_open()
         self.connection.finish(end)
 
+    def end_partial_message(self) -> None:
+        """End the connection, because its incomplete message takes memory that others need."""
+        self._note("an incomplete message, too many are open", None)
+        self._reader = thrift.FrameReader()
+        self._finish(EndReason.SILENT)
+
     def fail_open(self) -> None:
         """Answer each open request as failed."""
         for seqid, call in list(self.open.items()):
@@ -263,10 +268,8 @@
     def on_end(self, end: EndReason) -> None:
         """Withdraw the open requests, because the connection has ended."""
         if end not in USUAL_ENDS or self.open:
-            open_count, reason = len(self.open), end.name.lower()
-            self.port.causes.note(
-                f"client connection ended, {reason}", lambda: f"{self.peer_name}, {open_count} open"
-            )
+            text = f"{self.peer_name}, {len(self.open)} open"
+            self.port.causes.note(f"client connection ended, {end.name.lower()}", lambda: text)
         self.withdraw_open()
         self.port.ended(self)
 
@@ -298,8 +301,6 @@
         """Whether the rest of an oversized message is still to be discarded."""
         return self._reader.is_skipping
 
-    # --- hand-off to and from another process ---------------------------------------------------
-
     def state(self) -> tuple[bytes, int]:
         """Return the bytes of a partial message, and how many bytes of an oversized one are still to skip."""
         return self._reader.state()
@@ -326,6 +327,7 @@
     def resume(self, handed: HandedOffConnection, withdraw_remote: Callable[[int], None]) -> None:
         """Continue a connection in the state in which another process handed it off."""
         self._reader.resume(handed.partial, handed.skip)
+        self.port.partial_messages.update(self, len(handed.partial))
         self.timeouts.has_sent = handed.has_sent
         if handed.unwritten:
             self.connection.write(handed.unwritten)
--- a/fawnwharf/net/front_end.py
+++ b/fawnwharf/net/front_end.py
@@ -16,6 +16,7 @@
 from fawnwharf.net.event_loop import EventLoop
 from fawnwharf.net.graceful_shutdown import GracefulShutdown
 from fawnwharf.net.log_writer import LogWriter
+from fawnwharf.net.memory_shares import memory_shares
 from fawnwharf.net.requests import RequestTable
 from fawnwharf.net.roster_confirmation import ROSTER_LEASE_MS, RosterConfirmation
 from fawnwharf.net.roster_overlay import RosterOverlay
@@ -48,6 +49,7 @@
         tenants=deployment.wire.tenants,
         max_connections=descriptor_share(deployment.sockets, CLIENT_SHARE),
         shared=deployment.control is not None,
+        memory=memory_shares(deployment.memory_mb),
     )
 
 
@@ -160,6 +162,7 @@
             self.loop, _client_port_settings(deployment), self.requests, self.log, listener
         )
         self.requests.causes = self.client_port.causes
+        self.requests.max_body_bytes = memory_shares(deployment.memory_mb).body_bytes
         self._action_handlers = self._default_handlers()
         self._shutdown: GracefulShutdown | None = None
         self._start_ms = monotonic_ms()
--- a/fawnwharf/net/requests.py
+++ b/fawnwharf/net/requests.py
@@ -16,13 +16,13 @@
 from fawnwharf.net.cause_log import CauseLog
 from fawnwharf.net.end_reasons import EndReason, attempt_result
 from fawnwharf.net.event_loop import EventLoop
+from fawnwharf.net.memory_shares import MAX_BYTES
 from fawnwharf.net.request_ids import RunIds
 from fawnwharf.net.request_observer import RequestObserver
 from fawnwharf.net.scorer_pool import ScorerPool
 from fawnwharf.net.scorer_streams import Answer, Attempt, LoadOrder
 from fawnwharf.net.timer_wheel import Timer, monotonic_ms
 
-MAX_BODY_BYTES = 32 * 1024 * 1024  # of the bodies of all open requests: part of the memory limit
 FULL_RETRY_AFTER_MS = 250.0  # for requests that are rejected without the router: the front end is full
 MAX_CONCURRENCY = 30  # a scorer's reported concurrency is capped at this
 
@@ -103,6 +103,7 @@
     ) -> None:
         """`classes` has the specifications by class name; requests of an unknown class must not run twice."""
         self.causes = CauseLog()
+        self.max_body_bytes = MAX_BYTES  # of all open requests
         self._classes = classes
         self._loop = loop
         self._pool = pool
@@ -130,7 +131,7 @@
 
         It is rejected for lack of capacity, and fails if it must not run twice and its id may have run.
         """
-        if len(self.open) >= self._wire.max_open or self._body_bytes + len(call.body) > MAX_BODY_BYTES:
+        if len(self.open) >= self._wire.max_open or self._body_bytes + len(call.body) > self.max_body_bytes:
             self._note("rejected, too many are open here", call)
             call.reply(Rejected(FULL_RETRY_AFTER_MS))
             return None
@@ -310,8 +311,6 @@
             self._note("failed by the router", request.call)
         self._finish(action.request, Failed())
 
-    # --- from scorers -------------------------------------------------------------------------
-
     def _attempt_ended(
         self, key: str, number: int, attempt: Attempt, end: EndReason | None, answer: Answer | None
     ) -> None:
--- a/fawnwharf/net/slow_clients.py
+++ b/fawnwharf/net/slow_clients.py
@@ -17,14 +17,19 @@
 SCAN_MS = 40.0  # so that a disconnect or a withdrawal behind unread requests is detected within 100 ms
 MAX_READS = 36  # per scan: enough for the largest requests that may be open on one connection
 MAX_UNSENT_ANSWERS = 64  # of one client; the protocol allows half as many open requests
-MAX_TOTAL_UNSENT_BYTES = 32 * 1024 * 1024  # of all clients together: part of the memory limit
 
 
 class SlowClients:
     """Periodically checks whether slow clients have disconnected, and reads what they have sent."""
 
-    def __init__(self, loop: EventLoop, clients: dict["ClientConnection", None]) -> None:
-        """`clients` is the port's own collection, which changes as connections open and close."""
+    def __init__(
+        self, loop: EventLoop, clients: dict["ClientConnection", None], max_unsent_bytes: int
+    ) -> None:
+        """`clients` is the port's own collection, which changes as connections open and close.
+
+        `max_unsent_bytes` limits what is queued for all of them together.
+        """
+        self.max_unsent_bytes = max_unsent_bytes
         self.paused = False  # no client is read, because unread bytes belong to another process
         self._loop = loop
         self._clients = clients
@@ -80,7 +85,7 @@
 
     def enforce_limit(self) -> None:
         """Close the slow clients that have been inactive for longest, until the total limit is met."""
-        while self.unsent_bytes() > MAX_TOTAL_UNSENT_BYTES:
+        while self.unsent_bytes() > self.max_unsent_bytes:
             slow = [
                 client for client in self._clients if client.connection.unwritten_bytes > UNSENT_PAUSE_BYTES
             ]
--- a/fawnwharf/net/thrift.py
+++ b/fawnwharf/net/thrift.py
@@ -119,6 +119,11 @@
         """Whether the last frame is incomplete."""
         return bool(self._buffer or self._skip)
 
+    @property
+    def partial_bytes(self) -> int:
+        """The number of buffered bytes of an incomplete frame."""
+        return len(self._buffer)
+
     @property
     def is_skipping(self) -> bool:
         """Whether the rest of an oversized frame is still to be discarded."""
--- a/tests/net/test_net_request_rules.py
+++ b/tests/net/test_net_request_rules.py
@@ -168,7 +168,7 @@
         scorer = ScorerPeer()
         rig = self.rig(scorer)
         client = rig.client()
-        with mock.patch.object(requests, "MAX_BODY_BYTES", 10):
+        with mock.patch.object(rig.front.requests, "max_body_bytes", 10):
             seqid = client.call(body=b"x" * 11)
             rig.until(lambda: client.answers, "the request is rejected")
         expected = {1: {"pushback": str(int(requests.FULL_RETRY_AFTER_MS)).encode()}}
--- a/tests/net/test_net_slow_clients.py
+++ b/tests/net/test_net_slow_clients.py
@@ -107,7 +107,7 @@
         self.addCleanup(other.sock.close)
         other_server_side = self.server_side(rig, other)
         limit = longest_unread.connection.unwritten_bytes * 3 // 2
-        with mock.patch.object(slow_clients, "MAX_TOTAL_UNSENT_BYTES", limit):
+        with mock.patch.object(rig.front.client_port.slow_clients, "max_unsent_bytes", limit):
             other_server_side._write(UNREAD_ANSWER)
             rig.front.loop.run_iteration(0.0)
         self.assertTrue(longest_unread.connection.closed)
