Discovery: a scorer whose address a newer one has is gone, told or not

Cause: EventOrder and the roster know scorers by id alone; nothing compared addresses. Rule: "A new scorer may have the address of one that has gone" (PROTOCOL, 'The change log'); events may come twice, late or not at all. Change: EventOrder keeps the owner of each address, by the newest event that has it in service there. A newer event's scorer supersedes the owner, which counts as terminated; an older event does not take an address from its owner. Two that one list names at one address are both kept, as no order is told. Before the event is told nothing can be known: scorers don't say who they are.

--- a/fawnwharf/net/event_order.py
+++ b/fawnwharf/net/event_order.py
@@ -35,6 +35,8 @@
         # By event number: digest, whether it is a complete list, revision.
         self._events: dict[int, tuple[bytes, bool, int]] = {}
         self._scorers: dict[str, tuple[int, bool]] = {}  # by id: number of the last event, whether listed
+        # By address: the scorer that was in service there by the newest event, and that event's number.
+        self._owners: dict[str, tuple[str, int]] = {}
         self._newest_number = 0  # the highest event number received
         self._newest_complete_number = (
             0  # the number of the newest complete list, which replaces all earlier events
@@ -69,7 +71,9 @@
         """
         self._remember(seq, fleet)
         members = [member for member in fleet.members if seq >= self._last_event(member.id)]
+        members, superseded = self._resolve_addresses(seq, members)
         removed = self._removed(seq, fleet, unreadable_ids) if fleet.complete else []
+        removed += [scorer_id for scorer_id in superseded if scorer_id not in removed]
         for member in members:
             self._record(member.id, seq, listed=member.phase != "terminated")
         for scorer_id in removed:
@@ -87,6 +91,35 @@
         """Forget an event that could not be delivered, so that it counts as new when it is received again."""
         self._events.pop(seq, None)
 
+    def _resolve_addresses(self, seq: int, members: list[Member]) -> tuple[list[Member], list[str]]:
+        """Let an address belong to the scorer that came there by the newest event.
+
+        Returns the members with those of an older event as terminated, and the ids of the scorers that others
+        have superseded. PROTOCOL, "The change log": "A new scorer may have the address of one that has gone."
+        The event that says so may come late or not at all.
+        """
+        resolved: list[Member] = []
+        superseded: list[str] = []
+        for member in members:
+            is_late = False
+            if member.phase == "in_service" and member.host_port:
+                owner, owned_since = self._owners.get(member.host_port, (member.id, seq))
+                is_other = owner != member.id and self.is_listed(owner)
+                is_late = is_other and owned_since > seq
+                if is_other and owned_since < seq:
+                    superseded.append(owner)
+                if not is_late:
+                    self._own(member.host_port, member.id, seq)
+            resolved.append(Member(member.id, "terminated") if is_late else member)
+        named = {member.id for member in members}
+        return resolved, [scorer_id for scorer_id in superseded if scorer_id not in named]
+
+    def _own(self, address: str, scorer_id: str, seq: int) -> None:
+        self._owners.pop(address, None)
+        self._owners[address] = scorer_id, seq
+        if len(self._owners) > MAX_SCORERS:
+            del self._owners[next(iter(self._owners))]
+
     def _removed(self, seq: int, fleet: Fleet, unreadable_ids: Collection[str]) -> list[str]:
         named = {member.id for member in fleet.members}.union(unreadable_ids)
         return [
