Client port: connections of unsound clients linger for 100 ms, so that others have places

Cause: a connection that is ended for a violation is read and discarded for up to 1 s and holds its place among the clients' share meanwhile. Change: it lingers for 100 ms, which leaves time for its last answers to be read.

--- a/fawnwharf/net/client_port.py
+++ b/fawnwharf/net/client_port.py
@@ -192,7 +192,15 @@
         waiting = client.take_held()
         running = tuple(client.open)
         return HandedOffConnection(
-            sock, partial, skip, client.has_sent, unwritten, empty_ms, waiting, running, client.highest_seqid
+            sock,
+            partial,
+            skip,
+            client.has_sent,
+            unwritten,
+            empty_ms,
+            waiting,
+            running,
+            client.numbers.highest,
         )
 
     def take_over(
--- a/fawnwharf/net/clients.py
+++ b/fawnwharf/net/clients.py
@@ -11,7 +11,7 @@
 from fawnwharf.net.client_calls import OpenCall, RemoteCall
 from fawnwharf.net.client_reading import ClientReading
 from fawnwharf.net.client_timeouts import MessageTimeouts
-from fawnwharf.net.connection import Connection
+from fawnwharf.net.connection import LINGER_MS, Connection
 from fawnwharf.net.connection_handoff import HandedOffConnection, ReceivedCall
 from fawnwharf.net.end_reasons import EndReason
 from fawnwharf.net.event_loop import ReadPriority
@@ -29,7 +29,8 @@
 IDLE_LINGER_MS = 60.0
 MAX_RELEASE_READS = 4  # reads of an idle connection before it is closed
 USUAL_ENDS = frozenset((EndReason.CLOSED_BY_PEER, EndReason.IDLE, EndReason.STOPPED))
-MAX_REFUSALS = 32  # of unsound requests on one connection, which is closed then
+# Unsound requests that are refused on one connection before it is closed; how long it lingers then.
+MAX_REFUSALS, OFFENDER_LINGER_MS = 32, 100.0
 MAX_UNSENT_BYTES = 8 * 1024 * 1024  # 32 of the longest answers; a connection with more is closed
 
 
@@ -47,7 +48,7 @@
         self._forward_answer: Callable[[int, bytes], None] | None = None
         self._reader = thrift.FrameReader()
         self._limit = OpenRequestLimit()
-        self._numbers = SequenceNumbers()
+        self.numbers = SequenceNumbers()
         self.reading = ClientReading()
         self._refusals = 0  # of unsound requests
         self.timeouts = MessageTimeouts(monotonic_ms())
@@ -123,7 +124,7 @@
         if self._limit.is_exceeded(message.end_bytes, self.port.loop.iteration_ms):
             self._note("sent past the limit of open requests", seqid)
             return EndReason.PROTOCOL_ERROR
-        if not self._numbers.use(seqid):
+        if not self.numbers.use(seqid):
             self._note("a sequence number that does not count up", seqid)
             return EndReason.PROTOCOL_ERROR
         if len(self.open) >= MAX_OPEN_REQUESTS:
@@ -161,7 +162,7 @@
         """Refuse a message that is not valid; return why the connection has to end, or None."""
         # An exception with the number of an earlier request would count as that request's answer.
         is_used = (
-            error.seqid is not None and error.seqid >= FIRST_NUMBER and not self._numbers.use(error.seqid)
+            error.seqid is not None and error.seqid >= FIRST_NUMBER and not self.numbers.use(error.seqid)
         )
         if error.seqid is None or is_used:
             self._note(error.cause, error.seqid)
@@ -225,14 +226,14 @@
                 self.withdraw(item.seqid)
         self.fail_open()
         for item in items:
-            if isinstance(item, thrift.Handle) and self._numbers.use(item.seqid):
+            if isinstance(item, thrift.Handle) and self.numbers.use(item.seqid):
                 self._reply(item.seqid, Failed())
         self._finish(end)
 
     def _finish(self, end: EndReason) -> None:
         """End the connection; open requests are failed, so that each has its answer."""
         self.fail_open()
-        self.connection.finish(end)
+        self.connection.finish(end, OFFENDER_LINGER_MS if end is EndReason.PROTOCOL_ERROR else LINGER_MS)
 
     def end_partial_message(self) -> None:
         """End the connection, because its incomplete message takes memory that others need."""
@@ -283,8 +284,8 @@
     @property
     def idle(self) -> bool:
         """Whether it has no open request and no unwritten answer, and is not being closed."""
-        connection = self.connection
-        return not (self.open or connection.unwritten_bytes or connection.closed or connection.finishing)
+        with_output = self.connection.unwritten_bytes
+        return not (self.open or with_output or self.connection.closed or self.connection.finishing)
 
     @property
     def has_sent(self) -> bool:
@@ -340,12 +341,7 @@
             if (end := self._handle_guarded(call, set())) is not None:
                 self._end_with(calls[index:], end)
                 return
-        self._numbers.use(handed.highest_seqid)
-
-    @property
-    def highest_seqid(self) -> int:
-        """The highest sequence number that a request has used here; 0 if none has."""
-        return self._numbers.highest
+        self.numbers.use(handed.highest_seqid)
 
     def answer_remote(self, seqid: int, data: bytes) -> None:
         """Write the answer of a call that another process ran, if the client still waits for it."""
--- a/tests/test_unsound_clients.py
+++ b/tests/test_unsound_clients.py
@@ -3,11 +3,13 @@
 Each gets a refusal, an error or a close in time, none is served, and the usual clients get their answers.
 """
 
+import contextlib
+import socket
 import time
 
 import pytest
 from processes import Site
-from support.unsound_clients import KINDS, UnsoundClient
+from support.unsound_clients import KINDS, UnsoundClient, hundreds
 
 RUN_S = 1.0
 LATEST_S = 0.6  # of an answer to a usual client
@@ -91,6 +93,40 @@
     check(site, *play(site, FAST_KINDS, run_s=3.0, between=replace))
 
 
+def test_unsound_clients_that_never_close_leave_places_for_new_connections():
+    site = Site(scorers=2, limits={"memory_mb": 96, "sockets": 256})
+    unsound, took_s = [], []
+    try:
+        process = site.begin()
+        site.until_ready(process)
+        site.habits.append(lambda: unsound.extend(_offenders(site, 4)))
+        began_s = time.monotonic()
+        while time.monotonic() < began_s + 3.0:
+            sent_s = time.monotonic()
+            caller = site.caller()
+            caller.ask(ttl="3000")
+            site.until(lambda caller=caller: not caller.open or caller.ended, "it is answered")
+            took_s.append(time.monotonic() - sent_s)
+            assert caller.verdict() == []
+            site.drop(caller)
+        assert len(took_s) > 10
+        assert max(took_s) < 1.0
+    finally:
+        for sock in unsound:
+            sock.close()
+        site.close()
+
+
+def _offenders(site, count):
+    """Up to `count` connections that send hundreds of requests at once, and stay."""
+    for _ in range(count):
+        with contextlib.suppress(OSError):
+            sock = socket.create_connection(site.listen.address, timeout=0.05)
+            sock.setblocking(False)
+            yield sock
+            sock.send(hundreds(60))
+
+
 def test_ever_new_names_take_no_memory_without_end(site):
     process = site.begin()
     site.until_ready(process)
