--- a/fawnwharf/net/clients.py
+++ b/fawnwharf/net/clients.py
@@ -31,6 +31,7 @@
 USUAL_ENDS = frozenset((EndReason.CLOSED_BY_PEER, EndReason.IDLE, EndReason.STOPPED))
 # Unsound requests that are refused on one connection before it is closed; how long it lingers then.
 MAX_REFUSALS, OFFENDER_LINGER_MS = 32, 100.0
+MAX_LOGGED_ID = 32  # characters
 MAX_UNSENT_BYTES = 8 * 1024 * 1024  # 32 of the longest answers; a connection with more is closed
 
 
@@ -114,27 +115,29 @@
         if isinstance(item, thrift.Withdraw):
             self.withdraw(item.seqid)
         else:
-            self._write(thrift.answer("status", item.seqid, b"", {}, self.port.accepts_requests))
+            self.connection.write(thrift.answer("status", item.seqid, b"", {}, self.port.accepts_requests))
         return None
 
     def _handle_request(self, message: thrift.Handle, withdrawn: set[int]) -> EndReason | None:
         seqid = message.seqid
         if seqid < FIRST_NUMBER:
-            return self._refuse(seqid, thrift.MalformedMessageError("a sequence number below 1"))
+            return self._refuse(seqid, thrift.MalformedMessageError("a sequence number below 1"), message)
         if self._limit.is_exceeded(message.end_bytes, self.port.loop.iteration_ms):
-            self._note("sent past the limit of open requests", seqid)
+            self._note("sent past the limit of open requests", seqid, message)
             return EndReason.PROTOCOL_ERROR
         if not self.numbers.use(seqid):
-            self._note("a sequence number that does not count up", seqid)
+            self._note("a sequence number that does not count up", seqid, message)
             return EndReason.PROTOCOL_ERROR
         if len(self.open) >= MAX_OPEN_REQUESTS:
-            return self._refuse(seqid, thrift.MalformedMessageError("too many open requests"))
+            return self._refuse(seqid, thrift.MalformedMessageError("too many open requests"), message)
         try:
             parsed = call_from(message, self.port.classes, self.port.tenants)
         except thrift.MalformedMessageError as error:
-            return self._refuse(seqid, error)
+            return self._refuse(seqid, error, message)
         if not self.port.contents.accept(parsed.id, parsed.content, monotonic_ms()):
-            return self._refuse(seqid, thrift.MalformedMessageError("call: the id of another request"))
+            return self._refuse(
+                seqid, thrift.MalformedMessageError("call: the id of another request"), message
+            )
         self.check_peer_ended()
         if self.output_ended:
             if seqid not in withdrawn:
@@ -169,16 +172,19 @@
             return EndReason.PROTOCOL_ERROR
         return self._refuse(error.seqid, error)
 
-    def _refuse(self, seqid: int, error: thrift.MalformedMessageError) -> EndReason | None:
+    def _refuse(
+        self, seqid: int, error: thrift.MalformedMessageError, message: thrift.Handle | None = None
+    ) -> EndReason | None:
         """Refuse the request with this number; return why the connection has to end, or None."""
-        self._note(error.cause, seqid)
-        self._write(thrift.application_exception(seqid, str(error), error.kind))
+        self._note(error.cause, seqid, message)
+        self.connection.write(thrift.application_exception(seqid, str(error), error.kind))
         self._refusals += 1
         return EndReason.PROTOCOL_ERROR if self._refusals >= MAX_REFUSALS else None
 
-    def _note(self, cause: str, seqid: int | None) -> None:
+    def _note(self, cause: str, seqid: int | None, message: thrift.Handle | None = None) -> None:
         """Log why a request was refused or the connection is ended."""
-        self.port.causes.note(f"client: {cause}", lambda: f"request {seqid} of {self.peer_name}")
+        call = "unknown" if message is None else message.fields.get("call", "")[:MAX_LOGGED_ID]
+        self.port.causes.note(f"client: {cause}", lambda: f"request {seqid} of {self.peer_name}, id {call}")
 
     def _reply(self, seqid: int, outcome: Outcome) -> None:
         self.open.pop(seqid, None)
@@ -194,10 +200,7 @@
     def _answer(self, seqid: int, data: bytes) -> None:
         """Write the answer of a call, or pass it on to the process that has the connection."""
         forward = self._forward_answer
-        self._write(data) if forward is None else forward(seqid, data)
-
-    def _write(self, data: bytes) -> None:
-        self.connection.write(data)
+        self.connection.write(data) if forward is None else forward(seqid, data)
 
     def _note_answers_written(self) -> None:
         """Note what the client had sent before it can have read the answers that are about to be written."""
--- a/tests/net/test_net_cause_log.py
+++ b/tests/net/test_net_cause_log.py
@@ -80,6 +80,7 @@
     text = "\n".join(rig.lines)
     rig.close()
     assert "client: op: no such class: request 1 of 127.0.0.1:" in text
+    assert ", id 0000000000000001" in text
     assert "attempt ended, error: attempt 0 of 00000000000000aa at scorer" in text
     assert "request failed by the router: 00000000000000aa, settle" in text
 
--- a/tests/net/test_net_client_disconnects.py
+++ b/tests/net/test_net_client_disconnects.py
@@ -117,7 +117,7 @@
         client = rig.client()
         self.open_request(rig, client)
         server_side = self.server_side(rig, client)
-        server_side._write(b"x" * 7_000_000)
+        server_side.connection.write(b"x" * 7_000_000)
         rig.front.loop.run_iteration(0.0)
         self.assertFalse(server_side.connection.reads)
         client.sock.shutdown(socket.SHUT_WR)
@@ -275,7 +275,7 @@
         client = rig.client()
         self.open_request(rig, client)
         server_side, filler = self.server_side(rig, client), b"x" * 7_000_000
-        server_side._write(filler)
+        server_side.connection.write(filler)
         rig.front.loop.run_iteration(0.0)
         self.assertTrue(server_side.connection.unwritten_bytes)
         client.sock.shutdown(socket.SHUT_WR)
--- a/tests/net/test_net_clients.py
+++ b/tests/net/test_net_clients.py
@@ -135,11 +135,11 @@
         rig.settle(client)
         [server_side] = rig.front.client_port.clients
         with mock.patch.object(clients, "MAX_UNSENT_BYTES", 8 * 1024 * 1024):
-            server_side._write(b"x" * 7_000_000)
+            server_side.connection.write(b"x" * 7_000_000)
             rig.front.loop.run_iteration(0)
             rig.front.loop.run_iteration(0)
             self.assertFalse(server_side.connection._reading)
-        server_side._write(b"x" * 9_000_000)
+        server_side.connection.write(b"x" * 9_000_000)
         rig.front.loop.run_iteration(0)
         self.assertTrue(server_side.connection.closed)
 
--- a/tests/net/test_net_slow_clients.py
+++ b/tests/net/test_net_slow_clients.py
@@ -24,7 +24,7 @@
         rig.clients.remove(client)  # so that only the test reads its answers from here on
         self.addCleanup(client.sock.close)
         server_side = self.server_side(rig, client)
-        server_side._write(UNREAD_ANSWER)
+        server_side.connection.write(UNREAD_ANSWER)
         rig.front.loop.run_iteration(0.0)
         self.assertFalse(server_side.connection.reads)
         return rig, client, server_side
@@ -108,7 +108,7 @@
         other_server_side = self.server_side(rig, other)
         limit = longest_unread.connection.unwritten_bytes * 3 // 2
         with mock.patch.object(rig.front.client_port.slow_clients, "max_unsent_bytes", limit):
-            other_server_side._write(UNREAD_ANSWER)
+            other_server_side.connection.write(UNREAD_ANSWER)
             rig.front.loop.run_iteration(0.0)
         self.assertTrue(longest_unread.connection.closed)
         self.assertFalse(other_server_side.connection.closed)
