--- a/tests/support/unsound_clients.py
+++ b/tests/support/unsound_clients.py
@@ -93,6 +93,7 @@
     def __init__(self, address, kind, max_rounds=10_000, reaction_s=REACTION_S):
         self.kind, self.faults, self.rounds = kind, [], 0
         self.kinds = collections.Counter()
+        self.host = address[0]
         self._address, self._max_rounds, self._reaction_s = address, max_rounds, reaction_s
         self._sock = None
         self.began_s = []  # when each connection was opened
