Client port: no sound client loses a request to the limit on incomplete messages

What callers saw: where incomplete messages were past their share of the memory, a client with an open request and half of the next one got its open request failed and its connection closed, and clients that went on writing large requests were closed. Cause: PartialMessages ended the connection whose latest bytes were oldest, whatever was open on it and whatever had arrived behind them. Rule: "One that has been read and whose connection is closed with no answer is lost" (STANDING); "A front end may close a connection that has no open request" (PROTOCOL). Change: it closes idle connections as the limit on descriptors does: nothing open, nothing for 100 ms, all that has arrived is read first. The incomplete message's buffer is freed at once.

--- a/fawnwharf/net/client_port.py
+++ b/fawnwharf/net/client_port.py
@@ -84,7 +84,7 @@
         self._acceptor = Acceptor(loop, opened, self._admit, self._capacity, log)
         self.address: Address = opened.getsockname()[:2]
         self.slow_clients = SlowClients(loop, self.clients, settings.memory.unsent_bytes)
-        self.partial_messages = PartialMessages(settings.memory.partial_bytes)
+        self.partial_messages = PartialMessages(loop, self.causes, settings.memory.partial_bytes)
         self._idle_releaser = IdleConnectionReleaser(loop, self.clients)
         self._hold: CallHold | None = None  # set while calls are held
         self._catching_up = 0  # connections
--- a/fawnwharf/net/clients.py
+++ b/fawnwharf/net/clients.py
@@ -238,12 +238,6 @@
         self.fail_open()
         self.connection.finish(end, OFFENDER_LINGER_MS if end is EndReason.PROTOCOL_ERROR else LINGER_MS)
 
-    def end_partial_message(self) -> None:
-        """End the connection, because its incomplete message takes memory that others need."""
-        self._note("an incomplete message, too many are open", None)
-        self._reader = thrift.FrameReader()
-        self._finish(EndReason.SILENT)
-
     def fail_open(self) -> None:
         """Answer each open request as failed."""
         for seqid, call in list(self.open.items()):
@@ -373,6 +367,7 @@
         if not self._read_all() or self.connection.used_ms != used_ms or not self.idle:
             return self.connection.closed
         self.connection.finish(EndReason.IDLE if self.has_sent else EndReason.SILENT, IDLE_LINGER_MS)
+        self._reader = thrift.FrameReader()  # what was received of a message takes no memory any more
         return True
 
     def close_overdue(self) -> None:
