Memory shares: slow readers of long answers are served at small limits

What callers saw: at memory_mb 32, 12 clients that read their answers of 229,000 bytes a second late; connections were closed and answers lost. Change: at least 4 MB. Test: test_slow_readers_of_long_answers_are_served_with_little_memory, failed before, passes now.

--- a/fawnwharf/net/memory_shares.py
+++ b/fawnwharf/net/memory_shares.py
@@ -6,6 +6,7 @@
 BASE_MB = 32  # the process itself, with what it learns
 MAX_BYTES = 32 * MEGABYTE  # of one share
 MIN_BYTES = MEGABYTE
+MIN_UNSENT_BYTES = 4 * MEGABYTE  # answers to slow readers; a client that is closed loses them
 # Parts of what is left of the limit.
 BODIES_PART, UNSENT_PART, PARTIAL_PART = 0.35, 0.45, 0.2
 
@@ -24,7 +25,7 @@
     free_bytes = (memory_mb - BASE_MB) * MEGABYTE
     return MemoryShares(
         body_bytes=_share(free_bytes, BODIES_PART),
-        unsent_bytes=_share(free_bytes, UNSENT_PART),
+        unsent_bytes=max(MIN_UNSENT_BYTES, _share(free_bytes, UNSENT_PART)),
         partial_bytes=_share(free_bytes, PARTIAL_PART),
     )
 
--- a/tests/test_memory_of_clients.py
+++ b/tests/test_memory_of_clients.py
@@ -17,6 +17,7 @@
 CALLS = 32
 RUN_S = 3.0
 GROWTH_MB = 8.0
+LONG_ANSWERS = 12
 
 
 def half_a_large_request(_number):
@@ -66,6 +67,24 @@
         site.close()
 
 
+def test_slow_readers_of_long_answers_are_served_with_little_memory():
+    site = Site(scorers=2, limits={"memory_mb": MEMORY_MB, "sockets": SOCKETS})
+    try:
+        process = site.begin()
+        site.until_ready(process)
+        readers = [site.caller(small=True) for _ in range(LONG_ANSWERS)]
+        for reader in readers:
+            reader.reads = False
+            reader.ask(before=b"big:229000:")
+        answered_s = time.monotonic() + 1.0
+        site.until(lambda: time.monotonic() > answered_s, "all answers are on their way")
+        for reader in readers:
+            reader.reads = True
+        assert site.verdict() == []
+    finally:
+        site.close()
+
+
 def test_shares_follow_the_limit_and_leave_small_processes_something():
     small, usual, large = memory_shares(32), memory_shares(96), memory_shares(192)
     for shares in (small, usual, large):
