Client port: refusals between sound requests do not close a connection

What callers saw: a connection that carried sound requests and, in all its life, 32 unsound ones was closed, and what was open on it failed. Rule: "A front end may close a connection that has no open request" (PROTOCOL). A flood of unsound requests is still closed after 32 in a row. Test: test_refusals_between_sound_requests_do_not_close_a_connection, failed before, passes now.

--- a/fawnwharf/net/clients.py
+++ b/fawnwharf/net/clients.py
@@ -29,7 +29,7 @@
 IDLE_LINGER_MS = 60.0
 MAX_RELEASE_READS = 4  # reads of an idle connection before it is closed
 USUAL_ENDS = frozenset((EndReason.CLOSED_BY_PEER, EndReason.IDLE, EndReason.STOPPED))
-# Unsound requests that are refused on one connection before it is closed; how long it lingers then.
+# Unsound requests that are refused one after another before a connection is closed; how long it lingers then.
 MAX_REFUSALS, OFFENDER_LINGER_MS = 32, 100.0
 MAX_LOGGED_ID = 32  # characters
 MAX_UNSENT_BYTES = 8 * 1024 * 1024  # 32 of the longest answers; a connection with more is closed
@@ -143,6 +143,7 @@
             if seqid not in withdrawn:
                 self._reply(seqid, Failed())
             return None
+        self._refusals = 0
         self._limit.opened(seqid, self.port.loop.iteration_ms + parsed.budget_ms - self._age_ms)
         call = parsed.open(self._age_ms, lambda outcome: self._reply(seqid, outcome), self.check_peer_ended)
         if (opened := self.port.open_call(self, message, call, self._age_ms)) is not None:
--- a/tests/net/test_net_cause_log.py
+++ b/tests/net/test_net_cause_log.py
@@ -85,6 +85,22 @@
     assert "request failed by the router: 00000000000000aa, settle" in text
 
 
+def test_refusals_between_sound_requests_do_not_close_a_connection():
+    rig = Rig(ScorerPeer(copies=64))
+    client = rig.client()
+    for number in range(3):
+        first = number * MAX_REFUSALS + 1
+        seqids = range(first, first + MAX_REFUSALS - 1)
+        refused = b"".join(handle_frame(seqid, CALL | {"op": "unheard"}) for seqid in seqids)
+        client.sock.sendall(refused + call_frame(first + MAX_REFUSALS - 1))
+    rig.until(lambda: len(rig.scorers[0].runs) == 3, "the sound requests are forwarded")
+    for run in rig.scorers[0].runs:
+        rig.scorers[0].answer(run)
+    rig.until(lambda: list(client.kinds().values()).count("answer") == 3, "they are served")
+    assert not client.ended
+    rig.close()
+
+
 def test_a_connection_with_many_unsound_requests_is_closed():
     rig = Rig(ScorerPeer(copies=4))
     client = rig.client()
