--- a/tests/net/test_net_client_streams.py
+++ b/tests/net/test_net_client_streams.py
@@ -4,22 +4,17 @@
 """
 
 import random
-import struct
 import unittest
 
 from peers import ScorerPeer, handle_frame
-from support.client_cases import Case, call_frame
+from support.client_cases import Case, call_frame, withdrawal
 
 from fawnwharf.net import thrift
 
+OWN_NUMBER = 9_999  # of withdrawals
 UNNUMBERED = b"\x00\x00\x00\x04GET "  # bytes without a readable sequence number
 
 
-def withdrawal(seqid):
-    payload = struct.pack(">bhib", thrift.I32, 1, seqid, 0)
-    return thrift._frame(thrift.ONEWAY, b"withdraw", 9_999, payload)
-
-
 def bad_frame(seqid, rng):
     """Return a message that has a sequence number but can't be served."""
     return rng.choice(
@@ -53,7 +48,7 @@
             data += call_frame(seqid)
             if rng.random() < 0.2:
                 withdrawn.append(seqid)
-                data += withdrawal(seqid)
+                data += withdrawal(seqid, OWN_NUMBER)
         while data:
             cut = rng.randrange(1, 20_000)
             client.sock.setblocking(True)
--- a/tests/net/test_net_open_request_limit.py
+++ b/tests/net/test_net_open_request_limit.py
@@ -1,12 +1,9 @@
 """The limit of open requests, counted as the client does: what is sent past it is never served."""
 
-import struct
-
 import pytest
 from peers import Rig, ScorerPeer, handle_frame
-from support.client_cases import CALL, call_frame, wait
+from support.client_cases import CALL, call_frame, wait, withdrawal
 
-from fawnwharf.net import thrift
 from fawnwharf.net.open_request_limit import MAX_OPEN_REQUESTS, OpenRequestLimit
 
 FOREVER_MS = 1e9
@@ -21,11 +18,6 @@
     made.close()
 
 
-def withdrawal(seqid, own_number):
-    payload = struct.pack(">bhib", thrift.I32, 1, seqid, 0)
-    return thrift._frame(thrift.ONEWAY, b"withdraw", own_number, payload)
-
-
 def opened(rig, count=MAX_OPEN_REQUESTS):
     """A client with so many requests open, which their scorer has received."""
     client = rig.client()
--- a/tests/net/test_net_sequence_numbers.py
+++ b/tests/net/test_net_sequence_numbers.py
@@ -1,10 +1,8 @@
 """Sequence numbers start at 1 and count up: a request whose number does not is never served."""
 
-import struct
-
 import pytest
 from peers import Rig, ScorerPeer
-from support.client_cases import call_frame
+from support.client_cases import call_frame, withdrawal
 
 from fawnwharf.net import thrift
 
@@ -19,11 +17,6 @@
     made.close()
 
 
-def withdrawal(seqid, own_number):
-    payload = struct.pack(">bhib", thrift.I32, 1, seqid, 0)
-    return thrift._frame(thrift.ONEWAY, b"withdraw", own_number, payload)
-
-
 def request(seqid, **fields):
     """A request under an id of its own."""
     LAST_ID[0] += 1
--- a/tests/support/client_cases.py
+++ b/tests/support/client_cases.py
@@ -1,5 +1,6 @@
 """Shared base of the client connection tests: a rig that is closed at the end, and the router's events."""
 
+import struct
 import unittest
 
 from peers import Rig, handle_frame
@@ -15,6 +16,12 @@
     return handle_frame(seqid, CALL | {"call": f"{seqid:016x}"} | fields)
 
 
+def withdrawal(seqid, own_number):
+    """The withdrawal of a request, as a message with a number of its own."""
+    payload = struct.pack(">bhib", thrift.I32, 1, seqid, 0)
+    return thrift._frame(thrift.ONEWAY, b"withdraw", own_number, payload)
+
+
 class Case(unittest.TestCase):
     """A test case for client connections that records the events passed to the router."""
 
--- a/tests/support/unsound_clients.py
+++ b/tests/support/unsound_clients.py
@@ -10,6 +10,7 @@
 from peers import ROW, handle_frame, reply_from
 
 from fawnwharf.net import thrift
+from support.client_cases import withdrawal
 
 REACTION_S = 3.0  # a refusal, an error or a close is owed within this time of connecting
 READ_BYTES = 64 * 1024
@@ -27,10 +28,6 @@
     return handle_frame(seqid, fields_of(next(NUMBERS), **changes), body)
 
 
-def withdrawal(seqid):
-    return thrift._frame(thrift.ONEWAY, b"withdraw", seqid, struct.pack(">bhib", thrift.I32, 1, seqid, 0))
-
-
 def other_body_type():
     head = struct.pack(">Ii", thrift.VERSION | thrift.CALL, 6) + b"handle" + struct.pack(">i", 1)
     fields = struct.pack(">bh", thrift.MAP, 1) + thrift._fields(fields_of(next(NUMBERS)))
@@ -48,7 +45,7 @@
 
 
 def taken_back(count=300):
-    return hundreds(count) + b"".join(withdrawal(seqid) for seqid in range(1, count + 1))
+    return hundreds(count) + b"".join(withdrawal(seqid, seqid) for seqid in range(1, count + 1))
 
 
 def id_of_an_open_request():
